--- /dev/null
+++ b/packages/rampswitch-configuration/src/revision_log.ts
@@ -0,0 +1,242 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * The ordered log of revisions as the platform keeps it: a head object with
+ * the latest deltas, and snapshots cut into parts below a megabyte.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import {
+  applyDeltas,
+  type ConfigurationState,
+  type Delta,
+  type Edit,
+  editKey,
+  type RevisedResource,
+} from "./configuration_state.ts";
+import { referenceProblems } from "./reference_check.ts";
+
+/** Key of the head object. */
+export const HEAD_KEY = "configuration/head";
+
+/** Prefix of the parts of all snapshots. */
+export const SNAPSHOT_PREFIX = "configuration/snapshot/";
+
+const KEPT_CHANGE_IDS = 256;
+const KEPT_DELTAS = 32;
+const MAXIMUM_DELTA_BYTES = 64 * 1024;
+const PART_BYTES = 512 * 1024;
+const MAXIMUM_CHANGE_BYTES = 256 * 1024;
+
+/** A change id and the revision that it became. */
+export interface SettledChange {
+  readonly changeId: string;
+  readonly revision: number;
+}
+
+/** A snapshot that the head names. */
+export interface SnapshotReference {
+  readonly revision: number;
+  readonly parts: number;
+}
+
+/** Value of the head object. */
+export interface Head {
+  readonly revision: number;
+  readonly snapshot: SnapshotReference;
+  /** Deltas up to `revision`; the first follows the snapshot or precedes it. */
+  readonly deltas: readonly Delta[];
+  readonly settled: readonly SettledChange[];
+}
+
+/** The head before the first change. */
+export const EMPTY_HEAD: Head = {
+  revision: 0,
+  snapshot: { revision: 0, parts: 0 },
+  deltas: [],
+  settled: [],
+};
+
+/** A change as an operator asks for it. */
+export interface ChangeRequest {
+  readonly changeId: string;
+  readonly operator: string;
+  /** Revision that the operator saw; later changes of the same resources
+   * conflict. */
+  readonly baseRevision: number;
+  readonly edits: readonly Edit[];
+}
+
+/** A resource that another operator changed meanwhile. */
+export interface Conflict {
+  readonly key: string;
+  /** Revision of the other change; absent where it was deleted. */
+  readonly revision: number | undefined;
+  readonly current: RevisedResource["resource"] | undefined;
+}
+
+/** How a change ended, as told to the operator. */
+export type ChangeOutcome =
+  | { readonly kind: "accepted"; readonly revision: number }
+  | { readonly kind: "conflict"; readonly conflicts: readonly Conflict[] }
+  | { readonly kind: "invalid"; readonly problems: readonly string[] }
+  | { readonly kind: "unknown"; readonly changeId: string };
+
+/** A head with one more change, or why the change is not taken. */
+export type ChangeDecision =
+  | { readonly kind: "append"; readonly head: Head; readonly delta: Delta }
+  | { readonly kind: "end"; readonly outcome: ChangeOutcome };
+
+/** Decides on a change against the head and the state of its revision. */
+export function decideChange(
+  head: Head,
+  state: ConfigurationState,
+  options: { readonly request: ChangeRequest; readonly now: number },
+): ChangeDecision {
+  const { request, now } = options;
+  const settled = head.settled.find(
+    ({ changeId }) => changeId === request.changeId,
+  );
+  if (settled !== undefined) {
+    return ended({ kind: "accepted", revision: settled.revision });
+  }
+  const conflicts = conflictsOf(state, request);
+  if (conflicts.length > 0) return ended({ kind: "conflict", conflicts });
+  const delta: Delta = {
+    revision: head.revision + 1,
+    changeId: request.changeId,
+    operator: request.operator,
+    acceptedAt: now,
+    edits: request.edits,
+  };
+  const problems = changeProblems(state, delta);
+  if (problems.length > 0) return ended({ kind: "invalid", problems });
+  return { kind: "append", head: appended(head, delta), delta };
+}
+
+function ended(outcome: ChangeOutcome): ChangeDecision {
+  return { kind: "end", outcome };
+}
+
+function conflictsOf(
+  state: ConfigurationState,
+  request: ChangeRequest,
+): readonly Conflict[] {
+  return request.edits.flatMap((edit) => {
+    const key = editKey(edit);
+    const current = state.resources.get(key);
+    const changed = (current?.revision ?? 0) > request.baseRevision;
+    const deleted = current === undefined && edit.kind === "delete";
+    return changed || deleted
+      ? [{ key, revision: current?.revision, current: current?.resource }]
+      : [];
+  });
+}
+
+function changeProblems(
+  state: ConfigurationState,
+  delta: Delta,
+): readonly string[] {
+  const bytes = JSON.stringify(delta.edits).length;
+  return [
+    ...(delta.edits.length === 0 ? ["no edits, expected at least one"] : []),
+    ...(bytes > MAXIMUM_CHANGE_BYTES
+      ? [`${bytes} bytes, expected at most ${MAXIMUM_CHANGE_BYTES}`]
+      : []),
+    ...referenceProblems(applyDeltas(state, [delta]), delta.edits),
+  ];
+}
+
+function appended(head: Head, delta: Delta): Head {
+  const { changeId, revision } = delta;
+  return {
+    revision,
+    snapshot: head.snapshot,
+    deltas: [...head.deltas, delta],
+    settled: [...head.settled, { changeId, revision }].slice(-KEPT_CHANGE_IDS),
+  };
+}
+
+/** Whether the deltas of a head have grown enough to cut a snapshot. */
+export function needsCompaction(head: Head): boolean {
+  return (
+    head.deltas.length > KEPT_DELTAS &&
+    JSON.stringify(head.deltas).length > MAXIMUM_DELTA_BYTES
+  );
+}
+
+/** Key of one part of a snapshot. */
+export function snapshotKey(revision: number, part: number): string {
+  return `${SNAPSHOT_PREFIX}${revision}/${part}`;
+}
+
+/** Cuts the state into the values of a snapshot's parts. */
+export function snapshotParts(state: ConfigurationState): readonly string[] {
+  const rows = [...state.resources].map((row) => JSON.stringify(row));
+  const parts = rows.reduce<readonly (readonly string[])[]>((cut, row) => {
+    const last = cut.at(-1) ?? [];
+    const bytes = last.reduce((sum, other) => sum + other.length, row.length);
+    return bytes > PART_BYTES && last.length > 0
+      ? [...cut, [row]]
+      : [...cut.slice(0, -1), [...last, row]];
+  }, []);
+  return parts.map((part) => `[${part.join(",")}]`);
+}
+
+/** Joins the parts of a snapshot. */
+export function readSnapshot(
+  revision: number,
+  parts: readonly string[],
+): ConfigurationState {
+  const rows = parts.flatMap(
+    (part) =>
+      JSON.parse(part) as readonly (readonly [string, RevisedResource])[],
+  );
+  return { revision, resources: new Map(rows) };
+}
+
+/** The head after a snapshot of its revision was written. */
+export function compacted(head: Head, snapshot: SnapshotReference): Head {
+  return {
+    ...head,
+    snapshot,
+    deltas: head.deltas.filter(
+      ({ revision }) => revision > snapshot.revision - KEPT_DELTAS,
+    ),
+  };
+}
+
+/** Snapshots that no reader can need any more, by their revisions. */
+export function obsoleteSnapshots(
+  head: Head,
+  present: readonly number[],
+): readonly number[] {
+  const newest = present
+    .filter((revision) => revision < head.snapshot.revision)
+    .toSorted((left, right) => right - left)
+    .slice(0, 1);
+  return present.filter(
+    (revision) =>
+      revision < head.snapshot.revision && !newest.includes(revision),
+  );
+}
+
+/**
+ * Moves a state forward by a head's deltas; fails where they start too late
+ * and the snapshot has to be read.
+ */
+export function advance(
+  state: ConfigurationState,
+  head: Pick<Head, "revision" | "deltas">,
+): Result<ConfigurationState, "snapshot_needed"> {
+  if (head.revision <= state.revision) return Result.ok(state);
+  const next = applyDeltas(state, head.deltas);
+  return next.revision >= head.revision
+    ? Result.ok(next)
+    : Result.err("snapshot_needed");
+}
+
+/** Reads the value of a head object. */
+export function parseHead(value: string | undefined): Head {
+  return value === undefined ? EMPTY_HEAD : (JSON.parse(value) as Head);
+}
--- /dev/null
+++ b/packages/rampswitch-entry/bin/rampswitchd.mjs
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from "rampswitch-entry";
+
+await main(process.argv);
--- /dev/null
+++ b/packages/rampswitch-entry/src/backend_client.ts
@@ -0,0 +1,118 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Calls to backend servers: connection pools, and the rule that tells whether a
+ * failed call can have run.
+ *
+ * @module
+ */
+import type { Readable } from "node:stream";
+import { Result } from "true-myth";
+import { type Dispatcher, Pool } from "undici";
+import {
+  type FailedRan,
+  failed,
+  inDoubt,
+  type InDoubt,
+  refused,
+  type RefusedNotRun,
+} from "rampswitch-types";
+
+/** A call to a backend server. */
+export interface BackendCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | readonly string[]>>;
+  readonly body: Buffer | Readable | undefined;
+  readonly timeoutMilliseconds: number;
+  readonly signal?: AbortSignal;
+}
+
+/** The head of an answer, and its body to be read. */
+export type BackendReply = Dispatcher.ResponseData;
+
+/** A call that brought no answer. */
+export type CallFailure = RefusedNotRun | InDoubt | FailedRan;
+
+const CONNECT_MILLISECONDS = 1_000;
+const CONNECTIONS_PER_SERVER = 256;
+const KEEP_ALIVE_MILLISECONDS = 4_000;
+
+/** Codes of errors raised before a byte of the request went out. */
+const NOT_SENT_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+const TIMEOUT_CODES: readonly string[] = [
+  "UND_ERR_HEADERS_TIMEOUT",
+  "UND_ERR_BODY_TIMEOUT",
+];
+
+/** Pools of connections to all backend servers. */
+export class BackendClient implements AsyncDisposable {
+  readonly #pools = new Map<string, Pool>();
+
+  /** Makes a call; a failure says whether the work can have run. */
+  async call(
+    address: string,
+    call: BackendCall,
+  ): Promise<Result<BackendReply, CallFailure>> {
+    try {
+      return Result.ok(
+        await this.#pool(address).request({
+          method: call.method,
+          path: call.path,
+          headers: call.headers as Record<string, string | string[]>,
+          body: call.body ?? null,
+          headersTimeout: call.timeoutMilliseconds,
+          bodyTimeout: call.timeoutMilliseconds,
+          ...(call.signal === undefined ? {} : { signal: call.signal }),
+        }),
+      );
+    } catch (error) {
+      return Result.err(callFailure(address, error));
+    }
+  }
+
+  /** Closes the pools of servers that are no longer configured. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    [...this.#pools]
+      .filter(([address]) => !addresses.has(address))
+      .forEach(([address, pool]) => {
+        this.#pools.delete(address);
+        void pool.close();
+      });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+  }
+
+  #pool(address: string): Pool {
+    const known = this.#pools.get(address);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${address}`, {
+      connections: CONNECTIONS_PER_SERVER,
+      pipelining: 1,
+      connectTimeout: CONNECT_MILLISECONDS,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    });
+    this.#pools.set(address, pool);
+    return pool;
+  }
+}
+
+/** The outcome of a call that raised an error. */
+export function callFailure(address: string, error: unknown): CallFailure {
+  const code = (error as { readonly code?: string }).code ?? "";
+  const message = error instanceof Error ? error.message : String(error);
+  const detail = `backend server at ${address}: ${message}`;
+  if (NOT_SENT_CODES.includes(code)) return refused("connect_failed", detail);
+  if (TIMEOUT_CODES.includes(code)) return inDoubt("backend_timeout", detail);
+  return code.startsWith("HPE_")
+    ? failed("backend_nonsense", detail)
+    : inDoubt("backend_lost", detail);
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -0,0 +1,489 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Runs chat requests to their end: chooses engines, goes on elsewhere after
+ * losses and reclaims, and keeps the answer's events in order.
+ *
+ * @module
+ */
+import type { LeavingMark } from "rampswitch-configuration";
+import {
+  CACHE_MOVE_MILLISECONDS,
+  type Choice,
+  type ChoiceRequest,
+  decideRetry,
+  planMove,
+  RetryBudget,
+  type RoutingTable,
+} from "rampswitch-policy";
+import {
+  type BackendServer,
+  failed,
+  type HostId,
+  inDoubt,
+  type Outcome,
+  refused,
+  type RetryReason,
+  type Service,
+  type Workspace,
+} from "rampswitch-types";
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Random,
+  sleep,
+} from "rampswitch-utils";
+import type { Answer } from "./answer_book.ts";
+import type { BackendClient } from "./backend_client.ts";
+import type { BackendDirectory } from "./backend_directory.ts";
+import {
+  type ChatRequest,
+  engineBody,
+  parseChatRequest,
+} from "./chat_request.ts";
+import { runEngineAttempt } from "./engine_attempt.ts";
+import { countOutcome } from "./outcome_count.ts";
+import type { RequestReplication } from "./request_replication.ts";
+
+/** How a runner is made. */
+export interface ChatRunnerOptions {
+  readonly self: HostId;
+  readonly directory: BackendDirectory;
+  readonly client: BackendClient;
+  readonly replication: RequestReplication;
+  readonly routing: () => RoutingTable;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+interface Run {
+  readonly answer: Answer;
+  readonly request: ChatRequest;
+  readonly service: Service;
+  readonly workspace: Workspace;
+  readonly repeatable: boolean;
+  readonly avoid: Set<string>;
+  attempts: number;
+  server: BackendServer | undefined;
+  attempt: string;
+  abort: AbortController;
+  /** Server that the work is being moved to. */
+  moveTo: BackendServer | undefined;
+  moving: boolean;
+  cancelled: boolean;
+  /** Whether an attempt got past the point where it surely did not run. */
+  mayHaveRun: boolean;
+}
+
+const RETRY_REASONS: Readonly<Record<string, RetryReason>> = {
+  connect_failed: "connect_failed",
+  backend_refused: "backend_refused",
+  backend_lost: "backend_lost",
+  backend_timeout: "backend_lost",
+  backend_error: "backend_error",
+  backend_nonsense: "backend_error",
+};
+
+const NO_SERVER_RETRY_MILLISECONDS = 1_000;
+const MAXIMUM_ATTEMPTS = 1_000;
+const SERVER_WAIT_MILLISECONDS = 250;
+
+/** Whether a chat request of a service may run twice. */
+export function chatRepeatable(service: Service): boolean {
+  return service.calls[0]?.repeatable ?? true;
+}
+
+/** Runs chat requests on one host. */
+export class ChatRunner {
+  readonly #options: ChatRunnerOptions;
+  readonly #runs = new Map<string, Run>();
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(options: ChatRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that run here. */
+  get running(): number {
+    return this.#runs.size;
+  }
+
+  /** Runs an answer to its end and records it. */
+  async run(answer: Answer): Promise<void> {
+    if (this.#runs.has(answer.envelope.id)) return;
+    const run = this.#prepare(answer);
+    if (run === undefined) {
+      this.#end(answer, refused("unknown_service", "service is gone"));
+      return;
+    }
+    this.#runs.set(answer.envelope.id, run);
+    this.#budget(run.service.name).earn();
+    const outcome = await this.#attempts(run);
+    this.#runs.delete(answer.envelope.id);
+    this.#end(answer, outcome);
+  }
+
+  /** Ends a request that nobody waits for. */
+  cancel(id: string): void {
+    const run = this.#runs.get(id);
+    if (run === undefined || run.cancelled) return;
+    run.cancelled = true;
+    this.#options.metrics.count("cancelled");
+    this.#abandon(run);
+    run.abort.abort();
+  }
+
+  /** Reacts to hosts that are leaving. */
+  leaving(marks: readonly LeavingMark[]): void {
+    const byHost = new Map(marks.map((mark) => [mark.host, mark]));
+    [...this.#runs.values()].forEach((run) => {
+      const mark = byHost.get(run.server?.host ?? "");
+      if (mark !== undefined) void this.#move(run, mark);
+    });
+  }
+
+  #prepare(answer: Answer): Run | undefined {
+    const { envelope } = answer;
+    const routing = this.#options.routing();
+    const service = routing.services.get(envelope.service);
+    const workspace = routing.workspaces.get(envelope.workspace);
+    const request = parseChatRequest(envelope.body);
+    if (service === undefined || workspace === undefined || request.isErr) {
+      return undefined;
+    }
+    return {
+      answer,
+      request: request.value,
+      service,
+      workspace,
+      repeatable: chatRepeatable(service),
+      avoid: new Set(),
+      attempts: 0,
+      server: undefined,
+      attempt: "",
+      abort: new AbortController(),
+      moveTo: undefined,
+      moving: false,
+      cancelled: false,
+      mayHaveRun: answer.attempt !== undefined,
+    };
+  }
+
+  async #attempts(run: Run): Promise<Outcome> {
+    const { clock } = this.#options;
+    const readAgain = await this.#readAgain(run);
+    if (readAgain?.kind === "completed") return readAgain;
+    for (let total = 0; total < MAXIMUM_ATTEMPTS; total += 1) {
+      const remaining = run.answer.envelope.deadline - clock.now();
+      if (run.cancelled) return failed("caller_gone", "the caller went away");
+      if (remaining <= 0) return this.#tooLate(run);
+      const server = run.moveTo ?? this.#choose(run);
+      if (server === undefined && run.answer.events.length > 0) {
+        await sleep(clock, SERVER_WAIT_MILLISECONDS);
+        continue;
+      }
+      const outcome =
+        server === undefined
+          ? refused("no_backend_server", noServerText(run), {
+              retryAfterMilliseconds: NO_SERVER_RETRY_MILLISECONDS,
+            })
+          : await this.#attemptAt(server, run, remaining);
+      if (outcome.kind === "completed") return outcome;
+      if (outcome.kind !== "refused_not_run") run.mayHaveRun = true;
+      if (run.moving) {
+        run.moving = false;
+        this.#options.metrics.count("retry", "backend_reclaimed");
+      } else {
+        const final = await this.#afterFailure(run, outcome, remaining);
+        if (final !== undefined) return final;
+      }
+    }
+    return inDoubt("backend_lost", "too many attempts were lost");
+  }
+
+  /** Decides on a failed attempt; returns the outcome if it was the last. */
+  async #afterFailure(
+    run: Run,
+    outcome: Exclude<Outcome, { readonly kind: "completed" }>,
+    remainingMilliseconds: number,
+  ): Promise<Outcome | undefined> {
+    const { metrics, clock, random } = this.#options;
+    const reason = RETRY_REASONS[outcome.reason];
+    if (run.cancelled || reason === undefined) return told(run, outcome);
+    if (run.server !== undefined) run.avoid.add(run.server.name);
+    const decision = decideRetry(
+      {
+        outcome,
+        repeatable: run.repeatable,
+        attempts: run.attempts,
+        remainingMilliseconds,
+        reason,
+      },
+      { budget: this.#budget(run.service.name), random },
+    );
+    if (decision.kind === "give_up") {
+      if (decision.budgetEmpty) metrics.count("retry_budget_empty");
+      return told(run, outcome);
+    }
+    metrics.count("retry", decision.reason);
+    await sleep(clock, decision.waitMilliseconds);
+    return undefined;
+  }
+
+  #tooLate(run: Run): Outcome {
+    return !run.mayHaveRun
+      ? refused("deadline_passed", "the deadline passed before an attempt")
+      : failed("backend_timeout", "the deadline passed during the answer");
+  }
+
+  #choose(run: Run): BackendServer | undefined {
+    const routing = this.#options.routing();
+    const route = routing.route(run.service, run.workspace);
+    const choice = this.#choice(run);
+    const name = choice.chosen?.server;
+    if (name === undefined && run.avoid.size > 0) {
+      run.avoid.clear();
+      const again = this.#choice(run).chosen?.server;
+      return again === undefined
+        ? undefined
+        : routing.candidates.get(again)?.server;
+    }
+    return name === undefined || route.groups.length === 0
+      ? undefined
+      : routing.candidates.get(name)?.server;
+  }
+
+  #choice(run: Run): Choice {
+    const route = this.#options.routing().route(run.service, run.workspace);
+    return this.#options.directory.choose(
+      route,
+      choiceRequest(run.request, run.service, run.avoid),
+    );
+  }
+
+  async #attemptAt(
+    server: BackendServer,
+    run: Run,
+    remaining: number,
+  ): Promise<Outcome> {
+    const { directory, replication, self } = this.#options;
+    const delivered = run.answer.events;
+    run.attempts += 1;
+    run.moveTo = undefined;
+    run.server = server;
+    run.attempt = `${run.answer.envelope.id}.${self}.${run.attempts}`;
+    run.abort = new AbortController();
+    replication.attempted(run.answer, {
+      attempt: run.attempt,
+      server: server.name,
+    });
+    if (run.attempts > 1) this.#countRecomputed(run);
+    directory.sent(server, run.request);
+    const outcome = await this.#engineAttempt(run, server, {
+      timeoutMilliseconds: Math.min(remaining, run.service.timeoutMilliseconds),
+      body: engineBody(run.request, delivered),
+    });
+    const broken = outcome.kind !== "completed" && !run.abort.signal.aborted;
+    directory.ended(server, broken);
+    return outcome;
+  }
+
+  #engineAttempt(
+    run: Run,
+    server: BackendServer,
+    options: {
+      readonly timeoutMilliseconds: number;
+      readonly body: Buffer | undefined;
+    },
+  ): Promise<Outcome> {
+    const { client, directory, replication, metrics, clock } = this.#options;
+    const attempt = run.attempt;
+    let lastAt: number | undefined;
+    return runEngineAttempt(
+      client,
+      {
+        server,
+        attempt,
+        requestId: run.answer.envelope.id,
+        priority: run.workspace.priority,
+        firstToken: run.answer.events.length,
+        signal: run.abort.signal,
+        ...options,
+      },
+      {
+        metrics,
+        listener: {
+          leaving: () => directory.saidLeaving(server),
+          tokens: async (first, texts) => {
+            if (run.attempt !== attempt || run.abort.signal.aborted) {
+              metrics.count("drop", "former_attempt", texts.length);
+              return;
+            }
+            const now = clock.now();
+            if (lastAt !== undefined) {
+              directory.learnToken(
+                run.service.name,
+                (now - lastAt) / texts.length,
+              );
+            }
+            lastAt = now;
+            await replication.progressed(run.answer, first, texts);
+          },
+        },
+      },
+    );
+  }
+
+  /** Reads on at the engine that a lost host had sent the request to. */
+  async #readAgain(run: Run): Promise<Outcome | undefined> {
+    const former = run.answer.attempt;
+    const server =
+      former === undefined
+        ? undefined
+        : this.#options.routing().candidates.get(former.server)?.server;
+    if (former === undefined || server === undefined) return undefined;
+    run.attempts += 1;
+    if (!server.contract.resumesStreams) {
+      run.answer.certainEvents = run.answer.events.length;
+      return undefined;
+    }
+    run.server = server;
+    run.attempt = former.attempt;
+    run.abort = new AbortController();
+    this.#options.metrics.count("resume_at_engine");
+    const outcome = await this.#engineAttempt(run, server, {
+      timeoutMilliseconds: run.service.timeoutMilliseconds,
+      body: undefined,
+    });
+    if (outcome.kind !== "completed") {
+      run.answer.certainEvents = run.answer.events.length;
+    }
+    return outcome;
+  }
+
+  async #move(run: Run, mark: LeavingMark): Promise<void> {
+    const from = run.server;
+    const { clock, directory, metrics } = this.#options;
+    if (from === undefined || run.moving || run.cancelled) return;
+    const to = this.#choose(run);
+    const remainingTokens =
+      run.request.maximumTokens - run.answer.events.length;
+    const route = this.#options.routing().route(run.service, run.workspace);
+    const plan =
+      to === undefined || to === from
+        ? "finish"
+        : planMove({
+            remainingMilliseconds:
+              mark.deadline === undefined
+                ? undefined
+                : mark.deadline - clock.now(),
+            remainingTokens,
+            tokenMilliseconds: directory.speeds(route).tokenMilliseconds,
+            repeatable: run.repeatable,
+            movesCache:
+              from.contract.movesKeyValueCache &&
+              to.contract.movesKeyValueCache,
+          });
+    metrics.count("move", plan);
+    if (plan === "finish" || to === undefined) return;
+    const { attempt } = run;
+    if (plan === "move_cache") await this.#moveCache(run, from, to);
+    if (run.attempt !== attempt || run.answer.outcome !== undefined) return;
+    run.moving = true;
+    run.moveTo = to;
+    this.#abandon(run);
+    run.abort.abort();
+  }
+
+  async #moveCache(
+    run: Run,
+    from: BackendServer,
+    to: BackendServer,
+  ): Promise<void> {
+    const { client, metrics } = this.#options;
+    const reply = await client.call(to.address, {
+      method: "POST",
+      path: "/v1/kv",
+      headers: { "content-type": "application/json" },
+      body: Buffer.from(
+        JSON.stringify({ from: from.address, attempt: run.attempt }),
+      ),
+      timeoutMilliseconds: CACHE_MOVE_MILLISECONDS,
+      signal: AbortSignal.timeout(CACHE_MOVE_MILLISECONDS),
+    });
+    const moved = reply.isOk && reply.value.statusCode === 200;
+    if (reply.isOk) await reply.value.body.dump().catch(() => undefined);
+    metrics.count("cache_move", moved ? "done" : "failed");
+  }
+
+  /** Tells the engine that nobody reads an attempt any more. */
+  #abandon(run: Run): void {
+    if (run.server === undefined) return;
+    void this.#options.client
+      .call(run.server.address, {
+        method: "DELETE",
+        path: `/v1/attempts/${encodeURIComponent(run.attempt)}`,
+        headers: {},
+        body: undefined,
+        timeoutMilliseconds: CACHE_MOVE_MILLISECONDS,
+      })
+      .then(async (reply) => {
+        if (reply.isOk) await reply.value.body.dump().catch(() => undefined);
+      });
+  }
+
+  #countRecomputed(run: Run): void {
+    this.#options.metrics.count(
+      "recomputed_tokens",
+      undefined,
+      run.request.promptTokens + run.answer.events.length,
+    );
+  }
+
+  #end(answer: Answer, outcome: Outcome): void {
+    const { metrics, replication } = this.#options;
+    countOutcome(metrics, outcome);
+    replication.ended(answer, outcome);
+    answer.end(outcome);
+  }
+
+  #budget(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new RetryBudget();
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
+
+/** What a choice needs of a chat request. */
+export function choiceRequest(
+  request: ChatRequest,
+  service: Service,
+  avoid: ReadonlySet<string>,
+): ChoiceRequest {
+  return {
+    blocks: request.blocks,
+    promptTokens: request.promptTokens,
+    expectedTokens: request.maximumTokens,
+    targetMilliseconds: service.targetMilliseconds,
+    weights: service.weights,
+    avoid,
+  };
+}
+
+function noServerText(run: Run): string {
+  return `service ${run.service.name}: no backend server takes new work`;
+}
+
+/** An outcome that does not say "not run" once an attempt may have run. */
+function told(
+  run: Run,
+  outcome: Exclude<Outcome, { readonly kind: "completed" }>,
+): Outcome {
+  return run.mayHaveRun && outcome.kind === "refused_not_run"
+    ? inDoubt("backend_lost", outcome.detail)
+    : outcome;
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/control_service.ts
@@ -0,0 +1,329 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Control under leases: orders to backend servers, by service and data hall,
+ * and capacity, by service. Every host can do it; the lease says who does.
+ *
+ * @module
+ */
+import {
+  decideOrder,
+  type Order,
+  orderKey,
+  planOrders,
+} from "rampswitch-configuration";
+import type { DueOrder, Lease } from "rampswitch-configuration";
+import {
+  type CapacityMemory,
+  NO_CAPACITY_MEMORY,
+  planCapacity,
+  type PlannedClass,
+  type PlannedHost,
+} from "rampswitch-policy";
+import type { ObjectStore } from "rampswitch-store";
+import type { BackendServer, Host, HostClass, Service } from "rampswitch-types";
+import {
+  type Clock,
+  jitter,
+  type Logger,
+  type Metrics,
+  Ownership,
+  type Random,
+  rendezvousOrder,
+  repeat,
+} from "rampswitch-utils";
+import { BackendClient } from "./backend_client.ts";
+import type { BackendDirectory } from "./backend_directory.ts";
+import type { ConfigurationService } from "./configuration_service.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import type { MembershipService } from "./membership_service.ts";
+import type { CloudClient } from "./platform_clients.ts";
+
+/** How the service is made. */
+export interface ControlOptions {
+  readonly self: Host;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly configuration: ConfigurationService;
+  readonly membership: MembershipService;
+  readonly directory: BackendDirectory;
+  readonly cloud: CloudClient;
+  readonly clockSkewMilliseconds: number;
+  /** Whether hosts may be started and ended. */
+  readonly startsHosts: boolean;
+}
+
+const ROUND_MILLISECONDS = 2_000;
+const CONTENDERS = 2;
+const ORDERS_AT_ONCE = 2;
+const ORDER_MILLISECONDS = 3_000;
+const REFUSED_MILLISECONDS = 60_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface Territory {
+  readonly service: Service;
+  readonly keeper: LeaseKeeper;
+  epoch: number;
+  done: ReadonlySet<string>;
+  memory: CapacityMemory;
+}
+
+/** Control on one host. */
+export class ControlService implements AsyncDisposable {
+  readonly #options: ControlOptions;
+  readonly #owned = new Ownership();
+  readonly #client: BackendClient;
+  readonly #orders = new Map<string, Territory>();
+  readonly #capacity = new Map<string, Territory>();
+  readonly #refusedUntil = new Map<string, number>();
+
+  constructor(options: ControlOptions) {
+    this.#options = options;
+    this.#client = this.#owned.own(new BackendClient());
+  }
+
+  /** Starts the rounds. */
+  start(): this {
+    const { clock, random } = this.#options;
+    this.#owned.own(
+      repeat(
+        clock,
+        () => jitter(random, ROUND_MILLISECONDS),
+        () => this.#round(),
+      ),
+    );
+    return this;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+
+  async #round(): Promise<void> {
+    const { configuration, startsHosts } = this.#options;
+    const models = [...configuration.routing.services.values()].filter(
+      ({ type }) => type === "model",
+    );
+    await Promise.all(models.map((service) => this.#orderRound(service)));
+    if (!startsHosts) return;
+    await Promise.all(models.map((service) => this.#capacityRound(service)));
+  }
+
+  /** Orders to the servers of a service in this host's data hall. */
+  async #orderRound(service: Service): Promise<void> {
+    const { self, configuration } = this.#options;
+    const servers = configuration.routing
+      .serviceCandidates(service.name)
+      .map(({ server }) => server)
+      .filter(({ dataHall }) => dataHall === self.dataHall);
+    const wanted = planOrders(service, servers, {
+      done: new Set(),
+      atOnce: 1,
+    });
+    const name = `orders/${service.name}/${self.dataHall}`;
+    if (wanted.length === 0 || !this.#contends(name, self.dataHall)) return;
+    const territory = this.#territory(this.#orders, name, service);
+    const lease = await territory.keeper.keep();
+    if (lease === undefined) return;
+    this.#enter(territory, lease);
+    const due = planOrders(service, servers, {
+      done: territory.done,
+      atOnce: ORDERS_AT_ONCE,
+    });
+    await Promise.all(due.map((order) => this.#order(territory, order)));
+  }
+
+  async #order(territory: Territory, due: DueOrder): Promise<void> {
+    const { metrics, self } = this.#options;
+    const lease = territory.keeper.held;
+    if (lease === undefined) return;
+    const decision = decideOrder(due.kind, lease, {
+      contract: due.server.contract,
+      terms: territory.keeper.terms,
+    });
+    metrics.count("order", decision.kind);
+    if (decision.kind !== "send") return;
+    const answer = await this.#send(due.server, {
+      kind: due.kind,
+      name: due.name,
+      holder: self.id,
+      epoch: lease.epoch,
+    });
+    metrics.count("order_answer", answer);
+    if (answer === "done") {
+      territory.done = new Set([...territory.done, orderKey(due)]);
+    }
+  }
+
+  async #send(
+    server: BackendServer,
+    order: Order,
+  ): Promise<"done" | "old_epoch" | "failed"> {
+    const reply = await this.#client.call(server.address, {
+      method: "POST",
+      path: "/v1/orders",
+      headers: { "content-type": "application/json" },
+      body: Buffer.from(JSON.stringify(order)),
+      timeoutMilliseconds: ORDER_MILLISECONDS,
+      signal: AbortSignal.timeout(ORDER_MILLISECONDS),
+    });
+    if (reply.isErr) return "failed";
+    await reply.value.body.dump().catch(() => undefined);
+    if (reply.value.statusCode === 409) return "old_epoch";
+    return reply.value.statusCode === 200 ? "done" : "failed";
+  }
+
+  /** Capacity of a service in all data halls. */
+  async #capacityRound(service: Service): Promise<void> {
+    const { clock } = this.#options;
+    const name = `capacity/${service.name}`;
+    if (!this.#contends(name, undefined)) return;
+    const territory = this.#territory(this.#capacity, name, service);
+    const lease = await territory.keeper.keep();
+    if (lease === undefined) return;
+    const plan = planCapacity(
+      {
+        now: clock.now(),
+        demand: this.#demand(service),
+        hosts: this.#plannedHosts(service),
+        classes: this.#plannedClasses(service),
+        downloadsFree: ORDERS_AT_ONCE,
+      },
+      territory.memory,
+    );
+    territory.memory = plan.memory;
+    this.#options.metrics.gauge("capacity_missing", plan.missing);
+    await Promise.all(
+      plan.actions.map(async (action, index) => {
+        if (territory.keeper.held === undefined) return;
+        if (action.kind === "end") {
+          await this.#options.cloud.end(action.host);
+          return;
+        }
+        const token = `${service.name}-${lease.epoch}-${clock.now()}-${index}`;
+        const started = await this.#options.cloud.start(
+          action.hostClass,
+          action.dataHall,
+          { token },
+        );
+        this.#options.metrics.count(
+          "host_start",
+          started.isOk ? "started" : started.error,
+        );
+        if (started.isErr) {
+          this.#refusedUntil.set(
+            `${action.hostClass}/${action.dataHall}`,
+            clock.now() + REFUSED_MILLISECONDS,
+          );
+        }
+      }),
+    );
+  }
+
+  /**
+   * Tokens a second that are asked for: all requests in progress, each at the
+   * speed of a token. Not known while no peer but this host is heard and more
+   * are configured: then capacity stays as it is.
+   */
+  #demand(service: Service): number | undefined {
+    const { membership, directory, configuration } = this.#options;
+    const suspected = [...membership.members.values()].filter(
+      (member) => member.suspected,
+    ).length;
+    if (suspected > membership.trusted.length) return undefined;
+    const route = configuration.routing.serviceCandidates(service.name);
+    const { tokenMilliseconds } = directory.speeds({
+      rule: undefined,
+      groups: [{ priority: 0, candidates: route }],
+    });
+    const own = route.reduce(
+      (sum, { server }) => sum + directory.inProgress(server.name),
+      0,
+    );
+    const others = membership.trusted.reduce(
+      (sum, { digest }) => sum + digest.load,
+      0,
+    );
+    return ((own + others) * MILLISECONDS_PER_SECOND) / tokenMilliseconds;
+  }
+
+  #plannedHosts(service: Service): readonly PlannedHost[] {
+    const { configuration, membership, directory } = this.#options;
+    return configuration.routing
+      .serviceCandidates(service.name)
+      .map(({ server }) => ({
+        name: server.host,
+        hostClass: server.hostClass,
+        dataHall: server.dataHall,
+        state: membership.marks.has(server.host) ? "leaving" : "serving",
+        load: directory.inProgress(server.name),
+      }));
+  }
+
+  #plannedClasses(service: Service): readonly PlannedClass[] {
+    const { configuration, directory } = this.#options;
+    const candidates = configuration.routing.serviceCandidates(service.name);
+    const { tokenMilliseconds } = directory.speeds({
+      rule: undefined,
+      groups: [{ priority: 0, candidates }],
+    });
+    const concurrency = candidates[0]?.server.concurrency ?? 1;
+    return hostClasses(configuration).map((hostClass) => ({
+      name: hostClass.name,
+      dataHall: hostClass.dataHall,
+      dollarsPerHour: hostClass.dollarsPerHour,
+      reclaimable: hostClass.reclaimable,
+      tokensPerSecond:
+        (concurrency * MILLISECONDS_PER_SECOND) / tokenMilliseconds,
+      refusedUntil:
+        this.#refusedUntil.get(`${hostClass.name}/${hostClass.dataHall}`) ?? 0,
+    }));
+  }
+
+  #territory(
+    territories: Map<string, Territory>,
+    name: string,
+    service: Service,
+  ): Territory {
+    const known = territories.get(name);
+    if (known !== undefined) return known;
+    const { self } = this.#options;
+    const territory = {
+      service,
+      keeper: new LeaseKeeper(name, { ...this.#options, self: self.id }),
+      epoch: 0,
+      done: new Set<string>(),
+      memory: NO_CAPACITY_MEMORY,
+    };
+    territories.set(name, territory);
+    return territory;
+  }
+
+  /** Begins a tenure: what a former holder ordered may not have arrived. */
+  #enter(territory: Territory, lease: Lease): void {
+    if (territory.epoch === lease.epoch) return;
+    territory.epoch = lease.epoch;
+    territory.done = new Set();
+  }
+
+  /** Whether this host is one of the few that ask for a lease. */
+  #contends(name: string, dataHall: string | undefined): boolean {
+    const names = this.#options.membership.placementHosts
+      .filter((host) => !host.leaving)
+      .filter((host) => dataHall === undefined || host.dataHall === dataHall)
+      .map((host) => host.name);
+    return rendezvousOrder(name, names)
+      .slice(0, CONTENDERS)
+      .includes(this.#options.self.name);
+  }
+}
+
+function hostClasses(
+  configuration: ConfigurationService,
+): readonly HostClass[] {
+  return [...configuration.state.resources.values()]
+    .map(({ resource }) => resource)
+    .filter((resource): resource is HostClass => resource.kind === "HostClass");
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/lease_keeper.ts
@@ -0,0 +1,110 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Keeping a lease in the platform's store.
+ *
+ * @module
+ */
+import {
+  decideLease,
+  holds,
+  type Lease,
+  type LeaseTerms,
+} from "rampswitch-configuration";
+import { changeObject, type ObjectStore } from "rampswitch-store";
+import type { Clock, Metrics, Random } from "rampswitch-utils";
+
+/** Prefix of all lease objects. */
+export const LEASE_PREFIX = "leases/";
+
+const LEASE_MILLISECONDS = 15_000;
+const ATTEMPTS = 3;
+
+/** How a keeper is made. */
+export interface LeaseKeeperOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  /** Identity of this process; a later one is another holder. */
+  readonly self: string;
+  readonly clockSkewMilliseconds: number;
+}
+
+/** Keeps one lease as long as it can. */
+export class LeaseKeeper {
+  readonly #options: LeaseKeeperOptions;
+  readonly #key: string;
+  #lease: Lease | undefined;
+  #waitUntil = 0;
+
+  constructor(name: string, options: LeaseKeeperOptions) {
+    this.#options = options;
+    this.#key = `${LEASE_PREFIX}${name}`;
+  }
+
+  /** The lease, while this host holds it. */
+  get held(): Lease | undefined {
+    return holds(this.#lease, this.terms) ? this.#lease : undefined;
+  }
+
+  /** The terms at this moment. */
+  get terms(): LeaseTerms {
+    const { self, clock, clockSkewMilliseconds } = this.#options;
+    return {
+      self,
+      now: clock.now(),
+      durationMilliseconds: LEASE_MILLISECONDS,
+      clockSkewMilliseconds,
+    };
+  }
+
+  /** Takes or renews the lease if its time has come. */
+  async keep(): Promise<Lease | undefined> {
+    const { clock, random, store, metrics } = this.#options;
+    const now = clock.now();
+    const held = this.held;
+    const fresh =
+      held !== undefined && held.expiresAt - now > LEASE_MILLISECONDS / 2;
+    if (fresh || now < this.#waitUntil) return this.held;
+    let wanted: Lease | undefined;
+    const settled = await changeObject<Lease | undefined>(
+      store,
+      {
+        key: this.#key,
+        attempts: ATTEMPTS,
+        decide: (current) => {
+          const found =
+            current === undefined
+              ? undefined
+              : (JSON.parse(current.value) as Lease);
+          if (wanted !== undefined && same(found, wanted)) {
+            return { kind: "keep", refusal: found };
+          }
+          const decision = decideLease(found, this.terms);
+          if (decision.kind === "wait") {
+            this.#waitUntil = Math.min(
+              decision.until,
+              now + LEASE_MILLISECONDS,
+            );
+            return { kind: "keep", refusal: found };
+          }
+          wanted = decision.lease;
+          return { kind: "write", value: JSON.stringify(wanted) };
+        },
+      },
+      { clock, random },
+    );
+    metrics.count("lease", settled.kind);
+    if (settled.kind === "written") this.#lease = wanted;
+    if (settled.kind === "kept") this.#lease = settled.refusal;
+    return this.held;
+  }
+}
+
+function same(left: Lease | undefined, right: Lease): boolean {
+  return (
+    left?.holder === right.holder &&
+    left.epoch === right.epoch &&
+    left.expiresAt === right.expiresAt
+  );
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -0,0 +1,485 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Membership of the entry hosts as one of them sees it: heartbeats, news of
+ * leaving hosts, and proof that processes are gone.
+ *
+ * @module
+ */
+import { create } from "@bufbuild/protobuf";
+import {
+  addMarks,
+  digestsToSend,
+  endMarks,
+  forgetSilent,
+  heartbeatTargets,
+  type HostDigest,
+  type LeavingMark,
+  type LeavingMarks,
+  type Member,
+  type Members,
+  mergeDigests,
+  sample,
+  suspectSilent,
+  trusted,
+} from "rampswitch-configuration";
+import {
+  HeartbeatRequestSchema,
+  type HeartbeatRequest,
+  type HeartbeatResponse,
+  HeartbeatResponseSchema,
+  type PeerClients,
+} from "rampswitch-peer";
+import type { PlacementHost } from "rampswitch-protocol";
+import type { ObjectStore } from "rampswitch-store";
+import type { Host, HostId, ListedHost } from "rampswitch-types";
+import {
+  type Clock,
+  jitter,
+  type Logger,
+  type Metrics,
+  Ownership,
+  type Random,
+  rendezvousOrder,
+  repeat,
+} from "rampswitch-utils";
+import { changeObject } from "rampswitch-store";
+import {
+  digestsFromWire,
+  digestToWire,
+  marksFromWire,
+  markToWire,
+} from "./peer_messages.ts";
+import type { CloudClient, HostListClient } from "./platform_clients.ts";
+
+/** Prefix of the status objects of entry hosts. */
+export const HOST_PREFIX = "hosts/";
+
+const DIGESTS_PER_MESSAGE = 12;
+const HEARTBEAT_DEADLINE_MILLISECONDS = 800;
+const FORGET_FACTOR = 30;
+const POLLERS_PER_DATA_HALL = 2;
+const PARTNERS_PER_HEARTBEAT = 2;
+const MARK_KEEP_MILLISECONDS = 600_000;
+const SEED_RETRY_MILLISECONDS = 3_000;
+const ANNOUNCE_PEERS = 4;
+const GONE_PER_MESSAGE = 16;
+
+/** An entry host that the settings name. */
+export interface SeedPeer {
+  readonly name: string;
+  readonly dataHall: string;
+  readonly address: string;
+}
+
+/** What a host says of itself at the moment. */
+export interface OwnState {
+  readonly revision: number;
+  readonly confirmedAge: number;
+  readonly reachesStore: boolean;
+  readonly load: number;
+}
+
+/** What the service tells its owner. */
+export interface MembershipListener {
+  /** Digests were heard from a peer or passed on by it. */
+  heard(digests: readonly HostDigest[]): void;
+  /** Hosts were found to be leaving. */
+  leaving(news: readonly LeavingMark[]): void;
+  /** A process was proved gone, or was forgotten. */
+  gone(host: HostId): void;
+  /** Peers that hold slots with this host; checked with each heartbeat. */
+  partners(): readonly HostId[];
+}
+
+/** How the service is made. */
+export interface MembershipOptions {
+  readonly self: Host;
+  readonly seeds: readonly SeedPeer[];
+  readonly store: ObjectStore;
+  readonly hostList: HostListClient;
+  readonly cloud: CloudClient;
+  readonly clients: PeerClients;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly heartbeatMilliseconds: number;
+  readonly heartbeatPeers: number;
+  readonly suspectMilliseconds: number;
+  readonly listener: MembershipListener;
+  readonly ownState: () => OwnState;
+}
+
+/** The members as one host sees them. */
+export class MembershipService implements AsyncDisposable {
+  readonly #options: MembershipOptions;
+  readonly #owned = new Ownership();
+  readonly #gone = new Set<HostId>();
+  #members: Members = new Map();
+  #marks: LeavingMarks = new Map();
+  #listedNames: ReadonlySet<string> = new Set();
+  #heartbeat = 0;
+  #leaving = false;
+  #noticeSequence = 0;
+  #seedAt = Number.NEGATIVE_INFINITY;
+  #tick = 0;
+
+  constructor(options: MembershipOptions) {
+    this.#options = options;
+  }
+
+  /** All members but this host. */
+  get members(): Members {
+    return this.#members;
+  }
+
+  /** Processes proved to be gone. */
+  get gone(): ReadonlySet<HostId> {
+    return this.#gone;
+  }
+
+  /** Hosts that are leaving. */
+  get marks(): LeavingMarks {
+    return this.#marks;
+  }
+
+  /** Trusted peers. */
+  get trusted(): readonly Member[] {
+    return trusted(this.#members);
+  }
+
+  /** Whether this host has said that it is leaving. */
+  get selfLeaving(): boolean {
+    return this.#leaving;
+  }
+
+  /** Trusted members and this host, for the placement of slots. */
+  get placementHosts(): readonly PlacementHost[] {
+    const { self } = this.#options;
+    return [
+      { ...self, leaving: this.#leaving },
+      ...this.trusted.map(({ digest }) => ({
+        ...digest.host,
+        leaving: digest.leaving,
+      })),
+    ];
+  }
+
+  /** A member by its identity. */
+  find(host: HostId): Member | undefined {
+    return this.#members.get(host);
+  }
+
+  /** Whether a process is a trusted member, or this one. */
+  trusts(host: HostId): boolean {
+    return (
+      host === this.#options.self.id ||
+      this.#members.get(host)?.suspected === false
+    );
+  }
+
+  /** Publishes this host and starts the heartbeats. */
+  start(): void {
+    const { clock, random, heartbeatMilliseconds } = this.#options;
+    void this.#publish();
+    this.#owned
+      .own(
+        repeat(
+          clock,
+          () => jitter(random, heartbeatMilliseconds),
+          () => this.#beat(),
+        ),
+      )
+      .hurry();
+    this.#owned
+      .own(
+        repeat(
+          clock,
+          () => jitter(random, heartbeatMilliseconds),
+          () => this.#pollPlatform(),
+        ),
+      )
+      .hurry();
+  }
+
+  /** Says from now on that this host is leaving. */
+  leave(): void {
+    this.#leaving = true;
+    void this.#beat();
+  }
+
+  /** Takes in marks and tells about those that are news. */
+  mark(marks: readonly LeavingMark[]): void {
+    const added = addMarks(this.#marks, marks);
+    if (added.news.length === 0) return;
+    this.#marks = added.marks;
+    added.news.forEach(({ host, source }) =>
+      this.#options.logger.info("host is leaving", { host, source }),
+    );
+    this.#options.listener.leaving(added.news);
+  }
+
+  /** Some trusted peers, for news that must spread at once. */
+  announceTargets(): readonly Member[] {
+    return sample(this.trusted, ANNOUNCE_PEERS, this.#options.random);
+  }
+
+  /** Answers a heartbeat. */
+  answer(request: HeartbeatRequest): HeartbeatResponse {
+    this.#hear([request.sender, ...request.others], request.leaving);
+    request.gone.forEach((host) => this.#proveGone(host));
+    return create(HeartbeatResponseSchema, {
+      responder: digestToWire(this.digest()),
+      others: this.#digests(),
+      leaving: [...this.#marks.values()].map(markToWire),
+      gone: [...this.#gone].slice(-GONE_PER_MESSAGE),
+    });
+  }
+
+  /** A peer's process refused a connection: it is suspected at once. */
+  unreachable(host: HostId): void {
+    const member = this.#members.get(host);
+    if (member === undefined || member.suspected) return;
+    const { clock, heartbeatMilliseconds } = this.#options;
+    if (clock.now() - member.heardAt < 2 * heartbeatMilliseconds) return;
+    this.#members = new Map(this.#members).set(host, {
+      ...member,
+      suspected: true,
+      growths: 0,
+    });
+  }
+
+  /** This host's own digest. */
+  digest(): HostDigest {
+    return {
+      host: this.#options.self,
+      heartbeat: this.#heartbeat,
+      leaving: this.#leaving,
+      ...this.#options.ownState(),
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+
+  async #publish(): Promise<void> {
+    const { self, store, clock, random } = this.#options;
+    await changeObject(
+      store,
+      {
+        key: `${HOST_PREFIX}${self.name}`,
+        attempts: 20,
+        decide: (current) =>
+          current !== undefined &&
+          (JSON.parse(current.value) as Host).startedAt >= self.startedAt
+            ? { kind: "keep", refusal: "written" }
+            : { kind: "write", value: JSON.stringify(self) },
+      },
+      { clock, random },
+    );
+  }
+
+  async #beat(): Promise<void> {
+    const { clock, random, suspectMilliseconds, heartbeatPeers, listener } =
+      this.#options;
+    const now = clock.now();
+    this.#heartbeat += 1;
+    this.#tick += 1;
+    this.#members = suspectSilent(this.#members, now, {
+      afterMilliseconds: suspectMilliseconds,
+    });
+    this.#forget(now);
+    const partners = listener.partners();
+    const due = partners
+      .map(
+        (_, index) =>
+          partners[
+            (this.#tick * PARTNERS_PER_HEARTBEAT + index) % partners.length
+          ],
+      )
+      .filter((host) => host !== undefined)
+      .slice(0, PARTNERS_PER_HEARTBEAT);
+    const targets = heartbeatTargets(this.#members, random, {
+      count: heartbeatPeers,
+      always: due,
+    }).map(({ digest }) => ({
+      id: digest.host.id,
+      address: digest.host.peerAddress,
+    }));
+    const seeds = await this.#seeds(now);
+    await Promise.all(
+      [...targets, ...seeds].map(({ id, address }) => this.#send(id, address)),
+    );
+  }
+
+  async #send(id: HostId | undefined, address: string): Promise<void> {
+    const { clients, metrics } = this.#options;
+    const request = create(HeartbeatRequestSchema, {
+      sender: digestToWire(this.digest()),
+      others: this.#digests(),
+      leaving: [...this.#marks.values()].map(markToWire),
+      gone: [...this.#gone].slice(-GONE_PER_MESSAGE),
+    });
+    const answer = await clients.call(address, (client) =>
+      client.heartbeat(request, {
+        timeoutMs: HEARTBEAT_DEADLINE_MILLISECONDS,
+      }),
+    );
+    metrics.count("heartbeat", answer.isOk ? "answered" : "failed");
+    if (answer.isOk) {
+      const { responder, others, leaving } = answer.value;
+      this.#hear([responder, ...others], leaving);
+      answer.value.gone.forEach((host) => this.#proveGone(host));
+    } else if (id !== undefined && answer.error.detail.includes("REFUSED")) {
+      this.unreachable(id);
+    }
+  }
+
+  #digests(): ReturnType<typeof digestToWire>[] {
+    const { clock, random } = this.#options;
+    return digestsToSend(this.#members, clock.now(), {
+      count: DIGESTS_PER_MESSAGE,
+      random,
+    }).map(digestToWire);
+  }
+
+  #hear(
+    wires: Parameters<typeof digestsFromWire>[0],
+    marks: Parameters<typeof marksFromWire>[0],
+  ): void {
+    const { self, clock, listener } = this.#options;
+    const digests = digestsFromWire(wires).filter(
+      ({ host }) => host.name !== self.name,
+    );
+    const merged = mergeDigests(this.#members, digests, clock.now());
+    this.#members = merged.members;
+    merged.replaced.forEach((host) => this.#proveGone(host));
+    listener.heard(digests);
+    this.mark(marksFromWire(marks));
+  }
+
+  #proveGone(host: HostId): void {
+    if (this.#gone.has(host) || host === this.#options.self.id) return;
+    this.#gone.add(host);
+    this.#options.logger.info("process is gone", { host });
+    this.#options.listener.gone(host);
+  }
+
+  #forget(now: number): void {
+    const { suspectMilliseconds, listener } = this.#options;
+    const kept = forgetSilent(this.#members, now, {
+      afterMilliseconds: suspectMilliseconds * FORGET_FACTOR,
+    });
+    [...this.#members.keys()]
+      .filter((host) => !kept.has(host))
+      .forEach((host) => listener.gone(host));
+    this.#members = kept;
+  }
+
+  /** Peers to look for while few are known: from settings and the store. */
+  async #seeds(
+    now: number,
+  ): Promise<readonly { readonly id: undefined; readonly address: string }[]> {
+    const { seeds, self, store, random } = this.#options;
+    const known = new Set(
+      [...this.#members.values()]
+        .filter(({ suspected }) => !suspected)
+        .map(({ digest }) => digest.host.peerAddress),
+    );
+    const missing = seeds
+      .filter(({ name, address }) => name !== self.name && !known.has(address))
+      .map(({ address }) => address);
+    const wait = SEED_RETRY_MILLISECONDS * (known.size === 0 ? 1 : 20);
+    if (now - this.#seedAt < jitter(random, wait)) return [];
+    this.#seedAt = now;
+    const list = await store.list(HOST_PREFIX);
+    const listed = list.isErr
+      ? []
+      : list.value.objects
+          .map(({ value }) => JSON.parse(value) as Host)
+          .filter(
+            ({ name, peerAddress }) =>
+              name !== self.name && !known.has(peerAddress),
+          )
+          .map(({ peerAddress }) => peerAddress);
+    return [...new Set([...missing, ...listed])].map((address) => ({
+      id: undefined,
+      address,
+    }));
+  }
+
+  /** Whether this host is one of the few of its hall that ask the platform. */
+  #isPoller(): boolean {
+    const { self } = this.#options;
+    const names = this.placementHosts
+      .filter(({ dataHall, leaving }) => dataHall === self.dataHall && !leaving)
+      .map(({ name }) => name);
+    return rendezvousOrder("platform-poller", names)
+      .slice(0, POLLERS_PER_DATA_HALL)
+      .includes(self.name);
+  }
+
+  async #pollPlatform(): Promise<void> {
+    if (!this.#isPoller()) return;
+    const { hostList, cloud, clock } = this.#options;
+    const [hosts, notices] = await Promise.all([
+      hostList.hosts(),
+      cloud.notices(this.#noticeSequence),
+    ]);
+    const now = clock.now();
+    if (hosts.isOk) this.#takeList(hosts.value, now);
+    if (notices.isErr) return;
+    this.#noticeSequence = notices.value.reduce(
+      (last, { sequence }) => Math.max(last, sequence),
+      this.#noticeSequence,
+    );
+    this.mark(
+      notices.value.map(({ host, deadline }) => ({
+        host,
+        source: "cloud_notice",
+        since: now,
+        deadline,
+      })),
+    );
+  }
+
+  #takeList(hosts: readonly ListedHost[], now: number): void {
+    const present = new Set(hosts.map(({ name }) => name));
+    [...this.#listedNames]
+      .filter((name) => !present.has(name))
+      .flatMap((name) =>
+        [...this.#members.values()].filter(
+          ({ digest }) => digest.host.name === name,
+        ),
+      )
+      .forEach(({ digest, heardAt }) => {
+        const silent = now - heardAt > this.#options.suspectMilliseconds;
+        if (silent) this.#proveGone(digest.host.id);
+      });
+    const silentNames = [...this.#members.values()]
+      .filter(
+        ({ digest, suspected }) => suspected && !this.#gone.has(digest.host.id),
+      )
+      .map(({ digest }) => digest.host.name);
+    this.#listedNames = new Set([
+      ...present,
+      ...silentNames.filter((name) => this.#listedNames.has(name)),
+    ]);
+    this.mark(
+      hosts
+        .filter(({ state }) => state === "leaving")
+        .map((host) => ({
+          host: host.name,
+          source: "host_list",
+          since: now,
+          deadline: host.deadline,
+        })),
+    );
+    this.#marks = endMarks(this.#marks, {
+      present,
+      now,
+      keepMilliseconds: MARK_KEEP_MILLISECONDS,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/orphan_adoption.ts
@@ -0,0 +1,81 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * What the primary of a slot does with requests that a lost host was running.
+ *
+ * @module
+ */
+import type { RoutingTable } from "rampswitch-policy";
+import { type HostId, inDoubt, type Service } from "rampswitch-types";
+import type { Metrics } from "rampswitch-utils";
+import type { Answer, AnswerBook } from "./answer_book.ts";
+import { chatRepeatable, type ChatRunner } from "./chat_runner.ts";
+import type { SlotService } from "./slot_service.ts";
+
+/** How adoption is made. */
+export interface AdoptionOptions {
+  readonly self: HostId;
+  readonly book: AnswerBook;
+  readonly slots: SlotService;
+  readonly chat: ChatRunner;
+  readonly metrics: Metrics;
+  readonly routing: () => RoutingTable;
+  readonly trusts: (host: HostId) => boolean;
+}
+
+/**
+ * What becomes of an orphan. `go_on`: it may run twice, so it goes on here.
+ * `run_anew`: nothing of it is kept; a retry runs it. `in_doubt`: it must not
+ * run twice.
+ */
+export type OrphanFate = "go_on" | "run_anew" | "in_doubt";
+
+/** Decides what becomes of a request whose host is lost. */
+export function orphanFate(
+  service: Service | undefined,
+  options: { readonly guarded: boolean },
+): OrphanFate {
+  if (service?.type === "model" && chatRepeatable(service)) return "go_on";
+  return options.guarded ? "in_doubt" : "run_anew";
+}
+
+/** Takes over all requests of this host's slots whose runner is lost. */
+export function adoptOrphans(options: AdoptionOptions): void {
+  const { book, slots, self, trusts } = options;
+  const own = new Set(slots.primarySlots);
+  book.all
+    .filter(({ outcome, runner }) => outcome === undefined && runner !== self)
+    .filter(({ envelope }) => own.has(envelope.slot))
+    .filter(({ runner }) => !trusts(runner))
+    .forEach((answer) => adopt(answer, options));
+}
+
+function adopt(answer: Answer, options: AdoptionOptions): void {
+  const { envelope } = answer;
+  const service = options.routing().services.get(envelope.service);
+  const record = options.slots.recordOf(envelope.slot, envelope.key);
+  const fate = orphanFate(service, { guarded: record?.guarded ?? false });
+  options.metrics.count("orphan", fate);
+  FATES[fate](answer, options);
+}
+
+const FATES: Readonly<
+  Record<OrphanFate, (answer: Answer, options: AdoptionOptions) => void>
+> = {
+  go_on: (answer, { self, chat }) => {
+    answer.runner = self;
+    void chat.run(answer);
+  },
+  run_anew: (answer, { book, slots }) => {
+    const { slot, key } = answer.envelope;
+    slots.finish(slot, key, "withdrawn");
+    answer.end(LOST);
+    book.discard(answer);
+  },
+  in_doubt: (answer, { slots }) => {
+    const { slot, key } = answer.envelope;
+    slots.finish(slot, key, "in_doubt");
+    answer.end(LOST);
+  },
+};
+
+const LOST = inDoubt("taken_over", "the host that ran the request was lost");
--- /dev/null
+++ b/packages/rampswitch-entry/src/peer_handlers.ts
@@ -0,0 +1,140 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * What this host answers to its peers.
+ *
+ * @module
+ */
+import { create } from "@bufbuild/protobuf";
+import type { Delta, LeavingMark } from "rampswitch-configuration";
+import {
+  AnnounceRequestSchema,
+  type AnnounceRequest,
+  AnnounceResponseSchema,
+  FetchConfigurationResponseSchema,
+  type PeerClients,
+  type PeerHandlers,
+  ReplicateResponseSchema,
+} from "rampswitch-peer";
+import type { HostId } from "rampswitch-types";
+import type { Metrics } from "rampswitch-utils";
+import type {
+  ConfigurationService,
+  PeerConfiguration,
+} from "./configuration_service.ts";
+import type { MembershipService } from "./membership_service.ts";
+import {
+  marksFromWire,
+  markToWire,
+  slotMessageFromWire,
+  slotMessageToWire,
+} from "./peer_messages.ts";
+import type { RequestReplication } from "./request_replication.ts";
+import type { SlotService } from "./slot_service.ts";
+
+const CALL_MILLISECONDS = 1_000;
+
+/** Parts of the process that peers talk to. */
+export interface PeerParts {
+  readonly self: HostId;
+  readonly configuration: ConfigurationService;
+  readonly membership: MembershipService;
+  readonly slots: SlotService;
+  readonly replication: RequestReplication;
+  readonly clients: PeerClients;
+  readonly metrics: Metrics;
+}
+
+/** Builds the handlers. */
+export function peerHandlers(parts: PeerParts): PeerHandlers {
+  const { configuration, membership, slots, replication } = parts;
+  return {
+    heartbeat: (request) => membership.answer(request),
+    replicate: (request) => {
+      const answers = request.entries.flatMap((entry) => {
+        if (entry.entry.case !== "slotMessage") {
+          replication.receive(request.sender, entry);
+          return [];
+        }
+        const message = slotMessageFromWire(entry.entry.value);
+        return message === undefined
+          ? []
+          : slots.receive(request.sender, message);
+      });
+      return create(ReplicateResponseSchema, {
+        answers: answers.map(slotMessageToWire),
+      });
+    },
+    announce: (request) => {
+      membership.mark(marksFromWire(request.leaving));
+      const gap = configuration.takeFromPeer({
+        revision: Number(request.revision),
+        deltas: request.deltas.map((delta) => JSON.parse(delta) as Delta),
+        stateParts: [],
+        confirmedAge: Number(request.confirmedAge),
+      });
+      const sender = membership.find(request.sender)?.digest.host.peerAddress;
+      if (gap && sender !== undefined) void catchUp(parts, sender);
+      return create(AnnounceResponseSchema, {
+        revision: BigInt(configuration.state.revision),
+      });
+    },
+    fetchConfiguration: (request) => {
+      const sent = configuration.forPeer(Number(request.afterRevision));
+      return create(FetchConfigurationResponseSchema, {
+        revision: BigInt(sent.revision),
+        deltas: sent.deltas.map((delta) => JSON.stringify(delta)),
+        stateParts: [...sent.stateParts],
+        confirmedAge: BigInt(Math.round(sent.confirmedAge)),
+      });
+    },
+  };
+}
+
+/** Reads what is missing here from a peer. */
+export async function catchUp(
+  parts: Pick<PeerParts, "clients" | "configuration">,
+  address: string,
+): Promise<void> {
+  const { clients, configuration } = parts;
+  const afterRevision = BigInt(configuration.state.revision);
+  const answer = await clients.call(address, (client) =>
+    client.fetchConfiguration(
+      { afterRevision },
+      { timeoutMs: CALL_MILLISECONDS },
+    ),
+  );
+  if (answer.isErr) return;
+  configuration.takeFromPeer({
+    revision: Number(answer.value.revision),
+    deltas: answer.value.deltas.map((delta) => JSON.parse(delta) as Delta),
+    stateParts: answer.value.stateParts,
+    confirmedAge: Number(answer.value.confirmedAge),
+  });
+}
+
+/** Tells some peers news at once; each tells it on when it is news there. */
+export async function announce(
+  parts: Pick<PeerParts, "self" | "clients" | "membership" | "metrics">,
+  news: {
+    readonly configuration: PeerConfiguration;
+    readonly leaving: readonly LeavingMark[];
+  },
+): Promise<void> {
+  const { clients, membership, metrics, self } = parts;
+  const { revision, deltas, confirmedAge } = news.configuration;
+  const request: AnnounceRequest = create(AnnounceRequestSchema, {
+    sender: self,
+    revision: BigInt(revision),
+    deltas: deltas.map((delta) => JSON.stringify(delta)),
+    confirmedAge: BigInt(Math.round(confirmedAge)),
+    leaving: news.leaving.map(markToWire),
+  });
+  await Promise.all(
+    membership.announceTargets().map(async ({ digest }) => {
+      const answer = await clients.call(digest.host.peerAddress, (client) =>
+        client.announce(request, { timeoutMs: CALL_MILLISECONDS }),
+      );
+      metrics.count("announce", answer.isOk ? "answered" : "failed");
+    }),
+  );
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/plain_runner.ts
@@ -0,0 +1,334 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Calls of plain services: streamed through where nobody can come back for the
+ * answer, kept as events where the caller gave a key.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  decideRetry,
+  RetryBudget,
+  type Route,
+  type RoutingTable,
+} from "rampswitch-policy";
+import {
+  type BackendServer,
+  type CallRule,
+  failed,
+  inDoubt,
+  type Outcome,
+  refused,
+  type RetryReason,
+  type Service,
+} from "rampswitch-types";
+import { type Clock, type Metrics, type Random, sleep } from "rampswitch-utils";
+import type { Answer } from "./answer_book.ts";
+import type { BackendClient, BackendReply } from "./backend_client.ts";
+import type { BackendDirectory } from "./backend_directory.ts";
+import {
+  type PassedHeaders,
+  passAnswer,
+  passedHeaders,
+} from "./http_forward.ts";
+import { countOutcome } from "./outcome_count.ts";
+import type { ProblemOutcome } from "./problem.ts";
+import type { RequestReplication } from "./request_replication.ts";
+
+/** A call of a plain service. */
+export interface PlainCall {
+  readonly service: Service;
+  readonly route: Route;
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query behind the service's name. */
+  readonly path: string;
+  readonly headers: PassedHeaders;
+  /** The body, or the caller's request where it is large or of unknown size. */
+  readonly body: Buffer | IncomingMessage | undefined;
+  readonly repeatable: boolean;
+  /** Milliseconds since the epoch. */
+  readonly deadline: number;
+}
+
+/** How a runner is made. */
+export interface PlainRunnerOptions {
+  readonly directory: BackendDirectory;
+  readonly client: BackendClient;
+  readonly replication: RequestReplication;
+  readonly routing: () => RoutingTable;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+}
+
+const RETRY_REASONS: Readonly<Record<string, RetryReason>> = {
+  connect_failed: "connect_failed",
+  backend_refused: "backend_refused",
+  backend_lost: "backend_lost",
+  backend_error: "backend_error",
+};
+
+const NO_SERVER_RETRY_MILLISECONDS = 1_000;
+const ASSUMED_TOKENS = 1;
+const MAXIMUM_ATTEMPTS = 16;
+const REFUSED_STATUS = 503;
+const ERROR_STATUS = 500;
+const CHUNK_BYTES = 48 * 1024;
+
+/** Whether a call of a plain service may run twice. */
+export function plainRepeatable(
+  rules: readonly CallRule[],
+  call: { readonly method: string; readonly path: string },
+): boolean {
+  return (
+    rules.find(
+      ({ methods, pathPrefix }) =>
+        (methods === undefined || methods.includes(call.method)) &&
+        (pathPrefix === undefined || call.path.startsWith(pathPrefix)),
+    )?.repeatable ?? false
+  );
+}
+
+interface AttemptEnd {
+  readonly server: BackendServer;
+  readonly reply: BackendReply | undefined;
+  readonly outcome: ProblemOutcome | undefined;
+}
+
+/** Runs calls of plain services on one host. */
+export class PlainRunner {
+  readonly #options: PlainRunnerOptions;
+  readonly #budgets = new Map<string, RetryBudget>();
+  #running = 0;
+
+  constructor(options: PlainRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Calls in progress. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Runs a call and streams its answer to the caller. */
+  async pass(
+    call: PlainCall,
+    response: ServerResponse,
+  ): Promise<ProblemOutcome | undefined> {
+    this.#running += 1;
+    try {
+      const end = await this.#attempts(call);
+      const { reply, server, outcome } = end;
+      if (reply === undefined || server === undefined) return outcome;
+      const whole = await passAnswer(reply, response, {
+        "x-request-id": call.requestId,
+      });
+      this.#ended(server, reply.statusCode >= ERROR_STATUS || !whole);
+      this.#options.metrics.count("outcome", whole ? "completed" : "cut");
+      return undefined;
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  /** Runs a call and keeps its answer: its head, then its body in parts. */
+  async keep(call: PlainCall, answer: Answer): Promise<void> {
+    this.#running += 1;
+    const outcome = await this.#keep(call, answer);
+    this.#running -= 1;
+    countOutcome(this.#options.metrics, outcome);
+    this.#options.replication.ended(answer, outcome);
+    answer.end(outcome);
+  }
+
+  async #keep(call: PlainCall, answer: Answer): Promise<Outcome> {
+    const { replication } = this.#options;
+    const { reply, server, outcome } = await this.#attempts(call);
+    if (reply === undefined || server === undefined) {
+      return outcome ?? failed("backend_error", "no answer");
+    }
+    const head = JSON.stringify({
+      status: reply.statusCode,
+      headers: passedHeaders(reply.headers, { drop: ["content-length"] }),
+    });
+    try {
+      await replication.progressed(answer, 0, [head]);
+      for await (const chunk of reply.body) {
+        const parts = cut(chunk as Buffer);
+        await replication.progressed(answer, answer.events.length, parts);
+      }
+    } catch {
+      this.#ended(server, true);
+      return failed("backend_lost", `backend server ${server.name}: cut off`);
+    }
+    this.#ended(server, reply.statusCode >= ERROR_STATUS);
+    return { kind: "completed" };
+  }
+
+  async #attempts(call: PlainCall): Promise<Partial<AttemptEnd>> {
+    const { metrics, clock, random } = this.#options;
+    const avoid = new Set<string>();
+    let mayHaveRun = false;
+    this.#budget(call.service.name).earn();
+    for (let attempts = 1; attempts <= MAXIMUM_ATTEMPTS; attempts += 1) {
+      const remaining = call.deadline - clock.now();
+      const end =
+        remaining <= 0
+          ? lateEnd(mayHaveRun)
+          : await this.#attempt(call, avoid, { attempts, remaining });
+      const { outcome, server } = end;
+      if (outcome === undefined) return end;
+      if (outcome.kind !== "refused_not_run") mayHaveRun = true;
+      const reason = RETRY_REASONS[outcome.reason];
+      const final: Partial<AttemptEnd> = {
+        outcome:
+          mayHaveRun && outcome.kind === "refused_not_run"
+            ? inDoubt("backend_lost", outcome.detail)
+            : outcome,
+      };
+      if (server === undefined || reason === undefined) return final;
+      avoid.add(server.name);
+      const decision = decideRetry(
+        {
+          outcome,
+          repeatable: call.repeatable,
+          attempts,
+          remainingMilliseconds: remaining,
+          reason,
+        },
+        { budget: this.#budget(call.service.name), random },
+      );
+      if (decision.kind === "give_up" || consumed(call)) return final;
+      metrics.count("retry", decision.reason);
+      await sleep(clock, decision.waitMilliseconds);
+    }
+    return { outcome: inDoubt("backend_lost", "too many attempts were lost") };
+  }
+
+  async #attempt(
+    call: PlainCall,
+    avoid: ReadonlySet<string>,
+    options: { readonly attempts: number; readonly remaining: number },
+  ): Promise<Partial<AttemptEnd>> {
+    const { directory, client } = this.#options;
+    const server = this.#choose(call, avoid);
+    if (server === undefined) {
+      return {
+        outcome: refused(
+          "no_backend_server",
+          `service ${call.service.name}: no backend server takes new work`,
+          { retryAfterMilliseconds: NO_SERVER_RETRY_MILLISECONDS },
+        ),
+      };
+    }
+    directory.sent(server, { blocks: [], promptTokens: ASSUMED_TOKENS });
+    const timeoutMilliseconds = Math.min(
+      options.remaining,
+      call.service.timeoutMilliseconds,
+    );
+    const reply = await client.call(server.address, {
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.headers,
+        "x-request-id": call.requestId,
+        "x-attempt-id": `${call.requestId}.${options.attempts}`,
+        "x-deadline-milliseconds": String(Math.round(timeoutMilliseconds)),
+      },
+      body: call.body,
+      timeoutMilliseconds,
+    });
+    if (reply.isErr) {
+      this.#ended(server, true);
+      return { server, outcome: reply.error };
+    }
+    return await this.#judge(server, reply.value);
+  }
+
+  async #judge(
+    server: BackendServer,
+    reply: BackendReply,
+  ): Promise<Partial<AttemptEnd>> {
+    if (reply.headers["x-leaving"] === "true") {
+      this.#options.directory.saidLeaving(server);
+    }
+    const notRun =
+      reply.statusCode === REFUSED_STATUS &&
+      reply.headers["x-not-run"] === "true" &&
+      server.contract.tellsNotRun;
+    if (!notRun) return { server, reply };
+    await reply.body.dump().catch(() => undefined);
+    this.#ended(server, false);
+    const detail = `backend server ${server.name} refused`;
+    return { server, outcome: refused("backend_refused", detail) };
+  }
+
+  #choose(
+    call: PlainCall,
+    avoid: ReadonlySet<string>,
+  ): BackendServer | undefined {
+    const { directory } = this.#options;
+    const { chosen } = directory.choose(call.route, {
+      blocks: [],
+      promptTokens: ASSUMED_TOKENS,
+      expectedTokens: ASSUMED_TOKENS,
+      targetMilliseconds: call.service.targetMilliseconds,
+      weights: call.service.weights,
+      avoid,
+    });
+    return this.#options.routing().candidates.get(chosen?.server ?? "")?.server;
+  }
+
+  #ended(server: BackendServer, broken: boolean): void {
+    this.#options.directory.ended(server, broken);
+  }
+
+  #budget(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new RetryBudget();
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
+
+function lateEnd(mayHaveRun: boolean): Partial<AttemptEnd> {
+  const detail = "the deadline passed";
+  return {
+    outcome: mayHaveRun
+      ? inDoubt("backend_timeout", detail)
+      : refused("deadline_passed", detail),
+  };
+}
+
+/** Whether the caller's body can't be sent a second time. */
+function consumed(call: PlainCall): boolean {
+  return call.body !== undefined && !Buffer.isBuffer(call.body);
+}
+
+/** Parts of a body as text, small enough for one event each. */
+function cut(chunk: Buffer): readonly string[] {
+  const parts = Math.ceil(chunk.length / CHUNK_BYTES);
+  return Array.from({ length: parts }, (_, part) =>
+    chunk
+      .subarray(part * CHUNK_BYTES, (part + 1) * CHUNK_BYTES)
+      .toString("base64"),
+  );
+}
+
+/** Head of a kept answer, as its first event tells it. */
+export interface KeptHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+}
+
+/** Reads the head of a kept answer. */
+export function keptHead(event: string): KeptHead {
+  return JSON.parse(event) as KeptHead;
+}
+
+/** Reads a part of a kept answer's body. */
+export function keptPart(event: string): Buffer {
+  return Buffer.from(event, "base64");
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/problem.ts
@@ -0,0 +1,124 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Problem details (RFC 9457) for every answer that is not the work's own.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import {
+  type FailureReason,
+  type Outcome,
+  RAN_BY_OUTCOME,
+  type RefusalReason,
+} from "rampswitch-types";
+
+const MILLISECONDS = 1_000;
+
+/** Any outcome but a completed one. */
+export type ProblemOutcome = Exclude<Outcome, { readonly kind: "completed" }>;
+
+/** Members of a problem document. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  /** Whether the work ran. */
+  readonly ran: "no" | "yes" | "unknown";
+  readonly reason: RefusalReason | FailureReason;
+  readonly requestId: string | undefined;
+  /** Milliseconds after which asking again can help. */
+  readonly retryAfterMilliseconds: number | undefined;
+}
+
+const REFUSAL_STATUS: Readonly<Record<RefusalReason, number>> = {
+  bad_request: 400,
+  body_too_large: 413,
+  unauthorized: 401,
+  forbidden: 403,
+  unknown_service: 404,
+  unknown_request: 404,
+  no_backend_server: 503,
+  queue_full: 429,
+  workspace_share_used: 429,
+  deadline_unreachable: 503,
+  deadline_passed: 504,
+  not_ready: 503,
+  stopping: 503,
+  configuration_stale: 503,
+  slot_unavailable: 503,
+  backup_unreachable: 503,
+  key_time_ahead: 400,
+  key_reused: 422,
+  connect_failed: 502,
+  backend_refused: 503,
+  retry_budget_empty: 503,
+  internal_error: 500,
+};
+
+const FAILURE_STATUS: Readonly<Record<FailureReason, number>> = {
+  backend_error: 502,
+  backend_nonsense: 502,
+  backend_timeout: 504,
+  backend_lost: 502,
+  answer_expired: 410,
+  answer_too_large: 410,
+  progress_lost: 409,
+  taken_over: 409,
+  key_expired: 409,
+  slot_history_lost: 409,
+  caller_gone: 499,
+};
+
+const TITLES: Readonly<Record<ProblemOutcome["kind"], string>> = {
+  refused_not_run: "Refused, the work did not run",
+  failed_ran: "The work ran and failed",
+  in_doubt: "The work may have run",
+};
+
+/** Builds the problem document of an outcome. */
+export function problemDocument(
+  outcome: ProblemOutcome,
+  requestId?: string,
+): ProblemDocument {
+  const status =
+    outcome.kind === "refused_not_run"
+      ? REFUSAL_STATUS[outcome.reason]
+      : FAILURE_STATUS[outcome.reason];
+  return {
+    type: `urn:rampswitch:problem:${outcome.reason}`,
+    title: TITLES[outcome.kind],
+    status,
+    detail: outcome.detail,
+    ran: RAN_BY_OUTCOME[outcome.kind],
+    reason: outcome.reason,
+    requestId,
+    retryAfterMilliseconds:
+      outcome.kind === "refused_not_run"
+        ? outcome.retryAfterMilliseconds
+        : undefined,
+  };
+}
+
+/** Sends an outcome as a problem document; ends the answer if it has begun. */
+export function sendProblem(
+  response: ServerResponse,
+  outcome: ProblemOutcome,
+  requestId?: string,
+): void {
+  if (response.destroyed || response.writableEnded) return;
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const document = problemDocument(outcome, requestId);
+  const wait = document.retryAfterMilliseconds;
+  response.writeHead(document.status, {
+    "content-type": "application/problem+json",
+    ...(requestId === undefined ? {} : { "x-request-id": requestId }),
+    ...(wait === undefined
+      ? {}
+      : { "retry-after": String(Math.ceil(wait / MILLISECONDS)) }),
+  });
+  response.end(JSON.stringify(document));
+}
--- /dev/null
+++ b/packages/rampswitch-measure/bin/demo.mjs
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runDemo } from "rampswitch-measure";
+
+await runDemo();
--- /dev/null
+++ b/packages/rampswitch-policy/src/choice.ts
@@ -0,0 +1,254 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Choice of a backend server: among those allowed and predicted to meet the
+ * target, the one of least cost. Its time does not grow with their number: of
+ * a large group it looks at the servers that hold the prompt's prefix, a
+ * sample of the cheapest, and a sample of all.
+ *
+ * @module
+ */
+import type { ChoiceWeights } from "rampswitch-types";
+import type { Random } from "rampswitch-utils";
+import type { Candidate, Route } from "./routing_table.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
+import type { EstimatedLoad } from "./server_load.ts";
+
+/** Speeds of a service's backend servers, learned or assumed. */
+export interface ServiceSpeeds {
+  /** Milliseconds to compute a prompt token. */
+  readonly promptTokenMilliseconds: number;
+  /** Milliseconds between generated tokens. */
+  readonly tokenMilliseconds: number;
+}
+
+/** A request as the choice sees it. */
+export interface ChoiceRequest {
+  readonly blocks: readonly string[];
+  readonly promptTokens: number;
+  readonly expectedTokens: number;
+  readonly targetMilliseconds: number;
+  readonly weights: ChoiceWeights;
+  /** Servers that an earlier attempt failed on. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** What the choice asks its surroundings. */
+export interface ChoiceContext {
+  readonly now: number;
+  readonly random: Random;
+  readonly prefixes: PrefixIndex;
+  readonly blockTokens: number;
+  readonly speeds: ServiceSpeeds;
+  load(server: string): EstimatedLoad;
+  /** Why a server takes no new work; `undefined` where it does. */
+  excluded(candidate: Candidate): string | undefined;
+  /** Share of its load that a server should get, at most 1. */
+  share(server: string): number;
+}
+
+/** Why a candidate scored as it did. */
+export interface Score {
+  readonly server: string;
+  readonly priority: number;
+  readonly predictedMilliseconds: number;
+  readonly cachedTokens: number;
+  readonly meetsTarget: boolean;
+  /** US dollars of host time and of tokens computed again, weighted. */
+  readonly cost: number;
+}
+
+/** A candidate that was left out, and why. */
+export interface Exclusion {
+  readonly server: string;
+  readonly reason: string;
+}
+
+/** The outcome of a choice. */
+export interface Choice {
+  readonly chosen: Score | undefined;
+  readonly scores: readonly Score[];
+  readonly exclusions: readonly Exclusion[];
+}
+
+const SMALL_GROUP = 24;
+const SAMPLED = 12;
+const PREFIX_CANDIDATES = 6;
+const MILLISECONDS_PER_HOUR = 3_600_000;
+/** A queue is worth this share of the price of host time while it waits. */
+const TIME_WEIGHT = 0.25;
+const EQUAL_COST = 1.02;
+
+/** Chooses a backend server along a route. */
+export function choose(
+  route: Route,
+  request: ChoiceRequest,
+  context: ChoiceContext,
+): Choice {
+  const cached = new Map(
+    context.prefixes
+      .matches(request.blocks)
+      .slice(0, PREFIX_CANDIDATES)
+      .map(({ server, blocks }) => [server, blocks * context.blockTokens]),
+  );
+  const scores: Score[] = [];
+  const exclusions: Exclusion[] = [];
+  for (const group of route.groups) {
+    const looked = lookedAt(group.candidates, cached, context);
+    const scored = looked.flatMap((candidate) => {
+      const reason = request.avoid.has(candidate.server.name)
+        ? "an earlier attempt failed on it"
+        : context.excluded(candidate);
+      if (reason === undefined) {
+        return [score(candidate, request, { cached, context, group })];
+      }
+      exclusions.push({ server: candidate.server.name, reason });
+      return [];
+    });
+    scores.push(...scored);
+    const best = leastCost(
+      scored.filter(({ meetsTarget }) => meetsTarget),
+      {
+        random: context.random,
+      },
+    );
+    if (best !== undefined) return { chosen: best, scores, exclusions };
+  }
+  const [soonest] = scores.toSorted(
+    (left, right) => left.predictedMilliseconds - right.predictedMilliseconds,
+  );
+  return { chosen: soonest, scores, exclusions };
+}
+
+function lookedAt(
+  candidates: readonly Candidate[],
+  cached: ReadonlyMap<string, number>,
+  context: ChoiceContext,
+): readonly Candidate[] {
+  if (candidates.length <= SMALL_GROUP) return candidates;
+  const index = indexOf(candidates);
+  const holding = [...cached.keys()].flatMap(
+    (server) => index.byName.get(server) ?? [],
+  );
+  const draws = Array.from({ length: SAMPLED }, (_, draw) => {
+    const pool = draw % 2 === 0 ? index.byPrice : candidates;
+    const limit = draw % 2 === 0 ? index.cheapest : pool.length;
+    return pool[context.random.below(limit)];
+  });
+  return [...new Set([...holding, ...draws])].filter(
+    (candidate) => candidate !== undefined,
+  );
+}
+
+interface GroupIndex {
+  readonly byName: ReadonlyMap<string, Candidate>;
+  readonly byPrice: readonly Candidate[];
+  /** Number of candidates that share the lowest price. */
+  readonly cheapest: number;
+}
+
+const GROUP_INDEXES = new WeakMap<readonly Candidate[], GroupIndex>();
+
+function indexOf(candidates: readonly Candidate[]): GroupIndex {
+  const known = GROUP_INDEXES.get(candidates);
+  if (known !== undefined) return known;
+  const byPrice = candidates.toSorted(
+    (left, right) => left.dollarsPerHour - right.dollarsPerHour,
+  );
+  const lowest = byPrice[0]?.dollarsPerHour;
+  const index = {
+    byName: new Map(
+      candidates.map((candidate) => [candidate.server.name, candidate]),
+    ),
+    byPrice,
+    cheapest: byPrice.filter(({ dollarsPerHour }) => dollarsPerHour === lowest)
+      .length,
+  };
+  GROUP_INDEXES.set(candidates, index);
+  return index;
+}
+
+/** Whether a server is among candidates. */
+export function serverIn(
+  candidates: readonly Candidate[],
+  server: string,
+): boolean {
+  return indexOf(candidates).byName.has(server);
+}
+
+function score(
+  candidate: Candidate,
+  request: ChoiceRequest,
+  options: {
+    readonly cached: ReadonlyMap<string, number>;
+    readonly context: ChoiceContext;
+    readonly group: { readonly priority: number };
+  },
+): Score {
+  const { context, cached } = options;
+  const { name, concurrency } = candidate.server;
+  const cachedTokens = Math.min(request.promptTokens, cached.get(name) ?? 0);
+  const uncached = request.promptTokens - cachedTokens;
+  const load = context.load(name);
+  const { promptTokenMilliseconds, tokenMilliseconds } = context.speeds;
+  const runMilliseconds =
+    uncached * promptTokenMilliseconds +
+    request.expectedTokens * tokenMilliseconds;
+  const waitingRequests = Math.max(0, load.requests + 1 - concurrency);
+  const waitMilliseconds =
+    (waitingRequests * runMilliseconds) / concurrency +
+    load.promptTokens * promptTokenMilliseconds;
+  const firstToken = uncached * promptTokenMilliseconds + tokenMilliseconds;
+  const predictedMilliseconds =
+    (waitMilliseconds + firstToken) / context.share(name);
+  return {
+    server: name,
+    priority: options.group.priority,
+    predictedMilliseconds,
+    cachedTokens,
+    meetsTarget: predictedMilliseconds <= request.targetMilliseconds,
+    cost: costOf(candidate, request, {
+      uncached,
+      runMilliseconds,
+      waitMilliseconds,
+      promptTokenMilliseconds,
+    }),
+  };
+}
+
+function costOf(
+  candidate: Candidate,
+  request: ChoiceRequest,
+  durations: {
+    readonly uncached: number;
+    readonly runMilliseconds: number;
+    readonly waitMilliseconds: number;
+    readonly promptTokenMilliseconds: number;
+  },
+): number {
+  const { runMilliseconds, waitMilliseconds, uncached } = durations;
+  const pricePerMillisecond = candidate.dollarsPerHour / MILLISECONDS_PER_HOUR;
+  const hostTime =
+    pricePerMillisecond * (runMilliseconds + TIME_WEIGHT * waitMilliseconds);
+  const lossAtReclaim =
+    (runMilliseconds / (candidate.meanHoursToReclaim * MILLISECONDS_PER_HOUR)) *
+    (request.promptTokens + request.expectedTokens / 2);
+  const recomputed =
+    pricePerMillisecond *
+    durations.promptTokenMilliseconds *
+    (uncached + lossAtReclaim);
+  return (
+    request.weights.cost * hostTime +
+    request.weights.recomputedTokens * recomputed
+  );
+}
+
+function leastCost(
+  scores: readonly Score[],
+  options: { readonly random: Random },
+): Score | undefined {
+  const least = Math.min(...scores.map(({ cost }) => cost));
+  const equal = scores.filter(({ cost }) => cost <= least * EQUAL_COST);
+  return equal.length <= 1
+    ? equal[0]
+    : equal[options.random.below(equal.length)];
+}
--- /dev/null
+++ b/packages/rampswitch-policy/src/mod.ts
@@ -0,0 +1,15 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Pure decisions under load.
+ *
+ * @module
+ */
+export * from "./admission.ts";
+export * from "./capacity_plan.ts";
+export * from "./choice.ts";
+export * from "./move_plan.ts";
+export * from "./prefix_index.ts";
+export * from "./retry.ts";
+export * from "./routing_table.ts";
+export * from "./server_health.ts";
+export * from "./server_load.ts";
--- /dev/null
+++ b/packages/rampswitch-policy/src/retry.ts
@@ -0,0 +1,103 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Retries: what may be sent again, how often, and after which wait.
+ *
+ * @module
+ */
+import type { Outcome, RetryReason } from "rampswitch-types";
+import type { Random } from "rampswitch-utils";
+
+/** Limits of retries. */
+export interface RetryLimits {
+  /** Retries earned by each first attempt. */
+  readonly perRequest: number;
+  /** Retries that can be saved up. */
+  readonly saved: number;
+  readonly attempts: number;
+  readonly firstWaitMilliseconds: number;
+  readonly longestWaitMilliseconds: number;
+}
+
+/** Limits in force where nothing else is said. */
+export const RETRY_LIMITS: RetryLimits = {
+  perRequest: 0.1,
+  saved: 20,
+  attempts: 4,
+  firstWaitMilliseconds: 10,
+  longestWaitMilliseconds: 500,
+};
+
+/** Retries that a service may still spend; it bounds the amplification. */
+export class RetryBudget {
+  readonly #limits: RetryLimits;
+  #saved: number;
+
+  constructor(limits: RetryLimits = RETRY_LIMITS) {
+    this.#limits = limits;
+    this.#saved = limits.saved;
+  }
+
+  /** Earns for a first attempt. */
+  earn(): void {
+    this.#saved = Math.min(
+      this.#limits.saved,
+      this.#saved + this.#limits.perRequest,
+    );
+  }
+
+  /** Spends one retry, if there is one. */
+  spend(): boolean {
+    if (this.#saved < 1) return false;
+    this.#saved -= 1;
+    return true;
+  }
+}
+
+/** An attempt that did not succeed. */
+export interface FailedAttempt {
+  readonly outcome: Exclude<Outcome, { readonly kind: "completed" }>;
+  /** Whether the work may run twice. */
+  readonly repeatable: boolean;
+  /** Attempts so far. */
+  readonly attempts: number;
+  /** Milliseconds until the caller's deadline. */
+  readonly remainingMilliseconds: number;
+  readonly reason: RetryReason;
+}
+
+/** What to do after a failed attempt. */
+export type RetryDecision =
+  | {
+      readonly kind: "retry";
+      readonly reason: RetryReason;
+      readonly waitMilliseconds: number;
+    }
+  | { readonly kind: "give_up"; readonly budgetEmpty: boolean };
+
+/**
+ * Decides on a failed attempt. Only work that did not run may be sent again
+ * when it is not repeatable.
+ */
+export function decideRetry(
+  attempt: FailedAttempt,
+  options: {
+    readonly budget: RetryBudget;
+    readonly random: Random;
+    readonly limits?: RetryLimits;
+  },
+): RetryDecision {
+  const limits = options.limits ?? RETRY_LIMITS;
+  const allowed =
+    attempt.repeatable || attempt.outcome.kind === "refused_not_run";
+  const longest = Math.min(
+    limits.longestWaitMilliseconds,
+    limits.firstWaitMilliseconds * 2 ** (attempt.attempts - 1),
+  );
+  const waitMilliseconds = longest * options.random.next();
+  const tried = attempt.attempts >= limits.attempts;
+  const late = waitMilliseconds >= attempt.remainingMilliseconds;
+  if (!allowed || tried || late) return { kind: "give_up", budgetEmpty: false };
+  return options.budget.spend()
+    ? { kind: "retry", reason: attempt.reason, waitMilliseconds }
+    : { kind: "give_up", budgetEmpty: true };
+}
--- /dev/null
+++ b/packages/rampswitch-protocol/src/exploration_test.ts
@@ -0,0 +1,77 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+import { describe, expect, test } from "@jest/globals";
+import {
+  DEFAULT_BOUNDS,
+  explore,
+  type ExplorationBounds,
+} from "./exploration.ts";
+import { SLOT_RULES, type SlotRules } from "./slot_rules.ts";
+
+const ONE_KEY = {
+  ...DEFAULT_BOUNDS,
+  keys: 1,
+  withdrawals: 0,
+  handovers: 0,
+};
+const NO_DEATHS = { ...ONE_KEY, deaths: 0, takeovers: 0 };
+
+interface Mutation {
+  readonly name: string;
+  readonly rules: Partial<SlotRules>;
+  readonly bounds: ExplorationBounds;
+}
+
+const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a backup that ignores epochs",
+    rules: { acceptsEpoch: () => true },
+    bounds: ONE_KEY,
+  },
+  {
+    name: "a third host that takes without proof",
+    rules: { mayTake: () => true },
+    bounds: ONE_KEY,
+  },
+  {
+    name: "a third host that serves keys older than its knowledge",
+    rules: { knowsKey: () => true },
+    bounds: ONE_KEY,
+  },
+  {
+    name: "a learner whose answer is not awaited",
+    rules: {
+      holders: (entry) => (entry.backup === undefined ? [] : [entry.backup]),
+    },
+    bounds: { ...NO_DEATHS, promotions: 1 },
+  },
+  {
+    name: "a primary that keeps claims of a former tenure",
+    rules: {
+      keepsClaims: () => true,
+      learns: (known) => known === undefined,
+      answerFor: () => "held",
+    },
+    bounds: NO_DEATHS,
+  },
+];
+
+describe("the slot protocol", () => {
+  test("runs no key twice in the first states of the full bounds", () => {
+    const report = explore({ ...DEFAULT_BOUNDS, states: 100_000 });
+    expect(report.violation).toBeUndefined();
+    expect(report.statesExplored).toBe(100_000);
+  });
+
+  test("runs a key once in every state without deaths", () => {
+    const report = explore({ ...NO_DEATHS, promotions: 1, handovers: 1 });
+    expect(report.violation).toBeUndefined();
+    expect(report.complete).toBe(true);
+  });
+});
+
+describe("the exploration finds a second execution with", () => {
+  test.each(MUTATIONS)("$name", ({ rules, bounds }) => {
+    const report = explore(bounds, { ...SLOT_RULES, ...rules });
+    expect(report.violation).toBeDefined();
+  });
+});
--- /dev/null
+++ b/packages/rampswitch-protocol/src/slot_placement.ts
@@ -0,0 +1,145 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Who should hold a slot, and the next step towards it. Every host works this
+ * out alone from its view of the members; the epochs keep wrong views harmless.
+ *
+ * @module
+ */
+import type { HostId } from "rampswitch-types";
+import { rendezvousOrder } from "rampswitch-utils";
+import type { SlotReplica } from "./slot_replica.ts";
+import type { SlotEntry } from "./slot_types.ts";
+
+/** A host that may hold slots. */
+export interface PlacementHost {
+  readonly id: HostId;
+  readonly name: string;
+  readonly dataHall: string;
+  readonly leaving: boolean;
+}
+
+/** The members as one host sees them. */
+export interface PlacementView {
+  readonly now: number;
+  /** Trusted members, this host among them. */
+  readonly hosts: readonly PlacementHost[];
+  /** Processes proved to be gone. */
+  readonly gone: ReadonlySet<HostId>;
+}
+
+/** Hosts that should hold a slot. */
+export interface DesiredHolders {
+  readonly primary: HostId | undefined;
+  readonly backup: HostId | undefined;
+}
+
+/** The next step of one host for one slot. */
+export type PlacementStep =
+  | { readonly kind: "none" }
+  | { readonly kind: "promote" }
+  | { readonly kind: "hand_over" }
+  | { readonly kind: "teach"; readonly host: HostId }
+  | { readonly kind: "stop_teaching" }
+  | { readonly kind: "take" };
+
+const NONE: PlacementStep = { kind: "none" };
+
+/**
+ * Chooses holders by rendezvous hashing, so that a host that joins or leaves
+ * moves only its own share. The backup is in another data hall if there is one.
+ */
+export function desiredHolders(
+  slot: number,
+  hosts: readonly PlacementHost[],
+): DesiredHolders {
+  const staying = hosts.filter(({ leaving }) => !leaving);
+  const byName = new Map(staying.map((host) => [host.name, host]));
+  const ordered = rendezvousOrder(`slot-${slot}`, [...byName.keys()]).flatMap(
+    (name) => byName.get(name) ?? [],
+  );
+  const [primary, ...others] = ordered;
+  const backup =
+    others.find(({ dataHall }) => dataHall !== primary?.dataHall) ?? others[0];
+  return { primary: primary?.id, backup: backup?.id };
+}
+
+/** Entry of a slot that no host has ever held. */
+export function firstEntry(
+  slot: number,
+  hosts: readonly PlacementHost[],
+): SlotEntry | undefined {
+  const { primary, backup } = desiredHolders(slot, hosts);
+  return primary === undefined
+    ? undefined
+    : { epoch: 1, primary, backup, knownSince: 0 };
+}
+
+/** Decides the next step of a replica's host. */
+export function decidePlacement(
+  replica: SlotReplica,
+  view: PlacementView,
+): PlacementStep {
+  const { entry } = replica;
+  if (entry === undefined || replica.pending !== undefined) return NONE;
+  return STEPS[replica.role](replica, entry, view);
+}
+
+type StepDecision = (
+  replica: SlotReplica,
+  entry: SlotEntry,
+  view: PlacementView,
+) => PlacementStep;
+
+const STEPS: Readonly<Record<SlotReplica["role"], StepDecision>> = {
+  primary: primaryStep,
+  backup: backupStep,
+  none: outsiderStep,
+};
+
+function primaryStep(
+  replica: SlotReplica,
+  entry: SlotEntry,
+  view: PlacementView,
+): PlacementStep {
+  const { learner, slot } = replica;
+  if (learner !== undefined) {
+    return serves(learner, view) ? NONE : { kind: "stop_teaching" };
+  }
+  const desired = desiredHolders(slot, view.hosts);
+  const wanted =
+    desired.primary === replica.self ? desired.backup : desired.primary;
+  if (wanted === undefined || wanted === replica.self) return NONE;
+  if (entry.backup !== wanted) return { kind: "teach", host: wanted };
+  return desired.primary === replica.self ? NONE : { kind: "hand_over" };
+}
+
+function backupStep(
+  _replica: SlotReplica,
+  entry: SlotEntry,
+  view: PlacementView,
+): PlacementStep {
+  return serves(entry.primary, view) && !view.gone.has(entry.primary)
+    ? NONE
+    : { kind: "promote" };
+}
+
+function outsiderStep(
+  replica: SlotReplica,
+  entry: SlotEntry,
+  view: PlacementView,
+): PlacementStep {
+  const holders = [entry.primary, entry.backup].filter(
+    (host) => host !== undefined,
+  );
+  const served = holders.some(
+    (host) => serves(host, view) && !view.gone.has(host),
+  );
+  const proved = holders.some((host) => view.gone.has(host));
+  if (served || !proved) return NONE;
+  const { primary } = desiredHolders(replica.slot, view.hosts);
+  return primary === replica.self ? { kind: "take" } : NONE;
+}
+
+function serves(host: HostId, view: PlacementView): boolean {
+  return view.hosts.some(({ id }) => id === host);
+}
--- /dev/null
+++ b/packages/rampswitch-protocol/src/slot_replica.ts
@@ -0,0 +1,526 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * One host's part in one slot: decisions without sockets and clocks. Time and
+ * the table come in as arguments; what is to be done goes out as effects.
+ *
+ * @module
+ */
+import type { HostId } from "rampswitch-types";
+import { SLOT_RULES, type SlotRules } from "./slot_rules.ts";
+import type {
+  ClaimAnswer,
+  KeyRecord,
+  KeyRequest,
+  KeyStatus,
+  KeyVerdict,
+  Proposal,
+  SlotEffect,
+  SlotEntry,
+  SlotMessage,
+  SlotTimes,
+} from "./slot_types.ts";
+
+/** What a host is for a slot. */
+export type SlotRole = "none" | "primary" | "backup";
+
+/** How a replica is made. */
+export interface ReplicaOptions {
+  readonly times: SlotTimes;
+  readonly rules?: SlotRules;
+}
+
+interface Learner {
+  readonly host: HostId;
+  readonly complete: boolean;
+}
+
+/** Statuses that become in doubt when another host takes over. */
+const UNSETTLED: readonly KeyStatus[] = ["claiming", "sent", "withdrawn"];
+
+/** One host's replica of one slot. */
+export class SlotReplica {
+  readonly self: HostId;
+  readonly slot: number;
+  readonly #options: ReplicaOptions;
+  readonly #rules: SlotRules;
+  readonly #records = new Map<string, KeyRecord>();
+  readonly #missing = new Map<string, readonly HostId[]>();
+  #entry: SlotEntry | undefined;
+  #floor = 0;
+  #learner: Learner | undefined;
+  #pending: Proposal | undefined;
+
+  constructor(self: HostId, slot: number, options: ReplicaOptions) {
+    this.self = self;
+    this.slot = slot;
+    this.#options = options;
+    this.#rules = options.rules ?? SLOT_RULES;
+  }
+
+  /** The highest entry of the table that is known here. */
+  get entry(): SlotEntry | undefined {
+    return this.#entry;
+  }
+
+  /** This host's role under the known entry. */
+  get role(): SlotRole {
+    if (this.#entry?.primary === this.self) return "primary";
+    return this.#entry?.backup === this.self ? "backup" : "none";
+  }
+
+  /** A change of the table whose end is not known yet. */
+  get pending(): Proposal | undefined {
+    return this.#pending;
+  }
+
+  /** Host that is being filled to become the backup. */
+  get learner(): HostId | undefined {
+    return this.#learner?.host;
+  }
+
+  /** Number of keys remembered. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** The record of a key. */
+  record(key: string): KeyRecord | undefined {
+    return this.#records.get(key);
+  }
+
+  /** Keys remembered with one of some statuses. */
+  keysWith(statuses: readonly KeyStatus[]): readonly string[] {
+    return [...this.#records.values()]
+      .filter(({ status }) => statuses.includes(status))
+      .map(({ key }) => key);
+  }
+
+  /** Copies the whole state. */
+  fork(): SlotReplica {
+    const copy = new SlotReplica(this.self, this.slot, this.#options);
+    this.#records.forEach((record, key) => copy.#records.set(key, record));
+    this.#missing.forEach((hosts, key) => copy.#missing.set(key, hosts));
+    copy.#entry = this.#entry;
+    copy.#floor = this.#floor;
+    copy.#learner = this.#learner;
+    copy.#pending = this.#pending;
+    return copy;
+  }
+
+  /** Text that is equal for equal states. */
+  fingerprint(): string {
+    const records = [...this.#records.values()]
+      .map(({ key, status, claimant }) => `${key}${status}${claimant}`)
+      .toSorted();
+    const missing = [...this.#missing]
+      .map(([key, hosts]) => `${key}${hosts.join("+")}`)
+      .toSorted();
+    return JSON.stringify([
+      this.#entry,
+      this.#floor,
+      this.#learner,
+      this.#pending?.to,
+      records,
+      missing,
+    ]);
+  }
+
+  /** Takes in an entry of the table; older ones change nothing. */
+  observe(entry: SlotEntry): readonly SlotEffect[] {
+    const before = this.#entry;
+    if (before !== undefined && entry.epoch <= before.epoch) return [];
+    this.#entry = entry;
+    this.#floor = Math.max(this.#floor, entry.epoch);
+    if (this.#pending !== undefined && entry.epoch >= this.#pending.to.epoch) {
+      this.#pending = undefined;
+    }
+    if (before?.primary === this.self) return this.#afterTenure(before, entry);
+    if (entry.primary !== this.self) return [];
+    return before !== undefined &&
+      this.#rules.keepsClaims(before, entry, this.self)
+      ? this.#claimAnew()
+      : this.#begin();
+  }
+
+  /** Judges a request for a key without changing anything. */
+  judge(request: KeyRequest, now: number): KeyVerdict {
+    const entry = this.#entry;
+    if (entry === undefined || entry.primary !== this.self) {
+      return { kind: "not_primary", primary: entry?.primary };
+    }
+    const record = this.#records.get(request.key);
+    if (record !== undefined && record.status !== "withdrawn") {
+      return { kind: "known", record };
+    }
+    const { keyTime } = request;
+    const { times } = this.#options;
+    if (keyTime !== undefined && keyTime > now + times.clockSkew) {
+      return { kind: "key_time_ahead" };
+    }
+    if (keyTime !== undefined && keyTime < now - times.retention) {
+      return { kind: "key_expired" };
+    }
+    return record !== undefined ||
+      this.#rules.knowsKey(keyTime, entry, { now, times })
+      ? { kind: "new" }
+      : { kind: "history_lost" };
+  }
+
+  /** Records a key that {@link judge} called new, and claims it if guarded. */
+  open(request: KeyRequest, now: number): readonly SlotEffect[] {
+    const record: KeyRecord = {
+      key: request.key,
+      status: "claiming",
+      guarded: request.guarded,
+      claimant: this.self,
+      recordedAt: now,
+    };
+    this.#records.set(request.key, record);
+    if (!request.guarded) return this.#execute(request.key);
+    return this.#claim(record);
+  }
+
+  /** Gives up a claim; tells whether it surely was not sent. */
+  withdraw(key: string): boolean {
+    const record = this.#records.get(key);
+    if (record?.status !== "claiming") return false;
+    this.#setStatus(key, "withdrawn");
+    this.#missing.delete(key);
+    return true;
+  }
+
+  /** Records how a key ended and tells all holders of the slot. */
+  finish(key: string, status: KeyStatus): readonly SlotEffect[] {
+    if (!this.#records.has(key)) return [];
+    this.#setStatus(key, status);
+    return this.#tellHolders(key, status);
+  }
+
+  /** Forgets keys recorded before a time; those still running here stay. */
+  prune(before: number): readonly string[] {
+    const running: readonly KeyStatus[] =
+      this.role === "primary" ? ["claiming", "sent"] : [];
+    const forgotten = [...this.#records.values()]
+      .filter(
+        ({ recordedAt, status }) =>
+          recordedAt < before && !running.includes(status),
+      )
+      .map(({ key }) => key);
+    forgotten.forEach((key) => this.#records.delete(key));
+    return forgotten;
+  }
+
+  /** Starts a slot that the table does not name yet. */
+  create(): readonly SlotEffect[] {
+    if (this.#entry !== undefined) return [];
+    return this.#propose({
+      epoch: 1,
+      primary: this.self,
+      backup: undefined,
+      knownSince: 0,
+    });
+  }
+
+  /**
+   * As backup: proposes itself as primary; needs no proof of anything. After a
+   * planned handover the former primary stays as the backup: it holds all.
+   */
+  promote(
+    options: { readonly keepPrimary?: boolean } = {},
+  ): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry === undefined || entry.backup !== this.self) return [];
+    return this.#propose({
+      epoch: entry.epoch + 1,
+      primary: this.self,
+      backup: options.keepPrimary === true ? entry.primary : undefined,
+      knownSince: entry.knownSince,
+    });
+  }
+
+  /** As primary: fills a host with all records to make it the backup. */
+  teach(host: HostId): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry?.primary !== this.self || this.#pending !== undefined) return [];
+    if (host === this.self || host === entry.backup) return [];
+    this.#learner = { host, complete: false };
+    const message: SlotMessage = {
+      kind: "learn",
+      slot: this.slot,
+      epoch: entry.epoch,
+      records: [...this.#records.values()],
+    };
+    this.#missing.forEach((hosts, key) => {
+      const others = hosts.filter((other) => other !== host);
+      this.#missing.set(key, [...others, host]);
+    });
+    return [{ kind: "send", to: host, message }, ...this.#claimsAgain(host)];
+  }
+
+  /** As primary: gives up filling a host, unless it may be the backup. */
+  stopTeaching(): readonly SlotEffect[] {
+    const host = this.#learner?.host;
+    if (host === undefined || this.#pending !== undefined) return [];
+    this.#learner = undefined;
+    return [...this.#missing.keys()].flatMap((key) => this.#held(key, host));
+  }
+
+  /** As primary: makes a learner that holds every record the backup. */
+  adopt(): readonly SlotEffect[] {
+    const entry = this.#entry;
+    const learner = this.#learner;
+    if (entry?.primary !== this.self || learner?.complete !== true) return [];
+    return this.#propose({
+      epoch: entry.epoch + 1,
+      primary: this.self,
+      backup: learner.host,
+      knownSince: entry.knownSince,
+    });
+  }
+
+  /** As a third host: takes a slot of which a holder is proved gone. */
+  take(gone: ReadonlySet<HostId>, now: number): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry === undefined || this.role !== "none") return [];
+    if (!this.#rules.mayTake(entry, gone)) return [];
+    return this.#propose({
+      epoch: entry.epoch + 1,
+      primary: this.self,
+      backup: undefined,
+      knownSince: Math.max(now, 1),
+    });
+  }
+
+  /** As primary: asks the backup to take over, before a planned stop. */
+  handOver(): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry?.primary !== this.self || entry.backup === undefined) return [];
+    const { slot } = this;
+    return [
+      {
+        kind: "send",
+        to: entry.backup,
+        message: { kind: "promote", slot, epoch: entry.epoch },
+      },
+    ];
+  }
+
+  /** Takes in a message of another host. */
+  receive(from: HostId, message: SlotMessage): readonly SlotEffect[] {
+    const handle = this.#handlers[message.kind] as (
+      from: HostId,
+      message: SlotMessage,
+    ) => readonly SlotEffect[];
+    return handle(from, message);
+  }
+
+  readonly #handlers: {
+    readonly [Kind in SlotMessage["kind"]]: (
+      from: HostId,
+      message: Extract<SlotMessage, { readonly kind: Kind }>,
+    ) => readonly SlotEffect[];
+  } = {
+    claim: (from, message) => this.#onClaim(from, message),
+    claim_answer: (from, message) => this.#onClaimAnswer(from, message),
+    status: (_from, message) => this.#onStatus(message),
+    learn: (from, message) => this.#onLearn(from, message),
+    learned: (from, message) => this.#onLearned(from, message.epoch),
+    promote: (_from, message) =>
+      message.epoch === this.#entry?.epoch
+        ? this.promote({ keepPrimary: true })
+        : [],
+  };
+
+  #onClaim(
+    from: HostId,
+    message: Extract<SlotMessage, { readonly kind: "claim" }>,
+  ): readonly SlotEffect[] {
+    const answer = this.#answerClaim(message.epoch, message.record);
+    const { key } = message.record;
+    if (answer === "held") this.#records.set(key, message.record);
+    return [
+      {
+        kind: "send",
+        to: from,
+        message: {
+          kind: "claim_answer",
+          slot: this.slot,
+          epoch: message.epoch,
+          key,
+          answer,
+        },
+      },
+    ];
+  }
+
+  #answerClaim(epoch: number, claimed: KeyRecord): ClaimAnswer {
+    if (!this.#rules.acceptsEpoch(epoch, this.#floor)) return "old_epoch";
+    return this.#rules.answerFor(this.#records.get(claimed.key), claimed);
+  }
+
+  #onClaimAnswer(
+    from: HostId,
+    message: Extract<SlotMessage, { readonly kind: "claim_answer" }>,
+  ): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (message.answer === "old_epoch") {
+      return [{ kind: "read_table", slot: this.slot }];
+    }
+    if (entry?.primary !== this.self) return [];
+    if (!this.#rules.answerCounts(message.epoch, entry.epoch)) return [];
+    return message.answer === "held"
+      ? this.#held(message.key, from)
+      : this.#doubt(message.key);
+  }
+
+  #onStatus({
+    key,
+    status,
+    epoch,
+  }: Extract<SlotMessage, { readonly kind: "status" }>): readonly SlotEffect[] {
+    const known = this.#records.get(key);
+    if (known === undefined || epoch < this.#floor) return [];
+    if (known.status !== "done") this.#setStatus(key, status);
+    return [];
+  }
+
+  #onLearn(
+    from: HostId,
+    message: Extract<SlotMessage, { readonly kind: "learn" }>,
+  ): readonly SlotEffect[] {
+    const { epoch, records } = message;
+    if (!this.#rules.acceptsEpoch(epoch, this.#floor)) return [];
+    records
+      .filter(({ key }) => this.#rules.learns(this.#records.get(key)))
+      .forEach((record) => this.#records.set(record.key, record));
+    return [
+      {
+        kind: "send",
+        to: from,
+        message: { kind: "learned", slot: this.slot, epoch },
+      },
+    ];
+  }
+
+  #onLearned(from: HostId, epoch: number): readonly SlotEffect[] {
+    if (this.#learner?.host !== from || epoch !== this.#entry?.epoch) return [];
+    this.#learner = { host: from, complete: true };
+    return this.adopt();
+  }
+
+  #begin(): readonly SlotEffect[] {
+    const unsettled = this.keysWith(UNSETTLED).filter(
+      (key) => this.#records.get(key)?.guarded === true,
+    );
+    unsettled.forEach((key) => this.#setStatus(key, "in_doubt"));
+    this.#missing.clear();
+    this.#learner = undefined;
+    return [{ kind: "taken_over", slot: this.slot }];
+  }
+
+  #afterTenure(before: SlotEntry, entry: SlotEntry): readonly SlotEffect[] {
+    this.#learner = undefined;
+    if (this.#rules.keepsClaims(before, entry, this.self)) {
+      return this.#claimAnew();
+    }
+    const doubts = [...this.#missing.keys()].flatMap((key) => this.#doubt(key));
+    return entry.primary === this.self ? [...doubts, ...this.#begin()] : doubts;
+  }
+
+  #claimAnew(): readonly SlotEffect[] {
+    return [...this.#missing.keys()].flatMap((key) => {
+      const record = this.#records.get(key);
+      return record === undefined ? [] : this.#claim(record);
+    });
+  }
+
+  #claim(record: KeyRecord): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry?.primary !== this.self) return [];
+    const holders = this.#rules.holders(entry, this.#learner?.host);
+    if (holders.length === 0) {
+      this.#missing.delete(record.key);
+      return this.#execute(record.key);
+    }
+    this.#missing.set(record.key, holders);
+    return holders.map((to) => this.#claimTo(to, record));
+  }
+
+  #claimsAgain(host: HostId): readonly SlotEffect[] {
+    return [...this.#missing.keys()].flatMap((key) => {
+      const record = this.#records.get(key);
+      return record === undefined ? [] : [this.#claimTo(host, record)];
+    });
+  }
+
+  #claimTo(to: HostId, record: KeyRecord): SlotEffect {
+    return {
+      kind: "send",
+      to,
+      message: {
+        kind: "claim",
+        slot: this.slot,
+        epoch: this.#entry?.epoch ?? 0,
+        record,
+      },
+    };
+  }
+
+  #held(key: string, by: HostId): readonly SlotEffect[] {
+    const missing = this.#missing.get(key)?.filter((host) => host !== by);
+    if (missing === undefined) return [];
+    if (missing.length > 0) {
+      this.#missing.set(key, missing);
+      return [];
+    }
+    this.#missing.delete(key);
+    return this.#execute(key);
+  }
+
+  #execute(key: string): readonly SlotEffect[] {
+    if (this.#records.get(key)?.status !== "claiming") return [];
+    this.#setStatus(key, "sent");
+    return [{ kind: "execute", key }];
+  }
+
+  #doubt(key: string): readonly SlotEffect[] {
+    this.#missing.delete(key);
+    if (this.#records.get(key)?.status !== "claiming") return [];
+    this.#setStatus(key, "in_doubt");
+    return [{ kind: "in_doubt", key }];
+  }
+
+  #propose(to: SlotEntry): readonly SlotEffect[] {
+    if (this.#pending !== undefined) {
+      return [{ kind: "propose", proposal: this.#pending }];
+    }
+    const proposal = { slot: this.slot, from: this.#entry, to };
+    this.#pending = proposal;
+    return [{ kind: "propose", proposal }];
+  }
+
+  #tellHolders(key: string, status: KeyStatus): readonly SlotEffect[] {
+    const entry = this.#entry;
+    if (entry === undefined) return [];
+    const holders = [
+      entry.primary,
+      ...this.#rules.holders(entry, this.#learner?.host),
+    ].filter((host) => host !== this.self);
+    return holders.map((to) => ({
+      kind: "send",
+      to,
+      message: {
+        kind: "status",
+        slot: this.slot,
+        epoch: entry.epoch,
+        key,
+        status,
+      },
+    }));
+  }
+
+  #setStatus(key: string, status: KeyStatus): void {
+    const record = this.#records.get(key);
+    if (record !== undefined) this.#records.set(key, { ...record, status });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -0,0 +1,14 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Small stand-ins of the outside systems.
+ *
+ * @module
+ */
+export * from "./chat.ts";
+export * from "./engine.ts";
+export * from "./engine_model.ts";
+export * from "./http_standin.ts";
+export * from "./object_api.ts";
+export * from "./order_book.ts";
+export * from "./plain_service.ts";
+export * from "./platform_lists.ts";
--- /dev/null
+++ b/packages/rampswitch-store/src/call_ledger.ts
@@ -0,0 +1,54 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Accounting of calls to the platform's object API, and a ceiling on the rate
+ * of one process.
+ *
+ * @module
+ */
+import type { Clock, Metrics } from "rampswitch-utils";
+
+/** Kinds of calls that the platform counts. */
+export const CALL_KINDS = ["get", "list", "put", "remove", "watch"] as const;
+
+/** One kind of {@link CALL_KINDS}. */
+export type CallKind = (typeof CALL_KINDS)[number];
+
+/** Counts calls and refuses those over the ceiling. */
+export class CallLedger {
+  readonly #clock: Clock;
+  readonly #metrics: Metrics;
+  readonly #callsPerSecond: number;
+  #tokens: number;
+  #refilledAt: number;
+
+  constructor(
+    clock: Clock,
+    metrics: Metrics,
+    options: { readonly callsPerSecond: number },
+  ) {
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#callsPerSecond = options.callsPerSecond;
+    this.#tokens = options.callsPerSecond;
+    this.#refilledAt = clock.now();
+  }
+
+  /** Counts a call, or tells that it is over the ceiling. */
+  admit(kind: CallKind): boolean {
+    this.#refill();
+    if (this.#tokens < 1) {
+      this.#metrics.count("store.over_ceiling", kind);
+      return false;
+    }
+    this.#tokens -= 1;
+    this.#metrics.count("store.call", kind);
+    return true;
+  }
+
+  #refill(): void {
+    const now = this.#clock.now();
+    const gained = ((now - this.#refilledAt) * this.#callsPerSecond) / 1000;
+    this.#tokens = Math.min(this.#callsPerSecond, this.#tokens + gained);
+    this.#refilledAt = now;
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -0,0 +1,215 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * The object API over HTTP with JSON, as docs/references/platform.md defines.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { Pool, type Dispatcher } from "undici";
+import type { Random } from "rampswitch-utils";
+import type {
+  Expectation,
+  ObjectStore,
+  StoredList,
+  StoredObject,
+  StoreError,
+  WatchBatch,
+} from "./object_store.ts";
+import { type CallLedger, type CallKind } from "./call_ledger.ts";
+
+const CALL_DEADLINE_MILLISECONDS = 1_000;
+const WATCH_SECONDS = 30;
+const WATCH_DEADLINE_MILLISECONDS = 40_000;
+const CONNECTIONS = 8;
+
+interface Call {
+  readonly kind: CallKind;
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+const ERRORS_BY_STATUS: Readonly<Record<number, (reply: Reply) => StoreError>> =
+  {
+    400: (reply) => ({ kind: "invalid", detail: reply.body }),
+    409: (reply) => conflict(reply),
+    410: () => ({ kind: "compacted" }),
+    413: (reply) => ({ kind: "invalid", detail: reply.body }),
+    429: () => ({ kind: "unavailable", detail: "rate limit" }),
+    503: () => ({ kind: "unavailable", detail: "store unavailable" }),
+  };
+
+/** Codes of errors raised before a byte of the request went out. */
+const NOT_SENT_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/** Client of the object API; counts every call in its ledger. */
+export class HttpObjectStore implements ObjectStore, AsyncDisposable {
+  readonly ledger: CallLedger;
+  readonly #pool: Pool;
+
+  constructor(address: string, options: { readonly ledger: CallLedger }) {
+    this.ledger = options.ledger;
+    this.#pool = new Pool(`http://${address}`, {
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: CALL_DEADLINE_MILLISECONDS,
+    });
+  }
+
+  async get(
+    key: string,
+  ): Promise<Result<StoredObject | undefined, StoreError>> {
+    const reply = await this.#call({
+      kind: "get",
+      method: "GET",
+      path: objectPath(key),
+    });
+    return reply.andThen((answer) =>
+      answer.status === 404
+        ? Result.ok<StoredObject | undefined, StoreError>(undefined)
+        : parsed<StoredObject | undefined>(answer),
+    );
+  }
+
+  async list(prefix: string): Promise<Result<StoredList, StoreError>> {
+    const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
+    const reply = await this.#call({ kind: "list", method: "GET", path });
+    return reply.andThen((answer) => parsed<StoredList>(answer));
+  }
+
+  async put(
+    key: string,
+    value: string,
+    options: { readonly expected: Expectation },
+  ): Promise<Result<StoredObject, StoreError>> {
+    const reply = await this.#call({
+      kind: "put",
+      method: "PUT",
+      path: `${objectPath(key)}?expected=${options.expected}`,
+      body: JSON.stringify({ value }),
+    });
+    return reply.andThen((answer) => parsed<StoredObject>(answer));
+  }
+
+  async remove(
+    key: string,
+    version: number,
+  ): Promise<Result<void, StoreError>> {
+    const reply = await this.#call({
+      kind: "remove",
+      method: "DELETE",
+      path: `${objectPath(key)}?expected=${version}`,
+    });
+    return reply.andThen((answer) =>
+      answer.status === 204
+        ? Result.ok<void, StoreError>(undefined)
+        : Result.err(errorOf(answer)),
+    );
+  }
+
+  async watch(
+    prefix: string,
+    after: number,
+    options: { readonly signal: AbortSignal },
+  ): Promise<Result<WatchBatch, StoreError>> {
+    const query =
+      `prefix=${encodeURIComponent(prefix)}&after=${after}` +
+      `&seconds=${WATCH_SECONDS}`;
+    const reply = await this.#call({
+      kind: "watch",
+      method: "GET",
+      path: `/watch?${query}`,
+      signal: options.signal,
+    });
+    return reply.andThen((answer) => parsed<WatchBatch>(answer));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #call(call: Call): Promise<Result<Reply, StoreError>> {
+    if (!this.ledger.admit(call.kind)) {
+      return Result.err({ kind: "unavailable", detail: "own rate ceiling" });
+    }
+    const deadline = AbortSignal.timeout(
+      call.kind === "watch"
+        ? WATCH_DEADLINE_MILLISECONDS
+        : CALL_DEADLINE_MILLISECONDS,
+    );
+    try {
+      const response = await this.#pool.request({
+        method: call.method,
+        path: call.path,
+        headers: { "content-type": "application/json" },
+        body: call.body ?? null,
+        signal:
+          call.signal === undefined
+            ? deadline
+            : AbortSignal.any([deadline, call.signal]),
+      });
+      const body = await response.body.text();
+      return Result.ok({ status: response.statusCode, body });
+    } catch (error) {
+      return Result.err(transportError(error));
+    }
+  }
+}
+
+function transportError(error: unknown): StoreError {
+  const code = (error as { readonly code?: string }).code ?? "";
+  const detail = error instanceof Error ? error.message : String(error);
+  return NOT_SENT_CODES.includes(code)
+    ? { kind: "unavailable", detail }
+    : { kind: "unknown", detail };
+}
+
+function objectPath(key: string): string {
+  return `/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
+}
+
+function parsed<Value>(reply: Reply): Result<Value, StoreError> {
+  if (reply.status !== 200) return Result.err(errorOf(reply));
+  try {
+    return Result.ok(JSON.parse(reply.body) as Value);
+  } catch {
+    return Result.err({ kind: "unknown", detail: "answer is not JSON" });
+  }
+}
+
+function errorOf(reply: Reply): StoreError {
+  const build = ERRORS_BY_STATUS[reply.status];
+  return (
+    build?.(reply) ?? { kind: "unknown", detail: `status ${reply.status}` }
+  );
+}
+
+function conflict(reply: Reply): StoreError {
+  const body = JSON.parse(reply.body) as { readonly current?: StoredObject };
+  return body.current === undefined
+    ? { kind: "conflict" }
+    : { kind: "conflict", current: body.current };
+}
+
+const FIRST_RETRY_MILLISECONDS = 100;
+const LONGEST_RETRY_MILLISECONDS = 5_000;
+
+/** Wait before the next try after some failures, spread over its range. */
+export function storeBackoff(failures: number, random: Random): number {
+  const longest = Math.min(
+    LONGEST_RETRY_MILLISECONDS,
+    FIRST_RETRY_MILLISECONDS * 2 ** Math.min(failures, 16),
+  );
+  return longest * (0.5 + random.next() / 2);
+}
--- /dev/null
+++ b/packages/rampswitch-store/src/mod.ts
@@ -0,0 +1,11 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Client of the platform's object API.
+ *
+ * @module
+ */
+export * from "./call_ledger.ts";
+export * from "./http_object_store.ts";
+export * from "./object_store.ts";
+export * from "./settled_change.ts";
+export * from "./watcher.ts";
--- /dev/null
+++ b/packages/rampswitch-store/src/object_store.ts
@@ -0,0 +1,72 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * The narrow interface to the platform's object API.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+
+/** One object with the version that conditional updates name. */
+export interface StoredObject {
+  readonly key: string;
+  /** Grows with each change of any object of the store. */
+  readonly version: number;
+  readonly value: string;
+}
+
+/** A change seen by a watch; `value` is absent after a deletion. */
+export interface StoreEvent {
+  readonly key: string;
+  readonly version: number;
+  readonly value?: string;
+}
+
+/** All objects below a prefix, and the version at which they were read. */
+export interface StoredList {
+  readonly version: number;
+  readonly objects: readonly StoredObject[];
+}
+
+/** What a watch brought. */
+export interface WatchBatch {
+  /** The version to watch from next. */
+  readonly version: number;
+  readonly events: readonly StoreEvent[];
+}
+
+/**
+ * Why a call failed. `conflict`: the object had another version, and nothing
+ * changed. `unknown`: no answer; a change may have taken effect. `unavailable`:
+ * the call surely had no effect. `compacted`: the watch must list anew.
+ */
+export type StoreError =
+  | { readonly kind: "conflict"; readonly current?: StoredObject }
+  | { readonly kind: "unknown"; readonly detail: string }
+  | { readonly kind: "unavailable"; readonly detail: string }
+  | { readonly kind: "compacted" }
+  | { readonly kind: "invalid"; readonly detail: string };
+
+/** Condition of a change: the version, or `absent`. */
+export type Expectation = number | "absent";
+
+/** The platform's object API. */
+export interface ObjectStore {
+  /** Reads one object; `undefined` where there is none. */
+  get(key: string): Promise<Result<StoredObject | undefined, StoreError>>;
+  /** Lists the objects below a prefix. */
+  list(prefix: string): Promise<Result<StoredList, StoreError>>;
+  /** Changes an object if it still is as expected. */
+  put(
+    key: string,
+    value: string,
+    options: { readonly expected: Expectation },
+  ): Promise<Result<StoredObject, StoreError>>;
+  /** Removes an object if it still has this version. */
+  remove(key: string, version: number): Promise<Result<void, StoreError>>;
+  /** Waits for changes below a prefix after a version. */
+  watch(
+    prefix: string,
+    after: number,
+    options: { readonly signal: AbortSignal },
+  ): Promise<Result<WatchBatch, StoreError>>;
+}
--- /dev/null
+++ b/packages/rampswitch-store/src/settled_change.ts
@@ -0,0 +1,78 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Conditional changes whose lost answers are settled by reading back.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { type Clock, type Random, sleep } from "rampswitch-utils";
+import type { ObjectStore, StoredObject, StoreError } from "./object_store.ts";
+import { storeBackoff } from "./http_object_store.ts";
+
+/** What a change wants: a new value, or to leave the object as it is. */
+export type Intention<Refusal> =
+  | { readonly kind: "write"; readonly value: string }
+  | { readonly kind: "keep"; readonly refusal: Refusal };
+
+/** How a change ended. */
+export type Settlement<Refusal> =
+  | { readonly kind: "written"; readonly object: StoredObject }
+  | { readonly kind: "kept"; readonly refusal: Refusal }
+  | { readonly kind: "unknown"; readonly error: StoreError };
+
+/** A change of one object. */
+export interface Change<Refusal> {
+  readonly key: string;
+  /** Decides from the object as it is; called again after a conflict. */
+  readonly decide: (current: StoredObject | undefined) => Intention<Refusal>;
+  /** The object as last seen, to save a read. */
+  readonly known?: StoredObject;
+  readonly attempts?: number;
+}
+
+/** Time and randomness of retries. */
+export interface ChangeOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+const DEFAULT_ATTEMPTS = 6;
+
+/**
+ * Changes an object. A lost answer is settled by the next read: `decide` must
+ * recognize its own earlier write, and say `keep`.
+ */
+export async function changeObject<Refusal>(
+  store: ObjectStore,
+  change: Change<Refusal>,
+  options: ChangeOptions,
+): Promise<Settlement<Refusal>> {
+  const attempts = change.attempts ?? DEFAULT_ATTEMPTS;
+  let known: Result<StoredObject | undefined, StoreError> | undefined =
+    change.known === undefined ? undefined : Result.ok(change.known);
+  let error: StoreError = { kind: "unavailable", detail: "not tried" };
+  for (let attempt = 0; attempt < attempts; attempt += 1) {
+    const current = known ?? (await store.get(change.key));
+    known = undefined;
+    if (current.isErr) {
+      error = current.error;
+    } else {
+      const intention = change.decide(current.value);
+      if (intention.kind === "keep") {
+        return { kind: "kept", refusal: intention.refusal };
+      }
+      const written = await store.put(change.key, intention.value, {
+        expected: current.value?.version ?? "absent",
+      });
+      if (written.isOk) return { kind: "written", object: written.value };
+      error = written.error;
+      if (error.kind === "invalid") return { kind: "unknown", error };
+      if (error.kind === "conflict") {
+        if (error.current !== undefined) known = Result.ok(error.current);
+        if (attempt < attempts / 2) continue;
+      }
+    }
+    await sleep(options.clock, storeBackoff(attempt, options.random));
+  }
+  return { kind: "unknown", error };
+}
--- /dev/null
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -0,0 +1,122 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * A watch that resumes after failures and never goes back in time.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Random,
+  type Repetition,
+  repeat,
+} from "rampswitch-utils";
+import type { ObjectStore, StoredObject } from "./object_store.ts";
+import { storeBackoff } from "./http_object_store.ts";
+
+/** What a watch tells its owner. */
+export interface WatchListener {
+  /** An object changed to a version above all that were told before. */
+  changed(object: StoredObject): void;
+  /** An object was removed. */
+  removed(key: string): void;
+  /** The store answered: all changes up to now have been told. */
+  confirmed(at: number): void;
+  /** The store did not answer. */
+  failed(): void;
+}
+
+/** Watches all objects below a prefix. */
+export class Watcher implements AsyncDisposable {
+  readonly #store: ObjectStore;
+  readonly #prefix: string;
+  readonly #listener: WatchListener;
+  readonly #clock: Clock;
+  readonly #abort = new AbortController();
+  readonly #versions = new Map<string, number>();
+  readonly #repetition: Repetition;
+  #version: number | undefined;
+  #failures = 0;
+
+  constructor(
+    store: ObjectStore,
+    prefix: string,
+    options: {
+      readonly listener: WatchListener;
+      readonly clock: Clock;
+      readonly random: Random;
+      /** Milliseconds to wait after each answer, so that changes coalesce. */
+      readonly pause?: () => number;
+    },
+  ) {
+    this.#store = store;
+    this.#prefix = prefix;
+    this.#listener = options.listener;
+    this.#clock = options.clock;
+    this.#repetition = repeat(
+      options.clock,
+      () =>
+        this.#failures === 0
+          ? (options.pause?.() ?? 0)
+          : storeBackoff(this.#failures, options.random),
+      () => this.#round(),
+    );
+    this.#repetition.hurry();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#abort.abort();
+    await this.#repetition[Symbol.asyncDispose]();
+  }
+
+  async #round(): Promise<void> {
+    const asked = this.#clock.now();
+    const done =
+      this.#version === undefined
+        ? await this.#relist()
+        : await this.#wait(this.#version);
+    if (this.#abort.signal.aborted) return;
+    this.#failures = done ? 0 : this.#failures + 1;
+    if (done) this.#listener.confirmed(asked);
+    else this.#listener.failed();
+  }
+
+  async #relist(): Promise<boolean> {
+    const list = await this.#store.list(this.#prefix);
+    if (list.isErr) return false;
+    this.#version = list.value.version;
+    const present = new Set(list.value.objects.map((object) => object.key));
+    [...this.#versions.keys()]
+      .filter((key) => !present.has(key))
+      .forEach((key) => this.#forget(key));
+    list.value.objects.forEach((object) => this.#tell(object));
+    return true;
+  }
+
+  async #wait(after: number): Promise<boolean> {
+    const batch = await this.#store.watch(this.#prefix, after, {
+      signal: this.#abort.signal,
+    });
+    if (batch.isErr) {
+      if (batch.error.kind === "compacted") this.#version = undefined;
+      return batch.error.kind === "compacted";
+    }
+    this.#version = Math.max(after, batch.value.version);
+    batch.value.events.forEach((event) => {
+      if (event.value === undefined) this.#forget(event.key);
+      else this.#tell({ ...event, value: event.value });
+    });
+    return true;
+  }
+
+  #tell(object: StoredObject): void {
+    const known = this.#versions.get(object.key) ?? 0;
+    if (object.version <= known) return;
+    this.#versions.set(object.key, object.version);
+    this.#listener.changed(object);
+  }
+
+  #forget(key: string): void {
+    this.#versions.delete(key);
+    this.#listener.removed(key);
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-types/src/hosts.ts
@@ -0,0 +1,43 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * The hosts and links of a deployment: entry hosts, data halls and the
+ * identities of the processes on them.
+ *
+ * @module
+ */
+
+/** Name of an entry process during one life: host name and incarnation. */
+export type HostId = string;
+
+/** One entry process, as its peers know it. */
+export interface Host {
+  /** Unique to one life of the process. */
+  readonly id: HostId;
+  /** Name from the settings, kept across restarts. */
+  readonly name: string;
+  readonly dataHall: string;
+  /** IP number and port that peers call. */
+  readonly peerAddress: string;
+  /** IP number and port that callers, and peers that pass requests on, call. */
+  readonly callerAddress: string;
+  /** Milliseconds since the epoch at which the process started. */
+  readonly startedAt: number;
+}
+
+/** Builds the identity of one life of a process. */
+export function hostId(name: string, incarnation: string): HostId {
+  return `${name}~${incarnation}`;
+}
+
+/** Returns the host name within an identity. */
+export function hostName(id: HostId): string {
+  return id.split("~")[0] ?? id;
+}
+
+/** State of a host on the platform's list. */
+export interface ListedHost {
+  readonly name: string;
+  readonly state: "live" | "leaving";
+  /** Milliseconds since the epoch at which a leaving host is taken. */
+  readonly deadline?: number;
+}
--- /dev/null
+++ b/packages/rampswitch-types/src/mod.ts
@@ -0,0 +1,9 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Read-only types that all packages share.
+ *
+ * @module
+ */
+export * from "./hosts.ts";
+export * from "./outcome.ts";
+export * from "./resources.ts";
--- /dev/null
+++ b/packages/rampswitch-utils/src/disposal.ts
@@ -0,0 +1,32 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Ownership of resources that end asynchronously.
+ *
+ * @module
+ */
+
+/** Owns resources and disposes of them in reverse order, once. */
+export class Ownership implements AsyncDisposable {
+  #owned: readonly AsyncDisposable[] = [];
+
+  /** Takes over a resource and returns it. */
+  own<Owned extends AsyncDisposable>(resource: Owned): Owned {
+    this.#owned = [resource, ...this.#owned];
+    return resource;
+  }
+
+  /** Runs a clean-up step when this is disposed of. */
+  defer(cleanUp: () => void | Promise<void>): void {
+    this.own({ [Symbol.asyncDispose]: async () => await cleanUp() });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const owned = this.#owned;
+    this.#owned = [];
+    await owned.reduce(
+      (previous, resource) =>
+        previous.then(() => resource[Symbol.asyncDispose]()),
+      Promise.resolve(),
+    );
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-utils/src/listen.ts
@@ -0,0 +1,44 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Starting and ending HTTP servers.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A server that listens, and where. */
+export interface Listening extends AsyncDisposable {
+  /** IP number and port, as `127.0.0.1:8000`. */
+  readonly address: string;
+}
+
+/** Splits `127.0.0.1:8000` into its IP number and port. */
+export function splitAddress(address: string): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const at = address.lastIndexOf(":");
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+/** Listens on an address; port 0 lets the system choose one. */
+export async function listen(
+  server: Server,
+  address: string,
+): Promise<Listening> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  return {
+    address: `${host}:${bound.port}`,
+    [Symbol.asyncDispose]: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -0,0 +1,15 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Helpers that all packages share.
+ *
+ * @module
+ */
+export * from "./body.ts";
+export * from "./clock.ts";
+export * from "./disposal.ts";
+export * from "./hash.ts";
+export * from "./listen.ts";
+export * from "./log.ts";
+export * from "./metrics.ts";
+export * from "./prompt_blocks.ts";
+export * from "./random.ts";
--- /dev/null
+++ b/packages/rampswitch-utils/src/prompt_blocks.ts
@@ -0,0 +1,32 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Blocks of prompts, by which prefix caches are compared. Engines and entry
+ * hosts compute the same hashes; docs/references/engine.md defines them.
+ *
+ * @module
+ */
+import { hash32 } from "./hash.ts";
+
+const RADIX = 36;
+
+/** Words of a text, which stand for its tokens. */
+export function promptWords(text: string): readonly string[] {
+  return text.split(/\s+/).filter((word) => word !== "");
+}
+
+/** Hash of each full block of words, each covering all blocks before it. */
+export function blockHashes(
+  words: readonly string[],
+  blockTokens: number,
+): readonly string[] {
+  const hashes: string[] = [];
+  const blocks = Math.floor(words.length / blockTokens);
+  for (let index = 0; index < blocks; index += 1) {
+    const block = words
+      .slice(index * blockTokens, (index + 1) * blockTokens)
+      .join(" ");
+    const text = `${hashes[index - 1] ?? ""}|${block}`;
+    hashes.push(hash32(text).toString(RADIX));
+  }
+  return hashes;
+}
--- /dev/null
+++ b/packages/rampswitch-validation/src/mod.ts
@@ -0,0 +1,9 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Schemas that check settings and resources early.
+ *
+ * @module
+ */
+export * from "./problems.ts";
+export * from "./resource_schema.ts";
+export * from "./settings_schema.ts";
--- /dev/null
+++ b/packages/rampswitch-validation/src/problems.ts
@@ -0,0 +1,106 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+/**
+ * Problems found in a document, each with its path, the value found and what
+ * was expected.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { parseDocument } from "yaml";
+import type { z } from "zod";
+
+/** One wrong place in a document. */
+export interface Problem {
+  /** Path within the document, as `listen.callers`. */
+  readonly path: string;
+  /** The value found there, as JSON, cut short. */
+  readonly value: string;
+  /** What to write instead. */
+  readonly expected: string;
+}
+
+const MAXIMUM_SHOWN_VALUE = 80;
+
+/** Writes a problem on one line. */
+export function problemText(problem: Problem): string {
+  return (
+    `${problem.path}: found ${problem.value}, ` + `expected ${problem.expected}`
+  );
+}
+
+/** Checks a value against a schema. */
+export function check<Schema extends z.ZodType>(
+  schema: Schema,
+  value: unknown,
+): Result<z.output<Schema>, readonly Problem[]> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Result.ok(parsed.data);
+  return Result.err(
+    parsed.error.issues.flatMap((issue) => issueProblems(issue, value)),
+  );
+}
+
+/** Parses YAML text and checks it against a schema. */
+export function checkYaml<Schema extends z.ZodType>(
+  schema: Schema,
+  text: string,
+): Result<z.output<Schema>, readonly Problem[]> {
+  const document = parseDocument(text);
+  const [error] = document.errors;
+  if (error !== undefined) {
+    return Result.err([
+      {
+        path: `line ${error.linePos?.[0].line ?? 1}`,
+        value: shown(text.slice(error.pos[0], error.pos[1])),
+        expected: "YAML that parses",
+      },
+    ]);
+  }
+  return check(schema, document.toJS());
+}
+
+function issueProblems(
+  issue: z.core.$ZodIssue,
+  root: unknown,
+): readonly Problem[] {
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => ({
+      path: pathText([...issue.path, key]),
+      value: shown(valueAt(root, [...issue.path, key])),
+      expected: "no such name here; see the reference for the known ones",
+    }));
+  }
+  return [
+    {
+      path: pathText(issue.path),
+      value: shown(valueAt(root, issue.path)),
+      expected: expectedText(issue),
+    },
+  ];
+}
+
+function expectedText(issue: z.core.$ZodIssue): string {
+  const detail = issue.message.replace(/^Invalid (input|option): /, "");
+  return detail.replace(/^expected /, "").replace(/, received .*$/, "");
+}
+
+function pathText(path: readonly PropertyKey[]): string {
+  return path.length === 0 ? "(document)" : path.map(String).join(".");
+}
+
+function valueAt(root: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (value, key) =>
+      typeof value === "object" && value !== null
+        ? (value as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    root,
+  );
+}
+
+function shown(value: unknown): string {
+  const text = value === undefined ? "nothing" : JSON.stringify(value);
+  return text.length <= MAXIMUM_SHOWN_VALUE
+    ? text
+    : `${text.slice(0, MAXIMUM_SHOWN_VALUE)}…`;
+}
