Give a reader who is ahead of a holder nothing twice

A caller who had seen more events than the new primary held was sent the missing ones again. Ruled out: the engine's resume (same attempt, same tokens), the caller's parser. Change: an answer passes over events at or below the reader's last one; planned handovers close a slot to new claims first.

--- a/packages/rampswitch-entry/src/answer_book.ts
+++ b/packages/rampswitch-entry/src/answer_book.ts
@@ -122,18 +122,25 @@
     this.#book.onEnded(this);
   }
 
-  /** Follows the answer from the event after `after`; returns a way to stop. */
+  /**
+   * Follows the answer from the event after `after`; returns a way to stop. A
+   * reader may have more than this host holds yet: what it has is passed over.
+   */
   read(after: number, reader: AnswerReader): () => void {
-    this.#events
-      .slice(after + 1)
-      .forEach((event, index) => reader.event(after + 1 + index, event));
+    const follower: AnswerReader = {
+      event: (index, text) => {
+        if (index > after) reader.event(index, text);
+      },
+      ended: (outcome) => reader.ended(outcome),
+    };
+    this.#events.forEach((event, index) => follower.event(index, event));
     if (this.#outcome !== undefined) {
-      reader.ended(this.#outcome);
+      follower.ended(this.#outcome);
       return () => undefined;
     }
-    this.#readers = [...this.#readers, reader];
+    this.#readers = [...this.#readers, follower];
     return () => {
-      this.#readers = this.#readers.filter((other) => other !== reader);
+      this.#readers = this.#readers.filter((other) => other !== follower);
     };
   }
 
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -178,7 +178,7 @@
       this.#slots.handOverAll();
       const idle = this.#working === 0 && this.#clock.now() >= quietAfter;
       const alone = this.#membership.trusted.length === 0;
-      if (idle && (alone || this.#slots.primarySlots.length === 0)) break;
+      if (idle && (alone || this.#slots.heldSlots === 0)) break;
       await sleep(this.#clock, DRAIN_POLL_MILLISECONDS * 4);
     }
     this.#replication.flush();
--- a/packages/rampswitch-entry/src/slot_service.ts
+++ b/packages/rampswitch-entry/src/slot_service.ts
@@ -59,6 +59,9 @@
   readonly watchPause: () => number;
 }
 
+/** Time that a slot may be closed while it is handed over. */
+const HAND_OVER_MILLISECONDS = 1_500;
+
 /** Steps that one round of maintenance takes at most. */
 const STEPS_PER_ROUND = 16;
 
@@ -70,6 +73,7 @@
   readonly #table: SlotTable;
   readonly #claims = new Map<string, (end: ClaimEnd) => void>();
   readonly #primaries = new Set<number>();
+  readonly #closing = new Map<number, number>();
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
@@ -108,7 +112,12 @@
 
   /** Slots that this host is primary of. */
   get primarySlots(): readonly number[] {
-    return [...this.#primaries];
+    return [...this.#primaries].filter((slot) => !this.#closing.has(slot));
+  }
+
+  /** Number of slots that this host is primary of, also while it hands over. */
+  get heldSlots(): number {
+    return this.#primaries.size;
   }
 
   /** Keys remembered in all slots. */
@@ -133,9 +142,15 @@
     this.#table.start();
   }
 
-  /** Primary of a slot, as far as known here. */
+  /**
+   * Primary of a slot, as far as known here; `undefined` while this host hands
+   * the slot over, so that no claim begins that the next primary would doubt.
+   */
   primaryOf(slot: number): HostId | undefined {
-    return this.#replicas[slot]?.entry?.primary;
+    const primary = this.#replicas[slot]?.entry?.primary;
+    return primary === this.#options.self && this.#closing.has(slot)
+      ? undefined
+      : primary;
   }
 
   /** Peers that must hold what happens in a slot. */
@@ -224,9 +239,9 @@
 
   /** Asks every backup to take over, before a planned stop. */
   handOverAll(): void {
-    this.#primaries.forEach((slot) => {
+    [...this.#primaries].forEach((slot) => {
       const replica = this.#replicas[slot];
-      if (replica !== undefined) this.#run(replica, replica.handOver());
+      if (replica !== undefined) this.#run(replica, this.#handOver(replica));
     });
   }
 
@@ -237,7 +252,7 @@
 
   #take(replica: SlotReplica, step: PlacementStep, view: PlacementView): void {
     this.#options.metrics.count("slot_step", step.kind);
-    const act = STEP_ACTIONS[step.kind] as (
+    const act = this.#stepActions[step.kind] as (
       replica: SlotReplica,
       step: PlacementStep,
       view: PlacementView,
@@ -249,6 +264,19 @@
     this.#run(replica, effects);
   }
 
+  /** Closes a slot to new claims and hands it over once none is waiting. */
+  #handOver(replica: SlotReplica): readonly SlotEffect[] {
+    if (replica.entry?.backup === undefined) return [];
+    const now = this.#options.clock.now();
+    const since = this.#closing.get(replica.slot) ?? now;
+    this.#closing.set(replica.slot, since);
+    if (now - since > HAND_OVER_MILLISECONDS) {
+      this.#closing.delete(replica.slot);
+      return [];
+    }
+    return replica.claimsWaiting ? [] : replica.handOver();
+  }
+
   async #createMissing(view: PlacementView): Promise<void> {
     const missing = this.#table.shardNumbers.filter(
       (shard) => !this.#table.exists(shard),
@@ -292,21 +320,24 @@
 
   #note(replica: SlotReplica): void {
     if (replica.role === "primary") this.#primaries.add(replica.slot);
-    else this.#primaries.delete(replica.slot);
+    else {
+      this.#primaries.delete(replica.slot);
+      this.#closing.delete(replica.slot);
+    }
   }
-}
 
-const STEP_ACTIONS: {
-  readonly [Kind in PlacementStep["kind"]]: (
-    replica: SlotReplica,
-    step: Extract<PlacementStep, { readonly kind: Kind }>,
-    view: PlacementView,
-  ) => readonly SlotEffect[];
-} = {
-  none: () => [],
-  promote: (replica) => replica.promote(),
-  hand_over: (replica) => replica.handOver(),
-  teach: (replica, { host }) => replica.teach(host),
-  stop_teaching: (replica) => replica.stopTeaching(),
-  take: (replica, _step, view) => replica.take(view.gone, view.now),
-};
+  readonly #stepActions: {
+    readonly [Kind in PlacementStep["kind"]]: (
+      replica: SlotReplica,
+      step: Extract<PlacementStep, { readonly kind: Kind }>,
+      view: PlacementView,
+    ) => readonly SlotEffect[];
+  } = {
+    none: () => [],
+    promote: (replica) => replica.promote(),
+    hand_over: (replica) => this.#handOver(replica),
+    teach: (replica, { host }) => replica.teach(host),
+    stop_teaching: (replica) => replica.stopTeaching(),
+    take: (replica, _step, view) => replica.take(view.gone, view.now),
+  };
+}
--- a/packages/rampswitch-measure/src/history.ts
+++ b/packages/rampswitch-measure/src/history.ts
@@ -31,6 +31,8 @@
   readonly told: Told;
   readonly expected: string;
   readonly received: string;
+  /** Reason of the last problem document; empty for none. */
+  readonly reason: string;
   /** Sends of the request, retries and returns included. */
   readonly sends: number;
 }
@@ -56,6 +58,8 @@
   readonly refusedButRan: number;
   readonly wrongBytes: number;
   readonly inDoubt: number;
+  /** What callers in doubt were told, by reason. */
+  readonly inDoubtReasons: Readonly<Record<string, number>>;
   /** Runs at backend servers for each invocation. */
   readonly retryAmplification: number;
   /** The first operations that break an invariant. */
@@ -79,6 +83,7 @@
   const lost = invocations.filter(
     ({ accepted, told }) => accepted && told === "nothing",
   );
+  const doubts = invocations.filter(({ told }) => told === "in_doubt");
   return {
     accepted: invocations.filter(({ accepted }) => accepted).length,
     answeredWhole: invocations.filter(({ told }) => told === "whole").length,
@@ -86,7 +91,14 @@
     duplicatedExecutions: duplicated.length,
     refusedButRan: refusedButRan.length,
     wrongBytes: wrong.length,
-    inDoubt: invocations.filter(({ told }) => told === "in_doubt").length,
+    inDoubt: doubts.length,
+    inDoubtReasons: Object.fromEntries(
+      countBy(
+        doubts.map(({ guarded, reason }) =>
+          guarded ? `${reason} (once only)` : reason,
+        ),
+      ),
+    ),
     retryAmplification:
       invocations.length === 0 ? 0 : runs.length / invocations.length,
     examples: [...duplicated, ...refusedButRan, ...wrong, ...lost]
--- a/packages/rampswitch-measure/src/history_test.ts
+++ b/packages/rampswitch-measure/src/history_test.ts
@@ -14,6 +14,7 @@
   told: "whole",
   expected: "abc",
   received: "abc",
+  reason: "",
   sends: 1,
 };
 
--- a/packages/rampswitch-measure/src/persistent_caller.ts
+++ b/packages/rampswitch-measure/src/persistent_caller.ts
@@ -54,6 +54,7 @@
   let lastEvent = -1;
   let requestId: string | undefined;
   let told: Told = "nothing";
+  let reason = "";
   let sends = 0;
   while (sends < options.sends && told === "nothing") {
     const caller = options.balancer.pick();
@@ -62,6 +63,7 @@
         ? await caller.chat({ ...call, streamed: true })
         : await caller.again(requestId, { ...call, lastEvent });
     sends += 1;
+    reason = result.reason ?? reason;
     const isStream = result.status === 200;
     if (isStream) {
       requestId ??= result.requestId;
@@ -78,6 +80,7 @@
     told,
     expected: expectedText(call),
     received,
+    reason,
     sends,
   };
 }
@@ -93,11 +96,13 @@
   let told: Told = "nothing";
   let last: Told = "nothing";
   let received = "";
+  let reason = "";
   let sends = 0;
   let accepted = false;
   while (sends < options.sends && told === "nothing") {
     const result = await send(options.balancer.pick());
     sends += 1;
+    reason = result.reason ?? reason;
     if (result.status === 200) {
       accepted = true;
       if (result.whole) {
@@ -116,6 +121,7 @@
     accepted,
     told: told === "nothing" ? last : told,
     received,
+    reason,
     sends,
   };
 }
--- a/packages/rampswitch-protocol/src/slot_replica.ts
+++ b/packages/rampswitch-protocol/src/slot_replica.ts
@@ -78,6 +78,11 @@
     return this.#learner?.host;
   }
 
+  /** Whether a claim waits for the answers of other holders. */
+  get claimsWaiting(): boolean {
+    return this.#missing.size > 0;
+  }
+
   /** Number of keys remembered. */
   get size(): number {
     return this.#records.size;
