Measure configuration under faults

Cause: nothing showed that accepted changes are in force and never revert. Change: nine real processes, four operators, outages, lost answers, kills, pauses and cut links; idle rounds of a host made cheaper.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -37,7 +37,7 @@
           source: "string",
           style: "line",
           content: "Copyright 2026 the rampswitch authors. Apache-2.0 license.",
-          trailingNewlines: 1,
+          trailingNewlines: 2,
         },
       ],
       "jsdoc/require-jsdoc": [
--- a/packages/rampswitch-cli/src/commands/edit.ts
+++ b/packages/rampswitch-cli/src/commands/edit.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * `rampswitch label`, `drain` and `delete`: edits of one resource.
  *
@@ -49,12 +50,13 @@
       .argument("<name>")
       .argument("<labels...>"),
   ).action(
-    // eslint-disable-next-line max-params -- commander passes each argument
     async (
-      kind: string,
-      name: string,
-      labels: readonly string[],
-      options: ConnectionOptions,
+      ...[kind, name, labels, options]: readonly [
+        string,
+        string,
+        readonly string[],
+        ConnectionOptions,
+      ]
     ) =>
       finish(
         await edit(clientOf(options), [kind, name], (resource) =>
--- a/packages/rampswitch-cli/src/commands/status.ts
+++ b/packages/rampswitch-cli/src/commands/status.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * `rampswitch status` and `watch`: the state of an entry host, and where a
  * revision is in force.
--- a/packages/rampswitch-cli/src/kinds.ts
+++ b/packages/rampswitch-cli/src/kinds.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Names of kinds as people type them.
  *
--- a/packages/rampswitch-configuration/src/configuration_state.ts
+++ b/packages/rampswitch-configuration/src/configuration_state.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The resources of one revision and how deltas change them.
  *
--- a/packages/rampswitch-configuration/src/freshness.ts
+++ b/packages/rampswitch-configuration/src/freshness.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Whether a host may take new work with the configuration that it has.
  *
--- a/packages/rampswitch-configuration/src/lease.ts
+++ b/packages/rampswitch-configuration/src/lease.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Leases in the platform's store, with an epoch that grows with each holder so
  * that orders of a former holder can be told apart.
--- a/packages/rampswitch-configuration/src/leaving_marks.ts
+++ b/packages/rampswitch-configuration/src/leaving_marks.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Marks of hosts that are leaving. A mark only grows: it is never taken back
  * while the host lives, and it ends when the host's life ends.
--- a/packages/rampswitch-configuration/src/membership.ts
+++ b/packages/rampswitch-configuration/src/membership.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Membership of the entry hosts: heartbeats that spread by gossip, suspicion
  * with hysteresis, and proof that a process is gone. Suspicion only costs
--- a/packages/rampswitch-configuration/src/order_plan.ts
+++ b/packages/rampswitch-configuration/src/order_plan.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Which orders bring backend servers to what their service asks for: a model,
  * adapter and version to load, and a role, as the service's labels say.
--- a/packages/rampswitch-configuration/src/revision_log.ts
+++ b/packages/rampswitch-configuration/src/revision_log.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The ordered log of revisions as the platform keeps it: a head object with
  * the latest deltas, and snapshots cut into parts below a megabyte.
--- a/packages/rampswitch-entry/src/administration_server.ts
+++ b/packages/rampswitch-entry/src/administration_server.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The administration API: resources, changes, status and explanations.
  * docs/references/administration.md defines it.
@@ -11,11 +12,12 @@
   type ServerResponse,
 } from "node:http";
 import { Result } from "true-myth";
-import type {
-  ChangeOutcome,
-  ChangeRequest,
-  Edit,
-  Freshness,
+import {
+  type ChangeOutcome,
+  type ChangeRequest,
+  type Edit,
+  type Freshness,
+  TAKES_NEW_WORK,
 } from "rampswitch-configuration";
 import {
   type Host,
@@ -286,6 +288,10 @@
     return {
       revision: wanted,
       inForceEverywhere: hosts.every(({ inForce }) => inForce),
+      revisionHere: configuration.state.revision,
+      takesNewWork:
+        this.#options.state() === "serving" &&
+        TAKES_NEW_WORK[this.#options.freshness()],
       inForceHereSince: configuration.inForceSince(wanted),
       hosts,
     };
--- a/packages/rampswitch-entry/src/admission_gate.ts
+++ b/packages/rampswitch-entry/src/admission_gate.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Admission of requests on one host: one fair queue per service, with limits
  * that are this host's part of what the service's backend servers can run.
@@ -53,7 +54,7 @@
         options.clock,
         () => EXPIRY_MILLISECONDS,
         async () => {
-          this.#expire();
+          if (this.#waiting.size > 0) this.#expire();
           await Promise.resolve();
         },
       ),
--- a/packages/rampswitch-entry/src/answer_book.ts
+++ b/packages/rampswitch-entry/src/answer_book.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Answers in progress and answers kept for callers who come back, bounded in
  * time and size. An answer is a list of numbered events.
--- a/packages/rampswitch-entry/src/answer_writer.ts
+++ b/packages/rampswitch-entry/src/answer_writer.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Writing kept answers to callers: as a stream of events, as one whole, or as
  * a plain service gave them.
--- a/packages/rampswitch-entry/src/backend_client.ts
+++ b/packages/rampswitch-entry/src/backend_client.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Calls to backend servers: connection pools, and the rule that tells whether a
  * failed call can have run.
--- a/packages/rampswitch-entry/src/backend_directory.ts
+++ b/packages/rampswitch-entry/src/backend_directory.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * What one entry host knows of the backend servers: load, health, who is
  * leaving, and which prefixes they hold. Choices are made here.
@@ -34,6 +35,8 @@
 import type { BackendClient } from "./backend_client.ts";
 
 const POLL_MILLISECONDS = 500;
+/** Time between two questions to a server that has nothing to do. */
+const IDLE_POLL_MILLISECONDS = 2_000;
 const POLL_DEADLINE_MILLISECONDS = 800;
 const MAXIMUM_REPLY_BYTES = 1024 * 1024;
 const POLLED_PER_ROUND = 64;
@@ -54,6 +57,10 @@
   readonly load: ServerLoad;
   readonly health: ServerHealth;
   cacheSequence: number;
+  /** When the server was last asked, in milliseconds since the epoch. */
+  polledAt: number;
+  /** Whether it had nothing to do when it was last asked. */
+  idleReport: boolean;
   leaving: boolean;
 }
 
@@ -208,6 +215,8 @@
       load: new ServerLoad(),
       health: new ServerHealth(),
       cacheSequence: 0,
+      polledAt: 0,
+      idleReport: false,
       leaving: false,
     };
     this.#states.set(server, state);
@@ -255,13 +264,18 @@
   }
 
   async #pollServer(server: BackendServer): Promise<void> {
+    const state = this.#state(server.name);
+    const now = this.#options.clock.now();
+    const idle = state.load.inProgress === 0 && state.idleReport;
+    if (idle && now - state.polledAt < IDLE_POLL_MILLISECONDS) return;
+    state.polledAt = now;
     const isModel =
       this.#options.routing().services.get(server.service)?.type === "model";
     if (!isModel) return;
-    const state = this.#state(server.name);
     const load = (await this.#get(server, "/v1/load")) as
       ReportedLoad | undefined;
     if (typeof load?.at === "number") state.load.report(load);
+    state.idleReport = load?.running === 0 && load.waiting === 0;
     const path = `/v1/cache-events?after=${state.cacheSequence}`;
     const cache = (await this.#get(server, path)) as
       { readonly events?: readonly CacheEvent[] } | undefined;
--- a/packages/rampswitch-entry/src/caller_request.ts
+++ b/packages/rampswitch-entry/src/caller_request.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * What a caller's HTTP request says besides its body.
  *
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Runs chat requests to their end: chooses engines, goes on elsewhere after
  * losses and reclaims, and keeps the answer's events in order.
--- a/packages/rampswitch-entry/src/configuration_service.ts
+++ b/packages/rampswitch-entry/src/configuration_service.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The configuration of one entry host: follows the revision log in the
  * platform's store, takes changes of operators, and passes news to peers. It
--- a/packages/rampswitch-entry/src/control_service.ts
+++ b/packages/rampswitch-entry/src/control_service.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Control under leases: orders to backend servers, by service and data hall,
  * and capacity, by service. Every host can do it; the lease says who does.
--- a/packages/rampswitch-entry/src/engine_attempt.ts
+++ b/packages/rampswitch-entry/src/engine_attempt.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * One attempt of a chat request at one engine: sends it, or reads it again,
  * and hands on its tokens in order.
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * One entry process: puts its parts together, starts them, and stops them
  * without cutting off a request.
@@ -64,7 +65,7 @@
 const STORE_CALLS_PER_SECOND = 50;
 const CONFIRM_MILLISECONDS = 1_500;
 const PREPARE_MILLISECONDS = 50;
-const MAINTAIN_MILLISECONDS = 250;
+const MAINTAIN_MILLISECONDS = 500;
 const WATCH_PAUSE_PER_HOST_MILLISECONDS = 5;
 const DRAIN_POLL_MILLISECONDS = 25;
 const DRAIN_GRACE_MILLISECONDS = 1_000;
@@ -495,22 +496,7 @@
 
   #startRounds(): void {
     const { capacity } = this.#settings;
-    this.#owned.own(
-      repeat(
-        this.#clock,
-        () => PREPARE_MILLISECONDS,
-        async () => {
-          const known = this.freshness !== "never" && this.#slots.ready;
-          if (known && this.#life.state === "starting") {
-            this.#life.handle({ type: "prepared" });
-            this.#logger.info("ready", {
-              revision: this.#configuration.state.revision,
-            });
-          }
-          await Promise.resolve();
-        },
-      ),
-    );
+    void this.#prepare();
     this.#owned.own(
       repeat(
         this.#clock,
@@ -543,6 +529,18 @@
       .start();
   }
 
+  /** Begins to serve once the configuration and the slot table are known. */
+  async #prepare(): Promise<void> {
+    while (this.freshness === "never" || !this.#slots.ready) {
+      if (this.#life.state !== "starting") return;
+      await sleep(this.#clock, PREPARE_MILLISECONDS);
+    }
+    if (!this.#life.handle({ type: "prepared" })) return;
+    this.#logger.info("ready", {
+      revision: this.#configuration.state.revision,
+    });
+  }
+
   #showGauges(): void {
     const { slots, metrics } = { slots: this.#slots, metrics: this.metrics };
     metrics.gauge("slots_primary", slots.heldSlots);
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -1,11 +1,12 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Membership of the entry hosts as one of them sees it: heartbeats, news of
  * leaving hosts, and proof that processes are gone.
  *
  * @module
  */
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import {
   addMarks,
   digestsToSend,
@@ -64,6 +65,7 @@
 /** How much longer a host waits that knows peers already. */
 const SEED_RETRY_FACTOR = 60;
 const ANNOUNCE_PEERS = 4;
+const BYTES_SAMPLE = 8;
 const GONE_PER_MESSAGE = 16;
 
 /** An entry host that the settings name. */
@@ -120,6 +122,11 @@
   #members: Members = new Map();
   #marks: LeavingMarks = new Map();
   #listedNames: ReadonlySet<string> = new Set();
+  #placement: {
+    readonly mark: string;
+    readonly hosts: readonly PlacementHost[];
+  } = { mark: "", hosts: [] };
+  #messages = 0;
   #heartbeat = 0;
   #leaving = false;
   #noticeSequence = 0;
@@ -155,16 +162,22 @@
     return this.#leaving;
   }
 
-  /** Trusted members and this host, for the placement of slots. */
+  /**
+   * Trusted members and this host, for the placement of slots. The list stays
+   * the same object while it says the same.
+   */
   get placementHosts(): readonly PlacementHost[] {
     const { self } = this.#options;
-    return [
+    const hosts = [
       { ...self, leaving: this.#leaving },
       ...this.trusted.map(({ digest }) => ({
         ...digest.host,
         leaving: digest.leaving,
       })),
     ];
+    const mark = hosts.map(({ id, leaving }) => `${id} ${leaving}`).join();
+    if (mark !== this.#placement.mark) this.#placement = { mark, hosts };
+    return this.#placement.hosts;
   }
 
   /** A member by its identity. */
@@ -231,12 +244,14 @@
   answer(request: HeartbeatRequest): HeartbeatResponse {
     this.#hear([request.sender, ...request.others], request.leaving);
     request.gone.forEach((host) => this.#proveGone(host));
-    return create(HeartbeatResponseSchema, {
+    const response = create(HeartbeatResponseSchema, {
       responder: digestToWire(this.digest()),
       others: this.#digests(),
       leaving: [...this.#marks.values()].map(markToWire),
       gone: [...this.#gone].slice(-GONE_PER_MESSAGE),
     });
+    this.#countBytes(() => toBinary(HeartbeatResponseSchema, response));
+    return response;
   }
 
   /** A peer's process refused a connection: it is suspected at once. */
@@ -324,6 +339,7 @@
       leaving: [...this.#marks.values()].map(markToWire),
       gone: [...this.#gone].slice(-GONE_PER_MESSAGE),
     });
+    this.#countBytes(() => toBinary(HeartbeatRequestSchema, request));
     const answer = await clients.call(address, (client) =>
       client.heartbeat(request, {
         timeoutMs: HEARTBEAT_DEADLINE_MILLISECONDS,
@@ -339,6 +355,14 @@
     }
   }
 
+  /** Counts bytes of control messages; looks at one message of some. */
+  #countBytes(encode: () => Uint8Array): void {
+    this.#messages += 1;
+    if (this.#messages % BYTES_SAMPLE !== 0) return;
+    const bytes = encode().length * BYTES_SAMPLE;
+    this.#options.metrics.count("control_bytes", undefined, bytes);
+  }
+
   #digests(): ReturnType<typeof digestToWire>[] {
     const { clock, random } = this.#options;
     return digestsToSend(this.#members, clock.now(), {
--- a/packages/rampswitch-entry/src/orphan_adoption.ts
+++ b/packages/rampswitch-entry/src/orphan_adoption.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * What the primary of a slot does with requests that a lost host was running.
  *
--- a/packages/rampswitch-entry/src/peer_messages.ts
+++ b/packages/rampswitch-entry/src/peer_messages.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Conversion between the types of the decisions and the messages on the wire.
  *
--- a/packages/rampswitch-entry/src/plain_runner.ts
+++ b/packages/rampswitch-entry/src/plain_runner.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Calls of plain services: streamed through where nobody can come back for the
  * answer, kept as events where the caller gave a key.
--- a/packages/rampswitch-entry/src/platform_clients.ts
+++ b/packages/rampswitch-entry/src/platform_clients.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Clients of the platform's host list and of the cloud API.
  *
--- a/packages/rampswitch-entry/src/problem.ts
+++ b/packages/rampswitch-entry/src/problem.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Problem details (RFC 9457) for every answer that is not the work's own.
  *
--- a/packages/rampswitch-entry/src/replica_link.ts
+++ b/packages/rampswitch-entry/src/replica_link.ts
@@ -24,6 +24,8 @@
 const ANSWER_MILLISECONDS = 1_000;
 const RETRY_MILLISECONDS = 100;
 const PATIENT_MILLISECONDS = 10;
+/** One message of so many is encoded once more to count its bytes. */
+const BYTES_SAMPLE = 8;
 const MAXIMUM_ENTRIES = 512;
 const MAXIMUM_WAITING = 20_000;
 /** Messages without an answer; more entries wait and travel together. */
@@ -148,8 +150,10 @@
       entries: waiting.map(({ entry }) => entry),
     });
     metrics.count("replicate_call");
-    const bytes = toBinary(ReplicateRequestSchema, request).length;
-    metrics.count("replicate_bytes", undefined, bytes);
+    if (sequence % BYTES_SAMPLE === 0) {
+      const bytes = toBinary(ReplicateRequestSchema, request).length;
+      metrics.count("replicate_bytes", undefined, bytes * BYTES_SAMPLE);
+    }
     this.#stream?.push(request);
   }
 
--- a/packages/rampswitch-entry/src/request_replication.ts
+++ b/packages/rampswitch-entry/src/request_replication.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Keeping the progress of requests at the other holders of their slots, so
  * that one of them can go on. Three ways, compared in docs/design/survival.md:
--- a/packages/rampswitch-entry/src/slot_service.ts
+++ b/packages/rampswitch-entry/src/slot_service.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The slots of one entry host: runs the pure replicas, carries their messages
  * to peers and their proposals to the slot table.
@@ -62,6 +63,8 @@
 /** Time that a slot may be closed while it is handed over. */
 const HAND_OVER_MILLISECONDS = 1_000;
 
+const PRUNE_MILLISECONDS = 10_000;
+
 /** Time for which a slot serves after a handover that did not succeed. */
 const HAND_OVER_AGAIN_MILLISECONDS = 5_000;
 
@@ -77,6 +80,7 @@
   readonly #claims = new Map<string, (end: ClaimEnd) => void>();
   readonly #primaries = new Set<number>();
   readonly #closing = new Map<number, number>();
+  #prunedAt = 0;
   readonly #servesUntil = new Map<number, number>();
 
   constructor(options: SlotServiceOptions) {
@@ -236,18 +240,22 @@
   async maintain(): Promise<void> {
     const view = this.#options.view();
     if (!this.#table.listed) return;
-    const { times, clock } = this.#options;
     const steps = this.#replicas
       .map((replica) => ({ replica, step: decidePlacement(replica, view) }))
       .filter(({ step }) => step.kind !== "none")
       .slice(0, STEPS_PER_ROUND);
     steps.forEach(({ replica, step }) => this.#take(replica, step, view));
-    this.#replicas.forEach((replica) =>
-      replica.prune(clock.now() - times.retention),
-    );
+    this.#prune(view.now);
     await this.#createMissing(view);
   }
 
+  #prune(now: number): void {
+    if (now - this.#prunedAt < PRUNE_MILLISECONDS) return;
+    this.#prunedAt = now;
+    const before = now - this.#options.times.retention;
+    this.#replicas.forEach((replica) => replica.prune(before));
+  }
+
   /** Asks every backup to take over, before a planned stop. */
   handOverAll(): void {
     if (!this.#options.view().reachesStore) return;
--- a/packages/rampswitch-entry/src/slot_table.ts
+++ b/packages/rampswitch-entry/src/slot_table.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The slot table in the platform's store, cut into objects of a few slots.
  * Proposals for one object that come together are written together.
--- a/packages/rampswitch-measure/src/caller.ts
+++ b/packages/rampswitch-measure/src/caller.ts
@@ -1,9 +1,5 @@
-/**
- * A caller: sends requests to an entry host, comes back for the rest of a
- * broken stream, and retries with its key.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { type Dispatcher, Pool } from "undici";
 import { answerText } from "rampswitch-standins";
 import { parseJson } from "rampswitch-utils";
--- a/packages/rampswitch-measure/src/child.ts
+++ b/packages/rampswitch-measure/src/child.ts
@@ -1,8 +1,5 @@
-/**
- * Processes that a measurement starts, pauses, kills and reads figures of.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
--- a/packages/rampswitch-measure/src/demo.ts
+++ b/packages/rampswitch-measure/src/demo.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The local demonstration: three entry hosts in two data halls, four engines,
  * two plain services and the platform, in one process.
--- a/packages/rampswitch-measure/src/measure_options.ts
+++ b/packages/rampswitch-measure/src/measure_options.ts
@@ -1,8 +1,4 @@
-/**
- * Options that all measurements share.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /** Options of a measurement. */
 export interface MeasureOptions {
--- a/packages/rampswitch-measure/src/measured_deployment.ts
+++ b/packages/rampswitch-measure/src/measured_deployment.ts
@@ -1,8 +1,5 @@
-/**
- * A deployment of real entry processes before stand-ins.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { Ownership, sleep, SYSTEM_CLOCK } from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
 import { EntryChild, StandinsChild } from "./child.ts";
--- a/packages/rampswitch-measure/src/operator.ts
+++ b/packages/rampswitch-measure/src/operator.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * An operator's program: sends changes to an entry host.
  *
--- a/packages/rampswitch-measure/src/path_measure.ts
+++ b/packages/rampswitch-measure/src/path_measure.ts
@@ -1,8 +1,5 @@
-/**
- * `measure path`: what the system adds to a direct call of the same stand-in.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { Pool } from "undici";
 import type { MeasureOptions } from "./measure_options.ts";
 import { Caller, expectedText } from "./caller.ts";
--- a/packages/rampswitch-measure/src/run_measure.ts
+++ b/packages/rampswitch-measure/src/run_measure.ts
@@ -1,9 +1,5 @@
-/**
- * The program `measure`: runs one measurement; the last line that it prints is
- * one JSON object.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { Command } from "commander";
 import {
   DEFAULT_SECONDS,
@@ -11,6 +7,7 @@
   type MeasureOptions,
 } from "./measure_options.ts";
 import { measurePath } from "./path_measure.ts";
+import { measureConfiguration } from "./configuration_measure.ts";
 import { measureSurvive } from "./survive_measure.ts";
 
 type Measure = (options: MeasureOptions) => Promise<unknown>;
@@ -18,6 +15,7 @@
 const MEASURES: Readonly<Record<string, Measure>> = {
   path: measurePath,
   survive: measureSurvive,
+  configuration: measureConfiguration,
 };
 
 /** Runs the program with its arguments; returns the exit code. */
--- a/packages/rampswitch-measure/src/standins_process.ts
+++ b/packages/rampswitch-measure/src/standins_process.ts
@@ -1,9 +1,5 @@
-/**
- * Stand-ins in a process of their own, so that their time is not counted as
- * the system's.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { SYSTEM_CLOCK } from "rampswitch-utils";
 import type { PlatformAddresses, StartedServer } from "./deployment_plan.ts";
 import { LocalPlatform, type LocalPlatformOptions } from "./local_platform.ts";
--- a/packages/rampswitch-measure/src/statistics.ts
+++ b/packages/rampswitch-measure/src/statistics.ts
@@ -1,8 +1,5 @@
-/**
- * Figures from samples.
- *
- * @module
- */
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { build } from "hdr-histogram-js";
 
 const MICROSECONDS = 1_000;
--- a/packages/rampswitch-peer/src/peer_token.ts
+++ b/packages/rampswitch-peer/src/peer_token.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Tokens by which entry hosts know each other: name, time and a keyed hash of
  * both under the secret of the deployment.
--- a/packages/rampswitch-policy/src/admission.ts
+++ b/packages/rampswitch-policy/src/admission.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Admission: fair queueing of requests between workspaces, weighted by
  * predicted tokens; priorities; bounded queues; early refusal; and work that
--- a/packages/rampswitch-policy/src/capacity_plan.ts
+++ b/packages/rampswitch-policy/src/capacity_plan.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Capacity of a service in all data halls: which hosts to start and to end so
  * that the latency target holds at the lowest cost, also after the loss of a
--- a/packages/rampswitch-policy/src/choice.ts
+++ b/packages/rampswitch-policy/src/choice.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Choice of a backend server: among those allowed and predicted to meet the
  * target, the one of least cost. Its time does not grow with their number: of
--- a/packages/rampswitch-policy/src/move_plan.ts
+++ b/packages/rampswitch-policy/src/move_plan.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * What to do with running work when its backend server's host is reclaimed.
  *
--- a/packages/rampswitch-policy/src/prefix_index.ts
+++ b/packages/rampswitch-policy/src/prefix_index.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Which backend servers hold which prompt prefixes, as far as own dispatches
  * and late, gappy cache events tell.
--- a/packages/rampswitch-policy/src/routing_table.ts
+++ b/packages/rampswitch-policy/src/routing_table.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Routing rules compiled once per revision: for a service and a workspace, the
  * groups of backend servers that may serve it, in order of priority.
--- a/packages/rampswitch-policy/src/server_health.ts
+++ b/packages/rampswitch-policy/src/server_health.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Health of a backend server: ejection after failures, half-open probes and a
  * slow start, as a state machine without timers.
--- a/packages/rampswitch-policy/src/server_load.ts
+++ b/packages/rampswitch-policy/src/server_load.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Load of backend servers: the lagging reports, corrected by what this host
  * sent and saw end since, and by what its peers are likely to have sent.
--- a/packages/rampswitch-protocol/src/exploration.ts
+++ b/packages/rampswitch-protocol/src/exploration.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Exploration of the slot protocol: drives the replicas of one slot through
  * every order of messages, losses, deaths and lost store answers within bounds,
--- a/packages/rampswitch-protocol/src/exploration_test.ts
+++ b/packages/rampswitch-protocol/src/exploration_test.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 import { describe, expect, test } from "@jest/globals";
 import {
   DEFAULT_BOUNDS,
--- a/packages/rampswitch-protocol/src/request_id.ts
+++ b/packages/rampswitch-protocol/src/request_id.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Ids of requests and the slots of keys.
  *
--- a/packages/rampswitch-protocol/src/slot_placement.ts
+++ b/packages/rampswitch-protocol/src/slot_placement.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Who should hold a slot, and the next step towards it. Every host works this
  * out alone from its view of the members; the epochs keep wrong views harmless.
@@ -54,6 +55,23 @@
 export function desiredHolders(
   slot: number,
   hosts: readonly PlacementHost[],
+): DesiredHolders {
+  const known = HOLDERS.get(hosts) ?? new Map<number, DesiredHolders>();
+  HOLDERS.set(hosts, known);
+  const holders = known.get(slot) ?? workOutHolders(slot, hosts);
+  known.set(slot, holders);
+  return holders;
+}
+
+/** Holders by the view they were worked out from; views are never changed. */
+const HOLDERS = new WeakMap<
+  readonly PlacementHost[],
+  Map<number, DesiredHolders>
+>();
+
+function workOutHolders(
+  slot: number,
+  hosts: readonly PlacementHost[],
 ): DesiredHolders {
   const staying = hosts.filter(({ leaving }) => !leaving);
   const byName = new Map(staying.map((host) => [host.name, host]));
--- a/packages/rampswitch-protocol/src/slot_replica.ts
+++ b/packages/rampswitch-protocol/src/slot_replica.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * One host's part in one slot: decisions without sockets and clocks. Time and
  * the table come in as arguments; what is to be done goes out as effects.
--- a/packages/rampswitch-protocol/src/slot_rules.ts
+++ b/packages/rampswitch-protocol/src/slot_rules.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The rules that make a second execution impossible, each on its own, so that
  * the exploration can replace one and must then find a second execution.
--- a/packages/rampswitch-protocol/src/slot_types.ts
+++ b/packages/rampswitch-protocol/src/slot_types.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Types of the slot protocol: the table entry that the platform keeps, the
  * messages between primary and backup, and the effects of decisions.
--- a/packages/rampswitch-standins/src/chat.ts
+++ b/packages/rampswitch-standins/src/chat.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The chat protocol of the engine stand-in: what a request asks for and what
  * each token of its answer is. Answers depend on the prompt alone, so that a
--- a/packages/rampswitch-standins/src/engine.ts
+++ b/packages/rampswitch-standins/src/engine.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Stand-in of a model engine: the engine model behind an OpenAI-compatible
  * HTTP interface, with resume, cancel, KV cache moves, orders and faults.
@@ -239,6 +240,11 @@
         path: /^\/control\/executions$/,
         handle: ({ response }) => sendJson(response, 200, this.#executions),
       },
+      {
+        method: "GET",
+        path: /^\/control\/orders$/,
+        handle: ({ response }) => sendJson(response, 200, this.#orders.taken),
+      },
       {
         method: "GET",
         path: /^\/control\/tokens$/,
--- a/packages/rampswitch-standins/src/engine_model.ts
+++ b/packages/rampswitch-standins/src/engine_model.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * A model engine without sockets and clocks: continuous batching, chunked
  * prefill, priorities and a limited cache of prompt prefixes. The HTTP stand-in
--- a/packages/rampswitch-standins/src/http_standin.ts
+++ b/packages/rampswitch-standins/src/http_standin.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * What all HTTP stand-ins share: routing by method and path, JSON bodies and a
  * control path over which faults are set.
--- a/packages/rampswitch-standins/src/object_api.ts
+++ b/packages/rampswitch-standins/src/object_api.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Stand-in of the platform's object API: versions, conditional updates,
  * watches, outages, lost answers, rate limits and call counts.
--- a/packages/rampswitch-standins/src/order_book.ts
+++ b/packages/rampswitch-standins/src/order_book.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Orders that an engine stand-in takes, with or without a check of the epoch.
  *
--- a/packages/rampswitch-standins/src/plain_service.ts
+++ b/packages/rampswitch-standins/src/plain_service.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Stand-in of a plain service: echoes what it was asked and records each run.
  *
--- a/packages/rampswitch-standins/src/platform_lists.ts
+++ b/packages/rampswitch-standins/src/platform_lists.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Stand-ins of the platform's lagging host list, of the cloud API with its
  * reclaim notices, and of the rate-limited weight store.
--- a/packages/rampswitch-store/src/call_ledger.ts
+++ b/packages/rampswitch-store/src/call_ledger.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Accounting of calls to the platform's object API, and a ceiling on the rate
  * of one process.
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The object API over HTTP with JSON, as docs/references/platform.md defines.
  *
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * A watch that resumes after failures and never goes back in time.
  *
--- a/packages/rampswitch-types/src/hosts.ts
+++ b/packages/rampswitch-types/src/hosts.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The hosts and links of a deployment: entry hosts, data halls and the
  * identities of the processes on them.
--- a/packages/rampswitch-types/src/outcome.ts
+++ b/packages/rampswitch-types/src/outcome.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The one outcome type of a request, used from the edge of a backend server to
  * the caller, and the reasons that go with it. Every reason has one counter.
--- a/packages/rampswitch-types/src/resources.ts
+++ b/packages/rampswitch-types/src/resources.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * The resource model that operators edit: services, backend servers, routing
  * rules, workspaces and host classes. The platform's object API keeps them.
--- a/packages/rampswitch-utils/src/clock.ts
+++ b/packages/rampswitch-utils/src/clock.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Time as an interface, so that decisions and tests never read the system's
  * clock themselves.
--- a/packages/rampswitch-utils/src/hash.ts
+++ b/packages/rampswitch-utils/src/hash.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Hashing: a fast hash for placement, SHA-256 for secrets.
  *
--- a/packages/rampswitch-utils/src/log.ts
+++ b/packages/rampswitch-utils/src/log.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Structured logs: one JSON object a line on standard error.
  *
--- a/packages/rampswitch-utils/src/metrics.ts
+++ b/packages/rampswitch-utils/src/metrics.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Counters and timers. Everything counted goes to StatsD; the totals also stay
  * in memory for the status page and for tests.
--- a/packages/rampswitch-utils/src/prompt_blocks.ts
+++ b/packages/rampswitch-utils/src/prompt_blocks.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Blocks of prompts, by which prefix caches are compared. Engines and entry
  * hosts compute the same hashes; docs/references/engine.md defines them.
--- a/packages/rampswitch-validation/src/problems.ts
+++ b/packages/rampswitch-validation/src/problems.ts
@@ -1,4 +1,5 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
 /**
  * Problems found in a document, each with its path, the value found and what
  * was expected.
