--- a/packages/rampswitch-entry/src/chat_request.ts
+++ b/packages/rampswitch-entry/src/chat_request.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { Result } from "true-myth";
-import { blockHashes, parseJson, promptWords } from "rampswitch-utils";
+import { blockHashes, parseJson, promptWords, sha256 } from "rampswitch-utils";
 import { BLOCK_TOKENS } from "./backend_directory.ts";
 
 /** What routing needs to know of a chat request. */
@@ -16,6 +16,10 @@
   readonly streamed: boolean;
   readonly promptTokens: number;
   readonly blocks: readonly string[];
+  /** Hash of the messages up to the caller's first; the same in each turn. */
+  readonly conversation: string;
+  /** Tokens of all messages but the last. */
+  readonly earlierTokens: number;
   /** Tokens to generate at most. */
   readonly maximumTokens: number;
   /** The body as it came, to be passed on. */
@@ -56,8 +60,12 @@
       `max_tokens: ${JSON.stringify(maximum)}, expected a positive integer`,
     );
   }
-  const words = promptWords(promptText(messages as readonly ChatMessage[]));
+  const turns = messages as readonly ChatMessage[];
+  const words = promptWords(promptText(turns));
+  const earlier = turns.length <= 2 ? [] : turns.slice(0, -1);
   return Result.ok({
+    conversation: conversationOf(turns),
+    earlierTokens: promptWords(promptText(earlier)).length,
     model,
     streamed: stream === true,
     promptTokens: words.length,
@@ -67,6 +75,11 @@
   });
 }
 
+function conversationOf(turns: readonly ChatMessage[]): string {
+  const first = turns.findIndex(({ role }) => role === "user");
+  return sha256(promptText(turns.slice(0, first + 1)));
+}
+
 function isMessage(message: ChatMessage | null): boolean {
   return (
     typeof message === "object" &&
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -480,6 +480,8 @@
 ): ChoiceRequest {
   return {
     blocks: request.blocks,
+    conversation: request.conversation,
+    earlierTokens: request.earlierTokens,
     promptTokens: request.promptTokens,
     expectedTokens: request.maximumTokens,
     targetMilliseconds: service.targetMilliseconds,
--- a/packages/rampswitch-measure/src/run_measure.ts
+++ b/packages/rampswitch-measure/src/run_measure.ts
@@ -8,6 +8,7 @@
 } from "./measure_options.ts";
 import { measurePath } from "./path_measure.ts";
 import { measureConfiguration } from "./configuration_measure.ts";
+import { measurePolicy } from "./policy_measure.ts";
 import { measureSurvive } from "./survive_measure.ts";
 
 type Measure = (options: MeasureOptions) => Promise<unknown>;
@@ -16,6 +17,7 @@
   path: measurePath,
   survive: measureSurvive,
   configuration: measureConfiguration,
+  policy: measurePolicy,
 };
 
 /** Runs the program with its arguments; returns the exit code. */
--- /dev/null
+++ b/packages/rampswitch-policy/src/affinity_ring.ts
@@ -0,0 +1,67 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * A consistent-hash ring of backend servers: every entry host finds the same
+ * server for a conversation without a word to the others, and a server that
+ * joins or leaves moves only its share of conversations.
+ *
+ * @module
+ */
+import { hash32 } from "rampswitch-utils";
+import type { Candidate } from "./routing_table.ts";
+
+const POINTS_PER_SERVER = 16;
+
+interface Point {
+  readonly at: number;
+  readonly candidate: Candidate;
+}
+
+/** A ring over some candidates. */
+export class AffinityRing {
+  readonly #points: readonly Point[];
+
+  constructor(candidates: readonly Candidate[]) {
+    this.#points = candidates
+      .flatMap((candidate) =>
+        Array.from({ length: POINTS_PER_SERVER }, (_, point) => ({
+          at: hash32(`${candidate.server.name}#${point}`),
+          candidate,
+        })),
+      )
+      .toSorted((left, right) => left.at - right.at);
+  }
+
+  /** The first candidate behind a key's place that is eligible. */
+  find(
+    key: string,
+    eligible: (candidate: Candidate) => boolean,
+  ): Candidate | undefined {
+    const points = this.#points;
+    const start = this.#behind(hash32(key));
+    const tried = new Set<Candidate>();
+    for (let step = 0; step < points.length; step += 1) {
+      const candidate = points[(start + step) % points.length]?.candidate;
+      if (candidate === undefined || tried.has(candidate)) continue;
+      if (eligible(candidate)) return candidate;
+      tried.add(candidate);
+      if (tried.size >= MAXIMUM_TRIED) return undefined;
+    }
+    return undefined;
+  }
+
+  /** Index of the first point at or behind a place. */
+  #behind(place: number): number {
+    let low = 0;
+    let high = this.#points.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((this.#points[middle]?.at ?? 0) < place) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
+
+/** Candidates looked at before a key is left without a home. */
+const MAXIMUM_TRIED = 64;
--- a/packages/rampswitch-policy/src/choice.ts
+++ b/packages/rampswitch-policy/src/choice.ts
@@ -11,6 +11,7 @@
 import type { ChoiceWeights } from "rampswitch-types";
 import type { Random } from "rampswitch-utils";
 import type { Candidate, Route } from "./routing_table.ts";
+import { AffinityRing } from "./affinity_ring.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 import type { EstimatedLoad } from "./server_load.ts";
 
@@ -25,6 +26,13 @@
 /** A request as the choice sees it. */
 export interface ChoiceRequest {
   readonly blocks: readonly string[];
+  /**
+   * Names the conversation, the same in each of its turns; absent for work
+   * that is not part of one.
+   */
+  readonly conversation?: string | undefined;
+  /** Tokens of the prompt that earlier turns of the conversation had. */
+  readonly earlierTokens?: number | undefined;
   readonly promptTokens: number;
   readonly expectedTokens: number;
   readonly targetMilliseconds: number;
@@ -94,13 +102,14 @@
   const scores: Score[] = [];
   const exclusions: Exclusion[] = [];
   for (const group of route.groups) {
-    const looked = lookedAt(group.candidates, cached, context);
+    const home = homeOf(group.candidates, request, context);
+    const looked = lookedAt(group.candidates, cached, { home, context });
     const scored = looked.flatMap((candidate) => {
       const reason = request.avoid.has(candidate.server.name)
         ? "an earlier attempt failed on it"
         : context.excluded(candidate);
       if (reason === undefined) {
-        return [score(candidate, request, { cached, context, group })];
+        return [score(candidate, request, { cached, context, group, home })];
       }
       exclusions.push({ server: candidate.server.name, reason });
       return [];
@@ -108,9 +117,7 @@
     scores.push(...scored);
     const best = leastCost(
       scored.filter(({ meetsTarget }) => meetsTarget),
-      {
-        random: context.random,
-      },
+      { random: context.random, home: home?.server.name },
     );
     if (best !== undefined) return { chosen: best, scores, exclusions };
   }
@@ -123,28 +130,52 @@
 function lookedAt(
   candidates: readonly Candidate[],
   cached: ReadonlyMap<string, number>,
-  context: ChoiceContext,
+  options: {
+    readonly home: Candidate | undefined;
+    readonly context: ChoiceContext;
+  },
 ): readonly Candidate[] {
   if (candidates.length <= SMALL_GROUP) return candidates;
+  const { home, context } = options;
   const index = indexOf(candidates);
   const holding = [...cached.keys()].flatMap(
     (server) => index.byName.get(server) ?? [],
   );
   const draws = Array.from({ length: SAMPLED }, (_, draw) => {
-    const pool = draw % 2 === 0 ? index.byPrice : candidates;
-    const limit = draw % 2 === 0 ? index.cheapest : pool.length;
-    return pool[context.random.below(limit)];
+    const pool = draw % 2 === 0 ? index.cheapest : candidates;
+    return pool[context.random.below(pool.length)];
   });
-  return [...new Set([...holding, ...draws])].filter(
+  return [...new Set([...holding, home, ...draws])].filter(
     (candidate) => candidate !== undefined,
   );
 }
 
+/**
+ * The server where a conversation belongs: among the cheapest, so that its
+ * turns find their prefix at a low price, whichever host they come through.
+ */
+function homeOf(
+  candidates: readonly Candidate[],
+  request: ChoiceRequest,
+  context: ChoiceContext,
+): Candidate | undefined {
+  const { conversation } = request;
+  if (conversation === undefined) return undefined;
+  return indexOf(candidates).ring.find(
+    conversation,
+    (candidate) =>
+      !request.avoid.has(candidate.server.name) &&
+      context.excluded(candidate) === undefined &&
+      context.load(candidate.server.name).requests <
+        candidate.server.concurrency,
+  );
+}
+
 interface GroupIndex {
   readonly byName: ReadonlyMap<string, Candidate>;
-  readonly byPrice: readonly Candidate[];
-  /** Number of candidates that share the lowest price. */
-  readonly cheapest: number;
+  /** Candidates that share the lowest price. */
+  readonly cheapest: readonly Candidate[];
+  readonly ring: AffinityRing;
 }
 
 const GROUP_INDEXES = new WeakMap<readonly Candidate[], GroupIndex>();
@@ -152,17 +183,18 @@
 function indexOf(candidates: readonly Candidate[]): GroupIndex {
   const known = GROUP_INDEXES.get(candidates);
   if (known !== undefined) return known;
-  const byPrice = candidates.toSorted(
-    (left, right) => left.dollarsPerHour - right.dollarsPerHour,
+  const lowest = Math.min(
+    ...candidates.map(({ dollarsPerHour }) => dollarsPerHour),
+  );
+  const cheapest = candidates.filter(
+    ({ dollarsPerHour }) => dollarsPerHour === lowest,
   );
-  const lowest = byPrice[0]?.dollarsPerHour;
   const index = {
     byName: new Map(
       candidates.map((candidate) => [candidate.server.name, candidate]),
     ),
-    byPrice,
-    cheapest: byPrice.filter(({ dollarsPerHour }) => dollarsPerHour === lowest)
-      .length,
+    cheapest,
+    ring: new AffinityRing(cheapest),
   };
   GROUP_INDEXES.set(candidates, index);
   return index;
@@ -183,11 +215,17 @@
     readonly cached: ReadonlyMap<string, number>;
     readonly context: ChoiceContext;
     readonly group: { readonly priority: number };
+    readonly home: Candidate | undefined;
   },
 ): Score {
   const { context, cached } = options;
   const { name, concurrency } = candidate.server;
-  const cachedTokens = Math.min(request.promptTokens, cached.get(name) ?? 0);
+  const expected =
+    candidate === options.home ? (request.earlierTokens ?? 0) : 0;
+  const cachedTokens = Math.min(
+    request.promptTokens,
+    Math.max(expected, cached.get(name) ?? 0),
+  );
   const uncached = request.promptTokens - cachedTokens;
   const load = context.load(name);
   const { promptTokenMilliseconds, tokenMilliseconds } = context.speeds;
@@ -245,11 +283,11 @@
 
 function leastCost(
   scores: readonly Score[],
-  options: { readonly random: Random },
+  options: { readonly random: Random; readonly home: string | undefined },
 ): Score | undefined {
   const least = Math.min(...scores.map(({ cost }) => cost));
   const equal = scores.filter(({ cost }) => cost <= least * EQUAL_COST);
-  return equal.length <= 1
-    ? equal[0]
-    : equal[options.random.below(equal.length)];
+  const home = equal.find(({ server }) => server === options.home);
+  if (home !== undefined || equal.length <= 1) return home ?? equal[0];
+  return equal[options.random.below(equal.length)];
 }
--- a/packages/rampswitch-policy/src/mod.ts
+++ b/packages/rampswitch-policy/src/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export * from "./admission.ts";
+export * from "./affinity_ring.ts";
 export * from "./capacity_plan.ts";
 export * from "./choice.ts";
 export * from "./move_plan.ts";
