Test the decisions; measure the footprint

Cause: pure decisions had no tests; the capacity page had no slopes. Change: tests of the log, freshness, leases, orders, membership, admission, retries, health, moves and capacity; measure footprint with fitted slopes.

--- /dev/null
+++ b/packages/rampswitch-configuration/src/decisions_test.ts
@@ -0,0 +1,306 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import type { BackendContract, Host } from "rampswitch-types";
+import {
+  type Freshness,
+  type FreshnessFacts,
+  judgeFreshness,
+} from "./freshness.ts";
+import { addMarks, endMarks, type LeavingMark } from "./leaving_marks.ts";
+import {
+  decideLease,
+  decideOrder,
+  holds,
+  type Lease,
+  type LeaseTerms,
+  type OrderDecision,
+  type OrderKind,
+} from "./lease.ts";
+import {
+  type HostDigest,
+  mergeDigests,
+  suspectSilent,
+  trusted,
+} from "./membership.ts";
+
+interface FreshnessCase {
+  readonly name: string;
+  readonly facts: Partial<FreshnessFacts>;
+  readonly minorityServes?: boolean;
+  readonly freshness: Freshness;
+}
+
+const FRESHNESS_CASES: readonly FreshnessCase[] = [
+  { name: "confirmed lately", facts: {}, freshness: "fresh" },
+  {
+    name: "never confirmed",
+    facts: { confirmedAt: undefined },
+    freshness: "never",
+  },
+  {
+    name: "cut off from the store, not from peers that reach it",
+    facts: { confirmedAt: 0, peersReachingStore: 1 },
+    freshness: "isolated",
+  },
+  {
+    name: "cut off from peers, and the store",
+    facts: { confirmedAt: 0, peersHeard: 0 },
+    freshness: "isolated",
+  },
+  {
+    name: "store down for all",
+    facts: { confirmedAt: 0 },
+    freshness: "store_down",
+  },
+  {
+    name: "half of the hosts together without the store",
+    facts: { confirmedAt: 0, peersHeard: 4 },
+    freshness: "store_down",
+  },
+  {
+    name: "fewer than half together without the store",
+    facts: { confirmedAt: 0, peersHeard: 3 },
+    freshness: "isolated",
+  },
+  {
+    name: "fewer than half, allowed by the settings",
+    facts: { confirmedAt: 0, peersHeard: 3 },
+    minorityServes: true,
+    freshness: "store_down",
+  },
+  {
+    name: "a single host without the store",
+    facts: { confirmedAt: 0, peersHeard: 0, peersKnown: 0 },
+    freshness: "store_down",
+  },
+];
+
+describe("freshness is judged:", () => {
+  test.each(FRESHNESS_CASES)(
+    "$name",
+    ({ facts, minorityServes = false, freshness }) => {
+      const judged = judgeFreshness(
+        {
+          now: 10_000,
+          confirmedAt: 9_000,
+          peersKnown: 8,
+          peersHeard: 8,
+          peersReachingStore: 0,
+          ...facts,
+        },
+        { milliseconds: 5_000, minorityServes },
+      );
+      expect(judged).toBe(freshness);
+    },
+  );
+});
+
+const TERMS: LeaseTerms = {
+  self: "a",
+  now: 100_000,
+  durationMilliseconds: 15_000,
+  clockSkewMilliseconds: 2_000,
+};
+
+const OTHERS: Lease = {
+  holder: "b",
+  epoch: 4,
+  expiresAt: 99_000,
+  formerExpiresAt: 0,
+};
+
+describe("a lease", () => {
+  test("is not taken before its holder surely thinks it over", () => {
+    expect(decideLease(OTHERS, TERMS)).toEqual({
+      kind: "wait",
+      until: 101_000,
+    });
+  });
+
+  test("is taken with a higher epoch afterwards", () => {
+    const decision = decideLease(OTHERS, { ...TERMS, now: 101_000 });
+    expect(decision).toMatchObject({
+      lease: { holder: "a", epoch: 5, formerExpiresAt: 99_000 },
+    });
+  });
+
+  test("is not held by a holder that paused past it", () => {
+    const decision = decideLease(undefined, TERMS);
+    const lease = decision.kind === "write" ? decision.lease : undefined;
+    expect(holds(lease, TERMS)).toBe(true);
+    expect(holds(lease, { ...TERMS, now: 114_000 })).toBe(false);
+  });
+
+  test("gets a new epoch when its own holder comes back late", () => {
+    const own = { ...OTHERS, holder: "a" };
+    const late = decideLease(own, { ...TERMS, now: 102_000 });
+    expect(late).toMatchObject({ lease: { epoch: 5 } });
+  });
+});
+
+const UNCHECKED: BackendContract = {
+  checksOrderEpoch: false,
+  resumesStreams: false,
+  movesKeyValueCache: false,
+  tellsNotRun: false,
+};
+
+interface OrderCase {
+  readonly name: string;
+  readonly kind: OrderKind;
+  readonly checks: boolean;
+  readonly now: number;
+  readonly decision: OrderDecision;
+}
+
+const HELD: Lease = {
+  holder: "a",
+  epoch: 5,
+  expiresAt: 120_000,
+  formerExpiresAt: 100_000,
+};
+
+const ORDER_CASES: readonly OrderCase[] = [
+  {
+    name: "a server that checks epochs gets it at once",
+    kind: "load_model",
+    checks: true,
+    now: 102_000,
+    decision: { kind: "send" },
+  },
+  {
+    name: "a harmless order goes at once to a server that does not check",
+    kind: "load_adapter",
+    checks: false,
+    now: 102_000,
+    decision: { kind: "send" },
+  },
+  {
+    name: "any other waits until the former holder's orders are over",
+    kind: "load_model",
+    checks: false,
+    now: 102_000,
+    decision: { kind: "wait", until: 107_000 },
+  },
+  {
+    name: "and goes after that",
+    kind: "load_model",
+    checks: false,
+    now: 108_000,
+    decision: { kind: "send" },
+  },
+  {
+    name: "but not so late that it could arrive after the lease",
+    kind: "load_model",
+    checks: false,
+    now: 116_000,
+    decision: { kind: "withhold" },
+  },
+  {
+    name: "nobody orders without the lease",
+    kind: "load_adapter",
+    checks: true,
+    now: 119_000,
+    decision: { kind: "withhold" },
+  },
+];
+
+describe("an order:", () => {
+  test.each(ORDER_CASES)("$name", ({ kind, checks, now, decision }) => {
+    const decided = decideOrder(kind, HELD, {
+      contract: { ...UNCHECKED, checksOrderEpoch: checks },
+      terms: { ...TERMS, now },
+    });
+    expect(decided).toEqual(decision);
+  });
+});
+
+function digest(name: string, options: Partial<HostDigest> = {}): HostDigest {
+  const host: Host = {
+    id: `${name}~1`,
+    name,
+    dataHall: "hall",
+    peerAddress: "",
+    callerAddress: "",
+    startedAt: 1,
+  };
+  return {
+    host,
+    heartbeat: 1,
+    revision: 1,
+    confirmedAge: 0,
+    reachesStore: true,
+    leaving: false,
+    load: 0,
+    ...options,
+  };
+}
+
+describe("membership", () => {
+  const after = { afterMilliseconds: 1_000 };
+
+  test("trusts a suspected host again only after two heartbeats", () => {
+    const joined = mergeDigests(new Map(), [digest("a")], 0).members;
+    const silent = suspectSilent(joined, 2_000, after);
+    const once = mergeDigests(silent, [digest("a", { heartbeat: 2 })], 2_100);
+    const twice = mergeDigests(
+      once.members,
+      [digest("a", { heartbeat: 3 })],
+      2_200,
+    );
+    expect(trusted(silent)).toHaveLength(0);
+    expect(trusted(once.members)).toHaveLength(0);
+    expect(trusted(twice.members)).toHaveLength(1);
+  });
+
+  test("takes a later process of the same name as proof", () => {
+    const joined = mergeDigests(new Map(), [digest("a")], 0).members;
+    const later = digest("a");
+    const merged = mergeDigests(
+      joined,
+      [{ ...later, host: { ...later.host, id: "a~2", startedAt: 2 } }],
+      1,
+    );
+    expect(merged.replaced).toEqual(["a~1"]);
+    expect([...merged.members.keys()]).toEqual(["a~2"]);
+  });
+
+  test("does not bring an earlier process back", () => {
+    const later = digest("a");
+    const now = mergeDigests(
+      new Map(),
+      [{ ...later, host: { ...later.host, id: "a~2", startedAt: 2 } }],
+      0,
+    ).members;
+    expect([...mergeDigests(now, [digest("a")], 1).members.keys()]).toEqual([
+      "a~2",
+    ]);
+  });
+});
+
+describe("leaving-gets-nothing: a mark", () => {
+  const mark: LeavingMark = {
+    host: "h",
+    source: "host_list",
+    since: 10,
+    deadline: undefined,
+  };
+
+  test("only grows: a deadline is added and brought forward", () => {
+    const first = addMarks(new Map(), [mark]);
+    const sooner = addMarks(first.marks, [{ ...mark, deadline: 50 }]);
+    const later = addMarks(sooner.marks, [{ ...mark, deadline: 90 }]);
+    expect(later.news).toEqual([]);
+    expect(later.marks.get("h")?.deadline).toBe(50);
+  });
+
+  test("stays while the host lives and ends some time after", () => {
+    const { marks } = addMarks(new Map(), [mark]);
+    const options = { now: 1_000, keepMilliseconds: 100 };
+    const living = endMarks(marks, { ...options, present: new Set(["h"]) });
+    const ended = endMarks(marks, { ...options, present: new Set() });
+    expect(living.size).toBe(1);
+    expect(ended.size).toBe(0);
+  });
+});
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -340,6 +340,7 @@
               );
             }
             lastAt = now;
+            metrics.count("tokens", undefined, texts.length);
             await replication.progressed(run.answer, first, texts);
           },
         },
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -55,7 +55,7 @@
 /** Prefix of the status objects of entry hosts. */
 export const HOST_PREFIX = "hosts/";
 
-const DIGESTS_PER_MESSAGE = 12;
+const DIGESTS_PER_MESSAGE = 8;
 const HEARTBEAT_DEADLINE_MILLISECONDS = 800;
 const FORGET_FACTOR = 30;
 const POLLERS_PER_DATA_HALL = 2;
--- a/packages/rampswitch-measure/src/caller.ts
+++ b/packages/rampswitch-measure/src/caller.ts
@@ -30,6 +30,7 @@
   readonly key?: string;
   readonly workspace: string;
   readonly lastEvent?: number;
+  readonly deadlineMilliseconds?: number;
 }
 
 const CALL_MILLISECONDS = 30_000;
@@ -151,11 +152,16 @@
 }
 
 function headers(
-  call: Partial<Pick<ChatCall, "workspace" | "key" | "lastEvent">>,
+  call: Partial<
+    Pick<ChatCall, "workspace" | "key" | "lastEvent" | "deadlineMilliseconds">
+  >,
 ): Readonly<Record<string, string>> {
   return {
     authorization: `Bearer ${workspaceKey(call.workspace ?? "")}`,
     "content-type": "application/json",
+    ...(call.deadlineMilliseconds === undefined
+      ? {}
+      : { "x-deadline-milliseconds": String(call.deadlineMilliseconds) }),
     ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
     ...(call.lastEvent === undefined || call.lastEvent < 0
       ? {}
--- a/packages/rampswitch-measure/src/local_platform.ts
+++ b/packages/rampswitch-measure/src/local_platform.ts
@@ -7,6 +7,7 @@
  */
 import {
   Cloud,
+  DEFAULT_ENGINE_PROFILE,
   Engine,
   type EngineOptions,
   HostList,
@@ -28,6 +29,8 @@
   readonly engines: number;
   readonly plainServices: number;
   readonly engine?: EngineOptions;
+  /** Requests that each server runs at once. */
+  readonly concurrency?: number;
   readonly seed?: number;
 }
 
@@ -60,7 +63,17 @@
   /** Starts everything. */
   static async start(options: LocalPlatformOptions): Promise<LocalPlatform> {
     const engines = await startMany(options.engines, () =>
-      Engine.start(options.engine),
+      Engine.start({
+        ...options.engine,
+        ...(options.concurrency === undefined
+          ? {}
+          : {
+              profile: {
+                ...DEFAULT_ENGINE_PROFILE,
+                batchSize: options.concurrency,
+              },
+            }),
+      }),
     );
     const plainServices = await startMany(options.plainServices, () =>
       PlainService.start(),
@@ -73,6 +86,7 @@
         address,
         dataHall: hall(index),
         service: SERVICES.model,
+        concurrency: options.concurrency ?? DEFAULT_ENGINE_PROFILE.batchSize,
       })),
       ...plainServices.map(({ address }, index) => ({
         name: `report-${index + 1}`,
--- a/packages/rampswitch-measure/src/run_measure.ts
+++ b/packages/rampswitch-measure/src/run_measure.ts
@@ -8,6 +8,7 @@
 } from "./measure_options.ts";
 import { measurePath } from "./path_measure.ts";
 import { measureConfiguration } from "./configuration_measure.ts";
+import { measureFootprint } from "./footprint_measure.ts";
 import { measurePolicy } from "./policy_measure.ts";
 import { measureSurvive } from "./survive_measure.ts";
 
@@ -18,6 +19,7 @@
   survive: measureSurvive,
   configuration: measureConfiguration,
   policy: measurePolicy,
+  footprint: measureFootprint,
 };
 
 /** Runs the program with its arguments; returns the exit code. */
--- /dev/null
+++ b/packages/rampswitch-policy/src/policy_test.ts
@@ -0,0 +1,348 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { inDoubt, refused } from "rampswitch-types";
+import { seededRandom } from "rampswitch-utils";
+import { Admission, type AdmissionRequest } from "./admission.ts";
+import {
+  NO_CAPACITY_MEMORY,
+  planCapacity,
+  type PlannedClass,
+  type PlannedHost,
+} from "./capacity_plan.ts";
+import { planMove } from "./move_plan.ts";
+import { PrefixIndex } from "./prefix_index.ts";
+import { decideRetry, RetryBudget } from "./retry.ts";
+import { mayEject, ServerHealth } from "./server_health.ts";
+import { ServerLoad } from "./server_load.ts";
+
+function request(
+  id: string,
+  options: Partial<AdmissionRequest> = {},
+): AdmissionRequest {
+  return {
+    id,
+    workspace: "small",
+    weight: 1,
+    priority: 0,
+    tokens: 10,
+    arrivedAt: 0,
+    deadline: 100_000,
+    runMilliseconds: 10,
+    background: false,
+    ...options,
+  };
+}
+
+/** Runs all that is queued, one after the other, and returns the order. */
+function drain(admission: Admission, first: string): readonly string[] {
+  const order: string[] = [];
+  let running: readonly string[] = [first];
+  for (let now = 1; running.length > 0; now += 1) {
+    running.forEach((id) => admission.end(id, now));
+    running = admission.next(now).map(({ id }) => id);
+    order.push(...running);
+  }
+  return order;
+}
+
+describe("admission", () => {
+  test("gives a small workspace its share beside a large one", () => {
+    const admission = new Admission({ tokens: 10, queueRequests: 100 });
+    admission.ask(request("first"), 0);
+    Array.from({ length: 20 }, (_, index) =>
+      admission.ask(request(`large-${index}`, { workspace: "large" }), 0),
+    );
+    Array.from({ length: 5 }, (_, index) =>
+      admission.ask(request(`small-${index}`), 0),
+    );
+    const order = drain(admission, "first").slice(0, 10);
+    const small = order.filter((id) => id.startsWith("small"));
+    expect(small.length).toBeGreaterThanOrEqual(4);
+  });
+
+  test("refuses at once what cannot be in time, and says when to return", () => {
+    const admission = new Admission({ tokens: 10, queueRequests: 100 });
+    admission.ask(request("a"), 0);
+    admission.end("a", 1);
+    admission.ask(request("b"), 2);
+    admission.end("b", 1_002);
+    admission.ask(request("c"), 1_003);
+    Array.from({ length: 50 }, (_, index) =>
+      admission.ask(request(`q-${index}`), 1_003),
+    );
+    const late = admission.ask(request("late", { deadline: 1_100 }), 1_003);
+    expect(late).toMatchObject({
+      kind: "refused",
+      outcome: { kind: "refused_not_run", reason: "deadline_unreachable" },
+    });
+  });
+
+  test("holds background work behind chat until its slack is used up", () => {
+    const admission = new Admission({ tokens: 10, queueRequests: 100 });
+    admission.ask(request("first"), 0);
+    const background = { background: true, runMilliseconds: 1_000 };
+    admission.ask(request("settlement", { ...background, deadline: 9_000 }), 0);
+    admission.ask(request("chat", { deadline: 20_000 }), 0);
+    admission.end("first", 1);
+    expect(admission.next(1).map(({ id }) => id)).toEqual(["chat"]);
+    admission.ask(request("chat-2", { deadline: 20_000 }), 7_500);
+    admission.end("chat", 7_500);
+    expect(admission.next(7_500).map(({ id }) => id)).toEqual(["settlement"]);
+  });
+
+  test("bounds its queue", () => {
+    const admission = new Admission({ tokens: 10, queueRequests: 2 });
+    const kinds = ["a", "b", "c", "d"].map(
+      (id) => admission.ask(request(id), 0).kind,
+    );
+    expect(kinds).toEqual(["admitted", "queued", "queued", "refused"]);
+  });
+});
+
+describe("retries", () => {
+  const random = seededRandom(1);
+
+  test("never repeat work once only that may have run", () => {
+    const decision = decideRetry(
+      {
+        outcome: inDoubt("backend_lost", ""),
+        repeatable: false,
+        attempts: 1,
+        remainingMilliseconds: 1_000,
+        reason: "backend_lost",
+      },
+      { budget: new RetryBudget(), random },
+    );
+    expect(decision.kind).toBe("give_up");
+  });
+
+  test("stay within a tenth when a whole service fails", () => {
+    const budget = new RetryBudget();
+    let sends = 0;
+    Array.from({ length: 2_000 }, () => {
+      budget.earn();
+      for (let attempts = 1; ; attempts += 1) {
+        sends += 1;
+        const decision = decideRetry(
+          {
+            outcome: refused("connect_failed", ""),
+            repeatable: true,
+            attempts,
+            remainingMilliseconds: 1_000,
+            reason: "connect_failed",
+          },
+          { budget, random },
+        );
+        if (decision.kind === "give_up") return;
+      }
+    });
+    expect(sends / 2_000).toBeLessThan(1.12);
+  });
+});
+
+describe("health", () => {
+  function fail(health: ServerHealth, now: number, times = 5): void {
+    Array.from({ length: times }, () => health.handle({ type: "failed", now }));
+  }
+
+  test("ejects, probes half open, starts slowly and recovers", () => {
+    const health = new ServerHealth();
+    fail(health, 0);
+    expect(health.admits(1_000)).toBe(false);
+    expect(health.admits(2_000)).toBe(true);
+    health.sent();
+    expect(health.admits(2_001)).toBe(false);
+    health.handle({ type: "succeeded", now: 2_100 });
+    expect(health.state).toBe("slowStart");
+    expect(health.share(3_100)).toBeCloseTo(0.1);
+    expect(health.admits(12_200)).toBe(true);
+    expect(health.state).toBe("healthy");
+  });
+
+  test("ejects for longer after a failed probe", () => {
+    const health = new ServerHealth();
+    fail(health, 0);
+    health.admits(2_000);
+    fail(health, 2_000, 1);
+    expect(health.admits(4_500)).toBe(false);
+    expect(health.admits(6_000)).toBe(true);
+  });
+
+  test("keeps at least half of a group", () => {
+    expect(mayEject(3, 6)).toBe(true);
+    expect(mayEject(4, 6)).toBe(false);
+  });
+
+  test("does not let fast errors look like spare capacity", () => {
+    const load = new ServerLoad();
+    Array.from({ length: 10 }, () => {
+      load.sent(1, 10);
+      load.ended(true, 11);
+    });
+    expect(load.estimate(12, 1).requests).toBeGreaterThanOrEqual(10);
+    expect(load.estimate(2_000, 1).requests).toBe(0);
+  });
+});
+
+describe("load", () => {
+  test("counts what all hosts are likely to have sent since a report", () => {
+    const load = new ServerLoad();
+    load.report({ running: 1, waiting: 0, promptTokensWaiting: 0, at: 100 });
+    load.sent(5, 90);
+    load.sent(5, 110);
+    load.report({ running: 1, waiting: 0, promptTokensWaiting: 0, at: 105 });
+    expect(load.estimate(120, 8).requests).toBe(9);
+  });
+});
+
+describe("the prefix index", () => {
+  test("finds the longest held prefix and forgets what was evicted", () => {
+    const index = new PrefixIndex(100);
+    index.stored("a", ["1", "2", "3"]);
+    index.stored("b", ["1"]);
+    expect(index.matches(["1", "2", "3", "4"])[0]).toEqual({
+      server: "a",
+      blocks: 3,
+    });
+    index.evicted("a", "2");
+    expect(index.matches(["1", "2", "3"])).toEqual(
+      expect.arrayContaining([{ server: "a", blocks: 1 }]),
+    );
+    index.forget("a");
+    expect(index.matches(["1"]).map(({ server }) => server)).toEqual(["b"]);
+  });
+
+  test("stays within its size", () => {
+    const index = new PrefixIndex(10);
+    index.stored(
+      "a",
+      Array.from({ length: 50 }, (_, block) => `${block}`),
+    );
+    expect(index.size).toBe(10);
+  });
+});
+
+describe("a move", () => {
+  const work = {
+    remainingMilliseconds: 3_000,
+    remainingTokens: 1_000,
+    tokenMilliseconds: 10,
+    repeatable: true,
+    movesCache: true,
+  };
+
+  test.each([
+    ["with its cache where time allows", {}, "move_cache"],
+    ["without it where not", { remainingMilliseconds: 1_000 }, "resume"],
+    ["not at all if it ends in time", { remainingTokens: 10 }, "finish"],
+    ["not at all if it must not run twice", { repeatable: false }, "finish"],
+  ] as const)("goes %s", (_name, change, plan) => {
+    expect(planMove({ ...work, ...change })).toBe(plan);
+  });
+});
+
+const CLASSES: readonly PlannedClass[] = ["a", "b", "c"].flatMap((dataHall) => [
+  {
+    name: `spot-${dataHall}`,
+    dataHall,
+    dollarsPerHour: 0.4,
+    reclaimable: true,
+    tokensPerSecond: 100,
+    refusedUntil: 0,
+  },
+  {
+    name: `on-demand-${dataHall}`,
+    dataHall,
+    dollarsPerHour: 1.2,
+    reclaimable: false,
+    tokensPerSecond: 100,
+    refusedUntil: 0,
+  },
+]);
+
+function hosts(
+  halls: readonly string[],
+  state: PlannedHost["state"] = "serving",
+): readonly PlannedHost[] {
+  return halls.map((dataHall, index) => ({
+    name: `host-${index}`,
+    hostClass: `spot-${dataHall}`,
+    dataHall,
+    state,
+    load: 0,
+  }));
+}
+
+function plan(
+  demand: number | undefined,
+  planned: readonly PlannedHost[],
+  options: {
+    readonly classes?: readonly PlannedClass[];
+    readonly now?: number;
+    readonly memory?: typeof NO_CAPACITY_MEMORY;
+  } = {},
+) {
+  return planCapacity(
+    {
+      now: options.now ?? 1_000_000,
+      demand,
+      hosts: planned,
+      classes: options.classes ?? CLASSES,
+      downloadsFree: 8,
+    },
+    options.memory ?? NO_CAPACITY_MEMORY,
+  );
+}
+
+describe("capacity", () => {
+  test("starts the cheapest hosts, and not all in one data hall", () => {
+    const { actions, missing } = plan(140, []);
+    const halls = new Set(
+      actions.map((action) => (action.kind === "start" ? action.dataHall : "")),
+    );
+    expect(missing).toBe(0);
+    expect(halls.size).toBeGreaterThan(1);
+    expect(JSON.stringify(actions)).not.toContain("on-demand");
+  });
+
+  test("goes to another class where starts are refused", () => {
+    const classes = CLASSES.map((planned) =>
+      planned.reclaimable ? { ...planned, refusedUntil: 2_000_000 } : planned,
+    );
+    const { actions } = plan(70, [], { classes });
+    expect(JSON.stringify(actions)).toContain("on-demand");
+  });
+
+  test("keeps what serves where demand is not known", () => {
+    expect(plan(undefined, hosts(["a", "b"])).actions).toEqual([]);
+  });
+
+  test("ends a spare host only after several rounds", () => {
+    const planned = hosts(["a", "a", "b", "b", "c", "c"]);
+    let memory = NO_CAPACITY_MEMORY;
+    const ends = Array.from({ length: 5 }, () => {
+      const round = plan(70, planned, { memory });
+      memory = round.memory;
+      return round.actions.length;
+    });
+    expect(ends).toEqual([0, 0, 0, 0, 1]);
+  });
+
+  test("does not end hosts during or soon after a wave of reclaims", () => {
+    const wave = [
+      ...hosts(["a", "a", "b", "b", "c", "c"]),
+      ...hosts(["a"], "leaving"),
+    ];
+    let { memory } = plan(70, wave);
+    const ends = Array.from({ length: 8 }, (_, round) => {
+      const next = plan(70, hosts(["a", "a", "b", "b", "c", "c"]), {
+        memory,
+        now: 1_000_000 + round * 2_000,
+      });
+      memory = next.memory;
+      return next.actions.length;
+    });
+    expect(ends).toEqual(Array(8).fill(0));
+  });
+});
--- a/packages/rampswitch-protocol/src/slot_placement.ts
+++ b/packages/rampswitch-protocol/src/slot_placement.ts
@@ -168,5 +168,10 @@
 }
 
 function serves(host: HostId, view: PlacementView): boolean {
-  return view.hosts.some(({ id }) => id === host);
+  const known = IDS.get(view.hosts) ?? new Set(view.hosts.map(({ id }) => id));
+  IDS.set(view.hosts, known);
+  return known.has(host);
 }
+
+/** Identities in each view; views are never changed. */
+const IDS = new WeakMap<readonly PlacementHost[], ReadonlySet<HostId>>();
