--- a/packages/rampswitch-entry/src/administration_server.ts
+++ b/packages/rampswitch-entry/src/administration_server.ts
@@ -60,7 +60,7 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly configuration: ConfigurationService;
-  readonly membership: () => MembershipService;
+  readonly membership: MembershipService;
   readonly slots: SlotService;
   readonly directory: BackendDirectory;
   readonly book: AnswerBook;
@@ -239,7 +239,7 @@
   #status(): unknown {
     const { configuration, slots, directory, book, clock, metrics } =
       this.#options;
-    const membership = this.#options.membership();
+    const membership = this.#options.membership;
     const { candidates } = configuration.routing;
     return {
       host: this.#options.self(),
@@ -277,7 +277,7 @@
   #revision({ url }: Call): unknown {
     const wanted = Number(url.pathname.split("/").at(-1));
     const { configuration, self } = this.#options;
-    const members = [...this.#options.membership().members.values()];
+    const members = [...this.#options.membership.members.values()];
     const hosts = [
       { name: self().name, revision: configuration.state.revision },
       ...members.map(({ digest }) => ({
--- /dev/null
+++ b/packages/rampswitch-entry/src/entry_listeners.ts
@@ -0,0 +1,112 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The three addresses of an entry process: for callers, peers and operators.
+ *
+ * @module
+ */
+import type { Freshness } from "rampswitch-configuration";
+import { listenForPeers } from "rampswitch-peer";
+import { type Listening, Ownership } from "rampswitch-utils";
+import { AdministrationServer } from "./administration_server.ts";
+import { BackendClient } from "./backend_client.ts";
+import { CallerServer } from "./caller_server.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import { KeptRequests } from "./kept_requests.ts";
+import { peerHandlers } from "./peer_handlers.ts";
+import { PrimaryHop } from "./primary_hop.ts";
+import type { ProblemOutcome } from "./problem.ts";
+import type { ProcessState } from "./process_machine.ts";
+
+/** Addresses that a process listens at. */
+export interface EntryAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly administration: string;
+}
+
+/** What the listeners ask the process. */
+export interface ListenerQuestions {
+  /** Why no new work is taken; `undefined` where it is. */
+  refusal(): ProblemOutcome | undefined;
+  ready(): boolean;
+  state(): ProcessState;
+  freshness(): Freshness;
+}
+
+/** Listens at all three addresses. */
+export class EntryListeners implements AsyncDisposable {
+  readonly #owned = new Ownership();
+  readonly addresses: EntryAddresses;
+
+  private constructor(addresses: EntryAddresses) {
+    this.addresses = addresses;
+  }
+
+  /** Starts to listen; resolves once all three addresses are open. */
+  static async start(
+    parts: EntryParts,
+    questions: ListenerQuestions,
+  ): Promise<EntryListeners> {
+    const { listen } = parts.settings;
+    const peers = await listenForPeers(
+      listen.peers,
+      peerHandlers({ ...parts, self: parts.self.id }),
+      parts,
+    );
+    const forwarding = new BackendClient();
+    const callers = await listenForCallers(parts, questions, forwarding);
+    const administration = await new AdministrationServer({
+      ...parts,
+      self: () => parts.self,
+      operators: parts.settings.operators,
+      state: () => questions.state(),
+      freshness: () => questions.freshness(),
+    }).listen(listen.administration);
+    const listeners = new EntryListeners({
+      callers: callers.address,
+      peers: peers.address,
+      administration: administration.address,
+    });
+    [forwarding, peers, callers, administration].forEach((part) =>
+      listeners.#owned.own(part),
+    );
+    return listeners;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+}
+
+function listenForCallers(
+  parts: EntryParts,
+  questions: ListenerQuestions,
+  forwarding: BackendClient,
+): Promise<Listening> {
+  const { settings, membership, self, configuration } = parts;
+  const shared = {
+    ...parts,
+    self: self.id,
+    routing: () => configuration.routing,
+    bodyBytes: settings.limits.bodyBytes,
+  };
+  const hop = new PrimaryHop({
+    ...shared,
+    client: forwarding,
+    callerAddressOf: (host) => membership.find(host)?.digest.host.callerAddress,
+    idleMilliseconds: settings.limits.stopMilliseconds,
+  });
+  const kept = new KeptRequests({
+    ...shared,
+    hop,
+    trusts: (host) => membership.trusts(host),
+  });
+  return new CallerServer({
+    ...shared,
+    kept,
+    limits: settings.limits,
+    refusal: () => questions.refusal(),
+    ready: () => questions.ready(),
+  }).listen(settings.listen.callers);
+}
--- /dev/null
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -0,0 +1,321 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The parts of one entry process, put together but not started.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type {
+  ConfigurationState,
+  Delta,
+  HostDigest,
+  LeavingMark,
+} from "rampswitch-configuration";
+import { PeerClients, PeerTokens } from "rampswitch-peer";
+import { CallLedger, HttpObjectStore } from "rampswitch-store";
+import { type Host, hostId } from "rampswitch-types";
+import {
+  type Clock,
+  createMetrics,
+  hash32,
+  type Logger,
+  type Metrics,
+  Ownership,
+  type Random,
+  seededRandom,
+} from "rampswitch-utils";
+import type { Settings } from "rampswitch-validation";
+import { AdmissionGate } from "./admission_gate.ts";
+import { AnswerBook } from "./answer_book.ts";
+import { BackendClient } from "./backend_client.ts";
+import { BackendDirectory } from "./backend_directory.ts";
+import { ChatRunner } from "./chat_runner.ts";
+import { ConfigurationService } from "./configuration_service.ts";
+import { MembershipService } from "./membership_service.ts";
+import { slotMessageFromWire } from "./peer_messages.ts";
+import { httpCloud, httpHostList } from "./platform_clients.ts";
+import { PlainRunner } from "./plain_runner.ts";
+import { type LinkListener, ReplicaLinks } from "./replica_link.ts";
+import { RequestReplication } from "./request_replication.ts";
+import { SlotService } from "./slot_service.ts";
+
+/** What an entry process is made of besides its settings. */
+export interface EntrySurroundings {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What the parts tell the process. */
+export interface PartsListener {
+  /** A higher revision is in force here. */
+  changed(state: ConfigurationState, deltas: readonly Delta[]): void;
+  /** Digests of peers were heard. */
+  heard(digests: readonly HostDigest[]): void;
+  /** Hosts were found to be leaving. */
+  leaving(news: readonly LeavingMark[]): void;
+  /** This host has become the primary of a slot. */
+  takenOver(): void;
+}
+
+const STORE_CALLS_PER_SECOND = 50;
+const CONFIRM_MILLISECONDS = 1_500;
+const WATCH_PAUSE_PER_HOST_MILLISECONDS = 5;
+const INCARNATION_DIGITS = 8;
+
+/** The parts of one entry process. */
+export class EntryParts implements AsyncDisposable {
+  readonly #owned = new Ownership();
+  readonly #listener: PartsListener;
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly tokens: PeerTokens;
+  readonly clients: PeerClients;
+  readonly store: HttpObjectStore;
+  readonly book: AnswerBook;
+  readonly links: ReplicaLinks;
+  readonly configuration: ConfigurationService;
+  readonly membership: MembershipService;
+  readonly slots: SlotService;
+  readonly replication: RequestReplication;
+  /** Connections to backend servers. */
+  readonly client: BackendClient;
+  readonly directory: BackendDirectory;
+  readonly chat: ChatRunner;
+  readonly plain: PlainRunner;
+  readonly gate: AdmissionGate;
+  /** This host; its addresses are right once the process listens. */
+  self: Host;
+
+  constructor(
+    settings: Settings,
+    surroundings: EntrySurroundings,
+    listener: PartsListener,
+  ) {
+    this.#listener = listener;
+    this.settings = settings;
+    this.clock = surroundings.clock;
+    this.logger = surroundings.logger;
+    this.random = seededRandom(hash32(randomUUID()));
+    this.self = ownHost(settings, this.clock.now());
+    this.metrics = this.#owned.own(
+      createMetrics("rampswitch", settings.statistics),
+    );
+    this.tokens = new PeerTokens(settings.peerSecret, settings.host.name);
+    this.clients = new PeerClients(this.tokens, this.clock);
+    this.store = this.#owned.own(this.#makeStore());
+    this.book = this.#makeBook();
+    this.links = this.#owned.own(this.#makeLinks());
+    this.configuration = this.#owned.own(this.#makeConfiguration());
+    this.slots = this.#owned.own(this.#makeSlots());
+    this.replication = this.#makeReplication();
+    this.client = this.#owned.own(new BackendClient());
+    this.directory = this.#owned.own(this.#makeDirectory());
+    this.chat = new ChatRunner({ ...this.#runnerOptions, self: this.self.id });
+    this.plain = new PlainRunner(this.#runnerOptions);
+    this.gate = this.#owned.own(this.#makeGate());
+    this.membership = this.#owned.own(this.#makeMembership());
+    this.#owned.defer(() => {
+      this.chat.detach();
+      this.plain.detach();
+    });
+  }
+
+  /** Requests in progress on this host. */
+  get working(): number {
+    return this.chat.running + this.plain.running;
+  }
+
+  /** Starts all parts that follow the platform and the peers. */
+  start(): void {
+    this.configuration.start();
+    this.membership.start();
+    this.slots.start();
+    this.directory.start();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+
+  get #shared() {
+    const { clock, random, metrics, logger } = this;
+    return {
+      clock,
+      random,
+      metrics,
+      logger,
+      routing: () => this.configuration.routing,
+    };
+  }
+
+  get #runnerOptions() {
+    const { client, directory, replication } = this;
+    return { ...this.#shared, client, directory, replication };
+  }
+
+  #makeStore(): HttpObjectStore {
+    return new HttpObjectStore(this.settings.platform.objects, {
+      ledger: new CallLedger(this.clock, this.metrics, {
+        callsPerSecond: STORE_CALLS_PER_SECOND,
+      }),
+    });
+  }
+
+  #makeBook(): AnswerBook {
+    const { limits } = this.settings;
+    return new AnswerBook(this.clock, this.metrics, {
+      answerBytes: limits.answerBytes,
+      answersBytes: limits.answersBytes,
+      retentionMilliseconds: limits.answerRetentionMilliseconds,
+    });
+  }
+
+  #makeLinks(): ReplicaLinks {
+    const listener: LinkListener = {
+      answered: (from, answers) =>
+        answers.forEach((wire) => {
+          const message = slotMessageFromWire(wire);
+          if (message !== undefined) this.slots.receive(from, message);
+        }),
+      failed: (host) => this.membership.unreachable(host),
+      addressOf: (host) =>
+        this.membership.gone.has(host)
+          ? undefined
+          : this.membership.find(host)?.digest.host.peerAddress,
+    };
+    const { clients } = this;
+    return new ReplicaLinks({
+      ...this.#shared,
+      self: this.self.id,
+      clients,
+      listener,
+    });
+  }
+
+  #makeConfiguration(): ConfigurationService {
+    return new ConfigurationService({
+      ...this.#shared,
+      store: this.store,
+      confirmMilliseconds: CONFIRM_MILLISECONDS,
+      watchPause: () => this.#watchPause(),
+      listener: {
+        changed: (state, deltas) => this.#listener.changed(state, deltas),
+      },
+    });
+  }
+
+  #makeSlots(): SlotService {
+    const { limits, slots } = this.settings;
+    return new SlotService({
+      ...this.#shared,
+      self: this.self.id,
+      slots: slots.count,
+      times: {
+        retention: limits.keyRetentionMilliseconds,
+        clockSkew: limits.clockSkewMilliseconds,
+      },
+      store: this.store,
+      links: this.links,
+      watchPause: () => this.#watchPause(),
+      view: () => ({
+        now: this.clock.now(),
+        hosts: this.membership.placementHosts,
+        gone: this.membership.gone,
+        reachesStore: this.configuration.reachesStore,
+      }),
+      listener: {
+        takenOver: () => this.#listener.takenOver(),
+        teaching: (slot, host) => this.replication.teach(slot, host),
+      },
+    });
+  }
+
+  #makeReplication(): RequestReplication {
+    const { links, book } = this;
+    return new RequestReplication({
+      ...this.#shared,
+      self: this.self.id,
+      mode: this.settings.slots.progress,
+      links,
+      book,
+      holders: (slot) => this.slots.holdersOf(slot),
+      epochOf: (slot) => this.slots.epochOf(slot),
+    });
+  }
+
+  #makeDirectory(): BackendDirectory {
+    return new BackendDirectory({
+      ...this.#shared,
+      client: this.client,
+      marks: () => this.membership.marks,
+      hostNames: () => this.membership.placementHosts.map(({ name }) => name),
+      selfName: this.self.name,
+      onLeaving: (server) =>
+        this.membership.mark([
+          {
+            host: server.host,
+            source: "backend_server",
+            since: this.clock.now(),
+            deadline: undefined,
+          },
+        ]),
+    });
+  }
+
+  #makeGate(): AdmissionGate {
+    return new AdmissionGate({
+      ...this.#shared,
+      hosts: () => this.membership.trusted.length + 1,
+      queueRequests: this.settings.limits.queueRequests,
+    });
+  }
+
+  #makeMembership(): MembershipService {
+    const { membership, peers, platform } = this.settings;
+    return new MembershipService({
+      ...this.#shared,
+      ...membership,
+      self: () => this.self,
+      seeds: peers,
+      store: this.store,
+      hostList: httpHostList(platform.hostList),
+      cloud: httpCloud(platform.cloud),
+      clients: this.clients,
+      ownState: () => ({
+        revision: this.configuration.state.revision,
+        confirmedAge:
+          this.configuration.confirmedAt === undefined
+            ? -1
+            : this.clock.now() - this.configuration.confirmedAt,
+        reachesStore: this.configuration.reachesStore,
+        load: this.working,
+      }),
+      listener: {
+        heard: (digests) => this.#listener.heard(digests),
+        leaving: (news) => this.#listener.leaving(news),
+        gone: (host) => this.links.forget(host),
+        partners: () => this.slots.partners,
+      },
+    });
+  }
+
+  #watchPause(): number {
+    return WATCH_PAUSE_PER_HOST_MILLISECONDS * this.membership.members.size;
+  }
+}
+
+function ownHost(settings: Settings, now: number): Host {
+  const { name, dataHall } = settings.host;
+  return {
+    id: hostId(name, randomUUID().slice(0, INCARNATION_DIGITS)),
+    name,
+    dataHall,
+    peerAddress: settings.listen.peers,
+    callerAddress: settings.listen.callers,
+    startedAt: now,
+  };
+}
--- a/packages/rampswitch-entry/src/kept_requests.ts
+++ b/packages/rampswitch-entry/src/kept_requests.ts
@@ -135,7 +135,10 @@
       keyRequest(exchange, work, place.key),
     );
     const answer = this.#options.book.byKey(place.key);
-    if (verdict.kind === "new") await this.#start(exchange, work, place);
+    const runs =
+      verdict.kind === "new" ||
+      (!work.guarded && FORGOTTEN_KEYS.includes(verdict.kind));
+    if (runs) await this.#start(exchange, work, place);
     else if (verdict.kind === "known" && answer !== undefined) {
       this.#attach(exchange, work, { answer, verdict });
     } else this.#refuse(exchange, VERDICT_OUTCOMES[verdict.kind](verdict));
@@ -314,6 +317,12 @@
   return { key, keyTime: timeOfKey(caller.key ?? ""), guarded };
 }
 
+/** Verdicts on keys that may have run; harmless for work that may repeat. */
+const FORGOTTEN_KEYS: readonly KeyVerdict["kind"][] = [
+  "history_lost",
+  "key_expired",
+];
+
 const TAKEN_OVER = inDoubt(
   "taken_over",
   "another host had the request and its end is not known",
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -97,7 +97,8 @@
 
 /** How the service is made. */
 export interface MembershipOptions {
-  readonly self: Host;
+  /** This host, with its addresses once it listens. */
+  readonly self: () => Host;
   readonly seeds: readonly SeedPeer[];
   readonly store: ObjectStore;
   readonly hostList: HostListClient;
@@ -167,7 +168,7 @@
    * the same object while it says the same.
    */
   get placementHosts(): readonly PlacementHost[] {
-    const { self } = this.#options;
+    const self = this.#options.self();
     const hosts = [
       { ...self, leaving: this.#leaving },
       ...this.trusted.map(({ digest }) => ({
@@ -188,7 +189,7 @@
   /** Whether a process is a trusted member, or this one. */
   trusts(host: HostId): boolean {
     return (
-      host === this.#options.self.id ||
+      host === this.#options.self().id ||
       this.#members.get(host)?.suspected === false
     );
   }
@@ -270,7 +271,7 @@
   /** This host's own digest. */
   digest(): HostDigest {
     return {
-      host: this.#options.self,
+      host: this.#options.self(),
       heartbeat: this.#heartbeat,
       leaving: this.#leaving,
       ...this.#options.ownState(),
@@ -282,7 +283,8 @@
   }
 
   async #publish(): Promise<void> {
-    const { self, store, clock, random } = this.#options;
+    const { store, clock, random } = this.#options;
+    const self = this.#options.self();
     await changeObject(
       store,
       {
@@ -375,7 +377,8 @@
     wires: Parameters<typeof digestsFromWire>[0],
     marks: Parameters<typeof marksFromWire>[0],
   ): void {
-    const { self, clock, listener } = this.#options;
+    const { clock, listener } = this.#options;
+    const self = this.#options.self();
     const digests = digestsFromWire(wires).filter(
       ({ host }) => host.name !== self.name,
     );
@@ -387,7 +390,7 @@
   }
 
   #proveGone(host: HostId): void {
-    if (this.#gone.has(host) || host === this.#options.self.id) return;
+    if (this.#gone.has(host) || host === this.#options.self().id) return;
     this.#gone.add(host);
     this.#options.logger.info("process is gone", { host });
     this.#options.listener.gone(host);
@@ -408,7 +411,8 @@
   async #seeds(
     now: number,
   ): Promise<readonly { readonly id: undefined; readonly address: string }[]> {
-    const { seeds, self, store, random } = this.#options;
+    const { seeds, store, random } = this.#options;
+    const self = this.#options.self();
     const known = new Set(
       [...this.#members.values()]
         .filter(({ suspected }) => !suspected)
@@ -439,7 +443,7 @@
 
   /** Whether this host is one of the few of its hall that ask the platform. */
   #isPoller(): boolean {
-    const { self } = this.#options;
+    const self = this.#options.self();
     const names = this.placementHosts
       .filter(({ dataHall, leaving }) => dataHall === self.dataHall && !leaving)
       .map(({ name }) => name);
--- a/packages/rampswitch-measure/src/run_measure.ts
+++ b/packages/rampswitch-measure/src/run_measure.ts
@@ -10,6 +10,7 @@
 import { measureConfiguration } from "./configuration_measure.ts";
 import { measureFootprint } from "./footprint_measure.ts";
 import { measurePolicy } from "./policy_measure.ts";
+import { plotPolicy } from "./policy_plot.ts";
 import { measureSurvive } from "./survive_measure.ts";
 
 type Measure = (options: MeasureOptions) => Promise<unknown>;
@@ -40,6 +41,15 @@
         process.stdout.write(`${JSON.stringify(result)}\n`);
       }),
   );
+  program
+    .command("plot")
+    .description("draw the plots of a result of measure policy")
+    .requiredOption("--from <file>", "file that holds the printed result")
+    .option("--folder <folder>", "where the plots go", "docs/plots")
+    .action(async (options: Record<"from" | "folder", string>) => {
+      const files = await plotPolicy(options.from, options.folder);
+      process.stdout.write(`${JSON.stringify({ files })}\n`);
+    });
   await program.parseAsync([...args]);
   return 0;
 }
