--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -8,9 +8,7 @@
  */
 import type { LeavingMark } from "rampswitch-configuration";
 import {
-  CACHE_MOVE_MILLISECONDS,
   type Choice,
-  type ChoiceRequest,
   decideRetry,
   planMove,
   RetryBudget,
@@ -24,8 +22,6 @@
   type Outcome,
   refused,
   type RetryReason,
-  type Service,
-  type Workspace,
 } from "rampswitch-types";
 import {
   type Clock,
@@ -37,11 +33,15 @@
 import type { Answer } from "./answer_book.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
+import { engineBody } from "./chat_request.ts";
+import { abandonAttempt, moveCache } from "./engine_calls.ts";
 import {
-  type ChatRequest,
-  engineBody,
-  parseChatRequest,
-} from "./chat_request.ts";
+  choiceRequest,
+  noServerText,
+  prepareRun,
+  type Run,
+  told,
+} from "./chat_run.ts";
 import { runEngineAttempt } from "./engine_attempt.ts";
 import { countOutcome } from "./outcome_count.ts";
 import type { RequestReplication } from "./request_replication.ts";
@@ -59,25 +59,6 @@
   readonly logger: Logger;
 }
 
-interface Run {
-  readonly answer: Answer;
-  readonly request: ChatRequest;
-  readonly service: Service;
-  readonly workspace: Workspace;
-  readonly repeatable: boolean;
-  readonly avoid: Set<string>;
-  attempts: number;
-  server: BackendServer | undefined;
-  attempt: string;
-  abort: AbortController;
-  /** Server that the work is being moved to. */
-  moveTo: BackendServer | undefined;
-  moving: boolean;
-  cancelled: boolean;
-  /** Whether an attempt got past the point where it surely did not run. */
-  mayHaveRun: boolean;
-}
-
 const RETRY_REASONS: Readonly<Record<string, RetryReason>> = {
   connect_failed: "connect_failed",
   backend_refused: "backend_refused",
@@ -91,11 +72,6 @@
 const MAXIMUM_ATTEMPTS = 1_000;
 const SERVER_WAIT_MILLISECONDS = 250;
 
-/** Whether a chat request of a service may run twice. */
-export function chatRepeatable(service: Service): boolean {
-  return service.calls[0]?.repeatable ?? true;
-}
-
 /** Runs chat requests on one host. */
 export class ChatRunner {
   readonly #options: ChatRunnerOptions;
@@ -115,7 +91,7 @@
   /** Runs an answer to its end and records it. */
   async run(answer: Answer): Promise<void> {
     if (this.#runs.has(answer.envelope.id)) return;
-    const run = this.#prepare(answer);
+    const run = prepareRun(answer, this.#options.routing());
     if (run === undefined) {
       this.#end(answer, refused("unknown_service", "service is gone"));
       return;
@@ -154,33 +130,6 @@
     });
   }
 
-  #prepare(answer: Answer): Run | undefined {
-    const { envelope } = answer;
-    const routing = this.#options.routing();
-    const service = routing.services.get(envelope.service);
-    const workspace = routing.workspaces.get(envelope.workspace);
-    const request = parseChatRequest(envelope.body);
-    if (service === undefined || workspace === undefined || request.isErr) {
-      return undefined;
-    }
-    return {
-      answer,
-      request: request.value,
-      service,
-      workspace,
-      repeatable: chatRepeatable(service),
-      avoid: new Set(),
-      attempts: 0,
-      server: undefined,
-      attempt: "",
-      abort: new AbortController(),
-      moveTo: undefined,
-      moving: false,
-      cancelled: false,
-      mayHaveRun: answer.attempt !== undefined,
-    };
-  }
-
   async #attempts(run: Run): Promise<Outcome> {
     const { clock } = this.#options;
     const readAgain = await this.#readAgain(run);
@@ -377,7 +326,7 @@
 
   async #move(run: Run, mark: LeavingMark): Promise<void> {
     const from = run.server;
-    const { clock, directory, metrics } = this.#options;
+    const { client, clock, directory, metrics } = this.#options;
     if (from === undefined || run.moving || run.cancelled) return;
     const to = this.#choose(run);
     const remainingTokens =
@@ -401,7 +350,10 @@
     metrics.count("move", plan);
     if (plan === "finish" || to === undefined) return;
     const { attempt } = run;
-    if (plan === "move_cache") await this.#moveCache(run, from, to);
+    if (plan === "move_cache") {
+      const moved = await moveCache(client, { from, to, attempt });
+      metrics.count("cache_move", moved ? "done" : "failed");
+    }
     if (run.attempt !== attempt || run.answer.outcome !== undefined) return;
     run.moving = true;
     run.moveTo = to;
@@ -409,41 +361,10 @@
     run.abort.abort();
   }
 
-  async #moveCache(
-    run: Run,
-    from: BackendServer,
-    to: BackendServer,
-  ): Promise<void> {
-    const { client, metrics } = this.#options;
-    const reply = await client.call(to.address, {
-      method: "POST",
-      path: "/v1/kv",
-      headers: { "content-type": "application/json" },
-      body: Buffer.from(
-        JSON.stringify({ from: from.address, attempt: run.attempt }),
-      ),
-      timeoutMilliseconds: CACHE_MOVE_MILLISECONDS,
-      signal: AbortSignal.timeout(CACHE_MOVE_MILLISECONDS),
-    });
-    const moved = reply.isOk && reply.value.statusCode === 200;
-    if (reply.isOk) await reply.value.body.dump().catch(() => undefined);
-    metrics.count("cache_move", moved ? "done" : "failed");
-  }
-
-  /** Tells the engine that nobody reads an attempt any more. */
-  #abandon(run: Run): void {
-    if (run.server === undefined) return;
-    void this.#options.client
-      .call(run.server.address, {
-        method: "DELETE",
-        path: `/v1/attempts/${encodeURIComponent(run.attempt)}`,
-        headers: {},
-        body: undefined,
-        timeoutMilliseconds: CACHE_MOVE_MILLISECONDS,
-      })
-      .then(async (reply) => {
-        if (reply.isOk) await reply.value.body.dump().catch(() => undefined);
-      });
+  #abandon({ server, attempt }: Run): void {
+    if (server !== undefined) {
+      void abandonAttempt(this.#options.client, server, attempt);
+    }
   }
 
   #countRecomputed(run: Run): void {
@@ -472,35 +393,3 @@
 }
 
 const LET_GO = inDoubt("taken_over", "the host ended");
-
-/** What a choice needs of a chat request. */
-export function choiceRequest(
-  request: ChatRequest,
-  service: Service,
-  avoid: ReadonlySet<string>,
-): ChoiceRequest {
-  return {
-    blocks: request.blocks,
-    conversation: request.conversation,
-    earlierTokens: request.earlierTokens,
-    promptTokens: request.promptTokens,
-    expectedTokens: request.maximumTokens,
-    targetMilliseconds: service.targetMilliseconds,
-    weights: service.weights,
-    avoid,
-  };
-}
-
-function noServerText(run: Run): string {
-  return `service ${run.service.name}: no backend server takes new work`;
-}
-
-/** An outcome that does not say "not run" once an attempt may have run. */
-function told(
-  run: Run,
-  outcome: Exclude<Outcome, { readonly kind: "completed" }>,
-): Outcome {
-  return run.mayHaveRun && outcome.kind === "refused_not_run"
-    ? inDoubt("backend_lost", outcome.detail)
-    : outcome;
-}
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -32,7 +32,7 @@
 } from "rampswitch-peer";
 import type { PlacementHost } from "rampswitch-protocol";
 import type { ObjectStore } from "rampswitch-store";
-import type { Host, HostId, ListedHost } from "rampswitch-types";
+import type { Host, HostId } from "rampswitch-types";
 import {
   type Clock,
   jitter,
@@ -40,7 +40,6 @@
   type Metrics,
   Ownership,
   type Random,
-  rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
 import { changeObject } from "rampswitch-store";
@@ -51,6 +50,7 @@
   markToWire,
 } from "./peer_messages.ts";
 import type { CloudClient, HostListClient } from "./platform_clients.ts";
+import { asksPlatform, PlatformWatch } from "./platform_watch.ts";
 
 /** Prefix of the status objects of entry hosts. */
 export const HOST_PREFIX = "hosts/";
@@ -58,7 +58,6 @@
 const DIGESTS_PER_MESSAGE = 8;
 const HEARTBEAT_DEADLINE_MILLISECONDS = 800;
 const FORGET_FACTOR = 30;
-const POLLERS_PER_DATA_HALL = 2;
 const PARTNERS_PER_HEARTBEAT = 2;
 const MARK_KEEP_MILLISECONDS = 600_000;
 const SEED_RETRY_MILLISECONDS = 1_000;
@@ -119,10 +118,10 @@
 export class MembershipService implements AsyncDisposable {
   readonly #options: MembershipOptions;
   readonly #owned = new Ownership();
+  readonly #platform: PlatformWatch;
   readonly #gone = new Set<HostId>();
   #members: Members = new Map();
   #marks: LeavingMarks = new Map();
-  #listedNames: ReadonlySet<string> = new Set();
   #placement: {
     readonly mark: string;
     readonly hosts: readonly PlacementHost[];
@@ -130,12 +129,15 @@
   #messages = 0;
   #heartbeat = 0;
   #leaving = false;
-  #noticeSequence = 0;
   #seedAt = Number.NEGATIVE_INFINITY;
   #tick = 0;
 
   constructor(options: MembershipOptions) {
     this.#options = options;
+    this.#platform = new PlatformWatch({
+      ...options,
+      silentMilliseconds: options.suspectMilliseconds,
+    });
   }
 
   /** All members but this host. */
@@ -441,76 +443,15 @@
     }));
   }
 
-  /** Whether this host is one of the few of its hall that ask the platform. */
-  #isPoller(): boolean {
-    const self = this.#options.self();
-    const names = this.placementHosts
-      .filter(({ dataHall, leaving }) => dataHall === self.dataHall && !leaving)
-      .map(({ name }) => name);
-    return rendezvousOrder("platform-poller", names)
-      .slice(0, POLLERS_PER_DATA_HALL)
-      .includes(self.name);
-  }
-
   async #pollPlatform(): Promise<void> {
-    if (!this.#isPoller()) return;
-    const { hostList, cloud, clock } = this.#options;
-    const [hosts, notices] = await Promise.all([
-      hostList.hosts(),
-      cloud.notices(this.#noticeSequence),
-    ]);
-    const now = clock.now();
-    if (hosts.isOk) this.#takeList(hosts.value, now);
-    if (notices.isErr) return;
-    this.#noticeSequence = notices.value.reduce(
-      (last, { sequence }) => Math.max(last, sequence),
-      this.#noticeSequence,
-    );
-    this.mark(
-      notices.value.map(({ host, deadline }) => ({
-        host,
-        source: "cloud_notice",
-        since: now,
-        deadline,
-      })),
-    );
-  }
-
-  #takeList(hosts: readonly ListedHost[], now: number): void {
-    const present = new Set(hosts.map(({ name }) => name));
-    [...this.#listedNames]
-      .filter((name) => !present.has(name))
-      .flatMap((name) =>
-        [...this.#members.values()].filter(
-          ({ digest }) => digest.host.name === name,
-        ),
-      )
-      .forEach(({ digest, heardAt }) => {
-        const silent = now - heardAt > this.#options.suspectMilliseconds;
-        if (silent) this.#proveGone(digest.host.id);
-      });
-    const silentNames = [...this.#members.values()]
-      .filter(
-        ({ digest, suspected }) => suspected && !this.#gone.has(digest.host.id),
-      )
-      .map(({ digest }) => digest.host.name);
-    this.#listedNames = new Set([
-      ...present,
-      ...silentNames.filter((name) => this.#listedNames.has(name)),
-    ]);
-    this.mark(
-      hosts
-        .filter(({ state }) => state === "leaving")
-        .map((host) => ({
-          host: host.name,
-          source: "host_list",
-          since: now,
-          deadline: host.deadline,
-        })),
-    );
+    if (!asksPlatform(this.#options.self(), this.placementHosts)) return;
+    const news = await this.#platform.poll([...this.#members.values()]);
+    news.gone.forEach(({ digest }) => this.#proveGone(digest.host.id));
+    this.mark(news.leaving);
+    if (news.present === undefined) return;
     this.#marks = endMarks(this.#marks, {
-      present,
-      now,
+      present: news.present,
+      now: this.#options.clock.now(),
       keepMilliseconds: MARK_KEEP_MILLISECONDS,
     });
   }
--- a/packages/rampswitch-entry/src/orphan_adoption.ts
+++ b/packages/rampswitch-entry/src/orphan_adoption.ts
@@ -9,7 +9,8 @@
 import { type HostId, inDoubt, type Service } from "rampswitch-types";
 import type { Metrics } from "rampswitch-utils";
 import type { Answer, AnswerBook } from "./answer_book.ts";
-import { chatRepeatable, type ChatRunner } from "./chat_runner.ts";
+import { chatRepeatable } from "./chat_run.ts";
+import type { ChatRunner } from "./chat_runner.ts";
 import type { SlotService } from "./slot_service.ts";
 
 /** How adoption is made. */
--- a/packages/rampswitch-entry/src/work_intake.ts
+++ b/packages/rampswitch-entry/src/work_intake.ts
@@ -13,7 +13,8 @@
 import type { BackendDirectory } from "./backend_directory.ts";
 import { OWN_HEADERS } from "./caller_request.ts";
 import { parseChatRequest } from "./chat_request.ts";
-import { chatRepeatable, type ChatRunner } from "./chat_runner.ts";
+import { chatRepeatable } from "./chat_run.ts";
+import type { ChatRunner } from "./chat_runner.ts";
 import {
   admissionRequest,
   decodedName,
