Start hosts whole: configured, drained, ended; share retries

Cause: a host that capacity started served nobody until an operator applied it; retry reasons and budgets stood twice; confirming the head read all of it.

--- a/packages/rampswitch-configuration/src/revision_log.ts
+++ b/packages/rampswitch-configuration/src/revision_log.ts
@@ -24,8 +24,8 @@
 export const SNAPSHOT_PREFIX = "configuration/snapshot/";
 
 const KEPT_CHANGE_IDS = 256;
-const KEPT_DELTAS = 32;
-const MAXIMUM_DELTA_BYTES = 64 * 1024;
+const KEPT_DELTAS = 16;
+const MAXIMUM_DELTA_BYTES = 16 * 1024;
 const PART_BYTES = 512 * 1024;
 const MAXIMUM_CHANGE_BYTES = 256 * 1024;
 
--- a/packages/rampswitch-entry/src/answer_writer.ts
+++ b/packages/rampswitch-entry/src/answer_writer.ts
@@ -53,11 +53,13 @@
       writer.ended(outcome);
     },
   });
-  response.on("close", () => {
+  const gone = () => {
     stop();
     answer.callers -= 1;
     if (!ended) options.onGone();
-  });
+  };
+  if (response.destroyed) gone();
+  else response.on("close", gone);
 }
 
 function streamWriter(answer: Answer, response: ServerResponse): AnswerReader {
--- a/packages/rampswitch-entry/src/backend_directory.ts
+++ b/packages/rampswitch-entry/src/backend_directory.ts
@@ -40,6 +40,8 @@
 const POLL_DEADLINE_MILLISECONDS = 800;
 const MAXIMUM_REPLY_BYTES = 1024 * 1024;
 const POLLED_PER_ROUND = 64;
+/** Servers asked in a round where there are too many to ask all. */
+const POLLED_PER_ROUND_OF_MANY = 4;
 const PREFIX_BLOCKS = 100_000;
 const SPEED_KEEP = 0.95;
 
@@ -255,9 +257,13 @@
   async #poll(): Promise<void> {
     const watched = this.#watched();
     const start = this.#pollOffset % Math.max(1, watched.length);
+    const most =
+      watched.length <= POLLED_PER_ROUND
+        ? POLLED_PER_ROUND
+        : POLLED_PER_ROUND_OF_MANY;
     const round = [...watched.slice(start), ...watched.slice(0, start)].slice(
       0,
-      POLLED_PER_ROUND,
+      most,
     );
     this.#pollOffset = start + round.length;
     await Promise.all(round.map(({ server }) => this.#pollServer(server)));
--- /dev/null
+++ b/packages/rampswitch-entry/src/capacity_service.ts
@@ -0,0 +1,289 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Capacity of a service under a lease: starts hosts through the cloud API, puts
+ * them into the configuration once they have an address, drains and ends those
+ * that can be spared. Only hosts that it started itself are ever ended.
+ *
+ * @module
+ */
+import type { Edit, Lease } from "rampswitch-configuration";
+import {
+  type CapacityAction,
+  type CapacityMemory,
+  NO_CAPACITY_MEMORY,
+  planCapacity,
+  type PlannedClass,
+  type PlannedHost,
+} from "rampswitch-policy";
+import type { BackendServer, HostClass, Service } from "rampswitch-types";
+import type { Clock, Logger, Metrics } from "rampswitch-utils";
+import type { BackendDirectory } from "./backend_directory.ts";
+import type { ConfigurationService } from "./configuration_service.ts";
+import type { MembershipService } from "./membership_service.ts";
+import type { CloudClient, CloudHost } from "./platform_clients.ts";
+
+/** Label of backend servers that this service put into the configuration. */
+export const MANAGED_LABEL = "managed-by";
+
+/** Value of {@link MANAGED_LABEL}. */
+export const MANAGED_BY_CAPACITY = "capacity";
+
+/** How the service is made. */
+export interface CapacityServiceOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly configuration: ConfigurationService;
+  readonly membership: MembershipService;
+  readonly directory: BackendDirectory;
+  readonly cloud: CloudClient;
+}
+
+const STARTS_AT_ONCE = 2;
+const REFUSED_MILLISECONDS = 60_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const OPERATOR = "capacity";
+
+/** Capacity of one service on the host that holds its lease. */
+export class CapacityService {
+  readonly #service: Service;
+  readonly #options: CapacityServiceOptions;
+  readonly #refusedUntil = new Map<string, number>();
+  readonly #drainedAt = new Map<string, number>();
+  #memory: CapacityMemory = NO_CAPACITY_MEMORY;
+
+  constructor(service: Service, options: CapacityServiceOptions) {
+    this.#service = service;
+    this.#options = options;
+  }
+
+  /** Runs one round under a lease. */
+  async round(lease: Lease, holds: () => boolean): Promise<void> {
+    const { cloud, clock, metrics } = this.#options;
+    const listed = await cloud.hosts();
+    if (listed.isErr) return;
+    const own = listed.value.filter(({ token }) =>
+      token.startsWith(`${this.#service.name}/`),
+    );
+    await this.#addStarted(own, lease);
+    await this.#endDrained(lease);
+    const plan = planCapacity(
+      {
+        now: clock.now(),
+        demand: this.#demand(),
+        hosts: this.#plannedHosts(own),
+        classes: this.#plannedClasses(),
+        downloadsFree: STARTS_AT_ONCE,
+      },
+      this.#memory,
+    );
+    this.#memory = plan.memory;
+    metrics.gauge("capacity_missing", plan.missing);
+    await Promise.all(
+      plan.actions.map(async (action, index) => {
+        if (holds()) await this.#act(action, { lease, index });
+      }),
+    );
+  }
+
+  get #servers(): readonly BackendServer[] {
+    return this.#options.configuration.routing
+      .serviceCandidates(this.#service.name)
+      .map(({ server }) => server);
+  }
+
+  async #act(
+    action: CapacityAction,
+    place: { readonly lease: Lease; readonly index: number },
+  ): Promise<void> {
+    if (action.kind === "start") await this.#start(action, place);
+    else await this.#drain(action.host, place.lease);
+  }
+
+  async #start(
+    action: Extract<CapacityAction, { readonly kind: "start" }>,
+    place: { readonly lease: Lease; readonly index: number },
+  ): Promise<void> {
+    const { clock, cloud, metrics } = this.#options;
+    const now = clock.now();
+    const { hostClass, dataHall } = action;
+    const token = [
+      this.#service.name,
+      place.lease.epoch,
+      now,
+      place.index,
+    ].join("/");
+    const started = await cloud.start(hostClass, dataHall, { token });
+    const end = started.isOk ? "started" : started.error;
+    metrics.count("host_start", end);
+    if (started.isOk) return;
+    this.#refusedUntil.set(
+      `${hostClass}/${dataHall}`,
+      now + REFUSED_MILLISECONDS,
+    );
+  }
+
+  /** Puts hosts that have got an address into the configuration. */
+  async #addStarted(
+    started: readonly CloudHost[],
+    lease: Lease,
+  ): Promise<void> {
+    const [template] = this.#servers;
+    const known = new Set(this.#servers.map(({ host }) => host));
+    const edits = started.flatMap(({ host, address, hostClass, dataHall }) =>
+      template === undefined || address === undefined || known.has(host)
+        ? []
+        : [
+            put({
+              ...template,
+              name: host,
+              labels: {
+                ...template.labels,
+                [MANAGED_LABEL]: MANAGED_BY_CAPACITY,
+              },
+              host,
+              address,
+              hostClass,
+              dataHall,
+              draining: false,
+            }),
+          ],
+    );
+    await this.#change(edits, lease);
+  }
+
+  /** Gives a host no new work; it is ended once its work is done. */
+  async #drain(host: string, lease: Lease): Promise<void> {
+    const server = this.#servers.find((other) => other.host === host);
+    if (server === undefined) return;
+    this.#drainedAt.set(host, this.#options.clock.now());
+    await this.#change([put({ ...server, draining: true })], lease);
+  }
+
+  /** Ends managed hosts that have been draining for longer than any work. */
+  async #endDrained(lease: Lease): Promise<void> {
+    const { clock, cloud, metrics } = this.#options;
+    const now = clock.now();
+    const draining = this.#servers.filter(
+      (server) => server.draining && isManaged(server),
+    );
+    const due = draining.filter(({ host }) => {
+      const since = this.#drainedAt.get(host) ?? now;
+      this.#drainedAt.set(host, since);
+      return now - since > this.#service.timeoutMilliseconds;
+    });
+    await Promise.all(
+      due.map(async ({ host, name }) => {
+        const ended = await cloud.end(host);
+        metrics.count("host_end", ended.isOk ? "ended" : "failed");
+        if (ended.isErr) return;
+        this.#drainedAt.delete(host);
+        const resourceKind = "BackendServer";
+        await this.#change([{ kind: "delete", resourceKind, name }], lease);
+      }),
+    );
+  }
+
+  async #change(edits: readonly Edit[], lease: Lease): Promise<void> {
+    if (edits.length === 0) return;
+    const { configuration, clock, logger } = this.#options;
+    const { revision } = configuration.state;
+    const outcome = await configuration.change({
+      changeId: `capacity-${lease.epoch}-${clock.now()}`,
+      operator: OPERATOR,
+      baseRevision: revision,
+      edits,
+    });
+    logger.info("capacity changed", { outcome: outcome.kind });
+  }
+
+  /**
+   * Tokens a second that are asked for: all requests in progress, each at the
+   * speed of a token. Not known while most peers are suspected: capacity then
+   * stays as it is.
+   */
+  #demand(): number | undefined {
+    const { membership, directory } = this.#options;
+    const members = [...membership.members.values()];
+    const suspected = members.filter((member) => member.suspected).length;
+    if (suspected > membership.trusted.length) return undefined;
+    const own = this.#servers.reduce(
+      (sum, { name }) => sum + directory.inProgress(name),
+      0,
+    );
+    const others = membership.trusted.reduce(
+      (sum, { digest }) => sum + digest.load,
+      0,
+    );
+    return ((own + others) * MILLISECONDS_PER_SECOND) / this.#tokenMilliseconds;
+  }
+
+  get #tokenMilliseconds(): number {
+    const { directory, configuration } = this.#options;
+    const candidates = configuration.routing.serviceCandidates(
+      this.#service.name,
+    );
+    const groups = [{ priority: 0, candidates }];
+    return directory.speeds({ rule: undefined, groups }).tokenMilliseconds;
+  }
+
+  #plannedHosts(started: readonly CloudHost[]): readonly PlannedHost[] {
+    const { membership, directory } = this.#options;
+    const servers = this.#servers;
+    const known = new Set(servers.map(({ host }) => host));
+    return [
+      ...servers.map((server): PlannedHost => {
+        const leaving = server.draining || membership.marks.has(server.host);
+        return {
+          name: server.host,
+          hostClass: server.hostClass,
+          dataHall: server.dataHall,
+          state: leaving ? "leaving" : "serving",
+          load: directory.inProgress(server.name),
+          managed: isManaged(server),
+        };
+      }),
+      ...started
+        .filter(({ host }) => !known.has(host))
+        .map(({ host, hostClass, dataHall }): PlannedHost => ({
+          name: host,
+          hostClass,
+          dataHall,
+          state: "starting",
+          load: 0,
+          managed: true,
+        })),
+    ];
+  }
+
+  #plannedClasses(): readonly PlannedClass[] {
+    const concurrency = this.#servers[0]?.concurrency ?? 1;
+    return this.#hostClasses.map((hostClass) => ({
+      name: hostClass.name,
+      dataHall: hostClass.dataHall,
+      dollarsPerHour: hostClass.dollarsPerHour,
+      reclaimable: hostClass.reclaimable,
+      tokensPerSecond:
+        (concurrency * MILLISECONDS_PER_SECOND) / this.#tokenMilliseconds,
+      refusedUntil:
+        this.#refusedUntil.get(`${hostClass.name}/${hostClass.dataHall}`) ?? 0,
+    }));
+  }
+
+  get #hostClasses(): readonly HostClass[] {
+    return [...this.#options.configuration.state.resources.values()]
+      .map(({ resource }) => resource)
+      .filter(
+        (resource): resource is HostClass => resource.kind === "HostClass",
+      );
+  }
+}
+
+function isManaged({ labels }: BackendServer): boolean {
+  return labels[MANAGED_LABEL] === MANAGED_BY_CAPACITY;
+}
+
+function put(resource: BackendServer): Edit {
+  return { kind: "put", resource };
+}
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -7,13 +7,7 @@
  * @module
  */
 import type { LeavingMark } from "rampswitch-configuration";
-import {
-  type Choice,
-  decideRetry,
-  planMove,
-  RetryBudget,
-  type RoutingTable,
-} from "rampswitch-policy";
+import { type Choice, planMove, type RoutingTable } from "rampswitch-policy";
 import {
   type BackendServer,
   failed,
@@ -21,7 +15,6 @@
   inDoubt,
   type Outcome,
   refused,
-  type RetryReason,
 } from "rampswitch-types";
 import {
   type Clock,
@@ -45,6 +38,7 @@
 import { runEngineAttempt } from "./engine_attempt.ts";
 import { countOutcome } from "./outcome_count.ts";
 import type { RequestReplication } from "./request_replication.ts";
+import type { RetryDesk } from "./retry_desk.ts";
 
 /** How a runner is made. */
 export interface ChatRunnerOptions {
@@ -52,6 +46,7 @@
   readonly directory: BackendDirectory;
   readonly client: BackendClient;
   readonly replication: RequestReplication;
+  readonly retries: RetryDesk;
   readonly routing: () => RoutingTable;
   readonly clock: Clock;
   readonly random: Random;
@@ -59,15 +54,6 @@
   readonly logger: Logger;
 }
 
-const RETRY_REASONS: Readonly<Record<string, RetryReason>> = {
-  connect_failed: "connect_failed",
-  backend_refused: "backend_refused",
-  backend_lost: "backend_lost",
-  backend_timeout: "backend_lost",
-  backend_error: "backend_error",
-  backend_nonsense: "backend_error",
-};
-
 const NO_SERVER_RETRY_MILLISECONDS = 1_000;
 const MAXIMUM_ATTEMPTS = 1_000;
 const SERVER_WAIT_MILLISECONDS = 250;
@@ -76,7 +62,6 @@
 export class ChatRunner {
   readonly #options: ChatRunnerOptions;
   readonly #runs = new Map<string, Run>();
-  readonly #budgets = new Map<string, RetryBudget>();
   #detached = false;
 
   constructor(options: ChatRunnerOptions) {
@@ -97,7 +82,7 @@
       return;
     }
     this.#runs.set(answer.envelope.id, run);
-    this.#budget(run.service.name).earn();
+    this.#options.retries.started(run.service.name);
     const outcome = await this.#attempts(run);
     this.#runs.delete(answer.envelope.id);
     this.#end(answer, outcome);
@@ -169,27 +154,18 @@
     outcome: Exclude<Outcome, { readonly kind: "completed" }>,
     remainingMilliseconds: number,
   ): Promise<Outcome | undefined> {
-    const { metrics, clock, random } = this.#options;
-    const reason = RETRY_REASONS[outcome.reason];
-    if (run.cancelled || reason === undefined) return told(run, outcome);
-    if (run.server !== undefined) run.avoid.add(run.server.name);
-    const decision = decideRetry(
-      {
-        outcome,
-        repeatable: run.repeatable,
-        attempts: run.attempts,
-        remainingMilliseconds,
-        reason,
-      },
-      { budget: this.#budget(run.service.name), random },
-    );
-    if (decision.kind === "give_up") {
-      if (decision.budgetEmpty) metrics.count("retry_budget_empty");
+    const { retries } = this.#options;
+    if (run.cancelled || !retries.mayHelp(outcome.reason)) {
       return told(run, outcome);
     }
-    metrics.count("retry", decision.reason);
-    await sleep(clock, decision.waitMilliseconds);
-    return undefined;
+    if (run.server !== undefined) run.avoid.add(run.server.name);
+    const again = await retries.again(run.service.name, {
+      outcome,
+      repeatable: run.repeatable,
+      attempts: run.attempts,
+      remainingMilliseconds,
+    });
+    return again ? undefined : told(run, outcome);
   }
 
   #tooLate(run: Run): Outcome {
@@ -382,14 +358,6 @@
     replication.ended(answer, outcome);
     answer.end(outcome);
   }
-
-  #budget(service: string): RetryBudget {
-    const known = this.#budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = new RetryBudget();
-    this.#budgets.set(service, budget);
-    return budget;
-  }
 }
 
 const LET_GO = inDoubt("taken_over", "the host ended");
--- a/packages/rampswitch-entry/src/configuration_service.ts
+++ b/packages/rampswitch-entry/src/configuration_service.ts
@@ -77,6 +77,7 @@
 const CHANGE_ATTEMPTS = 8;
 const KEPT_DELTAS = 256;
 const SNAPSHOT_ATTEMPTS = 5;
+const CONFIRM_DEADLINE_MILLISECONDS = 1_000;
 
 /** The configuration as one host has it. */
 export class ConfigurationService implements AsyncDisposable {
@@ -247,7 +248,33 @@
     const age = clock.now() - (this.#confirmedAt ?? 0);
     if (age < confirmMilliseconds && this.reachesStore) return;
     if (age < confirmMilliseconds / 2) return;
-    await this.#readHead();
+    if (this.#head === undefined) await this.#readHead();
+    else await this.#askForNews(this.#head);
+  }
+
+  /** Asks whether the head is still the known one; costs few bytes. */
+  async #askForNews(head: StoredObject): Promise<void> {
+    const { store, clock } = this.#options;
+    const asked = clock.now();
+    const signal = AbortSignal.timeout(CONFIRM_DEADLINE_MILLISECONDS);
+    const batch = await store.watch(HEAD_KEY, head.version, {
+      signal,
+      seconds: 0,
+    });
+    if (batch.isErr) return;
+    this.#reached(asked);
+    const news = batch.value.events
+      .filter(({ key, value }) => key === HEAD_KEY && value !== undefined)
+      .at(-1);
+    if (news?.value !== undefined) {
+      await this.#takeHead({ ...news, value: news.value }, asked);
+    } else if (head === this.#head) this.#confirmKnown(head, asked);
+  }
+
+  /** Notes that the known head was still the head when it was asked for. */
+  #confirmKnown(head: StoredObject, askedAt: number): void {
+    if (parseHead(head.value).revision !== this.#state.revision) return;
+    this.#confirmedAt = Math.max(this.#confirmedAt ?? askedAt, askedAt);
   }
 
   async #readHead(): Promise<
@@ -275,9 +302,7 @@
     const next = await this.#stateAt(object);
     if (next === undefined) return;
     this.#adopt(next, head.deltas);
-    if (head.revision === this.#state.revision) {
-      this.#confirmedAt = Math.max(this.#confirmedAt ?? askedAt, askedAt);
-    }
+    this.#confirmKnown(object, askedAt);
   }
 
   /** The state at a head, by its deltas or by its snapshot. */
--- a/packages/rampswitch-entry/src/control_service.ts
+++ b/packages/rampswitch-entry/src/control_service.ts
@@ -13,15 +13,8 @@
   planOrders,
 } from "rampswitch-configuration";
 import type { DueOrder, Lease } from "rampswitch-configuration";
-import {
-  type CapacityMemory,
-  NO_CAPACITY_MEMORY,
-  planCapacity,
-  type PlannedClass,
-  type PlannedHost,
-} from "rampswitch-policy";
 import type { ObjectStore } from "rampswitch-store";
-import type { BackendServer, Host, HostClass, Service } from "rampswitch-types";
+import type { BackendServer, Host, Service } from "rampswitch-types";
 import {
   type Clock,
   jitter,
@@ -34,6 +27,7 @@
 } from "rampswitch-utils";
 import { BackendClient } from "./backend_client.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
+import { CapacityService } from "./capacity_service.ts";
 import type { ConfigurationService } from "./configuration_service.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
 import type { MembershipService } from "./membership_service.ts";
@@ -60,15 +54,11 @@
 const CONTENDERS = 2;
 const ORDERS_AT_ONCE = 2;
 const ORDER_MILLISECONDS = 3_000;
-const REFUSED_MILLISECONDS = 60_000;
-const MILLISECONDS_PER_SECOND = 1_000;
 
 interface Territory {
-  readonly service: Service;
   readonly keeper: LeaseKeeper;
   epoch: number;
   done: ReadonlySet<string>;
-  memory: CapacityMemory;
 }
 
 /** Control on one host. */
@@ -76,9 +66,8 @@
   readonly #options: ControlOptions;
   readonly #owned = new Ownership();
   readonly #client: BackendClient;
-  readonly #orders = new Map<string, Territory>();
-  readonly #capacity = new Map<string, Territory>();
-  readonly #refusedUntil = new Map<string, number>();
+  readonly #territories = new Map<string, Territory>();
+  readonly #capacity = new Map<string, CapacityService>();
 
   constructor(options: ControlOptions) {
     this.#options = options;
@@ -125,7 +114,7 @@
     });
     const name = `orders/${service.name}/${self.dataHall}`;
     if (wanted.length === 0 || !this.#contends(name, self.dataHall)) return;
-    const territory = this.#territory(this.#orders, name, service);
+    const territory = this.#territory(name);
     const lease = await territory.keeper.keep();
     if (lease === undefined) return;
     this.#enter(territory, lease);
@@ -178,127 +167,27 @@
 
   /** Capacity of a service in all data halls. */
   async #capacityRound(service: Service): Promise<void> {
-    const { clock } = this.#options;
     const name = `capacity/${service.name}`;
     if (!this.#contends(name, undefined)) return;
-    const territory = this.#territory(this.#capacity, name, service);
-    const lease = await territory.keeper.keep();
+    const { keeper } = this.#territory(name);
+    const lease = await keeper.keep();
     if (lease === undefined) return;
-    const plan = planCapacity(
-      {
-        now: clock.now(),
-        demand: this.#demand(service),
-        hosts: this.#plannedHosts(service),
-        classes: this.#plannedClasses(service),
-        downloadsFree: ORDERS_AT_ONCE,
-      },
-      territory.memory,
-    );
-    territory.memory = plan.memory;
-    this.#options.metrics.gauge("capacity_missing", plan.missing);
-    await Promise.all(
-      plan.actions.map(async (action, index) => {
-        if (territory.keeper.held === undefined) return;
-        if (action.kind === "end") {
-          await this.#options.cloud.end(action.host);
-          return;
-        }
-        const token = `${service.name}-${lease.epoch}-${clock.now()}-${index}`;
-        const started = await this.#options.cloud.start(
-          action.hostClass,
-          action.dataHall,
-          { token },
-        );
-        this.#options.metrics.count(
-          "host_start",
-          started.isOk ? "started" : started.error,
-        );
-        if (started.isErr) {
-          this.#refusedUntil.set(
-            `${action.hostClass}/${action.dataHall}`,
-            clock.now() + REFUSED_MILLISECONDS,
-          );
-        }
-      }),
-    );
-  }
-
-  /**
-   * Tokens a second that are asked for: all requests in progress, each at the
-   * speed of a token. Not known while no peer but this host is heard and more
-   * are configured: then capacity stays as it is.
-   */
-  #demand(service: Service): number | undefined {
-    const { membership, directory, configuration } = this.#options;
-    const suspected = [...membership.members.values()].filter(
-      (member) => member.suspected,
-    ).length;
-    if (suspected > membership.trusted.length) return undefined;
-    const route = configuration.routing.serviceCandidates(service.name);
-    const { tokenMilliseconds } = directory.speeds({
-      rule: undefined,
-      groups: [{ priority: 0, candidates: route }],
-    });
-    const own = route.reduce(
-      (sum, { server }) => sum + directory.inProgress(server.name),
-      0,
-    );
-    const others = membership.trusted.reduce(
-      (sum, { digest }) => sum + digest.load,
-      0,
-    );
-    return ((own + others) * MILLISECONDS_PER_SECOND) / tokenMilliseconds;
+    const known = this.#capacity.get(service.name);
+    const capacity = known ?? new CapacityService(service, this.#options);
+    this.#capacity.set(service.name, capacity);
+    await capacity.round(lease, () => keeper.held !== undefined);
   }
 
-  #plannedHosts(service: Service): readonly PlannedHost[] {
-    const { configuration, membership, directory } = this.#options;
-    return configuration.routing
-      .serviceCandidates(service.name)
-      .map(({ server }) => ({
-        name: server.host,
-        hostClass: server.hostClass,
-        dataHall: server.dataHall,
-        state: membership.marks.has(server.host) ? "leaving" : "serving",
-        load: directory.inProgress(server.name),
-      }));
-  }
-
-  #plannedClasses(service: Service): readonly PlannedClass[] {
-    const { configuration, directory } = this.#options;
-    const candidates = configuration.routing.serviceCandidates(service.name);
-    const { tokenMilliseconds } = directory.speeds({
-      rule: undefined,
-      groups: [{ priority: 0, candidates }],
-    });
-    const concurrency = candidates[0]?.server.concurrency ?? 1;
-    return hostClasses(configuration).map((hostClass) => ({
-      name: hostClass.name,
-      dataHall: hostClass.dataHall,
-      dollarsPerHour: hostClass.dollarsPerHour,
-      reclaimable: hostClass.reclaimable,
-      tokensPerSecond:
-        (concurrency * MILLISECONDS_PER_SECOND) / tokenMilliseconds,
-      refusedUntil:
-        this.#refusedUntil.get(`${hostClass.name}/${hostClass.dataHall}`) ?? 0,
-    }));
-  }
-
-  #territory(
-    territories: Map<string, Territory>,
-    name: string,
-    service: Service,
-  ): Territory {
-    const known = territories.get(name);
+  #territory(name: string): Territory {
+    const known = this.#territories.get(name);
     if (known !== undefined) return known;
     const { self } = this.#options;
     const territory = {
-      service,
       keeper: new LeaseKeeper(name, { ...this.#options, self: self.id }),
       epoch: 0,
       done: new Set<string>(),
-      memory: NO_CAPACITY_MEMORY,
     };
-    territories.set(name, territory);
+    this.#territories.set(name, territory);
     return territory;
   }
 
@@ -320,11 +209,3 @@
       .includes(this.#options.self.name);
   }
 }
-
-function hostClasses(
-  configuration: ConfigurationService,
-): readonly HostClass[] {
-  return [...configuration.state.resources.values()]
-    .map(({ resource }) => resource)
-    .filter((resource): resource is HostClass => resource.kind === "HostClass");
-}
--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -38,6 +38,7 @@
 import { PlainRunner } from "./plain_runner.ts";
 import { type LinkListener, ReplicaLinks } from "./replica_link.ts";
 import { RequestReplication } from "./request_replication.ts";
+import { RetryDesk } from "./retry_desk.ts";
 import { SlotService } from "./slot_service.ts";
 
 /** What an entry process is made of besides its settings. */
@@ -84,6 +85,7 @@
   /** Connections to backend servers. */
   readonly client: BackendClient;
   readonly directory: BackendDirectory;
+  readonly retries: RetryDesk;
   readonly chat: ChatRunner;
   readonly plain: PlainRunner;
   readonly gate: AdmissionGate;
@@ -114,6 +116,7 @@
     this.replication = this.#makeReplication();
     this.client = this.#owned.own(new BackendClient());
     this.directory = this.#owned.own(this.#makeDirectory());
+    this.retries = new RetryDesk(this.#shared);
     this.chat = new ChatRunner({ ...this.#runnerOptions, self: this.self.id });
     this.plain = new PlainRunner(this.#runnerOptions);
     this.gate = this.#owned.own(this.#makeGate());
@@ -153,8 +156,8 @@
   }
 
   get #runnerOptions() {
-    const { client, directory, replication } = this;
-    return { ...this.#shared, client, directory, replication };
+    const { client, directory, replication, retries } = this;
+    return { ...this.#shared, client, directory, replication, retries };
   }
 
   #makeStore(): HttpObjectStore {
--- a/packages/rampswitch-entry/src/plain_runner.ts
+++ b/packages/rampswitch-entry/src/plain_runner.ts
@@ -7,12 +7,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  decideRetry,
-  RetryBudget,
-  type Route,
-  type RoutingTable,
-} from "rampswitch-policy";
+import { type Route, type RoutingTable } from "rampswitch-policy";
 import {
   type BackendServer,
   type CallRule,
@@ -20,10 +15,9 @@
   inDoubt,
   type Outcome,
   refused,
-  type RetryReason,
   type Service,
 } from "rampswitch-types";
-import { type Clock, type Metrics, type Random, sleep } from "rampswitch-utils";
+import type { Clock, Metrics } from "rampswitch-utils";
 import type { Answer } from "./answer_book.ts";
 import type { BackendClient, BackendReply } from "./backend_client.ts";
 import type { BackendDirectory } from "./backend_directory.ts";
@@ -35,6 +29,7 @@
 import { countOutcome } from "./outcome_count.ts";
 import type { ProblemOutcome } from "./problem.ts";
 import type { RequestReplication } from "./request_replication.ts";
+import type { RetryDesk } from "./retry_desk.ts";
 
 /** A call of a plain service. */
 export interface PlainCall {
@@ -58,18 +53,11 @@
   readonly client: BackendClient;
   readonly replication: RequestReplication;
   readonly routing: () => RoutingTable;
+  readonly retries: RetryDesk;
   readonly clock: Clock;
-  readonly random: Random;
   readonly metrics: Metrics;
 }
 
-const RETRY_REASONS: Readonly<Record<string, RetryReason>> = {
-  connect_failed: "connect_failed",
-  backend_refused: "backend_refused",
-  backend_lost: "backend_lost",
-  backend_error: "backend_error",
-};
-
 const NO_SERVER_RETRY_MILLISECONDS = 1_000;
 const ASSUMED_TOKENS = 1;
 const MAXIMUM_ATTEMPTS = 16;
@@ -100,7 +88,6 @@
 /** Runs calls of plain services on one host. */
 export class PlainRunner {
   readonly #options: PlainRunnerOptions;
-  readonly #budgets = new Map<string, RetryBudget>();
   #running = 0;
   #detached = false;
 
@@ -175,11 +162,11 @@
   }
 
   async #attempts(call: PlainCall): Promise<Partial<AttemptEnd>> {
-    const { metrics, clock, random } = this.#options;
+    const { clock, retries } = this.#options;
     const avoid = new Set<string>();
     let mayHaveRun = false;
     let last: ProblemOutcome | undefined;
-    this.#budget(call.service.name).earn();
+    retries.started(call.service.name);
     for (let attempts = 1; attempts <= MAXIMUM_ATTEMPTS; attempts += 1) {
       const remaining = call.deadline - clock.now();
       const end =
@@ -189,7 +176,6 @@
       const { outcome, server } = end;
       if (outcome === undefined) return end;
       if (outcome.kind !== "refused_not_run") mayHaveRun = true;
-      const reason = RETRY_REASONS[outcome.reason];
       const told = server === undefined ? (last ?? outcome) : outcome;
       const final: Partial<AttemptEnd> = {
         outcome:
@@ -198,21 +184,16 @@
             : told,
       };
       last = outcome;
-      if (server === undefined || reason === undefined) return final;
+      const over = server === undefined || consumed(call);
+      if (over || !retries.mayHelp(outcome.reason)) return final;
       avoid.add(server.name);
-      const decision = decideRetry(
-        {
-          outcome,
-          repeatable: call.repeatable,
-          attempts,
-          remainingMilliseconds: remaining,
-          reason,
-        },
-        { budget: this.#budget(call.service.name), random },
-      );
-      if (decision.kind === "give_up" || consumed(call)) return final;
-      metrics.count("retry", decision.reason);
-      await sleep(clock, decision.waitMilliseconds);
+      const again = await retries.again(call.service.name, {
+        outcome,
+        repeatable: call.repeatable,
+        attempts,
+        remainingMilliseconds: remaining,
+      });
+      if (!again) return final;
     }
     return { outcome: inDoubt("backend_lost", "too many attempts were lost") };
   }
@@ -294,14 +275,6 @@
   #ended(server: BackendServer, broken: boolean): void {
     this.#options.directory.ended(server, broken);
   }
-
-  #budget(service: string): RetryBudget {
-    const known = this.#budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = new RetryBudget();
-    this.#budgets.set(service, budget);
-    return budget;
-  }
 }
 
 function lateEnd(mayHaveRun: boolean): Partial<AttemptEnd> {
--- a/packages/rampswitch-entry/src/platform_clients.ts
+++ b/packages/rampswitch-entry/src/platform_clients.ts
@@ -17,6 +17,17 @@
   readonly deadline: number;
 }
 
+/** A host that was started through the cloud API. */
+export interface CloudHost {
+  readonly host: string;
+  readonly hostClass: string;
+  readonly dataHall: string;
+  /** Chosen by whoever started it. */
+  readonly token: string;
+  /** IP number and port of its backend server, once it serves. */
+  readonly address?: string;
+}
+
 /** The platform's list of live and leaving hosts; it lags. */
 export interface HostListClient {
   hosts(): Promise<Result<readonly ListedHost[], string>>;
@@ -32,6 +43,8 @@
     options: { readonly token: string },
   ): Promise<Result<string, "refused" | "unavailable">>;
   end(host: string): Promise<Result<void, string>>;
+  /** Hosts that were started and not ended. */
+  hosts(): Promise<Result<readonly CloudHost[], string>>;
 }
 
 const CALL_MILLISECONDS = 1_000;
@@ -69,6 +82,10 @@
         (body) =>
           (body as { readonly notices: readonly ReclaimNotice[] }).notices,
       ),
+    hosts: async () =>
+      (await getJson(`${base}/hosts`)).map(
+        (body) => (body as { readonly hosts: readonly CloudHost[] }).hosts,
+      ),
     start: async (hostClass, dataHall, { token }) => {
       try {
         const answer = await request(`${base}/hosts`, {
--- a/packages/rampswitch-entry/src/problem.ts
+++ b/packages/rampswitch-entry/src/problem.ts
@@ -53,8 +53,6 @@
   key_reused: 422,
   connect_failed: 502,
   backend_refused: 503,
-  retry_budget_empty: 503,
-  internal_error: 500,
 };
 
 const FAILURE_STATUS: Readonly<Record<FailureReason, number>> = {
--- /dev/null
+++ b/packages/rampswitch-entry/src/retry_desk.ts
@@ -0,0 +1,87 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Retries on one host: one budget for each service, and the wait before each
+ * further attempt.
+ *
+ * @module
+ */
+import {
+  decideRetry,
+  type FailedAttempt,
+  RetryBudget,
+} from "rampswitch-policy";
+import type {
+  FailureReason,
+  RefusalReason,
+  RetryReason,
+} from "rampswitch-types";
+import { type Clock, type Metrics, type Random, sleep } from "rampswitch-utils";
+
+/** Reasons of failed attempts after which a retry may help. */
+const RETRY_REASONS: Readonly<
+  Partial<Record<RefusalReason | FailureReason, RetryReason>>
+> = {
+  connect_failed: "connect_failed",
+  backend_refused: "backend_refused",
+  backend_lost: "backend_lost",
+  backend_timeout: "backend_lost",
+  backend_error: "backend_error",
+  backend_nonsense: "backend_error",
+};
+
+/** How retries are made. */
+export interface RetryDeskOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+}
+
+/** Retries of all services on one host. */
+export class RetryDesk {
+  readonly #options: RetryDeskOptions;
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(options: RetryDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Notes the first attempt of a request. */
+  started(service: string): void {
+    this.#budget(service).earn();
+  }
+
+  /** Whether an outcome is one after which a retry may help. */
+  mayHelp(reason: RefusalReason | FailureReason): boolean {
+    return RETRY_REASONS[reason] !== undefined;
+  }
+
+  /** Waits for the next attempt; false where there is to be none. */
+  async again(
+    service: string,
+    attempt: Omit<FailedAttempt, "reason">,
+  ): Promise<boolean> {
+    const { clock, random, metrics } = this.#options;
+    const reason = RETRY_REASONS[attempt.outcome.reason];
+    if (reason === undefined) return false;
+    const decision = decideRetry(
+      { ...attempt, reason },
+      { budget: this.#budget(service), random },
+    );
+    if (decision.kind === "give_up") {
+      if (decision.budgetEmpty) metrics.count("retry_budget_empty");
+      return false;
+    }
+    metrics.count("retry", decision.reason);
+    await sleep(clock, decision.waitMilliseconds);
+    return true;
+  }
+
+  #budget(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new RetryBudget();
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-measure/src/control_test.ts
@@ -0,0 +1,75 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { Engine } from "rampswitch-standins";
+import type { Resource } from "rampswitch-types";
+import { administration } from "./operator.ts";
+import { SERVICES } from "./deployment_plan.ts";
+import { TestDeployment, until } from "./test_deployment.ts";
+
+let deployment: TestDeployment | undefined;
+
+afterEach(async () => {
+  await deployment?.[Symbol.asyncDispose]();
+  deployment = undefined;
+});
+
+async function serverNames(
+  started: TestDeployment,
+): Promise<readonly string[]> {
+  const list = (await administration(
+    started.administration(0),
+    "/v1/resources?kind=BackendServer",
+  )) as { readonly resources: readonly { readonly resource: Resource }[] };
+  return list.resources.map(({ resource }) => resource.name);
+}
+
+describe("capacity", () => {
+  test("starts a host under load and puts it into the configuration", async () => {
+    deployment = await TestDeployment.start({ capacity: { enabled: true } });
+    const started = deployment;
+    const { cloud } = started.platform;
+    Array.from(
+      { length: 40 },
+      (_, index) =>
+        void started.caller().chat({
+          prompt: `operation-${index}`,
+          tokens: 3_000,
+          streamed: true,
+          workspace: "landlords",
+        }),
+    );
+    await until(() => cloud.starts.length > 0);
+    const [start] = cloud.starts;
+    const { metrics } = started.entries[0]!;
+    const revision = metrics.totals()["configuration_revision"] ?? 0;
+    await using engine = await Engine.start();
+    cloud.serves(start!.host, engine.address);
+    await until(
+      () => (metrics.totals()["configuration_revision"] ?? 0) > revision,
+    );
+    expect(await serverNames(started)).toContain(start!.host);
+  });
+});
+
+describe("orders", () => {
+  test("go to every engine once, with the lease's epoch", async () => {
+    deployment = await TestDeployment.start({
+      resources: (resources) =>
+        resources.map((resource) =>
+          resource.name === SERVICES.model && resource.kind === "Service"
+            ? { ...resource, labels: { "order/version": "v7" } }
+            : resource,
+        ),
+      entries: 2,
+    });
+    const { engines } = deployment.platform;
+    await until(() => engines.every(({ orders }) => orders.taken.length > 0));
+    const taken = engines.map(({ orders }) => orders.taken);
+    expect(taken.map((orders) => orders.length)).toEqual([1, 1]);
+    expect(taken.flat()).toEqual([
+      expect.objectContaining({ kind: "load_version", name: "v7", epoch: 1 }),
+      expect.objectContaining({ kind: "load_version", name: "v7", epoch: 1 }),
+    ]);
+  });
+});
--- a/packages/rampswitch-measure/src/deployment_plan.ts
+++ b/packages/rampswitch-measure/src/deployment_plan.ts
@@ -37,6 +37,7 @@
     readonly log?: Settings["log"]["level"];
     readonly listen?: Partial<Settings["listen"]>;
     readonly advertise?: Settings["advertise"];
+    readonly capacity?: Settings["capacity"];
   },
 ): Settings {
   return SETTINGS_SCHEMA.parse({
@@ -48,6 +49,7 @@
       ...options.listen,
     },
     advertise: options.advertise ?? {},
+    capacity: options.capacity ?? {},
     peerSecret: "a-secret-for-local-use-only",
     platform: options.platform,
     operators: [
--- a/packages/rampswitch-measure/src/path_measure.ts
+++ b/packages/rampswitch-measure/src/path_measure.ts
@@ -35,7 +35,6 @@
       engines: 1,
       plainServices: 1,
       engine: { timeScale: 4 },
-      concurrency: IDLE_STREAMS + WARM_UP,
       seed: options.seed,
     },
   });
@@ -76,14 +75,13 @@
     () => engineDirect.stream(),
     () => streamCall(through, tally),
   );
-  const streamMemory = await idleStreams(entry, through);
   const throughput = await load(entry, through, { tally, milliseconds: share });
   return {
     ...tally,
     whole: compared(whole),
     streamed: compared(streamed),
     ...throughput,
-    memoryMebibytesPerThousandIdleStreams: streamMemory,
+    memoryMebibytesPerThousandIdleStreams: await idleStreams(options.seed),
   };
 }
 
@@ -183,10 +181,22 @@
   };
 }
 
-async function idleStreams(
-  entry: EntryChild,
-  through: Caller,
-): Promise<number> {
+/** Memory of streams that bring a token now and then, on fresh hosts. */
+async function idleStreams(seed: number): Promise<number> {
+  await using deployment = await MeasuredDeployment.start({
+    entries: 2,
+    dataHalls: ["hall-a", "hall-b"],
+    platform: {
+      engines: 1,
+      plainServices: 1,
+      engine: { timeScale: 4 },
+      concurrency: IDLE_STREAMS + WARM_UP,
+      seed,
+    },
+  });
+  const [entry] = deployment.entries;
+  if (entry === undefined) throw new Error("no entry host started");
+  await using through = new Caller(entry.addresses.callers);
   await Promise.all(
     Array.from({ length: WARM_UP }, () =>
       through.chat({
--- a/packages/rampswitch-measure/src/test_deployment.ts
+++ b/packages/rampswitch-measure/src/test_deployment.ts
@@ -24,6 +24,7 @@
   readonly entries?: number;
   readonly platform?: Partial<LocalPlatformOptions>;
   readonly limits?: Partial<Settings["limits"]>;
+  readonly capacity?: Settings["capacity"];
   /** Changes the example resources. */
   readonly resources?: (resources: readonly Resource[]) => readonly Resource[];
 }
@@ -100,6 +101,7 @@
           membership: MEMBERSHIP,
           slots: 16,
           limits: { stopMilliseconds: 5_000, ...this.#options.limits },
+          capacity: this.#options.capacity ?? { enabled: false },
         },
       ),
       { clock: SYSTEM_CLOCK, logger: SILENT_LOGGER },
--- a/packages/rampswitch-peer/src/peer_server.ts
+++ b/packages/rampswitch-peer/src/peer_server.ts
@@ -8,8 +8,11 @@
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer, type Http2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
-import { type Clock, type Listening, splitAddress } from "rampswitch-utils";
+import {
+  type Clock,
+  type Listening,
+  listenUntilDisposed,
+} from "rampswitch-utils";
 import { PeerService } from "./generated/rampswitch/peer/v1/peer_pb.ts";
 import { PEER_TOKEN_HEADER, type PeerTokens } from "./peer_token.ts";
 
@@ -44,18 +47,7 @@
     session.on("close", () => sessions.delete(session));
     session.on("error", () => undefined);
   });
-  const { host, port } = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, resolve);
-  });
-  const bound = server.address() as AddressInfo;
-  return {
-    address: `${host}:${bound.port}`,
-    [Symbol.asyncDispose]: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        sessions.forEach((session) => session.destroy());
-      }),
-  };
+  return await listenUntilDisposed(server, address, () =>
+    sessions.forEach((session) => session.destroy()),
+  );
 }
--- a/packages/rampswitch-policy/src/capacity_plan.ts
+++ b/packages/rampswitch-policy/src/capacity_plan.ts
@@ -16,6 +16,8 @@
   readonly state: "starting" | "serving" | "leaving";
   /** Requests in progress. */
   readonly load: number;
+  /** Whether the plan may end it. */
+  readonly managed: boolean;
 }
 
 /** A class that hosts can be started in. */
@@ -140,6 +142,7 @@
         dataHall: next.dataHall,
         state: "starting",
         load: 0,
+        managed: true,
       },
     ];
   }
@@ -208,7 +211,7 @@
   wanted: number,
 ): PlannedHost | undefined {
   return staying
-    .filter(({ state }) => state === "serving")
+    .filter(({ state, managed }) => state === "serving" && managed)
     .filter(
       (host) =>
         shortfall(
--- a/packages/rampswitch-policy/src/policy_test.ts
+++ b/packages/rampswitch-policy/src/policy_test.ts
@@ -271,6 +271,7 @@
     dataHall,
     state,
     load: 0,
+    managed: true,
   }));
 }
 
@@ -329,6 +330,15 @@
     expect(ends).toEqual([0, 0, 0, 0, 1]);
   });
 
+  test("never ends a host that operators configured", () => {
+    const planned = hosts(["a", "a", "b", "b", "c", "c"]).map((host) => ({
+      ...host,
+      managed: false,
+    }));
+    const memory = { ...NO_CAPACITY_MEMORY, spareRounds: 50 };
+    expect(plan(70, planned, { memory }).actions).toEqual([]);
+  });
+
   test("does not end hosts during or soon after a wave of reclaims", () => {
     const wave = [
       ...hosts(["a", "a", "b", "b", "c", "c"]),
--- a/packages/rampswitch-standins/src/platform_lists.ts
+++ b/packages/rampswitch-standins/src/platform_lists.ts
@@ -99,12 +99,15 @@
   readonly dataHall: string;
   /** Chosen by the asker; a repeat of the same token starts nothing. */
   readonly token: string;
+  /** IP number and port of its backend server, once it serves. */
+  readonly address?: string;
 }
 
 /** Stand-in of the cloud API. */
 export class Cloud implements AsyncDisposable {
   #notices: readonly ReclaimNotice[] = [];
   #starts: readonly CloudStart[] = [];
+  #started = 0;
   #refusedClasses: readonly string[] = [];
   #outage = false;
   #listening: Listening | undefined;
@@ -182,6 +185,13 @@
     return this.#starts;
   }
 
+  /** A started host serves at an address from now on. */
+  serves(host: string, address: string): void {
+    this.#starts = this.#starts.map((start) =>
+      start.host === host ? { ...start, address } : start,
+    );
+  }
+
   /** Announces that a host will be taken. */
   reclaim(notice: Omit<ReclaimNotice, "sequence">): void {
     const sequence = this.#notices.length + 1;
@@ -202,7 +212,7 @@
     if (this.#refusedClasses.includes(wanted.hostClass)) {
       return { status: 409, body: { error: "no capacity in this class" } };
     }
-    const host = `${wanted.hostClass}-${this.#starts.length + 1}`;
+    const host = `${wanted.hostClass}-${(this.#started += 1)}`;
     const started = { ...wanted, host };
     this.#starts = [...this.#starts, started];
     return { status: 200, body: started };
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -15,6 +15,7 @@
   StoredObject,
   StoreError,
   WatchBatch,
+  WatchOptions,
 } from "./object_store.ts";
 import { type CallLedger, type CallKind } from "./call_ledger.ts";
 
@@ -122,11 +123,11 @@
   async watch(
     prefix: string,
     after: number,
-    options: { readonly signal: AbortSignal },
+    options: WatchOptions,
   ): Promise<Result<WatchBatch, StoreError>> {
     const query =
       `prefix=${encodeURIComponent(prefix)}&after=${after}` +
-      `&seconds=${WATCH_SECONDS}`;
+      `&seconds=${options.seconds ?? WATCH_SECONDS}`;
     const reply = await this.#call({
       kind: "watch",
       method: "GET",
--- a/packages/rampswitch-store/src/object_store.ts
+++ b/packages/rampswitch-store/src/object_store.ts
@@ -50,6 +50,13 @@
 /** Condition of a change: the version, or `absent`. */
 export type Expectation = number | "absent";
 
+/** How a watch waits. */
+export interface WatchOptions {
+  readonly signal: AbortSignal;
+  /** Longest wait; 0 asks whether there is news without waiting. */
+  readonly seconds?: number;
+}
+
 /** The platform's object API. */
 export interface ObjectStore {
   /** Reads one object; `undefined` where there is none. */
@@ -68,6 +75,6 @@
   watch(
     prefix: string,
     after: number,
-    options: { readonly signal: AbortSignal },
+    options: WatchOptions,
   ): Promise<Result<WatchBatch, StoreError>>;
 }
--- a/packages/rampswitch-types/src/outcome.ts
+++ b/packages/rampswitch-types/src/outcome.ts
@@ -32,8 +32,6 @@
   "key_reused",
   "connect_failed",
   "backend_refused",
-  "retry_budget_empty",
-  "internal_error",
 ] as const;
 
 /** One reason of {@link REFUSAL_REASONS}. */
--- a/packages/rampswitch-utils/src/listen.ts
+++ b/packages/rampswitch-utils/src/listen.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server as NetServer } from "node:net";
 
 /** A server that listens, and where. */
 export interface Listening extends AsyncDisposable {
@@ -24,9 +24,17 @@
 }
 
 /** Listens on an address; port 0 lets the system choose one. */
-export async function listen(
-  server: Server,
+export function listen(server: Server, address: string): Promise<Listening> {
+  return listenUntilDisposed(server, address, () =>
+    server.closeAllConnections(),
+  );
+}
+
+/** Listens with any server; `closeAll` ends the connections that are open. */
+export async function listenUntilDisposed(
+  server: NetServer,
   address: string,
+  closeAll: () => void,
 ): Promise<Listening> {
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
@@ -39,7 +47,7 @@
     [Symbol.asyncDispose]: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
-        server.closeAllConnections();
+        closeAll();
       }),
   };
 }
