Wait longer for news as the fleet grows; go on with answers in progress

Cause: worked out for 360 hosts, news of each comes round every 6.7 s, but suspicion was raised after 4 s: healthy hosts would have been suspected all the time. Resuming answers after a loss spent the retry budget, so that the loss of many at once would have ended some. Ruled out: four times the usual interval, which still suspected the healthy. Change: silence limits grow with members and partners; an attempt that brought part of an answer is followed by another without the budget; the ceiling on store calls is shared out by the number of hosts. At 360 hosts a host that shares no slots is noticed after two minutes; partners notice in six seconds and take over.

--- a/packages/rampswitch-configuration/src/decisions_test.ts
+++ b/packages/rampswitch-configuration/src/decisions_test.ts
@@ -17,9 +17,14 @@
   type OrderDecision,
   type OrderKind,
 } from "./lease.ts";
+import { seededRandom } from "rampswitch-utils";
 import {
+  digestsToSend,
+  heartbeatTargets,
   type HostDigest,
+  type Members,
   mergeDigests,
+  silenceLimits,
   suspectSilent,
   trusted,
 } from "./membership.ts";
@@ -237,8 +242,91 @@
   };
 }
 
+/** A fleet that gossips by the pure functions, one round a second. */
+class Gossip {
+  readonly #rates = {
+    heartbeatMilliseconds: 1_000,
+    peers: 3,
+    digests: 8,
+    partnersPerHeartbeat: 2,
+    suspectMilliseconds: 4_000,
+  };
+  readonly #random = seededRandom(5);
+  readonly #views: Members[];
+  readonly #dead = new Set<number>();
+  #round = 0;
+
+  constructor(size: number) {
+    const all = Array.from({ length: size }, (_, host) => digest(`h${host}`));
+    this.#views = all.map(
+      (own) =>
+        mergeDigests(
+          new Map(),
+          all.filter((other) => other !== own),
+          0,
+        ).members,
+    );
+  }
+
+  kill(host: number): void {
+    this.#dead.add(host);
+  }
+
+  run(rounds: number): void {
+    Array.from({ length: rounds }, () => {
+      this.#round += 1;
+      this.#views.forEach((_, host) => this.#beat(host));
+    });
+  }
+
+  /** Identities that living hosts suspect, once for each that does. */
+  suspicions(): readonly string[] {
+    return this.#views
+      .filter((_, host) => !this.#dead.has(host))
+      .flatMap((view) =>
+        [...view]
+          .filter(([, { suspected }]) => suspected)
+          .map(([host]) => host),
+      );
+  }
+
+  #beat(host: number): void {
+    if (this.#dead.has(host)) return;
+    const now = this.#round * 1_000;
+    const { others } = silenceLimits(
+      { members: this.#views.length, partners: 0 },
+      this.#rates,
+    );
+    this.#views[host] = suspectSilent(this.#views[host]!, now, {
+      limitOf: () => others,
+    });
+    heartbeatTargets(this.#views[host]!, this.#random, {
+      count: this.#rates.peers,
+      always: [],
+    }).forEach(({ digest: { host: peer } }) => {
+      const to = Number(peer.name.slice(1));
+      if (this.#dead.has(to)) return;
+      this.#tell(host, to, now);
+      this.#tell(to, host, now);
+    });
+  }
+
+  #tell(from: number, to: number, now: number): void {
+    const passedOn = digestsToSend(this.#views[from]!, now, {
+      count: this.#rates.digests,
+      random: this.#random,
+    }).filter(({ host }) => host.name !== `h${to}`);
+    const own = digest(`h${from}`, { heartbeat: this.#round });
+    this.#views[to] = mergeDigests(
+      this.#views[to]!,
+      [own, ...passedOn],
+      now,
+    ).members;
+  }
+}
+
 describe("membership", () => {
-  const after = { afterMilliseconds: 1_000 };
+  const after = { limitOf: () => 1_000 };
 
   test("trusts a suspected host again only after two heartbeats", () => {
     const joined = mergeDigests(new Map(), [digest("a")], 0).members;
@@ -254,6 +342,31 @@
     expect(trusted(twice.members)).toHaveLength(1);
   });
 
+  test("waits longer for news of each host as the fleet grows", () => {
+    const rates = {
+      heartbeatMilliseconds: 1_000,
+      peers: 3,
+      digests: 8,
+      partnersPerHeartbeat: 2,
+      suspectMilliseconds: 4_000,
+    };
+    const small = silenceLimits({ members: 9, partners: 8 }, rates);
+    const large = silenceLimits({ members: 360, partners: 8 }, rates);
+    expect(small).toEqual({ partners: 6_000, others: 4_000 });
+    expect(large.others).toBeCloseTo(133_333, -1);
+  });
+
+  test("suspects the dead and nobody else among 60 hosts", () => {
+    const fleet = new Gossip(60);
+    fleet.run(40);
+    expect(fleet.suspicions()).toEqual([]);
+    fleet.kill(7);
+    fleet.run(40);
+    const suspected = fleet.suspicions();
+    expect(new Set(suspected)).toEqual(new Set(["h7~1"]));
+    expect(suspected).toHaveLength(59);
+  });
+
   test("takes a later process of the same name as proof", () => {
     const joined = mergeDigests(new Map(), [digest("a")], 0).members;
     const later = digest("a");
--- a/packages/rampswitch-configuration/src/membership.ts
+++ b/packages/rampswitch-configuration/src/membership.ts
@@ -99,11 +99,12 @@
 export function suspectSilent(
   members: Members,
   now: number,
-  options: { readonly afterMilliseconds: number },
+  options: { readonly limitOf: (host: HostId) => number },
 ): Members {
   const silent = [...members.values()].filter(
     (member) =>
-      !member.suspected && now - member.heardAt > options.afterMilliseconds,
+      !member.suspected &&
+      now - member.heardAt > options.limitOf(member.digest.host.id),
   );
   if (silent.length === 0) return members;
   const next = new Map(members);
@@ -117,6 +118,54 @@
   return next;
 }
 
+/** How hosts send heartbeats. */
+export interface GossipRates {
+  readonly heartbeatMilliseconds: number;
+  /** Hosts that each heartbeat goes to. */
+  readonly peers: number;
+  /** Digests of others in each message. */
+  readonly digests: number;
+  /** Of the peers, the ones that share slots with the sender. */
+  readonly partnersPerHeartbeat: number;
+  /** Shortest silence that raises suspicion. */
+  readonly suspectMilliseconds: number;
+}
+
+/** Silences after which members are suspected. */
+export interface SilenceLimits {
+  /** For hosts that share slots with this one and are asked in turn. */
+  readonly partners: number;
+  /** For all others, of whom news travels by digests. */
+  readonly others: number;
+}
+
+/**
+ * Times that news is awaited, in units of its usual interval. News of others
+ * comes at random: among thousands of pairs of hosts some wait very long.
+ */
+const OTHERS_PATIENCE = 20;
+const PARTNERS_PATIENCE = 1.5;
+
+/**
+ * Works out how long silence must last before it means anything: the more
+ * hosts there are, the longer news of each takes to come round.
+ */
+export function silenceLimits(
+  counts: { readonly members: number; readonly partners: number },
+  rates: GossipRates,
+): SilenceLimits {
+  const { heartbeatMilliseconds, suspectMilliseconds } = rates;
+  const digestsPerHeartbeat = 2 * rates.peers * (rates.digests + 1);
+  const interval =
+    (heartbeatMilliseconds * counts.members) / digestsPerHeartbeat;
+  const turn =
+    (heartbeatMilliseconds * counts.partners) / rates.partnersPerHeartbeat;
+  return {
+    partners: Math.max(suspectMilliseconds, PARTNERS_PATIENCE * turn),
+    others: Math.max(suspectMilliseconds, OTHERS_PATIENCE * interval),
+  };
+}
+
 /** Forgets members that have been silent for very long. */
 export function forgetSilent(
   members: Members,
--- a/packages/rampswitch-entry/src/chat_run.ts
+++ b/packages/rampswitch-entry/src/chat_run.ts
@@ -25,6 +25,8 @@
   readonly repeatable: boolean;
   readonly avoid: Set<string>;
   attempts: number;
+  /** Attempts in a row that brought nothing of the answer. */
+  fruitless: number;
   server: BackendServer | undefined;
   attempt: string;
   abort: AbortController;
@@ -61,6 +63,7 @@
     repeatable: chatRepeatable(service),
     avoid: new Set(),
     attempts: 0,
+    fruitless: 0,
     server: undefined,
     attempt: "",
     abort: new AbortController(),
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -125,6 +125,7 @@
       if (run.cancelled) return failed("caller_gone", "the caller went away");
       if (remaining <= 0) return this.#tooLate(run);
       const server = run.moveTo ?? this.#choose(run);
+      const before = run.answer.events.length;
       if (server === undefined && run.answer.events.length > 0) {
         await sleep(clock, SERVER_WAIT_MILLISECONDS);
         continue;
@@ -141,7 +142,12 @@
         run.moving = false;
         this.#options.metrics.count("retry", "backend_reclaimed");
       } else {
-        const final = await this.#afterFailure(run, outcome, remaining);
+        const madeProgress = run.answer.events.length > before;
+        run.fruitless = madeProgress ? 1 : run.fruitless + 1;
+        const final = await this.#afterFailure(run, outcome, {
+          remainingMilliseconds: remaining,
+          madeProgress,
+        });
         if (final !== undefined) return final;
       }
     }
@@ -152,7 +158,7 @@
   async #afterFailure(
     run: Run,
     outcome: Exclude<Outcome, { readonly kind: "completed" }>,
-    remainingMilliseconds: number,
+    facts: Pick<FailedAttempt, "remainingMilliseconds" | "madeProgress">,
   ): Promise<Outcome | undefined> {
     const { retries } = this.#options;
     if (run.cancelled || !retries.mayHelp(outcome.reason)) {
@@ -162,8 +168,8 @@
     const again = await retries.again(run.service.name, {
       outcome,
       repeatable: run.repeatable,
-      attempts: run.attempts,
-      remainingMilliseconds,
+      attempts: run.fruitless,
+      ...facts,
     });
     return again ? undefined : told(run, outcome);
   }
@@ -175,20 +181,10 @@
   }
 
   #choose(run: Run): BackendServer | undefined {
-    const routing = this.#options.routing();
-    const route = routing.route(run.service, run.workspace);
-    const choice = this.#choice(run);
-    const name = choice.chosen?.server;
-    if (name === undefined && run.avoid.size > 0) {
-      run.avoid.clear();
-      const again = this.#choice(run).chosen?.server;
-      return again === undefined
-        ? undefined
-        : routing.candidates.get(again)?.server;
-    }
-    return name === undefined || route.groups.length === 0
-      ? undefined
-      : routing.candidates.get(name)?.server;
+    const first = this.#choice(run).chosen;
+    if (first === undefined) run.avoid.clear();
+    const chosen = first ?? this.#choice(run).chosen;
+    return this.#options.routing().candidates.get(chosen?.server ?? "")?.server;
   }
 
   #choice(run: Run): Choice {
--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -59,7 +59,10 @@
   takenOver(): void;
 }
 
-const STORE_CALLS_PER_SECOND = 50;
+/** Calls a second of all hosts together, shared out by their number. */
+const STORE_CALLS_PER_SECOND = 1_500;
+const FEWEST_STORE_CALLS_PER_SECOND = 5;
+const MOST_STORE_CALLS_PER_SECOND = 50;
 const CONFIRM_MILLISECONDS = 1_500;
 const WATCH_PAUSE_PER_HOST_MILLISECONDS = 5;
 const INCARNATION_DIGITS = 8;
@@ -68,6 +71,7 @@
 export class EntryParts implements AsyncDisposable {
   readonly #owned = new Ownership();
   readonly #listener: PartsListener;
+  #started = false;
   readonly settings: Settings;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -134,6 +138,7 @@
 
   /** Starts all parts that follow the platform and the peers. */
   start(): void {
+    this.#started = true;
     this.configuration.start();
     this.membership.start();
     this.slots.start();
@@ -163,7 +168,7 @@
   #makeStore(): HttpObjectStore {
     return new HttpObjectStore(this.settings.platform.objects, {
       ledger: new CallLedger(this.clock, this.metrics, {
-        callsPerSecond: STORE_CALLS_PER_SECOND,
+        callsPerSecond: () => this.#storeCallsPerSecond(),
       }),
     });
   }
@@ -306,6 +311,16 @@
     });
   }
 
+  /** This host's part of the calls that the store takes. */
+  #storeCallsPerSecond(): number {
+    const hosts = (this.#started ? this.membership.members.size : 0) + 1;
+    const share = STORE_CALLS_PER_SECOND / hosts;
+    return Math.min(
+      MOST_STORE_CALLS_PER_SECOND,
+      Math.max(FEWEST_STORE_CALLS_PER_SECOND, share),
+    );
+  }
+
   #watchPause(): number {
     return WATCH_PAUSE_PER_HOST_MILLISECONDS * this.membership.members.size;
   }
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -81,15 +81,12 @@
   /** Freshness of the configuration here. */
   get freshness(): Freshness {
     const { membership, configuration, clock, settings } = this.#parts;
-    const { freshnessMilliseconds, suspectMilliseconds, minorityServes } =
-      settings.membership;
+    const { freshnessMilliseconds, minorityServes } = settings.membership;
     const now = clock.now();
     const members = [...membership.members.values()].filter(
       ({ digest }) => !membership.gone.has(digest.host.id),
     );
-    const heard = members.filter(
-      ({ heardAt }) => now - heardAt <= suspectMilliseconds,
-    );
+    const heard = members.filter(({ suspected }) => !suspected);
     return judgeFreshness(
       {
         now,
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -20,6 +20,7 @@
   type Members,
   mergeDigests,
   sample,
+  silenceLimits,
   suspectSilent,
   trusted,
 } from "rampswitch-configuration";
@@ -303,14 +304,11 @@
   }
 
   async #beat(): Promise<void> {
-    const { clock, random, suspectMilliseconds, heartbeatPeers, listener } =
-      this.#options;
+    const { clock, random, heartbeatPeers, listener } = this.#options;
     const now = clock.now();
     this.#heartbeat += 1;
     this.#tick += 1;
-    this.#members = suspectSilent(this.#members, now, {
-      afterMilliseconds: suspectMilliseconds,
-    });
+    this.#suspect(now);
     this.#forget(now);
     const partners = listener.partners();
     const due = partners
@@ -398,6 +396,25 @@
     this.#options.listener.gone(host);
   }
 
+  #suspect(now: number): void {
+    const { heartbeatMilliseconds, heartbeatPeers, suspectMilliseconds } =
+      this.#options;
+    const partners = new Set(this.#options.listener.partners());
+    const limits = silenceLimits(
+      { members: this.#members.size, partners: partners.size },
+      {
+        heartbeatMilliseconds,
+        suspectMilliseconds,
+        peers: heartbeatPeers,
+        digests: DIGESTS_PER_MESSAGE,
+        partnersPerHeartbeat: PARTNERS_PER_HEARTBEAT,
+      },
+    );
+    this.#members = suspectSilent(this.#members, now, {
+      limitOf: (host) => (partners.has(host) ? limits.partners : limits.others),
+    });
+  }
+
   #forget(now: number): void {
     const { suspectMilliseconds, listener } = this.#options;
     const kept = forgetSilent(this.#members, now, {
--- a/packages/rampswitch-measure/src/store_test.ts
+++ b/packages/rampswitch-measure/src/store_test.ts
@@ -34,7 +34,7 @@
 
 function ledger(callsPerSecond: number): CallLedger {
   return new CallLedger(SYSTEM_CLOCK, createMetrics("test", undefined), {
-    callsPerSecond,
+    callsPerSecond: () => callsPerSecond,
   });
 }
 
@@ -128,7 +128,9 @@
   test("holds a process to its ceiling and lets calls through again", () => {
     const clock = new ManualClock(1_000);
     const metrics = createMetrics("test", undefined);
-    const strict = new CallLedger(clock, metrics, { callsPerSecond: 2 });
+    const strict = new CallLedger(clock, metrics, {
+      callsPerSecond: () => 2,
+    });
     const first = [1, 2, 3].map(() => strict.admit("get"));
     clock.advance(500);
     expect([...first, strict.admit("get")]).toEqual([true, true, false, true]);
--- a/packages/rampswitch-policy/src/policy_test.ts
+++ b/packages/rampswitch-policy/src/policy_test.ts
@@ -117,6 +117,23 @@
     expect(decision.kind).toBe("give_up");
   });
 
+  test("go on with answers in progress although the budget is empty", () => {
+    const budget = new RetryBudget();
+    while (budget.spend());
+    const attempt = {
+      outcome: inDoubt("backend_lost", ""),
+      repeatable: true,
+      attempts: 1,
+      remainingMilliseconds: 1_000,
+      reason: "backend_lost",
+    } as const;
+    const options = { budget, random };
+    expect(decideRetry(attempt, options).kind).toBe("give_up");
+    expect(decideRetry({ ...attempt, madeProgress: true }, options).kind).toBe(
+      "retry",
+    );
+  });
+
   test("stay within a tenth when a whole service fails", () => {
     const budget = new RetryBudget();
     let sends = 0;
--- a/packages/rampswitch-policy/src/retry.ts
+++ b/packages/rampswitch-policy/src/retry.ts
@@ -59,8 +59,13 @@
   readonly outcome: Exclude<Outcome, { readonly kind: "completed" }>;
   /** Whether the work may run twice. */
   readonly repeatable: boolean;
-  /** Attempts so far. */
+  /** Attempts in a row that brought nothing of the answer. */
   readonly attempts: number;
+  /**
+   * Whether the attempt brought a part of the answer. To go on with it is no
+   * added load: the server that carried it is lost.
+   */
+  readonly madeProgress?: boolean;
   /** Milliseconds until the caller's deadline. */
   readonly remainingMilliseconds: number;
   readonly reason: RetryReason;
@@ -98,7 +103,7 @@
   const tried = attempt.attempts >= limits.attempts;
   const late = waitMilliseconds >= attempt.remainingMilliseconds;
   if (!allowed || tried || late) return { kind: "give_up", budgetEmpty: false };
-  return options.budget.spend()
+  return attempt.madeProgress === true || options.budget.spend()
     ? { kind: "retry", reason: attempt.reason, waitMilliseconds }
     : { kind: "give_up", budgetEmpty: true };
 }
--- a/packages/rampswitch-store/src/call_ledger.ts
+++ b/packages/rampswitch-store/src/call_ledger.ts
@@ -18,19 +18,19 @@
 export class CallLedger {
   readonly #clock: Clock;
   readonly #metrics: Metrics;
-  readonly #callsPerSecond: number;
+  readonly #callsPerSecond: () => number;
   #tokens: number;
   #refilledAt: number;
 
   constructor(
     clock: Clock,
     metrics: Metrics,
-    options: { readonly callsPerSecond: number },
+    options: { readonly callsPerSecond: () => number },
   ) {
     this.#clock = clock;
     this.#metrics = metrics;
     this.#callsPerSecond = options.callsPerSecond;
-    this.#tokens = options.callsPerSecond;
+    this.#tokens = options.callsPerSecond();
     this.#refilledAt = clock.now();
   }
 
@@ -48,8 +48,9 @@
 
   #refill(): void {
     const now = this.#clock.now();
-    const gained = ((now - this.#refilledAt) * this.#callsPerSecond) / 1000;
-    this.#tokens = Math.min(this.#callsPerSecond, this.#tokens + gained);
+    const rate = this.#callsPerSecond();
+    const gained = ((now - this.#refilledAt) * rate) / 1000;
+    this.#tokens = Math.min(rate, this.#tokens + gained);
     this.#refilledAt = now;
   }
 }
