--- a/packages/rampswitch-configuration/src/decisions_test.ts
+++ b/packages/rampswitch-configuration/src/decisions_test.ts
@@ -300,7 +300,7 @@
     this.#views[host] = suspectSilent(this.#views[host]!, now, {
       limitOf: () => others,
     });
-    heartbeatTargets(this.#views[host]!, this.#random, {
+    heartbeatTargets(this.#views[host], this.#random, {
       count: this.#rates.peers,
       always: [],
     }).forEach(({ digest: { host: peer } }) => {
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/chat_runner.ts
@@ -7,7 +7,12 @@
  * @module
  */
 import type { LeavingMark } from "rampswitch-configuration";
-import { type Choice, planMove, type RoutingTable } from "rampswitch-policy";
+import {
+  type Choice,
+  type FailedAttempt,
+  planMove,
+  type RoutingTable,
+} from "rampswitch-policy";
 import {
   type BackendServer,
   failed,
--- a/packages/rampswitch-measure/src/fault_injector.ts
+++ b/packages/rampswitch-measure/src/fault_injector.ts
@@ -11,7 +11,7 @@
 import type { FaultKind, PlannedFault } from "./fault_plan.ts";
 import type { MeasuredDeployment } from "./measured_deployment.ts";
 
-const NOTICE_MILLISECONDS = 3_500;
+const NOTICE_MILLISECONDS = 3_000;
 const ENTRY_NOTICE_MILLISECONDS = 8_000;
 const AWAY_MILLISECONDS = 1_500;
 const PAUSE_MILLISECONDS = 2_500;
--- a/packages/rampswitch-measure/src/survive_measure.ts
+++ b/packages/rampswitch-measure/src/survive_measure.ts
@@ -51,7 +51,7 @@
 const CALLERS = 24;
 const SENDS = 100;
 const PAUSE_MILLISECONDS = 40;
-const LONGEST_STREAM = 900;
+const LONGEST_STREAM = 500;
 const READY_MILLISECONDS = 150;
 const STATES = 40_000;
 const FAULTS_PER_PHASE = 12;
@@ -123,7 +123,7 @@
     platform: {
       engines: ENGINES,
       plainServices: PLAIN_SERVICES,
-      engine: { timeScale: 2 },
+      engine: { timeScale: 1 },
       seed: options.seed,
     },
     workspaces: WORKSPACES,
