--- a/packages/rampswitch-entry/src/control_service.ts
+++ b/packages/rampswitch-entry/src/control_service.ts
@@ -46,6 +46,7 @@
   readonly directory: BackendDirectory;
   readonly cloud: CloudClient;
   readonly clockSkewMilliseconds: number;
+  readonly leaseMilliseconds: number;
   /** Whether hosts may be started and ended. */
   readonly startsHosts: boolean;
 }
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -173,6 +173,7 @@
           ...parts,
           cloud: httpCloud(settings.platform.cloud),
           clockSkewMilliseconds: settings.limits.clockSkewMilliseconds,
+          leaseMilliseconds: settings.membership.leaseMilliseconds,
           startsHosts: settings.capacity.enabled,
         }),
       )
--- a/packages/rampswitch-entry/src/lease_keeper.ts
+++ b/packages/rampswitch-entry/src/lease_keeper.ts
@@ -17,7 +17,6 @@
 /** Prefix of all lease objects. */
 export const LEASE_PREFIX = "leases/";
 
-const LEASE_MILLISECONDS = 15_000;
 const ATTEMPTS = 3;
 
 /** How a keeper is made. */
@@ -29,6 +28,7 @@
   /** Identity of this process; a later one is another holder. */
   readonly self: string;
   readonly clockSkewMilliseconds: number;
+  readonly leaseMilliseconds: number;
 }
 
 /** Keeps one lease as long as it can. */
@@ -50,22 +50,23 @@
 
   /** The terms at this moment. */
   get terms(): LeaseTerms {
-    const { self, clock, clockSkewMilliseconds } = this.#options;
+    const { self, clock, clockSkewMilliseconds, leaseMilliseconds } =
+      this.#options;
     return {
       self,
       now: clock.now(),
-      durationMilliseconds: LEASE_MILLISECONDS,
+      durationMilliseconds: leaseMilliseconds,
       clockSkewMilliseconds,
     };
   }
 
   /** Takes or renews the lease if its time has come. */
   async keep(): Promise<Lease | undefined> {
-    const { clock, random, store, metrics } = this.#options;
+    const { clock, random, store, metrics, leaseMilliseconds } = this.#options;
     const now = clock.now();
     const held = this.held;
     const fresh =
-      held !== undefined && held.expiresAt - now > LEASE_MILLISECONDS / 2;
+      held !== undefined && held.expiresAt - now > leaseMilliseconds / 2;
     if (fresh || now < this.#waitUntil) return this.held;
     let wanted: Lease | undefined;
     const settled = await changeObject<Lease | undefined>(
@@ -83,10 +84,7 @@
           }
           const decision = decideLease(found, this.terms);
           if (decision.kind === "wait") {
-            this.#waitUntil = Math.min(
-              decision.until,
-              now + LEASE_MILLISECONDS,
-            );
+            this.#waitUntil = Math.min(decision.until, now + leaseMilliseconds);
             return { kind: "keep", refusal: found };
           }
           wanted = decision.lease;
--- a/packages/rampswitch-measure/src/fault_plan.ts
+++ b/packages/rampswitch-measure/src/fault_plan.ts
@@ -9,6 +9,7 @@
 
 /** Kinds of faults that are announced. */
 export const ANNOUNCED_FAULTS = [
+  "hall_wave",
   "backend_reclaim",
   "backend_hall_reclaim",
   "entry_reclaim",
--- a/packages/rampswitch-validation/src/settings_schema.ts
+++ b/packages/rampswitch-validation/src/settings_schema.ts
@@ -38,6 +38,7 @@
   suspectMilliseconds: milliseconds.default(4_000),
   freshnessMilliseconds: milliseconds.default(5_000),
   minorityServes: z.boolean().default(false),
+  leaseMilliseconds: milliseconds.default(15_000),
 });
 
 /** Settings of one entry process. */
