Remove what nothing calls; share the options of control

Cause: a read through the whole change found three members that nothing calls (a getter of gone processes, forgetting a peer's client, creating a slot from a replica) and seven options that control and capacity listed each for itself. Change: the members are gone; the options of control extend those of capacity. Ruled out: the shape pairs of tests and measures, which name different cases.

--- a/packages/rampswitch-entry/src/control_service.ts
+++ b/packages/rampswitch-entry/src/control_service.ts
@@ -16,35 +16,24 @@
 import type { ObjectStore } from "rampswitch-store";
 import type { BackendServer, Host, Service } from "rampswitch-types";
 import {
-  type Clock,
   jitter,
-  type Logger,
-  type Metrics,
   Ownership,
   type Random,
   rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
 import { BackendClient } from "./backend_client.ts";
-import type { BackendDirectory } from "./backend_directory.ts";
-import { CapacityService } from "./capacity_service.ts";
-import type { ConfigurationService } from "./configuration_service.ts";
+import {
+  CapacityService,
+  type CapacityServiceOptions,
+} from "./capacity_service.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
-import type { MembershipService } from "./membership_service.ts";
-import type { CloudClient } from "./platform_clients.ts";
 
 /** How the service is made. */
-export interface ControlOptions {
+export interface ControlOptions extends CapacityServiceOptions {
   readonly self: Host;
   readonly store: ObjectStore;
-  readonly clock: Clock;
   readonly random: Random;
-  readonly metrics: Metrics;
-  readonly logger: Logger;
-  readonly configuration: ConfigurationService;
-  readonly membership: MembershipService;
-  readonly directory: BackendDirectory;
-  readonly cloud: CloudClient;
   readonly clockSkewMilliseconds: number;
   readonly leaseMilliseconds: number;
   /** Whether hosts may be started and ended. */
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership_service.ts
@@ -154,11 +154,6 @@
     return this.#members;
   }
 
-  /** Processes proved to be gone. */
-  get gone(): ReadonlySet<HostId> {
-    return this.#gone;
-  }
-
   /**
    * Whether a process is proved to be gone: by the platform's list, or by a
    * later process of the same name.
--- a/packages/rampswitch-peer/src/peer_client.ts
+++ b/packages/rampswitch-peer/src/peer_client.ts
@@ -53,11 +53,6 @@
     }
   }
 
-  /** Forgets a peer that is gone. */
-  forget(address: string): void {
-    this.#clients.delete(address);
-  }
-
   #client(address: string): PeerClient {
     const known = this.#clients.get(address);
     if (known !== undefined) return known;
--- a/packages/rampswitch-protocol/src/slot_replica.ts
+++ b/packages/rampswitch-protocol/src/slot_replica.ts
@@ -216,17 +216,6 @@
     return forgotten;
   }
 
-  /** Starts a slot that the table does not name yet. */
-  create(): readonly SlotEffect[] {
-    if (this.#entry !== undefined) return [];
-    return this.#propose({
-      epoch: 1,
-      primary: this.self,
-      backup: undefined,
-      knownSince: 0,
-    });
-  }
-
   /**
    * As backup: proposes itself as primary; needs no proof of anything. After a
    * planned handover the former primary stays as the backup: it holds all.
