--- /dev/null
+++ b/packages/rampswitch-serving/src/admission/mod.ts
@@ -0,0 +1,9 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Limits that all hosts share.
+ *
+ * @module
+ */
+export * from "./resend_budget.ts";
+export * from "./workspace_limits.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine.ts
@@ -0,0 +1,145 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What is known about one caller attempt: whether it can have run, whether it
+ * may be sent again, and which answer would be true. Pure; no sockets, no time.
+ *
+ * @module
+ */
+import {
+  assign,
+  initialTransition,
+  type SnapshotFrom,
+  setup,
+  transition,
+} from "xstate";
+import type { Repeatability } from "../model/configuration.ts";
+
+/** What happens to an attempt. */
+export type AttemptEvent =
+  /** The request is handed to a connection; bytes may leave from now on. */
+  | { readonly type: "written" }
+  /** The send ended before any byte left. */
+  | { readonly type: "not_written" }
+  /** The backend server says that it did not run the request. */
+  | { readonly type: "rejected" }
+  /** The backend server answered, so it ran the request. */
+  | { readonly type: "answered" }
+  /** A part of the answer went to the caller. */
+  | { readonly type: "relayed" }
+  /** The connection ended without a whole answer. */
+  | { readonly type: "lost" }
+  /** The run stopped on order, and its memory was kept for the next send. */
+  | { readonly type: "moved" }
+  /** The caller has a final answer. */
+  | { readonly type: "ended" };
+
+interface AttemptContext {
+  /** Sends whose outcome is that the request ran or may have run. */
+  readonly possibleRuns: number;
+  readonly sends: number;
+  readonly relayed: boolean;
+}
+
+/** The machine of one attempt. */
+export const ATTEMPT_MACHINE = setup({
+  types: {
+    context: {} as AttemptContext,
+    events: {} as AttemptEvent,
+  },
+  actions: {
+    countSend: assign({
+      sends: ({ context }) => context.sends + 1,
+      possibleRuns: ({ context }) => context.possibleRuns + 1,
+    }),
+    takeBackRun: assign({
+      possibleRuns: ({ context }) => context.possibleRuns - 1,
+    }),
+    noteRelayed: assign({ relayed: true }),
+  },
+}).createMachine({
+  id: "attempt",
+  initial: "waiting",
+  context: { possibleRuns: 0, sends: 0, relayed: false },
+  states: {
+    waiting: {
+      on: {
+        written: { target: "sent", actions: "countSend" },
+        ended: "finished",
+      },
+    },
+    sent: {
+      on: {
+        not_written: { target: "waiting", actions: "takeBackRun" },
+        rejected: { target: "waiting", actions: "takeBackRun" },
+        answered: "running",
+        lost: "waiting",
+        moved: { target: "waiting", actions: "takeBackRun" },
+        ended: "finished",
+      },
+    },
+    running: {
+      on: {
+        relayed: { actions: "noteRelayed" },
+        lost: "waiting",
+        moved: { target: "waiting", actions: "takeBackRun" },
+        ended: "finished",
+      },
+    },
+    finished: { type: "final" },
+  },
+});
+
+/** States of {@link ATTEMPT_MACHINE}. */
+export type AttemptState = "waiting" | "sent" | "running" | "finished";
+
+/** The truth about one attempt, from which answers and resends follow. */
+export class AttemptTruth {
+  #snapshot: SnapshotFrom<typeof ATTEMPT_MACHINE>;
+  readonly #repeatability: Repeatability;
+  #moved = false;
+
+  constructor(repeatability: Repeatability) {
+    this.#repeatability = repeatability;
+    [this.#snapshot] = initialTransition(ATTEMPT_MACHINE);
+  }
+
+  /** The state at the last event. */
+  get state(): AttemptState {
+    return this.#snapshot.value;
+  }
+
+  /** Sends so far. */
+  get sends(): number {
+    return this.#snapshot.context.sends;
+  }
+
+  /** Sends that ran or may have run. */
+  get possibleRuns(): number {
+    return this.#snapshot.context.possibleRuns;
+  }
+
+  /** Whether the caller may be told that the request did not run. */
+  get surelyNotRun(): boolean {
+    return this.possibleRuns === 0 && this.state !== "sent" && !this.#moved;
+  }
+
+  /** Whether the caller holds a part of the answer. */
+  get relayed(): boolean {
+    return this.#snapshot.context.relayed;
+  }
+
+  /** Whether the request may go to a backend server now. */
+  maySend(maximumRuns: number): boolean {
+    if (this.state !== "waiting") return false;
+    return this.#repeatability === "repeatable"
+      ? this.possibleRuns < Math.max(1, maximumRuns)
+      : this.possibleRuns === 0;
+  }
+
+  /** Takes in an event. */
+  handle(event: AttemptEvent): void {
+    if (event.type === "moved") this.#moved = true;
+    [this.#snapshot] = transition(ATTEMPT_MACHINE, this.#snapshot, event);
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -0,0 +1,163 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Choice of a backend server for one send: least predicted time to the first
+ * part of the answer, with prices for other data halls and for failures. Pure.
+ *
+ * @module
+ */
+import { hash32 } from "rampswitch-utils";
+import type { EngineLimits } from "../model/configuration.ts";
+import type { PromptPart } from "../model/request.ts";
+import type { PrefixKnowledge } from "./prefix_knowledge.ts";
+import type { ServerRecord } from "./server_record.ts";
+
+/** What a choice depends on beside the servers themselves. */
+export interface ChoiceInputs {
+  readonly now: number;
+  readonly dataHall: string;
+  readonly engine: EngineLimits | undefined;
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+  /** Tokens that an engine reads in a millisecond. */
+  readonly readingRate: number;
+  /** Servers not to choose, such as those already tried. */
+  readonly excluded: ReadonlySet<string>;
+  /** Requests that this host may have at one server at once. */
+  readonly ownConnections: number;
+}
+
+/** A server and the figures that chose it. */
+export interface Choice {
+  readonly record: ServerRecord;
+  readonly predictedMilliseconds: number;
+  readonly keptTokens: number;
+  readonly load: number;
+}
+
+/** Outcome of a choice. */
+export type ChoiceOutcome =
+  | { readonly kind: "chosen"; readonly choice: Choice }
+  /** No server of the service takes work. */
+  | { readonly kind: "none" }
+  /** Servers take work, but their places and queues are full. */
+  | { readonly kind: "full" };
+
+/** Price of sending to another data hall, as milliseconds of waiting. */
+const OTHER_DATA_HALL_MILLISECONDS = 6;
+
+/** Price of a server that fails all requests, as milliseconds of waiting. */
+const FAILURE_MILLISECONDS = 600;
+
+/** Time that one more running request adds, in milliseconds. */
+const RUNNING_MILLISECONDS = 1.5;
+
+/** Wait for a place of an engine, per request above its slots. */
+const ENGINE_WAIT_MILLISECONDS = 60;
+
+/** Work of one request of a plain service, in milliseconds. */
+const PLAIN_WORK_MILLISECONDS = 20;
+
+/** Requests that may wait at a server, as a share of its slots. */
+const WAITING_SHARE = 0.75;
+
+/** Preference among equals for the server that all hosts agree on. */
+const HOME_MILLISECONDS = 12;
+
+/** Chooses among the servers of a service. */
+export function chooseServer(
+  records: readonly ServerRecord[],
+  prefixes: PrefixKnowledge,
+  inputs: ChoiceInputs,
+): ChoiceOutcome {
+  const working = records.filter(
+    (record) =>
+      record.takesWork(inputs.now) && !inputs.excluded.has(record.entry.id),
+  );
+  if (working.length === 0) return { kind: "none" };
+  const open = working.filter((record) => hasRoom(record, inputs));
+  if (open.length === 0) return { kind: "full" };
+  const home = homeOf(open, inputs.parts);
+  const choices = open.map((record) =>
+    predict(record, prefixes, { ...inputs, home }),
+  );
+  const best = choices.reduce((least, choice) =>
+    choice.predictedMilliseconds < least.predictedMilliseconds ? choice : least,
+  );
+  return { kind: "chosen", choice: best };
+}
+
+function hasRoom(record: ServerRecord, inputs: ChoiceInputs): boolean {
+  const places = record.entry.slots * (1 + WAITING_SHARE);
+  return (
+    record.load(inputs.now) < places && record.ownRunning < inputs.ownConnections
+  );
+}
+
+function predict(
+  record: ServerRecord,
+  prefixes: PrefixKnowledge,
+  inputs: ChoiceInputs & { readonly home: string | undefined },
+): Choice {
+  const load = record.load(inputs.now);
+  const keptTokens = prefixes.keptTokens(record.entry.id, inputs.parts);
+  const distance =
+    record.entry.dataHall === inputs.dataHall
+      ? 0
+      : OTHER_DATA_HALL_MILLISECONDS;
+  const failures = record.failureShare * FAILURE_MILLISECONDS;
+  const work =
+    inputs.engine === undefined
+      ? plainMilliseconds(load, record.entry.slots)
+      : engineMilliseconds(record, { ...inputs, load, keptTokens });
+  const homeGain = record.entry.id === inputs.home ? HOME_MILLISECONDS : 0;
+  return {
+    record,
+    keptTokens,
+    load,
+    predictedMilliseconds: work + distance + failures - homeGain,
+  };
+}
+
+function plainMilliseconds(load: number, slots: number): number {
+  const waiting = Math.max(0, load + 1 - slots);
+  return (
+    (load / slots) * PLAIN_WORK_MILLISECONDS * 0.5 +
+    (waiting / slots) * PLAIN_WORK_MILLISECONDS * 2
+  );
+}
+
+function engineMilliseconds(
+  record: ServerRecord,
+  inputs: ChoiceInputs & {
+    readonly load: number;
+    readonly keptTokens: number;
+  },
+): number {
+  const unread = record.unreadTokens(inputs.now);
+  const own = Math.max(0, inputs.promptTokens - inputs.keptTokens);
+  const waiting = Math.max(0, inputs.load + 1 - record.entry.slots);
+  return (
+    (unread + own) / inputs.readingRate +
+    inputs.load * RUNNING_MILLISECONDS +
+    waiting * ENGINE_WAIT_MILLISECONDS
+  );
+}
+
+/**
+ * The server that all hosts prefer for a prompt that no server is known to
+ * keep: the highest hash with the longest part that requests share.
+ */
+function homeOf(
+  records: readonly ServerRecord[],
+  parts: readonly PromptPart[],
+): string | undefined {
+  const shared = parts.at(-2)?.id;
+  if (shared === undefined) return undefined;
+  return records
+    .map(({ entry }) => ({
+      id: entry.id,
+      score: hash32(`${shared}|${entry.id}`),
+    }))
+    .reduce((best, next) => (next.score > best.score ? next : best)).id;
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -0,0 +1,11 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Which backend server a request goes to.
+ *
+ * @module
+ */
+export * from "./choose_server.ts";
+export * from "./prefix_knowledge.ts";
+export * from "./server_directory.ts";
+export * from "./server_record.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -0,0 +1,89 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * All backend servers that the platform lists, by id and by service.
+ *
+ * @module
+ */
+import type { BackendServer } from "../model/backend_server.ts";
+import { ServerRecord, type WorkAtServer } from "./server_record.ts";
+
+/** Backend servers known to this host. */
+export class ServerDirectory {
+  readonly #records = new Map<string, ServerRecord>();
+  readonly #byService = new Map<string, ReadonlySet<ServerRecord>>();
+  readonly #listeners: ((record: ServerRecord) => void)[] = [];
+
+  /** Number of servers listed. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** Calls back when a server is announced to leave or is gone. */
+  onLeaving(listener: (record: ServerRecord) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes in a server's entry. */
+  put(entry: BackendServer, now: number): void {
+    const known = this.#records.get(entry.id);
+    const record = known ?? new ServerRecord(entry);
+    const wasReady = record.entry.state === "ready";
+    record.entry = entry;
+    this.#records.set(entry.id, record);
+    this.#byService.set(
+      entry.service,
+      new Set([...this.of(entry.service), record]),
+    );
+    if (entry.state === "leaving" && (wasReady || known === undefined)) {
+      this.#leaves(record, now);
+    }
+  }
+
+  /** Forgets a server whose entry is gone. */
+  remove(id: string, now: number): void {
+    const record = this.#records.get(id);
+    if (record === undefined) return;
+    this.#records.delete(id);
+    this.#byService.set(
+      record.entry.service,
+      new Set([...this.of(record.entry.service)].filter((r) => r !== record)),
+    );
+    const wasReady = record.entry.state === "ready";
+    record.entry = { ...record.entry, state: "leaving" };
+    if (wasReady) this.#leaves(record, now);
+  }
+
+  /** One server. */
+  get(id: string): ServerRecord | undefined {
+    return this.#records.get(id);
+  }
+
+  /** Servers of a service. */
+  of(service: string): readonly ServerRecord[] {
+    return [...(this.#byService.get(service) ?? [])];
+  }
+
+  /** All servers. */
+  all(): readonly ServerRecord[] {
+    return [...this.#records.values()];
+  }
+
+  /** Takes in a peer's work at servers, by server id. */
+  heardPeer(
+    peer: string,
+    work: Readonly<Record<string, WorkAtServer>>,
+    now: number,
+  ): void {
+    this.#records.forEach((record, id) => {
+      record.heardPeer(peer, work[id] ?? NO_WORK, now);
+    });
+  }
+
+  #leaves(record: ServerRecord, now: number): void {
+    record.leavingSince ??= now;
+    this.#listeners.forEach((listener) => listener(record));
+  }
+}
+
+const NO_WORK: WorkAtServer = { running: 0, unreadTokens: 0 };
--- /dev/null
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -0,0 +1,157 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What one host knows of one backend server: its own work there, the work that
+ * peers tell of, the server's own reports, and how its answers went.
+ *
+ * @module
+ */
+import type { BackendServer } from "../model/backend_server.ts";
+import type { ReportedLoad } from "../model/request.ts";
+
+/** Work of one host at one backend server. */
+export interface WorkAtServer {
+  readonly running: number;
+  /** Prompt tokens sent whose reading has not ended. */
+  readonly unreadTokens: number;
+}
+
+interface PeerWork extends WorkAtServer {
+  readonly heardAt: number;
+}
+
+/** Work told by a peer counts for this long, in milliseconds. */
+const PEER_WORK_MILLISECONDS = 1_500;
+
+/** A server's own load report counts for this long, in milliseconds. */
+const REPORT_MILLISECONDS = 300;
+
+/** Failures in a row before a server is left out. */
+const FAILURES_TO_EJECT = 2;
+
+/** First time for which a failing server is left out, in milliseconds. */
+const FIRST_EJECTION_MILLISECONDS = 400;
+
+/** Longest time for which a failing server is left out, in milliseconds. */
+const LONGEST_EJECTION_MILLISECONDS = 3_000;
+
+/** Weight of the newest result in the share of failures. */
+const FAILURE_WEIGHT = 0.15;
+
+/** One backend server as this host knows it. */
+export class ServerRecord {
+  /** As the platform last listed it. */
+  entry: BackendServer;
+  /** When the announcement of its end came, on the steady clock. */
+  leavingSince: number | undefined;
+  #running = 0;
+  #unreadTokens = 0;
+  readonly #peers = new Map<string, PeerWork>();
+  #report: (ReportedLoad & { readonly at: number }) | undefined;
+  #failuresInRow = 0;
+  #ejections = 0;
+  #ejectedUntil = 0;
+  #failureShare = 0;
+
+  constructor(entry: BackendServer) {
+    this.entry = entry;
+  }
+
+  /** Requests of this host at the server. */
+  get ownRunning(): number {
+    return this.#running;
+  }
+
+  /** This host's work at the server, to tell the peers. */
+  get ownWork(): WorkAtServer {
+    return { running: this.#running, unreadTokens: this.#unreadTokens };
+  }
+
+  /** Share of recent requests that failed there, 0 to 1. */
+  get failureShare(): number {
+    return this.#failureShare;
+  }
+
+  /** Notes a send; the returned functions end its parts, each once. */
+  started(unreadTokens: number): { readPrompt(): void; ended(): void } {
+    this.#running += 1;
+    this.#unreadTokens += unreadTokens;
+    let unread = unreadTokens;
+    let running = 1;
+    const readPrompt = () => {
+      this.#unreadTokens -= unread;
+      unread = 0;
+    };
+    return {
+      readPrompt,
+      ended: () => {
+        readPrompt();
+        this.#running -= running;
+        running = 0;
+      },
+    };
+  }
+
+  /** Takes in a peer's work at the server. */
+  heardPeer(peer: string, work: WorkAtServer, now: number): void {
+    this.#peers.set(peer, { ...work, heardAt: now });
+  }
+
+  /** Takes in the server's own report of its load. */
+  reported(load: ReportedLoad, now: number): void {
+    this.#report = { ...load, at: now };
+  }
+
+  /** Requests running and waiting there, from all hosts. */
+  load(now: number): number {
+    const told = this.#peerWork(now).reduce(
+      (sum, work) => sum + work.running,
+      this.#running,
+    );
+    const report = this.#report;
+    return report !== undefined && now - report.at < REPORT_MILLISECONDS
+      ? Math.max(told, report.running + report.waiting)
+      : told;
+  }
+
+  /** Prompt tokens that wait to be read there, from all hosts. */
+  unreadTokens(now: number): number {
+    return this.#peerWork(now).reduce(
+      (sum, work) => sum + work.unreadTokens,
+      this.#unreadTokens,
+    );
+  }
+
+  /** Notes an answer that came as it should. */
+  succeeded(): void {
+    this.#failuresInRow = 0;
+    this.#ejections = 0;
+    this.#failureShare *= 1 - FAILURE_WEIGHT;
+  }
+
+  /** Notes a failure; several in a row leave the server out for a while. */
+  failed(now: number, options: { readonly surelyDown: boolean }): void {
+    this.#failureShare += FAILURE_WEIGHT * (1 - this.#failureShare);
+    this.#failuresInRow += options.surelyDown ? FAILURES_TO_EJECT : 1;
+    if (this.#failuresInRow < FAILURES_TO_EJECT) return;
+    this.#failuresInRow = 0;
+    this.#ejectedUntil =
+      now +
+      Math.min(
+        LONGEST_EJECTION_MILLISECONDS,
+        FIRST_EJECTION_MILLISECONDS * 2 ** this.#ejections,
+      );
+    this.#ejections += 1;
+  }
+
+  /** Whether new work may be sent there. */
+  takesWork(now: number): boolean {
+    return this.entry.state === "ready" && now >= this.#ejectedUntil;
+  }
+
+  #peerWork(now: number): readonly PeerWork[] {
+    return [...this.#peers.values()].filter(
+      (work) => now - work.heardAt < PEER_WORK_MILLISECONDS,
+    );
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -0,0 +1,191 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Follows the configuration and the list of backend servers in the platform's
+ * store, and knows how long ago the store confirmed the configuration.
+ *
+ * @module
+ */
+import type { Clock, Logger, Random } from "rampswitch-utils";
+import {
+  type ObjectStore,
+  type StoredObject,
+  storeBackoff,
+  Watcher,
+} from "rampswitch-store";
+import { Result } from "true-myth";
+import { RouteIndex } from "../intake/route_index.ts";
+import type { BackendServer } from "../model/backend_server.ts";
+import type { ServingConfiguration } from "../model/configuration.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+
+/** Decodes what the store holds. */
+export interface StoredFormats {
+  /** Prefix of the configuration's key. */
+  readonly configurationPrefix: string;
+  /** Prefix of the keys of backend servers. */
+  readonly serversPrefix: string;
+  decodeConfiguration(value: string): Result<ServingConfiguration, string>;
+  decodeServer(id: string, value: string): Result<BackendServer, string>;
+}
+
+/** What the follower tells its owner. */
+export interface FollowerListener {
+  configured(routes: RouteIndex): void;
+  serverChanged(server: BackendServer): void;
+  serverGone(id: string): void;
+}
+
+/** Parts that the follower works with. */
+export interface FollowerParts {
+  readonly store: ObjectStore;
+  readonly formats: StoredFormats;
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+}
+
+/**
+ * First and longest wait after a failed call, in milliseconds: the
+ * configuration has to be in force within two seconds of the store's return.
+ */
+const FIRST_RETRY_MILLISECONDS = 60;
+const LONGEST_RETRY_MILLISECONDS = 700;
+
+/**
+ * Longest wait of a watch, in seconds. Each return confirms the configuration
+ * as of its sending, so the confirmation is never older than twice this; and a
+ * watch that was cut in silence is noticed within the two seconds in which a
+ * change has to be in force.
+ */
+const WATCH_SECONDS = 1.2;
+
+/** Follows configuration and backend servers. */
+export class ConfigurationFollower implements AsyncDisposable {
+  readonly #parts: FollowerParts;
+  readonly #listener: FollowerListener;
+  readonly #watchers: readonly Watcher[];
+  #routes: RouteIndex | undefined;
+  #confirmedAt = -Infinity;
+  #serversListed = false;
+  #reachable = true;
+
+  constructor(parts: FollowerParts, listener: FollowerListener) {
+    this.#parts = parts;
+    this.#listener = listener;
+    this.#watchers = [
+      this.#watch(parts.formats.configurationPrefix, {
+        changed: (object) => this.#configurationChanged(object),
+        removed: () => undefined,
+        confirmed: (at) => this.#confirmed(at),
+        failed: () => this.#failed(),
+      }),
+      this.#watch(parts.formats.serversPrefix, {
+        changed: (object) => this.#serverChanged(object),
+        removed: (key) => listener.serverGone(this.#serverId(key)),
+        confirmed: () => {
+          this.#serversListed = true;
+        },
+        failed: () => undefined,
+      }),
+    ];
+  }
+
+  /** The newest configuration known. */
+  get routes(): RouteIndex | undefined {
+    return this.#routes;
+  }
+
+  /** Whether the list of servers was read once. */
+  get serversListed(): boolean {
+    return this.#serversListed;
+  }
+
+  /** Milliseconds since the store confirmed the configuration. */
+  age(now: number): number {
+    return now - this.#confirmedAt;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(
+      this.#watchers.map((watcher) => watcher[Symbol.asyncDispose]()),
+    );
+  }
+
+  #watch(
+    prefix: string,
+    listener: ConstructorParameters<typeof Watcher>[2]["listener"],
+  ): Watcher {
+    const { store, clock, random } = this.#parts;
+    return new Watcher(store, prefix, {
+      listener,
+      clock,
+      random,
+      seconds: WATCH_SECONDS,
+      backoff: (failures) =>
+        storeBackoff(failures, random, {
+          first: FIRST_RETRY_MILLISECONDS,
+          longest: LONGEST_RETRY_MILLISECONDS,
+        }),
+    });
+  }
+
+  #configurationChanged(object: StoredObject): void {
+    const { formats, logger, metrics } = this.#parts;
+    const decoded = formats.decodeConfiguration(object.value);
+    if (decoded.isErr) {
+      metrics.event("configuration_malformed");
+      logger.error("configuration can't be read", {
+        version: object.version,
+        detail: decoded.error,
+      });
+      return;
+    }
+    const known = this.#routes?.configuration.version ?? -1;
+    if (decoded.value.version <= known) return;
+    this.#routes = new RouteIndex(decoded.value);
+    metrics.event("configuration_applied");
+    logger.info("configuration in force", {
+      version: decoded.value.version,
+      before: known,
+      storeVersion: object.version,
+    });
+    this.#listener.configured(this.#routes);
+  }
+
+  #serverChanged(object: StoredObject): void {
+    const { formats, logger, metrics } = this.#parts;
+    const id = this.#serverId(object.key);
+    const decoded = formats.decodeServer(id, object.value);
+    if (decoded.isOk) this.#listener.serverChanged(decoded.value);
+    else {
+      metrics.event("server_malformed");
+      logger.warn("server entry can't be read", {
+        server: id,
+        detail: decoded.error,
+      });
+    }
+  }
+
+  #serverId(key: string): string {
+    return key.slice(this.#parts.formats.serversPrefix.length);
+  }
+
+  #confirmed(at: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, at);
+    if (this.#reachable) return;
+    this.#reachable = true;
+    this.#parts.logger.info("store answers again", {});
+  }
+
+  #failed(): void {
+    if (!this.#reachable) return;
+    this.#reachable = false;
+    this.#parts.metrics.event("store_lost");
+    this.#parts.logger.warn("store does not answer", {
+      confirmedMillisecondsAgo: Math.round(this.age(this.#parts.clock.now())),
+    });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -0,0 +1,324 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Takes, renews and gives up the lease of the duties, and lets the duties act
+ * while it holds.
+ *
+ * @module
+ */
+import { type Clock, type Logger, parseJson } from "rampswitch-utils";
+import { repeat, type Random, type Repetition } from "rampswitch-utils";
+import type { ObjectStore, StoredObject } from "rampswitch-store";
+import { z } from "zod";
+import type { LeaseNews } from "../membership/peer_news.ts";
+import type { Fence } from "../model/cloud.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+import {
+  decideTake,
+  mayAct,
+  takenLease,
+  type DutyLease,
+  type LeaseTimes,
+  type SeenLease,
+} from "./duty_lease.ts";
+import type { FinalReports } from "./usage_duty.ts";
+
+/** Time between looks at the lease, in milliseconds. */
+const TICK_MILLISECONDS = 250;
+
+/** Wait before another look after a failed call to the store. */
+const RETRY_MILLISECONDS = 500;
+
+/** Spread of the first looks of candidates, in milliseconds. */
+const CANDIDATE_SPREAD_MILLISECONDS = 400;
+
+const LEASE_SCHEMA = z.object({
+  holder: z.string(),
+  incarnation: z.string(),
+  fence: z.number(),
+  released: z.boolean(),
+  reports: z.record(z.string(), z.record(z.string(), z.number())),
+});
+
+/** What the keeper asks of the duties. */
+export interface Duties {
+  /** Reports to keep with the lease from now on. */
+  finalReports(known: FinalReports): FinalReports;
+  /** Acts under the fence; `reports` are in the store. */
+  act(reports: FinalReports, fence: Fence): Promise<void>;
+}
+
+/** What the keeper works with. */
+export interface DutyKeeperParts {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly store: ObjectStore;
+  /** Key of the lease object. */
+  readonly leaseKey: string;
+  readonly times: LeaseTimes;
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  readonly duties: Duties;
+}
+
+interface Held {
+  lease: DutyLease;
+  version: number;
+  renewalSentAt: number;
+  readonly mayActAt: number;
+}
+
+/** The lease of the duties at one host. */
+export class DutyKeeper implements AsyncDisposable {
+  readonly #parts: DutyKeeperParts;
+  readonly #repetition: Repetition;
+  #held: Held | undefined;
+  #seen: SeenLease;
+  #notBefore: number;
+  #stopping = false;
+  /** Fence that this host gave up. */
+  #releasedFence: number | undefined;
+  /** Highest fence that a peer told to have given up. */
+  #heardReleased = -1;
+  #acting = false;
+
+  constructor(parts: DutyKeeperParts) {
+    this.#parts = parts;
+    this.#seen = { lease: undefined, version: undefined, since: -Infinity };
+    this.#notBefore = parts.clock.now() + this.#spread();
+    this.#repetition = repeat(
+      parts.clock,
+      () => TICK_MILLISECONDS,
+      () => this.#tick(),
+    );
+  }
+
+  /** The lease to tell the peers about, while this host holds it. */
+  get news(): LeaseNews | undefined {
+    const held = this.#held;
+    if (held !== undefined) {
+      return { fence: held.lease.fence, version: held.version };
+    }
+    return this.#releasedFence === undefined
+      ? undefined
+      : { fence: this.#releasedFence, version: RELEASED_VERSION };
+  }
+
+  /** Takes in a holder's news. */
+  heard(news: LeaseNews): void {
+    const now = this.#parts.clock.now();
+    if (news.version === RELEASED_VERSION) {
+      if (news.fence <= this.#heardReleased) return;
+      this.#heardReleased = news.fence;
+      this.#seen = { ...this.#seen, since: -Infinity };
+      this.#notBefore = now + this.#spread();
+      return;
+    }
+    if (news.version <= (this.#seen.version ?? -1)) return;
+    this.#seen = { lease: undefined, version: news.version, since: now };
+  }
+
+  /** Gives the lease up, for a planned stop. */
+  async release(): Promise<void> {
+    this.#stopping = true;
+    const held = this.#held;
+    this.#held = undefined;
+    if (held === undefined) return;
+    const { store, leaseKey, logger } = this.#parts;
+    const value = JSON.stringify({ ...held.lease, released: true });
+    const put = await store.put(leaseKey, value, { expected: held.version });
+    this.#releasedFence = held.lease.fence;
+    logger.info("duties given up", {
+      fence: held.lease.fence,
+      stored: put.isOk,
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#repetition[Symbol.asyncDispose]();
+  }
+
+  async #tick(): Promise<void> {
+    if (this.#stopping) return;
+    const held = this.#held;
+    if (held === undefined) await this.#consider();
+    else await this.#hold(held);
+  }
+
+  async #consider(): Promise<void> {
+    const { clock, times, store, leaseKey } = this.#parts;
+    const now = clock.now();
+    if (now < this.#notBefore) return;
+    if (now - this.#seen.since < times.duration) {
+      this.#notBefore = this.#seen.since + times.duration + this.#spread();
+      return;
+    }
+    const read = await store.get(leaseKey);
+    this.#notBefore = clock.now() + RETRY_MILLISECONDS + this.#spread();
+    if (read.isErr || this.#stopping) return;
+    this.#look(read.value);
+    const decision = decideTake(this.#seen, this.#parts, {
+      now: clock.now(),
+      times,
+    });
+    if (decision.kind === "take") await this.#take(decision.mayActAt);
+  }
+
+  /** Compares the object with what was last seen of it. */
+  #look(object: StoredObject | undefined): void {
+    const now = this.#parts.clock.now();
+    const lease = decodeLease(object?.value);
+    const same = object?.version === this.#seen.version;
+    this.#seen = {
+      lease,
+      version: object?.version,
+      since: same && Number.isFinite(this.#seen.since) ? this.#seen.since : now,
+    };
+  }
+
+  async #take(mayActAt: number): Promise<void> {
+    const { store, leaseKey, clock, logger, metrics } = this.#parts;
+    const lease = takenLease(this.#seen.lease, this.#parts);
+    const sentAt = clock.now();
+    const put = await store.put(leaseKey, JSON.stringify(lease), {
+      expected: this.#seen.version ?? "absent",
+    });
+    if (this.#stopping) return;
+    const version = put.isOk
+      ? put.value.version
+      : await this.#versionIfOwn(lease);
+    if (version === undefined) {
+      this.#notBefore = clock.now() + RETRY_MILLISECONDS;
+      return;
+    }
+    this.#held = { lease, version, renewalSentAt: sentAt, mayActAt };
+    metrics.event("duties_taken");
+    logger.info("duties taken", {
+      fence: lease.fence,
+      from: this.#seen.lease?.holder,
+      actsInMilliseconds: Math.round(Math.max(0, mayActAt - clock.now())),
+    });
+  }
+
+  /** Whether a write without a clear answer took effect after all. */
+  async #versionIfOwn(lease: DutyLease): Promise<number | undefined> {
+    const read = await this.#parts.store.get(this.#parts.leaseKey);
+    if (read.isErr || read.value === undefined) return undefined;
+    const stored = decodeLease(read.value.value);
+    const own =
+      stored?.incarnation === lease.incarnation && stored.fence === lease.fence;
+    return own ? read.value.version : undefined;
+  }
+
+  async #hold(held: Held): Promise<void> {
+    const { clock, times, duties } = this.#parts;
+    const now = clock.now();
+    const reports = duties.finalReports(held.lease.reports);
+    const news = Object.keys(reports).some(
+      (window) => held.lease.reports[window] === undefined,
+    );
+    if (news || now - held.renewalSentAt >= times.renewal) {
+      await this.#renew(held, reports);
+    }
+    this.#act();
+  }
+
+  async #renew(held: Held, reports: FinalReports): Promise<void> {
+    const { store, leaseKey, clock, metrics } = this.#parts;
+    const lease = { ...held.lease, reports };
+    const sentAt = clock.now();
+    const put = await store.put(leaseKey, JSON.stringify(lease), {
+      expected: held.version,
+    });
+    if (put.isOk) {
+      this.#renewed(held, { lease, version: put.value.version, sentAt });
+      return;
+    }
+    metrics.event(`lease_renewal_${put.error.kind}`);
+    if (put.error.kind === "unavailable") return;
+    await this.#settle(held, sentAt);
+  }
+
+  /** Reads the object back after a renewal without a clear answer. */
+  async #settle(held: Held, sentAt: number): Promise<void> {
+    const read = await this.#parts.store.get(this.#parts.leaseKey);
+    if (read.isErr || read.value === undefined) return;
+    const stored = decodeLease(read.value.value);
+    const own =
+      stored?.incarnation === held.lease.incarnation &&
+      stored.fence === held.lease.fence;
+    if (!own) this.#lose(stored);
+    else if (read.value.version !== held.version) {
+      this.#renewed(held, { lease: stored, version: read.value.version, sentAt });
+    }
+  }
+
+  #renewed(
+    held: Held,
+    renewal: { lease: DutyLease; version: number; sentAt: number },
+  ): void {
+    held.lease = renewal.lease;
+    held.version = renewal.version;
+    held.renewalSentAt = renewal.sentAt;
+  }
+
+  #lose(stored: DutyLease | undefined): void {
+    this.#held = undefined;
+    this.#seen = {
+      lease: stored,
+      version: undefined,
+      since: this.#parts.clock.now(),
+    };
+    this.#parts.metrics.event("duties_lost");
+    this.#parts.logger.warn("duties lost", {
+      holder: stored?.holder,
+      fence: stored?.fence,
+    });
+  }
+
+  /** Lets the duties act beside renewals, one round at a time. */
+  #act(): void {
+    const held = this.#held;
+    if (held === undefined || this.#acting || !this.#mayActNow()) return;
+    this.#acting = true;
+    void this.#parts.duties
+      .act(held.lease.reports, {
+        holder: this.#parts.host,
+        fence: held.lease.fence,
+      })
+      .finally(() => {
+        this.#acting = false;
+      });
+  }
+
+  #mayActNow(): boolean {
+    const { clock, times } = this.#parts;
+    const held = this.#held;
+    return (
+      held !== undefined && mayAct(held, { now: clock.now(), times })
+    );
+  }
+
+  /** Whether a call of the duties may be sent at this moment. */
+  get mayAct(): boolean {
+    return this.#mayActNow();
+  }
+
+  #spread(): number {
+    return CANDIDATE_SPREAD_MILLISECONDS * this.#parts.random.next();
+  }
+}
+
+/** Store version that tells the peers that the lease was given up. */
+const RELEASED_VERSION = -1;
+
+function decodeLease(value: string | undefined): DutyLease | undefined {
+  if (value === undefined) return undefined;
+  const parsed = parseJson(value);
+  if (parsed.isErr) return undefined;
+  const checked = LEASE_SCHEMA.safeParse(parsed.value);
+  return checked.success ? checked.data : undefined;
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -0,0 +1,93 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The lease of the duties: decisions without store or clock. One object in the
+ * store names the holder; its fence rises with each holder. No host compares
+ * clocks: who watches counts from when it saw the object change, and the holder
+ * counts from when it sent its last successful renewal.
+ *
+ * @module
+ */
+
+/** Value of the lease object. */
+export interface DutyLease {
+  readonly holder: string;
+  /** Life of the holder's process. */
+  readonly incarnation: string;
+  readonly fence: number;
+  /** Whether the holder gave the lease up. */
+  readonly released: boolean;
+  /** Final usage reports of the newest windows, by window. */
+  readonly reports: Readonly<
+    Record<string, Readonly<Record<string, number>>>
+  >;
+}
+
+/** Times of the lease, in milliseconds. */
+export interface LeaseTimes {
+  /** Without a change for this long, others may take the lease. */
+  readonly duration: number;
+  /** The holder acts only this long after it sent a renewal. */
+  readonly acting: number;
+  readonly renewal: number;
+  /** Wait before acting on a lease that was given up by another host. */
+  readonly afterRelease: number;
+}
+
+/** The lease object as last seen. */
+export interface SeenLease {
+  readonly lease: DutyLease | undefined;
+  /** Store version; `undefined` while there is no object. */
+  readonly version: number | undefined;
+  /** When this version was first seen, on the steady clock. */
+  readonly since: number;
+}
+
+/** What a host that is not the holder does about the lease. */
+export type TakeDecision =
+  | { readonly kind: "take"; readonly mayActAt: number }
+  | { readonly kind: "wait" };
+
+/** Decides whether to take a lease that another process held. */
+export function decideTake(
+  seen: SeenLease,
+  self: { readonly host: string; readonly incarnation: string },
+  options: { readonly now: number; readonly times: LeaseTimes },
+): TakeDecision {
+  const { now, times } = options;
+  const { lease } = seen;
+  if (lease === undefined) return { kind: "take", mayActAt: now };
+  if (lease.holder === self.host) {
+    // A former process of this host is gone; its fence is never used again.
+    return { kind: "take", mayActAt: now };
+  }
+  if (lease.released) {
+    return { kind: "take", mayActAt: now + times.afterRelease };
+  }
+  return now - seen.since >= times.duration
+    ? { kind: "take", mayActAt: now }
+    : { kind: "wait" };
+}
+
+/** The lease that a host writes to become its holder. */
+export function takenLease(
+  seen: DutyLease | undefined,
+  self: { readonly host: string; readonly incarnation: string },
+): DutyLease {
+  return {
+    holder: self.host,
+    incarnation: self.incarnation,
+    fence: (seen?.fence ?? 0) + 1,
+    released: false,
+    reports: seen?.reports ?? {},
+  };
+}
+
+/** Whether a holder may act at a time. */
+export function mayAct(
+  held: { readonly renewalSentAt: number; readonly mayActAt: number },
+  options: { readonly now: number; readonly times: LeaseTimes },
+): boolean {
+  const { now, times } = options;
+  return now >= held.mayActAt && now - held.renewalSentAt < times.acting;
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/mod.ts
@@ -0,0 +1,13 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Work that one host does for all, under a lease in the store.
+ *
+ * @module
+ */
+export * from "./capacity_duty.ts";
+export * from "./capacity_plan.ts";
+export * from "./duty_keeper.ts";
+export * from "./duty_lease.ts";
+export * from "./usage_duty.ts";
+export * from "./usage_ledger.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -0,0 +1,105 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Reports usage once for each window. The counts of a window become final when
+ * the lease object holds them; only then are they sent, so that a successor can
+ * only repeat them.
+ *
+ * @module
+ */
+import type { Logger } from "rampswitch-utils";
+import type { Cloud, Fence } from "../model/cloud.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+import type { UsageCounts, UsageLedger } from "./usage_ledger.ts";
+
+/**
+ * Time after a window's end before its counts are final, in milliseconds. Some
+ * exchanges of peer news, one of them lost, and a median clock's error.
+ */
+const SETTLE_MILLISECONDS = 1_500;
+
+/** Windows whose reports may still be of use; the rest came too late. */
+const REPORTED_WINDOWS = 3;
+
+/** Final reports by window. */
+export type FinalReports = Readonly<Record<string, UsageCounts>>;
+
+/** The duty of reporting usage, for as long as this host holds it. */
+export class UsageDuty {
+  readonly #ledger: UsageLedger;
+  readonly #cloud: Cloud;
+  readonly #logger: Logger;
+  readonly #metrics: ServingMetrics;
+  readonly #sent = new Set<string>();
+  readonly #startedInWindow: number;
+  #fence = -1;
+
+  constructor(
+    ledger: UsageLedger,
+    parts: {
+      readonly cloud: Cloud;
+      readonly logger: Logger;
+      readonly metrics: ServingMetrics;
+      /** Time of day at the start, in milliseconds. */
+      readonly startedAt: number;
+    },
+  ) {
+    this.#ledger = ledger;
+    this.#cloud = parts.cloud;
+    this.#logger = parts.logger;
+    this.#metrics = parts.metrics;
+    this.#startedInWindow = ledger.windowOf(parts.startedAt);
+  }
+
+  /** Reports to keep with the lease: those known and those now final. */
+  finalReports(known: FinalReports, wallTime: number): FinalReports {
+    const newest = this.#ledger.windowOf(wallTime - SETTLE_MILLISECONDS) - 1;
+    const windows = Array.from(
+      { length: REPORTED_WINDOWS },
+      (_, back) => newest - back,
+    ).filter((window) => window >= this.#startedInWindow || known[window]);
+    this.#ledger.forgetBefore(newest);
+    return Object.fromEntries(
+      windows.map((window) => [
+        String(window),
+        known[window] ?? this.#ledger.total(window),
+      ]),
+    );
+  }
+
+  /** Sends reports that the lease object holds and the cloud has not taken. */
+  async act(reports: FinalReports, fence: Fence): Promise<void> {
+    if (fence.fence !== this.#fence) {
+      this.#fence = fence.fence;
+      this.#sent.clear();
+    }
+    const due = Object.entries(reports)
+      .filter(([window]) => !this.#sent.has(window))
+      .toSorted(([left], [right]) => Number(left) - Number(right));
+    await due.reduce(
+      (previous, [window, counts]) =>
+        previous.then(() => this.#send(window, counts, fence)),
+      Promise.resolve(),
+    );
+  }
+
+  async #send(
+    window: string,
+    counts: UsageCounts,
+    fence: Fence,
+  ): Promise<void> {
+    const sent = await this.#cloud.reportUsage(
+      { window: Number(window), counts },
+      fence,
+    );
+    const result = sent.isOk ? "taken" : sent.error;
+    if (sent.isOk) this.#sent.add(window);
+    this.#metrics.event(`usage_${result}`);
+    this.#logger.info("usage reported", {
+      window: Number(window),
+      requests: Object.values(counts).reduce((sum, count) => sum + count, 0),
+      fence: fence.fence,
+      outcome: result,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/usage_ledger.ts
@@ -0,0 +1,90 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Requests that began to run, by reporting window and workspace: this host's
+ * own and what peers tell of theirs.
+ *
+ * @module
+ */
+import type { WindowCounts } from "../membership/peer_news.ts";
+
+/** Windows kept after their end; longer than a takeover takes. */
+const KEPT_WINDOWS = 5;
+
+/** Counts of one window by workspace. */
+export type UsageCounts = Readonly<Record<string, number>>;
+
+/** Usage as one host knows it. */
+export class UsageLedger {
+  readonly #windowMilliseconds: number;
+  #own: WindowCounts = {};
+  /** By host and life of its process. */
+  readonly #peers = new Map<string, WindowCounts>();
+
+  constructor(windowMilliseconds: number) {
+    this.#windowMilliseconds = windowMilliseconds;
+  }
+
+  /** The window of a time of day. */
+  windowOf(wallTime: number): number {
+    return Math.floor(wallTime / this.#windowMilliseconds);
+  }
+
+  /** When a window ends, as a time of day in milliseconds. */
+  endOf(window: number): number {
+    return (window + 1) * this.#windowMilliseconds;
+  }
+
+  /** Counts a request that began to run. */
+  began(workspace: string, wallTime: number): void {
+    const window = this.windowOf(wallTime);
+    const counts = this.#own[window] ?? {};
+    this.#own = newest(
+      {
+        ...this.#own,
+        [window]: { ...counts, [workspace]: (counts[workspace] ?? 0) + 1 },
+      },
+      window,
+    );
+  }
+
+  /** Own counts of the newest windows, to tell the peers. */
+  own(wallTime: number): WindowCounts {
+    return newest(this.#own, this.windowOf(wallTime));
+  }
+
+  /** Takes in a peer's counts; each message tells all of them anew. */
+  heard(peer: string, incarnation: string, counts: WindowCounts): void {
+    this.#peers.set(`${peer}/${incarnation}`, {
+      ...this.#peers.get(`${peer}/${incarnation}`),
+      ...counts,
+    });
+  }
+
+  /** Counts of a window over all hosts. */
+  total(window: number): UsageCounts {
+    return [this.#own, ...this.#peers.values()]
+      .flatMap((counts) => Object.entries(counts[window] ?? {}))
+      .reduce<Record<string, number>>((sum, [workspace, count]) => {
+        sum[workspace] = (sum[workspace] ?? 0) + count;
+        return sum;
+      }, {});
+  }
+
+  /** Forgets windows that are too old to be reported. */
+  forgetBefore(window: number): void {
+    [...this.#peers].forEach(([peer, counts]) => {
+      const kept = newest(counts, window);
+      if (Object.keys(kept).length === 0) this.#peers.delete(peer);
+      else this.#peers.set(peer, kept);
+    });
+  }
+}
+
+function newest(counts: WindowCounts, window: number): WindowCounts {
+  return Object.fromEntries(
+    Object.entries(counts).filter(
+      ([name]) => Number(name) > window - KEPT_WINDOWS,
+    ),
+  );
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -0,0 +1,315 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Where callers connect: reads whole requests within the configured limits,
+ * finds route, workspace and service, and starts their runs.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { Result } from "true-myth";
+import { listen, readBody, type Listening } from "rampswitch-utils";
+import type {
+  CallerLimits,
+  Route,
+  Service,
+  Workspace,
+} from "../model/configuration.ts";
+import { REFUSALS, type RefusalReason } from "../model/outcome.ts";
+import type { RequestHead } from "../model/request.ts";
+import type {
+  ConfigurationView,
+  RequestContext,
+} from "../relay/request_context.ts";
+import { type AdmittedRequest, RequestRun } from "../relay/request_run.ts";
+import { drawTarget, type RouteIndex } from "./route_index.ts";
+
+/** Header bytes that the parser takes; the configuration sets less. */
+const MAXIMUM_HEADER_BYTES = 64 * 1024;
+
+/** Limits until a configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerMilliseconds: 3_000,
+  idleMilliseconds: 15_000,
+};
+
+/** Longest time for a whole request to come in, in milliseconds. */
+const REQUEST_MILLISECONDS = 30_000;
+
+/** Callers are asked to come back after this, in seconds, by reason. */
+const RETRY_AFTER_SECONDS: Readonly<Partial<Record<RefusalReason, number>>> = {
+  no_configuration: 0.5,
+  configuration_not_confirmed: 0.5,
+  stopping: 0.1,
+  no_server: 0.3,
+};
+
+/** Where a request goes and on whose account. */
+interface Destination {
+  readonly route: Route;
+  readonly service: Service;
+  readonly workspace: Workspace | undefined;
+}
+
+/** Why a request ends at intake, and when it may come back. */
+interface Refusal {
+  readonly reason: RefusalReason;
+  readonly retryAfterSeconds: number | undefined;
+}
+
+/** The listener for callers, and the runs of their requests. */
+export class CallerServer {
+  readonly #context: RequestContext;
+  readonly #server: Server;
+  readonly #runs = new Set<RequestRun>();
+  #limits = FIRST_LIMITS;
+  #reading = 0;
+
+  constructor(context: RequestContext) {
+    this.#context = context;
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAXIMUM_HEADER_BYTES,
+        requestTimeout: REQUEST_MILLISECONDS,
+        headersTimeout: FIRST_LIMITS.headerMilliseconds,
+        keepAliveTimeout: FIRST_LIMITS.idleMilliseconds,
+        noDelay: true,
+      },
+      (incoming, response) => void this.#take(incoming, response),
+    );
+    this.#server.on("clientError", (error, socket) =>
+      this.#malformed(error, socket as Socket),
+    );
+  }
+
+  /** Requests being read or served. */
+  get inProgress(): number {
+    return this.#runs.size + this.#reading;
+  }
+
+  /** Runs under way. */
+  get runs(): readonly RequestRun[] {
+    return [...this.#runs];
+  }
+
+  /** Starts to listen. */
+  listen(address: string): Promise<Listening> {
+    return listen(this.#server, address);
+  }
+
+  /** Takes over the limits of a configuration. */
+  limit(limits: CallerLimits): void {
+    this.#limits = limits;
+    this.#server.headersTimeout = limits.headerMilliseconds;
+    this.#server.keepAliveTimeout = limits.idleMilliseconds;
+  }
+
+  /** Closes connections that carry no request. */
+  closeIdleConnections(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Stops to take connections. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
+  async #take(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = this.#context.clock.now();
+    const head = this.#context.codec.decodeRequest({
+      method: incoming.method ?? "",
+      target: incoming.url ?? "",
+      rawHeaders: incoming.rawHeaders,
+    });
+    this.#reading += 1;
+    const body = await readBody(incoming, this.#limits.bodyBytes);
+    this.#reading -= 1;
+    if (body.isErr) {
+      if (body.error === "cut_off") return;
+      this.#refuse(response, head, { ...TOO_LARGE });
+      response.once("finish", () => incoming.destroy());
+      return;
+    }
+    const view = this.#context.configuration();
+    const destination = this.#destination(head, view);
+    if (destination.isErr) {
+      this.#refuse(response, head, destination.error);
+      return;
+    }
+    const charged = this.#charge(head, destination.value);
+    if (charged.isErr) {
+      this.#refuse(response, head, charged.error);
+      return;
+    }
+    this.#run(
+      {
+        head,
+        ...destination.value,
+        body: body.value.length === 0 ? undefined : body.value,
+        chargedTokens: charged.value,
+        arrivedAt,
+        configurationVersion: view.routes?.configuration.version ?? 0,
+      },
+      incoming,
+      response,
+    );
+  }
+
+  #run(
+    request: AdmittedRequest,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const run = new RequestRun(
+      request,
+      {
+        incoming,
+        response,
+        onFinished: (finished) => this.#runs.delete(finished),
+      },
+      this.#context,
+    );
+    this.#runs.add(run);
+    run.start();
+  }
+
+  #destination(
+    head: RequestHead,
+    view: ConfigurationView,
+  ): Result<Destination, Refusal> {
+    const { routes } = view;
+    if (!this.#context.startsRequests()) return refusal("stopping");
+    if (routes === undefined) return refusal("no_configuration");
+    if (head.attemptId === undefined || !head.target.startsWith("/")) {
+      return refusal("bad_request");
+    }
+    const route = routes.route(head.hostName, pathOf(head.target));
+    if (route === undefined) {
+      return view.keysTrusted
+        ? refusal("no_route")
+        : refusal("configuration_not_confirmed");
+    }
+    const service = this.#service(route, routes);
+    if (service === undefined) return refusal("no_server");
+    if (route.open || !routes.keysNeeded) {
+      return Result.ok({ route, service, workspace: undefined });
+    }
+    return this.#keyed(head, view, { route, service, routes });
+  }
+
+  #keyed(
+    head: RequestHead,
+    view: ConfigurationView,
+    found: {
+      readonly route: Route;
+      readonly service: Service;
+      readonly routes: RouteIndex;
+    },
+  ): Result<Destination, Refusal> {
+    if (!view.keysTrusted) return refusal("configuration_not_confirmed");
+    const workspace =
+      head.key === undefined ? undefined : found.routes.workspace(head.key);
+    return workspace === undefined
+      ? refusal("key_unknown")
+      : Result.ok({ route: found.route, service: found.service, workspace });
+  }
+
+  #service(route: Route, routes: RouteIndex): Service | undefined {
+    const name = drawTarget(route, this.#context.random.next());
+    return name === undefined ? undefined : routes.service(name);
+  }
+
+  /** Charges the workspace's limit with the request's tokens. */
+  #charge(
+    head: RequestHead,
+    destination: Destination,
+  ): Result<number, Refusal> {
+    const { workspace } = destination;
+    if (workspace === undefined) return Result.ok(0);
+    const tokens = chargeOf(head, workspace);
+    const decision = this.#context.limits.admit(
+      workspace.name,
+      tokens,
+      this.#context.clock.now(),
+    );
+    return decision.kind === "admitted"
+      ? Result.ok(tokens)
+      : Result.err({
+          reason: "workspace_limit",
+          retryAfterSeconds: decision.retryAfterMilliseconds / 1_000,
+        });
+  }
+
+  #refuse(response: ServerResponse, head: RequestHead, refused: Refusal): void {
+    const { reason } = refused;
+    this.#context.metrics.outcome(reason);
+    this.#context.logger.info("request refused", {
+      request: head.attemptId,
+      outcome: reason,
+      path: head.target,
+      configuration:
+        this.#context.configuration().routes?.configuration.version,
+      configurationAge: Math.round(
+        this.#context.configuration().ageMilliseconds,
+      ),
+    });
+    if (response.destroyed) return;
+    response.writeHead(REFUSALS[reason].status, [
+      ...this.#context.codec.encodeOwnAnswer({
+        attemptId: head.attemptId,
+        retryAfterSeconds: refused.retryAfterSeconds,
+      }),
+      "Content-Length",
+      "0",
+      ...(this.#context.endsConnections() || reason === "body_too_large"
+        ? ["Connection", "close"]
+        : []),
+    ]);
+    response.end();
+  }
+
+  #malformed(error: Error, socket: Socket): void {
+    this.#context.metrics.event("malformed_request");
+    if (!socket.writable || socket.bytesWritten > 0) {
+      socket.destroy();
+      return;
+    }
+    this.#context.logger.info("malformed request", { detail: error.message });
+    socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+  }
+}
+
+const TOO_LARGE: Refusal = {
+  reason: "body_too_large",
+  retryAfterSeconds: undefined,
+};
+
+function refusal(reason: RefusalReason): Result<never, Refusal> {
+  return Result.err({
+    reason,
+    retryAfterSeconds: RETRY_AFTER_SECONDS[reason],
+  });
+}
+
+function pathOf(target: string): string {
+  const query = target.indexOf("?");
+  return query < 0 ? target : target.slice(0, query);
+}
+
+function chargeOf(head: RequestHead, workspace: Workspace): number {
+  if (!workspace.countsTokens) return 1;
+  return head.promptTokens === undefined
+    ? workspace.tokensWithoutEstimate
+    : head.promptTokens + (head.maximumAnswerTokens ?? 0);
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/intake/readiness_server.ts
@@ -0,0 +1,26 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Answers the balancer's question whether this host takes new connections.
+ *
+ * @module
+ */
+import { createServer } from "node:http";
+import { listen, type Listening } from "rampswitch-utils";
+
+/** Serves readiness on a path: 200 or 503. */
+export function serveReadiness(
+  address: string,
+  options: { readonly path: string; readonly ready: () => boolean },
+): Promise<Listening> {
+  const server = createServer((request, response) => {
+    const known = request.url === options.path;
+    const status = known ? (options.ready() ? READY : NOT_READY) : UNKNOWN;
+    response.writeHead(status, { "content-length": 0 }).end();
+  });
+  return listen(server, address);
+}
+
+const READY = 200;
+const NOT_READY = 503;
+const UNKNOWN = 404;
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/peer_transport.ts
@@ -0,0 +1,53 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Datagrams between hosts. News is periodic and cumulative, so lost messages
+ * need no repeat and no connection has to be kept to any peer.
+ *
+ * @module
+ */
+import { createSocket, type Socket } from "node:dgram";
+import { splitAddress } from "rampswitch-utils";
+
+/** Sends and receives datagrams. */
+export interface PeerTransport extends AsyncDisposable {
+  /** IP number and port that peers send to. */
+  readonly address: string;
+  send(address: string, datagram: Buffer): void;
+}
+
+/** Opens a UDP socket; every datagram goes to `receive`. */
+export async function openPeerTransport(
+  address: string,
+  receive: (datagram: Buffer) => void,
+  onError: (error: Error) => void,
+): Promise<PeerTransport> {
+  const { host, port } = splitAddress(address);
+  const socket = createSocket("udp4");
+  socket.on("message", receive);
+  await bound(socket, host, port);
+  socket.on("error", onError);
+  return {
+    address: `${host}:${socket.address().port}`,
+    send: (to, datagram) => {
+      const target = splitAddress(to);
+      socket.send(datagram, target.port, target.host, (error) => {
+        if (error !== null) onError(error);
+      });
+    },
+    [Symbol.asyncDispose]: () =>
+      new Promise((resolve) => {
+        socket.close(() => resolve());
+      }),
+  };
+}
+
+function bound(socket: Socket, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    socket.once("error", reject);
+    socket.bind(port, host, () => {
+      socket.off("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -0,0 +1,16 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The serving host: request pipeline, shared limits, membership and duties.
+ *
+ * @module
+ */
+export * from "./configuration/configuration_follower.ts";
+export type * from "./model/backend_server.ts";
+export type * from "./model/cloud.ts";
+export type * from "./model/configuration.ts";
+export type * from "./model/engine_control.ts";
+export type * from "./model/request.ts";
+export * from "./observation/mod.ts";
+export * from "./serving_host.ts";
+export type * from "./serving_settings.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/model/outcome.ts
@@ -0,0 +1,64 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Why requests end and why they are sent again: one closed list each, which
+ * counters and log lines use.
+ *
+ * @module
+ */
+
+/** Reasons to end a request with an answer of this host's own. */
+export const REFUSAL_REASONS = [
+  "no_configuration",
+  "configuration_not_confirmed",
+  "no_route",
+  "key_unknown",
+  "workspace_limit",
+  "body_too_large",
+  "bad_request",
+  "stopping",
+  "no_server",
+  "servers_full",
+  "deadline_passed",
+  "unknown_outcome",
+  "timed_out",
+  "answer_broken",
+] as const;
+
+/** One of {@link REFUSAL_REASONS}. */
+export type RefusalReason = (typeof REFUSAL_REASONS)[number];
+
+/** Status of each refusal, and whether it promises that nothing ran. */
+export const REFUSALS: Readonly<
+  Record<RefusalReason, { readonly status: number; readonly notRun: boolean }>
+> = {
+  no_configuration: { status: 503, notRun: true },
+  configuration_not_confirmed: { status: 503, notRun: true },
+  no_route: { status: 404, notRun: true },
+  key_unknown: { status: 401, notRun: true },
+  workspace_limit: { status: 429, notRun: true },
+  body_too_large: { status: 413, notRun: true },
+  bad_request: { status: 400, notRun: true },
+  stopping: { status: 503, notRun: true },
+  no_server: { status: 503, notRun: true },
+  servers_full: { status: 503, notRun: true },
+  deadline_passed: { status: 503, notRun: true },
+  unknown_outcome: { status: 502, notRun: false },
+  timed_out: { status: 504, notRun: false },
+  answer_broken: { status: 502, notRun: false },
+};
+
+/** Reasons to send a request to another backend server. */
+export const RESEND_REASONS = [
+  "not_connected",
+  "rejected",
+  "connection_lost",
+  "server_error",
+  "answer_not_usable",
+  "stream_broken",
+  "stalled",
+  "memory_moved",
+] as const;
+
+/** One of {@link RESEND_REASONS}. */
+export type ResendReason = (typeof RESEND_REASONS)[number];
--- /dev/null
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -0,0 +1,115 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Counters and latency histograms, served as text for scraping.
+ *
+ * @module
+ */
+import { createServer } from "node:http";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { listen, type Listening } from "rampswitch-utils";
+
+/** Bounds of the latency histograms, in seconds; around the usual targets. */
+const LATENCY_BOUNDS = [
+  0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15,
+];
+
+/** Metrics of one host. */
+export class ServingMetrics {
+  readonly #registry = new Registry();
+  readonly #outcomes = this.#counter("requests_total", "Requests by outcome", [
+    "outcome",
+  ]);
+  readonly #resends = this.#counter("resends_total", "Repeated sends", [
+    "reason",
+  ]);
+  readonly #events = this.#counter("events_total", "Events by name", ["event"]);
+  readonly #gauges = new Map<string, Gauge>();
+  readonly #firstPart = this.#histogram(
+    "first_part_seconds",
+    "Time from a request to the first part of its answer",
+  );
+  readonly #whole = this.#histogram(
+    "answer_seconds",
+    "Time from a request to the end of its answer",
+  );
+
+  /** Counts the end of a request. */
+  outcome(outcome: string): void {
+    this.#outcomes.inc({ outcome });
+  }
+
+  /** Counts a repeated send. */
+  resend(reason: string): void {
+    this.#resends.inc({ reason });
+  }
+
+  /** Counts something that happened. */
+  event(event: string): void {
+    this.#events.inc({ event });
+  }
+
+  /** Sets a gauge. */
+  gauge(name: string, value: number): void {
+    const gauge =
+      this.#gauges.get(name) ??
+      new Gauge({
+        name: `rampswitch_${name}`,
+        help: name,
+        registers: [this.#registry],
+      });
+    this.#gauges.set(name, gauge);
+    gauge.set(value);
+  }
+
+  /** Records the time to the first part of an answer. */
+  firstPart(milliseconds: number): void {
+    this.#firstPart.observe(milliseconds / 1_000);
+  }
+
+  /** Records the time to the end of an answer. */
+  whole(milliseconds: number): void {
+    this.#whole.observe(milliseconds / 1_000);
+  }
+
+  /** Everything as text. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  /** Serves the text on an address. */
+  serve(address: string, path: string): Promise<Listening> {
+    const server = createServer((request, response) => {
+      if (request.url !== path) {
+        response.writeHead(404).end();
+        return;
+      }
+      void this.text().then((text) => {
+        response.writeHead(200, { "content-type": "text/plain" }).end(text);
+      });
+    });
+    return listen(server, address);
+  }
+
+  #counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Counter<Label> {
+    return new Counter({
+      name: `rampswitch_${name}`,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.#registry],
+    });
+  }
+
+  #histogram(name: string, help: string): Histogram {
+    return new Histogram({
+      name: `rampswitch_${name}`,
+      help,
+      buckets: LATENCY_BOUNDS,
+      registers: [this.#registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/observation/mod.ts
@@ -0,0 +1,9 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Logs and metrics.
+ *
+ * @module
+ */
+export * from "./bounded_output.ts";
+export * from "./metrics.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -0,0 +1,58 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Cuts a stream of server-sent events at the ends of whole events, so that a
+ * stream that broke off can go on elsewhere without a torn or doubled event.
+ *
+ * @module
+ */
+
+/** Whole events from the start of what was pushed. */
+export interface Frames {
+  readonly bytes: Buffer;
+  readonly count: number;
+  /** Id of the last event, where it has one. */
+  readonly lastId: string | undefined;
+}
+
+const NO_FRAMES: Frames = {
+  bytes: Buffer.alloc(0),
+  count: 0,
+  lastId: undefined,
+};
+const END_OF_EVENT = "\n\n";
+const ID_FIELD = /^id: ?(.*)$/m;
+
+/** Collects pieces of a stream into whole events. */
+export class EventFramer {
+  #rest: Buffer = Buffer.alloc(0);
+
+  /** Bytes of an event that is not whole yet. */
+  get pendingBytes(): number {
+    return this.#rest.length;
+  }
+
+  /** Takes in a piece; returns the events that are whole now. */
+  push(piece: Buffer): Frames {
+    const all =
+      this.#rest.length === 0 ? piece : Buffer.concat([this.#rest, piece]);
+    const end = all.lastIndexOf(END_OF_EVENT);
+    if (end < 0) {
+      this.#rest = all;
+      return NO_FRAMES;
+    }
+    const cut = end + END_OF_EVENT.length;
+    this.#rest = all.subarray(cut);
+    const bytes = all.subarray(0, cut);
+    const events = bytes.toString("latin1").slice(0, end).split(END_OF_EVENT);
+    const lastId = events
+      .map((event) => ID_FIELD.exec(event)?.[1]?.trim())
+      .findLast((id) => id !== undefined);
+    return { bytes, count: events.length, lastId };
+  }
+
+  /** Forgets an event that broke off. */
+  reset(): void {
+    this.#rest = Buffer.alloc(0);
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/load_meter.ts
@@ -0,0 +1,86 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * How much each service has to do over all hosts, for the planning of servers.
+ *
+ * @module
+ */
+import type { Clock } from "rampswitch-utils";
+
+/** Span over which loads are averaged and peaks kept, in milliseconds. */
+const SPAN_MILLISECONDS = 6_000;
+
+interface Sample {
+  readonly at: number;
+  readonly value: number;
+}
+
+/** Totals by service. */
+export type ReadTokens = Readonly<Record<string, number>>;
+
+/** Load of all services as one host knows it. */
+export class LoadMeter {
+  readonly #clock: Clock;
+  #own: Record<string, number> = {};
+  readonly #peers = new Map<string, ReadTokens>();
+  readonly #totals = new Map<string, readonly Sample[]>();
+  readonly #running = new Map<string, readonly Sample[]>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Notes prompt tokens that this host sent to be read. */
+  read(service: string, tokens: number): void {
+    this.#own[service] = (this.#own[service] ?? 0) + tokens;
+  }
+
+  /** Totals since the start, to tell the peers. */
+  ownReadTokens(): ReadTokens {
+    return this.#own;
+  }
+
+  /** Takes in a peer's totals; `life` differs for each of its processes. */
+  heard(life: string, totals: ReadTokens): void {
+    this.#peers.set(life, totals);
+  }
+
+  /** Prompt tokens a second that all hosts sent to a service. */
+  readTokensPerSecond(service: string): number {
+    const total = [this.#own, ...this.#peers.values()].reduce(
+      (sum, totals) => sum + (totals[service] ?? 0),
+      0,
+    );
+    const samples = this.#sample(this.#totals, service, total);
+    const [first] = samples;
+    const last = samples.at(-1);
+    if (first === undefined || last === undefined || last.at === first.at) {
+      return 0;
+    }
+    return ((last.value - first.value) / (last.at - first.at)) * 1_000;
+  }
+
+  /** The most requests that ran at once within the span. */
+  peakRunning(service: string, running: number): number {
+    return this.#sample(this.#running, service, running).reduce(
+      (most, sample) => Math.max(most, sample.value),
+      0,
+    );
+  }
+
+  #sample(
+    kept: Map<string, readonly Sample[]>,
+    service: string,
+    value: number,
+  ): readonly Sample[] {
+    const at = this.#clock.now();
+    const samples = [
+      ...(kept.get(service) ?? []).filter(
+        (sample) => at - sample.at <= SPAN_MILLISECONDS,
+      ),
+      { at, value },
+    ];
+    kept.set(service, samples);
+    return samples;
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -0,0 +1,676 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * One request from admission to its answer: sends, resends, relay, time limits
+ * and the final outcome. What may be sent again and what may be said follows
+ * from the attempt's truth alone.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AttemptTruth, type Send } from "../attempt/mod.ts";
+import {
+  chooseServer,
+  type Choice,
+  type ServerRecord,
+} from "../choice/mod.ts";
+import type { Route, Service, Workspace } from "../model/configuration.ts";
+import {
+  REFUSALS,
+  type RefusalReason,
+  type ResendReason,
+} from "../model/outcome.ts";
+import type {
+  AnswerHead,
+  MemorySource,
+  RequestHead,
+} from "../model/request.ts";
+import { CallerAnswer } from "./caller_answer.ts";
+import { EventFramer } from "./event_framer.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** A request that passed intake. */
+export interface AdmittedRequest {
+  readonly head: RequestHead;
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  readonly service: Service;
+  readonly workspace: Workspace | undefined;
+  /** What the workspace's limit was charged. */
+  readonly chargedTokens: number;
+  /** When its head was read, on the steady clock. */
+  readonly arrivedAt: number;
+  readonly configurationVersion: number;
+}
+
+/** Largest answer that is held back until it is whole, in bytes. */
+const MAXIMUM_HELD_BYTES = 1024 * 1024;
+
+/** Least time left that makes a further send worthwhile, in milliseconds. */
+const LEAST_USEFUL_MILLISECONDS = 20;
+
+/**
+ * A repeatable plain request is sent elsewhere after this multiple of the
+ * route's target without an answer; twice the target leaves room for a queue.
+ */
+const PLAIN_STALL_TARGETS = 2;
+
+/** The same for the first event of a resumable stream. */
+const STREAM_STALL_TARGETS = 2.5;
+
+/** Pause within a resumable stream after which it goes on elsewhere, in ms. */
+const STREAM_PAUSE_MILLISECONDS = 1_500;
+
+/** Callers are asked to come back after this time at least, in seconds. */
+const LEAST_RETRY_AFTER_SECONDS = 0.2;
+
+/** Share of an admission's estimate that stands for an unknown wait, in s. */
+const FULL_RETRY_AFTER_SECONDS = 0.4;
+
+/** One send under way. */
+interface CurrentSend {
+  readonly choice: Choice;
+  readonly send: Send;
+  readonly work: { readPrompt(): void; ended(): void };
+  readonly sentAt: number;
+  readonly unreadBefore: number;
+}
+
+/** The life of one admitted request. */
+export class RequestRun {
+  readonly request: AdmittedRequest;
+  readonly #context: RequestContext;
+  readonly #answer: CallerAnswer;
+  readonly #truth: AttemptTruth;
+  readonly #framer = new EventFramer();
+  readonly #tried = new Set<string>();
+  readonly #reasons: ResendReason[] = [];
+  readonly #deadlineAt: number;
+  readonly #onFinished: (run: RequestRun) => void;
+  #current: CurrentSend | undefined;
+  #head: AnswerHead | undefined;
+  #held: Buffer[] = [];
+  #heldBytes = 0;
+  #lastEventId: string | undefined;
+  #memorySource: MemorySource | undefined;
+  #began = false;
+  #moving = false;
+  #lostWhileMoving = false;
+  #servers: readonly string[] = [];
+  #cancelDeadline: () => void = () => undefined;
+  #cancelStall: () => void = () => undefined;
+  #firstPartAt: number | undefined;
+  #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
+
+  constructor(
+    request: AdmittedRequest,
+    exchange: {
+      readonly incoming: IncomingMessage;
+      readonly response: ServerResponse;
+      readonly onFinished: (run: RequestRun) => void;
+    },
+    context: RequestContext,
+  ) {
+    this.request = request;
+    this.#context = context;
+    this.#onFinished = exchange.onFinished;
+    this.#answer = new CallerAnswer(exchange.response, () =>
+      context.endsConnections(),
+    );
+    this.#truth = new AttemptTruth(
+      request.route.resumable ? "repeatable" : request.route.repeatability,
+    );
+    this.#lastEventId = request.head.lastEventId;
+    this.#deadlineAt = request.arrivedAt + limitMilliseconds(request);
+    exchange.response.on("close", () => {
+      if (!exchange.response.writableFinished) this.#callerLeft();
+    });
+  }
+
+  /** The server that works on the request now. */
+  get server(): ServerRecord | undefined {
+    return this.#current?.choice.record;
+  }
+
+  /** Starts the first send. */
+  start(): void {
+    const wait = this.#deadlineAt - this.#now();
+    this.#cancelDeadline = this.#context.clock.after(Math.max(0, wait), () =>
+      this.#timedOut(),
+    );
+    this.#context.budget.requested(this.request.service.name, this.#now());
+    this.#sendToBest();
+  }
+
+  /** Moves a running stream to another engine, memory and all. */
+  async moveAway(): Promise<void> {
+    const current = this.#current;
+    const attemptId = this.request.head.attemptId;
+    if (current === undefined || attemptId === undefined || this.#moving) {
+      return;
+    }
+    const from = current.choice.record.entry.address;
+    const target = this.#choose();
+    if (target === undefined) return;
+    const to = target.record.entry.address;
+    const control = this.#context.engineControl;
+    const copied = await control.copyMemory({
+      from,
+      to,
+      attemptId,
+      stopsRun: false,
+    });
+    if (copied.isErr || this.#current !== current || this.#answer.finished) {
+      this.#logMove(target, copied.isErr ? copied.error : "run_ended");
+      return;
+    }
+    this.#moving = true;
+    const moved = await control.copyMemory({
+      from,
+      to,
+      attemptId,
+      stopsRun: true,
+    });
+    this.#moving = false;
+    this.#logMove(target, moved.isErr ? moved.error : "moved");
+    if (this.#answer.finished) return;
+    if (moved.isErr) {
+      if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
+      return;
+    }
+    this.#endCurrent(true);
+    this.#truth.handle({ type: "moved" });
+    this.#memorySource = { address: from, handle: moved.value };
+    this.#note("memory_moved");
+    this.#sendTo(target);
+  }
+
+  #now(): number {
+    return this.#context.clock.now();
+  }
+
+  #remaining(): number {
+    return this.#deadlineAt - this.#now();
+  }
+
+  #choose(): Choice | undefined {
+    const outcome = this.#chooseOutcome();
+    return outcome.kind === "chosen" ? outcome.choice : undefined;
+  }
+
+  #chooseOutcome() {
+    const { request } = this;
+    const { directory, prefixes, readingRates } = this.#context;
+    return chooseServer(directory.of(request.service.name), prefixes, {
+      now: this.#now(),
+      dataHall: this.#context.dataHall,
+      engine: request.service.engine,
+      parts: request.head.promptParts,
+      promptTokens: promptTokens(request.head),
+      readingRate: readingRates.of(request.service.name),
+      excluded: this.#tried,
+      ownConnections: Math.max(
+        2,
+        Math.floor(
+          (request.service.maximumConnections * CONNECTION_SHARE) /
+            this.#context.hosts(),
+        ),
+      ),
+    });
+  }
+
+  #sendToBest(): void {
+    const outcome = this.#chooseOutcome();
+    if (outcome.kind === "chosen") this.#sendTo(outcome.choice);
+    else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
+  }
+
+  #sendTo(choice: Choice): void {
+    const { record } = choice;
+    const { request } = this;
+    const parts = request.head.promptParts;
+    const tokens = promptTokens(request.head);
+    const unreadBefore = record.unreadTokens(this.#now());
+    this.#tried.add(record.entry.id);
+    this.#servers = [...this.#servers, record.entry.id];
+    const memorySource = this.#memorySource;
+    this.#memorySource = undefined;
+    const unread = memorySource === undefined ? tokens - choice.keptTokens : 0;
+    const work = record.started(Math.max(0, unread));
+    if (request.service.engine !== undefined) {
+      this.#context.prefixes.stored(
+        record.entry.id,
+        parts,
+        request.service.engine.memoryTokens,
+      );
+      this.#context.dispatched(record.entry.id, {
+        service: request.service.name,
+        parts: parts.slice(0, -1),
+        unreadTokens: Math.max(0, unread),
+      });
+    }
+    const send = this.#context.client.send(
+      record.entry,
+      {
+        method: request.head.method,
+        target: request.head.target,
+        body: request.body,
+        headers: this.#context.codec.encodeSend(request.head, {
+          serverId: record.entry.id,
+          workspace: request.workspace?.name,
+          remainingMilliseconds: Math.max(1, Math.floor(this.#remaining())),
+          enginePriority: enginePriority(request),
+          lastEventId: this.#lastEventId,
+          memorySource,
+        }),
+      },
+      {
+        written: () => this.#truth.handle({ type: "written" }),
+        head: (status, raw) =>
+          this.#headCame(this.#context.codec.decodeAnswer(status, raw)),
+        data: (chunk) => this.#dataCame(chunk),
+        ended: () => this.#answerEnded(),
+        failed: (failure, detail) =>
+          failure === "not_written"
+            ? this.#notWritten(detail)
+            : this.#lost("connection_lost", detail),
+      },
+    );
+    this.#current = {
+      choice,
+      send,
+      work,
+      sentAt: this.#now(),
+      unreadBefore,
+    };
+    this.#watchForStall(this.#firstStallMilliseconds());
+  }
+
+  #firstStallMilliseconds(): number {
+    const { route } = this.request;
+    return (
+      route.targetMilliseconds *
+      (route.streaming ? STREAM_STALL_TARGETS : PLAIN_STALL_TARGETS)
+    );
+  }
+
+  /** Goes elsewhere after a silence, where a second run does no harm. */
+  #watchForStall(milliseconds: number): void {
+    this.#cancelStall();
+    this.#cancelStall = this.#context.clock.after(milliseconds, () => {
+      const current = this.#current;
+      if (current === undefined || this.#moving) return;
+      current.choice.record.failed(this.#now(), { surelyDown: false });
+      if (!this.#mayResendAfterRun()) return;
+      this.#truth.handle({ type: "lost" });
+      this.#endCurrent(true);
+      this.#resend("stalled", "timed_out");
+    });
+  }
+
+  /** Whether the current run may be left for another one. */
+  #mayResendAfterRun(): boolean {
+    const { route } = this.request;
+    const repeatable = route.resumable || route.repeatability === "repeatable";
+    return repeatable && this.#truth.possibleRuns < route.maximumRuns;
+  }
+
+  #headCame(head: AnswerHead): void {
+    const current = this.#current;
+    if (current === undefined) return;
+    const crossed =
+      head.attemptId !== undefined &&
+      head.attemptId !== this.request.head.attemptId;
+    if (crossed || head.encoded) {
+      current.send.abort();
+      this.#lost("answer_not_usable", crossed ? "crossed" : "encoded");
+      return;
+    }
+    if (head.load !== undefined) {
+      current.choice.record.reported(head.load, this.#now());
+    }
+    this.#head = head;
+    if (head.notExecuted) return;
+    const success = isSuccess(head.status);
+    if (success && !head.signed) {
+      current.send.abort();
+      this.#lost("answer_not_usable", "not signed");
+      return;
+    }
+    this.#truth.handle({ type: "answered" });
+    if (!success && this.#answer.started) this.#resumeRefused(head);
+  }
+
+  /** A server ran a resumed stream's request and answered with a failure. */
+  #resumeRefused(head: AnswerHead): void {
+    this.#current?.send.abort();
+    this.#lost("server_error", `status ${head.status}`);
+  }
+
+  #dataCame(chunk: Buffer): void {
+    const current = this.#current;
+    const head = this.#head;
+    if (current === undefined || head === undefined) return;
+    const streams =
+      this.request.route.streaming && isSuccess(head.status) && !head.notExecuted;
+    if (streams && this.#truth.state === "running") this.#relay(chunk, current);
+    else this.#hold(chunk, current);
+  }
+
+  #hold(chunk: Buffer, current: CurrentSend): void {
+    this.#held.push(chunk);
+    this.#heldBytes += chunk.length;
+    if (this.#heldBytes <= MAXIMUM_HELD_BYTES) return;
+    current.send.abort();
+    this.#lost("answer_not_usable", "larger than what is held back");
+  }
+
+  #relay(chunk: Buffer, current: CurrentSend): void {
+    const frames = this.#framer.push(chunk);
+    if (frames.count === 0) return;
+    if (!this.#answer.started) this.#firstEvent(current);
+    this.#truth.handle({ type: "relayed" });
+    this.#lastEventId = frames.lastId ?? this.#lastEventId;
+    this.#watchForStall(STREAM_PAUSE_MILLISECONDS);
+    if (this.#answer.write(frames.bytes)) return;
+    current.send.pause();
+    this.#answer.onceDrained(() => current.send.resume());
+  }
+
+  #firstEvent(current: CurrentSend): void {
+    const head = this.#head;
+    if (head === undefined) return;
+    current.work.readPrompt();
+    this.#noteBegan();
+    this.#noteFirstPart();
+    this.#learnReadingRate(current);
+    this.#answer.begin(head.status, head.forwarded);
+  }
+
+  #learnReadingRate(current: CurrentSend): void {
+    if (current.unreadBefore > 0 || this.#servers.length > 1) return;
+    this.#context.readingRates.measured(
+      this.request.service.name,
+      promptTokens(this.request.head) - current.choice.keptTokens,
+      this.#now() - current.sentAt,
+    );
+  }
+
+  #answerEnded(): void {
+    const current = this.#current;
+    const head = this.#head;
+    if (current === undefined || head === undefined) return;
+    if (head.notExecuted) this.#rejected(head);
+    else if (this.request.route.streaming && isSuccess(head.status)) {
+      this.#streamEnded(current);
+    } else this.#wholeAnswer(head, current);
+  }
+
+  #streamEnded(current: CurrentSend): void {
+    if (this.#framer.pendingBytes > 0 || this.#truth.state !== "running") {
+      this.#lost("stream_broken", "ended within an event");
+      return;
+    }
+    if (!this.#answer.started) this.#firstEvent(current);
+    current.choice.record.succeeded();
+    this.#answer.end();
+    this.#finish("completed");
+  }
+
+  #wholeAnswer(head: AnswerHead, current: CurrentSend): void {
+    const body = Buffer.concat(this.#held);
+    this.#noteBegan();
+    const failed = head.status >= FIRST_SERVER_ERROR;
+    if (failed) current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
+    else current.choice.record.succeeded();
+    if (failed && this.#mayResendAfterRun()) {
+      this.#failureAnswer = { head, body };
+      this.#truth.handle({ type: "lost" });
+      this.#endCurrent(false);
+      this.#resend("server_error", "answer_broken");
+      return;
+    }
+    this.#noteFirstPart();
+    this.#answer.whole(head.status, head.forwarded, body);
+    this.#finish(failed ? "server_error" : "completed");
+  }
+
+  #rejected(head: AnswerHead): void {
+    this.#truth.handle({ type: "rejected" });
+    this.#endCurrent(false);
+    this.#context.metrics.event(`rejected_${head.status}`);
+    this.#resend("rejected", "servers_full");
+  }
+
+  #notWritten(detail: string): void {
+    this.#truth.handle({ type: "not_written" });
+    const record = this.#current?.choice.record;
+    record?.failed(this.#now(), { surelyDown: true });
+    this.#endCurrent(false);
+    this.#logLoss("not_connected", detail, record);
+    this.#resend("not_connected", "no_server");
+  }
+
+  #lost(reason: ResendReason, detail: string): void {
+    const record = this.#current?.choice.record;
+    if (this.#moving) {
+      this.#lostWhileMoving = true;
+      return;
+    }
+    const before = this.#truth.state;
+    this.#truth.handle({ type: "lost" });
+    record?.failed(this.#now(), NOT_SURELY_DOWN);
+    this.#endCurrent(true);
+    this.#logLoss(reason, detail, record);
+    if (before === "waiting") {
+      this.#resend("not_connected", "no_server");
+      return;
+    }
+    this.#resend(reason, "unknown_outcome");
+  }
+
+  #resend(reason: ResendReason, otherwise: RefusalReason): void {
+    if (this.#answer.finished) return;
+    const { route, service } = this.request;
+    const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
+    const allowed =
+      this.#truth.maySend(route.maximumRuns + extra) &&
+      this.#remaining() > LEAST_USEFUL_MILLISECONDS &&
+      this.#reasons.length < MAXIMUM_RESENDS;
+    const choice = allowed ? this.#choose() : undefined;
+    const budget = { now: this.#now(), hosts: this.#context.hosts() };
+    if (
+      choice === undefined ||
+      !this.#context.budget.spend(service.name, budget)
+    ) {
+      this.#giveUp(otherwise);
+      return;
+    }
+    this.#note(reason);
+    this.#sendTo(choice);
+  }
+
+  #note(reason: ResendReason): void {
+    this.#reasons.push(reason);
+    this.#context.metrics.resend(reason);
+  }
+
+  #timedOut(): void {
+    if (this.#answer.finished) return;
+    const unsent = this.#truth.surelyNotRun;
+    this.#current?.send.abort();
+    this.#endCurrent(true);
+    this.#giveUp(unsent ? "deadline_passed" : "timed_out");
+  }
+
+  /** Ends with an answer of this host's own that is true. */
+  #giveUp(reason: RefusalReason): void {
+    if (this.#answer.finished) return;
+    const failure = this.#failureAnswer;
+    if (this.#answer.started) this.#answer.breakOff();
+    else if (failure !== undefined) {
+      this.#answer.whole(failure.head.status, failure.head.forwarded, failure.body);
+    } else {
+      const truthful =
+        REFUSALS[reason].notRun && !this.#truth.surelyNotRun
+          ? "unknown_outcome"
+          : reason;
+      this.#answerRefusal(truthful);
+      this.#finish(truthful);
+      return;
+    }
+    this.#finish(reason);
+  }
+
+  #answerRefusal(reason: RefusalReason): void {
+    const refusal = REFUSALS[reason];
+    if (refusal.notRun && this.request.workspace !== undefined) {
+      this.#context.limits.giveBack(
+        this.request.workspace.name,
+        this.request.chargedTokens,
+      );
+    }
+    this.#answer.whole(
+      refusal.status,
+      this.#context.codec.encodeOwnAnswer({
+        attemptId: this.request.head.attemptId,
+        retryAfterSeconds: refusal.notRun
+          ? LEAST_RETRY_AFTER_SECONDS +
+            FULL_RETRY_AFTER_SECONDS * this.#context.random.next()
+          : undefined,
+      }),
+      Buffer.alloc(0),
+    );
+  }
+
+  #callerLeft(): void {
+    if (this.#answer.finished) return;
+    this.#answer.abandoned();
+    this.#current?.send.abort();
+    this.#finish("caller_left");
+  }
+
+  #noteBegan(): void {
+    if (this.#began) return;
+    this.#began = true;
+    const workspace = this.request.workspace;
+    if (workspace !== undefined) this.#context.began(workspace.name);
+  }
+
+  #noteFirstPart(): void {
+    this.#firstPartAt ??= this.#now();
+    this.#context.metrics.firstPart(this.#firstPartAt - this.request.arrivedAt);
+  }
+
+  /** Ends the current send's part in the counts; forgets what it brought. */
+  #endCurrent(abort: boolean): void {
+    this.#cancelStall();
+    if (abort) this.#current?.send.abort();
+    this.#current?.work.ended();
+    this.#current = undefined;
+    this.#head = undefined;
+    this.#framer.reset();
+    this.#held = [];
+    this.#heldBytes = 0;
+  }
+
+  #finish(outcome: string): void {
+    this.#cancelDeadline();
+    this.#truth.handle({ type: "ended" });
+    this.#endCurrent(false);
+    const milliseconds = this.#now() - this.request.arrivedAt;
+    this.#context.metrics.outcome(outcome);
+    this.#context.metrics.whole(milliseconds);
+    this.#logDecision(outcome, milliseconds);
+    this.#onFinished(this);
+  }
+
+  #logDecision(outcome: string, milliseconds: number): void {
+    const { request } = this;
+    this.#context.logger.info("request ended", {
+      request: request.head.attemptId,
+      outcome,
+      route: request.route.name,
+      service: request.service.name,
+      workspace: request.workspace?.name,
+      servers: this.#servers.join(","),
+      resends: this.#reasons.join(","),
+      configuration: request.configurationVersion,
+      promptTokens: request.head.promptTokens,
+      firstPartMilliseconds:
+        this.#firstPartAt === undefined
+          ? undefined
+          : Math.round(this.#firstPartAt - request.arrivedAt),
+      milliseconds: Math.round(milliseconds),
+    });
+  }
+
+  #logLoss(
+    reason: ResendReason,
+    detail: string,
+    record: ServerRecord | undefined,
+  ): void {
+    this.#context.logger.info("send lost", {
+      request: this.request.head.attemptId,
+      reason,
+      detail,
+      server: record?.entry.id,
+      relayed: this.#truth.relayed,
+    });
+  }
+
+  #logMove(target: Choice, outcome: string): void {
+    this.#context.metrics.event(`move_${outcome}`);
+    this.#context.logger.info("memory move", {
+      request: this.request.head.attemptId,
+      target: target.record.entry.id,
+      outcome,
+    });
+  }
+}
+
+/** Share of a server's connections that all hosts together use. */
+const CONNECTION_SHARE = 0.8;
+
+/** Sends of one request that repeat another, at most. */
+const MAXIMUM_RESENDS = 4;
+
+/** Further runs of a stream that broke midway at servers that ended. */
+const RESUME_EXTRA_RUNS = 1;
+
+const FIRST_SERVER_ERROR = 500;
+const NOT_SURELY_DOWN = { surelyDown: false };
+
+/** Most urgent and least urgent priority that engines know. */
+const ENGINE_PRIORITIES = { most: 0, least: 9 };
+
+/** Route priorities that fit between two workspace priorities. */
+const ROUTE_PRIORITIES = 3;
+
+function enginePriority(request: AdmittedRequest): number | undefined {
+  if (request.service.engine === undefined) return undefined;
+  const workspace = request.workspace?.priority ?? 0;
+  const route = Math.min(request.route.priority, ROUTE_PRIORITIES - 1);
+  return Math.min(
+    ENGINE_PRIORITIES.least,
+    Math.max(ENGINE_PRIORITIES.most, workspace * ROUTE_PRIORITIES + route),
+  );
+}
+
+function limitMilliseconds(request: AdmittedRequest): number {
+  return Math.min(
+    request.head.deadlineMilliseconds ?? Infinity,
+    request.route.timeoutMilliseconds,
+  );
+}
+
+function promptTokens(head: RequestHead): number {
+  return (
+    head.promptTokens ??
+    head.promptParts.reduce((sum, part) => sum + part.tokens, 0)
+  );
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -0,0 +1,429 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * One serving host: puts the parts together and leads the process from start to
+ * planned stop.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Logger,
+  Ownership,
+  type Random,
+  sleep,
+} from "rampswitch-utils";
+import type { ObjectStore } from "rampswitch-store";
+import { Result } from "true-myth";
+import { ResendBudget, WorkspaceLimits } from "./admission/mod.ts";
+import { BackendClient } from "./attempt/mod.ts";
+import { PrefixKnowledge, ServerDirectory } from "./choice/mod.ts";
+import {
+  ConfigurationFollower,
+  type StoredFormats,
+} from "./configuration/configuration_follower.ts";
+import {
+  CapacityDuty,
+  DutyKeeper,
+  UsageDuty,
+  UsageLedger,
+  type FinalReports,
+} from "./duties/mod.ts";
+import { CallerServer } from "./intake/caller_server.ts";
+import { serveReadiness } from "./intake/readiness_server.ts";
+import type { RouteIndex } from "./intake/route_index.ts";
+import { Membership, type OwnNews, type PeerNews } from "./membership/mod.ts";
+import type { BackendServer } from "./model/backend_server.ts";
+import type { Cloud, CloudError, Fence } from "./model/cloud.ts";
+import type { EngineControl } from "./model/engine_control.ts";
+import type { WireCodec } from "./model/request.ts";
+import type { ServingMetrics } from "./observation/mod.ts";
+import { DispatchNewsBox } from "./relay/dispatch_news.ts";
+import { LeavingServers } from "./relay/leaving_servers.ts";
+import { LoadMeter } from "./relay/load_meter.ts";
+import { ReadingRates } from "./relay/reading_rates.ts";
+import type { RequestContext } from "./relay/request_context.ts";
+import type { ServingSettings } from "./serving_settings.ts";
+import { ServingLife } from "./serving_life.ts";
+
+/** Everything outside the process that a host works with. */
+export interface ServingPorts {
+  readonly store: ObjectStore;
+  readonly formats: StoredFormats;
+  readonly codec: WireCodec;
+  readonly engineControl: EngineControl;
+  readonly cloud: Cloud;
+  /** Prefix of host entries and key of the duties' lease in the store. */
+  readonly hostsPrefix: string;
+  readonly leaseKey: string;
+  readonly readinessPath: string;
+  readonly metricsPath: string;
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly wallTime: () => number;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  /** Differs for each life of the process. */
+  readonly incarnation: string;
+}
+
+/**
+ * Share of the bound on removed keys up to which a confirmation is trusted; the
+ * rest covers a pause of the process between the check and the send.
+ */
+const TRUSTED_SHARE = 0.8;
+
+/** Times of the lease beside its own bound, in milliseconds. */
+const LEASE_DURATION_MILLISECONDS = 3_500;
+const LEASE_ACTING_MILLISECONDS = 2_200;
+const LEASE_RENEWAL_MILLISECONDS = 1_000;
+
+/** Time for which a stopping host still starts requests, in milliseconds. */
+const STOP_INTAKE_MILLISECONDS = 2_600;
+
+/** Shortest planned stop: balancers notice it meanwhile, in milliseconds. */
+const SHORTEST_STOP_MILLISECONDS = 3_000;
+
+/** Margin before the forced end, in milliseconds. */
+const STOP_MARGIN_MILLISECONDS = 400;
+
+/** Time between looks whether a stopping host is done, in milliseconds. */
+const STOP_LOOK_MILLISECONDS = 50;
+
+const LEASE_OVER: Result<void, CloudError> = Result.err("refused");
+
+/** One serving host. */
+export class ServingHost implements AsyncDisposable {
+  readonly #settings: ServingSettings;
+  readonly #ports: ServingPorts;
+  readonly #ownership = new Ownership();
+  readonly #life = new ServingLife();
+  readonly #directory = new ServerDirectory();
+  readonly #prefixes = new PrefixKnowledge();
+  readonly #limits = new WorkspaceLimits();
+  readonly #readingRates = new ReadingRates();
+  readonly #dispatches = new DispatchNewsBox();
+  readonly #meter: LoadMeter;
+  readonly #ledger: UsageLedger;
+  readonly #client: BackendClient;
+  readonly #callers: CallerServer;
+  readonly #leaving: LeavingServers;
+  readonly #follower: ConfigurationFollower;
+  readonly #usage: UsageDuty;
+  readonly #capacity: CapacityDuty;
+  #membership: Membership | undefined;
+  #keeper: DutyKeeper | undefined;
+
+  private constructor(settings: ServingSettings, ports: ServingPorts) {
+    this.#settings = settings;
+    this.#ports = ports;
+    const { bounds } = settings;
+    this.#meter = new LoadMeter(ports.clock);
+    this.#ledger = new UsageLedger(bounds.usageWindowMilliseconds);
+    this.#client = this.#ownership.own(new BackendClient());
+    this.#callers = new CallerServer(this.#requestContext());
+    this.#leaving = new LeavingServers(this.#callers, ports);
+    this.#usage = new UsageDuty(this.#ledger, {
+      cloud: this.#guardedCloud(),
+      logger: ports.logger,
+      metrics: ports.metrics,
+      startedAt: ports.wallTime(),
+    });
+    this.#capacity = new CapacityDuty({
+      cloud: this.#guardedCloud(),
+      directory: this.#directory,
+      logger: ports.logger,
+      metrics: ports.metrics,
+      dataHalls: settings.dataHalls,
+      load: (service) => this.#load(service),
+    });
+    this.#directory.onLeaving((record) => this.#leaving.left(record));
+    this.#follower = this.#ownership.own(
+      new ConfigurationFollower(ports, {
+        configured: (routes) => this.#configured(routes),
+        serverChanged: (server) => this.#serverChanged(server),
+        serverGone: (id) => this.#serverGone(id),
+      }),
+    );
+  }
+
+  /** Starts all parts and listens. */
+  static async start(
+    settings: ServingSettings,
+    ports: ServingPorts,
+  ): Promise<ServingHost> {
+    const host = new ServingHost(settings, ports);
+    await host.#open();
+    return host;
+  }
+
+  /** Ends planned: nothing in progress is cut off before the grace is over. */
+  async stop(): Promise<void> {
+    if (!this.#life.handle({ type: "stop" })) return;
+    const { clock, logger } = this.#ports;
+    const startedAt = clock.now();
+    this.#life.stopStartedAt = startedAt;
+    logger.info("stopping", { inProgress: this.#callers.inProgress });
+    await this.#keeper?.release();
+    this.#membership?.tell();
+    const latest =
+      startedAt +
+      this.#settings.bounds.graceMilliseconds -
+      STOP_MARGIN_MILLISECONDS;
+    await this.#untilIdle(startedAt, latest);
+    this.#callers.stopListening();
+    logger.info("stopped", {
+      milliseconds: Math.round(clock.now() - startedAt),
+      cutOff: this.#callers.inProgress,
+    });
+    this.#life.handle({ type: "finished" });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#ownership[Symbol.asyncDispose]();
+  }
+
+  async #untilIdle(startedAt: number, latest: number): Promise<void> {
+    const { clock } = this.#ports;
+    const now = clock.now();
+    const early = now - startedAt < SHORTEST_STOP_MILLISECONDS;
+    if (!early) this.#callers.closeIdleConnections();
+    const busy = this.#callers.inProgress > 0;
+    if (now >= latest || (!early && !busy)) return;
+    await sleep(clock, STOP_LOOK_MILLISECONDS);
+    await this.#untilIdle(startedAt, latest);
+  }
+
+  async #open(): Promise<void> {
+    const { addresses } = this.#settings;
+    const ports = this.#ports;
+    this.#ownership.own(
+      await serveReadiness(addresses.readiness, {
+        path: ports.readinessPath,
+        ready: () => this.#ready(),
+      }),
+    );
+    this.#ownership.own(await this.#callers.listen(addresses.callers));
+    if (addresses.metrics !== undefined) {
+      this.#ownership.own(
+        await ports.metrics.serve(addresses.metrics, ports.metricsPath),
+      );
+    }
+    this.#membership = this.#ownership.own(await this.#openMembership());
+    this.#keeper = this.#ownership.own(this.#createKeeper());
+    ports.logger.info("listening", {
+      callers: addresses.callers,
+      readiness: addresses.readiness,
+    });
+  }
+
+  #openMembership(): Promise<Membership> {
+    return Membership.open(
+      {
+        ...this.#ports,
+        host: this.#settings.host,
+        address: this.#settings.addresses.peers,
+      },
+      {
+        ownNews: () => this.#ownNews(),
+        onNews: (news) => this.#heard(news),
+      },
+    );
+  }
+
+  #createKeeper(): DutyKeeper {
+    return new DutyKeeper({
+      ...this.#ports,
+      host: this.#settings.host,
+      times: {
+        duration: LEASE_DURATION_MILLISECONDS,
+        acting: LEASE_ACTING_MILLISECONDS,
+        renewal: LEASE_RENEWAL_MILLISECONDS,
+        afterRelease: this.#settings.bounds.leaseMilliseconds,
+      },
+      duties: {
+        finalReports: (known) =>
+          this.#usage.finalReports(known, this.#wallTime()),
+        act: (reports, fence) => this.#act(reports, fence),
+      },
+    });
+  }
+
+  async #act(reports: FinalReports, fence: Fence): Promise<void> {
+    await this.#usage.act(reports, fence);
+    const { routes } = this.#follower;
+    if (routes === undefined || !this.#follower.serversListed) return;
+    await this.#capacity.act(routes, fence, this.#ports.clock.now());
+  }
+
+  /** The cloud, for as long as the lease lets this host act. */
+  #guardedCloud(): Cloud {
+    const { cloud } = this.#ports;
+    return {
+      reportUsage: async (report, fence) =>
+        this.#keeper?.mayAct === true
+          ? cloud.reportUsage(report, fence)
+          : LEASE_OVER,
+      orderServers: async (order, fence) =>
+        this.#keeper?.mayAct === true
+          ? cloud.orderServers(order, fence)
+          : LEASE_OVER,
+    };
+  }
+
+  #load(service: string) {
+    return {
+      running: this.#meter.peakRunning(
+        service,
+        this.#directory
+          .of(service)
+          .reduce((sum, r) => sum + r.load(this.#ports.clock.now()), 0),
+      ),
+      readTokensPerSecond: this.#meter.readTokensPerSecond(service),
+      readingRate: this.#readingRates.of(service),
+    };
+  }
+
+  #requestContext(): RequestContext {
+    const { bounds } = this.#settings;
+    const { clock, random, codec, engineControl, logger, metrics } =
+      this.#ports;
+    return {
+      dataHall: this.#settings.dataHall,
+      clock,
+      random,
+      codec,
+      engineControl,
+      logger,
+      metrics,
+      client: this.#client,
+      directory: this.#directory,
+      prefixes: this.#prefixes,
+      readingRates: this.#readingRates,
+      limits: this.#limits,
+      budget: new ResendBudget({
+        share: bounds.resendShare,
+        allowance: bounds.resendAllowance,
+        windowMilliseconds: bounds.resendWindowMilliseconds,
+      }),
+      configuration: () => ({
+        routes: this.#follower.routes,
+        ageMilliseconds: this.#follower.age(clock.now()),
+        keysTrusted: this.#keysTrusted(),
+      }),
+      hosts: () => this.#membership?.size ?? 1,
+      startsRequests: () => this.#startsRequests(),
+      endsConnections: () => this.#life.state === "stopping",
+      began: (workspace) => this.#ledger.began(workspace, this.#wallTime()),
+      dispatched: (server, dispatch) => {
+        this.#dispatches.add(server, dispatch.parts);
+        this.#meter.read(dispatch.service, dispatch.unreadTokens);
+      },
+    };
+  }
+
+  #startsRequests(): boolean {
+    const { stopStartedAt } = this.#life;
+    return (
+      stopStartedAt === undefined ||
+      this.#ports.clock.now() - stopStartedAt < STOP_INTAKE_MILLISECONDS
+    );
+  }
+
+  #keysTrusted(): boolean {
+    const { bounds } = this.#settings;
+    if (this.#follower.routes === undefined) return false;
+    return (
+      !bounds.keysNeedConfirmation ||
+      this.#follower.age(this.#ports.clock.now()) <
+        bounds.keyRemovalMilliseconds * TRUSTED_SHARE
+    );
+  }
+
+  #ready(): boolean {
+    return (
+      this.#life.state === "serving" &&
+      this.#follower.serversListed &&
+      this.#keysTrusted()
+    );
+  }
+
+  #wallTime(): number {
+    return this.#membership?.agreedWallTime() ?? this.#ports.wallTime();
+  }
+
+  #ownNews(): OwnNews {
+    return {
+      stopping: this.#life.state === "stopping",
+      configurationVersion: this.#follower.routes?.configuration.version ?? 0,
+      admitted: this.#limits.totals(),
+      work: this.#ownWork(),
+      counts: this.#ledger.own(this.#wallTime()),
+      dispatches: this.#dispatches.take(this.#ports.clock.now()),
+      readTokens: this.#meter.ownReadTokens(),
+      lease: this.#keeper?.news,
+    };
+  }
+
+  #ownWork(): OwnNews["work"] {
+    return Object.fromEntries(
+      this.#directory
+        .all()
+        .filter((record) => record.ownRunning > 0)
+        .map((record) => [record.entry.id, record.ownWork]),
+    );
+  }
+
+  #heard(news: PeerNews): void {
+    const now = this.#ports.clock.now();
+    this.#directory.heardPeer(news.host, news.work, now);
+    this.#limits.heard(
+      news.host,
+      { incarnation: news.incarnation, totals: news.admitted },
+      now,
+    );
+    this.#ledger.heard(news.host, news.incarnation, news.counts);
+    this.#meter.heard(`${news.host}/${news.incarnation}`, news.readTokens);
+    news.dispatches.forEach(({ server, parts }) => {
+      const record = this.#directory.get(server);
+      if (record === undefined) return;
+      const engine = this.#follower.routes?.service(
+        record.entry.service,
+      )?.engine;
+      if (engine === undefined) return;
+      this.#prefixes.stored(server, parts, engine.memoryTokens);
+    });
+    if (news.lease !== undefined) this.#keeper?.heard(news.lease);
+  }
+
+  #configured(routes: RouteIndex): void {
+    const { configuration } = routes;
+    this.#limits.configure(configuration.workspaces, this.#ports.clock.now());
+    this.#callers.limit(configuration.callerLimits);
+    if (this.#life.handle({ type: "prepared" })) {
+      this.#ports.logger.info("serving", { version: configuration.version });
+    }
+  }
+
+  #serverChanged(server: BackendServer): void {
+    this.#directory.put(server, this.#ports.clock.now());
+    this.#ports.logger.info("server listed", {
+      server: server.id,
+      service: server.service,
+      dataHall: server.dataHall,
+      state: server.state,
+      reclaimable: server.reclaimable,
+      leavesInMilliseconds: server.leavesInMilliseconds,
+    });
+  }
+
+  #serverGone(id: string): void {
+    this.#directory.remove(id, this.#ports.clock.now());
+    this.#client.forget(id);
+    this.#prefixes.retain(
+      new Set(this.#directory.all().map((record) => record.entry.id)),
+    );
+    this.#ports.logger.info("server gone", { server: id });
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/serving_settings.ts
@@ -0,0 +1,39 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Settings of a serving host, whatever file they came from.
+ *
+ * @module
+ */
+
+/** Bounds that the deployment sets, in the unit that each name says. */
+export interface ServingBounds {
+  /** Time from a planned stop to the forced end. */
+  readonly graceMilliseconds: number;
+  /** Whether keys that were taken away must stop to work within a bound. */
+  readonly keysNeedConfirmation: boolean;
+  /** The bound on keys that were taken away. */
+  readonly keyRemovalMilliseconds: number;
+  readonly resendShare: number;
+  readonly resendWindowMilliseconds: number;
+  readonly resendAllowance: number;
+  /** Window of usage reports. */
+  readonly usageWindowMilliseconds: number;
+  /** Shortest time between acts of one holder, another, and the first again. */
+  readonly leaseMilliseconds: number;
+}
+
+/** Settings of one serving host. */
+export interface ServingSettings {
+  readonly host: string;
+  readonly dataHall: string;
+  /** All data halls of the region or regions. */
+  readonly dataHalls: readonly string[];
+  readonly addresses: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly metrics: string | undefined;
+    readonly peers: string;
+  };
+  readonly bounds: ServingBounds;
+}
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -207,11 +207,26 @@
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 5_000;
 
+/** First and longest wait after failed calls, in milliseconds. */
+export interface BackoffRange {
+  readonly first: number;
+  readonly longest: number;
+}
+
+const BACKOFF_RANGE: BackoffRange = {
+  first: FIRST_RETRY_MILLISECONDS,
+  longest: LONGEST_RETRY_MILLISECONDS,
+};
+
 /** Wait before the next try after some failures, spread over its range. */
-export function storeBackoff(failures: number, random: Random): number {
+export function storeBackoff(
+  failures: number,
+  random: Random,
+  range: BackoffRange = BACKOFF_RANGE,
+): number {
   const longest = Math.min(
-    LONGEST_RETRY_MILLISECONDS,
-    FIRST_RETRY_MILLISECONDS * 2 ** Math.min(failures, 16),
+    range.longest,
+    range.first * 2 ** Math.min(failures, 16),
   );
   return longest * (0.5 + random.next() / 2);
 }
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -32,6 +32,7 @@
   readonly #prefix: string;
   readonly #listener: WatchListener;
   readonly #clock: Clock;
+  readonly #seconds: number | undefined;
   readonly #abort = new AbortController();
   readonly #versions = new Map<string, number>();
   readonly #repetition: Repetition;
@@ -47,18 +48,26 @@
       readonly random: Random;
       /** Milliseconds to wait after each answer, so that changes coalesce. */
       readonly pause?: () => number;
+      /** Longest wait of one watch call; the store's own where absent. */
+      readonly seconds?: number;
+      /** Milliseconds to wait after so many failures in a row. */
+      readonly backoff?: (failures: number) => number;
     },
   ) {
     this.#store = store;
     this.#prefix = prefix;
     this.#listener = options.listener;
     this.#clock = options.clock;
+    this.#seconds = options.seconds;
+    const backoff =
+      options.backoff ??
+      ((failures) => storeBackoff(failures, options.random));
     this.#repetition = repeat(
       options.clock,
       () =>
         this.#failures === 0
           ? (options.pause?.() ?? 0)
-          : storeBackoff(this.#failures, options.random),
+          : backoff(this.#failures),
       () => this.#round(),
     );
     this.#repetition.hurry();
@@ -96,10 +105,13 @@
   async #wait(after: number): Promise<boolean> {
     const batch = await this.#store.watch(this.#prefix, after, {
       signal: this.#abort.signal,
+      ...(this.#seconds === undefined ? {} : { seconds: this.#seconds }),
     });
     if (batch.isErr) {
-      if (batch.error.kind === "compacted") this.#version = undefined;
-      return batch.error.kind === "compacted";
+      if (batch.error.kind !== "compacted") return false;
+      // Lost history confirms nothing; only the list that follows does.
+      this.#version = undefined;
+      return this.#relist();
     }
     this.#version = Math.max(after, batch.value.version);
     batch.value.events.forEach((event) => {
--- a/packages/rampswitch-utils/src/clock.ts
+++ b/packages/rampswitch-utils/src/clock.ts
@@ -24,6 +24,15 @@
   },
 };
 
+/**
+ * A clock that never jumps: milliseconds since the start of the process. For
+ * durations, where the time of day does not matter.
+ */
+export const STEADY_CLOCK: Clock = {
+  now: () => performance.now(),
+  after: SYSTEM_CLOCK.after,
+};
+
 /** Resolves after some milliseconds of the given clock. */
 export function sleep(clock: Clock, milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
