Make lease renewals visible; plan servers by what is expected; use limits fully

Each holder ordered servers anew, and orders on demand filled gaps that starting reclaimable servers were about to close. Ruled out: lost news between hosts (others heard the holder all along). Change: renewals are counted in the object; wishes on demand have a least and a most; falls wait for a history of load; buckets hold half of what is tolerated above a limit; one of the two watches waits long.

--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -23,6 +23,20 @@
  */
 const PEER_GONE_MILLISECONDS = 10_000;
 
+/** What is tolerated above the limits, over all hosts in each window. */
+export interface LimitTolerance {
+  readonly slackTokens: number;
+  /** Share of what a workspace may send in a window. */
+  readonly overShare: number;
+  readonly windowMilliseconds: number;
+}
+
+/**
+ * Part of the tolerance that a bucket holds on top of the burst. The rest is
+ * for what hosts admit before they hear of each other.
+ */
+const USED_TOLERANCE = 0.5;
+
 interface Bucket {
   readonly level: number;
   readonly refilledAt: number;
@@ -45,11 +59,16 @@
 
 /** Token buckets of all workspaces, as one host sees them. */
 export class WorkspaceLimits {
+  readonly #tolerance: LimitTolerance;
   #workspaces: ReadonlyMap<string, Workspace> = new Map();
   readonly #buckets = new Map<string, Bucket>();
   readonly #admitted = new Map<string, number>();
   readonly #peers = new Map<string, PeerSpending>();
 
+  constructor(tolerance: LimitTolerance) {
+    this.#tolerance = tolerance;
+  }
+
   /** Takes over the limits of a configuration. */
   configure(workspaces: readonly Workspace[], now: number): void {
     this.#workspaces = new Map(
@@ -59,8 +78,8 @@
       const bucket = this.#buckets.get(workspace.name);
       this.#buckets.set(workspace.name, {
         level: Math.min(
-          workspace.burstTokens,
-          bucket?.level ?? workspace.burstTokens,
+          this.#capacity(workspace),
+          bucket?.level ?? this.#capacity(workspace),
         ),
         refilledAt: bucket?.refilledAt ?? now,
       });
@@ -75,8 +94,8 @@
       return { kind: "admitted" };
     }
     const level = this.#refill(workspace, now);
-    // A request larger than the whole burst passes when the bucket is full.
-    const needed = Math.min(tokens, workspace.burstTokens);
+    // A request larger than the whole bucket passes when the bucket is full.
+    const needed = Math.min(tokens, this.#capacity(workspace));
     if (level < needed) {
       const missing = needed - level;
       return {
@@ -135,16 +154,29 @@
 
   #refill(workspace: Workspace, now: number): number {
     const bucket = this.#buckets.get(workspace.name) ?? {
-      level: workspace.burstTokens,
+      level: this.#capacity(workspace),
       refilledAt: now,
     };
     const passed = Math.max(0, now - bucket.refilledAt) / 1_000;
     const gained = workspace.tokensPerSecond * passed * this.#heardShare(now);
-    const level = Math.min(workspace.burstTokens, bucket.level + gained);
+    const level = Math.min(this.#capacity(workspace), bucket.level + gained);
     this.#buckets.set(workspace.name, { level, refilledAt: now });
     return level;
   }
 
+  /** Most tokens that a workspace's bucket holds. */
+  #capacity(workspace: Workspace): number {
+    const { slackTokens, overShare, windowMilliseconds } = this.#tolerance;
+    const seconds = windowMilliseconds / 1_000;
+    const window =
+      workspace.tokensPerSecond * seconds + workspace.burstTokens;
+    // The slack is counted in tokens; limits in requests get none of it.
+    const slack = workspace.countsTokens ? slackTokens : 0;
+    return (
+      workspace.burstTokens + USED_TOLERANCE * (window * overShare + slack)
+    );
+  }
+
   /** Share of the fleet's rate that is left beside silent peers. */
   #heardShare(now: number): number {
     const ages = [...this.#peers.values()].map((peer) => now - peer.heardAt);
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -12,6 +12,7 @@
   type StoredObject,
   storeBackoff,
   Watcher,
+  type WatchListener,
 } from "rampswitch-store";
 import { Result } from "true-myth";
 import { RouteIndex } from "../intake/route_index.ts";
@@ -62,11 +63,21 @@
  */
 const WATCH_SECONDS = 1.2;
 
+/**
+ * Longest wait of the watch of servers, in seconds. The other watch notices a
+ * lost way to the store, so this one may wait as long as the platform lets it.
+ */
+const SERVERS_WATCH_SECONDS = 25;
+
+/** Wait in which changes of servers are taken together, in milliseconds. */
+const COALESCE_MILLISECONDS = 150;
+
 /** Follows configuration and backend servers. */
 export class ConfigurationFollower implements AsyncDisposable {
   readonly #parts: FollowerParts;
   readonly #listener: FollowerListener;
-  readonly #watchers: readonly Watcher[];
+  readonly #configuration: Watcher;
+  readonly #servers: Watcher;
   #routes: RouteIndex | undefined;
   #confirmedAt = -Infinity;
   #serversListed = false;
@@ -75,22 +86,28 @@
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
     this.#listener = listener;
-    this.#watchers = [
-      this.#watch(parts.formats.configurationPrefix, {
-        changed: (object) => this.#configurationChanged(object),
-        removed: () => undefined,
-        confirmed: (at) => this.#confirmed(at),
-        failed: () => this.#failed(),
-      }),
-      this.#watch(parts.formats.serversPrefix, {
+    this.#servers = this.#watch(
+      parts.formats.serversPrefix,
+      {
         changed: (object) => this.#serverChanged(object),
         removed: (key) => listener.serverGone(this.#serverId(key)),
         confirmed: () => {
           this.#serversListed = true;
         },
         failed: () => undefined,
-      }),
-    ];
+      },
+      { seconds: SERVERS_WATCH_SECONDS, pause: () => COALESCE_MILLISECONDS },
+    );
+    this.#configuration = this.#watch(
+      parts.formats.configurationPrefix,
+      {
+        changed: (object) => this.#configurationChanged(object),
+        removed: () => undefined,
+        confirmed: (at) => this.#confirmed(at),
+        failed: () => this.#failed(),
+      },
+      { seconds: WATCH_SECONDS },
+    );
   }
 
   /** The newest configuration known. */
@@ -109,21 +126,21 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await Promise.all(
-      this.#watchers.map((watcher) => watcher[Symbol.asyncDispose]()),
-    );
+    await this.#configuration[Symbol.asyncDispose]();
+    await this.#servers[Symbol.asyncDispose]();
   }
 
   #watch(
     prefix: string,
-    listener: ConstructorParameters<typeof Watcher>[2]["listener"],
+    listener: WatchListener,
+    options: { readonly seconds: number; readonly pause?: () => number },
   ): Watcher {
     const { store, clock, random } = this.#parts;
     return new Watcher(store, prefix, {
       listener,
       clock,
       random,
-      seconds: WATCH_SECONDS,
+      ...options,
       backoff: (failures) =>
         storeBackoff(failures, random, {
           first: FIRST_RETRY_MILLISECONDS,
@@ -181,6 +198,8 @@
   }
 
   #failed(): void {
+    // Both watches take the same way; this one notices first.
+    this.#servers.interrupt();
     if (!this.#reachable) return;
     this.#reachable = false;
     this.#parts.metrics.event("store_lost");
--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -23,15 +23,25 @@
 /** A fall of a wish is ordered after it lasted this long, in milliseconds. */
 const FALL_MILLISECONDS = 6_000;
 
-/** After a refusal, reclaimable servers are asked for again after this. */
+/** After a refusal, reclaimable servers are asked for again after this, in ms. */
 const SOLD_OUT_MILLISECONDS = 3_000;
 
+/**
+ * After an announced reclaim, none are asked for in that data hall for this
+ * long, in milliseconds; reclaims seen so far lasted 6 to 14 seconds.
+ */
+const RECLAIMED_MILLISECONDS = 6_000;
+
+/** Time beyond the usual start in which ordered servers are expected, in ms. */
+const START_MARGIN_MILLISECONDS = 2_500;
+
 /** Wait before an order without an answer is repeated, in milliseconds. */
 const REPEAT_MILLISECONDS = 1_000;
 
 interface OrderState {
   /** What the cloud has taken; `undefined` when that is not known. */
   ordered: number | undefined;
+  orderedAt: number;
   fallSince: number | undefined;
   notBefore: number;
 }
@@ -45,12 +55,14 @@
   /** Data halls of the system. */
   readonly dataHalls: readonly string[];
   load(service: string): ServiceLoad;
+  /** Whether no request has come since this host started. */
+  idle(): boolean;
 }
 
 /** The duty of ordering servers, for as long as this host holds it. */
 export class CapacityDuty {
   readonly #parts: CapacityParts;
-  readonly #orders = new Map<string, OrderState>();
+  readonly #states = new Map<string, OrderState>();
   readonly #soldOutUntil = new Map<string, number>();
   #fence = -1;
 
@@ -62,7 +74,7 @@
   async act(routes: RouteIndex, fence: Fence, now: number): Promise<void> {
     if (fence.fence !== this.#fence) {
       this.#fence = fence.fence;
-      this.#orders.clear();
+      this.#states.clear();
     }
     const due = routes.configuration.services.flatMap((service) =>
       this.#dueOrders(service, now),
@@ -80,8 +92,12 @@
     this.#parts.metrics.gauge("servers_needed", needed);
     const halls = this.#halls(service, now);
     return planCapacity(needed, halls, capacity)
-      .flatMap((wish) => ordersOf(service.name, wish))
-      .filter((order) => this.#isDue(order, now));
+      .flatMap((wish, index) => {
+        const hall = halls[index];
+        return hall === undefined ? [] : this.#ordersOf(service, wish, hall);
+      })
+      .filter(({ order, ready }) => this.#isDue(order, ready, now))
+      .map(({ order }) => order);
   }
 
   #halls(service: Service, now: number): readonly DataHallServers[] {
@@ -97,24 +113,92 @@
           dataHall,
           onDemandReady: ready.filter((r) => !r.entry.reclaimable).length,
           reclaimableReady: ready.filter(isReclaimable).length,
-          reclaimableSoldOut:
-            (this.#soldOutUntil.get(`${service.name}/${dataHall}`) ?? 0) > now,
+          reclaimableExpected: this.#expected(service, dataHall, {
+            ready: ready.filter(isReclaimable).length,
+            now,
+          }),
+          reclaimableSoldOut: this.#isSoldOut(service, dataHall, now),
         };
       });
   }
 
-  #isDue(order: ServerOrder, now: number): boolean {
+  /** Reclaimable servers that are ready or should soon be. */
+  #expected(
+    service: Service,
+    dataHall: string,
+    options: { readonly ready: number; readonly now: number },
+  ): number {
+    const state = this.#states.get(stateKey(service.name, dataHall, true));
+    const start = service.capacity?.startMilliseconds ?? 0;
+    const starting =
+      state?.ordered !== undefined &&
+      options.now - state.orderedAt < start + START_MARGIN_MILLISECONDS;
+    return starting
+      ? Math.max(options.ready, state.ordered ?? 0)
+      : options.ready;
+  }
+
+  /** Whether a data hall was reclaimed or had nothing to give lately. */
+  #isSoldOut(service: Service, dataHall: string, now: number): boolean {
+    const until = this.#soldOutUntil.get(`${service.name}/${dataHall}`) ?? 0;
+    return until > now;
+  }
+
+  /** A reclaim was announced: nothing is to be had there for a while. */
+  reclaimed(service: string, dataHall: string, now: number): void {
+    const until = now + RECLAIMED_MILLISECONDS;
+    this.#soldOutUntil.set(`${service}/${dataHall}`, until);
+    const state = this.#states.get(stateKey(service, dataHall, true));
+    if (state !== undefined) state.ordered = 0;
+  }
+
+  #ordersOf(
+    service: Service,
+    wish: DataHallWish,
+    hall: DataHallServers,
+  ): readonly { readonly order: ServerOrder; readonly ready: number }[] {
+    const common = { service: service.name, dataHall: hall.dataHall };
+    const onDemand = this.#states.get(
+      stateKey(service.name, hall.dataHall, false),
+    );
+    const current = onDemand?.ordered ?? hall.onDemandReady;
+    const kept = Math.min(
+      wish.onDemandMost,
+      Math.max(wish.onDemandLeast, current),
+    );
+    const orders = [
+      {
+        order: { ...common, reclaimable: false, desired: kept },
+        ready: hall.onDemandReady,
+      },
+    ];
+    return wish.reclaimable === undefined
+      ? orders
+      : [
+          {
+            order: {
+              ...common,
+              reclaimable: true,
+              desired: wish.reclaimable,
+            },
+            ready: hall.reclaimableReady,
+          },
+          ...orders,
+        ];
+  }
+
+  #isDue(order: ServerOrder, ready: number, now: number): boolean {
     const state = this.#state(order);
-    if (now < state.notBefore || state.ordered === order.desired) {
-      if (state.ordered === order.desired) state.fallSince = undefined;
+    const current = state.ordered ?? ready;
+    if (order.desired === current) {
+      state.fallSince = undefined;
       return false;
     }
-    const first = state.ordered === undefined;
-    const rises = !first && order.desired > (state.ordered ?? 0);
-    // Servers on demand that run from the start stay until others are ready.
-    if (rises || (first && order.reclaimable)) return true;
+    if (now < state.notBefore) return false;
+    if (order.desired > current) return true;
     state.fallSince ??= now;
-    return now - state.fallSince >= FALL_MILLISECONDS;
+    const wait = this.#parts.idle() ? 0 : FALL_MILLISECONDS;
+    return now - state.fallSince >= wait;
   }
 
   async #order(order: ServerOrder, fence: Fence, now: number): Promise<void> {
@@ -133,6 +217,7 @@
     });
     if (outcome.isOk) {
       state.ordered = order.desired;
+      state.orderedAt = now;
       state.fallSince = undefined;
       return;
     }
@@ -144,13 +229,14 @@
   }
 
   #state(order: ServerOrder): OrderState {
-    const key = `${order.service}/${order.dataHall}/${order.reclaimable}`;
-    const state = this.#orders.get(key) ?? {
+    const key = stateKey(order.service, order.dataHall, order.reclaimable);
+    const state = this.#states.get(key) ?? {
       ordered: undefined,
+      orderedAt: 0,
       fallSince: undefined,
       notBefore: 0,
     };
-    this.#orders.set(key, state);
+    this.#states.set(key, state);
     return state;
   }
 }
@@ -159,19 +245,10 @@
   return record.entry.reclaimable;
 }
 
-function ordersOf(service: string, wish: DataHallWish): readonly ServerOrder[] {
-  return [
-    {
-      service,
-      dataHall: wish.dataHall,
-      reclaimable: true,
-      desired: wish.reclaimable,
-    },
-    {
-      service,
-      dataHall: wish.dataHall,
-      reclaimable: false,
-      desired: wish.onDemand,
-    },
-  ];
+function stateKey(
+  service: string,
+  dataHall: string,
+  reclaimable: boolean,
+): string {
+  return `${service}/${dataHall}/${reclaimable}`;
 }
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -23,6 +23,8 @@
   readonly dataHall: string;
   readonly onDemandReady: number;
   readonly reclaimableReady: number;
+  /** Reclaimable servers ready or ordered so lately that they still start. */
+  readonly reclaimableExpected: number;
   /** Whether the cloud has no reclaimable servers to give there now. */
   readonly reclaimableSoldOut: boolean;
 }
@@ -30,8 +32,11 @@
 /** Servers wished for in one data hall. */
 export interface DataHallWish {
   readonly dataHall: string;
-  readonly onDemand: number;
-  readonly reclaimable: number;
+  /** `undefined`: leave what was ordered, since none can be had. */
+  readonly reclaimable: number | undefined;
+  /** On demand, at least and at most; in between nothing needs to change. */
+  readonly onDemandLeast: number;
+  readonly onDemandMost: number;
 }
 
 /**
@@ -45,9 +50,9 @@
 
 /**
  * Reclaimable servers ordered for each one that the load needs, so that the
- * rest carries the load when two data halls of four are reclaimed.
+ * rest carries the load when one data hall of four is reclaimed.
  */
-const RECLAIM_RESERVE = 1.6;
+const RECLAIM_RESERVE = 1.4;
 
 /** Fewest servers that a service with any load is planned with. */
 const LEAST_SERVERS = 3;
@@ -60,48 +65,54 @@
   return Math.max(LEAST_SERVERS, Math.ceil(Math.max(reading, running)));
 }
 
-/** Plans all data halls of a service. */
+/**
+ * Plans all data halls of a service. Reclaimable servers are a fraction of the
+ * price, so they carry the load with a reserve, spread over the data halls that
+ * have them; servers on demand fill what is missing.
+ */
 export function planCapacity(
   needed: number,
   halls: readonly DataHallServers[],
   limits: CapacityLimits,
 ): readonly DataHallWish[] {
-  const open = halls.filter((hall) => !hall.reclaimableSoldOut);
-  const perHall = Math.min(
-    limits.maximum,
-    Math.ceil((needed * RECLAIM_RESERVE) / Math.max(1, halls.length)),
+  const cheapest = halls.toSorted(
+    (left, right) =>
+      (limits.dataHallPrices.get(left.dataHall) ?? 1) -
+      (limits.dataHallPrices.get(right.dataHall) ?? 1),
   );
-  const reclaimable = open.reduce((sum, hall) => sum + hall.reclaimableReady, 0);
-  const shortage = Math.max(0, needed - reclaimable);
-  const onDemand = spread(shortage, halls, limits);
-  return halls.map((hall) => ({
-    dataHall: hall.dataHall,
-    reclaimable: hall.reclaimableSoldOut
-      ? 0
-      : Math.min(perHall, limits.maximum - (onDemand.get(hall.dataHall) ?? 0)),
-    onDemand: onDemand.get(hall.dataHall) ?? 0,
+  const open = cheapest.filter((hall) => !hall.reclaimableSoldOut);
+  const ready = sum(halls, (hall) => hall.reclaimableReady);
+  const expected = sum(halls, (hall) => hall.reclaimableExpected);
+  const reclaimable = spread(Math.ceil(needed * RECLAIM_RESERVE), open, limits);
+  const least = spread(Math.max(0, needed - expected), cheapest, limits);
+  const most = spread(Math.max(0, needed - ready), cheapest, limits);
+  return halls.map(({ dataHall }) => ({
+    dataHall,
+    reclaimable: reclaimable.get(dataHall),
+    onDemandLeast: least.get(dataHall) ?? 0,
+    onDemandMost: most.get(dataHall) ?? 0,
   }));
 }
 
-/** Spreads servers on demand evenly, the cheapest data halls first. */
+function sum(
+  halls: readonly DataHallServers[],
+  count: (hall: DataHallServers) => number,
+): number {
+  return halls.reduce((total, hall) => total + count(hall), 0);
+}
+
+/** Spreads servers evenly; the first data halls get what is left over. */
 function spread(
   count: number,
   halls: readonly DataHallServers[],
   limits: CapacityLimits,
 ): ReadonlyMap<string, number> {
-  const cheapest = halls.toSorted(
-    (left, right) =>
-      (limits.dataHallPrices.get(left.dataHall) ?? 1) -
-      (limits.dataHallPrices.get(right.dataHall) ?? 1),
-  );
+  const even = Math.floor(count / Math.max(1, halls.length));
+  const left = count - even * halls.length;
   return new Map(
-    cheapest.map((hall, index) => [
+    halls.map((hall, index) => [
       hall.dataHall,
-      Math.min(
-        limits.maximum,
-        Math.floor(count / cheapest.length) +
-          (index < count % cheapest.length ? 1 : 0),
-      ),
+      Math.min(limits.maximum, even + (index < left ? 1 : 0)),
     ]),
   );
 }
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -36,6 +36,7 @@
   holder: z.string(),
   incarnation: z.string(),
   fence: z.number(),
+  renewals: z.number(),
   released: z.boolean(),
   reports: z.record(z.string(), z.record(z.string(), z.number())),
 });
@@ -228,7 +229,8 @@
 
   async #renew(held: Held, reports: FinalReports): Promise<void> {
     const { store, leaseKey, clock, metrics } = this.#parts;
-    const lease = { ...held.lease, reports };
+    const renewals = held.lease.renewals + 1;
+    const lease = { ...held.lease, reports, renewals };
     const sentAt = clock.now();
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: held.version,
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -15,6 +15,11 @@
   /** Life of the holder's process. */
   readonly incarnation: string;
   readonly fence: number;
+  /**
+   * Counts renewals. A write that changes nothing raises no version in the
+   * store, so without it a renewal could not be seen.
+   */
+  readonly renewals: number;
   /** Whether the holder gave the lease up. */
   readonly released: boolean;
   /** Final usage reports of the newest windows, by window. */
@@ -78,6 +83,7 @@
     holder: self.host,
     incarnation: self.incarnation,
     fence: (seen?.fence ?? 0) + 1,
+    renewals: 0,
     released: false,
     reports: seen?.reports ?? {},
   };
--- a/packages/rampswitch-serving/src/relay/load_meter.ts
+++ b/packages/rampswitch-serving/src/relay/load_meter.ts
@@ -40,6 +40,13 @@
     return this.#own;
   }
 
+  /** Whether no prompt was sent by any host since this one started. */
+  get idle(): boolean {
+    return [this.#own, ...this.#peers.values()].every((totals) =>
+      Object.values(totals).every((tokens) => tokens === 0),
+    );
+  }
+
   /** Takes in a peer's totals; `life` differs for each of its processes. */
   heard(life: string, totals: ReadTokens): void {
     this.#peers.set(life, totals);
--- a/packages/rampswitch-serving/src/relay/reading_rates.ts
+++ b/packages/rampswitch-serving/src/relay/reading_rates.ts
@@ -11,29 +11,54 @@
 const FIRST_GUESS = 40;
 
 /** Prompts shorter than this tell little about the rate, in tokens. */
-const SHORTEST_MEASURED_TOKENS = 1_500;
+const SHORTEST_MEASURED_TOKENS = 3_000;
 
 /** Weight of a new measurement. */
-const NEW_WEIGHT = 0.1;
+const NEW_WEIGHT = 0.05;
 
 /** Bounds of what is believed, in tokens a millisecond. */
-const LOWEST = 5;
+const LOWEST = 10;
 const HIGHEST = 200;
 
+/** Growth of the least time for each answer, so that it can rise again. */
+const LEAST_GROWTH = 1.005;
+
+interface Rate {
+  readonly tokensPerMillisecond: number;
+  /** Least time to a first part: what a prompt without tokens would take. */
+  readonly leastMilliseconds: number;
+}
+
+const FIRST_RATE: Rate = {
+  tokensPerMillisecond: FIRST_GUESS,
+  leastMilliseconds: Infinity,
+};
+
 /** Learned rates by service. */
 export class ReadingRates {
-  readonly #rates = new Map<string, number>();
+  readonly #rates = new Map<string, Rate>();
 
   /** Tokens that an engine of the service reads in a millisecond. */
   of(service: string): number {
-    return this.#rates.get(service) ?? FIRST_GUESS;
+    return this.#rates.get(service)?.tokensPerMillisecond ?? FIRST_GUESS;
   }
 
   /** Takes in how long a prompt took on an engine that read little else. */
   measured(service: string, tokens: number, milliseconds: number): void {
-    if (tokens < SHORTEST_MEASURED_TOKENS || milliseconds <= 0) return;
-    const sample = Math.min(HIGHEST, Math.max(LOWEST, tokens / milliseconds));
-    const known = this.of(service);
-    this.#rates.set(service, known + NEW_WEIGHT * (sample - known));
+    const known = this.#rates.get(service) ?? FIRST_RATE;
+    const leastMilliseconds = Math.min(
+      known.leastMilliseconds * LEAST_GROWTH,
+      milliseconds,
+    );
+    const reading = milliseconds - leastMilliseconds;
+    const tells = tokens >= SHORTEST_MEASURED_TOKENS && reading > 0;
+    const sample = Math.min(HIGHEST, Math.max(LOWEST, tokens / reading));
+    this.#rates.set(service, {
+      leastMilliseconds,
+      tokensPerMillisecond: tells
+        ? known.tokensPerMillisecond +
+          NEW_WEIGHT * (sample - known.tokensPerMillisecond)
+        : known.tokensPerMillisecond,
+    });
   }
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -17,7 +17,11 @@
 import { Result } from "true-myth";
 import { ResendBudget, WorkspaceLimits } from "./admission/mod.ts";
 import { BackendClient } from "./attempt/mod.ts";
-import { PrefixKnowledge, ServerDirectory } from "./choice/mod.ts";
+import {
+  PrefixKnowledge,
+  ServerDirectory,
+  type ServerRecord,
+} from "./choice/mod.ts";
 import {
   ConfigurationFollower,
   type StoredFormats,
@@ -101,7 +105,7 @@
   readonly #life = new ServingLife();
   readonly #directory = new ServerDirectory();
   readonly #prefixes = new PrefixKnowledge();
-  readonly #limits = new WorkspaceLimits();
+  readonly #limits: WorkspaceLimits;
   readonly #readingRates = new ReadingRates();
   readonly #dispatches = new DispatchNewsBox();
   readonly #meter: LoadMeter;
@@ -119,6 +123,11 @@
     this.#settings = settings;
     this.#ports = ports;
     const { bounds } = settings;
+    this.#limits = new WorkspaceLimits({
+      slackTokens: bounds.limitSlackTokens,
+      overShare: bounds.limitOverShare,
+      windowMilliseconds: bounds.limitWindowMilliseconds,
+    });
     this.#meter = new LoadMeter(ports.clock);
     this.#ledger = new UsageLedger(bounds.usageWindowMilliseconds);
     this.#client = this.#ownership.own(new BackendClient());
@@ -137,8 +146,9 @@
       metrics: ports.metrics,
       dataHalls: settings.dataHalls,
       load: (service) => this.#load(service),
+      idle: () => this.#meter.idle,
     });
-    this.#directory.onLeaving((record) => this.#leaving.left(record));
+    this.#directory.onLeaving((record) => this.#serverLeaves(record));
     this.#follower = this.#ownership.own(
       new ConfigurationFollower(ports, {
         configured: (routes) => this.#configured(routes),
@@ -354,6 +364,10 @@
   }
 
   #ownNews(): OwnNews {
+    // Every host keeps a history of the load, so that it can take the duties.
+    this.#follower.routes?.configuration.services.forEach(({ name }) =>
+      this.#load(name),
+    );
     return {
       stopping: this.#life.state === "stopping",
       configurationVersion: this.#follower.routes?.configuration.version ?? 0,
@@ -397,6 +411,14 @@
     if (news.lease !== undefined) this.#keeper?.heard(news.lease);
   }
 
+  #serverLeaves(record: ServerRecord): void {
+    this.#leaving.left(record);
+    const { entry } = record;
+    if (!entry.reclaimable || entry.leavesInMilliseconds === undefined) return;
+    const now = this.#ports.clock.now();
+    this.#capacity.reclaimed(entry.service, entry.dataHall, now);
+  }
+
   #configured(routes: RouteIndex): void {
     const { configuration } = routes;
     this.#limits.configure(configuration.workspaces, this.#ports.clock.now());
--- a/packages/rampswitch-serving/src/serving_settings.ts
+++ b/packages/rampswitch-serving/src/serving_settings.ts
@@ -17,6 +17,12 @@
   readonly resendShare: number;
   readonly resendWindowMilliseconds: number;
   readonly resendAllowance: number;
+  /** Window over which limits of workspaces are judged. */
+  readonly limitWindowMilliseconds: number;
+  /** Share above a workspace's limit that is tolerated in a window. */
+  readonly limitOverShare: number;
+  /** Tokens above it that are tolerated in a window. */
+  readonly limitSlackTokens: number;
   /** Window of usage reports. */
   readonly usageWindowMilliseconds: number;
   /** Shortest time between acts of one holder, another, and the first again. */
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -34,6 +34,7 @@
   readonly #clock: Clock;
   readonly #seconds: number | undefined;
   readonly #abort = new AbortController();
+  #waiting = new AbortController();
   readonly #versions = new Map<string, number>();
   readonly #repetition: Repetition;
   #version: number | undefined;
@@ -73,6 +74,11 @@
     this.#repetition.hurry();
   }
 
+  /** Gives up a call that waits and asks anew, when the way there was lost. */
+  interrupt(): void {
+    this.#waiting.abort();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#abort.abort();
     await this.#repetition[Symbol.asyncDispose]();
@@ -103,8 +109,9 @@
   }
 
   async #wait(after: number): Promise<boolean> {
+    this.#waiting = new AbortController();
     const batch = await this.#store.watch(this.#prefix, after, {
-      signal: this.#abort.signal,
+      signal: AbortSignal.any([this.#abort.signal, this.#waiting.signal]),
       ...(this.#seconds === undefined ? {} : { seconds: this.#seconds }),
     });
     if (batch.isErr) {
