Reserve silent peers' share of limits; begin tests of the serving core

Change: silent peers keep their share of rate and bucket; a start begins with a part of a bucket and takes over its peers' levels; a host's admissions are paced within the lag of the news; listed hosts count before they are heard.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,7 @@
     ignores: [
       "**/dist/",
       "**/node_modules/",
+      "target/",
       "packages/rampswitch-peer/src/generated/",
     ],
   },
@@ -26,7 +27,7 @@
     plugins: { headers, jsdoc },
     languageOptions: {
       parserOptions: {
-        project: ["packages/*/tsconfig.json"],
+        project: ["packages/*/tsconfig.json", "platform/tsconfig.json"],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,6 +1,9 @@
 /** Runs the TypeScript sources; whole-process tests use the built files. */
 export default {
-  testMatch: ["<rootDir>/packages/*/src/**/*_test.ts"],
+  testMatch: [
+    "<rootDir>/packages/*/src/**/*_test.ts",
+    "<rootDir>/platform/src/**/*_test.ts",
+  ],
   transform: {
     "^.+\\.(ts|js|mjs)$": [
       "@swc/jest",
@@ -12,6 +15,7 @@
   },
   transformIgnorePatterns: ["/node_modules/(?!(true-myth)/)"],
   moduleNameMapper: {
+    "^rampswitch-platform$": "<rootDir>/platform/src/mod.ts",
     "^rampswitch-([a-z]+)$": "<rootDir>/packages/rampswitch-$1/src/mod.ts",
     "^(\\.{1,2}/.*)\\.js$": "$1",
   },
--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -13,15 +13,41 @@
 
 /**
  * A peer that has been silent for this long is taken to go on spending its
- * even share of the rate; in milliseconds. Four exchanges of peer news.
+ * even share of the rate and of the bucket; in milliseconds. Two exchanges of
+ * peer news and some delay.
  */
-const PEER_SILENCE_MILLISECONDS = 1_000;
+const PEER_SILENCE_MILLISECONDS = 700;
+
+/** Time in which what one host admits may be unknown to its peers, in ms. */
+const NEWS_LAG_MILLISECONDS = 350;
 
 /**
- * Peers silent for longer than this are taken to be gone; in milliseconds.
- * Longer than the window over which limits are judged on the known platforms.
+ * Multiple of its even share of a level that a host may admit within the lag
+ * of the news. Balancers spread a workspace's callers unevenly over the hosts.
  */
-const PEER_GONE_MILLISECONDS = 10_000;
+const UNEVEN_FACTOR = 2;
+
+/**
+ * Part of a bucket that a process starts with. It can't know yet what others
+ * spent, and when all hosts start at once their parts make up one bucket.
+ */
+const STARTING_SHARE = 1 / 8;
+
+/** Time after the start in which peers' levels are taken over, in ms. */
+const STARTING_MILLISECONDS = 3_000;
+
+/**
+ * Peers silent for longer than this are taken to be gone, if most others are
+ * heard; in milliseconds. Several times the longest cut that hosts are known to
+ * serve through.
+ */
+const PEER_GONE_MILLISECONDS = 30_000;
+
+/**
+ * The same for a host that hears few of the others: it may be the one that is
+ * cut off, and waits longer.
+ */
+const MOST_GONE_MILLISECONDS = 60_000;
 
 /** What is tolerated above the limits, over all hosts in each window. */
 export interface LimitTolerance {
@@ -35,7 +61,7 @@
  * Part of the tolerance that a bucket holds on top of the burst. The rest is
  * for what hosts admit before they hear of each other.
  */
-const USED_TOLERANCE = 0.5;
+const USED_TOLERANCE = 0.4;
 
 interface Bucket {
   readonly level: number;
@@ -43,12 +69,17 @@
 }
 
 interface PeerSpending {
-  readonly incarnation: string;
+  /** `undefined` before the peer told anything. */
+  readonly incarnation: string | undefined;
   /** Total that the peer has told for each workspace since its start. */
   readonly totals: ReadonlyMap<string, number>;
   readonly heardAt: number;
+  readonly stopping: boolean;
 }
 
+/** Levels of the buckets of a host, in tokens. */
+export type BucketLevels = Readonly<Record<string, number>>;
+
 /** What a host has admitted for each workspace since its start, in tokens. */
 export type AdmittedTotals = Readonly<Record<string, number>>;
 
@@ -64,6 +95,13 @@
   readonly #buckets = new Map<string, Bucket>();
   readonly #admitted = new Map<string, number>();
   readonly #peers = new Map<string, PeerSpending>();
+  #recent: readonly {
+    readonly name: string;
+    readonly tokens: number;
+    readonly at: number;
+  }[] = [];
+  /** When the first news came. */
+  #startedAt: number | undefined;
 
   constructor(tolerance: LimitTolerance) {
     this.#tolerance = tolerance;
@@ -79,7 +117,7 @@
       this.#buckets.set(workspace.name, {
         level: Math.min(
           this.#capacity(workspace),
-          bucket?.level ?? this.#capacity(workspace),
+          bucket?.level ?? this.#capacity(workspace) * STARTING_SHARE,
         ),
         refilledAt: bucket?.refilledAt ?? now,
       });
@@ -93,11 +131,19 @@
       this.#note(name, tokens);
       return { kind: "admitted" };
     }
-    const level = this.#refill(workspace, now);
+    const level =
+      this.#refill(workspace, now) -
+      this.#capacity(workspace) * this.#silentShare(now);
     // A request larger than the whole bucket passes when the bucket is full.
-    const needed = Math.min(tokens, this.#capacity(workspace));
-    if (level < needed) {
-      const missing = needed - level;
+    const needed = Math.min(
+      tokens,
+      this.#capacity(workspace) * (1 - this.#silentShare(now)),
+    );
+    const recent = this.#recentTokens(name, now);
+    const share = (level * UNEVEN_FACTOR) / this.#hostsHeard(now);
+    const paced = recent > 0 && recent + tokens > share;
+    if (level < needed || paced) {
+      const missing = Math.max(needed - level, paced ? tokens : 0);
       return {
         kind: "over_limit",
         retryAfterMilliseconds: Math.ceil(
@@ -107,6 +153,7 @@
     }
     this.#take(name, tokens);
     this.#note(name, tokens);
+    this.#recent = [...this.#recent, { name, tokens, at: now }];
     return { kind: "admitted" };
   }
 
@@ -121,24 +168,61 @@
     return Object.fromEntries(this.#admitted);
   }
 
+  /** Levels to tell the peers; hosts that start take them over. */
+  levels(): BucketLevels {
+    return Object.fromEntries(
+      [...this.#buckets].map(([name, { level }]) => [name, Math.round(level)]),
+    );
+  }
+
+  /** Takes in that a peer is listed that has told nothing yet. */
+  expected(peer: string, now: number): void {
+    if (this.#peers.has(peer)) return;
+    this.#peers.set(peer, {
+      incarnation: undefined,
+      totals: new Map(),
+      heardAt: now - PEER_SILENCE_MILLISECONDS,
+      stopping: false,
+    });
+  }
+
   /** Takes in what a peer has admitted since its start. */
   heard(
     peer: string,
-    news: { readonly incarnation: string; readonly totals: AdmittedTotals },
+    news: {
+      readonly incarnation: string;
+      readonly totals: AdmittedTotals;
+      readonly levels: BucketLevels;
+      /** Whether the peer is about to end and to spend nothing more. */
+      readonly stopping: boolean;
+    },
     now: number,
   ): void {
+    this.#startedAt ??= now;
+    if (now - this.#startedAt < STARTING_MILLISECONDS) {
+      this.#lowerTo(news.levels);
+    }
     const before = this.#peers.get(peer);
     const sameLife = before?.incarnation === news.incarnation;
     const totals = new Map(Object.entries(news.totals));
     totals.forEach((total, name) => {
-      const known = sameLife ? (before.totals.get(name) ?? 0) : 0;
-      const first = before === undefined;
+      const known = sameLife ? (before?.totals.get(name) ?? 0) : 0;
+      const first = before?.incarnation === undefined;
       if (!first) this.#take(name, total - known);
     });
     this.#peers.set(peer, {
       incarnation: news.incarnation,
       totals,
       heardAt: now,
+      stopping: news.stopping,
+    });
+  }
+
+  #lowerTo(levels: BucketLevels): void {
+    Object.entries(levels).forEach(([name, level]) => {
+      const bucket = this.#buckets.get(name);
+      if (bucket === undefined || bucket.level <= level) return;
+      this.#buckets.set(name, { ...bucket, level });
     });
   }
 
@@ -154,11 +238,12 @@
 
   #refill(workspace: Workspace, now: number): number {
     const bucket = this.#buckets.get(workspace.name) ?? {
-      level: this.#capacity(workspace),
+      level: this.#capacity(workspace) * STARTING_SHARE,
       refilledAt: now,
     };
     const passed = Math.max(0, now - bucket.refilledAt) / 1_000;
-    const gained = workspace.tokensPerSecond * passed * this.#heardShare(now);
+    const gained =
+      workspace.tokensPerSecond * passed * (1 - this.#silentShare(now));
     const level = Math.min(this.#capacity(workspace), bucket.level + gained);
     this.#buckets.set(workspace.name, { level, refilledAt: now });
     return level;
@@ -168,8 +253,7 @@
   #capacity(workspace: Workspace): number {
     const { slackTokens, overShare, windowMilliseconds } = this.#tolerance;
     const seconds = windowMilliseconds / 1_000;
-    const window =
-      workspace.tokensPerSecond * seconds + workspace.burstTokens;
+    const window = workspace.tokensPerSecond * seconds + workspace.burstTokens;
     // The slack is counted in tokens; limits in requests get none of it.
     const slack = workspace.countsTokens ? slackTokens : 0;
     return (
@@ -177,13 +261,40 @@
     );
   }
 
-  /** Share of the fleet's rate that is left beside silent peers. */
-  #heardShare(now: number): number {
-    const ages = [...this.#peers.values()].map((peer) => now - peer.heardAt);
-    const alive = ages.filter((age) => age < PEER_GONE_MILLISECONDS).length;
-    const silent = ages.filter(
-      (age) => age >= PEER_SILENCE_MILLISECONDS && age < PEER_GONE_MILLISECONDS,
-    ).length;
-    return 1 - silent / (alive + 1);
+  /** Tokens that this host admitted within the lag of the news. */
+  #recentTokens(name: string, now: number): number {
+    this.#recent = this.#recent.filter(
+      ({ at }) => now - at < NEWS_LAG_MILLISECONDS,
+    );
+    return this.#recent
+      .filter((admitted) => admitted.name === name)
+      .reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
+  /** Hosts that may be admitting, this one included. */
+  #hostsHeard(now: number): number {
+    return this.#spenders(now).length + 1;
+  }
+
+  /** Share of the fleet's limits that silent peers may be spending. */
+  #silentShare(now: number): number {
+    const spenders = this.#spenders(now);
+    const silent = spenders.filter((peer) => isSilent(peer, now)).length;
+    return silent / (spenders.length + 1);
   }
+
+  /** Peers that may be spending. */
+  #spenders(now: number): readonly PeerSpending[] {
+    const peers = [...this.#peers.values()].filter((peer) => !peer.stopping);
+    const heard = peers.filter((peer) => !isSilent(peer, now)).length;
+    const gone =
+      heard * 2 < peers.length
+        ? MOST_GONE_MILLISECONDS
+        : PEER_GONE_MILLISECONDS;
+    return peers.filter((peer) => now - peer.heardAt < gone);
+  }
+}
+
+function isSilent(peer: PeerSpending, now: number): boolean {
+  return now - peer.heardAt >= PEER_SILENCE_MILLISECONDS;
 }
--- /dev/null
+++ b/packages/rampswitch-serving/src/admission/workspace_limits_test.ts
@@ -0,0 +1,169 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import type { Workspace } from "../model/configuration.ts";
+import { WorkspaceLimits } from "./workspace_limits.ts";
+
+const WORKSPACE: Workspace = {
+  name: "large",
+  keys: [],
+  priority: 0,
+  tokensPerSecond: 40_000,
+  burstTokens: 40_000,
+  tokensWithoutEstimate: 1,
+  countsTokens: true,
+};
+
+const TOLERANCE = {
+  slackTokens: 72_000,
+  overShare: 0.1,
+  windowMilliseconds: 8_000,
+};
+
+/** Time between messages of hosts, in milliseconds. */
+const NEWS_MILLISECONDS = 250;
+
+/** What may be admitted in a window, with all that is tolerated. */
+const ALLOWED =
+  (WORKSPACE.tokensPerSecond * 8 + WORKSPACE.burstTokens) * 1.1 +
+  TOLERANCE.slackTokens;
+
+interface Admitted {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+/** Hosts that admit all they may while some of them are cut off. */
+class Fleet {
+  readonly admitted: Admitted[] = [];
+  #now = 0;
+  readonly #hosts: WorkspaceLimits[];
+  #lives: number[];
+
+  constructor(count: number) {
+    this.#hosts = Array.from({ length: count }, () => newHost(0));
+    this.#lives = this.#hosts.map(() => 0);
+    this.#hosts.forEach((_, host) => this.#list(host));
+  }
+
+  /** One exchange: demand on each host, then news between joined hosts. */
+  step(demandTokens: number, cut: (host: number) => boolean): void {
+    this.#hosts.forEach((host) => this.#admitAll(host, demandTokens));
+    this.#now += NEWS_MILLISECONDS;
+    this.#hosts.forEach((from, sender) =>
+      this.#hosts.forEach((to, receiver) => {
+        if (sender === receiver || cut(sender) || cut(receiver)) return;
+        to.heard(
+          String(sender),
+          {
+            incarnation: String(this.#lives[sender]),
+            totals: from.totals(),
+            levels: from.levels(),
+            stopping: false,
+          },
+          this.#now,
+        );
+      }),
+    );
+  }
+
+  restart(host: number): void {
+    this.#hosts[host] = newHost(this.#now);
+    this.#lives = this.#lives.map((life, at) =>
+      at === host ? life + 1 : life,
+    );
+    this.#list(host);
+  }
+
+  /** A host reads the list of hosts in the store at its start. */
+  #list(host: number): void {
+    this.#hosts.forEach((_, other) => {
+      if (other === host) return;
+      this.#hosts[host]?.expected(String(other), this.#now);
+    });
+  }
+
+  /** Most tokens admitted in any window of eight seconds. */
+  worstWindow(): number {
+    return this.admitted.reduce(
+      (worst, { at }) =>
+        Math.max(
+          worst,
+          this.admitted
+            .filter((other) => other.at >= at && other.at < at + 8_000)
+            .reduce((sum, other) => sum + other.tokens, 0),
+        ),
+      0,
+    );
+  }
+
+  #admitAll(host: WorkspaceLimits, demandTokens: number): void {
+    const size = 1_500;
+    const requests = Math.floor(demandTokens / size);
+    Array.from({ length: requests }).forEach(() => {
+      const decision = host.admit(WORKSPACE.name, size, this.#now);
+      if (decision.kind === "admitted") {
+        this.admitted.push({ at: this.#now, tokens: size });
+      }
+    });
+  }
+}
+
+function newHost(now: number): WorkspaceLimits {
+  const limits = new WorkspaceLimits(TOLERANCE);
+  limits.configure([WORKSPACE], now);
+  return limits;
+}
+
+describe("limits of workspaces over all hosts", () => {
+  test("hold for any demand, cuts and restarts", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 0, max: 3 }),
+        fc.integer({ min: 0, max: 40 }),
+        fc.array(fc.integer({ min: 8, max: 60 }), { maxLength: 2 }),
+        (cutHosts, cutFrom, restarts) => {
+          const fleet = new Fleet(8);
+          for (let step = 0; step < 64; step += 1) {
+            if (restarts.includes(step)) fleet.restart(step % 8);
+            // Six times the limit, evenly over the hosts.
+            const demand = (6 * WORKSPACE.tokensPerSecond) / 4 / 8;
+            fleet.step(demand, (host) => host < cutHosts && step >= cutFrom);
+          }
+          expect(fleet.worstWindow()).toBeLessThanOrEqual(ALLOWED);
+        },
+      ),
+      { numRuns: 40, seed: 7 },
+    );
+  });
+
+  test("serve a workspace in full that stays within its limit", () => {
+    const fleet = new Fleet(8);
+    const demand = (0.8 * WORKSPACE.tokensPerSecond) / 4 / 8;
+    // One host takes what all would, as a balancer may do for a while.
+    for (let step = 0; step < 80; step += 1) fleet.step(demand, () => false);
+    const total = fleet.admitted.reduce((sum, { tokens }) => sum + tokens, 0);
+    const asked = Math.floor(demand / 1_500) * 1_500 * 8 * 80;
+    expect(total).toBe(asked);
+  });
+
+  test("tell a request over the limit when to come back", () => {
+    const limits = newHost(0);
+    const decisions = Array.from({ length: 200 }, () =>
+      limits.admit(WORKSPACE.name, 1_000, 0),
+    );
+    const last = decisions.at(-1);
+    expect(last?.kind).toBe("over_limit");
+    if (last?.kind !== "over_limit") return;
+    const after = last.retryAfterMilliseconds;
+    expect(limits.admit(WORKSPACE.name, 1_000, after).kind).toBe("admitted");
+  });
+
+  test("what surely did not run is given back", () => {
+    const limits = newHost(0);
+    expect(limits.admit(WORKSPACE.name, 9_000, 0).kind).toBe("admitted");
+    limits.giveBack(WORKSPACE.name, 9_000);
+    expect(limits.totals()).toEqual({ large: 0 });
+  });
+});
--- /dev/null
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
@@ -0,0 +1,126 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { type AttemptEvent, AttemptTruth } from "./attempt_machine.ts";
+
+/** Everything that can happen to a send, the final answer aside. */
+const EVENTS: readonly AttemptEvent["type"][] = [
+  "written",
+  "not_written",
+  "rejected",
+  "answered",
+  "relayed",
+  "lost",
+  "moved",
+];
+
+/** Longest sequence of events that is explored. */
+const DEPTH = 8;
+
+function replay(
+  repeatability: "at_most_once" | "repeatable",
+  types: readonly AttemptEvent["type"][],
+): AttemptTruth {
+  const truth = new AttemptTruth(repeatability);
+  types.forEach((type) => truth.handle({ type }));
+  return truth;
+}
+
+/**
+ * What really happened at backend servers, told by the events alone: a send
+ * that was written may have run unless the server rejected it.
+ */
+function mayHaveRun(types: readonly AttemptEvent["type"][]): number {
+  return types.reduce<{ sent: boolean; runs: number }>(
+    (world, type) => {
+      if (type === "written" && !world.sent) {
+        return { sent: true, runs: world.runs + 1 };
+      }
+      const undone = type === "not_written" || type === "rejected";
+      if (undone && world.sent) return { sent: false, runs: world.runs - 1 };
+      return world;
+    },
+    { sent: false, runs: 0 },
+  ).runs;
+}
+
+/** All sequences up to the depth, each a real order of events. */
+function sequences(): readonly (readonly AttemptEvent["type"][])[] {
+  let all: readonly (readonly AttemptEvent["type"][])[] = [[]];
+  let last = all;
+  for (let length = 0; length < DEPTH; length += 1) {
+    last = last.flatMap((sequence) =>
+      EVENTS.filter((type) => canFollow(sequence, type)).map((type) => [
+        ...sequence,
+        type,
+      ]),
+    );
+    all = [...all, ...last];
+  }
+  return all;
+}
+
+function canFollow(
+  sequence: readonly AttemptEvent["type"][],
+  type: AttemptEvent["type"],
+): boolean {
+  const { state } = replay("repeatable", sequence);
+  const allowed: Readonly<Record<string, readonly AttemptEvent["type"][]>> = {
+    waiting: ["written"],
+    sent: ["not_written", "rejected", "answered", "lost", "moved"],
+    running: ["relayed", "lost", "moved"],
+  };
+  return allowed[state]?.includes(type) ?? false;
+}
+
+describe("truth about an attempt", () => {
+  const explored = sequences();
+
+  test("explores a number of orders worth the name", () => {
+    expect(explored.length).toBeGreaterThan(300);
+  });
+
+  test("says not run only when no server can have run it", () => {
+    const wrong = explored.filter(
+      (sequence) =>
+        replay("at_most_once", sequence).surelyNotRun &&
+        (mayHaveRun(sequence) > 0 || sequence.at(-1) === "written"),
+    );
+    expect(wrong).toEqual([]);
+  });
+
+  test("never sends what may have run when it must not be repeated", () => {
+    const wrong = explored.filter(
+      (sequence) =>
+        !sequence.includes("moved") &&
+        replay("at_most_once", sequence).maySend(9) &&
+        mayHaveRun(sequence) > 0,
+    );
+    expect(wrong).toEqual([]);
+  });
+
+  test("a wrong rule is found: a lost send taken for not run", () => {
+    const forgiving = (sequence: readonly AttemptEvent["type"][]) =>
+      replay(
+        "at_most_once",
+        sequence.map((type) => (type === "lost" ? "rejected" : type)),
+      );
+    const wrong = explored.filter(
+      (sequence) =>
+        forgiving(sequence).surelyNotRun && mayHaveRun(sequence) > 0,
+    );
+    expect(wrong.length).toBeGreaterThan(0);
+  });
+
+  test("a repeatable request stays within the runs that its route allows", () => {
+    const truth = replay("repeatable", ["written", "lost"]);
+    expect(truth.maySend(1)).toBe(false);
+    expect(truth.maySend(2)).toBe(true);
+  });
+
+  test("a moved run goes on once and is never called not run", () => {
+    const truth = replay("at_most_once", ["written", "answered", "moved"]);
+    expect(truth.maySend(1)).toBe(true);
+    expect(truth.surelyNotRun).toBe(false);
+  });
+});
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -90,7 +90,8 @@
 function hasRoom(record: ServerRecord, inputs: ChoiceInputs): boolean {
   const places = record.entry.slots * (1 + WAITING_SHARE);
   return (
-    record.load(inputs.now) < places && record.ownRunning < inputs.ownConnections
+    record.load(inputs.now) < places &&
+    record.ownRunning < inputs.ownConnections
   );
 }
 
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -254,7 +254,11 @@
       stored.fence === held.lease.fence;
     if (!own) this.#lose(stored);
     else if (read.value.version !== held.version) {
-      this.#renewed(held, { lease: stored, version: read.value.version, sentAt });
+      this.#renewed(held, {
+        lease: stored,
+        version: read.value.version,
+        sentAt,
+      });
     }
   }
 
@@ -299,9 +303,7 @@
   #mayActNow(): boolean {
     const { clock, times } = this.#parts;
     const held = this.#held;
-    return (
-      held !== undefined && mayAct(held, { now: clock.now(), times })
-    );
+    return held !== undefined && mayAct(held, { now: clock.now(), times });
   }
 
   /** Whether a call of the duties may be sent at this moment. */
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -23,9 +23,7 @@
   /** Whether the holder gave the lease up. */
   readonly released: boolean;
   /** Final usage reports of the newest windows, by window. */
-  readonly reports: Readonly<
-    Record<string, Readonly<Record<string, number>>>
-  >;
+  readonly reports: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 /** Times of the lease, in milliseconds. */
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -71,6 +71,7 @@
   readonly #parts: MembershipParts;
   readonly #ownNews: () => OwnNews;
   readonly #onNews: (news: PeerNews) => void;
+  readonly #onListed: (host: string) => void;
   readonly #peers = new Map<string, Peer>();
   readonly #repetitions: readonly Repetition[];
   readonly #transport: PeerTransport;
@@ -83,12 +84,15 @@
     callbacks: {
       readonly ownNews: () => OwnNews;
       readonly onNews: (news: PeerNews) => void;
+      /** A host was found in the store's list that was not known. */
+      readonly onListed: (host: string) => void;
     },
   ) {
     this.#parts = parts;
     this.#transport = transport;
     this.#ownNews = callbacks.ownNews;
     this.#onNews = callbacks.onNews;
+    this.#onListed = callbacks.onListed;
     const { clock, random } = parts;
     const listing = repeat(
       clock,
@@ -119,6 +123,8 @@
     callbacks: {
       readonly ownNews: () => OwnNews;
       readonly onNews: (news: PeerNews) => void;
+      /** A host was found in the store's list that was not known. */
+      readonly onListed: (host: string) => void;
     },
   ): Promise<Membership> {
     const opened: { membership?: Membership } = {};
@@ -237,7 +243,9 @@
       .forEach((object) =>
         this.#listedHost(object.key.slice(hostsPrefix.length), object.value),
       );
-    const registered = listed.value.objects.find((object) => object.key === own);
+    const registered = listed.value.objects.find(
+      (object) => object.key === own,
+    );
     const value = JSON.stringify({ address: this.#transport.address });
     const current = addressOf(registered?.value);
     if (current === this.#transport.address) {
@@ -259,6 +267,7 @@
       wallOffset: undefined,
       stopping: false,
     });
+    this.#onListed(name);
   }
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -9,7 +9,7 @@
 import { Result } from "true-myth";
 import { parseJson } from "rampswitch-utils";
 import { z } from "zod";
-import type { AdmittedTotals } from "../admission/mod.ts";
+import type { AdmittedTotals, BucketLevels } from "../admission/mod.ts";
 import type { WorkAtServer } from "../choice/mod.ts";
 
 /** Requests that began in each reporting window, by workspace. */
@@ -42,6 +42,7 @@
   readonly stopping: boolean;
   readonly configurationVersion: number;
   readonly admitted: AdmittedTotals;
+  readonly levels: BucketLevels;
   readonly work: Readonly<Record<string, WorkAtServer>>;
   readonly counts: WindowCounts;
   readonly dispatches: readonly DispatchNews[];
@@ -61,11 +62,10 @@
   s: z.boolean(),
   c: z.number(),
   q: numbers,
+  b: numbers,
   w: z.record(z.string(), z.tuple([z.number(), z.number()])),
   u: z.record(z.string(), numbers),
-  d: z.array(
-    z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()]))]),
-  ),
+  d: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()]))])),
   r: numbers,
   l: z.tuple([z.number(), z.number()]).optional(),
 });
@@ -80,6 +80,7 @@
     s: news.stopping,
     c: news.configurationVersion,
     q: news.admitted,
+    b: news.levels,
     w: mapValues(news.work, (work) => [work.running, work.unreadTokens]),
     u: news.counts,
     d: news.dispatches.map(({ server, parts }) => [
@@ -109,6 +110,7 @@
     stopping: message.s,
     configurationVersion: message.c,
     admitted: message.q,
+    levels: message.b,
     work: mapValues(message.w, ([running, unreadTokens]) => ({
       running,
       unreadTokens,
--- a/packages/rampswitch-serving/src/model/cloud.ts
+++ b/packages/rampswitch-serving/src/model/cloud.ts
@@ -30,13 +30,16 @@
 /** Why a call was not carried out, or may not have been. */
 export type CloudError =
   /** A higher fence was seen, or none of the servers are to be had. */
-  | "conflict"
-  | "too_many_calls"
-  | "refused"
-  | "no_answer";
+  "conflict" | "too_many_calls" | "refused" | "no_answer";
 
 /** Calls of the duties. */
 export interface Cloud {
-  reportUsage(report: UsageReport, fence: Fence): Promise<Result<void, CloudError>>;
-  orderServers(order: ServerOrder, fence: Fence): Promise<Result<void, CloudError>>;
+  reportUsage(
+    report: UsageReport,
+    fence: Fence,
+  ): Promise<Result<void, CloudError>>;
+  orderServers(
+    order: ServerOrder,
+    fence: Fence,
+  ): Promise<Result<void, CloudError>>;
 }
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -10,9 +10,7 @@
 import { listen, type Listening } from "rampswitch-utils";
 
 /** Bounds of the latency histograms, in seconds; around the usual targets. */
-const LATENCY_BOUNDS = [
-  0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15,
-];
+const LATENCY_BOUNDS = [0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15];
 
 /** Metrics of one host. */
 export class ServingMetrics {
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -9,11 +9,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
-import {
-  chooseServer,
-  type Choice,
-  type ServerRecord,
-} from "../choice/mod.ts";
+import { chooseServer, type Choice, type ServerRecord } from "../choice/mod.ts";
 import type { Route, Service, Workspace } from "../model/configuration.ts";
 import {
   REFUSALS,
@@ -352,7 +348,9 @@
     const head = this.#head;
     if (current === undefined || head === undefined) return;
     const streams =
-      this.request.route.streaming && isSuccess(head.status) && !head.notExecuted;
+      this.request.route.streaming &&
+      isSuccess(head.status) &&
+      !head.notExecuted;
     if (streams && this.#truth.state === "running") this.#relay(chunk, current);
     else this.#hold(chunk, current);
   }
@@ -509,7 +507,11 @@
     const failure = this.#failureAnswer;
     if (this.#answer.started) this.#answer.breakOff();
     else if (failure !== undefined) {
-      this.#answer.whole(failure.head.status, failure.head.forwarded, failure.body);
+      this.#answer.whole(
+        failure.head.status,
+        failure.head.forwarded,
+        failure.body,
+      );
     } else {
       const truthful =
         REFUSALS[reason].notRun && !this.#truth.surelyNotRun
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -238,6 +238,8 @@
       {
         ownNews: () => this.#ownNews(),
         onNews: (news) => this.#heard(news),
+        onListed: (host) =>
+          this.#limits.expected(host, this.#ports.clock.now()),
       },
     );
   }
@@ -372,6 +374,7 @@
       stopping: this.#life.state === "stopping",
       configurationVersion: this.#follower.routes?.configuration.version ?? 0,
       admitted: this.#limits.totals(),
+      levels: this.#limits.levels(),
       work: this.#ownWork(),
       counts: this.#ledger.own(this.#wallTime()),
       dispatches: this.#dispatches.take(this.#ports.clock.now()),
@@ -394,7 +397,12 @@
     this.#directory.heardPeer(news.host, news.work, now);
     this.#limits.heard(
       news.host,
-      { incarnation: news.incarnation, totals: news.admitted },
+      {
+        incarnation: news.incarnation,
+        totals: news.admitted,
+        levels: news.levels,
+        stopping: news.stopping,
+      },
       now,
     );
     this.#ledger.heard(news.host, news.incarnation, news.counts);
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -61,8 +61,7 @@
     this.#clock = options.clock;
     this.#seconds = options.seconds;
     const backoff =
-      options.backoff ??
-      ((failures) => storeBackoff(failures, options.random));
+      options.backoff ?? ((failures) => storeBackoff(failures, options.random));
     this.#repetition = repeat(
       options.clock,
       () =>
