--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -27,12 +27,6 @@
  */
 const UNEVEN_FACTOR = 2;
 
-/**
- * Part of a bucket that a process starts with. It can't know yet what others
- * spent, and when all hosts start at once their parts make up one bucket.
- */
-const STARTING_SHARE = 1 / 8;
-
 /** Time after the start in which peers' levels are taken over, in ms. */
 const STARTING_MILLISECONDS = 3_000;
 
@@ -117,7 +111,7 @@
       this.#buckets.set(workspace.name, {
         level: Math.min(
           this.#capacity(workspace),
-          bucket?.level ?? this.#capacity(workspace) * STARTING_SHARE,
+          bucket?.level ?? this.#capacity(workspace),
         ),
         refilledAt: bucket?.refilledAt ?? now,
       });
@@ -143,11 +137,12 @@
     const share = (level * UNEVEN_FACTOR) / this.#hostsHeard(now);
     const paced = recent > 0 && recent + tokens > share;
     if (level < needed || paced) {
-      const missing = Math.max(needed - level, paced ? tokens : 0);
+      const missing = Math.max(0, needed - level);
+      const refill = (missing / workspace.tokensPerSecond) * 1_000;
       return {
         kind: "over_limit",
         retryAfterMilliseconds: Math.ceil(
-          (missing / workspace.tokensPerSecond) * 1_000,
+          Math.max(refill, paced ? NEWS_LAG_MILLISECONDS : 0),
         ),
       };
     }
@@ -238,7 +233,7 @@
 
   #refill(workspace: Workspace, now: number): number {
     const bucket = this.#buckets.get(workspace.name) ?? {
-      level: this.#capacity(workspace) * STARTING_SHARE,
+      level: this.#capacity(workspace),
       refilledAt: now,
     };
     const passed = Math.max(0, now - bucket.refilledAt) / 1_000;
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -68,7 +68,7 @@
     const handler = new SendHandler(listener);
     this.#pool(server).dispatch(
       {
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.target,
         headers: [...request.headers],
         body: request.body ?? null,
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -14,7 +14,7 @@
   Watcher,
   type WatchListener,
 } from "rampswitch-store";
-import { Result } from "true-myth";
+import { type Result } from "true-myth";
 import { RouteIndex } from "../intake/route_index.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type { ServingConfiguration } from "../model/configuration.ts";
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -21,6 +21,7 @@
   type LeaseTimes,
   type SeenLease,
 } from "./duty_lease.ts";
+import type { LifeCounts } from "./usage_ledger.ts";
 import type { FinalReports } from "./usage_duty.ts";
 
 /** Time between looks at the lease, in milliseconds. */
@@ -38,6 +39,10 @@
   fence: z.number(),
   renewals: z.number(),
   released: z.boolean(),
+  counts: z.record(
+    z.string(),
+    z.record(z.string(), z.record(z.string(), z.number())),
+  ),
   reports: z.record(z.string(), z.record(z.string(), z.number())),
 });
 
@@ -45,6 +50,10 @@
 export interface Duties {
   /** Reports to keep with the lease from now on. */
   finalReports(known: FinalReports): FinalReports;
+  /** Counts to keep with the lease until they are final. */
+  counts(): LifeCounts;
+  /** Takes in counts that a former holder kept. */
+  restore(counts: LifeCounts): void;
   /** Acts under the fence; `reports` are in the store. */
   act(reports: FinalReports, fence: Fence): Promise<void>;
 }
@@ -195,6 +204,7 @@
       this.#notBefore = clock.now() + RETRY_MILLISECONDS;
       return;
     }
+    this.#parts.duties.restore(lease.counts);
     this.#held = { lease, version, renewalSentAt: sentAt, mayActAt };
     metrics.event("duties_taken");
     logger.info("duties taken", {
@@ -230,7 +240,8 @@
   async #renew(held: Held, reports: FinalReports): Promise<void> {
     const { store, leaseKey, clock, metrics } = this.#parts;
     const renewals = held.lease.renewals + 1;
-    const lease = { ...held.lease, reports, renewals };
+    const counts = this.#parts.duties.counts();
+    const lease = { ...held.lease, reports, renewals, counts };
     const sentAt = clock.now();
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: held.version,
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -9,6 +9,8 @@
  * @module
  */
 
+import type { LifeCounts } from "./usage_ledger.ts";
+
 /** Value of the lease object. */
 export interface DutyLease {
   readonly holder: string;
@@ -22,6 +24,8 @@
   readonly renewals: number;
   /** Whether the holder gave the lease up. */
   readonly released: boolean;
+  /** Counts of windows that are not final, by life of a process. */
+  readonly counts: LifeCounts;
   /** Final usage reports of the newest windows, by window. */
   readonly reports: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
@@ -83,6 +87,7 @@
     fence: (seen?.fence ?? 0) + 1,
     renewals: 0,
     released: false,
+    counts: seen?.counts ?? {},
     reports: seen?.reports ?? {},
   };
 }
--- a/packages/rampswitch-serving/src/duties/usage_ledger.ts
+++ b/packages/rampswitch-serving/src/duties/usage_ledger.ts
@@ -14,6 +14,9 @@
 /** Counts of one window by workspace. */
 export type UsageCounts = Readonly<Record<string, number>>;
 
+/** Counts by host and life of its process. */
+export type LifeCounts = Readonly<Record<string, WindowCounts>>;
+
 /** Usage as one host knows it. */
 export class UsageLedger {
   readonly #windowMilliseconds: number;
@@ -61,6 +64,27 @@
     });
   }
 
+  /**
+   * Counts of the newest windows by life of a process, to keep in the store in
+   * case that all hosts end at once.
+   */
+  lives(self: string, wallTime: number): LifeCounts {
+    const window = this.windowOf(wallTime);
+    const lives = [[self, this.#own] as const, ...this.#peers];
+    return Object.fromEntries(
+      lives
+        .map(([life, counts]) => [life, newest(counts, window, 2)] as const)
+        .filter(([, counts]) => Object.keys(counts).length > 0),
+    );
+  }
+
+  /** Takes in counts that the store kept, except those of this process. */
+  restore(lives: LifeCounts, self: string): void {
+    Object.entries(lives)
+      .filter(([life]) => life !== self && !this.#peers.has(life))
+      .forEach(([life, counts]) => this.#peers.set(life, counts));
+  }
+
   /** Counts of a window over all hosts. */
   total(window: number): UsageCounts {
     return [this.#own, ...this.#peers.values()]
@@ -81,10 +105,12 @@
   }
 }
 
-function newest(counts: WindowCounts, window: number): WindowCounts {
+function newest(
+  counts: WindowCounts,
+  window: number,
+  kept = KEPT_WINDOWS,
+): WindowCounts {
   return Object.fromEntries(
-    Object.entries(counts).filter(
-      ([name]) => Number(name) > window - KEPT_WINDOWS,
-    ),
+    Object.entries(counts).filter(([name]) => Number(name) > window - kept),
   );
 }
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -63,6 +63,9 @@
 interface Refusal {
   readonly reason: RefusalReason;
   readonly retryAfterSeconds: number | undefined;
+  readonly workspace?: string;
+  /** What the request would have been charged. */
+  readonly tokens?: number;
 }
 
 /** The listener for callers, and the runs of their requests. */
@@ -247,6 +250,8 @@
       ? Result.ok(tokens)
       : Result.err({
           reason: "workspace_limit",
+          workspace: workspace.name,
+          tokens,
           retryAfterSeconds: decision.retryAfterMilliseconds / 1_000,
         });
   }
@@ -258,6 +263,8 @@
       request: head.attemptId,
       outcome: reason,
       path: head.target,
+      workspace: refused.workspace,
+      tokens: refused.tokens,
       configuration:
         this.#context.configuration().routes?.configuration.version,
       configurationAge: Math.round(
--- a/packages/rampswitch-serving/src/observation/bounded_output.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output.ts
@@ -30,6 +30,7 @@
     return this.#dropped;
   }
 
+  // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name
   override _write(
     chunk: Buffer,
     _encoding: BufferEncoding,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -257,11 +257,18 @@
       duties: {
         finalReports: (known) =>
           this.#usage.finalReports(known, this.#wallTime()),
+        counts: () => this.#ledger.lives(this.#lifeName(), this.#wallTime()),
+        restore: (counts) => this.#ledger.restore(counts, this.#lifeName()),
         act: (reports, fence) => this.#act(reports, fence),
       },
     });
   }
 
+  /** Names this life of the process among all. */
+  #lifeName(): string {
+    return `${this.#settings.host}/${this.#ports.incarnation}`;
+  }
+
   async #act(reports: FinalReports, fence: Fence): Promise<void> {
     await this.#usage.act(reports, fence);
     const { routes } = this.#follower;
--- a/packages/rampswitch-utils/src/clock.ts
+++ b/packages/rampswitch-utils/src/clock.ts
@@ -30,7 +30,7 @@
  */
 export const STEADY_CLOCK: Clock = {
   now: () => performance.now(),
-  after: SYSTEM_CLOCK.after,
+  after: (milliseconds, callback) => SYSTEM_CLOCK.after(milliseconds, callback),
 };
 
 /** Resolves after some milliseconds of the given clock. */
