--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -116,6 +116,7 @@
   readonly #follower: ConfigurationFollower;
   readonly #usage: UsageDuty;
   readonly #capacity: CapacityDuty;
+  #listening = { callers: "", readiness: "" };
   #membership: Membership | undefined;
   #keeper: DutyKeeper | undefined;
 
@@ -168,6 +169,11 @@
     return host;
   }
 
+  /** Where the host listens, with the ports that the system chose. */
+  get addresses(): { readonly callers: string; readonly readiness: string } {
+    return this.#listening;
+  }
+
   /** Ends planned: nothing in progress is cut off before the grace is over. */
   async stop(): Promise<void> {
     if (!this.#life.handle({ type: "stop" })) return;
@@ -208,13 +214,19 @@
   async #open(): Promise<void> {
     const { addresses } = this.#settings;
     const ports = this.#ports;
-    this.#ownership.own(
+    const readiness = this.#ownership.own(
       await serveReadiness(addresses.readiness, {
         path: ports.readinessPath,
         ready: () => this.#ready(),
       }),
     );
-    this.#ownership.own(await this.#callers.listen(addresses.callers));
+    const callers = this.#ownership.own(
+      await this.#callers.listen(addresses.callers),
+    );
+    this.#listening = {
+      callers: callers.address,
+      readiness: readiness.address,
+    };
     if (addresses.metrics !== undefined) {
       this.#ownership.own(
         await ports.metrics.serve(addresses.metrics, ports.metricsPath),
@@ -222,10 +234,7 @@
     }
     this.#membership = this.#ownership.own(await this.#openMembership());
     this.#keeper = this.#ownership.own(this.#createKeeper());
-    ports.logger.info("listening", {
-      callers: addresses.callers,
-      readiness: addresses.readiness,
-    });
+    ports.logger.info("listening", { ...this.#listening });
   }
 
   #openMembership(): Promise<Membership> {
