--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -68,6 +68,6 @@
   { files: ["**/*.mjs"], ...tseslint.configs.disableTypeChecked },
   {
     files: ["**/*.mjs"],
-    languageOptions: { globals: { process: "readonly" } },
+    languageOptions: { globals: { process: "readonly", URL: "readonly" } },
   },
 );
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -55,6 +55,21 @@
 const FIRST_RETRY_MILLISECONDS = 60;
 const LONGEST_RETRY_MILLISECONDS = 700;
 
+/**
+ * Longest time that news of a peer may take, in milliseconds; links on which
+ * messages wait longer count as out of order on the known platforms.
+ */
+const PEER_DELAY_MILLISECONDS = 500;
+
+/**
+ * Without a confirmation of its own for this long, a host has lost its way to
+ * the store; in milliseconds, two waits of a watch and a repeat.
+ */
+const OWN_WAY_LOST_MILLISECONDS = 3_000;
+
+/** Peers' confirmations younger than this show that the store is up, in ms. */
+const OTHERS_FRESH_MILLISECONDS = 2_000;
+
 /**
  * Longest wait of a watch, in seconds. Each return confirms the configuration
  * as of its sending, so the confirmation is never older than twice this; and a
@@ -80,6 +95,7 @@
   readonly #servers: Watcher;
   #routes: RouteIndex | undefined;
   #confirmedAt = -Infinity;
+  #ownConfirmedAt = -Infinity;
   #serversListed = false;
   #reachable = true;
 
@@ -125,6 +141,27 @@
     return now - this.#confirmedAt;
   }
 
+  /** Whether this host lost its way to the store while others have theirs. */
+  cutOff(now: number): boolean {
+    return (
+      now - this.#ownConfirmedAt > OWN_WAY_LOST_MILLISECONDS &&
+      this.age(now) < OTHERS_FRESH_MILLISECONDS
+    );
+  }
+
+  /**
+   * Takes in that a peer had a version confirmed some time ago. It counts for
+   * the same version only, and later by the time that the news may have taken.
+   */
+  confirmedByPeer(version: number, ageMilliseconds: number): void {
+    if (version !== this.#routes?.configuration.version) return;
+    const age = ageMilliseconds + PEER_DELAY_MILLISECONDS;
+    this.#confirmedAt = Math.max(
+      this.#confirmedAt,
+      this.#parts.clock.now() - age,
+    );
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#configuration[Symbol.asyncDispose]();
     await this.#servers[Symbol.asyncDispose]();
@@ -192,6 +229,7 @@
 
   #confirmed(at: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
+    this.#ownConfirmedAt = Math.max(this.#ownConfirmedAt, at);
     if (this.#reachable) return;
     this.#reachable = true;
     this.#parts.logger.info("store answers again", {});
--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -14,6 +14,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
   planCapacity,
+  serversBeforeLoad,
   serversNeeded,
   type DataHallServers,
   type DataHallWish,
@@ -64,6 +65,7 @@
   readonly #parts: CapacityParts;
   readonly #states = new Map<string, OrderState>();
   readonly #soldOutUntil = new Map<string, number>();
+  readonly #firstCounts = new Map<string, number>();
   #fence = -1;
 
   constructor(parts: CapacityParts) {
@@ -88,7 +90,10 @@
   #dueOrders(service: Service, now: number): readonly ServerOrder[] {
     const { capacity, engine } = service;
     if (capacity === undefined || engine === undefined) return [];
-    const needed = serversNeeded(this.#parts.load(service.name), engine);
+    const needed = Math.max(
+      serversNeeded(this.#parts.load(service.name), engine),
+      this.#parts.idle() ? this.#firstNeeded(service) : 0,
+    );
     this.#parts.metrics.gauge("servers_needed", needed);
     const halls = this.#halls(service, now);
     return planCapacity(needed, halls, capacity)
@@ -100,6 +105,15 @@
       .map(({ order }) => order);
   }
 
+  /** Servers needed by the number that the deployment began with. */
+  #firstNeeded(service: Service): number {
+    const known = this.#firstCounts.get(service.name);
+    const listed = this.#parts.directory.of(service.name).length;
+    const first = known ?? listed;
+    this.#firstCounts.set(service.name, first);
+    return serversBeforeLoad(first);
+  }
+
   #halls(service: Service, now: number): readonly DataHallServers[] {
     const records = this.#parts.directory.of(service.name);
     const priced = service.capacity?.dataHallPrices;
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -57,6 +57,17 @@
 /** Fewest servers that a service with any load is planned with. */
 const LEAST_SERVERS = 3;
 
+/**
+ * Share of the servers that a deployment begins with that is kept until its
+ * first load tells more.
+ */
+const FIRST_SHARE = 0.6;
+
+/** Servers to have before any request has come. */
+export function serversBeforeLoad(listed: number): number {
+  return Math.max(LEAST_SERVERS, Math.ceil(listed * FIRST_SHARE));
+}
+
 /** Servers that a load needs. */
 export function serversNeeded(load: ServiceLoad, engine: EngineLimits): number {
   const reading =
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -9,7 +9,7 @@
 import { type Clock, type Logger, parseJson } from "rampswitch-utils";
 import { repeat, type Random, type Repetition } from "rampswitch-utils";
 import type { ObjectStore, StoredObject } from "rampswitch-store";
-import { z } from "zod";
+import * as z from "zod";
 import type { LeaseNews } from "../membership/peer_news.ts";
 import type { Fence } from "../model/cloud.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -9,7 +9,7 @@
 import type { Clock, Logger, Random } from "rampswitch-utils";
 import { jitter, repeat, type Repetition, parseJson } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
-import { z } from "zod";
+import * as z from "zod";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { decodeNews, encodeNews, type PeerNews } from "./peer_news.ts";
 import { openPeerTransport, type PeerTransport } from "./peer_transport.ts";
@@ -20,6 +20,9 @@
 /** Peers that get each message; more take turns. Bounds a host's sends. */
 const PEERS_EACH_ROUND = 12;
 
+/** Time without a round of news that tells of a pause of the process, in ms. */
+const PAUSE_MILLISECONDS = 600;
+
 /** Silence after which a host no longer counts, in milliseconds. */
 const GONE_MILLISECONDS = 10_000;
 
@@ -77,6 +80,8 @@
   readonly #transport: PeerTransport;
   #listed = false;
   #round = 0;
+  /** When this host last sent news, on the steady clock. */
+  #lastRound = 0;
 
   private constructor(
     parts: MembershipParts,
@@ -172,6 +177,7 @@
 
   /** Sends news to the peers whose turn it is. */
   tell(): void {
+    this.#lastRound = this.#parts.clock.now();
     const peers = [...this.#peers.values()];
     if (peers.length === 0) return;
     const datagram = encodeNews({
@@ -215,7 +221,11 @@
       wallOffset: news.value.wallTime - now,
       stopping: news.value.stopping,
     });
-    this.#onNews(news.value);
+    // After a pause of this process, messages may be as old as the pause.
+    const paused = now - this.#lastRound > PAUSE_MILLISECONDS;
+    this.#onNews(
+      paused ? { ...news.value, configurationAge: undefined } : news.value,
+    );
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -8,7 +8,7 @@
  */
 import { Result } from "true-myth";
 import { parseJson } from "rampswitch-utils";
-import { z } from "zod";
+import * as z from "zod";
 import type { AdmittedTotals, BucketLevels } from "../admission/mod.ts";
 import type { WorkAtServer } from "../choice/mod.ts";
 
@@ -41,6 +41,8 @@
   readonly wallTime: number;
   readonly stopping: boolean;
   readonly configurationVersion: number;
+  /** Milliseconds since the store confirmed that version to the sender. */
+  readonly configurationAge: number | undefined;
   readonly admitted: AdmittedTotals;
   readonly levels: BucketLevels;
   readonly work: Readonly<Record<string, WorkAtServer>>;
@@ -61,6 +63,7 @@
   t: z.number(),
   s: z.boolean(),
   c: z.number(),
+  f: z.number().optional(),
   q: numbers,
   b: numbers,
   w: z.record(z.string(), z.tuple([z.number(), z.number()])),
@@ -88,6 +91,9 @@
       parts.map((part) => [part.id, part.tokens]),
     ]),
     r: news.readTokens,
+    ...(news.configurationAge === undefined
+      ? {}
+      : { f: Math.ceil(news.configurationAge) }),
     ...(news.lease === undefined
       ? {}
       : { l: [news.lease.fence, news.lease.version] }),
@@ -109,6 +115,7 @@
     wallTime: message.t,
     stopping: message.s,
     configurationVersion: message.c,
+    configurationAge: message.f,
     admitted: message.q,
     levels: message.b,
     work: mapValues(message.w, ([running, unreadTokens]) => ({
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -373,7 +373,8 @@
     return (
       this.#life.state === "serving" &&
       this.#follower.serversListed &&
-      this.#keysTrusted()
+      this.#keysTrusted() &&
+      !this.#follower.cutOff(this.#ports.clock.now())
     );
   }
 
@@ -389,6 +390,7 @@
     return {
       stopping: this.#life.state === "stopping",
       configurationVersion: this.#follower.routes?.configuration.version ?? 0,
+      configurationAge: this.#ownConfirmationAge(),
       admitted: this.#limits.totals(),
       levels: this.#limits.levels(),
       work: this.#ownWork(),
@@ -399,6 +401,11 @@
     };
   }
 
+  #ownConfirmationAge(): number | undefined {
+    const age = this.#follower.age(this.#ports.clock.now());
+    return Number.isFinite(age) ? age : undefined;
+  }
+
   #ownWork(): OwnNews["work"] {
     return Object.fromEntries(
       this.#directory
@@ -410,6 +417,12 @@
 
   #heard(news: PeerNews): void {
     const now = this.#ports.clock.now();
+    if (news.configurationAge !== undefined) {
+      this.#follower.confirmedByPeer(
+        news.configurationVersion,
+        news.configurationAge,
+      );
+    }
     this.#directory.heardPeer(news.host, news.work, now);
     this.#limits.heard(
       news.host,
--- a/packages/rampswitch-validation/src/mod.ts
+++ b/packages/rampswitch-validation/src/mod.ts
@@ -8,3 +8,4 @@
 export * from "./problems.ts";
 export * from "./resource_schema.ts";
 export * from "./settings_schema.ts";
+export * from "./yaml_document.ts";
--- a/packages/rampswitch-validation/src/problems.ts
+++ b/packages/rampswitch-validation/src/problems.ts
@@ -7,8 +7,7 @@
  * @module
  */
 import { Result } from "true-myth";
-import { parseDocument } from "yaml";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** One wrong place in a document. */
 export interface Problem {
@@ -41,25 +40,6 @@
   );
 }
 
-/** Parses YAML text and checks it against a schema. */
-export function checkYaml<Schema extends z.ZodType>(
-  schema: Schema,
-  text: string,
-): Result<z.output<Schema>, readonly Problem[]> {
-  const document = parseDocument(text);
-  const [error] = document.errors;
-  if (error !== undefined) {
-    return Result.err([
-      {
-        path: `line ${error.linePos?.[0].line ?? 1}`,
-        value: shown(text.slice(error.pos[0], error.pos[1])),
-        expected: "YAML that parses",
-      },
-    ]);
-  }
-  return check(schema, document.toJS());
-}
-
 function issueProblems(
   issue: z.core.$ZodIssue,
   root: unknown,
@@ -99,7 +79,8 @@
   );
 }
 
-function shown(value: unknown): string {
+/** Writes a value as JSON, cut short. */
+export function shown(value: unknown): string {
   const text = value === undefined ? "nothing" : JSON.stringify(value);
   return text.length <= MAXIMUM_SHOWN_VALUE
     ? text
--- a/packages/rampswitch-validation/src/resource_schema.ts
+++ b/packages/rampswitch-validation/src/resource_schema.ts
@@ -14,7 +14,7 @@
 import { RESOURCE_KINDS } from "rampswitch-types";
 import { Result } from "true-myth";
 import { parseAllDocuments } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 import { check, type Problem } from "./problems.ts";
 
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/;
--- a/packages/rampswitch-validation/src/settings_schema.ts
+++ b/packages/rampswitch-validation/src/settings_schema.ts
@@ -7,8 +7,9 @@
  */
 import { type Result } from "true-myth";
 import { LOG_LEVELS } from "rampswitch-utils";
-import { z } from "zod";
-import { checkYaml, type Problem } from "./problems.ts";
+import * as z from "zod";
+import type { Problem } from "./problems.ts";
+import { checkYaml } from "./yaml_document.ts";
 import { ADDRESS_SCHEMA, HASH_SCHEMA, NAME_SCHEMA } from "./resource_schema.ts";
 
 const MINIMUM_SECRET = 16;
