Count a renewal from the write that took effect; explore the lease

Ruled out: clocks (none is compared) and pauses (none was played). Change: writes are told apart by their renewal number and counted from when that one was sent; a lease that is taken counts from its first write.

--- /dev/null
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -0,0 +1,114 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { type ChoiceInputs, chooseServer } from "./choose_server.ts";
+import { PrefixKnowledge } from "./prefix_knowledge.ts";
+import { ServerRecord } from "./server_record.ts";
+
+const PARTS = [
+  { id: "system", tokens: 500 },
+  { id: "file", tokens: 6_000 },
+  { id: "own", tokens: 1_000 },
+];
+
+const INPUTS: ChoiceInputs = {
+  now: 10_000,
+  dataHall: "a",
+  engine: { slots: 8, memoryTokens: 500_000, movable: true },
+  parts: PARTS,
+  promptTokens: 7_500,
+  readingRate: 50,
+  excluded: new Set(),
+  ownConnections: 100,
+};
+
+function server(id: string, dataHall = "a"): ServerRecord {
+  return new ServerRecord({
+    id,
+    service: "models",
+    address: "127.0.0.1:1",
+    dataHall,
+    slots: 8,
+    state: "ready",
+    reclaimable: true,
+    leavesInMilliseconds: undefined,
+  });
+}
+
+function chosen(
+  records: readonly ServerRecord[],
+  options: { prefixes?: PrefixKnowledge; inputs?: Partial<ChoiceInputs> } = {},
+): string {
+  const prefixes = options.prefixes ?? new PrefixKnowledge();
+  const outcome = chooseServer(records, prefixes, {
+    ...INPUTS,
+    ...options.inputs,
+  });
+  return outcome.kind === "chosen"
+    ? outcome.choice.record.entry.id
+    : outcome.kind;
+}
+
+describe("choice of a server", () => {
+  test("prefers the one that keeps the prompt's parts", () => {
+    const records = ["s1", "s2", "s3"].map((id) => server(id));
+    records.forEach((keeper) => {
+      const prefixes = new PrefixKnowledge();
+      prefixes.stored(keeper.entry.id, PARTS.slice(0, 2), 500_000);
+      expect(chosen(records, { prefixes })).toBe(keeper.entry.id);
+    });
+  });
+
+  test("leaves it when its queue costs more than reading again", () => {
+    const records = ["s1", "s2"].map((id) => server(id));
+    const prefixes = new PrefixKnowledge();
+    prefixes.stored("s1", PARTS.slice(0, 2), 500_000);
+    records[0]?.started(20_000);
+    expect(chosen(records, { prefixes })).toBe("s2");
+  });
+
+  test("hosts agree without a word where nothing is known", () => {
+    const records = ["s1", "s2", "s3", "s4"].map((id) => server(id));
+    const first = chosen(records);
+    expect(chosen(records.toReversed())).toBe(first);
+  });
+
+  test("leaves out servers that leave, fail, are full or were tried", () => {
+    const ready = server("ready");
+    const leaving = server("leaving");
+    leaving.entry = { ...leaving.entry, state: "leaving" };
+    const down = server("down");
+    down.failed(INPUTS.now, { surelyDown: true });
+    const full = server("full");
+    Array.from({ length: 20 }).forEach(() => full.started(0));
+    expect(chosen([leaving, down, full, ready])).toBe("ready");
+    expect(chosen([leaving, down])).toBe("none");
+    expect(chosen([full])).toBe("full");
+    const excluded = new Set(["ready"]);
+    expect(chosen([ready], { inputs: { excluded } })).toBe("none");
+  });
+
+  test("takes a server that failed back after a while", () => {
+    const record = server("s1");
+    record.failed(INPUTS.now, { surelyDown: true });
+    expect(record.takesWork(INPUTS.now + 200)).toBe(false);
+    expect(record.takesWork(INPUTS.now + 500)).toBe(true);
+  });
+
+  test("counts peers' work while their news is fresh", () => {
+    const record = server("s1");
+    record.heardPeer("b", { running: 5, unreadTokens: 900 }, INPUTS.now);
+    expect(record.load(INPUTS.now + 100)).toBe(5);
+    expect(record.unreadTokens(INPUTS.now + 100)).toBe(900);
+    expect(record.load(INPUTS.now + 5_000)).toBe(0);
+  });
+
+  test("keeps the plain services' work near, and spreads it", () => {
+    const plain = { engine: undefined, parts: [], promptTokens: 0 };
+    const near = server("near", "a");
+    const far = server("far", "b");
+    expect(chosen([far, near], { inputs: plain })).toBe("near");
+    Array.from({ length: 8 }).forEach(() => near.started(0));
+    expect(chosen([far, near], { inputs: plain })).toBe("far");
+  });
+});
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/capacity_plan_test.ts
@@ -0,0 +1,116 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import type { CapacityLimits } from "../model/configuration.ts";
+import {
+  type DataHallServers,
+  planCapacity,
+  serversNeeded,
+} from "./capacity_plan.ts";
+
+const LIMITS: CapacityLimits = {
+  minimum: 1,
+  maximum: 7,
+  startMilliseconds: 4_000,
+  reclaimablePriceShare: 0.15,
+  dataHallPrices: new Map([
+    ["a", 1],
+    ["b", 0.8],
+    ["c", 1.25],
+    ["d", 0.9],
+  ]),
+};
+
+function hall(
+  dataHall: string,
+  servers: Partial<DataHallServers> = {},
+): DataHallServers {
+  return {
+    dataHall,
+    onDemandReady: 0,
+    reclaimableReady: 0,
+    reclaimableExpected: 0,
+    reclaimableSoldOut: false,
+    ...servers,
+  };
+}
+
+const READY = { reclaimableReady: 3, reclaimableExpected: 3 };
+
+describe("servers needed", () => {
+  test("follow the reading of prompts and the slots in use", () => {
+    const engine = { slots: 32, memoryTokens: 500_000, movable: true };
+    const load = { running: 0, readTokensPerSecond: 0, readingRate: 50 };
+    expect(serversNeeded(load, engine)).toBe(3);
+    expect(
+      serversNeeded({ ...load, readTokensPerSecond: 100_000 }, engine),
+    ).toBe(6);
+    expect(serversNeeded({ ...load, running: 100 }, engine)).toBe(9);
+  });
+});
+
+describe("plan of servers", () => {
+  test("carries the load with reclaimable servers and a reserve", () => {
+    const halls = ["a", "b", "c", "d"].map((name) => hall(name, READY));
+    const wishes = planCapacity(8, halls, LIMITS);
+    const reclaimable = wishes.map((wish) => wish.reclaimable ?? 0);
+    expect(reclaimable.reduce((sum, count) => sum + count, 0)).toBe(12);
+    expect(Math.max(...reclaimable) - Math.min(...reclaimable)).toBe(0);
+    expect(wishes.every((wish) => wish.onDemandMost === 0)).toBe(true);
+  });
+
+  test("after a reclaim, the other data halls carry its part", () => {
+    const halls = [
+      hall("a", { reclaimableSoldOut: true }),
+      ...["b", "c", "d"].map((name) => hall(name, READY)),
+    ];
+    const wishes = planCapacity(9, halls, LIMITS);
+    expect(wishes[0]?.reclaimable).toBeUndefined();
+    expect(wishes.slice(1).map((wish) => wish.reclaimable)).toEqual([5, 4, 4]);
+    expect(wishes.every((wish) => wish.onDemandMost === 0)).toBe(true);
+  });
+
+  test("keeps servers on demand until others are ready, and orders none that will not be needed", () => {
+    const halls = ["a", "b"].map((name) =>
+      hall(name, { onDemandReady: 3, reclaimableExpected: 5 }),
+    );
+    const wishes = planCapacity(6, halls, LIMITS);
+    expect(wishes.map((wish) => wish.onDemandLeast)).toEqual([0, 0]);
+    expect(wishes.map((wish) => wish.onDemandMost)).toEqual([3, 3]);
+  });
+
+  test("covers the load wherever the limits allow, with any servers sold out", () => {
+    const anyHall = fc
+      .record({
+        ready: fc.integer({ min: 0, max: 7 }),
+        soldOut: fc.boolean(),
+      })
+      .map(({ ready, soldOut }) => ({
+        reclaimableReady: soldOut ? 0 : ready,
+        reclaimableExpected: soldOut ? 0 : ready,
+        reclaimableSoldOut: soldOut,
+      }));
+    fc.assert(
+      fc.property(
+        fc.array(anyHall, { minLength: 4, maxLength: 4 }),
+        fc.integer({ min: 1, max: 20 }),
+        (servers, needed) => {
+          const halls = ["a", "b", "c", "d"].map((name, index) =>
+            hall(name, servers[index]),
+          );
+          const wishes = planCapacity(needed, halls, LIMITS);
+          const ready = halls.reduce((sum, h) => sum + h.reclaimableReady, 0);
+          const onDemand = wishes.reduce((sum, w) => sum + w.onDemandLeast, 0);
+          expect(ready + onDemand).toBeGreaterThanOrEqual(needed);
+          wishes.forEach((wish) => {
+            expect(wish.onDemandLeast).toBeLessThanOrEqual(wish.onDemandMost);
+            expect(wish.onDemandMost).toBeLessThanOrEqual(LIMITS.maximum);
+            expect(wish.reclaimable ?? 0).toBeLessThanOrEqual(LIMITS.maximum);
+          });
+        },
+      ),
+      { seed: 3 },
+    );
+  });
+});
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -77,6 +77,10 @@
 interface Held {
   lease: DutyLease;
   version: number;
+  /** When each renewal that may still take effect was sent, by its number. */
+  readonly sentAt: Map<number, number>;
+  /** Number of the last renewal that was sent. */
+  lastRenewal: number;
   renewalSentAt: number;
   readonly mayActAt: number;
 }
@@ -87,6 +91,8 @@
   readonly #repetition: Repetition;
   #held: Held | undefined;
   #seen: SeenLease;
+  /** When a lease of each fence was first written. */
+  readonly #takeSentAt = new Map<number, number>();
   #notBefore: number;
   #stopping = false;
   /** Fence that this host gave up. */
@@ -192,7 +198,9 @@
   async #take(mayActAt: number): Promise<void> {
     const { store, leaseKey, clock, logger, metrics } = this.#parts;
     const lease = takenLease(this.#seen.lease, this.#parts);
-    const sentAt = clock.now();
+    // An earlier write of the same lease may be the one that takes effect.
+    const sentAt = this.#takeSentAt.get(lease.fence) ?? clock.now();
+    this.#takeSentAt.set(lease.fence, sentAt);
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: this.#seen.version ?? "absent",
     });
@@ -205,7 +213,14 @@
       return;
     }
     this.#parts.duties.restore(lease.counts);
-    this.#held = { lease, version, renewalSentAt: sentAt, mayActAt };
+    this.#held = {
+      lease,
+      version,
+      sentAt: new Map(),
+      lastRenewal: lease.renewals,
+      renewalSentAt: sentAt,
+      mayActAt,
+    };
     metrics.event("duties_taken");
     logger.info("duties taken", {
       fence: lease.fence,
@@ -239,10 +254,12 @@
 
   async #renew(held: Held, reports: FinalReports): Promise<void> {
     const { store, leaseKey, clock, metrics } = this.#parts;
-    const renewals = held.lease.renewals + 1;
+    held.lastRenewal += 1;
+    const renewals = held.lastRenewal;
     const counts = this.#parts.duties.counts();
     const lease = { ...held.lease, reports, renewals, counts };
     const sentAt = clock.now();
+    held.sentAt.set(renewals, sentAt);
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: held.version,
     });
@@ -252,23 +269,28 @@
     }
     metrics.event(`lease_renewal_${put.error.kind}`);
     if (put.error.kind === "unavailable") return;
-    await this.#settle(held, sentAt);
+    await this.#settle(held);
   }
 
-  /** Reads the object back after a renewal without a clear answer. */
-  async #settle(held: Held, sentAt: number): Promise<void> {
+  /**
+   * Reads the object back after a renewal without a clear answer. What it holds
+   * may be an earlier renewal that took effect late; others count from then, so
+   * this host counts from when that one was sent.
+   */
+  async #settle(held: Held): Promise<void> {
     const read = await this.#parts.store.get(this.#parts.leaseKey);
     if (read.isErr || read.value === undefined) return;
     const stored = decodeLease(read.value.value);
     const own =
       stored?.incarnation === held.lease.incarnation &&
       stored.fence === held.lease.fence;
+    const sentAt = held.sentAt.get(stored?.renewals ?? -1);
     if (!own) this.#lose(stored);
     else if (read.value.version !== held.version) {
       this.#renewed(held, {
         lease: stored,
         version: read.value.version,
-        sentAt,
+        sentAt: sentAt ?? held.renewalSentAt,
       });
     }
   }
@@ -280,6 +302,9 @@
     held.lease = renewal.lease;
     held.version = renewal.version;
     held.renewalSentAt = renewal.sentAt;
+    [...held.sentAt.keys()]
+      .filter((number) => number <= renewal.lease.renewals)
+      .forEach((number) => held.sentAt.delete(number));
   }
 
   #lose(stored: DutyLease | undefined): void {
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -0,0 +1,280 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { Result } from "true-myth";
+import {
+  ManualClock,
+  type Random,
+  seededRandom,
+  SILENT_LOGGER,
+} from "rampswitch-utils";
+import type {
+  Expectation,
+  ObjectStore,
+  StoredObject,
+  StoreError,
+} from "rampswitch-store";
+import { ServingMetrics } from "../observation/mod.ts";
+import { DutyKeeper } from "./duty_keeper.ts";
+import type { LeaseTimes } from "./duty_lease.ts";
+
+const TIMES: LeaseTimes = {
+  duration: 3_500,
+  acting: 2_200,
+  renewal: 1_000,
+  afterRelease: 3_000,
+};
+
+/** Time in which holders must not act in the order A, B, A; milliseconds. */
+const ALTERNATION_MILLISECONDS = 3_000;
+
+const STEP_MILLISECONDS = 50;
+const STEPS = 1_200;
+
+/** Time from a planned stop to the next start, in milliseconds. */
+const STOP_MILLISECONDS = 1_000;
+const HOSTS = ["a", "b", "c"];
+
+/** A store of one object whose answers may be lost or writes come late. */
+class LeaseStore {
+  reachable = true;
+  losesAnswers = false;
+  #object: StoredObject | undefined;
+  #late: { readonly at: number; readonly run: () => void }[] = [];
+  readonly #clock: ManualClock;
+  readonly #random: Random;
+
+  constructor(clock: ManualClock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /** Carries out writes whose time has come. */
+  tick(): void {
+    const due = this.#late.filter(({ at }) => at <= this.#clock.now());
+    this.#late = this.#late.filter(({ at }) => at > this.#clock.now());
+    due.forEach(({ run }) => run());
+  }
+
+  /** The store as one host reaches it. */
+  seenBy(reaches: () => boolean): ObjectStore {
+    const gone: Result<never, StoreError> = Result.err({
+      kind: "unknown",
+      detail: "no answer",
+    });
+    const unused = () => Promise.resolve(gone);
+    return {
+      get: () =>
+        Promise.resolve(
+          reaches() && this.reachable ? Result.ok(this.#object) : gone,
+        ),
+      put: (key, value, { expected }) => {
+        if (!reaches() || !this.reachable) return Promise.resolve(gone);
+        if (!this.losesAnswers || this.#random.next() < 0.5) {
+          return Promise.resolve(this.#put(key, { value, expected }));
+        }
+        const late = this.#random.below(4_000);
+        this.#late.push({
+          at: this.#clock.now() + late,
+          run: () => void this.#put(key, { value, expected }),
+        });
+        return Promise.resolve(gone);
+      },
+      list: unused,
+      remove: unused,
+      watch: unused,
+    };
+  }
+
+  #put(
+    key: string,
+    change: { readonly value: string; readonly expected: Expectation },
+  ): Result<StoredObject, StoreError> {
+    const version = this.#object?.version;
+    if (change.expected !== (version ?? "absent")) {
+      return Result.err({ kind: "conflict" });
+    }
+    const same = this.#object?.value === change.value;
+    this.#object = {
+      key,
+      value: change.value,
+      version: same ? (version ?? 1) : (version ?? 0) + 1,
+    };
+    return Result.ok(this.#object);
+  }
+}
+
+interface Act {
+  readonly at: number;
+  readonly holder: string;
+  readonly fence: number;
+}
+
+/** Plays some minutes of three hosts with faults drawn from a seed. */
+async function play(
+  seed: number,
+  times: LeaseTimes = TIMES,
+): Promise<readonly Act[]> {
+  const clock = new ManualClock(1_000);
+  const random = seededRandom(seed);
+  const store = new LeaseStore(clock, random);
+  const acts: Act[] = [];
+  const cut = new Map<string, number>();
+  const silent = new Map<string, number>();
+  let life = 0;
+  const start = (host: string) => {
+    life += 1;
+    return new DutyKeeper({
+      host,
+      incarnation: String(life),
+      store: store.seenBy(() => (cut.get(host) ?? 0) <= clock.now()),
+      leaseKey: "leases/duties",
+      times,
+      clock,
+      random,
+      logger: SILENT_LOGGER,
+      metrics: new ServingMetrics(),
+      duties: {
+        finalReports: (known) => known,
+        counts: () => ({}),
+        restore: () => undefined,
+        act: (_reports, { holder, fence }) => {
+          acts.push({ at: clock.now(), holder, fence });
+          return Promise.resolve();
+        },
+      },
+    });
+  };
+  const keepers = new Map(HOSTS.map((host) => [host, start(host)]));
+  const stops = new Map<string, number>();
+  const restart = (host: string) => {
+    if (stops.has(host)) return;
+    void keepers.get(host)?.release();
+    stops.set(host, clock.now() + STOP_MILLISECONDS);
+  };
+  const startStopped = () => {
+    [...stops]
+      .filter(([, at]) => at <= clock.now())
+      .forEach(([host]) => {
+        stops.delete(host);
+        keepers.set(host, start(host));
+      });
+  };
+  for (let step = 0; step < STEPS; step += 1) {
+    clock.advance(STEP_MILLISECONDS);
+    store.tick();
+    startStopped();
+    for (let turn = 0; turn < 12; turn += 1) await Promise.resolve();
+    tellNews(keepers, (host) => (silent.get(host) ?? 0) <= clock.now());
+    const host = HOSTS[random.below(HOSTS.length)] ?? "a";
+    const faults: readonly (() => void)[] = [
+      () => cut.set(host, clock.now() + random.below(7_000)),
+      () => silent.set(host, clock.now() + random.below(7_000)),
+      () => {
+        store.losesAnswers = !store.losesAnswers;
+      },
+      () => {
+        store.reachable = !store.reachable;
+      },
+      () => restart(host),
+      // Planned stops come in series; these hit the holder.
+      () => restart(holderOf(keepers) ?? host),
+      () => restart(holderOf(keepers) ?? host),
+      () => restart(holderOf(keepers) ?? host),
+    ];
+    if (random.next() < 0.03) faults[random.below(faults.length)]?.();
+    if (!store.reachable && random.next() < 0.02) store.reachable = true;
+  }
+  return acts;
+}
+
+/** The host that tells of holding the lease. */
+function holderOf(
+  keepers: ReadonlyMap<string, DutyKeeper>,
+): string | undefined {
+  return [...keepers].find(
+    ([, keeper]) => (keeper.news?.version ?? -1) >= 0,
+  )?.[0];
+}
+
+function tellNews(
+  keepers: ReadonlyMap<string, DutyKeeper>,
+  heard: (host: string) => boolean,
+): void {
+  keepers.forEach((from, sender) => {
+    const news = from.news;
+    if (news === undefined || !heard(sender)) return;
+    keepers.forEach((to, receiver) => {
+      if (receiver !== sender && heard(receiver)) to.heard(news);
+    });
+  });
+}
+
+/** Acts that come with a lower fence than one before them. */
+function staleActs(acts: readonly Act[]): readonly Act[] {
+  return acts.filter((act, index) =>
+    acts.slice(0, index).some((before) => before.fence > act.fence),
+  );
+}
+
+/** Acts that end an A, B, A within the time in which none may. */
+function alternations(acts: readonly Act[]): readonly Act[] {
+  const turns = acts.filter(
+    (act, index) => acts[index - 1]?.holder !== act.holder,
+  );
+  return turns.filter((act, index) => {
+    const between = turns[index - 1];
+    const before = turns[index - 2];
+    if (between === undefined || before?.holder !== act.holder) return false;
+    const lastBefore = acts.findLast(
+      (other) => other.holder === act.holder && other.at < between.at,
+    );
+    return act.at - (lastBefore?.at ?? 0) < ALTERNATION_MILLISECONDS;
+  });
+}
+
+const SEEDS = Array.from({ length: 40 }, (_, index) => index + 1);
+
+/** The days of all seeds under the rules in force. */
+const PLAYED = Promise.all(SEEDS.map((seed) => play(seed)));
+
+describe("lease of the duties", () => {
+  test("no holder acts after one with a higher fence", async () => {
+    const played = await PLAYED;
+    expect(played.flatMap(staleActs)).toEqual([]);
+    expect(played.every((acts) => acts.length > 20)).toBe(true);
+  });
+
+  test("holders do not alternate within the lease's time", async () => {
+    const played = await PLAYED;
+    expect(played.flatMap(alternations)).toEqual([]);
+  });
+
+  test("one fence never has two holders", async () => {
+    const acts = (await PLAYED).flatMap((all, index) =>
+      all.map((act) => ({ ...act, day: index })),
+    );
+    const holders = new Map<string, string>();
+    const shared = acts.filter(({ day, fence, holder }) => {
+      const key = `${day}/${fence}`;
+      const known = holders.get(key) ?? holder;
+      holders.set(key, known);
+      return known !== holder;
+    });
+    expect(shared).toEqual([]);
+  });
+
+  test.each([
+    ["acts longer than others wait", { ...TIMES, acting: 9_000 }],
+    ["others take a lease too early", { ...TIMES, duration: 500 }],
+  ])("a wrong rule is found: a holder %s", async (_name, times) => {
+    const played = await Promise.all(SEEDS.map((seed) => play(seed, times)));
+    expect(played.flatMap(staleActs).length).toBeGreaterThan(0);
+  });
+
+  test("a wrong rule is found: acting at once on a lease given up", async () => {
+    const times = { ...TIMES, afterRelease: 0 };
+    const played = await Promise.all(SEEDS.map((seed) => play(seed, times)));
+    expect(played.flatMap(alternations).length).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -0,0 +1,45 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { EventFramer } from "./event_framer.ts";
+
+const EVENTS = Array.from(
+  { length: 9 },
+  (_, index) => `id: ${index + 1}\ndata: é${"x".repeat(index)}\n\n`,
+);
+
+describe("whole events of a stream", () => {
+  test("come out in order whatever the pieces, none torn or doubled", () => {
+    const bytes = Buffer.from(EVENTS.join(""));
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 60 }),
+        (sizes) => {
+          const framer = new EventFramer();
+          let at = 0;
+          let out = "";
+          let count = 0;
+          [...sizes, bytes.length].forEach((size) => {
+            const frames = framer.push(bytes.subarray(at, at + size));
+            at = Math.min(bytes.length, at + size);
+            out += frames.bytes.toString("utf8");
+            count += frames.count;
+            expect(EVENTS.slice(0, count).join("")).toBe(out);
+            if (frames.count > 0) expect(frames.lastId).toBe(String(count));
+          });
+          expect(out).toBe(EVENTS.join(""));
+          expect(framer.pendingBytes).toBe(0);
+        },
+      ),
+      { seed: 5 },
+    );
+  });
+
+  test("an event that broke off stays out and is told", () => {
+    const framer = new EventFramer();
+    const frames = framer.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
+    expect(frames.bytes.toString()).toBe("id: 1\ndata: a\n\n");
+    expect(framer.pendingBytes).toBeGreaterThan(0);
+  });
+});
