Let hosts that start together find each other within two seconds

Cause: the first list holds only hosts that registered before, and the next was read 15 s later; until then hosts knew nothing of each other. Ruled out: the limits' rules (property test over cuts), a changed configuration (the workspace's limit was the same). Change: the second list after 0.4 s, then at doubled distances.

--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -32,6 +32,12 @@
 /** Time between readings of the list of hosts, in milliseconds. */
 const LIST_MILLISECONDS = 15_000;
 
+/**
+ * Time from the first reading to the second, in milliseconds; doubled each
+ * time. Hosts that start together do not find each other in the first list.
+ */
+const FIRST_LIST_MILLISECONDS = 400;
+
 /** Time before the list is read again after a failure, in milliseconds. */
 const LIST_RETRY_MILLISECONDS = 700;
 
@@ -79,6 +85,8 @@
   readonly #repetitions: readonly Repetition[];
   readonly #transport: PeerTransport;
   #listed = false;
+  /** Readings of the list that found this host in it. */
+  #lists = 0;
   #round = 0;
   /** When this host last sent news, on the steady clock. */
   #lastRound = 0;
@@ -104,7 +112,12 @@
       () =>
         jitter(
           random,
-          this.#listed ? LIST_MILLISECONDS : LIST_RETRY_MILLISECONDS,
+          this.#listed
+            ? Math.min(
+                LIST_MILLISECONDS,
+                FIRST_LIST_MILLISECONDS * 2 ** this.#lists,
+              )
+            : LIST_RETRY_MILLISECONDS,
         ),
       () => this.#list(),
     );
@@ -260,6 +273,7 @@
     const current = addressOf(registered?.value);
     if (current === this.#transport.address) {
       this.#listed = true;
+      this.#lists += 1;
       return;
     }
     const put = await store.put(own, value, {
