Bear lapsed entries, misdirected sends and servers that shed or hang

Cause: entries lapse while servers can't renew them, and their removal would have stopped the service after an outage; servers that reject with places free, or are named where others live, were chosen again and again. Change: removals after an outage wait two seconds for the entry's return; such rejections and long silences count as failures; where all servers failed lately one is tried all the same.

--- a/packages/rampswitch-cli/src/command_result.ts
+++ b/packages/rampswitch-cli/src/command_result.ts
@@ -27,3 +27,6 @@
 export function failure(code: ExitCode, message: string): CommandFailure {
   return { code, message };
 }
+
+/** Prints what a command came to and keeps its exit code. */
+export type Finish = (result: CommandResult, output: "table" | "json") => void;
--- a/packages/rampswitch-cli/src/commands/apply.ts
+++ b/packages/rampswitch-cli/src/commands/apply.ts
@@ -18,7 +18,7 @@
   withConnection,
 } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 
 interface ApplyOptions extends ConnectionOptions {
   readonly file: string;
--- a/packages/rampswitch-cli/src/commands/check.ts
+++ b/packages/rampswitch-cli/src/commands/check.ts
@@ -18,7 +18,7 @@
 import { type CommandResult, failure } from "../command_result.ts";
 import { outputOption } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 
 interface OutputOption {
   readonly output: "table" | "json";
--- a/packages/rampswitch-cli/src/commands/edit.ts
+++ b/packages/rampswitch-cli/src/commands/edit.ts
@@ -26,7 +26,7 @@
 } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
 import { readKind } from "../kinds.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 
 interface Found extends ListedResource {
   readonly baseRevision: number;
--- a/packages/rampswitch-cli/src/commands/explain.ts
+++ b/packages/rampswitch-cli/src/commands/explain.ts
@@ -12,7 +12,7 @@
   type ConnectionOptions,
   withConnection,
 } from "../connection.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 import { table } from "../table.ts";
 
 interface ExplainOptions extends ConnectionOptions {
--- a/packages/rampswitch-cli/src/commands/get.ts
+++ b/packages/rampswitch-cli/src/commands/get.ts
@@ -16,7 +16,7 @@
   withConnection,
 } from "../connection.ts";
 import { readKind } from "../kinds.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 import { labelText, table } from "../table.ts";
 
 /** Adds the command. */
--- a/packages/rampswitch-cli/src/commands/status.ts
+++ b/packages/rampswitch-cli/src/commands/status.ts
@@ -17,7 +17,7 @@
   withConnection,
 } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
-import type { Finish } from "../main.ts";
+import type { Finish } from "../command_result.ts";
 import { table } from "../table.ts";
 
 interface StatusOptions extends ConnectionOptions {
--- a/packages/rampswitch-cli/src/main.ts
+++ b/packages/rampswitch-cli/src/main.ts
@@ -6,18 +6,16 @@
  * @module
  */
 import { Command, CommanderError } from "commander";
-import type { CommandResult } from "./command_result.ts";
+import type { Finish } from "./command_result.ts";
 import { addApply } from "./commands/apply.ts";
 import { addChecks } from "./commands/check.ts";
 import { addEdits } from "./commands/edit.ts";
 import { addExplain } from "./commands/explain.ts";
 import { addGet } from "./commands/get.ts";
 import { addStatus } from "./commands/status.ts";
+import { addTrace } from "./commands/trace.ts";
 import { EXIT, type ExitCode } from "./exit_codes.ts";
 
-/** Prints what a command came to and keeps its exit code. */
-export type Finish = (result: CommandResult, output: "table" | "json") => void;
-
 const COMMANDS = [
   addApply,
   addGet,
@@ -25,6 +23,7 @@
   addStatus,
   addExplain,
   addChecks,
+  addTrace,
 ] as const;
 
 /** Runs the program with its arguments; returns the exit code. */
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -70,11 +70,13 @@
   prefixes: PrefixKnowledge,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const working = records.filter(
-    (record) =>
-      record.takesWork(inputs.now) && !inputs.excluded.has(record.entry.id),
+  const ready = records.filter(
+    (record) => record.isReady && !inputs.excluded.has(record.entry.id),
   );
-  if (working.length === 0) return { kind: "none" };
+  if (ready.length === 0) return { kind: "none" };
+  const healthy = ready.filter((record) => !record.isEjected(inputs.now));
+  // Where all failed lately, trying one is better than refusing.
+  const working = healthy.length > 0 ? healthy : ready;
   const open = working.filter((record) => hasRoom(record, inputs));
   if (open.length === 0) return { kind: "full" };
   const home = homeOf(open, inputs.parts);
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -129,6 +129,13 @@
     this.#failureShare *= 1 - FAILURE_WEIGHT;
   }
 
+  /** Notes a rejection; with places free it counts as a failure. */
+  rejected(now: number): void {
+    if (this.load(now) < this.entry.slots) {
+      this.failed(now, { surelyDown: false });
+    }
+  }
+
   /** Notes a failure; several in a row leave the server out for a while. */
   failed(now: number, options: { readonly surelyDown: boolean }): void {
     this.#failureShare += FAILURE_WEIGHT * (1 - this.#failureShare);
@@ -144,9 +151,14 @@
     this.#ejections += 1;
   }
 
-  /** Whether new work may be sent there. */
-  takesWork(now: number): boolean {
-    return this.entry.state === "ready" && now >= this.#ejectedUntil;
+  /** Whether the server itself takes new work. */
+  get isReady(): boolean {
+    return this.entry.state === "ready";
+  }
+
+  /** Whether it is left out for a while after failures. */
+  isEjected(now: number): boolean {
+    return now < this.#ejectedUntil;
   }
 
   #peerWork(now: number): readonly PeerWork[] {
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -70,6 +70,12 @@
 /** Peers' confirmations younger than this show that the store is up, in ms. */
 const OTHERS_FRESH_MILLISECONDS = 2_000;
 
+/**
+ * Time after the store's return in which lapsed entries come back, in
+ * milliseconds; as the platform's users tell.
+ */
+const LAPSED_MILLISECONDS = 2_000;
+
 /**
  * Longest wait of a watch, in seconds. Each return confirms the configuration
  * as of its sending, so the confirmation is never older than twice this; and a
@@ -98,6 +104,10 @@
   #ownConfirmedAt = -Infinity;
   #serversListed = false;
   #reachable = true;
+  /** When the store last answered again after an outage. */
+  #returnedAt = -Infinity;
+  /** Servers whose entries went and that are not passed on as gone yet. */
+  readonly #removed = new Set<string>();
 
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
@@ -106,7 +116,7 @@
       parts.formats.serversPrefix,
       {
         changed: (object) => this.#serverChanged(object),
-        removed: (key) => listener.serverGone(this.#serverId(key)),
+        removed: (key) => this.#serverRemoved(this.#serverId(key)),
         confirmed: () => {
           this.#serversListed = true;
         },
@@ -212,6 +222,7 @@
   #serverChanged(object: StoredObject): void {
     const { formats, logger, metrics } = this.#parts;
     const id = this.#serverId(object.key);
+    this.#removed.delete(id);
     const decoded = formats.decodeServer(id, object.value);
     if (decoded.isOk) this.#listener.serverChanged(decoded.value);
     else {
@@ -223,6 +234,26 @@
     }
   }
 
+  /**
+   * Passes on that a server is gone; after an outage of the store only when its
+   * entry has not come back, since entries lapse while servers can't renew them.
+   */
+  #serverRemoved(id: string): void {
+    const now = this.#parts.clock.now();
+    const left = this.#returnedAt + LAPSED_MILLISECONDS - now;
+    const wait = this.#reachable ? left : LAPSED_MILLISECONDS;
+    this.#removed.add(id);
+    if (wait <= 0) this.#passRemoval(id);
+    else {
+      this.#parts.logger.info("server entry lapsed", { server: id });
+      this.#parts.clock.after(wait, () => this.#passRemoval(id));
+    }
+  }
+
+  #passRemoval(id: string): void {
+    if (this.#removed.delete(id)) this.#listener.serverGone(id);
+  }
+
   #serverId(key: string): string {
     return key.slice(this.#parts.formats.serversPrefix.length);
   }
@@ -232,6 +263,7 @@
     this.#ownConfirmedAt = Math.max(this.#ownConfirmedAt, at);
     if (this.#reachable) return;
     this.#reachable = true;
+    this.#returnedAt = this.#parts.clock.now();
     this.#parts.logger.info("store answers again", {});
   }
 
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -46,6 +46,8 @@
 interface Peer {
   readonly address: string;
   readonly heardAt: number;
+  /** When it was first found in the store's list. */
+  readonly listedAt: number;
   /** The peer's time of day less this host's steady time. */
   readonly wallOffset: number | undefined;
   readonly stopping: boolean;
@@ -159,9 +161,13 @@
     return membership;
   }
 
-  /** Hosts that may be serving, this one included. */
+  /** Hosts that may be serving, heard or just listed; this one included. */
   get size(): number {
-    return 1 + this.#heardWithin(GONE_MILLISECONDS).length;
+    const oldest = this.#parts.clock.now() - GONE_MILLISECONDS;
+    const peers = [...this.#peers.values()].filter(
+      (peer) => Math.max(peer.heardAt, peer.listedAt) >= oldest,
+    );
+    return 1 + peers.length;
   }
 
   /** Names of live hosts that are not stopping, this one included. */
@@ -231,6 +237,7 @@
     this.#peers.set(news.value.host, {
       address: news.value.address,
       heardAt: now,
+      listedAt: known?.listedAt ?? now,
       wallOffset: news.value.wallTime - now,
       stopping: news.value.stopping,
     });
@@ -288,6 +295,7 @@
     this.#peers.set(name, {
       address,
       heardAt: -Infinity,
+      listedAt: this.#parts.clock.now(),
       wallOffset: undefined,
       stopping: false,
     });
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -435,6 +435,11 @@
 
   #rejected(head: AnswerHead): void {
     this.#truth.handle({ type: "rejected" });
+    const record = this.#current?.choice.record;
+    // The address belongs to another server now, or to none.
+    if (head.status === MISDIRECTED) {
+      record?.failed(this.#now(), { surelyDown: true });
+    } else record?.rejected(this.#now());
     this.#endCurrent(false);
     this.#context.metrics.event(`rejected_${head.status}`);
     this.#resend("rejected", "servers_full");
@@ -496,6 +501,7 @@
   #timedOut(): void {
     if (this.#answer.finished) return;
     const unsent = this.#truth.surelyNotRun;
+    this.#noteSilence();
     this.#current?.send.abort();
     this.#endCurrent(true);
     this.#giveUp(unsent ? "deadline_passed" : "timed_out");
@@ -548,10 +554,20 @@
   #callerLeft(): void {
     if (this.#answer.finished) return;
     this.#answer.abandoned();
+    this.#noteSilence();
     this.#current?.send.abort();
     this.#finish("caller_left");
   }
 
+  /** A server that gave no head for long counts as failing. */
+  #noteSilence(): void {
+    const current = this.#current;
+    if (current === undefined || this.#head !== undefined) return;
+    const waited = this.#now() - current.sentAt;
+    if (waited < this.#firstStallMilliseconds()) return;
+    current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
+  }
+
   #noteBegan(): void {
     if (this.#began) return;
     this.#began = true;
@@ -641,6 +657,9 @@
 const RESUME_EXTRA_RUNS = 1;
 
 const FIRST_SERVER_ERROR = 500;
+
+/** Status of a server that is not the one that was named. */
+const MISDIRECTED = 421;
 const NOT_SURELY_DOWN = { surelyDown: false };
 
 /** Most urgent and least urgent priority that engines know. */
