Learn an engine's end from its report; see reclaims by what is left

Cause: no run was ever moved. Change: a host with streams on a leaving engine asks its report once, and takes the drain time where it tells none; the orders' holder sees a reclaim when fewer are left than were ordered.

--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -31,7 +31,6 @@
     slots: 8,
     state: "ready",
     reclaimable: true,
-    leavesInMilliseconds: undefined,
   });
 }
 
--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -158,12 +158,21 @@
     return until > now;
   }
 
-  /** A reclaim was announced: nothing is to be had there for a while. */
-  reclaimed(service: string, dataHall: string, now: number): void {
-    const until = now + RECLAIMED_MILLISECONDS;
-    this.#soldOutUntil.set(`${service}/${dataHall}`, until);
+  /**
+   * A reclaimable server was announced to leave. Where more were ordered than
+   * are left, the cloud takes them back and has none to give for a while.
+   */
+  reclaimableLeaves(
+    service: string,
+    dataHall: string,
+    options: { readonly left: number; readonly now: number },
+  ): void {
     const state = this.#states.get(stateKey(service, dataHall, true));
-    if (state !== undefined) state.ordered = 0;
+    if (state?.ordered === undefined || state.ordered <= options.left) return;
+    state.ordered = 0;
+    const until = options.now + RECLAIMED_MILLISECONDS;
+    this.#soldOutUntil.set(`${service}/${dataHall}`, until);
+    this.#parts.metrics.event("reclaim_seen");
   }
 
   #ordersOf(
--- a/packages/rampswitch-serving/src/model/backend_server.ts
+++ b/packages/rampswitch-serving/src/model/backend_server.ts
@@ -20,6 +20,4 @@
   readonly state: BackendServerState;
   /** Whether the cloud may take its host back. */
   readonly reclaimable: boolean;
-  /** Milliseconds until it ends, where an announcement says so. */
-  readonly leavesInMilliseconds: number | undefined;
 }
--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -24,6 +24,8 @@
 
 /** Calls to model engines. */
 export interface EngineControl {
+  /** Milliseconds until an engine ends, where it knows. */
+  leavesIn(address: string): Promise<number | undefined>;
   /** Copies a run's memory; the value is the handle of the copy. */
   copyMemory(copy: MemoryCopy): Promise<Result<string, MemoryCopyError>>;
 }
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -7,6 +7,8 @@
  */
 import type { Clock, Logger } from "rampswitch-utils";
 import type { ServerRecord } from "../choice/mod.ts";
+import type { EngineControl } from "../model/engine_control.ts";
+import type { RequestRun } from "./request_run.ts";
 import type { CallerServer } from "../intake/caller_server.ts";
 
 /**
@@ -15,34 +17,49 @@
  */
 const MOVE_BEFORE_END_MILLISECONDS = 1_200;
 
+/** What the moves work with. */
+export interface LeavingParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly engineControl: EngineControl;
+  /** Time that a leaving server serves on, where it tells none. */
+  readonly drainMilliseconds: number;
+}
+
 /** Moves runs at the right time. */
 export class LeavingServers {
   readonly #callers: CallerServer;
-  readonly #clock: Clock;
-  readonly #logger: Logger;
+  readonly #parts: LeavingParts;
 
-  constructor(
-    callers: CallerServer,
-    parts: { readonly clock: Clock; readonly logger: Logger },
-  ) {
+  constructor(callers: CallerServer, parts: LeavingParts) {
     this.#callers = callers;
-    this.#clock = parts.clock;
-    this.#logger = parts.logger;
+    this.#parts = parts;
+  }
+
+  /** A server was announced to leave, or its entry is gone. */
+  async left(record: ServerRecord): Promise<void> {
+    if (this.#runsAt(record).length === 0) return;
+    const { clock, engineControl, drainMilliseconds } = this.#parts;
+    const askedAt = clock.now();
+    const told = await engineControl.leavesIn(record.entry.address);
+    const left = (told ?? drainMilliseconds) - (clock.now() - askedAt);
+    const wait = Math.max(0, left - MOVE_BEFORE_END_MILLISECONDS);
+    clock.after(wait, () => this.#move(record, told));
   }
 
-  /** A server was announced to leave. */
-  left(record: ServerRecord): void {
-    const ends = record.entry.leavesInMilliseconds;
-    if (ends === undefined) return;
-    const wait = Math.max(0, ends - MOVE_BEFORE_END_MILLISECONDS);
-    this.#clock.after(wait, () => this.#move(record));
+  /** Streams of engines; nothing else has memory to move. */
+  #runsAt(record: ServerRecord): readonly RequestRun[] {
+    return this.#callers.runs.filter(
+      (run) => run.server === record && run.movable,
+    );
   }
 
-  #move(record: ServerRecord): void {
-    const runs = this.#callers.runs.filter((run) => run.server === record);
+  #move(record: ServerRecord, told: number | undefined): void {
+    const runs = this.#runsAt(record);
     if (runs.length === 0) return;
-    this.#logger.info("moving runs", {
+    this.#parts.logger.info("moving runs", {
       server: record.entry.id,
+      toldMilliseconds: told,
       runs: runs.length,
     });
     runs.forEach((run) => void run.moveAway());
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -128,6 +128,14 @@
     return this.#current?.choice.record;
   }
 
+  /** Whether it is a stream whose memory may move to another engine. */
+  get movable(): boolean {
+    return (
+      this.request.route.streaming &&
+      (this.request.service.engine?.movable ?? false)
+    );
+  }
+
   /** Starts the first send. */
   start(): void {
     const wait = this.#deadlineAt - this.#now();
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -133,7 +133,10 @@
     this.#ledger = new UsageLedger(bounds.usageWindowMilliseconds);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
-    this.#leaving = new LeavingServers(this.#callers, ports);
+    this.#leaving = new LeavingServers(this.#callers, {
+      ...ports,
+      drainMilliseconds: bounds.drainMilliseconds,
+    });
     this.#usage = new UsageDuty(this.#ledger, {
       cloud: this.#guardedCloud(),
       logger: ports.logger,
@@ -449,11 +452,22 @@
   }
 
   #serverLeaves(record: ServerRecord): void {
-    this.#leaving.left(record);
+    void this.#leaving.left(record);
     const { entry } = record;
-    if (!entry.reclaimable || entry.leavesInMilliseconds === undefined) return;
-    const now = this.#ports.clock.now();
-    this.#capacity.reclaimed(entry.service, entry.dataHall, now);
+    const announced = this.#directory.get(entry.id) === record;
+    if (!entry.reclaimable || !announced) return;
+    const left = this.#directory
+      .of(entry.service)
+      .filter(
+        (other) =>
+          other.isReady &&
+          other.entry.reclaimable &&
+          other.entry.dataHall === entry.dataHall,
+      ).length;
+    this.#capacity.reclaimableLeaves(entry.service, entry.dataHall, {
+      left,
+      now: this.#ports.clock.now(),
+    });
   }
 
   #configured(routes: RouteIndex): void {
@@ -473,7 +487,6 @@
       dataHall: server.dataHall,
       state: server.state,
       reclaimable: server.reclaimable,
-      leavesInMilliseconds: server.leavesInMilliseconds,
     });
   }
 
--- a/packages/rampswitch-serving/src/serving_settings.ts
+++ b/packages/rampswitch-serving/src/serving_settings.ts
@@ -10,6 +10,8 @@
 export interface ServingBounds {
   /** Time from a planned stop to the forced end. */
   readonly graceMilliseconds: number;
+  /** Time that a leaving backend server serves on, where it tells none. */
+  readonly drainMilliseconds: number;
   /** Whether keys that were taken away must stop to work within a bound. */
   readonly keysNeedConfirmation: boolean;
   /** The bound on keys that were taken away. */
