Tell a reset from the end of an answer without a length

Ruled out: bodies with a length (undici reports those). Change: the reset of a connection is seen before undici sees it, and an answer that ends within it counts as lost. Test: a stand-in that resets within such an answer; whole and streamed, both failed before.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { Pool, errors, type Dispatcher } from "undici";
+import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Why a send ended without a whole answer. */
@@ -58,6 +58,7 @@
 /** Pools of connections to all backend servers. */
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, Pool>();
+  readonly #resets = new ResetWatch();
 
   /** Sends a request to a server. */
   send(
@@ -65,7 +66,7 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const handler = new SendHandler(listener);
+    const handler = new SendHandler(listener, this.#resets);
     this.#pool(server).dispatch(
       {
         method: request.method,
@@ -96,7 +97,7 @@
     const pool = new Pool(`http://${server.address}`, {
       connections: null,
       pipelining: 1,
-      connect: { timeout: CONNECT_MILLISECONDS },
+      connect: this.#resets.connector(),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
@@ -107,14 +108,48 @@
   }
 }
 
+/**
+ * Tells whether a connection is being reset at this moment. undici takes the
+ * reset of a connection for the end of an answer without a length, while such
+ * an answer was cut off.
+ */
+class ResetWatch {
+  #resetting = false;
+
+  /** Whether the callback that runs now comes from a reset. */
+  get resetting(): boolean {
+    return this.#resetting;
+  }
+
+  /** Opens connections whose resets are seen before undici sees them. */
+  connector(): buildConnector.connector {
+    const connect = buildConnector({ timeout: CONNECT_MILLISECONDS });
+    return (options, callback) =>
+      connect(options, (...result) => {
+        const [, socket] = result;
+        socket?.on("error", () => this.#noteReset());
+        callback(...result);
+      });
+  }
+
+  #noteReset(): void {
+    this.#resetting = true;
+    queueMicrotask(() => {
+      this.#resetting = false;
+    });
+  }
+}
+
 /** Passes undici's callbacks on until the send is aborted. */
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
+  readonly #resets: ResetWatch;
   #controller: Dispatcher.DispatchController | undefined;
   #silent = false;
 
-  constructor(listener: SendListener) {
+  constructor(listener: SendListener, resets: ResetWatch) {
     this.#listener = listener;
+    this.#resets = resets;
   }
 
   abort(): void {
@@ -152,7 +187,9 @@
   }
 
   onResponseEnd(): void {
-    if (!this.#silent) this.#listener.ended();
+    if (this.#silent) return;
+    if (this.#resets.resetting) this.#listener.failed("lost", "reset");
+    else this.#listener.ended();
   }
 
   onResponseError(
