Keep a larger reserve of reclaimable servers; pace limits only above them

Ruled out: lost runs (5 GB moved, none cut by the reclaim). Change: two reclaimable servers for each one needed (1.4 before); a host may take up to eight even shares while the limit itself is not used up. Test: a group at one host; the property over cuts now at eight times the limit.

--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -22,10 +22,12 @@
 const NEWS_LAG_MILLISECONDS = 350;
 
 /**
- * Multiple of its even share of a level that a host may admit within the lag
- * of the news. Balancers spread a workspace's callers unevenly over the hosts.
+ * Multiples of its even share of a level that a host may admit within the lag
+ * of the news. Balancers spread a workspace's callers unevenly over the hosts,
+ * and callers come in groups. While the limit itself is not used up, one host
+ * may take nearly all; in the tolerated part above it, hosts go slowly.
  */
-const UNEVEN_FACTOR = 2;
+const UNEVEN_FACTORS = { withinLimit: 8, tolerated: 2 };
 
 /** Time after the start in which peers' levels are taken over, in ms. */
 const STARTING_MILLISECONDS = 3_000;
@@ -134,7 +136,12 @@
       this.#capacity(workspace) * (1 - this.#silentShare(now)),
     );
     const recent = this.#recentTokens(name, now);
-    const share = (level * UNEVEN_FACTOR) / this.#hostsHeard(now);
+    const toleratedPart = this.#capacity(workspace) - workspace.burstTokens;
+    const factor =
+      level > toleratedPart
+        ? UNEVEN_FACTORS.withinLimit
+        : UNEVEN_FACTORS.tolerated;
+    const share = (level * factor) / this.#hostsHeard(now);
     const paced = recent > 0 && recent + tokens > share;
     if (level < needed || paced) {
       const missing = Math.max(0, needed - level);
--- a/packages/rampswitch-serving/src/admission/workspace_limits_test.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits_test.ts
@@ -127,8 +127,8 @@
           const fleet = new Fleet(8);
           for (let step = 0; step < 64; step += 1) {
             if (restarts.includes(step)) fleet.restart(step % 8);
-            // Six times the limit, evenly over the hosts.
-            const demand = (6 * WORKSPACE.tokensPerSecond) / 4 / 8;
+            // Eight times the limit, evenly over the hosts.
+            const demand = (8 * WORKSPACE.tokensPerSecond) / 4 / 8;
             fleet.step(demand, (host) => host < cutHosts && step >= cutFrom);
           }
           expect(fleet.worstWindow()).toBeLessThanOrEqual(ALLOWED);
@@ -148,6 +148,24 @@
     expect(total).toBe(asked);
   });
 
+  test("admit a group of requests at one host within the limit", () => {
+    const host = newHost(0);
+    Array.from({ length: 7 }, (_, peer) => host.expected(String(peer), 0));
+    Array.from({ length: 7 }, (_, peer) =>
+      host.heard(
+        String(peer),
+        { incarnation: "1", totals: {}, levels: {}, stopping: false },
+        100,
+      ),
+    );
+    const group = [9_000, 12_000, 3_000, 200].map((tokens) =>
+      host.admit(WORKSPACE.name, tokens, 200),
+    );
+    expect(group.map((decision) => decision.kind)).toEqual(
+      group.map(() => "admitted"),
+    );
+  });
+
   test("tell a request over the limit when to come back", () => {
     const limits = newHost(0);
     const decisions = Array.from({ length: 200 }, () =>
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -49,10 +49,12 @@
 const SLOT_SHARE = 0.35;
 
 /**
- * Reclaimable servers ordered for each one that the load needs, so that the
- * rest carries the load when one data hall of four is reclaimed.
+ * Reclaimable servers ordered for each one that the load needs. What is left of
+ * them when one data hall of three is reclaimed carries the load, the runs that
+ * move and the prompts that are read again; with 1.4, first parts took 2.1 s at
+ * the median in the seconds after a reclaim.
  */
-const RECLAIM_RESERVE = 1.4;
+const RECLAIM_RESERVE = 2;
 
 /** Fewest servers that a service with any load is planned with. */
 const LEAST_SERVERS = 3;
--- a/packages/rampswitch-serving/src/duties/capacity_plan_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan_test.ts
@@ -55,7 +55,7 @@
     const halls = ["a", "b", "c", "d"].map((name) => hall(name, READY));
     const wishes = planCapacity(8, halls, LIMITS);
     const reclaimable = wishes.map((wish) => wish.reclaimable ?? 0);
-    expect(reclaimable.reduce((sum, count) => sum + count, 0)).toBe(12);
+    expect(reclaimable.reduce((sum, count) => sum + count, 0)).toBe(16);
     expect(Math.max(...reclaimable) - Math.min(...reclaimable)).toBe(0);
     expect(wishes.every((wish) => wish.onDemandMost === 0)).toBe(true);
   });
@@ -67,7 +67,7 @@
     ];
     const wishes = planCapacity(9, halls, LIMITS);
     expect(wishes[0]?.reclaimable).toBeUndefined();
-    expect(wishes.slice(1).map((wish) => wish.reclaimable)).toEqual([5, 4, 4]);
+    expect(wishes.slice(1).map((wish) => wish.reclaimable)).toEqual([6, 6, 6]);
     expect(wishes.every((wish) => wish.onDemandMost === 0)).toBe(true);
   });
 
