--- /dev/null
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -0,0 +1,131 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What this host tells its peers, and what it makes of their news.
+ *
+ * @module
+ */
+import type { Clock } from "rampswitch-utils";
+import type { WorkspaceLimits } from "./admission/mod.ts";
+import type { PrefixKnowledge, ServerDirectory } from "./choice/mod.ts";
+import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import type { DutyKeeper, ServiceLoad, UsageLedger } from "./duties/mod.ts";
+import type { OwnNews, PeerNews } from "./membership/mod.ts";
+import type { DispatchNewsBox } from "./relay/dispatch_news.ts";
+import type { LoadMeter } from "./relay/load_meter.ts";
+import type { ReadingRates } from "./relay/reading_rates.ts";
+
+/** Parts that news comes from and goes to. */
+export interface HostNewsParts {
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly prefixes: PrefixKnowledge;
+  readonly limits: WorkspaceLimits;
+  readonly readingRates: ReadingRates;
+  readonly dispatches: DispatchNewsBox;
+  readonly meter: LoadMeter;
+  readonly ledger: UsageLedger;
+  readonly follower: ConfigurationFollower;
+  /** The keeper of the duties' lease, once it runs. */
+  keeper(): DutyKeeper | undefined;
+  /** Time of day on which the hosts agree, in milliseconds. */
+  wallTime(): number;
+  /** Whether this host is about to end. */
+  stopping(): boolean;
+}
+
+/** News of one host. */
+export class HostNews {
+  readonly #parts: HostNewsParts;
+
+  constructor(parts: HostNewsParts) {
+    this.#parts = parts;
+  }
+
+  /** Load of a service over all hosts; asking adds to its history. */
+  load(service: string): ServiceLoad {
+    return {
+      running: this.#parts.meter.peakRunning(
+        service,
+        this.#parts.directory
+          .of(service)
+          .reduce((sum, r) => sum + r.load(this.#parts.clock.now()), 0),
+      ),
+      readTokensPerSecond: this.#parts.meter.readTokensPerSecond(service),
+      readingRate: this.#parts.readingRates.of(service),
+    };
+  }
+
+  /** What to tell the peers now. */
+  own(): OwnNews {
+    // Every host keeps a history of the load, so that it can take the duties.
+    this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
+      this.load(name),
+    );
+    return {
+      stopping: this.#parts.stopping(),
+      configurationVersion:
+        this.#parts.follower.routes?.configuration.version ?? 0,
+      configurationAge: this.#ownConfirmationAge(),
+      admitted: this.#parts.limits.totals(),
+      levels: this.#parts.limits.levels(),
+      work: this.#ownWork(),
+      counts: this.#parts.ledger.own(this.#parts.wallTime()),
+      dispatches: this.#parts.dispatches.take(this.#parts.clock.now()),
+      readTokens: this.#parts.meter.ownReadTokens(),
+      lease: this.#parts.keeper()?.news,
+    };
+  }
+
+  #ownConfirmationAge(): number | undefined {
+    const age = this.#parts.follower.age(this.#parts.clock.now());
+    return Number.isFinite(age) ? age : undefined;
+  }
+
+  #ownWork(): OwnNews["work"] {
+    return Object.fromEntries(
+      this.#parts.directory
+        .all()
+        .filter((record) => record.ownRunning > 0)
+        .map((record) => [record.entry.id, record.ownWork]),
+    );
+  }
+
+  /** Takes in a peer's news. */
+  heard(news: PeerNews): void {
+    const now = this.#parts.clock.now();
+    if (news.configurationAge !== undefined) {
+      this.#parts.follower.confirmedByPeer(
+        news.configurationVersion,
+        news.configurationAge,
+      );
+    }
+    this.#parts.directory.heardPeer(news.host, news.work, now);
+    this.#parts.limits.heard(
+      news.host,
+      {
+        incarnation: news.incarnation,
+        totals: news.admitted,
+        levels: news.levels,
+        stopping: news.stopping,
+      },
+      now,
+    );
+    this.#parts.ledger.heard(news.host, news.incarnation, news.counts);
+    this.#parts.meter.heard(
+      `${news.host}/${news.incarnation}`,
+      news.readTokens,
+    );
+    news.dispatches.forEach(({ server, parts }) => {
+      const record = this.#parts.directory.get(server);
+      if (record === undefined) return;
+      const engine = this.#parts.follower.routes?.service(
+        record.entry.service,
+      )?.engine;
+      if (engine === undefined) return;
+      this.#parts.prefixes.stored(server, parts, engine.memoryTokens);
+    });
+    if (news.lease !== undefined) this.#parts.keeper()?.heard(news.lease);
+  }
+}
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -27,7 +27,8 @@
   ConfigurationView,
   RequestContext,
 } from "../relay/request_context.ts";
-import { type AdmittedRequest, RequestRun } from "../relay/request_run.ts";
+import type { AdmittedRequest } from "../relay/admitted_request.ts";
+import { RequestRun } from "../relay/request_run.ts";
 import { drawTarget, type RouteIndex } from "./route_index.ts";
 
 /** Header bytes that the parser takes; the configuration sets less. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -9,35 +9,24 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
-import { chooseServer, type Choice, type ServerRecord } from "../choice/mod.ts";
-import type { Route, Service, Workspace } from "../model/configuration.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
   REFUSALS,
   type RefusalReason,
   type ResendReason,
 } from "../model/outcome.ts";
-import type {
-  AnswerHead,
-  MemorySource,
-  RequestHead,
-} from "../model/request.ts";
+import type { AnswerHead, MemorySource } from "../model/request.ts";
+import {
+  type AdmittedRequest,
+  enginePriority,
+  limitMilliseconds,
+  promptTokens,
+} from "./admitted_request.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { EventFramer } from "./event_framer.ts";
 import type { RequestContext } from "./request_context.ts";
-
-/** A request that passed intake. */
-export interface AdmittedRequest {
-  readonly head: RequestHead;
-  readonly body: Buffer | undefined;
-  readonly route: Route;
-  readonly service: Service;
-  readonly workspace: Workspace | undefined;
-  /** What the workspace's limit was charged. */
-  readonly chargedTokens: number;
-  /** When its head was read, on the steady clock. */
-  readonly arrivedAt: number;
-  readonly configurationVersion: number;
-}
+import { RunRecord } from "./run_record.ts";
+import { chooseFor } from "./send_choice.ts";
 
 /** Largest answer that is held back until it is whole, in bytes. */
 const MAXIMUM_HELD_BYTES = 1024 * 1024;
@@ -60,8 +49,8 @@
 /** Callers are asked to come back after this time at least, in seconds. */
 const LEAST_RETRY_AFTER_SECONDS = 0.2;
 
-/** Share of an admission's estimate that stands for an unknown wait, in s. */
-const FULL_RETRY_AFTER_SECONDS = 0.4;
+/** Spread on top, in seconds, so that callers do not come back together. */
+const RETRY_AFTER_SPREAD_SECONDS = 0.4;
 
 /** One send under way. */
 interface CurrentSend {
@@ -77,10 +66,10 @@
   readonly request: AdmittedRequest;
   readonly #context: RequestContext;
   readonly #answer: CallerAnswer;
+  readonly #record: RunRecord;
   readonly #truth: AttemptTruth;
   readonly #framer = new EventFramer();
   readonly #tried = new Set<string>();
-  readonly #reasons: ResendReason[] = [];
   readonly #deadlineAt: number;
   readonly #onFinished: (run: RequestRun) => void;
   #current: CurrentSend | undefined;
@@ -89,13 +78,10 @@
   #heldBytes = 0;
   #lastEventId: string | undefined;
   #memorySource: MemorySource | undefined;
-  #began = false;
   #moving = false;
   #lostWhileMoving = false;
-  #servers: readonly string[] = [];
   #cancelDeadline: () => void = () => undefined;
   #cancelStall: () => void = () => undefined;
-  #firstPartAt: number | undefined;
   #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
 
   constructor(
@@ -110,6 +96,7 @@
     this.request = request;
     this.#context = context;
     this.#onFinished = exchange.onFinished;
+    this.#record = new RunRecord(request, context);
     this.#answer = new CallerAnswer(exchange.response, () =>
       context.endsConnections(),
     );
@@ -165,7 +152,10 @@
       stopsRun: false,
     });
     if (copied.isErr || this.#current !== current || this.#answer.finished) {
-      this.#logMove(target, copied.isErr ? copied.error : "run_ended");
+      this.#record.moved(
+        target.record,
+        copied.isErr ? copied.error : "run_ended",
+      );
       return;
     }
     this.#moving = true;
@@ -176,7 +166,7 @@
       stopsRun: true,
     });
     this.#moving = false;
-    this.#logMove(target, moved.isErr ? moved.error : "moved");
+    this.#record.moved(target.record, moved.isErr ? moved.error : "moved");
     if (this.#answer.finished) return;
     if (moved.isErr) {
       if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
@@ -185,7 +175,7 @@
     this.#endCurrent(true);
     this.#truth.handle({ type: "moved" });
     this.#memorySource = { address: from, handle: moved.value };
-    this.#note("memory_moved");
+    this.#record.resent("memory_moved");
     this.#sendTo(target);
   }
 
@@ -198,33 +188,12 @@
   }
 
   #choose(): Choice | undefined {
-    const outcome = this.#chooseOutcome();
+    const outcome = chooseFor(this.request, this.#tried, this.#context);
     return outcome.kind === "chosen" ? outcome.choice : undefined;
   }
 
-  #chooseOutcome() {
-    const { request } = this;
-    const { directory, prefixes, readingRates } = this.#context;
-    return chooseServer(directory.of(request.service.name), prefixes, {
-      now: this.#now(),
-      dataHall: this.#context.dataHall,
-      engine: request.service.engine,
-      parts: request.head.promptParts,
-      promptTokens: promptTokens(request.head),
-      readingRate: readingRates.of(request.service.name),
-      excluded: this.#tried,
-      ownConnections: Math.max(
-        2,
-        Math.floor(
-          (request.service.maximumConnections * CONNECTION_SHARE) /
-            this.#context.hosts(),
-        ),
-      ),
-    });
-  }
-
   #sendToBest(): void {
-    const outcome = this.#chooseOutcome();
+    const outcome = chooseFor(this.request, this.#tried, this.#context);
     if (outcome.kind === "chosen") this.#sendTo(outcome.choice);
     else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
   }
@@ -236,7 +205,7 @@
     const tokens = promptTokens(request.head);
     const unreadBefore = record.unreadTokens(this.#now());
     this.#tried.add(record.entry.id);
-    this.#servers = [...this.#servers, record.entry.id];
+    this.#record.sentTo(record);
     const memorySource = this.#memorySource;
     this.#memorySource = undefined;
     const unread = memorySource === undefined ? tokens - choice.keptTokens : 0;
@@ -387,14 +356,14 @@
     const head = this.#head;
     if (head === undefined) return;
     current.work.readPrompt();
-    this.#noteBegan();
-    this.#noteFirstPart();
+    this.#record.began();
+    this.#record.firstPart();
     this.#learnReadingRate(current);
     this.#answer.begin(head.status, head.forwarded);
   }
 
   #learnReadingRate(current: CurrentSend): void {
-    if (current.unreadBefore > 0 || this.#servers.length > 1) return;
+    if (current.unreadBefore > 0 || this.#record.sends > 1) return;
     this.#context.readingRates.measured(
       this.request.service.name,
       promptTokens(this.request.head) - current.choice.keptTokens,
@@ -425,7 +394,7 @@
 
   #wholeAnswer(head: AnswerHead, current: CurrentSend): void {
     const body = Buffer.concat(this.#held);
-    this.#noteBegan();
+    this.#record.began();
     const failed = head.status >= FIRST_SERVER_ERROR;
     if (failed) current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
     else current.choice.record.succeeded();
@@ -436,7 +405,7 @@
       this.#resend("server_error", "answer_broken");
       return;
     }
-    this.#noteFirstPart();
+    this.#record.firstPart();
     this.#answer.whole(head.status, head.forwarded, body);
     this.#finish(failed ? "server_error" : "completed");
   }
@@ -458,7 +427,11 @@
     const record = this.#current?.choice.record;
     record?.failed(this.#now(), { surelyDown: true });
     this.#endCurrent(false);
-    this.#logLoss("not_connected", detail, record);
+    this.#record.lost("not_connected", {
+      detail,
+      server: record,
+      relayed: this.#truth.relayed,
+    });
     this.#resend("not_connected", "no_server");
   }
 
@@ -472,7 +445,11 @@
     this.#truth.handle({ type: "lost" });
     record?.failed(this.#now(), NOT_SURELY_DOWN);
     this.#endCurrent(true);
-    this.#logLoss(reason, detail, record);
+    this.#record.lost(reason, {
+      detail,
+      server: record,
+      relayed: this.#truth.relayed,
+    });
     if (before === "waiting") {
       this.#resend("not_connected", "no_server");
       return;
@@ -487,7 +464,7 @@
     const allowed =
       this.#truth.maySend(route.maximumRuns + extra) &&
       this.#remaining() > LEAST_USEFUL_MILLISECONDS &&
-      this.#reasons.length < MAXIMUM_RESENDS;
+      this.#record.resends < MAXIMUM_RESENDS;
     const choice = allowed ? this.#choose() : undefined;
     const budget = { now: this.#now(), hosts: this.#context.hosts() };
     if (
@@ -497,15 +474,10 @@
       this.#giveUp(otherwise);
       return;
     }
-    this.#note(reason);
+    this.#record.resent(reason);
     this.#sendTo(choice);
   }
 
-  #note(reason: ResendReason): void {
-    this.#reasons.push(reason);
-    this.#context.metrics.resend(reason);
-  }
-
   #timedOut(): void {
     if (this.#answer.finished) return;
     const unsent = this.#truth.surelyNotRun;
@@ -552,7 +524,7 @@
         attemptId: this.request.head.attemptId,
         retryAfterSeconds: refusal.notRun
           ? LEAST_RETRY_AFTER_SECONDS +
-            FULL_RETRY_AFTER_SECONDS * this.#context.random.next()
+            RETRY_AFTER_SPREAD_SECONDS * this.#context.random.next()
           : undefined,
       }),
       Buffer.alloc(0),
@@ -576,18 +548,6 @@
     current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
   }
 
-  #noteBegan(): void {
-    if (this.#began) return;
-    this.#began = true;
-    const workspace = this.request.workspace;
-    if (workspace !== undefined) this.#context.began(workspace.name);
-  }
-
-  #noteFirstPart(): void {
-    this.#firstPartAt ??= this.#now();
-    this.#context.metrics.firstPart(this.#firstPartAt - this.request.arrivedAt);
-  }
-
   /** Ends the current send's part in the counts; forgets what it brought. */
   #endCurrent(abort: boolean): void {
     this.#cancelStall();
@@ -604,60 +564,11 @@
     this.#cancelDeadline();
     this.#truth.handle({ type: "ended" });
     this.#endCurrent(false);
-    const milliseconds = this.#now() - this.request.arrivedAt;
-    this.#context.metrics.outcome(outcome);
-    this.#context.metrics.whole(milliseconds);
-    this.#logDecision(outcome, milliseconds);
+    this.#record.ended(outcome);
     this.#onFinished(this);
   }
-
-  #logDecision(outcome: string, milliseconds: number): void {
-    const { request } = this;
-    this.#context.logger.info("request ended", {
-      request: request.head.attemptId,
-      outcome,
-      route: request.route.name,
-      service: request.service.name,
-      workspace: request.workspace?.name,
-      servers: this.#servers.join(","),
-      resends: this.#reasons.join(","),
-      configuration: request.configurationVersion,
-      promptTokens: request.head.promptTokens,
-      firstPartMilliseconds:
-        this.#firstPartAt === undefined
-          ? undefined
-          : Math.round(this.#firstPartAt - request.arrivedAt),
-      milliseconds: Math.round(milliseconds),
-    });
-  }
-
-  #logLoss(
-    reason: ResendReason,
-    detail: string,
-    record: ServerRecord | undefined,
-  ): void {
-    this.#context.logger.info("send lost", {
-      request: this.request.head.attemptId,
-      reason,
-      detail,
-      server: record?.entry.id,
-      relayed: this.#truth.relayed,
-    });
-  }
-
-  #logMove(target: Choice, outcome: string): void {
-    this.#context.metrics.event(`move_${outcome}`);
-    this.#context.logger.info("memory move", {
-      request: this.request.head.attemptId,
-      target: target.record.entry.id,
-      outcome,
-    });
-  }
 }
 
-/** Share of a server's connections that all hosts together use. */
-const CONNECTION_SHARE = 0.8;
-
 /** Sends of one request that repeat another, at most. */
 const MAXIMUM_RESENDS = 4;
 
@@ -670,36 +581,6 @@
 const MISDIRECTED = 421;
 const NOT_SURELY_DOWN = { surelyDown: false };
 
-/** Most urgent and least urgent priority that engines know. */
-const ENGINE_PRIORITIES = { most: 0, least: 9 };
-
-/** Route priorities that fit between two workspace priorities. */
-const ROUTE_PRIORITIES = 3;
-
-function enginePriority(request: AdmittedRequest): number | undefined {
-  if (request.service.engine === undefined) return undefined;
-  const workspace = request.workspace?.priority ?? 0;
-  const route = Math.min(request.route.priority, ROUTE_PRIORITIES - 1);
-  return Math.min(
-    ENGINE_PRIORITIES.least,
-    Math.max(ENGINE_PRIORITIES.most, workspace * ROUTE_PRIORITIES + route),
-  );
-}
-
-function limitMilliseconds(request: AdmittedRequest): number {
-  return Math.min(
-    request.head.deadlineMilliseconds ?? Infinity,
-    request.route.timeoutMilliseconds,
-  );
-}
-
-function promptTokens(head: RequestHead): number {
-  return (
-    head.promptTokens ??
-    head.promptParts.reduce((sum, part) => sum + part.tokens, 0)
-  );
-}
-
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -0,0 +1,43 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The choice of a server for one send of a request, from all that this host
+ * knows.
+ *
+ * @module
+ */
+import { type ChoiceOutcome, chooseServer } from "../choice/mod.ts";
+import type { Service } from "../model/configuration.ts";
+import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Share of a server's connections that all hosts together use. */
+const CONNECTION_SHARE = 0.8;
+
+/** Connections to one server that this host may use, whatever its share. */
+const LEAST_CONNECTIONS = 2;
+
+/** Chooses among the servers that were not tried. */
+export function chooseFor(
+  request: AdmittedRequest,
+  tried: ReadonlySet<string>,
+  context: RequestContext,
+): ChoiceOutcome {
+  const { directory, prefixes, readingRates } = context;
+  const { name } = request.service;
+  return chooseServer(directory.of(name), prefixes, {
+    now: context.clock.now(),
+    dataHall: context.dataHall,
+    engine: request.service.engine,
+    parts: request.head.promptParts,
+    promptTokens: promptTokens(request.head),
+    readingRate: readingRates.of(name),
+    excluded: tried,
+    ownConnections: ownConnections(request.service, context.hosts()),
+  });
+}
+
+function ownConnections(service: Service, hosts: number): number {
+  const share = (service.maximumConnections * CONNECTION_SHARE) / hosts;
+  return Math.max(LEAST_CONNECTIONS, Math.floor(share));
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -11,7 +11,6 @@
   type Logger,
   Ownership,
   type Random,
-  sleep,
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
 import { Result } from "true-myth";
@@ -36,7 +35,8 @@
 import { CallerServer } from "./intake/caller_server.ts";
 import { serveReadiness } from "./intake/readiness_server.ts";
 import type { RouteIndex } from "./intake/route_index.ts";
-import { Membership, type OwnNews, type PeerNews } from "./membership/mod.ts";
+import { HostNews } from "./host_news.ts";
+import { Membership } from "./membership/mod.ts";
 import type { BackendServer } from "./model/backend_server.ts";
 import type { Cloud, CloudError, Fence } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
@@ -47,6 +47,7 @@
 import { LoadMeter } from "./relay/load_meter.ts";
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
+import { untilIdle } from "./planned_stop.ts";
 import type { ServingSettings } from "./serving_settings.ts";
 import { ServingLife } from "./serving_life.ts";
 
@@ -86,15 +87,7 @@
 /** Time for which a stopping host still starts requests, in milliseconds. */
 const STOP_INTAKE_MILLISECONDS = 2_600;
 
-/** Shortest planned stop: balancers notice it meanwhile, in milliseconds. */
-const SHORTEST_STOP_MILLISECONDS = 3_000;
-
-/** Margin before the forced end, in milliseconds. */
-const STOP_MARGIN_MILLISECONDS = 400;
-
-/** Time between looks whether a stopping host is done, in milliseconds. */
-const STOP_LOOK_MILLISECONDS = 50;
-
+/** Answer to a call of the duties after the lease has run out. */
 const LEASE_OVER: Result<void, CloudError> = Result.err("refused");
 
 /** One serving host. */
@@ -114,6 +107,7 @@
   readonly #callers: CallerServer;
   readonly #leaving: LeavingServers;
   readonly #follower: ConfigurationFollower;
+  readonly #news: HostNews;
   readonly #usage: UsageDuty;
   readonly #capacity: CapacityDuty;
   #listening = { callers: "", readiness: "" };
@@ -149,7 +143,7 @@
       logger: ports.logger,
       metrics: ports.metrics,
       dataHalls: settings.dataHalls,
-      load: (service) => this.#load(service),
+      load: (service) => this.#news.load(service),
       idle: () => this.#meter.idle,
     });
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
@@ -160,6 +154,20 @@
         serverGone: (id) => this.#serverGone(id),
       }),
     );
+    this.#news = new HostNews({
+      clock: ports.clock,
+      directory: this.#directory,
+      prefixes: this.#prefixes,
+      limits: this.#limits,
+      readingRates: this.#readingRates,
+      dispatches: this.#dispatches,
+      meter: this.#meter,
+      ledger: this.#ledger,
+      follower: this.#follower,
+      keeper: () => this.#keeper,
+      wallTime: () => this.#wallTime(),
+      stopping: () => this.#life.state === "stopping",
+    });
   }
 
   /** Starts all parts and listens. */
@@ -186,11 +194,10 @@
     logger.info("stopping", { inProgress: this.#callers.inProgress });
     await this.#keeper?.release();
     this.#membership?.tell();
-    const latest =
-      startedAt +
-      this.#settings.bounds.graceMilliseconds -
-      STOP_MARGIN_MILLISECONDS;
-    await this.#untilIdle(startedAt, latest);
+    await untilIdle(this.#callers, clock, {
+      startedAt,
+      graceMilliseconds: this.#settings.bounds.graceMilliseconds,
+    });
     this.#callers.stopListening();
     logger.info("stopped", {
       milliseconds: Math.round(clock.now() - startedAt),
@@ -203,17 +210,6 @@
     await this.#ownership[Symbol.asyncDispose]();
   }
 
-  async #untilIdle(startedAt: number, latest: number): Promise<void> {
-    const { clock } = this.#ports;
-    const now = clock.now();
-    const early = now - startedAt < SHORTEST_STOP_MILLISECONDS;
-    if (!early) this.#callers.closeIdleConnections();
-    const busy = this.#callers.inProgress > 0;
-    if (now >= latest || (!early && !busy)) return;
-    await sleep(clock, STOP_LOOK_MILLISECONDS);
-    await this.#untilIdle(startedAt, latest);
-  }
-
   async #open(): Promise<void> {
     const { addresses } = this.#settings;
     const ports = this.#ports;
@@ -248,8 +244,8 @@
         address: this.#settings.addresses.peers,
       },
       {
-        ownNews: () => this.#ownNews(),
-        onNews: (news) => this.#heard(news),
+        ownNews: () => this.#news.own(),
+        onNews: (news) => this.#news.heard(news),
         onListed: (host) =>
           this.#limits.expected(host, this.#ports.clock.now()),
       },
@@ -303,19 +299,6 @@
     };
   }
 
-  #load(service: string) {
-    return {
-      running: this.#meter.peakRunning(
-        service,
-        this.#directory
-          .of(service)
-          .reduce((sum, r) => sum + r.load(this.#ports.clock.now()), 0),
-      ),
-      readTokensPerSecond: this.#meter.readTokensPerSecond(service),
-      readingRate: this.#readingRates.of(service),
-    };
-  }
-
   #requestContext(): RequestContext {
     const { bounds } = this.#settings;
     const { clock, random, codec, engineControl, logger, metrics } =
@@ -385,72 +368,6 @@
     return this.#membership?.agreedWallTime() ?? this.#ports.wallTime();
   }
 
-  #ownNews(): OwnNews {
-    // Every host keeps a history of the load, so that it can take the duties.
-    this.#follower.routes?.configuration.services.forEach(({ name }) =>
-      this.#load(name),
-    );
-    return {
-      stopping: this.#life.state === "stopping",
-      configurationVersion: this.#follower.routes?.configuration.version ?? 0,
-      configurationAge: this.#ownConfirmationAge(),
-      admitted: this.#limits.totals(),
-      levels: this.#limits.levels(),
-      work: this.#ownWork(),
-      counts: this.#ledger.own(this.#wallTime()),
-      dispatches: this.#dispatches.take(this.#ports.clock.now()),
-      readTokens: this.#meter.ownReadTokens(),
-      lease: this.#keeper?.news,
-    };
-  }
-
-  #ownConfirmationAge(): number | undefined {
-    const age = this.#follower.age(this.#ports.clock.now());
-    return Number.isFinite(age) ? age : undefined;
-  }
-
-  #ownWork(): OwnNews["work"] {
-    return Object.fromEntries(
-      this.#directory
-        .all()
-        .filter((record) => record.ownRunning > 0)
-        .map((record) => [record.entry.id, record.ownWork]),
-    );
-  }
-
-  #heard(news: PeerNews): void {
-    const now = this.#ports.clock.now();
-    if (news.configurationAge !== undefined) {
-      this.#follower.confirmedByPeer(
-        news.configurationVersion,
-        news.configurationAge,
-      );
-    }
-    this.#directory.heardPeer(news.host, news.work, now);
-    this.#limits.heard(
-      news.host,
-      {
-        incarnation: news.incarnation,
-        totals: news.admitted,
-        levels: news.levels,
-        stopping: news.stopping,
-      },
-      now,
-    );
-    this.#ledger.heard(news.host, news.incarnation, news.counts);
-    this.#meter.heard(`${news.host}/${news.incarnation}`, news.readTokens);
-    news.dispatches.forEach(({ server, parts }) => {
-      const record = this.#directory.get(server);
-      if (record === undefined) return;
-      const engine = this.#follower.routes?.service(
-        record.entry.service,
-      )?.engine;
-      if (engine === undefined) return;
-      this.#prefixes.stored(server, parts, engine.memoryTokens);
-    });
-    if (news.lease !== undefined) this.#keeper?.heard(news.lease);
-  }
-
   #serverLeaves(record: ServerRecord): void {
     void this.#leaving.left(record);
     const { entry } = record;
