Give the entry process's files folders; name them by the field's terms

46 files on one floor hid a request's way: folders in its order, each with a mod.ts. Answer book, retry desk, orphan adoption, primary hop and call ledger are answer cache, retry decider, request recovery, primary forwarding and call accounting.

--- a/packages/rampswitch-entry/src/retry_desk.ts
+++ b/packages/rampswitch-entry/src/admission/retry_decider.ts
@@ -31,18 +31,18 @@
 };
 
 /** How retries are made. */
-export interface RetryDeskOptions {
+export interface RetryDeciderOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
 }
 
 /** Retries of all services on one host. */
-export class RetryDesk {
-  readonly #options: RetryDeskOptions;
+export class RetryDecider {
+  readonly #options: RetryDeciderOptions;
   readonly #budgets = new Map<string, RetryBudget>();
 
-  constructor(options: RetryDeskOptions) {
+  constructor(options: RetryDeciderOptions) {
     this.#options = options;
   }
 
--- a/packages/rampswitch-entry/src/chat_run.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_run.ts
@@ -13,8 +13,8 @@
   type Service,
   type Workspace,
 } from "rampswitch-types";
-import type { Answer } from "./answer_book.ts";
-import { type ChatRequest, parseChatRequest } from "./chat_request.ts";
+import type { Answer } from "../outcome/answer_cache.ts";
+import { type ChatRequest, parseChatRequest } from "../intake/chat_request.ts";
 
 /** One chat request, from its first attempt to its end. */
 export interface Run {
--- a/packages/rampswitch-entry/src/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -28,10 +28,10 @@
   type Random,
   sleep,
 } from "rampswitch-utils";
-import type { Answer } from "./answer_book.ts";
+import type { Answer } from "../outcome/answer_cache.ts";
 import type { BackendClient } from "./backend_client.ts";
-import type { BackendDirectory } from "./backend_directory.ts";
-import { engineBody } from "./chat_request.ts";
+import type { BackendDirectory } from "../choice/backend_directory.ts";
+import { engineBody } from "../intake/chat_request.ts";
 import { abandonAttempt, moveCache } from "./engine_calls.ts";
 import {
   choiceRequest,
@@ -41,9 +41,9 @@
   told,
 } from "./chat_run.ts";
 import { runEngineAttempt } from "./engine_attempt.ts";
-import { countOutcome } from "./outcome_count.ts";
-import type { RequestReplication } from "./request_replication.ts";
-import type { RetryDesk } from "./retry_desk.ts";
+import { countOutcome } from "../outcome/outcome_count.ts";
+import type { RequestReplication } from "../replication/request_replication.ts";
+import type { RetryDecider } from "../admission/retry_decider.ts";
 
 /** How a runner is made. */
 export interface ChatRunnerOptions {
@@ -51,7 +51,7 @@
   readonly directory: BackendDirectory;
   readonly client: BackendClient;
   readonly replication: RequestReplication;
-  readonly retries: RetryDesk;
+  readonly retries: RetryDecider;
   readonly routing: () => RoutingTable;
   readonly clock: Clock;
   readonly random: Random;
--- a/packages/rampswitch-entry/src/engine_attempt.ts
+++ b/packages/rampswitch-entry/src/attempt/engine_attempt.ts
@@ -10,7 +10,7 @@
 import type { BackendServer } from "rampswitch-types";
 import type { Metrics } from "rampswitch-utils";
 import type { BackendClient, BackendReply } from "./backend_client.ts";
-import { readEngineEvent } from "./chat_request.ts";
+import { readEngineEvent } from "../intake/chat_request.ts";
 import { EventStreamParser } from "./event_stream.ts";
 
 /** An attempt to run. */
--- a/packages/rampswitch-entry/src/plain_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/plain_runner.ts
@@ -18,18 +18,18 @@
   type Service,
 } from "rampswitch-types";
 import type { Clock, Metrics } from "rampswitch-utils";
-import type { Answer } from "./answer_book.ts";
+import type { Answer } from "../outcome/answer_cache.ts";
 import type { BackendClient, BackendReply } from "./backend_client.ts";
-import type { BackendDirectory } from "./backend_directory.ts";
+import type { BackendDirectory } from "../choice/backend_directory.ts";
 import {
   type PassedHeaders,
   passAnswer,
   passedHeaders,
 } from "./http_forward.ts";
-import { countOutcome } from "./outcome_count.ts";
-import type { ProblemOutcome } from "./problem.ts";
-import type { RequestReplication } from "./request_replication.ts";
-import type { RetryDesk } from "./retry_desk.ts";
+import { countOutcome } from "../outcome/outcome_count.ts";
+import type { ProblemOutcome } from "../intake/problem.ts";
+import type { RequestReplication } from "../replication/request_replication.ts";
+import type { RetryDecider } from "../admission/retry_decider.ts";
 
 /** A call of a plain service. */
 export interface PlainCall {
@@ -53,7 +53,7 @@
   readonly client: BackendClient;
   readonly replication: RequestReplication;
   readonly routing: () => RoutingTable;
-  readonly retries: RetryDesk;
+  readonly retries: RetryDecider;
   readonly clock: Clock;
   readonly metrics: Metrics;
 }
--- a/packages/rampswitch-entry/src/backend_directory.ts
+++ b/packages/rampswitch-entry/src/choice/backend_directory.ts
@@ -32,7 +32,7 @@
   rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
-import type { BackendClient } from "./backend_client.ts";
+import type { BackendClient } from "../attempt/backend_client.ts";
 
 const POLL_MILLISECONDS = 500;
 /** Time between two questions to a server that has nothing to do. */
--- a/packages/rampswitch-entry/src/capacity_service.ts
+++ b/packages/rampswitch-entry/src/duties/capacity_service.ts
@@ -18,10 +18,10 @@
 } from "rampswitch-policy";
 import type { BackendServer, HostClass, Service } from "rampswitch-types";
 import type { Clock, Logger, Metrics } from "rampswitch-utils";
-import type { BackendDirectory } from "./backend_directory.ts";
-import type { ConfigurationService } from "./configuration_service.ts";
-import type { MembershipService } from "./membership_service.ts";
-import type { CloudClient, CloudHost } from "./platform_clients.ts";
+import type { BackendDirectory } from "../choice/backend_directory.ts";
+import type { ConfigurationService } from "../configuration/configuration_service.ts";
+import type { MembershipService } from "../membership/membership_service.ts";
+import type { CloudClient, CloudHost } from "../membership/platform_clients.ts";
 
 /** Label of backend servers that this service put into the configuration. */
 export const MANAGED_LABEL = "managed-by";
--- a/packages/rampswitch-entry/src/control_service.ts
+++ b/packages/rampswitch-entry/src/duties/control_service.ts
@@ -22,7 +22,7 @@
   rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
-import { BackendClient } from "./backend_client.ts";
+import { BackendClient } from "../attempt/backend_client.ts";
 import {
   CapacityService,
   type CapacityServiceOptions,
--- /dev/null
+++ b/packages/rampswitch-entry/src/duties/mod.ts
@@ -0,0 +1,10 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Work that one host does for all, under leases.
+ *
+ * @module
+ */
+export * from "./capacity_service.ts";
+export * from "./control_service.ts";
+export * from "./lease_keeper.ts";
--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -13,7 +13,7 @@
   LeavingMark,
 } from "rampswitch-configuration";
 import { PeerClients, PeerTokens } from "rampswitch-peer";
-import { CallLedger, HttpObjectStore } from "rampswitch-store";
+import { CallAccounting, HttpObjectStore } from "rampswitch-store";
 import { type Host, hostId } from "rampswitch-types";
 import {
   type Clock,
@@ -26,20 +26,20 @@
   seededRandom,
 } from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
-import { AdmissionGate } from "./admission_gate.ts";
-import { AnswerBook } from "./answer_book.ts";
-import { BackendClient } from "./backend_client.ts";
-import { BackendDirectory } from "./backend_directory.ts";
-import { ChatRunner } from "./chat_runner.ts";
-import { ConfigurationService } from "./configuration_service.ts";
-import { MembershipService } from "./membership_service.ts";
-import { slotMessageFromWire } from "./peer_messages.ts";
-import { httpCloud, httpHostList } from "./platform_clients.ts";
-import { PlainRunner } from "./plain_runner.ts";
-import { type LinkListener, ReplicaLinks } from "./replica_link.ts";
-import { RequestReplication } from "./request_replication.ts";
-import { RetryDesk } from "./retry_desk.ts";
-import { SlotService } from "./slot_service.ts";
+import { AdmissionGate } from "./admission/admission_gate.ts";
+import { AnswerCache } from "./outcome/answer_cache.ts";
+import { BackendClient } from "./attempt/backend_client.ts";
+import { BackendDirectory } from "./choice/backend_directory.ts";
+import { ChatRunner } from "./attempt/chat_runner.ts";
+import { ConfigurationService } from "./configuration/configuration_service.ts";
+import { MembershipService } from "./membership/membership_service.ts";
+import { slotMessageFromWire } from "./replication/peer_messages.ts";
+import { httpCloud, httpHostList } from "./membership/platform_clients.ts";
+import { PlainRunner } from "./attempt/plain_runner.ts";
+import { type LinkListener, ReplicaLinks } from "./replication/replica_link.ts";
+import { RequestReplication } from "./replication/request_replication.ts";
+import { RetryDecider } from "./admission/retry_decider.ts";
+import { SlotService } from "./replication/slot_service.ts";
 
 /** What an entry process is made of besides its settings. */
 export interface EntrySurroundings {
@@ -80,7 +80,7 @@
   readonly tokens: PeerTokens;
   readonly clients: PeerClients;
   readonly store: HttpObjectStore;
-  readonly book: AnswerBook;
+  readonly book: AnswerCache;
   readonly links: ReplicaLinks;
   readonly configuration: ConfigurationService;
   readonly membership: MembershipService;
@@ -89,7 +89,7 @@
   /** Connections to backend servers. */
   readonly client: BackendClient;
   readonly directory: BackendDirectory;
-  readonly retries: RetryDesk;
+  readonly retries: RetryDecider;
   readonly chat: ChatRunner;
   readonly plain: PlainRunner;
   readonly gate: AdmissionGate;
@@ -120,7 +120,7 @@
     this.replication = this.#makeReplication();
     this.client = this.#owned.own(new BackendClient());
     this.directory = this.#owned.own(this.#makeDirectory());
-    this.retries = new RetryDesk(this.#shared);
+    this.retries = new RetryDecider(this.#shared);
     this.chat = new ChatRunner({ ...this.#runnerOptions, self: this.self.id });
     this.plain = new PlainRunner(this.#runnerOptions);
     this.gate = this.#owned.own(this.#makeGate());
@@ -167,15 +167,15 @@
 
   #makeStore(): HttpObjectStore {
     return new HttpObjectStore(this.settings.platform.objects, {
-      ledger: new CallLedger(this.clock, this.metrics, {
+      accounting: new CallAccounting(this.clock, this.metrics, {
         callsPerSecond: () => this.#storeCallsPerSecond(),
       }),
     });
   }
 
-  #makeBook(): AnswerBook {
+  #makeBook(): AnswerCache {
     const { limits } = this.settings;
-    return new AnswerBook(this.clock, this.metrics, {
+    return new AnswerCache(this.clock, this.metrics, {
       answerBytes: limits.answerBytes,
       answersBytes: limits.answersBytes,
       retentionMilliseconds: limits.answerRetentionMilliseconds,
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -16,17 +16,20 @@
 import { refused } from "rampswitch-types";
 import { type Metrics, Ownership, repeat, sleep } from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
-import { ControlService } from "./control_service.ts";
-import { type EntryAddresses, EntryListeners } from "./entry_listeners.ts";
+import { ControlService } from "./duties/control_service.ts";
+import {
+  type EntryAddresses,
+  EntryListeners,
+} from "./intake/entry_listeners.ts";
 import {
   takeConfiguration,
   takeDigests,
   takeLeaving,
-  takeOrphans,
-} from "./entry_news.ts";
+  recoverLostRequests,
+} from "./membership/entry_news.ts";
 import { EntryParts, type EntrySurroundings } from "./entry_parts.ts";
-import { httpCloud } from "./platform_clients.ts";
-import type { ProblemOutcome } from "./problem.ts";
+import { httpCloud } from "./membership/platform_clients.ts";
+import type { ProblemOutcome } from "./intake/problem.ts";
 import { ProcessLife } from "./process_machine.ts";
 
 const PREPARE_MILLISECONDS = 50;
@@ -49,7 +52,7 @@
         changed: (_state, deltas) => takeConfiguration(this.#parts, deltas),
         heard: (digests) => takeDigests(this.#parts, digests),
         leaving: (news) => this.#leaving(news),
-        takenOver: () => takeOrphans(this.#parts),
+        takenOver: () => recoverLostRequests(this.#parts),
       }),
     );
   }
@@ -162,7 +165,7 @@
         () => MAINTAIN_MILLISECONDS * (0.5 + random.next()),
         async () => {
           await parts.slots.maintain();
-          takeOrphans(parts);
+          recoverLostRequests(parts);
           parts.book.expire();
           this.#showGauges();
         },
--- a/packages/rampswitch-entry/src/administration_server.ts
+++ b/packages/rampswitch-entry/src/intake/administration_server.ts
@@ -43,12 +43,15 @@
   problemText,
   type Settings,
 } from "rampswitch-validation";
-import type { AnswerBook } from "./answer_book.ts";
-import { BLOCK_TOKENS, type BackendDirectory } from "./backend_directory.ts";
-import type { ConfigurationService } from "./configuration_service.ts";
-import type { MembershipService } from "./membership_service.ts";
+import type { AnswerCache } from "../outcome/answer_cache.ts";
+import {
+  BLOCK_TOKENS,
+  type BackendDirectory,
+} from "../choice/backend_directory.ts";
+import type { ConfigurationService } from "../configuration/configuration_service.ts";
+import type { MembershipService } from "../membership/membership_service.ts";
 import { sendProblem } from "./problem.ts";
-import type { SlotService } from "./slot_service.ts";
+import type { SlotService } from "../replication/slot_service.ts";
 
 /** Roles of operators; `change` includes `read`. */
 export type OperatorRole = Settings["operators"][number]["role"];
@@ -63,7 +66,7 @@
   readonly membership: MembershipService;
   readonly slots: SlotService;
   readonly directory: BackendDirectory;
-  readonly book: AnswerBook;
+  readonly book: AnswerCache;
   readonly state: () => string;
   readonly freshness: () => Freshness;
 }
--- a/packages/rampswitch-entry/src/chat_request.ts
+++ b/packages/rampswitch-entry/src/intake/chat_request.ts
@@ -7,7 +7,7 @@
  */
 import { Result } from "true-myth";
 import { blockHashes, parseJson, promptWords, sha256 } from "rampswitch-utils";
-import { BLOCK_TOKENS } from "./backend_directory.ts";
+import { BLOCK_TOKENS } from "../choice/backend_directory.ts";
 
 /** What routing needs to know of a chat request. */
 export interface ChatRequest {
--- a/packages/rampswitch-entry/src/entry_listeners.ts
+++ b/packages/rampswitch-entry/src/intake/entry_listeners.ts
@@ -9,14 +9,14 @@
 import { listenForPeers } from "rampswitch-peer";
 import { type Listening, Ownership } from "rampswitch-utils";
 import { AdministrationServer } from "./administration_server.ts";
-import { BackendClient } from "./backend_client.ts";
+import { BackendClient } from "../attempt/backend_client.ts";
 import { CallerServer } from "./caller_server.ts";
-import type { EntryParts } from "./entry_parts.ts";
-import { KeptRequests } from "./kept_requests.ts";
-import { peerHandlers } from "./peer_handlers.ts";
-import { PrimaryHop } from "./primary_hop.ts";
+import type { EntryParts } from "../entry_parts.ts";
+import { KeptRequests } from "../outcome/kept_requests.ts";
+import { peerHandlers } from "../replication/peer_handlers.ts";
+import { PrimaryForwarding } from "../replication/primary_forwarding.ts";
 import type { ProblemOutcome } from "./problem.ts";
-import type { ProcessState } from "./process_machine.ts";
+import type { ProcessState } from "../process_machine.ts";
 
 /** Addresses that a process listens at. */
 export interface EntryAddresses {
@@ -91,7 +91,7 @@
     routing: () => configuration.routing,
     bodyBytes: settings.limits.bodyBytes,
   };
-  const hop = new PrimaryHop({
+  const hop = new PrimaryForwarding({
     ...shared,
     client: forwarding,
     callerAddressOf: (host) => membership.find(host)?.digest.host.callerAddress,
--- a/packages/rampswitch-entry/src/work_intake.ts
+++ b/packages/rampswitch-entry/src/intake/work_intake.ts
@@ -9,12 +9,12 @@
 import { mintRequestId } from "rampswitch-protocol";
 import { refused } from "rampswitch-types";
 import { sha256 } from "rampswitch-utils";
-import type { AdmissionGate } from "./admission_gate.ts";
-import type { BackendDirectory } from "./backend_directory.ts";
+import type { AdmissionGate } from "../admission/admission_gate.ts";
+import type { BackendDirectory } from "../choice/backend_directory.ts";
 import { OWN_HEADERS } from "./caller_request.ts";
 import { parseChatRequest } from "./chat_request.ts";
-import { chatRepeatable } from "./chat_run.ts";
-import type { ChatRunner } from "./chat_runner.ts";
+import { chatRepeatable } from "../attempt/chat_run.ts";
+import type { ChatRunner } from "../attempt/chat_runner.ts";
 import {
   admissionRequest,
   decodedName,
@@ -26,13 +26,13 @@
   refuse,
   refuseUnjudged,
 } from "./exchange.ts";
-import { passedHeaders } from "./http_forward.ts";
-import type { KeptRequests } from "./kept_requests.ts";
+import { passedHeaders } from "../attempt/http_forward.ts";
+import type { KeptRequests } from "../outcome/kept_requests.ts";
 import {
   type PlainCall,
   plainRepeatable,
   type PlainRunner,
-} from "./plain_runner.ts";
+} from "../attempt/plain_runner.ts";
 
 /** How intake is made. */
 export interface IntakeOptions extends ExchangeOptions {
--- a/packages/rampswitch-entry/src/entry_news.ts
+++ b/packages/rampswitch-entry/src/membership/entry_news.ts
@@ -6,9 +6,9 @@
  * @module
  */
 import type { Delta, HostDigest, LeavingMark } from "rampswitch-configuration";
-import type { EntryParts } from "./entry_parts.ts";
-import { adoptOrphans } from "./orphan_adoption.ts";
-import { announce, catchUp } from "./peer_handlers.ts";
+import type { EntryParts } from "../entry_parts.ts";
+import { recoverRequests } from "../replication/request_recovery.ts";
+import { announce, catchUp } from "../replication/peer_handlers.ts";
 
 /** A higher revision is in force here: forget what is gone, tell peers. */
 export function takeConfiguration(
@@ -55,8 +55,8 @@
 }
 
 /** Goes on with requests whose host is lost. */
-export function takeOrphans(parts: EntryParts): void {
-  adoptOrphans({
+export function recoverLostRequests(parts: EntryParts): void {
+  recoverRequests({
     ...parts,
     self: parts.self.id,
     routing: () => parts.configuration.routing,
--- a/packages/rampswitch-entry/src/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership/membership_service.ts
@@ -54,7 +54,7 @@
   digestToWire,
   marksFromWire,
   markToWire,
-} from "./peer_messages.ts";
+} from "../replication/peer_messages.ts";
 import type { CloudClient, HostListClient } from "./platform_clients.ts";
 import { asksPlatform, PlatformWatch } from "./platform_watch.ts";
 
--- a/packages/rampswitch-entry/src/answer_book.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_cache.ts
@@ -57,14 +57,14 @@
   certainEvents: number | undefined;
   /** Callers that read the answer now. */
   callers = 0;
-  readonly #book: AnswerBook;
+  readonly #book: AnswerCache;
   readonly #events: string[] = [];
   #bytes = 0;
   #outcome: Outcome | undefined;
   #endedAt: number | undefined;
   #readers: readonly AnswerReader[] = [];
 
-  constructor(book: AnswerBook, envelope: RequestEnvelope, runner: HostId) {
+  constructor(book: AnswerCache, envelope: RequestEnvelope, runner: HostId) {
     this.#book = book;
     this.envelope = envelope;
     this.runner = runner;
@@ -173,7 +173,7 @@
 const FORGOTTEN_KEPT = 10_000;
 
 /** All answers that one host holds. */
-export class AnswerBook {
+export class AnswerCache {
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly limits: AnswerLimits;
--- a/packages/rampswitch-entry/src/answer_book_test.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_cache_test.ts
@@ -4,10 +4,10 @@
 import { createMetrics, ManualClock } from "rampswitch-utils";
 import {
   type Answer,
-  AnswerBook,
+  AnswerCache,
   type AnswerReader,
   type RequestEnvelope,
-} from "./answer_book.ts";
+} from "./answer_cache.ts";
 
 const ENVELOPE: RequestEnvelope = {
   id: "r1.a",
@@ -24,7 +24,7 @@
 function newBook() {
   const clock = new ManualClock();
   const metrics = createMetrics("test", undefined);
-  const book = new AnswerBook(clock, metrics, {
+  const book = new AnswerCache(clock, metrics, {
     answerBytes: 64,
     answersBytes: 128,
     retentionMilliseconds: 1_000,
--- a/packages/rampswitch-entry/src/answer_writer.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_writer.ts
@@ -9,10 +9,10 @@
 import type { ServerResponse } from "node:http";
 import type { Outcome } from "rampswitch-types";
 import { inDoubt } from "rampswitch-types";
-import type { Answer, AnswerReader } from "./answer_book.ts";
-import { callerEnd, callerEvent, wholeAnswer } from "./chat_request.ts";
-import { keptHead, keptPart } from "./plain_runner.ts";
-import { sendProblem } from "./problem.ts";
+import type { Answer, AnswerReader } from "./answer_cache.ts";
+import { callerEnd, callerEvent, wholeAnswer } from "../intake/chat_request.ts";
+import { keptHead, keptPart } from "../attempt/plain_runner.ts";
+import { sendProblem } from "../intake/problem.ts";
 
 /** Bytes that may wait for a slow caller before its connection is closed. */
 const MAXIMUM_WAITING_BYTES = 1024 * 1024;
--- a/packages/rampswitch-entry/src/kept_requests.ts
+++ b/packages/rampswitch-entry/src/outcome/kept_requests.ts
@@ -22,36 +22,36 @@
   type Service,
 } from "rampswitch-types";
 import type { Random } from "rampswitch-utils";
-import type { AdmissionGate } from "./admission_gate.ts";
+import type { AdmissionGate } from "../admission/admission_gate.ts";
 import {
   type Answer,
-  type AnswerBook,
+  type AnswerCache,
   forgottenOutcome,
   type RequestEnvelope,
-} from "./answer_book.ts";
+} from "./answer_cache.ts";
 import { type AnswerForm, writeAnswer } from "./answer_writer.ts";
-import type { ChatRunner } from "./chat_runner.ts";
+import type { ChatRunner } from "../attempt/chat_runner.ts";
 import {
   admissionRequest,
   type Exchange,
   exchangeDeadline,
   type ExchangeOptions,
   refuse,
-} from "./exchange.ts";
-import type { PrimaryHop } from "./primary_hop.ts";
-import type { ProblemOutcome } from "./problem.ts";
-import type { RequestReplication } from "./request_replication.ts";
-import type { ClaimEnd, SlotService } from "./slot_service.ts";
+} from "../intake/exchange.ts";
+import type { PrimaryForwarding } from "../replication/primary_forwarding.ts";
+import type { ProblemOutcome } from "../intake/problem.ts";
+import type { RequestReplication } from "../replication/request_replication.ts";
+import type { ClaimEnd, SlotService } from "../replication/slot_service.ts";
 
 /** How requests are kept. */
 export interface KeptRequestOptions extends ExchangeOptions {
   readonly self: HostId;
   readonly random: Random;
-  readonly book: AnswerBook;
+  readonly book: AnswerCache;
   readonly slots: SlotService;
   readonly gate: AdmissionGate;
   readonly chat: ChatRunner;
-  readonly hop: PrimaryHop;
+  readonly hop: PrimaryForwarding;
   readonly replication: RequestReplication;
   readonly trusts: (host: HostId) => boolean;
 }
--- /dev/null
+++ b/packages/rampswitch-entry/src/outcome/mod.ts
@@ -0,0 +1,11 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Answers: kept, written to callers, and counted.
+ *
+ * @module
+ */
+export * from "./answer_cache.ts";
+export * from "./answer_writer.ts";
+export * from "./kept_requests.ts";
+export * from "./outcome_count.ts";
--- a/packages/rampswitch-entry/src/peer_handlers.ts
+++ b/packages/rampswitch-entry/src/replication/peer_handlers.ts
@@ -23,8 +23,8 @@
 import type {
   ConfigurationService,
   PeerConfiguration,
-} from "./configuration_service.ts";
-import type { MembershipService } from "./membership_service.ts";
+} from "../configuration/configuration_service.ts";
+import type { MembershipService } from "../membership/membership_service.ts";
 import {
   marksFromWire,
   markToWire,
--- a/packages/rampswitch-entry/src/primary_hop.ts
+++ b/packages/rampswitch-entry/src/replication/primary_forwarding.ts
@@ -8,14 +8,14 @@
  */
 import { type HostId, refused } from "rampswitch-types";
 import { type Clock, type Metrics, sleep } from "rampswitch-utils";
-import type { BackendClient } from "./backend_client.ts";
-import { HOP_HEADER } from "./caller_request.ts";
-import { type Exchange, refuse, refuseUnjudged } from "./exchange.ts";
-import { passAnswer, passedHeaders } from "./http_forward.ts";
+import type { BackendClient } from "../attempt/backend_client.ts";
+import { HOP_HEADER } from "../intake/caller_request.ts";
+import { type Exchange, refuse, refuseUnjudged } from "../intake/exchange.ts";
+import { passAnswer, passedHeaders } from "../attempt/http_forward.ts";
 import type { SlotService } from "./slot_service.ts";
 
 /** How hops are made. */
-export interface PrimaryHopOptions {
+export interface PrimaryForwardingOptions {
   readonly self: HostId;
   readonly slots: SlotService;
   readonly client: BackendClient;
@@ -41,10 +41,10 @@
 const RETRY_AFTER = { retryAfterMilliseconds: 500 };
 
 /** Passes requests to the primaries of their slots. */
-export class PrimaryHop {
-  readonly #options: PrimaryHopOptions;
+export class PrimaryForwarding {
+  readonly #options: PrimaryForwardingOptions;
 
-  constructor(options: PrimaryHopOptions) {
+  constructor(options: PrimaryForwardingOptions) {
     this.#options = options;
   }
 
--- a/packages/rampswitch-entry/src/orphan_adoption.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -8,15 +8,15 @@
 import type { RoutingTable } from "rampswitch-policy";
 import { type HostId, inDoubt, type Service } from "rampswitch-types";
 import type { Metrics } from "rampswitch-utils";
-import type { Answer, AnswerBook } from "./answer_book.ts";
-import { chatRepeatable } from "./chat_run.ts";
-import type { ChatRunner } from "./chat_runner.ts";
+import type { Answer, AnswerCache } from "../outcome/answer_cache.ts";
+import { chatRepeatable } from "../attempt/chat_run.ts";
+import type { ChatRunner } from "../attempt/chat_runner.ts";
 import type { SlotService } from "./slot_service.ts";
 
 /** How adoption is made. */
 export interface AdoptionOptions {
   readonly self: HostId;
-  readonly book: AnswerBook;
+  readonly book: AnswerCache;
   readonly slots: SlotService;
   readonly chat: ChatRunner;
   readonly metrics: Metrics;
@@ -25,23 +25,23 @@
 }
 
 /**
- * What becomes of an orphan. `go_on`: it may run twice, so it goes on here.
+ * What becomes of a lost request. `go_on`: it may run twice, so it goes on here.
  * `run_anew`: nothing of it is kept; a retry runs it. `in_doubt`: it must not
  * run twice.
  */
-export type OrphanFate = "go_on" | "run_anew" | "in_doubt";
+export type LostRequestFate = "go_on" | "run_anew" | "in_doubt";
 
 /** Decides what becomes of a request whose host is lost. */
-export function orphanFate(
+export function lostRequestFate(
   service: Service | undefined,
   options: { readonly guarded: boolean },
-): OrphanFate {
+): LostRequestFate {
   if (service?.type === "model" && chatRepeatable(service)) return "go_on";
   return options.guarded ? "in_doubt" : "run_anew";
 }
 
 /** Takes over all requests of this host's slots whose runner is lost. */
-export function adoptOrphans(options: AdoptionOptions): void {
+export function recoverRequests(options: AdoptionOptions): void {
   const { book, slots, self, trusts } = options;
   const own = new Set(slots.primarySlots);
   book.all
@@ -55,13 +55,13 @@
   const { envelope } = answer;
   const service = options.routing().services.get(envelope.service);
   const record = options.slots.recordOf(envelope.slot, envelope.key);
-  const fate = orphanFate(service, { guarded: record?.guarded ?? false });
-  options.metrics.count("orphan", fate);
+  const fate = lostRequestFate(service, { guarded: record?.guarded ?? false });
+  options.metrics.count("lostRequest", fate);
   FATES[fate](answer, options);
 }
 
 const FATES: Readonly<
-  Record<OrphanFate, (answer: Answer, options: AdoptionOptions) => void>
+  Record<LostRequestFate, (answer: Answer, options: AdoptionOptions) => void>
 > = {
   go_on: (answer, { self, chat }) => {
     answer.runner = self;
--- a/packages/rampswitch-entry/src/request_replication.ts
+++ b/packages/rampswitch-entry/src/replication/request_replication.ts
@@ -21,10 +21,10 @@
 import type { Clock, Metrics } from "rampswitch-utils";
 import type {
   Answer,
-  AnswerBook,
+  AnswerCache,
   RequestEnvelope,
   RunningAttempt,
-} from "./answer_book.ts";
+} from "../outcome/answer_cache.ts";
 import type { ReplicaLinks } from "./replica_link.ts";
 
 /** Ways of holding a stream's progress. */
@@ -37,7 +37,7 @@
   readonly self: HostId;
   readonly mode: ProgressMode;
   readonly links: ReplicaLinks;
-  readonly book: AnswerBook;
+  readonly book: AnswerCache;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly holders: (slot: number) => readonly HostId[];
--- a/packages/rampswitch-measure/src/store_test.ts
+++ b/packages/rampswitch-measure/src/store_test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
 import { ObjectApi } from "rampswitch-standins";
 import {
-  CallLedger,
+  CallAccounting,
   changeObject,
   HttpObjectStore,
   Watcher,
@@ -24,7 +24,7 @@
 
 beforeEach(async () => {
   api = await ObjectApi.start();
-  store = new HttpObjectStore(api.address, { ledger: ledger(1_000) });
+  store = new HttpObjectStore(api.address, { accounting: accounting(1_000) });
 });
 
 afterEach(async () => {
@@ -32,8 +32,8 @@
   await api[Symbol.asyncDispose]();
 });
 
-function ledger(callsPerSecond: number): CallLedger {
-  return new CallLedger(SYSTEM_CLOCK, createMetrics("test", undefined), {
+function accounting(callsPerSecond: number): CallAccounting {
+  return new CallAccounting(SYSTEM_CLOCK, createMetrics("test", undefined), {
     callsPerSecond: () => callsPerSecond,
   });
 }
@@ -124,11 +124,11 @@
   });
 });
 
-describe("the call ledger", () => {
+describe("the call accounting", () => {
   test("holds a process to its ceiling and lets calls through again", () => {
     const clock = new ManualClock(1_000);
     const metrics = createMetrics("test", undefined);
-    const strict = new CallLedger(clock, metrics, {
+    const strict = new CallAccounting(clock, metrics, {
       callsPerSecond: () => 2,
     });
     const first = [1, 2, 3].map(() => strict.admit("get"));
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -21,7 +21,7 @@
   type LeaseTimes,
   type SeenLease,
 } from "./duty_lease.ts";
-import type { LifeCounts } from "./usage_ledger.ts";
+import type { LifeCounts } from "./usage_counter.ts";
 import type { FinalReports } from "./usage_duty.ts";
 
 /** Time between looks at the lease, in milliseconds. */
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import type { LifeCounts } from "./usage_ledger.ts";
+import type { LifeCounts } from "./usage_counter.ts";
 
 /** Value of the lease object. */
 export interface DutyLease {
--- a/packages/rampswitch-serving/src/duties/mod.ts
+++ b/packages/rampswitch-serving/src/duties/mod.ts
@@ -10,4 +10,4 @@
 export * from "./duty_keeper.ts";
 export * from "./duty_lease.ts";
 export * from "./usage_duty.ts";
-export * from "./usage_ledger.ts";
+export * from "./usage_counter.ts";
--- a/packages/rampswitch-serving/src/duties/usage_ledger.ts
+++ b/packages/rampswitch-serving/src/duties/usage_counter.ts
@@ -18,7 +18,7 @@
 export type LifeCounts = Readonly<Record<string, WindowCounts>>;
 
 /** Usage as one host knows it. */
-export class UsageLedger {
+export class UsageCounter {
   readonly #windowMilliseconds: number;
   #own: WindowCounts = {};
   /** By host and life of its process. */
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -10,7 +10,7 @@
 import type { Logger } from "rampswitch-utils";
 import type { Cloud, Fence } from "../model/cloud.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
-import type { UsageCounts, UsageLedger } from "./usage_ledger.ts";
+import type { UsageCounts, UsageCounter } from "./usage_counter.ts";
 
 /**
  * Time after a window's end before its counts are final, in milliseconds. Some
@@ -26,7 +26,7 @@
 
 /** The duty of reporting usage, for as long as this host holds it. */
 export class UsageDuty {
-  readonly #ledger: UsageLedger;
+  readonly #counter: UsageCounter;
   readonly #cloud: Cloud;
   readonly #logger: Logger;
   readonly #metrics: ServingMetrics;
@@ -35,7 +35,7 @@
   #fence = -1;
 
   constructor(
-    ledger: UsageLedger,
+    counter: UsageCounter,
     parts: {
       readonly cloud: Cloud;
       readonly logger: Logger;
@@ -44,25 +44,25 @@
       readonly startedAt: number;
     },
   ) {
-    this.#ledger = ledger;
+    this.#counter = counter;
     this.#cloud = parts.cloud;
     this.#logger = parts.logger;
     this.#metrics = parts.metrics;
-    this.#startedInWindow = ledger.windowOf(parts.startedAt);
+    this.#startedInWindow = counter.windowOf(parts.startedAt);
   }
 
   /** Reports to keep with the lease: those known and those now final. */
   finalReports(known: FinalReports, wallTime: number): FinalReports {
-    const newest = this.#ledger.windowOf(wallTime - SETTLE_MILLISECONDS) - 1;
+    const newest = this.#counter.windowOf(wallTime - SETTLE_MILLISECONDS) - 1;
     const windows = Array.from(
       { length: REPORTED_WINDOWS },
       (_, back) => newest - back,
     ).filter((window) => window >= this.#startedInWindow || known[window]);
-    this.#ledger.forgetBefore(newest);
+    this.#counter.forgetBefore(newest);
     return Object.fromEntries(
       windows.map((window) => [
         String(window),
-        known[window] ?? this.#ledger.total(window),
+        known[window] ?? this.#counter.total(window),
       ]),
     );
   }
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -9,9 +9,9 @@
 import type { WorkspaceLimits } from "./admission/mod.ts";
 import type { PrefixKnowledge, ServerDirectory } from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
-import type { DutyKeeper, ServiceLoad, UsageLedger } from "./duties/mod.ts";
+import type { DutyKeeper, ServiceLoad, UsageCounter } from "./duties/mod.ts";
 import type { OwnNews, PeerNews } from "./membership/mod.ts";
-import type { DispatchNewsBox } from "./relay/dispatch_news.ts";
+import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
 
@@ -23,9 +23,9 @@
   readonly prefixes: PrefixKnowledge;
   readonly limits: WorkspaceLimits;
   readonly readingRates: ReadingRates;
-  readonly dispatches: DispatchNewsBox;
+  readonly dispatches: RecentDispatches;
   readonly meter: LoadMeter;
-  readonly ledger: UsageLedger;
+  readonly usage: UsageCounter;
   readonly follower: ConfigurationFollower;
   /** The keeper of the duties' lease, once it runs. */
   keeper(): DutyKeeper | undefined;
@@ -71,7 +71,7 @@
       admitted: this.#parts.limits.totals(),
       levels: this.#parts.limits.levels(),
       work: this.#ownWork(),
-      counts: this.#parts.ledger.own(this.#parts.wallTime()),
+      counts: this.#parts.usage.own(this.#parts.wallTime()),
       dispatches: this.#parts.dispatches.take(this.#parts.clock.now()),
       readTokens: this.#parts.meter.ownReadTokens(),
       lease: this.#parts.keeper()?.news,
@@ -112,7 +112,7 @@
       },
       now,
     );
-    this.#parts.ledger.heard(news.host, news.incarnation, news.counts);
+    this.#parts.usage.heard(news.host, news.incarnation, news.counts);
     this.#parts.meter.heard(
       `${news.host}/${news.incarnation}`,
       news.readTokens,
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { Clock, Logger } from "rampswitch-utils";
+import { type Clock, type Logger, sleep } from "rampswitch-utils";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { EngineControl } from "../model/engine_control.ts";
 import type { RequestRun } from "./request_run.ts";
@@ -17,6 +17,12 @@
  */
 const MOVE_BEFORE_END_MILLISECONDS = 1_200;
 
+/**
+ * Age of an engine's report, in milliseconds: asked earlier, it would not tell
+ * of an end that was announced just now.
+ */
+const REPORT_LAG_MILLISECONDS = 400;
+
 /** What the moves work with. */
 export interface LeavingParts {
   readonly clock: Clock;
@@ -40,9 +46,10 @@
   async left(record: ServerRecord): Promise<void> {
     if (this.#runsAt(record).length === 0) return;
     const { clock, engineControl, drainMilliseconds } = this.#parts;
-    const askedAt = clock.now();
+    const announcedAt = clock.now();
+    await sleep(clock, REPORT_LAG_MILLISECONDS);
     const told = await engineControl.leavesIn(record.entry.address);
-    const left = (told ?? drainMilliseconds) - (clock.now() - askedAt);
+    const left = told ?? drainMilliseconds - (clock.now() - announcedAt);
     const wait = Math.max(0, left - MOVE_BEFORE_END_MILLISECONDS);
     clock.after(wait, () => this.#move(record, told));
   }
--- a/packages/rampswitch-serving/src/relay/dispatch_news.ts
+++ b/packages/rampswitch-serving/src/relay/recent_dispatches.ts
@@ -19,7 +19,7 @@
 }
 
 /** Dispatches to tell. */
-export class DispatchNewsBox {
+export class RecentDispatches {
   #dispatches: readonly Dispatch[] = [];
 
   /** Notes a dispatch of a prompt with shared parts. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -29,7 +29,7 @@
   CapacityDuty,
   DutyKeeper,
   UsageDuty,
-  UsageLedger,
+  UsageCounter,
   type FinalReports,
 } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
@@ -42,7 +42,7 @@
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
-import { DispatchNewsBox } from "./relay/dispatch_news.ts";
+import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import { ReadingRates } from "./relay/reading_rates.ts";
@@ -100,15 +100,15 @@
   readonly #prefixes = new PrefixKnowledge();
   readonly #limits: WorkspaceLimits;
   readonly #readingRates = new ReadingRates();
-  readonly #dispatches = new DispatchNewsBox();
+  readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
-  readonly #ledger: UsageLedger;
+  readonly #usage: UsageCounter;
   readonly #client: BackendClient;
   readonly #callers: CallerServer;
   readonly #leaving: LeavingServers;
   readonly #follower: ConfigurationFollower;
   readonly #news: HostNews;
-  readonly #usage: UsageDuty;
+  readonly #usageDuty: UsageDuty;
   readonly #capacity: CapacityDuty;
   #listening = { callers: "", readiness: "" };
   #membership: Membership | undefined;
@@ -124,14 +124,14 @@
       windowMilliseconds: bounds.limitWindowMilliseconds,
     });
     this.#meter = new LoadMeter(ports.clock);
-    this.#ledger = new UsageLedger(bounds.usageWindowMilliseconds);
+    this.#usage = new UsageCounter(bounds.usageWindowMilliseconds);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
     this.#leaving = new LeavingServers(this.#callers, {
       ...ports,
       drainMilliseconds: bounds.drainMilliseconds,
     });
-    this.#usage = new UsageDuty(this.#ledger, {
+    this.#usageDuty = new UsageDuty(this.#usage, {
       cloud: this.#guardedCloud(),
       logger: ports.logger,
       metrics: ports.metrics,
@@ -162,7 +162,7 @@
       readingRates: this.#readingRates,
       dispatches: this.#dispatches,
       meter: this.#meter,
-      ledger: this.#ledger,
+      usage: this.#usage,
       follower: this.#follower,
       keeper: () => this.#keeper,
       wallTime: () => this.#wallTime(),
@@ -264,9 +264,9 @@
       },
       duties: {
         finalReports: (known) =>
-          this.#usage.finalReports(known, this.#wallTime()),
-        counts: () => this.#ledger.lives(this.#lifeName(), this.#wallTime()),
-        restore: (counts) => this.#ledger.restore(counts, this.#lifeName()),
+          this.#usageDuty.finalReports(known, this.#wallTime()),
+        counts: () => this.#usage.lives(this.#lifeName(), this.#wallTime()),
+        restore: (counts) => this.#usage.restore(counts, this.#lifeName()),
         act: (reports, fence) => this.#act(reports, fence),
       },
     });
@@ -278,7 +278,7 @@
   }
 
   async #act(reports: FinalReports, fence: Fence): Promise<void> {
-    await this.#usage.act(reports, fence);
+    await this.#usageDuty.act(reports, fence);
     const { routes } = this.#follower;
     if (routes === undefined || !this.#follower.serversListed) return;
     await this.#capacity.act(routes, fence, this.#ports.clock.now());
@@ -329,7 +329,7 @@
       hosts: () => this.#membership?.size ?? 1,
       startsRequests: () => this.#startsRequests(),
       endsConnections: () => this.#life.state === "stopping",
-      began: (workspace) => this.#ledger.began(workspace, this.#wallTime()),
+      began: (workspace) => this.#usage.began(workspace, this.#wallTime()),
       dispatched: (server, dispatch) => {
         this.#dispatches.add(server, dispatch.parts);
         this.#meter.read(dispatch.service, dispatch.unreadTokens);
--- a/packages/rampswitch-store/src/call_ledger.ts
+++ b/packages/rampswitch-store/src/call_accounting.ts
@@ -15,7 +15,7 @@
 export type CallKind = (typeof CALL_KINDS)[number];
 
 /** Counts calls and refuses those over the ceiling. */
-export class CallLedger {
+export class CallAccounting {
   readonly #clock: Clock;
   readonly #metrics: Metrics;
   readonly #callsPerSecond: () => number;
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -17,7 +17,7 @@
   WatchBatch,
   WatchOptions,
 } from "./object_store.ts";
-import { type CallLedger, type CallKind } from "./call_ledger.ts";
+import { type CallAccounting, type CallKind } from "./call_accounting.ts";
 
 const CALL_DEADLINE_MILLISECONDS = 1_000;
 const WATCH_SECONDS = 30;
@@ -55,13 +55,16 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ];
 
-/** Client of the object API; counts every call in its ledger. */
+/** Client of the object API; counts every call in its accounting. */
 export class HttpObjectStore implements ObjectStore, AsyncDisposable {
-  readonly ledger: CallLedger;
+  readonly accounting: CallAccounting;
   readonly #pool: Pool;
 
-  constructor(address: string, options: { readonly ledger: CallLedger }) {
-    this.ledger = options.ledger;
+  constructor(
+    address: string,
+    options: { readonly accounting: CallAccounting },
+  ) {
+    this.accounting = options.accounting;
     this.#pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS,
       pipelining: 1,
@@ -142,7 +145,7 @@
   }
 
   async #call(call: Call): Promise<Result<Reply, StoreError>> {
-    if (!this.ledger.admit(call.kind)) {
+    if (!this.accounting.admit(call.kind)) {
       return Result.err({ kind: "unavailable", detail: "own rate ceiling" });
     }
     const deadline = AbortSignal.timeout(
--- a/packages/rampswitch-store/src/mod.ts
+++ b/packages/rampswitch-store/src/mod.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export * from "./call_ledger.ts";
+export * from "./call_accounting.ts";
 export * from "./http_object_store.ts";
 export * from "./object_store.ts";
 export * from "./settled_change.ts";
