Log why capacity is not planned or a host not started

Two errors of the cloud ended a round without a word, so that the listed test could not be traced from logs.

--- a/packages/rampswitch-entry/src/duties/capacity_service.ts
+++ b/packages/rampswitch-entry/src/duties/capacity_service.ts
@@ -60,9 +60,15 @@
 
   /** Runs one round under a lease. */
   async round(lease: Lease, holds: () => boolean): Promise<void> {
-    const { cloud, clock, metrics } = this.#options;
+    const { cloud, clock, metrics, logger } = this.#options;
     const listed = await cloud.hosts();
-    if (listed.isErr) return;
+    if (listed.isErr) {
+      logger.warn("capacity not planned: the cloud did not list its hosts", {
+        service: this.#service.name,
+        error: JSON.stringify(listed.error),
+      });
+      return;
+    }
     const own = listed.value.filter(({ token }) =>
       token.startsWith(`${this.#service.name}/`),
     );
@@ -118,6 +124,13 @@
     const end = started.isOk ? "started" : started.error;
     metrics.count("host_start", end);
     if (started.isOk) return;
+    this.#options.logger.warn("host not started", {
+      service: this.#service.name,
+      hostClass,
+      dataHall,
+      error: JSON.stringify(started.error),
+      notAskedForMilliseconds: REFUSED_MILLISECONDS,
+    });
     this.#refusedUntil.set(
       `${hostClass}/${dataHall}`,
       now + REFUSED_MILLISECONDS,
