Ask whether a server lives when an answer without a length ends

A trial showed each such answer ended by the server's end of the connection, none by a reset. Ruled out: resets (seen since the change before), chunks and lengths (undici tells of those). Change: such an answer is whole only if its server still takes a connection. Test: a stand-in that stops to listen and ends within such an answer, whole and streamed, both failed before; one that lives passes.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,7 +6,9 @@
  *
  * @module
  */
+import { connect } from "node:net";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
+import { splitAddress } from "rampswitch-utils";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Why a send ended without a whole answer. */
@@ -58,7 +60,7 @@
 /** Pools of connections to all backend servers. */
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, Pool>();
-  readonly #resets = new ResetWatch();
+  readonly #ends = new ConnectionEnds();
 
   /** Sends a request to a server. */
   send(
@@ -66,7 +68,10 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const handler = new SendHandler(listener, this.#resets);
+    const handler = new SendHandler(listener, {
+      ends: this.#ends,
+      address: server.address,
+    });
     this.#pool(server).dispatch(
       {
         method: request.method,
@@ -97,7 +102,7 @@
     const pool = new Pool(`http://${server.address}`, {
       connections: null,
       pipelining: 1,
-      connect: this.#resets.connector(),
+      connect: this.#ends.connector(),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
@@ -108,48 +113,75 @@
   }
 }
 
+/** How a connection ends, while its end is being handled. */
+type ConnectionEnd = "reset" | "closed_by_server" | undefined;
+
 /**
- * Tells whether a connection is being reset at this moment. undici takes the
- * reset of a connection for the end of an answer without a length, while such
- * an answer was cut off.
+ * Tells whether the callback that runs now comes from the end of a connection.
+ * undici takes a reset, too, for the end of an answer without a length.
  */
-class ResetWatch {
-  #resetting = false;
+class ConnectionEnds {
+  #end: ConnectionEnd;
 
-  /** Whether the callback that runs now comes from a reset. */
-  get resetting(): boolean {
-    return this.#resetting;
+  /** What is being handled; `undefined` while bytes come in. */
+  get current(): ConnectionEnd {
+    return this.#end;
   }
 
-  /** Opens connections whose resets are seen before undici sees them. */
+  /** Opens connections whose ends are seen before undici sees them. */
   connector(): buildConnector.connector {
-    const connect = buildConnector({ timeout: CONNECT_MILLISECONDS });
+    const open = buildConnector({ timeout: CONNECT_MILLISECONDS });
     return (options, callback) =>
-      connect(options, (...result) => {
+      open(options, (...result) => {
         const [, socket] = result;
-        socket?.on("error", () => this.#noteReset());
+        socket?.on("error", () => this.#note("reset"));
+        socket?.on("end", () => this.#note("closed_by_server"));
         callback(...result);
       });
   }
 
-  #noteReset(): void {
-    this.#resetting = true;
+  #note(end: ConnectionEnd): void {
+    this.#end = end;
     queueMicrotask(() => {
-      this.#resetting = false;
+      this.#end = undefined;
     });
   }
 }
 
+/**
+ * Whether a server takes connections. One that was killed within an answer
+ * without a length ends its connection like one that has said all, but its
+ * address is dead at once.
+ */
+function isAlive(address: string): Promise<boolean> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect(port, host);
+    const answer = (alive: boolean) => {
+      socket.destroy();
+      resolve(alive);
+    };
+    socket.setTimeout(CONNECT_MILLISECONDS, () => answer(false));
+    socket.on("connect", () => answer(true));
+    socket.on("error", () => answer(false));
+  });
+}
+
 /** Passes undici's callbacks on until the send is aborted. */
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
-  readonly #resets: ResetWatch;
+  readonly #ends: ConnectionEnds;
+  readonly #address: string;
   #controller: Dispatcher.DispatchController | undefined;
   #silent = false;
 
-  constructor(listener: SendListener, resets: ResetWatch) {
+  constructor(
+    listener: SendListener,
+    connection: { readonly ends: ConnectionEnds; readonly address: string },
+  ) {
     this.#listener = listener;
-    this.#resets = resets;
+    this.#ends = connection.ends;
+    this.#address = connection.address;
   }
 
   abort(): void {
@@ -188,8 +220,18 @@
 
   onResponseEnd(): void {
     if (this.#silent) return;
-    if (this.#resets.resetting) this.#listener.failed("lost", "reset");
-    else this.#listener.ended();
+    const end = this.#ends.current;
+    if (end === undefined) this.#listener.ended();
+    else if (end === "reset") this.#listener.failed("lost", "reset");
+    else void this.#endedWithConnection();
+  }
+
+  /** An answer without a length is whole only if its server still lives. */
+  async #endedWithConnection(): Promise<void> {
+    const alive = await isAlive(this.#address);
+    if (this.#silent) return;
+    if (alive) this.#listener.ended();
+    else this.#listener.failed("lost", "server gone within an answer");
   }
 
   onResponseError(
