Take an answer without a length for lost when its connection ends

Change: such an answer counts as lost: sent elsewhere where it may repeat, 502 otherwise. Price: a whole answer of that form is lost too; a question to the users.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,9 +6,7 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
-import { splitAddress } from "rampswitch-utils";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Why a send ended without a whole answer. */
@@ -68,10 +66,7 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const handler = new SendHandler(listener, {
-      ends: this.#ends,
-      address: server.address,
-    });
+    const handler = new SendHandler(listener, this.#ends);
     this.#pool(server).dispatch(
       {
         method: request.method,
@@ -113,19 +108,18 @@
   }
 }
 
-/** How a connection ends, while its end is being handled. */
-type ConnectionEnd = "reset" | "closed_by_server" | undefined;
-
 /**
  * Tells whether the callback that runs now comes from the end of a connection.
- * undici takes a reset, too, for the end of an answer without a length.
+ * undici takes that, a reset included, for the end of an answer without a
+ * length. A server that is killed ends its connections in the same way, so such
+ * an answer can't be told from half of one.
  */
 class ConnectionEnds {
-  #end: ConnectionEnd;
+  #ending = false;
 
-  /** What is being handled; `undefined` while bytes come in. */
-  get current(): ConnectionEnd {
-    return this.#end;
+  /** Whether a connection's end is being handled. */
+  get ending(): boolean {
+    return this.#ending;
   }
 
   /** Opens connections whose ends are seen before undici sees them. */
@@ -134,54 +128,30 @@
     return (options, callback) =>
       open(options, (...result) => {
         const [, socket] = result;
-        socket?.on("error", () => this.#note("reset"));
-        socket?.on("end", () => this.#note("closed_by_server"));
+        socket?.on("error", () => this.#note());
+        socket?.on("end", () => this.#note());
         callback(...result);
       });
   }
 
-  #note(end: ConnectionEnd): void {
-    this.#end = end;
+  #note(): void {
+    this.#ending = true;
     queueMicrotask(() => {
-      this.#end = undefined;
+      this.#ending = false;
     });
   }
 }
 
-/**
- * Whether a server takes connections. One that was killed within an answer
- * without a length ends its connection like one that has said all, but its
- * address is dead at once.
- */
-function isAlive(address: string): Promise<boolean> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve) => {
-    const socket = connect(port, host);
-    const answer = (alive: boolean) => {
-      socket.destroy();
-      resolve(alive);
-    };
-    socket.setTimeout(CONNECT_MILLISECONDS, () => answer(false));
-    socket.on("connect", () => answer(true));
-    socket.on("error", () => answer(false));
-  });
-}
-
 /** Passes undici's callbacks on until the send is aborted. */
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
   readonly #ends: ConnectionEnds;
-  readonly #address: string;
   #controller: Dispatcher.DispatchController | undefined;
   #silent = false;
 
-  constructor(
-    listener: SendListener,
-    connection: { readonly ends: ConnectionEnds; readonly address: string },
-  ) {
+  constructor(listener: SendListener, ends: ConnectionEnds) {
     this.#listener = listener;
-    this.#ends = connection.ends;
-    this.#address = connection.address;
+    this.#ends = ends;
   }
 
   abort(): void {
@@ -220,18 +190,8 @@
 
   onResponseEnd(): void {
     if (this.#silent) return;
-    const end = this.#ends.current;
-    if (end === undefined) this.#listener.ended();
-    else if (end === "reset") this.#listener.failed("lost", "reset");
-    else void this.#endedWithConnection();
-  }
-
-  /** An answer without a length is whole only if its server still lives. */
-  async #endedWithConnection(): Promise<void> {
-    const alive = await isAlive(this.#address);
-    if (this.#silent) return;
-    if (alive) this.#listener.ended();
-    else this.#listener.failed("lost", "server gone within an answer");
+    if (this.#ends.ending) this.#listener.failed("lost", "no length, no end");
+    else this.#listener.ended();
   }
 
   onResponseError(
