Keep one list of hop-by-hop headers; pass no request that nobody reads

The list stood in http_forward.ts and in request_codec.ts, and a run was handed the incoming message without a use for it. No behaviour changes.

--- a/packages/rampswitch-entry/src/attempt/http_forward.ts
+++ b/packages/rampswitch-entry/src/attempt/http_forward.ts
@@ -7,21 +7,9 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
+import { HOP_BY_HOP_HEADERS } from "rampswitch-utils";
 import type { BackendReply } from "./backend_client.ts";
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Headers of a call that passes through, with some added. */
 export type PassedHeaders = Readonly<
   Record<string, string | readonly string[]>
@@ -40,7 +28,7 @@
     .map((name) => name.trim().toLowerCase());
   const dropped = new Set([...named, ...(options.drop ?? [])]);
   const kept = Object.entries(headers).flatMap(([name, value]) =>
-    value === undefined || HOP_BY_HOP.has(name) || dropped.has(name)
+    value === undefined || HOP_BY_HOP_HEADERS.has(name) || dropped.has(name)
       ? []
       : [[name, value] as const],
   );
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -165,20 +165,14 @@
         arrivedAt,
         configurationVersion: view.routes?.configuration.version ?? 0,
       },
-      incoming,
       response,
     );
   }
 
-  #run(
-    request: AdmittedRequest,
-    incoming: IncomingMessage,
-    response: ServerResponse,
-  ): void {
+  #run(request: AdmittedRequest, response: ServerResponse): void {
     const run = new RequestRun(
       request,
       {
-        incoming,
         response,
         onFinished: (finished) => this.#runs.delete(finished),
       },
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
@@ -87,7 +87,6 @@
   constructor(
     request: AdmittedRequest,
     exchange: {
-      readonly incoming: IncomingMessage;
       readonly response: ServerResponse;
       readonly onFinished: (run: RequestRun) => void;
     },
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./clock.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
+export * from "./hop_headers.ts";
 export * from "./listen.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
