--- a/packages/rampswitch-serving/src/attempt/attempt_machine.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine.ts
@@ -90,18 +90,43 @@
   },
 });
 
+type AttemptSnapshot = SnapshotFrom<typeof ATTEMPT_MACHINE>;
+
+/**
+ * Steps of the machine that were taken before, for all attempts of the process.
+ * The machine has few states, and a step by it costs some 30 microseconds and 3
+ * KB; in a profile of a host with 22 requests a second, steps and the collection
+ * of their garbage were 0.3 of its processor time.
+ */
+class KnownSteps {
+  readonly first: AttemptSnapshot = initialTransition(ATTEMPT_MACHINE)[0];
+  readonly #next = new Map<string, AttemptSnapshot>();
+
+  /** The snapshot after an event. */
+  after(snapshot: AttemptSnapshot, event: AttemptEvent): AttemptSnapshot {
+    const { sends, possibleRuns, relayed } = snapshot.context;
+    const key = `${snapshot.value}/${sends}/${possibleRuns}/${relayed}/${event.type}`;
+    const known = this.#next.get(key);
+    if (known !== undefined) return known;
+    const [next] = transition(ATTEMPT_MACHINE, snapshot, event);
+    this.#next.set(key, next);
+    return next;
+  }
+}
+
+const STEPS = new KnownSteps();
+
 /** States of {@link ATTEMPT_MACHINE}. */
 export type AttemptState = "waiting" | "sent" | "running" | "finished";
 
 /** The truth about one attempt, from which answers and resends follow. */
 export class AttemptTruth {
-  #snapshot: SnapshotFrom<typeof ATTEMPT_MACHINE>;
+  #snapshot = STEPS.first;
   readonly #repeatability: Repeatability;
   #moved = false;
 
   constructor(repeatability: Repeatability) {
     this.#repeatability = repeatability;
-    [this.#snapshot] = initialTransition(ATTEMPT_MACHINE);
   }
 
   /** The state at the last event. */
@@ -140,6 +165,6 @@
   /** Takes in an event. */
   handle(event: AttemptEvent): void {
     if (event.type === "moved") this.#moved = true;
-    [this.#snapshot] = transition(ATTEMPT_MACHINE, this.#snapshot, event);
+    this.#snapshot = STEPS.after(this.#snapshot, event);
   }
 }
--- a/packages/rampswitch-serving/src/observation/bounded_output.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output.ts
@@ -13,17 +13,37 @@
 /** Bytes that wait at most; some seconds of lines under heavy load. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+/**
+ * Lines are collected for this long before they are written, in milliseconds. A
+ * write for each line was 0.06 of a host's processor time at 22 requests a
+ * second. A process that is killed loses the lines of this time.
+ */
+export const COLLECT_MILLISECONDS = 40;
+
 const STANDARD_OUTPUT = 1;
 
 /** Wait before a write that the system turned away, in milliseconds. */
 const TURNED_AWAY_MILLISECONDS = 20;
 
+/** Writes bytes without blocking; tells an error or how many were written. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
 /** A bounded, asynchronous writer of lines. */
 export class BoundedOutput extends Writable {
   #waiting: Buffer[] = [];
   #waitingBytes = 0;
+  /** Whether a write is due or under way. */
   #writing = false;
   #dropped = 0;
+  readonly #write: WriteBytes;
+
+  constructor(writeBytes: WriteBytes = writeToStandardOutput) {
+    super();
+    this.#write = writeBytes;
+  }
 
   /** Lines dropped since the start. */
   get droppedLines(): number {
@@ -41,14 +61,18 @@
     } else {
       this.#waiting.push(chunk);
       this.#waitingBytes += chunk.length;
-      this.#flush();
+      this.#scheduleFlush();
     }
     done();
   }
 
-  #flush(): void {
+  #scheduleFlush(): void {
     if (this.#writing || this.#waiting.length === 0) return;
     this.#writing = true;
+    setTimeout(() => this.#flush(), COLLECT_MILLISECONDS);
+  }
+
+  #flush(): void {
     const batch = Buffer.concat(this.#waiting);
     this.#waiting = [];
     this.#waitingBytes = 0;
@@ -56,7 +80,7 @@
   }
 
   #writeRest(batch: Buffer): void {
-    write(STANDARD_OUTPUT, batch, (error, written) => {
+    this.#write(batch, (error, written) => {
       if (error?.code === "EAGAIN") {
         setTimeout(() => this.#writeRest(batch), TURNED_AWAY_MILLISECONDS);
         return;
@@ -66,8 +90,12 @@
       if (rest !== undefined && rest.length > 0) this.#writeRest(rest);
       else {
         this.#writing = false;
-        this.#flush();
+        this.#scheduleFlush();
       }
     });
   }
 }
+
+function writeToStandardOutput(...[bytes, done]: Parameters<WriteBytes>): void {
+  write(STANDARD_OUTPUT, bytes, done);
+}
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -87,6 +87,9 @@
   #head: AnswerHead | undefined;
   readonly #held = new HeldBody();
   #lastEventId: string | undefined;
+  #lastEventAt = -Infinity;
+  /** Whether the present send is watched for pauses between events. */
+  #pauseWatched = false;
   #memorySource: MemorySource | undefined;
   #moving = false;
   #lostWhileMoving = false;
@@ -269,6 +272,11 @@
     this.#cancelStall = this.#context.clock.after(milliseconds, () => {
       const current = this.#current;
       if (current === undefined || this.#moving) return;
+      const silence = this.#now() - this.#lastEventAt;
+      if (this.#pauseWatched && silence < STREAM_PAUSE_MILLISECONDS) {
+        this.#watchForStall(STREAM_PAUSE_MILLISECONDS - silence);
+        return;
+      }
       current.choice.record.failed(this.#now(), { surelyDown: false });
       if (!this.#mayResendAfterRun()) return;
       this.#truth.handle({ type: "lost" });
@@ -338,9 +346,13 @@
     const frames = this.#framer.push(chunk);
     if (frames.count === 0) return;
     if (!this.#answer.started) this.#firstEvent(current);
+    if (!this.#pauseWatched) {
+      this.#pauseWatched = true;
+      this.#watchForStall(STREAM_PAUSE_MILLISECONDS);
+    }
     this.#truth.handle({ type: "relayed" });
     this.#lastEventId = frames.lastId ?? this.#lastEventId;
-    this.#watchForStall(STREAM_PAUSE_MILLISECONDS);
+    this.#lastEventAt = this.#now();
     if (this.#answer.write(frames.bytes)) return;
     current.send.pause();
     this.#answer.onceDrained(() => current.send.resume());
@@ -545,6 +557,7 @@
   /** Ends the current send's part in the counts; forgets what it brought. */
   #endCurrent(abort: boolean): void {
     this.#cancelStall();
+    this.#pauseWatched = false;
     if (abort) this.#current?.send.abort();
     this.#current?.work.ended();
     this.#current = undefined;
