--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -25,6 +25,13 @@
 /** A fall of a wish is ordered after it lasted this long, in milliseconds. */
 const FALL_MILLISECONDS = 6_000;
 
+/**
+ * The same for servers on demand, in milliseconds. They are wished for less as
+ * soon as reclaimable ones are ready in their place, which is no chance of the
+ * load, and each costs as much as four or more of those.
+ */
+const FALL_ON_DEMAND_MILLISECONDS = 1_500;
+
 /** After a refusal, reclaimable servers are asked for again after this, in ms. */
 const SOLD_OUT_MILLISECONDS = 3_000;
 
@@ -219,7 +226,10 @@
     const onDemand = this.#states.get(
       stateKey(service.name, hall.dataHall, false),
     );
-    const current = onDemand?.ordered ?? hall.onDemandReady;
+    // While the first servers register, more may be there than were ordered.
+    const current = this.#parts.idle()
+      ? Math.max(onDemand?.ordered ?? 0, hall.onDemandReady)
+      : (onDemand?.ordered ?? hall.onDemandReady);
     const kept = Math.min(
       wish.onDemandMost,
       Math.max(wish.onDemandLeast, current),
@@ -255,8 +265,10 @@
     if (now < state.notBefore) return false;
     if (order.desired > current) return true;
     state.fallSince ??= now;
-    const wait = this.#parts.idle() ? 0 : FALL_MILLISECONDS;
-    return now - state.fallSince >= wait;
+    const wait = order.reclaimable
+      ? FALL_MILLISECONDS
+      : FALL_ON_DEMAND_MILLISECONDS;
+    return now - state.fallSince >= (this.#parts.idle() ? 0 : wait);
   }
 
   async #order(order: ServerOrder, fence: Fence, now: number): Promise<void> {
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -68,12 +68,22 @@
 
 /**
  * Share of the servers needed that has to be left when the data hall with most
- * reclaimable ones is reclaimed. While reclaims leave no others to be had, only
- * servers on demand can be, and those take seconds to start: with none ordered
- * ahead, a fourth reclaim in 13 s left a fleet without any server for 4 s.
+ * reclaimable ones is reclaimed. Others can then be had in the other halls.
  */
 const LEFT_AT_LEAST = 0.35;
 
+/**
+ * The same while reclaims leave no others to be had: only servers on demand
+ * can follow, and those take seconds to start.
+ */
+const LEFT_WHILE_SOLD_OUT = 1;
+
+/**
+ * Largest part of the servers on demand that one data hall has. The cheapest
+ * two share them: a third or fourth would cost more and protect little more.
+ */
+const LARGEST_PART_OF_HALL = 0.5;
+
 /** Fewest servers that a service with any load is planned with. */
 const LEAST_SERVERS = 3;
 
@@ -129,23 +139,24 @@
       (limits.dataHallPrices.get(right.dataHall) ?? 1),
   );
   const open = cheapest.filter((hall) => !hall.reclaimableSoldOut);
-  const missing = (count: (hall: DataHallServers) => number) =>
-    missingOnDemand(needed, halls.map(count));
+  const leftShare =
+    open.length < halls.length ? LEFT_WHILE_SOLD_OUT : LEFT_AT_LEAST;
+  const onDemand = (count: (hall: DataHallServers) => number) =>
+    fillCheapest(
+      missingOnDemand(needed, halls.map(count), leftShare),
+      cheapest.map((hall) => ({
+        dataHall: hall.dataHall,
+        ready: hall.onDemandReady,
+        room: Math.max(0, limits.maximum - count(hall)),
+      })),
+    );
   const reclaimable = spread(
     Math.ceil(needed * reclaimReserve(halls.length)),
     open,
     limits,
   );
-  const least = spread(
-    missing((hall) => hall.reclaimableExpected),
-    cheapest,
-    limits,
-  );
-  const most = spread(
-    missing((hall) => hall.reclaimableReady),
-    cheapest,
-    limits,
-  );
+  const least = onDemand((hall) => hall.reclaimableExpected);
+  const most = onDemand((hall) => hall.reclaimableReady);
   return halls.map(({ dataHall }) => ({
     dataHall,
     reclaimable: reclaimable.get(dataHall),
@@ -161,16 +172,65 @@
 function missingOnDemand(
   needed: number,
   reclaimable: readonly number[],
+  leftShare: number,
 ): number {
   const all = reclaimable.reduce((sum, count) => sum + count, 0);
   const leftAfterReclaim = all - Math.max(0, ...reclaimable);
   return Math.max(
     0,
     needed - all,
-    Math.ceil(needed * LEFT_AT_LEAST) - leftAfterReclaim,
+    Math.ceil(needed * leftShare) - leftAfterReclaim,
+  );
+}
+
+/** A data hall that servers on demand may be in. */
+interface HallOnDemand {
+  readonly dataHall: string;
+  readonly ready: number;
+  readonly room: number;
+}
+
+/** Keeps servers that are ready, and fills the cheapest data halls with others. */
+function fillCheapest(
+  count: number,
+  halls: readonly HallOnDemand[],
+): ReadonlyMap<string, number> {
+  const part = Math.ceil(count * LARGEST_PART_OF_HALL);
+  const kept = inTurn(
+    count,
+    halls.map(({ ready, room }) => Math.min(ready, room)),
+  );
+  const parted = inTurn(
+    count - sum(kept),
+    halls.map(({ room }, index) =>
+      Math.max(0, Math.min(room, part) - (kept[index] ?? 0)),
+    ),
+  );
+  const crowded = inTurn(
+    count - sum(kept) - sum(parted),
+    halls.map(
+      ({ room }, index) => room - (kept[index] ?? 0) - (parted[index] ?? 0),
+    ),
+  );
+  return new Map(
+    halls.map(({ dataHall }, index) => [
+      dataHall,
+      sum([kept, parted, crowded].map((counts) => counts[index] ?? 0)),
+    ]),
   );
 }
 
+/** Gives each place in turn what it has room for, until nothing is left. */
+function inTurn(count: number, rooms: readonly number[]): readonly number[] {
+  return rooms.map((room, index) =>
+    Math.min(room, Math.max(0, count - sum(rooms.slice(0, index)))),
+  );
+}
+
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
+
 /** Spreads servers evenly; the first data halls get what is left over. */
 function spread(
   count: number,
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -55,7 +55,7 @@
   /** Load of a service over all hosts; asking adds to its history. */
   load(service: string): ServiceLoad {
     return {
-      running: this.#parts.meter.peakRunning(
+      running: this.#parts.meter.meanRunning(
         service,
         this.#parts.directory
           .of(service)
--- a/packages/rampswitch-serving/src/relay/load_meter.ts
+++ b/packages/rampswitch-serving/src/relay/load_meter.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "rampswitch-utils";
 
-/** Span over which loads are averaged and peaks kept, in milliseconds. */
+/** Span over which loads are averaged, in milliseconds. */
 const SPAN_MILLISECONDS = 6_000;
 
 interface Sample {
@@ -67,11 +67,15 @@
     return ((last.value - first.value) / (last.at - first.at)) * 1_000;
   }
 
-  /** The most requests that ran at once within the span. */
-  peakRunning(service: string, running: number): number {
-    return this.#sample(this.#running, service, running).reduce(
-      (most, sample) => Math.max(most, sample.value),
-      0,
+  /**
+   * Requests that ran at once, on the mean of the span. Its peak would count
+   * what waits after a loss of servers as load, and order servers for a moment
+   * that is over when they start.
+   */
+  meanRunning(service: string, running: number): number {
+    const samples = this.#sample(this.#running, service, running);
+    return (
+      samples.reduce((sum, sample) => sum + sample.value, 0) / samples.length
     );
   }
 
