--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -38,7 +38,10 @@
 export interface Choice {
   readonly record: ServerRecord;
   readonly predictedMilliseconds: number;
+  /** Tokens that the server keeps or copies, and need not read. */
   readonly keptTokens: number;
+  /** Another engine that keeps more of the prompt, to copy that from. */
+  readonly copyFrom: ServerRecord | undefined;
   readonly load: number;
 }
 
@@ -84,6 +87,12 @@
  */
 const DRAWN_SERVERS = 3;
 
+/** Time to begin a copy of kept parts, in milliseconds; engines take 3 to 6. */
+const COPY_SETUP_MILLISECONDS = 6;
+
+/** A copy between data halls takes this many times as long. */
+const FAR_COPY_FACTOR = 2;
+
 /** Chooses among the servers of a service. */
 export function chooseServer(
   records: readonly ServerRecord[],
@@ -100,8 +109,13 @@
   const open = working.filter((record) => hasRoom(record, inputs));
   if (open.length === 0) return { kind: "full" };
   const home = homeOf(open, inputs.parts);
-  const choices = candidates(open, { ...inputs, home }).map((record) =>
-    predict(record, prefixes, { ...inputs, home }),
+  const common = {
+    ...inputs,
+    home,
+    keeper: keeperOf(records, prefixes, inputs),
+  };
+  const choices = candidates(open, common).map((record) =>
+    predict(record, prefixes, common),
   );
   const best = choices.reduce((least, choice) =>
     choice.predictedMilliseconds < least.predictedMilliseconds ? choice : least,
@@ -147,10 +161,70 @@
   );
 }
 
+/** An engine that keeps a part of a prompt. */
+interface Keeper {
+  readonly record: ServerRecord;
+  readonly tokens: number;
+}
+
+/**
+ * The engine that keeps most of a prompt, full and leaving ones included: its
+ * memory can be copied while it lives.
+ */
+function keeperOf(
+  records: readonly ServerRecord[],
+  prefixes: PrefixKnowledge,
+  { engine, now, parts }: ChoiceInputs,
+): Keeper | undefined {
+  if (engine?.copyTokensPerMillisecond === undefined) return undefined;
+  return records
+    .filter((record) => !record.isEjected(now) && record.answersFor(now))
+    .map((record) => ({
+      record,
+      tokens: prefixes.keptTokens(record.entry.id, parts.slice(0, -1)),
+    }))
+    .reduce<Keeper | undefined>(
+      (most, next) => (next.tokens > (most?.tokens ?? 0) ? next : most),
+      undefined,
+    );
+}
+
+/** What copying a prompt's parts from their keeper takes and saves. */
+interface CopiedParts {
+  readonly from: ServerRecord | undefined;
+  readonly tokens: number;
+  readonly milliseconds: number;
+}
+
+const NO_COPY: CopiedParts = { from: undefined, tokens: 0, milliseconds: 0 };
+
+/** Copies what an engine lacks where that is faster than to read it. */
+function copiedParts(
+  record: ServerRecord,
+  keptTokens: number,
+  inputs: ChoiceInputs & { readonly keeper: Keeper | undefined },
+): CopiedParts {
+  const { keeper, engine, readingRate } = inputs;
+  const rate = engine?.copyTokensPerMillisecond;
+  if (keeper === undefined || keeper.record === record || rate === undefined) {
+    return NO_COPY;
+  }
+  const tokens = keeper.tokens - keptTokens;
+  const far = keeper.record.entry.dataHall !== record.entry.dataHall;
+  const milliseconds =
+    COPY_SETUP_MILLISECONDS + (tokens / rate) * (far ? FAR_COPY_FACTOR : 1);
+  return milliseconds < tokens / readingRate
+    ? { from: keeper.record, tokens, milliseconds }
+    : NO_COPY;
+}
+
 function predict(
   record: ServerRecord,
   prefixes: PrefixKnowledge,
-  inputs: ChoiceInputs & { readonly home: string | undefined },
+  inputs: ChoiceInputs & {
+    readonly home: string | undefined;
+    readonly keeper: Keeper | undefined;
+  },
 ): Choice {
   const load = record.load(inputs.now);
   const isHome = record.entry.id === inputs.home;
@@ -160,6 +234,7 @@
       ? HOME_KEPT_SHARE * sharedTokens(inputs.parts)
       : 0,
   );
+  const copied = copiedParts(record, keptTokens, inputs);
   const distance =
     record.entry.dataHall === inputs.dataHall
       ? 0
@@ -168,11 +243,16 @@
   const work =
     inputs.engine === undefined
       ? plainMilliseconds(load, record.entry.slots)
-      : engineMilliseconds(record, { ...inputs, load, keptTokens });
+      : engineMilliseconds(record, {
+          ...inputs,
+          load,
+          keptTokens,
+        });
   const homeGain = isHome ? HOME_MILLISECONDS : 0;
   return {
     record,
-    keptTokens,
+    keptTokens: keptTokens + copied.tokens,
+    copyFrom: copied.from,
     load,
     predictedMilliseconds: work + distance + failures - homeGain,
   };
--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -114,6 +114,72 @@
     expect(new Set(all)).toEqual(new Set(["s0"]));
   });
 
+  describe("copies of kept parts", () => {
+    const copying = {
+      engine: {
+        slots: 8,
+        memoryTokens: 500_000,
+        movable: true,
+        copyTokensPerMillisecond: 1_000,
+      },
+    };
+
+    /** A keeper with much to read, and an idle engine that is chosen. */
+    function busyKeeper(): {
+      readonly keeper: ServerRecord;
+      readonly records: readonly ServerRecord[];
+      readonly prefixes: PrefixKnowledge;
+    } {
+      const keeper = server("keeper");
+      keeper.started(20_000);
+      const prefixes = new PrefixKnowledge();
+      prefixes.stored("keeper", PARTS.slice(0, 2), 500_000);
+      return { keeper, records: [keeper, server("idle")], prefixes };
+    }
+
+    function copySource(
+      made: ReturnType<typeof busyKeeper>,
+      inputs: Partial<ChoiceInputs> = copying,
+    ): { readonly from: string | undefined; readonly kept: number } {
+      const outcome = chooseServer(made.records, made.prefixes, {
+        ...INPUTS,
+        ...inputs,
+      });
+      if (outcome.kind !== "chosen") throw new Error("no server was chosen");
+      const { copyFrom, keptTokens, record } = outcome.choice;
+      expect(record.entry.id).toBe("idle");
+      return { from: copyFrom?.entry.id, kept: keptTokens };
+    }
+
+    test("come from the engine that keeps them, and need not be read", () => {
+      expect(copySource(busyKeeper())).toEqual({ from: "keeper", kept: 6_500 });
+    });
+
+    test("come from an engine that left just now, not from one long gone", () => {
+      const made = busyKeeper();
+      made.keeper.entry = { ...made.keeper.entry, state: "leaving" };
+      made.keeper.leavingSince = INPUTS.now - 1_000;
+      expect(copySource(made).from).toBe("keeper");
+      made.keeper.leavingSince = INPUTS.now - 2_000;
+      expect(copySource(made)).toEqual({ from: undefined, kept: 0 });
+    });
+
+    test("do not come from an engine that fails", () => {
+      const made = busyKeeper();
+      made.keeper.failed(INPUTS.now, { surelyDown: true });
+      expect(copySource(made).from).toBeUndefined();
+    });
+
+    test("are left where reading is faster, or engines copy nothing", () => {
+      expect(
+        copySource(busyKeeper(), {
+          engine: { ...copying.engine, copyTokensPerMillisecond: 40 },
+        }).from,
+      ).toBeUndefined();
+      expect(copySource(busyKeeper(), {}).from).toBeUndefined();
+    });
+  });
+
   test("leaves out servers that leave, fail, are full or were tried", () => {
     const ready = server("ready");
     const leaving = server("leaving");
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -38,6 +38,12 @@
 /** Weight of the newest result in the share of failures. */
 const FAILURE_WEIGHT = 0.15;
 
+/**
+ * A leaving server is taken to live for this long, in milliseconds; the shortest
+ * announced reclaims left 2 s.
+ */
+const ANSWERS_ON_MILLISECONDS = 1_500;
+
 /** One backend server as this host knows it. */
 export class ServerRecord {
   /** As the platform last listed it. */
@@ -164,6 +170,16 @@
     return this.entry.state === "ready";
   }
 
+  /** Whether the server still answers others: it is ready or left just now. */
+  answersFor(now: number): boolean {
+    const { leavingSince } = this;
+    return (
+      this.isReady ||
+      (leavingSince !== undefined &&
+        now - leavingSince < ANSWERS_ON_MILLISECONDS)
+    );
+  }
+
   /** Whether it is left out for a while after failures. */
   isEjected(now: number): boolean {
     return now < this.#ejectedUntil;
--- a/packages/rampswitch-serving/src/model/configuration.ts
+++ b/packages/rampswitch-serving/src/model/configuration.ts
@@ -46,6 +46,11 @@
   readonly memoryTokens: number;
   /** Whether a run's memory may be moved to another engine. */
   readonly movable: boolean;
+  /**
+   * Tokens of memory that the link between two engines takes in a millisecond;
+   * `undefined` where engines do not copy kept parts from each other.
+   */
+  readonly copyTokensPerMillisecond?: number | undefined;
 }
 
 /** Bounds and prices of ordered backend servers. */
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -54,6 +54,8 @@
   readonly enginePriority: number | undefined;
   readonly lastEventId: string | undefined;
   readonly memorySource: MemorySource | undefined;
+  /** Address of an engine from which kept parts of the prompt are copied. */
+  readonly copyPartsFrom: string | undefined;
 }
 
 /** Load that a backend server tells with an answer. */
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -50,6 +50,8 @@
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
+  /** Resolves once a first configuration is known or will not come soon. */
+  firstConfiguration(): Promise<void>;
   /** Hosts of the system that may be serving. */
   hosts(): number;
   /** Whether this host hears which prompts the others sent where. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -234,6 +234,10 @@
           enginePriority: enginePriority(request),
           lastEventId: this.#lastEventId,
           memorySource,
+          copyPartsFrom:
+            memorySource === undefined
+              ? choice.copyFrom?.entry.address
+              : undefined,
         }),
       },
       {
