--- a/packages/rampswitch-serving/src/relay/load_meter.ts
+++ b/packages/rampswitch-serving/src/relay/load_meter.ts
@@ -18,11 +18,17 @@
 /** Totals by service. */
 export type ReadTokens = Readonly<Record<string, number>>;
 
+interface PeerTotals {
+  readonly first: ReadTokens;
+  readonly last: ReadTokens;
+}
+
 /** Load of all services as one host knows it. */
 export class LoadMeter {
   readonly #clock: Clock;
   #own: Record<string, number> = {};
-  readonly #peers = new Map<string, ReadTokens>();
+  /** What each life of a peer told first, and last. */
+  readonly #peers = new Map<string, PeerTotals>();
   readonly #totals = new Map<string, readonly Sample[]>();
   readonly #running = new Map<string, readonly Sample[]>();
 
@@ -42,21 +48,26 @@
 
   /** Whether no prompt was sent by any host since this one started. */
   get idle(): boolean {
-    return [this.#own, ...this.#peers.values()].every((totals) =>
+    const told = [...this.#peers.values()].map(({ last }) => last);
+    return [this.#own, ...told].every((totals) =>
       Object.values(totals).every((tokens) => tokens === 0),
     );
   }
 
   /** Takes in a peer's totals; `life` differs for each of its processes. */
   heard(life: string, totals: ReadTokens): void {
-    this.#peers.set(life, totals);
+    const first = this.#peers.get(life)?.first ?? totals;
+    this.#peers.set(life, { first, last: totals });
   }
 
   /** Prompt tokens a second that all hosts sent to a service. */
   readTokensPerSecond(service: string): number {
-    const total = [this.#own, ...this.#peers.values()].reduce(
-      (sum, totals) => sum + (totals[service] ?? 0),
-      0,
+    // What a peer had read before it was heard is no load of now: taken for that,
+    // a restarted host ordered 28 servers where 11 were needed.
+    const total = [...this.#peers.values()].reduce(
+      (sum, { first, last }) =>
+        sum + (last[service] ?? 0) - (first[service] ?? 0),
+      this.#own[service] ?? 0,
     );
     const samples = this.#sample(this.#totals, service, total);
     const [first] = samples;
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/load_meter_test.ts
@@ -0,0 +1,54 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { ManualClock } from "rampswitch-utils";
+import { LoadMeter } from "./load_meter.ts";
+
+/** Time between samples, in milliseconds. */
+const PACE = 250;
+
+describe("load meter", () => {
+  test("a host that starts takes no peer's past for its present", () => {
+    const clock = new ManualClock();
+    const meter = new LoadMeter(clock);
+    meter.readTokensPerSecond("models");
+    const rates = Array.from({ length: 8 }, (_, index) => {
+      clock.advance(PACE);
+      // A peer that has read ten million tokens reads 1,000 in each pace.
+      meter.heard("peer/1", { models: 10_000_000 + 1_000 * index });
+      return meter.readTokensPerSecond("models");
+    });
+    expect(Math.max(...rates)).toBeLessThanOrEqual(4_000);
+    expect(rates.at(-1)).toBeGreaterThan(3_000);
+  });
+
+  test("counts a peer's next life beside its last one", () => {
+    const clock = new ManualClock();
+    const meter = new LoadMeter(clock);
+    meter.heard("peer/1", { models: 0 });
+    meter.readTokensPerSecond("models");
+    clock.advance(1_000);
+    meter.heard("peer/1", { models: 5_000 });
+    meter.heard("peer/2", { models: 0 });
+    clock.advance(1_000);
+    meter.heard("peer/2", { models: 3_000 });
+    expect(meter.readTokensPerSecond("models")).toBe(4_000);
+  });
+
+  test("requests that wait for a moment hardly raise the load", () => {
+    const clock = new ManualClock();
+    const meter = new LoadMeter(clock);
+    const loads = Array.from({ length: 24 }, (_, index) => {
+      clock.advance(PACE);
+      return meter.meanRunning("models", index >= 18 && index < 22 ? 160 : 60);
+    });
+    expect(Math.max(...loads)).toBeLessThan(80);
+  });
+
+  test("is idle until any host has read something", () => {
+    const meter = new LoadMeter(new ManualClock());
+    expect(meter.idle).toBe(true);
+    meter.heard("peer/1", { models: 7 });
+    expect(meter.idle).toBe(false);
+  });
+});
--- a/packages/rampswitch-serving/src/relay/reading_rates.ts
+++ b/packages/rampswitch-serving/src/relay/reading_rates.ts
@@ -13,7 +13,7 @@
 /** Prompts shorter than this tell little about the rate, in tokens. */
 const SHORTEST_MEASURED_TOKENS = 3_000;
 
-/** Weight of a new measurement. */
+/** Least weight of a new measurement; the first ones count as a mean. */
 const NEW_WEIGHT = 0.05;
 
 /** Bounds of what is believed, in tokens a millisecond. */
@@ -24,12 +24,15 @@
 const LEAST_GROWTH = 1.005;
 
 interface Rate {
+  /** Measurements so far, the first guess counted as one. */
+  readonly measurements: number;
   readonly tokensPerMillisecond: number;
   /** Least time to a first part: what a prompt without tokens would take. */
   readonly leastMilliseconds: number;
 }
 
 const FIRST_RATE: Rate = {
+  measurements: 1,
   tokensPerMillisecond: FIRST_GUESS,
   leastMilliseconds: Infinity,
 };
@@ -53,11 +56,14 @@
     const reading = milliseconds - leastMilliseconds;
     const tells = tokens >= SHORTEST_MEASURED_TOKENS && reading > 0;
     const sample = Math.min(HIGHEST, Math.max(LOWEST, tokens / reading));
+    const measurements = known.measurements + (tells ? 1 : 0);
+    const weight = Math.max(NEW_WEIGHT, 1 / measurements);
     this.#rates.set(service, {
+      measurements,
       leastMilliseconds,
       tokensPerMillisecond: tells
         ? known.tokensPerMillisecond +
-          NEW_WEIGHT * (sample - known.tokensPerMillisecond)
+          weight * (sample - known.tokensPerMillisecond)
         : known.tokensPerMillisecond,
     });
   }
