--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -30,6 +30,11 @@
    * fleet it does not, and trusts that they use the same homes.
    */
   readonly hearsDispatches: boolean;
+  /**
+   * Time after the announcement of a server's end in which it takes requests
+   * that no other server can take, in milliseconds.
+   */
+  readonly leavingMilliseconds: number;
   /** Draws a number in [0, 1). */
   draw(): number;
 }
@@ -99,9 +104,37 @@
   prefixes: PrefixKnowledge,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const ready = records.filter(
-    (record) => record.isReady && !inputs.excluded.has(record.entry.id),
+  const untried = records.filter(
+    (record) => !inputs.excluded.has(record.entry.id),
+  );
+  const ready = untried.filter((record) => record.isReady);
+  const outcome = chooseAmong(ready, records, prefixes, inputs);
+  if (outcome.kind === "chosen") return outcome;
+  const leaving = untried.filter((record) => takesLast(record, inputs));
+  const last = chooseAmong(leaving, records, prefixes, inputs);
+  return last.kind === "chosen" ? last : outcome;
+}
+
+/**
+ * Whether a leaving server takes a last request: its end was announced just now,
+ * and what it runs can end or be moved in time. Where all data halls are
+ * reclaimed within seconds, others start only as the last of these end.
+ */
+function takesLast(record: ServerRecord, inputs: ChoiceInputs): boolean {
+  const { leavingSince } = record;
+  return (
+    !record.isReady &&
+    leavingSince !== undefined &&
+    inputs.now - leavingSince < inputs.leavingMilliseconds
   );
+}
+
+function chooseAmong(
+  ready: readonly ServerRecord[],
+  records: readonly ServerRecord[],
+  prefixes: PrefixKnowledge,
+  inputs: ChoiceInputs,
+): ChoiceOutcome {
   if (ready.length === 0) return { kind: "none" };
   const healthy = ready.filter((record) => !record.isEjected(inputs.now));
   // Where all failed lately, trying one is better than refusing.
--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -22,6 +22,7 @@
   excluded: new Set(),
   ownConnections: 100,
   hearsDispatches: true,
+  leavingMilliseconds: 1_200,
   draw: () => 0.5,
 };
 
@@ -188,6 +189,7 @@
     down.failed(INPUTS.now, { surelyDown: true });
     const full = server("full");
     Array.from({ length: 20 }).forEach(() => full.started(0));
+    leaving.leavingSince = INPUTS.now - 1_300;
     expect(chosen([leaving, down, full, ready])).toBe("ready");
     expect(chosen([leaving])).toBe("none");
     expect(chosen([full])).toBe("full");
@@ -195,6 +197,23 @@
     expect(chosen([ready], { inputs: { excluded } })).toBe("none");
   });
 
+  test("takes one that began to leave just now rather than none", () => {
+    const leaving = server("leaving");
+    leaving.entry = { ...leaving.entry, state: "leaving" };
+    leaving.leavingSince = INPUTS.now - 1_100;
+    const full = server("full");
+    Array.from({ length: 20 }).forEach(() => full.started(0));
+    expect(chosen([leaving])).toBe("leaving");
+    expect(chosen([leaving, full])).toBe("leaving");
+    expect(chosen([leaving, server("ready")])).toBe("ready");
+    expect(
+      chosen([leaving, full], { inputs: { leavingMilliseconds: 0 } }),
+    ).toBe("full");
+    const gone = server("gone");
+    gone.entry = { ...gone.entry, state: "leaving" };
+    expect(chosen([gone])).toBe("none");
+  });
+
   test("takes a server that failed back after a while", () => {
     const record = server("s1");
     record.failed(INPUTS.now, { surelyDown: true });
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -44,11 +44,14 @@
 
   /** A server was announced to leave, or its entry is gone. */
   async left(record: ServerRecord): Promise<void> {
-    if (this.#runsAt(record).length === 0) return;
     const { clock, engineControl, drainMilliseconds } = this.#parts;
     const announcedAt = clock.now();
     await sleep(clock, REPORT_LAG_MILLISECONDS);
-    const told = await engineControl.leavesIn(record.entry.address);
+    // Runs may still come where no other server takes them.
+    const told =
+      this.#runsAt(record).length === 0
+        ? undefined
+        : await engineControl.leavesIn(record.entry.address);
     const left = told ?? drainMilliseconds - (clock.now() - announcedAt);
     const wait = Math.max(0, left - MOVE_BEFORE_END_MILLISECONDS);
     clock.after(wait, () => this.#move(record, told));
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -50,10 +50,10 @@
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
-  /** Resolves once a first configuration is known or will not come soon. */
-  firstConfiguration(): Promise<void>;
   /** Hosts of the system that may be serving. */
   hosts(): number;
+  /** Time that a leaving server serves on after its announcement, in ms. */
+  drainMilliseconds(): number;
   /** Whether this host hears which prompts the others sent where. */
   hearsDispatches(): boolean;
   /** Whether this host still starts requests. */
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -17,6 +17,12 @@
 /** Connections to one server that this host may use, whatever its share. */
 const LEAST_CONNECTIONS = 2;
 
+/**
+ * Part of the time to the end of a leaving server in which it takes requests; the
+ * rest is for the way there, and for the news of its end.
+ */
+const LEAVING_SHARE = 0.6;
+
 /** Chooses among the servers that were not tried. */
 export function chooseFor(
   request: AdmittedRequest,
@@ -34,11 +40,19 @@
     readingRate: readingRates.of(name),
     excluded: tried,
     ownConnections: ownConnections(request.service, context.hosts()),
+    leavingMilliseconds: endsInTime(request)
+      ? context.drainMilliseconds() * LEAVING_SHARE
+      : 0,
     hearsDispatches: context.hearsDispatches(),
     draw: () => context.random.next(),
   });
 }
 
+/** Whether a request ends, or can be moved, before a leaving server ends. */
+function endsInTime({ route, service }: AdmittedRequest): boolean {
+  return !route.streaming || (service.engine?.movable ?? false);
+}
+
 function ownConnections(service: Service, hosts: number): number {
   const share = (service.maximumConnections * CONNECTION_SHARE) / hosts;
   return Math.max(LEAST_CONNECTIONS, Math.floor(share));
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -290,6 +290,7 @@
         keysTrusted: this.#keysTrusted(),
       }),
       hosts: () => this.#membership?.size ?? 1,
+      drainMilliseconds: () => this.#settings.bounds.drainMilliseconds,
       hearsDispatches: () => (this.#membership?.role ?? "direct") === "direct",
       startsRequests: () => this.#startsRequests(),
       endsConnections: () => this.#life.state === "stopping",
