--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -68,6 +68,14 @@
  */
 const KEPT_FOR_URGENT = { shareEachRank: 0.15, ranks: 2 };
 
+/**
+ * Requests of its own size that a request has to leave in the limit for more
+ * urgent ones, at most. Requests of a few hundred tokens beside prompts of ten
+ * thousand take next to nothing from them: without this bound, 82 of 1,268
+ * bookings of a calm day were refused for 16,000 tokens in all.
+ */
+const LEFT_OF_OWN_SIZE = 24;
+
 /**
  * Level of a bucket that a host has never heard of, as a share of a full one.
  * All hosts may have been killed after they spent a whole bucket, and once more
@@ -210,7 +218,7 @@
     const level = this.#available(workspace, now);
     // A request larger than the whole bucket passes when the bucket is full.
     const needed = Math.min(
-      tokens + reservedTokens(workspace, options.priority),
+      tokens + reservedTokens(workspace, options.priority, tokens),
       this.#mostAvailable(workspace, now),
     );
     const recent = this.#recentTokens(name, now);
@@ -493,9 +501,16 @@
 }
 
 /** Tokens of a workspace's limit that more urgent requests may still need. */
-function reservedTokens(workspace: Workspace, priority: number): number {
+function reservedTokens(
+  workspace: Workspace,
+  priority: number,
+  tokens: number,
+): number {
   const ranks = Math.min(priority, KEPT_FOR_URGENT.ranks);
-  return workspace.burstTokens * KEPT_FOR_URGENT.shareEachRank * ranks;
+  return Math.min(
+    workspace.burstTokens * KEPT_FOR_URGENT.shareEachRank * ranks,
+    tokens * LEFT_OF_OWN_SIZE,
+  );
 }
 
 /** Share of all hosts but one, none of which is heard. */
--- a/packages/rampswitch-serving/src/admission/workspace_limits_test.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits_test.ts
@@ -421,6 +421,25 @@
     expect(least).toBeGreaterThan(6);
   });
 
+  test("a small request need not leave much to more urgent ones", () => {
+    const limits = newHost(0);
+    limits.configure([{ ...WORKSPACE, tokensPerSecond: 1 }], 0);
+    let now = 200_000_000;
+    const passes = (tokens: number) => {
+      now += DIRECT_PACE.lag;
+      const decision = limits.admit(WORKSPACE.name, tokens, {
+        now,
+        priority: 2,
+      });
+      return decision.kind === "admitted";
+    };
+    while (passes(1_000));
+    // 12,000 tokens are left; each has to leave 4,800 of them.
+    const small = Array.from({ length: 60 }, () => passes(200));
+    expect(small.filter(Boolean).length).toBeGreaterThanOrEqual(30);
+    expect(small.at(-1)).toBe(false);
+  });
+
   test("a request that fills the bucket passes, whatever its rank", () => {
     const limits = newHost(0);
     const full = 60_000;
