--- a/packages/rampswitch-serving/src/duties/usage_counter.ts
+++ b/packages/rampswitch-serving/src/duties/usage_counter.ts
@@ -85,6 +85,11 @@
       .forEach(([life, counts]) => this.#peers.set(life, counts));
   }
 
+  /** Whether any host is known to have begun requests in a window. */
+  knows(window: number): boolean {
+    return Object.keys(this.total(window)).length > 0;
+  }
+
   /** Counts of a window over all hosts. */
   total(window: number): UsageCounts {
     return [this.#own, ...this.#peers.values()]
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -57,7 +57,12 @@
     const windows = Array.from(
       { length: REPORTED_WINDOWS },
       (_, back) => newest - back,
-    ).filter((window) => window >= this.#startedInWindow || known[window]);
+    ).filter(
+      (window) =>
+        window >= this.#startedInWindow ||
+        known[window] !== undefined ||
+        this.#counter.knows(window),
+    );
     this.#counter.forgetBefore(newest);
     return Object.fromEntries(
       windows.map((window) => [
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/usage_duty_test.ts
@@ -0,0 +1,55 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { Result } from "true-myth";
+import { SILENT_LOGGER } from "rampswitch-utils";
+import { ServingMetrics } from "../observation/mod.ts";
+import { UsageCounter } from "./usage_counter.ts";
+import { UsageDuty } from "./usage_duty.ts";
+
+const WINDOW_MILLISECONDS = 5_000;
+
+/** A time of day within window 100. */
+const STARTED_AT = 501_200;
+
+/** A time of day at which window 99 is final. */
+const LATER = 502_500;
+
+/** The duty at a host that started in window 100. */
+function startedDuty(): {
+  readonly counter: UsageCounter;
+  readonly duty: UsageDuty;
+} {
+  const counter = new UsageCounter(WINDOW_MILLISECONDS);
+  const duty = new UsageDuty(counter, {
+    cloud: {
+      reportUsage: () => Promise.resolve(Result.ok(undefined)),
+      orderServers: () => Promise.resolve(Result.ok(undefined)),
+    },
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+    startedAt: STARTED_AT,
+  });
+  return { counter, duty };
+}
+
+describe("reports of a host that started after a window", () => {
+  test("tell what its peers and the lease object still know of it", () => {
+    const { counter, duty } = startedDuty();
+    counter.restore({ "a/1": { 99: { w: 40 } } }, "self/2");
+    counter.heard("b", "1", { 99: { w: 2 }, 100: { w: 7 } });
+    expect(duty.finalReports({}, LATER)).toEqual({ 99: { w: 42 } });
+  });
+
+  test("say nothing of windows that nobody knows", () => {
+    const { duty } = startedDuty();
+    expect(duty.finalReports({}, LATER)).toEqual({});
+  });
+
+  test("repeat what was final before", () => {
+    const { counter, duty } = startedDuty();
+    counter.heard("b", "1", { 99: { w: 2 } });
+    const known = { 99: { w: 40 } };
+    expect(duty.finalReports(known, LATER)).toEqual(known);
+  });
+});
