--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -28,4 +28,6 @@
   leavesIn(address: string): Promise<number | undefined>;
   /** Copies a run's memory; the value is the handle of the copy. */
   copyMemory(copy: MemoryCopy): Promise<Result<string, MemoryCopyError>>;
+  /** Frees a copy that nobody needs any more; tells whether it was freed. */
+  dropCopy(from: string, handle: string): Promise<boolean>;
 }
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -33,9 +33,21 @@
   const { control } = parts;
   const copied = await control.copyMemory({ ...move, stopsRun: false });
   if (copied.isErr) return Result.err(copied.error);
-  if (!parts.stillRuns()) return Result.err("run_ended");
+  if (!parts.stillRuns()) return dropped(copied.value, move, parts);
   parts.stops(true);
   const moved = await control.copyMemory({ ...move, stopsRun: true });
   parts.stops(false);
-  return moved.mapErr((error): string => error);
+  return moved.isOk && !parts.stillRuns()
+    ? dropped(moved.value, move, parts)
+    : moved.mapErr((error): string => error);
+}
+
+/** Frees the copy of a run that ended; it would hold memory and a slot. */
+async function dropped(
+  handle: string,
+  move: MemoryMove,
+  { control }: MemoryMoveParts,
+): Promise<Result<string, string>> {
+  const freed = await control.dropCopy(move.from, handle);
+  return Result.err(freed ? "run_ended" : "run_ended_copy_kept");
 }
