--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -79,9 +79,10 @@
 /**
  * Level of a bucket that a host has never heard of, as a share of a full one.
  * All hosts may have been killed after they spent a whole bucket, and once more
- * within the same window; twice this fits into what USED_TOLERANCE leaves.
+ * within the same window; twice this fits into what USED_TOLERANCE leaves, with
+ * limits of 40,000 and of 330,000 tokens a second (0.4 does not).
  */
-const FIRST_LEVEL_SHARE = 0.2;
+const FIRST_LEVEL_SHARE = 0.3;
 
 /** What is tolerated above the limits, over all hosts in each window. */
 export interface LimitTolerance {
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -9,6 +9,7 @@
 import { hash32 } from "rampswitch-utils";
 import type { EngineLimits } from "../model/configuration.ts";
 import type { PromptPart } from "../model/request.ts";
+import { copiedParts, type Keeper, keeperOf } from "./copied_parts.ts";
 import type { PrefixKnowledge } from "./prefix_knowledge.ts";
 import type { ServerRecord } from "./server_record.ts";
 
@@ -92,12 +93,6 @@
  */
 const DRAWN_SERVERS = 3;
 
-/** Time to begin a copy of kept parts, in milliseconds; engines take 3 to 6. */
-const COPY_SETUP_MILLISECONDS = 6;
-
-/** A copy between data halls takes this many times as long. */
-const FAR_COPY_FACTOR = 2;
-
 /** Chooses among the servers of a service. */
 export function chooseServer(
   records: readonly ServerRecord[],
@@ -108,10 +103,11 @@
     (record) => !inputs.excluded.has(record.entry.id),
   );
   const ready = untried.filter((record) => record.isReady);
-  const outcome = chooseAmong(ready, records, prefixes, inputs);
+  const keeper = keeperOf(records, prefixes, inputs);
+  const outcome = chooseAmong(ready, prefixes, { ...inputs, keeper });
   if (outcome.kind === "chosen") return outcome;
   const leaving = untried.filter((record) => takesLast(record, inputs));
-  const last = chooseAmong(leaving, records, prefixes, inputs);
+  const last = chooseAmong(leaving, prefixes, { ...inputs, keeper });
   return last.kind === "chosen" ? last : outcome;
 }
 
@@ -131,9 +127,8 @@
 
 function chooseAmong(
   ready: readonly ServerRecord[],
-  records: readonly ServerRecord[],
   prefixes: PrefixKnowledge,
-  inputs: ChoiceInputs,
+  inputs: ChoiceInputs & { readonly keeper: Keeper | undefined },
 ): ChoiceOutcome {
   if (ready.length === 0) return { kind: "none" };
   const healthy = ready.filter((record) => !record.isEjected(inputs.now));
@@ -142,11 +137,7 @@
   const open = working.filter((record) => hasRoom(record, inputs));
   if (open.length === 0) return { kind: "full" };
   const home = homeOf(open, inputs.parts);
-  const common = {
-    ...inputs,
-    home,
-    keeper: keeperOf(records, prefixes, inputs),
-  };
+  const common = { ...inputs, home };
   const choices = candidates(open, common).map((record) =>
     predict(record, prefixes, common),
   );
@@ -194,63 +185,6 @@
   );
 }
 
-/** An engine that keeps a part of a prompt. */
-interface Keeper {
-  readonly record: ServerRecord;
-  readonly tokens: number;
-}
-
-/**
- * The engine that keeps most of a prompt, full and leaving ones included: its
- * memory can be copied while it lives.
- */
-function keeperOf(
-  records: readonly ServerRecord[],
-  prefixes: PrefixKnowledge,
-  { engine, now, parts }: ChoiceInputs,
-): Keeper | undefined {
-  if (engine?.copyTokensPerMillisecond === undefined) return undefined;
-  return records
-    .filter((record) => !record.isEjected(now) && record.answersFor(now))
-    .map((record) => ({
-      record,
-      tokens: prefixes.keptTokens(record.entry.id, parts.slice(0, -1)),
-    }))
-    .reduce<Keeper | undefined>(
-      (most, next) => (next.tokens > (most?.tokens ?? 0) ? next : most),
-      undefined,
-    );
-}
-
-/** What copying a prompt's parts from their keeper takes and saves. */
-interface CopiedParts {
-  readonly from: ServerRecord | undefined;
-  readonly tokens: number;
-  readonly milliseconds: number;
-}
-
-const NO_COPY: CopiedParts = { from: undefined, tokens: 0, milliseconds: 0 };
-
-/** Copies what an engine lacks where that is faster than to read it. */
-function copiedParts(
-  record: ServerRecord,
-  keptTokens: number,
-  inputs: ChoiceInputs & { readonly keeper: Keeper | undefined },
-): CopiedParts {
-  const { keeper, engine, readingRate } = inputs;
-  const rate = engine?.copyTokensPerMillisecond;
-  if (keeper === undefined || keeper.record === record || rate === undefined) {
-    return NO_COPY;
-  }
-  const tokens = keeper.tokens - keptTokens;
-  const far = keeper.record.entry.dataHall !== record.entry.dataHall;
-  const milliseconds =
-    COPY_SETUP_MILLISECONDS + (tokens / rate) * (far ? FAR_COPY_FACTOR : 1);
-  return milliseconds < tokens / readingRate
-    ? { from: keeper.record, tokens, milliseconds }
-    : NO_COPY;
-}
-
 function predict(
   record: ServerRecord,
   prefixes: PrefixKnowledge,
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -29,6 +29,7 @@
 import type { RequestContext } from "./request_context.ts";
 import { RunRecord } from "./run_record.ts";
 import { chooseFor } from "./send_choice.ts";
+import { StallWatch } from "./stall_watch.ts";
 
 /** Least time left that makes a further send worthwhile, in milliseconds. */
 const LEAST_USEFUL_MILLISECONDS = 20;
@@ -42,9 +43,6 @@
 /** The same for the first event of a resumable stream. */
 const STREAM_STALL_TARGETS = 2.5;
 
-/** Pause within a resumable stream after which it goes on elsewhere, in ms. */
-const STREAM_PAUSE_MILLISECONDS = 1_500;
-
 /** Callers are asked to come back after this time at least, in seconds. */
 const LEAST_RETRY_AFTER_SECONDS = 0.2;
 
@@ -87,14 +85,11 @@
   #head: AnswerHead | undefined;
   readonly #held = new HeldBody();
   #lastEventId: string | undefined;
-  #lastEventAt = -Infinity;
-  /** Whether the present send is watched for pauses between events. */
-  #pauseWatched = false;
   #memorySource: MemorySource | undefined;
   #moving = false;
   #lostWhileMoving = false;
   #cancelDeadline: () => void = () => undefined;
-  #cancelStall: () => void = () => undefined;
+  readonly #stall: StallWatch;
   #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
 
   constructor(
@@ -109,6 +104,7 @@
     this.#context = context;
     this.#onFinished = exchange.onFinished;
     this.#record = new RunRecord(request, context);
+    this.#stall = new StallWatch(context.clock, () => this.#stalled());
     this.#answer = new CallerAnswer(exchange.response, () =>
       context.endsConnections(),
     );
@@ -259,7 +255,7 @@
       sentAt: this.#now(),
       unreadBefore,
     };
-    this.#watchForStall(this.#firstStallMilliseconds());
+    this.#stall.start(this.#firstStallMilliseconds());
   }
 
   #firstStallMilliseconds(): number {
@@ -271,22 +267,14 @@
   }
 
   /** Goes elsewhere after a silence, where a second run does no harm. */
-  #watchForStall(milliseconds: number): void {
-    this.#cancelStall();
-    this.#cancelStall = this.#context.clock.after(milliseconds, () => {
-      const current = this.#current;
-      if (current === undefined || this.#moving) return;
-      const silence = this.#now() - this.#lastEventAt;
-      if (this.#pauseWatched && silence < STREAM_PAUSE_MILLISECONDS) {
-        this.#watchForStall(STREAM_PAUSE_MILLISECONDS - silence);
-        return;
-      }
-      current.choice.record.failed(this.#now(), { surelyDown: false });
-      if (!this.#mayResendAfterRun()) return;
-      this.#truth.handle({ type: "lost" });
-      this.#endCurrent(true);
-      this.#resend("stalled", "timed_out");
-    });
+  #stalled(): void {
+    const current = this.#current;
+    if (current === undefined || this.#moving) return;
+    current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
+    if (!this.#mayResendAfterRun()) return;
+    this.#truth.handle({ type: "lost" });
+    this.#endCurrent(true);
+    this.#resend("stalled", "timed_out");
   }
 
   /** Whether the current run may be left for another one. */
@@ -350,13 +338,9 @@
     const frames = this.#framer.push(chunk);
     if (frames.count === 0) return;
     if (!this.#answer.started) this.#firstEvent(current);
-    if (!this.#pauseWatched) {
-      this.#pauseWatched = true;
-      this.#watchForStall(STREAM_PAUSE_MILLISECONDS);
-    }
     this.#truth.handle({ type: "relayed" });
     this.#lastEventId = frames.lastId ?? this.#lastEventId;
-    this.#lastEventAt = this.#now();
+    this.#stall.eventCame();
     if (this.#answer.write(frames.bytes)) return;
     current.send.pause();
     this.#answer.onceDrained(() => current.send.resume());
@@ -560,8 +544,7 @@
 
   /** Ends the current send's part in the counts; forgets what it brought. */
   #endCurrent(abort: boolean): void {
-    this.#cancelStall();
-    this.#pauseWatched = false;
+    this.#stall.stop();
     if (abort) this.#current?.send.abort();
     this.#current?.work.ended();
     this.#current = undefined;
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/stall_watch_test.ts
@@ -0,0 +1,51 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { ManualClock } from "rampswitch-utils";
+import { StallWatch } from "./stall_watch.ts";
+
+function watched(): {
+  readonly clock: ManualClock;
+  readonly watch: StallWatch;
+  readonly stalls: number[];
+} {
+  const clock = new ManualClock();
+  const stalls: number[] = [];
+  const watch = new StallWatch(clock, () => stalls.push(clock.now()));
+  return { clock, watch, stalls };
+}
+
+describe("stall watch", () => {
+  test("notices a first event that does not come", () => {
+    const { clock, watch, stalls } = watched();
+    watch.start(600);
+    clock.advance(599);
+    expect(stalls).toEqual([]);
+    clock.advance(1);
+    expect(stalls).toEqual([600]);
+  });
+
+  test("notices a pause 1.5 s after the last event, however many came", () => {
+    const { clock, watch, stalls } = watched();
+    watch.start(600);
+    Array.from({ length: 50 }).forEach(() => {
+      clock.advance(100);
+      watch.eventCame();
+    });
+    expect(stalls).toEqual([]);
+    Array.from({ length: 20 }).forEach(() => clock.advance(100));
+    expect(stalls).toEqual([6_500]);
+  });
+
+  test("forgets the events of a send that ended", () => {
+    const { clock, watch, stalls } = watched();
+    watch.start(600);
+    watch.eventCame();
+    watch.stop();
+    clock.advance(5_000);
+    expect(stalls).toEqual([]);
+    watch.start(600);
+    clock.advance(600);
+    expect(stalls).toEqual([5_600]);
+  });
+});
