--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -74,7 +74,7 @@
  * thousand take next to nothing from them: without this bound, 82 of 1,268
  * bookings of a calm day were refused for 16,000 tokens in all.
  */
-const LEFT_OF_OWN_SIZE = 24;
+const LEFT_OF_OWN_SIZE = 50;
 
 /**
  * Level of a bucket that a host has never heard of, as a share of a full one.
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -74,9 +74,10 @@
 
 /**
  * The same while reclaims leave no others to be had: only servers on demand
- * can follow, and those take seconds to start.
+ * can follow, and those take seconds to start. The plan uses servers to 0.55 at
+ * most, so three quarters of them carry the load meanwhile.
  */
-const LEFT_WHILE_SOLD_OUT = 1;
+const LEFT_WHILE_SOLD_OUT = 0.75;
 
 /**
  * Largest part of the servers on demand that one data hall has. The cheapest
