--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -55,8 +55,11 @@
   readonly metrics: ServingMetrics;
   /** Whether other hosts hear of the store by this one. */
   isRelay(): boolean;
-  /** Whether no request has come to this host since it started. */
-  idle(): boolean;
+  /**
+   * Whether this host hears of the others by relays alone, and no request has
+   * come to it since it started.
+   */
+  isIdleMember(): boolean;
 }
 
 /**
@@ -103,9 +106,9 @@
 const RELAY_WATCH_SECONDS = 0.8;
 
 /**
- * Longest wait of the watch of servers, in seconds, and of the other watch while
- * relays confirm the configuration. A lost way to the store is noticed by the
- * other watch or by others' news, so this is near the most the platform allows.
+ * Longest wait of the watch of servers, in seconds. A lost way to the store is
+ * noticed by the other watch or by others' news, so this is near the most the
+ * platform allows.
  */
 const LONG_WATCH_SECONDS = 25;
 
@@ -130,12 +133,26 @@
 /** Silence of the relays after which a host asks for itself, in milliseconds. */
 const RELAYS_SILENT_MILLISECONDS = 1_500;
 
+/**
+ * Time for a relay to pass a configuration on that it has and this host has not,
+ * in milliseconds: two digests. Then this host asks the store.
+ */
+const PASSING_ON_MILLISECONDS = 900;
+
+/**
+ * Longest wait after a failed call of a host whose relays may tell of the
+ * store's return, in milliseconds. All hosts of a large fleet that ask as often
+ * as its relays do would make some 4,000 calls in an outage of seven seconds at
+ * 195 hosts (two watches each, every 0.7 s).
+ */
+const LONGEST_RELAYED_RETRY_MILLISECONDS = 3_000;
+
 /** Wait in which changes of servers are taken together, in milliseconds. */
 const COALESCE_MILLISECONDS = 150;
 
 /**
- * The same in milliseconds for a host that no request has come to and that is
- * no relay. Servers register one by one while all hosts start, and each host
+ * The same in milliseconds for a host of a large fleet that no request has come
+ * to and that is no relay. Servers register one by one while all hosts start, and each host
  * would ask after each change: at 77 hosts that was 364 of the 1,200 calls to
  * the store before the first request. Well below the time in which a leaving
  * server has to be left alone.
@@ -155,7 +172,14 @@
   /** When a relay last confirmed this host's configuration. */
   #relayedAt = -Infinity;
   #serversRelayedAt = -Infinity;
-  #waitsLong = false;
+  /** When a relay last told anything. */
+  #digestedAt = -Infinity;
+  /** When this host last began to ask the store itself. */
+  #asksSince = -Infinity;
+  /** Since when a relay has a configuration that this host has not. */
+  #behindSince: number | undefined;
+  /** The newest configuration as the store holds it. */
+  #stored: StoredObject | undefined;
   /** When a watch that was behind was last asked anew. */
   readonly #interruptedAt = new Map<Watcher, number>();
   #reachable = true;
@@ -214,9 +238,8 @@
   #catchUp(watcher: Watcher, newestChange: number): void {
     const now = this.#parts.clock.now();
     const waited = now - watcher.askedAt;
-    if (newestChange <= watcher.version || waited < CATCH_UP_MILLISECONDS) {
-      return;
-    }
+    const behind = newestChange > watcher.version && !watcher.suspended;
+    if (!behind || waited < CATCH_UP_MILLISECONDS) return;
     const interrupted = this.#interruptedAt.get(watcher) ?? -Infinity;
     if (now - interrupted < OWN_WAY_LOST_MILLISECONDS) return;
     this.#interruptedAt.set(watcher, now);
@@ -230,17 +253,69 @@
   }
 
   #serversPause(): number {
-    return this.#parts.idle() && !this.#parts.isRelay()
+    return this.#parts.isIdleMember()
       ? IDLE_COALESCE_MILLISECONDS
       : COALESCE_MILLISECONDS;
   }
 
   #configurationWait(): number {
-    this.#waitsLong = this.#relaysConfirm();
-    if (this.#waitsLong) return LONG_WATCH_SECONDS;
     return this.#parts.isRelay() ? RELAY_WATCH_SECONDS : WATCH_SECONDS;
   }
 
+  #longestRetry(): number {
+    const now = this.#parts.clock.now();
+    return now - this.#digestedAt < RELAYS_SILENT_MILLISECONDS
+      ? LONGEST_RELAYED_RETRY_MILLISECONDS
+      : LONGEST_RETRY_MILLISECONDS;
+  }
+
+  /** The newest configuration, to pass on; it is the only object of its kind. */
+  newestConfiguration(): ChangeBatch | undefined {
+    const stored = this.#stored;
+    return stored === undefined
+      ? undefined
+      : { after: 0, version: this.#configuration.version, events: [stored] };
+  }
+
+  /**
+   * Takes in how far a relay has followed the configuration; tells whether to
+   * ask it for the newest. While relays confirm what this host has, it asks the
+   * store nothing: of the calls of a fleet of 195 hosts, one a host and change
+   * of the configuration.
+   */
+  isBehindRelay(newestChange: number): boolean {
+    if (this.#configuration.version === 0) return false;
+    const now = this.#parts.clock.now();
+    this.#digestedAt = now;
+    if (newestChange <= this.#configuration.newestChange) {
+      this.#behindSince = undefined;
+      if (this.#relaysConfirm()) this.#leaveToRelays();
+      return false;
+    }
+    this.#behindSince ??= now;
+    if (now - this.#behindSince >= PASSING_ON_MILLISECONDS) this.#askItself();
+    return true;
+  }
+
+  /** Takes in the configuration that a relay passed on. */
+  configurationByRelay(changes: ChangeBatch): void {
+    if (this.#configuration.take(changes)) this.#behindSince = undefined;
+  }
+
+  #leaveToRelays(): void {
+    if (this.#configuration.suspended) return;
+    this.#configuration.suspend();
+    if (this.#reachable) return;
+    this.#reachable = true;
+    this.#parts.logger.info("relays tell of the store", {});
+  }
+
+  #askItself(): void {
+    if (!this.#configuration.suspended) return;
+    this.#asksSince = this.#parts.clock.now();
+    this.#configuration.resume();
+  }
+
   /**
    * The newest changes of servers, for hosts that hear of them by relays; none
    * while this host has lost its own way to the store.
@@ -271,9 +346,7 @@
   checkRelays(): void {
     const silence = this.#parts.clock.now() - this.#serversRelayedAt;
     if (silence >= RELAYS_SILENT_MILLISECONDS) this.#servers.resume();
-    if (!this.#waitsLong || this.#relaysConfirm()) return;
-    this.#waitsLong = false;
-    this.#configuration.interrupt();
+    if (!this.#relaysConfirm()) this.#askItself();
   }
 
   /** Takes in that a relay had a version confirmed some time ago. */
@@ -302,9 +375,9 @@
 
   /** Whether this host lost its way to the store while others have theirs. */
   cutOff(now: number): boolean {
-    const lost = this.#waitsLong
-      ? !this.#reachable
-      : now - this.#ownConfirmedAt > OWN_WAY_LOST_MILLISECONDS;
+    const since = Math.max(this.#ownConfirmedAt, this.#asksSince);
+    const lost =
+      !this.#configuration.suspended && now - since > OWN_WAY_LOST_MILLISECONDS;
     return lost && this.age(now) < OTHERS_FRESH_MILLISECONDS;
   }
 
@@ -343,7 +416,7 @@
       backoff: (failures) =>
         storeBackoff(failures, random, {
           first: FIRST_RETRY_MILLISECONDS,
-          longest: LONGEST_RETRY_MILLISECONDS,
+          longest: this.#longestRetry(),
         }),
     });
   }
@@ -359,6 +432,7 @@
       });
       return;
     }
+    this.#stored = object;
     const known = this.#routes?.configuration.version ?? -1;
     if (decoded.value.version <= known) return;
     this.#routes = new RouteIndex(decoded.value);
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -39,6 +39,8 @@
   wallTime(): number;
   /** Whether this host is about to end. */
   stopping(): boolean;
+  /** Asks a relay for the newest configuration. */
+  askConfiguration(relay: string): void;
 }
 
 /** News of one host. */
@@ -137,6 +139,10 @@
       );
     }
     this.#parts.follower.serversByRelay(digest.servers);
+    const { configuration } = digest.followed;
+    if (this.#parts.follower.isBehindRelay(configuration)) {
+      this.#parts.askConfiguration(digest.relay);
+    }
     this.#parts.follower.othersFollowed(digest.followed);
     directory.heardPeer(FLEET, digest.work, now);
     const acknowledged = this.#told.get(digest.acknowledged);
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -76,6 +76,11 @@
     this.#repetition.hurry();
   }
 
+  /** Whether this host was found in the list, and so were those before it. */
+  get settled(): boolean {
+    return this.#readings > 0;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#repetition[Symbol.asyncDispose]();
   }
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -15,7 +15,7 @@
   type Random,
   repeat,
 } from "rampswitch-utils";
-import type { ObjectStore } from "rampswitch-store";
+import type { ChangeBatch, ObjectStore } from "rampswitch-store";
 import type { LimitDecision } from "../admission/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
@@ -51,6 +51,9 @@
 /** News of other hosts in one message at most; more go into the next one. */
 const NEWS_EACH_MESSAGE = 16;
 
+/** Most bytes of a message; UDP takes no more than 65,507. */
+const LARGEST_DATAGRAM_BYTES = 60_000;
+
 /** What membership works with. */
 export interface MembershipParts {
   readonly host: string;
@@ -99,6 +102,10 @@
   onDigest(digest: FleetDigest): void;
   /** The store's list was read; these hosts in it were not known. */
   onListed(hosts: readonly string[]): void;
+  /** The newest configuration as this host has it from the store. */
+  configuration(): ChangeBatch | undefined;
+  /** A relay passed the newest configuration on. */
+  onConfiguration(changes: ChangeBatch): void;
   /** A host asks this relay whether a request fits into a limit. */
   onQuestion(request: LimitRequest): LimitDecision;
   /** A relay admitted a request too late for this host to use that. */
@@ -113,6 +120,7 @@
   readonly #transport: PeerTransport;
   readonly #ownership = new Ownership();
   readonly #questions: LimitQuestions;
+  readonly #registry: HostRegistry;
   /** Newest message of each host that was passed on, by its life. */
   readonly #passedOn = new Map<string, string>();
   #round = 0;
@@ -135,7 +143,7 @@
     this.#questions = new LimitQuestions(clock, (request) =>
       listener.onUnused(request),
     );
-    this.#ownership.own(
+    this.#registry = this.#ownership.own(
       new HostRegistry(
         { name: host, dataHall, cores, address: transport.address },
         parts,
@@ -181,6 +189,15 @@
     return this.#hosts.size(this.#parts.clock.now());
   }
 
+  /**
+   * Whether this host hears enough of the others to hold duties. Before it has
+   * read the list of hosts, each host of a large fleet takes itself for one of a
+   * few: 42 of 77 that started together tried to take the lease.
+   */
+  get mayHoldDuties(): boolean {
+    return this.#registry.settled && this.#role !== "member";
+  }
+
   /** What this host does with news. */
   get role(): HostRole {
     return this.#role;
@@ -208,6 +225,18 @@
     });
   }
 
+  /** Asks a relay for the newest configuration. */
+  askConfiguration(relay: string): void {
+    const known = this.#hosts.get(relay);
+    if (known === undefined) return;
+    const question = { address: this.#transport.address };
+    const datagram = encodeMessage({
+      kind: "configuration_question",
+      question,
+    });
+    this.#transport.send(known.address, datagram);
+  }
+
   /**
    * The time of day on which most hosts agree, in milliseconds: the median of
    * all hosts' clocks, so that a clock that jumps moves nothing.
@@ -275,6 +304,9 @@
     digest: ({ digest }) => this.#takeDigest(digest),
     question: ({ question }) => this.#takeQuestion(question),
     answer: ({ answer }) => this.#questions.answered(answer),
+    configuration_question: ({ question }) =>
+      this.#passConfiguration(question.address),
+    configuration: ({ changes }) => this.#listener.onConfiguration(changes),
   };
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -394,6 +426,16 @@
     this.#transport.send(address, datagram);
   }
 
+  /** Passes the newest configuration on, where it fits into a datagram. */
+  #passConfiguration(address: string): void {
+    const changes = this.#listener.configuration();
+    if (this.#role !== "relay" || changes === undefined) return;
+    const datagram = encodeMessage({ kind: "configuration", changes });
+    if (datagram.length <= LARGEST_DATAGRAM_BYTES) {
+      this.#transport.send(address, datagram);
+    } else this.#parts.metrics.event("configuration_too_large_to_pass_on");
+  }
+
   /**
    * Age of a confirmation that a message told of. After a pause of this
    * process, messages may be as old as the pause.
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -35,6 +35,11 @@
 const work = z.record(z.string(), z.tuple([z.number(), z.number()]));
 const lease = z.tuple([z.number(), z.number()]);
 const followed = z.tuple([z.number(), z.number()]);
+const changes = z.tuple([
+  z.number(),
+  z.number(),
+  z.array(z.tuple([z.string(), z.number(), z.string().nullable()])),
+]);
 
 /** Short keys on the network, in the order of {@link PeerNews}. */
 const NEWS_SCHEMA = z.object({
@@ -79,13 +84,7 @@
     x: z.number(),
     w: work,
     l: z.array(lease),
-    s: z
-      .tuple([
-        z.number(),
-        z.number(),
-        z.array(z.tuple([z.string(), z.number(), z.string().nullable()])),
-      ])
-      .optional(),
+    s: changes.optional(),
   }),
   z.object({
     k: z.literal("q"),
@@ -101,6 +100,8 @@
     /** Milliseconds after which to come back; absent where admitted. */
     r: z.number().nonnegative().optional(),
   }),
+  z.object({ k: z.literal("w"), a: z.string() }),
+  z.object({ k: z.literal("c"), s: changes }),
 ]);
 
 type EncodedMessage = z.input<typeof MESSAGE_SCHEMA>;
@@ -146,6 +147,8 @@
       ? { r: decision.retryAfterMilliseconds }
       : {}),
   }),
+  configuration_question: ({ question }) => ({ k: "w", a: question.address }),
+  configuration: (message) => ({ k: "c", s: encodedChanges(message.changes) }),
 };
 
 function encoded(message: PeerMessage): EncodedMessage {
@@ -255,6 +258,8 @@
     kind: "answer",
     answer: { id: i, decision: decisionOf(r) },
   }),
+  w: ({ a }) => ({ kind: "configuration_question", question: { address: a } }),
+  c: ({ s }) => ({ kind: "configuration", changes: changesOf(s) }),
 };
 
 function messageOf(message: DecodedMessage): PeerMessage {
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -119,6 +119,12 @@
   readonly decision: LimitDecision;
 }
 
+/** A host's question to a relay for the newest configuration. */
+export interface ConfigurationQuestion {
+  /** Where the host takes the answer. */
+  readonly address: string;
+}
+
 /** A datagram between hosts. */
 export type PeerMessage =
   | {
@@ -130,4 +136,9 @@
     }
   | { readonly kind: "digest"; readonly digest: FleetDigest }
   | { readonly kind: "question"; readonly question: LimitQuestion }
-  | { readonly kind: "answer"; readonly answer: LimitAnswer };
+  | { readonly kind: "answer"; readonly answer: LimitAnswer }
+  | {
+      readonly kind: "configuration_question";
+      readonly question: ConfigurationQuestion;
+    }
+  | { readonly kind: "configuration"; readonly changes: ChangeBatch };
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -146,7 +146,7 @@
         idle: () => this.#meter.idle,
         routes: () =>
           this.#follower.serversListed ? this.#follower.routes : undefined,
-        eligible: () => this.#membership?.role !== "member",
+        eligible: () => this.#membership?.mayHoldDuties === true,
       }),
     );
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
@@ -155,7 +155,8 @@
         {
           ...ports,
           isRelay: () => this.#membership?.role === "relay",
-          idle: () => this.#callers.idle,
+          isIdleMember: () =>
+            this.#membership?.role === "member" && this.#callers.idle,
         },
         {
           configured: (routes) => this.#configured(routes),
@@ -176,6 +177,7 @@
       follower: this.#follower,
       wallTime: () => this.#wallTime(),
       stopping: () => this.#life.state === "stopping",
+      askConfiguration: (relay) => this.#membership?.askConfiguration(relay),
     });
   }
 
@@ -274,6 +276,9 @@
         viewFor: (host) => this.#news.viewFor(host),
         onNews: (news) => this.#news.heard(news),
         onDigest: (digest) => this.#news.heardDigest(digest),
+        configuration: () => this.#follower.newestConfiguration(),
+        onConfiguration: (changes) =>
+          this.#follower.configurationByRelay(changes),
         onQuestion: (request) => this.#admission.decide(request),
         onUnused: (request) => this.#admission.giveBack(request),
         onListed: (hosts) => {
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -109,6 +109,11 @@
     return this.#askedAt;
   }
 
+  /** Whether another host passes the changes on. */
+  get suspended(): boolean {
+    return this.#suspended;
+  }
+
   /** Asks nothing from now on; another host passes the changes on. */
   suspend(): void {
     if (this.#suspended) return;
