--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -13,7 +13,7 @@
       },
     ],
   },
-  transformIgnorePatterns: ["/node_modules/(?!(true-myth)/)"],
+  transformIgnorePatterns: ["/node_modules/(?!(true-myth|tinyqueue)/)"],
   moduleNameMapper: {
     "^rampswitch-platform$": "<rootDir>/platform/src/mod.ts",
     "^rampswitch-([a-z]+)$": "<rootDir>/packages/rampswitch-$1/src/mod.ts",
--- /dev/null
+++ b/packages/rampswitch-emulator/src/emulated_fleet.ts
@@ -0,0 +1,356 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Hosts that place requests by the decisions of the serving host, before engines
+ * in simulated time. What hosts know of each other's work is as late as their
+ * news: a quarter of a second in a small fleet, two rounds of the relays in a
+ * large one.
+ *
+ * @module
+ */
+import {
+  chooseServer,
+  PrefixKnowledge,
+  ServerRecord,
+  type WorkAtServer,
+} from "rampswitch-serving";
+import { exponential, type Random, seededRandom } from "rampswitch-utils";
+import { quantileSorted } from "simple-statistics";
+import TinyQueue from "tinyqueue";
+import { EmulatedEngine } from "./emulated_engine.ts";
+import {
+  type DrawnRequest,
+  drawRequest,
+  type FleetShape,
+  type RequestKind,
+} from "./fleet_shape.ts";
+
+/** One run of a fleet. */
+export interface FleetRun {
+  readonly shape: FleetShape;
+  readonly engines: number;
+  readonly seconds: number;
+  readonly seed: number;
+  /** Share of the engines that stop at the middle of the run. */
+  readonly lostShare?: number;
+  /** Share of each kind's requests that have the same shared part. */
+  readonly hotShare?: number;
+}
+
+/** Times to first parts of one kind of request. */
+export interface KindFigures {
+  readonly kind: string;
+  readonly requests: number;
+  readonly inTime: number;
+  readonly medianMilliseconds: number;
+  readonly p95Milliseconds: number;
+}
+
+/** What came of a run. */
+export interface FleetFigures {
+  /** Share of the worth that was in time. */
+  readonly worthInTime: number;
+  /** The same of the two worst seconds. */
+  readonly worstInTime: number;
+  /** Requests that no engine took, as a share of all. */
+  readonly refused: number;
+  /** Tokens of shared parts that were read again, as a share of all read. */
+  readonly readAgain: number;
+  readonly kinds: readonly KindFigures[];
+}
+
+interface Host {
+  readonly dataHall: string;
+  readonly records: readonly ServerRecord[];
+  readonly prefixes: PrefixKnowledge;
+}
+
+interface Outcome {
+  readonly kind: RequestKind;
+  readonly at: number;
+  /** `undefined`: refused. */
+  readonly milliseconds: number | undefined;
+}
+
+interface Event {
+  readonly at: number;
+  run(): void;
+}
+
+/** Largest fleet in which every host hears every other. */
+const MOST_DIRECT_HOSTS = 16;
+
+/** Rounds of news and how many of them others' work is late, by size. */
+const NEWS = {
+  direct: { milliseconds: 250, late: 1 },
+  relayed: { milliseconds: 400, late: 2 },
+};
+
+/** Seconds at the start that are not counted, while engines read first parts. */
+const WARM_UP_SECONDS = 5;
+
+/** Seconds of one span of the worst ones. */
+const SPAN_SECONDS = 2;
+
+const FLEET = "fleet";
+
+/** A fleet in simulated time. */
+export class EmulatedFleet {
+  readonly #run: FleetRun;
+  readonly #random: Random;
+  readonly #events = new TinyQueue<Event>(
+    [],
+    (left, right) => left.at - right.at,
+  );
+  readonly #engines: readonly EmulatedEngine[];
+  readonly #stepping = new Set<EmulatedEngine>();
+  readonly #hosts: readonly Host[];
+  readonly #outcomes: Outcome[] = [];
+  #work: readonly (readonly (readonly WorkAtServer[])[])[] = [];
+  #now = 0;
+
+  constructor(run: FleetRun) {
+    this.#run = run;
+    this.#random = seededRandom(run.seed);
+    const everRead = new Set<string>();
+    this.#engines = Array.from(
+      { length: run.engines },
+      () => new EmulatedEngine(run.shape.engine, everRead),
+    );
+    const shared = new PrefixKnowledge();
+    this.#hosts = Array.from({ length: run.shape.hosts }, (_, index) => ({
+      dataHall: this.#hall(index),
+      records: this.#engines.map((_engine, at) => this.#record(at)),
+      prefixes: this.#isDirect ? shared : new PrefixKnowledge(),
+    }));
+  }
+
+  /** Runs the fleet to its end. */
+  play(): FleetFigures {
+    this.#run.shape.kinds.forEach((kind) => this.#arriveLater(kind));
+    this.#tellLater();
+    this.#loseLater();
+    const end = this.#run.seconds * 1_000;
+    for (;;) {
+      const event = this.#events.pop();
+      if (event === undefined || event.at > end) return this.#figures();
+      this.#now = event.at;
+      event.run();
+    }
+  }
+
+  get #isDirect(): boolean {
+    return this.#run.shape.hosts <= MOST_DIRECT_HOSTS;
+  }
+
+  #hall(index: number): string {
+    return `hall-${index % this.#run.shape.dataHalls}`;
+  }
+
+  #record(at: number): ServerRecord {
+    return new ServerRecord({
+      id: `engine-${at}`,
+      service: "models",
+      address: `10.0.0.${at}:1`,
+      dataHall: this.#hall(at),
+      slots: this.#run.shape.engine.slots,
+      state: "ready",
+      reclaimable: false,
+    });
+  }
+
+  #later(milliseconds: number, run: () => void): void {
+    this.#events.push({ at: this.#now + milliseconds, run });
+  }
+
+  #arriveLater(kind: RequestKind): void {
+    this.#later(exponential(this.#random, 1_000 / kind.perSecond), () => {
+      this.#arrive(drawRequest(kind, this.#random, this.#run.hotShare ?? 0));
+      this.#arriveLater(kind);
+    });
+  }
+
+  /** Some engines end in silence; hosts hear of it by their list. */
+  #loseLater(): void {
+    const { lostShare, seconds } = this.#run;
+    if (lostShare === undefined) return;
+    this.#later(seconds * 500, () => {
+      const lost = Math.floor(this.#engines.length * lostShare);
+      this.#hosts.forEach(({ records }) =>
+        records.slice(0, lost).forEach((record) => {
+          record.entry = { ...record.entry, state: "leaving" };
+        }),
+      );
+    });
+  }
+
+  #arrive(drawn: DrawnRequest): void {
+    const host = this.#hosts[this.#random.below(this.#hosts.length)];
+    if (host === undefined) return;
+    const at = this.#now;
+    const { engine } = this.#run.shape;
+    const parts = [
+      { id: drawn.sharedPart, tokens: drawn.sharedTokens },
+      { id: `own-${at}`, tokens: drawn.ownTokens },
+    ];
+    const promptTokens = drawn.sharedTokens + drawn.ownTokens;
+    const outcome = chooseServer(host.records, host.prefixes, {
+      now: at,
+      dataHall: host.dataHall,
+      engine: {
+        slots: engine.slots,
+        memoryTokens: engine.memoryTokens,
+        movable: true,
+        copyTokensPerMillisecond: undefined,
+      },
+      parts,
+      promptTokens,
+      readingRate: engine.readTokensPerMillisecond,
+      excluded: new Set(),
+      ownConnections: Infinity,
+      leavingMilliseconds: 0,
+      hearsDispatches: this.#isDirect,
+      draw: () => this.#random.next(),
+    });
+    if (outcome.kind !== "chosen") {
+      this.#outcomes.push({ kind: drawn.kind, at, milliseconds: undefined });
+      return;
+    }
+    const { record, keptTokens } = outcome.choice;
+    const chosen = this.#engines[host.records.indexOf(record)];
+    if (chosen === undefined) return;
+    host.prefixes.stored(record.entry.id, parts, engine.memoryTokens);
+    const work = record.started(Math.max(0, promptTokens - keptTokens));
+    chosen.take({
+      drawn,
+      priority: drawn.kind.priority,
+      onFirstPart: (firstAt) => {
+        work.readPrompt();
+        this.#outcomes.push({
+          kind: drawn.kind,
+          at,
+          milliseconds: firstAt - at,
+        });
+        if (!engine.tellsLoad) return;
+        const { running, waiting } = chosen;
+        record.reported({ running, waiting, slots: engine.slots }, this.#now);
+      },
+      onEnd: () => work.ended(),
+    });
+    this.#step(chosen);
+  }
+
+  #step(engine: EmulatedEngine): void {
+    if (this.#stepping.has(engine)) return;
+    this.#stepping.add(engine);
+    this.#later(engine.stepMilliseconds(), () => {
+      engine.endStep(this.#now);
+      this.#stepping.delete(engine);
+      if (engine.isBusy) this.#step(engine);
+    });
+  }
+
+  #tellLater(): void {
+    const news = this.#isDirect ? NEWS.direct : NEWS.relayed;
+    this.#later(news.milliseconds, () => {
+      const now = this.#hosts.map(({ records }) =>
+        records.map((record) => record.ownWork),
+      );
+      this.#work = [...this.#work, now].slice(-news.late);
+      const told = this.#work[0];
+      if (told !== undefined && this.#work.length === news.late)
+        this.#tell(told);
+      this.#tellLater();
+    });
+  }
+
+  /** Tells each host the work of all others at each engine, as it was. */
+  #tell(told: readonly (readonly WorkAtServer[])[]): void {
+    const sums = this.#engines.map((_, at) =>
+      told.reduce<WorkAtServer>(
+        (sum, host) => ({
+          running: sum.running + (host[at]?.running ?? 0),
+          unreadTokens: sum.unreadTokens + (host[at]?.unreadTokens ?? 0),
+        }),
+        { running: 0, unreadTokens: 0 },
+      ),
+    );
+    this.#hosts.forEach(({ records }, host) =>
+      records.forEach((record, at) => {
+        const own = told[host]?.[at];
+        const sum = sums[at];
+        if (own === undefined || sum === undefined) return;
+        const beside = {
+          running: sum.running - own.running,
+          unreadTokens: sum.unreadTokens - own.unreadTokens,
+        };
+        record.heardPeer(FLEET, beside, this.#now);
+      }),
+    );
+  }
+
+  /** Outcomes by span of the run. */
+  #spans(outcomes: readonly Outcome[]): readonly (readonly Outcome[])[] {
+    const length = SPAN_SECONDS * 1_000;
+    const count = Math.ceil((this.#run.seconds * 1_000) / length);
+    return Array.from({ length: count }, (_, span) =>
+      outcomes.filter(({ at }) => Math.floor(at / length) === span),
+    ).filter((span) => span.length > 0);
+  }
+
+  #figures(): FleetFigures {
+    const counted = this.#outcomes.filter(
+      ({ at }) => at >= WARM_UP_SECONDS * 1_000,
+    );
+    const read = this.#engines.reduce(
+      (sum, { tokens }) => sum + tokens.read,
+      0,
+    );
+    const again = this.#engines.reduce(
+      (sum, { tokens }) => sum + tokens.readAgain,
+      0,
+    );
+    const worst = this.#spans(counted)
+      .map(worthInTime)
+      .toSorted((left, right) => left - right);
+    const refused = counted.filter(
+      ({ milliseconds }) => milliseconds === undefined,
+    );
+    return {
+      worthInTime: worthInTime(counted),
+      worstInTime: ((worst[0] ?? 0) + (worst[1] ?? 0)) / 2,
+      refused: refused.length / Math.max(1, counted.length),
+      readAgain: again / Math.max(1, read),
+      kinds: this.#run.shape.kinds.map((kind) => kindFigures(kind, counted)),
+    };
+  }
+}
+
+function isInTime({ kind, milliseconds }: Outcome): boolean {
+  return milliseconds !== undefined && milliseconds <= kind.targetMilliseconds;
+}
+
+function worthInTime(outcomes: readonly Outcome[]): number {
+  const worth = (some: readonly Outcome[]) =>
+    some.reduce((sum, { kind }) => sum + kind.worth, 0);
+  return worth(outcomes.filter(isInTime)) / Math.max(1, worth(outcomes));
+}
+
+function kindFigures(
+  kind: RequestKind,
+  outcomes: readonly Outcome[],
+): KindFigures {
+  const own = outcomes.filter((outcome) => outcome.kind === kind);
+  const times = own
+    .map(({ milliseconds }) => milliseconds ?? Infinity)
+    .toSorted((left, right) => left - right);
+  const quantile = (share: number) =>
+    times.length === 0 ? 0 : Math.round(quantileSorted(times, share));
+  return {
+    kind: kind.name,
+    requests: own.length,
+    inTime: own.filter(isInTime).length / Math.max(1, own.length),
+    medianMilliseconds: quantile(0.5),
+    p95Milliseconds: quantile(0.95),
+  };
+}
--- /dev/null
+++ b/packages/rampswitch-emulator/src/emulated_fleet_test.ts
@@ -0,0 +1,85 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { EmulatedFleet } from "./emulated_fleet.ts";
+import { SHAPES, type FleetShape } from "./fleet_shape.ts";
+import { EmulatedEngine } from "./emulated_engine.ts";
+
+function shapeOf(name: string): FleetShape {
+  const shape = SHAPES[name];
+  if (shape === undefined) throw new Error(`no shape ${name}`);
+  return shape;
+}
+
+function played(shape: string, engines: number, hotShare?: number) {
+  return new EmulatedFleet({
+    shape: shapeOf(shape),
+    engines,
+    seconds: 20,
+    seed: 5,
+    ...(hotShare === undefined ? {} : { hotShare }),
+  }).play();
+}
+
+describe("an emulated engine", () => {
+  /** Steps an engine to its end; returns when it ended. */
+  function run(engine: EmulatedEngine): number {
+    let now = 0;
+    while (engine.isBusy) {
+      now += engine.stepMilliseconds();
+      engine.endStep(now);
+    }
+    return now;
+  }
+
+  test("reads a kept part once, and answers each request once", () => {
+    const shape = shapeOf("small-slow");
+    const engine = new EmulatedEngine(shape.engine, new Set());
+    const [kind] = shape.kinds;
+    if (kind === undefined) throw new Error("the shape has no kinds");
+    const ended: string[] = [];
+    const take = (name: string) =>
+      engine.take({
+        drawn: {
+          kind,
+          sharedPart: "p",
+          sharedTokens: 4_000,
+          ownTokens: 100,
+          answerTokens: 3,
+        },
+        priority: 1,
+        onFirstPart: () => undefined,
+        onEnd: () => ended.push(name),
+      });
+    take("first");
+    const first = run(engine);
+    take("second");
+    expect(run(engine)).toBeLessThan(first);
+    expect(ended).toEqual(["first", "second"]);
+    expect(engine.tokens).toEqual({ read: 4_200, readAgain: 0 });
+  });
+});
+
+describe("placing under high load", () => {
+  test("repeats itself for the same seed", () => {
+    expect(played("small-fast", 8)).toEqual(played("small-fast", 8));
+  });
+
+  test.each([
+    { shape: "large-slow", engines: 44, inTime: 0.95, readAgain: 0.13 },
+    { shape: "middle-fast", engines: 26, inTime: 0.91, readAgain: 0.12 },
+    { shape: "small-fast", engines: 8, inTime: 0.955, readAgain: 0.1 },
+  ])(
+    "keeps $inTime in time on $shape, and reads at most $readAgain again",
+    ({ shape, engines, inTime, readAgain }) => {
+      const figures = played(shape, engines);
+      expect(figures.worthInTime).toBeGreaterThan(inTime);
+      expect(figures.readAgain).toBeLessThan(readAgain);
+    },
+  );
+
+  test("keeps most in time when one prompt has much of the load", () => {
+    const figures = played("small-fast", 10, 0.28);
+    expect(figures.worthInTime).toBeGreaterThan(0.95);
+  });
+});
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -77,8 +77,15 @@
 /** Requests that may wait at a server, as a share of its slots. */
 const WAITING_SHARE = 0.75;
 
-/** Preference among equals for the server that all hosts agree on. */
-const HOME_MILLISECONDS = 12;
+/**
+ * Preference for the servers that keep a prompt's shared parts, as milliseconds
+ * of waiting. Loads are known late, kept parts are not; and each prompt that is read elsewhere delays all that run beside it. Emulated fleets,
+ * with 12 ms and with 200 ms: share of the worth in time 0.926 and 0.962 on 40
+ * engines behind 195 hosts, 0.843 and 0.941 on 26 engines behind 77 hosts; of
+ * the tokens read, shared parts that were read before 0.20 and 0.14, 0.20 and
+ * 0.09. With 400 ms, a part that has 0.28 of all requests overloads its home.
+ */
+const PREFERENCE_MILLISECONDS = 200;
 
 /**
  * Share of a prompt's shared parts that its home is expected to keep, where the
@@ -136,8 +143,7 @@
   const working = healthy.length > 0 ? healthy : ready;
   const open = working.filter((record) => hasRoom(record, inputs));
   if (open.length === 0) return { kind: "full" };
-  const home = homeOf(open, inputs.parts);
-  const common = { ...inputs, home };
+  const common = { ...inputs, preferred: preferredOf(open, prefixes, inputs) };
   const choices = candidates(open, common).map((record) =>
     predict(record, prefixes, common),
   );
@@ -154,10 +160,10 @@
  */
 function candidates(
   open: readonly ServerRecord[],
-  inputs: ChoiceInputs & { readonly home: string | undefined },
+  inputs: ChoiceInputs & Preferred,
 ): readonly ServerRecord[] {
   if (inputs.hearsDispatches || open.length <= DRAWN_SERVERS) return open;
-  const home = open.filter(({ entry }) => entry.id === inputs.home);
+  const home = open.filter(({ entry }) => inputs.preferred.has(entry.id));
   return [...new Set([...home, ...drawn(open, DRAWN_SERVERS, inputs)])];
 }
 
@@ -188,16 +194,16 @@
 function predict(
   record: ServerRecord,
   prefixes: PrefixKnowledge,
-  inputs: ChoiceInputs & {
-    readonly home: string | undefined;
-    readonly keeper: Keeper | undefined;
-  },
+  inputs: ChoiceInputs &
+    Preferred & {
+      readonly keeper: Keeper | undefined;
+    },
 ): Choice {
   const load = record.load(inputs.now);
-  const isHome = record.entry.id === inputs.home;
+  const isPreferred = inputs.preferred.has(record.entry.id);
   const keptTokens = Math.max(
     prefixes.keptTokens(record.entry.id, inputs.parts),
-    isHome && !inputs.hearsDispatches
+    isPreferred && !inputs.hearsDispatches
       ? HOME_KEPT_SHARE * sharedTokens(inputs.parts)
       : 0,
   );
@@ -215,13 +221,13 @@
           load,
           keptTokens,
         });
-  const homeGain = isHome ? HOME_MILLISECONDS : 0;
+  const preference = isPreferred ? PREFERENCE_MILLISECONDS : 0;
   return {
     record,
     keptTokens: keptTokens + copied.tokens,
     copyFrom: copied.from,
     load,
-    predictedMilliseconds: work + distance + failures - homeGain,
+    predictedMilliseconds: work + distance + failures - preference,
   };
 }
 
@@ -250,6 +256,43 @@
   );
 }
 
+/** Servers that are preferred for what they keep. */
+interface Preferred {
+  readonly preferred: ReadonlySet<string>;
+}
+
+/**
+ * The servers that keep most of a prompt's shared parts, where this host hears
+ * of all prompts and any does; the home of the prompt otherwise.
+ */
+function preferredOf(
+  records: readonly ServerRecord[],
+  prefixes: PrefixKnowledge,
+  inputs: ChoiceInputs,
+): ReadonlySet<string> {
+  const keepers = inputs.hearsDispatches
+    ? keepersOf(records, prefixes, inputs.parts.slice(0, -1))
+    : [];
+  const home = homeOf(records, inputs.parts);
+  const preferred = keepers.length > 0 || home === undefined ? keepers : [home];
+  return new Set(preferred);
+}
+
+function keepersOf(
+  records: readonly ServerRecord[],
+  prefixes: PrefixKnowledge,
+  shared: readonly PromptPart[],
+): readonly string[] {
+  const kept = records.map(({ entry: { id } }) => ({
+    id,
+    tokens: prefixes.keptTokens(id, shared),
+  }));
+  const most = Math.max(0, ...kept.map(({ tokens }) => tokens));
+  return most === 0
+    ? []
+    : kept.filter(({ tokens }) => tokens === most).map(({ id }) => id);
+}
+
 /**
  * The server that all hosts prefer for a prompt that no server is known to
  * keep: the highest hash with the longest part that requests share.
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from "./choice/mod.ts";
 export * from "./configuration/configuration_follower.ts";
 export type * from "./model/backend_server.ts";
 export type * from "./model/cloud.ts";
