--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -12,39 +12,16 @@
 import { MOST_DIRECT_HOSTS } from "../membership/relay_plan.ts";
 import type { Random } from "rampswitch-utils";
 import type { Workspace } from "../model/configuration.ts";
-
-/**
- * Multiples of its even share of a level that a host may admit within the lag
- * of the news. Balancers spread a workspace's callers unevenly over the hosts,
- * and callers come in groups. While the limit itself is not used up, one host
- * may take nearly all; in the tolerated part above it, hosts go slowly.
- */
-const UNEVEN_FACTORS = {
-  withinLimit: 8,
-  tolerated: 2,
-  /** News takes longer there, and more hosts admit meanwhile. */
-  toleratedInLargeFleet: 1.5,
-};
-
-/**
- * Least part of a level that a host may admit within the lag while the limit
- * itself is not used up. In a large fleet the callers of a workspace meet few
- * of the hosts, so an even share would refuse them below their limit.
- */
-const LEAST_PART_WITHIN_LIMIT = 1 / 6;
-
-/**
- * Part of a level that one host which decides for others may admit within its
- * lag, at most, while the limit itself is not used up.
- */
-const MOST_PART_OF_DECIDER = 0.5;
-
-/**
- * Time in which what one host that decides for others admits may be unknown to
- * the other deciders, in milliseconds: one round of the relays' news and some
- * for a late one.
- */
-const DECIDER_LAG_MILLISECONDS = 600;
+import {
+  type AdmittedTotals,
+  PeerSpenders,
+  type SpendingNews,
+} from "./peer_spending.ts";
+import {
+  type AdmissionTerms,
+  SpendingPacer,
+  type SpendingPace,
+} from "./spending_pacer.ts";
 
 /**
  * Share of a full bucket above which a host of a large fleet admits on its own,
@@ -65,25 +42,6 @@
  */
 const HEARD_ALL_MILLISECONDS = 450;
 
-/**
- * Hosts that a host takes there to be before it has read the list of hosts. All
- * may have started at once, and each would take a whole bucket for its own.
- */
-const HOSTS_BEFORE_LIST = 32;
-
-/**
- * Peers silent for longer than this are taken to be gone, if most others are
- * heard; in milliseconds. Several times the longest cut that hosts are known to
- * serve through.
- */
-const PEER_GONE_MILLISECONDS = 30_000;
-
-/**
- * The same for a host that hears few of the others: it may be the one that is
- * cut off, and waits longer.
- */
-const MOST_GONE_MILLISECONDS = 60_000;
-
 /**
  * Share of a burst that is kept for more urgent requests, for each rank below
  * the first, and the ranks for which that is done. Small requests that are less
@@ -126,17 +84,6 @@
   readonly refilledAt: number;
 }
 
-/** How old news of others may be, in milliseconds. */
-export interface SpendingPace {
-  /** Time in which what one host admits may be unknown to the others. */
-  readonly lag: number;
-  /**
-   * A peer that has been silent for this long is taken to go on spending its
-   * even share of the rate and of the bucket.
-   */
-  readonly silence: number;
-}
-
 /** What a relay tells of the limits over all hosts. */
 export interface RelayedLimits {
   readonly levels: BucketLevels;
@@ -147,68 +94,24 @@
   readonly acknowledged: AdmittedTotals;
 }
 
-interface FollowedRelay {
-  readonly heardAt: number;
-  readonly hosts: number;
-  readonly silentShare: number;
-}
-
-interface PeerSpending {
-  /** `undefined` before the peer told anything. */
-  readonly incarnation: string | undefined;
-  /** Total that the peer has told for each workspace since its start. */
-  readonly totals: ReadonlyMap<string, number>;
-  readonly heardAt: number;
-  readonly stopping: boolean;
-}
-
 /** Levels of the buckets of a host, in tokens. */
 export type BucketLevels = Readonly<Record<string, number>>;
 
-/** What a host has admitted for each workspace since its start, in tokens. */
-export type AdmittedTotals = Readonly<Record<string, number>>;
-
 /** The answer to a request for admission. */
 export type LimitDecision =
   | { readonly kind: "admitted" }
   | { readonly kind: "over_limit"; readonly retryAfterMilliseconds: number };
 
-/** What an admission depends on beside the limit itself. */
-export interface AdmissionTerms {
-  readonly now: number;
-  /** Rank of the request's route; 0 is the most urgent. */
-  readonly priority: number;
-  /**
-   * Set where this host decides for others too: how many hosts do so. Above the
-   * limit, only these admit, so that each may take a larger part of what is left.
-   */
-  readonly deciders?: number | undefined;
-  /** Whether a host that decides for others is asked about a refusal of this one. */
-  readonly asks?: boolean;
-}
-
 /** Token buckets of all workspaces, as one host sees them. */
 export class WorkspaceLimits {
   #tolerance: LimitTolerance;
   #workspaces: ReadonlyMap<string, Workspace> = new Map();
   readonly #buckets = new Map<string, Bucket>();
   readonly #admitted = new Map<string, number>();
-  readonly #peers = new Map<string, PeerSpending>();
-  #recent: readonly {
-    readonly name: string;
-    readonly tokens: number;
-    readonly at: number;
-  }[] = [];
+  readonly #peers: PeerSpenders;
+  readonly #pacer: SpendingPacer;
   /** When the first news came. */
   #startedAt: number | undefined;
-  /** Set while this host hears of the others by a relay alone. */
-  #relay: FollowedRelay | undefined;
-  /** Whether the list of hosts was read. */
-  #listed = false;
-  #pace: SpendingPace;
-  readonly #random: Random;
-  /** What this host drew last, and when. */
-  #drawn = { at: -Infinity, value: 1 };
 
   constructor(
     tolerance: LimitTolerance,
@@ -216,8 +119,8 @@
     options: { readonly random: Random },
   ) {
     this.#tolerance = tolerance;
-    this.#pace = pace;
-    this.#random = options.random;
+    this.#peers = new PeerSpenders(pace);
+    this.#pacer = new SpendingPacer(pace, options.random);
   }
 
   /** Takes over the limits of a configuration. */
@@ -251,20 +154,28 @@
       tokens + reservedTokens(workspace, terms.priority, tokens),
       this.#mostAvailable(workspace, now),
     );
-    const paced = this.#isPaced(workspace, { ...terms, tokens, level });
+    const paced = this.#pacer.leavesToOthers({
+      ...terms,
+      name,
+      tokens,
+      level,
+      within:
+        level > this.#toleratedPart(workspace) && !this.#startsAtOnce(now),
+      hosts: this.#peers.hosts(now),
+    });
     if (level < needed || paced) {
       const missing = Math.max(0, needed - level);
       const refill = (missing / workspace.tokensPerSecond) * 1_000;
       return {
         kind: "over_limit",
         retryAfterMilliseconds: Math.ceil(
-          Math.max(refill, paced ? this.#lag(terms) : 0),
+          Math.max(refill, paced ? this.#pacer.lag(terms) : 0),
         ),
       };
     }
     this.#take(name, tokens);
     this.#note(name, tokens);
-    this.#recent = [...this.#recent, { name, tokens, at: now }];
+    this.#pacer.spent(name, tokens, now);
     return { kind: "admitted" };
   }
 
@@ -275,48 +186,11 @@
   isAmple(name: string, now: number): boolean {
     const workspace = this.#workspaces.get(name);
     if (workspace === undefined || workspace.tokensPerSecond === 0) return true;
-    const capacity = this.#capacity(workspace);
     const least = Math.max(
-      capacity - workspace.burstTokens,
-      capacity * AMPLE_SHARE,
-    );
-    return (
-      !this.#startsInLargeFleet(now) && this.#available(workspace, now) > least
+      this.#toleratedPart(workspace),
+      this.#capacity(workspace) * AMPLE_SHARE,
     );
-  }
-
-  /** Whether this host leaves a request to others, for now. */
-  #isPaced(
-    workspace: Workspace,
-    asked: AdmissionTerms & { readonly tokens: number; readonly level: number },
-  ): boolean {
-    const { now, tokens, level, deciders } = asked;
-    const lag = this.#lag(asked);
-    const recent = this.#recentTokens(workspace.name, { now, lag });
-    const toleratedPart = this.#capacity(workspace) - workspace.burstTokens;
-    const within = level > toleratedPart && !this.#startsInLargeFleet(now);
-    const spenders = deciders ?? this.#hostsHeard(now);
-    const large = spenders > MOST_DIRECT_HOSTS;
-    const tolerated =
-      large || deciders !== undefined
-        ? UNEVEN_FACTORS.toleratedInLargeFleet
-        : UNEVEN_FACTORS.tolerated;
-    const factor = within ? UNEVEN_FACTORS.withinLimit : tolerated;
-    const least = within && asked.asks !== true ? LEAST_PART_WITHIN_LIMIT : 0;
-    const most = deciders === undefined ? Infinity : MOST_PART_OF_DECIDER;
-    const share =
-      level * Math.min(most, Math.max(least, factor / Math.max(1, spenders)));
-    const draws = (large || deciders !== undefined) && !within;
-    return (
-      recent + tokens > share &&
-      (recent > 0 ||
-        (draws && this.#leavesToOthers(tokens, share, { now, lag })))
-    );
-  }
-
-  /** Time in which others may not know what this host admits, in milliseconds. */
-  #lag({ deciders }: AdmissionTerms): number {
-    return deciders === undefined ? this.#pace.lag : DECIDER_LAG_MILLISECONDS;
+    return !this.#startsAtOnce(now) && this.#available(workspace, now) > least;
   }
 
   /** Gives back what a request took that surely did not run. */
@@ -363,26 +237,21 @@
 
   /** Changes how old the news of others may be. */
   setPace(pace: SpendingPace): void {
-    this.#pace = pace;
+    this.#peers.setPace(pace);
+    this.#pacer.setPace(pace);
   }
 
   /** Hears of the other hosts from themselves from now on. */
   followPeers(): void {
-    if (this.#relay === undefined) return;
-    this.#relay = undefined;
-    // What peers spent meanwhile is in the levels that the relay told.
-    this.#peers.forEach((peer, name) =>
-      this.#peers.set(name, { ...peer, incarnation: undefined }),
-    );
+    this.#peers.followPeers();
   }
 
   /** Hears of the other hosts by a relay's word alone from now on. */
   followRelay(told: RelayedLimits, now: number): void {
-    const { hosts } = told;
     // A relay that tells no levels has not heard the others itself.
     const heard = Object.keys(told.levels).length > 0;
-    const silentShare = heard ? told.silentShare : evenSilentShare(hosts);
-    this.#relay = { hosts, silentShare, heardAt: now };
+    const silentShare = heard ? told.silentShare : undefined;
+    this.#peers.followRelay({ hosts: told.hosts, silentShare }, now);
     this.#startedAt ??= now;
     Object.entries(told.levels).forEach(([name, level]) => {
       const bucket = this.#buckets.get(name);
@@ -395,53 +264,30 @@
 
   /** Share of the limits that hosts which are not heard may be spending. */
   silentShare(now: number): number {
-    return this.#silentShare(now);
+    return this.#peers.silentShare(now);
   }
 
   /** Takes in that the list of hosts was read. */
   hostsListed(): void {
-    this.#listed = true;
+    this.#peers.hostsListed();
   }
 
   /** Takes in that a peer is listed that has told nothing yet. */
   expected(peer: string, now: number): void {
-    if (this.#peers.has(peer)) return;
-    this.#peers.set(peer, {
-      incarnation: undefined,
-      totals: new Map(),
-      heardAt: now - this.#pace.silence,
-      stopping: false,
-    });
+    this.#peers.expected(peer, now);
   }
 
   /** Takes in what a peer has admitted since its start. */
   heard(
     peer: string,
-    news: {
-      readonly incarnation: string;
-      readonly totals: AdmittedTotals;
-      readonly levels: BucketLevels;
-      /** Whether the peer is about to end and to spend nothing more. */
-      readonly stopping: boolean;
-    },
+    news: SpendingNews & { readonly levels: BucketLevels },
     now: number,
   ): void {
     this.#startedAt ??= now;
     if (this.isStarting(now)) this.#lowerTo(news.levels);
-    const before = this.#peers.get(peer);
-    const sameLife = before?.incarnation === news.incarnation;
-    const totals = new Map(Object.entries(news.totals));
-    totals.forEach((total, name) => {
-      const known = sameLife ? (before?.totals.get(name) ?? 0) : 0;
-      const first = before?.incarnation === undefined;
-      if (!first) this.#take(name, total - known);
-    });
-    this.#peers.set(peer, {
-      incarnation: news.incarnation,
-      totals,
-      heardAt: now,
-      stopping: news.stopping,
-    });
+    this.#peers
+      .heard(peer, news, now)
+      .forEach((tokens, name) => this.#take(name, tokens));
   }
 
   #lowerTo(levels: BucketLevels): void {
@@ -469,7 +315,7 @@
     };
     const passed = Math.max(0, now - bucket.refilledAt) / 1_000;
     const gained =
-      workspace.tokensPerSecond * passed * (1 - this.#silentShare(now));
+      workspace.tokensPerSecond * passed * (1 - this.#peers.silentShare(now));
     const level = Math.min(this.#capacity(workspace), bucket.level + gained);
     this.#buckets.set(workspace.name, { level, refilledAt: now });
     return level;
@@ -487,10 +333,15 @@
     );
   }
 
+  /** Tokens of a full bucket that are above the limit's own burst. */
+  #toleratedPart(workspace: Workspace): number {
+    return this.#capacity(workspace) - workspace.burstTokens;
+  }
+
   /** What this host may take out of a bucket now. */
   #available(workspace: Workspace, now: number): number {
     const level = this.#refill(workspace, now);
-    const silent = this.#silentShare(now);
+    const silent = this.#peers.silentShare(now);
     return this.isStarting(now)
       ? level * (1 - silent)
       : level - this.#capacity(workspace) * silent;
@@ -499,9 +350,9 @@
   /** The most that can be available while the same hosts are heard. */
   #mostAvailable(workspace: Workspace, now: number): number {
     const most = this.#capacity(workspace);
-    if (this.#startsInLargeFleet(now)) return most;
+    if (this.#startsAtOnce(now)) return most;
     const first = this.isStarting(now) ? FIRST_LEVEL_SHARE : 1;
-    return most * first * (1 - this.#silentShare(now));
+    return most * first * (1 - this.#peers.silentShare(now));
   }
 
   /**
@@ -509,70 +360,8 @@
    * slowly: one request at each of many hosts, or all hosts at once on the first
    * level that relays tell, would be more than a bucket.
    */
-  #startsInLargeFleet(now: number): boolean {
-    return this.isStarting(now) && this.#hostsHeard(now) > MOST_DIRECT_HOSTS;
-  }
-
-  /**
-   * Whether a host of a large fleet leaves a request that is larger than its
-   * share to the others. Each host draws once in the lag of the news, so that
-   * together they admit about the level. With one request passed at each of 40
-   * hosts, a fleet that was killed twice admitted 480,000 tokens of 468,000.
-   */
-  #leavesToOthers(
-    tokens: number,
-    share: number,
-    { now, lag }: { readonly now: number; readonly lag: number },
-  ): boolean {
-    if (now - this.#drawn.at >= lag) {
-      this.#drawn = { at: now, value: this.#random.next() };
-    }
-    return this.#drawn.value * tokens > share;
-  }
-
-  /** Tokens that this host admitted within the lag of the news. */
-  #recentTokens(
-    name: string,
-    { now, lag }: { readonly now: number; readonly lag: number },
-  ): number {
-    const longest = Math.max(lag, this.#pace.lag);
-    this.#recent = this.#recent.filter(({ at }) => now - at < longest);
-    return this.#recent
-      .filter((admitted) => admitted.name === name && now - admitted.at < lag)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
-  }
-
-  /** Hosts that may be admitting, this one included. */
-  #hostsHeard(now: number): number {
-    return this.#relay?.hosts ?? this.#spenders(now).length + 1;
-  }
-
-  /** Share of the fleet's limits that silent peers may be spending. */
-  #silentShare(now: number): number {
-    const relay = this.#relay;
-    if (relay !== undefined) {
-      const heard = now - relay.heardAt < this.#pace.silence;
-      return heard ? relay.silentShare : evenSilentShare(relay.hosts);
-    }
-    if (!this.#listed) return evenSilentShare(HOSTS_BEFORE_LIST);
-    const spenders = this.#spenders(now);
-    const silent = spenders.filter((peer) => this.#isSilent(peer, now)).length;
-    return silent / (spenders.length + 1);
-  }
-
-  /** Peers that may be spending. */
-  #spenders(now: number): readonly PeerSpending[] {
-    const peers = [...this.#peers.values()].filter((peer) => !peer.stopping);
-    const heard = peers.filter((peer) => !this.#isSilent(peer, now)).length;
-    const gone =
-      heard * 2 < peers.length
-        ? MOST_GONE_MILLISECONDS
-        : PEER_GONE_MILLISECONDS;
-    return peers.filter((peer) => now - peer.heardAt < gone);
-  }
-
-  #isSilent(peer: PeerSpending, now: number): boolean {
-    return now - peer.heardAt >= this.#pace.silence;
+  #startsAtOnce(now: number): boolean {
+    return this.isStarting(now) && this.#peers.hosts(now) > MOST_DIRECT_HOSTS;
   }
 }
 
@@ -588,8 +377,3 @@
     tokens * LEFT_OF_OWN_SIZE,
   );
 }
-
-/** Share of all hosts but one, none of which is heard. */
-function evenSilentShare(hosts: number): number {
-  return 1 - 1 / Math.max(1, hosts);
-}
