--- a/packages/rampswitch-emulator/src/emulated_fleet.ts
+++ b/packages/rampswitch-emulator/src/emulated_fleet.ts
@@ -56,6 +56,10 @@
   readonly refused: number;
   /** Tokens of shared parts that were read again, as a share of all read. */
   readonly readAgain: number;
+  /** Requests at all engines, running and waiting, on the mean. */
+  readonly meanRunning: number;
+  /** Tokens that all engines read in a second. */
+  readonly readTokensPerSecond: number;
   readonly kinds: readonly KindFigures[];
 }
 
@@ -107,6 +111,7 @@
   readonly #hosts: readonly Host[];
   readonly #outcomes: Outcome[] = [];
   #work: readonly (readonly (readonly WorkAtServer[])[])[] = [];
+  readonly #running = { sum: 0, samples: 0 };
   #now = 0;
 
   constructor(run: FleetRun) {
@@ -257,6 +262,7 @@
         records.map((record) => record.ownWork),
       );
       this.#work = [...this.#work, now].slice(-news.late);
+      this.#countRunning();
       const told = this.#work[0];
       if (told !== undefined && this.#work.length === news.late)
         this.#tell(told);
@@ -264,6 +270,14 @@
     });
   }
 
+  #countRunning(): void {
+    this.#running.samples += 1;
+    this.#running.sum += this.#engines.reduce(
+      (sum, { running, waiting }) => sum + running + waiting,
+      0,
+    );
+  }
+
   /** Tells each host the work of all others at each engine, as it was. */
   #tell(told: readonly (readonly WorkAtServer[])[]): void {
     const sums = this.#engines.map((_, at) =>
@@ -321,6 +335,8 @@
       worstInTime: ((worst[0] ?? 0) + (worst[1] ?? 0)) / 2,
       refused: refused.length / Math.max(1, counted.length),
       readAgain: again / Math.max(1, read),
+      meanRunning: this.#running.sum / Math.max(1, this.#running.samples),
+      readTokensPerSecond: read / this.#run.seconds,
       kinds: this.#run.shape.kinds.map((kind) => kindFigures(kind, counted)),
     };
   }
--- a/packages/rampswitch-emulator/src/run_emulator.ts
+++ b/packages/rampswitch-emulator/src/run_emulator.ts
@@ -85,6 +85,8 @@
     worstInTime: over((run) => run.worstInTime),
     refused: over((run) => run.refused),
     readAgain: over((run) => run.readAgain),
+    meanRunning: over((run) => run.meanRunning),
+    readTokensPerSecond: over((run) => run.readTokensPerSecond),
     kinds: kinds.map(({ kind }, at) => ({
       kind,
       inTime: over((run) => run.kinds[at]?.inTime ?? 0),
