--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -351,7 +351,8 @@
 
   /** Takes in that a relay had a version confirmed some time ago. */
   confirmedByRelay(version: number, ageMilliseconds: number): void {
-    const current = version === this.#routes?.configuration.version;
+    // Before the first configuration both have none.
+    const current = version === (this.#routes?.configuration.version ?? 0);
     if (current && ageMilliseconds < OWN_WAY_FRESH_MILLISECONDS) {
       this.#relayedAt = this.#parts.clock.now();
     }
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -23,10 +23,16 @@
 /** A store whose watches wait until a test answers them. */
 class WaitingStore implements ObjectStore {
   readonly waiting = new Map<string, Waiting>();
-  readonly #lists: Readonly<Record<string, readonly string[]>> = {
-    "config/": ["main"],
-    "servers/": ["s1"],
-  };
+  readonly #lists: Readonly<Record<string, readonly string[]>>;
+
+  constructor(
+    lists: Readonly<Record<string, readonly string[]>> = {
+      "config/": ["main"],
+      "servers/": ["s1"],
+    },
+  ) {
+    this.#lists = lists;
+  }
 
   list(prefix: string): ReturnType<ObjectStore["list"]> {
     const objects = (this.#lists[prefix] ?? []).map((name) => ({
@@ -196,6 +202,20 @@
     expect(started.cutOff(clock.now())).toBe(false);
   });
 
+  test("asks nothing while relays confirm that there is none yet", async () => {
+    const store = new WaitingStore({ "servers/": ["s1"] });
+    const clock = new ManualClock(1_000);
+    const options = { isRelay: false, isIdle: false };
+    const started = await follow(store, clock, options);
+    const first = store.waiting.get("config/");
+    started.confirmedByRelay(0, 100);
+    expect(started.isBehindRelay(0)).toBe(false);
+    first?.answer(Result.ok({ version: 7, events: [] }));
+    for (let at = 0; at < 1_000; at += 200) await advance(clock, 200);
+    expect(store.waiting.get("config/")).toBe(first);
+    expect(started.isBehindRelay(8)).toBe(true);
+  });
+
   test("takes a newer version from a relay", async () => {
     const store = new WaitingStore();
     const clock = new ManualClock(1_000);
