--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -17,6 +17,7 @@
 } from "rampswitch-store";
 import { type Result } from "true-myth";
 import { RouteIndex } from "../intake/route_index.ts";
+import { LapsedServers } from "./lapsed_servers.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type { ServingConfiguration } from "../model/configuration.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
@@ -84,12 +85,6 @@
 /** Peers' confirmations younger than this show that the store is up, in ms. */
 const OTHERS_FRESH_MILLISECONDS = 2_000;
 
-/**
- * Time after the store's return in which lapsed entries come back, in
- * milliseconds; as the platform's users tell.
- */
-const LAPSED_MILLISECONDS = 2_000;
-
 /**
  * Longest wait of a watch, in seconds. Each return confirms the configuration
  * as of its sending, so the confirmation is never older than twice this; and a
@@ -152,10 +147,10 @@
 
 /**
  * The same in milliseconds for a host of a large fleet that no request has come
- * to and that is no relay. Servers register one by one while all hosts start, and each host
- * would ask after each change: at 77 hosts that was 364 of the 1,200 calls to
- * the store before the first request. Well below the time in which a leaving
- * server has to be left alone.
+ * to and that is no relay. Servers register one by one while all hosts start,
+ * and each host would ask after each change: at 77 hosts that was 364 of the
+ * 1,200 calls to the store before the first request. Well below the time in
+ * which a leaving server has to be left alone.
  */
 const IDLE_COALESCE_MILLISECONDS = 1_000;
 
@@ -183,19 +178,17 @@
   /** When a watch that was behind was last asked anew. */
   readonly #interruptedAt = new Map<Watcher, number>();
   #reachable = true;
-  /** When the store last answered again after an outage. */
-  #returnedAt = -Infinity;
-  /** Servers whose entries went and that are not passed on as gone yet. */
-  readonly #removed = new Set<string>();
+  readonly #lapsed: LapsedServers;
 
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
     this.#listener = listener;
+    this.#lapsed = new LapsedServers(parts, (id) => listener.serverGone(id));
     this.#servers = this.#watch(
       parts.formats.serversPrefix,
       {
         changed: (object) => this.#serverChanged(object),
-        removed: (key) => this.#serverRemoved(this.#serverId(key)),
+        removed: (key) => this.#lapsed.removed(this.#serverId(key)),
         confirmed: () => {
           this.#serversListed = true;
         },
@@ -342,20 +335,25 @@
     }
   }
 
-  /** Asks for itself once the relays are silent. */
+  /** Asks for itself once the relays are silent, or once it is one itself. */
   checkRelays(): void {
     const silence = this.#parts.clock.now() - this.#serversRelayedAt;
-    if (silence >= RELAYS_SILENT_MILLISECONDS) this.#servers.resume();
-    if (!this.#relaysConfirm()) this.#askItself();
+    const isRelay = this.#parts.isRelay();
+    if (isRelay || silence >= RELAYS_SILENT_MILLISECONDS) {
+      this.#servers.resume();
+    }
+    if (isRelay || !this.#relaysConfirm()) this.#askItself();
   }
 
   /** Takes in that a relay had a version confirmed some time ago. */
   confirmedByRelay(version: number, ageMilliseconds: number): void {
+    const fresh = ageMilliseconds < OWN_WAY_FRESH_MILLISECONDS;
+    // A member asks the store nothing, and learns of an outage by this alone.
+    if (fresh) this.#lapsed.storeAnswers();
+    else this.#lapsed.storeLost();
     // Before the first configuration both have none.
     const current = version === (this.#routes?.configuration.version ?? 0);
-    if (current && ageMilliseconds < OWN_WAY_FRESH_MILLISECONDS) {
-      this.#relayedAt = this.#parts.clock.now();
-    }
+    if (current && fresh) this.#relayedAt = this.#parts.clock.now();
     this.confirmedByPeer(version, ageMilliseconds);
   }
 
@@ -449,7 +447,7 @@
   #serverChanged(object: StoredObject): void {
     const { formats, logger, metrics } = this.#parts;
     const id = this.#serverId(object.key);
-    this.#removed.delete(id);
+    this.#lapsed.present(id);
     const decoded = formats.decodeServer(id, object.value);
     if (decoded.isOk) this.#listener.serverChanged(decoded.value);
     else {
@@ -461,26 +459,6 @@
     }
   }
 
-  /**
-   * Passes on that a server is gone; after an outage of the store only when its
-   * entry has not come back, since entries lapse while servers can't renew them.
-   */
-  #serverRemoved(id: string): void {
-    const now = this.#parts.clock.now();
-    const left = this.#returnedAt + LAPSED_MILLISECONDS - now;
-    const wait = this.#reachable ? left : LAPSED_MILLISECONDS;
-    this.#removed.add(id);
-    if (wait <= 0) this.#passRemoval(id);
-    else {
-      this.#parts.logger.info("server entry lapsed", { server: id });
-      this.#parts.clock.after(wait, () => this.#passRemoval(id));
-    }
-  }
-
-  #passRemoval(id: string): void {
-    if (this.#removed.delete(id)) this.#listener.serverGone(id);
-  }
-
   #serverId(key: string): string {
     return key.slice(this.#parts.formats.serversPrefix.length);
   }
@@ -488,15 +466,16 @@
   #confirmed(at: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
     this.#ownConfirmedAt = Math.max(this.#ownConfirmedAt, at);
+    this.#lapsed.storeAnswers();
     if (this.#reachable) return;
     this.#reachable = true;
-    this.#returnedAt = this.#parts.clock.now();
     this.#parts.logger.info("store answers again", {});
   }
 
   #failed(): void {
     // Both watches take the same way; this one notices first.
     this.#servers.interrupt();
+    this.#lapsed.storeLost();
     if (!this.#reachable) return;
     this.#reachable = false;
     this.#parts.metrics.event("store_lost");
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -83,10 +83,13 @@
 };
 
 let follower: ConfigurationFollower | undefined;
+/** Servers that the follower passed on as gone. */
+let gone: string[] = [];
 
 afterEach(async () => {
   await follower?.[Symbol.asyncDispose]();
   follower = undefined;
+  gone = [];
 });
 
 async function follow(
@@ -126,7 +129,7 @@
     {
       configured: () => undefined,
       serverChanged: () => undefined,
-      serverGone: () => undefined,
+      serverGone: (id) => gone.push(id),
     },
   );
   await advance(clock, 0);
@@ -310,6 +313,53 @@
   });
 });
 
+describe("a member while relays tell of the store", () => {
+  const MEMBER = { isRelay: false, isIdle: false };
+  const REMOVAL = {
+    after: 6,
+    version: 8,
+    events: [{ key: "servers/s1", version: 8 }],
+  };
+
+  test("passes a server on as gone at once", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    const started = await follow(store, clock, MEMBER);
+    started.confirmedByRelay(5, 100);
+    started.serversByRelay(REMOVAL);
+    expect(gone).toEqual(["s1"]);
+  });
+
+  test("waits for lapsed servers after an outage of the relays' store", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    const started = await follow(store, clock, MEMBER);
+    started.confirmedByRelay(5, 3_000);
+    await advance(clock, 400);
+    started.confirmedByRelay(5, 100);
+    started.serversByRelay(REMOVAL);
+    await advance(clock, 1_500);
+    expect(gone).toEqual([]);
+    await advance(clock, 600);
+    expect(gone).toEqual(["s1"]);
+  });
+
+  test("asks the store at once when it becomes a relay", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    const roles = { isRelay: false, isIdle: false };
+    const started = await follow(store, clock, roles);
+    const first = store.waiting.get("config/");
+    started.confirmedByRelay(5, 100);
+    started.isBehindRelay(5);
+    await advance(clock, 200);
+    roles.isRelay = true;
+    started.checkRelays();
+    await advance(clock, 200);
+    expect(store.waiting.get("config/")).not.toBe(first);
+  });
+});
+
 describe("a relay that lost its way to the store", () => {
   test("tells no changes of servers", async () => {
     const store = new WaitingStore();
