--- a/packages/rampswitch-emulator/src/emulated_fleet_test.ts
+++ b/packages/rampswitch-emulator/src/emulated_fleet_test.ts
@@ -2,7 +2,7 @@
 
 import { describe, expect, test } from "@jest/globals";
 import { EmulatedFleet } from "./emulated_fleet.ts";
-import { SHAPES, type FleetShape } from "./fleet_shape.ts";
+import { drawShape, type FleetShape, SHAPES } from "./fleet_shape.ts";
 import { EmulatedEngine } from "./emulated_engine.ts";
 
 function shapeOf(name: string): FleetShape {
@@ -60,6 +60,20 @@
   });
 });
 
+describe("drawn shapes", () => {
+  test("repeat themselves for the same seed and differ between seeds", () => {
+    expect(drawShape(3)).toEqual(drawShape(3));
+    expect(drawShape(3)).not.toEqual(drawShape(4));
+  });
+
+  test("keep most in time where two engines' load is put on three", () => {
+    const { shape, engines } = drawShape(9);
+    const run = { shape, engines, seconds: 20, seed: 1 };
+    const figures = new EmulatedFleet(run).play();
+    expect(figures.worthInTime).toBeGreaterThan(0.95);
+  });
+});
+
 describe("placing under high load", () => {
   test("repeats itself for the same seed", () => {
     expect(played("small-fast", 8)).toEqual(played("small-fast", 8));
--- a/packages/rampswitch-emulator/src/fleet_shape.ts
+++ b/packages/rampswitch-emulator/src/fleet_shape.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { exponential, type Random } from "rampswitch-utils";
+import { exponential, type Random, seededRandom } from "rampswitch-utils";
 
 /** One kind of streamed request. */
 export interface RequestKind {
@@ -164,6 +164,83 @@
   ].map((shape) => [shape.name, shape]),
 );
 
+/** Share of its engines that a drawn shape's load fills, at least and at most. */
+const DRAWN_FILL = { least: 0.5, most: 0.75 };
+
+/** A shape that nothing was tuned on, and engines for its load. */
+export interface DrawnShape {
+  readonly shape: FleetShape;
+  readonly engines: number;
+}
+
+/** Draws a shape: sizes, speeds, kinds of requests and how busy engines are. */
+export function drawShape(seed: number): DrawnShape {
+  const random = seededRandom(seed);
+  const between = (least: number, most: number) =>
+    least * (most / least) ** random.next();
+  const engine: EngineShape = {
+    slots: Math.round(between(8, 64)),
+    stepMilliseconds: between(3, 8),
+    stepMillisecondsPerSlot: 0.02,
+    readTokensPerMillisecond: between(30, 200),
+    pieceTokens: random.next() < 0.5 ? 1_024 : 4_096,
+    firstMilliseconds: between(10, 40),
+    memoryTokens: between(250_000, 800_000),
+    tellsLoad: random.next() < 0.5,
+  };
+  const targets = between(250, 1_000);
+  const kinds = Array.from({ length: 2 + random.below(3) }, (_, index) => ({
+    name: `kind-${index}`,
+    perSecond: between(5, 50),
+    targetMilliseconds: targets * between(1, 2),
+    worth: between(0.3, 4),
+    priority: index,
+    ownTokens: { mean: between(300, 8_000), spread: between(0.5, 1.4) },
+    sharedTokens: {
+      mean: between(100, 6_000),
+      parts: Math.round(between(20, 800)),
+    },
+    answerTokens: between(20, 500),
+  }));
+  const filled = enginesFilled(kinds, engine);
+  const fill = between(DRAWN_FILL.least, DRAWN_FILL.most);
+  return {
+    shape: {
+      name: `drawn-${seed}`,
+      hosts: Math.round(between(5, 200)),
+      dataHalls: 2 + random.below(7),
+      kinds,
+      engine,
+    },
+    engines: Math.max(3, Math.ceil(filled / fill)),
+  };
+}
+
+/** Share of shared parts that are taken to be read, to size a drawn shape. */
+const READ_OF_SHARED = 0.4;
+
+/** Engines that a load would fill if nothing ever waited. */
+function enginesFilled(
+  kinds: readonly RequestKind[],
+  engine: EngineShape,
+): number {
+  const step =
+    engine.stepMilliseconds +
+    (engine.stepMillisecondsPerSlot * engine.slots) / 2;
+  const sum = (of: (kind: RequestKind) => number) =>
+    kinds.reduce((total, kind) => total + kind.perSecond * of(kind), 0);
+  const reading = sum(
+    ({ ownTokens, sharedTokens }) =>
+      ownTokens.mean + READ_OF_SHARED * sharedTokens.mean,
+  );
+  const making = sum(({ answerTokens }) => answerTokens * step);
+  // An engine does both: what it reads delays what it makes.
+  return (
+    reading / (engine.readTokensPerMillisecond * 1_000) +
+    making / (engine.slots * 1_000)
+  );
+}
+
 /** Draws what one request of a kind asks for. */
 export function drawRequest(
   kind: RequestKind,
--- a/packages/rampswitch-emulator/src/run_emulator.ts
+++ b/packages/rampswitch-emulator/src/run_emulator.ts
@@ -9,7 +9,7 @@
 import { Command, InvalidArgumentError } from "commander";
 import { mean } from "simple-statistics";
 import { EmulatedFleet, type FleetFigures } from "./emulated_fleet.ts";
-import { SHAPES } from "./fleet_shape.ts";
+import { type DrawnShape, drawShape, SHAPES } from "./fleet_shape.ts";
 
 interface EmulatorOptions {
   readonly shape: string;
@@ -18,6 +18,7 @@
   readonly seconds: number;
   readonly lost?: number;
   readonly hot?: number;
+  readonly drawn?: number;
 }
 
 /** Runs the command; returns the exit code. */
@@ -39,6 +40,7 @@
       numbersOf,
       [8],
     )
+    .option("--drawn <number>", "play so many drawn shapes instead", numberOf)
     .option("--seeds <number>", "seeds of each", numberOf, 3)
     .option("--seconds <number>", "simulated seconds of each", numberOf, 40)
     .option(
@@ -55,12 +57,12 @@
 }
 
 function play(options: EmulatorOptions, write: (line: string) => void): number {
-  const shape = SHAPES[options.shape];
-  if (shape === undefined) {
+  const cases = casesOf(options);
+  if (cases === undefined) {
     write(JSON.stringify({ error: `unknown shape ${options.shape}` }));
     return 2;
   }
-  options.engines.forEach((engines) => {
+  cases.forEach(({ shape, engines }) => {
     const runs = Array.from({ length: options.seeds }, (_, index) =>
       new EmulatedFleet({
         shape,
@@ -76,6 +78,17 @@
   return 0;
 }
 
+/** What is to be played; `undefined` where there is no such shape. */
+function casesOf(options: EmulatorOptions): readonly DrawnShape[] | undefined {
+  if (options.drawn !== undefined) {
+    return Array.from({ length: options.drawn }, (_, index) =>
+      drawShape(index + 1),
+    );
+  }
+  const shape = SHAPES[options.shape];
+  return shape && options.engines.map((engines) => ({ shape, engines }));
+}
+
 function meanOf(runs: readonly FleetFigures[]): Record<string, unknown> {
   const over = (figure: (run: FleetFigures) => number) =>
     Number(mean(runs.map(figure)).toFixed(DECIMALS));
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -79,11 +79,12 @@
 
 /**
  * Preference for the servers that keep a prompt's shared parts, as milliseconds
- * of waiting. Loads are known late, kept parts are not; and each prompt that is read elsewhere delays all that run beside it. Emulated fleets,
- * with 12 ms and with 200 ms: share of the worth in time 0.926 and 0.962 on 40
- * engines behind 195 hosts, 0.843 and 0.941 on 26 engines behind 77 hosts; of
- * the tokens read, shared parts that were read before 0.20 and 0.14, 0.20 and
- * 0.09. With 400 ms, a part that has 0.28 of all requests overloads its home.
+ * of waiting. Loads are known late, kept parts are not; and each prompt that is
+ * read elsewhere delays all that run beside it. Emulated fleets, with 12 ms and
+ * with 200 ms: share of the worth in time 0.926 and 0.962 on 40 engines behind
+ * 195 hosts, 0.843 and 0.941 on 26 engines behind 77 hosts; of the tokens read,
+ * shared parts that were read before 0.20 and 0.14, 0.20 and 0.09. With 400 ms, a
+ * part that has 0.28 of all requests overloads its home.
  */
 const PREFERENCE_MILLISECONDS = 200;
 
@@ -163,8 +164,8 @@
   inputs: ChoiceInputs & Preferred,
 ): readonly ServerRecord[] {
   if (inputs.hearsDispatches || open.length <= DRAWN_SERVERS) return open;
-  const home = open.filter(({ entry }) => inputs.preferred.has(entry.id));
-  return [...new Set([...home, ...drawn(open, DRAWN_SERVERS, inputs)])];
+  const preferred = open.filter(({ entry }) => inputs.preferred.has(entry.id));
+  return [...new Set([...preferred, ...drawn(open, DRAWN_SERVERS, inputs)])];
 }
 
 /** Some different servers at random. */
