--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -47,6 +47,13 @@
 /** Wait before an order without an answer is repeated, in milliseconds. */
 const REPEAT_MILLISECONDS = 1_000;
 
+/**
+ * Time after an order without an answer until the newest one is sent again, in
+ * milliseconds. The cloud may carry an unanswered order out seconds later, behind
+ * newer ones, and tells nobody: what it has then is what an old plan wished.
+ */
+const CONFIRM_MILLISECONDS = 6_000;
+
 /**
  * Time without a further server after which a deployment's first servers are
  * taken to be listed, in milliseconds: two heartbeats of theirs.
@@ -65,6 +72,8 @@
   orderedAt: number;
   fallSince: number | undefined;
   notBefore: number;
+  /** When to repeat the newest order, since an older one may follow it. */
+  confirmAt: number | undefined;
 }
 
 /** Parts that the duty works with. */
@@ -258,9 +267,10 @@
   #isDue(order: ServerOrder, ready: number, now: number): boolean {
     const state = this.#state(order);
     const current = state.ordered ?? ready;
+    const confirms = state.confirmAt !== undefined && now >= state.confirmAt;
     if (order.desired === current) {
       state.fallSince = undefined;
-      return false;
+      return confirms && now >= state.notBefore;
     }
     if (now < state.notBefore) return false;
     if (order.desired > current) return true;
@@ -287,12 +297,17 @@
       outcome: result,
     });
     if (outcome.isOk) {
+      const due = state.confirmAt !== undefined && now >= state.confirmAt;
+      if (due) state.confirmAt = undefined;
       state.ordered = order.desired;
       state.orderedAt = now;
       state.fallSince = undefined;
       return;
     }
     state.notBefore = now + REPEAT_MILLISECONDS;
+    if (outcome.error === "no_answer") {
+      state.confirmAt = now + CONFIRM_MILLISECONDS;
+    }
     if (outcome.error === "conflict" && order.reclaimable) {
       const place = `${order.service}/${order.dataHall}`;
       this.#soldOutUntil.set(place, now + SOLD_OUT_MILLISECONDS);
@@ -306,6 +321,7 @@
       orderedAt: 0,
       fallSince: undefined,
       notBefore: 0,
+      confirmAt: undefined,
     };
     this.#states.set(key, state);
     return state;
--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -38,8 +38,8 @@
   },
 });
 
-/** A duty before any load, with a cloud that takes every order. */
-function idleDuty(): {
+/** A duty before any load, with a cloud that takes every order it answers. */
+function idleDuty(answers: () => boolean = () => true): {
   readonly duty: CapacityDuty;
   readonly orders: ServerOrder[];
   readonly directory: ServerDirectory;
@@ -51,7 +51,9 @@
       reportUsage: () => Promise.resolve(Result.ok(undefined)),
       orderServers: (order) => {
         orders.push(order);
-        return Promise.resolve(Result.ok(undefined));
+        return Promise.resolve(
+          answers() ? Result.ok(undefined) : Result.err("no_answer"),
+        );
       },
     },
     directory,
@@ -118,6 +120,54 @@
   });
 });
 
+describe("orders while the cloud does not answer", () => {
+  /** Orders sent in each second of a run. */
+  async function ordersBySecond(
+    seconds: number,
+    answersAt: (second: number) => boolean,
+  ): Promise<readonly (readonly ServerOrder[])[]> {
+    let second = 0;
+    const { duty, orders, directory } = idleDuty(() => answersAt(second));
+    list(directory, 60);
+    const sent: (readonly ServerOrder[])[] = [];
+    for (; second < seconds; second += 1) {
+      const before = orders.length;
+      for (let part = 0; part < 4; part += 1) {
+        await duty.act(ROUTES, FENCE, 10_000 + second * 1_000 + part * 250);
+      }
+      sent.push(orders.slice(before));
+    }
+    return sent;
+  }
+
+  function subject({ dataHall, reclaimable }: ServerOrder): string {
+    return `${dataHall}/${reclaimable}`;
+  }
+
+  test("are repeated once a second, and not forgotten", async () => {
+    const sent = await ordersBySecond(6, (second) => second >= 4);
+    const subjects = sent.map((orders) => orders.map(subject));
+    subjects.slice(0, 4).forEach((names) => {
+      expect(names.length).toBeGreaterThan(0);
+      expect(new Set(names).size).toBe(names.length);
+    });
+    expect(subjects[4]).toEqual(expect.arrayContaining(subjects[0] ?? []));
+  });
+
+  test("are sent once more after it, since they may be carried out late", async () => {
+    const sent = await ordersBySecond(20, (second) => second >= 2);
+    const unanswered = new Set(sent.slice(0, 2).flat().map(subject));
+    const answered = sent.slice(2).flat();
+    unanswered.forEach((name) => {
+      const orders = answered.filter((order) => subject(order) === name);
+      const repeated = orders.filter(
+        ({ desired }, index) => desired === orders[index - 1]?.desired,
+      );
+      expect([name, repeated.length]).toEqual([name, 1]);
+    });
+  });
+});
+
 /** Servers on demand over all data halls once the orders are carried out. */
 function onDemandAfter(
   orders: readonly ServerOrder[],
