--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -1,6 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { afterEach, describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
 import { Result } from "true-myth";
 import {
   ManualClock,
@@ -401,6 +402,38 @@
     expect(decoded.isOk && decoded.value).toEqual(message);
   });
 
+  test("that is cut or changed anywhere never throws", () => {
+    const messages: readonly PeerMessage[] = [
+      {
+        kind: "news",
+        from: "a",
+        wantsDigest: true,
+        news: Array.from({ length: 20 }, () => ({ news, age: 30 })),
+      },
+      { kind: "configuration", changes: CONFIGURATION },
+      { kind: "answer", answer: { id: 3, decision: { kind: "admitted" } } },
+    ];
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...messages),
+        fc.record({
+          position: fc.nat(),
+          byte: fc.integer({ min: 0, max: 255 }),
+          cut: fc.boolean(),
+        }),
+        (message, { position, byte, cut }) => {
+          const datagram = Buffer.from(encodeMessage(message));
+          const at = position % datagram.length;
+          datagram[at] = byte;
+          const received = cut ? datagram.subarray(0, at) : datagram;
+          const decoded = decodeMessage(received);
+          expect(decoded.isOk || decoded.error.length > 0).toBe(true);
+        },
+      ),
+      { numRuns: 500, seed: 5 },
+    );
+  });
+
   test.each(["", "{", "[]", '{"k":1}', "\u0000\u0001", "\u0001abc"])(
     "that can't be read is told: %j",
     (text) => {
