--- a/packages/rampswitch-emulator/src/emulated_fleet.ts
+++ b/packages/rampswitch-emulator/src/emulated_fleet.ts
@@ -31,7 +31,7 @@
   readonly engines: number;
   readonly seconds: number;
   readonly seed: number;
-  /** Share of the engines that stop at the middle of the run. */
+  /** Share of the engines that begin to leave at the middle of the run. */
   readonly lostShare?: number;
   /** Share of each kind's requests that have the same shared part. */
   readonly hotShare?: number;
@@ -175,7 +175,7 @@
     });
   }
 
-  /** Some engines end in silence; hosts hear of it by their list. */
+  /** Some engines leave; all hosts hear of it at once. */
   #loseLater(): void {
     const { lostShare, seconds } = this.#run;
     if (lostShare === undefined) return;
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -271,12 +271,12 @@
   }
 
   /**
-   * Takes in how far a relay has followed the configuration; tells whether to
-   * ask it for the newest. While relays confirm what this host has, it asks the
-   * store nothing: of the calls of a fleet of 195 hosts, one a host and change
-   * of the configuration.
+   * Takes in how far a relay has followed the configuration; returns whether
+   * this host is behind and is to ask for the newest. While relays confirm what
+   * it has, it asks the store nothing: a change of the configuration costs a
+   * call of each relay instead of one of each host.
    */
-  isBehindRelay(newestChange: number): boolean {
+  relayFollowed(newestChange: number): boolean {
     if (this.#configuration.version === 0) return false;
     const now = this.#parts.clock.now();
     this.#digestedAt = now;
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -140,9 +140,8 @@
     }
     this.#parts.follower.serversByRelay(digest.servers);
     const { configuration } = digest.followed;
-    if (this.#parts.follower.isBehindRelay(configuration)) {
-      this.#parts.askConfiguration(digest.relay);
-    }
+    const isBehind = this.#parts.follower.relayFollowed(configuration);
+    if (isBehind) this.#parts.askConfiguration(digest.relay);
     this.#parts.follower.othersFollowed(digest.followed);
     directory.heardPeer(FLEET, digest.work, now);
     const acknowledged = this.#told.get(digest.acknowledged);
