--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -120,8 +120,8 @@
 const OWN_WAY_FRESH_MILLISECONDS = 2_600;
 
 /**
- * Time in which another relay may still tell of the servers, in milliseconds:
- * two digests.
+ * Time in which another relay may still tell of the store, in milliseconds: two
+ * digests.
  */
 const OTHER_RELAY_MILLISECONDS = 900;
 
@@ -171,6 +171,8 @@
   #digestedAt = -Infinity;
   /** When this host last began to ask the store itself. */
   #asksSince = -Infinity;
+  /** When a relay that reaches the store last had what this host has. */
+  #levelAt = -Infinity;
   /** Since when a relay has a configuration that this host has not. */
   #behindSince: number | undefined;
   /** The newest configuration as the store holds it. */
@@ -272,22 +274,29 @@
 
   /**
    * Takes in how far a relay has followed the configuration; returns whether
-   * this host is behind and is to ask for the newest. While relays confirm what
-   * it has, it asks the store nothing: a change of the configuration costs a
-   * call of each relay instead of one of each host.
+   * this host is behind and is to ask for the newest. While relays that reach the
+   * store confirm what it has, it asks the store nothing: a change of the
+   * configuration costs a call of each relay instead of one of each host. A relay
+   * without its own way hears of no change, so its hosts soon ask themselves; by
+   * its age alone they waited for 4.1 s.
    */
-  relayFollowed(newestChange: number): boolean {
+  relayFollowed(newestChange: number, reachesStore: boolean): boolean {
     if (this.#configuration.version === 0) return false;
     const now = this.#parts.clock.now();
     this.#digestedAt = now;
-    if (newestChange <= this.#configuration.newestChange) {
-      this.#behindSince = undefined;
+    if (newestChange > this.#configuration.newestChange) {
+      this.#behindSince ??= now;
+      if (now - this.#behindSince >= PASSING_ON_MILLISECONDS) this.#askItself();
+      return true;
+    }
+    this.#behindSince = undefined;
+    if (reachesStore) {
+      this.#levelAt = now;
       if (this.#relaysConfirm()) this.#leaveToRelays();
-      return false;
+    } else if (now - this.#levelAt >= OTHER_RELAY_MILLISECONDS) {
+      this.#askItself();
     }
-    this.#behindSince ??= now;
-    if (now - this.#behindSince >= PASSING_ON_MILLISECONDS) this.#askItself();
-    return true;
+    return false;
   }
 
   /** Takes in the configuration that a relay passed on. */
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -190,7 +190,7 @@
     });
     const first = store.waiting.get("config/");
     started.confirmedByRelay(5, 100);
-    expect(started.relayFollowed(5)).toBe(false);
+    expect(started.relayFollowed(5, true)).toBe(false);
     for (let at = 0; at < 1_400; at += 200) await advance(clock, 200);
     started.checkRelays();
     expect(store.waiting.get("config/")).toBe(first);
@@ -212,11 +212,11 @@
     const started = await follow(store, clock, options);
     const first = store.waiting.get("config/");
     started.confirmedByRelay(0, 100);
-    expect(started.relayFollowed(0)).toBe(false);
+    expect(started.relayFollowed(0, true)).toBe(false);
     first?.answer(Result.ok({ version: 7, events: [] }));
     for (let at = 0; at < 1_000; at += 200) await advance(clock, 200);
     expect(store.waiting.get("config/")).toBe(first);
-    expect(started.relayFollowed(8)).toBe(true);
+    expect(started.relayFollowed(8, true)).toBe(true);
   });
 
   test("takes a newer version from a relay", async () => {
@@ -226,15 +226,15 @@
     const started = await follow(store, clock, options);
     expect(started.newestConfiguration()).toMatchObject({ version: 6 });
     started.confirmedByRelay(5, 100);
-    started.relayFollowed(5);
-    expect(started.relayFollowed(8)).toBe(true);
+    started.relayFollowed(5, true);
+    expect(started.relayFollowed(8, true)).toBe(true);
     started.configurationByRelay({
       after: 0,
       version: 9,
       events: [{ key: "config/main", version: 8, value: "8" }],
     });
     expect(started.routes?.configuration.version).toBe(8);
-    expect(started.relayFollowed(8)).toBe(false);
+    expect(started.relayFollowed(8, true)).toBe(false);
     // An older one that comes late changes nothing.
     started.configurationByRelay({
       after: 0,
@@ -251,9 +251,9 @@
     const started = await follow(store, clock, options);
     const first = store.waiting.get("config/");
     started.confirmedByRelay(5, 100);
-    started.relayFollowed(5);
+    started.relayFollowed(5, true);
     for (let at = 0; at <= 1_200; at += 400) {
-      expect(started.relayFollowed(8)).toBe(true);
+      expect(started.relayFollowed(8, true)).toBe(true);
       await advance(clock, 200);
       await advance(clock, 200);
     }
@@ -313,6 +313,43 @@
   });
 });
 
+describe("a member whose relays lost the store", () => {
+  const MEMBER = { isRelay: false, isIdle: false };
+
+  test("asks for itself within a second, whatever peers confirm", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    const started = await follow(store, clock, MEMBER);
+    const first = store.waiting.get("config/");
+    started.confirmedByRelay(5, 100);
+    started.relayFollowed(5, true);
+    for (let at = 0; at < 1_000; at += 200) {
+      await advance(clock, 200);
+      started.confirmedByRelay(5, 100);
+      started.relayFollowed(5, false);
+      started.checkRelays();
+    }
+    await advance(clock, 200);
+    expect(store.waiting.get("config/")).not.toBe(first);
+  });
+
+  test("goes on by the other relay", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    const started = await follow(store, clock, MEMBER);
+    const first = store.waiting.get("config/");
+    for (let at = 0; at < 3_000; at += 400) {
+      started.confirmedByRelay(5, 100);
+      started.relayFollowed(5, true);
+      await advance(clock, 200);
+      started.relayFollowed(5, false);
+      started.checkRelays();
+      await advance(clock, 200);
+    }
+    expect(store.waiting.get("config/")).toBe(first);
+  });
+});
+
 describe("a member while relays tell of the store", () => {
   const MEMBER = { isRelay: false, isIdle: false };
   const REMOVAL = {
@@ -351,7 +388,7 @@
     const started = await follow(store, clock, roles);
     const first = store.waiting.get("config/");
     started.confirmedByRelay(5, 100);
-    started.relayFollowed(5);
+    started.relayFollowed(5, true);
     await advance(clock, 200);
     roles.isRelay = true;
     started.checkRelays();
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -140,7 +140,11 @@
     }
     this.#parts.follower.serversByRelay(digest.servers);
     const { configuration } = digest.followed;
-    const isBehind = this.#parts.follower.relayFollowed(configuration);
+    const reachesStore = digest.servers !== undefined;
+    const isBehind = this.#parts.follower.relayFollowed(
+      configuration,
+      reachesStore,
+    );
     if (isBehind) this.#parts.askConfiguration(digest.relay);
     this.#parts.follower.othersFollowed(digest.followed);
     directory.heardPeer(FLEET, digest.work, now);
