--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -274,9 +274,10 @@
   const keepers = inputs.hearsDispatches
     ? keepersOf(records, prefixes, inputs.parts.slice(0, -1))
     : [];
+  // Only without keepers: the home takes a hash of each server.
+  if (keepers.length > 0) return new Set(keepers);
   const home = homeOf(records, inputs.parts);
-  const preferred = keepers.length > 0 || home === undefined ? keepers : [home];
-  return new Set(preferred);
+  return new Set(home === undefined ? [] : [home]);
 }
 
 function keepersOf(
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -76,7 +76,7 @@
     this.#repetition.hurry();
   }
 
-  /** Whether this host was found in the list, and so were those before it. */
+  /** Whether a list was read that this host stands in. */
   get settled(): boolean {
     return this.#readings > 0;
   }
