Test that a moved run is never begun again, while it fails

Cause: the property left out sequences with a move, since the send that carries the moved memory is asked for by the same question as a fresh one. Ruled out: nothing yet; the test holds for all orders of events up to eight. Measured: fails on this code, with written, answered, moved, written, rejected among the sequences after which a request that must run once may be sent.

--- a/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
@@ -3,6 +3,17 @@
 import { describe, expect, test } from "@jest/globals";
 import { type AttemptEvent, AttemptTruth } from "./attempt_machine.ts";
 
+// A stream that must run once was stopped so that its memory could move to
+// another server. That server turned it away, three milliseconds later a third
+// one got it without the memory and ran it from the start, and the caller got
+// the pieces of the first run and then all of the second. The stop had taken the
+// run back, and the rejection took it back once more, so that nothing seemed to
+// have run: a run that exists only in kept memory counted as no run. The lines
+// of one request that settled it, in order:
+//   memory move     outcome=moved
+//   request ended   outcome=completed
+//                   resends=rejected,rejected,memory_moved,rejected
+
 /** Everything that can happen to a send, the final answer aside. */
 const EVENTS: readonly AttemptEvent["type"][] = [
   "written",
@@ -92,9 +103,7 @@
   test("never sends what may have run when it must not be repeated", () => {
     const wrong = explored.filter(
       (sequence) =>
-        !sequence.includes("moved") &&
-        replay("at_most_once", sequence).maySend(9) &&
-        mayHaveRun(sequence) > 0,
+        replay("at_most_once", sequence).maySend(9) && mayHaveRun(sequence) > 0,
     );
     expect(wrong).toEqual([]);
   });
