Tell of each further send, rejection, loss and move of a request

Change: `request sent again` for each send beyond the first, `send rejected`, `send not repeated` with a closed list of causes, `send lost` also after a silence and after a failure that may repeat, and `memory move` with both servers, the copies' times and the caller's events. A request that goes through at the first server leaves one line as before. `resends_total` also tells the service; `not_repeated_total` is new. What may be sent is decided as before, in the same order; the causes got names. Lines have room for what the budget decided by; nothing is passed yet.

--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -19,8 +19,14 @@
     "outcome",
   ]);
   readonly #resends = this.#counter("resends_total", "Repeated sends", [
+    "service",
     "reason",
   ]);
+  readonly #notRepeated = this.#counter(
+    "not_repeated_total",
+    "Further sends that were wanted and not made",
+    ["why"],
+  );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
   readonly #gauges = new Map<string, Gauge>();
   readonly #firstPart = this.#histogram(
@@ -38,8 +44,13 @@
   }
 
   /** Counts a repeated send. */
-  resend(reason: string): void {
-    this.#resends.inc({ reason });
+  resend(service: string, reason: string): void {
+    this.#resends.inc({ service, reason });
+  }
+
+  /** Counts a further send that was wanted and not made. */
+  notRepeated(why: string): void {
+    this.#notRepeated.inc({ why });
   }
 
   /** Counts something that happened. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -27,7 +27,7 @@
 import { HeldBody } from "./held_body.ts";
 import { moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
-import { RunRecord } from "./run_record.ts";
+import { type NotRepeatedReason, RunRecord } from "./run_record.ts";
 import { chooseFor } from "./send_choice.ts";
 import { StallWatch } from "./stall_watch.ts";
 
@@ -149,8 +149,12 @@
       return;
     }
     const target = this.#choose();
-    if (target === undefined) return;
+    if (target === undefined) {
+      this.#notRepeated("memory_moved", "no_server");
+      return;
+    }
     const from = current.choice.record.entry.address;
+    const record = this.#record.moveBegan(current.choice.record, target.record);
     const outcome = await moveMemory(
       { from, to: target.record.entry.address, attemptId },
       {
@@ -158,10 +162,11 @@
         stillRuns: () => this.#current === current && !this.#answer.finished,
         stops: (stopping) => {
           this.#moving = stopping;
+          record.stops(stopping);
         },
       },
     );
-    this.#record.moved(target.record, outcome.isErr ? outcome.error : "moved");
+    record.ended(outcome.isErr ? outcome.error : "moved", this.#lastEventId);
     if (this.#answer.finished) return;
     if (outcome.isErr) {
       if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
@@ -200,7 +205,11 @@
     const tokens = promptTokens(request.head);
     const unreadBefore = record.unreadTokens(this.#now());
     this.#tried.add(record.entry.id);
-    this.#record.sentTo(record);
+    this.#record.sentTo(record, {
+      continues: this.#memorySource !== undefined,
+      lastEventId: this.#lastEventId,
+      possibleRuns: this.#truth.possibleRuns,
+    });
     const memorySource = this.#memorySource;
     this.#memorySource = undefined;
     const unread = memorySource === undefined ? tokens - choice.keptTokens : 0;
@@ -274,6 +283,11 @@
     if (!this.#mayResendAfterRun()) return;
     this.#truth.handle({ type: "lost" });
     this.#endCurrent(true);
+    this.#record.lost("stalled", {
+      detail: "silent",
+      server: current.choice.record,
+      relayed: this.#truth.relayed,
+    });
     this.#resend("stalled", "timed_out");
   }
 
@@ -396,6 +410,11 @@
       this.#failureAnswer = { head, body };
       this.#truth.handle({ type: "lost" });
       this.#endCurrent(false);
+      this.#record.lost("server_error", {
+        detail: `status ${head.status}`,
+        server: current.choice.record,
+        relayed: this.#truth.relayed,
+      });
       this.#resend("server_error", "answer_broken");
       return;
     }
@@ -413,6 +432,7 @@
     } else record?.rejected(this.#now());
     this.#endCurrent(false);
     this.#context.metrics.event(`rejected_${head.status}`);
+    this.#record.rejected(head.status);
     this.#resend("rejected", "servers_full");
   }
 
@@ -453,18 +473,15 @@
 
   #resend(reason: ResendReason, otherwise: RefusalReason): void {
     if (this.#answer.finished) return;
-    const { route, service } = this.request;
-    const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
-    const allowed =
-      this.#truth.maySend(route.maximumRuns + extra) &&
-      this.#remaining() > LEAST_USEFUL_MILLISECONDS &&
-      this.#record.resends < MAXIMUM_RESENDS;
-    const choice = allowed ? this.#choose() : undefined;
+    const forbidden = this.#whyNotAgain();
+    const choice = forbidden === undefined ? this.#choose() : undefined;
     const budget = { now: this.#now(), hosts: this.#context.hosts() };
     if (
       choice === undefined ||
-      !this.#context.budget.spend(service.name, budget)
+      !this.#context.budget.spend(this.request.service.name, budget)
     ) {
+      const why = choice === undefined ? "no_server" : "budget_spent";
+      this.#notRepeated(reason, forbidden ?? why);
       this.#giveUp(otherwise);
       return;
     }
@@ -472,6 +489,23 @@
     this.#sendTo(choice);
   }
 
+  /** What forbids a further send, wherever it would go. */
+  #whyNotAgain(): NotRepeatedReason | undefined {
+    const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
+    if (!this.#truth.maySend(this.request.route.maximumRuns + extra)) {
+      return "may_not_run_again";
+    }
+    if (this.#remaining() <= LEAST_USEFUL_MILLISECONDS) return "too_late";
+    return this.#record.resends < MAXIMUM_RESENDS
+      ? undefined
+      : "too_many_sends";
+  }
+
+  #notRepeated(reason: ResendReason, why: NotRepeatedReason): void {
+    const { possibleRuns } = this.#truth;
+    this.#record.notRepeated(reason, { why, possibleRuns });
+  }
+
   #timedOut(): void {
     if (this.#answer.finished) return;
     const unsent = this.#truth.surelyNotRun;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -11,16 +11,77 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 
+/** Why a further send that was wanted is not made. */
+export const NOT_REPEATED_REASONS = [
+  "may_not_run_again",
+  "too_late",
+  "too_many_sends",
+  "no_server",
+  "budget_spent",
+] as const;
+
+/** One of {@link NOT_REPEATED_REASONS}. */
+export type NotRepeatedReason = (typeof NOT_REPEATED_REASONS)[number];
+
+/** What the budget of repeated sends decided by. */
+export interface BudgetView {
+  /** Repeats that this host spent in the window. */
+  readonly spent: number;
+  /** Repeats that this host may spend in the window. */
+  readonly allowed: number;
+  /** Hosts that the fleet's budget was split among. */
+  readonly hosts: number;
+}
+
+/** What a send is told of the run so far. */
+export interface SendState {
+  /** Whether it names kept memory from which the run goes on. */
+  readonly continues: boolean;
+  /** Last event that the caller has, as the server is told. */
+  readonly lastEventId: string | undefined;
+  /** Runs that began or may have begun before it. */
+  readonly possibleRuns: number;
+}
+
+/** The record of a move that is under way. */
+export interface MoveRecord {
+  /** The run's stop was asked for, or that was answered. */
+  stops(stopping: boolean): void;
+  /** The move ended; the caller has events up to the given one. */
+  ended(outcome: string, lastEventId: string | undefined): void;
+}
+
+/** What a record works with. */
+export type RecordParts = Pick<
+  RequestContext,
+  "clock" | "metrics" | "logger" | "began"
+>;
+
+/**
+ * Characters of an event's id that a line holds; a caller may send one of any
+ * length, those of servers are counters or short names.
+ */
+const MAXIMUM_EVENT_ID_LENGTH = 64;
+
+/** The newest send of a request. */
+interface LastSend {
+  readonly server: string;
+  readonly sentAt: number;
+  readonly continues: boolean;
+}
+
 /** The record of one request. */
 export class RunRecord {
   readonly #request: AdmittedRequest;
-  readonly #context: RequestContext;
+  readonly #context: RecordParts;
   readonly #servers: string[] = [];
   readonly #reasons: ResendReason[] = [];
   #began = false;
   #firstPartAt: number | undefined;
+  #lastSend: LastSend | undefined;
+  #budget: BudgetView | undefined;
 
-  constructor(request: AdmittedRequest, context: RequestContext) {
+  constructor(request: AdmittedRequest, context: RecordParts) {
     this.#request = request;
     this.#context = context;
   }
@@ -35,15 +96,65 @@
     return this.#reasons.length;
   }
 
-  /** The request goes to a server. */
-  sentTo(record: ServerRecord): void {
-    this.#servers.push(record.entry.id);
+  /** The request goes to a server; each time but the first leaves a line. */
+  sentTo(record: ServerRecord, state: SendState): void {
+    const former = this.#lastSend;
+    const sentAt = this.#context.clock.now();
+    const server = record.entry.id;
+    this.#servers.push(server);
+    this.#lastSend = { server, sentAt, continues: state.continues };
+    if (former === undefined) return;
+    this.#context.logger.info("request sent again", {
+      request: this.#request.head.attemptId,
+      reason: this.#reasons.at(-1),
+      from: former.server,
+      to: server,
+      continues: state.continues,
+      lastEventId: shortened(state.lastEventId),
+      possibleRuns: state.possibleRuns,
+      sinceMilliseconds: this.#since(former.sentAt),
+      ...budgetFields(this.#budget),
+    });
   }
 
-  /** The request is to be sent once more. */
-  resent(reason: ResendReason): void {
+  /** The request is to be sent once more, which the budget may have decided. */
+  resent(reason: ResendReason, budget?: BudgetView): void {
     this.#reasons.push(reason);
-    this.#context.metrics.resend(reason);
+    this.#budget = budget;
+    this.#context.metrics.resend(this.#request.service.name, reason);
+  }
+
+  /** A further send was wanted and is not made. */
+  notRepeated(
+    reason: ResendReason,
+    inputs: {
+      readonly why: NotRepeatedReason;
+      /** Runs that began or may have begun. */
+      readonly possibleRuns: number;
+      readonly budget?: BudgetView | undefined;
+    },
+  ): void {
+    this.#context.metrics.notRepeated(inputs.why);
+    this.#context.logger.info("send not repeated", {
+      request: this.#request.head.attemptId,
+      reason,
+      why: inputs.why,
+      possibleRuns: inputs.possibleRuns,
+      ...budgetFields(inputs.budget),
+    });
+  }
+
+  /** The server of the newest send turned it away and did not run it. */
+  rejected(status: number): void {
+    const last = this.#lastSend;
+    if (last === undefined) return;
+    this.#context.logger.info("send rejected", {
+      request: this.#request.head.attemptId,
+      server: last.server,
+      status,
+      sinceMilliseconds: this.#since(last.sentAt),
+      continues: last.continues,
+    });
   }
 
   /** The request began to run; counts once for its workspace. */
@@ -81,16 +192,47 @@
     });
   }
 
-  /** A move of the run's memory ended. */
-  moved(target: ServerRecord, outcome: string): void {
+  /**
+   * A move of the run's memory begins. Where the run does not stop for it, the
+   * first copy's time holds all of the move.
+   */
+  moveBegan(from: ServerRecord, target: ServerRecord): MoveRecord {
+    const { clock } = this.#context;
+    const beganAt = clock.now();
+    const servers = { from: from.entry.id, target: target.entry.id };
+    let stopAskedAt: number | undefined;
+    let stoppedAt: number | undefined;
+    return {
+      stops: (stopping) => {
+        if (stopping) stopAskedAt = clock.now();
+        else stoppedAt = clock.now();
+      },
+      ended: (outcome, lastEventId) =>
+        this.#moveEnded(outcome, {
+          ...servers,
+          firstCopyMilliseconds: between(beganAt, stopAskedAt ?? clock.now()),
+          secondCopyMilliseconds: between(stopAskedAt, stoppedAt),
+          lastEventId: shortened(lastEventId),
+        }),
+    };
+  }
+
+  #moveEnded(
+    outcome: string,
+    fields: Readonly<Record<string, string | number | undefined>>,
+  ): void {
     this.#context.metrics.event(`move_${outcome}`);
     this.#context.logger.info("memory move", {
       request: this.#request.head.attemptId,
-      target: target.entry.id,
       outcome,
+      ...fields,
     });
   }
 
+  #since(time: number): number {
+    return Math.round(this.#context.clock.now() - time);
+  }
+
   /** The request ended. */
   ended(outcome: string): void {
     const request = this.#request;
@@ -115,3 +257,28 @@
     });
   }
 }
+
+function shortened(eventId: string | undefined): string | undefined {
+  return eventId?.slice(0, MAXIMUM_EVENT_ID_LENGTH);
+}
+
+function between(
+  start: number | undefined,
+  end: number | undefined,
+): number | undefined {
+  return start === undefined || end === undefined
+    ? undefined
+    : Math.round(end - start);
+}
+
+function budgetFields(
+  budget: BudgetView | undefined,
+): Readonly<Record<string, number>> {
+  return budget === undefined
+    ? {}
+    : {
+        budgetSpent: budget.spent,
+        budgetAllowed: budget.allowed,
+        budgetHosts: budget.hosts,
+      };
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -0,0 +1,283 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { type LogFields, ManualClock, SILENT_LOGGER } from "rampswitch-utils";
+import { ServerRecord } from "../choice/mod.ts";
+import { ServingMetrics } from "../observation/mod.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
+import {
+  NOT_REPEATED_REASONS,
+  RunRecord,
+  type SendState,
+} from "./run_record.ts";
+
+const REQUEST: AdmittedRequest = {
+  head: {
+    attemptId: "r1",
+    method: "POST",
+    target: "/once/x",
+    hostName: "models.example",
+    key: undefined,
+    deadlineMilliseconds: undefined,
+    promptTokens: 100,
+    maximumAnswerTokens: undefined,
+    expectedAnswerTokens: undefined,
+    promptParts: [],
+    lastEventId: undefined,
+    forwarded: [],
+  },
+  body: undefined,
+  route: {
+    name: "once",
+    hostName: "models.example",
+    pathPrefix: "/once",
+    streaming: true,
+    repeatability: "at_most_once",
+    resumable: false,
+    open: true,
+    targets: [{ service: "models", weight: 1 }],
+    maximumRuns: 1,
+    timeoutMilliseconds: 4_000,
+    targetMilliseconds: 200,
+    priority: 0,
+  },
+  service: {
+    name: "models",
+    maximumConnections: 10,
+    engine: undefined,
+    capacity: undefined,
+  },
+  workspace: undefined,
+  chargedTokens: 0,
+  arrivedAt: 0,
+  configurationVersion: 1,
+};
+
+const FIRST: SendState = {
+  continues: false,
+  lastEventId: undefined,
+  possibleRuns: 0,
+};
+
+function server(id: string): ServerRecord {
+  return new ServerRecord({
+    id,
+    service: "models",
+    address: "127.0.0.1:1",
+    dataHall: "a",
+    slots: 8,
+    state: "ready",
+    reclaimable: true,
+  });
+}
+
+interface Line {
+  readonly message: string;
+  readonly fields: LogFields | undefined;
+}
+
+function observed(): {
+  readonly record: RunRecord;
+  readonly clock: ManualClock;
+  readonly lines: readonly Line[];
+  readonly counters: (name: string) => Promise<readonly string[]>;
+} {
+  const clock = new ManualClock();
+  const metrics = new ServingMetrics();
+  const lines: Line[] = [];
+  const logger = {
+    ...SILENT_LOGGER,
+    info: (message: string, fields?: LogFields): void => {
+      lines.push({ message, fields });
+    },
+  };
+  const began = (): void => undefined;
+  return {
+    record: new RunRecord(REQUEST, { clock, metrics, logger, began }),
+    clock,
+    lines,
+    counters: async (name) =>
+      (await metrics.text())
+        .split("\n")
+        .filter((line) => line.startsWith(`rampswitch_${name}`)),
+  };
+}
+
+describe("record of a run", () => {
+  test("the first send leaves no line of its own", () => {
+    const { record, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    expect(lines).toEqual([]);
+    expect(record.sends).toBe(1);
+    expect(record.resends).toBe(0);
+  });
+
+  test("each further send tells why, where and on what", async () => {
+    const { record, clock, lines, counters } = observed();
+    record.sentTo(server("s1"), FIRST);
+    clock.advance(70);
+    record.resent("memory_moved", { spent: 2, allowed: 2.5, hosts: 3 });
+    record.sentTo(server("s2"), {
+      continues: true,
+      lastEventId: "17",
+      possibleRuns: 0,
+    });
+    clock.advance(4.4);
+    record.resent("rejected");
+    record.sentTo(server("s3"), {
+      continues: false,
+      lastEventId: "17",
+      possibleRuns: 1,
+    });
+    expect(lines).toEqual([
+      {
+        message: "request sent again",
+        fields: {
+          request: "r1",
+          reason: "memory_moved",
+          from: "s1",
+          to: "s2",
+          continues: true,
+          lastEventId: "17",
+          possibleRuns: 0,
+          sinceMilliseconds: 70,
+          budgetSpent: 2,
+          budgetAllowed: 2.5,
+          budgetHosts: 3,
+        },
+      },
+      {
+        message: "request sent again",
+        fields: {
+          request: "r1",
+          reason: "rejected",
+          from: "s2",
+          to: "s3",
+          continues: false,
+          lastEventId: "17",
+          possibleRuns: 1,
+          sinceMilliseconds: 4,
+        },
+      },
+    ]);
+    expect(await counters("resends_total")).toEqual([
+      'rampswitch_resends_total{service="models",reason="memory_moved"} 1',
+      'rampswitch_resends_total{service="models",reason="rejected"} 1',
+    ]);
+  });
+
+  test("an event's id that a caller chose does not make lines long", () => {
+    const { record, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    record.resent("rejected");
+    record.sentTo(server("s2"), { ...FIRST, lastEventId: "9".repeat(9_000) });
+    expect(lines[0]?.fields?.lastEventId).toBe("9".repeat(64));
+  });
+
+  test("a rejection tells of the send that was turned away", () => {
+    const { record, clock, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    record.resent("memory_moved");
+    clock.advance(10);
+    record.sentTo(server("s2"), { ...FIRST, continues: true });
+    clock.advance(3);
+    record.rejected(503);
+    expect(lines.at(-1)).toEqual({
+      message: "send rejected",
+      fields: {
+        request: "r1",
+        server: "s2",
+        status: 503,
+        sinceMilliseconds: 3,
+        continues: true,
+      },
+    });
+  });
+
+  test.each(NOT_REPEATED_REASONS)(
+    "a send that is not repeated tells why: %s",
+    async (why) => {
+      const { record, lines, counters } = observed();
+      record.sentTo(server("s1"), FIRST);
+      const budget = { spent: 4, allowed: 4.2, hosts: 2 };
+      record.notRepeated("connection_lost", { why, possibleRuns: 1, budget });
+      expect(lines).toEqual([
+        {
+          message: "send not repeated",
+          fields: {
+            request: "r1",
+            reason: "connection_lost",
+            why,
+            possibleRuns: 1,
+            budgetSpent: 4,
+            budgetAllowed: 4.2,
+            budgetHosts: 2,
+          },
+        },
+      ]);
+      expect(record.resends).toBe(0);
+      expect(await counters("not_repeated_total")).toEqual([
+        `rampswitch_not_repeated_total{why="${why}"} 1`,
+      ]);
+    },
+  );
+
+  test("a move tells both servers, the times and the caller's events", async () => {
+    const { record, clock, lines, counters } = observed();
+    record.sentTo(server("s1"), FIRST);
+    const move = record.moveBegan(server("s1"), server("s2"));
+    clock.advance(140);
+    move.stops(true);
+    clock.advance(60);
+    move.stops(false);
+    move.ended("moved", "8");
+    expect(lines).toEqual([
+      {
+        message: "memory move",
+        fields: {
+          request: "r1",
+          outcome: "moved",
+          from: "s1",
+          target: "s2",
+          firstCopyMilliseconds: 140,
+          secondCopyMilliseconds: 60,
+          lastEventId: "8",
+        },
+      },
+    ]);
+    expect(await counters("events_total")).toEqual([
+      'rampswitch_events_total{event="move_moved"} 1',
+    ]);
+  });
+
+  test("a move whose first copy fails has no second one", () => {
+    const { record, clock, lines } = observed();
+    const move = record.moveBegan(server("s1"), server("s2"));
+    clock.advance(25);
+    move.ended("no_room", undefined);
+    expect(lines[0]?.fields).toEqual({
+      request: "r1",
+      outcome: "no_room",
+      from: "s1",
+      target: "s2",
+      firstCopyMilliseconds: 25,
+      secondCopyMilliseconds: undefined,
+      lastEventId: undefined,
+    });
+  });
+
+  test("the end still sums up all sends", () => {
+    const { record, clock, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    record.resent("rejected");
+    record.sentTo(server("s2"), FIRST);
+    clock.advance(900);
+    record.ended("completed");
+    expect(lines.at(-1)?.message).toBe("request ended");
+    expect(lines.at(-1)?.fields).toMatchObject({
+      servers: "s1,s2",
+      resends: "rejected",
+      milliseconds: 900,
+    });
+  });
+});
