Show in a trace what each line says of the run

Cause: the lines of further sends, rejections and moves are new; `trace` printed lines without what they mean, left out servers of a request whose end is missing, and let lines of one moment change places. Change: each line of a request carries its meaning (with or without kept memory, not run, may not run again); the arrival and the first server are worked out from the line of the end; lines of one moment stay as a host wrote them. Conclusion: a request's id shows whether its run went on or began again.

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -24,6 +24,38 @@
 /** Lines about servers that a request met, at most, each side of it. */
 const MAXIMUM_CONTEXT = 20;
 
+/** Fields of a request's lines that name one server or several. */
+const SERVER_FIELDS = ["servers", "server", "from", "to", "target"];
+
+/** What each cause of a send that was not repeated means. */
+const NOT_REPEATED: Readonly<Record<string, string>> = {
+  may_not_run_again: "it may have run and must not run again",
+  too_late: "no time left",
+  too_many_sends: "sent as often as a request may be",
+  no_server: "no other server takes it",
+  budget_spent: "the budget of repeats is spent",
+};
+
+/** What a line about a request means, by its message. */
+const MEANINGS: Readonly<
+  Record<string, (fields: LogLine["fields"]) => string | undefined>
+> = {
+  "request sent again": ({ continues }) =>
+    continues === true ? "goes on from kept memory" : "without kept memory",
+  "send rejected": ({ continues }) =>
+    continues === true ? "not run, kept memory not taken" : "not run",
+  "send lost": ({ relayed }) =>
+    relayed === true
+      ? "the caller has a part of the answer"
+      : "the caller has nothing of the answer",
+  "memory move": ({ outcome }) =>
+    outcome === "moved"
+      ? "the run stopped and its memory was kept"
+      : `not moved, ${String(outcome)}`,
+  "send not repeated": ({ why }) => NOT_REPEATED[String(why)],
+  "request ended": ({ outcome }) => String(outcome),
+};
+
 /** Adds the command. */
 export function addTrace(program: Command, finish: Finish): void {
   program
@@ -46,7 +78,7 @@
   const found = storyOf(request, lines);
   return found.length === 0
     ? Result.err(failure(EXIT.failed, `no line about request ${request}`))
-    : Result.ok({ text: found.map(lineText).join("\n"), value: found });
+    : Result.ok({ text: storyText(found), value: found });
 }
 
 /** Reads the lines that are JSON objects, whatever stands before them. */
@@ -85,8 +117,11 @@
       .at(-1) ?? "";
   const hosts = new Set(own.map((line) => line.host));
   const met = new Set(
-    own.flatMap(({ fields: { servers } }) =>
-      typeof servers === "string" ? servers.split(",") : [],
+    own.flatMap(({ fields }) =>
+      SERVER_FIELDS.flatMap((name) => {
+        const servers = fields[name];
+        return typeof servers === "string" ? servers.split(",") : [];
+      }),
     ),
   );
   const around = lines
@@ -98,15 +133,58 @@
         line.timestamp <= end,
     )
     .slice(-MAXIMUM_CONTEXT);
-  return [...own, ...around].toSorted((left, right) =>
-    left.timestamp < right.timestamp ? -1 : 1,
-  );
+  const told = new Set([...own, ...around]);
+  return lines.filter((line) => told.has(line)).toSorted(byTime);
+}
+
+/** A story as text, with what its lines mean and when the request arrived. */
+export function storyText(story: readonly LogLine[]): string {
+  return [...story.flatMap(arrivalOf), ...story]
+    .toSorted(byTime)
+    .map(lineText)
+    .join("\n");
+}
+
+/**
+ * The arrival of a request and its first server. Hosts write no line of these,
+ * since the line of its end tells both.
+ */
+function arrivalOf({ message, timestamp, host, fields }: LogLine): LogLine[] {
+  const { servers, milliseconds } = fields;
+  const endedAt = Date.parse(timestamp);
+  if (
+    message !== "request ended" ||
+    typeof servers !== "string" ||
+    servers === "" ||
+    typeof milliseconds !== "number" ||
+    Number.isNaN(endedAt)
+  ) {
+    return [];
+  }
+  const first = servers.split(",")[0] ?? "";
+  return [
+    {
+      timestamp: new Date(endedAt - milliseconds).toISOString(),
+      host,
+      message: `request arrived (first sent to ${first})`,
+      fields: { request: fields.request },
+    },
+  ];
+}
+
+/** Order of lines; lines of one moment stay as they were written. */
+function byTime(left: LogLine, right: LogLine): number {
+  if (left.timestamp === right.timestamp) return 0;
+  return left.timestamp < right.timestamp ? -1 : 1;
 }
 
 function lineText(line: LogLine): string {
+  const meaning = MEANINGS[line.message]?.(line.fields);
+  const message =
+    meaning === undefined ? line.message : `${line.message} (${meaning})`;
   const fields = Object.entries(line.fields)
     .filter(([name]) => name !== "level")
     .map(([name, value]) => `${name}=${String(value)}`)
     .join(" ");
-  return `${line.timestamp} ${line.host} ${line.message}: ${fields}`;
+  return `${line.timestamp} ${line.host} ${message}: ${fields}`;
 }
