Earn a new life's part, remember the fleet's size, and count moves

Cause: a host's part lived in one process and trusted the number of hosts known now. A killed host began with a full part, hosts that had heard of no other took the whole allowance each, those that a cut hid widened the others' parts, and moves of memory were not counted.

Change: sends have a kind; ordinary repeats stop at 0.8 of the part as before, moves and their continuations at 0.95. A life's first window earns the allowance evenly, with the fleet taken for 32 hosts at least, and uses half of the share for requests, since repeats of the life before still stand in the window. A host that knows no other has no part of the allowance. A fleet counts as large as it was within a minute. One first repeat in a window is always allowed. Times are kept in 20 buckets of a window rather than in arrays that each request copies. The state can be read for logs.

A host without any other uses the share alone.

--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -5,6 +5,10 @@
  * host may repeat a share of the requests that it took itself in a sliding
  * window, and an even part of the fixed allowance.
  *
+ * A host that was killed no longer knows what it spent, nor how many others
+ * there are. So a new life earns its part by and by, and takes a fleet to be as
+ * large as it was lately.
+ *
  * @module
  */
 
@@ -17,24 +21,78 @@
   readonly windowMilliseconds: number;
 }
 
+/** What a send beyond a request's first is for. */
+export type ResendKind =
+  /** The request itself, once more. */
+  | "repeat"
+  /** A running stream that goes on elsewhere from its memory. */
+  | "move";
+
+/** One host's part of the budget in the window that ends now. */
+export interface ResendState {
+  readonly spent: number;
+  /** The whole part; ordinary repeats stop before it is used up. */
+  readonly allowed: number;
+}
+
+/** When a host asks, and how many hosts it counts, itself included. */
+export interface ResendAsked {
+  readonly now: number;
+  readonly hosts: number;
+}
+
 /**
  * Part of the budget that is used; the rest covers hosts that were not known
  * when the allowance was split, and runs that the platform counts otherwise.
+ * Moves may use more, since a stream that stays at an ending server breaks.
+ */
+const USED_SHARES: Readonly<Record<ResendKind, number>> = {
+  repeat: 0.8,
+  move: 0.95,
+};
+
+/**
+ * Parts of the window that are counted by themselves. The oldest counts with
+ * all its repeats and none of its requests, so a coarse count allows less.
+ */
+const BUCKETS_EACH_WINDOW = 20;
+
+/**
+ * Hosts that a host takes there to be in its first window, if it knows no more.
+ * All may have started at once, and each would take a large part for its own.
+ */
+const HOSTS_AT_START = 32;
+
+/**
+ * Time for which a fleet is not taken to be smaller than it was, in
+ * milliseconds: several times the longest cut that hosts serve through.
  */
-const USED_SHARE = 0.8;
+const HOSTS_REMEMBERED_MILLISECONDS = 60_000;
 
-interface ServiceWindow {
-  requests: readonly number[];
-  repeats: readonly number[];
+/**
+ * Part of the share that a life uses in its first window, when requests and
+ * repeats of the life before may still stand in the fleet's window.
+ */
+const NEW_LIFE_SHARE = 0.5;
+
+interface Bucket {
+  readonly from: number;
+  readonly to: number;
+  requests: number;
+  repeats: number;
 }
 
 /** One host's part of the budget, for each service by itself. */
 export class ResendBudget {
   #terms: ResendTerms;
-  readonly #services = new Map<string, ServiceWindow>();
+  #startedAt: number | undefined;
+  readonly #services = new Map<string, readonly Bucket[]>();
+  readonly #fleet = new RecentSize(HOSTS_REMEMBERED_MILLISECONDS);
 
-  constructor(terms: ResendTerms) {
+  /** A life that began at `startedAt`, or else with the first request. */
+  constructor(terms: ResendTerms, startedAt?: number) {
     this.#terms = terms;
+    this.#startedAt = startedAt;
   }
 
   /** Changes the fleet's terms. */
@@ -42,35 +100,122 @@
     this.#terms = terms;
   }
 
-  /** Notes a caller's request for a service. */
-  requested(service: string, now: number): void {
-    const window = this.#window(service, now);
-    window.requests = [...window.requests, now];
+  /** Notes a caller's request for a service, and the hosts known with it. */
+  requested(service: string, now: number, hosts = 1): void {
+    this.#startedAt ??= now;
+    this.#fleet.heard(hosts, now);
+    this.#newestBucket(service, now).requests += 1;
   }
 
-  /** Spends one repeat, if this host's part allows. */
-  spend(service: string, options: { now: number; hosts: number }): boolean {
-    const window = this.#window(service, options.now);
-    const part = this.#terms.allowance / Math.max(1, options.hosts);
-    const allowed =
-      USED_SHARE * (this.#terms.share * window.requests.length + part);
-    if (window.repeats.length + 1 > allowed) return false;
-    window.repeats = [...window.repeats, options.now];
+  /** Spends one send beyond a request's first, if this host's part allows. */
+  spend(
+    service: string,
+    asked: ResendAsked & { readonly kind?: ResendKind },
+  ): boolean {
+    this.#startedAt ??= asked.now;
+    this.#fleet.heard(asked.hosts, asked.now);
+    const { spent, allowed } = this.state(service, asked);
+    const used = USED_SHARES[asked.kind ?? "repeat"] * allowed;
+    const first = this.#first(this.#fleet.size(asked.hosts, asked.now));
+    if (spent + 1 > Math.max(first, used)) return false;
+    this.#newestBucket(service, asked.now).repeats += 1;
     return true;
   }
 
-  #window(service: string, now: number): ServiceWindow {
+  /** What is spent and allowed now; changes nothing. */
+  state(service: string, { now, hosts }: ResendAsked): ResendState {
     const oldest = now - this.#terms.windowMilliseconds;
-    const window = this.#services.get(service) ?? { requests: [], repeats: [] };
-    window.requests = recent(window.requests, oldest);
-    window.repeats = recent(window.repeats, oldest);
-    this.#services.set(service, window);
-    return window;
+    const buckets = this.#services.get(service) ?? [];
+    const requests = sum(
+      buckets.filter(({ from }) => from > oldest),
+      "requests",
+    );
+    const spent = sum(
+      buckets.filter(({ to }) => to > oldest),
+      "repeats",
+    );
+    const known = this.#fleet.size(hosts, now);
+    return {
+      spent,
+      allowed: this.#share(now) * requests + this.#part(known, now),
+    };
+  }
+
+  /** Share of the window that this life has lasted, at most 1. */
+  #lived(now: number): number {
+    const age = now - (this.#startedAt ?? now);
+    return Math.min(1, age / this.#terms.windowMilliseconds);
+  }
+
+  /** Repeats allowed for each request; less in a life's first window. */
+  #share(now: number): number {
+    const { share } = this.#terms;
+    return this.#lived(now) < 1 ? NEW_LIFE_SHARE * share : share;
+  }
+
+  /** This host's part of the fixed allowance, as far as it is earned. */
+  #part(known: number, now: number): number {
+    if (known <= 1) return 0;
+    const lived = this.#lived(now);
+    const hosts = lived < 1 ? Math.max(HOSTS_AT_START, known) : known;
+    return (lived * this.#terms.allowance) / hosts;
+  }
+
+  /** Repeats that are allowed however little was earned. */
+  #first(known: number): number {
+    const { allowance } = this.#terms;
+    return Math.min(1, allowance / Math.max(HOSTS_AT_START, known));
+  }
+
+  #newestBucket(service: string, now: number): Bucket {
+    const buckets = this.#services.get(service) ?? [];
+    const newest = buckets.at(-1);
+    if (newest !== undefined && now < newest.to) return newest;
+    const { windowMilliseconds } = this.#terms;
+    const oldest = now - windowMilliseconds;
+    const to = now + windowMilliseconds / BUCKETS_EACH_WINDOW;
+    const added: Bucket = { from: now, to, requests: 0, repeats: 0 };
+    const kept = buckets.filter((bucket) => bucket.to > oldest);
+    this.#services.set(service, [...kept, added]);
+    return added;
+  }
+}
+
+interface HeardSize {
+  readonly hosts: number;
+  readonly at: number;
+}
+
+/** The largest number of hosts that was known lately. */
+class RecentSize {
+  readonly #rememberedMilliseconds: number;
+  /** From the oldest and largest to the newest and smallest. */
+  #heard: readonly HeardSize[] = [];
+
+  constructor(rememberedMilliseconds: number) {
+    this.#rememberedMilliseconds = rememberedMilliseconds;
+  }
+
+  /** Notes how many hosts are known now. */
+  heard(hosts: number, now: number): void {
+    const larger = this.#recent(now).filter((heard) => heard.hosts > hosts);
+    this.#heard = [...larger, { hosts, at: now }];
+  }
+
+  /** Hosts to count with, at least one and those known now. */
+  size(hosts: number, now: number): number {
+    return Math.max(1, hosts, this.#recent(now)[0]?.hosts ?? 1);
+  }
+
+  #recent(now: number): readonly HeardSize[] {
+    const oldest = now - this.#rememberedMilliseconds;
+    return this.#heard.filter(({ at }) => at > oldest);
   }
 }
 
-function recent(times: readonly number[], oldest: number): readonly number[] {
-  const first = times.findIndex((time) => time > oldest);
-  if (first === 0) return times;
-  return first < 0 ? [] : times.slice(first);
+function sum(
+  buckets: readonly Bucket[],
+  counted: "requests" | "repeats",
+): number {
+  return buckets.reduce((total, bucket) => total + bucket[counted], 0);
 }
--- a/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
@@ -122,23 +122,8 @@
   readonly hosts: number;
 }
 
-/** A move is sent to its second server without asking the budget. */
-function maySendMove(_budget: ResendBudget, _asked: Asked): boolean {
-  return true;
-}
-
-function noteRequest(budget: ResendBudget, { now }: Asked): void {
-  budget.requested(SERVICE, now);
-}
-
-/** A repeat after a move was turned away is asked for as any other. */
-function mayContinue(budget: ResendBudget, asked: Asked): boolean {
-  return budget.spend(SERVICE, asked);
-}
-
-function newBudget(terms: ResendTerms, _now: number): ResendBudget {
-  return new ResendBudget(terms);
-}
+/** Moves, and sends on of moved runs, ask before ordinary repeats. */
+const MOVE = { kind: "move" } as const;
 
 /** Numbers from 0 to 1 that repeat themselves: a linear congruence. */
 class Draws {
@@ -193,8 +178,9 @@
 
   #start(now: number): void {
     this.#startedAt = now;
-    this.#budgets = Array.from({ length: this.#fleet.hosts }, () =>
-      newBudget(this.#terms, now),
+    this.#budgets = Array.from(
+      { length: this.#fleet.hosts },
+      () => new ResendBudget(this.#terms, now),
     );
   }
 
@@ -222,7 +208,7 @@
     const host = this.#anyHost();
     const asked = { now, hosts: this.#hostsKnownBy(host, now) };
     const budget = this.#budgetOf(host);
-    noteRequest(budget, asked);
+    budget.requested(SERVICE, now, asked.hosts);
     this.#whileTurnedAway(asked, () => budget.spend(SERVICE, asked));
   }
 
@@ -231,10 +217,12 @@
     const asked = { now, hosts: this.#hostsKnownBy(host, now) };
     const budget = this.#budgetOf(host);
     this.#counts.movesWanted += 1;
-    if (!maySendMove(budget, asked)) return;
+    if (!budget.spend(SERVICE, { ...asked, ...MOVE })) return;
     this.#counts.moves += 1;
     this.#repeats.push(now);
-    this.#whileTurnedAway(asked, () => mayContinue(budget, asked));
+    this.#whileTurnedAway(asked, () =>
+      budget.spend(SERVICE, { ...asked, ...MOVE }),
+    );
   }
 
   /** Sends again for as long as servers turn it away and the budget allows. */
--- a/packages/rampswitch-serving/src/admission/resend_budget_test.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget_test.ts
@@ -6,6 +6,9 @@
 
 const TERMS = { share: 0.2, allowance: 56, windowMilliseconds: 10_000 };
 
+/** Start of a life whose first window is over. */
+const LONG_AGO = -60_000;
+
 describe("budget of repeated sends", () => {
   test("all hosts together keep the fleet's budget in any window", () => {
     fc.assert(
@@ -52,4 +55,150 @@
       { seed: 11, numRuns: 60 },
     );
   });
+
+  test("counting by buckets allows nothing that an exact count would not", () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            gap: fc.integer({ min: 0, max: 900 }),
+            requests: fc.integer({ min: 0, max: 30 }),
+            repeats: fc.integer({ min: 0, max: 30 }),
+            move: fc.boolean(),
+          }),
+          { maxLength: 120 },
+        ),
+        (steps) => {
+          const budget = new ResendBudget(TERMS, LONG_AGO);
+          const requests: number[] = [];
+          const repeats: number[] = [];
+          let now = 0;
+          steps.forEach(({ gap, requests: taken, repeats: wanted, move }) => {
+            now += gap;
+            Array.from({ length: taken }).forEach(() => {
+              budget.requested("service", now, 9);
+              requests.push(now);
+            });
+            const kind = move ? "move" : "repeat";
+            Array.from({ length: wanted }).forEach(() => {
+              if (!budget.spend("service", { now, hosts: 9, kind })) return;
+              repeats.push(now);
+              const allowed =
+                TERMS.share * within(requests, now) + TERMS.allowance / 9;
+              expect(within(repeats, now)).toBeLessThanOrEqual(
+                (move ? 0.95 : 0.8) * allowed,
+              );
+            });
+          });
+        },
+      ),
+      { seed: 12, numRuns: 60 },
+    );
+  });
+
+  test("a steady host repeats nearly what an exact count would allow", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const times = Array.from({ length: 1_200 }, (_, index) => index * 50);
+    const repeats = times.filter((now) => {
+      budget.requested("service", now, 9);
+      return budget.spend("service", { now, hosts: 9 });
+    });
+    const exact = 0.8 * (TERMS.share * 200 + TERMS.allowance / 9);
+    const last = within(repeats, times.at(-1) ?? 0);
+    expect(last).toBeGreaterThanOrEqual(0.9 * exact);
+    expect(last).toBeLessThanOrEqual(exact);
+  });
+
+  test("moves go on where ordinary repeats have stopped", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const asked = { now: 0, hosts: 1, kind: "repeat" } as const;
+    budget.requested("service", 0, 2);
+    expect(spendAll(budget, asked)).toBe(22);
+    expect(spendAll(budget, { ...asked, kind: "move" })).toBe(4);
+    expect(spendAll(budget, asked)).toBe(0);
+  });
+
+  test("a new life earns its part of the allowance over a window", () => {
+    const budget = new ResendBudget(TERMS, 0);
+    const part = (now: number) =>
+      budget.state("service", { now, hosts: 56 }).allowed;
+    expect([0, 5_000, 10_000, 60_000].map(part)).toEqual([0, 0.5, 1, 1]);
+  });
+
+  test("a new life repeats its first request all the same, once", () => {
+    const budget = new ResendBudget(TERMS);
+    budget.requested("service", 0, 1);
+    const asked = { now: 0, hosts: 1, kind: "repeat" } as const;
+    expect(spendAll(budget, asked)).toBe(1);
+  });
+
+  test("a life's first window takes the fleet for a large one", () => {
+    const budget = new ResendBudget(TERMS, 0);
+    const part = (now: number) =>
+      budget.state("service", { now, hosts: 2 }).allowed;
+    expect(part(9_999)).toBeCloseTo(TERMS.allowance / 32, 2);
+    expect(part(10_000)).toBe(TERMS.allowance / 2);
+  });
+
+  test("a host that knows no other has no part of the allowance", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const state = budget.state("service", { now: 0, hosts: 1 });
+    expect(state).toEqual({ spent: 0, allowed: 0 });
+  });
+
+  test("a fleet counts as large as it was within the last minute", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const part = (now: number, hosts: number) =>
+      budget.state("service", { now, hosts }).allowed;
+    budget.requested("other", 0, 56);
+    budget.requested("other", 20_000, 28);
+    budget.requested("other", 40_000, 14);
+    expect(part(59_999, 14)).toBe(1);
+    expect(part(60_000, 14)).toBe(2);
+    expect(part(80_000, 14)).toBe(4);
+    expect(part(80_000, 112)).toBe(0.5);
+  });
+
+  test("what is told of the state changes nothing", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const asked = { now: 0, hosts: 2 };
+    const before = budget.state("service", asked);
+    budget.state("service", { now: 0, hosts: 500 });
+    expect(budget.state("service", asked)).toEqual(before);
+    budget.spend("service", asked);
+    expect(budget.state("service", asked)).toEqual({ spent: 1, allowed: 28 });
+  });
+
+  test("repeats count until all of their bucket have left the window", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const asked = { now: 0, hosts: 2 };
+    [0, 400].forEach((now) => budget.spend("service", { ...asked, now }));
+    budget.requested("service", 10_100, 2);
+    const spent = (now: number) =>
+      budget.state("service", { ...asked, now }).spent;
+    expect([10_100, 10_399, 10_500].map(spent)).toEqual([2, 2, 0]);
+  });
+
+  test("changed terms count what was spent before them", () => {
+    const budget = new ResendBudget(TERMS, LONG_AGO);
+    const asked = { now: 0, hosts: 2 };
+    budget.spend("service", asked);
+    budget.setTerms({ ...TERMS, windowMilliseconds: 20_000 });
+    const spent = (now: number) =>
+      budget.state("service", { ...asked, now }).spent;
+    expect([19_999, 20_500].map(spent)).toEqual([1, 0]);
+  });
 });
+
+function within(times: readonly number[], end: number): number {
+  return times.filter((at) => at > end - TERMS.windowMilliseconds && at <= end)
+    .length;
+}
+
+function spendAll(
+  budget: ResendBudget,
+  asked: Parameters<ResendBudget["spend"]>[1],
+): number {
+  const wanted = Array.from({ length: 100 });
+  return wanted.filter(() => budget.spend("service", asked)).length;
+}
