Let a stopped run go on from its kept memory, and never begin again

Cause: a run that exists only in kept memory counted as no run. The stop for a move took the run back, the failure of the send that carried the memory took it back once more, and the memory was forgotten with that send; so a stream that must run once was sent afresh to a third server, which ran it from the start. In the plays the carrying send was turned away as full (503), as misdirected (421, a server that had started anew) or never connected. Ruled out: a run left behind (in each broken play the first run's stop was answered before the second began); a send that was written and taken for not written. Change: the attempt knows two more states: suspended, when the run lies in kept memory, and resuming, when a send carries it. Only what may be repeated begins anew once the memory is lost. A move's 503 that names the memory is a stopped run with one place; a stop without an answer is asked for once more; memory that nobody goes on from is freed; a move that failed no longer breaks off a later healthy run because an earlier one had stopped its stream. The test that a moved run may be sent once is replaced by one that it goes on, and never begins.

--- a/packages/rampswitch-serving/src/attempt/attempt_machine.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine.ts
@@ -29,13 +29,15 @@
   | { readonly type: "relayed" }
   /** The connection ended without a whole answer. */
   | { readonly type: "lost" }
-  /** The run stopped on order, and its memory was kept for the next send. */
-  | { readonly type: "moved" }
+  /** The run stopped on order; it can go on from its kept memory. */
+  | { readonly type: "stopped" }
+  /** The kept memory of a stopped run can't be used any more. */
+  | { readonly type: "memory_lost" }
   /** The caller has a final answer. */
   | { readonly type: "ended" };
 
 interface AttemptContext {
-  /** Sends whose outcome is that the request ran or may have run. */
+  /** Runs that began or may have begun; a stopped run that goes on is one. */
   readonly possibleRuns: number;
   readonly sends: number;
   readonly relayed: boolean;
@@ -48,8 +50,8 @@
     events: {} as AttemptEvent,
   },
   actions: {
-    countSend: assign({
-      sends: ({ context }) => context.sends + 1,
+    countSend: assign({ sends: ({ context }) => context.sends + 1 }),
+    countRun: assign({
       possibleRuns: ({ context }) => context.possibleRuns + 1,
     }),
     takeBackRun: assign({
@@ -64,7 +66,7 @@
   states: {
     waiting: {
       on: {
-        written: { target: "sent", actions: "countSend" },
+        written: { target: "sent", actions: ["countSend", "countRun"] },
         ended: "finished",
       },
     },
@@ -74,7 +76,7 @@
         rejected: { target: "waiting", actions: "takeBackRun" },
         answered: "running",
         lost: "waiting",
-        moved: { target: "waiting", actions: "takeBackRun" },
+        stopped: "suspended",
         ended: "finished",
       },
     },
@@ -82,7 +84,26 @@
       on: {
         relayed: { actions: "noteRelayed" },
         lost: "waiting",
-        moved: { target: "waiting", actions: "takeBackRun" },
+        stopped: "suspended",
+        ended: "finished",
+      },
+    },
+    // The stopped run still counts: a rejection takes back the send that
+    // carries its memory, never the run itself.
+    suspended: {
+      on: {
+        written: { target: "resuming", actions: "countSend" },
+        memory_lost: "waiting",
+        ended: "finished",
+      },
+    },
+    resuming: {
+      on: {
+        not_written: "suspended",
+        rejected: "suspended",
+        answered: "running",
+        lost: "waiting",
+        stopped: "suspended",
         ended: "finished",
       },
     },
@@ -117,13 +138,13 @@
 const STEPS = new KnownSteps();
 
 /** States of {@link ATTEMPT_MACHINE}. */
-export type AttemptState = "waiting" | "sent" | "running" | "finished";
+export type AttemptState =
+  "waiting" | "sent" | "running" | "suspended" | "resuming" | "finished";
 
 /** The truth about one attempt, from which answers and resends follow. */
 export class AttemptTruth {
   #snapshot = STEPS.first;
   readonly #repeatability: Repeatability;
-  #moved = false;
 
   constructor(repeatability: Repeatability) {
     this.#repeatability = repeatability;
@@ -139,14 +160,14 @@
     return this.#snapshot.context.sends;
   }
 
-  /** Sends that ran or may have run. */
+  /** Runs that began or may have begun. */
   get possibleRuns(): number {
     return this.#snapshot.context.possibleRuns;
   }
 
   /** Whether the caller may be told that the request did not run. */
   get surelyNotRun(): boolean {
-    return this.possibleRuns === 0 && this.state !== "sent" && !this.#moved;
+    return this.possibleRuns === 0;
   }
 
   /** Whether the caller holds a part of the answer. */
@@ -154,7 +175,12 @@
     return this.#snapshot.context.relayed;
   }
 
-  /** Whether the request may go to a backend server now. */
+  /** Whether a send may carry on a run that stopped and whose memory is kept. */
+  get mayGoOn(): boolean {
+    return this.state === "suspended";
+  }
+
+  /** Whether the request may begin to run at a backend server now. */
   maySend(maximumRuns: number): boolean {
     if (this.state !== "waiting") return false;
     return this.#repeatability === "repeatable"
@@ -164,7 +190,6 @@
 
   /** Takes in an event. */
   handle(event: AttemptEvent): void {
-    if (event.type === "moved") this.#moved = true;
     this.#snapshot = STEPS.after(this.#snapshot, event);
   }
 }
--- a/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
@@ -22,7 +22,8 @@
   "answered",
   "relayed",
   "lost",
-  "moved",
+  "stopped",
+  "memory_lost",
 ];
 
 /** Longest sequence of events that is explored. */
@@ -39,19 +40,26 @@
 
 /**
  * What really happened at backend servers, told by the events alone: a send
- * that was written may have run unless the server rejected it.
+ * that was written may have begun a run unless the server rejected it, or it
+ * carried the memory of a run that had stopped.
  */
 function mayHaveRun(types: readonly AttemptEvent["type"][]): number {
-  return types.reduce<{ sent: boolean; runs: number }>(
+  return types.reduce<{ begins: number; kept: boolean; runs: number }>(
     (world, type) => {
-      if (type === "written" && !world.sent) {
-        return { sent: true, runs: world.runs + 1 };
+      if (type === "written") {
+        const begins = world.kept ? 0 : 1;
+        return { ...world, begins, runs: world.runs + begins };
       }
-      const undone = type === "not_written" || type === "rejected";
-      if (undone && world.sent) return { sent: false, runs: world.runs - 1 };
-      return world;
+      if (type === "stopped") return { ...world, begins: 0, kept: true };
+      if (type === "not_written" || type === "rejected") {
+        return { ...world, begins: 0, runs: world.runs - world.begins };
+      }
+      const ended = type === "lost" || type === "memory_lost";
+      return ended || type === "answered"
+        ? { ...world, begins: 0, kept: false }
+        : world;
     },
-    { sent: false, runs: 0 },
+    { begins: 0, kept: false, runs: 0 },
   ).runs;
 }
 
@@ -78,8 +86,10 @@
   const { state } = replay("repeatable", sequence);
   const allowed: Readonly<Record<string, readonly AttemptEvent["type"][]>> = {
     waiting: ["written"],
-    sent: ["not_written", "rejected", "answered", "lost", "moved"],
-    running: ["relayed", "lost", "moved"],
+    sent: ["not_written", "rejected", "answered", "lost", "stopped"],
+    running: ["relayed", "lost", "stopped"],
+    suspended: ["written", "memory_lost"],
+    resuming: ["not_written", "rejected", "answered", "lost", "stopped"],
   };
   return allowed[state]?.includes(type) ?? false;
 }
@@ -127,9 +137,47 @@
     expect(truth.maySend(2)).toBe(true);
   });
 
-  test("a moved run goes on once and is never called not run", () => {
-    const truth = replay("at_most_once", ["written", "answered", "moved"]);
-    expect(truth.maySend(1)).toBe(true);
-    expect(truth.surelyNotRun).toBe(false);
+  test("a stopped run goes on from its memory, and never begins anew", () => {
+    const wrong = explored.filter((sequence) => {
+      const truth = replay("at_most_once", sequence);
+      return truth.mayGoOn && (truth.maySend(9) || truth.surelyNotRun);
+    });
+    expect(wrong).toEqual([]);
+    const truth = replay("at_most_once", ["written", "answered", "stopped"]);
+    expect(truth.mayGoOn).toBe(true);
+  });
+
+  test.each(["rejected", "not_written"] as const)(
+    "a send of kept memory that was %s leaves the run as it was",
+    (type) => {
+      const truth = replay("at_most_once", [
+        "written",
+        "answered",
+        "relayed",
+        "stopped",
+        "written",
+        type,
+      ]);
+      expect(truth.possibleRuns).toBe(1);
+      expect(truth.mayGoOn).toBe(true);
+    },
+  );
+
+  test("what may be repeated begins anew once the memory is lost", () => {
+    const truth = replay("repeatable", ["written", "stopped", "memory_lost"]);
+    expect(truth.maySend(1)).toBe(false);
+    expect(truth.maySend(2)).toBe(true);
+  });
+
+  test("a wrong rule is found: a stop taken for a rejection", () => {
+    const forgiving = (sequence: readonly AttemptEvent["type"][]) =>
+      replay(
+        "at_most_once",
+        sequence.map((type) => (type === "stopped" ? "rejected" : type)),
+      );
+    const wrong = explored.filter(
+      (sequence) => forgiving(sequence).maySend(9) && mayHaveRun(sequence) > 0,
+    );
+    expect(wrong.length).toBeGreaterThan(0);
   });
 });
--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -18,7 +18,15 @@
   readonly stopsRun: boolean;
 }
 
-/** Why a copy failed. */
+/** Memory that an engine keeps or holds a copy of. */
+export interface KeptMemory {
+  /** Names the memory at the engine that was copied from. */
+  readonly handle: string;
+  /** Whether the other engine has it too; if not, only the first keeps it. */
+  readonly copied: boolean;
+}
+
+/** Why there is neither a copy nor a stopped run. */
 export type MemoryCopyError =
   "no_run" | "under_way" | "no_room" | "no_answer" | "refused";
 
@@ -26,8 +34,11 @@
 export interface EngineControl {
   /** Milliseconds until an engine ends, where it knows. */
   leavesIn(address: string): Promise<number | undefined>;
-  /** Copies a run's memory; the value is the handle of the copy. */
-  copyMemory(copy: MemoryCopy): Promise<Result<string, MemoryCopyError>>;
+  /**
+   * Copies a run's memory. A run that is to stop may stop although the other
+   * engine has no room: its memory then lies where it ran.
+   */
+  copyMemory(copy: MemoryCopy): Promise<Result<KeptMemory, MemoryCopyError>>;
   /** Frees a copy that nobody needs any more; tells whether it was freed. */
   dropCopy(from: string, handle: string): Promise<boolean>;
 }
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -7,7 +7,11 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { EngineControl } from "../model/engine_control.ts";
+import type {
+  EngineControl,
+  KeptMemory,
+  MemoryCopyError,
+} from "../model/engine_control.ts";
 
 /** A run and the two engines. */
 export interface MemoryMove {
@@ -25,29 +29,40 @@
   stops(stopping: boolean): void;
 }
 
-/** Moves a run's memory; the result names the copy, or says why there is none. */
+/** Moves a run's memory; the result tells where it lies, or why it runs on. */
 export async function moveMemory(
   move: MemoryMove,
   parts: MemoryMoveParts,
-): Promise<Result<string, string>> {
+): Promise<Result<KeptMemory, string>> {
   const { control } = parts;
   const copied = await control.copyMemory({ ...move, stopsRun: false });
   if (copied.isErr) return Result.err(copied.error);
   if (!parts.stillRuns()) return dropped(copied.value, move, parts);
   parts.stops(true);
-  const moved = await control.copyMemory({ ...move, stopsRun: true });
+  const stopped = await stopRun(move, parts);
   parts.stops(false);
-  return moved.isOk && !parts.stillRuns()
-    ? dropped(moved.value, move, parts)
-    : moved.mapErr((error): string => error);
+  return stopped.isOk && !parts.stillRuns()
+    ? dropped(stopped.value, move, parts)
+    : stopped.mapErr((error): string => error);
+}
+
+/** Asks once more where no answer came: the run may have stopped unheard. */
+async function stopRun(
+  move: MemoryMove,
+  { control }: MemoryMoveParts,
+): Promise<Result<KeptMemory, MemoryCopyError>> {
+  const stopped = await control.copyMemory({ ...move, stopsRun: true });
+  return stopped.isErr && stopped.error === "no_answer"
+    ? control.copyMemory({ ...move, stopsRun: true })
+    : stopped;
 }
 
 /** Frees the copy of a run that ended; it would hold memory and a slot. */
 async function dropped(
-  handle: string,
+  { handle }: KeptMemory,
   move: MemoryMove,
   { control }: MemoryMoveParts,
-): Promise<Result<string, string>> {
+): Promise<Result<KeptMemory, string>> {
   const freed = await control.dropCopy(move.from, handle);
   return Result.err(freed ? "run_ended" : "run_ended_copy_kept");
 }
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -15,6 +15,7 @@
   type RefusalReason,
   type ResendReason,
 } from "../model/outcome.ts";
+import type { KeptMemory } from "../model/engine_control.ts";
 import type { AnswerHead, MemorySource } from "../model/request.ts";
 import {
   type AdmittedRequest,
@@ -25,6 +26,7 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import { EventFramer } from "./event_framer.ts";
 import { HeldBody } from "./held_body.ts";
+import { type Continuation, KeptRun } from "./kept_run.ts";
 import { moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
 import { type NotRepeatedReason, RunRecord } from "./run_record.ts";
@@ -85,7 +87,9 @@
   #head: AnswerHead | undefined;
   readonly #held = new HeldBody();
   #lastEventId: string | undefined;
-  #memorySource: MemorySource | undefined;
+  /** Memory of the run that stopped, until a server goes on from it. */
+  #kept: KeptRun | undefined;
+  #cancelPause: () => void = () => undefined;
   #moving = false;
   #lostWhileMoving = false;
   #cancelDeadline: () => void = () => undefined;
@@ -153,8 +157,10 @@
       this.#notRepeated("memory_moved", "no_server");
       return;
     }
-    const from = current.choice.record.entry.address;
-    const record = this.#record.moveBegan(current.choice.record, target.record);
+    const source = current.choice;
+    const from = source.record.entry.address;
+    const record = this.#record.moveBegan(source.record, target.record);
+    this.#lostWhileMoving = false;
     const outcome = await moveMemory(
       { from, to: target.record.entry.address, attemptId },
       {
@@ -168,15 +174,78 @@
     );
     record.ended(outcome.isErr ? outcome.error : "moved", this.#lastEventId);
     if (this.#answer.finished) return;
-    if (outcome.isErr) {
-      if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
+    if (outcome.isOk) this.#stopped(outcome.value, { target, source });
+    else if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
+  }
+
+  /** The run stopped; it goes on where its memory lies. */
+  #stopped(
+    { handle, copied }: KeptMemory,
+    { target, source }: { readonly target: Choice; readonly source: Choice },
+  ): void {
+    this.#endCurrent(true);
+    this.#truth.handle({ type: "stopped" });
+    this.#kept = new KeptRun(
+      { address: source.record.entry.address, handle },
+      { copy: copied ? target : undefined, source },
+    );
+    this.#goOn("memory_moved");
+  }
+
+  /** Sends the request with its kept memory to the next place that has it. */
+  #goOn(reason: ResendReason): void {
+    const kept = this.#kept;
+    const next = kept?.next();
+    const why = this.#whyNotOn(next, reason);
+    if (kept === undefined || next === undefined || why !== undefined) {
+      this.#notRepeated(reason, why ?? "no_server");
+      this.#memoryLost(reason);
       return;
     }
-    this.#endCurrent(true);
-    this.#truth.handle({ type: "moved" });
-    this.#memorySource = { address: from, handle: outcome.value };
-    this.#record.resent("memory_moved");
-    this.#sendTo(target);
+    const send = () => {
+      this.#record.resent(reason);
+      this.#sendTo(next.choice, kept.memory);
+    };
+    if (next.waitMilliseconds === 0) send();
+    else {
+      this.#cancelPause = this.#context.clock.after(
+        next.waitMilliseconds,
+        send,
+      );
+    }
+  }
+
+  /** What forbids to send kept memory to the next place. */
+  #whyNotOn(
+    next: Continuation | undefined,
+    reason: ResendReason,
+  ): NotRepeatedReason | undefined {
+    if (next === undefined) return "no_server";
+    const left = this.#remaining() - next.waitMilliseconds;
+    if (left <= LEAST_USEFUL_MILLISECONDS) return "too_late";
+    const budget = { now: this.#now(), hosts: this.#context.hosts() };
+    const granted =
+      reason === "memory_moved" ||
+      this.#context.budget.spend(this.request.service.name, budget);
+    return granted ? undefined : "budget_spent";
+  }
+
+  /** The stopped run can't go on; only what may be repeated begins anew. */
+  #memoryLost(reason: ResendReason): void {
+    this.#dropKept();
+    this.#truth.handle({ type: "memory_lost" });
+    this.#resend(reason, "unknown_outcome");
+  }
+
+  /** Frees kept memory; it would hold room and a slot at two servers. */
+  #dropKept(): void {
+    this.#cancelPause();
+    const memory = this.#kept?.memory;
+    this.#kept = undefined;
+    if (memory === undefined) return;
+    void this.#context.engineControl
+      .dropCopy(memory.address, memory.handle)
+      .then((freed) => this.#record.memoryDropped(freed));
   }
 
   #now(): number {
@@ -198,7 +267,7 @@
     else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
   }
 
-  #sendTo(choice: Choice): void {
+  #sendTo(choice: Choice, memorySource?: MemorySource): void {
     const { record } = choice;
     const { request } = this;
     const parts = request.head.promptParts;
@@ -206,12 +275,10 @@
     const unreadBefore = record.unreadTokens(this.#now());
     this.#tried.add(record.entry.id);
     this.#record.sentTo(record, {
-      continues: this.#memorySource !== undefined,
+      continues: memorySource !== undefined,
       lastEventId: this.#lastEventId,
       possibleRuns: this.#truth.possibleRuns,
     });
-    const memorySource = this.#memorySource;
-    this.#memorySource = undefined;
     const unread = memorySource === undefined ? tokens - choice.keptTokens : 0;
     const work = record.started(Math.max(0, unread));
     if (request.service.engine !== undefined) {
@@ -282,6 +349,7 @@
     current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
     if (!this.#mayResendAfterRun()) return;
     this.#truth.handle({ type: "lost" });
+    this.#dropKept();
     this.#endCurrent(true);
     this.#record.lost("stalled", {
       detail: "silent",
@@ -320,8 +388,14 @@
       this.#lost("answer_not_usable", "not signed");
       return;
     }
+    const goesOn = this.#truth.state === "resuming";
     this.#truth.handle({ type: "answered" });
+    this.#kept = undefined;
     if (!success && this.#answer.started) this.#resumeRefused(head);
+    // The server that stopped the run for a move ends soon all the same.
+    else if (goesOn && current.choice.record.entry.state === "leaving") {
+      void this.moveAway();
+    }
   }
 
   /** A server ran a resumed stream's request and answered with a failure. */
@@ -425,28 +499,40 @@
 
   #rejected(head: AnswerHead): void {
     this.#truth.handle({ type: "rejected" });
-    const record = this.#current?.choice.record;
+    const current = this.#current;
     // The address belongs to another server now, or to none.
-    if (head.status === MISDIRECTED) {
-      record?.failed(this.#now(), { surelyDown: true });
-    } else record?.rejected(this.#now());
+    if (head.status === MISDIRECTED) this.#unreachable(current);
+    else current?.choice.record.rejected(this.#now());
     this.#endCurrent(false);
     this.#context.metrics.event(`rejected_${head.status}`);
     this.#record.rejected(head.status);
-    this.#resend("rejected", "servers_full");
+    this.#sendFailed("rejected", "servers_full");
   }
 
   #notWritten(detail: string): void {
     this.#truth.handle({ type: "not_written" });
     const record = this.#current?.choice.record;
-    record?.failed(this.#now(), { surelyDown: true });
+    this.#unreachable(this.#current);
     this.#endCurrent(false);
     this.#record.lost("not_connected", {
       detail,
       server: record,
       relayed: this.#truth.relayed,
     });
-    this.#resend("not_connected", "no_server");
+    this.#sendFailed("not_connected", "no_server");
+  }
+
+  #unreachable(current: CurrentSend | undefined): void {
+    if (current === undefined) return;
+    current.choice.record.failed(this.#now(), { surelyDown: true });
+    this.#kept?.unreachable(current.choice);
+  }
+
+  /** A send surely ran nothing: what it carried may be sent again. */
+  #sendFailed(reason: ResendReason, otherwise: RefusalReason): void {
+    // A stopped run is still there, so the request must not begin anew.
+    if (this.#truth.mayGoOn) this.#goOn(reason);
+    else this.#resend(reason, otherwise);
   }
 
   #lost(reason: ResendReason, detail: string): void {
@@ -464,10 +550,12 @@
       server: record,
       relayed: this.#truth.relayed,
     });
-    if (before === "waiting") {
-      this.#resend("not_connected", "no_server");
+    if (before === "waiting" || before === "suspended") {
+      this.#sendFailed("not_connected", "no_server");
       return;
     }
+    // A server may have gone on from the memory; it serves once.
+    this.#dropKept();
     this.#resend(reason, "unknown_outcome");
   }
 
@@ -589,6 +677,7 @@
 
   #finish(outcome: string): void {
     this.#cancelDeadline();
+    this.#dropKept();
     this.#truth.handle({ type: "ended" });
     this.#endCurrent(false);
     this.#record.ended(outcome);
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -217,6 +217,16 @@
     };
   }
 
+  /** Kept memory that nobody goes on from was given up. */
+  memoryDropped(freed: boolean): void {
+    const outcome = freed ? "freed" : "not_freed";
+    this.#context.metrics.event(`memory_${outcome}`);
+    this.#context.logger.info("memory dropped", {
+      request: this.#request.head.attemptId,
+      outcome,
+    });
+  }
+
   #moveEnded(
     outcome: string,
     fields: Readonly<Record<string, string | number | undefined>>,
