Pass on no event that comes before what the caller has

Cause: a server that begins a stream anew, whatever it was asked, would reach a caller who has a part of it: nothing compared the ids of events across sends. Ruled out: events without ids or with names; they tell nothing and pass as before. Change: the framer tells the first id too; an event that is not above the last one ends the send as unusable, and the stream as broken where it must not run again. Conclusion: a second line of defence; the order no longer rests on servers alone.

--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -11,13 +11,16 @@
 export interface Frames {
   readonly bytes: Buffer;
   readonly count: number;
-  /** Id of the last event, where it has one. */
+  /** First id among the events, where one has an id. */
+  readonly firstId: string | undefined;
+  /** Last id among the events, where one has an id. */
   readonly lastId: string | undefined;
 }
 
 const NO_FRAMES: Frames = {
   bytes: Buffer.alloc(0),
   count: 0,
+  firstId: undefined,
   lastId: undefined,
 };
 const END_OF_EVENT = "\n\n";
@@ -45,10 +48,15 @@
     this.#rest = all.subarray(cut);
     const bytes = all.subarray(0, cut);
     const events = bytes.toString("latin1").slice(0, end).split(END_OF_EVENT);
-    const lastId = events
+    const ids = events
       .map((event) => ID_FIELD.exec(event)?.[1]?.trim())
-      .findLast((id) => id !== undefined);
-    return { bytes, count: events.length, lastId };
+      .filter((id) => id !== undefined);
+    return {
+      bytes,
+      count: events.length,
+      firstId: ids[0],
+      lastId: ids.at(-1),
+    };
   }
 
   /** Forgets an event that broke off. */
@@ -56,3 +64,18 @@
     this.#rest = Buffer.alloc(0);
   }
 }
+
+const COUNTER = /^\d+$/;
+
+/**
+ * Whether an event comes after another one by their ids. Ids that are not
+ * counters, or missing, tell nothing and pass.
+ */
+export function comesAfter(
+  id: string | undefined,
+  former: string | undefined,
+): boolean {
+  if (id === undefined || former === undefined) return true;
+  if (!COUNTER.test(id) || !COUNTER.test(former)) return true;
+  return Number(id) > Number(former);
+}
--- a/packages/rampswitch-serving/src/relay/event_framer_test.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -2,7 +2,7 @@
 
 import { describe, expect, test } from "@jest/globals";
 import fc from "fast-check";
-import { EventFramer } from "./event_framer.ts";
+import { comesAfter, EventFramer } from "./event_framer.ts";
 
 const EVENTS = Array.from(
   { length: 9 },
@@ -36,6 +36,25 @@
     );
   });
 
+  test("tell the first and the last id among them", () => {
+    const frames = new EventFramer().push(
+      Buffer.from("data: a\n\nid: 7\ndata: b\n\nid: 9\ndata: c\n\n"),
+    );
+    expect(frames).toMatchObject({ count: 3, firstId: "7", lastId: "9" });
+  });
+
+  test.each([
+    ["5", "4", true],
+    ["10", "9", true],
+    ["4", "4", false],
+    ["1", "69", false],
+    ["a", "b", true],
+    [undefined, "4", true],
+    ["4", undefined, true],
+  ])("id %s after %s: %s", (id, former, after) => {
+    expect(comesAfter(id, former)).toBe(after);
+  });
+
   test("an event that broke off stays out and is told", () => {
     const framer = new EventFramer();
     const frames = framer.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -24,7 +24,7 @@
   promptTokens,
 } from "./admitted_request.ts";
 import { CallerAnswer } from "./caller_answer.ts";
-import { EventFramer } from "./event_framer.ts";
+import { comesAfter, EventFramer } from "./event_framer.ts";
 import { HeldBody } from "./held_body.ts";
 import { type Continuation, KeptRun } from "./kept_run.ts";
 import { moveMemory } from "./memory_move.ts";
@@ -426,6 +426,12 @@
     const frames = this.#framer.push(chunk);
     if (frames.count === 0) return;
     if (!this.#answer.started) this.#firstEvent(current);
+    // A server that begins a stream anew must not reach a caller who has a part.
+    else if (!comesAfter(frames.firstId, this.#lastEventId)) {
+      current.send.abort();
+      this.#lost("answer_not_usable", "event came before");
+      return;
+    }
     this.#truth.handle({ type: "relayed" });
     this.#lastEventId = frames.lastId ?? this.#lastEventId;
     this.#stall.eventCame();
