Count moves of memory, and the host's start, in the budget of repeated sends

Change: a move asks the budget before it begins, its continuations each time, as "move"; a refused move leaves the run where it is. A life begins with the process. Lines of further sends tell what the budget went by. A host that has just started may help one request and one stream besides, whatever it has earned: without that a planned stop on a lone host broke off its only stream (a test of a whole host found it).

--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -51,6 +51,12 @@
   move: 0.95,
 };
 
+/**
+ * Sends of a window that are allowed however little was earned, so that a host
+ * that has just started can still help one request, and one stream besides.
+ */
+const LEAST_PART: Readonly<Record<ResendKind, number>> = { repeat: 1, move: 2 };
+
 /**
  * Parts of the window that are counted by themselves. The oldest counts with
  * all its repeats and none of its requests, so a coarse count allows less.
@@ -115,9 +121,10 @@
     this.#startedAt ??= asked.now;
     this.#fleet.heard(asked.hosts, asked.now);
     const { spent, allowed } = this.state(service, asked);
-    const used = USED_SHARES[asked.kind ?? "repeat"] * allowed;
-    const first = this.#first(this.#fleet.size(asked.hosts, asked.now));
-    if (spent + 1 > Math.max(first, used)) return false;
+    const kind = asked.kind ?? "repeat";
+    const used = USED_SHARES[kind] * allowed;
+    const least = Math.min(LEAST_PART[kind], this.#terms.allowance);
+    if (spent + 1 > Math.max(least, used)) return false;
     this.#newestBucket(service, asked.now).repeats += 1;
     return true;
   }
@@ -161,12 +168,6 @@
     return (lived * this.#terms.allowance) / hosts;
   }
 
-  /** Repeats that are allowed however little was earned. */
-  #first(known: number): number {
-    const { allowance } = this.#terms;
-    return Math.min(1, allowance / Math.max(HOSTS_AT_START, known));
-  }
-
   #newestBucket(service: string, now: number): Bucket {
     const buckets = this.#services.get(service) ?? [];
     const newest = buckets.at(-1);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import type { ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
@@ -29,7 +30,11 @@
 import { type Continuation, KeptRun } from "./kept_run.ts";
 import { moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
-import { type NotRepeatedReason, RunRecord } from "./run_record.ts";
+import {
+  type BudgetView,
+  type NotRepeatedReason,
+  RunRecord,
+} from "./run_record.ts";
 import { chooseFor } from "./send_choice.ts";
 import { StallWatch } from "./stall_watch.ts";
 
@@ -72,6 +77,12 @@
   readonly unreadBefore: number;
 }
 
+/** What the budget of repeated sends said, and what it went by. */
+interface Spending {
+  readonly granted: boolean;
+  readonly view: BudgetView;
+}
+
 /** The life of one admitted request. */
 export class RequestRun {
   readonly request: AdmittedRequest;
@@ -141,7 +152,11 @@
     this.#cancelDeadline = this.#context.clock.after(Math.max(0, wait), () =>
       this.#timedOut(),
     );
-    this.#context.budget.requested(this.request.service.name, this.#now());
+    this.#context.budget.requested(
+      this.request.service.name,
+      this.#now(),
+      this.#context.hosts(),
+    );
     this.#sendToBest();
   }
 
@@ -157,6 +172,12 @@
       this.#notRepeated("memory_moved", "no_server");
       return;
     }
+    // The send after a move is one more that servers see.
+    const spending = this.#spend("move");
+    if (!spending.granted) {
+      this.#notRepeated("memory_moved", "budget_spent", spending.view);
+      return;
+    }
     const source = current.choice;
     const from = source.record.entry.address;
     const record = this.#record.moveBegan(source.record, target.record);
@@ -174,11 +195,14 @@
     );
     record.ended(outcome.isErr ? outcome.error : "moved", this.#lastEventId);
     if (this.#answer.finished) return;
-    if (outcome.isOk) this.#stopped(outcome.value, { target, source });
-    else if (this.#lostWhileMoving) this.#lost("stream_broken", "move failed");
+    if (outcome.isOk) {
+      this.#stopped(outcome.value, { target, source });
+      this.#goOn("memory_moved", spending);
+    } else if (this.#lostWhileMoving)
+      this.#lost("stream_broken", "move failed");
   }
 
-  /** The run stopped; it goes on where its memory lies. */
+  /** The run stopped; it can go on where its memory lies. */
   #stopped(
     { handle, copied }: KeptMemory,
     { target, source }: { readonly target: Choice; readonly source: Choice },
@@ -189,44 +213,35 @@
       { address: source.record.entry.address, handle },
       { copy: copied ? target : undefined, source },
     );
-    this.#goOn("memory_moved");
   }
 
   /** Sends the request with its kept memory to the next place that has it. */
-  #goOn(reason: ResendReason): void {
+  #goOn(reason: ResendReason, spending: Spending): void {
     const kept = this.#kept;
     const next = kept?.next();
-    const why = this.#whyNotOn(next, reason);
+    const why = this.#whyNotOn(next, spending);
     if (kept === undefined || next === undefined || why !== undefined) {
-      this.#notRepeated(reason, why ?? "no_server");
+      this.#notRepeated(reason, why ?? "no_server", spending.view);
       this.#memoryLost(reason);
       return;
     }
     const send = () => {
-      this.#record.resent(reason);
+      this.#record.resent(reason, spending.view);
       this.#sendTo(next.choice, kept.memory);
     };
-    if (next.waitMilliseconds === 0) send();
-    else {
-      this.#cancelPause = this.#context.clock.after(
-        next.waitMilliseconds,
-        send,
-      );
-    }
+    const { waitMilliseconds } = next;
+    if (waitMilliseconds === 0) send();
+    else this.#cancelPause = this.#context.clock.after(waitMilliseconds, send);
   }
 
   /** What forbids to send kept memory to the next place. */
   #whyNotOn(
     next: Continuation | undefined,
-    reason: ResendReason,
+    { granted }: Spending,
   ): NotRepeatedReason | undefined {
     if (next === undefined) return "no_server";
     const left = this.#remaining() - next.waitMilliseconds;
     if (left <= LEAST_USEFUL_MILLISECONDS) return "too_late";
-    const budget = { now: this.#now(), hosts: this.#context.hosts() };
-    const granted =
-      reason === "memory_moved" ||
-      this.#context.budget.spend(this.request.service.name, budget);
     return granted ? undefined : "budget_spent";
   }
 
@@ -537,7 +552,7 @@
   /** A send surely ran nothing: what it carried may be sent again. */
   #sendFailed(reason: ResendReason, otherwise: RefusalReason): void {
     // A stopped run is still there, so the request must not begin anew.
-    if (this.#truth.mayGoOn) this.#goOn(reason);
+    if (this.#truth.mayGoOn) this.#goOn(reason, this.#spend("move"));
     else this.#resend(reason, otherwise);
   }
 
@@ -569,20 +584,30 @@
     if (this.#answer.finished) return;
     const forbidden = this.#whyNotAgain();
     const choice = forbidden === undefined ? this.#choose() : undefined;
-    const budget = { now: this.#now(), hosts: this.#context.hosts() };
-    if (
-      choice === undefined ||
-      !this.#context.budget.spend(this.request.service.name, budget)
-    ) {
-      const why = choice === undefined ? "no_server" : "budget_spent";
-      this.#notRepeated(reason, forbidden ?? why);
+    if (choice === undefined) {
+      this.#notRepeated(reason, forbidden ?? "no_server");
+      this.#giveUp(otherwise);
+      return;
+    }
+    const { granted, view } = this.#spend("repeat");
+    if (!granted) {
+      this.#notRepeated(reason, "budget_spent", view);
       this.#giveUp(otherwise);
       return;
     }
-    this.#record.resent(reason);
+    this.#record.resent(reason, view);
     this.#sendTo(choice);
   }
 
+  /** Spends one further send, if the budget allows. */
+  #spend(kind: ResendKind): Spending {
+    const { budget } = this.#context;
+    const { name } = this.request.service;
+    const asked = { now: this.#now(), hosts: this.#context.hosts() };
+    const view = { ...budget.state(name, asked), hosts: asked.hosts };
+    return { granted: budget.spend(name, { ...asked, kind }), view };
+  }
+
   /** What forbids a further send, wherever it would go. */
   #whyNotAgain(): NotRepeatedReason | undefined {
     const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
@@ -595,9 +620,13 @@
       : "too_many_sends";
   }
 
-  #notRepeated(reason: ResendReason, why: NotRepeatedReason): void {
+  #notRepeated(
+    reason: ResendReason,
+    why: NotRepeatedReason,
+    budget?: BudgetView,
+  ): void {
     const { possibleRuns } = this.#truth;
-    this.#record.notRepeated(reason, { why, possibleRuns });
+    this.#record.notRepeated(reason, { why, possibleRuns, budget });
   }
 
   #timedOut(): void {
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { ResendState } from "../admission/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
@@ -23,12 +24,8 @@
 /** One of {@link NOT_REPEATED_REASONS}. */
 export type NotRepeatedReason = (typeof NOT_REPEATED_REASONS)[number];
 
-/** What the budget of repeated sends decided by. */
-export interface BudgetView {
-  /** Repeats that this host spent in the window. */
-  readonly spent: number;
-  /** Repeats that this host may spend in the window. */
-  readonly allowed: number;
+/** What the budget of repeated sends decided by; the host's own part. */
+export interface BudgetView extends ResendState {
   /** Hosts that the fleet's budget was split among. */
   readonly hosts: number;
 }
@@ -272,6 +269,11 @@
   return eventId?.slice(0, MAXIMUM_EVENT_ID_LENGTH);
 }
 
+/** One decimal is enough to see how near the end a budget is. */
+function rounded(count: number): number {
+  return Math.round(10 * count) / 10;
+}
+
 function between(
   start: number | undefined,
   end: number | undefined,
@@ -288,7 +290,7 @@
     ? {}
     : {
         budgetSpent: budget.spent,
-        budgetAllowed: budget.allowed,
+        budgetAllowed: rounded(budget.allowed),
         budgetHosts: budget.hosts,
       };
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -125,7 +125,7 @@
       deciders: () => this.#membership?.deciders,
       ask: async (request) => this.#membership?.ask(request),
     });
-    this.#budget = new ResendBudget(resendTerms(bounds));
+    this.#budget = new ResendBudget(resendTerms(bounds), ports.clock.now());
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
