Tell a host that is alone from one that has not read the list of hosts

Cause: the budget took a host that counts no other for one that may be cut off, and gave it no part of the allowance, for good. A lone host could carry on two streams a window; a moved stream that was turned away three times broke off (moved_run_test). Change: hosts are unknown until a life has read their list. Before that a fleet of 32 is assumed, and a life that reads none for a whole window has no part; a host that stands alone in the list has all. A life's first window uses half of what it earns, the fixed part included, rather than a part for 32 hosts.

--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -38,7 +38,8 @@
 /** When a host asks, and how many hosts it counts, itself included. */
 export interface ResendAsked {
   readonly now: number;
-  readonly hosts: number;
+  /** `undefined` before this life has read the list of hosts. */
+  readonly hosts: number | undefined;
 }
 
 /**
@@ -64,8 +65,8 @@
 const BUCKETS_EACH_WINDOW = 20;
 
 /**
- * Hosts that a host takes there to be in its first window, if it knows no more.
- * All may have started at once, and each would take a large part for its own.
+ * Hosts that a host takes there to be before it has read the list of hosts. All
+ * may have started at once, and each would take a large part for its own.
  */
 const HOSTS_AT_START = 32;
 
@@ -76,8 +77,8 @@
 const HOSTS_REMEMBERED_MILLISECONDS = 60_000;
 
 /**
- * Part of the share that a life uses in its first window, when requests and
- * repeats of the life before may still stand in the fleet's window.
+ * Part of its budget that a life uses in its first window, when repeats of the
+ * life before may still stand in the fleet's window.
  */
 const NEW_LIFE_SHARE = 0.5;
 
@@ -107,7 +108,7 @@
   }
 
   /** Notes a caller's request for a service, and the hosts known with it. */
-  requested(service: string, now: number, hosts = 1): void {
+  requested(service: string, { now, hosts }: ResendAsked): void {
     this.#startedAt ??= now;
     this.#fleet.heard(hosts, now);
     this.#newestBucket(service, now).requests += 1;
@@ -142,10 +143,8 @@
       "repeats",
     );
     const known = this.#fleet.size(hosts, now);
-    return {
-      spent,
-      allowed: this.#share(now) * requests + this.#part(known, now),
-    };
+    const whole = this.#terms.share * requests + this.#part(known, now);
+    return { spent, allowed: this.#usable(now) * whole };
   }
 
   /** Share of the window that this life has lasted, at most 1. */
@@ -154,18 +153,17 @@
     return Math.min(1, age / this.#terms.windowMilliseconds);
   }
 
-  /** Repeats allowed for each request; less in a life's first window. */
-  #share(now: number): number {
-    const { share } = this.#terms;
-    return this.#lived(now) < 1 ? NEW_LIFE_SHARE * share : share;
+  /** Part of the budget that this life uses. */
+  #usable(now: number): number {
+    return this.#lived(now) < 1 ? NEW_LIFE_SHARE : 1;
   }
 
   /** This host's part of the fixed allowance, as far as it is earned. */
-  #part(known: number, now: number): number {
-    if (known <= 1) return 0;
+  #part(known: number | undefined, now: number): number {
     const lived = this.#lived(now);
-    const hosts = lived < 1 ? Math.max(HOSTS_AT_START, known) : known;
-    return (lived * this.#terms.allowance) / hosts;
+    // Who reads no list for that long is cut off, and may be one of many.
+    if (known === undefined && lived >= 1) return 0;
+    return (lived * this.#terms.allowance) / (known ?? HOSTS_AT_START);
   }
 
   #newestBucket(service: string, now: number): Bucket {
@@ -198,14 +196,17 @@
   }
 
   /** Notes how many hosts are known now. */
-  heard(hosts: number, now: number): void {
+  heard(hosts: number | undefined, now: number): void {
+    if (hosts === undefined) return;
     const larger = this.#recent(now).filter((heard) => heard.hosts > hosts);
     this.#heard = [...larger, { hosts, at: now }];
   }
 
-  /** Hosts to count with, at least one and those known now. */
-  size(hosts: number, now: number): number {
-    return Math.max(1, hosts, this.#recent(now)[0]?.hosts ?? 1);
+  /** Hosts to count with; `undefined` where none were ever known. */
+  size(hosts: number | undefined, now: number): number | undefined {
+    const recent = this.#recent(now)[0]?.hosts;
+    if (hosts === undefined) return recent;
+    return Math.max(1, hosts, recent ?? 1);
   }
 
   #recent(now: number): readonly HeardSize[] {
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -193,6 +193,11 @@
     return this.#hosts.size(this.#parts.clock.now());
   }
 
+  /** The same once the list of hosts was read; `undefined` before that. */
+  get listedSize(): number | undefined {
+    return this.#registry.settled ? this.size : undefined;
+  }
+
   /**
    * Whether this host hears enough of the others to hold duties. Before it has
    * read the list of hosts, each host of a large fleet takes itself for one of a
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -52,6 +52,8 @@
   configuration(): ConfigurationView;
   /** Hosts of the system that may be serving. */
   hosts(): number;
+  /** The same once their list was read; `undefined` before that. */
+  listedHosts(): number | undefined;
   /** Time that a leaving server serves on after its announcement, in ms. */
   drainMilliseconds(): number;
   /** Whether this host hears which prompts the others sent where. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
-import type { ResendKind } from "../admission/mod.ts";
+import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
@@ -152,11 +152,7 @@
     this.#cancelDeadline = this.#context.clock.after(Math.max(0, wait), () =>
       this.#timedOut(),
     );
-    this.#context.budget.requested(
-      this.request.service.name,
-      this.#now(),
-      this.#context.hosts(),
-    );
+    this.#context.budget.requested(this.request.service.name, this.#asked());
     this.#sendToBest();
   }
 
@@ -603,11 +599,15 @@
   #spend(kind: ResendKind): Spending {
     const { budget } = this.#context;
     const { name } = this.request.service;
-    const asked = { now: this.#now(), hosts: this.#context.hosts() };
+    const asked = this.#asked();
     const view = { ...budget.state(name, asked), hosts: asked.hosts };
     return { granted: budget.spend(name, { ...asked, kind }), view };
   }
 
+  #asked(): ResendAsked {
+    return { now: this.#now(), hosts: this.#context.listedHosts() };
+  }
+
   /** What forbids a further send, wherever it would go. */
   #whyNotAgain(): NotRepeatedReason | undefined {
     const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -26,8 +26,8 @@
 
 /** What the budget of repeated sends decided by; the host's own part. */
 export interface BudgetView extends ResendState {
-  /** Hosts that the fleet's budget was split among. */
-  readonly hosts: number;
+  /** Hosts that this host counts now; `undefined` before their list was read. */
+  readonly hosts: number | undefined;
 }
 
 /** What a send is told of the run so far. */
@@ -285,7 +285,7 @@
 
 function budgetFields(
   budget: BudgetView | undefined,
-): Readonly<Record<string, number>> {
+): Readonly<Record<string, number | undefined>> {
   return budget === undefined
     ? {}
     : {
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -314,6 +314,7 @@
         keysTrusted: this.#keysTrusted(),
       }),
       hosts: () => this.#membership?.size ?? 1,
+      listedHosts: () => this.#membership?.listedSize,
       drainMilliseconds: () => this.#settings.bounds.drainMilliseconds,
       hearsDispatches: () => (this.#membership?.role ?? "direct") === "direct",
       startsRequests: () => this.#startsRequests(),
