--- a/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
@@ -30,6 +30,9 @@
 /** Time that a killed host is away, in milliseconds. */
 const AWAY_MILLISECONDS = 2_000;
 
+/** Hosts in a list that is read before most have registered. */
+const SHORT_LIST = 3;
+
 /** Silence after which hosts no longer count each other, in milliseconds. */
 const GONE_MILLISECONDS = 10_000;
 
@@ -65,6 +68,8 @@
   readonly kills: readonly number[];
   /** Time after a start in which a host has heard of no other. */
   readonly unheard: number;
+  /** Time after a start in which hosts stand in a list of three. */
+  readonly shortList: number;
   /** When a third of the hosts hears nobody and is heard by nobody. */
   readonly cut: Span;
 }
@@ -77,6 +82,7 @@
   rejecting: NEVER,
   kills: [],
   unheard: 0,
+  shortList: 0,
   cut: NEVER,
 };
 
@@ -84,6 +90,7 @@
 const WAVES = [16_000, 21_000];
 const KILLS = [17_000, 22_000];
 const CUT: Span = { from: 2_000, to: 40_000 };
+const LONG_CUT: Span = { from: -120_000, to: 40_000 };
 
 const SCENARIOS: readonly (readonly [string, Partial<Troubles>])[] = [
   ["servers turn away half", { rejecting: REJECTING }],
@@ -95,6 +102,14 @@
     { startAt: 0, unheard: 2_000, rejecting: { from: 500, to: 20_000 } },
   ],
   ["a third cut off, half turned away", { cut: CUT, rejecting: REJECTING }],
+  [
+    "a third cut off for long, half turned away",
+    { startAt: -140_000, cut: LONG_CUT, rejecting: REJECTING },
+  ],
+  [
+    "started together with a short list, half turned away",
+    { startAt: 0, shortList: 4_000, rejecting: { from: 500, to: 20_000 } },
+  ],
   [
     "all together",
     {
@@ -242,8 +257,9 @@
   /** Hosts that one counts, itself included, once it has read their list. */
   #hostsKnownBy(host: number, now: number): number | undefined {
     const { hosts } = this.#fleet;
-    const { cut, unheard } = this.#troubles;
+    const { cut, unheard, shortList } = this.#troubles;
     if (now - this.#startedAt < unheard) return undefined;
+    if (now - this.#startedAt < shortList) return SHORT_LIST;
     const counted = now - cut.from < GONE_MILLISECONDS;
     if (counted || now >= cut.to) return hosts;
     const cutHosts = Math.floor(hosts / 3);
--- a/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine_test.ts
@@ -88,7 +88,7 @@
     waiting: ["written"],
     sent: ["not_written", "rejected", "answered", "lost", "stopped"],
     running: ["relayed", "lost", "stopped"],
-    suspended: ["written", "memory_lost"],
+    suspended: ["written", "lost", "memory_lost"],
     resuming: ["not_written", "rejected", "answered", "lost", "stopped"],
   };
   return allowed[state]?.includes(type) ?? false;
--- a/packages/rampswitch-serving/src/relay/event_framer_test.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -48,6 +48,7 @@
     ["10", "9", true],
     ["4", "4", false],
     ["1", "69", false],
+    ["9007199254740993", "9007199254740992", true],
     ["a", "b", true],
     [undefined, "4", true],
     ["4", undefined, true],
