--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -25,8 +25,10 @@
 export type ResendKind =
   /** The request itself, once more. */
   | "repeat"
-  /** A running stream that goes on elsewhere from its memory. */
-  | "move";
+  /** A running stream that is to go on elsewhere from its memory. */
+  | "move"
+  /** A stopped stream that was turned away; without it the stream ends. */
+  | "continuation";
 
 /** One host's part of the budget in the window that ends now. */
 export interface ResendState {
@@ -45,18 +47,24 @@
 /**
  * Part of the budget that is used; the rest covers hosts that were not known
  * when the allowance was split, and runs that the platform counts otherwise.
- * Moves may use more, since a stream that stays at an ending server breaks.
+ * Moves may use more, since a stream that stays at an ending server breaks, and
+ * leave some for the sends that follow where they are turned away.
  */
 const USED_SHARES: Readonly<Record<ResendKind, number>> = {
   repeat: 0.8,
-  move: 0.95,
+  move: 0.9,
+  continuation: 0.95,
 };
 
 /**
  * Sends of a window that are allowed however little was earned, so that a host
  * that has just started can still help one request, and one stream besides.
  */
-const LEAST_PART: Readonly<Record<ResendKind, number>> = { repeat: 1, move: 2 };
+const LEAST_PART: Readonly<Record<ResendKind, number>> = {
+  repeat: 1,
+  move: 2,
+  continuation: 2,
+};
 
 /**
  * Parts of the window that are counted by themselves. The oldest counts with
@@ -65,8 +73,9 @@
 const BUCKETS_EACH_WINDOW = 20;
 
 /**
- * Hosts that a host takes there to be before it has read the list of hosts. All
- * may have started at once, and each would take a large part for its own.
+ * Hosts that a host takes there to be at least in its first window. All may have
+ * started at once, with a list that holds few of them, and each would take a
+ * large part for its own.
  */
 const HOSTS_AT_START = 32;
 
@@ -163,7 +172,8 @@
     const lived = this.#lived(now);
     // Who reads no list for that long is cut off, and may be one of many.
     if (known === undefined && lived >= 1) return 0;
-    return (lived * this.#terms.allowance) / (known ?? HOSTS_AT_START);
+    const least = lived < 1 ? HOSTS_AT_START : 1;
+    return (lived * this.#terms.allowance) / Math.max(least, known ?? 1);
   }
 
   #newestBucket(service: string, now: number): Bucket {
--- a/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget_fleet_test.ts
@@ -139,6 +139,7 @@
 
 /** Moves, and sends on of moved runs, ask before ordinary repeats. */
 const MOVE = { kind: "move" } as const;
+const CONTINUATION = { kind: "continuation" } as const;
 
 /** Numbers from 0 to 1 that repeat themselves: a linear congruence. */
 class Draws {
@@ -236,7 +237,7 @@
     this.#counts.moves += 1;
     this.#repeats.push(now);
     this.#whileTurnedAway(asked, () =>
-      budget.spend(SERVICE, { ...asked, ...MOVE }),
+      budget.spend(SERVICE, { ...asked, ...CONTINUATION }),
     );
   }
 
@@ -264,7 +265,8 @@
     if (counted || now >= cut.to) return hosts;
     const cutHosts = Math.floor(hosts / 3);
     if (host >= cutHosts) return hosts - cutHosts;
-    return this.#startedAt + unheard > cut.from ? undefined : 1;
+    // Who hears nobody counts those in the list that it read last.
+    return this.#startedAt + unheard > cut.from ? undefined : hosts;
   }
 
   #anyHost(): number {
--- a/packages/rampswitch-serving/src/admission/resend_budget_test.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget_test.ts
@@ -114,7 +114,8 @@
     const asked = { now: 0, hosts: 1, kind: "repeat" } as const;
     budget.requested("service", { now: 0, hosts: 2 });
     expect(spendAll(budget, asked)).toBe(22);
-    expect(spendAll(budget, { ...asked, kind: "move" })).toBe(4);
+    expect(spendAll(budget, { ...asked, kind: "move" })).toBe(3);
+    expect(spendAll(budget, { ...asked, kind: "continuation" })).toBe(1);
     expect(spendAll(budget, asked)).toBe(0);
   });
 
@@ -132,12 +133,13 @@
     expect(spendAll(budget, asked)).toBe(1);
   });
 
-  test("before the list of hosts is read, the fleet is taken for a large one", () => {
+  test("a life's first window takes the fleet for a large one", () => {
     const budget = new ResendBudget(TERMS, 0);
     const part = (hosts: number | undefined) =>
       budget.state("service", { now: 5_000, hosts }).allowed;
     expect(part(undefined)).toBeCloseTo((0.25 * TERMS.allowance) / 32, 9);
-    expect(part(2)).toBe((0.25 * TERMS.allowance) / 2);
+    expect(part(2)).toBe(part(undefined));
+    expect(part(56)).toBe((0.25 * TERMS.allowance) / 56);
   });
 
   test("who never read the list has no part of the allowance for long", () => {
--- a/packages/rampswitch-serving/src/attempt/attempt_machine.ts
+++ b/packages/rampswitch-serving/src/attempt/attempt_machine.ts
@@ -93,6 +93,7 @@
     suspended: {
       on: {
         written: { target: "resuming", actions: "countSend" },
+        lost: "waiting",
         memory_lost: "waiting",
         ended: "finished",
       },
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -214,6 +214,11 @@
     );
   }
 
+  /** Hosts in the list that was read last; this one included once it stands there. */
+  get listedCount(): number {
+    return this.#listedCount;
+  }
+
   /** Hosts that may be serving, heard or just listed; this one included. */
   size(now: number): number {
     const told = this.#freshDigest(now)?.hosts;
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -193,9 +193,14 @@
     return this.#hosts.size(this.#parts.clock.now());
   }
 
-  /** The same once the list of hosts was read; `undefined` before that. */
+  /**
+   * The same, and no fewer than in the list that was read last, whoever is heard;
+   * `undefined` before one was read.
+   */
   get listedSize(): number | undefined {
-    return this.#registry.settled ? this.size : undefined;
+    return this.#registry.settled
+      ? Math.max(this.size, this.#hosts.listedCount)
+      : undefined;
   }
 
   /**
--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -77,5 +77,5 @@
 ): boolean {
   if (id === undefined || former === undefined) return true;
   if (!COUNTER.test(id) || !COUNTER.test(former)) return true;
-  return Number(id) > Number(former);
+  return BigInt(id) > BigInt(former);
 }
--- a/packages/rampswitch-serving/src/relay/kept_run.ts
+++ b/packages/rampswitch-serving/src/relay/kept_run.ts
@@ -48,10 +48,22 @@
     this.#places = places;
   }
 
-  /** Takes the next try; `undefined` where none is left. */
-  next(): Continuation | undefined {
-    if (this.#tries >= MAXIMUM_TRIES) return undefined;
-    const choice = this.#nextPlace();
+  /** Whether all tries were taken. */
+  get exhausted(): boolean {
+    return this.#tries >= MAXIMUM_TRIES;
+  }
+
+  /** Where the memory lies, to free it. */
+  get ends(): { readonly from: string; readonly to: string } {
+    const { copy, source } = this.#places;
+    const from = source.record.entry.address;
+    return { from, to: copy?.record.entry.address ?? from };
+  }
+
+  /** Takes the next try at a server that still takes sends, if any is left. */
+  next(takesSends: (choice: Choice) => boolean): Continuation | undefined {
+    if (this.exhausted) return undefined;
+    const choice = this.#nextPlace(takesSends);
     if (choice === undefined) return undefined;
     const waitMilliseconds =
       this.#tries === 0 ? 0 : FIRST_PAUSE_MILLISECONDS * 2 ** (this.#tries - 1);
@@ -64,12 +76,12 @@
     this.#unreachable.add(choice);
   }
 
-  #nextPlace(): Choice | undefined {
+  #nextPlace(takesSends: (choice: Choice) => boolean): Choice | undefined {
     const { copy, source } = this.#places;
     const sourceFirst = (this.#tries + 1) % TRIES_FOR_EACH_AT_SOURCE === 0;
     const order = sourceFirst ? [source, copy] : [copy, source];
-    return order.find(
-      (choice) => choice !== undefined && !this.#unreachable.has(choice),
-    );
+    return order
+      .filter((choice) => choice !== undefined)
+      .find((choice) => !this.#unreachable.has(choice) && takesSends(choice));
   }
 }
--- a/packages/rampswitch-serving/src/relay/kept_run_test.ts
+++ b/packages/rampswitch-serving/src/relay/kept_run_test.ts
@@ -27,9 +27,11 @@
 const SOURCE = choiceOf("source");
 const MEMORY = { address: "127.0.0.1:1", handle: "h" };
 
+const always = () => true;
+
 /** Servers of all tries that are left, in order. */
 function rest(kept: KeptRun): readonly string[] {
-  const next = kept.next();
+  const next = kept.next(always);
   return next === undefined ? [] : [next.choice.record.entry.id, ...rest(kept)];
 }
 
@@ -53,18 +55,28 @@
 
   test("never again where the memory can't be used any more", () => {
     const kept = new KeptRun(MEMORY, { copy: COPY, source: SOURCE });
-    kept.next();
+    kept.next(always);
     kept.unreachable(COPY);
     expect(new Set(rest(kept))).toEqual(new Set(["source"]));
     const lost = new KeptRun(MEMORY, { copy: COPY, source: SOURCE });
     lost.unreachable(COPY);
     lost.unreachable(SOURCE);
-    expect(lost.next()).toBeUndefined();
+    expect(lost.next(always)).toBeUndefined();
+    expect(lost.exhausted).toBe(false);
+  });
+
+  test("never at a server that takes no more sends", () => {
+    const kept = new KeptRun(MEMORY, { copy: COPY, source: SOURCE });
+    const places = Array.from({ length: 6 }, () =>
+      kept.next((choice) => choice !== SOURCE),
+    ).map((next) => next?.choice);
+    expect(new Set(places)).toEqual(new Set([COPY]));
+    expect(kept.exhausted).toBe(true);
   });
 
   test("at once at first, then after pauses that grow", () => {
     const kept = new KeptRun(MEMORY, { copy: COPY, source: SOURCE });
-    const waits = Array.from({ length: 6 }, () => kept.next()).map(
+    const waits = Array.from({ length: 6 }, () => kept.next(always)).map(
       (next) => next?.waitMilliseconds ?? -1,
     );
     expect(waits[0]).toBe(0);
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -25,25 +25,42 @@
   readonly control: EngineControl;
   /** Whether the run still goes on where it was. */
   stillRuns(): boolean;
+  /** Whether the run may be stopped, to be sent on. */
+  mayStop(): boolean;
   /** Tells when the run's stop is asked for, and when that was answered. */
   stops(stopping: boolean): void;
+  /** Takes the handle of memory that nobody will go on from. */
+  unused(handle: string): void;
 }
 
+/** Why a run was not stopped, or could not be sent on. */
+export type MemoryMoveError = MemoryCopyError | "run_ended" | "budget_spent";
+
 /** Moves a run's memory; the result tells where it lies, or why it runs on. */
 export async function moveMemory(
   move: MemoryMove,
   parts: MemoryMoveParts,
-): Promise<Result<KeptMemory, string>> {
-  const { control } = parts;
-  const copied = await control.copyMemory({ ...move, stopsRun: false });
+): Promise<Result<KeptMemory, MemoryMoveError>> {
+  const copied = await parts.control.copyMemory({ ...move, stopsRun: false });
   if (copied.isErr) return Result.err(copied.error);
-  if (!parts.stillRuns()) return dropped(copied.value, move, parts);
+  const moved = await stopAndMove(move, parts);
+  if (moved.isErr) parts.unused(copied.value.handle);
+  return moved;
+}
+
+async function stopAndMove(
+  move: MemoryMove,
+  parts: MemoryMoveParts,
+): Promise<Result<KeptMemory, MemoryMoveError>> {
+  if (!parts.stillRuns()) return Result.err("run_ended");
+  if (!parts.mayStop()) return Result.err("budget_spent");
   parts.stops(true);
   const stopped = await stopRun(move, parts);
   parts.stops(false);
-  return stopped.isOk && !parts.stillRuns()
-    ? dropped(stopped.value, move, parts)
-    : stopped.mapErr((error): string => error);
+  if (stopped.isErr) return Result.err(stopped.error);
+  if (parts.stillRuns()) return Result.ok(stopped.value);
+  parts.unused(stopped.value.handle);
+  return Result.err("run_ended");
 }
 
 /** Asks once more where no answer came: the run may have stopped unheard. */
@@ -57,12 +74,17 @@
     : stopped;
 }
 
-/** Frees the copy of a run that ended; it would hold memory and a slot. */
-async function dropped(
-  { handle }: KeptMemory,
-  move: MemoryMove,
-  { control }: MemoryMoveParts,
-): Promise<Result<KeptMemory, string>> {
-  const freed = await control.dropCopy(move.from, handle);
-  return Result.err(freed ? "run_ended" : "run_ended_copy_kept");
+/**
+ * Frees memory that nobody goes on from; it would hold room and a place at two
+ * servers. The source frees both ends, and the target its own once that is gone.
+ */
+export async function dropMemory(
+  control: EngineControl,
+  move: Pick<MemoryMove, "from" | "to">,
+  handle: string,
+): Promise<boolean> {
+  return (
+    (await control.dropCopy(move.from, handle)) ||
+    control.dropCopy(move.to, handle)
+  );
 }
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -52,7 +52,7 @@
   configuration(): ConfigurationView;
   /** Hosts of the system that may be serving. */
   hosts(): number;
-  /** The same once their list was read; `undefined` before that. */
+  /** The same, and no fewer than are listed; `undefined` before a list was read. */
   listedHosts(): number | undefined;
   /** Time that a leaving server serves on after its announcement, in ms. */
   drainMilliseconds(): number;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import type { Result } from "true-myth";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -28,7 +29,7 @@
 import { comesAfter, EventFramer } from "./event_framer.ts";
 import { HeldBody } from "./held_body.ts";
 import { type Continuation, KeptRun } from "./kept_run.ts";
-import { moveMemory } from "./memory_move.ts";
+import { dropMemory, type MemoryMoveError, moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
 import {
   type BudgetView,
@@ -56,14 +57,20 @@
 /** Spread on top, in seconds, so that callers do not come back together. */
 const RETRY_AFTER_SPREAD_SECONDS = 0.4;
 
-/** Sends of one request that repeat another, at most. */
-const MAXIMUM_RESENDS = 4;
+/** Sends of one request that ask for a further run, at most. */
+const MAXIMUM_REPEATS = 4;
 
 /** Further runs of a stream that broke midway at servers that ended. */
 const RESUME_EXTRA_RUNS = 1;
 
 const FIRST_SERVER_ERROR = 500;
 
+/**
+ * Part of the time to the end of a leaving server in which it may go on from its
+ * own memory; the rest is for the way there, and for the news of its end.
+ */
+const LEAVING_SHARE = 0.8;
+
 /** Status of a server that is not the one that was named. */
 const MISDIRECTED = 421;
 const NOT_SURELY_DOWN = { surelyDown: false };
@@ -98,9 +105,14 @@
   #head: AnswerHead | undefined;
   readonly #held = new HeldBody();
   #lastEventId: string | undefined;
+  /** Id of the last event of this answer. */
+  #relayedId: string | undefined;
+  /** Sends that asked for a further run. */
+  #repeats = 0;
   /** Memory of the run that stopped, until a server goes on from it. */
   #kept: KeptRun | undefined;
   #cancelPause: () => void = () => undefined;
+  #moveUnderWay = false;
   #moving = false;
   #lostWhileMoving = false;
   #cancelDeadline: () => void = () => undefined;
@@ -159,39 +171,52 @@
   /** Moves a running stream to another engine, memory and all. */
   async moveAway(): Promise<void> {
     const current = this.#current;
-    const attemptId = this.request.head.attemptId;
-    if (current === undefined || attemptId === undefined || this.#moving) {
-      return;
-    }
+    const { attemptId } = this.request.head;
+    if (current === undefined || attemptId === undefined) return;
+    if (this.#moveUnderWay) return;
     const target = this.#choose();
     if (target === undefined) {
       this.#notRepeated("memory_moved", "no_server");
       return;
     }
-    // The send after a move is one more that servers see.
-    const spending = this.#spend("move");
-    if (!spending.granted) {
-      this.#notRepeated("memory_moved", "budget_spent", spending.view);
-      return;
-    }
+    this.#moveUnderWay = true;
+    await this.#move(current, target, attemptId);
+    this.#moveUnderWay = false;
+  }
+
+  async #move(
+    current: CurrentSend,
+    target: Choice,
+    attemptId: string,
+  ): Promise<void> {
     const source = current.choice;
-    const from = source.record.entry.address;
+    const ends = {
+      from: source.record.entry.address,
+      to: target.record.entry.address,
+    };
     const record = this.#record.moveBegan(source.record, target.record);
+    let spending: Spending | undefined;
     this.#lostWhileMoving = false;
     const outcome = await moveMemory(
-      { from, to: target.record.entry.address, attemptId },
+      { ...ends, attemptId },
       {
         control: this.#context.engineControl,
         stillRuns: () => this.#current === current && !this.#answer.finished,
+        mayStop: () => {
+          // The send after a move is one more that servers see.
+          spending = this.#spend("move");
+          return spending.granted;
+        },
         stops: (stopping) => {
           this.#moving = stopping;
           record.stops(stopping);
         },
+        unused: (handle) => this.#drop(ends, handle),
       },
     );
-    record.ended(outcome.isErr ? outcome.error : "moved", this.#lastEventId);
+    record.ended(outcomeOf(outcome), this.#lastEventId);
     if (this.#answer.finished) return;
-    if (outcome.isOk) {
+    if (outcome.isOk && spending !== undefined) {
       this.#stopped(outcome.value, { target, source });
       this.#goOn("memory_moved", spending);
     } else if (this.#lostWhileMoving)
@@ -214,7 +239,7 @@
   /** Sends the request with its kept memory to the next place that has it. */
   #goOn(reason: ResendReason, spending: Spending): void {
     const kept = this.#kept;
-    const next = kept?.next();
+    const next = kept?.next((choice) => this.#takesSends(choice));
     const why = this.#whyNotOn(next, spending);
     if (kept === undefined || next === undefined || why !== undefined) {
       this.#notRepeated(reason, why ?? "no_server", spending.view);
@@ -235,12 +260,20 @@
     next: Continuation | undefined,
     { granted }: Spending,
   ): NotRepeatedReason | undefined {
-    if (next === undefined) return "no_server";
+    if (next === undefined) {
+      return this.#kept?.exhausted === true ? "too_many_sends" : "no_server";
+    }
     const left = this.#remaining() - next.waitMilliseconds;
     if (left <= LEAST_USEFUL_MILLISECONDS) return "too_late";
     return granted ? undefined : "budget_spent";
   }
 
+  /** Whether a server with kept memory is not too near its announced end. */
+  #takesSends({ record }: Choice): boolean {
+    const since = this.#now() - (record.leavingSince ?? Infinity);
+    return since < LEAVING_SHARE * this.#context.drainMilliseconds();
+  }
+
   /** The stopped run can't go on; only what may be repeated begins anew. */
   #memoryLost(reason: ResendReason): void {
     this.#dropKept();
@@ -248,15 +281,21 @@
     this.#resend(reason, "unknown_outcome");
   }
 
-  /** Frees kept memory; it would hold room and a slot at two servers. */
+  /** Gives up kept memory that no server went on from. */
   #dropKept(): void {
     this.#cancelPause();
-    const memory = this.#kept?.memory;
+    const kept = this.#kept;
     this.#kept = undefined;
-    if (memory === undefined) return;
-    void this.#context.engineControl
-      .dropCopy(memory.address, memory.handle)
-      .then((freed) => this.#record.memoryDropped(freed));
+    if (kept !== undefined) this.#drop(kept.ends, kept.memory.handle);
+  }
+
+  #drop(
+    ends: { readonly from: string; readonly to: string },
+    handle: string,
+  ): void {
+    void dropMemory(this.#context.engineControl, ends, handle).then((freed) =>
+      this.#record.memoryDropped(freed),
+    );
   }
 
   #now(): number {
@@ -438,13 +477,14 @@
     if (frames.count === 0) return;
     if (!this.#answer.started) this.#firstEvent(current);
     // A server that begins a stream anew must not reach a caller who has a part.
-    else if (!comesAfter(frames.firstId, this.#lastEventId)) {
+    else if (!comesAfter(frames.firstId, this.#relayedId)) {
       current.send.abort();
       this.#lost("answer_not_usable", "event came before");
       return;
     }
     this.#truth.handle({ type: "relayed" });
-    this.#lastEventId = frames.lastId ?? this.#lastEventId;
+    this.#relayedId = frames.lastId ?? this.#relayedId;
+    this.#lastEventId = this.#relayedId ?? this.#lastEventId;
     this.#stall.eventCame();
     if (this.#answer.write(frames.bytes)) return;
     current.send.pause();
@@ -548,7 +588,7 @@
   /** A send surely ran nothing: what it carried may be sent again. */
   #sendFailed(reason: ResendReason, otherwise: RefusalReason): void {
     // A stopped run is still there, so the request must not begin anew.
-    if (this.#truth.mayGoOn) this.#goOn(reason, this.#spend("move"));
+    if (this.#truth.mayGoOn) this.#goOn(reason, this.#spend("continuation"));
     else this.#resend(reason, otherwise);
   }
 
@@ -567,8 +607,8 @@
       server: record,
       relayed: this.#truth.relayed,
     });
-    if (before === "waiting" || before === "suspended") {
-      this.#sendFailed("not_connected", "no_server");
+    if (before === "waiting") {
+      this.#resend("not_connected", "no_server");
       return;
     }
     // A server may have gone on from the memory; it serves once.
@@ -591,6 +631,7 @@
       this.#giveUp(otherwise);
       return;
     }
+    this.#repeats += 1;
     this.#record.resent(reason, view);
     this.#sendTo(choice);
   }
@@ -615,9 +656,7 @@
       return "may_not_run_again";
     }
     if (this.#remaining() <= LEAST_USEFUL_MILLISECONDS) return "too_late";
-    return this.#record.resends < MAXIMUM_RESENDS
-      ? undefined
-      : "too_many_sends";
+    return this.#repeats < MAXIMUM_REPEATS ? undefined : "too_many_sends";
   }
 
   #notRepeated(
@@ -720,6 +759,11 @@
   }
 }
 
+function outcomeOf(outcome: Result<KeptMemory, MemoryMoveError>): string {
+  if (outcome.isErr) return outcome.error;
+  return outcome.value.copied ? "moved" : "stopped_without_copy";
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
