Give the moves of a run a module of their own

Change: run_move.ts holds copying, stopping, going on and giving up; the run tells it what it needs by an interface. Behaviour as before. Conclusion: the truth, the sends and the answer stay with the run.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -8,7 +8,6 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
-import type { Result } from "true-myth";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -17,7 +16,6 @@
   type RefusalReason,
   type ResendReason,
 } from "../model/outcome.ts";
-import type { KeptMemory } from "../model/engine_control.ts";
 import type { AnswerHead, MemorySource } from "../model/request.ts";
 import {
   type AdmittedRequest,
@@ -28,20 +26,21 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import { comesAfter, EventFramer } from "./event_framer.ts";
 import { HeldBody } from "./held_body.ts";
-import { type Continuation, KeptRun } from "./kept_run.ts";
-import { dropMemory, type MemoryMoveError, moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
 import {
   type BudgetView,
   type NotRepeatedReason,
   RunRecord,
 } from "./run_record.ts";
+import {
+  LEAST_USEFUL_MILLISECONDS,
+  type MovableRun,
+  RunMove,
+  type Spending,
+} from "./run_move.ts";
 import { chooseFor } from "./send_choice.ts";
 import { StallWatch } from "./stall_watch.ts";
 
-/** Least time left that makes a further send worthwhile, in milliseconds. */
-const LEAST_USEFUL_MILLISECONDS = 20;
-
 /**
  * A repeatable plain request is sent elsewhere after this multiple of the
  * route's target without an answer; twice the target leaves room for a queue.
@@ -65,12 +64,6 @@
 
 const FIRST_SERVER_ERROR = 500;
 
-/**
- * Part of the time to the end of a leaving server in which it may go on from its
- * own memory; the rest is for the way there, and for the news of its end.
- */
-const LEAVING_SHARE = 0.8;
-
 /** Status of a server that is not the one that was named. */
 const MISDIRECTED = 421;
 const NOT_SURELY_DOWN = { surelyDown: false };
@@ -84,12 +77,6 @@
   readonly unreadBefore: number;
 }
 
-/** What the budget of repeated sends said, and what it went by. */
-interface Spending {
-  readonly granted: boolean;
-  readonly view: BudgetView;
-}
-
 /** The life of one admitted request. */
 export class RequestRun {
   readonly request: AdmittedRequest;
@@ -109,12 +96,7 @@
   #relayedId: string | undefined;
   /** Sends that asked for a further run. */
   #repeats = 0;
-  /** Memory of the run that stopped, until a server goes on from it. */
-  #kept: KeptRun | undefined;
-  #cancelPause: () => void = () => undefined;
-  #moveUnderWay = false;
-  #moving = false;
-  #lostWhileMoving = false;
+  readonly #move: RunMove;
   #cancelDeadline: () => void = () => undefined;
   readonly #stall: StallWatch;
   #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
@@ -138,6 +120,7 @@
     this.#truth = new AttemptTruth(
       request.route.resumable ? "repeatable" : request.route.repeatability,
     );
+    this.#move = new RunMove(this.#movable(), context);
     this.#lastEventId = request.head.lastEventId;
     this.#deadlineAt = request.arrivedAt + limitMilliseconds(request);
     exchange.response.on("close", () => {
@@ -169,133 +152,34 @@
   }
 
   /** Moves a running stream to another engine, memory and all. */
-  async moveAway(): Promise<void> {
-    const current = this.#current;
-    const { attemptId } = this.request.head;
-    if (current === undefined || attemptId === undefined) return;
-    if (this.#moveUnderWay) return;
-    const target = this.#choose();
-    if (target === undefined) {
-      this.#notRepeated("memory_moved", "no_server");
-      return;
-    }
-    this.#moveUnderWay = true;
-    await this.#move(current, target, attemptId);
-    this.#moveUnderWay = false;
-  }
-
-  async #move(
-    current: CurrentSend,
-    target: Choice,
-    attemptId: string,
-  ): Promise<void> {
-    const source = current.choice;
-    const ends = {
-      from: source.record.entry.address,
-      to: target.record.entry.address,
-    };
-    const record = this.#record.moveBegan(source.record, target.record);
-    let spending: Spending | undefined;
-    this.#lostWhileMoving = false;
-    const outcome = await moveMemory(
-      { ...ends, attemptId },
-      {
-        control: this.#context.engineControl,
-        stillRuns: () => this.#current === current && !this.#answer.finished,
-        mayStop: () => {
-          // The send after a move is one more that servers see.
-          spending = this.#spend("move");
-          return spending.granted;
-        },
-        stops: (stopping) => {
-          this.#moving = stopping;
-          record.stops(stopping);
-        },
-        unused: (handle) => this.#drop(ends, handle),
+  moveAway(): Promise<void> {
+    return this.#move.moveAway();
+  }
+
+  /** What a move knows of this run, and has it do. */
+  #movable(): MovableRun {
+    return {
+      attemptId: this.request.head.attemptId,
+      record: this.#record,
+      sentTo: () => this.#current?.choice,
+      finished: () => this.#answer.finished,
+      lastEventId: () => this.#lastEventId,
+      remaining: () => this.#remaining(),
+      choose: () => this.#choose(),
+      spend: (kind) => this.#spend(kind),
+      notRepeated: (...told) => this.#notRepeated(...told),
+      stopped: () => {
+        this.#endCurrent(true);
+        this.#truth.handle({ type: "stopped" });
       },
-    );
-    record.ended(outcomeOf(outcome), this.#lastEventId);
-    if (this.#answer.finished) return;
-    if (outcome.isOk && spending !== undefined) {
-      this.#stopped(outcome.value, { target, source });
-      this.#goOn("memory_moved", spending);
-    } else if (this.#lostWhileMoving)
-      this.#lost("stream_broken", "move failed");
-  }
-
-  /** The run stopped; it can go on where its memory lies. */
-  #stopped(
-    { handle, copied }: KeptMemory,
-    { target, source }: { readonly target: Choice; readonly source: Choice },
-  ): void {
-    this.#endCurrent(true);
-    this.#truth.handle({ type: "stopped" });
-    this.#kept = new KeptRun(
-      { address: source.record.entry.address, handle },
-      { copy: copied ? target : undefined, source },
-    );
-  }
-
-  /** Sends the request with its kept memory to the next place that has it. */
-  #goOn(reason: ResendReason, spending: Spending): void {
-    const kept = this.#kept;
-    const next = kept?.next((choice) => this.#takesSends(choice));
-    const why = this.#whyNotOn(next, spending);
-    if (kept === undefined || next === undefined || why !== undefined) {
-      this.#notRepeated(reason, why ?? "no_server", spending.view);
-      this.#memoryLost(reason);
-      return;
-    }
-    const send = () => {
-      this.#record.resent(reason, spending.view);
-      this.#sendTo(next.choice, kept.memory);
+      sendOn: (choice, memory) => this.#sendTo(choice, memory),
+      memoryLost: (reason) => {
+        // Only what may be repeated begins anew.
+        this.#truth.handle({ type: "memory_lost" });
+        this.#resend(reason, "unknown_outcome");
+      },
+      lost: () => this.#lost("stream_broken", "move failed"),
     };
-    const { waitMilliseconds } = next;
-    if (waitMilliseconds === 0) send();
-    else this.#cancelPause = this.#context.clock.after(waitMilliseconds, send);
-  }
-
-  /** What forbids to send kept memory to the next place. */
-  #whyNotOn(
-    next: Continuation | undefined,
-    { granted }: Spending,
-  ): NotRepeatedReason | undefined {
-    if (next === undefined) {
-      return this.#kept?.exhausted === true ? "too_many_sends" : "no_server";
-    }
-    const left = this.#remaining() - next.waitMilliseconds;
-    if (left <= LEAST_USEFUL_MILLISECONDS) return "too_late";
-    return granted ? undefined : "budget_spent";
-  }
-
-  /** Whether a server with kept memory is not too near its announced end. */
-  #takesSends({ record }: Choice): boolean {
-    const since = this.#now() - (record.leavingSince ?? Infinity);
-    return since < LEAVING_SHARE * this.#context.drainMilliseconds();
-  }
-
-  /** The stopped run can't go on; only what may be repeated begins anew. */
-  #memoryLost(reason: ResendReason): void {
-    this.#dropKept();
-    this.#truth.handle({ type: "memory_lost" });
-    this.#resend(reason, "unknown_outcome");
-  }
-
-  /** Gives up kept memory that no server went on from. */
-  #dropKept(): void {
-    this.#cancelPause();
-    const kept = this.#kept;
-    this.#kept = undefined;
-    if (kept !== undefined) this.#drop(kept.ends, kept.memory.handle);
-  }
-
-  #drop(
-    ends: { readonly from: string; readonly to: string },
-    handle: string,
-  ): void {
-    void dropMemory(this.#context.engineControl, ends, handle).then((freed) =>
-      this.#record.memoryDropped(freed),
-    );
   }
 
   #now(): number {
@@ -395,11 +279,11 @@
   /** Goes elsewhere after a silence, where a second run does no harm. */
   #stalled(): void {
     const current = this.#current;
-    if (current === undefined || this.#moving) return;
+    if (current === undefined || this.#move.stopping) return;
     current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
     if (!this.#mayResendAfterRun()) return;
     this.#truth.handle({ type: "lost" });
-    this.#dropKept();
+    this.#move.drop();
     this.#endCurrent(true);
     this.#record.lost("stalled", {
       detail: "silent",
@@ -440,7 +324,7 @@
     }
     const goesOn = this.#truth.state === "resuming";
     this.#truth.handle({ type: "answered" });
-    this.#kept = undefined;
+    this.#move.wentOn();
     if (!success && this.#answer.started) this.#resumeRefused(head);
     // The server that stopped the run for a move ends soon all the same.
     else if (goesOn && current.choice.record.entry.state === "leaving") {
@@ -582,20 +466,21 @@
   #unreachable(current: CurrentSend | undefined): void {
     if (current === undefined) return;
     current.choice.record.failed(this.#now(), { surelyDown: true });
-    this.#kept?.unreachable(current.choice);
+    this.#move.unreachable(current.choice);
   }
 
   /** A send surely ran nothing: what it carried may be sent again. */
   #sendFailed(reason: ResendReason, otherwise: RefusalReason): void {
     // A stopped run is still there, so the request must not begin anew.
-    if (this.#truth.mayGoOn) this.#goOn(reason, this.#spend("continuation"));
-    else this.#resend(reason, otherwise);
+    if (this.#truth.mayGoOn) {
+      this.#move.goOn(reason, this.#spend("continuation"));
+    } else this.#resend(reason, otherwise);
   }
 
   #lost(reason: ResendReason, detail: string): void {
     const record = this.#current?.choice.record;
-    if (this.#moving) {
-      this.#lostWhileMoving = true;
+    if (this.#move.stopping) {
+      this.#move.lostWhileStopping();
       return;
     }
     const before = this.#truth.state;
@@ -612,7 +497,7 @@
       return;
     }
     // A server may have gone on from the memory; it serves once.
-    this.#dropKept();
+    this.#move.drop();
     this.#resend(reason, "unknown_outcome");
   }
 
@@ -751,7 +636,7 @@
 
   #finish(outcome: string): void {
     this.#cancelDeadline();
-    this.#dropKept();
+    this.#move.drop();
     this.#truth.handle({ type: "ended" });
     this.#endCurrent(false);
     this.#record.ended(outcome);
@@ -759,11 +644,6 @@
   }
 }
 
-function outcomeOf(outcome: Result<KeptMemory, MemoryMoveError>): string {
-  if (outcome.isErr) return outcome.error;
-  return outcome.value.copied ? "moved" : "stopped_without_copy";
-}
-
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -0,0 +1,224 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Moves of one run between engines: its memory is copied, the run stops, and it
+ * goes on where the memory lies, for as long as some server still takes it.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+import type { ResendKind } from "../admission/mod.ts";
+import type { Choice } from "../choice/mod.ts";
+import type { KeptMemory } from "../model/engine_control.ts";
+import type { ResendReason } from "../model/outcome.ts";
+import type { MemorySource } from "../model/request.ts";
+import { type Continuation, KeptRun } from "./kept_run.ts";
+import { dropMemory, type MemoryMoveError, moveMemory } from "./memory_move.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
+
+/** Least time left that makes a further send worthwhile, in milliseconds. */
+export const LEAST_USEFUL_MILLISECONDS = 20;
+
+/**
+ * Part of the time to the end of a leaving server in which it may go on from its
+ * own memory; the rest is for the way there, and for the news of its end.
+ */
+const LEAVING_SHARE = 0.8;
+
+/** What the budget of repeated sends said, and what it went by. */
+export interface Spending {
+  readonly granted: boolean;
+  readonly view: BudgetView;
+}
+
+/** What a move knows of its run, and has it do. */
+export interface MovableRun {
+  readonly attemptId: string | undefined;
+  readonly record: RunRecord;
+  /** Choice of the send under way. */
+  sentTo(): Choice | undefined;
+  /** Whether the caller has a final answer. */
+  finished(): boolean;
+  /** Id of the last event that the caller has. */
+  lastEventId(): string | undefined;
+  /** Time left, in milliseconds. */
+  remaining(): number;
+  /** Another server. */
+  choose(): Choice | undefined;
+  /** Spends one further send, if the budget allows. */
+  spend(kind: ResendKind): Spending;
+  notRepeated(
+    reason: ResendReason,
+    why: NotRepeatedReason,
+    budget?: BudgetView,
+  ): void;
+  /** The run stopped where it was. */
+  stopped(): void;
+  /** Sends the request to a server that has its memory. */
+  sendOn(choice: Choice, memory: MemorySource): void;
+  /** The stopped run can't go on. */
+  memoryLost(reason: ResendReason): void;
+  /** The run was lost while its stop was asked for. */
+  lost(): void;
+}
+
+/** The moves of one run, one at a time. */
+export class RunMove {
+  readonly #run: MovableRun;
+  readonly #context: RequestContext;
+  /** Memory of the run that stopped, until a server goes on from it. */
+  #kept: KeptRun | undefined;
+  #underWay = false;
+  #stopping = false;
+  #lostWhileStopping = false;
+  #cancelPause: () => void = () => undefined;
+
+  constructor(run: MovableRun, context: RequestContext) {
+    this.#run = run;
+    this.#context = context;
+  }
+
+  /** Whether the run's stop is asked for, so that its stream may end. */
+  get stopping(): boolean {
+    return this.#stopping;
+  }
+
+  /** Notes that the stream ended while its stop was asked for. */
+  lostWhileStopping(): void {
+    this.#lostWhileStopping = true;
+  }
+
+  /** Moves the run to another engine, memory and all. */
+  async moveAway(): Promise<void> {
+    const source = this.#run.sentTo();
+    if (source === undefined || this.#underWay) return;
+    const target = this.#run.choose();
+    if (target === undefined) {
+      this.#run.notRepeated("memory_moved", "no_server");
+      return;
+    }
+    this.#underWay = true;
+    await this.#move(source, target);
+    this.#underWay = false;
+  }
+
+  /** Sends the request with its kept memory to the next place that has it. */
+  goOn(reason: ResendReason, spending: Spending): void {
+    const kept = this.#kept;
+    const next = kept?.next((choice) => this.#takesSends(choice));
+    const why = this.#whyNot(next, spending);
+    if (kept === undefined || next === undefined || why !== undefined) {
+      this.#run.notRepeated(reason, why ?? "no_server", spending.view);
+      this.drop();
+      this.#run.memoryLost(reason);
+      return;
+    }
+    const send = () => {
+      this.#run.record.resent(reason, spending.view);
+      this.#run.sendOn(next.choice, kept.memory);
+    };
+    const { waitMilliseconds } = next;
+    if (waitMilliseconds === 0) send();
+    else this.#cancelPause = this.#context.clock.after(waitMilliseconds, send);
+  }
+
+  /** The kept memory can't be used at a server any more. */
+  unreachable(choice: Choice): void {
+    this.#kept?.unreachable(choice);
+  }
+
+  /** A server went on from the kept memory. */
+  wentOn(): void {
+    this.#kept = undefined;
+  }
+
+  /** Gives up kept memory that no server went on from. */
+  drop(): void {
+    this.#cancelPause();
+    const kept = this.#kept;
+    this.#kept = undefined;
+    if (kept !== undefined) this.#free(kept.ends, kept.memory.handle);
+  }
+
+  async #move(source: Choice, target: Choice): Promise<void> {
+    const run = this.#run;
+    const { attemptId } = run;
+    if (attemptId === undefined) return;
+    const ends = {
+      from: source.record.entry.address,
+      to: target.record.entry.address,
+    };
+    const record = run.record.moveBegan(source.record, target.record);
+    let spending: Spending | undefined;
+    this.#lostWhileStopping = false;
+    const outcome = await moveMemory(
+      { ...ends, attemptId },
+      {
+        control: this.#context.engineControl,
+        stillRuns: () => run.sentTo() === source && !run.finished(),
+        mayStop: () => {
+          // The send after a move is one more that servers see.
+          spending = run.spend("move");
+          return spending.granted;
+        },
+        stops: (stopping) => {
+          this.#stopping = stopping;
+          record.stops(stopping);
+        },
+        unused: (handle) => this.#free(ends, handle),
+      },
+    );
+    record.ended(outcomeOf(outcome), run.lastEventId());
+    if (run.finished()) return;
+    if (outcome.isOk && spending !== undefined) {
+      run.stopped();
+      this.#keep(outcome.value, { target, source });
+      this.goOn("memory_moved", spending);
+    } else if (this.#lostWhileStopping) run.lost();
+  }
+
+  #keep(
+    { handle, copied }: KeptMemory,
+    { target, source }: { readonly target: Choice; readonly source: Choice },
+  ): void {
+    this.#kept = new KeptRun(
+      { address: source.record.entry.address, handle },
+      { copy: copied ? target : undefined, source },
+    );
+  }
+
+  /** What forbids to send kept memory to the next place. */
+  #whyNot(
+    next: Continuation | undefined,
+    { granted }: Spending,
+  ): NotRepeatedReason | undefined {
+    if (next === undefined) {
+      return this.#kept?.exhausted === true ? "too_many_sends" : "no_server";
+    }
+    const left = this.#run.remaining() - next.waitMilliseconds;
+    if (left <= LEAST_USEFUL_MILLISECONDS) return "too_late";
+    return granted ? undefined : "budget_spent";
+  }
+
+  /** Whether a server with kept memory is not too near its announced end. */
+  #takesSends({ record }: Choice): boolean {
+    const now = this.#context.clock.now();
+    const since = now - (record.leavingSince ?? Infinity);
+    return since < LEAVING_SHARE * this.#context.drainMilliseconds();
+  }
+
+  #free(
+    ends: { readonly from: string; readonly to: string },
+    handle: string,
+  ): void {
+    void dropMemory(this.#context.engineControl, ends, handle).then((freed) =>
+      this.#run.record.memoryDropped(freed),
+    );
+  }
+}
+
+function outcomeOf(outcome: Result<KeptMemory, MemoryMoveError>): string {
+  if (outcome.isErr) return outcome.error;
+  return outcome.value.copied ? "moved" : "stopped_without_copy";
+}
