Give a broken stream a further run only when one of its servers ended

Cause: a stream that had reached its caller in part was allowed one run more than its route allows after any loss. That run was meant for servers that end, which don't count; lost connections to servers that live do count. A stream whose second server crashes before the first one's end is known breaks off, and its caller comes back with its last event id.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -59,7 +59,7 @@
 /** Sends of one request that ask for a further run, at most. */
 const MAXIMUM_REPEATS = 4;
 
-/** Further runs of a stream that broke midway at servers that ended. */
+/** Further runs of a stream that broke midway at a server that ended. */
 const RESUME_EXTRA_RUNS = 1;
 
 const FIRST_SERVER_ERROR = 500;
@@ -86,6 +86,8 @@
   readonly #truth: AttemptTruth;
   readonly #framer = new EventFramer();
   readonly #tried = new Set<string>();
+  /** Servers whose answer was lost. */
+  readonly #lostAt: ServerRecord[] = [];
   readonly #deadlineAt: number;
   readonly #onFinished: (run: RequestRun) => void;
   #current: CurrentSend | undefined;
@@ -486,6 +488,7 @@
     const before = this.#truth.state;
     this.#truth.handle({ type: "lost" });
     record?.failed(this.#now(), NOT_SURELY_DOWN);
+    if (record !== undefined) this.#lostAt.push(record);
     this.#endCurrent(true);
     this.#record.lost(reason, {
       detail,
@@ -536,7 +539,7 @@
 
   /** What forbids a further send, wherever it would go. */
   #whyNotAgain(): NotRepeatedReason | undefined {
-    const extra = this.#truth.relayed ? RESUME_EXTRA_RUNS : 0;
+    const extra = this.#brokeAtEnd() ? RESUME_EXTRA_RUNS : 0;
     if (!this.#truth.maySend(this.request.route.maximumRuns + extra)) {
       return "may_not_run_again";
     }
@@ -544,6 +547,15 @@
     return this.#repeats < MAXIMUM_REPEATS ? undefined : "too_many_sends";
   }
 
+  /** Whether a part of the stream ran at a server that has ended or will. */
+  #brokeAtEnd(): boolean {
+    // A lost connection alone does not tell that its server ended.
+    return (
+      this.#truth.relayed &&
+      this.#lostAt.some(({ entry }) => entry.state === "leaving")
+    );
+  }
+
   #notRepeated(
     reason: ResendReason,
     why: NotRepeatedReason,
