Ask no budget for the first send after a move, which is the same run

Change: the send that first carries the memory is free, as it was; only the sends after a rejection spend, to a higher share than repeats.

--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -25,8 +25,6 @@
 export type ResendKind =
   /** The request itself, once more. */
   | "repeat"
-  /** A running stream that is to go on elsewhere from its memory. */
-  | "move"
   /** A stopped stream that was turned away; without it the stream ends. */
   | "continuation";
 
@@ -47,12 +45,11 @@
 /**
  * Part of the budget that is used; the rest covers hosts that were not known
  * when the allowance was split, and runs that the platform counts otherwise.
- * Moves may use more, since a stream that stays at an ending server breaks, and
- * leave some for the sends that follow where they are turned away.
+ * A stopped stream may use more, since it breaks where it can't go on. The send
+ * that first carries its memory is the same run to the platform, and costs none.
  */
 const USED_SHARES: Readonly<Record<ResendKind, number>> = {
   repeat: 0.8,
-  move: 0.9,
   continuation: 0.95,
 };
 
@@ -62,7 +59,6 @@
  */
 const LEAST_PART: Readonly<Record<ResendKind, number>> = {
   repeat: 1,
-  move: 2,
   continuation: 2,
 };
 
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -25,16 +25,14 @@
   readonly control: EngineControl;
   /** Whether the run still goes on where it was. */
   stillRuns(): boolean;
-  /** Whether the run may be stopped, to be sent on. */
-  mayStop(): boolean;
   /** Tells when the run's stop is asked for, and when that was answered. */
   stops(stopping: boolean): void;
   /** Takes the handle of memory that nobody will go on from. */
   unused(handle: string): void;
 }
 
-/** Why a run was not stopped, or could not be sent on. */
-export type MemoryMoveError = MemoryCopyError | "run_ended" | "budget_spent";
+/** Why a run was not stopped, or is not to be sent on. */
+export type MemoryMoveError = MemoryCopyError | "run_ended";
 
 /** Moves a run's memory; the result tells where it lies, or why it runs on. */
 export async function moveMemory(
@@ -53,7 +51,6 @@
   parts: MemoryMoveParts,
 ): Promise<Result<KeptMemory, MemoryMoveError>> {
   if (!parts.stillRuns()) return Result.err("run_ended");
-  if (!parts.mayStop()) return Result.err("budget_spent");
   parts.stops(true);
   const stopped = await stopRun(move, parts);
   parts.stops(false);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -474,9 +474,8 @@
   /** A send surely ran nothing: what it carried may be sent again. */
   #sendFailed(reason: ResendReason, otherwise: RefusalReason): void {
     // A stopped run is still there, so the request must not begin anew.
-    if (this.#truth.mayGoOn) {
-      this.#move.goOn(reason, this.#spend("continuation"));
-    } else this.#resend(reason, otherwise);
+    if (this.#truth.mayGoOn) this.#move.goOnAfter(reason);
+    else this.#resend(reason, otherwise);
   }
 
   #lost(reason: ResendReason, detail: string): void {
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -29,9 +29,12 @@
 /** What the budget of repeated sends said, and what it went by. */
 export interface Spending {
   readonly granted: boolean;
-  readonly view: BudgetView;
+  readonly view: BudgetView | undefined;
 }
 
+/** The first send after a move is the same run, and costs no repeat. */
+const NOTHING_SPENT: Spending = { granted: true, view: undefined };
+
 /** What a move knows of its run, and has it do. */
 export interface MovableRun {
   readonly attemptId: string | undefined;
@@ -103,8 +106,13 @@
     this.#underWay = false;
   }
 
+  /** Goes on elsewhere after a send of the kept memory ran nothing. */
+  goOnAfter(reason: ResendReason): void {
+    this.#goOn(reason, this.#run.spend("continuation"));
+  }
+
   /** Sends the request with its kept memory to the next place that has it. */
-  goOn(reason: ResendReason, spending: Spending): void {
+  #goOn(reason: ResendReason, spending: Spending): void {
     const kept = this.#kept;
     const next = kept?.next((choice) => this.#takesSends(choice));
     const why = this.#whyNot(next, spending);
@@ -150,18 +158,12 @@
       to: target.record.entry.address,
     };
     const record = run.record.moveBegan(source.record, target.record);
-    let spending: Spending | undefined;
     this.#lostWhileStopping = false;
     const outcome = await moveMemory(
       { ...ends, attemptId },
       {
         control: this.#context.engineControl,
         stillRuns: () => run.sentTo() === source && !run.finished(),
-        mayStop: () => {
-          // The send after a move is one more that servers see.
-          spending = run.spend("move");
-          return spending.granted;
-        },
         stops: (stopping) => {
           this.#stopping = stopping;
           record.stops(stopping);
@@ -171,10 +173,10 @@
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
     if (run.finished()) return;
-    if (outcome.isOk && spending !== undefined) {
+    if (outcome.isOk) {
       run.stopped();
       this.#keep(outcome.value, { target, source });
-      this.goOn("memory_moved", spending);
+      this.#goOn("memory_moved", NOTHING_SPENT);
     } else if (this.#lostWhileStopping) run.lost();
   }
 
