Let a second order to stop wait for the first

Cause: the host takes a second SIGTERM for done, since it is stopping already, and the program exits while requests are in progress. Ruled out: signals before the program listens to them (six of six trials in which a signal came with the line `listening` were handled). Change: all orders to stop share one end. Before: the second resolves within 0.2 s. After: with the first; serving_host_test 40 of 40.

--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -96,6 +96,7 @@
   readonly #limits: WorkspaceLimits;
   readonly #admission: FleetAdmission;
   readonly #budget: ResendBudget;
+  #stopped: Promise<void> | undefined;
   readonly #readingRates = new ReadingRates();
   readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
@@ -212,7 +213,13 @@
   }
 
   /** Ends planned: nothing in progress is cut off before the grace is over. */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    // A second order must not end before what the first one waits for.
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     if (!this.#life.handle({ type: "stop" })) return;
     const { clock, logger } = this.#ports;
     const startedAt = clock.now();
