Test that a second order to stop an entry host waits, while it fails

Cause: the entry host has the fault that was found in the serving host: a second order to stop ends at once. Conclusion: the same class, in the other pipeline.

--- a/packages/rampswitch-measure/src/kept_requests_test.ts
+++ b/packages/rampswitch-measure/src/kept_requests_test.ts
@@ -262,6 +262,20 @@
     expect((await check(started.caller(1), key)).status).toBe(200);
   });
 
+  // A second order to stop ended at once, since the host was stopping already, and
+  // the program took that for the end of the stop and exited.
+  test("a second order to stop ends with the first", async () => {
+    const started = await start({ entries: 2 });
+    const stopped: string[] = [];
+    const first = started.entries[0]!.stop().then(() => stopped.push("first"));
+    const second = started.entries[0]!.stop().then(() =>
+      stopped.push("second"),
+    );
+    await second;
+    expect(stopped).toContain("first");
+    await first;
+  });
+
   test("a stop while the store is down cuts nothing", async () => {
     const started = await start({ entries: 2 });
     started.platform.objects.setFaults({ outage: true });
