Let a second order to stop an entry host wait for the first

Cause: as in the serving host; SIGTERM and SIGINT, or two of one, end the process while its streams run. Change: all orders to stop share one end.

--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -42,6 +42,7 @@
 /** A running entry process. */
 export class EntryProcess implements AsyncDisposable {
   readonly #owned = new Ownership();
+  #stopped: Promise<void> | undefined;
   readonly #life = new ProcessLife();
   readonly #parts: EntryParts;
   #addresses: EntryAddresses | undefined;
@@ -115,7 +116,13 @@
    * Stops as planned: readiness falls, slots are handed over, running work
    * ends. Requests that come meanwhile are still served, here or elsewhere.
    */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    // A second order must not end before what the first one waits for.
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     if (!this.#life.handle({ type: "stop" })) return;
     const { clock, logger, membership, replication, settings } = this.#parts;
     logger.info("stopping");
