Let a retry forget no earlier attempt that may have run

Cause: decideRetry asked only for the last outcome, so a rejection hid an attempt before it that may have run. Change: a failed attempt says whether one before it may have run; the chat and the plain runner, which knew it already, hand it over. Existing tests name the new field as false, which is what they meant.

--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -131,6 +131,7 @@
       if (remaining <= 0) return this.#tooLate(run);
       const server = run.moveTo ?? this.#choose(run);
       const before = run.answer.events.length;
+      const mayHaveRunBefore = run.mayHaveRun;
       if (server === undefined && run.answer.events.length > 0) {
         await sleep(clock, SERVER_WAIT_MILLISECONDS);
         continue;
@@ -152,6 +153,7 @@
         const final = await this.#afterFailure(run, outcome, {
           remainingMilliseconds: remaining,
           madeProgress,
+          mayHaveRunBefore,
         });
         if (final !== undefined) return final;
       }
@@ -163,7 +165,10 @@
   async #afterFailure(
     run: Run,
     outcome: Exclude<Outcome, { readonly kind: "completed" }>,
-    facts: Pick<FailedAttempt, "remainingMilliseconds" | "madeProgress">,
+    facts: Pick<
+      FailedAttempt,
+      "remainingMilliseconds" | "madeProgress" | "mayHaveRunBefore"
+    >,
   ): Promise<Outcome | undefined> {
     const { retries } = this.#options;
     if (run.cancelled || !retries.mayHelp(outcome.reason)) {
--- a/packages/rampswitch-entry/src/attempt/plain_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/plain_runner.ts
@@ -175,6 +175,7 @@
           : await this.#attempt(call, avoid, { attempts, remaining });
       const { outcome, server } = end;
       if (outcome === undefined) return end;
+      const mayHaveRunBefore = mayHaveRun;
       if (outcome.kind !== "refused_not_run") mayHaveRun = true;
       const told = server === undefined ? (last ?? outcome) : outcome;
       const final: Partial<AttemptEnd> = {
@@ -189,6 +190,7 @@
       avoid.add(server.name);
       const again = await retries.again(call.service.name, {
         outcome,
+        mayHaveRunBefore,
         repeatable: call.repeatable,
         attempts,
         remainingMilliseconds: remaining,
--- a/packages/rampswitch-policy/src/policy_test.ts
+++ b/packages/rampswitch-policy/src/policy_test.ts
@@ -107,6 +107,7 @@
     const decision = decideRetry(
       {
         outcome: inDoubt("backend_lost", ""),
+        mayHaveRunBefore: false,
         repeatable: false,
         attempts: 1,
         remainingMilliseconds: 1_000,
@@ -122,6 +123,7 @@
     while (budget.spend());
     const attempt = {
       outcome: inDoubt("backend_lost", ""),
+      mayHaveRunBefore: false,
       repeatable: true,
       attempts: 1,
       remainingMilliseconds: 1_000,
@@ -144,6 +146,7 @@
         const decision = decideRetry(
           {
             outcome: refused("connect_failed", ""),
+            mayHaveRunBefore: false,
             repeatable: true,
             attempts,
             remainingMilliseconds: 1_000,
--- a/packages/rampswitch-policy/src/retry.ts
+++ b/packages/rampswitch-policy/src/retry.ts
@@ -57,6 +57,8 @@
 /** An attempt that did not succeed. */
 export interface FailedAttempt {
   readonly outcome: Exclude<Outcome, { readonly kind: "completed" }>;
+  /** Whether an attempt before this one, here or elsewhere, may have run. */
+  readonly mayHaveRunBefore: boolean;
   /** Whether the work may run twice. */
   readonly repeatable: boolean;
   /** Attempts in a row that brought nothing of the answer. */
@@ -81,8 +83,9 @@
   | { readonly kind: "give_up"; readonly budgetEmpty: boolean };
 
 /**
- * Decides on a failed attempt. Only work that did not run may be sent again
- * when it is not repeatable.
+ * Decides on a failed attempt. Work that is not repeatable may be sent again
+ * only if none of its attempts can have run: a server that rejects the last one
+ * knows nothing of those before.
  */
 export function decideRetry(
   attempt: FailedAttempt,
@@ -93,8 +96,9 @@
   },
 ): RetryDecision {
   const limits = options.limits ?? RETRY_LIMITS;
-  const allowed =
-    attempt.repeatable || attempt.outcome.kind === "refused_not_run";
+  const notRun =
+    attempt.outcome.kind === "refused_not_run" && !attempt.mayHaveRunBefore;
+  const allowed = attempt.repeatable || notRun;
   const longest = Math.min(
     limits.longestWaitMilliseconds,
     limits.firstWaitMilliseconds * 2 ** (attempt.attempts - 1),
