--- /dev/null
+++ b/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
@@ -0,0 +1,220 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import type { LeavingMark } from "rampswitch-configuration";
+import { PeerClients, PeerTokens } from "rampswitch-peer";
+import { RETRY_LIMITS, RoutingTable } from "rampswitch-policy";
+import { inDoubt, type Resource } from "rampswitch-types";
+import {
+  createMetrics,
+  ManualClock,
+  seededRandom,
+  SILENT_LOGGER,
+} from "rampswitch-utils";
+import { Result } from "true-myth";
+import { RetryDecider } from "../admission/retry_decider.ts";
+import { BackendDirectory } from "../choice/backend_directory.ts";
+import { AnswerCache } from "../outcome/answer_cache.ts";
+import { ReplicaLinks } from "../replication/replica_link.ts";
+import { RequestReplication } from "../replication/request_replication.ts";
+import { type BackendCall, BackendClient } from "./backend_client.ts";
+import { ChatRunner } from "./chat_runner.ts";
+
+const SELF = "entry-1";
+const SERVERS = 12;
+const DEADLINE = 60_000;
+/** Too short for the answer to end at the server that is reclaimed. */
+const NOTICE_MILLISECONDS = 1_000;
+const LIMITS = {
+  answerBytes: 1_000_000,
+  answersBytes: 1_000_000,
+  retentionMilliseconds: 60_000,
+};
+
+const LOST = inDoubt("backend_lost", "the server is lost");
+
+/**
+ * Servers that are lost as soon as a request is sent to them, and silent while
+ * an attempt is read again; remembers the sends.
+ */
+class LostServers extends BackendClient {
+  readonly sends: string[] = [];
+
+  override async call(address: string, call: BackendCall) {
+    if (call.method === "POST") this.sends.push(address);
+    if (call.method === "GET") await aborted(call.signal);
+    return Result.err<never, typeof LOST>(LOST);
+  }
+}
+
+function aborted(signal: AbortSignal | undefined): Promise<void> {
+  return new Promise((resolve) => {
+    signal?.addEventListener("abort", () => resolve());
+  });
+}
+
+const RESOURCES: readonly Resource[] = [
+  {
+    kind: "Service",
+    name: "assistant",
+    labels: {},
+    type: "model",
+    calls: [],
+    targetMilliseconds: 1_000,
+    timeoutMilliseconds: DEADLINE,
+    weights: { cost: 1, recomputedTokens: 1 },
+  },
+  {
+    kind: "Workspace",
+    name: "landlords",
+    labels: {},
+    keyHashes: [],
+    weight: 1,
+    priority: 0,
+  },
+  ...Array.from({ length: SERVERS }, (_, index): Resource => ({
+    kind: "BackendServer",
+    name: `engine-${index}`,
+    labels: {},
+    service: "assistant",
+    host: `host-${index}`,
+    address: `engine-${index}`,
+    dataHall: "hall-a",
+    hostClass: "spot",
+    concurrency: 16,
+    contract: {
+      checksOrderEpoch: true,
+      resumesStreams: true,
+      movesKeyValueCache: false,
+      tellsNotRun: true,
+    },
+    draining: false,
+  })),
+];
+
+/** A runner on one host whose servers are all lost, and a request to run. */
+function newRunner() {
+  const clock = new ManualClock();
+  const metrics = createMetrics("test", undefined);
+  const random = seededRandom(1);
+  const routing = new RoutingTable(RESOURCES);
+  const client = new LostServers();
+  const marks = new Map<string, LeavingMark>();
+  const book = new AnswerCache(clock, metrics, LIMITS);
+  const shared = { clock, metrics, random, client, routing: () => routing };
+  const directory = new BackendDirectory({
+    ...shared,
+    marks: () => marks,
+    hostNames: () => [SELF],
+    selfName: SELF,
+    onLeaving: () => undefined,
+  });
+  const links = new ReplicaLinks({
+    self: SELF,
+    clients: new PeerClients(new PeerTokens("secret", SELF), clock),
+    clock,
+    metrics,
+    listener: {
+      answered: () => undefined,
+      failed: () => undefined,
+      addressOf: () => undefined,
+    },
+  });
+  const replication = new RequestReplication({
+    self: SELF,
+    mode: "batch",
+    links,
+    book,
+    clock,
+    metrics,
+    holders: () => [],
+    epochOf: () => 1,
+  });
+  const runner = new ChatRunner({
+    ...shared,
+    self: SELF,
+    directory,
+    replication,
+    retries: new RetryDecider(shared),
+    logger: SILENT_LOGGER,
+  });
+  const answer = book.open(
+    {
+      id: "r1.a",
+      slot: 1,
+      key: "r1.a",
+      workspace: "landlords",
+      service: "assistant",
+      body: Buffer.from(
+        JSON.stringify({
+          model: "assistant",
+          stream: true,
+          messages: [{ role: "user", content: "x" }],
+        }),
+      ),
+      deadline: DEADLINE,
+      streamed: true,
+      fingerprint: "f",
+    },
+    SELF,
+  );
+  /** Marks the host of a server as leaving. */
+  const reclaim = (server: string) => {
+    const since = clock.now();
+    const mark: LeavingMark = {
+      host: server.replace("engine", "host"),
+      source: "cloud_notice",
+      since,
+      deadline: since + NOTICE_MILLISECONDS,
+    };
+    marks.set(mark.host, mark);
+    runner.leaving([mark]);
+  };
+  return { runner, answer, clock, client, metrics, reclaim };
+}
+
+/** Lets all that is ready run. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+// An engine is lost, and while the request waits for its next attempt the
+// notice comes that the engine's host is reclaimed, as it does for a server of
+// a reclaimed data hall. There is no attempt left to move. If the notice starts
+// a move all the same, the next attempt's failure is taken for its end: that
+// failure needs no budget, counts against no limit and is followed at once by
+// another send. With a notice in each wait, a request is sent about twice as
+// often as the limit allows, outside of the budget that bounds retries. The same
+// happens after a move away from an attempt that was only read again.
+describe("a reclaim notice while no attempt was sent", () => {
+  test("leaves the limit and the budget of retries in force", async () => {
+    const { runner, answer, clock, client, metrics, reclaim } = newRunner();
+    const run = runner.run(answer);
+    for (let round = 0; round < SERVERS; round += 1) {
+      await settle();
+      const server = client.sends.at(-1);
+      if (answer.outcome === undefined && server !== undefined) reclaim(server);
+      clock.advance(RETRY_LIMITS.longestWaitMilliseconds);
+    }
+    await run;
+    const totals = metrics.totals();
+    expect(answer.outcome).toMatchObject({ reason: "backend_lost" });
+    expect(client.sends).toHaveLength(RETRY_LIMITS.attempts);
+    expect(totals["retry.backend_lost"]).toBe(RETRY_LIMITS.attempts - 1);
+    expect(totals["retry.backend_reclaimed"]).toBeUndefined();
+  });
+
+  test("ends the reading of a former attempt and no more", async () => {
+    const { runner, answer, clock, client, reclaim } = newRunner();
+    answer.attempt = { attempt: "r1.a.entry-2.1", server: "engine-0" };
+    const run = runner.run(answer);
+    await settle();
+    reclaim("engine-0");
+    for (let round = 0; round < SERVERS; round += 1) {
+      await settle();
+      clock.advance(RETRY_LIMITS.longestWaitMilliseconds);
+    }
+    await run;
+    expect(client.sends).toHaveLength(RETRY_LIMITS.attempts);
+  });
+});
