Let a new attempt clear the mark of a move

Cause: the mark of a move that began between attempts stayed and hid the failure of the next attempt from the limit and the budget of retries. Change: an attempt that is sent clears the mark, as it does the server moved to.

--- a/packages/rampswitch-entry/src/attempt/chat_run.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_run.ts
@@ -32,6 +32,11 @@
   abort: AbortController;
   /** Server that the work is being moved to. */
   moveTo: BackendServer | undefined;
+  /**
+   * Whether the attempt is ended to move the work. A new attempt clears it, so
+   * that a move begun between attempts doesn't hide the failure of the next one
+   * from the limit and the budget of retries.
+   */
   moving: boolean;
   cancelled: boolean;
   /** Whether an attempt got past the point where it surely did not run. */
--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -214,6 +214,7 @@
     const delivered = run.answer.events;
     run.attempts += 1;
     run.moveTo = undefined;
+    run.moving = false;
     run.server = server;
     run.attempt = `${run.answer.envelope.id}.${self}.${run.attempts}`;
     run.abort = new AbortController();
