Test that a lost stream is never told as not run, while it fails

Cause: only keys are claimed, so a stream without a key has no record in its slot; when its host is lost the next primary takes that for work that may be begun anew, discards the answer and later refuses its id as unknown, "not run". Any refusal to read again says so, also where the id could not be looked up. Change: two tests with whole hosts: a once-only stream whose host is lost, and ids that a host does not find or can't look up.

--- a/packages/rampswitch-measure/src/kept_requests_test.ts
+++ b/packages/rampswitch-measure/src/kept_requests_test.ts
@@ -2,8 +2,12 @@
 
 import { afterEach, describe, expect, test } from "@jest/globals";
 import type { EntryProcess } from "rampswitch-entry";
+import { mintRequestId } from "rampswitch-protocol";
+import type { Resource } from "rampswitch-types";
+import { sleep, SYSTEM_CLOCK } from "rampswitch-utils";
 import { v7 } from "uuid";
-import { type Caller, expectedText } from "./caller.ts";
+import { type Caller, type CallResult, expectedText } from "./caller.ts";
+import { SERVICES } from "./deployment_plan.ts";
 import {
   TestDeployment,
   type TestDeploymentOptions,
@@ -11,6 +15,10 @@
 } from "./test_deployment.ts";
 
 const WORKSPACE = "landlords";
+/** Slots of a test deployment. */
+const TEST_SLOTS = 16;
+const READS = 40;
+const READ_PAUSE_MILLISECONDS = 100;
 
 let deployment: TestDeployment | undefined;
 
@@ -107,6 +115,85 @@
   });
 });
 
+/** The example resources with a model whose requests must run once. */
+function modelOnceOnly(resources: readonly Resource[]): readonly Resource[] {
+  return resources.map((resource) =>
+    resource.kind === "Service" && resource.name === SERVICES.model
+      ? { ...resource, calls: [{ repeatable: false }] }
+      : resource,
+  );
+}
+
+/** Whether a result says how a request ended. */
+function isFinal({ ran, reason }: CallResult): boolean {
+  return ran !== undefined && reason !== "slot_unavailable";
+}
+
+/** Reads an answer again until its end was told twice: at it and after it. */
+async function untilTold(
+  caller: Caller,
+  part: CallResult,
+): Promise<readonly CallResult[]> {
+  const told = [part];
+  for (let round = 0; round < READS; round += 1) {
+    const rest = await caller.again(part.requestId ?? "", {
+      workspace: WORKSPACE,
+      lastEvent: Math.max(...told.map(({ lastEvent }) => lastEvent)),
+    });
+    told.push(rest);
+    if (told.filter(isFinal).length > 1) return told;
+    await sleep(SYSTEM_CLOCK, READ_PAUSE_MILLISECONDS);
+  }
+  return told;
+}
+
+// A stream without a key has no record in its slot: only keys are claimed there.
+// When the host that runs it is lost, the slot's next primary finds no record,
+// and must not take that for work of which nothing ran: the engine runs it, and
+// the caller may have a part of it. Told "not run", the caller asks anew, and
+// what must run once runs twice. The same holds for an id that a host does not
+// find, or can't look up because the slot's primary is gone.
+describe("refusal-is-true:", () => {
+  test("the host of a once-only stream is lost: never told as not run", async () => {
+    const started = await start({ entries: 3, resources: modelOnceOnly });
+    const answer = started.caller(0).chat({
+      prompt: "operation-u a b",
+      tokens: 400,
+      streamed: true,
+      workspace: WORKSPACE,
+    });
+    const [runner] = started.entries;
+    const progress = () =>
+      runner?.metrics.totals()["replica_entry.progress"] ?? 0;
+    await until(() => progress() > 3);
+    await runner?.[Symbol.asyncDispose]();
+    const told = await untilTold(started.caller(1), await answer);
+    expect(told.map(({ ran }) => ran)).not.toContain("no");
+    expect(told.at(-1)).toMatchObject({ ran: "unknown", reason: "taken_over" });
+    expect(
+      started.platform.engines.flatMap(({ executions }) => executions),
+    ).toHaveLength(1);
+  });
+
+  test("an id that is not found, or not looked up, is not told as not run", async () => {
+    const started = await start({ entries: 2 });
+    started.platform.objects.setFaults({ outage: true });
+    await started.entries[0]?.[Symbol.asyncDispose]();
+    const told = await Promise.all(
+      Array.from({ length: TEST_SLOTS }, (_, slot) =>
+        started.caller(1).again(mintRequestId(slot, Date.now()), {
+          workspace: WORKSPACE,
+        }),
+      ),
+    );
+    const reasons = new Set(told.map(({ reason }) => reason));
+    expect(reasons).toEqual(new Set(["unknown_request", "slot_unavailable"]));
+    expect(told.map(({ ran }) => ran)).toEqual(
+      Array(TEST_SLOTS).fill("unknown"),
+    );
+  });
+});
+
 describe("own-whole-answer:", () => {
   test("a stream goes on at another host exactly from the next event", async () => {
     const started = await start({ entries: 2 });
