Tell no request as not run that was not recorded or not found

Cause: a lost request without a record counted as not guarded, was discarded, and its id was refused as unknown, "not run"; a refusal to read again said the same whether or not the id could be looked up. Change: what has no record is kept in doubt at the slot's next primary. A refusal to read again says "unknown" for an id that is not found or was not looked up, as one of a key that was not judged did already.

--- a/packages/rampswitch-entry/src/intake/caller_server.ts
+++ b/packages/rampswitch-entry/src/intake/caller_server.ts
@@ -19,8 +19,10 @@
 import {
   decodedName,
   type Exchange,
+  readsAgain,
   refuse,
   refuseUnjudged,
+  REQUESTS_PATH,
 } from "./exchange.ts";
 import type { ProblemOutcome } from "./problem.ts";
 import { type IntakeOptions, takeChat, takePlain } from "./work_intake.ts";
@@ -43,7 +45,6 @@
 const KEEP_ALIVE_MILLISECONDS = 65_000;
 const LONGEST_CHECK_MILLISECONDS = 5_000;
 const BASE_URL = "http://entry";
-const REQUESTS_PATH = "/v1/requests/";
 
 const CLIENT_ERRORS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
@@ -138,8 +139,7 @@
         (method ?? request.method) === request.method &&
         path.test(url.pathname),
     );
-    const readsAgain = url.pathname.startsWith(REQUESTS_PATH);
-    const refusal = readsAgain ? undefined : this.#options.refusal();
+    const refusal = readsAgain(exchange) ? undefined : this.#options.refusal();
     if (refusal !== undefined) refuseUnjudged(exchange, refusal, metrics);
     else if (route !== undefined) await route.handle(exchange);
     else {
--- a/packages/rampswitch-entry/src/intake/exchange.ts
+++ b/packages/rampswitch-entry/src/intake/exchange.ts
@@ -16,6 +16,9 @@
   sendProblem,
 } from "./problem.ts";
 
+/** Path below which answers are read again by the id of their request. */
+export const REQUESTS_PATH = "/v1/requests/";
+
 /** A request of a known caller. */
 export interface Exchange {
   readonly request: IncomingMessage;
@@ -44,15 +47,20 @@
   sendProblem(response, outcome, options);
 }
 
-/** Refuses a request whose key, if it has one, was not looked up. */
+/** Whether an exchange reads the answer to an earlier request again. */
+export function readsAgain({ url }: Pick<Exchange, "url">): boolean {
+  return url.pathname.startsWith(REQUESTS_PATH);
+}
+
+/** Refuses a request whose key or id, if it has one, was not judged. */
 export function refuseUnjudged(
-  { response, caller }: Exchange,
+  exchange: Exchange,
   outcome: ProblemOutcome,
   metrics: Metrics,
 ): void {
-  refuse(response, outcome, {
+  refuse(exchange.response, outcome, {
     metrics,
-    keyNotJudged: caller.key !== undefined,
+    earlierNotJudged: exchange.caller.key !== undefined || readsAgain(exchange),
   });
 }
 
--- a/packages/rampswitch-entry/src/intake/problem.ts
+++ b/packages/rampswitch-entry/src/intake/problem.ts
@@ -79,10 +79,10 @@
 export interface ProblemOptions {
   readonly requestId?: string | undefined;
   /**
-   * Whether an earlier send of the same key may have run: it was not looked
-   * up, so that nothing can be said about it.
+   * Whether an earlier send with the same key or id may have run: it was not
+   * looked up, or not found, so that nothing can be said about it.
    */
-  readonly keyNotJudged?: boolean;
+  readonly earlierNotJudged?: boolean;
 }
 
 /** Builds the problem document of an outcome. */
@@ -100,7 +100,9 @@
     status,
     detail: outcome.detail,
     ran:
-      options.keyNotJudged === true ? "unknown" : RAN_BY_OUTCOME[outcome.kind],
+      options.earlierNotJudged === true
+        ? "unknown"
+        : RAN_BY_OUTCOME[outcome.kind],
     reason: outcome.reason,
     requestId: options.requestId,
     retryAfterMilliseconds:
--- a/packages/rampswitch-entry/src/outcome/kept_requests.ts
+++ b/packages/rampswitch-entry/src/outcome/kept_requests.ts
@@ -37,6 +37,7 @@
   exchangeDeadline,
   type ExchangeOptions,
   refuse,
+  refuseUnjudged,
 } from "../intake/exchange.ts";
 import type { PrimaryForwarding } from "../replication/primary_forwarding.ts";
 import type { ProblemOutcome } from "../intake/problem.ts";
@@ -270,7 +271,8 @@
       this.#refuse(exchange, forgottenOutcome(forgotten.reason), id);
     } else {
       const detail = `request id ${id}, expected a known one`;
-      this.#refuse(exchange, refused("unknown_request", detail));
+      const unknown = refused("unknown_request", detail);
+      refuseUnjudged(exchange, unknown, metrics);
     }
   }
 
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -55,11 +55,18 @@
   const { envelope } = answer;
   const service = options.routing().services.get(envelope.service);
   const record = options.slots.recordOf(envelope.slot, envelope.key);
-  const fate = lostRequestFate(service, { guarded: record?.guarded ?? false });
+  const guarded = record?.guarded ?? GUARDED_WITHOUT_RECORD;
+  const fate = lostRequestFate(service, { guarded });
   options.metrics.count("lostRequest", fate);
   FATES[fate](answer, options);
 }
 
+/**
+ * Only keys are recorded. What has no record was sent all the same: discarded,
+ * it would be unknown to its caller, who may ask anew beside the lost run.
+ */
+const GUARDED_WITHOUT_RECORD = true;
+
 const FATES: Readonly<
   Record<LostRequestFate, (answer: Answer, options: AdoptionOptions) => void>
 > = {
