Test that a request taken over may have run, while it fails

Cause: the host that takes over judges by the attempts that it was told of, but an attempt is told without being awaited and the engine is called at once. Change: two tests take a request over without an attempt, one that reaches no server and one past its deadline; a third keeps the refusal of a request of the host itself. The loss in between was not played with whole hosts: the time is some milliseconds, as the entries of a request travel together.

--- a/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
@@ -4,7 +4,7 @@
 import type { LeavingMark } from "rampswitch-configuration";
 import { PeerClients, PeerTokens } from "rampswitch-peer";
 import { RETRY_LIMITS, RoutingTable } from "rampswitch-policy";
-import { inDoubt, type Resource } from "rampswitch-types";
+import { inDoubt, refused, type Resource } from "rampswitch-types";
 import {
   createMetrics,
   ManualClock,
@@ -14,10 +14,15 @@
 import { Result } from "true-myth";
 import { RetryDecider } from "../admission/retry_decider.ts";
 import { BackendDirectory } from "../choice/backend_directory.ts";
-import { AnswerCache } from "../outcome/answer_cache.ts";
+import { AnswerCache, type RequestEnvelope } from "../outcome/answer_cache.ts";
 import { ReplicaLinks } from "../replication/replica_link.ts";
+import { recoverRequests } from "../replication/request_recovery.ts";
 import { RequestReplication } from "../replication/request_replication.ts";
-import { type BackendCall, BackendClient } from "./backend_client.ts";
+import {
+  type BackendCall,
+  BackendClient,
+  type CallFailure,
+} from "./backend_client.ts";
 import { ChatRunner } from "./chat_runner.ts";
 
 const SELF = "entry-1";
@@ -32,18 +37,25 @@
 };
 
 const LOST = inDoubt("backend_lost", "the server is lost");
+const UNREACHED = refused("connect_failed", "the server is not reached");
 
 /**
- * Servers that are lost as soon as a request is sent to them, and silent while
+ * Servers that fail as soon as a request is sent to them, and are silent while
  * an attempt is read again; remembers the sends.
  */
-class LostServers extends BackendClient {
+class FailingServers extends BackendClient {
   readonly sends: string[] = [];
+  readonly #failure: CallFailure;
+
+  constructor(failure: CallFailure) {
+    super();
+    this.#failure = failure;
+  }
 
   override async call(address: string, call: BackendCall) {
     if (call.method === "POST") this.sends.push(address);
     if (call.method === "GET") await aborted(call.signal);
-    return Result.err<never, typeof LOST>(LOST);
+    return Result.err<never, CallFailure>(this.#failure);
   }
 }
 
@@ -92,13 +104,31 @@
   })),
 ];
 
-/** A runner on one host whose servers are all lost, and a request to run. */
-function newRunner() {
+const ENVELOPE: RequestEnvelope = {
+  id: "r1.a",
+  slot: 1,
+  key: "r1.a",
+  workspace: "landlords",
+  service: "assistant",
+  body: Buffer.from(
+    JSON.stringify({
+      model: "assistant",
+      stream: true,
+      messages: [{ role: "user", content: "x" }],
+    }),
+  ),
+  deadline: DEADLINE,
+  streamed: true,
+  fingerprint: "f",
+};
+
+/** A runner on one host whose servers all fail, and a request to run. */
+function newRunner(failure: CallFailure = LOST) {
   const clock = new ManualClock();
   const metrics = createMetrics("test", undefined);
   const random = seededRandom(1);
   const routing = new RoutingTable(RESOURCES);
-  const client = new LostServers();
+  const client = new FailingServers(failure);
   const marks = new Map<string, LeavingMark>();
   const book = new AnswerCache(clock, metrics, LIMITS);
   const shared = { clock, metrics, random, client, routing: () => routing };
@@ -138,26 +168,7 @@
     retries: new RetryDecider(shared),
     logger: SILENT_LOGGER,
   });
-  const answer = book.open(
-    {
-      id: "r1.a",
-      slot: 1,
-      key: "r1.a",
-      workspace: "landlords",
-      service: "assistant",
-      body: Buffer.from(
-        JSON.stringify({
-          model: "assistant",
-          stream: true,
-          messages: [{ role: "user", content: "x" }],
-        }),
-      ),
-      deadline: DEADLINE,
-      streamed: true,
-      fingerprint: "f",
-    },
-    SELF,
-  );
+  const answer = book.open(ENVELOPE, SELF);
   /** Marks the host of a server as leaving. */
   const reclaim = (server: string) => {
     const since = clock.now();
@@ -170,7 +181,7 @@
     marks.set(mark.host, mark);
     runner.leaving([mark]);
   };
-  return { runner, answer, clock, client, metrics, reclaim };
+  return { runner, answer, routing, clock, client, metrics, reclaim };
 }
 
 /** Lets all that is ready run. */
@@ -178,6 +189,18 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
+/** Passes more waits than the limit of attempts allows; acts in each. */
+async function passWaits(
+  clock: ManualClock,
+  inWait: () => void = () => undefined,
+): Promise<void> {
+  for (let round = 0; round < SERVERS; round += 1) {
+    await settle();
+    inWait();
+    clock.advance(RETRY_LIMITS.longestWaitMilliseconds);
+  }
+}
+
 // An engine is lost, and while the request waits for its next attempt the
 // notice comes that the engine's host is reclaimed, as it does for a server of
 // a reclaimed data hall. There is no attempt left to move. If the notice starts
@@ -190,12 +213,10 @@
   test("leaves the limit and the budget of retries in force", async () => {
     const { runner, answer, clock, client, metrics, reclaim } = newRunner();
     const run = runner.run(answer);
-    for (let round = 0; round < SERVERS; round += 1) {
-      await settle();
+    await passWaits(clock, () => {
       const server = client.sends.at(-1);
       if (answer.outcome === undefined && server !== undefined) reclaim(server);
-      clock.advance(RETRY_LIMITS.longestWaitMilliseconds);
-    }
+    });
     await run;
     const totals = metrics.totals();
     expect(answer.outcome).toMatchObject({ reason: "backend_lost" });
@@ -210,11 +231,55 @@
     const run = runner.run(answer);
     await settle();
     reclaim("engine-0");
-    for (let round = 0; round < SERVERS; round += 1) {
-      await settle();
-      clock.advance(RETRY_LIMITS.longestWaitMilliseconds);
-    }
+    await passWaits(clock);
     await run;
     expect(client.sends).toHaveLength(RETRY_LIMITS.attempts);
   });
 });
+
+// A host tells the holders of a slot where it sends a request, and calls the
+// engine without awaiting that they know. If it is lost in between, the slot's
+// next primary has the request without an attempt, although an engine may run
+// it. When the request then finds no server, or is late, an outcome from the
+// attempts made here alone says "not run" of a request that may have run.
+describe("a request taken over without a known attempt", () => {
+  /** Takes the request over from a lost host and runs it to its end. */
+  async function takeOver(at: number) {
+    const { runner, answer, routing, clock, metrics } = newRunner(UNREACHED);
+    answer.runner = "entry-2";
+    clock.advance(at);
+    recoverRequests({
+      self: SELF,
+      book: { all: [answer], discard: () => undefined },
+      slots: {
+        primarySlots: [ENVELOPE.slot],
+        recordOf: () => undefined,
+        finish: () => undefined,
+      },
+      chat: runner,
+      metrics,
+      routing: () => routing,
+      trusts: () => false,
+    });
+    await passWaits(clock);
+    return answer.outcome?.kind;
+  }
+
+  test("is in doubt when no server is reached", async () => {
+    expect(await takeOver(0)).toBe("in_doubt");
+  });
+
+  test("is in doubt when its deadline has passed", async () => {
+    expect(await takeOver(DEADLINE)).toBe("in_doubt");
+  });
+});
+
+describe("a request of this host", () => {
+  test("is refused when no server is reached", async () => {
+    const { runner, answer, clock } = newRunner(UNREACHED);
+    const run = runner.run(answer);
+    await passWaits(clock);
+    await run;
+    expect(answer.outcome).toMatchObject(UNREACHED);
+  });
+});
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -16,8 +16,8 @@
 /** How adoption is made. */
 export interface AdoptionOptions {
   readonly self: HostId;
-  readonly book: AnswerCache;
-  readonly slots: SlotService;
+  readonly book: Pick<AnswerCache, "all" | "discard">;
+  readonly slots: Pick<SlotService, "primarySlots" | "recordOf" | "finish">;
   readonly chat: ChatRunner;
   readonly metrics: Metrics;
   readonly routing: () => RoutingTable;
