Take a request that was taken over as one that may have run

Cause: the runner asked whether an attempt is known, which the host that takes over may not have heard of. Change: a run is told whether it begins here or was taken over, and the latter may have run. A request past its deadline is called failed only if a part of its answer is known, and in doubt if it may have run.

--- a/packages/rampswitch-entry/src/attempt/chat_run.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_run.ts
@@ -39,10 +39,17 @@
    */
   moving: boolean;
   cancelled: boolean;
-  /** Whether an attempt got past the point where it surely did not run. */
+  /**
+   * Whether an attempt got past the point where it surely did not run. A host
+   * calls the engine before others know of the attempt, so that what was taken
+   * over may have run even where no attempt is known.
+   */
   mayHaveRun: boolean;
 }
 
+/** Whether a run begins here, or goes on with what a lost host may have run. */
+export type RunOrigin = "new" | "taken_over";
+
 /** Whether a chat request of a service may run twice. */
 export function chatRepeatable(service: Service): boolean {
   return service.calls[0]?.repeatable ?? true;
@@ -51,6 +58,7 @@
 /** Prepares the run of an answer; `undefined` where its service is gone. */
 export function prepareRun(
   answer: Answer,
+  origin: RunOrigin,
   routing: RoutingTable,
 ): Run | undefined {
   const { envelope } = answer;
@@ -75,7 +83,7 @@
     moveTo: undefined,
     moving: false,
     cancelled: false,
-    mayHaveRun: answer.attempt !== undefined,
+    mayHaveRun: origin === "taken_over",
   };
 }
 
--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -38,6 +38,7 @@
   noServerText,
   prepareRun,
   type Run,
+  type RunOrigin,
   told,
 } from "./chat_run.ts";
 import { runEngineAttempt } from "./engine_attempt.ts";
@@ -79,9 +80,9 @@
   }
 
   /** Runs an answer to its end and records it. */
-  async run(answer: Answer): Promise<void> {
+  async run(answer: Answer, origin: RunOrigin): Promise<void> {
     if (this.#runs.has(answer.envelope.id)) return;
-    const run = prepareRun(answer, this.#options.routing());
+    const run = prepareRun(answer, origin, this.#options.routing());
     if (run === undefined) {
       this.#end(answer, refused("unknown_service", "service is gone"));
       return;
@@ -185,9 +186,12 @@
   }
 
   #tooLate(run: Run): Outcome {
-    return !run.mayHaveRun
-      ? refused("deadline_passed", "the deadline passed before an attempt")
-      : failed("backend_timeout", "the deadline passed during the answer");
+    if (run.answer.events.length > 0) {
+      return failed("backend_timeout", "the deadline passed during the answer");
+    }
+    return run.mayHaveRun
+      ? inDoubt("backend_timeout", "the deadline passed after an attempt")
+      : refused("deadline_passed", "the deadline passed before an attempt");
   }
 
   #choose(run: Run): BackendServer | undefined {
--- a/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
@@ -212,7 +212,7 @@
 describe("a reclaim notice while no attempt was sent", () => {
   test("leaves the limit and the budget of retries in force", async () => {
     const { runner, answer, clock, client, metrics, reclaim } = newRunner();
-    const run = runner.run(answer);
+    const run = runner.run(answer, "new");
     await passWaits(clock, () => {
       const server = client.sends.at(-1);
       if (answer.outcome === undefined && server !== undefined) reclaim(server);
@@ -228,7 +228,7 @@
   test("ends the reading of a former attempt and no more", async () => {
     const { runner, answer, clock, client, reclaim } = newRunner();
     answer.attempt = { attempt: "r1.a.entry-2.1", server: "engine-0" };
-    const run = runner.run(answer);
+    const run = runner.run(answer, "new");
     await settle();
     reclaim("engine-0");
     await passWaits(clock);
@@ -277,7 +277,7 @@
 describe("a request of this host", () => {
   test("is refused when no server is reached", async () => {
     const { runner, answer, clock } = newRunner(UNREACHED);
-    const run = runner.run(answer);
+    const run = runner.run(answer, "new");
     await passWaits(clock);
     await run;
     expect(answer.outcome).toMatchObject(UNREACHED);
--- a/packages/rampswitch-entry/src/intake/work_intake.ts
+++ b/packages/rampswitch-entry/src/intake/work_intake.ts
@@ -79,7 +79,7 @@
       chat.promptTokens * speeds.promptTokenMilliseconds +
       chat.maximumTokens * speeds.tokenMilliseconds,
     fingerprint: sha256(body.toString("latin1")),
-    start: (answer) => void options.chat.run(answer),
+    start: (answer) => void options.chat.run(answer, "new"),
   });
 }
 
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -72,7 +72,7 @@
 > = {
   go_on: (answer, { self, chat }) => {
     answer.runner = self;
-    void chat.run(answer);
+    void chat.run(answer, "taken_over");
   },
   run_anew: (answer, { book, slots }) => {
     const { slot, key } = answer.envelope;
