--- a/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
@@ -123,11 +123,11 @@
 };
 
 /** A runner on one host whose servers all fail, and a request to run. */
-function newRunner(failure: CallFailure = LOST) {
+function newRunner(failure: CallFailure = LOST, resources = RESOURCES) {
   const clock = new ManualClock();
   const metrics = createMetrics("test", undefined);
   const random = seededRandom(1);
-  const routing = new RoutingTable(RESOURCES);
+  const routing = new RoutingTable(resources);
   const client = new FailingServers(failure);
   const marks = new Map<string, LeavingMark>();
   const book = new AnswerCache(clock, metrics, LIMITS);
@@ -244,8 +244,11 @@
 // attempts made here alone says "not run" of a request that may have run.
 describe("a request taken over without a known attempt", () => {
   /** Takes the request over from a lost host and runs it to its end. */
-  async function takeOver(at: number) {
-    const { runner, answer, routing, clock, metrics } = newRunner(UNREACHED);
+  async function takeOver(at: number, resources = RESOURCES) {
+    const { runner, answer, routing, clock, metrics } = newRunner(
+      UNREACHED,
+      resources,
+    );
     answer.runner = "entry-2";
     clock.advance(at);
     recoverRequests({
@@ -272,6 +275,11 @@
   test("is in doubt when its deadline has passed", async () => {
     expect(await takeOver(DEADLINE)).toBe("in_doubt");
   });
+
+  test("is in doubt when its workspace was removed", async () => {
+    const rest = RESOURCES.filter(({ kind }) => kind !== "Workspace");
+    expect(await takeOver(0, rest)).toBe("in_doubt");
+  });
 });
 
 describe("a request of this host", () => {
