Refuse no taken-over request as not run when it can't be prepared

Cause: the runner ended a request whose service or workspace was removed as refused, without asking whether it had been taken over. Change: that refusal passes the same rule as every other outcome of a run.

--- a/packages/rampswitch-entry/src/attempt/chat_run.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_run.ts
@@ -112,7 +112,7 @@
 
 /** An outcome that does not say "not run" once an attempt may have run. */
 export function told(
-  run: Run,
+  run: Pick<Run, "mayHaveRun">,
   outcome: Exclude<Outcome, { readonly kind: "completed" }>,
 ): Outcome {
   return run.mayHaveRun && outcome.kind === "refused_not_run"
--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -84,7 +84,8 @@
     if (this.#runs.has(answer.envelope.id)) return;
     const run = prepareRun(answer, origin, this.#options.routing());
     if (run === undefined) {
-      this.#end(answer, refused("unknown_service", "service is gone"));
+      const gone = refused("unknown_service", "service or workspace is gone");
+      this.#end(answer, told({ mayHaveRun: origin === "taken_over" }, gone));
       return;
     }
     this.#runs.set(answer.envelope.id, run);
