Test that a host that only starts judges no key, while it fails

Cause: a host that has not read its configuration knows no caller, and refuses a keyed retry or a reading again as "not run" although another host may have run it. Change: a test with a host that starts while the store is down. Measured: fails on this code; both the key and the id are told "no".

--- a/packages/rampswitch-measure/src/kept_requests_test.ts
+++ b/packages/rampswitch-measure/src/kept_requests_test.ts
@@ -1,13 +1,13 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { afterEach, describe, expect, test } from "@jest/globals";
-import type { EntryProcess } from "rampswitch-entry";
+import { EntryProcess } from "rampswitch-entry";
 import { mintRequestId } from "rampswitch-protocol";
 import type { Resource } from "rampswitch-types";
-import { sleep, SYSTEM_CLOCK } from "rampswitch-utils";
+import { SILENT_LOGGER, sleep, SYSTEM_CLOCK } from "rampswitch-utils";
 import { v7 } from "uuid";
-import { type Caller, type CallResult, expectedText } from "./caller.ts";
-import { SERVICES } from "./deployment_plan.ts";
+import { Caller, type CallResult, expectedText } from "./caller.ts";
+import { entrySettings, SERVICES } from "./deployment_plan.ts";
 import {
   TestDeployment,
   type TestDeploymentOptions,
@@ -152,7 +152,8 @@
 // and must not take that for work of which nothing ran: the engine runs it, and
 // the caller may have a part of it. Told "not run", the caller asks anew, and
 // what must run once runs twice. The same holds for an id that a host does not
-// find, or can't look up because the slot's primary is gone.
+// find, or can't look up because the slot's primary is gone, and for a key or id
+// that comes to a host which has only started and knows no caller yet.
 describe("refusal-is-true:", () => {
   test("the host of a once-only stream is lost: never told as not run", async () => {
     const started = await start({ entries: 3, resources: modelOnceOnly });
@@ -194,6 +195,40 @@
   });
 });
 
+describe("a host that only starts", () => {
+  test("tells nothing of keys and ids that it can't judge", async () => {
+    const { platform } = await start({});
+    platform.objects.setFaults({ outage: true });
+    const { addresses } = platform;
+    const entry = await EntryProcess.start(
+      entrySettings("entry-2", "hall-b", {
+        platform: addresses,
+        slots: TEST_SLOTS,
+      }),
+      { clock: SYSTEM_CLOCK, logger: SILENT_LOGGER },
+    );
+    const caller = new Caller(entry.addresses.callers);
+    const told = [
+      await check(caller, v7()),
+      await caller.again(mintRequestId(0, Date.now()), {
+        workspace: WORKSPACE,
+      }),
+      await caller.plain("/checks/operation-1", {
+        method: "POST",
+        workspace: WORKSPACE,
+      }),
+    ];
+    platform.objects.setFaults({ outage: false });
+    await entry.untilReady();
+    await caller[Symbol.asyncDispose]();
+    await entry[Symbol.asyncDispose]();
+    expect(told.map(({ reason }) => reason)).toEqual(
+      Array(3).fill("not_ready"),
+    );
+    expect(told.map(({ ran }) => ran)).toEqual(["unknown", "unknown", "no"]);
+  });
+});
+
 describe("own-whole-answer:", () => {
   test("a stream goes on at another host exactly from the next event", async () => {
     const started = await start({ entries: 2 });
