Say nothing of keys and ids that an unknown caller names

Cause: where the caller could not be read, as on a host that only starts, the refusal didn't look at the key or the id that the request names. Change: such a refusal passes the same rule as those to known callers; the rule reads the key from the request itself. Measured: the test of a host that only starts passes, and both others on refusals; a call without key or id is told "no" as before.

--- a/packages/rampswitch-entry/src/intake/caller_server.ts
+++ b/packages/rampswitch-entry/src/intake/caller_server.ts
@@ -127,8 +127,8 @@
       await this.#route({ request, response, url, caller: caller.value });
       return;
     }
-    const notReady = this.#options.refusal();
-    refuse(response, notReady ?? caller.error, { metrics });
+    const refusal = this.#options.refusal() ?? caller.error;
+    refuseUnjudged({ request, response, url }, refusal, metrics);
   }
 
   async #route(exchange: Exchange): Promise<void> {
--- a/packages/rampswitch-entry/src/intake/exchange.ts
+++ b/packages/rampswitch-entry/src/intake/exchange.ts
@@ -9,7 +9,7 @@
 import type { AdmissionRequest, RoutingTable } from "rampswitch-policy";
 import { refused, type Service } from "rampswitch-types";
 import { type Clock, type Metrics, readBody } from "rampswitch-utils";
-import type { CallerRequest } from "./caller_request.ts";
+import { type CallerRequest, KEY_HEADER } from "./caller_request.ts";
 import {
   type ProblemOptions,
   type ProblemOutcome,
@@ -54,13 +54,15 @@
 
 /** Refuses a request whose key or id, if it has one, was not judged. */
 export function refuseUnjudged(
-  exchange: Exchange,
+  exchange: Omit<Exchange, "caller">,
   outcome: ProblemOutcome,
   metrics: Metrics,
 ): void {
   refuse(exchange.response, outcome, {
     metrics,
-    earlierNotJudged: exchange.caller.key !== undefined || readsAgain(exchange),
+    earlierNotJudged:
+      exchange.request.headers[KEY_HEADER] !== undefined ||
+      readsAgain(exchange),
   });
 }
 
