--- a/packages/rampswitch-entry/src/attempt/chat_run.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_run.ts
@@ -32,12 +32,24 @@
   abort: AbortController;
   /** Server that the work is being moved to. */
   moveTo: BackendServer | undefined;
+  /**
+   * Whether the attempt is ended to move the work. A new attempt clears it, so
+   * that a move begun between attempts doesn't hide the failure of the next one
+   * from the limit and the budget of retries.
+   */
   moving: boolean;
   cancelled: boolean;
-  /** Whether an attempt got past the point where it surely did not run. */
+  /**
+   * Whether an attempt got past the point where it surely did not run. A host
+   * calls the engine before others know of the attempt, so that what was taken
+   * over may have run even where no attempt is known.
+   */
   mayHaveRun: boolean;
 }
 
+/** Whether a run begins here, or goes on with what a lost host may have run. */
+export type RunOrigin = "new" | "taken_over";
+
 /** Whether a chat request of a service may run twice. */
 export function chatRepeatable(service: Service): boolean {
   return service.calls[0]?.repeatable ?? true;
@@ -46,6 +58,7 @@
 /** Prepares the run of an answer; `undefined` where its service is gone. */
 export function prepareRun(
   answer: Answer,
+  origin: RunOrigin,
   routing: RoutingTable,
 ): Run | undefined {
   const { envelope } = answer;
@@ -70,7 +83,7 @@
     moveTo: undefined,
     moving: false,
     cancelled: false,
-    mayHaveRun: answer.attempt !== undefined,
+    mayHaveRun: origin === "taken_over",
   };
 }
 
@@ -99,7 +112,7 @@
 
 /** An outcome that does not say "not run" once an attempt may have run. */
 export function told(
-  run: Run,
+  run: Pick<Run, "mayHaveRun">,
   outcome: Exclude<Outcome, { readonly kind: "completed" }>,
 ): Outcome {
   return run.mayHaveRun && outcome.kind === "refused_not_run"
--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -38,6 +38,7 @@
   noServerText,
   prepareRun,
   type Run,
+  type RunOrigin,
   told,
 } from "./chat_run.ts";
 import { runEngineAttempt } from "./engine_attempt.ts";
@@ -79,11 +80,12 @@
   }
 
   /** Runs an answer to its end and records it. */
-  async run(answer: Answer): Promise<void> {
+  async run(answer: Answer, origin: RunOrigin): Promise<void> {
     if (this.#runs.has(answer.envelope.id)) return;
-    const run = prepareRun(answer, this.#options.routing());
+    const run = prepareRun(answer, origin, this.#options.routing());
     if (run === undefined) {
-      this.#end(answer, refused("unknown_service", "service is gone"));
+      const gone = refused("unknown_service", "service or workspace is gone");
+      this.#end(answer, told({ mayHaveRun: origin === "taken_over" }, gone));
       return;
     }
     this.#runs.set(answer.envelope.id, run);
@@ -131,6 +133,7 @@
       if (remaining <= 0) return this.#tooLate(run);
       const server = run.moveTo ?? this.#choose(run);
       const before = run.answer.events.length;
+      const mayHaveRunBefore = run.mayHaveRun;
       if (server === undefined && run.answer.events.length > 0) {
         await sleep(clock, SERVER_WAIT_MILLISECONDS);
         continue;
@@ -152,6 +155,7 @@
         const final = await this.#afterFailure(run, outcome, {
           remainingMilliseconds: remaining,
           madeProgress,
+          mayHaveRunBefore,
         });
         if (final !== undefined) return final;
       }
@@ -163,7 +167,10 @@
   async #afterFailure(
     run: Run,
     outcome: Exclude<Outcome, { readonly kind: "completed" }>,
-    facts: Pick<FailedAttempt, "remainingMilliseconds" | "madeProgress">,
+    facts: Pick<
+      FailedAttempt,
+      "remainingMilliseconds" | "madeProgress" | "mayHaveRunBefore"
+    >,
   ): Promise<Outcome | undefined> {
     const { retries } = this.#options;
     if (run.cancelled || !retries.mayHelp(outcome.reason)) {
@@ -180,9 +187,12 @@
   }
 
   #tooLate(run: Run): Outcome {
-    return !run.mayHaveRun
-      ? refused("deadline_passed", "the deadline passed before an attempt")
-      : failed("backend_timeout", "the deadline passed during the answer");
+    if (run.answer.events.length > 0) {
+      return failed("backend_timeout", "the deadline passed during the answer");
+    }
+    return run.mayHaveRun
+      ? inDoubt("backend_timeout", "the deadline passed after an attempt")
+      : refused("deadline_passed", "the deadline passed before an attempt");
   }
 
   #choose(run: Run): BackendServer | undefined {
@@ -209,6 +219,7 @@
     const delivered = run.answer.events;
     run.attempts += 1;
     run.moveTo = undefined;
+    run.moving = false;
     run.server = server;
     run.attempt = `${run.answer.envelope.id}.${self}.${run.attempts}`;
     run.abort = new AbortController();
--- a/packages/rampswitch-entry/src/intake/exchange.ts
+++ b/packages/rampswitch-entry/src/intake/exchange.ts
@@ -9,13 +9,16 @@
 import type { AdmissionRequest, RoutingTable } from "rampswitch-policy";
 import { refused, type Service } from "rampswitch-types";
 import { type Clock, type Metrics, readBody } from "rampswitch-utils";
-import type { CallerRequest } from "./caller_request.ts";
+import { type CallerRequest, KEY_HEADER } from "./caller_request.ts";
 import {
   type ProblemOptions,
   type ProblemOutcome,
   sendProblem,
 } from "./problem.ts";
 
+/** Path below which answers are read again by the id of their request. */
+export const REQUESTS_PATH = "/v1/requests/";
+
 /** A request of a known caller. */
 export interface Exchange {
   readonly request: IncomingMessage;
@@ -44,15 +47,22 @@
   sendProblem(response, outcome, options);
 }
 
-/** Refuses a request whose key, if it has one, was not looked up. */
+/** Whether an exchange reads the answer to an earlier request again. */
+export function readsAgain({ url }: Pick<Exchange, "url">): boolean {
+  return url.pathname.startsWith(REQUESTS_PATH);
+}
+
+/** Refuses a request whose key or id, if it has one, was not judged. */
 export function refuseUnjudged(
-  { response, caller }: Exchange,
+  exchange: Omit<Exchange, "caller">,
   outcome: ProblemOutcome,
   metrics: Metrics,
 ): void {
-  refuse(response, outcome, {
+  refuse(exchange.response, outcome, {
     metrics,
-    keyNotJudged: caller.key !== undefined,
+    earlierNotJudged:
+      exchange.request.headers[KEY_HEADER] !== undefined ||
+      readsAgain(exchange),
   });
 }
 
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -16,8 +16,8 @@
 /** How adoption is made. */
 export interface AdoptionOptions {
   readonly self: HostId;
-  readonly book: AnswerCache;
-  readonly slots: SlotService;
+  readonly book: Pick<AnswerCache, "all" | "discard">;
+  readonly slots: Pick<SlotService, "primarySlots" | "recordOf" | "finish">;
   readonly chat: ChatRunner;
   readonly metrics: Metrics;
   readonly routing: () => RoutingTable;
@@ -55,17 +55,24 @@
   const { envelope } = answer;
   const service = options.routing().services.get(envelope.service);
   const record = options.slots.recordOf(envelope.slot, envelope.key);
-  const fate = lostRequestFate(service, { guarded: record?.guarded ?? false });
+  const guarded = record?.guarded ?? GUARDED_WITHOUT_RECORD;
+  const fate = lostRequestFate(service, { guarded });
   options.metrics.count("lostRequest", fate);
   FATES[fate](answer, options);
 }
 
+/**
+ * Only keys are recorded. What has no record was sent all the same: discarded,
+ * it would be unknown to its caller, who may ask anew beside the lost run.
+ */
+const GUARDED_WITHOUT_RECORD = true;
+
 const FATES: Readonly<
   Record<LostRequestFate, (answer: Answer, options: AdoptionOptions) => void>
 > = {
   go_on: (answer, { self, chat }) => {
     answer.runner = self;
-    void chat.run(answer);
+    void chat.run(answer, "taken_over");
   },
   run_anew: (answer, { book, slots }) => {
     const { slot, key } = answer.envelope;
