Wait until both hosts are primaries before one of them is lost

Cause: a test of this series expects refusals of both kinds, from slots of the host that is left and of the one that is lost. Right after a start one host is primary of all slots, and is handing some over: so in eight of eight starts that were looked at. Ruled out: another answer of the product; all were told "unknown". Change: the test waits for primaries at both hosts; what it expects is the same. Conclusion: a missing condition of the test, not a fault of the product.

--- a/packages/rampswitch-measure/src/kept_requests_test.ts
+++ b/packages/rampswitch-measure/src/kept_requests_test.ts
@@ -178,6 +178,12 @@
 
   test("an id that is not found, or not looked up, is not told as not run", async () => {
     const started = await start({ entries: 2 });
+    // Right after a start one host is primary of all slots, and hands some over.
+    await until(() =>
+      started.entries.every(
+        ({ metrics }) => (metrics.totals()["slots_primary"] ?? 0) > 0,
+      ),
+    );
     started.platform.objects.setFaults({ outage: true });
     await started.entries[0]?.[Symbol.asyncDispose]();
     const told = await Promise.all(
