--- a/packages/rampswitch-entry/src/intake/problem.ts
+++ b/packages/rampswitch-entry/src/intake/problem.ts
@@ -12,6 +12,7 @@
   RAN_BY_OUTCOME,
   type RefusalReason,
 } from "rampswitch-types";
+import { breakOff } from "rampswitch-utils";
 
 const MILLISECONDS = 1_000;
 
@@ -120,7 +121,7 @@
 ): void {
   if (response.destroyed || response.writableEnded) return;
   if (response.headersSent) {
-    response.destroy();
+    breakOff(response);
     return;
   }
   const document = problemDocument(outcome, options);
--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import { breakOff } from "rampswitch-utils";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Writes one answer. */
@@ -71,7 +72,7 @@
   breakOff(): void {
     if (this.#finished) return;
     this.#finished = true;
-    this.#response.destroy();
+    breakOff(this.#response);
   }
 
   /** Notes that the caller is gone. */
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export * from "./body.ts";
+export * from "./break_off.ts";
 export * from "./clock.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
