Test that waiting requests ask for hosts, while it fails

Cause, of the listed test of capacity too: the plan's demand is the requests at engines over the measured time of a token. On a busy machine, as with slow engines, tokens take longer and admission lets fewer requests in, so demand sinks just when callers wait and are turned away. Ruled out: an outage that is remembered (no host had been asked for at all). Change: a test with engines eight times as slow; no load of the machine needed.

--- a/packages/rampswitch-measure/src/control_test.ts
+++ b/packages/rampswitch-measure/src/control_test.ts
@@ -1,12 +1,15 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { afterEach, describe, expect, test } from "@jest/globals";
-import { Engine } from "rampswitch-standins";
+import { DEFAULT_ENGINE_PROFILE, Engine } from "rampswitch-standins";
 import type { Resource } from "rampswitch-types";
 import { administration } from "./operator.ts";
 import { SERVICES } from "./deployment_plan.ts";
 import { TestDeployment, until } from "./test_deployment.ts";
 
+/** Slow engines take so many times as long for a step. */
+const SLOW_TIMES = 8;
+
 let deployment: TestDeployment | undefined;
 
 afterEach(async () => {
@@ -54,6 +57,33 @@
     expect(cloud.starts.length).toBeGreaterThan(0);
   });
 
+  // Engines that are slower than usual work on few requests at a time, and the
+  // others wait at the hosts. A plan that counted only what engines work on saw
+  // no need for a further host while callers were turned away: on a machine with
+  // 39 busy processes, six to nine requests ran, ten to 25 waited, up to 21 were
+  // refused, and no host was asked for in 20 s, in ten plays of 24.
+  test("asks for hosts while requests wait, though engines are slow", async () => {
+    const profile = {
+      ...DEFAULT_ENGINE_PROFILE,
+      stepMilliseconds: SLOW_TIMES * DEFAULT_ENGINE_PROFILE.stepMilliseconds,
+    };
+    deployment = await TestDeployment.start({
+      capacity: { enabled: true },
+      platform: { engine: { profile } },
+    });
+    const { cloud } = deployment.platform;
+    const warm = await deployment.caller().chat({
+      prompt: "operation-warm",
+      tokens: 60,
+      streamed: true,
+      workspace: "landlords",
+    });
+    expect(warm.status).toBe(200);
+    overload(deployment);
+    await until(() => cloud.starts.length > 0);
+    expect(cloud.starts.length).toBeGreaterThan(0);
+  });
+
   test("starts a host under load and puts it into the configuration", async () => {
     deployment = await TestDeployment.start({ capacity: { enabled: true } });
     const started = deployment;
