Count requests that wait for admission as demand for hosts

Cause: demand was the requests at engines. Admission lets requests in by predicted tokens, so on a host that serves long answers most of them wait, and no host was asked for while callers waited and were turned away. Ruled out: the time of a token (cancels out); an outage that is remembered. Change: the plan counts what waits, here and at the other hosts.

--- a/packages/rampswitch-entry/src/admission/admission_gate.ts
+++ b/packages/rampswitch-entry/src/admission/admission_gate.ts
@@ -82,6 +82,11 @@
     );
   }
 
+  /** Requests of a service that wait. */
+  waiting(service: string): number {
+    return this.#queues.get(service)?.admission.counts.waiting ?? 0;
+  }
+
   /** Asks for leave to run; resolves when it is granted or refused. */
   ask(service: string, request: AdmissionRequest): Promise<Admitted> {
     const queue = this.#queue(service);
--- a/packages/rampswitch-entry/src/duties/capacity_service.ts
+++ b/packages/rampswitch-entry/src/duties/capacity_service.ts
@@ -18,6 +18,7 @@
 } from "rampswitch-policy";
 import type { BackendServer, HostClass, Service } from "rampswitch-types";
 import type { Clock, Logger, Metrics } from "rampswitch-utils";
+import type { AdmissionGate } from "../admission/admission_gate.ts";
 import type { BackendDirectory } from "../choice/backend_directory.ts";
 import type { ConfigurationService } from "../configuration/configuration_service.ts";
 import type { MembershipService } from "../membership/membership_service.ts";
@@ -38,6 +39,7 @@
   readonly membership: MembershipService;
   readonly directory: BackendDirectory;
   readonly cloud: CloudClient;
+  readonly gate: Pick<AdmissionGate, "waiting">;
 }
 
 const STARTS_AT_ONCE = 2;
@@ -226,13 +228,14 @@
    * stays as it is.
    */
   #demand(): number | undefined {
-    const { membership, directory } = this.#options;
+    const { membership, directory, gate } = this.#options;
     const members = [...membership.members.values()];
     const suspected = members.filter((member) => member.suspected).length;
     if (suspected > membership.trusted.length) return undefined;
+    // Slow servers work on fewer requests at a time; what waits is demand too.
     const own = this.#servers.reduce(
       (sum, { name }) => sum + directory.inProgress(name),
-      0,
+      gate.waiting(this.#service.name),
     );
     const others = membership.trusted.reduce(
       (sum, { digest }) => sum + digest.load,
--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -300,7 +300,7 @@
             ? -1
             : this.clock.now() - this.configuration.confirmedAt,
         reachesStore: this.configuration.reachesStore,
-        load: this.working,
+        load: this.working + this.gate.counts.waiting,
       }),
       listener: {
         heard: (digests) => this.#listener.heard(digests),
