--- a/packages/rampswitch-measure/src/control_test.ts
+++ b/packages/rampswitch-measure/src/control_test.ts
@@ -3,18 +3,24 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { Engine } from "rampswitch-standins";
 import type { Resource } from "rampswitch-types";
+import { sleep, SYSTEM_CLOCK } from "rampswitch-utils";
+import type { ChatCall } from "./caller.ts";
 import { administration } from "./operator.ts";
 import { SERVICES } from "./deployment_plan.ts";
 import { TestDeployment, until } from "./test_deployment.ts";
 
+/** Time after which a caller who was turned away comes back, in milliseconds. */
+const COME_BACK_MILLISECONDS = 500;
+
 /** Time that patient callers leave, in milliseconds; enough to wait for others. */
 const PATIENT_MILLISECONDS = 600_000;
 
 let deployment: TestDeployment | undefined;
 
 afterEach(async () => {
-  await deployment?.[Symbol.asyncDispose]();
+  const ended = deployment;
   deployment = undefined;
+  await ended?.[Symbol.asyncDispose]();
 });
 
 async function serverNames(
@@ -27,30 +33,42 @@
   return list.resources.map(({ resource }) => resource.name);
 }
 
-/** Starts more streams than the deployment's engines can bear. */
+/** How callers overload a deployment. */
+interface Overload {
+  readonly callers?: number;
+  readonly deadlineMilliseconds?: number;
+}
+
+/** Callers who ask for more than the engines can bear until the test ends. */
 function overload(
   started: TestDeployment,
-  {
-    requests = 40,
-    deadlineMilliseconds,
-  }: {
-    readonly requests?: number;
-    readonly deadlineMilliseconds?: number;
-  } = {},
+  { callers = 40, deadlineMilliseconds }: Overload = {},
 ): void {
-  Array.from(
-    { length: requests },
+  const deadline =
+    deadlineMilliseconds === undefined ? {} : { deadlineMilliseconds };
+  Array.from({ length: callers }).forEach(
     (_, index) =>
-      void started.caller().chat({
+      void askAgainAndAgain(started, {
         prompt: `operation-${index}`,
         tokens: 3_000,
         streamed: true,
         workspace: "landlords",
-        ...(deadlineMilliseconds === undefined ? {} : { deadlineMilliseconds }),
+        ...deadline,
       }),
   );
 }
 
+/** A caller who is turned away comes back, as long as the test goes on. */
+async function askAgainAndAgain(
+  started: TestDeployment,
+  call: ChatCall,
+): Promise<void> {
+  while (deployment === started) {
+    await started.caller().chat(call);
+    await sleep(SYSTEM_CLOCK, COME_BACK_MILLISECONDS);
+  }
+}
+
 describe("capacity", () => {
   test("asks again for hosts that an outage of the cloud kept back", async () => {
     deployment = await TestDeployment.start({ capacity: { enabled: true } });
@@ -84,7 +102,7 @@
     });
     const { cloud } = deployment.platform;
     overload(deployment, {
-      requests: 20,
+      callers: 20,
       deadlineMilliseconds: PATIENT_MILLISECONDS,
     });
     await until(() => cloud.starts.length > 0);
