Believe no answer that does not name the request it answers

Cause: an answer that names no request was taken for the one that is due, on any connection. A late rejection without an id told that nothing had run, and what must run once was sent on while its server ran it. Class: a decision from news that isn't known to be about this request. Change: an answer counts only where it names the request as the caller did; any other is a lost send, after which what must run once is not sent again. Ruled out: that servers leave the id out of rejections, as examples of the platform's messages do. Conclusion: this is a second way to a run too many; it needs a server that sends an answer that is not due, and is not what the moved runs did.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -305,12 +305,10 @@
   #headCame(head: AnswerHead): void {
     const current = this.#current;
     if (current === undefined) return;
-    const crossed =
-      head.attemptId !== undefined &&
-      head.attemptId !== this.request.head.attemptId;
-    if (crossed || head.encoded) {
+    const unusable = this.#whyUnusable(head);
+    if (unusable !== undefined) {
       current.send.abort();
-      this.#lost("answer_not_usable", crossed ? "crossed" : "encoded");
+      this.#lost("answer_not_usable", unusable);
       return;
     }
     if (head.load !== undefined) {
@@ -334,6 +332,17 @@
     }
   }
 
+  /**
+   * Why an answer counts for nothing. One that does not name this request may be
+   * a late one, in the place of the answer that is due: believed, a rejection
+   * would have a request sent again while its server runs it.
+   */
+  #whyUnusable(head: AnswerHead): string | undefined {
+    if (head.encoded) return "encoded";
+    if (head.attemptId === this.request.head.attemptId) return undefined;
+    return head.attemptId === undefined ? "without an id" : "crossed";
+  }
+
   /** A server ran a resumed stream's request and answered with a failure. */
   #resumeRefused(head: AnswerHead): void {
     this.#current?.send.abort();
