--- a/packages/rampswitch-emulator/src/emulated_fleet.ts
+++ b/packages/rampswitch-emulator/src/emulated_fleet.ts
@@ -161,6 +161,7 @@
       slots: this.#run.shape.engine.slots,
       state: "ready",
       reclaimable: false,
+      born: undefined,
     });
   }
 
--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -35,6 +35,7 @@
     slots: 8,
     state: "ready",
     reclaimable: true,
+    born: undefined,
   });
 }
 
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -118,6 +118,7 @@
             slots: 1,
             state: "ready",
             reclaimable: false,
+            born: undefined,
           }),
       },
       random: seededRandom(1),
--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -77,6 +77,7 @@
         slots: 32,
         state: "ready",
         reclaimable: false,
+        born: undefined,
       },
       0,
     ),
--- a/packages/rampswitch-serving/src/model/backend_server.ts
+++ b/packages/rampswitch-serving/src/model/backend_server.ts
@@ -9,9 +9,17 @@
 /** Whether a backend server takes new work. */
 export type BackendServerState = "ready" | "leaving";
 
-/** One life of a backend server; a restart has another id. */
+/**
+ * One life of a backend server. A server that starts again keeps its id and its
+ * address, and holds and knows nothing of its former life.
+ */
 export interface BackendServer {
   readonly id: string;
+  /**
+   * Start of this life, in milliseconds since 1970; `undefined` where a server
+   * tells none and has one life for its id.
+   */
+  readonly born: number | undefined;
   readonly service: string;
   /** IP number and port. */
   readonly address: string;
--- a/packages/rampswitch-serving/src/relay/kept_run_test.ts
+++ b/packages/rampswitch-serving/src/relay/kept_run_test.ts
@@ -15,6 +15,7 @@
       slots: 8,
       state: "ready",
       reclaimable: true,
+      born: undefined,
     }),
     predictedMilliseconds: 0,
     keptTokens: 0,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -68,6 +68,7 @@
     slots: 8,
     state: "ready",
     reclaimable: true,
+    born: undefined,
   });
 }
 
