--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -29,26 +29,34 @@
     const known = this.#records.get(entry.id);
     const record = known ?? new ServerRecord(entry);
     const wasReady = record.entry.state === "ready";
+    if (record.entry.service !== entry.service) this.#unlist(record);
     record.entry = entry;
+    record.isReadable = true;
     this.#records.set(entry.id, record);
     this.#byService.set(
       entry.service,
-      new Set([...this.of(entry.service), record]),
+      new Set([...this.#listed(entry.service), record]),
     );
     if (entry.state === "leaving" && (wasReady || known === undefined)) {
       this.#leaves(record, now);
     }
   }
 
+  /**
+   * Takes in that a server's entry can't be read. What is known of the server
+   * stays, for when the entry is good again.
+   */
+  unreadable(id: string): void {
+    const record = this.#records.get(id);
+    if (record !== undefined) record.isReadable = false;
+  }
+
   /** Forgets a server whose entry is gone. */
   remove(id: string, now: number): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
     this.#records.delete(id);
-    this.#byService.set(
-      record.entry.service,
-      new Set([...this.of(record.entry.service)].filter((r) => r !== record)),
-    );
+    this.#unlist(record);
     const wasReady = record.entry.state === "ready";
     record.entry = { ...record.entry, state: "leaving" };
     if (wasReady) this.#leaves(record, now);
@@ -59,12 +67,20 @@
     return this.#records.get(id);
   }
 
-  /** Servers of a service. */
+  /** Servers of a service whose entries can be read. */
   of(service: string): readonly ServerRecord[] {
-    return [...(this.#byService.get(service) ?? [])];
+    return this.#listed(service).filter(({ isReadable }) => isReadable);
+  }
+
+  /** Requests at all servers of a service, from all hosts. */
+  load(service: string, now: number): number {
+    return this.#listed(service).reduce(
+      (sum, record) => sum + record.load(now),
+      0,
+    );
   }
 
-  /** All servers. */
+  /** All servers, those whose entries can't be read included. */
   all(): readonly ServerRecord[] {
     return [...this.#records.values()];
   }
@@ -94,6 +110,16 @@
     );
   }
 
+  #listed(service: string): readonly ServerRecord[] {
+    return [...(this.#byService.get(service) ?? [])];
+  }
+
+  #unlist(record: ServerRecord): void {
+    const { service } = record.entry;
+    const others = this.#listed(service).filter((other) => other !== record);
+    this.#byService.set(service, new Set(others));
+  }
+
   #leaves(record: ServerRecord, now: number): void {
     record.leavingSince ??= now;
     this.#listeners.forEach((listener) => listener(record));
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -48,6 +48,11 @@
 export class ServerRecord {
   /** As the platform last listed it. */
   entry: BackendServer;
+  /**
+   * Whether its entry can be read. One that can't names no server to use, and
+   * tells nothing about the server itself.
+   */
+  isReadable = true;
   /** When the announcement of its end came, on the steady clock. */
   leavingSince: number | undefined;
   #running = 0;
@@ -167,7 +172,7 @@
 
   /** Whether the server itself takes new work. */
   get isReady(): boolean {
-    return this.entry.state === "ready";
+    return this.isReadable && this.entry.state === "ready";
   }
 
   /** Whether the server still answers others: it is ready or left just now. */
@@ -175,7 +180,8 @@
     const { leavingSince } = this;
     return (
       this.isReady ||
-      (leavingSince !== undefined &&
+      (this.isReadable &&
+        leavingSince !== undefined &&
         now - leavingSince < ANSWERS_ON_MILLISECONDS)
     );
   }
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -6,18 +6,20 @@
  *
  * @module
  */
+import { Result } from "true-myth";
 import type { Clock, Logger, Random } from "rampswitch-utils";
 import {
   type ChangeBatch,
   type ObjectStore,
   type StoredObject,
   storeBackoff,
+  type StoreEvent,
   Watcher,
   type WatchListener,
 } from "rampswitch-store";
-import { type Result } from "true-myth";
 import { RouteIndex } from "../intake/route_index.ts";
 import { LapsedServers } from "./lapsed_servers.ts";
+import { UnreadableServers } from "./unreadable_servers.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type { ServingConfiguration } from "../model/configuration.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
@@ -42,6 +44,8 @@
 export interface FollowerListener {
   configured(routes: RouteIndex): void;
   serverChanged(server: BackendServer): void;
+  /** An entry can't be read, and names no server to use until it is good. */
+  serverUnreadable(id: string): void;
   serverGone(id: string): void;
 }
 
@@ -161,6 +165,16 @@
  */
 const IDLE_COALESCE_MILLISECONDS = 1_000;
 
+/**
+ * Largest entry of a server that is read, in characters; the known platforms'
+ * have some 250. Relays pass entries on in datagrams of at most 64 KiB, several at
+ * once.
+ */
+const LARGEST_ENTRY = 8 * 1_024;
+
+/** Passed on in place of an entry that is too large to be read. */
+const TOO_LARGE_ENTRY = "";
+
 /** Follows configuration and backend servers. */
 export class ConfigurationFollower implements AsyncDisposable {
   readonly #parts: FollowerParts;
@@ -188,16 +202,20 @@
   readonly #interruptedAt = new Map<Watcher, number>();
   #reachable = true;
   readonly #lapsed: LapsedServers;
+  readonly #unreadable: UnreadableServers;
+  /** Servers whose entries told when their life began. */
+  readonly #withStart = new Set<string>();
 
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
     this.#listener = listener;
-    this.#lapsed = new LapsedServers(parts, (id) => listener.serverGone(id));
+    this.#lapsed = new LapsedServers(parts, (id) => this.#serverGone(id));
+    this.#unreadable = new UnreadableServers(parts);
     this.#servers = this.#watch(
       parts.formats.serversPrefix,
       {
         changed: (object) => this.#serverChanged(object),
-        removed: (key) => this.#lapsed.removed(this.#serverId(key)),
+        removed: (key) => this.#serverRemoved(this.#serverId(key)),
         confirmed: () => {
           this.#serversListed = true;
         },
@@ -331,9 +349,9 @@
    */
   recentServers(): ChangeBatch | undefined {
     const age = this.#parts.clock.now() - this.#ownConfirmedAt;
-    return this.#reachable && age < OWN_WAY_FRESH_MILLISECONDS
-      ? this.#servers.recent()
-      : undefined;
+    if (!this.#reachable || age >= OWN_WAY_FRESH_MILLISECONDS) return undefined;
+    const recent = this.#servers.recent();
+    return recent && { ...recent, events: recent.events.map(passedOn) };
   }
 
   /**
@@ -461,18 +479,41 @@
   }
 
   #serverChanged(object: StoredObject): void {
-    const { formats, logger, metrics } = this.#parts;
     const id = this.#serverId(object.key);
     this.#lapsed.present(id);
-    const decoded = formats.decodeServer(id, object.value);
-    if (decoded.isOk) this.#listener.serverChanged(decoded.value);
-    else {
-      metrics.event("server_malformed");
-      logger.warn("server entry can't be read", {
-        server: id,
-        detail: decoded.error,
-      });
+    const read = this.#readServer(id, object.value);
+    if (read.isOk) {
+      this.#unreadable.good(id);
+      if (read.value.born !== undefined) this.#withStart.add(id);
+      this.#listener.serverChanged(read.value);
+    } else {
+      this.#unreadable.add(id, read.error);
+      this.#listener.serverUnreadable(id);
+    }
+  }
+
+  #readServer(id: string, value: string): Result<BackendServer, string> {
+    if (value.length > LARGEST_ENTRY) {
+      const expected = `expected at most ${LARGEST_ENTRY} characters`;
+      return Result.err(`entry: ${expected}, not ${value.length}`);
     }
+    const decoded = this.#parts.formats.decodeServer(id, value);
+    // Without it, a life that follows could not be told from the one before.
+    return decoded.isOk &&
+      decoded.value.born === undefined &&
+      this.#withStart.has(id)
+      ? Result.err("entry: expected the start that it told before, not nothing")
+      : decoded;
+  }
+
+  #serverRemoved(id: string): void {
+    this.#unreadable.remove(id);
+    this.#lapsed.removed(id);
+  }
+
+  #serverGone(id: string): void {
+    this.#withStart.delete(id);
+    this.#listener.serverGone(id);
   }
 
   #serverId(key: string): string {
@@ -500,3 +541,10 @@
     });
   }
 }
+
+/** A change as it is passed on: whoever hears it can't read a large one either. */
+function passedOn(event: StoreEvent): StoreEvent {
+  return event.value !== undefined && event.value.length > LARGEST_ENTRY
+    ? { ...event, value: TOO_LARGE_ENTRY }
+    : event;
+}
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -130,6 +130,7 @@
     {
       configured: () => undefined,
       serverChanged: () => undefined,
+      serverUnreadable: () => undefined,
       serverGone: (id) => gone.push(id),
     },
   );
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -59,9 +59,7 @@
     return {
       running: this.#parts.meter.meanRunning(
         service,
-        this.#parts.directory
-          .of(service)
-          .reduce((sum, r) => sum + r.load(this.#parts.clock.now()), 0),
+        this.#parts.directory.load(service, this.#parts.clock.now()),
       ),
       readTokensPerSecond: this.#parts.meter.readTokensPerSecond(service),
       readingRate: this.#parts.readingRates.of(service),
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -203,8 +203,12 @@
     return granted ? undefined : "budget_spent";
   }
 
-  /** Whether a server with kept memory is not too near its announced end. */
+  /**
+   * Whether a server with kept memory may be used, and is not too near its
+   * announced end.
+   */
   #takesSends({ record }: Choice): boolean {
+    if (!record.isReadable) return false;
     const now = this.#context.clock.now();
     const since = now - (record.leavingSince ?? Infinity);
     return since < LEAVING_SHARE * this.#context.drainMilliseconds();
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -162,6 +162,7 @@
         {
           configured: (routes) => this.#configured(routes),
           serverChanged: (server) => this.#serverChanged(server),
+          serverUnreadable: (id) => this.#directory.unreadable(id),
           serverGone: (id) => this.#serverGone(id),
         },
       ),
