--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -118,6 +118,7 @@
             slots: 1,
             state: "ready",
             reclaimable: false,
+            born: undefined,
           }),
       },
       random: seededRandom(1),
@@ -129,6 +130,7 @@
     {
       configured: () => undefined,
       serverChanged: () => undefined,
+      serverUnreadable: () => undefined,
       serverGone: (id) => gone.push(id),
     },
   );
