Tell in log and metrics which lines of a host are missing

Cause: lines waited 40 ms for a write by a thread; a full buffer dropped and counted lines nobody read of; a batch whose write failed was forgotten, in the midst of a line. Ruled out: writing with process.stdout (may block); a thread's write for a pipe: with a blocking descriptor the exit would wait for the reader.

--- a/packages/rampswitch-serving/src/observation/bounded_output.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output.ts
@@ -1,101 +1,255 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Standard output that never blocks: lines wait in a bounded buffer while an
- * asynchronous write is under way, and are counted when they have to be
- * dropped.
+ * Lines on their way out: each is written at once while the reader keeps up, and
+ * waits in bounded memory while it does not. A line goes out whole or not at
+ * all, and each that does not is told to an observer.
  *
  * @module
  */
-import { write } from "node:fs";
-import { Writable } from "node:stream";
+import { type Clock, sleep } from "rampswitch-utils";
+import type { LineSink, Written } from "./line_sink.ts";
 
-/** Bytes that wait at most; some seconds of lines under heavy load. */
-const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
+/** Which lines are kept when room is short. */
+export type LineImportance = "ordinary" | "expendable";
 
 /**
- * Lines are collected for this long before they are written, in milliseconds. A
- * write for each line was 0.06 of a host's processor time at 22 requests a
- * second. A process that is killed loses the lines of this time.
+ * Bytes that wait at most, by importance; some seconds of lines under heavy
+ * load. Half of the room is kept from expendable lines, which callers can cause
+ * in any number.
  */
-export const COLLECT_MILLISECONDS = 40;
+const ROOM_BYTES: Readonly<Record<LineImportance, number>> = {
+  ordinary: 256 * 1024,
+  expendable: 128 * 1024,
+};
 
-const STANDARD_OUTPUT = 1;
-
-/** Wait before a write that the system turned away, in milliseconds. */
+/** Wait after a write of which a slow reader took a part or none, in milliseconds. */
 const TURNED_AWAY_MILLISECONDS = 20;
 
-/** Writes bytes without blocking; tells an error or how many were written. */
-export type WriteBytes = (
-  bytes: Buffer,
-  done: (error: NodeJS.ErrnoException | null, written: number) => void,
-) => void;
+/**
+ * Wait after a write that failed, in milliseconds; a new reader gets lines soon
+ * and an absent one costs four system calls a second.
+ */
+const FAILED_MILLISECONDS = 250;
+
+/** Time between looks whether all is written, in milliseconds. */
+const LOOK_MILLISECONDS = 5;
+
+const LINE_END = 0x0a;
+
+/**
+ * Written before the first line: a former life of the process may have been
+ * killed within one.
+ */
+const FIRST_LINE_END = "\n";
+
+/** Why lines are lost. */
+export type LossReason =
+  /** The reader was too slow. */
+  | "no_room"
+  /** Writes failed, and newer lines needed the room. */
+  | "write_failed";
 
-/** A bounded, asynchronous writer of lines. */
-export class BoundedOutput extends Writable {
-  #waiting: Buffer[] = [];
+/** Lines that will never be written. */
+export interface LineLoss {
+  readonly reason: LossReason;
+  readonly lines: number;
+  readonly bytes: number;
+}
+
+/** Hears of losses, and has them told among the lines. */
+export interface OutputObserver {
+  /** Lines were lost. */
+  lost(loss: LineLoss): void;
+  /** A write failed for another reason than a slow reader. */
+  failed(code: string): void;
+  /** Takes the lines that tell of losses so far. */
+  takeNotices(): readonly string[];
+}
+
+/** Bytes of whole lines that are being written, in any number of parts. */
+interface Batch {
+  readonly bytes: Buffer;
+  readonly offset: number;
+  /** Whether the bytes begin within a line. */
+  readonly beginsWithin: boolean;
+}
+
+/** A bounded writer of lines that never blocks. */
+export class BoundedOutput {
+  readonly #sink: LineSink;
+  readonly #clock: Clock;
+  readonly #observer: OutputObserver;
+  #waiting: string[] = [FIRST_LINE_END];
   #waitingBytes = 0;
-  /** Whether a write is due or under way. */
+  #batch: Batch | undefined;
   #writing = false;
-  #dropped = 0;
-  readonly #write: WriteBytes;
+  #timed = false;
+  /** Whether the newest write failed. */
+  #failing = false;
+  #lossToTell = false;
+  #notBefore = -Infinity;
 
-  constructor(writeBytes: WriteBytes = writeToStandardOutput) {
-    super();
-    this.#write = writeBytes;
+  constructor(
+    sink: LineSink,
+    options: { readonly clock: Clock; readonly observer: OutputObserver },
+  ) {
+    this.#sink = sink;
+    this.#clock = options.clock;
+    this.#observer = options.observer;
   }
 
-  /** Lines dropped since the start. */
-  get droppedLines(): number {
-    return this.#dropped;
+  /** Writes a line, which ends with a line's end, as soon as the reader takes it. */
+  push(line: string, importance: LineImportance = "ordinary"): void {
+    const bytes = Buffer.byteLength(line);
+    const room = ROOM_BYTES[importance];
+    const isFull = () => this.#waitingBytes + bytes > room;
+    // Newer lines matter more to whoever reads next.
+    if (isFull() && this.#failing && importance === "ordinary") {
+      this.#giveBatchUp();
+    }
+    if (isFull()) {
+      this.#lose({ reason: "no_room", lines: 1, bytes });
+    } else {
+      this.#waiting.push(line);
+      this.#waitingBytes += bytes;
+    }
+    this.#goOn();
   }
 
-  // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name
-  override _write(
-    chunk: Buffer,
-    _encoding: BufferEncoding,
-    done: () => void,
-  ): void {
-    if (this.#waitingBytes + chunk.length > MAXIMUM_BUFFERED_BYTES) {
-      this.#dropped += 1;
-    } else {
-      this.#waiting.push(chunk);
-      this.#waitingBytes += chunk.length;
-      this.#scheduleFlush();
+  /** Waits, up to some milliseconds, until all lines are written. */
+  async emptied(milliseconds: number): Promise<void> {
+    const endsAt = this.#clock.now() + milliseconds;
+    while (this.#holdsLines() && this.#clock.now() < endsAt) {
+      await sleep(this.#clock, LOOK_MILLISECONDS);
     }
-    done();
   }
 
-  #scheduleFlush(): void {
-    if (this.#writing || this.#waiting.length === 0) return;
+  /** Writes what the sink takes now, before it returns; for the process's end. */
+  writeAtOnce(): void {
+    if (!this.#writing) {
+      const rest = this.#batch?.bytes.subarray(this.#batch.offset);
+      this.#batch = undefined;
+      if (rest !== undefined) this.#sink.writeAtOnce(rest);
+    }
+    const lines = this.#takeLines();
+    if (lines !== "") this.#sink.writeAtOnce(Buffer.from(lines));
+  }
+
+  #holdsLines(): boolean {
+    return (
+      this.#batch !== undefined || this.#waitingBytes > 0 || this.#lossToTell
+    );
+  }
+
+  #lose(loss: LineLoss): void {
+    this.#lossToTell = true;
+    this.#observer.lost(loss);
+  }
+
+  /** Starts the next write, now or at its time, unless one is under way. */
+  #goOn(): void {
+    if (this.#writing || this.#timed || !this.#holdsLines()) return;
+    const wait = this.#notBefore - this.#clock.now();
+    if (wait <= 0) {
+      this.#writeBatch();
+      return;
+    }
+    this.#timed = true;
+    this.#clock.after(wait, () => {
+      this.#timed = false;
+      this.#goOn();
+    });
+  }
+
+  #writeBatch(): void {
+    this.#takeWaiting();
+    const batch = this.#batch;
+    if (batch === undefined) return;
     this.#writing = true;
-    setTimeout(() => this.#flush(), COLLECT_MILLISECONDS);
+    this.#notBefore = this.#clock.now() + this.#sink.spacingMilliseconds;
+    this.#sink.write(batch.bytes.subarray(batch.offset), (written) => {
+      this.#writing = false;
+      this.#wrote(batch, written);
+      this.#goOn();
+    });
+  }
+
+  #wrote(batch: Batch, written: Written): void {
+    if (written.isErr) {
+      this.#turnedAway(written.error);
+      return;
+    }
+    this.#failing = false;
+    const offset = batch.offset + written.value;
+    const isWhole = offset === batch.bytes.length;
+    this.#batch = isWhole ? undefined : { ...batch, offset };
+    if (!isWhole) this.#pause(TURNED_AWAY_MILLISECONDS);
   }
 
-  #flush(): void {
-    const batch = Buffer.concat(this.#waiting);
+  #turnedAway({ code }: NodeJS.ErrnoException): void {
+    if (code === "EAGAIN") {
+      this.#failing = false;
+      this.#pause(TURNED_AWAY_MILLISECONDS);
+      return;
+    }
+    this.#failing = true;
+    this.#observer.failed(code ?? "unknown");
+    this.#pause(FAILED_MILLISECONDS);
+  }
+
+  #pause(milliseconds: number): void {
+    this.#notBefore = this.#clock.now() + milliseconds;
+  }
+
+  /** Makes a batch of all that waits, unless there is one. */
+  #takeWaiting(): void {
+    if (this.#batch !== undefined) return;
+    const lines = this.#takeLines();
+    this.#batch = {
+      bytes: Buffer.from(lines),
+      offset: 0,
+      beginsWithin: lines.startsWith(FIRST_LINE_END),
+    };
+  }
+
+  #takeLines(): string {
+    const notices = this.#lossToTell ? this.#observer.takeNotices() : [];
+    this.#lossToTell = false;
+    return this.#takeWaitingLines() + notices.join("");
+  }
+
+  #takeWaitingLines(): string {
+    const lines = this.#waiting.join("");
     this.#waiting = [];
     this.#waitingBytes = 0;
-    this.#writeRest(batch);
+    return lines;
   }
 
-  #writeRest(batch: Buffer): void {
-    this.#write(batch, (error, written) => {
-      if (error?.code === "EAGAIN") {
-        setTimeout(() => this.#writeRest(batch), TURNED_AWAY_MILLISECONDS);
-        return;
-      }
-      // Nobody is left to tell when standard output itself is closed.
-      const rest = error === null ? batch.subarray(written) : undefined;
-      if (rest !== undefined && rest.length > 0) this.#writeRest(rest);
-      else {
-        this.#writing = false;
-        this.#scheduleFlush();
-      }
-    });
+  /**
+   * Gives up the lines of the batch, but for the rest of one that is half out,
+   * and makes a batch of all that waits.
+   */
+  #giveBatchUp(): void {
+    const batch = this.#batch;
+    if (batch === undefined || this.#writing) return;
+    const rest = batch.bytes.subarray(batch.offset);
+    const keptBytes = isWithinLine(batch) ? rest.indexOf(LINE_END) + 1 : 0;
+    const given = rest.subarray(keptBytes);
+    if (given.length > 0) {
+      const lines = given.filter((byte) => byte === LINE_END).length;
+      this.#lose({ reason: "write_failed", lines, bytes: given.length });
+    }
+    // A line that tells of the loss comes after the one that is pushed now.
+    const waiting = Buffer.from(this.#takeWaitingLines());
+    this.#batch = {
+      bytes: Buffer.concat([rest.subarray(0, keptBytes), waiting]),
+      offset: 0,
+      beginsWithin: keptBytes > 0,
+    };
   }
 }
 
-function writeToStandardOutput(...[bytes, done]: Parameters<WriteBytes>): void {
-  write(STANDARD_OUTPUT, bytes, done);
+function isWithinLine({ bytes, offset, beginsWithin }: Batch): boolean {
+  return offset === 0 ? beginsWithin : bytes[offset - 1] !== LINE_END;
 }
--- a/packages/rampswitch-serving/src/observation/bounded_output_test.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output_test.ts
@@ -1,61 +1,234 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { describe, expect, test } from "@jest/globals";
-import { BoundedOutput, type WriteBytes } from "./bounded_output.ts";
-
-type Done = Parameters<WriteBytes>[1];
-
-/** Resolves once a number of writes was asked for. */
-function recorder(count: number): {
-  readonly write: WriteBytes;
-  readonly writes: Promise<readonly { bytes: Buffer; done: Done }[]>;
-} {
-  const seen: { bytes: Buffer; done: Done }[] = [];
-  let write: WriteBytes = () => undefined;
-  const writes = new Promise<typeof seen>((resolve) => {
-    write = (bytes, done) => {
-      seen.push({ bytes, done });
-      if (seen.length === count) resolve(seen);
-      else done(null, bytes.length);
-    };
-  });
-  return { write, writes };
+import fc from "fast-check";
+import { ManualClock } from "rampswitch-utils";
+import { Result } from "true-myth";
+import { BoundedOutput, type LineLoss } from "./bounded_output.ts";
+import type { LineSink, Written } from "./line_sink.ts";
+
+/** Longer than any wait before a further write, in milliseconds. */
+const LONG_MILLISECONDS = 1_000;
+
+/** What a sink does with a write: bytes that it takes at most, or an error. */
+type Answer = number | "EAGAIN" | "EPIPE" | "later";
+
+function failure(code: string): Written {
+  return Result.err(Object.assign(new Error(code), { code }));
+}
+
+/** A sink that answers as it is told, and an output that writes to it. */
+function observed(spacingMilliseconds = 0) {
+  const clock = new ManualClock();
+  const state = {
+    answer: Infinity as Answer,
+    text: "",
+    writes: [] as string[],
+    losses: [] as LineLoss[],
+    failures: [] as string[],
+    notices: [] as string[],
+    finish: (): void => undefined,
+  };
+  const take = (bytes: Buffer, most: number): Written => {
+    const taken = bytes.subarray(0, most);
+    state.text += taken.toString("utf8");
+    return Result.ok(taken.length);
+  };
+  const sink: LineSink = {
+    spacingMilliseconds,
+    write: (bytes, done) => {
+      state.writes.push(bytes.toString("utf8"));
+      const { answer } = state;
+      if (answer === "later") {
+        state.finish = () => done(take(bytes, Infinity));
+      } else {
+        done(
+          typeof answer === "number" ? take(bytes, answer) : failure(answer),
+        );
+      }
+    },
+    writeAtOnce: (bytes) =>
+      typeof state.answer === "number"
+        ? take(bytes, state.answer)
+        : failure("EAGAIN"),
+  };
+  const output = new BoundedOutput(sink, {
+    clock,
+    observer: {
+      lost: (loss) => state.losses.push(loss),
+      failed: (code) => state.failures.push(code),
+      takeNotices: () => state.notices.splice(0),
+    },
+  });
+  return { clock, state, output };
+}
+
+/** Lines lost so far. */
+function lostIn(losses: readonly LineLoss[]): number {
+  return losses.reduce((sum, { lines }) => sum + lines, 0);
 }
 
+const LARGE = `${"x".repeat(100 * 1024)}\n`;
+
 describe("bounded output", () => {
-  test("writes lines that come together at once, in order", async () => {
-    const { write, writes } = recorder(1);
-    const output = new BoundedOutput(write);
-    ["a\n", "b\n", "c\n"].forEach((line) => output.write(line));
-    const [first] = await writes;
-    expect(first?.bytes.toString("utf8")).toBe("a\nb\nc\n");
-    expect(output.droppedLines).toBe(0);
-  });
-
-  test("writes the rest of what was taken in part, then what came since", async () => {
-    const { write, writes } = recorder(3);
-    let calls = 0;
-    const output = new BoundedOutput((bytes, done) => {
-      calls += 1;
-      if (calls === 1) {
-        write(bytes, () => {
-          output.write("later\n");
-          done(null, 2);
-        });
-      } else write(bytes, done);
+  test("writes a line at once, after a line's end that parts it from a former life", () => {
+    const { state, output } = observed();
+    output.push("a\n");
+    expect(state.text).toBe("\na\n");
+    output.push("b\n");
+    expect(state.writes).toEqual(["\na\n", "b\n"]);
+  });
+
+  test("collects the lines that come while a write is under way, in order", () => {
+    const { state, output } = observed();
+    state.answer = "later";
+    ["a\n", "b\n", "c\n"].forEach((line) => output.push(line));
+    expect(state.writes).toEqual(["\na\n"]);
+    state.answer = Infinity;
+    state.finish();
+    expect(state.writes).toEqual(["\na\n", "b\nc\n"]);
+    expect(state.losses).toEqual([]);
+  });
+
+  test("collects the lines of the spacing between two writes", () => {
+    const { clock, state, output } = observed(40);
+    ["a\n", "b\n", "c\n"].forEach((line) => output.push(line));
+    expect(state.writes).toEqual(["\na\n"]);
+    clock.advance(40);
+    expect(state.writes).toEqual(["\na\n", "b\nc\n"]);
+  });
+
+  test("writes the rest of what was taken in part, then what came since", () => {
+    const { clock, state, output } = observed();
+    state.answer = 3;
+    output.push("first\n");
+    state.answer = "EAGAIN";
+    output.push("later\n");
+    state.answer = Infinity;
+    clock.advance(LONG_MILLISECONDS);
+    expect(state.text).toBe("\nfirst\nlater\n");
+  });
+
+  test("drops and tells lines beyond its bound while a write is stuck", () => {
+    const { state, output } = observed();
+    state.answer = "later";
+    output.push("stuck\n");
+    Array.from({ length: 4 }).forEach(() => output.push(LARGE));
+    const loss = { reason: "no_room", lines: 1, bytes: LARGE.length };
+    expect(state.losses).toEqual([loss, loss]);
+  });
+
+  test("keeps room for ordinary lines from a flood of expendable ones", () => {
+    const { clock, state, output } = observed();
+    state.answer = "EAGAIN";
+    output.push("first\n");
+    Array.from({ length: 50_000 }).forEach(() =>
+      output.push("refused\n", "expendable"),
+    );
+    Array.from({ length: 1_000 }).forEach(() => output.push("ended\n"));
+    state.answer = Infinity;
+    clock.advance(LONG_MILLISECONDS);
+    const lines = state.text.split("\n");
+    expect(lines.filter((line) => line === "ended")).toHaveLength(1_000);
+    expect(lostIn(state.losses)).toBe(
+      50_000 - lines.filter((line) => line === "refused").length,
+    );
+  });
+
+  test("tells of losses as soon as there is room, after the lines before them", () => {
+    const { clock, state, output } = observed();
+    state.answer = "EAGAIN";
+    output.push("first\n");
+    Array.from({ length: 3 }).forEach(() => output.push(LARGE));
+    state.notices.push("one is lost\n");
+    state.answer = Infinity;
+    clock.advance(LONG_MILLISECONDS);
+    expect(state.text).toBe(`\nfirst\n${LARGE}${LARGE}one is lost\n`);
+  });
+
+  test("keeps lines whose write failed until their reader is back", () => {
+    const { clock, state, output } = observed();
+    state.answer = "EPIPE";
+    output.push("first\n");
+    output.push("second\n");
+    clock.advance(LONG_MILLISECONDS);
+    expect(state.failures).toEqual(["EPIPE", "EPIPE"]);
+    state.answer = Infinity;
+    clock.advance(LONG_MILLISECONDS);
+    expect(state.text).toBe("\nfirst\nsecond\n");
+    expect(state.losses).toEqual([]);
+  });
+
+  test("gives the oldest lines up when writes go on failing, and no half of one", () => {
+    const { clock, state, output } = observed();
+    // The first write takes a part of the line; what follows fails.
+    state.answer = "EAGAIN";
+    output.push("half of it\n");
+    output.push("given up\n");
+    state.answer = 4;
+    clock.advance(20);
+    state.answer = "EPIPE";
+    clock.advance(LONG_MILLISECONDS);
+    [LARGE, LARGE, LARGE, LARGE, LARGE, "newest\n"].forEach((line) =>
+      output.push(line),
+    );
+    state.answer = Infinity;
+    clock.advance(LONG_MILLISECONDS);
+    const lines = state.text.split("\n");
+    expect(lines.slice(0, 2)).toEqual(["", "half of it"]);
+    expect(lines.at(-2)).toBe("newest");
+    expect(state.losses.map(({ reason }) => reason)).toContain("write_failed");
+  });
+
+  test("writes what is left before it returns, at the end of the process", () => {
+    const { state, output } = observed();
+    state.answer = "EAGAIN";
+    output.push("first\n");
+    output.push("last\n");
+    state.answer = Infinity;
+    output.writeAtOnce();
+    expect(state.text).toBe("\nfirst\nlast\n");
+  });
+
+  test("whatever the reader does, lines are whole, in order, and all others are told", () => {
+    const answers = fc.oneof(
+      fc.integer({ min: 0, max: 60_000 }),
+      fc.constantFrom<Answer>("EAGAIN", "EPIPE", Infinity),
+    );
+    const steps = fc.record({
+      answer: answers,
+      lines: fc.integer({ min: 0, max: 12 }),
+      length: fc.integer({ min: 1, max: 40_000 }),
+      wait: fc.constantFrom(0, 20, 250, 600),
+      importance: fc.constantFrom("ordinary" as const, "expendable" as const),
     });
-    output.write("first\n");
-    const texts = (await writes).map(({ bytes }) => bytes.toString("utf8"));
-    expect(texts).toEqual(["first\n", "rst\n", "later\n"]);
-  });
-
-  test("drops and counts lines beyond its bound while a write is stuck", async () => {
-    const { write, writes } = recorder(1);
-    const output = new BoundedOutput(write);
-    output.write("stuck\n");
-    await writes;
-    const line = Buffer.alloc(100 * 1024, "x");
-    Array.from({ length: 4 }).forEach(() => output.write(line));
-    expect(output.droppedLines).toBe(2);
+    fc.assert(
+      fc.property(fc.array(steps, { maxLength: 60 }), (plan) => {
+        const { clock, state, output } = observed();
+        let pushed = 0;
+        plan.forEach((step) => {
+          state.answer = step.answer;
+          Array.from({ length: step.lines }).forEach(() => {
+            pushed += 1;
+            output.push(
+              `${pushed} ${"x".repeat(step.length)}.\n`,
+              step.importance,
+            );
+          });
+          clock.advance(step.wait);
+        });
+        state.answer = Infinity;
+        clock.advance(LONG_MILLISECONDS);
+        clock.advance(LONG_MILLISECONDS);
+        const lines = state.text.split("\n").filter(Boolean);
+        const numbers = lines.map((line) => Number(line.split(" ")[0]));
+        expect(lines.filter((line) => !/^\d+ x+\.$/.test(line))).toEqual([]);
+        expect(numbers).toEqual(
+          numbers.toSorted((left, right) => left - right),
+        );
+        expect(lines.length + lostIn(state.losses)).toBe(pushed);
+      }),
+      { seed: 31, numRuns: 300 },
+    );
   });
 });
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -28,6 +28,21 @@
     ["why"],
   );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
+  readonly #lostLines = this.#counter(
+    "log_lines_dropped_total",
+    "Log lines that were never written",
+    ["reason"],
+  );
+  readonly #lostBytes = this.#counter(
+    "log_bytes_dropped_total",
+    "Bytes of log lines that were never written",
+    ["reason"],
+  );
+  readonly #failedWrites = this.#counter(
+    "log_write_failures_total",
+    "Writes of log lines that failed; they are tried again",
+    ["code"],
+  );
   readonly #gauges = new Map<string, Gauge>();
   readonly #firstPart = this.#histogram(
     "first_part_seconds",
@@ -58,6 +73,20 @@
     this.#events.inc({ event });
   }
 
+  /** Counts log lines that were lost. */
+  logLinesLost(
+    reason: string,
+    lost: { readonly lines: number; readonly bytes: number },
+  ): void {
+    this.#lostLines.inc({ reason }, lost.lines);
+    this.#lostBytes.inc({ reason }, lost.bytes);
+  }
+
+  /** Counts a write of log lines that failed. */
+  logWriteFailed(code: string): void {
+    this.#failedWrites.inc({ code });
+  }
+
   /** Sets a gauge. */
   gauge(name: string, value: number): void {
     const gauge =
--- a/packages/rampswitch-serving/src/observation/mod.ts
+++ b/packages/rampswitch-serving/src/observation/mod.ts
@@ -7,3 +7,5 @@
  */
 export * from "./bounded_output.ts";
 export * from "./metrics.ts";
+export * from "./line_log.ts";
+export * from "./line_sink.ts";
