Leave one line on each request that was answered, before its answer ends

Cause: lines of ends were written after the answers they tell of. Node's server answered heads without a host's name and with unknown expectations by itself. A body that can't be parsed left a line without the request's id, and requests that the forced end of a planned stop cut off left none. Found by the way: bytes that can't be parsed, behind a whole request on its connection, were answered with 400 while the request ran on; the caller took the 400 for its answer. Ruled out, each with a test: too large bodies, no route, time over before the first send, a served request: each had its line, without a status. Change: the end of a run is told before the end of its answer; status in 'request ended' and 'request refused'; a connection whose request runs is closed without an answer, and a request whose connection was answered with 400 does not run; 'cut_off' for what a planned stop cuts off.

--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -14,7 +14,12 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
-import { listen, readBody, type Listening } from "rampswitch-utils";
+import {
+  listen,
+  type Listening,
+  type LogFields,
+  readBody,
+} from "rampswitch-utils";
 import type {
   CallerLimits,
   Route,
@@ -77,6 +82,8 @@
   #limits = FIRST_LIMITS;
   #reading = 0;
   #idle = true;
+  /** Connections that were answered because they could not be parsed. */
+  readonly #malformedConnections = new WeakSet<Socket>();
 
   constructor(context: RequestContext) {
     this.#context = context;
@@ -87,9 +94,18 @@
         headersTimeout: FIRST_LIMITS.headerMilliseconds,
         keepAliveTimeout: FIRST_LIMITS.idleMilliseconds,
         noDelay: true,
+        // Node would answer these by itself, and no line would tell.
+        requireHostHeader: false,
       },
       (incoming, response) => void this.#take(incoming, response),
     );
+    this.#server.on("checkExpectation", (incoming, response) =>
+      this.#refuse(
+        response,
+        this.#headOf(incoming),
+        refusalOf("expectation_unknown"),
+      ),
+    );
     this.#server.on("clientError", (error, socket) =>
       this.#malformed(error, socket as Socket),
     );
@@ -138,17 +154,17 @@
   ): Promise<void> {
     const arrivedAt = this.#context.clock.now();
     this.#idle = false;
-    const head = this.#context.codec.decodeRequest({
-      method: incoming.method ?? "",
-      target: incoming.url ?? "",
-      rawHeaders: incoming.rawHeaders,
-    });
+    const head = this.#headOf(incoming);
     this.#reading += 1;
     const body = await readBody(incoming, this.#limits.bodyBytes);
     this.#reading -= 1;
+    const isCutOff = body.isErr && body.error === "cut_off";
+    if (isCutOff || this.#answeredMalformed(incoming)) {
+      this.#tellUnread(head, incoming);
+      return;
+    }
     if (body.isErr) {
-      if (body.error === "cut_off") return;
-      this.#refuse(response, head, { ...TOO_LARGE });
+      this.#refuse(response, head, refusalOf("body_too_large"));
       response.once("finish", () => incoming.destroy());
       return;
     }
@@ -165,8 +181,12 @@
       this.#refuse(response, head, charged.error);
       return;
     }
-    if (response.destroyed) {
-      this.#leftBeforeRun(head, destination.value, charged.value);
+    if (response.destroyed || this.#answeredMalformed(incoming)) {
+      this.#giveBack(destination.value, charged.value);
+      this.#tellUnread(head, incoming, {
+        workspace: destination.value.workspace?.name,
+        tokens: charged.value,
+      });
       return;
     }
     this.#run(
@@ -182,6 +202,36 @@
     );
   }
 
+  #headOf(incoming: IncomingMessage): RequestHead {
+    return this.#context.codec.decodeRequest({
+      method: incoming.method ?? "",
+      target: incoming.url ?? "",
+      rawHeaders: incoming.rawHeaders,
+    });
+  }
+
+  /** Whether a connection was answered because it could not be parsed. */
+  #answeredMalformed({ socket }: IncomingMessage): boolean {
+    return this.#malformedConnections.has(socket);
+  }
+
+  /** A request won't run: its connection could not be parsed, or is gone. */
+  #tellUnread(
+    head: RequestHead,
+    incoming: IncomingMessage,
+    charged: LogFields = {},
+  ): void {
+    if (this.#answeredMalformed(incoming)) {
+      this.#tellRefusal(head, refusalOf("bad_request"));
+      return;
+    }
+    this.#context.metrics.outcome("caller_left");
+    this.#context.logger.info("caller left before the run", {
+      request: head.attemptId,
+      ...charged,
+    });
+  }
+
   #run(request: AdmittedRequest, response: ServerResponse): void {
     const run = new RequestRun(
       request,
@@ -202,7 +252,11 @@
     const { routes } = view;
     if (!this.#context.startsRequests()) return refusal("stopping");
     if (routes === undefined) return refusal("no_configuration");
-    if (head.attemptId === undefined || !head.target.startsWith("/")) {
+    if (
+      head.attemptId === undefined ||
+      head.hostName === "" ||
+      !head.target.startsWith("/")
+    ) {
       return refusal("bad_request");
     }
     const route = routes.route(head.hostName, pathOf(head.target));
@@ -241,18 +295,8 @@
     return name === undefined ? undefined : routes.service(name);
   }
 
-  /** A caller left while a relay was asked: nothing runs. */
-  #leftBeforeRun(
-    head: RequestHead,
-    { workspace }: Destination,
-    tokens: number,
-  ): void {
-    this.#context.metrics.outcome("caller_left");
-    this.#context.logger.info("caller left before the run", {
-      request: head.attemptId,
-      workspace: workspace?.name,
-      tokens,
-    });
+  /** Gives back what a request was charged that does not run. */
+  #giveBack({ workspace }: Destination, tokens: number): void {
     if (workspace === undefined) return;
     this.#context.admission.giveBack({ workspace: workspace.name, tokens });
   }
@@ -281,11 +325,30 @@
   }
 
   #refuse(response: ServerResponse, head: RequestHead, refused: Refusal): void {
+    this.#tellRefusal(head, refused);
+    if (response.destroyed) return;
+    const { reason } = refused;
+    response.writeHead(REFUSALS[reason].status, [
+      ...this.#context.codec.encodeOwnAnswer({
+        attemptId: head.attemptId,
+        retryAfterSeconds: refused.retryAfterSeconds,
+      }),
+      "Content-Length",
+      "0",
+      ...(this.#context.endsConnections() || reason === "body_too_large"
+        ? ["Connection", "close"]
+        : []),
+    ]);
+    response.end();
+  }
+
+  #tellRefusal(head: RequestHead, refused: Refusal): void {
     const { reason } = refused;
     this.#context.metrics.outcome(reason);
     this.#context.logger.info("request refused", {
       request: head.attemptId,
       outcome: reason,
+      status: REFUSALS[reason].status,
       path: head.target,
       workspace: refused.workspace,
       tokens: refused.tokens,
@@ -295,42 +358,31 @@
         this.#context.configuration().ageMilliseconds,
       ),
     });
-    if (response.destroyed) return;
-    response.writeHead(REFUSALS[reason].status, [
-      ...this.#context.codec.encodeOwnAnswer({
-        attemptId: head.attemptId,
-        retryAfterSeconds: refused.retryAfterSeconds,
-      }),
-      "Content-Length",
-      "0",
-      ...(this.#context.endsConnections() || reason === "body_too_large"
-        ? ["Connection", "close"]
-        : []),
-    ]);
-    response.end();
   }
 
   #malformed(error: Error, socket: Socket): void {
     this.#context.metrics.event("malformed_request");
-    if (!socket.writable || socket.bytesWritten > 0) {
+    // An answer now would be taken for that of a request before, which may run.
+    const isAsked = this.runs.some((run) => run.isAskedOn(socket));
+    if (!socket.writable || socket.bytesWritten > 0 || isAsked) {
       socket.destroy();
       return;
     }
-    this.#context.logger.info("malformed request", { detail: error.message });
+    this.#malformedConnections.add(socket);
+    this.#context.logger.info("malformed request", {
+      detail: error.message,
+      status: REFUSALS.bad_request.status,
+    });
     socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
   }
 }
 
-const TOO_LARGE: Refusal = {
-  reason: "body_too_large",
-  retryAfterSeconds: undefined,
-};
-
 function refusal(reason: RefusalReason): Result<never, Refusal> {
-  return Result.err({
-    reason,
-    retryAfterSeconds: RETRY_AFTER_SECONDS[reason],
-  });
+  return Result.err(refusalOf(reason));
+}
+
+function refusalOf(reason: RefusalReason): Refusal {
+  return { reason, retryAfterSeconds: RETRY_AFTER_SECONDS[reason] };
 }
 
 function pathOf(target: string): string {
--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Writes one answer. */
@@ -14,6 +15,7 @@
   readonly #response: ServerResponse;
   readonly #endsConnection: () => boolean;
   #finished = false;
+  #status: number | undefined;
 
   constructor(response: ServerResponse, endsConnection: () => boolean) {
     this.#response = response;
@@ -25,11 +27,21 @@
     return this.#finished;
   }
 
+  /** Whether the answer goes out on a connection. */
+  isOn(connection: Socket): boolean {
+    return this.#response.socket === connection;
+  }
+
   /** Whether the head went out. */
   get started(): boolean {
     return this.#response.headersSent;
   }
 
+  /** The status that the caller was told, if any. */
+  get status(): number | undefined {
+    return this.#status;
+  }
+
   /** Writes the head of an answer whose body follows in pieces. */
   begin(status: number, headers: RawHeaders): void {
     if (this.#finished || this.started) return;
@@ -80,6 +92,7 @@
   }
 
   #writeHead(status: number, headers: RawHeaders): void {
+    this.#status = status;
     const connection = this.#endsConnection() ? ["Connection", "close"] : [];
     this.#response.writeHead(status, [...headers, ...connection]);
   }
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -143,6 +144,11 @@
     );
   }
 
+  /** Whether its caller is on a connection. */
+  isAskedOn(connection: Socket): boolean {
+    return this.#answer.isOn(connection);
+  }
+
   /** Starts the first send. */
   start(): void {
     const wait = this.#deadlineAt - this.#now();
@@ -413,8 +419,8 @@
     }
     if (!this.#answer.started) this.#firstEvent(current);
     current.choice.record.succeeded();
-    this.#answer.end();
     this.#finish("completed");
+    this.#answer.end();
   }
 
   #wholeAnswer(head: AnswerHead, current: CurrentSend): void {
@@ -436,8 +442,8 @@
       return;
     }
     this.#record.firstPart();
+    this.#finish(failed ? "server_error" : "completed", head.status);
     this.#answer.whole(head.status, head.forwarded, body);
-    this.#finish(failed ? "server_error" : "completed");
   }
 
   #rejected(head: AnswerHead): void {
@@ -577,23 +583,28 @@
   #giveUp(reason: RefusalReason): void {
     if (this.#answer.finished) return;
     const failure = this.#failureAnswer;
-    if (this.#answer.started) this.#answer.breakOff();
-    else if (failure !== undefined) {
-      this.#answer.whole(
-        failure.head.status,
-        failure.head.forwarded,
-        failure.body,
-      );
+    if (this.#answer.started) {
+      this.#finish(reason);
+      this.#answer.breakOff();
+    } else if (failure !== undefined) {
+      const { head, body } = failure;
+      this.#finish(reason, head.status);
+      this.#answer.whole(head.status, head.forwarded, body);
     } else {
       const truthful =
         REFUSALS[reason].notRun && !this.#truth.surelyNotRun
           ? "unknown_outcome"
           : reason;
+      this.#finish(truthful, REFUSALS[truthful].status);
       this.#answerRefusal(truthful);
-      this.#finish(truthful);
-      return;
     }
-    this.#finish(reason);
+  }
+
+  /** Ends the answer because the process ends. */
+  cutOff(): void {
+    if (this.#answer.finished) return;
+    this.#finish("cut_off");
+    this.#answer.breakOff();
   }
 
   #answerRefusal(reason: RefusalReason): void {
@@ -645,12 +656,16 @@
     this.#held.reset();
   }
 
-  #finish(outcome: string): void {
+  /**
+   * Ends the run. Its line goes out before the end of its answer, so that a host
+   * that is killed right after the answer has told of it.
+   */
+  #finish(outcome: string, status = this.#answer.status): void {
     this.#cancelDeadline();
     this.#move.drop();
     this.#truth.handle({ type: "ended" });
     this.#endCurrent(false);
-    this.#record.ended(outcome);
+    this.#record.ended(outcome, status);
     this.#onFinished(this);
   }
 }
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -240,8 +240,8 @@
     return Math.round(this.#context.clock.now() - time);
   }
 
-  /** The request ended. */
-  ended(outcome: string): void {
+  /** The request ended; `status` is what the caller is told, if anything. */
+  ended(outcome: string, status: number | undefined): void {
     const request = this.#request;
     const milliseconds = this.#context.clock.now() - request.arrivedAt;
     this.#context.metrics.outcome(outcome);
@@ -249,6 +249,7 @@
     this.#context.logger.info("request ended", {
       request: request.head.attemptId,
       outcome,
+      status,
       route: request.route.name,
       service: request.service.name,
       workspace: request.workspace?.name,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -272,9 +272,10 @@
     record.resent("rejected");
     record.sentTo(server("s2"), FIRST);
     clock.advance(900);
-    record.ended("completed");
+    record.ended("completed", 200);
     expect(lines.at(-1)?.message).toBe("request ended");
     expect(lines.at(-1)?.fields).toMatchObject({
+      status: 200,
       servers: "s1,s2",
       resends: "rejected",
       milliseconds: 900,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -239,6 +239,11 @@
     this.#life.handle({ type: "finished" });
   }
 
+  /** Ends what is still in progress; each request leaves its line. */
+  cutOff(): void {
+    this.#callers.runs.forEach((run) => run.cutOff());
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#ownership[Symbol.asyncDispose]();
   }
