--- a/packages/rampswitch-cli/src/commands/trace_test.ts
+++ b/packages/rampswitch-cli/src/commands/trace_test.ts
@@ -204,4 +204,18 @@
     expect(story.map((line) => line.message)).toContain("moving runs");
     expect(storyText(story)).not.toContain("request arrived");
   });
+
+  test("tells that lines of its host are missing within its time", () => {
+    const log = [
+      { line: 5, message: "serving", timestamp: "T1" },
+      { line: 9, message: "send lost", timestamp: "T2", request: "r1" },
+      { line: 10, message: "request ended", timestamp: "T3", request: "r1" },
+    ].map((fields) => JSON.stringify({ ...fields, host: "a" }));
+    const story = storyOf("r1", logLines(log.join("\n")));
+    expect(story.map(({ message }) => message)).toEqual([
+      "lines missing",
+      "send lost",
+      "request ended",
+    ]);
+  });
 });
