Tell in a trace which lines of a host are missing

Cause: trace knew no way to tell a request that never was from one whose lines were lost. Change: gaps in the numbers, first lines of a later life that are missing, and lives that ended without 'stopped' are told, for the hosts and the time of a request; all of them where no line names it. Reading lines and finding what is missing have modules of their own. Ruled out: a lines' number that a trace could learn from 'log lines dropped' alone; a killed process writes none.

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -8,18 +8,11 @@
 import type { Command } from "commander";
 import { readFileSync } from "node:fs";
 import { Result } from "true-myth";
-import { parseJson } from "rampswitch-utils";
 import { type CommandResult, failure, type Finish } from "../command_result.ts";
 import { outputOption } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
-
-/** One line of a host's log. */
-export interface LogLine {
-  readonly timestamp: string;
-  readonly host: string;
-  readonly message: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
+import { type LogLine, logLines } from "./log_line.ts";
+import { type MissingLines, missingLines } from "./missing_lines.ts";
 
 /** Lines about servers that a request met, at most, each side of it. */
 const MAXIMUM_CONTEXT = 20;
@@ -54,8 +47,16 @@
       : `not moved, ${String(outcome)}`,
   "send not repeated": ({ why }) => NOT_REPEATED[String(why)],
   "request ended": ({ outcome }) => String(outcome),
+  "request refused": ({ outcome }) => String(outcome),
+  "lines missing": ({ lines, until }) =>
+    typeof lines === "number"
+      ? `${lines} of this host up to ${String(until)}`
+      : `perhaps the last of a life that ended, up to ${String(until)}`,
 };
 
+/** Lines that tell the end of a request. */
+const ENDS: ReadonlySet<string> = new Set(["request ended", "request refused"]);
+
 /** Adds the command. */
 export function addTrace(program: Command, finish: Finish): void {
   program
@@ -77,30 +78,10 @@
   const lines = files.flatMap((file) => logLines(readFileSync(file, "utf8")));
   const found = storyOf(request, lines);
   return found.length === 0
-    ? Result.err(failure(EXIT.failed, `no line about request ${request}`))
+    ? Result.err(failure(EXIT.failed, noLineText(request, lines)))
     : Result.ok({ text: storyText(found), value: found });
 }
 
-/** Reads the lines that are JSON objects, whatever stands before them. */
-export function logLines(text: string): readonly LogLine[] {
-  return text.split("\n").flatMap((line) => {
-    const start = line.indexOf("{");
-    if (start < 0) return [];
-    const parsed = parseJson(line.slice(start));
-    return parsed.isOk ? lineOf(parsed.value) : [];
-  });
-}
-
-function lineOf(value: unknown): readonly LogLine[] {
-  if (typeof value !== "object" || value === null) return [];
-  const { timestamp, host, message, ...fields } = value as Readonly<
-    Record<string, unknown>
-  >;
-  return typeof timestamp === "string" && typeof message === "string"
-    ? [{ timestamp, host: String(host), message, fields }]
-    : [];
-}
-
 /**
  * Lines about a request, and lines about the servers that it met on the host
  * that served it, up to the time at which it ended.
@@ -134,7 +115,48 @@
     )
     .slice(-MAXIMUM_CONTEXT);
   const told = new Set([...own, ...around]);
-  return lines.filter((line) => told.has(line)).toSorted(byTime);
+  return [
+    ...missingFrom(own, lines),
+    ...lines.filter((line) => told.has(line)),
+  ].toSorted(byTime);
+}
+
+/** Lines that are missing from the hosts and the time of a request's own ones. */
+function missingFrom(
+  own: readonly LogLine[],
+  lines: readonly LogLine[],
+): readonly LogLine[] {
+  const times = own
+    .flatMap((line) => [...arrivalOf(line), line])
+    .map(({ timestamp }) => timestamp)
+    .toSorted();
+  const [first = ""] = times;
+  const last = times.at(-1) ?? "";
+  const hasEnd = own.some(({ message }) => ENDS.has(message));
+  const hosts = new Set(own.map(({ host }) => host));
+  return missingLines(lines)
+    .filter(({ host }) => hosts.has(host))
+    .filter(({ until }) => until >= first)
+    .filter(({ from, until }) => !hasEnd || from < last || until <= last)
+    .map(({ host, from, until, lines: count }) => ({
+      timestamp: from,
+      host,
+      message: "lines missing",
+      fields: { lines: count, until },
+    }));
+}
+
+/** What is said where no line names a request; its lines may be missing. */
+export function noLineText(request: string, lines: readonly LogLine[]): string {
+  return [
+    `no line about request ${request}`,
+    ...missingLines(lines).map(missingText),
+  ].join("; ");
+}
+
+function missingText({ host, from, until, lines }: MissingLines): string {
+  const count = lines === undefined ? "perhaps last lines" : `${lines} lines`;
+  return `${host}: ${count} missing from ${from} to ${until}`;
 }
 
 /** A story as text, with what its lines mean and when the request arrived. */
--- a/packages/rampswitch-cli/src/commands/trace_test.ts
+++ b/packages/rampswitch-cli/src/commands/trace_test.ts
@@ -1,7 +1,8 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { describe, expect, test } from "@jest/globals";
-import { logLines, storyOf, storyText } from "./trace.ts";
+import { logLines } from "./log_line.ts";
+import { storyOf, storyText } from "./trace.ts";
 
 const LOG = [
   'not a log line, {"broken"',
