Show lines that do not tell which life of a server they speak of

Cause: none yet; a server that starts again under its id is the second hypothesis of the stream that ran twice, and no line can tell it.

--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -59,8 +59,9 @@
   possibleRuns: 0,
 };
 
-function server(id: string): ServerRecord {
+function server(id: string, born?: number): ServerRecord {
   return new ServerRecord({
+    ...(born === undefined ? {} : { born }),
     id,
     service: "models",
     address: "127.0.0.1:1",
@@ -281,4 +282,40 @@
       milliseconds: 900,
     });
   });
+
+  test("lines tell which life of a server they speak of, where it is known", () => {
+    const { record, lines } = observed();
+    record.sentTo(server("s1", 1_000), FIRST);
+    record.rejected(503);
+    record.resent("rejected");
+    record.sentTo(server("s1", 2_000), FIRST);
+    record
+      .moveBegan(server("s1", 2_000), server("s2", 3_000))
+      .ended("no_room", undefined);
+    const lost = { detail: "reset", relayed: false };
+    record.lost("connection_lost", { ...lost, server: server("s1", 2_000) });
+    record.ended("unknown_outcome", 502);
+    expect(lines.map(({ message, fields }) => [message, fields])).toMatchObject(
+      [
+        ["send rejected", { server: "s1", born: 1_000 }],
+        [
+          "request sent again",
+          { from: "s1", fromBorn: 1_000, to: "s1", toBorn: 2_000 },
+        ],
+        [
+          "memory move",
+          { from: "s1", fromBorn: 2_000, target: "s2", targetBorn: 3_000 },
+        ],
+        ["send lost", { server: "s1", born: 2_000 }],
+        ["request ended", { servers: "s1,s1", born: "1000,2000" }],
+      ],
+    );
+  });
+
+  test("lines leave out the lives of servers that do not tell them", () => {
+    const { record, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    record.ended("completed", 200);
+    expect(lines.at(-1)?.fields?.born).toBeUndefined();
+  });
 });
