Tell the start of a server's life in the lines of requests

Cause: lines named servers by ids, which a server keeps when it starts again. Change: born, fromBorn, toBorn, targetBorn where entries tell them, as they were when the request was sent there; in 'request ended' beside servers. Ruled out: the entry's newest start in 'send lost'; it may be that of the life after the one that lost the request.

--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -11,6 +11,7 @@
 import type { ResendReason } from "../model/outcome.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
+import { lifeOf, type ServerLife, startsOf } from "./server_life.ts";
 
 /** Why a further send that was wanted is not made. */
 export const NOT_REPEATED_REASONS = [
@@ -62,7 +63,7 @@
 
 /** The newest send of a request. */
 interface LastSend {
-  readonly server: string;
+  readonly server: ServerLife;
   readonly sentAt: number;
   readonly continues: boolean;
 }
@@ -71,7 +72,7 @@
 export class RunRecord {
   readonly #request: AdmittedRequest;
   readonly #context: RecordParts;
-  readonly #servers: string[] = [];
+  readonly #servers: ServerLife[] = [];
   readonly #reasons: ResendReason[] = [];
   #began = false;
   #firstPartAt: number | undefined;
@@ -97,15 +98,17 @@
   sentTo(record: ServerRecord, state: SendState): void {
     const former = this.#lastSend;
     const sentAt = this.#context.clock.now();
-    const server = record.entry.id;
+    const server = lifeOf(record);
     this.#servers.push(server);
     this.#lastSend = { server, sentAt, continues: state.continues };
     if (former === undefined) return;
     this.#context.logger.info("request sent again", {
       request: this.#request.head.attemptId,
       reason: this.#reasons.at(-1),
-      from: former.server,
-      to: server,
+      from: former.server.id,
+      fromBorn: former.server.born,
+      to: server.id,
+      toBorn: server.born,
       continues: state.continues,
       lastEventId: shortened(state.lastEventId),
       possibleRuns: state.possibleRuns,
@@ -147,7 +150,8 @@
     if (last === undefined) return;
     this.#context.logger.info("send rejected", {
       request: this.#request.head.attemptId,
-      server: last.server,
+      server: last.server.id,
+      born: last.server.born,
       status,
       sinceMilliseconds: this.#since(last.sentAt),
       continues: last.continues,
@@ -185,6 +189,8 @@
       reason,
       detail: inputs.detail,
       server: inputs.server?.entry.id,
+      // Of the send: the entry may tell of a later life by now.
+      born: this.#lastSend?.server.born,
       relayed: inputs.relayed,
     });
   }
@@ -196,7 +202,13 @@
   moveBegan(from: ServerRecord, target: ServerRecord): MoveRecord {
     const { clock } = this.#context;
     const beganAt = clock.now();
-    const servers = { from: from.entry.id, target: target.entry.id };
+    const [source, aim] = [lifeOf(from), lifeOf(target)];
+    const servers = {
+      from: source.id,
+      fromBorn: source.born,
+      target: aim.id,
+      targetBorn: aim.born,
+    };
     let stopAskedAt: number | undefined;
     let stoppedAt: number | undefined;
     return {
@@ -253,7 +265,8 @@
       route: request.route.name,
       service: request.service.name,
       workspace: request.workspace?.name,
-      servers: this.#servers.join(","),
+      servers: this.#servers.map(({ id }) => id).join(","),
+      born: startsOf(this.#servers),
       resends: this.#reasons.join(","),
       configuration: request.configurationVersion,
       promptTokens: request.head.promptTokens,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -61,7 +61,7 @@
 
 function server(id: string, born?: number): ServerRecord {
   return new ServerRecord({
-    ...(born === undefined ? {} : { born }),
+    ...{ born },
     id,
     service: "models",
     address: "127.0.0.1:1",
