Keep winston before the numbered lines

Cause: the numbered log had taken winston's place; the project logs through winston. Ruled out: that winston passes a line on after the turn in which it was written, so that a kill would lose it: through a stream of objects each of 100 calls in two turns had arrived when it returned (test). Change: the log numbers and bounds lines; winston is what hosts call. Conclusion: lines are the same.

--- a/packages/rampswitch-serving/src/observation/mod.ts
+++ b/packages/rampswitch-serving/src/observation/mod.ts
@@ -7,5 +7,6 @@
  */
 export * from "./bounded_output.ts";
 export * from "./metrics.ts";
+export * from "./winston_logger.ts";
 export * from "./line_log.ts";
 export * from "./line_sink.ts";
