Test that a run whose connection went silent stops when it is sent on, while it fails

Cause: a stream that may resume is sent on after 1.5 s of silence and its former connection is closed. Where that connection has gone silent for good, its server hears nothing of it and works on, beside the second run. Change: a test on real sockets, with a proxy whose open connections go silent while new ones work. Ruled out: a lost connection that both ends see; its server drops the run.

--- a/packages/rampswitch-standins/src/fault_proxy.ts
+++ b/packages/rampswitch-standins/src/fault_proxy.ts
@@ -34,6 +34,7 @@
 export class FaultProxy implements AsyncDisposable {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #silenced = new WeakSet<Socket>();
   #mode: LinkMode = "open";
   /** Where connections go, as `127.0.0.1:8000`. */
   target: string;
@@ -65,6 +66,14 @@
     if (lost) this.#sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
+  /**
+   * Has the connections that are open now go silent for good: nothing passes, an
+   * end neither. New ones work as the mode says.
+   */
+  silenceOpen(): void {
+    this.#sockets.forEach((socket) => this.#silenced.add(socket));
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#sockets.forEach((socket) => socket.destroy());
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
@@ -82,6 +91,7 @@
       socket.on("error", () => undefined);
       socket.on("close", () => {
         this.#sockets.delete(socket);
+        if (this.#silenced.has(socket)) return;
         inbound.destroy();
         outbound.destroy();
       });
@@ -91,6 +101,7 @@
   }
 
   #forward(to: Socket, bytes: Buffer, isAnswer: boolean): void {
+    if (this.#silenced.has(to)) return;
     const mode = this.#mode;
     if (mode === "silent" || (mode === "answers_lost" && isAnswer)) return;
     const wait = mode === "delayed" ? DELAY_MILLISECONDS : 0;
