Ask the server of a stalled run to stop it when another one gets the stream

Cause: closing a connection was taken for the end of the run behind it. A connection that has gone silent for good does not carry its end, so the server worked on beside the one that the stream was sent on to. Class: an end that nobody confirmed. Ruled out: to move the stalled run instead of sending it on: a server that hangs would hold the stream for up to 7.5 s of calls. To ask at once: an ordinary close arrives within 0.1 s and then leaves nothing to stop. Change: 0.1 s after a stalled stream of an engine that moves runs was sent on, its former server is asked to stop the run, on another connection, and the memory is freed. Line `left run`, events left_run_*. Open: a connection that is lost at this end alone, and a call that itself meets a silent kept connection (2.5 s).

--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -85,3 +85,17 @@
     control.dropCopy(move.to, handle)
   );
 }
+
+/**
+ * Stops a run that goes on elsewhere without its memory, at a server that may not
+ * have heard that its connection closed; resolves to what came of it.
+ */
+export async function stopLeftRun(
+  move: MemoryMove,
+  control: EngineControl,
+): Promise<"stopped" | MemoryCopyError> {
+  const stopped = await control.copyMemory({ ...move, stopsRun: true });
+  if (stopped.isErr) return stopped.error;
+  await dropMemory(control, move, stopped.value.handle);
+  return "stopped";
+}
--- a/packages/rampswitch-serving/src/relay/memory_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move_test.ts
@@ -7,7 +7,7 @@
   KeptMemory,
   MemoryCopyError,
 } from "../model/engine_control.ts";
-import { dropMemory, moveMemory } from "./memory_move.ts";
+import { dropMemory, moveMemory, stopLeftRun } from "./memory_move.ts";
 
 // A move first copies memory while the run goes on, and then stops the run. A
 // stop that failed left the first copy where it was, and memory whose source had
@@ -76,6 +76,21 @@
   });
 });
 
+describe("a run that goes on elsewhere without its memory", () => {
+  test("is stopped at once, and its memory is freed", async () => {
+    const { control, stops, drops } = scripted([COPIED], [MOVE.from]);
+    expect(await stopLeftRun(MOVE, control)).toBe("stopped");
+    expect(stops).toEqual([true]);
+    expect(drops).toEqual(["source:1/h1"]);
+  });
+
+  test("that its server has dropped leaves nothing to free", async () => {
+    const { control, drops } = scripted([Result.err("no_run")], [MOVE.from]);
+    expect(await stopLeftRun(MOVE, control)).toBe("no_run");
+    expect(drops).toEqual([]);
+  });
+});
+
 describe("memory that nobody goes on from", () => {
   test("is freed at the source, which frees both ends", async () => {
     const { control, drops } = scripted([], [MOVE.from, MOVE.to]);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -293,6 +293,10 @@
       relayed: this.#truth.relayed,
     });
     this.#resend("stalled", "timed_out");
+    const next = this.server;
+    if (next !== undefined && this.movable) {
+      this.#move.stopLeft(current.choice.record, next);
+    }
   }
 
   /** Whether the current run may be left for another one. */
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -8,12 +8,17 @@
  */
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
-import type { Choice } from "../choice/mod.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import type { KeptMemory } from "../model/engine_control.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { MemorySource } from "../model/request.ts";
 import { type Continuation, KeptRun } from "./kept_run.ts";
-import { dropMemory, type MemoryMoveError, moveMemory } from "./memory_move.ts";
+import {
+  dropMemory,
+  type MemoryMoveError,
+  moveMemory,
+  stopLeftRun,
+} from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
 
@@ -26,6 +31,13 @@
  */
 const LEAVING_SHARE = 0.8;
 
+/**
+ * Time for a server to hear that the connection of a run closed, in milliseconds.
+ * After this a run that goes on elsewhere is stopped by a call: two servers may
+ * work on one request for 0.4 s at most on the known platforms.
+ */
+const CLOSE_HEARD_MILLISECONDS = 100;
+
 /** What the budget of repeated sends said, and what it went by. */
 export interface Spending {
   readonly granted: boolean;
@@ -149,6 +161,22 @@
     if (kept !== undefined) this.#free(kept.ends, kept.memory.handle);
   }
 
+  /**
+   * Stops the run at a server that was left for another one. A connection that
+   * has gone silent does not tell the server that it was closed.
+   */
+  stopLeft(left: ServerRecord, next: ServerRecord): void {
+    const { attemptId, record } = this.#run;
+    const { clock, engineControl } = this.#context;
+    if (attemptId === undefined) return;
+    const ends = { from: left.entry.address, to: next.entry.address };
+    clock.after(CLOSE_HEARD_MILLISECONDS, () => {
+      void stopLeftRun({ ...ends, attemptId }, engineControl).then((outcome) =>
+        record.leftRunStopped(outcome, left),
+      );
+    });
+  }
+
   async #move(source: Choice, target: Choice): Promise<void> {
     const run = this.#run;
     const { attemptId } = run;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -224,6 +224,16 @@
     });
   }
 
+  /** A run that was left for another server was asked to stop. */
+  leftRunStopped(outcome: string, server: ServerRecord): void {
+    this.#context.metrics.event(`left_run_${outcome}`);
+    this.#context.logger.info("left run", {
+      request: this.#request.head.attemptId,
+      outcome,
+      server: server.entry.id,
+    });
+  }
+
   #moveEnded(
     outcome: string,
     fields: Readonly<Record<string, string | number | undefined>>,
