Hold a log that can't be written to its bound in a test

Measured: 5,000 lines of 1 KB with a reader that takes none, or whose end is closed, leave at most 512 KiB held. No fault found.

--- a/packages/rampswitch-serving/src/observation/bounded_output_test.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output_test.ts
@@ -180,6 +180,23 @@
     expect(state.losses.map(({ reason }) => reason)).toContain("write_failed");
   });
 
+  test.each(["EAGAIN", "EPIPE"] as const)(
+    "holds no more than its room twice while no write succeeds: %s",
+    (answer) => {
+      const { clock, state, output } = observed();
+      state.answer = answer;
+      const line = `${"x".repeat(1_000)}\n`;
+      Array.from({ length: 5_000 }).forEach((_, index) => {
+        output.push(line, index % 2 === 0 ? "ordinary" : "expendable");
+        clock.advance(1);
+      });
+      state.answer = Infinity;
+      clock.advance(LONG_MILLISECONDS);
+      expect(state.text.length).toBeLessThanOrEqual(2 * 256 * 1024);
+      expect(state.text.length).toBeGreaterThan(128 * 1024);
+    },
+  );
+
   test("writes what is left before it returns, at the end of the process", () => {
     const { state, output } = observed();
     state.answer = "EAGAIN";
