Sum the gaps in a host's lines

Cause: found by tracing a real log: a host whose refusals were dropped in a flood had some 150 gaps of seven lines, each told by itself. Change: one sum for each host; ends of lives stay each by itself. The test came with the change: it needs its function.

--- a/packages/rampswitch-cli/src/commands/missing_lines.ts
+++ b/packages/rampswitch-cli/src/commands/missing_lines.ts
@@ -38,6 +38,23 @@
   );
 }
 
+/**
+ * Gaps that were counted, as one for each host: a host that drops refusals in a
+ * flood leaves one between any two lines.
+ */
+export function summed(gaps: readonly MissingLines[]): readonly MissingLines[] {
+  const hosts = new Set(gaps.map(({ host }) => host));
+  return [...hosts].flatMap((host) => {
+    const own = gaps.filter((gap) => gap.host === host);
+    const open = own.filter(({ lines }) => lines === undefined);
+    const closed = own.filter(({ lines }) => lines !== undefined);
+    const [first, last] = [closed[0], closed.at(-1)];
+    if (first === undefined || last === undefined) return open;
+    const lines = closed.reduce((sum, gap) => sum + (gap.lines ?? 0), 0);
+    return [...open, { host, from: first.from, until: last.until, lines }];
+  });
+}
+
 function numbered(line: LogLine): readonly NumberedLine[] {
   const number = line.fields.line;
   return typeof number === "number" ? [{ line, number }] : [];
--- a/packages/rampswitch-cli/src/commands/missing_lines_test.ts
+++ b/packages/rampswitch-cli/src/commands/missing_lines_test.ts
@@ -6,7 +6,7 @@
  * lines were lost. Lines are numbered in each life of a host, so a trace can.
  */
 import { describe, expect, test } from "@jest/globals";
-import { missingLines } from "./missing_lines.ts";
+import { missingLines, summed } from "./missing_lines.ts";
 import { logLines } from "./log_line.ts";
 import { noLineText, storyOf, storyText } from "./trace.ts";
 
@@ -72,6 +72,19 @@
     ]);
   });
 
+  test("of many gaps are summed, host by host", () => {
+    const log = logOf("a", [
+      [1, 1, "started"],
+      [2, 4, "serving"],
+      [3, 9, "serving"],
+      [4, 1, "started"],
+    ]);
+    expect(summed(missingLines(logLines(log)))).toEqual([
+      { host: "a", from: at(3), until: at(4), lines: undefined },
+      { host: "a", from: at(1), until: at(3), lines: 6 },
+    ]);
+  });
+
   test("are unknown for hosts that do not number theirs", () => {
     const log = '{"message":"x","host":"a","timestamp":"T1"}';
     expect(missingLines(logLines(log))).toEqual([]);
--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -12,7 +12,7 @@
 import { outputOption } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
 import { type LogLine, logLines } from "./log_line.ts";
-import { type MissingLines, missingLines } from "./missing_lines.ts";
+import { type MissingLines, missingLines, summed } from "./missing_lines.ts";
 
 /** Lines about servers that a request met, at most, each side of it. */
 const MAXIMUM_CONTEXT = 20;
@@ -134,23 +134,23 @@
   const last = times.at(-1) ?? "";
   const hasEnd = own.some(({ message }) => ENDS.has(message));
   const hosts = new Set(own.map(({ host }) => host));
-  return missingLines(lines)
+  const gaps = missingLines(lines)
     .filter(({ host }) => hosts.has(host))
     .filter(({ until }) => until >= first)
-    .filter(({ from, until }) => !hasEnd || from < last || until <= last)
-    .map(({ host, from, until, lines: count }) => ({
-      timestamp: from,
-      host,
-      message: "lines missing",
-      fields: { lines: count, until },
-    }));
+    .filter(({ from, until }) => !hasEnd || from < last || until <= last);
+  return summed(gaps).map(({ host, from, until, lines: count }) => ({
+    timestamp: from,
+    host,
+    message: "lines missing",
+    fields: { lines: count, until },
+  }));
 }
 
 /** What is said where no line names a request; its lines may be missing. */
 export function noLineText(request: string, lines: readonly LogLine[]): string {
   return [
     `no line about request ${request}`,
-    ...missingLines(lines).map(missingText),
+    ...summed(missingLines(lines)).map(missingText),
   ].join("; ");
 }
 
