Keep nothing of a backend server's former life once a later one is told

Cause: the record of a server was kept by id, and so were what it keeps, its connections, what peers tell of it and the handles of stopped runs. After a rebirth under the same id all of that spoke of a life that had ended; the handle of a stopped run, counted anew by the next life, named another request's memory. Ruled out: a check of the expected id by the server (the same in each life); a check of handles at the server (it can't tell); waiting for the store alone (the entry comes after the server takes requests again: the second of the two tests of mixed memory). Change: a ServerRecord is one life. A later `born` ends the former record and begins one that takes over nothing; a smaller one is left out with a line and a counter; none where one was told takes the server off the list. A life whose entry lapsed and came back keeps its record, since requests still hold it; without a life told that can't be known, and a new record begins as before. Prefix knowledge, dispatches, connections and tried servers go by life; runs at an ended life are lost at once, and are sent on or end as truthfully as before. News names the life beside the work, in a key of its own that former hosts pass over; news without a life is not heard of a server that started again. A handle is used or freed only at the life that gave it, which after a pause the server's own report confirms (one probe before a later try at the source and before freeing there). A move whose target ended before the stop goes to another target. A report tells of a server's end only for the life that is to end; a server whose lapsed entry is back has its runs moved no more. Failed try: the first form of the test without lives listed servers with one first; the directory then left its announcement out. Such an entry now takes the server off the list.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -22,7 +22,7 @@
   readonly promptTokens: number;
   /** Tokens that an engine reads in a millisecond. */
   readonly readingRate: number;
-  /** Servers not to choose, such as those already tried. */
+  /** Lives of servers not to choose, such as those already tried. */
   readonly excluded: ReadonlySet<string>;
   /** Requests that this host may have at one server at once. */
   readonly ownConnections: number;
@@ -107,9 +107,7 @@
   prefixes: PrefixKnowledge,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const untried = records.filter(
-    (record) => !inputs.excluded.has(record.entry.id),
-  );
+  const untried = records.filter((record) => !inputs.excluded.has(record.life));
   const ready = untried.filter((record) => record.isReady);
   const keeper = keeperOf(records, prefixes, inputs);
   const outcome = chooseAmong(ready, prefixes, { ...inputs, keeper });
--- a/packages/rampswitch-serving/src/choice/prefix_knowledge.ts
+++ b/packages/rampswitch-serving/src/choice/prefix_knowledge.ts
@@ -55,6 +55,11 @@
     return kept.reduce((sum, part) => sum + part.tokens, 0);
   }
 
+  /** Forgets what a server kept that holds nothing of before. */
+  forget(serverId: string): void {
+    this.#servers.delete(serverId);
+  }
+
   /** Forgets servers that are no longer listed. */
   retain(serverIds: ReadonlySet<string>): void {
     [...this.#servers.keys()]
--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -1,16 +1,46 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * All backend servers that the platform lists, by id and by service.
+ * All backend servers that the platform lists, by id and by service. A record is
+ * one life of a server: when a later life is listed under the same id, the former
+ * record ends, and all that was known of it goes with it.
  *
  * @module
  */
 import type { BackendServer } from "../model/backend_server.ts";
-import { ServerRecord, type WorkAtServer } from "./server_record.ts";
+import {
+  ServerRecord,
+  type ToldWork,
+  type WorkAtServer,
+} from "./server_record.ts";
+
+/** What became of an entry. */
+export type EntryOutcome =
+  /** It is of a life that is known, or of the first one of its id. */
+  | { readonly kind: "listed" }
+  /** It tells a later life; the former one has ended. */
+  | { readonly kind: "started_again"; readonly former: ServerRecord }
+  /** It tells a life before the known one, and was left out. */
+  | { readonly kind: "former_life"; readonly known: ServerRecord }
+  /** It tells no life where one was told, so it can't be read. */
+  | { readonly kind: "without_life"; readonly known: ServerRecord };
+
+/**
+ * Time for which the life of a server is remembered whose entry went, in
+ * milliseconds; longer than any request may take.
+ */
+const REMEMBERED_MILLISECONDS = 60_000;
+
+/** A server whose entry went. */
+interface GoneServer {
+  readonly record: ServerRecord;
+  readonly at: number;
+}
 
 /** Backend servers known to this host. */
 export class ServerDirectory {
   readonly #records = new Map<string, ServerRecord>();
+  readonly #gone = new Map<string, GoneServer>();
   readonly #byService = new Map<string, ReadonlySet<ServerRecord>>();
   readonly #listeners: ((record: ServerRecord) => void)[] = [];
 
@@ -25,30 +55,30 @@
   }
 
   /** Takes in a server's entry. */
-  put(entry: BackendServer, now: number): void {
-    const known = this.#records.get(entry.id);
-    const record = known ?? new ServerRecord(entry);
-    const wasReady = record.entry.state === "ready";
-    record.entry = entry;
-    this.#records.set(entry.id, record);
-    this.#byService.set(
-      entry.service,
-      new Set([...this.of(entry.service), record]),
-    );
-    if (entry.state === "leaving" && (wasReady || known === undefined)) {
-      this.#leaves(record, now);
+  put(entry: BackendServer, now: number): EntryOutcome {
+    const known =
+      this.#records.get(entry.id) ?? this.#gone.get(entry.id)?.record;
+    if (known === undefined) {
+      this.#list(new ServerRecord(entry), entry, now);
+      return { kind: "listed" };
     }
+    if (entry.born === undefined && known.entry.born !== undefined) {
+      return { kind: "without_life", known };
+    }
+    const order = orderOfLives(entry.born, known.entry.born);
+    if (order < 0) return { kind: "former_life", known };
+    if (order > 0) return this.#startAgain(known, entry, now);
+    this.#list(this.#sameLife(known, entry), entry, now);
+    return { kind: "listed" };
   }
 
-  /** Forgets a server whose entry is gone. */
+  /** Takes a server off the list whose entry is gone; its life may go on. */
   remove(id: string, now: number): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
-    this.#records.delete(id);
-    this.#byService.set(
-      record.entry.service,
-      new Set([...this.of(record.entry.service)].filter((r) => r !== record)),
-    );
+    this.#unlist(record);
+    this.#forgetOldest(now);
+    this.#gone.set(id, { record, at: now });
     const wasReady = record.entry.state === "ready";
     record.entry = { ...record.entry, state: "leaving" };
     if (wasReady) this.#leaves(record, now);
@@ -72,30 +102,105 @@
   /** Takes in a peer's work at servers, by server id. */
   heardPeer(
     peer: string,
-    work: Readonly<Record<string, WorkAtServer>>,
+    work: Readonly<Record<string, ToldWork>>,
     now: number,
   ): void {
     this.#records.forEach((record, id) => {
-      record.heardPeer(peer, work[id], now);
+      const told = work[id];
+      // Peers hear of a new life earlier or later than this host.
+      const ofThisLife = told !== undefined && record.isLife(told.born);
+      record.heardPeer(peer, ofThisLife ? told : undefined, now);
     });
   }
 
   /** Work of all hosts but one, by server id; idle servers are left out. */
-  workBeside(
-    peer: string,
-    now: number,
-  ): Readonly<Record<string, WorkAtServer>> {
+  workBeside(peer: string, now: number): Readonly<Record<string, ToldWork>> {
+    return Object.fromEntries(
+      this.all()
+        .map((record) => [record, record.workBeside(peer, now)] as const)
+        .filter(([, work]) => work.running > 0)
+        .map(([record, work]) => [record.entry.id, toldOf(record, work)]),
+    );
+  }
+
+  /** Work of this host, by server id; idle servers are left out. */
+  ownWork(): Readonly<Record<string, ToldWork>> {
     return Object.fromEntries(
       this.all()
-        .map(
-          (record) => [record.entry.id, record.workBeside(peer, now)] as const,
-        )
-        .filter(([, work]) => work.running > 0),
+        .filter((record) => record.ownRunning > 0)
+        .map((record) => [record.entry.id, toldOf(record, record.ownWork)]),
     );
   }
 
+  #startAgain(
+    former: ServerRecord,
+    entry: BackendServer,
+    now: number,
+  ): EntryOutcome {
+    this.#unlist(former);
+    former.end();
+    this.#list(new ServerRecord(entry, { startedAgain: true }), entry, now);
+    return { kind: "started_again", former };
+  }
+
+  /**
+   * The record of a life that is listed on, or again. An entry may lapse while
+   * its server lives, and requests that run there still hold the record. Without
+   * a life told, an entry that comes back may be of another one.
+   */
+  #sameLife(known: ServerRecord, entry: BackendServer): ServerRecord {
+    const lapsed = this.#gone.has(entry.id);
+    return lapsed && entry.born === undefined ? new ServerRecord(entry) : known;
+  }
+
+  #list(record: ServerRecord, entry: BackendServer, now: number): void {
+    const { id, service, state } = entry;
+    const listedBefore = this.#records.get(id) === record;
+    const announced = listedBefore && record.entry.state !== "ready";
+    const moved = listedBefore && record.entry.service !== service;
+    if (moved) this.#unlist(record);
+    this.#gone.delete(id);
+    record.entry = entry;
+    this.#records.set(id, record);
+    this.#byService.set(service, new Set([...this.of(service), record]));
+    if (state === "ready") record.leavingSince = undefined;
+    else if (!announced) this.#leaves(record, now);
+  }
+
+  #unlist(record: ServerRecord): void {
+    const { id, service } = record.entry;
+    if (this.#records.get(id) === record) this.#records.delete(id);
+    this.#byService.set(
+      service,
+      new Set(this.of(service).filter((other) => other !== record)),
+    );
+  }
+
+  #forgetOldest(now: number): void {
+    [...this.#gone]
+      .filter(([, { at }]) => now - at > REMEMBERED_MILLISECONDS)
+      .forEach(([id]) => this.#gone.delete(id));
+  }
+
   #leaves(record: ServerRecord, now: number): void {
     record.leavingSince ??= now;
     this.#listeners.forEach((listener) => listener(record));
   }
 }
+
+/**
+ * Positive where the first life began later. A server tells its life in all that
+ * it says or in nothing, so one that is told follows one that is not.
+ */
+function orderOfLives(
+  born: number | undefined,
+  other: number | undefined,
+): number {
+  return (born ?? -Infinity) === (other ?? -Infinity)
+    ? 0
+    : (born ?? -Infinity) - (other ?? -Infinity);
+}
+
+function toldOf({ entry }: ServerRecord, work: WorkAtServer): ToldWork {
+  return { ...work, born: entry.born };
+}
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -1,8 +1,9 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * What one host knows of one backend server: its own work there, the work that
- * peers tell of, the server's own reports, and how its answers went.
+ * What one host knows of one life of a backend server: its own work there, the
+ * work that peers tell of, the server's own reports, and how its answers went. A
+ * server that starts again has a new record, which takes over nothing.
  *
  * @module
  */
@@ -16,6 +17,12 @@
   readonly unreadTokens: number;
 }
 
+/** Work of one host at one life of a backend server, as a peer tells it. */
+export interface ToldWork extends WorkAtServer {
+  /** Start of that life; `undefined` where the peer knows or tells none. */
+  readonly born: number | undefined;
+}
+
 interface PeerWork extends WorkAtServer {
   readonly heardAt: number;
 }
@@ -44,7 +51,7 @@
  */
 const ANSWERS_ON_MILLISECONDS = 1_500;
 
-/** One backend server as this host knows it. */
+/** One life of a backend server as this host knows it. */
 export class ServerRecord {
   /** As the platform last listed it. */
   entry: BackendServer;
@@ -58,9 +65,44 @@
   #ejections = 0;
   #ejectedUntil = 0;
   #failureShare = 0;
-
-  constructor(entry: BackendServer) {
+  #ended = false;
+  readonly #startedAgain: boolean;
+
+  constructor(
+    entry: BackendServer,
+    options: {
+      /** Whether this host knew a former life of the server. */
+      readonly startedAgain: boolean;
+    } = { startedAgain: false },
+  ) {
     this.entry = entry;
+    this.#startedAgain = options.startedAgain;
+  }
+
+  /** Names this life among all lives of all servers. */
+  get life(): string {
+    const { id, born } = this.entry;
+    return born === undefined ? id : `${id}/${born}`;
+  }
+
+  /** Whether a later life of the server is known, so that this one is over. */
+  get ended(): boolean {
+    return this.#ended;
+  }
+
+  /** Notes that a later life of the server is known. */
+  end(): void {
+    this.#ended = true;
+    this.entry = { ...this.entry, state: "leaving" };
+  }
+
+  /**
+   * Whether what a peer tells of a life speaks of this one. A peer that names no
+   * life may mean any, so it is not heard where there was another one.
+   */
+  isLife(born: number | undefined): boolean {
+    const mayBeAny = born === undefined && !this.#startedAgain;
+    return mayBeAny || born === this.entry.born;
   }
 
   /** Requests of this host at the server. */
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -90,7 +90,7 @@
       followed: this.#parts.follower.followed,
       admitted: this.#parts.limits.totals(),
       levels: limits.levels(this.#parts.clock.now()),
-      work: this.#ownWork(),
+      work: this.#parts.directory.ownWork(),
       counts: this.#parts.duties.usage.own(this.#parts.wallTime()),
       // In a large fleet, hosts agree on servers by hash instead.
       dispatches:
@@ -160,15 +160,6 @@
     return Number.isFinite(age) ? age : undefined;
   }
 
-  #ownWork(): OwnNews["work"] {
-    return Object.fromEntries(
-      this.#parts.directory
-        .all()
-        .filter((record) => record.ownRunning > 0)
-        .map((record) => [record.entry.id, record.ownWork]),
-    );
-  }
-
   /** Takes in a peer's news. */
   heard(news: PeerNews): void {
     const now = this.#parts.clock.now();
@@ -195,9 +186,9 @@
       `${news.host}/${news.incarnation}`,
       news.readTokens,
     );
-    news.dispatches.forEach(({ server, parts }) => {
+    news.dispatches.forEach(({ server, born, parts }) => {
       const record = this.#parts.directory.get(server);
-      if (record === undefined) return;
+      if (record === undefined || !record.isLife(born)) return;
       const engine = this.#parts.follower.routes?.service(
         record.entry.service,
       )?.engine;
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -22,9 +22,15 @@
   followed: { configuration: 7, servers: 9 },
   admitted: { large: 5 },
   levels: { large: 90 },
-  work: { s1: { running: 2, unreadTokens: 700 } },
+  work: { s1: { running: 2, unreadTokens: 700, born: 1_796_169_600_123 } },
   counts: { "17": { large: 3 } },
-  dispatches: [{ server: "s1", parts: [{ id: "p", tokens: 40 }] }],
+  dispatches: [
+    {
+      server: "s1",
+      born: 1_796_169_600_123,
+      parts: [{ id: "p", tokens: 40 }],
+    },
+  ],
   readTokens: { models: 1_000 },
   lease: { fence: 3, version: 77 },
 };
@@ -72,7 +78,7 @@
   followed: { configuration: 7, servers: 9 },
   levels: { large: 70 },
   silentShare: 0,
-  work: { s1: { running: 9, unreadTokens: 50 } },
+  work: { s1: { running: 9, unreadTokens: 50, born: undefined } },
   leases: [{ fence: 3, version: 77 }],
   servers: {
     after: 4,
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -12,6 +12,7 @@
 import { parseJson } from "rampswitch-utils";
 import * as z from "zod";
 import type {
+  DispatchNews,
   FleetDigest,
   LimitAnswer,
   PeerMessage,
@@ -41,6 +42,13 @@
   z.array(z.tuple([z.string(), z.number(), z.string().nullable()])),
 ]);
 
+/**
+ * Starts of the lives that a message speaks of, by server. It stands beside the
+ * work and not within it: hosts of a former version read a message whose keys
+ * they don't know, but none whose known keys have another form.
+ */
+const lives = numbers.optional();
+
 /** Short keys on the network, in the order of {@link PeerNews}. */
 const NEWS_SCHEMA = z.object({
   h: z.string(),
@@ -61,6 +69,7 @@
   d: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()]))])),
   r: numbers,
   l: lease.optional(),
+  y: lives,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -85,6 +94,7 @@
     w: work,
     l: z.array(lease),
     s: changes.optional(),
+    y: lives,
   }),
   z.object({
     k: z.literal("q"),
@@ -202,6 +212,7 @@
       parts.map((part) => [part.id, part.tokens]),
     ]),
     r: news.readTokens,
+    ...encodedLives(news.work, news.dispatches),
     ...(news.configurationAge === undefined
       ? {}
       : { f: Math.ceil(news.configurationAge) }),
@@ -225,6 +236,7 @@
     x: digest.silentShare,
     w: encodedWork(digest.work),
     l: digest.leases.map(({ fence, version }) => [fence, version]),
+    ...encodedLives(digest.work, []),
     ...(digest.configurationAge === undefined
       ? {}
       : { g: Math.ceil(digest.configurationAge) }),
@@ -289,7 +301,7 @@
     followed: followedOf(message.v),
     levels: message.b,
     silentShare: message.x,
-    work: workOf(message.w),
+    work: workOf(message.w, message.y),
     leases: message.l.map(([fence, version]) => ({ fence, version })),
     servers: message.s === undefined ? undefined : changesOf(message.s),
   };
@@ -310,10 +322,11 @@
     followed: followedOf(news.v),
     admitted: news.q,
     levels: news.b,
-    work: workOf(news.w),
+    work: workOf(news.w, news.y),
     counts: news.u,
     dispatches: news.d.map(([server, parts]) => ({
       server,
+      born: news.y?.[server],
       parts: parts.map(([id, tokens]) => ({ id, tokens })),
     })),
     readTokens: news.r,
@@ -366,13 +379,28 @@
   );
 }
 
+/** A host tells of one life of each server, the newest that it knows. */
+function encodedLives(
+  work: WorkByServer,
+  dispatches: readonly DispatchNews[],
+): { y?: Record<string, number> } {
+  const told = [
+    ...Object.entries(work).map(([server, { born }]) => ({ server, born })),
+    ...dispatches,
+  ].flatMap(({ server, born }) =>
+    born === undefined ? [] : [[server, born] as const],
+  );
+  return told.length === 0 ? {} : { y: Object.fromEntries(told) };
+}
+
 function workOf(
   byServer: Readonly<Record<string, readonly [number, number]>>,
+  born: Readonly<Record<string, number>> | undefined,
 ): WorkByServer {
   return Object.fromEntries(
     Object.entries(byServer).map(([server, [running, unreadTokens]]) => [
       server,
-      { running, unreadTokens },
+      { running, unreadTokens, born: born?.[server] },
     ]),
   );
 }
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -12,7 +12,7 @@
   BucketLevels,
   LimitDecision,
 } from "../admission/mod.ts";
-import type { WorkAtServer } from "../choice/mod.ts";
+import type { ToldWork } from "../choice/mod.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
 /** Requests that began in each reporting window, by workspace. */
@@ -21,7 +21,7 @@
 >;
 
 /** Work at backend servers, by server id. */
-export type WorkByServer = Readonly<Record<string, WorkAtServer>>;
+export type WorkByServer = Readonly<Record<string, ToldWork>>;
 
 /** The lease of the duties as its holder last renewed it. */
 export interface LeaseNews {
@@ -33,6 +33,8 @@
 /** A prompt sent to a server: its shared parts. */
 export interface DispatchNews {
   readonly server: string;
+  /** Start of the server's life; `undefined` where the sender tells none. */
+  readonly born: number | undefined;
   readonly parts: readonly { readonly id: string; readonly tokens: number }[];
 }
 
--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -30,10 +30,18 @@
 export type MemoryCopyError =
   "no_run" | "under_way" | "no_room" | "no_answer" | "refused";
 
+/** What an engine says of itself. */
+export interface EngineReport {
+  /** Milliseconds until it ends, where it knows. */
+  readonly leavesMilliseconds: number | undefined;
+  /** Start of its life, in milliseconds since 1970, where it tells one. */
+  readonly born: number | undefined;
+}
+
 /** Calls to model engines. */
 export interface EngineControl {
-  /** Milliseconds until an engine ends, where it knows. */
-  leavesIn(address: string): Promise<number | undefined>;
+  /** What the engine at an address says; nothing where it does not answer. */
+  report(address: string): Promise<EngineReport | undefined>;
   /**
    * Copies a run's memory. A run that is to stop may stop although the other
    * engine has no room: its memory then lies where it ran.
--- a/packages/rampswitch-serving/src/relay/kept_run.ts
+++ b/packages/rampswitch-serving/src/relay/kept_run.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Choice } from "../choice/mod.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import type { MemorySource } from "../model/request.ts";
 
 /** Sends of one kept memory, at most; with 0.5 turned away 0.98 go on. */
@@ -21,7 +21,10 @@
 /** One of this many tries goes to the server that stopped the run. */
 const TRIES_FOR_EACH_AT_SOURCE = 3;
 
-/** Where the memory of a stopped run lies. */
+/**
+ * Where the memory of a stopped run lies: at these lives of servers, and at no
+ * others.
+ */
 export interface KeptPlaces {
   /** The server that got a copy, where there is one. */
   readonly copy: Choice | undefined;
@@ -29,6 +32,12 @@
   readonly source: Choice;
 }
 
+/** The servers that hold memory, to free it. */
+export interface MemoryHolders {
+  readonly from: ServerRecord;
+  readonly to: ServerRecord | undefined;
+}
+
 /** The next send that carries the memory. */
 export interface Continuation {
   readonly choice: Choice;
@@ -54,10 +63,14 @@
   }
 
   /** Where the memory lies, to free it. */
-  get ends(): { readonly from: string; readonly to: string } {
+  get holders(): MemoryHolders {
     const { copy, source } = this.#places;
-    const from = source.record.entry.address;
-    return { from, to: copy?.record.entry.address ?? from };
+    return { from: source.record, to: copy?.record };
+  }
+
+  /** Whether a server gave the handle, so that its life alone knows it. */
+  gaveHandle(choice: Choice): boolean {
+    return choice === this.#places.source;
   }
 
   /** Takes the next try at a server that still takes sends, if any is left. */
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -48,10 +48,15 @@
     const announcedAt = clock.now();
     await sleep(clock, REPORT_LAG_MILLISECONDS);
     // Runs may still come where no other server takes them.
-    const told =
+    const report =
       this.#runsAt(record).length === 0
         ? undefined
-        : await engineControl.leavesIn(record.entry.address);
+        : await engineControl.report(record.entry.address);
+    // A later life tells nothing of this one's end.
+    const told =
+      report !== undefined && record.isLife(report.born)
+        ? report.leavesMilliseconds
+        : undefined;
     const left = told ?? drainMilliseconds - (clock.now() - announcedAt);
     const wait = Math.max(0, left - MOVE_BEFORE_END_MILLISECONDS);
     clock.after(wait, () => this.#move(record, told));
@@ -65,6 +70,8 @@
   }
 
   #move(record: ServerRecord, told: number | undefined): void {
+    // Its entry had lapsed and is back: its runs need not go elsewhere.
+    if (record.isReady) return;
     const runs = this.#runsAt(record);
     if (runs.length === 0) return;
     this.#parts.logger.info("moving runs", {
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -25,6 +25,8 @@
   readonly control: EngineControl;
   /** Whether the run still goes on where it was. */
   stillRuns(): boolean;
+  /** Whether the target still lives the life that got the first copy. */
+  targetLives(): boolean;
   /** Tells when the run's stop is asked for, and when that was answered. */
   stops(stopping: boolean): void;
   /** Takes the handle of memory that nobody will go on from. */
@@ -32,7 +34,7 @@
 }
 
 /** Why a run was not stopped, or is not to be sent on. */
-export type MemoryMoveError = MemoryCopyError | "run_ended";
+export type MemoryMoveError = MemoryCopyError | "run_ended" | "target_ended";
 
 /** Moves a run's memory; the result tells where it lies, or why it runs on. */
 export async function moveMemory(
@@ -51,6 +53,8 @@
   parts: MemoryMoveParts,
 ): Promise<Result<KeptMemory, MemoryMoveError>> {
   if (!parts.stillRuns()) return Result.err("run_ended");
+  // The second copy is of what is new alone, and the first one is lost.
+  if (!parts.targetLives()) return Result.err("target_ended");
   parts.stops(true);
   const stopped = await stopRun(move, parts);
   parts.stops(false);
@@ -71,17 +75,22 @@
     : stopped;
 }
 
+/** Addresses of the servers that hold memory; none where a life has ended. */
+export interface MemoryEnds {
+  readonly from: string | undefined;
+  readonly to: string | undefined;
+}
+
 /**
  * Frees memory that nobody goes on from; it would hold room and a place at two
  * servers. The source frees both ends, and the target its own once that is gone.
  */
 export async function dropMemory(
   control: EngineControl,
-  move: Pick<MemoryMove, "from" | "to">,
+  ends: MemoryEnds,
   handle: string,
 ): Promise<boolean> {
-  return (
-    (await control.dropCopy(move.from, handle)) ||
-    control.dropCopy(move.to, handle)
-  );
+  const drop = async (address: string | undefined) =>
+    address !== undefined && control.dropCopy(address, handle);
+  return (await drop(ends.from)) || drop(ends.to);
 }
--- a/packages/rampswitch-serving/src/relay/memory_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move_test.ts
@@ -33,13 +33,14 @@
       drops.push(`${from}/${handle}`);
       return Promise.resolve(reachable.includes(from));
     },
-    leavesIn: () => Promise.resolve(undefined),
+    report: () => Promise.resolve(undefined),
   };
   return { control, stops, drops };
 }
 
 const PARTS = {
   stillRuns: () => true,
+  targetLives: () => true,
   stops: () => undefined,
 };
 
@@ -62,6 +63,20 @@
     },
   );
 
+  test("does not stop the run once its target has ended", async () => {
+    const { control, stops } = scripted([COPIED, COPIED], []);
+    const given: string[] = [];
+    const outcome = await moveMemory(MOVE, {
+      ...PARTS,
+      targetLives: () => false,
+      control,
+      unused: (handle) => given.push(handle),
+    });
+    expect(outcome).toEqual(Result.err("target_ended"));
+    expect(stops).toEqual([false]);
+    expect(given).toEqual(["h1"]);
+  });
+
   test("asks for the stop once more when no answer came", async () => {
     const { control, stops } = scripted(
       [COPIED, Result.err("no_answer"), COPIED],
--- a/packages/rampswitch-serving/src/relay/recent_dispatches.ts
+++ b/packages/rampswitch-serving/src/relay/recent_dispatches.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { PromptPart } from "../model/request.ts";
+import type { BackendServer } from "../model/backend_server.ts";
 import type { DispatchNews } from "../membership/peer_news.ts";
 
 /** Dispatches told at most in one message; the newest matter most. */
@@ -23,14 +24,24 @@
   #dispatches: readonly Dispatch[] = [];
 
   /** Notes a dispatch of a prompt with shared parts. */
-  add(server: string, parts: readonly PromptPart[]): void {
+  add(
+    { id, born }: Pick<BackendServer, "id" | "born">,
+    parts: readonly PromptPart[],
+  ): void {
     if (parts.length === 0) return;
     this.#dispatches = [
       ...this.#dispatches,
-      { server, parts, at: undefined },
+      { server: id, born, parts, at: undefined },
     ].slice(-MAXIMUM_TOLD);
   }
 
+  /** Tells no more of a server that holds nothing of before. */
+  forget(serverId: string): void {
+    this.#dispatches = this.#dispatches.filter(
+      ({ server }) => server !== serverId,
+    );
+  }
+
   /** What to tell now. */
   take(now: number): readonly DispatchNews[] {
     this.#dispatches.forEach((dispatch) => {
@@ -39,6 +50,10 @@
     this.#dispatches = this.#dispatches.filter(
       (dispatch) => now - (dispatch.at ?? now) < TOLD_MILLISECONDS,
     );
-    return this.#dispatches.map(({ server, parts }) => ({ server, parts }));
+    return this.#dispatches.map(({ server, born, parts }) => ({
+      server,
+      born,
+      parts,
+    }));
   }
 }
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -8,7 +8,11 @@
 import type { Clock, Logger, Random } from "rampswitch-utils";
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
 import type { BackendClient } from "../attempt/mod.ts";
-import type { PrefixKnowledge, ServerDirectory } from "../choice/mod.ts";
+import type {
+  PrefixKnowledge,
+  ServerDirectory,
+  ServerRecord,
+} from "../choice/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
@@ -65,5 +69,5 @@
   /** A request of a workspace began to run. */
   began(workspace: string): void;
   /** A server was sent a prompt with these parts. */
-  dispatched(serverId: string, dispatch: Dispatch): void;
+  dispatched(server: ServerRecord, dispatch: Dispatch): void;
 }
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -85,6 +85,7 @@
   readonly #record: RunRecord;
   readonly #truth: AttemptTruth;
   readonly #framer = new EventFramer();
+  /** Lives of servers that were sent the request. */
   readonly #tried = new Set<string>();
   /** Servers whose answer was lost. */
   readonly #lostAt: ServerRecord[] = [];
@@ -158,6 +159,15 @@
     return this.#move.moveAway();
   }
 
+  /**
+   * A life of a server has ended, as its next one tells. What ran there has
+   * stopped, also where the connection has not broken yet.
+   */
+  serverEnded(record: ServerRecord): void {
+    if (this.server !== record) return;
+    this.#lost("connection_lost", "server started again");
+  }
+
   /** What a move knows of this run, and has it do. */
   #movable(): MovableRun {
     return {
@@ -209,7 +219,7 @@
     const parts = request.head.promptParts;
     const tokens = promptTokens(request.head);
     const unreadBefore = record.unreadTokens(this.#now());
-    this.#tried.add(record.entry.id);
+    this.#tried.add(record.life);
     this.#record.sentTo(record, {
       continues: memorySource !== undefined,
       lastEventId: this.#lastEventId,
@@ -223,7 +233,7 @@
         parts,
         request.service.engine.memoryTokens,
       );
-      this.#context.dispatched(record.entry.id, {
+      this.#context.dispatched(record, {
         service: request.service.name,
         parts: parts.slice(0, -1),
         unreadTokens: Math.max(0, unread),
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -8,11 +8,11 @@
  */
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
-import type { Choice } from "../choice/mod.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import type { KeptMemory } from "../model/engine_control.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { MemorySource } from "../model/request.ts";
-import { type Continuation, KeptRun } from "./kept_run.ts";
+import { type Continuation, KeptRun, type MemoryHolders } from "./kept_run.ts";
 import { dropMemory, type MemoryMoveError, moveMemory } from "./memory_move.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
@@ -102,8 +102,9 @@
       return;
     }
     this.#underWay = true;
-    await this.#move(source, target);
+    const outcome = await this.#move(source, target);
     this.#underWay = false;
+    if (outcome === "target_ended") await this.moveAway();
   }
 
   /** Goes on elsewhere after a send of the kept memory ran nothing. */
@@ -127,8 +128,55 @@
       this.#run.sendOn(next.choice, kept.memory);
     };
     const { waitMilliseconds } = next;
+    // The first try follows the answer that told the handle.
     if (waitMilliseconds === 0) send();
-    else this.#cancelPause = this.#context.clock.after(waitMilliseconds, send);
+    else {
+      this.#cancelPause = this.#context.clock.after(
+        waitMilliseconds,
+        () =>
+          void this.#knowsMemory(kept, next.choice).then((knows) => {
+            if (this.#kept !== kept) return;
+            if (knows) send();
+            else this.#passOver(next.choice, { reason, spending });
+          }),
+      );
+    }
+  }
+
+  /** Goes on elsewhere, since a server does not know the memory any more. */
+  #passOver(
+    choice: Choice,
+    options: { readonly reason: ResendReason; readonly spending: Spending },
+  ): void {
+    this.#context.logger.info("kept memory is gone", {
+      request: this.#run.attemptId,
+      server: choice.record.entry.id,
+      born: choice.record.entry.born,
+    });
+    this.unreachable(choice);
+    this.#goOn(options.reason, options.spending);
+  }
+
+  /** Whether a server still lives the life that got the memory. */
+  async #knowsMemory(kept: KeptRun, choice: Choice): Promise<boolean> {
+    return kept.gaveHandle(choice)
+      ? this.#knowsHandle(choice.record)
+      : !choice.record.ended;
+  }
+
+  /**
+   * Whether a handle still names at a server what it named when it was given. A
+   * later life counts its handles anew, so there it may name the memory of
+   * another request. The list of servers tells a new life some hundred
+   * milliseconds late; the server itself tells it at once.
+   */
+  async #knowsHandle(record: ServerRecord): Promise<boolean> {
+    const { address, born } = record.entry;
+    if (record.ended) return false;
+    if (born === undefined) return true;
+    const report = await this.#context.engineControl.report(address);
+    const sameLife = report !== undefined && (report.born ?? born) === born;
+    return sameLife && !record.ended;
   }
 
   /** The kept memory can't be used at a server any more. */
@@ -146,38 +194,42 @@
     this.#cancelPause();
     const kept = this.#kept;
     this.#kept = undefined;
-    if (kept !== undefined) this.#free(kept.ends, kept.memory.handle);
+    if (kept !== undefined) void this.#free(kept.holders, kept.memory.handle);
   }
 
-  async #move(source: Choice, target: Choice): Promise<void> {
+  /** Moves the run; resolves to what came of it. */
+  async #move(source: Choice, target: Choice): Promise<string | undefined> {
     const run = this.#run;
     const { attemptId } = run;
-    if (attemptId === undefined) return;
-    const ends = {
-      from: source.record.entry.address,
-      to: target.record.entry.address,
-    };
+    if (attemptId === undefined) return undefined;
+    const holders = { from: source.record, to: target.record };
     const record = run.record.moveBegan(source.record, target.record);
     this.#lostWhileStopping = false;
     const outcome = await moveMemory(
-      { ...ends, attemptId },
+      {
+        from: source.record.entry.address,
+        to: target.record.entry.address,
+        attemptId,
+      },
       {
         control: this.#context.engineControl,
         stillRuns: () => run.sentTo() === source && !run.finished(),
+        targetLives: () => !target.record.ended,
         stops: (stopping) => {
           this.#stopping = stopping;
           record.stops(stopping);
         },
-        unused: (handle) => this.#free(ends, handle),
+        unused: (handle) => void this.#free(holders, handle),
       },
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
-    if (run.finished()) return;
+    if (run.finished()) return undefined;
     if (outcome.isOk) {
       run.stopped();
       this.#keep(outcome.value, { target, source });
       this.#goOn("memory_moved", NOTHING_SPENT);
     } else if (this.#lostWhileStopping) run.lost();
+    return outcomeOf(outcome);
   }
 
   #keep(
@@ -203,19 +255,34 @@
     return granted ? undefined : "budget_spent";
   }
 
-  /** Whether a server with kept memory is not too near its announced end. */
+  /**
+   * Whether a server with kept memory has not ended, and is not too near its
+   * announced end.
+   */
   #takesSends({ record }: Choice): boolean {
+    if (record.ended) return false;
     const now = this.#context.clock.now();
     const since = now - (record.leavingSince ?? Infinity);
     return since < LEAVING_SHARE * this.#context.drainMilliseconds();
   }
 
-  #free(
-    ends: { readonly from: string; readonly to: string },
-    handle: string,
-  ): void {
-    void dropMemory(this.#context.engineControl, ends, handle).then((freed) =>
-      this.#run.record.memoryDropped(freed),
+  /** Frees memory, but nothing by a handle that may name another's by now. */
+  async #free({ from, to }: MemoryHolders, handle: string): Promise<void> {
+    const known = await this.#knowsHandle(from);
+    if (!known) {
+      this.#context.logger.info("memory not freed at its server", {
+        request: this.#run.attemptId,
+        server: from.entry.id,
+        born: from.entry.born,
+      });
+    }
+    const ends = {
+      from: known ? from.entry.address : undefined,
+      to: to?.ended === false ? to.entry.address : undefined,
+    };
+    const { engineControl } = this.#context;
+    this.#run.record.memoryDropped(
+      await dropMemory(engineControl, ends, handle),
     );
   }
 }
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -23,7 +23,7 @@
  */
 const LEAVING_SHARE = 0.6;
 
-/** Chooses among the servers that were not tried. */
+/** Chooses among the servers whose present lives were not tried. */
 export function chooseFor(
   request: AdmittedRequest,
   tried: ReadonlySet<string>,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -328,8 +328,8 @@
       endsConnections: () => this.#life.state === "stopping",
       began: (workspace) =>
         this.#duties.usage.began(workspace, this.#wallTime()),
-      dispatched: (server, dispatch) => {
-        this.#dispatches.add(server, dispatch.parts);
+      dispatched: ({ entry }, dispatch) => {
+        this.#dispatches.add(entry, dispatch.parts);
         this.#meter.read(dispatch.service, dispatch.unreadTokens);
       },
     };
@@ -392,14 +392,63 @@
   }
 
   #serverChanged(server: BackendServer): void {
-    this.#directory.put(server, this.#ports.clock.now());
+    const outcome = this.#directory.put(server, this.#ports.clock.now());
+    if (outcome.kind === "former_life") {
+      this.#tellFormerLife(server, outcome.known);
+      return;
+    }
+    if (outcome.kind === "without_life") {
+      this.#withoutLife(server, outcome.known);
+      return;
+    }
     this.#ports.logger.info("server listed", {
       server: server.id,
+      born: server.born,
       service: server.service,
       dataHall: server.dataHall,
       state: server.state,
       reclaimable: server.reclaimable,
     });
+    if (outcome.kind === "started_again") {
+      this.#serverStartedAgain(outcome.former, server);
+    }
+  }
+
+  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
+    this.#ports.metrics.event("server_former_life");
+    this.#ports.logger.warn("server entry of a former life left out", {
+      server: id,
+      born,
+      knownBorn: known.entry.born,
+    });
+  }
+
+  /** Such an entry names no server to use, whatever else it says. */
+  #withoutLife({ id }: BackendServer, known: ServerRecord): void {
+    this.#ports.metrics.event("server_malformed");
+    this.#ports.logger.warn("server entry can't be read", {
+      server: id,
+      detail: "tells no start of its life, as it did before",
+      knownBorn: known.entry.born,
+    });
+    this.#serverGone(id);
+  }
+
+  /** All that speaks of a server's former life goes with it. */
+  #serverStartedAgain(former: ServerRecord, server: BackendServer): void {
+    this.#client.forget(server.id);
+    this.#prefixes.forget(server.id);
+    this.#dispatches.forget(server.id);
+    const { runs } = this.#callers;
+    const stopped = runs.filter((run) => run.server === former);
+    this.#ports.metrics.event("server_started_again");
+    this.#ports.logger.info("server started again", {
+      server: server.id,
+      formerBorn: former.entry.born,
+      born: server.born,
+      stoppedRuns: stopped.length,
+    });
+    stopped.forEach((run) => run.serverEnded(former));
   }
 
   #serverGone(id: string): void {
