--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -129,7 +129,7 @@
     },
     {
       configured: () => undefined,
-      serverChanged: () => undefined,
+      serverChanged: () => Result.ok(undefined),
       serverUnreadable: () => undefined,
       serverGone: (id) => gone.push(id),
     },
--- a/packages/rampswitch-serving/src/relay/memory_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move_test.ts
@@ -33,13 +33,14 @@
       drops.push(`${from}/${handle}`);
       return Promise.resolve(reachable.includes(from));
     },
-    leavesIn: () => Promise.resolve(undefined),
+    report: () => Promise.resolve(undefined),
   };
   return { control, stops, drops };
 }
 
 const PARTS = {
   stillRuns: () => true,
+  targetLives: () => true,
   stops: () => undefined,
 };
 
@@ -62,6 +63,20 @@
     },
   );
 
+  test("does not stop the run once its target has ended", async () => {
+    const { control, stops } = scripted([COPIED, COPIED], []);
+    const given: string[] = [];
+    const outcome = await moveMemory(MOVE, {
+      ...PARTS,
+      targetLives: () => false,
+      control,
+      unused: (handle) => given.push(handle),
+    });
+    expect(outcome).toEqual(Result.err("target_ended"));
+    expect(stops).toEqual([false]);
+    expect(given).toEqual(["h1"]);
+  });
+
   test("asks for the stop once more when no answer came", async () => {
     const { control, stops } = scripted(
       [COPIED, Result.err("no_answer"), COPIED],
@@ -79,13 +94,15 @@
 describe("memory that nobody goes on from", () => {
   test("is freed at the source, which frees both ends", async () => {
     const { control, drops } = scripted([], [MOVE.from, MOVE.to]);
-    expect(await dropMemory(control, MOVE, "h1")).toBe(true);
+    const dropAt = (address: string) => control.dropCopy(address, "h1");
+    expect(await dropMemory(MOVE, dropAt)).toBe(true);
     expect(drops).toEqual(["source:1/h1"]);
   });
 
   test("is freed at the target when the source has ended", async () => {
     const { control, drops } = scripted([], [MOVE.to]);
-    expect(await dropMemory(control, MOVE, "h1")).toBe(true);
+    const dropAt = (address: string) => control.dropCopy(address, "h1");
+    expect(await dropMemory(MOVE, dropAt)).toBe(true);
     expect(drops).toEqual(["source:1/h1", "target:1/h1"]);
   });
 });
