--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -43,7 +43,8 @@
 /** What the follower tells its owner. */
 export interface FollowerListener {
   configured(routes: RouteIndex): void;
-  serverChanged(server: BackendServer): void;
+  /** Takes in an entry; an error says why it can't be read after all. */
+  serverChanged(server: BackendServer): Result<unknown, string>;
   /** An entry can't be read, and names no server to use until it is good. */
   serverUnreadable(id: string): void;
   serverGone(id: string): void;
@@ -203,13 +204,11 @@
   #reachable = true;
   readonly #lapsed: LapsedServers;
   readonly #unreadable: UnreadableServers;
-  /** Servers whose entries told when their life began. */
-  readonly #withStart = new Set<string>();
 
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
     this.#listener = listener;
-    this.#lapsed = new LapsedServers(parts, (id) => this.#serverGone(id));
+    this.#lapsed = new LapsedServers(parts, (id) => listener.serverGone(id));
     this.#unreadable = new UnreadableServers(parts);
     this.#servers = this.#watch(
       parts.formats.serversPrefix,
@@ -481,29 +480,22 @@
   #serverChanged(object: StoredObject): void {
     const id = this.#serverId(object.key);
     this.#lapsed.present(id);
-    const read = this.#readServer(id, object.value);
-    if (read.isOk) {
-      this.#unreadable.good(id);
-      if (read.value.born !== undefined) this.#withStart.add(id);
-      this.#listener.serverChanged(read.value);
-    } else {
-      this.#unreadable.add(id, read.error);
+    const taken = this.#readServer(id, object.value).andThen((server) =>
+      this.#listener.serverChanged(server),
+    );
+    if (taken.isOk) this.#unreadable.good(id);
+    else {
+      this.#unreadable.add(id, taken.error);
       this.#listener.serverUnreadable(id);
     }
   }
 
   #readServer(id: string, value: string): Result<BackendServer, string> {
-    if (value.length > LARGEST_ENTRY) {
-      const expected = `expected at most ${LARGEST_ENTRY} characters`;
-      return Result.err(`entry: ${expected}, not ${value.length}`);
+    if (value.length <= LARGEST_ENTRY) {
+      return this.#parts.formats.decodeServer(id, value);
     }
-    const decoded = this.#parts.formats.decodeServer(id, value);
-    // Without it, a life that follows could not be told from the one before.
-    return decoded.isOk &&
-      decoded.value.born === undefined &&
-      this.#withStart.has(id)
-      ? Result.err("entry: expected the start that it told before, not nothing")
-      : decoded;
+    const expected = `expected at most ${LARGEST_ENTRY} characters`;
+    return Result.err(`entry: ${expected}, not ${value.length}`);
   }
 
   #serverRemoved(id: string): void {
@@ -511,11 +503,6 @@
     this.#lapsed.removed(id);
   }
 
-  #serverGone(id: string): void {
-    this.#withStart.delete(id);
-    this.#listener.serverGone(id);
-  }
-
   #serverId(key: string): string {
     return key.slice(this.#parts.formats.serversPrefix.length);
   }
--- a/packages/rampswitch-serving/src/relay/memory_move.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move.ts
@@ -25,6 +25,8 @@
   readonly control: EngineControl;
   /** Whether the run still goes on where it was. */
   stillRuns(): boolean;
+  /** Whether the target still lives the life that got the first copy. */
+  targetLives(): boolean;
   /** Tells when the run's stop is asked for, and when that was answered. */
   stops(stopping: boolean): void;
   /** Takes the handle of memory that nobody will go on from. */
@@ -32,7 +34,7 @@
 }
 
 /** Why a run was not stopped, or is not to be sent on. */
-export type MemoryMoveError = MemoryCopyError | "run_ended";
+export type MemoryMoveError = MemoryCopyError | "run_ended" | "target_ended";
 
 /** Moves a run's memory; the result tells where it lies, or why it runs on. */
 export async function moveMemory(
@@ -51,6 +53,8 @@
   parts: MemoryMoveParts,
 ): Promise<Result<KeptMemory, MemoryMoveError>> {
   if (!parts.stillRuns()) return Result.err("run_ended");
+  // The second copy is of what is new alone, and the first one is lost.
+  if (!parts.targetLives()) return Result.err("target_ended");
   parts.stops(true);
   const stopped = await stopRun(move, parts);
   parts.stops(false);
@@ -75,15 +79,12 @@
  * Frees memory that nobody goes on from; it would hold room and a place at two
  * servers. The source frees both ends, and the target its own once that is gone.
  */
-export async function dropMemory(
-  control: EngineControl,
-  move: Pick<MemoryMove, "from" | "to">,
-  handle: string,
+export async function dropMemory<Holder>(
+  holders: { readonly from: Holder; readonly to: Holder | undefined },
+  dropAt: (holder: Holder) => Promise<boolean>,
 ): Promise<boolean> {
-  return (
-    (await control.dropCopy(move.from, handle)) ||
-    control.dropCopy(move.to, handle)
-  );
+  const { from, to } = holders;
+  return (await dropAt(from)) || (to !== undefined && dropAt(to));
 }
 
 /**
@@ -92,10 +93,10 @@
  */
 export async function stopLeftRun(
   move: MemoryMove,
-  control: EngineControl,
+  { control, unused }: Pick<MemoryMoveParts, "control" | "unused">,
 ): Promise<"stopped" | MemoryCopyError> {
   const stopped = await control.copyMemory({ ...move, stopsRun: true });
   if (stopped.isErr) return stopped.error;
-  await dropMemory(control, move, stopped.value.handle);
+  unused(stopped.value.handle);
   return "stopped";
 }
--- a/packages/rampswitch-serving/src/relay/memory_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_move_test.ts
@@ -33,13 +33,14 @@
       drops.push(`${from}/${handle}`);
       return Promise.resolve(reachable.includes(from));
     },
-    leavesIn: () => Promise.resolve(undefined),
+    report: () => Promise.resolve(undefined),
   };
   return { control, stops, drops };
 }
 
 const PARTS = {
   stillRuns: () => true,
+  targetLives: () => true,
   stops: () => undefined,
 };
 
@@ -62,6 +63,20 @@
     },
   );
 
+  test("does not stop the run once its target has ended", async () => {
+    const { control, stops } = scripted([COPIED, COPIED], []);
+    const given: string[] = [];
+    const outcome = await moveMemory(MOVE, {
+      ...PARTS,
+      targetLives: () => false,
+      control,
+      unused: (handle) => given.push(handle),
+    });
+    expect(outcome).toEqual(Result.err("target_ended"));
+    expect(stops).toEqual([false]);
+    expect(given).toEqual(["h1"]);
+  });
+
   test("asks for the stop once more when no answer came", async () => {
     const { control, stops } = scripted(
       [COPIED, Result.err("no_answer"), COPIED],
@@ -77,30 +92,36 @@
 });
 
 describe("a run that goes on elsewhere without its memory", () => {
-  test("is stopped at once, and its memory is freed", async () => {
-    const { control, stops, drops } = scripted([COPIED], [MOVE.from]);
-    expect(await stopLeftRun(MOVE, control)).toBe("stopped");
+  test("is stopped at once, and its memory is given up", async () => {
+    const { control, stops } = scripted([COPIED], [MOVE.from]);
+    const given: string[] = [];
+    const unused = (handle: string) => given.push(handle);
+    expect(await stopLeftRun(MOVE, { control, unused })).toBe("stopped");
     expect(stops).toEqual([true]);
-    expect(drops).toEqual(["source:1/h1"]);
+    expect(given).toEqual(["h1"]);
   });
 
   test("that its server has dropped leaves nothing to free", async () => {
-    const { control, drops } = scripted([Result.err("no_run")], [MOVE.from]);
-    expect(await stopLeftRun(MOVE, control)).toBe("no_run");
-    expect(drops).toEqual([]);
+    const { control } = scripted([Result.err("no_run")], [MOVE.from]);
+    const given: string[] = [];
+    const unused = (handle: string) => given.push(handle);
+    expect(await stopLeftRun(MOVE, { control, unused })).toBe("no_run");
+    expect(given).toEqual([]);
   });
 });
 
 describe("memory that nobody goes on from", () => {
   test("is freed at the source, which frees both ends", async () => {
     const { control, drops } = scripted([], [MOVE.from, MOVE.to]);
-    expect(await dropMemory(control, MOVE, "h1")).toBe(true);
+    const dropAt = (address: string) => control.dropCopy(address, "h1");
+    expect(await dropMemory(MOVE, dropAt)).toBe(true);
     expect(drops).toEqual(["source:1/h1"]);
   });
 
   test("is freed at the target when the source has ended", async () => {
     const { control, drops } = scripted([], [MOVE.to]);
-    expect(await dropMemory(control, MOVE, "h1")).toBe(true);
+    const dropAt = (address: string) => control.dropCopy(address, "h1");
+    expect(await dropMemory(MOVE, dropAt)).toBe(true);
     expect(drops).toEqual(["source:1/h1", "target:1/h1"]);
   });
 });
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -12,7 +12,7 @@
 import type { KeptMemory } from "../model/engine_control.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { MemorySource } from "../model/request.ts";
-import { type Continuation, KeptRun } from "./kept_run.ts";
+import { type Continuation, KeptRun, type MemoryHolders } from "./kept_run.ts";
 import {
   dropMemory,
   type MemoryMoveError,
@@ -47,6 +47,12 @@
 /** The first send after a move is the same run, and costs no repeat. */
 const NOTHING_SPENT: Spending = { granted: true, view: undefined };
 
+/** Why kept memory is sent once more, and what that was granted by. */
+interface Repeat {
+  readonly reason: ResendReason;
+  readonly spending: Spending;
+}
+
 /** What a move knows of its run, and has it do. */
 export interface MovableRun {
   readonly attemptId: string | undefined;
@@ -114,8 +120,9 @@
       return;
     }
     this.#underWay = true;
-    await this.#move(source, target);
+    const outcome = await this.#move(source, target);
     this.#underWay = false;
+    if (outcome === "target_ended") await this.moveAway();
   }
 
   /** Goes on elsewhere after a send of the kept memory ran nothing. */
@@ -134,13 +141,66 @@
       this.#run.memoryLost(reason);
       return;
     }
-    const send = () => {
-      this.#run.record.resent(reason, spending.view);
-      this.#run.sendOn(next.choice, kept.memory);
-    };
-    const { waitMilliseconds } = next;
-    if (waitMilliseconds === 0) send();
-    else this.#cancelPause = this.#context.clock.after(waitMilliseconds, send);
+    const { choice, waitMilliseconds } = next;
+    const repeat = { reason, spending };
+    // The first try follows the answer that told the handle.
+    if (waitMilliseconds === 0) this.#send(kept, choice, repeat);
+    else {
+      this.#cancelPause = this.#context.clock.after(
+        waitMilliseconds,
+        () => void this.#sendAfterPause(kept, choice, repeat),
+      );
+    }
+  }
+
+  #send(kept: KeptRun, choice: Choice, { reason, spending }: Repeat): void {
+    this.#run.record.resent(reason, spending.view);
+    this.#run.sendOn(choice, kept.memory);
+  }
+
+  /** Sends kept memory after a pause, if its server still knows it then. */
+  async #sendAfterPause(
+    kept: KeptRun,
+    choice: Choice,
+    repeat: Repeat,
+  ): Promise<void> {
+    const knows = await this.#knowsMemory(kept, choice);
+    if (this.#kept !== kept) return;
+    if (knows && !choice.record.ended) this.#send(kept, choice, repeat);
+    else this.#passOver(choice, repeat);
+  }
+
+  /** Goes on elsewhere, since a server does not know the memory any more. */
+  #passOver(choice: Choice, { reason, spending }: Repeat): void {
+    this.#context.logger.info("kept memory is gone", {
+      request: this.#run.attemptId,
+      server: choice.record.entry.id,
+      born: choice.record.entry.born,
+    });
+    this.unreachable(choice);
+    this.#goOn(reason, spending);
+  }
+
+  /** Whether a server still lives the life that got the memory. */
+  async #knowsMemory(kept: KeptRun, choice: Choice): Promise<boolean> {
+    return kept.gaveHandle(choice)
+      ? this.#knowsHandle(choice.record)
+      : !choice.record.ended;
+  }
+
+  /**
+   * Whether a handle still names at a server what it named when it was given. A
+   * later life counts its handles anew, so there it may name the memory of
+   * another request. The list of servers tells a new life some hundred
+   * milliseconds late; the server itself tells it at once.
+   */
+  async #knowsHandle(record: ServerRecord): Promise<boolean> {
+    const { address, born } = record.entry;
+    if (record.ended) return false;
+    if (born === undefined) return true;
+    const report = await this.#context.engineControl.report(address);
+    const sameLife = report !== undefined && (report.born ?? born) === born;
+    return sameLife && !record.ended;
   }
 
   /** The kept memory can't be used at a server any more. */
@@ -158,7 +218,7 @@
     this.#cancelPause();
     const kept = this.#kept;
     this.#kept = undefined;
-    if (kept !== undefined) this.#free(kept.ends, kept.memory.handle);
+    if (kept !== undefined) void this.#free(kept.holders, kept.memory.handle);
   }
 
   /**
@@ -166,46 +226,59 @@
    * has gone silent does not tell the server that it was closed.
    */
   stopLeft(left: ServerRecord, next: ServerRecord): void {
+    this.#context.clock.after(
+      CLOSE_HEARD_MILLISECONDS,
+      () => void this.#stopLeft(left, next),
+    );
+  }
+
+  async #stopLeft(left: ServerRecord, next: ServerRecord): Promise<void> {
     const { attemptId, record } = this.#run;
-    const { clock, engineControl } = this.#context;
-    if (attemptId === undefined) return;
-    const ends = { from: left.entry.address, to: next.entry.address };
-    clock.after(CLOSE_HEARD_MILLISECONDS, () => {
-      void stopLeftRun({ ...ends, attemptId }, engineControl).then((outcome) =>
-        record.leftRunStopped(outcome, left),
-      );
-    });
+    // A server that ended, or is in a later life, runs nothing of this one.
+    if (attemptId === undefined || left.ended) return;
+    const outcome = await stopLeftRun(
+      { from: left.entry.address, to: next.entry.address, attemptId },
+      {
+        control: this.#context.engineControl,
+        unused: (handle) => void this.#free({ from: left, to: next }, handle),
+      },
+    );
+    record.leftRunStopped(outcome, left);
   }
 
-  async #move(source: Choice, target: Choice): Promise<void> {
+  /** Moves the run; resolves to what came of it. */
+  async #move(source: Choice, target: Choice): Promise<string | undefined> {
     const run = this.#run;
     const { attemptId } = run;
-    if (attemptId === undefined) return;
-    const ends = {
-      from: source.record.entry.address,
-      to: target.record.entry.address,
-    };
+    if (attemptId === undefined) return undefined;
+    const holders = { from: source.record, to: target.record };
     const record = run.record.moveBegan(source.record, target.record);
     this.#lostWhileStopping = false;
     const outcome = await moveMemory(
-      { ...ends, attemptId },
+      {
+        from: source.record.entry.address,
+        to: target.record.entry.address,
+        attemptId,
+      },
       {
         control: this.#context.engineControl,
         stillRuns: () => run.sentTo() === source && !run.finished(),
+        targetLives: () => !target.record.ended,
         stops: (stopping) => {
           this.#stopping = stopping;
           record.stops(stopping);
         },
-        unused: (handle) => this.#free(ends, handle),
+        unused: (handle) => void this.#free(holders, handle),
       },
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
-    if (run.finished()) return;
+    if (run.finished()) return undefined;
     if (outcome.isOk) {
       run.stopped();
       this.#keep(outcome.value, { target, source });
       this.#goOn("memory_moved", NOTHING_SPENT);
     } else if (this.#lostWhileStopping) run.lost();
+    return outcomeOf(outcome);
   }
 
   #keep(
@@ -232,23 +305,35 @@
   }
 
   /**
-   * Whether a server with kept memory may be used, and is not too near its
-   * announced end.
+   * Whether a server with kept memory has not ended, may be used, and is not too
+   * near its announced end.
    */
   #takesSends({ record }: Choice): boolean {
-    if (!record.isReadable) return false;
+    if (record.ended || !record.isReadable) return false;
     const now = this.#context.clock.now();
     const since = now - (record.leavingSince ?? Infinity);
     return since < LEAVING_SHARE * this.#context.drainMilliseconds();
   }
 
-  #free(
-    ends: { readonly from: string; readonly to: string },
-    handle: string,
-  ): void {
-    void dropMemory(this.#context.engineControl, ends, handle).then((freed) =>
-      this.#run.record.memoryDropped(freed),
+  async #free(holders: MemoryHolders, handle: string): Promise<void> {
+    const freed = await dropMemory(holders, (record) =>
+      this.#freeAt(record, handle),
     );
+    this.#run.record.memoryDropped(freed);
+  }
+
+  /** Frees nothing at a server where the handle may name another's memory. */
+  async #freeAt(record: ServerRecord, handle: string): Promise<boolean> {
+    const { id, address, born } = record.entry;
+    if ((await this.#knowsHandle(record)) && !record.ended) {
+      return this.#context.engineControl.dropCopy(address, handle);
+    }
+    this.#context.logger.info("memory not freed at its server", {
+      request: this.#run.attemptId,
+      server: id,
+      born,
+    });
+    return false;
   }
 }
 
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -12,6 +12,7 @@
   Ownership,
   type Random,
 } from "rampswitch-utils";
+import { Result } from "true-myth";
 import type { ObjectStore } from "rampswitch-store";
 import {
   FleetAdmission,
@@ -85,6 +86,10 @@
 /** Time for which a stopping host still starts requests, in milliseconds. */
 const STOP_INTAKE_MILLISECONDS = 2_600;
 
+/** Why an entry can't be read that tells no life after one that did. */
+const WITHOUT_LIFE =
+  "entry: expected the start of the server's life, as it told one before";
+
 /** One serving host. */
 export class ServingHost implements AsyncDisposable {
   #settings: ServingSettings;
@@ -334,8 +339,8 @@
       endsConnections: () => this.#life.state === "stopping",
       began: (workspace) =>
         this.#duties.usage.began(workspace, this.#wallTime()),
-      dispatched: (server, dispatch) => {
-        this.#dispatches.add(server, dispatch.parts);
+      dispatched: ({ entry }, dispatch) => {
+        this.#dispatches.add(entry, dispatch.parts);
         this.#meter.read(dispatch.service, dispatch.unreadTokens);
       },
     };
@@ -397,15 +402,51 @@
     }
   }
 
-  #serverChanged(server: BackendServer): void {
-    this.#directory.put(server, this.#ports.clock.now());
+  #serverChanged(server: BackendServer): Result<undefined, string> {
+    const outcome = this.#directory.put(server, this.#ports.clock.now());
+    if (outcome.kind === "former_life") {
+      this.#tellFormerLife(server, outcome.known);
+      return Result.ok(undefined);
+    }
+    if (outcome.kind === "without_life") return Result.err(WITHOUT_LIFE);
     this.#ports.logger.info("server listed", {
       server: server.id,
+      born: server.born,
       service: server.service,
       dataHall: server.dataHall,
       state: server.state,
       reclaimable: server.reclaimable,
     });
+    if (outcome.kind === "started_again") {
+      this.#serverStartedAgain(outcome.former, server);
+    }
+    return Result.ok(undefined);
+  }
+
+  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
+    this.#ports.metrics.event("server_former_life");
+    this.#ports.logger.warn("server entry of a former life left out", {
+      server: id,
+      born,
+      knownBorn: known.entry.born,
+    });
+  }
+
+  /** Such an entry names no server to use, whatever else it says. */
+  #serverStartedAgain(former: ServerRecord, server: BackendServer): void {
+    this.#client.forget(server.id);
+    this.#prefixes.forget(server.id);
+    this.#dispatches.forget(server.id);
+    const { runs } = this.#callers;
+    const stopped = runs.filter((run) => run.server === former);
+    this.#ports.metrics.event("server_started_again");
+    this.#ports.logger.info("server started again", {
+      server: server.id,
+      formerBorn: former.entry.born,
+      born: server.born,
+      stoppedRuns: stopped.length,
+    });
+    stopped.forEach((run) => run.serverEnded(former));
   }
 
   #serverGone(id: string): void {
