Give the listing of servers a module of its own

Cause: serving_host.ts had grown by the outcomes of an entry. Conclusion: what happens at a rebirth stands in one place.

--- /dev/null
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -0,0 +1,127 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What a host makes of the entries of backend servers: which servers are listed,
+ * and what goes with a life that has ended.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "rampswitch-utils";
+import type { BackendClient } from "./attempt/mod.ts";
+import type {
+  EntryOutcome,
+  PrefixKnowledge,
+  ServerDirectory,
+  ServerRecord,
+} from "./choice/mod.ts";
+import type { BackendServer } from "./model/backend_server.ts";
+import type { ServingMetrics } from "./observation/mod.ts";
+import type { RecentDispatches } from "./relay/recent_dispatches.ts";
+import type { RequestRun } from "./relay/request_run.ts";
+
+/** Parts that know something of backend servers. */
+export interface ServerListingParts {
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  readonly directory: ServerDirectory;
+  readonly client: BackendClient;
+  readonly prefixes: PrefixKnowledge;
+  readonly dispatches: RecentDispatches;
+  /** Requests in progress. */
+  runs(): readonly RequestRun[];
+}
+
+type Handlers = {
+  readonly [Kind in EntryOutcome["kind"]]: (
+    server: BackendServer,
+    outcome: Extract<EntryOutcome, { readonly kind: Kind }>,
+  ) => void;
+};
+
+/** Takes in entries of backend servers. */
+export class ServerListing {
+  readonly #parts: ServerListingParts;
+  readonly #handlers: Handlers = {
+    listed: (server) => this.#tellListed(server),
+    started_again: (server, { former }) => {
+      this.#tellListed(server);
+      this.#startedAgain(server, former);
+    },
+    former_life: (server, { known }) => this.#tellFormerLife(server, known),
+    without_life: (server, { known }) => this.#withoutLife(server, known),
+  };
+
+  constructor(parts: ServerListingParts) {
+    this.#parts = parts;
+  }
+
+  /** An entry is new or has changed. */
+  changed(server: BackendServer): void {
+    const { directory, clock } = this.#parts;
+    const outcome = directory.put(server, clock.now());
+    const handle = this.#handlers[outcome.kind] as (
+      server: BackendServer,
+      outcome: EntryOutcome,
+    ) => void;
+    handle(server, outcome);
+  }
+
+  /** An entry is gone. */
+  gone(id: string): void {
+    const { directory, clock, client, prefixes, logger } = this.#parts;
+    directory.remove(id, clock.now());
+    client.forget(id);
+    prefixes.retain(new Set(directory.all().map(({ entry }) => entry.id)));
+    logger.info("server gone", { server: id });
+  }
+
+  #tellListed(server: BackendServer): void {
+    this.#parts.logger.info("server listed", {
+      server: server.id,
+      born: server.born,
+      service: server.service,
+      dataHall: server.dataHall,
+      state: server.state,
+      reclaimable: server.reclaimable,
+    });
+  }
+
+  /** All that speaks of a server's former life goes with it. */
+  #startedAgain(server: BackendServer, former: ServerRecord): void {
+    const { client, prefixes, dispatches, logger, metrics } = this.#parts;
+    client.forget(server.id);
+    prefixes.forget(server.id);
+    dispatches.forget(server.id);
+    const stopped = this.#parts.runs().filter((run) => run.server === former);
+    metrics.event("server_started_again");
+    logger.info("server started again", {
+      server: server.id,
+      formerBorn: former.entry.born,
+      born: server.born,
+      stoppedRuns: stopped.length,
+    });
+    stopped.forEach((run) => run.serverEnded(former));
+  }
+
+  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
+    this.#parts.metrics.event("server_former_life");
+    this.#parts.logger.warn("server entry of a former life left out", {
+      server: id,
+      born,
+      knownBorn: known.entry.born,
+    });
+  }
+
+  /** Such an entry names no server to use, whatever else it says. */
+  #withoutLife({ id }: BackendServer, known: ServerRecord): void {
+    this.#parts.metrics.event("server_malformed");
+    this.#parts.logger.warn("server entry can't be read", {
+      server: id,
+      detail: "expected the start of its life, as it told before, not nothing",
+      knownBorn: known.entry.born,
+    });
+    this.gone(id);
+  }
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -34,7 +34,6 @@
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostNews } from "./host_news.ts";
 import { Membership, PACE_BY_ROLE } from "./membership/mod.ts";
-import type { BackendServer } from "./model/backend_server.ts";
 import type { Cloud } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
@@ -45,6 +44,7 @@
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { untilIdle } from "./planned_stop.ts";
+import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
   limitTolerance,
@@ -150,6 +150,14 @@
         eligible: () => this.#membership?.mayHoldDuties === true,
       }),
     );
+    const listing = new ServerListing({
+      ...ports,
+      directory: this.#directory,
+      client: this.#client,
+      prefixes: this.#prefixes,
+      dispatches: this.#dispatches,
+      runs: () => this.#callers.runs,
+    });
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
     this.#follower = this.#ownership.own(
       new ConfigurationFollower(
@@ -161,8 +169,8 @@
         },
         {
           configured: (routes) => this.#configured(routes),
-          serverChanged: (server) => this.#serverChanged(server),
-          serverGone: (id) => this.#serverGone(id),
+          serverChanged: (server) => listing.changed(server),
+          serverGone: (id) => listing.gone(id),
         },
       ),
     );
@@ -390,75 +398,6 @@
       this.#ports.logger.info("serving", { version: configuration.version });
     }
   }
-
-  #serverChanged(server: BackendServer): void {
-    const outcome = this.#directory.put(server, this.#ports.clock.now());
-    if (outcome.kind === "former_life") {
-      this.#tellFormerLife(server, outcome.known);
-      return;
-    }
-    if (outcome.kind === "without_life") {
-      this.#withoutLife(server, outcome.known);
-      return;
-    }
-    this.#ports.logger.info("server listed", {
-      server: server.id,
-      born: server.born,
-      service: server.service,
-      dataHall: server.dataHall,
-      state: server.state,
-      reclaimable: server.reclaimable,
-    });
-    if (outcome.kind === "started_again") {
-      this.#serverStartedAgain(outcome.former, server);
-    }
-  }
-
-  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
-    this.#ports.metrics.event("server_former_life");
-    this.#ports.logger.warn("server entry of a former life left out", {
-      server: id,
-      born,
-      knownBorn: known.entry.born,
-    });
-  }
-
-  /** Such an entry names no server to use, whatever else it says. */
-  #withoutLife({ id }: BackendServer, known: ServerRecord): void {
-    this.#ports.metrics.event("server_malformed");
-    this.#ports.logger.warn("server entry can't be read", {
-      server: id,
-      detail: "tells no start of its life, as it did before",
-      knownBorn: known.entry.born,
-    });
-    this.#serverGone(id);
-  }
-
-  /** All that speaks of a server's former life goes with it. */
-  #serverStartedAgain(former: ServerRecord, server: BackendServer): void {
-    this.#client.forget(server.id);
-    this.#prefixes.forget(server.id);
-    this.#dispatches.forget(server.id);
-    const { runs } = this.#callers;
-    const stopped = runs.filter((run) => run.server === former);
-    this.#ports.metrics.event("server_started_again");
-    this.#ports.logger.info("server started again", {
-      server: server.id,
-      formerBorn: former.entry.born,
-      born: server.born,
-      stoppedRuns: stopped.length,
-    });
-    stopped.forEach((run) => run.serverEnded(former));
-  }
-
-  #serverGone(id: string): void {
-    this.#directory.remove(id, this.#ports.clock.now());
-    this.#client.forget(id);
-    this.#prefixes.retain(
-      new Set(this.#directory.all().map((record) => record.entry.id)),
-    );
-    this.#ports.logger.info("server gone", { server: id });
-  }
 }
 
 function changedBounds(
