--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -61,7 +61,6 @@
 
 function server(id: string, born?: number): ServerRecord {
   return new ServerRecord({
-    ...{ born },
     id,
     service: "models",
     address: "127.0.0.1:1",
@@ -69,7 +68,7 @@
     slots: 8,
     state: "ready",
     reclaimable: true,
-    born: undefined,
+    born,
   });
 }
 
