List a host only where its entry can be sent to, and mend an own spoilt entry

An entry that was spoilt after the host had registered was never written again, so that others forgot the host. Ruled out: to catch what a datagram throws alone: the entry would still count as a host, and take its part of limits. Change: addresses are an IP number and a port (`isAddress`, shared with the servers' entries), cores above zero, the data hall not empty; an own entry that can't be read is written again. Gauge `hosts_unreadable`, and a line for each change of their number.

--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -7,6 +7,7 @@
  */
 import {
   type Clock,
+  isAddress,
   jitter,
   type Logger,
   parseJson,
@@ -32,9 +33,10 @@
 const LIST_RETRY_MILLISECONDS = 700;
 
 const HOST_SCHEMA = z.object({
-  address: z.string(),
-  dataHall: z.string(),
-  cores: z.number(),
+  // A datagram to anything else would throw.
+  address: z.string().refine(isAddress),
+  dataHall: z.string().min(1),
+  cores: z.number().positive(),
 });
 
 type HostEntry = z.output<typeof HOST_SCHEMA>;
@@ -59,6 +61,7 @@
   #registered = false;
   /** Readings of the list that found this host in it. */
   #readings = 0;
+  #unreadable = 0;
 
   constructor(
     self: ListedHost,
@@ -107,13 +110,18 @@
       entry: entryOf(object.value),
     }));
     const own = entries.find(({ name }) => name === this.#self.name);
+    this.#tellUnreadable(
+      entries.filter(({ entry }) => entry === undefined).length,
+    );
     this.#onListed(
       entries.flatMap(({ name, entry }) =>
         entry === undefined ? [] : [{ name, ...entry }],
       ),
     );
     const found = own?.entry?.address === this.#self.address;
-    if (found || this.#registered) {
+    // A list may be older than the entry; one that is spoilt is never right.
+    const spoilt = own !== undefined && own.entry === undefined;
+    if (found || (this.#registered && !spoilt)) {
       this.#registered = true;
       this.#readings += 1;
       return;
@@ -121,6 +129,16 @@
     await this.#register(own?.version);
   }
 
+  /** Tells of entries that are passed over, once for each change of their number. */
+  #tellUnreadable(count: number): void {
+    const { logger, metrics } = this.#parts;
+    metrics.gauge("hosts_unreadable", count);
+    if (count !== this.#unreadable && count > 0) {
+      logger.warn("entries of hosts can't be read", { count });
+    }
+    this.#unreadable = count;
+  }
+
   /** Writes this host's entry; the list that was read may have been stale. */
   async #register(listedVersion: number | undefined): Promise<void> {
     const { logger } = this.#parts;
--- a/packages/rampswitch-utils/src/listen.ts
+++ b/packages/rampswitch-utils/src/listen.ts
@@ -6,7 +6,12 @@
  * @module
  */
 import type { Server } from "node:http";
-import type { AddressInfo, Server as NetServer } from "node:net";
+import {
+  type AddressInfo,
+  isIPv4,
+  isIPv6,
+  type Server as NetServer,
+} from "node:net";
 
 /** A server that listens, and where. */
 export interface Listening extends AsyncDisposable {
@@ -14,6 +19,19 @@
   readonly address: string;
 }
 
+const HIGHEST_PORT = 65_535;
+
+/** IP number, in brackets for version 6, and port. */
+const ADDRESS_PATTERN =
+  /^(?:(?<ip4>[0-9.]+)|\[(?<ip6>[0-9a-f:.]+)\]):(?<port>[1-9][0-9]{0,4})$/i;
+
+/** Whether a text is an IP number and a port that can be sent to. */
+export function isAddress(text: string): boolean {
+  const { ip4, ip6, port } = ADDRESS_PATTERN.exec(text)?.groups ?? {};
+  const isNumber = ip4 === undefined ? isIPv6(ip6 ?? "") : isIPv4(ip4);
+  return isNumber && Number(port) <= HIGHEST_PORT;
+}
+
 /** Splits `127.0.0.1:8000` into its IP number and port. */
 export function splitAddress(address: string): {
   readonly host: string;
