Show that fences begin anew after the lease was spoilt

Cause: a lease that can't be read counts as one that was never taken. Change: test only; the play may spoil the lease every 7.5 s.

--- a/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -56,6 +56,13 @@
     due.forEach(({ run }) => run());
   }
 
+  /** Writes over the object, as another writer might. */
+  spoil(): void {
+    const known = this.#object;
+    if (known === undefined) return;
+    this.#object = { ...known, value: "spoilt", version: known.version + 1 };
+  }
+
   /** The store as one host reaches it. */
   seenBy(reaches: () => boolean): ObjectStore {
     const gone: Result<never, StoreError> = Result.err({
@@ -110,10 +117,14 @@
   readonly fence: number;
 }
 
-/** Plays some minutes of three hosts with faults drawn from a seed. */
+/**
+ * Plays some minutes of three hosts with faults drawn from a seed; another writer
+ * spoils the lease after each so many steps.
+ */
 async function play(
   seed: number,
   times: LeaseTimes = TIMES,
+  { spoilSteps = Infinity }: { readonly spoilSteps?: number } = {},
 ): Promise<readonly Act[]> {
   const clock = new ManualClock(1_000);
   const random = seededRandom(seed);
@@ -164,6 +175,7 @@
   for (let step = 0; step < STEPS; step += 1) {
     clock.advance(STEP_MILLISECONDS);
     store.tick();
+    if (step % spoilSteps === spoilSteps - 1) store.spoil();
     startStopped();
     for (let turn = 0; turn < 12; turn += 1) await Promise.resolve();
     tellNews(keepers, (host) => (silent.get(host) ?? 0) <= clock.now());
@@ -265,6 +277,18 @@
     expect(shared).toEqual([]);
   });
 
+  // A lease that could not be read counted as one that was never taken, so that
+  // its fence began at 1 again: of 40 days, 38 had acts below a fence before them.
+  test("no holder acts below a fence after another writer spoilt the lease", async () => {
+    const options = { spoilSteps: 150 };
+    const played = await Promise.all(
+      SEEDS.map((seed) => play(seed, TIMES, options)),
+    );
+    expect(played.map(staleActs).filter((acts) => acts.length > 0)).toEqual([]);
+    expect(played.flatMap(alternations)).toEqual([]);
+    expect(played.every((acts) => acts.length > 20)).toBe(true);
+  });
+
   test.each([
     ["acts longer than others wait", { ...TIMES, acting: 9_000 }],
     ["others take a lease too early", { ...TIMES, duration: 500 }],
