Take a spoilt lease late, and under a fence above all former ones

Cause: a lease that can't be read counted as one that was never taken: it was taken at once, beside a holder that may still act, and its fence began at 1 again. Failed try: fences above the highest that a host has heard of; hosts that start after the spoiling have heard of none, and took it under fence 1. Change: an object that can't be read is taken once it rested for the lease's time, under a fence above its version in the store, since each fence was written with a higher version than the one before; counts and reports are those last read.

--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -93,6 +93,8 @@
   readonly #repetition: Repetition;
   #held: Held | undefined;
   #seen: SeenLease;
+  /** The newest lease that could be read; another writer may spoil the object. */
+  #lastRead: DutyLease | undefined;
   /** When a lease of each fence was first written. */
   readonly #takeSentAt = new Map<number, number>();
   #notBefore: number;
@@ -195,6 +197,7 @@
   #look(object: StoredObject | undefined): void {
     const now = this.#parts.clock.now();
     const lease = decodeLease(object?.value);
+    this.#lastRead = lease ?? this.#lastRead;
     const same = object?.version === this.#seen.version;
     this.#seen = {
       lease,
@@ -205,7 +208,7 @@
 
   async #take(mayActAt: number): Promise<void> {
     const { store, leaseKey, clock, logger, metrics } = this.#parts;
-    const lease = takenLease(this.#seen.lease, this.#parts);
+    const lease = takenLease(this.#seen, this.#parts, this.#lastRead);
     // An earlier write of the same lease may be the one that takes effect.
     const sentAt = this.#takeSentAt.get(lease.fence) ?? clock.now();
     this.#takeSentAt.set(lease.fence, sentAt);
@@ -220,6 +223,7 @@
       this.#notBefore = clock.now() + RETRY_MILLISECONDS;
       return;
     }
+    this.#lastRead = lease;
     this.#parts.duties.restore(lease.counts);
     this.#held = {
       lease,
@@ -307,6 +311,7 @@
     held: Held,
     renewal: { lease: DutyLease; version: number; sentAt: number },
   ): void {
+    this.#lastRead = renewal.lease;
     held.lease = renewal.lease;
     held.version = renewal.version;
     held.renewalSentAt = renewal.sentAt;
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -63,7 +63,12 @@
 ): TakeDecision {
   const { now, times } = options;
   const { lease } = seen;
-  if (lease === undefined) return { kind: "take", mayActAt: now };
+  if (lease === undefined) {
+    // Whoever held a lease that was spoilt since may still act.
+    return seen.version === undefined || now - seen.since >= times.duration
+      ? { kind: "take", mayActAt: now }
+      : { kind: "wait" };
+  }
   if (lease.holder === self.host) {
     // A former process of this host is gone; its fence is never used again.
     return { kind: "take", mayActAt: now };
@@ -76,15 +81,22 @@
     : { kind: "wait" };
 }
 
-/** The lease that a host writes to become its holder. */
+/**
+ * The lease that a host writes to become its holder, from the newest that it read.
+ * Each new fence is written with a higher version of the store, so above the
+ * version of an object that can't be read lies no fence of before.
+ */
 export function takenLease(
-  seen: DutyLease | undefined,
+  { lease, version }: SeenLease,
   self: { readonly host: string; readonly incarnation: string },
+  lastRead: DutyLease | undefined,
 ): DutyLease {
+  const seen = lease ?? lastRead;
+  const unreadable = lease === undefined ? (version ?? 0) : 0;
   return {
     holder: self.host,
     incarnation: self.incarnation,
-    fence: (seen?.fence ?? 0) + 1,
+    fence: Math.max(seen?.fence ?? 0, unreadable) + 1,
     renewals: 0,
     released: false,
     counts: seen?.counts ?? {},
