--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -72,6 +72,15 @@
     return { kind: "listed" };
   }
 
+  /**
+   * Takes in that a server's entry can't be read. What is known of the server
+   * stays, for when the entry is good again.
+   */
+  unreadable(id: string): void {
+    const record = this.#records.get(id);
+    if (record !== undefined) record.isReadable = false;
+  }
+
   /** Takes a server off the list whose entry is gone; its life may go on. */
   remove(id: string, now: number): void {
     const record = this.#records.get(id);
@@ -89,12 +98,20 @@
     return this.#records.get(id);
   }
 
-  /** Servers of a service. */
+  /** Servers of a service whose entries can be read. */
   of(service: string): readonly ServerRecord[] {
-    return [...(this.#byService.get(service) ?? [])];
+    return this.#listed(service).filter(({ isReadable }) => isReadable);
   }
 
-  /** All servers. */
+  /** Requests at all servers of a service, from all hosts. */
+  load(service: string, now: number): number {
+    return this.#listed(service).reduce(
+      (sum, record) => sum + record.load(now),
+      0,
+    );
+  }
+
+  /** All servers, those whose entries can't be read included. */
   all(): readonly ServerRecord[] {
     return [...this.#records.values()];
   }
@@ -123,6 +140,10 @@
     );
   }
 
+  #listed(service: string): readonly ServerRecord[] {
+    return [...(this.#byService.get(service) ?? [])];
+  }
+
   /** Work of this host, by server id; idle servers are left out. */
   ownWork(): Readonly<Record<string, ToldWork>> {
     return Object.fromEntries(
@@ -161,8 +182,9 @@
     if (moved) this.#unlist(record);
     this.#gone.delete(id);
     record.entry = entry;
+    record.isReadable = true;
     this.#records.set(id, record);
-    this.#byService.set(service, new Set([...this.of(service), record]));
+    this.#byService.set(service, new Set([...this.#listed(service), record]));
     if (state === "ready") record.leavingSince = undefined;
     else if (!announced) this.#leaves(record, now);
   }
@@ -172,7 +194,7 @@
     if (this.#records.get(id) === record) this.#records.delete(id);
     this.#byService.set(
       service,
-      new Set(this.of(service).filter((other) => other !== record)),
+      new Set(this.#listed(service).filter((other) => other !== record)),
     );
   }
 
--- a/packages/rampswitch-serving/src/choice/server_directory_test.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory_test.ts
@@ -267,3 +267,54 @@
   const told = [...peers.values()].reduce((sum, running) => sum + running, 0);
   return { born: model.born, load: own + told, own, failed };
 }
+
+describe("a server whose entry can't be read", () => {
+  test("is no server of its service, and is no reason to move runs", () => {
+    const directory = new ServerDirectory();
+    const left: string[] = [];
+    directory.onLeaving(({ entry }) => left.push(entry.id));
+    directory.put(ENTRY, 0);
+    const record = directory.get("s1");
+    record?.started(100);
+    directory.unreadable("s1");
+    expect(directory.of("models")).toEqual([]);
+    expect(record?.isReady).toBe(false);
+    expect(record?.answersFor(0)).toBe(false);
+    // What runs there is still to be carried by someone.
+    expect(directory.load("models", 0)).toBe(1);
+    expect(left).toEqual([]);
+    directory.remove("s1", 0);
+    expect(left).toEqual(["s1"]);
+  });
+
+  test("is what it was once the entry is good again", () => {
+    const directory = new ServerDirectory();
+    directory.put(ENTRY, 0);
+    const record = directory.get("s1");
+    record?.failed(0, { surelyDown: false });
+    const share = record?.failureShare;
+    directory.unreadable("s1");
+    directory.put(ENTRY, 10);
+    expect(directory.of("models")).toEqual([record]);
+    expect(record?.isReady).toBe(true);
+    expect(record?.failureShare).toBe(share);
+  });
+
+  test("that nobody knew is nothing to know", () => {
+    const directory = new ServerDirectory();
+    directory.unreadable("s1");
+    expect(directory.size).toBe(0);
+    directory.put(ENTRY, 0);
+    expect(directory.of("models").length).toBe(1);
+  });
+});
+
+describe("a server whose entry names another service", () => {
+  test("leaves the former one", () => {
+    const directory = new ServerDirectory();
+    directory.put(ENTRY, 0);
+    directory.put({ ...ENTRY, service: "others" }, 0);
+    expect(directory.of("models")).toEqual([]);
+    expect(directory.of("others").length).toBe(1);
+  });
+});
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -268,11 +268,11 @@
   }
 
   /**
-   * Whether a server with kept memory has not ended, and is not too near its
-   * announced end.
+   * Whether a server with kept memory has not ended, may be used, and is not too
+   * near its announced end.
    */
   #takesSends({ record }: Choice): boolean {
-    if (record.ended) return false;
+    if (record.ended || !record.isReadable) return false;
     const now = this.#context.clock.now();
     const since = now - (record.leavingSince ?? Infinity);
     return since < LEAVING_SHARE * this.#context.drainMilliseconds();
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { Result } from "true-myth";
 import type { Clock, Logger } from "rampswitch-utils";
 import type { BackendClient } from "./attempt/mod.ts";
 import type {
@@ -37,20 +38,30 @@
   readonly [Kind in EntryOutcome["kind"]]: (
     server: BackendServer,
     outcome: Extract<EntryOutcome, { readonly kind: Kind }>,
-  ) => void;
+  ) => Taken;
 };
 
+/** Whether an entry was taken in; an error says why it can't be read. */
+type Taken = Result<undefined, string>;
+
+const TAKEN: Taken = Result.ok(undefined);
+
+/** Why an entry without a life can't be read where one was told before. */
+const WITHOUT_LIFE: Taken = Result.err(
+  "entry: expected the start of the server's life, as it told one before",
+);
+
 /** Takes in entries of backend servers. */
 export class ServerListing {
   readonly #parts: ServerListingParts;
   readonly #handlers: Handlers = {
     listed: (server) => this.#tellListed(server),
     started_again: (server, { former }) => {
-      this.#tellListed(server);
       this.#startedAgain(server, former);
+      return this.#tellListed(server);
     },
     former_life: (server, { known }) => this.#tellFormerLife(server, known),
-    without_life: (server, { known }) => this.#withoutLife(server, known),
+    without_life: () => WITHOUT_LIFE,
   };
 
   constructor(parts: ServerListingParts) {
@@ -58,14 +69,19 @@
   }
 
   /** An entry is new or has changed. */
-  changed(server: BackendServer): void {
+  changed(server: BackendServer): Taken {
     const { directory, clock } = this.#parts;
     const outcome = directory.put(server, clock.now());
     const handle = this.#handlers[outcome.kind] as (
       server: BackendServer,
       outcome: EntryOutcome,
-    ) => void;
-    handle(server, outcome);
+    ) => Taken;
+    return handle(server, outcome);
+  }
+
+  /** An entry can't be read; it names no server to use until it is good. */
+  unreadable(id: string): void {
+    this.#parts.directory.unreadable(id);
   }
 
   /** An entry is gone. */
@@ -77,7 +93,7 @@
     logger.info("server gone", { server: id });
   }
 
-  #tellListed(server: BackendServer): void {
+  #tellListed(server: BackendServer): Taken {
     this.#parts.logger.info("server listed", {
       server: server.id,
       born: server.born,
@@ -86,6 +102,7 @@
       state: server.state,
       reclaimable: server.reclaimable,
     });
+    return TAKEN;
   }
 
   /** All that speaks of a server's former life goes with it. */
@@ -105,23 +122,13 @@
     stopped.forEach((run) => run.serverEnded(former));
   }
 
-  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
+  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): Taken {
     this.#parts.metrics.event("server_former_life");
     this.#parts.logger.warn("server entry of a former life left out", {
       server: id,
       born,
       knownBorn: known.entry.born,
     });
-  }
-
-  /** Such an entry names no server to use, whatever else it says. */
-  #withoutLife({ id }: BackendServer, known: ServerRecord): void {
-    this.#parts.metrics.event("server_malformed");
-    this.#parts.logger.warn("server entry can't be read", {
-      server: id,
-      detail: "expected the start of its life, as it told before, not nothing",
-      knownBorn: known.entry.born,
-    });
-    this.gone(id);
+    return TAKEN;
   }
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -170,6 +170,7 @@
         {
           configured: (routes) => this.#configured(routes),
           serverChanged: (server) => listing.changed(server),
+          serverUnreadable: (id) => listing.unreadable(id),
           serverGone: (id) => listing.gone(id),
         },
       ),
