--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -38,50 +38,52 @@
   readonly [Kind in EntryOutcome["kind"]]: (
     server: BackendServer,
     outcome: Extract<EntryOutcome, { readonly kind: Kind }>,
-  ) => Result<undefined, string>;
+  ) => Taken;
 };
 
-const TAKEN_IN: Result<undefined, string> = Result.ok(undefined);
+/** Whether an entry was taken in; an error says why it can't be read. */
+type Taken = Result<undefined, string>;
 
-/** Why an entry names no server to use, whatever else it says. */
-const WITHOUT_LIFE =
-  "entry: expected the start of the server's life, as it told one before";
+const TAKEN: Taken = Result.ok(undefined);
+
+/** Why an entry without a life can't be read where one was told before. */
+const WITHOUT_LIFE: Taken = Result.err(
+  "entry: expected the start of the server's life, as it told one before",
+);
 
 /** Takes in entries of backend servers. */
 export class ServerListing {
   readonly #parts: ServerListingParts;
   readonly #handlers: Handlers = {
-    listed: (server) => {
-      this.#tellListed(server);
-      return TAKEN_IN;
-    },
+    listed: (server) => this.#tellListed(server),
     started_again: (server, { former }) => {
-      this.#tellListed(server);
       this.#startedAgain(server, former);
-      return TAKEN_IN;
-    },
-    former_life: (server, { known }) => {
-      this.#tellFormerLife(server, known);
-      return TAKEN_IN;
+      return this.#tellListed(server);
     },
-    without_life: () => Result.err(WITHOUT_LIFE),
+    former_life: (server, { known }) => this.#tellFormerLife(server, known),
+    without_life: () => WITHOUT_LIFE,
   };
 
   constructor(parts: ServerListingParts) {
     this.#parts = parts;
   }
 
-  /** An entry is new or has changed; an error tells why it names no server. */
-  changed(server: BackendServer): Result<undefined, string> {
+  /** An entry is new or has changed. */
+  changed(server: BackendServer): Taken {
     const { directory, clock } = this.#parts;
     const outcome = directory.put(server, clock.now());
     const handle = this.#handlers[outcome.kind] as (
       server: BackendServer,
       outcome: EntryOutcome,
-    ) => Result<undefined, string>;
+    ) => Taken;
     return handle(server, outcome);
   }
 
+  /** An entry can't be read; it names no server to use until it is good. */
+  unreadable(id: string): void {
+    this.#parts.directory.unreadable(id);
+  }
+
   /** An entry is gone. */
   gone(id: string): void {
     const { directory, clock, client, prefixes, logger } = this.#parts;
@@ -91,7 +93,7 @@
     logger.info("server gone", { server: id });
   }
 
-  #tellListed(server: BackendServer): void {
+  #tellListed(server: BackendServer): Taken {
     this.#parts.logger.info("server listed", {
       server: server.id,
       born: server.born,
@@ -100,6 +102,7 @@
       state: server.state,
       reclaimable: server.reclaimable,
     });
+    return TAKEN;
   }
 
   /** All that speaks of a server's former life goes with it. */
@@ -119,12 +122,13 @@
     stopped.forEach((run) => run.serverEnded(former));
   }
 
-  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
+  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): Taken {
     this.#parts.metrics.event("server_former_life");
     this.#parts.logger.warn("server entry of a former life left out", {
       server: id,
       born,
       knownBorn: known.entry.born,
     });
+    return TAKEN;
   }
 }
