--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -12,7 +12,6 @@
   Ownership,
   type Random,
 } from "rampswitch-utils";
-import { Result } from "true-myth";
 import type { ObjectStore } from "rampswitch-store";
 import {
   FleetAdmission,
@@ -35,7 +34,6 @@
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostNews } from "./host_news.ts";
 import { Membership, PACE_BY_ROLE } from "./membership/mod.ts";
-import type { BackendServer } from "./model/backend_server.ts";
 import type { Cloud } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
@@ -46,6 +44,7 @@
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { untilIdle } from "./planned_stop.ts";
+import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
   limitTolerance,
@@ -86,10 +85,6 @@
 /** Time for which a stopping host still starts requests, in milliseconds. */
 const STOP_INTAKE_MILLISECONDS = 2_600;
 
-/** Why an entry can't be read that tells no life after one that did. */
-const WITHOUT_LIFE =
-  "entry: expected the start of the server's life, as it told one before";
-
 /** One serving host. */
 export class ServingHost implements AsyncDisposable {
   #settings: ServingSettings;
@@ -155,6 +150,14 @@
         eligible: () => this.#membership?.mayHoldDuties === true,
       }),
     );
+    const listing = new ServerListing({
+      ...ports,
+      directory: this.#directory,
+      client: this.#client,
+      prefixes: this.#prefixes,
+      dispatches: this.#dispatches,
+      runs: () => this.#callers.runs,
+    });
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
     this.#follower = this.#ownership.own(
       new ConfigurationFollower(
@@ -166,9 +169,9 @@
         },
         {
           configured: (routes) => this.#configured(routes),
-          serverChanged: (server) => this.#serverChanged(server),
-          serverUnreadable: (id) => this.#directory.unreadable(id),
-          serverGone: (id) => this.#serverGone(id),
+          serverChanged: (server) => listing.changed(server),
+          serverUnreadable: (id) => listing.unreadable(id),
+          serverGone: (id) => listing.gone(id),
         },
       ),
     );
@@ -396,62 +399,6 @@
       this.#ports.logger.info("serving", { version: configuration.version });
     }
   }
-
-  #serverChanged(server: BackendServer): Result<undefined, string> {
-    const outcome = this.#directory.put(server, this.#ports.clock.now());
-    if (outcome.kind === "former_life") {
-      this.#tellFormerLife(server, outcome.known);
-      return Result.ok(undefined);
-    }
-    if (outcome.kind === "without_life") return Result.err(WITHOUT_LIFE);
-    this.#ports.logger.info("server listed", {
-      server: server.id,
-      born: server.born,
-      service: server.service,
-      dataHall: server.dataHall,
-      state: server.state,
-      reclaimable: server.reclaimable,
-    });
-    if (outcome.kind === "started_again") {
-      this.#serverStartedAgain(outcome.former, server);
-    }
-    return Result.ok(undefined);
-  }
-
-  #tellFormerLife({ id, born }: BackendServer, known: ServerRecord): void {
-    this.#ports.metrics.event("server_former_life");
-    this.#ports.logger.warn("server entry of a former life left out", {
-      server: id,
-      born,
-      knownBorn: known.entry.born,
-    });
-  }
-
-  /** Such an entry names no server to use, whatever else it says. */
-  #serverStartedAgain(former: ServerRecord, server: BackendServer): void {
-    this.#client.forget(server.id);
-    this.#prefixes.forget(server.id);
-    this.#dispatches.forget(server.id);
-    const { runs } = this.#callers;
-    const stopped = runs.filter((run) => run.server === former);
-    this.#ports.metrics.event("server_started_again");
-    this.#ports.logger.info("server started again", {
-      server: server.id,
-      formerBorn: former.entry.born,
-      born: server.born,
-      stoppedRuns: stopped.length,
-    });
-    stopped.forEach((run) => run.serverEnded(former));
-  }
-
-  #serverGone(id: string): void {
-    this.#directory.remove(id, this.#ports.clock.now());
-    this.#client.forget(id);
-    this.#prefixes.retain(
-      new Set(this.#directory.all().map((record) => record.entry.id)),
-    );
-    this.#ports.logger.info("server gone", { server: id });
-  }
 }
 
 function changedBounds(
