--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -8,6 +8,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { breakOff } from "rampswitch-utils";
 import type { RawHeaders } from "../model/request.ts";
 
 /** Writes one answer. */
@@ -83,7 +84,7 @@
   breakOff(): void {
     if (this.#finished) return;
     this.#finished = true;
-    this.#response.destroy();
+    breakOff(this.#response);
   }
 
   /** Notes that the caller is gone. */
