Send readers away from a backup whose runner is lost

Cause: only a slot's primary settles a lost request, and it tells no backup; a reader at a backup followed the lost host's stream without end. Class: an end that nobody confirmed. Ruled out: to tell backups the end (they may become backups after it, and what comes from a host that did not run the request is dropped as a former attempt's). Change: readers are refused, or broken off, as soon as the runner is lost, and reading again goes to the primary unless the runner is trusted.

--- a/packages/rampswitch-entry/src/outcome/answer_cache.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_cache.ts
@@ -36,6 +36,8 @@
 export interface AnswerReader {
   event(index: number, text: string): void;
   ended(outcome: Outcome): void;
+  /** This host can't follow the answer any more; another one may. */
+  lost?(): void;
 }
 
 /** Where an attempt of a request runs. */
@@ -133,6 +135,7 @@
         if (index > after) reader.event(index, text);
       },
       ended: (outcome) => reader.ended(outcome),
+      lost: () => reader.lost?.(),
     };
     this.#events.forEach((event, index) => follower.event(index, event));
     if (this.#outcome !== undefined) {
@@ -145,6 +148,13 @@
     };
   }
 
+  /** Sends readers away, since this host can't follow the answer any more. */
+  sendReadersAway(): void {
+    const readers = this.#readers;
+    this.#readers = [];
+    readers.forEach((reader) => reader.lost?.());
+  }
+
   #add(event: string): void {
     const index = this.#events.length;
     this.#events.push(event);
--- a/packages/rampswitch-entry/src/outcome/answer_writer.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_writer.ts
@@ -8,7 +8,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Outcome } from "rampswitch-types";
-import { inDoubt } from "rampswitch-types";
+import { inDoubt, refused } from "rampswitch-types";
 import type { Answer, AnswerReader } from "./answer_cache.ts";
 import { callerEnd, callerEvent, wholeAnswer } from "../intake/chat_request.ts";
 import { keptHead, keptPart } from "../attempt/plain_runner.ts";
@@ -17,6 +17,15 @@
 /** Bytes that may wait for a slow caller before its connection is closed. */
 const MAXIMUM_WAITING_BYTES = 1024 * 1024;
 
+/** Time after which another host knows what became of a request, in milliseconds. */
+const SETTLED_MILLISECONDS = 500;
+
+const RUNNER_LOST = refused(
+  "slot_unavailable",
+  "the host that ran the request was lost, and another one settles it",
+  { retryAfterMilliseconds: SETTLED_MILLISECONDS },
+);
+
 /** Forms in which an answer is written. */
 export type AnswerForm = "stream" | "whole" | "plain";
 
@@ -52,6 +61,13 @@
       ended = true;
       writer.ended(outcome);
     },
+    lost: () => {
+      ended = true;
+      sendProblem(response, RUNNER_LOST, {
+        requestId: answer.envelope.id,
+        earlierNotJudged: true,
+      });
+    },
   });
   const gone = () => {
     stop();
--- a/packages/rampswitch-entry/src/outcome/kept_requests.ts
+++ b/packages/rampswitch-entry/src/outcome/kept_requests.ts
@@ -119,13 +119,24 @@
   async again(exchange: Exchange, id: string): Promise<void> {
     const slot = slotOfRequestId(id);
     const here = () => Promise.resolve(this.#readAgain(exchange, id));
-    if (slot === undefined || this.#options.book.byId(id) !== undefined) {
+    if (slot === undefined || this.#canFollow(id)) {
       await here();
     } else {
       await this.#options.hop.run(exchange, { slot, body: undefined, here });
     }
   }
 
+  /** Whether the end of an answer is known here, or will be. */
+  #canFollow(id: string): boolean {
+    const answer = this.#options.book.byId(id);
+    if (answer === undefined) return false;
+    return answer.outcome !== undefined || this.#runs(answer);
+  }
+
+  #runs({ runner }: Answer): boolean {
+    return runner === this.#options.self || this.#options.trusts(runner);
+  }
+
   async #serveKey(
     exchange: Exchange,
     work: KeptWork,
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -40,15 +40,23 @@
   return options.guarded ? "in_doubt" : "run_anew";
 }
 
-/** Takes over all requests of this host's slots whose runner is lost. */
+/**
+ * Takes over all requests of this host's slots whose runner is lost, and sends
+ * readers of others away.
+ */
 export function recoverRequests(options: AdoptionOptions): void {
   const { book, slots, self, trusts } = options;
   const own = new Set(slots.primarySlots);
-  book.all
+  const lost = book.all
     .filter(({ outcome, runner }) => outcome === undefined && runner !== self)
-    .filter(({ envelope }) => own.has(envelope.slot))
-    .filter(({ runner }) => !trusts(runner))
-    .forEach((answer) => adopt(answer, options));
+    .filter(({ runner }) => !trusts(runner));
+  const isOwn = ({ envelope }: Answer) => own.has(envelope.slot);
+  lost.filter(isOwn).forEach((answer) => adopt(answer, options));
+  // Only the slot's primary settles a lost request, and it tells no backup: a
+  // reader would wait here for an end that never comes.
+  lost
+    .filter((answer) => !isOwn(answer))
+    .forEach((answer) => answer.sendReadersAway());
 }
 
 function adopt(answer: Answer, options: AdoptionOptions): void {
