Show that the stop of a left run may end the run that replaced it

Cause: 0.1 s after a stalled stream was sent on, its former server is asked to stop it by address and request id alone. A server that is gone leaves its address to another one; sent there, the stream itself is stopped, and its memory freed. Ruled out: the same life is not chosen again (tried lives are excluded), and a server that is known to have started again is not asked (left.ended). Only a server with another id at the address remains, of which left.ended tells nothing. Change: tests only, of the stop and of this case.

--- a/packages/rampswitch-serving/src/relay/run_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_move_test.ts
@@ -9,11 +9,7 @@
   SILENT_LOGGER,
   sleep,
 } from "rampswitch-utils";
-import {
-  type Choice,
-  ServerDirectory,
-  type ServerRecord,
-} from "../choice/mod.ts";
+import { type Choice, ServerDirectory, ServerRecord } from "../choice/mod.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type {
   EngineControl,
@@ -322,3 +318,59 @@
     expect(sentOn).toBeGreaterThan(SEEDS);
   });
 });
+
+/** A run whose send is under way at one server, and the stops that it asks for. */
+function runAt(entry: BackendServer) {
+  const clock = new ManualClock();
+  const stops: MemoryCopy[] = [];
+  const engineControl: EngineControl = {
+    report: () => Promise.resolve(undefined),
+    copyMemory: (copy) => {
+      stops.push(copy);
+      return Promise.resolve(Result.err("no_run"));
+    },
+    dropCopy: () => Promise.resolve(false),
+  };
+  const parts = {
+    clock,
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+    engineControl,
+  } as unknown as RequestContext;
+  const request = {
+    head: { attemptId: OWN },
+    service: { name: "models" },
+  } as AdmittedRequest;
+  const record = new ServerRecord(entry);
+  const move = new RunMove(
+    {
+      attemptId: OWN,
+      record: new RunRecord(request, parts),
+      sentTo: () => ({ record }) as Choice,
+    } as MovableRun,
+    parts,
+  );
+  return { clock, stops, record, move };
+}
+
+describe("the stop of a run that was left", () => {
+  const left = new ServerRecord(new TrueServer(1).entry);
+  const next = new TrueServer(2).entry;
+
+  test("is asked for at the server that was left", async () => {
+    const run = runAt(next);
+    run.move.stopLeft(left, run.record);
+    run.clock.advance(COPY_MILLISECONDS * 2);
+    await settled();
+    expect(run.stops.map(({ from }) => from)).toEqual([left.entry.address]);
+  });
+
+  test("is not asked for where the run goes on at that address", async () => {
+    // A server that is gone leaves its address to another one.
+    const run = runAt({ ...next, address: left.entry.address });
+    run.move.stopLeft(left, run.record);
+    run.clock.advance(COPY_MILLISECONDS * 2);
+    await settled();
+    expect(run.stops).toEqual([]);
+  });
+});
