Ask no left run to stop where its stream goes on at that address

Cause: the stop of a left run names an address, and was kept back only where the same id is known to have started again. Ruled out: to check the id alone; the id at the address is another one by now. Change: no stop is asked for while the run's present send is at that address. Before: the case of run_move_test fails, one stop from and to the same address. After: npx jest run_move_test: 3 of 3 pass; left_run_test was not run.

--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -236,6 +236,7 @@
     const { attemptId, record } = this.#run;
     // A server that ended, or is in a later life, runs nothing of this one.
     if (attemptId === undefined || left.ended) return;
+    if (this.#runsAtAddressOf(left)) return;
     const outcome = await stopLeftRun(
       { from: left.entry.address, to: next.entry.address, attemptId },
       {
@@ -246,6 +247,15 @@
     record.leftRunStopped(outcome, left);
   }
 
+  /**
+   * Whether the run goes on at the address of a server that was left. One that
+   * is gone leaves its address to others, and a stop would end the run there.
+   */
+  #runsAtAddressOf(left: ServerRecord): boolean {
+    const present = this.#run.sentTo()?.record;
+    return present?.entry.address === left.entry.address;
+  }
+
   /** Moves the run; resolves to what came of it. */
   async #move(source: Choice, target: Choice): Promise<string | undefined> {
     const run = this.#run;
