Keep connections of a server by its address as well

Cause: pools of connections were kept by the server's id alone. Ruled out: to forget the pool as an entry changes; a send from kept memory may open one to the former address after that. Change: a pool of another address is forgotten at the next send; what runs on it ends. Before: the test's second send is answered by the former server. After: npx jest src/attempt: 11 of 11 pass; no test with real processes was run.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -55,9 +55,15 @@
 /** Idle time of connections whose server tells none, in milliseconds. */
 const IDLE_MILLISECONDS = 4_000;
 
+/** Connections to one server at its address. */
+interface AddressPool {
+  readonly address: string;
+  readonly pool: Pool;
+}
+
 /** Pools of connections to all backend servers. */
 export class BackendClient implements AsyncDisposable {
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, AddressPool>();
   readonly #ends = new ConnectionEnds();
 
   /** Sends a request to a server. */
@@ -79,22 +85,31 @@
     return handler;
   }
 
-  /** Closes idle connections of a server that is gone. */
+  /** Closes idle connections of a server that is gone, or has another address. */
   forget(serverId: string): void {
-    const pool = this.#pools.get(serverId);
-    if (pool === undefined) return;
+    const known = this.#pools.get(serverId);
+    if (known === undefined) return;
     this.#pools.delete(serverId);
-    void pool.close();
+    void known.pool.close();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+    await Promise.all(
+      [...this.#pools.values()].map(({ pool }) => pool.destroy()),
+    );
   }
 
-  #pool(server: { readonly id: string; readonly address: string }): Pool {
-    const known = this.#pools.get(server.id);
-    if (known !== undefined) return known;
-    const pool = new Pool(`http://${server.address}`, {
+  #pool({
+    id,
+    address,
+  }: {
+    readonly id: string;
+    readonly address: string;
+  }): Pool {
+    const known = this.#pools.get(id);
+    if (known?.address === address) return known.pool;
+    this.forget(id);
+    const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
       connect: this.#ends.connector(),
@@ -103,7 +118,7 @@
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
     });
-    this.#pools.set(server.id, pool);
+    this.#pools.set(id, { address, pool });
     return pool;
   }
 }
