Show that the last lines may follow a torn one

Cause: at the process's end the rest of a batch and the lines behind it are two writes; where the reader takes part of the first and then has room again, the second goes on within a line, so that two requests' lines become one that can't be read. Ruled out: a part at the very end of the output; nothing follows it, and the next life begins with a line's end. Change: test only.

--- a/packages/rampswitch-serving/src/observation/bounded_output_test.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output_test.ts
@@ -198,6 +198,18 @@
     expect(state.text).toBe("\nfirst\nlast\n");
   });
 
+  test("writes no line at the end behind a part of another one", () => {
+    const { state, output } = observed();
+    state.answer = 3;
+    output.push("first\n");
+    state.answer = "EAGAIN";
+    output.push("last\n");
+    // The reader takes part of each write.
+    state.answer = 2;
+    output.writeAtOnce();
+    expect("\nfirst\nlast\n".startsWith(state.text)).toBe(true);
+  });
+
   test("whatever the reader does, lines are whole, in order, and all others are told", () => {
     const answers = fc.oneof(
       fc.integer({ min: 0, max: 60_000 }),
