Write the last lines in one piece

Cause: the rest of a batch and the lines behind it were two writes. Ruled out: to write the second only after a whole first one; one write says the same. Change: both are one write; what is not taken of it is the end of the output.

--- a/packages/rampswitch-serving/src/observation/bounded_output.ts
+++ b/packages/rampswitch-serving/src/observation/bounded_output.ts
@@ -130,13 +130,12 @@
    * what it does not take nobody is left to tell.
    */
   writeAtOnce(): void {
-    if (!this.#writing) {
-      const rest = this.#batch?.bytes.subarray(this.#batch.offset);
-      this.#batch = undefined;
-      if (rest !== undefined) this.#sink.writeAtOnce(rest);
-    }
-    const lines = this.#takeLines();
-    if (lines !== "") this.#sink.writeAtOnce(Buffer.from(lines));
+    const batch = this.#writing ? undefined : this.#batch;
+    if (!this.#writing) this.#batch = undefined;
+    const rest = batch?.bytes.subarray(batch.offset) ?? Buffer.alloc(0);
+    // One write: behind a part of the rest, lines would go on within another one.
+    const bytes = Buffer.concat([rest, Buffer.from(this.#takeLines())]);
+    if (bytes.length > 0) this.#sink.writeAtOnce(bytes);
   }
 
   #holdsLines(): boolean {
