--- a/packages/rampswitch-utils/src/log.ts
+++ b/packages/rampswitch-utils/src/log.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { Writable } from "node:stream";
 import winston from "winston";
 
 /** Levels of log lines, most serious first. */
@@ -26,8 +27,19 @@
   debug(message: string, fields?: LogFields): void;
 }
 
+/** Takes lines, and tells how much of them waits. */
+export interface LineOutput {
+  /** Bytes that wait for the reader. */
+  readonly writableLength: number;
+  write(line: string): unknown;
+}
+
 /** Creates a logger that adds the same fields to each line. */
-export function createLogger(level: LogLevel, fields: LogFields): Logger {
+export function createLogger(
+  level: LogLevel,
+  fields: LogFields,
+  output: LineOutput = process.stderr,
+): Logger {
   return winston.createLogger({
     level,
     defaultMeta: fields,
@@ -35,9 +47,17 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [
-      new winston.transports.Console({ stderrLevels: [...LOG_LEVELS] }),
-    ],
+    transports: [new winston.transports.Stream({ stream: lines(output) })],
+  });
+}
+
+function lines(output: LineOutput): Writable {
+  return new Writable({
+    decodeStrings: false,
+    write: (line: string, _encoding, done) => {
+      output.write(line);
+      done();
+    },
   });
 }
 
