Bound the lines that wait for a slow reader in the own interface's log

Cause: standard error keeps in memory what its reader does not take. Ruled out: to write without waiting, as the serving host does with a pipe opened anew; this program writes to standard error of any kind. Change: a line that finds over 1 MiB waiting is dropped and counted, and the next one that goes out is preceded by 'log lines dropped'.

--- a/packages/rampswitch-utils/src/log.ts
+++ b/packages/rampswitch-utils/src/log.ts
@@ -27,6 +27,12 @@
   debug(message: string, fields?: LogFields): void;
 }
 
+/**
+ * Bytes that wait for a slow reader, at most; some ten seconds of lines of a busy
+ * host. Without a bound a reader that stops would take the process's memory.
+ */
+const MAXIMUM_WAITING_BYTES = 1024 * 1024;
+
 /** Takes lines, and tells how much of them waits. */
 export interface LineOutput {
   /** Bytes that wait for the reader. */
@@ -47,20 +53,41 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [new winston.transports.Stream({ stream: lines(output) })],
+    transports: [
+      new winston.transports.Stream({ stream: boundedLines(output, fields) }),
+    ],
   });
 }
 
-function lines(output: LineOutput): Writable {
+/** Passes lines on, and drops those for which there is no room. */
+function boundedLines(output: LineOutput, fields: LogFields): Writable {
+  let dropped = 0;
   return new Writable({
     decodeStrings: false,
     write: (line: string, _encoding, done) => {
-      output.write(line);
+      if (output.writableLength > MAXIMUM_WAITING_BYTES) {
+        dropped += 1;
+      } else {
+        if (dropped > 0) output.write(droppedLine(dropped, fields));
+        dropped = 0;
+        output.write(line);
+      }
       done();
     },
   });
 }
 
+function droppedLine(lines: number, fields: LogFields): string {
+  const line = {
+    ...fields,
+    level: "warn",
+    message: "log lines dropped",
+    lines,
+    timestamp: new Date().toISOString(),
+  };
+  return `${JSON.stringify(line)}\n`;
+}
+
 /** A logger that writes nothing. */
 export const SILENT_LOGGER: Logger = {
   error: () => undefined,
