Name the request in the line of a lost send, whatever its attempt

Cause: lines tell the attempt alone, so they can't show whether the requests under which servers end are the same one.

--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -28,6 +28,7 @@
 } from "../model/configuration.ts";
 import { REFUSALS, type RefusalReason } from "../model/outcome.ts";
 import type { RequestHead } from "../model/request.ts";
+import { Fingerprint } from "../quarantine/mod.ts";
 import type {
   ConfigurationView,
   RequestContext,
@@ -174,6 +175,12 @@
       this.#refuse(response, head, destination.error);
       return;
     }
+    const sentBody = body.value.length === 0 ? undefined : body.value;
+    const fingerprint = new Fingerprint({
+      ...head,
+      workspace: destination.value.workspace?.name,
+      body: sentBody,
+    });
     this.#reading += 1;
     const charged = await this.#charge(head, destination.value);
     this.#reading -= 1;
@@ -193,7 +200,8 @@
       {
         head,
         ...destination.value,
-        body: body.value.length === 0 ? undefined : body.value,
+        body: sentBody,
+        fingerprint,
         chargedTokens: charged.value,
         arrivedAt,
         configurationVersion: view.routes?.configuration.version ?? 0,
--- a/packages/rampswitch-serving/src/relay/admitted_request.ts
+++ b/packages/rampswitch-serving/src/relay/admitted_request.ts
@@ -7,11 +7,14 @@
  */
 import type { Route, Service, Workspace } from "../model/configuration.ts";
 import type { RequestHead } from "../model/request.ts";
+import type { Fingerprint } from "../quarantine/mod.ts";
 
 /** A request that passed intake. */
 export interface AdmittedRequest {
   readonly head: RequestHead;
   readonly body: Buffer | undefined;
+  /** Names the request whichever attempt it is and whichever host takes it. */
+  readonly fingerprint: Fingerprint;
   readonly route: Route;
   readonly service: Service;
   readonly workspace: Workspace | undefined;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -186,6 +186,8 @@
   ): void {
     this.#context.logger.info("send lost", {
       request: this.#request.head.attemptId,
+      fingerprint: this.#request.fingerprint.text,
+      path: this.#request.head.target,
       reason,
       detail: inputs.detail,
       server: inputs.server?.entry.id,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -4,6 +4,7 @@
 import { type LogFields, ManualClock, SILENT_LOGGER } from "rampswitch-utils";
 import { ServerRecord } from "../choice/mod.ts";
 import { ServingMetrics } from "../observation/mod.ts";
+import { Fingerprint } from "../quarantine/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import {
   NOT_REPEATED_REASONS,
@@ -27,6 +28,13 @@
     forwarded: [],
   },
   body: undefined,
+  fingerprint: new Fingerprint({
+    method: "POST",
+    hostName: "models.example",
+    target: "/once/x",
+    workspace: undefined,
+    body: undefined,
+  }),
   route: {
     name: "once",
     hostName: "models.example",
@@ -312,6 +320,17 @@
     );
   });
 
+  test("a loss names the request, which attempts with other ids share", () => {
+    const { record, lines } = observed();
+    record.sentTo(server("s1"), FIRST);
+    const lost = { detail: "reset", relayed: false, server: server("s1") };
+    record.lost("connection_lost", lost);
+    expect(lines.at(-1)?.fields).toMatchObject({
+      fingerprint: REQUEST.fingerprint.text,
+      path: "/once/x",
+    });
+  });
+
   test("lines leave out the lives of servers that do not tell them", () => {
     const { record, lines } = observed();
     record.sentTo(server("s1"), FIRST);
