Quarantine requests under which two servers ended

Cause: no module keeps a request beyond one attempt, so one that crashes each server which begins it takes as many servers as its route allows runs with each attempt, at each host. Class: a bound that holds for an attempt is taken for a bound on harm, which attempts share. Ruled out: servers that end by themselves (nothing was announced, and the first losses at each server are of two pairs of workspace and prompt); further sends alone (77 of 117 requests lost one connection only). Change: hosts keep the lives of servers that ended under a request, by its fingerprint, and tell each other, also through relays. From two losses on a request runs as a trial only, at one host at a time, after 1 s, 10 s, 100 s and 600 s; one whole answer frees it. From three on the store keeps it for hosts that start later. Who is held gets 503 at once, with the time of its trial, before any limit or slot is spent. Before: 9 to 13 runs in the 4 s that begin 3 s after the third end, 16 at a host that starts later.

--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -19,6 +19,7 @@
   PACE_BY_ROLE,
   type PeerNews,
 } from "./membership/mod.ts";
+import type { Quarantine } from "./quarantine/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
@@ -35,6 +36,7 @@
   readonly meter: LoadMeter;
   readonly duties: HostDuties;
   readonly follower: ConfigurationFollower;
+  readonly quarantine: Quarantine;
   /** Time of day on which the hosts agree, in milliseconds. */
   wallTime(): number;
   /** Whether this host is about to end. */
@@ -97,6 +99,7 @@
           : [],
       readTokens: this.#parts.meter.ownReadTokens(),
       lease: this.#parts.duties.lease,
+      quarantine: this.#parts.quarantine.news(),
     };
   }
 
@@ -123,6 +126,7 @@
       work: directory.workBeside(host, now),
       leases: own === undefined ? heard : [own, ...heard],
       servers: follower.recentServers(),
+      quarantine: this.#parts.quarantine.news(),
     };
   }
 
@@ -150,6 +154,7 @@
     if (acknowledged !== undefined) {
       limits.followRelay({ ...digest, acknowledged }, now);
     }
+    this.#parts.quarantine.heard(digest.quarantine);
     digest.leases.forEach((lease) => this.#parts.duties.heard(lease));
   }
 
@@ -179,6 +184,7 @@
       },
       now,
     );
+    this.#parts.quarantine.heard(news.quarantine);
     this.#parts.duties.usage.heard(news.host, news.incarnation, news.counts);
     this.#parts.meter.heard(
       `${news.host}/${news.incarnation}`,
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -70,9 +70,11 @@
 interface Refusal {
   readonly reason: RefusalReason;
   readonly retryAfterSeconds: number | undefined;
-  readonly workspace?: string;
+  readonly workspace?: string | undefined;
   /** What the request would have been charged. */
   readonly tokens?: number;
+  /** Names a request that is turned away for what it did before. */
+  readonly fingerprint?: string;
 }
 
 /** The listener for callers, and the runs of their requests. */
@@ -181,6 +183,11 @@
       workspace: destination.value.workspace?.name,
       body: sentBody,
     });
+    const held = this.#whyHeld(fingerprint, destination.value);
+    if (held !== undefined) {
+      this.#refuse(response, head, held);
+      return;
+    }
     this.#reading += 1;
     const charged = await this.#charge(head, destination.value);
     this.#reading -= 1;
@@ -303,6 +310,22 @@
     return name === undefined ? undefined : routes.service(name);
   }
 
+  /** Why a request is turned away that may crash the servers it runs at. */
+  #whyHeld(
+    fingerprint: Fingerprint,
+    { workspace }: Destination,
+  ): Refusal | undefined {
+    const decision = this.#context.quarantine.decide(fingerprint);
+    return decision.kind === "held"
+      ? {
+          reason: "quarantined",
+          retryAfterSeconds: decision.waitMilliseconds / 1_000,
+          workspace: workspace?.name,
+          fingerprint: fingerprint.text,
+        }
+      : undefined;
+  }
+
   /** Gives back what a request was charged that does not run. */
   #giveBack({ workspace }: Destination, tokens: number): void {
     if (workspace === undefined) return;
@@ -360,6 +383,8 @@
       path: head.target,
       workspace: refused.workspace,
       tokens: refused.tokens,
+      fingerprint: refused.fingerprint,
+      retryAfterSeconds: refused.retryAfterSeconds,
       configuration:
         this.#context.configuration().routes?.configuration.version,
       configurationAge: Math.round(
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -182,6 +182,16 @@
     });
   }
 
+  /** Names of the hosts that are heard, or all where relays tell; this one too. */
+  present(now: number): readonly string[] {
+    const oldest = now - GONE_MILLISECONDS;
+    const byRelays = this.#freshDigest(now) !== undefined;
+    const others = this.all().filter(
+      (host) => byRelays || Math.max(host.heardAt, host.listedAt) >= oldest,
+    );
+    return [this.#self.name, ...others.map(({ name }) => name)];
+  }
+
   /** What this host does with news now. */
   role(now: number): HostRole {
     if (!needsRelays(Math.max(this.#listedCount, this.#heardCount(now) + 1))) {
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -13,11 +13,13 @@
   type Logger,
   Ownership,
   type Random,
+  rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
 import type { ChangeBatch, ObjectStore } from "rampswitch-store";
 import type { LimitDecision } from "../admission/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
+import type { TrialTurn } from "../quarantine/mod.ts";
 import {
   FleetHosts,
   type HostRole,
@@ -239,6 +241,16 @@
     });
   }
 
+  /** This host's turn among all that are known, in an order drawn by a key. */
+  turn(key: string): TrialTurn {
+    const names = this.#hosts.present(this.#parts.clock.now());
+    const order = rendezvousOrder(key, names);
+    return {
+      rank: order.indexOf(this.#parts.host),
+      lagMilliseconds: PACE_BY_ROLE[this.#role].lag,
+    };
+  }
+
   /** Asks a relay for the newest configuration. */
   askConfiguration(relay: string): void {
     const known = this.#hosts.get(relay);
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -33,6 +33,14 @@
   ],
   readTokens: { models: 1_000 },
   lease: { fence: 3, version: 77 },
+  quarantine: [
+    {
+      fingerprint: "0123456789abcdef01234567",
+      lostLives: { "s1/1796169600123": 350, s2: 20 },
+      tried: 30,
+      ranWhole: undefined,
+    },
+  ],
 };
 
 /** Fewer tokens than these fit into the limit of the test's relays. */
@@ -88,6 +96,7 @@
       { key: "servers/s2", version: 9 },
     ],
   },
+  quarantine: NEWS.quarantine,
 };
 
 interface SharedByHosts {
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -11,6 +11,7 @@
 import type { ChangeBatch } from "rampswitch-store";
 import { parseJson } from "rampswitch-utils";
 import * as z from "zod";
+import { FINGERPRINT_PATTERN, type QuarantineNews } from "../quarantine/mod.ts";
 import type {
   DispatchNews,
   FleetDigest,
@@ -49,6 +50,21 @@
  */
 const lives = numbers.optional();
 
+/**
+ * Requests under which servers ended: ages of the ends by life, of the newest trial
+ * and of the newest whole run. A key of its own, as above.
+ */
+const quarantine = z
+  .array(
+    z.tuple([
+      z.string().regex(FINGERPRINT_PATTERN),
+      numbers,
+      z.number().nullable(),
+      z.number().nullable(),
+    ]),
+  )
+  .optional();
+
 /** Short keys on the network, in the order of {@link PeerNews}. */
 const NEWS_SCHEMA = z.object({
   h: z.string(),
@@ -70,6 +86,7 @@
   r: numbers,
   l: lease.optional(),
   y: lives,
+  x: quarantine,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -95,6 +112,7 @@
     l: z.array(lease),
     s: changes.optional(),
     y: lives,
+    o: quarantine,
   }),
   z.object({
     k: z.literal("q"),
@@ -213,6 +231,9 @@
     ]),
     r: news.readTokens,
     ...encodedLives(news.work, news.dispatches),
+    ...(news.quarantine.length === 0
+      ? {}
+      : { x: encodedQuarantine(news.quarantine) }),
     ...(news.configurationAge === undefined
       ? {}
       : { f: Math.ceil(news.configurationAge) }),
@@ -237,6 +258,9 @@
     w: encodedWork(digest.work),
     l: digest.leases.map(({ fence, version }) => [fence, version]),
     ...encodedLives(digest.work, []),
+    ...(digest.quarantine.length === 0
+      ? {}
+      : { o: encodedQuarantine(digest.quarantine) }),
     ...(digest.configurationAge === undefined
       ? {}
       : { g: Math.ceil(digest.configurationAge) }),
@@ -304,6 +328,7 @@
     work: workOf(message.w, message.y),
     leases: message.l.map(([fence, version]) => ({ fence, version })),
     servers: message.s === undefined ? undefined : changesOf(message.s),
+    quarantine: quarantineOf(message.o),
   };
 }
 
@@ -334,9 +359,45 @@
       news.l === undefined
         ? undefined
         : { fence: news.l[0], version: news.l[1] },
+    quarantine: quarantineOf(news.x),
   };
 }
 
+type EncodedQuarantine = [
+  string,
+  Record<string, number>,
+  number | null,
+  number | null,
+][];
+
+function encodedQuarantine(
+  requests: readonly QuarantineNews[],
+): EncodedQuarantine {
+  return requests.map(({ fingerprint, lostLives, tried, ranWhole }) => [
+    fingerprint,
+    Object.fromEntries(
+      Object.entries(lostLives).map(([life, age]) => [life, Math.round(age)]),
+    ),
+    roundedAge(tried),
+    roundedAge(ranWhole),
+  ]);
+}
+
+function roundedAge(age: number | undefined): number | null {
+  return age === undefined ? null : Math.round(age);
+}
+
+function quarantineOf(
+  encoded: EncodedQuarantine | undefined,
+): readonly QuarantineNews[] {
+  return (encoded ?? []).map(([fingerprint, lostLives, tried, ranWhole]) => ({
+    fingerprint,
+    lostLives,
+    tried: tried ?? undefined,
+    ranWhole: ranWhole ?? undefined,
+  }));
+}
+
 type EncodedChanges = [number, number, [string, number, string | null][]];
 
 function encodedChanges(batch: ChangeBatch): EncodedChanges {
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -35,6 +35,7 @@
   ],
   readTokens: {},
   lease: undefined,
+  quarantine: [],
 };
 
 const MESSAGE: PeerMessage = {
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -13,6 +13,7 @@
   LimitDecision,
 } from "../admission/mod.ts";
 import type { ToldWork } from "../choice/mod.ts";
+import type { QuarantineNews } from "../quarantine/mod.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
 /** Requests that began in each reporting window, by workspace. */
@@ -66,6 +67,8 @@
   /** Prompt tokens sent to each service to be read, since the start. */
   readonly readTokens: Readonly<Record<string, number>>;
   readonly lease: LeaseNews | undefined;
+  /** Requests under which servers ended, as the host knows them. */
+  readonly quarantine: readonly QuarantineNews[];
 }
 
 /** What a relay knows of all hosts but one, to tell that one. */
@@ -82,6 +85,8 @@
   readonly leases: readonly LeaseNews[];
   /** The newest changes of backend servers' entries in the store. */
   readonly servers: ChangeBatch | undefined;
+  /** Requests under which servers ended, over all hosts. */
+  readonly quarantine: readonly QuarantineNews[];
 }
 
 /** A relay's message to one host of its data hall. */
--- a/packages/rampswitch-serving/src/quarantine/mod.ts
+++ b/packages/rampswitch-serving/src/quarantine/mod.ts
@@ -6,3 +6,5 @@
  * @module
  */
 export * from "./fingerprint.ts";
+export * from "./quarantine.ts";
+export * from "./quarantine_store.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -0,0 +1,60 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The answer of this host's own to an admitted request that it can't serve.
+ *
+ * @module
+ */
+import { REFUSALS, type RefusalReason } from "../model/outcome.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Callers are asked to come back after this time at least, in seconds. */
+const LEAST_RETRY_AFTER_SECONDS = 0.2;
+
+/** Spread on top, in seconds, so that callers do not come back together. */
+const RETRY_AFTER_SPREAD_SECONDS = 0.4;
+
+/** What a refusal is made with. */
+export type RefusalParts = Pick<
+  RequestContext,
+  "admission" | "codec" | "quarantine" | "random"
+>;
+
+/** Answers with a refusal; what a request that did not run was charged goes back. */
+export function answerRefusal(
+  reason: RefusalReason,
+  exchange: {
+    readonly request: AdmittedRequest;
+    readonly answer: CallerAnswer;
+  },
+  parts: RefusalParts,
+): void {
+  const { request, answer } = exchange;
+  const { status, notRun } = REFUSALS[reason];
+  if (notRun && request.workspace !== undefined) {
+    parts.admission.giveBack({
+      workspace: request.workspace.name,
+      tokens: request.chargedTokens,
+    });
+  }
+  const headers = parts.codec.encodeOwnAnswer({
+    attemptId: request.head.attemptId,
+    retryAfterSeconds: notRun ? retryAfterSeconds(request, parts) : undefined,
+  });
+  answer.whole(status, headers, Buffer.alloc(0));
+}
+
+/** Not before a quarantined request may run as a trial. */
+function retryAfterSeconds(
+  { fingerprint }: AdmittedRequest,
+  { quarantine, random }: RefusalParts,
+): number {
+  const decision = quarantine.decide(fingerprint);
+  const wait = decision.kind === "held" ? decision.waitMilliseconds / 1_000 : 0;
+  return (
+    Math.max(LEAST_RETRY_AFTER_SECONDS, wait) +
+    RETRY_AFTER_SPREAD_SECONDS * random.next()
+  );
+}
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -17,6 +17,7 @@
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
+import type { Quarantine } from "../quarantine/mod.ts";
 import type { ReadingRates } from "./reading_rates.ts";
 
 /** What a host knows of the configuration at one moment. */
@@ -51,6 +52,7 @@
   readonly readingRates: ReadingRates;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
+  readonly quarantine: Quarantine;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -27,18 +27,15 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import { comesAfter, EventFramer } from "./event_framer.ts";
 import { HeldBody } from "./held_body.ts";
+import { answerRefusal } from "./own_refusal.ts";
 import type { RequestContext } from "./request_context.ts";
+import { ResendRules } from "./resend_rules.ts";
 import {
   type BudgetView,
   type NotRepeatedReason,
   RunRecord,
 } from "./run_record.ts";
-import {
-  LEAST_USEFUL_MILLISECONDS,
-  type MovableRun,
-  RunMove,
-  type Spending,
-} from "./run_move.ts";
+import { type MovableRun, RunMove, type Spending } from "./run_move.ts";
 import { chooseFor } from "./send_choice.ts";
 import { StallWatch } from "./stall_watch.ts";
 
@@ -51,18 +48,6 @@
 /** The same for the first event of a resumable stream. */
 const STREAM_STALL_TARGETS = 2.5;
 
-/** Callers are asked to come back after this time at least, in seconds. */
-const LEAST_RETRY_AFTER_SECONDS = 0.2;
-
-/** Spread on top, in seconds, so that callers do not come back together. */
-const RETRY_AFTER_SPREAD_SECONDS = 0.4;
-
-/** Sends of one request that ask for a further run, at most. */
-const MAXIMUM_REPEATS = 4;
-
-/** Further runs of a stream that broke midway at a server that ended. */
-const RESUME_EXTRA_RUNS = 1;
-
 const FIRST_SERVER_ERROR = 500;
 
 /** Status of a server that is not the one that was named. */
@@ -85,11 +70,10 @@
   readonly #answer: CallerAnswer;
   readonly #record: RunRecord;
   readonly #truth: AttemptTruth;
+  readonly #rules: ResendRules;
   readonly #framer = new EventFramer();
   /** Lives of servers that were sent the request. */
   readonly #tried = new Set<string>();
-  /** Servers whose answer was lost. */
-  readonly #lostAt: ServerRecord[] = [];
   readonly #deadlineAt: number;
   readonly #onFinished: (run: RequestRun) => void;
   #current: CurrentSend | undefined;
@@ -98,8 +82,6 @@
   #lastEventId: string | undefined;
   /** Id of the last event of this answer. */
   #relayedId: string | undefined;
-  /** Sends that asked for a further run. */
-  #repeats = 0;
   readonly #move: RunMove;
   #cancelDeadline: () => void = () => undefined;
   readonly #stall: StallWatch;
@@ -124,6 +106,7 @@
     this.#truth = new AttemptTruth(
       request.route.resumable ? "repeatable" : request.route.repeatability,
     );
+    this.#rules = new ResendRules(request, this.#truth, context);
     this.#move = new RunMove(this.#movable(), context);
     this.#lastEventId = request.head.lastEventId;
     this.#deadlineAt = request.arrivedAt + limitMilliseconds(request);
@@ -215,10 +198,16 @@
 
   #sendToBest(): void {
     const outcome = chooseFor(this.request, this.#tried, this.#context);
-    if (outcome.kind === "chosen") this.#sendTo(outcome.choice);
+    if (outcome.kind === "chosen") this.#sendFirst(outcome.choice);
     else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
   }
 
+  #sendFirst(choice: Choice): void {
+    const decision = this.#context.quarantine.begin(this.request.fingerprint);
+    if (decision.kind === "held") this.#giveUp("quarantined");
+    else this.#sendTo(choice);
+  }
+
   #sendTo(choice: Choice, memorySource?: MemorySource): void {
     const { record } = choice;
     const { request } = this;
@@ -298,8 +287,8 @@
   #stalled(): void {
     const current = this.#current;
     if (current === undefined || this.#move.stopping) return;
-    current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
-    if (!this.#mayResendAfterRun()) return;
+    this.#fellSilent(current);
+    if (!this.#rules.mayLeaveRun) return;
     this.#truth.handle({ type: "lost" });
     this.#move.drop();
     this.#endCurrent(true);
@@ -315,13 +304,6 @@
     }
   }
 
-  /** Whether the current run may be left for another one. */
-  #mayResendAfterRun(): boolean {
-    const { route } = this.request;
-    const repeatable = route.resumable || route.repeatability === "repeatable";
-    return repeatable && this.#truth.possibleRuns < route.maximumRuns;
-  }
-
   #headCame(head: AnswerHead): void {
     const current = this.#current;
     if (current === undefined) return;
@@ -442,6 +424,7 @@
     }
     if (!this.#answer.started) this.#firstEvent(current);
     current.choice.record.succeeded();
+    this.#context.quarantine.ranWhole(this.request.fingerprint);
     this.#finish("completed");
     this.#answer.end();
   }
@@ -449,10 +432,11 @@
   #wholeAnswer(head: AnswerHead, current: CurrentSend): void {
     const body = this.#held.whole();
     this.#record.began();
+    this.#context.quarantine.ranWhole(this.request.fingerprint);
     const failed = head.status >= FIRST_SERVER_ERROR;
     if (failed) current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
     else current.choice.record.succeeded();
-    if (failed && this.#mayResendAfterRun()) {
+    if (failed && this.#rules.mayLeaveRun) {
       this.#failureAnswer = { head, body };
       this.#truth.handle({ type: "lost" });
       this.#endCurrent(false);
@@ -515,8 +499,14 @@
     }
     const before = this.#truth.state;
     this.#truth.handle({ type: "lost" });
-    record?.failed(this.#now(), NOT_SURELY_DOWN);
-    if (record !== undefined) this.#lostAt.push(record);
+    if (record !== undefined) {
+      record.failed(this.#now(), NOT_SURELY_DOWN);
+      this.#rules.lostAt(record);
+      // Before the next send: one request may crash each server that begins it.
+      if (reason === "connection_lost") {
+        this.#context.quarantine.lost(this.request.fingerprint, record);
+      }
+    }
     this.#endCurrent(true);
     this.#record.lost(reason, {
       detail,
@@ -534,7 +524,7 @@
 
   #resend(reason: ResendReason, otherwise: RefusalReason): void {
     if (this.#answer.finished) return;
-    const forbidden = this.#whyNotAgain();
+    const forbidden = this.#rules.whyNotAgain(this.#remaining());
     const choice = forbidden === undefined ? this.#choose() : undefined;
     if (choice === undefined) {
       this.#notRepeated(reason, forbidden ?? "no_server");
@@ -547,7 +537,7 @@
       this.#giveUp(otherwise);
       return;
     }
-    this.#repeats += 1;
+    this.#rules.repeated();
     this.#record.resent(reason, view);
     this.#sendTo(choice);
   }
@@ -565,25 +555,6 @@
     return { now: this.#now(), hosts: this.#context.listedHosts() };
   }
 
-  /** What forbids a further send, wherever it would go. */
-  #whyNotAgain(): NotRepeatedReason | undefined {
-    const extra = this.#brokeAtEnd() ? RESUME_EXTRA_RUNS : 0;
-    if (!this.#truth.maySend(this.request.route.maximumRuns + extra)) {
-      return "may_not_run_again";
-    }
-    if (this.#remaining() <= LEAST_USEFUL_MILLISECONDS) return "too_late";
-    return this.#repeats < MAXIMUM_REPEATS ? undefined : "too_many_sends";
-  }
-
-  /** Whether a part of the stream ran at a server that has ended or will. */
-  #brokeAtEnd(): boolean {
-    // A lost connection alone does not tell that its server ended.
-    return (
-      this.#truth.relayed &&
-      this.#lostAt.some(({ entry }) => entry.state === "leaving")
-    );
-  }
-
   #notRepeated(
     reason: ResendReason,
     why: NotRepeatedReason,
@@ -619,7 +590,8 @@
           ? "unknown_outcome"
           : reason;
       this.#finish(truthful, REFUSALS[truthful].status);
-      this.#answerRefusal(truthful);
+      const exchange = { request: this.request, answer: this.#answer };
+      answerRefusal(truthful, exchange, this.#context);
     }
   }
 
@@ -630,27 +602,6 @@
     this.#answer.breakOff();
   }
 
-  #answerRefusal(reason: RefusalReason): void {
-    const refusal = REFUSALS[reason];
-    if (refusal.notRun && this.request.workspace !== undefined) {
-      this.#context.admission.giveBack({
-        workspace: this.request.workspace.name,
-        tokens: this.request.chargedTokens,
-      });
-    }
-    this.#answer.whole(
-      refusal.status,
-      this.#context.codec.encodeOwnAnswer({
-        attemptId: this.request.head.attemptId,
-        retryAfterSeconds: refusal.notRun
-          ? LEAST_RETRY_AFTER_SECONDS +
-            RETRY_AFTER_SPREAD_SECONDS * this.#context.random.next()
-          : undefined,
-      }),
-      Buffer.alloc(0),
-    );
-  }
-
   #callerLeft(): void {
     if (this.#answer.finished) return;
     this.#answer.abandoned();
@@ -664,8 +615,12 @@
     const current = this.#current;
     if (current === undefined || this.#head !== undefined) return;
     const waited = this.#now() - current.sentAt;
-    if (waited < this.#firstStallMilliseconds()) return;
-    current.choice.record.failed(this.#now(), NOT_SURELY_DOWN);
+    if (waited >= this.#firstStallMilliseconds()) this.#fellSilent(current);
+  }
+
+  #fellSilent({ choice: { record } }: CurrentSend): void {
+    record.failed(this.#now(), NOT_SURELY_DOWN);
+    this.#context.quarantine.silent(this.request.fingerprint, record);
   }
 
   /** Ends the current send's part in the counts; forgets what it brought. */
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -16,6 +16,7 @@
 /** Why a further send that was wanted is not made. */
 export const NOT_REPEATED_REASONS = [
   "may_not_run_again",
+  "quarantined",
   "too_late",
   "too_many_sends",
   "no_server",
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -17,6 +17,7 @@
 } from "./choice/mod.ts";
 import type { BackendServer } from "./model/backend_server.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
+import type { Quarantine } from "./quarantine/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { RequestRun } from "./relay/request_run.ts";
 
@@ -30,6 +31,7 @@
   readonly client: BackendClient;
   readonly prefixes: PrefixKnowledge;
   readonly dispatches: RecentDispatches;
+  readonly quarantine: Quarantine;
   /** Requests in progress. */
   runs(): readonly RequestRun[];
 }
@@ -87,6 +89,7 @@
   /** An entry is gone. */
   gone(id: string): void {
     const { directory, clock, client, prefixes, logger } = this.#parts;
+    this.#endsUnannounced(directory.get(id));
     directory.remove(id, clock.now());
     client.forget(id);
     prefixes.retain(new Set(directory.all().map(({ entry }) => entry.id)));
@@ -105,12 +108,19 @@
     return TAKEN;
   }
 
+  /** What fell silent at a server that crashed was its last work. */
+  #endsUnannounced(record: ServerRecord | undefined): void {
+    if (record === undefined || record.leavingSince !== undefined) return;
+    this.#parts.quarantine.lifeEnded(record.life);
+  }
+
   /** All that speaks of a server's former life goes with it. */
   #startedAgain(server: BackendServer, former: ServerRecord): void {
     const { client, prefixes, dispatches, logger, metrics } = this.#parts;
     client.forget(server.id);
     prefixes.forget(server.id);
     dispatches.forget(server.id);
+    this.#endsUnannounced(former);
     const stopped = this.#parts.runs().filter((run) => run.server === former);
     metrics.event("server_started_again");
     logger.info("server started again", {
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -38,6 +38,7 @@
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
+import { Quarantine, QuarantineStore } from "./quarantine/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
@@ -64,6 +65,8 @@
   /** Prefix of host entries and key of the duties' lease in the store. */
   readonly hostsPrefix: string;
   readonly leaseKey: string;
+  /** Prefix of the object with the quarantined requests in the store. */
+  readonly quarantinePrefix: string;
   readonly readinessPath: string;
   readonly metricsPath: string;
   /** A steady clock. */
@@ -82,6 +85,9 @@
  */
 const TRUSTED_SHARE = 0.8;
 
+/** Turn of a host that knows no other one yet. */
+const ONLY_HOST_TURN = { rank: 0, lagMilliseconds: 0 };
+
 /** Time for which a stopping host still starts requests, in milliseconds. */
 const STOP_INTAKE_MILLISECONDS = 2_600;
 
@@ -96,6 +102,8 @@
   readonly #limits: WorkspaceLimits;
   readonly #admission: FleetAdmission;
   readonly #budget: ResendBudget;
+  readonly #quarantine: Quarantine;
+  readonly #quarantineStore: QuarantineStore;
   #stopped: Promise<void> | undefined;
   readonly #readingRates = new ReadingRates();
   readonly #dispatches = new RecentDispatches();
@@ -127,6 +135,20 @@
       ask: async (request) => this.#membership?.ask(request),
     });
     this.#budget = new ResendBudget(resendTerms(bounds), ports.clock.now());
+    this.#quarantine = new Quarantine({
+      ...ports,
+      turn: (fingerprint) =>
+        this.#membership?.turn(fingerprint) ?? ONLY_HOST_TURN,
+      onStoredChange: () => this.#quarantineStore.changed(),
+    });
+    this.#quarantineStore = this.#ownership.own(
+      new QuarantineStore({
+        ...ports,
+        prefix: ports.quarantinePrefix,
+        quarantine: this.#quarantine,
+        wallTime: () => this.#wallTime(),
+      }),
+    );
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
@@ -156,6 +178,7 @@
       client: this.#client,
       prefixes: this.#prefixes,
       dispatches: this.#dispatches,
+      quarantine: this.#quarantine,
       runs: () => this.#callers.runs,
     });
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
@@ -185,6 +208,7 @@
       meter: this.#meter,
       duties: this.#duties,
       follower: this.#follower,
+      quarantine: this.#quarantine,
       wallTime: () => this.#wallTime(),
       stopping: () => this.#life.state === "stopping",
       askConfiguration: (relay) => this.#membership?.askConfiguration(relay),
@@ -329,6 +353,7 @@
       readingRates: this.#readingRates,
       admission: this.#admission,
       budget: this.#budget,
+      quarantine: this.#quarantine,
       configuration: () => ({
         routes: this.#follower.routes,
         ageMilliseconds: this.#follower.age(clock.now()),
