--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -38,6 +38,7 @@
       fingerprint: "0123456789abcdef01234567",
       lostLives: { "s1/1796169600123": 350, s2: 20 },
       tried: 30,
+      trials: 1,
       ranWhole: undefined,
     },
   ],
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -51,8 +51,8 @@
 const lives = numbers.optional();
 
 /**
- * Requests under which servers ended: ages of the ends by life, of the newest trial
- * and of the newest whole run. A key of its own, as above.
+ * Requests under which servers ended: ages of the ends by life, age of the newest
+ * trial, number of trials, age of the newest whole run. A key of its own, as above.
  */
 const quarantine = z
   .array(
@@ -60,6 +60,7 @@
       z.string().regex(FINGERPRINT_PATTERN),
       numbers,
       z.number().nullable(),
+      z.number().nonnegative(),
       z.number().nullable(),
     ]),
   )
@@ -367,19 +368,24 @@
   string,
   Record<string, number>,
   number | null,
+  number,
   number | null,
 ][];
 
 function encodedQuarantine(
   requests: readonly QuarantineNews[],
 ): EncodedQuarantine {
-  return requests.map(({ fingerprint, lostLives, tried, ranWhole }) => [
-    fingerprint,
+  return requests.map((request) => [
+    request.fingerprint,
     Object.fromEntries(
-      Object.entries(lostLives).map(([life, age]) => [life, Math.round(age)]),
+      Object.entries(request.lostLives).map(([life, age]) => [
+        life,
+        Math.round(age),
+      ]),
     ),
-    roundedAge(tried),
-    roundedAge(ranWhole),
+    roundedAge(request.tried),
+    request.trials,
+    roundedAge(request.ranWhole),
   ]);
 }
 
@@ -390,12 +396,15 @@
 function quarantineOf(
   encoded: EncodedQuarantine | undefined,
 ): readonly QuarantineNews[] {
-  return (encoded ?? []).map(([fingerprint, lostLives, tried, ranWhole]) => ({
-    fingerprint,
-    lostLives,
-    tried: tried ?? undefined,
-    ranWhole: ranWhole ?? undefined,
-  }));
+  return (encoded ?? []).map(
+    ([fingerprint, lostLives, tried, trials, ranWhole]) => ({
+      fingerprint,
+      lostLives,
+      tried: tried ?? undefined,
+      trials,
+      ranWhole: ranWhole ?? undefined,
+    }),
+  );
 }
 
 type EncodedChanges = [number, number, [string, number, string | null][]];
--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -15,11 +15,12 @@
   EMPTY_ENTRY,
   forgottenAt,
   isHeld,
+  isStored,
   lastLossAt,
-  LOSSES_TO_STORE,
   merged,
   type QuarantineEntry,
   tellsMore,
+  tried,
   trialDueAt,
 } from "./quarantine_entry.ts";
 import { SilentLosses } from "./silent_losses.ts";
@@ -39,6 +40,7 @@
   readonly fingerprint: string;
   readonly lostLives: Readonly<Record<string, Age>>;
   readonly tried: Age | undefined;
+  readonly trials: number;
   readonly ranWhole: Age | undefined;
 }
 
@@ -129,8 +131,8 @@
   begin(request: Fingerprint): QuarantineDecision {
     const decision = this.decide(request);
     if (decision.kind !== "trial") return decision;
-    const triedAt = this.#parts.clock.now();
-    this.#take(request.text, { ...EMPTY_ENTRY, triedAt });
+    const entry = this.#entryOf(request) ?? EMPTY_ENTRY;
+    this.#take(request.text, tried(entry, this.#parts.clock.now()));
     this.#parts.metrics.event("quarantine_trial");
     this.#tell("quarantined request on trial", request.text);
     return decision;
@@ -294,10 +296,6 @@
   }
 }
 
-function isStored({ lostLives }: QuarantineEntry): boolean {
-  return lostLives.size >= LOSSES_TO_STORE;
-}
-
 function mostImportantFirst(left: KnownRequest, right: KnownRequest): number {
   return (
     right.entry.lostLives.size - left.entry.lostLives.size ||
@@ -316,6 +314,7 @@
       [...entry.lostLives].map(([life, at]) => [life, now - at]),
     ),
     tried: ageOf(entry.triedAt, now),
+    trials: entry.trials,
     ranWhole: ageOf(entry.ranWholeAt, now),
   };
 }
@@ -329,6 +328,7 @@
       ]),
     ),
     triedAt: timeOf(news.tried, now),
+    trials: news.trials,
     ranWholeAt: timeOf(news.ranWhole, now),
   };
 }
--- a/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
@@ -17,6 +17,8 @@
   readonly lostLives: ReadonlyMap<string, number>;
   /** When a trial of it last began; `-Infinity` before the first. */
   readonly triedAt: number;
+  /** Trials that began after {@link LOSSES_TO_STORE} losses. */
+  readonly trials: number;
   /** When it last ran whole; `-Infinity` if it never did. */
   readonly ranWholeAt: number;
 }
@@ -25,28 +27,30 @@
 export const EMPTY_ENTRY: QuarantineEntry = {
   lostLives: new Map(),
   triedAt: -Infinity,
+  trials: 0,
   ranWholeAt: -Infinity,
 };
 
 /**
- * Time until the next trial after so many lost servers, in milliseconds; the last
- * one stands for all greater numbers. One loss says little: up to `slots` requests
- * break with each server. With two, one trial a second costs an innocent request
- * little. From three on each trial most likely costs a server and all that runs
- * there, so they come ten times as rarely each time.
+ * Time until the next trial by lost servers, in milliseconds. One loss says little:
+ * up to `slots` requests break with each server. With two, one trial a second costs
+ * an innocent request little. Servers that are lost at once count as three at most,
+ * since an outage ends many under one popular request; from then on each trial most
+ * likely costs a server and all that runs there, so they come ten times as rarely
+ * each time. The last wait stands for all later ones.
  */
-const TRIAL_WAITS: readonly number[] = [0, 0, 1_000, 10_000, 100_000, 600_000];
+const TRIAL_WAITS: readonly number[] = [0, 0, 1_000, 4_000, 40_000, 400_000];
 
 /** Lost servers from which a request runs as a trial only. */
 export const LOSSES_TO_HOLD = 2;
 
-/** Lost servers from which the store keeps a request, so that it outlasts hosts. */
-export const LOSSES_TO_STORE = 3;
+/** Lost servers from which each trial counts, and the store keeps the request. */
+const LOSSES_TO_STORE = 3;
 
 /** An entry is forgotten after this time without news, in milliseconds. */
 const REMEMBERED_MILLISECONDS = 60_000;
 
-/** The same from {@link LOSSES_TO_STORE} on: several times the longest wait. */
+/** The same for what the store keeps: several times the longest wait. */
 const STORED_MILLISECONDS = 3_600_000;
 
 /**
@@ -56,7 +60,7 @@
 const TOLD_TOLERANCE_MILLISECONDS = 200;
 
 /** Lost lives that an entry keeps, the newest ones; more change nothing. */
-const KEPT_LIVES = TRIAL_WAITS.length + 2;
+const KEPT_LIVES = 8;
 
 /** Joins what two hosts know of one request. */
 export function merged(
@@ -74,9 +78,11 @@
     .toSorted(([left, before], [right, after]) =>
       before === after ? (left < right ? -1 : 1) : before - after,
     );
+  const { triedAt, trials } = newestTrial(known, heard);
   return {
     ranWholeAt,
-    triedAt: later(known.triedAt, heard.triedAt),
+    triedAt,
+    trials: triedAt > ranWholeAt ? trials : 0,
     lostLives: new Map(counted.slice(-KEPT_LIVES)),
   };
 }
@@ -89,6 +95,7 @@
   return (
     entry.ranWholeAt !== before.ranWholeAt ||
     entry.triedAt !== before.triedAt ||
+    entry.trials !== before.trials ||
     [...entry.lostLives.keys()].some((life) => !before.lostLives.has(life))
   );
 }
@@ -101,25 +108,33 @@
 /** When the next trial is due; `-Infinity` where the request may run freely. */
 export function trialDueAt(entry: QuarantineEntry): number {
   if (!isHeld(entry)) return -Infinity;
-  const losses = entry.lostLives.size;
+  const losses = Math.min(entry.lostLives.size, LOSSES_TO_STORE);
   const lostAt = lastLossAt(entry);
-  // A trial whose outcome is not known counts as one more loss.
-  return entry.triedAt > lostAt
-    ? entry.triedAt + waitAfter(losses + 1)
-    : lostAt + waitAfter(losses);
+  // A first trial whose outcome is not known counts as one more loss.
+  const unknown = entry.trials === 0 && entry.triedAt > lostAt ? 1 : 0;
+  const wait = waitAfter(losses + entry.trials + unknown);
+  return Math.max(lostAt, entry.triedAt) + wait;
+}
+
+/** An entry with a trial that begins now. */
+export function tried(entry: QuarantineEntry, now: number): QuarantineEntry {
+  const counts = entry.lostLives.size >= LOSSES_TO_STORE ? 1 : 0;
+  return { ...entry, triedAt: now, trials: entry.trials + counts };
 }
 
 /** When an entry may be forgotten. */
 export function forgottenAt(entry: QuarantineEntry): number {
   const newest = Math.max(lastLossAt(entry), entry.triedAt, entry.ranWholeAt);
   return (
-    newest +
-    (entry.lostLives.size >= LOSSES_TO_STORE
-      ? STORED_MILLISECONDS
-      : REMEMBERED_MILLISECONDS)
+    newest + (isStored(entry) ? STORED_MILLISECONDS : REMEMBERED_MILLISECONDS)
   );
 }
 
+/** Whether the store keeps the request, so that it outlasts the hosts. */
+export function isStored({ lostLives, trials }: QuarantineEntry): boolean {
+  return lostLives.size >= LOSSES_TO_STORE || trials > 0;
+}
+
 /** When the last server was lost; `-Infinity` where none was. */
 export function lastLossAt({ lostLives }: QuarantineEntry): number {
   return Math.max(-Infinity, ...lostLives.values());
@@ -129,6 +144,18 @@
   return TRIAL_WAITS[Math.min(losses, TRIAL_WAITS.length - 1)] ?? 0;
 }
 
+/** A later trial tells the higher count, unless a whole run lies between. */
+function newestTrial(
+  known: QuarantineEntry,
+  heard: QuarantineEntry,
+): Pick<QuarantineEntry, "triedAt" | "trials"> {
+  const triedAt = later(known.triedAt, heard.triedAt);
+  if (triedAt === heard.triedAt && heard.triedAt > known.triedAt) return heard;
+  const isSame = later(heard.triedAt, known.triedAt) === heard.triedAt;
+  const trials = isSame ? Math.max(known.trials, heard.trials) : known.trials;
+  return { triedAt, trials };
+}
+
 function later(known: number, heard: number): number {
   return heard > known + TOLD_TOLERANCE_MILLISECONDS ? heard : known;
 }
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -52,7 +52,11 @@
 const OBJECT_SCHEMA = z.object({
   requests: z.record(
     z.string().regex(FINGERPRINT_PATTERN),
-    z.object({ lostLives: wallTimes, tried: z.number().optional() }),
+    z.object({
+      lostLives: wallTimes,
+      tried: z.number().optional(),
+      trials: z.number().nonnegative(),
+    }),
   ),
 });
 
@@ -145,9 +149,10 @@
 ): StoredQuarantine {
   return {
     requests: Object.fromEntries(
-      news.map(({ fingerprint, lostLives, tried }) => [
+      news.map(({ fingerprint, lostLives, tried, trials }) => [
         fingerprint,
         {
+          trials,
           lostLives: shifted(lostLives, wallTime),
           ...(tried === undefined ? {} : { tried: wallTime - tried }),
         },
@@ -164,6 +169,7 @@
     fingerprint,
     lostLives: shifted(stored.lostLives, wallTime),
     tried: stored.tried === undefined ? undefined : wallTime - stored.tried,
+    trials: stored.trials,
     ranWhole: undefined,
   }));
 }
