Age confirmations, renewals and messages by a clock that sees suspensions

Cause: what ages by the steady clock is too young by the length of a suspension. Change: a cautious clock adds each step of the time of day ahead; the configuration's age, the holder's renewals and the finding of pauses go by it. Leases of others, limits, deadlines and timers stay on the steady one: there, time that runs ahead would do harm. Tried and left: the time since boot. A time of day that is set ahead costs one confirmation and one renewal.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -54,7 +54,7 @@
 export interface FollowerParts {
   readonly store: ObjectStore;
   readonly formats: StoredFormats;
-  /** A steady clock. */
+  /** A clock by which no confirmation is too young, also after a suspension. */
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -401,16 +401,17 @@
   }
 
   /** Milliseconds since the store confirmed the configuration. */
-  age(now: number): number {
-    return now - this.#confirmedAt;
+  get age(): number {
+    return this.#parts.clock.now() - this.#confirmedAt;
   }
 
   /** Whether this host lost its way to the store while others have theirs. */
-  cutOff(now: number): boolean {
+  get cutOff(): boolean {
+    const now = this.#parts.clock.now();
     const since = Math.max(this.#ownConfirmedAt, this.#asksSince);
     const lost =
       !this.#configuration.suspended && now - since > OWN_WAY_LOST_MILLISECONDS;
-    return lost && this.age(now) < OTHERS_FRESH_MILLISECONDS;
+    return lost && this.age < OTHERS_FRESH_MILLISECONDS;
   }
 
   /**
@@ -524,7 +525,7 @@
     this.#reachable = false;
     this.#parts.metrics.event("store_lost");
     this.#parts.logger.warn("store does not answer", {
-      confirmedMillisecondsAgo: Math.round(this.age(this.#parts.clock.now())),
+      confirmedMillisecondsAgo: Math.round(this.age),
     });
   }
 }
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -204,7 +204,7 @@
     expect(second?.after).toBe(6);
     expect(second?.seconds).toBeLessThan(2);
     // It has only just begun to ask, and is not cut off.
-    expect(started.cutOff(clock.now())).toBe(false);
+    expect(started.cutOff).toBe(false);
   });
 
   test("asks nothing while relays confirm that there is none yet", async () => {
@@ -277,9 +277,9 @@
     const started = await follow(store, clock);
     await advance(clock, 3_000);
     started.confirmedByRelay(7, 0);
-    expect(started.age(clock.now())).toBeGreaterThan(3_000);
+    expect(started.age).toBeGreaterThan(3_000);
     started.confirmedByRelay(5, 0);
-    expect(started.age(clock.now())).toBeLessThan(1_000);
+    expect(started.age).toBeLessThan(1_000);
   });
 });
 
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -68,6 +68,11 @@
   readonly times: LeaseTimes;
   /** A steady clock. */
   readonly clock: Clock;
+  /**
+   * A clock by which no renewal is too young, also after a suspension. It may run
+   * ahead, so that others' leases must not be timed by it.
+   */
+  readonly cautiousClock: Clock;
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
@@ -83,7 +88,9 @@
   readonly sentAt: Map<number, number>;
   /** Number of the last renewal that was sent. */
   lastRenewal: number;
+  /** On the cautious clock, as {@link sentAt}. */
   renewalSentAt: number;
+  /** On the steady clock. */
   readonly mayActAt: number;
 }
 
@@ -207,10 +214,11 @@
   }
 
   async #take(mayActAt: number): Promise<void> {
-    const { store, leaseKey, clock, logger, metrics } = this.#parts;
+    const { store, leaseKey, clock, cautiousClock, logger, metrics } =
+      this.#parts;
     const lease = takenLease(this.#seen, this.#parts, this.#lastRead);
     // An earlier write of the same lease may be the one that takes effect.
-    const sentAt = this.#takeSentAt.get(lease.fence) ?? clock.now();
+    const sentAt = this.#takeSentAt.get(lease.fence) ?? cautiousClock.now();
     this.#takeSentAt.set(lease.fence, sentAt);
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: this.#seen.version ?? "absent",
@@ -252,8 +260,8 @@
   }
 
   async #hold(held: Held): Promise<void> {
-    const { clock, times, duties } = this.#parts;
-    const now = clock.now();
+    const { cautiousClock, times, duties } = this.#parts;
+    const now = cautiousClock.now();
     const reports = duties.finalReports(held.lease.reports);
     const news = Object.keys(reports).some(
       (window) => held.lease.reports[window] === undefined,
@@ -265,12 +273,12 @@
   }
 
   async #renew(held: Held, reports: FinalReports): Promise<void> {
-    const { store, leaseKey, clock, metrics } = this.#parts;
+    const { store, leaseKey, cautiousClock, metrics } = this.#parts;
     held.lastRenewal += 1;
     const renewals = held.lastRenewal;
     const counts = this.#parts.duties.counts();
     const lease = { ...held.lease, reports, renewals, counts };
-    const sentAt = clock.now();
+    const sentAt = cautiousClock.now();
     held.sentAt.set(renewals, sentAt);
     const put = await store.put(leaseKey, JSON.stringify(lease), {
       expected: held.version,
@@ -350,9 +358,11 @@
   }
 
   #mayActNow(): boolean {
-    const { clock, times } = this.#parts;
+    const { clock, cautiousClock, times } = this.#parts;
     const held = this.#held;
-    return held !== undefined && mayAct(held, { now: clock.now(), times });
+    const now = clock.now();
+    const renewalAge = cautiousClock.now() - (held?.renewalSentAt ?? -Infinity);
+    return held !== undefined && mayAct(held, { now, renewalAge, times });
   }
 
   /** Whether a call of the duties may be sent at this moment. */
--- a/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "@jest/globals";
 import { Result } from "true-myth";
 import {
+  CautiousClock,
   ManualClock,
   type Random,
   seededRandom,
@@ -142,6 +143,7 @@
       leaseKey: "leases/duties",
       times,
       clock,
+      cautiousClock: clock,
       random,
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
@@ -201,6 +203,61 @@
   return acts;
 }
 
+/** A holder whose time of day goes on beside its steady clock. */
+async function holderThatCanBeSuspended(): Promise<{
+  readonly clock: ManualClock;
+  readonly store: LeaseStore;
+  readonly keeper: DutyKeeper;
+  readonly suspension: { milliseconds: number };
+}> {
+  const clock = new ManualClock(1_000);
+  const random = seededRandom(1);
+  const store = new LeaseStore(clock, random);
+  const suspension = { milliseconds: 0 };
+  const wallTime = () => clock.now() + suspension.milliseconds;
+  const keeper = new DutyKeeper({
+    host: "a",
+    incarnation: "1",
+    store: store.seenBy(() => true),
+    leaseKey: "leases/duties",
+    times: TIMES,
+    clock,
+    cautiousClock: new CautiousClock(clock, wallTime),
+    random,
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+    eligible: () => true,
+    duties: {
+      finalReports: (known) => known,
+      counts: () => ({}),
+      restore: () => undefined,
+      act: () => Promise.resolve(),
+    },
+  });
+  while (!keeper.mayAct) await stepOf(clock);
+  return { clock, store, keeper, suspension };
+}
+
+async function stepOf(clock: ManualClock): Promise<void> {
+  clock.advance(STEP_MILLISECONDS);
+  for (let turn = 0; turn < 12; turn += 1) await Promise.resolve();
+}
+
+describe("a holder that was suspended", () => {
+  test("does not act before it has renewed its lease", async () => {
+    const { clock, store, keeper, suspension } =
+      await holderThatCanBeSuspended();
+    store.reachable = false;
+    suspension.milliseconds = 8_000;
+    expect(keeper.mayAct).toBe(false);
+    for (let turn = 0; turn < 20; turn += 1) await stepOf(clock);
+    expect(keeper.mayAct).toBe(false);
+    store.reachable = true;
+    for (let turn = 0; turn < 20; turn += 1) await stepOf(clock);
+    expect(keeper.mayAct).toBe(true);
+  });
+});
+
 /** The host that tells of holding the lease. */
 function holderOf(
   keepers: ReadonlyMap<string, DutyKeeper>,
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -106,9 +106,14 @@
 
 /** Whether a holder may act at a time. */
 export function mayAct(
-  held: { readonly renewalSentAt: number; readonly mayActAt: number },
-  options: { readonly now: number; readonly times: LeaseTimes },
+  held: { readonly mayActAt: number },
+  options: {
+    readonly now: number;
+    /** Time since the last renewal that took effect was sent, at least. */
+    readonly renewalAge: number;
+    readonly times: LeaseTimes;
+  },
 ): boolean {
-  const { now, times } = options;
-  return now >= held.mayActAt && now - held.renewalSentAt < times.acting;
+  const { now, renewalAge, times } = options;
+  return now >= held.mayActAt && renewalAge < times.acting;
 }
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -50,6 +50,8 @@
   readonly cloud: Cloud;
   /** A steady clock. */
   readonly clock: Clock;
+  /** A clock by which no renewal is too young, also after a suspension. */
+  readonly cautiousClock: Clock;
   /** Time of day of this host, in milliseconds. */
   readonly wallTime: () => number;
   /** Time of day on which the hosts agree, in milliseconds. */
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -159,7 +159,7 @@
   }
 
   #ownConfirmationAge(): number | undefined {
-    const age = this.#parts.follower.age(this.#parts.clock.now());
+    const { age } = this.#parts.follower;
     return Number.isFinite(age) ? age : undefined;
   }
 
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -70,6 +70,8 @@
   readonly hostsPrefix: string;
   /** A steady clock. */
   readonly clock: Clock;
+  /** A clock that tells of pauses, also of those over a suspension. */
+  readonly cautiousClock: Clock;
   /** Time of day of this host; it may jump. */
   readonly wallTime: () => number;
   readonly random: Random;
@@ -127,9 +129,9 @@
   readonly #passedOn = new Map<string, string>();
   #round = 0;
   #role: HostRole = "direct";
-  /** When this host last sent news, on the steady clock. */
+  /** When this host last sent news, on the cautious clock. */
   #lastRound = 0;
-  /** When this process last went on after a pause. */
+  /** When this process last went on after a pause, on the cautious clock. */
   #wokenAt = -Infinity;
 
   private constructor(
@@ -280,8 +282,8 @@
   /** Sends news to the hosts whose turn it is. */
   tell(): void {
     const now = this.#parts.clock.now();
-    if (this.#isPaused(now)) this.#wokenAt = now;
-    this.#lastRound = now;
+    if (this.#isPaused()) this.#wokenAt = this.#parts.cautiousClock.now();
+    this.#lastRound = this.#parts.cautiousClock.now();
     this.#round += 1;
     this.#changeRole(this.#hosts.role(now));
     if (this.#hosts.all().length === 0) return;
@@ -425,7 +427,7 @@
       }
       this.#listener.onNews({
         ...news,
-        configurationAge: this.#ageNow(news.configurationAge, now, age),
+        configurationAge: this.#ageNow(news.configurationAge, age),
       });
     });
     this.#hosts.sentBy(message.from, message.wantsDigest, now);
@@ -437,7 +439,7 @@
     if (this.#role !== "member") return;
     this.#listener.onDigest({
       ...digest,
-      configurationAge: this.#ageNow(digest.configurationAge, now, 0),
+      configurationAge: this.#ageNow(digest.configurationAge, 0),
     });
   }
 
@@ -466,19 +468,17 @@
    * Age of a confirmation that a message told of. After a pause of this
    * process, messages may be as old as the pause.
    */
-  #ageNow(
-    told: number | undefined,
-    now: number,
-    age: number,
-  ): number | undefined {
+  #ageNow(told: number | undefined, age: number): number | undefined {
+    const now = this.#parts.cautiousClock.now();
     const woken = now - this.#wokenAt < WOKEN_MILLISECONDS;
-    return told === undefined || woken || this.#isPaused(now)
+    return told === undefined || woken || this.#isPaused()
       ? undefined
       : told + age;
   }
 
   /** Whether this process has missed rounds, as one does that was stopped. */
-  #isPaused(now: number): boolean {
+  #isPaused(): boolean {
+    const now = this.#parts.cautiousClock.now();
     const longest = PACE_BY_ROLE[this.#role].interval * PAUSE_PACES;
     return this.#lastRound > 0 && now - this.#lastRound > longest;
   }
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -4,6 +4,8 @@
 import fc from "fast-check";
 import { Result } from "true-myth";
 import {
+  CautiousClock,
+  type Clock,
   ManualClock,
   Ownership,
   seededRandom,
@@ -103,6 +105,8 @@
 interface SharedByHosts {
   readonly store: ObjectStore;
   readonly clock: ManualClock;
+  /** The steady one when left out. */
+  readonly cautiousClock?: Clock;
   readonly heard: PeerNews[];
   readonly digests?: FleetDigest[];
   readonly configurations?: ChangeBatch[];
@@ -126,6 +130,7 @@
         store: shared.store,
         hostsPrefix: "hosts/",
         clock: shared.clock,
+        cautiousClock: shared.cautiousClock ?? shared.clock,
         wallTime: () => shared.wallTime,
         random: seededRandom(host.length),
         logger: SILENT_LOGGER,
@@ -191,6 +196,39 @@
   });
 });
 
+describe("a host that was suspended", () => {
+  test("believes no age that was told before it went on", async () => {
+    const clock = new ManualClock(1_000);
+    const shared = { store: sharedStore(), clock, wallTime: 500_000 };
+    const told: PeerNews[] = [];
+    const suspension = { milliseconds: 0 };
+    const wallTime = () => clock.now() + suspension.milliseconds;
+    await openHost("a", { ...shared, heard: [] });
+    const suspended = await openHost("b", {
+      ...shared,
+      heard: told,
+      cautiousClock: new CautiousClock(clock, wallTime),
+    });
+    for (let at = 0; at < 2_000; at += 50) await step(clock, 50);
+    const news = told.at(-1);
+    expect(news?.configurationAge).toBeDefined();
+    if (news === undefined) return;
+    suspension.milliseconds = 8_000;
+    // A message that came meanwhile is read before anything else.
+    const late = { ...news, sequence: news.sequence + 1, configurationAge: 90 };
+    suspended.receive(
+      encodeMessage({
+        kind: "news",
+        from: "a",
+        wantsDigest: false,
+        news: [{ age: 0, news: late }],
+      }),
+    );
+    expect(told.at(-1)?.sequence).toBe(late.sequence);
+    expect(told.at(-1)?.configurationAge).toBeUndefined();
+  });
+});
+
 async function listedAddresses(
   store: ObjectStore,
 ): Promise<ReadonlyMap<string, string>> {
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {
+  CautiousClock,
   type Clock,
   type Logger,
   Ownership,
@@ -95,6 +96,7 @@
 export class ServingHost implements AsyncDisposable {
   #settings: ServingSettings;
   readonly #ports: ServingPorts;
+  readonly #cautiousClock: CautiousClock;
   readonly #ownership = new Ownership();
   readonly #life = new ServingLife();
   readonly #directory = new ServerDirectory();
@@ -121,6 +123,7 @@
     this.#settings = settings;
     this.#ports = ports;
     const { bounds } = settings;
+    this.#cautiousClock = new CautiousClock(ports.clock, ports.wallTime);
     this.#limits = new WorkspaceLimits(
       limitTolerance(bounds),
       PACE_BY_ROLE.direct,
@@ -159,6 +162,7 @@
     this.#duties = this.#ownership.own(
       new HostDuties({
         ...ports,
+        cautiousClock: this.#cautiousClock,
         host: settings.host,
         dataHalls: settings.dataHalls,
         usageWindowMilliseconds: bounds.usageWindowMilliseconds,
@@ -186,6 +190,7 @@
       new ConfigurationFollower(
         {
           ...ports,
+          clock: this.#cautiousClock,
           isRelay: () => this.#membership?.role === "relay",
           isIdleMember: () =>
             this.#membership?.role === "member" && this.#callers.idle,
@@ -311,6 +316,7 @@
     return Membership.open(
       {
         ...this.#ports,
+        cautiousClock: this.#cautiousClock,
         host: this.#settings.host,
         dataHall: this.#settings.dataHall,
         cores: this.#settings.cores,
@@ -356,7 +362,7 @@
       quarantine: this.#quarantine,
       configuration: () => ({
         routes: this.#follower.routes,
-        ageMilliseconds: this.#follower.age(clock.now()),
+        ageMilliseconds: this.#follower.age,
         keysTrusted: this.#keysTrusted(),
       }),
       hosts: () => this.#membership?.size ?? 1,
@@ -387,8 +393,7 @@
     if (this.#follower.routes === undefined) return false;
     return (
       !bounds.keysNeedConfirmation ||
-      this.#follower.age(this.#ports.clock.now()) <
-        bounds.keyRemovalMilliseconds * TRUSTED_SHARE
+      this.#follower.age < bounds.keyRemovalMilliseconds * TRUSTED_SHARE
     );
   }
 
@@ -397,7 +402,7 @@
       this.#life.state === "serving" &&
       this.#follower.serversListed &&
       this.#keysTrusted() &&
-      !this.#follower.cutOff(this.#ports.clock.now())
+      !this.#follower.cutOff
     );
   }
 
--- /dev/null
+++ b/packages/rampswitch-utils/src/cautious_clock_test.ts
@@ -0,0 +1,70 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { CautiousClock } from "./cautious_clock.ts";
+import { ManualClock } from "./clock.ts";
+
+function observed(): {
+  readonly steady: ManualClock;
+  readonly wall: { ahead: number };
+  readonly cautious: CautiousClock;
+} {
+  const steady = new ManualClock(1_000);
+  const wall = { ahead: 1_700_000_000_000 };
+  const wallTime = () => wall.ahead + steady.now();
+  return { steady, wall, cautious: new CautiousClock(steady, wallTime) };
+}
+
+describe("a cautious clock", () => {
+  test("runs with the steady one", () => {
+    const { steady, cautious } = observed();
+    steady.advance(700);
+    expect(cautious.now()).toBe(1_700);
+  });
+
+  test("counts the time over which the steady one stood still", () => {
+    const { steady, wall, cautious } = observed();
+    wall.ahead += 8_000;
+    steady.advance(10);
+    expect(cautious.now()).toBe(9_010);
+    expect(cautious.now()).toBe(9_010);
+  });
+
+  test("never goes back, however the time of day is set", () => {
+    const steps = fc.array(
+      fc.record({
+        wall: fc.integer({ min: -5_000, max: 5_000 }),
+        steady: fc.integer({ min: 0, max: 300 }),
+      }),
+      { minLength: 1, maxLength: 50 },
+    );
+    fc.assert(
+      fc.property(steps, (taken) => {
+        const { steady, wall, cautious } = observed();
+        let before = cautious.now();
+        taken.forEach((step) => {
+          wall.ahead += step.wall;
+          steady.advance(step.steady);
+          const now = cautious.now();
+          expect(now - before).toBeGreaterThanOrEqual(step.steady);
+          before = now;
+        });
+      }),
+      { seed: 34, numRuns: 500 },
+    );
+  });
+
+  test("has the steady one's timers", () => {
+    const { steady, wall, cautious } = observed();
+    let rung = false;
+    cautious.after(100, () => {
+      rung = true;
+    });
+    wall.ahead += 8_000;
+    steady.advance(99);
+    expect(rung).toBe(false);
+    steady.advance(1);
+    expect(rung).toBe(true);
+  });
+});
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -7,6 +7,7 @@
  */
 export * from "./body.ts";
 export * from "./break_off.ts";
+export * from "./cautious_clock.ts";
 export * from "./clock.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
