--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -182,6 +182,44 @@
   });
 });
 
+// The store answered nothing for 3.3 seconds, without a sign. A watch of servers that
+// was asked in the last moments of that waits for an answer that never comes, up to
+// its 25 seconds, and servers that leave are not heard of meanwhile. The watch of the
+// configuration that failed last had it asked anew, and the next one was answered.
+describe("a watch of servers that was asked late in a silent outage", () => {
+  test("is asked anew once the store answers again", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    await follow(store, clock);
+    await advance(clock, 3_000);
+    const first = store.waiting.get("servers/");
+    store.waiting
+      .get("config/")
+      ?.answer(Result.err({ kind: "unknown", detail: "silent" }));
+    for (let at = 0; at < 800; at += 100) await advance(clock, 100);
+    const late = store.waiting.get("servers/");
+    expect(late).not.toBe(first);
+    store.waiting.get("config/")?.answer(Result.ok({ version: 6, events: [] }));
+    await advance(clock, 0);
+    await advance(clock, 100);
+    expect(store.waiting.get("servers/")).not.toBe(late);
+  });
+
+  test("is left alone once it was asked when the store answered", async () => {
+    const store = new WaitingStore();
+    const clock = new ManualClock(1_000);
+    await follow(store, clock);
+    const sound = store.waiting.get("servers/");
+    for (let round = 0; round < 5; round += 1) {
+      store.waiting
+        .get("config/")
+        ?.answer(Result.ok({ version: 6, events: [] }));
+      await advance(clock, 500);
+    }
+    expect(store.waiting.get("servers/")).toBe(sound);
+  });
+});
+
 describe("the watch of the configuration", () => {
   test("asks nothing while relays confirm, and asks when they stop", async () => {
     const store = new WaitingStore();
