Ask for servers anew once the store answers again

Cause: both watches take the same way. The failure of the configuration's watch has the watch of servers asked anew, but the last one of an outage falls into it: that call waits up to 25 s for an answer that was lost, and only news of others that are ahead found it. Change: the first confirmation after an outage has it asked once more, one call for each outage and host.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -514,6 +514,8 @@
     this.#lapsed.storeAnswers();
     if (this.#reachable) return;
     this.#reachable = true;
+    // Its call may be from the outage, and wait for an answer that never comes.
+    this.#servers.interrupt();
     this.#parts.logger.info("store answers again", {});
   }
 
