--- a/packages/rampswitch-measure/src/run_measure.ts
+++ b/packages/rampswitch-measure/src/run_measure.ts
@@ -11,6 +11,7 @@
 import { measureFootprint } from "./footprint_measure.ts";
 import { measurePolicy } from "./policy_measure.ts";
 import { plotPolicy } from "./policy_plot.ts";
+import { measureQuarantine } from "./quarantine_measure.ts";
 import { measureSurvive } from "./survive_measure.ts";
 
 type Measure = (options: MeasureOptions) => Promise<unknown>;
@@ -21,6 +22,7 @@
   configuration: measureConfiguration,
   policy: measurePolicy,
   footprint: measureFootprint,
+  quarantine: measureQuarantine,
 };
 
 /** Runs the program with its arguments; returns the exit code. */
