--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -88,3 +88,40 @@
     });
   });
 });
+
+describe("news of requests under which servers ended", () => {
+  const quarantine: PeerNews["quarantine"] = [
+    {
+      fingerprint: "0123456789abcdef01234567",
+      lostLives: { "s1/1796169600123": 350 },
+      tried: undefined,
+      trials: 0,
+      ranWhole: 20,
+    },
+  ];
+  const telling: PeerMessage = {
+    kind: "news",
+    from: "h1",
+    wantsDigest: false,
+    news: [{ age: 0, news: { ...NEWS, quarantine } }],
+  };
+
+  test("comes as it was sent", () => {
+    const decoded = decodeMessage(encodeMessage(telling));
+    expect(decoded.unwrapOr(undefined)).toEqual(telling);
+  });
+
+  test("takes no byte where there is none", () => {
+    expect(written().news).not.toHaveProperty("x");
+  });
+
+  test("has a key of its own, which hosts of a former version leave out", () => {
+    const text = encodeMessage(telling).toString("utf8");
+    const { o } = JSON.parse(text) as {
+      o: [number, Record<string, unknown>][];
+    };
+    const { x, ...former } = o[0]?.[1] ?? {};
+    expect(x).toBeDefined();
+    expect(former).toEqual(written().news);
+  });
+});
