Leave more time between the turns of hosts that may try a quarantined request

Cause: turns were one usual lag apart, so that a trial whose news was lost could be followed by a second one, which costs another server. Change: the time that leaves room for two lost messages.

--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -249,7 +249,8 @@
     const order = rendezvousOrder(key, names);
     return {
       rank: order.indexOf(this.#parts.host),
-      lagMilliseconds: PACE_BY_ROLE[this.#role].lag,
+      // Not the usual lag: two messages may be lost, and two trials cost two servers.
+      lagMilliseconds: PACE_BY_ROLE[this.#role].silence,
     };
   }
 
--- a/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
@@ -17,7 +17,7 @@
 /** Time between two messages of a host. */
 const NEWS_MILLISECONDS = 250;
 
-const LAG_MILLISECONDS = 350;
+const LAG_MILLISECONDS = 700;
 
 /** Time in which all hosts are to know what one saw. */
 const CONTACT_MILLISECONDS = 3 * SECOND;
