Leave no slow trial for a further send that would not come

Cause: a quarantined request is sent once, but its silent run was left all the same, so that a trial at a slow server ended with 504 and freed nobody. Change: a run is left only where another may follow. Test: resend_rules_test.ts.

--- a/packages/rampswitch-serving/src/relay/resend_rules.ts
+++ b/packages/rampswitch-serving/src/relay/resend_rules.ts
@@ -50,9 +50,14 @@
 
   /** Whether the current run may be left for another one. */
   get mayLeaveRun(): boolean {
-    const { route } = this.#request;
+    const { route, fingerprint } = this.#request;
     const repeatable = route.resumable || route.repeatability === "repeatable";
-    return repeatable && this.#truth.possibleRuns < route.maximumRuns;
+    return (
+      repeatable &&
+      this.#truth.possibleRuns < route.maximumRuns &&
+      // No other run would follow, so that a slow trial had come to nothing.
+      !this.#quarantine.forbidsRepeat(fingerprint)
+    );
   }
 
   /** What forbids a further send; `undefined` for nothing. */
