--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -2,7 +2,7 @@
 
 /**
  * The requests under which backend servers ended, as one host knows them: asked
- * before a send, told after a loss. A request that has lost two servers runs only
+ * before a send, told after a loss. A request that has lost three servers runs only
  * as a trial, at one host at a time, and the more rarely the more it has lost; one
  * whole answer frees it.
  *
--- a/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
@@ -17,7 +17,7 @@
   readonly lostLives: ReadonlyMap<string, number>;
   /** When a trial of it last began; `-Infinity` before the first. */
   readonly triedAt: number;
-  /** Trials that began after {@link LOSSES_TO_STORE} losses. */
+  /** Trials that began since it last ran whole. */
   readonly trials: number;
   /** When it last ran whole; `-Infinity` if it never did. */
   readonly ranWholeAt: number;
@@ -32,20 +32,20 @@
 };
 
 /**
- * Time until the next trial by lost servers, in milliseconds. One loss says little:
- * up to `slots` requests break with each server. With two, one trial a second costs
- * an innocent request little. Servers that are lost at once count as three at most,
- * since an outage ends many under one popular request; from then on each trial most
- * likely costs a server and all that runs there, so they come ten times as rarely
- * each time. The last wait stands for all later ones.
+ * Time until the next trial by lost servers, in milliseconds. One or two losses say
+ * little: up to `slots` requests break with each server, and a stream may lose two.
+ * Servers that are lost at once count as three at most, since an outage ends many
+ * under one popular request; from then on each trial most likely costs a server and
+ * all that runs there, so they come ten times as rarely each time. The last wait
+ * stands for all later ones.
  */
-const TRIAL_WAITS: readonly number[] = [0, 0, 1_000, 4_000, 40_000, 400_000];
+const TRIAL_WAITS: readonly number[] = [0, 0, 0, 4_000, 40_000, 400_000];
 
-/** Lost servers from which a request runs as a trial only. */
-export const LOSSES_TO_HOLD = 2;
-
-/** Lost servers from which each trial counts, and the store keeps the request. */
-const LOSSES_TO_STORE = 3;
+/**
+ * Lost servers from which a request runs as a trial only, and the store keeps it, so
+ * that it outlasts the hosts.
+ */
+const LOSSES_TO_HOLD = 3;
 
 /** An entry is forgotten after this time without news, in milliseconds. */
 const REMEMBERED_MILLISECONDS = 60_000;
@@ -108,18 +108,13 @@
 /** When the next trial is due; `-Infinity` where the request may run freely. */
 export function trialDueAt(entry: QuarantineEntry): number {
   if (!isHeld(entry)) return -Infinity;
-  const losses = Math.min(entry.lostLives.size, LOSSES_TO_STORE);
-  const lostAt = lastLossAt(entry);
-  // A first trial whose outcome is not known counts as one more loss.
-  const unknown = entry.trials === 0 && entry.triedAt > lostAt ? 1 : 0;
-  const wait = waitAfter(losses + entry.trials + unknown);
-  return Math.max(lostAt, entry.triedAt) + wait;
+  const wait = waitAfter(LOSSES_TO_HOLD + entry.trials);
+  return Math.max(lastLossAt(entry), entry.triedAt) + wait;
 }
 
 /** An entry with a trial that begins now. */
 export function tried(entry: QuarantineEntry, now: number): QuarantineEntry {
-  const counts = entry.lostLives.size >= LOSSES_TO_STORE ? 1 : 0;
-  return { ...entry, triedAt: now, trials: entry.trials + counts };
+  return { ...entry, triedAt: now, trials: entry.trials + 1 };
 }
 
 /** When an entry may be forgotten. */
@@ -132,7 +127,7 @@
 
 /** Whether the store keeps the request, so that it outlasts the hosts. */
 export function isStored({ lostLives, trials }: QuarantineEntry): boolean {
-  return lostLives.size >= LOSSES_TO_STORE || trials > 0;
+  return lostLives.size >= LOSSES_TO_HOLD || trials > 0;
 }
 
 /** When the last server was lost; `-Infinity` where none was. */
