--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -19,7 +19,7 @@
   PACE_BY_ROLE,
   type PeerNews,
 } from "./membership/mod.ts";
-import type { Quarantine } from "./quarantine/mod.ts";
+import type { Quarantine, QuarantineNews } from "./quarantine/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
@@ -51,6 +51,8 @@
   /** What this host had admitted at each of its newest messages. */
   readonly #told = new Map<number, AdmittedTotals>();
   readonly #leases = new Map<string, HeardLease>();
+  /** Of this round; a relay tells it to each of its members. */
+  #quarantineNews: readonly QuarantineNews[] = [];
 
   constructor(parts: HostNewsParts) {
     this.#parts = parts;
@@ -78,6 +80,7 @@
     if (message.role !== "member") limits.followPeers();
     this.#parts.follower.checkRelays();
     this.#noteTold(message.sequence, limits.totals());
+    this.#quarantineNews = this.#parts.quarantine.news();
     // Every host keeps a history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
       this.load(name),
@@ -99,7 +102,7 @@
           : [],
       readTokens: this.#parts.meter.ownReadTokens(),
       lease: this.#parts.duties.lease,
-      quarantine: this.#parts.quarantine.news(),
+      quarantine: this.#quarantineNews,
     };
   }
 
@@ -126,7 +129,7 @@
       work: directory.workBeside(host, now),
       leases: own === undefined ? heard : [own, ...heard],
       servers: follower.recentServers(),
-      quarantine: this.#parts.quarantine.news(),
+      quarantine: this.#quarantineNews,
     };
   }
 
--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -116,8 +116,8 @@
 
   /** Whether a request may be sent now; changes nothing. */
   decide(request: Fingerprint): QuarantineDecision {
-    const entry = this.#entryOf(request);
-    if (entry === undefined || !isHeld(entry)) return FREE;
+    const entry = this.#heldEntryOf(request);
+    if (entry === undefined) return FREE;
     const now = this.#parts.clock.now();
     const { rank, lagMilliseconds } = this.#turn(request.text, now);
     // Hosts take their turns one lag apart: who comes later has heard of a trial.
@@ -140,8 +140,7 @@
 
   /** Whether a request must not be sent a further time in the same attempt. */
   forbidsRepeat(request: Fingerprint): boolean {
-    const entry = this.#entryOf(request);
-    return entry !== undefined && isHeld(entry);
+    return this.#heldEntryOf(request) !== undefined;
   }
 
   /** A server's connection broke under a request that it had begun. */
@@ -180,14 +179,11 @@
   news(): readonly QuarantineNews[] {
     const now = this.#parts.clock.now();
     this.#forgetOld(now);
-    return [...this.#requests]
-      .filter(
-        ([, { entry, changedAt }]) =>
-          isHeld(entry) || now - changedAt < TOLD_MILLISECONDS,
-      )
-      .toSorted(([, left], [, right]) => mostImportantFirst(left, right))
-      .slice(0, MOST_TOLD)
-      .map(([fingerprint, { entry }]) => newsOf(fingerprint, entry, now));
+    return this.#foremost(
+      now,
+      ({ entry, changedAt }) =>
+        isHeld(entry) || now - changedAt < TOLD_MILLISECONDS,
+    );
   }
 
   /** Takes in what another host told. */
@@ -201,8 +197,16 @@
   /** The requests that the store is to keep. */
   stored(): readonly QuarantineNews[] {
     const now = this.#parts.clock.now();
+    return this.#foremost(now, ({ entry }) => isStored(entry));
+  }
+
+  /** Those to tell of, as many as fit into one message. */
+  #foremost(
+    now: number,
+    isTold: (known: KnownRequest) => boolean,
+  ): readonly QuarantineNews[] {
     return [...this.#requests]
-      .filter(([, { entry }]) => isStored(entry))
+      .filter(([, known]) => isTold(known))
       .toSorted(([, left], [, right]) => mostImportantFirst(left, right))
       .slice(0, MOST_TOLD)
       .map(([fingerprint, { entry }]) => newsOf(fingerprint, entry, now));
@@ -228,6 +232,11 @@
     return this.#requests.get(request.text)?.entry;
   }
 
+  #heldEntryOf(request: Fingerprint): QuarantineEntry | undefined {
+    const entry = this.#entryOf(request);
+    return entry !== undefined && isHeld(entry) ? entry : undefined;
+  }
+
   #take(fingerprint: string, told: QuarantineEntry): void {
     const now = this.#parts.clock.now();
     const known = this.#requests.get(fingerprint);
--- a/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
@@ -32,20 +32,19 @@
 };
 
 /**
- * Time until the next trial by lost servers, in milliseconds. One or two losses say
- * little: up to `slots` requests break with each server, and a stream may lose two.
- * Servers that are lost at once count as three at most, since an outage ends many
- * under one popular request; from then on each trial most likely costs a server and
- * all that runs there, so they come ten times as rarely each time. The last wait
- * stands for all later ones.
+ * Lost servers from which a request runs as a trial only, and the store keeps it, so
+ * that it outlasts the hosts. One or two say little: up to `slots` requests break
+ * with each server, and a stream may lose two.
  */
-const TRIAL_WAITS: readonly number[] = [0, 0, 0, 4_000, 40_000, 400_000];
+const LOSSES_TO_HOLD = 3;
 
 /**
- * Lost servers from which a request runs as a trial only, and the store keeps it, so
- * that it outlasts the hosts.
+ * Time until the next trial by trials so far, in milliseconds. Not by lost servers,
+ * since an outage ends many under one popular request. Each trial most likely costs
+ * a server and all that runs there, so they come ten times as rarely each time. The
+ * last wait stands for all later ones.
  */
-const LOSSES_TO_HOLD = 3;
+const TRIAL_WAITS: readonly number[] = [4_000, 40_000, 400_000];
 
 /** An entry is forgotten after this time without news, in milliseconds. */
 const REMEMBERED_MILLISECONDS = 60_000;
@@ -67,7 +66,9 @@
   known: QuarantineEntry,
   heard: QuarantineEntry,
 ): QuarantineEntry {
-  const ranWholeAt = later(known.ranWholeAt, heard.ranWholeAt);
+  const ranWholeAt = isLater(heard.ranWholeAt, known.ranWholeAt)
+    ? heard.ranWholeAt
+    : known.ranWholeAt;
   const lives = [...known.lostLives, ...heard.lostLives].reduce(
     (joined, [life, at]) =>
       joined.set(life, Math.min(at, joined.get(life) ?? Infinity)),
@@ -108,7 +109,7 @@
 /** When the next trial is due; `-Infinity` where the request may run freely. */
 export function trialDueAt(entry: QuarantineEntry): number {
   if (!isHeld(entry)) return -Infinity;
-  const wait = waitAfter(LOSSES_TO_HOLD + entry.trials);
+  const wait = TRIAL_WAITS[Math.min(entry.trials, TRIAL_WAITS.length - 1)] ?? 0;
   return Math.max(lastLossAt(entry), entry.triedAt) + wait;
 }
 
@@ -126,8 +127,8 @@
 }
 
 /** Whether the store keeps the request, so that it outlasts the hosts. */
-export function isStored({ lostLives, trials }: QuarantineEntry): boolean {
-  return lostLives.size >= LOSSES_TO_HOLD || trials > 0;
+export function isStored(entry: QuarantineEntry): boolean {
+  return isHeld(entry) || entry.trials > 0;
 }
 
 /** When the last server was lost; `-Infinity` where none was. */
@@ -135,22 +136,18 @@
   return Math.max(-Infinity, ...lostLives.values());
 }
 
-function waitAfter(losses: number): number {
-  return TRIAL_WAITS[Math.min(losses, TRIAL_WAITS.length - 1)] ?? 0;
-}
-
 /** A later trial tells the higher count, unless a whole run lies between. */
 function newestTrial(
   known: QuarantineEntry,
   heard: QuarantineEntry,
 ): Pick<QuarantineEntry, "triedAt" | "trials"> {
-  const triedAt = later(known.triedAt, heard.triedAt);
-  if (triedAt === heard.triedAt && heard.triedAt > known.triedAt) return heard;
-  const isSame = later(heard.triedAt, known.triedAt) === heard.triedAt;
-  const trials = isSame ? Math.max(known.trials, heard.trials) : known.trials;
-  return { triedAt, trials };
+  if (isLater(heard.triedAt, known.triedAt)) return heard;
+  if (isLater(known.triedAt, heard.triedAt)) return known;
+  const trials = Math.max(known.trials, heard.trials);
+  return { triedAt: known.triedAt, trials };
 }
 
-function later(known: number, heard: number): number {
-  return heard > known + TOLD_TOLERANCE_MILLISECONDS ? heard : known;
+/** Whether a time is of a later moment and not the same one told back. */
+function isLater(time: number, other: number): boolean {
+  return time > other + TOLD_TOLERANCE_MILLISECONDS;
 }
