Tell which counts became final, when, and by which time of day

Cause: the lines of the duties could not tell the hypotheses of usage that was reported twice apart: neither which counts were sent, nor when they became final, nor what a successor had read. Change: `usage final` and `final usage left the lease` with a digest of the counts, the time since the window's end and how far this host's clock is ahead of the agreed time; `usage reported` has the digest, `duties taken` what the former lease was and which windows were final in it.

--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -54,6 +54,8 @@
   counts(): LifeCounts;
   /** Takes in counts that a former holder kept. */
   restore(counts: LifeCounts): void;
+  /** Notes the reports that the lease object surely holds now. */
+  stored(reports: FinalReports): void;
   /** Acts under the fence; `reports` are in the store. */
   act(reports: FinalReports, fence: Fence): Promise<void>;
 }
@@ -233,6 +235,7 @@
     }
     this.#lastRead = lease;
     this.#parts.duties.restore(lease.counts);
+    this.#parts.duties.stored(lease.reports);
     this.#held = {
       lease,
       version,
@@ -245,6 +248,8 @@
     logger.info("duties taken", {
       fence: lease.fence,
       from: this.#seen.lease?.holder,
+      formerLease: formerLeaseState(this.#seen),
+      finalWindows: Object.keys(lease.reports).join(","),
       actsInMilliseconds: Math.round(Math.max(0, mayActAt - clock.now())),
     });
   }
@@ -320,6 +325,7 @@
     renewal: { lease: DutyLease; version: number; sentAt: number },
   ): void {
     this.#lastRead = renewal.lease;
+    this.#parts.duties.stored(renewal.lease.reports);
     held.lease = renewal.lease;
     held.version = renewal.version;
     held.renewalSentAt = renewal.sentAt;
@@ -378,6 +384,12 @@
 /** Store version that tells the peers that the lease was given up. */
 const RELEASED_VERSION = -1;
 
+/** What a host knew of the lease object that it took over, for the log. */
+function formerLeaseState({ lease, version }: SeenLease): string {
+  if (lease !== undefined) return "read";
+  return version === undefined ? "none" : "unreadable";
+}
+
 function decodeLease(value: string | undefined): DutyLease | undefined {
   if (value === undefined) return undefined;
   const parsed = parseJson(value);
--- a/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -152,6 +152,7 @@
         finalReports: (known) => known,
         counts: () => ({}),
         restore: () => undefined,
+        stored: () => undefined,
         act: (_reports, { holder, fence }) => {
           acts.push({ at: clock.now(), holder, fence });
           return Promise.resolve();
@@ -231,6 +232,7 @@
       finalReports: (known) => known,
       counts: () => ({}),
       restore: () => undefined,
+      stored: () => undefined,
       act: () => Promise.resolve(),
     },
   });
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -107,7 +107,7 @@
   /** Begins to look at the lease. */
   start(): void {
     const life = `${this.#parts.host}/${this.#parts.incarnation}`;
-    const { agreedWallTime, leaseMilliseconds } = this.#parts;
+    const { wallTime, agreedWallTime, leaseMilliseconds } = this.#parts;
     this.#keeper = this.#ownership.own(
       new DutyKeeper({
         ...this.#parts,
@@ -118,6 +118,11 @@
             this.#usageDuty.finalReports(known, agreedWallTime()),
           counts: () => this.usage.lives(life, agreedWallTime()),
           restore: (counts) => this.usage.restore(counts, life),
+          stored: (reports) =>
+            this.#usageDuty.stored(reports, {
+              own: wallTime(),
+              agreed: agreedWallTime(),
+            }),
           act: (reports, fence) => this.#act(reports, fence),
         },
       }),
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { Logger } from "rampswitch-utils";
+import { type Logger, sha256 } from "rampswitch-utils";
 import type { Cloud, Fence } from "../model/cloud.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { UsageCounts, UsageCounter } from "./usage_counter.ts";
@@ -24,6 +24,17 @@
 /** Final reports by window. */
 export type FinalReports = Readonly<Record<string, UsageCounts>>;
 
+/** The time of day as a host knows it, in milliseconds. */
+export interface TimeOfDay {
+  /** By its own clock. */
+  readonly own: number;
+  /** On which the hosts agree. */
+  readonly agreed: number;
+}
+
+/** Digits that tell the counts of two reports apart in the log. */
+const DIGEST_LENGTH = 8;
+
 /** The duty of reporting usage, for as long as this host holds it. */
 export class UsageDuty {
   readonly #counter: UsageCounter;
@@ -33,6 +44,8 @@
   readonly #sent = new Set<string>();
   readonly #startedInWindow: number;
   #fence = -1;
+  /** What the lease object holds. */
+  #stored: FinalReports = {};
 
   constructor(
     counter: UsageCounter,
@@ -72,6 +85,30 @@
     );
   }
 
+  /** Notes what the lease object holds, and tells what changed. */
+  stored(reports: FinalReports, time: TimeOfDay): void {
+    const before = this.#stored;
+    this.#stored = reports;
+    Object.entries(reports)
+      .filter(([window]) => before[window] === undefined)
+      .forEach(([window, counts]) =>
+        this.#logger.info("usage final", {
+          ...described(window, counts),
+          sinceEndMilliseconds: Math.round(
+            time.agreed - this.#counter.endOf(Number(window)),
+          ),
+          aheadMilliseconds: Math.round(time.own - time.agreed),
+        }),
+      );
+    Object.entries(before)
+      .filter(([window]) => reports[window] === undefined)
+      .forEach(([window, counts]) =>
+        this.#logger.info("final usage left the lease", {
+          ...described(window, counts),
+        }),
+      );
+  }
+
   /** Sends reports that the lease object holds and the cloud has not taken. */
   async act(reports: FinalReports, fence: Fence): Promise<void> {
     if (fence.fence !== this.#fence) {
@@ -101,10 +138,24 @@
     if (sent.isOk) this.#sent.add(window);
     this.#metrics.event(`usage_${result}`);
     this.#logger.info("usage reported", {
-      window: Number(window),
-      requests: Object.values(counts).reduce((sum, count) => sum + count, 0),
+      ...described(window, counts),
       fence: fence.fence,
       outcome: result,
     });
   }
 }
+
+/** What the log tells of a report; equal counts have equal digests. */
+function described(
+  window: string,
+  counts: UsageCounts,
+): Readonly<Record<string, number | string>> {
+  const sorted = Object.entries(counts).toSorted(([left], [right]) =>
+    left < right ? -1 : 1,
+  );
+  return {
+    window: Number(window),
+    requests: sorted.reduce((sum, [, count]) => sum + count, 0),
+    digest: sha256(JSON.stringify(sorted)).slice(0, DIGEST_LENGTH),
+  };
+}
