--- a/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -1,23 +1,16 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { describe, expect, test } from "@jest/globals";
-import { Result } from "true-myth";
 import {
   CautiousClock,
   ManualClock,
-  type Random,
   seededRandom,
   SILENT_LOGGER,
 } from "rampswitch-utils";
-import type {
-  Expectation,
-  ObjectStore,
-  StoredObject,
-  StoreError,
-} from "rampswitch-store";
 import { ServingMetrics } from "../observation/mod.ts";
 import { DutyKeeper } from "./duty_keeper.ts";
 import type { LeaseTimes } from "./duty_lease.ts";
+import { LeaseStore } from "./lease_store_standin.ts";
 
 const TIMES: LeaseTimes = {
   duration: 3_500,
@@ -36,82 +29,6 @@
 const STOP_MILLISECONDS = 1_000;
 const HOSTS = ["a", "b", "c"];
 
-/** A store of one object whose answers may be lost or writes come late. */
-class LeaseStore {
-  reachable = true;
-  losesAnswers = false;
-  #object: StoredObject | undefined;
-  #late: { readonly at: number; readonly run: () => void }[] = [];
-  readonly #clock: ManualClock;
-  readonly #random: Random;
-
-  constructor(clock: ManualClock, random: Random) {
-    this.#clock = clock;
-    this.#random = random;
-  }
-
-  /** Carries out writes whose time has come. */
-  tick(): void {
-    const due = this.#late.filter(({ at }) => at <= this.#clock.now());
-    this.#late = this.#late.filter(({ at }) => at > this.#clock.now());
-    due.forEach(({ run }) => run());
-  }
-
-  /** Writes over the object, as another writer might. */
-  spoil(): void {
-    const known = this.#object;
-    if (known === undefined) return;
-    this.#object = { ...known, value: "spoilt", version: known.version + 1 };
-  }
-
-  /** The store as one host reaches it. */
-  seenBy(reaches: () => boolean): ObjectStore {
-    const gone: Result<never, StoreError> = Result.err({
-      kind: "unknown",
-      detail: "no answer",
-    });
-    const unused = () => Promise.resolve(gone);
-    return {
-      get: () =>
-        Promise.resolve(
-          reaches() && this.reachable ? Result.ok(this.#object) : gone,
-        ),
-      put: (key, value, { expected }) => {
-        if (!reaches() || !this.reachable) return Promise.resolve(gone);
-        if (!this.losesAnswers || this.#random.next() < 0.5) {
-          return Promise.resolve(this.#put(key, { value, expected }));
-        }
-        const late = this.#random.below(4_000);
-        this.#late.push({
-          at: this.#clock.now() + late,
-          run: () => void this.#put(key, { value, expected }),
-        });
-        return Promise.resolve(gone);
-      },
-      list: unused,
-      remove: unused,
-      watch: unused,
-    };
-  }
-
-  #put(
-    key: string,
-    change: { readonly value: string; readonly expected: Expectation },
-  ): Result<StoredObject, StoreError> {
-    const version = this.#object?.version;
-    if (change.expected !== (version ?? "absent")) {
-      return Result.err({ kind: "conflict" });
-    }
-    const same = this.#object?.value === change.value;
-    this.#object = {
-      key,
-      value: change.value,
-      version: same ? (version ?? 1) : (version ?? 0) + 1,
-    };
-    return Result.ok(this.#object);
-  }
-}
-
 interface Act {
   readonly at: number;
   readonly holder: string;
