Carry the agreed time of day on by steady clocks

Cause: the time of day was the median of the offsets known just then, so it followed each step of more than half of the clocks, and a process that had just started went by its own clock. Change: `fleet_time.ts`; windows become final only once the time of most hosts is heard. Counts of peers are forgotten by every host: only the holder of the duties did, so that they grew without end at all others.

--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -25,7 +25,7 @@
 import type { LeaseTimes } from "./duty_lease.ts";
 import { UsageCounter } from "./usage_counter.ts";
 import { type FinalReports, isFinal } from "./final_usage.ts";
-import { UsageDuty } from "./usage_duty.ts";
+import { type TimeOfDay, UsageDuty } from "./usage_duty.ts";
 
 /**
  * Times of the lease beside its own bound, in milliseconds: a holder acts for
@@ -57,6 +57,8 @@
   readonly wallTime: () => number;
   /** Time of day on which the hosts agree, in milliseconds. */
   readonly agreedWallTime: () => number;
+  /** Whether enough hosts are heard for the agreed time to be relied on. */
+  readonly isTimeSettled: () => boolean;
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
@@ -81,18 +83,20 @@
   readonly #ownership = new Ownership();
   readonly #usageDuty: UsageDuty;
   readonly #capacity: CapacityDuty;
+  /** On the steady clock. */
+  readonly #startedAt: number;
   #keeper: DutyKeeper | undefined;
   /** Requests that began to run, of this host and as peers tell. */
   readonly usage: UsageCounter;
 
   constructor(parts: HostDutiesParts) {
     this.#parts = parts;
+    this.#startedAt = parts.clock.now();
     this.usage = new UsageCounter(parts.usageWindowMilliseconds);
     const cloud = this.#guardedCloud();
     this.#usageDuty = new UsageDuty(this.usage, {
       ...parts,
       cloud,
-      startedAt: parts.wallTime(),
     });
     this.#capacity = new CapacityDuty({
       cloud,
@@ -108,7 +112,7 @@
   /** Begins to look at the lease. */
   start(): void {
     const life = `${this.#parts.host}/${this.#parts.incarnation}`;
-    const { wallTime, agreedWallTime, leaseMilliseconds } = this.#parts;
+    const { agreedWallTime, leaseMilliseconds } = this.#parts;
     this.#keeper = this.#ownership.own(
       new DutyKeeper({
         ...this.#parts,
@@ -116,18 +120,14 @@
         times: { ...LEASE_TIMES, afterRelease: leaseMilliseconds },
         duties: {
           finalUsage: (known) =>
-            this.#usageDuty.finalUsage(known, agreedWallTime()),
+            this.#usageDuty.finalUsage(known, this.#timeOfDay()),
           counts: (final) =>
             this.usage.lives(life, {
               wallTime: agreedWallTime(),
               isFinal: (window) => isFinal(final, window),
             }),
           restore: (counts) => this.usage.restore(counts, life),
-          stored: (final) =>
-            this.#usageDuty.stored(final, {
-              own: wallTime(),
-              agreed: agreedWallTime(),
-            }),
+          stored: (final) => this.#usageDuty.stored(final, this.#timeOfDay()),
           act: (reports, fence) => this.#act(reports, fence),
         },
       }),
@@ -159,6 +159,17 @@
     await this.#ownership[Symbol.asyncDispose]();
   }
 
+  #timeOfDay(): TimeOfDay {
+    const { wallTime, agreedWallTime, isTimeSettled, clock } = this.#parts;
+    const agreed = agreedWallTime();
+    return {
+      own: wallTime(),
+      agreed,
+      startedAt: agreed - (clock.now() - this.#startedAt),
+      isSettled: isTimeSettled(),
+    };
+  }
+
   async #act(reports: FinalReports, fence: Fence): Promise<void> {
     await this.#usageDuty.act(reports, fence);
     const routes = this.#parts.routes();
--- a/packages/rampswitch-serving/src/duties/usage_counter.ts
+++ b/packages/rampswitch-serving/src/duties/usage_counter.ts
@@ -11,6 +11,9 @@
 /** Windows kept after their end; longer than a takeover takes. */
 const KEPT_WINDOWS = 5;
 
+/** Windows after which one may still be reported. */
+const REPORTED_LATE_WINDOWS = 2;
+
 /** Counts of one window by workspace. */
 export type UsageCounts = Readonly<Record<string, number>>;
 
@@ -108,10 +111,14 @@
       }, {});
   }
 
-  /** Forgets windows that are too old to be reported. */
-  forgetBefore(window: number): void {
+  /**
+   * Forgets what others told of windows that are too old to be reported. Every host
+   * calls it again and again: those that never hold the duties hear all counts too.
+   */
+  forgetOld(wallTime: number): void {
+    const oldest = this.windowOf(wallTime) - REPORTED_LATE_WINDOWS;
     [...this.#peers].forEach(([peer, counts]) => {
-      const kept = newest(counts, window);
+      const kept = newest(counts, oldest);
       if (Object.keys(kept).length === 0) this.#peers.delete(peer);
       else this.#peers.set(peer, kept);
     });
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -40,6 +40,10 @@
   readonly own: number;
   /** On which the hosts agree. */
   readonly agreed: number;
+  /** The same when this process started. */
+  readonly startedAt: number;
+  /** Whether the agreed time may be relied on. */
+  readonly isSettled: boolean;
 }
 
 /** Digits that tell the counts of two reports apart in the log. */
@@ -52,7 +56,6 @@
   readonly #logger: Logger;
   readonly #metrics: ServingMetrics;
   readonly #sent = new Set<string>();
-  readonly #startedInWindow: number;
   #fence = -1;
   /** What the lease object holds. */
   #stored: FinalReports = {};
@@ -63,31 +66,35 @@
       readonly cloud: Cloud;
       readonly logger: Logger;
       readonly metrics: ServingMetrics;
-      /** Time of day at the start, in milliseconds. */
-      readonly startedAt: number;
     },
   ) {
     this.#counter = counter;
     this.#cloud = parts.cloud;
     this.#logger = parts.logger;
     this.#metrics = parts.metrics;
-    this.#startedInWindow = counter.windowOf(parts.startedAt);
   }
 
   /**
    * What is final: all that was, and the windows that have ended since. No clock
    * takes a window out again: its report may have been sent.
    */
-  finalUsage(known: FinalUsage, wallTime: number): FinalUsage {
+  finalUsage(known: FinalUsage, time: TimeOfDay): FinalUsage {
+    // A process that knows its own clock alone might end windows by a wrong one.
+    if (!time.isSettled) return known;
     const complete = known.incomplete
-      ? this.#completed(known, wallTime)
+      ? this.#completed(known, time.agreed)
       : known;
-    const newest = this.#counter.windowOf(wallTime - SETTLE_MILLISECONDS) - 1;
-    this.#counter.forgetBefore(newest);
+    const newest =
+      this.#counter.windowOf(time.agreed - SETTLE_MILLISECONDS) - 1;
+    const first = this.#counter.windowOf(time.startedAt);
     const added = Array.from(
       { length: REPORTED_WINDOWS },
       (_, back) => newest - back,
-    ).filter((window) => !isFinal(complete, window) && this.#counts(window));
+    ).filter(
+      (window) =>
+        !isFinal(complete, window) &&
+        (window >= first || this.#counter.knows(window)),
+    );
     const reports = {
       ...complete.reports,
       ...Object.fromEntries(
@@ -104,14 +111,9 @@
     };
   }
 
-  /** Whether this host counted a window, or knows what others counted. */
-  #counts(window: number): boolean {
-    return window >= this.#startedInWindow || this.#counter.knows(window);
-  }
-
   /** Makes all windows final that may have been in a lease that can't be read. */
-  #completed(known: FinalUsage, wallTime: number): FinalUsage {
-    const last = this.#counter.windowOf(wallTime + MOST_SKEW_MILLISECONDS);
+  #completed(known: FinalUsage, agreed: number): FinalUsage {
+    const last = this.#counter.windowOf(agreed + MOST_SKEW_MILLISECONDS);
     this.#logger.warn("final usage is not known", { reportedFrom: last + 1 });
     this.#metrics.event("usage_not_known");
     return { ...known, windows: withWindows(known.windows, [[0, last]]) };
--- a/packages/rampswitch-serving/src/duties/usage_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty_test.ts
@@ -6,7 +6,7 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { finalUsageOfReports, NO_FINAL_USAGE } from "./final_usage.ts";
 import { UsageCounter } from "./usage_counter.ts";
-import { UsageDuty } from "./usage_duty.ts";
+import { type TimeOfDay, UsageDuty } from "./usage_duty.ts";
 
 const WINDOW_MILLISECONDS = 5_000;
 
@@ -14,7 +14,12 @@
 const STARTED_AT = 501_200;
 
 /** A time of day at which window 99 is final. */
-const LATER = 502_500;
+const LATER: TimeOfDay = {
+  own: 502_500,
+  agreed: 502_500,
+  startedAt: STARTED_AT,
+  isSettled: true,
+};
 
 /** The duty at a host that started in window 100. */
 function startedDuty(): {
@@ -29,7 +34,6 @@
     },
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
-    startedAt: STARTED_AT,
   });
   return { counter, duty };
 }
@@ -49,6 +53,13 @@
     expect(duty.finalUsage(NO_FINAL_USAGE, LATER)).toEqual(NO_FINAL_USAGE);
   });
 
+  test("wait until the time of day is settled", () => {
+    const { counter, duty } = startedDuty();
+    counter.heard("b", "1", { 99: { w: 2 } });
+    const time = { ...LATER, isSettled: false };
+    expect(duty.finalUsage(NO_FINAL_USAGE, time)).toBe(NO_FINAL_USAGE);
+  });
+
   test("repeat what was final before", () => {
     const { counter, duty } = startedDuty();
     counter.heard("b", "1", { 99: { w: 2 } });
--- a/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
@@ -302,6 +302,7 @@
       cautiousClock: this.#clock,
       wallTime,
       agreedWallTime: wallTime,
+      isTimeSettled: () => true,
       random: this.#random,
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
@@ -347,7 +348,9 @@
       const { process } = from;
       if (process === undefined) return;
       const { life } = process;
-      const counts = process.duties.usage.own(this.#clock.now() + from.ahead);
+      const { usage } = process.duties;
+      usage.forgetOld(this.#clock.now() + from.ahead);
+      const counts = usage.own(this.#clock.now() + from.ahead);
       const { lease } = process.duties;
       this.#hosts
         .filter((to) => to !== from)
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -81,6 +81,7 @@
     this.#parts.follower.checkRelays();
     this.#noteTold(message.sequence, limits.totals());
     this.#quarantineNews = this.#parts.quarantine.news();
+    this.#parts.duties.usage.forgetOld(this.#parts.wallTime());
     // Every host keeps a history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
       this.load(name),
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -90,7 +90,6 @@
   readonly #hosts = new Map<string, KnownHost>();
   /** Ended lives of each host; their late news is passed over. */
   readonly #formerLives = new Map<string, ReadonlySet<string>>();
-  readonly #clockOffsets = new Map<string, { offset: number; at: number }>();
   #listedCount = 0;
   #digest: HeardDigest | undefined;
 
@@ -176,10 +175,6 @@
   /** Takes in a relay's digest. */
   digested(digest: FleetDigest, now: number): void {
     this.#digest = { digest, at: now };
-    this.#clockOffsets.set(digest.relay, {
-      offset: digest.wallTime - now,
-      at: now,
-    });
   }
 
   /** Names of the hosts that are heard, or all where relays tell; this one too. */
@@ -259,15 +254,11 @@
   /** Offsets of other hosts' clocks that are known and recent. */
   clockOffsets(now: number): readonly number[] {
     const oldest = now - CLOCK_MILLISECONDS;
-    const heard = this.all()
+    return this.all()
       .filter((host) => host.heardAt >= oldest)
       .flatMap(({ wallOffset }) =>
         wallOffset === undefined ? [] : [wallOffset],
       );
-    const told = [...this.#clockOffsets.values()]
-      .filter(({ at }) => at >= oldest)
-      .map(({ offset }) => offset);
-    return [...heard, ...told];
   }
 
   /** Hosts that asked this one for digests lately. */
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -26,6 +26,7 @@
   type KnownHost,
   PACE_BY_ROLE,
 } from "./fleet_hosts.ts";
+import { FleetTime } from "./fleet_time.ts";
 import { HostRegistry } from "./host_registry.ts";
 import { type LimitRequest, LimitQuestions } from "./limit_questions.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
@@ -89,6 +90,7 @@
   | "sequence"
   | "address"
   | "wallTime"
+  | "carriedTime"
 >;
 
 /** What membership asks of its owner and tells it. */
@@ -125,6 +127,7 @@
   readonly #ownership = new Ownership();
   readonly #questions: LimitQuestions;
   readonly #registry: HostRegistry;
+  readonly #time: FleetTime;
   /** Newest message of each host that was passed on, by its life. */
   readonly #passedOn = new Map<string, string>();
   #round = 0;
@@ -144,6 +147,7 @@
     this.#transport = this.#ownership.own(transport);
     this.#listener = listener;
     this.#hosts = new FleetHosts({ name: host, dataHall, cores });
+    this.#time = new FleetTime(parts.wallTime, clock.now());
     this.#questions = new LimitQuestions(clock, (request) =>
       listener.onUnused(request),
     );
@@ -267,17 +271,17 @@
   }
 
   /**
-   * The time of day on which most hosts agree, in milliseconds: the median of
-   * all hosts' clocks, so that a clock that jumps moves nothing.
+   * The time of day on which most hosts agree, in milliseconds: no clock that steps
+   * moves it, nor most of them for some seconds.
    */
   agreedWallTime(): number {
+    return this.#time.at(this.#parts.clock.now());
+  }
+
+  /** Whether enough hosts are heard for the time of day to be relied on. */
+  get isTimeSettled(): boolean {
     const now = this.#parts.clock.now();
-    const offsets = [
-      this.#parts.wallTime() - now,
-      ...this.#hosts.clockOffsets(now),
-    ].toSorted((left, right) => left - right);
-    const middle = offsets[Math.floor((offsets.length - 1) / 2)] ?? 0;
-    return now + middle;
+    return this.#time.isSettled(this.listedSize ?? this.size, now);
   }
 
   /** Sends news to the hosts whose turn it is. */
@@ -287,6 +291,7 @@
     this.#lastRound = this.#parts.cautiousClock.now();
     this.#round += 1;
     this.#changeRole(this.#hosts.role(now));
+    this.#time.sample(this.#hosts.clockOffsets(now), now);
     if (this.#hosts.all().length === 0) return;
     const own = { news: this.#ownNews(), age: 0 };
     this.#tellOthers[this.#role](own, now);
@@ -353,7 +358,7 @@
   }
 
   #ownNews(): PeerNews {
-    const { host, dataHall, cores, incarnation, wallTime } = this.#parts;
+    const { host, dataHall, cores, incarnation, wallTime, clock } = this.#parts;
     const sequence = this.#round;
     return {
       ...this.#listener.ownNews({ sequence, role: this.#role }),
@@ -364,6 +369,7 @@
       sequence,
       address: this.#transport.address,
       wallTime: wallTime(),
+      carriedTime: this.#time.carried(clock.now()),
     };
   }
 
@@ -394,11 +400,13 @@
   #tellDigests(now: number): void {
     const asking = this.#hosts.asking(now);
     if (asking.length === 0) return;
+    const time = this.#time.supported(now);
     const common = {
       relay: this.#parts.host,
       hosts: this.#hosts.size(now),
       relays: this.#hosts.ownRelays(now),
-      wallTime: this.agreedWallTime(),
+      wallTime: time.wallTime,
+      timeSamples: time.samples,
     };
     asking.forEach((host) => {
       const datagram = encodeMessage({
@@ -419,6 +427,7 @@
       if (news.host === this.#parts.host) return;
       const known = this.#hosts.get(news.host);
       if (!this.#hosts.heard(news, now - age)) return;
+      this.#time.heard(news.host, news.carriedTime, now - age);
       if (known?.address !== news.address || known.incarnation === undefined) {
         this.#parts.logger.info("host joined", {
           peer: news.host,
@@ -437,6 +446,8 @@
   #takeDigest(digest: FleetDigest): void {
     const now = this.#parts.clock.now();
     this.#hosts.digested(digest, now);
+    const { relay, wallTime, timeSamples } = digest;
+    this.#time.heard(relay, { wallTime, samples: timeSamples }, now);
     if (this.#role !== "member") return;
     this.#listener.onDigest({
       ...digest,
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -112,6 +112,8 @@
   readonly configurations?: ChangeBatch[];
   readonly wallTime: number | (() => number);
   readonly dataHall?: string;
+  /** Differs for each process of a host. */
+  readonly life?: string;
   readonly address?: string;
 }
 
@@ -126,7 +128,7 @@
         host,
         dataHall: shared.dataHall ?? "a",
         cores: 1,
-        incarnation: `life-of-${host}`,
+        incarnation: `${shared.life ?? "life"}-of-${host}`,
         address: shared.address ?? "127.0.0.1:0",
         store: shared.store,
         hostsPrefix: "hosts/",
@@ -214,19 +216,26 @@
   async function openFive(): Promise<{
     readonly clock: ManualClock;
     readonly clocks: { ahead: number };
-    readonly open: (name: string, index: number) => Promise<Membership>;
+    readonly open: (
+      name: string,
+      index: number,
+      life?: string,
+    ) => Promise<Membership>;
     readonly hosts: readonly Membership[];
   }> {
     const clock = new ManualClock(1_000);
     const shared = { store: sharedStore(), clock, heard: [] };
     const clocks = { ahead: 0 };
-    const open = (name: string, index: number) =>
+    const open = (name: string, index: number, life = "life") =>
       openHost(name, {
         ...shared,
+        life,
         wallTime: () => clock.now() + (index < 4 ? clocks.ahead : 0),
       });
     const names = ["a", "b", "c", "d", "e"];
-    const hosts = await Promise.all(names.map(open));
+    const hosts = await Promise.all(
+      names.map((name, index) => open(name, index)),
+    );
     for (let at = 0; at < 20_000; at += 100) await step(clock, 100);
     return { clock, clocks, open, hosts };
   }
@@ -255,7 +264,10 @@
     await step(clock, 100);
     await hosts[0]?.[Symbol.asyncDispose]();
     await hosts[1]?.[Symbol.asyncDispose]();
-    const started = [await open("a", 0), await open("b", 1)];
+    const started = [
+      await open("a", 0, "next-life"),
+      await open("b", 1, "next-life"),
+    ];
     for (let at = 0; at < 1_000; at += 100) await step(clock, 100);
     for (let at = 0; at < 4_000; at += 100) {
       await step(clock, 100);
@@ -476,6 +488,7 @@
     sequence: 12,
     address: "127.0.0.1:1",
     wallTime: 5,
+    carriedTime: { wallTime: 7, samples: 240 },
   };
 
   test.each([1, 40])("comes out as it went in, of %d hosts", (count) => {
@@ -499,6 +512,7 @@
         hosts: 90,
         relays: ["a", "b"],
         wallTime: 5,
+        timeSamples: 900,
       },
     };
     const decoded = decodeMessage(encodeMessage(message));
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -66,6 +66,12 @@
   )
   .optional();
 
+/** A time of day and the samples behind it. A key of its own, as above. */
+const carriedTime = z.tuple([z.number(), z.number().nonnegative()]).optional();
+
+/** Weight of a time of day told by a host that tells no samples. */
+const LEAST_SAMPLES = 1;
+
 /** Short keys on the network, in the order of {@link PeerNews}. */
 const NEWS_SCHEMA = z.object({
   h: z.string(),
@@ -88,6 +94,7 @@
   l: lease.optional(),
   y: lives,
   x: quarantine,
+  j: carriedTime,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -114,6 +121,7 @@
     s: changes.optional(),
     y: lives,
     o: quarantine,
+    j: z.number().nonnegative().optional(),
   }),
   z.object({
     k: z.literal("q"),
@@ -219,6 +227,7 @@
     n: news.sequence,
     a: news.address,
     t: news.wallTime,
+    j: [news.carriedTime.wallTime, news.carriedTime.samples],
     s: news.stopping,
     c: news.configurationVersion,
     v: [news.followed.configuration, news.followed.servers],
@@ -252,6 +261,7 @@
     e: digest.hosts,
     r: [...digest.relays],
     t: digest.wallTime,
+    j: digest.timeSamples,
     c: digest.configurationVersion,
     v: [digest.followed.configuration, digest.followed.servers],
     b: digest.levels,
@@ -321,6 +331,7 @@
     hosts: message.e,
     relays: message.r,
     wallTime: message.t,
+    timeSamples: message.j ?? LEAST_SAMPLES,
     configurationVersion: message.c,
     configurationAge: message.g,
     followed: followedOf(message.v),
@@ -342,6 +353,10 @@
     sequence: news.n,
     address: news.a,
     wallTime: news.t,
+    carriedTime: {
+      wallTime: news.j?.[0] ?? news.t,
+      samples: news.j?.[1] ?? LEAST_SAMPLES,
+    },
     stopping: news.s,
     configurationVersion: news.c,
     configurationAge: news.f,
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -19,6 +19,7 @@
   sequence: 1,
   address: "127.0.0.1:1",
   wallTime: 1,
+  carriedTime: { wallTime: 3, samples: 240 },
   stopping: false,
   configurationVersion: 1,
   configurationAge: undefined,
@@ -49,6 +50,7 @@
   readonly w: unknown;
   readonly d: unknown;
   y?: unknown;
+  j?: unknown;
 }
 
 /** A message as its sender writes it, to look at and to change. */
@@ -125,3 +127,16 @@
     expect(former).toEqual(written().news);
   });
 });
+
+describe("the time of day that a host carries", () => {
+  test("is the clock of a host of a former version, which carries none", () => {
+    const { message, news } = written();
+    delete news.j;
+    const decoded = decodeMessage(Buffer.from(JSON.stringify(message)));
+    const told = decoded.map((one) => (one.kind === "news" ? one.news : []));
+    expect(told.unwrapOr([])[0]?.news.carriedTime).toEqual({
+      wallTime: NEWS.wallTime,
+      samples: 1,
+    });
+  });
+});
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -14,6 +14,7 @@
 } from "../admission/mod.ts";
 import type { ToldWork } from "../choice/mod.ts";
 import type { QuarantineNews } from "../quarantine/mod.ts";
+import type { CarriedTime } from "./fleet_time.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
 /** Requests that began in each reporting window, by workspace. */
@@ -53,6 +54,8 @@
   readonly address: string;
   /** Time of day at the sender, in milliseconds. */
   readonly wallTime: number;
+  /** Time of day that the sender carries on by its steady clock. */
+  readonly carriedTime: CarriedTime;
   readonly stopping: boolean;
   readonly configurationVersion: number;
   /** Milliseconds since the store confirmed that version to the sender. */
@@ -100,6 +103,8 @@
   readonly relays: readonly string[];
   /** Time of day on which the hosts agree, in milliseconds. */
   readonly wallTime: number;
+  /** Samples of clocks behind that time. */
+  readonly timeSamples: number;
 }
 
 /** News of one host, and how long ago the sender had it, in milliseconds. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -169,6 +169,7 @@
         leaseMilliseconds: bounds.leaseMilliseconds,
         directory: this.#directory,
         agreedWallTime: () => this.#wallTime(),
+        isTimeSettled: () => this.#membership?.isTimeSettled === true,
         load: (service) => this.#news.load(service),
         idle: () => this.#meter.idle,
         routes: () =>
