--- /dev/null
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store_test.ts
@@ -0,0 +1,126 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+// What the store keeps of requests that crash servers has to outlive the hosts. A
+// host that started with its clock two hours ahead took all of it for forgotten: the
+// request ran freely there, and the next thing that it stored left the others out, so
+// that no later host knew them either.
+
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { Result } from "true-myth";
+import {
+  ManualClock,
+  Ownership,
+  seededRandom,
+  SILENT_LOGGER,
+} from "rampswitch-utils";
+import type { ObjectStore, StoredObject } from "rampswitch-store";
+import { ServingMetrics } from "../observation/mod.ts";
+import { Fingerprint } from "./fingerprint.ts";
+import { Quarantine } from "./quarantine.ts";
+import { QuarantineStore } from "./quarantine_store.ts";
+
+const HOUR_MILLISECONDS = 3_600_000;
+
+let ownership = new Ownership();
+
+afterEach(async () => {
+  await ownership[Symbol.asyncDispose]();
+  ownership = new Ownership();
+});
+
+function requestOf(name: string): Fingerprint {
+  return new Fingerprint({
+    method: "POST",
+    hostName: "models.example",
+    target: "/stream/x",
+    workspace: "w",
+    body: Buffer.from(name),
+  });
+}
+
+/** A store of one object. */
+function storeOfOne(): ObjectStore & { readonly values: readonly string[] } {
+  const values: string[] = [];
+  let object: StoredObject | undefined;
+  const unused = () => Promise.reject(new Error("not used by the quarantine"));
+  return {
+    values,
+    list: () =>
+      Promise.resolve(
+        Result.ok({
+          version: object?.version ?? 0,
+          objects: object === undefined ? [] : [object],
+        }),
+      ),
+    put: (key, value) => {
+      object = { key, value, version: (object?.version ?? 0) + 1 };
+      values.push(value);
+      return Promise.resolve(Result.ok(object));
+    },
+    get: unused,
+    remove: unused,
+    watch: unused,
+  };
+}
+
+/** A host that starts with its clock ahead by some milliseconds, and has read. */
+async function startedHost(
+  store: ObjectStore,
+  clock: ManualClock,
+  ahead: number,
+): Promise<Quarantine> {
+  const opened: { stored?: QuarantineStore } = {};
+  const parts = {
+    store,
+    clock,
+    random: seededRandom(1),
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+  };
+  const quarantine = new Quarantine({
+    ...parts,
+    turn: () => ({ rank: 0, lagMilliseconds: 700 }),
+    onStoredChange: () => opened.stored?.changed(),
+  });
+  opened.stored = ownership.own(
+    new QuarantineStore({
+      ...parts,
+      prefix: "quarantine/",
+      quarantine,
+      wallTime: () => 10 * HOUR_MILLISECONDS + clock.now() + ahead,
+    }),
+  );
+  await pass(clock);
+  return quarantine;
+}
+
+async function pass(clock: ManualClock): Promise<void> {
+  for (let turn = 0; turn < 8; turn += 1) {
+    clock.advance(100);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function crash(quarantine: Quarantine, request: Fingerprint): void {
+  ["a", "b", "c"].forEach((life) =>
+    quarantine.lost(request, { life, leavingSince: undefined }),
+  );
+}
+
+describe("what the store keeps of a request that crashes servers", () => {
+  test.each([-2 * HOUR_MILLISECONDS, 2 * HOUR_MILLISECONDS])(
+    "is known to a host that starts with a clock %d ms ahead",
+    async (ahead) => {
+      const store = storeOfOne();
+      const clock = new ManualClock(1_000);
+      const guilty = requestOf("guilty");
+      crash(await startedHost(store, clock, 0), guilty);
+      await pass(clock);
+      const started = await startedHost(store, clock, ahead);
+      expect(started.forbidsRepeat(guilty)).toBe(true);
+      crash(started, requestOf("another"));
+      await pass(clock);
+      expect(store.values.at(-1)).toContain(guilty.text);
+    },
+  );
+});
