Let no clock alone end what the store keeps of crashing requests

Cause: losses that the store keeps stand there by time of day, and a host whose clock was ahead by more than an hour took them for forgotten; its next write left them out for all. Change: what the store tells of counts as half of the time old at most. Left: a request may be held for half an hour longer than an hour.

--- a/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
@@ -50,7 +50,7 @@
 const REMEMBERED_MILLISECONDS = 60_000;
 
 /** The same for what the store keeps: several times the longest wait. */
-const STORED_MILLISECONDS = 3_600_000;
+export const STORED_MILLISECONDS = 3_600_000;
 
 /**
  * Difference of two times that hosts tell of the same moment, in milliseconds.
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -20,6 +20,7 @@
 import * as z from "zod";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { FINGERPRINT_PATTERN } from "./fingerprint.ts";
+import { STORED_MILLISECONDS } from "./quarantine_entry.ts";
 import type { Quarantine, QuarantineNews } from "./quarantine.ts";
 
 /** What the store is used with. */
@@ -40,6 +41,12 @@
 /** Name of the object below the prefix. */
 const OBJECT_NAME = "requests";
 
+/**
+ * Greatest age of a loss that the store tells of, in milliseconds. Whoever wrote it
+ * remembered it, so that no later host's clock alone may take it for forgotten.
+ */
+const OLDEST_LOSS_MILLISECONDS = STORED_MILLISECONDS / 2;
+
 /** Wait after a call that failed, in milliseconds. */
 const RETRY_MILLISECONDS = 1_000;
 
@@ -167,7 +174,12 @@
 ): readonly QuarantineNews[] {
   return Object.entries(requests).map(([fingerprint, stored]) => ({
     fingerprint,
-    lostLives: shifted(stored.lostLives, wallTime),
+    lostLives: Object.fromEntries(
+      Object.entries(shifted(stored.lostLives, wallTime)).map(([life, age]) => [
+        life,
+        Math.min(age, OLDEST_LOSS_MILLISECONDS),
+      ]),
+    ),
     tried: stored.tried === undefined ? undefined : wallTime - stored.tried,
     trials: stored.trials,
     ranWhole: undefined,
