--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -44,9 +44,9 @@
   finalUsage(known: FinalUsage): FinalUsage;
   /** Counts to keep with the lease until they are final. */
   counts(final: FinalUsage): LifeCounts;
-  /** Takes in counts that a former holder kept. */
-  restore(counts: LifeCounts): void;
-  /** Notes what the lease object surely holds now. */
+  /** Takes in what a former holder kept with the lease. */
+  restore(lease: DutyLease): void;
+  /** Notes what a renewal has surely stored. */
   stored(final: FinalUsage): void;
   /** Acts under the fence; `reports` are in the store. */
   act(reports: FinalReports, fence: Fence): Promise<void>;
@@ -226,8 +226,7 @@
       return;
     }
     this.#lastRead = lease;
-    this.#parts.duties.restore(lease.counts);
-    this.#parts.duties.stored(lease.final);
+    this.#parts.duties.restore(lease);
     this.#held = {
       lease,
       version,
--- /dev/null
+++ b/packages/rampswitch-serving/src/duties/final_usage_test.ts
@@ -0,0 +1,82 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import {
+  finalUsageOfReports,
+  isFinal,
+  NO_FINAL_USAGE,
+  type WindowRange,
+  withWindows,
+} from "./final_usage.ts";
+
+/** Ranges of windows that were added one after another. */
+const additions = fc.array(
+  fc
+    .tuple(fc.nat(2_000), fc.nat(4))
+    .map(([first, more]): WindowRange => [first, first + more]),
+  { maxLength: 120 },
+);
+
+function isWithin(windows: readonly WindowRange[], window: number): boolean {
+  return isFinal({ ...NO_FINAL_USAGE, windows }, window);
+}
+
+function added(ranges: readonly WindowRange[]): readonly WindowRange[] {
+  return ranges.reduce<readonly WindowRange[]>(
+    (known, range) => withWindows(known, [range]),
+    [],
+  );
+}
+
+describe("windows that are final", () => {
+  test("stay so, whatever others are added and in whichever order", () => {
+    fc.assert(
+      fc.property(additions, (ranges) => {
+        const windows = added(ranges);
+        ranges.forEach(([first, last]) => {
+          expect(isWithin(windows, first)).toBe(true);
+          expect(isWithin(windows, last)).toBe(true);
+        });
+      }),
+    );
+  });
+
+  test("take little room, and leave those above the gaps alone", () => {
+    fc.assert(
+      fc.property(additions, (ranges) => {
+        const windows = added(ranges);
+        expect(windows.length).toBeLessThanOrEqual(32);
+        const highest = Math.max(-1, ...ranges.map(([, last]) => last));
+        expect(isWithin(windows, highest + 1)).toBe(false);
+        windows.slice(1).forEach(([first], index) => {
+          expect(first).toBeGreaterThan((windows[index]?.[1] ?? 0) + 1);
+        });
+      }),
+    );
+  });
+
+  test("far ahead close none of those between", () => {
+    const windows = added([
+      [100, 105],
+      [820, 820],
+    ]);
+    expect([106, 400, 819].map((one) => isWithin(windows, one))).toEqual([
+      false,
+      false,
+      false,
+    ]);
+  });
+
+  test("are all up to the newest report of a former version's lease", () => {
+    const final = finalUsageOfReports({ 98: {}, 100: { w: 3 } });
+    expect([7, 98, 99, 100, 101].map((one) => isFinal(final, one))).toEqual([
+      true,
+      true,
+      true,
+      true,
+      false,
+    ]);
+    expect(finalUsageOfReports({})).toEqual(NO_FINAL_USAGE);
+  });
+});
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -126,7 +126,10 @@
               wallTime: agreedWallTime(),
               isFinal: (window) => isFinal(final, window),
             }),
-          restore: (counts) => this.usage.restore(counts, life),
+          restore: ({ counts, final }) => {
+            this.usage.restore(counts, life);
+            this.#usageDuty.restore(final);
+          },
           stored: (final) => this.#usageDuty.stored(final, this.#timeOfDay()),
           act: (reports, fence) => this.#act(reports, fence),
         },
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -119,7 +119,12 @@
     return { ...known, windows: withWindows(known.windows, [[0, last]]) };
   }
 
-  /** Notes what the lease object holds, and tells what changed. */
+  /** Takes over what a former holder made final. */
+  restore({ reports }: FinalUsage): void {
+    this.#stored = reports;
+  }
+
+  /** Notes what the lease object holds now, and tells what has become final. */
   stored({ reports }: FinalUsage, time: TimeOfDay): void {
     const before = this.#stored;
     this.#stored = reports;
