Store at once what was unknown, and keep reports that a clock ahead made final

The line of an unknown lease came with each look until it was stored, and a report that was final early could be let go before it was sent. 50 tests of the duties pass.

--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -25,7 +25,11 @@
   type LeaseTimes,
   type SeenLease,
 } from "./duty_lease.ts";
-import type { FinalReports, FinalUsage } from "./final_usage.ts";
+import {
+  type FinalReports,
+  type FinalUsage,
+  tellsMore,
+} from "./final_usage.ts";
 import { decodeLease, encodeLease } from "./lease_codec.ts";
 import type { LifeCounts } from "./usage_counter.ts";
 
@@ -259,10 +263,10 @@
     const { cautiousClock, times, duties } = this.#parts;
     const now = cautiousClock.now();
     const final = duties.finalUsage(held.lease.final);
-    const news = Object.keys(final.reports).some(
-      (window) => held.lease.final.reports[window] === undefined,
-    );
-    if (news || now - held.renewalSentAt >= times.renewal) {
+    if (
+      tellsMore(final, held.lease.final) ||
+      now - held.renewalSentAt >= times.renewal
+    ) {
       await this.#renew(held, final);
     }
     this.#act();
--- a/packages/rampswitch-serving/src/duties/final_usage.ts
+++ b/packages/rampswitch-serving/src/duties/final_usage.ts
@@ -43,6 +43,16 @@
   return windows.some(([first, last]) => window >= first && window <= last);
 }
 
+/** Whether the lease object should hold a state at once in place of another. */
+export function tellsMore(final: FinalUsage, before: FinalUsage): boolean {
+  return (
+    final.incomplete !== before.incomplete ||
+    Object.keys(final.reports).some(
+      (window) => before.reports[window] === undefined,
+    )
+  );
+}
+
 /**
  * Ranges with more windows. Where there are too many, the lowest ones are joined:
  * the windows between them are the oldest, and are never reported.
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -14,6 +14,7 @@
   type FinalReports,
   type FinalUsage,
   isFinal,
+  NO_FINAL_USAGE,
   withWindows,
 } from "./final_usage.ts";
 import type { UsageCounts, UsageCounter } from "./usage_counter.ts";
@@ -58,7 +59,7 @@
   readonly #sent = new Set<string>();
   #fence = -1;
   /** What the lease object holds. */
-  #stored: FinalReports = {};
+  #stored: FinalUsage = NO_FINAL_USAGE;
 
   constructor(
     counter: UsageCounter,
@@ -102,7 +103,7 @@
       ),
     };
     return {
-      reports: nearestReports(reports, newest),
+      reports: nearReports(reports, newest),
       windows: withWindows(
         complete.windows,
         added.map((window) => [window, window]),
@@ -114,22 +115,26 @@
   /** Makes all windows final that may have been in a lease that can't be read. */
   #completed(known: FinalUsage, agreed: number): FinalUsage {
     const last = this.#counter.windowOf(agreed + MOST_SKEW_MILLISECONDS);
-    this.#logger.warn("final usage is not known", { reportedFrom: last + 1 });
-    this.#metrics.event("usage_not_known");
     return { ...known, windows: withWindows(known.windows, [[0, last]]) };
   }
 
   /** Takes over what a former holder made final. */
-  restore({ reports }: FinalUsage): void {
-    this.#stored = reports;
+  restore(final: FinalUsage): void {
+    this.#stored = final;
   }
 
   /** Notes what the lease object holds now, and tells what has become final. */
-  stored({ reports }: FinalUsage, time: TimeOfDay): void {
+  stored(final: FinalUsage, time: TimeOfDay): void {
     const before = this.#stored;
-    this.#stored = reports;
-    Object.entries(reports)
-      .filter(([window]) => before[window] === undefined)
+    this.#stored = final;
+    if (before.incomplete && !final.incomplete) {
+      this.#metrics.event("usage_not_known");
+      this.#logger.warn("final usage was not known", {
+        finalThrough: final.windows.at(-1)?.[1],
+      });
+    }
+    Object.entries(final.reports)
+      .filter(([window]) => before.reports[window] === undefined)
       .forEach(([window, counts]) =>
         this.#logger.info("usage final", {
           ...described(window, counts),
@@ -177,13 +182,16 @@
   }
 }
 
-/** Reports that a next holder may still have to send. */
-function nearestReports(reports: FinalReports, newest: number): FinalReports {
-  const distance = (window: string) => Math.abs(Number(window) - newest);
-  const nearest = Object.entries(reports)
-    .toSorted(([left], [right]) => distance(left) - distance(right))
-    .slice(0, REPORTED_WINDOWS);
-  return Object.fromEntries(nearest);
+/**
+ * Reports that a next holder may still have to send: also some that a clock which is
+ * ahead made final.
+ */
+function nearReports(reports: FinalReports, newest: number): FinalReports {
+  const isNear = (window: number) =>
+    window > newest - REPORTED_WINDOWS && window <= newest + REPORTED_WINDOWS;
+  return Object.fromEntries(
+    Object.entries(reports).filter(([window]) => isNear(Number(window))),
+  );
 }
 
 /** What the log tells of a report; equal counts have equal digests. */
