--- a/packages/rampswitch-measure/src/kept_requests_test.ts
+++ b/packages/rampswitch-measure/src/kept_requests_test.ts
@@ -18,6 +18,13 @@
 /** Slots of a test deployment. */
 const TEST_SLOTS = 16;
 const READS = 40;
+
+/** Time for which keys are remembered where clocks jump. */
+const KEY_RETENTION_MILLISECONDS = 60_000;
+
+/** Time in which a host looks through its slots several times. */
+const MAINTAINED_MILLISECONDS = 2_000;
+
 const READ_PAUSE_MILLISECONDS = 100;
 
 let deployment: TestDeployment | undefined;
@@ -85,6 +92,29 @@
     expect(runs(started, "/checks/operation-1")).toBe(1);
   });
 
+  // A host forgot keys by its time of day. When that was ahead by more than the time
+  // for which keys are remembered, and came back, the key counted as new, and the same
+  // check ran a second time.
+  test("a check runs once though the clock jumps ahead and back", async () => {
+    const jump = { milliseconds: 0 };
+    const clock = {
+      ...SYSTEM_CLOCK,
+      now: () => SYSTEM_CLOCK.now() + jump.milliseconds,
+    };
+    const started = await start({
+      clock,
+      limits: { keyRetentionMilliseconds: KEY_RETENTION_MILLISECONDS },
+    });
+    const key = v7();
+    expect((await check(started.caller(), key)).status).toBe(200);
+    jump.milliseconds = 3 * KEY_RETENTION_MILLISECONDS;
+    await sleep(SYSTEM_CLOCK, MAINTAINED_MILLISECONDS);
+    jump.milliseconds = 0;
+    await sleep(SYSTEM_CLOCK, MAINTAINED_MILLISECONDS);
+    await check(started.caller(), key);
+    expect(runs(started, "/checks/operation-1")).toBe(1);
+  });
+
   test("the host that ran a check is lost: its retry is in doubt", async () => {
     const started = await start({ entries: 3 });
     started.platform.plainServices.forEach((service) =>
--- a/packages/rampswitch-measure/src/test_deployment.ts
+++ b/packages/rampswitch-measure/src/test_deployment.ts
@@ -8,6 +8,7 @@
 import { EntryProcess } from "rampswitch-entry";
 import type { Resource } from "rampswitch-types";
 import {
+  type Clock,
   Ownership,
   SILENT_LOGGER,
   sleep,
@@ -25,6 +26,8 @@
   readonly platform?: Partial<LocalPlatformOptions>;
   readonly limits?: Partial<Settings["limits"]>;
   readonly capacity?: Settings["capacity"];
+  /** Clock of the entry hosts; that of the system when left out. */
+  readonly clock?: Clock;
   /** Changes the example resources. */
   readonly resources?: (resources: readonly Resource[]) => readonly Resource[];
 }
@@ -104,7 +107,7 @@
           capacity: this.#options.capacity ?? { enabled: false },
         },
       ),
-      { clock: SYSTEM_CLOCK, logger: SILENT_LOGGER },
+      { clock: this.#options.clock ?? SYSTEM_CLOCK, logger: SILENT_LOGGER },
     );
     this.#owned.own(entry);
     const caller = this.#owned.own(new Caller(entry.addresses.callers));
