Remember keys that must not run again by a steady clock

Cause: replicas forgot keys that were recorded before a time of day. Change: each replica counts from its first look at a key, on a steady clock; a host that learns a key counts from there, which is later. Left: the own interface's leases, expiry of answers and freshness still go by the time of day; no run here shows what a jump does to them.

--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -24,6 +24,7 @@
   Ownership,
   type Random,
   seededRandom,
+  STEADY_CLOCK,
 } from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
 import { AdmissionGate } from "./admission/admission_gate.ts";
@@ -220,6 +221,7 @@
     const { limits, slots } = this.settings;
     return new SlotService({
       ...this.#shared,
+      steadyClock: STEADY_CLOCK,
       self: this.self.id,
       slots: slots.count,
       times: {
--- a/packages/rampswitch-entry/src/replication/slot_service.ts
+++ b/packages/rampswitch-entry/src/replication/slot_service.ts
@@ -52,6 +52,8 @@
   readonly store: ObjectStore;
   readonly links: ReplicaLinks;
   readonly clock: Clock;
+  /** A clock that never jumps. */
+  readonly steadyClock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -245,15 +247,14 @@
       .filter(({ step }) => step.kind !== "none")
       .slice(0, STEPS_PER_ROUND);
     steps.forEach(({ replica, step }) => this.#take(replica, step, view));
-    this.#prune(view.now);
+    this.#prune(this.#options.steadyClock.now());
     await this.#createMissing(view);
   }
 
-  #prune(now: number): void {
-    if (now - this.#prunedAt < PRUNE_MILLISECONDS) return;
-    this.#prunedAt = now;
-    const before = now - this.#options.times.retention;
-    this.#replicas.forEach((replica) => replica.prune(before));
+  #prune(steadyNow: number): void {
+    if (steadyNow - this.#prunedAt < PRUNE_MILLISECONDS) return;
+    this.#prunedAt = steadyNow;
+    this.#replicas.forEach((replica) => replica.prune(steadyNow));
   }
 
   /** Asks every backup to take over, before a planned stop. */
--- a/packages/rampswitch-protocol/src/slot_replica.ts
+++ b/packages/rampswitch-protocol/src/slot_replica.ts
@@ -44,6 +44,8 @@
   readonly slot: number;
   readonly #options: ReplicaOptions;
   readonly #rules: SlotRules;
+  /** When {@link prune} first met each key, on a steady clock. */
+  readonly #heldSince = new Map<string, number>();
   readonly #records = new Map<string, KeyRecord>();
   readonly #missing = new Map<string, readonly HostId[]>();
   #entry: SlotEntry | undefined;
@@ -106,6 +108,7 @@
     const copy = new SlotReplica(this.self, this.slot, this.#options);
     this.#records.forEach((record, key) => copy.#records.set(key, record));
     this.#missing.forEach((hosts, key) => copy.#missing.set(key, hosts));
+    this.#heldSince.forEach((since, key) => copy.#heldSince.set(key, since));
     copy.#entry = this.#entry;
     copy.#floor = this.#floor;
     copy.#learner = this.#learner;
@@ -202,17 +205,30 @@
     return this.#tellHolders(key, status);
   }
 
-  /** Forgets keys recorded before a time; those still running here stay. */
-  prune(before: number): readonly string[] {
+  /**
+   * Forgets keys that were held here for the time for which keys are remembered;
+   * those still running here stay. Counted on a steady clock from the first look at
+   * each key: a time of day that jumps ahead would end them all, and a key that comes
+   * again would count as new.
+   */
+  prune(steadyNow: number): readonly string[] {
+    [...this.#records.keys()]
+      .filter((key) => !this.#heldSince.has(key))
+      .forEach((key) => this.#heldSince.set(key, steadyNow));
+    const before = steadyNow - this.#options.times.retention;
     const running: readonly KeyStatus[] =
       this.role === "primary" ? ["claiming", "sent"] : [];
     const forgotten = [...this.#records.values()]
       .filter(
-        ({ recordedAt, status }) =>
-          recordedAt < before && !running.includes(status),
+        ({ key, status }) =>
+          (this.#heldSince.get(key) ?? steadyNow) < before &&
+          !running.includes(status),
       )
       .map(({ key }) => key);
-    forgotten.forEach((key) => this.#records.delete(key));
+    forgotten.forEach((key) => {
+      this.#records.delete(key);
+      this.#heldSince.delete(key);
+    });
     return forgotten;
   }
 
