--- a/packages/rampswitch-serving/src/membership/fleet_time.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_time.ts
@@ -53,7 +53,7 @@
   #carried: number | undefined;
   #sampledAt = -Infinity;
   readonly #told = new Map<string, Told>();
-  /** Offset on which the hosts agree, as of the last sample or message. */
+  /** Offset on which the hosts agree, as of the last round of news. */
   #agreed: number | undefined;
 
   /** Begins at a steady time with this host's own time of day. */
@@ -85,9 +85,15 @@
     return { wallTime: this.at(now), samples };
   }
 
-  /** Takes a sample of this host's clock and others, when it is time for one. */
+  /**
+   * Agrees anew on what was told since the last round of news, and takes a sample of
+   * this host's clock and others when it is time for one.
+   */
   sample(others: readonly number[], now: number): void {
     this.#agreed = undefined;
+    [...this.#told]
+      .filter(([, { at }]) => now - at >= TOLD_MILLISECONDS)
+      .forEach(([host]) => this.#told.delete(host));
     if (now - this.#sampledAt < SAMPLE_MILLISECONDS) return;
     this.#sampledAt = now;
     const offsets = [this.#ownWallTime() - now, ...others];
@@ -102,7 +108,6 @@
 
   /** Takes in what a host told at a steady time. */
   heard(host: string, { wallTime, samples }: CarriedTime, at: number): void {
-    this.#agreed = undefined;
     this.#told.set(host, { offset: wallTime - at, samples, at });
   }
 
