--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -27,6 +27,7 @@
   readonly released: boolean;
   /** Counts of windows that are not final, by life of a process. */
   readonly counts: LifeCounts;
+  /** Usage that is final; its windows stay so in every later lease. */
   readonly final: FinalUsage;
 }
 
