--- a/packages/rampswitch-serving/src/duties/usage_fleet_test.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_test.ts
@@ -1,5 +1,17 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
+// Two holders reported one window with other counts. The first one's clock was
+// ahead, so that it made a window final before its end and sent it; the lease
+// object held it. Whoever renewed next with a clock that was not ahead kept only the
+// windows that had ended by that clock, dropped the report, and counted the window
+// anew when its turn came:
+//
+//     18.58 s "usage reported","window":356455783,"requests":90,"fence":2
+//     20.82 s "duties taken","fence":3
+//     21.61 s "usage reported","window":356455783,"requests":97,"fence":3
+//
+// What is final must stay final whatever any host's clock says.
+
 import { describe, expect, test } from "@jest/globals";
 import {
   type FleetOptions,
@@ -63,19 +75,6 @@
     .filter((found) => found.length > 0);
 }
 
-/**
- * Two holders reported one window with other counts. The first one's clock was
- * ahead, so that it made a window final before its end and sent it; the lease
- * object held it. Whoever renewed next with a clock that was not ahead kept only the
- * windows that had ended by that clock, dropped the report, and counted the window
- * anew when its turn came:
- *
- *     18.58 s "usage reported","window":356455783,"requests":90,"fence":2
- *     20.82 s "duties taken","fence":3
- *     21.61 s "usage reported","window":356455783,"requests":97,"fence":3
- *
- * What is final must stay final whatever any host's clock says.
- */
 describe("reports of one window, by whichever host and process", () => {
   test(
     "are equal while clocks step and hosts are replaced",
