Derive what stood twice, and forget old counts once a window

Read again as a whole. Derived: what was stored before a renewal, which the keeper holds and the usage duty kept a second time; the offset of a host's clock, from its news and when they came. Counts of others were gone through with each round of news, and are once a window. A record's time is kept for hosts of a former version alone, and says so. No promise, bound or assertion changed.

--- a/packages/rampswitch-protocol/src/slot_types.ts
+++ b/packages/rampswitch-protocol/src/slot_types.ts
@@ -39,7 +39,10 @@
   readonly guarded: boolean;
   /** Primary that claimed the key. */
   readonly claimant: HostId;
-  /** Milliseconds since the epoch at which the record was made. */
+  /**
+   * Milliseconds since the epoch at which the record was made. Nothing here goes by
+   * it; hosts of a former version forget by it.
+   */
   readonly recordedAt: number;
 }
 
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -48,10 +48,10 @@
   finalUsage(known: FinalUsage): FinalUsage;
   /** Counts to keep with the lease until they are final. */
   counts(final: FinalUsage): LifeCounts;
-  /** Takes in what a former holder kept with the lease. */
-  restore(lease: DutyLease): void;
-  /** Notes what a renewal has surely stored. */
-  stored(final: FinalUsage): void;
+  /** Takes in counts that a former holder kept. */
+  restore(counts: LifeCounts): void;
+  /** Tells of what a renewal has surely stored in place of what was before. */
+  stored(final: FinalUsage, before: FinalUsage): void;
   /** Acts under the fence; `reports` are in the store. */
   act(reports: FinalReports, fence: Fence): Promise<void>;
 }
@@ -230,7 +230,7 @@
       return;
     }
     this.#lastRead = lease;
-    this.#parts.duties.restore(lease);
+    this.#parts.duties.restore(lease.counts);
     this.#held = {
       lease,
       version,
@@ -320,7 +320,7 @@
     renewal: { lease: DutyLease; version: number; sentAt: number },
   ): void {
     this.#lastRead = renewal.lease;
-    this.#parts.duties.stored(renewal.lease.final);
+    this.#parts.duties.stored(renewal.lease.final, held.lease.final);
     held.lease = renewal.lease;
     held.version = renewal.version;
     held.renewalSentAt = renewal.sentAt;
--- a/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper_test.ts
@@ -8,7 +8,7 @@
   SILENT_LOGGER,
 } from "rampswitch-utils";
 import { ServingMetrics } from "../observation/mod.ts";
-import { DutyKeeper } from "./duty_keeper.ts";
+import { type Duties, DutyKeeper } from "./duty_keeper.ts";
 import type { LeaseTimes } from "./duty_lease.ts";
 import { LeaseStore } from "./lease_store_standin.ts";
 
@@ -29,6 +29,15 @@
 const STOP_MILLISECONDS = 1_000;
 const HOSTS = ["a", "b", "c"];
 
+/** Duties with nothing to do. */
+const IDLE_DUTIES: Duties = {
+  finalUsage: (known) => known,
+  counts: () => ({}),
+  restore: () => undefined,
+  stored: () => undefined,
+  act: () => Promise.resolve(),
+};
+
 interface Act {
   readonly at: number;
   readonly holder: string;
@@ -66,10 +75,7 @@
       metrics: new ServingMetrics(),
       eligible: () => true,
       duties: {
-        finalUsage: (known) => known,
-        counts: () => ({}),
-        restore: () => undefined,
-        stored: () => undefined,
+        ...IDLE_DUTIES,
         act: (_reports, { holder, fence }) => {
           acts.push({ at: clock.now(), holder, fence });
           return Promise.resolve();
@@ -145,13 +151,7 @@
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
     eligible: () => true,
-    duties: {
-      finalUsage: (known) => known,
-      counts: () => ({}),
-      restore: () => undefined,
-      stored: () => undefined,
-      act: () => Promise.resolve(),
-    },
+    duties: IDLE_DUTIES,
   });
   while (!keeper.mayAct) await stepOf(clock);
   return { clock, store, keeper, suspension };
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -126,11 +126,9 @@
               wallTime: agreedWallTime(),
               isFinal: (window) => isFinal(final, window),
             }),
-          restore: ({ counts, final }) => {
-            this.usage.restore(counts, life);
-            this.#usageDuty.restore(final);
-          },
-          stored: (final) => this.#usageDuty.stored(final, this.#timeOfDay()),
+          restore: (counts) => this.usage.restore(counts, life),
+          stored: (final, before) =>
+            this.#usageDuty.tellStored(final, before, this.#timeOfDay()),
           act: (reports, fence) => this.#act(reports, fence),
         },
       }),
--- a/packages/rampswitch-serving/src/duties/usage_counter.ts
+++ b/packages/rampswitch-serving/src/duties/usage_counter.ts
@@ -27,6 +27,8 @@
   /** By host and life of its process. */
   readonly #peers = new Map<string, WindowCounts>();
 
+  #forgottenBefore = -Infinity;
+
   constructor(windowMilliseconds: number) {
     this.#windowMilliseconds = windowMilliseconds;
   }
@@ -112,11 +114,14 @@
   }
 
   /**
-   * Forgets what others told of windows that are too old to be reported. Every host
-   * calls it again and again: those that never hold the duties hear all counts too.
+   * Forgets what others told of windows that are too old to be reported, once in each
+   * window. Every host calls it with each round of news: those that never hold the
+   * duties hear all counts too.
    */
   forgetOld(wallTime: number): void {
     const oldest = this.windowOf(wallTime) - REPORTED_LATE_WINDOWS;
+    if (oldest === this.#forgottenBefore) return;
+    this.#forgottenBefore = oldest;
     [...this.#peers].forEach(([peer, counts]) => {
       const kept = newest(counts, oldest);
       if (Object.keys(kept).length === 0) this.#peers.delete(peer);
--- a/packages/rampswitch-serving/src/duties/usage_duty.ts
+++ b/packages/rampswitch-serving/src/duties/usage_duty.ts
@@ -14,7 +14,6 @@
   type FinalReports,
   type FinalUsage,
   isFinal,
-  NO_FINAL_USAGE,
   withWindows,
 } from "./final_usage.ts";
 import type { UsageCounts, UsageCounter } from "./usage_counter.ts";
@@ -23,7 +22,7 @@
  * Time after a window's end before its counts are final, in milliseconds. Some
  * exchanges of peer news, one of them lost, and a median clock's error.
  */
-const SETTLE_MILLISECONDS = 1_500;
+export const SETTLE_MILLISECONDS = 1_500;
 
 /** Windows whose reports may still be of use; the rest came too late. */
 const REPORTED_WINDOWS = 3;
@@ -58,8 +57,6 @@
   readonly #metrics: ServingMetrics;
   readonly #sent = new Set<string>();
   #fence = -1;
-  /** What the lease object holds. */
-  #stored: FinalUsage = NO_FINAL_USAGE;
 
   constructor(
     counter: UsageCounter,
@@ -118,15 +115,8 @@
     return { ...known, windows: withWindows(known.windows, [[0, last]]) };
   }
 
-  /** Takes over what a former holder made final. */
-  restore(final: FinalUsage): void {
-    this.#stored = final;
-  }
-
-  /** Notes what the lease object holds now, and tells what has become final. */
-  stored(final: FinalUsage, time: TimeOfDay): void {
-    const before = this.#stored;
-    this.#stored = final;
+  /** Tells what has become final, now that the lease object holds it. */
+  tellStored(final: FinalUsage, before: FinalUsage, time: TimeOfDay): void {
     if (before.incomplete && !final.incomplete) {
       this.#metrics.event("usage_not_known");
       this.#logger.warn("final usage was not known", {
--- a/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
@@ -19,6 +19,7 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { HostDuties } from "./host_duties.ts";
 import { LeaseStore } from "./lease_store_standin.ts";
+import { SETTLE_MILLISECONDS } from "./usage_duty.ts";
 
 /** Length of a reporting window, in milliseconds. */
 export const WINDOW_MILLISECONDS = 2_000;
@@ -63,10 +64,7 @@
 /** Shares of the hosts whose clocks step at once. */
 const SHARES = [0.25, 0.5, 0.8, 1];
 
-/** Time after a window's end about which its counts become final, in milliseconds. */
-const FINAL_MILLISECONDS = 1_500;
-
-/** Half of the time around that moment in which faults are most likely. */
+/** Half of the time around which counts become final; faults are most likely in it. */
 const LIKELY_MILLISECONDS = 200;
 
 /** Chance of a fault in a step, and around the moment at which counts become final. */
@@ -193,7 +191,7 @@
 
   #faultChance(): number {
     const sinceFinal =
-      (this.#clock.now() - FINAL_MILLISECONDS) % WINDOW_MILLISECONDS;
+      (this.#clock.now() - SETTLE_MILLISECONDS) % WINDOW_MILLISECONDS;
     const likely =
       sinceFinal < LIKELY_MILLISECONDS ||
       WINDOW_MILLISECONDS - sinceFinal < LIKELY_MILLISECONDS;
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -68,8 +68,6 @@
   readonly relayAt: number;
   /** When it last asked this host for digests. */
   readonly askedAt: number;
-  /** Its time of day less this host's steady time. */
-  readonly wallOffset: number | undefined;
   readonly stopping: boolean;
   readonly news: PeerNews | undefined;
 }
@@ -122,7 +120,6 @@
         listedAt: now,
         relayAt: -Infinity,
         askedAt: -Infinity,
-        wallOffset: undefined,
         stopping: false,
         news: undefined,
       }),
@@ -154,7 +151,6 @@
       listedAt: known?.listedAt ?? at,
       relayAt: known?.relayAt ?? -Infinity,
       askedAt: known?.askedAt ?? -Infinity,
-      wallOffset: news.wallTime - at,
       stopping: news.stopping,
       news,
     });
@@ -256,8 +252,8 @@
     const oldest = now - CLOCK_MILLISECONDS;
     return this.all()
       .filter((host) => host.heardAt >= oldest)
-      .flatMap(({ wallOffset }) =>
-        wallOffset === undefined ? [] : [wallOffset],
+      .flatMap(({ news, heardAt }) =>
+        news === undefined ? [] : [news.wallTime - heardAt],
       );
   }
 
--- a/packages/rampswitch-serving/src/membership/fleet_time.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_time.ts
@@ -64,7 +64,7 @@
 
   /** The agreed time of day at a steady time, in milliseconds. */
   at(now: number): number {
-    this.#agreed ??= this.#agreedOffset(now);
+    this.#agreed ??= weightedMedian(this.#voices(now));
     return now + this.#agreed;
   }
 
@@ -97,13 +97,8 @@
     if (now - this.#sampledAt < SAMPLE_MILLISECONDS) return;
     this.#sampledAt = now;
     const offsets = [this.#ownWallTime() - now, ...others];
-    const sample = weightedMedian(
-      offsets.map((offset) => ({ offset, samples: 1 })),
-    );
-    this.#samples = [...this.#samples, sample].slice(-KEPT_SAMPLES);
-    this.#carried = weightedMedian(
-      this.#samples.map((offset) => ({ offset, samples: 1 })),
-    );
+    this.#samples = [...this.#samples, median(offsets)].slice(-KEPT_SAMPLES);
+    this.#carried = median(this.#samples);
   }
 
   /** Takes in what a host told at a steady time. */
@@ -125,10 +120,6 @@
     return this.#carried ?? this.#ownWallTime() - now;
   }
 
-  #agreedOffset(now: number): number {
-    return weightedMedian(this.#voices(now));
-  }
-
   /** What this host carries, and what others told lately. */
   #voices(now: number): readonly Omit<Told, "at">[] {
     const own = {
@@ -144,6 +135,11 @@
   }
 }
 
+/** The lower median of offsets. */
+function median(offsets: readonly number[]): number {
+  return weightedMedian(offsets.map((offset) => ({ offset, samples: 1 })));
+}
+
 /** The lower median of offsets, each as often as it has samples. */
 function weightedMedian(
   voices: readonly { readonly offset: number; readonly samples: number }[],
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -174,27 +174,23 @@
 ): readonly QuarantineNews[] {
   return Object.entries(requests).map(([fingerprint, stored]) => ({
     fingerprint,
-    lostLives: Object.fromEntries(
-      Object.entries(shifted(stored.lostLives, wallTime)).map(([life, age]) => [
-        life,
-        Math.min(age, OLDEST_LOSS_MILLISECONDS),
-      ]),
-    ),
+    lostLives: shifted(stored.lostLives, wallTime, OLDEST_LOSS_MILLISECONDS),
     tried: stored.tried === undefined ? undefined : wallTime - stored.tried,
     trials: stored.trials,
     ranWhole: undefined,
   }));
 }
 
-/** Turns ages into times of day, and the other way round. */
+/** Turns ages into times of day, and the other way round, up to a greatest one. */
 function shifted(
   times: Readonly<Record<string, number>>,
   wallTime: number,
+  greatest = Infinity,
 ): Record<string, number> {
   return Object.fromEntries(
     Object.entries(times).map(([life, time]) => [
       life,
-      Math.round(wallTime - time),
+      Math.min(Math.round(wallTime - time), greatest),
     ]),
   );
 }
