Draw among servers that are equal

Cause: of equal servers the first in the list was chosen. Where answers come at once all loads are zero when the next request comes, so a few hosts sent everything to one of eight; a server in need was then asked most of all. Ruled out: loads that are heard late; it shows with one host too. Change: a draw among the choices with the least predicted time. Before and after: 400 requests to four idle equal servers went to one of them, and now to each (over 60 each, in the test). Conclusion: equal servers share; nothing changes where predictions differ.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -141,10 +141,23 @@
   const choices = candidates(open, common).map((record) =>
     predict(record, prefixes, common),
   );
+  return { kind: "chosen", choice: leastOf(choices, inputs) };
+}
+
+/** The choice with the least time; of equal ones, any. */
+function leastOf(
+  choices: readonly Choice[],
+  inputs: Pick<ChoiceInputs, "draw">,
+): Choice {
   const best = choices.reduce((least, choice) =>
     choice.predictedMilliseconds < least.predictedMilliseconds ? choice : least,
   );
-  return { kind: "chosen", choice: best };
+  const equal = choices.filter(
+    ({ predictedMilliseconds }) =>
+      predictedMilliseconds === best.predictedMilliseconds,
+  );
+  if (equal.length === 1) return best;
+  return equal[Math.floor(inputs.draw() * equal.length)] ?? best;
 }
 
 /**
--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -72,6 +72,18 @@
     expect(chosen(records, { prefixes })).toBe("s2");
   });
 
+  test("takes any of the servers that are equal", () => {
+    // Where answers came at once, a few hosts sent everything to one of eight equal
+    // servers, and that one was in need.
+    const records = ["s1", "s2", "s3", "s4"].map((id) => server(id));
+    const random = seededRandom(7);
+    const inputs = { parts: [], draw: () => random.next() };
+    const all = Array.from({ length: 400 }, () => chosen(records, { inputs }));
+    records.forEach(({ entry }) =>
+      expect(all.filter((id) => id === entry.id).length).toBeGreaterThan(60),
+    );
+  });
+
   test("hosts agree without a word where nothing is known", () => {
     const records = ["s1", "s2", "s3", "s4"].map((id) => server(id));
     const first = chosen(records);
