Keep the limits that servers name by turns that all hosts share

What callers saw: nothing; two servers in need got 13 requests in 4 s where they named 1 and 1.2 a second, and would have got worse. Cause: no host read the name; a host that did, alone, would have kept it to itself, and nine together not; second sends and moved runs ask nobody. Class: a bound that belongs to somebody whom all hosts share, kept by each for itself. Change: a server's limit is read in its answers, told in the news with its age, and the lower one holds while answers may overtake each other. Such a server is left out of the choice, and takes what no other one has a place for, with a turn. Time is cut into slots of one request each; each slot belongs to a host by a hash, all lend theirs to one host for each service, and the others ask that one (a datagram). A loan counts only once the former holder can't use it any more, so that two hosts never use one slot, whoever hears whom. Second sends, moves and continuations need a turn too; what gets none is refused at once with a time of its own. A limited server that says nothing is sent a request every 2 s, by the host that gives its turns.

--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -21,6 +21,7 @@
 } from "./membership/mod.ts";
 import type { Quarantine, QuarantineNews } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
+import type { ServerTurns, TurnNews } from "./server_limits/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
@@ -39,6 +40,9 @@
   readonly follower: ConfigurationFollower;
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
+  readonly turns: ServerTurns;
+  /** Hosts that may give turns at limited servers. */
+  turnHolders(): readonly string[];
   /** Time of day on which the hosts agree, in milliseconds. */
   wallTime(): number;
   /** Whether this host is about to end. */
@@ -107,9 +111,15 @@
       lease: this.#parts.duties.lease,
       quarantine: this.#quarantineNews,
       rollouts: this.#parts.rollouts.news(this.#parts.clock.now()),
+      ...this.#turnNews(message.role),
     };
   }
 
+  #turnNews(role: HostRole): TurnNews {
+    const holders = this.#parts.turnHolders();
+    return this.#parts.turns.news({ holders, tellsAll: role === "direct" });
+  }
+
   #noteTold(sequence: number, totals: AdmittedTotals): void {
     this.#told.set(sequence, totals);
     this.#told.delete(sequence - KEPT_MESSAGES);
@@ -135,6 +145,7 @@
       servers: follower.recentServers(),
       quarantine: this.#quarantineNews,
       rollouts: this.#parts.rollouts.word(now),
+      limits: this.#parts.turns.limits(now),
     };
   }
 
@@ -164,6 +175,7 @@
     }
     this.#parts.quarantine.heard(digest.quarantine);
     this.#parts.rollouts.heard(digest.rollouts, { now });
+    this.#parts.turns.heardLimits(digest.limits, 0);
     digest.leases.forEach((lease) => this.#parts.duties.heard(lease));
   }
 
@@ -172,8 +184,8 @@
     return Number.isFinite(age) ? age : undefined;
   }
 
-  /** Takes in a peer's news. */
-  heard(news: PeerNews): void {
+  /** Takes in a peer's news, and how long ago it told it, in milliseconds. */
+  heard(news: PeerNews, age: number): void {
     const now = this.#parts.clock.now();
     if (news.configurationAge !== undefined) {
       this.#parts.follower.confirmedByPeer(
@@ -183,6 +195,7 @@
     }
     this.#parts.follower.othersFollowed(news.followed);
     this.#parts.directory.heardPeer(news.host, news.work, now);
+    this.#parts.turns.heard(news.host, news, age);
     this.#parts.limits.heard(
       news.host,
       {
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -35,6 +35,16 @@
  */
 const ALONE_MILLISECONDS = 6_000;
 
+/**
+ * Silence after which a host no longer gives turns at limited servers, in
+ * milliseconds, by what the asking host does with news: a few lost messages.
+ */
+const NO_HOLDER_MILLISECONDS: Readonly<Record<HostRole, number>> = {
+  direct: 1_500,
+  relay: 3_000,
+  member: 3_000,
+};
+
 /** Hosts tried in a round while no relay of a data hall is heard. */
 const TRIED_EACH_ROUND = 4;
 
@@ -195,6 +205,25 @@
     return [this.#self.name, ...others.map(({ name }) => name)];
   }
 
+  /**
+   * Names of the hosts that may give turns at limited servers: all that are heard,
+   * or the relays where there are some. One that is about to end gives none.
+   */
+  turnHolders(
+    now: number,
+    { stopping }: { readonly stopping: boolean },
+  ): readonly string[] {
+    const role = this.role(now);
+    if (role === "member") return this.#freshDigest(now)?.turnHolders ?? [];
+    const oldest = now - NO_HOLDER_MILLISECONDS[role];
+    const others = this.all().filter(
+      ({ heardAt, relayAt, stopping }) =>
+        !stopping && (role === "relay" ? relayAt : heardAt) >= oldest,
+    );
+    const names = others.map(({ name }) => name);
+    return stopping ? names : [this.#self.name, ...names];
+  }
+
   /** What this host does with news now. */
   role(now: number): HostRole {
     if (!needsRelays(Math.max(this.#listedCount, this.#heardCount(now) + 1))) {
--- a/packages/rampswitch-serving/src/membership/limit_questions.ts
+++ b/packages/rampswitch-serving/src/membership/limit_questions.ts
@@ -2,13 +2,14 @@
 
 /**
  * Questions of one host to its relay whether requests fit into the limits of
- * workspaces, and the answers that are awaited.
+ * workspaces.
  *
  * @module
  */
 import type { Clock } from "rampswitch-utils";
 import type { LimitDecision } from "../admission/mod.ts";
 import type { LimitAnswer, LimitQuestion } from "./peer_news.ts";
+import { Questions } from "./questions.ts";
 
 /** What is asked of a relay. */
 export type LimitRequest = Pick<
@@ -22,56 +23,20 @@
  */
 const ANSWER_MILLISECONDS = 60;
 
-/**
- * Time in which a late answer is still taken in, in milliseconds, so that what
- * it admitted is given back; longer than messages wait on a crowded link.
- */
-const LATE_MILLISECONDS = 2_000;
-
-interface Pending {
-  readonly request: LimitRequest;
-  resolve(decision: LimitDecision | undefined): void;
-  expired: boolean;
-}
-
 /** Questions that are not answered yet. */
-export class LimitQuestions {
-  readonly #clock: Clock;
-  readonly #onUnused: (request: LimitRequest) => void;
-  readonly #pending = new Map<number, Pending>();
-  #newest = 0;
-
+export class LimitQuestions extends Questions<LimitRequest, LimitDecision> {
   /** `onUnused` hears of admissions that came too late to be used. */
   constructor(clock: Clock, onUnused: (request: LimitRequest) => void) {
-    this.#clock = clock;
-    this.#onUnused = onUnused;
-  }
-
-  /** Sends a question; resolves to `undefined` where no answer comes in time. */
-  ask(
-    request: LimitRequest,
-    send: (id: number) => void,
-  ): Promise<LimitDecision | undefined> {
-    this.#newest += 1;
-    const id = this.#newest;
-    return new Promise((resolve) => {
-      const pending = { request, resolve, expired: false };
-      this.#pending.set(id, pending);
-      this.#clock.after(ANSWER_MILLISECONDS, () => {
-        pending.expired = true;
-        resolve(undefined);
-      });
-      this.#clock.after(LATE_MILLISECONDS, () => this.#pending.delete(id));
-      send(id);
+    super(clock, {
+      answerMilliseconds: ANSWER_MILLISECONDS,
+      onLate: (request, decision) => {
+        if (decision.kind === "admitted") onUnused(request);
+      },
     });
   }
 
-  /** Takes in an answer; each question takes one. */
+  /** Takes in an answer. */
   answered({ id, decision }: LimitAnswer): void {
-    const pending = this.#pending.get(id);
-    if (pending === undefined) return;
-    this.#pending.delete(id);
-    if (!pending.expired) pending.resolve(decision);
-    else if (decision.kind === "admitted") this.#onUnused(pending.request);
+    this.replied(id, decision);
   }
 }
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -20,6 +20,7 @@
 import type { LimitDecision } from "../admission/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { TrialTurn } from "../quarantine/mod.ts";
+import type { TurnReply, TurnRequest } from "../server_limits/mod.ts";
 import {
   FleetHosts,
   type HostRole,
@@ -27,6 +28,7 @@
   PACE_BY_ROLE,
 } from "./fleet_hosts.ts";
 import { FleetTime } from "./fleet_time.ts";
+import { Questions } from "./questions.ts";
 import { HostRegistry } from "./host_registry.ts";
 import { type LimitRequest, LimitQuestions } from "./limit_questions.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
@@ -37,6 +39,7 @@
   LimitQuestion,
   PeerMessage,
   PeerNews,
+  TurnQuestion,
 } from "./peer_news.ts";
 import { openPeerTransport, type PeerTransport } from "./peer_transport.ts";
 
@@ -54,6 +57,12 @@
 /** News of other hosts in one message at most; more go into the next one. */
 const NEWS_EACH_MESSAGE = 16;
 
+/**
+ * Time for the answer to a question for a turn, in milliseconds: the way between two
+ * regions and some turns of a busy loop, below the shortest targets of requests.
+ */
+const TURN_MILLISECONDS = 120;
+
 /** Most bytes of a message; UDP takes no more than 65,507. */
 const LARGEST_DATAGRAM_BYTES = 60_000;
 
@@ -100,10 +109,12 @@
     readonly sequence: number;
     readonly role: HostRole;
   }): OwnNews;
+  /** Whether this host is about to end. */
+  stopping(): boolean;
   /** What to tell a host about all others. */
   viewFor(host: string): FleetView;
-  /** A host told its news. */
-  onNews(news: PeerNews): void;
+  /** A host told its news, so many milliseconds ago. */
+  onNews(news: PeerNews, age: number): void;
   /** A relay told of the whole fleet. */
   onDigest(digest: FleetDigest): void;
   /** The store's list was read; these hosts in it were not known. */
@@ -114,6 +125,8 @@
   onConfiguration(changes: ChangeBatch): void;
   /** A host asks this relay whether a request fits into a limit. */
   onQuestion(request: LimitRequest): LimitDecision;
+  /** A host asks this one for a turn at a limited server. */
+  onTurnQuestion(request: TurnRequest): TurnReply;
   /** A relay admitted a request too late for this host to use that. */
   onUnused(request: LimitRequest): void;
 }
@@ -126,6 +139,7 @@
   readonly #transport: PeerTransport;
   readonly #ownership = new Ownership();
   readonly #questions: LimitQuestions;
+  readonly #turnQuestions: Questions<TurnRequest, TurnReply>;
   readonly #registry: HostRegistry;
   readonly #time: FleetTime;
   /** Newest message of each host that was passed on, by its life. */
@@ -151,6 +165,14 @@
     this.#questions = new LimitQuestions(clock, (request) =>
       listener.onUnused(request),
     );
+    this.#turnQuestions = new Questions(clock, {
+      answerMilliseconds: TURN_MILLISECONDS,
+      // A turn that comes too late is lost.
+      onLate: ({ service }, { kind }) => {
+        parts.metrics.event(`turn_late_${kind}`);
+        parts.logger.debug("answer on a turn came late", { service, kind });
+      },
+    });
     // A host that finds others in the list tells them at once: where all hosts
     // were killed together, relays hear their members 20 ms after the start
     // instead of 400 ms, and refuse nobody for not having heard them.
@@ -247,6 +269,28 @@
     });
   }
 
+  /** Hosts that may give turns at limited servers, in the same order at all. */
+  get turnHolders(): readonly string[] {
+    return this.#turnHolders(this.#parts.clock.now());
+  }
+
+  /**
+   * Asks a host for a turn at a limited server; `undefined` where it is not known or
+   * does not answer in time.
+   */
+  async askTurn(
+    holder: string,
+    request: TurnRequest,
+  ): Promise<TurnReply | undefined> {
+    const known = this.#hosts.get(holder);
+    if (known === undefined) return undefined;
+    return this.#turnQuestions.ask(request, (id) => {
+      const question = { ...request, id, address: this.#transport.address };
+      const datagram = encodeMessage({ kind: "turn_question", question });
+      this.#transport.send(known.address, datagram);
+    });
+  }
+
   /** This host's turn among all that are known, in an order drawn by a key. */
   turn(key: string): TrialTurn {
     const names = this.#hosts.present(this.#parts.clock.now());
@@ -346,6 +390,9 @@
     digest: ({ digest }) => this.#takeDigest(digest),
     question: ({ question }) => this.#takeQuestion(question),
     answer: ({ answer }) => this.#questions.answered(answer),
+    turn_question: ({ question }) => this.#takeTurnQuestion(question),
+    turn_answer: ({ answer: { id, reply } }) =>
+      this.#turnQuestions.replied(id, reply),
     configuration_question: ({ question }) =>
       this.#passConfiguration(question.address),
     configuration: ({ changes }) => this.#listener.onConfiguration(changes),
@@ -355,6 +402,12 @@
     await this.#ownership[Symbol.asyncDispose]();
   }
 
+  #turnHolders(now: number): readonly string[] {
+    return this.#hosts.turnHolders(now, {
+      stopping: this.#listener.stopping(),
+    });
+  }
+
   #changeRole(role: HostRole): void {
     if (role === this.#role) return;
     this.#parts.logger.info("news role", {
@@ -413,6 +466,7 @@
       relay: this.#parts.host,
       hosts: this.#hosts.size(now),
       relays: this.#hosts.ownRelays(now),
+      turnHolders: this.#turnHolders(now),
       wallTime: time.wallTime,
       timeSamples: time.samples,
     };
@@ -443,10 +497,8 @@
           from: message.from,
         });
       }
-      this.#listener.onNews({
-        ...news,
-        configurationAge: this.#ageNow(news.configurationAge, age),
-      });
+      const configurationAge = this.#ageNow(news.configurationAge, age);
+      this.#listener.onNews({ ...news, configurationAge }, age);
     });
     this.#hosts.sentBy(message.from, message.wantsDigest, now);
   }
@@ -474,6 +526,15 @@
     this.#transport.send(address, datagram);
   }
 
+  #takeTurnQuestion({ id, address, ...request }: TurnQuestion): void {
+    const reply = this.#listener.onTurnQuestion(request);
+    const answer = { id, reply };
+    this.#transport.send(
+      address,
+      encodeMessage({ kind: "turn_answer", answer }),
+    );
+  }
+
   /** Passes the newest configuration on, where it fits into a datagram. */
   #passConfiguration(address: string): void {
     const changes = this.#listener.configuration();
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -18,6 +18,11 @@
 import type { FleetDigest, PeerMessage, PeerNews } from "./peer_news.ts";
 
 const NEWS: OwnNews = {
+  limits: [
+    { id: "s1", born: 1_796_169_600_123, perSecond: 1.2, age: 40 },
+    { id: "s2", born: undefined, perSecond: undefined, age: 500 },
+  ],
+  lentTo: { models: "host-1" },
   stopping: false,
   configurationVersion: 4,
   configurationAge: 120,
@@ -119,6 +124,7 @@
   },
   quarantine: NEWS.quarantine,
   rollouts: NEWS.rollouts.map((one) => ({ ...one, own: undefined })),
+  limits: NEWS.limits,
 };
 
 interface SharedByHosts {
@@ -160,6 +166,7 @@
       },
       {
         ownNews: () => NEWS,
+        stopping: () => false,
         viewFor: () => VIEW,
         onNews: (news) => shared.heard.push(news),
         onDigest: (digest) => shared.digests?.push(digest),
@@ -169,6 +176,10 @@
             ? { kind: "admitted" }
             : { kind: "over_limit", retryAfterMilliseconds: 250 },
         onUnused: () => undefined,
+        onTurnQuestion: ({ servers }) => ({
+          kind: "given",
+          server: servers[0] ?? "",
+        }),
         configuration: () => CONFIGURATION,
         onConfiguration: (changes) => shared.configurations?.push(changes),
       },
@@ -530,6 +541,7 @@
         acknowledged: 3,
         hosts: 90,
         relays: ["a", "b"],
+        turnHolders: ["a", "c"],
         wallTime: 5,
         timeSamples: 900,
       },
@@ -550,6 +562,24 @@
       },
     },
     { kind: "answer", answer: { id: 3, decision: { kind: "admitted" } } },
+    {
+      kind: "turn_question",
+      question: {
+        id: 4,
+        address: "127.0.0.1:9",
+        service: "models",
+        servers: ["s1", "s2"],
+        urgency: "urgent",
+      },
+    },
+    {
+      kind: "turn_answer",
+      answer: { id: 4, reply: { kind: "given", server: "s2" } },
+    },
+    {
+      kind: "turn_answer",
+      answer: { id: 4, reply: { kind: "wait", milliseconds: 350 } },
+    },
     {
       kind: "configuration_question",
       question: { address: "127.0.0.1:9" },
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -17,6 +17,16 @@
   ROLLOUTS_SCHEMA,
   rolloutsOf,
 } from "./rollout_codec.ts";
+import {
+  encodedLimits,
+  encodedLoans,
+  LENT_SCHEMA,
+  LIMITS_SCHEMA,
+  limitsOf,
+  TURN_ANSWER_SCHEMA,
+  TURN_QUESTION_SCHEMA,
+  turnReplyOf,
+} from "./turn_codec.ts";
 import type {
   DispatchNews,
   FleetDigest,
@@ -101,6 +111,8 @@
   x: quarantine,
   j: carriedTime,
   e: ROLLOUTS_SCHEMA,
+  m: LIMITS_SCHEMA,
+  g: LENT_SCHEMA,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -129,6 +141,8 @@
     o: quarantine,
     j: z.number().nonnegative().optional(),
     p: ROLLOUTS_SCHEMA,
+    m: LIMITS_SCHEMA,
+    h: z.array(z.string()).optional(),
   }),
   z.object({
     k: z.literal("q"),
@@ -144,6 +158,8 @@
     /** Milliseconds after which to come back; absent where admitted. */
     r: z.number().nonnegative().optional(),
   }),
+  TURN_QUESTION_SCHEMA,
+  TURN_ANSWER_SCHEMA,
   z.object({ k: z.literal("w"), a: z.string() }),
   z.object({ k: z.literal("c"), s: changes }),
 ]);
@@ -191,6 +207,19 @@
       ? { r: decision.retryAfterMilliseconds }
       : {}),
   }),
+  turn_question: ({ question }) => ({
+    k: "u",
+    i: question.id,
+    a: question.address,
+    s: question.service,
+    o: [...question.servers],
+    p: question.urgency,
+  }),
+  turn_answer: ({ answer: { id, reply } }) => ({
+    k: "v",
+    i: id,
+    r: reply.kind === "given" ? reply.server : Math.ceil(reply.milliseconds),
+  }),
   configuration_question: ({ question }) => ({ k: "w", a: question.address }),
   configuration: (message) => ({ k: "c", s: encodedChanges(message.changes) }),
 };
@@ -247,6 +276,8 @@
       parts.map((part) => [part.id, part.tokens]),
     ]),
     r: news.readTokens,
+    m: encodedLimits(news.limits),
+    g: encodedLoans(news.lentTo),
     ...encodedLives(news.work, news.dispatches),
     ...(news.quarantine.length === 0
       ? {}
@@ -277,6 +308,8 @@
     b: digest.levels,
     x: digest.silentShare,
     w: encodedWork(digest.work),
+    m: encodedLimits(digest.limits),
+    ...(digest.turnHolders.length === 0 ? {} : { h: [...digest.turnHolders] }),
     l: digest.leases.map(({ fence, version }) => [fence, version]),
     ...encodedLives(digest.work, []),
     ...(digest.quarantine.length === 0
@@ -318,6 +351,14 @@
     kind: "answer",
     answer: { id: i, decision: decisionOf(r) },
   }),
+  u: ({ i, a, s, o, p }) => ({
+    kind: "turn_question",
+    question: { id: i, address: a, service: s, servers: o, urgency: p },
+  }),
+  v: ({ i, r }) => ({
+    kind: "turn_answer",
+    answer: { id: i, reply: turnReplyOf(r) },
+  }),
   w: ({ a }) => ({ kind: "configuration_question", question: { address: a } }),
   c: ({ s }) => ({ kind: "configuration", changes: changesOf(s) }),
 };
@@ -355,6 +396,8 @@
     servers: message.s === undefined ? undefined : changesOf(message.s),
     quarantine: quarantineOf(message.o),
     rollouts: rolloutsOf(message.p),
+    limits: limitsOf(message.m),
+    turnHolders: message.h ?? [],
   };
 }
 
@@ -391,6 +434,8 @@
         : { fence: news.l[0], version: news.l[1] },
     quarantine: quarantineOf(news.x),
     rollouts: rolloutsOf(news.e),
+    limits: limitsOf(news.m),
+    lentTo: news.g ?? {},
   };
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -38,6 +38,8 @@
   lease: undefined,
   quarantine: [],
   rollouts: [],
+  limits: [],
+  lentTo: {},
 };
 
 const MESSAGE: PeerMessage = {
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -15,6 +15,12 @@
 import type { ToldWork } from "../choice/mod.ts";
 import type { QuarantineNews } from "../quarantine/mod.ts";
 import type { RolloutNews } from "../rollout/rollout.ts";
+import type {
+  LimitNews,
+  TurnNews,
+  TurnReply,
+  TurnRequest,
+} from "../server_limits/mod.ts";
 import type { CarriedTime } from "./fleet_time.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
@@ -42,7 +48,7 @@
 }
 
 /** News of one host. */
-export interface PeerNews {
+export interface PeerNews extends TurnNews {
   readonly host: string;
   readonly dataHall: string;
   /** Processor share of the host, in cores. */
@@ -95,6 +101,8 @@
   readonly quarantine: readonly QuarantineNews[];
   /** Roll-outs that are going on. */
   readonly rollouts: readonly RolloutNews[];
+  /** Limits that backend servers name. */
+  readonly limits: readonly LimitNews[];
 }
 
 /** A relay's message to one host of its data hall. */
@@ -106,6 +114,8 @@
   readonly hosts: number;
   /** Names of the data hall's relays. */
   readonly relays: readonly string[];
+  /** Names of the hosts that give turns at limited servers. */
+  readonly turnHolders: readonly string[];
   /** Time of day on which the hosts agree, in milliseconds. */
   readonly wallTime: number;
   /** Samples of clocks behind that time. */
@@ -136,6 +146,19 @@
   readonly decision: LimitDecision;
 }
 
+/** A host's question for a turn at a limited server. */
+export interface TurnQuestion extends TurnRequest {
+  readonly id: number;
+  /** Where the host takes the answer. */
+  readonly address: string;
+}
+
+/** The answer to a question for a turn. */
+export interface TurnAnswer {
+  readonly id: number;
+  readonly reply: TurnReply;
+}
+
 /** A host's question to a relay for the newest configuration. */
 export interface ConfigurationQuestion {
   /** Where the host takes the answer. */
@@ -154,6 +177,8 @@
   | { readonly kind: "digest"; readonly digest: FleetDigest }
   | { readonly kind: "question"; readonly question: LimitQuestion }
   | { readonly kind: "answer"; readonly answer: LimitAnswer }
+  | { readonly kind: "turn_question"; readonly question: TurnQuestion }
+  | { readonly kind: "turn_answer"; readonly answer: TurnAnswer }
   | {
       readonly kind: "configuration_question";
       readonly question: ConfigurationQuestion;
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -17,5 +17,6 @@
 export * from "./relay/arrival_rates.ts";
 export * from "./relay/hold_times.ts";
 export * from "./rollout/mod.ts";
+export * from "./server_limits/mod.ts";
 export * from "./serving_host.ts";
 export type * from "./serving_settings.ts";
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -65,6 +65,14 @@
   readonly slots: number;
 }
 
+/** What an answer says of the requests a second that its server takes. */
+export type AnsweredLimit =
+  | { readonly kind: "none" }
+  /** From all hosts together. */
+  | { readonly kind: "limit"; readonly perSecond: number }
+  /** The beginning of what stands in its place. */
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Head of a backend server's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -75,6 +83,7 @@
   /** Whether the server vouches for the answer as its own. */
   readonly signed: boolean;
   readonly load: ReportedLoad | undefined;
+  readonly limit: AnsweredLimit;
   readonly encoded: boolean;
   /** Headers that go on to the caller. */
   readonly forwarded: RawHeaders;
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -19,7 +19,7 @@
 /** What a refusal is made with. */
 export type RefusalParts = Pick<
   RequestContext,
-  "admission" | "codec" | "quarantine" | "random"
+  "admission" | "codec" | "directory" | "quarantine" | "random" | "turns"
 >;
 
 /** Answers with a refusal; what a request that did not run was charged goes back. */
@@ -41,20 +41,38 @@
   }
   const headers = parts.codec.encodeOwnAnswer({
     attemptId: request.head.attemptId,
-    retryAfterSeconds: notRun ? retryAfterSeconds(request, parts) : undefined,
+    retryAfterSeconds: notRun
+      ? retryAfterSeconds(reason, request, parts)
+      : undefined,
   });
   answer.whole(status, headers, Buffer.alloc(0));
 }
 
-/** Not before a quarantined request may run as a trial. */
+/**
+ * Not before a quarantined request may run as a trial, nor before a turn is free at
+ * a server that names a limit.
+ */
 function retryAfterSeconds(
-  { fingerprint }: AdmittedRequest,
-  { quarantine, random }: RefusalParts,
+  reason: RefusalReason,
+  request: AdmittedRequest,
+  parts: RefusalParts,
 ): number {
-  const decision = quarantine.decide(fingerprint);
-  const wait = decision.kind === "held" ? decision.waitMilliseconds / 1_000 : 0;
+  const decision = parts.quarantine.decide(request.fingerprint);
+  const trial = decision.kind === "held" ? decision.waitMilliseconds : 0;
+  const turn =
+    reason === "servers_limited" ? turnMilliseconds(request, parts) : 0;
   return (
-    Math.max(LEAST_RETRY_AFTER_SECONDS, wait) +
-    RETRY_AFTER_SPREAD_SECONDS * random.next()
+    Math.max(LEAST_RETRY_AFTER_SECONDS, trial / 1_000, turn / 1_000) +
+    RETRY_AFTER_SPREAD_SECONDS * parts.random.next()
   );
 }
+
+function turnMilliseconds(
+  { service }: AdmittedRequest,
+  { directory, turns }: RefusalParts,
+): number {
+  const limited = turns
+    .limited(directory.of(service.name))
+    .filter(({ isReady }) => isReady);
+  return turns.waitToTell(service.name, limited);
+}
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -21,6 +21,7 @@
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
 import type { ArrivalRates } from "./arrival_rates.ts";
+import type { ServerTurns } from "../server_limits/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
 import type { ReadingRates } from "./reading_rates.ts";
 
@@ -61,6 +62,7 @@
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
+  readonly turns: ServerTurns;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -9,6 +9,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { sleep } from "rampswitch-utils";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -41,8 +42,9 @@
   RunRecord,
 } from "./run_record.ts";
 import { type MovableRun, RunMove, type Spending } from "./run_move.ts";
-import { chooseFor } from "./send_choice.ts";
+import { chooseFor, type SendChoice } from "./send_choice.ts";
 import { StallWatch } from "./stall_watch.ts";
+import { chooseProbe, chooseWithTurn } from "./turn_choice.ts";
 
 /**
  * A repeatable plain request is sent elsewhere after this multiple of the
@@ -57,6 +59,13 @@
 
 /** Status of a server that is not the one that was named. */
 const MISDIRECTED = 421;
+
+/** Waits for a turn of a run that is lost without one, at most. */
+const MOST_TURN_WAITS = 3;
+
+/** Time between them, in milliseconds. */
+const TURN_WAIT_MILLISECONDS = 300;
+
 const NOT_SURELY_DOWN = { surelyDown: false };
 
 /** One send under way. */
@@ -66,6 +75,15 @@
   firstPartAt?: number;
 }
 
+/** A further send that is wanted. */
+interface AskedAgain {
+  readonly reason: ResendReason;
+  /** The answer where none can be made. */
+  readonly otherwise: RefusalReason;
+  /** Hears where it went. */
+  sent(next: ServerRecord): void;
+}
+
 /** The life of one admitted request. */
 export class RequestRun {
   readonly request: AdmittedRequest;
@@ -86,6 +104,8 @@
   /** Id of the last event of this answer. */
   #relayedId: string | undefined;
   readonly #move: RunMove;
+  /** The choice whose turn at a limited server is taken and not used yet. */
+  #withTurn: Choice | undefined;
   #cancelDeadline: () => void = () => undefined;
   readonly #stall: StallWatch;
   #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
@@ -169,14 +189,14 @@
       finished: () => this.#answer.finished,
       lastEventId: () => this.#lastEventId,
       remaining: () => this.#remaining(),
-      choose: () => this.#choose(),
+      choose: () => this.#chooseToMove(),
       spend: (kind) => this.#spend(kind),
       notRepeated: (...told) => this.#notRepeated(...told),
       stopped: () => {
         this.#endCurrent(true);
         this.#truth.handle({ type: "stopped" });
       },
-      sendOn: (choice, memory) => this.#sendTo(choice, memory),
+      sendOn: (choice, memory) => this.#sendOn(choice, memory),
       memoryLost: (reason) => {
         // Only what may be repeated begins anew.
         this.#truth.handle({ type: "memory_lost" });
@@ -194,15 +214,73 @@
     return this.#deadlineAt - this.#now();
   }
 
-  #choose(): Choice | undefined {
-    const outcome = chooseFor(this.request, this.#tried, this.#context);
-    return outcome.kind === "chosen" ? outcome.choice : undefined;
+  #choose(): SendChoice {
+    return chooseFor(this.request, this.#tried, this.#context);
+  }
+
+  #chooseToMove(): Choice | undefined | Promise<Choice | undefined> {
+    const { outcome, limited } = this.#choose();
+    if (outcome.kind === "chosen") return outcome.choice;
+    return limited.length === 0 ? undefined : this.#chooseToGoOn(limited);
+  }
+
+  async #chooseToGoOn(
+    limited: readonly ServerRecord[],
+  ): Promise<Choice | undefined> {
+    const send = { request: this.request, limited, continues: true };
+    this.#withTurn = await chooseWithTurn(send, this.#context);
+    return this.#withTurn;
   }
 
   #sendToBest(): void {
-    const outcome = chooseFor(this.request, this.#tried, this.#context);
-    if (outcome.kind === "chosen") this.#sendFirst(outcome.choice);
-    else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
+    const { outcome, limited } = this.#choose();
+    if (outcome.kind !== "chosen") {
+      if (limited.length > 0) void this.#sendWithTurn(limited);
+      else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
+      return;
+    }
+    const send = { request: this.request, limited };
+    const probe = chooseProbe(send, this.#context);
+    this.#sendFirst(probe ?? outcome.choice);
+  }
+
+  /** The first send where only limited servers are left. */
+  async #sendWithTurn(limited: readonly ServerRecord[]): Promise<void> {
+    const send = { request: this.request, limited };
+    const choice = await chooseWithTurn(send, this.#context);
+    if (this.#answer.finished) return;
+    if (choice === undefined) this.#giveUp("servers_limited");
+    else this.#sendFirst(choice);
+  }
+
+  /** Goes on from kept memory; a limited server needs a turn for it. */
+  #sendOn(choice: Choice, memory: MemorySource): void {
+    const { record } = choice;
+    const hasTurn = this.#withTurn === choice;
+    this.#withTurn = undefined;
+    const isLimited = this.#context.turns.limitOf(record) !== undefined;
+    if (hasTurn || !isLimited) this.#sendTo(choice, memory);
+    else void this.#sendOnWithTurn(choice, { memory, waits: 0 });
+  }
+
+  async #sendOnWithTurn(
+    choice: Choice,
+    {
+      memory,
+      waits,
+    }: { readonly memory: MemorySource; readonly waits: number },
+  ): Promise<void> {
+    const { record } = choice;
+    const send = { request: this.request, limited: [record], continues: true };
+    const given = await chooseWithTurn(send, this.#context);
+    if (this.#answer.finished) return;
+    if (given !== undefined) this.#sendTo(choice, memory);
+    else if (waits >= MOST_TURN_WAITS) this.#move.goOnAfter("rejected");
+    else {
+      await sleep(this.#context.clock, TURN_WAIT_MILLISECONDS);
+      if (this.#answer.finished) return;
+      await this.#sendOnWithTurn(choice, { memory, waits: waits + 1 });
+    }
   }
 
   #sendFirst(choice: Choice): void {
@@ -300,11 +378,9 @@
       server: current.choice.record,
       relayed: this.#truth.relayed,
     });
-    this.#resend("stalled", "timed_out");
-    const next = this.server;
-    if (next !== undefined && this.movable) {
-      this.#move.stopLeft(current.choice.record, next);
-    }
+    this.#resend("stalled", "timed_out", (next) => {
+      if (this.movable) this.#move.stopLeft(current.choice.record, next);
+    });
   }
 
   #headCame(head: AnswerHead): void {
@@ -316,6 +392,10 @@
       this.#lost("answer_not_usable", unusable);
       return;
     }
+    // Whoever answers in the place of a server tells nothing of it.
+    if (head.status !== MISDIRECTED) {
+      this.#context.turns.read(current.choice.record, head.limit);
+    }
     if (head.load !== undefined) {
       current.choice.record.reported(head.load, this.#now());
     }
@@ -459,13 +539,19 @@
     const current = this.#current;
     // The address belongs to another server now, or to none.
     if (head.status === MISDIRECTED) this.#unreachable(current);
-    else current?.choice.record.rejected(this.#now());
+    else if (current !== undefined) this.#turnedAwayBy(current.choice.record);
     this.#endCurrent(false);
     this.#context.metrics.event(`rejected_${head.status}`);
     this.#record.rejected(head.status);
     this.#sendFailed("rejected", "servers_full");
   }
 
+  /** A server in need says so already, and is not left out for it besides. */
+  #turnedAwayBy(record: ServerRecord): void {
+    if (this.#context.turns.limitOf(record) !== undefined) return;
+    record.rejected(this.#now());
+  }
+
   #notWritten(detail: string): void {
     this.#truth.handle({ type: "not_written" });
     const record = this.#current?.choice.record;
@@ -523,24 +609,55 @@
     this.#resend(reason, "unknown_outcome");
   }
 
-  #resend(reason: ResendReason, otherwise: RefusalReason): void {
+  /** Sends the request elsewhere, if anything allows; `sent` hears where. */
+  #resend(
+    reason: ResendReason,
+    otherwise: RefusalReason,
+    sent: (next: ServerRecord) => void = () => undefined,
+  ): void {
     if (this.#answer.finished) return;
+    const asked = { reason, otherwise, sent };
     const forbidden = this.#rules.whyNotAgain(this.#remaining());
-    const choice = forbidden === undefined ? this.#choose() : undefined;
-    if (choice === undefined) {
-      this.#notRepeated(reason, forbidden ?? "no_server");
-      this.#giveUp(otherwise);
+    if (forbidden !== undefined) {
+      this.#notSentAgain(asked, forbidden);
       return;
     }
+    const { outcome, limited } = this.#choose();
+    if (outcome.kind === "chosen") this.#sendAgain(asked, outcome.choice);
+    else if (limited.length === 0) this.#notSentAgain(asked, "no_server");
+    else void this.#sendAgainWithTurn(asked, limited);
+  }
+
+  async #sendAgainWithTurn(
+    asked: AskedAgain,
+    limited: readonly ServerRecord[],
+  ): Promise<void> {
+    const send = { request: this.request, limited };
+    const choice = await chooseWithTurn(send, this.#context);
+    if (this.#answer.finished) return;
+    if (choice === undefined) this.#notSentAgain(asked, "no_turn");
+    else this.#sendAgain(asked, choice);
+  }
+
+  #sendAgain(asked: AskedAgain, choice: Choice): void {
     const { granted, view } = this.#spend("repeat");
     if (!granted) {
-      this.#notRepeated(reason, "budget_spent", view);
-      this.#giveUp(otherwise);
+      this.#notSentAgain(asked, "budget_spent", view);
       return;
     }
     this.#rules.repeated();
-    this.#record.resent(reason, view);
+    this.#record.resent(asked.reason, view);
     this.#sendTo(choice);
+    asked.sent(choice.record);
+  }
+
+  #notSentAgain(
+    { reason, otherwise }: AskedAgain,
+    why: NotRepeatedReason,
+    budget?: BudgetView,
+  ): void {
+    this.#notRepeated(reason, why, budget);
+    this.#giveUp(otherwise);
   }
 
   /** Spends one further send, if the budget allows. */
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -68,8 +68,8 @@
   lastEventId(): string | undefined;
   /** Time left, in milliseconds. */
   remaining(): number;
-  /** Another server. */
-  choose(): Choice | undefined;
+  /** Another server; it takes time where only limited ones are left. */
+  choose(): Choice | undefined | Promise<Choice | undefined>;
   /** Spends one further send, if the budget allows. */
   spend(kind: ResendKind): Spending;
   notRepeated(
@@ -117,17 +117,23 @@
   async moveAway(): Promise<void> {
     const source = this.#run.sentTo();
     if (source === undefined || this.#underWay) return;
-    const target = this.#run.choose();
-    if (target === undefined) {
-      this.#run.notRepeated("memory_moved", "no_server");
-      return;
-    }
     this.#underWay = true;
-    const outcome = await this.#move(source, target);
+    const outcome = await this.#moveFrom(source);
     this.#underWay = false;
     if (outcome === "target_ended") await this.moveAway();
   }
 
+  async #moveFrom(source: Choice): Promise<string | undefined> {
+    const choosing = this.#run.choose();
+    const waits = choosing instanceof Promise;
+    const target = waits ? await choosing : choosing;
+    // The run may have ended, or gone elsewhere, meanwhile.
+    if (this.#run.finished() || this.#run.sentTo() !== source) return undefined;
+    if (target !== undefined) return this.#move(source, target);
+    this.#run.notRepeated("memory_moved", "no_server");
+    return undefined;
+  }
+
   /** Goes on elsewhere after a send of the kept memory ran nothing. */
   goOnAfter(reason: ResendReason): void {
     this.#goOn(reason, this.#run.spend("continuation"));
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -21,6 +21,7 @@
   "too_late",
   "too_many_sends",
   "no_server",
+  "no_turn",
   "budget_spent",
 ] as const;
 
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {
+  type Choice,
   type ChoiceOutcome,
   chooseServer,
   type ServerRecord,
@@ -29,25 +30,85 @@
  */
 const LEAVING_SHARE = 0.6;
 
+/** Outcome of a choice among the servers that need no turn. */
+export interface SendChoice {
+  readonly outcome: ChoiceOutcome;
+  /** Servers that may take the request too, with a turn; the preferred ones first. */
+  readonly limited: readonly ServerRecord[];
+}
+
 /** Chooses among the servers whose present lives were not tried. */
 export function chooseFor(
   request: AdmittedRequest,
   tried: ReadonlySet<string>,
   context: RequestContext,
-): ChoiceOutcome {
-  const { name } = request.service;
+): SendChoice {
   const now = context.clock.now();
   const isFirst = tried.size === 0;
-  const versions = context.rollouts.choice(name, { isFirst, now });
-  if (isFirst && !getsPlace(versions, request, context)) return FULL;
+  const all = context.rollouts.choice(request.service.name, { isFirst, now });
+  const send = { request, tried, now };
+  return {
+    outcome: chooseUnlimited(withoutLimited(all, context), send, context),
+    limited: withTurns(all, send, context),
+  };
+}
+
+/** The choice of a server that gave a turn. */
+export function chooseGiven(
+  record: ServerRecord,
+  request: AdmittedRequest,
+  context: RequestContext,
+): Choice | undefined {
+  const send = { request, tried: new Set<string>(), now: context.clock.now() };
+  const outcome = chooseAmong([record], send, context);
+  return outcome.kind === "chosen" ? outcome.choice : undefined;
+}
+
+const FULL: ChoiceOutcome = { kind: "full" };
+
+function chooseUnlimited(
+  versions: VersionChoice,
+  send: Send,
+  context: RequestContext,
+): ChoiceOutcome {
+  const isFirst = send.tried.size === 0;
+  if (isFirst && !getsPlace(versions, send.request, context)) return FULL;
   const { first, otherwise } = versions;
-  const outcome = chooseAmong(first, { request, tried, now }, context);
+  const outcome = chooseAmong(first, send, context);
   return outcome.kind === "chosen" || otherwise === undefined
     ? outcome
-    : chooseAmong(otherwise, { request, tried, now }, context);
+    : chooseAmong(otherwise, send, context);
 }
 
-const FULL: ChoiceOutcome = { kind: "full" };
+function withoutLimited(
+  { first, otherwise }: VersionChoice,
+  { turns }: RequestContext,
+): VersionChoice {
+  return {
+    first: turns.unlimited(first),
+    otherwise: otherwise === undefined ? undefined : turns.unlimited(otherwise),
+  };
+}
+
+/**
+ * Limited servers that may take a request now. Nothing waits behind their limits, so
+ * they need a free place.
+ */
+function withTurns(
+  { first, otherwise = [] }: VersionChoice,
+  { request, tried, now }: Send,
+  context: RequestContext,
+): readonly ServerRecord[] {
+  const limited = context.turns.limited([...first, ...otherwise]);
+  if (limited.length === 0) return limited;
+  const connections = ownConnections(request.service, context.hosts());
+  return limited
+    .filter((record) => record.isReady && !record.isEjected(now))
+    .filter((record) => !tried.has(record.life))
+    .filter((record) => record.load(now) < record.entry.slots)
+    .filter((record) => record.ownRunning < connections)
+    .toSorted((left, right) => left.load(now) - right.load(now));
+}
 
 /**
  * Whether a request that comes now is among those that engines can take. What was
--- /dev/null
+++ b/packages/rampswitch-serving/src/server_limits/mod.ts
@@ -0,0 +1,23 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Limits that backend servers name, kept by all hosts together.
+ *
+ * @module
+ */
+export { LimitBook, type LimitedLife, type LimitNews } from "./limit_book.ts";
+export {
+  type LimitedServer,
+  ServerTurns,
+  type TurnNews,
+  type TurnReply,
+  type TurnRequest,
+} from "./server_turns.ts";
+export {
+  LEAST_PER_SECOND,
+  TurnLedger,
+  type TurnOutcome,
+  type TurnUrgency,
+} from "./turn_ledger.ts";
+export { type LendingPace, type LentTo, TurnLenders } from "./turn_lenders.ts";
+export { TurnWaits } from "./turn_waits.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/server_limits/turn_waits_test.ts
@@ -0,0 +1,39 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { TurnWaits } from "./turn_waits.ts";
+
+const SERVICE = "models";
+
+describe("waits for turns", () => {
+  test("end when the next turn is free", () => {
+    const waits = new TurnWaits();
+    expect(waits.mayAsk(SERVICE, 1_000)).toBe(true);
+    waits.refused(SERVICE, 200, 1_000);
+    expect(waits.mayAsk(SERVICE, 1_199)).toBe(false);
+    expect(waits.mayAsk(SERVICE, 1_200)).toBe(true);
+  });
+
+  test("are not long where a limit may end meanwhile", () => {
+    const waits = new TurnWaits();
+    waits.refused(SERVICE, 60_000, 1_000);
+    expect(waits.mayAsk(SERVICE, 1_600)).toBe(true);
+  });
+
+  test("tell each caller a turn of its own", () => {
+    const waits = new TurnWaits();
+    waits.refused(SERVICE, 400, 1_000);
+    const share = { perSecond: 2, hosts: 4 };
+    const told = [1_000, 1_000, 1_100].map((now) =>
+      waits.tell(SERVICE, share, now),
+    );
+    expect(told).toEqual([400, 2_400, 4_300]);
+  });
+
+  test("tell no time that never comes", () => {
+    const waits = new TurnWaits();
+    const share = { perSecond: 0, hosts: 9 };
+    waits.tell(SERVICE, share, 1_000);
+    expect(waits.tell(SERVICE, share, 1_000)).toBeLessThanOrEqual(60_000);
+  });
+});
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -20,6 +20,7 @@
 import type { Quarantine } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
+import type { ServerTurns } from "./server_limits/mod.ts";
 import type { RequestRun } from "./relay/request_run.ts";
 
 /** Parts that know something of backend servers. */
@@ -34,6 +35,7 @@
   readonly dispatches: RecentDispatches;
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
+  readonly turns: ServerTurns;
   /** Requests in progress. */
   runs(): readonly RequestRun[];
 }
@@ -124,6 +126,7 @@
     client.forget(server.id);
     prefixes.forget(server.id);
     dispatches.forget(server.id);
+    this.#parts.turns.forget(former);
     this.#endsUnannounced(former);
     const stopped = this.#parts.runs().filter((run) => run.server === former);
     metrics.event("server_started_again");
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -59,6 +59,7 @@
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { untilIdle } from "./planned_stop.ts";
+import { ServerTurns } from "./server_limits/mod.ts";
 import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
@@ -132,6 +133,7 @@
   readonly #holdTimes = new HoldTimes();
   readonly #arrivalRates: ArrivalRates;
   readonly #places = new KnownPlaces();
+  readonly #turns: ServerTurns;
   readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
   readonly #client: BackendClient;
@@ -201,6 +203,18 @@
       }),
     );
     this.#ownership.defer(() => this.#cancelLeaving());
+    this.#turns = new ServerTurns({
+      ...ports,
+      host: settings.host,
+      cautiousClock: this.#cautiousClock,
+      agreedTime: () => this.#wallTime(),
+      pace: () => PACE_BY_ROLE[this.#membership?.role ?? "direct"],
+      hosts: () => this.#membership?.size ?? 1,
+      server: (id) => this.#directory.get(id),
+      ask: async (holder, request) =>
+        this.#membership?.askTurn(holder, request),
+      tell: () => this.#membership?.tell(),
+    });
     this.#arrivalRates = new ArrivalRates(ports.clock.now());
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
@@ -238,6 +252,7 @@
       dispatches: this.#dispatches,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
+      turns: this.#turns,
       runs: () => this.#callers.runs,
     });
     this.#directory.onLeaving((record) => this.#serverLeaves(record));
@@ -270,6 +285,8 @@
       follower: this.#follower,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
+      turns: this.#turns,
+      turnHolders: () => this.#membership?.turnHolders ?? [],
       wallTime: () => this.#wallTime(),
       stopping: () => this.#life.state === "stopping",
       askConfiguration: (relay) => this.#membership?.askConfiguration(relay),
@@ -380,19 +397,22 @@
       },
       {
         ownNews: (message) => this.#news.own(message),
+        stopping: () => this.#life.state === "stopping",
         viewFor: (host) => this.#news.viewFor(host),
-        onNews: (news) => this.#news.heard(news),
+        onNews: (news, age) => this.#news.heard(news, age),
         onDigest: (digest) => this.#news.heardDigest(digest),
         configuration: () => this.#follower.newestConfiguration(),
         onConfiguration: (changes) =>
           this.#follower.configurationByRelay(changes),
         onQuestion: (request) => this.#admission.decide(request),
+        onTurnQuestion: (request) => this.#turns.give(request),
         onUnused: (request) => this.#admission.giveBack(request),
         onListed: (hosts) => {
           this.#limits.hostsListed();
-          hosts.forEach((host) =>
-            this.#limits.expected(host, this.#ports.clock.now()),
-          );
+          hosts.forEach((host) => {
+            this.#limits.expected(host, this.#ports.clock.now());
+            this.#turns.expected(host);
+          });
         },
       },
     );
@@ -420,6 +440,7 @@
       budget: this.#budget,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
+      turns: this.#turns,
       configuration: () => ({
         routes: this.#follower.routes,
         ageMilliseconds: this.#follower.age,
--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./engine_model.ts";
 export * from "./fault_proxy.ts";
 export * from "./http_standin.ts";
+export * from "./named_limits.ts";
 export * from "./object_api.ts";
 export * from "./order_book.ts";
 export * from "./plain_service.ts";
