Order others in the place of servers that name limits

Cause: the plan counted a server that takes one request a second as any other, so a fleet in need looked like plenty. Change: what limited servers do not take of the usual rate of a server (requests that run, by the time that they hold a place and the servers that the load needs) is added to the servers needed; it goes again when the limits end, after the usual wait. Measured: capacity_duty_test.ts (four limited of twenty: 6 to 8 more reclaimable ones with their reserve; none where limits are above the usual rate). Conclusion: the plan sees the need; no server is replaced for good.

--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -17,6 +17,7 @@
   planCapacity,
   serversBeforeListing,
   serversBeforeLoad,
+  serversMissing,
   serversNeeded,
   type DataHallServers,
   type DataHallWish,
@@ -87,6 +88,10 @@
   /** Data halls of the system. */
   readonly dataHalls: readonly string[];
   load(service: string): ServiceLoad;
+  /** Time for which a request of a service holds a place, in milliseconds. */
+  holdMilliseconds(service: string): number;
+  /** Requests a second that a server takes, where it names a limit. */
+  limitOf(record: ServerRecord): number | undefined;
   /** Whether no request has come since this host started. */
   idle(): boolean;
 }
@@ -125,10 +130,13 @@
     if (capacity === undefined || engine === undefined) return [];
     if (this.#parts.idle()) this.#countFirst(service, now);
     const load = this.#parts.load(service.name);
+    const loaded = serversNeeded(load, engine);
+    const missing = this.#missing(service, load, loaded);
     const needed = Math.max(
-      serversNeeded(load, engine),
+      loaded + missing,
       this.#parts.idle() ? this.#firstNeeded(service, now) : 0,
     );
+    this.#parts.metrics.gauge("servers_missing_by_limits", missing);
     this.#plannedBy.set(service.name, { ...load, needed });
     this.#parts.metrics.gauge("servers_needed", needed);
     const halls = this.#halls(service, now);
@@ -141,6 +149,19 @@
       .map(({ order }) => order);
   }
 
+  /** Servers that are needed in place of limited ones, until the limits end. */
+  #missing({ name }: Service, load: ServiceLoad, needed: number): number {
+    const limits = this.#parts.directory
+      .of(name)
+      .filter((record) => record.isReady && this.#parts.rollouts.counts(record))
+      .flatMap((record) => this.#parts.limitOf(record) ?? []);
+    return serversMissing(limits, {
+      running: load.running,
+      holdMilliseconds: this.#parts.holdMilliseconds(name),
+      needed,
+    });
+  }
+
   /**
    * Servers needed before any load: by the number that the deployment began
    * with, or, while that still registers, by what the service may grow to.
--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -8,7 +8,7 @@
 import type { ServerOrder } from "../model/cloud.ts";
 import { ServingMetrics } from "../observation/mod.ts";
 import { loneRollouts } from "../rollout/rollout_standin.ts";
-import { CapacityDuty } from "./capacity_duty.ts";
+import { CapacityDuty, type CapacityParts } from "./capacity_duty.ts";
 
 const DATA_HALLS = ["a", "b", "c", "d"];
 const FENCE = { holder: "host", fence: 1 };
@@ -40,7 +40,12 @@
 });
 
 /** A duty before any load, with a cloud that takes every order it answers. */
-function idleDuty(answers: () => boolean = () => true): {
+function idleDuty(
+  answers: () => boolean = () => true,
+  loaded: Partial<
+    Pick<CapacityParts, "load" | "holdMilliseconds" | "limitOf" | "idle">
+  > = {},
+): {
   readonly duty: CapacityDuty;
   readonly orders: ServerOrder[];
   readonly directory: ServerDirectory;
@@ -63,7 +68,10 @@
     rollouts: loneRollouts(directory),
     dataHalls: DATA_HALLS,
     load: () => ({ running: 0, readTokensPerSecond: 0, readingRate: 40 }),
+    holdMilliseconds: () => 1_000,
+    limitOf: () => undefined,
     idle: () => true,
+    ...loaded,
   });
   return { duty, orders, directory };
 }
@@ -124,6 +132,33 @@
   });
 });
 
+describe("servers that name limits", () => {
+  /** Reclaimable servers that are ordered while some servers name a limit. */
+  async function orderedWith(limits: readonly number[]): Promise<number> {
+    const { duty, orders, directory } = idleDuty(() => true, {
+      idle: () => false,
+      // Some 16 requests a second for each of the servers that this load needs.
+      load: () => ({ running: 160, readTokensPerSecond: 0, readingRate: 40 }),
+      limitOf: ({ entry }) => limits[Number(entry.id.slice(1))],
+    });
+    list(directory, 20);
+    await duty.act(ROUTES, FENCE, 60_000);
+    return desired(orders, true);
+  }
+
+  test("are replaced by what they do not take", async () => {
+    const usual = await orderedWith([]);
+    const replaced = await orderedWith([1, 1.2, 0.5, 0]);
+    // Four servers, 16/9 of them for the reserve.
+    expect(replaced - usual).toBeGreaterThanOrEqual(6);
+    expect(replaced - usual).toBeLessThanOrEqual(8);
+  });
+
+  test("are not where they take as much as any", async () => {
+    expect(await orderedWith([80, 80])).toBe(await orderedWith([]));
+  });
+});
+
 describe("orders while the cloud does not answer", () => {
   /** Orders sent in each second of a run. */
   async function ordersBySecond(
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -121,6 +121,28 @@
   return Math.max(LEAST_SERVERS, Math.ceil(needed));
 }
 
+/**
+ * Servers whose work others have to do, since they name limits: each counts for the
+ * share that it takes of what a server of the service usually gets.
+ */
+export function serversMissing(
+  limits: readonly number[],
+  usual: {
+    /** Requests that run at all servers together. */
+    readonly running: number;
+    /** Time for which a request holds a place, in milliseconds. */
+    readonly holdMilliseconds: number;
+    /** Servers that the load needs. */
+    readonly needed: number;
+  },
+): number {
+  const perSecond =
+    (1_000 * usual.running) / (usual.holdMilliseconds * usual.needed);
+  if (!(perSecond > 0)) return 0;
+  const missing = limits.map((limit) => 1 - Math.min(1, limit / perSecond));
+  return Math.ceil(sum(missing));
+}
+
 /**
  * Plans all data halls of a service. Reclaimable servers are a fraction of the
  * price, so they carry the load with a reserve, spread over the data halls that
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -14,7 +14,7 @@
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
 import { Result } from "true-myth";
-import type { ServerDirectory } from "../choice/mod.ts";
+import type { ServerDirectory, ServerRecord } from "../choice/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { LeaseNews } from "../membership/mod.ts";
 import type { Cloud, CloudError, Fence } from "../model/cloud.ts";
@@ -75,6 +75,10 @@
   lives(): readonly string[];
   /** Load of a service over all hosts. */
   load(service: string): ServiceLoad;
+  /** Time for which a request of a service holds a place, in milliseconds. */
+  holdMilliseconds(service: string): number;
+  /** Requests a second that a server takes, where it names a limit. */
+  limitOf(record: ServerRecord): number | undefined;
   /** Whether no request has come since this host started. */
   idle(): boolean;
   /** The configuration, once the servers are known too. */
@@ -112,6 +116,8 @@
       dataHalls: parts.dataHalls,
       rollouts: parts.rollouts,
       load: (service) => parts.load(service),
+      holdMilliseconds: (service) => parts.holdMilliseconds(service),
+      limitOf: (record) => parts.limitOf(record),
       idle: () => parts.idle(),
     });
   }
--- a/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
@@ -292,6 +292,8 @@
     const state = { alive: true, life: String(this.#lives) };
     const wallTime = () => this.#clock.now() + host.ahead;
     const duties = new HostDuties({
+      holdMilliseconds: () => 1_000,
+      limitOf: () => undefined,
       host: host.name,
       incarnation: state.life,
       store: this.#store.seenBy(() => state.alive),
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -238,6 +238,8 @@
         rolloutStore: this.#rolloutStore,
         lives: () => this.#membership?.lives ?? [],
         load: (service) => this.#news.load(service),
+        holdMilliseconds: (service) => this.#holdTimes.of(service),
+        limitOf: (record) => this.#turns.limitOf(record),
         idle: () => this.#meter.idle,
         routes: () =>
           this.#follower.serversListed ? this.#follower.routes : undefined,
