--- a/packages/rampswitch-standins/src/named_limits.ts
+++ b/packages/rampswitch-standins/src/named_limits.ts
@@ -43,6 +43,11 @@
     return this.#text;
   }
 
+  /** Whether any limit was named so far. */
+  get everNamed(): boolean {
+    return this.#named.some(({ perSecond }) => perSecond !== undefined);
+  }
+
   /** Times of all that arrived, in milliseconds of the process. */
   get arrivals(): readonly number[] {
     return this.#arrivals;
