Show free turns by server, probe from any host, and test the connections of a fleet

Change: free turns at limited servers are a gauge by server, at the host that gives them; a limited server that nobody has heard for 5 s may be probed by any host, with a turn, so that its end is heard where that host has no requests of its own.

--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -44,6 +44,7 @@
     ["code"],
   );
   readonly #gauges = new Map<string, Gauge>();
+  readonly #serverGauges = new Map<string, Gauge<"server">>();
   readonly #firstPart = this.#histogram(
     "first_part_seconds",
     "Time from a request to the first part of its answer",
@@ -100,6 +101,21 @@
     gauge.set(value);
   }
 
+  /** Sets a gauge for each of some servers; others are taken out of it. */
+  byServer(name: string, values: ReadonlyMap<string, number>): void {
+    const gauge =
+      this.#serverGauges.get(name) ??
+      new Gauge({
+        name: `rampswitch_${name}`,
+        help: name,
+        labelNames: ["server"],
+        registers: [this.#registry],
+      });
+    this.#serverGauges.set(name, gauge);
+    gauge.reset();
+    values.forEach((value, server) => gauge.set({ server }, value));
+  }
+
   /** Records the time to the first part of an answer. */
   firstPart(milliseconds: number): void {
     this.#firstPart.observe(milliseconds / 1_000);
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/connection_share_test.ts
@@ -0,0 +1,19 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { ownConnections } from "./connection_share.ts";
+
+/** Connections that a server of a small plain service takes from all hosts. */
+const MAXIMUM = { maximumConnections: 110 };
+
+describe("connections to one server", () => {
+  // The least number for each host is kept by each host for itself: 78 hosts may
+  // open 156 where a server takes 110.
+  test.each([1, 9, 40, 78, 195, 360])(
+    "are no more than it takes from %d hosts together",
+    (hosts) => {
+      const all = hosts * ownConnections(MAXIMUM, hosts);
+      expect(all).toBeLessThanOrEqual(MAXIMUM.maximumConnections);
+    },
+  );
+});
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -233,15 +233,33 @@
   }
 
   #sendToBest(): void {
-    const { outcome, limited } = this.#choose();
-    if (outcome.kind !== "chosen") {
-      if (limited.length > 0) void this.#sendWithTurn(limited);
-      else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
+    const choice = this.#choose();
+    const { outcome, limited } = choice;
+    if (outcome.kind !== "chosen" || limited.length === 0) {
+      this.#sendChosen(choice);
       return;
     }
+    const unheard = this.#context.turns.unheard(limited);
     const send = { request: this.request, limited };
     const probe = chooseProbe(send, this.#context);
-    this.#sendFirst(probe ?? outcome.choice);
+    if (probe !== undefined) this.#sendFirst(probe);
+    else if (unheard.length > 0) void this.#probeOrSend(unheard);
+    else this.#sendFirst(outcome.choice);
+  }
+
+  #sendChosen({ outcome, limited }: SendChoice): void {
+    if (outcome.kind === "chosen") this.#sendFirst(outcome.choice);
+    else if (limited.length > 0) void this.#sendWithTurn(limited);
+    else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
+  }
+
+  /** Asks a server that nobody has heard for long, or goes where it would have. */
+  async #probeOrSend(unheard: readonly ServerRecord[]): Promise<void> {
+    const send = { request: this.request, limited: unheard };
+    const probe = await chooseWithTurn(send, this.#context);
+    if (this.#answer.finished) return;
+    if (probe === undefined) this.#sendChosen(this.#choose());
+    else this.#sendFirst(probe);
   }
 
   /** The first send where only limited servers are left. */
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -13,17 +13,11 @@
   type ServerRecord,
   shareWithPlaces,
 } from "../choice/mod.ts";
-import type { Service } from "../model/configuration.ts";
 import type { VersionChoice } from "../rollout/mod.ts";
 import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
+import { ownConnections } from "./connection_share.ts";
 import type { RequestContext } from "./request_context.ts";
 
-/** Share of a server's connections that all hosts together use. */
-const CONNECTION_SHARE = 0.8;
-
-/** Connections to one server that this host may use, whatever its share. */
-const LEAST_CONNECTIONS = 2;
-
 /**
  * Part of the time to the end of a leaving server in which it takes requests; the
  * rest is for the way there, and for the news of its end.
@@ -101,6 +95,7 @@
 ): readonly ServerRecord[] {
   const limited = context.turns.limited([...first, ...otherwise]);
   if (limited.length === 0) return limited;
+  context.metrics.event("limited_servers_left_out");
   const connections = ownConnections(request.service, context.hosts());
   return limited
     .filter((record) => record.isReady && !record.isEjected(now))
@@ -194,8 +189,3 @@
 function endsInTime({ route, service }: AdmittedRequest): boolean {
   return !route.streaming || (service.engine?.movable ?? false);
 }
-
-function ownConnections(service: Service, hosts: number): number {
-  const share = (service.maximumConnections * CONNECTION_SHARE) / hosts;
-  return Math.max(LEAST_CONNECTIONS, Math.floor(share));
-}
--- a/packages/rampswitch-serving/src/server_limits/server_turns.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_turns.ts
@@ -155,6 +155,7 @@
       parts.cautiousClock.now(),
       parts.pace(),
     );
+    this.#countFree();
     return { limits, lentTo: this.#lenders.lentTo };
   }
 
@@ -213,33 +214,13 @@
   }
 
   /** Gives a turn, as far as this host is the one that gives them. */
-  give({ service, servers, urgency }: TurnRequest): TurnReply {
-    const parts = this.#parts;
-    const owners = this.#lenders.owners(
-      service,
-      parts.cautiousClock.now(),
-      parts.pace(),
-    );
-    if (owners.lenders.size === 0) {
-      return { kind: "wait", milliseconds: NO_HOLDER_MILLISECONDS };
-    }
-    const time = parts.agreedTime();
+  give({ servers, urgency }: TurnRequest): TurnReply {
     const asked = servers.flatMap((id) => {
-      const server = parts.server(id);
+      const server = this.#parts.server(id);
       const perSecond = server === undefined ? undefined : this.limitOf(server);
       return server === undefined || perSecond === undefined
         ? []
-        : [
-            {
-              id,
-              terms: {
-                life: nameOfLife(server.entry),
-                perSecond,
-                time,
-                owners,
-              },
-            },
-          ];
+        : [{ id, terms: this.#termsOf(server, perSecond) }];
     });
     return this.#giveFirst(asked, urgency);
   }
@@ -259,8 +240,10 @@
   }
 
   /** Servers that nobody has heard for so long that any host may ask for a probe. */
-  unheard(limited: readonly LimitedServer[]): readonly string[] {
-    return idsOf(this.#silentFor(limited, PROBE_MILLISECONDS.others));
+  unheard<Server extends LimitedServer>(
+    limited: readonly Server[],
+  ): readonly Server[] {
+    return this.#silentFor(limited, PROBE_MILLISECONDS.others);
   }
 
   /**
@@ -283,6 +266,33 @@
     this.#ledger.forget(nameOfLife(entry));
   }
 
+  /** Shows the free turns of the servers whose turns this host gives. */
+  #countFree(): void {
+    if (this.#book.isEmpty) return;
+    const { metrics, host } = this.#parts;
+    const free = this.#book.lives.flatMap((life) => {
+      const server = this.#parts.server(life.id);
+      const perSecond = server === undefined ? undefined : this.limitOf(server);
+      if (server === undefined || perSecond === undefined) return [];
+      const { service } = server.entry;
+      if (this.#lenders.holder(service) !== host) return [];
+      const terms = this.#termsOf(server, perSecond);
+      return [[life.id, this.#ledger.free(terms)] as const];
+    });
+    metrics.byServer("turns_free", new Map(free));
+  }
+
+  #termsOf({ entry }: LimitedServer, perSecond: number): TurnTerms {
+    const parts = this.#parts;
+    const owners = this.#lenders.owners(
+      entry.service,
+      parts.cautiousClock.now(),
+      parts.pace(),
+    );
+    const time = parts.agreedTime();
+    return { life: nameOfLife(entry), perSecond, time, owners };
+  }
+
   #tellSoon(): void {
     const now = this.#parts.clock.now();
     // What is not told at once goes with the next round.
@@ -320,10 +330,10 @@
     return reply;
   }
 
-  #silentFor(
-    limited: readonly LimitedServer[],
+  #silentFor<Server extends LimitedServer>(
+    limited: readonly Server[],
     milliseconds: number,
-  ): readonly LimitedServer[] {
+  ): readonly Server[] {
     const now = this.#parts.clock.now();
     return limited.filter(
       ({ entry }) => this.#book.ageOf(entry, now) >= milliseconds,
