Keep a late run where no other server takes the request

Cause: a run without an answer for that long was left before it was known whether any other server could take the request; with limits fewer can. Evidence: send lost, stalled; send not repeated, no_server; request ended, 504 after 754 to 794 ms. Two tests of left_run_test.ts failed with 504 and pass. Change: a run is left only for a server that needs no turn; else the wait begins anew. Conclusion: callers get the late answer; a run at a silent server is still left as soon as another one has a place.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -388,6 +388,11 @@
     if (current === undefined || this.#move.stopping) return;
     this.#fellSilent(current);
     if (!this.#rules.mayLeaveRun) return;
+    // A late answer is better than none, where nobody else can give one.
+    if (this.#choose().outcome.kind !== "chosen") {
+      this.#stall.start(this.#firstStallMilliseconds());
+      return;
+    }
     this.#truth.handle({ type: "lost" });
     this.#move.drop();
     this.#endCurrent(true);
