Choose the servers of one request in a module of its own

No change of what is done. Measured: the tests of the serving host, of limits, moves, left and resumed runs pass. Conclusion: one module says which sends need a turn.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -9,7 +9,6 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { sleep } from "rampswitch-utils";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -42,9 +41,8 @@
   RunRecord,
 } from "./run_record.ts";
 import { type MovableRun, RunMove, type Spending } from "./run_move.ts";
-import { chooseFor, type SendChoice } from "./send_choice.ts";
+import { SendChooser } from "./send_chooser.ts";
 import { StallWatch } from "./stall_watch.ts";
-import { chooseProbe, chooseWithTurn } from "./turn_choice.ts";
 
 /**
  * A repeatable plain request is sent elsewhere after this multiple of the
@@ -60,12 +58,6 @@
 /** Status of a server that is not the one that was named. */
 const MISDIRECTED = 421;
 
-/** Waits for a turn of a run that is lost without one, at most. */
-const MOST_TURN_WAITS = 3;
-
-/** Time between them, in milliseconds. */
-const TURN_WAIT_MILLISECONDS = 300;
-
 const NOT_SURELY_DOWN = { surelyDown: false };
 
 /** One send under way. */
@@ -104,8 +96,7 @@
   /** Id of the last event of this answer. */
   #relayedId: string | undefined;
   readonly #move: RunMove;
-  /** The choice whose turn at a limited server is taken and not used yet. */
-  #withTurn: Choice | undefined;
+  readonly #chooser: SendChooser;
   #cancelDeadline: () => void = () => undefined;
   readonly #stall: StallWatch;
   #failureAnswer: { head: AnswerHead; body: Buffer } | undefined;
@@ -130,6 +121,14 @@
       request.route.resumable ? "repeatable" : request.route.repeatability,
     );
     this.#rules = new ResendRules(request, this.#truth, context);
+    this.#chooser = new SendChooser(
+      {
+        request,
+        tried: this.#tried,
+        finished: () => this.#answer.finished,
+      },
+      context,
+    );
     this.#move = new RunMove(this.#movable(), context);
     this.#lastEventId = request.head.lastEventId;
     this.#deadlineAt = request.arrivedAt + limitMilliseconds(request);
@@ -189,7 +188,7 @@
       finished: () => this.#answer.finished,
       lastEventId: () => this.#lastEventId,
       remaining: () => this.#remaining(),
-      choose: () => this.#chooseToMove(),
+      choose: () => this.#chooser.forMove(),
       spend: (kind) => this.#spend(kind),
       notRepeated: (...told) => this.#notRepeated(...told),
       stopped: () => {
@@ -214,91 +213,31 @@
     return this.#deadlineAt - this.#now();
   }
 
-  #choose(): SendChoice {
-    return chooseFor(this.request, this.#tried, this.#context);
-  }
-
-  #chooseToMove(): Choice | undefined | Promise<Choice | undefined> {
-    const { outcome, limited } = this.#choose();
-    if (outcome.kind === "chosen") return outcome.choice;
-    return limited.length === 0 ? undefined : this.#chooseToGoOn(limited);
-  }
-
-  async #chooseToGoOn(
-    limited: readonly ServerRecord[],
-  ): Promise<Choice | undefined> {
-    const send = { request: this.request, limited, continues: true };
-    this.#withTurn = await chooseWithTurn(send, this.#context);
-    return this.#withTurn;
-  }
-
   #sendToBest(): void {
-    const choice = this.#choose();
-    const { outcome, limited } = choice;
-    if (outcome.kind !== "chosen" || limited.length === 0) {
-      this.#sendChosen(choice);
-      return;
-    }
-    const unheard = this.#context.turns.unheard(limited);
-    const send = { request: this.request, limited };
-    const probe = chooseProbe(send, this.#context);
-    if (probe !== undefined) this.#sendFirst(probe);
-    else if (unheard.length > 0) void this.#probeOrSend(unheard);
-    else this.#sendFirst(outcome.choice);
-  }
-
-  #sendChosen({ outcome, limited }: SendChoice): void {
-    if (outcome.kind === "chosen") this.#sendFirst(outcome.choice);
-    else if (limited.length > 0) void this.#sendWithTurn(limited);
-    else this.#giveUp(outcome.kind === "none" ? "no_server" : "servers_full");
-  }
-
-  /** Asks a server that nobody has heard for long, or goes where it would have. */
-  async #probeOrSend(unheard: readonly ServerRecord[]): Promise<void> {
-    const send = { request: this.request, limited: unheard };
-    const probe = await chooseWithTurn(send, this.#context);
-    if (this.#answer.finished) return;
-    if (probe === undefined) this.#sendChosen(this.#choose());
-    else this.#sendFirst(probe);
-  }
-
-  /** The first send where only limited servers are left. */
-  async #sendWithTurn(limited: readonly ServerRecord[]): Promise<void> {
-    const send = { request: this.request, limited };
-    const choice = await chooseWithTurn(send, this.#context);
-    if (this.#answer.finished) return;
-    if (choice === undefined) this.#giveUp("servers_limited");
-    else this.#sendFirst(choice);
+    this.#chooser.first({
+      chosen: (choice) => this.#sendFirst(choice),
+      none: (reason) => this.#giveUp(reason),
+    });
   }
 
   /** Goes on from kept memory; a limited server needs a turn for it. */
   #sendOn(choice: Choice, memory: MemorySource): void {
-    const { record } = choice;
-    const hasTurn = this.#withTurn === choice;
-    this.#withTurn = undefined;
-    const isLimited = this.#context.turns.limitOf(record) !== undefined;
-    if (hasTurn || !isLimited) this.#sendTo(choice, memory);
-    else void this.#sendOnWithTurn(choice, { memory, waits: 0 });
+    const may = this.#chooser.mayGoOnAt(choice);
+    if (may === true) this.#sendTo(choice, memory);
+    else void this.#sendOnOnce(may, { choice, memory });
   }
 
-  async #sendOnWithTurn(
-    choice: Choice,
+  async #sendOnOnce(
+    may: boolean | Promise<boolean>,
     {
+      choice,
       memory,
-      waits,
-    }: { readonly memory: MemorySource; readonly waits: number },
+    }: { readonly choice: Choice; readonly memory: MemorySource },
   ): Promise<void> {
-    const { record } = choice;
-    const send = { request: this.request, limited: [record], continues: true };
-    const given = await chooseWithTurn(send, this.#context);
+    const hasTurn = await may;
     if (this.#answer.finished) return;
-    if (given !== undefined) this.#sendTo(choice, memory);
-    else if (waits >= MOST_TURN_WAITS) this.#move.goOnAfter("rejected");
-    else {
-      await sleep(this.#context.clock, TURN_WAIT_MILLISECONDS);
-      if (this.#answer.finished) return;
-      await this.#sendOnWithTurn(choice, { memory, waits: waits + 1 });
-    }
+    if (hasTurn) this.#sendTo(choice, memory);
+    else this.#move.goOnAfter("rejected");
   }
 
   #sendFirst(choice: Choice): void {
@@ -389,7 +328,7 @@
     this.#fellSilent(current);
     if (!this.#rules.mayLeaveRun) return;
     // A late answer is better than none, where nobody else can give one.
-    if (this.#choose().outcome.kind !== "chosen") {
+    if (!this.#chooser.hasOther) {
       this.#stall.start(this.#firstStallMilliseconds());
       return;
     }
@@ -645,21 +584,10 @@
       this.#notSentAgain(asked, forbidden);
       return;
     }
-    const { outcome, limited } = this.#choose();
-    if (outcome.kind === "chosen") this.#sendAgain(asked, outcome.choice);
-    else if (limited.length === 0) this.#notSentAgain(asked, "no_server");
-    else void this.#sendAgainWithTurn(asked, limited);
-  }
-
-  async #sendAgainWithTurn(
-    asked: AskedAgain,
-    limited: readonly ServerRecord[],
-  ): Promise<void> {
-    const send = { request: this.request, limited };
-    const choice = await chooseWithTurn(send, this.#context);
-    if (this.#answer.finished) return;
-    if (choice === undefined) this.#notSentAgain(asked, "no_turn");
-    else this.#sendAgain(asked, choice);
+    this.#chooser.again({
+      chosen: (choice) => this.#sendAgain(asked, choice),
+      none: (why) => this.#notSentAgain(asked, why),
+    });
   }
 
   #sendAgain(asked: AskedAgain, choice: Choice): void {
