Tell refused callers when the next turn is free, and bound the work of a round

Cause: a wait was cut to 0.3 s, so that callers of a service whose next turn was seconds away were told a time that did not hold, and the host that gives turns told none; the gauge of free turns looked up the lenders of each limited server in each round. Conclusion: times told hold, as far as no other caller takes the turn.

--- a/packages/rampswitch-serving/src/server_limits/server_turns.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_turns.ts
@@ -18,6 +18,7 @@
 } from "./limit_book.ts";
 import {
   LEAST_PER_SECOND,
+  type SlotOwners,
   TurnLedger,
   type TurnOutcome,
   type TurnTerms,
@@ -84,9 +85,23 @@
 /** Shortest time between messages that tell of new limits, in milliseconds. */
 const LEAST_TELL_MILLISECONDS = 50;
 
-/** Wait of a caller whose service has no host that gives turns, in milliseconds. */
+/** Wait while no host gives the turns of a service, in milliseconds. */
 const NO_HOLDER_MILLISECONDS = 300;
 
+const NO_HOLDER: TurnReply = {
+  kind: "wait",
+  milliseconds: NO_HOLDER_MILLISECONDS,
+};
+
+/** Servers of a service whose free turns are shown. */
+const MOST_SHOWN_SERVERS = 64;
+
+/** A server that is asked for, and its turns. */
+interface AskedServer {
+  readonly id: string;
+  readonly terms: TurnTerms;
+}
+
 /** Limits that can't be read are told once for each server, of so many servers. */
 const MOST_UNREADABLE = 1_000;
 
@@ -155,7 +170,7 @@
       parts.cautiousClock.now(),
       parts.pace(),
     );
-    this.#countFree();
+    this.#countFree(services);
     return { limits, lentTo: this.#lenders.lentTo };
   }
 
@@ -194,34 +209,29 @@
     const { host, clock, metrics } = this.#parts;
     const { service } = request;
     const holder = this.#lenders.holder(service);
-    if (holder === host) return this.#counted(this.give(request));
+    if (holder === host) return this.#noted(service, this.give(request));
     const waits = request.urgency === "continuation" ? undefined : this.#waits;
     if (holder === undefined || waits?.mayAsk(service, clock.now()) === false) {
       metrics.event("turn_not_asked_for");
-      return { kind: "wait", milliseconds: NO_HOLDER_MILLISECONDS };
+      return NO_HOLDER;
     }
     const servers = request.servers.slice(0, MOST_ASKED_SERVERS);
     const reply = await this.#parts.ask(holder, { ...request, servers });
     if (reply === undefined) {
       this.#waits.unanswered(service, clock.now());
       metrics.event("turn_unanswered");
-      return { kind: "wait", milliseconds: NO_HOLDER_MILLISECONDS };
-    }
-    if (reply.kind === "wait") {
-      this.#waits.refused(service, reply.milliseconds, clock.now());
+      return NO_HOLDER;
     }
-    return this.#counted(reply);
+    return this.#noted(service, reply);
   }
 
   /** Gives a turn, as far as this host is the one that gives them. */
-  give({ servers, urgency }: TurnRequest): TurnReply {
-    const asked = servers.flatMap((id) => {
-      const server = this.#parts.server(id);
-      const perSecond = server === undefined ? undefined : this.limitOf(server);
-      return server === undefined || perSecond === undefined
-        ? []
-        : [{ id, terms: this.#termsOf(server, perSecond) }];
-    });
+  give({ service, servers, urgency }: TurnRequest): TurnReply {
+    const owners = this.#ownersOf(service);
+    if (owners.lenders.size === 0) return NO_HOLDER;
+    const asked = servers
+      .slice(0, MOST_ASKED_SERVERS)
+      .flatMap((id) => this.#termsOf(id, owners) ?? []);
     return this.#giveFirst(asked, urgency);
   }
 
@@ -267,30 +277,40 @@
   }
 
   /** Shows the free turns of the servers whose turns this host gives. */
-  #countFree(): void {
+  #countFree(services: readonly string[]): void {
     if (this.#book.isEmpty) return;
     const { metrics, host } = this.#parts;
-    const free = this.#book.lives.flatMap((life) => {
-      const server = this.#parts.server(life.id);
-      const perSecond = server === undefined ? undefined : this.limitOf(server);
-      if (server === undefined || perSecond === undefined) return [];
-      const { service } = server.entry;
-      if (this.#lenders.holder(service) !== host) return [];
-      const terms = this.#termsOf(server, perSecond);
-      return [[life.id, this.#ledger.free(terms)] as const];
-    });
+    const free = services
+      .filter((service) => this.#lenders.holder(service) === host)
+      .flatMap((service) => {
+        const owners = this.#ownersOf(service);
+        return this.#book.lives
+          .filter(({ id }) => this.#serviceOf(id) === service)
+          .slice(0, MOST_SHOWN_SERVERS)
+          .flatMap(({ id }) => this.#termsOf(id, owners) ?? []);
+      })
+      .map(({ id, terms }) => [id, this.#ledger.free(terms)] as const);
     metrics.byServer("turns_free", new Map(free));
   }
 
-  #termsOf({ entry }: LimitedServer, perSecond: number): TurnTerms {
+  #ownersOf(service: string): SlotOwners {
     const parts = this.#parts;
-    const owners = this.#lenders.owners(
-      entry.service,
-      parts.cautiousClock.now(),
-      parts.pace(),
-    );
-    const time = parts.agreedTime();
-    return { life: nameOfLife(entry), perSecond, time, owners };
+    const now = parts.cautiousClock.now();
+    return this.#lenders.owners(service, now, parts.pace());
+  }
+
+  #serviceOf(id: string): string | undefined {
+    return this.#parts.server(id)?.entry.service;
+  }
+
+  /** The turns of a server; `undefined` where it needs none. */
+  #termsOf(id: string, owners: SlotOwners): AskedServer | undefined {
+    const server = this.#parts.server(id);
+    const perSecond = server === undefined ? undefined : this.limitOf(server);
+    if (server === undefined || perSecond === undefined) return undefined;
+    const life = nameOfLife(server.entry);
+    const time = this.#parts.agreedTime();
+    return { id, terms: { life, perSecond, time, owners } };
   }
 
   #tellSoon(): void {
@@ -301,10 +321,7 @@
     this.#parts.tell();
   }
 
-  #giveFirst(
-    asked: readonly { readonly id: string; readonly terms: TurnTerms }[],
-    urgency: TurnUrgency,
-  ): TurnReply {
+  #giveFirst(asked: readonly AskedServer[], urgency: TurnUrgency): TurnReply {
     // Who has most turns left is asked least.
     const ranked = asked
       .map((one) => ({ ...one, free: this.#ledger.free(one.terms) }))
@@ -315,18 +332,18 @@
       if (outcome.kind === "wait") waits.push(outcome.milliseconds);
       return outcome.kind === "given";
     });
-    return given === undefined
-      ? {
-          kind: "wait",
-          milliseconds: Math.min(NO_HOLDER_MILLISECONDS, ...waits),
-        }
-      : { kind: "given", server: given.id };
+    if (given !== undefined) return { kind: "given", server: given.id };
+    return waits.length === 0
+      ? NO_HOLDER
+      : { kind: "wait", milliseconds: Math.min(...waits) };
   }
 
-  #counted(reply: TurnReply): TurnReply {
-    this.#parts.metrics.event(
-      `turn_${reply.kind === "given" ? "given" : "refused"}`,
-    );
+  #noted(service: string, reply: TurnReply): TurnReply {
+    const { clock, metrics } = this.#parts;
+    metrics.event(`turn_${reply.kind === "given" ? "given" : "refused"}`);
+    if (reply.kind === "wait") {
+      this.#waits.refused(service, reply.milliseconds, clock.now());
+    }
     return reply;
   }
 
@@ -344,9 +361,7 @@
   #limitedServices(): readonly string[] {
     return [
       ...new Set(
-        this.#book.lives.flatMap(
-          ({ id }) => this.#parts.server(id)?.entry.service ?? [],
-        ),
+        this.#book.lives.flatMap(({ id }) => this.#serviceOf(id) ?? []),
       ),
     ];
   }
