Name the life of a server in one place

Cause: limits of servers brought a second type of a server's life and a second way to name it. Change: both stand beside the server's entry in model/backend_server.ts. No change of what is done. Conclusion: one copy of each.

--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { BackendServer } from "../model/backend_server.ts";
+import { type BackendServer, nameOfLife } from "../model/backend_server.ts";
 import type { ReportedLoad } from "../model/request.ts";
 
 /** Work of one host at one backend server. */
@@ -86,8 +86,7 @@
 
   /** Names this life among all lives of all servers. */
   get life(): string {
-    const { id, born } = this.entry;
-    return born === undefined ? id : `${id}/${born}`;
+    return nameOfLife(this.entry);
   }
 
   /** Whether a later life of the server is known, so that this one is over. */
--- a/packages/rampswitch-serving/src/model/backend_server.ts
+++ b/packages/rampswitch-serving/src/model/backend_server.ts
@@ -6,6 +6,18 @@
  * @module
  */
 
+/** A server at one moment: its id, and when its life began if that is known. */
+export interface ServerLife {
+  readonly id: string;
+  /** Milliseconds since the epoch. */
+  readonly born?: number | undefined;
+}
+
+/** Names one life among all lives of all servers. */
+export function nameOfLife({ id, born }: ServerLife): string {
+  return born === undefined ? id : `${id}/${born}`;
+}
+
 /** Whether a backend server takes new work. */
 export type BackendServerState = "ready" | "leaving";
 
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -12,7 +12,8 @@
 import type { SentRequest } from "../rollout/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
-import { lifeOf, type ServerLife, startsOf } from "./server_life.ts";
+import type { ServerLife } from "../model/backend_server.ts";
+import { lifeOf, startsOf } from "./server_life.ts";
 
 /** Why a further send that was wanted is not made. */
 export const NOT_REPEATED_REASONS = [
--- a/packages/rampswitch-serving/src/relay/server_life.ts
+++ b/packages/rampswitch-serving/src/relay/server_life.ts
@@ -7,13 +7,7 @@
  * @module
  */
 import type { ServerRecord } from "../choice/mod.ts";
-
-/** A server at one moment: its id, and when its life began if that is known. */
-export interface ServerLife {
-  readonly id: string;
-  /** Milliseconds since the epoch. */
-  readonly born?: number | undefined;
-}
+import type { ServerLife } from "../model/backend_server.ts";
 
 /** The life that a server's entry tells of now. */
 export function lifeOf({ entry }: ServerRecord): ServerLife {
--- a/packages/rampswitch-serving/src/server_limits/limit_book.ts
+++ b/packages/rampswitch-serving/src/server_limits/limit_book.ts
@@ -7,17 +7,11 @@
  * @module
  */
 import type { Logger } from "rampswitch-utils";
+import { nameOfLife, type ServerLife } from "../model/backend_server.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 
-/** One life of a backend server. */
-export interface LimitedLife {
-  readonly id: string;
-  /** Start of its life; `undefined` where it tells none. */
-  readonly born: number | undefined;
-}
-
 /** What a server said of its limit, for hosts without a common clock. */
-export interface LimitNews extends LimitedLife {
+export interface LimitNews extends ServerLife {
   /** Requests a second from all hosts; `undefined`: it named none. */
   readonly perSecond: number | undefined;
   /** Milliseconds since a host read it. */
@@ -33,7 +27,7 @@
   readonly origin: Origin;
 }
 
-interface KnownLimit extends LimitedLife {
+interface KnownLimit extends ServerLife {
   readonly newest: Statement;
   /** Lower limits that were said before, each with the time of its successor. */
   readonly former: readonly {
@@ -78,7 +72,7 @@
   }
 
   /** Lives of servers that have, or had lately, a limit. */
-  get lives(): readonly LimitedLife[] {
+  get lives(): readonly ServerLife[] {
     return [...this.#known.values()];
   }
 
@@ -91,7 +85,7 @@
    * Requests a second that a server takes from all hosts; `undefined`: it names no
    * limit. The lower of two that were said shortly after one another holds.
    */
-  of(life: LimitedLife, now: number): number | undefined {
+  of(life: ServerLife, now: number): number | undefined {
     const known = this.#known.get(nameOfLife(life));
     if (known === undefined) return undefined;
     const lowest = Math.min(
@@ -104,12 +98,12 @@
   }
 
   /** Age of what a server said last of its limit, in milliseconds. */
-  ageOf(life: LimitedLife, now: number): number {
+  ageOf(life: ServerLife, now: number): number {
     return now - (this.#known.get(nameOfLife(life))?.newest.at ?? -Infinity);
   }
 
   /** Takes in what an answer of a server said. */
-  read(life: LimitedLife, perSecond: number | undefined, now: number): void {
+  read(life: ServerLife, perSecond: number | undefined, now: number): void {
     const isNews = perSecond !== undefined || this.#known.has(nameOfLife(life));
     if (isNews) this.#take(life, { perSecond, at: now, origin: "answer" });
   }
@@ -144,11 +138,11 @@
   }
 
   /** A server's life is over, and its limit with it. */
-  forget(life: LimitedLife): void {
+  forget(life: ServerLife): void {
     this.#known.delete(nameOfLife(life));
   }
 
-  #take(life: LimitedLife, said: Statement): void {
+  #take(life: ServerLife, said: Statement): void {
     const key = nameOfLife(life);
     const before = this.#known.get(key);
     if (before !== undefined && said.at <= before.newest.at) {
@@ -206,7 +200,7 @@
   }
 
   #tell(
-    { id, born }: LimitedLife,
+    { id, born }: ServerLife,
     before: Statement | undefined,
     said: Statement,
   ): void {
@@ -244,8 +238,3 @@
     ? recent
     : [...recent, { perSecond, until: said.at }];
 }
-
-/** Names one life among all lives of all servers. */
-export function nameOfLife({ id, born }: LimitedLife): string {
-  return born === undefined ? id : `${id}/${born}`;
-}
--- a/packages/rampswitch-serving/src/server_limits/mod.ts
+++ b/packages/rampswitch-serving/src/server_limits/mod.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export { LimitBook, type LimitedLife, type LimitNews } from "./limit_book.ts";
+export { LimitBook, type LimitNews } from "./limit_book.ts";
 export {
   type LimitedServer,
   ServerTurns,
--- a/packages/rampswitch-serving/src/server_limits/server_turns.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_turns.ts
@@ -7,15 +7,14 @@
  * @module
  */
 import type { Clock, Logger } from "rampswitch-utils";
-import type { BackendServer } from "../model/backend_server.ts";
-import type { AnsweredLimit } from "../model/request.ts";
-import type { ServingMetrics } from "../observation/mod.ts";
 import {
-  LimitBook,
-  type LimitedLife,
-  type LimitNews,
+  type BackendServer,
   nameOfLife,
-} from "./limit_book.ts";
+  type ServerLife,
+} from "../model/backend_server.ts";
+import type { AnsweredLimit } from "../model/request.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+import { LimitBook, type LimitNews } from "./limit_book.ts";
 import {
   LEAST_PER_SECOND,
   type SlotOwners,
@@ -366,7 +365,7 @@
     ];
   }
 
-  #tellUnreadable(life: LimitedLife, text: string): void {
+  #tellUnreadable(life: ServerLife, text: string): void {
     this.#parts.metrics.event("server_limit_unreadable");
     if (this.#unreadable.size >= MOST_UNREADABLE) return;
     if (this.#unreadable.has(life.id)) return;
