List what hosts that start send to limited servers as known red

Cause: a host that starts knows no limit until it is told or an answer names one, some 0.4 s with relays; after the death of all nobody remembers. The checks stay as they are.

--- a/packages/rampswitch-emulator/src/emulated_limits_test.ts
+++ b/packages/rampswitch-emulator/src/emulated_limits_test.ts
@@ -25,6 +25,14 @@
     });
   });
 
+  // Nobody remembers a limit for hosts that all start anew: until the first answer is
+  // read and told, they send as to any server.
+  test("keeps them when all hosts end together, 50 a second", () => {
+    const run = { ...RUN, perSecond: 50, trouble: "all_end", seed: 7 } as const;
+    const { mostBeyond } = new EmulatedLimits(run).play();
+    expect(mostBeyond).toBeLessThanOrEqual(ALLOWED_BEYOND);
+  });
+
   test("uses what they take while there is demand", () => {
     const run = { ...RUN, trouble: "none", seed: 3 } as const;
     const { used, refusalMilliseconds } = new EmulatedLimits(run).play();
