Say once when a silent host is gone, and copy no list of servers for each request

Cause: the hosts that lend slots judged a silent host gone by the same two times and the same share as the limits of workspaces, written again; and each choice copied all servers of a service to look for limited ones, also where none is known. Change: goneAfterMilliseconds of peer_spending.ts serves both; the two parts of a choice are looked through as they are. No change of what is done. Conclusion: one rule for silence; nothing is added to requests of services without limits.

--- a/packages/rampswitch-serving/src/admission/peer_spending.ts
+++ b/packages/rampswitch-serving/src/admission/peer_spending.ts
@@ -27,6 +27,14 @@
  */
 const MOST_GONE_MILLISECONDS = 60_000;
 
+/**
+ * Silence after which a peer is taken to be gone, in milliseconds, where so many of
+ * all peers are heard.
+ */
+export function goneAfterMilliseconds(heard: number, peers: number): number {
+  return heard * 2 < peers ? MOST_GONE_MILLISECONDS : PEER_GONE_MILLISECONDS;
+}
+
 interface FollowedRelay {
   readonly heardAt: number;
   readonly hosts: number;
@@ -158,10 +166,7 @@
   #spenders(now: number): readonly PeerSpending[] {
     const peers = [...this.#peers.values()].filter((peer) => !peer.stopping);
     const heard = peers.filter((peer) => !this.#isSilent(peer, now)).length;
-    const gone =
-      heard * 2 < peers.length
-        ? MOST_GONE_MILLISECONDS
-        : PEER_GONE_MILLISECONDS;
+    const gone = goneAfterMilliseconds(heard, peers.length);
     return peers.filter((peer) => now - peer.heardAt < gone);
   }
 
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -93,7 +93,8 @@
   { request, tried, now }: Send,
   context: RequestContext,
 ): readonly ServerRecord[] {
-  const limited = context.turns.limited([...first, ...otherwise]);
+  const { turns } = context;
+  const limited = [...turns.limited(first), ...turns.limited(otherwise)];
   if (limited.length === 0) return limited;
   context.metrics.event("limited_servers_left_out");
   const connections = ownConnections(request.service, context.hosts());
--- a/packages/rampswitch-serving/src/server_limits/turn_lenders.ts
+++ b/packages/rampswitch-serving/src/server_limits/turn_lenders.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import { rendezvousOrder } from "rampswitch-utils";
+import { goneAfterMilliseconds } from "../admission/peer_spending.ts";
 import type { SlotOwners } from "./turn_ledger.ts";
 
 /** How long things take by the pace of the news, in milliseconds. */
@@ -44,12 +45,6 @@
 /** Time for a message on its way, in milliseconds, with some turns of a busy loop. */
 const ON_THE_WAY_MILLISECONDS = 100;
 
-/** Silence after which a host owns no slots any more, in milliseconds. */
-const GONE_MILLISECONDS = 30_000;
-
-/** The same while few of the others are heard: this host may be the one cut off. */
-const MOST_GONE_MILLISECONDS = 60_000;
-
 /** Rounds without a look after which this process must have been paused. */
 const PAUSE_PACES = 2.4;
 
@@ -148,10 +143,7 @@
   #forgetGone(now: number, { silence }: LendingPace): void {
     const others = [...this.#others];
     const heard = others.filter(([, { heardAt }]) => now - heardAt < silence);
-    const gone =
-      heard.length * 2 < others.length
-        ? MOST_GONE_MILLISECONDS
-        : GONE_MILLISECONDS;
+    const gone = goneAfterMilliseconds(heard.length, others.length);
     others
       .filter(([, { heardAt }]) => now - heardAt >= gone)
       .forEach(([name]) => this.#others.delete(name));
