--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from "./asked_rests.ts";
 export * from "./chat.ts";
 export * from "./engine.ts";
 export * from "./engine_model.ts";
