Believe servers that say in their answers that they leave

Callers saw nothing; servers that had said that they leave got requests 2.4 and 6.9 s later, while their entries, cut from the store, said ready. Class: a fact that is final for whoever states it, known by a source that may be late, and read from that source alone. Ruled out as further causes by tests that passed with the mend: an entry that wins at the next change or when it lapsed and is back, second sends, streams, rejections, hosts that asked nothing. Change: one type and one table for what servers say of themselves in answers, in the codec and in the host; limits and leaving are rows in each. Lives that said that they leave are kept in a set that only grows; a list of an entry looks into it. Told to all hosts at once. Engines' reports count where they tell the life; answers to earlier requests count for what is final.

--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export * from "./choose_server.ts";
+export * from "./leaving_lives.ts";
 export * from "./place_admission.ts";
 export * from "./prefix_knowledge.ts";
 export * from "./server_directory.ts";
--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -7,7 +7,16 @@
  *
  * @module
  */
-import type { BackendServer } from "../model/backend_server.ts";
+import {
+  type BackendServer,
+  nameOfLife,
+  type ServerLife,
+} from "../model/backend_server.ts";
+import {
+  LeavingLives,
+  type LeavingNews,
+  type LeavingOrigin,
+} from "./leaving_lives.ts";
 import {
   ServerRecord,
   type ToldWork,
@@ -42,6 +51,7 @@
   readonly #records = new Map<string, ServerRecord>();
   readonly #gone = new Map<string, GoneServer>();
   readonly #byService = new Map<string, ReadonlySet<ServerRecord>>();
+  readonly #leavingLives = new LeavingLives();
   readonly #listeners: ((record: ServerRecord) => void)[] = [];
 
   /** Number of servers listed. */
@@ -93,6 +103,40 @@
     if (wasReady) this.#leaves(record, now);
   }
 
+  /**
+   * Takes in that a life said itself that it leaves. It holds whatever its entry
+   * says; returns whether it is news.
+   */
+  saidLeaving(
+    life: ServerLife,
+    statement: {
+      readonly since: number;
+      readonly now: number;
+      readonly origin: LeavingOrigin;
+    },
+  ): boolean {
+    if (!this.#leavingLives.said(life, statement)) return false;
+    const record = this.#records.get(life.id);
+    const isListed =
+      record !== undefined && nameOfLife(record.entry) === nameOfLife(life);
+    if (isListed && record.entry.state === "ready") {
+      this.#list(record, record.entry, statement.now);
+    }
+    return true;
+  }
+
+  /** Lives that said that they leave, to tell other hosts. */
+  leavingNews(
+    now: number,
+    { ownOnly }: { readonly ownOnly: boolean },
+  ): readonly LeavingNews[] {
+    return this.#leavingLives.news(now, {
+      ownOnly,
+      // Its entry does not tell it to anybody.
+      isWantedLonger: ({ id }) => this.#records.get(id)?.isListedReady === true,
+    });
+  }
+
   /** One server. */
   get(id: string): ServerRecord | undefined {
     return this.#records.get(id);
@@ -183,18 +227,21 @@
   }
 
   #list(record: ServerRecord, entry: BackendServer, now: number): void {
-    const { id, service, state } = entry;
+    const { id, service } = entry;
+    const saidSince = this.#leavingLives.since(entry);
+    const state = saidSince === undefined ? entry.state : "leaving";
     const listedBefore = this.#records.get(id) === record;
     const announced = listedBefore && record.entry.state !== "ready";
     const moved = listedBefore && record.entry.service !== service;
     if (moved) this.#unlist(record);
     this.#gone.delete(id);
-    record.entry = entry;
+    record.entry = { ...entry, state };
+    record.isListedReady = entry.state === "ready";
     record.isReadable = true;
     this.#records.set(id, record);
     this.#byService.set(service, new Set([...this.#listed(service), record]));
     if (state === "ready") record.leavingSince = undefined;
-    else if (!announced) this.#leaves(record, now);
+    else if (!announced) this.#leaves(record, saidSince ?? now);
   }
 
   #unlist(record: ServerRecord): void {
@@ -212,8 +259,8 @@
       .forEach(([id]) => this.#gone.delete(id));
   }
 
-  #leaves(record: ServerRecord, now: number): void {
-    record.leavingSince ??= now;
+  #leaves(record: ServerRecord, since: number): void {
+    record.leavingSince ??= since;
     this.#listeners.forEach((listener) => listener(record));
   }
 }
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -60,6 +60,8 @@
    * tells nothing about the server itself.
    */
   isReadable = true;
+  /** Whether its entry says that it is ready, whatever the server itself says. */
+  isListedReady = true;
   /** When the announcement of its end came, on the steady clock. */
   leavingSince: number | undefined;
   #running = 0;
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -22,6 +22,7 @@
 import type { Quarantine, QuarantineNews } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
 import type { ServerTurns, TurnNews } from "./server_limits/mod.ts";
+import type { LeavingStatements } from "./statements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
@@ -41,6 +42,7 @@
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
   readonly turns: ServerTurns;
+  readonly leavingStatements: LeavingStatements;
   /** Hosts that may give turns at limited servers. */
   turnHolders(): readonly string[];
   /** Time of day on which the hosts agree, in milliseconds. */
@@ -112,6 +114,9 @@
       quarantine: this.#quarantineNews,
       rollouts: this.#parts.rollouts.news(this.#parts.clock.now()),
       ...this.#turnNews(message.role),
+      leaving: this.#parts.leavingStatements.news({
+        ownOnly: message.role !== "direct",
+      }),
     };
   }
 
@@ -146,6 +151,7 @@
       quarantine: this.#quarantineNews,
       rollouts: this.#parts.rollouts.word(now),
       limits: this.#parts.turns.limits(now),
+      leaving: this.#parts.leavingStatements.news({ ownOnly: false }),
     };
   }
 
@@ -176,6 +182,7 @@
     this.#parts.quarantine.heard(digest.quarantine);
     this.#parts.rollouts.heard(digest.rollouts, { now });
     this.#parts.turns.heardLimits(digest.limits, 0);
+    this.#parts.leavingStatements.heard(digest.leaving, 0);
     digest.leases.forEach((lease) => this.#parts.duties.heard(lease));
   }
 
@@ -195,6 +202,7 @@
     }
     this.#parts.follower.othersFollowed(news.followed);
     this.#parts.directory.heardPeer(news.host, news.work, now);
+    this.#parts.leavingStatements.heard(news.leaving, age);
     this.#parts.turns.heard(news.host, news, age);
     this.#parts.limits.heard(
       news.host,
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -18,6 +18,7 @@
 import type { FleetDigest, PeerMessage, PeerNews } from "./peer_news.ts";
 
 const NEWS: OwnNews = {
+  leaving: [{ id: "s9", born: 7, age: 20 }],
   limits: [
     { id: "s1", born: 1_796_169_600_123, perSecond: 1.2, age: 40 },
     { id: "s2", born: undefined, perSecond: undefined, age: 500 },
@@ -124,6 +125,7 @@
   },
   quarantine: NEWS.quarantine,
   rollouts: NEWS.rollouts.map((one) => ({ ...one, own: undefined })),
+  leaving: NEWS.leaving,
   limits: NEWS.limits,
 };
 
--- a/packages/rampswitch-serving/src/membership/mod.ts
+++ b/packages/rampswitch-serving/src/membership/mod.ts
@@ -12,4 +12,5 @@
 export * from "./peer_codec.ts";
 export * from "./peer_news.ts";
 export * from "./peer_transport.ts";
+export * from "./prompt_news.ts";
 export * from "./relay_plan.ts";
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -12,6 +12,7 @@
 import { parseJson } from "rampswitch-utils";
 import * as z from "zod";
 import { FINGERPRINT_PATTERN, type QuarantineNews } from "../quarantine/mod.ts";
+import { encodedLeaving, LEAVING_SCHEMA, leavingOf } from "./leaving_codec.ts";
 import {
   encodedRollouts,
   ROLLOUTS_SCHEMA,
@@ -113,6 +114,7 @@
   e: ROLLOUTS_SCHEMA,
   m: LIMITS_SCHEMA,
   g: LENT_SCHEMA,
+  o: LEAVING_SCHEMA,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -142,6 +144,7 @@
     j: z.number().nonnegative().optional(),
     p: ROLLOUTS_SCHEMA,
     m: LIMITS_SCHEMA,
+    a: LEAVING_SCHEMA,
     h: z.array(z.string()).optional(),
   }),
   z.object({
@@ -278,6 +281,7 @@
     r: news.readTokens,
     m: encodedLimits(news.limits),
     g: encodedLoans(news.lentTo),
+    o: encodedLeaving(news.leaving),
     ...encodedLives(news.work, news.dispatches),
     ...(news.quarantine.length === 0
       ? {}
@@ -309,6 +313,7 @@
     x: digest.silentShare,
     w: encodedWork(digest.work),
     m: encodedLimits(digest.limits),
+    a: encodedLeaving(digest.leaving),
     ...(digest.turnHolders.length === 0 ? {} : { h: [...digest.turnHolders] }),
     l: digest.leases.map(({ fence, version }) => [fence, version]),
     ...encodedLives(digest.work, []),
@@ -397,6 +402,7 @@
     quarantine: quarantineOf(message.o),
     rollouts: rolloutsOf(message.p),
     limits: limitsOf(message.m),
+    leaving: leavingOf(message.a),
     turnHolders: message.h ?? [],
   };
 }
@@ -436,6 +442,7 @@
     rollouts: rolloutsOf(news.e),
     limits: limitsOf(news.m),
     lentTo: news.g ?? {},
+    leaving: leavingOf(news.o),
   };
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -40,6 +40,10 @@
   rollouts: [],
   limits: [],
   lentTo: {},
+  leaving: [
+    { id: "s1", born: BORN, age: 40 },
+    { id: "s2", born: undefined, age: 0 },
+  ],
 };
 
 const MESSAGE: PeerMessage = {
--- a/packages/rampswitch-serving/src/membership/peer_news.ts
+++ b/packages/rampswitch-serving/src/membership/peer_news.ts
@@ -12,7 +12,7 @@
   BucketLevels,
   LimitDecision,
 } from "../admission/mod.ts";
-import type { ToldWork } from "../choice/mod.ts";
+import type { LeavingNews, ToldWork } from "../choice/mod.ts";
 import type { QuarantineNews } from "../quarantine/mod.ts";
 import type { RolloutNews } from "../rollout/rollout.ts";
 import type {
@@ -81,6 +81,8 @@
   readonly quarantine: readonly QuarantineNews[];
   /** Roll-outs that are going on, and the host's part in them. */
   readonly rollouts: readonly RolloutNews[];
+  /** Backend servers that said in their answers that they leave. */
+  readonly leaving: readonly LeavingNews[];
 }
 
 /** What a relay knows of all hosts but one, to tell that one. */
@@ -103,6 +105,8 @@
   readonly rollouts: readonly RolloutNews[];
   /** Limits that backend servers name. */
   readonly limits: readonly LimitNews[];
+  /** Backend servers that said in their answers that they leave. */
+  readonly leaving: readonly LeavingNews[];
 }
 
 /** A relay's message to one host of its data hall. */
--- a/packages/rampswitch-serving/src/membership/turn_codec.ts
+++ b/packages/rampswitch-serving/src/membership/turn_codec.ts
@@ -11,11 +11,12 @@
 /** Most characters of a name in a message. */
 const LONGEST_NAME = 256;
 
-const name = z.string().min(1).max(LONGEST_NAME);
+/** A name of a host, a service or a server. */
+export const NAME_SCHEMA = z.string().min(1).max(LONGEST_NAME);
 
 /** Server, start of its life, requests a second (`null`: no limit), age. */
 const LIMIT_SCHEMA = z.tuple([
-  name,
+  NAME_SCHEMA,
   z.number().nullable(),
   z.number().nonnegative().nullable(),
   z.number().nonnegative(),
@@ -25,15 +26,15 @@
 export const LIMITS_SCHEMA = z.array(LIMIT_SCHEMA).optional();
 
 /** To which host slots are lent, by service; a key of its own, as above. */
-export const LENT_SCHEMA = z.record(z.string(), name).optional();
+export const LENT_SCHEMA = z.record(z.string(), NAME_SCHEMA).optional();
 
 /** A question for a turn. */
 export const TURN_QUESTION_SCHEMA = z.object({
   k: z.literal("u"),
   i: z.number(),
   a: z.string(),
-  s: name,
-  o: z.array(name),
+  s: NAME_SCHEMA,
+  o: z.array(NAME_SCHEMA),
   p: z.enum(["ordinary", "urgent", "continuation"]),
 });
 
@@ -41,7 +42,7 @@
 export const TURN_ANSWER_SCHEMA = z.object({
   k: z.literal("v"),
   i: z.number(),
-  r: z.union([name, z.number().nonnegative()]),
+  r: z.union([NAME_SCHEMA, z.number().nonnegative()]),
 });
 
 /** Encodes limits; nothing where there are none. */
--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Result } from "true-myth";
+import type { ServerStatements } from "./request.ts";
 
 /** A run whose memory is to be copied to another engine. */
 export interface MemoryCopy {
@@ -36,6 +37,7 @@
   readonly leavesMilliseconds: number | undefined;
   /** Start of its life, in milliseconds since 1970, where it tells one. */
   readonly born: number | undefined;
+  readonly says: ServerStatements;
 }
 
 /** Calls to model engines. */
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -65,14 +65,21 @@
   readonly slots: number;
 }
 
-/** What an answer says of the requests a second that its server takes. */
-export type AnsweredLimit =
-  | { readonly kind: "none" }
-  /** From all hosts together. */
-  | { readonly kind: "limit"; readonly perSecond: number }
+/** What an answer says of one thing about its server. */
+export type Statement<Value> =
+  | { readonly kind: "nothing" }
+  | { readonly kind: "said"; readonly value: Value }
   /** The beginning of what stands in its place. */
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** What an answer says of its server. */
+export interface ServerStatements {
+  /** Requests a second that it takes, from all hosts together. */
+  readonly limit: Statement<number>;
+  /** Whether its life is about to end. */
+  readonly leaving: Statement<true>;
+}
+
 /** Head of a backend server's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -83,7 +90,7 @@
   /** Whether the server vouches for the answer as its own. */
   readonly signed: boolean;
   readonly load: ReportedLoad | undefined;
-  readonly limit: AnsweredLimit;
+  readonly says: ServerStatements;
   readonly encoded: boolean;
   /** Headers that go on to the caller. */
   readonly forwarded: RawHeaders;
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -8,6 +8,7 @@
 import { type Clock, type Logger, sleep } from "rampswitch-utils";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { EngineControl } from "../model/engine_control.ts";
+import { type StatementReader, toldReport } from "../statements/mod.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { CallerServer } from "../intake/caller_server.ts";
 
@@ -28,6 +29,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly engineControl: EngineControl;
+  readonly statements: StatementReader;
   /** Time that a leaving server serves on, where it tells none. */
   readonly drainMilliseconds: number;
 }
@@ -44,14 +46,14 @@
 
   /** A server was announced to leave, or its entry is gone. */
   async left(record: ServerRecord): Promise<void> {
-    const { clock, engineControl, drainMilliseconds } = this.#parts;
-    const announcedAt = clock.now();
+    const { clock, drainMilliseconds } = this.#parts;
+    const announcedAt = record.leavingSince ?? clock.now();
     await sleep(clock, REPORT_LAG_MILLISECONDS);
     // Runs may still come where no other server takes them.
     const report =
       this.#runsAt((server) => server === record).length === 0
         ? undefined
-        : await engineControl.report(record.entry.address);
+        : await toldReport(record, this.#parts);
     // A later life tells nothing of this one's end.
     const told =
       report !== undefined && record.isLife(report.born)
--- a/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
@@ -7,6 +7,10 @@
 import type { BackendServer } from "../model/backend_server.ts";
 import type { EngineControl, EngineReport } from "../model/engine_control.ts";
 import { LeavingServers } from "./leaving_servers.ts";
+import {
+  SAYS_NOTHING,
+  silentStatements,
+} from "../statements/statements_standin.ts";
 
 // A server's entry goes when it leaves, and also when the store could not be
 // reached for some heartbeats. Runs were moved some time after an entry went,
@@ -57,6 +61,7 @@
     {
       clock,
       logger: SILENT_LOGGER,
+      statements: silentStatements(),
       drainMilliseconds: DRAIN_MILLISECONDS,
       engineControl: {
         report: () => Promise.resolve(report),
@@ -69,7 +74,11 @@
   return { clock, record, moves: () => moves };
 }
 
-const TOLD: EngineReport = { born: 1_000, leavesMilliseconds: 2_000 };
+const TOLD: EngineReport = {
+  born: 1_000,
+  leavesMilliseconds: 2_000,
+  says: SAYS_NOTHING,
+};
 
 describe("runs at a server that leaves", () => {
   test("are moved before the end that it tells", async () => {
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -22,6 +22,7 @@
 import type { Rollouts } from "../rollout/mod.ts";
 import type { ArrivalRates } from "./arrival_rates.ts";
 import type { ServerTurns } from "../server_limits/mod.ts";
+import type { StatementReader } from "../statements/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
 import type { ReadingRates } from "./reading_rates.ts";
 
@@ -63,6 +64,7 @@
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
   readonly turns: ServerTurns;
+  readonly statements: StatementReader;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -348,16 +348,13 @@
   #headCame(head: AnswerHead): void {
     const current = this.#current;
     if (current === undefined) return;
+    this.#readStatements(head, current.choice.record);
     const unusable = this.#whyUnusable(head);
     if (unusable !== undefined) {
       current.send.abort();
       this.#lost("answer_not_usable", unusable);
       return;
     }
-    // Whoever answers in the place of a server tells nothing of it.
-    if (head.status !== MISDIRECTED) {
-      this.#context.turns.read(current.choice.record, head.limit);
-    }
     if (head.load !== undefined) {
       current.choice.record.reported(head.load, this.#now());
     }
@@ -379,6 +376,16 @@
     }
   }
 
+  /**
+   * Takes in what a server says of itself, also where its answer is of no use.
+   * Whoever answers in the place of a server, or without an id, tells nothing of it.
+   */
+  #readStatements(head: AnswerHead, record: ServerRecord): void {
+    if (head.status === MISDIRECTED || head.attemptId === undefined) return;
+    const isLate = head.attemptId !== this.request.head.attemptId;
+    this.#context.statements.read(record, head.says, { isLate });
+  }
+
   /**
    * Why an answer counts for nothing. One that does not name this request may be
    * a late one, in the place of the answer that is due: believed, a rejection
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -19,6 +19,7 @@
   moveMemory,
   stopLeftRun,
 } from "./memory_move.ts";
+import { toldReport } from "../statements/mod.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
 
@@ -211,10 +212,10 @@
    * milliseconds late; the server itself tells it at once.
    */
   async #lifeOf(record: ServerRecord): Promise<LifeNow> {
-    const { address, born } = record.entry;
+    const { born } = record.entry;
     if (record.ended) return "later";
     if (born === undefined) return "same";
-    const report = await this.#context.engineControl.report(address);
+    const report = await toldReport(record, this.#context);
     if (report === undefined) return "not_told";
     return (report.born ?? born) === born ? "same" : "later";
   }
--- a/packages/rampswitch-serving/src/relay/run_move_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_move_test.ts
@@ -23,6 +23,10 @@
 import type { RequestContext } from "./request_context.ts";
 import { type MovableRun, RunMove } from "./run_move.ts";
 import { RunRecord } from "./run_record.ts";
+import {
+  SAYS_NOTHING,
+  silentStatements,
+} from "../statements/statements_standin.ts";
 
 // A run that was stopped for a move lives on under a handle of the server that
 // stopped it. That server may start again at any moment, before or after hosts
@@ -136,6 +140,7 @@
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
       engineControl: this,
+      statements: silentStatements(),
       drainMilliseconds: () => DRAIN_MILLISECONDS,
       began: () => undefined,
     } as unknown as RequestContext;
@@ -159,7 +164,11 @@
 
   async report(address: string) {
     const { born } = this.#at(address);
-    const report = { born, leavesMilliseconds: undefined };
+    const report = {
+      born,
+      leavesMilliseconds: undefined,
+      says: SAYS_NOTHING,
+    };
     return Promise.resolve(this.#draws(SHARES.silent) ? undefined : report);
   }
 
--- a/packages/rampswitch-serving/src/server_limits/server_turns.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_turns.ts
@@ -7,12 +7,7 @@
  * @module
  */
 import type { Clock, Logger } from "rampswitch-utils";
-import {
-  type BackendServer,
-  nameOfLife,
-  type ServerLife,
-} from "../model/backend_server.ts";
-import type { AnsweredLimit } from "../model/request.ts";
+import { type BackendServer, nameOfLife } from "../model/backend_server.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { LimitBook, type LimitNews } from "./limit_book.ts";
 import {
@@ -81,9 +76,6 @@
  */
 const PROBE_MILLISECONDS = { holder: 2_000, others: 5_000 };
 
-/** Shortest time between messages that tell of new limits, in milliseconds. */
-const LEAST_TELL_MILLISECONDS = 50;
-
 /** Wait while no host gives the turns of a service, in milliseconds. */
 const NO_HOLDER_MILLISECONDS = 300;
 
@@ -101,9 +93,6 @@
   readonly terms: TurnTerms;
 }
 
-/** Limits that can't be read are told once for each server, of so many servers. */
-const MOST_UNREADABLE = 1_000;
-
 /** Limited servers and their turns, as one host knows them. */
 export class ServerTurns {
   readonly #parts: ServerTurnsParts;
@@ -111,12 +100,10 @@
   readonly #lenders: TurnLenders;
   readonly #ledger = new TurnLedger();
   readonly #waits = new TurnWaits();
-  readonly #unreadable = new Set<string>();
-  #toldAt = -Infinity;
 
   constructor(parts: ServerTurnsParts) {
     this.#parts = parts;
-    this.#book = new LimitBook({ ...parts, onLower: () => this.#tellSoon() });
+    this.#book = new LimitBook({ ...parts, onLower: () => parts.tell() });
     this.#lenders = new TurnLenders(parts.host);
   }
 
@@ -143,13 +130,9 @@
     return servers.filter((server) => this.limitOf(server) !== undefined);
   }
 
-  /** Takes in what an answer says of its server's limit. */
-  read({ entry }: LimitedServer, said: AnsweredLimit): void {
-    if (said.kind === "unreadable") this.#tellUnreadable(entry, said.text);
-    else {
-      const perSecond = said.kind === "limit" ? said.perSecond : undefined;
-      this.#book.read(entry, perSecond, this.#parts.clock.now());
-    }
+  /** Takes in the limit that an answer names; `undefined`: it names none. */
+  read({ entry }: LimitedServer, perSecond: number | undefined): void {
+    this.#book.read(entry, perSecond, this.#parts.clock.now());
   }
 
   /**
@@ -312,14 +295,6 @@
     return { id, terms: { life, perSecond, time, owners } };
   }
 
-  #tellSoon(): void {
-    const now = this.#parts.clock.now();
-    // What is not told at once goes with the next round.
-    if (now - this.#toldAt < LEAST_TELL_MILLISECONDS) return;
-    this.#toldAt = now;
-    this.#parts.tell();
-  }
-
   #giveFirst(asked: readonly AskedServer[], urgency: TurnUrgency): TurnReply {
     // Who has most turns left is asked least.
     const ranked = asked
@@ -364,18 +339,6 @@
       ),
     ];
   }
-
-  #tellUnreadable(life: ServerLife, text: string): void {
-    this.#parts.metrics.event("server_limit_unreadable");
-    if (this.#unreadable.size >= MOST_UNREADABLE) return;
-    if (this.#unreadable.has(life.id)) return;
-    this.#unreadable.add(life.id);
-    this.#parts.logger.info("server limit can't be read", {
-      server: life.id,
-      born: life.born,
-      text,
-    });
-  }
 }
 
 function idsOf(servers: readonly LimitedServer[]): readonly string[] {
--- a/packages/rampswitch-serving/src/server_limits/server_turns_test.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_turns_test.ts
@@ -87,9 +87,7 @@
 function limitedFleet(perSecond: number): Fleet {
   const state = fleet(["a", "b"]);
   const [first] = [...state.hosts.values()];
-  SERVERS.forEach((server) =>
-    first?.read(server, { kind: "limit", perSecond }),
-  );
+  SERVERS.forEach((server) => first?.read(server, perSecond));
   rounds(state, 12);
   return state;
 }
@@ -150,7 +148,7 @@
   test("are given to a probe where a server has said nothing for long", () => {
     const state = limitedFleet(5);
     const [gives, asks] = rolesOf(state);
-    gives.read(LIMITED, { kind: "limit", perSecond: 5 });
+    gives.read(LIMITED, 5);
     rounds(state, 4);
     expect(gives.probe(SERVICE, [LIMITED]).kind).toBe("wait");
     rounds(state, 8);
@@ -163,15 +161,4 @@
     rounds(state, 12);
     expect(asks.unheard([LIMITED])).toEqual([LIMITED]);
   });
-
-  test("are needed by no server whose limit can't be read", () => {
-    const state = fleet(["a"]);
-    const [only] = [...state.hosts.values()];
-    only?.read(LIMITED, { kind: "unreadable", text: "-1" });
-    expect(only?.unlimited(SERVERS)).toEqual(SERVERS);
-    only?.read(LIMITED, { kind: "limit", perSecond: 2 });
-    only?.read(LIMITED, { kind: "unreadable", text: "-1" });
-    state.clock.advance(2_000);
-    expect(only?.limitOf(LIMITED)).toBe(2);
-  });
 });
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -39,6 +39,7 @@
   Membership,
   newsLagMilliseconds,
   PACE_BY_ROLE,
+  PromptNews,
 } from "./membership/mod.ts";
 import type { Cloud } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
@@ -60,6 +61,7 @@
 import type { RequestContext } from "./relay/request_context.ts";
 import { untilIdle } from "./planned_stop.ts";
 import { ServerTurns } from "./server_limits/mod.ts";
+import { LeavingStatements, StatementReader } from "./statements/mod.ts";
 import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
@@ -134,6 +136,8 @@
   readonly #arrivalRates: ArrivalRates;
   readonly #places = new KnownPlaces();
   readonly #turns: ServerTurns;
+  readonly #leavingStatements: LeavingStatements;
+  readonly #statements: StatementReader;
   readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
   readonly #client: BackendClient;
@@ -203,6 +207,9 @@
       }),
     );
     this.#ownership.defer(() => this.#cancelLeaving());
+    const promptNews = new PromptNews(ports.clock, () =>
+      this.#membership?.tell(),
+    );
     this.#turns = new ServerTurns({
       ...ports,
       host: settings.host,
@@ -213,7 +220,27 @@
       server: (id) => this.#directory.get(id),
       ask: async (holder, request) =>
         this.#membership?.askTurn(holder, request),
-      tell: () => this.#membership?.tell(),
+      tell: () => promptNews.came(),
+    });
+    this.#leavingStatements = new LeavingStatements({
+      ...ports,
+      directory: this.#directory,
+      onNews: () => promptNews.came(),
+    });
+    this.#statements = new StatementReader({
+      ...ports,
+      handlers: {
+        limit: {
+          holdsLate: false,
+          take: (record, perSecond) => this.#turns.read(record, perSecond),
+        },
+        leaving: {
+          holdsLate: true,
+          take: (record, leaves) => {
+            if (leaves !== undefined) this.#leavingStatements.read(record);
+          },
+        },
+      },
     });
     this.#arrivalRates = new ArrivalRates(ports.clock.now());
     this.#meter = new LoadMeter(ports.clock);
@@ -221,6 +248,7 @@
     this.#callers = new CallerServer(this.#requestContext());
     this.#leaving = new LeavingServers(this.#callers, {
       ...ports,
+      statements: this.#statements,
       drainMilliseconds: bounds.drainMilliseconds,
     });
     this.#duties = this.#ownership.own(
@@ -288,6 +316,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       turns: this.#turns,
+      leavingStatements: this.#leavingStatements,
       turnHolders: () => this.#membership?.turnHolders ?? [],
       wallTime: () => this.#wallTime(),
       stopping: () => this.#life.state === "stopping",
@@ -443,6 +472,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       turns: this.#turns,
+      statements: this.#statements,
       configuration: () => ({
         routes: this.#follower.routes,
         ageMilliseconds: this.#follower.age,
