Send nothing to a server within the rest that it asked for, and return one by one

Servers that had turned a host away and asked for 3 s got a third request from it 2.1 s later; callers saw nothing of it while others served, and were refused after tries at all servers where none did. A server was left out by ejection alone, after two failures in a row, for 0.4 s, and only where it seemed to have room. Class: as before, a word of a server that nobody reads. Ruled out by tests: first sends alone kept it (second sends, streams), a later answer without a time ends it, one host's rest is another's. Change: rest is a third row of what servers say of themselves. Choice, admission, moves, kept memory and turns pass a resting server over; where all rest, servers_resting at once with a time after the first end, another one for each caller. No ejection besides; a resting server counts as missing for the plan. Hold times of plain services are learned as well. After a rest hosts return over the time in which the server can serve a request of each, one request first and twice as many with each that is taken.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -57,7 +57,9 @@
   /** No server of the service takes work. */
   | { readonly kind: "none" }
   /** Servers take work, but their places and queues are full. */
-  | { readonly kind: "full" };
+  | { readonly kind: "full" }
+  /** All servers that take work rest. */
+  | { readonly kind: "resting" };
 
 /** Price of sending to another data hall, as milliseconds of waiting. */
 const OTHER_DATA_HALL_MILLISECONDS = 6;
@@ -132,9 +134,11 @@
   inputs: ChoiceInputs & { readonly keeper: Keeper | undefined },
 ): ChoiceOutcome {
   if (ready.length === 0) return { kind: "none" };
-  const healthy = ready.filter((record) => !record.isEjected(inputs.now));
+  const awake = ready.filter(({ rest }) => !rest.holds(inputs.now));
+  if (awake.length === 0) return { kind: "resting" };
+  const healthy = awake.filter((record) => !record.isEjected(inputs.now));
   // Where all failed lately, trying one is better than refusing.
-  const working = healthy.length > 0 ? healthy : ready;
+  const working = healthy.length > 0 ? healthy : awake;
   const open = working.filter((record) => hasRoom(record, inputs));
   if (open.length === 0) return { kind: "full" };
   const common = { ...inputs, preferred: preferredOf(open, prefixes, inputs) };
@@ -193,6 +197,7 @@
 function hasRoom(record: ServerRecord, inputs: ChoiceInputs): boolean {
   const places = record.entry.slots * (1 + WAITING_SHARE);
   return (
+    record.rest.takes(inputs.now) &&
     record.load(inputs.now) < places &&
     record.ownRunning < inputs.ownConnections
   );
--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from "./asked_rest.ts";
 export * from "./choose_server.ts";
 export * from "./leaving_lives.ts";
 export * from "./place_admission.ts";
--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -223,7 +223,9 @@
    */
   #sameLife(known: ServerRecord, entry: BackendServer): ServerRecord {
     const lapsed = this.#gone.has(entry.id);
-    return lapsed && entry.born === undefined ? new ServerRecord(entry) : known;
+    return lapsed && entry.born === undefined
+      ? new ServerRecord(entry, { startedAgain: false, rest: known.rest })
+      : known;
   }
 
   #list(record: ServerRecord, entry: BackendServer, now: number): void {
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -9,6 +9,7 @@
  */
 import { type BackendServer, nameOfLife } from "../model/backend_server.ts";
 import type { ReportedLoad } from "../model/request.ts";
+import { AskedRest } from "./asked_rest.ts";
 
 /** Work of one host at one backend server. */
 export interface WorkAtServer {
@@ -23,6 +24,14 @@
   readonly born: number | undefined;
 }
 
+/** The parts of one send's work that end. */
+export interface StartedWork {
+  /** The server took the request and did not turn it away. */
+  taken(): void;
+  readPrompt(): void;
+  ended(): void;
+}
+
 interface PeerWork extends WorkAtServer {
   readonly heardAt: number;
 }
@@ -62,6 +71,8 @@
   isReadable = true;
   /** Whether its entry says that it is ready, whatever the server itself says. */
   isListedReady = true;
+  /** The rest that it asked this host for. */
+  readonly rest: AskedRest;
   /** When the announcement of its end came, on the steady clock. */
   leavingSince: number | undefined;
   #running = 0;
@@ -80,9 +91,12 @@
     options: {
       /** Whether this host knew a former life of the server. */
       readonly startedAgain: boolean;
+      /** The rest of what may be the same life. */
+      readonly rest?: AskedRest;
     } = { startedAgain: false },
   ) {
     this.entry = entry;
+    this.rest = options.rest ?? new AskedRest();
     this.#startedAgain = options.startedAgain;
   }
 
@@ -127,7 +141,8 @@
   }
 
   /** Notes a send; the returned functions end its parts, each once. */
-  started(unreadTokens: number): { readPrompt(): void; ended(): void } {
+  started(unreadTokens: number): StartedWork {
+    const afterRest = this.rest.sent(this.entry.slots);
     this.#running += 1;
     this.#unreadTokens += unreadTokens;
     let unread = unreadTokens;
@@ -138,7 +153,9 @@
     };
     return {
       readPrompt,
+      taken: () => afterRest.taken(),
       ended: () => {
+        afterRest.ended();
         readPrompt();
         this.#running -= running;
         running = 0;
--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -131,7 +131,10 @@
     if (this.#parts.idle()) this.#countFirst(service, now);
     const load = this.#parts.load(service.name);
     const loaded = serversNeeded(load, engine);
-    const missing = this.#missing(service, load, loaded);
+    const missing = this.#missing(service, load, {
+      needed: loaded,
+      now,
+    });
     const needed = Math.max(
       loaded + missing,
       this.#parts.idle() ? this.#firstNeeded(service, now) : 0,
@@ -149,17 +152,28 @@
       .map(({ order }) => order);
   }
 
-  /** Servers that are needed in place of limited ones, until the limits end. */
-  #missing({ name }: Service, load: ServiceLoad, needed: number): number {
-    const limits = this.#parts.directory
+  /**
+   * Servers that are needed in place of limited ones, until the limits end, and of
+   * those that rest, by the share of the time that they do.
+   */
+  #missing(
+    { name }: Service,
+    load: ServiceLoad,
+    { needed, now }: { readonly needed: number; readonly now: number },
+  ): number {
+    const ready = this.#parts.directory
       .of(name)
-      .filter((record) => record.isReady && this.#parts.rollouts.counts(record))
-      .flatMap((record) => this.#parts.limitOf(record) ?? []);
-    return serversMissing(limits, {
+      .filter(
+        (record) => record.isReady && this.#parts.rollouts.counts(record),
+      );
+    const limits = ready.flatMap((record) => this.#parts.limitOf(record) ?? []);
+    const byLimits = serversMissing(limits, {
       running: load.running,
       holdMilliseconds: this.#parts.holdMilliseconds(name),
       needed,
     });
+    const resting = ready.reduce((sum, { rest }) => sum + rest.share(now), 0);
+    return byLimits + Math.ceil(resting);
   }
 
   /**
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -19,4 +19,5 @@
 export * from "./rollout/mod.ts";
 export * from "./server_limits/mod.ts";
 export * from "./serving_host.ts";
+export { type ReturnInputs, returnMilliseconds } from "./statements/mod.ts";
 export type * from "./serving_settings.ts";
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -78,6 +78,8 @@
   readonly limit: Statement<number>;
   /** Whether its life is about to end. */
   readonly leaving: Statement<true>;
+  /** Milliseconds for which it wants nothing from the host that it turned away. */
+  readonly rest: Statement<number>;
 }
 
 /** Head of a backend server's answer. */
--- a/packages/rampswitch-serving/src/relay/learned_answers.ts
+++ b/packages/rampswitch-serving/src/relay/learned_answers.ts
@@ -32,6 +32,16 @@
   );
 }
 
+/** Learns from a whole answer of a plain service, whose requests hold a place all along. */
+export function learnPlainTime(
+  request: AdmittedRequest,
+  send: Pick<TimedSend, "sentAt"> & { readonly now: number },
+  { holdTimes }: RequestContext,
+): void {
+  if (request.service.engine !== undefined) return;
+  holdTimes.measured(request.service.name, send.now - send.sentAt);
+}
+
 /** Learns from the end of a stream; it held its place since its first part. */
 export function learnHoldTime(
   request: AdmittedRequest,
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -19,7 +19,16 @@
 /** What a refusal is made with. */
 export type RefusalParts = Pick<
   RequestContext,
-  "admission" | "codec" | "directory" | "quarantine" | "random" | "turns"
+  | "admission"
+  | "clock"
+  | "codec"
+  | "directory"
+  | "holdTimes"
+  | "hosts"
+  | "quarantine"
+  | "random"
+  | "restWaits"
+  | "turns"
 >;
 
 /** Answers with a refusal; what a request that did not run was charged goes back. */
@@ -50,7 +59,7 @@
 
 /**
  * Not before a quarantined request may run as a trial, nor before a turn is free at
- * a server that names a limit.
+ * a server that names a limit, nor before a rest ends where all servers rest.
  */
 function retryAfterSeconds(
   reason: RefusalReason,
@@ -59,14 +68,37 @@
 ): number {
   const decision = parts.quarantine.decide(request.fingerprint);
   const trial = decision.kind === "held" ? decision.waitMilliseconds : 0;
-  const turn =
-    reason === "servers_limited" ? turnMilliseconds(request, parts) : 0;
+  const turn = WAITS[reason]?.(request, parts) ?? 0;
   return (
     Math.max(LEAST_RETRY_AFTER_SECONDS, trial / 1_000, turn / 1_000) +
     RETRY_AFTER_SPREAD_SECONDS * parts.random.next()
   );
 }
 
+/** Waits in milliseconds that follow from the reason. */
+const WAITS: Readonly<
+  Partial<
+    Record<
+      RefusalReason,
+      (request: AdmittedRequest, parts: RefusalParts) => number
+    >
+  >
+> = { servers_limited: turnMilliseconds, servers_resting: restMilliseconds };
+
+/** Each caller is told a time of its own, as fast as the servers could serve them. */
+function restMilliseconds(
+  { service }: AdmittedRequest,
+  { clock, directory, holdTimes, hosts, restWaits }: RefusalParts,
+): number {
+  const now = clock.now();
+  const ready = directory.of(service.name).filter(({ isReady }) => isReady);
+  const ends = ready.map(({ rest }) => rest.returnsAt);
+  restWaits.refused(service.name, Math.max(0, Math.min(...ends) - now), now);
+  const slots = ready.reduce((sum, { entry }) => sum + entry.slots, 0);
+  const perSecond = (1_000 * slots) / holdTimes.of(service.name);
+  return restWaits.tell(service.name, { perSecond, hosts: hosts() }, now);
+}
+
 function turnMilliseconds(
   { service }: AdmittedRequest,
   { directory, turns }: RefusalParts,
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -21,7 +21,7 @@
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
 import type { ArrivalRates } from "./arrival_rates.ts";
-import type { ServerTurns } from "../server_limits/mod.ts";
+import type { ServerTurns, TurnWaits } from "../server_limits/mod.ts";
 import type { StatementReader } from "../statements/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
 import type { ReadingRates } from "./reading_rates.ts";
@@ -64,6 +64,8 @@
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
   readonly turns: ServerTurns;
+  /** What callers were told who may come back after servers' rests. */
+  readonly restWaits: TurnWaits;
   readonly statements: StatementReader;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -11,7 +11,7 @@
 import type { Socket } from "node:net";
 import type { ResendAsked, ResendKind } from "../admission/mod.ts";
 import { AttemptTruth, type Send } from "../attempt/mod.ts";
-import type { Choice, ServerRecord } from "../choice/mod.ts";
+import type { Choice, ServerRecord, StartedWork } from "../choice/mod.ts";
 import {
   REFUSALS,
   type RefusalReason,
@@ -30,6 +30,7 @@
 import { answerRefusal } from "./own_refusal.ts";
 import {
   learnHoldTime,
+  learnPlainTime,
   learnReadingRate,
   type TimedSend,
 } from "./learned_answers.ts";
@@ -63,7 +64,7 @@
 /** One send under way. */
 interface CurrentSend extends TimedSend {
   readonly send: Send;
-  readonly work: { readPrompt(): void; ended(): void };
+  readonly work: StartedWork;
   firstPartAt?: number;
 }
 
@@ -360,6 +361,7 @@
     }
     this.#head = head;
     if (head.notExecuted) return;
+    current.work.taken();
     const success = isSuccess(head.status);
     if (success && !head.signed) {
       current.send.abort();
@@ -481,6 +483,8 @@
 
   #wholeAnswer(head: AnswerHead, current: CurrentSend): void {
     const body = this.#held.whole();
+    const answered = { sentAt: current.sentAt, now: this.#now() };
+    learnPlainTime(this.request, answered, this.#context);
     this.#record.began();
     this.#context.quarantine.ranWhole(this.request.fingerprint);
     const failed = head.status >= FIRST_SERVER_ERROR;
@@ -517,8 +521,10 @@
 
   /** A server in need says so already, and is not left out for it besides. */
   #turnedAwayBy(record: ServerRecord): void {
+    const now = this.#now();
+    if (record.rest.holds(now)) return;
     if (this.#context.turns.limitOf(record) !== undefined) return;
-    record.rejected(this.#now());
+    record.rejected(now);
   }
 
   #notWritten(detail: string): void {
--- a/packages/rampswitch-serving/src/relay/run_move.ts
+++ b/packages/rampswitch-serving/src/relay/run_move.ts
@@ -338,6 +338,7 @@
   #takesSends({ record }: Choice): boolean {
     if (record.ended || !record.isReadable) return false;
     const now = this.#context.clock.now();
+    if (record.rest.holds(now)) return false;
     const since = now - (record.leavingSince ?? Infinity);
     return since < LEAVING_SHARE * this.#context.drainMilliseconds();
   }
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -60,12 +60,15 @@
 
 const FULL: ChoiceOutcome = { kind: "full" };
 
+const RESTING: ChoiceOutcome = { kind: "resting" };
+
 function chooseUnlimited(
   versions: VersionChoice,
   send: Send,
   context: RequestContext,
 ): ChoiceOutcome {
   const isFirst = send.tried.size === 0;
+  if (isFirst && allRest(versions, send.now)) return RESTING;
   if (isFirst && !getsPlace(versions, send.request, context)) return FULL;
   const { first, otherwise } = versions;
   const outcome = chooseAmong(first, send, context);
@@ -74,6 +77,15 @@
     : chooseAmong(otherwise, send, context);
 }
 
+/** Whether all servers that are ready rest, so that none has a place. */
+function allRest(
+  { first, otherwise = [] }: VersionChoice,
+  now: number,
+): boolean {
+  const ready = [...first, ...otherwise].filter((record) => record.isReady);
+  return ready.length > 0 && ready.every(({ rest }) => rest.holds(now));
+}
+
 function withoutLimited(
   { first, otherwise }: VersionChoice,
   { turns }: RequestContext,
@@ -100,6 +112,7 @@
   const connections = ownConnections(request.service, context.hosts());
   return limited
     .filter((record) => record.isReady && !record.isEjected(now))
+    .filter(({ rest }) => rest.takes(now))
     .filter((record) => !tried.has(record.life))
     .filter((record) => record.load(now) < record.entry.slots)
     .filter((record) => record.ownRunning < connections)
@@ -145,6 +158,7 @@
   leavingMilliseconds: number,
 ): boolean {
   const leftFor = now - (record.leavingSince ?? -Infinity);
+  if (record.rest.holds(now)) return false;
   return record.isReady
     ? !record.isEjected(now)
     : leftFor < leavingMilliseconds;
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { sleep } from "rampswitch-utils";
-import type { Choice, ServerRecord } from "../choice/mod.ts";
+import type { Choice, ChoiceOutcome, ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -21,6 +21,15 @@
 /** Time between them, in milliseconds. */
 const TURN_WAIT_MILLISECONDS = 300;
 
+/** Why a first send is refused, by the choice that was not made. */
+const REASONS = {
+  none: "no_server",
+  full: "servers_full",
+  resting: "servers_resting",
+} as const satisfies Readonly<
+  Record<Exclude<ChoiceOutcome["kind"], "chosen">, RefusalReason>
+>;
+
 /** What follows a choice: a send, or the reason why there is none. */
 export interface ChoiceListener<Reason> {
   chosen(choice: Choice): void;
@@ -104,7 +113,7 @@
     else if (limited.length > 0) {
       void this.#withTurnOf(limited, listener, "servers_limited");
     } else {
-      listener.none(outcome.kind === "none" ? "no_server" : "servers_full");
+      listener.none(REASONS[outcome.kind]);
     }
   }
 
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -60,8 +60,12 @@
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { untilIdle } from "./planned_stop.ts";
-import { ServerTurns } from "./server_limits/mod.ts";
-import { LeavingStatements, StatementReader } from "./statements/mod.ts";
+import { ServerTurns, TurnWaits } from "./server_limits/mod.ts";
+import {
+  LeavingStatements,
+  RestStatements,
+  StatementReader,
+} from "./statements/mod.ts";
 import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
@@ -136,6 +140,7 @@
   readonly #arrivalRates: ArrivalRates;
   readonly #places = new KnownPlaces();
   readonly #turns: ServerTurns;
+  readonly #restWaits = new TurnWaits();
   readonly #leavingStatements: LeavingStatements;
   readonly #statements: StatementReader;
   readonly #dispatches = new RecentDispatches();
@@ -227,6 +232,11 @@
       directory: this.#directory,
       onNews: () => promptNews.came(),
     });
+    const rests = new RestStatements({
+      ...ports,
+      hosts: () => this.#membership?.size ?? 1,
+      holdMilliseconds: (service) => this.#holdTimes.of(service),
+    });
     this.#statements = new StatementReader({
       ...ports,
       handlers: {
@@ -240,6 +250,12 @@
             if (leaves !== undefined) this.#leavingStatements.read(record);
           },
         },
+        rest: {
+          holdsLate: false,
+          take: (record, milliseconds) => {
+            if (milliseconds !== undefined) rests.read(record, milliseconds);
+          },
+        },
       },
     });
     this.#arrivalRates = new ArrivalRates(ports.clock.now());
@@ -472,6 +488,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       turns: this.#turns,
+      restWaits: this.#restWaits,
       statements: this.#statements,
       configuration: () => ({
         routes: this.#follower.routes,
--- a/packages/rampswitch-serving/src/statements/mod.ts
+++ b/packages/rampswitch-serving/src/statements/mod.ts
@@ -3,3 +3,4 @@
 export * from "./server_statements.ts";
 export * from "./leaving_statements.ts";
 export * from "./told_report.ts";
+export * from "./rest_statements.ts";
--- a/packages/rampswitch-serving/src/statements/server_statements_test.ts
+++ b/packages/rampswitch-serving/src/statements/server_statements_test.ts
@@ -39,6 +39,12 @@
         holdsLate: true,
         take: (_, value) => taken.push(["leaving", value]),
       },
+      rest: {
+        holdsLate: false,
+        take: (_, value) => {
+          if (value !== undefined) taken.push(["rest", value]);
+        },
+      },
     },
   });
   return { reader, lines, taken };
--- a/packages/rampswitch-serving/src/statements/statements_standin.ts
+++ b/packages/rampswitch-serving/src/statements/statements_standin.ts
@@ -14,6 +14,7 @@
 export const SAYS_NOTHING: ServerStatements = {
   limit: { kind: "nothing" },
   leaving: { kind: "nothing" },
+  rest: { kind: "nothing" },
 };
 
 /** A reader that nobody listens to. */
@@ -22,6 +23,6 @@
   return new StatementReader({
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
-    handlers: { limit: passedOver, leaving: passedOver },
+    handlers: { limit: passedOver, leaving: passedOver, rest: passedOver },
   });
 }
