Take positions in the store for what they are worth within one era

Callers got answers by a configuration that had been replaced, and keys that were taken away were good, after the store had come back from a copy. A list anew told of nothing below the highest revision known of an object, and a watch went on past revisions that had been given out again. Class: a position in a history that is compared outside it. Change: the adapter reads the era of every answer and puts era and revision into one number, so that a later era is greater wherever positions are compared, in news between hosts too. Watches and conditional changes of a former era end without effect; answers of a former era tell nothing. A list in a new era tells by content what is other, and passes it on as one batch, so that hosts behind relays need no list. A store that holds an older configuration than the one in force confirms nothing; any answer of a new era has both watches asked anew at once.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -10,7 +10,10 @@
 import type { Clock, Logger, Random } from "rampswitch-utils";
 import {
   type ChangeBatch,
+  type EraList,
+  eraOf,
   type ObjectStore,
+  revisionOf,
   type StoredObject,
   storeBackoff,
   type StoreEvent,
@@ -197,8 +200,10 @@
   #levelAt = -Infinity;
   /** Since when a relay has a configuration that this host has not. */
   #behindSince: number | undefined;
-  /** The newest configuration as the store holds it. */
+  /** The configuration in force as it was stored. */
   #stored: StoredObject | undefined;
+  /** Version of the configuration that the store holds. */
+  #storedVersion = -1;
   /** When a watch that was behind was last asked anew. */
   readonly #interruptedAt = new Map<Watcher, number>();
   #reachable = true;
@@ -210,6 +215,7 @@
     this.#listener = listener;
     this.#lapsed = new LapsedServers(parts, (id) => listener.serverGone(id));
     this.#unreadable = new UnreadableServers(parts);
+    parts.store.onEra(() => this.#eraBegan());
     this.#servers = this.#watch(
       parts.formats.serversPrefix,
       {
@@ -219,6 +225,7 @@
           this.#serversListed = true;
         },
         failed: () => undefined,
+        listedInEra: (list) => this.#listedInEra("servers", list),
       },
       {
         seconds: () => LONG_WATCH_SECONDS,
@@ -232,6 +239,7 @@
         removed: () => undefined,
         confirmed: (at) => this.#confirmed(at),
         failed: () => this.#failed(),
+        listedInEra: (list) => this.#listedInEra("configuration", list),
       },
       { seconds: () => this.#configurationWait() },
     );
@@ -291,9 +299,30 @@
   /** The newest configuration, to pass on; it is the only object of its kind. */
   newestConfiguration(): ChangeBatch | undefined {
     const stored = this.#stored;
-    return stored === undefined
-      ? undefined
-      : { after: 0, version: this.#configuration.version, events: [stored] };
+    if (stored === undefined) return undefined;
+    const { version, newestChange } = this.#configuration;
+    // What a copy lacks stays in force, and is passed on in the store's new era.
+    const event = { ...stored, version: newestChange };
+    return { after: 0, version, events: [event] };
+  }
+
+  /** Lists all anew at once: what was watched is a history that is over. */
+  #eraBegan(): void {
+    this.#lapsed.storeReturned();
+    this.#configuration.interrupt();
+    this.#servers.interrupt();
+  }
+
+  /** What the store came back with, for the log. */
+  #listedInEra(list: string, { version, changed, missing }: EraList): void {
+    this.#parts.metrics.event(`store_era_${list}_listed`);
+    this.#parts.logger.warn("listed anew in an era of the store", {
+      list,
+      era: eraOf(version),
+      revision: revisionOf(version),
+      changed,
+      missing,
+    });
   }
 
   /**
@@ -306,6 +335,9 @@
    */
   relayFollowed(newestChange: number, reachesStore: boolean): boolean {
     if (this.#configuration.version === 0) return false;
+    // A relay in a former era of the store confirms nothing.
+    const known = this.#configuration.newestChange;
+    if (eraOf(newestChange) < eraOf(known)) return false;
     const now = this.#parts.clock.now();
     this.#digestedAt = now;
     if (newestChange > this.#configuration.newestChange) {
@@ -465,8 +497,9 @@
       });
       return;
     }
-    this.#stored = object;
+    this.#storedVersion = decoded.value.version;
     const known = this.#routes?.configuration.version ?? -1;
+    if (decoded.value.version >= known) this.#stored = object;
     if (decoded.value.version <= known) return;
     this.#routes = new RouteIndex(decoded.value);
     metrics.event("configuration_applied");
@@ -509,7 +542,11 @@
   }
 
   #confirmed(at: number): void {
-    this.#confirmedAt = Math.max(this.#confirmedAt, at);
+    // A store that holds less than what is in force confirms nothing of it.
+    const inForce = this.#routes?.configuration.version ?? -1;
+    if (this.#storedVersion >= inForce) {
+      this.#confirmedAt = Math.max(this.#confirmedAt, at);
+    }
     this.#ownConfirmedAt = Math.max(this.#ownConfirmedAt, at);
     this.#lapsed.storeAnswers();
     if (this.#reachable) return;
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -2,11 +2,12 @@
 
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { Result } from "true-myth";
-import type {
-  ObjectStore,
-  StoreError,
-  WatchBatch,
-  WatchOptions,
+import {
+  type ObjectStore,
+  type StoreError,
+  type WatchBatch,
+  type WatchOptions,
+  ONE_ERA,
 } from "rampswitch-store";
 import { ManualClock, seededRandom, SILENT_LOGGER } from "rampswitch-utils";
 import type { ServingConfiguration } from "../model/configuration.ts";
@@ -22,6 +23,8 @@
 
 /** A store whose watches wait until a test answers them. */
 class WaitingStore implements ObjectStore {
+  readonly era = ONE_ERA.era;
+  readonly onEra = ONE_ERA.onEra;
   readonly waiting = new Map<string, Waiting>();
   readonly #lists: Readonly<Record<string, readonly string[]>>;
 
--- a/packages/rampswitch-serving/src/configuration/lapsed_servers.ts
+++ b/packages/rampswitch-serving/src/configuration/lapsed_servers.ts
@@ -44,6 +44,12 @@
     this.#returnedAt = this.#parts.clock.now();
   }
 
+  /** Takes in that the store came back, if only for a moment. */
+  storeReturned(): void {
+    this.#away = true;
+    this.storeAnswers();
+  }
+
   /** An entry is there. */
   present(id: string): void {
     this.#removed.delete(id);
--- a/packages/rampswitch-serving/src/duties/lease_store_standin.ts
+++ b/packages/rampswitch-serving/src/duties/lease_store_standin.ts
@@ -7,11 +7,12 @@
  */
 import { Result } from "true-myth";
 import type { ManualClock, Random } from "rampswitch-utils";
-import type {
-  Expectation,
-  ObjectStore,
-  StoredObject,
-  StoreError,
+import {
+  type Expectation,
+  type ObjectStore,
+  type StoredObject,
+  type StoreError,
+  ONE_ERA,
 } from "rampswitch-store";
 
 /** Longest time after which a write without an answer takes effect, in milliseconds. */
@@ -58,6 +59,7 @@
     });
     const unused = () => Promise.resolve(gone);
     return {
+      ...ONE_ERA,
       get: () =>
         Promise.resolve(
           reaches() && this.reachable ? Result.ok(this.#object) : gone,
--- a/packages/rampswitch-serving/src/membership/host_registry_test.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry_test.ts
@@ -2,7 +2,7 @@
 
 import { describe, expect, test } from "@jest/globals";
 import { Result } from "true-myth";
-import type { ObjectStore, StoredObject } from "rampswitch-store";
+import { type ObjectStore, type StoredObject, ONE_ERA } from "rampswitch-store";
 import { ManualClock, seededRandom, SILENT_LOGGER } from "rampswitch-utils";
 import { ServingMetrics } from "../observation/mod.ts";
 import { HostRegistry } from "./host_registry.ts";
@@ -27,6 +27,8 @@
 
 /** A store of hosts that keeps what was put. */
 class HostStore {
+  readonly era = ONE_ERA.era;
+  readonly onEra = ONE_ERA.onEra;
   readonly values = new Map<string, string>([
     ["good", JSON.stringify(GOOD)],
     ...Object.entries(BROKEN),
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -11,7 +11,12 @@
   seededRandom,
   SILENT_LOGGER,
 } from "rampswitch-utils";
-import type { ChangeBatch, ObjectStore, StoredObject } from "rampswitch-store";
+import {
+  type ChangeBatch,
+  type ObjectStore,
+  type StoredObject,
+  ONE_ERA,
+} from "rampswitch-store";
 import { ServingMetrics } from "../observation/mod.ts";
 import { Membership, type OwnNews } from "./membership.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
@@ -86,6 +91,7 @@
   let version = 0;
   const unused = () => Promise.reject(new Error("not used by membership"));
   return {
+    ...ONE_ERA,
     list: () =>
       Promise.resolve(Result.ok({ version, objects: [...objects.values()] })),
     put: (key, value) => {
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store_test.ts
@@ -13,7 +13,7 @@
   seededRandom,
   SILENT_LOGGER,
 } from "rampswitch-utils";
-import type { ObjectStore, StoredObject } from "rampswitch-store";
+import { type ObjectStore, type StoredObject, ONE_ERA } from "rampswitch-store";
 import { ServingMetrics } from "../observation/mod.ts";
 import { Fingerprint } from "./fingerprint.ts";
 import { Quarantine } from "./quarantine.ts";
@@ -44,6 +44,7 @@
   let object: StoredObject | undefined;
   const unused = () => Promise.reject(new Error("not used by the quarantine"));
   return {
+    ...ONE_ERA,
     values,
     list: () =>
       Promise.resolve(
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -8,14 +8,15 @@
 import { Result } from "true-myth";
 import { Pool, type Dispatcher } from "undici";
 import type { Random } from "rampswitch-utils";
-import type {
-  Expectation,
-  ObjectStore,
-  StoredList,
-  StoredObject,
-  StoreError,
-  WatchBatch,
-  WatchOptions,
+import {
+  type Expectation,
+  type ObjectStore,
+  type StoredList,
+  type StoredObject,
+  type StoreError,
+  type WatchBatch,
+  type WatchOptions,
+  ONE_ERA,
 } from "./object_store.ts";
 import { type CallAccounting, type CallKind } from "./call_accounting.ts";
 
@@ -57,6 +58,8 @@
 
 /** Client of the object API; counts every call in its accounting. */
 export class HttpObjectStore implements ObjectStore, AsyncDisposable {
+  readonly era = ONE_ERA.era;
+  readonly onEra = ONE_ERA.onEra;
   readonly accounting: CallAccounting;
   readonly #pool: Pool;
 
--- a/packages/rampswitch-store/src/mod.ts
+++ b/packages/rampswitch-store/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./object_store.ts";
 export * from "./settled_change.ts";
 export * from "./watcher.ts";
+export * from "./store_position.ts";
--- a/packages/rampswitch-store/src/object_store.ts
+++ b/packages/rampswitch-store/src/object_store.ts
@@ -10,7 +10,10 @@
 /** One object with the version that conditional updates name. */
 export interface StoredObject {
   readonly key: string;
-  /** Grows with each change of any object of the store. */
+  /**
+   * Position of its newest change in the store's history: grows with each change of
+   * any object, and from one era of the store to the next.
+   */
   readonly version: number;
   readonly value: string;
 }
@@ -36,8 +39,8 @@
 }
 
 /**
- * Why a call failed. `conflict`: the object had another version, and nothing
- * changed. `unknown`: no answer; a change may have taken effect. `unavailable`:
+ * Why a call failed. `conflict`: the object had another version, or one of an era
+ * that is over, and nothing changed. `unknown`: no answer; a change may have taken effect. `unavailable`:
  * the call surely had no effect. `compacted`: the watch must list anew.
  */
 export type StoreError =
@@ -57,8 +60,24 @@
   readonly seconds?: number;
 }
 
+/** The store came back from a copy: what it acknowledged lately is lost. */
+export interface EraChange {
+  readonly from: number;
+  readonly to: number;
+}
+
+/** What a store that names no eras tells of them. */
+export const ONE_ERA: Pick<ObjectStore, "era" | "onEra"> = {
+  era: 0,
+  onEra: () => undefined,
+};
+
 /** The platform's object API. */
 export interface ObjectStore {
+  /** The newest era that an answer told of; 0 where the store names none. */
+  readonly era: number;
+  /** Calls back when an answer tells of a later era than all before. */
+  onEra(listener: (change: EraChange) => void): void;
   /** Reads one object; `undefined` where there is none. */
   get(key: string): Promise<Result<StoredObject | undefined, StoreError>>;
   /**
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -7,12 +7,14 @@
  */
 import {
   type Clock,
+  hash32,
   type Random,
   type Repetition,
   repeat,
 } from "rampswitch-utils";
 import type { ObjectStore, StoredObject, StoreEvent } from "./object_store.ts";
 import { storeBackoff } from "./http_object_store.ts";
+import { eraOf } from "./store_position.ts";
 
 /** Changes below a prefix, complete between two versions of the store. */
 export interface ChangeBatch {
@@ -29,16 +31,43 @@
 /** How often a watch that is suspended looks whether it still is, in ms. */
 const SUSPENDED_MILLISECONDS = 100;
 
+/** Changes found by a list that are passed on; those who miss more list themselves. */
+const MOST_LISTED_CHANGES = 100;
+
+/** Where an object that is told was found. */
+export type ObjectOrigin =
+  | "change"
+  /** In what the store came back with in a new era; it may be of long ago. */
+  | "copy";
+
+/** What a list in a new era brought, compared with what was known. */
+export interface EraList {
+  readonly version: number;
+  /** Objects that are new, or other than they were known. */
+  readonly changed: number;
+  /** Known objects that are not there any more. */
+  readonly missing: number;
+}
+
 /** What a watch tells its owner. */
 export interface WatchListener {
-  /** An object changed to a version above all that were told before. */
-  changed(object: StoredObject): void;
+  /** An object changed, at a later position than all that were told before. */
+  changed(object: StoredObject, origin: ObjectOrigin): void;
   /** An object was removed. */
   removed(key: string): void;
   /** The store answered: all changes up to now have been told. */
   confirmed(at: number): void;
   /** The store did not answer. */
   failed(): void;
+  /** All objects were listed in a new era. */
+  listedInEra?(list: EraList): void;
+}
+
+/** An object as it was told. */
+interface KnownObject {
+  readonly version: number;
+  /** Digest of its value, to find in a new era what has changed. */
+  readonly digest: number;
 }
 
 /** Watches all objects below a prefix. */
@@ -50,9 +79,11 @@
   readonly #seconds: () => number | undefined;
   readonly #abort = new AbortController();
   #waiting = new AbortController();
-  readonly #versions = new Map<string, number>();
+  readonly #known = new Map<string, KnownObject>();
   readonly #repetition: Repetition;
   #version: number | undefined;
+  /** Version before history was lost. */
+  #formerVersion: number | undefined;
   #newestChange = 0;
   #askedAt = 0;
   #failures = 0;
@@ -143,6 +174,8 @@
     if (this.#version === undefined || this.#version < batch.after) {
       return false;
     }
+    // Whoever is in a former era knows nothing of this one.
+    if (eraOf(batch.version) < eraOf(this.#version)) return false;
     if (this.#version >= batch.version) return true;
     this.#apply(batch);
     return true;
@@ -176,17 +209,48 @@
   async #relist(): Promise<boolean> {
     const list = await this.#store.list(this.#prefix);
     if (list.isErr) return false;
-    this.#version = Math.max(this.#version ?? 0, list.value.version);
-    this.#kept = [];
-    this.#newestChange = newestOf(list.value.objects, this.#newestChange);
-    const present = new Set(list.value.objects.map((object) => object.key));
-    [...this.#versions.keys()]
-      .filter((key) => !present.has(key))
-      .forEach((key) => this.#forget(key));
-    list.value.objects.forEach((object) => this.#tell(object));
+    const { version, objects } = list.value;
+    const after = this.#formerVersion;
+    this.#formerVersion = undefined;
+    this.#version = Math.max(this.#version ?? 0, version);
+    this.#newestChange = newestOf(objects, this.#newestChange);
+    const present = new Set(objects.map(({ key }) => key));
+    const missing = [...this.#known.keys()].filter((key) => !present.has(key));
+    missing.forEach((key) => this.#forget(key));
+    const origin = originOf(after, version);
+    const changed = objects.filter((object) => this.#tell(object, origin));
+    this.#keepListed({ after, version, missing, changed });
+    if (origin === "copy") {
+      this.#listener.listedInEra?.({
+        version,
+        changed: changed.length,
+        missing: missing.length,
+      });
+    }
     return true;
   }
 
+  /** Keeps what a list found changed, for those who had followed as far. */
+  #keepListed({
+    after,
+    version,
+    missing,
+    changed,
+  }: {
+    readonly after: number | undefined;
+    readonly version: number;
+    readonly missing: readonly string[];
+    readonly changed: readonly StoredObject[];
+  }): void {
+    const isMuch = missing.length + changed.length > MOST_LISTED_CHANGES;
+    if (after === undefined || isMuch) {
+      this.#kept = [];
+      return;
+    }
+    const events = [...missing.map((key) => ({ key, version })), ...changed];
+    this.#kept = [{ after, version, events, at: this.#clock.now() }];
+  }
+
   async #wait(after: number): Promise<boolean> {
     const seconds = this.#seconds();
     this.#waiting = new AbortController();
@@ -197,6 +261,7 @@
     if (batch.isErr) {
       if (batch.error.kind !== "compacted") return false;
       // Lost history confirms nothing; only the list that follows does.
+      this.#formerVersion = this.#version ?? this.#formerVersion;
       this.#version = undefined;
       return this.#relist();
     }
@@ -207,6 +272,7 @@
   #apply(batch: ChangeBatch): void {
     const { events } = batch;
     const known = this.#version ?? 0;
+    const origin = originOf(batch.after, batch.version);
     this.#version = Math.max(known, batch.version);
     this.#newestChange = newestOf(events, this.#newestChange);
     if (events.length > 0) {
@@ -215,26 +281,51 @@
     events.forEach((event) => {
       if (event.value !== undefined) {
         // A change from before may be of an object that was removed since.
-        if (event.version > known) this.#tell({ ...event, value: event.value });
-      } else if (event.version >= (this.#versions.get(event.key) ?? Infinity)) {
+        if (event.version > known) {
+          this.#tell({ ...event, value: event.value }, origin);
+        }
+      } else if (event.version >= this.#versionOf(event.key)) {
         this.#forget(event.key);
       }
     });
   }
 
-  #tell(object: StoredObject): void {
-    const known = this.#versions.get(object.key) ?? 0;
-    if (object.version <= known) return;
-    this.#versions.set(object.key, object.version);
-    this.#listener.changed(object);
+  #versionOf(key: string): number {
+    return this.#known.get(key)?.version ?? Infinity;
+  }
+
+  /** Tells of an object that is news; in a new era, positions alone are none. */
+  #tell(object: StoredObject, origin: ObjectOrigin): boolean {
+    const { key, version, value } = object;
+    const known = this.#known.get(key);
+    if (known !== undefined && version <= known.version) return false;
+    const digest = digestOf(value);
+    this.#known.set(key, { version, digest });
+    if (origin === "copy" && known?.digest === digest) return false;
+    this.#listener.changed(object, origin);
+    return true;
   }
 
   #forget(key: string): void {
-    this.#versions.delete(key);
+    this.#known.delete(key);
     this.#listener.removed(key);
   }
 }
 
+function originOf(after: number | undefined, version: number): ObjectOrigin {
+  return after !== undefined && eraOf(after) < eraOf(version)
+    ? "copy"
+    : "change";
+}
+
+/** Two hashes as one number, so that no two values of an object are taken for one. */
+function digestOf(value: string): number {
+  return hash32(value) * DIGEST_HIGH + (hash32(value, 1) % DIGEST_HIGH);
+}
+
+/** Values of the lower part of a digest; all of it is an exact number. */
+const DIGEST_HIGH = 2 ** 20;
+
 function newestOf(
   changes: readonly { readonly version: number }[],
   known: number,
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -3,16 +3,20 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { Result } from "true-myth";
 import { ManualClock, seededRandom } from "rampswitch-utils";
-import type {
-  ObjectStore,
-  StoredObject,
-  StoreError,
-  WatchBatch,
+import {
+  type ObjectStore,
+  ONE_ERA,
+  type StoredObject,
+  type StoreError,
+  type WatchBatch,
 } from "./object_store.ts";
+import { positionOf } from "./store_position.ts";
 import { type ChangeBatch, Watcher } from "./watcher.ts";
 
 /** A store whose watches a test answers by hand. */
 class HandStore implements ObjectStore {
+  readonly era = ONE_ERA.era;
+  readonly onEra = ONE_ERA.onEra;
   objects: readonly StoredObject[] = [];
   version = 10;
   calls = 0;
@@ -42,6 +46,11 @@
     this.#answer?.(Result.ok(batch));
   }
 
+  /** The history that is watched is lost. */
+  lose(): void {
+    this.#answer?.(Result.err({ kind: "compacted" }));
+  }
+
   get = unused;
   put = unused;
   remove = unused;
@@ -144,3 +153,65 @@
     expect(member.store.calls).toBeGreaterThan(before);
   });
 });
+
+/** Positions in the second era of a store. */
+function second(revision: number): number {
+  return positionOf(2, revision);
+}
+
+describe("a store that came back from a copy", () => {
+  const OLD_A = { ...A, version: positionOf(1, 9), value: "a9" };
+  const OLD_B = { ...B, version: positionOf(1, 12) };
+
+  async function watched(): Promise<Watched> {
+    const world = await watch([OLD_A, OLD_B]);
+    return world;
+  }
+
+  /** Lists anew, as after a watch whose history is over. */
+  async function listedAnew(
+    { store }: Watched,
+    objects: readonly StoredObject[],
+  ): Promise<void> {
+    store.version = second(6);
+    store.objects = objects;
+    store.lose();
+    await settle();
+  }
+
+  test("tells what is other than before, by content, whatever its revision", async () => {
+    const world = await watched();
+    await listedAnew(world, [
+      { ...A, version: second(5) },
+      { ...OLD_B, version: second(4) },
+    ]);
+    expect([...world.objects]).toEqual([
+      ["servers/a", "a5"],
+      ["servers/b", "b12"],
+    ]);
+    world.store.answer({
+      version: second(7),
+      events: [{ ...OLD_A, version: second(7) }],
+    });
+    await settle();
+    expect(world.objects.get("servers/a")).toBe("a9");
+  });
+
+  test("has what was found passed on to those who had followed as far", async () => {
+    const relay = await watched();
+    const member = await watched();
+    member.watcher.suspend();
+    await listedAnew(relay, [{ ...A, version: second(5) }]);
+    const batch = relay.watcher.recent();
+    expect(batch !== undefined && member.watcher.take(batch)).toBe(true);
+    expect([...member.objects]).toEqual([["servers/a", "a5"]]);
+  });
+
+  test("is not told of by those who are in its former era", async () => {
+    const relay = await watched();
+    const member = await watched();
+    await listedAnew(member, [{ ...A, version: second(5) }]);
+    const batch = relay.watcher.recent();
+    expect(batch !== undefined && member.watcher.take(batch)).toBe(false);
+  });
+});
