Let no copy of the store take back that a server leaves or is gone

Requests reached a server 2.2 s after it had said that it leaves: the store had come back from a copy that said ready. Class: a fact that is final, and a source that may say otherwise later. Change: a life whose entry said that it leaves is among the lives that leave for good, as those that say so in answers. An entry that a list in a new era brings of a life that had gone is not used until its server writes it again, or it has stayed for 8 s, in which the store removes what nobody writes. A server that starts again after it, and one that the copy lacks, are used as before.

--- a/packages/rampswitch-serving/src/choice/leaving_lives.ts
+++ b/packages/rampswitch-serving/src/choice/leaving_lives.ts
@@ -15,7 +15,11 @@
 }
 
 /** Where a statement came from. */
-export type LeavingOrigin = "answer" | "peer";
+export type LeavingOrigin =
+  | "answer"
+  | "peer"
+  /** From the store, which tells all hosts. */
+  | "entry";
 
 interface LeavingLife extends ServerLife {
   readonly since: number;
@@ -31,6 +35,15 @@
 /** Lives that are remembered. */
 const MOST_KNOWN = 16_384;
 
+/** Whether a statement is told to other hosts. */
+const TOLD_ORIGINS: Readonly<
+  Record<LeavingOrigin, (options: { readonly ownOnly: boolean }) => boolean>
+> = {
+  answer: () => true,
+  peer: ({ ownOnly }) => !ownOnly,
+  entry: () => false,
+};
+
 /** Lives that said that they leave. */
 export class LeavingLives {
   readonly #known = new Map<string, LeavingLife>();
@@ -67,7 +80,7 @@
     },
   ): readonly LeavingNews[] {
     return [...this.#known.values()]
-      .filter(({ origin }) => !options.ownOnly || origin === "answer")
+      .filter(({ origin }) => TOLD_ORIGINS[origin](options))
       .filter(
         (life) =>
           now - life.since < TOLD_MILLISECONDS || options.isWantedLonger(life),
--- a/packages/rampswitch-serving/src/choice/leaving_lives_test.ts
+++ b/packages/rampswitch-serving/src/choice/leaving_lives_test.ts
@@ -37,6 +37,13 @@
     expect(lives.news(700, { ...TO_ALL, ownOnly: true })).toEqual([]);
   });
 
+  test("are not told where the store tells them", () => {
+    const lives = new LeavingLives();
+    lives.said(LIFE, { since: 500, origin: "entry" });
+    expect(lives.news(700, TO_ALL)).toEqual([]);
+    expect(lives.since(LIFE)).toBe(500);
+  });
+
   test("are bounded in number; the first ones are forgotten", () => {
     const lives = new LeavingLives();
     Array.from({ length: 20_000 }, (_, index) =>
--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -142,6 +142,16 @@
     return this.#records.get(id);
   }
 
+  /** Whether an entry is of a life that is known and whose entry has gone. */
+  isGone(entry: BackendServer): boolean {
+    const gone = this.#gone.get(entry.id)?.record;
+    return (
+      gone !== undefined &&
+      gone.life === nameOfLife(entry) &&
+      gone.entry.address === entry.address
+    );
+  }
+
   /** Servers of a service whose entries can be read. */
   of(service: string): readonly ServerRecord[] {
     return this.#listed(service).filter(({ isReadable }) => isReadable);
@@ -230,6 +240,9 @@
 
   #list(record: ServerRecord, entry: BackendServer, now: number): void {
     const { id, service } = entry;
+    if (entry.state === "leaving") {
+      this.#leavingLives.said(entry, { since: now, origin: "entry" });
+    }
     const saidSince = this.#leavingLives.since(entry);
     const state = saidSince === undefined ? entry.state : "leaving";
     const listedBefore = this.#records.get(id) === record;
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -12,6 +12,7 @@
   type ChangeBatch,
   type EraList,
   eraOf,
+  type ObjectOrigin,
   type ObjectStore,
   revisionOf,
   type StoredObject,
@@ -22,6 +23,7 @@
 } from "rampswitch-store";
 import { RouteIndex } from "../intake/route_index.ts";
 import { LapsedServers } from "./lapsed_servers.ts";
+import { RevivedServers } from "./revived_servers.ts";
 import { UnreadableServers } from "./unreadable_servers.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type { ServingConfiguration } from "../model/configuration.ts";
@@ -51,6 +53,8 @@
   /** An entry can't be read, and names no server to use until it is good. */
   serverUnreadable(id: string): void;
   serverGone(id: string): void;
+  /** Whether an entry is of a life whose entry has gone. */
+  isGone(server: BackendServer): boolean;
 }
 
 /** Parts that the follower works with. */
@@ -209,17 +213,19 @@
   #reachable = true;
   readonly #lapsed: LapsedServers;
   readonly #unreadable: UnreadableServers;
+  readonly #revived: RevivedServers;
 
   constructor(parts: FollowerParts, listener: FollowerListener) {
     this.#parts = parts;
     this.#listener = listener;
     this.#lapsed = new LapsedServers(parts, (id) => listener.serverGone(id));
     this.#unreadable = new UnreadableServers(parts);
+    this.#revived = new RevivedServers(parts);
     parts.store.onEra(() => this.#eraBegan());
     this.#servers = this.#watch(
       parts.formats.serversPrefix,
       {
-        changed: (object) => this.#serverChanged(object),
+        changed: (object, origin) => this.#serverChanged(object, origin),
         removed: (key) => this.#serverRemoved(this.#serverId(key)),
         confirmed: () => {
           this.#serversListed = true;
@@ -511,10 +517,20 @@
     this.#listener.configured(this.#routes);
   }
 
-  #serverChanged(object: StoredObject): void {
+  #serverChanged(object: StoredObject, origin: ObjectOrigin): void {
     const id = this.#serverId(object.key);
     this.#lapsed.present(id);
-    const taken = this.#readServer(id, object.value).andThen((server) =>
+    const read = this.#readServer(id, object.value);
+    const isRevived =
+      origin === "copy" && read.isOk && this.#listener.isGone(read.value);
+    // What was gone is not there again because a copy says so.
+    if (isRevived) this.#revived.hold(id, () => this.#takeServer(id, read));
+    else this.#takeServer(id, read);
+  }
+
+  #takeServer(id: string, read: Result<BackendServer, string>): void {
+    this.#revived.release(id);
+    const taken = read.andThen((server) =>
       this.#listener.serverChanged(server),
     );
     if (taken.isOk) this.#unreadable.good(id);
@@ -534,6 +550,7 @@
 
   #serverRemoved(id: string): void {
     this.#unreadable.remove(id);
+    this.#revived.release(id);
     this.#lapsed.removed(id);
   }
 
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -136,6 +136,7 @@
       serverChanged: () => Result.ok(undefined),
       serverUnreadable: () => undefined,
       serverGone: (id) => gone.push(id),
+      isGone: () => false,
     },
   );
   await advance(clock, 0);
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -316,6 +316,7 @@
           serverChanged: (server) => listing.changed(server),
           serverUnreadable: (id) => listing.unreadable(id),
           serverGone: (id) => listing.gone(id),
+          isGone: (server) => this.#directory.isGone(server),
         },
       ),
     );
