Show that duties break their promises when the store comes back from a copy (fails)

The lease's stand-in gets eras, copies and revisions that are given out again, as the adapter passes them on; writes of a former era that come late are carried out.

--- a/packages/rampswitch-serving/src/duties/lease_store_standin.ts
+++ b/packages/rampswitch-serving/src/duties/lease_store_standin.ts
@@ -8,16 +8,22 @@
 import { Result } from "true-myth";
 import type { ManualClock, Random } from "rampswitch-utils";
 import {
+  type EraChange,
+  eraOf,
   type Expectation,
   type ObjectStore,
+  positionOf,
+  revisionOf,
   type StoredObject,
   type StoreError,
-  ONE_ERA,
 } from "rampswitch-store";
 
 /** Longest time after which a write without an answer takes effect, in milliseconds. */
 const LATE_MILLISECONDS = 4_000;
 
+/** Changes that copies may be made of. */
+const KEPT_CHANGES = 200;
+
 /** A store of one object whose answers may be lost or writes come late. */
 export class LeaseStore {
   reachable = true;
@@ -26,7 +32,16 @@
   altered: (value: string) => string = (value) => value;
   /** What is left of a value that another writer wrote over. */
   spoilt: (value: string) => string = () => "spoilt";
+  /** With a revision of its era as the version. */
   #object: StoredObject | undefined;
+  #era = 1;
+  #revision = 0;
+  /** What it held, since when, and the revision then. */
+  #history: readonly {
+    readonly at: number;
+    readonly object: StoredObject | undefined;
+    readonly revision: number;
+  }[] = [];
   #late: { readonly at: number; readonly run: () => void }[] = [];
   readonly #clock: ManualClock;
   readonly #random: Random;
@@ -48,26 +63,55 @@
     const known = this.#object;
     if (known === undefined) return;
     const value = this.spoilt(known.value);
-    this.#object = { ...known, value, version: known.version + 1 };
+    this.#revision += 1;
+    this.#object = { ...known, value, version: this.#revision };
+    this.#note();
+  }
+
+  /** Comes back from a copy that is so old, in milliseconds. */
+  comeBackFrom(age: number): void {
+    const then = this.#clock.now() - age;
+    const copy = this.#history.findLast(({ at }) => at <= then);
+    this.#era += 1;
+    this.#object = copy?.object;
+    this.#revision = copy?.revision ?? 0;
+    this.#history = [];
+    this.#note();
   }
 
   /** The store as one host reaches it. */
   seenBy(reaches: () => boolean): ObjectStore {
+    const view = new EraView(() => this.#era);
     const gone: Result<never, StoreError> = Result.err({
       kind: "unknown",
       detail: "no answer",
     });
     const unused = () => Promise.resolve(gone);
     return {
-      ...ONE_ERA,
-      get: () =>
-        Promise.resolve(
-          reaches() && this.reachable ? Result.ok(this.#object) : gone,
-        ),
-      put: (key, value, { expected }) => {
+      get era() {
+        return view.era;
+      },
+      onEra: (listener) => view.onEra(listener),
+      get: () => {
+        if (!reaches() || !this.reachable) return Promise.resolve(gone);
+        view.look();
+        const object = this.#object;
+        return Promise.resolve(
+          Result.ok(object === undefined ? undefined : view.placed(object)),
+        );
+      },
+      put: (key, value, { expected: position }) => {
         if (!reaches() || !this.reachable) return Promise.resolve(gone);
+        if (position !== "absent" && eraOf(position) !== view.era) {
+          return Promise.resolve(Result.err({ kind: "conflict" as const }));
+        }
+        const expected =
+          position === "absent" ? position : revisionOf(position);
         if (!this.losesAnswers || this.#random.next() < 0.5) {
-          return Promise.resolve(this.#put(key, { value, expected }));
+          const put = this.#put(key, { value, expected });
+          const isNew = view.look();
+          if (isNew && position !== "absent") return Promise.resolve(gone);
+          return Promise.resolve(put.map((object) => view.placed(object)));
         }
         const late = this.#random.below(LATE_MILLISECONDS);
         this.#late.push({
@@ -92,11 +136,46 @@
     }
     const value = this.altered(change.value);
     const same = this.#object?.value === value;
-    this.#object = {
-      key,
-      value,
-      version: same ? (version ?? 1) : (version ?? 0) + 1,
-    };
+    if (!same) this.#revision += 1;
+    this.#object = { key, value, version: this.#revision };
+    this.#note();
     return Result.ok(this.#object);
   }
+
+  #note(): void {
+    this.#history = [
+      ...this.#history.slice(-KEPT_CHANGES),
+      { at: this.#clock.now(), object: this.#object, revision: this.#revision },
+    ];
+  }
+}
+
+/** The era as one host's answers tell it. */
+class EraView {
+  readonly #current: () => number;
+  readonly #listeners: ((change: EraChange) => void)[] = [];
+  era: number;
+
+  constructor(current: () => number) {
+    this.#current = current;
+    this.era = current();
+  }
+
+  onEra(listener: (change: EraChange) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes an answer in; tells whether it was the first of its era. */
+  look(): boolean {
+    const from = this.era;
+    const to = this.#current();
+    if (from === to) return false;
+    this.era = to;
+    this.#listeners.forEach((listener) => listener({ from, to }));
+    return true;
+  }
+
+  placed(object: StoredObject): StoredObject {
+    return { ...object, version: positionOf(this.era, object.version) };
+  }
 }
--- a/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_standin.ts
@@ -62,6 +62,9 @@
 /** Longest time for which the store or the cloud does not answer, in milliseconds. */
 const SILENT_MILLISECONDS = 3_000;
 
+/** Greatest age of a copy that the store comes back from, in milliseconds. */
+const COPY_MILLISECONDS = 6_000;
+
 /** Shares of the hosts whose clocks step at once. */
 const SHARES = [0.25, 0.5, 0.8, 1];
 
@@ -76,7 +79,15 @@
 
 /** What may go wrong. */
 export type UsageFault =
-  "clocks" | "far_clock" | "ends" | "store" | "cloud" | "spoilt_lease" | "news";
+  | "clocks"
+  | "far_clock"
+  | "ends"
+  | "store"
+  | "cloud"
+  | "spoilt_lease"
+  | "news"
+  /** The store is away for a moment and comes back from a copy. */
+  | "copy";
 
 /** A report that the cloud was sent. */
 export interface SentReport extends UsageReport {
@@ -223,6 +234,14 @@
     spoilt_lease: () => {
       if (this.#random.next() < SPOILING_CHANCE) this.#store.spoil();
     },
+    copy: () => {
+      if (!this.#store.reachable) return;
+      this.#store.reachable = false;
+      this.#clock.after(this.#someTime(SILENT_MILLISECONDS), () => {
+        this.#store.comeBackFrom(this.#someTime(COPY_MILLISECONDS));
+        this.#store.reachable = true;
+      });
+    },
     news: () => {
       this.#newsArrives = false;
       this.#clock.after(this.#someTime(SILENT_MILLISECONDS), () => {
--- a/packages/rampswitch-serving/src/duties/usage_fleet_test.ts
+++ b/packages/rampswitch-serving/src/duties/usage_fleet_test.ts
@@ -10,7 +10,9 @@
 //     20.82 s "duties taken","fence":3
 //     21.61 s "usage reported","window":356455783,"requests":97,"fence":3
 //
-// What is final must stay final whatever any host's clock says.
+// What is final must stay final whatever any host's clock says, and whatever copy the
+// store comes back from: with the lease object the list of final windows is lost, and
+// the fences that were given out since.
 
 import { describe, expect, test } from "@jest/globals";
 import {
@@ -65,13 +67,27 @@
     .map((window) => `window ${window} was never reported`);
 }
 
+/** Fences under which more than one host sent reports. */
+function sharedFences({ sent }: FleetPlay): readonly string[] {
+  const holders = new Map<number, string>();
+  return sent.flatMap(({ fence, holder }) => {
+    const first = holders.get(fence) ?? holder;
+    holders.set(fence, first);
+    return first === holder ? [] : [`fence ${fence}: ${first} and ${holder}`];
+  });
+}
+
 /** What was broken in plays with some faults. */
 async function broken(
   faults: readonly UsageFault[],
 ): Promise<readonly (readonly string[])[]> {
   const played = await playAll(faults);
   return played
-    .map((play) => [...reportedTwice(play), ...neverReported(play)])
+    .map((play) => [
+      ...reportedTwice(play),
+      ...neverReported(play),
+      ...sharedFences(play),
+    ])
     .filter((found) => found.length > 0);
 }
 
@@ -100,6 +116,30 @@
     TEST_MILLISECONDS,
   );
 
+  test(
+    "are equal while the store comes back from copies",
+    async () => {
+      expect(await broken(["copy", "ends", "news"])).toEqual([]);
+    },
+    TEST_MILLISECONDS,
+  );
+
+  test(
+    "are equal while it does so beside all else",
+    async () => {
+      const faults: readonly UsageFault[] = [
+        "copy",
+        "ends",
+        "store",
+        "cloud",
+        "news",
+        "clocks",
+      ];
+      expect(await broken(faults)).toEqual([]);
+    },
+    TEST_MILLISECONDS,
+  );
+
   test(
     "are equal while all of that happens at once",
     async () => {
