Keep fences and final usage apart from the store's copies of the lease

Cause: fences were counted from the lease object, and what is final was what it held; both were lost with it. takenLease relied on versions of the store that only rise. Change: fences begin above the first position of an era; a lease names the era in which it was written. Who takes one of a former era, or none in a later era than the first, waits for one lease time and counts all windows as final. A holder goes on from its own lease in the copy while it may act. A take that is answered in another era counts as none. Weighed: fences remembered in news between hosts; lost where all hosts end in the outage. What it costs: some windows without a report for each take-over after a drill.

--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -13,7 +13,7 @@
   repeat,
   type Repetition,
 } from "rampswitch-utils";
-import type { ObjectStore, StoredObject } from "rampswitch-store";
+import { eraOf, type ObjectStore, type StoredObject } from "rampswitch-store";
 import type { LeaseNews } from "../membership/peer_news.ts";
 import type { Fence } from "../model/cloud.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
@@ -194,6 +194,7 @@
     const decision = decideTake(this.#seen, this.#parts, {
       now: clock.now(),
       times,
+      era: store.era,
     });
     if (decision.kind === "take") await this.#take(decision.mayActAt);
   }
@@ -214,7 +215,10 @@
   async #take(mayActAt: number): Promise<void> {
     const { store, leaseKey, clock, cautiousClock, logger, metrics } =
       this.#parts;
-    const lease = takenLease(this.#seen, this.#parts, this.#lastRead);
+    const lease = takenLease(this.#seen, this.#parts, {
+      lastRead: this.#lastRead,
+      era: store.era,
+    });
     // An earlier write of the same lease may be the one that takes effect.
     const sentAt = this.#takeSentAt.get(lease.fence) ?? cautiousClock.now();
     this.#takeSentAt.set(lease.fence, sentAt);
@@ -225,7 +229,8 @@
     const version = put.isOk
       ? put.value.version
       : await this.#versionIfOwn(lease);
-    if (version === undefined) {
+    // A fence is good in its era alone.
+    if (version === undefined || eraOf(version) !== lease.era) {
       this.#notBefore = clock.now() + RETRY_MILLISECONDS;
       return;
     }
@@ -277,7 +282,8 @@
     held.lastRenewal += 1;
     const renewals = held.lastRenewal;
     const counts = this.#parts.duties.counts(final);
-    const lease = { ...held.lease, final, renewals, counts };
+    const { era } = store;
+    const lease = { ...held.lease, era, final, renewals, counts };
     const sentAt = cautiousClock.now();
     held.sentAt.set(renewals, sentAt);
     const put = await store.put(leaseKey, encodeLease(lease), {
@@ -298,7 +304,8 @@
    * this host counts from when that one was sent.
    */
   async #settle(held: Held): Promise<void> {
-    const read = await this.#parts.store.get(this.#parts.leaseKey);
+    const { store, leaseKey } = this.#parts;
+    const read = await store.get(leaseKey);
     if (read.isErr || read.value === undefined) return;
     const stored = decodeLease(read.value.value);
     const own =
@@ -306,7 +313,9 @@
       stored.fence === held.lease.fence;
     const sentAt = held.sentAt.get(stored?.renewals ?? -1);
     if (!own) this.#lose(stored);
-    else if (read.value.version !== held.version) {
+    else if (stored.era !== store.era) {
+      this.#goOnInEra(held, stored, read.value.version);
+    } else if (read.value.version !== held.version) {
       this.#renewed(held, {
         lease: stored,
         version: read.value.version,
@@ -315,6 +324,22 @@
     }
   }
 
+  /**
+   * Goes on from a copy of its own lease. While this host may act, nobody can have
+   * followed it; what it knows to be final is stored with the next renewal. Whoever
+   * follows it before that finds a lease of a former era.
+   */
+  #goOnInEra(held: Held, copy: DutyLease, version: number): void {
+    const { cautiousClock, times, metrics } = this.#parts;
+    const age = cautiousClock.now() - held.renewalSentAt;
+    if (age >= times.acting) {
+      this.#lose(copy);
+      return;
+    }
+    metrics.event("lease_goes_on_in_era");
+    held.version = version;
+  }
+
   #renewed(
     held: Held,
     renewal: { lease: DutyLease; version: number; sentAt: number },
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -9,7 +9,8 @@
  * @module
  */
 
-import { type FinalUsage, NO_FINAL_USAGE } from "./final_usage.ts";
+import { positionOf } from "rampswitch-store";
+import { type FinalUsage, unitedUsage } from "./final_usage.ts";
 import type { LifeCounts } from "./usage_counter.ts";
 
 /** Value of the lease object. */
@@ -18,6 +19,8 @@
   /** Life of the holder's process. */
   readonly incarnation: string;
   readonly fence: number;
+  /** Era of the store in which it was written. */
+  readonly era: number;
   /**
    * Counts renewals. A write that changes nothing raises no version in the
    * store, so without it a renewal could not be seen.
@@ -51,6 +54,17 @@
   readonly since: number;
 }
 
+/** The newest era of a store that has never come back from a copy. */
+const FIRST_ERA = 1;
+
+/**
+ * Whether leases may have followed the one that is seen, or none, which are lost: the
+ * store has come back from a copy since.
+ */
+export function mayBeFollowed({ lease }: SeenLease, era: number): boolean {
+  return lease === undefined ? era > FIRST_ERA : lease.era !== era;
+}
+
 /** What a host that is not the holder does about the lease. */
 export type TakeDecision =
   | { readonly kind: "take"; readonly mayActAt: number }
@@ -58,6 +72,23 @@
 
 /** Decides whether to take a lease that another process held. */
 export function decideTake(
+  seen: SeenLease,
+  self: { readonly host: string; readonly incarnation: string },
+  options: {
+    readonly now: number;
+    readonly times: LeaseTimes;
+    readonly era: number;
+  },
+): TakeDecision {
+  const { now, times, era } = options;
+  const decision = decideTakeInEra(seen, self, { now, times });
+  if (decision.kind === "wait" || !mayBeFollowed(seen, era)) return decision;
+  // Whoever holds a lease that is lost goes on for as long as it lasts.
+  const mayActAt = Math.max(decision.mayActAt, now + times.duration);
+  return { kind: "take", mayActAt };
+}
+
+function decideTakeInEra(
   seen: SeenLease,
   self: { readonly host: string; readonly incarnation: string },
   options: { readonly now: number; readonly times: LeaseTimes },
@@ -84,28 +115,39 @@
 
 /**
  * The lease that a host writes to become its holder, from the newest that it read.
- * Each new fence is written with a higher version of the store, so above the
- * version of an object that can't be read lies no fence of before.
+ * Each new fence is written at a later position in the store, so that no fence of
+ * before lies above the position of an object that can't be read, nor above the
+ * first one of an era.
  */
 export function takenLease(
-  { lease, version }: SeenLease,
+  seen: SeenLease,
   self: { readonly host: string; readonly incarnation: string },
-  lastRead: DutyLease | undefined,
+  known: {
+    readonly lastRead: DutyLease | undefined;
+    readonly era: number;
+  },
 ): DutyLease {
-  const seen = lease ?? lastRead;
+  const { lease, version } = seen;
+  const { lastRead, era } = known;
+  const before = lease ?? lastRead;
   const unreadable = lease === undefined ? (version ?? 0) : 0;
-  const isFirst = seen === undefined && version === undefined;
-  const final = seen?.final ?? NO_FINAL_USAGE;
+  const isFirst = before === undefined && version === undefined;
+  const isUnknown = lease === undefined && !isFirst;
+  const final = unitedUsage(before?.final, lastRead?.final);
+  const fences = [before?.fence, lastRead?.fence, unreadable];
   return {
     holder: self.host,
     incarnation: self.incarnation,
-    fence: Math.max(seen?.fence ?? 0, unreadable) + 1,
+    fence: Math.max(positionOf(era, 0), ...fences.map((one) => one ?? 0)) + 1,
+    era,
     renewals: 0,
     released: false,
-    counts: seen?.counts ?? {},
-    // What an object held that can't be read or is gone may have been reported.
+    counts: before?.counts ?? {},
+    // What was final in a lease that is lost may have been reported.
     final:
-      lease === undefined && !isFirst ? { ...final, incomplete: true } : final,
+      isUnknown || mayBeFollowed(seen, era)
+        ? { ...final, incomplete: true }
+        : final,
   };
 }
 
--- a/packages/rampswitch-serving/src/duties/final_usage.ts
+++ b/packages/rampswitch-serving/src/duties/final_usage.ts
@@ -38,6 +38,18 @@
  */
 const MOST_RANGES = 32;
 
+/** What is final by either of two leases. */
+export function unitedUsage(
+  one: FinalUsage = NO_FINAL_USAGE,
+  other: FinalUsage = NO_FINAL_USAGE,
+): FinalUsage {
+  return {
+    reports: { ...one.reports, ...other.reports },
+    windows: withWindows(one.windows, other.windows),
+    incomplete: one.incomplete || other.incomplete,
+  };
+}
+
 /** Whether a window is final. */
 export function isFinal({ windows }: FinalUsage, window: number): boolean {
   return windows.some(([first, last]) => window >= first && window <= last);
--- a/packages/rampswitch-serving/src/duties/lease_codec.ts
+++ b/packages/rampswitch-serving/src/duties/lease_codec.ts
@@ -18,6 +18,7 @@
   holder: z.string(),
   incarnation: z.string(),
   fence: z.number(),
+  era: z.number().optional(),
   renewals: z.number(),
   released: z.boolean(),
   counts: z.record(z.string(), z.record(z.string(), counts)),
@@ -26,6 +27,9 @@
   incomplete: z.boolean().optional(),
 });
 
+/** Era of a lease that names none, as a former program wrote it. */
+const NO_ERA = 0;
+
 /** The value of the lease object. */
 export function encodeLease({ final, ...lease }: DutyLease): string {
   const { reports, windows, incomplete } = final;
@@ -44,10 +48,10 @@
   if (parsed.isErr) return undefined;
   const checked = LEASE_SCHEMA.safeParse(parsed.value);
   if (!checked.success) return undefined;
-  const { reports, finalWindows, incomplete, ...lease } = checked.data;
+  const { reports, finalWindows, incomplete, era, ...lease } = checked.data;
   const final =
     finalWindows === undefined
       ? finalUsageOfReports(reports)
       : { reports, windows: finalWindows, incomplete: incomplete ?? false };
-  return { ...lease, final };
+  return { ...lease, era: era ?? NO_ERA, final };
 }
--- a/packages/rampswitch-serving/src/duties/lease_codec_test.ts
+++ b/packages/rampswitch-serving/src/duties/lease_codec_test.ts
@@ -7,6 +7,7 @@
 const LEASE: DutyLease = {
   holder: "a",
   incarnation: "1",
+  era: 3,
   fence: 7,
   renewals: 3,
   released: false,
