Register a host again where the store came back without its entry

Hosts that started later did not find it. Cause: a registry that was registered once wrote no more, since a list may be older than the entry. Change: in a new era of the store it looks and registers anew. The regression test fails without it.

--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -77,6 +77,7 @@
       () => this.#read(),
     );
     this.#repetition.hurry();
+    parts.store.onEra(() => this.#lookAgain());
   }
 
   /** Whether a list was read that this host stands in. */
@@ -88,6 +89,12 @@
     await this.#repetition[Symbol.asyncDispose]();
   }
 
+  /** The copy that the store came back from may lack this host's entry. */
+  #lookAgain(): void {
+    this.#registered = false;
+    this.#repetition.hurry();
+  }
+
   #wait(): number {
     return this.#registered
       ? Math.min(
--- a/packages/rampswitch-serving/src/membership/host_registry_test.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry_test.ts
@@ -28,7 +28,17 @@
 /** A store of hosts that keeps what was put. */
 class HostStore {
   readonly era = ONE_ERA.era;
-  readonly onEra = ONE_ERA.onEra;
+  #onEra: Parameters<ObjectStore["onEra"]>[0] = () => undefined;
+  readonly onEra: ObjectStore["onEra"] = (listener) => {
+    this.#onEra = listener;
+  };
+
+  /** Comes back from a copy that lacks an entry. */
+  comeBackWithout(name: string): void {
+    this.values.delete(name);
+    this.#onEra({ from: 1, to: 2 });
+  }
+
   readonly values = new Map<string, string>([
     ["good", JSON.stringify(GOOD)],
     ...Object.entries(BROKEN),
@@ -97,4 +107,29 @@
     expect(lists.at(-1)).toEqual(["good", "self"]);
     await registry[Symbol.asyncDispose]();
   });
+
+  // The store came back from a copy of before this host's start. It believed itself
+  // registered, and hosts that started later did not find it.
+  test("gets the own entry again where the store lost it", async () => {
+    const store = new HostStore();
+    const clock = new ManualClock(1_000);
+    const registry = new HostRegistry(
+      SELF,
+      {
+        store,
+        hostsPrefix: "hosts/",
+        clock,
+        random: seededRandom(1),
+        logger: SILENT_LOGGER,
+        metrics: new ServingMetrics(),
+      },
+      () => undefined,
+    );
+    await advance(clock);
+    store.comeBackWithout("self");
+    clock.advance(100);
+    await advance(clock);
+    expect(store.values.has("self")).toBe(true);
+    await registry[Symbol.asyncDispose]();
+  });
 });
