Store the quarantine again where the store came back without it

Hosts that started when all others were gone knew of no quarantine. Cause: what was written once counted as kept. Change: in a new era it is written again, as after a change. The regression test fails without it.

--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -84,6 +84,10 @@
       () => this.#work(),
     );
     this.#repetition.hurry();
+    // The copy that the store came back from may lack what was kept.
+    parts.store.onEra(() => {
+      if (parts.quarantine.stored().length > 0) this.changed();
+    });
   }
 
   /** Has the store keep what the quarantine now holds. */
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store_test.ts
@@ -39,12 +39,22 @@
 }
 
 /** A store of one object. */
-function storeOfOne(): ObjectStore & { readonly values: readonly string[] } {
+function storeOfOne(): ObjectStore & {
+  readonly values: readonly string[];
+  /** Comes back from a copy without the object. */
+  comeBack(): void;
+} {
+  const listeners: Parameters<ObjectStore["onEra"]>[0][] = [];
   const values: string[] = [];
   let object: StoredObject | undefined;
   const unused = () => Promise.reject(new Error("not used by the quarantine"));
   return {
     ...ONE_ERA,
+    onEra: (listener) => listeners.push(listener),
+    comeBack: () => {
+      object = undefined;
+      listeners.forEach((listener) => listener({ from: 1, to: 2 }));
+    },
     values,
     list: () =>
       Promise.resolve(
@@ -109,6 +119,21 @@
 }
 
 describe("what the store keeps of a request that crashes servers", () => {
+  // What the store had acknowledged went with the copy that it came back from, so
+  // that hosts which started later knew of no quarantine.
+  test("is stored again where the store came back without it", async () => {
+    const clock = new ManualClock(1_000);
+    const store = storeOfOne();
+    const quarantine = await startedHost(store, clock, 0);
+    crash(quarantine, requestOf("lost"));
+    await pass(clock);
+    const before = store.values.length;
+    store.comeBack();
+    await pass(clock);
+    expect(before).toBeGreaterThan(0);
+    expect(store.values.length).toBeGreaterThan(before);
+  });
+
   test.each([-2 * HOUR_MILLISECONDS, 2 * HOUR_MILLISECONDS])(
     "is known to a host that starts with a clock %d ms ahead",
     async (ahead) => {
