Doubt a lost lease also where the store names its eras from the first return on

A store that names no era before it first comes back begins at 1, as one does that never came back; a host that saw it come back now takes no missing lease for the first one.

--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -24,6 +24,7 @@
   type DutyLease,
   type LeaseTimes,
   type SeenLease,
+  type StoreHistory,
 } from "./duty_lease.ts";
 import {
   type FinalReports,
@@ -109,11 +110,15 @@
   /** Highest fence that a peer told to have given up. */
   #heardReleased = -1;
   #acting = false;
+  #cameBack = false;
 
   constructor(parts: DutyKeeperParts) {
     this.#parts = parts;
     this.#seen = { lease: undefined, version: undefined, since: -Infinity };
     this.#notBefore = parts.clock.now() + this.#spread();
+    parts.store.onEra(() => {
+      this.#cameBack = true;
+    });
     this.#repetition = repeat(
       parts.clock,
       () => TICK_MILLISECONDS,
@@ -121,6 +126,10 @@
     );
   }
 
+  get #history(): StoreHistory {
+    return { era: this.#parts.store.era, cameBack: this.#cameBack };
+  }
+
   /** The lease to tell the peers about, while this host holds it. */
   get news(): LeaseNews | undefined {
     const held = this.#held;
@@ -194,7 +203,7 @@
     const decision = decideTake(this.#seen, this.#parts, {
       now: clock.now(),
       times,
-      era: store.era,
+      history: this.#history,
     });
     if (decision.kind === "take") await this.#take(decision.mayActAt);
   }
@@ -217,7 +226,7 @@
       this.#parts;
     const lease = takenLease(this.#seen, this.#parts, {
       lastRead: this.#lastRead,
-      era: store.era,
+      history: this.#history,
     });
     // An earlier write of the same lease may be the one that takes effect.
     const sentAt = this.#takeSentAt.get(lease.fence) ?? cautiousClock.now();
--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -54,6 +54,13 @@
   readonly since: number;
 }
 
+/** What a host knows of the store's history. */
+export interface StoreHistory {
+  readonly era: number;
+  /** Whether it came back from a copy since this host started. */
+  readonly cameBack: boolean;
+}
+
 /** The newest era of a store that has never come back from a copy. */
 const FIRST_ERA = 1;
 
@@ -61,8 +68,11 @@
  * Whether leases may have followed the one that is seen, or none, which are lost: the
  * store has come back from a copy since.
  */
-export function mayBeFollowed({ lease }: SeenLease, era: number): boolean {
-  return lease === undefined ? era > FIRST_ERA : lease.era !== era;
+export function mayBeFollowed(
+  { lease }: SeenLease,
+  { era, cameBack }: StoreHistory,
+): boolean {
+  return lease === undefined ? cameBack || era > FIRST_ERA : lease.era !== era;
 }
 
 /** What a host that is not the holder does about the lease. */
@@ -77,12 +87,13 @@
   options: {
     readonly now: number;
     readonly times: LeaseTimes;
-    readonly era: number;
+    readonly history: StoreHistory;
   },
 ): TakeDecision {
-  const { now, times, era } = options;
+  const { now, times, history } = options;
   const decision = decideTakeInEra(seen, self, { now, times });
-  if (decision.kind === "wait" || !mayBeFollowed(seen, era)) return decision;
+  if (decision.kind === "wait" || !mayBeFollowed(seen, history))
+    return decision;
   // Whoever holds a lease that is lost goes on for as long as it lasts.
   const mayActAt = Math.max(decision.mayActAt, now + times.duration);
   return { kind: "take", mayActAt };
@@ -124,11 +135,12 @@
   self: { readonly host: string; readonly incarnation: string },
   known: {
     readonly lastRead: DutyLease | undefined;
-    readonly era: number;
+    readonly history: StoreHistory;
   },
 ): DutyLease {
   const { lease, version } = seen;
-  const { lastRead, era } = known;
+  const { lastRead, history } = known;
+  const { era } = history;
   const before = lease ?? lastRead;
   const unreadable = lease === undefined ? (version ?? 0) : 0;
   const isFirst = before === undefined && version === undefined;
@@ -145,7 +157,7 @@
     counts: before?.counts ?? {},
     // What was final in a lease that is lost may have been reported.
     final:
-      isUnknown || mayBeFollowed(seen, era)
+      isUnknown || mayBeFollowed(seen, history)
         ? { ...final, incomplete: true }
         : final,
   };
