--- a/packages/rampswitch-standins/src/asked_rests.ts
+++ b/packages/rampswitch-standins/src/asked_rests.ts
@@ -9,6 +9,8 @@
 
 /** One rest that was asked for, in milliseconds of the process. */
 export interface AskedRest {
+  /** The request that was turned away with it. */
+  readonly attempt: string;
   readonly from: number;
   readonly until: number;
 }
@@ -22,16 +24,21 @@
 /** What a rest looks like that means something, in seconds. */
 const DECIMAL = /^\d+(\.\d+)?$/;
 
+interface Arrival {
+  readonly at: number;
+  readonly attempt: string;
+}
+
 /** The rests of one server, and the arrivals there. */
 export class AskedRests {
   /** What rejections ask for, in seconds; it may be no number at all. */
   asks: string | undefined;
-  readonly #arrivals: number[] = [];
+  readonly #arrivals: Arrival[] = [];
   #rests: readonly AskedRest[] = [];
 
   /** Times of all that arrived. */
   get arrivals(): readonly number[] {
-    return this.#arrivals;
+    return this.#arrivals.map(({ at }) => at);
   }
 
   /** Rests that were asked for so far. */
@@ -39,16 +46,16 @@
     return this.#rests;
   }
 
-  /** Notes an arrival. */
-  arrived(now = performance.now()): void {
-    this.#arrivals.push(now);
+  /** Notes the arrival of a request. */
+  arrived(attempt: string, now = performance.now()): void {
+    this.#arrivals.push({ at: now, attempt });
   }
 
   /** Notes a rejection, which asks for a rest. */
-  turnedAway(now = performance.now()): void {
+  turnedAway(attempt: string, now = performance.now()): void {
     if (this.asks === undefined || !DECIMAL.test(this.asks)) return;
     const until = now + 1_000 * Number(this.asks);
-    this.#rests = [...this.#rests, { from: now, until }];
+    this.#rests = [...this.#rests, { attempt, from: now, until }];
   }
 
   /** Most requests that arrived within one rest, but for those under way. */
@@ -59,6 +66,23 @@
     return Math.max(0, ...within);
   }
 
+  /**
+   * Requests that arrived within a rest from the host that was asked for it, but for
+   * those under way; `hostOf` tells which host was asked a request.
+   */
+  withinOf(
+    { attempt, from, until }: AskedRest,
+    hostOf: (attempt: string) => string | undefined,
+  ): number {
+    const host = hostOf(attempt);
+    return this.#arrivals.filter(
+      (arrival) =>
+        arrival.at >= from + UNDER_WAY_MILLISECONDS &&
+        arrival.at < until &&
+        hostOf(arrival.attempt) === host,
+    ).length;
+  }
+
   /** Most requests that arrived so soon after the end of a rest. */
   mostAfter(milliseconds: number): number {
     const ends = this.#rests
@@ -72,6 +96,6 @@
   }
 
   #between(from: number, until: number): number {
-    return this.#arrivals.filter((at) => at >= from && at < until).length;
+    return this.arrivals.filter((at) => at >= from && at < until).length;
   }
 }
