--- a/packages/rampswitch-serving/src/membership/host_registry_test.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry_test.ts
@@ -5,6 +5,7 @@
 import { type ObjectStore, type StoredObject, ONE_ERA } from "rampswitch-store";
 import { ManualClock, seededRandom, SILENT_LOGGER } from "rampswitch-utils";
 import { ServingMetrics } from "../observation/mod.ts";
+import type { ListedHost } from "./fleet_hosts.ts";
 import { HostRegistry } from "./host_registry.ts";
 
 const SELF = {
@@ -78,6 +79,22 @@
   }
 }
 
+function registryOf(
+  store: HostStore,
+  clock: ManualClock,
+  onListed: (hosts: readonly ListedHost[]) => void,
+): HostRegistry {
+  const parts = {
+    store,
+    hostsPrefix: "hosts/",
+    clock,
+    random: seededRandom(1),
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+  };
+  return new HostRegistry(SELF, parts, onListed);
+}
+
 describe("the list of hosts", () => {
   // Datagrams went to whatever stood in an entry. A port that is none threw when
   // the next one was sent, and ended each host that had read the entry. An own
@@ -87,17 +104,8 @@
     const store = new HostStore();
     const clock = new ManualClock(1_000);
     const lists: (readonly string[])[] = [];
-    const registry = new HostRegistry(
-      SELF,
-      {
-        store,
-        hostsPrefix: "hosts/",
-        clock,
-        random: seededRandom(1),
-        logger: SILENT_LOGGER,
-        metrics: new ServingMetrics(),
-      },
-      (hosts) => lists.push(hosts.map(({ name }) => name).toSorted()),
+    const registry = registryOf(store, clock, (hosts) =>
+      lists.push(hosts.map(({ name }) => name).toSorted()),
     );
     await advance(clock);
     expect(lists.at(-1)).toEqual(["good", "self"]);
@@ -113,18 +121,7 @@
   test("gets the own entry again where the store lost it", async () => {
     const store = new HostStore();
     const clock = new ManualClock(1_000);
-    const registry = new HostRegistry(
-      SELF,
-      {
-        store,
-        hostsPrefix: "hosts/",
-        clock,
-        random: seededRandom(1),
-        logger: SILENT_LOGGER,
-        metrics: new ServingMetrics(),
-      },
-      () => undefined,
-    );
+    const registry = registryOf(store, clock, () => undefined);
     await advance(clock);
     store.comeBackWithout("self");
     clock.advance(100);
