--- a/packages/rampswitch-serving/src/duties/duty_lease.ts
+++ b/packages/rampswitch-serving/src/duties/duty_lease.ts
@@ -145,8 +145,8 @@
   const unreadable = lease === undefined ? (version ?? 0) : 0;
   const isFirst = before === undefined && version === undefined;
   const isUnknown = lease === undefined && !isFirst;
-  const final = unitedUsage(before?.final, lastRead?.final);
-  const fences = [before?.fence, lastRead?.fence, unreadable];
+  const final = unitedUsage(lease?.final, lastRead?.final);
+  const fences = [lease?.fence, lastRead?.fence, unreadable];
   return {
     holder: self.host,
     incarnation: self.incarnation,
--- a/packages/rampswitch-serving/src/host_news.ts
+++ b/packages/rampswitch-serving/src/host_news.ts
@@ -7,7 +7,11 @@
  */
 import type { Clock } from "rampswitch-utils";
 import type { AdmittedTotals, WorkspaceLimits } from "./admission/mod.ts";
-import type { PrefixKnowledge, ServerDirectory } from "./choice/mod.ts";
+import type {
+  LeavingNews,
+  PrefixKnowledge,
+  ServerDirectory,
+} from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
 import {
@@ -21,7 +25,7 @@
 } from "./membership/mod.ts";
 import type { Quarantine, QuarantineNews } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
-import type { ServerTurns, TurnNews } from "./server_limits/mod.ts";
+import type { LimitNews, ServerTurns, TurnNews } from "./server_limits/mod.ts";
 import type { LeavingStatements } from "./statements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
@@ -59,8 +63,10 @@
   /** What this host had admitted at each of its newest messages. */
   readonly #told = new Map<number, AdmittedTotals>();
   readonly #leases = new Map<string, HeardLease>();
-  /** Of this round; a relay tells it to each of its members. */
+  /** Of this round; a relay tells these to each of its members. */
   #quarantineNews: readonly QuarantineNews[] = [];
+  #leavingNews: readonly LeavingNews[] = [];
+  #limitNews: readonly LimitNews[] = [];
 
   constructor(parts: HostNewsParts) {
     this.#parts = parts;
@@ -89,6 +95,8 @@
     this.#parts.follower.checkRelays();
     this.#noteTold(message.sequence, limits.totals());
     this.#quarantineNews = this.#parts.quarantine.news();
+    this.#leavingNews = this.#parts.leavingStatements.news({ ownOnly: false });
+    this.#limitNews = this.#parts.turns.limits(this.#parts.clock.now());
     this.#parts.duties.usage.forgetOld(this.#parts.wallTime());
     // Every host keeps a history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
@@ -150,8 +158,8 @@
       servers: follower.recentServers(),
       quarantine: this.#quarantineNews,
       rollouts: this.#parts.rollouts.word(now),
-      limits: this.#parts.turns.limits(now),
-      leaving: this.#parts.leavingStatements.news({ ownOnly: false }),
+      limits: this.#limitNews,
+      leaving: this.#leavingNews,
     };
   }
 
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -82,8 +82,11 @@
   { first, otherwise = [] }: VersionChoice,
   now: number,
 ): boolean {
-  const ready = [...first, ...otherwise].filter((record) => record.isReady);
-  return ready.length > 0 && ready.every(({ rest }) => rest.holds(now));
+  const isAwake = ({ isReady, rest }: ServerRecord) =>
+    isReady && !rest.holds(now);
+  // Nearly always the first server tells.
+  if (first.some(isAwake) || otherwise.some(isAwake)) return false;
+  return [...first, ...otherwise].some(({ isReady }) => isReady);
 }
 
 function withoutLimited(
