--- a/packages/rampswitch-standins/src/asked_rests.ts
+++ b/packages/rampswitch-standins/src/asked_rests.ts
@@ -19,7 +19,7 @@
  * Time from the asking on in which requests that were under way still arrive, in
  * milliseconds.
  */
-export const UNDER_WAY_MILLISECONDS = 500;
+const UNDER_WAY_MILLISECONDS = 500;
 
 /** What a rest looks like that means something, in seconds. */
 const DECIMAL = /^\d+(\.\d+)?$/;
