--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -52,8 +52,7 @@
 /**
  * Requests of its own size that a request has to leave in the limit for more
  * urgent ones, at most. Requests of a few hundred tokens beside prompts of ten
- * thousand take next to nothing from them: without this bound, 82 of 1,268
- * bookings of a calm day were refused for 16,000 tokens in all.
+ * thousand take next to nothing from them, and need not be refused for it.
  */
 const LEFT_OF_OWN_SIZE = 50;
 
