Choose a server in fewer passes, with scores and totals that are retained

Cause: each request filtered and mapped all servers of its service up to eight times, hashed all their ids for its home server and added up the peers' work at each look. A planned copy could have a negative number of tokens where the chosen engine has more cached than the source. Change: one pass selects the servers; scores of a prompt part, readable servers of a service and the peers' work are retained until they change. No copy is planned without tokens to copy.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -7,9 +7,9 @@
  *
  * @module
  */
-import { hash32 } from "rampswitch-utils";
 import type { EngineLimits } from "../model/configuration.ts";
 import type { PromptPart } from "../model/request.ts";
+import { homeServer } from "./home_server.ts";
 import { planCopy, type CopySource, findCopySource } from "./prefix_copy.ts";
 import type { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
 import type { ServerRecord } from "./server_record.ts";
@@ -113,26 +113,20 @@
   prefixes: PrefixCacheEstimate,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const untried = records.filter(
-    (record) => !inputs.excluded.has(record.incarnation),
-  );
-  const ready = untried.filter((record) => record.isReady);
   const copySource = findCopySource(records, prefixes, inputs);
-  const outcome = chooseAmong(ready, prefixes, {
-    ...inputs,
-    copySource,
-  });
+  const withSource = { ...inputs, copySource };
+  const ready = selectServers(records, inputs, isReady);
+  const outcome = chooseAmong(ready, prefixes, withSource);
   if (outcome.kind === "chosen") return outcome;
-  const leaving = untried.filter((record) =>
-    acceptsLastRequest(record, inputs),
-  );
-  const fallback = chooseAmong(leaving, prefixes, {
-    ...inputs,
-    copySource,
-  });
+  const leaving = selectServers(records, inputs, acceptsLastRequest);
+  const fallback = chooseAmong(leaving, prefixes, withSource);
   return fallback.kind === "chosen" ? fallback : outcome;
 }
 
+function isReady(record: ServerRecord): boolean {
+  return record.isReady;
+}
+
 /**
  * Whether a leaving server accepts one more request: its end was announced so recently
  * that the run can complete or migrate in time. If all data halls are reclaimed within
@@ -150,21 +144,51 @@
   );
 }
 
+/** Servers that may get a request, and why there may be none. */
+interface SelectedServers {
+  /** Servers with capacity. */
+  readonly withCapacity: readonly ServerRecord[];
+  /** The outcome if no server has capacity. */
+  readonly otherwise: Exclude<ChoiceOutcome["kind"], "chosen">;
+}
+
+/** Selects servers in one pass, since a service may have thousands of them. */
+function selectServers(
+  records: readonly ServerRecord[],
+  inputs: ChoiceInputs,
+  isCandidate: (record: ServerRecord, inputs: ChoiceInputs) => boolean,
+): SelectedServers {
+  const { now, excluded } = inputs;
+  const healthy: ServerRecord[] = [];
+  const ejected: ServerRecord[] = [];
+  let hasHealthy = false;
+  let hasAvailable = false;
+  let hasCandidate = false;
+  for (const record of records) {
+    if (!isCandidate(record, inputs)) continue;
+    if (excluded.size > 0 && excluded.has(record.incarnation)) continue;
+    hasCandidate = true;
+    if (record.backOff.isActive(now)) continue;
+    hasAvailable = true;
+    const isEjected = record.isEjected(now);
+    hasHealthy ||= !isEjected;
+    if (hasCapacity(record, inputs)) {
+      (isEjected ? ejected : healthy).push(record);
+    }
+  }
+  return {
+    // If all servers failed recently, trying one is better than a refusal.
+    withCapacity: hasHealthy ? healthy : ejected,
+    otherwise: hasAvailable ? "full" : hasCandidate ? "resting" : "none",
+  };
+}
+
 function chooseAmong(
-  ready: readonly ServerRecord[],
+  { withCapacity, otherwise }: SelectedServers,
   prefixes: PrefixCacheEstimate,
   inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
 ): ChoiceOutcome {
-  if (ready.length === 0) return { kind: "none" };
-  const available = ready.filter(
-    ({ backOff }) => !backOff.isActive(inputs.now),
-  );
-  if (available.length === 0) return { kind: "resting" };
-  const healthy = available.filter((record) => !record.isEjected(inputs.now));
-  // If all servers failed recently, trying one is better than a refusal.
-  const usable = healthy.length > 0 ? healthy : available;
-  const withCapacity = usable.filter((record) => hasCapacity(record, inputs));
-  if (withCapacity.length === 0) return { kind: "full" };
+  if (withCapacity.length === 0) return { kind: otherwise };
   const withPreferred = {
     ...inputs,
     preferred: preferredServers(withCapacity, prefixes, inputs),
@@ -204,14 +228,13 @@
 ): readonly ServerRecord[] {
   if (inputs.receivesDispatches || withCapacity.length <= SAMPLED_SERVERS)
     return withCapacity;
+  const sampled = sampleServers(withCapacity, SAMPLED_SERVERS, inputs);
   const preferred = withCapacity.filter(({ entry }) =>
     inputs.preferred.has(entry.id),
   );
   return [
-    ...new Set([
-      ...preferred,
-      ...sampleServers(withCapacity, SAMPLED_SERVERS, inputs),
-    ]),
+    ...preferred,
+    ...sampled.filter((record) => !preferred.includes(record)),
   ];
 }
 
@@ -221,14 +244,19 @@
   count: number,
   inputs: ChoiceInputs,
 ): readonly ServerRecord[] {
-  return Array.from({ length: count }).reduce<readonly ServerRecord[]>(
-    (sampled) => {
-      const remaining = pool.filter((record) => !sampled.includes(record));
-      const next = remaining[Math.floor(inputs.draw() * remaining.length)];
-      return next === undefined ? sampled : [...sampled, next];
-    },
-    [],
-  );
+  const sampled: number[] = [];
+  while (sampled.length < Math.min(count, pool.length)) {
+    const index = Math.floor(inputs.draw() * (pool.length - sampled.length));
+    sampled.push(indexAmongOthers(index, sampled));
+  }
+  return sampled.flatMap((index) => pool[index] ?? []);
+}
+
+/** Returns the position in the pool of the nth server that is not sampled yet. */
+function indexAmongOthers(nth: number, sampled: readonly number[]): number {
+  return sampled
+    .toSorted((left, right) => left - right)
+    .reduce((index, taken) => (taken <= index ? index + 1 : index), nth);
 }
 
 /** Whether the server can take one more request of this host, queued or running. */
@@ -267,11 +295,7 @@
   const work =
     inputs.engine === undefined
       ? plainMilliseconds(load, record.entry.slots)
-      : engineMilliseconds(record, {
-          ...inputs,
-          load,
-          cachedTokens,
-        });
+      : engineMilliseconds(record, { load, cachedTokens }, inputs);
   const preference = isPreferred ? PREFERENCE_MILLISECONDS : 0;
   return {
     record,
@@ -294,17 +318,15 @@
 /** Predicted time on an engine to the first part of the answer, in milliseconds. */
 function engineMilliseconds(
   record: ServerRecord,
-  inputs: ChoiceInputs & {
-    readonly load: number;
-    readonly cachedTokens: number;
-  },
+  known: { readonly load: number; readonly cachedTokens: number },
+  inputs: ChoiceInputs,
 ): number {
   const queuedTokens = record.pendingPrefillTokens(inputs.now);
-  const ownTokens = Math.max(0, inputs.promptTokens - inputs.cachedTokens);
-  const waiting = Math.max(0, inputs.load + 1 - record.entry.slots);
+  const ownTokens = Math.max(0, inputs.promptTokens - known.cachedTokens);
+  const waiting = Math.max(0, known.load + 1 - record.entry.slots);
   return (
     (queuedTokens + ownTokens) / inputs.readingRate +
-    inputs.load * RUNNING_REQUEST_MILLISECONDS +
+    known.load * RUNNING_REQUEST_MILLISECONDS +
     waiting * ENGINE_QUEUED_REQUEST_MILLISECONDS
   );
 }
@@ -327,9 +349,9 @@
   const cachingServers = inputs.receivesDispatches
     ? serversWithMostCached(records, prefixes, inputs.parts.slice(0, -1))
     : [];
-  // Computed only if needed: finding the home server hashes the id of each server.
+  // Computed only if needed: finding the home server looks at each server.
   if (cachingServers.length > 0) return new Set(cachingServers);
-  const home = homeServer(records, inputs.parts);
+  const home = homeServer(records, inputs.parts.at(-2)?.id);
   return new Set(home === undefined ? [] : [home]);
 }
 
@@ -338,33 +360,16 @@
   prefixes: PrefixCacheEstimate,
   shared: readonly PromptPart[],
 ): readonly string[] {
-  const cached = records.map(({ entry: { id } }) => ({
-    id,
-    tokens: prefixes.cachedTokens(id, shared),
-  }));
-  const maximum = Math.max(0, ...cached.map(({ tokens }) => tokens));
-  return maximum === 0
-    ? []
-    : cached.filter(({ tokens }) => tokens === maximum).map(({ id }) => id);
-}
-
-/**
- * Returns the id of the server that all hosts prefer for a prompt that no server is
- * known to have cached. Rendezvous hashing on the longest part that requests share
- * lets hosts agree without messages.
- */
-function homeServer(
-  records: readonly ServerRecord[],
-  parts: readonly PromptPart[],
-): string | undefined {
-  const shared = parts.at(-2)?.id;
-  if (shared === undefined) return undefined;
-  return records
-    .map(({ entry }) => ({
-      id: entry.id,
-      score: hash32(`${shared}|${entry.id}`),
-    }))
-    .reduce((best, next) => (next.score > best.score ? next : best)).id;
+  let maximum = 0;
+  let ids: string[] = [];
+  for (const { entry } of records) {
+    const tokens = prefixes.cachedTokens(entry.id, shared);
+    if (tokens > maximum) {
+      maximum = tokens;
+      ids = [entry.id];
+    } else if (tokens > 0 && tokens === maximum) ids.push(entry.id);
+  }
+  return ids;
 }
 
 /** Counts the tokens of the parts that other prompts may share: all but the last. */
--- a/packages/rampswitch-serving/src/choice/prefix_cache_estimate.ts
+++ b/packages/rampswitch-serving/src/choice/prefix_cache_estimate.ts
@@ -50,9 +50,12 @@
   cachedTokens(serverId: string, parts: readonly PromptPart[]): number {
     const cache = this.#servers.get(serverId);
     if (cache === undefined) return 0;
-    const missing = parts.findIndex((part) => !cache.parts.has(part.id));
-    const cached = missing < 0 ? parts : parts.slice(0, missing);
-    return cached.reduce((sum, part) => sum + part.tokens, 0);
+    let tokens = 0;
+    for (const part of parts) {
+      if (!cache.parts.has(part.id)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
   }
 
   /** Forgets the parts of a server whose cache is empty, such as one that restarted. */
--- a/packages/rampswitch-serving/src/choice/prefix_copy.ts
+++ b/packages/rampswitch-serving/src/choice/prefix_copy.ts
@@ -45,16 +45,17 @@
   { engine, now, parts }: CopyInputs,
 ): CopySource | undefined {
   if (engine?.copyTokensPerMillisecond === undefined) return undefined;
-  return records
-    .filter((record) => !record.isEjected(now) && record.isReachable(now))
-    .map((record) => ({
-      record,
-      tokens: prefixes.cachedTokens(record.entry.id, parts.slice(0, -1)),
-    }))
-    .reduce<CopySource | undefined>(
-      (best, next) => (next.tokens > (best?.tokens ?? 0) ? next : best),
-      undefined,
-    );
+  const shared = parts.slice(0, -1);
+  let best: ServerRecord | undefined;
+  let most = 0;
+  for (const record of records) {
+    const tokens = prefixes.cachedTokens(record.entry.id, shared);
+    if (tokens <= most) continue;
+    if (record.isEjected(now) || !record.isReachable(now)) continue;
+    best = record;
+    most = tokens;
+  }
+  return best === undefined ? undefined : { record: best, tokens: most };
 }
 
 /** The source, size and duration of a copy. */
@@ -82,6 +83,7 @@
     return NO_COPY;
   }
   const tokens = copySource.tokens - cachedTokens;
+  if (tokens <= 0) return NO_COPY;
   const isOtherDataHall =
     copySource.record.entry.dataHall !== record.entry.dataHall;
   const milliseconds =
--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -52,6 +52,8 @@
   readonly #records = new Map<string, ServerRecord>();
   readonly #gone = new Map<string, GoneServer>();
   readonly #byService = new Map<string, ReadonlySet<ServerRecord>>();
+  /** Servers whose entries can be read, by service; dropped when any entry changes. */
+  readonly #readable = new Map<string, readonly ServerRecord[]>();
   readonly #leavingIncarnations = new LeavingIncarnations();
   readonly #listeners: ((record: ServerRecord) => void)[] = [];
 
@@ -89,7 +91,9 @@
    */
   unreadable(id: string): void {
     const record = this.#records.get(id);
-    if (record !== undefined) record.isReadable = false;
+    if (record === undefined) return;
+    record.isReadable = false;
+    this.#readable.clear();
   }
 
   /** Removes a server whose entry was removed; its incarnation may still run. */
@@ -156,7 +160,13 @@
 
   /** Returns the servers of a service whose entries can be read. */
   of(service: string): readonly ServerRecord[] {
-    return this.#listed(service).filter(({ isReadable }) => isReadable);
+    const known = this.#readable.get(service);
+    if (known !== undefined) return known;
+    const readable = this.#listed(service).filter(
+      ({ isReadable }) => isReadable,
+    );
+    this.#readable.set(service, readable);
+    return readable;
   }
 
   /**
@@ -275,6 +285,7 @@
     record.isReadable = true;
     this.#records.set(id, record);
     this.#byService.set(service, new Set([...this.#listed(service), record]));
+    this.#readable.clear();
     if (state === "ready") record.leavingSince = undefined;
     else if (!wasLeaving) this.#notifyLeaving(record, advertisedSince ?? now);
   }
@@ -286,6 +297,7 @@
       service,
       new Set(this.#listed(service).filter((other) => other !== record)),
     );
+    this.#readable.clear();
   }
 
   #forgetExpired(now: number): void {
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -84,6 +84,8 @@
   #running = 0;
   #pendingPrefillTokens = 0;
   readonly #peers = new Map<string, PeerWork>();
+  /** Work of all peers, until one reports again or its work expires. */
+  #peerTotals = NO_PEER_WORK;
   #report: (ReportedLoad & { readonly at: number }) | undefined;
   #failuresInRow = 0;
   #ejections = 0;
@@ -182,8 +184,10 @@
     work: WorkAtServer | undefined,
     now: number,
   ): void {
-    if (work === undefined) this.#peers.delete(peer);
-    else this.#peers.set(peer, { ...work, receivedAt: now });
+    if (work !== undefined) {
+      this.#peers.set(peer, { ...work, receivedAt: now });
+    } else if (!this.#peers.delete(peer)) return;
+    this.#peerTotals = EXPIRED_WORK;
   }
 
   /** Returns the work of all hosts but one. */
@@ -217,9 +221,8 @@
 
   /** Returns the prompt tokens whose prefill is pending there, from all hosts. */
   pendingPrefillTokens(now: number): number {
-    return this.#peerWork(now).reduce(
-      (sum, work) => sum + work.pendingPrefillTokens,
-      this.#pendingPrefillTokens,
+    return (
+      this.#pendingPrefillTokens + this.#peerWork(now).pendingPrefillTokens
     );
   }
 
@@ -274,17 +277,46 @@
   }
 
   #reportedRunning(now: number): number {
-    return this.#peerWork(now).reduce(
-      (sum, work) => sum + work.running,
-      this.#running,
-    );
+    return this.#running + this.#peerWork(now).running;
   }
 
-  #peerWork(now: number): readonly PeerWork[] {
-    return [...this.#peers.values()].filter((work) => isFresh(work, now));
+  /** Work of all peers that reported recently. */
+  #peerWork(now: number): WorkAtServer {
+    const totals = this.#peerTotals;
+    if (now >= totals.from && now < totals.until) return totals;
+    let running = 0;
+    let pendingPrefillTokens = 0;
+    let until = Infinity;
+    for (const work of this.#peers.values()) {
+      if (!isFresh(work, now)) continue;
+      running += work.running;
+      pendingPrefillTokens += work.pendingPrefillTokens;
+      until = Math.min(
+        until,
+        work.receivedAt + PEER_WORK_LIFETIME_MILLISECONDS,
+      );
+    }
+    this.#peerTotals = { running, pendingPrefillTokens, from: now, until };
+    return this.#peerTotals;
   }
 }
 
+/** Work of all peers, and the times between which none of it expires. */
+interface PeerTotals extends WorkAtServer {
+  readonly from: number;
+  readonly until: number;
+}
+
+const NO_PEER_WORK: PeerTotals = {
+  running: 0,
+  pendingPrefillTokens: 0,
+  from: -Infinity,
+  until: Infinity,
+};
+
+/** Totals that must be added up again. */
+const EXPIRED_WORK: PeerTotals = { ...NO_PEER_WORK, until: -Infinity };
+
 const NO_WORK: WorkAtServer = { running: 0, pendingPrefillTokens: 0 };
 
 function isFresh(work: PeerWork, now: number): boolean {
--- a/packages/rampswitch-serving/src/choice/slot_admission.ts
+++ b/packages/rampswitch-serving/src/choice/slot_admission.ts
@@ -50,20 +50,14 @@
  * false report can't make hosts refuse requests.
  */
 export function slotTotals(servers: readonly ServerSlots[]): SlotTotals {
-  return servers.reduce<SlotTotals>(
-    (sum, { slots, load }) => {
-      const boundedLoad = Math.min(
-        Math.max(load, 0),
-        MAXIMUM_LOAD_RATIO * slots,
-      );
-      return {
-        slots: sum.slots + slots,
-        load: sum.load + boundedLoad,
-        running: sum.running + Math.min(slots, boundedLoad),
-      };
-    },
-    { slots: 0, load: 0, running: 0 },
-  );
+  const sum = { slots: 0, load: 0, running: 0 };
+  for (const { slots, load } of servers) {
+    const boundedLoad = Math.min(Math.max(load, 0), MAXIMUM_LOAD_RATIO * slots);
+    sum.slots += slots;
+    sum.load += boundedLoad;
+    sum.running += Math.min(slots, boundedLoad);
+  }
+  return sum;
 }
 
 /** Caches totals by service, so that not every request adds up all servers. */
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -11,6 +11,7 @@
   type ChoiceOutcome,
   chooseServer,
   type ServerRecord,
+  type ServerSlots,
   admittedShare,
 } from "../choice/mod.ts";
 import type { VersionChoice } from "../rollout/mod.ts";
@@ -140,12 +141,9 @@
   const now = context.clock.now();
   const leavingMilliseconds = leavingWindowMilliseconds(request, context);
   const totals = context.slotTotals.of(service.name, now, () =>
-    [...first, ...otherwise]
-      .filter((record) => acceptsRequests(record, now, leavingMilliseconds))
-      .map((record) => ({
-        slots: record.entry.slots,
-        load: record.load(now),
-      })),
+    [first, otherwise].flatMap((records) =>
+      slotsOf(records, now, leavingMilliseconds),
+    ),
   );
   const share = admittedShare(totals, {
     arrivalsPerMillisecond:
@@ -158,6 +156,19 @@
   return share >= 1 || context.random.next() < share;
 }
 
+function slotsOf(
+  records: readonly ServerRecord[],
+  now: number,
+  leavingMilliseconds: number,
+): readonly ServerSlots[] {
+  const slots: ServerSlots[] = [];
+  for (const record of records) {
+    if (!acceptsRequests(record, now, leavingMilliseconds)) continue;
+    slots.push({ slots: record.entry.slots, load: record.load(now) });
+  }
+  return slots;
+}
+
 /** Whether a server takes requests now: it is ready, or announced its end recently. */
 function acceptsRequests(
   record: ServerRecord,
