--- a/packages/rampswitch-serving/src/observation/winston_logger.ts
+++ b/packages/rampswitch-serving/src/observation/winston_logger.ts
@@ -5,8 +5,8 @@
  *
  * @module
  */
-import { Writable } from "node:stream";
 import winston from "winston";
+import Transport from "winston-transport";
 import type { LogFields, Logger, LogLevel } from "rampswitch-utils";
 
 /** An entry as winston writes it to the stream. */
@@ -21,16 +21,21 @@
     level: "info",
     // The log formats the lines, because it numbers them as it writes them.
     format: winston.format((entry) => entry)(),
-    transports: [new winston.transports.Stream({ stream: entryStream(log) })],
+    transports: [new LogTransport(log)],
   });
 }
 
-function entryStream(log: Logger): Writable {
-  return new Writable({
-    objectMode: true,
-    write: ({ level, message, ...fields }: Entry, _encoding, done) => {
-      log[level](message, fields);
-      done();
-    },
-  });
+/** Writes entries to the log without a stream of its own in between. */
+class LogTransport extends Transport {
+  readonly #log: Logger;
+
+  constructor(log: Logger) {
+    super();
+    this.#log = log;
+  }
+
+  override log({ level, message, ...fields }: Entry, next: () => void): void {
+    this.#log[level](message, fields);
+    next();
+  }
 }
