Count requests and frame events with fewer copies

Cause: each request copied the counts of all windows and the arrivals of four seconds; each piece of a stream was searched as bytes, decoded and split into arrays. Change: counts and arrivals change in place and are copied where they are read; events are scanned in the decoded text. 8,000 random streams give the same frames as before (trial).

--- a/packages/rampswitch-serving/src/duties/usage_counter.ts
+++ b/packages/rampswitch-serving/src/duties/usage_counter.ts
@@ -23,7 +23,8 @@
 /** Usage as one host knows it. */
 export class UsageCounter {
   readonly #windowMilliseconds: number;
-  #own: WindowCounts = {};
+  /** By window and workspace; changed in place, since each request counts. */
+  readonly #own = new Map<number, Map<string, number>>();
   /** By host and incarnation. */
   readonly #peers = new Map<string, WindowCounts>();
 
@@ -46,19 +47,31 @@
   /** Counts a request that began to run. */
   countRequest(workspace: string, wallTime: number): void {
     const window = this.windowOf(wallTime);
-    const counts = this.#own[window] ?? {};
-    this.#own = newestWindows(
-      {
-        ...this.#own,
-        [window]: { ...counts, [workspace]: (counts[workspace] ?? 0) + 1 },
-      },
-      window,
+    const counts = this.#own.get(window) ?? this.#addWindow(window);
+    counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
+  }
+
+  #addWindow(window: number): Map<string, number> {
+    [...this.#own.keys()]
+      .filter((known) => known <= window - RETAINED_WINDOWS)
+      .forEach((known) => this.#own.delete(known));
+    const counts = new Map<string, number>();
+    this.#own.set(window, counts);
+    return counts;
+  }
+
+  #ownCounts(): WindowCounts {
+    return Object.fromEntries(
+      [...this.#own].map(([window, counts]) => [
+        window,
+        Object.fromEntries(counts),
+      ]),
     );
   }
 
   /** Returns own counts of the newest windows, to report to the peers. */
   ownCounts(wallTime: number): WindowCounts {
-    return newestWindows(this.#own, this.windowOf(wallTime));
+    return newestWindows(this.#ownCounts(), this.windowOf(wallTime));
   }
 
   /**
@@ -86,7 +99,7 @@
     const now = this.windowOf(open.wallTime);
     const isRetained = (window: number) =>
       Math.abs(window - now) < RETAINED_WINDOWS && !open.isFinal(window);
-    const byIncarnation = [[self, this.#own] as const, ...this.#peers];
+    const byIncarnation = [[self, this.#ownCounts()] as const, ...this.#peers];
     return Object.fromEntries(
       byIncarnation
         .map(
@@ -116,8 +129,9 @@
 
   /** Returns the counts of a window over all hosts. */
   total(window: number): UsageCounts {
-    return [this.#own, ...this.#peers.values()]
+    return [...this.#peers.values()]
       .flatMap((counts) => Object.entries(counts[window] ?? {}))
+      .concat([...(this.#own.get(window) ?? [])])
       .reduce<Record<string, number>>((sum, [workspace, count]) => {
         sum[workspace] = (sum[workspace] ?? 0) + count;
         return sum;
--- a/packages/rampswitch-serving/src/relay/arrival_rates.ts
+++ b/packages/rampswitch-serving/src/relay/arrival_rates.ts
@@ -15,7 +15,7 @@
 /** Arrivals at this host by service. */
 export class ArrivalRates {
   readonly #startedAt: number;
-  readonly #arrivals = new Map<string, readonly number[]>();
+  readonly #arrivals = new Map<string, number[]>();
 
   constructor(now: number) {
     this.#startedAt = now;
@@ -23,10 +23,11 @@
 
   /** Adds a request; returns the arrival rate, in requests a millisecond. */
   addArrival(service: string, now: number): number {
-    const earlier = this.#arrivals.get(service) ?? [];
+    const arrivals = this.#arrivals.get(service) ?? [];
+    if (arrivals.length === 0) this.#arrivals.set(service, arrivals);
     const oldest = now - SPAN_MILLISECONDS;
-    const arrivals = [...earlier.filter((at) => at > oldest), now];
-    this.#arrivals.set(service, arrivals);
+    while ((arrivals[0] ?? now) <= oldest) arrivals.shift();
+    arrivals.push(now);
     const span = Math.min(SPAN_MILLISECONDS, now - this.#startedAt);
     return arrivals.length / Math.max(MINIMUM_SPAN_MILLISECONDS, span);
   }
--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -17,8 +17,9 @@
   readonly lastId: string | undefined;
 }
 
+const NO_BYTES: Buffer = Buffer.alloc(0);
 const NO_FRAMES: Frames = {
-  bytes: Buffer.alloc(0),
+  bytes: NO_BYTES,
   count: 0,
   firstId: undefined,
   lastId: undefined,
@@ -28,7 +29,7 @@
 
 /** Assembles the chunks of a stream into complete events. */
 export class EventFramer {
-  #pending: Buffer = Buffer.alloc(0);
+  #pending: Buffer = NO_BYTES;
 
   /** Bytes of an event that is not complete yet. */
   get pendingBytes(): number {
@@ -41,32 +42,44 @@
       this.#pending.length === 0
         ? chunk
         : Buffer.concat([this.#pending, chunk]);
-    const end = all.lastIndexOf(END_OF_EVENT);
+    const text = all.toString("latin1");
+    const end = text.lastIndexOf(END_OF_EVENT);
     if (end < 0) {
       this.#pending = all;
       return NO_FRAMES;
     }
     const cut = end + END_OF_EVENT.length;
-    this.#pending = all.subarray(cut);
-    const bytes = all.subarray(0, cut);
-    const events = bytes.toString("latin1").slice(0, end).split(END_OF_EVENT);
-    const ids = events
-      .map((event) => ID_FIELD.exec(event)?.[1]?.trim())
-      .filter((id) => id !== undefined);
+    const isWhole = cut === all.length;
+    this.#pending = isWhole ? NO_BYTES : all.subarray(cut);
     return {
-      bytes,
-      count: events.length,
-      firstId: ids[0],
-      lastId: ids.at(-1),
+      bytes: isWhole ? all : all.subarray(0, cut),
+      ...scanEvents(text, end),
     };
   }
 
   /** Discards an incomplete event. */
   reset(): void {
-    this.#pending = Buffer.alloc(0);
+    this.#pending = NO_BYTES;
   }
 }
 
+/** Counts the events before the end of the last one, and finds their ids. */
+function scanEvents(text: string, end: number): Omit<Frames, "bytes"> {
+  let count = 0;
+  let firstId: string | undefined;
+  let lastId: string | undefined;
+  for (let from = 0; from <= end; count += 1) {
+    const to = text.indexOf(END_OF_EVENT, from);
+    const id = ID_FIELD.exec(text.slice(from, to))?.[1]?.trim();
+    if (id !== undefined) {
+      firstId ??= id;
+      lastId = id;
+    }
+    from = to + END_OF_EVENT.length;
+  }
+  return { count, firstId, lastId };
+}
+
 const COUNTER = /^\d+$/;
 
 /**
