Wake a suspended watch only to resume it

Cause: with relays, the suspended watches of each host looked ten times a second whether they were resumed: 28 of its 35 timers a second while idle. Change: resume ends the pause at once. Measured: timers of one idle host among 24, 35 to 7 a second.

--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -29,8 +29,11 @@
 /** How long received changes are retained to be relayed, in milliseconds. */
 const CHANGE_RETENTION_MILLISECONDS = 3_000;
 
-/** Interval at which a suspended watch checks whether it was resumed, in milliseconds. */
-const SUSPENSION_POLL_MILLISECONDS = 100;
+/**
+ * Maximum pause of a suspended watch, in milliseconds. Its end resumes nothing; it only
+ * bounds the timer, and {@link Watcher.resume} ends the pause at once.
+ */
+const MAXIMUM_SUSPENSION_PAUSE_MILLISECONDS = 60_000;
 
 /**
  * Maximum number of changes found by a list that are relayed. With more changes, the
@@ -120,7 +123,7 @@
     this.#repetition = repeat(
       options.clock,
       () => {
-        if (this.#suspended) return SUSPENSION_POLL_MILLISECONDS;
+        if (this.#suspended) return MAXIMUM_SUSPENSION_PAUSE_MILLISECONDS;
         return this.#failures === 0
           ? (options.pause?.() ?? 0)
           : backoff(this.#failures);
@@ -157,9 +160,11 @@
     this.#callAbort.abort();
   }
 
-  /** Starts calling the store again. */
+  /** Starts calling the store again, at once. */
   resume(): void {
+    if (!this.#suspended) return;
     this.#suspended = false;
+    this.#repetition.runNow();
   }
 
   /** Returns the recent changes, to be relayed; `undefined` before the first list. */
