Send the head of a stream together with its first event

Cause: the head was flushed in a system call of its own, although the first event is written in the same turn of the event loop. Change: the head goes out with the first chunk.

--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -43,11 +43,10 @@
     return this.#status;
   }
 
-  /** Writes the head of an answer whose body follows in chunks. */
+  /** Begins an answer; its head is sent with the first chunk, in one system call. */
   begin(status: number, headers: RawHeaders): void {
     if (this.#finished || this.started) return;
     this.#writeHead(status, headers);
-    this.#response.flushHeaders();
   }
 
   /** Writes a chunk; `false` if the source should pause until the caller has read it. */
