Encode one digest for all members of a relay

Cause: a relay encoded and compressed one digest for each of its 15 members in each round, since each digest excluded the receiver's own work.

Change: a member says in its updates (key d) that it reads shared digests. The relay then sends one digest of the work of all hosts (key z: the sequence numbers of the receivers' newest updates), and the member subtracts the work that it reported in that update. Hosts of an earlier version neither send nor read these keys and get a digest of their own as before; so does a member whose work no longer counts at the relay.

Conclusion: the cost of a relay's round no longer grows with an encoding for each member.

--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -202,9 +202,12 @@
     });
   }
 
-  /** Returns the work of all hosts but one, by server id, without idle servers. */
+  /**
+   * Returns the work of all hosts but one (`undefined`: of all hosts), by server id,
+   * without idle servers.
+   */
   workExcept(
-    peer: string,
+    peer: string | undefined,
     now: number,
   ): Readonly<Record<string, ReportedWork>> {
     return Object.fromEntries(
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -43,7 +43,7 @@
 }
 
 /** Time for which work reported by a peer counts, in milliseconds. */
-const PEER_WORK_LIFETIME_MILLISECONDS = 1_500;
+export const PEER_WORK_LIFETIME_MILLISECONDS = 1_500;
 
 /** Time for which a server's own load report counts, in milliseconds. */
 const LOAD_REPORT_LIFETIME_MILLISECONDS = 300;
@@ -186,9 +186,9 @@
     else this.#peers.set(peer, { ...work, receivedAt: now });
   }
 
-  /** Returns the work of all hosts but one. */
-  workExcept(peer: string, now: number): WorkAtServer {
-    const peerWork = this.#peers.get(peer);
+  /** Returns the work of all hosts but one; `undefined`: of all hosts. */
+  workExcept(peer: string | undefined, now: number): WorkAtServer {
+    const peerWork = peer === undefined ? undefined : this.#peers.get(peer);
     const fresh =
       peerWork !== undefined && isFresh(peerWork, now) ? peerWork : NO_WORK;
     return {
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -8,10 +8,11 @@
  */
 import type { Clock } from "rampswitch-utils";
 import type { AdmittedTotals, WorkspaceLimits } from "./admission/mod.ts";
-import type {
-  LeavingUpdate,
-  PrefixCacheEstimate,
-  ServerDirectory,
+import {
+  type LeavingUpdate,
+  type PrefixCacheEstimate,
+  type ServerDirectory,
+  workWithout,
 } from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
@@ -23,6 +24,7 @@
   type OwnUpdate,
   GOSSIP_TIMING_BY_ROLE,
   type PeerUpdate,
+  type WorkByServer,
 } from "./membership/mod.ts";
 import type { Quarantine, QuarantineUpdate } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
@@ -65,8 +67,8 @@
 /** Builds and applies the updates of one host. */
 export class HostGossip {
   readonly #parts: HostGossipParts;
-  /** Totals that this host reported, by the sequence number of the message. */
-  readonly #reportedTotals = new Map<number, AdmittedTotals>();
+  /** What this host reported, by the sequence number of the message. */
+  readonly #reported = new Map<number, ReportedState>();
   readonly #leases = new Map<string, ReceivedLease>();
   /** Updates of this round, which a relay sends to each of its members. */
   #quarantineUpdates: readonly QuarantineUpdate[] = [];
@@ -98,7 +100,9 @@
     limits.setGossipTiming(GOSSIP_TIMING_BY_ROLE[message.role]);
     if (message.role !== "member") limits.followPeers();
     this.#parts.follower.checkRelays();
-    this.#recordReported(message.sequence, limits.admittedTotals());
+    const admitted = limits.admittedTotals();
+    const work = this.#parts.directory.ownWork();
+    this.#recordReported(message.sequence, { admitted, work });
     this.#quarantineUpdates = this.#parts.quarantine.updates();
     this.#leavingUpdates = this.#parts.leavingAdvertisements.updates({
       ownOnly: false,
@@ -117,9 +121,9 @@
         this.#parts.follower.routes?.configuration.version ?? 0,
       configurationAge: this.#ownConfirmationAge(),
       followed: this.#parts.follower.followed,
-      admitted: this.#parts.limits.admittedTotals(),
+      admitted,
       levels: limits.levels(this.#parts.clock.now()),
-      work: this.#parts.directory.ownWork(),
+      work,
       counts: this.#parts.duties.usage.ownCounts(this.#parts.fleetTime()),
       // In a large fleet, hosts agree on servers by hash instead of dispatches.
       dispatches:
@@ -145,13 +149,16 @@
     });
   }
 
-  #recordReported(sequence: number, totals: AdmittedTotals): void {
-    this.#reportedTotals.set(sequence, totals);
-    this.#reportedTotals.delete(sequence - MAXIMUM_UNACKNOWLEDGED_MESSAGES);
+  #recordReported(sequence: number, state: ReportedState): void {
+    this.#reported.set(sequence, state);
+    this.#reported.delete(sequence - MAXIMUM_UNACKNOWLEDGED_MESSAGES);
   }
 
-  /** The view of all other hosts to send to a host of this data hall. */
-  viewFor(host: string): FleetView {
+  /**
+   * The view of all other hosts to send to a host of this data hall; `undefined`: of
+   * all hosts, to send to several.
+   */
+  viewFor(host: string | undefined): FleetView {
     const { limits, directory, follower, clock } = this.#parts;
     const now = clock.now();
     const own = this.#parts.duties.lease;
@@ -197,10 +204,17 @@
     );
     if (isBehind) this.#parts.requestConfiguration(digest.relay);
     this.#parts.follower.receivePeerVersions(digest.followed);
-    directory.receivePeerWork(FLEET_SENDER, digest.work, now);
-    const acknowledged = this.#reportedTotals.get(digest.acknowledged);
+    const acknowledged = this.#reported.get(digest.acknowledged);
+    const work =
+      digest.acknowledgedByHost === undefined
+        ? digest.work
+        : workWithout(digest.work, acknowledged?.work ?? {});
+    directory.receivePeerWork(FLEET_SENDER, work, now);
     if (acknowledged !== undefined) {
-      limits.followRelay({ ...digest, acknowledged }, now);
+      limits.followRelay(
+        { ...digest, acknowledged: acknowledged.admitted },
+        now,
+      );
     }
     this.#parts.quarantine.receive(digest.quarantine);
     this.#parts.rollouts.received(digest.rollouts, { now });
@@ -273,8 +287,17 @@
   readonly receivedAt: number;
 }
 
-/** Messages whose totals are stored until a relay acknowledges them. */
-const MAXIMUM_UNACKNOWLEDGED_MESSAGES = 16;
+/** What this host reported of itself in one message. */
+interface ReportedState {
+  readonly admitted: AdmittedTotals;
+  readonly work: WorkByServer;
+}
+
+/**
+ * Messages whose reported state is stored until a relay acknowledges them: those of
+ * 1.5 s with a prompt update every 50 ms. Digests acknowledge no older ones.
+ */
+const MAXIMUM_UNACKNOWLEDGED_MESSAGES = 32;
 
 /** Time for which a received lease is forwarded, in milliseconds. */
 const LEASE_UPDATE_LIFETIME_MILLISECONDS = 3_000;
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -70,6 +70,8 @@
   readonly m?: ReturnType<typeof encodedLimits>;
   readonly a?: ReturnType<typeof encodedLeaving>;
   readonly h?: readonly string[] | undefined;
+  /** Only sent to hosts that read shared digests. */
+  readonly z?: Readonly<Record<string, number>> | undefined;
 }
 
 /** Checks of an encoded digest. */
@@ -95,6 +97,7 @@
   m: isLimits,
   a: isLeaving,
   h: optional(listOf(isString)),
+  z: optional(isNumbers),
 };
 
 /** Encodes a digest. */
@@ -115,6 +118,7 @@
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
+    z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
     y: encodedIncarnations(digest.work, []),
     o: encodedQuarantine(digest.quarantine),
@@ -153,5 +157,6 @@
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
     permitHolders: message.h ?? [],
+    acknowledgedByHost: message.z,
   };
 }
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -90,6 +90,8 @@
   readonly relayAt: number;
   /** When it last requested digests; `-Infinity` if its newest message did not. */
   readonly digestRequestedAt: number;
+  /** Whether it reads digests that are the same for several hosts. */
+  readonly readsSharedDigest: boolean;
   readonly stopping: boolean;
   readonly update: PeerUpdate | undefined;
 }
@@ -142,6 +144,7 @@
         listedAt: now,
         relayAt: -Infinity,
         digestRequestedAt: -Infinity,
+        readsSharedDigest: false,
         stopping: false,
         update: undefined,
       }),
@@ -175,6 +178,7 @@
       listedAt: known?.listedAt ?? at,
       relayAt: known?.relayAt ?? -Infinity,
       digestRequestedAt: known?.digestRequestedAt ?? -Infinity,
+      readsSharedDigest: known?.readsSharedDigest ?? false,
       stopping: update.stopping,
       update,
     });
@@ -182,13 +186,21 @@
   }
 
   /** Records whether the sender of a message requests digests; relays do not. */
-  recordSender(name: string, wantsDigest: boolean, now: number): void {
+  recordSender(
+    name: string,
+    {
+      wantsDigest,
+      readsSharedDigest,
+    }: Pick<KnownHost, "readsSharedDigest"> & { readonly wantsDigest: boolean },
+    now: number,
+  ): void {
     const known = this.#hosts.get(name);
     if (known === undefined) return;
     this.#hosts.set(name, {
       ...known,
       relayAt: wantsDigest ? known.relayAt : now,
       digestRequestedAt: wantsDigest ? now : -Infinity,
+      readsSharedDigest,
     });
   }
 
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -17,6 +17,7 @@
 } from "rampswitch-utils";
 import type { ChangeBatch, ObjectStore } from "rampswitch-store";
 import type { LimitDecision } from "../admission/mod.ts";
+import { PEER_WORK_LIFETIME_MILLISECONDS } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { TrialRank } from "../quarantine/mod.ts";
 import type { PermitReply, PermitRequest } from "../server_limits/mod.ts";
@@ -64,6 +65,9 @@
 /** Maximum size of a message, in bytes; the limit of UDP is 65,507. */
 const MAXIMUM_DATAGRAM_BYTES = 60_000;
 
+/** Sequence number of no update. */
+const UNACKNOWLEDGED = -1;
+
 /** Dependencies and settings of membership. */
 export interface MembershipParts {
   readonly host: string;
@@ -109,8 +113,11 @@
   }): OwnUpdate;
   /** Whether this host is stopping. */
   stopping(): boolean;
-  /** Returns the state of all other hosts, for a digest to this host. */
-  viewFor(host: string): FleetView;
+  /**
+   * Returns the state of all other hosts, for a digest to this host; `undefined`: of
+   * all hosts, for a digest to several.
+   */
+  viewFor(host: string | undefined): FleetView;
   /** Handles an update of a host, which is `age` milliseconds old. */
   onUpdate(update: PeerUpdate, age: number): void;
   /** Handles a relay's digest of the fleet. */
@@ -447,6 +454,7 @@
       kind: "updates",
       from: this.#parts.host,
       wantsDigest: this.#role === "member",
+      readsSharedDigest: this.#role === "member",
       updates,
     });
     hosts.forEach(({ address }) => this.#transport.send(address, datagram));
@@ -480,17 +488,31 @@
       wallTime: time.wallTime,
       timeSamples: time.samples,
     };
-    requesters.forEach((host) => {
-      const datagram = encodeMessage({
-        kind: "digest",
-        digest: {
+    const sharing = requesters.filter((host) => readsSharedDigest(host, now));
+    if (sharing.length > 0) {
+      const digest = {
+        ...this.#listener.viewFor(undefined),
+        ...common,
+        acknowledged: UNACKNOWLEDGED,
+        acknowledgedByHost: Object.fromEntries(
+          sharing.map(({ name, sequence }) => [name, sequence]),
+        ),
+      };
+      const datagram = encodeMessage({ kind: "digest", digest });
+      sharing.forEach(({ address }) => this.#transport.send(address, datagram));
+    }
+    requesters
+      .filter((host) => !sharing.includes(host))
+      .forEach((host) => {
+        const digest = {
           ...this.#listener.viewFor(host.name),
           ...common,
           acknowledged: host.sequence,
-        },
+          acknowledgedByHost: undefined,
+        };
+        const datagram = encodeMessage({ kind: "digest", digest });
+        this.#transport.send(host.address, datagram);
       });
-      this.#transport.send(host.address, datagram);
-    });
   }
 
   #receiveUpdates(
@@ -515,7 +537,7 @@
       const configurationAge = this.#currentAge(update.configurationAge, age);
       this.#listener.onUpdate({ ...update, configurationAge }, age);
     });
-    this.#hosts.recordSender(message.from, message.wantsDigest, now);
+    this.#hosts.recordSender(message.from, message, now);
   }
 
   #receiveDigest(digest: FleetDigest): void {
@@ -526,6 +548,10 @@
     if (this.#role !== "member") return;
     this.#listener.onDigest({
       ...digest,
+      acknowledged:
+        digest.acknowledgedByHost === undefined
+          ? digest.acknowledged
+          : (digest.acknowledgedByHost[this.#parts.host] ?? UNACKNOWLEDGED),
       configurationAge: this.#currentAge(digest.configurationAge, 0),
     });
   }
@@ -584,6 +610,17 @@
   }
 }
 
+/**
+ * Whether a host takes a digest that includes its own work. It subtracts the work of
+ * its newest update, so that work must still count at this relay.
+ */
+function readsSharedDigest(host: KnownHost, now: number): boolean {
+  return (
+    host.readsSharedDigest &&
+    now - host.receivedAt < PEER_WORK_LIFETIME_MILLISECONDS
+  );
+}
+
 /** Removes the levels of limits; relays track these themselves. */
 function withoutLevels(update: PeerUpdate): PeerUpdate {
   return { ...update, levels: {} };
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -21,6 +21,7 @@
 import { Membership, type OwnUpdate } from "./membership.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
 import type { FleetDigest, PeerMessage, PeerUpdate } from "./peer_messages.ts";
+import { openPeerTransport } from "./peer_transport.ts";
 
 const OWN_UPDATE: OwnUpdate = {
   leaving: [{ id: "s9", born: 7, age: 20 }],
@@ -356,6 +357,7 @@
         kind: "updates",
         from: "a",
         wantsDigest: false,
+        readsSharedDigest: false,
         updates: [{ age: 0, update: late }],
       }),
     );
@@ -523,6 +525,82 @@
   });
 });
 
+/**
+ * Guards against hosts of an earlier version that get a shared digest during an
+ * upgrade. They would count their own requests twice, and their limits would follow
+ * no relay.
+ */
+describe("the digest of a relay", () => {
+  test("is shared by members that read this, and one for each other member", async () => {
+    const clock = new ManualClock(1_000);
+    const store = sharedStore();
+    const digests: FleetDigest[] = [];
+    const names = Array.from({ length: 18 }, (_, index) => `host-${index}`);
+    const hosts = await Promise.all(
+      names.map((name) =>
+        openHost(name, { store, clock, received: [], digests, wallTime: 1 }),
+      ),
+    );
+    for (let at = 0; at < 5_000; at += 100) await step(clock, 100);
+    const relay = hosts.findIndex(({ role }) => role === "relay");
+    const listed = await store.list("hosts/", { mayBeStale: false });
+    const entry = listed
+      .unwrapOr({ version: 0, objects: [] })
+      .objects.find(({ key }) => key === `hosts/${names[relay]}`);
+    const { address } = JSON.parse(entry?.value ?? "") as { address: string };
+
+    const received: PeerMessage[] = [];
+    const transport = ownership.own(
+      await openPeerTransport(
+        "127.0.0.1:0",
+        (datagram) => {
+          const decoded = decodeMessage(datagram);
+          if (decoded.isOk) received.push(decoded.value);
+        },
+        () => undefined,
+      ),
+    );
+    digests.length = 0;
+    const former: PeerUpdate = {
+      ...OWN_UPDATE,
+      host: "former",
+      dataHall: "a",
+      cores: 0.5,
+      incarnation: "1",
+      sequence: 12,
+      address: transport.address,
+      wallTime: 5,
+      timeEstimate: { wallTime: 7, samples: 1 },
+    };
+    transport.send(
+      address,
+      encodeMessage({
+        kind: "updates",
+        from: "former",
+        wantsDigest: true,
+        readsSharedDigest: false,
+        updates: [{ update: former, age: 0 }],
+      }),
+    );
+    for (let at = 0; at < 1_000; at += 100) await step(clock, 100);
+
+    const own = received.flatMap((one) =>
+      one.kind === "digest" ? [one.digest] : [],
+    );
+    expect(own.length).toBeGreaterThan(0);
+    own.forEach((digest) => {
+      expect(digest.acknowledged).toBe(12);
+      expect(digest.acknowledgedByHost).toBeUndefined();
+    });
+    expect(digests.length).toBeGreaterThan(0);
+    digests.forEach(({ acknowledged, acknowledgedByHost = {} }) => {
+      expect(acknowledged).toBeGreaterThan(0);
+      expect(Object.values(acknowledgedByHost)).toContain(acknowledged);
+      expect(Object.keys(acknowledgedByHost)).toHaveLength(16);
+    });
+  });
+});
+
 describe("the encoding of messages", () => {
   const update: PeerUpdate = {
     ...OWN_UPDATE,
@@ -541,6 +619,7 @@
       kind: "updates",
       from: "a",
       wantsDigest: true,
+      readsSharedDigest: false,
       updates: Array.from({ length: count }, () => ({ update, age: 30 })),
     };
     const decoded = decodeMessage(encodeMessage(message));
@@ -554,6 +633,7 @@
         ...VIEW,
         relay: "a",
         acknowledged: 3,
+        acknowledgedByHost: { b: 7 },
         hosts: 90,
         relays: ["a", "b"],
         permitHolders: ["a", "c"],
@@ -618,6 +698,7 @@
         kind: "updates",
         from: "a",
         wantsDigest: true,
+        readsSharedDigest: false,
         updates: Array.from({ length: 20 }, () => ({ update, age: 30 })),
       },
       { kind: "configuration", changes: CONFIGURATION },
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -50,6 +50,7 @@
   kind: "updates",
   from: "h1",
   wantsDigest: false,
+  readsSharedDigest: false,
   updates: [{ age: 0, update: UPDATE }],
 };
 
@@ -114,6 +115,7 @@
     kind: "updates",
     from: "h1",
     wantsDigest: false,
+    readsSharedDigest: false,
     updates: [{ age: 0, update: { ...UPDATE, quarantine } }],
   };
 
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -85,7 +85,7 @@
   readonly leaving: readonly LeavingUpdate[];
 }
 
-/** State of all hosts but one, which a relay sends to that one. */
+/** State of all hosts, or of all but the receiver, which a relay sends. */
 export interface FleetView {
   readonly configurationVersion: number;
   readonly configurationAge: number | undefined;
@@ -94,7 +94,7 @@
   readonly levels: BucketLevels;
   /** Share of the limits that silent hosts may be consuming. */
   readonly silentShare: number;
-  /** Total work of all other hosts. */
+  /** Total work of these hosts. */
   readonly work: WorkByServer;
   readonly leases: readonly LeaseUpdate[];
   /** The newest changes of backend servers' entries in the store. */
@@ -109,11 +109,17 @@
   readonly leaving: readonly LeavingUpdate[];
 }
 
-/** Digest of the fleet, which a relay sends to one host of its data hall. */
+/** Digest of the fleet, which a relay sends to the hosts of its data hall. */
 export interface FleetDigest extends FleetView {
   readonly relay: string;
   /** Sequence number of the receiver's newest update that the levels include. */
   readonly acknowledged: number;
+  /**
+   * Sequence numbers of the receivers' newest updates, by host, in a digest that is
+   * the same for all of them: its work and levels include these updates. `undefined`
+   * in a digest for one host, whose work excludes that host.
+   */
+  readonly acknowledgedByHost: Readonly<Record<string, number>> | undefined;
   /** Number of serving hosts known to the relay. */
   readonly hosts: number;
   /** Names of the relays of the data hall. */
@@ -176,6 +182,8 @@
       readonly from: string;
       /** Whether the sender requests digests. */
       readonly wantsDigest: boolean;
+      /** Whether it reads digests that are the same for several hosts. */
+      readonly readsSharedDigest: boolean;
       readonly updates: readonly AgedUpdate[];
     }
   | { readonly kind: "digest"; readonly digest: FleetDigest }
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -93,6 +93,11 @@
   readonly k: "n";
   readonly f: string;
   readonly m: boolean;
+  /**
+   * Whether the sender reads shared digests; hosts of an earlier version neither
+   * send nor read this key.
+   */
+  readonly d?: boolean | undefined;
   readonly o: readonly (readonly [number, EncodedUpdate])[];
 }
 
@@ -135,12 +140,14 @@
 export function encodedUpdates({
   from,
   wantsDigest,
+  readsSharedDigest,
   updates,
 }: UpdatesMessage): EncodedUpdates {
   return {
     k: "n",
     f: from,
     m: wantsDigest,
+    d: readsSharedDigest ? true : undefined,
     o: updates.map(({ age, update }) => [
       Math.ceil(age),
       encodedUpdate(update),
@@ -172,7 +179,14 @@
       update: updateOf(update as unknown as EncodedUpdate),
     });
   }
-  return Result.ok({ kind: "updates", from, wantsDigest, updates });
+  const readsSharedDigest = message["d"] === true;
+  return Result.ok({
+    kind: "updates",
+    from,
+    wantsDigest,
+    readsSharedDigest,
+    updates,
+  });
 }
 
 function encodedUpdate(update: PeerUpdate): EncodedUpdate {
