--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { ServerSpeed } from "../estimates/server_speed.ts";
 import { type BackendServer, incarnationId } from "../model/backend_server.ts";
 import type { ReportedLoad } from "../model/request.ts";
 import { ServerBackOff } from "./server_back_off.ts";
@@ -79,6 +80,8 @@
   isListedReady = true;
   /** Back-off that the server requested from this host. */
   readonly backOff: ServerBackOff;
+  /** How fast work currently is there. */
+  readonly speed = new ServerSpeed();
   /** When its end was announced, in milliseconds on the monotonic clock. */
   leavingSince: number | undefined;
   #running = 0;
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -7,6 +7,7 @@
  */
 export * from "./choice/mod.ts";
 export * from "./configuration/configuration_follower.ts";
+export * from "./estimates/mod.ts";
 export type * from "./model/backend_server.ts";
 export type * from "./model/cloud.ts";
 export type * from "./model/configuration.ts";
