Learn how fast servers are and what requests take

Cause: hosts dropped the fourth figure of load reports and assumed that all servers of a service are equally fast; one hold time and one prefill rate for each service followed whichever route had most requests; plain requests at engines were never measured, so that their hold time stayed at 1,000 ms.

Change: each ServerRecord has a ServerSpeed, which follows the reported figure for 600 ms, the times of this host's answers, and the median of what other hosts learned. WorkEstimates replaces HoldTimes and ReadingRates, by service, route and size of the prompt. The choice of a server multiplies the predicted work by the slowdown. The prefill rate is the slope between the fastest and a long prompt, since it was too high where no prompt is short. A load that a misdirected answer (421) reports belongs to another server and is no longer read.

--- a/packages/rampswitch-emulator/src/emulated_fleet.ts
+++ b/packages/rampswitch-emulator/src/emulated_fleet.ts
@@ -11,7 +11,8 @@
 import {
   chooseServer,
   ArrivalRates,
-  HoldTimes,
+  WorkEstimates,
+  type WorkRequest,
   SlotTotalsCache,
   admittedShare,
   PrefixCacheEstimate,
@@ -71,7 +72,7 @@
   readonly dataHall: string;
   readonly records: readonly ServerRecord[];
   readonly prefixes: PrefixCacheEstimate;
-  readonly holdTimes: HoldTimes;
+  readonly workEstimates: WorkEstimates;
   readonly arrivalRates: ArrivalRates;
   readonly places: SlotTotalsCache;
 }
@@ -106,6 +107,20 @@
 const FLEET = "fleet";
 const SERVICE = "models";
 
+/** What the estimates of work see of a request: its kind is its route. */
+function workRequest({ name }: RequestKind): WorkRequest {
+  return {
+    service: { name: SERVICE, engine: undefined },
+    route: { name },
+    head: {
+      promptTokens: undefined,
+      promptParts: [],
+      maximumAnswerTokens: undefined,
+      expectedAnswerTokens: undefined,
+    },
+  };
+}
+
 /** A fleet in simulated time. */
 export class EmulatedFleet {
   readonly #run: FleetRun;
@@ -138,7 +153,7 @@
       dataHall: this.#hall(index),
       records: this.#engines.map((_engine, at) => this.#record(at)),
       prefixes: this.#isDirect ? shared : new PrefixCacheEstimate(),
-      holdTimes: new HoldTimes(),
+      workEstimates: new WorkEstimates(),
       arrivalRates: new ArrivalRates(0),
       places: new SlotTotalsCache(),
     }));
@@ -245,6 +260,7 @@
     const chosen = this.#engines[host.records.indexOf(record)];
     if (chosen === undefined) return;
     host.prefixes.stored(record.entry.id, parts, engine.memoryTokens);
+    host.workEstimates.sent(workRequest(drawn.kind), at);
     let beganAt = at;
     const work = record.started(Math.max(0, promptTokens - keptTokens));
     chosen.take({
@@ -264,7 +280,9 @@
       },
       onEnd: (endedAt) => {
         work.ended();
-        host.holdTimes.addMeasurement(SERVICE, endedAt - beganAt);
+        host.workEstimates.addMeasurement(workRequest(drawn.kind), {
+          holdMilliseconds: endedAt - beganAt,
+        });
       },
     });
     this.#step(chosen);
@@ -285,7 +303,7 @@
       ),
       {
         arrivalsPerMillisecond: arrivals * this.#hosts.length,
-        holdMilliseconds: host.holdTimes.of(SERVICE),
+        holdMilliseconds: host.workEstimates.meanHoldMilliseconds(SERVICE),
         targetMilliseconds: kind.targetMilliseconds,
         lagMilliseconds: news.milliseconds * news.late,
       },
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -26,6 +26,8 @@
   readonly promptTokens: number;
   /** Prefill rate of an engine, in tokens per millisecond. */
   readonly readingRate: number;
+  /** Time for which the request occupies a slot of a plain server, if known. */
+  readonly holdMilliseconds?: number | undefined;
   /** Incarnations of servers that must not be chosen, such as those already tried. */
   readonly excluded: ReadonlySet<string>;
   /** Maximum requests of this host at one server at once. */
@@ -49,6 +51,10 @@
 export interface Choice {
   readonly record: ServerRecord;
   readonly predictedMilliseconds: number;
+  /** The part of it that is work, at a server of usual speed. */
+  readonly workMilliseconds: number;
+  /** Factor by which work currently takes longer at the server. */
+  readonly slowdown: number;
   /** Prompt tokens that the server has cached or copies, and so need no prefill. */
   readonly cachedTokens: number;
   /** Another engine with more of the prompt cached, to copy from. */
@@ -264,7 +270,8 @@
       ? 0
       : OTHER_DATA_HALL_PENALTY_MILLISECONDS;
   const failures = record.failureShare * FAILURE_PENALTY_MILLISECONDS;
-  const work =
+  const slowdown = record.speed.slowdown(inputs.now);
+  const workMilliseconds =
     inputs.engine === undefined
       ? plainMilliseconds(load, record.entry.slots)
       : engineMilliseconds(record, {
@@ -272,12 +279,21 @@
           load,
           cachedTokens,
         });
+  // An idle slow server still takes longer for the request itself. At usual speed this
+  // adds nothing, since the time is then equal at all servers.
+  const ownDelay =
+    inputs.engine === undefined
+      ? (slowdown - 1) * (inputs.holdMilliseconds ?? PLAIN_REQUEST_MILLISECONDS)
+      : 0;
+  const work = workMilliseconds * slowdown + ownDelay;
   const preference = isPreferred ? PREFERENCE_MILLISECONDS : 0;
   return {
     record,
     cachedTokens: cachedTokens + copy.tokens,
     copyFrom: copy.from,
     load,
+    slowdown,
+    workMilliseconds,
     predictedMilliseconds: work + distance + failures - preference,
   };
 }
--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -12,3 +12,4 @@
 export * from "./prefix_cache_estimate.ts";
 export * from "./server_directory.ts";
 export * from "./server_record.ts";
+export * from "./slowdown_updates.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/estimates/ratio_calibration.ts
@@ -0,0 +1,44 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Usual ratio of measured to expected times at the servers of a service, and its spread.
+ * Only what exceeds the spread says something about one server.
+ *
+ * @module
+ */
+
+/** Minimum weight of a new ratio; the first ones are averaged equally. */
+const MINIMUM_WEIGHT = 0.02;
+
+/** Ratios from which usual ones are known; before that, each counts as usual. */
+const MINIMUM_RATIOS = 5;
+
+/** Bound of a ratio's logarithm, so that one lost answer does not move the mean. */
+const MAXIMUM_LOG = Math.log(8);
+
+/** Usual ratio of measured to expected times. */
+export class RatioCalibration {
+  #ratios = 0;
+  #meanLog = 0;
+  #deviation = 0;
+
+  /**
+   * Returns by which factor a ratio is beyond the usual ones, 1 if it is not, and adds
+   * the ratio to them.
+   */
+  calibrated(ratio: number): number {
+    if (!(ratio > 0)) return 1;
+    const log = Math.min(MAXIMUM_LOG, Math.max(-MAXIMUM_LOG, Math.log(ratio)));
+    this.#ratios += 1;
+    const weight = Math.max(MINIMUM_WEIGHT, 1 / this.#ratios);
+    const difference = log - this.#meanLog;
+    const beyond = Math.max(0, Math.abs(difference) - this.#deviation);
+    this.#meanLog += weight * difference;
+    if (this.#ratios > 1) {
+      this.#deviation += weight * (Math.abs(difference) - this.#deviation);
+    }
+    return this.#ratios > MINIMUM_RATIOS
+      ? Math.exp(Math.sign(difference) * beyond)
+      : 1;
+  }
+}
--- a/packages/rampswitch-serving/src/estimates/server_speed.ts
+++ b/packages/rampswitch-serving/src/estimates/server_speed.ts
@@ -180,6 +180,11 @@
       : 1;
   }
 
+  /** Returns the factor that the server reported last; `undefined` if it expired. */
+  lastReportedFactor(now: number): number | undefined {
+    return this.isReported(now) ? this.#reported : undefined;
+  }
+
   /** Returns what this host learned, for its peers; `undefined` if it is near 1. */
   ownLearned(now: number): number | undefined {
     if (Math.abs(this.#learnedLog) < LOG_REPORTED) return undefined;
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -12,9 +12,17 @@
   LeavingUpdate,
   PrefixCacheEstimate,
   ServerDirectory,
+  SlowdownUpdate,
 } from "./choice/mod.ts";
+import {
+  maximumSlowdown,
+  ownSlowdowns,
+  receiveSlowdowns,
+  slowdownsByAll,
+} from "./choice/slowdown_updates.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
+import { ReportedSlowdowns, type WorkEstimates } from "./estimates/mod.ts";
 import {
   type FleetDigest,
   type FleetView,
@@ -24,6 +32,7 @@
   GOSSIP_TIMING_BY_ROLE,
   type PeerUpdate,
 } from "./membership/mod.ts";
+import type { ServingMetrics } from "./observation/mod.ts";
 import type { Quarantine, QuarantineUpdate } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
 import type {
@@ -34,7 +43,6 @@
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
-import type { ReadingRates } from "./relay/reading_rates.ts";
 
 /** Sources and targets of updates. */
 export interface HostGossipParts {
@@ -43,7 +51,8 @@
   readonly directory: ServerDirectory;
   readonly prefixes: PrefixCacheEstimate;
   readonly limits: WorkspaceLimits;
-  readonly readingRates: ReadingRates;
+  readonly metrics: ServingMetrics;
+  readonly workEstimates: WorkEstimates;
   readonly dispatches: RecentDispatches;
   readonly meter: LoadMeter;
   readonly duties: HostDuties;
@@ -72,6 +81,8 @@
   #quarantineUpdates: readonly QuarantineUpdate[] = [];
   #leavingUpdates: readonly LeavingUpdate[] = [];
   #limitUpdates: readonly LimitUpdate[] = [];
+  #slowdownUpdates: readonly SlowdownUpdate[] = [];
+  readonly #reportedSlowdowns = new ReportedSlowdowns();
 
   constructor(parts: HostGossipParts) {
     this.#parts = parts;
@@ -79,13 +90,18 @@
 
   /** Load of a service over all hosts; each call adds to the load's history. */
   load(service: string): ServiceLoad {
+    const slowdown = this.#reportedSlowdowns.mean(
+      service,
+      this.#parts.directory.of(service),
+      this.#parts.clock.now(),
+    );
     return {
       running: this.#parts.meter.meanRunning(
         service,
         this.#parts.directory.load(service, this.#parts.clock.now()),
       ),
       readTokensPerSecond: this.#parts.meter.readTokensPerSecond(service),
-      readingRate: this.#parts.readingRates.of(service),
+      readingRate: this.#parts.workEstimates.prefillRate(service) / slowdown,
     };
   }
 
@@ -106,6 +122,7 @@
     this.#limitUpdates = this.#parts.permits.limitUpdates(
       this.#parts.clock.now(),
     );
+    const slowdowns = this.#updateSlowdowns(message.role);
     this.#parts.duties.usage.dropOldWindows(this.#parts.fleetTime());
     // Every host maintains the history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
@@ -134,9 +151,23 @@
       leaving: this.#parts.leavingAdvertisements.updates({
         ownOnly: message.role !== "direct",
       }),
+      slowdowns,
     };
   }
 
+  /** Returns this host's slowdowns, and prepares those that a relay passes on. */
+  #updateSlowdowns(role: HostRole): readonly SlowdownUpdate[] {
+    const { clock, directory, metrics, workEstimates } = this.#parts;
+    const now = clock.now();
+    const servers = directory.all();
+    workEstimates.dropRemoved(now);
+    metrics.gauge("server_slowdown_max", maximumSlowdown(servers, now));
+    metrics.gauge("hold_estimate_error_ratio", workEstimates.errorRatio);
+    this.#slowdownUpdates =
+      role === "relay" ? slowdownsByAll(servers, now) : [];
+    return ownSlowdowns(servers, now);
+  }
+
   #permitUpdate(role: HostRole): PermitUpdate {
     const holders = this.#parts.permitHolders();
     return this.#parts.permits.updates({
@@ -175,6 +206,7 @@
       rollouts: this.#parts.rollouts.relayUpdates(now),
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
+      slowdowns: this.#slowdownUpdates,
     };
   }
 
@@ -206,6 +238,8 @@
     this.#parts.rollouts.received(digest.rollouts, { now });
     this.#parts.permits.receiveLimits(digest.limits, 0);
     this.#parts.leavingAdvertisements.received(digest.leaving, 0);
+    const source = { from: FLEET_SENDER, relayed: true };
+    receiveSlowdowns(digest.slowdowns, now, { directory, source });
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -226,6 +260,10 @@
     this.#parts.follower.receivePeerVersions(update.followed);
     this.#parts.directory.receivePeerWork(update.host, update.work, now);
     this.#parts.leavingAdvertisements.received(update.leaving, age);
+    receiveSlowdowns(update.slowdowns, now - age, {
+      directory: this.#parts.directory,
+      source: { from: update.host, relayed: false },
+    });
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -23,6 +23,7 @@
 import type { FleetDigest, PeerMessage, PeerUpdate } from "./peer_messages.ts";
 
 const OWN_UPDATE: OwnUpdate = {
+  slowdowns: [{ id: "s1", born: 1_796_169_600_123, slowdown: 2.5, hosts: 1 }],
   leaving: [{ id: "s9", born: 7, age: 20 }],
   limits: [
     { id: "s1", born: 1_796_169_600_123, perSecond: 1.2, age: 40 },
@@ -134,6 +135,7 @@
   },
   quarantine: OWN_UPDATE.quarantine,
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
+  slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
   leaving: OWN_UPDATE.leaving,
   limits: OWN_UPDATE.limits,
 };
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -16,6 +16,11 @@
   type QuarantineUpdate,
 } from "../quarantine/mod.ts";
 import { encodedLeaving, LEAVING_SCHEMA, leavingOf } from "./leaving_codec.ts";
+import {
+  encodedSlowdowns,
+  slowdownsOf,
+  SLOWDOWNS_SCHEMA,
+} from "./speed_codec.ts";
 import {
   encodedRollouts,
   ROLLOUTS_SCHEMA,
@@ -120,6 +125,7 @@
   m: LIMITS_SCHEMA,
   g: LENT_SCHEMA,
   o: LEAVING_SCHEMA,
+  sp: SLOWDOWNS_SCHEMA,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -150,6 +156,7 @@
     p: ROLLOUTS_SCHEMA,
     m: LIMITS_SCHEMA,
     a: LEAVING_SCHEMA,
+    sp: SLOWDOWNS_SCHEMA,
     h: z.array(z.string()).optional(),
   }),
   z.object({
@@ -292,6 +299,7 @@
     m: encodedLimits(update.limits),
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
+    sp: encodedSlowdowns(update.slowdowns),
     ...encodedIncarnations(update.work, update.dispatches),
     ...(update.quarantine.length === 0
       ? {}
@@ -324,6 +332,7 @@
     w: encodedWork(digest.work),
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
+    sp: encodedSlowdowns(digest.slowdowns),
     ...(digest.permitHolders.length === 0
       ? {}
       : { h: [...digest.permitHolders] }),
@@ -415,6 +424,7 @@
     rollouts: rolloutsOf(message.p),
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
+    slowdowns: slowdownsOf(message.sp),
     permitHolders: message.h ?? [],
   };
 }
@@ -455,6 +465,7 @@
     limits: limitsOf(update.m),
     lentTo: update.g ?? {},
     leaving: leavingOf(update.o),
+    slowdowns: slowdownsOf(update.sp),
   };
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -40,6 +40,7 @@
   rollouts: [],
   limits: [],
   lentTo: {},
+  slowdowns: [],
   leaving: [
     { id: "s1", born: BORN, age: 40 },
     { id: "s2", born: undefined, age: 0 },
@@ -137,6 +138,31 @@
   });
 });
 
+describe("slowdowns of servers", () => {
+  const slowdowns = [{ id: "s1", born: BORN, slowdown: 2.5, hosts: 1 }];
+  const slowdownMessage: PeerMessage = {
+    kind: "updates",
+    from: "h1",
+    wantsDigest: false,
+    updates: [{ age: 0, update: { ...UPDATE, slowdowns } }],
+  };
+
+  test("are decoded as they were encoded", () => {
+    const decoded = decodeMessage(encodeMessage(slowdownMessage));
+    expect(decoded.unwrapOr(undefined)).toEqual(slowdownMessage);
+  });
+
+  test("have a key of their own, which hosts of an earlier version ignore", () => {
+    const text = encodeMessage(slowdownMessage).toString("utf8");
+    const { o } = JSON.parse(text) as {
+      o: [number, Record<string, unknown>][];
+    };
+    const { sp, ...former } = o[0]?.[1] ?? {};
+    expect(sp).toEqual([["s1", BORN, 250, 1]]);
+    expect(former).toEqual(writtenMessage().update);
+  });
+});
+
 describe("the estimated time of a host", () => {
   test("is its clock if an earlier version sends no estimate", () => {
     const { message, update } = writtenMessage();
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -12,7 +12,11 @@
   BucketLevels,
   LimitDecision,
 } from "../admission/mod.ts";
-import type { LeavingUpdate, ReportedWork } from "../choice/mod.ts";
+import type {
+  LeavingUpdate,
+  ReportedWork,
+  SlowdownUpdate,
+} from "../choice/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
 import type {
@@ -83,6 +87,8 @@
   readonly rollouts: readonly RolloutUpdate[];
   /** Backend servers that advertised in their answers that they leave. */
   readonly leaving: readonly LeavingUpdate[];
+  /** Slowdowns of backend servers that the host learned from its own answers. */
+  readonly slowdowns: readonly SlowdownUpdate[];
 }
 
 /** State of all hosts but one, which a relay sends to that one. */
@@ -107,6 +113,8 @@
   readonly limits: readonly LimitUpdate[];
   /** Backend servers that advertised in their answers that they leave. */
   readonly leaving: readonly LeavingUpdate[];
+  /** Slowdowns of backend servers: the medians of what hosts learned. */
+  readonly slowdowns: readonly SlowdownUpdate[];
 }
 
 /** Digest of the fleet, which a relay sends to one host of its data hall. */
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -16,7 +16,6 @@
 export * from "./observation/mod.ts";
 export * from "./quarantine/mod.ts";
 export * from "./relay/arrival_rates.ts";
-export * from "./relay/hold_times.ts";
 export * from "./rollout/mod.ts";
 export * from "./server_limits/mod.ts";
 export * from "./serving_host.ts";
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -63,6 +63,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work currently takes there, in percent of its usual time, as received;
+   * `undefined` if the server reports none.
+   */
+  readonly workTimePercent?: number | undefined;
 }
 
 /** One value that a server advertises in an answer. */
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -1,14 +1,17 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Estimates from the times of answers, by service: how fast engines read prompts, and
- * how long a request occupies its slot.
+ * What the times of answers tell: the speed of the server, how fast engines read
+ * prompts, and what requests take.
  *
  * @module
  */
 import type { Choice } from "../choice/mod.ts";
+import type { ServerSpeed, WorkEstimates } from "../estimates/mod.ts";
+import type { ReportedLoad } from "../model/request.ts";
 import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { ComparedTime } from "./run_record.ts";
 
 /** One send whose answer is measured. */
 export interface TimedSend {
@@ -18,39 +21,178 @@
   readonly unreadBefore: number;
 }
 
-/** Measures the reading rate; a request's only send had its first part at `now`. */
-export function observeReadingRate(
-  request: AdmittedRequest,
-  send: TimedSend & { readonly now: number },
-  { readingRates }: RequestContext,
+/** One send whose answer has ended. */
+export interface AnsweredSend extends TimedSend {
+  /** When a stream's first part arrived. */
+  readonly firstPartAt?: number | undefined;
+  /** Events of a streamed answer. */
+  readonly events: number;
+  /** Whether the request was sent to no other server. */
+  readonly isOnlySend: boolean;
+}
+
+/** The parts of the request context that observations use. */
+export type ObservationContext = Pick<
+  RequestContext,
+  "clock" | "metrics" | "workEstimates"
+>;
+
+/**
+ * Shortest expected time that is compared, in milliseconds. Shorter ones consist of
+ * delays of the network and of this process.
+ */
+const MINIMUM_COMPARED_MILLISECONDS = 10;
+
+/**
+ * Longest time that the speed at its end applies to, in milliseconds. Servers change
+ * their speed about every 600 ms, so that longer answers see several speeds.
+ */
+const MAXIMUM_SCALED_MILLISECONDS = 600;
+
+/** Applies the load that a server reported with an answer to a send. */
+export function observeReportedLoad(
+  load: ReportedLoad,
+  { choice: { record }, sentAt }: TimedSend,
+  { clock, metrics }: ObservationContext,
 ): void {
-  if (send.unreadBefore > 0) return;
-  readingRates.addMeasurement(
-    request.service.name,
-    promptTokens(request.head) - send.choice.cachedTokens,
-    send.now - send.sentAt,
+  const now = clock.now();
+  record.reported(load, now);
+  const { workTimePercent: figure } = load;
+  if (figure === undefined || record.speed.reported(figure, now, { sentAt }))
+    return;
+  metrics.event("load_figure_ignored");
+}
+
+/**
+ * Measures the time to the first part of an engine's stream, which arrived just now and
+ * whose request was sent only once. Returns it with the expected one.
+ */
+export function observeFirstPart(
+  request: AdmittedRequest,
+  send: TimedSend,
+  { clock, workEstimates }: ObservationContext,
+): ComparedTime | undefined {
+  const { choice, sentAt, unreadBefore } = send;
+  const { name, engine } = request.service;
+  if (engine === undefined) return undefined;
+  const now = clock.now();
+  const { speed } = choice.record;
+  const measured = now - sentAt;
+  const expected = Math.max(
+    MINIMUM_COMPARED_MILLISECONDS,
+    workEstimates.expectedFirstPart(name, choice.workMilliseconds),
   );
+  if (unreadBefore <= 0) {
+    workEstimates.addPrefill(name, {
+      tokens: promptTokens(request.head) - choice.cachedTokens,
+      milliseconds: atUsualSpeed(measured, speed, now),
+    });
+  }
+  const compared = { kind: "first_part" as const, expected, measured };
+  observeSpeed(request, { ...compared, speed, sentAt, now }, workEstimates);
+  return { expected: expected * choice.slowdown, measured };
 }
 
-/** Measures the hold time of a plain request, which occupies its slot from its send on. */
-export function observePlainHoldTime(
+/**
+ * Measures a successful answer that ended just now. Returns the time of a whole answer
+ * to the only send of its request, with the expected one.
+ */
+export function observeAnswer(
   request: AdmittedRequest,
-  send: Pick<TimedSend, "sentAt"> & { readonly now: number },
-  { holdTimes }: RequestContext,
-): void {
-  if (request.service.engine !== undefined) return;
-  holdTimes.addMeasurement(request.service.name, send.now - send.sentAt);
+  send: AnsweredSend,
+  { clock, workEstimates }: ObservationContext,
+): ComparedTime | undefined {
+  const { choice, sentAt, isOnlySend } = send;
+  const now = clock.now();
+  const { speed } = choice.record;
+  const isEngineStream =
+    request.route.streaming && request.service.engine !== undefined;
+  // Of a resumed stream only a part is known.
+  if (isEngineStream && send.firstPartAt === undefined) return undefined;
+  const expectedHold =
+    isEngineStream || !isOnlySend
+      ? undefined
+      : workEstimates.comparableHold(request);
+  const prefillTokens =
+    request.service.engine === undefined
+      ? undefined
+      : Math.max(0, promptTokens(request.head) - choice.cachedTokens);
+  const hold = holdMilliseconds(request, send, { now, workEstimates });
+  workEstimates.addMeasurement(request, {
+    holdMilliseconds: atUsualSpeed(hold, speed, now),
+    prefillTokens,
+    events: isEngineStream ? send.events : undefined,
+  });
+  if (expectedHold === undefined) return undefined;
+  const measured = now - sentAt;
+  const expected = Math.max(
+    MINIMUM_COMPARED_MILLISECONDS,
+    expectedHold * waitFactor(choice),
+  );
+  const compared = { kind: "answer" as const, expected, measured };
+  observeSpeed(request, { ...compared, speed, sentAt, now }, workEstimates);
+  return { expected: expected * choice.slowdown, measured };
 }
 
-/** Measures the hold time of a stream, which occupies its slot from its first part on. */
-export function observeStreamHoldTime(
+/**
+ * Time for which a request occupied its slot. If it waited for a slot, the time before
+ * the first part of a stream is that of its own prefill alone.
+ */
+function holdMilliseconds(
   request: AdmittedRequest,
-  stream: { readonly firstPartAt: number | undefined; readonly now: number },
-  { holdTimes }: RequestContext,
+  { choice, sentAt, firstPartAt }: AnsweredSend,
+  {
+    now,
+    workEstimates,
+  }: Pick<ObservationContext, "workEstimates"> & { readonly now: number },
+): number {
+  const total = now - sentAt;
+  const factor = waitFactor(choice);
+  if (factor === 1) return total;
+  if (firstPartAt === undefined) return total / factor;
+  const prefill =
+    Math.max(0, promptTokens(request.head) - choice.cachedTokens) /
+    workEstimates.prefillRate(request.service.name);
+  return Math.min(total, now - firstPartAt + prefill);
+}
+
+/** Factor by which the wait for a slot prolongs a request at the load it met. */
+function waitFactor({ load, record: { entry } }: Choice): number {
+  const waiting = Math.max(0, load + 1 - entry.slots);
+  return 1 + waiting / Math.max(1, entry.slots);
+}
+
+/** The time that work would have taken at usual speed. */
+function atUsualSpeed(
+  milliseconds: number,
+  speed: ServerSpeed,
+  now: number,
+): number {
+  return milliseconds > MAXIMUM_SCALED_MILLISECONDS
+    ? milliseconds
+    : milliseconds / speed.slowdown(now);
+}
+
+function observeSpeed(
+  { service }: AdmittedRequest,
+  {
+    kind,
+    expected,
+    measured,
+    speed,
+    sentAt,
+    now,
+  }: ComparedTime & {
+    readonly kind: "first_part" | "answer";
+    readonly speed: ServerSpeed;
+    readonly sentAt: number;
+    readonly now: number;
+  },
+  workEstimates: WorkEstimates,
 ): void {
-  if (stream.firstPartAt === undefined) return;
-  holdTimes.addMeasurement(
-    request.service.name,
-    stream.now - stream.firstPartAt,
-  );
+  const reported = speed.reportedFactor(now);
+  // What the reports explain is not usual or unusual for the service.
+  const ratio = measured / expected / reported;
+  const unusual = workEstimates.comparedRatio(service.name, { kind, ratio });
+  speed.observed(unusual * reported, now, { sentAt });
 }
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -23,12 +23,12 @@
   | "clock"
   | "codec"
   | "directory"
-  | "holdTimes"
   | "hosts"
   | "quarantine"
   | "random"
   | "backOffWaits"
   | "permits"
+  | "workEstimates"
 >;
 
 /** Answers with a refusal, and refunds the tokens charged if the request did not run. */
@@ -96,7 +96,7 @@
  */
 function backOffWaitMilliseconds(
   { service }: AdmittedRequest,
-  { clock, directory, holdTimes, hosts, backOffWaits }: RefusalContext,
+  { clock, directory, hosts, backOffWaits, workEstimates }: RefusalContext,
 ): number {
   const now = clock.now();
   const ready = directory.of(service.name).filter(({ isReady }) => isReady);
@@ -107,7 +107,8 @@
     now,
   );
   const slots = ready.reduce((sum, { entry }) => sum + entry.slots, 0);
-  const perSecond = (1_000 * slots) / holdTimes.of(service.name);
+  const perSecond =
+    (1_000 * slots) / workEstimates.meanHoldMilliseconds(service.name);
   return backOffWaits.assignRetryDelay(
     service.name,
     { perSecond, hosts: hosts() },
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -14,6 +14,7 @@
   ServerDirectory,
   ServerRecord,
 } from "../choice/mod.ts";
+import type { WorkEstimates } from "../estimates/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
@@ -23,8 +24,6 @@
 import type { ArrivalRates } from "./arrival_rates.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
-import type { HoldTimes } from "./hold_times.ts";
-import type { ReadingRates } from "./reading_rates.ts";
 
 /** A host's view of the configuration at one moment. */
 export interface ConfigurationView {
@@ -55,8 +54,7 @@
   readonly engineControl: EngineControl;
   readonly directory: ServerDirectory;
   readonly prefixes: PrefixCacheEstimate;
-  readonly readingRates: ReadingRates;
-  readonly holdTimes: HoldTimes;
+  readonly workEstimates: WorkEstimates;
   readonly arrivalRates: ArrivalRates;
   readonly slotTotals: SlotTotalsCache;
   readonly admission: FleetAdmission;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -29,9 +29,9 @@
 import { EventFramer, isAfter } from "./event_framer.ts";
 import { answerRefusal } from "./own_refusal.ts";
 import {
-  observeStreamHoldTime,
-  observePlainHoldTime,
-  observeReadingRate,
+  observeAnswer,
+  observeFirstPart,
+  observeReportedLoad,
   type TimedSend,
 } from "./observed_answers.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -72,6 +72,8 @@
   readonly send: Send;
   readonly work: StartedWork;
   firstPartAt?: number;
+  /** Events of the answer so far. */
+  events: number;
 }
 
 /** A further send that is wanted, but not granted yet. */
@@ -320,7 +322,9 @@
       work,
       sentAt: this.#now(),
       unreadBefore,
+      events: 0,
     };
+    this.#context.workEstimates.sent(request, this.#now());
     this.#stallWatch.start(this.#firstStallMilliseconds());
   }
 
@@ -370,8 +374,8 @@
       this.#handleLoss("answer_not_usable", unusable);
       return;
     }
-    if (head.load !== undefined) {
-      current.choice.record.reported(head.load, this.#now());
+    if (head.load !== undefined && head.status !== MISDIRECTED) {
+      observeReportedLoad(head.load, current, this.#context);
     }
     this.#head = head;
     if (head.notExecuted) return;
@@ -453,6 +457,7 @@
       return;
     }
     this.#tracker.handle({ type: "relayed" });
+    current.events += frames.count;
     this.#lastRelayedId = frames.lastId ?? this.#lastRelayedId;
     this.#lastEventId = this.#lastRelayedId ?? this.#lastEventId;
     this.#stallWatch.eventReceived();
@@ -469,8 +474,9 @@
     this.#record.began();
     this.#record.firstPart();
     if (this.#record.sends === 1) {
-      const send = { ...current, now: this.#now() };
-      observeReadingRate(this.request, send, this.#context);
+      this.#record.compared(
+        observeFirstPart(this.request, current, this.#context),
+      );
     }
     this.#answer.begin(head.status, head.forwarded);
   }
@@ -491,19 +497,22 @@
       return;
     }
     if (!this.#answer.started) this.#beginStream(current);
-    const { firstPartAt } = current;
-    const stream = { firstPartAt, now: this.#now() };
-    observeStreamHoldTime(this.request, stream, this.#context);
+    this.#observeAnswer(current);
     current.choice.record.succeeded();
     this.#context.quarantine.recordCompletion(this.request.fingerprint);
     this.#finish("completed");
     this.#answer.end();
   }
 
+  #observeAnswer(current: CurrentSend): void {
+    const isOnlySend = this.#record.sends === 1;
+    const answer = { ...current, isOnlySend };
+    this.#record.compared(observeAnswer(this.request, answer, this.#context));
+  }
+
   #handleWholeAnswer(head: AnswerHead, current: CurrentSend): void {
     const body = this.#bufferedBody.toBuffer();
-    const answered = { sentAt: current.sentAt, now: this.#now() };
-    observePlainHoldTime(this.request, answered, this.#context);
+    if (isSuccess(head.status)) this.#observeAnswer(current);
     this.#record.began();
     this.#context.quarantine.recordCompletion(this.request.fingerprint);
     const failed = head.status >= FIRST_SERVER_ERROR_STATUS;
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -293,6 +293,8 @@
       : {
           record,
           predictedMilliseconds: 0,
+          workMilliseconds: 0,
+          slowdown: 1,
           cachedTokens: 0,
           copyFrom: undefined,
           load: 0,
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -71,6 +71,12 @@
  */
 const MAXIMUM_EVENT_ID_LENGTH = 64;
 
+/** Time of an answer beside the time that was expected of it, in milliseconds. */
+export interface ComparedTime {
+  readonly expected: number;
+  readonly measured: number;
+}
+
 /** The newest send of a request. */
 interface LastSend {
   readonly server: ServerIncarnation;
@@ -86,6 +92,9 @@
   readonly #reasons: ResendReason[] = [];
   #began = false;
   #firstPartAt: number | undefined;
+  /** Slowdown of the newest send's server, where its speed is known. */
+  #slowdown: number | undefined;
+  #compared: ComparedTime | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
   /** The newest send, where its version is evaluated. */
@@ -114,6 +123,9 @@
     this.#servers.push(server);
     const { continues } = state;
     this.#lastSend = { server, sentAt, continues };
+    this.#slowdown = record.speed.isKnown(sentAt)
+      ? record.speed.slowdown(sentAt)
+      : undefined;
     this.#evaluatedSend?.ended();
     const route = this.#request.route.name;
     this.#evaluatedSend = this.#context.rollouts.sent(record, {
@@ -196,6 +208,11 @@
     );
   }
 
+  /** Notes the time of the answer beside the expected one, where that is known. */
+  compared(time: ComparedTime | undefined): void {
+    this.#compared ??= time;
+  }
+
   /** Notes that a send ended without a usable answer. */
   lost(
     reason: ResendReason,
@@ -327,6 +344,7 @@
           ? undefined
           : Math.round(this.#firstPartAt - request.arrivedAt),
       milliseconds: Math.round(milliseconds),
+      ...speedFields(this.#slowdown, this.#compared),
     });
   }
 }
@@ -335,6 +353,24 @@
   return eventId?.slice(0, MAXIMUM_EVENT_ID_LENGTH);
 }
 
+/** Fields on the speed of a request's server; none if nothing is known of it. */
+function speedFields(
+  slowdown: number | undefined,
+  compared: ComparedTime | undefined,
+): Readonly<Record<string, number | undefined>> | undefined {
+  return slowdown === undefined
+    ? undefined
+    : {
+        slowdown: Math.round(100 * slowdown) / 100,
+        expectedMilliseconds: roundedTime(compared?.expected),
+        measuredMilliseconds: roundedTime(compared?.measured),
+      };
+}
+
+function roundedTime(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 /** One decimal is enough to see how close a budget is to its limit. */
 function roundedToTenth(count: number): number {
   return Math.round(10 * count) / 10;
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -346,3 +346,41 @@
     expect(lines.at(-1)?.fields?.born).toBeUndefined();
   });
 });
+
+describe("speed of the server in the line that ends a request", () => {
+  const FIELDS = ["slowdown", "expectedMilliseconds", "measuredMilliseconds"];
+
+  function endedAt(record: ServerRecord) {
+    const all = observed();
+    all.record.sentTo(record, FIRST);
+    all.record.compared({ expected: 41.6, measured: 104.2 });
+    all.record.ended("completed", 200);
+    return all.lines.at(-1)?.fields ?? {};
+  }
+
+  test("is left out if nothing is known of it", () => {
+    const fields = endedAt(server("s1"));
+    FIELDS.forEach((name) => expect(fields[name]).toBeUndefined());
+  });
+
+  test("is there with the expected time if the server reports it", () => {
+    const record = server("s1");
+    record.speed.reported(250, 0);
+    expect(endedAt(record)).toMatchObject({
+      slowdown: 2.5,
+      expectedMilliseconds: 42,
+      measuredMilliseconds: 104,
+    });
+  });
+
+  test("is there without a time if no answer was measured", () => {
+    const all = observed();
+    const record = server("s1");
+    record.speed.reported(250, 0);
+    all.record.sentTo(record, FIRST);
+    all.record.ended("timed_out", 504);
+    const fields = all.lines.at(-1)?.fields;
+    expect(fields).toMatchObject({ slowdown: 2.5 });
+    expect(fields?.["expectedMilliseconds"]).toBeUndefined();
+  });
+});
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -150,7 +150,7 @@
   const share = admittedShare(totals, {
     arrivalsPerMillisecond:
       context.arrivalRates.addArrival(service.name, now) * context.hosts(),
-    holdMilliseconds: context.holdTimes.of(service.name),
+    holdMilliseconds: context.workEstimates.meanHoldMilliseconds(service.name),
     targetMilliseconds: route.targetMilliseconds,
     lagMilliseconds: context.gossipLagMilliseconds(),
   });
@@ -194,15 +194,19 @@
   { request, tried, now }: SendQuery,
   context: RequestContext,
 ): ChoiceOutcome {
-  const { prefixes, readingRates } = context;
-  const { name } = request.service;
+  const { prefixes, workEstimates } = context;
+  const { name, engine } = request.service;
   return chooseServer(records, prefixes, {
     now,
     dataHall: context.dataHall,
-    engine: request.service.engine,
+    engine,
     parts: request.head.promptParts,
     promptTokens: promptTokens(request.head),
-    readingRate: readingRates.of(name),
+    readingRate: workEstimates.prefillRate(name),
+    holdMilliseconds:
+      engine === undefined
+        ? workEstimates.of(request).holdMilliseconds
+        : undefined,
     excluded: tried,
     maximumOwnRequests: ownConnections(request.service, context.hosts()),
     leavingGraceMilliseconds: leavingWindowMilliseconds(request, context),
--- a/packages/rampswitch-serving/src/relay/suspended_run_test.ts
+++ b/packages/rampswitch-serving/src/relay/suspended_run_test.ts
@@ -19,6 +19,8 @@
       born: undefined,
     }),
     predictedMilliseconds: 0,
+    workMilliseconds: 0,
+    slowdown: 1,
     cachedTokens: 0,
     copyFrom: undefined,
     load: 0,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -30,6 +30,7 @@
   ConfigurationFollower,
   type StoredFormats,
 } from "./configuration/configuration_follower.ts";
+import { WorkEstimates } from "./estimates/mod.ts";
 import { HostDuties } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
 import { serveReadiness } from "./intake/readiness_server.ts";
@@ -55,9 +56,7 @@
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
-import { HoldTimes } from "./relay/hold_times.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
-import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
@@ -137,8 +136,7 @@
   readonly #rolloutStore: RolloutStore;
   #stopping: Promise<void> | undefined;
   #cancelVersionCheck: () => void = () => undefined;
-  readonly #readingRates = new ReadingRates();
-  readonly #holdTimes = new HoldTimes();
+  readonly #workEstimates = new WorkEstimates();
   readonly #arrivalRates: ArrivalRates;
   readonly #slotTotals = new SlotTotalsCache();
   readonly #permits: ServerPermits;
@@ -238,7 +236,8 @@
     const backOffs = new BackOffAdvertisements({
       ...ports,
       hosts: () => this.#membership?.size ?? 1,
-      holdMilliseconds: (service) => this.#holdTimes.of(service),
+      holdMilliseconds: (service) =>
+        this.#workEstimates.meanHoldMilliseconds(service),
     });
     this.#advertisements = new AdvertisementReader({
       ...ports,
@@ -286,7 +285,8 @@
         rolloutStore: this.#rolloutStore,
         peerIncarnations: () => this.#membership?.incarnations ?? [],
         load: (service) => this.#gossip.load(service),
-        holdMilliseconds: (service) => this.#holdTimes.of(service),
+        holdMilliseconds: (service) =>
+          this.#workEstimates.meanHoldMilliseconds(service),
         limitOf: (record) => this.#permits.limitOf(record),
         isIdle: () => this.#meter.idle,
         routes: () =>
@@ -329,7 +329,8 @@
       directory: this.#directory,
       prefixes: this.#prefixes,
       limits: this.#limits,
-      readingRates: this.#readingRates,
+      metrics: ports.metrics,
+      workEstimates: this.#workEstimates,
       dispatches: this.#dispatches,
       meter: this.#meter,
       duties: this.#duties,
@@ -485,8 +486,7 @@
       client: this.#client,
       directory: this.#directory,
       prefixes: this.#prefixes,
-      readingRates: this.#readingRates,
-      holdTimes: this.#holdTimes,
+      workEstimates: this.#workEstimates,
       arrivalRates: this.#arrivalRates,
       slotTotals: this.#slotTotals,
       admission: this.#admission,
@@ -592,7 +592,12 @@
 
   #configured(routes: RouteIndex): void {
     const { configuration } = routes;
-    this.#limits.configure(configuration.workspaces, this.#ports.clock.now());
+    const now = this.#ports.clock.now();
+    this.#limits.configure(configuration.workspaces, now);
+    this.#workEstimates.configured(
+      configuration.routes.map(({ name }) => name),
+      now,
+    );
     this.#callers.setLimits(configuration.callerLimits);
     if (this.#lifecycle.handle({ type: "prepared" })) {
       this.#ports.logger.info("serving", { version: configuration.version });
