--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -12,4 +12,5 @@
 export * from "./prefix_cache_estimate.ts";
 export * from "./server_directory.ts";
 export * from "./server_record.ts";
+export * from "./slowdown_updates.ts";
 export * from "./work_without.ts";
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -34,6 +34,7 @@
   quarantineOf,
 } from "./quarantine_codec.ts";
 import { encodedRollouts, isRollouts, rolloutsOf } from "./rollout_codec.ts";
+import { encodedSlowdowns, isSlowdowns, slowdownsOf } from "./speed_codec.ts";
 import {
   encodedIncarnations,
   type EncodedIncarnations,
@@ -69,6 +70,7 @@
   readonly p?: ReturnType<typeof encodedRollouts> | undefined;
   readonly m?: ReturnType<typeof encodedLimits>;
   readonly a?: ReturnType<typeof encodedLeaving>;
+  readonly sp?: ReturnType<typeof encodedSlowdowns>;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -96,6 +98,7 @@
   p: isRollouts,
   m: isLimits,
   a: isLeaving,
+  sp: isSlowdowns,
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -117,6 +120,7 @@
     w: encodedWork(digest.work),
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
+    sp: encodedSlowdowns(digest.slowdowns),
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
     z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
@@ -156,6 +160,7 @@
     rollouts: rolloutsOf(message.p),
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
+    slowdowns: slowdownsOf(message.sp),
     permitHolders: message.h ?? [],
     acknowledgedByHost: message.z,
   };
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -41,6 +41,7 @@
   quarantineOf,
 } from "./quarantine_codec.ts";
 import { encodedRollouts, isRollouts, rolloutsOf } from "./rollout_codec.ts";
+import { encodedSlowdowns, isSlowdowns, slowdownsOf } from "./speed_codec.ts";
 import {
   encodedIncarnations,
   type EncodedIncarnations,
@@ -86,6 +87,7 @@
   readonly m?: ReturnType<typeof encodedLimits>;
   readonly g?: ReturnType<typeof encodedLoans>;
   readonly o?: ReturnType<typeof encodedLeaving>;
+  readonly sp?: ReturnType<typeof encodedSlowdowns>;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -132,6 +134,7 @@
   m: isLimits,
   g: isLoans,
   o: isLeaving,
+  sp: isSlowdowns,
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -214,6 +217,7 @@
     m: encodedLimits(update.limits),
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
+    sp: encodedSlowdowns(update.slowdowns),
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
     e:
@@ -267,5 +271,6 @@
     limits: limitsOf(update.m),
     lentTo: update.g ?? {},
     leaving: leavingOf(update.o),
+    slowdowns: slowdownsOf(update.sp),
   };
 }
