--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -7,6 +7,7 @@
  */
 export * from "./choice/mod.ts";
 export * from "./configuration/configuration_follower.ts";
+export * from "./estimates/mod.ts";
 export type * from "./model/backend_server.ts";
 export type * from "./model/cloud.ts";
 export type * from "./model/configuration.ts";
@@ -15,7 +16,6 @@
 export * from "./observation/mod.ts";
 export * from "./quarantine/mod.ts";
 export * from "./relay/arrival_rates.ts";
-export * from "./relay/hold_times.ts";
 export * from "./rollout/mod.ts";
 export * from "./server_limits/mod.ts";
 export * from "./serving_host.ts";
