--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -287,6 +287,8 @@
         load: (service) => this.#gossip.load(service),
         holdMilliseconds: (service) =>
           this.#workEstimates.meanHoldMilliseconds(service),
+        memoryTokens: (service) =>
+          this.#workEstimates.meanMemoryTokens(service),
         limitOf: (record) => this.#permits.limitOf(record),
         isIdle: () => this.#meter.idle,
         routes: () =>
