Retain the servers that a new holder of the duty finds while it is idle

After a loss of all hosts the new holder counts servers on demand only and plans as for a new deployment: in a test with 34 reclaimable servers and no requests it ordered 100 of them and, from 2.5 s on, 6. Where the demand is planned by several needs, it now leaves the servers as they are for 10 s without requests, if reclaimable ones show that the deployment is not new.

--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -185,12 +185,14 @@
     if (this.#parts.isIdle()) this.#recordInitialCount(service, now);
     const load = this.#parts.load(service.name);
     const halls = this.#hallServers(service, now);
-    // Before any load, the number of listed servers decides instead of the demand.
-    const { targets, gate } =
-      !this.#parts.isIdle() &&
-      this.#demands.applies(service.name, routes.configuration.routes, now)
-        ? this.#planByDemand(service, load, { halls, now })
-        : this.#planByLoad(service, load, { halls, now });
+    const byDemand = this.#demands.applies(
+      service.name,
+      routes.configuration.routes,
+      now,
+    );
+    const { targets, gate } = byDemand
+      ? this.#planByDemand(service, load, { halls, now })
+      : this.#planByLoad(service, load, { halls, now });
     const orders = targets.flatMap((hallTarget, index) => {
       const hall = halls[index];
       return hall === undefined
@@ -228,6 +230,12 @@
     { halls, now }: { halls: readonly DataHallServers[]; now: number },
   ): PlannedHalls {
     const { name, capacity } = service;
+    // Before any load, the number of listed servers decides instead of the demand.
+    if (this.#parts.isIdle()) {
+      const { targets } = this.#planByLoad(service, load, { halls, now });
+      const idleGate = this.#demands.idleGate(name, halls, now);
+      return { targets, gate: () => idleGate };
+    }
     const forLoad = this.#demands.update(service, load, now);
     const missing = this.#missingServers(service, load, {
       needed: forLoad.needed,
--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -392,6 +392,21 @@
     expect(firstLoweredOnDemand(orders)).toBeDefined();
   });
 
+  test("are kept by a new holder for 10 s without requests, unless the deployment is new", async () => {
+    // After a loss of all hosts, callers return seconds later. A holder that found 34
+    // reclaimable servers ordered 100 of them, and 6 from 2.5 s on.
+    const { duty, orders, directory } = idleDuty();
+    listServers(directory, 34, { reclaimable: true });
+    await orderUntil(duty, { from: 0, until: 9_750 });
+    expect(orders).toEqual([]);
+    await orderUntil(duty, { from: 10_000, until: 12_000 });
+    expect(remainingReclaimable(orders, directory)).toBe(6);
+    const { duty: first, orders: started, directory: listed } = idleDuty();
+    listServers(listed, 20);
+    await orderUntil(first, { from: 0, until: 3_000 });
+    expect(onDemandAfterOrders(started, listed)).toBeLessThan(20);
+  });
+
   test("are not given up when the duty moves while an order is under way", async () => {
     const { duty, orders, directory } = idleDuty(() => true, BUSY);
     listServers(directory, 12);
--- a/packages/rampswitch-serving/src/duties/service_demands.ts
+++ b/packages/rampswitch-serving/src/duties/service_demands.ts
@@ -33,6 +33,14 @@
  */
 const MAXIMUM_RUNNING_PER_SLOT = 2;
 
+/**
+ * Time without any request for which a new holder retains the servers that it finds, in
+ * milliseconds, if reclaimable ones show that the deployment is not new. After a loss of
+ * all hosts, these take up to 5 s to start, and callers return within a third of a
+ * deadline of 15 s.
+ */
+const IDLE_RETENTION_MILLISECONDS = 10_000;
+
 /** Parts that the demand is read from. */
 export interface DemandParts {
   readonly directory: ServerDirectory;
@@ -61,6 +69,8 @@
   readonly history: DemandHistory;
   /** Since when fewer reclaimable servers are ready than are needed. */
   lackingSince: number | undefined;
+  /** Until when the servers that this holder found are retained while it is idle. */
+  retainedUntil: number | undefined;
 }
 
 /** Demand for the servers of all services. */
@@ -163,6 +173,19 @@
     };
   }
 
+  /** Returns which changes of orders are allowed before any request has arrived. */
+  idleGate(
+    service: string,
+    halls: readonly DataHallServers[],
+    now: number,
+  ): OrderGate {
+    const state = this.#state(service);
+    const isNew = halls.every(({ reclaimableReady }) => reclaimableReady === 0);
+    state.retainedUntil ??= isNew ? now : now + IDLE_RETENTION_MILLISECONDS;
+    const isAllowed = now >= state.retainedUntil;
+    return { mayRaise: isAllowed, mayLower: isAllowed };
+  }
+
   /** Whether a holder observed the load for long enough to order servers by it. */
   isLoadKnown(service: string, now: number): boolean {
     return this.#state(service).history.isLoadKnown(now);
@@ -194,7 +217,11 @@
   #state(service: string): ServiceState {
     const known = this.#states.get(service);
     if (known !== undefined) return known;
-    const created = { history: new DemandHistory(), lackingSince: undefined };
+    const created = {
+      history: new DemandHistory(),
+      lackingSince: undefined,
+      retainedUntil: undefined,
+    };
     this.#states.set(service, created);
     return created;
   }
