--- /dev/null
+++ b/packages/rampswitch-serving/src/room/mod.ts
@@ -0,0 +1,23 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Admission of requests when the capacity of a service is short.
+ *
+ * @module
+ */
+export {
+  type ClassRoom,
+  RoomAdmission,
+  type RoomDecision,
+  type RoomRequest,
+  type RoomReservations,
+  type RoomSource,
+  type ServerRoom,
+} from "./room_admission.ts";
+export {
+  classKey,
+  type RoomClass,
+  rankLabel,
+  rankOf,
+  roomClassOf,
+} from "./room_class.ts";
