Admit requests by class when the capacity of a service is short

Change: RoomAdmission decides on first sends to engine and plain services. The room of a service is divided by rank and by max-min fairness among workspaces, each class has a floor, and each host spends its part by token buckets. Hosts exchange demand by class in a message key of its own while capacity is short. A service with requests of one class keeps the random share, on engine services only.

--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -33,6 +33,7 @@
 } from "./server_limits/mod.ts";
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
+import type { RoomCounts } from "./room/mod.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
 
@@ -52,6 +53,7 @@
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
   readonly leavingAdvertisements: LeavingAdvertisements;
+  readonly roomCounts: RoomCounts;
   /** Hosts that may issue permits for limited servers. */
   permitHolders(): readonly string[];
   /** Fleet time, the time of day on which the hosts agree, in milliseconds. */
@@ -134,6 +136,7 @@
       leaving: this.#parts.leavingAdvertisements.updates({
         ownOnly: message.role !== "direct",
       }),
+      room: this.#parts.roomCounts.ownReport(this.#parts.clock.now()),
     };
   }
 
@@ -175,6 +178,7 @@
       rollouts: this.#parts.rollouts.relayUpdates(now),
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
+      room: this.#parts.roomCounts.reportExcept(host, now),
     };
   }
 
@@ -206,6 +210,7 @@
     this.#parts.rollouts.received(digest.rollouts, { now });
     this.#parts.permits.receiveLimits(digest.limits, 0);
     this.#parts.leavingAdvertisements.received(digest.leaving, 0);
+    this.#parts.roomCounts.receiveFleet(digest.room, now);
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -226,6 +231,7 @@
     this.#parts.follower.receivePeerVersions(update.followed);
     this.#parts.directory.receivePeerWork(update.host, update.work, now);
     this.#parts.leavingAdvertisements.received(update.leaving, age);
+    this.#parts.roomCounts.receive(update.host, update.room, now - age);
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -15,6 +15,7 @@
   FINGERPRINT_PATTERN,
   type QuarantineUpdate,
 } from "../quarantine/mod.ts";
+import { DEMAND_SCHEMA, demandOf, encodedDemand } from "./demand_codec.ts";
 import { encodedLeaving, LEAVING_SCHEMA, leavingOf } from "./leaving_codec.ts";
 import {
   encodedRollouts,
@@ -120,6 +121,7 @@
   m: LIMITS_SCHEMA,
   g: LENT_SCHEMA,
   o: LEAVING_SCHEMA,
+  rm: DEMAND_SCHEMA,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -150,6 +152,7 @@
     p: ROLLOUTS_SCHEMA,
     m: LIMITS_SCHEMA,
     a: LEAVING_SCHEMA,
+    rm: DEMAND_SCHEMA,
     h: z.array(z.string()).optional(),
   }),
   z.object({
@@ -292,6 +295,7 @@
     m: encodedLimits(update.limits),
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
+    rm: encodedDemand(update.room),
     ...encodedIncarnations(update.work, update.dispatches),
     ...(update.quarantine.length === 0
       ? {}
@@ -324,6 +328,7 @@
     w: encodedWork(digest.work),
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
+    rm: encodedDemand(digest.room),
     ...(digest.permitHolders.length === 0
       ? {}
       : { h: [...digest.permitHolders] }),
@@ -415,6 +420,7 @@
     rollouts: rolloutsOf(message.p),
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
+    room: demandOf(message.rm),
     permitHolders: message.h ?? [],
   };
 }
@@ -455,6 +461,7 @@
     limits: limitsOf(update.m),
     lentTo: update.g ?? {},
     leaving: leavingOf(update.o),
+    room: demandOf(update.rm),
   };
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -137,6 +137,45 @@
   });
 });
 
+describe("demand by class", () => {
+  const room: NonNullable<PeerUpdate["room"]> = {
+    isShort: true,
+    rates: [
+      {
+        roomClass: {
+          service: "models",
+          workspaceRank: 0,
+          routeRank: 2,
+          workspace: "large",
+        },
+        offered: 8,
+        admitted: 4,
+      },
+    ],
+  };
+  const demandMessage: PeerMessage = {
+    kind: "updates",
+    from: "h1",
+    wantsDigest: false,
+    updates: [{ age: 0, update: { ...UPDATE, room } }],
+  };
+
+  test("is decoded as it was encoded", () => {
+    const decoded = decodeMessage(encodeMessage(demandMessage));
+    expect(decoded.unwrapOr(undefined)).toEqual(demandMessage);
+  });
+
+  test("has a key of its own, which hosts of an earlier version ignore", () => {
+    const text = encodeMessage(demandMessage).toString("utf8");
+    const { o } = JSON.parse(text) as {
+      o: [number, Record<string, unknown>][];
+    };
+    const { rm, ...former } = o[0]?.[1] ?? {};
+    expect(rm).toBeDefined();
+    expect(former).toEqual(writtenMessage().update);
+  });
+});
+
 describe("the estimated time of a host", () => {
   test("is its clock if an earlier version sends no estimate", () => {
     const { message, update } = writtenMessage();
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -14,6 +14,7 @@
 } from "../admission/mod.ts";
 import type { LeavingUpdate, ReportedWork } from "../choice/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
+import type { RoomReport } from "../room/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
 import type {
   LimitUpdate,
@@ -83,6 +84,8 @@
   readonly rollouts: readonly RolloutUpdate[];
   /** Backend servers that advertised in their answers that they leave. */
   readonly leaving: readonly LeavingUpdate[];
+  /** Demand by class; `undefined` while capacity is not short. */
+  readonly room?: RoomReport | undefined;
 }
 
 /** State of all hosts but one, which a relay sends to that one. */
@@ -107,6 +110,8 @@
   readonly limits: readonly LimitUpdate[];
   /** Backend servers that advertised in their answers that they leave. */
   readonly leaving: readonly LeavingUpdate[];
+  /** Demand by class; `undefined` while capacity is not short. */
+  readonly room?: RoomReport | undefined;
 }
 
 /** Digest of the fleet, which a relay sends to one host of its data hall. */
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -45,6 +45,16 @@
     "Writes of log lines that failed; they are tried again",
     ["code"],
   );
+  readonly #roomAdmitted = this.#counter(
+    "room_admitted_total",
+    "Requests admitted while capacity was short",
+    ["rank"],
+  );
+  readonly #roomRefused = this.#counter(
+    "room_refused_total",
+    "Requests refused because capacity was short",
+    ["rank"],
+  );
   readonly #gauges = new Map<string, Gauge>();
   readonly #serverGauges = new Map<string, Gauge<"server">>();
   readonly #firstPart = this.#histogram(
@@ -71,6 +81,16 @@
     this.#notRepeated.inc({ why });
   }
 
+  /** Counts a request that was admitted while capacity was short. */
+  roomAdmitted(rank: string): void {
+    this.#roomAdmitted.inc({ rank });
+  }
+
+  /** Counts a request that was refused because capacity was short. */
+  roomRefused(rank: string): void {
+    this.#roomRefused.inc({ rank });
+  }
+
   /** Counts an event. */
   event(event: string): void {
     this.#events.inc({ event });
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -9,7 +9,6 @@
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
 import type { BackendClient } from "../attempt/mod.ts";
 import type {
-  SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
   ServerRecord,
@@ -20,7 +19,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
-import type { ArrivalRates } from "./arrival_rates.ts";
+import type { RoomAdmission } from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
@@ -57,8 +56,7 @@
   readonly prefixes: PrefixCacheEstimate;
   readonly readingRates: ReadingRates;
   readonly holdTimes: HoldTimes;
-  readonly arrivalRates: ArrivalRates;
-  readonly slotTotals: SlotTotalsCache;
+  readonly room: RoomAdmission;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -133,6 +133,7 @@
         request,
         tried: this.#tried,
         finished: () => this.#answer.finished,
+        shortOfRoom: (refusal) => this.#record.shortOfRoom(refusal),
       },
       context,
     );
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -13,6 +13,7 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ServerIncarnation } from "../model/backend_server.ts";
+import type { RoomRefusal } from "./send_choice.ts";
 import { incarnationOf, startTimesOf } from "./server_incarnation.ts";
 
 /** Reasons why a resend that was needed is not made. */
@@ -88,6 +89,7 @@
   #firstPartAt: number | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
+  #refusal: RoomRefusal | undefined;
   /** The newest send, where its version is evaluated. */
   #evaluatedSend: SendObserver | undefined;
 
@@ -282,6 +284,12 @@
     });
   }
 
+  /** Notes that the request is refused because capacity is short. */
+  shortOfRoom(refusal: RoomRefusal): void {
+    this.#refusal = refusal;
+    this.#context.metrics.roomRefused(refusal.rank);
+  }
+
   /** Reports the answer of the newest send to the evaluation of its version. */
   #answered(failed: boolean): void {
     this.#evaluatedSend?.answered({ failed, now: this.#context.clock.now() });
@@ -327,6 +335,8 @@
           ? undefined
           : Math.round(this.#firstPartAt - request.arrivedAt),
       milliseconds: Math.round(milliseconds),
+      rank: this.#refusal?.rank,
+      share: roundedToHundredth(this.#refusal?.share),
     });
   }
 }
@@ -340,6 +350,10 @@
   return Math.round(10 * count) / 10;
 }
 
+function roundedToHundredth(share: number | undefined): number | undefined {
+  return share === undefined ? undefined : Math.round(100 * share) / 100;
+}
+
 function millisecondsBetween(
   start: number | undefined,
   end: number | undefined,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -121,6 +121,25 @@
 }
 
 describe("record of a run", () => {
+  test("a refusal for lack of capacity tells rank and share", async () => {
+    const { record, lines, counters } = observed();
+    record.shortOfRoom({
+      kind: "short",
+      room: { perMillisecond: 1, available: 0, work: 200 },
+      rank: "1.2",
+      share: 0.256,
+    });
+    record.ended("servers_full", 503);
+    expect(lines[0]?.fields).toMatchObject({
+      outcome: "servers_full",
+      rank: "1.2",
+      share: 0.26,
+    });
+    expect(await counters("room_refused_total")).toEqual([
+      'rampswitch_room_refused_total{rank="1.2"} 1',
+    ]);
+  });
+
   test("the first send is not logged", () => {
     const { record, lines } = observed();
     record.sentTo(server("s1"), FIRST);
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -11,8 +11,12 @@
   type ChoiceOutcome,
   chooseServer,
   type ServerRecord,
-  admittedShare,
 } from "../choice/mod.ts";
+import {
+  type RoomDecision,
+  type RoomRequest,
+  roomClassOf,
+} from "../room/mod.ts";
 import type { VersionChoice } from "../rollout/mod.ts";
 import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
 import { ownConnections } from "./connection_share.ts";
@@ -25,12 +29,17 @@
  */
 const LEAVING_SEND_SHARE = 0.6;
 
+/** Refusal of a request because capacity is short. */
+export type RoomRefusal = Extract<RoomDecision, { readonly kind: "short" }>;
+
 /** Result of a choice for one send. */
 export interface SendChoice {
   /** Outcome of the choice among the servers that need no permit. */
   readonly outcome: ChoiceOutcome;
   /** Limited servers that may take the request with a permit, preferred ones first. */
   readonly limited: readonly ServerRecord[];
+  /** Why a first send finds no capacity; `undefined` if it finds some. */
+  readonly refusal: RoomRefusal | undefined;
 }
 
 /** Chooses among the servers whose current incarnations were not tried. */
@@ -44,7 +53,7 @@
   const all = context.rollouts.choice(request.service.name, { isFirst, now });
   const send = { request, tried, now };
   return {
-    outcome: chooseWithoutPermit(withoutLimited(all, context), send, context),
+    ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
   };
 }
@@ -60,23 +69,31 @@
   return outcome.kind === "chosen" ? outcome.choice : undefined;
 }
 
-const NO_CAPACITY: ChoiceOutcome = { kind: "full" };
-
-const ALL_BACK_OFF: ChoiceOutcome = { kind: "resting" };
-
 function chooseWithoutPermit(
   versions: VersionChoice,
   send: SendQuery,
   context: RequestContext,
-): ChoiceOutcome {
+): Omit<SendChoice, "limited"> {
   const isFirst = send.tried.size === 0;
-  if (isFirst && allBackOff(versions, send.now)) return ALL_BACK_OFF;
-  if (isFirst && !getsSlot(versions, send.request, context)) return NO_CAPACITY;
+  if (isFirst && allBackOff(versions, send.now)) {
+    return { outcome: { kind: "resting" }, refusal: undefined };
+  }
+  // Only first sends are decided on, so a resend is never refused here.
+  const decision = isFirst
+    ? context.room.decide(roomRequest(versions, send, context), send.now)
+    : undefined;
+  if (decision?.kind === "short") {
+    return { outcome: { kind: "full" }, refusal: decision };
+  }
   const { first, fallback: otherwise } = versions;
   const outcome = chooseAmong(first, send, context);
-  return outcome.kind === "chosen" || otherwise === undefined
-    ? outcome
-    : chooseAmong(otherwise, send, context);
+  return {
+    outcome:
+      outcome.kind === "chosen" || otherwise === undefined
+        ? outcome
+        : chooseAmong(otherwise, send, context),
+    refusal: undefined,
+  };
 }
 
 /** Whether all ready servers have asked for a back-off, so that none takes requests. */
@@ -125,37 +142,30 @@
     .toSorted((left, right) => left.load(now) - right.load(now));
 }
 
-/**
- * Whether the engines have capacity for a new request. If they lack capacity, a
- * random share of the requests is admitted. Only first sends are checked, so a
- * resend is never refused here.
- */
-function getsSlot(
+/** A request as admission sees it. */
+function roomRequest(
   { first, fallback: otherwise = [] }: VersionChoice,
-  request: AdmittedRequest,
+  { request, now }: SendQuery,
   context: RequestContext,
-): boolean {
+): RoomRequest {
   const { service, route } = request;
-  if (service.engine === undefined) return true;
-  const now = context.clock.now();
-  const leavingMilliseconds = leavingWindowMilliseconds(request, context);
-  const totals = context.slotTotals.of(service.name, now, () =>
-    [...first, ...otherwise]
-      .filter((record) => acceptsRequests(record, now, leavingMilliseconds))
-      .map((record) => ({
-        slots: record.entry.slots,
-        load: record.load(now),
-      })),
-  );
-  const share = admittedShare(totals, {
-    arrivalsPerMillisecond:
-      context.arrivalRates.addArrival(service.name, now) * context.hosts(),
-    holdMilliseconds: context.holdTimes.of(service.name),
+  return {
+    roomClass: roomClassOf(request),
+    work: context.holdTimes.of(service.name),
     targetMilliseconds: route.targetMilliseconds,
-    lagMilliseconds: context.gossipLagMilliseconds(),
-  });
-  context.metrics.gauge("share_with_places", share);
-  return share >= 1 || context.random.next() < share;
+    sharesAlone: service.engine !== undefined,
+    servers: () => {
+      const leavingMilliseconds = leavingWindowMilliseconds(request, context);
+      return [...first, ...otherwise]
+        .filter((record) => acceptsRequests(record, now, leavingMilliseconds))
+        .map((record) => ({
+          slots: record.entry.slots,
+          load: record.load(now),
+          ownLoad: record.ownRunning,
+          slowdown: 1,
+        }));
+    },
+  };
 }
 
 /** Whether a server takes requests now: it is ready, or announced its end recently. */
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -14,7 +14,11 @@
 import { chooseProbe, chooseWithPermit } from "./permit_choice.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
-import { chooseForSend, type SendChoice } from "./send_choice.ts";
+import {
+  chooseForSend,
+  type RoomRefusal,
+  type SendChoice,
+} from "./send_choice.ts";
 
 /** Maximum number of waits for a permit for a run that is lost without one. */
 const MAXIMUM_PERMIT_WAITS = 3;
@@ -44,6 +48,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether its caller has a final answer. */
   finished(): boolean;
+  /** Notes that capacity is short for the first send. */
+  shortOfRoom(refusal: RoomRefusal): void;
 }
 
 /** Chooses servers for one request. */
@@ -110,13 +116,14 @@
   }
 
   #chooseOrTakePermit(
-    { outcome, limited }: SendChoice,
+    { outcome, limited, refusal }: SendChoice,
     listener: ChoiceListener<RefusalReason>,
   ): void {
     if (outcome.kind === "chosen") listener.chosen(outcome.choice);
     else if (limited.length > 0) {
       void this.#chooseWithPermit(limited, listener, "servers_limited");
     } else {
+      if (refusal !== undefined) this.#run.shortOfRoom(refusal);
       listener.none(REFUSAL_BY_OUTCOME[outcome.kind]);
     }
   }
--- a/packages/rampswitch-serving/src/room/mod.ts
+++ b/packages/rampswitch-serving/src/room/mod.ts
@@ -12,8 +12,9 @@
   type RoomRequest,
   type RoomReservations,
   type RoomSource,
-  type ServerRoom,
 } from "./room_admission.ts";
+export { type ClassRates, RoomCounts, type RoomReport } from "./room_counts.ts";
+export type { ServerRoom } from "./service_room.ts";
 export {
   classKey,
   type RoomClass,
--- a/packages/rampswitch-serving/src/room/room_class.ts
+++ b/packages/rampswitch-serving/src/room/room_class.ts
@@ -47,8 +47,8 @@
 }): RoomClass {
   return {
     service: request.service.name,
-    workspaceRank: request.workspace?.priority ?? 0,
-    routeRank: request.route.priority,
+    workspaceRank: boundedRank(request.workspace?.priority ?? 0),
+    routeRank: boundedRank(request.route.priority),
     workspace: request.workspace?.name ?? "",
   };
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -21,7 +21,6 @@
 } from "./admission/mod.ts";
 import { BackendClient } from "./attempt/mod.ts";
 import {
-  SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
   type ServerRecord,
@@ -54,7 +53,7 @@
 } from "./rollout/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
-import { ArrivalRates } from "./relay/arrival_rates.ts";
+import { RoomAdmission } from "./room/mod.ts";
 import { HoldTimes } from "./relay/hold_times.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import { ReadingRates } from "./relay/reading_rates.ts";
@@ -139,8 +138,7 @@
   #cancelVersionCheck: () => void = () => undefined;
   readonly #readingRates = new ReadingRates();
   readonly #holdTimes = new HoldTimes();
-  readonly #arrivalRates: ArrivalRates;
-  readonly #slotTotals = new SlotTotalsCache();
+  readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
   readonly #leavingAdvertisements: LeavingAdvertisements;
@@ -262,7 +260,18 @@
         },
       },
     });
-    this.#arrivalRates = new ArrivalRates(ports.clock.now());
+    this.#room = new RoomAdmission({
+      hosts: () => this.#membership?.size ?? 1,
+      lagMilliseconds: () => this.#gossipLagMilliseconds(),
+      meanHoldMilliseconds: (service) => this.#holdTimes.of(service),
+      draw: () => ports.random.next(),
+      admittedWhileShort: (rank) => ports.metrics.roomAdmitted(rank),
+      shareComputed: (share) => {
+        ports.metrics.gauge("room_share", share);
+        // The name of the gauge before admission by class.
+        ports.metrics.gauge("share_with_places", share);
+      },
+    });
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
@@ -338,6 +347,7 @@
       rollouts: this.#rollouts,
       permits: this.#permits,
       leavingAdvertisements: this.#leavingAdvertisements,
+      roomCounts: this.#room.counts,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
@@ -487,8 +497,7 @@
       prefixes: this.#prefixes,
       readingRates: this.#readingRates,
       holdTimes: this.#holdTimes,
-      arrivalRates: this.#arrivalRates,
-      slotTotals: this.#slotTotals,
+      room: this.#room,
       admission: this.#admission,
       budget: this.#budget,
       quarantine: this.#quarantine,
@@ -504,8 +513,7 @@
       hosts: () => this.#membership?.size ?? 1,
       listedHosts: () => this.#membership?.listedSize,
       drainMilliseconds: () => this.#settings.bounds.drainMilliseconds,
-      gossipLagMilliseconds: () =>
-        gossipLagMilliseconds(this.#membership?.role ?? "direct"),
+      gossipLagMilliseconds: () => this.#gossipLagMilliseconds(),
       receivesDispatches: () =>
         (this.#membership?.role ?? "direct") === "direct",
       acceptsRequests: () => this.#startsRequests(),
@@ -519,6 +527,10 @@
     };
   }
 
+  #gossipLagMilliseconds(): number {
+    return gossipLagMilliseconds(this.#membership?.role ?? "direct");
+  }
+
   #startsRequests(): boolean {
     const { stopStartedAt } = this.#lifecycle;
     return (
