--- a/packages/rampswitch-serving/src/room/room_allocation.ts
+++ b/packages/rampswitch-serving/src/room/room_allocation.ts
@@ -84,6 +84,11 @@
  * given room beyond their floors; infinite if all demand is met.
  */
 function fairLevel(members: readonly RankMember[], room: number): number {
+  const missing = members.reduce(
+    (sum, { demand, floor }) => sum + demand - floor,
+    0,
+  );
+  if (missing <= room) return Infinity;
   // Between two bounds, the room that is used rises linearly with the level.
   const bounds = members
     .flatMap(({ demand, floor }) => [
