Assign refused callers a return time and tell other hosts of it

Callers refused for lack of capacity were told a flat 0.2 to 0.6 s, so most of them were refused again. The pure modules, their gossip and the command line are here; requests do not use them yet.

--- a/packages/rampswitch-cli/src/commands/explain.ts
+++ b/packages/rampswitch-cli/src/commands/explain.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Command } from "commander";
+import { readFileSync } from "node:fs";
 import type { CommandResult } from "../command_result.ts";
 import {
   clientOf,
@@ -14,12 +15,15 @@
 } from "../connection.ts";
 import type { Finish } from "../command_result.ts";
 import { table } from "../table.ts";
+import { logLines } from "./log_line.ts";
+import { refusalRows, type RefusedRank, refusalsByRank } from "./refusals.ts";
 
 interface ExplainOptions extends ConnectionOptions {
   readonly service: string;
   readonly workspace: string;
   readonly prompt: string;
   readonly tokens: string;
+  readonly logs?: readonly string[];
 }
 
 interface Explanation {
@@ -51,7 +55,11 @@
       .requiredOption("--service <name>")
       .requiredOption("--workspace <name>")
       .option("--prompt <text>", "prompt of the request", "")
-      .option("--tokens <n>", "tokens to generate", "256"),
+      .option("--tokens <n>", "tokens to generate", "256")
+      .option(
+        "--logs <files...>",
+        "logs of hosts, whose refusals of such requests are summed up",
+      ),
   ).action(async (options: ExplainOptions) =>
     finish(await explain(options), options.output),
   );
@@ -65,13 +73,27 @@
     prompt,
     tokens: Number(options.tokens),
   });
+  const refusals = refusalsByRank(
+    (options.logs ?? []).flatMap((file) =>
+      logLines(readFileSync(file, "utf8")),
+    ),
+    { service, workspace },
+  );
   return answer.map(({ body }) => {
     const explanation = body as Explanation;
-    return { text: explanationText(explanation), value: explanation };
+    return options.logs === undefined
+      ? { text: explanationText(explanation, []), value: explanation }
+      : {
+          text: explanationText(explanation, refusals),
+          value: { ...explanation, refusals },
+        };
   });
 }
 
-function explanationText(explanation: Explanation): string {
+function explanationText(
+  explanation: Explanation,
+  refusals: readonly RefusedRank[],
+): string {
   const { rule, chosen, scores, exclusions } = explanation;
   return [
     `rule ${rule ?? "(none matched: all servers of the service)"}, ` +
@@ -91,5 +113,13 @@
       ["excluded", "reason"],
       exclusions.map(({ server, reason }) => [server, reason]),
     ),
+    ...(refusals.length === 0
+      ? []
+      : [
+          table(
+            ["refused", "rank", "requests", "share admitted", "room expected"],
+            refusalRows(refusals),
+          ),
+        ]),
   ].join("\n\n");
 }
--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -12,6 +12,7 @@
 import { outputOption } from "../connection.ts";
 import { EXIT } from "../exit_codes.ts";
 import { type LogLine, logLines } from "./log_line.ts";
+import { refusalText } from "./refusals.ts";
 import { type MissingLines, missingLines, summed } from "./missing_lines.ts";
 
 /** Lines about servers that a request met, at most, each side of it. */
@@ -46,8 +47,8 @@
       ? "the run stopped and its memory was kept"
       : `not moved, ${String(outcome)}`,
   "send not repeated": ({ why }) => NOT_REPEATED[String(why)],
-  "request ended": ({ outcome }) => String(outcome),
-  "request refused": ({ outcome }) => String(outcome),
+  "request ended": refusalText,
+  "request refused": refusalText,
   "lines missing": ({ lines, until }) =>
     typeof lines === "number"
       ? `${lines} of this host up to ${String(until)}`
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -33,7 +33,11 @@
 } from "./server_limits/mod.ts";
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
-import type { RoomCounts } from "./room/mod.ts";
+import type {
+  ReservationUpdate,
+  Reservations,
+  RoomCounts,
+} from "./room/mod.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 import type { ReadingRates } from "./relay/reading_rates.ts";
 
@@ -54,6 +58,7 @@
   readonly permits: ServerPermits;
   readonly leavingAdvertisements: LeavingAdvertisements;
   readonly roomCounts: RoomCounts;
+  readonly reservations: Reservations;
   /** Hosts that may issue permits for limited servers. */
   permitHolders(): readonly string[];
   /** Fleet time, the time of day on which the hosts agree, in milliseconds. */
@@ -74,6 +79,7 @@
   #quarantineUpdates: readonly QuarantineUpdate[] = [];
   #leavingUpdates: readonly LeavingUpdate[] = [];
   #limitUpdates: readonly LimitUpdate[] = [];
+  #returnUpdates: readonly ReservationUpdate[] = [];
 
   constructor(parts: HostGossipParts) {
     this.#parts = parts;
@@ -108,6 +114,10 @@
     this.#limitUpdates = this.#parts.permits.limitUpdates(
       this.#parts.clock.now(),
     );
+    const { reservations } = this.#parts;
+    if (message.role === "relay") {
+      this.#returnUpdates = reservations.relayUpdates(this.#parts.clock.now());
+    }
     this.#parts.duties.usage.dropOldWindows(this.#parts.fleetTime());
     // Every host maintains the history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
@@ -137,6 +147,7 @@
         ownOnly: message.role !== "direct",
       }),
       room: this.#parts.roomCounts.ownReport(this.#parts.clock.now()),
+      returns: reservations.updates(this.#parts.clock.now()),
     };
   }
 
@@ -179,6 +190,7 @@
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
       room: this.#parts.roomCounts.reportExcept(host, now),
+      returns: this.#returnUpdates,
     };
   }
 
@@ -211,6 +223,7 @@
     this.#parts.permits.receiveLimits(digest.limits, 0);
     this.#parts.leavingAdvertisements.received(digest.leaving, 0);
     this.#parts.roomCounts.receiveFleet(digest.room, now);
+    this.#parts.reservations.receive(digest.returns, { age: 0, now });
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -232,6 +245,7 @@
     this.#parts.directory.receivePeerWork(update.host, update.work, now);
     this.#parts.leavingAdvertisements.received(update.leaving, age);
     this.#parts.roomCounts.receive(update.host, update.room, now - age);
+    this.#parts.reservations.receive(update.returns, { age, now });
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -24,6 +24,9 @@
 
 const OWN_UPDATE: OwnUpdate = {
   leaving: [{ id: "s9", born: 7, age: 20 }],
+  returns: [
+    { key: "0123456789abcdef", id: 9, dueIn: 400, rank: 102, kept: true },
+  ],
   limits: [
     { id: "s1", born: 1_796_169_600_123, perSecond: 1.2, age: 40 },
     { id: "s2", born: undefined, perSecond: undefined, age: 500 },
@@ -135,6 +138,7 @@
   quarantine: OWN_UPDATE.quarantine,
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
   leaving: OWN_UPDATE.leaving,
+  returns: OWN_UPDATE.returns,
   limits: OWN_UPDATE.limits,
 };
 
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -17,6 +17,7 @@
 } from "../quarantine/mod.ts";
 import { DEMAND_SCHEMA, demandOf, encodedDemand } from "./demand_codec.ts";
 import { encodedLeaving, LEAVING_SCHEMA, leavingOf } from "./leaving_codec.ts";
+import { encodedReturns, RETURNS_SCHEMA, returnsOf } from "./returns_codec.ts";
 import {
   encodedRollouts,
   ROLLOUTS_SCHEMA,
@@ -122,6 +123,7 @@
   g: LENT_SCHEMA,
   o: LEAVING_SCHEMA,
   rm: DEMAND_SCHEMA,
+  rt: RETURNS_SCHEMA,
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -153,6 +155,7 @@
     m: LIMITS_SCHEMA,
     a: LEAVING_SCHEMA,
     rm: DEMAND_SCHEMA,
+    rt: RETURNS_SCHEMA,
     h: z.array(z.string()).optional(),
   }),
   z.object({
@@ -296,6 +299,7 @@
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
     rm: encodedDemand(update.room),
+    rt: encodedReturns(update.returns),
     ...encodedIncarnations(update.work, update.dispatches),
     ...(update.quarantine.length === 0
       ? {}
@@ -329,6 +333,7 @@
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
     rm: encodedDemand(digest.room),
+    rt: encodedReturns(digest.returns),
     ...(digest.permitHolders.length === 0
       ? {}
       : { h: [...digest.permitHolders] }),
@@ -421,6 +426,7 @@
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
     room: demandOf(message.rm),
+    returns: returnsOf(message.rt),
     permitHolders: message.h ?? [],
   };
 }
@@ -462,6 +468,7 @@
     lentTo: update.g ?? {},
     leaving: leavingOf(update.o),
     room: demandOf(update.rm),
+    returns: returnsOf(update.rt),
   };
 }
 
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -14,8 +14,8 @@
 } from "../admission/mod.ts";
 import type { LeavingUpdate, ReportedWork } from "../choice/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
-import type { RoomReport } from "../room/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
+import type { ReservationUpdate, RoomReport } from "../room/mod.ts";
 import type {
   LimitUpdate,
   PermitUpdate,
@@ -86,6 +86,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
+  /** Refused callers who may return, and those who did. */
+  readonly returns: readonly ReservationUpdate[];
 }
 
 /** State of all hosts but one, which a relay sends to that one. */
@@ -112,6 +114,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
+  /** Refused callers who may return, and those who did. */
+  readonly returns: readonly ReservationUpdate[];
 }
 
 /** Digest of the fleet, which a relay sends to one host of its data hall. */
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -30,6 +30,11 @@
     ["why"],
   );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
+  readonly #room = this.#counter(
+    "room_total",
+    "Requests by what became of them while capacity was short",
+    ["event", "rank"],
+  );
   readonly #droppedLines = this.#counter(
     "log_lines_dropped_total",
     "Log lines that were never written",
@@ -96,6 +101,11 @@
     this.#events.inc({ event });
   }
 
+  /** Counts a request while capacity was short, by the rank of its class. */
+  room(event: string, rank: string): void {
+    this.#room.inc({ event, rank });
+  }
+
   /** Counts log lines that were lost. */
   logLinesLost(
     reason: string,
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -19,7 +19,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
-import type { RoomAdmission } from "../room/mod.ts";
+import type { ReturnTimes, RoomAdmission } from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
@@ -64,6 +64,8 @@
   readonly permits: ServerPermits;
   /** Retry times given to callers that were refused during servers' back-offs. */
   readonly backOffWaits: PermitWaits;
+  /** When callers that were refused for lack of capacity may return. */
+  readonly returns: ReturnTimes;
   readonly advertisements: AdvertisementReader;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
--- a/packages/rampswitch-serving/src/room/mod.ts
+++ b/packages/rampswitch-serving/src/room/mod.ts
@@ -22,3 +22,16 @@
   rankOf,
   roomClassOf,
 } from "./room_class.ts";
+export {
+  MAXIMUM_DELAY_MILLISECONDS,
+  type RequestFingerprint,
+  type ReservationListener,
+  type ReservationUpdate,
+  Reservations,
+} from "./reservations.ts";
+export { type ReturnTime, ReturnTimes } from "./return_times.ts";
+export {
+  type WaitingPlace,
+  type WaitingRequest,
+  WaitingRequests,
+} from "./waiting_requests.ts";
--- a/packages/rampswitch-serving/src/server_limits/permit_waits.ts
+++ b/packages/rampswitch-serving/src/server_limits/permit_waits.ts
@@ -6,6 +6,10 @@
  *
  * @module
  */
+import {
+  MAXIMUM_RETRY_DELAY_MILLISECONDS,
+  nextSpacedTime,
+} from "./spaced_times.ts";
 
 /** The permits of a service, and the hosts that share them. */
 export interface PermitShare {
@@ -24,9 +28,6 @@
 /** Pause after a query that was not answered, in milliseconds. */
 const UNANSWERED_PAUSE_MILLISECONDS = 100;
 
-/** Maximum retry delay that a caller is given, in milliseconds. */
-const MAXIMUM_RETRY_DELAY_MILLISECONDS = 60_000;
-
 interface ServiceWait {
   /** Time of the holder's next free permit. */
   readonly freeAt: number;
@@ -81,8 +82,10 @@
       perSecond > 0
         ? (1_000 * hosts) / perSecond
         : MAXIMUM_RETRY_DELAY_MILLISECONDS;
-    const next = Math.max(now, wait.freeAt, wait.assignedUntil + spacing);
-    const assigned = Math.min(next, now + MAXIMUM_RETRY_DELAY_MILLISECONDS);
+    const assigned = nextSpacedTime(
+      { earliest: wait.freeAt, previous: wait.assignedUntil, spacing },
+      now,
+    );
     this.#waits.set(service, { ...wait, assignedUntil: assigned });
     return assigned - now;
   }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -53,12 +53,16 @@
 } from "./rollout/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
-import { RoomAdmission } from "./room/mod.ts";
 import { HoldTimes } from "./relay/hold_times.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
+import {
+  type ReservationListener,
+  ReturnTimes,
+  RoomAdmission,
+} from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import {
   LeavingAdvertisements,
@@ -141,6 +145,7 @@
   readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
+  readonly #returns: ReturnTimes;
   readonly #leavingAdvertisements: LeavingAdvertisements;
   readonly #advertisements: AdvertisementReader;
   readonly #dispatches = new RecentDispatches();
@@ -173,6 +178,14 @@
       queryRelay: async (request) => this.#membership?.queryLimit(request),
     });
     this.#budget = new ResendBudget(resendTerms(bounds), ports.clock.now());
+    this.#returns = new ReturnTimes(
+      {
+        hosts: () => this.#membership?.size ?? 1,
+        lagMilliseconds: () => this.#gossipLagMilliseconds(),
+        draw: () => ports.random.next(),
+      },
+      returnCounters(ports.metrics),
+    );
     this.#quarantine = new Quarantine({
       ...ports,
       trialRank: (fingerprint) =>
@@ -348,6 +361,7 @@
       permits: this.#permits,
       leavingAdvertisements: this.#leavingAdvertisements,
       roomCounts: this.#room.counts,
+      reservations: this.#returns.reservations,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
@@ -504,6 +518,7 @@
       rollouts: this.#rollouts,
       permits: this.#permits,
       backOffWaits: this.#backOffWaits,
+      returns: this.#returns,
       advertisements: this.#advertisements,
       configuration: () => ({
         routes: this.#follower.routes,
@@ -612,6 +627,15 @@
   }
 }
 
+/** Counts what became of refused callers' reservations. */
+function returnCounters(metrics: ServingMetrics): ReservationListener {
+  return {
+    kept: (rank) => metrics.room("return_kept", rank),
+    refused: (rank) => metrics.room("return_refused", rank),
+    lapsed: (rank) => metrics.room("return_lapsed", rank),
+  };
+}
+
 function changedBounds(
   before: ServingBounds,
   after: ServingBounds,
