Have refused callers return at assigned times, and requests wait for room

Refusals for lack of capacity told 0.2 to 0.6 s at random. A refusal now assigns the time at which room of the class comes free and reserves it; who returns as told, at whichever host, is admitted before new requests. The line of a refusal has expectedMilliseconds and retryAfterSeconds; metrics count room_waited, return_kept, return_refused and return_lapsed by rank.

--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -30,11 +30,6 @@
     ["why"],
   );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
-  readonly #room = this.#counter(
-    "room_total",
-    "Requests by what became of them while capacity was short",
-    ["event", "rank"],
-  );
   readonly #droppedLines = this.#counter(
     "log_lines_dropped_total",
     "Log lines that were never written",
@@ -60,6 +55,26 @@
     "Requests refused because capacity was short",
     ["rank"],
   );
+  readonly #roomWaited = this.#counter(
+    "room_waited_total",
+    "Requests that waited at the host while capacity was short",
+    ["rank"],
+  );
+  readonly #returnKept = this.#counter(
+    "return_kept_total",
+    "Refused callers that returned as told and were admitted",
+    ["rank"],
+  );
+  readonly #returnRefused = this.#counter(
+    "return_refused_total",
+    "Refused callers that returned as told when room had shrunk",
+    ["rank"],
+  );
+  readonly #returnLapsed = this.#counter(
+    "return_lapsed_total",
+    "Refused callers that did not return as told",
+    ["rank"],
+  );
   readonly #gauges = new Map<string, Gauge>();
   readonly #serverGauges = new Map<string, Gauge<"server">>();
   readonly #firstPart = this.#histogram(
@@ -96,16 +111,31 @@
     this.#roomRefused.inc({ rank });
   }
 
+  /** Counts a request that waits at the host while capacity is short. */
+  roomWaited(rank: string): void {
+    this.#roomWaited.inc({ rank });
+  }
+
+  /** Counts a refused caller that returned as told and was admitted. */
+  returnKept(rank: string): void {
+    this.#returnKept.inc({ rank });
+  }
+
+  /** Counts a refused caller that returned as told and was refused again. */
+  returnRefused(rank: string): void {
+    this.#returnRefused.inc({ rank });
+  }
+
+  /** Counts a refused caller that did not return as told. */
+  returnLapsed(rank: string): void {
+    this.#returnLapsed.inc({ rank });
+  }
+
   /** Counts an event. */
   event(event: string): void {
     this.#events.inc({ event });
   }
 
-  /** Counts a request while capacity was short, by the rank of its class. */
-  room(event: string, rank: string): void {
-    this.#room.inc({ event, rank });
-  }
-
   /** Counts log lines that were lost. */
   logLinesLost(
     reason: string,
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -6,9 +6,11 @@
  * @module
  */
 import { REFUSALS, type RefusalReason } from "../model/outcome.ts";
+import { roomClassOf } from "../room/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { RoomRefusal } from "./send_choice.ts";
 
 /** Shortest time after which callers are asked to retry, in seconds. */
 const MINIMUM_RETRY_AFTER_SECONDS = 0.2;
@@ -29,47 +31,89 @@
   | "random"
   | "backOffWaits"
   | "permits"
+  | "returns"
 >;
 
-/** Answers with a refusal, and refunds the tokens charged if the request did not run. */
-export function answerRefusal(
+/** A request that is refused. */
+export interface RefusedRequest {
+  readonly request: AdmittedRequest;
+  /** Time that its caller has left, in milliseconds. */
+  readonly leftMilliseconds: number;
+  /** Why admission refused it, if it did. */
+  readonly shortage: RoomRefusal | undefined;
+}
+
+/** What a refusal tells the caller, and what its log line tells of it. */
+export interface RefusalTerms {
+  readonly retryAfterSeconds: number | undefined;
+  /** Time until room is expected, in milliseconds. */
+  readonly expectedMilliseconds: number | undefined;
+}
+
+/** A refusal whose log line is written before the caller is answered. */
+export interface PreparedRefusal {
+  readonly status: number;
+  readonly terms: RefusalTerms;
+  /** Answers, and refunds the tokens charged if the request did not run. */
+  answer(caller: CallerAnswer): void;
+}
+
+/** Prepares a refusal; room that comes free is reserved for the caller. */
+export function prepareRefusal(
   reason: RefusalReason,
-  exchange: {
-    readonly request: AdmittedRequest;
-    readonly answer: CallerAnswer;
-  },
+  refused: RefusedRequest,
   parts: RefusalContext,
-): void {
-  const { request, answer } = exchange;
+): PreparedRefusal {
   const { status, notRun } = REFUSALS[reason];
-  if (notRun && request.workspace !== undefined) {
-    parts.admission.refund({
-      workspace: request.workspace.name,
-      tokens: request.chargedTokens,
-    });
-  }
-  const headers = parts.codec.encodeOwnAnswer({
-    attemptId: request.head.attemptId,
-    retryAfterSeconds: notRun
-      ? retryAfterSeconds(reason, request, parts)
-      : undefined,
-  });
-  answer.sendWhole(status, headers, Buffer.alloc(0));
+  const expectedMilliseconds =
+    reason === "servers_full" ? returnDelay(refused, parts) : undefined;
+  const told = notRun
+    ? retryAfterSeconds(reason, { refused, expectedMilliseconds }, parts)
+    : undefined;
+  return {
+    status,
+    terms: { retryAfterSeconds: told, expectedMilliseconds },
+    answer: (caller) => {
+      const { workspace, chargedTokens, head } = refused.request;
+      if (notRun && workspace !== undefined) {
+        parts.admission.refund({
+          workspace: workspace.name,
+          tokens: chargedTokens,
+        });
+      }
+      const headers = parts.codec.encodeOwnAnswer({
+        attemptId: head.attemptId,
+        retryAfterSeconds: told,
+      });
+      caller.sendWhole(status, headers, Buffer.alloc(0));
+    },
+  };
 }
 
 /**
- * Time after which the caller is asked to retry, in seconds: not before a
+ * Time after which the caller is asked to retry, in seconds: when room is expected,
+ * not before a
  * quarantined request may run as a trial, not before a permit is free if only
  * limited servers are left, and not before the first back-off ends if all servers
  * have asked for one.
  */
 function retryAfterSeconds(
   reason: RefusalReason,
-  request: AdmittedRequest,
+  {
+    refused: { request },
+    expectedMilliseconds,
+  }: {
+    readonly refused: RefusedRequest;
+    readonly expectedMilliseconds: number | undefined;
+  },
   parts: RefusalContext,
 ): number {
   const decision = parts.quarantine.decide(request.fingerprint);
   const trial = decision.kind === "held" ? decision.waitMilliseconds : 0;
+  if (expectedMilliseconds !== undefined) {
+    // The times of refused callers are spread already.
+    return Math.max(expectedMilliseconds, trial) / 1_000;
+  }
   const reasonWait = WAIT_BY_REASON[reason]?.(request, parts) ?? 0;
   return (
     Math.max(MINIMUM_RETRY_AFTER_SECONDS, trial / 1_000, reasonWait / 1_000) +
@@ -90,6 +134,28 @@
   servers_resting: backOffWaitMilliseconds,
 };
 
+/** Time until room for a refused caller is expected, in milliseconds. */
+function returnDelay(
+  { request, leftMilliseconds, shortage }: RefusedRequest,
+  { clock, directory, holdTimes, hosts, returns }: RefusalContext,
+): number {
+  const { service, fingerprint } = request;
+  const ready = directory.of(service.name).filter(({ isReady }) => isReady);
+  const slots = ready.reduce((sum, { entry }) => sum + entry.slots, 0);
+  const room = shortage?.room ?? {
+    perMillisecond: 0,
+    available: 0,
+    work: holdTimes.of(service.name),
+  };
+  const caller = {
+    roomClass: roomClassOf(request),
+    fingerprint,
+    leftMilliseconds,
+    serviceRate: slots / Math.max(1, hosts()),
+  };
+  return returns.assign(caller, room, clock.now()).delayMilliseconds;
+}
+
 /**
  * Wait until the servers' back-offs end, in milliseconds. Each caller gets a time
  * of its own, so that retries come no faster than the servers can serve them.
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -19,7 +19,11 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
-import type { ReturnTimes, RoomAdmission } from "../room/mod.ts";
+import type {
+  ReturnTimes,
+  RoomAdmission,
+  WaitingRequests,
+} from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 import type { HoldTimes } from "./hold_times.ts";
@@ -66,6 +70,8 @@
   readonly backOffWaits: PermitWaits;
   /** When callers that were refused for lack of capacity may return. */
   readonly returns: ReturnTimes;
+  /** Requests that wait at this host for room. */
+  readonly waiting: WaitingRequests;
   readonly advertisements: AdvertisementReader;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -27,7 +27,7 @@
 import { BufferedBody } from "./buffered_body.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { EventFramer, isAfter } from "./event_framer.ts";
-import { answerRefusal } from "./own_refusal.ts";
+import { prepareRefusal, type RefusalTerms } from "./own_refusal.ts";
 import {
   observeStreamHoldTime,
   observePlainHoldTime,
@@ -47,17 +47,7 @@
   type BudgetDecision,
 } from "./run_migration.ts";
 import { SendChooser } from "./send_chooser.ts";
-import { StallWatch } from "./stall_watch.ts";
-
-/**
- * A repeatable plain request is sent to another server after this multiple of
- * the route's target time without an answer. Twice the target allows for time
- * in a queue.
- */
-const PLAIN_STALL_TARGET_MULTIPLE = 2;
-
-/** The same multiple for the first event of a resumable stream. */
-const STREAM_STALL_TARGET_MULTIPLE = 2.5;
+import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -327,13 +317,7 @@
 
   /** Time without a first event or an answer that counts as a stall. */
   #firstStallMilliseconds(): number {
-    const { route } = this.request;
-    return (
-      route.targetMilliseconds *
-      (route.streaming
-        ? STREAM_STALL_TARGET_MULTIPLE
-        : PLAIN_STALL_TARGET_MULTIPLE)
-    );
+    return firstStallMilliseconds(this.request.route);
   }
 
   /** Sends a stalled request to another server, if it may run a second time. */
@@ -698,9 +682,17 @@
         REFUSALS[reason].notRun && !this.#tracker.certainlyNotRun
           ? "unknown_outcome"
           : reason;
-      this.#finish(accurateReason, REFUSALS[accurateReason].status);
-      const exchange = { request: this.request, answer: this.#answer };
-      answerRefusal(accurateReason, exchange, this.#context);
+      const refusal = prepareRefusal(
+        accurateReason,
+        {
+          request: this.request,
+          leftMilliseconds: this.#remaining(),
+          shortage: this.#sendChooser.refusal,
+        },
+        this.#context,
+      );
+      this.#finish(accurateReason, refusal.status, refusal.terms);
+      refusal.answer(this.#answer);
     }
   }
 
@@ -751,13 +743,19 @@
    * Ends the run. Its log line is written before the end of the answer, so that
    * it exists even if the host is killed right after the answer.
    */
-  #finish(outcome: string, status = this.#answer.status): void {
+  #finish(
+    outcome: string,
+    status = this.#answer.status,
+    refusal?: RefusalTerms,
+  ): void {
     this.#cancelDeadline();
+    this.#sendChooser.stopWaiting();
     this.#migration.drop();
     this.#tracker.handle({ type: "ended" });
     this.#endCurrentSend(false);
-    this.#record.ended(outcome, status);
+    this.#record.ended(outcome, status, refusal);
     this.#onFinished(this);
+    this.#context.waiting.examine();
   }
 }
 
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -14,6 +14,7 @@
 import type { RequestContext } from "./request_context.ts";
 import type { ServerIncarnation } from "../model/backend_server.ts";
 import type { RoomRefusal } from "./send_choice.ts";
+import type { RefusalTerms } from "./own_refusal.ts";
 import { incarnationOf, startTimesOf } from "./server_incarnation.ts";
 
 /** Reasons why a resend that was needed is not made. */
@@ -89,7 +90,7 @@
   #firstPartAt: number | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
-  #refusal: RoomRefusal | undefined;
+  #refusal: Omit<RoomRefusal, "request"> | undefined;
   /** The newest send, where its version is evaluated. */
   #evaluatedSend: SendObserver | undefined;
 
@@ -285,7 +286,7 @@
   }
 
   /** Notes that the request is refused because capacity is short. */
-  shortOfRoom(refusal: RoomRefusal): void {
+  shortOfRoom(refusal: Omit<RoomRefusal, "request">): void {
     this.#refusal = refusal;
     this.#context.metrics.roomRefused(refusal.rank);
   }
@@ -312,7 +313,11 @@
   }
 
   /** Notes that the request ended; `status` is the caller's status, if one was sent. */
-  ended(outcome: string, status: number | undefined): void {
+  ended(
+    outcome: string,
+    status: number | undefined,
+    refusal?: RefusalTerms,
+  ): void {
     this.#evaluatedSend?.ended();
     const request = this.#request;
     const milliseconds = this.#context.clock.now() - request.arrivedAt;
@@ -337,6 +342,7 @@
       milliseconds: Math.round(milliseconds),
       rank: this.#refusal?.rank,
       share: roundedToHundredth(this.#refusal?.share),
+      ...refusal,
     });
   }
 }
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -30,7 +30,10 @@
 const LEAVING_SEND_SHARE = 0.6;
 
 /** Refusal of a request because capacity is short. */
-export type RoomRefusal = Extract<RoomDecision, { readonly kind: "short" }>;
+export type RoomRefusal = Extract<RoomDecision, { readonly kind: "short" }> & {
+  /** The request as admission saw it. */
+  readonly request: RoomRequest;
+};
 
 /** Result of a choice for one send. */
 export interface SendChoice {
@@ -45,13 +48,16 @@
 /** Chooses among the servers whose current incarnations were not tried. */
 export function chooseForSend(
   request: AdmittedRequest,
-  tried: ReadonlySet<string>,
+  {
+    tried,
+    hasRoom,
+  }: { readonly tried: ReadonlySet<string>; readonly hasRoom: boolean },
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
   const isFirst = tried.size === 0;
   const all = context.rollouts.choice(request.service.name, { isFirst, now });
-  const send = { request, tried, now };
+  const send = { request, tried, hasRoom, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -64,7 +70,12 @@
   request: AdmittedRequest,
   context: RequestContext,
 ): Choice | undefined {
-  const send = { request, tried: new Set<string>(), now: context.clock.now() };
+  const send = {
+    request,
+    tried: new Set<string>(),
+    hasRoom: true,
+    now: context.clock.now(),
+  };
   const outcome = chooseAmong([record], send, context);
   return outcome.kind === "chosen" ? outcome.choice : undefined;
 }
@@ -79,11 +90,13 @@
     return { outcome: { kind: "resting" }, refusal: undefined };
   }
   // Only first sends are decided on, so a resend is never refused here.
-  const decision = isFirst
-    ? context.room.decide(roomRequest(versions, send, context), send.now)
-    : undefined;
-  if (decision?.kind === "short") {
-    return { outcome: { kind: "full" }, refusal: decision };
+  if (isFirst && !send.hasRoom) {
+    const room = roomRequest(versions, send, context);
+    const decision = admission(room, send, context);
+    if (decision.kind === "short") {
+      const refusal = { ...decision, request: room };
+      return { outcome: { kind: "full" }, refusal };
+    }
   }
   const { first, fallback: otherwise } = versions;
   const outcome = chooseAmong(first, send, context);
@@ -142,6 +155,47 @@
     .toSorted((left, right) => left.load(now) - right.load(now));
 }
 
+/**
+ * Decides on a request: a caller who returns as told is admitted, and requests that
+ * wait come before new ones.
+ */
+function admission(
+  room: RoomRequest,
+  { request, now }: SendQuery,
+  context: RequestContext,
+): RoomDecision {
+  const { fingerprint } = request;
+  const returning = { fingerprint, roomClass: room.roomClass };
+  const roomNow = () => context.room.roomOf(room, now);
+  if (context.returns.claim(returning, roomNow, now)) {
+    context.room.admitReturned(room, now);
+    return { kind: "admitted" };
+  }
+  context.waiting.examine();
+  return context.room.decide(room, now);
+}
+
+/** A waiting request with the ranks that the configuration gives it now. */
+export function withPresentRanks(
+  room: RoomRequest,
+  request: AdmittedRequest,
+  context: Pick<RequestContext, "configuration">,
+): RoomRequest {
+  const present = context.configuration().routes?.configuration;
+  const { route, workspace, service } = request;
+  return {
+    ...room,
+    roomClass: roomClassOf({
+      service,
+      route: present?.routes.find(({ name }) => name === route.name) ?? route,
+      workspace:
+        workspace &&
+        (present?.workspaces.find(({ name }) => name === workspace.name) ??
+          workspace),
+    }),
+  };
+}
+
 /** A request as admission sees it. */
 function roomRequest(
   { first, fallback: otherwise = [] }: VersionChoice,
@@ -196,6 +250,8 @@
   readonly request: AdmittedRequest;
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** Whether admission has given it room. */
+  readonly hasRoom: boolean;
   readonly now: number;
 }
 
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -10,7 +10,11 @@
 import { sleep } from "rampswitch-utils";
 import type { Choice, ChoiceOutcome, ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
-import type { AdmittedRequest } from "./admitted_request.ts";
+import type { WaitingPlace } from "../room/mod.ts";
+import {
+  type AdmittedRequest,
+  timeLimitMilliseconds,
+} from "./admitted_request.ts";
 import { chooseProbe, chooseWithPermit } from "./permit_choice.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
@@ -18,6 +22,7 @@
   chooseForSend,
   type RoomRefusal,
   type SendChoice,
+  withPresentRanks,
 } from "./send_choice.ts";
 
 /** Maximum number of waits for a permit for a run that is lost without one. */
@@ -58,6 +63,10 @@
   readonly #context: RequestContext;
   /** The choice of a limited server whose permit is not used yet. */
   #permittedChoice: Choice | undefined;
+  /** Whether room was taken for the first send. */
+  #hasRoom = false;
+  #waitingPlace: WaitingPlace | undefined;
+  #refusal: RoomRefusal | undefined;
 
   constructor(run: ChooserRun, context: RequestContext) {
     this.#run = run;
@@ -69,7 +78,18 @@
     return this.#choose().outcome.kind === "chosen";
   }
 
-  /** Chooses a server for the first send. */
+  /** Why admission refused the first send, if it did. */
+  get refusal(): RoomRefusal | undefined {
+    return this.#refusal;
+  }
+
+  /** Frees the place of a request that waits for room. */
+  stopWaiting(): void {
+    this.#waitingPlace?.leave();
+    this.#waitingPlace = undefined;
+  }
+
+  /** Chooses a server for the first send, which may wait at this host. */
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
     const choice = this.#choose();
     const { outcome, limited } = choice;
@@ -112,7 +132,12 @@
   }
 
   #choose(): SendChoice {
-    return chooseForSend(this.#run.request, this.#run.tried, this.#context);
+    const { request, tried } = this.#run;
+    const send = { tried, hasRoom: this.#hasRoom };
+    const choice = chooseForSend(request, send, this.#context);
+    // Admission decides once on a request, however often its choice is made.
+    if (choice.outcome.kind === "chosen") this.#hasRoom = true;
+    return choice;
   }
 
   #chooseOrTakePermit(
@@ -122,12 +147,38 @@
     if (outcome.kind === "chosen") listener.chosen(outcome.choice);
     else if (limited.length > 0) {
       void this.#chooseWithPermit(limited, listener, "servers_limited");
+    } else if (refusal !== undefined) {
+      this.#waitForRoom(refusal, listener);
     } else {
-      if (refusal !== undefined) this.#run.shortOfRoom(refusal);
       listener.none(REFUSAL_BY_OUTCOME[outcome.kind]);
     }
   }
 
+  /** Has the request wait for room, or refuses it if it would wait too long. */
+  #waitForRoom(
+    refusal: RoomRefusal,
+    listener: ChoiceListener<RefusalReason>,
+  ): void {
+    const { request } = this.#run;
+    const refuse = () => {
+      this.#refusal = refusal;
+      this.#run.shortOfRoom(refusal);
+      listener.none("servers_full");
+    };
+    this.#waitingPlace = this.#context.waiting.add({
+      arrivedAt: request.arrivedAt,
+      endsAt: request.arrivedAt + timeLimitMilliseconds(request),
+      bytes: request.body?.length ?? 0,
+      room: () => withPresentRanks(refusal.request, request, this.#context),
+      send: () => {
+        this.#hasRoom = true;
+        this.chooseForFirstSend(listener);
+      },
+      refuse,
+    });
+    if (this.#waitingPlace === undefined) refuse();
+  }
+
   /**
    * Probes a limited server that has sent nothing for long; without a permit for
    * it, the request goes where it would have gone without a probe.
--- a/packages/rampswitch-serving/src/relay/stall_watch.ts
+++ b/packages/rampswitch-serving/src/relay/stall_watch.ts
@@ -7,10 +7,33 @@
  * @module
  */
 import type { Clock } from "rampswitch-utils";
+import type { Route } from "../model/configuration.ts";
 
 /** Longest pause between two events that is not a stall, in milliseconds. */
 const MAXIMUM_PAUSE_MILLISECONDS = 1_500;
 
+/**
+ * A repeatable plain request is sent to another server after this multiple of
+ * the route's target time without an answer. Twice the target allows for time
+ * in a queue.
+ */
+const PLAIN_STALL_TARGET_MULTIPLE = 2;
+
+/** The same multiple for the first event of a resumable stream. */
+const STREAM_STALL_TARGET_MULTIPLE = 2.5;
+
+/** Time without a first event or an answer that counts as a stall, in milliseconds. */
+export function firstStallMilliseconds(
+  route: Pick<Route, "streaming" | "targetMilliseconds">,
+): number {
+  return (
+    route.targetMilliseconds *
+    (route.streaming
+      ? STREAM_STALL_TARGET_MULTIPLE
+      : PLAIN_STALL_TARGET_MULTIPLE)
+  );
+}
+
 /** Watches one send at a time for stalls. */
 export class StallWatch {
   readonly #clock: Clock;
--- a/packages/rampswitch-serving/src/room/return_times.ts
+++ b/packages/rampswitch-serving/src/room/return_times.ts
@@ -54,6 +54,13 @@
 /** Requests by which returning callers may exceed the rate of a small class. */
 const OVERDRAFT_REQUESTS = 4;
 
+/**
+ * Time in which the highest rate of a class decays, in milliseconds. The rate of one
+ * host varies with the reports of the others and is zero for moments; with the present
+ * rate alone, up to 2 of 450 callers who returned as told were refused.
+ */
+const PEAK_LIFETIME_MILLISECONDS = 1_000;
+
 /** Share of the promises that is assumed to fit while new requests get no room. */
 const SHARE_OF_PROMISES_WITHOUT_ROOM = 0.5;
 
@@ -72,6 +79,11 @@
   readonly fingerprint: RequestFingerprint;
   /** Time that the caller has left, in milliseconds. */
   readonly leftMilliseconds: number;
+  /**
+   * Rate of the service's slots at this host, in slot milliseconds per millisecond.
+   * It counts until the rate of the class is known.
+   */
+  readonly serviceRate: number;
 }
 
 /** What the caller is told. */
@@ -98,6 +110,9 @@
   /** Work of returned callers beyond the rate of the class, in slot milliseconds. */
   excess: number;
   excessAt: number;
+  /** Highest rate of the class lately, in slot milliseconds per millisecond. */
+  peakRate: number;
+  peakAt: number;
 }
 
 /** Return times of refused callers; one for each host. */
@@ -120,7 +135,11 @@
   assign(caller: RefusedCaller, room: ClassRoom, now: number): ReturnTime {
     const { roomClass, fingerprint } = caller;
     const schedule = this.#scheduleOf(roomClass, now);
-    const rate = this.#rateOf(roomClass, room, now) * PROMISED_SHARE;
+    const known = Number.isFinite(room.perMillisecond)
+      ? this.#rateOf(roomClass, room, now)
+      : 0;
+    const peak = peakRate(schedule, known, now);
+    const rate = (known || peak / 2 || caller.serviceRate) * PROMISED_SHARE;
     if (rate <= 0) {
       return {
         delayMilliseconds: MAXIMUM_RETRY_DELAY_MILLISECONDS,
@@ -155,7 +174,10 @@
    * room shrank after the promises, the excess is refused once more.
    */
   claim(
-    { fingerprint, roomClass }: Omit<RefusedCaller, "leftMilliseconds">,
+    {
+      fingerprint,
+      roomClass,
+    }: Pick<RefusedCaller, "fingerprint" | "roomClass">,
     room: () => ClassRoom,
     now: number,
   ): boolean {
@@ -178,7 +200,7 @@
   #hasRoom(roomClass: RoomClass, room: ClassRoom, now: number): boolean {
     if (!Number.isFinite(room.perMillisecond)) return true;
     const schedule = this.#scheduleOf(roomClass, now);
-    const rate = this.#rateOf(roomClass, room, now);
+    const rate = peakRate(schedule, this.#rateOf(roomClass, room, now), now);
     const passed = Math.max(0, now - schedule.excessAt);
     const excess = Math.max(0, schedule.excess - passed * rate) + room.work;
     const bound =
@@ -212,6 +234,8 @@
       assignedUntil: -Infinity,
       excess: 0,
       excessAt: now,
+      peakRate: 0,
+      peakAt: now,
     };
     this.#schedules.set(key, schedule);
     return schedule;
@@ -246,6 +270,14 @@
   }
 }
 
+/** Updates the highest rate of a class lately, which decays to the present one. */
+function peakRate(schedule: Schedule, rate: number, now: number): number {
+  const decay = Math.max(0, now - schedule.peakAt) / PEAK_LIFETIME_MILLISECONDS;
+  schedule.peakRate = Math.max(rate, schedule.peakRate * (1 - decay));
+  schedule.peakAt = now;
+  return schedule.peakRate;
+}
+
 function scheduleKey(roomClass: RoomClass): string {
   return `${roomClass.service}/${classKey(roomClass)}`;
 }
--- a/packages/rampswitch-serving/src/room/room_fleet_standin.ts
+++ b/packages/rampswitch-serving/src/room/room_fleet_standin.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { type Random, seededRandom } from "rampswitch-utils";
-import { RoomAdmission, type RoomDecision } from "./room_admission.ts";
+import { RoomAdmission, type RoomRequest } from "./room_admission.ts";
 import { rankOf, type RoomClass } from "./room_class.ts";
 import type { RoomReport } from "./room_counts.ts";
 import type { ServerRoom } from "./service_room.ts";
@@ -39,6 +39,8 @@
   readonly toldLagMilliseconds?: number;
   /** Decides instead of admission by class. */
   readonly decide?: (host: FleetHost, fleet: AdmissionFleet) => boolean;
+  /** Decides on each request, also by what the test knows of it. */
+  readonly decideArrival?: (host: FleetHost, request: FleetRequest) => boolean;
   /** Called with each decision on the first try of a request. */
   readonly onDecided?: (request: FleetRequest, isAdmitted: boolean) => void;
   /** Called each millisecond. */
@@ -312,31 +314,41 @@
       const isAdmitted = this.#isAdmitted(host, request);
       if (tries === 0) this.options.onDecided?.(request, isAdmitted);
       if (isAdmitted) {
-        this.#send(host, request);
+        this.send(host, request);
         return;
       }
     }
   }
 
+  /** A request as admission at a host sees it. */
+  roomRequestOf(
+    host: FleetHost,
+    { load, roomClass }: FleetRequest,
+  ): RoomRequest {
+    return {
+      roomClass,
+      work: this.options.estimatedHold ?? load.work ?? HOLD_MILLISECONDS,
+      targetMilliseconds: this.options.targetMilliseconds ?? 300,
+      sharesAlone: true,
+      servers: () => this.serversOf(host),
+    };
+  }
+
   #isAdmitted(host: FleetHost, request: FleetRequest): boolean {
+    const { decideArrival } = this.options;
+    if (decideArrival !== undefined) return decideArrival(host, request);
     if (this.options.decide !== undefined) {
       return this.options.decide(host, this);
     }
-    const decision: RoomDecision = host.admission.decide(
-      {
-        roomClass: request.roomClass,
-        work:
-          this.options.estimatedHold ?? request.load.work ?? HOLD_MILLISECONDS,
-        targetMilliseconds: this.options.targetMilliseconds ?? 300,
-        sharesAlone: true,
-        servers: () => this.serversOf(host),
-      },
+    const decision = host.admission.decide(
+      this.roomRequestOf(host, request),
       this.#now,
     );
     return decision.kind === "admitted";
   }
 
-  #send(host: FleetHost, request: FleetRequest): void {
+  /** Sends an admitted request to a server. */
+  send(host: FleetHost, request: FleetRequest): void {
     this.outcome(request.roomClass.workspace).admitted += 1;
     host.admitted += 1;
     // Hosts that all chose by the delayed reports of each other would choose the same
--- a/packages/rampswitch-serving/src/room/waiting_requests.ts
+++ b/packages/rampswitch-serving/src/room/waiting_requests.ts
@@ -23,6 +23,13 @@
 /** Maximum size of their bodies together, in bytes. */
 export const MAXIMUM_WAITING_BYTES = 1024 * 1024;
 
+/**
+ * Share of a class's rate that a turn is foreseen by, since the rate changes several
+ * times a second. With the whole rate, 5% of the requests that waited in a burst were
+ * refused at the end of their wait; with this share, fewer than 1%.
+ */
+const RELIABLE_RATE_SHARE = 0.65;
+
 /** Minimum time between two examinations by the timer, in milliseconds. */
 const MINIMUM_TIMER_MILLISECONDS = 1;
 
@@ -93,14 +100,6 @@
     return this.#bytes;
   }
 
-  /** Whether requests of the class wait, which a new one must not overtake. */
-  hasWaiting(room: RoomRequest): boolean {
-    if (this.#size === 0) return false;
-    const key = classKey(room.roomClass);
-    const queue = this.#queues.get(room.roomClass.service);
-    return queue?.some((entry) => entry.key === key) ?? false;
-  }
-
   /**
    * Has a request wait; `undefined` if it would not get its turn in time, or if
    * another one that waits no longer would.
@@ -128,7 +127,10 @@
     );
     const now = this.#clock.now();
     const mates = changed.filter(({ key }) => key === entry.key);
-    if (!allInTime(mates, this.#rooms.roomOf(room, now), now)) return undefined;
+    const classRoom = this.#rooms.roomOf(room, now);
+    // A service with one class has no rate by which a turn could be foreseen.
+    if (!Number.isFinite(classRoom.perMillisecond)) return undefined;
+    if (!allInTime(mates, classRoom, now)) return undefined;
     this.#queues.set(service, changed);
     this.#size += 1;
     this.#bytes += request.bytes;
@@ -266,7 +268,7 @@
 ): boolean {
   let ahead = 0;
   return mates.every(({ latestAt, room: { work } }) => {
-    const inTime = now + roomIn(room, ahead) < latestAt;
+    const inTime = now + roomIn(room, ahead) / RELIABLE_RATE_SHARE < latestAt;
     ahead += work;
     return inTime;
   });
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -62,6 +62,7 @@
   type ReservationListener,
   ReturnTimes,
   RoomAdmission,
+  WaitingRequests,
 } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import {
@@ -146,6 +147,7 @@
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
   readonly #returns: ReturnTimes;
+  readonly #waiting: WaitingRequests;
   readonly #leavingAdvertisements: LeavingAdvertisements;
   readonly #advertisements: AdvertisementReader;
   readonly #dispatches = new RecentDispatches();
@@ -285,6 +287,16 @@
         ports.metrics.gauge("share_with_places", share);
       },
     });
+    this.#room.setReservations({
+      dueWork: (roomClass, until) =>
+        this.#returns.dueWork(roomClass, until, ports.clock.now()),
+    });
+    this.#waiting = new WaitingRequests(ports.clock, {
+      roomOf: (request, now) => this.#room.roomOf(request, now),
+      take: (request, now) =>
+        this.#room.decideWaiting(request, now).kind === "admitted",
+      waited: (rank) => ports.metrics.roomWaited(rank),
+    });
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
@@ -339,7 +351,11 @@
         },
         {
           configured: (routes) => this.#configured(routes),
-          serverChanged: (server) => listing.changed(server),
+          serverChanged: (server) => {
+            const result = listing.changed(server);
+            this.#waiting.examine();
+            return result;
+          },
           serverUnreadable: (id) => listing.unreadable(id),
           serverGone: (id) => listing.gone(id),
           isGone: (server) => this.#directory.isGone(server),
@@ -413,6 +429,7 @@
     const startedAt = clock.now();
     this.#lifecycle.stopStartedAt = startedAt;
     logger.info("stopping", { inProgress: this.#callers.inProgress });
+    this.#waiting.stop();
     await this.#duties.release();
     this.#membership?.broadcast();
     await waitUntilIdle(this.#callers, clock, {
@@ -519,6 +536,7 @@
       permits: this.#permits,
       backOffWaits: this.#backOffWaits,
       returns: this.#returns,
+      waiting: this.#waiting,
       advertisements: this.#advertisements,
       configuration: () => ({
         routes: this.#follower.routes,
@@ -621,6 +639,7 @@
     const { configuration } = routes;
     this.#limits.configure(configuration.workspaces, this.#ports.clock.now());
     this.#callers.setLimits(configuration.callerLimits);
+    this.#waiting.rankAgain();
     if (this.#lifecycle.handle({ type: "prepared" })) {
       this.#ports.logger.info("serving", { version: configuration.version });
     }
@@ -630,9 +649,9 @@
 /** Counts what became of refused callers' reservations. */
 function returnCounters(metrics: ServingMetrics): ReservationListener {
   return {
-    kept: (rank) => metrics.room("return_kept", rank),
-    refused: (rank) => metrics.room("return_refused", rank),
-    lapsed: (rank) => metrics.room("return_lapsed", rank),
+    kept: (rank) => metrics.returnKept(rank),
+    refused: (rank) => metrics.returnRefused(rank),
+    lapsed: (rank) => metrics.returnLapsed(rank),
   };
 }
 
