--- a/packages/rampswitch-serving/src/room/reservations.ts
+++ b/packages/rampswitch-serving/src/room/reservations.ts
@@ -94,8 +94,10 @@
 
 /** The reservations that a host knows. */
 export class Reservations {
-  /** By the first part of the fingerprint. */
-  readonly #byHead = new Map<string, Reservation[]>();
+  /** By the 64 bits of the fingerprint. */
+  readonly #byKey = new Map<string, Reservation[]>();
+  /** Number of reservations by the first part of the fingerprint. */
+  readonly #heads = new Map<string, number>();
   /** This host's own ones by class, in order of their times. */
   readonly #own = new Map<string, Reservation[]>();
   readonly #listener: ReservationListener;
@@ -220,10 +222,7 @@
     const isOpen =
       due <= now + MAXIMUM_DELAY_MILLISECONDS && due + LAPSE_MILLISECONDS > now;
     if (!isOpen) return;
-    const head = key.slice(0, HEAD_DIGITS);
-    const known = this.#byHead
-      .get(head)
-      ?.find((other) => other.key === key && other.id === id);
+    const known = this.#byKey.get(key)?.find((other) => other.id === id);
     if (known !== undefined) {
       // Relays tell it on; others heard it from the same host.
       if (kept && !known.kept) known.relayed = 0;
@@ -245,20 +244,29 @@
   }
 
   #insert(reservation: Reservation): void {
-    const head = reservation.key.slice(0, HEAD_DIGITS);
-    const same = this.#byHead.get(head);
-    if (same === undefined) this.#byHead.set(head, [reservation]);
+    const { key } = reservation;
+    const same = this.#byKey.get(key);
+    if (same === undefined) this.#byKey.set(key, [reservation]);
     else same.push(reservation);
-    this.#size += 1;
+    this.#count(key, 1);
+  }
+
+  #count(key: string, change: number): void {
+    const head = key.slice(0, HEAD_DIGITS);
+    const count = (this.#heads.get(head) ?? 0) + change;
+    if (count > 0) this.#heads.set(head, count);
+    else this.#heads.delete(head);
+    this.#size += change;
   }
 
   #find(fingerprint: RequestFingerprint, now: number): Reservation | undefined {
+    if (!this.#heads.has(fingerprint.headHash)) return undefined;
+    const key = fingerprint.text.slice(0, KEY_DIGITS);
     let found: Reservation | undefined;
-    for (const other of this.#byHead.get(fingerprint.headHash) ?? []) {
+    for (const other of this.#byKey.get(key) ?? []) {
       const { due, kept } = other;
       if (kept || now < due - EARLY_MILLISECONDS) continue;
       if (now >= due + LAPSE_MILLISECONDS) continue;
-      if (other.key !== fingerprint.text.slice(0, KEY_DIGITS)) continue;
       if (found === undefined || due < found.due) found = other;
     }
     return found;
@@ -272,7 +280,7 @@
     if (this.#size === 0) return [];
     this.#dropLapsed(now);
     const open: Reservation[] = [];
-    for (const list of this.#byHead.values()) {
+    for (const list of this.#byKey.values()) {
       for (const other of list)
         if (other[counter] < REPETITIONS) open.push(other);
     }
@@ -291,21 +299,22 @@
     if (now - this.#checkedAt < LAPSE_CHECK_MILLISECONDS) return;
     this.#checkedAt = now;
     const isOpen = ({ due }: Reservation) => now < due + LAPSE_MILLISECONDS;
-    for (const [head, list] of this.#byHead) {
+    for (const [key, list] of this.#byKey) {
+      if (list.every(isOpen)) continue;
       const open = list.filter(isOpen);
-      if (open.length === list.length) continue;
-      this.#size -= list.length - open.length;
-      if (open.length === 0) this.#byHead.delete(head);
-      else this.#byHead.set(head, open);
+      this.#count(key, open.length - list.length);
+      if (open.length === 0) this.#byKey.delete(key);
+      else this.#byKey.set(key, open);
     }
     for (const [key, list] of this.#own) {
+      if (list.every(isOpen)) continue;
       list.forEach((other) => {
         if (isOpen(other) || other.kept || other.promise === undefined) return;
         this.#listener.lapsed(rankLabel(other.promise.roomClass));
       });
       const open = list.filter(isOpen);
       if (open.length === 0) this.#own.delete(key);
-      else if (open.length < list.length) this.#own.set(key, open);
+      else this.#own.set(key, open);
     }
   }
 }
--- a/packages/rampswitch-serving/src/room/return_times_test.ts
+++ b/packages/rampswitch-serving/src/room/return_times_test.ts
@@ -278,6 +278,42 @@
     expect(counts.refused).toBe(4_000 - admitted.length);
   });
 
+  test("are all forgotten in time, whatever arrives", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("assign", "claim", "tell", "hear"),
+      name: fc.nat(20).map((index) => `r${index}`),
+      pause: fc.nat(800),
+      dueIn: fc.integer({ min: -3_000, max: 30_000 }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 100 }), (steps) => {
+        const { times, counts, assign, claim } = hostOf(2);
+        let now = 0;
+        let reserved = 0;
+        let claimed = 0;
+        steps.forEach(({ kind, name, pause, dueIn }, index) => {
+          now += pause;
+          if (kind === "assign") reserved += Number(assign(name, now).reserved);
+          else if (kind === "claim") claimed += Number(claim(name, now));
+          else if (kind === "tell") times.reservations.updates(now);
+          else {
+            const key = fingerprint(name).text.slice(0, 16);
+            times.reservations.receive(
+              [{ key, id: index, dueIn, rank: 0, kept: pause % 2 === 0 }],
+              { age: 3, now },
+            );
+          }
+        });
+        times.reservations.updates(now + 80_000);
+        expect(times.reservations.size).toBe(0);
+        expect(times.dueWork(BURST, now + 160_000, now + 80_000)).toBe(0);
+        expect(counts.kept).toBe(claimed);
+        expect(counts.lapsed).toBeLessThanOrEqual(reserved);
+      }),
+      { numRuns: 200, seed: 20_261_203 },
+    );
+  });
+
   test("never promise more than half of the room, whatever arrives", () => {
     fc.assert(
       fc.property(
