--- a/packages/rampswitch-serving/src/room/reservations.ts
+++ b/packages/rampswitch-serving/src/room/reservations.ts
@@ -66,6 +66,8 @@
   readonly roomClass: RoomClass;
   /** Work of the request, in slot milliseconds. */
   readonly work: number;
+  /** Time in which room for it is set aside, little by little. */
+  readonly setAside: { readonly from: number; readonly until: number };
 }
 
 interface Reservation {
@@ -130,13 +132,13 @@
   ): boolean {
     this.#dropLapsed(now);
     if (this.#size >= MAXIMUM_RESERVATIONS) return false;
-    const { roomClass, work, due, id } = reservation;
+    const { roomClass, work, setAside, due, id } = reservation;
     const added: Reservation = {
       key: fingerprint.text.slice(0, KEY_DIGITS),
       id,
       due,
       rank: rankOf(roomClass),
-      promise: { roomClass, work },
+      promise: { roomClass, work, setAside },
       kept: false,
       sent: 0,
       relayed: 0,
@@ -172,23 +174,27 @@
   }
 
   /**
-   * Work of this host's reservations of a class that fall due from now until a time,
-   * in slot milliseconds. Room of one that is overdue is free for new requests: its
-   * caller has returned, at whichever host, or has probably gone.
+   * Room that is set aside from now until a time for this host's reservations of a
+   * class, in slot milliseconds. It is set aside at whichever host a caller returns;
+   * what is not yet set aside for one that has lapsed goes to new requests.
    */
-  dueWork(
+  setAside(
     roomClass: RoomClass,
     { until, now }: { readonly until: number; readonly now: number },
   ): number {
     if (this.#own.size === 0) return 0;
     this.#dropLapsed(now);
-    let work = 0;
+    let sum = 0;
     for (const { due, kept, promise } of this.#own.get(ownKey(roomClass)) ??
       []) {
-      if (due > until) break;
-      if (due > now && !kept) work += promise?.work ?? 0;
+      if (promise === undefined) continue;
+      if (!kept && now >= due + LAPSE_MILLISECONDS) continue;
+      const { from, until: end } = promise.setAside;
+      if (from >= until) break;
+      const part = Math.min(end, until) - Math.max(from, now);
+      if (part > 0) sum += (promise.work * part) / (end - from);
     }
-    return work;
+    return sum;
   }
 
   /**
--- a/packages/rampswitch-serving/src/room/return_times.ts
+++ b/packages/rampswitch-serving/src/room/return_times.ts
@@ -23,6 +23,12 @@
 /** Share of a class's room that is promised, so that new requests get the other half. */
 const PROMISED_SHARE = 0.5;
 
+/**
+ * Share of a request's room that has come free when its caller may return. The rest
+ * comes free afterwards, so that hosts with little room each can promise some.
+ */
+const SUPPLIED_SHARE = 0.5;
+
 /**
  * Share of the time they have left for which callers wait before they return, as the
  * platform states.
@@ -107,6 +113,8 @@
 interface Schedule {
   /** Time that was assigned last. */
   assignedUntil: number;
+  /** Time until which room is set aside for the promises so far. */
+  setAsideUntil: number;
   /** Work of returned callers beyond the rate of the class, in slot milliseconds. */
   excess: number;
   excessAt: number;
@@ -146,14 +154,14 @@
         reserved: false,
       };
     }
-    const due = nextSpacedTime(
-      {
-        earliest: now + this.#earliestDelay(room),
-        previous: schedule.assignedUntil,
-        spacing: room.work / rate,
-      },
-      now,
+    const spacing = room.work / rate;
+    const from = Math.max(now, schedule.setAsideUntil);
+    const earliest = Math.max(
+      now + this.#earliestDelay(room),
+      from + spacing * SUPPLIED_SHARE,
     );
+    const previous = schedule.assignedUntil;
+    const due = nextSpacedTime({ earliest, previous, spacing }, now);
     const delayMilliseconds = Math.ceil(due - now);
     const longest = Math.min(
       caller.leftMilliseconds * WAIT_SHARE - TRANSMISSION_MILLISECONDS,
@@ -163,9 +171,19 @@
       return { delayMilliseconds, reserved: false };
     }
     this.#nextId = (this.#nextId + 1) % ID_VALUES;
-    const reservation = { roomClass, work: room.work, due, id: this.#nextId };
+    const until = from + spacing;
+    const reservation = {
+      roomClass,
+      work: room.work,
+      setAside: { from, until },
+      due,
+      id: this.#nextId,
+    };
     const reserved = this.reservations.add(fingerprint, reservation, now);
-    if (reserved) schedule.assignedUntil = due;
+    if (reserved) {
+      schedule.assignedUntil = due;
+      schedule.setAsideUntil = until;
+    }
     return { delayMilliseconds, reserved };
   }
 
@@ -189,11 +207,11 @@
   }
 
   /**
-   * Work of this host's reservations that fall due from now until a time, in slot
-   * milliseconds.
+   * Room that is set aside for this host's reservations from now until a time, in
+   * slot milliseconds.
    */
   dueWork(roomClass: RoomClass, until: number, now: number): number {
-    return this.reservations.dueWork(roomClass, { until, now });
+    return this.reservations.setAside(roomClass, { until, now });
   }
 
   /** Takes the room of a returned caller, unless those before used up too much. */
@@ -232,6 +250,7 @@
     this.#dropOldSchedules(now);
     const schedule = {
       assignedUntil: -Infinity,
+      setAsideUntil: -Infinity,
       excess: 0,
       excessAt: now,
       peakRate: 0,
@@ -261,8 +280,8 @@
 
   #dropOldSchedules(now: number): void {
     if (this.#schedules.size < SCHEDULES_BEFORE_SEARCH) return;
-    for (const [key, { assignedUntil, excessAt }] of this.#schedules) {
-      const usedAt = Math.max(assignedUntil, excessAt);
+    for (const [key, { setAsideUntil, excessAt }] of this.#schedules) {
+      const usedAt = Math.max(setAsideUntil, excessAt);
       if (usedAt + SCHEDULE_LIFETIME_MILLISECONDS < now) {
         this.#schedules.delete(key);
       }
--- a/packages/rampswitch-serving/src/room/return_times_test.ts
+++ b/packages/rampswitch-serving/src/room/return_times_test.ts
@@ -333,6 +333,7 @@
             now += pause;
             // Admission deducts what falls due from the rate of new requests.
             const due = times.dueWork(BURST, now + LAG, now) / LAG;
+            expect(due).toBeLessThan(4.001);
             const room = { perMillisecond: 8 - due, available: 0, work };
             const told = assign(`r${index}`, now, { ...room, left });
             const at = now + told.delayMilliseconds;
@@ -341,9 +342,9 @@
           promised.forEach(({ at }, index) => {
             const later = promised.slice(index + 1);
             const last = later.at(-1)?.at ?? at;
-            const work = later.reduce((sum, other) => sum + other.work, 0);
+            const sum = later.reduce((total, { work }) => total + work, 0);
             // Each time is rounded up to a millisecond.
-            expect(work).toBeLessThanOrEqual(4 * (last - at + 2));
+            expect(sum).toBeLessThanOrEqual(4 * (last - at + 2));
           });
         },
       ),
