--- a/packages/rampswitch-serving/src/room/return_times_test.ts
+++ b/packages/rampswitch-serving/src/room/return_times_test.ts
@@ -253,6 +253,28 @@
     expect(there.times.reservations.relayUpdates(0)).toHaveLength(1);
   });
 
+  test("reach the members of a relay by its digest, and so does a return", () => {
+    const [here, relay, there] = [hostOf(20), hostOf(20), hostOf(20)];
+    const { delayMilliseconds } = here.assign("a", 0);
+    const heard = { age: 0, now: 0 };
+    relay.times.reservations.receive(here.times.reservations.updates(0), heard);
+    const digest = relay.times.reservations.relayUpdates(0);
+    [here, there].forEach(({ times }) =>
+      times.reservations.receive(digest, heard),
+    );
+    expect(there.claim("a", delayMilliseconds)).toBe(true);
+    const later = { age: 0, now: delayMilliseconds };
+    relay.times.reservations.receive(
+      there.times.reservations.updates(later.now),
+      later,
+    );
+    here.times.reservations.receive(
+      relay.times.reservations.relayUpdates(later.now),
+      later,
+    );
+    expect(here.claim("a", later.now)).toBe(false);
+  });
+
   test("that are absurd fill no memory and admit no more than a share", () => {
     const { times, claim, counts } = hostOf(2);
     const update = (index: number, dueIn: number) => ({
