Merge admission by class, waiting and return times

A member subtracts its own demand from a digest that all members get. The expected time of a send is logged as predictedMilliseconds, since refusals log the time until room is expected as expectedMilliseconds.

--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -44,6 +44,12 @@
 } from "./server_limits/mod.ts";
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
+import type {
+  ReservationUpdate,
+  Reservations,
+  RoomCounts,
+  RoomReport,
+} from "./room/mod.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
 
 /** Sources and targets of updates. */
@@ -63,6 +69,8 @@
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
   readonly leavingAdvertisements: LeavingAdvertisements;
+  readonly roomCounts: RoomCounts;
+  readonly reservations: Reservations;
   /** Hosts that may issue permits for limited servers. */
   permitHolders(): readonly string[];
   /** Fleet time, the time of day on which the hosts agree, in milliseconds. */
@@ -85,6 +93,7 @@
   #limitUpdates: readonly LimitUpdate[] = [];
   #slowdownUpdates: readonly SlowdownUpdate[] = [];
   readonly #reportedSlowdowns = new ReportedSlowdowns();
+  #returnUpdates: readonly ReservationUpdate[] = [];
 
   constructor(parts: HostGossipParts) {
     this.#parts = parts;
@@ -118,7 +127,8 @@
     this.#parts.follower.checkRelays();
     const admitted = limits.admittedTotals();
     const work = this.#parts.directory.ownWork();
-    this.#recordReported(message.sequence, { admitted, work });
+    const room = this.#parts.roomCounts.ownReport(this.#parts.clock.now());
+    this.#recordReported(message.sequence, { admitted, work, room });
     this.#quarantineUpdates = this.#parts.quarantine.updates();
     this.#leavingUpdates = this.#parts.leavingAdvertisements.updates({
       ownOnly: false,
@@ -127,6 +137,10 @@
       this.#parts.clock.now(),
     );
     const slowdowns = this.#updateSlowdowns(message.role);
+    const { reservations } = this.#parts;
+    if (message.role === "relay") {
+      this.#returnUpdates = reservations.relayUpdates(this.#parts.clock.now());
+    }
     this.#parts.duties.usage.dropOldWindows(this.#parts.fleetTime());
     // Every host maintains the history of the load, so that it can take the duties.
     this.#parts.follower.routes?.configuration.services.forEach(({ name }) =>
@@ -156,6 +170,8 @@
         ownOnly: message.role !== "direct",
       }),
       slowdowns,
+      room,
+      returns: reservations.updates(this.#parts.clock.now()),
     };
   }
 
@@ -214,6 +230,8 @@
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
       slowdowns: this.#slowdownUpdates,
+      room: this.#parts.roomCounts.reportExcept(host, now),
+      returns: this.#returnUpdates,
     };
   }
 
@@ -254,6 +272,10 @@
     this.#parts.leavingAdvertisements.received(digest.leaving, 0);
     const source = { from: FLEET_SENDER, relayed: true };
     receiveSlowdowns(digest.slowdowns, now, { directory, source });
+    const ownRoom =
+      digest.acknowledgedByHost === undefined ? undefined : acknowledged?.room;
+    this.#parts.roomCounts.receiveFleet(digest.room, { own: ownRoom, now });
+    this.#parts.reservations.receive(digest.returns, { age: 0, now });
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -278,6 +300,8 @@
       directory: this.#parts.directory,
       source: { from: update.host, relayed: false },
     });
+    this.#parts.roomCounts.receive(update.host, update.room, now - age);
+    this.#parts.reservations.receive(update.returns, { age, now });
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
@@ -329,6 +353,7 @@
 interface ReportedState {
   readonly admitted: AdmittedTotals;
   readonly work: WorkByServer;
+  readonly room: RoomReport | undefined;
 }
 
 /**
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -25,7 +25,9 @@
   isVersions,
   versionsOf,
 } from "./configuration_codec.ts";
+import { demandOf, encodedDemand, isDemand } from "./demand_codec.ts";
 import { encodedLeaving, isLeaving, leavingOf } from "./leaving_codec.ts";
+import { encodedReturns, isReturns, returnsOf } from "./returns_codec.ts";
 import type { FleetDigest } from "./peer_messages.ts";
 import { encodedLimits, isLimits, limitsOf } from "./permit_codec.ts";
 import {
@@ -71,6 +73,8 @@
   readonly m?: ReturnType<typeof encodedLimits>;
   readonly a?: ReturnType<typeof encodedLeaving>;
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
+  readonly rm?: ReturnType<typeof encodedDemand>;
+  readonly rt?: ReturnType<typeof encodedReturns>;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -99,6 +103,8 @@
   m: isLimits,
   a: isLeaving,
   sp: isSlowdowns,
+  rm: isDemand,
+  rt: isReturns,
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -121,6 +127,8 @@
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
     sp: encodedSlowdowns(digest.slowdowns),
+    rm: encodedDemand(digest.room),
+    rt: encodedReturns(digest.returns),
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
     z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
@@ -161,6 +169,8 @@
     limits: limitsOf(message.m),
     leaving: leavingOf(message.a),
     slowdowns: slowdownsOf(message.sp),
+    room: demandOf(message.rm),
+    returns: returnsOf(message.rt),
     permitHolders: message.h ?? [],
     acknowledgedByHost: message.z,
   };
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -26,6 +26,9 @@
 const OWN_UPDATE: OwnUpdate = {
   slowdowns: [{ id: "s1", born: 1_796_169_600_123, slowdown: 2.5, hosts: 1 }],
   leaving: [{ id: "s9", born: 7, age: 20 }],
+  returns: [
+    { key: "0123456789abcdef", id: 9, dueIn: 400, rank: 102, kept: true },
+  ],
   limits: [
     { id: "s1", born: 1_796_169_600_123, perSecond: 1.2, age: 40 },
     { id: "s2", born: undefined, perSecond: undefined, age: 500 },
@@ -138,6 +141,7 @@
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
   slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
   leaving: OWN_UPDATE.leaving,
+  returns: OWN_UPDATE.returns,
   limits: OWN_UPDATE.limits,
 };
 
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -19,6 +19,7 @@
 } from "../choice/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
+import type { ReservationUpdate, RoomReport } from "../room/mod.ts";
 import type {
   LimitUpdate,
   PermitUpdate,
@@ -89,6 +90,10 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers that the host learned from its own answers. */
   readonly slowdowns: readonly SlowdownUpdate[];
+  /** Demand by class; `undefined` while capacity is not short. */
+  readonly room?: RoomReport | undefined;
+  /** Refused callers who may return, and those who did. */
+  readonly returns: readonly ReservationUpdate[];
 }
 
 /** State of all hosts, or of all but the receiver, which a relay sends. */
@@ -115,6 +120,10 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers: the medians of what hosts learned. */
   readonly slowdowns: readonly SlowdownUpdate[];
+  /** Demand by class; `undefined` while capacity is not short. */
+  readonly room?: RoomReport | undefined;
+  /** Refused callers who may return, and those who did. */
+  readonly returns: readonly ReservationUpdate[];
 }
 
 /** Digest of the fleet, which a relay sends to the hosts of its data hall. */
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -26,7 +26,9 @@
   isVersions,
   versionsOf,
 } from "./configuration_codec.ts";
+import { demandOf, encodedDemand, isDemand } from "./demand_codec.ts";
 import { encodedLeaving, isLeaving, leavingOf } from "./leaving_codec.ts";
+import { encodedReturns, isReturns, returnsOf } from "./returns_codec.ts";
 import type { AgedUpdate, PeerMessage, PeerUpdate } from "./peer_messages.ts";
 import {
   encodedLimits,
@@ -88,6 +90,8 @@
   readonly g?: ReturnType<typeof encodedLoans>;
   readonly o?: ReturnType<typeof encodedLeaving>;
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
+  readonly rm?: ReturnType<typeof encodedDemand>;
+  readonly rt?: ReturnType<typeof encodedReturns>;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -135,6 +139,8 @@
   g: isLoans,
   o: isLeaving,
   sp: isSlowdowns,
+  rm: isDemand,
+  rt: isReturns,
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -218,6 +224,8 @@
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
     sp: encodedSlowdowns(update.slowdowns),
+    rm: encodedDemand(update.room),
+    rt: encodedReturns(update.returns),
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
     e:
@@ -272,5 +280,7 @@
     lentTo: update.g ?? {},
     leaving: leavingOf(update.o),
     slowdowns: slowdownsOf(update.sp),
+    room: demandOf(update.rm),
+    returns: returnsOf(update.rt),
   };
 }
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -45,6 +45,36 @@
     "Writes of log lines that failed; they are tried again",
     ["code"],
   );
+  readonly #roomAdmitted = this.#counter(
+    "room_admitted_total",
+    "Requests admitted while capacity was short",
+    ["rank"],
+  );
+  readonly #roomRefused = this.#counter(
+    "room_refused_total",
+    "Requests refused because capacity was short",
+    ["rank"],
+  );
+  readonly #roomWaited = this.#counter(
+    "room_waited_total",
+    "Requests that waited at the host while capacity was short",
+    ["rank"],
+  );
+  readonly #returnKept = this.#counter(
+    "return_kept_total",
+    "Refused callers that returned as told and were admitted",
+    ["rank"],
+  );
+  readonly #returnRefused = this.#counter(
+    "return_refused_total",
+    "Refused callers that returned as told when room had shrunk",
+    ["rank"],
+  );
+  readonly #returnLapsed = this.#counter(
+    "return_lapsed_total",
+    "Refused callers that did not return as told",
+    ["rank"],
+  );
   readonly #gauges = new Map<string, Gauge>();
   readonly #serverGauges = new Map<string, Gauge<"server">>();
   readonly #firstPart = this.#histogram(
@@ -71,6 +101,36 @@
     this.#notRepeated.inc({ why });
   }
 
+  /** Counts a request that was admitted while capacity was short. */
+  roomAdmitted(rank: string): void {
+    this.#roomAdmitted.inc({ rank });
+  }
+
+  /** Counts a request that was refused because capacity was short. */
+  roomRefused(rank: string): void {
+    this.#roomRefused.inc({ rank });
+  }
+
+  /** Counts a request that waits at the host while capacity is short. */
+  roomWaited(rank: string): void {
+    this.#roomWaited.inc({ rank });
+  }
+
+  /** Counts a refused caller that returned as told and was admitted. */
+  returnKept(rank: string): void {
+    this.#returnKept.inc({ rank });
+  }
+
+  /** Counts a refused caller that returned as told and was refused again. */
+  returnRefused(rank: string): void {
+    this.#returnRefused.inc({ rank });
+  }
+
+  /** Counts a refused caller that did not return as told. */
+  returnLapsed(rank: string): void {
+    this.#returnLapsed.inc({ rank });
+  }
+
   /** Counts an event. */
   event(event: string): void {
     this.#events.inc({ event });
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -9,7 +9,6 @@
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
 import type { BackendClient } from "../attempt/mod.ts";
 import type {
-  SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
   ServerRecord,
@@ -21,7 +20,11 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
-import type { ArrivalRates } from "./arrival_rates.ts";
+import type {
+  ReturnTimes,
+  RoomAdmission,
+  WaitingRequests,
+} from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 
@@ -55,8 +58,7 @@
   readonly directory: ServerDirectory;
   readonly prefixes: PrefixCacheEstimate;
   readonly workEstimates: WorkEstimates;
-  readonly arrivalRates: ArrivalRates;
-  readonly slotTotals: SlotTotalsCache;
+  readonly room: RoomAdmission;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
@@ -64,6 +66,10 @@
   readonly permits: ServerPermits;
   /** Retry times given to callers that were refused during servers' back-offs. */
   readonly backOffWaits: PermitWaits;
+  /** When callers that were refused for lack of capacity may return. */
+  readonly returns: ReturnTimes;
+  /** Requests that wait at this host for room. */
+  readonly waiting: WaitingRequests;
   readonly advertisements: AdvertisementReader;
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -13,6 +13,8 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ServerIncarnation } from "../model/backend_server.ts";
+import type { RoomRefusal } from "./send_choice.ts";
+import type { RefusalTerms } from "./own_refusal.ts";
 import { incarnationOf, startTimesOf } from "./server_incarnation.ts";
 
 /** Reasons why a resend that was needed is not made. */
@@ -97,6 +99,7 @@
   #compared: ComparedTime | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
+  #refusal: Omit<RoomRefusal, "request"> | undefined;
   /** The newest send, where its version is evaluated. */
   #evaluatedSend: SendObserver | undefined;
 
@@ -299,6 +302,12 @@
     });
   }
 
+  /** Notes that the request is refused because capacity is short. */
+  shortOfRoom(refusal: Omit<RoomRefusal, "request">): void {
+    this.#refusal = refusal;
+    this.#context.metrics.roomRefused(refusal.rank);
+  }
+
   /** Reports the answer of the newest send to the evaluation of its version. */
   #answered(failed: boolean): void {
     this.#evaluatedSend?.answered({ failed, now: this.#context.clock.now() });
@@ -321,7 +330,11 @@
   }
 
   /** Notes that the request ended; `status` is the caller's status, if one was sent. */
-  ended(outcome: string, status: number | undefined): void {
+  ended(
+    outcome: string,
+    status: number | undefined,
+    refusal?: RefusalTerms,
+  ): void {
     this.#evaluatedSend?.ended();
     const request = this.#request;
     const milliseconds = this.#context.clock.now() - request.arrivedAt;
@@ -345,6 +358,9 @@
           : Math.round(this.#firstPartAt - request.arrivedAt),
       milliseconds: Math.round(milliseconds),
       ...speedFields(this.#slowdown, this.#compared),
+      rank: this.#refusal?.rank,
+      share: roundedToHundredth(this.#refusal?.share),
+      ...refusal,
     });
   }
 }
@@ -362,7 +378,7 @@
     ? undefined
     : {
         slowdown: Math.round(100 * slowdown) / 100,
-        expectedMilliseconds: roundedTime(compared?.expected),
+        predictedMilliseconds: roundedTime(compared?.expected),
         measuredMilliseconds: roundedTime(compared?.measured),
       };
 }
@@ -376,6 +392,10 @@
   return Math.round(10 * count) / 10;
 }
 
+function roundedToHundredth(share: number | undefined): number | undefined {
+  return share === undefined ? undefined : Math.round(100 * share) / 100;
+}
+
 function millisecondsBetween(
   start: number | undefined,
   end: number | undefined,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -121,6 +121,25 @@
 }
 
 describe("record of a run", () => {
+  test("a refusal for lack of capacity tells rank and share", async () => {
+    const { record, lines, counters } = observed();
+    record.shortOfRoom({
+      kind: "short",
+      room: { perMillisecond: 1, available: 0, work: 200 },
+      rank: "1.2",
+      share: 0.256,
+    });
+    record.ended("servers_full", 503);
+    expect(lines[0]?.fields).toMatchObject({
+      outcome: "servers_full",
+      rank: "1.2",
+      share: 0.26,
+    });
+    expect(await counters("room_refused_total")).toEqual([
+      'rampswitch_room_refused_total{rank="1.2"} 1',
+    ]);
+  });
+
   test("the first send is not logged", () => {
     const { record, lines } = observed();
     record.sentTo(server("s1"), FIRST);
@@ -348,7 +367,7 @@
 });
 
 describe("speed of the server in the line that ends a request", () => {
-  const FIELDS = ["slowdown", "expectedMilliseconds", "measuredMilliseconds"];
+  const FIELDS = ["slowdown", "predictedMilliseconds", "measuredMilliseconds"];
 
   function endedAt(record: ServerRecord) {
     const all = observed();
@@ -368,7 +387,7 @@
     record.speed.reported(250, 0);
     expect(endedAt(record)).toMatchObject({
       slowdown: 2.5,
-      expectedMilliseconds: 42,
+      predictedMilliseconds: 42,
       measuredMilliseconds: 104,
     });
   });
@@ -381,6 +400,6 @@
     all.record.ended("timed_out", 504);
     const fields = all.lines.at(-1)?.fields;
     expect(fields).toMatchObject({ slowdown: 2.5 });
-    expect(fields?.["expectedMilliseconds"]).toBeUndefined();
+    expect(fields?.["predictedMilliseconds"]).toBeUndefined();
   });
 });
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -11,9 +11,12 @@
   type ChoiceOutcome,
   chooseServer,
   type ServerRecord,
-  type ServerSlots,
-  admittedShare,
 } from "../choice/mod.ts";
+import {
+  type RoomDecision,
+  type RoomRequest,
+  roomClassOf,
+} from "../room/mod.ts";
 import type { VersionChoice } from "../rollout/mod.ts";
 import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
 import { ownConnections } from "./connection_share.ts";
@@ -26,26 +29,37 @@
  */
 const LEAVING_SEND_SHARE = 0.6;
 
+/** Refusal of a request because capacity is short. */
+export type RoomRefusal = Extract<RoomDecision, { readonly kind: "short" }> & {
+  /** The request as admission saw it. */
+  readonly request: RoomRequest;
+};
+
 /** Result of a choice for one send. */
 export interface SendChoice {
   /** Outcome of the choice among the servers that need no permit. */
   readonly outcome: ChoiceOutcome;
   /** Limited servers that may take the request with a permit, preferred ones first. */
   readonly limited: readonly ServerRecord[];
+  /** Why a first send finds no capacity; `undefined` if it finds some. */
+  readonly refusal: RoomRefusal | undefined;
 }
 
 /** Chooses among the servers whose current incarnations were not tried. */
 export function chooseForSend(
   request: AdmittedRequest,
-  tried: ReadonlySet<string>,
+  {
+    tried,
+    hasRoom,
+  }: { readonly tried: ReadonlySet<string>; readonly hasRoom: boolean },
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
   const isFirst = tried.size === 0;
   const all = context.rollouts.choice(request.service.name, { isFirst, now });
-  const send = { request, tried, now };
+  const send = { request, tried, hasRoom, now };
   return {
-    outcome: chooseWithoutPermit(withoutLimited(all, context), send, context),
+    ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
   };
 }
@@ -56,28 +70,43 @@
   request: AdmittedRequest,
   context: RequestContext,
 ): Choice | undefined {
-  const send = { request, tried: new Set<string>(), now: context.clock.now() };
+  const send = {
+    request,
+    tried: new Set<string>(),
+    hasRoom: true,
+    now: context.clock.now(),
+  };
   const outcome = chooseAmong([record], send, context);
   return outcome.kind === "chosen" ? outcome.choice : undefined;
 }
 
-const NO_CAPACITY: ChoiceOutcome = { kind: "full" };
-
-const ALL_BACK_OFF: ChoiceOutcome = { kind: "resting" };
-
 function chooseWithoutPermit(
   versions: VersionChoice,
   send: SendQuery,
   context: RequestContext,
-): ChoiceOutcome {
+): Omit<SendChoice, "limited"> {
   const isFirst = send.tried.size === 0;
-  if (isFirst && allBackOff(versions, send.now)) return ALL_BACK_OFF;
-  if (isFirst && !getsSlot(versions, send.request, context)) return NO_CAPACITY;
+  if (isFirst && allBackOff(versions, send.now)) {
+    return { outcome: { kind: "resting" }, refusal: undefined };
+  }
+  // Only first sends are decided on, so a resend is never refused here.
+  if (isFirst && !send.hasRoom) {
+    const room = roomRequest(versions, send, context);
+    const decision = admission(room, send, context);
+    if (decision.kind === "short") {
+      const refusal = { ...decision, request: room };
+      return { outcome: { kind: "full" }, refusal };
+    }
+  }
   const { first, fallback: otherwise } = versions;
   const outcome = chooseAmong(first, send, context);
-  return outcome.kind === "chosen" || otherwise === undefined
-    ? outcome
-    : chooseAmong(otherwise, send, context);
+  return {
+    outcome:
+      outcome.kind === "chosen" || otherwise === undefined
+        ? outcome
+        : chooseAmong(otherwise, send, context),
+    refusal: undefined,
+  };
 }
 
 /** Whether all ready servers have asked for a back-off, so that none takes requests. */
@@ -127,46 +156,70 @@
 }
 
 /**
- * Whether the engines have capacity for a new request. If they lack capacity, a
- * random share of the requests is admitted. Only first sends are checked, so a
- * resend is never refused here.
+ * Decides on a request: a caller who returns as told is admitted, and requests that
+ * wait come before new ones.
  */
-function getsSlot(
-  { first, fallback: otherwise = [] }: VersionChoice,
+function admission(
+  room: RoomRequest,
+  { request, now }: SendQuery,
+  context: RequestContext,
+): RoomDecision {
+  const { fingerprint } = request;
+  const returning = { fingerprint, roomClass: room.roomClass };
+  const roomNow = () => context.room.roomOf(room, now);
+  if (context.returns.claim(returning, roomNow, now)) {
+    context.room.admitReturned(room, now);
+    return { kind: "admitted" };
+  }
+  context.waiting.examine();
+  return context.room.decide(room, now);
+}
+
+/** A waiting request with the ranks that the configuration gives it now. */
+export function withPresentRanks(
+  room: RoomRequest,
   request: AdmittedRequest,
+  context: Pick<RequestContext, "configuration">,
+): RoomRequest {
+  const present = context.configuration().routes?.configuration;
+  const { route, workspace, service } = request;
+  return {
+    ...room,
+    roomClass: roomClassOf({
+      service,
+      route: present?.routes.find(({ name }) => name === route.name) ?? route,
+      workspace:
+        workspace &&
+        (present?.workspaces.find(({ name }) => name === workspace.name) ??
+          workspace),
+    }),
+  };
+}
+
+/** A request as admission sees it. */
+function roomRequest(
+  { first, fallback: otherwise = [] }: VersionChoice,
+  { request, now }: SendQuery,
   context: RequestContext,
-): boolean {
+): RoomRequest {
   const { service, route } = request;
-  if (service.engine === undefined) return true;
-  const now = context.clock.now();
-  const leavingMilliseconds = leavingWindowMilliseconds(request, context);
-  const totals = context.slotTotals.of(service.name, now, () =>
-    [first, otherwise].flatMap((records) =>
-      slotsOf(records, now, leavingMilliseconds),
-    ),
-  );
-  const share = admittedShare(totals, {
-    arrivalsPerMillisecond:
-      context.arrivalRates.addArrival(service.name, now) * context.hosts(),
-    holdMilliseconds: context.workEstimates.meanHoldMilliseconds(service.name),
+  return {
+    roomClass: roomClassOf(request),
+    work: context.workEstimates.of(request).holdMilliseconds,
     targetMilliseconds: route.targetMilliseconds,
-    lagMilliseconds: context.gossipLagMilliseconds(),
-  });
-  context.metrics.gauge("share_with_places", share);
-  return share >= 1 || context.random.next() < share;
-}
-
-function slotsOf(
-  records: readonly ServerRecord[],
-  now: number,
-  leavingMilliseconds: number,
-): readonly ServerSlots[] {
-  const slots: ServerSlots[] = [];
-  for (const record of records) {
-    if (!acceptsRequests(record, now, leavingMilliseconds)) continue;
-    slots.push({ slots: record.entry.slots, load: record.load(now) });
-  }
-  return slots;
+    sharesAlone: service.engine !== undefined,
+    servers: () => {
+      const leavingMilliseconds = leavingWindowMilliseconds(request, context);
+      return [...first, ...otherwise]
+        .filter((record) => acceptsRequests(record, now, leavingMilliseconds))
+        .map((record) => ({
+          slots: record.entry.slots,
+          load: record.load(now),
+          ownLoad: record.ownRunning,
+          slowdown: record.speed.slowdown(now),
+        }));
+    },
+  };
 }
 
 /** Whether a server takes requests now: it is ready, or announced its end recently. */
@@ -197,6 +250,8 @@
   readonly request: AdmittedRequest;
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** Whether admission has given it room. */
+  readonly hasRoom: boolean;
   readonly now: number;
 }
 
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -21,7 +21,6 @@
 } from "./admission/mod.ts";
 import { BackendClient } from "./attempt/mod.ts";
 import {
-  SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
   type ServerRecord,
@@ -55,10 +54,15 @@
 } from "./rollout/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
-import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
+import {
+  type ReservationListener,
+  ReturnTimes,
+  RoomAdmission,
+  WaitingRequests,
+} from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import {
   LeavingAdvertisements,
@@ -137,10 +141,11 @@
   #stopping: Promise<void> | undefined;
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
-  readonly #arrivalRates: ArrivalRates;
-  readonly #slotTotals = new SlotTotalsCache();
+  readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
+  readonly #returns: ReturnTimes;
+  readonly #waiting: WaitingRequests;
   readonly #leavingAdvertisements: LeavingAdvertisements;
   readonly #advertisements: AdvertisementReader;
   readonly #dispatches = new RecentDispatches();
@@ -173,6 +178,14 @@
       queryRelay: async (request) => this.#membership?.queryLimit(request),
     });
     this.#budget = new ResendBudget(resendTerms(bounds), ports.clock.now());
+    this.#returns = new ReturnTimes(
+      {
+        hosts: () => this.#membership?.size ?? 1,
+        lagMilliseconds: () => this.#gossipLagMilliseconds(),
+        draw: () => ports.random.next(),
+      },
+      returnCounters(ports.metrics),
+    );
     this.#quarantine = new Quarantine({
       ...ports,
       trialRank: (fingerprint) =>
@@ -261,7 +274,29 @@
         },
       },
     });
-    this.#arrivalRates = new ArrivalRates(ports.clock.now());
+    this.#room = new RoomAdmission({
+      hosts: () => this.#membership?.size ?? 1,
+      lagMilliseconds: () => this.#gossipLagMilliseconds(),
+      meanHoldMilliseconds: (service) =>
+        this.#workEstimates.meanHoldMilliseconds(service),
+      draw: () => ports.random.next(),
+      admittedWhileShort: (rank) => ports.metrics.roomAdmitted(rank),
+      shareComputed: (share) => {
+        ports.metrics.gauge("room_share", share);
+        // The name of the gauge before admission by class.
+        ports.metrics.gauge("share_with_places", share);
+      },
+    });
+    this.#room.setReservations({
+      dueWork: (roomClass, until) =>
+        this.#returns.dueWork(roomClass, until, ports.clock.now()),
+    });
+    this.#waiting = new WaitingRequests(ports.clock, {
+      roomOf: (request, now) => this.#room.roomOf(request, now),
+      take: (request, now) =>
+        this.#room.decideWaiting(request, now).kind === "admitted",
+      waited: (rank) => ports.metrics.roomWaited(rank),
+    });
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
     this.#callers = new CallerServer(this.#requestContext());
@@ -319,7 +354,11 @@
         },
         {
           configured: (routes) => this.#configured(routes),
-          serverChanged: (server) => listing.changed(server),
+          serverChanged: (server) => {
+            const result = listing.changed(server);
+            this.#waiting.examine();
+            return result;
+          },
           serverUnreadable: (id) => listing.unreadable(id),
           serverGone: (id) => listing.gone(id),
           isGone: (server) => this.#directory.isGone(server),
@@ -341,6 +380,8 @@
       rollouts: this.#rollouts,
       permits: this.#permits,
       leavingAdvertisements: this.#leavingAdvertisements,
+      roomCounts: this.#room.counts,
+      reservations: this.#returns.reservations,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
@@ -392,6 +433,7 @@
     const startedAt = clock.now();
     this.#lifecycle.stopStartedAt = startedAt;
     logger.info("stopping", { inProgress: this.#callers.inProgress });
+    this.#waiting.stop();
     await this.#duties.release();
     this.#membership?.broadcast();
     await waitUntilIdle(this.#callers, clock, {
@@ -489,14 +531,15 @@
       directory: this.#directory,
       prefixes: this.#prefixes,
       workEstimates: this.#workEstimates,
-      arrivalRates: this.#arrivalRates,
-      slotTotals: this.#slotTotals,
+      room: this.#room,
       admission: this.#admission,
       budget: this.#budget,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       permits: this.#permits,
       backOffWaits: this.#backOffWaits,
+      returns: this.#returns,
+      waiting: this.#waiting,
       advertisements: this.#advertisements,
       configuration: () => ({
         routes: this.#follower.routes,
@@ -506,8 +549,7 @@
       hosts: () => this.#membership?.size ?? 1,
       listedHosts: () => this.#membership?.listedSize,
       drainMilliseconds: () => this.#settings.bounds.drainMilliseconds,
-      gossipLagMilliseconds: () =>
-        gossipLagMilliseconds(this.#membership?.role ?? "direct"),
+      gossipLagMilliseconds: () => this.#gossipLagMilliseconds(),
       receivesDispatches: () =>
         (this.#membership?.role ?? "direct") === "direct",
       acceptsRequests: () => this.#startsRequests(),
@@ -521,6 +563,10 @@
     };
   }
 
+  #gossipLagMilliseconds(): number {
+    return gossipLagMilliseconds(this.#membership?.role ?? "direct");
+  }
+
   #startsRequests(): boolean {
     const { stopStartedAt } = this.#lifecycle;
     return (
@@ -601,12 +647,22 @@
       now,
     );
     this.#callers.setLimits(configuration.callerLimits);
+    this.#waiting.rankAgain();
     if (this.#lifecycle.handle({ type: "prepared" })) {
       this.#ports.logger.info("serving", { version: configuration.version });
     }
   }
 }
 
+/** Counts what became of refused callers' reservations. */
+function returnCounters(metrics: ServingMetrics): ReservationListener {
+  return {
+    kept: (rank) => metrics.returnKept(rank),
+    refused: (rank) => metrics.returnRefused(rank),
+    lapsed: (rank) => metrics.returnLapsed(rank),
+  };
+}
+
 function changedBounds(
   before: ServingBounds,
   after: ServingBounds,
