Compare only times of answers that pauses of the process don't dominate

Cause: in a run of all tests (load 18) servers with answers of about 3 ms seemed slow for seconds, and one of two got 8 of 60 requests: pauses of the process were compared with 10 ms at least. Change: times below 30 ms count as 30 ms, expected and measured ones.

--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -38,10 +38,11 @@
 >;
 
 /**
- * Shortest expected time that is compared, in milliseconds. Shorter ones consist of
- * delays of the network and of this process.
+ * Shortest time that is compared, in milliseconds; shorter ones count as it. They depend
+ * on delays of this process: at 10 ms, some pauses of a busy machine made a server with
+ * answers of 3 ms seem slow for seconds.
  */
-const MINIMUM_COMPARED_MILLISECONDS = 10;
+const MINIMUM_COMPARED_MILLISECONDS = 30;
 
 /**
  * Longest time that the speed at its end applies to, in milliseconds. Servers change
@@ -78,9 +79,9 @@
   const now = clock.now();
   const { speed } = choice.record;
   const measured = now - sentAt;
-  const expected = Math.max(
-    MINIMUM_COMPARED_MILLISECONDS,
-    workEstimates.expectedFirstPart(name, choice.workMilliseconds),
+  const expected = workEstimates.expectedFirstPart(
+    name,
+    choice.workMilliseconds,
   );
   if (unreadBefore <= 0) {
     workEstimates.addPrefill(name, {
@@ -88,8 +89,8 @@
       milliseconds: atUsualSpeed(measured, speed, now),
     });
   }
-  const compared = { kind: "first_part" as const, expected, measured };
-  observeSpeed(request, { ...compared, speed, sentAt, now }, workEstimates);
+  const times = { kind: "first_part" as const, expected, measured };
+  observeSpeed(request, { ...times, speed, sentAt, now }, workEstimates);
   return { expected: expected * choice.slowdown, measured };
 }
 
@@ -125,12 +126,9 @@
   });
   if (expectedHold === undefined) return undefined;
   const measured = now - sentAt;
-  const expected = Math.max(
-    MINIMUM_COMPARED_MILLISECONDS,
-    expectedHold * waitFactor(choice),
-  );
-  const compared = { kind: "answer" as const, expected, measured };
-  observeSpeed(request, { ...compared, speed, sentAt, now }, workEstimates);
+  const expected = expectedHold * waitFactor(choice);
+  const times = { kind: "answer" as const, expected, measured };
+  observeSpeed(request, { ...times, speed, sentAt, now }, workEstimates);
   return { expected: expected * choice.slowdown, measured };
 }
 
@@ -195,7 +193,11 @@
 ): void {
   const reported = speed.reportedFactor(now);
   // What the reports explain is not usual or unusual for the service.
-  const ratio = measured / expected / reported;
+  const ratio = compared(measured) / compared(expected * reported);
   const unusual = workEstimates.comparedRatio(service.name, { kind, ratio });
   speed.observed(unusual * reported, now, { sentAt });
 }
+
+function compared(milliseconds: number): number {
+  return Math.max(MINIMUM_COMPARED_MILLISECONDS, milliseconds);
+}
--- a/packages/rampswitch-serving/src/relay/observed_answers_test.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers_test.ts
@@ -187,6 +187,26 @@
     expect(slowdownAfter(PLAIN, { milliseconds: 55 })).toBe(1);
   });
 
+  // Delays of this process are as long as short answers.
+  test("is not learned from answers that take less than 30 ms", () => {
+    const all = parts();
+    const other = new ServerRecord({ ...all.record.entry, id: "s2" });
+    answer(all, PLAIN, { times: 50, milliseconds: 3, record: other });
+    answer(all, PLAIN, { times: 10, milliseconds: 29 });
+    expect(all.record.speed.slowdown(all.clock.now())).toBe(1);
+  });
+
+  test("is the reported one also if its answers are short", () => {
+    const all = parts();
+    const other = new ServerRecord({ ...all.record.entry, id: "s2" });
+    answer(all, PLAIN, { times: 50, milliseconds: 3, record: other });
+    for (let count = 0; count < 20; count += 1) {
+      all.record.speed.reported(250, all.clock.now() + 8);
+      answer(all, PLAIN, { times: 1, milliseconds: 8 });
+    }
+    expect(all.record.speed.slowdown(all.clock.now())).toBe(2.5);
+  });
+
   // A resent request may have waited at its first server.
   test("is not learned from resends", () => {
     const slow = { milliseconds: 100, isOnlySend: false };
