Apply an update of a peer's work to the servers that it concerns

Cause: each update, several per second, went through all listed servers. Change: the servers with work of a peer are retained, so that an update looks at those and at the servers that it names. The test of any interleaving passes unchanged, and one for the end of reported work is added; it passes on the code before as well.

--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -54,6 +54,11 @@
   readonly #byService = new Map<string, ReadonlySet<ServerRecord>>();
   /** Servers whose entries can be read, by service; dropped when any entry changes. */
   readonly #readable = new Map<string, readonly ServerRecord[]>();
+  /**
+   * Servers with work of each peer, so that its updates, several per second, do not
+   * look at all the others.
+   */
+  readonly #withWorkOf = new Map<string, ReadonlySet<ServerRecord>>();
   readonly #leavingIncarnations = new LeavingIncarnations();
   readonly #listeners: ((record: ServerRecord) => void)[] = [];
 
@@ -199,17 +204,23 @@
     work: Readonly<Record<string, ReportedWork>>,
     now: number,
   ): void {
-    this.#records.forEach((record, id) => {
-      const reported = work[id];
+    const withWork = new Set<ServerRecord>();
+    Object.entries(work).forEach(([id, reported]) => {
+      const record = this.#records.get(id);
       // Peers receive a new incarnation earlier or later than this host.
-      const ofThisIncarnation =
-        reported !== undefined && record.matchesIncarnation(reported.born);
-      record.receivePeerWork(
-        peer,
-        ofThisIncarnation ? reported : undefined,
-        now,
-      );
+      if (record?.matchesIncarnation(reported.born) !== true) return;
+      record.receivePeerWork(peer, reported, now);
+      withWork.add(record);
+    });
+    this.#withWorkOf.get(peer)?.forEach((record) => {
+      if (withWork.has(record)) return;
+      const { id } = record.entry;
+      if (this.#records.get(id) === record) {
+        record.receivePeerWork(peer, undefined, now);
+      } else if (this.#gone.get(id)?.record === record) withWork.add(record);
     });
+    if (withWork.size > 0) this.#withWorkOf.set(peer, withWork);
+    else this.#withWorkOf.delete(peer);
   }
 
   /** Returns the work of all hosts but one, by server id, without idle servers. */
--- a/packages/rampswitch-serving/src/choice/server_directory_test.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory_test.ts
@@ -145,6 +145,26 @@
   });
 });
 
+describe("work that a peer reports", () => {
+  // A server that a peer no longer names is idle as far as that peer is concerned.
+  test("ends when the peer no longer names the server, also after a lapse of its entry", () => {
+    const work = { running: 4, pendingPrefillTokens: 900, born: ENTRY.born };
+    const directory = new ServerDirectory();
+    directory.put(ENTRY, 0);
+    directory.receivePeerWork("b", { s1: work }, 0);
+    directory.receivePeerWork("c", { s1: { ...work, running: 1 } }, 0);
+    expect(directory.get("s1")?.load(0)).toBe(5);
+    directory.receivePeerWork("b", {}, 1);
+    expect(directory.get("s1")?.load(1)).toBe(1);
+    directory.remove("s1", 1);
+    directory.receivePeerWork("c", {}, 1);
+    directory.put(ENTRY, 2);
+    expect(directory.get("s1")?.load(2)).toBe(1);
+    directory.receivePeerWork("c", {}, 2);
+    expect(directory.get("s1")?.load(2)).toBe(0);
+  });
+});
+
 /** Inputs about one incarnation. */
 interface IncarnationModel {
   own: number;
