Write short whole answers as one string

Cause: head and body of an answer went out as two chunks of a vectored write. Change: a body of up to 16 KB is written as text of the same bytes together with the head.

--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -76,7 +76,9 @@
       "Content-Length",
       String(body.length),
     ]);
-    this.#response.end(body);
+    // Text is written together with the head, as one string in one system call.
+    if (body.length > MAXIMUM_TEXT_BYTES) this.#response.end(body);
+    else this.#response.end(body.toString("latin1"), "latin1");
   }
 
   /** Aborts the answer so that it can't be mistaken for a complete one. */
@@ -99,8 +101,14 @@
 }
 
 function withoutContentLength(headers: RawHeaders): RawHeaders {
-  return headers.filter((_, index) => {
-    const name = headers[index - (index % 2)];
-    return name?.toLowerCase() !== "content-length";
-  });
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? "";
+    if (name.toLowerCase() === "content-length") continue;
+    kept.push(name, headers[index + 1] ?? "");
+  }
+  return kept;
 }
+
+/** Maximum size of a body that is copied to text, in bytes. */
+const MAXIMUM_TEXT_BYTES = 16 * 1024;
