Create a run's migrations and its relayed state only once they are needed

Cause: each request created fifteen closures for migrations that most runs never make, and each piece of a stream looked up a transition that changes nothing. Change: migrations are created at their first use; the first piece alone is an event.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -102,7 +102,8 @@
   #lastEventId: string | undefined;
   /** Id of the last event that was relayed in this answer. */
   #lastRelayedId: string | undefined;
-  readonly #migration: RunMigration;
+  /** Migrations of the run; most runs never migrate. */
+  #startedMigration: RunMigration | undefined;
   readonly #sendChooser: SendChooser;
   #cancelDeadline: () => void = () => undefined;
   readonly #stallWatch: StallWatch;
@@ -136,7 +137,6 @@
       },
       context,
     );
-    this.#migration = new RunMigration(this.#migratableRun(), context);
     this.#lastEventId = request.head.lastEventId;
     this.#deadlineAt = request.arrivedAt + timeLimitMilliseconds(request);
     exchange.response.on("close", () => {
@@ -189,6 +189,19 @@
     this.#handleLoss("connection_lost", "server started again");
   }
 
+  get #migration(): RunMigration {
+    this.#startedMigration ??= new RunMigration(
+      this.#migratableRun(),
+      this.#context,
+    );
+    return this.#startedMigration;
+  }
+
+  /** Whether the run's stop is requested, so that its stream may end. */
+  get #stopping(): boolean {
+    return this.#startedMigration?.stopping ?? false;
+  }
+
   /** This run, as its migrations see it. */
   #migratableRun(): MigratableRun {
     return {
@@ -338,7 +351,7 @@
   /** Sends a stalled request to another server, if it may run a second time. */
   #handleStall(): void {
     const current = this.#current;
-    if (current === undefined || this.#migration.stopping) return;
+    if (current === undefined || this.#stopping) return;
     this.#recordUnresponsive(current);
     if (!this.#rules.canAbandonRun) return;
     // If no other server can answer, a late answer is better than none.
@@ -347,7 +360,7 @@
       return;
     }
     this.#tracker.handle({ type: "lost" });
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#endCurrentSend(true);
     this.#record.lost("stalled", {
       detail: "silent",
@@ -384,7 +397,7 @@
     }
     const resumes = this.#tracker.state === "resuming";
     this.#tracker.handle({ type: "answered" });
-    this.#migration.resumed();
+    this.#startedMigration?.resumed();
     if (!success && this.#answer.started) this.#handleFailedResume(head);
     // The server that stopped the run for a migration still ends soon, so a run
     // that resumed there must migrate again.
@@ -452,7 +465,7 @@
       this.#handleLoss("answer_not_usable", "event id out of order");
       return;
     }
-    this.#tracker.handle({ type: "relayed" });
+    if (!this.#tracker.relayed) this.#tracker.handle({ type: "relayed" });
     this.#lastRelayedId = frames.lastId ?? this.#lastRelayedId;
     this.#lastEventId = this.#lastRelayedId ?? this.#lastEventId;
     this.#stallWatch.eventReceived();
@@ -577,7 +590,7 @@
 
   #handleLoss(reason: ResendReason, detail: string): void {
     const record = this.#current?.choice.record;
-    if (this.#migration.stopping) {
+    if (this.#stopping) {
       this.#migration.noteLostWhileStopping();
       return;
     }
@@ -603,7 +616,7 @@
       return;
     }
     // A server may already have resumed from the memory, which works only once.
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#resend(reason, "unknown_outcome");
   }
 
@@ -752,7 +765,7 @@
    */
   #finish(outcome: string, status = this.#answer.status): void {
     this.#cancelDeadline();
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#tracker.handle({ type: "ended" });
     this.#endCurrentSend(false);
     this.#record.ended(outcome, status);
