Share one connector among the connection pools of servers

Cause: each server's pool built a connector with the same options. Change: the client builds it once.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -65,6 +65,7 @@
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, AddressPool>();
   readonly #ends = new ConnectionEnds();
+  readonly #connect = this.#ends.connector();
 
   /** Sends a request to a server. */
   send(
@@ -112,7 +113,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
-      connect: this.#ends.connector(),
+      connect: this.#connect,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
