--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -94,7 +94,8 @@
   #lastEventId: string | undefined;
   /** Id of the last event that was relayed in this answer. */
   #lastRelayedId: string | undefined;
-  readonly #migration: RunMigration;
+  /** Migrations of the run; most runs never migrate. */
+  #startedMigration: RunMigration | undefined;
   readonly #sendChooser: SendChooser;
   #cancelDeadline: () => void = () => undefined;
   readonly #stallWatch: StallWatch;
@@ -129,7 +130,6 @@
       },
       context,
     );
-    this.#migration = new RunMigration(this.#migratableRun(), context);
     this.#lastEventId = request.head.lastEventId;
     this.#deadlineAt = request.arrivedAt + timeLimitMilliseconds(request);
     exchange.response.on("close", () => {
@@ -182,6 +182,19 @@
     this.#handleLoss("connection_lost", "server started again");
   }
 
+  get #migration(): RunMigration {
+    this.#startedMigration ??= new RunMigration(
+      this.#migratableRun(),
+      this.#context,
+    );
+    return this.#startedMigration;
+  }
+
+  /** Whether the run's stop is requested, so that its stream may end. */
+  get #stopping(): boolean {
+    return this.#startedMigration?.stopping ?? false;
+  }
+
   /** This run, as its migrations see it. */
   #migratableRun(): MigratableRun {
     return {
@@ -327,7 +340,7 @@
   /** Sends a stalled request to another server, if it may run a second time. */
   #handleStall(): void {
     const current = this.#current;
-    if (current === undefined || this.#migration.stopping) return;
+    if (current === undefined || this.#stopping) return;
     this.#recordUnresponsive(current);
     if (!this.#rules.canAbandonRun) return;
     // If no other server can answer, a late answer is better than none.
@@ -336,7 +349,7 @@
       return;
     }
     this.#tracker.handle({ type: "lost" });
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#endCurrentSend(true);
     this.#record.lost("stalled", {
       detail: "silent",
@@ -373,7 +386,7 @@
     }
     const resumes = this.#tracker.state === "resuming";
     this.#tracker.handle({ type: "answered" });
-    this.#migration.resumed();
+    this.#startedMigration?.resumed();
     if (!success && this.#answer.started) this.#handleFailedResume(head);
     // The server that stopped the run for a migration still ends soon, so a run
     // that resumed there must migrate again.
@@ -441,7 +454,7 @@
       this.#handleLoss("answer_not_usable", "event id out of order");
       return;
     }
-    this.#tracker.handle({ type: "relayed" });
+    if (!this.#tracker.relayed) this.#tracker.handle({ type: "relayed" });
     current.events += frames.count;
     this.#lastRelayedId = frames.lastId ?? this.#lastRelayedId;
     this.#lastEventId = this.#lastRelayedId ?? this.#lastEventId;
@@ -571,7 +584,7 @@
 
   #handleLoss(reason: ResendReason, detail: string): void {
     const record = this.#current?.choice.record;
-    if (this.#migration.stopping) {
+    if (this.#stopping) {
       this.#migration.noteLostWhileStopping();
       return;
     }
@@ -597,7 +610,7 @@
       return;
     }
     // A server may already have resumed from the memory, which works only once.
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#resend(reason, "unknown_outcome");
   }
 
@@ -759,7 +772,7 @@
   ): void {
     this.#cancelDeadline();
     this.#sendChooser.stopWaiting();
-    this.#migration.drop();
+    this.#startedMigration?.drop();
     this.#tracker.handle({ type: "ended" });
     this.#endCurrentSend(false);
     this.#record.ended(outcome, status, refusal);
