Leave out updates that were applied before when a message is decoded

Cause: a relay receives each update from its sender and from several relays, and checked and decoded it each time before it compared its sequence number.

Change: the decoder asks whether an update is newer than the known one before it checks its fields. A malformed repetition of an applied update is now skipped instead of refusing its whole message.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -152,6 +152,13 @@
     return unknown.map(({ name }) => name);
   }
 
+  /** Whether an update of a host is this host's own or not newer than the known one. */
+  hasApplied(host: string, incarnation: string, sequence: number): boolean {
+    if (host === this.#self.name) return true;
+    const known = this.#hosts.get(host);
+    return known?.incarnation === incarnation && sequence <= known.sequence;
+  }
+
   /** Stores an update; returns whether it is newer than the known one. */
   applyUpdate(update: PeerUpdate, at: number): boolean {
     const known = this.#hosts.get(update.host);
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -42,6 +42,7 @@
   PermitQuery,
 } from "./peer_messages.ts";
 import { openPeerTransport, type PeerTransport } from "./peer_transport.ts";
+import type { IsAppliedUpdate } from "./update_codec.ts";
 
 /** Time without a round of gossip, in intervals, that indicates a paused process. */
 const PAUSE_INTERVALS = 2.4;
@@ -376,9 +377,12 @@
     },
   };
 
+  readonly #isApplied: IsAppliedUpdate = (host, incarnation, sequence) =>
+    this.#hosts.hasApplied(host, incarnation, sequence);
+
   /** Handles a datagram. */
   receive(datagram: Buffer): void {
-    const decoded = decodeMessage(datagram);
+    const decoded = decodeMessage(datagram, this.#isApplied);
     if (decoded.isErr) {
       this.#parts.metrics.event("peer_news_malformed");
       this.#parts.logger.debug("peer news can't be read", {
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -50,6 +50,7 @@
   decodeUpdates,
   encodedUpdates,
   type EncodedUpdates,
+  type IsAppliedUpdate,
 } from "./update_codec.ts";
 
 /** Size above which messages are compressed, in bytes: the payload of one packet. */
@@ -110,7 +111,10 @@
 }
 
 /** Decodes a datagram, or returns the reason why it is malformed. */
-export function decodeMessage(datagram: Buffer): Result<PeerMessage, string> {
+export function decodeMessage(
+  datagram: Buffer,
+  isApplied: IsAppliedUpdate = () => false,
+): Result<PeerMessage, string> {
   const plain = plainOf(datagram);
   if (plain.isErr) return Result.err(plain.error);
   const parsed = parseJson(plain.value.toString("utf8"));
@@ -121,11 +125,12 @@
     typeof message["k"] === "string" ? DECODERS.get(message["k"]) : undefined;
   return decode === undefined
     ? Result.err("a message is of no known kind")
-    : decode(message);
+    : decode(message, isApplied);
 }
 
 type Decoder = (
   message: Readonly<Record<string, unknown>>,
+  isApplied: IsAppliedUpdate,
 ) => Result<PeerMessage, string>;
 
 /** Decoders by the message's key `k`. */
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -101,6 +101,35 @@
   });
 });
 
+/** Guards against relays that decode each update once for each relay that forwards it. */
+describe("an update that was applied before", () => {
+  test("is left out, and the others of the message are decoded", () => {
+    const newer = { ...UPDATE, sequence: 2 };
+    const datagram = encodeMessage({
+      kind: "updates",
+      from: "h1",
+      wantsDigest: true,
+      readsSharedDigest: true,
+      updates: [
+        { age: 0, update: UPDATE },
+        { age: 0, update: newer },
+      ],
+    });
+    const decoded = decodeMessage(
+      datagram,
+      (host, incarnation, sequence) =>
+        host === "h1" && incarnation === "i" && sequence <= 1,
+    );
+    expect(decoded.unwrapOr(undefined)).toEqual({
+      kind: "updates",
+      from: "h1",
+      wantsDigest: true,
+      readsSharedDigest: true,
+      updates: [{ age: 0, update: newer }],
+    });
+  });
+});
+
 describe("requests during which servers ended", () => {
   const quarantine: PeerUpdate["quarantine"] = [
     {
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -155,9 +155,21 @@
   };
 }
 
-/** Decodes updates, or returns the reason why they are malformed. */
+/** Whether an update of a host was applied before, or is this host's own. */
+export type IsAppliedUpdate = (
+  host: string,
+  incarnation: string,
+  sequence: number,
+) => boolean;
+
+/**
+ * Decodes updates, or returns the reason why they are malformed. Those that were
+ * applied before are left out unchecked: a relay receives each update from several
+ * relays.
+ */
 export function decodeUpdates(
   message: Readonly<Record<string, unknown>>,
+  isApplied: IsAppliedUpdate,
 ): Result<PeerMessage, string> {
   const { f: from, m: wantsDigest, o: encoded } = message;
   if (!isString(from) || !isBoolean(wantsDigest) || !Array.isArray(encoded)) {
@@ -170,6 +182,15 @@
     }
     const update = aged[1] as unknown;
     if (!isObject(update)) return Result.err("an update is no object");
+    const { h: host, i: incarnation, n: sequence } = update;
+    if (
+      isString(host) &&
+      isString(incarnation) &&
+      isNumber(sequence) &&
+      isApplied(host, incarnation, sequence)
+    ) {
+      continue;
+    }
     const invalid = invalidKey(UPDATE_CHECKS, update);
     if (invalid !== undefined) {
       return Result.err(`unexpected value of "${invalid}" in an update`);
