Count refused work as demand when servers are ordered

Cause: refused requests counted as no demand, so a fleet that refused most of them saw no reason to order. Change: the counts of admission give the work that all hosts refuse. Measured: unit tests only.

--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -324,6 +324,8 @@
           this.#workEstimates.meanHoldMilliseconds(service),
         memoryTokens: (service) =>
           this.#workEstimates.meanMemoryTokens(service),
+        refusedWork: (service) =>
+          this.#room.counts.refusedWork(service, ports.clock.now()),
         limitOf: (record) => this.#permits.limitOf(record),
         isIdle: () => this.#meter.idle,
         routes: () =>
