Place at most half of the servers on demand in one data hall

The plan that bridges reclaims placed all servers on demand in the cheapest data hall, so that a loss of that data hall would have lost all of them. It now has the limit of the other plan. The test of orders after conflicts expects 6 servers in the next data hall and 3 in the one after it, where it expected 8 in the first.

--- a/packages/rampswitch-serving/src/duties/bridged_plan.ts
+++ b/packages/rampswitch-serving/src/duties/bridged_plan.ts
@@ -18,12 +18,6 @@
 } from "./capacity_plan.ts";
 import type { ServerDemand } from "./server_demand.ts";
 
-/**
- * Servers on demand are not spread over data halls: they are not reclaimed, and the
- * reclaimable ones beside them are spread.
- */
-const HALL_SHARE = 1;
-
 /** Plans all data halls of a service. */
 export function planBridgedCapacity(
   demand: Pick<ServerDemand, "needed" | "lastingNeeded" | "bridge">,
@@ -64,7 +58,6 @@
         ready: onDemandExpected(hall),
         headroom: headroomOf(hall, limits.maximum - used(hall)),
       })),
-      HALL_SHARE,
     );
   const reclaimable = reclaimableTargets(needed, halls, limits);
   const minimums = fill(minimumCount, (hall) => hall.reclaimableExpected);
--- a/packages/rampswitch-serving/src/duties/bridged_plan_test.ts
+++ b/packages/rampswitch-serving/src/duties/bridged_plan_test.ts
@@ -88,12 +88,48 @@
         ...AVAILABLE,
         limits: { ...LIMITS, maximum },
       }).map(({ onDemandMinimum }) => onDemandMinimum);
-    expect(minimumsWith(46)).toEqual([0, 11, 0, 0]);
-    expect(minimumsWith(7)).toEqual([4, 7, 0, 0]);
+    expect(minimumsWith(46)).toEqual([5, 6, 0, 0]);
+    expect(minimumsWith(5)).toEqual([5, 5, 0, 1]);
     const withoutB = halls([]).map((hall) =>
       hall.dataHall === "b" ? { ...hall, onDemandSoldOut: true } : hall,
     );
-    expect(minimumsWith(7, withoutB)).toEqual([7, 0, 0, 4]);
+    expect(minimumsWith(7, withoutB)).toEqual([6, 0, 0, 5]);
+  });
+
+  test("are not all lost with one data hall", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 92 }),
+        fc.boolean(),
+        (needed, isReclaimableLacking) => {
+          const targets = planBridgedCapacity(
+            {
+              needed,
+              lastingNeeded: needed,
+              bridge: Math.ceil(needed * 0.6),
+            },
+            halls([]),
+            { limits: LIMITS, isReclaimableLacking },
+          );
+          const half = Math.ceil(minimumOnDemand(targets) / 2);
+          targets.forEach(({ onDemandMinimum }) => {
+            expect(onDemandMinimum).toBeLessThanOrEqual(half);
+          });
+        },
+      ),
+      { seed: 6 },
+    );
+  });
+
+  test("exceed half in a data hall only where no other one has room", () => {
+    const onlyB = halls([]).map((hall) =>
+      hall.dataHall === "b" ? hall : { ...hall, onDemandSoldOut: true },
+    );
+    expect(
+      planBridgedCapacity(CALM, onlyB, AVAILABLE).map(
+        ({ onDemandMinimum }) => onDemandMinimum,
+      ),
+    ).toEqual([0, 11, 0, 0]);
   });
 
   test("that still start are not ordered again elsewhere", () => {
--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -362,11 +362,14 @@
     });
     listServers(directory, 4);
     await orderUntil(duty, { from: 0, until: 5_000 });
-    // One is ready in each data hall; b is the next of equal price.
-    const last = orders.findLast(
-      ({ dataHall, reclaimable }) => dataHall === "b" && !reclaimable,
-    );
-    expect(last?.desired).toBe(8);
+    // One is ready in each data hall. Next at equal price are b, with half of the 11 at
+    // most, and c.
+    const lastIn = (hall: string) =>
+      orders.findLast(
+        ({ dataHall, reclaimable }) => dataHall === hall && !reclaimable,
+      );
+    expect(lastIn("b")?.desired).toBe(6);
+    expect(lastIn("c")?.desired).toBe(3);
     const taken = orders.filter(({ dataHall }) => dataHall !== "a");
     expect(onDemandAfterOrders(taken, directory)).toBe(11);
   });
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -187,7 +187,6 @@
         ready: hall.onDemandReady,
         headroom: Math.max(0, limits.maximum - count(hall)),
       })),
-      MAXIMUM_HALL_SHARE,
     );
   const reclaimable = reclaimableTargets(needed, halls, limits);
   const minimums = onDemandPerHall((hall) => hall.reclaimableExpected);
@@ -256,14 +255,13 @@
 
 /**
  * Retains ready servers, and fills the cheapest data halls with the others, each with
- * at most a share of them as long as another one has headroom.
+ * at most half of them as long as another one has headroom.
  */
 export function fillCheapest(
   count: number,
   halls: readonly OnDemandHall[],
-  hallShare: number,
 ): ReadonlyMap<string, number> {
-  const hallLimit = Math.ceil(count * hallShare);
+  const hallLimit = Math.ceil(count * MAXIMUM_HALL_SHARE);
   const retained = fillInOrder(
     count,
     halls.map(({ ready, headroom }) => Math.min(ready, headroom)),
