--- a/packages/rampswitch-serving/src/estimates/server_speed.ts
+++ b/packages/rampswitch-serving/src/estimates/server_speed.ts
@@ -150,7 +150,8 @@
     this.#peers ??= new Map();
     this.#peers.set(source.from, {
       slowdown,
-      hosts,
+      // Only the values of relays stand for several hosts.
+      hosts: source.relayed ? hosts : 1,
       until: now + lifetime,
       relayableUntil: source.relayed
         ? now
@@ -248,7 +249,8 @@
 
   /**
    * Logarithm of the learned slowdown over all hosts. The median of several peers takes
-   * precedence; a single peer's value counts as far as this host's own agrees with it.
+   * precedence over this host's own value; that of a single peer, which may be wrong, does
+   * not count.
    */
   #learnedByHosts(now: number): number {
     // The value only decays, so small ones need no computation.
--- a/packages/rampswitch-serving/src/estimates/server_speed_test.ts
+++ b/packages/rampswitch-serving/src/estimates/server_speed_test.ts
@@ -161,6 +161,15 @@
     expect(speed.slowdown(1_000)).toBe(1);
   });
 
+  test("of a single peer have no effect whatever number of hosts it states", () => {
+    const speed = new ServerSpeed();
+    speed.received({ slowdown: 8, hosts: 1_000 }, 1_000, PEER);
+    expect(speed.slowdown(1_000)).toBe(1);
+    speed.received({ slowdown: 2, hosts: 1 }, 1_000, OTHER_PEER);
+    expect(speed.slowdown(1_000)).toBeCloseTo(2);
+    expect(speed.learnedByAll(1_000)?.hosts).toBe(2);
+  });
+
   test("count by their median", () => {
     const speed = new ServerSpeed();
     speed.received({ slowdown: 2, hosts: 1 }, 1_000, PEER);
