Weigh measured shares of prompts by their own number

Requests without a prompt counted as measurements of the share that engines read, so that the first prompt after 100 of them changed it by 2% only.

--- a/packages/rampswitch-serving/src/estimates/learned_work.ts
+++ b/packages/rampswitch-serving/src/estimates/learned_work.ts
@@ -34,6 +34,7 @@
   measurements = 0;
   answerMilliseconds = INITIAL_ANSWER_MILLISECONDS;
   prefillShare = 1;
+  #prefillMeasurements = 0;
   #events = 0;
   #eventMeasurements = 0;
   /** Mean logarithm of hinted tokens by event. */
@@ -61,7 +62,10 @@
     this.answerMilliseconds +=
       weight * (answerMilliseconds - this.answerMilliseconds);
     if (prefillShare !== undefined) {
-      this.prefillShare += weight * (prefillShare - this.prefillShare);
+      this.#prefillMeasurements += 1;
+      this.prefillShare +=
+        weightOf(this.#prefillMeasurements) *
+        (prefillShare - this.prefillShare);
     }
     if (events === undefined || events <= 0) return;
     this.#eventMeasurements += 1;
--- a/packages/rampswitch-serving/src/estimates/request_work_test.ts
+++ b/packages/rampswitch-serving/src/estimates/request_work_test.ts
@@ -316,6 +316,25 @@
     expect(work.of(one).memoryTokens).toBe(10_000);
   });
 
+  // Requests without a prompt say nothing about the share that engines have cached.
+  test("are measured with full weight after requests without a prompt", () => {
+    const work = new WorkEstimates();
+    const noPrompt = request("a", { promptTokens: 0 });
+    repeat(100, () =>
+      work.addMeasurement(noPrompt, {
+        holdMilliseconds: 100,
+        prefillTokens: 0,
+      }),
+    );
+    const prompt = request("a", { promptTokens: 8_000 });
+    work.addMeasurement(prompt, {
+      holdMilliseconds: 200,
+      prefillTokens: 2_000,
+    });
+    const other = request("b", { promptTokens: 8_000 });
+    expect(work.of(other).prefillTokens).toBeCloseTo(2_000);
+  });
+
   test("of another size have estimates of their own", () => {
     const work = new WorkEstimates();
     const long = request("a", { promptTokens: 40_000 });
