Bound the tokens that requests state before estimates use them

The parts of a prompt could add up to no finite number, or to a negative one. One request with such parts made the learned shares of prompts and the prefill rate of its service unusable for all later requests. Tokens now count from 0 to 10 million.

--- a/packages/rampswitch-serving/src/estimates/request_work.ts
+++ b/packages/rampswitch-serving/src/estimates/request_work.ts
@@ -55,6 +55,12 @@
 /** Bounds of measured hold times, in milliseconds; others are clamped. */
 const HOLD_RANGE = { minimum: 5, maximum: 30_000 };
 
+/**
+ * Maximum tokens of a prompt or an answer that count. Callers state them, and a sum that
+ * is no finite number would make the means unusable. No engine holds as many.
+ */
+const MAXIMUM_TOKENS = 10_000_000;
+
 /** Bounds of a length hint, as multiples of the route's mean: hints are often far off. */
 const HINT_RANGE = { minimum: 0.25, maximum: 4 };
 
@@ -112,7 +118,9 @@
     }
     const prefillTokens = prompt * learned.prefillShare;
     const prefillMilliseconds = prefillTokens / this.prefillRate(service.name);
-    const answerTokens = expectedTokens(learned.answerTokens, head);
+    const answerTokens = boundedTokens(
+      expectedTokens(learned.answerTokens, head),
+    );
     const answerShare =
       learned.answerTokens > 0 ? answerTokens / learned.answerTokens : 1;
     return {
@@ -150,7 +158,8 @@
    * no other prompt to read.
    */
   addPrefill(service: string, measured: MeasuredPrompt): void {
-    this.#service(service).prefill.add(measured);
+    const tokens = boundedTokens(measured.tokens);
+    this.#service(service).prefill.add({ ...measured, tokens });
   }
 
   /**
@@ -200,7 +209,7 @@
       (Math.abs(hold - estimated) / estimated - this.#errorRatio);
     const service = this.#service(request.service.name);
     const prompt = promptTokensOf(request.head);
-    const prefillTokens = Math.max(0, measured.prefillTokens ?? 0);
+    const prefillTokens = boundedTokens(measured.prefillTokens ?? 0);
     const sample = {
       answerMilliseconds: Math.max(
         0,
@@ -342,11 +351,17 @@
   );
 }
 
-function promptTokensOf({
+/** Returns the tokens of a request's prompt, as far as its head gives them. */
+export function promptTokensOf({
   promptTokens,
   promptParts,
-}: WorkRequest["head"]): number {
-  return promptTokens ?? promptParts.reduce(addTokens, 0);
+}: Pick<RequestHead, "promptTokens" | "promptParts">): number {
+  return boundedTokens(promptTokens ?? promptParts.reduce(addTokens, 0));
+}
+
+/** Bounds a number of tokens; what is no number counts as none. */
+function boundedTokens(tokens: number): number {
+  return tokens > 0 ? Math.min(tokens, MAXIMUM_TOKENS) : 0;
 }
 
 function addTokens(sum: number, { tokens }: PromptPart): number {
--- a/packages/rampswitch-serving/src/estimates/request_work_test.ts
+++ b/packages/rampswitch-serving/src/estimates/request_work_test.ts
@@ -316,6 +316,47 @@
     expect(work.of(one).memoryTokens).toBe(10_000);
   });
 
+  // One request with false figures must not make the estimates of all others unusable.
+  test.each([
+    {
+      promptParts: [
+        { id: "x", tokens: 1.7e308 },
+        { id: "y", tokens: 1.7e308 },
+      ],
+    },
+    { promptParts: [{ id: "x", tokens: -1e9 }] },
+    { promptTokens: 1.7e308 },
+    { promptTokens: 10, expectedAnswerTokens: 1.7e308 },
+  ])("of absurd sizes leave estimates in bounds (%j)", (head) => {
+    const work = new WorkEstimates();
+    const absurd = request("a", head);
+    const prompt = (head.promptParts ?? []).reduce(
+      (sum, { tokens }) => sum + tokens,
+      head.promptTokens ?? 0,
+    );
+    repeat(5, () => {
+      work.sent(absurd, 0);
+      work.addPrefill("models", { tokens: prompt, milliseconds: 100 });
+      work.addMeasurement(absurd, {
+        holdMilliseconds: 400,
+        prefillTokens: prompt,
+        events: 10,
+      });
+    });
+    work.addPrefill("models", { tokens: 100, milliseconds: 20 });
+    work.addPrefill("models", { tokens: prompt, milliseconds: 100 });
+    const others = work.of(request("b", { promptTokens: 8_000 }));
+    [work.of(absurd), others].forEach((estimated) => {
+      Object.values(estimated).forEach((value: number) => {
+        expect(value).toBeGreaterThanOrEqual(0);
+        expect(value).toBeLessThanOrEqual(1e8);
+      });
+    });
+    expect(work.meanMemoryTokens("models")).toBeLessThanOrEqual(1e8);
+    expect(work.prefillRate("models")).toBeGreaterThanOrEqual(10);
+    expect(work.prefillRate("models")).toBeLessThanOrEqual(200);
+  });
+
   // Requests without a prompt say nothing about the share that engines have cached.
   test("are measured with full weight after requests without a prompt", () => {
     const work = new WorkEstimates();
--- a/packages/rampswitch-serving/src/relay/admitted_request.ts
+++ b/packages/rampswitch-serving/src/relay/admitted_request.ts
@@ -52,11 +52,3 @@
     request.route.timeoutMilliseconds,
   );
 }
-
-/** Tokens in a request's prompt, as far as its head gives them. */
-export function promptTokens(head: RequestHead): number {
-  return (
-    head.promptTokens ??
-    head.promptParts.reduce((sum, part) => sum + part.tokens, 0)
-  );
-}
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -7,9 +7,13 @@
  * @module
  */
 import type { Choice } from "../choice/mod.ts";
-import type { ServerSpeed, WorkEstimates } from "../estimates/mod.ts";
+import {
+  promptTokensOf,
+  type ServerSpeed,
+  type WorkEstimates,
+} from "../estimates/mod.ts";
 import type { ReportedLoad } from "../model/request.ts";
-import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ComparedTime } from "./run_record.ts";
 
@@ -84,7 +88,7 @@
   );
   if (unreadBefore <= 0) {
     workEstimates.addPrefill(name, {
-      tokens: promptTokens(request.head) - choice.cachedTokens,
+      tokens: promptTokensOf(request.head) - choice.cachedTokens,
       milliseconds: atUsualSpeed(measured, speed, now),
     });
   }
@@ -116,7 +120,7 @@
   const prefillTokens =
     request.service.engine === undefined
       ? undefined
-      : Math.max(0, promptTokens(request.head) - choice.cachedTokens);
+      : Math.max(0, promptTokensOf(request.head) - choice.cachedTokens);
   const hold = holdMilliseconds(request, send, { now, workEstimates });
   workEstimates.addMeasurement(request, {
     holdMilliseconds: atUsualSpeed(hold, speed, now),
@@ -151,7 +155,7 @@
   if (factor === 1) return total;
   if (firstPartAt === undefined) return total / factor;
   const prefill =
-    Math.max(0, promptTokens(request.head) - choice.cachedTokens) /
+    Math.max(0, promptTokensOf(request.head) - choice.cachedTokens) /
     workEstimates.prefillRate(request.service.name);
   return Math.min(total, now - firstPartAt + prefill);
 }
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -18,10 +18,10 @@
   type ResendReason,
 } from "../model/outcome.ts";
 import type { AnswerHead, MemorySource } from "../model/request.ts";
+import { promptTokensOf } from "../estimates/mod.ts";
 import {
   type AdmittedRequest,
   enginePriority,
-  promptTokens,
   timeLimitMilliseconds,
 } from "./admitted_request.ts";
 import { BufferedBody } from "./buffered_body.ts";
@@ -262,7 +262,7 @@
     const { record } = choice;
     const { request } = this;
     const parts = request.head.promptParts;
-    const tokens = promptTokens(request.head);
+    const tokens = promptTokensOf(request.head);
     const unreadBefore = record.pendingPrefillTokens(this.#now());
     this.#tried.add(record.incarnation);
     this.#record.sentTo(record, {
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -13,8 +13,9 @@
   type ServerRecord,
   admittedShare,
 } from "../choice/mod.ts";
+import { promptTokensOf } from "../estimates/mod.ts";
 import type { VersionChoice } from "../rollout/mod.ts";
-import { type AdmittedRequest, promptTokens } from "./admitted_request.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import { ownConnections } from "./connection_share.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -201,7 +202,7 @@
     dataHall: context.dataHall,
     engine,
     parts: request.head.promptParts,
-    promptTokens: promptTokens(request.head),
+    promptTokens: promptTokensOf(request.head),
     readingRate: workEstimates.prefillRate(name),
     holdMilliseconds:
       engine === undefined
