Check how long reports of speeds decide how servers are planned

The test ordered servers a minute after the last report without a check of the outcome. The mean of reported slowdowns, computed at each message for each service, no longer creates a list for each server.

--- a/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty_test.ts
@@ -12,6 +12,7 @@
 import { singleHostRollouts } from "../rollout/rollout_standin.ts";
 import { CapacityDuty, type CapacityParts } from "./capacity_duty.ts";
 import { planCapacity, serversNeeded } from "./capacity_plan.ts";
+import { ServiceDemands } from "./service_demands.ts";
 
 const DATA_HALLS = ["a", "b", "c", "d"];
 const FENCE = { holder: "host", fence: 1 };
@@ -327,7 +328,11 @@
     await duty.sendDueOrders(ROUTES, FENCE, 1_000);
     // The load is not known yet.
     expect(orders).toEqual([]);
+    const demands = new ServiceDemands({ directory });
+    const appliesAt = (now: number) => demands.applies("models", [], now);
+    expect([1_000, 60_999, 61_000].map(appliesAt)).toEqual([true, true, false]);
     await duty.sendDueOrders(ROUTES, FENCE, 61_000);
+    expect(orders.length).toBeGreaterThan(0);
     const { duty: other, orders: asBefore } = idleDuty(() => true, BUSY);
     await other.sendDueOrders(ROUTES, FENCE, 1_000);
     expect(asBefore.length).toBeGreaterThan(0);
--- a/packages/rampswitch-serving/src/estimates/reported_slowdowns.ts
+++ b/packages/rampswitch-serving/src/estimates/reported_slowdowns.ts
@@ -30,17 +30,22 @@
     now: number,
   ): number {
     const known = this.#means.get(service);
-    const reported = servers.flatMap(
-      ({ speed }) => speed.lastReportedFactor(now) ?? [],
-    );
-    if (reported.length === 0) {
+    let sum = 0;
+    let reports = 0;
+    // There may be thousands of servers, and many of them report nothing.
+    for (const { speed } of servers) {
+      const factor = speed.lastReportedFactor(now);
+      if (factor === undefined) continue;
+      sum += factor;
+      reports += 1;
+    }
+    if (reports === 0) {
       if (known === undefined) return 1;
       if (now - known.at < RETENTION_MILLISECONDS) return known.value;
       this.#means.delete(service);
       return 1;
     }
-    const current =
-      reported.reduce((sum, factor) => sum + factor, 0) / reported.length;
+    const current = sum / reports;
     const before = known ?? { value: 1, at: now - MEAN_MILLISECONDS / 10 };
     const weight = 1 - Math.exp((before.at - now) / MEAN_MILLISECONDS);
     const value = before.value + weight * (current - before.value);
