--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -167,7 +167,7 @@
       this.#demands.reset();
     }
     const due = routes.configuration.services.flatMap((service) =>
-      this.#dueOrders(service, routes, now),
+      this.#dueOrders(service, now),
     );
     await due.reduce(
       (previous, order) =>
@@ -176,20 +176,12 @@
     );
   }
 
-  #dueOrders(
-    service: Service,
-    routes: RouteIndex,
-    now: number,
-  ): readonly ServerOrder[] {
+  #dueOrders(service: Service, now: number): readonly ServerOrder[] {
     if (!isOrdered(service)) return [];
     if (this.#parts.isIdle()) this.#recordInitialCount(service, now);
     const load = this.#parts.load(service.name);
     const halls = this.#hallServers(service, now);
-    const byDemand = this.#demands.applies(
-      service.name,
-      routes.configuration.routes,
-      now,
-    );
+    const byDemand = this.#demands.applies(service.name, now);
     const { targets, gate } = byDemand
       ? this.#planByDemand(service, load, { halls, now })
       : this.#planByLoad(service, load, { halls, now });
--- a/packages/rampswitch-serving/src/duties/service_demands.ts
+++ b/packages/rampswitch-serving/src/duties/service_demands.ts
@@ -10,7 +10,6 @@
 import type {
   CapacityLimits,
   EngineLimits,
-  Route,
   Service,
 } from "../model/configuration.ts";
 import type { DataHallServers, ServiceLoad } from "./capacity_plan.ts";
@@ -90,19 +89,16 @@
   }
 
   /**
-   * Whether the demand of a service is planned: its servers report their speed, or at
-   * least two of its streaming routes differ in rank and in target.
+   * Whether the demand of a service is planned: its servers report their speed, or did
+   * so a short time ago.
    */
-  applies(service: string, routes: readonly Route[], now: number): boolean {
+  applies(service: string, now: number): boolean {
     const isReported = this.#parts.directory
       .of(service)
       .some(({ speed }) => speed.isReported(now));
     if (isReported) this.#reportedAt.set(service, now);
     const reportedAt = this.#reportedAt.get(service) ?? -Infinity;
-    return (
-      now - reportedAt < REPORT_RETENTION_MILLISECONDS ||
-      ranksStreams(service, routes)
-    );
+    return now - reportedAt < REPORT_RETENTION_MILLISECONDS;
   }
 
   /** Adds the current load of a service, and returns the servers that it needs. */
@@ -226,19 +222,3 @@
     return created;
   }
 }
-
-/** Whether two streaming routes of a service differ in rank and in target. */
-function ranksStreams(service: string, routes: readonly Route[]): boolean {
-  const streaming = routes.filter(
-    (route) =>
-      route.streaming &&
-      route.targets.some((target) => target.service === service),
-  );
-  return streaming.some((route) =>
-    streaming.some(
-      (other) =>
-        other.priority !== route.priority &&
-        other.targetMilliseconds !== route.targetMilliseconds,
-    ),
-  );
-}
