Add queries for the load of servers

Cause: what hosts know of other hosts' work is about a second old with relays. Nothing sends queries yet.

--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -8,6 +8,7 @@
 export * from "./server_back_off.ts";
 export * from "./choose_server.ts";
 export * from "./leaving_incarnations.ts";
+export * from "./load_query.ts";
 export * from "./slot_admission.ts";
 export * from "./prefix_cache_estimate.ts";
 export * from "./server_directory.ts";
