Predict what the prefill of a long prompt costs running streams

Cause: prompts went to engines with running streams that have their shared parts cached, while other engines were idle; seven chunks of prefill in a row on a slow engine make a long answer late. Change: for long prompts, the predicted time includes the delay of the streams that run there; the home server is the assumed source of a copy, and up to three of the best servers are drawn as candidates. Servers that report that they are slow lose their preference for cached parts. Services must opt in by a placement; none does yet.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -9,8 +9,16 @@
  */
 import type { EngineLimits } from "../model/configuration.ts";
 import type { PromptPart } from "../model/request.ts";
-import { homeServer } from "./home_server.ts";
+import { homeServers } from "./home_server.ts";
 import { planCopy, type CopySource, findCopySource } from "./prefix_copy.ts";
+import {
+  drawCandidates,
+  isLongPrompt,
+  isSlowNow,
+  leastDelayed,
+  type Placement,
+  streamDelay,
+} from "./prompt_placement.ts";
 import type { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
 import type { ServerRecord } from "./server_record.ts";
 
@@ -43,6 +51,13 @@
    * other server can take, in milliseconds.
    */
   readonly leavingGraceMilliseconds: number;
+  /**
+   * How requests are placed at a service whose engines run streams of several kinds, or
+   * whose servers report their speed; `undefined` for other services.
+   */
+  readonly placement?: Placement | undefined;
+  /** The only servers that may be chosen; all of the service if `undefined`. */
+  readonly among?: readonly ServerRecord[] | undefined;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
@@ -65,7 +80,12 @@
 
 /** Outcome of a choice. */
 export type ChoiceOutcome =
-  | { readonly kind: "chosen"; readonly choice: Choice }
+  | {
+      readonly kind: "chosen";
+      readonly choice: Choice;
+      /** Servers for a long prompt whose current load decides between them. */
+      readonly candidates?: readonly ServerRecord[] | undefined;
+    }
   /** No server of the service takes work. */
   | { readonly kind: "none" }
   /** Servers take work, but their slots and queues are full. */
@@ -119,12 +139,13 @@
   prefixes: PrefixCacheEstimate,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const copySource = findCopySource(records, prefixes, inputs);
+  const copySource = copySourceOf(records, prefixes, inputs);
   const withSource = { ...inputs, copySource };
-  const ready = selectServers(records, inputs, isReady);
+  const considered = inputs.among ?? records;
+  const ready = selectServers(considered, inputs, isReady);
   const outcome = chooseAmong(ready, prefixes, withSource);
   if (outcome.kind === "chosen") return outcome;
-  const leaving = selectServers(records, inputs, acceptsLastRequest);
+  const leaving = selectServers(considered, inputs, acceptsLastRequest);
   const fallback = chooseAmong(leaving, prefixes, withSource);
   return fallback.kind === "chosen" ? fallback : outcome;
 }
@@ -195,6 +216,9 @@
   inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
 ): ChoiceOutcome {
   if (withCapacity.length === 0) return { kind: otherwise };
+  if (isLongPrompt(inputs)) {
+    return chooseForLongPrompt(withCapacity, prefixes, inputs);
+  }
   const withPreferred = {
     ...inputs,
     preferred: preferredServers(withCapacity, prefixes, inputs),
@@ -205,6 +229,97 @@
   return { kind: "chosen", choice: fastestOf(choices, inputs) };
 }
 
+/**
+ * Chooses an engine for a long prompt. Cached parts matter less than running streams,
+ * since a copy of them takes a few milliseconds.
+ */
+function chooseForLongPrompt(
+  withCapacity: readonly ServerRecord[],
+  prefixes: PrefixCacheEstimate,
+  inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
+): ChoiceOutcome {
+  const homes = homesOf(withCapacity, inputs);
+  const least = leastDelayed(withCapacity, inputs);
+  const compared = [...least, ...homes.filter((home) => !least.includes(home))];
+  const choices = compared.map((record) =>
+    predictLongPrompt(record, prefixes, {
+      ...inputs,
+      isHome: homes.includes(record),
+    }),
+  );
+  if (inputs.among !== undefined) {
+    return { kind: "chosen", choice: fastestOf(choices, inputs) };
+  }
+  const isHome = ({ record }: Choice) => homes.includes(record);
+  const drawn = drawCandidates(choices, { ...inputs, isHome });
+  const choice = fastestOf(inputs.receivesDispatches ? choices : drawn, inputs);
+  return {
+    kind: "chosen",
+    choice,
+    candidates: drawn.map(({ record }) => record),
+  };
+}
+
+/** Returns the homes of a prompt in a fleet whose hosts don't know all dispatches. */
+function homesOf(
+  records: readonly ServerRecord[],
+  { parts, placement, receivesDispatches }: ChoiceInputs,
+): readonly ServerRecord[] {
+  if (receivesDispatches || placement === undefined) return [];
+  return homeServers(records, parts.at(-2)?.id, placement.homes);
+}
+
+/** Predicts the time that a long prompt costs its own request and running streams. */
+function predictLongPrompt(
+  record: ServerRecord,
+  prefixes: PrefixCacheEstimate,
+  inputs: ChoiceInputs & {
+    readonly copySource: CopySource | undefined;
+    readonly isHome: boolean;
+  },
+): Choice {
+  const { now, promptTokens, readingRate } = inputs;
+  const load = record.currentLoad(now);
+  const cachedTokens = Math.max(
+    prefixes.cachedTokens(record.entry.id, inputs.parts),
+    inputs.isHome ? HOME_CACHED_SHARE * sharedTokens(inputs.parts) : 0,
+  );
+  const copy = planCopy(record, cachedTokens, inputs);
+  const { slots } = record.entry;
+  const slotMilliseconds =
+    (inputs.placement?.meanHoldMilliseconds ?? 0) / Math.max(1, slots);
+  const prefill =
+    Math.max(0, promptTokens - cachedTokens - copy.tokens) / readingRate;
+  const workMilliseconds =
+    prefill +
+    copy.milliseconds +
+    record.currentPrefillTokens(now) / readingRate +
+    load * RUNNING_REQUEST_MILLISECONDS +
+    Math.max(0, load + 1 - slots) * slotMilliseconds;
+  const slowdown = record.speed.slowdown(now);
+  return {
+    record,
+    cachedTokens: cachedTokens + copy.tokens,
+    copyFrom: copy.from,
+    load,
+    slowdown,
+    workMilliseconds,
+    predictedMilliseconds:
+      slowdown * (workMilliseconds + streamDelay(record, prefill, now)) +
+      penalties(record, inputs),
+  };
+}
+
+/** Penalties of a server, in milliseconds of predicted time. */
+function penalties(record: ServerRecord, { dataHall }: ChoiceInputs): number {
+  return (
+    (record.entry.dataHall === dataHall
+      ? 0
+      : OTHER_DATA_HALL_PENALTY_MILLISECONDS) +
+    record.failureShare * FAILURE_PENALTY_MILLISECONDS
+  );
+}
+
 /** Returns the choice with the shortest predicted time; ties are broken at random. */
 function fastestOf(
   choices: readonly Choice[],
@@ -293,11 +408,6 @@
       : 0,
   );
   const copy = planCopy(record, cachedTokens, inputs);
-  const distance =
-    record.entry.dataHall === inputs.dataHall
-      ? 0
-      : OTHER_DATA_HALL_PENALTY_MILLISECONDS;
-  const failures = record.failureShare * FAILURE_PENALTY_MILLISECONDS;
   const slowdown = record.speed.slowdown(inputs.now);
   const workMilliseconds =
     inputs.engine === undefined
@@ -310,7 +420,8 @@
       ? (slowdown - 1) * (inputs.holdMilliseconds ?? PLAIN_REQUEST_MILLISECONDS)
       : 0;
   const work = workMilliseconds * slowdown + ownDelay;
-  const preference = isPreferred ? PREFERENCE_MILLISECONDS : 0;
+  const preference =
+    isPreferred && !isSlowNow(record, inputs) ? PREFERENCE_MILLISECONDS : 0;
   return {
     record,
     cachedTokens: cachedTokens + copy.tokens,
@@ -318,7 +429,7 @@
     load,
     slowdown,
     workMilliseconds,
-    predictedMilliseconds: work + distance + failures - preference,
+    predictedMilliseconds: work + penalties(record, inputs) - preference,
   };
 }
 
@@ -367,8 +478,38 @@
     : [];
   // Computed only if needed: finding the home server looks at each server.
   if (cachingServers.length > 0) return new Set(cachingServers);
-  const home = homeServer(records, inputs.parts.at(-2)?.id);
-  return new Set(home === undefined ? [] : [home]);
+  const homes = homeServers(
+    records,
+    inputs.parts.at(-2)?.id,
+    inputs.placement?.homes ?? 1,
+  );
+  return new Set(homes.map(({ entry }) => entry.id));
+}
+
+/**
+ * Returns the source of a copy: the engine that is known to have most of the prompt
+ * cached. A host that does not receive the dispatches of others knows only its own; it
+ * assumes the prompt's first home server where that is more.
+ */
+function copySourceOf(
+  records: readonly ServerRecord[],
+  prefixes: PrefixCacheEstimate,
+  inputs: ChoiceInputs,
+): CopySource | undefined {
+  const known = findCopySource(records, prefixes, inputs);
+  const { engine, now, receivesDispatches } = inputs;
+  const isAssumed =
+    !receivesDispatches &&
+    engine?.copyTokensPerMillisecond !== undefined &&
+    isLongPrompt(inputs);
+  if (!isAssumed) return known;
+  const tokens = HOME_CACHED_SHARE * sharedTokens(inputs.parts);
+  if (known !== undefined && known.tokens >= tokens) return known;
+  const usable = records.filter(
+    (record) => record.isReady && !record.isEjected(now),
+  );
+  const [home] = homesOf(usable, inputs);
+  return home === undefined ? known : { record: home, tokens };
 }
 
 function serversWithMostCached(
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -49,6 +49,12 @@
 /** Time for which a server's own load report counts, in milliseconds. */
 const LOAD_REPORT_LIFETIME_MILLISECONDS = 300;
 
+/**
+ * Time for which a server's load report and the sends of this host since are all that
+ * counts, in milliseconds. Work that other hosts reported may be a second old.
+ */
+const CURRENT_REPORT_LIFETIME_MILLISECONDS = 50;
+
 /** Consecutive failures that eject a server. */
 const FAILURES_TO_EJECT = 2;
 
@@ -90,6 +96,8 @@
   /** Work of all peers, until one reports again or its work expires. */
   #peerTotals = NO_PEER_WORK;
   #report: (ReportedLoad & { readonly at: number }) | undefined;
+  /** Requests that this host sent since the server's last report. */
+  #sentSinceReport = 0;
   #failuresInRow = 0;
   #ejections = 0;
   #ejectedUntil = 0;
@@ -162,6 +170,7 @@
   started(prefillTokens: number): StartedWork {
     const afterBackOff = this.backOff.sent(this.entry.slots);
     this.#running += 1;
+    this.#sentSinceReport += 1;
     this.#pendingPrefillTokens += prefillTokens;
     let pendingTokens = prefillTokens;
     let running = 1;
@@ -210,6 +219,7 @@
   /** Applies the server's own report of its load. */
   reported(load: ReportedLoad, now: number): void {
     this.#report = { ...load, at: now };
+    this.#sentSinceReport = 0;
   }
 
   /** Returns the number of requests that run and wait there, from all hosts. */
@@ -222,6 +232,32 @@
       : reported;
   }
 
+  /**
+   * Returns the number of requests at the server as it just reported it, if it did;
+   * otherwise that from all hosts.
+   */
+  currentLoad(now: number): number {
+    return this.#currentReportedLoad(now) ?? this.load(now);
+  }
+
+  /**
+   * Returns the prompt tokens whose prefill is pending there, from all hosts; of this
+   * host alone if the server just reported that nothing runs there.
+   */
+  currentPrefillTokens(now: number): number {
+    return this.#currentReportedLoad(now) === this.#sentSinceReport
+      ? this.#pendingPrefillTokens
+      : this.pendingPrefillTokens(now);
+  }
+
+  #currentReportedLoad(now: number): number | undefined {
+    const report = this.#report;
+    return report !== undefined &&
+      now - report.at < CURRENT_REPORT_LIFETIME_MILLISECONDS
+      ? report.running + report.waiting + this.#sentSinceReport
+      : undefined;
+  }
+
   /** Returns the prompt tokens whose prefill is pending there, from all hosts. */
   pendingPrefillTokens(now: number): number {
     return (
