Ask candidates for their load before a long prompt is sent

Cause: a host does not know which engines are idle or slow now; gossip is about a second old, and speeds change every 600 ms. Placement takes effect at engine services with streams of several ranks or targets, and where servers report speed. A subject has as many homes as its prefill fills; plain requests are placed by their hold time.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -411,7 +411,7 @@
   const slowdown = record.speed.slowdown(inputs.now);
   const workMilliseconds =
     inputs.engine === undefined
-      ? plainMilliseconds(load, record.entry.slots)
+      ? plainMilliseconds(load, record.entry.slots, inputs)
       : engineMilliseconds(record, { load, cachedTokens }, inputs);
   // An idle slow server still takes longer for the request itself. At usual speed this
   // adds nothing, since the time is then equal at all servers.
@@ -434,12 +434,17 @@
 }
 
 /** Predicted time on a server of a plain service, in milliseconds. */
-function plainMilliseconds(load: number, slots: number): number {
+function plainMilliseconds(
+  load: number,
+  slots: number,
+  { holdMilliseconds, placement }: ChoiceInputs,
+): number {
   const waiting = Math.max(0, load + 1 - slots);
-  return (
-    (load / slots) * PLAIN_REQUEST_MILLISECONDS * 0.5 +
-    (waiting / slots) * PLAIN_REQUEST_MILLISECONDS * 2
-  );
+  // Of servers with free slots, the one with the most is preferred.
+  const occupied = (load / slots) * PLAIN_REQUEST_MILLISECONDS * 0.5;
+  return placement === undefined || holdMilliseconds === undefined
+    ? occupied + (waiting / slots) * PLAIN_REQUEST_MILLISECONDS * 2
+    : occupied + ((waiting + 1) / slots) * holdMilliseconds;
 }
 
 /** Predicted time on an engine to the first part of the answer, in milliseconds. */
--- a/packages/rampswitch-serving/src/intake/route_index.ts
+++ b/packages/rampswitch-serving/src/intake/route_index.ts
@@ -19,6 +19,8 @@
   readonly #routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly #workspaceByKey: ReadonlyMap<string, Workspace>;
   readonly #services: ReadonlyMap<string, Service>;
+  /** Services with streaming routes of different ranks or targets. */
+  readonly #mixedServices: ReadonlySet<string>;
 
   constructor(configuration: ServingConfiguration) {
     this.configuration = configuration;
@@ -38,6 +40,11 @@
         workspace.keys.map((key) => [key, workspace] as const),
       ),
     );
+    this.#mixedServices = new Set(
+      configuration.services
+        .map(({ name }) => name)
+        .filter((name) => hasMixedStreams(configuration.routes, name)),
+    );
     this.#services = new Map(
       configuration.services.map((service) => [service.name, service]),
     );
@@ -60,12 +67,29 @@
     return this.#workspaceByKey.get(key);
   }
 
+  /** Whether a service gets streams of routes with different ranks or targets. */
+  runsMixedStreams(service: string): boolean {
+    return this.#mixedServices.has(service);
+  }
+
   /** A service by name. */
   service(name: string): Service | undefined {
     return this.#services.get(name);
   }
 }
 
+function hasMixedStreams(routes: readonly Route[], service: string): boolean {
+  const kinds = routes
+    .filter(
+      ({ streaming, targets }) =>
+        streaming && targets.some((target) => target.service === service),
+    )
+    .map(
+      ({ priority, targetMilliseconds }) => `${priority}|${targetMilliseconds}`,
+    );
+  return new Set(kinds).size > 1;
+}
+
 /** Draws one of a route's targets by weight; `draw` is in [0, 1). */
 export function drawTarget(route: Route, draw: number): string | undefined {
   const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -52,8 +52,14 @@
 /** Applies the load that a server reported with an answer to a send. */
 export function observeReportedLoad(
   load: ReportedLoad,
-  { choice: { record }, sentAt }: TimedSend,
-  { clock, metrics }: ObservationContext,
+  {
+    choice: { record },
+    sentAt,
+  }: {
+    readonly choice: Pick<Choice, "record">;
+    readonly sentAt: number;
+  },
+  { clock, metrics }: Pick<ObservationContext, "clock" | "metrics">,
 ): void {
   const now = clock.now();
   record.reported(load, now);
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -9,6 +9,7 @@
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
 import type { BackendClient } from "../attempt/mod.ts";
 import type {
+  LoadQueries,
   SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
@@ -22,6 +23,7 @@
 import type { Quarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
 import type { ArrivalRates } from "./arrival_rates.ts";
+import type { RequestPlacement } from "./request_placement.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 
@@ -57,6 +59,8 @@
   readonly workEstimates: WorkEstimates;
   readonly arrivalRates: ArrivalRates;
   readonly slotTotals: SlotTotalsCache;
+  readonly placement: RequestPlacement;
+  readonly loadQueries: LoadQueries;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -135,6 +135,7 @@
         request,
         tried: this.#tried,
         finished: () => this.#answer.finished,
+        placed: (placing) => this.#record.placed(placing),
       },
       context,
     );
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -13,6 +13,7 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ServerIncarnation } from "../model/backend_server.ts";
+import type { PromptPlacing } from "./send_chooser.ts";
 import { incarnationOf, startTimesOf } from "./server_incarnation.ts";
 
 /** Reasons why a resend that was needed is not made. */
@@ -95,6 +96,7 @@
   /** Slowdown of the newest send's server, where its speed is known. */
   #slowdown: number | undefined;
   #compared: ComparedTime | undefined;
+  #placing: PromptPlacing | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
   /** The newest send, where its version is evaluated. */
@@ -213,6 +215,11 @@
     this.#compared ??= time;
   }
 
+  /** Notes how a long prompt was placed. */
+  placed(placing: PromptPlacing): void {
+    this.#placing = placing;
+  }
+
   /** Notes that a send ended without a usable answer. */
   lost(
     reason: ResendReason,
@@ -345,6 +352,7 @@
           : Math.round(this.#firstPartAt - request.arrivedAt),
       milliseconds: Math.round(milliseconds),
       ...speedFields(this.#slowdown, this.#compared),
+      ...placingFields(this.#placing),
     });
   }
 }
@@ -367,6 +375,18 @@
       };
 }
 
+/** Fields on the placement of a long prompt; none for other requests. */
+function placingFields(
+  placing: PromptPlacing | undefined,
+): Readonly<Record<string, number | undefined>> | undefined {
+  return placing === undefined
+    ? undefined
+    : {
+        engineLoad: placing.load,
+        loadQueryMilliseconds: roundedTime(placing.queryMilliseconds),
+      };
+}
+
 function roundedTime(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -41,9 +41,39 @@
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
+  const send = { request, tried, now, isAdmitted: tried.size > 0 };
+  const choice = choose(send, context);
+  if (!send.isAdmitted) context.placement.count(request, context);
+  return choice;
+}
+
+/** Chooses for the first send of a request that an earlier choice admitted. */
+export function chooseForAdmitted(
+  request: AdmittedRequest,
+  context: RequestContext,
+): SendChoice {
+  const now = context.clock.now();
+  return choose({ request, tried: NONE_TRIED, now, isAdmitted: true }, context);
+}
+
+/** Chooses among the candidates of an earlier choice for a first send. */
+export function chooseCandidate(
+  request: AdmittedRequest,
+  candidates: readonly ServerRecord[],
+  context: RequestContext,
+): ChoiceOutcome {
+  const now = context.clock.now();
+  const send = { request, tried: NONE_TRIED, now, isAdmitted: true };
+  const servers = context.directory.of(request.service.name);
+  return chooseAmong(servers, { ...send, among: candidates }, context);
+}
+
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
+function choose(send: SendQuery, context: RequestContext): SendChoice {
+  const { request, tried, now } = send;
   const isFirst = tried.size === 0;
   const all = context.rollouts.choice(request.service.name, { isFirst, now });
-  const send = { request, tried, now };
   return {
     outcome: chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -56,7 +86,8 @@
   request: AdmittedRequest,
   context: RequestContext,
 ): Choice | undefined {
-  const send = { request, tried: new Set<string>(), now: context.clock.now() };
+  const now = context.clock.now();
+  const send = { request, tried: NONE_TRIED, now, isAdmitted: true };
   const outcome = chooseAmong([record], send, context);
   return outcome.kind === "chosen" ? outcome.choice : undefined;
 }
@@ -72,7 +103,8 @@
 ): ChoiceOutcome {
   const isFirst = send.tried.size === 0;
   if (isFirst && allBackOff(versions, send.now)) return ALL_BACK_OFF;
-  if (isFirst && !getsSlot(versions, send.request, context)) return NO_CAPACITY;
+  if (!send.isAdmitted && !getsSlot(versions, send.request, context))
+    return NO_CAPACITY;
   const { first, fallback: otherwise } = versions;
   const outcome = chooseAmong(first, send, context);
   return outcome.kind === "chosen" || otherwise === undefined
@@ -198,11 +230,15 @@
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
   readonly now: number;
+  /** Whether the request needs no slot: it was admitted or sent before. */
+  readonly isAdmitted: boolean;
+  /** The only servers that may be chosen; all given ones if `undefined`. */
+  readonly among?: readonly ServerRecord[];
 }
 
 function chooseAmong(
   records: readonly ServerRecord[],
-  { request, tried, now }: SendQuery,
+  { request, tried, now, among }: SendQuery,
   context: RequestContext,
 ): ChoiceOutcome {
   const { prefixes, workEstimates } = context;
@@ -219,6 +255,8 @@
         ? workEstimates.of(request).holdMilliseconds
         : undefined,
     excluded: tried,
+    among,
+    placement: context.placement.of(request, context),
     maximumOwnRequests: ownConnections(request.service, context.hosts()),
     leavingGraceMilliseconds: leavingWindowMilliseconds(request, context),
     receivesDispatches: context.receivesDispatches(),
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -14,7 +14,12 @@
 import { chooseProbe, chooseWithPermit } from "./permit_choice.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
-import { chooseForSend, type SendChoice } from "./send_choice.ts";
+import {
+  chooseCandidate,
+  chooseForAdmitted,
+  chooseForSend,
+  type SendChoice,
+} from "./send_choice.ts";
 
 /** Maximum number of waits for a permit for a run that is lost without one. */
 const MAXIMUM_PERMIT_WAITS = 3;
@@ -37,6 +42,14 @@
   none(reason: Reason): void;
 }
 
+/** How a long prompt was placed. */
+export interface PromptPlacing {
+  /** Requests at the engine that was chosen for its first send. */
+  readonly load: number;
+  /** Time for which its send waited for the load of candidates, if it did. */
+  readonly queryMilliseconds: number | undefined;
+}
+
 /** The run of the request whose servers are chosen. */
 export interface ChooserRun {
   readonly request: AdmittedRequest;
@@ -44,6 +57,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether its caller has a final answer. */
   finished(): boolean;
+  /** Notes how a long prompt was placed. */
+  placed(placing: PromptPlacing): void;
 }
 
 /** Chooses servers for one request. */
@@ -67,7 +82,13 @@
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
     const choice = this.#choose();
     const { outcome, limited } = choice;
+    const candidates = this.#candidatesToAsk(choice);
+    if (candidates !== undefined) {
+      void this.#askAndChoose(candidates, listener);
+      return;
+    }
     if (outcome.kind !== "chosen" || limited.length === 0) {
+      if (isOfLongPrompt(outcome)) this.#recordPlacing(outcome.choice);
       this.#chooseOrTakePermit(choice, listener);
       return;
     }
@@ -105,6 +126,51 @@
     return hasPermit || !isLimited || this.#waitForPermit(choice.record, 0);
   }
 
+  /** Returns the candidates for a long prompt, if they report their load and speed. */
+  #candidatesToAsk({
+    outcome,
+    limited,
+  }: SendChoice): LoadQueryTargets | undefined {
+    if (!isOfLongPrompt(outcome) || limited.length > 0) return undefined;
+    const { name, healthPath } = this.#run.request.service;
+    const { candidates } = outcome;
+    return healthPath !== undefined &&
+      candidates.length > 1 &&
+      this.#context.placement.reportsSpeed(name, this.#context)
+      ? { candidates, path: healthPath }
+      : undefined;
+  }
+
+  /**
+   * Asks candidates for their load and chooses the best of them. If all of them left or
+   * were filled meanwhile, the request goes where it would go without candidates.
+   */
+  async #askAndChoose(
+    { candidates, path }: LoadQueryTargets,
+    listener: ChoiceListener<RefusalReason>,
+  ): Promise<void> {
+    const { clock, loadQueries } = this.#context;
+    const { request } = this.#run;
+    const askedAt = clock.now();
+    await loadQueries.ask(candidates, path);
+    if (this.#run.finished()) return;
+    const outcome = chooseCandidate(request, candidates, this.#context);
+    if (outcome.kind === "chosen") {
+      this.#recordPlacing(outcome.choice, clock.now() - askedAt);
+      listener.chosen(outcome.choice);
+      return;
+    }
+    const choice = chooseForAdmitted(request, this.#context);
+    this.#chooseOrTakePermit(choice, listener);
+  }
+
+  #recordPlacing({ load }: Choice, queryMilliseconds?: number): void {
+    const { metrics } = this.#context;
+    metrics.event("long_prompts");
+    if (load === 0) metrics.event("long_prompts_at_idle_engine");
+    this.#run.placed({ load, queryMilliseconds });
+  }
+
   #choose(): SendChoice {
     return chooseForSend(this.#run.request, this.#run.tried, this.#context);
   }
@@ -177,3 +243,17 @@
     return chooseWithPermit({ ...send, request }, this.#context);
   }
 }
+
+/** Servers that are asked for their load. */
+interface LoadQueryTargets {
+  readonly candidates: readonly ServerRecord[];
+  readonly path: string;
+}
+
+/** Whether an outcome is the choice of an engine for a long prompt. */
+function isOfLongPrompt(outcome: ChoiceOutcome): outcome is ChoiceOutcome & {
+  readonly kind: "chosen";
+  readonly candidates: readonly ServerRecord[];
+} {
+  return outcome.kind === "chosen" && outcome.candidates !== undefined;
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -21,6 +21,7 @@
 } from "./admission/mod.ts";
 import { BackendClient } from "./attempt/mod.ts";
 import {
+  LoadQueries,
   SlotTotalsCache,
   PrefixCacheEstimate,
   ServerDirectory,
@@ -57,7 +58,10 @@
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
+import { observeReportedLoad } from "./relay/observed_answers.ts";
 import type { RequestContext } from "./relay/request_context.ts";
+import { RequestPlacement } from "./relay/request_placement.ts";
+import { sendLoadQuery } from "./relay/sent_load_query.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import {
@@ -139,6 +143,8 @@
   readonly #workEstimates = new WorkEstimates();
   readonly #arrivalRates: ArrivalRates;
   readonly #slotTotals = new SlotTotalsCache();
+  readonly #placement = new RequestPlacement();
+  readonly #loadQueries: LoadQueries;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
   readonly #leavingAdvertisements: LeavingAdvertisements;
@@ -264,6 +270,18 @@
     this.#arrivalRates = new ArrivalRates(ports.clock.now());
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
+    this.#loadQueries = new LoadQueries({
+      ...ports,
+      send: (record, path, listener) =>
+        sendLoadQuery(
+          record,
+          { path, listener },
+          { client: this.#client, codec: ports.codec },
+        ),
+      applyLoad: (record, load, sentAt) =>
+        observeReportedLoad(load, { choice: { record }, sentAt }, ports),
+      count: (outcome) => ports.metrics.loadQuery(outcome),
+    });
     this.#callers = new CallerServer(this.#requestContext());
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
@@ -489,6 +507,8 @@
       workEstimates: this.#workEstimates,
       arrivalRates: this.#arrivalRates,
       slotTotals: this.#slotTotals,
+      placement: this.#placement,
+      loadQueries: this.#loadQueries,
       admission: this.#admission,
       budget: this.#budget,
       quarantine: this.#quarantine,
