Take a long prompt's home among all servers, and spread subjects

Change: the home is found among all ready servers. Tests replay one subject with 0.28 of the requests, unequal data halls and engines that end.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -139,8 +139,9 @@
   prefixes: PrefixCacheEstimate,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const copySource = copySourceOf(records, prefixes, inputs);
-  const withSource = { ...inputs, copySource };
+  const home = homeOfLongPrompt(records, inputs);
+  const copySource = copySourceOf(records, prefixes, { ...inputs, home });
+  const withSource = { ...inputs, copySource, home };
   const considered = inputs.among ?? records;
   const ready = selectServers(considered, inputs, isReady);
   const outcome = chooseAmong(ready, prefixes, withSource);
@@ -213,7 +214,7 @@
 function chooseAmong(
   { withCapacity, otherwise }: SelectedServers,
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
+  inputs: ChoiceInputs & PromptSources,
 ): ChoiceOutcome {
   if (withCapacity.length === 0) return { kind: otherwise };
   if (isLongPrompt(inputs)) {
@@ -236,21 +237,20 @@
 function chooseForLongPrompt(
   withCapacity: readonly ServerRecord[],
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
+  inputs: ChoiceInputs & PromptSources,
 ): ChoiceOutcome {
-  const homes = homesOf(withCapacity, inputs);
+  const { home } = inputs;
   const least = leastDelayed(withCapacity, inputs);
-  const compared = [...least, ...homes.filter((home) => !least.includes(home))];
+  const isAdded =
+    home !== undefined && withCapacity.includes(home) && !least.includes(home);
+  const compared = isAdded ? [...least, home] : least;
   const choices = compared.map((record) =>
-    predictLongPrompt(record, prefixes, {
-      ...inputs,
-      isHome: homes.includes(record),
-    }),
+    predictLongPrompt(record, prefixes, inputs),
   );
   if (inputs.among !== undefined) {
     return { kind: "chosen", choice: fastestOf(choices, inputs) };
   }
-  const isHome = ({ record }: Choice) => homes.includes(record);
+  const isHome = ({ record }: Choice) => record === home;
   const drawn = drawCandidates(choices, { ...inputs, isHome });
   const choice = fastestOf(inputs.receivesDispatches ? choices : drawn, inputs);
   return {
@@ -260,29 +260,17 @@
   };
 }
 
-/** Returns the homes of a prompt in a fleet whose hosts don't know all dispatches. */
-function homesOf(
-  records: readonly ServerRecord[],
-  { parts, placement, receivesDispatches }: ChoiceInputs,
-): readonly ServerRecord[] {
-  if (receivesDispatches || placement === undefined) return [];
-  return homeServers(records, parts.at(-2)?.id, placement.homes);
-}
-
 /** Predicts the time that a long prompt costs its own request and running streams. */
 function predictLongPrompt(
   record: ServerRecord,
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & {
-    readonly copySource: CopySource | undefined;
-    readonly isHome: boolean;
-  },
+  inputs: ChoiceInputs & PromptSources,
 ): Choice {
   const { now, promptTokens, readingRate } = inputs;
   const load = record.currentLoad(now);
   const cachedTokens = Math.max(
     prefixes.cachedTokens(record.entry.id, inputs.parts),
-    inputs.isHome ? HOME_CACHED_SHARE * sharedTokens(inputs.parts) : 0,
+    record === inputs.home ? HOME_CACHED_SHARE * sharedTokens(inputs.parts) : 0,
   );
   const copy = planCopy(record, cachedTokens, inputs);
   const { slots } = record.entry;
@@ -394,10 +382,7 @@
 function predict(
   record: ServerRecord,
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs &
-    Preferred & {
-      readonly copySource: CopySource | undefined;
-    },
+  inputs: ChoiceInputs & PromptSources & Preferred,
 ): Choice {
   const load = record.load(inputs.now);
   const isPreferred = inputs.preferred.has(record.entry.id);
@@ -491,30 +476,48 @@
   return new Set(homes.map(({ entry }) => entry.id));
 }
 
+/** Engines that probably have the shared parts of a prompt cached. */
+interface PromptSources {
+  readonly copySource: CopySource | undefined;
+  /** The home of a long prompt, if it is assumed to have parts cached. */
+  readonly home: ServerRecord | undefined;
+}
+
+/**
+ * Returns the home of a long prompt in a fleet whose hosts don't know all dispatches.
+ * A subject's other homes get few of its long prompts, so they are not assumed to have
+ * its parts; the prompts are spread by copies.
+ */
+function homeOfLongPrompt(
+  records: readonly ServerRecord[],
+  inputs: ChoiceInputs,
+): ServerRecord | undefined {
+  if (inputs.receivesDispatches || !isLongPrompt(inputs)) return undefined;
+  const usable = records.filter(
+    (record) => record.isReady && !record.isEjected(inputs.now),
+  );
+  return homeServers(usable, inputs.parts.at(-2)?.id, 1)[0];
+}
+
 /**
  * Returns the source of a copy: the engine that is known to have most of the prompt
  * cached. A host that does not receive the dispatches of others knows only its own; it
- * assumes the prompt's first home server where that is more.
+ * assumes the home of a long prompt where that is more.
  */
 function copySourceOf(
   records: readonly ServerRecord[],
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs,
+  inputs: ChoiceInputs & Pick<PromptSources, "home">,
 ): CopySource | undefined {
   const known = findCopySource(records, prefixes, inputs);
-  const { engine, now, receivesDispatches } = inputs;
-  const isAssumed =
-    !receivesDispatches &&
-    engine?.copyTokensPerMillisecond !== undefined &&
-    isLongPrompt(inputs);
-  if (!isAssumed) return known;
-  const tokens = HOME_CACHED_SHARE * sharedTokens(inputs.parts);
-  if (known !== undefined && known.tokens >= tokens) return known;
-  const usable = records.filter(
-    (record) => record.isReady && !record.isEjected(now),
-  );
-  const [home] = homesOf(usable, inputs);
-  return home === undefined ? known : { record: home, tokens };
+  const { engine, home, parts } = inputs;
+  if (home === undefined || engine?.copyTokensPerMillisecond === undefined) {
+    return known;
+  }
+  const tokens = HOME_CACHED_SHARE * sharedTokens(parts);
+  return known !== undefined && known.tokens >= tokens
+    ? known
+    : { record: home, tokens };
 }
 
 function serversWithMostCached(
--- a/packages/rampswitch-serving/src/choice/engine_load_standin.ts
+++ b/packages/rampswitch-serving/src/choice/engine_load_standin.ts
@@ -59,6 +59,8 @@
   readonly part: string;
   readonly engine: string;
   readonly load: number;
+  /** Prompt tokens that the engine reads. */
+  readonly prefillTokens: number;
   firstPartAt: number | undefined;
   /** Most steps in a row with other prompts' prefill while the engine was slow. */
   longestDelay: number;
@@ -275,12 +277,14 @@
     const shared = [{ id: part, tokens: kind.sharedTokens }];
     host.prefixes.stored(record.entry.id, shared, MEMORY_TOKENS);
     const unread = Math.max(0, kind.promptTokens - choice.cachedTokens);
+    const prefillTokens = this.#prefillTokens(engine, choice, { kind, part });
     const answer: ReplayedAnswer = {
       kind,
       at,
       part,
       engine: engine.id,
       load: engine.streams.length + engine.prompts.length,
+      prefillTokens,
       firstPartAt: undefined,
       longestDelay: 0,
     };
@@ -291,7 +295,7 @@
       host,
       record,
       part,
-      prefillTokens: this.#prefillTokens(engine, choice, { kind, part }),
+      prefillTokens,
       tokensLeft: kind.answerTokens,
       delayedSteps: 0,
     };
--- a/packages/rampswitch-serving/src/choice/prompt_placement_test.ts
+++ b/packages/rampswitch-serving/src/choice/prompt_placement_test.ts
@@ -11,6 +11,7 @@
 import { homeServers } from "./home_server.ts";
 import { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
 import { ServerRecord } from "./server_record.ts";
+import { SubjectRates } from "./subject_rates.ts";
 
 const PARTS = [
   { id: "system", tokens: 400 },
@@ -207,6 +208,18 @@
     expect(again.candidates).toBeUndefined();
   });
 
+  test("copies from its home also if it goes to the best of candidates without it", () => {
+    // The first by hash of a few candidates was taken for the home, which made the
+    // engine read all of the prompt.
+    const records = servers(40);
+    const home = homeOf(records);
+    runStreams(home, 5);
+    const { candidates } = choose(records);
+    const among = records.filter(({ entry }) => candidates?.includes(entry.id));
+    expect(among).not.toContain(home);
+    expect(choose(records, { among }).copyFrom).toBe(home.entry.id);
+  });
+
   test("does not go to a candidate that left or restarted meanwhile", () => {
     const records = servers(20);
     const { candidates } = choose(records);
@@ -293,6 +306,21 @@
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
+/** Placements as a fleet's hosts decide them by the rates that they see. */
+function ratedPlacement({
+  hosts,
+  engines,
+}: ReplayedLoad): ReplayedLoad["placement"] {
+  const rates = Array.from({ length: hosts }, () => new SubjectRates());
+  return (host, part, now) => {
+    const own = rates[host]!;
+    const homes = own.homes(part, now, { hosts, servers: engines });
+    const kind = part.startsWith(`${LONG.promptTokens}-`) ? LONG : SHORT;
+    own.add(part, (kind.promptTokens - kind.sharedTokens) / 48, now);
+    return { homes, meanHoldMilliseconds: 900 };
+  };
+}
+
 function figuresOf(answers: readonly ReplayedAnswer[]) {
   const ofKind = (kind: typeof LONG) =>
     answers.filter((answer) => answer.kind === kind);
@@ -308,6 +336,7 @@
         longestDelay >= LATE_STEPS ? 1 : 0,
       ),
     ),
+    prefillTokens: mean(ofKind(LONG).map((answer) => answer.prefillTokens)),
     idleShare: mean(ofKind(LONG).map(({ load }) => (load === 0 ? 1 : 0))),
     longFirstPart: firstPart(LONG),
     shortFirstPart: firstPart(SHORT),
@@ -336,8 +365,89 @@
     expect(queried.idleShare).toBeGreaterThan(0.5);
   });
 
-  test("first parts come no later than a tenth after those of before", () => {
-    expect(queried.longFirstPart).toBeLessThan(1.1 * before.longFirstPart);
-    expect(queried.shortFirstPart).toBeLessThan(1.2 * before.shortFirstPart);
+  test("first parts come no later on average", () => {
+    expect(queried.longFirstPart).toBeLessThan(before.longFirstPart);
+    expect(queried.shortFirstPart).toBeLessThan(1.1 * before.shortFirstPart);
+  });
+
+  test("engines read few shared parts anew, since copies spread them", () => {
+    const least = LONG.promptTokens - LONG.sharedTokens;
+    expect(queried.prefillTokens).toBeLessThan(1.2 * least);
+  });
+});
+
+describe("with one subject that gets 0.28 of the requests", () => {
+  const hot = { ...CALM_DAY, seed: 13, largestShare: 0.28 };
+  const isHot = ({ part }: ReplayedAnswer) => part.endsWith("-0");
+  const before = replayLoad(hot).filter(isHot);
+  const oneHome = replayLoad({
+    ...hot,
+    queries: true,
+    placement: () => PLACEMENT,
+  }).filter(isHot);
+  const spread = replayLoad({
+    ...hot,
+    queries: true,
+    placement: ratedPlacement(hot),
+  }).filter(isHot);
+
+  test("its long streams are delayed no longer than those of others", () => {
+    expect(figuresOf(before).lateShare).toBeGreaterThan(0.2);
+    expect(figuresOf(spread).lateShare).toBeLessThan(0.033);
+  });
+
+  test("its short requests wait less than at one home", () => {
+    const { shortFirstPart } = figuresOf(spread);
+    expect(shortFirstPart).toBeLessThan(figuresOf(before).shortFirstPart);
+    expect(shortFirstPart).toBeLessThan(figuresOf(oneHome).shortFirstPart);
+  });
+});
+
+describe("with data halls of unequal numbers of servers and callers", () => {
+  test("long streams are delayed as little as in one hall", () => {
+    const halls = {
+      ...CALM_DAY,
+      queries: true,
+      hallOfEngine: (index: number) => (index < 8 ? "a" : "b"),
+      hallOfHost: (index: number) => (index < 40 ? "a" : "b"),
+    };
+    const placement = ratedPlacement(halls);
+    const answers = replayLoad({ ...halls, placement });
+    expect(figuresOf(answers).lateShare).toBeLessThan(0.033);
+    // Callers of the small hall don't crowd its eight engines.
+    const inSmall = answers.filter(({ engine }) => /^e[0-7]$/.test(engine));
+    expect(inSmall.length).toBeLessThan(0.35 * answers.length);
+  });
+});
+
+describe("when engines end while requests arrive", () => {
+  test.each([
+    ["the homes of some subjects", (id: string) => Number(id.slice(1)) < 8],
+    ["56 of 64 engines, with most copies of shared parts,", () => true],
+  ])("all requests go to engines that run, after %s ended", (_, isLost) => {
+    const lostAt = 8_000;
+    const ended = new Set<string>();
+    const load: ReplayedLoad = {
+      ...CALM_DAY,
+      engines: 64,
+      queries: true,
+      onArrival: (now, engines) => {
+        if (now < lostAt) return;
+        Array.from({ length: 56 }, (_unused, at) => `e${at}`)
+          .filter((id) => isLost(id))
+          .filter((id) => !ended.has(id))
+          .forEach((id) => {
+            ended.add(id);
+            engines.end(id);
+          });
+      },
+    };
+    const answers = replayLoad({ ...load, placement: ratedPlacement(load) });
+    const after = answers.filter(({ at }) => at > lostAt);
+    expect(after.length).toBeGreaterThan(500);
+    expect(after.filter(({ engine }) => ended.has(engine))).toEqual([]);
+    expect(
+      after.filter(({ firstPartAt }) => firstPartAt === undefined),
+    ).toEqual([]);
   });
 });
