--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -43,11 +43,10 @@
     return this.#status;
   }
 
-  /** Writes the head of an answer whose body follows in chunks. */
+  /** Begins an answer; its head is sent with the first chunk, in one system call. */
   begin(status: number, headers: RawHeaders): void {
     if (this.#finished || this.started) return;
     this.#writeHead(status, headers);
-    this.#response.flushHeaders();
   }
 
   /** Writes a chunk; `false` if the source should pause until the caller has read it. */
@@ -77,7 +76,9 @@
       "Content-Length",
       String(body.length),
     ]);
-    this.#response.end(body);
+    // Text is written together with the head, as one string in one system call.
+    if (body.length > MAXIMUM_TEXT_BYTES) this.#response.end(body);
+    else this.#response.end(body.toString("latin1"), "latin1");
   }
 
   /** Aborts the answer so that it can't be mistaken for a complete one. */
@@ -100,8 +101,14 @@
 }
 
 function withoutContentLength(headers: RawHeaders): RawHeaders {
-  return headers.filter((_, index) => {
-    const name = headers[index - (index % 2)];
-    return name?.toLowerCase() !== "content-length";
-  });
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? "";
+    if (name.toLowerCase() === "content-length") continue;
+    kept.push(name, headers[index + 1] ?? "");
+  }
+  return kept;
 }
+
+/** Maximum size of a body that is copied to text, in bytes. */
+const MAXIMUM_TEXT_BYTES = 16 * 1024;
