--- a/packages/rampswitch-serving/src/choice/mod.ts
+++ b/packages/rampswitch-serving/src/choice/mod.ts
@@ -16,3 +16,4 @@
 export * from "./server_record.ts";
 export * from "./slowdown_updates.ts";
 export * from "./subject_rates.ts";
+export * from "./work_without.ts";
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -51,6 +51,7 @@
   kind: "updates",
   from: "h1",
   wantsDigest: false,
+  readsSharedDigest: false,
   updates: [{ age: 0, update: UPDATE }],
 };
 
@@ -115,6 +116,7 @@
     kind: "updates",
     from: "h1",
     wantsDigest: false,
+    readsSharedDigest: false,
     updates: [{ age: 0, update: { ...UPDATE, quarantine } }],
   };
 
@@ -144,6 +146,7 @@
     kind: "updates",
     from: "h1",
     wantsDigest: false,
+    readsSharedDigest: false,
     updates: [{ age: 0, update: { ...UPDATE, slowdowns } }],
   };
 
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -91,7 +91,7 @@
   readonly slowdowns: readonly SlowdownUpdate[];
 }
 
-/** State of all hosts but one, which a relay sends to that one. */
+/** State of all hosts, or of all but the receiver, which a relay sends. */
 export interface FleetView {
   readonly configurationVersion: number;
   readonly configurationAge: number | undefined;
@@ -100,7 +100,7 @@
   readonly levels: BucketLevels;
   /** Share of the limits that silent hosts may be consuming. */
   readonly silentShare: number;
-  /** Total work of all other hosts. */
+  /** Total work of these hosts. */
   readonly work: WorkByServer;
   readonly leases: readonly LeaseUpdate[];
   /** The newest changes of backend servers' entries in the store. */
@@ -117,11 +117,17 @@
   readonly slowdowns: readonly SlowdownUpdate[];
 }
 
-/** Digest of the fleet, which a relay sends to one host of its data hall. */
+/** Digest of the fleet, which a relay sends to the hosts of its data hall. */
 export interface FleetDigest extends FleetView {
   readonly relay: string;
   /** Sequence number of the receiver's newest update that the levels include. */
   readonly acknowledged: number;
+  /**
+   * Sequence numbers of the receivers' newest updates, by host, in a digest that is
+   * the same for all of them: its work and levels include these updates. `undefined`
+   * in a digest for one host, whose work excludes that host.
+   */
+  readonly acknowledgedByHost: Readonly<Record<string, number>> | undefined;
   /** Number of serving hosts known to the relay. */
   readonly hosts: number;
   /** Names of the relays of the data hall. */
@@ -184,6 +190,8 @@
       readonly from: string;
       /** Whether the sender requests digests. */
       readonly wantsDigest: boolean;
+      /** Whether it reads digests that are the same for several hosts. */
+      readonly readsSharedDigest: boolean;
       readonly updates: readonly AgedUpdate[];
     }
   | { readonly kind: "digest"; readonly digest: FleetDigest }
--- a/packages/rampswitch-serving/src/membership/speed_codec.ts
+++ b/packages/rampswitch-serving/src/membership/speed_codec.ts
@@ -5,23 +5,36 @@
  *
  * @module
  */
-import * as z from "zod";
 import type { SlowdownUpdate } from "../choice/mod.ts";
-import { NAME_SCHEMA } from "./permit_codec.ts";
+import {
+  isName,
+  isNumber,
+  listOf,
+  nullable,
+  optional,
+  tupleOf,
+} from "./checks.ts";
 
 /**
  * Server id, start time of its incarnation, slowdown in percent, number of hosts that
- * learned one. The list has a message key of its own, which hosts of an earlier version
- * ignore.
+ * learned one.
  */
-export const SLOWDOWNS_SCHEMA = z
-  .array(z.tuple([NAME_SCHEMA, z.number().nullable(), z.number(), z.number()]))
-  .optional();
+type EncodedSlowdown = [string, number | null, number, number];
+
+/**
+ * Checks encoded slowdowns. The list has a message key of its own, which hosts of an
+ * earlier version ignore.
+ */
+export const isSlowdowns = optional(
+  listOf(
+    tupleOf<EncodedSlowdown>(isName, nullable(isNumber), isNumber, isNumber),
+  ),
+);
 
 /** Encodes slowdowns; `undefined` when there are none. */
 export function encodedSlowdowns(
   slowdowns: readonly SlowdownUpdate[],
-): z.input<typeof SLOWDOWNS_SCHEMA> {
+): EncodedSlowdown[] | undefined {
   if (slowdowns.length === 0) return undefined;
   return slowdowns.map(({ id, born, slowdown, hosts }) => [
     id,
@@ -33,7 +46,7 @@
 
 /** Decodes slowdowns. */
 export function slowdownsOf(
-  encoded: z.output<typeof SLOWDOWNS_SCHEMA>,
+  encoded: readonly EncodedSlowdown[] | undefined,
 ): readonly SlowdownUpdate[] {
   return (encoded ?? []).map(([id, born, percent, hosts]) => ({
     id,
--- a/packages/rampswitch-serving/src/membership/speed_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/speed_codec_test.ts
@@ -2,11 +2,7 @@
 
 import { describe, expect, test } from "@jest/globals";
 import { deflateRawSync } from "node:zlib";
-import {
-  encodedSlowdowns,
-  slowdownsOf,
-  SLOWDOWNS_SCHEMA,
-} from "./speed_codec.ts";
+import { encodedSlowdowns, isSlowdowns, slowdownsOf } from "./speed_codec.ts";
 
 const BORN = 1_796_169_600_123;
 
@@ -16,9 +12,10 @@
       { id: "s1", born: BORN, slowdown: 2.5, hosts: 1 },
       { id: "s2", born: undefined, slowdown: 0.4, hosts: 7 },
     ];
-    const encoded = SLOWDOWNS_SCHEMA.parse(
-      JSON.parse(JSON.stringify(encodedSlowdowns(slowdowns))),
+    const encoded: unknown = JSON.parse(
+      JSON.stringify(encodedSlowdowns(slowdowns)),
     );
+    if (!isSlowdowns(encoded)) throw new Error("the slowdowns are refused");
     expect(slowdownsOf(encoded)).toEqual(slowdowns);
     const inexact = [{ id: "s1", born: BORN, slowdown: 1.2345, hosts: 1 }];
     expect(slowdownsOf(encodedSlowdowns(inexact))[0]?.slowdown).toBe(1.23);
@@ -29,7 +26,8 @@
   });
 
   test("are none in a message of a host of an earlier version", () => {
-    expect(slowdownsOf(SLOWDOWNS_SCHEMA.parse(undefined))).toEqual([]);
+    expect(isSlowdowns(undefined)).toBe(true);
+    expect(slowdownsOf(undefined)).toEqual([]);
   });
 
   // A message has room for other updates, and members send about two a second.
