Count the memory that requests will hold at engines

Cause: memory was counted for cached prompt parts only, so that engines ran out of it and preempted requests. Change: EngineMemory adds up the prompt and expected answer tokens of the requests of all hosts, at services where placement takes effect; an engine that would hold more than 0.9 of its memory gets a request only if no other engine takes it. Gossip carries the figures in the order of the work's servers, under a key that hosts of an earlier version ignore.

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -13,6 +13,7 @@
 import { planCopy, type CopySource, findCopySource } from "./prefix_copy.ts";
 import {
   drawCandidates,
+  hasFreeMemory,
   isLongPrompt,
   isSlowNow,
   leastDelayed,
@@ -188,6 +189,7 @@
 ): SelectedServers {
   const { now, excluded } = inputs;
   const healthy: ServerRecord[] = [];
+  const withoutMemory: ServerRecord[] = [];
   const ejected: ServerRecord[] = [];
   let hasHealthy = false;
   let hasAvailable = false;
@@ -200,13 +202,17 @@
     hasAvailable = true;
     const isEjected = record.isEjected(now);
     hasHealthy ||= !isEjected;
-    if (hasCapacity(record, inputs)) {
-      (isEjected ? ejected : healthy).push(record);
-    }
+    if (!hasCapacity(record, inputs)) continue;
+    if (isEjected) ejected.push(record);
+    else (hasFreeMemory(record, inputs) ? healthy : withoutMemory).push(record);
   }
   return {
     // If all servers failed recently, trying one is better than a refusal.
-    withCapacity: hasHealthy ? healthy : ejected,
+    withCapacity: !hasHealthy
+      ? ejected
+      : healthy.length > 0
+        ? healthy
+        : withoutMemory,
     otherwise: hasAvailable ? "full" : hasCandidate ? "resting" : "none",
   };
 }
--- a/packages/rampswitch-serving/src/choice/plain_placement_test.ts
+++ b/packages/rampswitch-serving/src/choice/plain_placement_test.ts
@@ -20,7 +20,11 @@
   maximumOwnRequests: 100,
   receivesDispatches: true,
   leavingGraceMilliseconds: 0,
-  placement: { homes: 1, meanHoldMilliseconds: HOLD_MILLISECONDS },
+  placement: {
+    homes: 1,
+    meanHoldMilliseconds: HOLD_MILLISECONDS,
+    memoryTokens: 0,
+  },
   draw: () => 0.5,
 };
 
--- a/packages/rampswitch-serving/src/choice/prompt_placement.ts
+++ b/packages/rampswitch-serving/src/choice/prompt_placement.ts
@@ -32,6 +32,9 @@
  */
 const EQUAL_TIME_SHARE = 0.5;
 
+/** Share of an engine's memory above which it gets a request only as a last resort. */
+const MAXIMUM_MEMORY_SHARE = 0.9;
+
 /** Reported slowdown from which the prefill of a prompt avoids a server. */
 const SLOW_FACTOR = 1.5;
 
@@ -44,6 +47,8 @@
   readonly homes: number;
   /** Mean time for which the requests of the service occupy a slot. */
   readonly meanHoldMilliseconds: number;
+  /** Tokens of memory that the request holds at its end. */
+  readonly memoryTokens: number;
 }
 
 /** What decides how a prompt is placed. */
@@ -70,6 +75,19 @@
   );
 }
 
+/**
+ * Whether an engine has memory for a request beside those that run there. Requests often
+ * hold more than expected, so a tenth is left free.
+ */
+export function hasFreeMemory(
+  { memory }: ServerRecord,
+  { engine, now, placement }: PlacementInputs,
+): boolean {
+  if (placement === undefined || engine === undefined) return true;
+  const tokens = memory.tokens(now) + placement.memoryTokens;
+  return tokens <= MAXIMUM_MEMORY_SHARE * engine.memoryTokens;
+}
+
 /** Whether a server reports that work there takes much longer than usual. */
 export function isSlowNow(
   { speed }: ServerRecord,
--- a/packages/rampswitch-serving/src/choice/prompt_placement_test.ts
+++ b/packages/rampswitch-serving/src/choice/prompt_placement_test.ts
@@ -19,7 +19,7 @@
   { id: "own", tokens: 7_100 },
 ];
 
-const PLACEMENT = { homes: 1, meanHoldMilliseconds: 900 };
+const PLACEMENT = { homes: 1, meanHoldMilliseconds: 900, memoryTokens: 0 };
 
 /** Inputs for a long prompt in a fleet with relays. */
 const INPUTS: ChoiceInputs = {
@@ -237,6 +237,73 @@
   });
 });
 
+describe("memory of engines", () => {
+  const memory = { ...PLACEMENT, memoryTokens: 12_400 };
+
+  /** A server at which a peer's requests will hold so many tokens. */
+  function holding(record: ServerRecord, memoryTokens: number): ServerRecord {
+    const work = { running: 1, pendingPrefillTokens: 0, memoryTokens };
+    record.receivePeerWork("h1", work, INPUTS.now);
+    return record;
+  }
+
+  test("keeps prompts from engines whose requests will fill it", () => {
+    // An engine whose memory runs out preempts requests and computes them anew.
+    const full = holding(server("full"), 445_000);
+    const busy = server("busy");
+    runStreams(busy, 20);
+    [12_000, 2_400].forEach((promptTokens) =>
+      expect(choose([full, busy], { promptTokens, placement: memory }).id).toBe(
+        "busy",
+      ),
+    );
+    const before = choose([full, busy], { placement: PLACEMENT });
+    expect(before.id).toBe("full");
+  });
+
+  test("counts the requests of this host and those of its peers, once", () => {
+    const record = holding(server("s1"), 300_000);
+    const other = server("s2");
+    runStreams(other, 20);
+    const works = Array.from({ length: 12 }, () => record.started(0, 12_400));
+    expect(record.memory.tokens(INPUTS.now)).toBe(448_800);
+    expect(choose([record, other], { placement: memory }).id).toBe("s2");
+    works.forEach((work) => work.ended());
+    expect(choose([record, other], { placement: memory }).id).toBe("s1");
+  });
+
+  test("does not count those of a host that ended", () => {
+    const full = holding(server("full"), 449_000);
+    const busy = server("busy");
+    runStreams(busy, 20);
+    const records = [full, busy];
+    const now = INPUTS.now + 1_499;
+    busy.receivePeerWork(
+      "fleet",
+      { running: 20, pendingPrefillTokens: 0 },
+      now,
+    );
+    const ofPeer = { now, placement: memory };
+    expect(choose(records, ofPeer).id).toBe("busy");
+    expect(choose(records, { ...ofPeer, now: now + 1 }).id).toBe("full");
+  });
+
+  test("is ignored if no engine has any left", () => {
+    const records = ["s1", "s2"].map((id) => holding(server(id), 499_000));
+    runStreams(records[0]!, 8);
+    expect(choose(records, { placement: memory }).id).toBe("s2");
+  });
+
+  test.each([NaN, -1e9, 1e300])(
+    "is not counted if a peer reports %p",
+    (tokens) => {
+      const records = [holding(server("s1"), tokens), server("s2")];
+      runStreams(records[1]!, 8);
+      expect(choose(records, { placement: memory }).id).toBe("s1");
+    },
+  );
+});
+
 describe("other prompts", () => {
   test("that are short keep to their home server", () => {
     const records = servers(6);
@@ -317,7 +384,7 @@
     const homes = own.homes(part, now, { hosts, servers: engines });
     const kind = part.startsWith(`${LONG.promptTokens}-`) ? LONG : SHORT;
     own.add(part, (kind.promptTokens - kind.sharedTokens) / 48, now);
-    return { homes, meanHoldMilliseconds: 900 };
+    return { homes, meanHoldMilliseconds: 900, memoryTokens: 0 };
   };
 }
 
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { EngineMemory } from "../estimates/engine_memory.ts";
 import { ServerSpeed } from "../estimates/server_speed.ts";
 import { type BackendServer, incarnationId } from "../model/backend_server.ts";
 import type { ReportedLoad } from "../model/request.ts";
@@ -18,6 +19,11 @@
   readonly running: number;
   /** Prompt tokens that were sent and whose prefill has not ended. */
   readonly pendingPrefillTokens: number;
+  /**
+   * Tokens of memory that the requests will hold; `undefined` if they are not counted,
+   * as by hosts of an earlier version.
+   */
+  readonly memoryTokens?: number | undefined;
 }
 
 /** Work of one host at one incarnation of a backend server, as a peer reports it. */
@@ -86,6 +92,8 @@
   isListedReady = true;
   /** Back-off that the server requested from this host. */
   readonly backOff: ServerBackOff;
+  /** Memory that requests hold there. */
+  readonly memory = new EngineMemory();
   /** How fast work currently is there. */
   readonly speed = new ServerSpeed();
   /** When its end was announced, in milliseconds on the monotonic clock. */
@@ -155,6 +163,7 @@
     return {
       running: this.#running,
       pendingPrefillTokens: this.#pendingPrefillTokens,
+      ...countedMemory(this.memory.ownTokens),
     };
   }
 
@@ -167,7 +176,8 @@
    * Records a send and returns callbacks for its progress; repeated calls have no
    * effect.
    */
-  started(prefillTokens: number): StartedWork {
+  started(prefillTokens: number, memoryTokens = 0): StartedWork {
+    const freeMemory = this.memory.started(memoryTokens);
     const afterBackOff = this.backOff.sent(this.entry.slots);
     this.#running += 1;
     this.#sentSinceReport += 1;
@@ -184,6 +194,7 @@
       ended: () => {
         afterBackOff.ended();
         endPrefill();
+        freeMemory();
         this.#running -= running;
         running = 0;
       },
@@ -196,6 +207,7 @@
     work: WorkAtServer | undefined,
     now: number,
   ): void {
+    this.memory.received(peer, work?.memoryTokens, now);
     if (work !== undefined) {
       this.#peers.set(peer, { ...work, receivedAt: now });
     } else if (!this.#peers.delete(peer)) return;
@@ -213,6 +225,7 @@
         0,
         this.pendingPrefillTokens(now) - fresh.pendingPrefillTokens,
       ),
+      ...countedMemory(this.memory.tokens(now, peer)),
     };
   }
 
@@ -356,6 +369,13 @@
 /** Totals that must be added up again. */
 const EXPIRED_WORK: PeerTotals = { ...NO_PEER_WORK, until: -Infinity };
 
+/** Returns memory as work at a server has it: absent if none is counted. */
+export function countedMemory(
+  memoryTokens: number,
+): Pick<WorkAtServer, "memoryTokens"> | undefined {
+  return memoryTokens > 0 ? { memoryTokens } : undefined;
+}
+
 const NO_WORK: WorkAtServer = { running: 0, pendingPrefillTokens: 0 };
 
 function isFresh(work: PeerWork, now: number): boolean {
--- a/packages/rampswitch-serving/src/choice/work_without.ts
+++ b/packages/rampswitch-serving/src/choice/work_without.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { ReportedWork } from "./server_record.ts";
+import { countedMemory, type ReportedWork } from "./server_record.ts";
 
 type ReportedWorkByServer = Readonly<Record<string, ReportedWork>>;
 
@@ -17,7 +17,7 @@
   const others = { ...all };
   for (const [
     server,
-    { running, pendingPrefillTokens, born },
+    { running, pendingPrefillTokens, memoryTokens, born },
   ] of Object.entries(own)) {
     const total = all[server];
     if (total === undefined || total.born !== born) continue;
@@ -29,6 +29,7 @@
           0,
           total.pendingPrefillTokens - pendingPrefillTokens,
         ),
+        ...countedMemory((total.memoryTokens ?? 0) - (memoryTokens ?? 0)),
         born,
       };
     }
--- a/packages/rampswitch-serving/src/estimates/mod.ts
+++ b/packages/rampswitch-serving/src/estimates/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from "./engine_memory.ts";
 export * from "./reported_slowdowns.ts";
 export * from "./request_work.ts";
 export * from "./server_speed.ts";
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -38,9 +38,12 @@
 import {
   encodedIncarnations,
   type EncodedIncarnations,
+  encodedMemory,
+  type EncodedMemory,
   encodedWork,
   type EncodedWork,
   isIncarnations,
+  isMemory,
   isWork,
   workOf,
 } from "./work_codec.ts";
@@ -71,6 +74,7 @@
   readonly m?: ReturnType<typeof encodedLimits>;
   readonly a?: ReturnType<typeof encodedLeaving>;
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
+  readonly wm?: EncodedMemory | undefined;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -99,6 +103,7 @@
   m: isLimits,
   a: isLeaving,
   sp: isSlowdowns,
+  wm: isMemory,
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -121,6 +126,7 @@
     m: encodedLimits(digest.limits),
     a: encodedLeaving(digest.leaving),
     sp: encodedSlowdowns(digest.slowdowns),
+    wm: encodedMemory(digest.work),
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
     z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
@@ -153,7 +159,7 @@
     followed: versionsOf(message.v),
     levels: message.b,
     silentShare: message.x,
-    work: workOf(message.w, message.y),
+    work: workOf(message.w, message.y, message.wm),
     leases: message.l.map(([fence, version]) => ({ fence, version })),
     servers: message.s === undefined ? undefined : changesOf(message.s),
     quarantine: quarantineOf(message.o),
--- a/packages/rampswitch-serving/src/membership/peer_codec_schema_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_schema_test.ts
@@ -95,6 +95,7 @@
   g: z.record(z.string(), name).optional(),
   o: leaving,
   sp: slowdowns,
+  wm: z.array(z.number()).optional(),
 });
 
 const MESSAGE_SCHEMA = z.discriminatedUnion("k", [
@@ -126,6 +127,7 @@
     m: limits,
     a: leaving,
     sp: slowdowns,
+    wm: z.array(z.number()).optional(),
     h: z.array(z.string()).optional(),
   }),
   z.object({
@@ -240,6 +242,7 @@
     g: fc.dictionary(text, text, { maxKeys: 2 }),
     o: someLeaving,
     sp: someSlowdowns,
+    wm: few(number),
     unknown: number,
   },
   { requiredKeys: [..."hzpinatscvqbwudr"] as "h"[] },
@@ -275,6 +278,7 @@
       m: someLimits,
       a: someLeaving,
       sp: someSlowdowns,
+      wm: few(number),
       h: few(text),
     },
     { requiredKeys: [..."kfnertcvbxwl"] as "k"[] },
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -140,6 +140,70 @@
   });
 });
 
+describe("memory that requests will hold at servers", () => {
+  const work = {
+    s1: { running: 2, pendingPrefillTokens: 70, memoryTokens: 24_800, born: 7 },
+    s2: { running: 1, pendingPrefillTokens: 0, born: 8 },
+  };
+  const memoryMessage: PeerMessage = {
+    kind: "updates",
+    from: "h1",
+    wantsDigest: false,
+    readsSharedDigest: false,
+    updates: [{ age: 0, update: { ...UPDATE, work } }],
+  };
+
+  test("is decoded as it was encoded", () => {
+    const decoded = decodeMessage(encodeMessage(memoryMessage));
+    expect(decoded.unwrapOr(undefined)).toEqual(memoryMessage);
+  });
+
+  test("has a key of its own, which hosts of an earlier version ignore", () => {
+    const text = encodeMessage(memoryMessage).toString("utf8");
+    const { o } = JSON.parse(text) as {
+      o: [number, Record<string, unknown>][];
+    };
+    expect(o[0]?.[1]["wm"]).toEqual([248, 0]);
+    expect(o[0]?.[1]["w"]).toEqual({ s1: [2, 70], s2: [1, 0] });
+    expect(writtenMessage().update).not.toHaveProperty("wm");
+  });
+
+  test("is not counted if it does not fit the servers of the message", () => {
+    const written = JSON.parse(
+      encodeMessage(memoryMessage).toString("utf8"),
+    ) as { o: [number, Record<string, unknown>][] };
+    written.o[0]![1]["wm"] = [248, 0, 3];
+    const decoded = decodeMessage(Buffer.from(JSON.stringify(written)));
+    const updates = decoded.map((one) =>
+      one.kind === "updates" ? one.updates : [],
+    );
+    expect(updates.unwrapOr([])[0]?.update.work["s1"]).toEqual({
+      running: 2,
+      pendingPrefillTokens: 70,
+      born: 7,
+    });
+  });
+
+  test("belongs to its server if ids are numbers", () => {
+    // Objects order such keys by their value, not by insertion.
+    const numbered = {
+      b: { running: 1, pendingPrefillTokens: 0, memoryTokens: 100, born: 7 },
+      "20": { running: 1, pendingPrefillTokens: 0, memoryTokens: 200, born: 7 },
+      "3": { running: 1, pendingPrefillTokens: 0, memoryTokens: 300, born: 7 },
+    };
+    const decoded = decodeMessage(
+      encodeMessage({
+        ...memoryMessage,
+        updates: [{ age: 0, update: { ...UPDATE, work: numbered } }],
+      }),
+    );
+    const updates = decoded.map((one) =>
+      one.kind === "updates" ? one.updates : [],
+    );
+    expect(updates.unwrapOr([])[0]?.update.work).toEqual(numbered);
+  });
+});
+
 describe("slowdowns of servers", () => {
   const slowdowns = [{ id: "s1", born: BORN, slowdown: 2.5, hosts: 1 }];
   const slowdownMessage: PeerMessage = {
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -45,9 +45,12 @@
 import {
   encodedIncarnations,
   type EncodedIncarnations,
+  encodedMemory,
+  type EncodedMemory,
   encodedWork,
   type EncodedWork,
   isIncarnations,
+  isMemory,
   isWork,
   workOf,
 } from "./work_codec.ts";
@@ -88,6 +91,7 @@
   readonly g?: ReturnType<typeof encodedLoans>;
   readonly o?: ReturnType<typeof encodedLeaving>;
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
+  readonly wm?: EncodedMemory | undefined;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -135,6 +139,7 @@
   g: isLoans,
   o: isLeaving,
   sp: isSlowdowns,
+  wm: isMemory,
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -218,6 +223,7 @@
     g: encodedLoans(update.lentTo),
     o: encodedLeaving(update.leaving),
     sp: encodedSlowdowns(update.slowdowns),
+    wm: encodedMemory(update.work),
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
     e:
@@ -254,7 +260,7 @@
     followed: versionsOf(update.v),
     admitted: update.q,
     levels: update.b,
-    work: workOf(update.w, update.y),
+    work: workOf(update.w, update.y, update.wm),
     counts: update.u,
     dispatches: update.d.map(([server, parts]) => ({
       server,
--- a/packages/rampswitch-serving/src/relay/request_placement.ts
+++ b/packages/rampswitch-serving/src/relay/request_placement.ts
@@ -37,21 +37,31 @@
     request: AdmittedRequest,
     context: PlacementContext,
   ): Placement | undefined {
+    if (!this.#appliesTo(request, context)) return undefined;
     const { service } = request;
-    const runsMixedStreams =
-      service.engine !== undefined &&
-      context.configuration().routes?.runsMixedStreams(service.name) === true;
-    if (!runsMixedStreams && !this.reportsSpeed(service.name, context)) {
-      return undefined;
-    }
     return {
       homes: this.#homes(request, context),
       meanHoldMilliseconds: context.workEstimates.meanHoldMilliseconds(
         service.name,
       ),
+      memoryTokens: this.memoryTokens(request, context),
     };
   }
 
+  /** Returns the tokens that a request will hold; 0 where memory is not counted. */
+  memoryTokens(request: AdmittedRequest, context: PlacementContext): number {
+    const isCounted =
+      request.service.engine !== undefined && this.#appliesTo(request, context);
+    return isCounted ? context.workEstimates.of(request).memoryTokens : 0;
+  }
+
+  #appliesTo({ service }: AdmittedRequest, context: PlacementContext): boolean {
+    const runsMixedStreams =
+      service.engine !== undefined &&
+      context.configuration().routes?.runsMixedStreams(service.name) === true;
+    return runsMixedStreams || this.reportsSpeed(service.name, context);
+  }
+
   /** Counts a request for the rate of its subject. */
   count(request: AdmittedRequest, context: PlacementContext): void {
     const subject = subjectOf(request);
--- a/packages/rampswitch-serving/src/relay/request_placement_test.ts
+++ b/packages/rampswitch-serving/src/relay/request_placement_test.ts
@@ -71,18 +71,27 @@
     configuration: () => ({ routes: index }),
     directory: { of: () => records },
     hosts: () => hosts,
-    workEstimates: { meanHoldMilliseconds: () => 700, prefillRate: () => 50 },
+    workEstimates: {
+      meanHoldMilliseconds: () => 700,
+      prefillRate: () => 50,
+      of: () => ({ memoryTokens: 4_400 }),
+    },
   } as unknown as PlacementContext;
   const placement = new RequestPlacement();
-  const of = (service = ENGINE, parts = ["subject", "own"]) => {
+  const requestOf = (service: Service, parts: readonly string[]) => {
     const promptParts = parts.map((id) => ({ id, tokens: 2_000 }));
     const head = { promptParts, promptTokens: 4_000 };
-    const request = { service, head } as unknown as AdmittedRequest;
+    return { service, head } as unknown as AdmittedRequest;
+  };
+  const memoryOf = (service = ENGINE) =>
+    placement.memoryTokens(requestOf(service, ["subject", "own"]), context);
+  const of = (service = ENGINE, parts = ["subject", "own"]) => {
+    const request = requestOf(service, parts);
     const found = placement.of(request, context);
     placement.count(request, context);
     return found;
   };
-  return { clock, records, of };
+  return { clock, records, of, memoryOf };
 }
 
 describe("new rules of placement", () => {
@@ -102,16 +111,23 @@
       ],
     ],
   ])("have no effect with %s", (_, routes) => {
-    const { of } = setUp(routes);
+    const { of, memoryOf } = setUp(routes);
     expect(of()).toBeUndefined();
+    expect(memoryOf()).toBe(0);
   });
 
   test.each([
     ["ranks", { priority: 0 }],
     ["targets", { targetMilliseconds: 2_500 }],
   ])("take effect with streams of two %s at engines", (_, more) => {
-    const { of } = setUp([route("a", {}), route("b", more)]);
-    expect(of()).toEqual({ homes: 1, meanHoldMilliseconds: 700 });
+    const { of, memoryOf } = setUp([route("a", {}), route("b", more)]);
+    expect(memoryOf()).toBe(4_400);
+    expect(memoryOf(PLAIN)).toBe(0);
+    expect(of()).toEqual({
+      homes: 1,
+      meanHoldMilliseconds: 700,
+      memoryTokens: 4_400,
+    });
     expect(of(PLAIN)).toBeUndefined();
   });
 
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -273,7 +273,10 @@
     });
     const unread =
       memorySource === undefined ? tokens - choice.cachedTokens : 0;
-    const work = record.started(Math.max(0, unread));
+    const work = record.started(
+      Math.max(0, unread),
+      this.#context.placement.memoryTokens(request, this.#context),
+    );
     if (request.service.engine !== undefined) {
       this.#context.prefixes.stored(
         record.entry.id,
