--- a/packages/rampswitch-serving/src/membership/speed_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/speed_codec_test.ts
@@ -15,7 +15,8 @@
     const encoded: unknown = JSON.parse(
       JSON.stringify(encodedSlowdowns(slowdowns)),
     );
-    expect(isSlowdowns(encoded) && slowdownsOf(encoded)).toEqual(slowdowns);
+    if (!isSlowdowns(encoded)) throw new Error("the slowdowns are refused");
+    expect(slowdownsOf(encoded)).toEqual(slowdowns);
     const inexact = [{ id: "s1", born: BORN, slowdown: 1.2345, hosts: 1 }];
     expect(slowdownsOf(encodedSlowdowns(inexact))[0]?.slowdown).toBe(1.23);
   });
@@ -25,7 +26,8 @@
   });
 
   test("are none in a message of a host of an earlier version", () => {
-    expect(isSlowdowns(undefined) && slowdownsOf(undefined)).toEqual([]);
+    expect(isSlowdowns(undefined)).toBe(true);
+    expect(slowdownsOf(undefined)).toEqual([]);
   });
 
   // A message has room for other updates, and members send about two a second.
