--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -9,17 +9,8 @@
  */
 import type { EngineLimits } from "../model/configuration.ts";
 import type { PromptPart } from "../model/request.ts";
-import { homeServers } from "./home_server.ts";
+import { homeServer } from "./home_server.ts";
 import { planCopy, type CopySource, findCopySource } from "./prefix_copy.ts";
-import {
-  drawCandidates,
-  hasFreeMemory,
-  isLongPrompt,
-  isSlowNow,
-  leastDelayed,
-  type Placement,
-  streamDelay,
-} from "./prompt_placement.ts";
 import type { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
 import type { ServerRecord } from "./server_record.ts";
 
@@ -52,13 +43,6 @@
    * other server can take, in milliseconds.
    */
   readonly leavingGraceMilliseconds: number;
-  /**
-   * How requests are placed at a service whose servers report their speed; `undefined`
-   * for other services.
-   */
-  readonly placement?: Placement | undefined;
-  /** The only servers that may be chosen; all of the service if `undefined`. */
-  readonly among?: readonly ServerRecord[] | undefined;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
@@ -81,12 +65,7 @@
 
 /** Outcome of a choice. */
 export type ChoiceOutcome =
-  | {
-      readonly kind: "chosen";
-      readonly choice: Choice;
-      /** Servers for a long prompt whose current load decides between them. */
-      readonly candidates?: readonly ServerRecord[] | undefined;
-    }
+  | { readonly kind: "chosen"; readonly choice: Choice }
   /** No server of the service takes work. */
   | { readonly kind: "none" }
   /** Servers take work, but their slots and queues are full. */
@@ -140,14 +119,12 @@
   prefixes: PrefixCacheEstimate,
   inputs: ChoiceInputs,
 ): ChoiceOutcome {
-  const home = homeOfLongPrompt(records, inputs);
-  const copySource = copySourceOf(records, prefixes, { ...inputs, home });
-  const withSource = { ...inputs, copySource, home };
-  const considered = inputs.among ?? records;
-  const ready = selectServers(considered, inputs, isReady);
+  const copySource = findCopySource(records, prefixes, inputs);
+  const withSource = { ...inputs, copySource };
+  const ready = selectServers(records, inputs, isReady);
   const outcome = chooseAmong(ready, prefixes, withSource);
   if (outcome.kind === "chosen") return outcome;
-  const leaving = selectServers(considered, inputs, acceptsLastRequest);
+  const leaving = selectServers(records, inputs, acceptsLastRequest);
   const fallback = chooseAmong(leaving, prefixes, withSource);
   return fallback.kind === "chosen" ? fallback : outcome;
 }
@@ -189,7 +166,6 @@
 ): SelectedServers {
   const { now, excluded } = inputs;
   const healthy: ServerRecord[] = [];
-  const withoutMemory: ServerRecord[] = [];
   const ejected: ServerRecord[] = [];
   let hasHealthy = false;
   let hasAvailable = false;
@@ -202,17 +178,13 @@
     hasAvailable = true;
     const isEjected = record.isEjected(now);
     hasHealthy ||= !isEjected;
-    if (!hasCapacity(record, inputs)) continue;
-    if (isEjected) ejected.push(record);
-    else (hasFreeMemory(record, inputs) ? healthy : withoutMemory).push(record);
+    if (hasCapacity(record, inputs)) {
+      (isEjected ? ejected : healthy).push(record);
+    }
   }
   return {
     // If all servers failed recently, trying one is better than a refusal.
-    withCapacity: !hasHealthy
-      ? ejected
-      : healthy.length > 0
-        ? healthy
-        : withoutMemory,
+    withCapacity: hasHealthy ? healthy : ejected,
     otherwise: hasAvailable ? "full" : hasCandidate ? "resting" : "none",
   };
 }
@@ -220,12 +192,9 @@
 function chooseAmong(
   { withCapacity, otherwise }: SelectedServers,
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & PromptSources,
+  inputs: ChoiceInputs & { readonly copySource: CopySource | undefined },
 ): ChoiceOutcome {
   if (withCapacity.length === 0) return { kind: otherwise };
-  if (isLongPrompt(inputs)) {
-    return chooseForLongPrompt(withCapacity, prefixes, inputs);
-  }
   const withPreferred = {
     ...inputs,
     preferred: preferredServers(withCapacity, prefixes, inputs),
@@ -236,84 +205,6 @@
   return { kind: "chosen", choice: fastestOf(choices, inputs) };
 }
 
-/**
- * Chooses an engine for a long prompt. Cached parts matter less than running streams,
- * since a copy of them takes a few milliseconds.
- */
-function chooseForLongPrompt(
-  withCapacity: readonly ServerRecord[],
-  prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & PromptSources,
-): ChoiceOutcome {
-  const { home } = inputs;
-  const least = leastDelayed(withCapacity, inputs);
-  const isAdded =
-    home !== undefined && withCapacity.includes(home) && !least.includes(home);
-  const compared = isAdded ? [...least, home] : least;
-  const choices = compared.map((record) =>
-    predictLongPrompt(record, prefixes, inputs),
-  );
-  if (inputs.among !== undefined) {
-    return { kind: "chosen", choice: fastestOf(choices, inputs) };
-  }
-  const isHome = ({ record }: Choice) => record === home;
-  const drawn = drawCandidates(choices, { ...inputs, isHome });
-  const choice = fastestOf(inputs.receivesDispatches ? choices : drawn, inputs);
-  return {
-    kind: "chosen",
-    choice,
-    candidates: drawn.map(({ record }) => record),
-  };
-}
-
-/** Predicts the time that a long prompt costs its own request and running streams. */
-function predictLongPrompt(
-  record: ServerRecord,
-  prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & PromptSources,
-): Choice {
-  const { now, promptTokens, readingRate } = inputs;
-  const load = record.currentLoad(now);
-  const cachedTokens = Math.max(
-    prefixes.cachedTokens(record.entry.id, inputs.parts),
-    record === inputs.home ? HOME_CACHED_SHARE * sharedTokens(inputs.parts) : 0,
-  );
-  const copy = planCopy(record, cachedTokens, inputs);
-  const { slots } = record.entry;
-  const slotMilliseconds =
-    (inputs.placement?.meanHoldMilliseconds ?? 0) / Math.max(1, slots);
-  const prefill =
-    Math.max(0, promptTokens - cachedTokens - copy.tokens) / readingRate;
-  const workMilliseconds =
-    prefill +
-    copy.milliseconds +
-    record.currentPrefillTokens(now) / readingRate +
-    load * RUNNING_REQUEST_MILLISECONDS +
-    Math.max(0, load + 1 - slots) * slotMilliseconds;
-  const slowdown = record.speed.slowdown(now);
-  return {
-    record,
-    cachedTokens: cachedTokens + copy.tokens,
-    copyFrom: copy.from,
-    load,
-    slowdown,
-    workMilliseconds,
-    predictedMilliseconds:
-      slowdown * (workMilliseconds + streamDelay(record, prefill, now)) +
-      penalties(record, inputs),
-  };
-}
-
-/** Penalties of a server, in milliseconds of predicted time. */
-function penalties(record: ServerRecord, { dataHall }: ChoiceInputs): number {
-  return (
-    (record.entry.dataHall === dataHall
-      ? 0
-      : OTHER_DATA_HALL_PENALTY_MILLISECONDS) +
-    record.failureShare * FAILURE_PENALTY_MILLISECONDS
-  );
-}
-
 /** Returns the choice with the shortest predicted time; ties are broken at random. */
 function fastestOf(
   choices: readonly Choice[],
@@ -388,7 +279,10 @@
 function predict(
   record: ServerRecord,
   prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & PromptSources & Preferred,
+  inputs: ChoiceInputs &
+    Preferred & {
+      readonly copySource: CopySource | undefined;
+    },
 ): Choice {
   const load = record.load(inputs.now);
   const isPreferred = inputs.preferred.has(record.entry.id);
@@ -399,10 +293,15 @@
       : 0,
   );
   const copy = planCopy(record, cachedTokens, inputs);
+  const distance =
+    record.entry.dataHall === inputs.dataHall
+      ? 0
+      : OTHER_DATA_HALL_PENALTY_MILLISECONDS;
+  const failures = record.failureShare * FAILURE_PENALTY_MILLISECONDS;
   const slowdown = record.speed.slowdown(inputs.now);
   const workMilliseconds =
     inputs.engine === undefined
-      ? plainMilliseconds(load, record.entry.slots, inputs)
+      ? plainMilliseconds(load, record.entry.slots)
       : engineMilliseconds(record, { load, cachedTokens }, inputs);
   // An idle slow server still takes longer for the request itself. At usual speed this
   // adds nothing, since the time is then equal at all servers.
@@ -411,8 +310,7 @@
       ? (slowdown - 1) * (inputs.holdMilliseconds ?? PLAIN_REQUEST_MILLISECONDS)
       : 0;
   const work = workMilliseconds * slowdown + ownDelay;
-  const preference =
-    isPreferred && !isSlowNow(record, inputs) ? PREFERENCE_MILLISECONDS : 0;
+  const preference = isPreferred ? PREFERENCE_MILLISECONDS : 0;
   return {
     record,
     cachedTokens: cachedTokens + copy.tokens,
@@ -420,22 +318,17 @@
     load,
     slowdown,
     workMilliseconds,
-    predictedMilliseconds: work + penalties(record, inputs) - preference,
+    predictedMilliseconds: work + distance + failures - preference,
   };
 }
 
 /** Predicted time on a server of a plain service, in milliseconds. */
-function plainMilliseconds(
-  load: number,
-  slots: number,
-  { holdMilliseconds, placement }: ChoiceInputs,
-): number {
+function plainMilliseconds(load: number, slots: number): number {
   const waiting = Math.max(0, load + 1 - slots);
-  // Of servers with free slots, the one with the most is preferred.
-  const occupied = (load / slots) * PLAIN_REQUEST_MILLISECONDS * 0.5;
-  return placement === undefined || holdMilliseconds === undefined
-    ? occupied + (waiting / slots) * PLAIN_REQUEST_MILLISECONDS * 2
-    : occupied + ((waiting + 1) / slots) * holdMilliseconds;
+  return (
+    (load / slots) * PLAIN_REQUEST_MILLISECONDS * 0.5 +
+    (waiting / slots) * PLAIN_REQUEST_MILLISECONDS * 2
+  );
 }
 
 /** Predicted time on an engine to the first part of the answer, in milliseconds. */
@@ -474,56 +367,8 @@
     : [];
   // Computed only if needed: finding the home server looks at each server.
   if (cachingServers.length > 0) return new Set(cachingServers);
-  const homes = homeServers(
-    records,
-    inputs.parts.at(-2)?.id,
-    inputs.placement?.homes ?? 1,
-  );
-  return new Set(homes.map(({ entry }) => entry.id));
-}
-
-/** Engines that probably have the shared parts of a prompt cached. */
-interface PromptSources {
-  readonly copySource: CopySource | undefined;
-  /** The home of a long prompt, if it is assumed to have parts cached. */
-  readonly home: ServerRecord | undefined;
-}
-
-/**
- * Returns the home of a long prompt in a fleet whose hosts don't know all dispatches.
- * A subject's other homes get few of its long prompts, so they are not assumed to have
- * its parts; the prompts are spread by copies.
- */
-function homeOfLongPrompt(
-  records: readonly ServerRecord[],
-  inputs: ChoiceInputs,
-): ServerRecord | undefined {
-  if (inputs.receivesDispatches || !isLongPrompt(inputs)) return undefined;
-  const usable = records.filter(
-    (record) => record.isReady && !record.isEjected(inputs.now),
-  );
-  return homeServers(usable, inputs.parts.at(-2)?.id, 1)[0];
-}
-
-/**
- * Returns the source of a copy: the engine that is known to have most of the prompt
- * cached. A host that does not receive the dispatches of others knows only its own; it
- * assumes the home of a long prompt where that is more.
- */
-function copySourceOf(
-  records: readonly ServerRecord[],
-  prefixes: PrefixCacheEstimate,
-  inputs: ChoiceInputs & Pick<PromptSources, "home">,
-): CopySource | undefined {
-  const known = findCopySource(records, prefixes, inputs);
-  const { engine, home, parts } = inputs;
-  if (home === undefined || engine?.copyTokensPerMillisecond === undefined) {
-    return known;
-  }
-  const tokens = HOME_CACHED_SHARE * sharedTokens(parts);
-  return known !== undefined && known.tokens >= tokens
-    ? known
-    : { record: home, tokens };
+  const home = homeServer(records, inputs.parts.at(-2)?.id);
+  return new Set(home === undefined ? [] : [home]);
 }
 
 function serversWithMostCached(
--- a/packages/rampswitch-serving/src/choice/home_server.ts
+++ b/packages/rampswitch-serving/src/choice/home_server.ts
@@ -1,9 +1,9 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * The home servers of a prompt: those that all hosts prefer for the prompts that share
- * a part. Rendezvous hashing lets hosts agree without messages, and a server that
- * comes or goes changes only the homes that it has.
+ * The home server of a prompt: the server that all hosts prefer for a prompt that no
+ * server is known to have cached. Rendezvous hashing on the longest part that requests
+ * share lets hosts agree without messages.
  *
  * @module
  */
@@ -26,32 +26,25 @@
 const scoresByPart = new Map<string, Map<string, number>>();
 
 /**
- * Returns the servers with the highest scores for a prompt part, highest first. With
- * more homes, those of before are among them.
+ * Returns the id of the home server of the prompts that share a part; `undefined` if
+ * they share none.
  */
-export function homeServers(
+export function homeServer(
   records: readonly ServerRecord[],
   shared: string | undefined,
-  count: number,
-): readonly ServerRecord[] {
-  if (shared === undefined || count < 1) return [];
+): string | undefined {
+  if (shared === undefined) return undefined;
   const scores = scoresOf(shared);
-  const homes: ServerRecord[] = [];
-  const highest: number[] = [];
-  for (const record of records) {
-    const { id } = record.entry;
-    const score = scores.get(id) ?? addScore(scores, shared, id);
-    if (homes.length === count && score <= (highest.at(-1) ?? 0)) continue;
-    let at = homes.length;
-    while (at > 0 && score > (highest[at - 1] ?? Infinity)) at -= 1;
-    homes.splice(at, 0, record);
-    highest.splice(at, 0, score);
-    if (homes.length > count) {
-      homes.pop();
-      highest.pop();
+  let home: string | undefined;
+  let highest = -1;
+  for (const { entry } of records) {
+    const score = scores.get(entry.id) ?? addScore(scores, shared, entry.id);
+    if (score > highest) {
+      highest = score;
+      home = entry.id;
     }
   }
-  return homes;
+  return home;
 }
 
 function scoresOf(shared: string): Map<string, number> {
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -8,7 +8,6 @@
  *
  * @module
  */
-import { EngineMemory } from "../estimates/engine_memory.ts";
 import { ServerSpeed } from "../estimates/server_speed.ts";
 import { type BackendServer, incarnationId } from "../model/backend_server.ts";
 import type { ReportedLoad } from "../model/request.ts";
@@ -19,11 +18,6 @@
   readonly running: number;
   /** Prompt tokens that were sent and whose prefill has not ended. */
   readonly pendingPrefillTokens: number;
-  /**
-   * Tokens of memory that the requests will hold; `undefined` if they are not counted,
-   * as by hosts of an earlier version.
-   */
-  readonly memoryTokens?: number | undefined;
 }
 
 /** Work of one host at one incarnation of a backend server, as a peer reports it. */
@@ -55,12 +49,6 @@
 /** Time for which a server's own load report counts, in milliseconds. */
 const LOAD_REPORT_LIFETIME_MILLISECONDS = 300;
 
-/**
- * Time for which a server's load report and the sends of this host since are all that
- * counts, in milliseconds. Work that other hosts reported may be a second old.
- */
-const CURRENT_REPORT_LIFETIME_MILLISECONDS = 50;
-
 /** Consecutive failures that eject a server. */
 const FAILURES_TO_EJECT = 2;
 
@@ -92,8 +80,6 @@
   isListedReady = true;
   /** Back-off that the server requested from this host. */
   readonly backOff: ServerBackOff;
-  /** Memory that requests hold there. */
-  readonly memory = new EngineMemory();
   /** How fast work currently is there. */
   readonly speed = new ServerSpeed();
   /** When its end was announced, in milliseconds on the monotonic clock. */
@@ -104,8 +90,6 @@
   /** Work of all peers, until one reports again or its work expires. */
   #peerTotals = NO_PEER_WORK;
   #report: (ReportedLoad & { readonly at: number }) | undefined;
-  /** Requests that this host sent since the server's last report. */
-  #sentSinceReport = 0;
   #failuresInRow = 0;
   #ejections = 0;
   #ejectedUntil = 0;
@@ -163,7 +147,6 @@
     return {
       running: this.#running,
       pendingPrefillTokens: this.#pendingPrefillTokens,
-      ...countedMemory(this.memory.ownTokens),
     };
   }
 
@@ -176,11 +159,9 @@
    * Records a send and returns callbacks for its progress; repeated calls have no
    * effect.
    */
-  started(prefillTokens: number, memoryTokens = 0): StartedWork {
-    const freeMemory = this.memory.started(memoryTokens);
+  started(prefillTokens: number): StartedWork {
     const afterBackOff = this.backOff.sent(this.entry.slots);
     this.#running += 1;
-    this.#sentSinceReport += 1;
     this.#pendingPrefillTokens += prefillTokens;
     let pendingTokens = prefillTokens;
     let running = 1;
@@ -194,7 +175,6 @@
       ended: () => {
         afterBackOff.ended();
         endPrefill();
-        freeMemory();
         this.#running -= running;
         running = 0;
       },
@@ -207,7 +187,6 @@
     work: WorkAtServer | undefined,
     now: number,
   ): void {
-    this.memory.received(peer, work?.memoryTokens, now);
     if (work !== undefined) {
       this.#peers.set(peer, { ...work, receivedAt: now });
     } else if (!this.#peers.delete(peer)) return;
@@ -225,14 +204,12 @@
         0,
         this.pendingPrefillTokens(now) - fresh.pendingPrefillTokens,
       ),
-      ...countedMemory(this.memory.tokens(now, peer)),
     };
   }
 
   /** Applies the server's own report of its load. */
   reported(load: ReportedLoad, now: number): void {
     this.#report = { ...load, at: now };
-    this.#sentSinceReport = 0;
   }
 
   /** Returns the number of requests that run and wait there, from all hosts. */
@@ -245,32 +222,6 @@
       : reported;
   }
 
-  /**
-   * Returns the number of requests at the server as it just reported it, if it did;
-   * otherwise that from all hosts.
-   */
-  currentLoad(now: number): number {
-    return this.#currentReportedLoad(now) ?? this.load(now);
-  }
-
-  /**
-   * Returns the prompt tokens whose prefill is pending there, from all hosts; of this
-   * host alone if the server just reported that nothing runs there.
-   */
-  currentPrefillTokens(now: number): number {
-    return this.#currentReportedLoad(now) === this.#sentSinceReport
-      ? this.#pendingPrefillTokens
-      : this.pendingPrefillTokens(now);
-  }
-
-  #currentReportedLoad(now: number): number | undefined {
-    const report = this.#report;
-    return report !== undefined &&
-      now - report.at < CURRENT_REPORT_LIFETIME_MILLISECONDS
-      ? report.running + report.waiting + this.#sentSinceReport
-      : undefined;
-  }
-
   /** Returns the prompt tokens whose prefill is pending there, from all hosts. */
   pendingPrefillTokens(now: number): number {
     return (
@@ -369,13 +320,6 @@
 /** Totals that must be added up again. */
 const EXPIRED_WORK: PeerTotals = { ...NO_PEER_WORK, until: -Infinity };
 
-/** Returns memory as work at a server has it: absent if none is counted. */
-export function countedMemory(
-  memoryTokens: number,
-): Pick<WorkAtServer, "memoryTokens"> | undefined {
-  return memoryTokens > 0 ? { memoryTokens } : undefined;
-}
-
 const NO_WORK: WorkAtServer = { running: 0, pendingPrefillTokens: 0 };
 
 function isFresh(work: PeerWork, now: number): boolean {
--- a/packages/rampswitch-serving/src/choice/work_without.ts
+++ b/packages/rampswitch-serving/src/choice/work_without.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { countedMemory, type ReportedWork } from "./server_record.ts";
+import type { ReportedWork } from "./server_record.ts";
 
 type ReportedWorkByServer = Readonly<Record<string, ReportedWork>>;
 
@@ -17,7 +17,7 @@
   const others = { ...all };
   for (const [
     server,
-    { running, pendingPrefillTokens, memoryTokens, born },
+    { running, pendingPrefillTokens, born },
   ] of Object.entries(own)) {
     const total = all[server];
     if (total === undefined || total.born !== born) continue;
@@ -29,7 +29,6 @@
           0,
           total.pendingPrefillTokens - pendingPrefillTokens,
         ),
-        ...countedMemory((total.memoryTokens ?? 0) - (memoryTokens ?? 0)),
         born,
       };
     }
--- a/packages/rampswitch-serving/src/estimates/mod.ts
+++ b/packages/rampswitch-serving/src/estimates/mod.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-export * from "./engine_memory.ts";
 export * from "./reported_slowdowns.ts";
 export * from "./request_work.ts";
 export * from "./server_speed.ts";
--- a/packages/rampswitch-serving/src/estimates/server_speed.ts
+++ b/packages/rampswitch-serving/src/estimates/server_speed.ts
@@ -186,11 +186,6 @@
     );
   }
 
-  /** Whether the server has ever reported a valid figure. */
-  get hasReported(): boolean {
-    return this.#reportedAt > -Infinity;
-  }
-
   /** Whether a reported figure is in force. */
   isReported(now: number): boolean {
     return now - this.#reportedAt < FIGURE_LIFETIME_MILLISECONDS;
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -40,12 +40,9 @@
 import {
   encodedIncarnations,
   type EncodedIncarnations,
-  encodedMemory,
-  type EncodedMemory,
   encodedWork,
   type EncodedWork,
   isIncarnations,
-  isMemory,
   isWork,
   workOf,
 } from "./work_codec.ts";
@@ -78,7 +75,6 @@
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
-  readonly wm?: EncodedMemory | undefined;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -109,7 +105,6 @@
   sp: isSlowdowns,
   rm: isDemand,
   rt: isReturns,
-  wm: isMemory,
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -134,7 +129,6 @@
     sp: encodedSlowdowns(digest.slowdowns),
     rm: encodedDemand(digest.room),
     rt: encodedReturns(digest.returns),
-    wm: encodedMemory(digest.work),
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
     z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
@@ -167,7 +161,7 @@
     followed: versionsOf(message.v),
     levels: message.b,
     silentShare: message.x,
-    work: workOf(message.w, message.y, message.wm),
+    work: workOf(message.w, message.y),
     leases: message.l.map(([fence, version]) => ({ fence, version })),
     servers: message.s === undefined ? undefined : changesOf(message.s),
     quarantine: quarantineOf(message.o),
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -47,12 +47,9 @@
 import {
   encodedIncarnations,
   type EncodedIncarnations,
-  encodedMemory,
-  type EncodedMemory,
   encodedWork,
   type EncodedWork,
   isIncarnations,
-  isMemory,
   isWork,
   workOf,
 } from "./work_codec.ts";
@@ -95,7 +92,6 @@
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
-  readonly wm?: EncodedMemory | undefined;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -145,7 +141,6 @@
   sp: isSlowdowns,
   rm: isDemand,
   rt: isReturns,
-  wm: isMemory,
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -252,7 +247,6 @@
     sp: encodedSlowdowns(update.slowdowns),
     rm: encodedDemand(update.room),
     rt: encodedReturns(update.returns),
-    wm: encodedMemory(update.work),
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
     e:
@@ -289,7 +283,7 @@
     followed: versionsOf(update.v),
     admitted: update.q,
     levels: update.b,
-    work: workOf(update.w, update.y, update.wm),
+    work: workOf(update.w, update.y),
     counts: update.u,
     dispatches: update.d.map(([server, parts]) => ({
       server,
--- a/packages/rampswitch-serving/src/membership/work_codec.ts
+++ b/packages/rampswitch-serving/src/membership/work_codec.ts
@@ -5,14 +5,7 @@
  *
  * @module
  */
-import {
-  isNumber,
-  isNumberPair,
-  isNumbers,
-  listOf,
-  optional,
-  recordOf,
-} from "./checks.ts";
+import { isNumberPair, isNumbers, optional, recordOf } from "./checks.ts";
 import type { DispatchUpdate, WorkByServer } from "./peer_messages.ts";
 
 /** Running requests and pending prefill tokens, by server. */
@@ -21,19 +14,6 @@
 /** Start times of server incarnations, by server. */
 export type EncodedIncarnations = Readonly<Record<string, number>>;
 
-/**
- * Memory that requests will hold, in hundreds of tokens, by the position of the server
- * in the work. It has a message key of its own, as the start times below; a list without
- * names takes a third of the bytes of one with them.
- */
-export type EncodedMemory = readonly number[];
-
-/** Checks encoded memory. */
-export const isMemory = optional(listOf(isNumber));
-
-/** Unit of encoded memory, in tokens. */
-const MEMORY_UNIT_TOKENS = 100;
-
 /** Checks encoded work. */
 export const isWork = recordOf(isNumberPair);
 
@@ -74,37 +54,16 @@
   return isEmpty ? undefined : encoded;
 }
 
-/** Encodes the memory that requests will hold; `undefined` if none is counted. */
-export function encodedMemory(
-  byServer: WorkByServer,
-): EncodedMemory | undefined {
-  const works = Object.values(byServer);
-  return works.some(({ memoryTokens }) => memoryTokens !== undefined)
-    ? works.map(({ memoryTokens = 0 }) =>
-        Math.ceil(memoryTokens / MEMORY_UNIT_TOKENS),
-      )
-    : undefined;
-}
-
-/** Decodes work, the incarnations of the servers and the memory that is held there. */
+/** Decodes work and the incarnations of the servers. */
 export function workOf(
   byServer: EncodedWork,
   born: EncodedIncarnations | undefined,
-  memory: EncodedMemory | undefined,
 ): WorkByServer {
   const work: Record<string, WorkByServer[string]> = {};
-  const servers = Object.entries(byServer);
-  const counted = memory?.length === servers.length ? memory : undefined;
-  servers.forEach(([server, [running, pendingPrefillTokens]], at) => {
-    const units = counted?.[at] ?? 0;
-    work[server] = {
-      running,
-      pendingPrefillTokens,
-      ...(units === 0
-        ? undefined
-        : { memoryTokens: units * MEMORY_UNIT_TOKENS }),
-      born: born?.[server],
-    };
-  });
+  for (const [server, [running, pendingPrefillTokens]] of Object.entries(
+    byServer,
+  )) {
+    work[server] = { running, pendingPrefillTokens, born: born?.[server] };
+  }
   return work;
 }
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -29,11 +29,6 @@
     "Further sends that were wanted and not made",
     ["why"],
   );
-  readonly #loadQueries = this.#counter(
-    "load_query_total",
-    "Queries for the load of a server by outcome",
-    ["outcome"],
-  );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
   readonly #droppedLines = this.#counter(
     "log_lines_dropped_total",
@@ -136,11 +131,6 @@
     this.#returnLapsed.inc({ rank });
   }
 
-  /** Counts a query for the load of a server. */
-  loadQuery(outcome: string): void {
-    this.#loadQueries.inc({ outcome });
-  }
-
   /** Counts an event. */
   event(event: string): void {
     this.#events.inc({ event });
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -57,14 +57,8 @@
 /** Applies the load that a server reported with an answer to a send. */
 export function observeReportedLoad(
   load: ReportedLoad,
-  {
-    choice: { record },
-    sentAt,
-  }: {
-    readonly choice: Pick<Choice, "record">;
-    readonly sentAt: number;
-  },
-  { clock, metrics }: Pick<ObservationContext, "clock" | "metrics">,
+  { choice: { record }, sentAt }: TimedSend,
+  { clock, metrics }: ObservationContext,
 ): void {
   const now = clock.now();
   record.reported(load, now);
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -9,7 +9,6 @@
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
 import type { BackendClient } from "../attempt/mod.ts";
 import type {
-  LoadQueries,
   PrefixCacheEstimate,
   ServerDirectory,
   ServerRecord,
@@ -26,7 +25,6 @@
   RoomAdmission,
   WaitingRequests,
 } from "../room/mod.ts";
-import type { RequestPlacement } from "./request_placement.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 
@@ -61,8 +59,6 @@
   readonly prefixes: PrefixCacheEstimate;
   readonly workEstimates: WorkEstimates;
   readonly room: RoomAdmission;
-  readonly placement: RequestPlacement;
-  readonly loadQueries: LoadQueries;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -127,7 +127,6 @@
         tried: this.#tried,
         finished: () => this.#answer.finished,
         shortOfRoom: (refusal) => this.#record.shortOfRoom(refusal),
-        placed: (placing) => this.#record.placed(placing),
       },
       context,
     );
@@ -277,10 +276,7 @@
     });
     const unread =
       memorySource === undefined ? tokens - choice.cachedTokens : 0;
-    const work = record.started(
-      Math.max(0, unread),
-      this.#context.placement.memoryTokens(request, this.#context),
-    );
+    const work = record.started(Math.max(0, unread));
     if (request.service.engine !== undefined) {
       this.#context.prefixes.stored(
         record.entry.id,
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -15,7 +15,6 @@
 import type { ServerIncarnation } from "../model/backend_server.ts";
 import type { RoomRefusal } from "./send_choice.ts";
 import type { RefusalTerms } from "./own_refusal.ts";
-import type { PromptPlacing } from "./send_chooser.ts";
 import { incarnationOf, startTimesOf } from "./server_incarnation.ts";
 
 /** Reasons why a resend that was needed is not made. */
@@ -98,7 +97,6 @@
   /** Slowdown of the newest send's server, where its speed is known. */
   #slowdown: number | undefined;
   #compared: ComparedTime | undefined;
-  #placing: PromptPlacing | undefined;
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
   #refusal: Omit<RoomRefusal, "request"> | undefined;
@@ -218,11 +216,6 @@
     this.#compared ??= time;
   }
 
-  /** Notes how a long prompt was placed. */
-  placed(placing: PromptPlacing): void {
-    this.#placing = placing;
-  }
-
   /** Notes that a send ended without a usable answer. */
   lost(
     reason: ResendReason,
@@ -368,7 +361,6 @@
       rank: this.#refusal?.rank,
       share: roundedToHundredth(this.#refusal?.share),
       ...refusal,
-      ...placingFields(this.#placing),
     });
   }
 }
@@ -391,18 +383,6 @@
       };
 }
 
-/** Fields on the placement of a long prompt; none for other requests. */
-function placingFields(
-  placing: PromptPlacing | undefined,
-): Readonly<Record<string, number | undefined>> | undefined {
-  return placing === undefined
-    ? undefined
-    : {
-        engineLoad: placing.load,
-        loadQueryMilliseconds: roundedTime(placing.queryMilliseconds),
-      };
-}
-
 function roundedTime(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -56,40 +56,9 @@
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
-  const isAdmitted = hasRoom || tried.size > 0;
-  const send = { request, tried, now, isAdmitted };
-  const choice = choose(send, context);
-  if (!send.isAdmitted) context.placement.count(request, context);
-  return choice;
-}
-
-/** Chooses for the first send of a request that an earlier choice admitted. */
-export function chooseForAdmitted(
-  request: AdmittedRequest,
-  context: RequestContext,
-): SendChoice {
-  const now = context.clock.now();
-  return choose({ request, tried: NONE_TRIED, now, isAdmitted: true }, context);
-}
-
-/** Chooses among the candidates of an earlier choice for a first send. */
-export function chooseCandidate(
-  request: AdmittedRequest,
-  candidates: readonly ServerRecord[],
-  context: RequestContext,
-): ChoiceOutcome {
-  const now = context.clock.now();
-  const send = { request, tried: NONE_TRIED, now, isAdmitted: true };
-  const servers = context.directory.of(request.service.name);
-  return chooseAmong(servers, { ...send, among: candidates }, context);
-}
-
-const NONE_TRIED: ReadonlySet<string> = new Set();
-
-function choose(send: SendQuery, context: RequestContext): SendChoice {
-  const { request, tried, now } = send;
   const isFirst = tried.size === 0;
   const all = context.rollouts.choice(request.service.name, { isFirst, now });
+  const send = { request, tried, hasRoom, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -102,8 +71,12 @@
   request: AdmittedRequest,
   context: RequestContext,
 ): Choice | undefined {
-  const now = context.clock.now();
-  const send = { request, tried: NONE_TRIED, now, isAdmitted: true };
+  const send = {
+    request,
+    tried: new Set<string>(),
+    hasRoom: true,
+    now: context.clock.now(),
+  };
   const outcome = chooseAmong([record], send, context);
   return outcome.kind === "chosen" ? outcome.choice : undefined;
 }
@@ -118,7 +91,7 @@
     return { outcome: { kind: "resting" }, refusal: undefined };
   }
   // Only first sends are decided on, so a resend is never refused here.
-  if (!send.isAdmitted) {
+  if (isFirst && !send.hasRoom) {
     const room = roomRequest(versions, send, context);
     const decision = admission(room, send, context);
     if (decision.kind === "short") {
@@ -278,16 +251,14 @@
   readonly request: AdmittedRequest;
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** Whether admission has given it room. */
+  readonly hasRoom: boolean;
   readonly now: number;
-  /** Whether admission decides no more: the request has room or was sent before. */
-  readonly isAdmitted: boolean;
-  /** The only servers that may be chosen; all given ones if `undefined`. */
-  readonly among?: readonly ServerRecord[];
 }
 
 function chooseAmong(
   records: readonly ServerRecord[],
-  { request, tried, now, among }: SendQuery,
+  { request, tried, now }: SendQuery,
   context: RequestContext,
 ): ChoiceOutcome {
   const { prefixes, workEstimates } = context;
@@ -304,8 +275,6 @@
         ? workEstimates.of(request).holdMilliseconds
         : undefined,
     excluded: tried,
-    among,
-    placement: context.placement.of(request, context),
     maximumOwnRequests: ownConnections(request.service, context.hosts()),
     leavingGraceMilliseconds: leavingWindowMilliseconds(request, context),
     receivesDispatches: context.receivesDispatches(),
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -19,8 +19,6 @@
 import type { RequestContext } from "./request_context.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
 import {
-  chooseCandidate,
-  chooseForAdmitted,
   chooseForSend,
   type RoomRefusal,
   type SendChoice,
@@ -48,14 +46,6 @@
   none(reason: Reason): void;
 }
 
-/** How a long prompt was placed. */
-export interface PromptPlacing {
-  /** Requests at the engine that was chosen for its first send. */
-  readonly load: number;
-  /** Time for which its send waited for the load of candidates, if it did. */
-  readonly queryMilliseconds: number | undefined;
-}
-
 /** The run of the request whose servers are chosen. */
 export interface ChooserRun {
   readonly request: AdmittedRequest;
@@ -65,8 +55,6 @@
   finished(): boolean;
   /** Notes that capacity is short for the first send. */
   shortOfRoom(refusal: RoomRefusal): void;
-  /** Notes how a long prompt was placed. */
-  placed(placing: PromptPlacing): void;
 }
 
 /** Chooses servers for one request. */
@@ -105,13 +93,7 @@
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
     const choice = this.#choose();
     const { outcome, limited } = choice;
-    const candidates = this.#candidatesToAsk(choice);
-    if (candidates !== undefined) {
-      void this.#askAndChoose(candidates, listener);
-      return;
-    }
     if (outcome.kind !== "chosen" || limited.length === 0) {
-      if (isOfLongPrompt(outcome)) this.#recordPlacing(outcome.choice);
       this.#chooseOrTakePermit(choice, listener);
       return;
     }
@@ -149,51 +131,6 @@
     return hasPermit || !isLimited || this.#waitForPermit(choice.record, 0);
   }
 
-  /** Returns the candidates for a long prompt, if they report their load and speed. */
-  #candidatesToAsk({
-    outcome,
-    limited,
-  }: SendChoice): LoadQueryTargets | undefined {
-    if (!isOfLongPrompt(outcome) || limited.length > 0) return undefined;
-    const { name, healthPath } = this.#run.request.service;
-    const { candidates } = outcome;
-    return healthPath !== undefined &&
-      candidates.length > 1 &&
-      this.#context.placement.reportsSpeed(name, this.#context)
-      ? { candidates, path: healthPath }
-      : undefined;
-  }
-
-  /**
-   * Asks candidates for their load and chooses the best of them. If all of them left or
-   * were filled meanwhile, the request goes where it would go without candidates.
-   */
-  async #askAndChoose(
-    { candidates, path }: LoadQueryTargets,
-    listener: ChoiceListener<RefusalReason>,
-  ): Promise<void> {
-    const { clock, loadQueries } = this.#context;
-    const { request } = this.#run;
-    const askedAt = clock.now();
-    await loadQueries.ask(candidates, path);
-    if (this.#run.finished()) return;
-    const outcome = chooseCandidate(request, candidates, this.#context);
-    if (outcome.kind === "chosen") {
-      this.#recordPlacing(outcome.choice, clock.now() - askedAt);
-      listener.chosen(outcome.choice);
-      return;
-    }
-    const choice = chooseForAdmitted(request, this.#context);
-    this.#chooseOrTakePermit(choice, listener);
-  }
-
-  #recordPlacing({ load }: Choice, queryMilliseconds?: number): void {
-    const { metrics } = this.#context;
-    metrics.event("long_prompts");
-    if (load === 0) metrics.event("long_prompts_at_idle_engine");
-    this.#run.placed({ load, queryMilliseconds });
-  }
-
   #choose(): SendChoice {
     const { request, tried } = this.#run;
     const send = { tried, hasRoom: this.#hasRoom };
@@ -298,17 +235,3 @@
     return chooseWithPermit({ ...send, request }, this.#context);
   }
 }
-
-/** Servers that are asked for their load. */
-interface LoadQueryTargets {
-  readonly candidates: readonly ServerRecord[];
-  readonly path: string;
-}
-
-/** Whether an outcome is the choice of an engine for a long prompt. */
-function isOfLongPrompt(outcome: ChoiceOutcome): outcome is ChoiceOutcome & {
-  readonly kind: "chosen";
-  readonly candidates: readonly ServerRecord[];
-} {
-  return outcome.kind === "chosen" && outcome.candidates !== undefined;
-}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -21,7 +21,6 @@
 } from "./admission/mod.ts";
 import { BackendClient } from "./attempt/mod.ts";
 import {
-  LoadQueries,
   PrefixCacheEstimate,
   ServerDirectory,
   type ServerRecord,
@@ -56,10 +55,7 @@
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
-import { observeReportedLoad } from "./relay/observed_answers.ts";
 import type { RequestContext } from "./relay/request_context.ts";
-import { RequestPlacement } from "./relay/request_placement.ts";
-import { sendLoadQuery } from "./relay/sent_load_query.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
 import {
   type ReservationListener,
@@ -146,8 +142,6 @@
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
   readonly #room: RoomAdmission;
-  readonly #placement = new RequestPlacement();
-  readonly #loadQueries: LoadQueries;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
   readonly #returns: ReturnTimes;
@@ -305,18 +299,6 @@
     });
     this.#meter = new LoadMeter(ports.clock);
     this.#client = this.#ownership.own(new BackendClient());
-    this.#loadQueries = new LoadQueries({
-      ...ports,
-      send: (record, path, listener) =>
-        sendLoadQuery(
-          record,
-          { path, listener },
-          { client: this.#client, codec: ports.codec },
-        ),
-      applyLoad: (record, load, sentAt) =>
-        observeReportedLoad(load, { choice: { record }, sentAt }, ports),
-      count: (outcome) => ports.metrics.loadQuery(outcome),
-    });
     this.#callers = new CallerServer(this.#requestContext());
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
@@ -552,8 +534,6 @@
       prefixes: this.#prefixes,
       workEstimates: this.#workEstimates,
       room: this.#room,
-      placement: this.#placement,
-      loadQueries: this.#loadQueries,
       admission: this.#admission,
       budget: this.#budget,
       quarantine: this.#quarantine,
