--- a/packages/rampswitch-serving/src/duties/capacity_duty.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_duty.ts
@@ -8,16 +8,14 @@
  * @module
  */
 import type { Logger } from "rampswitch-utils";
-import type { ServerRecord } from "../choice/mod.ts";
+import type { ServerDirectory, ServerRecord } from "../choice/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { Cloud, Fence, ServerOrder } from "../model/cloud.ts";
 import type { Service } from "../model/configuration.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
-import { planBridgedCapacity } from "./bridged_plan.ts";
 import {
   planCapacity,
-  reclaimableTargets,
   serversBeforeListing,
   serversBeforeLoad,
   serversMissingByLimits,
@@ -26,13 +24,6 @@
   type DataHallTarget,
   type ServiceLoad,
 } from "./capacity_plan.ts";
-import type { DecidingNeed, ServerDemand } from "./server_demand.ts";
-import {
-  type DemandParts,
-  type OrderedService,
-  type OrderGate,
-  ServiceDemands,
-} from "./service_demands.ts";
 
 /**
  * Time for which the plan must need fewer servers before fewer are ordered, in
@@ -95,8 +86,9 @@
 }
 
 /** Parts that the duty works with. */
-export interface CapacityParts extends DemandParts {
+export interface CapacityParts {
   readonly cloud: Cloud;
+  readonly directory: ServerDirectory;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
   readonly rollouts: Pick<Rollouts, "counts" | "isMoving">;
@@ -111,31 +103,6 @@
   isIdle(): boolean;
 }
 
-/** Load behind a plan, for the log. */
-interface PlannedLoad extends ServiceLoad {
-  readonly needed: number;
-  /** Which need decided, where the demand is planned by several. */
-  readonly need?: DecidingNeed;
-  /** Servers that carry the load while others start. */
-  readonly bridge?: number;
-  readonly refusedSlots?: number;
-  /** Whether servers on demand only bridge the start of reclaimable ones. */
-  readonly isBridging?: boolean;
-}
-
-/** Targets of a service's data halls, and what the load allows. */
-interface PlannedHalls {
-  readonly targets: readonly DataHallTarget[];
-  /** `undefined`: the load allows all changes of orders. */
-  readonly gate?: (remaining: number) => OrderGate;
-}
-
-/** An order, and the servers that are ready of those that it is for. */
-interface PlannedOrder {
-  readonly order: ServerOrder;
-  readonly ready: number;
-}
-
 /** The duty of ordering servers, for as long as this host holds it. */
 export class CapacityDuty {
   readonly #parts: CapacityParts;
@@ -144,15 +111,12 @@
   /**
    * Load and needed servers behind the last plan of each service, for the log.
    */
-  readonly #plannedLoads = new Map<string, PlannedLoad>();
-  readonly #demands: ServiceDemands;
-  readonly #onDemandSoldOutUntil = new Map<string, number>();
+  readonly #plannedLoads = new Map<string, ServiceLoad & { needed: number }>();
   readonly #initialCounts = new Map<string, InitialServerCount>();
   #fence = -1;
 
   constructor(parts: CapacityParts) {
     this.#parts = parts;
-    this.#demands = new ServiceDemands(parts);
   }
 
   /** Sends the orders that are due; resolves when all were answered. */
@@ -164,7 +128,6 @@
     if (fence.fence !== this.#fence) {
       this.#fence = fence.fence;
       this.#states.clear();
-      this.#demands.reset();
     }
     const due = routes.configuration.services.flatMap((service) =>
       this.#dueOrders(service, now),
@@ -177,32 +140,11 @@
   }
 
   #dueOrders(service: Service, now: number): readonly ServerOrder[] {
-    if (!isOrdered(service)) return [];
+    const { capacity, engine } = service;
+    if (capacity === undefined || engine === undefined) return [];
     if (this.#parts.isIdle()) this.#recordInitialCount(service, now);
     const load = this.#parts.load(service.name);
-    const halls = this.#hallServers(service, now);
-    const byDemand = this.#demands.applies(service.name, now);
-    const { targets, gate } = byDemand
-      ? this.#planByDemand(service, load, { halls, now })
-      : this.#planByLoad(service, load, { halls, now });
-    const orders = targets.flatMap((hallTarget, index) => {
-      const hall = halls[index];
-      return hall === undefined
-        ? []
-        : this.#ordersFor(service, hallTarget, hall);
-    });
-    const allowed = gate?.(remainingReady(orders, halls)) ?? ALL_CHANGES;
-    return orders
-      .filter(({ order, ready }) => this.#isDue(order, { ready, now, allowed }))
-      .map(({ order }) => order);
-  }
-
-  #planByLoad(
-    service: OrderedService,
-    load: ServiceLoad,
-    { halls, now }: { halls: readonly DataHallServers[]; now: number },
-  ): PlannedHalls {
-    const neededForLoad = serversNeeded(load, service.engine);
+    const neededForLoad = serversNeeded(load, engine);
     const missing = this.#missingServers(service, load, {
       needed: neededForLoad,
       now,
@@ -211,102 +153,19 @@
       neededForLoad + missing,
       this.#parts.isIdle() ? this.#initiallyNeeded(service, now) : 0,
     );
-    this.#recordPlan(service, { ...load, needed }, missing);
-    return { targets: planCapacity(needed, halls, service.capacity) };
-  }
-
-  /** Plans by slots, prefill, memory and refused work. */
-  #planByDemand(
-    service: OrderedService,
-    load: ServiceLoad,
-    { halls, now }: { halls: readonly DataHallServers[]; now: number },
-  ): PlannedHalls {
-    const { name, capacity } = service;
-    // Before any load, the number of listed servers decides instead of the demand.
-    if (this.#parts.isIdle()) {
-      const { targets } = this.#planByLoad(service, load, { halls, now });
-      const idleGate = this.#demands.idleGate(name, halls, now);
-      return { targets, gate: () => idleGate };
-    }
-    const forLoad = this.#demands.update(service, load, now);
-    const missing = this.#missingServers(service, load, {
-      needed: forLoad.needed,
-      now,
-    });
-    const demand: ServerDemand = {
-      ...forLoad,
-      needed: forLoad.needed + missing,
-      lastingNeeded: forLoad.lastingNeeded + missing,
-      bridge: forLoad.bridge + missing,
-    };
-    const isReclaimableLacking = this.#demands.isReclaimableLacking(
-      name,
-      halls,
-      {
-        needed: demand.needed,
-        startMilliseconds:
-          capacity.startMilliseconds + START_MARGIN_MILLISECONDS,
-        now,
-      },
-    );
-    this.#recordPlan(
-      service,
-      {
-        ...load,
-        needed: demand.needed,
-        need: demand.need,
-        bridge: demand.bridge,
-        refusedSlots: demand.refusedSlots,
-        isBridging: !isReclaimableLacking,
-      },
-      missing,
-    );
-    this.#parts.metrics.gauge("servers_bridge", demand.bridge);
-    this.#parts.metrics.gauge("slots_refused", demand.refusedSlots);
-    return {
-      targets: planBridgedCapacity(
-        demand,
-        this.#withDueReclaimable(service, halls, { demand, now }),
-        { limits: capacity, isReclaimableLacking },
-      ),
-      gate: (remaining) => this.#demands.gate(service, remaining, now),
-    };
-  }
-
-  #recordPlan({ name }: Service, plan: PlannedLoad, missing: number): void {
     this.#parts.metrics.gauge("servers_missing_by_limits", missing);
-    this.#plannedLoads.set(name, plan);
-    this.#parts.metrics.gauge("servers_needed", plan.needed);
-  }
-
-  /**
-   * Counts reclaimable servers that are ordered now as expected: servers on demand that
-   * are ordered at the same time would not be ready sooner.
-   */
-  #withDueReclaimable(
-    service: OrderedService,
-    halls: readonly DataHallServers[],
-    options: { readonly demand: ServerDemand; readonly now: number },
-  ): readonly DataHallServers[] {
-    const { demand, now } = options;
-    const { name, capacity } = service;
-    const most = capacity.maximum * halls.length;
-    const needed = Math.min(demand.needed, most);
-    const targets = reclaimableTargets(needed, halls, capacity);
-    const mayRaise = this.#demands.isLoadKnown(name, now);
-    return halls.map((hall) => {
-      const target = targets.get(hall.dataHall) ?? 0;
-      const state = this.#states.get(stateKey(name, hall.dataHall, true));
-      const current = state?.ordered ?? hall.reclaimableReady;
-      const isDue =
-        mayRaise && target > current && now >= (state?.retryAt ?? 0);
-      return isDue
-        ? {
-            ...hall,
-            reclaimableExpected: Math.max(hall.reclaimableExpected, target),
-          }
-        : hall;
-    });
+    this.#plannedLoads.set(service.name, { ...load, needed });
+    this.#parts.metrics.gauge("servers_needed", needed);
+    const halls = this.#hallServers(service, now);
+    return planCapacity(needed, halls, capacity)
+      .flatMap((hallTarget, index) => {
+        const hall = halls[index];
+        return hall === undefined
+          ? []
+          : this.#ordersFor(service, hallTarget, hall);
+      })
+      .filter(({ order, ready }) => this.#isDue(order, ready, now))
+      .map(({ order }) => order);
   }
 
   /**
@@ -380,37 +239,22 @@
           dataHall,
           onDemandReady: ready.filter((r) => !r.entry.reclaimable).length,
           reclaimableReady: ready.filter(isReclaimable).length,
-          reclaimableExpected: this.#expectedServers(service, dataHall, {
-            reclaimable: true,
+          reclaimableExpected: this.#expectedReclaimable(service, dataHall, {
             ready: ready.filter(isReclaimable).length,
             now,
           }),
           reclaimableSoldOut: this.#isSoldOut(service, dataHall, now),
-          onDemandExpected: this.#expectedServers(service, dataHall, {
-            reclaimable: false,
-            ready: ready.filter((r) => !r.entry.reclaimable).length,
-            now,
-          }),
-          onDemandSoldOut:
-            (this.#onDemandSoldOutUntil.get(`${service.name}/${dataHall}`) ??
-              0) > now,
         };
       });
   }
 
-  /** Returns the servers that are ready or should soon be. */
-  #expectedServers(
+  /** Returns the reclaimable servers that are ready or should soon be. */
+  #expectedReclaimable(
     service: Service,
     dataHall: string,
-    options: {
-      readonly reclaimable: boolean;
-      readonly ready: number;
-      readonly now: number;
-    },
+    options: { readonly ready: number; readonly now: number },
   ): number {
-    const state = this.#states.get(
-      stateKey(service.name, dataHall, options.reclaimable),
-    );
+    const state = this.#states.get(stateKey(service.name, dataHall, true));
     const startMilliseconds = service.capacity?.startMilliseconds ?? 0;
     const isStarting =
       state?.ordered !== undefined &&
@@ -450,7 +294,7 @@
     service: Service,
     hallTarget: DataHallTarget,
     hall: DataHallServers,
-  ): readonly PlannedOrder[] {
+  ): readonly { readonly order: ServerOrder; readonly ready: number }[] {
     const common = { service: service.name, dataHall: hall.dataHall };
     const onDemand = this.#states.get(
       stateKey(service.name, hall.dataHall, false),
@@ -484,15 +328,7 @@
         ];
   }
 
-  #isDue(
-    order: ServerOrder,
-    options: {
-      readonly ready: number;
-      readonly now: number;
-      readonly allowed: OrderGate;
-    },
-  ): boolean {
-    const { ready, now, allowed } = options;
+  #isDue(order: ServerOrder, ready: number, now: number): boolean {
     const state = this.#orderState(order);
     const current = state.ordered ?? ready;
     const needsConfirmation =
@@ -502,11 +338,7 @@
       return needsConfirmation && now >= state.retryAt;
     }
     if (now < state.retryAt) return false;
-    if (order.desired > current) return allowed.mayRaise;
-    if (!allowed.mayLower) {
-      state.excessSince = undefined;
-      return false;
-    }
+    if (order.desired > current) return true;
     // A roll-out needs all existing servers; surplus ones are given up after
     // it.
     if (this.#parts.rollouts.isMoving(order.service)) return false;
@@ -532,7 +364,7 @@
       reclaimable: order.reclaimable,
       desired: order.desired,
       before: state.ordered,
-      ...this.#plannedFields(order),
+      ...this.#plannedLoads.get(order.service),
       fence: fence.fence,
       outcome: result,
     });
@@ -548,28 +380,12 @@
     if (outcome.error === "no_answer") {
       state.confirmAt = now + ORDER_CONFIRM_MILLISECONDS;
     }
-    if (outcome.error === "conflict") {
-      const soldOutUntil = order.reclaimable
-        ? this.#soldOutUntil
-        : this.#onDemandSoldOutUntil;
+    if (outcome.error === "conflict" && order.reclaimable) {
       const hallKey = `${order.service}/${order.dataHall}`;
-      soldOutUntil.set(hallKey, now + SOLD_OUT_RETRY_MILLISECONDS);
+      this.#soldOutUntil.set(hallKey, now + SOLD_OUT_RETRY_MILLISECONDS);
     }
   }
 
-  /** Returns what the log line of an order tells of the plan. */
-  #plannedFields({
-    service,
-    reclaimable,
-  }: ServerOrder): Readonly<Record<string, unknown>> {
-    const plan = this.#plannedLoads.get(service);
-    if (plan?.need === undefined) return { ...plan };
-    const { isBridging, ...fields } = plan;
-    return isBridging === true && !reclaimable
-      ? { ...fields, need: "bridge" }
-      : fields;
-  }
-
   #orderState(order: ServerOrder): OrderState {
     const key = stateKey(order.service, order.dataHall, order.reclaimable);
     const state = this.#states.get(key) ?? {
@@ -584,29 +400,6 @@
   }
 }
 
-/** What the load allows where it is not observed. */
-const ALL_CHANGES: OrderGate = { mayRaise: true, mayLower: true };
-
-/** Returns the ready servers that remain after orders. */
-function remainingReady(
-  orders: readonly PlannedOrder[],
-  halls: readonly DataHallServers[],
-): number {
-  const ready = halls.reduce(
-    (sum, hall) => sum + hall.onDemandReady + hall.reclaimableReady,
-    0,
-  );
-  return orders.reduce(
-    (sum, planned) => sum - Math.max(0, planned.ready - planned.order.desired),
-    ready,
-  );
-}
-
-/** Whether servers of a service are ordered. */
-function isOrdered(service: Service): service is OrderedService {
-  return service.capacity !== undefined && service.engine !== undefined;
-}
-
 function isReclaimable(record: ServerRecord): boolean {
   return record.entry.reclaimable;
 }
--- a/packages/rampswitch-serving/src/duties/capacity_plan.ts
+++ b/packages/rampswitch-serving/src/duties/capacity_plan.ts
@@ -30,10 +30,6 @@
   readonly reclaimableExpected: number;
   /** Whether the cloud has no reclaimable servers to give there now. */
   readonly reclaimableSoldOut: boolean;
-  /** Servers on demand that are ready or were ordered lately and still start. */
-  readonly onDemandExpected?: number;
-  /** Whether the cloud has no servers on demand to give there now. */
-  readonly onDemandSoldOut?: boolean;
 }
 
 /** Target numbers of servers in one data hall. */
@@ -99,7 +95,7 @@
 const MAXIMUM_HALL_SHARE = 0.5;
 
 /** Minimum number of servers that a service with any load is planned with. */
-export const MINIMUM_SERVERS = 3;
+const MINIMUM_SERVERS = 3;
 
 /**
  * Share of a deployment's initial servers that is retained until the first load
@@ -131,11 +127,7 @@
 export function serversNeeded(load: ServiceLoad, engine: EngineLimits): number {
   const reading = load.readTokensPerSecond / (load.readingRate * 1_000);
   const running = load.running / engine.slots;
-  return serversForBusyEngines(Math.max(reading, running));
-}
-
-/** Returns the servers that carry the load of engines that are always busy. */
-export function serversForBusyEngines(busyEngines: number): number {
+  const busyEngines = Math.max(reading, running);
   const needed =
     busyEngines / LARGE_FLEET_UTILIZATION +
     PEAK_RESERVE_FACTOR * Math.sqrt(busyEngines);
@@ -175,10 +167,16 @@
   halls: readonly DataHallServers[],
   limits: CapacityLimits,
 ): readonly DataHallTarget[] {
-  const cheapest = byPrice(halls, limits);
-  const remainingShare = halls.some((hall) => hall.reclaimableSoldOut)
-    ? MINIMUM_REMAINING_SHARE_WHILE_SOLD_OUT
-    : MINIMUM_REMAINING_SHARE;
+  const cheapest = halls.toSorted(
+    (left, right) =>
+      (limits.dataHallPrices.get(left.dataHall) ?? 1) -
+      (limits.dataHallPrices.get(right.dataHall) ?? 1),
+  );
+  const availableHalls = cheapest.filter((hall) => !hall.reclaimableSoldOut);
+  const remainingShare =
+    availableHalls.length < halls.length
+      ? MINIMUM_REMAINING_SHARE_WHILE_SOLD_OUT
+      : MINIMUM_REMAINING_SHARE;
   const onDemandPerHall = (count: (hall: DataHallServers) => number) =>
     fillCheapest(
       onDemandNeeded(needed, halls.map(count), remainingShare),
@@ -188,7 +186,11 @@
         headroom: Math.max(0, limits.maximum - count(hall)),
       })),
     );
-  const reclaimable = reclaimableTargets(needed, halls, limits);
+  const reclaimable = spreadEvenly(
+    Math.ceil(needed * reclaimReserveRatio(halls.length)),
+    availableHalls,
+    limits,
+  );
   const minimums = onDemandPerHall((hall) => hall.reclaimableExpected);
   const maximums = onDemandPerHall((hall) => hall.reclaimableReady);
   return halls.map(({ dataHall }) => ({
@@ -199,34 +201,6 @@
   }));
 }
 
-/** Returns the data halls in the order of their prices. */
-export function byPrice(
-  halls: readonly DataHallServers[],
-  limits: CapacityLimits,
-): readonly DataHallServers[] {
-  return halls.toSorted(
-    (left, right) =>
-      (limits.dataHallPrices.get(left.dataHall) ?? 1) -
-      (limits.dataHallPrices.get(right.dataHall) ?? 1),
-  );
-}
-
-/**
- * Returns the reclaimable servers to order, with a reserve for the next reclaim, in
- * the data halls that have them.
- */
-export function reclaimableTargets(
-  needed: number,
-  halls: readonly DataHallServers[],
-  limits: CapacityLimits,
-): ReadonlyMap<string, number> {
-  return spreadEvenly(
-    Math.ceil(needed * reclaimReserveRatio(halls.length)),
-    byPrice(halls, limits).filter((hall) => !hall.reclaimableSoldOut),
-    limits,
-  );
-}
-
 /**
  * Returns the servers on demand that are needed beside reclaimable ones: to
  * carry the load, and to carry most of it when the data hall with most
@@ -247,17 +221,14 @@
 }
 
 /** A data hall that may have servers on demand. */
-export interface OnDemandHall {
+interface OnDemandHall {
   readonly dataHall: string;
   readonly ready: number;
   readonly headroom: number;
 }
 
-/**
- * Retains ready servers, and fills the cheapest data halls with the others, each with
- * at most half of them as long as another one has headroom.
- */
-export function fillCheapest(
+/** Retains ready servers, and fills the cheapest data halls with the others. */
+function fillCheapest(
   count: number,
   halls: readonly OnDemandHall[],
 ): ReadonlyMap<string, number> {
--- a/packages/rampswitch-serving/src/duties/host_duties.ts
+++ b/packages/rampswitch-serving/src/duties/host_duties.ts
@@ -82,10 +82,6 @@
   load(service: string): ServiceLoad;
   /** Time for which a request of a service holds a slot, in milliseconds. */
   holdMilliseconds(service: string): number;
-  /** Work refused for lack of capacity over all hosts, in slot milliseconds a second. */
-  refusedWork?(service: string): number;
-  /** Tokens of memory that a running request holds on average. */
-  memoryTokens?(service: string): number;
   /** Requests per second that a server accepts, if it advertises a limit. */
   limitOf(record: ServerRecord): number | undefined;
   /** Whether no request has arrived since this host started. */
@@ -129,8 +125,6 @@
       rollouts: parts.rollouts,
       load: (service) => parts.load(service),
       holdMilliseconds: (service) => parts.holdMilliseconds(service),
-      refusedWork: (service) => parts.refusedWork?.(service) ?? 0,
-      memoryTokens: (service) => parts.memoryTokens?.(service) ?? 0,
       limitOf: (record) => parts.limitOf(record),
       isIdle: () => parts.isIdle(),
     });
--- a/packages/rampswitch-serving/src/estimates/request_work.ts
+++ b/packages/rampswitch-serving/src/estimates/request_work.ts
@@ -83,8 +83,6 @@
   readonly routes: Map<string, RouteWork>;
   readonly prefill: PrefillRate;
   readonly mix: RunningMix;
-  /** Tokens of memory times hold time of the same requests. */
-  readonly memoryMix: RunningMix;
   readonly firstParts: RatioCalibration;
   readonly answers: RatioCalibration;
 }
@@ -173,10 +171,9 @@
 
   /** Records a send, which adds the request to the running mix of its service. */
   sent(request: WorkRequest, now: number): void {
-    const { holdMilliseconds, memoryTokens } = this.of(request);
+    const { holdMilliseconds } = this.of(request);
     const service = this.#service(request.service.name);
     service.mix.add(holdMilliseconds, now);
-    service.memoryMix.add(holdMilliseconds * memoryTokens, now);
   }
 
   /**
@@ -190,16 +187,6 @@
     );
   }
 
-  /**
-   * Returns the mean tokens of memory that a running request holds at its end, over the
-   * same sends; requests that run for longer count for more. It is 0 before the first
-   * send.
-   */
-  meanMemoryTokens(service: string): number {
-    const known = this.#services.get(service);
-    return (known?.memoryMix.mean ?? 0) / (known?.mix.mean ?? 1);
-  }
-
   /** Adds what was measured of a request after its answer. */
   addMeasurement(request: WorkRequest, measured: MeasuredWork): void {
     const hold = boundedHold(measured.holdMilliseconds);
@@ -305,7 +292,6 @@
     routes: new Map(),
     prefill: new PrefillRate(),
     mix: new RunningMix(),
-    memoryMix: new RunningMix(),
     firstParts: new RatioCalibration(),
     answers: new RatioCalibration(),
   };
--- a/packages/rampswitch-serving/src/room/room_admission.ts
+++ b/packages/rampswitch-serving/src/room/room_admission.ts
@@ -83,6 +83,12 @@
   meanHoldMilliseconds(service: string): number;
   /** Random number in [0, 1), for services with one class only. */
   draw(): number;
+  /**
+   * Records an arrival at a service; returns the rate at which requests arrive at all
+   * hosts, in requests per millisecond. The share of services with one class follows
+   * from it; without it, from the demand that was counted.
+   */
+  recordArrival?(service: string, now: number): number;
   /** Called for each request that is admitted while capacity is short. */
   admittedWhileShort?(rank: string): void;
   /** Called with the smallest share of the demand that the services have room for. */
@@ -157,6 +163,8 @@
   readonly counts: RoomCounts;
   readonly #source: RoomSource;
   readonly #services = new Map<string, ServiceState>();
+  /** Rate of arrivals at all hosts by service, in requests per millisecond. */
+  readonly #arrivals = new Map<string, number>();
   #reservations: RoomReservations | undefined;
 
   constructor(source: RoomSource, counts: RoomCounts = new RoomCounts()) {
@@ -171,7 +179,10 @@
 
   /** Decides on a new request, and counts it as demand. */
   decide(request: RoomRequest, now: number): RoomDecision {
-    this.counts.addOffered(request.roomClass, request.work, now);
+    const { roomClass, work } = request;
+    const arrivals = this.#source.recordArrival?.(roomClass.service, now);
+    if (arrivals !== undefined) this.#arrivals.set(roomClass.service, arrivals);
+    this.counts.addOffered(roomClass, work, now);
     return this.decideWaiting(request, now);
   }
 
@@ -328,7 +339,8 @@
     state.classes = demand.size;
     const expected = this.#allocate(state, { demand, room, lag, now });
     state.randomShare = admittedShare(slotTotals(servers), {
-      arrivalsPerMillisecond: expected / meanHold,
+      arrivalsPerMillisecond:
+        this.#arrivals.get(service) ?? expected / meanHold,
       holdMilliseconds: meanHold,
       targetMilliseconds: request.targetMilliseconds,
       lagMilliseconds: lag,
--- a/packages/rampswitch-serving/src/room/room_counts.ts
+++ b/packages/rampswitch-serving/src/room/room_counts.ts
@@ -219,21 +219,6 @@
     );
   }
 
-  /**
-   * Work of a service that was offered to all hosts and not admitted, in slot
-   * milliseconds a second.
-   */
-  refusedWork(service: string, now: number): number {
-    const peers = this.#freshPeers(now).flatMap(([, { rates }]) => rates);
-    const refusedSlots = [...this.#allOwn(now), ...peers]
-      .filter(({ roomClass }) => roomClass.service === service)
-      .reduce(
-        (sum, { offered, admitted }) => sum + Math.max(0, offered - admitted),
-        0,
-      );
-    return 1_000 * refusedSlots;
-  }
-
   /** Number of hosts whose demand is known, this one included. */
   knownHosts(hosts: number, now: number): number {
     const fresh = this.#freshPeers(now);
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -54,6 +54,7 @@
 } from "./rollout/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
+import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
@@ -274,12 +275,15 @@
         },
       },
     });
+    const arrivalRates = new ArrivalRates(ports.clock.now());
     this.#room = new RoomAdmission({
       hosts: () => this.#membership?.size ?? 1,
       lagMilliseconds: () => this.#gossipLagMilliseconds(),
       meanHoldMilliseconds: (service) =>
         this.#workEstimates.meanHoldMilliseconds(service),
       draw: () => ports.random.next(),
+      recordArrival: (service, now) =>
+        arrivalRates.addArrival(service, now) * (this.#membership?.size ?? 1),
       admittedWhileShort: (rank) => ports.metrics.roomAdmitted(rank),
       shareComputed: (share) => {
         ports.metrics.gauge("room_share", share);
@@ -322,10 +326,6 @@
         load: (service) => this.#gossip.load(service),
         holdMilliseconds: (service) =>
           this.#workEstimates.meanHoldMilliseconds(service),
-        memoryTokens: (service) =>
-          this.#workEstimates.meanMemoryTokens(service),
-        refusedWork: (service) =>
-          this.#room.counts.refusedWork(service, ports.clock.now()),
         limitOf: (record) => this.#permits.limitOf(record),
         isIdle: () => this.#meter.idle,
         routes: () =>
