--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -35,6 +35,7 @@
 } from "../relay/request_context.ts";
 import type { AdmittedRequest } from "../relay/admitted_request.ts";
 import { RequestRun } from "../relay/request_run.ts";
+import { LoopBacklog, pendingEventsHandled } from "./loop_backlog.ts";
 import { drawTarget, type RouteIndex } from "./route_index.ts";
 
 /** Maximum header bytes of the parser; the configured limit is lower. */
@@ -82,6 +83,7 @@
   readonly #context: RequestContext;
   readonly #server: Server;
   readonly #runs = new Set<RequestRun>();
+  readonly #backlog = new LoopBacklog();
   #limits = INITIAL_LIMITS;
   #reading = 0;
   #idle = true;
@@ -193,12 +195,13 @@
     }
     this.#reading += 1;
     const charged = await this.#charge(head, destination.value);
+    if (this.#backlog.isBehind()) await pendingEventsHandled();
     this.#reading -= 1;
     if (charged.isErr) {
       this.#refuse(response, head, charged.error);
       return;
     }
-    if (response.destroyed || this.#answeredMalformed(incoming)) {
+    if (hasLeft(response) || this.#answeredMalformed(incoming)) {
       this.#refund(destination.value, charged.value);
       this.#logUnread(head, incoming, {
         workspace: destination.value.workspace?.name,
@@ -421,6 +424,11 @@
   return { reason, retryAfterSeconds: RETRY_AFTER_SECONDS[reason] };
 }
 
+/** Whether the caller closed its connection. */
+function hasLeft({ destroyed, socket }: ServerResponse): boolean {
+  return destroyed || socket === null || socket.readableEnded;
+}
+
 function pathOf(target: string): string {
   const query = target.indexOf("?");
   return query < 0 ? target : target.slice(0, query);
