Refuse waiting requests whose time limit ends before their turn

Cause: a request could wait for a turn that came after its time limit. If the event loop ran the examination before the late timer of the limit, the request was sent with no time left. Change: the time limit bounds the wait, and a request past it is refused.

The test of a pause of 60 s expected a request with a limit of 4 s to be sent. It now pauses for just under 4 s, and a second test expects a refusal from 4 s on.

--- a/packages/rampswitch-serving/src/room/waiting_requests.ts
+++ b/packages/rampswitch-serving/src/room/waiting_requests.ts
@@ -113,7 +113,10 @@
       room,
       key: classKey(room.roomClass),
       rank: rankOf(room.roomClass),
-      latestAt: request.arrivedAt + room.targetMilliseconds * WAIT_SHARE,
+      latestAt: Math.min(
+        request.arrivedAt + room.targetMilliseconds * WAIT_SHARE,
+        request.endsAt,
+      ),
       ended: false,
       leave: () => this.#leave(entry),
     };
@@ -148,6 +151,11 @@
     for (const queue of [...this.#queues.values()]) {
       const blocked = new Set<string>();
       for (const entry of queue) {
+        // The event loop may run this before the late timer of the time limit.
+        if (now >= entry.request.endsAt) {
+          refused.push(entry);
+          continue;
+        }
         if (!blocked.has(entry.key) && this.#rooms.take(entry.room, now)) {
           sent.push(entry);
           continue;
