Bound classes of which a host has only returning requests

Cause: such a class has no demand, and while slots were free its part was 0 / 0. Its bucket became NaN, so all its requests were admitted while capacity was short, for as long as the class had requests. Change: the part of the host's own demand counts only if there is demand.

--- a/packages/rampswitch-serving/src/room/room_admission.ts
+++ b/packages/rampswitch-serving/src/room/room_admission.ts
@@ -409,8 +409,11 @@
       const isMet = granted * known >= fleet * MET_SHARE;
       // Arrivals vary more at one host than over all, so a class whose demand is met
       // also gets room for what is above this host's earlier part while slots are free.
+      // A class of which only returning requests came has no demand.
       const ownPart =
-        isMet && !room.isFull ? Math.max(part, (own / fleet) * known) : part;
+        isMet && !room.isFull && fleet > 0
+          ? Math.max(part, (own / fleet) * known)
+          : part;
       const perMillisecond = Math.max(0, ceiling * ownPart - due / lag);
       const capacity = Math.max(lag * perMillisecond, state.meanHold);
       const bucket =
--- a/packages/rampswitch-serving/src/room/room_admission_test.ts
+++ b/packages/rampswitch-serving/src/room/room_admission_test.ts
@@ -426,6 +426,22 @@
     expect(rates[0]).toBeGreaterThan(rates[1] ?? Infinity);
   });
 
+  test("bounds a class whose first request at this host is a returning one", () => {
+    const admission = admissionAlone();
+    for (let now = 0; now < 1_000; now += 10) {
+      admission.decide(request("a", { load: 7 }), now);
+      if (now === 500) admission.admitReturned(request("b"), now);
+    }
+    const room = admission.roomOf(request("b", { load: 8 }), 1_100);
+    expect(Number.isNaN(room.available)).toBe(false);
+    let admitted = 0;
+    for (let now = 1_100; now < 2_100; now += 5) {
+      const decision = admission.decide(request("b", { load: 16 }), now);
+      if (decision.kind === "admitted") admitted += 1;
+    }
+    expect(admitted).toBeLessThan(100);
+  });
+
   test("drops classes, peers and services that ended", () => {
     const admission = admissionAlone();
     for (let index = 0; index < 500; index += 1) {
