Bound the demand in a digest as that of all hosts in it

Cause: a relay's digest adds up the demand of all other hosts, but was bounded like the report of one host, at 8 times the slots. In a fleet whose demand is above that, every member took its part for larger than it is, and all together admitted more than the room. Change: the bound is that of one host times the number of other hosts, as if they reported directly.

--- a/packages/rampswitch-serving/src/membership/demand_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/demand_codec_test.ts
@@ -52,6 +52,7 @@
       now: 0,
       lagMilliseconds: 800,
       maximumOfPeer: 1_000,
+      hosts: 2,
     });
     expect([...demand.values()].map(({ fleet }) => fleet)).toEqual([7.75]);
   });
--- a/packages/rampswitch-serving/src/room/room_admission.ts
+++ b/packages/rampswitch-serving/src/room/room_admission.ts
@@ -335,6 +335,7 @@
       now,
       lagMilliseconds: lag,
       maximumOfPeer: MAXIMUM_PEER_DEMAND * room.slots,
+      hosts: source.hosts(),
     });
     state.classes = demand.size;
     const expected = this.#allocate(state, { demand, room, lag, now });
--- a/packages/rampswitch-serving/src/room/room_counts.ts
+++ b/packages/rampswitch-serving/src/room/room_counts.ts
@@ -173,7 +173,9 @@
 
   /**
    * Demand for a service by class. The rates of each peer are bounded to a maximum, so
-   * that a false report is limited in its effect.
+   * that a false report is limited in its effect. A digest adds up all other hosts, and
+   * may have that many times the maximum: with the bound of one peer, each member would
+   * take its part of a large demand for larger than it is.
    */
   demand(
     service: string,
@@ -181,9 +183,12 @@
       readonly now: number;
       readonly lagMilliseconds: number;
       readonly maximumOfPeer: number;
+      /** Number of hosts that may be serving, with this one. */
+      readonly hosts: number;
     },
   ): ReadonlyMap<string, FleetDemand> {
-    const { now, lagMilliseconds, maximumOfPeer } = options;
+    const { now, lagMilliseconds, maximumOfPeer, hosts } = options;
+    const maximumOfDigest = maximumOfPeer * Math.max(1, hosts - 1);
     const sums = new Map<string, DemandSum>();
     this.#ownCountsOf(service, now).forEach((count) => {
       const { roomClass, offered } = count;
@@ -195,13 +200,13 @@
       const key = classKey(roomClass);
       sums.set(key, { roomClass, own: offered, earlier, peers: 0 });
     });
-    this.#freshPeers(now).forEach(([, { rates }]) => {
+    this.#freshPeers(now).forEach(([peer, { rates }]) => {
+      const maximum = peer === FLEET_SENDER ? maximumOfDigest : maximumOfPeer;
       const ofService = rates.filter(
         ({ roomClass }) => roomClass.service === service,
       );
       const total = ofService.reduce((sum, rate) => sum + rate.offered, 0);
-      const isBounded = total > maximumOfPeer;
-      const scale = isBounded ? maximumOfPeer / total : 1;
+      const scale = total > maximum ? maximum / total : 1;
       ofService.forEach(({ roomClass, offered }) => {
         const key = classKey(roomClass);
         const known = sums.get(key);
--- a/packages/rampswitch-serving/src/room/room_counts_test.ts
+++ b/packages/rampswitch-serving/src/room/room_counts_test.ts
@@ -23,6 +23,7 @@
     now,
     lagMilliseconds: 250,
     maximumOfPeer: 100,
+    hosts: 62,
   });
   return [...all.values()].find((one) => one.roomClass.workspace === workspace);
 }
@@ -64,6 +65,20 @@
     expect(demandOf(counts, "a", 10)?.fleet).toBe(50);
   });
 
+  test("of a digest are bounded as those of all hosts that it adds up", () => {
+    const counts = new RoomCounts();
+    const receive = (offered: number) =>
+      counts.receiveFleet(
+        { isShort: true, rates: [rates("a", offered)] },
+        { own: undefined, now: 0 },
+      );
+    // Each of 61 other hosts asks for a tenth of what one may at most.
+    receive(610);
+    expect(demandOf(counts, "a", 10)?.fleet).toBe(610);
+    receive(1e12);
+    expect(demandOf(counts, "a", 10)?.fleet).toBe(6_100);
+  });
+
   test("are reported only while capacity is short here or at a peer", () => {
     const [one, other] = [new RoomCounts(), new RoomCounts()];
     one.addOffered(classOf("a"), 200, 0);
