--- a/packages/rampswitch-serving/src/estimates/mod.ts
+++ b/packages/rampswitch-serving/src/estimates/mod.ts
@@ -5,6 +5,5 @@
  *
  * @module
  */
-export * from "./reported_slowdowns.ts";
 export * from "./request_work.ts";
 export * from "./server_speed.ts";
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -23,7 +23,7 @@
 } from "./choice/slowdown_updates.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
-import { ReportedSlowdowns, type WorkEstimates } from "./estimates/mod.ts";
+import type { WorkEstimates } from "./estimates/mod.ts";
 import {
   type FleetDigest,
   type FleetView,
@@ -51,6 +51,7 @@
   RoomReport,
 } from "./room/mod.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
+import type { ReadingRates } from "./relay/reading_rates.ts";
 
 /** Sources and targets of updates. */
 export interface HostGossipParts {
@@ -61,6 +62,7 @@
   readonly limits: WorkspaceLimits;
   readonly metrics: ServingMetrics;
   readonly workEstimates: WorkEstimates;
+  readonly readingRates: ReadingRates;
   readonly dispatches: RecentDispatches;
   readonly meter: LoadMeter;
   readonly duties: HostDuties;
@@ -92,7 +94,6 @@
   #leavingUpdates: readonly LeavingUpdate[] = [];
   #limitUpdates: readonly LimitUpdate[] = [];
   #slowdownUpdates: readonly SlowdownUpdate[] = [];
-  readonly #reportedSlowdowns = new ReportedSlowdowns();
   #returnUpdates: readonly ReservationUpdate[] = [];
 
   constructor(parts: HostGossipParts) {
@@ -101,18 +102,13 @@
 
   /** Load of a service over all hosts; each call adds to the load's history. */
   load(service: string): ServiceLoad {
-    const slowdown = this.#reportedSlowdowns.mean(
-      service,
-      this.#parts.directory.of(service),
-      this.#parts.clock.now(),
-    );
     return {
       running: this.#parts.meter.meanRunning(
         service,
         this.#parts.directory.load(service, this.#parts.clock.now()),
       ),
       readTokensPerSecond: this.#parts.meter.readTokensPerSecond(service),
-      readingRate: this.#parts.workEstimates.prefillRate(service) / slowdown,
+      readingRate: this.#parts.readingRates.of(service),
     };
   }
 
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -38,7 +38,7 @@
 /** The parts of the request context that observations use. */
 export type ObservationContext = Pick<
   RequestContext,
-  "clock" | "metrics" | "workEstimates"
+  "clock" | "metrics" | "readingRates" | "workEstimates"
 >;
 
 /**
@@ -75,7 +75,7 @@
 export function observeFirstPart(
   request: AdmittedRequest,
   send: TimedSend,
-  { clock, workEstimates }: ObservationContext,
+  { clock, readingRates, workEstimates }: ObservationContext,
 ): ComparedTime | undefined {
   const { choice, sentAt, unreadBefore } = send;
   const { name, engine } = request.service;
@@ -88,8 +88,10 @@
     choice.workMilliseconds,
   );
   if (unreadBefore <= 0) {
+    const tokens = promptTokensOf(request.head) - choice.cachedTokens;
+    readingRates.addMeasurement(name, tokens, measured);
     workEstimates.addPrefill(name, {
-      tokens: promptTokensOf(request.head) - choice.cachedTokens,
+      tokens,
       milliseconds: atUsualSpeed(measured, speed, now),
     });
   }
--- a/packages/rampswitch-serving/src/relay/observed_answers_test.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers_test.ts
@@ -15,6 +15,7 @@
   observeFirstPart,
   observeReportedLoad,
 } from "./observed_answers.ts";
+import { ReadingRates } from "./reading_rates.ts";
 
 const ENGINE = { slots: 48, memoryTokens: 600_000, migratable: true };
 
@@ -41,6 +42,7 @@
   const clock = new ManualClock(10_000);
   const events: string[] = [];
   const workEstimates = new WorkEstimates();
+  const readingRates = new ReadingRates();
   const metrics = { event: (name: string) => events.push(name) };
   const record = new ServerRecord({
     id: "s1",
@@ -58,7 +60,7 @@
     events,
     record,
     workEstimates,
-    context: { clock, metrics, workEstimates } as never,
+    context: { clock, metrics, readingRates, workEstimates } as never,
   };
 }
 
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -25,6 +25,7 @@
   RoomAdmission,
   WaitingRequests,
 } from "../room/mod.ts";
+import type { ReadingRates } from "./reading_rates.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 
@@ -58,6 +59,8 @@
   readonly directory: ServerDirectory;
   readonly prefixes: PrefixCacheEstimate;
   readonly workEstimates: WorkEstimates;
+  /** Rates at which engines read prompts, by which servers are planned. */
+  readonly readingRates: ReadingRates;
   readonly room: RoomAdmission;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -56,6 +56,7 @@
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
+import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
 import {
@@ -142,6 +143,7 @@
   #stopping: Promise<void> | undefined;
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
+  readonly #readingRates = new ReadingRates();
   readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
   readonly #backOffWaits = new PermitWaits();
@@ -374,6 +376,7 @@
       limits: this.#limits,
       metrics: ports.metrics,
       workEstimates: this.#workEstimates,
+      readingRates: this.#readingRates,
       dispatches: this.#dispatches,
       meter: this.#meter,
       duties: this.#duties,
@@ -533,6 +536,7 @@
       directory: this.#directory,
       prefixes: this.#prefixes,
       workEstimates: this.#workEstimates,
+      readingRates: this.#readingRates,
       room: this.#room,
       admission: this.#admission,
       budget: this.#budget,
