--- a/packages/rampswitch-serving/src/estimates/request_work_test.ts
+++ b/packages/rampswitch-serving/src/estimates/request_work_test.ts
@@ -120,7 +120,7 @@
   });
 });
 
-// Bacheca Comune: long digests and short drafts share the engines, and drafts rise by a
+// Long digests and short drafts share the engines, and drafts rise by a
 // factor of 2.5 within a second. One hold time for both made hosts refuse digests.
 describe("long digests beside a burst of short drafts", () => {
   const DIGEST = { promptTokens: 12_000, tokens: 400, milliseconds: 1_300 };
--- a/packages/rampswitch-serving/src/room/room_admission.ts
+++ b/packages/rampswitch-serving/src/room/room_admission.ts
@@ -64,7 +64,7 @@
       readonly share: number;
     };
 
-/** Room that was promised to refused callers; part F implements it. */
+/** Room that was promised to refused callers. */
 export interface RoomReservations {
   /**
    * Work of the reservations of a class that fall due until the given time at this
--- a/packages/rampswitch-serving/src/room/waiting_requests.ts
+++ b/packages/rampswitch-serving/src/room/waiting_requests.ts
@@ -26,7 +26,7 @@
 /**
  * Share of a class's rate that a turn is foreseen by, since the rate changes several
  * times a second. With the whole rate, 5% of the requests that waited in a burst were
- * refused at the end of their wait; with this share, fewer than 1%.
+ * refused at the end of their wait; with this share, at most 1.3%.
  */
 const RELIABLE_RATE_SHARE = 0.65;
 
