--- a/packages/rampswitch-serving/src/choice/slow_servers_test.ts
+++ b/packages/rampswitch-serving/src/choice/slow_servers_test.ts
@@ -13,9 +13,10 @@
 import { ServerRecord } from "./server_record.ts";
 import { ownSlowdowns, receiveSlowdowns } from "./slowdown_updates.ts";
 
-// 15% of the time, a server takes 2.5 times as long, for about 600 ms. The load here is twelve plain servers, 40 ms a request, 250 requests a second; every
-// 600 ms two others are slow, which is 16.7% of the servers. Without knowledge of the
-// speeds, 11.3 to 11.7% of the sends of one host began at a slow server in this replay.
+// 15% of the time, a server takes 2.5 times as long, for about 600 ms. The load here is
+// twelve plain servers, 40 ms a request, 250 requests a second; every 600 ms two others
+// are slow, which is 16.7% of the servers. Without knowledge of the speeds, 11.3 to 11.7%
+// of the sends of one host began at a slow server in this replay.
 
 const SERVERS = 12;
 const SLOTS = 6;
