Share class keys, weights of means, bounds and loads that stood twice

Cause: three modules of room/ each built the same key of a class, three estimates repeated the weight of a running mean, two estimates of prompt rates repeated their bounds, and the room of a service repeated the bounds of loads and slowdowns.

--- a/packages/rampswitch-serving/src/choice/slot_admission.ts
+++ b/packages/rampswitch-serving/src/choice/slot_admission.ts
@@ -46,16 +46,22 @@
 }
 
 /**
- * Adds up the slots of servers. The load of each is bounded, so that one server with a
+ * Load of a server as it counts among others; it is bounded, so that one server with a
  * false report can't make hosts refuse requests.
  */
+export function boundedLoad({ slots, load }: ServerSlots): number {
+  return Math.min(Math.max(load, 0), MAXIMUM_LOAD_RATIO * slots);
+}
+
+/** Adds up the slots of servers. */
 export function slotTotals(servers: readonly ServerSlots[]): SlotTotals {
   const sum = { slots: 0, load: 0, running: 0 };
-  for (const { slots, load } of servers) {
-    const boundedLoad = Math.min(Math.max(load, 0), MAXIMUM_LOAD_RATIO * slots);
+  for (const server of servers) {
+    const { slots } = server;
+    const load = boundedLoad(server);
     sum.slots += slots;
-    sum.load += boundedLoad;
-    sum.running += Math.min(slots, boundedLoad);
+    sum.load += load;
+    sum.running += Math.min(slots, load);
   }
   return sum;
 }
--- a/packages/rampswitch-serving/src/estimates/learned_work.ts
+++ b/packages/rampswitch-serving/src/estimates/learned_work.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { measurementWeight } from "./running_mean.ts";
 
 /** Time of an answer before the first measurement, in milliseconds. */
 const INITIAL_ANSWER_MILLISECONDS = 1_000;
@@ -83,5 +84,5 @@
 }
 
 function weightOf(measurements: number): number {
-  return Math.max(MINIMUM_WEIGHT, 1 / measurements);
+  return measurementWeight(measurements, MINIMUM_WEIGHT);
 }
--- a/packages/rampswitch-serving/src/estimates/mod.ts
+++ b/packages/rampswitch-serving/src/estimates/mod.ts
@@ -5,5 +5,6 @@
  *
  * @module
  */
+export * from "./reading_rates.ts";
 export * from "./request_work.ts";
 export * from "./server_speed.ts";
--- a/packages/rampswitch-serving/src/estimates/prefill_rate.ts
+++ b/packages/rampswitch-serving/src/estimates/prefill_rate.ts
@@ -6,15 +6,16 @@
  *
  * @module
  */
+import { measurementWeight } from "./running_mean.ts";
 
 /** Rate before the first measurement, in tokens a millisecond: an average engine. */
-const INITIAL_TOKENS_PER_MILLISECOND = 40;
+export const INITIAL_TOKENS_PER_MILLISECOND = 40;
 
 /** Minimum length of a measured prompt, in tokens; shorter ones are too inexact. */
-const MINIMUM_MEASURED_TOKENS = 3_000;
+export const MINIMUM_MEASURED_TOKENS = 3_000;
 
 /** Minimum weight of a new measurement; the first ones are averaged equally. */
-const MINIMUM_WEIGHT = 0.05;
+export const MINIMUM_RATE_WEIGHT = 0.05;
 
 /** Bounds of accepted measurements, in tokens a millisecond; others are clamped. */
 const RATE_RANGE = { minimum: 10, maximum: 200 };
@@ -71,16 +72,21 @@
     const tokens = prompt.tokens - Math.max(0, fastest.tokens);
     const reading = prompt.milliseconds - milliseconds;
     if (tokens < MINIMUM_DIFFERENCE_TOKENS || reading <= 0) return;
-    const rate = Math.min(
-      RATE_RANGE.maximum,
-      Math.max(RATE_RANGE.minimum, tokens / reading),
-    );
+    const rate = boundedRate(tokens / reading);
     this.#measurements += 1;
-    const weight = Math.max(MINIMUM_WEIGHT, 1 / this.#measurements);
+    const weight = measurementWeight(this.#measurements, MINIMUM_RATE_WEIGHT);
     this.tokensPerMillisecond += weight * (rate - this.tokensPerMillisecond);
   }
 }
 
+/** Bounds a measured rate. */
+export function boundedRate(tokensPerMillisecond: number): number {
+  return Math.min(
+    RATE_RANGE.maximum,
+    Math.max(RATE_RANGE.minimum, tokensPerMillisecond),
+  );
+}
+
 function isLongPrompt({ tokens }: MeasuredPrompt): boolean {
   return tokens >= MINIMUM_MEASURED_TOKENS;
 }
--- a/packages/rampswitch-serving/src/estimates/ratio_calibration.ts
+++ b/packages/rampswitch-serving/src/estimates/ratio_calibration.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { measurementWeight } from "./running_mean.ts";
 
 /** Minimum weight of a new ratio; the first ones are averaged equally. */
 const MINIMUM_WEIGHT = 0.02;
@@ -33,7 +34,7 @@
     if (!(ratio > 0)) return 1;
     const log = Math.log(ratio);
     this.#ratios += 1;
-    const weight = Math.max(MINIMUM_WEIGHT, 1 / this.#ratios);
+    const weight = measurementWeight(this.#ratios, MINIMUM_WEIGHT);
     const difference = log - this.#meanLog;
     const beyond = Math.max(0, Math.abs(difference) - this.#deviation);
     const isKnown = this.#ratios > MINIMUM_RATIOS;
--- a/packages/rampswitch-serving/src/relay/reading_rates.ts
+++ b/packages/rampswitch-serving/src/estimates/reading_rates.ts
@@ -7,26 +7,18 @@
  *
  * @module
  */
-
+import {
+  boundedRate,
+  INITIAL_TOKENS_PER_MILLISECOND,
+  MINIMUM_MEASURED_TOKENS,
+  MINIMUM_RATE_WEIGHT,
+} from "./prefill_rate.ts";
 import {
   initialMean,
   type RunningMean,
   withMeasurement,
 } from "./running_mean.ts";
 
-/** Rate before the first measurement, in tokens a millisecond: an average engine. */
-const INITIAL_TOKENS_PER_MILLISECOND = 40;
-
-/** Minimum length of a measured prompt, in tokens; shorter ones are too inexact. */
-const MINIMUM_MEASURED_TOKENS = 3_000;
-
-/** Minimum weight of a new measurement; the first ones are averaged equally. */
-const MINIMUM_WEIGHT = 0.05;
-
-/** Bounds of accepted measurements, in tokens a millisecond; others are clamped. */
-const MINIMUM_TOKENS_PER_MILLISECOND = 10;
-const MAXIMUM_TOKENS_PER_MILLISECOND = 200;
-
 /** Factor on the minimum time at each answer, so that the minimum can rise again. */
 const MINIMUM_TIME_GROWTH = 1.005;
 
@@ -60,14 +52,15 @@
     );
     const reading = milliseconds - minimumMilliseconds;
     const isInformative = tokens >= MINIMUM_MEASURED_TOKENS && reading > 0;
-    const sample = Math.min(
-      MAXIMUM_TOKENS_PER_MILLISECOND,
-      Math.max(MINIMUM_TOKENS_PER_MILLISECOND, tokens / reading),
-    );
+    const sample = boundedRate(tokens / reading);
     this.#rates.set(service, {
       minimumMilliseconds,
       tokensPerMillisecond: isInformative
-        ? withMeasurement(known.tokensPerMillisecond, sample, MINIMUM_WEIGHT)
+        ? withMeasurement(
+            known.tokensPerMillisecond,
+            sample,
+            MINIMUM_RATE_WEIGHT,
+          )
         : known.tokensPerMillisecond,
     });
   }
--- a/packages/rampswitch-serving/src/relay/running_mean.ts
+++ b/packages/rampswitch-serving/src/estimates/running_mean.ts
@@ -19,6 +19,14 @@
   return { measurements: 1, value };
 }
 
+/** Weight of the newest one of some measurements. */
+export function measurementWeight(
+  measurements: number,
+  minimumWeight: number,
+): number {
+  return Math.max(minimumWeight, 1 / measurements);
+}
+
 /** The mean with one measurement added. */
 export function withMeasurement(
   mean: RunningMean,
@@ -26,7 +34,7 @@
   minimumWeight: number,
 ): RunningMean {
   const measurements = mean.measurements + 1;
-  const weight = Math.max(minimumWeight, 1 / measurements);
+  const weight = measurementWeight(measurements, minimumWeight);
   return {
     measurements,
     value: mean.value + weight * (measurement - mean.value),
--- a/packages/rampswitch-serving/src/estimates/server_speed.ts
+++ b/packages/rampswitch-serving/src/estimates/server_speed.ts
@@ -10,7 +10,7 @@
  */
 
 /** Bounds of a slowdown. */
-export const SLOWDOWN_RANGE = { minimum: 0.25, maximum: 8 };
+const SLOWDOWN_RANGE = { minimum: 0.25, maximum: 8 };
 
 /** Reported figure of a server at its usual speed. */
 const USUAL_FIGURE = 100;
@@ -112,7 +112,7 @@
     if (isInForce && sentAt < this.#reportedSentAt) return true;
     this.#former = this.reportedFactor(now);
     this.#formerUntil = now;
-    this.#reported = bounded(figure / USUAL_FIGURE);
+    this.#reported = boundedSlowdown(figure / USUAL_FIGURE);
     this.#reportedAt = now;
     this.#reportedSentAt = sentAt;
     this.#extendActivity(now + FIGURE_LIFETIME_MILLISECONDS);
@@ -130,7 +130,7 @@
   ): void {
     if (!(ratio > 0)) return;
     const unexplained = Math.log(
-      bounded(this.#unexplained(ratio, now, sentAt)),
+      boundedSlowdown(this.#unexplained(ratio, now, sentAt)),
     );
     const known = this.#learnedLogAt(now);
     this.#learnedLog = known + ANSWER_WEIGHT * (unexplained - known);
@@ -143,7 +143,7 @@
   /** Applies a value that other hosts learned; values out of bounds have no effect. */
   received(value: LearnedSlowdown, now: number, source: SlowdownSource): void {
     const { slowdown, hosts } = value;
-    if (!(hosts >= 1) || slowdown !== bounded(slowdown)) return;
+    if (!(hosts >= 1) || slowdown !== boundedSlowdown(slowdown)) return;
     const lifetime = source.relayed
       ? RELAYED_VALUE_LIFETIME_MILLISECONDS
       : PEER_VALUE_LIFETIME_MILLISECONDS;
@@ -171,7 +171,8 @@
     if (now >= this.#activeUntil) return 1;
     const reported = this.reportedFactor(now);
     const learned = this.#learnedByHosts(now);
-    if (learned >= LOG_NOTABLE) return bounded(reported * Math.exp(learned));
+    if (learned >= LOG_NOTABLE)
+      return boundedSlowdown(reported * Math.exp(learned));
     // A server that reports too high figures is no slower than usual.
     if (learned <= -LOG_NOTABLE && reported > 1) {
       return Math.max(1, reported * Math.exp(learned));
@@ -199,11 +200,6 @@
       : 1;
   }
 
-  /** Returns the factor that the server reported last; `undefined` if it expired. */
-  lastReportedFactor(now: number): number | undefined {
-    return this.isReported(now) ? this.#reported : undefined;
-  }
-
   /** Returns what this host learned, for its peers; `undefined` if it is near 1. */
   ownLearned(now: number): number | undefined {
     if (Math.abs(this.#learnedLog) < LOG_REPORTED) return undefined;
@@ -278,7 +274,8 @@
   }
 }
 
-function bounded(slowdown: number): number {
+/** Bounds a slowdown. */
+export function boundedSlowdown(slowdown: number): number {
   return Math.min(
     SLOWDOWN_RANGE.maximum,
     Math.max(SLOWDOWN_RANGE.minimum, slowdown),
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -10,20 +10,18 @@
 import type { AdmittedTotals, WorkspaceLimits } from "./admission/mod.ts";
 import {
   type LeavingUpdate,
+  maximumSlowdown,
+  ownSlowdowns,
   type PrefixCacheEstimate,
+  receiveSlowdowns,
   type ServerDirectory,
+  slowdownsByAll,
   type SlowdownUpdate,
   workWithout,
 } from "./choice/mod.ts";
-import {
-  maximumSlowdown,
-  ownSlowdowns,
-  receiveSlowdowns,
-  slowdownsByAll,
-} from "./choice/slowdown_updates.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
-import type { WorkEstimates } from "./estimates/mod.ts";
+import type { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import {
   type FleetDigest,
   type FleetView,
@@ -51,7 +49,6 @@
   RoomReport,
 } from "./room/mod.ts";
 import type { LoadMeter } from "./relay/load_meter.ts";
-import type { ReadingRates } from "./relay/reading_rates.ts";
 
 /** Sources and targets of updates. */
 export interface HostGossipParts {
--- a/packages/rampswitch-serving/src/relay/observed_answers_test.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers_test.ts
@@ -8,14 +8,13 @@
   ServerRecord,
   slotTotals,
 } from "../choice/mod.ts";
-import { WorkEstimates } from "../estimates/mod.ts";
+import { ReadingRates, WorkEstimates } from "../estimates/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import {
   observeAnswer,
   observeFirstPart,
   observeReportedLoad,
 } from "./observed_answers.ts";
-import { ReadingRates } from "./reading_rates.ts";
 
 const ENGINE = { slots: 48, memoryTokens: 600_000, migratable: true };
 
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { ServerRecord } from "../choice/mod.ts";
 import { REFUSALS, type RefusalReason } from "../model/outcome.ts";
 import { roomClassOf } from "../room/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
@@ -91,11 +92,10 @@
 }
 
 /**
- * Time after which the caller is asked to retry, in seconds: when room is expected,
- * not before a
- * quarantined request may run as a trial, not before a permit is free if only
- * limited servers are left, and not before the first back-off ends if all servers
- * have asked for one.
+ * Time after which the caller is asked to retry, in seconds: when room is expected, not
+ * before a quarantined request may run as a trial, not before a permit is free if only
+ * limited servers are left, and not before the first back-off ends if all servers have
+ * asked for one.
  */
 function retryAfterSeconds(
   reason: RefusalReason,
@@ -140,8 +140,7 @@
   { clock, directory, hosts, returns, workEstimates }: RefusalContext,
 ): number {
   const { service, fingerprint } = request;
-  const ready = directory.of(service.name).filter(({ isReady }) => isReady);
-  const slots = ready.reduce((sum, { entry }) => sum + entry.slots, 0);
+  const slots = slotsOf(readyServers(service, directory));
   const room = shortage?.room ?? {
     perMillisecond: 0,
     available: 0,
@@ -165,14 +164,14 @@
   { clock, directory, hosts, backOffWaits, workEstimates }: RefusalContext,
 ): number {
   const now = clock.now();
-  const ready = directory.of(service.name).filter(({ isReady }) => isReady);
+  const ready = readyServers(service, directory);
   const ends = ready.map(({ backOff: rest }) => rest.returnsAt);
   backOffWaits.recordRefusal(
     service.name,
     Math.max(0, Math.min(...ends) - now),
     now,
   );
-  const slots = ready.reduce((sum, { entry }) => sum + entry.slots, 0);
+  const slots = slotsOf(ready);
   const perSecond =
     (1_000 * slots) / workEstimates.meanHoldMilliseconds(service.name);
   return backOffWaits.assignRetryDelay(
@@ -192,3 +191,14 @@
     .filter(({ isReady }) => isReady);
   return permits.assignRetryDelay(service.name, limited);
 }
+
+function readyServers(
+  { name }: AdmittedRequest["service"],
+  directory: RefusalContext["directory"],
+): readonly ServerRecord[] {
+  return directory.of(name).filter(({ isReady }) => isReady);
+}
+
+function slotsOf(servers: readonly ServerRecord[]): number {
+  return servers.reduce((sum, { entry }) => sum + entry.slots, 0);
+}
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -13,7 +13,7 @@
   ServerDirectory,
   ServerRecord,
 } from "../choice/mod.ts";
-import type { WorkEstimates } from "../estimates/mod.ts";
+import type { ReadingRates, WorkEstimates } from "../estimates/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
@@ -25,7 +25,6 @@
   RoomAdmission,
   WaitingRequests,
 } from "../room/mod.ts";
-import type { ReadingRates } from "./reading_rates.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 
--- a/packages/rampswitch-serving/src/room/reservations.ts
+++ b/packages/rampswitch-serving/src/room/reservations.ts
@@ -6,7 +6,12 @@
  *
  * @module
  */
-import { classKey, type RoomClass, rankLabel, rankOf } from "./room_class.ts";
+import {
+  rankLabel,
+  rankOf,
+  type RoomClass,
+  serviceClassKey,
+} from "./room_class.ts";
 
 /**
  * Time before the assigned one from which a caller is recognized, in milliseconds.
@@ -144,7 +149,7 @@
       relayed: 0,
     };
     this.#insert(added);
-    const key = ownKey(roomClass);
+    const key = serviceClassKey(roomClass);
     const own = this.#own.get(key);
     if (own === undefined) this.#own.set(key, [added]);
     else own.push(added);
@@ -185,8 +190,9 @@
     if (this.#own.size === 0) return 0;
     this.#dropLapsed(now);
     let sum = 0;
-    for (const { due, kept, promise } of this.#own.get(ownKey(roomClass)) ??
-      []) {
+    for (const { due, kept, promise } of this.#own.get(
+      serviceClassKey(roomClass),
+    ) ?? []) {
       if (promise === undefined) continue;
       if (!kept && now >= due + LAPSE_MILLISECONDS) continue;
       const { from, until: end } = promise.setAside;
@@ -324,7 +330,3 @@
     }
   }
 }
-
-function ownKey(roomClass: RoomClass): string {
-  return `${roomClass.service}/${classKey(roomClass)}`;
-}
--- a/packages/rampswitch-serving/src/room/return_times.ts
+++ b/packages/rampswitch-serving/src/room/return_times.ts
@@ -18,7 +18,7 @@
   Reservations,
 } from "./reservations.ts";
 import type { ClassRoom } from "./room_admission.ts";
-import { classKey, rankLabel, type RoomClass } from "./room_class.ts";
+import { rankLabel, type RoomClass, serviceClassKey } from "./room_class.ts";
 
 /** Share of a class's room that is promised, so that new requests get the other half. */
 const PROMISED_SHARE = 0.5;
@@ -244,7 +244,7 @@
   }
 
   #scheduleOf(roomClass: RoomClass, now: number): Schedule {
-    const key = scheduleKey(roomClass);
+    const key = serviceClassKey(roomClass);
     const known = this.#schedules.get(key);
     if (known !== undefined) return known;
     this.#dropOldSchedules(now);
@@ -296,7 +296,3 @@
   schedule.peakAt = now;
   return schedule.peakRate;
 }
-
-function scheduleKey(roomClass: RoomClass): string {
-  return `${roomClass.service}/${classKey(roomClass)}`;
-}
--- a/packages/rampswitch-serving/src/room/room_class.ts
+++ b/packages/rampswitch-serving/src/room/room_class.ts
@@ -38,6 +38,11 @@
   return `${rankOf(roomClass)}/${roomClass.workspace}`;
 }
 
+/** Key of a class among the classes of all services. */
+export function serviceClassKey(roomClass: RoomClass): string {
+  return `${roomClass.service}/${classKey(roomClass)}`;
+}
+
 /** Class of an admitted request. */
 export function roomClassOf(request: {
   readonly service: { readonly name: string };
--- a/packages/rampswitch-serving/src/room/room_counts.ts
+++ b/packages/rampswitch-serving/src/room/room_counts.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { classKey, type RoomClass } from "./room_class.ts";
+import { classKey, type RoomClass, serviceClassKey } from "./room_class.ts";
 
 /** Rates of one class, in slots: slot milliseconds a millisecond. */
 export interface ClassRates {
@@ -343,9 +343,11 @@
   rates: readonly ClassRates[],
   others: readonly ClassRates[],
 ): readonly ClassRates[] {
-  const removed = new Map(others.map((rate) => [rateKey(rate), rate]));
+  const removed = new Map(
+    others.map((rate) => [serviceClassKey(rate.roomClass), rate]),
+  );
   return rates.map((rate) => {
-    const other = removed.get(rateKey(rate));
+    const other = removed.get(serviceClassKey(rate.roomClass));
     return other === undefined
       ? rate
       : {
@@ -356,15 +358,11 @@
   });
 }
 
-function rateKey({ roomClass }: ClassRates): string {
-  return `${roomClass.service}/${classKey(roomClass)}`;
-}
-
 function summedRates(rates: readonly ClassRates[]): readonly ClassRates[] {
   const sums = new Map<string, ClassRates>();
   rates.forEach((rate) => {
     const { roomClass, offered, admitted } = rate;
-    const key = rateKey(rate);
+    const key = serviceClassKey(roomClass);
     const known = sums.get(key);
     sums.set(key, {
       roomClass,
--- a/packages/rampswitch-serving/src/room/service_room.ts
+++ b/packages/rampswitch-serving/src/room/service_room.ts
@@ -6,6 +6,8 @@
  *
  * @module
  */
+import { boundedLoad } from "../choice/slot_admission.ts";
+import { boundedSlowdown } from "../estimates/mod.ts";
 
 /** One server that accepts requests. */
 export interface ServerRoom {
@@ -77,16 +79,6 @@
 /** Share of the slots below which free slots are filled within one lag. */
 const FILLED_AT_ONCE_BELOW = 0.75;
 
-/**
- * Maximum load of one server that counts, as a multiple of its slots, so that one false
- * report does not refuse requests for all servers.
- */
-const MAXIMUM_LOAD_RATIO = 2;
-
-/** Bounds of a slowdown. */
-const MINIMUM_SLOWDOWN = 0.25;
-const MAXIMUM_SLOWDOWN = 8;
-
 /** Growth before any request was refused. */
 export const INITIAL_GROWTH = 1;
 
@@ -178,18 +170,11 @@
 } {
   const totals = { slots: 0, load: 0, ownLoad: 0, served: 0 };
   servers.forEach((server) => {
-    const slowdown = Math.min(
-      MAXIMUM_SLOWDOWN,
-      Math.max(MINIMUM_SLOWDOWN, server.slowdown),
-    );
-    const load = Math.min(
-      Math.max(server.load, 0),
-      MAXIMUM_LOAD_RATIO * server.slots,
-    );
+    const load = boundedLoad(server);
     totals.slots += server.slots;
     totals.load += load;
     totals.ownLoad += Math.min(server.ownLoad, load);
-    totals.served += server.slots / slowdown;
+    totals.served += server.slots / boundedSlowdown(server.slowdown);
   });
   return totals;
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -29,7 +29,7 @@
   ConfigurationFollower,
   type StoredFormats,
 } from "./configuration/configuration_follower.ts";
-import { WorkEstimates } from "./estimates/mod.ts";
+import { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import { HostDuties } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
 import { serveReadiness } from "./intake/readiness_server.ts";
@@ -56,7 +56,6 @@
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
-import { ReadingRates } from "./relay/reading_rates.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { waitUntilIdle } from "./planned_stop.ts";
 import {
