Show which servers a host does not reach, and whether its peers do

Cause: of hosts that are cut off from servers the lines said only that one send failed.

Change: a host keeps when it last heard each server and whether connections to it failed since; it logs 'server out of reach' (with the number of peers that report the same) and 'server in reach', sets a gauge, and tells its peers. Updates and digests carry the list only while there is one.

Ruled out: telling reach from the outcome of requests; a server that answers with a failure is reached.

No logic of requests is changed.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -61,11 +61,43 @@
   readonly pool: Pool;
 }
 
+/** Opens a connection to a backend server. */
+export type ServerConnector = buildConnector.connector;
+
+/** Is notified of what this host notices of the servers' connections. */
+export interface ContactObserver {
+  /** Bytes of a server arrived. */
+  heard(server: string): void;
+  /** No connection to a server came up. */
+  connectionFailed(server: string, detail: string): void;
+  /** A server is no longer used. */
+  forget(server: string): void;
+}
+
+const NO_OBSERVER: ContactObserver = {
+  heard: () => undefined,
+  connectionFailed: () => undefined,
+  forget: () => undefined,
+};
+
 /** Sends requests to backend servers through one connection pool per server. */
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, AddressPool>();
   readonly #ends = new ConnectionEnds();
-  readonly #connect = this.#ends.connector();
+  readonly #connect: ServerConnector;
+  readonly #contacts: ContactObserver;
+
+  constructor(
+    options: {
+      readonly contacts?: ContactObserver;
+      readonly connector?: ServerConnector | undefined;
+    } = {},
+  ) {
+    this.#contacts = options.contacts ?? NO_OBSERVER;
+    this.#connect = this.#ends.connector(
+      options.connector ?? buildConnector({ timeout: CONNECT_MILLISECONDS }),
+    );
+  }
 
   /** Sends a request to a server. */
   send(
@@ -73,7 +105,8 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const handler = new SendHandler(listener, this.#ends);
+    const contact = { server: server.id, contacts: this.#contacts };
+    const handler = new SendHandler(listener, this.#ends, contact);
     this.#pool(server).dispatch(
       {
         method: request.method,
@@ -90,6 +123,7 @@
   forget(serverId: string): void {
     const known = this.#pools.get(serverId);
     if (known === undefined) return;
+    this.#contacts.forget(serverId);
     this.#pools.delete(serverId);
     void known.pool.close();
   }
@@ -139,8 +173,7 @@
   }
 
   /** Opens connections whose end is noticed before undici handles it. */
-  connector(): buildConnector.connector {
-    const open = buildConnector({ timeout: CONNECT_MILLISECONDS });
+  connector(open: ServerConnector): ServerConnector {
     return (options, callback) =>
       open(options, (...result) => {
         const [, socket] = result;
@@ -162,12 +195,14 @@
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
   readonly #ends: ConnectionEnds;
+  readonly #contact: Contact;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
 
-  constructor(listener: SendListener, ends: ConnectionEnds) {
+  constructor(listener: SendListener, ends: ConnectionEnds, contact: Contact) {
     this.#listener = listener;
     this.#ends = ends;
+    this.#contact = contact;
   }
 
   abort(): void {
@@ -195,6 +230,7 @@
     controller: Dispatcher.DispatchController,
     statusCode: number,
   ): void {
+    this.#heard();
     if (this.#aborted || statusCode < FIRST_FINAL_STATUS) return;
     this.#listener.head(statusCode, decodeHeaders(controller.rawHeaders));
   }
@@ -203,6 +239,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#heard();
     if (!this.#aborted) this.#listener.data(chunk);
   }
 
@@ -220,11 +257,28 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
+    const written = this.#controller !== undefined;
+    if (!written) this.#connectionFailed(error.message);
     if (this.#aborted) return;
     this.#aborted = true;
-    const written = this.#controller !== undefined;
     this.#listener.failed(written ? "lost" : "not_written", error.message);
   }
+
+  #heard(): void {
+    const { server, contacts } = this.#contact;
+    contacts.heard(server);
+  }
+
+  #connectionFailed(detail: string): void {
+    const { server, contacts } = this.#contact;
+    contacts.connectionFailed(server, detail);
+  }
+}
+
+/** A server, and the observer of its connections. */
+interface Contact {
+  readonly server: string;
+  readonly contacts: ContactObserver;
 }
 
 /** Answers with a lower status are informational. */
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -41,6 +41,7 @@
   PermitUpdate,
 } from "./server_limits/mod.ts";
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
+import type { PeerReach, ServerContacts } from "./reach/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type {
   ReservationUpdate,
@@ -52,6 +53,8 @@
 
 /** Sources and targets of updates. */
 export interface HostGossipParts {
+  /** Name of this host. */
+  readonly host: string;
   /** A monotonic clock. */
   readonly clock: Clock;
   readonly directory: ServerDirectory;
@@ -70,6 +73,8 @@
   readonly leavingAdvertisements: LeavingAdvertisements;
   readonly roomCounts: RoomCounts;
   readonly reservations: Reservations;
+  readonly contacts: ServerContacts;
+  readonly peerReach: PeerReach;
   /** Hosts that may issue permits for limited servers. */
   permitHolders(): readonly string[];
   /** Fleet time, the time of day on which the hosts agree, in milliseconds. */
@@ -165,6 +170,7 @@
       slowdowns,
       room,
       returns: reservations.updates(this.#parts.clock.now()),
+      outOfReach: this.#parts.contacts.outOfReach(),
     };
   }
 
@@ -225,9 +231,16 @@
       slowdowns: this.#slowdownUpdates,
       room: this.#parts.roomCounts.reportExcept(host, now),
       returns: this.#returnUpdates,
+      hostsLackingReach: this.#hostsLackingReach(),
     };
   }
 
+  #hostsLackingReach(): readonly string[] {
+    const { host, contacts, peerReach } = this.#parts;
+    const peers = peerReach.hosts();
+    return contacts.outOfReach().length === 0 ? peers : [host, ...peers];
+  }
+
   /** Applies a relay's digest of the whole fleet. */
   receiveDigest(digest: FleetDigest): void {
     const { directory, limits, clock } = this.#parts;
@@ -269,6 +282,7 @@
       digest.acknowledgedByHost === undefined ? undefined : acknowledged?.room;
     this.#parts.roomCounts.receiveFleet(digest.room, { own: ownRoom, now });
     this.#parts.reservations.receive(digest.returns, { age: 0, now });
+    this.#parts.peerReach.receiveFleet(digest.hostsLackingReach);
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -295,6 +309,7 @@
     });
     this.#parts.roomCounts.receive(update.host, update.room, now - age);
     this.#parts.reservations.receive(update.returns, { age, now });
+    this.#parts.peerReach.receive(update.host, update.outOfReach, age);
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -7,6 +7,7 @@
  */
 import {
   type FieldChecks,
+  isName,
   isNonnegative,
   isNumber,
   isNumberPair,
@@ -75,6 +76,7 @@
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
+  readonly ur?: readonly string[] | undefined;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -105,6 +107,7 @@
   sp: isSlowdowns,
   rm: isDemand,
   rt: isReturns,
+  ur: optional(listOf(isName)),
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -129,6 +132,10 @@
     sp: encodedSlowdowns(digest.slowdowns),
     rm: encodedDemand(digest.room),
     rt: encodedReturns(digest.returns),
+    ur:
+      digest.hostsLackingReach.length === 0
+        ? undefined
+        : digest.hostsLackingReach,
     h: digest.permitHolders.length === 0 ? undefined : digest.permitHolders,
     z: digest.acknowledgedByHost,
     l: digest.leases.map(({ fence, version }) => [fence, version]),
@@ -171,6 +178,7 @@
     slowdowns: slowdownsOf(message.sp),
     room: demandOf(message.rm),
     returns: returnsOf(message.rt),
+    hostsLackingReach: message.ur ?? [],
     permitHolders: message.h ?? [],
     acknowledgedByHost: message.z,
   };
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -94,6 +94,8 @@
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
   readonly returns: readonly ReservationUpdate[];
+  /** Ids of the backend servers that the host does not reach. */
+  readonly outOfReach: readonly string[];
 }
 
 /** State of all hosts, or of all but the receiver, which a relay sends. */
@@ -124,6 +126,8 @@
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
   readonly returns: readonly ReservationUpdate[];
+  /** Names of the hosts that do not reach some backend server. */
+  readonly hostsLackingReach: readonly string[];
 }
 
 /** Digest of the fleet, which a relay sends to the hosts of its data hall. */
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -10,6 +10,7 @@
   type FieldChecks,
   invalidKey,
   isBoolean,
+  isName,
   isNonnegative,
   isNumber,
   isNumberPair,
@@ -92,6 +93,7 @@
   readonly sp?: ReturnType<typeof encodedSlowdowns>;
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
+  readonly ur?: readonly string[] | undefined;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -141,6 +143,7 @@
   sp: isSlowdowns,
   rm: isDemand,
   rt: isReturns,
+  ur: optional(listOf(isName)),
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -247,6 +250,7 @@
     sp: encodedSlowdowns(update.slowdowns),
     rm: encodedDemand(update.room),
     rt: encodedReturns(update.returns),
+    ur: update.outOfReach.length === 0 ? undefined : update.outOfReach,
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
     e:
@@ -303,5 +307,6 @@
     slowdowns: slowdownsOf(update.sp),
     room: demandOf(update.rm),
     returns: returnsOf(update.rt),
+    outOfReach: update.ur ?? [],
   };
 }
--- /dev/null
+++ b/packages/rampswitch-serving/src/reach/server_contacts.ts
@@ -0,0 +1,128 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Which backend servers this host reaches over its own links: when each of them was
+ * last heard, and whether a connection to it has failed since.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "rampswitch-utils";
+import type { ServingMetrics } from "../observation/mod.ts";
+
+/**
+ * Time after which a failed connection says nothing about a server any more, in
+ * milliseconds.
+ */
+const FAILURE_LIFETIME_MILLISECONDS = 10_000;
+
+/** Maximum number of servers that one message reports. */
+const MAXIMUM_REPORTED_SERVERS = 64;
+
+/** Dependencies of the contacts. */
+export interface ServerContactsParts {
+  /** A monotonic clock. */
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  /** Number of other hosts that report that they don't reach a server either. */
+  peersWithout(server: string): number;
+  /** Called when the servers out of reach have changed. */
+  onChange(): void;
+}
+
+/** The contacts of this host with all backend servers. */
+export class ServerContacts {
+  readonly #parts: ServerContactsParts;
+  /** When each server was last heard. */
+  readonly #heardAt = new Map<string, number>();
+  /** Since when no connection to a server came up, and when the last one failed. */
+  readonly #unreached = new Map<string, Unreached>();
+  /** Servers whose connections failed since any server was heard. */
+  readonly #failedInRow = new Set<string>();
+  #anyHeardAt = -Infinity;
+
+  constructor(parts: ServerContactsParts) {
+    this.#parts = parts;
+  }
+
+  /** When any server was last heard. */
+  get anyHeardAt(): number {
+    return this.#anyHeardAt;
+  }
+
+  /** Records that bytes or a connection of a server arrived. */
+  heard(server: string): void {
+    const now = this.#parts.clock.now();
+    this.#heardAt.set(server, now);
+    this.#anyHeardAt = now;
+    this.#failedInRow.clear();
+    const unreached = this.#unreached.get(server);
+    if (unreached === undefined) return;
+    this.#unreached.delete(server);
+    this.#changed();
+    this.#parts.logger.info("server in reach", {
+      server,
+      milliseconds: Math.round(now - unreached.since),
+      outOfReach: this.#unreached.size,
+    });
+  }
+
+  /** Records that no connection to a server came up. */
+  connectionFailed(server: string, detail: string): void {
+    const now = this.#parts.clock.now();
+    this.#failedInRow.add(server);
+    const known = this.#unreached.get(server);
+    this.#unreached.set(server, { since: known?.since ?? now, lastAt: now });
+    if (known !== undefined) return;
+    this.#changed();
+    this.#parts.logger.info("server out of reach", {
+      server,
+      detail,
+      outOfReach: this.#unreached.size,
+      peersWithout: this.#parts.peersWithout(server),
+    });
+  }
+
+  /** Drops what is known of a server that is no longer listed. */
+  forget(server: string): void {
+    this.#heardAt.delete(server);
+    this.#failedInRow.delete(server);
+    if (this.#unreached.delete(server)) this.#changed();
+  }
+
+  /** Time since a server was last heard, in milliseconds. */
+  silence(server: string): number {
+    return this.#parts.clock.now() - (this.#heardAt.get(server) ?? -Infinity);
+  }
+
+  /** Whether the last connections to several servers failed, and none was heard since. */
+  get severalFailed(): boolean {
+    return this.#failedInRow.size > 1;
+  }
+
+  /** Whether a connection to a server failed and it was not heard since. */
+  isOutOfReach(server: string): boolean {
+    return this.#unreached.has(server);
+  }
+
+  /** Servers out of reach, to report to the peers. */
+  outOfReach(): readonly string[] {
+    const oldest = this.#parts.clock.now() - FAILURE_LIFETIME_MILLISECONDS;
+    [...this.#unreached]
+      .filter(([, { lastAt }]) => lastAt < oldest)
+      .forEach(([server]) => this.#unreached.delete(server));
+    this.#parts.metrics.gauge("servers_out_of_reach", this.#unreached.size);
+    return [...this.#unreached.keys()].slice(0, MAXIMUM_REPORTED_SERVERS);
+  }
+
+  #changed(): void {
+    this.#parts.metrics.gauge("servers_out_of_reach", this.#unreached.size);
+    this.#parts.onChange();
+  }
+}
+
+/** Times of failed connections, in milliseconds of the monotonic clock. */
+interface Unreached {
+  readonly since: number;
+  readonly lastAt: number;
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -19,7 +19,7 @@
   ResendBudget,
   WorkspaceLimits,
 } from "./admission/mod.ts";
-import { BackendClient } from "./attempt/mod.ts";
+import { BackendClient, type ServerConnector } from "./attempt/mod.ts";
 import {
   PrefixCacheEstimate,
   ServerDirectory,
@@ -52,6 +52,7 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
+import { PeerReach, ServerContacts } from "./reach/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
@@ -105,6 +106,8 @@
   readonly metrics: ServingMetrics;
   /** Differs for each incarnation of the process. */
   readonly incarnation: string;
+  /** Opens connections to backend servers; TCP by default. */
+  readonly serverConnector?: ServerConnector;
 }
 
 /**
@@ -152,6 +155,8 @@
   readonly #advertisements: AdvertisementReader;
   readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
+  readonly #contacts: ServerContacts;
+  readonly #peerReach: PeerReach;
   readonly #client: BackendClient;
   readonly #callers: CallerServer;
   readonly #leavingServers: LeavingServers;
@@ -303,7 +308,18 @@
       waited: (rank) => ports.metrics.roomWaited(rank),
     });
     this.#meter = new LoadMeter(ports.clock);
-    this.#client = this.#ownership.own(new BackendClient());
+    this.#peerReach = new PeerReach(ports.clock);
+    this.#contacts = new ServerContacts({
+      ...ports,
+      peersWithout: (server) => this.#peerReach.countWithout(server),
+      onChange: () => promptUpdates.trigger(),
+    });
+    this.#client = this.#ownership.own(
+      new BackendClient({
+        contacts: this.#contacts,
+        connector: ports.serverConnector,
+      }),
+    );
     this.#callers = new CallerServer(this.#requestContext());
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
@@ -369,6 +385,7 @@
       ),
     );
     this.#gossip = new HostGossip({
+      host: settings.host,
       clock: ports.clock,
       directory: this.#directory,
       prefixes: this.#prefixes,
@@ -386,6 +403,8 @@
       leavingAdvertisements: this.#leavingAdvertisements,
       roomCounts: this.#room.counts,
       reservations: this.#returns.reservations,
+      contacts: this.#contacts,
+      peerReach: this.#peerReach,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
