Send requests through another host where a host has lost its links to servers

What callers saw: a host without links to the servers refused every request for as long as that lasted, within milliseconds where connections were refused, after 0.5 s and more where they hung.

Cause: a request had one way to a server, its own host's links. When all servers failed there, nothing else was tried, though the hosts beside it reached them. The class of fault: 'I can't reach it' taken for 'it is down'.

Change: the host that took the request keeps it and sends the message through another host, which passes it to the server and the answer back. What the other host did not send counts as not written; a hop that breaks after that is a lost send. A connection that is late or fails at a second server, or no byte of any server for 0.5 s while requests wait, raises the suspicion; idle connections of silent servers are used no more then. Trials of one connection find the way back. A connection to a server that is not up in 150 ms counts as failed, before in 500 ms, if another host is there.

Ruled out: stepping out of the callers' way (callers hold connections and whole halls may be cut off), handing over the request before admission (once and resumption would be split between two hosts), a tunnel for bytes (can't count, log or end requests).

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -42,6 +42,11 @@
     relayed === true
       ? "the caller has a part of the answer"
       : "the caller has nothing of the answer",
+  "request sent through host": () =>
+    "another host sends it, as this one does not reach the server",
+  "forwarded request not sent": () => "not run, another host may be asked",
+  "forwarded request ended": ({ whole }) =>
+    whole === true ? "its answer was passed on" : "its answer was broken off",
   "memory move": ({ outcome }) =>
     outcome === "moved"
       ? "the run stopped and its memory was kept"
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { splitAddress } from "rampswitch-utils";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
 
@@ -29,6 +30,8 @@
 
 /** A request to send to a server. */
 export interface OutgoingRequest {
+  /** Id of the caller's attempt, for log lines. */
+  readonly attemptId?: string | undefined;
   readonly method: string;
   readonly target: string;
   readonly headers: RawHeaders;
@@ -66,18 +69,18 @@
 
 /** Is notified of what this host notices of the servers' connections. */
 export interface ContactObserver {
-  /** Bytes of a server arrived. */
+  /** Bytes of a server arrived, or a connection to it came up. */
   heard(server: string): void;
   /** No connection to a server came up. */
   connectionFailed(server: string, detail: string): void;
-  /** A server is no longer used. */
-  forget(server: string): void;
+  /** A connection to a server ended before it answered a request. */
+  connectionLost(server: string): void;
 }
 
 const NO_OBSERVER: ContactObserver = {
   heard: () => undefined,
   connectionFailed: () => undefined,
-  forget: () => undefined,
+  connectionLost: () => undefined,
 };
 
 /** Sends requests to backend servers through one connection pool per server. */
@@ -91,11 +94,16 @@
     options: {
       readonly contacts?: ContactObserver;
       readonly connector?: ServerConnector | undefined;
+      /** Connection timeout of the usual connector, in milliseconds. */
+      readonly connectMilliseconds?: number;
     } = {},
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
     this.#connect = this.#ends.connector(
-      options.connector ?? buildConnector({ timeout: CONNECT_MILLISECONDS }),
+      options.connector ??
+        buildConnector({
+          timeout: options.connectMilliseconds ?? CONNECT_MILLISECONDS,
+        }),
     );
   }
 
@@ -123,11 +131,40 @@
   forget(serverId: string): void {
     const known = this.#pools.get(serverId);
     if (known === undefined) return;
-    this.#contacts.forget(serverId);
     this.#pools.delete(serverId);
     void known.pool.close();
   }
 
+  /**
+   * Uses the present connections of some servers for no further requests. Those in
+   * progress go on.
+   */
+  renewPools(isRenewed: (serverId: string) => boolean): void {
+    [...this.#pools.keys()]
+      .filter(isRenewed)
+      .forEach((serverId) => this.forget(serverId));
+  }
+
+  /** Whether a new connection to a server comes up; it is closed at once. */
+  connects({
+    id,
+    address,
+  }: {
+    readonly id: string;
+    readonly address: string;
+  }): Promise<boolean> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      this.#connectTo(id)(
+        { hostname: host, host, port: String(port), protocol: "http:" },
+        (_error, socket) => {
+          socket?.destroy();
+          resolve(socket !== null);
+        },
+      );
+    });
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all(
       [...this.#pools.values()].map(({ pool }) => pool.destroy()),
@@ -147,7 +184,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
-      connect: this.#connect,
+      connect: this.#connectTo(id),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
@@ -156,6 +193,15 @@
     this.#pools.set(id, { address, pool });
     return pool;
   }
+
+  /** Opens connections to a server, and reports that they came up. */
+  #connectTo(server: string): ServerConnector {
+    return (options, callback) =>
+      this.#connect(options, (...result) => {
+        if (result[1] !== null) this.#contacts.heard(server);
+        callback(...result);
+      });
+  }
 }
 
 /**
@@ -198,6 +244,7 @@
   readonly #contact: Contact;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
+  #answered = false;
 
   constructor(listener: SendListener, ends: ConnectionEnds, contact: Contact) {
     this.#listener = listener;
@@ -230,6 +277,7 @@
     controller: Dispatcher.DispatchController,
     statusCode: number,
   ): void {
+    this.#answered = true;
     this.#heard();
     if (this.#aborted || statusCode < FIRST_FINAL_STATUS) return;
     this.#listener.head(statusCode, decodeHeaders(controller.rawHeaders));
@@ -258,7 +306,7 @@
     error: Error,
   ): void {
     const written = this.#controller !== undefined;
-    if (!written) this.#connectionFailed(error.message);
+    this.#reportFailure(written, error.message);
     if (this.#aborted) return;
     this.#aborted = true;
     this.#listener.failed(written ? "lost" : "not_written", error.message);
@@ -269,9 +317,10 @@
     contacts.heard(server);
   }
 
-  #connectionFailed(detail: string): void {
+  #reportFailure(written: boolean, detail: string): void {
     const { server, contacts } = this.#contact;
-    contacts.connectionFailed(server, detail);
+    if (!written) contacts.connectionFailed(server, detail);
+    else if (!this.#answered && !this.#aborted) contacts.connectionLost(server);
   }
 }
 
--- /dev/null
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -0,0 +1,146 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Sends requests for backend servers through other hosts.
+ *
+ * @module
+ */
+import {
+  BackendClient,
+  type OutgoingRequest,
+  type Send,
+  type SendListener,
+} from "../attempt/mod.ts";
+import {
+  FORWARDING_HEADERS,
+  headerValue,
+  withoutHopHeaders,
+} from "./forwarding_protocol.ts";
+
+/**
+ * Connection timeout to another host, in milliseconds: some round trips within a
+ * region. A host that takes longer is replaced by another one.
+ */
+const CONNECT_MILLISECONDS = 150;
+
+/** Maximum length of a reason that another host gives, in bytes. */
+const MAXIMUM_REASON_BYTES = 200;
+
+/** Another host that may forward requests. */
+export interface ForwardingHost {
+  readonly name: string;
+  /** IP address and port of its forwarding server. */
+  readonly address: string;
+  readonly dataHall: string;
+}
+
+/** A backend server as sends name it. */
+export interface ServerAddress {
+  readonly id: string;
+  readonly address: string;
+}
+
+/** One send through another host. */
+export interface ForwardedSend {
+  readonly through: ForwardingHost;
+  readonly server: ServerAddress;
+  readonly request: OutgoingRequest;
+}
+
+/** Sends requests through other hosts. */
+export class ForwardingClient implements AsyncDisposable {
+  readonly #host: string;
+  readonly #client = new BackendClient({
+    connectMilliseconds: CONNECT_MILLISECONDS,
+  });
+
+  /** @param host Name of this host. */
+  constructor(host: string) {
+    this.#host = host;
+  }
+
+  /**
+   * Sends a request through another host. It is `not_written` also if the other host
+   * has it and did not send it to the server.
+   */
+  send(
+    { through, server, request }: ForwardedSend,
+    listener: SendListener,
+  ): Send {
+    const answer = new ForwardedAnswer(listener, () => send.abort());
+    const send = this.#client.send(
+      { id: through.name, address: through.address },
+      {
+        ...request,
+        headers: [
+          ...request.headers,
+          FORWARDING_HEADERS.server,
+          server.id,
+          FORWARDING_HEADERS.address,
+          server.address,
+          FORWARDING_HEADERS.request,
+          request.attemptId ?? "",
+          FORWARDING_HEADERS.host,
+          this.#host,
+        ],
+      },
+      answer,
+    );
+    return send;
+  }
+
+  /** Closes the idle connections to a host. */
+  forget(host: string): void {
+    this.#client.forget(host);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return this.#client[Symbol.asyncDispose]();
+  }
+}
+
+/** Tells the server's answer from the other host's own. */
+class ForwardedAnswer implements SendListener {
+  readonly #listener: SendListener;
+  readonly #abort: () => void;
+  #reason: Buffer | undefined;
+
+  constructor(listener: SendListener, abort: () => void) {
+    this.#listener = listener;
+    this.#abort = abort;
+  }
+
+  written(): void {
+    this.#listener.written();
+  }
+
+  head(status: number, rawHeaders: readonly string[]): void {
+    const outcome = headerValue(rawHeaders, FORWARDING_HEADERS.outcome);
+    if (outcome === "answered") {
+      this.#listener.head(status, withoutHopHeaders(rawHeaders));
+    } else if (outcome === "not_sent") {
+      this.#reason = Buffer.alloc(0);
+    } else {
+      this.#abort();
+      this.#listener.failed("lost", "answer of a host names no outcome");
+    }
+  }
+
+  data(chunk: Buffer): void {
+    if (this.#reason === undefined) this.#listener.data(chunk);
+    else if (this.#reason.length < MAXIMUM_REASON_BYTES) {
+      this.#reason = Buffer.concat([this.#reason, chunk]);
+    }
+  }
+
+  ended(): void {
+    if (this.#reason === undefined) this.#listener.ended();
+    else this.#listener.failed("not_written", this.#reason.toString("utf8"));
+  }
+
+  failed(failure: "not_written" | "lost", detail: string): void {
+    // The head alone says that the server got nothing.
+    const notSent = this.#reason !== undefined;
+    this.#listener.failed(notSent ? "not_written" : failure, detail);
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -0,0 +1,67 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Headers of forwarded requests between two hosts. The rest of the message is the
+ * request as the backend server gets it, and the answer as the server gave it.
+ *
+ * @module
+ */
+import { HOP_BY_HOP_HEADERS } from "rampswitch-utils";
+import type { RawHeaders } from "../model/request.ts";
+
+/** Names of the headers of one hop, in lower case. */
+export const FORWARDING_HEADERS = {
+  /** Id of the backend server that the request is for. */
+  server: "x-forwarding-server",
+  /** IP address and port of that server. */
+  address: "x-forwarding-address",
+  /** Id of the caller's attempt. */
+  request: "x-forwarding-request",
+  /** Name of the host that forwards its request. */
+  host: "x-forwarding-host",
+  /** What became of the request; one of {@link ForwardingOutcome}. */
+  outcome: "x-forwarding-outcome",
+} as const;
+
+/** What became of a forwarded request. */
+export type ForwardingOutcome =
+  /** The message is the server's answer. */
+  | "answered"
+  /** No byte of the request was sent to the server; the body has the reason. */
+  | "not_sent";
+
+/** Why a forwarded request is not sent. */
+export type NotSentReason =
+  | "unknown_host"
+  | "unknown_server"
+  | "stopping"
+  | "busy"
+  | "body_too_large"
+  | "out_of_reach";
+
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...HOP_BY_HOP_HEADERS,
+  ...Object.values(FORWARDING_HEADERS),
+]);
+
+/** Returns the headers without those that concern one hop only. */
+export function withoutHopHeaders(
+  headers: RawHeaders,
+  alsoDropped: readonly string[] = [],
+): RawHeaders {
+  return headers.filter((_, index) => {
+    const name = (headers[index - (index % 2)] ?? "").toLowerCase();
+    return !DROPPED_HEADERS.has(name) && !alsoDropped.includes(name);
+  });
+}
+
+/** Returns the value of a header; the first of several equal names counts. */
+export function headerValue(
+  headers: RawHeaders,
+  name: string,
+): string | undefined {
+  const at = headers.findIndex(
+    (text, index) => index % 2 === 0 && text.toLowerCase() === name,
+  );
+  return at < 0 ? undefined : headers[at + 1];
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -0,0 +1,282 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The listener for requests that other hosts forward: sends each of them to the
+ * backend server that it names, over this host's own links, and never on to a third
+ * host.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import {
+  type Clock,
+  listen,
+  type Listening,
+  type Logger,
+  readBody,
+} from "rampswitch-utils";
+import type { Send, SendListener } from "../attempt/mod.ts";
+import { LoopBacklog } from "../intake/loop_backlog.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+import type { ServerAddress } from "./forwarding_client.ts";
+import {
+  FORWARDING_HEADERS,
+  headerValue,
+  type NotSentReason,
+  withoutHopHeaders,
+} from "./forwarding_protocol.ts";
+import type { DirectClient } from "./server_client.ts";
+
+/** Maximum header bytes of the parser; callers' headers and those of the hop. */
+const MAXIMUM_HEADER_BYTES = 66 * 1024;
+
+/** Maximum number of forwarded requests in progress. */
+const MAXIMUM_REQUESTS = 256;
+
+/** Maximum bytes of the bodies of forwarded requests in progress. */
+const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Time within which a connection to the server comes up, in milliseconds. The host that
+ * forwards the request has waited as long itself.
+ */
+const CONNECT_MILLISECONDS = 150;
+
+/** Time after which a connection without any bytes is closed, in milliseconds. */
+const IDLE_MILLISECONDS = 60_000;
+
+/** Time of silence before the first keep-alive probe of a connection, in milliseconds. */
+const PROBE_MILLISECONDS = 1_000;
+
+const NOT_SENT_STATUS = 503;
+
+/** Dependencies of the listener. */
+export interface ForwardingServerParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  readonly client: DirectClient;
+  /** Whether an IP address belongs to a host of the fleet. */
+  isHostAddress(ip: string): boolean;
+  /** Address of a listed backend server. */
+  addressOf(server: string): string | undefined;
+  /** Whether this host starts no more requests. */
+  stopping(): boolean;
+}
+
+/** A request that another host forwards. */
+interface Forwarded {
+  readonly server: ServerAddress;
+  readonly attemptId: string;
+  readonly from: string;
+}
+
+/** The listener for forwarded requests. */
+export class ForwardingServer {
+  readonly #parts: ForwardingServerParts;
+  readonly #server: Server;
+  readonly #backlog = new LoopBacklog();
+  #inProgress = 0;
+  #bodyBytes = 0;
+
+  constructor(parts: ForwardingServerParts) {
+    this.#parts = parts;
+    this.#server = createServer(
+      { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
+      (incoming, response) => void this.#receive(incoming, response),
+    );
+    this.#server.on("connection", (socket) => {
+      // A host that was lost must not hold a run of its request for ever.
+      socket.setKeepAlive(true, PROBE_MILLISECONDS);
+      socket.setTimeout(IDLE_MILLISECONDS, () => socket.destroy());
+    });
+    this.#server.on("clientError", (_error, socket) => socket.destroy());
+  }
+
+  /** Number of forwarded requests that are being read or served. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  /** Starts to listen on an address. */
+  listen(address: string): Promise<Listening> {
+    return listen(this.#server, address);
+  }
+
+  async #receive(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    response.sendDate = false;
+    const forwarded = forwardedOf(incoming);
+    const refusal = this.#refusal(incoming, forwarded);
+    if (refusal !== undefined) {
+      this.#refuse(response, forwarded, refusal);
+      return;
+    }
+    this.#inProgress += 1;
+    response.once("close", () => {
+      this.#inProgress -= 1;
+    });
+    const body = await readBody(incoming, MAXIMUM_BODY_BYTES - this.#bodyBytes);
+    if (body.isErr) {
+      if (body.error === "too_large")
+        this.#refuse(response, forwarded, "body_too_large");
+      return;
+    }
+    if (response.destroyed) return;
+    const { length } = body.value;
+    this.#bodyBytes += length;
+    response.once("close", () => {
+      this.#bodyBytes -= length;
+    });
+    this.#send(incoming, { response, forwarded, body: body.value });
+  }
+
+  #refusal(
+    { socket }: IncomingMessage,
+    { server }: Forwarded,
+  ): NotSentReason | undefined {
+    const parts = this.#parts;
+    if (!parts.isHostAddress(socket.remoteAddress ?? "")) return "unknown_host";
+    if (parts.addressOf(server.id) !== server.address) return "unknown_server";
+    if (parts.stopping()) return "stopping";
+    if (parts.client.isOutOfReach(server.id)) return "out_of_reach";
+    const isBusy =
+      this.#inProgress >= MAXIMUM_REQUESTS ||
+      this.#bodyBytes >= MAXIMUM_BODY_BYTES ||
+      this.#backlog.isBehind();
+    return isBusy ? "busy" : undefined;
+  }
+
+  #refuse(
+    response: ServerResponse,
+    { attemptId, from, server }: Forwarded,
+    reason: NotSentReason,
+  ): void {
+    this.#parts.metrics.event(`forwarding_refused_${reason}`);
+    this.#parts.logger.info("forwarded request not sent", {
+      request: attemptId,
+      from,
+      server: server.id,
+      reason,
+    });
+    if (response.destroyed) return;
+    response.writeHead(NOT_SENT_STATUS, {
+      [FORWARDING_HEADERS.outcome]: "not_sent",
+      "Content-Length": reason.length,
+    });
+    response.end(reason);
+  }
+
+  #send(
+    incoming: IncomingMessage,
+    exchange: {
+      readonly response: ServerResponse;
+      readonly forwarded: Forwarded;
+      readonly body: Buffer;
+    },
+  ): void {
+    const { response, forwarded, body } = exchange;
+    const { clock, client, metrics, logger } = this.#parts;
+    const { server, attemptId, from } = forwarded;
+    const sentAt = clock.now();
+    const relay = new AnswerRelay(response, {
+      notSent: () => this.#refuse(response, forwarded, "out_of_reach"),
+    });
+    const send = client.sendDirect(
+      server,
+      {
+        attemptId,
+        method: incoming.method ?? "",
+        target: incoming.url ?? "",
+        headers: withoutHopHeaders(incoming.rawHeaders, ["content-length"]),
+        body: body.length === 0 ? undefined : body,
+      },
+      { listener: relay, connectMilliseconds: CONNECT_MILLISECONDS },
+    );
+    relay.start(send);
+    metrics.event("forwarded_for_host");
+    response.once("close", () => {
+      logger.info("forwarded request ended", {
+        request: attemptId,
+        from,
+        server: server.id,
+        status: relay.status,
+        whole: response.writableFinished,
+        milliseconds: Math.round(clock.now() - sentAt),
+      });
+    });
+  }
+}
+
+/** Relays a server's answer to the host that forwarded the request. */
+class AnswerRelay implements SendListener {
+  readonly #response: ServerResponse;
+  readonly #notSent: () => void;
+  #send: Send | undefined;
+  /** Status of the server's answer. */
+  status: number | undefined;
+
+  constructor(
+    response: ServerResponse,
+    { notSent }: { readonly notSent: () => void },
+  ) {
+    this.#response = response;
+    this.#notSent = notSent;
+  }
+
+  /** Ends the send when the other host leaves. */
+  start(send: Send): void {
+    this.#send = send;
+    this.#response.once("close", () => {
+      if (!this.#response.writableFinished) send.abort();
+    });
+    this.#response.on("drain", () => send.resume());
+  }
+
+  written(): void {
+    // The host that forwards the request counts it as written from its own send on.
+  }
+
+  head(status: number, rawHeaders: readonly string[]): void {
+    this.status = status;
+    this.#response.writeHead(status, [
+      ...withoutHopHeaders(rawHeaders),
+      FORWARDING_HEADERS.outcome,
+      "answered",
+    ]);
+    this.#response.flushHeaders();
+  }
+
+  data(chunk: Buffer): void {
+    if (!this.#response.write(chunk)) this.#send?.pause();
+  }
+
+  ended(): void {
+    this.#response.end();
+  }
+
+  failed(failure: "not_written" | "lost"): void {
+    if (failure === "not_written") this.#notSent();
+    // A connection that ends early is a lost send for the other host.
+    else this.#response.destroy();
+  }
+}
+
+function forwardedOf({ rawHeaders }: IncomingMessage): Forwarded {
+  const value = (name: string) => headerValue(rawHeaders, name) ?? "";
+  return {
+    server: {
+      id: value(FORWARDING_HEADERS.server),
+      address: value(FORWARDING_HEADERS.address),
+    },
+    attemptId: value(FORWARDING_HEADERS.request),
+    from: value(FORWARDING_HEADERS.host),
+  };
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -0,0 +1,231 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { createServer, request, type RequestListener } from "node:http";
+import { describe, expect, test } from "@jest/globals";
+import {
+  listen,
+  MONOTONIC_CLOCK,
+  Ownership,
+  SILENT_LOGGER,
+} from "rampswitch-utils";
+import { BackendClient, type SendListener } from "../attempt/mod.ts";
+import { ServingMetrics } from "../observation/mod.ts";
+import { ForwardingClient } from "./forwarding_client.ts";
+import {
+  ForwardingServer,
+  type ForwardingServerParts,
+} from "./forwarding_server.ts";
+import { LimitedSend } from "./limited_send.ts";
+
+/** An address of this machine that belongs to no host of the test. */
+const FOREIGN_ADDRESS = "127.0.0.2";
+
+const SERVER_ID = "s1";
+
+/** What a listener was told, in one word each. */
+type Told = string;
+
+class Parts implements AsyncDisposable {
+  readonly ownership = new Ownership();
+  readonly forwarding: ForwardingClient;
+  readonly serverAddress: string;
+  readonly doorAddress: string;
+  readonly door: ForwardingServer;
+
+  private constructor(
+    door: ForwardingServer,
+    addresses: { readonly server: string; readonly door: string },
+  ) {
+    this.door = door;
+    this.serverAddress = addresses.server;
+    this.doorAddress = addresses.door;
+    this.forwarding = this.ownership.own(new ForwardingClient("a"));
+  }
+
+  /** Starts a server and a host that forwards requests to it. */
+  static async start(
+    serve: RequestListener,
+    overrides: Partial<ForwardingServerParts> = {},
+  ): Promise<Parts> {
+    const client = new BackendClient();
+    const server = await listen(createServer(serve), "127.0.0.1:0");
+    const door = new ForwardingServer({
+      clock: MONOTONIC_CLOCK,
+      logger: SILENT_LOGGER,
+      metrics: new ServingMetrics(),
+      isHostAddress: (ip) => ip === "127.0.0.1",
+      addressOf: (id) => (id === SERVER_ID ? server.address : undefined),
+      stopping: () => false,
+      client: {
+        isOutOfReach: () => false,
+        sendDirect: (to, asked, options) =>
+          new LimitedSend(to, asked, {
+            ...options,
+            clock: MONOTONIC_CLOCK,
+            client,
+            mayFail: () => true,
+            onLate: () => undefined,
+            watch: () => () => undefined,
+          }),
+      },
+      ...overrides,
+    });
+    const listening = await door.listen("127.0.0.1:0");
+    const addresses = { server: server.address, door: listening.address };
+    const parts = new Parts(door, addresses);
+    [client, server, listening].forEach((part) => parts.ownership.own(part));
+    return parts;
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return this.ownership[Symbol.asyncDispose]();
+  }
+
+  /** Sends a request through the host; resolves to what its listener was told. */
+  async send(
+    options: {
+      readonly server?: string;
+      readonly headers?: readonly string[];
+      readonly body?: string;
+    } = {},
+  ): Promise<readonly Told[]> {
+    const told: Told[] = [];
+    await new Promise<void>((resolve) => {
+      const listener: SendListener = {
+        written: () => told.push("written"),
+        head: (status) => told.push(`head ${status}`),
+        data: (chunk) => told.push(chunk.toString()),
+        ended: () => resolve(void told.push("ended")),
+        failed: (failure, detail) =>
+          resolve(void told.push(`${failure}: ${detail}`)),
+      };
+      const { server = SERVER_ID, headers = [], body } = options;
+      this.forwarding.send(
+        {
+          through: { name: "b", address: this.doorAddress, dataHall: "a" },
+          server: { id: server, address: this.serverAddress },
+          request: {
+            method: body === undefined ? "GET" : "POST",
+            target: "/path?query",
+            headers: ["Host", "api.example", ...headers],
+            body: body === undefined ? undefined : Buffer.from(body),
+          },
+        },
+        listener,
+      );
+    });
+    return told;
+  }
+}
+
+describe("a host that forwards requests", () => {
+  test("sends a request as it is and relays the answer", async () => {
+    const seen: unknown[] = [];
+    await using parts = await Parts.start((incoming, response) => {
+      const { method, url, rawHeaders } = incoming;
+      seen.push({ method, url, rawHeaders, length: rawHeaders.length });
+      incoming.on("data", (chunk: Buffer) => response.end(chunk));
+    });
+    const headers = ["X-One", "1", "X-One", "2"];
+    const told = await parts.send({ headers, body: "sent" });
+    expect(told).toEqual(["written", "head 200", "sent", "ended"]);
+    const framing = ["connection", "keep-alive", "content-length", "4"];
+    expect(seen).toEqual([
+      {
+        method: "POST",
+        url: "/path?query",
+        rawHeaders: expect.arrayContaining([...headers, ...framing]),
+        length: 10,
+      },
+    ]);
+  });
+
+  test("says that a request was not sent, which counts as not written", async () => {
+    await using parts = await Parts.start((_, response) => response.end());
+    const told = await parts.send({ server: "unknown" });
+    expect(told).toEqual(["written", "not_written: unknown_server"]);
+  });
+
+  test("says so where the server takes no connection", async () => {
+    await using parts = await Parts.start((_, response) => response.end(), {
+      addressOf: () => "127.0.0.1:1",
+    });
+    Object.assign(parts, { serverAddress: "127.0.0.1:1" });
+    const told = await parts.send();
+    expect(told).toEqual(["written", "not_written: out_of_reach"]);
+  });
+
+  test.each<[string, Partial<ForwardingServerParts>]>([
+    ["stopping", { stopping: () => true }],
+    ["unknown_host", { isHostAddress: () => false }],
+  ])("refuses with %s", async (reason, overrides) => {
+    await using parts = await Parts.start(
+      (_, response) => response.end(),
+      overrides,
+    );
+    expect((await parts.send()).at(-1)).toBe(`not_written: ${reason}`);
+  });
+
+  test("is closed to addresses that belong to no host", async () => {
+    await using parts = await Parts.start((_, response) =>
+      response.end("reached"),
+    );
+    const [host, port] = parts.doorAddress.split(":");
+    const status = await new Promise((resolve) => {
+      const headers = {
+        "x-forwarding-server": SERVER_ID,
+        "x-forwarding-address": parts.serverAddress,
+      };
+      const localAddress = FOREIGN_ADDRESS;
+      request({ host, port, headers, localAddress }, (answer) =>
+        resolve(answer.headers["x-forwarding-outcome"]),
+      ).end();
+    });
+    expect(status).toBe("not_sent");
+  });
+
+  test("passes a broken answer on as a lost one", async () => {
+    await using parts = await Parts.start((_, response) => {
+      response.writeHead(200, { "Content-Length": 100 });
+      response.write("part", () => response.destroy());
+    });
+    const told = await parts.send();
+    expect(told.slice(0, 2)).toEqual(["written", "head 200"]);
+    expect(told.at(-1)).toMatch(/^lost/);
+  });
+
+  test("does not let a server's answer pass as its own", async () => {
+    await using parts = await Parts.start((_, response) => {
+      response.writeHead(503, { "X-Forwarding-Outcome": "not_sent" }).end();
+    });
+    expect(await parts.send()).toEqual(["written", "head 503", "ended"]);
+  });
+
+  test("ends the send when the other host leaves", async () => {
+    const closed: Promise<void>[] = [];
+    await using parts = await Parts.start((_, response) => {
+      closed.push(new Promise((resolve) => response.once("close", resolve)));
+    });
+    const through = { name: "b", address: parts.doorAddress, dataHall: "a" };
+    const server = { id: SERVER_ID, address: parts.serverAddress };
+    const send = parts.forwarding.send(
+      {
+        through,
+        server,
+        request: { method: "GET", target: "/", headers: [], body: undefined },
+      },
+      {
+        written: () => undefined,
+        head: () => undefined,
+        data: () => undefined,
+        ended: () => undefined,
+        failed: () => undefined,
+      },
+    );
+    while (closed.length === 0) await new Promise(setImmediate);
+    expect(parts.door.inProgress).toBe(1);
+    send.abort();
+    await closed[0];
+    while (parts.door.inProgress > 0) await new Promise(setImmediate);
+  });
+});
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { splitAddress } from "rampswitch-utils";
 import type { FleetDigest, PeerUpdate } from "./peer_messages.ts";
 import {
   DIRECT_GOSSIP_TIMING,
@@ -45,6 +46,9 @@
   member: 3_000,
 };
 
+/** Silence after which no request is forwarded to a host, in milliseconds. */
+const FORWARDING_HOST_SILENCE_MILLISECONDS = 1_500;
+
 /** Hosts contacted in each round while all relays of a data hall are silent. */
 const CANDIDATES_EACH_ROUND = 4;
 
@@ -248,6 +252,24 @@
     return stopping ? names : [this.#self.name, ...names];
   }
 
+  /**
+   * Hosts that may forward requests: those that are not silent, and in a fleet with
+   * relays also those that are only listed, as their news go to the relays.
+   */
+  forwardingHosts(now: number): readonly KnownHost[] {
+    const isDirect = this.role(now) === "direct";
+    const oldest = now - FORWARDING_HOST_SILENCE_MILLISECONDS;
+    return this.all().filter(
+      ({ receivedAt, stopping }) =>
+        !stopping && (!isDirect || receivedAt >= oldest),
+    );
+  }
+
+  /** Whether an IP address belongs to a known host. */
+  isHostAddress(ip: string): boolean {
+    return this.all().some(({ address }) => splitAddress(address).host === ip);
+  }
+
   /** Current role of this host. */
   role(now: number): HostRole {
     if (!needsRelays(Math.max(this.#listedCount, this.#activeCount(now) + 1))) {
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -298,6 +298,16 @@
     });
   }
 
+  /** Other hosts that may forward requests. */
+  get forwardingHosts(): readonly KnownHost[] {
+    return this.#hosts.forwardingHosts(this.#parts.clock.now());
+  }
+
+  /** Whether an IP address belongs to a known host. */
+  isHostAddress(ip: string): boolean {
+    return this.#hosts.isHostAddress(ip);
+  }
+
   /** Rank of this host among all present hosts, in an order derived from a key. */
   rankFor(key: string): TrialRank {
     const names = this.#hosts.present(this.#parts.clock.now());
--- a/packages/rampswitch-serving/src/planned_stop.ts
+++ b/packages/rampswitch-serving/src/planned_stop.ts
@@ -7,7 +7,6 @@
  * @module
  */
 import { type Clock, sleep } from "rampswitch-utils";
-import type { CallerServer } from "./intake/caller_server.ts";
 
 /**
  * Minimum duration of a planned stop, in milliseconds. Load balancers detect the
@@ -21,9 +20,17 @@
 /** Time between checks whether a stopping host is idle, in milliseconds. */
 const STOP_POLL_INTERVAL_MILLISECONDS = 50;
 
+/** The work that a stopping host ends first. */
+export interface HostWork {
+  /** Number of requests in progress, of callers and of other hosts. */
+  readonly inProgress: number;
+  /** Closes callers' connections without a request in progress. */
+  closeIdleConnections(): void;
+}
+
 /** Waits until nothing is in progress, or until the grace period is nearly over. */
 export async function waitUntilIdle(
-  callers: CallerServer,
+  work: HostWork,
   clock: Clock,
   stop: { readonly startedAt: number; readonly graceMilliseconds: number },
 ): Promise<void> {
@@ -31,9 +38,9 @@
     stop.startedAt + stop.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
   const now = clock.now();
   const isEarly = now - stop.startedAt < MINIMUM_STOP_MILLISECONDS;
-  if (!isEarly) callers.closeIdleConnections();
-  const isBusy = callers.inProgress > 0;
+  if (!isEarly) work.closeIdleConnections();
+  const isBusy = work.inProgress > 0;
   if (now >= latestEnd || (!isEarly && !isBusy)) return;
   await sleep(clock, STOP_POLL_INTERVAL_MILLISECONDS);
-  await waitUntilIdle(callers, clock, stop);
+  await waitUntilIdle(work, clock, stop);
 }
--- a/packages/rampswitch-serving/src/reach/server_contacts.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts.ts
@@ -28,6 +28,8 @@
   peersWithout(server: string): number;
   /** Called when the servers out of reach have changed. */
   onChange(): void;
+  /** Called when a server fails after another one, and none was heard between them. */
+  onSeveralFailed(): void;
 }
 
 /** The contacts of this host with all backend servers. */
@@ -35,9 +37,9 @@
   readonly #parts: ServerContactsParts;
   /** When each server was last heard. */
   readonly #heardAt = new Map<string, number>();
-  /** Since when no connection to a server came up, and when the last one failed. */
+  /** Servers to which no connection came up since they were last heard. */
   readonly #unreached = new Map<string, Unreached>();
-  /** Servers whose connections failed since any server was heard. */
+  /** Servers that failed since any server was heard. */
   readonly #failedInRow = new Set<string>();
   #anyHeardAt = -Infinity;
 
@@ -70,9 +72,13 @@
   /** Records that no connection to a server came up. */
   connectionFailed(server: string, detail: string): void {
     const now = this.#parts.clock.now();
-    this.#failedInRow.add(server);
     const known = this.#unreached.get(server);
-    this.#unreached.set(server, { since: known?.since ?? now, lastAt: now });
+    this.#unreached.set(server, {
+      since: known?.since ?? now,
+      lastAt: now,
+      failures: (known?.failures ?? 0) + 1,
+    });
+    this.#addFailed(server);
     if (known !== undefined) return;
     this.#changed();
     this.#parts.logger.info("server out of reach", {
@@ -83,6 +89,11 @@
     });
   }
 
+  /** Records that a connection to a server ended before it answered a request. */
+  connectionLost(server: string): void {
+    this.#addFailed(server);
+  }
+
   /** Drops what is known of a server that is no longer listed. */
   forget(server: string): void {
     this.#heardAt.delete(server);
@@ -90,19 +101,24 @@
     if (this.#unreached.delete(server)) this.#changed();
   }
 
+  /** Whether a server was heard after some time. */
+  heardSince(server: string, time: number): boolean {
+    return (this.#heardAt.get(server) ?? -Infinity) > time;
+  }
+
   /** Time since a server was last heard, in milliseconds. */
   silence(server: string): number {
     return this.#parts.clock.now() - (this.#heardAt.get(server) ?? -Infinity);
   }
 
-  /** Whether the last connections to several servers failed, and none was heard since. */
+  /** Whether several servers failed one after the other, and none was heard since. */
   get severalFailed(): boolean {
     return this.#failedInRow.size > 1;
   }
 
-  /** Whether a connection to a server failed and it was not heard since. */
-  isOutOfReach(server: string): boolean {
-    return this.#unreached.has(server);
+  /** Whether connections to a server failed again and again, and it was not heard since. */
+  failedAgain(server: string): boolean {
+    return (this.#unreached.get(server)?.failures ?? 0) > 1;
   }
 
   /** Servers out of reach, to report to the peers. */
@@ -115,14 +131,21 @@
     return [...this.#unreached.keys()].slice(0, MAXIMUM_REPORTED_SERVERS);
   }
 
+  #addFailed(server: string): void {
+    if (this.#failedInRow.has(server)) return;
+    this.#failedInRow.add(server);
+    if (this.severalFailed) this.#parts.onSeveralFailed();
+  }
+
   #changed(): void {
     this.#parts.metrics.gauge("servers_out_of_reach", this.#unreached.size);
     this.#parts.onChange();
   }
 }
 
-/** Times of failed connections, in milliseconds of the monotonic clock. */
+/** Failed connections to a server; times are of the monotonic clock. */
 interface Unreached {
   readonly since: number;
   readonly lastAt: number;
+  readonly failures: number;
 }
--- a/packages/rampswitch-serving/src/reach/server_contacts_test.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts_test.ts
@@ -18,6 +18,7 @@
     metrics: new ServingMetrics(),
     peersWithout: (server) => peers.countWithout(server),
     onChange: () => undefined,
+    onSeveralFailed: () => undefined,
   });
   return { clock, peers, lines, contacts };
 }
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -7,13 +7,13 @@
  */
 import type { Clock, Logger, Random } from "rampswitch-utils";
 import type { ResendBudget, FleetAdmission } from "../admission/mod.ts";
-import type { BackendClient } from "../attempt/mod.ts";
 import type {
   PrefixCacheEstimate,
   ServerDirectory,
   ServerRecord,
 } from "../choice/mod.ts";
 import type { ReadingRates, WorkEstimates } from "../estimates/mod.ts";
+import type { ServerClient } from "../forwarding/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
@@ -53,7 +53,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly codec: WireCodec;
-  readonly client: BackendClient;
+  readonly client: ServerClient;
   readonly engineControl: EngineControl;
   readonly directory: ServerDirectory;
   readonly prefixes: PrefixCacheEstimate;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -289,12 +289,11 @@
         unreadTokens: Math.max(0, unread),
       });
     }
+    const { attemptId, method, target } = request.head;
     const send = this.#context.client.send(
       record.entry,
       {
-        method: request.head.method,
-        target: request.head.target,
-        body: request.body,
+        ...{ attemptId, method, target, body: request.body },
         headers: this.#context.codec.encodeSend(request.head, {
           serverId: record.entry.id,
           workspace: request.workspace?.name,
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -8,13 +8,13 @@
  */
 import { Result } from "true-myth";
 import type { Clock, Logger } from "rampswitch-utils";
-import type { BackendClient } from "./attempt/mod.ts";
 import type {
   EntryOutcome,
   PrefixCacheEstimate,
   ServerDirectory,
   ServerRecord,
 } from "./choice/mod.ts";
+import type { ServerClient } from "./forwarding/mod.ts";
 import type { BackendServer } from "./model/backend_server.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
 import type { Quarantine } from "./quarantine/mod.ts";
@@ -30,7 +30,7 @@
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
   readonly directory: ServerDirectory;
-  readonly client: BackendClient;
+  readonly client: Pick<ServerClient, "forget">;
   readonly prefixes: PrefixCacheEstimate;
   readonly dispatches: RecentDispatches;
   readonly quarantine: Quarantine;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -12,6 +12,7 @@
   type Logger,
   Ownership,
   type Random,
+  splitAddress,
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
 import {
@@ -32,6 +33,12 @@
 import { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import { HostDuties } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
+import {
+  ForwardingClient,
+  ForwardingHosts,
+  ForwardingServer,
+  ServerClient,
+} from "./forwarding/mod.ts";
 import { serveReadiness } from "./intake/readiness_server.ts";
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostGossip } from "./host_gossip.ts";
@@ -58,7 +65,7 @@
 import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import type { RequestContext } from "./relay/request_context.ts";
-import { waitUntilIdle } from "./planned_stop.ts";
+import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import {
   type ReservationListener,
   ReturnTimes,
@@ -123,6 +130,9 @@
 /** Time for which a stopping host still starts requests, in milliseconds. */
 const STOP_INTAKE_MILLISECONDS = 2_600;
 
+/** Maximum number of ports that are tried for messages between hosts. */
+const MAXIMUM_PORT_TRIES = 5;
+
 /** Time between checks of versions that are being left, in milliseconds. */
 const VERSION_CHECK_INTERVAL_MILLISECONDS = 100;
 
@@ -157,7 +167,8 @@
   readonly #meter: LoadMeter;
   readonly #contacts: ServerContacts;
   readonly #peerReach: PeerReach;
-  readonly #client: BackendClient;
+  readonly #client: ServerClient;
+  readonly #forwardingServer: ForwardingServer;
   readonly #callers: CallerServer;
   readonly #leavingServers: LeavingServers;
   readonly #follower: ConfigurationFollower;
@@ -313,13 +324,16 @@
       ...ports,
       peersWithout: (server) => this.#peerReach.countWithout(server),
       onChange: () => promptUpdates.trigger(),
+      onSeveralFailed: () => this.#client.distrustSilentConnections(),
+    });
+    this.#client = this.#ownership.own(this.#createServerClient());
+    this.#forwardingServer = new ForwardingServer({
+      ...ports,
+      client: this.#client,
+      isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
+      addressOf: (server) => this.#directory.get(server)?.entry.address,
+      stopping: () => this.#lifecycle.state === "stopping",
     });
-    this.#client = this.#ownership.own(
-      new BackendClient({
-        contacts: this.#contacts,
-        connector: ports.serverConnector,
-      }),
-    );
     this.#callers = new CallerServer(this.#requestContext());
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
@@ -459,7 +473,7 @@
     this.#waiting.stop();
     await this.#duties.release();
     this.#membership?.broadcast();
-    await waitUntilIdle(this.#callers, clock, {
+    await waitUntilIdle(this.#workInProgress(), clock, {
       startedAt,
       graceMilliseconds: this.#settings.bounds.graceMilliseconds,
     });
@@ -501,12 +515,61 @@
         await ports.metrics.serve(addresses.metrics, ports.metricsPath),
       );
     }
-    this.#membership = this.#ownership.own(await this.#openMembership());
+    await this.#openPeerPorts(MAXIMUM_PORT_TRIES);
     this.#duties.start();
     ports.logger.info("listening", { ...this.#listening });
   }
 
-  #openMembership(): Promise<Membership> {
+  /** Requests in progress of callers and of other hosts. */
+  #workInProgress(): HostWork {
+    const callers = this.#callers;
+    const forwarding = this.#forwardingServer;
+    return {
+      get inProgress() {
+        return callers.inProgress + forwarding.inProgress;
+      },
+      closeIdleConnections: () => callers.closeIdleConnections(),
+    };
+  }
+
+  #createServerClient(): ServerClient {
+    const { host } = this.#settings;
+    const { clock, random, serverConnector } = this.#ports;
+    const contacts = this.#contacts;
+    return new ServerClient({
+      ...this.#ports,
+      contacts,
+      client: new BackendClient({ contacts, connector: serverConnector }),
+      forwarding: new ForwardingClient(host),
+      hosts: new ForwardingHosts({
+        clock,
+        random,
+        peerReach: this.#peerReach,
+        hosts: () => this.#membership?.forwardingHosts ?? [],
+      }),
+    });
+  }
+
+  /**
+   * Opens the ports for other hosts: TCP for forwarded requests, and UDP for gossip
+   * under the same number, which therefore has to be free for both.
+   */
+  async #openPeerPorts(tries: number): Promise<void> {
+    const { peers } = this.#settings.addresses;
+    const listening = await this.#forwardingServer.listen(peers);
+    try {
+      const membership = await this.#openMembership(listening.address);
+      this.#membership = this.#ownership.own(membership);
+      this.#ownership.own(listening);
+    } catch (error) {
+      await listening[Symbol.asyncDispose]();
+      // A port that the system chose for TCP may be in use for UDP.
+      if (tries <= 1 || splitAddress(peers).port !== 0) throw error;
+      await this.#openPeerPorts(tries - 1);
+    }
+  }
+
+  #openMembership(address: string): Promise<Membership> {
     return Membership.open(
       {
         ...this.#ports,
@@ -514,7 +577,7 @@
         host: this.#settings.host,
         dataHall: this.#settings.dataHall,
         cores: this.#settings.cores,
-        address: this.#settings.addresses.peers,
+        address,
       },
       {
         ownUpdate: (message) => this.#gossip.ownUpdate(message),
