Count a refused connection as failed, whatever the library hands over

Cause: undici calls back with the error alone, so the socket is undefined, not null as its types say. A refused connection counted as one that came up, and the server as heard.

Why the test missed it: its stand-in called back with null.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -157,9 +157,9 @@
     return new Promise((resolve) => {
       this.#connectTo(id)(
         { hostname: host, host, port: String(port), protocol: "http:" },
-        (_error, socket) => {
+        (error, socket) => {
           socket?.destroy();
-          resolve(socket !== null);
+          resolve(error === null);
         },
       );
     });
@@ -198,7 +198,8 @@
   #connectTo(server: string): ServerConnector {
     return (options, callback) =>
       this.#connect(options, (...result) => {
-        if (result[1] !== null) this.#contacts.heard(server);
+        // undici leaves the socket out beside an error, against its types.
+        if (result[0] === null) this.#contacts.heard(server);
         callback(...result);
       });
   }
