Let a host that forwards say 'busy' by its present load only

Cause: LoopBacklog compares with the request before. It is asked for each request of a caller; a forwarding host asks it for the first time minutes after its start, and all busy time since then looks like a backlog.

Change: the load of the event loop over the last 0.1 to 1 s decides, and only from 16 requests in progress on.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -21,7 +21,6 @@
   readBody,
 } from "rampswitch-utils";
 import type { Send, SendListener } from "../attempt/mod.ts";
-import { LoopBacklog } from "../intake/loop_backlog.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { ServerAddress } from "./forwarding_client.ts";
 import {
@@ -30,6 +29,7 @@
   type NotSentReason,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
+import { LoopLoad } from "./loop_load.ts";
 import type { DirectClient } from "./server_client.ts";
 
 /** Maximum header bytes of the parser; callers' headers and those of the hop. */
@@ -38,6 +38,9 @@
 /** Maximum number of forwarded requests in progress. */
 const MAXIMUM_REQUESTS = 256;
 
+/** The same while the event loop of this host is saturated. */
+const MAXIMUM_REQUESTS_WHILE_SATURATED = 16;
+
 /** Maximum bytes of the bodies of forwarded requests in progress. */
 const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -80,7 +83,7 @@
 export class ForwardingServer {
   readonly #parts: ForwardingServerParts;
   readonly #server: Server;
-  readonly #backlog = new LoopBacklog();
+  readonly #load = new LoopLoad();
   #inProgress = 0;
   #bodyBytes = 0;
 
@@ -150,7 +153,8 @@
     const isBusy =
       this.#inProgress >= MAXIMUM_REQUESTS ||
       this.#bodyBytes >= MAXIMUM_BODY_BYTES ||
-      this.#backlog.isBehind();
+      (this.#load.isSaturated() &&
+        this.#inProgress >= MAXIMUM_REQUESTS_WHILE_SATURATED);
     return isBusy ? "busy" : undefined;
   }
 
--- a/packages/rampswitch-serving/src/intake/loop_backlog.ts
+++ b/packages/rampswitch-serving/src/intake/loop_backlog.ts
@@ -50,7 +50,8 @@
   }
 }
 
-function loopTimes(): LoopTimes {
+/** Returns the times of this process's event loop. */
+export function loopTimes(): LoopTimes {
   return {
     now: performance.now(),
     idle: performance.eventLoopUtilization().idle,
