Refute losses of servers that still answer this host

Cause: a host whose connection is reset reports the server's incarnation as lost under the request. Three such reports from hosts that are cut off make a popular request a suspect everywhere. The class: a host that is cut off says of servers what holds for its own links alone.

Change: a host that heard an incarnation after the reported loss drops that loss, while it is younger than a second; 0.1 s are allowed for what was under way.

Ruled out: holding losses back until a second server fails (hosts would learn of requests that crash servers 0.4 s later), and counting losses in a burst as doubtful (the first loss of each host counts all the same).

--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -66,6 +66,11 @@
    * the order.
    */
   trialRank(fingerprint: string): TrialRank;
+  /**
+   * Whether this host heard an incarnation after some time, so that it had not ended
+   * by then.
+   */
+  wasHeardAfter?(incarnation: string, time: number): boolean;
   /** Called when a stored entry has changed on this host. */
   onStoredChange(): void;
 }
@@ -93,6 +98,18 @@
  */
 const REPORT_LIFETIME_MILLISECONDS = 3_000;
 
+/**
+ * Maximum age of a loss that this host can refute, in milliseconds: a server that has
+ * ended takes longer to start again under the same name.
+ */
+const REFUTABLE_MILLISECONDS = 1_000;
+
+/**
+ * Time within which all hosts notice that a server has ended, in milliseconds. What is
+ * heard within it may have been sent before.
+ */
+const NOTICE_MILLISECONDS = 100;
+
 /**
  * Maximum number of requests in one message and in the store; those with most
  * losses come first.
@@ -231,7 +248,26 @@
     const now = this.#parts.clock.now();
     updates
       .slice(0, MAXIMUM_REPORTED_REQUESTS)
-      .forEach((one) => this.#merge(one.fingerprint, entryOf(one, now)));
+      .forEach((one) =>
+        this.#merge(one.fingerprint, this.#withoutRefuted(entryOf(one, now))),
+      );
+  }
+
+  /**
+   * Drops losses of incarnations that answer this host: the other one has lost its
+   * links to them.
+   */
+  #withoutRefuted(entry: QuarantineEntry): QuarantineEntry {
+    const now = this.#parts.clock.now();
+    const isRefuted = (incarnation: string, at: number) =>
+      now - at < REFUTABLE_MILLISECONDS &&
+      this.#parts.wasHeardAfter?.(incarnation, at + NOTICE_MILLISECONDS) ===
+        true;
+    const losses = [...entry.lostIncarnations];
+    const kept = losses.filter(([name, at]) => !isRefuted(name, at));
+    return kept.length === losses.length
+      ? entry
+      : { ...entry, lostIncarnations: new Map(kept) };
   }
 
   /** Returns the requests to store. */
--- a/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
@@ -43,6 +43,7 @@
   options: {
     readonly turn?: (key: string) => number;
     readonly onStoredChange?: () => void;
+    readonly heardAt?: ReadonlyMap<string, number>;
   } = {},
 ): Quarantine {
   return new Quarantine({
@@ -54,6 +55,7 @@
       lagMilliseconds: LAG_MILLISECONDS,
     }),
     onStoredChange: options.onStoredChange ?? (() => undefined),
+    wasHeardAfter: (name, time) => (options.heardAt?.get(name) ?? 0) > time,
   });
 }
 
@@ -294,6 +296,23 @@
 ];
 
 describe("a request that does not crash servers", () => {
+  test("is not suspected by hosts that hear the servers which others lost", () => {
+    const clock = new ManualClock(10 * SECOND);
+    const request = fingerprintOf("popular");
+    const cutOff = quarantineOf(clock);
+    ["s1", "s2", "s3"].forEach((name) =>
+      cutOff.recordLoss(request, lostIncarnation(name)),
+    );
+    clock.advance(GOSSIP_INTERVAL_MILLISECONDS);
+    const heardAt = new Map([["s1", clock.now()]]);
+    const inTouch = quarantineOf(clock, { heardAt });
+    inTouch.receive(cutOff.updates());
+    expect(inTouch.decide(request).kind).toBe("free");
+    const silent = quarantineOf(clock);
+    silent.receive(cutOff.updates());
+    expect(silent.decide(request).kind).toBe("held");
+  });
+
   test.each(MAXIMUM_HOLDS)(
     "is held no longer than a trial takes after %d servers were lost at once",
     (lost, longest) => {
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -209,6 +209,14 @@
       trialRank: (fingerprint) =>
         this.#membership?.rankFor(fingerprint) ?? SINGLE_HOST_POSITION,
       onStoredChange: () => this.#quarantineStore.scheduleWrite(),
+      wasHeardAfter: (incarnation, time) =>
+        this.#directory
+          .all()
+          .some(
+            (record) =>
+              record.incarnation === incarnation &&
+              this.#contacts.heardSince(record.entry.id, time),
+          ),
     });
     this.#quarantineStore = this.#ownership.own(
       new QuarantineStore({
