Count the load of a prompt once until a server may have read it

Cause: each send of a prompt adds its tokens to the service's load. Hosts that reach no server send each request to up to four of them in vain, and report that as load. The class: what a host that is cut off says of the load.

Change: sends after the first add nothing as long as no server may have read the prompt.

Ruled out: the holder's own sends; it completed its requests at the first server.

--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -27,6 +27,7 @@
 } from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
+import type { PromptSend } from "./prompt_load.ts";
 
 /** A host's view of the configuration at one moment. */
 export interface ConfigurationView {
@@ -38,12 +39,10 @@
 }
 
 /** A prompt that was sent to an engine. */
-export interface Dispatch {
+export interface Dispatch extends PromptSend {
   readonly service: string;
   /** Prompt parts that other requests may share. */
   readonly parts: readonly PromptPart[];
-  /** Estimated tokens that the engine has to read. */
-  readonly unreadTokens: number;
 }
 
 /** What the request pipeline works with. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -21,12 +21,12 @@
 import { promptTokensOf } from "../estimates/mod.ts";
 import {
   type AdmittedRequest,
-  enginePriority,
   timeLimitMilliseconds,
 } from "./admitted_request.ts";
 import { BufferedBody } from "./buffered_body.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { EventFramer, isAfter } from "./event_framer.ts";
+import { outgoingRequest } from "./outgoing_request.ts";
 import { prepareRefusal, type RefusalTerms } from "./own_refusal.ts";
 import {
   observeAnswer,
@@ -286,27 +286,19 @@
       this.#context.dispatched(record, {
         service: request.service.name,
         parts: parts.slice(0, -1),
-        unreadTokens: Math.max(0, unread),
+        unreadTokens: unread,
+        sends: this.#record.sends,
+        possibleRuns: this.#tracker.possibleRuns,
       });
     }
-    const { attemptId, method, target } = request.head;
     const send = this.#context.client.send(
       record.entry,
-      {
-        ...{ attemptId, method, target, body: request.body },
-        headers: this.#context.codec.encodeSend(request.head, {
-          serverId: record.entry.id,
-          workspace: request.workspace?.name,
-          remainingMilliseconds: Math.max(1, Math.floor(this.#remaining())),
-          enginePriority: enginePriority(request),
-          lastEventId: this.#lastEventId,
-          memorySource,
-          copyCachedPartsFrom:
-            memorySource === undefined
-              ? choice.copyFrom?.entry.address
-              : undefined,
-        }),
-      },
+      outgoingRequest(request, choice, {
+        codec: this.#context.codec,
+        remainingMilliseconds: this.#remaining(),
+        lastEventId: this.#lastEventId,
+        memorySource,
+      }),
       {
         written: () => this.#tracker.handle({ type: "written" }),
         head: (status, raw) =>
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -64,6 +64,7 @@
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
+import { addedLoadTokens } from "./relay/prompt_load.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import {
@@ -653,7 +654,7 @@
         this.#duties.usage.countRequest(workspace, this.#fleetTime()),
       dispatched: ({ entry }, dispatch) => {
         this.#dispatches.add(entry, dispatch.parts);
-        this.#meter.read(dispatch.service, dispatch.unreadTokens);
+        this.#meter.read(dispatch.service, addedLoadTokens(dispatch));
       },
     };
   }
