--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -89,6 +89,7 @@
   readonly #ends = new ConnectionEnds();
   readonly #connect: ServerConnector;
   readonly #contacts: ContactObserver;
+  readonly #localAddress: string | undefined;
 
   constructor(
     options: {
@@ -96,9 +97,12 @@
       readonly connector?: ServerConnector | undefined;
       /** Connection timeout of the usual connector, in milliseconds. */
       readonly connectMilliseconds?: number;
+      /** IP address from which it connects; the system's choice by default. */
+      readonly localAddress?: string;
     } = {},
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
+    this.#localAddress = options.localAddress;
     this.#connect = this.#ends.connector(
       options.connector ??
         buildConnector({
@@ -185,6 +189,7 @@
       connections: null,
       pipelining: 1,
       connect: this.#connectTo(id),
+      ...(this.#localAddress && { localAddress: this.#localAddress }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -258,6 +258,14 @@
     this.#ejections += 1;
   }
 
+  /** Forgets failures that were due to this host's links and not to the server. */
+  forgiveFailures(): void {
+    this.#failuresInRow = 0;
+    this.#ejections = 0;
+    this.#ejectedUntil = 0;
+    this.#failureShare = 0;
+  }
+
   /** Whether the server accepts new work. */
   get isReady(): boolean {
     return this.isReadable && this.entry.state === "ready";
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -50,13 +50,15 @@
 /** Sends requests through other hosts. */
 export class ForwardingClient implements AsyncDisposable {
   readonly #host: string;
-  readonly #client = new BackendClient({
-    connectMilliseconds: CONNECT_MILLISECONDS,
-  });
+  readonly #client: BackendClient;
 
-  /** @param host Name of this host. */
-  constructor(host: string) {
+  /** Takes the name of this host, and the IP address by which the others know it. */
+  constructor({ host, ip }: { readonly host: string; readonly ip: string }) {
     this.#host = host;
+    this.#client = new BackendClient({
+      connectMilliseconds: CONNECT_MILLISECONDS,
+      localAddress: ip,
+    });
   }
 
   /**
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -39,7 +39,9 @@
     this.door = door;
     this.serverAddress = addresses.server;
     this.doorAddress = addresses.door;
-    this.forwarding = this.ownership.own(new ForwardingClient("a"));
+    this.forwarding = this.ownership.own(
+      new ForwardingClient({ host: "a", ip: "127.0.0.1" }),
+    );
   }
 
   /** Starts a server and a host that forwards requests to it. */
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -77,6 +77,8 @@
   readonly client: BackendClient;
   readonly forwarding: ForwardingClient;
   readonly hosts: ForwardingHosts;
+  /** Called when other hosts reach servers that this one does not. */
+  onLinksLost(): void;
 }
 
 /** Sends requests to backend servers. */
@@ -91,7 +93,10 @@
     this.#detours = new Detours({
       ...parts,
       connects: (server) => this.#connects(server),
-      onLost: () => this.distrustSilentConnections(),
+      onLost: () => {
+        this.distrustSilentConnections();
+        parts.onLinksLost();
+      },
     });
     this.#silence = new SilenceWatch({
       ...parts,
--- a/packages/rampswitch-serving/src/reach/server_contacts.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts.ts
@@ -116,6 +116,11 @@
     return this.#failedInRow.size > 1;
   }
 
+  /** Whether connections to a server failed and it was not heard since. */
+  isOutOfReach(server: string): boolean {
+    return this.#unreached.has(server);
+  }
+
   /** Whether connections to a server failed again and again, and it was not heard since. */
   failedAgain(server: string): boolean {
     return (this.#unreached.get(server)?.failures ?? 0) > 1;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -542,14 +542,20 @@
   }
 
   #createServerClient(): ServerClient {
-    const { host } = this.#settings;
+    const { host, addresses } = this.#settings;
+    const ip = splitAddress(addresses.peers).host;
     const { clock, random, serverConnector } = this.#ports;
     const contacts = this.#contacts;
     return new ServerClient({
       ...this.#ports,
       contacts,
       client: new BackendClient({ contacts, connector: serverConnector }),
-      forwarding: new ForwardingClient(host),
+      forwarding: new ForwardingClient({ host, ip }),
+      onLinksLost: () =>
+        this.#directory
+          .all()
+          .filter(({ entry }) => contacts.isOutOfReach(entry.id))
+          .forEach((record) => record.forgiveFailures()),
       hosts: new ForwardingHosts({
         clock,
         random,
