Send to servers that say that they are brittle within shares of their slots

What callers saw: while servers said that they were brittle, more requests than fit made them fall over in turn; falls took the room, and the room that was left fell faster.

Cause: the word was known by no part of the program. The class: an overload that feeds itself, and a limit of a server that each host keeps for itself.

Change: all hosts divide the slots of a brittle server; a host never has more requests there than its share, sends nothing for a second after a rejection, and nobody does once half of the bound is spent. A request without a place waits at the host for an eighth of its target at most. One more row in the table of advertisements and one key in messages between hosts, absent while no server is brittle.

Ruled out: sending by reports of load (a round trip old) and asking one host for each place (a round trip for each request).

Not run: 78 hosts, kills of all hosts, a soak with brittle servers.

--- a/packages/rampswitch-serving/src/advertisements/advertisements_standin.ts
+++ b/packages/rampswitch-serving/src/advertisements/advertisements_standin.ts
@@ -15,6 +15,7 @@
   limit: { kind: "nothing" },
   leaving: { kind: "nothing" },
   rest: { kind: "nothing" },
+  brittle: { kind: "nothing" },
 };
 
 /** Creates a reader whose handlers ignore all advertisements. */
@@ -23,6 +24,11 @@
   return new AdvertisementReader({
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
-    handlers: { limit: ignored, leaving: ignored, rest: ignored },
+    handlers: {
+      limit: ignored,
+      leaving: ignored,
+      rest: ignored,
+      brittle: ignored,
+    },
   });
 }
--- a/packages/rampswitch-serving/src/advertisements/server_advertisements_test.ts
+++ b/packages/rampswitch-serving/src/advertisements/server_advertisements_test.ts
@@ -39,6 +39,7 @@
         appliesLate: true,
         receive: (_, value) => taken.push(["leaving", value]),
       },
+      brittle: { appliesLate: false, receive: () => undefined },
       rest: {
         appliesLate: false,
         receive: (_, value) => {
--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -32,6 +32,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Maximum requests of this host at one server at once. */
   readonly maximumOwnRequests: number;
+  /** Whether this host may send one more request to a server. */
+  allows?(record: ServerRecord): boolean;
   /**
    * Whether this host receives the dispatches of all other hosts, which report the
    * server that each prompt was sent to. In a large fleet it does not, and assumes
@@ -270,6 +272,7 @@
   const maximumLoad = record.entry.slots * (1 + MAXIMUM_QUEUE_SHARE);
   return (
     record.backOff.allowsSend(inputs.now) &&
+    inputs.allows?.(record) !== false &&
     record.load(inputs.now) < maximumLoad &&
     record.ownRunning < inputs.maximumOwnRequests
   );
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock } from "rampswitch-utils";
 import type { AdmittedTotals, WorkspaceLimits } from "./admission/mod.ts";
+import type { BrittleServers } from "./brittle/mod.ts";
 import {
   type LeavingUpdate,
   maximumSlowdown,
@@ -73,6 +74,7 @@
   readonly leavingAdvertisements: LeavingAdvertisements;
   readonly roomCounts: RoomCounts;
   readonly reservations: Reservations;
+  readonly brittle: BrittleServers;
   readonly contacts: ServerContacts;
   readonly peerReach: PeerReach;
   /** Hosts that may issue permits for limited servers. */
@@ -170,6 +172,7 @@
       slowdowns,
       room,
       returns: reservations.updates(this.#parts.clock.now()),
+      brittle: this.#parts.brittle.updates(),
       outOfReach: this.#parts.contacts.outOfReach(),
     };
   }
@@ -231,6 +234,7 @@
       slowdowns: this.#slowdownUpdates,
       room: this.#parts.roomCounts.reportExcept(host, now),
       returns: this.#returnUpdates,
+      brittle: this.#parts.brittle.fleetUpdates(),
       hostsLackingReach: this.#hostsLackingReach(),
     };
   }
@@ -282,6 +286,7 @@
       digest.acknowledgedByHost === undefined ? undefined : acknowledged?.room;
     this.#parts.roomCounts.receiveFleet(digest.room, { own: ownRoom, now });
     this.#parts.reservations.receive(digest.returns, { age: 0, now });
+    this.#parts.brittle.receive(digest.relay, digest.brittle, 0);
     this.#parts.peerReach.receiveFleet(digest.hostsLackingReach);
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
@@ -309,6 +314,7 @@
     });
     this.#parts.roomCounts.receive(update.host, update.room, now - age);
     this.#parts.reservations.receive(update.returns, { age, now });
+    this.#parts.brittle.receive(update.host, update.brittle, age);
     this.#parts.peerReach.receive(update.host, update.outOfReach, age);
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -258,7 +258,7 @@
       request,
       {
         response,
-        onFinished: (finished) => this.#runs.delete(finished),
+        onFinished: (finished) => this.#finished(finished),
       },
       this.#context,
     );
@@ -266,6 +266,11 @@
     run.start();
   }
 
+  #finished(run: RequestRun): void {
+    this.#runs.delete(run);
+    this.#context.brittle.waits.released();
+  }
+
   #destination(
     head: RequestHead,
     view: ConfigurationView,
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -17,6 +17,7 @@
   oneOf,
   optional,
 } from "./checks.ts";
+import { brittleOf, encodedBrittle, isBrittle } from "./brittle_codec.ts";
 import {
   changesOf,
   encodedChanges,
@@ -77,6 +78,7 @@
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
   readonly ur?: readonly string[] | undefined;
+  readonly br?: ReturnType<typeof encodedBrittle>;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
   readonly z?: Readonly<Record<string, number>> | undefined;
@@ -108,6 +110,7 @@
   rm: isDemand,
   rt: isReturns,
   ur: optional(listOf(isName)),
+  br: isBrittle,
   h: optional(listOf(isString)),
   z: optional(isNumbers),
 };
@@ -132,6 +135,7 @@
     sp: encodedSlowdowns(digest.slowdowns),
     rm: encodedDemand(digest.room),
     rt: encodedReturns(digest.returns),
+    br: encodedBrittle(digest.brittle),
     ur:
       digest.hostsLackingReach.length === 0
         ? undefined
@@ -178,6 +182,7 @@
     slowdowns: slowdownsOf(message.sp),
     room: demandOf(message.rm),
     returns: returnsOf(message.rt),
+    brittle: brittleOf(message.br),
     hostsLackingReach: message.ur ?? [],
     permitHolders: message.h ?? [],
     acknowledgedByHost: message.z,
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -298,6 +298,11 @@
     });
   }
 
+  /** Names of all present hosts, this one included. */
+  get presentHosts(): readonly string[] {
+    return this.#hosts.present(this.#parts.clock.now());
+  }
+
   /** Other hosts that may forward requests. */
   get forwardingHosts(): readonly KnownHost[] {
     return this.#hosts.forwardingHosts(this.#parts.clock.now());
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -26,6 +26,7 @@
 const OWN_UPDATE: OwnUpdate = {
   slowdowns: [{ id: "s1", born: 1_796_169_600_123, slowdown: 2.5, hosts: 1 }],
   leaving: [{ id: "s9", born: 7, age: 20 }],
+  brittle: [{ id: "s1", born: undefined, bound: 5, age: 3, rejections: 1 }],
   outOfReach: ["s1"],
   returns: [
     { key: "0123456789abcdef", id: 9, dueIn: 400, rank: 102, kept: true },
@@ -143,6 +144,7 @@
   slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
   leaving: OWN_UPDATE.leaving,
   returns: OWN_UPDATE.returns,
+  brittle: OWN_UPDATE.brittle,
   hostsLackingReach: ["c"],
   limits: OWN_UPDATE.limits,
 };
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -45,6 +45,7 @@
     { id: "s1", born: BORN, age: 40 },
     { id: "s2", born: undefined, age: 0 },
   ],
+  brittle: [{ id: "s1", born: undefined, bound: 5, age: 3, rejections: 1 }],
   outOfReach: ["s1"],
   returns: [
     { key: "0123456789abcdef", id: 9, dueIn: 400, rank: 102, kept: false },
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -12,6 +12,7 @@
   BucketLevels,
   LimitDecision,
 } from "../admission/mod.ts";
+import type { BrittleUpdate } from "../brittle/mod.ts";
 import type {
   LeavingUpdate,
   ReportedWork,
@@ -94,6 +95,8 @@
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
   readonly returns: readonly ReservationUpdate[];
+  /** Backend servers that advertise that they are brittle. */
+  readonly brittle: readonly BrittleUpdate[];
   /** Ids of the backend servers that the host does not reach. */
   readonly outOfReach: readonly string[];
 }
@@ -126,6 +129,8 @@
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
   readonly returns: readonly ReservationUpdate[];
+  /** Backend servers that advertise that they are brittle. */
+  readonly brittle: readonly BrittleUpdate[];
   /** Names of the hosts that do not reach some backend server. */
   readonly hostsLackingReach: readonly string[];
 }
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -22,6 +22,7 @@
   recordOf,
   tupleOf,
 } from "./checks.ts";
+import { brittleOf, encodedBrittle, isBrittle } from "./brittle_codec.ts";
 import {
   type EncodedVersions,
   isVersions,
@@ -94,6 +95,7 @@
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
   readonly ur?: readonly string[] | undefined;
+  readonly br?: ReturnType<typeof encodedBrittle>;
 }
 
 /** Updates of some hosts, each with its age. */
@@ -144,6 +146,7 @@
   rm: isDemand,
   rt: isReturns,
   ur: optional(listOf(isName)),
+  br: isBrittle,
 };
 
 type UpdatesMessage = Extract<PeerMessage, { readonly kind: "updates" }>;
@@ -250,6 +253,7 @@
     sp: encodedSlowdowns(update.slowdowns),
     rm: encodedDemand(update.room),
     rt: encodedReturns(update.returns),
+    br: encodedBrittle(update.brittle),
     ur: update.outOfReach.length === 0 ? undefined : update.outOfReach,
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
@@ -307,6 +311,7 @@
     slowdowns: slowdownsOf(update.sp),
     room: demandOf(update.rm),
     returns: returnsOf(update.rt),
+    brittle: brittleOf(update.br),
     outOfReach: update.ur ?? [],
   };
 }
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -85,6 +85,8 @@
   readonly leaving: Advertised<true>;
   /** Back-off in milliseconds that it asks of the host that it turned away. */
   readonly rest: Advertised<number>;
+  /** Requests that it can turn away within a second; with more it ends. */
+  readonly brittle: Advertised<number>;
 }
 
 /** Head of a backend server's answer. */
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -13,6 +13,7 @@
   ServerRecord,
 } from "../choice/mod.ts";
 import type { ReadingRates, WorkEstimates } from "../estimates/mod.ts";
+import type { BrittleServers } from "../brittle/mod.ts";
 import type { ServerClient } from "../forwarding/mod.ts";
 import type { RouteIndex } from "../intake/route_index.ts";
 import type { EngineControl } from "../model/engine_control.ts";
@@ -65,6 +66,7 @@
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
+  readonly brittle: BrittleServers;
   /** Retry times given to callers that were refused during servers' back-offs. */
   readonly backOffWaits: PermitWaits;
   /** When callers that were refused for lack of capacity may return. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -542,6 +542,7 @@
    */
   #countRejection(record: ServerRecord): void {
     const now = this.#now();
+    this.#context.brittle.recordRejection(record);
     if (record.backOff.isActive(now)) return;
     if (this.#context.permits.limitOf(record) !== undefined) return;
     record.rejected(now);
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -93,7 +93,9 @@
   // Only first sends are decided on, so a resend is never refused here.
   if (isFirst && !send.hasRoom) {
     const room = roomRequest(versions, send, context);
-    const decision = admission(room, send, context);
+    const decision = context.brittle.hasFreeShare(versions.first)
+      ? admittedByShare(room, send, context)
+      : admission(room, send, context);
     if (decision.kind === "short") {
       const refusal = { ...decision, request: room };
       return { outcome: { kind: "full" }, refusal };
@@ -153,9 +155,20 @@
     .filter((record) => !tried.has(record.incarnation))
     .filter((record) => record.load(now) < record.entry.slots)
     .filter((record) => record.ownRunning < connections)
+    .filter((record) => context.brittle.allows(record))
     .toSorted((left, right) => left.load(now) - right.load(now));
 }
 
+/** Admits a request for which a place at a brittle server is free. */
+function admittedByShare(
+  room: RoomRequest,
+  { now }: SendQuery,
+  { room: admissions }: RequestContext,
+): RoomDecision {
+  admissions.admitReturned(room, now);
+  return { kind: "admitted" };
+}
+
 /**
  * Decides on a request: a caller who returns as told is admitted, and requests that
  * wait come before new ones.
@@ -276,6 +289,7 @@
         : undefined,
     excluded: tried,
     maximumOwnRequests: ownConnections(request.service, context.hosts()),
+    allows: (record) => context.brittle.allows(record),
     leavingGraceMilliseconds: leavingWindowMilliseconds(request, context),
     receivesDispatches: context.receivesDispatches(),
     draw: () => context.random.next(),
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -31,6 +31,12 @@
 /** Time between two queries for a permit, in milliseconds. */
 const PERMIT_WAIT_MILLISECONDS = 300;
 
+/**
+ * Share of the route's target for which a request may wait for a place at brittle
+ * servers. A longer wait would cost its caller the chance to return in time.
+ */
+const SHARE_WAIT_SHARE = 1 / 8;
+
 /** Reason to refuse a first send, by the outcome of the choice. */
 const REFUSAL_BY_OUTCOME = {
   none: "no_server",
@@ -66,6 +72,7 @@
   /** Whether room was taken for the first send. */
   #hasRoom = false;
   #waitingPlace: WaitingPlace | undefined;
+  #leaveShareWait: (() => void) | undefined;
   #refusal: RoomRefusal | undefined;
 
   constructor(run: ChooserRun, context: RequestContext) {
@@ -85,6 +92,7 @@
 
   /** Frees the place of a request that waits for room. */
   stopWaiting(): void {
+    this.#leaveShareWait?.();
     this.#waitingPlace?.leave();
     this.#waitingPlace = undefined;
   }
@@ -149,11 +157,37 @@
       void this.#chooseWithPermit(limited, listener, "servers_limited");
     } else if (refusal !== undefined) {
       this.#waitForRoom(refusal, listener);
+    } else if (outcome.kind === "full") {
+      this.#waitForShare(listener);
     } else {
       listener.none(REFUSAL_BY_OUTCOME[outcome.kind]);
     }
   }
 
+  /** Has the request wait for a place at brittle servers, for a short time. */
+  #waitForShare(listener: ChoiceListener<RefusalReason>): void {
+    const { request } = this.#run;
+    const { brittle } = this.#context;
+    const refuse = () => listener.none(REFUSAL_BY_OUTCOME.full);
+    this.#leaveShareWait = brittle.isBrittleService(request.service.name)
+      ? brittle.waits.add({
+          latestAt:
+            request.arrivedAt +
+            Math.min(
+              request.route.targetMilliseconds * SHARE_WAIT_SHARE,
+              timeLimitMilliseconds(request),
+            ),
+          attempt: () => {
+            const { outcome } = this.#choose();
+            if (outcome.kind === "chosen") listener.chosen(outcome.choice);
+            return outcome.kind === "chosen";
+          },
+          refuse,
+        })
+      : undefined;
+    if (this.#leaveShareWait === undefined) refuse();
+  }
+
   /** Has the request wait for room, or refuses it if it would wait too long. */
   #waitForRoom(
     refusal: RoomRefusal,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -21,6 +21,7 @@
   WorkspaceLimits,
 } from "./admission/mod.ts";
 import { BackendClient, type ServerConnector } from "./attempt/mod.ts";
+import { BrittleServers } from "./brittle/mod.ts";
 import {
   PrefixCacheEstimate,
   ServerDirectory,
@@ -159,6 +160,7 @@
   readonly #readingRates = new ReadingRates();
   readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
+  readonly #brittle: BrittleServers;
   readonly #backOffWaits = new PermitWaits();
   readonly #returns: ReturnTimes;
   readonly #waiting: WaitingRequests;
@@ -268,6 +270,13 @@
         this.#membership?.queryPermit(holder, request),
       broadcast: () => promptUpdates.trigger(),
     });
+    this.#brittle = new BrittleServers({
+      ...ports,
+      host: settings.host,
+      hosts: () => this.#membership?.presentHosts ?? [settings.host],
+      server: (id) => this.#directory.get(id),
+      broadcast: () => promptUpdates.trigger(),
+    });
     this.#leavingAdvertisements = new LeavingAdvertisements({
       ...ports,
       directory: this.#directory,
@@ -293,6 +302,11 @@
             if (leaves !== undefined) this.#leavingAdvertisements.read(record);
           },
         },
+        brittle: {
+          appliesLate: false,
+          receive: (record, bound) =>
+            this.#brittle.recordAdvertised(record, bound),
+        },
         rest: {
           appliesLate: false,
           receive: (record, milliseconds) => {
@@ -426,6 +440,7 @@
       leavingAdvertisements: this.#leavingAdvertisements,
       roomCounts: this.#room.counts,
       reservations: this.#returns.reservations,
+      brittle: this.#brittle,
       contacts: this.#contacts,
       peerReach: this.#peerReach,
       permitHolders: () => this.#membership?.permitHolders ?? [],
@@ -639,6 +654,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       permits: this.#permits,
+      brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
       returns: this.#returns,
       waiting: this.#waiting,
