--- a/packages/rampswitch-serving/src/room/room_admission_test.ts
+++ b/packages/rampswitch-serving/src/room/room_admission_test.ts
@@ -173,6 +173,36 @@
   );
 });
 
+/** Further seeds, on the number of hosts where they differ most. */
+const FURTHER_RUNS = Array.from({ length: 20 }, (_, index) => ({
+  hosts: 6,
+  seed: 11 + index,
+}));
+
+describe("a burst of one workspace with seeds 11 to 30", () => {
+  test("does not take the share of another", () => {
+    FURTHER_RUNS.forEach((run) => {
+      const fleet = runBurst({ ...run, loads: [steady("quiet", 40), burst()] });
+      expect(admittedOf(fleet, "quiet")).toBeGreaterThanOrEqual(0.99);
+      expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.95);
+      expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
+      expect(servedInTime(fleet, "burst")).toBeGreaterThanOrEqual(0.3);
+    });
+  });
+
+  test("yields to a workspace of the first rank", () => {
+    FURTHER_RUNS.forEach((run) => {
+      const loads = [steady("quiet", 100, { rank: 0 }), burst()];
+      const fleet = runBurst({ ...run, loads });
+      expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.97);
+      expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
+      expect(admittedOf(fleet, "burst")).toBeGreaterThanOrEqual(
+        0.3 * overallShare(fleet),
+      );
+    });
+  });
+});
+
 /** The rule before: a random share by the requests of each host, and its hold times. */
 function randomShareFor({ hosts, seed }: { hosts: number; seed: number }) {
   const random = seededRandom(seed + 100);
