Weigh reported losses when a request comes, not when they are reported

Cause: a loss was refuted only if the server had been heard between the loss and its report, a quarter of a second at most.

Change: the losses of a quarantined request are compared with what was heard when the request comes. An incarnation that is known to have ended is no longer the listed one and counts again, so no age limit is needed.

--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -98,12 +98,6 @@
  */
 const REPORT_LIFETIME_MILLISECONDS = 3_000;
 
-/**
- * Maximum age of a loss that this host can refute, in milliseconds: a server that has
- * ended takes longer to start again under the same name.
- */
-const REFUTABLE_MILLISECONDS = 1_000;
-
 /**
  * Time within which all hosts notice that a server has ended, in milliseconds. What is
  * heard within it may have been sent before.
@@ -248,26 +242,7 @@
     const now = this.#parts.clock.now();
     updates
       .slice(0, MAXIMUM_REPORTED_REQUESTS)
-      .forEach((one) =>
-        this.#merge(one.fingerprint, this.#withoutRefuted(entryOf(one, now))),
-      );
-  }
-
-  /**
-   * Drops losses of incarnations that answer this host: the other one has lost its
-   * links to them.
-   */
-  #withoutRefuted(entry: QuarantineEntry): QuarantineEntry {
-    const now = this.#parts.clock.now();
-    const isRefuted = (incarnation: string, at: number) =>
-      now - at < REFUTABLE_MILLISECONDS &&
-      this.#parts.wasHeardAfter?.(incarnation, at + NOTICE_MILLISECONDS) ===
-        true;
-    const losses = [...entry.lostIncarnations];
-    const kept = losses.filter(([name, at]) => !isRefuted(name, at));
-    return kept.length === losses.length
-      ? entry
-      : { ...entry, lostIncarnations: new Map(kept) };
+      .forEach((one) => this.#merge(one.fingerprint, entryOf(one, now)));
   }
 
   /** Returns the requests to store. */
@@ -314,7 +289,22 @@
 
   #quarantinedEntryOf(request: Fingerprint): QuarantineEntry | undefined {
     const entry = this.#entryOf(request);
-    return entry !== undefined && isQuarantined(entry) ? entry : undefined;
+    if (entry === undefined || !isQuarantined(entry)) return undefined;
+    return isQuarantined(this.#withoutRefuted(entry)) ? entry : undefined;
+  }
+
+  /**
+   * Drops losses of incarnations that were heard since: the host that reported them has
+   * lost its links. It is decided anew each time, as an incarnation whose end is not
+   * known here yet may seem to be heard when its server has started again.
+   */
+  #withoutRefuted(entry: QuarantineEntry): QuarantineEntry {
+    const isRefuted = (incarnation: string, at: number) =>
+      this.#parts.wasHeardAfter?.(incarnation, at + NOTICE_MILLISECONDS) ===
+      true;
+    const losses = [...entry.lostIncarnations];
+    const kept = losses.filter(([name, at]) => !isRefuted(name, at));
+    return { ...entry, lostIncarnations: new Map(kept) };
   }
 
   #merge(fingerprint: string, received: QuarantineEntry): void {
