--- a/packages/rampswitch-serving/src/forwarding/mod.ts
+++ b/packages/rampswitch-serving/src/forwarding/mod.ts
@@ -6,7 +6,5 @@
  *
  * @module
  */
-export * from "./forwarding_client.ts";
-export * from "./forwarding_hosts.ts";
-export * from "./forwarding_server.ts";
-export * from "./server_client.ts";
+export { ServerAccess } from "./server_access.ts";
+export { ServerClient } from "./server_client.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -0,0 +1,114 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * How one host and its peers reach backend servers: connects the client of the servers,
+ * the forwarding between hosts and what is known of the reach of each.
+ *
+ * @module
+ */
+import type { Clock, Listening, Logger, Random } from "rampswitch-utils";
+import { BackendClient, type ServerConnector } from "../attempt/mod.ts";
+import type { ServerDirectory } from "../choice/mod.ts";
+import type { ServingMetrics } from "../observation/mod.ts";
+import { PeerReach, ServerContacts } from "../reach/mod.ts";
+import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
+import { ForwardingHosts } from "./forwarding_hosts.ts";
+import { ForwardingServer } from "./forwarding_server.ts";
+import { ServerClient } from "./server_client.ts";
+
+/** Dependencies of the access to servers. */
+export interface ServerAccessParts {
+  /** A monotonic clock. */
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+  /** Name of this host, and the IP address by which the others know it. */
+  readonly self: { readonly host: string; readonly ip: string };
+  readonly directory: ServerDirectory;
+  /** Opens connections to servers; TCP by default. */
+  readonly serverConnector?: ServerConnector | undefined;
+  /** Other hosts that may forward requests. */
+  forwardingHosts(): readonly ForwardingHost[];
+  /** Whether an IP address belongs to a host of the fleet. */
+  isHostAddress(ip: string): boolean;
+  /** Whether this host starts no more requests. */
+  stopping(): boolean;
+  /** Tells the peers of a change at once. */
+  broadcast(): void;
+}
+
+/** Access of one host to all servers. */
+export class ServerAccess implements AsyncDisposable {
+  readonly contacts: ServerContacts;
+  readonly peerReach: PeerReach;
+  readonly client: ServerClient;
+  readonly #directory: ServerDirectory;
+  readonly #server: ForwardingServer;
+
+  constructor(parts: ServerAccessParts) {
+    this.#directory = parts.directory;
+    this.peerReach = new PeerReach(parts.clock);
+    this.contacts = new ServerContacts({
+      ...parts,
+      peersWithout: (server) => this.peerReach.countWithout(server),
+      onChange: () => parts.broadcast(),
+      onSeveralFailed: () => this.client.distrustSilentConnections(),
+    });
+    this.client = new ServerClient({
+      ...parts,
+      contacts: this.contacts,
+      client: new BackendClient({
+        contacts: this.contacts,
+        connector: parts.serverConnector,
+      }),
+      forwarding: new ForwardingClient(parts.self),
+      hosts: new ForwardingHosts({
+        ...parts,
+        peerReach: this.peerReach,
+        hosts: () => parts.forwardingHosts(),
+      }),
+      onLinksLost: () => this.#forgiveFailures(),
+    });
+    this.#server = new ForwardingServer({
+      ...parts,
+      client: this.client,
+      isHostAddress: (ip) => parts.isHostAddress(ip),
+      addressOf: (server) => this.#directory.get(server)?.entry.address,
+      stopping: () => parts.stopping(),
+    });
+  }
+
+  /** Number of requests of other hosts that are in progress here. */
+  get forwardedInProgress(): number {
+    return this.#server.inProgress;
+  }
+
+  /** Starts to listen for requests of other hosts. */
+  listen(address: string): Promise<Listening> {
+    return this.#server.listen(address);
+  }
+
+  /** Whether this host heard an incarnation of a server after some time. */
+  wasHeardAfter(incarnation: string, time: number): boolean {
+    return this.#directory
+      .all()
+      .some(
+        (record) =>
+          record.incarnation === incarnation &&
+          this.contacts.heardSince(record.entry.id, time),
+      );
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return this.client[Symbol.asyncDispose]();
+  }
+
+  /** Forgets failures of servers that other hosts reach: the links were lost. */
+  #forgiveFailures(): void {
+    this.#directory
+      .all()
+      .filter(({ entry }) => this.contacts.isOutOfReach(entry.id))
+      .forEach((record) => record.forgiveFailures());
+  }
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -20,7 +20,7 @@
   ResendBudget,
   WorkspaceLimits,
 } from "./admission/mod.ts";
-import { BackendClient, type ServerConnector } from "./attempt/mod.ts";
+import type { ServerConnector } from "./attempt/mod.ts";
 import { BrittleServers } from "./brittle/mod.ts";
 import {
   PrefixCacheEstimate,
@@ -34,12 +34,7 @@
 import { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import { HostDuties } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
-import {
-  ForwardingClient,
-  ForwardingHosts,
-  ForwardingServer,
-  ServerClient,
-} from "./forwarding/mod.ts";
+import { ServerAccess } from "./forwarding/mod.ts";
 import { serveReadiness } from "./intake/readiness_server.ts";
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostGossip } from "./host_gossip.ts";
@@ -60,7 +55,6 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
-import { PeerReach, ServerContacts } from "./reach/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { ArrivalRates } from "./relay/arrival_rates.ts";
@@ -168,10 +162,7 @@
   readonly #advertisements: AdvertisementReader;
   readonly #dispatches = new RecentDispatches();
   readonly #meter: LoadMeter;
-  readonly #contacts: ServerContacts;
-  readonly #peerReach: PeerReach;
-  readonly #client: ServerClient;
-  readonly #forwardingServer: ForwardingServer;
+  readonly #access: ServerAccess;
   readonly #callers: CallerServer;
   readonly #leavingServers: LeavingServers;
   readonly #follower: ConfigurationFollower;
@@ -213,13 +204,7 @@
         this.#membership?.rankFor(fingerprint) ?? SINGLE_HOST_POSITION,
       onStoredChange: () => this.#quarantineStore.scheduleWrite(),
       wasHeardAfter: (incarnation, time) =>
-        this.#directory
-          .all()
-          .some(
-            (record) =>
-              record.incarnation === incarnation &&
-              this.#contacts.heardSince(record.entry.id, time),
-          ),
+        this.#access.wasHeardAfter(incarnation, time),
     });
     this.#quarantineStore = this.#ownership.own(
       new QuarantineStore({
@@ -342,21 +327,20 @@
       waited: (rank) => ports.metrics.roomWaited(rank),
     });
     this.#meter = new LoadMeter(ports.clock);
-    this.#peerReach = new PeerReach(ports.clock);
-    this.#contacts = new ServerContacts({
-      ...ports,
-      peersWithout: (server) => this.#peerReach.countWithout(server),
-      onChange: () => promptUpdates.trigger(),
-      onSeveralFailed: () => this.#client.distrustSilentConnections(),
-    });
-    this.#client = this.#ownership.own(this.#createServerClient());
-    this.#forwardingServer = new ForwardingServer({
-      ...ports,
-      client: this.#client,
-      isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
-      addressOf: (server) => this.#directory.get(server)?.entry.address,
-      stopping: () => this.#lifecycle.state === "stopping",
-    });
+    this.#access = this.#ownership.own(
+      new ServerAccess({
+        ...ports,
+        self: {
+          host: settings.host,
+          ip: splitAddress(settings.addresses.peers).host,
+        },
+        directory: this.#directory,
+        forwardingHosts: () => this.#membership?.forwardingHosts ?? [],
+        isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
+        stopping: () => this.#lifecycle.state === "stopping",
+        broadcast: () => promptUpdates.trigger(),
+      }),
+    );
     this.#callers = new CallerServer(this.#requestContext());
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
@@ -390,7 +374,7 @@
     const listing = new ServerListing({
       ...ports,
       directory: this.#directory,
-      client: this.#client,
+      client: this.#access.client,
       prefixes: this.#prefixes,
       dispatches: this.#dispatches,
       quarantine: this.#quarantine,
@@ -441,8 +425,8 @@
       roomCounts: this.#room.counts,
       reservations: this.#returns.reservations,
       brittle: this.#brittle,
-      contacts: this.#contacts,
-      peerReach: this.#peerReach,
+      contacts: this.#access.contacts,
+      peerReach: this.#access.peerReach,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
@@ -547,46 +531,22 @@
   /** Requests in progress of callers and of other hosts. */
   #workInProgress(): HostWork {
     const callers = this.#callers;
-    const forwarding = this.#forwardingServer;
+    const access = this.#access;
     return {
       get inProgress() {
-        return callers.inProgress + forwarding.inProgress;
+        return callers.inProgress + access.forwardedInProgress;
       },
       closeIdleConnections: () => callers.closeIdleConnections(),
     };
   }
 
-  #createServerClient(): ServerClient {
-    const { host, addresses } = this.#settings;
-    const ip = splitAddress(addresses.peers).host;
-    const { clock, random, serverConnector } = this.#ports;
-    const contacts = this.#contacts;
-    return new ServerClient({
-      ...this.#ports,
-      contacts,
-      client: new BackendClient({ contacts, connector: serverConnector }),
-      forwarding: new ForwardingClient({ host, ip }),
-      onLinksLost: () =>
-        this.#directory
-          .all()
-          .filter(({ entry }) => contacts.isOutOfReach(entry.id))
-          .forEach((record) => record.forgiveFailures()),
-      hosts: new ForwardingHosts({
-        clock,
-        random,
-        peerReach: this.#peerReach,
-        hosts: () => this.#membership?.forwardingHosts ?? [],
-      }),
-    });
-  }
-
   /**
    * Opens the ports for other hosts: TCP for forwarded requests, and UDP for gossip
    * under the same number, which therefore has to be free for both.
    */
   async #openPeerPorts(tries: number): Promise<void> {
     const { peers } = this.#settings.addresses;
-    const listening = await this.#forwardingServer.listen(peers);
+    const listening = await this.#access.listen(peers);
     try {
       const membership = await this.#openMembership(listening.address);
       this.#membership = this.#ownership.own(membership);
@@ -643,7 +603,7 @@
       engineControl,
       logger,
       metrics,
-      client: this.#client,
+      client: this.#access.client,
       directory: this.#directory,
       prefixes: this.#prefixes,
       workEstimates: this.#workEstimates,
