Ask no host late, and forget failures of servers in a row after 3 s

Found by reading the diff: a message that another host gets tells the time that was left when its send began; with three hosts that are late it would tell up to a second too much, where 0.5 s are allowed. And a quiet host that saw two servers end would have refused to forward until it heard a server.

Change: no host is asked later than 250 ms after the start of a send; what then fails is sent again with the time that is left. Failures one after the other count for 3 s.

--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -51,6 +51,12 @@
 /** Maximum number of hosts that one send is tried through. */
 const MAXIMUM_FORWARDING_TRIES = 3;
 
+/**
+ * Time after the start of a send in which another host is asked, in milliseconds. The
+ * message tells the time that was left at the start, so a later one would tell too much.
+ */
+const MAXIMUM_ROUTING_MILLISECONDS = 250;
+
 /** A client that uses this host's own links only. */
 export interface DirectClient {
   /** Whether this host does not reach a server. */
@@ -229,7 +235,7 @@
 /** The ways on which a send may go. */
 interface Routes extends Pick<
   ServerClientParts,
-  "logger" | "metrics" | "forwarding" | "hosts"
+  "clock" | "logger" | "metrics" | "forwarding" | "hosts"
 > {
   /** Whether only other hosts reach a server. */
   hasDetour(server: string): boolean;
@@ -258,6 +264,7 @@
   readonly #routed: RoutedRequest;
   readonly #routes: Routes;
   readonly #tried: ForwardingHost[] = [];
+  readonly #startedAt: number;
   #current: Send | undefined;
   /** Ends the count of the request at the host that it is sent through. */
   #endForwarding: () => void = () => undefined;
@@ -266,6 +273,7 @@
   constructor(routed: RoutedRequest, routes: Routes) {
     this.#routed = routed;
     this.#routes = routes;
+    this.#startedAt = routes.clock.now();
     const { id } = routed.server;
     if (routes.hasDetour(id) && routes.hosts.hasAny(id)) this.#forward("");
     else this.#sendDirect();
@@ -302,9 +310,11 @@
   #forward(detail: string): void {
     if (this.#isAborted) return;
     const { server, request, listener } = this.#routed;
-    const { hosts, forwarding } = this.#routes;
+    const { clock, hosts, forwarding } = this.#routes;
+    const passed = clock.now() - this.#startedAt;
+    const isInTime = passed <= MAXIMUM_ROUTING_MILLISECONDS;
     const through =
-      this.#tried.length < MAXIMUM_FORWARDING_TRIES
+      isInTime && this.#tried.length < MAXIMUM_FORWARDING_TRIES
         ? hosts.choose(server.id, this.#tried)
         : undefined;
     if (through === undefined) {
--- a/packages/rampswitch-serving/src/reach/server_contacts.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts.ts
@@ -15,6 +15,9 @@
  */
 const FAILURE_LIFETIME_MILLISECONDS = 10_000;
 
+/** Time for which a failure counts beside that of another server, in milliseconds. */
+const ROW_MILLISECONDS = 3_000;
+
 /** Maximum number of servers that one message reports. */
 const MAXIMUM_REPORTED_SERVERS = 64;
 
@@ -39,8 +42,8 @@
   readonly #heardAt = new Map<string, number>();
   /** Servers to which no connection came up since they were last heard. */
   readonly #unreached = new Map<string, Unreached>();
-  /** Servers that failed since any server was heard. */
-  readonly #failedInRow = new Set<string>();
+  /** When servers failed since any server was heard. */
+  readonly #failedInRow = new Map<string, number>();
   #anyHeardAt = -Infinity;
 
   constructor(parts: ServerContactsParts) {
@@ -113,7 +116,10 @@
 
   /** Whether several servers failed one after the other, and none was heard since. */
   get severalFailed(): boolean {
-    return this.#failedInRow.size > 1;
+    if (this.#failedInRow.size < 2) return false;
+    const oldest = this.#parts.clock.now() - ROW_MILLISECONDS;
+    const times = [...this.#failedInRow.values()];
+    return times.filter((at) => at > oldest).length > 1;
   }
 
   /** Whether connections to a server failed and it was not heard since. */
@@ -137,9 +143,9 @@
   }
 
   #addFailed(server: string): void {
-    if (this.#failedInRow.has(server)) return;
-    this.#failedInRow.add(server);
-    if (this.severalFailed) this.#parts.onSeveralFailed();
+    const isKnown = this.#failedInRow.has(server);
+    this.#failedInRow.set(server, this.#parts.clock.now());
+    if (!isKnown && this.severalFailed) this.#parts.onSeveralFailed();
   }
 
   #changed(): void {
--- a/packages/rampswitch-serving/src/reach/server_contacts_test.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts_test.ts
@@ -49,13 +49,17 @@
   });
 
   test("know when several servers failed and none was heard since", () => {
-    const { contacts } = contactsOf();
+    const { clock, contacts } = contactsOf();
     contacts.connectionFailed("s1", "refused");
     expect(contacts.severalFailed).toBe(false);
     contacts.connectionFailed("s2", "refused");
     expect(contacts.severalFailed).toBe(true);
     contacts.heard("s3");
     expect(contacts.severalFailed).toBe(false);
+    contacts.connectionFailed("s1", "refused");
+    contacts.connectionFailed("s2", "refused");
+    clock.advance(3_001);
+    expect(contacts.severalFailed).toBe(false);
   });
 
   test("drop failures that are old and servers that are gone", () => {
