--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -56,6 +56,11 @@
     },
     rollouts: { choice: () => ({ first: [], fallback: undefined }) },
     permits: { unlimited: () => [], limited: () => [] },
+    brittle: {
+      allows: () => true,
+      hasFreeShare: () => false,
+      isBrittleService: () => false,
+    },
     workEstimates: {
       of: () => ({ holdMilliseconds: WORK }),
       prefillRate: () => 1,
