--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -28,6 +28,13 @@
   failed(failure: SendFailure, detail: string): void;
 }
 
+/** A backend server as sends name it. */
+export interface ServerAddress {
+  readonly id: string;
+  /** IP address and port. */
+  readonly address: string;
+}
+
 /** A request to send to a server. */
 export interface OutgoingRequest {
   /** Id of the caller's attempt, for log lines. */
@@ -113,7 +120,7 @@
 
   /** Sends a request to a server. */
   send(
-    server: { readonly id: string; readonly address: string },
+    server: ServerAddress,
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
@@ -150,13 +157,7 @@
   }
 
   /** Whether a new connection to a server comes up; it is closed at once. */
-  connects({
-    id,
-    address,
-  }: {
-    readonly id: string;
-    readonly address: string;
-  }): Promise<boolean> {
+  connects({ id, address }: ServerAddress): Promise<boolean> {
     const { host, port } = splitAddress(address);
     return new Promise((resolve) => {
       this.#connectTo(id)(
@@ -175,13 +176,7 @@
     );
   }
 
-  #pool({
-    id,
-    address,
-  }: {
-    readonly id: string;
-    readonly address: string;
-  }): Pool {
+  #pool({ id, address }: ServerAddress): Pool {
     const known = this.#pools.get(id);
     if (known?.address === address) return known.pool;
     this.forget(id);
@@ -203,7 +198,7 @@
   #connectTo(server: string): ServerConnector {
     return (options, callback) =>
       this.#connect(options, (...result) => {
-        // undici leaves the socket out beside an error, against its types.
+        // undici calls back without a socket on an error, although its types say null.
         if (result[0] === null) this.#contacts.heard(server);
         callback(...result);
       });
--- a/packages/rampswitch-serving/src/brittle/brittle_servers.ts
+++ b/packages/rampswitch-serving/src/brittle/brittle_servers.ts
@@ -78,7 +78,7 @@
   readonly #startedAt: number;
   /** Requests that wait for a place of this host's share. */
   readonly waits: ShareWaits;
-  /** Newest statement of each server that says that it is brittle, by id. */
+  /** Newest advertisement of each brittle server, by its id. */
   readonly #statements = new Map<string, Statement>();
   /** Times of this host's rejections by a server. */
   readonly #ownRejections = new Map<string, readonly number[]>();
@@ -119,7 +119,7 @@
 
   /**
    * Whether one more request may be sent to a server. All servers of a service count as
-   * brittle while one of them says that it is.
+   * brittle while one of them advertises it.
    */
   allows(record: ServerRecord): boolean {
     if (this.#statements.size === 0) return true;
@@ -155,9 +155,8 @@
 
   /** What to report to the peers. */
   updates(): readonly BrittleUpdate[] {
-    if (this.#statements.size === 0) return [];
-    const now = this.#parts.clock.now();
     this.#dropOld();
+    const now = this.#parts.clock.now();
     return [...this.#statements.values()]
       .slice(0, MAXIMUM_REPORTED_SERVERS)
       .map(({ record: { entry }, bound, at }) => ({
@@ -177,7 +176,7 @@
       if (record?.matchesIncarnation(update.born) !== true) return;
       const at = now - age - update.age;
       const known = this.#statements.get(update.id);
-      // A host that was told otherwise by the server itself learns it with the next answer.
+      // If the server is no longer brittle, its next answer to this host removes this.
       if (known === undefined || known.at < at) {
         this.#statements.set(update.id, { record, bound: update.bound, at });
       }
--- a/packages/rampswitch-serving/src/forwarding/detours.ts
+++ b/packages/rampswitch-serving/src/forwarding/detours.ts
@@ -8,7 +8,7 @@
  */
 import { type Clock, jitter, type Random } from "rampswitch-utils";
 import type { ServerContacts } from "../reach/mod.ts";
-import type { ServerAddress } from "./forwarding_client.ts";
+import type { ServerAddress } from "../attempt/mod.ts";
 
 /** Time until the first trial, in milliseconds; it doubles with each that fails. */
 const FIRST_TRIAL_MILLISECONDS = 500;
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -10,6 +10,7 @@
   type OutgoingRequest,
   type Send,
   type SendListener,
+  type ServerAddress,
 } from "../attempt/mod.ts";
 import {
   FORWARDING_HEADERS,
@@ -34,12 +35,6 @@
   readonly dataHall: string;
 }
 
-/** A backend server as sends name it. */
-export interface ServerAddress {
-  readonly id: string;
-  readonly address: string;
-}
-
 /** One send through another host. */
 export interface ForwardedSend {
   readonly through: ForwardingHost;
@@ -91,11 +86,6 @@
     return send;
   }
 
-  /** Closes the idle connections to a host. */
-  forget(host: string): void {
-    this.#client.forget(host);
-  }
-
   [Symbol.asyncDispose](): Promise<void> {
     return this.#client[Symbol.asyncDispose]();
   }
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -20,9 +20,8 @@
   type Logger,
   readBody,
 } from "rampswitch-utils";
-import type { Send, SendListener } from "../attempt/mod.ts";
+import type { Send, SendListener, ServerAddress } from "../attempt/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
-import type { ServerAddress } from "./forwarding_client.ts";
 import {
   FORWARDING_HEADERS,
   headerValue,
--- a/packages/rampswitch-serving/src/forwarding/limited_send.ts
+++ b/packages/rampswitch-serving/src/forwarding/limited_send.ts
@@ -12,12 +12,12 @@
   OutgoingRequest,
   Send,
   SendListener,
+  ServerAddress,
 } from "../attempt/mod.ts";
 import { pendingEventsHandled } from "../intake/loop_backlog.ts";
-import type { ServerAddress } from "./forwarding_client.ts";
 
 /** Failure of a connection that did not come up within the limit. */
-export const LATE_CONNECTION = "connection not up in time";
+const LATE_CONNECTION = "connection not up in time";
 
 /** Parts of a limited send. */
 export interface LimitedSendParts {
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -13,15 +13,12 @@
   OutgoingRequest,
   Send,
   SendListener,
+  ServerAddress,
 } from "../attempt/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { ServerContacts } from "../reach/mod.ts";
 import { Detours } from "./detours.ts";
-import type {
-  ForwardingClient,
-  ForwardingHost,
-  ServerAddress,
-} from "./forwarding_client.ts";
+import type { ForwardingClient, ForwardingHost } from "./forwarding_client.ts";
 import type { ForwardingHosts } from "./forwarding_hosts.ts";
 import type { NotSentReason } from "./forwarding_protocol.ts";
 import { LimitedSend, type LimitedSendParts } from "./limited_send.ts";
@@ -57,6 +54,12 @@
  */
 const MAXIMUM_ROUTING_MILLISECONDS = 250;
 
+/** Listener of a send over this host's own links, and its time to connect. */
+type DirectSendOptions = Pick<
+  LimitedSendParts,
+  "listener" | "connectMilliseconds"
+>;
+
 /** A client that uses this host's own links only. */
 export interface DirectClient {
   /** Whether this host does not reach a server. */
@@ -65,10 +68,7 @@
   sendDirect(
     server: ServerAddress,
     request: OutgoingRequest,
-    options: {
-      readonly listener: SendListener;
-      readonly connectMilliseconds: number;
-    },
+    options: DirectSendOptions,
   ): Send;
 }
 
@@ -92,9 +92,11 @@
   readonly #parts: ServerClientParts;
   readonly #detours: Detours;
   readonly #silence: SilenceWatch;
+  readonly #routes: Routes;
 
   constructor(parts: ServerClientParts) {
     this.#parts = parts;
+    this.#routes = this.#createRoutes();
     const { contacts } = parts;
     this.#detours = new Detours({
       ...parts,
@@ -121,7 +123,7 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    return new RoutedSend({ server, request, listener }, this.#routes());
+    return new RoutedSend({ server, request, listener }, this.#routes);
   }
 
   isOutOfReach(server: string): boolean {
@@ -131,19 +133,10 @@
   sendDirect(
     server: ServerAddress,
     request: OutgoingRequest,
-    {
-      listener,
-      connectMilliseconds,
-    }: {
-      readonly listener: SendListener;
-      readonly connectMilliseconds: number;
-    },
+    options: DirectSendOptions,
   ): Send {
-    return this.#sendLimited(server, request, {
-      listener,
-      connectMilliseconds,
-      mayFail: () => true,
-    });
+    const mayFail = () => true;
+    return this.#sendLimited(server, request, { ...options, mayFail });
   }
 
   /** Closes the connections of a server that has ended. */
@@ -163,7 +156,7 @@
     ]);
   }
 
-  #routes(): Routes {
+  #createRoutes(): Routes {
     const { contacts, hosts } = this.#parts;
     return {
       ...this.#parts,
@@ -192,10 +185,7 @@
   #sendLimited(
     server: ServerAddress,
     request: OutgoingRequest,
-    options: Pick<
-      LimitedSendParts,
-      "listener" | "connectMilliseconds" | "mayFail"
-    >,
+    options: DirectSendOptions & Pick<LimitedSendParts, "mayFail">,
   ): Send {
     const { clock, client } = this.#parts;
     return new LimitedSend(server, request, {
--- a/packages/rampswitch-serving/src/forwarding/silence_watch.ts
+++ b/packages/rampswitch-serving/src/forwarding/silence_watch.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { Clock } from "rampswitch-utils";
-import type { ServerAddress } from "./forwarding_client.ts";
+import type { ServerAddress } from "../attempt/mod.ts";
 
 /** Time without a byte of any server that is suspicious, in milliseconds. */
 const SILENCE_MILLISECONDS = 500;
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -315,8 +315,7 @@
 
   /** Rank of this host among all present hosts, in an order derived from a key. */
   rankFor(key: string): TrialRank {
-    const names = this.#hosts.present(this.#parts.clock.now());
-    const order = rendezvousOrder(key, names);
+    const order = rendezvousOrder(key, this.presentHosts);
     return {
       rank: order.indexOf(this.#parts.host),
       // Longer than the usual lag, so that two messages may be lost: if two hosts try
@@ -327,8 +326,7 @@
 
   /** The other present hosts, each as `name/incarnation`. */
   get incarnations(): readonly string[] {
-    return this.#hosts
-      .present(this.#parts.clock.now())
+    return this.presentHosts
       .filter((name) => name !== this.#parts.host)
       .map((name) => `${name}/${this.#hosts.get(name)?.incarnation ?? ""}`);
   }
