Take the entries of servers in tests from one place

The same nine lines of a server's entry stood in 14 test files of the serving host, seven of them again and again with one or two values changed. They come from backendServerStandin now, and each test states the values in which its servers differ. No value, check or bound is another one than before.

--- a/packages/rampswitch-serving/src/advertisements/server_advertisements_test.ts
+++ b/packages/rampswitch-serving/src/advertisements/server_advertisements_test.ts
@@ -7,18 +7,11 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { AdvertisementReader } from "./server_advertisements.ts";
 import { NOTHING_ADVERTISED } from "./advertisements_standin.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
-const RECORD = new ServerRecord({
-  id: "s1",
-  born: 1_000,
-  service: "models",
-  address: "127.0.0.1:1",
-  dataHall: "a",
-  version: "v1",
-  slots: 4,
-  state: "ready",
-  reclaimable: false,
-});
+const RECORD = new ServerRecord(
+  backendServerStandin({ born: 1_000, slots: 4, reclaimable: false }),
+);
 
 function reading() {
   const lines: string[] = [];
--- a/packages/rampswitch-serving/src/brittle/brittle_servers_test.ts
+++ b/packages/rampswitch-serving/src/brittle/brittle_servers_test.ts
@@ -8,21 +8,14 @@
 import { BrittleServers } from "./brittle_servers.ts";
 import { ShareWaits } from "./share_waits.ts";
 import { slotShare } from "./slot_share.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const BOUND = 5;
 
 function recordOf(id: string, born?: number): ServerRecord {
-  return new ServerRecord({
-    id,
-    born,
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall: "a",
-    version: "v1",
-    slots: 2,
-    state: "ready",
-    reclaimable: false,
-  });
+  return new ServerRecord(
+    backendServerStandin({ id, born, slots: 2, reclaimable: false }),
+  );
 }
 
 function fleetOf(hosts: readonly string[]) {
--- a/packages/rampswitch-serving/src/choice/choose_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server_test.ts
@@ -5,6 +5,7 @@
 import { type ChoiceInputs, chooseServer } from "./choose_server.ts";
 import { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
 import { ServerRecord } from "./server_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const PARTS = [
   { id: "system", tokens: 500 },
@@ -27,17 +28,7 @@
 };
 
 function server(id: string, dataHall = "a"): ServerRecord {
-  return new ServerRecord({
-    id,
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall,
-    slots: 8,
-    state: "ready",
-    version: "v1",
-    reclaimable: true,
-    born: undefined,
-  });
+  return new ServerRecord(backendServerStandin({ id, dataHall }));
 }
 
 function chosen(
--- a/packages/rampswitch-serving/src/choice/home_server_test.ts
+++ b/packages/rampswitch-serving/src/choice/home_server_test.ts
@@ -4,19 +4,10 @@
 import { rendezvousOrder, seededRandom } from "rampswitch-utils";
 import { homeServer } from "./home_server.ts";
 import { ServerRecord } from "./server_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 function server(id: string): ServerRecord {
-  return new ServerRecord({
-    id,
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall: "a",
-    slots: 8,
-    state: "ready",
-    version: "v1",
-    reclaimable: true,
-    born: undefined,
-  });
+  return new ServerRecord(backendServerStandin({ id }));
 }
 
 describe("the home server of a prompt", () => {
--- a/packages/rampswitch-serving/src/choice/prefix_copy_test.ts
+++ b/packages/rampswitch-serving/src/choice/prefix_copy_test.ts
@@ -3,19 +3,10 @@
 import { describe, expect, test } from "@jest/globals";
 import { planCopy } from "./prefix_copy.ts";
 import { ServerRecord } from "./server_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 function server(id: string): ServerRecord {
-  return new ServerRecord({
-    id,
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall: "a",
-    slots: 8,
-    state: "ready",
-    version: "v1",
-    reclaimable: true,
-    born: undefined,
-  });
+  return new ServerRecord(backendServerStandin({ id }));
 }
 
 /** Plans a copy from an engine with 1,000 tokens, by the rates of both ways. */
--- a/packages/rampswitch-serving/src/choice/server_directory_test.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory_test.ts
@@ -5,23 +5,14 @@
 import type { BackendServer } from "../model/backend_server.ts";
 import { ServerDirectory } from "./server_directory.ts";
 import type { ServerRecord } from "./server_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 // A restarted server keeps its id and its address, but none of its former state. With
 // one record per id, `leavingSince` of the former incarnation was never cleared, and
 // its reported load, ejection and failures counted for the new incarnation. Each test
 // compares a record with the inputs about its own incarnation only.
 
-const ENTRY: BackendServer = {
-  id: "s1",
-  born: 1_000,
-  service: "models",
-  address: "127.0.0.1:1",
-  dataHall: "a",
-  slots: 8,
-  state: "ready",
-  version: "v1",
-  reclaimable: true,
-};
+const ENTRY: BackendServer = backendServerStandin({ born: 1_000 });
 
 const RESTARTED: BackendServer = { ...ENTRY, born: 2_000 };
 
--- a/packages/rampswitch-serving/src/choice/server_record_test.ts
+++ b/packages/rampswitch-serving/src/choice/server_record_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "@jest/globals";
 import { seededRandom } from "rampswitch-utils";
 import { ServerRecord } from "./server_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const LIFETIME_MILLISECONDS = 1_500;
 
@@ -11,17 +12,7 @@
   // keep a server out of use after that peer has ended.
   test("is the sum of what each reported last, until that expires", () => {
     const random = seededRandom(11);
-    const record = new ServerRecord({
-      id: "s1",
-      service: "models",
-      address: "127.0.0.1:1",
-      dataHall: "a",
-      slots: 8,
-      state: "ready",
-      version: "v1",
-      reclaimable: true,
-      born: undefined,
-    });
+    const record = new ServerRecord(backendServerStandin());
     const reported = new Map<string, { running: number; at: number }>();
     let now = 0;
     Array.from({ length: 2_000 }).forEach(() => {
--- a/packages/rampswitch-serving/src/choice/slowdown_updates_test.ts
+++ b/packages/rampswitch-serving/src/choice/slowdown_updates_test.ts
@@ -9,6 +9,7 @@
   receiveSlowdowns,
   slowdownsByAll,
 } from "./slowdown_updates.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const NOW = 10_000;
 const RELAY = { from: "(fleet)", relayed: true };
@@ -20,20 +21,7 @@
 }
 
 function put(directory: ServerDirectory, id: string, born?: number): void {
-  directory.put(
-    {
-      id,
-      service: "models",
-      address: "127.0.0.1:1",
-      dataHall: "a",
-      slots: 8,
-      state: "ready",
-      version: "v1",
-      reclaimable: true,
-      born,
-    },
-    NOW,
-  );
+  directory.put(backendServerStandin({ id, born }), NOW);
 }
 
 function answer(record: ServerRecord | undefined, ratio: number): void {
--- a/packages/rampswitch-serving/src/choice/work_without_test.ts
+++ b/packages/rampswitch-serving/src/choice/work_without_test.ts
@@ -5,6 +5,7 @@
 import type { BackendServer } from "../model/backend_server.ts";
 import { ServerDirectory } from "./server_directory.ts";
 import { workWithout } from "./work_without.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 // A relay sends its members one digest with the work of all hosts. A member that
 // subtracts too little counts its own requests twice and refuses requests that servers
@@ -13,17 +14,8 @@
 const BORN = 1_796_169_600_123;
 const IDS = ["s0", "s1", "s2"];
 
-const entryOf = (id: string, born: number): BackendServer => ({
-  id,
-  service: "models",
-  version: "v1",
-  address: "127.0.0.1:1",
-  dataHall: "a",
-  slots: 8,
-  reclaimable: false,
-  state: "ready",
-  born,
-});
+const entryOf = (id: string, born: number): BackendServer =>
+  backendServerStandin({ id, reclaimable: false, born });
 
 const work = fc.dictionary(
   fc.constantFrom(...IDS),
--- a/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower_test.ts
@@ -13,6 +13,7 @@
 import type { ServingConfiguration } from "../model/configuration.ts";
 import { ServingMetrics } from "../observation/mod.ts";
 import { ConfigurationFollower } from "./configuration_follower.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 /** A call of a watch that has not been answered. */
 interface PendingWatch {
@@ -113,17 +114,7 @@
         decodeConfiguration: (value) =>
           Result.ok({ ...CONFIGURATION, version: Number(value) }),
         decodeServer: (id) =>
-          Result.ok({
-            id,
-            service: "models",
-            address: "127.0.0.1:1",
-            dataHall: "a",
-            slots: 1,
-            state: "ready",
-            version: "v1",
-            reclaimable: false,
-            born: undefined,
-          }),
+          Result.ok(backendServerStandin({ id, slots: 1, reclaimable: false })),
       },
       random: seededRandom(1),
       logger: SILENT_LOGGER,
--- a/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
@@ -11,23 +11,17 @@
   NOTHING_ADVERTISED,
   ignoringAdvertisementReader,
 } from "../advertisements/advertisements_standin.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 // A server's entry is removed when it leaves, and also when the store could not be
 // reached for some heartbeats. These tests guard against migrations that ignore what
 // happens in the meantime: from servers whose entries are back, and at a time that
 // was computed from the report of a later incarnation of the server.
 
-const ENTRY: BackendServer = {
-  id: "s1",
+const ENTRY: BackendServer = backendServerStandin({
   born: 1_000,
-  service: "models",
-  address: "127.0.0.1:1",
-  dataHall: "a",
-  slots: 8,
   state: "leaving",
-  version: "v1",
-  reclaimable: true,
-};
+});
 
 /** Time for which a leaving server still serves, in milliseconds. */
 const DRAIN_MILLISECONDS = 5_000;
--- a/packages/rampswitch-serving/src/relay/observed_answers_test.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers_test.ts
@@ -15,6 +15,7 @@
   observeFirstPart,
   observeReportedLoad,
 } from "./observed_answers.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const ENGINE = { slots: 48, memoryTokens: 600_000, migratable: true };
 
@@ -43,17 +44,7 @@
   const workEstimates = new WorkEstimates();
   const readingRates = new ReadingRates();
   const metrics = { event: (name: string) => events.push(name) };
-  const record = new ServerRecord({
-    id: "s1",
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall: "a",
-    slots: 48,
-    state: "ready",
-    version: "v1",
-    reclaimable: true,
-    born: undefined,
-  });
+  const record = new ServerRecord(backendServerStandin({ slots: 48 }));
   return {
     clock,
     events,
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -12,6 +12,7 @@
   RunRecord,
   type SendState,
 } from "./run_record.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const REQUEST: AdmittedRequest = {
   head: {
@@ -69,17 +70,7 @@
 };
 
 function server(id: string, born?: number): ServerRecord {
-  return new ServerRecord({
-    id,
-    service: "models",
-    address: "127.0.0.1:1",
-    dataHall: "a",
-    slots: 8,
-    state: "ready",
-    version: "v1",
-    reclaimable: true,
-    born,
-  });
+  return new ServerRecord(backendServerStandin({ id, born }));
 }
 
 interface Line {
--- a/packages/rampswitch-serving/src/relay/suspended_run_test.ts
+++ b/packages/rampswitch-serving/src/relay/suspended_run_test.ts
@@ -4,20 +4,11 @@
 import type { Choice } from "../choice/mod.ts";
 import { ServerRecord } from "../choice/mod.ts";
 import { SuspendedRun } from "./suspended_run.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 function choiceOf(id: string): Choice {
   return {
-    record: new ServerRecord({
-      id,
-      service: "model",
-      address: "127.0.0.1:1",
-      dataHall: "a",
-      slots: 8,
-      state: "ready",
-      version: "v1",
-      reclaimable: true,
-      born: undefined,
-    }),
+    record: new ServerRecord(backendServerStandin({ id, service: "model" })),
     predictedMilliseconds: 0,
     workMilliseconds: 0,
     slowdown: 1,
