--- a/packages/rampswitch-serving/src/room/room_admission_test.ts
+++ b/packages/rampswitch-serving/src/room/room_admission_test.ts
@@ -76,27 +76,41 @@
   return (quiet.admitted + other.admitted) / (quiet.offered + other.offered);
 }
 
+/** One play of a burst. */
+interface Run {
+  readonly hosts: number;
+  readonly seed: number;
+}
+
+function expectShareKept(run: Run): void {
+  const fleet = runBurst({ ...run, loads: [steady("quiet", 40), burst()] });
+  expect(admittedOf(fleet, "quiet")).toBeGreaterThanOrEqual(0.99);
+  expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.95);
+  expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
+  expect(servedInTime(fleet, "burst")).toBeGreaterThanOrEqual(0.3);
+}
+
+function expectFirstRankServed(run: Run): void {
+  const loads = [steady("quiet", 100, { rank: 0 }), burst()];
+  const fleet = runBurst({ ...run, loads });
+  expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.97);
+  expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
+  expect(admittedOf(fleet, "burst")).toBeGreaterThanOrEqual(
+    0.3 * overallShare(fleet),
+  );
+}
+
 const RUNS = [1, 6].flatMap((hosts) =>
   [1, 2, 3].map((seed) => ({ hosts, seed })),
 );
 
 describe("a burst of one workspace", () => {
   test.each(RUNS)("does not take the share of another: %o", (run) => {
-    const fleet = runBurst({ ...run, loads: [steady("quiet", 40), burst()] });
-    expect(admittedOf(fleet, "quiet")).toBeGreaterThanOrEqual(0.99);
-    expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.95);
-    expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
-    expect(servedInTime(fleet, "burst")).toBeGreaterThanOrEqual(0.3);
+    expectShareKept(run);
   });
 
   test.each(RUNS)("yields to a workspace of the first rank: %o", (run) => {
-    const loads = [steady("quiet", 100, { rank: 0 }), burst()];
-    const fleet = runBurst({ ...run, loads });
-    expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.97);
-    expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
-    expect(admittedOf(fleet, "burst")).toBeGreaterThanOrEqual(
-      0.3 * overallShare(fleet),
-    );
+    expectFirstRankServed(run);
   });
 
   test.each(RUNS)(
@@ -181,25 +195,11 @@
 
 describe("a burst of one workspace with seeds 11 to 30", () => {
   test("does not take the share of another", () => {
-    FURTHER_RUNS.forEach((run) => {
-      const fleet = runBurst({ ...run, loads: [steady("quiet", 40), burst()] });
-      expect(admittedOf(fleet, "quiet")).toBeGreaterThanOrEqual(0.99);
-      expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.95);
-      expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
-      expect(servedInTime(fleet, "burst")).toBeGreaterThanOrEqual(0.3);
-    });
+    FURTHER_RUNS.forEach(expectShareKept);
   });
 
   test("yields to a workspace of the first rank", () => {
-    FURTHER_RUNS.forEach((run) => {
-      const loads = [steady("quiet", 100, { rank: 0 }), burst()];
-      const fleet = runBurst({ ...run, loads });
-      expect(servedInTime(fleet, "quiet")).toBeGreaterThanOrEqual(0.97);
-      expect(fleet.usedInMeasurement).toBeGreaterThanOrEqual(0.95);
-      expect(admittedOf(fleet, "burst")).toBeGreaterThanOrEqual(
-        0.3 * overallShare(fleet),
-      );
-    });
+    FURTHER_RUNS.forEach(expectFirstRankServed);
   });
 });
 
