Log the versions of a stream's servers and the try that it resumes

The lines could not tell a stream that changed its version within one answer from one that did so over its caller's tries: no line of a request named a version, and nothing read which try a caller takes up. Now 'request sent again' has fromVersion and toVersion, and 'request ended' of a stream that may resume has versions and resumes. No decision changes.

--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -35,6 +35,11 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller received of a broken stream. */
   readonly lastEventId: string | undefined;
+  /**
+   * Attempt that brought the first event of a stream that the caller takes up again;
+   * absent where the caller names none.
+   */
+  readonly resumes?: string | undefined;
   /** Headers that are forwarded to the backend server. */
   readonly forwarded: RawHeaders;
 }
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -68,10 +68,10 @@
 ]);
 
 /**
- * Maximum number of characters of an event id in a log line. Ids of servers are
- * counters or short names, but a caller may send one of any length.
+ * Maximum number of characters of a caller's event id or attempt id in a log line.
+ * They are counters or short names, but a caller may send one of any length.
  */
-const MAXIMUM_EVENT_ID_LENGTH = 64;
+const MAXIMUM_ID_LENGTH = 64;
 
 /** Time of an answer beside the time that was expected of it, in milliseconds. */
 export interface ComparedTime {
@@ -82,6 +82,8 @@
 /** The newest send of a request. */
 interface LastSend {
   readonly server: ServerIncarnation;
+  /** Version of the server's software. */
+  readonly version: string;
   readonly sentAt: number;
   readonly continues: boolean;
 }
@@ -92,6 +94,7 @@
   readonly #context: RecordParts;
   readonly #servers: ServerIncarnation[] = [];
   readonly #reasons: ResendReason[] = [];
+  readonly #versions = new Set<string>();
   #began = false;
   #firstPartAt: number | undefined;
   /** Slowdown of the newest send's server, where its speed is known. */
@@ -125,7 +128,9 @@
     const server = incarnationOf(record);
     this.#servers.push(server);
     const { continues } = state;
-    this.#lastSend = { server, sentAt, continues };
+    const { version } = record.entry;
+    this.#lastSend = { server, version, sentAt, continues };
+    this.#versions.add(version);
     this.#slowdown = record.speed.isKnown(sentAt)
       ? record.speed.slowdown(sentAt)
       : undefined;
@@ -145,6 +150,8 @@
       fromBorn: former.server.born,
       to: server.id,
       toBorn: server.born,
+      fromVersion: former.version,
+      toVersion: version,
       continues: state.continues,
       lastEventId: shortened(state.lastEventId),
       possibleRuns: state.possibleRuns,
@@ -325,6 +332,16 @@
     });
   }
 
+  /** What tells streams of several versions apart; nothing for other requests. */
+  #versionFields(): Readonly<Record<string, string | undefined>> {
+    const { head, route } = this.#request;
+    if (!route.streaming || !route.resumable) return {};
+    return {
+      versions: [...this.#versions].join(","),
+      resumes: shortened(head.resumes),
+    };
+  }
+
   #millisecondsSince(time: number): number {
     return Math.round(this.#context.clock.now() - time);
   }
@@ -349,6 +366,7 @@
       workspace: request.workspace?.name,
       servers: this.#servers.map(({ id }) => id).join(","),
       born: startTimesOf(this.#servers),
+      ...this.#versionFields(),
       resends: this.#reasons.join(","),
       configuration: request.configurationVersion,
       promptTokens: request.head.promptTokens,
@@ -365,8 +383,8 @@
   }
 }
 
-function shortened(eventId: string | undefined): string | undefined {
-  return eventId?.slice(0, MAXIMUM_EVENT_ID_LENGTH);
+function shortened(id: string | undefined): string | undefined {
+  return id?.slice(0, MAXIMUM_ID_LENGTH);
 }
 
 /** Fields on the speed of a request's server; none if nothing is known of it. */
