Continue a stream within one answer at the version that began it

What callers saw: events of two versions in one answer. The choice of a server for a further send, and of the target of a migration, did not know the version of the events that the caller has; a promotion of a roll-out moved running streams to the other version on purpose.

The version of the server that gave the first event is now an input of each further choice, and a migration's target has the version of its source. Running streams of a version that is left end there by themselves: the holder completes a roll-out when no request is left, as before. A version that was rolled back gets nothing more, since one request is too many there; one that is being evaluated takes its streams within the exposure.

Ruled out: to move streams at a promotion and to end those that have events (each would be cut on purpose).

--- a/packages/rampswitch-emulator/src/emulated_rollout.ts
+++ b/packages/rampswitch-emulator/src/emulated_rollout.ts
@@ -72,7 +72,6 @@
   record: ServerRecord;
   work: { ended(): void };
   sent: SendObserver | undefined;
-  moving: boolean;
   ended: boolean;
 }
 
@@ -431,7 +430,6 @@
       record,
       work: { ended: () => undefined },
       sent: undefined,
-      moving: false,
       ended: false,
     };
     host.runs.add(run);
@@ -573,7 +571,7 @@
     this.#loads.set(id, (this.#loads.get(id) ?? 1) - 1);
   }
 
-  /** Moves take some hundred milliseconds. */
+  /** Follows a promotion until no request is left at the former version. */
   #leave(name: string): void {
     const host = this.#hostOf(name);
     if (host === undefined) return;
@@ -581,23 +579,6 @@
       host.rollouts.promotionProgress(this.#now);
     if (isNews) this.#tellNow(host);
     if (goesOn) this.#after(LOOK_MILLISECONDS, () => this.#leave(name));
-    [...host.runs]
-      .filter((run) => run.route.movable && !run.moving)
-      .filter(({ record }) => host.rollouts.shouldMigrate(record, this.#now))
-      .forEach((run) => {
-        run.moving = true;
-        this.#after(80 + 220 * this.#random.next(), () => this.#move(run));
-      });
-  }
-
-  #move(run: Run): void {
-    run.moving = false;
-    if (run.ended) return;
-    const target = this.#choose(run.host, false);
-    if (target === undefined) return;
-    this.#leaveServer(run);
-    this.#send(run, target);
-    run.sent?.ended();
   }
 }
 
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -71,11 +71,6 @@
     clock.after(wait, () => this.#migrate(record, reportedMilliseconds));
   }
 
-  /** Migrates the runs of servers that receive no requests any more. */
-  migrateRuns(isAbandoned: (record: ServerRecord) => boolean): void {
-    this.#runsAt(isAbandoned).forEach((run) => void run.migrate());
-  }
-
   /** Streams of engines at the affected servers; nothing else has memory to migrate. */
   #runsAt(
     isAffected: (server: ServerRecord) => boolean,
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -61,6 +61,8 @@
 interface CurrentSend extends TimedSend {
   readonly send: Send;
   readonly work: StartedWork;
+  /** Version of the server's software when the request was sent. */
+  readonly version: string;
   firstPartAt?: number;
   /** Events of the answer so far. */
   events: number;
@@ -96,6 +98,8 @@
   #lastRelayedId: string | undefined;
   /** Migrations of the run; most runs never migrate. */
   #startedMigration: RunMigration | undefined;
+  /** Version whose events the caller has. */
+  #streamVersion: string | undefined;
   readonly #sendChooser: SendChooser;
   #cancelDeadline: () => void = () => undefined;
   readonly #stallWatch: StallWatch;
@@ -125,6 +129,7 @@
       {
         request,
         tried: this.#tried,
+        version: () => this.#streamVersion,
         finished: () => this.#answer.finished,
         shortOfRoom: (refusal) => this.#record.shortOfRoom(refusal),
       },
@@ -204,7 +209,7 @@
       finished: () => this.#answer.finished,
       lastEventId: () => this.#lastEventId,
       remaining: () => this.#remaining(),
-      choose: () => this.#sendChooser.chooseForMigration(),
+      choose: ({ version }) => this.#sendChooser.chooseForMigration(version),
       spend: (kind) => this.#spendBudget(kind),
       notRepeated: (...inputs) => this.#recordNotRepeated(...inputs),
       stopped: () => {
@@ -315,6 +320,7 @@
       choice,
       send,
       work,
+      version: record.entry.version,
       sentAt: this.#now(),
       unreadBefore,
       events: 0,
@@ -460,6 +466,7 @@
     if (head === undefined) return;
     current.work.prefillEnded();
     current.firstPartAt = this.#now();
+    this.#streamVersion ??= current.version;
     this.#record.began();
     this.#record.firstPart();
     if (this.#record.sends === 1) {
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -76,8 +76,13 @@
   lastEventId(): string | undefined;
   /** Time left, in milliseconds. */
   remaining(): number;
-  /** Chooses another server; asynchronous where only limited servers are left. */
-  choose(): Choice | undefined | Promise<Choice | undefined>;
+  /**
+   * Chooses another server of a server's version; asynchronous where only limited
+   * servers are left.
+   */
+  choose(source: {
+    readonly version: string;
+  }): Choice | undefined | Promise<Choice | undefined>;
   /** Charges the resend budget with one send, if it allows one. */
   spend(kind: ResendKind): BudgetDecision;
   /** Notes that a resend was needed and is not made. */
@@ -133,7 +138,7 @@
   }
 
   async #migrateFrom(source: Choice): Promise<string | undefined> {
-    const choosing = this.#run.choose();
+    const choosing = this.#run.choose(source.record.entry);
     const waits = choosing instanceof Promise;
     const target = waits ? await choosing : choosing;
     // The run may have ended or changed its server in the meantime.
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -36,6 +36,16 @@
   readonly request: RoomRequest;
 };
 
+/** What a send depends on beside its request. */
+export interface SendTerms {
+  /** Server incarnations that the request was sent to. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether admission has given it room. */
+  readonly hasRoom: boolean;
+  /** The only version that the send may go to; `undefined`: any. */
+  readonly version?: string | undefined;
+}
+
 /** Result of a choice for one send. */
 export interface SendChoice {
   /** Outcome of the choice among the servers that need no permit. */
@@ -49,15 +59,13 @@
 /** Chooses among the servers whose current incarnations were not tried. */
 export function chooseForSend(
   request: AdmittedRequest,
-  {
-    tried,
-    hasRoom,
-  }: { readonly tried: ReadonlySet<string>; readonly hasRoom: boolean },
+  { tried, hasRoom, version }: SendTerms,
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
   const isFirst = tried.size === 0;
-  const all = context.rollouts.choice(request.service.name, { isFirst, now });
+  const asked = { isFirst, version, now };
+  const all = context.rollouts.choice(request.service.name, asked);
   const send = { request, tried, hasRoom, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -57,6 +57,8 @@
   readonly request: AdmittedRequest;
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** Version that the stream has to continue at; `undefined`: any. */
+  version(): string | undefined;
   /** Whether its caller has a final answer. */
   finished(): boolean;
   /** Notes that capacity is short for the first send. */
@@ -121,9 +123,14 @@
     else void this.#chooseWithPermit(limited, listener, "no_turn");
   }
 
-  /** Chooses the target of a migration, and takes a permit if the target needs one. */
-  chooseForMigration(): Choice | undefined | Promise<Choice | undefined> {
-    const { outcome, limited } = this.#choose();
+  /**
+   * Chooses the target of a migration, and takes a permit if the target needs one. The
+   * memory that one version writes is of no use to another one.
+   */
+  chooseForMigration(
+    version: string,
+  ): Choice | undefined | Promise<Choice | undefined> {
+    const { outcome, limited } = this.#choose(version);
     if (outcome.kind === "chosen") return outcome.choice;
     return limited.length === 0
       ? undefined
@@ -139,9 +146,9 @@
     return hasPermit || !isLimited || this.#waitForPermit(choice.record, 0);
   }
 
-  #choose(): SendChoice {
+  #choose(version = this.#run.version()): SendChoice {
     const { request, tried } = this.#run;
-    const send = { tried, hasRoom: this.#hasRoom };
+    const send = { tried, hasRoom: this.#hasRoom, version };
     const choice = chooseForSend(request, send, this.#context);
     // Admission decides once on a request, however often its choice is made.
     if (choice.outcome.kind === "chosen") this.#hasRoom = true;
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -109,6 +109,7 @@
     {
       request,
       tried: new Set(),
+      version: () => undefined,
       finished: () => false,
       shortOfRoom: ({ rank }) => events.push(`short ${rank}`),
     },
--- a/packages/rampswitch-serving/src/rollout/rollouts.ts
+++ b/packages/rampswitch-serving/src/rollout/rollouts.ts
@@ -55,6 +55,15 @@
   readonly version: string;
 }
 
+/** A send whose servers are asked for. */
+export interface VersionSendQuery {
+  /** Whether it is the first send of its request. */
+  readonly isFirst: boolean;
+  /** The only version that the send may go to; `undefined`: any that is accepted. */
+  readonly version?: string | undefined;
+  readonly now: number;
+}
+
 /** Servers to choose from: the preferred ones, and the fallback. */
 export interface VersionChoice {
   readonly first: readonly ServerRecord[];
@@ -296,12 +305,18 @@
   }
 
   /** Servers that a send of a request may go to. */
-  choice(
-    service: string,
-    send: { readonly isFirst: boolean; readonly now: number },
-  ): VersionChoice {
+  choice(service: string, send: VersionSendQuery): VersionChoice {
     const records = this.#parts.directory.of(service);
     const known = this.#services.get(service);
+    if (send.version !== undefined) {
+      const isAllowed = this.#allowsContinuation(known, send.version);
+      const ofVersion = ({ entry }: ServerRecord) =>
+        entry.version === send.version;
+      return {
+        first: isAllowed ? records.filter(ofVersion) : [],
+        fallback: undefined,
+      };
+    }
     if (known?.rollout === undefined || known.overSince !== undefined) {
       return {
         first: this.#acceptedRecords(service, { records, now: send.now }),
@@ -330,14 +345,21 @@
     return rollout.sent({ ...send, arm, server: entry.id });
   }
 
-  /** Whether the requests at a server should go to another version. */
-  shouldMigrate({ entry }: ServerRecord, now: number): boolean {
-    const rollout = this.#services.get(entry.service)?.rollout;
-    return (
-      rollout?.phase === "promoting" &&
-      rollout.armOf(entry.version) === "baseline" &&
-      rollout.arms({ isFirst: false, now }).first === "target"
-    );
+  /**
+   * Whether a stream may continue at the version that began it. A version that was
+   * rolled back gets nothing more, and one that is being evaluated no more than its
+   * exposure allows.
+   */
+  #allowsContinuation(
+    known: ServiceVersions | undefined,
+    version: string,
+  ): boolean {
+    if (known === undefined) return true;
+    const { rollout, rolledBack } = known;
+    if (rolledBack === version) return false;
+    const isEvaluated =
+      rollout?.isOver === false && rollout.armOf(version) === "target";
+    return !isEvaluated || rollout.budget.allowsTarget;
   }
 
   /**
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -696,12 +696,9 @@
     );
   }
 
-  /** Migrates runs away from versions that are left, and broadcasts when done. */
-  #vacateVersions(): void {
+  /** Broadcasts when the last requests at versions that are left have ended. */
+  #checkPromotions(): void {
     const now = this.#ports.clock.now();
-    this.#leavingServers.migrateRuns((record) =>
-      this.#rollouts.shouldMigrate(record, now),
-    );
     const { isPromoting: goesOn, hasChanged: isNews } =
       this.#rollouts.promotionProgress(now);
     if (isNews) this.#membership?.broadcast();
@@ -712,7 +709,7 @@
     this.#cancelVersionCheck();
     this.#cancelVersionCheck = this.#ports.clock.after(
       VERSION_CHECK_INTERVAL_MILLISECONDS,
-      () => this.#vacateVersions(),
+      () => this.#checkPromotions(),
     );
   }
 
