Continue a stream at its version also when its caller comes again

What callers saw: a caller whose answer broke off came to another host, or to the same one, and got the rest from a server of another version. Nothing read which try it takes up, and no host knew what another one had served.

A host that serves a stream of a service with several versions sends its version to four other hosts, in different data halls where there are some, before the caller gets the first event; the order of hosts depends on the stream alone. A host that is asked for the rest looks in its own table, then queries the eight hosts first in that order (60 ms at most). Where nobody knows it, the service's only version counts if all that answer have seen no other; if there are several, the request is refused as not run. Streams that run when a second version appears are told then. A service with one version sends nothing, and a host that has been up for a minute queries nobody.

Ruled out: the store for each stream (calls are too dear), the engines' reports (a run ends with its connection, and a report is hundreds of milliseconds old), a rule by hash of the id alone (hosts see other versions and rooms).

--- a/packages/rampswitch-serving/src/membership/checks.ts
+++ b/packages/rampswitch-serving/src/membership/checks.ts
@@ -28,6 +28,11 @@
   );
 }
 
+/** Whether a value is a string of at most the length of a name; it may be empty. */
+export function isShortText(value: unknown): value is string {
+  return isString(value) && value.length <= MAXIMUM_NAME_CHARACTERS;
+}
+
 /** Whether a value is a boolean. */
 export function isBoolean(value: unknown): value is boolean {
   return typeof value === "boolean";
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -21,6 +21,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { TrialRank } from "../quarantine/mod.ts";
 import type { PermitReply, PermitRequest } from "../server_limits/mod.ts";
+import type { StreamKey, StreamRecord, StreamReply } from "../streams/mod.ts";
 import {
   FleetHosts,
   type HostRole,
@@ -42,6 +43,7 @@
   PermitQuery,
 } from "./peer_messages.ts";
 import { openPeerTransport, type PeerTransport } from "./peer_transport.ts";
+import { StreamExchange } from "./stream_exchange.ts";
 import type { IsAppliedUpdate } from "./update_codec.ts";
 
 /** Time without a round of gossip, in intervals, that indicates a paused process. */
@@ -133,6 +135,10 @@
   onLimitQuery(request: LimitRequest): LimitDecision;
   /** Handles the query of a host for a permit at a limited server. */
   onPermitQuery(request: PermitRequest): PermitReply;
+  /** Handles the version of a stream that another host serves. */
+  onStream(record: StreamRecord): void;
+  /** Replies to another host's query for the version of a stream. */
+  onStreamQuery(key: StreamKey): StreamReply;
   /** Handles an admission by a relay that arrived too late to be used. */
   onUnusedAdmission(request: LimitRequest): void;
 }
@@ -146,6 +152,8 @@
   readonly #ownership = new Ownership();
   readonly #limitQueries: LimitQueries;
   readonly #permitQueries: PendingQueries<PermitRequest, PermitReply>;
+  /** Exchanges the versions that began streams. */
+  readonly streams: StreamExchange;
   readonly #registry: HostRegistry;
   readonly #time: FleetTime;
   /** Newest update of each host that was forwarded, as `incarnation/sequence`. */
@@ -179,6 +187,15 @@
         parts.logger.debug("answer on a turn came late", { service, kind });
       },
     });
+    this.streams = new StreamExchange({
+      clock,
+      address: transport.address,
+      hosts: () => this.#presentPeers(),
+      send: (address, message) =>
+        transport.send(address, encodeMessage(message)),
+      onStream: (record) => listener.onStream(record),
+      replyTo: (key) => listener.onStreamQuery(key),
+    });
     // A host that finds others in its first list sends them an update at once. After
     // all hosts were killed together, relays then receive updates of their members
     // 20 ms after the start instead of 400 ms, and refuse no requests because members
@@ -303,6 +320,10 @@
     return this.#hosts.present(this.#parts.clock.now());
   }
 
+  #presentPeers(): readonly KnownHost[] {
+    return this.presentHosts.flatMap((name) => this.#hosts.get(name) ?? []);
+  }
+
   /** Other hosts that may forward requests. */
   get forwardingHosts(): readonly KnownHost[] {
     return this.#hosts.forwardingHosts(this.#parts.clock.now());
@@ -422,6 +443,9 @@
     permit_query: ({ query }) => this.#answerPermitQuery(query),
     permit_answer: ({ answer: { id, reply } }) =>
       this.#permitQueries.receiveReply(id, reply),
+    stream_begun: ({ record }) => this.streams.receive(record),
+    stream_query: ({ query }) => this.streams.answer(query),
+    stream_answer: ({ answer }) => this.streams.receiveAnswer(answer),
     configuration_query: ({ query }) =>
       this.#forwardConfiguration(query.address),
     configuration: ({ changes }) => this.#listener.onConfiguration(changes),
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -198,6 +198,8 @@
             ? { kind: "admitted" }
             : { kind: "over_limit", retryAfterMilliseconds: 250 },
         onUnusedAdmission: () => undefined,
+        onStream: () => undefined,
+        onStreamQuery: () => ({ kind: "unknown" }),
         onPermitQuery: ({ servers }) => ({
           kind: "given",
           server: servers[0] ?? "",
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -46,6 +46,20 @@
   permitAnswerOf,
   permitQueryOf,
 } from "./permit_codec.ts";
+import {
+  type EncodedStream,
+  encodedStream,
+  type EncodedStreamAnswer,
+  encodedStreamAnswer,
+  type EncodedStreamQuery,
+  encodedStreamQuery,
+  STREAM_ANSWER_CHECKS,
+  STREAM_CHECKS,
+  STREAM_QUERY_CHECKS,
+  streamAnswerOf,
+  streamOf,
+  streamQueryOf,
+} from "./stream_codec.ts";
 import {
   decodeUpdates,
   encodedUpdates,
@@ -72,6 +86,9 @@
   | EncodedLimitAnswer
   | EncodedPermitQuery
   | EncodedPermitAnswer
+  | EncodedStream
+  | EncodedStreamQuery
+  | EncodedStreamAnswer
   | EncodedConfigurationQuery
   | EncodedConfiguration;
 
@@ -99,6 +116,9 @@
   limit_answer: ({ answer }) => encodedLimitAnswer(answer),
   permit_query: ({ query }) => encodedPermitQuery(query),
   permit_answer: ({ answer }) => encodedPermitAnswer(answer),
+  stream_begun: ({ record }) => encodedStream(record),
+  stream_query: ({ query }) => encodedStreamQuery(query),
+  stream_answer: ({ answer }) => encodedStreamAnswer(answer),
   configuration_query: ({ query }) => encodedConfigurationQuery(query),
   configuration: (message) => ({ k: "c", s: encodedChanges(message.changes) }),
 };
@@ -171,6 +191,27 @@
       answer: permitAnswerOf(message),
     })),
   ],
+  [
+    "b",
+    decoder(STREAM_CHECKS, (message) => ({
+      kind: "stream_begun",
+      record: streamOf(message),
+    })),
+  ],
+  [
+    "e",
+    decoder(STREAM_QUERY_CHECKS, (message) => ({
+      kind: "stream_query",
+      query: streamQueryOf(message),
+    })),
+  ],
+  [
+    "f",
+    decoder(STREAM_ANSWER_CHECKS, (message) => ({
+      kind: "stream_answer",
+      answer: streamAnswerOf(message),
+    })),
+  ],
   [
     "w",
     decoder(CONFIGURATION_QUERY_CHECKS, ({ a }) => ({
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -27,6 +27,7 @@
   PermitReply,
   PermitRequest,
 } from "../server_limits/mod.ts";
+import type { StreamKey, StreamRecord, StreamReply } from "../streams/mod.ts";
 import type { TimeEstimate } from "./fleet_time.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
@@ -195,6 +196,19 @@
   readonly reply: PermitReply;
 }
 
+/** Query of a host for the version that began a stream. */
+export interface StreamQuery extends StreamKey {
+  readonly id: number;
+  /** Address at which the host receives the answer. */
+  readonly address: string;
+}
+
+/** Answer to a query for the version of a stream. */
+export interface StreamAnswer {
+  readonly id: number;
+  readonly reply: StreamReply;
+}
+
 /** Query of a host to a relay for the newest configuration. */
 export interface ConfigurationQuery {
   /** Address at which the host receives the answer. */
@@ -217,6 +231,9 @@
   | { readonly kind: "limit_answer"; readonly answer: LimitAnswer }
   | { readonly kind: "permit_query"; readonly query: PermitQuery }
   | { readonly kind: "permit_answer"; readonly answer: PermitAnswer }
+  | { readonly kind: "stream_begun"; readonly record: StreamRecord }
+  | { readonly kind: "stream_query"; readonly query: StreamQuery }
+  | { readonly kind: "stream_answer"; readonly answer: StreamAnswer }
   | {
       readonly kind: "configuration_query";
       readonly query: ConfigurationQuery;
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -0,0 +1,119 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Encoding of the versions that began streams, of queries for them, and of answers.
+ *
+ * @module
+ */
+import type { StreamRecord, StreamReply } from "../streams/mod.ts";
+import {
+  type FieldChecks,
+  isName,
+  isNonnegative,
+  isNumber,
+  isShortText,
+  isString,
+  oneOf,
+  optional,
+} from "./checks.ts";
+import type { StreamAnswer, StreamQuery } from "./peer_messages.ts";
+
+/** The version that began a stream. */
+export interface EncodedStream {
+  readonly k: "b";
+  readonly s: string;
+  readonly r: string;
+  readonly v: string;
+  /** Time in which the stream may be taken up, in milliseconds. */
+  readonly t: number;
+}
+
+/** Query for the version of a stream. */
+export interface EncodedStreamQuery {
+  readonly k: "e";
+  readonly i: number;
+  readonly a: string;
+  readonly s: string;
+  readonly r: string;
+}
+
+/** Answer to a query for the version of a stream. */
+export interface EncodedStreamAnswer {
+  readonly k: "f";
+  readonly i: number;
+  readonly o: StreamReply["kind"];
+  /** Absent if it is not known. */
+  readonly v?: string | undefined;
+}
+
+/** Checks of a stream's version. */
+export const STREAM_CHECKS: FieldChecks<EncodedStream> = {
+  k: oneOf("b"),
+  s: isName,
+  r: isName,
+  v: isShortText,
+  t: isNonnegative,
+};
+
+/** Checks of a query for a stream's version. */
+export const STREAM_QUERY_CHECKS: FieldChecks<EncodedStreamQuery> = {
+  k: oneOf("e"),
+  i: isNumber,
+  a: isString,
+  s: isName,
+  r: isShortText,
+};
+
+/** Checks of an answer to a query for a stream's version. */
+export const STREAM_ANSWER_CHECKS: FieldChecks<EncodedStreamAnswer> = {
+  k: oneOf("f"),
+  i: isNumber,
+  o: oneOf("known", "single", "single_recently", "unknown"),
+  v: optional(isShortText),
+};
+
+/** Encodes a stream's version. */
+export function encodedStream(record: StreamRecord): EncodedStream {
+  const { service, attempt, version, lifetimeMilliseconds } = record;
+  return {
+    k: "b",
+    s: service,
+    r: attempt,
+    v: version,
+    t: Math.ceil(lifetimeMilliseconds),
+  };
+}
+
+/** Decodes a stream's version. */
+export function streamOf({ s, r, v, t }: EncodedStream): StreamRecord {
+  return { service: s, attempt: r, version: v, lifetimeMilliseconds: t };
+}
+
+/** Encodes a query for a stream's version. */
+export function encodedStreamQuery(query: StreamQuery): EncodedStreamQuery {
+  const { id, address, service, attempt } = query;
+  return { k: "e", i: id, a: address, s: service, r: attempt };
+}
+
+/** Decodes a query for a stream's version. */
+export function streamQueryOf({ i, a, s, r }: EncodedStreamQuery): StreamQuery {
+  return { id: i, address: a, service: s, attempt: r };
+}
+
+/** Encodes an answer to a query for a stream's version. */
+export function encodedStreamAnswer({
+  id,
+  reply,
+}: StreamAnswer): EncodedStreamAnswer {
+  const version = reply.kind === "unknown" ? {} : { v: reply.version };
+  return { k: "f", i: id, o: reply.kind, ...version };
+}
+
+/** Decodes an answer to a query for a stream's version. */
+export function streamAnswerOf({ i, o, v }: EncodedStreamAnswer): StreamAnswer {
+  const reply: StreamReply =
+    o === "unknown" || v === undefined
+      ? { kind: "unknown" }
+      : { kind: o, version: v };
+  return { id: i, reply };
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -0,0 +1,124 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Exchanges the versions that began streams with the few hosts that keep them.
+ *
+ * @module
+ */
+import type { Clock } from "rampswitch-utils";
+import {
+  spreadOverDataHalls,
+  type StreamKey,
+  streamName,
+  type StreamRecord,
+  type StreamReply,
+} from "../streams/mod.ts";
+import type { KnownHost } from "./fleet_hosts.ts";
+import type {
+  PeerMessage,
+  StreamAnswer,
+  StreamQuery,
+} from "./peer_messages.ts";
+import { PendingQueries } from "./pending_queries.ts";
+
+/** Hosts that keep the version of a stream beside the one that serves it. */
+const KEEPERS = 4;
+
+/**
+ * Hosts that are queried. They are more than those that keep it, since hosts that join
+ * or end in between change the order.
+ */
+const QUERIED_HOSTS = 8;
+
+/**
+ * Timeout of an answer, in milliseconds: a few event-loop iterations of a busy host,
+ * and well below the pause that callers notice.
+ */
+const ANSWER_TIMEOUT_MILLISECONDS = 60;
+
+/** What the exchange works with. */
+export interface StreamExchangeParts {
+  readonly clock: Clock;
+  /** Address at which this host receives answers. */
+  readonly address: string;
+  /** The other hosts that are present. */
+  hosts(): readonly KnownHost[];
+  send(address: string, message: PeerMessage): void;
+  /** Handles the version of a stream that another host serves. */
+  onStream(record: StreamRecord): void;
+  /** Replies to another host's query. */
+  replyTo(key: StreamKey): StreamReply;
+}
+
+/** Exchanges the versions of streams with other hosts. */
+export class StreamExchange {
+  readonly #parts: StreamExchangeParts;
+  readonly #queries: PendingQueries<StreamKey, StreamReply>;
+
+  constructor(parts: StreamExchangeParts) {
+    this.#parts = parts;
+    this.#queries = new PendingQueries(parts.clock, {
+      answerTimeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+      // The request has been refused by then.
+      onLate: () => undefined,
+    });
+  }
+
+  /** Sends the version of a stream to the hosts that keep it. */
+  tell(record: StreamRecord): void {
+    this.#keepersOf(record, KEEPERS).forEach(({ address }) =>
+      this.#parts.send(address, { kind: "stream_begun", record }),
+    );
+  }
+
+  /** Queries the hosts that may keep a stream's version, until one of them knows it. */
+  async query(key: StreamKey): Promise<readonly StreamReply[]> {
+    const queries = this.#keepersOf(key, QUERIED_HOSTS).map((host) =>
+      this.#queryHost(host, key),
+    );
+    const whoKnows = queries.map(async (query) => {
+      const reply = await query;
+      if (reply?.kind !== "known") throw new Error("the stream is not known");
+      return [reply];
+    });
+    try {
+      return await Promise.any(whoKnows);
+    } catch {
+      // Nobody knows it; what the hosts know of its service still counts.
+      const replies = await Promise.all(queries);
+      return replies.flatMap((reply) => reply ?? []);
+    }
+  }
+
+  /** Keeps the version of a stream that another host serves. */
+  receive(record: StreamRecord): void {
+    this.#parts.onStream(record);
+  }
+
+  /** Answers another host's query. */
+  answer({ id, address, ...key }: StreamQuery): void {
+    const answer = { id, reply: this.#parts.replyTo(key) };
+    this.#parts.send(address, { kind: "stream_answer", answer });
+  }
+
+  /** Resolves the query that an answer belongs to. */
+  receiveAnswer({ id, reply }: StreamAnswer): void {
+    this.#queries.receiveReply(id, reply);
+  }
+
+  #keepersOf(key: StreamKey, count: number): readonly KnownHost[] {
+    const hosts = this.#parts.hosts();
+    return spreadOverDataHalls(streamName(key), hosts).slice(0, count);
+  }
+
+  #queryHost(
+    { address: to }: KnownHost,
+    key: StreamKey,
+  ): Promise<StreamReply | undefined> {
+    const { address } = this.#parts;
+    return this.#queries.query(key, (id) => {
+      const query = { ...key, id, address };
+      this.#parts.send(to, { kind: "stream_query", query });
+    });
+  }
+}
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -27,6 +27,7 @@
   WaitingRequests,
 } from "../room/mod.ts";
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
+import type { StreamOrigins } from "../streams/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
 import type { PromptSend } from "./prompt_load.ts";
 
@@ -65,6 +66,8 @@
   readonly budget: ResendBudget;
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
+  /** Versions that began the streams that callers may take up. */
+  readonly streams: StreamOrigins;
   readonly permits: ServerPermits;
   readonly brittle: BrittleServers;
   /** Retry times given to callers that were refused during servers' back-offs. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -48,6 +48,8 @@
 } from "./run_migration.ts";
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
+import { StreamVersion } from "./stream_version.ts";
+import { unusableReason } from "./unusable_answer.ts";
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -98,8 +100,7 @@
   #lastRelayedId: string | undefined;
   /** Migrations of the run; most runs never migrate. */
   #startedMigration: RunMigration | undefined;
-  /** Version whose events the caller has. */
-  #streamVersion: string | undefined;
+  readonly #streamVersion: StreamVersion;
   readonly #sendChooser: SendChooser;
   #cancelDeadline: () => void = () => undefined;
   readonly #stallWatch: StallWatch;
@@ -124,12 +125,13 @@
     this.#tracker = new AttemptTracker(
       request.route.resumable ? "repeatable" : request.route.repeatability,
     );
+    this.#streamVersion = new StreamVersion(request, context);
     this.#rules = new ResendRules(request, this.#tracker, context);
     this.#sendChooser = new SendChooser(
       {
         request,
         tried: this.#tried,
-        version: () => this.#streamVersion,
+        version: () => this.#streamVersion.required,
         finished: () => this.#answer.finished,
         shortOfRoom: (refusal) => this.#record.shortOfRoom(refusal),
       },
@@ -170,7 +172,8 @@
       this.request.service.name,
       this.#budgetQuery(),
     );
-    this.#chooseFirstSend();
+    if (this.#streamVersion.isTakenUp) void this.#findVersion();
+    else this.#chooseFirstSend();
   }
 
   /** Migrates a running stream to another engine, with its memory. */
@@ -234,6 +237,13 @@
     return this.#deadlineAt - this.#now();
   }
 
+  async #findVersion(): Promise<void> {
+    const isKnown = await this.#streamVersion.find();
+    if (this.#answer.finished) return;
+    if (isKnown) this.#chooseFirstSend();
+    else this.#giveUp("stream_origin_unknown");
+  }
+
   #chooseFirstSend(): void {
     this.#sendChooser.chooseForFirstSend({
       chosen: (choice) => this.#sendFirst(choice),
@@ -363,7 +373,7 @@
     const current = this.#current;
     if (current === undefined) return;
     this.#readAdvertisements(head, current.choice.record);
-    const unusable = this.#unusableReason(head);
+    const unusable = unusableReason(head, this.request);
     if (unusable !== undefined) {
       current.send.abort();
       this.#handleLoss("answer_not_usable", unusable);
@@ -403,18 +413,6 @@
     this.#context.advertisements.read(record, head.advertised, { isLate });
   }
 
-  /**
-   * Why an answer is unusable; `undefined` if it is usable. An answer that does
-   * not name this attempt may be a late answer to another one. If such an answer
-   * were a rejection and were accepted, the request would be sent again while its
-   * server still runs it.
-   */
-  #unusableReason(head: AnswerHead): string | undefined {
-    if (head.encoded) return "encoded";
-    if (head.attemptId === this.request.head.attemptId) return undefined;
-    return head.attemptId === undefined ? "no attempt id" : "crossed";
-  }
-
   /** Handles a failure answer to the request of a resumed stream. */
   #handleFailedResume(head: AnswerHead): void {
     this.#current?.send.abort();
@@ -466,7 +464,7 @@
     if (head === undefined) return;
     current.work.prefillEnded();
     current.firstPartAt = this.#now();
-    this.#streamVersion ??= current.version;
+    this.#streamVersion.began(current.version);
     this.#record.began();
     this.#record.firstPart();
     if (this.#record.sends === 1) {
@@ -494,6 +492,7 @@
     }
     if (!this.#answer.started) this.#beginStream(current);
     this.#observeAnswer(current);
+    this.#streamVersion.completed();
     current.choice.record.succeeded();
     this.#context.quarantine.recordCompletion(this.request.fingerprint);
     this.#finish("completed");
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -0,0 +1,93 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The version that one request's stream has to continue at, within its answer and over
+ * its caller's tries.
+ *
+ * @module
+ */
+import type { StreamKey } from "../streams/mod.ts";
+import {
+  type AdmittedRequest,
+  timeLimitMilliseconds,
+} from "./admitted_request.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Maximum number of characters of an attempt id that is kept or sent to other hosts. */
+const MAXIMUM_ATTEMPT_CHARACTERS = 256;
+
+/** The parts of the context that are used here. */
+export type StreamVersionParts = Pick<
+  RequestContext,
+  "clock" | "logger" | "metrics" | "streams"
+>;
+
+/** The version that a request's stream has to continue at. */
+export class StreamVersion {
+  readonly #request: AdmittedRequest;
+  readonly #parts: StreamVersionParts;
+  #required: string | undefined;
+
+  constructor(request: AdmittedRequest, parts: StreamVersionParts) {
+    this.#request = request;
+    this.#parts = parts;
+  }
+
+  /** The version that the stream has to continue at; `undefined`: any. */
+  get required(): string | undefined {
+    return this.#required;
+  }
+
+  /** Whether the caller has events of the stream from a former try. */
+  get isTakenUp(): boolean {
+    const { head, route } = this.#request;
+    const names = head.resumes ?? head.lastEventId;
+    return route.streaming && route.resumable && names !== undefined;
+  }
+
+  /** Finds the version of a stream that is taken up; resolves to whether it is known. */
+  async find(): Promise<boolean> {
+    const { head, arrivedAt } = this.#request;
+    const { clock, logger, metrics, streams } = this.#parts;
+    const origin = await streams.find(this.#key);
+    const known = origin.kind === "known" ? origin : undefined;
+    this.#required = known?.version;
+    metrics.event(`stream_taken_up_${known?.source ?? "unknown"}`);
+    logger.info("stream taken up", {
+      request: head.attemptId,
+      resumes: this.#key.attempt,
+      version: known?.version,
+      source: known?.source,
+      sinceMilliseconds: Math.round(clock.now() - arrivedAt),
+    });
+    return known !== undefined;
+  }
+
+  /** Notes that the caller is about to get the first event from a version. */
+  began(version: string): void {
+    this.#required ??= version;
+    // A caller that took events up without naming their attempt can't be told apart.
+    if (!this.#request.route.resumable || this.#key.attempt === "") return;
+    this.#parts.streams.began({
+      ...this.#key,
+      version,
+      lifetimeMilliseconds: timeLimitMilliseconds(this.#request),
+    });
+  }
+
+  /** Notes that the stream was given whole. */
+  completed(): void {
+    this.#parts.streams.completed(this.#key);
+  }
+
+  /** The stream, identified by the attempt that brought its first event. */
+  get #key(): StreamKey {
+    const { head, service } = this.#request;
+    const attempt =
+      head.resumes ?? (head.lastEventId === undefined ? head.attemptId : "");
+    return {
+      service: service.name,
+      attempt: (attempt ?? "").slice(0, MAXIMUM_ATTEMPT_CHARACTERS),
+    };
+  }
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/unusable_answer.ts
@@ -0,0 +1,24 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Which answers of servers can't be used, whatever their status.
+ *
+ * @module
+ */
+import type { AnswerHead } from "../model/request.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
+
+/**
+ * Why an answer is unusable; `undefined` if it is usable. An answer that does not name
+ * the request's attempt may be a late answer to another one. If such an answer were a
+ * rejection and were accepted, the request would be sent again while its server still
+ * runs it.
+ */
+export function unusableReason(
+  { attemptId, encoded }: AnswerHead,
+  { head }: AdmittedRequest,
+): string | undefined {
+  if (encoded) return "encoded";
+  if (attemptId === head.attemptId) return undefined;
+  return attemptId === undefined ? "no attempt id" : "crossed";
+}
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -22,6 +22,7 @@
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { ServerPermits } from "./server_limits/mod.ts";
 import type { RequestRun } from "./relay/request_run.ts";
+import type { StreamOrigins } from "./streams/mod.ts";
 
 /** Parts that hold state of backend servers. */
 export interface ServerListingParts {
@@ -36,6 +37,7 @@
   readonly quarantine: Quarantine;
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
+  readonly streams: StreamOrigins;
   /** Requests in progress. */
   runs(): readonly RequestRun[];
 }
@@ -80,6 +82,7 @@
     const { directory, clock } = this.#parts;
     const outcome = directory.put(server, clock.now());
     this.#parts.rollouts.listed(server, clock.now());
+    this.#parts.streams.listed(server);
     const handle = this.#handlers[outcome.kind] as (
       server: BackendServer,
       outcome: EntryOutcome,
@@ -97,6 +100,7 @@
     const { directory, clock, client, prefixes, logger } = this.#parts;
     this.#recordUnannouncedEnd(directory.get(id));
     directory.remove(id, clock.now());
+    this.#parts.streams.removed(id);
     client.forget(id);
     prefixes.retain(new Set(directory.all().map(({ entry }) => entry.id)));
     logger.info("server gone", { server: id });
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -69,6 +69,7 @@
   WaitingRequests,
 } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
+import { StreamOrigins } from "./streams/mod.ts";
 import {
   LeavingAdvertisements,
   BackOffAdvertisements,
@@ -129,6 +130,12 @@
 /** Maximum number of ports that are tried for messages between hosts. */
 const MAXIMUM_PORT_TRIES = 5;
 
+/**
+ * Age of the newest confirmation of the store from which on this host's list of servers
+ * counts as possibly older than those of its peers, in milliseconds.
+ */
+const MAXIMUM_LIST_AGE_MILLISECONDS = 3_000;
+
 /** Time between checks of versions that are being left, in milliseconds. */
 const VERSION_CHECK_INTERVAL_MILLISECONDS = 100;
 
@@ -148,6 +155,7 @@
   readonly #quarantineStore: QuarantineStore;
   readonly #rollouts: Rollouts;
   readonly #rolloutStore: RolloutStore;
+  readonly #streams: StreamOrigins;
   #stopping: Promise<void> | undefined;
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
@@ -239,6 +247,14 @@
       }),
     );
     this.#ownership.defer(() => this.#cancelVersionCheck());
+    this.#streams = new StreamOrigins({
+      ...ports,
+      isListCurrent: () =>
+        this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
+        !this.#follower.cutOff,
+      tell: (record) => this.#membership?.streams.tell(record),
+      query: async (key) => this.#membership?.streams.query(key) ?? [],
+    });
     const promptUpdates = new PromptBroadcast(ports.clock, () =>
       this.#membership?.broadcast(),
     );
@@ -380,6 +396,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       permits: this.#permits,
+      streams: this.#streams,
       runs: () => this.#callers.runs,
     });
     this.#directory.onLeaving((record) => this.#serverLeaving(record));
@@ -581,6 +598,8 @@
         onLimitQuery: (request) => this.#admission.decide(request),
         onPermitQuery: (request) => this.#permits.grant(request),
         onUnusedAdmission: (request) => this.#admission.refund(request),
+        onStream: (record) => this.#streams.receive(record),
+        onStreamQuery: (key) => this.#streams.replyTo(key),
         onListed: (hosts) => {
           this.#limits.markHostsListed();
           hosts.forEach((host) => {
@@ -613,6 +632,7 @@
       budget: this.#budget,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
+      streams: this.#streams,
       permits: this.#permits,
       brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -0,0 +1,161 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Finds the version that began a stream. A host that serves a stream of a service with
+ * several versions sends the version to a few other hosts before the caller gets the
+ * first event. A host that is asked for the rest of a stream knows it from its own
+ * table or queries these hosts. A version that nobody knows is never guessed.
+ *
+ * @module
+ */
+import type { Clock } from "rampswitch-utils";
+import {
+  type BegunStream,
+  BegunStreams,
+  type StreamKey,
+} from "./begun_streams.ts";
+import type { StreamRecord, StreamReply } from "./stream_reply.ts";
+import { type VersionedServer, VersionHistory } from "./version_history.ts";
+
+/** What finding the version depends on. */
+export interface StreamOriginsParts {
+  /** A monotonic clock. */
+  readonly clock: Clock;
+  /** Whether this host's list of servers is as new as that of its peers. */
+  isListCurrent(): boolean;
+  /** Sends the version of a stream to the hosts that keep it. */
+  tell(record: StreamRecord): void;
+  /** Queries the hosts that may keep it; ends early once one of them knows it. */
+  query(key: StreamKey): Promise<readonly StreamReply[]>;
+}
+
+/** How the version of a stream was found. */
+export type StreamOriginSource = "table" | "queried" | "single";
+
+/** The version that began a stream, if it is known. */
+export type StreamOrigin =
+  | {
+      readonly kind: "known";
+      readonly version: string;
+      readonly source: StreamOriginSource;
+    }
+  | { readonly kind: "unknown" };
+
+/**
+ * Time for which a version counts after its last server was removed, in milliseconds;
+ * longer than any stream lasts.
+ */
+const VERSION_RETENTION_MILLISECONDS = 60_000;
+
+/** Time beyond its deadline for which a stream is kept, in milliseconds. */
+const LIFETIME_MARGIN_MILLISECONDS = 1_000;
+
+/** The versions that began streams, as one host knows or finds them. */
+export class StreamOrigins {
+  readonly #parts: StreamOriginsParts;
+  readonly #streams = new BegunStreams();
+  readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
+  readonly #startedAt: number;
+
+  constructor(parts: StreamOriginsParts) {
+    this.#parts = parts;
+    this.#startedAt = parts.clock.now();
+  }
+
+  /** Number of streams whose version this host keeps. */
+  get size(): number {
+    return this.#streams.size;
+  }
+
+  /** Notes a listed server. The streams that run when a second version appears are told. */
+  listed(server: VersionedServer): void {
+    const now = this.#parts.clock.now();
+    const { service } = server;
+    const before = this.#history.versionsOf(service, now).length;
+    this.#history.listed(server, now);
+    const becameMixed = before === 1 && this.#isMixed(service);
+    if (!becameMixed) return;
+    this.#streams
+      .servedHere(service, now)
+      .forEach(({ expiresAt, ...stream }) =>
+        this.#parts.tell({ ...stream, lifetimeMilliseconds: expiresAt - now }),
+      );
+  }
+
+  /** Notes that a server is listed no more. */
+  removed(id: string): void {
+    this.#history.removed(id, this.#parts.clock.now());
+  }
+
+  /** Notes that the caller is about to get the first event of a stream. */
+  began(record: StreamRecord): void {
+    this.#add(record, { isServedHere: true });
+    if (this.#isMixed(record.service)) this.#parts.tell(record);
+  }
+
+  /** Notes that a stream was given whole. */
+  completed(key: StreamKey): void {
+    this.#streams.completed(key);
+  }
+
+  /** Keeps the version of a stream that another host serves. */
+  receive(record: StreamRecord): void {
+    this.#add(record, { isServedHere: false });
+  }
+
+  /** Replies to another host's query. */
+  replyTo(key: StreamKey): StreamReply {
+    const now = this.#parts.clock.now();
+    const stream = this.#streams.get(key, now);
+    if (stream !== undefined) return { kind: "known", version: stream.version };
+    const [version, ...others] = this.#history.versionsOf(key.service, now);
+    if (version === undefined || others.length > 0) return { kind: "unknown" };
+    const isOld = now - this.#startedAt >= VERSION_RETENTION_MILLISECONDS;
+    return { kind: isOld ? "single" : "single_recently", version };
+  }
+
+  /** Finds the version that began a stream. */
+  async find(key: StreamKey): Promise<StreamOrigin> {
+    const stream = this.#streams.get(key, this.#parts.clock.now());
+    if (stream !== undefined) {
+      return { kind: "known", version: stream.version, source: "table" };
+    }
+    const own = this.replyTo(key);
+    if (own.kind === "single" && this.#parts.isListCurrent()) {
+      return { ...own, kind: "known", source: "single" };
+    }
+    return originFrom(own, await this.#parts.query(key));
+  }
+
+  #isMixed(service: string): boolean {
+    const now = this.#parts.clock.now();
+    return this.#history.versionsOf(service, now).length > 1;
+  }
+
+  #add(
+    { lifetimeMilliseconds, ...stream }: StreamRecord,
+    { isServedHere }: Pick<BegunStream, "isServedHere">,
+  ): void {
+    const now = this.#parts.clock.now();
+    const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
+    this.#streams.add({ ...stream, expiresAt, isServedHere }, now);
+  }
+}
+
+/** Decides from this host's own reply and those of others. */
+function originFrom(
+  own: StreamReply,
+  replies: readonly StreamReply[],
+): StreamOrigin {
+  const known = replies.find(({ kind }) => kind === "known");
+  if (known?.kind === "known") {
+    return { kind: "known", version: known.version, source: "queried" };
+  }
+  const versions = [own, ...replies].map((reply) =>
+    reply.kind === "unknown" ? undefined : reply.version,
+  );
+  const [version, ...others] = new Set(versions);
+  return version === undefined || others.length > 0
+    ? { kind: "unknown" }
+    : { kind: "known", version, source: "single" };
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -0,0 +1,25 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What hosts tell each other of the versions that began streams.
+ *
+ * @module
+ */
+import type { StreamKey } from "./begun_streams.ts";
+
+/** The version that began a stream, for hosts that keep it. */
+export interface StreamRecord extends StreamKey {
+  readonly version: string;
+  /** Time in which its caller may take it up, in milliseconds. */
+  readonly lifetimeMilliseconds: number;
+}
+
+/** What a host knows of the version that began a stream. */
+export type StreamReply =
+  | { readonly kind: "known"; readonly version: string }
+  /** The service has had this version alone for longer than a stream lasts. */
+  | { readonly kind: "single"; readonly version: string }
+  /** This version alone is listed, and the host started too recently to know more. */
+  | { readonly kind: "single_recently"; readonly version: string }
+  /** The service has several versions, or none that is known. */
+  | { readonly kind: "unknown" };
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -0,0 +1,73 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The versions of each service's servers that are listed, or were a short time ago.
+ *
+ * @module
+ */
+
+/** The fields of a listed server that are used here. */
+export interface VersionedServer {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+}
+
+/** A version of a service. */
+interface ServiceVersion {
+  /** Ids of the listed servers that have it. */
+  readonly servers: Set<string>;
+  /** When its last server was removed, on the monotonic clock. */
+  goneAt: number;
+}
+
+/** The versions of the servers of all services, as one host sees them. */
+export class VersionHistory {
+  readonly #retentionMilliseconds: number;
+  readonly #services = new Map<string, Map<string, ServiceVersion>>();
+  readonly #listed = new Map<string, VersionedServer>();
+
+  /** Versions without a server are retained for the given time. */
+  constructor(retentionMilliseconds: number) {
+    this.#retentionMilliseconds = retentionMilliseconds;
+  }
+
+  /** Notes a server that is listed, or listed with another version. */
+  listed({ id, service, version }: VersionedServer, now: number): void {
+    const before = this.#listed.get(id);
+    if (before?.service === service && before.version === version) return;
+    this.removed(id, now);
+    this.#listed.set(id, { id, service, version });
+    const versions =
+      this.#services.get(service) ?? new Map<string, ServiceVersion>();
+    this.#services.set(service, versions);
+    const known = versions.get(version) ?? { servers: new Set(), goneAt: now };
+    known.servers.add(id);
+    versions.set(version, known);
+  }
+
+  /** Notes that a server is listed no more. */
+  removed(id: string, now: number): void {
+    const before = this.#listed.get(id);
+    if (before === undefined) return;
+    this.#listed.delete(id);
+    const known = this.#services.get(before.service)?.get(before.version);
+    if (known === undefined) return;
+    known.servers.delete(id);
+    known.goneAt = now;
+  }
+
+  /** Returns the versions that a stream in progress may have begun at. */
+  versionsOf(service: string, now: number): readonly string[] {
+    const versions = this.#services.get(service);
+    if (versions === undefined) return [];
+    [...versions]
+      .filter(([, version]) => this.#isForgotten(version, now))
+      .forEach(([name]) => versions.delete(name));
+    return [...versions.keys()];
+  }
+
+  #isForgotten({ servers, goneAt }: ServiceVersion, now: number): boolean {
+    return servers.size === 0 && now - goneAt > this.#retentionMilliseconds;
+  }
+}
