Give streams that continue a server before new requests get one

What callers saw: a stream that is taken up was decided on like a new request.

A stream that continues is now admitted ahead of new requests, may wait in a longer queue at a server, gets permits as a continuation, may go to a leaving server of its version within the part of the drain time that others use, and to one that was tried if no other is left. Without a server it waits for 0.6 s while one of its version is listed or was within 3 s, else it is refused at once.

Ruled out: room set aside for streams that may be taken up (idle nearly always).

--- a/packages/rampswitch-serving/src/choice/choose_server.ts
+++ b/packages/rampswitch-serving/src/choice/choose_server.ts
@@ -32,6 +32,11 @@
   readonly excluded: ReadonlySet<string>;
   /** Maximum requests of this host at one server at once. */
   readonly maximumOwnRequests: number;
+  /**
+   * Maximum requests that wait at a server, as a share of its slots, for a request that
+   * has other claims to room than a new one.
+   */
+  readonly maximumQueueShare?: number | undefined;
   /** Whether this host may send one more request to a server. */
   allows?(record: ServerRecord): boolean;
   /**
@@ -90,7 +95,7 @@
 /** Time that one request of a plain service takes, in milliseconds. */
 const PLAIN_REQUEST_MILLISECONDS = 20;
 
-/** Maximum requests that wait at a server, as a share of its slots. */
+/** Maximum requests that wait at a server before a new one, as a share of its slots. */
 const MAXIMUM_QUEUE_SHARE = 0.75;
 
 /**
@@ -269,7 +274,8 @@
 
 /** Whether the server can take one more request of this host, queued or running. */
 function hasCapacity(record: ServerRecord, inputs: ChoiceInputs): boolean {
-  const maximumLoad = record.entry.slots * (1 + MAXIMUM_QUEUE_SHARE);
+  const { maximumQueueShare = MAXIMUM_QUEUE_SHARE } = inputs;
+  const maximumLoad = record.entry.slots * (1 + maximumQueueShare);
   return (
     record.backOff.allowsSend(inputs.now) &&
     inputs.allows?.(record) !== false &&
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -30,6 +30,13 @@
  */
 const LEAVING_SEND_SHARE = 0.6;
 
+/**
+ * Maximum requests that wait at a server before a stream that continues, as a share of
+ * its slots; larger than before a new request, as the stream has only the servers of its
+ * version.
+ */
+const CONTINUATION_QUEUE_SHARE = 1;
+
 /** Refusal of a request because capacity is short. */
 export type RoomRefusal = Extract<RoomDecision, { readonly kind: "short" }> & {
   /** The request as admission saw it. */
@@ -66,7 +73,7 @@
   const isFirst = tried.size === 0;
   const asked = { isFirst, version, now };
   const all = context.rollouts.choice(request.service.name, asked);
-  const send = { request, tried, hasRoom, now };
+  const send = { request, tried, hasRoom, version, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -101,25 +108,53 @@
   // Only first sends are decided on, so a resend is never refused here.
   if (isFirst && !send.hasRoom) {
     const room = roomRequest(versions, send, context);
-    const decision = context.brittle.hasFreeShare(versions.first)
-      ? admittedByShare(room, send, context)
+    // A stream that its caller has a part of comes before new requests.
+    const comesFirst =
+      send.version !== undefined ||
+      context.brittle.hasFreeShare(versions.first);
+    const decision = comesFirst
+      ? admittedAhead(room, send, context)
       : admission(room, send, context);
     if (decision.kind === "short") {
       const refusal = { ...decision, request: room };
       return { outcome: { kind: "full" }, refusal };
     }
   }
-  const { first, fallback: otherwise } = versions;
-  const outcome = chooseAmong(first, send, context);
   return {
     outcome:
-      outcome.kind === "chosen" || otherwise === undefined
-        ? outcome
-        : chooseAmong(otherwise, send, context),
+      send.version === undefined
+        ? chooseAtAnyVersion(versions, send, context)
+        : chooseForContinuation(versions.first, send, context),
     refusal: undefined,
   };
 }
 
+function chooseAtAnyVersion(
+  { first, fallback: otherwise }: VersionChoice,
+  send: SendQuery,
+  context: RequestContext,
+): ChoiceOutcome {
+  const outcome = chooseAmong(first, send, context);
+  return outcome.kind === "chosen" || otherwise === undefined
+    ? outcome
+    : chooseAmong(otherwise, send, context);
+}
+
+/**
+ * Chooses for a stream that only servers of one version can continue. If all of them
+ * were tried, one that has not ended is tried again: often its connection alone broke.
+ */
+function chooseForContinuation(
+  records: readonly ServerRecord[],
+  send: SendQuery,
+  context: RequestContext,
+): ChoiceOutcome {
+  const outcome = chooseAmong(records, send, context);
+  return outcome.kind === "none" && send.tried.size > 0
+    ? chooseAmong(records, { ...send, tried: new Set() }, context)
+    : outcome;
+}
+
 /** Whether all ready servers have asked for a back-off, so that none takes requests. */
 function allBackOff(
   { first, fallback: otherwise = [] }: VersionChoice,
@@ -167,8 +202,11 @@
     .toSorted((left, right) => left.load(now) - right.load(now));
 }
 
-/** Admits a request for which a place at a brittle server is free. */
-function admittedByShare(
+/**
+ * Admits a request without a decision: a place at a brittle server is free for it, or
+ * its caller has a part of the answer.
+ */
+function admittedAhead(
   room: RoomRequest,
   { now }: SendQuery,
   { room: admissions }: RequestContext,
@@ -221,9 +259,10 @@
 /** A request as admission sees it. */
 function roomRequest(
   { first, fallback: otherwise = [] }: VersionChoice,
-  { request, now }: SendQuery,
+  send: SendQuery,
   context: RequestContext,
 ): RoomRequest {
+  const { request, now } = send;
   const { service, route } = request;
   return {
     roomClass: roomClassOf(request),
@@ -231,7 +270,7 @@
     targetMilliseconds: route.targetMilliseconds,
     sharesAlone: service.engine !== undefined,
     servers: () => {
-      const leavingMilliseconds = leavingWindowMilliseconds(request, context);
+      const leavingMilliseconds = leavingWindowMilliseconds(send, context);
       return [...first, ...otherwise]
         .filter((record) => acceptsRequests(record, now, leavingMilliseconds))
         .map((record) => ({
@@ -259,10 +298,10 @@
 
 /** Time for which a leaving server is sent requests like this one, in milliseconds. */
 function leavingWindowMilliseconds(
-  request: AdmittedRequest,
+  { request, version }: Pick<SendQuery, "request" | "version">,
   context: RequestContext,
 ): number {
-  return endsBeforeServer(request)
+  return version !== undefined || endsBeforeServer(request)
     ? context.drainMilliseconds() * LEAVING_SEND_SHARE
     : 0;
 }
@@ -274,14 +313,17 @@
   readonly tried: ReadonlySet<string>;
   /** Whether admission has given it room. */
   readonly hasRoom: boolean;
+  /** The only version that the send may go to; `undefined`: any. */
+  readonly version?: string | undefined;
   readonly now: number;
 }
 
 function chooseAmong(
   records: readonly ServerRecord[],
-  { request, tried, now }: SendQuery,
+  send: SendQuery,
   context: RequestContext,
 ): ChoiceOutcome {
+  const { request, tried, now } = send;
   const { prefixes, workEstimates } = context;
   const { name, engine } = request.service;
   return chooseServer(records, prefixes, {
@@ -298,7 +340,9 @@
     excluded: tried,
     maximumOwnRequests: ownConnections(request.service, context.hosts()),
     allows: (record) => context.brittle.allows(record),
-    leavingGraceMilliseconds: leavingWindowMilliseconds(request, context),
+    leavingGraceMilliseconds: leavingWindowMilliseconds(send, context),
+    maximumQueueShare:
+      send.version === undefined ? undefined : CONTINUATION_QUEUE_SHARE,
     receivesDispatches: context.receivesDispatches(),
     draw: () => context.random.next(),
   });
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -37,14 +37,31 @@
  */
 const SHARE_WAIT_SHARE = 1 / 8;
 
+/**
+ * Time for which a stream that continues waits for a server of its version, in
+ * milliseconds: a server that crashed is often back by then, and callers give a stream
+ * up only after seconds.
+ */
+const VERSION_WAIT_MILLISECONDS = 600;
+
+/** Time between two choices during that wait, in milliseconds. */
+const VERSION_POLL_MILLISECONDS = 30;
+
+/**
+ * Time after its removal for which a server may return under its version, in
+ * milliseconds.
+ */
+const SERVER_RETURN_MILLISECONDS = 3_000;
+
 /** Reason to refuse a first send, by the outcome of the choice. */
 const REFUSAL_BY_OUTCOME = {
   none: "no_server",
   full: "servers_full",
   resting: "servers_resting",
-} as const satisfies Readonly<
-  Record<Exclude<ChoiceOutcome["kind"], "chosen">, RefusalReason>
->;
+} as const satisfies Readonly<Record<WithoutServer, RefusalReason>>;
+
+/** Outcome of a choice without a server. */
+type WithoutServer = Exclude<ChoiceOutcome["kind"], "chosen">;
 
 /** Receives the result of a choice. */
 export interface ChoiceListener<Reason> {
@@ -101,6 +118,14 @@
 
   /** Chooses a server for the first send, which may wait at this host. */
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
+    const version = this.#run.version();
+    if (version !== undefined) {
+      void this.#chooseAtVersion(version, {
+        chosen: (choice) => listener.chosen(choice),
+        none: (kind) => listener.none(REFUSAL_BY_OUTCOME[kind]),
+      });
+      return;
+    }
     const choice = this.#choose();
     const { outcome, limited } = choice;
     if (outcome.kind !== "chosen" || limited.length === 0) {
@@ -117,6 +142,14 @@
 
   /** Chooses a server for a further send. */
   chooseForResend(listener: ChoiceListener<NotRepeatedReason>): void {
+    const version = this.#run.version();
+    if (version !== undefined) {
+      void this.#chooseAtVersion(version, {
+        chosen: (choice) => listener.chosen(choice),
+        none: () => listener.none("no_server"),
+      });
+      return;
+    }
     const { outcome, limited } = this.#choose();
     if (outcome.kind === "chosen") listener.chosen(outcome.choice);
     else if (limited.length === 0) listener.none("no_server");
@@ -146,6 +179,49 @@
     return hasPermit || !isLimited || this.#waitForPermit(choice.record, 0);
   }
 
+  /**
+   * Chooses a server of the version that began the stream. The caller has a part of the
+   * answer, so the choice waits a little for a server instead of failing at once.
+   */
+  async #chooseAtVersion(
+    version: string,
+    listener: ChoiceListener<WithoutServer>,
+    latestAt = this.#context.clock.now() + VERSION_WAIT_MILLISECONDS,
+  ): Promise<void> {
+    const { outcome, limited } = this.#choose();
+    if (outcome.kind === "chosen") {
+      listener.chosen(outcome.choice);
+      return;
+    }
+    const permitted = await this.#takePermit({ limited, continues: true });
+    if (this.#run.finished()) return;
+    if (permitted !== undefined) {
+      listener.chosen(permitted);
+      return;
+    }
+    const isOver = this.#context.clock.now() >= latestAt;
+    if (isOver || !this.#mayHaveServer(version)) {
+      listener.none(outcome.kind);
+      return;
+    }
+    await sleep(this.#context.clock, VERSION_POLL_MILLISECONDS);
+    if (this.#run.finished()) return;
+    await this.#chooseAtVersion(version, listener, latestAt);
+  }
+
+  /** Whether a version has a server, or lost its last one so lately that it may return. */
+  #mayHaveServer(version: string): boolean {
+    const { clock, directory } = this.#context;
+    const now = clock.now();
+    return directory
+      .allOf(this.#run.request.service.name)
+      .filter(({ entry }) => entry.version === version)
+      .some(
+        ({ isReady, leavingSince = -Infinity }) =>
+          isReady || now - leavingSince < SERVER_RETURN_MILLISECONDS,
+      );
+  }
+
   #choose(version = this.#run.version()): SendChoice {
     const { request, tried } = this.#run;
     const send = { tried, hasRoom: this.#hasRoom, version };
