--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -0,0 +1,169 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { ManualClock } from "rampswitch-utils";
+import { spreadOverDataHalls } from "./stream_keepers.ts";
+import { StreamOrigins } from "./stream_origins.ts";
+import type { StreamRecord, StreamReply } from "./stream_reply.ts";
+
+const SERVICE = "models";
+const STREAM = { service: SERVICE, attempt: "a1" };
+const LIFETIME_MILLISECONDS = 4_000;
+const RETENTION_MILLISECONDS = 60_000;
+
+/** One host, what it told others, and what these reply. */
+function hostOf(replies: readonly StreamReply[] = []) {
+  const clock = new ManualClock(0);
+  const told: StreamRecord[] = [];
+  const state = { isListCurrent: true, queries: 0 };
+  const streams = new StreamOrigins({
+    clock,
+    isListCurrent: () => state.isListCurrent,
+    tell: (record) => told.push(record),
+    query: () => {
+      state.queries += 1;
+      return Promise.resolve(replies);
+    },
+  });
+  const list = (id: string, version: string) =>
+    streams.listed({ id, service: SERVICE, version });
+  const begin = (version: string) =>
+    streams.began({
+      ...STREAM,
+      version,
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+  return { clock, told, state, streams, list, begin };
+}
+
+const KNOWN: StreamReply = { kind: "known", version: "v2" };
+const UNKNOWN: StreamReply = { kind: "unknown" };
+
+function single(version: string): StreamReply {
+  return { kind: "single", version };
+}
+
+describe("the version that began a stream", () => {
+  test("costs nothing while a service has one version", async () => {
+    const { clock, told, state, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    begin("v1");
+    expect(told).toEqual([]);
+    clock.advance(RETENTION_MILLISECONDS);
+    expect(await streams.find({ ...STREAM, attempt: "other" })).toEqual({
+      kind: "known",
+      version: "v1",
+      source: "single",
+    });
+    expect(state.queries).toBe(0);
+  });
+
+  test("is told before the first event where there are several", () => {
+    const { told, list, begin } = hostOf();
+    list("s1", "v1");
+    list("s2", "v2");
+    begin("v2");
+    expect(told.map(({ version }) => version)).toEqual(["v2"]);
+  });
+
+  test("is told of streams that run when a second version appears", () => {
+    const { clock, told, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    begin("v1");
+    streams.began({
+      service: SERVICE,
+      attempt: "whole",
+      version: "v1",
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+    streams.completed({ service: SERVICE, attempt: "whole" });
+    clock.advance(1_000);
+    list("s2", "v2");
+    expect(told.map(({ attempt }) => attempt)).toEqual(["a1"]);
+  });
+
+  test("is known as long as its caller may come, here and where it was told", async () => {
+    const { clock, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    list("s2", "v2");
+    begin("v1");
+    streams.receive({
+      ...STREAM,
+      attempt: "a2",
+      version: "v2",
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+    clock.advance(LIFETIME_MILLISECONDS);
+    const versions = ["a1", "a2"].map((attempt) =>
+      streams.replyTo({ ...STREAM, attempt }),
+    );
+    expect(versions).toEqual([{ ...KNOWN, version: "v1" }, KNOWN]);
+    clock.advance(LIFETIME_MILLISECONDS);
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
+  });
+
+  test.each([
+    ["one that knows it", [UNKNOWN, KNOWN], "v2"],
+    ["one that has seen the same version alone", [single("v1")], "v1"],
+    ["one that has seen another version alone", [single("v2")], undefined],
+    ["one that has seen several", [single("v1"), UNKNOWN], undefined],
+  ] as const)(
+    "found by a host that has just started at %s",
+    async (_, replies, version) => {
+      const { streams, list } = hostOf(replies);
+      list("s1", "v1");
+      const origin = await streams.find(STREAM);
+      expect(origin.kind === "known" ? origin.version : undefined).toBe(
+        version,
+      );
+    },
+  );
+
+  test.each([
+    ["a server of another version was removed", "v1"],
+    ["a server changed its version", "v3"],
+  ])("is not guessed after %s", async (_, after) => {
+    const { clock, streams, list } = hostOf();
+    list("s1", "v1");
+    list("s2", "v2");
+    list("s2", after);
+    streams.removed("s2");
+    clock.advance(RETENTION_MILLISECONDS - 1);
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
+  });
+
+  test("is not taken from a list that may be old", async () => {
+    const { clock, state, streams, list } = hostOf([KNOWN]);
+    list("s1", "v1");
+    clock.advance(RETENTION_MILLISECONDS);
+    state.isListCurrent = false;
+    expect(await streams.find(STREAM)).toEqual({ ...KNOWN, source: "queried" });
+  });
+});
+
+describe("hosts that keep a stream's version", () => {
+  const hosts = Array.from({ length: 24 }, (_, index) => ({
+    name: `h${index}`,
+    dataHall: index < 18 ? "a" : "b",
+  }));
+
+  test("are of different data halls and differ between streams", () => {
+    const first = spreadOverDataHalls("s/1", hosts).slice(0, 4);
+    expect(new Set(first.map(({ dataHall }) => dataHall)).size).toBe(2);
+    expect(spreadOverDataHalls("s/2", hosts).slice(0, 4)).not.toEqual(first);
+  });
+
+  test("are among those that are queried after half of all hosts ended", () => {
+    const found = Array.from(
+      { length: 200 },
+      (_, index) => `s/${index}`,
+    ).filter((key) => {
+      const told = spreadOverDataHalls(key, hosts).slice(0, 4);
+      const left = hosts.filter((__, index) => index % 2 === 0);
+      const queried = spreadOverDataHalls(key, left).slice(0, 8);
+      return told.some((host) => queried.includes(host));
+    });
+    // A sixteenth of the streams has lost all its four keepers.
+    expect(found.length).toBeGreaterThanOrEqual(175);
+  });
+});
