Forget the version of streams that a server began while it became another one

What callers saw: a server ends and comes back under its id and address as another version. Until its entry is listed, hundreds of milliseconds later, hosts send it streams as to the former version, and note that version for them. When the entry came, these streams went on at servers of the former version.

Events that a server gave within two seconds before its other version is listed are of a version that can't be told: the stream ends, its caller's tries are refused as not run, and the hosts that keep it are told. A stream that continues asks such a server first which incarnation it is, where servers name theirs, the service has several versions, and engines report it.

Ruled out: to compare the send's time with the start of the incarnation (the clocks of servers and hosts differ), and to ask after each first event (a probe for each stream).

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -28,6 +28,7 @@
   too_many_sends: "sent as often as a request may be",
   no_server: "no other server takes it",
   budget_spent: "the budget of repeats is spent",
+  version_unknown: "it can't be told which version began the stream",
 };
 
 /** What a line about a request means, by its message. */
@@ -51,6 +52,10 @@
     outcome === "moved"
       ? "the run stopped and its memory was kept"
       : `not moved, ${String(outcome)}`,
+  "stream taken up": ({ version }) =>
+    typeof version === "string"
+      ? `goes on at version ${version} alone`
+      : "nobody knows which version began it",
   "send not repeated": ({ why }) => NOT_REPEATED[String(why)],
   "request ended": refusalText,
   "request refused": refusalText,
@@ -96,7 +101,8 @@
   request: string,
   lines: readonly LogLine[],
 ): readonly LogLine[] {
-  const own = lines.filter((line) => line.fields.request === request);
+  const attempts = attemptsOf(request, lines);
+  const own = lines.filter((line) => attempts.has(line.fields.request));
   const end =
     own
       .map((line) => line.timestamp)
@@ -127,6 +133,22 @@
   ].toSorted(byTime);
 }
 
+/** The tries of one stream: the one that began it, and those that took it up. */
+function attemptsOf(
+  request: string,
+  lines: readonly LogLine[],
+): ReadonlySet<unknown> {
+  const resuming = lines.filter(({ fields }) => fields.resumes !== undefined);
+  const own = resuming.find(({ fields }) => fields.request === request);
+  const began = own?.fields.resumes ?? request;
+  const others = resuming.filter(({ fields }) => fields.resumes === began);
+  return new Set([
+    request,
+    began,
+    ...others.map(({ fields }) => fields.request),
+  ]);
+}
+
 /** Lines that are missing from the hosts and the time of a request's own ones. */
 function missingFrom(
   own: readonly LogLine[],
--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -23,7 +23,8 @@
   readonly k: "b";
   readonly s: string;
   readonly r: string;
-  readonly v: string;
+  /** Absent if it can't be told. */
+  readonly v?: string | undefined;
   /** Time in which the stream may be taken up, in milliseconds. */
   readonly t: number;
 }
@@ -51,7 +52,7 @@
   k: oneOf("b"),
   s: isName,
   r: isName,
-  v: isShortText,
+  v: optional(isShortText),
   t: isNonnegative,
 };
 
--- a/packages/rampswitch-serving/src/relay/observed_answers.ts
+++ b/packages/rampswitch-serving/src/relay/observed_answers.ts
@@ -1,12 +1,12 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * What the times of answers tell: the speed of the server, how fast engines read
- * prompts, and what requests take.
+ * What answers tell: the speed of the server, how fast engines read prompts, what
+ * requests take, and that a server rejects requests.
  *
  * @module
  */
-import type { Choice } from "../choice/mod.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
   promptTokensOf,
   type ServerSpeed,
@@ -207,3 +207,22 @@
 function compared(milliseconds: number): number {
   return Math.max(MINIMUM_COMPARED_MILLISECONDS, milliseconds);
 }
+
+/**
+ * Counts a rejection against its server. A server that asked for a back-off or
+ * advertises a limit already gets fewer requests, and is not also left out.
+ */
+export function observeRejection(
+  record: ServerRecord,
+  {
+    brittle,
+    clock,
+    permits,
+  }: Pick<RequestContext, "brittle" | "clock" | "permits">,
+): void {
+  const now = clock.now();
+  brittle.recordRejection(record);
+  if (record.backOff.isActive(now)) return;
+  if (permits.limitOf(record) !== undefined) return;
+  record.rejected(now);
+}
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -31,6 +31,7 @@
 import {
   observeAnswer,
   observeFirstPart,
+  observeRejection,
   observeReportedLoad,
   type TimedSend,
 } from "./observed_answers.ts";
@@ -464,7 +465,7 @@
     if (head === undefined) return;
     current.work.prefillEnded();
     current.firstPartAt = this.#now();
-    this.#streamVersion.began(current.version);
+    this.#streamVersion.began(current.version, current.choice.record);
     this.#record.began();
     this.#record.firstPart();
     if (this.#record.sends === 1) {
@@ -535,25 +536,14 @@
     const current = this.#current;
     // The address now belongs to another server, or to none.
     if (head.status === MISDIRECTED) this.#recordUnreachable(current);
-    else if (current !== undefined) this.#countRejection(current.choice.record);
+    else if (current !== undefined)
+      observeRejection(current.choice.record, this.#context);
     this.#endCurrentSend(false);
     this.#context.metrics.event(`rejected_${head.status}`);
     this.#record.rejected(head.status);
     this.#resendOrResume("rejected", "servers_full");
   }
 
-  /**
-   * Counts a rejection against its server. A server that asked for a back-off or
-   * advertises a limit already gets fewer requests, and is not also left out.
-   */
-  #countRejection(record: ServerRecord): void {
-    const now = this.#now();
-    this.#context.brittle.recordRejection(record);
-    if (record.backOff.isActive(now)) return;
-    if (this.#context.permits.limitOf(record) !== undefined) return;
-    record.rejected(now);
-  }
-
   #handleNotWritten(detail: string): void {
     this.#tracker.handle({ type: "not_written" });
     const record = this.#current?.choice.record;
@@ -620,7 +610,9 @@
   ): void {
     if (this.#answer.finished) return;
     const wanted = { reason, fallback, sent };
-    const forbidden = this.#rules.reasonAgainstResend(this.#remaining());
+    const forbidden = this.#streamVersion.isUncertain
+      ? "version_unknown"
+      : this.#rules.reasonAgainstResend(this.#remaining());
     if (forbidden !== undefined) {
       this.#abandonResend(wanted, forbidden);
       return;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -25,6 +25,7 @@
   "too_many_sends",
   "no_server",
   "no_turn",
+  "version_unknown",
   "budget_spent",
 ] as const;
 
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import { sleep } from "rampswitch-utils";
+import { readEngineReport } from "../advertisements/mod.ts";
 import type { Choice, ChoiceOutcome, ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
 import type { WaitingPlace } from "../room/mod.ts";
@@ -189,19 +190,25 @@
     latestAt = this.#context.clock.now() + VERSION_WAIT_MILLISECONDS,
   ): Promise<void> {
     const { outcome, limited } = this.#choose();
-    if (outcome.kind === "chosen") {
+    if (
+      outcome.kind === "chosen" &&
+      !this.#mayHaveBecomeOther(outcome.choice)
+    ) {
       listener.chosen(outcome.choice);
       return;
     }
-    const permitted = await this.#takePermit({ limited, continues: true });
+    const choice =
+      outcome.kind === "chosen"
+        ? await this.#confirmed(outcome.choice)
+        : await this.#takePermit({ limited, continues: true });
     if (this.#run.finished()) return;
-    if (permitted !== undefined) {
-      listener.chosen(permitted);
+    if (choice !== undefined) {
+      listener.chosen(choice);
       return;
     }
     const isOver = this.#context.clock.now() >= latestAt;
     if (isOver || !this.#mayHaveServer(version)) {
-      listener.none(outcome.kind);
+      listener.none(outcome.kind === "chosen" ? "none" : outcome.kind);
       return;
     }
     await sleep(this.#context.clock, VERSION_POLL_MILLISECONDS);
@@ -209,6 +216,24 @@
     await this.#chooseAtVersion(version, listener, latestAt);
   }
 
+  /** Whether a server may have started again as another version under its id. */
+  #mayHaveBecomeOther({ record }: Choice): boolean {
+    const { service } = this.#run.request;
+    return (
+      record.entry.born !== undefined &&
+      service.engine !== undefined &&
+      this.#context.streams.isMixed(service.name)
+    );
+  }
+
+  /** The choice of a server that says that it is the incarnation that is listed. */
+  async #confirmed(choice: Choice): Promise<Choice | undefined> {
+    const { record } = choice;
+    const report = await readEngineReport(record, this.#context);
+    const isSame = report?.born === record.entry.born && !record.ended;
+    return isSame ? choice : undefined;
+  }
+
   /** Whether a version has a server, or lost its last one so lately that it may return. */
   #mayHaveServer(version: string): boolean {
     const { clock, directory } = this.#context;
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { ServerRecord } from "../choice/mod.ts";
 import type { StreamKey } from "../streams/mod.ts";
 import {
   type AdmittedRequest,
@@ -63,16 +64,21 @@
     return known !== undefined;
   }
 
+  /** Whether it can't be told which version began the stream. */
+  get isUncertain(): boolean {
+    return this.#parts.streams.isUncertain(this.#key);
+  }
+
   /** Notes that the caller is about to get the first event from a version. */
-  began(version: string): void {
+  began(version: string, { incarnation }: ServerRecord): void {
     this.#required ??= version;
     // A caller that took events up without naming their attempt can't be told apart.
     if (!this.#request.route.resumable || this.#key.attempt === "") return;
-    this.#parts.streams.began({
-      ...this.#key,
-      version,
-      lifetimeMilliseconds: timeLimitMilliseconds(this.#request),
-    });
+    const lifetimeMilliseconds = timeLimitMilliseconds(this.#request);
+    this.#parts.streams.began(
+      { ...this.#key, version, lifetimeMilliseconds },
+      incarnation,
+    );
   }
 
   /** Notes that the stream was given whole. */
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -136,6 +136,9 @@
     dispatches.forget(server.id);
     this.#parts.permits.forget(former);
     this.#recordUnannouncedEnd(former);
+    if (server.version !== former.entry.version) {
+      this.#parts.streams.becameOtherVersion(former.incarnation);
+    }
     const stopped = this.#parts.runs().filter((run) => run.server === former);
     metrics.event("server_started_again");
     logger.info("server started again", {
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -20,7 +20,12 @@
 
 /** A stream and the version that began it. */
 export interface BegunStream extends StreamKey {
-  readonly version: string;
+  /** `undefined` if it can't be told which version its server had. */
+  readonly version: string | undefined;
+  /** Incarnation of the server that began it; `undefined` if another host serves it. */
+  readonly server: string | undefined;
+  /** When this host learned of it, on the monotonic clock. */
+  readonly addedAt: number;
   /** When its caller can't take it up any more, on the monotonic clock. */
   readonly expiresAt: number;
   /** Whether this host serves it; if not, another one told of it or it has ended. */
@@ -63,6 +68,13 @@
     this.#streams.set(name, { ...stream, isServedHere: false });
   }
 
+  /** Returns the streams that a server began for this host since a time. */
+  begunAt(server: string, since: number): readonly BegunStream[] {
+    return [...this.#streams.values()].filter(
+      (stream) => stream.server === server && stream.addedAt >= since,
+    );
+  }
+
   /** Returns the streams of a service that this host serves or that broke here. */
   servedHere(service: string, now: number): readonly BegunStream[] {
     return [...this.#streams.values()].filter(
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -47,6 +47,12 @@
  */
 const VERSION_RETENTION_MILLISECONDS = 60_000;
 
+/**
+ * Time for which a server may run as another version before its new incarnation is
+ * listed, in milliseconds.
+ */
+const LISTING_LAG_MILLISECONDS = 2_000;
+
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
@@ -73,13 +79,38 @@
     const { service } = server;
     const before = this.#history.versionsOf(service, now).length;
     this.#history.listed(server, now);
-    const becameMixed = before === 1 && this.#isMixed(service);
+    const becameMixed = before === 1 && this.isMixed(service);
     if (!becameMixed) return;
     this.#streams
       .servedHere(service, now)
-      .forEach(({ expiresAt, ...stream }) =>
-        this.#parts.tell({ ...stream, lifetimeMilliseconds: expiresAt - now }),
-      );
+      .forEach((stream) => this.#tell(stream, now));
+  }
+
+  /**
+   * Notes that a server's later incarnation has another version. It can't be told which
+   * of the two gave the events that came shortly before it was listed.
+   */
+  becameOtherVersion(server: string): void {
+    const now = this.#parts.clock.now();
+    this.#streams
+      .begunAt(server, now - LISTING_LAG_MILLISECONDS)
+      .map((stream) => ({ ...stream, version: undefined }))
+      .forEach((stream) => {
+        this.#streams.add(stream, now);
+        this.#tell(stream, now);
+      });
+  }
+
+  /** Whether a stream began here, and it can't be told at which version. */
+  isUncertain(key: StreamKey): boolean {
+    const stream = this.#streams.get(key, this.#parts.clock.now());
+    return stream !== undefined && stream.version === undefined;
+  }
+
+  /** Whether a stream of a service may have begun at one of several versions. */
+  isMixed(service: string): boolean {
+    const now = this.#parts.clock.now();
+    return this.#history.versionsOf(service, now).length > 1;
   }
 
   /** Notes that a server is listed no more. */
@@ -88,9 +119,9 @@
   }
 
   /** Notes that the caller is about to get the first event of a stream. */
-  began(record: StreamRecord): void {
-    this.#add(record, { isServedHere: true });
-    if (this.#isMixed(record.service)) this.#parts.tell(record);
+  began(record: StreamRecord, server: string): void {
+    this.#add(record, { server, isServedHere: true });
+    if (this.isMixed(record.service)) this.#parts.tell(record);
   }
 
   /** Notes that a stream was given whole. */
@@ -100,14 +131,14 @@
 
   /** Keeps the version of a stream that another host serves. */
   receive(record: StreamRecord): void {
-    this.#add(record, { isServedHere: false });
+    this.#add(record, { server: undefined, isServedHere: false });
   }
 
   /** Replies to another host's query. */
   replyTo(key: StreamKey): StreamReply {
     const now = this.#parts.clock.now();
     const stream = this.#streams.get(key, now);
-    if (stream !== undefined) return { kind: "known", version: stream.version };
+    if (stream !== undefined) return replyFrom(stream);
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined || others.length > 0) return { kind: "unknown" };
     const isOld = now - this.#startedAt >= VERSION_RETENTION_MILLISECONDS;
@@ -118,7 +149,8 @@
   async find(key: StreamKey): Promise<StreamOrigin> {
     const stream = this.#streams.get(key, this.#parts.clock.now());
     if (stream !== undefined) {
-      return { kind: "known", version: stream.version, source: "table" };
+      const reply = replyFrom(stream);
+      return reply.kind === "known" ? { ...reply, source: "table" } : reply;
     }
     const own = this.replyTo(key);
     if (own.kind === "single" && this.#parts.isListCurrent()) {
@@ -127,21 +159,32 @@
     return originFrom(own, await this.#parts.query(key));
   }
 
-  #isMixed(service: string): boolean {
-    const now = this.#parts.clock.now();
-    return this.#history.versionsOf(service, now).length > 1;
+  #tell(
+    { service, attempt, version, expiresAt }: BegunStream,
+    now: number,
+  ): void {
+    const lifetimeMilliseconds = Math.max(0, expiresAt - now);
+    this.#parts.tell({ service, attempt, version, lifetimeMilliseconds });
   }
 
   #add(
     { lifetimeMilliseconds, ...stream }: StreamRecord,
-    { isServedHere }: Pick<BegunStream, "isServedHere">,
+    source: Pick<BegunStream, "server" | "isServedHere">,
   ): void {
     const now = this.#parts.clock.now();
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    this.#streams.add({ ...stream, expiresAt, isServedHere }, now);
+    this.#streams.add({ ...stream, ...source, addedAt: now, expiresAt }, now);
   }
 }
 
+function replyFrom({ version }: BegunStream): StreamReply & {
+  readonly kind: "known" | "unknown";
+} {
+  return version === undefined
+    ? { kind: "unknown" }
+    : { kind: "known", version };
+}
+
 /** Decides from this host's own reply and those of others. */
 function originFrom(
   own: StreamReply,
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -8,6 +8,7 @@
 
 const SERVICE = "models";
 const STREAM = { service: SERVICE, attempt: "a1" };
+const SERVER = "s1/1";
 const LIFETIME_MILLISECONDS = 4_000;
 const RETENTION_MILLISECONDS = 60_000;
 
@@ -28,11 +29,10 @@
   const list = (id: string, version: string) =>
     streams.listed({ id, service: SERVICE, version });
   const begin = (version: string) =>
-    streams.began({
-      ...STREAM,
-      version,
-      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
-    });
+    streams.began(
+      { ...STREAM, version, lifetimeMilliseconds: LIFETIME_MILLISECONDS },
+      SERVER,
+    );
   return { clock, told, state, streams, list, begin };
 }
 
@@ -70,12 +70,15 @@
     const { clock, told, streams, list, begin } = hostOf();
     list("s1", "v1");
     begin("v1");
-    streams.began({
-      service: SERVICE,
-      attempt: "whole",
-      version: "v1",
-      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
-    });
+    streams.began(
+      {
+        ...STREAM,
+        attempt: "whole",
+        version: "v1",
+        lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+      },
+      SERVER,
+    );
     streams.completed({ service: SERVICE, attempt: "whole" });
     clock.advance(1_000);
     list("s2", "v2");
@@ -132,6 +135,27 @@
     expect(await streams.find(STREAM)).toEqual(UNKNOWN);
   });
 
+  test("can't be told after its server became another one shortly after", async () => {
+    const { clock, told, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    list("s2", "v2");
+    begin("v1");
+    clock.advance(500);
+    streams.becameOtherVersion(SERVER);
+    expect(streams.isUncertain(STREAM)).toBe(true);
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
+    expect(told.map(({ version }) => version)).toEqual(["v1", undefined]);
+  });
+
+  test("is still known if its server became another one much later", () => {
+    const { clock, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    begin("v1");
+    clock.advance(3_000);
+    streams.becameOtherVersion(SERVER);
+    expect(streams.replyTo(STREAM)).toEqual({ ...KNOWN, version: "v1" });
+  });
+
   test("is not taken from a list that may be old", async () => {
     const { clock, state, streams, list } = hostOf([KNOWN]);
     list("s1", "v1");
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -9,7 +9,8 @@
 
 /** The version that began a stream, for hosts that keep it. */
 export interface StreamRecord extends StreamKey {
-  readonly version: string;
+  /** `undefined` if it can't be told which version the server had. */
+  readonly version: string | undefined;
   /** Time in which its caller may take it up, in milliseconds. */
   readonly lifetimeMilliseconds: number;
 }
