--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -191,8 +191,10 @@
       clock,
       address: transport.address,
       hosts: () => this.#presentPeers(),
-      send: (address, message) =>
-        transport.send(address, encodeMessage(message)),
+      send: (addresses, message) => {
+        const datagram = encodeMessage(message);
+        addresses.forEach((address) => transport.send(address, datagram));
+      },
       onStream: (record) => listener.onStream(record),
       replyTo: (key) => listener.onStreamQuery(key),
     });
--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "rampswitch-utils";
 import {
-  spreadOverDataHalls,
+  KeeperRings,
   type StreamKey,
   streamName,
   type StreamRecord,
@@ -36,6 +36,9 @@
  */
 const ANSWER_TIMEOUT_MILLISECONDS = 60;
 
+/** Time for which the order of the hosts is used before it is made anew, in milliseconds. */
+const RING_LIFETIME_MILLISECONDS = 250;
+
 /** What the exchange works with. */
 export interface StreamExchangeParts {
   readonly clock: Clock;
@@ -43,7 +46,7 @@
   readonly address: string;
   /** The other hosts that are present. */
   hosts(): readonly KnownHost[];
-  send(address: string, message: PeerMessage): void;
+  send(addresses: readonly string[], message: PeerMessage): void;
   /** Handles the version of a stream that another host serves. */
   onStream(record: StreamRecord): void;
   /** Replies to another host's query. */
@@ -53,6 +56,9 @@
 /** Exchanges the versions of streams with other hosts. */
 export class StreamExchange {
   readonly #parts: StreamExchangeParts;
+  #rings = new KeeperRings<KnownHost>([]);
+  /** When the rings were made, on the monotonic clock. */
+  #ringsAt = -Infinity;
   readonly #queries: PendingQueries<StreamKey, StreamReply>;
 
   constructor(parts: StreamExchangeParts) {
@@ -66,9 +72,9 @@
 
   /** Sends the version of a stream to the hosts that keep it. */
   tell(record: StreamRecord): void {
-    this.#keepersOf(record, KEEPERS).forEach(({ address }) =>
-      this.#parts.send(address, { kind: "stream_begun", record }),
-    );
+    const keepers = this.#keepersOf(record, KEEPERS);
+    const addresses = keepers.map(({ address }) => address);
+    this.#parts.send(addresses, { kind: "stream_begun", record });
   }
 
   /** Queries the hosts that may keep a stream's version, until one of them knows it. */
@@ -98,7 +104,7 @@
   /** Answers another host's query. */
   answer({ id, address, ...key }: StreamQuery): void {
     const answer = { id, reply: this.#parts.replyTo(key) };
-    this.#parts.send(address, { kind: "stream_answer", answer });
+    this.#parts.send([address], { kind: "stream_answer", answer });
   }
 
   /** Resolves the query that an answer belongs to. */
@@ -107,8 +113,17 @@
   }
 
   #keepersOf(key: StreamKey, count: number): readonly KnownHost[] {
-    const hosts = this.#parts.hosts();
-    return spreadOverDataHalls(streamName(key), hosts).slice(0, count);
+    return this.#currentRings().keepersOf(streamName(key), count);
+  }
+
+  /** The hosts that are present, ordered anew from time to time. */
+  #currentRings(): KeeperRings<KnownHost> {
+    const now = this.#parts.clock.now();
+    if (now - this.#ringsAt >= RING_LIFETIME_MILLISECONDS) {
+      this.#rings = new KeeperRings(this.#parts.hosts());
+      this.#ringsAt = now;
+    }
+    return this.#rings;
   }
 
   #queryHost(
@@ -118,7 +133,7 @@
     const { address } = this.#parts;
     return this.#queries.query(key, (id) => {
       const query = { ...key, id, address };
-      this.#parts.send(to, { kind: "stream_query", query });
+      this.#parts.send([to], { kind: "stream_query", query });
     });
   }
 }
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -14,5 +14,5 @@
   type StreamOriginsParts,
 } from "./stream_origins.ts";
 export type { StreamRecord, StreamReply } from "./stream_reply.ts";
-export { spreadOverDataHalls } from "./stream_keepers.ts";
+export { KeeperRings } from "./stream_keepers.ts";
 export { VersionHistory } from "./version_history.ts";
--- a/packages/rampswitch-serving/src/streams/stream_keepers.ts
+++ b/packages/rampswitch-serving/src/streams/stream_keepers.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { rendezvousOrder } from "rampswitch-utils";
+import { hash32, rendezvousOrder } from "rampswitch-utils";
 
 /** A host that may keep it. */
 export interface PlacedHost {
@@ -13,24 +13,70 @@
   readonly dataHall: string;
 }
 
+/** A host and its place on the ring of its data hall. */
+interface RingPlace<Host> {
+  readonly host: Host;
+  readonly hash: number;
+}
+
 /**
- * Orders hosts by a key, one of each data hall in turn, so that the first few of them
- * are not lost together with a data hall. Hosts that know nearly the same hosts get
- * nearly the same order.
+ * The hosts of each data hall on a ring of hashes. Hosts that know nearly the same hosts
+ * find nearly the same ones for a key, and finding them looks at few of them.
  */
-export function spreadOverDataHalls<Host extends PlacedHost>(
-  key: string,
+export class KeeperRings<Host extends PlacedHost> {
+  /** By data hall, in the order of the hashes. */
+  readonly #rings: ReadonlyMap<string, readonly RingPlace<Host>[]>;
+
+  constructor(hosts: readonly Host[]) {
+    const halls = new Set(hosts.map(({ dataHall }) => dataHall));
+    this.#rings = new Map(
+      [...halls].map((hall) => [
+        hall,
+        ringOf(hosts.filter(({ dataHall }) => dataHall === hall)),
+      ]),
+    );
+  }
+
+  /**
+   * Returns the hosts that keep what a key names, one of each data hall in turn, so that
+   * the first few are not lost together with a data hall.
+   */
+  keepersOf(key: string, count: number): readonly Host[] {
+    const hash = hash32(key);
+    const rings = rendezvousOrder(key, [...this.#rings.keys()])
+      .map((hall) => this.#rings.get(hall) ?? [])
+      .map((ring) => ({ ring, start: startOn(ring, hash) }));
+    const longest = Math.max(0, ...rings.map(({ ring }) => ring.length));
+    const turns = Math.min(count, longest);
+    return Array.from({ length: turns }, (_, turn) => turn)
+      .flatMap((turn) => rings.flatMap((ring) => placeAt(ring, turn) ?? []))
+      .slice(0, count);
+  }
+}
+
+function ringOf<Host extends PlacedHost>(
   hosts: readonly Host[],
-): readonly Host[] {
-  const byName = new Map(hosts.map((host) => [host.name, host]));
-  const turns = new Map<string, number>();
-  return rendezvousOrder(key, [...byName.keys()])
-    .flatMap((name) => byName.get(name) ?? [])
-    .map((host) => {
-      const turn = turns.get(host.dataHall) ?? 0;
-      turns.set(host.dataHall, turn + 1);
-      return { host, turn };
-    })
-    .toSorted((left, right) => left.turn - right.turn)
-    .map(({ host }) => host);
+): readonly RingPlace<Host>[] {
+  return hosts
+    .map((host) => ({ host, hash: hash32(host.name) }))
+    .toSorted((left, right) => left.hash - right.hash);
+}
+
+/** The host that is so many places after the start; `undefined` after a full turn. */
+function placeAt<Host>(
+  {
+    ring,
+    start,
+  }: { readonly ring: readonly RingPlace<Host>[]; readonly start: number },
+  turn: number,
+): Host | undefined {
+  return turn < ring.length
+    ? ring[(start + turn) % ring.length]?.host
+    : undefined;
+}
+
+/** Index of the first place at or after a hash; the first place follows the last one. */
+function startOn(ring: readonly RingPlace<PlacedHost>[], hash: number): number {
+  const index = ring.findIndex((place) => place.hash >= hash);
+  return index < 0 ? 0 : index;
 }
