Admit a stream that waits for its version once, and send nothing after disposal

Read in the diff: each look for a server of a stream's version counted one more request as admitted; an empty header counted as a stream that is taken up.

A host that is disposed of in the test's process still ended requests and told its peers on a closed socket, and the thrown error hit the test; the same lines came before the tests ended answers before they disposed of a host.

--- a/packages/rampswitch-serving/src/membership/peer_transport.ts
+++ b/packages/rampswitch-serving/src/membership/peer_transport.ts
@@ -27,9 +27,12 @@
   socket.on("message", receive);
   await bindSocket(socket, host, port);
   socket.on("error", onError);
+  let isClosed = false;
   return {
     address: `${host}:${socket.address().port}`,
     send: (to, datagram) => {
+      // Requests may still end while the host is disposed of, and tell others.
+      if (isClosed) return;
       const target = splitAddress(to);
       socket.send(datagram, target.port, target.host, (error) => {
         if (error !== null) onError(error);
@@ -37,6 +40,7 @@
     },
     [Symbol.asyncDispose]: () =>
       new Promise((resolve) => {
+        isClosed = true;
         socket.close(() => resolve());
       }),
   };
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -54,6 +54,9 @@
  */
 const SERVER_RETURN_MILLISECONDS = 3_000;
 
+/** Outcome of a choice without a server. */
+type WithoutServer = Exclude<ChoiceOutcome["kind"], "chosen">;
+
 /** Reason to refuse a first send, by the outcome of the choice. */
 const REFUSAL_BY_OUTCOME = {
   none: "no_server",
@@ -61,9 +64,6 @@
   resting: "servers_resting",
 } as const satisfies Readonly<Record<WithoutServer, RefusalReason>>;
 
-/** Outcome of a choice without a server. */
-type WithoutServer = Exclude<ChoiceOutcome["kind"], "chosen">;
-
 /** Receives the result of a choice. */
 export interface ChoiceListener<Reason> {
   chosen(choice: Choice): void;
@@ -190,6 +190,8 @@
     latestAt = this.#context.clock.now() + VERSION_WAIT_MILLISECONDS,
   ): Promise<void> {
     const { outcome, limited } = this.#choose();
+    // It was admitted with the first choice, whether that found a server or not.
+    this.#hasRoom = true;
     if (
       outcome.kind === "chosen" &&
       !this.#mayHaveBecomeOther(outcome.choice)
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -42,8 +42,8 @@
   /** Whether the caller has events of the stream from a former try. */
   get isTakenUp(): boolean {
     const { head, route } = this.#request;
-    const names = head.resumes ?? head.lastEventId;
-    return route.streaming && route.resumable && names !== undefined;
+    const hasEvents = [head.resumes, head.lastEventId].some(isNamed);
+    return route.streaming && route.resumable && hasEvents;
   }
 
   /** Finds the version of a stream that is taken up; resolves to whether it is known. */
@@ -89,11 +89,15 @@
   /** The stream, identified by the attempt that brought its first event. */
   get #key(): StreamKey {
     const { head, service } = this.#request;
-    const attempt =
-      head.resumes ?? (head.lastEventId === undefined ? head.attemptId : "");
+    const attempt = this.isTakenUp ? head.resumes : head.attemptId;
     return {
       service: service.name,
       attempt: (attempt ?? "").slice(0, MAXIMUM_ATTEMPT_CHARACTERS),
     };
   }
 }
+
+/** Whether a caller gave a name; an empty header names nothing. */
+function isNamed(name: string | undefined): boolean {
+  return name !== undefined && name !== "";
+}
