Collect the replies about a stream's version without throwing

The exchange threw and caught to find the first reply that knows a stream; it collects replies until one knows it now. A host that knows no peers yet orders them anew at each query, so it doesn't answer for itself in its first quarter of a second.

--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -78,22 +78,9 @@
   }
 
   /** Queries the hosts that may keep a stream's version, until one of them knows it. */
-  async query(key: StreamKey): Promise<readonly StreamReply[]> {
-    const queries = this.#keepersOf(key, QUERIED_HOSTS).map((host) =>
-      this.#queryHost(host, key),
-    );
-    const whoKnows = queries.map(async (query) => {
-      const reply = await query;
-      if (reply?.kind !== "known") throw new Error("the stream is not known");
-      return [reply];
-    });
-    try {
-      return await Promise.any(whoKnows);
-    } catch {
-      // Nobody knows it; what the hosts know of its service still counts.
-      const replies = await Promise.all(queries);
-      return replies.flatMap((reply) => reply ?? []);
-    }
+  query(key: StreamKey): Promise<readonly StreamReply[]> {
+    const hosts = this.#keepersOf(key, QUERIED_HOSTS);
+    return untilKnown(hosts.map((host) => this.#queryHost(host, key)));
   }
 
   /** Keeps the version of a stream that another host serves. */
@@ -119,7 +106,9 @@
   /** The hosts that are present, ordered anew from time to time. */
   #currentRings(): KeeperRings<KnownHost> {
     const now = this.#parts.clock.now();
-    if (now - this.#ringsAt >= RING_LIFETIME_MILLISECONDS) {
+    const isOld = now - this.#ringsAt >= RING_LIFETIME_MILLISECONDS;
+    // A host that has just started hears of the others within milliseconds.
+    if (isOld || this.#rings.isEmpty) {
       this.#rings = new KeeperRings(this.#parts.hosts());
       this.#ringsAt = now;
     }
@@ -137,3 +126,23 @@
     });
   }
 }
+
+/** Collects replies until one knows the stream, or all have come or timed out. */
+async function untilKnown(
+  queries: readonly Promise<StreamReply | undefined>[],
+): Promise<readonly StreamReply[]> {
+  const replies: StreamReply[] = [];
+  const collected = queries.map(async (query) => {
+    const reply = await query;
+    if (reply !== undefined) replies.push(reply);
+    return reply?.kind === "known";
+  });
+  const known = collected.map(async (isKnown) =>
+    (await isKnown) ? undefined : NEVER,
+  );
+  await Promise.race([Promise.all(collected), ...known]);
+  return [...replies];
+}
+
+/** Never settles, so that it never wins a race. */
+const NEVER = new Promise<undefined>(() => undefined);
--- a/packages/rampswitch-serving/src/observation/mod.ts
+++ b/packages/rampswitch-serving/src/observation/mod.ts
@@ -10,3 +10,4 @@
 export * from "./winston_logger.ts";
 export * from "./line_log.ts";
 export * from "./line_sink.ts";
+export * from "./return_counters.ts";
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -47,7 +47,7 @@
 import type { Cloud } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
-import type { ServingMetrics } from "./observation/mod.ts";
+import { returnCounters, type ServingMetrics } from "./observation/mod.ts";
 import { Quarantine, QuarantineStore } from "./quarantine/mod.ts";
 import {
   type RolloutSpecAdapter,
@@ -62,12 +62,7 @@
 import { addedLoadTokens } from "./relay/prompt_load.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
-import {
-  type ReservationListener,
-  ReturnTimes,
-  RoomAdmission,
-  WaitingRequests,
-} from "./room/mod.ts";
+import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import { StreamOrigins } from "./streams/mod.ts";
 import {
@@ -78,10 +73,10 @@
 import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
+  changedBounds,
   exposureTerms,
   limitTolerance,
   resendTerms,
-  type ServingBounds,
   type ServingSettings,
 } from "./serving_settings.ts";
 import { ServingLifecycle } from "./serving_lifecycle.ts";
@@ -748,20 +743,3 @@
     }
   }
 }
-
-/** Counts what became of refused callers' reservations. */
-function returnCounters(metrics: ServingMetrics): ReservationListener {
-  return {
-    kept: (rank) => metrics.returnKept(rank),
-    refused: (rank) => metrics.returnRefused(rank),
-    lapsed: (rank) => metrics.returnLapsed(rank),
-  };
-}
-
-function changedBounds(
-  before: ServingBounds,
-  after: ServingBounds,
-): readonly string[] {
-  const names = Object.keys(after) as (keyof ServingBounds)[];
-  return names.filter((name) => before[name] !== after[name]);
-}
--- a/packages/rampswitch-serving/src/serving_settings.ts
+++ b/packages/rampswitch-serving/src/serving_settings.ts
@@ -90,3 +90,12 @@
   };
   readonly bounds: ServingBounds;
 }
+
+/** Names of the bounds that differ. */
+export function changedBounds(
+  before: ServingBounds,
+  after: ServingBounds,
+): readonly string[] {
+  const names = Object.keys(after) as (keyof ServingBounds)[];
+  return names.filter((name) => before[name] !== after[name]);
+}
--- a/packages/rampswitch-serving/src/streams/stream_keepers.ts
+++ b/packages/rampswitch-serving/src/streams/stream_keepers.ts
@@ -37,6 +37,11 @@
     );
   }
 
+  /** Whether there are no hosts. */
+  get isEmpty(): boolean {
+    return this.#rings.size === 0;
+  }
+
   /**
    * Returns the hosts that keep what a key names, one of each data hall in turn, so that
    * the first few are not lost together with a data hall.
