Never migrate a stream's memory to the server that it leaves

Read in the diff, then shown by a test: where the last server of a version leaves, the choice of a migration's target fell back to servers that were tried, so the target was the source itself. A send again could also return to the same full server at once, four times in a row.

--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -51,6 +51,8 @@
   readonly hasRoom: boolean;
   /** The only version that the send may go to; `undefined`: any. */
   readonly version?: string | undefined;
+  /** Whether a server that was tried may get it again if no other is left. */
+  readonly mayReturn?: boolean | undefined;
 }
 
 /** Result of a choice for one send. */
@@ -66,14 +68,14 @@
 /** Chooses among the servers whose current incarnations were not tried. */
 export function chooseForSend(
   request: AdmittedRequest,
-  { tried, hasRoom, version }: SendTerms,
+  { tried, hasRoom, version, mayReturn }: SendTerms,
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
   const isFirst = tried.size === 0;
   const asked = { isFirst, version, now };
   const all = context.rollouts.choice(request.service.name, asked);
-  const send = { request, tried, hasRoom, version, now };
+  const send = { request, tried, hasRoom, version, mayReturn, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -142,7 +144,7 @@
 
 /**
  * Chooses for a stream that only servers of one version can continue. If all of them
- * were tried, one that has not ended is tried again: often its connection alone broke.
+ * were tried, one may be tried again: often its connection alone broke.
  */
 function chooseForContinuation(
   records: readonly ServerRecord[],
@@ -150,7 +152,7 @@
   context: RequestContext,
 ): ChoiceOutcome {
   const outcome = chooseAmong(records, send, context);
-  return outcome.kind === "none" && send.tried.size > 0
+  return outcome.kind === "none" && send.mayReturn === true
     ? chooseAmong(records, { ...send, tried: new Set() }, context)
     : outcome;
 }
@@ -315,6 +317,8 @@
   readonly hasRoom: boolean;
   /** The only version that the send may go to; `undefined`: any. */
   readonly version?: string | undefined;
+  /** Whether a server that was tried may get it again if no other is left. */
+  readonly mayReturn?: boolean | undefined;
   readonly now: number;
 }
 
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -23,6 +23,7 @@
   chooseForSend,
   type RoomRefusal,
   type SendChoice,
+  type SendTerms,
   withPresentRanks,
 } from "./send_choice.ts";
 
@@ -64,6 +65,14 @@
   resting: "servers_resting",
 } as const satisfies Readonly<Record<WithoutServer, RefusalReason>>;
 
+/** How long a stream waits for a server of its version, and which may be chosen. */
+interface VersionWait {
+  /** On the monotonic clock. */
+  readonly latestAt: number;
+  /** Whether a server that was tried may be chosen again. */
+  readonly mayReturn: boolean;
+}
+
 /** Receives the result of a choice. */
 export interface ChoiceListener<Reason> {
   chosen(choice: Choice): void;
@@ -102,7 +111,8 @@
 
   /** Whether another server takes the request now without a permit. */
   get hasAlternative(): boolean {
-    return this.#choose().outcome.kind === "chosen";
+    const version = this.#run.version();
+    return this.#choose({ version }).outcome.kind === "chosen";
   }
 
   /** Why admission refused the first send, if it did. */
@@ -164,7 +174,7 @@
   chooseForMigration(
     version: string,
   ): Choice | undefined | Promise<Choice | undefined> {
-    const { outcome, limited } = this.#choose(version);
+    const { outcome, limited } = this.#choose({ version });
     if (outcome.kind === "chosen") return outcome.choice;
     return limited.length === 0
       ? undefined
@@ -187,9 +197,9 @@
   async #chooseAtVersion(
     version: string,
     listener: ChoiceListener<WithoutServer>,
-    latestAt = this.#context.clock.now() + VERSION_WAIT_MILLISECONDS,
+    { latestAt, mayReturn }: VersionWait = this.#newVersionWait(),
   ): Promise<void> {
-    const { outcome, limited } = this.#choose();
+    const { outcome, limited } = this.#choose({ version, mayReturn });
     // It was admitted with the first choice, whether that found a server or not.
     this.#hasRoom = true;
     if (
@@ -215,7 +225,14 @@
     }
     await sleep(this.#context.clock, VERSION_POLL_MILLISECONDS);
     if (this.#run.finished()) return;
-    await this.#chooseAtVersion(version, listener, latestAt);
+    // A server that was tried has had a moment by now.
+    const next = { latestAt, mayReturn: true };
+    await this.#chooseAtVersion(version, listener, next);
+  }
+
+  #newVersionWait(): VersionWait {
+    const latestAt = this.#context.clock.now() + VERSION_WAIT_MILLISECONDS;
+    return { latestAt, mayReturn: false };
   }
 
   /** Whether a server may have started again as another version under its id. */
@@ -249,9 +266,9 @@
       );
   }
 
-  #choose(version = this.#run.version()): SendChoice {
+  #choose(held: Pick<SendTerms, "version" | "mayReturn"> = {}): SendChoice {
     const { request, tried } = this.#run;
-    const send = { tried, hasRoom: this.#hasRoom, version };
+    const send = { tried, hasRoom: this.#hasRoom, ...held };
     const choice = chooseForSend(request, send, this.#context);
     // Admission decides once on a request, however often its choice is made.
     if (choice.outcome.kind === "chosen") this.#hasRoom = true;
