Drop what nothing uses in streams of several versions, and say twins once

The table's and the host's own reply are decided in one place when a stream's version is sought. Three comments are in plainer words. No bound, check or expected value changes.

--- a/packages/rampswitch-emulator/src/emulated_rollout.ts
+++ b/packages/rampswitch-emulator/src/emulated_rollout.ts
@@ -562,10 +562,6 @@
     run.ended = true;
     run.sent?.ended();
     run.host.runs.delete(run);
-    this.#leaveServer(run);
-  }
-
-  #leaveServer(run: Run): void {
     run.work.ended();
     const { id } = run.record.entry;
     this.#loads.set(id, (this.#loads.get(id) ?? 1) - 1);
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -91,7 +91,7 @@
   }
 }
 
-/** Tells the server's answer from the other host's own. */
+/** Distinguishes an answer of the server from one of the forwarding host itself. */
 class ForwardedAnswer implements SendListener {
   readonly #listener: SendListener;
   readonly #abort: () => void;
@@ -131,7 +131,7 @@
   }
 
   failed(failure: "not_written" | "lost", detail: string): void {
-    // The head alone says that the server got nothing.
+    // The head shows that the server got nothing, even if the body is missing.
     const notSent = this.#reason !== undefined;
     this.#listener.failed(notSent ? "not_written" : failure, detail);
   }
--- a/packages/rampswitch-serving/src/forwarding/loop_load.ts
+++ b/packages/rampswitch-serving/src/forwarding/loop_load.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Whether the event loop of this process was busy nearly all of the time lately.
+ * Measures whether the event loop of this process is busy nearly all of the time.
  *
  * @module
  */
@@ -10,7 +10,10 @@
 /** Minimum time over which the load is measured, in milliseconds. */
 const MINIMUM_SPAN_MILLISECONDS = 100;
 
-/** Maximum time over which it is measured, in milliseconds; more says nothing of now. */
+/**
+ * Maximum time over which it is measured, in milliseconds; a longer time would not show
+ * the present load.
+ */
 const MAXIMUM_SPAN_MILLISECONDS = 1_000;
 
 /** Share of that time from which on the loop is saturated. */
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -68,14 +68,15 @@
 /** Chooses among the servers whose current incarnations were not tried. */
 export function chooseForSend(
   request: AdmittedRequest,
-  { tried, hasRoom, version, mayReturn }: SendTerms,
+  terms: SendTerms,
   context: RequestContext,
 ): SendChoice {
   const now = context.clock.now();
-  const isFirst = tried.size === 0;
+  const { version } = terms;
+  const isFirst = terms.tried.size === 0;
   const asked = { isFirst, version, now };
   const all = context.rollouts.choice(request.service.name, asked);
-  const send = { request, tried, hasRoom, version, mayReturn, now };
+  const send = { ...terms, request, now };
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
@@ -309,16 +310,8 @@
 }
 
 /** A send for which a server is chosen. */
-interface SendQuery {
+interface SendQuery extends SendTerms {
   readonly request: AdmittedRequest;
-  /** Server incarnations that the request was sent to. */
-  readonly tried: ReadonlySet<string>;
-  /** Whether admission has given it room. */
-  readonly hasRoom: boolean;
-  /** The only version that the send may go to; `undefined`: any. */
-  readonly version?: string | undefined;
-  /** Whether a server that was tried may get it again if no other is left. */
-  readonly mayReturn?: boolean | undefined;
   readonly now: number;
 }
 
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -40,11 +40,6 @@
   /** By name, in the order in which they were added. */
   readonly #streams = new Map<string, BegunStream>();
 
-  /** Number of streams in the table. */
-  get size(): number {
-    return this.#streams.size;
-  }
-
   /** Adds a stream, or replaces what is known of it. */
   add(stream: BegunStream, now: number): void {
     const name = streamName(stream);
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -6,13 +6,7 @@
  *
  * @module
  */
-export { BegunStreams, streamName, type StreamKey } from "./begun_streams.ts";
-export {
-  type StreamOrigin,
-  type StreamOriginSource,
-  StreamOrigins,
-  type StreamOriginsParts,
-} from "./stream_origins.ts";
+export { streamName, type StreamKey } from "./begun_streams.ts";
+export { StreamOrigins } from "./stream_origins.ts";
 export type { StreamRecord, StreamReply } from "./stream_reply.ts";
 export { KeeperRings } from "./stream_keepers.ts";
-export { VersionHistory } from "./version_history.ts";
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -68,11 +68,6 @@
     this.#startedAt = parts.clock.now();
   }
 
-  /** Number of streams whose version this host keeps. */
-  get size(): number {
-    return this.#streams.size;
-  }
-
   /** Notes a listed server. The streams that run when a second version appears are told. */
   listed(server: VersionedServer): void {
     const now = this.#parts.clock.now();
@@ -138,7 +133,11 @@
   replyTo(key: StreamKey): StreamReply {
     const now = this.#parts.clock.now();
     const stream = this.#streams.get(key, now);
-    if (stream !== undefined) return replyFrom(stream);
+    if (stream !== undefined) {
+      return stream.version === undefined
+        ? { kind: "unknown" }
+        : { kind: "known", version: stream.version };
+    }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined || others.length > 0) return { kind: "unknown" };
     const isOld = now - this.#startedAt >= VERSION_RETENTION_MILLISECONDS;
@@ -147,12 +146,9 @@
 
   /** Finds the version that began a stream. */
   async find(key: StreamKey): Promise<StreamOrigin> {
-    const stream = this.#streams.get(key, this.#parts.clock.now());
-    if (stream !== undefined) {
-      const reply = replyFrom(stream);
-      return reply.kind === "known" ? { ...reply, source: "table" } : reply;
-    }
+    if (this.isUncertain(key)) return { kind: "unknown" };
     const own = this.replyTo(key);
+    if (own.kind === "known") return { ...own, source: "table" };
     if (own.kind === "single" && this.#parts.isListCurrent()) {
       return { ...own, kind: "known", source: "single" };
     }
@@ -177,14 +173,6 @@
   }
 }
 
-function replyFrom({ version }: BegunStream): StreamReply & {
-  readonly kind: "known" | "unknown";
-} {
-  return version === undefined
-    ? { kind: "unknown" }
-    : { kind: "known", version };
-}
-
 /** Decides from this host's own reply and those of others. */
 function originFrom(
   own: StreamReply,
