--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -452,6 +452,7 @@
     }
     if (!this.#tracker.relayed) this.#tracker.handle({ type: "relayed" });
     current.events += frames.count;
+    this.#record.event();
     this.#lastRelayedId = frames.lastId ?? this.#lastRelayedId;
     this.#lastEventId = this.#lastRelayedId ?? this.#lastEventId;
     this.#stallWatch.eventReceived();
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -74,6 +74,9 @@
  */
 const MAXIMUM_ID_LENGTH = 64;
 
+/** Maximum number of prompt parts in a log line; callers choose how many they send. */
+const MAXIMUM_LOGGED_PARTS = 8;
+
 /** Time of an answer beside the time that was expected of it, in milliseconds. */
 export interface ComparedTime {
   readonly expected: number;
@@ -98,6 +101,8 @@
   readonly #versions = new Set<string>();
   #began = false;
   #firstPartAt: number | undefined;
+  /** First event of the newest send's answer. */
+  #sendBeganAt: number | undefined;
   /** Slowdown of the newest send's server, where its speed is known. */
   #slowdown: number | undefined;
   #compared: ComparedTime | undefined;
@@ -131,6 +136,7 @@
     const { continues } = state;
     const { version } = record.entry;
     this.#lastSend = { server, version, sentAt, continues };
+    this.#sendBeganAt = undefined;
     this.#versions.add(version);
     this.#slowdown = record.speed.isKnown(sentAt)
       ? record.speed.slowdown(sentAt)
@@ -219,6 +225,11 @@
     );
   }
 
+  /** Notes an event of a stream. */
+  event(): void {
+    this.#sendBeganAt ??= this.#context.clock.now();
+  }
+
   /** Notes the time of the answer beside the expected one, where that is known. */
   compared(time: ComparedTime | undefined): void {
     this.#compared ??= time;
@@ -247,9 +258,23 @@
       // From the send: the entry may show a later incarnation by now.
       born: this.#lastSend?.server.born,
       relayed: inputs.relayed,
+      ...this.#answerFields(),
     });
   }
 
+  /** Shared parts of the prompt, and for how long the lost send's answer had come. */
+  #answerFields(): Readonly<Record<string, string | number | undefined>> {
+    const { promptParts } = this.#request.head;
+    const shared = promptParts.slice(0, -1).slice(0, MAXIMUM_LOGGED_PARTS);
+    return {
+      parts: shared.map(({ id }) => shortened(id)).join(","),
+      answeringMilliseconds:
+        this.#sendBeganAt === undefined
+          ? undefined
+          : this.#millisecondsSince(this.#sendBeganAt),
+    };
+  }
+
   /**
    * Notes that a migration of the run's memory begins. Where the run's stop is
    * never requested, the time of the first copy covers the whole migration.
