Deliver whole answers that have neither a length nor chunks

Callers saw: 502 after a whole answer, or a stream that broke off after its last event; what may be repeated ran twice. Cause: undici reports a FIN and a reset alike as the end of such an answer, and since a killed process ends with a FIN as well, all of them counted as cut off. Change: a reset is never the end; after a FIN the host opens a connection to the server, and delivers only if that comes up, since a process that ended takes none. A stream that ends inside an event is broken off as before; line ends of two bytes end an event, and comment lines at the end are no event. Cost: one connection for each such answer, none for others. Not told apart: a server that is killed between two events and restarts within a millisecond.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -124,8 +124,11 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const contact = { server: server.id, contacts: this.#contacts };
-    const handler = new SendHandler(listener, this.#ends, contact);
+    const handler = new SendHandler(listener, {
+      ends: this.#ends,
+      contact: { server: server.id, contacts: this.#contacts },
+      isAlive: () => this.connects(server),
+    });
     this.#pool(server).dispatch(
       {
         method: request.method,
@@ -205,18 +208,20 @@
   }
 }
 
+/** How a connection ends: regularly, or by a reset or another error. */
+type ConnectionEnd = "finished" | "reset";
+
 /**
  * Detects whether the current undici callback was caused by the end of a
  * connection. undici treats that, including a reset, as the end of an answer
- * without a length. A killed server ends its connections in the same way, so such
- * an answer can't be distinguished from a partial one.
+ * without a length.
  */
 class ConnectionEnds {
-  #ending = false;
+  #current: ConnectionEnd | undefined;
 
-  /** Whether a connection's end is being handled. */
-  get ending(): boolean {
-    return this.#ending;
+  /** The end of a connection that is being handled. */
+  get current(): ConnectionEnd | undefined {
+    return this.#current;
   }
 
   /** Opens connections whose end is noticed before undici handles it. */
@@ -224,16 +229,16 @@
     return (options, callback) =>
       open(options, (...result) => {
         const [, socket] = result;
-        socket?.on("error", () => this.#markEnding());
-        socket?.on("end", () => this.#markEnding());
+        socket?.on("error", () => this.#mark("reset"));
+        socket?.on("end", () => this.#mark("finished"));
         callback(...result);
       });
   }
 
-  #markEnding(): void {
-    this.#ending = true;
+  #mark(end: ConnectionEnd): void {
+    this.#current = end;
     queueMicrotask(() => {
-      this.#ending = false;
+      this.#current = undefined;
     });
   }
 }
@@ -243,14 +248,27 @@
   readonly #listener: SendListener;
   readonly #ends: ConnectionEnds;
   readonly #contact: Contact;
+  readonly #isAlive: () => Promise<boolean>;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
 
-  constructor(listener: SendListener, ends: ConnectionEnds, contact: Contact) {
+  constructor(
+    listener: SendListener,
+    {
+      ends,
+      contact,
+      isAlive,
+    }: {
+      readonly ends: ConnectionEnds;
+      readonly contact: Contact;
+      readonly isAlive: () => Promise<boolean>;
+    },
+  ) {
     this.#listener = listener;
     this.#ends = ends;
     this.#contact = contact;
+    this.#isAlive = isAlive;
   }
 
   abort(): void {
@@ -294,12 +312,32 @@
 
   onResponseEnd(): void {
     if (this.#aborted) return;
-    if (this.#ends.ending)
-      this.#listener.failed(
-        "lost",
-        "connection ended an answer without a length",
-      );
-    else this.#listener.ended();
+    this.#handleEnd[this.#ends.current ?? "framed"]();
+  }
+
+  readonly #handleEnd: Readonly<Record<ConnectionEnd | "framed", () => void>> =
+    {
+      framed: () => this.#listener.ended(),
+      reset: () =>
+        this.#listener.failed(
+          "lost",
+          "reset within an answer without a length",
+        ),
+      finished: () => void this.#endUnframed(),
+    };
+
+  /**
+   * Ends an answer without a length. A process that is killed ends its connections in
+   * the same way as one that has written all, but takes no new ones.
+   */
+  async #endUnframed(): Promise<void> {
+    const isAlive = await this.#isAlive();
+    if (this.#aborted) return;
+    if (isAlive) this.#listener.ended();
+    else {
+      const detail = "server gone after an answer without a length";
+      this.#listener.failed("lost", detail);
+    }
   }
 
   onResponseError(
--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -24,16 +24,28 @@
   firstId: undefined,
   lastId: undefined,
 };
-const END_OF_EVENT = "\n\n";
+/** Line ends of two bytes are as good as those of one. */
+const END_OF_EVENT = /\n\r?\n/g;
+const ENDS_OF_EVENT = ["\n\n", "\n\r\n"] as const;
+const LINE_END = /\r?\n/;
+const COMMENT = ":";
 const ID_FIELD = /^id: ?(.*)$/m;
 
 /** Assembles the chunks of a stream into complete events. */
 export class EventFramer {
   #pending: Buffer = NO_BYTES;
 
-  /** Bytes of an event that is not complete yet. */
-  get pendingBytes(): number {
-    return this.#pending.length;
+  /** Whether an event has begun that is not complete yet; comments are no event. */
+  get isWithinEvent(): boolean {
+    return this.#pending
+      .toString("latin1")
+      .split(LINE_END)
+      .some((line) => line !== "" && !line.startsWith(COMMENT));
+  }
+
+  /** Bytes since the last complete event. */
+  get pending(): Buffer {
+    return this.#pending;
   }
 
   /** Adds a chunk; returns the events that are now complete. */
@@ -43,17 +55,16 @@
         ? chunk
         : Buffer.concat([this.#pending, chunk]);
     const text = all.toString("latin1");
-    const end = text.lastIndexOf(END_OF_EVENT);
-    if (end < 0) {
+    const cut = endOfLastEvent(text);
+    if (cut === 0) {
       this.#pending = all;
       return NO_FRAMES;
     }
-    const cut = end + END_OF_EVENT.length;
     const isWhole = cut === all.length;
     this.#pending = isWhole ? NO_BYTES : all.subarray(cut);
     return {
       bytes: isWhole ? all : all.subarray(0, cut),
-      ...scanEvents(text, end),
+      ...scanEvents(text.slice(0, cut)),
     };
   }
 
@@ -63,21 +74,22 @@
   }
 }
 
-/** Counts the events before the end of the last one, and finds their ids. */
-function scanEvents(text: string, end: number): Omit<Frames, "bytes"> {
-  let count = 0;
-  let firstId: string | undefined;
-  let lastId: string | undefined;
-  for (let from = 0; from <= end; count += 1) {
-    const to = text.indexOf(END_OF_EVENT, from);
-    const id = ID_FIELD.exec(text.slice(from, to))?.[1]?.trim();
-    if (id !== undefined) {
-      firstId ??= id;
-      lastId = id;
-    }
-    from = to + END_OF_EVENT.length;
-  }
-  return { count, firstId, lastId };
+/** Index after the last complete event; 0 if there is none. */
+function endOfLastEvent(text: string): number {
+  const ends = ENDS_OF_EVENT.map((end) => {
+    const index = text.lastIndexOf(end);
+    return index < 0 ? 0 : index + end.length;
+  });
+  return Math.max(...ends);
+}
+
+/** Counts complete events, and finds their ids. */
+function scanEvents(text: string): Omit<Frames, "bytes"> {
+  const events = text.split(END_OF_EVENT).slice(0, -1);
+  const ids = events.flatMap(
+    (event) => ID_FIELD.exec(event)?.[1]?.trim() ?? [],
+  );
+  return { count: events.length, firstId: ids[0], lastId: ids.at(-1) };
 }
 
 const COUNTER = /^\d+$/;
--- a/packages/rampswitch-serving/src/relay/event_framer_test.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -29,7 +29,8 @@
             if (frames.count > 0) expect(frames.lastId).toBe(String(count));
           });
           expect(out).toBe(EVENTS.join(""));
-          expect(framer.pendingBytes).toBe(0);
+          expect(framer.pending).toHaveLength(0);
+          expect(framer.isWithinEvent).toBe(false);
         },
       ),
       { seed: 5 },
@@ -43,6 +44,28 @@
     expect(frames).toMatchObject({ count: 3, firstId: "7", lastId: "9" });
   });
 
+  test("takes line ends of two bytes for those of one", () => {
+    const framer = new EventFramer();
+    const frames = framer.push(
+      Buffer.from("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r"),
+    );
+    expect(frames).toMatchObject({ count: 1, firstId: "1", lastId: "1" });
+    expect(framer.isWithinEvent).toBe(true);
+    expect(framer.push(Buffer.from("\n"))).toMatchObject({ lastId: "2" });
+    expect(framer.isWithinEvent).toBe(false);
+  });
+
+  test.each([
+    [": the end\n", false],
+    ["\n", false],
+    [": note\nid: 2\n", true],
+    ["data: \u00c3", true],
+  ])("after %j, it is within an event: %s", (rest, isWithin) => {
+    const framer = new EventFramer();
+    framer.push(Buffer.from(`id: 1\ndata: a\n\n${rest}`));
+    expect(framer.isWithinEvent).toBe(isWithin);
+  });
+
   test.each([
     ["5", "4", true],
     ["10", "9", true],
@@ -60,6 +83,7 @@
     const framer = new EventFramer();
     const frames = framer.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
     expect(frames.bytes.toString()).toBe("id: 1\ndata: a\n\n");
-    expect(framer.pendingBytes).toBeGreaterThan(0);
+    expect(framer.pending.length).toBeGreaterThan(0);
+    expect(framer.isWithinEvent).toBe(true);
   });
 });
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -488,11 +488,13 @@
   }
 
   #handleStreamEnd(current: CurrentSend): void {
-    if (this.#framer.pendingBytes > 0 || this.#tracker.state !== "running") {
+    if (this.#framer.isWithinEvent || this.#tracker.state !== "running") {
       this.#handleLoss("stream_broken", "ended within an event");
       return;
     }
     if (!this.#answer.started) this.#beginStream(current);
+    const { pending } = this.#framer;
+    if (pending.length > 0) this.#answer.write(pending);
     this.#observeAnswer(current);
     this.#streamVersion.completed();
     current.choice.record.succeeded();
