Hold prompt parts under which servers end, and blame the one that explains the ends

Cause: the quarantine knows whole requests, and no two of these are alike; further sends within an attempt took a second server each. Class: evidence is kept by the request, while its cause is a feature that many requests share. Change: parts are tracked from the first end on, by hash, told to all hosts and kept in the store. Parts without an answer come first, then those with most ends, and ends that a held part or a held whole request explains count against no other. Three ends hold a part without any answer, five one that had some; two (four) end further sends within an attempt. Three trials in all, or one at once when no ready server runs the former software. A 500 of a server clears no part.

--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -34,7 +34,7 @@
   type WorkByServer,
 } from "./membership/mod.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
-import type { Quarantine, QuarantineUpdate } from "./quarantine/mod.ts";
+import type { CrashQuarantine, QuarantineUpdate } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
 import type {
   LimitUpdate,
@@ -68,7 +68,7 @@
   readonly meter: LoadMeter;
   readonly duties: HostDuties;
   readonly follower: ConfigurationFollower;
-  readonly quarantine: Quarantine;
+  readonly quarantine: CrashQuarantine;
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
   readonly leavingAdvertisements: LeavingAdvertisements;
@@ -95,6 +95,7 @@
   readonly #leases = new Map<string, ReceivedLease>();
   /** Updates of this round, which a relay sends to each of its members. */
   #quarantineUpdates: readonly QuarantineUpdate[] = [];
+  #partUpdates: readonly QuarantineUpdate[] = [];
   #leavingUpdates: readonly LeavingUpdate[] = [];
   #limitUpdates: readonly LimitUpdate[] = [];
   #slowdownUpdates: readonly SlowdownUpdate[] = [];
@@ -129,7 +130,8 @@
     const work = this.#parts.directory.ownWork();
     const room = this.#parts.roomCounts.ownReport(this.#parts.clock.now());
     this.#recordReported(message.sequence, { admitted, work, room });
-    this.#quarantineUpdates = this.#parts.quarantine.updates();
+    this.#quarantineUpdates = this.#parts.quarantine.requests.updates();
+    this.#partUpdates = this.#parts.quarantine.parts.updates();
     this.#leavingUpdates = this.#parts.leavingAdvertisements.updates({
       ownOnly: false,
     });
@@ -164,6 +166,7 @@
       readTokens: this.#parts.meter.ownReadTokens(),
       lease: this.#parts.duties.lease,
       quarantine: this.#quarantineUpdates,
+      promptParts: this.#partUpdates,
       rollouts: this.#parts.rollouts.updates(this.#parts.clock.now()),
       ...this.#permitUpdate(message.role),
       leaving: this.#parts.leavingAdvertisements.updates({
@@ -228,6 +231,7 @@
       leases: own === undefined ? received : [own, ...received],
       servers: follower.recentServers(),
       quarantine: this.#quarantineUpdates,
+      promptParts: this.#partUpdates,
       rollouts: this.#parts.rollouts.relayUpdates(now),
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
@@ -276,7 +280,8 @@
         now,
       );
     }
-    this.#parts.quarantine.receive(digest.quarantine);
+    this.#parts.quarantine.requests.receive(digest.quarantine);
+    this.#parts.quarantine.parts.receive(digest.promptParts);
     this.#parts.rollouts.received(digest.rollouts, { now });
     this.#parts.permits.receiveLimits(digest.limits, 0);
     this.#parts.leavingAdvertisements.received(digest.leaving, 0);
@@ -327,7 +332,8 @@
       },
       now,
     );
-    this.#parts.quarantine.receive(update.quarantine);
+    this.#parts.quarantine.requests.receive(update.quarantine);
+    this.#parts.quarantine.parts.receive(update.promptParts);
     this.#parts.rollouts.received(update.rollouts, {
       incarnation: `${update.host}/${update.incarnation}`,
       now,
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -184,6 +184,7 @@
       ...head,
       workspace: destination.value.workspace?.name,
       body: sentBody,
+      service: destination.value.service.name,
     });
     const quarantineRefusal = this.#quarantineRefusal(
       fingerprint,
--- a/packages/rampswitch-serving/src/membership/common_codec.ts
+++ b/packages/rampswitch-serving/src/membership/common_codec.ts
@@ -11,13 +11,23 @@
 import { demandOf, encodedDemand, isDemand } from "./demand_codec.ts";
 import type { FleetView, PeerUpdate } from "./peer_messages.ts";
 import { encodedLimits, isLimits, limitsOf } from "./permit_codec.ts";
+import {
+  encodedQuarantine,
+  isQuarantine,
+  quarantineOf,
+} from "./quarantine_codec.ts";
 import { encodedReturns, isReturns, returnsOf } from "./returns_codec.ts";
 import { encodedSlowdowns, isSlowdowns, slowdownsOf } from "./speed_codec.ts";
 
 /** Fields of both kinds of messages. */
 type CommonFields = Pick<
   PeerUpdate & FleetView,
-  "limits" | "slowdowns" | "room" | "returns" | "brittle"
+  | "limits"
+  | "slowdowns"
+  | "room"
+  | "returns"
+  | "brittle"
+  | "promptParts"
 >;
 
 /** Their short keys. */
@@ -27,6 +37,7 @@
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
   readonly br?: ReturnType<typeof encodedBrittle>;
+  readonly pp?: ReturnType<typeof encodedQuarantine>;
 }
 
 /** Checks of the encoded fields. */
@@ -36,6 +47,7 @@
   rm: isDemand,
   rt: isReturns,
   br: isBrittle,
+  pp: isQuarantine,
 };
 
 /** Encodes the fields. */
@@ -46,6 +58,7 @@
     rm: encodedDemand(fields.room),
     rt: encodedReturns(fields.returns),
     br: encodedBrittle(fields.brittle),
+    pp: encodedQuarantine(fields.promptParts),
   };
 }
 
@@ -57,5 +70,6 @@
     room: demandOf(encoded.rm),
     returns: returnsOf(encoded.rt),
     brittle: brittleOf(encoded.br),
+    promptParts: quarantineOf(encoded.pp),
   };
 }
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -55,6 +55,7 @@
   ],
   readTokens: { models: 1_000 },
   lease: { fence: 3, version: 77 },
+  promptParts: [],
   quarantine: [
     {
       fingerprint: "0123456789abcdef01234567",
@@ -139,6 +140,7 @@
       { key: "servers/s2", version: 9 },
     ],
   },
+  promptParts: [],
   quarantine: OWN_UPDATE.quarantine,
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
   slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -36,6 +36,7 @@
   ],
   readTokens: {},
   lease: undefined,
+  promptParts: [],
   quarantine: [],
   rollouts: [],
   limits: [],
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -86,6 +86,8 @@
   readonly lease: LeaseUpdate | undefined;
   /** Requests during which servers ended, as known to the host. */
   readonly quarantine: readonly QuarantineUpdate[];
+  /** Prompt parts under which servers ended, in the same form. */
+  readonly promptParts: readonly QuarantineUpdate[];
   /** Roll-outs in progress, and the host's part in them. */
   readonly rollouts: readonly RolloutUpdate[];
   /** Backend servers that advertised in their answers that they leave. */
@@ -118,6 +120,8 @@
   readonly servers: ChangeBatch | undefined;
   /** Requests during which servers ended, as known to any host. */
   readonly quarantine: readonly QuarantineUpdate[];
+  /** Prompt parts under which servers ended, in the same form. */
+  readonly promptParts: readonly QuarantineUpdate[];
   /** Roll-outs in progress. */
   readonly rollouts: readonly RolloutUpdate[];
   /** Limits that backend servers advertise. */
--- a/packages/rampswitch-serving/src/quarantine/fingerprint.ts
+++ b/packages/rampswitch-serving/src/quarantine/fingerprint.ts
@@ -9,6 +9,8 @@
  */
 import { createHash } from "node:crypto";
 import { hash32 } from "rampswitch-utils";
+import type { PromptPart } from "../model/request.ts";
+import { SharedParts } from "./shared_parts.ts";
 
 /** The parts of a request that its fingerprint covers. */
 export interface FingerprintedRequest {
@@ -19,6 +21,10 @@
   /** Name of the workspace, if the request has an API key. */
   readonly workspace: string | undefined;
   readonly body: Buffer | undefined;
+  /** Name of the service, if it is known; the fingerprint does not cover it. */
+  readonly service?: string;
+  /** Parts of the prompt; the fingerprint does not cover them. */
+  readonly promptParts?: readonly PromptPart[];
 }
 
 /** Hexadecimal digits of a fingerprint's first part, a hash without the body. */
@@ -39,12 +45,16 @@
  * body.
  */
 export class Fingerprint {
+  /** The parts of the prompt that other requests share. */
+  readonly sharedParts: SharedParts;
   readonly #request: FingerprintedRequest;
   #headHash: string | undefined;
   #text: string | undefined;
 
   constructor(request: FingerprintedRequest) {
     this.#request = request;
+    const { service = "", promptParts = [] } = request;
+    this.sharedParts = new SharedParts(service, promptParts);
   }
 
   /** First part, which differs between most requests. */
--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -23,6 +23,11 @@
   withTrial,
   nextTrialAt,
 } from "./quarantine_entry.ts";
+import {
+  entryOf,
+  type QuarantineUpdate,
+  updateOf,
+} from "./quarantine_update.ts";
 import { UnconfirmedLosses } from "./unconfirmed_losses.ts";
 
 /** Whether a request may be sent to a server. */
@@ -32,18 +37,6 @@
   | { readonly kind: "trial" }
   | { readonly kind: "held"; readonly waitMilliseconds: number };
 
-/** Time since an event, in milliseconds, for hosts without a common clock. */
-export type Age = number;
-
-/** What hosts report to each other about one request. */
-export interface QuarantineUpdate {
-  readonly fingerprint: string;
-  readonly lostIncarnations: Readonly<Record<string, Age>>;
-  readonly lastTrialAge: Age | undefined;
-  readonly trials: number;
-  readonly completedAge: Age | undefined;
-}
-
 /** This host's position among the hosts that may try a request. */
 export interface TrialRank {
   /** Number of hosts before this one. */
@@ -226,6 +219,14 @@
     if (isStored(previous)) this.#parts.onStoredChange();
   }
 
+  /** Whether an incarnation of a server ended under a quarantined request. */
+  explains(incarnation: string): boolean {
+    return [...this.#requests.values()].some(
+      ({ entry }) =>
+        isQuarantined(entry) && entry.lostIncarnations.has(incarnation),
+    );
+  }
+
   /** Returns what to report to the other hosts now. */
   updates(): readonly QuarantineUpdate[] {
     const now = this.#parts.clock.now();
@@ -386,48 +387,6 @@
   );
 }
 
-function updateOf(
-  fingerprint: string,
-  entry: QuarantineEntry,
-  now: number,
-): QuarantineUpdate {
-  return {
-    fingerprint,
-    lostIncarnations: Object.fromEntries(
-      [...entry.lostIncarnations].map(([incarnation, at]) => [
-        incarnation,
-        now - at,
-      ]),
-    ),
-    lastTrialAge: ageOf(entry.lastTrialAt, now),
-    trials: entry.trials,
-    completedAge: ageOf(entry.completedAt, now),
-  };
-}
-
-function entryOf(update: QuarantineUpdate, now: number): QuarantineEntry {
-  return {
-    lostIncarnations: new Map(
-      Object.entries(update.lostIncarnations).map(([incarnation, age]) => [
-        incarnation,
-        timeOf(age, now),
-      ]),
-    ),
-    lastTrialAt: timeOf(update.lastTrialAge, now),
-    trials: update.trials,
-    completedAt: timeOf(update.completedAge, now),
-  };
-}
-
-/** An age below zero comes from a wrong clock and must not yield a future time. */
-function timeOf(age: Age | undefined, now: number): number {
-  return now - Math.max(0, age ?? Infinity);
-}
-
-function ageOf(at: number, now: number): Age | undefined {
-  return Number.isFinite(at) ? now - at : undefined;
-}
-
 function rounded(milliseconds: number): number | undefined {
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
 }
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Keeps quarantined requests in the platform's store, so that hosts that start
+ * Keeps quarantined requests, or prompt parts, in the platform's store, so that hosts that start
  * after all others have ended know them too. The store is read once at startup. It
  * is written when a request has lost its third or a later server, and when a
  * request is released.
@@ -22,11 +22,12 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import { FINGERPRINT_PATTERN } from "./fingerprint.ts";
 import { STORED_ENTRY_RETENTION_MILLISECONDS } from "./quarantine_entry.ts";
-import type { Quarantine, QuarantineUpdate } from "./quarantine.ts";
+import type { Quarantine } from "./quarantine.ts";
+import type { QuarantineUpdate } from "./quarantine_update.ts";
 
 /** Dependencies of a {@link QuarantineStore}. */
 export interface QuarantineStoreParts {
-  readonly quarantine: Quarantine;
+  readonly quarantine: Pick<Quarantine, "receive" | "stored">;
   readonly store: ObjectStore;
   /** Prefix of the key of the only object. */
   readonly prefix: string;
--- a/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_test.ts
@@ -10,7 +10,8 @@
 } from "rampswitch-utils";
 import { ServingMetrics } from "../observation/mod.ts";
 import { Fingerprint } from "./fingerprint.ts";
-import { Quarantine, type QuarantineUpdate } from "./quarantine.ts";
+import { Quarantine } from "./quarantine.ts";
+import type { QuarantineUpdate } from "./quarantine_update.ts";
 
 const SECOND = 1_000;
 
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -19,7 +19,7 @@
 import type { EngineControl } from "../model/engine_control.ts";
 import type { PromptPart, WireCodec } from "../model/request.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
-import type { Quarantine } from "../quarantine/mod.ts";
+import type { CrashQuarantine } from "../quarantine/mod.ts";
 import type { Rollouts } from "../rollout/mod.ts";
 import type {
   ReturnTimes,
@@ -64,7 +64,7 @@
   readonly room: RoomAdmission;
   readonly admission: FleetAdmission;
   readonly budget: ResendBudget;
-  readonly quarantine: Quarantine;
+  readonly quarantine: CrashQuarantine;
   readonly rollouts: Rollouts;
   /** Versions that began the streams that callers may take up. */
   readonly streams: StreamOrigins;
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -10,14 +10,15 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
-import { AttemptTracker, type Send } from "../attempt/mod.ts";
-import type { Choice, ServerRecord, StartedWork } from "../choice/mod.ts";
+import { AttemptTracker } from "../attempt/mod.ts";
+import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
   REFUSALS,
   type RefusalReason,
   type ResendReason,
 } from "../model/outcome.ts";
 import type { AnswerHead, MemorySource } from "../model/request.ts";
+import type { AnsweredParts } from "../quarantine/mod.ts";
 import { promptTokensOf } from "../estimates/mod.ts";
 import {
   type AdmittedRequest,
@@ -33,8 +34,8 @@
   observeFirstPart,
   observeRejection,
   observeReportedLoad,
-  type TimedSend,
 } from "./observed_answers.ts";
+import type { CurrentSend, WantedResend } from "./sends.ts";
 import type { RequestContext } from "./request_context.ts";
 import { ResendRules } from "./resend_rules.ts";
 import {
@@ -50,7 +51,7 @@
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 import { StreamVersion } from "./stream_version.ts";
-import { unusableReason } from "./unusable_answer.ts";
+import { isSuccess, unusableReason } from "./unusable_answer.ts";
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -60,26 +61,6 @@
 /** A failure after which the server may still be up. */
 const POSSIBLY_UP = { surelyDown: false };
 
-/** A send in progress. */
-interface CurrentSend extends TimedSend {
-  readonly send: Send;
-  readonly work: StartedWork;
-  /** Version of the server's software when the request was sent. */
-  readonly version: string;
-  firstPartAt?: number;
-  /** Events of the answer so far. */
-  events: number;
-}
-
-/** A further send that is wanted, but not granted yet. */
-interface WantedResend {
-  readonly reason: ResendReason;
-  /** Refusal that the caller gets if the send can't be made. */
-  readonly fallback: RefusalReason;
-  /** Called with the server that the request was sent to. */
-  sent(next: ServerRecord): void;
-}
-
 /** Handles one admitted request until its caller has an answer. */
 export class RequestRun {
   readonly request: AdmittedRequest;
@@ -150,6 +131,13 @@
     return this.#current?.choice.record;
   }
 
+  /** The prompt that is being answered, and since when; `undefined` before that. */
+  get answering(): AnsweredParts | undefined {
+    const beganAt = this.#current?.answeringSince;
+    if (beganAt === undefined) return undefined;
+    return { parts: this.request.fingerprint.sharedParts, beganAt };
+  }
+
   /** Whether it is a stream whose KV-cache memory can migrate to another engine. */
   get migratable(): boolean {
     return (
@@ -358,12 +346,7 @@
     }
     this.#tracker.handle({ type: "lost" });
     this.#startedMigration?.drop();
-    this.#endCurrentSend(true);
-    this.#record.lost("stalled", {
-      detail: "silent",
-      server: current.choice.record,
-      relayed: this.#tracker.relayed,
-    });
+    this.#endLostSend("stalled", "silent", { abort: true });
     this.#resend("stalled", "timed_out", (next) => {
       if (this.migratable)
         this.#migration.stopAbandoned(current.choice.record, next);
@@ -452,7 +435,7 @@
     }
     if (!this.#tracker.relayed) this.#tracker.handle({ type: "relayed" });
     current.events += frames.count;
-    this.#record.event();
+    current.answeringSince ??= this.#now();
     this.#lastRelayedId = frames.lastId ?? this.#lastRelayedId;
     this.#lastEventId = this.#lastRelayedId ?? this.#lastEventId;
     this.#stallWatch.eventReceived();
@@ -498,7 +481,7 @@
     this.#observeAnswer(current);
     this.#streamVersion.completed();
     current.choice.record.succeeded();
-    this.#context.quarantine.recordCompletion(this.request.fingerprint);
+    this.#recordCompletion(current, true);
     this.#finish("completed");
     this.#answer.end();
   }
@@ -513,19 +496,15 @@
     const body = this.#bufferedBody.toBuffer();
     if (isSuccess(head.status)) this.#observeAnswer(current);
     this.#record.began();
-    this.#context.quarantine.recordCompletion(this.request.fingerprint);
+    this.#recordCompletion(current, isSuccess(head.status));
     const failed = head.status >= FIRST_SERVER_ERROR_STATUS;
     if (failed) current.choice.record.failed(this.#now(), POSSIBLY_UP);
     else current.choice.record.succeeded();
     if (failed && this.#rules.canAbandonRun) {
       this.#failureAnswer = { head, body };
       this.#tracker.handle({ type: "lost" });
-      this.#endCurrentSend(false);
-      this.#record.lost("server_error", {
-        detail: `status ${head.status}`,
-        server: current.choice.record,
-        relayed: this.#tracker.relayed,
-      });
+      const detail = `status ${head.status}`;
+      this.#endLostSend("server_error", detail, { abort: false });
       this.#resend("server_error", "answer_broken");
       return;
     }
@@ -534,6 +513,13 @@
     this.#answer.sendWhole(head.status, head.forwarded, body);
   }
 
+  #recordCompletion(current: CurrentSend, succeeded: boolean): void {
+    this.#context.quarantine.recordCompletion(this.request.fingerprint, {
+      succeeded,
+      beganAt: current.answeringSince ?? current.sentAt,
+    });
+  }
+
   #handleRejection(head: AnswerHead): void {
     this.#tracker.handle({ type: "rejected" });
     const current = this.#current;
@@ -549,14 +535,8 @@
 
   #handleNotWritten(detail: string): void {
     this.#tracker.handle({ type: "not_written" });
-    const record = this.#current?.choice.record;
     this.#recordUnreachable(this.#current);
-    this.#endCurrentSend(false);
-    this.#record.lost("not_connected", {
-      detail,
-      server: record,
-      relayed: this.#tracker.relayed,
-    });
+    this.#endLostSend("not_connected", detail, { abort: false });
     this.#resendOrResume("not_connected", "no_server");
   }
 
@@ -575,6 +555,7 @@
 
   #handleLoss(reason: ResendReason, detail: string): void {
     const record = this.#current?.choice.record;
+    const answeringSince = this.#current?.answeringSince;
     if (this.#stopping) {
       this.#migration.noteLostWhileStopping();
       return;
@@ -587,15 +568,14 @@
       // Recorded before the next send, since a request may crash every server
       // that starts it.
       if (reason === "connection_lost") {
-        this.#context.quarantine.recordLoss(this.request.fingerprint, record);
+        this.#context.quarantine.recordLoss(
+          this.request.fingerprint,
+          record,
+          answeringSince,
+        );
       }
     }
-    this.#endCurrentSend(true);
-    this.#record.lost(reason, {
-      detail,
-      server: record,
-      relayed: this.#tracker.relayed,
-    });
+    this.#endLostSend(reason, detail, { abort: true });
     if (before === "waiting") {
       this.#resend("not_connected", "no_server");
       return;
@@ -735,14 +715,34 @@
       this.#recordUnresponsive(current);
   }
 
-  #recordUnresponsive({ choice: { record } }: CurrentSend): void {
+  #recordUnresponsive({
+    choice: { record },
+    answeringSince,
+  }: CurrentSend): void {
     record.failed(this.#now(), POSSIBLY_UP);
     this.#context.quarantine.recordUnresponsive(
       this.request.fingerprint,
       record,
+      answeringSince,
     );
   }
 
+  /** Ends a send without a usable answer, and notes why. */
+  #endLostSend(
+    reason: ResendReason,
+    detail: string,
+    { abort }: { readonly abort: boolean },
+  ): void {
+    const current = this.#current;
+    this.#endCurrentSend(abort);
+    this.#record.lost(reason, {
+      detail,
+      server: current?.choice.record,
+      relayed: this.#tracker.relayed,
+      answeringSince: current?.answeringSince,
+    });
+  }
+
   /** Ends the current send, its load counts and its buffered data. */
   #endCurrentSend(abort: boolean): void {
     this.#stallWatch.stop();
@@ -773,7 +773,3 @@
     this.#context.waiting.examine();
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
--- a/packages/rampswitch-serving/src/relay/resend_rules.ts
+++ b/packages/rampswitch-serving/src/relay/resend_rules.ts
@@ -8,7 +8,7 @@
  */
 import type { AttemptTracker } from "../attempt/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
-import type { Quarantine } from "../quarantine/mod.ts";
+import type { CrashQuarantine } from "../quarantine/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
 import { MINIMUM_USEFUL_MILLISECONDS } from "./run_migration.ts";
@@ -23,7 +23,7 @@
 export class ResendRules {
   readonly #request: AdmittedRequest;
   readonly #tracker: AttemptTracker;
-  readonly #quarantine: Quarantine;
+  readonly #quarantine: Pick<CrashQuarantine, "forbidsResend">;
   /** Servers at which an answer to the request was lost. */
   readonly #serversOfLosses: ServerRecord[] = [];
   /** Number of sends that asked for a further run. */
@@ -32,7 +32,9 @@
   constructor(
     request: AdmittedRequest,
     tracker: AttemptTracker,
-    { quarantine }: { readonly quarantine: Quarantine },
+    {
+      quarantine,
+    }: { readonly quarantine: Pick<CrashQuarantine, "forbidsResend"> },
   ) {
     this.#request = request;
     this.#tracker = tracker;
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -101,8 +101,6 @@
   readonly #versions = new Set<string>();
   #began = false;
   #firstPartAt: number | undefined;
-  /** First event of the newest send's answer. */
-  #sendBeganAt: number | undefined;
   /** Slowdown of the newest send's server, where its speed is known. */
   #slowdown: number | undefined;
   #compared: ComparedTime | undefined;
@@ -136,7 +134,6 @@
     const { continues } = state;
     const { version } = record.entry;
     this.#lastSend = { server, version, sentAt, continues };
-    this.#sendBeganAt = undefined;
     this.#versions.add(version);
     this.#slowdown = record.speed.isKnown(sentAt)
       ? record.speed.slowdown(sentAt)
@@ -225,11 +222,6 @@
     );
   }
 
-  /** Notes an event of a stream. */
-  event(): void {
-    this.#sendBeganAt ??= this.#context.clock.now();
-  }
-
   /** Notes the time of the answer beside the expected one, where that is known. */
   compared(time: ComparedTime | undefined): void {
     this.#compared ??= time;
@@ -243,6 +235,8 @@
       readonly server: ServerRecord | undefined;
       /** Whether the caller has a part of the answer. */
       readonly relayed: boolean;
+      /** First event that the server sent, in milliseconds. */
+      readonly answeringSince?: number | undefined;
     },
   ): void {
     if (SERVER_FAILURES.has(reason)) this.#answered(true);
@@ -258,20 +252,22 @@
       // From the send: the entry may show a later incarnation by now.
       born: this.#lastSend?.server.born,
       relayed: inputs.relayed,
-      ...this.#answerFields(),
+      ...this.#answerFields(inputs.answeringSince),
     });
   }
 
   /** Shared parts of the prompt, and for how long the lost send's answer had come. */
-  #answerFields(): Readonly<Record<string, string | number | undefined>> {
+  #answerFields(
+    answeringSince: number | undefined,
+  ): Readonly<Record<string, string | number | undefined>> {
     const { promptParts } = this.#request.head;
     const shared = promptParts.slice(0, -1).slice(0, MAXIMUM_LOGGED_PARTS);
     return {
       parts: shared.map(({ id }) => shortened(id)).join(","),
       answeringMilliseconds:
-        this.#sendBeganAt === undefined
+        answeringSince === undefined
           ? undefined
-          : this.#millisecondsSince(this.#sendBeganAt),
+          : this.#millisecondsSince(answeringSince),
     };
   }
 
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/sends.ts
@@ -0,0 +1,34 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Sends of a request: the one in progress, and one that is wanted.
+ *
+ * @module
+ */
+import type { Send } from "../attempt/mod.ts";
+import type { ServerRecord, StartedWork } from "../choice/mod.ts";
+import type { RefusalReason, ResendReason } from "../model/outcome.ts";
+import type { TimedSend } from "./observed_answers.ts";
+
+/** A send in progress. */
+export interface CurrentSend extends TimedSend {
+  readonly send: Send;
+  readonly work: StartedWork;
+  /** Version of the server's software when the request was sent. */
+  readonly version: string;
+  /** First event of a request's first send, in milliseconds. */
+  firstPartAt?: number;
+  /** First event of this send, in milliseconds. */
+  answeringSince?: number;
+  /** Events of the answer so far. */
+  events: number;
+}
+
+/** A further send that is wanted, but not granted yet. */
+export interface WantedResend {
+  readonly reason: ResendReason;
+  /** Refusal that the caller gets if the send can't be made. */
+  readonly fallback: RefusalReason;
+  /** Called with the server that the request was sent to. */
+  sent(next: ServerRecord): void;
+}
--- a/packages/rampswitch-serving/src/relay/unusable_answer.ts
+++ b/packages/rampswitch-serving/src/relay/unusable_answer.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Which answers of servers can't be used, whatever their status.
+ * Which answers of servers can't be used, and which are successes.
  *
  * @module
  */
@@ -22,3 +22,8 @@
   if (attemptId === head.attemptId) return undefined;
   return attemptId === undefined ? "no attempt id" : "crossed";
 }
+
+/** Whether a status tells that a server did what it was asked. */
+export function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -17,7 +17,7 @@
 import type { ServerClient } from "./forwarding/mod.ts";
 import type { BackendServer } from "./model/backend_server.ts";
 import type { ServingMetrics } from "./observation/mod.ts";
-import type { Quarantine } from "./quarantine/mod.ts";
+import type { CrashQuarantine } from "./quarantine/mod.ts";
 import type { Rollouts } from "./rollout/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type { ServerPermits } from "./server_limits/mod.ts";
@@ -34,7 +34,7 @@
   readonly client: Pick<ServerClient, "forget">;
   readonly prefixes: PrefixCacheEstimate;
   readonly dispatches: RecentDispatches;
-  readonly quarantine: Quarantine;
+  readonly quarantine: Pick<CrashQuarantine, "incarnationEnded">;
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
   readonly streams: StreamOrigins;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -38,6 +38,7 @@
 import { serveReadiness } from "./intake/readiness_server.ts";
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostGossip } from "./host_gossip.ts";
+import { createQuarantine } from "./host_quarantine.ts";
 import {
   Membership,
   gossipLagMilliseconds,
@@ -48,7 +49,7 @@
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
 import { returnCounters, type ServingMetrics } from "./observation/mod.ts";
-import { Quarantine, QuarantineStore } from "./quarantine/mod.ts";
+import type { CrashQuarantine } from "./quarantine/mod.ts";
 import {
   type RolloutSpecAdapter,
   Rollouts,
@@ -94,6 +95,8 @@
   readonly leaseKey: string;
   /** Prefix of the key of the quarantined requests in the store. */
   readonly quarantinePrefix: string;
+  /** Prefix of the key of the held prompt parts in the store. */
+  readonly heldPartsPrefix: string;
   readonly rolloutOrders: RolloutSpecAdapter;
   readonly readinessPath: string;
   readonly metricsPath: string;
@@ -146,8 +149,7 @@
   readonly #limits: WorkspaceLimits;
   readonly #admission: FleetAdmission;
   readonly #budget: ResendBudget;
-  readonly #quarantine: Quarantine;
-  readonly #quarantineStore: QuarantineStore;
+  readonly #quarantine: CrashQuarantine;
   readonly #rollouts: Rollouts;
   readonly #rolloutStore: RolloutStore;
   readonly #streams: StreamOrigins;
@@ -201,21 +203,18 @@
       },
       returnCounters(ports.metrics),
     );
-    this.#quarantine = new Quarantine({
-      ...ports,
-      trialRank: (fingerprint) =>
-        this.#membership?.rankFor(fingerprint) ?? SINGLE_HOST_POSITION,
-      onStoredChange: () => this.#quarantineStore.scheduleWrite(),
-      wasHeardAfter: (incarnation, time) =>
-        this.#access.wasHeardAfter(incarnation, time),
-    });
-    this.#quarantineStore = this.#ownership.own(
-      new QuarantineStore({
+    this.#quarantine = createQuarantine(
+      {
         ...ports,
-        prefix: ports.quarantinePrefix,
-        quarantine: this.#quarantine,
         wallTime: () => this.#fleetTime(),
-      }),
+        trialRank: (key) =>
+          this.#membership?.rankFor(key) ?? SINGLE_HOST_POSITION,
+        wasHeardAfter: (incarnation, time) =>
+          this.#access.wasHeardAfter(incarnation, time),
+        directory: this.#directory,
+        runs: () => this.#callers.runs,
+      },
+      this.#ownership,
     );
     this.#rollouts = new Rollouts(
       {
