Take the fleet's arrivals from what hosts report instead of an even spread

Cause: a host took the fleet's arrivals for its own rate times the number of hosts; at 8 hosts the one that got 85% believed in 6.8 times the load and refused (servers_full). Class: a share of the fleet inferred from an even spread. Ruled out: leaving the factor out alone (a host would underrate an even overload by the number of hosts); the counted demand (reported only while capacity is short, and a burst of one request at each of 20 hosts was refused by it in part). Change: each host reports the rate of its arrivals by service, relays the sum; a silent or older peer counts as the mean of those that report, all as before while none does. The same part replaces the even one where refused callers get times to return (room, back-offs, permits) and, upwards only, where connections to a server are divided. Cost: some ten bytes a service and message.

--- a/packages/rampswitch-serving/src/relay/arrival_rates.ts
+++ b/packages/rampswitch-serving/src/demand/arrival_rates.ts
@@ -21,14 +21,32 @@
     this.#startedAt = now;
   }
 
-  /** Adds a request; returns the arrival rate, in requests a millisecond. */
+  /** Adds a request; returns the arrival rate, in requests per millisecond. */
   addArrival(service: string, now: number): number {
-    const arrivals = this.#arrivals.get(service) ?? [];
+    const arrivals = this.#recent(service, now);
     if (arrivals.length === 0) this.#arrivals.set(service, arrivals);
-    const oldest = now - SPAN_MILLISECONDS;
-    while ((arrivals[0] ?? now) <= oldest) arrivals.shift();
     arrivals.push(now);
+    return this.rate(service, now);
+  }
+
+  /** Rate of the arrivals, in requests per millisecond. */
+  rate(service: string, now: number): number {
     const span = Math.min(SPAN_MILLISECONDS, now - this.#startedAt);
-    return arrivals.length / Math.max(MINIMUM_SPAN_MILLISECONDS, span);
+    return (
+      this.#recent(service, now).length /
+      Math.max(MINIMUM_SPAN_MILLISECONDS, span)
+    );
+  }
+
+  /** Services with arrivals. */
+  get services(): readonly string[] {
+    return [...this.#arrivals.keys()];
+  }
+
+  #recent(service: string, now: number): number[] {
+    const arrivals = this.#arrivals.get(service) ?? [];
+    const oldest = now - SPAN_MILLISECONDS;
+    while ((arrivals[0] ?? now) <= oldest) arrivals.shift();
+    return arrivals;
   }
 }
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -21,6 +21,7 @@
   workWithout,
 } from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import type { FleetArrivals } from "./demand/mod.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
 import type { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import {
@@ -72,6 +73,7 @@
   readonly rollouts: Rollouts;
   readonly permits: ServerPermits;
   readonly leavingAdvertisements: LeavingAdvertisements;
+  readonly arrivals: FleetArrivals;
   readonly roomCounts: RoomCounts;
   readonly reservations: Reservations;
   readonly brittle: BrittleServers;
@@ -173,6 +175,7 @@
         ownOnly: message.role !== "direct",
       }),
       slowdowns,
+      arrivals: this.#parts.arrivals.ownReport(this.#parts.clock.now()),
       room,
       returns: reservations.updates(this.#parts.clock.now()),
       brittle: this.#parts.brittle.updates(),
@@ -236,6 +239,7 @@
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
       slowdowns: this.#slowdownUpdates,
+      arrivals: this.#parts.arrivals.fleetReport(now),
       room: this.#parts.roomCounts.reportExcept(host, now),
       returns: this.#returnUpdates,
       brittle: this.#parts.brittle.fleetUpdates(),
@@ -289,6 +293,7 @@
     receiveSlowdowns(digest.slowdowns, now, { directory, source });
     const ownRoom =
       digest.acknowledgedByHost === undefined ? undefined : acknowledged?.room;
+    this.#parts.arrivals.receiveFleet(digest.arrivals, now);
     this.#parts.roomCounts.receiveFleet(digest.room, { own: ownRoom, now });
     this.#parts.reservations.receive(digest.returns, { age: 0, now });
     this.#parts.brittle.receive(digest.relay, digest.brittle, 0);
@@ -317,6 +322,7 @@
       directory: this.#parts.directory,
       source: { from: update.host, relayed: false },
     });
+    this.#parts.arrivals.receive(update.host, update.arrivals, now - age);
     this.#parts.roomCounts.receive(update.host, update.room, now - age);
     this.#parts.reservations.receive(update.returns, { age, now });
     this.#parts.brittle.receive(update.host, update.brittle, age);
--- a/packages/rampswitch-serving/src/membership/common_codec.ts
+++ b/packages/rampswitch-serving/src/membership/common_codec.ts
@@ -7,8 +7,14 @@
  * @module
  */
 import { brittleOf, encodedBrittle, isBrittle } from "./brittle_codec.ts";
-import type { FieldChecks } from "./checks.ts";
+import {
+  type FieldChecks,
+  isNonnegative,
+  optional,
+  recordOf,
+} from "./checks.ts";
 import { demandOf, encodedDemand, isDemand } from "./demand_codec.ts";
+import type { ArrivalReport } from "../demand/mod.ts";
 import type { FleetView, PeerUpdate } from "./peer_messages.ts";
 import { encodedLimits, isLimits, limitsOf } from "./permit_codec.ts";
 import {
@@ -28,6 +34,7 @@
   | "returns"
   | "brittle"
   | "promptParts"
+  | "arrivals"
 >;
 
 /** Their short keys. */
@@ -38,6 +45,7 @@
   readonly rt?: ReturnType<typeof encodedReturns>;
   readonly br?: ReturnType<typeof encodedBrittle>;
   readonly pp?: ReturnType<typeof encodedQuarantine>;
+  readonly ar?: ArrivalReport | undefined;
 }
 
 /** Checks of the encoded fields. */
@@ -48,6 +56,7 @@
   rt: isReturns,
   br: isBrittle,
   pp: isQuarantine,
+  ar: optional(recordOf(isNonnegative)),
 };
 
 /** Encodes the fields. */
@@ -59,6 +68,7 @@
     rt: encodedReturns(fields.returns),
     br: encodedBrittle(fields.brittle),
     pp: encodedQuarantine(fields.promptParts),
+    ar: Object.keys(fields.arrivals).length === 0 ? undefined : fields.arrivals,
   };
 }
 
@@ -71,5 +81,6 @@
     returns: returnsOf(encoded.rt),
     brittle: brittleOf(encoded.br),
     promptParts: quarantineOf(encoded.pp),
+    arrivals: encoded.ar ?? {},
   };
 }
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -56,6 +56,7 @@
   readTokens: { models: 1_000 },
   lease: { fence: 3, version: 77 },
   promptParts: [],
+  arrivals: {},
   quarantine: [
     {
       fingerprint: "0123456789abcdef01234567",
@@ -141,6 +142,7 @@
     ],
   },
   promptParts: [],
+  arrivals: {},
   quarantine: OWN_UPDATE.quarantine,
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
   slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -37,6 +37,7 @@
   readTokens: {},
   lease: undefined,
   promptParts: [],
+  arrivals: {},
   quarantine: [],
   rollouts: [],
   limits: [],
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -18,6 +18,7 @@
   ReportedWork,
   SlowdownUpdate,
 } from "../choice/mod.ts";
+import type { ArrivalReport } from "../demand/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
 import type { ReservationUpdate, RoomReport } from "../room/mod.ts";
@@ -94,6 +95,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers that the host learned from its own answers. */
   readonly slowdowns: readonly SlowdownUpdate[];
+  /** Requests per second by service. */
+  readonly arrivals: ArrivalReport;
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
@@ -130,6 +133,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers: the medians of what hosts learned. */
   readonly slowdowns: readonly SlowdownUpdate[];
+  /** Requests per second by service. */
+  readonly arrivals: ArrivalReport;
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -16,7 +16,7 @@
 export type * from "./model/request.ts";
 export * from "./observation/mod.ts";
 export * from "./quarantine/mod.ts";
-export * from "./relay/arrival_rates.ts";
+export * from "./demand/arrival_rates.ts";
 export * from "./rollout/mod.ts";
 export * from "./server_limits/mod.ts";
 export * from "./serving_host.ts";
--- a/packages/rampswitch-serving/src/relay/connection_share_test.ts
+++ b/packages/rampswitch-serving/src/relay/connection_share_test.ts
@@ -12,8 +12,15 @@
   test.each([1, 9, 40, 78, 195, 360])(
     "are no more than it takes from %d hosts together",
     (hosts) => {
-      const all = hosts * ownConnections(MAXIMUM, hosts);
+      const all = hosts * ownConnections(MAXIMUM, { hosts, part: 1 / hosts });
       expect(all).toBeLessThanOrEqual(MAXIMUM.maximumConnections);
     },
   );
+
+  test("are more for a host that gets most of the requests", () => {
+    const most = ownConnections(MAXIMUM, { hosts: 24, part: 0.85 });
+    const few = ownConnections(MAXIMUM, { hosts: 24, part: 0.15 / 23 });
+    expect(most).toBe(74);
+    expect(few).toBe(3);
+  });
 });
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -26,7 +26,7 @@
   | "clock"
   | "codec"
   | "directory"
-  | "hosts"
+  | "ownPart"
   | "quarantine"
   | "random"
   | "backOffWaits"
@@ -137,7 +137,7 @@
 /** Time until room for a refused caller is expected, in milliseconds. */
 function returnDelay(
   { request, leftMilliseconds, shortage }: RefusedRequest,
-  { clock, directory, hosts, returns, workEstimates }: RefusalContext,
+  { clock, directory, ownPart, returns, workEstimates }: RefusalContext,
 ): number {
   const { service, fingerprint } = request;
   const slots = slotsOf(readyServers(service, directory));
@@ -150,7 +150,7 @@
     roomClass: roomClassOf(request),
     fingerprint,
     leftMilliseconds,
-    serviceRate: slots / Math.max(1, hosts()),
+    serviceRate: slots * ownPart(service.name),
   };
   return returns.assign(caller, room, clock.now()).delayMilliseconds;
 }
@@ -161,7 +161,7 @@
  */
 function backOffWaitMilliseconds(
   { service }: AdmittedRequest,
-  { clock, directory, hosts, backOffWaits, workEstimates }: RefusalContext,
+  { clock, directory, ownPart, backOffWaits, workEstimates }: RefusalContext,
 ): number {
   const now = clock.now();
   const ready = readyServers(service, directory);
@@ -176,7 +176,7 @@
     (1_000 * slots) / workEstimates.meanHoldMilliseconds(service.name);
   return backOffWaits.assignRetryDelay(
     service.name,
-    { perSecond, hosts: hosts() },
+    { perSecond, part: ownPart(service.name) },
     now,
   );
 }
--- a/packages/rampswitch-serving/src/relay/own_refusal_test.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal_test.ts
@@ -35,7 +35,7 @@
     },
     directory: { of: () => [ready, ready, ready, ready] },
     workEstimates: { of: () => ({ holdMilliseconds: 200 }) },
-    hosts: () => 2,
+    ownPart: () => 1 / 2,
     quarantine: {
       decide: () =>
         trialMilliseconds > 0
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -80,6 +80,8 @@
   readonly metrics: ServingMetrics;
   readonly logger: Logger;
   configuration(): ConfigurationView;
+  /** This host's part of the requests for a service, 0 to 1. */
+  ownPart(service: string): number;
   /** Number of hosts in the fleet that may be serving. */
   hosts(): number;
   /** The same, at least the listed ones; `undefined` before the list was read. */
--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -181,6 +181,15 @@
   };
 }
 
+/** Connections that this host may use to each server of the request's service. */
+function connectionsOf(
+  { service }: AdmittedRequest,
+  context: RequestContext,
+): number {
+  const part = context.ownPart(service.name);
+  return ownConnections(service, { hosts: context.hosts(), part });
+}
+
 /**
  * Limited servers that may take a request now, least loaded first. No requests
  * queue at a limited server, so it needs a free slot.
@@ -194,7 +203,7 @@
   const limited = [...permits.limited(first), ...permits.limited(otherwise)];
   if (limited.length === 0) return limited;
   context.metrics.event("limited_servers_left_out");
-  const connections = ownConnections(request.service, context.hosts());
+  const connections = connectionsOf(request, context);
   return limited
     .filter((record) => record.isReady && !record.isEjected(now))
     .filter(({ backOff: rest }) => rest.allowsSend(now))
@@ -335,7 +344,7 @@
         ? workEstimates.of(request).holdMilliseconds
         : undefined,
     excluded: tried,
-    maximumOwnRequests: ownConnections(request.service, context.hosts()),
+    maximumOwnRequests: connectionsOf(request, context),
     allows: (record) => context.brittle.allows(record),
     leavingGraceMilliseconds: leavingWindowMilliseconds(send, context),
     maximumQueueShare:
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -66,6 +66,7 @@
       prefillRate: () => 1,
     },
     prefixes: {},
+    ownPart: () => 1,
     hosts: () => 1,
     drainMilliseconds: () => 0,
     receivesDispatches: () => true,
--- a/packages/rampswitch-serving/src/server_limits/permit_waits.ts
+++ b/packages/rampswitch-serving/src/server_limits/permit_waits.ts
@@ -11,12 +11,12 @@
   nextSpacedTime,
 } from "./spaced_times.ts";
 
-/** The permits of a service, and the hosts that share them. */
+/** The permits of a service, and this host's part of them. */
 export interface PermitShare {
   /** Requests per second that the service's limited servers take together. */
   readonly perSecond: number;
-  /** Hosts that send requests of callers to these servers. */
-  readonly hosts: number;
+  /** This host's part of the requests for them, 0 to 1. */
+  readonly part: number;
 }
 
 /**
@@ -28,6 +28,9 @@
 /** Pause after a query that was not answered, in milliseconds. */
 const UNANSWERED_PAUSE_MILLISECONDS = 100;
 
+/** Minimum part that is computed with. */
+const MINIMUM_PART = 1e-3;
+
 interface ServiceWait {
   /** Time of the holder's next free permit. */
   readonly freeAt: number;
@@ -74,13 +77,13 @@
    */
   assignRetryDelay(
     service: string,
-    { perSecond, hosts }: PermitShare,
+    { perSecond, part }: PermitShare,
     now: number,
   ): number {
     const wait = this.#of(service);
     const spacing =
       perSecond > 0
-        ? (1_000 * hosts) / perSecond
+        ? 1_000 / (perSecond * Math.max(part, MINIMUM_PART))
         : MAXIMUM_RETRY_DELAY_MILLISECONDS;
     const assigned = nextSpacedTime(
       { earliest: wait.freeAt, previous: wait.assignedUntil, spacing },
--- a/packages/rampswitch-serving/src/server_limits/permit_waits_test.ts
+++ b/packages/rampswitch-serving/src/server_limits/permit_waits_test.ts
@@ -23,7 +23,7 @@
   test("assign each caller the time of a permit of its own", () => {
     const waits = new PermitWaits();
     waits.recordRefusal(SERVICE, 400, 1_000);
-    const share = { perSecond: 2, hosts: 4 };
+    const share = { perSecond: 2, part: 1 / 4 };
     const delays = [1_000, 1_000, 1_100].map((now) =>
       waits.assignRetryDelay(SERVICE, share, now),
     );
@@ -32,7 +32,7 @@
 
   test("do not exceed the maximum retry delay", () => {
     const waits = new PermitWaits();
-    const share = { perSecond: 0, hosts: 9 };
+    const share = { perSecond: 0, part: 1 / 9 };
     waits.assignRetryDelay(SERVICE, share, 1_000);
     expect(waits.assignRetryDelay(SERVICE, share, 1_000)).toBeLessThanOrEqual(
       60_000,
--- a/packages/rampswitch-serving/src/server_limits/server_permits.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_permits.ts
@@ -68,8 +68,8 @@
   /** Fleet time, in milliseconds. */
   fleetTime(): number;
   gossipIntervals(): LendingIntervals;
-  /** Number of hosts that may be serving. */
-  hosts(): number;
+  /** This host's part of the requests for a service, 0 to 1. */
+  ownPart(service: string): number;
   /** The current incarnation of a server. */
   server(id: string): LimitedServer | undefined;
   /** Queries the holder; `undefined` if no answer arrives in time. */
@@ -296,7 +296,7 @@
         sum + Math.max(MINIMUM_PERMITS_PER_SECOND, this.limitOf(server) ?? 0),
       0,
     );
-    const share = { perSecond, hosts: this.#parts.hosts() };
+    const share = { perSecond, part: this.#parts.ownPart(service) };
     return this.#waits.assignRetryDelay(
       service,
       share,
--- a/packages/rampswitch-serving/src/server_limits/server_permits_test.ts
+++ b/packages/rampswitch-serving/src/server_limits/server_permits_test.ts
@@ -47,7 +47,7 @@
         metrics: new ServingMetrics(),
         fleetTime: () => clock.now(),
         gossipIntervals: () => INTERVALS,
-        hosts: () => names.length,
+        ownPart: () => 1 / names.length,
         server: (id) => SERVERS.find(({ entry }) => entry.id === id),
         queryHolder: (holder, request): Promise<PermitReply | undefined> => {
           state.queries += 1;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -32,6 +32,7 @@
   type StoredFormats,
 } from "./configuration/configuration_follower.ts";
 import { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
+import { FleetArrivals } from "./demand/mod.ts";
 import { HostDuties } from "./duties/mod.ts";
 import { CallerServer } from "./intake/caller_server.ts";
 import { ServerAccess } from "./forwarding/mod.ts";
@@ -58,7 +59,6 @@
 } from "./rollout/mod.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
-import { ArrivalRates } from "./relay/arrival_rates.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import { addedLoadTokens } from "./relay/prompt_load.ts";
 import type { RequestContext } from "./relay/request_context.ts";
@@ -157,6 +157,7 @@
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
   readonly #readingRates = new ReadingRates();
+  readonly #arrivals: FleetArrivals;
   readonly #room: RoomAdmission;
   readonly #permits: ServerPermits;
   readonly #brittle: BrittleServers;
@@ -259,7 +260,7 @@
       fleetTime: () => this.#fleetTime(),
       gossipIntervals: () =>
         GOSSIP_TIMING_BY_ROLE[this.#membership?.role ?? "direct"],
-      hosts: () => this.#membership?.size ?? 1,
+      ownPart: (service) => this.#ownPart(service),
       server: (id) => this.#directory.get(id),
       queryHolder: async (holder, request) =>
         this.#membership?.queryPermit(holder, request),
@@ -310,15 +311,17 @@
         },
       },
     });
-    const arrivalRates = new ArrivalRates(ports.clock.now());
+    this.#arrivals = new FleetArrivals(
+      ports.clock.now(),
+      () => this.#membership?.size ?? 1,
+    );
     this.#room = new RoomAdmission({
       hosts: () => this.#membership?.size ?? 1,
       lagMilliseconds: () => this.#gossipLagMilliseconds(),
       meanHoldMilliseconds: (service) =>
         this.#workEstimates.meanHoldMilliseconds(service),
       draw: () => ports.random.next(),
-      recordArrival: (service, now) =>
-        arrivalRates.addArrival(service, now) * (this.#membership?.size ?? 1),
+      recordArrival: (service, now) => this.#arrivals.addArrival(service, now),
       admittedWhileShort: (rank) => ports.metrics.roomAdmitted(rank),
       shareComputed: (share) => {
         ports.metrics.gauge("room_share", share);
@@ -433,6 +436,7 @@
       rollouts: this.#rollouts,
       permits: this.#permits,
       leavingAdvertisements: this.#leavingAdvertisements,
+      arrivals: this.#arrivals,
       roomCounts: this.#room.counts,
       reservations: this.#returns.reservations,
       brittle: this.#brittle,
@@ -638,6 +642,7 @@
         ageMilliseconds: this.#follower.age,
         keysTrusted: this.#keysTrusted(),
       }),
+      ownPart: (service) => this.#ownPart(service),
       hosts: () => this.#membership?.size ?? 1,
       listedHosts: () => this.#membership?.listedSize,
       drainMilliseconds: () => this.#settings.bounds.drainMilliseconds,
@@ -655,6 +660,10 @@
     };
   }
 
+  #ownPart(service: string): number {
+    return this.#arrivals.ownPart(service, this.#ports.clock.now());
+  }
+
   #gossipLagMilliseconds(): number {
     return gossipLagMilliseconds(this.#membership?.role ?? "direct");
   }
