Give a host that gets most requests more of the slots of brittle servers

Cause: slots of brittle servers are divided evenly, one a host, and idle ones are not lent; the same class as the arrivals (a share inferred from an even spread). Ruled out: lending by messages (a run that began on a lent slot outlasts any lease, so the lender could not know when its slot is back); shares in proportion to the rates (usual variation would move slots all the time, and views that differ would overrun a server). Change: a host with at least twice the rate of most weighs 2, 4, 8 and so on, up to the number of hosts, when nine tenths of the hosts' rates are known; else shares are even as before. A share that falls counts at once, one that rises 1.5 s later, when the others have given up theirs. In fleets with relays rates are known in sum alone, and shares stay even.

--- a/packages/rampswitch-serving/src/brittle/brittle_servers.ts
+++ b/packages/rampswitch-serving/src/brittle/brittle_servers.ts
@@ -12,7 +12,7 @@
 import type { ServerIncarnation } from "../model/backend_server.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { ShareWaits } from "./share_waits.ts";
-import { slotShare } from "./slot_share.ts";
+import { type RatesByHost, slotShare, weightsOf } from "./slot_share.ts";
 
 /** Time without a statement after which a server no longer counts, in milliseconds. */
 const STATEMENT_LIFETIME_MILLISECONDS = 15_000;
@@ -23,6 +23,9 @@
 /** Share of a server's bound from which on known rejections stop all sends to it. */
 const SPENT_SHARE = 0.5;
 
+/** Time after which a share that rises counts, in milliseconds. */
+const RISE_MILLISECONDS = 1_500;
+
 /** Time for which a host's shares are computed once, in milliseconds. */
 const SHARE_LIFETIME_MILLISECONDS = 500;
 
@@ -55,12 +58,20 @@
   readonly host: string;
   /** All present hosts, this one included. */
   hosts(): readonly string[];
+  /** Requests per second of a service, by host as far as they are known. */
+  rates(service: string): RatesByHost;
   /** A listed server. */
   server(id: string): ServerRecord | undefined;
   /** Called when the other hosts should know at once. */
   broadcast(): void;
 }
 
+/** A host's share of a server's slots, as computed at some time. */
+interface ComputedShare {
+  readonly slots: number;
+  readonly at: number;
+}
+
 interface Statement {
   readonly record: ServerRecord;
   readonly bound: number;
@@ -84,8 +95,8 @@
   readonly #ownRejections = new Map<string, readonly number[]>();
   /** Rejections that peers met, by server and then by host. */
   readonly #peerRejections = new Map<string, Map<string, PeerRejections>>();
-  readonly #shares = new Map<string, number>();
-  #sharesAt = -Infinity;
+  /** Shares by server, the newest last. */
+  readonly #shares = new Map<string, readonly ComputedShare[]>();
 
   constructor(parts: BrittleServersParts) {
     this.#parts = parts;
@@ -221,9 +232,14 @@
     [...this.#statements]
       .filter(([, one]) => !this.#isFresh(one))
       .forEach(([id]) => this.#statements.delete(id));
-    [...this.#ownRejections.keys(), ...this.#peerRejections.keys()]
+    [
+      ...this.#ownRejections.keys(),
+      ...this.#peerRejections.keys(),
+      ...this.#shares.keys(),
+    ]
       .filter((id) => !this.#statements.has(id))
       .forEach((id) => {
+        this.#shares.delete(id);
         this.#ownRejections.delete(id);
         this.#peerRejections.delete(id);
       });
@@ -241,18 +257,29 @@
       .reduce((sum, { count }) => sum + count, 0);
   }
 
-  #shareOf({ entry: { id, slots } }: ServerRecord): number {
-    const now = this.#parts.clock.now();
-    if (now - this.#sharesAt >= SHARE_LIFETIME_MILLISECONDS) {
-      this.#shares.clear();
-      this.#sharesAt = now;
-    }
+  /**
+   * This host's share of a server's slots. A share that falls counts at once, one that
+   * rises only when the other hosts have given up theirs.
+   */
+  #shareOf({ entry: { id, slots, service } }: ServerRecord): number {
     const parts = this.#parts;
-    const share =
-      this.#shares.get(id) ??
-      slotShare({ id, slots }, parts.host, parts.hosts());
-    this.#shares.set(id, share);
-    return share;
+    const now = parts.clock.now();
+    const known = this.#shares.get(id) ?? [];
+    const newest = known.at(-1);
+    if (
+      newest === undefined ||
+      now - newest.at >= SHARE_LIFETIME_MILLISECONDS
+    ) {
+      const hosts = parts.hosts();
+      const weights = weightsOf(parts.rates(service), hosts);
+      const computed = slotShare({ id, slots }, parts.host, { hosts, weights });
+      this.#shares.set(id, [
+        ...known.filter(({ at }) => now - at < RISE_MILLISECONDS),
+        { slots: computed, at: now },
+      ]);
+    }
+    const counted = this.#shares.get(id) ?? [];
+    return Math.min(...counted.map((share) => share.slots));
   }
 
   #log(message: string, server: string, bound?: number): void {
--- a/packages/rampswitch-serving/src/brittle/brittle_servers_test.ts
+++ b/packages/rampswitch-serving/src/brittle/brittle_servers_test.ts
@@ -7,7 +7,7 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { BrittleServers } from "./brittle_servers.ts";
 import { ShareWaits } from "./share_waits.ts";
-import { slotShare } from "./slot_share.ts";
+import { slotShare, weightsOf } from "./slot_share.ts";
 import { backendServerStandin } from "../model/backend_server_standin.ts";
 
 const BOUND = 5;
@@ -18,7 +18,10 @@
   );
 }
 
-function fleetOf(hosts: readonly string[]) {
+function fleetOf(
+  hosts: readonly string[],
+  rates: ReadonlyMap<string, number> = new Map(),
+) {
   const clock = new ManualClock();
   const records = new Map(
     ["s1", "s2"].map((id) => [id, recordOf(id, 7)] as const),
@@ -32,6 +35,7 @@
         metrics: new ServingMetrics(),
         host,
         hosts: () => hosts,
+        rates: () => rates,
         server: (id) => records.get(id),
         broadcast: () => undefined,
       }),
@@ -43,6 +47,63 @@
 }
 
 describe("shares of a server's slots", () => {
+  test("follow the requests that hosts get, and are never more than its slots", () => {
+    fc.assert(
+      fc.property(
+        fc.nat(200),
+        fc.array(fc.nat(1_000), { minLength: 1, maxLength: 40 }),
+        (slots, rates) => {
+          const hosts = rates.map((_, index) => `h${index}`);
+          const byHost = new Map(
+            rates.map((rate, index) => [`h${index}`, rate]),
+          );
+          const weights = weightsOf(byHost, hosts);
+          const shares = hosts.map((host) =>
+            slotShare({ id: "s1", slots }, host, { hosts, weights }),
+          );
+          return shares.reduce((sum, share) => sum + share, 0) === slots;
+        },
+      ),
+    );
+    const hosts = Array.from({ length: 8 }, (_, index) => `h${index}`);
+    const rates = new Map(hosts.map((host) => [host, 2]));
+    const weights = weightsOf(rates.set("h0", 100), hosts);
+    const shareOf = (host: string) =>
+      slotShare({ id: "s1", slots: 64 }, host, { hosts, weights });
+    expect(shareOf("h0")).toBeGreaterThan(32);
+    expect(shareOf("h1")).toBeGreaterThanOrEqual(4);
+  });
+
+  test("are even while no host gets twice as much as most", () => {
+    const hosts = ["a", "b", "c", "d"];
+    const rates = new Map([
+      ["a", 19],
+      ["b", 10],
+      ["c", 11],
+      ["d", 6],
+    ]);
+    expect(weightsOf(rates, hosts).size).toBe(0);
+    expect(weightsOf(new Map(), hosts).size).toBe(0);
+  });
+
+  test("rise only once the other hosts have given up theirs", () => {
+    const rates = new Map<string, number>();
+    const { clock, of, record } = fleetOf(["a", "b"], rates);
+    of("a").recordAdvertised(record, BOUND);
+    record.started(0);
+    expect(of("a").allows(record)).toBe(false);
+    rates.set("a", 100).set("b", 1);
+    const rose = Array.from({ length: 6 }, () => {
+      clock.advance(600);
+      of("a").recordAdvertised(record, BOUND);
+      return of("a").allows(record);
+    });
+    expect(rose.slice(0, 2)).toEqual([false, false]);
+    rates.set("a", 1).set("b", 100);
+    clock.advance(600);
+    expect(of("a").allows(record)).toBe(false);
+  });
+
   test("are never more than its slots together, and all of them are shared", () => {
     fc.assert(
       fc.property(
@@ -54,7 +115,7 @@
             (_, index) => `h${index}`,
           );
           const shares = hosts.map((host) =>
-            slotShare({ id: "s1", slots }, host, hosts),
+            slotShare({ id: "s1", slots }, host, { hosts }),
           );
           const sum = shares.reduce((total, share) => total + share, 0);
           return (
@@ -131,6 +192,7 @@
       metrics: new ServingMetrics(),
       host: "a",
       hosts: () => ["a"],
+      rates: () => new Map(),
       server: () => record,
       broadcast: () => undefined,
     });
--- a/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
+++ b/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
@@ -54,6 +54,18 @@
       : 1 / Math.max(1, this.#hosts());
   }
 
+  /**
+   * Requests per second by peer, as far as they are known one by one; a digest adds
+   * them up.
+   */
+  peerRates(service: string, now: number): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.#fresh(now)]
+        .filter(([peer]) => peer !== FLEET_SENDER)
+        .map(([peer, report]) => [peer, report[service] ?? 0]),
+    );
+  }
+
   /** Rates of this host for its peers. */
   ownReport(now: number): ArrivalReport {
     return Object.fromEntries(
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -270,6 +270,7 @@
       ...ports,
       host: settings.host,
       hosts: () => this.#membership?.presentHosts ?? [settings.host],
+      rates: (service) => this.#ratesByHost(service),
       server: (id) => this.#directory.get(id),
       broadcast: () => promptUpdates.trigger(),
     });
@@ -660,6 +661,13 @@
     };
   }
 
+  #ratesByHost(service: string): ReadonlyMap<string, number> {
+    const now = this.#ports.clock.now();
+    const own = this.#arrivals.ownReport(now)[service] ?? 0;
+    const peers = this.#arrivals.peerRates(service, now);
+    return new Map([...peers, [this.#settings.host, own]]);
+  }
+
   #ownPart(service: string): number {
     return this.#arrivals.ownPart(service, this.#ports.clock.now());
   }
