Count servers that fall silent together as one end under a prompt part

Change: an end that was noticed by silence is separate from the one before after 1.5 s, one by a broken connection after 100 ms; the name of an end tells which. Two hosts that notice one end differently count it once. At most 32 parts of a stalled request are remembered.

--- a/packages/rampswitch-serving/src/quarantine/part_evidence.ts
+++ b/packages/rampswitch-serving/src/quarantine/part_evidence.ts
@@ -9,12 +9,19 @@
  * @module
  */
 import type { QuarantineEntry } from "./quarantine_entry.ts";
+import { type EndKind, endOfName } from "./server_end.ts";
+
+/** When and how the end of a server was noticed. */
+export interface NoticedEnd {
+  readonly at: number;
+  readonly kind: EndKind;
+}
 
 /** Losses and the newest answer of one part. */
 export interface PartEvidence {
   readonly key: string;
-  /** Ends of servers under requests with the part since its newest answer. */
-  readonly ends: ReadonlyMap<string, number>;
+  /** Ends of servers since the newest answer, by incarnation. */
+  readonly ends: ReadonlyMap<string, NoticedEnd>;
   /** When the newest answer with the part began; `-Infinity` if none is known. */
   readonly answeredAt: number;
 }
@@ -44,16 +51,28 @@
 
 /**
  * Time within which ends count as one, in milliseconds: servers that a platform ends
- * together end under every part that is in use.
+ * together end under every part that is in use. Silence is noticed by requests that
+ * wait, one after the other.
  */
-const SAME_END_MILLISECONDS = 100;
+const SAME_END_MILLISECONDS: Readonly<Record<EndKind, number>> = {
+  broken: 100,
+  silent: 1_500,
+};
 
 /** Returns the evidence on a part. */
 export function evidenceOf(
   key: string,
   { lostIncarnations, completedAt }: QuarantineEntry,
 ): PartEvidence {
-  return { key, ends: lostIncarnations, answeredAt: completedAt };
+  const ends = new Map<string, NoticedEnd>();
+  lostIncarnations.forEach((at, name) => {
+    const { incarnation, kind } = endOfName(name);
+    // Some hosts may notice a broken connection, and others silence.
+    if (kind === "broken" || !ends.has(incarnation)) {
+      ends.set(incarnation, { at, kind });
+    }
+  });
+  return { key, ends, answeredAt: completedAt };
 }
 
 /**
@@ -63,15 +82,17 @@
  */
 export function crashVerdict(
   parts: readonly PartEvidence[],
-  explainedByRequests: (end: string) => boolean,
+  isExplainedByRequest: (incarnation: string) => boolean,
 ): CrashVerdict {
-  const candidates = parts.filter(isCandidate).toSorted(bySuspicion);
+  const candidates = parts
+    .filter((part) => isCandidate(part))
+    .toSorted(bySuspicion);
   const explained = new Set<string>();
   const held: ReadonlySet<string>[] = [];
   candidates.forEach((part) => {
     const unexplained = unexplainedEnds(part, explained);
     if (!reaches(unexplained, thresholdsOf(part).held)) return;
-    if (unexplained.every(([end]) => explainedByRequests(end))) return;
+    if (unexplained.every(([end]) => isExplainedByRequest(end))) return;
     held.push(new Set(twinsOf(part, candidates).map(({ key }) => key)));
     [...part.ends.keys()].forEach((end) => explained.add(end));
   });
@@ -82,7 +103,11 @@
 }
 
 /** Whether a part has so many ends that it may be suspected. */
-export function isCandidate({ ends }: Pick<PartEvidence, "ends">): boolean {
+export function isCandidate({
+  ends,
+}: {
+  readonly ends: { readonly size: number };
+}): boolean {
   return ends.size >= UNANSWERED.suspected;
 }
 
@@ -102,21 +127,23 @@
 function unexplainedEnds(
   { ends }: PartEvidence,
   explained: ReadonlySet<string>,
-): readonly (readonly [string, number])[] {
+): readonly (readonly [string, NoticedEnd])[] {
   return [...ends].filter(([end]) => !explained.has(end));
 }
 
 /** Whether so many ends are separate. */
 function reaches(
-  ends: readonly (readonly [string, number])[],
+  ends: readonly (readonly [string, NoticedEnd])[],
   threshold: number,
 ): boolean {
   if (ends.length < threshold) return false;
-  const times = ends.map(([, at]) => at).toSorted((one, other) => one - other);
+  const noticed = ends
+    .map(([, end]) => end)
+    .toSorted((one, other) => one.at - other.at);
   let separate = 0;
   let last = -Infinity;
-  times.forEach((at) => {
-    if (at - last < SAME_END_MILLISECONDS) return;
+  noticed.forEach(({ at, kind }) => {
+    if (at - last < SAME_END_MILLISECONDS[kind]) return;
     separate += 1;
     last = at;
   });
--- a/packages/rampswitch-serving/src/quarantine/part_quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/part_quarantine.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { type Clock, hash32, type Logger } from "rampswitch-utils";
+import type { Clock, Logger } from "rampswitch-utils";
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
   type CrashVerdict,
@@ -32,7 +32,8 @@
   updateOf,
 } from "./quarantine_update.ts";
 import { type AnsweredParts, RecentAnswers } from "./recent_answers.ts";
-import { headOfKey, type SharedParts } from "./shared_parts.ts";
+import { endOfName, nameOfEnd, versionHashOf } from "./server_end.ts";
+import { headOfKey, KEY_DIGITS, type SharedParts } from "./shared_parts.ts";
 import { UnconfirmedLosses } from "./unconfirmed_losses.ts";
 
 /** A server that ended, or that may have. */
@@ -78,6 +79,9 @@
 /** Maximum number of parts of one lost request that are tracked. */
 const MAXIMUM_PARTS_OF_REQUEST = 256;
 
+/** The same of a request whose server fell silent. */
+const MAXIMUM_UNCONFIRMED_PARTS = 32;
+
 /** Maximum number of parts with losses, and of cleared ones, in one message. */
 const MAXIMUM_REPORTED_PARTS = 32;
 
@@ -99,9 +103,6 @@
 /** Maximum number of characters of a caller's part id in a log line. */
 const MAXIMUM_LOGGED_ID_LENGTH = 64;
 
-/** Hexadecimal digits of a version's hash in the name of an end. */
-const VERSION_DIGITS = 8;
-
 const FREE: QuarantineDecision = { kind: "free" };
 const TRIAL: QuarantineDecision = { kind: "trial" };
 const NO_VERDICT: CrashVerdict = { held: [], suspected: new Set() };
@@ -164,7 +165,7 @@
 
   /** Records that a server ended under a request whose answer had hardly begun. */
   recordLoss(request: SharedParts, server: EndedServer): void {
-    const end = endName(server);
+    const end = nameOfEnd({ ...endOf(server), kind: "broken" });
     const now = this.#parts.clock.now();
     this.#lossKeys(request).forEach((key) => {
       const isNew = this.#countLoss(key, end, now);
@@ -179,9 +180,12 @@
   recordUnresponsive(request: SharedParts, server: EndedServer): void {
     const { incarnation } = server;
     const now = this.#parts.clock.now();
-    this.#lossKeys(request).forEach((key) =>
-      this.#unconfirmed.add(incarnation, `${key}${versionHash(server)}`, now),
-    );
+    const end = nameOfEnd({ ...endOf(server), kind: "silent" });
+    this.#lossKeys(request)
+      .slice(0, MAXIMUM_UNCONFIRMED_PARTS)
+      .forEach((key) =>
+        this.#unconfirmed.add(incarnation, `${key}${end}`, now),
+      );
   }
 
   /** Records that an incarnation of a server ended without an announcement. */
@@ -189,9 +193,8 @@
     this.#unconfirmed
       .take(incarnation, this.#parts.clock.now())
       .forEach(({ fingerprint, at }) => {
-        const key = fingerprint.slice(0, -VERSION_DIGITS);
-        const version = fingerprint.slice(-VERSION_DIGITS);
-        this.#countLoss(key, `${incarnation}#${version}`, at);
+        const key = fingerprint.slice(0, KEY_DIGITS);
+        this.#countLoss(key, fingerprint.slice(KEY_DIGITS), at);
       });
   }
 
@@ -312,8 +315,8 @@
     const parts = [...this.#tracked]
       .filter(([, { entry }]) => isCandidate({ ends: entry.lostIncarnations }))
       .map(([key, { entry }]) => evidenceOf(key, this.#withoutRefuted(entry)));
-    this.#verdict = crashVerdict(parts, (end) =>
-      this.#parts.isExplained(incarnationOf(end)),
+    this.#verdict = crashVerdict(parts, (incarnation) =>
+      this.#parts.isExplained(incarnation),
     );
     this.#verdictUntil = now + VERDICT_LIFETIME_MILLISECONDS;
     return this.#verdict;
@@ -324,7 +327,7 @@
     const kept = [...entry.lostIncarnations].filter(
       ([end, at]) =>
         this.#parts.wasHeardAfter?.(
-          incarnationOf(end),
+          endOfName(end).incarnation,
           at + NOTICE_MILLISECONDS,
         ) !== true,
     );
@@ -405,8 +408,10 @@
     this.#parts.logger.info(message, {
       part: key,
       id: loss?.id,
-      life: loss === undefined ? undefined : incarnationOf(loss.end),
-      ends: [...lostIncarnations.keys()].map(incarnationOf).join(","),
+      life: loss && endOfName(loss.end).incarnation,
+      ends: [...lostIncarnations.keys()]
+        .map((name) => endOfName(name).incarnation)
+        .join(","),
       trials,
       answeredAge: Number.isFinite(completedAt)
         ? Math.round(now - completedAt)
@@ -426,20 +431,16 @@
   );
 }
 
-function versionHash({ version }: Pick<EndedServer, "version">): string {
-  return hash32(version).toString(16).padStart(VERSION_DIGITS, "0");
-}
-
-/** Name of an end: the incarnation and the hash of its software's version. */
-function endName(server: EndedServer): string {
-  return `${server.incarnation}#${versionHash(server)}`;
-}
-
-function incarnationOf(end: string): string {
-  return end.slice(0, -VERSION_DIGITS - 1);
+function endOf({ incarnation, version }: EndedServer): {
+  readonly incarnation: string;
+  readonly versionHash: string;
+} {
+  return { incarnation, versionHash: versionHashOf(version) };
 }
 
 function endedAtVersion(entry: QuarantineEntry, version: string): boolean {
-  const suffix = `#${versionHash({ version })}`;
-  return [...entry.lostIncarnations.keys()].some((end) => end.endsWith(suffix));
+  const versionHash = versionHashOf(version);
+  return [...entry.lostIncarnations.keys()].some(
+    (name) => endOfName(name).versionHash === versionHash,
+  );
 }
--- a/packages/rampswitch-serving/src/quarantine/part_quarantine_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/part_quarantine_test.ts
@@ -324,6 +324,24 @@
     expect(quarantine.forbidsResend(partsOf("first"))).toBe(false);
   });
 
+  test("is not held for servers that fall silent together, one request after the other", () => {
+    const clock = new ManualClock(1_000);
+    const quarantine = quarantineOf(clock);
+    const lives = Array.from({ length: 6 }, (_, index) => `l${index}`);
+    lives.forEach((life) => {
+      quarantine.recordUnresponsive(partsOf("first"), ended(life));
+      clock.advance(300);
+    });
+    lives.forEach((life) => quarantine.incarnationEnded(life));
+    expect(quarantine.decide(partsOf("first")).kind).toBe("free");
+    lives.slice(0, 3).forEach((life) => {
+      quarantine.recordUnresponsive(partsOf("bad"), ended(`${life}-later`));
+      clock.advance(2_000);
+      quarantine.incarnationEnded(`${life}-later`);
+    });
+    expect(quarantine.decide(partsOf("bad")).kind).toBe("held");
+  });
+
   test("is cleared by an answer that has come for half a second, but not by a younger one", () => {
     const clock = new ManualClock(1_000);
     const answers: AnsweredParts[] = [];
--- a/packages/rampswitch-serving/src/quarantine/shared_parts.ts
+++ b/packages/rampswitch-serving/src/quarantine/shared_parts.ts
@@ -17,6 +17,9 @@
 /** Hexadecimal digits of the second part. */
 const CONTENT_DIGITS = 16;
 
+/** Characters of a key. */
+export const KEY_DIGITS = HEAD_DIGITS + CONTENT_DIGITS;
+
 /** The shared parts of one prompt. Keys are computed when they are first needed. */
 export class SharedParts {
   /** Name of the service that reads the prompt. */
