Take the types of limit requests out of the import circle

admission/ and membership/ imported each other: 18 files in one circle. The request for admission and the decision on it stand in admission/limit_request.ts now, which imports neither; the query between hosts extends it. Nothing else changes; tests of admission/ and membership/ pass.

--- a/packages/rampswitch-serving/src/admission/fleet_admission.ts
+++ b/packages/rampswitch-serving/src/admission/fleet_admission.ts
@@ -14,9 +14,9 @@
  * @module
  */
 import type { Clock } from "rampswitch-utils";
-import type { LimitRequest } from "../membership/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
-import type { LimitDecision, WorkspaceLimits } from "./workspace_limits.ts";
+import type { LimitDecision, LimitRequest } from "./limit_request.ts";
+import type { WorkspaceLimits } from "./workspace_limits.ts";
 
 /** Dependencies of {@link FleetAdmission}. */
 export interface FleetAdmissionParts {
--- a/packages/rampswitch-serving/src/admission/fleet_admission_test.ts
+++ b/packages/rampswitch-serving/src/admission/fleet_admission_test.ts
@@ -3,10 +3,10 @@
 import { describe, expect, test } from "@jest/globals";
 import { ManualClock, type Random, seededRandom } from "rampswitch-utils";
 import { RELAYED_GOSSIP_TIMING } from "../membership/relay_plan.ts";
-import type { LimitRequest } from "../membership/mod.ts";
 import type { Workspace } from "../model/configuration.ts";
 import { ServingMetrics } from "../observation/mod.ts";
 import { FleetAdmission } from "./fleet_admission.ts";
+import type { LimitRequest } from "./limit_request.ts";
 import { WorkspaceLimits } from "./workspace_limits.ts";
 
 const TOLERANCE = {
--- a/packages/rampswitch-serving/src/admission/mod.ts
+++ b/packages/rampswitch-serving/src/admission/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export * from "./fleet_admission.ts";
+export type * from "./limit_request.ts";
 export type * from "./peer_consumption.ts";
 export * from "./resend_budget.ts";
 export type * from "./consumption_pacer.ts";
--- a/packages/rampswitch-serving/src/admission/workspace_limits.ts
+++ b/packages/rampswitch-serving/src/admission/workspace_limits.ts
@@ -12,6 +12,7 @@
 import { MAXIMUM_DIRECT_HOSTS } from "../membership/relay_plan.ts";
 import type { Random } from "rampswitch-utils";
 import type { Workspace } from "../model/configuration.ts";
+import type { LimitDecision } from "./limit_request.ts";
 import {
   type AdmittedTotals,
   PeerConsumptionTracker,
@@ -105,11 +106,6 @@
 /** Levels of the buckets of a host, in tokens. */
 export type BucketLevels = Readonly<Record<string, number>>;
 
-/** The decision on a request for admission. */
-export type LimitDecision =
-  | { readonly kind: "admitted" }
-  | { readonly kind: "over_limit"; readonly retryAfterMilliseconds: number };
-
 /** Token buckets of all workspaces, as one host estimates them. */
 export class WorkspaceLimits {
   #tolerance: LimitTolerance;
--- a/packages/rampswitch-serving/src/membership/limit_queries.ts
+++ b/packages/rampswitch-serving/src/membership/limit_queries.ts
@@ -7,16 +7,10 @@
  * @module
  */
 import type { Clock } from "rampswitch-utils";
-import type { LimitDecision } from "../admission/mod.ts";
-import type { LimitAnswer, LimitQuery } from "./peer_messages.ts";
+import type { LimitDecision, LimitRequest } from "../admission/mod.ts";
+import type { LimitAnswer } from "./peer_messages.ts";
 import { PendingQueries } from "./pending_queries.ts";
 
-/** The request that a relay decides on. */
-export type LimitRequest = Pick<
-  LimitQuery,
-  "workspace" | "tokens" | "priority"
->;
-
 /**
  * Timeout of an answer, in milliseconds: a few event-loop iterations of a busy
  * relay in the same data hall, and well below the shortest latency targets of
--- a/packages/rampswitch-serving/src/membership/limit_queries_test.ts
+++ b/packages/rampswitch-serving/src/membership/limit_queries_test.ts
@@ -2,7 +2,8 @@
 
 import { describe, expect, test } from "@jest/globals";
 import { ManualClock } from "rampswitch-utils";
-import { type LimitRequest, LimitQueries } from "./limit_queries.ts";
+import type { LimitRequest } from "../admission/mod.ts";
+import { LimitQueries } from "./limit_queries.ts";
 
 const REQUEST: LimitRequest = { workspace: "w", tokens: 700, priority: 1 };
 const ADMITTED = { kind: "admitted" } as const;
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -16,7 +16,7 @@
   repeat,
 } from "rampswitch-utils";
 import type { ChangeBatch, ObjectStore } from "rampswitch-store";
-import type { LimitDecision } from "../admission/mod.ts";
+import type { LimitDecision, LimitRequest } from "../admission/mod.ts";
 import { PEER_WORK_LIFETIME_MILLISECONDS } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { TrialRank } from "../quarantine/mod.ts";
@@ -31,7 +31,7 @@
 import { FleetTime } from "./fleet_time.ts";
 import { PendingQueries } from "./pending_queries.ts";
 import { HostRegistry } from "./host_registry.ts";
-import { type LimitRequest, LimitQueries } from "./limit_queries.ts";
+import { LimitQueries } from "./limit_queries.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
 import type {
   AgedUpdate,
--- a/packages/rampswitch-serving/src/membership/mod.ts
+++ b/packages/rampswitch-serving/src/membership/mod.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-export type { LimitRequest } from "./limit_queries.ts";
 export type { HostRole } from "./fleet_hosts.ts";
 export { gossipLagMilliseconds, GOSSIP_TIMING_BY_ROLE } from "./fleet_hosts.ts";
 export * from "./membership.ts";
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -11,6 +11,7 @@
   AdmittedTotals,
   BucketLevels,
   LimitDecision,
+  LimitRequest,
 } from "../admission/mod.ts";
 import type { BrittleUpdate } from "../brittle/mod.ts";
 import type {
@@ -175,15 +176,11 @@
 }
 
 /** Query of a host to a relay: does a request fit into a limit? */
-export interface LimitQuery {
+export interface LimitQuery extends LimitRequest {
   /** Repeated in the answer; increases with each query of the host's incarnation. */
   readonly id: number;
   /** Address at which the host receives the answer. */
   readonly address: string;
-  readonly workspace: string;
-  readonly tokens: number;
-  /** Rank of the request's route; 0 is the most urgent. */
-  readonly priority: number;
 }
 
 /** Answer of a relay to a limit query. */
