Take a host's part of the demand from the arrivals while its peers report none

Cause: peers report demand by class only while capacity is short; until then a host took itself for one of equal hosts, found its own load times their number above the slots, refused for a gossip round, and again three seconds after. Change: while no peer reports, the host's part is that of the arrivals. With reports nothing changes.

--- a/packages/rampswitch-serving/src/room/room_admission.ts
+++ b/packages/rampswitch-serving/src/room/room_admission.ts
@@ -89,6 +89,11 @@
    * from it; without it, from the demand that was counted.
    */
   recordArrival?(service: string, now: number): number;
+  /**
+   * This host's part of the arrivals at a service, 0 to 1, while its peers report no
+   * demand; without it, an even one.
+   */
+  ownPart?(service: string): number;
   /** Called for each request that is admitted while capacity is short. */
   admittedWhileShort?(rank: string): void;
   /** Called with the smallest share of the demand that the services have room for. */
@@ -315,7 +320,7 @@
     const room = roomOfServers(servers, {
       holdMilliseconds: meanHold,
       lagMilliseconds: lag,
-      ownPart: state.ownPart ?? 1 / Math.max(1, source.hosts()),
+      ownPart: state.ownPart ?? this.#arrivalPart(service),
       growth: state.growth,
     });
     // A refusal beside free slots may be due to reports from before the latest sends.
@@ -338,7 +343,8 @@
       hosts: source.hosts(),
     });
     state.classes = demand.size;
-    const expected = this.#allocate(state, { demand, room, lag, now });
+    const known = this.#knownPart(service, now);
+    const expected = this.#allocate(state, { demand, room, known, lag, now });
     state.randomShare = admittedShare(slotTotals(servers), {
       arrivalsPerMillisecond:
         this.#arrivals.get(service) ?? expected / meanHold,
@@ -354,19 +360,33 @@
     this.#source.shareComputed?.(Math.min(...shares));
   }
 
+  /** Part of the demand that is known: this host's alone, or some peers' as well. */
+  #knownPart(service: string, now: number): number {
+    const hosts = Math.max(1, this.#source.hosts());
+    const known = this.counts.knownHosts(hosts, now);
+    return known > 1 ? known / hosts : this.#arrivalPart(service);
+  }
+
+  #arrivalPart(service: string): number {
+    return (
+      this.#source.ownPart?.(service) ?? 1 / Math.max(1, this.#source.hosts())
+    );
+  }
+
   /** Divides the room among the classes; returns the demand over all hosts. */
   #allocate(
     state: ServiceState,
     inputs: {
       readonly demand: ReadonlyMap<string, FleetDemand>;
       readonly room: ServiceRoom;
+      /** Part of the demand over all hosts that is known. */
+      readonly known: number;
       readonly lag: number;
       readonly now: number;
     },
   ): number {
-    const { demand, room, lag, now } = inputs;
+    const { demand, room, known, lag, now } = inputs;
     const hosts = Math.max(1, this.#source.hosts());
-    const known = this.counts.knownHosts(hosts, now) / hosts;
     const entries = [...demand];
     const total = entries.reduce((sum, [, { fleet }]) => sum + fleet, 0);
     // Hosts whose demand is not known are assumed to have as much as the others.
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -323,6 +323,7 @@
         this.#workEstimates.meanHoldMilliseconds(service),
       draw: () => ports.random.next(),
       recordArrival: (service, now) => this.#arrivals.addArrival(service, now),
+      ownPart: (service) => this.#ownPart(service),
       admittedWhileShort: (rank) => ports.metrics.roomAdmitted(rank),
       shareComputed: (share) => {
         ports.metrics.gauge("room_share", share);
