Give callers no length that the server did not tell

Cause: a server that lives may break off an answer that has neither a length nor chunks, with a FIN. Framing can't tell, and the host vouched for it: it sent such a body with a length. A server that takes no new connection still counts as gone. A body that is cut by a FIN still reaches its caller without a sign; what callers make of it is theirs.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -17,14 +17,21 @@
   /** The connection ended, or the data received on it is not HTTP. */
   | "lost";
 
+/** How the end of an answer is told. */
+export type AnswerFraming =
+  /** By a length or by chunks. */
+  | "framed"
+  /** By the end of its connection alone, so that a part of it looks the same. */
+  | "unframed";
+
 /** Receives the events of a send. */
 export interface SendListener {
   /** The request is being written to a connection. */
   written(): void;
   head(status: number, rawHeaders: RawHeaders): void;
   data(chunk: Buffer): void;
-  /** The answer is complete. */
-  ended(): void;
+  /** The answer is complete, as far as its framing tells. */
+  ended(framing: AnswerFraming): void;
   failed(failure: SendFailure, detail: string): void;
 }
 
@@ -317,7 +324,7 @@
 
   readonly #handleEnd: Readonly<Record<ConnectionEnd | "framed", () => void>> =
     {
-      framed: () => this.#listener.ended(),
+      framed: () => this.#listener.ended("framed"),
       reset: () =>
         this.#listener.failed(
           "lost",
@@ -333,7 +340,7 @@
   async #endUnframed(): Promise<void> {
     const isAlive = await this.#isAlive();
     if (this.#aborted) return;
-    if (isAlive) this.#listener.ended();
+    if (isAlive) this.#listener.ended("unframed");
     else {
       const detail = "server gone after an answer without a length";
       this.#listener.failed("lost", detail);
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type AnswerFraming,
   BackendClient,
   type OutgoingRequest,
   type Send,
@@ -96,6 +97,8 @@
   readonly #listener: SendListener;
   readonly #abort: () => void;
   #reason: Buffer | undefined;
+  /** How the server's own answer was framed. */
+  #framing: AnswerFraming = "framed";
 
   constructor(listener: SendListener, abort: () => void) {
     this.#listener = listener;
@@ -109,6 +112,8 @@
   head(status: number, rawHeaders: readonly string[]): void {
     const outcome = headerValue(rawHeaders, FORWARDING_HEADERS.outcome);
     if (outcome === "answered") {
+      const framing = headerValue(rawHeaders, FORWARDING_HEADERS.framing);
+      if (framing === "unframed") this.#framing = framing;
       this.#listener.head(status, withoutHopHeaders(rawHeaders));
     } else if (outcome === "not_sent") {
       this.#reason = Buffer.alloc(0);
@@ -126,7 +131,7 @@
   }
 
   ended(): void {
-    if (this.#reason === undefined) this.#listener.ended();
+    if (this.#reason === undefined) this.#listener.ended(this.#framing);
     else this.#listener.failed("not_written", this.#reason.toString("utf8"));
   }
 
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -21,6 +21,8 @@
   host: "x-forwarding-host",
   /** What became of the request; one of {@link ForwardingOutcome}. */
   outcome: "x-forwarding-outcome",
+  /** Whether the server's answer has neither a length nor chunks: `unframed`. */
+  framing: "x-forwarding-framing",
 } as const;
 
 /** What became of a forwarded request. */
@@ -55,6 +57,14 @@
   });
 }
 
+/** Whether an answer has a length or comes in chunks. */
+export function isFramed(headers: RawHeaders): boolean {
+  return (
+    headerValue(headers, "content-length") !== undefined ||
+    headerValue(headers, "transfer-encoding") !== undefined
+  );
+}
+
 /** Returns the value of a header; the first of several equal names counts. */
 export function headerValue(
   headers: RawHeaders,
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -25,6 +25,7 @@
 import {
   FORWARDING_HEADERS,
   headerValue,
+  isFramed,
   type NotSentReason,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
@@ -253,6 +254,7 @@
       ...withoutHopHeaders(rawHeaders),
       FORWARDING_HEADERS.outcome,
       "answered",
+      ...(isFramed(rawHeaders) ? [] : [FORWARDING_HEADERS.framing, "unframed"]),
     ]);
     this.#response.flushHeaders();
   }
--- a/packages/rampswitch-serving/src/forwarding/limited_send.ts
+++ b/packages/rampswitch-serving/src/forwarding/limited_send.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock } from "rampswitch-utils";
 import type {
+  AnswerFraming,
   BackendClient,
   OutgoingRequest,
   Send,
@@ -85,9 +86,9 @@
     this.#parts.listener.data(chunk);
   }
 
-  ended(): void {
+  ended(framing: AnswerFraming): void {
     this.#end();
-    this.#parts.listener.ended();
+    this.#parts.listener.ended(framing);
   }
 
   failed(failure: "not_written" | "lost", detail: string): void {
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -326,9 +326,9 @@
           this.#routes.reachedThrough(server);
           listener.head(status, rawHeaders);
         },
-        ended: () => {
+        ended: (framing) => {
           this.#endForwarding();
-          listener.ended();
+          listener.ended(framing);
         },
         failed: (failure, reason) => {
           this.#endForwarding();
@@ -363,7 +363,7 @@
     written: () => listener.written(),
     head: (status, rawHeaders) => listener.head(status, rawHeaders),
     data: (chunk) => listener.data(chunk),
-    ended: () => listener.ended(),
+    ended: (framing) => listener.ended(framing),
     failed: (failure, detail) => listener.failed(failure, detail),
   };
 }
--- a/packages/rampswitch-serving/src/relay/caller_answer.ts
+++ b/packages/rampswitch-serving/src/relay/caller_answer.ts
@@ -9,8 +9,15 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { abortResponse } from "rampswitch-utils";
+import type { AnswerFraming } from "../attempt/mod.ts";
 import type { RawHeaders } from "../model/request.ts";
 
+/** The body of a whole answer. */
+export interface WholeBody {
+  readonly body: Buffer;
+  readonly framing?: AnswerFraming | undefined;
+}
+
 /** The answer to one caller. */
 export class CallerAnswer {
   readonly #response: ServerResponse;
@@ -67,10 +74,24 @@
     this.#response.end();
   }
 
-  /** Sends a complete answer at once. */
-  sendWhole(status: number, headers: RawHeaders, body: Buffer): void {
+  /**
+   * Sends a complete answer at once. One whose server told no length gets none here
+   * either: it ends with the connection, and claims no more than its server did.
+   */
+  sendWhole(
+    status: number,
+    headers: RawHeaders,
+    { body, framing = "framed" }: WholeBody,
+  ): void {
     if (this.#finished) return;
     this.#finished = true;
+    if (framing === "unframed") {
+      this.#response.shouldKeepAlive = false;
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#writeHead(status, [...withoutContentLength(headers)]);
+      this.#response.end(body);
+      return;
+    }
     this.#writeHead(status, [
       ...withoutContentLength(headers),
       "Content-Length",
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -86,7 +86,7 @@
         attemptId: head.attemptId,
         retryAfterSeconds: told,
       });
-      caller.sendWhole(status, headers, Buffer.alloc(0));
+      caller.sendWhole(status, headers, { body: Buffer.alloc(0) });
     },
   };
 }
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -10,7 +10,7 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
-import { AttemptTracker } from "../attempt/mod.ts";
+import { type AnswerFraming, AttemptTracker } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
   REFUSALS,
@@ -308,7 +308,7 @@
         head: (status, raw) =>
           this.#handleHead(this.#context.codec.decodeAnswer(status, raw)),
         data: (chunk) => this.#handleData(chunk),
-        ended: () => this.#handleAnswerEnd(),
+        ended: (framing) => this.#handleAnswerEnd(framing),
         failed: (failure, detail) =>
           failure === "not_written"
             ? this.#handleNotWritten(detail)
@@ -460,14 +460,14 @@
     this.#answer.begin(head.status, head.forwarded);
   }
 
-  #handleAnswerEnd(): void {
+  #handleAnswerEnd(framing: AnswerFraming): void {
     const current = this.#current;
     const head = this.#head;
     if (current === undefined || head === undefined) return;
     if (head.notExecuted) this.#handleRejection(head);
     else if (this.request.route.streaming && isSuccess(head.status)) {
       this.#handleStreamEnd(current);
-    } else this.#handleWholeAnswer(head, current);
+    } else this.#handleWholeAnswer(head, { ...current, framing });
   }
 
   #handleStreamEnd(current: CurrentSend): void {
@@ -510,7 +510,8 @@
     }
     this.#record.firstPart(failed);
     this.#finish(failed ? "server_error" : "completed", head.status);
-    this.#answer.sendWhole(head.status, head.forwarded, body);
+    const { framing } = current;
+    this.#answer.sendWhole(head.status, head.forwarded, { body, framing });
   }
 
   #recordCompletion(current: CurrentSend, succeeded: boolean): void {
@@ -671,7 +672,7 @@
     } else if (failure !== undefined) {
       const { head, body } = failure;
       this.#finish(reason, head.status);
-      this.#answer.sendWhole(head.status, head.forwarded, body);
+      this.#answer.sendWhole(head.status, head.forwarded, { body });
     } else {
       const accurateReason =
         REFUSALS[reason].notRun && !this.#tracker.certainlyNotRun
--- a/packages/rampswitch-serving/src/relay/sends.ts
+++ b/packages/rampswitch-serving/src/relay/sends.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { Send } from "../attempt/mod.ts";
+import type { AnswerFraming, Send } from "../attempt/mod.ts";
 import type { ServerRecord, StartedWork } from "../choice/mod.ts";
 import type { RefusalReason, ResendReason } from "../model/outcome.ts";
 import type { TimedSend } from "./observed_answers.ts";
@@ -20,6 +20,8 @@
   firstPartAt?: number;
   /** First event of this send, in milliseconds. */
   answeringSince?: number;
+  /** How the end of its answer was told. */
+  readonly framing?: AnswerFraming;
   /** Events of the answer so far. */
   events: number;
 }
