Track requests and prompt parts by one class, and hash their keys in one place

The quarantine of parts had written again what that of requests had: the bounded map with counts of head hashes, its merge, eviction and expiry, the order by importance, and the losses that are refuted; and three modules hashed to eight digits. All stand once now (TrackedEntries, withoutRefuted, hashed_key.ts), and a server that ended has one type. Work in the wrong place: each send built a table of three closures for the end of its answer; a relay added up the fleet's arrivals for each member instead of once a round; an even share of a brittle server's slots sorted all hosts twice; reports that had expired were looked for with each request. Comments that read oddly are put plainly. Behaviour stays; no test changes but for the import of headHashOf.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -17,7 +17,7 @@
   /** The connection ended, or the data received on it is not HTTP. */
   | "lost";
 
-/** How the end of an answer is told. */
+/** How an answer marks its end. */
 export type AnswerFraming =
   /** By a length or by chunks. */
   | "framed"
@@ -30,7 +30,7 @@
   written(): void;
   head(status: number, rawHeaders: RawHeaders): void;
   data(chunk: Buffer): void;
-  /** The answer is complete, as far as its framing tells. */
+  /** The answer has ended; one without framing may have been cut short. */
   ended(framing: AnswerFraming): void;
   failed(failure: SendFailure, detail: string): void;
 }
@@ -319,20 +319,15 @@
 
   onResponseEnd(): void {
     if (this.#aborted) return;
-    this.#handleEnd[this.#ends.current ?? "framed"]();
+    const connectionEnd = this.#ends.current;
+    if (connectionEnd === undefined) this.#listener.ended("framed");
+    else if (connectionEnd === "finished") void this.#endUnframed();
+    else {
+      const detail = "reset within an answer without a length";
+      this.#listener.failed("lost", detail);
+    }
   }
 
-  readonly #handleEnd: Readonly<Record<ConnectionEnd | "framed", () => void>> =
-    {
-      framed: () => this.#listener.ended("framed"),
-      reset: () =>
-        this.#listener.failed(
-          "lost",
-          "reset within an answer without a length",
-        ),
-      finished: () => void this.#endUnframed(),
-    };
-
   /**
    * Ends an answer without a length. A process that is killed ends its connections in
    * the same way as one that has written all, but takes no new ones.
--- a/packages/rampswitch-serving/src/brittle/slot_share.ts
+++ b/packages/rampswitch-serving/src/brittle/slot_share.ts
@@ -61,6 +61,7 @@
   if (!order.includes(host)) {
     return Math.floor(server.slots / Math.max(1, hosts.length));
   }
+  if (weights.size === 0) return evenShare(server.slots, order, host);
   const weightOf = (name: string) => weights.get(name) ?? 1;
   const total = order.reduce((sum, name) => sum + weightOf(name), 0);
   const exact = order.map((name) => ({
@@ -77,3 +78,13 @@
   const isFirst = first.some(({ name }) => name === host);
   return Math.floor(own) + (isFirst ? 1 : 0);
 }
+
+function evenShare(
+  slots: number,
+  order: readonly string[],
+  host: string,
+): number {
+  const whole = Math.floor(slots / order.length);
+  const left = slots - whole * order.length;
+  return order.indexOf(host) < left ? whole + 1 : whole;
+}
--- a/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
+++ b/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
@@ -2,8 +2,8 @@
 
 /**
  * The rate at which requests arrive at all hosts, and this host's part of it. Callers'
- * connections are not spread evenly, so each host reports its own rates; only what is
- * not known of a peer is assumed to be as much as the others have.
+ * connections are not spread evenly, so each host reports its own rates. A peer that
+ * reports none counts as the mean of those that do.
  *
  * @module
  */
@@ -93,6 +93,7 @@
 
   /** Applies the report of a peer. */
   receive(peer: string, report: ArrivalReport, now: number): void {
+    this.#dropExpired(now);
     this.#peers.set(peer, { report, receivedAt: now });
   }
 
@@ -118,16 +119,23 @@
   }
 
   #fresh(now: number): ReadonlyMap<string, ArrivalReport> {
-    [...this.#peers]
-      .filter(
-        ([, { receivedAt }]) =>
-          now - receivedAt >= REPORT_LIFETIME_MILLISECONDS,
-      )
-      .forEach(([peer]) => this.#peers.delete(peer));
     return new Map(
-      [...this.#peers].map(([peer, { report }]) => [peer, report]),
+      [...this.#peers]
+        .filter(
+          ([, { receivedAt }]) =>
+            now - receivedAt < REPORT_LIFETIME_MILLISECONDS,
+        )
+        .map(([peer, { report }]) => [peer, report]),
     );
   }
+
+  #dropExpired(now: number): void {
+    this.#peers.forEach(({ receivedAt }, peer) => {
+      if (now - receivedAt >= REPORT_LIFETIME_MILLISECONDS) {
+        this.#peers.delete(peer);
+      }
+    });
+  }
 }
 
 /** One decimal is enough to see who has most. */
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -21,7 +21,7 @@
   workWithout,
 } from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
-import type { FleetArrivals } from "./demand/mod.ts";
+import type { ArrivalReport, FleetArrivals } from "./demand/mod.ts";
 import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
 import type { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import {
@@ -102,6 +102,7 @@
   #limitUpdates: readonly LimitUpdate[] = [];
   #slowdownUpdates: readonly SlowdownUpdate[] = [];
   #returnUpdates: readonly ReservationUpdate[] = [];
+  #fleetArrivals: ArrivalReport = {};
 
   constructor(parts: HostGossipParts) {
     this.#parts = parts;
@@ -143,7 +144,9 @@
     const slowdowns = this.#updateSlowdowns(message.role);
     const { reservations } = this.#parts;
     if (message.role === "relay") {
-      this.#returnUpdates = reservations.relayUpdates(this.#parts.clock.now());
+      const now = this.#parts.clock.now();
+      this.#returnUpdates = reservations.relayUpdates(now);
+      this.#fleetArrivals = this.#parts.arrivals.fleetReport(now);
     }
     this.#parts.duties.usage.dropOldWindows(this.#parts.fleetTime());
     // Every host maintains the history of the load, so that it can take the duties.
@@ -239,7 +242,7 @@
       limits: this.#limitUpdates,
       leaving: this.#leavingUpdates,
       slowdowns: this.#slowdownUpdates,
-      arrivals: this.#parts.arrivals.fleetReport(now),
+      arrivals: this.#fleetArrivals,
       room: this.#parts.roomCounts.reportExcept(host, now),
       returns: this.#returnUpdates,
       brittle: this.#parts.brittle.fleetUpdates(),
--- a/packages/rampswitch-serving/src/quarantine/crash_quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/crash_quarantine.ts
@@ -13,6 +13,7 @@
   Quarantine,
   QuarantineDecision,
 } from "./quarantine.ts";
+import type { EndedServer } from "./server_end.ts";
 
 /** A server that ended under a request, and its software. */
 export interface LostServer extends LostIncarnation {
@@ -109,10 +110,7 @@
   }
 }
 
-function endedServer({ incarnation, entry }: LostServer): {
-  readonly incarnation: string;
-  readonly version: string;
-} {
+function endedServer({ incarnation, entry }: LostServer): EndedServer {
   return { incarnation, version: entry.version };
 }
 
--- a/packages/rampswitch-serving/src/quarantine/fingerprint.ts
+++ b/packages/rampswitch-serving/src/quarantine/fingerprint.ts
@@ -7,9 +7,8 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { hash32 } from "rampswitch-utils";
 import type { PromptPart } from "../model/request.ts";
+import { contentHash, headHash } from "./hashed_key.ts";
 import { SharedParts } from "./shared_parts.ts";
 
 /** The parts of a request that its fingerprint covers. */
@@ -27,15 +26,6 @@
   readonly promptParts?: readonly PromptPart[];
 }
 
-/** Hexadecimal digits of a fingerprint's first part, a hash without the body. */
-const HEAD_HASH_DIGITS = 8;
-
-/**
- * Hexadecimal digits of the second part, a hash that includes the body. With 64
- * bits, collisions among some millions of requests are very unlikely.
- */
-const CONTENT_HASH_DIGITS = 16;
-
 /** Pattern that all fingerprints match. */
 export const FINGERPRINT_PATTERN = /^[0-9a-f]{24}$/;
 
@@ -59,15 +49,13 @@
 
   /** First part, which differs between most requests. */
   get headHash(): string {
-    this.#headHash ??= hash32(this.#headText())
-      .toString(16)
-      .padStart(HEAD_HASH_DIGITS, "0");
+    this.#headHash ??= headHash(this.#headText());
     return this.#headHash;
   }
 
   /** The whole fingerprint, in hexadecimal. */
   get text(): string {
-    this.#text ??= `${this.headHash}${this.#contentHash()}`;
+    this.#text ??= `${this.headHash}${contentHash(this.#headText(), this.#request.body)}`;
     return this.#text;
   }
 
@@ -76,16 +64,4 @@
     const length = body?.length ?? 0;
     return JSON.stringify([method, hostName, target, workspace, length]);
   }
-
-  #contentHash(): string {
-    const hash = createHash("sha256").update(this.#headText());
-    const { body } = this.#request;
-    const complete = body === undefined ? hash : hash.update(body);
-    return complete.digest("hex").slice(0, CONTENT_HASH_DIGITS);
-  }
-}
-
-/** Returns the head hash of a fingerprint's text. */
-export function headHashOf(fingerprint: string): string {
-  return fingerprint.slice(0, HEAD_HASH_DIGITS);
 }
--- a/packages/rampswitch-serving/src/quarantine/fingerprint_test.ts
+++ b/packages/rampswitch-serving/src/quarantine/fingerprint_test.ts
@@ -5,8 +5,8 @@
   Fingerprint,
   FINGERPRINT_PATTERN,
   type FingerprintedRequest,
-  headHashOf,
 } from "./fingerprint.ts";
+import { headHashOf } from "./hashed_key.ts";
 
 const REQUEST: FingerprintedRequest = {
   method: "POST",
--- a/packages/rampswitch-serving/src/quarantine/part_quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/part_quarantine.ts
@@ -10,6 +10,7 @@
  */
 import type { Clock, Logger } from "rampswitch-utils";
 import type { ServingMetrics } from "../observation/mod.ts";
+import { headHash, KEY_DIGITS } from "./hashed_key.ts";
 import {
   type CrashVerdict,
   crashVerdict,
@@ -18,12 +19,11 @@
 } from "./part_evidence.ts";
 import type { QuarantineDecision, TrialRank } from "./quarantine.ts";
 import {
-  addsInformation,
   EMPTY_ENTRY,
   lastLossAt,
-  mergeEntries,
   type QuarantineEntry,
   retainedUntil,
+  withoutRefuted,
   withTrial,
 } from "./quarantine_entry.ts";
 import {
@@ -32,18 +32,11 @@
   updateOf,
 } from "./quarantine_update.ts";
 import { type AnsweredParts, RecentAnswers } from "./recent_answers.ts";
-import { endOfName, nameOfEnd, versionHashOf } from "./server_end.ts";
-import { headOfKey, KEY_DIGITS, type SharedParts } from "./shared_parts.ts";
+import { type EndedServer, endOf, endOfName, nameOfEnd } from "./server_end.ts";
+import type { SharedParts } from "./shared_parts.ts";
+import { byImportance, isNews, TrackedEntries } from "./tracked_entries.ts";
 import { UnconfirmedLosses } from "./unconfirmed_losses.ts";
 
-/** A server that ended, or that may have. */
-export interface EndedServer {
-  /** Name of the incarnation, unique among all servers. */
-  readonly incarnation: string;
-  /** Version of its software. */
-  readonly version: string;
-}
-
 /** Dependencies of the quarantine of parts. */
 export interface PartQuarantineParts {
   /** A monotonic clock. */
@@ -52,7 +45,7 @@
   readonly metrics: ServingMetrics;
   /** This host's position among the hosts that may try a part. */
   trialRank(key: string): TrialRank;
-  /** Whether this host heard an incarnation after some time. */
+  /** Whether this host received anything from an incarnation after the given time. */
   wasHeardAfter?(incarnation: string, time: number): boolean;
   /** Whether an incarnation ended under a whole request that is held by itself. */
   isExplained(incarnation: string): boolean;
@@ -70,12 +63,6 @@
  */
 const CLEARING_MILLISECONDS = 500;
 
-/** Maximum number of parts; one takes some 300 bytes. */
-const MAXIMUM_PARTS = 2_000;
-
-/** Number of parts that are evicted together. */
-const EVICTION_BATCH_PARTS = 200;
-
 /** Maximum number of parts of one lost request that are tracked. */
 const MAXIMUM_PARTS_OF_REQUEST = 256;
 
@@ -85,15 +72,9 @@
 /** Maximum number of parts with losses, and of cleared ones, in one message. */
 const MAXIMUM_REPORTED_PARTS = 32;
 
-/** Time for which a change is reported, in milliseconds. */
-const REPORT_LIFETIME_MILLISECONDS = 3_000;
-
 /** Time for which a verdict is used, in milliseconds. */
 const VERDICT_LIFETIME_MILLISECONDS = 50;
 
-/** Time within which all hosts notice that a server has ended, in milliseconds. */
-const NOTICE_MILLISECONDS = 100;
-
 /**
  * Time until the next trial, by the number of trials so far, in milliseconds. After the
  * last one the part is held until its entry expires.
@@ -107,18 +88,12 @@
 const TRIAL: QuarantineDecision = { kind: "trial" };
 const NO_VERDICT: CrashVerdict = { held: [], suspected: new Set() };
 
-interface TrackedPart {
-  readonly entry: QuarantineEntry;
-  /** When the entry last changed. */
-  readonly changedAt: number;
-}
-
 /** The parts that are suspected to crash servers. */
 export class PartQuarantine {
   readonly #parts: PartQuarantineParts;
-  readonly #tracked = new Map<string, TrackedPart>();
-  /** Number of tracked parts by the fast hash of their keys. */
-  readonly #heads = new Map<string, number>();
+  readonly #tracked = new TrackedEntries(() => {
+    this.#verdictUntil = -Infinity;
+  });
   readonly #answers = new RecentAnswers();
   readonly #unconfirmed = new UnconfirmedLosses();
   #verdict = NO_VERDICT;
@@ -145,7 +120,7 @@
   begin(request: SharedParts): void {
     const now = this.#parts.clock.now();
     this.#heldParts(request).forEach((key) => {
-      this.#merge(key, withTrial(this.#entry(key), now));
+      this.#merge(key, withTrial(this.#tracked.entry(key), now));
       this.#parts.metrics.event("prompt_part_trial");
       this.#log("prompt part on trial", key);
       this.#parts.onStoredChange();
@@ -165,7 +140,7 @@
 
   /** Records that a server ended under a request whose answer had hardly begun. */
   recordLoss(request: SharedParts, server: EndedServer): void {
-    const end = nameOfEnd({ ...endOf(server), kind: "broken" });
+    const end = nameOfEnd(endOf(server, "broken"));
     const now = this.#parts.clock.now();
     this.#lossKeys(request).forEach((key) => {
       const isNew = this.#countLoss(key, end, now);
@@ -180,7 +155,7 @@
   recordUnresponsive(request: SharedParts, server: EndedServer): void {
     const { incarnation } = server;
     const now = this.#parts.clock.now();
-    const end = nameOfEnd({ ...endOf(server), kind: "silent" });
+    const end = nameOfEnd(endOf(server, "silent"));
     this.#lossKeys(request)
       .slice(0, MAXIMUM_UNCONFIRMED_PARTS)
       .forEach((key) =>
@@ -216,14 +191,13 @@
     const now = this.#parts.clock.now();
     this.#clearAnswered(now);
     this.#removeExpired(now);
-    const recent = [...this.#tracked].filter(
-      ([key, { changedAt }]) =>
-        now - changedAt < REPORT_LIFETIME_MILLISECONDS || this.#isHeld(key),
+    const recent = this.#tracked.all.filter(
+      ([key, tracked]) => isNews(tracked, now) || this.#isHeld(key),
     );
     const lost = recent.filter(([, { entry }]) => hasLosses(entry));
     const cleared = recent.filter(([, { entry }]) => !hasLosses(entry));
-    return [...lost, ...cleared.slice(-MAXIMUM_REPORTED_PARTS)]
-      .toSorted(([, left], [, right]) => byImportance(left, right))
+    const reported = [...lost, ...cleared.slice(-MAXIMUM_REPORTED_PARTS)];
+    return byImportance(reported)
       .slice(0, 2 * MAXIMUM_REPORTED_PARTS)
       .map(([key, { entry }]) => updateOf(key, entry, now));
   }
@@ -242,9 +216,10 @@
   /** Returns the parts to store. */
   stored(): readonly QuarantineUpdate[] {
     const now = this.#parts.clock.now();
-    return [...this.#tracked]
-      .filter(([key, { entry }]) => this.#isHeld(key) || entry.trials > 0)
-      .toSorted(([, left], [, right]) => byImportance(left, right))
+    const stored = this.#tracked.all.filter(
+      ([key, { entry }]) => this.#isHeld(key) || entry.trials > 0,
+    );
+    return byImportance(stored)
       .slice(0, MAXIMUM_REPORTED_PARTS)
       .map(([key, { entry }]) => updateOf(key, entry, now));
   }
@@ -283,7 +258,7 @@
   #trackedKeys(request: SharedParts): readonly string[] {
     if (this.#tracked.size === 0) return [];
     return request
-      .keys((head) => this.#heads.has(head))
+      .keys((headHash) => this.#tracked.hasHeadHash(headHash))
       .filter((key) => this.#tracked.has(key));
   }
 
@@ -312,9 +287,9 @@
     const now = this.#parts.clock.now();
     if (now < this.#verdictUntil) return this.#verdict;
     if (this.#hasNewParts) this.#clearAnswered(now);
-    const parts = [...this.#tracked]
+    const parts = this.#tracked.all
       .filter(([, { entry }]) => isCandidate({ ends: entry.lostIncarnations }))
-      .map(([key, { entry }]) => evidenceOf(key, this.#withoutRefuted(entry)));
+      .map(([key, { entry }]) => evidenceOf(key, this.#unrefuted(entry)));
     this.#verdict = crashVerdict(parts, (incarnation) =>
       this.#parts.isExplained(incarnation),
     );
@@ -322,21 +297,17 @@
     return this.#verdict;
   }
 
-  /** Drops ends of servers that were heard since: a host has lost its links. */
-  #withoutRefuted(entry: QuarantineEntry): QuarantineEntry {
-    const kept = [...entry.lostIncarnations].filter(
-      ([end, at]) =>
-        this.#parts.wasHeardAfter?.(
-          endOfName(end).incarnation,
-          at + NOTICE_MILLISECONDS,
-        ) !== true,
+  #unrefuted(entry: QuarantineEntry): QuarantineEntry {
+    return withoutRefuted(
+      entry,
+      (end, time) =>
+        this.#parts.wasHeardAfter?.(endOfName(end).incarnation, time) === true,
     );
-    return { ...entry, lostIncarnations: new Map(kept) };
   }
 
   /** When this host may try a part. */
   #trialAt(key: string, { service }: SharedParts): number {
-    const entry = this.#entry(key);
+    const entry = this.#tracked.entry(key);
     const delay = TRIAL_DELAYS_MILLISECONDS[entry.trials];
     if (delay === undefined) return retainedUntil(entry);
     const since = Math.max(lastLossAt(entry), entry.lastTrialAt);
@@ -348,62 +319,28 @@
     return since + (isReplaced ? 0 : delay) + rank * lagMilliseconds;
   }
 
-  #entry(key: string): QuarantineEntry {
-    return this.#tracked.get(key)?.entry ?? EMPTY_ENTRY;
-  }
-
   /** Merges an entry; returns whether it holds anything new. */
   #merge(key: string, received: QuarantineEntry): boolean {
+    const wasTracked = this.#tracked.has(key);
     const now = this.#parts.clock.now();
-    const previous = this.#entry(key);
-    const entry = mergeEntries(previous, received);
-    if (!addsInformation(entry, previous) || retainedUntil(entry) <= now)
-      return false;
-    if (!this.#tracked.has(key)) {
-      this.#countHead(key, 1);
-      this.#hasNewParts = true;
-    }
-    this.#tracked.set(key, { entry, changedAt: now });
+    if (!this.#tracked.merge(key, received, now)) return false;
+    this.#hasNewParts ||= !wasTracked;
     this.#verdictUntil = -Infinity;
-    this.#evictLeastImportant();
     return true;
   }
 
-  #evictLeastImportant(): void {
-    if (this.#tracked.size <= MAXIMUM_PARTS) return;
-    [...this.#tracked]
-      .toSorted(([, left], [, right]) => byImportance(left, right))
-      .slice(MAXIMUM_PARTS - EVICTION_BATCH_PARTS)
-      .forEach(([key]) => this.#remove(key));
-  }
-
   #removeExpired(now: number): void {
-    [...this.#tracked]
-      .filter(([, { entry }]) => retainedUntil(entry) <= now)
-      .forEach(([key]) => this.#remove(key));
+    this.#tracked.removeExpired(now);
     const { held } = this.#currentVerdict();
     this.#parts.metrics.gauge("held_prompt_parts", held.length);
   }
 
-  #remove(key: string): void {
-    this.#tracked.delete(key);
-    this.#countHead(key, -1);
-    this.#verdictUntil = -Infinity;
-  }
-
-  #countHead(key: string, change: number): void {
-    const head = headOfKey(key);
-    const count = (this.#heads.get(head) ?? 0) + change;
-    if (count === 0) this.#heads.delete(head);
-    else this.#heads.set(head, count);
-  }
-
   #log(
     message: string,
     key: string,
     loss?: { readonly end: string; readonly id: string | undefined },
   ): void {
-    const { lostIncarnations, trials, completedAt } = this.#entry(key);
+    const { lostIncarnations, trials, completedAt } = this.#tracked.entry(key);
     const now = this.#parts.clock.now();
     this.#parts.logger.info(message, {
       part: key,
@@ -424,22 +361,8 @@
   return lostIncarnations.size > 0;
 }
 
-function byImportance(left: TrackedPart, right: TrackedPart): number {
-  return (
-    right.entry.lostIncarnations.size - left.entry.lostIncarnations.size ||
-    right.changedAt - left.changedAt
-  );
-}
-
-function endOf({ incarnation, version }: EndedServer): {
-  readonly incarnation: string;
-  readonly versionHash: string;
-} {
-  return { incarnation, versionHash: versionHashOf(version) };
-}
-
 function endedAtVersion(entry: QuarantineEntry, version: string): boolean {
-  const versionHash = versionHashOf(version);
+  const versionHash = headHash(version);
   return [...entry.lostIncarnations.keys()].some(
     (name) => endOfName(name).versionHash === versionHash,
   );
--- a/packages/rampswitch-serving/src/quarantine/quarantine.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine.ts
@@ -10,16 +10,14 @@
  */
 import type { Clock, Logger } from "rampswitch-utils";
 import type { ServingMetrics } from "../observation/mod.ts";
-import { type Fingerprint, headHashOf } from "./fingerprint.ts";
+import type { Fingerprint } from "./fingerprint.ts";
 import {
   EMPTY_ENTRY,
-  retainedUntil,
   isQuarantined,
   isStored,
   lastLossAt,
-  mergeEntries,
   type QuarantineEntry,
-  addsInformation,
+  withoutRefuted,
   withTrial,
   nextTrialAt,
 } from "./quarantine_entry.ts";
@@ -28,6 +26,12 @@
   type QuarantineUpdate,
   updateOf,
 } from "./quarantine_update.ts";
+import {
+  byImportance,
+  isNews,
+  type TrackedEntry,
+  TrackedEntries,
+} from "./tracked_entries.ts";
 import { UnconfirmedLosses } from "./unconfirmed_losses.ts";
 
 /** Whether a request may be sent to a server. */
@@ -76,27 +80,6 @@
   readonly leavingSince: number | undefined;
 }
 
-/** Maximum number of entries; one takes some 300 bytes. */
-const MAXIMUM_ENTRIES = 2_000;
-
-/**
- * Number of entries that are evicted together, so that a burst of losses seldom
- * sorts the entries.
- */
-const EVICTION_BATCH_ENTRIES = 200;
-
-/**
- * Time for which a change is reported, in milliseconds. It covers some lost
- * messages.
- */
-const REPORT_LIFETIME_MILLISECONDS = 3_000;
-
-/**
- * Time within which all hosts notice that a server has ended, in milliseconds. What is
- * heard within it may have been sent before.
- */
-const NOTICE_MILLISECONDS = 100;
-
 /**
  * Maximum number of requests in one message and in the store; those with most
  * losses come first.
@@ -112,12 +95,6 @@
 const FREE: QuarantineDecision = { kind: "free" };
 const TRIAL: QuarantineDecision = { kind: "trial" };
 
-interface TrackedRequest {
-  readonly entry: QuarantineEntry;
-  /** When the entry last changed. */
-  readonly changedAt: number;
-}
-
 interface CachedTrialRank {
   readonly trialRank: TrialRank;
   readonly at: number;
@@ -126,9 +103,9 @@
 /** The requests that are suspected to crash servers. */
 export class Quarantine {
   readonly #parts: QuarantineParts;
-  readonly #requests = new Map<string, TrackedRequest>();
-  /** Number of tracked requests, by head hash. */
-  readonly #headHashCounts = new Map<string, number>();
+  readonly #requests = new TrackedEntries((fingerprint) =>
+    this.#trialRanks.delete(fingerprint),
+  );
   readonly #trialRanks = new Map<string, CachedTrialRank>();
   readonly #unconfirmedLosses = new UnconfirmedLosses();
 
@@ -221,8 +198,8 @@
 
   /** Whether an incarnation of a server ended under a quarantined request. */
   explains(incarnation: string): boolean {
-    return [...this.#requests.values()].some(
-      ({ entry }) =>
+    return this.#requests.all.some(
+      ([, { entry }]) =>
         isQuarantined(entry) && entry.lostIncarnations.has(incarnation),
     );
   }
@@ -233,8 +210,7 @@
     this.#removeExpired(now);
     return this.#mostImportant(
       now,
-      ({ entry, changedAt }) =>
-        isQuarantined(entry) || now - changedAt < REPORT_LIFETIME_MILLISECONDS,
+      (tracked) => isQuarantined(tracked.entry) || isNews(tracked, now),
     );
   }
 
@@ -258,23 +234,24 @@
    */
   #mostImportant(
     now: number,
-    isReported: (known: TrackedRequest) => boolean,
+    isReported: (known: TrackedEntry) => boolean,
   ): readonly QuarantineUpdate[] {
-    return [...this.#requests]
-      .filter(([, known]) => isReported(known))
-      .toSorted(([, left], [, right]) => byImportance(left, right))
+    const reported = this.#requests.all.filter(([, known]) =>
+      isReported(known),
+    );
+    return byImportance(reported)
       .slice(0, MAXIMUM_REPORTED_REQUESTS)
       .map(([fingerprint, { entry }]) => updateOf(fingerprint, entry, now));
   }
 
   #countLoss(fingerprint: string, incarnation: string, at: number): void {
-    const previous = this.#requests.get(fingerprint)?.entry ?? EMPTY_ENTRY;
-    this.#merge(fingerprint, {
+    const lostIncarnations = new Map([[incarnation, at]]);
+    const isNew = this.#merge(fingerprint, {
       ...EMPTY_ENTRY,
-      lostIncarnations: new Map([[incarnation, at]]),
+      lostIncarnations,
     });
-    const current = this.#requests.get(fingerprint)?.entry ?? EMPTY_ENTRY;
-    if (!addsInformation(current, previous)) return;
+    if (!isNew) return;
+    const current = this.#requests.entry(fingerprint);
     this.#parts.metrics.event("quarantine_loss");
     this.#log("server ended under a request", fingerprint, incarnation);
     if (isStored(current)) this.#parts.onStoredChange();
@@ -284,74 +261,38 @@
     // Requests are hashed only while any are tracked, and their bodies only if the
     // head hash matches.
     if (this.#requests.size === 0) return undefined;
-    if (!this.#headHashCounts.has(request.headHash)) return undefined;
-    return this.#requests.get(request.text)?.entry;
+    if (!this.#requests.hasHeadHash(request.headHash)) return undefined;
+    return this.#requests.has(request.text)
+      ? this.#requests.entry(request.text)
+      : undefined;
   }
 
   #quarantinedEntryOf(request: Fingerprint): QuarantineEntry | undefined {
     const entry = this.#entryOf(request);
     if (entry === undefined || !isQuarantined(entry)) return undefined;
-    return isQuarantined(this.#withoutRefuted(entry)) ? entry : undefined;
-  }
-
-  /**
-   * Drops losses of incarnations that were heard since: the host that reported them has
-   * lost its links. It is decided anew each time, as an incarnation whose end is not
-   * known here yet may seem to be heard when its server has started again.
-   */
-  #withoutRefuted(entry: QuarantineEntry): QuarantineEntry {
-    const isRefuted = (incarnation: string, at: number) =>
-      this.#parts.wasHeardAfter?.(incarnation, at + NOTICE_MILLISECONDS) ===
-      true;
-    const losses = [...entry.lostIncarnations];
-    const kept = losses.filter(([name, at]) => !isRefuted(name, at));
-    return { ...entry, lostIncarnations: new Map(kept) };
+    // It is decided anew each time, as an incarnation whose end is not known here yet
+    // may seem to be heard when its server has started again.
+    const unrefuted = withoutRefuted(
+      entry,
+      (incarnation, time) =>
+        this.#parts.wasHeardAfter?.(incarnation, time) === true,
+    );
+    return isQuarantined(unrefuted) ? entry : undefined;
   }
 
-  #merge(fingerprint: string, received: QuarantineEntry): void {
+  #merge(fingerprint: string, received: QuarantineEntry): boolean {
     const now = this.#parts.clock.now();
-    const tracked = this.#requests.get(fingerprint);
-    const previous = tracked?.entry ?? EMPTY_ENTRY;
-    const entry = mergeEntries(previous, received);
-    if (!addsInformation(entry, previous) || retainedUntil(entry) <= now)
-      return;
-    if (tracked === undefined) this.#countHeadHash(fingerprint, 1);
-    this.#requests.set(fingerprint, { entry, changedAt: now });
-    this.#evictLeastImportant();
-  }
-
-  /** Evicts entries when there are too many, those with fewest losses first. */
-  #evictLeastImportant(): void {
-    if (this.#requests.size <= MAXIMUM_ENTRIES) return;
-    [...this.#requests]
-      .toSorted(([, left], [, right]) => byImportance(left, right))
-      .slice(MAXIMUM_ENTRIES - EVICTION_BATCH_ENTRIES)
-      .forEach(([fingerprint]) => this.#remove(fingerprint));
+    return this.#requests.merge(fingerprint, received, now);
   }
 
   #removeExpired(now: number): void {
-    [...this.#requests]
-      .filter(([, { entry }]) => retainedUntil(entry) <= now)
-      .forEach(([fingerprint]) => this.#remove(fingerprint));
-    const quarantined = [...this.#requests.values()].filter(({ entry }) =>
+    this.#requests.removeExpired(now);
+    const quarantined = this.#requests.all.filter(([, { entry }]) =>
       isQuarantined(entry),
     );
     this.#parts.metrics.gauge("quarantined_requests", quarantined.length);
   }
 
-  #remove(fingerprint: string): void {
-    this.#requests.delete(fingerprint);
-    this.#trialRanks.delete(fingerprint);
-    this.#countHeadHash(fingerprint, -1);
-  }
-
-  #countHeadHash(fingerprint: string, change: number): void {
-    const headHash = headHashOf(fingerprint);
-    const count = (this.#headHashCounts.get(headHash) ?? 0) + change;
-    if (count === 0) this.#headHashCounts.delete(headHash);
-    else this.#headHashCounts.set(headHash, count);
-  }
-
   #trialRankOf(fingerprint: string, now: number): TrialRank {
     const cached = this.#trialRanks.get(fingerprint);
     if (
@@ -366,7 +307,7 @@
   }
 
   #log(message: string, fingerprint: string, incarnation?: string): void {
-    const entry = this.#requests.get(fingerprint)?.entry ?? EMPTY_ENTRY;
+    const entry = this.#requests.entry(fingerprint);
     const now = this.#parts.clock.now();
     const wait = nextTrialAt(entry) - now;
     this.#parts.logger.info(message, {
@@ -380,13 +321,6 @@
   }
 }
 
-function byImportance(left: TrackedRequest, right: TrackedRequest): number {
-  return (
-    right.entry.lostIncarnations.size - left.entry.lostIncarnations.size ||
-    right.changedAt - left.changedAt
-  );
-}
-
 function rounded(milliseconds: number): number | undefined {
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
 }
--- a/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_entry.ts
@@ -74,6 +74,12 @@
  */
 const MAXIMUM_LOST_INCARNATIONS = 8;
 
+/**
+ * Time within which all hosts notice that a server has ended, in milliseconds. What is
+ * heard within it may have been sent before.
+ */
+const NOTICE_MILLISECONDS = 100;
+
 /** Merges the entries that two hosts have for one request. */
 export function mergeEntries(
   local: QuarantineEntry,
@@ -122,6 +128,20 @@
   );
 }
 
+/**
+ * Drops losses of incarnations that were heard since: the host that reported them has
+ * lost its links.
+ */
+export function withoutRefuted(
+  entry: QuarantineEntry,
+  wasHeardAfter: (lossName: string, time: number) => boolean,
+): QuarantineEntry {
+  const kept = [...entry.lostIncarnations].filter(
+    ([name, at]) => !wasHeardAfter(name, at + NOTICE_MILLISECONDS),
+  );
+  return { ...entry, lostIncarnations: new Map(kept) };
+}
+
 /** Whether the request runs only as a trial. */
 export function isQuarantined({ lostIncarnations }: QuarantineEntry): boolean {
   return lostIncarnations.size >= MINIMUM_LOSSES_TO_QUARANTINE;
--- a/packages/rampswitch-serving/src/quarantine/server_end.ts
+++ b/packages/rampswitch-serving/src/quarantine/server_end.ts
@@ -6,11 +6,19 @@
  *
  * @module
  */
-import { hash32 } from "rampswitch-utils";
+import { HEAD_HASH_DIGITS, headHash } from "./hashed_key.ts";
 
 /** How an end was noticed. */
 export type EndKind = "broken" | "silent";
 
+/** A server that ended, or that may have. */
+export interface EndedServer {
+  /** Name of the incarnation, unique among all servers. */
+  readonly incarnation: string;
+  /** Version of its software. */
+  readonly version: string;
+}
+
 /** The end of a server. */
 export interface ServerEnd {
   readonly incarnation: string;
@@ -19,17 +27,17 @@
   readonly versionHash: string;
 }
 
-/** Hexadecimal digits of the hash of a version. */
-const VERSION_DIGITS = 8;
-
 const SEPARATORS: Readonly<Record<EndKind, string>> = {
   broken: "#",
   silent: "~",
 };
 
-/** Returns the hash of a version. */
-export function versionHashOf(version: string): string {
-  return hash32(version).toString(16).padStart(VERSION_DIGITS, "0");
+/** Returns the end of a server under a request. */
+export function endOf(
+  { incarnation, version }: EndedServer,
+  kind: EndKind,
+): ServerEnd {
+  return { incarnation, kind, versionHash: headHash(version) };
 }
 
 /** Returns the name of an end. */
@@ -43,7 +51,7 @@
 
 /** Returns the end with a name. */
 export function endOfName(name: string): ServerEnd {
-  const separatorAt = name.length - VERSION_DIGITS - 1;
+  const separatorAt = name.length - HEAD_HASH_DIGITS - 1;
   return {
     incarnation: name.slice(0, separatorAt),
     kind: name[separatorAt] === SEPARATORS.silent ? "silent" : "broken",
--- a/packages/rampswitch-serving/src/quarantine/shared_parts.ts
+++ b/packages/rampswitch-serving/src/quarantine/shared_parts.ts
@@ -7,18 +7,8 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { hash32 } from "rampswitch-utils";
 import type { PromptPart } from "../model/request.ts";
-
-/** Hexadecimal digits of a key's first part, a fast hash. */
-const HEAD_DIGITS = 8;
-
-/** Hexadecimal digits of the second part. */
-const CONTENT_DIGITS = 16;
-
-/** Characters of a key. */
-export const KEY_DIGITS = HEAD_DIGITS + CONTENT_DIGITS;
+import { contentHash, headHash } from "./hashed_key.ts";
 
 /** The shared parts of one prompt. Keys are computed when they are first needed. */
 export class SharedParts {
@@ -40,7 +30,7 @@
   /** Keys of the parts whose fast hash is wanted, each once. */
   keys(isWanted: (head: string) => boolean): readonly string[] {
     const keys = this.#headHashes().flatMap((head, index) =>
-      isWanted(head) ? [`${head}${this.#contentHash(index)}`] : [],
+      isWanted(head) ? [`${head}${contentHash(this.#text(index))}`] : [],
     );
     return [...new Set(keys)];
   }
@@ -49,29 +39,17 @@
   idOf(key: string): string | undefined {
     return this.#parts
       .slice(0, -1)
-      .find((_, index) => key.endsWith(this.#contentHash(index)))?.id;
+      .find((_, index) => key.endsWith(contentHash(this.#text(index))))?.id;
   }
 
   #headHashes(): readonly string[] {
     this.#heads ??= this.#parts
       .slice(0, -1)
-      .map((_, index) =>
-        hash32(this.#text(index)).toString(16).padStart(HEAD_DIGITS, "0"),
-      );
+      .map((_, index) => headHash(this.#text(index)));
     return this.#heads;
   }
 
-  #contentHash(index: number): string {
-    const hash = createHash("sha256").update(this.#text(index));
-    return hash.digest("hex").slice(0, CONTENT_DIGITS);
-  }
-
   #text(index: number): string {
     return `${this.service}\n${this.#parts[index]?.id ?? ""}`;
   }
 }
-
-/** Returns the fast hash of a key. */
-export function headOfKey(key: string): string {
-  return key.slice(0, HEAD_DIGITS);
-}
