Count hosts of an earlier version as unknown arrivals, not as none

Found by reading the change once more. Hosts of an earlier version report no arrivals, and an idle one reports none either; both were read as a rate of zero, so that a new host beside them took itself for nearly the whole fleet: up to four fifths of a server's connections, and times to return as if it had all its slots. Below a relay of an earlier version each member did so. Change: an idle host sends an empty report, and a missing one is unknown, as is a service that a relay's digest does not name. Cost: seven bytes in the message of an idle host.

--- a/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
+++ b/packages/rampswitch-serving/src/demand/fleet_arrivals.ts
@@ -91,26 +91,26 @@
     );
   }
 
-  /** Applies the report of a peer. */
-  receive(peer: string, report: ArrivalReport, now: number): void {
+  /** Applies the report of a peer; hosts of an earlier version send none. */
+  receive(peer: string, report: ArrivalReport | undefined, now: number): void {
     this.#dropExpired(now);
-    this.#peers.set(peer, { report, receivedAt: now });
+    if (report === undefined) this.#peers.delete(peer);
+    else this.#peers.set(peer, { report, receivedAt: now });
   }
 
   /** Applies the report of all hosts in a relay's digest. */
-  receiveFleet(report: ArrivalReport, now: number): void {
+  receiveFleet(report: ArrivalReport | undefined, now: number): void {
     this.receive(FLEET_SENDER, report, now);
   }
 
   #fleetRate(service: string, now: number): number {
     const own = this.#own.rate(service, now);
-    const reports = this.#fresh(now);
-    const fleet = reports.get(FLEET_SENDER)?.[service];
+    const fleet = this.#fresh(now).get(FLEET_SENDER)?.[service];
     if (fleet !== undefined) {
       return Math.max(own, fleet / MILLISECONDS_PER_SECOND);
     }
-    const rates = [...reports.values()].map(
-      (report) => (report[service] ?? 0) / MILLISECONDS_PER_SECOND,
+    const rates = [...this.peerRates(service, now).values()].map(
+      (rate) => rate / MILLISECONDS_PER_SECOND,
     );
     const known = rates.reduce((sum, rate) => sum + rate, 0);
     const mean = rates.length > 0 ? known / rates.length : own;
--- a/packages/rampswitch-serving/src/demand/fleet_arrivals_test.ts
+++ b/packages/rampswitch-serving/src/demand/fleet_arrivals_test.ts
@@ -41,6 +41,23 @@
     expect(fleetRate(favoured)).toBeCloseTo((400 + 7 * 20) / 4, 1);
   });
 
+  test("count peers of an earlier version, which report nothing, as silent ones", () => {
+    const host = hostWith(400, 4);
+    host.receive("h1", undefined, START);
+    host.receive("h2", undefined, START);
+    expect(host.ownPart(SERVICE, START)).toBeCloseTo(1 / 4, 2);
+    host.receive("h3", { [SERVICE]: 10 }, START);
+    expect(fleetRate(host)).toBeCloseTo(100 + 3 * 10, 1);
+  });
+
+  test("are taken for even below a relay that does not know the service", () => {
+    const member = hostWith(400, 360);
+    member.receiveFleet(undefined, START);
+    expect(member.ownPart(SERVICE, START)).toBeCloseTo(1 / 360, 4);
+    member.receiveFleet({}, START);
+    expect(member.ownPart(SERVICE, START)).toBeCloseTo(1 / 360, 4);
+  });
+
   test("leave out reports that are older than three seconds", () => {
     const host = hostWith(400, 2);
     host.receive("h1", { [SERVICE]: 1_000 }, START);
--- a/packages/rampswitch-serving/src/membership/common_codec.ts
+++ b/packages/rampswitch-serving/src/membership/common_codec.ts
@@ -68,7 +68,7 @@
     rt: encodedReturns(fields.returns),
     br: encodedBrittle(fields.brittle),
     pp: encodedQuarantine(fields.promptParts),
-    ar: Object.keys(fields.arrivals).length === 0 ? undefined : fields.arrivals,
+    ar: fields.arrivals,
   };
 }
 
@@ -81,6 +81,6 @@
     returns: returnsOf(encoded.rt),
     brittle: brittleOf(encoded.br),
     promptParts: quarantineOf(encoded.pp),
-    arrivals: encoded.ar ?? {},
+    arrivals: encoded.ar,
   };
 }
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -109,6 +109,23 @@
   });
 });
 
+describe("arrivals of a host", () => {
+  test.each([{}, { models: 12.5 }, undefined])(
+    "are decoded as they were encoded: %j",
+    (arrivals) => {
+      const message: PeerMessage = {
+        kind: "updates",
+        from: "h1",
+        wantsDigest: false,
+        readsSharedDigest: false,
+        updates: [{ age: 0, update: { ...UPDATE, arrivals } }],
+      };
+      const decoded = decodeMessage(encodeMessage(message));
+      expect(decoded.unwrapOr(undefined)).toEqual(message);
+    },
+  );
+});
+
 /** Guards against relays that decode each update once for each relay that forwards it. */
 describe("an update that was applied before", () => {
   test("is left out, and the others of the message are decoded", () => {
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -96,8 +96,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers that the host learned from its own answers. */
   readonly slowdowns: readonly SlowdownUpdate[];
-  /** Requests per second by service. */
-  readonly arrivals: ArrivalReport;
+  /** Requests per second by service; `undefined` from hosts of an earlier version. */
+  readonly arrivals: ArrivalReport | undefined;
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
@@ -134,8 +134,8 @@
   readonly leaving: readonly LeavingUpdate[];
   /** Slowdowns of backend servers: the medians of what hosts learned. */
   readonly slowdowns: readonly SlowdownUpdate[];
-  /** Requests per second by service. */
-  readonly arrivals: ArrivalReport;
+  /** Requests per second by service; `undefined` from hosts of an earlier version. */
+  readonly arrivals: ArrivalReport | undefined;
   /** Demand by class; `undefined` while capacity is not short. */
   readonly room?: RoomReport | undefined;
   /** Refused callers who may return, and those who did. */
