--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { send } from "../common/client.mjs";
-import { HAS_TROUBLE, runCase } from "../common/deployment.mjs";
+import { HAS_TROUBLE, runCase, statusOf } from "../common/deployment.mjs";
 import { CaseRecord } from "../common/record.mjs";
 import { Server } from "../common/server.mjs";
 
@@ -25,6 +25,10 @@
 const MINIMUM_LATE = 8;
 
 const PLAY_MILLISECONDS = 14_000;
+
+/** Time between two questions whether a host is ready. */
+const QUESTION_MILLISECONDS = 1_000;
+
 const STREAM_INTERVAL_MILLISECONDS = 50;
 const PLAIN_INTERVAL_MILLISECONDS = 50;
 
@@ -120,6 +124,22 @@
   return Promise.all(sent);
 }
 
+/** Asks a host each second whether it is ready, as the platform does; the misses. */
+async function missedQuestions(host) {
+  const endsAt = record.now() + PLAY_MILLISECONDS;
+  let missed = 0;
+  while (record.now() < endsAt) {
+    const asked = record.now();
+    const status = await statusOf(host.readiness, QUESTION_MILLISECONDS);
+    if (status !== 200) {
+      missed += 1;
+      record.add(host.name, "is not said to be ready", { status, asked });
+    }
+    await sleep(Math.max(0, asked + QUESTION_MILLISECONDS - record.now()));
+  }
+  return missed;
+}
+
 /** Whether a request has no final answer some time after it was sent. */
 function isUnanswered({ sentAt, endedAt, status }, milliseconds) {
   return status === undefined || endedAt - sentAt > milliseconds;
@@ -129,7 +149,7 @@
   await deployment.start({ servers: newServers(), hosts: HOSTS });
   const { hosts } = deployment;
   playedFrom = record.now();
-  const [plain, streams] = await Promise.all([
+  const [plain, streams, ...missed] = await Promise.all([
     sendInTurn(hosts, "/fetch/f", {
       deadline: PLAIN_MILLISECONDS,
       interval: PLAIN_INTERVAL_MILLISECONDS,
@@ -138,6 +158,7 @@
       deadline: STREAM_DEADLINE_MILLISECONDS,
       interval: STREAM_INTERVAL_MILLISECONDS,
     }),
+    ...hosts.map(missedQuestions),
   ]);
   const atTimeout = plain.filter((one) =>
     isUnanswered(one, PLAIN_MILLISECONDS),
@@ -156,6 +177,9 @@
     complete: streams.filter(({ whole, status }) => whole && status === 200)
       .length,
   });
+  record.add("case", "questions for readiness without a 200", {
+    byHost: missed.join(","),
+  });
   const isBroken =
     later.length >= MINIMUM_LATE && later.length > atTimeout.length / 2;
   if (isBroken) record.add("case", "CONFIG is broken");
