--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,80 +1,109 @@
-// Streams without a length at model servers that are taken back. The host has such
-// a stream stopped so that it goes on elsewhere.
+// Another writer leaves an entry among those of the servers whose content is of
+// another type: lists within lists.
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { send } from "../common/client.mjs";
+import { keptConnection, send } from "../common/client.mjs";
 import { HAS_TROUBLE, runCase } from "../common/deployment.mjs";
 import { CaseRecord } from "../common/record.mjs";
 import { Server } from "../common/server.mjs";
 
 const HOSTS = 3;
-const STREAMS = 120;
-const EVENTS = 60;
-const DEADLINE_MILLISECONDS = 15_000;
+const SERVERS = 4;
+const CLIENTS = 24;
 
-/** One in so many streams of a server has no length. */
-const UNFRAMED_EVERY = 20;
+/** Deadline of the requests, and the time-out of their route. */
+const DEADLINE_MILLISECONDS = 1_500;
+const WORK_MILLISECONDS = 100;
 
-/** Time from the notice to the end of a server that is taken back. */
-const NOTICE_MILLISECONDS = 2_500;
+/** Pause of a client after an answer, and after a connection that failed. */
+const PAUSE_MILLISECONDS = { answered: 20, failed: 200 };
 
-/** Data halls of the servers; those of the last one are taken back. */
-const ZONES = ["a", "a", "a", "a", "b", "b"];
+/** Time before the entry, and from its removal to the end. */
+const CALM_MILLISECONDS = { before: 2_000, after: 6_000 };
+
+/** An entry that nobody renews goes after three heartbeats. */
+const ENTRY_MILLISECONDS = 3 * 1_200;
+
+/** Lists within each other; the entry has 20,000 bytes. */
+const DEPTH = 10_000;
+
+/** The rule allows three connections that are closed so. */
+const ALLOWED_CLOSES = 3;
 
 const record = new CaseRecord();
 
-function newServer(zone, index) {
-  const server = new Server(`s-${index}`, { service: "reader", zone, record });
-  server.events = EVENTS;
-  server.isUnframed = () => server.runs.length % UNFRAMED_EVERY === 5;
+function newServer(_, index) {
+  const zone = index % 2 === 0 ? "a" : "b";
+  const server = new Server(`p-${index}`, { service: "counter", zone, record });
+  server.workMilliseconds = WORK_MILLISECONDS;
   return server;
 }
 
-/** Whether a stream that looks complete ended before its last event. */
-function endsEarly({ status, whole, ids }) {
-  return status === 200 && whole && ids.at(-1) !== EVENTS;
+/** Sends one request after the other on a kept connection, until told to end. */
+async function sendRepeatedly(host, state) {
+  const seen = [];
+  const agent = keptConnection();
+  while (!state.ended) {
+    const deadline = DEADLINE_MILLISECONDS;
+    const one = await send(host, "/fetch/f", { deadline, record, agent });
+    seen.push(one);
+    const { answered, failed } = PAUSE_MILLISECONDS;
+    await sleep(one.status === undefined ? failed : answered);
+  }
+  agent.destroy();
+  return seen;
 }
 
-/** Whether a stream lacks an event, or has one twice. */
-function isOutOfOrder({ ids }) {
-  return ids.some((id, index) => id !== index + 1);
+async function leaveEntry({ store }) {
+  const bytes = "[".repeat(DEPTH) + "]".repeat(DEPTH);
+  store.writeBytes("servers", "other", { bytes, part: "spec" });
+  record.add("another writer", "writes an entry", { bytes: bytes.length });
+  await sleep(ENTRY_MILLISECONDS);
+  store.remove("servers", "other");
+  record.add("store", "the entry goes");
 }
 
 async function play(deployment) {
-  const servers = ZONES.map(newServer);
+  const servers = Array.from({ length: SERVERS }, newServer);
   await deployment.start({ servers, hosts: HOSTS });
-  const streams = [];
-  for (let index = 0; index < STREAMS; index += 1) {
-    const host = deployment.hosts[index % HOSTS];
-    const path = index % 2 === 0 ? "/question/q" : "/review/r";
-    streams.push(send(host, path, { deadline: DEADLINE_MILLISECONDS, record }));
-    await sleep(10);
-  }
-  const leaving = servers.filter(({ zone }) => zone === "b");
-  const left = HAS_TROUBLE
-    ? leaving.map((server) => deployment.leave(server, NOTICE_MILLISECONDS))
-    : [];
-  const seen = await Promise.all(streams);
-  await Promise.all(left);
-  const early = seen.filter(endsEarly);
-  const disordered = seen.filter(isOutOfOrder);
-  record.add("case", "streams", {
+  const { hosts } = deployment;
+  const state = { ended: false };
+  const clients = Array.from({ length: CLIENTS }, (_, index) =>
+    sendRepeatedly(hosts[index % HOSTS], state),
+  );
+  await sleep(CALM_MILLISECONDS.before);
+  const from = record.now();
+  if (HAS_TROUBLE) await leaveEntry(deployment);
+  else await sleep(ENTRY_MILLISECONDS);
+  const until = record.now();
+  await sleep(CALM_MILLISECONDS.after);
+  state.ended = true;
+  const seen = (await Promise.all(clients)).flat();
+  const passedOn = new Set(
+    servers.flatMap(({ runs }) => runs.map(({ attempt }) => attempt)),
+  );
+  const closed = seen.filter(
+    ({ status, attempt }) => status === undefined && passedOn.has(attempt),
+  );
+  const servedBetween = (start, end) =>
+    seen.filter(
+      ({ status, endedAt }) =>
+        status === 200 && endedAt >= start && endedAt < end,
+    ).length;
+  record.add("case", "requests", {
     sent: seen.length,
-    complete: seen.filter(({ whole, ids }) => whole && ids.at(-1) === EVENTS)
-      .length,
-    endedEarlyAsComplete: early.length,
-    outOfOrder: disordered.length,
+    servedBefore: servedBetween(0, from),
+    servedWhileTheEntryStands: servedBetween(from, until),
+    servedAfter: servedBetween(until, Infinity),
+    closedWithoutAnswerThoughPassedOn: closed.length,
   });
-  early.forEach(({ attempt, path, ids }) =>
-    record.add("case", "ORDER is broken", {
-      request: attempt,
-      path,
-      lastEvent: ids.at(-1),
-      of: EVENTS,
-    }),
-  );
-  return early.length === 0 && disordered.length === 0;
+  record.add("case", "processes that ended by themselves", {
+    byHost: hosts.map(({ ends }) => ends).join(","),
+  });
+  const isBroken = closed.length > ALLOWED_CLOSES;
+  if (isBroken) record.add("case", "LOST is broken");
+  return !isBroken;
 }
 
 await runCase(record, fileURLToPath(new URL("./", import.meta.url)), play);
--- a/review/common/client.mjs
+++ b/review/common/client.mjs
@@ -10,8 +10,18 @@
 /** Time beyond the deadline for which a client waits, in milliseconds. */
 const PATIENCE_MILLISECONDS = 3_000;
 
+/** Connections of a client that uses each of them once. */
+function newAgent() {
+  return new Agent({ keepAlive: false });
+}
+
+/** A connection of a client that keeps it for many requests. */
+export function keptConnection() {
+  return new Agent({ keepAlive: true, maxSockets: 1 });
+}
+
 /** Sends a request to a host; resolves to what the client saw. */
-export function send(host, path, { deadline, record }) {
+export function send(host, path, { deadline, record, agent = newAgent() }) {
   const attempt = randomUUID();
   const seen = { attempt, path, host: host.name, text: "", whole: false };
   seen.sentAt = record.now();
@@ -36,7 +46,7 @@
       `http://${host.front}${path}`,
       {
         method: "POST",
-        agent: new Agent({ keepAlive: false }),
+        agent,
         timeout: deadline + PATIENCE_MILLISECONDS,
         headers: {
           host: CALLER_HOST,
--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -50,14 +50,26 @@
 /** Time in which all hosts have to be ready, in milliseconds. */
 const READY_MILLISECONDS = 30_000;
 
+/** Time after which the platform starts an ended process again, in milliseconds. */
+const RESTART_MILLISECONDS = 500;
+
 /** Variables that a program gets of its caller. */
 const PASSED_VARIABLES = ["PATH", "HOME", "LANG"];
 
+/** Processes of the program that run; they end with the case, however it ends. */
+const RUNNING = new Set();
+
+process.once("exit", () => RUNNING.forEach((child) => child.kill("SIGKILL")));
+["SIGTERM", "SIGINT"].forEach((signal) =>
+  process.once(signal, () => process.exit(COULD_NOT_RUN)),
+);
+
 /** The hosts of a case and everything around them. */
 export class Deployment {
   hosts = [];
   servers = [];
   #record;
+  #isEnding = false;
   #folder = mkdtempSync(join(tmpdir(), "rampswitch-review-"));
 
   constructor(record) {
@@ -107,7 +119,8 @@
 
   /** Ends all processes and stand-ins. */
   async end() {
-    this.hosts.forEach(({ child }) => child.kill("SIGKILL"));
+    this.#isEnding = true;
+    this.hosts.forEach(({ child }) => child?.kill("SIGKILL"));
     this.servers.forEach((server) => server.stop());
     await Promise.all([
       this.store?.[Symbol.asyncDispose](),
@@ -132,27 +145,35 @@
     };
     const path = join(this.#folder, `${name}.conf`);
     writeFileSync(path, filled(SETTINGS, values));
-    const [program, ...words] = runCommand();
-    const child = spawn(program, words, {
-      cwd: ROOT,
-      env: {
-        ...Object.fromEntries(
-          PASSED_VARIABLES.map((variable) => [variable, process.env[variable]]),
-        ),
-        [SETTINGS_VARIABLE]: path,
-      },
-      stdio: "ignore",
-    });
     const host = {
       name,
-      child,
       front: `${ip}:${ports[0]}`,
       readiness: `http://${ip}:${ports[1]}${PATHS.readiness}`,
+      ends: 0,
     };
-    child.on("exit", (code, signal) =>
-      this.#record.add(name, "process ends", { code, signal }),
-    );
     this.hosts.push(host);
+    this.#startProcess(host, path);
+  }
+
+  /** Starts the process of a host, again whenever it ends, as the platform does. */
+  #startProcess(host, settings) {
+    const [program, ...words] = runCommand();
+    const passed = PASSED_VARIABLES.map((name) => [name, process.env[name]]);
+    host.child = spawn(program, words, {
+      cwd: ROOT,
+      env: { ...Object.fromEntries(passed), [SETTINGS_VARIABLE]: settings },
+      stdio: "ignore",
+    });
+    const { child } = host;
+    RUNNING.add(child);
+    child.on("exit", async (code, signal) => {
+      RUNNING.delete(child);
+      if (this.#isEnding) return;
+      host.ends += 1;
+      this.#record.add(host.name, "process ends", { code, signal });
+      await sleep(RESTART_MILLISECONDS);
+      if (!this.#isEnding) this.#startProcess(host, settings);
+    });
   }
 }
 
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -6,8 +6,11 @@
 import { clearInterval, setInterval, setTimeout } from "node:timers";
 import { HEADERS, PATHS } from "../../platform/dist/names.js";
 
-/** Time that a move of memory takes, in milliseconds. */
-const MOVE_MILLISECONDS = 20;
+/**
+ * Times of the two copies of a run's memory, in milliseconds: of some hundred tokens,
+ * and of what is new since. The copies of one server run one after another.
+ */
+const COPY_MILLISECONDS = { first: 15, last: 6 };
 
 const UNKNOWN = 404;
 const MISDIRECTED = 421;
@@ -38,6 +41,8 @@
   /** Memory that is kept for streams, by handle. */
   #kept = new Map();
   #handles = 0;
+  /** When the link of its copies is free, in milliseconds of the record. */
+  #linkFreeAt = 0;
 
   constructor(id, { service, zone, record }) {
     this.id = id;
@@ -204,9 +209,17 @@
     this.#kept.set(handle, { id, handle, created, stopped: last === true });
     setTimeout(
       () => reply(response, 200, { handle, created }),
-      MOVE_MILLISECONDS,
+      this.#copyMilliseconds(last === true),
     );
   }
+
+  /** Time until a copy is done, behind those that were asked for before. */
+  #copyMilliseconds(isLast) {
+    const now = this.#record.now();
+    const copy = isLast ? COPY_MILLISECONDS.last : COPY_MILLISECONDS.first;
+    this.#linkFreeAt = Math.max(now, this.#linkFreeAt) + copy;
+    return this.#linkFreeAt - now;
+  }
 }
 
 function reply(response, status, body) {
