--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -106,17 +106,6 @@
     });
   }
 
-  /** Announces that a server ends in some milliseconds, and ends it then. */
-  async leave(server, milliseconds) {
-    server.leavesAt = Date.now() + milliseconds;
-    this.list(server, SERVER_STATES.draining);
-    server.note("says that it leaves", { milliseconds });
-    await sleep(milliseconds);
-    server.stop();
-    this.store.remove("servers", server.id);
-    server.note("has ended");
-  }
-
   /** Ends all processes and stand-ins. */
   async end() {
     this.#isEnding = true;
