--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,6 +65,28 @@
       ],
     },
   },
+  {
+    // A rejection that nobody handles ends the process and all its requests, so the
+    // programs start such work by `runInBackground` or `repeat`.
+    files: [
+      "packages/rampswitch-{entry,serving,store,utils}/src/**/*.ts",
+      "platform/src/*.ts",
+    ],
+    ignores: ["**/*_test.ts", "**/*_standin.ts"],
+    rules: {
+      "@typescript-eslint/no-floating-promises": [
+        "error",
+        { ignoreVoid: false },
+      ],
+      "no-restricted-syntax": [
+        "error",
+        {
+          selector: "UnaryExpression[operator='void']",
+          message: "Handle the rejection, or use runInBackground",
+        },
+      ],
+    },
+  },
   { files: ["**/*.mjs"], ...tseslint.configs.disableTypeChecked },
   {
     files: ["**/*.mjs"],
--- a/packages/rampswitch-entry/src/admission/admission_gate.ts
+++ b/packages/rampswitch-entry/src/admission/admission_gate.ts
@@ -13,12 +13,20 @@
   type RoutingTable,
 } from "rampswitch-policy";
 import { refused, type RefusedNotRun } from "rampswitch-types";
-import { type Clock, type Metrics, Ownership, repeat } from "rampswitch-utils";
+import {
+  type Clock,
+  failureReporter,
+  type Logger,
+  type Metrics,
+  Ownership,
+  repeat,
+} from "rampswitch-utils";
 
 /** Options of {@link AdmissionGate}. */
 export interface GateOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly logger: Logger;
   readonly routing: () => RoutingTable;
   /** Returns the number of trusted entry hosts, including this one. */
   readonly hosts: () => number;
@@ -58,25 +66,26 @@
 
   constructor(options: GateOptions) {
     this.#options = options;
+    const reportFailure = failureReporter({ logger: options.logger });
     this.#owned.own(
-      repeat(
-        options.clock,
-        () => EXPIRY_INTERVAL_MILLISECONDS,
-        async () => {
+      repeat(options.clock, () => EXPIRY_INTERVAL_MILLISECONDS, {
+        name: "expiry of waiting requests",
+        reportFailure,
+        run: async () => {
           if (this.#waiting.size > 0) this.#expire();
           await Promise.resolve();
         },
-      ),
+      }),
     );
     this.#owned.own(
-      repeat(
-        options.clock,
-        () => LIMIT_UPDATE_INTERVAL_MILLISECONDS,
-        async () => {
+      repeat(options.clock, () => LIMIT_UPDATE_INTERVAL_MILLISECONDS, {
+        name: "limits of admission",
+        reportFailure,
+        run: async () => {
           this.#setLimits();
           await Promise.resolve();
         },
-      ),
+      }),
     );
   }
 
--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -82,7 +82,8 @@
       .filter(([address]) => !addresses.has(address))
       .forEach(([address, pool]) => {
         this.#pools.delete(address);
-        void pool.close();
+        // Closing rejects only for a pool that is destroyed already.
+        pool.close().catch(() => undefined);
       });
   }
 
--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -26,6 +26,7 @@
   type Logger,
   type Metrics,
   type Random,
+  runInBackground,
   sleep,
 } from "rampswitch-utils";
 import type { Answer } from "../outcome/answer_cache.ts";
@@ -74,6 +75,11 @@
     this.#options = options;
   }
 
+  /** Starts a request, or continues one of a lost host. */
+  start(...run: Parameters<ChatRunner["run"]>): void {
+    this.#inBackground("chat request", () => this.run(...run));
+  }
+
   /** Number of requests that run on this host. */
   get running(): number {
     return this.#runs.size;
@@ -124,7 +130,8 @@
     const byHost = new Map(marks.map((mark) => [mark.host, mark]));
     [...this.#runs.values()].forEach((run) => {
       const mark = byHost.get(run.server?.host ?? "");
-      if (mark !== undefined) void this.#migrate(run, mark);
+      if (mark === undefined) return;
+      this.#inBackground("move of a run", () => this.#migrate(run, mark));
     });
   }
 
@@ -357,9 +364,16 @@
     run.abort.abort();
   }
 
+  #inBackground(name: string, work: () => Promise<unknown>): void {
+    const { logger } = this.#options;
+    runInBackground(name, { logger }, work);
+  }
+
   #abandon({ server, attempt }: Run): void {
     if (server !== undefined) {
-      void abandonAttempt(this.#options.client, server, attempt);
+      this.#inBackground("end of an abandoned run", () =>
+        abandonAttempt(this.#options.client, server, attempt),
+      );
     }
   }
 
--- a/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner_test.ts
@@ -134,6 +134,7 @@
   const shared = { clock, metrics, random, client, routing: () => routing };
   const directory = new BackendDirectory({
     ...shared,
+    logger: SILENT_LOGGER,
     marks: () => marks,
     hostNames: () => [SELF],
     selfName: SELF,
@@ -141,6 +142,7 @@
   });
   const links = new ReplicaLinks({
     self: SELF,
+    logger: SILENT_LOGGER,
     clients: new PeerClients(new PeerTokens("secret", SELF), clock),
     clock,
     metrics,
--- a/packages/rampswitch-entry/src/attempt/plain_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/plain_runner.ts
@@ -18,7 +18,12 @@
   refused,
   type Service,
 } from "rampswitch-types";
-import type { Clock, Metrics } from "rampswitch-utils";
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+} from "rampswitch-utils";
 import type { Answer } from "../outcome/answer_cache.ts";
 import type { BackendClient, BackendReply } from "./backend_client.ts";
 import type { BackendDirectory } from "../choice/backend_directory.ts";
@@ -57,6 +62,7 @@
   readonly retries: RetryDecider;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }
 
 const NO_SERVER_RETRY_MILLISECONDS = 1_000;
@@ -127,6 +133,14 @@
     }
   }
 
+  /** Starts a call whose answer is retained. */
+  startRetained(call: PlainCall, answer: Answer): void {
+    const { logger } = this.#options;
+    runInBackground("plain call", { logger }, () =>
+      this.runRetained(call, answer),
+    );
+  }
+
   /** Runs a call and retains its answer: the head, then the body in parts. */
   async runRetained(call: PlainCall, answer: Answer): Promise<void> {
     this.#running += 1;
--- a/packages/rampswitch-entry/src/choice/backend_directory.ts
+++ b/packages/rampswitch-entry/src/choice/backend_directory.ts
@@ -25,7 +25,9 @@
 import type { BackendServer } from "rampswitch-types";
 import {
   type Clock,
+  failureReporter,
   jitter,
+  type Logger,
   type Metrics,
   Ownership,
   type Random,
@@ -76,6 +78,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
+  readonly logger: Logger;
   readonly routing: () => RoutingTable;
   readonly marks: () => LeavingMarks;
   /** Names of the trusted entry hosts, including this one. */
@@ -103,11 +106,11 @@
   start(): void {
     const { clock, random } = this.#options;
     this.#owned.own(
-      repeat(
-        clock,
-        () => jitter(random, POLL_INTERVAL_MILLISECONDS),
-        () => this.#poll(),
-      ),
+      repeat(clock, () => jitter(random, POLL_INTERVAL_MILLISECONDS), {
+        name: "polls of servers",
+        reportFailure: failureReporter({ logger: this.#options.logger }),
+        run: () => this.#poll(),
+      }),
     );
   }
 
--- a/packages/rampswitch-entry/src/configuration/configuration_service.ts
+++ b/packages/rampswitch-entry/src/configuration/configuration_service.ts
@@ -36,12 +36,15 @@
 } from "rampswitch-store";
 import {
   type Clock,
+  failureReporter,
   jitter,
   type Logger,
   type Metrics,
   Ownership,
   type Random,
   repeat,
+  type ReportFailure,
+  runInBackground,
   sleep,
 } from "rampswitch-utils";
 
@@ -91,6 +94,7 @@
 export class ConfigurationService implements AsyncDisposable {
   readonly #options: ConfigurationServiceOptions;
   readonly #owned = new Ownership();
+  readonly #reportFailure: ReportFailure;
   #state: ConfigurationState = EMPTY_CONFIGURATION;
   #routing = new RoutingTable([]);
   #deltas: readonly Delta[] = [];
@@ -101,6 +105,7 @@
 
   constructor(options: ConfigurationServiceOptions) {
     this.#options = options;
+    this.#reportFailure = failureReporter({ logger: options.logger });
   }
 
   /** The state that is in force on this host. */
@@ -134,15 +139,19 @@
 
   /** Starts to follow the revision log. */
   start(): void {
-    const { store, clock, random, watchPause, confirmMilliseconds } =
+    const { store, clock, random, watchPause, confirmMilliseconds, logger } =
       this.#options;
     this.#owned.own(
       new Watcher(store, HEAD_KEY, {
         clock,
         random,
+        reportFailure: this.#reportFailure,
         pause: watchPause,
         listener: {
-          changed: (object) => void this.#adoptHead(object, clock.now()),
+          changed: (object) =>
+            runInBackground("head of the configuration", { logger }, () =>
+              this.#adoptHead(object, clock.now()),
+            ),
           removed: () => this.#options.logger.error("head was removed"),
           confirmed: (at) => this.#recordStoreAnswer(at),
           failed: () => undefined,
@@ -151,11 +160,11 @@
     );
     this.#owned
       .own(
-        repeat(
-          clock,
-          () => jitter(random, confirmMilliseconds / 2),
-          () => this.#confirm(),
-        ),
+        repeat(clock, () => jitter(random, confirmMilliseconds / 2), {
+          name: "confirmation of the configuration",
+          reportFailure: this.#reportFailure,
+          run: () => this.#confirm(),
+        }),
       )
       .runNow();
   }
@@ -166,7 +175,7 @@
    * was settled.
    */
   async change(request: ChangeRequest): Promise<ChangeOutcome> {
-    const { store, clock, random, metrics } = this.#options;
+    const { store, clock, random, metrics, logger } = this.#options;
     let head: StoredObject | undefined;
     let known = false;
     for (let attempt = 0; attempt < CHANGE_ATTEMPTS; attempt += 1) {
@@ -193,7 +202,9 @@
         );
         if (written.isOk) {
           await this.#adoptHead(written.value, clock.now());
-          void this.#compact(written.value);
+          runInBackground("compaction", { logger }, () =>
+            this.#compact(written.value),
+          );
           metrics.count("change", "accepted");
           return { kind: "accepted", revision: decision.delta.revision };
         }
--- a/packages/rampswitch-entry/src/duties/control_service.ts
+++ b/packages/rampswitch-entry/src/duties/control_service.ts
@@ -17,7 +17,9 @@
 import type { ObjectStore } from "rampswitch-store";
 import type { BackendServer, Host, Service } from "rampswitch-types";
 import {
+  failureReporter,
   jitter,
+  type Logger,
   Ownership,
   type Random,
   rendezvousOrder,
@@ -35,6 +37,7 @@
   readonly self: Host;
   readonly store: ObjectStore;
   readonly random: Random;
+  readonly logger: Logger;
   readonly clockSkewMilliseconds: number;
   readonly leaseMilliseconds: number;
   /** Whether hosts may be started and ended. */
@@ -70,11 +73,11 @@
   start(): this {
     const { clock, random } = this.#options;
     this.#owned.own(
-      repeat(
-        clock,
-        () => jitter(random, ROUND_INTERVAL_MILLISECONDS),
-        () => this.#round(),
-      ),
+      repeat(clock, () => jitter(random, ROUND_INTERVAL_MILLISECONDS), {
+        name: "round of the duties",
+        reportFailure: failureReporter({ logger: this.#options.logger }),
+        run: () => this.#round(),
+      }),
     );
     return this;
   }
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -14,7 +14,14 @@
   TAKES_NEW_WORK,
 } from "rampswitch-configuration";
 import { refused } from "rampswitch-types";
-import { type Metrics, Ownership, repeat, sleep } from "rampswitch-utils";
+import {
+  failureReporter,
+  type Metrics,
+  Ownership,
+  repeat,
+  runInBackground,
+  sleep,
+} from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
 import { ControlService } from "./duties/control_service.ts";
 import {
@@ -164,8 +171,9 @@
     };
     parts.start();
     this.#startPeriodicWork();
-    void this.#prepare();
-    parts.logger.info("listening", { ...listeners.addresses });
+    const { logger } = parts;
+    runInBackground("preparation", { logger }, () => this.#prepare());
+    logger.info("listening", { ...listeners.addresses });
   }
 
   #startPeriodicWork(): void {
@@ -175,11 +183,15 @@
       repeat(
         clock,
         () => MAINTENANCE_INTERVAL_MILLISECONDS * (0.5 + random.next()),
-        async () => {
-          await parts.slots.maintain();
-          recoverLostRequests(parts);
-          parts.answerCache.expire();
-          this.#updateGauges();
+        {
+          name: "maintenance",
+          reportFailure: failureReporter({ logger: parts.logger }),
+          run: async () => {
+            await parts.slots.maintain();
+            recoverLostRequests(parts);
+            parts.answerCache.expire();
+            this.#updateGauges();
+          },
         },
       ),
     );
@@ -226,7 +238,9 @@
     const includesSelf = marks.some(
       (mark) => mark.host === name && markAppliesTo(mark, startedAt),
     );
-    if (includesSelf) void this.stop();
+    const { logger } = this.#parts;
+    if (includesSelf)
+      runInBackground("planned stop", { logger }, () => this.stop());
   }
 
   #updateGauges(): void {
--- a/packages/rampswitch-entry/src/intake/administration_server.ts
+++ b/packages/rampswitch-entry/src/intake/administration_server.ts
@@ -144,7 +144,11 @@
   listen(address: string): Promise<Listening> {
     const server = createServer((request, response) => {
       response.on("error", () => undefined);
-      void this.#handle(request, response);
+      // Without an answer the operator's command reports a closed connection.
+      this.#handle(request, response).catch(() => {
+        this.#options.metrics.count("administration_failed");
+        response.destroy();
+      });
     });
     return listen(server, address);
   }
--- a/packages/rampswitch-entry/src/intake/work_intake.ts
+++ b/packages/rampswitch-entry/src/intake/work_intake.ts
@@ -79,7 +79,7 @@
       chat.promptTokens * speeds.promptTokenMilliseconds +
       chat.maximumTokens * speeds.tokenMilliseconds,
     fingerprint: sha256(body.toString("latin1")),
-    start: (answer) => void options.chat.run(answer, "new"),
+    start: (answer) => options.chat.start(answer, "new"),
   });
 }
 
@@ -133,10 +133,7 @@
     start: (answer) => {
       const sent = body.length === 0 ? undefined : body;
       const requestId = answer.envelope.id;
-      void options.plain.runRetained(
-        { ...call, requestId, body: sent },
-        answer,
-      );
+      options.plain.startRetained({ ...call, requestId, body: sent }, answer);
     },
   });
 }
--- a/packages/rampswitch-entry/src/main.ts
+++ b/packages/rampswitch-entry/src/main.ts
@@ -9,8 +9,9 @@
 import { Command } from "commander";
 import { readFileSync } from "node:fs";
 import {
-  redirectConsoleErrors,
   createLogger,
+  redirectConsoleErrors,
+  runInBackground,
   SYSTEM_CLOCK,
 } from "rampswitch-utils";
 import {
@@ -51,7 +52,8 @@
     logger,
   });
   const stop = () =>
-    void entry.stop().then(() => {
+    runInBackground("planned stop", { logger }, async () => {
+      await entry.stop();
       process.exitCode = 0;
       setTimeout(() => process.exit(0), EXIT_MILLISECONDS).unref();
     });
--- a/packages/rampswitch-entry/src/membership/entry_updates.ts
+++ b/packages/rampswitch-entry/src/membership/entry_updates.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { runInBackground } from "rampswitch-utils";
 import type { Delta, HostDigest, LeavingMark } from "rampswitch-configuration";
 import type { EntryParts } from "../entry_parts.ts";
 import { recoverRequests } from "../replication/request_recovery.ts";
@@ -27,7 +28,7 @@
   );
   const { revision } = configuration.state;
   logger.info("configuration in force", { revision });
-  void announceToPeers(parts, { deltas, leaving: [] });
+  startToAnnounce(parts, { deltas, leaving: [] });
 }
 
 /**
@@ -39,7 +40,7 @@
   marks: readonly LeavingMark[],
 ): void {
   parts.chat.leaving(marks);
-  void announceToPeers(parts, { deltas: [], leaving: marks });
+  startToAnnounce(parts, { deltas: [], leaving: marks });
 }
 
 /**
@@ -62,7 +63,23 @@
         : highest,
     undefined,
   );
-  if (ahead !== undefined) void catchUp(parts, ahead.host.peerAddress);
+  if (ahead !== undefined) startToCatchUp(parts, ahead.host.peerAddress);
+}
+
+/** Starts to request the configuration from a peer that has a later one. */
+export function startToCatchUp(parts: EntryParts, peerAddress: string): void {
+  runInBackground("configuration of a peer", { logger: parts.logger }, () =>
+    catchUp(parts, peerAddress),
+  );
+}
+
+function startToAnnounce(
+  parts: EntryParts,
+  news: Parameters<typeof announceToPeers>[1],
+): void {
+  runInBackground("announcement to peers", { logger: parts.logger }, () =>
+    announceToPeers(parts, news),
+  );
 }
 
 /** Continues requests whose host is lost. */
--- a/packages/rampswitch-entry/src/membership/membership_service.ts
+++ b/packages/rampswitch-entry/src/membership/membership_service.ts
@@ -41,12 +41,14 @@
 } from "rampswitch-types";
 import {
   type Clock,
+  failureReporter,
   jitter,
   type Logger,
   type Metrics,
   Ownership,
   type Random,
   repeat,
+  runInBackground,
 } from "rampswitch-utils";
 import { changeObject } from "rampswitch-store";
 import {
@@ -232,24 +234,25 @@
    * of the platform.
    */
   start(): void {
-    const { clock, random, heartbeatMilliseconds } = this.#options;
-    void this.#publish();
+    const { clock, random, heartbeatMilliseconds, logger } = this.#options;
+    const reportFailure = failureReporter({ logger });
+    runInBackground("entry of this host", { logger }, () => this.#publish());
     this.#owned
       .own(
-        repeat(
-          clock,
-          () => jitter(random, heartbeatMilliseconds),
-          () => this.#sendHeartbeats(),
-        ),
+        repeat(clock, () => jitter(random, heartbeatMilliseconds), {
+          name: "heartbeats",
+          reportFailure,
+          run: () => this.#sendHeartbeats(),
+        }),
       )
       .runNow();
     this.#owned
       .own(
-        repeat(
-          clock,
-          () => jitter(random, heartbeatMilliseconds),
-          () => this.#pollPlatform(),
-        ),
+        repeat(clock, () => jitter(random, heartbeatMilliseconds), {
+          name: "polls of the platform",
+          reportFailure,
+          run: () => this.#pollPlatform(),
+        }),
       )
       .runNow();
   }
@@ -257,7 +260,8 @@
   /** Announces in this and all later heartbeats that this host is leaving. */
   leave(): void {
     this.#leaving = true;
-    void this.#sendHeartbeats();
+    const { logger } = this.#options;
+    runInBackground("heartbeats", { logger }, () => this.#sendHeartbeats());
   }
 
   /** Adds leaving marks and notifies the listener of the new ones. */
--- a/packages/rampswitch-entry/src/replication/peer_handlers.ts
+++ b/packages/rampswitch-entry/src/replication/peer_handlers.ts
@@ -20,7 +20,7 @@
   type SlotMessage as WireSlotMessage,
 } from "rampswitch-peer";
 import type { HostId } from "rampswitch-types";
-import type { Metrics } from "rampswitch-utils";
+import { type Logger, type Metrics, runInBackground } from "rampswitch-utils";
 import type {
   ConfigurationService,
   PeerConfiguration,
@@ -46,6 +46,7 @@
   readonly replication: RequestReplication;
   readonly clients: PeerClients;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }
 
 /** Builds the handlers for calls from peers. */
@@ -69,8 +70,13 @@
         stateParts: [],
         confirmedAge: Number(request.confirmedAge),
       });
+      const { logger } = parts;
       const sender = membership.find(request.sender)?.digest.host.peerAddress;
-      if (gap && sender !== undefined) void catchUp(parts, sender);
+      if (gap && sender !== undefined) {
+        runInBackground("configuration of a peer", { logger }, () =>
+          catchUp(parts, sender),
+        );
+      }
       return create(AnnounceResponseSchema, {
         revision: BigInt(configuration.state.revision),
       });
--- a/packages/rampswitch-entry/src/replication/replica_link.ts
+++ b/packages/rampswitch-entry/src/replication/replica_link.ts
@@ -10,7 +10,13 @@
  */
 import { create, toBinary } from "@bufbuild/protobuf";
 import type { HostId } from "rampswitch-types";
-import { type Clock, type Metrics, sleep } from "rampswitch-utils";
+import {
+  type Clock,
+  type Logger,
+  type Metrics,
+  runInBackground,
+  sleep,
+} from "rampswitch-utils";
 import {
   type PeerClients,
   type ReplicaEntry,
@@ -50,6 +56,7 @@
   readonly clients: PeerClients;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly logger: Logger;
   readonly listener: LinkListener;
 }
 
@@ -136,7 +143,9 @@
     if (this.#closed) return;
     if (this.#stream === undefined) {
       this.#stream = new MessageQueue();
-      void this.#run(this.#stream);
+      const stream = this.#stream;
+      const { logger } = this.#options;
+      runInBackground("replication", { logger }, () => this.#run(stream));
       this.#sent.forEach((sent) => this.#send(sent));
     }
     while (
--- a/packages/rampswitch-entry/src/replication/request_recovery.ts
+++ b/packages/rampswitch-entry/src/replication/request_recovery.ts
@@ -84,7 +84,7 @@
 > = {
   go_on: (answer, { self, chat }) => {
     answer.runner = self;
-    void chat.run(answer, "taken_over");
+    chat.start(answer, "taken_over");
   },
   run_anew: (answer, { answerCache: book, slots }) => {
     const { slot, key } = answer.envelope;
--- a/packages/rampswitch-entry/src/replication/slot_table.ts
+++ b/packages/rampswitch-entry/src/replication/slot_table.ts
@@ -16,10 +16,12 @@
 } from "rampswitch-store";
 import {
   type Clock,
+  failureReporter,
   type Logger,
   type Metrics,
   Ownership,
   type Random,
+  runInBackground,
   sleep,
 } from "rampswitch-utils";
 
@@ -90,11 +92,12 @@
 
   /** Starts to watch the table. */
   start(): void {
-    const { store, clock, random, watchPause } = this.#options;
+    const { store, clock, random, watchPause, logger } = this.#options;
     this.#owned.own(
       new Watcher(store, SLOT_PREFIX, {
         clock,
         random,
+        reportFailure: failureReporter({ logger }),
         pause: watchPause,
         listener: {
           changed: (object) => this.#observe(object),
@@ -161,7 +164,10 @@
   #startSettling(shard: number): void {
     if (this.#settlingShards.has(shard) || this.#closed) return;
     this.#settlingShards.add(shard);
-    void this.#settle(shard).finally(() => this.#settlingShards.delete(shard));
+    const { logger } = this.#options;
+    runInBackground("objects of the slot table", { logger }, () =>
+      this.#settle(shard).finally(() => this.#settlingShards.delete(shard)),
+    );
   }
 
   async #settle(shard: number): Promise<void> {
--- a/packages/rampswitch-measure/src/store_test.ts
+++ b/packages/rampswitch-measure/src/store_test.ts
@@ -104,6 +104,7 @@
     const seen: number[] = [];
     const watcher = new Watcher(store, "trial/", {
       ...OPTIONS,
+      reportFailure: (work) => expect(work).toBeUndefined(),
       listener: {
         changed: ({ version }) => seen.push(version),
         removed: () => undefined,
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -153,7 +153,7 @@
     const known = this.#pools.get(serverId);
     if (known === undefined) return;
     this.#pools.delete(serverId);
-    void known.pool.close();
+    closePool(known.pool);
   }
 
   /**
@@ -181,9 +181,9 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await Promise.all(
-      [...this.#pools.values()].map(({ pool }) => pool.destroy()),
-    );
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
   #pool({ id, address }: ServerAddress): Pool {
@@ -215,6 +215,11 @@
   }
 }
 
+/** Closes a pool; one that is destroyed already has nothing left to close. */
+function closePool(pool: Pool): void {
+  pool.close().catch(() => undefined);
+}
+
 /** How a connection ends: regularly, or by a reset or another error. */
 type ConnectionEnd = "finished" | "reset";
 
@@ -321,7 +326,7 @@
     if (this.#aborted) return;
     const connectionEnd = this.#ends.current;
     if (connectionEnd === undefined) this.#listener.ended("framed");
-    else if (connectionEnd === "finished") void this.#endUnframed();
+    else if (connectionEnd === "finished") this.#endUnframed();
     else {
       const detail = "reset within an answer without a length";
       this.#listener.failed("lost", detail);
@@ -332,14 +337,16 @@
    * Ends an answer without a length. A process that is killed ends its connections in
    * the same way as one that has written all, but takes no new ones.
    */
-  async #endUnframed(): Promise<void> {
-    const isAlive = await this.#isAlive();
-    if (this.#aborted) return;
-    if (isAlive) this.#listener.ended("unframed");
-    else {
-      const detail = "server gone after an answer without a length";
-      this.#listener.failed("lost", detail);
-    }
+  #endUnframed(): void {
+    const ended = (isAlive: boolean) => {
+      if (this.#aborted) return;
+      if (isAlive) this.#listener.ended("unframed");
+      else {
+        const detail = "server gone after an answer without a length";
+        this.#listener.failed("lost", detail);
+      }
+    };
+    this.#isAlive().then(ended, () => ended(false));
   }
 
   onResponseError(
--- a/packages/rampswitch-serving/src/brittle/share_waits.ts
+++ b/packages/rampswitch-serving/src/brittle/share_waits.ts
@@ -37,7 +37,9 @@
     if (isLate || this.#waits.size >= MAXIMUM_WAITING) return undefined;
     this.#waits.add(wait);
     this.#schedule();
-    return () => void this.#waits.delete(wait);
+    return () => {
+      this.#waits.delete(wait);
+    };
   }
 
   /** Offers a place that became free to the requests that wait. */
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -7,7 +7,12 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { Clock, Logger, Random } from "rampswitch-utils";
+import {
+  type Clock,
+  failureReporter,
+  type Logger,
+  type Random,
+} from "rampswitch-utils";
 import {
   type ChangeBatch,
   type EraList,
@@ -511,6 +516,7 @@
       listener,
       clock,
       random,
+      reportFailure: failureReporter(this.#parts),
       ...options,
       backoff: (failures) =>
         storeBackoff(failures, random, {
--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -8,10 +8,13 @@
  */
 import {
   type Clock,
+  failureReporter,
   type Logger,
   type Random,
   repeat,
   type Repetition,
+  type ReportFailure,
+  runInBackground,
 } from "rampswitch-utils";
 import { eraOf, type ObjectStore, type StoredObject } from "rampswitch-store";
 import type { LeaseUpdate } from "../membership/peer_messages.ts";
@@ -105,6 +108,7 @@
 /** The lease of the duties at one host. */
 export class DutyKeeper implements AsyncDisposable {
   readonly #parts: DutyKeeperParts;
+  readonly #reportFailure: ReportFailure;
   readonly #repetition: Repetition;
   #held: HeldLease | undefined;
   #observed: ObservedLease;
@@ -125,6 +129,7 @@
 
   constructor(parts: DutyKeeperParts) {
     this.#parts = parts;
+    this.#reportFailure = failureReporter(parts);
     this.#observed = { lease: undefined, version: undefined, since: -Infinity };
     this.#nextCheckAt = parts.clock.now() + this.#jitter();
     parts.store.onEra(() => {
@@ -133,7 +138,11 @@
     this.#repetition = repeat(
       parts.clock,
       () => LEASE_CHECK_INTERVAL_MILLISECONDS,
-      () => this.#checkLease(),
+      {
+        name: "lease of the duties",
+        reportFailure: this.#reportFailure,
+        run: () => this.#checkLease(),
+      },
     );
   }
 
@@ -401,14 +410,16 @@
     const held = this.#held;
     if (held === undefined || this.#isPerforming || !this.#canActNow()) return;
     this.#isPerforming = true;
-    void this.#parts.duties
-      .perform(held.lease.final.reports, {
-        holder: this.#parts.host,
-        fence: held.lease.fence,
-      })
-      .finally(() => {
-        this.#isPerforming = false;
-      });
+    runInBackground("duties", this.#parts, () => this.#perform(held.lease));
+  }
+
+  async #perform({ final, fence }: DutyLease): Promise<void> {
+    try {
+      const { host, duties } = this.#parts;
+      await duties.perform(final.reports, { holder: host, fence });
+    } finally {
+      this.#isPerforming = false;
+    }
   }
 
   #canActNow(): boolean {
--- a/packages/rampswitch-serving/src/duties/lease_codec.ts
+++ b/packages/rampswitch-serving/src/duties/lease_codec.ts
@@ -6,12 +6,12 @@
  *
  * @module
  */
-import { parseJson } from "rampswitch-utils";
+import { decodeJson, listOf, recordOf } from "rampswitch-validation";
 import * as z from "zod";
 import type { DutyLease } from "./duty_lease.ts";
 import { finalUsageFromReports } from "./final_usage.ts";
 
-const counts = z.record(z.string(), z.number());
+const counts = recordOf(z.number());
 const window = z.number().int();
 
 const LEASE_SCHEMA = z.object({
@@ -21,9 +21,9 @@
   era: z.number().optional(),
   renewals: z.number(),
   released: z.boolean(),
-  counts: z.record(z.string(), z.record(z.string(), counts)),
-  reports: z.record(z.string(), counts),
-  finalWindows: z.array(z.tuple([window, window])).optional(),
+  counts: recordOf(recordOf(counts)),
+  reports: recordOf(counts),
+  finalWindows: listOf(z.tuple([window, window])).optional(),
   incomplete: z.boolean().optional(),
 });
 
@@ -46,11 +46,9 @@
 /** Decodes a lease; `undefined` if the value is not a valid one. */
 export function decodeLease(value: string | undefined): DutyLease | undefined {
   if (value === undefined) return undefined;
-  const parsed = parseJson(value);
-  if (parsed.isErr) return undefined;
-  const checked = LEASE_SCHEMA.safeParse(parsed.value);
-  if (!checked.success) return undefined;
-  const { reports, finalWindows, incomplete, era, ...lease } = checked.data;
+  const decoded = decodeJson(LEASE_SCHEMA, value, "lease");
+  if (decoded.isErr) return undefined;
+  const { reports, finalWindows, incomplete, era, ...lease } = decoded.value;
   const final =
     finalWindows === undefined
       ? finalUsageFromReports(reports)
--- a/packages/rampswitch-serving/src/forwarding/detours.ts
+++ b/packages/rampswitch-serving/src/forwarding/detours.ts
@@ -6,7 +6,13 @@
  *
  * @module
  */
-import { type Clock, jitter, type Random } from "rampswitch-utils";
+import {
+  type Clock,
+  jitter,
+  type Logger,
+  type Random,
+  runInBackground,
+} from "rampswitch-utils";
 import type { ServerContacts } from "../reach/mod.ts";
 import type { ServerAddress } from "../attempt/mod.ts";
 
@@ -23,6 +29,7 @@
 export interface DetoursParts {
   readonly clock: Clock;
   readonly random: Random;
+  readonly logger: Logger;
   readonly contacts: Pick<ServerContacts, "heardSince">;
   /** Whether a new connection to a server comes up. */
   connects(server: ServerAddress): Promise<boolean>;
@@ -89,7 +96,7 @@
     if (this.#isStopped) return;
     this.#cancelTrial = this.#parts.clock.after(
       jitter(this.#parts.random, milliseconds),
-      () => void this.#try(),
+      () => runInBackground("trial of a link", this.#parts, () => this.#try()),
     );
   }
 
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -19,6 +19,7 @@
   type Listening,
   type Logger,
   readBody,
+  runInBackground,
 } from "rampswitch-utils";
 import type { Send, SendListener, ServerAddress } from "../attempt/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
@@ -91,7 +92,7 @@
     this.#parts = parts;
     this.#server = createServer(
       { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
-      (incoming, response) => void this.#receive(incoming, response),
+      (incoming, response) => this.#accept(incoming, response),
     );
     this.#server.on("connection", (socket) => {
       // A host that was lost must not hold a run of its request for ever.
@@ -111,6 +112,18 @@
     return listen(this.#server, address);
   }
 
+  /** Handles a request; a defect that it meets closes its connection alone. */
+  #accept(incoming: IncomingMessage, response: ServerResponse): void {
+    runInBackground("forwarded request", this.#parts, async () => {
+      try {
+        await this.#receive(incoming, response);
+      } catch (error) {
+        response.destroy();
+        throw error;
+      }
+    });
+  }
+
   async #receive(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/packages/rampswitch-serving/src/forwarding/limited_send.ts
+++ b/packages/rampswitch-serving/src/forwarding/limited_send.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Clock } from "rampswitch-utils";
+import { type Clock, type Logger, runInBackground } from "rampswitch-utils";
 import type {
   AnswerFraming,
   BackendClient,
@@ -23,6 +23,7 @@
 /** Parts of a limited send. */
 export interface LimitedSendParts {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly client: BackendClient;
   readonly listener: SendListener;
   readonly connectMilliseconds: number;
@@ -51,9 +52,8 @@
   ) {
     this.#parts = parts;
     this.#server = server;
-    this.#cancelLimit = parts.clock.after(
-      parts.connectMilliseconds,
-      () => void this.#checkLate(),
+    this.#cancelLimit = parts.clock.after(parts.connectMilliseconds, () =>
+      runInBackground("check of a connection", parts, () => this.#checkLate()),
     );
     this.#send = parts.client.send(server, request, this);
   }
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -187,10 +187,11 @@
     request: OutgoingRequest,
     options: DirectSendOptions & Pick<LimitedSendParts, "mayFail">,
   ): Send {
-    const { clock, client } = this.#parts;
+    const { clock, logger, client } = this.#parts;
     return new LimitedSend(server, request, {
       ...options,
       clock,
+      logger,
       client,
       watch: (watched) => this.#silence.watch(watched),
       onLate: (id) => this.#late(id),
--- a/packages/rampswitch-serving/src/forwarding/silence_watch.ts
+++ b/packages/rampswitch-serving/src/forwarding/silence_watch.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { Clock } from "rampswitch-utils";
+import { type Clock, type Logger, runInBackground } from "rampswitch-utils";
 import type { ServerAddress } from "../attempt/mod.ts";
 
 /** Time without a byte of any server that is suspicious, in milliseconds. */
@@ -19,6 +19,7 @@
 /** Dependencies of the watch. */
 export interface SilenceWatchParts {
   readonly clock: Clock;
+  readonly logger: Logger;
   /** When any server was last heard. */
   anyHeardAt(): number;
   /** Whether a new connection to a server comes up. */
@@ -48,7 +49,9 @@
     const send = { server, writtenAt: this.#parts.clock.now() };
     this.#sends.add(send);
     if (this.#cancelCheck === undefined) this.#schedule(SILENCE_MILLISECONDS);
-    return () => void this.#sends.delete(send);
+    return () => {
+      this.#sends.delete(send);
+    };
   }
 
   /** Ends the watch. */
@@ -60,7 +63,9 @@
   #schedule(milliseconds: number): void {
     this.#cancelCheck = this.#parts.clock.after(milliseconds, () => {
       this.#cancelCheck = undefined;
-      void this.#check();
+      runInBackground("check of silent servers", this.#parts, () =>
+        this.#check(),
+      );
     });
   }
 
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -19,6 +19,7 @@
   type Listening,
   type LogFields,
   readBody,
+  runInBackground,
 } from "rampswitch-utils";
 import type {
   CallerLimits,
@@ -102,14 +103,15 @@
         // Node.js would answer requests without a Host header itself and log nothing.
         requireHostHeader: false,
       },
-      (incoming, response) => void this.#receive(incoming, response),
+      (incoming, response) =>
+        this.#supervise(response, () => this.#receive(incoming, response)),
     );
     this.#server.on("checkExpectation", (incoming, response) =>
-      this.#refuse(
-        response,
-        this.#headOf(incoming),
-        refusalOf("expectation_unknown"),
-      ),
+      this.#supervise(response, () => {
+        const head = this.#headOf(incoming);
+        this.#refuse(response, head, refusalOf("expectation_unknown"));
+        return Promise.resolve();
+      }),
     );
     this.#server.on("clientError", (error, socket) =>
       this.#rejectMalformed(error, socket as Socket),
@@ -153,6 +155,19 @@
     this.#server.close();
   }
 
+  /** Handles a request; a defect that it meets closes its connection alone. */
+  #supervise(response: ServerResponse, handle: () => Promise<void>): void {
+    const handled = async () => {
+      try {
+        await handle();
+      } catch (error) {
+        response.destroy();
+        throw error;
+      }
+    };
+    runInBackground("request", this.#context, handled);
+  }
+
   async #receive(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -5,12 +5,13 @@
  *
  * @module
  */
+import { decodeJson } from "rampswitch-validation";
 import {
   type Clock,
+  failureReporter,
   isAddress,
   jitter,
   type Logger,
-  parseJson,
   type Random,
   repeat,
   type Repetition,
@@ -74,7 +75,11 @@
     this.#repetition = repeat(
       parts.clock,
       () => jitter(parts.random, this.#interval()),
-      () => this.#read(),
+      {
+        name: "list of hosts",
+        reportFailure: failureReporter(parts),
+        run: () => this.#read(),
+      },
     );
     this.#repetition.runNow();
     parts.store.onEra(() => this.#registerAgain());
@@ -173,8 +178,5 @@
 }
 
 function entryOf(value: string): HostEntry | undefined {
-  const parsed = parseJson(value);
-  if (parsed.isErr) return undefined;
-  const checked = HOST_SCHEMA.safeParse(parsed.value);
-  return checked.success ? checked.data : undefined;
+  return decodeJson(HOST_SCHEMA, value, "host").unwrapOr(undefined);
 }
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -8,12 +8,14 @@
  */
 import {
   type Clock,
+  failureReporter,
   jitter,
   type Logger,
   Ownership,
   type Random,
   rendezvousOrder,
   repeat,
+  type ReportFailure,
 } from "rampswitch-utils";
 import type { ChangeBatch, ObjectStore } from "rampswitch-store";
 import type { LimitDecision, LimitRequest } from "../admission/mod.ts";
@@ -150,6 +152,7 @@
   readonly #hosts: FleetHosts;
   readonly #transport: PeerTransport;
   readonly #ownership = new Ownership();
+  readonly #reportFailure: ReportFailure;
   readonly #limitQueries: LimitQueries;
   readonly #permitQueries: PendingQueries<PermitRequest, PermitReply>;
   /** Exchanges the versions that began streams. */
@@ -176,6 +179,7 @@
     this.#listener = listener;
     this.#hosts = new FleetHosts({ name: host, dataHall, cores });
     this.#time = new FleetTime(parts.wallTime, clock.now());
+    this.#reportFailure = failureReporter(parts);
     this.#limitQueries = new LimitQueries(clock, (request) =>
       listener.onUnusedAdmission(request),
     );
@@ -217,9 +221,13 @@
       repeat(
         clock,
         () => jitter(random, GOSSIP_TIMING_BY_ROLE[this.#role].interval),
-        () => {
-          this.broadcast();
-          return Promise.resolve();
+        {
+          name: "gossip",
+          reportFailure: this.#reportFailure,
+          run: () => {
+            this.broadcast();
+            return Promise.resolve();
+          },
         },
       ),
     );
@@ -430,7 +438,12 @@
     const handle = this.#handlers[message.kind] as (
       message: PeerMessage,
     ) => void;
-    handle(message);
+    // A defect that one message meets must not end the process.
+    try {
+      handle(message);
+    } catch (error) {
+      this.#reportFailure(`message of a peer: ${message.kind}`, error);
+    }
   }
 
   readonly #handlers: {
--- a/packages/rampswitch-serving/src/membership/peer_codec.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec.ts
@@ -8,7 +8,7 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Result } from "true-myth";
-import { parseJson } from "rampswitch-utils";
+import { decodeSafely, parseJson } from "rampswitch-utils";
 import { type FieldChecks, invalidKey, isObject } from "./checks.ts";
 import {
   changesOf,
@@ -145,7 +145,7 @@
     typeof message["k"] === "string" ? DECODERS.get(message["k"]) : undefined;
   return decode === undefined
     ? Result.err("a message is of no known kind")
-    : decode(message, isApplied);
+    : decodeSafely(() => decode(message, isApplied));
 }
 
 type Decoder = (
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -1,5 +1,6 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
+import { deflateRawSync } from "node:zlib";
 import { describe, expect, test } from "@jest/globals";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
 import type { PeerMessage, PeerUpdate } from "./peer_messages.ts";
@@ -273,3 +274,12 @@
     });
   });
 });
+
+// Guards against a small datagram stopping a host for half a second.
+test("a datagram that holds deeply nested lists is refused before it is parsed", () => {
+  const text = `{"k":"n","o":${"[".repeat(400_000)}${"]".repeat(400_000)}}`;
+  const compressed = deflateRawSync(Buffer.from(text));
+  expect(compressed.length).toBeLessThan(4_000);
+  const decoded = decodeMessage(Buffer.concat([Buffer.from([1]), compressed]));
+  expect(decoded.toString()).toContain("nested levels");
+});
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -200,9 +200,11 @@
         response.writeHead(404).end();
         return;
       }
-      void this.text().then((text) => {
-        response.writeHead(200, { "content-type": "text/plain" }).end(text);
-      });
+      this.text().then(
+        (text) =>
+          response.writeHead(200, { "content-type": "text/plain" }).end(text),
+        (error) => response.writeHead(500).end(String(error)),
+      );
     });
     return listen(server, address);
   }
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -8,11 +8,12 @@
  *
  * @module
  */
+import { decodeJson, recordOf } from "rampswitch-validation";
 import {
   type Clock,
+  failureReporter,
   jitter,
   type Logger,
-  parseJson,
   type Random,
   repeat,
   type Repetition,
@@ -56,17 +57,17 @@
 /** Interval while there is nothing to do, in milliseconds. */
 const IDLE_INTERVAL_MILLISECONDS = 60_000;
 
-const WALL_TIMES_SCHEMA = z.record(z.string(), z.number());
+const WALL_TIMES_SCHEMA = recordOf(z.number());
 
 /** Stored requests, with times of day in place of ages. */
 const OBJECT_SCHEMA = z.object({
-  requests: z.record(
-    z.string().regex(FINGERPRINT_PATTERN),
+  requests: recordOf(
     z.object({
       lostLives: WALL_TIMES_SCHEMA,
       tried: z.number().optional(),
       trials: z.number().nonnegative(),
     }),
+    z.string().regex(FINGERPRINT_PATTERN),
   ),
 });
 
@@ -84,7 +85,11 @@
     this.#repetition = repeat(
       parts.clock,
       () => jitter(parts.random, this.#wait()),
-      () => this.#synchronize(),
+      {
+        name: "stored quarantine",
+        reportFailure: failureReporter(parts),
+        run: () => this.#synchronize(),
+      },
     );
     this.#repetition.runNow();
     // A copy that the store was restored from may lack what was written before.
@@ -127,14 +132,15 @@
 
   #restore(object: StoredObject): void {
     const { quarantine, logger, wallTime } = this.#parts;
-    const read = parseJson(object.value).map((value) =>
-      OBJECT_SCHEMA.safeParse(value),
-    );
-    if (read.isErr || !read.value.success) {
-      logger.warn("stored quarantine can't be read", { key: object.key });
+    const read = decodeJson(OBJECT_SCHEMA, object.value, "quarantine");
+    if (read.isErr) {
+      logger.warn("stored quarantine can't be read", {
+        key: object.key,
+        detail: read.error,
+      });
       return;
     }
-    const updates = updatesOf(read.value.data, wallTime());
+    const updates = updatesOf(read.value, wallTime());
     quarantine.receive(updates);
     logger.info("stored quarantine read", { requests: updates.length });
   }
--- a/packages/rampswitch-serving/src/relay/leaving_servers.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers.ts
@@ -94,6 +94,6 @@
       toldMilliseconds: reportedMilliseconds,
       runs: runs.length,
     });
-    runs.forEach((run) => void run.migrate());
+    runs.forEach((run) => run.startMigration());
   }
 }
--- a/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
+++ b/packages/rampswitch-serving/src/relay/leaving_servers_test.ts
@@ -45,7 +45,7 @@
   const run = {
     server: record,
     migratable: true,
-    migrate: () => {
+    startMigration: () => {
       migrations += 1;
       return Promise.resolve();
     },
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { runInBackground } from "rampswitch-utils";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
@@ -161,13 +162,14 @@
       this.request.service.name,
       this.#budgetQuery(),
     );
-    if (this.#streamVersion.isTakenUp) void this.#findVersion();
-    else this.#chooseFirstSend();
+    if (this.#streamVersion.isTakenUp) {
+      this.#inBackground("version of a stream", () => this.#findVersion());
+    } else this.#chooseFirstSend();
   }
 
-  /** Migrates a running stream to another engine, with its memory. */
-  migrate(): Promise<void> {
-    return this.#migration.migrate();
+  /** Starts to migrate a running stream to another engine, with its memory. */
+  startMigration(): void {
+    this.#migration.start();
   }
 
   /**
@@ -218,6 +220,10 @@
     };
   }
 
+  #inBackground(name: string, work: () => Promise<void>): void {
+    runInBackground(name, this.#context, work);
+  }
+
   #now(): number {
     return this.#context.clock.now();
   }
@@ -244,7 +250,11 @@
   #sendContinuation(choice: Choice, memory: MemorySource): void {
     const allowed = this.#sendChooser.canContinueAt(choice);
     if (allowed === true) this.#sendTo(choice, memory);
-    else void this.#sendOncePermitted(allowed, { choice, memory });
+    else {
+      this.#inBackground("permit of a move", () =>
+        this.#sendOncePermitted(allowed, { choice, memory }),
+      );
+    }
   }
 
   async #sendOncePermitted(
@@ -382,7 +392,7 @@
     // The server that stopped the run for a migration still ends soon, so a run
     // that resumed there must migrate again.
     else if (resumes && current.choice.record.entry.state === "leaving") {
-      void this.migrate();
+      this.startMigration();
     }
   }
 
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { runInBackground } from "rampswitch-utils";
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -127,6 +128,11 @@
     this.#lostWhileStopping = true;
   }
 
+  /** Starts to migrate the run with its memory to another engine. */
+  start(): void {
+    this.#inBackground(() => this.migrate());
+  }
+
   /** Migrates the run with its memory to another engine. */
   async migrate(): Promise<void> {
     const source = this.#run.sentTo();
@@ -169,9 +175,10 @@
     // The first try needs no pause: it follows the answer that gave the handle.
     if (waitMilliseconds === 0) this.#send(suspended, choice, resend);
     else {
-      this.#cancelPause = this.#context.clock.after(
-        waitMilliseconds,
-        () => void this.#sendAfterPause(suspended, choice, resend),
+      this.#cancelPause = this.#context.clock.after(waitMilliseconds, () =>
+        this.#inBackground(() =>
+          this.#sendAfterPause(suspended, choice, resend),
+        ),
       );
     }
   }
@@ -263,7 +270,11 @@
     const suspended = this.#suspended;
     this.#suspended = undefined;
     if (suspended !== undefined)
-      void this.#free(suspended.holders, suspended.memory.handle);
+      this.#free(suspended.holders, suspended.memory.handle);
+  }
+
+  #inBackground(work: () => Promise<void>): void {
+    runInBackground("move of a run", this.#context, work);
   }
 
   /**
@@ -271,9 +282,8 @@
    * path is broken, the server does not detect that the connection was closed.
    */
   stopAbandoned(abandoned: ServerRecord, next: ServerRecord): void {
-    this.#context.clock.after(
-      CLOSE_DETECTION_MILLISECONDS,
-      () => void this.#stopAbandoned(abandoned, next),
+    this.#context.clock.after(CLOSE_DETECTION_MILLISECONDS, () =>
+      this.#inBackground(() => this.#stopAbandoned(abandoned, next)),
     );
   }
 
@@ -289,8 +299,7 @@
       { from: abandoned.entry.address, to: next.entry.address, attemptId },
       {
         control: this.#context.engineControl,
-        onUnused: (handle) =>
-          void this.#free({ from: abandoned, to: next }, handle),
+        onUnused: (handle) => this.#free({ from: abandoned, to: next }, handle),
       },
     );
     record.abandonedRunStopped(outcome, abandoned);
@@ -331,7 +340,7 @@
           this.#stopping = stopping;
           record.stopChanged(stopping);
         },
-        onUnused: (handle) => void this.#free(holders, handle),
+        onUnused: (handle) => this.#free(holders, handle),
       },
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
@@ -381,11 +390,13 @@
     return since < USABLE_DRAIN_SHARE * this.#context.drainMilliseconds();
   }
 
-  async #free(holders: MemoryHolders, handle: string): Promise<void> {
-    const freed = await dropMemory(holders, (record) =>
-      this.#freeAt(record, handle),
-    );
-    this.#run.record.memoryDropped(freed);
+  #free(holders: MemoryHolders, handle: string): void {
+    this.#inBackground(async () => {
+      const freed = await dropMemory(holders, (record) =>
+        this.#freeAt(record, handle),
+      );
+      this.#run.record.memoryDropped(freed);
+    });
   }
 
   /** Frees memory at a server, unless the handle may name another request's. */
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { sleep } from "rampswitch-utils";
+import { runInBackground, sleep } from "rampswitch-utils";
 import { readEngineReport } from "../advertisements/mod.ts";
 import type { Choice, ChoiceOutcome, ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
@@ -131,10 +131,12 @@
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
     const version = this.#run.version();
     if (version !== undefined) {
-      void this.#chooseAtVersion(version, {
-        chosen: (choice) => listener.chosen(choice),
-        none: (kind) => listener.none(REFUSAL_BY_OUTCOME[kind]),
-      });
+      this.#inBackground(() =>
+        this.#chooseAtVersion(version, {
+          chosen: (choice) => listener.chosen(choice),
+          none: (kind) => listener.none(REFUSAL_BY_OUTCOME[kind]),
+        }),
+      );
       return;
     }
     const choice = this.#choose();
@@ -147,24 +149,31 @@
     const send = { request: this.#run.request, limited };
     const probe = chooseProbe(send, this.#context);
     if (probe !== undefined) listener.chosen(probe);
-    else if (overdue.length > 0) void this.#probeOrChoose(overdue, listener);
-    else listener.chosen(outcome.choice);
+    else if (overdue.length > 0) {
+      this.#inBackground(() => this.#probeOrChoose(overdue, listener));
+    } else listener.chosen(outcome.choice);
   }
 
   /** Chooses a server for a further send. */
   chooseForResend(listener: ChoiceListener<NotRepeatedReason>): void {
     const version = this.#run.version();
     if (version !== undefined) {
-      void this.#chooseAtVersion(version, {
-        chosen: (choice) => listener.chosen(choice),
-        none: () => listener.none("no_server"),
-      });
+      this.#inBackground(() =>
+        this.#chooseAtVersion(version, {
+          chosen: (choice) => listener.chosen(choice),
+          none: () => listener.none("no_server"),
+        }),
+      );
       return;
     }
     const { outcome, limited } = this.#choose();
     if (outcome.kind === "chosen") listener.chosen(outcome.choice);
     else if (limited.length === 0) listener.none("no_server");
-    else void this.#chooseWithPermit(limited, listener, "no_turn");
+    else {
+      this.#inBackground(() =>
+        this.#chooseWithPermit(limited, listener, "no_turn"),
+      );
+    }
   }
 
   /**
@@ -235,6 +244,10 @@
     return { latestAt, mayReturn: false };
   }
 
+  #inBackground(choose: () => Promise<void>): void {
+    runInBackground("choice of a server", this.#context, choose);
+  }
+
   /** Whether a server may have started again as another version under its id. */
   #mayHaveBecomeOther({ record }: Choice): boolean {
     const { service } = this.#run.request;
@@ -281,7 +294,9 @@
   ): void {
     if (outcome.kind === "chosen") listener.chosen(outcome.choice);
     else if (limited.length > 0) {
-      void this.#chooseWithPermit(limited, listener, "servers_limited");
+      this.#inBackground(() =>
+        this.#chooseWithPermit(limited, listener, "servers_limited"),
+      );
     } else if (refusal !== undefined) {
       this.#waitForRoom(refusal, listener);
     } else if (outcome.kind === "full") {
--- a/packages/rampswitch-serving/src/rollout/rollout.ts
+++ b/packages/rampswitch-serving/src/rollout/rollout.ts
@@ -329,7 +329,9 @@
         const answer = { ...send, failed, milliseconds };
         this.#counts = withAnswer(this.#counts, answer);
       },
-      ended: () => void settle(),
+      ended: () => {
+        settle();
+      },
     };
   }
 
--- a/packages/rampswitch-serving/src/rollout/rollout_store.ts
+++ b/packages/rampswitch-serving/src/rollout/rollout_store.ts
@@ -9,6 +9,7 @@
  */
 import {
   type Clock,
+  failureReporter,
   jitter,
   type Logger,
   type Random,
@@ -65,6 +66,7 @@
     this.#watcher = new Watcher(store, adapter.prefix, {
       clock,
       random,
+      reportFailure: failureReporter(parts),
       seconds: () => MAXIMUM_WATCH_SECONDS,
       listener: {
         changed: (object) => this.#apply(object),
@@ -81,7 +83,11 @@
     this.#listReads = repeat(
       clock,
       () => jitter(random, this.#readInterval()),
-      () => this.#readSpecs(),
+      {
+        name: "reads of roll-out specs",
+        reportFailure: failureReporter(parts),
+        run: () => this.#readSpecs(),
+      },
     );
   }
 
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -7,12 +7,13 @@
  * @module
  */
 import {
-  SuspendAwareClock,
   type Clock,
   type Logger,
   Ownership,
   type Random,
+  runInBackground,
   splitAddress,
+  SuspendAwareClock,
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
 import {
@@ -709,7 +710,9 @@
   }
 
   #serverLeaving(record: ServerRecord): void {
-    void this.#leavingServers.scheduleMigration(record);
+    runInBackground("moves from a leaving server", this.#ports, () =>
+      this.#leavingServers.scheduleMigration(record),
+    );
     const { entry } = record;
     const announced = this.#directory.get(entry.id) === record;
     if (!entry.reclaimable || !announced) return;
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -11,6 +11,7 @@
   hash32,
   type Random,
   type Repetition,
+  type ReportFailure,
   repeat,
 } from "rampswitch-utils";
 import type { ObjectStore, StoredObject, StoreEvent } from "./object_store.ts";
@@ -41,6 +42,9 @@
  */
 const MAXIMUM_LISTED_CHANGES = 100;
 
+/** Maximum length of a key in a report, in characters. */
+const MAXIMUM_KEY_CHARACTERS = 80;
+
 /** How a reported object was found. */
 export type ObjectOrigin =
   /** By a change of the object. */
@@ -84,6 +88,7 @@
   readonly #prefix: string;
   readonly #listener: WatchListener;
   readonly #clock: Clock;
+  readonly #reportFailure: ReportFailure;
   readonly #watchSeconds: () => number | undefined;
   readonly #disposalAbort = new AbortController();
   #callAbort = new AbortController();
@@ -105,6 +110,7 @@
       readonly listener: WatchListener;
       readonly clock: Clock;
       readonly random: Random;
+      readonly reportFailure: ReportFailure;
       /** Delay after each answer in milliseconds, so that changes are batched. */
       readonly pause?: () => number;
       /** Maximum wait of the next watch call in seconds; the store's default if absent. */
@@ -117,6 +123,7 @@
     this.#prefix = prefix;
     this.#listener = options.listener;
     this.#clock = options.clock;
+    this.#reportFailure = options.reportFailure;
     this.#watchSeconds = options.seconds ?? (() => undefined);
     const backoff =
       options.backoff ?? ((failures) => storeBackoff(failures, options.random));
@@ -128,7 +135,11 @@
           ? (options.pause?.() ?? 0)
           : backoff(this.#failures);
       },
-      () => (this.#suspended ? Promise.resolve() : this.#poll()),
+      {
+        name: `watch of ${prefix}`,
+        reportFailure: options.reportFailure,
+        run: () => (this.#suspended ? Promise.resolve() : this.#poll()),
+      },
     );
     this.#repetition.runNow();
   }
@@ -323,13 +334,25 @@
     const digest = digestOf(value);
     this.#knownObjects.set(key, { version, digest });
     if (origin === "copy" && known?.digest === digest) return false;
-    this.#listener.changed(object, origin);
+    this.#notify(key, () => this.#listener.changed(object, origin));
     return true;
   }
 
   #forget(key: string): void {
     this.#knownObjects.delete(key);
-    this.#listener.removed(key);
+    this.#notify(key, () => this.#listener.removed(key));
+  }
+
+  /** Notifies the listener; its failure with one object must not lose the others. */
+  #notify(key: string, notify: () => void): void {
+    try {
+      notify();
+    } catch (error) {
+      this.#reportFailure(
+        `change of ${key.slice(0, MAXIMUM_KEY_CHARACTERS)}`,
+        error,
+      );
+    }
   }
 }
 
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -83,8 +83,12 @@
   const watcher = new Watcher(store, "servers/", {
     clock,
     random: seededRandom(1),
+    reportFailure: (work) => failures.push(work),
     listener: {
-      changed: ({ key, value }) => seen.set(key, value),
+      changed: ({ key, value }) => {
+        if (value === UNUSABLE) throw new RangeError("stack exceeded");
+        seen.set(key, value);
+      },
       removed: (key) => seen.delete(key),
       confirmed: () => undefined,
       failed: () => undefined,
@@ -105,6 +109,23 @@
 const A: StoredObject = { key: "servers/a", version: 5, value: "a5" };
 const B: StoredObject = { key: "servers/b", version: 12, value: "b12" };
 
+/** Value on which the listener fails. */
+const UNUSABLE = "unusable";
+
+const failures: string[] = [];
+
+// Guards against one object ending the process of each host that reads it: the error
+// of a listener rejected a promise that nobody awaits.
+test("a listener that fails with an object receives the others, and later ones", async () => {
+  const bad = { key: "servers/bad", version: 6, value: UNUSABLE };
+  const { store, objects } = await watch([bad, A]);
+  expect([...objects.keys()]).toEqual([A.key]);
+  store.answer({ version: 13, events: [{ ...bad, version: 12 }, B] });
+  await settle();
+  expect([...objects.keys()]).toEqual([A.key, B.key]);
+  expect(failures).toEqual(["change of servers/bad", "change of servers/bad"]);
+});
+
 describe("changes that a host relays", () => {
   test("give another host the same objects without a call to the store", async () => {
     const relay = await watch([A]);
--- a/packages/rampswitch-utils/src/body.ts
+++ b/packages/rampswitch-utils/src/body.ts
@@ -1,43 +1,43 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Reading request and response bodies up to a size limit.
+ * Reads request and response bodies up to a size limit.
  *
  * @module
  */
 import { Result } from "true-myth";
 import type { Readable } from "node:stream";
+import { CollectedBytes } from "./collected_bytes.ts";
 
 /** Reason why a body could not be read: over the limit, or not complete. */
 export type BodyError = "too_large" | "cut_off";
 
+/** Reads a complete text of at most `limit` bytes; a longer one is broken off. */
+export async function readText(
+  stream: Readable,
+  limit: number,
+): Promise<Result<string, BodyError>> {
+  const body = await readBody(stream, limit);
+  if (body.isErr) stream.destroy();
+  return body.map((bytes) => bytes.toString("utf8"));
+}
+
 /** Reads a complete body of at most `limit` bytes. */
 export function readBody(
   stream: Readable,
   limit: number,
 ): Promise<Result<Buffer, BodyError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const bytes = new CollectedBytes();
     stream.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
+      if (bytes.length + chunk.length <= limit) bytes.push(chunk);
       else {
         stream.pause();
         resolve(Result.err("too_large"));
       }
     });
-    stream.on("end", () => resolve(Result.ok(Buffer.concat(chunks))));
+    stream.on("end", () => resolve(Result.ok(bytes.toBuffer())));
     stream.on("error", () => resolve(Result.err("cut_off")));
     stream.on("close", () => resolve(Result.err("cut_off")));
   });
 }
-
-/** Parses JSON; the error is the parser's message. */
-export function parseJson(text: string): Result<unknown, string> {
-  try {
-    return Result.ok(JSON.parse(text) as unknown);
-  } catch (error) {
-    return Result.err(error instanceof Error ? error.message : String(error));
-  }
-}
--- a/packages/rampswitch-utils/src/clock.ts
+++ b/packages/rampswitch-utils/src/clock.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { SupervisedWork } from "./supervision.ts";
 
 /** A source of time and timers. */
 export interface Clock {
@@ -77,32 +78,49 @@
   runNow(): void;
 }
 
+/**
+ * Pause after a run that failed, in milliseconds; it doubles with each further
+ * failure. A defect that persists must not use up the processor.
+ */
+const FIRST_FAILURE_PAUSE_MILLISECONDS = 200;
+const MAXIMUM_FAILURE_PAUSE_MILLISECONDS = 5_000;
+
 /**
  * Repeats an asynchronous task with a delay between the end of one run and the
  * start of the next. `wait` is called for each delay and can add jitter, so that
- * hosts don't synchronize.
+ * hosts don't synchronize. A run that fails is reported, and the next one follows.
  */
 export function repeat(
   clock: Clock,
   wait: () => number,
-  task: () => Promise<void>,
+  task: SupervisedWork,
 ): Repetition {
   let stopped = false;
   let cancel: () => void = () => undefined;
   let running: Promise<void> = Promise.resolve();
   let immediate = false;
   let busy = false;
+  let failures = 0;
   const schedule = () => {
     if (stopped) return;
-    cancel = clock.after(immediate ? 0 : wait(), run);
+    const pause = Math.max(immediate ? 0 : wait(), failurePause(failures));
+    cancel = clock.after(pause, start);
     immediate = false;
   };
-  const run = () => {
+  const run = async () => {
+    try {
+      await task.run();
+      failures = 0;
+    } catch (error) {
+      failures += 1;
+      task.reportFailure(task.name, error);
+    }
+    busy = false;
+    schedule();
+  };
+  const start = () => {
     busy = true;
-    running = task().finally(() => {
-      busy = false;
-      schedule();
-    });
+    running = run();
   };
   schedule();
   return {
@@ -120,3 +138,13 @@
     },
   };
 }
+
+/** Pause before the next run, in milliseconds, by the number of failures in a row. */
+function failurePause(failures: number): number {
+  return failures === 0
+    ? 0
+    : Math.min(
+        MAXIMUM_FAILURE_PAUSE_MILLISECONDS,
+        FIRST_FAILURE_PAUSE_MILLISECONDS * 2 ** (failures - 1),
+      );
+}
--- a/packages/rampswitch-validation/src/mod.ts
+++ b/packages/rampswitch-validation/src/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export * from "./checked_json.ts";
 export * from "./problems.ts";
 export * from "./resource_schema.ts";
 export * from "./settings_schema.ts";
