Stop a run whose answer is lost at the server that it was given up at

Cause: a close tells nothing about the run at the server, and only a silent connection had the run stopped; every other way of losing an answer closed the connection, sent the request again and left the first run alone.

Weighed: stop first and send when that is confirmed (no overlap, but every caller waits for the exception, and the answer comes behind other copies); ask the report first (some hundred ms old, so it may miss the run); send at once and stop 100 ms later, which costs a server that noticed the close one "no such run". The last is in. Going on from the memory that the stop retains is left open.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -69,10 +69,22 @@
   isHostAddress(ip: string): boolean;
   /** Address of a listed backend server. */
   addressOf(server: string): string | undefined;
+  /** Has a run stopped that the host which forwarded it has given up. */
+  stopRun(run: ForwardedRun): void;
   /** Whether this host starts no more requests. */
   stopping(): boolean;
 }
 
+/** A run that this host has sent to a server for another host. */
+export interface ForwardedRun {
+  readonly attemptId: string;
+  readonly server: string;
+  /** Whether the request may still wait at the server, since nothing of it was heard. */
+  readonly mayWait: boolean;
+  /** The server at which this host has the request now, if any. */
+  present(): string | undefined;
+}
+
 /** A request that another host forwards. */
 interface Forwarded {
   readonly server: ServerAddress;
@@ -85,6 +97,8 @@
   readonly #parts: ForwardingServerParts;
   readonly #server: Server;
   readonly #load = new LoopLoad();
+  /** Servers of the forwarded sends in progress, by attempt. */
+  readonly #serversByAttempt = new Map<string, string>();
   #inProgress = 0;
   #bodyBytes = 0;
 
@@ -219,7 +233,9 @@
     );
     relay.start(send);
     metrics.event("forwarded_for_host");
+    this.#serversByAttempt.set(attemptId, server.id);
     response.once("close", () => {
+      this.#ended(forwarded, relay);
       logger.info("forwarded request ended", {
         request: attemptId,
         from,
@@ -230,6 +246,20 @@
       });
     });
   }
+
+  /** Has the run stopped if its answer was lost, or the other host has left. */
+  #ended({ attemptId, server }: Forwarded, relay: AnswerRelay): void {
+    if (this.#serversByAttempt.get(attemptId) === server.id) {
+      this.#serversByAttempt.delete(attemptId);
+    }
+    if (!relay.isWritten || relay.isComplete) return;
+    this.#parts.stopRun({
+      attemptId,
+      server: server.id,
+      mayWait: relay.status === undefined,
+      present: () => this.#serversByAttempt.get(attemptId),
+    });
+  }
 }
 
 /** Relays a server's answer to the host that forwarded the request. */
@@ -239,6 +269,10 @@
   #send: Send | undefined;
   /** Status of the server's answer. */
   status: number | undefined;
+  /** Whether the request was written to the server's connection. */
+  isWritten = false;
+  /** Whether the server's whole answer was received. */
+  isComplete = false;
 
   constructor(
     response: ServerResponse,
@@ -259,6 +293,7 @@
 
   written(): void {
     // The host that forwards the request counts it as written from its own send on.
+    this.isWritten = true;
   }
 
   head(status: number, rawHeaders: readonly string[]): void {
@@ -277,6 +312,7 @@
   }
 
   ended(): void {
+    this.isComplete = true;
     this.#response.end();
   }
 
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -1,6 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { createServer, request, type RequestListener } from "node:http";
+import { setImmediate as immediate } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
 import {
   listen,
@@ -12,6 +13,7 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { ForwardingClient } from "./forwarding_client.ts";
 import {
+  type ForwardedRun,
   ForwardingServer,
   type ForwardingServerParts,
 } from "./forwarding_server.ts";
@@ -58,6 +60,7 @@
       isHostAddress: (ip) => ip === "127.0.0.1",
       addressOf: (id) => (id === SERVER_ID ? server.address : undefined),
       stopping: () => false,
+      stopRun: () => undefined,
       client: {
         isOutOfReach: () => false,
         sendDirect: (to, asked, options) =>
@@ -197,6 +200,39 @@
     expect(told.at(-1)).toMatch(/^lost/);
   });
 
+  // Guards against a run that goes on at a server after its answer was lost: the host
+  // that forwards it may not reach that server to stop it.
+  test("has the run stopped whose answer is lost or unwanted, and no other", async () => {
+    const stopped: unknown[] = [];
+    const stopRun = (run: ForwardedRun) =>
+      stopped.push([run.server, run.mayWait, run.present()]);
+    const stops = async (count: number) => {
+      while (stopped.length < count) await immediate();
+      return stopped;
+    };
+    await using losing = await Parts.start(
+      (_, response) => response.destroy(),
+      { stopRun },
+    );
+    await losing.send();
+    expect(await stops(1)).toEqual([[SERVER_ID, true, undefined]]);
+    await using breaking = await Parts.start(
+      (_, response) => {
+        response.writeHead(200, { "Content-Length": 100 });
+        response.write("part", () => response.destroy());
+      },
+      { stopRun },
+    );
+    await breaking.send();
+    expect((await stops(2))[1]).toEqual([SERVER_ID, false, undefined]);
+    await using serving = await Parts.start((_, response) => response.end(), {
+      stopRun,
+    });
+    await serving.send();
+    await serving.send({ server: "unknown" });
+    expect(stopped.length).toBe(2);
+  });
+
   test("does not let a server's answer pass as its own", async () => {
     await using parts = await Parts.start((_, response) => {
       response.writeHead(503, { "X-Forwarding-Outcome": "not_sent" }).end();
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { type AbandonedRun } from "../relay/abandoned_runs.ts";
 import type { Clock, Listening, Logger, Random } from "rampswitch-utils";
 import { BackendClient, type ServerConnector } from "../attempt/mod.ts";
 import { serverOfIncarnation } from "../model/backend_server.ts";
@@ -14,7 +15,7 @@
 import { PeerReach, ServerContacts } from "../reach/mod.ts";
 import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
 import { ForwardingHosts } from "./forwarding_hosts.ts";
-import { ForwardingServer } from "./forwarding_server.ts";
+import { type ForwardedRun, ForwardingServer } from "./forwarding_server.ts";
 import { ServerClient } from "./server_client.ts";
 
 /** Dependencies of the access to servers. */
@@ -33,6 +34,8 @@
   forwardingHosts(): readonly ForwardingHost[];
   /** Whether an IP address belongs to a host of the fleet. */
   isHostAddress(ip: string): boolean;
+  /** Has a run stopped that was sent for another host. */
+  stopRun(run: AbandonedRun): void;
   /** Whether this host starts no more requests. */
   stopping(): boolean;
   /** Tells the peers of a change at once. */
@@ -76,6 +79,7 @@
       client: this.client,
       isHostAddress: (ip) => parts.isHostAddress(ip),
       addressOf: (server) => this.#directory.get(server)?.entry.address,
+      stopRun: (run) => this.#stopRun(run, parts),
       stopping: () => parts.stopping(),
     });
   }
@@ -106,6 +110,14 @@
     return this.client[Symbol.asyncDispose]();
   }
 
+  /** Has a run stopped that was sent for another host. */
+  #stopRun(run: ForwardedRun, parts: ServerAccessParts): void {
+    const server = this.#directory.get(run.server);
+    if (server === undefined) return;
+    const present = () => this.#directory.get(run.present() ?? "");
+    parts.stopRun({ ...run, server, present });
+  }
+
   /** Forgets failures of servers that other hosts reach: the links were lost. */
   #forgiveFailures(): void {
     this.#directory
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/lost_sends.ts
@@ -0,0 +1,91 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * What the loss of an answer means: for the server that was to give it, for the
+ * requests that may crash servers, and for the run that may go on there.
+ *
+ * @module
+ */
+import type { ServerRecord } from "../choice/mod.ts";
+import type { ResendReason } from "../model/outcome.ts";
+import { canStopRuns, stopAbandonedRun } from "./abandoned_runs.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { ResendRules } from "./resend_rules.ts";
+import type { CurrentSend } from "./sends.ts";
+import { firstStallMilliseconds } from "./stall_watch.ts";
+
+/** A failure after which the server may still be up. */
+const POSSIBLY_UP = { surelyDown: false };
+
+/** The request whose answers are lost. */
+export interface LosingRequest {
+  readonly request: AdmittedRequest;
+  readonly rules: ResendRules;
+  /** The server that the request is at now. */
+  present(): ServerRecord | undefined;
+}
+
+/** The lost answers of one request. */
+export class LostSends {
+  readonly #run: LosingRequest;
+  readonly #context: RequestContext;
+
+  constructor(run: LosingRequest, context: RequestContext) {
+    this.#run = run;
+    this.#context = context;
+  }
+
+  /** Records that the answer of a send was lost. */
+  lost(send: CurrentSend, reason: ResendReason): void {
+    const { record } = send.choice;
+    this.failed(send);
+    this.#run.rules.recordLoss(record);
+    // Recorded before the next send, since a request may crash every server that
+    // starts it.
+    if (reason === "connection_lost") {
+      this.#context.quarantine.recordLoss(
+        this.#run.request.fingerprint,
+        record,
+        send.answeringSince,
+      );
+    }
+  }
+
+  /** Records a failure of a send's server. */
+  failed({ choice }: CurrentSend): void {
+    choice.record.failed(this.#context.clock.now(), POSSIBLY_UP);
+  }
+
+  /** Records that a server sent nothing for longer than it may. */
+  unresponsive(send: CurrentSend): void {
+    this.failed(send);
+    this.#context.quarantine.recordUnresponsive(
+      this.#run.request.fingerprint,
+      send.choice.record,
+      send.answeringSince,
+    );
+  }
+
+  /** Records the same if the time for a first sign of the send's answer has passed. */
+  unresponsiveIfLate(send: CurrentSend): void {
+    const waited = this.#context.clock.now() - send.sentAt;
+    const allowed = firstStallMilliseconds(this.#run.request.route);
+    if (waited >= allowed) this.unresponsive(send);
+  }
+
+  /**
+   * Has the run of a send stopped that this host has given up. Only engines that can
+   * move a run can stop one; others are left to notice the close of the connection.
+   */
+  stopRun({ choice }: CurrentSend, { mayWait }: { mayWait: boolean }): void {
+    const { head, service } = this.#run.request;
+    const { attemptId } = head;
+    if (attemptId === undefined || !canStopRuns(service)) return;
+    const present = () => this.#run.present();
+    stopAbandonedRun(
+      { attemptId, server: choice.record, mayWait, present },
+      this.#context,
+    );
+  }
+}
--- a/packages/rampswitch-serving/src/relay/memory_migration.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration.ts
@@ -92,18 +92,3 @@
   const { from, to } = holders;
   return (await dropAt(from)) || (to !== undefined && dropAt(to));
 }
-
-/**
- * Stops an abandoned run, which continues at another server without its memory.
- * Its former server may not have detected that the connection was closed. Resolves
- * to the outcome.
- */
-export async function stopAbandonedRun(
-  migration: MemoryMigration,
-  { control, onUnused }: Pick<MemoryMigrationParts, "control" | "onUnused">,
-): Promise<"stopped" | MemoryCopyError> {
-  const stopped = await control.copyMemory({ ...migration, stopsRun: true });
-  if (stopped.isErr) return stopped.error;
-  onUnused(stopped.value.handle);
-  return "stopped";
-}
--- a/packages/rampswitch-serving/src/relay/memory_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration_test.ts
@@ -7,11 +7,7 @@
   RetainedMemory,
   MemoryCopyError,
 } from "../model/engine_control.ts";
-import {
-  dropMemory,
-  migrateMemory,
-  stopAbandonedRun,
-} from "./memory_migration.ts";
+import { dropMemory, migrateMemory } from "./memory_migration.ts";
 
 // A migration first copies memory while the run continues, and then stops the run.
 // These tests guard against a leak of memory and a slot at a server that continues
@@ -99,29 +95,6 @@
   });
 });
 
-describe("an abandoned run", () => {
-  test("is stopped at once, and its memory is released", async () => {
-    const { control, stops } = scripted([COPIED], [MIGRATION.from]);
-    const given: string[] = [];
-    const unused = (handle: string) => given.push(handle);
-    expect(
-      await stopAbandonedRun(MIGRATION, { control, onUnused: unused }),
-    ).toBe("stopped");
-    expect(stops).toEqual([true]);
-    expect(given).toEqual(["h1"]);
-  });
-
-  test("that its server no longer runs leaves nothing to free", async () => {
-    const { control } = scripted([Result.err("no_run")], [MIGRATION.from]);
-    const given: string[] = [];
-    const unused = (handle: string) => given.push(handle);
-    expect(
-      await stopAbandonedRun(MIGRATION, { control, onUnused: unused }),
-    ).toBe("no_run");
-    expect(given).toEqual([]);
-  });
-});
-
 describe("memory from which no run resumes", () => {
   test("is freed at the source, which frees both copies", async () => {
     const { control, drops } = scripted([], [MIGRATION.from, MIGRATION.to]);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { LostSends } from "./lost_sends.ts";
 import { runInBackground } from "rampswitch-utils";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -59,9 +60,6 @@
 /** Status of a server that is not the one that the request names. */
 const MISDIRECTED = 421;
 
-/** A failure after which the server may still be up. */
-const POSSIBLY_UP = { surelyDown: false };
-
 /** Handles one admitted request until its caller has an answer. */
 export class RequestRun {
   readonly request: AdmittedRequest;
@@ -70,12 +68,15 @@
   readonly #record: RunRecord;
   readonly #tracker: AttemptTracker;
   readonly #rules: ResendRules;
+  readonly #lostSends: LostSends;
   readonly #framer = new EventFramer();
   /** Server incarnations that the request was sent to. */
   readonly #tried = new Set<string>();
   readonly #deadlineAt: number;
   readonly #onFinished: (run: RequestRun) => void;
   #current: CurrentSend | undefined;
+  /** Whether the current send's request was written to a connection. */
+  #isWritten = false;
   #head: AnswerHead | undefined;
   readonly #bufferedBody = new BufferedBody();
   #lastEventId: string | undefined;
@@ -109,7 +110,12 @@
       request.route.resumable ? "repeatable" : request.route.repeatability,
     );
     this.#streamVersion = new StreamVersion(request, context);
-    this.#rules = new ResendRules(request, this.#tracker, context);
+    const rules = new ResendRules(request, this.#tracker, context);
+    this.#rules = rules;
+    this.#lostSends = new LostSends(
+      { request, rules, present: () => this.server },
+      context,
+    );
     this.#sendChooser = new SendChooser(
       {
         request,
@@ -305,6 +311,7 @@
         possibleRuns: this.#tracker.possibleRuns,
       });
     }
+    this.#isWritten = false;
     const send = this.#context.client.send(
       record.entry,
       outgoingRequest(request, choice, {
@@ -314,7 +321,7 @@
         memorySource,
       }),
       {
-        written: () => this.#tracker.handle({ type: "written" }),
+        written: () => this.#handleWritten(),
         head: (status, raw) =>
           this.#handleHead(this.#context.codec.decodeAnswer(status, raw)),
         data: (chunk) => this.#handleData(chunk),
@@ -338,6 +345,11 @@
     this.#stallWatch.start(this.#firstStallMilliseconds());
   }
 
+  #handleWritten(): void {
+    this.#tracker.handle({ type: "written" });
+    this.#isWritten = true;
+  }
+
   /** Time without a first event or an answer that counts as a stall. */
   #firstStallMilliseconds(): number {
     return firstStallMilliseconds(this.request.route);
@@ -347,7 +359,7 @@
   #handleStall(): void {
     const current = this.#current;
     if (current === undefined || this.#stopping) return;
-    this.#recordUnresponsive(current);
+    this.#lostSends.unresponsive(current);
     if (!this.#rules.canAbandonRun) return;
     // If no other server can answer, a late answer is better than none.
     if (!this.#sendChooser.hasAlternative) {
@@ -357,10 +369,7 @@
     this.#tracker.handle({ type: "lost" });
     this.#startedMigration?.drop();
     this.#endLostSend("stalled", "silent", { abort: true });
-    this.#resend("stalled", "timed_out", (next) => {
-      if (this.migratable)
-        this.#migration.stopAbandoned(current.choice.record, next);
-    });
+    this.#resend("stalled", "timed_out");
   }
 
   #handleHead(head: AnswerHead): void {
@@ -508,7 +517,7 @@
     this.#record.began();
     this.#recordCompletion(current, isSuccess(head.status));
     const failed = head.status >= FIRST_SERVER_ERROR_STATUS;
-    if (failed) current.choice.record.failed(this.#now(), POSSIBLY_UP);
+    if (failed) this.#lostSends.failed(current);
     else current.choice.record.succeeded();
     if (failed && this.#rules.canAbandonRun) {
       this.#failureAnswer = { head, body };
@@ -545,6 +554,7 @@
   }
 
   #handleNotWritten(detail: string): void {
+    this.#isWritten = false;
     this.#tracker.handle({ type: "not_written" });
     this.#recordUnreachable(this.#current);
     this.#endLostSend("not_connected", detail, { abort: false });
@@ -565,27 +575,14 @@
   }
 
   #handleLoss(reason: ResendReason, detail: string): void {
-    const record = this.#current?.choice.record;
-    const answeringSince = this.#current?.answeringSince;
     if (this.#stopping) {
       this.#migration.noteLostWhileStopping();
       return;
     }
     const before = this.#tracker.state;
     this.#tracker.handle({ type: "lost" });
-    if (record !== undefined) {
-      record.failed(this.#now(), POSSIBLY_UP);
-      this.#rules.recordLoss(record);
-      // Recorded before the next send, since a request may crash every server
-      // that starts it.
-      if (reason === "connection_lost") {
-        this.#context.quarantine.recordLoss(
-          this.request.fingerprint,
-          record,
-          answeringSince,
-        );
-      }
-    }
+    if (this.#current !== undefined)
+      this.#lostSends.lost(this.#current, reason);
     this.#endLostSend(reason, detail, { abort: true });
     if (before === "waiting") {
       this.#resend("not_connected", "no_server");
@@ -596,14 +593,10 @@
     this.#resend(reason, "unknown_outcome");
   }
 
-  /** Sends the request to another server, if permitted, and calls `sent` with it. */
-  #resend(
-    reason: ResendReason,
-    fallback: RefusalReason,
-    sent: (next: ServerRecord) => void = () => undefined,
-  ): void {
+  /** Sends the request to another server, if permitted. */
+  #resend(reason: ResendReason, fallback: RefusalReason): void {
     if (this.#answer.finished) return;
-    const wanted = { reason, fallback, sent };
+    const wanted = { reason, fallback };
     const forbidden = this.#streamVersion.isUncertain
       ? "version_unknown"
       : this.#rules.reasonAgainstResend(this.#remaining());
@@ -626,7 +619,6 @@
     this.#rules.recordRepeat();
     this.#record.resent(wanted.reason, view);
     this.#sendTo(choice);
-    wanted.sent(choice.record);
   }
 
   #abandonResend(
@@ -664,7 +656,6 @@
     if (this.#answer.finished) return;
     const hasNotRun = this.#tracker.certainlyNotRun;
     this.#recordIfUnresponsive();
-    this.#current?.send.abort();
     this.#endCurrentSend(true);
     this.#giveUp(hasNotRun ? "deadline_passed" : "timed_out");
   }
@@ -713,29 +704,22 @@
     if (this.#answer.finished) return;
     this.#answer.markAbandoned();
     this.#recordIfUnresponsive();
-    this.#current?.send.abort();
+    this.#abandonRun();
+    this.#endCurrentSend(true);
     this.#finish("caller_left");
   }
 
   /** Counts a server as failing if it sent no head within the time for a first stall. */
   #recordIfUnresponsive(): void {
-    const current = this.#current;
-    if (current === undefined || this.#head !== undefined) return;
-    const waited = this.#now() - current.sentAt;
-    if (waited >= this.#firstStallMilliseconds())
-      this.#recordUnresponsive(current);
-  }
-
-  #recordUnresponsive({
-    choice: { record },
-    answeringSince,
-  }: CurrentSend): void {
-    record.failed(this.#now(), POSSIBLY_UP);
-    this.#context.quarantine.recordUnresponsive(
-      this.request.fingerprint,
-      record,
-      answeringSince,
-    );
+    if (this.#current !== undefined && this.#head === undefined)
+      this.#lostSends.unresponsiveIfLate(this.#current);
+  }
+
+  /** Has the current run stopped, if the request was written to its server. */
+  #abandonRun(): void {
+    if (this.#current === undefined || !this.#isWritten) return;
+    const mayWait = this.#head === undefined;
+    this.#lostSends.stopRun(this.#current, { mayWait });
   }
 
   /** Ends a send without a usable answer, and notes why. */
@@ -745,6 +729,7 @@
     { abort }: { readonly abort: boolean },
   ): void {
     const current = this.#current;
+    this.#abandonRun();
     this.#endCurrentSend(abort);
     this.#record.lost(reason, {
       detail,
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -10,7 +10,7 @@
 import { runInBackground } from "rampswitch-utils";
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
-import type { Choice, ServerRecord } from "../choice/mod.ts";
+import type { Choice } from "../choice/mod.ts";
 import type { RetainedMemory } from "../model/engine_control.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { MemorySource } from "../model/request.ts";
@@ -20,12 +20,14 @@
   SuspendedRun,
 } from "./suspended_run.ts";
 import {
-  dropMemory,
   migrateMemory,
   type MemoryMigrationError,
-  stopAbandonedRun,
 } from "./memory_migration.ts";
-import { readEngineReport } from "../advertisements/mod.ts";
+import {
+  freeMemory,
+  incarnationStatusOf,
+  type IncarnationStatus,
+} from "./retained_memory.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
 
@@ -39,14 +41,6 @@
  */
 const USABLE_DRAIN_SHARE = 0.8;
 
-/**
- * Time in which a server should detect that the connection of a run was closed,
- * in milliseconds. After it, a run that was abandoned for another server is
- * stopped by a call: on the known platforms two servers may work on one request
- * for at most 0.4 s.
- */
-const CLOSE_DETECTION_MILLISECONDS = 100;
-
 /** Decision of the resend budget, and the state that it was based on. */
 export interface BudgetDecision {
   readonly granted: boolean;
@@ -56,9 +50,6 @@
 /** The first send after a migration continues the same run and needs no budget. */
 const NO_BUDGET_NEEDED: BudgetDecision = { granted: true, view: undefined };
 
-/** Whether a server is still the incarnation that issued a handle. */
-type IncarnationStatus = "same" | "later" | "not_told";
-
 /** Why retained memory is sent once more, and the budget's decision. */
 interface Resend {
   readonly reason: ResendReason;
@@ -234,26 +225,10 @@
   ): Promise<IncarnationStatus> {
     if (record.ended) return "later";
     return suspended.issuedHandle({ record })
-      ? this.#incarnationStatusOf(record)
+      ? incarnationStatusOf(record, this.#context)
       : "same";
   }
 
-  /**
-   * Whether a handle still names the same memory at a server as when it was
-   * issued. A later incarnation restarts the count of its handles, so there the
-   * handle may name the memory of another request. The list of servers shows a
-   * new incarnation some hundred milliseconds late; the server's own report shows
-   * it at once.
-   */
-  async #incarnationStatusOf(record: ServerRecord): Promise<IncarnationStatus> {
-    const { born } = record.entry;
-    if (record.ended) return "later";
-    if (born === undefined) return "same";
-    const report = await readEngineReport(record, this.#context);
-    if (report === undefined) return "not_told";
-    return (report.born ?? born) === born ? "same" : "later";
-  }
-
   /** Notes that the retained memory can no longer be used at a server. */
   markUnreachable(choice: Choice): void {
     this.#suspended?.markUnreachable(choice);
@@ -277,44 +252,6 @@
     runInBackground("move of a run", this.#context, work);
   }
 
-  /**
-   * Stops the run at a server that was abandoned for another one. If the network
-   * path is broken, the server does not detect that the connection was closed.
-   */
-  stopAbandoned(abandoned: ServerRecord, next: ServerRecord): void {
-    this.#context.clock.after(CLOSE_DETECTION_MILLISECONDS, () =>
-      this.#inBackground(() => this.#stopAbandoned(abandoned, next)),
-    );
-  }
-
-  async #stopAbandoned(
-    abandoned: ServerRecord,
-    next: ServerRecord,
-  ): Promise<void> {
-    const { attemptId, record } = this.#run;
-    // A server that ended or restarted no longer runs this request.
-    if (attemptId === undefined || abandoned.ended) return;
-    if (this.#runsAtAddressOf(abandoned)) return;
-    const outcome = await stopAbandonedRun(
-      { from: abandoned.entry.address, to: next.entry.address, attemptId },
-      {
-        control: this.#context.engineControl,
-        onUnused: (handle) => this.#free({ from: abandoned, to: next }, handle),
-      },
-    );
-    record.abandonedRunStopped(outcome, abandoned);
-  }
-
-  /**
-   * Whether the run continues at the address of an abandoned server. The address
-   * of a server that is gone may be given to another one, and a stop would then
-   * end the run there.
-   */
-  #runsAtAddressOf(abandoned: ServerRecord): boolean {
-    const present = this.#run.sentTo()?.record;
-    return present?.entry.address === abandoned.entry.address;
-  }
-
   /** Migrates the run; resolves to the outcome. */
   async #migrateTo(
     source: Choice,
@@ -391,26 +328,10 @@
   }
 
   #free(holders: MemoryHolders, handle: string): void {
-    this.#inBackground(async () => {
-      const freed = await dropMemory(holders, (record) =>
-        this.#freeAt(record, handle),
-      );
-      this.#run.record.memoryDropped(freed);
-    });
-  }
-
-  /** Frees memory at a server, unless the handle may name another request's. */
-  async #freeAt(record: ServerRecord, handle: string): Promise<boolean> {
-    const { id, address, born } = record.entry;
-    if ((await this.#incarnationStatusOf(record)) === "same" && !record.ended) {
-      return this.#context.engineControl.dropCopy(address, handle);
-    }
-    this.#context.logger.info("memory not freed at its server", {
-      request: this.#run.attemptId,
-      server: id,
-      born,
-    });
-    return false;
+    const { attemptId } = this.#run;
+    this.#inBackground(() =>
+      freeMemory({ attemptId, holders, handle }, this.#context),
+    );
   }
 }
 
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -9,7 +9,11 @@
   SILENT_LOGGER,
   sleep,
 } from "rampswitch-utils";
-import { type Choice, ServerDirectory, ServerRecord } from "../choice/mod.ts";
+import {
+  type Choice,
+  ServerDirectory,
+  type ServerRecord,
+} from "../choice/mod.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type {
   EngineControl,
@@ -342,61 +346,3 @@
     expect(sentOn).toBeGreaterThan(SEEDS);
   });
 });
-
-/** A run with a send in progress at one server, and the stops that it requests. */
-function runAt(entry: BackendServer) {
-  const clock = new ManualClock();
-  const stops: MemoryCopy[] = [];
-  const engineControl: EngineControl = {
-    report: () => Promise.resolve(undefined),
-    copyMemory: (copy) => {
-      stops.push(copy);
-      return Promise.resolve(Result.err("no_run"));
-    },
-    dropCopy: () => Promise.resolve(false),
-  };
-  const parts = {
-    clock,
-    logger: SILENT_LOGGER,
-    metrics: new ServingMetrics(),
-    engineControl,
-  } as unknown as RequestContext;
-  const request = {
-    head: { attemptId: OWN },
-    service: { name: "models" },
-  } as AdmittedRequest;
-  const record = new ServerRecord(entry);
-  const migration = new RunMigration(
-    {
-      attemptId: OWN,
-      record: new RunRecord(request, parts),
-      sentTo: () => ({ record }) as Choice,
-    } as MigratableRun,
-    parts,
-  );
-  return { clock, stops, record, migration };
-}
-
-describe("the stop of an abandoned run", () => {
-  const abandoned = new ServerRecord(new SimulatedServer(1).entry);
-  const next = new SimulatedServer(2).entry;
-
-  test("is requested at the server that was abandoned", async () => {
-    const run = runAt(next);
-    run.migration.stopAbandoned(abandoned, run.record);
-    run.clock.advance(COPY_MILLISECONDS * 2);
-    await settled();
-    expect(run.stops.map(({ from }) => from)).toEqual([
-      abandoned.entry.address,
-    ]);
-  });
-
-  test("is not requested if the run continues at that address", async () => {
-    // The address of a server that is gone may be given to another one.
-    const run = runAt({ ...next, address: abandoned.entry.address });
-    run.migration.stopAbandoned(abandoned, run.record);
-    run.clock.advance(COPY_MILLISECONDS * 2);
-    await settled();
-    expect(run.stops).toEqual([]);
-  });
-});
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -311,26 +311,6 @@
     };
   }
 
-  /** Notes that retained memory from which no run resumes was dropped. */
-  memoryDropped(freed: boolean): void {
-    const outcome = freed ? "freed" : "not_freed";
-    this.#context.metrics.event(`memory_${outcome}`);
-    this.#context.logger.info("memory dropped", {
-      request: this.#request.head.attemptId,
-      outcome,
-    });
-  }
-
-  /** Notes that an abandoned run was requested to stop. */
-  abandonedRunStopped(outcome: string, server: ServerRecord): void {
-    this.#context.metrics.event(`left_run_${outcome}`);
-    this.#context.logger.info("left run", {
-      request: this.#request.head.attemptId,
-      outcome,
-      server: server.entry.id,
-    });
-  }
-
   /** Notes that the request is refused because capacity is short. */
   shortOfRoom(refusal: Omit<RoomRefusal, "request">): void {
     this.#refusal = refusal;
--- a/packages/rampswitch-serving/src/relay/sends.ts
+++ b/packages/rampswitch-serving/src/relay/sends.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { AnswerFraming, Send } from "../attempt/mod.ts";
-import type { ServerRecord, StartedWork } from "../choice/mod.ts";
+import type { StartedWork } from "../choice/mod.ts";
 import type { RefusalReason, ResendReason } from "../model/outcome.ts";
 import type { TimedSend } from "./observed_answers.ts";
 
@@ -31,6 +31,4 @@
   readonly reason: ResendReason;
   /** Refusal that the caller gets if the send can't be made. */
   readonly fallback: RefusalReason;
-  /** Called with the server that the request was sent to. */
-  sent(next: ServerRecord): void;
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -6,6 +6,11 @@
  *
  * @module
  */
+import {
+  type AbandonedRun,
+  canStopRuns,
+  stopAbandonedRun,
+} from "./relay/abandoned_runs.ts";
 import {
   type Clock,
   type Logger,
@@ -355,6 +360,7 @@
         isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
         stopping: () => this.#lifecycle.state === "stopping",
         broadcast: () => promptUpdates.trigger(),
+        stopRun: (run) => this.#stopRun(run),
       }),
     );
     this.#callers = new CallerServer(this.#requestContext());
@@ -709,6 +715,17 @@
     return this.#membership?.fleetWallTime() ?? this.#ports.wallTime();
   }
 
+  /** Has a run stopped that was sent for another host. */
+  #stopRun(run: AbandonedRun): void {
+    const { service } = run.server.entry;
+    if (!canStopRuns(this.#follower.routes?.service(service))) return;
+    stopAbandonedRun(run, {
+      ...this.#ports,
+      directory: this.#directory,
+      advertisements: this.#advertisements,
+    });
+  }
+
   #serverLeaving(record: ServerRecord): void {
     runInBackground("moves from a leaving server", this.#ports, () =>
       this.#leavingServers.scheduleMigration(record),
