Refuse peers' messages whose address can't be sent to

Callers would have seen a host end, with all its requests, after one datagram: the reply to a query from an address that is none ("host.example:1", port 70000) throws in `send`, and nothing caught it.

Cause: addresses in messages were checked to be strings. The list of hosts in the store was checked already, for the same reason.

Change: `isPeerAddress` in the checks of updates, queries and replies.

Tests: five in peer_codec_test.ts, all failed before. The reference schema in peer_codec_schema_test.ts accepted any text as an address, which was wrong for the same reason; it now asks for an address, and both kinds of text are drawn.

--- a/packages/rampswitch-serving/src/membership/checks.ts
+++ b/packages/rampswitch-serving/src/membership/checks.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { isAddress } from "rampswitch-utils";
 
 /** Whether a decoded JSON value has the structure of `Value`. */
 export type Check<Value> = (value: unknown) => value is Value;
@@ -33,6 +34,18 @@
   return isString(value) && value.length <= MAXIMUM_NAME_CHARACTERS;
 }
 
+/**
+ * Whether a value is an IP address and a port. Sending to anything else throws, or
+ * looks a name up.
+ */
+export function isPeerAddress(value: unknown): value is string {
+  return (
+    isString(value) &&
+    value.length <= MAXIMUM_NAME_CHARACTERS &&
+    isAddress(value)
+  );
+}
+
 /** Whether a value is a boolean. */
 export function isBoolean(value: unknown): value is boolean {
   return typeof value === "boolean";
--- a/packages/rampswitch-serving/src/membership/configuration_codec.ts
+++ b/packages/rampswitch-serving/src/membership/configuration_codec.ts
@@ -11,6 +11,7 @@
   type FieldChecks,
   isNumber,
   isNumberPair,
+  isPeerAddress,
   isString,
   listOf,
   nullable,
@@ -51,7 +52,7 @@
 
 /** Checks of a query for the configuration. */
 export const CONFIGURATION_QUERY_CHECKS: FieldChecks<EncodedConfigurationQuery> =
-  { k: oneOf("w"), a: isString };
+  { k: oneOf("w"), a: isPeerAddress };
 
 /** Checks of the configuration. */
 export const CONFIGURATION_CHECKS: FieldChecks<EncodedConfiguration> = {
--- a/packages/rampswitch-serving/src/membership/limit_codec.ts
+++ b/packages/rampswitch-serving/src/membership/limit_codec.ts
@@ -9,6 +9,7 @@
   type FieldChecks,
   isNonnegative,
   isNumber,
+  isPeerAddress,
   isString,
   oneOf,
   optional,
@@ -37,7 +38,7 @@
 export const LIMIT_QUERY_CHECKS: FieldChecks<EncodedLimitQuery> = {
   k: oneOf("q"),
   i: isNumber,
-  a: isString,
+  a: isPeerAddress,
   w: isString,
   t: isNonnegative,
   p: isNumber,
--- a/packages/rampswitch-serving/src/membership/peer_codec_schema_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_schema_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "@jest/globals";
 import * as fc from "fast-check";
 import * as z from "zod";
+import { isAddress } from "rampswitch-utils";
 import { FINGERPRINT_PATTERN } from "../quarantine/mod.ts";
 import { decodeMessage } from "./peer_codec.ts";
 
@@ -11,6 +12,8 @@
 // is kept here as the reference for what is accepted.
 
 const name = z.string().min(1).max(256);
+// Sending a datagram to anything else throws.
+const address = z.string().max(256).refine(isAddress);
 const servers = z.record(z.string(), z.number().int().nonnegative());
 const rollouts = z
   .array(
@@ -71,7 +74,7 @@
   p: z.number(),
   i: z.string(),
   n: z.number(),
-  a: z.string(),
+  a: address,
   t: z.number(),
   s: z.boolean(),
   c: z.number(),
@@ -126,7 +129,7 @@
   z.object({
     k: z.literal("q"),
     i: z.number(),
-    a: z.string(),
+    a: address,
     w: z.string(),
     t: z.number().nonnegative(),
     p: z.number(),
@@ -139,7 +142,7 @@
   z.object({
     k: z.literal("u"),
     i: z.number(),
-    a: z.string(),
+    a: address,
     s: name,
     o: z.array(name),
     p: z.enum(["ordinary", "urgent", "continuation"]),
@@ -149,11 +152,17 @@
     i: z.number(),
     r: z.union([name, z.number().nonnegative()]),
   }),
-  z.object({ k: z.literal("w"), a: z.string() }),
+  z.object({ k: z.literal("w"), a: address }),
   z.object({ k: z.literal("c"), s: changes }),
 ]);
 
 /** Mostly valid names, and a few with a special meaning in JavaScript. */
+const someAddress = fc.oneof(
+  fc
+    .tuple(fc.ipV4(), fc.integer({ min: 0, max: 70_000 }))
+    .map(([ip, port]) => `${ip}:${port}`),
+  fc.constantFrom("", "host.example:1", "127.0.0.1", "127.0.0.1:x", "[::1]:7"),
+);
 const text = fc.oneof(
   { weight: 30, arbitrary: fc.string({ minLength: 1, maxLength: 8 }) },
   {
@@ -213,7 +222,7 @@
     p: number,
     i: text,
     n: number,
-    a: text,
+    a: someAddress,
     t: number,
     s: fc.boolean(),
     c: number,
@@ -274,7 +283,7 @@
   fc.record({
     k: fc.constant("q"),
     i: number,
-    a: text,
+    a: someAddress,
     w: text,
     t: number,
     p: number,
@@ -286,13 +295,13 @@
   fc.record({
     k: fc.constant("u"),
     i: number,
-    a: text,
+    a: someAddress,
     s: text,
     o: few(text),
     p: fc.constantFrom("ordinary", "urgent", "continuation"),
   }),
   fc.record({ k: fc.constant("v"), i: number, r: fc.oneof(text, number) }),
-  fc.record({ k: fc.constant("w"), a: text }),
+  fc.record({ k: fc.constant("w"), a: someAddress }),
   fc.record({ k: fc.constant("c"), s: someChanges }),
 );
 
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -283,3 +283,13 @@
   const decoded = decodeMessage(Buffer.concat([Buffer.from([1]), compressed]));
   expect(decoded.toString()).toContain("nested levels");
 });
+
+// Guards against a datagram that ends a host: a reply to such an address throws.
+test.each(["", "host.example:1", "127.0.0.1:0", "127.0.0.1:70000", "x"])(
+  "a message that names %j as an address is refused",
+  (address) => {
+    const query = { k: "w", a: address };
+    const decoded = decodeMessage(Buffer.from(JSON.stringify(query)));
+    expect(decoded.isErr).toBe(true);
+  },
+);
--- a/packages/rampswitch-serving/src/membership/permit_codec.ts
+++ b/packages/rampswitch-serving/src/membership/permit_codec.ts
@@ -16,7 +16,7 @@
   isName,
   isNonnegative,
   isNumber,
-  isString,
+  isPeerAddress,
   listOf,
   nullable,
   oneOf,
@@ -71,7 +71,7 @@
 export const PERMIT_QUERY_CHECKS: FieldChecks<EncodedPermitQuery> = {
   k: oneOf("u"),
   i: isNumber,
-  a: isString,
+  a: isPeerAddress,
   s: isName,
   o: listOf(isName),
   p: oneOf("ordinary", "urgent", "continuation"),
--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -11,8 +11,8 @@
   isName,
   isNonnegative,
   isNumber,
+  isPeerAddress,
   isShortText,
-  isString,
   oneOf,
   optional,
 } from "./checks.ts";
@@ -60,7 +60,7 @@
 export const STREAM_QUERY_CHECKS: FieldChecks<EncodedStreamQuery> = {
   k: oneOf("e"),
   i: isNumber,
-  a: isString,
+  a: isPeerAddress,
   s: isName,
   r: isShortText,
 };
