Read each byte of an answer once, and make no text of assertions from the source

The sight that was missing came first: rampswitch_event_loop_delay_seconds and the line `event loop stood still`, with the input that was handled last.

Cause: (1) a wrong status fails an assertion of undici without a message, and Node.js parses the whole bundle to make one; (2) EventFramer read all bytes since the last whole event again with each piece, without a limit. By the same question at other places: pieces of one byte were kept as objects and handled in one turn, ids of events were compared and sent on at any length, 1xx heads had no bound.

Ruled out: a check of bytes before the parser (98 more assertions stand in the bundle); libraries in files of their own (the start is measured and dear).

Change: assertions.cjs in the bundle; a framer that looks at each byte once and keeps 256 KB of an event; usable ids have 256 characters of header text; at most 500 pieces of an answer in one turn, 16 heads before its own.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -87,7 +87,14 @@
       ],
     },
   },
-  { files: ["**/*.mjs"], ...tseslint.configs.disableTypeChecked },
+  { files: ["**/*.{mjs,cjs}"], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ["**/*.cjs"],
+    languageOptions: {
+      sourceType: "commonjs",
+      globals: { module: "writable" },
+    },
+  },
   {
     files: ["**/*.mjs"],
     languageOptions: { globals: { process: "readonly", URL: "readonly" } },
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -264,6 +264,12 @@
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
+  #informationalHeads = 0;
+  #pieces = 0;
+  /** Whether the listener takes no data for now. */
+  #isPaused = false;
+  /** Whether other events come first. */
+  #yields = false;
 
   constructor(
     listener: SendListener,
@@ -291,11 +297,13 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   resume(): void {
-    this.#controller?.resume();
+    this.#isPaused = false;
+    if (!this.#yields) this.#controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -310,16 +318,39 @@
   ): void {
     this.#answered = true;
     this.#heard();
-    if (this.#aborted || statusCode < FIRST_FINAL_STATUS) return;
+    if (this.#aborted) return;
+    if (statusCode < FIRST_FINAL_STATUS) {
+      this.#countInformationalHead(controller);
+      return;
+    }
     this.#listener.head(statusCode, decodeHeaders(controller.rawHeaders));
   }
 
+  #countInformationalHead(controller: Dispatcher.DispatchController): void {
+    this.#informationalHeads += 1;
+    if (this.#informationalHeads <= MAXIMUM_INFORMATIONAL_HEADS) return;
+    controller.abort(new Error("too many informational heads"));
+  }
+
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     this.#heard();
-    if (!this.#aborted) this.#listener.data(chunk);
+    if (this.#aborted) return;
+    this.#listener.data(chunk);
+    this.#pieces += 1;
+    if (this.#pieces % PIECES_PER_TURN === 0) this.#yield();
+  }
+
+  /** Lets other events be handled before further pieces of this answer. */
+  #yield(): void {
+    this.#yields = true;
+    this.#controller?.pause();
+    setImmediate(() => {
+      this.#yields = false;
+      if (!this.#isPaused && !this.#aborted) this.#controller?.resume();
+    });
   }
 
   onResponseEnd(): void {
@@ -381,6 +412,15 @@
 /** Answers with a lower status are informational. */
 const FIRST_FINAL_STATUS = 200;
 
+/**
+ * Number of pieces of an answer that are handled before other events. A piece may have
+ * a single byte, and a server may send them as fast as the link allows.
+ */
+const PIECES_PER_TURN = 500;
+
+/** Maximum number of such heads before an answer; a server needs one or two. */
+const MAXIMUM_INFORMATIONAL_HEADS = 16;
+
 /** Decodes undici's raw headers to text. */
 function decodeHeaders(headers: unknown): RawHeaders {
   return Array.isArray(headers)
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -528,6 +528,7 @@
 
   #configurationChanged(object: StoredObject): void {
     const { formats, logger, metrics } = this.#parts;
+    metrics.input("stored object", object.key);
     const decoded = formats.decodeConfiguration(object.value);
     if (decoded.isErr) {
       metrics.event("configuration_malformed");
@@ -553,6 +554,7 @@
 
   #serverChanged(object: StoredObject, origin: ObjectOrigin): void {
     const id = this.#serverId(object.key);
+    this.#parts.metrics.input("stored object", object.key);
     this.#lapsedServers.entryPresent(id);
     const read = this.#readServer(id, object.value);
     const isRestored =
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -175,6 +175,7 @@
     const arrivedAt = this.#context.clock.now();
     this.#idle = false;
     const head = this.#headOf(incoming);
+    this.#context.metrics.input("request", head.attemptId);
     this.#reading += 1;
     const body = await readBody(incoming, this.#limits.bodyBytes);
     this.#reading -= 1;
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -426,6 +426,7 @@
 
   /** Handles a datagram. */
   receive(datagram: Buffer): void {
+    this.#parts.metrics.input("message of a peer");
     const decoded = decodeMessage(datagram, this.#isApplied);
     if (decoded.isErr) {
       this.#parts.metrics.event("peer_news_malformed");
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -14,6 +14,10 @@
   0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15,
 ];
 
+/** What a host handles of its neighbours. */
+export type InputKind =
+  "start" | "request" | "answer" | "stored object" | "message of a peer";
+
 /** The metrics of one host. */
 export class ServingMetrics {
   readonly #registry = new Registry();
@@ -75,6 +79,12 @@
     "Refused callers that did not return as told",
     ["rank"],
   );
+  readonly #loopDelay = this.#histogram(
+    "event_loop_delay_seconds",
+    "Time for which the event loop stood still",
+  );
+  #inputKind: InputKind = "start";
+  #inputName = "";
   readonly #gauges = new Map<string, Gauge>();
   readonly #serverGauges = new Map<string, Gauge<"server">>();
   readonly #firstPart = this.#histogram(
@@ -86,6 +96,22 @@
     "Time from a request to the end of its answer",
   );
 
+  /** Names the input of a neighbour that is being handled. */
+  input(kind: InputKind, name = ""): void {
+    this.#inputKind = kind;
+    this.#inputName = name;
+  }
+
+  /** The input that was handled last. */
+  get latestInput(): string {
+    return `${this.#inputKind} ${this.#inputName}`.trim();
+  }
+
+  /** Records for how long the event loop stood still. */
+  loopDelay(milliseconds: number): void {
+    this.#loopDelay.observe(milliseconds / 1_000);
+  }
+
   /** Counts the end of a request. */
   outcome(outcome: string): void {
     this.#outcomes.inc({ outcome });
--- a/packages/rampswitch-serving/src/observation/mod.ts
+++ b/packages/rampswitch-serving/src/observation/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export * from "./bounded_output.ts";
+export * from "./loop_delay.ts";
 export * from "./metrics.ts";
 export * from "./winston_logger.ts";
 export * from "./line_log.ts";
--- a/packages/rampswitch-serving/src/reach/server_contacts.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts.ts
@@ -58,6 +58,7 @@
   /** Records that bytes or a connection of a server arrived. */
   heard(server: string): void {
     const now = this.#parts.clock.now();
+    this.#parts.metrics.input("answer", server);
     this.#heardAt.set(server, now);
     this.#anyHeardAt = now;
     this.#failedInRow.clear();
--- a/packages/rampswitch-serving/src/relay/buffered_body.ts
+++ b/packages/rampswitch-serving/src/relay/buffered_body.ts
@@ -6,30 +6,28 @@
  *
  * @module
  */
+import { CollectedBytes } from "rampswitch-utils";
 
 /** Maximum size of a buffered answer, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 
 /** The buffered body of one answer. */
 export class BufferedBody {
-  #parts: Buffer[] = [];
-  #bytes = 0;
+  readonly #bytes = new CollectedBytes();
 
   /** Adds a part; `false` if the body exceeds the maximum size. */
   push(part: Buffer): boolean {
-    this.#parts.push(part);
-    this.#bytes += part.length;
-    return this.#bytes <= MAXIMUM_BUFFERED_BYTES;
+    this.#bytes.push(part);
+    return this.#bytes.length <= MAXIMUM_BUFFERED_BYTES;
   }
 
   /** The body received so far. */
   toBuffer(): Buffer {
-    return Buffer.concat(this.#parts);
+    return this.#bytes.toBuffer();
   }
 
   /** Discards the body. */
   clear(): void {
-    this.#parts = [];
-    this.#bytes = 0;
+    this.#bytes.clear();
   }
 }
--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -2,10 +2,13 @@
 
 /**
  * Splits a stream of server-sent events at event boundaries, so that a broken
- * stream can resume at another server without partial or duplicate events.
+ * stream can resume at another server without partial or duplicate events. Its work
+ * grows with the bytes alone, whatever the pieces and however late an event ends.
  *
  * @module
  */
+import { CollectedBytes } from "rampswitch-utils";
+import { LineStarts } from "./line_starts.ts";
 
 /** Complete events from the start of the buffered stream. */
 export interface Frames {
@@ -15,81 +18,118 @@
   readonly firstId: string | undefined;
   /** Last id among the events; `undefined` if none has an id. */
   readonly lastId: string | undefined;
+  /** Whether each id can be sent to a server that continues the stream. */
+  readonly hasUsableIds: boolean;
+  /** Whether the event that has begun is larger than an event may be. */
+  readonly isOverfull: boolean;
 }
 
-const NO_BYTES: Buffer = Buffer.alloc(0);
+/** Maximum size of an event that has begun, in bytes; usual ones have a few hundred. */
+const MAXIMUM_EVENT_BYTES = 256 * 1024;
+
+/** Maximum length of an event's id, in characters. */
+const MAXIMUM_ID_CHARACTERS = 256;
+
 const NO_FRAMES: Frames = {
-  bytes: NO_BYTES,
+  bytes: Buffer.alloc(0),
   count: 0,
   firstId: undefined,
   lastId: undefined,
+  hasUsableIds: true,
+  isOverfull: false,
 };
+const OVERFULL: Frames = { ...NO_FRAMES, isOverfull: true };
+
 /** Line ends of two bytes are as good as those of one. */
 const END_OF_EVENT = /\n\r?\n/g;
 const ENDS_OF_EVENT = ["\n\n", "\n\r\n"] as const;
-const LINE_END = /\r?\n/;
-const COMMENT = ":";
 const ID_FIELD = /^id: ?(.*)$/m;
 
+/** Characters that the value of a header may have. */
+const HEADER_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 /** Assembles the chunks of a stream into complete events. */
 export class EventFramer {
-  #pending: Buffer = NO_BYTES;
+  readonly #pending = new CollectedBytes();
+  readonly #lineStarts = new LineStarts();
 
   /** Whether an event has begun that is not complete yet; comments are no event. */
   get isWithinEvent(): boolean {
-    return this.#pending
-      .toString("latin1")
-      .split(LINE_END)
-      .some((line) => line !== "" && !line.startsWith(COMMENT));
+    return this.#lineStarts.hasField;
   }
 
   /** Bytes since the last complete event. */
   get pending(): Buffer {
-    return this.#pending;
+    return this.#pending.toBuffer();
   }
 
   /** Adds a chunk; returns the events that are now complete. */
   push(chunk: Buffer): Frames {
-    const all =
-      this.#pending.length === 0
-        ? chunk
-        : Buffer.concat([this.#pending, chunk]);
-    const text = all.toString("latin1");
-    const cut = endOfLastEvent(text);
+    const cut = this.#endOfLastEvent(chunk);
     if (cut === 0) {
-      this.#pending = all;
-      return NO_FRAMES;
+      this.#buffer(chunk);
+      const isOverfull = this.#pending.length > MAXIMUM_EVENT_BYTES;
+      return isOverfull ? OVERFULL : NO_FRAMES;
     }
-    const isWhole = cut === all.length;
-    this.#pending = isWhole ? NO_BYTES : all.subarray(cut);
-    return {
-      bytes: isWhole ? all : all.subarray(0, cut),
-      ...scanEvents(text.slice(0, cut)),
-    };
+    const isWhole = this.#pending.length === 0 && cut === chunk.length;
+    if (!isWhole) this.#pending.push(chunk.subarray(0, cut));
+    const bytes = isWhole ? chunk : this.#pending.toBuffer();
+    this.reset();
+    if (cut < chunk.length) this.#buffer(chunk.subarray(cut));
+    return { bytes, ...scanEvents(bytes.toString("latin1")) };
   }
 
   /** Discards an incomplete event. */
   reset(): void {
-    this.#pending = NO_BYTES;
+    this.#pending.clear();
+    this.#lineStarts.clear();
   }
-}
 
-/** Index after the last complete event; 0 if there is none. */
-function endOfLastEvent(text: string): number {
-  const ends = ENDS_OF_EVENT.map((end) => {
-    const index = text.lastIndexOf(end);
-    return index < 0 ? 0 : index + end.length;
-  });
-  return Math.max(...ends);
+  #buffer(bytes: Buffer): void {
+    this.#pending.push(bytes);
+    this.#lineStarts.scan(bytes);
+  }
+
+  /** Index within a chunk after the last event that ends in it; 0 if none does. */
+  #endOfLastEvent(chunk: Buffer): number {
+    const ends = ENDS_OF_EVENT.map((end) => {
+      const index = chunk.lastIndexOf(end, undefined, "latin1");
+      return index < 0 ? 0 : index + end.length;
+    });
+    return Math.max(...ends, this.#endAcrossChunks(chunk));
+  }
+
+  /** The same for an end whose first bytes were in earlier chunks. */
+  #endAcrossChunks(chunk: Buffer): number {
+    const { length } = this.#pending;
+    if (length === 0) return 0;
+    const before = this.pending.subarray(-(LONGEST_END - 1)).toString("latin1");
+    const after = chunk.subarray(0, LONGEST_END - 1).toString("latin1");
+    const ends = ENDS_OF_EVENT.map((end) => {
+      const index = (before + after).lastIndexOf(end);
+      return index < 0 ? 0 : index + end.length - before.length;
+    });
+    return Math.max(0, ...ends);
+  }
 }
 
+const LONGEST_END = Math.max(...ENDS_OF_EVENT.map(({ length }) => length));
+
 /** Counts complete events, and finds their ids. */
 function scanEvents(text: string): Omit<Frames, "bytes"> {
   const events = text.split(END_OF_EVENT).slice(0, -1);
   const ids = events.flatMap(
     (event) => ID_FIELD.exec(event)?.[1]?.trim() ?? [],
   );
-  return { count: events.length, firstId: ids[0], lastId: ids.at(-1) };
+  return {
+    isOverfull: false,
+    count: events.length,
+    firstId: ids[0],
+    lastId: ids.at(-1),
+    hasUsableIds: ids.every(
+      (id) => id.length <= MAXIMUM_ID_CHARACTERS && HEADER_TEXT.test(id),
+    ),
+  };
 }
 
 const COUNTER = /^\d+$/;
--- a/packages/rampswitch-serving/src/relay/event_framer_test.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -37,6 +37,53 @@
     );
   });
 
+  // Guards against work that grows with the square of an event that doesn't end.
+  test("finds the same ends and beginnings as a search of the whole text", () => {
+    const pieces = fc.array(
+      fc.constantFrom("\n", "\r\n", "\r", "\n\n", ": c", "a", "id: 7", "\n\r"),
+      { maxLength: 30 },
+    );
+    fc.assert(
+      fc.property(fc.array(pieces, { maxLength: 8 }), (chunks) => {
+        const framer = new EventFramer();
+        let rest = "";
+        chunks.forEach((parts) => {
+          const text = parts.join("");
+          const frames = framer.push(Buffer.from(text));
+          const whole = rest + text;
+          const end = endOfLastEvent(whole);
+          rest = whole.slice(end);
+          expect(frames.bytes.toString()).toBe(whole.slice(0, end));
+          expect(framer.pending.toString()).toBe(rest);
+          expect(framer.isWithinEvent).toBe(hasField(rest));
+        });
+      }),
+      { seed: 70, numRuns: 2_000 },
+    );
+  });
+
+  test("keeps no more of an event than an answer may have", () => {
+    const framer = new EventFramer();
+    const piece = Buffer.from("data: x\n".repeat(8_192));
+    const frames = [1, 2, 3, 4, 5].map(() => framer.push(piece));
+    expect(frames.map(({ isOverfull }) => isOverfull)).toEqual([
+      false,
+      false,
+      false,
+      false,
+      true,
+    ]);
+  });
+
+  test.each([
+    [`id: ${"9".repeat(1_000)}\n\n`, false],
+    ["id: 1\u0000\n\n", false],
+    ["id: é-1\n\n", true],
+  ])("whose id is %j: it can be sent as a header: %s", (text, isUsable) => {
+    const frames = new EventFramer().push(Buffer.from(text));
+    expect(frames.hasUsableIds).toBe(isUsable);
+  });
+
   test("returns the first and the last id of the events", () => {
     const frames = new EventFramer().push(
       Buffer.from("data: a\n\nid: 7\ndata: b\n\nid: 9\ndata: c\n\n"),
@@ -87,3 +134,17 @@
     expect(framer.isWithinEvent).toBe(true);
   });
 });
+
+function endOfLastEvent(text: string): number {
+  const ends = ["\n\n", "\n\r\n"].map((end) => {
+    const index = text.lastIndexOf(end);
+    return index < 0 ? 0 : index + end.length;
+  });
+  return Math.max(...ends);
+}
+
+function hasField(text: string): boolean {
+  return text
+    .split(/\r?\n/)
+    .some((line) => line !== "" && !line.startsWith(":"));
+}
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -28,7 +28,7 @@
 } from "./admitted_request.ts";
 import { BufferedBody } from "./buffered_body.ts";
 import { CallerAnswer } from "./caller_answer.ts";
-import { EventFramer, isAfter } from "./event_framer.ts";
+import { EventFramer } from "./event_framer.ts";
 import { outgoingRequest } from "./outgoing_request.ts";
 import { prepareRefusal, type RefusalTerms } from "./own_refusal.ts";
 import {
@@ -53,7 +53,11 @@
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 import { StreamVersion } from "./stream_version.ts";
-import { isSuccess, unusableReason } from "./unusable_answer.ts";
+import {
+  isSuccess,
+  unusableFrames,
+  unusableReason,
+} from "./unusable_answer.ts";
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -378,8 +382,7 @@
     this.#readAdvertisements(head, current.choice.record);
     const unusable = unusableReason(head, this.request);
     if (unusable !== undefined) {
-      current.send.abort();
-      this.#handleLoss("answer_not_usable", unusable);
+      this.#handleUnusable(unusable);
       return;
     }
     if (head.load !== undefined && head.status !== MISDIRECTED) {
@@ -390,8 +393,7 @@
     current.work.requestAccepted();
     const success = isSuccess(head.status);
     if (success && !head.signed) {
-      current.send.abort();
-      this.#handleLoss("answer_not_usable", "not signed");
+      this.#handleUnusable("not signed");
       return;
     }
     const resumes = this.#tracker.state === "resuming";
@@ -432,26 +434,28 @@
       !head.notExecuted;
     if (isStream && this.#tracker.state === "running")
       this.#relay(chunk, current);
-    else this.#buffer(chunk, current);
+    else this.#buffer(chunk);
   }
 
-  #buffer(chunk: Buffer, current: CurrentSend): void {
-    if (this.#bufferedBody.push(chunk)) return;
-    current.send.abort();
-    this.#handleLoss("answer_not_usable", "body exceeds the buffer limit");
+  #buffer(chunk: Buffer): void {
+    if (!this.#bufferedBody.push(chunk))
+      this.#handleUnusable("body exceeds the buffer limit");
+  }
+
+  #handleUnusable(detail: string): void {
+    this.#current?.send.abort();
+    this.#handleLoss("answer_not_usable", detail);
   }
 
   #relay(chunk: Buffer, current: CurrentSend): void {
     const frames = this.#framer.push(chunk);
-    if (frames.count === 0) return;
-    if (!this.#answer.started) this.#beginStream(current);
-    // If a server restarts the stream, a caller who already has a part of it must
-    // not get the events again.
-    else if (!isAfter(frames.firstId, this.#lastRelayedId)) {
-      current.send.abort();
-      this.#handleLoss("answer_not_usable", "event id out of order");
+    const unusable = unusableFrames(frames, this.#lastRelayedId);
+    if (unusable !== undefined) {
+      this.#handleUnusable(unusable);
       return;
     }
+    if (frames.count === 0) return;
+    if (!this.#answer.started) this.#beginStream(current);
     if (!this.#tracker.relayed) this.#tracker.handle({ type: "relayed" });
     current.events += frames.count;
     current.answeringSince ??= this.#now();
--- a/packages/rampswitch-serving/src/relay/unusable_answer.ts
+++ b/packages/rampswitch-serving/src/relay/unusable_answer.ts
@@ -7,6 +7,7 @@
  */
 import type { AnswerHead } from "../model/request.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
+import { type Frames, isAfter } from "./event_framer.ts";
 
 /**
  * Why an answer is unusable; `undefined` if it is usable. An answer that does not name
@@ -23,6 +24,19 @@
   return attemptId === undefined ? "no attempt id" : "crossed";
 }
 
+/** Why events of a stream are unusable; `undefined` if they are usable. */
+export function unusableFrames(
+  frames: Frames,
+  lastRelayedId: string | undefined,
+): string | undefined {
+  if (frames.isOverfull) return "event exceeds the buffer limit";
+  if (!frames.hasUsableIds) return "event id is no header text";
+  // If a server restarts the stream, a caller who already has a part of it must not
+  // get the events again.
+  const isInOrder = isAfter(frames.firstId, lastRelayedId);
+  return isInOrder ? undefined : "event id out of order";
+}
+
 /** Whether a status tells that a server did what it was asked. */
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -55,7 +55,11 @@
 import type { Cloud } from "./model/cloud.ts";
 import type { EngineControl } from "./model/engine_control.ts";
 import type { WireCodec } from "./model/request.ts";
-import { returnCounters, type ServingMetrics } from "./observation/mod.ts";
+import {
+  LoopDelayMonitor,
+  returnCounters,
+  type ServingMetrics,
+} from "./observation/mod.ts";
 import type { CrashQuarantine } from "./quarantine/mod.ts";
 import {
   type RolloutSpecAdapter,
@@ -549,6 +553,7 @@
     }
     await this.#openPeerPorts(MAXIMUM_PORT_TRIES);
     this.#duties.start();
+    this.#ownership.own(new LoopDelayMonitor(ports));
     ports.logger.info("listening", { ...this.#listening });
   }
 
