Let the answer to a stop decide what the end of a stream without a length means

Cause: while the stop that the host asked for was under way, the end of the connection counted as the end of the answer.

Change: RunMigration.takesEnd holds such an end until the stop is answered: stopped (the run goes on from its memory), no run (the end was regular), anything else (a loss). After a stop that stays unclear such an end is a loss. A server that knows no run after a call without an answer leaves the stop unclear.

--- a/packages/rampswitch-serving/src/relay/memory_migration.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration.ts
@@ -69,15 +69,18 @@
   return Result.err("run_ended");
 }
 
-/** Retries once without an answer: the run may have stopped and the answer been lost. */
+/**
+ * Retries once without an answer: the run may have stopped and the answer been lost. A
+ * server that then knows no run tells nothing of how that ended.
+ */
 async function stopRun(
   migration: MemoryMigration,
   { control }: MemoryMigrationParts,
 ): Promise<Result<RetainedMemory, MemoryCopyError>> {
   const stopped = await control.copyMemory({ ...migration, stopsRun: true });
-  return stopped.isErr && stopped.error === "no_answer"
-    ? control.copyMemory({ ...migration, stopsRun: true })
-    : stopped;
+  if (stopped.isOk || stopped.error !== "no_answer") return stopped;
+  const again = await control.copyMemory({ ...migration, stopsRun: true });
+  return again.isErr && again.error === "no_run" ? stopped : again;
 }
 
 /**
--- a/packages/rampswitch-serving/src/relay/memory_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration_test.ts
@@ -95,6 +95,23 @@
   });
 });
 
+describe("a stop whose answer is lost", () => {
+  test("stays unclear if the server then knows no run", async () => {
+    const { control } = scripted(
+      [COPIED, Result.err("no_answer"), Result.err("no_run")],
+      [],
+    );
+    const outcome = await migrateMemory(MIGRATION, {
+      control,
+      stillRuns: () => true,
+      targetStillRuns: () => true,
+      onStopChange: () => undefined,
+      onUnused: () => undefined,
+    });
+    expect(outcome).toEqual(Result.err("no_answer"));
+  });
+});
+
 describe("memory from which no run resumes", () => {
   test("is freed at the source, which frees both copies", async () => {
     const { control, drops } = scripted([], [MIGRATION.from, MIGRATION.to]);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -227,6 +227,7 @@
         this.#resend(reason, "unknown_outcome");
       },
       lost: () => this.#handleLoss("stream_broken", "migration failed"),
+      ended: () => this.#handleAnswerEnd("unframed"),
     };
   }
 
@@ -346,7 +347,7 @@
       events: 0,
     };
     this.#context.workEstimates.sent(request, this.#now());
-    this.#stallWatch.start(this.#firstStallMilliseconds());
+    this.#stallWatch.start(firstStallMilliseconds(this.request.route));
   }
 
   #handleWritten(): void {
@@ -354,11 +355,6 @@
     this.#isWritten = true;
   }
 
-  /** Time without a first event or an answer that counts as a stall. */
-  #firstStallMilliseconds(): number {
-    return firstStallMilliseconds(this.request.route);
-  }
-
   /** Sends a stalled request to another server, if it may run a second time. */
   #handleStall(): void {
     const current = this.#current;
@@ -367,7 +363,7 @@
     if (!this.#rules.canAbandonRun) return;
     // If no other server can answer, a late answer is better than none.
     if (!this.#sendChooser.hasAlternative) {
-      this.#stallWatch.start(this.#firstStallMilliseconds());
+      this.#stallWatch.start(firstStallMilliseconds(this.request.route));
       return;
     }
     this.#tracker.handle({ type: "lost" });
@@ -487,6 +483,7 @@
     const current = this.#current;
     const head = this.#head;
     if (current === undefined || head === undefined) return;
+    if (this.#startedMigration?.takesEnd(framing) === true) return;
     if (head.notExecuted) this.#handleRejection(head);
     else if (this.request.route.streaming && isSuccess(head.status)) {
       this.#handleStreamEnd(current);
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -10,6 +10,7 @@
 import { runInBackground } from "rampswitch-utils";
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
+import type { AnswerFraming } from "../attempt/mod.ts";
 import type { Choice } from "../choice/mod.ts";
 import type { RetainedMemory } from "../model/engine_control.ts";
 import type { ResendReason } from "../model/outcome.ts";
@@ -91,8 +92,19 @@
   memoryLost(reason: ResendReason): void;
   /** Notes that the run was lost while its stop was requested. */
   lost(): void;
+  /** Notes that the run ended by itself while its stop was requested. */
+  ended(): void;
 }
 
+/** Failures of a stop after which the run goes on, or has ended by itself. */
+const RUNS_ON: ReadonlySet<MemoryMigrationError> =
+  new Set<MemoryMigrationError>([
+    "no_run",
+    "under_way",
+    "run_ended",
+    "target_ended",
+  ]);
+
 /** Migrates one run, one migration at a time. */
 export class RunMigration {
   readonly #run: MigratableRun;
@@ -102,6 +114,10 @@
   #migrating = false;
   #stopping = false;
   #lostWhileStopping = false;
+  /** Whether an answer without a length ended while its stop was requested. */
+  #endedWhileStopping = false;
+  /** Whether a stop was requested and its outcome is not known. */
+  #mayHaveStopped = false;
   #cancelPause: () => void = () => undefined;
 
   constructor(run: MigratableRun, context: RequestContext) {
@@ -114,11 +130,24 @@
     return this.#stopping;
   }
 
-  /** Notes that the stream ended while its stop was requested. */
+  /** Notes that the stream was lost while its stop was requested. */
   noteLostWhileStopping(): void {
     this.#lostWhileStopping = true;
   }
 
+  /**
+   * Takes the end of an answer without a length, if it may be due to a stop that was
+   * requested; returns whether it did. The answer to the request for the stop then
+   * decides what the end means.
+   */
+  takesEnd(framing: AnswerFraming): boolean {
+    if (framing === "framed") return false;
+    if (this.#stopping) this.#endedWhileStopping = true;
+    else if (this.#mayHaveStopped) this.#run.lost();
+    else return false;
+    return true;
+  }
+
   /** Starts to migrate the run with its memory to another engine. */
   start(): void {
     this.#inBackground(() => this.migrate());
@@ -241,6 +270,7 @@
 
   /** Frees retained memory from which no server resumed the run. */
   drop(): void {
+    this.#mayHaveStopped = false;
     this.#cancelPause();
     const suspended = this.#suspended;
     this.#suspended = undefined;
@@ -263,6 +293,7 @@
     const holders = { from: source.record, to: target.record };
     const record = run.record.migrationBegan(source.record, target.record);
     this.#lostWhileStopping = false;
+    this.#endedWhileStopping = false;
     const outcome = await migrateMemory(
       {
         from: source.record.entry.address,
@@ -275,21 +306,32 @@
         targetStillRuns: () => !target.record.ended,
         onStopChange: (stopping) => {
           this.#stopping = stopping;
+          this.#mayHaveStopped ||= stopping;
           record.stopChanged(stopping);
         },
         onUnused: (handle) => this.#free(holders, handle),
       },
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
+    if (outcome.isOk || RUNS_ON.has(outcome.error))
+      this.#mayHaveStopped = false;
     if (run.finished()) return undefined;
     if (outcome.isOk) {
       run.stopped();
       this.#suspend(outcome.value, { target, source });
       this.#resume("memory_moved", NO_BUDGET_NEEDED);
-    } else if (this.#lostWhileStopping) run.lost();
+    } else this.#handleEndWhileStopping();
     return outcomeOf(outcome);
   }
 
+  /** Handles an end that came while a stop was requested which did not succeed. */
+  #handleEndWhileStopping(): void {
+    const isRegular = this.#endedWhileStopping && !this.#mayHaveStopped;
+    if (isRegular) this.#run.ended();
+    else if (this.#endedWhileStopping || this.#lostWhileStopping)
+      this.#run.lost();
+  }
+
   #suspend(
     { handle, copied }: RetainedMemory,
     { target, source }: { readonly target: Choice; readonly source: Choice },
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -229,6 +229,7 @@
       continueAt: (choice, memory) => this.#sendOn(choice, memory),
       memoryLost: () => this.#end(),
       lost: () => this.#end(),
+      ended: () => this.#end(),
     };
   }
 
