--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -6,13 +6,13 @@
  *
  * @module
  */
-import { type AbandonedRun } from "../relay/abandoned_runs.ts";
 import type { Clock, Listening, Logger, Random } from "rampswitch-utils";
 import { BackendClient, type ServerConnector } from "../attempt/mod.ts";
 import { serverOfIncarnation } from "../model/backend_server.ts";
 import type { ServerDirectory } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { PeerReach, ServerContacts } from "../reach/mod.ts";
+import type { AbandonedRun } from "../relay/abandoned_runs.ts";
 import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
 import { ForwardingHosts } from "./forwarding_hosts.ts";
 import { type ForwardedRun, ForwardingServer } from "./forwarding_server.ts";
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-import { decodeJson } from "rampswitch-validation";
 import {
   type Clock,
   failureReporter,
@@ -18,6 +17,7 @@
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
 import * as z from "zod";
+import { decodeJson } from "rampswitch-validation";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { ListedHost } from "./fleet_hosts.ts";
 
--- a/packages/rampswitch-serving/src/observation/loop_delay.ts
+++ b/packages/rampswitch-serving/src/observation/loop_delay.ts
@@ -10,7 +10,7 @@
 import type { ServingMetrics } from "./metrics.ts";
 
 /** Time between two measurements, in milliseconds; shorter stops may be missed. */
-const INTERVAL_MILLISECONDS = 100;
+const INTERVAL_MILLISECONDS = 250;
 
 /** Stop from which on a line is logged, in milliseconds. */
 const LOGGED_MILLISECONDS = 200;
--- a/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
+++ b/packages/rampswitch-serving/src/quarantine/quarantine_store.ts
@@ -8,7 +8,6 @@
  *
  * @module
  */
-import { decodeJson, recordOf } from "rampswitch-validation";
 import {
   type Clock,
   failureReporter,
@@ -20,6 +19,7 @@
 } from "rampswitch-utils";
 import type { ObjectStore, StoredObject } from "rampswitch-store";
 import * as z from "zod";
+import { decodeJson, recordOf } from "rampswitch-validation";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { FINGERPRINT_PATTERN } from "./fingerprint.ts";
 import { STORED_ENTRY_RETENTION_MILLISECONDS } from "./quarantine_entry.ts";
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -7,10 +7,9 @@
  *
  * @module
  */
-import { LostSends } from "./lost_sends.ts";
-import { runInBackground } from "rampswitch-utils";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { runInBackground } from "rampswitch-utils";
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
 import { type AnswerFraming, AttemptTracker } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
@@ -29,6 +28,7 @@
 import { BufferedBody } from "./buffered_body.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { EventFramer } from "./event_framer.ts";
+import { LostSends } from "./lost_sends.ts";
 import { outgoingRequest } from "./outgoing_request.ts";
 import { prepareRefusal, type RefusalTerms } from "./own_refusal.ts";
 import {
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -6,11 +6,6 @@
  *
  * @module
  */
-import {
-  type AbandonedRun,
-  canStopRuns,
-  stopAbandonedRun,
-} from "./relay/abandoned_runs.ts";
 import {
   type Clock,
   type Logger,
@@ -67,6 +62,11 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
+import {
+  type AbandonedRun,
+  canStopRuns,
+  stopAbandonedRun,
+} from "./relay/abandoned_runs.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
--- a/packages/rampswitch-utils/src/json.ts
+++ b/packages/rampswitch-utils/src/json.ts
@@ -2,8 +2,8 @@
 
 /**
  * Parses JSON text of other programs. Its nesting is bounded before it is parsed:
- * deeply nested text takes a parser a thousand times as long as flat text of the
- * same length, and overflows the stack of code that descends into its value.
+ * deeply nested text takes a parser many times as long as flat text of the same
+ * length, and overflows the stack of code that descends into its value.
  *
  * @module
  */
--- a/packages/rampswitch-validation/src/checked_json.ts
+++ b/packages/rampswitch-validation/src/checked_json.ts
@@ -43,7 +43,7 @@
 
 /**
  * A list whose check ends at the first element that `element` rejects. The library's
- * own list describes each of them, which for a list of another type takes a thousand
+ * own list describes each of them, which for a list of another type takes many
  * times the memory of its text.
  */
 export function listOf<Element extends z.ZodType>(
