Name what an unreadable entry should be, not what the parser says

Cause: decodeJson handed the error of parseJson on. Change: it names JSON, or the bound on nesting. The test is unchanged; it failed before and passes now.

--- a/packages/rampswitch-validation/src/checked_json.ts
+++ b/packages/rampswitch-validation/src/checked_json.ts
@@ -8,7 +8,12 @@
  */
 import { Result } from "true-myth";
 import * as z from "zod";
-import { decodeSafely, parseJson } from "rampswitch-utils";
+import {
+  decodeSafely,
+  isNestedDeeper,
+  MAXIMUM_JSON_LEVELS,
+  parseJson,
+} from "rampswitch-utils";
 
 /** Maximum length of a value or a location in an error, in characters. */
 const MAXIMUM_SHOWN_CHARACTERS = 80;
@@ -22,12 +27,19 @@
   subject: string,
 ): Result<z.output<Schema>, string> {
   return parseJson(text)
-    .mapErr((error) => `${subject}: ${error}, not ${truncated(text)}`)
+    .mapErr(() => `${subject}: ${expectedText(text)}, not ${truncated(text)}`)
     .andThen((value) =>
       decodeSafely(() => decodeValue(schema, value, subject)),
     );
 }
 
+/** What is expected of a text that can't be parsed; the parser would quote the text. */
+function expectedText(text: string): string {
+  return isNestedDeeper(text, MAXIMUM_JSON_LEVELS)
+    ? `expected at most ${MAXIMUM_JSON_LEVELS} nested levels`
+    : "expected JSON";
+}
+
 function decodeValue<Schema extends z.ZodType>(
   schema: Schema,
   value: unknown,
