--- a/packages/rampswitch-serving/src/duties/duty_keeper.ts
+++ b/packages/rampswitch-serving/src/duties/duty_keeper.ts
@@ -13,7 +13,6 @@
   type Random,
   repeat,
   type Repetition,
-  type ReportFailure,
   runInBackground,
 } from "rampswitch-utils";
 import { eraOf, type ObjectStore, type StoredObject } from "rampswitch-store";
@@ -108,7 +107,6 @@
 /** The lease of the duties at one host. */
 export class DutyKeeper implements AsyncDisposable {
   readonly #parts: DutyKeeperParts;
-  readonly #reportFailure: ReportFailure;
   readonly #repetition: Repetition;
   #held: HeldLease | undefined;
   #observed: ObservedLease;
@@ -129,7 +127,6 @@
 
   constructor(parts: DutyKeeperParts) {
     this.#parts = parts;
-    this.#reportFailure = failureReporter(parts);
     this.#observed = { lease: undefined, version: undefined, since: -Infinity };
     this.#nextCheckAt = parts.clock.now() + this.#jitter();
     parts.store.onEra(() => {
@@ -140,7 +137,7 @@
       () => LEASE_CHECK_INTERVAL_MILLISECONDS,
       {
         name: "lease of the duties",
-        reportFailure: this.#reportFailure,
+        reportFailure: failureReporter(parts),
         run: () => this.#checkLease(),
       },
     );
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -15,11 +15,11 @@
 } from "node:http";
 import {
   type Clock,
+  handleInBackground,
   listen,
   type Listening,
   type Logger,
   readBody,
-  runInBackground,
 } from "rampswitch-utils";
 import type { Send, SendListener, ServerAddress } from "../attempt/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
@@ -106,7 +106,11 @@
     this.#parts = parts;
     this.#server = createServer(
       { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
-      (incoming, response) => this.#accept(incoming, response),
+      (incoming, response) =>
+        handleInBackground("forwarded request", parts, {
+          response,
+          handle: () => this.#receive(incoming, response),
+        }),
     );
     this.#server.on("connection", (socket) => {
       // A host that was lost must not hold a run of its request for ever.
@@ -126,18 +130,6 @@
     return listen(this.#server, address);
   }
 
-  /** Handles a request; a defect that it meets closes its connection alone. */
-  #accept(incoming: IncomingMessage, response: ServerResponse): void {
-    runInBackground("forwarded request", this.#parts, async () => {
-      try {
-        await this.#receive(incoming, response);
-      } catch (error) {
-        response.destroy();
-        throw error;
-      }
-    });
-  }
-
   async #receive(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -15,11 +15,11 @@
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
 import {
+  handleInBackground,
   listen,
   type Listening,
   type LogFields,
   readBody,
-  runInBackground,
 } from "rampswitch-utils";
 import type {
   CallerLimits,
@@ -155,17 +155,8 @@
     this.#server.close();
   }
 
-  /** Handles a request; a defect that it meets closes its connection alone. */
   #supervise(response: ServerResponse, handle: () => Promise<void>): void {
-    const handled = async () => {
-      try {
-        await handle();
-      } catch (error) {
-        response.destroy();
-        throw error;
-      }
-    };
-    runInBackground("request", this.#context, handled);
+    handleInBackground("request", this.#context, { response, handle });
   }
 
   async #receive(
--- a/packages/rampswitch-utils/src/supervision.ts
+++ b/packages/rampswitch-utils/src/supervision.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import type { Logger } from "./log.ts";
 
@@ -51,6 +52,28 @@
   started(run).catch((error: unknown) => reportFailure(name, error));
 }
 
+/**
+ * Handles a request in the background; a defect that it meets closes its connection
+ * alone.
+ */
+export function handleInBackground(
+  name: string,
+  reports: FailureReports,
+  exchange: {
+    readonly response: ServerResponse;
+    handle(): Promise<void>;
+  },
+): void {
+  runInBackground(name, reports, async () => {
+    try {
+      await exchange.handle();
+    } catch (error) {
+      exchange.response.destroy();
+      throw error;
+    }
+  });
+}
+
 /**
  * Decodes bytes of a neighbour. A decoder that throws is a defect, but costs only
  * what it decodes.
