One start for the request of a peer's configuration

`startToCatchUp` stood in entry_updates.ts, and its lines again in peer_handlers.ts; it now stands beside `catchUp`, which nobody else calls.

--- a/packages/rampswitch-entry/src/membership/entry_updates.ts
+++ b/packages/rampswitch-entry/src/membership/entry_updates.ts
@@ -10,7 +10,7 @@
 import type { Delta, HostDigest, LeavingMark } from "rampswitch-configuration";
 import type { EntryParts } from "../entry_parts.ts";
 import { recoverRequests } from "../replication/request_recovery.ts";
-import { announce, catchUp } from "../replication/peer_handlers.ts";
+import { announce, startToCatchUp } from "../replication/peer_handlers.ts";
 
 /**
  * Handles a higher revision in force on this host: drops the state of backend
@@ -66,13 +66,6 @@
   if (ahead !== undefined) startToCatchUp(parts, ahead.host.peerAddress);
 }
 
-/** Starts to request the configuration from a peer that has a later one. */
-export function startToCatchUp(parts: EntryParts, peerAddress: string): void {
-  runInBackground("configuration of a peer", { logger: parts.logger }, () =>
-    catchUp(parts, peerAddress),
-  );
-}
-
 function startToAnnounce(
   parts: EntryParts,
   news: Parameters<typeof announceToPeers>[1],
--- a/packages/rampswitch-entry/src/replication/peer_handlers.ts
+++ b/packages/rampswitch-entry/src/replication/peer_handlers.ts
@@ -70,13 +70,8 @@
         stateParts: [],
         confirmedAge: Number(request.confirmedAge),
       });
-      const { logger } = parts;
       const sender = membership.find(request.sender)?.digest.host.peerAddress;
-      if (gap && sender !== undefined) {
-        runInBackground("configuration of a peer", { logger }, () =>
-          catchUp(parts, sender),
-        );
-      }
+      if (gap && sender !== undefined) startToCatchUp(parts, sender);
       return create(AnnounceResponseSchema, {
         revision: BigInt(configuration.state.revision),
       });
@@ -110,11 +105,22 @@
   });
 }
 
+/** Starts to request the configuration from a peer that has a later one. */
+export function startToCatchUp(
+  parts: Pick<PeerParts, "clients" | "configuration" | "logger">,
+  address: string,
+): void {
+  const { logger } = parts;
+  runInBackground("configuration of a peer", { logger }, () =>
+    catchUp(parts, address),
+  );
+}
+
 /**
  * Fetches the configuration revisions that this host lacks from a peer. Does
  * nothing if the call fails.
  */
-export async function catchUp(
+async function catchUp(
   parts: Pick<PeerParts, "clients" | "configuration">,
   address: string,
 ): Promise<void> {
