Tell in a request's line and a counter how the end of its answer was known

A log could not tell an answer that had reached its length from one that had only ended with its connection, nor count the ends that proved nothing. The line 'request ended' has answerEnd now, 'rampswitch trace' says it, and rampswitch_answer_ends_total counts both and the reasons against an end. No decision changes.

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -31,6 +31,11 @@
   version_unknown: "it can't be told which version began the stream",
 };
 
+/** How the end of an answer was known, where it needs saying. */
+const ANSWER_ENDS: Readonly<Record<string, string>> = {
+  unframed: "ended by the end of its connection alone",
+};
+
 /** What a line about a request means, by its message. */
 const MEANINGS: Readonly<
   Record<string, (fields: LogLine["fields"]) => string | undefined>
@@ -57,7 +62,7 @@
       ? `goes on at version ${version} alone`
       : "nobody knows which version began it",
   "send not repeated": ({ why }) => NOT_REPEATED[String(why)],
-  "request ended": refusalText,
+  "request ended": endText,
   "request refused": refusalText,
   "lines missing": ({ lines, until }) =>
     typeof lines === "number"
@@ -65,6 +70,11 @@
       : `perhaps the last of a life that ended, up to ${String(until)}`,
 };
 
+function endText(fields: LogLine["fields"]): string {
+  const end = ANSWER_ENDS[String(fields.answerEnd)];
+  return [refusalText(fields), ...(end === undefined ? [] : [end])].join(", ");
+}
+
 /** Lines that tell the end of a request. */
 const ENDS: ReadonlySet<string> = new Set(["request ended", "request refused"]);
 
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -9,6 +9,7 @@
 import { splitAddress } from "rampswitch-utils";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
+import { type AnswerFraming, END_DOUBTS } from "./answer_end.ts";
 
 /** Why a send ended without a complete answer. */
 export type SendFailure =
@@ -17,13 +18,6 @@
   /** The connection ended, or the data received on it is not HTTP. */
   | "lost";
 
-/** How an answer marks its end. */
-export type AnswerFraming =
-  /** By a length or by chunks. */
-  | "framed"
-  /** By the end of its connection alone, so that a part of it looks the same. */
-  | "unframed";
-
 /** Receives the events of a send. */
 export interface SendListener {
   /** The request is being written to a connection. */
@@ -358,10 +352,7 @@
     const connectionEnd = this.#ends.current;
     if (connectionEnd === undefined) this.#listener.ended("framed");
     else if (connectionEnd === "finished") this.#endUnframed();
-    else {
-      const detail = "reset within an answer without a length";
-      this.#listener.failed("lost", detail);
-    }
+    else this.#listener.failed("lost", END_DOUBTS.reset);
   }
 
   /**
@@ -372,10 +363,7 @@
     const ended = (isAlive: boolean) => {
       if (this.#aborted) return;
       if (isAlive) this.#listener.ended("unframed");
-      else {
-        const detail = "server gone after an answer without a length";
-        this.#listener.failed("lost", detail);
-      }
+      else this.#listener.failed("lost", END_DOUBTS.server_gone);
     };
     this.#isAlive().then(ended, () => ended(false));
   }
--- a/packages/rampswitch-serving/src/attempt/mod.ts
+++ b/packages/rampswitch-serving/src/attempt/mod.ts
@@ -5,5 +5,6 @@
  *
  * @module
  */
+export * from "./answer_end.ts";
 export * from "./attempt_machine.ts";
 export * from "./backend_client.ts";
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -8,6 +8,7 @@
 import { createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { listen, type Listening } from "rampswitch-utils";
+import type { AnswerFraming, EndDoubt } from "../attempt/answer_end.ts";
 
 /** Buckets of the latency histograms, around the usual targets. */
 const LATENCY_BUCKETS_SECONDS = [
@@ -33,6 +34,11 @@
     "Further sends that were wanted and not made",
     ["why"],
   );
+  readonly #answerEnds = this.#counter(
+    "answer_ends_total",
+    "Ends of servers' answers by framing, and those that prove nothing by reason",
+    ["end"],
+  );
   readonly #events = this.#counter("events_total", "Events by name", ["event"]);
   readonly #droppedLines = this.#counter(
     "log_lines_dropped_total",
@@ -157,6 +163,11 @@
     this.#returnLapsed.inc({ rank });
   }
 
+  /** Counts the end of a server's answer. */
+  answerEnd(end: AnswerFraming | EndDoubt): void {
+    this.#answerEnds.inc({ end });
+  }
+
   /** Counts an event. */
   event(event: string): void {
     this.#events.inc({ event });
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -11,7 +11,11 @@
 import type { Socket } from "node:net";
 import { runInBackground } from "rampswitch-utils";
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
-import { type AnswerFraming, AttemptTracker } from "../attempt/mod.ts";
+import {
+  type AnswerFraming,
+  AttemptTracker,
+  END_DOUBTS,
+} from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
   REFUSALS,
@@ -484,6 +488,7 @@
     const head = this.#head;
     if (current === undefined || head === undefined) return;
     if (this.#startedMigration?.takesEnd(framing) === true) return;
+    this.#record.answerEnded(framing);
     if (head.notExecuted) this.#handleRejection(head);
     else if (this.request.route.streaming && isSuccess(head.status)) {
       this.#handleStreamEnd(current);
@@ -492,7 +497,7 @@
 
   #handleStreamEnd(current: CurrentSend): void {
     if (this.#framer.isWithinEvent || this.#tracker.state !== "running") {
-      this.#handleLoss("stream_broken", "ended within an event");
+      this.#handleLoss("stream_broken", END_DOUBTS.within_event);
       return;
     }
     if (!this.#answer.started) this.#beginStream(current);
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { ResendBudgetState } from "../admission/mod.ts";
+import { type AnswerFraming, endDoubtOf } from "../attempt/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { ResendReason } from "../model/outcome.ts";
 import type { SendObserver } from "../rollout/mod.ts";
@@ -107,6 +108,8 @@
   #lastSend: LastSend | undefined;
   #budget: BudgetView | undefined;
   #refusal: Omit<RoomRefusal, "request"> | undefined;
+  /** How the newest send's answer marked its end, once it has ended. */
+  #answerEnd: AnswerFraming | undefined;
   /** The newest send, where its version is evaluated. */
   #evaluatedSend: SendObserver | undefined;
 
@@ -222,6 +225,11 @@
     );
   }
 
+  /** Notes that the answer of the newest send ended, and how that was known. */
+  answerEnded(framing: AnswerFraming): void {
+    this.#answerEnd = framing;
+  }
+
   /** Notes the time of the answer beside the expected one, where that is known. */
   compared(time: ComparedTime | undefined): void {
     this.#compared ??= time;
@@ -239,6 +247,9 @@
       readonly answeringSince?: number | undefined;
     },
   ): void {
+    this.#answerEnd = undefined;
+    const doubt = endDoubtOf(inputs.detail);
+    if (doubt !== undefined) this.#context.metrics.answerEnd(doubt);
     if (SERVER_FAILURES.has(reason)) this.#answered(true);
     // A stall counts as an answer: its latency is at least the time so far.
     else if (reason === "stalled" && !inputs.relayed) this.#answered(false);
@@ -358,6 +369,8 @@
     const request = this.#request;
     const milliseconds = this.#context.clock.now() - request.arrivedAt;
     this.#context.metrics.outcome(outcome);
+    if (this.#answerEnd !== undefined)
+      this.#context.metrics.answerEnd(this.#answerEnd);
     this.#context.metrics.answerTime(milliseconds);
     this.#context.logger.info("request ended", {
       request: request.head.attemptId,
@@ -370,6 +383,7 @@
       born: startTimesOf(this.#servers),
       ...this.#versionFields(),
       resends: this.#reasons.join(","),
+      answerEnd: this.#answerEnd,
       configuration: request.configurationVersion,
       promptTokens: request.head.promptTokens,
       firstPartMilliseconds:
