Report a reset that arrives with the last bytes as an error, not as an end

What callers saw: status 200, a part of the answer and a regular end (12 of 12 where a server reset its connection together with the last bytes of an answer without a length; whole answers and streams, directly and through another host).

Cause: Node's I/O layer reports the end of a stream when a poll says readable and hung up at once and the read returns less than it asked for; it never reads the error of the reset. The host took the socket's 'end' event as proof that the peer had finished. Class: an end inferred from a signal that cuts share.

Evidence: traced with a peer on loopback, 12 of 12 each way: 'end' comes with ENOTCONN from getpeername after a reset, with the peer's address after a FIN. The state of the socket tells them apart also when the connection was paused.

Change: each connection to a server tells a reset as an error with a code of its own, since undici completes an answer without a length also after ECONNRESET. Costs one call (getpeername) at the end of a connection, none a request. How an answer marks its end is read from its head now, no longer from which event of any connection came last in a tick: with the old mark a framed answer that completed in the same tick as another connection's reset counted as reset. A reset right after an end counts as a reset too: what came may not be all.

Ruled out: a byte or a half-close of one's own towards the server (a sound server may close on it), a call that stops the run (only engines have one).

--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -6,6 +6,8 @@
  * @module
  */
 
+import { headerValue, type RawHeaders } from "../model/request.ts";
+
 /** How an answer marks its end. */
 export type AnswerFraming =
   /** By a length or by chunks. */
@@ -34,3 +36,24 @@
 export function endDoubtOf(text: string): EndDoubt | undefined {
   return DOUBTS_BY_TEXT.get(text);
 }
+
+/** Statuses of answers that have no body. */
+const BODILESS: ReadonlySet<number> = new Set([204, 304]);
+
+/** How an answer marks its end, by its head. */
+export function framingOf(head: {
+  /** Method of the request that it answers. */
+  readonly method: string;
+  readonly status: number;
+  readonly rawHeaders: RawHeaders;
+}): AnswerFraming {
+  const coding = headerValue(head.rawHeaders, "transfer-encoding");
+  const isFramed =
+    head.method === "HEAD" ||
+    BODILESS.has(head.status) ||
+    // Other codings than chunks mark no end, and a length beside them does not count.
+    (coding === undefined
+      ? headerValue(head.rawHeaders, "content-length") !== undefined
+      : /(^|,)\s*chunked\s*$/i.test(coding));
+  return isFramed ? "framed" : "unframed";
+}
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,10 +6,10 @@
  *
  * @module
  */
-import { splitAddress } from "rampswitch-utils";
+import { RESET_CODE, splitAddress, withReportedResets } from "rampswitch-utils";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
-import { type AnswerFraming, END_DOUBTS } from "./answer_end.ts";
+import { type AnswerFraming, END_DOUBTS, framingOf } from "./answer_end.ts";
 
 /** Why a send ended without a complete answer. */
 export type SendFailure =
@@ -94,7 +94,6 @@
 /** Sends requests to backend servers through one connection pool per server. */
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, AddressPool>();
-  readonly #ends = new ConnectionEnds();
   readonly #connect: ServerConnector;
   readonly #contacts: ContactObserver;
   readonly #localAddress: string | undefined;
@@ -111,7 +110,7 @@
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
     this.#localAddress = options.localAddress;
-    this.#connect = this.#ends.connector(
+    this.#connect = withReportedResets(
       options.connector ??
         buildConnector({
           timeout: options.connectMilliseconds ?? CONNECT_MILLISECONDS,
@@ -126,7 +125,7 @@
     listener: SendListener,
   ): Send {
     const handler = new SendHandler(listener, {
-      ends: this.#ends,
+      method: request.method,
       contact: { server: server.id, contacts: this.#contacts },
       isAlive: () => this.connects(server),
     });
@@ -214,50 +213,17 @@
   pool.close().catch(() => undefined);
 }
 
-/** How a connection ends: regularly, or by a reset or another error. */
-type ConnectionEnd = "finished" | "reset";
-
-/**
- * Detects whether the current undici callback was caused by the end of a
- * connection. undici treats that, including a reset, as the end of an answer
- * without a length.
- */
-class ConnectionEnds {
-  #current: ConnectionEnd | undefined;
-
-  /** The end of a connection that is being handled. */
-  get current(): ConnectionEnd | undefined {
-    return this.#current;
-  }
-
-  /** Opens connections whose end is noticed before undici handles it. */
-  connector(open: ServerConnector): ServerConnector {
-    return (options, callback) =>
-      open(options, (...result) => {
-        const [, socket] = result;
-        socket?.on("error", () => this.#mark("reset"));
-        socket?.on("end", () => this.#mark("finished"));
-        callback(...result);
-      });
-  }
-
-  #mark(end: ConnectionEnd): void {
-    this.#current = end;
-    queueMicrotask(() => {
-      this.#current = undefined;
-    });
-  }
-}
-
 /** Forwards undici's callbacks to a listener until the send is aborted. */
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
-  readonly #ends: ConnectionEnds;
+  readonly #method: string;
   readonly #contact: Contact;
   readonly #isAlive: () => Promise<boolean>;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
+  /** How the answer marks its end, as its head tells. */
+  #framing: AnswerFraming = "framed";
   #informationalHeads = 0;
   #pieces = 0;
   /** Whether the listener takes no data for now. */
@@ -268,17 +234,17 @@
   constructor(
     listener: SendListener,
     {
-      ends,
+      method,
       contact,
       isAlive,
     }: {
-      readonly ends: ConnectionEnds;
+      readonly method: string;
       readonly contact: Contact;
       readonly isAlive: () => Promise<boolean>;
     },
   ) {
     this.#listener = listener;
-    this.#ends = ends;
+    this.#method = method;
     this.#contact = contact;
     this.#isAlive = isAlive;
   }
@@ -317,7 +283,10 @@
       this.#countInformationalHead(controller);
       return;
     }
-    this.#listener.head(statusCode, decodeHeaders(controller.rawHeaders));
+    const rawHeaders = decodeHeaders(controller.rawHeaders);
+    const head = { method: this.#method, status: statusCode, rawHeaders };
+    this.#framing = framingOf(head);
+    this.#listener.head(statusCode, rawHeaders);
   }
 
   #countInformationalHead(controller: Dispatcher.DispatchController): void {
@@ -349,10 +318,8 @@
 
   onResponseEnd(): void {
     if (this.#aborted) return;
-    const connectionEnd = this.#ends.current;
-    if (connectionEnd === undefined) this.#listener.ended("framed");
-    else if (connectionEnd === "finished") this.#endUnframed();
-    else this.#listener.failed("lost", END_DOUBTS.reset);
+    if (this.#framing === "framed") this.#listener.ended("framed");
+    else this.#endUnframed();
   }
 
   /**
@@ -376,7 +343,12 @@
     this.#reportFailure(written, error.message);
     if (this.#aborted) return;
     this.#aborted = true;
-    this.#listener.failed(written ? "lost" : "not_written", error.message);
+    const wasReset = (error as NodeJS.ErrnoException).code === RESET_CODE;
+    const detail =
+      wasReset && this.#framing === "unframed"
+        ? END_DOUBTS.reset
+        : error.message;
+    this.#listener.failed(written ? "lost" : "not_written", detail);
   }
 
   #heard(): void {
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -13,9 +13,9 @@
   type SendListener,
   type ServerAddress,
 } from "../attempt/mod.ts";
+import { headerValue } from "../model/request.ts";
 import {
   FORWARDING_HEADERS,
-  headerValue,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
 
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -56,22 +56,3 @@
     return !DROPPED_HEADERS.has(name) && !alsoDropped.includes(name);
   });
 }
-
-/** Whether an answer has a length or comes in chunks. */
-export function isFramed(headers: RawHeaders): boolean {
-  return (
-    headerValue(headers, "content-length") !== undefined ||
-    headerValue(headers, "transfer-encoding") !== undefined
-  );
-}
-
-/** Returns the value of a header; the first of several equal names counts. */
-export function headerValue(
-  headers: RawHeaders,
-  name: string,
-): string | undefined {
-  const at = headers.findIndex(
-    (text, index) => index % 2 === 0 && text.toLowerCase() === name,
-  );
-  return at < 0 ? undefined : headers[at + 1];
-}
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -21,12 +21,16 @@
   type Logger,
   readBody,
 } from "rampswitch-utils";
-import type { Send, SendListener, ServerAddress } from "../attempt/mod.ts";
+import {
+  framingOf,
+  type Send,
+  type SendListener,
+  type ServerAddress,
+} from "../attempt/mod.ts";
+import { headerValue } from "../model/request.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
   FORWARDING_HEADERS,
-  headerValue,
-  isFramed,
   type NotSentReason,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
@@ -290,11 +294,13 @@
 
   head(status: number, rawHeaders: readonly string[]): void {
     this.status = status;
+    const { method = "" } = this.#response.req;
+    const framing = framingOf({ method, status, rawHeaders });
     this.#response.writeHead(status, [
       ...withoutHopHeaders(rawHeaders),
       FORWARDING_HEADERS.outcome,
       "answered",
-      ...(isFramed(rawHeaders) ? [] : [FORWARDING_HEADERS.framing, "unframed"]),
+      ...(framing === "framed" ? [] : [FORWARDING_HEADERS.framing, framing]),
     ]);
     this.#response.flushHeaders();
   }
--- a/packages/rampswitch-serving/src/model/request.ts
+++ b/packages/rampswitch-serving/src/model/request.ts
@@ -128,3 +128,14 @@
     readonly retryAfterSeconds: number | undefined;
   }): RawHeaders;
 }
+
+/** Returns the value of a header; the first of several equal names counts. */
+export function headerValue(
+  headers: RawHeaders,
+  name: string,
+): string | undefined {
+  const at = headers.findIndex(
+    (text, index) => index % 2 === 0 && text.toLowerCase() === name,
+  );
+  return at < 0 ? undefined : headers[at + 1];
+}
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./suspend_aware_clock.ts";
 export * from "./clock.ts";
 export * from "./collected_bytes.ts";
+export * from "./connection_ends.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
 export * from "./hop_headers.ts";
