Complete no answer without a length of which nothing came

Cause: any regular end of a connection completed an answer without a length, whatever had come. Empty lines and comments alone counted as events besides.

Change: such an end of a success is a loss, repeated where the request may be, else broken (502 where nothing was sent). A stream's event is one with a field; comments and empty lines wait for the next event, within the bound of an event.

--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -23,6 +23,7 @@
   reset: "reset within an answer without a length",
   server_gone: "server gone after an answer without a length",
   within_event: "ended within an event",
+  empty: "ended without a length before any of its content",
 } as const;
 
 /** A reason of {@link END_DOUBTS}. */
--- a/packages/rampswitch-serving/src/relay/buffered_body.ts
+++ b/packages/rampswitch-serving/src/relay/buffered_body.ts
@@ -21,6 +21,11 @@
     return this.#bytes.length <= MAXIMUM_BUFFERED_BYTES;
   }
 
+  /** Size of the body received so far, in bytes. */
+  get length(): number {
+    return this.#bytes.length;
+  }
+
   /** The body received so far. */
   toBuffer(): Buffer {
     return this.#bytes.toBuffer();
--- a/packages/rampswitch-serving/src/relay/event_framer.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer.ts
@@ -10,7 +10,7 @@
 import { CollectedBytes } from "rampswitch-utils";
 import { LineStarts } from "./line_starts.ts";
 
-/** Complete events from the start of the buffered stream. */
+/** Complete events from the start of the buffered stream; a comment alone is none. */
 export interface Frames {
   readonly bytes: Buffer;
   readonly count: number;
@@ -40,8 +40,9 @@
 };
 const OVERFULL: Frames = { ...NO_FRAMES, isOverfull: true };
 
-/** Line ends of two bytes are as good as those of one. */
-const END_OF_EVENT = /\n\r?\n/g;
+/** Line ends of two bytes are as good as those of one; several empty lines end one event. */
+const END_OF_EVENT = /\n(?:\r?\n)+/g;
+const FIELD = /^[^:\r\n]/m;
 const ENDS_OF_EVENT = ["\n\n", "\n\r\n"] as const;
 const ID_FIELD = /^id: ?(.*)$/m;
 
@@ -66,8 +67,11 @@
   /** Adds a chunk; returns the events that are now complete. */
   push(chunk: Buffer): Frames {
     const cut = this.#endOfLastEvent(chunk);
-    if (cut === 0) {
-      this.#buffer(chunk);
+    this.#lineStarts.scan(chunk.subarray(0, cut));
+    // Comments and empty lines alone are no event; they wait for the next one.
+    if (cut === 0 || !this.isWithinEvent) {
+      this.#pending.push(chunk);
+      this.#lineStarts.scan(chunk.subarray(cut));
       const isOverfull = this.#pending.length > MAXIMUM_EVENT_BYTES;
       return isOverfull ? OVERFULL : NO_FRAMES;
     }
@@ -75,7 +79,9 @@
     if (!isWhole) this.#pending.push(chunk.subarray(0, cut));
     const bytes = isWhole ? chunk : this.#pending.toBuffer();
     this.reset();
-    if (cut < chunk.length) this.#buffer(chunk.subarray(cut));
+    const rest = chunk.subarray(cut);
+    if (rest.length > 0) this.#pending.push(rest);
+    this.#lineStarts.scan(rest);
     return { bytes, ...scanEvents(bytes.toString("latin1")) };
   }
 
@@ -85,11 +91,6 @@
     this.#lineStarts.clear();
   }
 
-  #buffer(bytes: Buffer): void {
-    this.#pending.push(bytes);
-    this.#lineStarts.scan(bytes);
-  }
-
   /** Index within a chunk after the last event that ends in it; 0 if none does. */
   #endOfLastEvent(chunk: Buffer): number {
     const ends = ENDS_OF_EVENT.map((end) => {
@@ -117,7 +118,8 @@
 
 /** Counts complete events, and finds their ids. */
 function scanEvents(text: string): Omit<Frames, "bytes"> {
-  const events = text.split(END_OF_EVENT).slice(0, -1);
+  const parts = text.split(END_OF_EVENT).slice(0, -1);
+  const events = parts.filter((part) => FIELD.test(part));
   const ids = events.flatMap(
     (event) => ID_FIELD.exec(event)?.[1]?.trim() ?? [],
   );
--- a/packages/rampswitch-serving/src/relay/event_framer_test.ts
+++ b/packages/rampswitch-serving/src/relay/event_framer_test.ts
@@ -62,6 +62,18 @@
     );
   });
 
+  test("counts no event without a field, and passes its bytes on with the next one", () => {
+    const framer = new EventFramer();
+    expect(framer.push(Buffer.from(": waits\n\n\n"))).toMatchObject({
+      count: 0,
+    });
+    const frames = framer.push(Buffer.from("id: 1\ndata: a\n\n\n: b\n\n"));
+    expect(frames).toMatchObject({ count: 1, lastId: "1" });
+    expect(frames.bytes.toString()).toBe(
+      ": waits\n\n\nid: 1\ndata: a\n\n\n: b\n\n",
+    );
+  });
+
   test("keeps no more of an event than an answer may have", () => {
     const framer = new EventFramer();
     const piece = Buffer.from("data: x\n".repeat(8_192));
@@ -140,7 +152,9 @@
     const index = text.lastIndexOf(end);
     return index < 0 ? 0 : index + end.length;
   });
-  return Math.max(...ends);
+  const end = Math.max(...ends);
+  // Comments and empty lines alone are no event.
+  return hasField(text.slice(0, end)) ? end : 0;
 }
 
 function hasField(text: string): boolean {
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -15,6 +15,7 @@
   type AnswerFraming,
   AttemptTracker,
   END_DOUBTS,
+  type EndDoubt,
 } from "../attempt/mod.ts";
 import type { Choice, ServerRecord } from "../choice/mod.ts";
 import {
@@ -57,6 +58,7 @@
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 import { StreamVersion } from "./stream_version.ts";
+import { doubtAbout } from "./unframed_end.ts";
 import {
   isSuccess,
   unusableFrames,
@@ -489,12 +491,26 @@
     if (current === undefined || head === undefined) return;
     if (this.#startedMigration?.takesEnd(framing) === true) return;
     this.#record.answerEnded(framing);
+    const doubt = framing === "framed" ? undefined : this.#doubtAboutEnd(head);
+    if (doubt !== undefined) {
+      this.#handleLoss("connection_lost", END_DOUBTS[doubt]);
+      return;
+    }
     if (head.notExecuted) this.#handleRejection(head);
     else if (this.request.route.streaming && isSuccess(head.status)) {
       this.#handleStreamEnd(current);
     } else this.#handleWholeAnswer(head, { ...current, framing });
   }
 
+  /** Why the end of an answer without framing proves nothing; failures have their status. */
+  #doubtAboutEnd({ status }: AnswerHead): EndDoubt | undefined {
+    if (!isSuccess(status)) return undefined;
+    return doubtAbout({
+      hasContent:
+        (this.#current?.events ?? 0) > 0 || this.#bufferedBody.length > 0,
+    });
+  }
+
   #handleStreamEnd(current: CurrentSend): void {
     if (this.#framer.isWithinEvent || this.#tracker.state !== "running") {
       this.#handleLoss("stream_broken", END_DOUBTS.within_event);
