Hold the end of a connection back while its answer waits for a slow caller

What was seen: the host ended with an uncaught AssertionError of undici (Parser.finish, assert(!this.paused)) when a server ended or reset its connection while the answer was paused and all received bytes had been read: an answer without a length, or one with Connection: close. All requests of the host broke off. Found while the order of a socket's events was traced; not reported.

Cause: net reads no bytes (read(0)) right after the peer's end, which emits 'end' although the reader has paused; undici finishes its parser there.

Change: connections to servers hold that read back, so that the end comes with the reader's next read. After a pause undici hands on an empty chunk, which must not pause the answer again.

Ruled out: resuming the parser before its end (undici's API does not tell which connection carries an answer).

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { RESET_CODE, splitAddress, withReportedResets } from "rampswitch-utils";
+import { RESET_CODE, splitAddress, withCorrectEnds } from "rampswitch-utils";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
 import { type AnswerFraming, END_DOUBTS, framingOf } from "./answer_end.ts";
@@ -110,7 +110,7 @@
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
     this.#localAddress = options.localAddress;
-    this.#connect = withReportedResets(
+    this.#connect = withCorrectEnds(
       options.connector ??
         buildConnector({
           timeout: options.connectMilliseconds ?? CONNECT_MILLISECONDS,
@@ -299,6 +299,8 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    // After a pause undici gives an empty chunk, for which nothing may pause again.
+    if (chunk.length === 0) return;
     this.#heard();
     if (this.#aborted) return;
     this.#listener.data(chunk);
--- a/packages/rampswitch-serving/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client_test.ts
@@ -1,9 +1,10 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { createServer } from "node:http";
+import { createServer as createRawServer, type Socket } from "node:net";
 import { describe, expect, test } from "@jest/globals";
-import { listen, Ownership } from "rampswitch-utils";
-import { BackendClient } from "./backend_client.ts";
+import { listen, listenUntilDisposed, Ownership } from "rampswitch-utils";
+import { BackendClient, type Send } from "./backend_client.ts";
 
 /** Sends a request; resolves to the body of its answer, or to the failure. */
 function fetchAnswer(
@@ -48,3 +49,75 @@
     expect(answers).toEqual(["former", "present", "former"]);
   });
 });
+
+/** Time between a part of an answer and the end of its connection, in milliseconds. */
+const END_MILLISECONDS = 20;
+
+/** Time for which the listener takes no data, in milliseconds. */
+const PAUSE_MILLISECONDS = 80;
+
+/** Heads of answers after which the connection ends, and the outcome of such an end. */
+const CLOSING_HEADS = [
+  ["without a length", "HTTP/1.1 200 OK\r\n\r\n", "tail"],
+  [
+    "with a length",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\n",
+    "lost",
+  ],
+  [
+    "in chunks",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n",
+    "lost",
+  ],
+] as const;
+
+/** Reads an answer with a pause in it; resolves to its body, or to the failure. */
+function fetchSlowly(client: BackendClient, address: string): Promise<string> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    const send: Send = client.send(
+      { id: "s1", address },
+      { method: "GET", target: "/", headers: [], body: undefined },
+      {
+        written: () => undefined,
+        head: () => undefined,
+        data: (chunk) => {
+          chunks.push(chunk);
+          send.pause();
+          setTimeout(() => send.resume(), PAUSE_MILLISECONDS);
+        },
+        ended: () => resolve(Buffer.concat(chunks).toString()),
+        failed: (failure) => resolve(failure),
+      },
+    );
+  });
+}
+
+// Guards against a host that ends with an uncaught error when a connection ends while
+// its answer waits for a slow caller.
+describe("an answer whose reader pauses", () => {
+  test.each(CLOSING_HEADS)(
+    "may end meanwhile (%s)",
+    async (_name, head, outcome) => {
+      await using ownership = new Ownership();
+      const endings: ((socket: Socket) => void)[] = [
+        (socket) => socket.end(),
+        (socket) => socket.resetAndDestroy(),
+      ];
+      const server = createRawServer((socket) => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+          const end = endings.shift();
+          socket.write(`${head}tail`);
+          setTimeout(() => end?.(socket), END_MILLISECONDS);
+        });
+      });
+      const { address } = ownership.own(
+        await listenUntilDisposed(server, "127.0.0.1:0", () => undefined),
+      );
+      const client = ownership.own(new BackendClient());
+      expect(await fetchSlowly(client, address)).toBe(outcome);
+      expect(await fetchSlowly(client, address)).toBe("lost");
+    },
+  );
+});
--- a/packages/rampswitch-utils/src/connection_ends.ts
+++ b/packages/rampswitch-utils/src/connection_ends.ts
@@ -1,13 +1,16 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Connections that report every reset as an error.
+ * Connections whose end undici handles correctly.
  *
  * Node.js reports a reset as a regular end if the connection hangs up while its last
  * bytes are still unread: its I/O layer concludes the end from the hang-up, and never
  * reads the error. undici in turn takes a reset for the end of an answer that has no
  * length. After either, a part of an answer looks complete.
  *
+ * Node.js also reports the end of a connection whose reader has paused, if all bytes
+ * were read before. undici fails an assertion then, which ends the process.
+ *
  * @module
  */
 import type { Socket } from "node:net";
@@ -24,21 +27,27 @@
 /** Opens a connection, as undici's connectors do. */
 type Connector<Options> = (options: Options, callback: ConnectCallback) => void;
 
-/** Has each connection that a connector opens report its resets. */
-export function withReportedResets<Options>(
+/** Corrects the ends of all connections that a connector opens. */
+export function withCorrectEnds<Options>(
   open: Connector<Options>,
 ): Connector<Options> {
   return (options, callback) =>
     open(options, (...result) => {
       // There is no socket after an error, whatever the types say of it.
       const [, socket] = result;
-      if (socket) reportResets(socket);
+      if (socket) correctEnds(socket);
       callback(...result);
     });
 }
 
+/** Corrects how a connection ends; it is called before anything listens to it. */
+export function correctEnds(socket: Socket): void {
+  reportResets(socket);
+  holdEnd(socket);
+}
+
 /** Has a connection report its reset as an error with {@link RESET_CODE}, never as an end. */
-export function reportResets(socket: Socket): void {
+function reportResets(socket: Socket): void {
   const emit = socket.emit.bind(socket) as Socket["emit"];
   const handlers: Readonly<Record<string, (argument: unknown) => void>> = {
     end: () => {
@@ -56,6 +65,20 @@
   };
 }
 
+/** Holds the end of a connection back until its reader reads on. */
+function holdEnd(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  const read = socket.read.bind(socket);
+  let hasEnded = false;
+  socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+    hasEnded ||= chunk === null;
+    return push(chunk, encoding);
+  };
+  // A read of no bytes asks for more from the peer, and after its end for the event.
+  socket.read = (size?: number): unknown =>
+    hasEnded && size === 0 ? null : (read(size) as unknown);
+}
+
 function resetError(): Error {
   return Object.assign(new Error("connection reset"), { code: RESET_CODE });
 }
--- a/packages/rampswitch-utils/src/connection_ends_test.ts
+++ b/packages/rampswitch-utils/src/connection_ends_test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
-import { RESET_CODE, reportResets } from "./connection_ends.ts";
+import { RESET_CODE, correctEnds } from "./connection_ends.ts";
 import { listenUntilDisposed } from "./listen.ts";
 
 const LATER_MILLISECONDS = 15;
@@ -61,7 +61,7 @@
     );
     const [host = "", port = ""] = listening.address.split(":");
     const socket = connect({ host, port: Number(port) });
-    reportResets(socket);
+    correctEnds(socket);
     const events: string[] = [];
     socket.on("end", () => events.push("end"));
     socket.on("error", ({ code }: NodeJS.ErrnoException) =>
