--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -8,13 +8,14 @@
  */
 import type { Readable } from "node:stream";
 import { Result } from "true-myth";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import {
   inDoubt,
   type InDoubt,
   refused,
   type RefusedNotRun,
 } from "rampswitch-types";
+import { withCorrectEnds } from "rampswitch-utils";
 
 /** A call to a backend server. */
 export interface BackendCall {
@@ -97,7 +98,9 @@
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_SERVER,
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MILLISECONDS,
+      connect: withCorrectEnds(
+        buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS }),
+      ),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
     });
     this.#pools.set(address, pool);
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -6,8 +6,8 @@
  * @module
  */
 import { Result } from "true-myth";
-import { Pool, type Dispatcher } from "undici";
-import type { Random } from "rampswitch-utils";
+import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Random, withCorrectEnds } from "rampswitch-utils";
 import {
   type Expectation,
   type ObjectStore,
@@ -71,7 +71,9 @@
     this.#pool = new Pool(`http://${address}`, {
       connections: MAXIMUM_CONNECTIONS,
       pipelining: 1,
-      connectTimeout: CALL_DEADLINE_MILLISECONDS,
+      connect: withCorrectEnds(
+        buildConnector({ timeout: CALL_DEADLINE_MILLISECONDS }),
+      ),
     });
   }
 
