Ask whether the process is the same before an answer without a length is complete

What callers saw: 4 to 12 of 12 parts of an answer ended as complete where the server's process ended with its answer and a new one took its address within some milliseconds.

Cause: the host asked the address whether it takes connections. A process that came back at once answers for the one that is gone: an answer of a later life is no proof for the earlier one. Same class: an end inferred from a signal that cuts share.

Change: another connection to the server that was open before and still is after the check shows that the process lives on, at no cost. Without one, an engine's report is asked for its start (born), which is compared with that of the record at the send. That costs one report for an answer without a length where the host has no other connection to its server.

Two ways weighed: a witness connection opened for each such answer (two new connections, and useless for whole answers that come in one piece), and the health path, which names an id but waits for a slot. Where nobody tells a start, an address that takes connections still counts as the same process: open.

--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -22,6 +22,7 @@
 export const END_DOUBTS = {
   reset: "reset within an answer without a length",
   server_gone: "server gone after an answer without a length",
+  server_started_again: "server started again after an answer without a length",
   within_event: "ended within an event",
   empty: "ended without a length before any of its content",
 } as const;
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,10 +6,21 @@
  *
  * @module
  */
-import { RESET_CODE, splitAddress, withCorrectEnds } from "rampswitch-utils";
+import type { Socket } from "node:net";
+import {
+  isOpen,
+  RESET_CODE,
+  splitAddress,
+  withCorrectEnds,
+} from "rampswitch-utils";
 import { buildConnector, errors, Pool, type Dispatcher } from "undici";
 import type { RawHeaders } from "../model/request.ts";
-import { type AnswerFraming, END_DOUBTS, framingOf } from "./answer_end.ts";
+import {
+  type AnswerFraming,
+  END_DOUBTS,
+  type EndDoubt,
+  framingOf,
+} from "./answer_end.ts";
 
 /** Why a send ended without a complete answer. */
 export type SendFailure =
@@ -70,8 +81,18 @@
 interface AddressPool {
   readonly address: string;
   readonly pool: Pool;
+  /** Connections of the pool that are not closed. */
+  readonly sockets: ReadonlySet<Socket>;
 }
 
+/**
+ * Asks whether the process at a server's address is still the one that a request was
+ * sent to; `true` also if nothing tells.
+ */
+export type IncarnationCheck = () => Promise<boolean>;
+
+const NO_CHECK: IncarnationCheck = () => Promise.resolve(true);
+
 /** Opens a connection to a backend server. */
 export type ServerConnector = buildConnector.connector;
 
@@ -97,6 +118,7 @@
   readonly #connect: ServerConnector;
   readonly #contacts: ContactObserver;
   readonly #localAddress: string | undefined;
+  readonly #watchIncarnation: (server: ServerAddress) => IncarnationCheck;
 
   constructor(
     options: {
@@ -106,10 +128,13 @@
       readonly connectMilliseconds?: number;
       /** IP address from which it connects; the system's choice by default. */
       readonly localAddress?: string;
+      /** Called with each send; the check is made where the end of its answer is unsure. */
+      readonly watchIncarnation?: (server: ServerAddress) => IncarnationCheck;
     } = {},
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
     this.#localAddress = options.localAddress;
+    this.#watchIncarnation = options.watchIncarnation ?? (() => NO_CHECK);
     this.#connect = withCorrectEnds(
       options.connector ??
         buildConnector({
@@ -124,12 +149,15 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
+    const { pool, sockets } = this.#pool(server);
+    const isSameIncarnation = this.#watchIncarnation(server);
     const handler = new SendHandler(listener, {
       method: request.method,
       contact: { server: server.id, contacts: this.#contacts },
-      isAlive: () => this.connects(server),
+      doubtAboutServer: () =>
+        this.#doubtAbout(server, { sockets, isSameIncarnation }),
     });
-    this.#pool(server).dispatch(
+    pool.dispatch(
       {
         method: request.method,
         path: request.target,
@@ -173,36 +201,68 @@
     });
   }
 
+  /**
+   * Whether the process has ended that gave an answer without a length. The end of a
+   * process ends its connections in the same way as the end of an answer. One that
+   * is open from before shows that the process lives on; without any, it is asked.
+   */
+  async #doubtAbout(
+    server: ServerAddress,
+    {
+      sockets,
+      isSameIncarnation,
+    }: {
+      readonly sockets: ReadonlySet<Socket>;
+      readonly isSameIncarnation: IncarnationCheck;
+    },
+  ): Promise<EndDoubt | undefined> {
+    const before = [...sockets].filter(isOpen);
+    if (!(await this.connects(server))) return "server_gone";
+    if (before.some(isOpen)) return undefined;
+    return (await isSameIncarnation()) ? undefined : "server_started_again";
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
     await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
-  #pool({ id, address }: ServerAddress): Pool {
+  #pool({ id, address }: ServerAddress): AddressPool {
     const known = this.#pools.get(id);
-    if (known?.address === address) return known.pool;
+    if (known?.address === address) return known;
     this.forget(id);
+    const sockets = new Set<Socket>();
     const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
-      connect: this.#connectTo(id),
+      connect: this.#connectTo(id, (socket) => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+      }),
       ...(this.#localAddress && { localAddress: this.#localAddress }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
     });
-    this.#pools.set(id, { address, pool });
-    return pool;
+    const addressPool = { address, pool, sockets };
+    this.#pools.set(id, addressPool);
+    return addressPool;
   }
 
   /** Opens connections to a server, and reports that they came up. */
-  #connectTo(server: string): ServerConnector {
+  #connectTo(
+    server: string,
+    onConnected: (socket: Socket) => void = () => undefined,
+  ): ServerConnector {
     return (options, callback) =>
       this.#connect(options, (...result) => {
         // undici calls back without a socket on an error, although its types say null.
-        if (result[0] === null) this.#contacts.heard(server);
+        if (result[0] === null) {
+          this.#contacts.heard(server);
+          onConnected(result[1]);
+        }
         callback(...result);
       });
   }
@@ -218,7 +278,7 @@
   readonly #listener: SendListener;
   readonly #method: string;
   readonly #contact: Contact;
-  readonly #isAlive: () => Promise<boolean>;
+  readonly #doubtAboutServer: () => Promise<EndDoubt | undefined>;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
@@ -236,17 +296,17 @@
     {
       method,
       contact,
-      isAlive,
+      doubtAboutServer,
     }: {
       readonly method: string;
       readonly contact: Contact;
-      readonly isAlive: () => Promise<boolean>;
+      readonly doubtAboutServer: () => Promise<EndDoubt | undefined>;
     },
   ) {
     this.#listener = listener;
     this.#method = method;
     this.#contact = contact;
-    this.#isAlive = isAlive;
+    this.#doubtAboutServer = doubtAboutServer;
   }
 
   abort(): void {
@@ -324,17 +384,14 @@
     else this.#endUnframed();
   }
 
-  /**
-   * Ends an answer without a length. A process that is killed ends its connections in
-   * the same way as one that has written all, but takes no new ones.
-   */
+  /** Ends an answer without a length, unless its server may have ended within it. */
   #endUnframed(): void {
-    const ended = (isAlive: boolean) => {
+    const ended = (doubt: EndDoubt | undefined) => {
       if (this.#aborted) return;
-      if (isAlive) this.#listener.ended("unframed");
-      else this.#listener.failed("lost", END_DOUBTS.server_gone);
+      if (doubt === undefined) this.#listener.ended("unframed");
+      else this.#listener.failed("lost", END_DOUBTS[doubt]);
     };
-    this.#isAlive().then(ended, () => ended(false));
+    this.#doubtAboutServer().then(ended, () => ended("server_gone"));
   }
 
   onResponseError(
--- a/packages/rampswitch-serving/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client_test.ts
@@ -121,3 +121,45 @@
     },
   );
 });
+
+describe("the end of an answer without a length", () => {
+  test.each([
+    ["stays open", [], "whole"],
+    ["ends too", ["asked"], "lost"],
+  ] as const)(
+    "shows an end of the process only if another connection %s",
+    async (_name, asked, outcome) => {
+      await using ownership = new Ownership();
+      const sockets: Socket[] = [];
+      const server = createRawServer((socket) => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        // The second connection's answer ends, and with it the process or not.
+        if (sockets.length < 2) return;
+        socket.once("data", () => {
+          socket.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+          const ending = outcome === "whole" ? [socket] : sockets;
+          ending.forEach((one) => one.end());
+        });
+      });
+      const { address } = ownership.own(
+        await listenUntilDisposed(server, "127.0.0.1:0", () =>
+          sockets.forEach((socket) => socket.destroy()),
+        ),
+      );
+      const questions: string[] = [];
+      const client = ownership.own(
+        new BackendClient({
+          watchIncarnation: () => () => {
+            questions.push("asked");
+            return Promise.resolve(false);
+          },
+        }),
+      );
+      void fetchAnswer(client, { id: "s1", address });
+      const answer = await fetchAnswer(client, { id: "s1", address });
+      expect(answer).toBe(outcome);
+      expect(questions).toEqual(asked);
+    },
+  );
+});
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -7,12 +7,16 @@
  * @module
  */
 import type { Clock, Listening, Logger, Random } from "rampswitch-utils";
-import { BackendClient, type ServerConnector } from "../attempt/mod.ts";
+import {
+  BackendClient,
+  type IncarnationCheck,
+  type ServerConnector,
+} from "../attempt/mod.ts";
 import { serverOfIncarnation } from "../model/backend_server.ts";
 import type { ServerDirectory } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { PeerReach, ServerContacts } from "../reach/mod.ts";
-import type { AbandonedRun } from "../relay/abandoned_runs.ts";
+import type { ServerRuns } from "../relay/server_runs.ts";
 import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
 import { ForwardingHosts } from "./forwarding_hosts.ts";
 import { type ForwardedRun, ForwardingServer } from "./forwarding_server.ts";
@@ -34,8 +38,8 @@
   forwardingHosts(): readonly ForwardingHost[];
   /** Whether an IP address belongs to a host of the fleet. */
   isHostAddress(ip: string): boolean;
-  /** Has a run stopped that was sent for another host. */
-  stopRun(run: AbandonedRun): void;
+  /** Calls to servers about runs that were sent to them. */
+  readonly runs: ServerRuns;
   /** Whether this host starts no more requests. */
   stopping(): boolean;
   /** Tells the peers of a change at once. */
@@ -65,6 +69,7 @@
       client: new BackendClient({
         contacts: this.contacts,
         connector: parts.serverConnector,
+        watchIncarnation: ({ id }) => this.#watchIncarnation(id, parts),
       }),
       forwarding: new ForwardingClient(parts.self),
       hosts: new ForwardingHosts({
@@ -110,12 +115,23 @@
     return this.client[Symbol.asyncDispose]();
   }
 
+  /** A check of whether a server is still the incarnation that is listed now. */
+  #watchIncarnation(
+    id: string,
+    { runs }: Pick<ServerAccessParts, "runs">,
+  ): IncarnationCheck {
+    const record = this.#directory.get(id);
+    return async () =>
+      record === undefined ||
+      (await runs.incarnationStatus(record)) !== "later";
+  }
+
   /** Has a run stopped that was sent for another host. */
   #stopRun(run: ForwardedRun, parts: ServerAccessParts): void {
     const server = this.#directory.get(run.server);
     if (server === undefined) return;
     const present = () => this.#directory.get(run.present() ?? "");
-    parts.stopRun({ ...run, server, present });
+    parts.runs.stop({ ...run, server, present });
   }
 
   /** Forgets failures of servers that other hosts reach: the links were lost. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -62,16 +62,12 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
-import {
-  type AbandonedRun,
-  canStopRuns,
-  stopAbandonedRun,
-} from "./relay/abandoned_runs.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
 import { addedLoadTokens } from "./relay/prompt_load.ts";
 import type { RequestContext } from "./relay/request_context.ts";
+import { ServerRuns } from "./relay/server_runs.ts";
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
@@ -364,7 +360,12 @@
         isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
         stopping: () => this.#lifecycle.state === "stopping",
         broadcast: () => promptUpdates.trigger(),
-        stopRun: (run) => this.#stopRun(run),
+        runs: new ServerRuns({
+          ...ports,
+          directory: this.#directory,
+          advertisements: this.#advertisements,
+          serviceOf: (name) => this.#follower.routes?.service(name),
+        }),
       }),
     );
     this.#callers = new CallerServer(this.#requestContext());
@@ -721,16 +722,6 @@
   }
 
   /** Has a run stopped that was sent for another host. */
-  #stopRun(run: AbandonedRun): void {
-    const { service } = run.server.entry;
-    if (!canStopRuns(this.#follower.routes?.service(service))) return;
-    stopAbandonedRun(run, {
-      ...this.#ports,
-      directory: this.#directory,
-      advertisements: this.#advertisements,
-    });
-  }
-
   #serverLeaving(record: ServerRecord): void {
     runInBackground("moves from a leaving server", this.#ports, () =>
       this.#leavingServers.scheduleMigration(record),
--- a/packages/rampswitch-utils/src/connection_ends.ts
+++ b/packages/rampswitch-utils/src/connection_ends.ts
@@ -65,18 +65,26 @@
   };
 }
 
+/** Connections that their peers have ended, whether or not their readers know. */
+const ENDED = new WeakSet<Socket>();
+
+/** Whether a connection is open at both ends, as far as its bytes are read. */
+export function isOpen(socket: Socket): boolean {
+  // What a reader leaves unread may have the end behind it.
+  return !socket.destroyed && socket.readableLength === 0 && !ENDED.has(socket);
+}
+
 /** Holds the end of a connection back until its reader reads on. */
 function holdEnd(socket: Socket): void {
   const push = socket.push.bind(socket);
   const read = socket.read.bind(socket);
-  let hasEnded = false;
   socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
-    hasEnded ||= chunk === null;
+    if (chunk === null) ENDED.add(socket);
     return push(chunk, encoding);
   };
   // A read of no bytes asks for more from the peer, and after its end for the event.
   socket.read = (size?: number): unknown =>
-    hasEnded && size === 0 ? null : (read(size) as unknown);
+    size === 0 && ENDED.has(socket) ? null : (read(size) as unknown);
 }
 
 function resetError(): Error {
