Complete no answer without a length that ends at its time limit

At the time that it is handed a server stops work, and its connection's end is that of the answer. The host's own timer ends the request first unless the server is told less: the time is handed in whole milliseconds, rounded down, so that such an end may come up to a millisecond before the host's time-out.

--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -25,6 +25,7 @@
   server_started_again: "server started again after an answer without a length",
   within_event: "ended within an event",
   empty: "ended without a length before any of its content",
+  time_limit: "ended without a length at the time limit",
 } as const;
 
 /** A reason of {@link END_DOUBTS}. */
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -504,10 +504,11 @@
 
   /** Why the end of an answer without framing proves nothing; failures have their status. */
   #doubtAboutEnd({ status }: AnswerHead): EndDoubt | undefined {
-    if (!isSuccess(status)) return undefined;
+    const current = this.#current;
+    if (current === undefined || !isSuccess(status)) return undefined;
     return doubtAbout({
-      hasContent:
-        (this.#current?.events ?? 0) > 0 || this.#bufferedBody.length > 0,
+      hasContent: current.events > 0 || this.#bufferedBody.length > 0,
+      remainingMilliseconds: this.#remaining(),
     });
   }
 
--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -9,16 +9,26 @@
  */
 import type { EndDoubt } from "../attempt/mod.ts";
 
+/**
+ * Time before a request's time limit in which an end may be due to it, in milliseconds:
+ * a server is handed the time in whole milliseconds, and its timers may be early.
+ */
+const LIMIT_MARGIN_MILLISECONDS = 5;
+
 /** A success without a length or chunks whose connection has ended regularly. */
 export interface UnframedAnswer {
   /** Whether any event, or any byte of a whole answer, came. */
   readonly hasContent: boolean;
+  /** Time until the request's time limit, at which servers stop work. */
+  readonly remainingMilliseconds: number;
 }
 
 /** Why the end of an answer does not show that it is complete, if anything does. */
-export function doubtAbout({
-  hasContent,
-}: UnframedAnswer): EndDoubt | undefined {
-  if (!hasContent) return "empty";
-  return undefined;
+export function doubtAbout(answer: UnframedAnswer): EndDoubt | undefined {
+  const doubts: Readonly<Partial<Record<EndDoubt, boolean>>> = {
+    empty: !answer.hasContent,
+    time_limit: answer.remainingMilliseconds <= LIMIT_MARGIN_MILLISECONDS,
+  };
+  const found = Object.entries(doubts).find(([, holds]) => holds);
+  return found?.[0] as EndDoubt | undefined;
 }
