Complete no answer without a length at a server that was asked to stop an earlier run

A run that was given up is asked to stop by its request's id; the call may arrive late, when the request is at the same server again (a stream that is taken up at its version may return to a server that was tried). The stop closes the stream without its end, which is that of an answer without a length.

The decision has its unit test.

--- a/packages/rampswitch-serving/src/relay/lost_sends.ts
+++ b/packages/rampswitch-serving/src/relay/lost_sends.ts
@@ -30,6 +30,8 @@
 export class LostSends {
   readonly #run: LosingRequest;
   readonly #context: RequestContext;
+  /** Server incarnations that were asked to stop a run of the request. */
+  readonly #askedToStop = new Set<string>();
 
   constructor(run: LosingRequest, context: RequestContext) {
     this.#run = run;
@@ -74,6 +76,11 @@
     if (waited >= allowed) this.unresponsive(send);
   }
 
+  /** Whether a send's server was asked to stop a run of the request. */
+  wasAskedToStop({ choice }: CurrentSend): boolean {
+    return this.#askedToStop.has(choice.record.incarnation);
+  }
+
   /**
    * Has the run of a send stopped that this host has given up. Only engines that can
    * move a run can stop one; others are left to notice the close of the connection.
@@ -82,6 +89,7 @@
     const { head, service } = this.#run.request;
     const { attemptId } = head;
     if (attemptId === undefined || !canStopRuns(service)) return;
+    this.#askedToStop.add(choice.record.incarnation);
     const present = () => this.#run.present();
     stopAbandonedRun(
       { attemptId, server: choice.record, mayWait, present },
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -509,6 +509,7 @@
     return doubtAbout({
       hasContent: current.events > 0 || this.#bufferedBody.length > 0,
       remainingMilliseconds: this.#remaining(),
+      mayHaveBeenStopped: this.#lostSends.wasAskedToStop(current),
     });
   }
 
--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -21,6 +21,8 @@
   readonly hasContent: boolean;
   /** Time until the request's time limit, at which servers stop work. */
   readonly remainingMilliseconds: number;
+  /** Whether the server was asked to stop an earlier run of the request. */
+  readonly mayHaveBeenStopped: boolean;
 }
 
 /** Why the end of an answer does not show that it is complete, if anything does. */
@@ -28,6 +30,7 @@
   const doubts: Readonly<Partial<Record<EndDoubt, boolean>>> = {
     empty: !answer.hasContent,
     time_limit: answer.remainingMilliseconds <= LIMIT_MARGIN_MILLISECONDS,
+    stopped: answer.mayHaveBeenStopped,
   };
   const found = Object.entries(doubts).find(([, holds]) => holds);
   return found?.[0] as EndDoubt | undefined;
--- a/packages/rampswitch-serving/src/relay/unframed_end_test.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end_test.ts
@@ -6,6 +6,7 @@
 const REGULAR: UnframedAnswer = {
   hasContent: true,
   remainingMilliseconds: 1_000,
+  mayHaveBeenStopped: false,
 };
 
 // Guards against a broken answer that ends as complete.
@@ -14,6 +15,11 @@
     ["nothing speaks against it", {}, undefined],
     ["nothing of the answer came", { hasContent: false }, "empty"],
     ["the server's time is up", { remainingMilliseconds: 1 }, "time_limit"],
+    [
+      "an earlier run there was to stop",
+      { mayHaveBeenStopped: true },
+      "stopped",
+    ],
   ])("is judged if %s", (_name, answer, doubt) => {
     expect(doubtAbout({ ...REGULAR, ...answer })).toBe(doubt);
   });
