Reset the connection of an aborted answer that has no chunks

A caller of HTTP/1.0 gets a stream without chunks, whose end is that of its connection: a stream that the host broke off looked complete to it. A reset is the only sign that it can get. Answers that one host relays to another are aborted by the same function, so that events of the last turn are not dropped.

Failed before: abort_response_test.ts (a regular end where ECONNRESET is wanted).

--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -14,6 +14,7 @@
   type ServerResponse,
 } from "node:http";
 import {
+  abortResponse,
   type Clock,
   handleInBackground,
   listen,
@@ -317,7 +318,7 @@
   failed(failure: "not_written" | "lost"): void {
     if (failure === "not_written") this.#notSent();
     // A connection that ends early is a lost send for the other host.
-    else this.#response.destroy();
+    else abortResponse(this.#response);
   }
 }
 
--- a/packages/rampswitch-utils/src/abort_response.ts
+++ b/packages/rampswitch-utils/src/abort_response.ts
@@ -15,5 +15,9 @@
   // Node corks the writes of one event loop turn, and destroy() would drop them:
   // the caller would never get events that are ready, however often it retries.
   response.socket?.uncork();
+  // Without chunks, as with a caller of HTTP/1.0, the end of the connection would be
+  // that of the answer.
+  if (response.headersSent && !response.chunkedEncoding)
+    response.socket?.resetAndDestroy();
   response.destroy();
 }
--- a/packages/rampswitch-utils/src/abort_response_test.ts
+++ b/packages/rampswitch-utils/src/abort_response_test.ts
@@ -6,9 +6,13 @@
 // also the response headers. Data that is ready must be sent first.
 
 import { createServer, get } from "node:http";
+import { connect } from "node:net";
 import { describe, expect, test } from "@jest/globals";
 import { abortResponse } from "./abort_response.ts";
-import { listen } from "./listen.ts";
+import { listen, splitAddress } from "./listen.ts";
+
+/** Time after which a response is aborted, in milliseconds. */
+const ABORT_MILLISECONDS = 20;
 
 const EVENT = "id: 1\ndata: event 1\n\n";
 
@@ -40,7 +44,30 @@
   });
 }
 
+/** Sends a request of HTTP/1.0; resolves to the code of the error that ends its answer. */
+async function abortOldRequest(): Promise<string | undefined> {
+  const server = createServer((_request, response) => {
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    response.write(EVENT);
+    setTimeout(() => abortResponse(response), ABORT_MILLISECONDS);
+  });
+  await using listening = await listen(server, "127.0.0.1:0");
+  const { host, port } = splitAddress(listening.address);
+  return await new Promise((resolve) => {
+    const socket = connect({ host, port });
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => resolve(code));
+    socket.on("end", () => resolve(undefined));
+    socket.resume();
+    socket.write("GET / HTTP/1.0\r\n\r\n");
+  });
+}
+
 describe("an aborted response", () => {
+  // Guards against a broken answer that ends as complete.
+  test("resets the connection of a caller to whom its end would be a regular one", async () => {
+    expect(await abortOldRequest()).toBe("ECONNRESET");
+  });
+
   test("delivers what was written in the same turn and is not complete", async () => {
     expect(await readAbortedResponse()).toEqual({
       text: EVENT,
