--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -10,7 +10,6 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { runInBackground } from "rampswitch-utils";
-import type { ResendContext, ResendKind } from "../admission/mod.ts";
 import {
   type AnswerFraming,
   AttemptTracker,
@@ -42,7 +41,11 @@
   observeRejection,
   observeReportedLoad,
 } from "./observed_answers.ts";
-import type { CurrentSend, WantedResend } from "./sends.ts";
+import {
+  type CurrentSend,
+  recordDispatch,
+  type WantedResend,
+} from "./sends.ts";
 import type { RequestContext } from "./request_context.ts";
 import { ResendRules } from "./resend_rules.ts";
 import {
@@ -50,11 +53,8 @@
   type NotRepeatedReason,
   RunRecord,
 } from "./run_record.ts";
-import {
-  type MigratableRun,
-  RunMigration,
-  type BudgetDecision,
-} from "./run_migration.ts";
+import { RunBudget } from "./run_budget.ts";
+import { type MigratableRun, RunMigration } from "./run_migration.ts";
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 import { StreamVersion } from "./stream_version.ts";
@@ -78,6 +78,7 @@
   readonly #record: RunRecord;
   readonly #tracker: AttemptTracker;
   readonly #rules: ResendRules;
+  readonly #budget: RunBudget;
   readonly #lostSends: LostSends;
   readonly #framer = new EventFramer();
   /** Server incarnations that the request was sent to. */
@@ -122,6 +123,7 @@
     this.#streamVersion = new StreamVersion(request, context);
     const rules = new ResendRules(request, this.#tracker, context);
     this.#rules = rules;
+    this.#budget = new RunBudget(request, context);
     this.#lostSends = new LostSends(
       { request, rules, present: () => this.server },
       context,
@@ -174,10 +176,7 @@
     this.#cancelDeadline = this.#context.clock.after(Math.max(0, wait), () =>
       this.#handleTimeout(),
     );
-    this.#context.budget.recordRequest(
-      this.request.service.name,
-      this.#budgetQuery(),
-    );
+    this.#budget.recordRequest();
     if (this.#streamVersion.isTakenUp) {
       this.#inBackground("version of a stream", () => this.#findVersion());
     } else this.#chooseFirstSend();
@@ -220,7 +219,7 @@
       lastEventId: () => this.#lastEventId,
       remaining: () => this.#remaining(),
       choose: ({ version }) => this.#sendChooser.chooseForMigration(version),
-      spend: (kind) => this.#spendBudget(kind),
+      spend: (kind) => this.#budget.spend(kind),
       notRepeated: (...inputs) => this.#recordNotRepeated(...inputs),
       stopped: () => {
         this.#endCurrentSend(true);
@@ -296,7 +295,6 @@
   #sendTo(choice: Choice, memorySource?: MemorySource): void {
     const { record } = choice;
     const { request } = this;
-    const parts = request.head.promptParts;
     const tokens = promptTokensOf(request.head);
     const unreadBefore = record.pendingPrefillTokens(this.#now());
     this.#tried.add(record.incarnation);
@@ -308,20 +306,12 @@
     const unread =
       memorySource === undefined ? tokens - choice.cachedTokens : 0;
     const work = record.started(Math.max(0, unread));
-    if (request.service.engine !== undefined) {
-      this.#context.prefixes.stored(
-        record.entry.id,
-        parts,
-        request.service.engine.memoryTokens,
-      );
-      this.#context.dispatched(record, {
-        service: request.service.name,
-        parts: parts.slice(0, -1),
-        unreadTokens: unread,
-        sends: this.#record.sends,
-        possibleRuns: this.#tracker.possibleRuns,
-      });
-    }
+    recordDispatch(request, record, {
+      unreadTokens: unread,
+      sends: this.#record.sends,
+      possibleRuns: this.#tracker.possibleRuns,
+      context: this.#context,
+    });
     this.#isWritten = false;
     const send = this.#context.client.send(
       record.entry,
@@ -635,7 +625,7 @@
   }
 
   #sendResend(wanted: WantedResend, choice: Choice): void {
-    const { granted, view } = this.#spendBudget("repeat");
+    const { granted, view } = this.#budget.spend("repeat");
     if (!granted) {
       this.#abandonResend(wanted, "budget_spent", view);
       return;
@@ -654,19 +644,6 @@
     this.#giveUp(fallback);
   }
 
-  /** Takes one further send from the budget, if it has one left. */
-  #spendBudget(kind: ResendKind): BudgetDecision {
-    const { budget } = this.#context;
-    const { name } = this.request.service;
-    const asked = this.#budgetQuery();
-    const view = { ...budget.state(name, asked), hosts: asked.hosts };
-    return { granted: budget.spend(name, { ...asked, kind }), view };
-  }
-
-  #budgetQuery(): ResendContext {
-    return { now: this.#now(), hosts: this.#context.listedHosts() };
-  }
-
   #recordNotRepeated(
     reason: ResendReason,
     why: NotRepeatedReason,
--- a/packages/rampswitch-serving/src/relay/sends.ts
+++ b/packages/rampswitch-serving/src/relay/sends.ts
@@ -6,9 +6,11 @@
  * @module
  */
 import type { AnswerFraming, Send } from "../attempt/mod.ts";
-import type { StartedWork } from "../choice/mod.ts";
+import type { ServerRecord, StartedWork } from "../choice/mod.ts";
 import type { RefusalReason, ResendReason } from "../model/outcome.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import type { TimedSend } from "./observed_answers.ts";
+import type { RequestContext } from "./request_context.ts";
 
 /** A send in progress. */
 export interface CurrentSend extends TimedSend {
@@ -32,3 +34,27 @@
   /** Refusal that the caller gets if the send can't be made. */
   readonly fallback: RefusalReason;
 }
+
+/** Notes the prompt parts that a send brings to an engine; other servers keep none. */
+export function recordDispatch(
+  { head, service }: AdmittedRequest,
+  record: ServerRecord,
+  {
+    context,
+    ...dispatch
+  }: {
+    readonly unreadTokens: number;
+    readonly sends: number;
+    readonly possibleRuns: number;
+    readonly context: Pick<RequestContext, "prefixes" | "dispatched">;
+  },
+): void {
+  if (service.engine === undefined) return;
+  const parts = head.promptParts;
+  context.prefixes.stored(record.entry.id, parts, service.engine.memoryTokens);
+  context.dispatched(record, {
+    ...dispatch,
+    service: service.name,
+    parts: parts.slice(0, -1),
+  });
+}
