Take the empty rest of a stream for its end where the caller has events

The run was stopped after its last event, went on from its memory and ended there without a further event, which counted as an answer of which nothing came.

Cause: the doubt about empty answers looked at the newest send's events. What the caller has decides: after an event, such an end is one between two events, which no framing tells from a cut, as everywhere else.

Weighed: another run to confirm an empty rest. It costs a run for each such end, and a stream that must run once has none; a cut of such a rest stays open.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -497,7 +497,7 @@
     const current = this.#current;
     if (current === undefined || !isSuccess(status)) return undefined;
     return doubtAbout({
-      hasContent: current.events > 0 || this.#bufferedBody.length > 0,
+      hasContent: this.#tracker.relayed || this.#bufferedBody.length > 0,
       remainingMilliseconds: this.#remaining(),
       mayHaveBeenStopped: this.#lostSends.wasAskedToStop(current),
     });
--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -17,7 +17,10 @@
 
 /** A success without a length or chunks whose connection has ended regularly. */
 export interface UnframedAnswer {
-  /** Whether any event, or any byte of a whole answer, came. */
+  /**
+   * Whether the caller has an event, or any byte of a whole answer came. A run that goes
+   * on from its memory after the last event ends without a further one.
+   */
   readonly hasContent: boolean;
   /** Time until the request's time limit, at which servers stop work. */
   readonly remainingMilliseconds: number;
