--- a/packages/rampswitch-utils/src/connection_ends.ts
+++ b/packages/rampswitch-utils/src/connection_ends.ts
@@ -48,7 +48,7 @@
 
 /** Has a connection report its reset as an error with {@link RESET_CODE}, never as an end. */
 function reportResets(socket: Socket): void {
-  const emit = socket.emit.bind(socket) as Socket["emit"];
+  const emit = socket.emit.bind(socket);
   const handlers: Readonly<Record<string, (argument: unknown) => void>> = {
     end: () => {
       // A connection that was reset has no peer any more; one that was ended has.
--- a/packages/rampswitch-utils/src/connection_ends_test.ts
+++ b/packages/rampswitch-utils/src/connection_ends_test.ts
@@ -10,7 +10,10 @@
 
 /** Ways in which a peer ends its connection, and what the other side is to hear. */
 const ENDINGS: Readonly<
-  Record<string, { end(socket: Socket): void; heard: string }>
+  Record<
+    string,
+    { readonly end: (socket: Socket) => void; readonly heard: string }
+  >
 > = {
   "an end with the bytes": { end: (socket) => socket.end("x"), heard: "end" },
   "an end after the bytes": {
