Read again: an orphaned comment, and doubts about an end as a typed list

serving_host.ts kept the comment of a method that moved to server_runs.ts. doubtAbout built a partial record for each answer and cast its key back; it is a list of conditions now.

--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -28,13 +28,21 @@
   readonly mayHaveBeenStopped: boolean;
 }
 
+/** What speaks against an end; the first that holds is told. */
+const DOUBTS: readonly (readonly [
+  EndDoubt,
+  (answer: UnframedAnswer) => boolean,
+])[] = [
+  ["empty", ({ hasContent }) => !hasContent],
+  [
+    "time_limit",
+    ({ remainingMilliseconds }) =>
+      remainingMilliseconds <= LIMIT_MARGIN_MILLISECONDS,
+  ],
+  ["stopped", ({ mayHaveBeenStopped }) => mayHaveBeenStopped],
+];
+
 /** Why the end of an answer does not show that it is complete, if anything does. */
 export function doubtAbout(answer: UnframedAnswer): EndDoubt | undefined {
-  const doubts: Readonly<Partial<Record<EndDoubt, boolean>>> = {
-    empty: !answer.hasContent,
-    time_limit: answer.remainingMilliseconds <= LIMIT_MARGIN_MILLISECONDS,
-    stopped: answer.mayHaveBeenStopped,
-  };
-  const found = Object.entries(doubts).find(([, holds]) => holds);
-  return found?.[0] as EndDoubt | undefined;
+  return DOUBTS.find(([, holds]) => holds(answer))?.[0];
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -721,7 +721,6 @@
     return this.#membership?.fleetWallTime() ?? this.#ports.wallTime();
   }
 
-  /** Has a run stopped that was sent for another host. */
   #serverLeaving(record: ServerRecord): void {
     runInBackground("moves from a leaving server", this.#ports, () =>
       this.#leavingServers.scheduleMigration(record),
