--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-
 import { headerValue, type RawHeaders } from "../model/request.ts";
 
 /** How an answer marks its end. */
@@ -55,7 +54,7 @@
   const isFramed =
     head.method === "HEAD" ||
     BODILESS.has(head.status) ||
-    // Other codings than chunks mark no end, and a length beside them does not count.
+    // A coding other than chunks marks no end, and overrides a length.
     (coding === undefined
       ? headerValue(head.rawHeaders, "content-length") !== undefined
       : /(^|,)\s*chunked\s*$/i.test(coding));
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -87,7 +87,7 @@
 
 /**
  * Asks whether the process at a server's address is still the one that a request was
- * sent to; `true` also if nothing tells.
+ * sent to. Resolves to `true` also if the answer is not known.
  */
 export type IncarnationCheck = () => Promise<boolean>;
 
@@ -282,7 +282,7 @@
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
-  /** How the answer marks its end, as its head tells. */
+  /** How the answer marks its end, by its head. */
   #framing: AnswerFraming = "framed";
   #informationalHeads = 0;
   #pieces = 0;
