--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -5,6 +5,7 @@
  * are killed and started again. Clients take their streams up again.
  */
 import { request } from "node:http";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { HEADERS } from "../../platform/dist/names.js";
--- a/review/lib-2/hosts.mjs
+++ b/review/lib-2/hosts.mjs
@@ -18,6 +18,7 @@
 import { get } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { URL } from "node:url";
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -2,6 +2,7 @@
 
 /** The record of one run, and the ends of a run that could not be played. */
 import { appendFileSync, writeFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout } from "node:timers";
 import { fileURLToPath, URL } from "node:url";
