--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -48,7 +48,7 @@
       address: worker.address,
       zone,
       version,
-      slots: 16,
+      slots: 128,
       state,
       coldRemainingMs: 0,
       sequence: listed.sequence,
