--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,19 +4,12 @@
  * A rolling update of a service is at its last step, and all processes of the system
  * are killed and started again. Clients take their streams up again.
  */
-import { request } from "node:http";
-import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { HEADERS } from "../../platform/dist/names.js";
 import { allReady, Hosts } from "../lib-2/hosts.mjs";
-import {
-  clientHeaders,
-  configuration,
-  Platform,
-  route,
-} from "../lib-2/platform.mjs";
+import { configuration, Platform, route } from "../lib-2/platform.mjs";
 import { EXIT, Record } from "../lib-2/record.mjs";
+import { StreamClient } from "../lib-2/streams.mjs";
 
 const TROUBLE = process.env.TROUBLE !== "0";
 const ZONES = ["a", "b", "c"];
@@ -83,93 +76,17 @@
 // The hosts have heard of each other after some rounds.
 await sleep(2_000);
 
-/** One stream and its client. */
-class Stream {
-  events = [];
-  tries = 0;
-  finished = false;
-  #id;
-  #first;
-  #endsAt = performance.now() + DEADLINE_MS;
-
-  constructor(id) {
-    this.#id = id;
-  }
-
-  get versions() {
-    return [...new Set(this.events.map(({ version }) => version))];
-  }
-
-  /** Asks for the stream, and for its rest after each broken answer. */
-  async run() {
-    while (!this.finished && performance.now() < this.#endsAt) {
-      const host = fleet[(this.#id + this.tries) % fleet.length];
-      this.tries += 1;
-      await this.#ask(host, `${this.#id}-${this.tries}`.padStart(16, "0"));
-      if (!this.finished) await sleep(RETRY_MS);
-    }
-    record.note(
-      `client ${this.#id} ${this.finished ? "has all" : "gives up"}: ${this.events
-        .map(({ id, version }) => `${id}/${version}`)
-        .join(" ")}`,
-    );
-  }
-
-  #ask(host, attempt) {
-    const last = this.events.at(-1)?.id;
-    const takesUp = last !== undefined;
-    record.note(
-      `client ${this.#id} sends ${attempt} to ${host.name}${takesUp ? ` after event ${last}, resumes ${this.#first}` : ""}`,
-    );
-    return new Promise((resolve) => {
-      const sent = request(
-        {
-          ...host.front,
-          agent: false,
-          method: "POST",
-          path: `/stream/${this.#id}`,
-          timeout: DEADLINE_MS,
-          headers: {
-            ...clientHeaders(attempt, this.#endsAt - performance.now()),
-            ...(takesUp
-              ? {
-                  [HEADERS.lastEventId]: String(last),
-                  [HEADERS.resumes]: this.#first,
-                }
-              : {}),
-          },
-        },
-        (answer) => {
-          record.note(`client ${this.#id} gets ${answer.statusCode}`);
-          let text = "";
-          answer.setEncoding("utf8");
-          answer.on("data", (piece) => {
-            text += piece;
-            const parts = text.split("\n\n");
-            text = parts.pop() ?? "";
-            if (answer.statusCode === 200)
-              parts.forEach((part) => this.#take(part, attempt));
-          });
-          answer.once("close", () => {
-            this.finished = answer.complete && answer.statusCode === 200;
-            resolve();
-          });
-        },
-      );
-      sent.once("error", () => resolve());
-      sent.end("prompt");
-    });
-  }
-
-  #take(part, attempt) {
-    const id = Number(/^id: (\d+)$/m.exec(part)?.[1]);
-    const version = /of (\S+)$/m.exec(part)?.[1] ?? "none";
-    this.#first ??= attempt;
-    this.events.push({ id, version });
-  }
-}
-
-const streams = Array.from({ length: STREAMS }, (_, id) => new Stream(id));
+const streams = Array.from(
+  { length: STREAMS },
+  (_, id) =>
+    new StreamClient({
+      id,
+      hosts: fleet.map((_host, turn) => fleet[(id + turn) % fleet.length]),
+      retryMs: RETRY_MS,
+      deadlineMs: DEADLINE_MS,
+      record,
+    }),
+);
 const runs = streams.map((stream) => stream.run());
 await sleep(1_500);
 
