--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -4,14 +4,20 @@
  * The platform and the servers of one run: the project's own stand-ins, and what a
  * small deployment keeps in the store.
  */
+import { readFileSync } from "node:fs";
+import { URL } from "node:url";
 import { CloudStandin } from "../../platform/dist/standins/cloud_standin.js";
 import { MemoryCopies } from "../../platform/dist/standins/memory_copies.js";
 import { StoreStandin } from "../../platform/dist/standins/store_standin.js";
 import { WorkerStandin } from "../../platform/dist/standins/worker_standin.js";
 import { HEADERS, KEY_SCHEME } from "../../platform/dist/names.js";
 
-export const HOST_NAME = "api.example";
-export const KEY = "k1a2b3c4d5e6f7g8h9i0";
+const HOST_NAME = "api.example";
+
+/** What all configurations here have, and the key of their only tenant. */
+const { key: KEY, ...COMMON } = JSON.parse(
+  readFileSync(new URL("configuration.json", import.meta.url), "utf8"),
+);
 
 /** A store, a cloud and the workers that keep themselves in the store. */
 export class Platform {
@@ -86,27 +92,16 @@
 }
 
 /** A configuration of the platform. */
-export function configuration(version, { routes, services, keys = [KEY] }) {
-  return {
-    version,
-    routes,
-    services,
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 4_194_304,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-    tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
-  };
+export function configuration(version, { routes, services }) {
+  return { version, routes, services, ...COMMON };
 }
 
 /** Headers of a client's request. */
-export function clientHeaders(attempt, deadlineMs, key = KEY) {
+export function clientHeaders(attempt, deadlineMs) {
   return {
     host: HOST_NAME,
     [HEADERS.attemptId]: attempt,
     [HEADERS.deadline]: String(Math.max(1, Math.round(deadlineMs))),
-    [HEADERS.authorization]: `${KEY_SCHEME} ${key}`,
+    [HEADERS.authorization]: `${KEY_SCHEME} ${KEY}`,
   };
 }
