--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Clock } from "rampswitch-utils";
+import type { Clock, Logger } from "rampswitch-utils";
 import {
   type BegunStream,
   BegunStreams,
@@ -21,6 +21,7 @@
 export interface StreamOriginsParts {
   /** A monotonic clock. */
   readonly clock: Clock;
+  readonly logger: Logger;
   /** Whether this host's list of servers is as new as that of its peers. */
   isListCurrent(): boolean;
   /** Sends the version of a stream to the hosts that keep it. */
@@ -152,7 +153,26 @@
     if (own.kind === "single" && this.#parts.isListCurrent()) {
       return { ...own, kind: "known", source: "single" };
     }
-    return originFrom(own, await this.#parts.query(key));
+    const replies = await this.#parts.query(key);
+    this.#logEvidence(key, own, replies);
+    return originFrom(own, replies);
+  }
+
+  /** Logs what this host and others know of a stream, and since when this one runs. */
+  #logEvidence(
+    { service, attempt }: StreamKey,
+    own: StreamReply,
+    replies: readonly StreamReply[],
+  ): void {
+    const now = this.#parts.clock.now();
+    this.#parts.logger.info("version of a stream queried", {
+      service,
+      resumes: attempt,
+      own: own.kind,
+      replies: replies.map(({ kind }) => kind).join(","),
+      versions: this.#history.versionsOf(service, now).join(","),
+      runningMilliseconds: Math.round(now - this.#startedAt),
+    });
   }
 
   #tell(
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { describe, expect, test } from "@jest/globals";
-import { ManualClock } from "rampswitch-utils";
+import { ManualClock, SILENT_LOGGER } from "rampswitch-utils";
 import { KeeperRings } from "./stream_keepers.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 import type { StreamRecord, StreamReply } from "./stream_reply.ts";
@@ -19,6 +19,7 @@
   const state = { isListCurrent: true, queries: 0 };
   const streams = new StreamOrigins({
     clock,
+    logger: SILENT_LOGGER,
     isListCurrent: () => state.isListCurrent,
     tell: (record) => told.push(record),
     query: () => {
