Keep in the store which versions of a service served, and guess none without it

Callers saw streams that began at one version and ended at another one as complete, once all hosts had ended and the former version had gone meanwhile.

Cause: a host that has just started lists one version and has an empty history. It replied single_recently, and such replies of hosts that had all just started confirmed each other: absence of memory was taken for absence of versions.

Ruled out by the lines of the case: lists that differ between hosts, a version that was known and not used, a server reached as another one.

Weighed: (1) refuse whatever nobody knows: holds ORDER, and loses the streams of a service with one version after each end of all hosts; (2) a record of the versions in the store, written on change alone. The holder of the duties writes one object for all services (one write for each version that appears or has been gone for a minute, whatever the number of hosts); each host reads it once at its start, and again at most once a second when a stream's version is unknown. No clock is stored: a version that is in the object and not listed counts as just ended. An object that is missing, unreadable, or of an era of the store before the present one vouches for nothing, so that streams are refused until somebody has been there for a minute. Each host writing its own view was left: a roll-out of a hundred services would be 36,000 writes at 360 hosts.

One version alone now counts only if somebody vouches for the past.

--- /dev/null
+++ b/packages/rampswitch-serving/src/host_streams.ts
@@ -0,0 +1,39 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Builds what one host knows of the versions that began streams, and the archive in
+ * which it survives the host.
+ *
+ * @module
+ */
+import type { Ownership } from "rampswitch-utils";
+import {
+  StreamArchive,
+  type StreamArchiveParts,
+  StreamOrigins,
+  type StreamOriginsParts,
+} from "./streams/mod.ts";
+
+/** Dependencies of a host's streams. */
+export interface HostStreamsParts
+  extends
+    Omit<StreamOriginsParts, "readStored">,
+    Omit<StreamArchiveParts, "origins" | "prefix"> {
+  /** Prefix of the keys of what the store keeps of streams. */
+  readonly streamsPrefix: string;
+}
+
+/** Creates the origins of streams; `ownership` ends their archive with the host. */
+export function createStreams(
+  parts: HostStreamsParts,
+  ownership: Ownership,
+): StreamOrigins {
+  const origins: StreamOrigins = new StreamOrigins({
+    ...parts,
+    readStored: () => archive.read(),
+  });
+  const archive: StreamArchive = ownership.own(
+    new StreamArchive({ ...parts, origins, prefix: parts.streamsPrefix }),
+  );
+  return origins;
+}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -41,6 +41,7 @@
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostGossip } from "./host_gossip.ts";
 import { createQuarantine } from "./host_quarantine.ts";
+import { createStreams } from "./host_streams.ts";
 import {
   Membership,
   gossipLagMilliseconds,
@@ -71,12 +72,13 @@
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
-import { StreamOrigins } from "./streams/mod.ts";
+import type { StreamOrigins } from "./streams/mod.ts";
 import {
   LeavingAdvertisements,
   BackOffAdvertisements,
   AdvertisementReader,
 } from "./advertisements/mod.ts";
+import { advertisementHandlers } from "./advertisement_handlers.ts";
 import { ServerListing } from "./server_listing.ts";
 import {
   BOUNDS_FIXED_AT_START,
@@ -103,6 +105,8 @@
   readonly quarantinePrefix: string;
   /** Prefix of the key of the held prompt parts in the store. */
   readonly heldPartsPrefix: string;
+  /** Prefix of the keys of the versions that began streams in the store. */
+  readonly streamsPrefix: string;
   readonly rolloutOrders: RolloutSpecAdapter;
   readonly readinessPath: string;
   readonly metricsPath: string;
@@ -248,14 +252,18 @@
       }),
     );
     this.#ownership.defer(() => this.#cancelVersionCheck());
-    this.#streams = new StreamOrigins({
-      ...ports,
-      isListCurrent: () =>
-        this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
-        !this.#follower.cutOff,
-      tell: (record) => this.#membership?.streams.tell(record),
-      query: async (key) => this.#membership?.streams.query(key) ?? [],
-    });
+    this.#streams = createStreams(
+      {
+        ...ports,
+        isListCurrent: () =>
+          this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
+          !this.#follower.cutOff,
+        tell: (record) => this.#membership?.streams.tell(record),
+        query: async (key) => this.#membership?.streams.query(key) ?? [],
+        holdsDuties: () => this.#duties.isHolder,
+      },
+      this.#ownership,
+    );
     const promptUpdates = new PromptBroadcast(ports.clock, () =>
       this.#membership?.broadcast(),
     );
@@ -293,30 +301,12 @@
     });
     this.#advertisements = new AdvertisementReader({
       ...ports,
-      handlers: {
-        limit: {
-          appliesLate: false,
-          receive: (record, perSecond) =>
-            this.#permits.recordAdvertised(record, perSecond),
-        },
-        leaving: {
-          appliesLate: true,
-          receive: (record, leaves) => {
-            if (leaves !== undefined) this.#leavingAdvertisements.read(record);
-          },
-        },
-        brittle: {
-          appliesLate: false,
-          receive: (record, bound) =>
-            this.#brittle.recordAdvertised(record, bound),
-        },
-        rest: {
-          appliesLate: false,
-          receive: (record, milliseconds) => {
-            if (milliseconds !== undefined) backOffs.read(record, milliseconds);
-          },
-        },
-      },
+      handlers: advertisementHandlers({
+        permits: this.#permits,
+        leaving: this.#leavingAdvertisements,
+        brittle: this.#brittle,
+        backOffs,
+      }),
     });
     this.#arrivals = new FleetArrivals(
       ports.clock.now(),
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -7,6 +7,7 @@
  * @module
  */
 export { streamName, type StreamKey } from "./begun_streams.ts";
-export { StreamOrigins } from "./stream_origins.ts";
+export { StreamArchive, type StreamArchiveParts } from "./stream_archive.ts";
+export { StreamOrigins, type StreamOriginsParts } from "./stream_origins.ts";
 export type { StreamRecord, StreamReply } from "./stream_reply.ts";
 export { KeeperRings } from "./stream_keepers.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/stream_archive_test.ts
@@ -0,0 +1,177 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+// Guards against hosts that forget with the end of all of them which versions served:
+// the only version that is listed after a start was then taken for the one that began a
+// stream.
+
+import { afterEach, describe, expect, test } from "@jest/globals";
+import {
+  ManualClock,
+  Ownership,
+  seededRandom,
+  SILENT_LOGGER,
+} from "rampswitch-utils";
+import type { ObjectStore } from "rampswitch-store";
+import { ServingMetrics } from "../observation/mod.ts";
+import { createStreams } from "../host_streams.ts";
+import { ObjectStoreStandin } from "./object_store_standin.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
+
+const PREFIX = "streams/";
+const VERSIONS_KEY = `${PREFIX}versions`;
+const SERVICE = "models";
+const STREAM = { service: SERVICE, attempt: "a1" };
+
+/** Time in which a host writes a change, in milliseconds. */
+const WRITE_MILLISECONDS = 400;
+
+/** Time for which a version counts after its end, in milliseconds. */
+const RETENTION_MILLISECONDS = 60_000;
+
+let ownership = new Ownership();
+
+afterEach(async () => {
+  await ownership[Symbol.asyncDispose]();
+  ownership = new Ownership();
+});
+
+/** Starts a host; `versions` are those that it lists. */
+async function startHost(
+  store: ObjectStoreStandin,
+  {
+    versions,
+    holdsDuties = true,
+  }: {
+    readonly versions: readonly string[];
+    readonly holdsDuties?: boolean;
+  },
+): Promise<{ readonly clock: ManualClock; readonly streams: StreamOrigins }> {
+  const clock = new ManualClock(0);
+  const streams = createStreams(
+    {
+      clock,
+      store: store as unknown as ObjectStore,
+      streamsPrefix: PREFIX,
+      random: seededRandom(1),
+      logger: SILENT_LOGGER,
+      metrics: new ServingMetrics(),
+      isListCurrent: () => true,
+      tell: () => undefined,
+      query: () => Promise.resolve([]),
+      holdsDuties: () => holdsDuties,
+    },
+    ownership,
+  );
+  versions.forEach((version) =>
+    streams.listed({ id: `s-${version}`, service: SERVICE, version }),
+  );
+  await pass(clock, WRITE_MILLISECONDS);
+  return { clock, streams };
+}
+
+/** Lets time pass, and the calls to the store that fall due. */
+async function pass(clock: ManualClock, milliseconds: number): Promise<void> {
+  const end = clock.now() + milliseconds;
+  while (clock.now() < end) {
+    clock.advance(Math.min(50, end - clock.now()));
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+async function versionOf(streams: StreamOrigins): Promise<string | undefined> {
+  const origin = await streams.find(STREAM);
+  return origin.kind === "known" ? origin.version : undefined;
+}
+
+describe("the versions that served", () => {
+  test("are known to a host that starts after all others have ended", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1", "v2"] });
+    const { streams } = await startHost(store, { versions: ["v2"] });
+    expect(streams.versions.get(SERVICE)).toEqual(["v1", "v2"]);
+    expect(await versionOf(streams)).toBeUndefined();
+  });
+
+  test("vouch for the only one, whoever lists it first", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1"] });
+    const { streams } = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(streams)).toBe("v1");
+  });
+
+  test("are written on change alone, by the holder of the duties", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    await startHost(store, { versions: ["v1", "v3"], holdsDuties: false });
+    await pass(clock, 10 * WRITE_MILLISECONDS);
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(clock, 10 * WRITE_MILLISECONDS);
+    expect(store.changes).toEqual([
+      `put ${VERSIONS_KEY}`,
+      `put ${VERSIONS_KEY}`,
+    ]);
+  });
+
+  test("are removed once no stream can be of them", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, {
+      versions: ["v1", "v2"],
+    });
+    streams.removed("s-v1");
+    await pass(clock, RETENTION_MILLISECONDS + WRITE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v2"] });
+    expect(await versionOf(next.streams)).toBe("v2");
+  });
+
+  test("include what another holder wrote meanwhile", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    await startHost(store, { versions: ["v1", "v2"] });
+    streams.listed({ id: "s-v3", service: SERVICE, version: "v3" });
+    await pass(clock, WRITE_MILLISECONDS);
+    const { streams: next } = await startHost(store, { versions: ["v1"] });
+    expect(next.versions.get(SERVICE)).toEqual(["v1", "v2", "v3"]);
+  });
+
+  test("are not taken for complete after the store came back from a copy", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1"] });
+    store.comeBackEmpty();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(streams)).toBeUndefined();
+    await pass(clock, RETENTION_MILLISECONDS);
+    expect(await versionOf(streams)).toBe("v1");
+    const { streams: next } = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(next)).toBe("v1");
+  });
+
+  test("are written again by hosts that outlive the store's copy", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock } = await startHost(store, { versions: ["v1"] });
+    store.comeBackEmpty();
+    await pass(clock, WRITE_MILLISECONDS);
+    const { streams } = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(streams)).toBe("v1");
+  });
+
+  test("are not guessed while the store is down, and read once it is back", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1"] });
+    store.isDown = true;
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(streams)).toBeUndefined();
+    store.isDown = false;
+    await pass(clock, 1_500);
+    expect(await versionOf(streams)).toBe("v1");
+  });
+
+  test("are not guessed from an object that can't be read", async () => {
+    const store = new ObjectStoreStandin();
+    store.write(VERSIONS_KEY, '{"services":[]}');
+    const { streams } = await startHost(store, {
+      versions: ["v1"],
+      holdsDuties: false,
+    });
+    expect(await versionOf(streams)).toBeUndefined();
+  });
+});
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -4,7 +4,9 @@
  * Finds the version that began a stream. A host that serves a stream of a service with
  * several versions sends the version to a few other hosts before the caller gets the
  * first event. A host that is asked for the rest of a stream knows it from its own
- * table or queries these hosts. A version that nobody knows is never guessed.
+ * table or queries these hosts. A version that nobody knows is never guessed: one
+ * version alone counts only for a host that knows which versions served before, from
+ * the store or since it was there.
  *
  * @module
  */
@@ -15,7 +17,11 @@
   type StreamKey,
 } from "./begun_streams.ts";
 import type { StreamRecord, StreamReply } from "./stream_reply.ts";
-import { type VersionedServer, VersionHistory } from "./version_history.ts";
+import {
+  type ServiceVersions,
+  type VersionedServer,
+  VersionHistory,
+} from "./version_history.ts";
 
 /** What finding the version depends on. */
 export interface StreamOriginsParts {
@@ -28,6 +34,8 @@
   tell(record: StreamRecord): void;
   /** Queries the hosts that may keep it; ends early once one of them knows it. */
   query(key: StreamKey): Promise<readonly StreamReply[]>;
+  /** Reads what hosts have stored, unless it was read a moment ago. */
+  readStored(): Promise<void>;
 }
 
 /** How the version of a stream was found. */
@@ -63,6 +71,8 @@
   readonly #streams = new BegunStreams();
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
   readonly #startedAt: number;
+  /** Whether the store told which versions served before this host started. */
+  #hasReadPast = false;
 
   constructor(parts: StreamOriginsParts) {
     this.#parts = parts;
@@ -71,15 +81,33 @@
 
   /** Notes a listed server. The streams that run when a second version appears are told. */
   listed(server: VersionedServer): void {
-    const now = this.#parts.clock.now();
-    const { service } = server;
-    const before = this.#history.versionsOf(service, now).length;
-    this.#history.listed(server, now);
-    const becameMixed = before === 1 && this.isMixed(service);
-    if (!becameMixed) return;
-    this.#streams
-      .servedHere(service, now)
-      .forEach((stream) => this.#tell(stream, now));
+    this.#tellOnceMixed(server.service, (now) =>
+      this.#history.listed(server, now),
+    );
+  }
+
+  /** The versions of each service that a stream in progress may have begun at. */
+  get versions(): ServiceVersions {
+    return this.#history.all(this.#parts.clock.now());
+  }
+
+  /** Whether this host knows all versions that served since the oldest stream began. */
+  get isPastKnown(): boolean {
+    const age = this.#parts.clock.now() - this.#startedAt;
+    return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
+  }
+
+  /** Notes versions that the store tells of; `isComplete`: there were no others. */
+  restoreVersions(
+    versions: ServiceVersions,
+    { isComplete }: { readonly isComplete: boolean },
+  ): void {
+    versions.forEach((names, service) =>
+      this.#tellOnceMixed(service, (now) =>
+        this.#history.served(service, names, now),
+      ),
+    );
+    this.#hasReadPast ||= isComplete;
   }
 
   /**
@@ -141,8 +169,7 @@
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined || others.length > 0) return { kind: "unknown" };
-    const isOld = now - this.#startedAt >= VERSION_RETENTION_MILLISECONDS;
-    return { kind: isOld ? "single" : "single_recently", version };
+    return { kind: this.isPastKnown ? "single" : "single_recently", version };
   }
 
   /** Finds the version that began a stream. */
@@ -154,8 +181,23 @@
       return { ...own, kind: "known", source: "single" };
     }
     const replies = await this.#parts.query(key);
+    const origin = originFrom(own, replies);
     this.#logEvidence(key, own, replies);
-    return originFrom(own, replies);
+    if (origin.kind === "known") return origin;
+    await this.#parts.readStored();
+    return originFrom(this.replyTo(key), replies);
+  }
+
+  /** Applies a change of the versions; running streams are told if several result. */
+  #tellOnceMixed(service: string, change: (now: number) => void): void {
+    const now = this.#parts.clock.now();
+    const before = this.#history.versionsOf(service, now).length;
+    change(now);
+    const becameMixed = before === 1 && this.isMixed(service);
+    if (!becameMixed) return;
+    this.#streams
+      .servedHere(service, now)
+      .forEach((stream) => this.#tell(stream, now));
   }
 
   /** Logs what this host and others know of a stream, and since when this one runs. */
@@ -193,20 +235,27 @@
   }
 }
 
-/** Decides from this host's own reply and those of others. */
+/**
+ * Decides from this host's own reply and those of others. One version alone counts if
+ * somebody knows the past and nobody has seen another version: what all of them miss
+ * since they have just started is no evidence.
+ */
 function originFrom(
   own: StreamReply,
   replies: readonly StreamReply[],
 ): StreamOrigin {
-  const known = replies.find(({ kind }) => kind === "known");
+  const all = [own, ...replies];
+  const known = all.find(({ kind }) => kind === "known");
   if (known?.kind === "known") {
     return { kind: "known", version: known.version, source: "queried" };
   }
-  const versions = [own, ...replies].map((reply) =>
-    reply.kind === "unknown" ? undefined : reply.version,
-  );
-  const [version, ...others] = new Set(versions);
-  return version === undefined || others.length > 0
+  const [version, ...others] = new Set(all.map(versionIn));
+  const isVouchedFor = all.some(({ kind }) => kind === "single");
+  return version === undefined || others.length > 0 || !isVouchedFor
     ? { kind: "unknown" }
     : { kind: "known", version, source: "single" };
 }
+
+function versionIn(reply: StreamReply): string | undefined {
+  return reply.kind === "unknown" ? undefined : reply.version;
+}
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -26,6 +26,7 @@
       state.queries += 1;
       return Promise.resolve(replies);
     },
+    readStored: () => Promise.resolve(),
   });
   const list = (id: string, version: string) =>
     streams.listed({ id, service: SERVICE, version });
@@ -39,6 +40,7 @@
 
 const KNOWN: StreamReply = { kind: "known", version: "v2" };
 const UNKNOWN: StreamReply = { kind: "unknown" };
+const RECENT: StreamReply = { kind: "single_recently", version: "v1" };
 
 function single(version: string): StreamReply {
   return { kind: "single", version };
@@ -111,6 +113,8 @@
     ["one that has seen the same version alone", [single("v1")], "v1"],
     ["one that has seen another version alone", [single("v2")], undefined],
     ["one that has seen several", [single("v1"), UNKNOWN], undefined],
+    ["nobody, since all have just started", [RECENT, RECENT], undefined],
+    ["nobody, since no other host is there", [], undefined],
   ] as const)(
     "found by a host that has just started at %s",
     async (_, replies, version) => {
@@ -166,6 +170,44 @@
   });
 });
 
+describe("the versions that served before a host started", () => {
+  const restored = (versions: readonly string[], isComplete = true) => {
+    const host = hostOf([RECENT]);
+    host.list("s1", "v1");
+    host.streams.restoreVersions(new Map([[SERVICE, versions]]), {
+      isComplete,
+    });
+    return host;
+  };
+
+  test.each([
+    ["goes on if it was the only one", restored(["v1"]), "v1"],
+    ["is not guessed if there were several", restored(["v1", "v2"]), undefined],
+    ["is not guessed if it was another one", restored(["v2"]), undefined],
+    ["is not guessed if there may be more", restored(["v1"], false), undefined],
+  ] as const)("the listed one %s", async (_, { streams }, found) => {
+    const origin = await streams.find(STREAM);
+    expect(origin.kind === "known" ? origin.version : undefined).toBe(found);
+  });
+
+  test("count as just ended for a host that reads of them", () => {
+    const { clock, streams } = restored(["v1", "v2"]);
+    clock.advance(RETENTION_MILLISECONDS);
+    expect(streams.versions.get(SERVICE)).toEqual(["v1", "v2"]);
+    clock.advance(1);
+    expect(streams.versions.get(SERVICE)).toEqual(["v1"]);
+  });
+
+  test("make a host tell of the streams that it began before it read of them", () => {
+    const { told, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    begin("v1");
+    expect(told).toEqual([]);
+    streams.restoreVersions(new Map([[SERVICE, ["v2"]]]), { isComplete: true });
+    expect(told.map(({ attempt }) => attempt)).toEqual(["a1"]);
+  });
+});
+
 describe("hosts that keep a stream's version", () => {
   const hosts = Array.from({ length: 24 }, (_, index) => ({
     name: `h${index}`,
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -18,9 +18,9 @@
 /** What a host knows of the version that began a stream. */
 export type StreamReply =
   | { readonly kind: "known"; readonly version: string }
-  /** The service has had this version alone for longer than a stream lasts. */
+  /** The service is known to have had this version alone for as long as a stream lasts. */
   | { readonly kind: "single"; readonly version: string }
-  /** This version alone is listed, and the host started too recently to know more. */
+  /** This version alone is listed, and the host doesn't know what served before. */
   | { readonly kind: "single_recently"; readonly version: string }
   /** The service has several versions, or none that is known. */
   | { readonly kind: "unknown" };
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -13,6 +13,9 @@
   readonly version: string;
 }
 
+/** Versions by service. */
+export type ServiceVersions = ReadonlyMap<string, readonly string[]>;
+
 /** A version of a service. */
 interface ServiceVersion {
   /** Ids of the listed servers that have it. */
@@ -57,6 +60,30 @@
     known.goneAt = now;
   }
 
+  /**
+   * Notes versions that served before this process started. Those that are not listed
+   * may have ended a moment ago.
+   */
+  served(service: string, versions: readonly string[], now: number): void {
+    const known =
+      this.#services.get(service) ?? new Map<string, ServiceVersion>();
+    this.#services.set(service, known);
+    versions
+      .filter((version) => !known.has(version))
+      .forEach((version) =>
+        known.set(version, { servers: new Set(), goneAt: now }),
+      );
+  }
+
+  /** Returns the versions of each service that a stream in progress may have begun at. */
+  all(now: number): ServiceVersions {
+    return new Map(
+      [...this.#services.keys()]
+        .toSorted()
+        .map((service) => [service, this.versionsOf(service, now).toSorted()]),
+    );
+  }
+
   /** Returns the versions that a stream in progress may have begun at. */
   versionsOf(service: string, now: number): readonly string[] {
     const versions = this.#services.get(service);
