Store which version began the streams of services with several versions

Callers of a service with two versions saw none of their streams go on after the end of all hosts (0 of 24, refused to their deadlines), though both versions served on.

Cause: which version began a stream was kept in the memory of hosts alone, the one that serves it and four others. When all of them end, nobody knows.

Weighed: (1) told streams in the lease, a write that is made anyway: needs every host's streams at the holder, by gossip of its own, and every candidate reads them with the lease; (2) one object for each host. At most one write a second for a host whose streams changed, only for services with several versions, removed with the last stream; a host that starts reads all of them with the list that tells the versions, and once more, at most once a second, when nobody knows a stream. A host with the name of one that ended stores on what that one had stored. What a host leaves behind is removed after two minutes without a change, as a host saw by its own clock.

Cost, by calculation: 360 hosts that all serve several versions make 360 writes a second of 3,200 that such a platform takes; with 4 s a stream and 11,000 requests a second some 120 streams and 4 kB each. With one version: nothing.

A stream that began within the last second before the end may be lost and is refused.

--- a/packages/rampswitch-serving/src/host_streams.ts
+++ b/packages/rampswitch-serving/src/host_streams.ts
@@ -8,8 +8,8 @@
  */
 import type { Ownership } from "rampswitch-utils";
 import {
-  StreamArchive,
-  type StreamArchiveParts,
+  OriginArchive,
+  type OriginArchiveParts,
   StreamOrigins,
   type StreamOriginsParts,
 } from "./streams/mod.ts";
@@ -18,7 +18,7 @@
 export interface HostStreamsParts
   extends
     Omit<StreamOriginsParts, "readStored">,
-    Omit<StreamArchiveParts, "origins" | "prefix"> {
+    Omit<OriginArchiveParts, "origins" | "prefix"> {
   /** Prefix of the keys of what the store keeps of streams. */
   readonly streamsPrefix: string;
 }
@@ -32,8 +32,8 @@
     ...parts,
     readStored: () => archive.read(),
   });
-  const archive: StreamArchive = ownership.own(
-    new StreamArchive({ ...parts, origins, prefix: parts.streamsPrefix }),
+  const archive: OriginArchive = ownership.own(
+    new OriginArchive({ ...parts, origins, prefix: parts.streamsPrefix }),
   );
   return origins;
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -255,6 +255,7 @@
     this.#streams = createStreams(
       {
         ...ports,
+        host: settings.host,
         isListCurrent: () =>
           this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
           !this.#follower.cutOff,
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -28,18 +28,24 @@
   readonly addedAt: number;
   /** When its caller can't take it up any more, on the monotonic clock. */
   readonly expiresAt: number;
-  /** Whether this host serves it; if not, another one told of it or it has ended. */
+  /**
+   * Whether this host serves it, or a former process of this host did; if not, another
+   * one told of it or it has ended.
+   */
   readonly isServedHere: boolean;
 }
 
-/** Maximum number of streams in the table; the oldest give way. */
-const MAXIMUM_STREAMS = 20_000;
-
 /** The streams that a host knows the version of. */
 export class BegunStreams {
+  readonly #maximumStreams: number;
   /** By name, in the order in which they were added. */
   readonly #streams = new Map<string, BegunStream>();
 
+  /** The oldest streams give way to more than the given number. */
+  constructor(maximumStreams: number) {
+    this.#maximumStreams = maximumStreams;
+  }
+
   /** Adds a stream, or replaces what is known of it. */
   add(stream: BegunStream, now: number): void {
     const name = streamName(stream);
@@ -70,20 +76,17 @@
     );
   }
 
-  /** Returns the streams of a service that this host serves or that broke here. */
-  servedHere(service: string, now: number): readonly BegunStream[] {
+  /** Returns the streams that this host serves or that broke here, the oldest first. */
+  servedHere(now: number): readonly BegunStream[] {
     return [...this.#streams.values()].filter(
-      (stream) =>
-        stream.isServedHere &&
-        stream.service === service &&
-        stream.expiresAt > now,
+      ({ isServedHere, expiresAt }) => isServedHere && expiresAt > now,
     );
   }
 
   #dropOldest(now: number): void {
     for (const [name, { expiresAt }] of this.#streams) {
       const isExpired = expiresAt <= now;
-      if (!isExpired && this.#streams.size <= MAXIMUM_STREAMS) return;
+      if (!isExpired && this.#streams.size <= this.#maximumStreams) return;
       this.#streams.delete(name);
     }
   }
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -7,7 +7,7 @@
  * @module
  */
 export { streamName, type StreamKey } from "./begun_streams.ts";
-export { StreamArchive, type StreamArchiveParts } from "./stream_archive.ts";
+export { OriginArchive, type OriginArchiveParts } from "./origin_archive.ts";
 export { StreamOrigins, type StreamOriginsParts } from "./stream_origins.ts";
 export type { StreamRecord, StreamReply } from "./stream_reply.ts";
 export { KeeperRings } from "./stream_keepers.ts";
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -0,0 +1,128 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Keeps in the platform's store what has to outlive all hosts: which versions served, and
+ * which of them began streams in progress. Each host reads it when it starts, and when
+ * nobody knows the version of a stream.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  failureReporter,
+  jitter,
+  repeat,
+  type Repetition,
+  sleep,
+} from "rampswitch-utils";
+import { StreamArchive, type StreamArchiveParts } from "./stream_archive.ts";
+import { VersionArchive, type VersionArchiveParts } from "./version_archive.ts";
+
+/** What the archive depends on. */
+export interface OriginArchiveParts
+  extends StreamArchiveParts, VersionArchiveParts {
+  readonly origins: StreamArchiveParts["origins"] &
+    VersionArchiveParts["origins"];
+  /** A monotonic clock. */
+  readonly clock: Clock;
+  /** Whether this host may act for the fleet now. */
+  holdsDuties(): boolean;
+}
+
+/** Time between checks for changes to store, in milliseconds. */
+const CHECK_INTERVAL_MILLISECONDS = 250;
+
+/** Minimum time between two reads of what is stored, in milliseconds. */
+const READ_INTERVAL_MILLISECONDS = 1_000;
+
+/**
+ * Longest wait of a request for a read, in milliseconds: many times the usual answer
+ * time of a store.
+ */
+const READ_WAIT_MILLISECONDS = 200;
+
+/** Time between looks for objects that hosts left behind, in milliseconds. */
+const LEFTOVER_INTERVAL_MILLISECONDS = 60_000;
+
+/** Reads and writes what lasts of the versions of streams. */
+export class OriginArchive implements AsyncDisposable {
+  readonly #parts: OriginArchiveParts;
+  readonly #versions: VersionArchive;
+  readonly #streams: StreamArchive;
+  readonly #repetition: Repetition;
+  /** When the last read was sent, on the monotonic clock. */
+  #readAt = -Infinity;
+  #reading: Promise<void> = Promise.resolve();
+  #hasRead = false;
+
+  constructor(parts: OriginArchiveParts) {
+    this.#parts = parts;
+    this.#versions = new VersionArchive(parts);
+    this.#streams = new StreamArchive(parts);
+    this.#repetition = repeat(
+      parts.clock,
+      () => jitter(parts.random, CHECK_INTERVAL_MILLISECONDS),
+      {
+        name: "stored versions of streams",
+        reportFailure: failureReporter(parts),
+        run: () => this.#synchronize(),
+      },
+    );
+    this.#repetition.runNow();
+  }
+
+  /** Reads what is stored, unless it was read a moment ago; waits for a short time. */
+  async read(): Promise<void> {
+    await Promise.race([
+      this.#readOnce(),
+      sleep(this.#parts.clock, READ_WAIT_MILLISECONDS),
+    ]);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#repetition[Symbol.asyncDispose]();
+  }
+
+  async #synchronize(): Promise<void> {
+    if (!this.#hasRead) await this.#readOnce();
+    // A write before the first read would replace what a former process stored.
+    if (!this.#hasRead) return;
+    await this.#streams.store();
+    if (!this.#parts.holdsDuties()) return;
+    await this.#versions.store();
+    await this.#removeLeftovers();
+  }
+
+  #readOnce(): Promise<void> {
+    const now = this.#parts.clock.now();
+    if (now - this.#readAt >= READ_INTERVAL_MILLISECONDS) {
+      this.#readAt = now;
+      this.#reading = this.#list();
+    }
+    return this.#reading;
+  }
+
+  async #list(): Promise<void> {
+    const { store, prefix, metrics } = this.#parts;
+    // A list that is some seconds old may lack the last version that appeared.
+    const listed = await store.list(prefix);
+    if (listed.isErr) {
+      metrics.event("stream_archive_unread");
+      return;
+    }
+    this.#versions.restore(listed.value);
+    this.#streams.restore(listed.value);
+    this.#hasRead = true;
+  }
+
+  async #removeLeftovers(): Promise<void> {
+    const age = this.#parts.clock.now() - this.#readAt;
+    if (age < LEFTOVER_INTERVAL_MILLISECONDS) return;
+    const isMixed = [...this.#parts.origins.versions.values()].some(
+      ({ length }) => length > 1,
+    );
+    if (!isMixed && !this.#streams.hasForeign) return;
+    await this.#readOnce();
+    await this.#streams.removeLeftovers();
+  }
+}
--- a/packages/rampswitch-serving/src/streams/stream_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -1,8 +1,8 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
-// Guards against hosts that forget with the end of all of them which versions served:
-// the only version that is listed after a start was then taken for the one that began a
-// stream.
+// Guards against hosts that forget with the end of all of them which versions served,
+// and which began the streams in progress: the only version that is listed after a start
+// was then taken for the one that began a stream, or no stream went on.
 
 import { afterEach, describe, expect, test } from "@jest/globals";
 import {
@@ -41,15 +41,18 @@
   {
     versions,
     holdsDuties = true,
+    host = "h1",
   }: {
     readonly versions: readonly string[];
     readonly holdsDuties?: boolean;
+    readonly host?: string;
   },
 ): Promise<{ readonly clock: ManualClock; readonly streams: StreamOrigins }> {
   const clock = new ManualClock(0);
   const streams = createStreams(
     {
       clock,
+      host,
       store: store as unknown as ObjectStore,
       streamsPrefix: PREFIX,
       random: seededRandom(1),
@@ -175,3 +178,123 @@
     expect(await versionOf(streams)).toBeUndefined();
   });
 });
+
+const BEGUN = { version: "v2", lifetimeMilliseconds: 9_000 };
+
+/** Time in which a host writes the streams that began, in milliseconds. */
+const STREAMS_WRITE_MILLISECONDS = 1_400;
+
+/** Starts a host that began some streams at v2 beside v1, and has stored them. */
+async function startServing(
+  store: ObjectStoreStandin,
+  attempts: readonly string[] = [STREAM.attempt],
+) {
+  const host = await startHost(store, { versions: ["v1", "v2"] });
+  attempts.forEach((attempt) =>
+    host.streams.began({ ...STREAM, ...BEGUN, attempt }, "s-v2/1"),
+  );
+  await pass(host.clock, STREAMS_WRITE_MILLISECONDS);
+  return host;
+}
+
+describe("the version that began a stream", () => {
+  test.each([["h1"], ["h2"]])(
+    "is known to %s, which starts after all others have ended",
+    async (host) => {
+      const store = new ObjectStoreStandin();
+      await startServing(store);
+      const { streams } = await startHost(store, { versions: ["v2"], host });
+      expect(await streams.find(STREAM)).toMatchObject({ version: "v2" });
+    },
+  );
+
+  test("is read anew from a host that has ended since", async () => {
+    const store = new ObjectStoreStandin();
+    const { streams, clock } = await startHost(store, {
+      versions: ["v1", "v2"],
+      host: "h2",
+    });
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    await startServing(store);
+    expect(await streams.find(STREAM)).toEqual({
+      kind: "known",
+      version: "v2",
+      source: "stored",
+    });
+  });
+
+  test("stays stored when its host starts and ends again", async () => {
+    const store = new ObjectStoreStandin();
+    await startServing(store);
+    await startServing(store, ["a2"]);
+    const { streams } = await startHost(store, { versions: ["v1", "v2"] });
+    expect(await versionOf(streams)).toBe("v2");
+  });
+
+  test("is stored as unknown once it can't be told", async () => {
+    const store = new ObjectStoreStandin();
+    const { streams, clock } = await startServing(store);
+    streams.becameOtherVersion("s-v2/1");
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v1"], host: "h2" });
+    expect(next.streams.isUncertain(STREAM)).toBe(true);
+  });
+
+  test("is stored once for many streams, and not while nothing changes", async () => {
+    const store = new ObjectStoreStandin();
+    const attempts = Array.from({ length: 500 }, (_, index) => `a${index}`);
+    const { clock } = await startServing(store, attempts);
+    await pass(clock, 3 * STREAMS_WRITE_MILLISECONDS);
+    const puts = store.changes.filter(
+      (change) => change === "put streams/host.h1",
+    );
+    expect(puts.length).toBe(1);
+  });
+
+  test("is not stored while a service has one version", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    streams.began({ ...STREAM, ...BEGUN }, "s-v1/1");
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    expect(store.changes).toEqual([`put ${VERSIONS_KEY}`]);
+  });
+
+  test("is stored of streams that run when a second version appears", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    streams.began({ ...STREAM, ...BEGUN, version: "v1" }, "s-v1/1");
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v2"], host: "h2" });
+    expect(await versionOf(next.streams)).toBe("v1");
+  });
+
+  test("is removed from the store with the last stream", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock } = await startServing(store);
+    await pass(
+      clock,
+      BEGUN.lifetimeMilliseconds + 2 * STREAMS_WRITE_MILLISECONDS,
+    );
+    expect(store.value("streams/host.h1")).toBeUndefined();
+  });
+
+  test("of a host that is gone for good is removed by another one", async () => {
+    const store = new ObjectStoreStandin();
+    await startServing(store);
+    await ownership[Symbol.asyncDispose]();
+    ownership = new Ownership();
+    const { clock } = await startHost(store, { versions: ["v1"], host: "h2" });
+    await pass(clock, 4 * RETENTION_MILLISECONDS);
+    expect(store.value("streams/host.h1")).toBeUndefined();
+  });
+
+  test("is written again to a store that came back from a copy", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock } = await startServing(store);
+    store.comeBackEmpty();
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v2"], host: "h2" });
+    expect(await versionOf(next.streams)).toBe("v2");
+  });
+});
--- a/packages/rampswitch-serving/src/streams/stream_archive.ts
+++ b/packages/rampswitch-serving/src/streams/stream_archive.ts
@@ -1,41 +1,30 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Keeps in the platform's store which versions of each service may have begun streams in
- * progress, so that hosts that start after all others have ended know them. Each host
- * reads it when it starts; the holder of the duties writes it when it changes. No clock
- * is stored: a version is removed by a host that saw it end long enough ago, and
- * counts as just ended for a host that reads it.
+ * Objects in the platform's store that tell which versions began the streams of services
+ * with several versions: one object for each host, written at most once a second while
+ * its streams change, and removed with the last of them.
  *
  * @module
  */
 import {
   changeObject,
-  eraOf,
   type ObjectStore,
+  type StoredList,
   type StoredObject,
 } from "rampswitch-store";
-import {
-  type Clock,
-  failureReporter,
-  jitter,
-  type LogFields,
-  type Logger,
-  type Random,
-  repeat,
-  type Repetition,
-} from "rampswitch-utils";
+import type { Clock, Logger, Random } from "rampswitch-utils";
 import type { ServingMetrics } from "../observation/mod.ts";
-import { decodeVersions, encodeVersions } from "./stored_versions.ts";
+import { streamName } from "./begun_streams.ts";
+import { decodeStreams, encodeStreams } from "./stored_streams.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
-import type { ServiceVersions } from "./version_history.ts";
+import type { StreamRecord } from "./stream_reply.ts";
 
-/** What the archive depends on. */
+/** What the archive of streams depends on. */
 export interface StreamArchiveParts {
-  readonly origins: Pick<
-    StreamOrigins,
-    "isPastKnown" | "restoreVersions" | "versions"
-  >;
+  readonly origins: Pick<StreamOrigins, "restoreStreams" | "storable">;
+  /** Name of this host. */
+  readonly host: string;
   readonly store: ObjectStore;
   /** Prefix of the keys of the stored objects. */
   readonly prefix: string;
@@ -44,164 +33,175 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
-  /** Whether this host may act for the fleet now. */
-  holdsDuties(): boolean;
 }
 
-/** Name of the object with the versions below the prefix. */
-const VERSIONS_NAME = "versions";
+/** Precedes the name of a host in the names of the objects. */
+const HOST_PREFIX = "host.";
 
-/** Time between checks for changes to store, in milliseconds. */
-const CHECK_INTERVAL_MILLISECONDS = 250;
+/** Attempts of one write before the next one is due. */
+const WRITE_ATTEMPTS = 2;
 
-/** Minimum time between two reads of what is stored, in milliseconds. */
-const READ_INTERVAL_MILLISECONDS = 1_000;
+/** Time between two writes, in milliseconds. */
+const WRITE_INTERVAL_MILLISECONDS = 1_000;
 
-/** Attempts of one write before the next check. */
-const WRITE_ATTEMPTS = 2;
+/**
+ * Time without a change after which the object of another host is removed, in
+ * milliseconds; longer than any stream lasts.
+ */
+const LEFTOVER_MILLISECONDS = 120_000;
 
-/** Latest era in which a missing object shows that no version has served. */
-const FIRST_ERA = 1;
+/** An object of another host, and since when it is unchanged on the monotonic clock. */
+interface ForeignObject {
+  readonly object: StoredObject;
+  readonly since: number;
+}
 
-/** Reads and writes what lasts of the versions of streams. */
-export class StreamArchive implements AsyncDisposable {
+/** Restores and stores the versions that began streams. */
+export class StreamArchive {
   readonly #parts: StreamArchiveParts;
-  readonly #repetition: Repetition;
-  /** When the last read was sent, on the monotonic clock. */
-  #readAt = -Infinity;
-  #reading: Promise<void> = Promise.resolve();
-  #hasRead = false;
-  /** The object with the versions as it was last read or written. */
-  #versions: StoredObject | undefined;
-  /** The versions that are certainly in the store. */
-  #storedVersions: string | undefined;
+  /** The object of this host as it was last read or written. */
+  #own: StoredObject | undefined;
+  /** Names the streams that are certainly in the store. */
+  #stored = "";
+  /** When this host last looked for changes, on the monotonic clock. */
+  #checkedAt = -Infinity;
+  readonly #foreign = new Map<string, ForeignObject>();
 
   constructor(parts: StreamArchiveParts) {
     this.#parts = parts;
-    const { clock, random, store } = parts;
-    this.#repetition = repeat(
-      clock,
-      () => jitter(random, CHECK_INTERVAL_MILLISECONDS),
-      {
-        name: "stored versions of streams",
-        reportFailure: failureReporter(parts),
-        run: () => this.#synchronize(),
-      },
-    );
-    this.#repetition.runNow();
     // A copy that the store was restored from may lack what was written before.
-    store.onEra(() => {
-      this.#storedVersions = undefined;
+    parts.store.onEra(() => {
+      this.#own = undefined;
+      this.#stored = UNKNOWN_STREAMS;
+    });
+  }
+
+  /** Whether the store holds objects of other hosts. */
+  get hasForeign(): boolean {
+    return this.#foreign.size > 0;
+  }
+
+  /** Notes the streams in a list of all stored objects. */
+  restore({ objects }: StoredList): void {
+    const hosts = objects.filter(({ key }) =>
+      key.startsWith(`${this.#parts.prefix}${HOST_PREFIX}`),
+    );
+    const present = new Set(hosts.map(({ key }) => key));
+    [...this.#foreign.keys()]
+      .filter((key) => !present.has(key))
+      .forEach((key) => this.#foreign.delete(key));
+    hosts.forEach((object) => {
+      if (object.key === this.#ownKey) this.#restoreOwn(object);
+      else this.#restoreForeign(object);
     });
   }
 
-  /** Reads what is stored, unless it was read a moment ago. */
-  read(): Promise<void> {
+  /** Stores the streams of this host if they changed, at most once a second. */
+  async store(): Promise<void> {
     const now = this.#parts.clock.now();
-    if (now - this.#readAt >= READ_INTERVAL_MILLISECONDS) {
-      this.#readAt = now;
-      this.#reading = this.#list();
-    }
-    return this.#reading;
+    if (now - this.#checkedAt < WRITE_INTERVAL_MILLISECONDS) return;
+    this.#checkedAt = now;
+    await this.storeNow();
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.#repetition[Symbol.asyncDispose]();
+  /** Stores the streams of this host if they changed. */
+  async storeNow(): Promise<void> {
+    const records = this.#parts.origins.storable;
+    const streams = records.map(nameOf).join("\n");
+    if (streams === this.#stored) return;
+    const isStored =
+      records.length > 0 ? await this.#write(records) : await this.#removeOwn();
+    this.#stored = isStored ? streams : UNKNOWN_STREAMS;
+    this.#parts.metrics.event(`streams_${isStored ? "stored" : "not_stored"}`);
   }
 
-  async #synchronize(): Promise<void> {
-    if (!this.#hasRead) await this.read();
-    if (this.#hasRead && this.#parts.holdsDuties()) await this.#storeVersions();
+  /** Removes the objects that hosts have left behind. */
+  async removeLeftovers(): Promise<void> {
+    const { clock, store, logger } = this.#parts;
+    const now = clock.now();
+    const leftovers = [...this.#foreign.values()].filter(
+      ({ since }) => now - since >= LEFTOVER_MILLISECONDS,
+    );
+    await leftovers.reduce(async (previous, { object: { key, version } }) => {
+      await previous;
+      const removed = await store.remove(key, version);
+      if (removed.isOk) this.#foreign.delete(key);
+      logger.info("streams of a former host removed", {
+        key,
+        outcome: removed.isOk ? "removed" : removed.error.kind,
+      });
+    }, Promise.resolve());
   }
 
-  async #list(): Promise<void> {
-    const { store, prefix, metrics } = this.#parts;
-    // A list that is some seconds old may lack the last version that appeared.
-    const listed = await store.list(prefix);
-    if (listed.isErr) {
-      metrics.event("stream_archive_unread");
-      return;
-    }
-    const { objects, version } = listed.value;
-    const versions = objects.find(({ key }) => key === this.#versionsKey);
-    this.#restoreVersions(versions, eraOf(version));
-    this.#hasRead = true;
+  get #ownKey(): string {
+    return `${this.#parts.prefix}${HOST_PREFIX}${this.#parts.host}`;
   }
 
-  get #versionsKey(): string {
-    return `${this.#parts.prefix}${VERSIONS_NAME}`;
+  #restoreOwn(object: StoredObject): void {
+    if (object.version === this.#own?.version) return;
+    this.#own = object;
+    // What a former process of this host stored is stored again with the rest.
+    this.#stored = UNKNOWN_STREAMS;
+    this.#restore(object, { isOwn: true });
   }
 
-  /** Notes the versions in an object that this host has neither read nor written. */
-  #restoreVersions(object: StoredObject | undefined, era: number): void {
+  #restoreForeign(object: StoredObject): void {
+    const known = this.#foreign.get(object.key);
+    if (known?.object.version === object.version) return;
+    const since = this.#parts.clock.now();
+    this.#foreign.set(object.key, { object, since });
+    this.#restore(object, { isOwn: false });
+  }
+
+  #restore(
+    { key, value }: StoredObject,
+    source: { readonly isOwn: boolean },
+  ): void {
     const { origins, logger } = this.#parts;
-    if (object === undefined) {
-      // Whatever was there may be lost with a past era of the store.
-      const isComplete = era <= FIRST_ERA;
-      origins.restoreVersions(new Map(), { isComplete });
-      return;
-    }
-    if (object.version === this.#versions?.version) return;
-    this.#versions = object;
-    const decoded = decodeVersions(object.value);
-    if (decoded.isErr) {
-      logger.warn("stored versions can't be read", {
-        key: object.key,
+    const decoded = decodeStreams(value);
+    if (decoded.isOk) {
+      origins.restoreStreams(decoded.value, source);
+      logger.info("stored streams read", {
+        key,
+        streams: decoded.value.length,
+      });
+    } else {
+      logger.warn("stored streams can't be read", {
+        key,
         detail: decoded.error,
       });
-      return;
     }
-    const { services, completeInEra } = decoded.value;
-    const isComplete = completeInEra === era;
-    origins.restoreVersions(services, { isComplete });
-    logger.info("versions read", { ...countsOf(services), isComplete });
   }
 
-  /** The versions as this host would store them. */
-  #valueOfVersions(): string {
-    const { origins, store } = this.#parts;
-    return encodeVersions({
-      completeInEra: origins.isPastKnown ? store.era : undefined,
-      services: origins.versions,
-    });
-  }
-
-  async #storeVersions(): Promise<void> {
-    const { store, logger, metrics } = this.#parts;
-    if (this.#valueOfVersions() === this.#storedVersions) return;
-    let stored = "";
+  async #write(records: readonly StreamRecord[]): Promise<boolean> {
+    const { store } = this.#parts;
+    const value = encodeStreams(records);
     const change = await changeObject<undefined>(
       store,
       {
-        key: this.#versionsKey,
-        ...(this.#versions === undefined ? {} : { known: this.#versions }),
+        key: this.#ownKey,
+        ...(this.#own === undefined ? {} : { known: this.#own }),
         attempts: WRITE_ATTEMPTS,
-        decide: (current) => {
-          this.#restoreVersions(current, store.era);
-          stored = this.#valueOfVersions();
-          return stored === current?.value
-            ? { kind: "keep", refusal: undefined }
-            : { kind: "write", value: stored };
-        },
+        decide: () => ({ kind: "write", value }),
       },
       this.#parts,
     );
-    if (change.kind === "written") this.#versions = change.object;
-    const isStored = change.kind !== "unknown";
-    if (isStored) this.#storedVersions = stored;
-    metrics.event(`stream_versions_${isStored ? "stored" : "not_stored"}`);
-    logger.info("versions stored", {
-      ...countsOf(this.#parts.origins.versions),
-      outcome: change.kind,
-    });
+    this.#own = change.kind === "written" ? change.object : undefined;
+    return change.kind === "written";
+  }
+
+  async #removeOwn(): Promise<boolean> {
+    if (this.#own === undefined) return true;
+    const { key, version } = this.#own;
+    const removed = await this.#parts.store.remove(key, version);
+    if (removed.isOk) this.#own = undefined;
+    return removed.isOk;
   }
 }
 
-/** What log lines tell of the versions of the services. */
-function countsOf(services: ServiceVersions): LogFields {
-  const numbers = [...services.values()].map(({ length }) => length);
-  return {
-    services: numbers.length,
-    severalVersions: numbers.filter((versions) => versions > 1).length,
-  };
+/** Names no streams that a host may have, so that they are stored. */
+const UNKNOWN_STREAMS = "unknown";
+
+function nameOf(record: StreamRecord): string {
+  return `${streamName(record)} ${record.version ?? ""}`;
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -4,7 +4,7 @@
  * Finds the version that began a stream. A host that serves a stream of a service with
  * several versions sends the version to a few other hosts before the caller gets the
  * first event. A host that is asked for the rest of a stream knows it from its own
- * table or queries these hosts. A version that nobody knows is never guessed: one
+ * table, queries these hosts, or reads what hosts that have ended had stored. A version that nobody knows is never guessed: one
  * version alone counts only for a host that knows which versions served before, from
  * the store or since it was there.
  *
@@ -39,7 +39,7 @@
 }
 
 /** How the version of a stream was found. */
-export type StreamOriginSource = "table" | "queried" | "single";
+export type StreamOriginSource = "table" | "queried" | "single" | "stored";
 
 /** The version that began a stream, if it is known. */
 export type StreamOrigin =
@@ -65,10 +65,21 @@
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
+/** Maximum number of streams of this host and of those that it keeps for others. */
+const MAXIMUM_STREAMS = 20_000;
+
+/** Maximum number of streams that other hosts had stored. */
+const MAXIMUM_RESTORED_STREAMS = 60_000;
+
+/** Maximum number of streams that one host has stored; the newest are. */
+const MAXIMUM_STORED_STREAMS = 4_000;
+
 /** The versions that began streams, as one host knows or finds them. */
 export class StreamOrigins {
   readonly #parts: StreamOriginsParts;
-  readonly #streams = new BegunStreams();
+  readonly #streams = new BegunStreams(MAXIMUM_STREAMS);
+  /** Streams that other hosts had stored. */
+  readonly #restored = new BegunStreams(MAXIMUM_RESTORED_STREAMS);
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
   readonly #startedAt: number;
   /** Whether the store told which versions served before this host started. */
@@ -121,13 +132,44 @@
       .map((stream) => ({ ...stream, version: undefined }))
       .forEach((stream) => {
         this.#streams.add(stream, now);
-        this.#tell(stream, now);
+        this.#parts.tell(recordOf(stream, now));
       });
   }
 
-  /** Whether a stream began here, and it can't be told at which version. */
+  /** The streams whose versions have to outlive this host. */
+  get storable(): readonly StreamRecord[] {
+    const now = this.#parts.clock.now();
+    const mixed = new Set(
+      [...this.versions]
+        .filter(([, versions]) => versions.length > 1)
+        .map(([service]) => service),
+    );
+    if (mixed.size === 0) return [];
+    return this.#streams
+      .servedHere(now)
+      .filter(({ service }) => mixed.has(service))
+      .slice(-MAXIMUM_STORED_STREAMS)
+      .map((stream) => recordOf(stream, now));
+  }
+
+  /** Notes streams that a host stored; `isOwn`: a former process of this host did. */
+  restoreStreams(
+    records: readonly StreamRecord[],
+    { isOwn }: { readonly isOwn: boolean },
+  ): void {
+    const now = this.#parts.clock.now();
+    const table = isOwn ? this.#streams : this.#restored;
+    records
+      // What this host knows itself is newer.
+      .filter((record) => this.#streams.get(record, now) === undefined)
+      .forEach((record) =>
+        this.#add(record, { server: undefined, isServedHere: isOwn }, table),
+      );
+  }
+
+  /** Whether it is known of a stream that it can't be told which version began it. */
   isUncertain(key: StreamKey): boolean {
-    const stream = this.#streams.get(key, this.#parts.clock.now());
+    const stream = this.#get(key);
     return stream !== undefined && stream.version === undefined;
   }
 
@@ -161,7 +203,7 @@
   /** Replies to another host's query. */
   replyTo(key: StreamKey): StreamReply {
     const now = this.#parts.clock.now();
-    const stream = this.#streams.get(key, now);
+    const stream = this.#get(key);
     if (stream !== undefined) {
       return stream.version === undefined
         ? { kind: "unknown" }
@@ -185,7 +227,15 @@
     this.#logEvidence(key, own, replies);
     if (origin.kind === "known") return origin;
     await this.#parts.readStored();
-    return originFrom(this.replyTo(key), replies);
+    const stored = this.replyTo(key);
+    return stored.kind === "known"
+      ? { ...stored, source: "stored" }
+      : originFrom(stored, replies);
+  }
+
+  #get(key: StreamKey): BegunStream | undefined {
+    const now = this.#parts.clock.now();
+    return this.#streams.get(key, now) ?? this.#restored.get(key, now);
   }
 
   /** Applies a change of the versions; running streams are told if several result. */
@@ -196,8 +246,9 @@
     const becameMixed = before === 1 && this.isMixed(service);
     if (!becameMixed) return;
     this.#streams
-      .servedHere(service, now)
-      .forEach((stream) => this.#tell(stream, now));
+      .servedHere(now)
+      .filter((stream) => stream.service === service)
+      .forEach((stream) => this.#parts.tell(recordOf(stream, now)));
   }
 
   /** Logs what this host and others know of a stream, and since when this one runs. */
@@ -217,24 +268,26 @@
     });
   }
 
-  #tell(
-    { service, attempt, version, expiresAt }: BegunStream,
-    now: number,
-  ): void {
-    const lifetimeMilliseconds = Math.max(0, expiresAt - now);
-    this.#parts.tell({ service, attempt, version, lifetimeMilliseconds });
-  }
-
   #add(
     { lifetimeMilliseconds, ...stream }: StreamRecord,
     source: Pick<BegunStream, "server" | "isServedHere">,
+    table = this.#streams,
   ): void {
     const now = this.#parts.clock.now();
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    this.#streams.add({ ...stream, ...source, addedAt: now, expiresAt }, now);
+    table.add({ ...stream, ...source, addedAt: now, expiresAt }, now);
   }
 }
 
+/** What other hosts need to know of a stream. */
+function recordOf(
+  { service, attempt, version, expiresAt }: BegunStream,
+  now: number,
+): StreamRecord {
+  const lifetimeMilliseconds = Math.max(0, expiresAt - now);
+  return { service, attempt, version, lifetimeMilliseconds };
+}
+
 /**
  * Decides from this host's own reply and those of others. One version alone counts if
  * somebody knows the past and nobody has seen another version: what all of them miss
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -0,0 +1,147 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * The object in the platform's store that tells which versions of each service may have
+ * begun streams in progress. No clock is stored: a version is removed by a host that saw
+ * it end long enough ago, and counts as just ended for a host that reads it.
+ *
+ * @module
+ */
+import {
+  changeObject,
+  eraOf,
+  type ObjectStore,
+  type StoredList,
+  type StoredObject,
+} from "rampswitch-store";
+import type { Clock, LogFields, Logger, Random } from "rampswitch-utils";
+import type { ServingMetrics } from "../observation/mod.ts";
+import { decodeVersions, encodeVersions } from "./stored_versions.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
+import type { ServiceVersions } from "./version_history.ts";
+
+/** What the archive of versions depends on. */
+export interface VersionArchiveParts {
+  readonly origins: Pick<
+    StreamOrigins,
+    "isPastKnown" | "restoreVersions" | "versions"
+  >;
+  readonly store: ObjectStore;
+  /** Prefix of the keys of the stored objects. */
+  readonly prefix: string;
+  /** A monotonic clock. */
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ServingMetrics;
+}
+
+/** Name of the object below the prefix. */
+const OBJECT_NAME = "versions";
+
+/** Attempts of one write before the next check. */
+const WRITE_ATTEMPTS = 2;
+
+/** Latest era of the store in which a missing object shows that no version has served. */
+const FIRST_ERA = 1;
+
+/** Restores and stores the versions that served. */
+export class VersionArchive {
+  readonly #parts: VersionArchiveParts;
+  /** The object as it was last read or written. */
+  #object: StoredObject | undefined;
+  /** The value that is certainly in the store. */
+  #stored: string | undefined;
+
+  constructor(parts: VersionArchiveParts) {
+    this.#parts = parts;
+    // A copy that the store was restored from may lack what was written before.
+    parts.store.onEra(() => {
+      this.#stored = undefined;
+    });
+  }
+
+  /** Notes the versions in a list of all stored objects. */
+  restore({ objects, version }: StoredList): void {
+    const object = objects.find(({ key }) => key === this.#key);
+    this.#restoreObject(object, eraOf(version));
+  }
+
+  /** Stores the versions that this host knows if they differ from those stored. */
+  async store(): Promise<void> {
+    const { store, logger, metrics } = this.#parts;
+    if (this.#value() === this.#stored) return;
+    let stored = "";
+    const change = await changeObject<undefined>(
+      store,
+      {
+        key: this.#key,
+        ...(this.#object === undefined ? {} : { known: this.#object }),
+        attempts: WRITE_ATTEMPTS,
+        decide: (current) => {
+          this.#restoreObject(current, store.era);
+          stored = this.#value();
+          return stored === current?.value
+            ? { kind: "keep", refusal: undefined }
+            : { kind: "write", value: stored };
+        },
+      },
+      this.#parts,
+    );
+    if (change.kind === "written") this.#object = change.object;
+    const isStored = change.kind !== "unknown";
+    if (isStored) this.#stored = stored;
+    metrics.event(`stream_versions_${isStored ? "stored" : "not_stored"}`);
+    logger.info("versions stored", {
+      ...countsOf(this.#parts.origins.versions),
+      outcome: change.kind,
+    });
+  }
+
+  get #key(): string {
+    return `${this.#parts.prefix}${OBJECT_NAME}`;
+  }
+
+  /** Notes the versions in an object that this host has neither read nor written. */
+  #restoreObject(object: StoredObject | undefined, era: number): void {
+    const { origins, logger } = this.#parts;
+    if (object === undefined) {
+      // Whatever was there may be lost with a past era of the store.
+      const isComplete = era <= FIRST_ERA;
+      origins.restoreVersions(new Map(), { isComplete });
+      return;
+    }
+    if (object.version === this.#object?.version) return;
+    this.#object = object;
+    const decoded = decodeVersions(object.value);
+    if (decoded.isErr) {
+      logger.warn("stored versions can't be read", {
+        key: object.key,
+        detail: decoded.error,
+      });
+      return;
+    }
+    const { services, completeInEra } = decoded.value;
+    const isComplete = completeInEra === era;
+    origins.restoreVersions(services, { isComplete });
+    logger.info("versions read", { ...countsOf(services), isComplete });
+  }
+
+  /** The versions as this host would store them. */
+  #value(): string {
+    const { origins, store } = this.#parts;
+    return encodeVersions({
+      completeInEra: origins.isPastKnown ? store.era : undefined,
+      services: origins.versions,
+    });
+  }
+}
+
+/** What log lines tell of the versions of the services. */
+function countsOf(services: ServiceVersions): LogFields {
+  const numbers = [...services.values()].map(({ length }) => length);
+  return {
+    services: numbers.length,
+    severalVersions: numbers.filter((versions) => versions > 1).length,
+  };
+}
