Tell callers of streams that can't go on all the time they have left

Cause: one reason for two cases, a version that somebody may know in a moment and one that nobody will ever know; and no reason of its own for a version that has been gone.

Change: a stream is lost once the store was read since its caller came, all hosts are listed and all that may answer have replied, or once it is known that its version can't be told; it is refused as stream_origin_lost. A version without a server for three seconds is refused as stream_version_gone. Both are 503 as before (nothing ran), at once, with the time that the caller has left. Weighed: a status that callers don't repeat: 4xx other than 429 blame the caller, and 5xx other than 503 promise less; kept out.

A host that was heard nothing of for 3 s in a small fleet isn't waited for as a witness, so that replaced hosts don't hide for long that nobody knows.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -233,6 +233,15 @@
     return [this.#self.name, ...others.map(({ name }) => name)];
   }
 
+  /**
+   * Whether a host that was asked may answer: it was listed or heard lately. Hosts of
+   * other relays are not heard, so any of them may.
+   */
+  mayAnswer({ receivedAt, listedAt }: KnownHost, now: number): boolean {
+    const silence = now - Math.max(receivedAt, listedAt);
+    return this.role(now) !== "direct" || silence < NEWLY_LISTED_MILLISECONDS;
+  }
+
   /**
    * Names of the hosts that may grant permits for limited servers: all hosts that are
    * not silent, or the relays if there are any. A stopping host grants none.
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -195,6 +195,7 @@
       clock,
       address: transport.address,
       hosts: () => this.#presentPeers(),
+      mayAnswer: (host) => this.#hosts.mayAnswer(host, clock.now()),
       send: (addresses, message) => {
         const datagram = encodeMessage(message);
         addresses.forEach((address) => transport.send(address, datagram));
@@ -202,10 +203,8 @@
       onStream: (record) => listener.onStream(record),
       replyTo: (key) => listener.onStreamQuery(key),
     });
-    // A host that finds others in its first list sends them an update at once. After
-    // all hosts were killed together, relays then receive updates of their members
-    // 20 ms after the start instead of 400 ms, and refuse no requests because members
-    // are silent.
+    // A host that finds others in its first list sends them an update at once, so that
+    // relays refuse no requests because members are silent after all hosts have ended.
     this.#registry = this.#ownership.own(
       new HostRegistry(
         { name: host, dataHall, cores, address: transport.address },
--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -11,6 +11,7 @@
   type StreamKey,
   streamName,
   type StreamRecord,
+  type StreamReplies,
   type StreamReply,
 } from "../streams/mod.ts";
 import type { KnownHost } from "./fleet_hosts.ts";
@@ -46,6 +47,8 @@
   readonly address: string;
   /** The other hosts that are present. */
   hosts(): readonly KnownHost[];
+  /** Whether a host has not been silent for so long that it won't answer. */
+  mayAnswer(host: KnownHost): boolean;
   send(addresses: readonly string[], message: PeerMessage): void;
   /** Handles the version of a stream that another host serves. */
   onStream(record: StreamRecord): void;
@@ -78,9 +81,18 @@
   }
 
   /** Queries the hosts that may keep a stream's version, until one of them knows it. */
-  query(key: StreamKey): Promise<readonly StreamReply[]> {
+  async query(key: StreamKey): Promise<StreamReplies> {
     const hosts = this.#keepersOf(key, QUERIED_HOSTS);
-    return untilKnown(hosts.map((host) => this.#queryHost(host, key)));
+    const missing = new Set(
+      hosts.filter((host) => this.#parts.mayAnswer(host)),
+    );
+    const queries = hosts.map(async (host) => {
+      const reply = await this.#queryHost(host, key);
+      if (reply !== undefined) missing.delete(host);
+      return reply;
+    });
+    const replies = await untilKnown(queries);
+    return { replies, isComplete: missing.size === 0 };
   }
 
   /** Keeps the version of a stream that another host serves. */
--- a/packages/rampswitch-serving/src/relay/own_refusal.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal.ts
@@ -94,13 +94,13 @@
 /**
  * Time after which the caller is asked to retry, in seconds: when room is expected, not
  * before a quarantined request may run as a trial, not before a permit is free if only
- * limited servers are left, and not before the first back-off ends if all servers have
- * asked for one.
+ * limited servers are left, not before the first back-off ends if all servers have
+ * asked for one, and not at all if it can never be served.
  */
 function retryAfterSeconds(
   reason: RefusalReason,
   {
-    refused: { request },
+    refused,
     expectedMilliseconds,
   }: {
     readonly refused: RefusedRequest;
@@ -108,13 +108,13 @@
   },
   parts: RefusalContext,
 ): number {
-  const decision = parts.quarantine.decide(request.fingerprint);
+  const decision = parts.quarantine.decide(refused.request.fingerprint);
   const trial = decision.kind === "held" ? decision.waitMilliseconds : 0;
   if (expectedMilliseconds !== undefined) {
     // The times of refused callers are spread already.
     return Math.max(expectedMilliseconds, trial) / 1_000;
   }
-  const reasonWait = WAIT_BY_REASON[reason]?.(request, parts) ?? 0;
+  const reasonWait = WAIT_BY_REASON[reason]?.(refused, parts) ?? 0;
   return (
     Math.max(MINIMUM_RETRY_AFTER_SECONDS, trial / 1_000, reasonWait / 1_000) +
     RETRY_AFTER_SPREAD_SECONDS * parts.random.next()
@@ -126,14 +126,21 @@
   Partial<
     Record<
       RefusalReason,
-      (request: AdmittedRequest, parts: RefusalContext) => number
+      (refused: RefusedRequest, parts: RefusalContext) => number
     >
   >
 > = {
   servers_limited: permitWaitMilliseconds,
   servers_resting: backOffWaitMilliseconds,
+  stream_origin_lost: restOfTimeMilliseconds,
+  stream_version_gone: restOfTimeMilliseconds,
 };
 
+/** Time that the caller has left: nothing that it could wait for is to come. */
+function restOfTimeMilliseconds({ leftMilliseconds }: RefusedRequest): number {
+  return leftMilliseconds;
+}
+
 /** Time until room for a refused caller is expected, in milliseconds. */
 function returnDelay(
   { request, leftMilliseconds, shortage }: RefusedRequest,
@@ -160,7 +167,7 @@
  * of its own, so that retries come no faster than the servers can serve them.
  */
 function backOffWaitMilliseconds(
-  { service }: AdmittedRequest,
+  { request: { service } }: RefusedRequest,
   { clock, directory, ownPart, backOffWaits, workEstimates }: RefusalContext,
 ): number {
   const now = clock.now();
@@ -183,7 +190,7 @@
 
 /** Wait until a permit is free at the limited servers, in milliseconds. */
 function permitWaitMilliseconds(
-  { service }: AdmittedRequest,
+  { request: { service } }: RefusedRequest,
   { directory, permits }: RefusalContext,
 ): number {
   const limited = permits
--- a/packages/rampswitch-serving/src/relay/own_refusal_test.ts
+++ b/packages/rampswitch-serving/src/relay/own_refusal_test.ts
@@ -123,6 +123,17 @@
   });
 });
 
+// Guards against refusals that ask callers to return soon for what will never come: 658
+// tries of 24 callers were refused in their last ten seconds.
+test.each(["stream_origin_lost", "stream_version_gone"] as const)(
+  "a refusal of a stream that can't go on (%s) tells all the time that is left",
+  (reason) => {
+    const { parts } = partsOf();
+    const { terms } = prepareRefusal(reason, refused("a", undefined), parts);
+    expect(terms.retryAfterSeconds).toBeGreaterThanOrEqual(6);
+  },
+);
+
 describe("other refusals", () => {
   test("reserve nothing, and tell no time if the request may have run", () => {
     const { parts, refunds } = partsOf();
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -249,10 +249,10 @@
   }
 
   async #findVersion(): Promise<void> {
-    const isKnown = await this.#streamVersion.find();
+    const refusal = await this.#streamVersion.find();
     if (this.#answer.finished) return;
-    if (isKnown) this.#chooseFirstSend();
-    else this.#giveUp("stream_origin_unknown");
+    if (refusal === undefined) this.#chooseFirstSend();
+    else this.#giveUp(refusal);
   }
 
   #chooseFirstSend(): void {
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -134,7 +134,7 @@
       this.#inBackground(() =>
         this.#chooseAtVersion(version, {
           chosen: (choice) => listener.chosen(choice),
-          none: (kind) => listener.none(REFUSAL_BY_OUTCOME[kind]),
+          none: (kind) => listener.none(this.#refusalOf(kind, version)),
         }),
       );
       return;
@@ -279,6 +279,15 @@
       );
   }
 
+  /** Reason to refuse a stream that can't continue at the version that began it. */
+  #refusalOf(outcome: WithoutServer, version: string): RefusalReason {
+    const { name: service } = this.#run.request.service;
+    const isGone =
+      this.#context.streams.goneMilliseconds({ service, version }) >=
+      SERVER_RETURN_MILLISECONDS;
+    return isGone ? "stream_version_gone" : REFUSAL_BY_OUTCOME[outcome];
+  }
+
   #choose(held: Pick<SendTerms, "version" | "mayReturn"> = {}): SendChoice {
     const { request, tried } = this.#run;
     const send = { tried, hasRoom: this.#hasRoom, ...held };
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -7,7 +7,8 @@
  * @module
  */
 import type { ServerRecord } from "../choice/mod.ts";
-import type { StreamKey } from "../streams/mod.ts";
+import type { RefusalReason } from "../model/outcome.ts";
+import type { StreamKey, StreamOrigin } from "../streams/mod.ts";
 import {
   type AdmittedRequest,
   timeLimitMilliseconds,
@@ -23,6 +24,15 @@
   "clock" | "logger" | "metrics" | "streams"
 >;
 
+/** Reason to refuse a stream, by what was found of the version that began it. */
+const REFUSAL_BY_ORIGIN: Readonly<
+  Record<StreamOrigin["kind"], RefusalReason | undefined>
+> = {
+  known: undefined,
+  unknown: "stream_origin_unknown",
+  lost: "stream_origin_lost",
+};
+
 /** The version that a request's stream has to continue at. */
 export class StreamVersion {
   readonly #request: AdmittedRequest;
@@ -46,14 +56,17 @@
     return route.streaming && route.resumable && hasEvents;
   }
 
-  /** Finds the version of a stream that is taken up; resolves to whether it is known. */
-  async find(): Promise<boolean> {
+  /**
+   * Finds the version of a stream that is taken up; resolves to the reason to refuse the
+   * stream if it is not found.
+   */
+  async find(): Promise<RefusalReason | undefined> {
     const { head, arrivedAt } = this.#request;
     const { clock, logger, metrics, streams } = this.#parts;
     const origin = await streams.find(this.#key);
     const known = origin.kind === "known" ? origin : undefined;
     this.#required = known?.version;
-    metrics.event(`stream_taken_up_${known?.source ?? "unknown"}`);
+    metrics.event(`stream_taken_up_${known?.source ?? origin.kind}`);
     logger.info("stream taken up", {
       request: head.attemptId,
       resumes: this.#key.attempt,
@@ -61,7 +74,7 @@
       source: known?.source,
       sinceMilliseconds: Math.round(clock.now() - arrivedAt),
     });
-    return known !== undefined;
+    return REFUSAL_BY_ORIGIN[origin.kind];
   }
 
   /** Whether it can't be told which version began the stream. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -72,7 +72,7 @@
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
-import type { StreamOrigins } from "./streams/mod.ts";
+import type { StreamOrigins, StreamReplies } from "./streams/mod.ts";
 import {
   LeavingAdvertisements,
   BackOffAdvertisements,
@@ -147,6 +147,9 @@
 /** Time between checks of versions that are being left, in milliseconds. */
 const VERSION_CHECK_INTERVAL_MILLISECONDS = 100;
 
+/** Replies to a query for a stream before this host knows any other. */
+const NO_STREAM_REPLIES: StreamReplies = { replies: [], isComplete: false };
+
 /** One serving host. */
 export class ServingHost implements AsyncDisposable {
   #settings: ServingSettings;
@@ -259,8 +262,10 @@
         isListCurrent: () =>
           this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
           !this.#follower.cutOff,
+        areHostsListed: () => this.#membership?.listedSize !== undefined,
         tell: (record) => this.#membership?.streams.tell(record),
-        query: async (key) => this.#membership?.streams.query(key) ?? [],
+        query: async (key) =>
+          this.#membership?.streams.query(key) ?? NO_STREAM_REPLIES,
         holdsDuties: () => this.#duties.isHolder,
       },
       this.#ownership,
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -8,6 +8,14 @@
  */
 export { streamName, type StreamKey } from "./begun_streams.ts";
 export { OriginArchive, type OriginArchiveParts } from "./origin_archive.ts";
-export { StreamOrigins, type StreamOriginsParts } from "./stream_origins.ts";
-export type { StreamRecord, StreamReply } from "./stream_reply.ts";
+export {
+  type StreamOrigin,
+  StreamOrigins,
+  type StreamOriginsParts,
+} from "./stream_origins.ts";
+export type {
+  StreamRecord,
+  StreamReplies,
+  StreamReply,
+} from "./stream_reply.ts";
 export { KeeperRings } from "./stream_keepers.ts";
--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -52,7 +52,8 @@
   readonly #repetition: Repetition;
   /** When the last read was sent, on the monotonic clock. */
   #readAt = -Infinity;
-  #reading: Promise<void> = Promise.resolve();
+  #reading: Promise<boolean> = Promise.resolve(false);
+  #isReading = false;
   #hasRead = false;
 
   constructor(parts: OriginArchiveParts) {
@@ -71,12 +72,16 @@
     this.#repetition.runNow();
   }
 
-  /** Reads what is stored, unless it was read a moment ago; waits for a short time. */
-  async read(): Promise<void> {
-    await Promise.race([
-      this.#readOnce(),
-      sleep(this.#parts.clock, READ_WAIT_MILLISECONDS),
-    ]);
+  /**
+   * Reads what is stored, unless it was read a moment ago; waits for a short time.
+   * Resolves to whether all that is stored now was read.
+   */
+  async read(): Promise<boolean> {
+    const reading = this.#readOnce();
+    // What was stored since an earlier read is not known.
+    if (!this.#isReading) return false;
+    const timeout = sleep(this.#parts.clock, READ_WAIT_MILLISECONDS);
+    return Promise.race([reading, timeout.then(() => false)]);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -93,26 +98,29 @@
     await this.#removeLeftovers();
   }
 
-  #readOnce(): Promise<void> {
+  #readOnce(): Promise<boolean> {
     const now = this.#parts.clock.now();
     if (now - this.#readAt >= READ_INTERVAL_MILLISECONDS) {
       this.#readAt = now;
+      this.#isReading = true;
       this.#reading = this.#list();
     }
     return this.#reading;
   }
 
-  async #list(): Promise<void> {
+  async #list(): Promise<boolean> {
     const { store, prefix, metrics } = this.#parts;
     // A list that is some seconds old may lack the last version that appeared.
     const listed = await store.list(prefix);
+    this.#isReading = false;
     if (listed.isErr) {
       metrics.event("stream_archive_unread");
-      return;
+      return false;
     }
     this.#versions.restore(listed.value);
     this.#streams.restore(listed.value);
     this.#hasRead = true;
+    return true;
   }
 
   async #removeLeftovers(): Promise<void> {
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -16,8 +16,13 @@
   BegunStreams,
   type StreamKey,
 } from "./begun_streams.ts";
-import type { StreamRecord, StreamReply } from "./stream_reply.ts";
+import type {
+  StreamRecord,
+  StreamReplies,
+  StreamReply,
+} from "./stream_reply.ts";
 import {
+  type ServiceVersionName,
   type ServiceVersions,
   type VersionedServer,
   VersionHistory,
@@ -30,12 +35,17 @@
   readonly logger: Logger;
   /** Whether this host's list of servers is as new as that of its peers. */
   isListCurrent(): boolean;
+  /** Whether this host knows all hosts that may keep a stream. */
+  areHostsListed(): boolean;
   /** Sends the version of a stream to the hosts that keep it. */
   tell(record: StreamRecord): void;
   /** Queries the hosts that may keep it; ends early once one of them knows it. */
-  query(key: StreamKey): Promise<readonly StreamReply[]>;
-  /** Reads what hosts have stored, unless it was read a moment ago. */
-  readStored(): Promise<void>;
+  query(key: StreamKey): Promise<StreamReplies>;
+  /**
+   * Reads what hosts have stored, unless it was read a moment ago; resolves to whether
+   * all that is stored now is known.
+   */
+  readStored(): Promise<boolean>;
 }
 
 /** How the version of a stream was found. */
@@ -48,7 +58,10 @@
       readonly version: string;
       readonly source: StreamOriginSource;
     }
-  | { readonly kind: "unknown" };
+  /** Somebody may know it later. */
+  | { readonly kind: "unknown" }
+  /** Neither the store nor any host knows it. */
+  | { readonly kind: "lost" };
 
 /**
  * Time for which a version counts after its last server was removed, in milliseconds;
@@ -216,21 +229,29 @@
 
   /** Finds the version that began a stream. */
   async find(key: StreamKey): Promise<StreamOrigin> {
-    if (this.isUncertain(key)) return { kind: "unknown" };
+    if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
     if (own.kind === "known") return { ...own, source: "table" };
     if (own.kind === "single" && this.#parts.isListCurrent()) {
       return { ...own, kind: "known", source: "single" };
     }
-    const replies = await this.#parts.query(key);
+    const { replies, isComplete } = await this.#parts.query(key);
     const origin = originFrom(own, replies);
     this.#logEvidence(key, own, replies);
     if (origin.kind === "known") return origin;
-    await this.#parts.readStored();
+    const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
-    return stored.kind === "known"
-      ? { ...stored, source: "stored" }
-      : originFrom(stored, replies);
+    if (stored.kind === "known") return { ...stored, source: "stored" };
+    if (this.isUncertain(key)) return LOST;
+    const later = originFrom(stored, replies);
+    const isEveryoneAsked = isComplete && this.#parts.areHostsListed();
+    const isLost = later.kind === "unknown" && hasRead && isEveryoneAsked;
+    return isLost ? LOST : later;
+  }
+
+  /** Time since the last server of a version was listed, in milliseconds. */
+  goneMilliseconds(version: ServiceVersionName): number {
+    return this.#history.goneMilliseconds(version, this.#parts.clock.now());
   }
 
   #get(key: StreamKey): BegunStream | undefined {
@@ -279,6 +300,9 @@
   }
 }
 
+/** Nobody will ever know the version. */
+const LOST: StreamOrigin = { kind: "lost" };
+
 /** What other hosts need to know of a stream. */
 function recordOf(
   { service, attempt, version, expiresAt }: BegunStream,
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -15,6 +15,13 @@
   readonly lifetimeMilliseconds: number;
 }
 
+/** What the hosts that were asked know of a stream. */
+export interface StreamReplies {
+  readonly replies: readonly StreamReply[];
+  /** Whether all of them replied. */
+  readonly isComplete: boolean;
+}
+
 /** What a host knows of the version that began a stream. */
 export type StreamReply =
   | { readonly kind: "known"; readonly version: string }
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -6,13 +6,17 @@
  * @module
  */
 
-/** The fields of a listed server that are used here. */
-export interface VersionedServer {
-  readonly id: string;
+/** Names a version of a service. */
+export interface ServiceVersionName {
   readonly service: string;
   readonly version: string;
 }
 
+/** The fields of a listed server that are used here. */
+export interface VersionedServer extends ServiceVersionName {
+  readonly id: string;
+}
+
 /** Versions by service. */
 export type ServiceVersions = ReadonlyMap<string, readonly string[]>;
 
@@ -75,6 +79,16 @@
       );
   }
 
+  /** Time since a version's last server was listed, in milliseconds. */
+  goneMilliseconds(
+    { service, version }: ServiceVersionName,
+    now: number,
+  ): number {
+    const known = this.#services.get(service)?.get(version);
+    if (known === undefined) return Infinity;
+    return known.servers.size > 0 ? 0 : now - known.goneAt;
+  }
+
   /** Returns the versions of each service that a stream in progress may have begun at. */
   all(now: number): ServiceVersions {
     return new Map(
