Store what is known of streams before a planned stop ends

A host that is stopped as planned took with it which streams had begun since its last write, a second at most, and which versions had appeared if it did not hold the duties: the holder gives the duties up first, so that nobody wrote them when all hosts are stopped together.

Change: a stopping host writes both once more before it ends, within 250 ms; neither is written if the store tells it already.

--- a/packages/rampswitch-serving/src/host_streams.ts
+++ b/packages/rampswitch-serving/src/host_streams.ts
@@ -23,11 +23,17 @@
   readonly streamsPrefix: string;
 }
 
+/** What one host knows of the versions that began streams. */
+export interface HostStreams {
+  readonly origins: StreamOrigins;
+  readonly archive: OriginArchive;
+}
+
 /** Creates the origins of streams; `ownership` ends their archive with the host. */
 export function createStreams(
   parts: HostStreamsParts,
   ownership: Ownership,
-): StreamOrigins {
+): HostStreams {
   const origins: StreamOrigins = new StreamOrigins({
     ...parts,
     readStored: () => archive.read(),
@@ -35,5 +41,5 @@
   const archive: OriginArchive = ownership.own(
     new OriginArchive({ ...parts, origins, prefix: parts.streamsPrefix }),
   );
-  return origins;
+  return { origins, archive };
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -41,7 +41,7 @@
 import type { RouteIndex } from "./intake/route_index.ts";
 import { HostGossip } from "./host_gossip.ts";
 import { createQuarantine } from "./host_quarantine.ts";
-import { createStreams } from "./host_streams.ts";
+import { createStreams, type HostStreams } from "./host_streams.ts";
 import {
   Membership,
   gossipLagMilliseconds,
@@ -72,7 +72,7 @@
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
-import type { StreamOrigins, StreamReplies } from "./streams/mod.ts";
+import type { StreamReplies } from "./streams/mod.ts";
 import {
   LeavingAdvertisements,
   BackOffAdvertisements,
@@ -165,7 +165,7 @@
   readonly #quarantine: CrashQuarantine;
   readonly #rollouts: Rollouts;
   readonly #rolloutStore: RolloutStore;
-  readonly #streams: StreamOrigins;
+  readonly #streams: HostStreams;
   #stopping: Promise<void> | undefined;
   #cancelVersionCheck: () => void = () => undefined;
   readonly #workEstimates = new WorkEstimates();
@@ -403,7 +403,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       permits: this.#permits,
-      streams: this.#streams,
+      streams: this.#streams.origins,
       runs: () => this.#callers.runs,
     });
     this.#directory.onLeaving((record) => this.#serverLeaving(record));
@@ -510,6 +510,7 @@
       startedAt,
       graceMilliseconds: this.#settings.bounds.graceMilliseconds,
     });
+    await this.#streams.archive.flush();
     this.#callers.stopListening();
     logger.info("stopped", {
       milliseconds: Math.round(clock.now() - startedAt),
@@ -607,8 +608,8 @@
         onLimitQuery: (request) => this.#admission.decide(request),
         onPermitQuery: (request) => this.#permits.grant(request),
         onUnusedAdmission: (request) => this.#admission.refund(request),
-        onStream: (record) => this.#streams.receive(record),
-        onStreamQuery: (key) => this.#streams.replyTo(key),
+        onStream: (record) => this.#streams.origins.receive(record),
+        onStreamQuery: (key) => this.#streams.origins.replyTo(key),
         onListed: (hosts) => {
           this.#limits.markHostsListed();
           hosts.forEach((host) => {
@@ -641,7 +642,7 @@
       budget: this.#budget,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
-      streams: this.#streams,
+      streams: this.#streams.origins,
       permits: this.#permits,
       brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -41,6 +41,12 @@
  */
 const READ_WAIT_MILLISECONDS = 200;
 
+/**
+ * Longest wait for the last writes of a process, in milliseconds; shorter than the time
+ * that a planned stop leaves before the forced end.
+ */
+const FLUSH_WAIT_MILLISECONDS = 250;
+
 /** Time between looks for objects that hosts left behind, in milliseconds. */
 const LEFTOVER_INTERVAL_MILLISECONDS = 60_000;
 
@@ -84,6 +90,18 @@
     return Promise.race([reading, timeout.then(() => false)]);
   }
 
+  /**
+   * Stores what is not stored yet, before the process ends as planned; waits for a
+   * short time.
+   */
+  async flush(): Promise<void> {
+    if (!this.#hasRead) return;
+    await Promise.race([
+      Promise.all([this.#streams.storeNow(), this.#versions.storeUnread()]),
+      sleep(this.#parts.clock, FLUSH_WAIT_MILLISECONDS),
+    ]);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#repetition[Symbol.asyncDispose]();
   }
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -15,6 +15,7 @@
 import { ServingMetrics } from "../observation/mod.ts";
 import { createStreams } from "../host_streams.ts";
 import { ObjectStoreStandin } from "./object_store_standin.ts";
+import type { OriginArchive } from "./origin_archive.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
 const PREFIX = "streams/";
@@ -35,6 +36,12 @@
   ownership = new Ownership();
 });
 
+interface StartedHost {
+  readonly clock: ManualClock;
+  readonly streams: StreamOrigins;
+  readonly archive: OriginArchive;
+}
+
 /** Starts a host; `versions` are those that it lists. */
 async function startHost(
   store: ObjectStoreStandin,
@@ -47,9 +54,9 @@
     readonly holdsDuties?: boolean;
     readonly host?: string;
   },
-): Promise<{ readonly clock: ManualClock; readonly streams: StreamOrigins }> {
+): Promise<StartedHost> {
   const clock = new ManualClock(0);
-  const streams = createStreams(
+  const { origins: streams, archive } = createStreams(
     {
       clock,
       host,
@@ -70,7 +77,7 @@
     streams.listed({ id: `s-${version}`, service: SERVICE, version }),
   );
   await pass(clock, WRITE_MILLISECONDS);
-  return { clock, streams };
+  return { clock, streams, archive };
 }
 
 /** Lets time pass, and the calls to the store that fall due. */
@@ -116,6 +123,24 @@
     ]);
   });
 
+  test("are handed over by hosts that stop as planned, without the duties", async () => {
+    const store = new ObjectStoreStandin();
+    const { streams, archive } = await startHost(store, {
+      versions: ["v1"],
+      holdsDuties: false,
+    });
+    await archive.flush();
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await archive.flush();
+    await archive.flush();
+    expect(store.changes).toEqual([
+      `put ${VERSIONS_KEY}`,
+      `put ${VERSIONS_KEY}`,
+    ]);
+    const { streams: next } = await startHost(store, { versions: ["v2"] });
+    expect(next.versions.get(SERVICE)).toEqual(["v1", "v2"]);
+  });
+
   test("are removed once no stream can be of them", async () => {
     const store = new ObjectStoreStandin();
     const { clock, streams } = await startHost(store, {
@@ -209,6 +234,17 @@
     },
   );
 
+  test("is handed over by a host that stops as planned right after", async () => {
+    const store = new ObjectStoreStandin();
+    const { streams, archive } = await startServing(store);
+    streams.began({ ...STREAM, ...BEGUN, attempt: "a2" }, "s-v2/1");
+    await archive.flush();
+    const next = await startHost(store, { versions: ["v2"], host: "h2" });
+    expect(await next.streams.find({ ...STREAM, attempt: "a2" })).toMatchObject(
+      { version: "v2" },
+    );
+  });
+
   test("is read anew from a host that has ended since", async () => {
     const store = new ObjectStoreStandin();
     const { streams, clock } = await startHost(store, {
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -98,6 +98,11 @@
     });
   }
 
+  /** Stores the versions unless the object that this host read tells them already. */
+  async storeUnread(): Promise<void> {
+    if (this.#value() !== this.#object?.value) await this.store();
+  }
+
   get #key(): string {
     return `${this.#parts.prefix}${OBJECT_NAME}`;
   }
