Deliver an empty answer without a length whose server lives on

Callers of routes without streams got 502 for an empty answer that was ready, after two runs where the request may be repeated: an answer with neither a length nor chunks, ended by its server after the head.

Cause: "nothing of it came" was taken as a doubt about every such end. It is one for a stream, which has at least an event; a whole answer may have no body. The process that gave it is asked for either way before an end counts, so that an end was trusted after one byte and not after none.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -497,7 +497,7 @@
     const current = this.#current;
     if (current === undefined || !isSuccess(status)) return undefined;
     return doubtAbout({
-      hasContent: this.#tracker.relayed || this.#bufferedBody.length > 0,
+      hasContent: this.#tracker.relayed || !this.request.route.streaming,
       remainingMilliseconds: this.#remaining(),
       mayHaveBeenStopped: this.#lostSends.wasAskedToStop(current),
     });
--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -18,8 +18,9 @@
 /** A success without a length or chunks whose connection has ended regularly. */
 export interface UnframedAnswer {
   /**
-   * Whether the caller has an event, or any byte of a whole answer came. A run that goes
-   * on from its memory after the last event ends without a further one.
+   * Whether nothing has to come before the end: the caller has an event, or the answer is
+   * no stream and may have no body. A run that goes on from its memory after the last
+   * event ends without a further one.
    */
   readonly hasContent: boolean;
   /** Time until the request's time limit, at which servers stop work. */
