Ask a server which incarnation it is before a broken stream goes on there

Callers saw streams of a service with one version hold events of two after all its servers had crashed and come back under their ids as another version.

Cause: a server is what its entry says until a new entry is read, one heartbeat and more after its start. A host asked the server itself only where the service had several versions already, and the first server that comes back makes it one with several. At limited servers nobody asked at all.

Weighed: (1) count a lost connection as an end of the incarnation: a host that had none to that server never sees it; (2) the answer itself: it names no start; (3) the report, which names it, before each send that continues a stream. Plain services and engines that don't tell their start stay as they were.

--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -29,6 +29,7 @@
 import type { ServerPermits, PermitWaits } from "../server_limits/mod.ts";
 import type { StreamOrigins } from "../streams/mod.ts";
 import type { AdvertisementReader } from "../advertisements/mod.ts";
+import type { IncarnationChecks } from "./incarnation_checks.ts";
 import type { PromptSend } from "./prompt_load.ts";
 
 /** A host's view of the configuration at one moment. */
@@ -68,6 +69,8 @@
   readonly rollouts: Rollouts;
   /** Versions that began the streams that callers may take up. */
   readonly streams: StreamOrigins;
+  /** Which servers are still the incarnations that are listed. */
+  readonly incarnations: IncarnationChecks;
   readonly permits: ServerPermits;
   readonly brittle: BrittleServers;
   /** Retry times given to callers that were refused during servers' back-offs. */
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -8,7 +8,6 @@
  * @module
  */
 import { runInBackground, sleep } from "rampswitch-utils";
-import { readEngineReport } from "../advertisements/mod.ts";
 import type { Choice, ChoiceOutcome, ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
 import type { WaitingPlace } from "../room/mod.ts";
@@ -211,17 +210,11 @@
     const { outcome, limited } = this.#choose({ version, mayReturn });
     // It was admitted with the first choice, whether that found a server or not.
     this.#hasRoom = true;
-    if (
-      outcome.kind === "chosen" &&
-      !this.#mayHaveBecomeOther(outcome.choice)
-    ) {
-      listener.chosen(outcome.choice);
-      return;
-    }
-    const choice =
+    const found =
       outcome.kind === "chosen"
-        ? await this.#confirmed(outcome.choice)
+        ? outcome.choice
         : await this.#takePermit({ limited, continues: true });
+    const choice = found && (await this.#confirmed(found));
     if (this.#run.finished()) return;
     if (choice !== undefined) {
       listener.chosen(choice);
@@ -248,22 +241,12 @@
     runInBackground("choice of a server", this.#context, choose);
   }
 
-  /** Whether a server may have started again as another version under its id. */
-  #mayHaveBecomeOther({ record }: Choice): boolean {
-    const { service } = this.#run.request;
-    return (
-      record.entry.born !== undefined &&
-      service.engine !== undefined &&
-      this.#context.streams.isMixed(service.name)
-    );
-  }
-
-  /** The choice of a server that says that it is the incarnation that is listed. */
+  /** The choice of a server, unless another incarnation answers in its place. */
   async #confirmed(choice: Choice): Promise<Choice | undefined> {
+    const { incarnations } = this.#context;
     const { record } = choice;
-    const report = await readEngineReport(record, this.#context);
-    const isSame = report?.born === record.entry.born && !record.ended;
-    return isSame ? choice : undefined;
+    if (!incarnations.canAsk(record, this.#run.request.service)) return choice;
+    return (await incarnations.confirm(record)) ? choice : undefined;
   }
 
   /** Whether a version has a server, or lost its last one so lately that it may return. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -63,6 +63,7 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
+import { IncarnationChecks } from "./relay/incarnation_checks.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
@@ -72,7 +73,7 @@
 import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
-import type { StreamReplies } from "./streams/mod.ts";
+import { NO_STREAM_REPLIES } from "./streams/mod.ts";
 import {
   LeavingAdvertisements,
   BackOffAdvertisements,
@@ -147,9 +148,6 @@
 /** Time between checks of versions that are being left, in milliseconds. */
 const VERSION_CHECK_INTERVAL_MILLISECONDS = 100;
 
-/** Replies to a query for a stream before this host knows any other. */
-const NO_STREAM_REPLIES: StreamReplies = { replies: [], isComplete: false };
-
 /** One serving host. */
 export class ServingHost implements AsyncDisposable {
   #settings: ServingSettings;
@@ -643,6 +641,10 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       streams: this.#streams.origins,
+      incarnations: new IncarnationChecks({
+        ...this.#ports,
+        advertisements: this.#advertisements,
+      }),
       permits: this.#permits,
       brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -22,6 +22,12 @@
   readonly isComplete: boolean;
 }
 
+/** What is known before this host may ask others. */
+export const NO_STREAM_REPLIES: StreamReplies = {
+  replies: [],
+  isComplete: false,
+};
+
 /** What a host knows of the version that began a stream. */
 export type StreamReply =
   | { readonly kind: "known"; readonly version: string }
