--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -8,7 +8,6 @@
  * @module
  */
 import {
-  type Clock,
   failureReporter,
   jitter,
   repeat,
@@ -23,8 +22,6 @@
   extends StreamArchiveParts, VersionArchiveParts {
   readonly origins: StreamArchiveParts["origins"] &
     VersionArchiveParts["origins"];
-  /** A monotonic clock. */
-  readonly clock: Clock;
   /** Whether this host may act for the fleet now. */
   holdsDuties(): boolean;
 }
--- a/packages/rampswitch-serving/src/streams/stream_archive.ts
+++ b/packages/rampswitch-serving/src/streams/stream_archive.ts
@@ -9,30 +9,20 @@
  */
 import {
   changeObject,
-  type ObjectStore,
   type StoredList,
   type StoredObject,
 } from "rampswitch-store";
-import type { Clock, Logger, Random } from "rampswitch-utils";
-import type { ServingMetrics } from "../observation/mod.ts";
+import type { ArchiveParts } from "./archive_parts.ts";
 import { streamName } from "./begun_streams.ts";
 import { decodeStreams, encodeStreams } from "./stored_streams.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { StreamRecord } from "./stream_reply.ts";
 
 /** What the archive of streams depends on. */
-export interface StreamArchiveParts {
+export interface StreamArchiveParts extends ArchiveParts {
   readonly origins: Pick<StreamOrigins, "restoreStreams" | "storable">;
   /** Name of this host. */
   readonly host: string;
-  readonly store: ObjectStore;
-  /** Prefix of the keys of the stored objects. */
-  readonly prefix: string;
-  /** A monotonic clock. */
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: ServingMetrics;
 }
 
 /** Precedes the name of a host in the names of the objects. */
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -4,9 +4,9 @@
  * Finds the version that began a stream. A host that serves a stream of a service with
  * several versions sends the version to a few other hosts before the caller gets the
  * first event. A host that is asked for the rest of a stream knows it from its own
- * table, queries these hosts, or reads what hosts that have ended had stored. A version that nobody knows is never guessed: one
- * version alone counts only for a host that knows which versions served before, from
- * the store or since it was there.
+ * table, queries these hosts, or reads what hosts that have ended had stored. A version
+ * that nobody knows is never guessed: one version alone counts only for a host that
+ * knows which versions served before, from the store or since it was there.
  *
  * @module
  */
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -10,30 +10,21 @@
 import {
   changeObject,
   eraOf,
-  type ObjectStore,
   type StoredList,
   type StoredObject,
 } from "rampswitch-store";
-import type { Clock, LogFields, Logger, Random } from "rampswitch-utils";
-import type { ServingMetrics } from "../observation/mod.ts";
+import type { LogFields } from "rampswitch-utils";
+import type { ArchiveParts } from "./archive_parts.ts";
 import { decodeVersions, encodeVersions } from "./stored_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { ServiceVersions } from "./version_history.ts";
 
 /** What the archive of versions depends on. */
-export interface VersionArchiveParts {
+export interface VersionArchiveParts extends ArchiveParts {
   readonly origins: Pick<
     StreamOrigins,
     "isPastKnown" | "restoreVersions" | "versions"
   >;
-  readonly store: ObjectStore;
-  /** Prefix of the keys of the stored objects. */
-  readonly prefix: string;
-  /** A monotonic clock. */
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: ServingMetrics;
 }
 
 /** Name of the object below the prefix. */
