Log how new the list of servers is when a stream's version is sought

Change: the line comes also where nobody is asked, with the position of the list, the newest one that any host told of, and whether the past is known; a list after a lost history is logged and counted (history_lost_*_listed).

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -14,8 +14,8 @@
   type Random,
 } from "rampswitch-utils";
 import {
+  type AnewList,
   type ChangeBatch,
-  type EraList,
   eraOf,
   type ObjectOrigin,
   type ObjectStore,
@@ -50,6 +50,16 @@
   readonly servers: number;
 }
 
+/** How new a host's list of servers is, in positions of the store's history. */
+export interface ServerListState {
+  /** Position up to which all changes of servers are known. */
+  readonly version: number;
+  /** Position of the newest change of a server that this host has received. */
+  readonly newestChange: number;
+  /** Position of the newest change that any host told of. */
+  readonly newestHeard: number;
+}
+
 /** Receives the changes that the follower observes. */
 export interface FollowerListener {
   /** Called with each newer configuration. */
@@ -230,6 +240,8 @@
   /** When each watch that was behind was last restarted. */
   readonly #interruptedAt = new Map<Watcher, number>();
   #storeReachable = true;
+  /** Position of the newest change of a server that another host told of. */
+  #newestServersHeard = 0;
   readonly #lapsedServers: LapsedServers;
   readonly #unreadableServers: UnreadableServers;
   readonly #restoredServers: RestoredServers;
@@ -252,7 +264,7 @@
           this.#serversListed = true;
         },
         failed: () => undefined,
-        listedInEra: (list) => this.#logEraList("servers", list),
+        listedAnew: (list) => this.#logAnewList("servers", list),
       },
       {
         seconds: () => SERVERS_WATCH_TIMEOUT_SECONDS,
@@ -266,7 +278,7 @@
         removed: () => undefined,
         confirmed: (at) => this.#watchConfirmed(at),
         failed: () => this.#watchFailed(),
-        listedInEra: (list) => this.#logEraList("configuration", list),
+        listedAnew: (list) => this.#logAnewList("configuration", list),
       },
       { seconds: () => this.#configurationWatchSeconds() },
     );
@@ -280,11 +292,22 @@
     };
   }
 
+  /** How new the list of servers is. */
+  get serverList(): ServerListState {
+    const { version, newestChange } = this.#servers;
+    const newestHeard = Math.max(newestChange, this.#newestServersHeard);
+    return { version, newestChange, newestHeard };
+  }
+
   /**
    * Compares with the versions that another host has received. A watch that is
    * behind has silently lost its connection, and is restarted.
    */
   receivePeerVersions(versions: FollowedVersions): void {
+    this.#newestServersHeard = Math.max(
+      this.#newestServersHeard,
+      versions.servers,
+    );
     this.#catchUp(this.#configuration, versions.configuration);
     this.#catchUp(this.#servers, versions.servers);
   }
@@ -343,12 +366,18 @@
     this.#servers.interrupt();
   }
 
-  /** Logs the list that the store returned in its new era. */
-  #logEraList(list: string, { version, changed, missing }: EraList): void {
-    this.#parts.metrics.event(`store_era_${list}_listed`);
-    this.#parts.logger.warn("listed anew in an era of the store", {
+  /** Logs a list that was read in place of a lost history. */
+  #logAnewList(
+    list: string,
+    { after, version, origin, changed, missing }: AnewList,
+  ): void {
+    const { metrics, logger } = this.#parts;
+    const isNewEra = origin === "copy";
+    metrics.event(`${isNewEra ? "store_era" : "history_lost"}_${list}_listed`);
+    logger.warn(ANEW_LIST_MESSAGES[origin], {
       list,
       era: eraOf(version),
+      after: revisionOf(after),
       revision: revisionOf(version),
       changed,
       missing,
@@ -623,6 +652,12 @@
   }
 }
 
+/** Messages about lists that were read in place of a lost history. */
+const ANEW_LIST_MESSAGES: Readonly<Record<ObjectOrigin, string>> = {
+  change: "listed anew after a lost history",
+  copy: "listed anew in an era of the store",
+};
+
 /** A change to forward, without an entry that is too large to be read anyway. */
 function forwardable(event: StoreEvent): StoreEvent {
   return event.value !== undefined &&
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -260,6 +260,7 @@
         isListCurrent: () =>
           this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
           !this.#follower.cutOff,
+        serverList: () => this.#follower.serverList,
         areHostsListed: () => this.#membership?.listedSize !== undefined,
         tell: (record) => this.#membership?.streams.tell(record),
         query: async (key) =>
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -66,6 +66,7 @@
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
       isListCurrent: () => true,
+      serverList: () => ({ version: 1, newestChange: 1, newestHeard: 1 }),
       areHostsListed: () => true,
       tell: () => undefined,
       query: () => Promise.resolve({ replies: [], isComplete: true }),
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -11,6 +11,8 @@
  * @module
  */
 import type { Clock, Logger } from "rampswitch-utils";
+import { revisionOf } from "rampswitch-store";
+import type { ServerListState } from "../configuration/configuration_follower.ts";
 import {
   type BegunStream,
   BegunStreams,
@@ -35,6 +37,8 @@
   readonly logger: Logger;
   /** Whether this host's list of servers is as new as that of its peers. */
   isListCurrent(): boolean;
+  /** How new this host's list of servers is. */
+  serverList(): ServerListState;
   /** Whether this host knows all hosts that may keep a stream. */
   areHostsListed(): boolean;
   /** Sends the version of a stream to the hosts that keep it. */
@@ -238,6 +242,7 @@
     const own = this.replyTo(key);
     if (own.kind === "known") return { ...own, source: "table" };
     if (own.kind === "single" && this.#parts.isListCurrent()) {
+      this.#logEvidence(key, own, []);
       return { ...own, kind: "known", source: "single" };
     }
     const { replies, isComplete } = await this.#parts.query(key);
@@ -284,10 +289,14 @@
     replies: readonly StreamReply[],
   ): void {
     const now = this.#parts.clock.now();
+    const list = this.#parts.serverList();
     this.#parts.logger.info("version of a stream queried", {
       service,
       resumes: attempt,
       own: own.kind,
+      listRevision: revisionOf(list.version),
+      heardRevision: revisionOf(list.newestHeard),
+      isPastKnown: this.isPastKnown,
       replies: replies.map(({ kind }) => kind).join(","),
       versions: this.#history.versionsOf(service, now).join(","),
       runningMilliseconds: Math.round(now - this.#startedAt),
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -27,6 +27,7 @@
     clock,
     logger: SILENT_LOGGER,
     isListCurrent: () => state.isListCurrent,
+    serverList: () => ({ version: 1, newestChange: 1, newestHeard: 1 }),
     areHostsListed: () => state.areHostsListed,
     tell: (record) => told.push(record),
     query: () => {
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -52,9 +52,13 @@
   /** In the copy that the store was restored from; the object may be old. */
   | "copy";
 
-/** Result of a list in a new era, compared with the objects known before. */
-export interface EraList {
+/** Result of a list after a lost history, compared with the objects known before. */
+export interface AnewList {
+  /** Version up to which the changes had been reported. */
+  readonly after: number;
   readonly version: number;
+  /** `copy` in a new era of the store. */
+  readonly origin: ObjectOrigin;
   /** Number of objects that are new or differ from the known ones. */
   readonly changed: number;
   /** Number of known objects that no longer exist. */
@@ -71,8 +75,11 @@
   confirmed(at: number): void;
   /** A call to the store failed. */
   failed(): void;
-  /** All objects were listed in a new era. */
-  listedInEra?(list: EraList): void;
+  /**
+   * All objects were listed after the history was lost. Objects that appeared and were
+   * removed meanwhile are not reported.
+   */
+  listedAnew?(list: AnewList): void;
 }
 
 /** An object as it was last reported. */
@@ -243,9 +250,11 @@
     const origin = originOf(after, version);
     const changed = objects.filter((object) => this.#report(object, origin));
     this.#retainListedChanges({ after, version, missing, changed });
-    if (origin === "copy") {
-      this.#listener.listedInEra?.({
+    if (after !== undefined) {
+      this.#listener.listedAnew?.({
+        after,
         version,
+        origin,
         changed: changed.length,
         missing: missing.length,
       });
