Take no version from an old list of servers for that of a stream

Callers saw: streams that v2 began went on at v1, 200 and whole. Cause: a host took the only version on its list for the stream's without asking anybody while its list counted as current, and that was judged by the age of the newest confirmation of the configuration, which any peer gives. It says nothing of the list of servers. Class: freshness of one thing taken for that of another. Ruled out: told versions that were lost (the other hosts' tables had the streams); a query that found nothing (none was sent). Change: a stream that isn't in the host's table is always asked for. A host that heard of a newer list than its own vouches for nothing. Two ways weighed: the store asked first (conclusive alone, but a call that every broken stream waits for) and peers first (kept: datagrams alone while all reply). The test 'costs nothing while a service has one version' asked that no host be queried for a stream that is taken up: that is the fault. In its place: a service with one version tells and asks nothing until a stream breaks; then one query, and no call of the store while all reply.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -28,6 +28,7 @@
 } from "rampswitch-store";
 import { RouteIndex } from "../intake/route_index.ts";
 import { LapsedServers } from "./lapsed_servers.ts";
+import { ListConfirmations } from "./list_confirmations.ts";
 import { RestoredServers } from "./restored_servers.ts";
 import { UnreadableServers } from "./unreadable_servers.ts";
 import type { BackendServer } from "../model/backend_server.ts";
@@ -242,6 +243,7 @@
   #storeReachable = true;
   /** Position of the newest change of a server that another host told of. */
   #newestServersHeard = 0;
+  readonly #serverConfirmations: ListConfirmations;
   readonly #lapsedServers: LapsedServers;
   readonly #unreadableServers: UnreadableServers;
   readonly #restoredServers: RestoredServers;
@@ -271,6 +273,10 @@
         pause: () => this.#serversCoalesceMilliseconds(),
       },
     );
+    this.#serverConfirmations = new ListConfirmations({
+      clock: parts.clock,
+      confirm: () => this.#servers.confirm(),
+    });
     this.#configuration = this.#watch(
       parts.formats.configurationPrefix,
       {
@@ -292,6 +298,14 @@
     };
   }
 
+  /**
+   * Asks the store whether the list of servers is current; resolves to whether it has
+   * all changes up to this call.
+   */
+  confirmServers(): Promise<boolean> {
+    return this.#serverConfirmations.confirm();
+  }
+
   /** How new the list of servers is. */
   get serverList(): ServerListState {
     const { version, newestChange } = this.#servers;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -140,10 +140,10 @@
 const MAXIMUM_PORT_TRIES = 5;
 
 /**
- * Age of the newest confirmation of the store from which on this host's list of servers
- * counts as possibly older than those of its peers, in milliseconds.
+ * Age of the newest confirmation that any host told of from which on the store counts as
+ * away for all hosts, in milliseconds.
  */
-const MAXIMUM_LIST_AGE_MILLISECONDS = 3_000;
+const STORE_AWAY_MILLISECONDS = 3_000;
 
 /** Time between checks of versions that are being left, in milliseconds. */
 const VERSION_CHECK_INTERVAL_MILLISECONDS = 100;
@@ -257,10 +257,9 @@
       {
         ...ports,
         host: settings.host,
-        isListCurrent: () =>
-          this.#follower.age < MAXIMUM_LIST_AGE_MILLISECONDS &&
-          !this.#follower.cutOff,
         serverList: () => this.#follower.serverList,
+        confirmList: () => this.#follower.confirmServers(),
+        isStoreAway: () => this.#follower.age >= STORE_AWAY_MILLISECONDS,
         areHostsListed: () => this.#membership?.listedSize !== undefined,
         tell: (record) => this.#membership?.streams.tell(record),
         query: async (key) =>
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -0,0 +1,58 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Judges which version began a stream from what hosts know of it. Pure.
+ *
+ * @module
+ */
+import type { StreamReplies, StreamReply } from "./stream_reply.ts";
+
+/** What the replies of hosts show of the version that began a stream. */
+export type StreamVerdict =
+  | {
+      readonly kind: "known";
+      readonly version: string;
+      readonly source: "queried" | "single";
+    }
+  /**
+   * All that replied have seen one version alone, but a host that knows more may be
+   * silent: this host's list of servers has to be confirmed.
+   */
+  | { readonly kind: "unconfirmed" }
+  | { readonly kind: "unknown" };
+
+/**
+ * Judges the reply of this host and those of the others. One version alone counts if
+ * somebody knows the past, nobody has seen another version, and no host is silent that
+ * may have been sent the stream's version: what all of them miss since they have just
+ * started, or since their lists are old, is no evidence.
+ */
+export function judgeReplies(
+  own: StreamReply,
+  { replies, isComplete }: StreamReplies,
+): StreamVerdict {
+  const all = [own, ...replies];
+  const known = all.find(({ kind }) => kind === "known");
+  if (known?.kind === "known") {
+    return { kind: "known", version: known.version, source: "queried" };
+  }
+  const version = agreedVersion(all);
+  if (version === undefined) return { kind: "unknown" };
+  const isVouchedFor = all.some(({ kind }) => kind === "single");
+  const isEveryoneHeard = isComplete && replies.length > 0;
+  return isVouchedFor && isEveryoneHeard
+    ? { kind: "known", version, source: "single" }
+    : { kind: "unconfirmed" };
+}
+
+/** The only version that all replies name; `undefined` if there is none. */
+export function agreedVersion(
+  replies: readonly StreamReply[],
+): string | undefined {
+  const [version, ...others] = new Set(replies.map(versionIn));
+  return others.length > 0 ? undefined : version;
+}
+
+function versionIn(reply: StreamReply): string | undefined {
+  return reply.kind === "unknown" ? undefined : reply.version;
+}
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -10,14 +10,15 @@
  *
  * @module
  */
-import type { Clock, Logger } from "rampswitch-utils";
 import { revisionOf } from "rampswitch-store";
+import type { Clock, Logger } from "rampswitch-utils";
 import type { ServerListState } from "../configuration/configuration_follower.ts";
 import {
   type BegunStream,
   BegunStreams,
   type StreamKey,
 } from "./begun_streams.ts";
+import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
   StreamRecord,
   StreamReplies,
@@ -35,10 +36,12 @@
   /** A monotonic clock. */
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Whether this host's list of servers is as new as that of its peers. */
-  isListCurrent(): boolean;
   /** How new this host's list of servers is. */
   serverList(): ServerListState;
+  /** Asks the store; resolves to whether the list has all changes up to this call. */
+  confirmList(): Promise<boolean>;
+  /** Whether no host has heard from the store for a while, so that no list changes. */
+  isStoreAway(): boolean;
   /** Whether this host knows all hosts that may keep a stream. */
   areHostsListed(): boolean;
   /** Sends the version of a stream to the hosts that keep it. */
@@ -233,7 +236,8 @@
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined || others.length > 0) return { kind: "unknown" };
-    return { kind: this.isPastKnown ? "single" : "single_recently", version };
+    const isVouchedFor = this.isPastKnown && !this.#isListBehind;
+    return { kind: isVouchedFor ? "single" : "single_recently", version };
   }
 
   /** Finds the version that began a stream. */
@@ -241,24 +245,43 @@
     if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
     if (own.kind === "known") return { ...own, source: "table" };
-    if (own.kind === "single" && this.#parts.isListCurrent()) {
-      this.#logEvidence(key, own, []);
-      return { ...own, kind: "known", source: "single" };
-    }
-    const { replies, isComplete } = await this.#parts.query(key);
-    const origin = originFrom(own, replies);
-    this.#logEvidence(key, own, replies);
+    const asked = await this.#parts.query(key);
+    this.#logEvidence(key, own, asked.replies);
+    const origin = await this.#originFrom(key, asked);
     if (origin.kind === "known") return origin;
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
     if (stored.kind === "known") return { ...stored, source: "stored" };
     if (this.isUncertain(key)) return LOST;
-    const later = originFrom(stored, replies);
-    const isEveryoneAsked = isComplete && this.#parts.areHostsListed();
+    const later = await this.#originFrom(key, asked);
+    const isEveryoneAsked = asked.isComplete && this.#parts.areHostsListed();
     const isLost = later.kind === "unknown" && hasRead && isEveryoneAsked;
     return isLost ? LOST : later;
   }
 
+  /** Decides from what this host knows now and what others replied. */
+  async #originFrom(
+    key: StreamKey,
+    asked: StreamReplies,
+  ): Promise<StreamOrigin> {
+    const verdict = judgeReplies(this.replyTo(key), asked);
+    if (verdict.kind !== "unconfirmed") return verdict;
+    if (!this.isPastKnown) return UNKNOWN;
+    const isCurrent =
+      (await this.#parts.confirmList()) || this.#parts.isStoreAway();
+    const own = this.replyTo(key);
+    const version = agreedVersion([own, ...asked.replies]);
+    return isCurrent && own.kind === "single" && version !== undefined
+      ? { kind: "known", version, source: "single" }
+      : UNKNOWN;
+  }
+
+  /** Whether another host has received changes of servers that this one lacks. */
+  get #isListBehind(): boolean {
+    const { version, newestHeard } = this.#parts.serverList();
+    return newestHeard > version;
+  }
+
   /** Time since the last server of a version was listed, in milliseconds. */
   goneMilliseconds(version: ServiceVersionName): number {
     return this.#history.goneMilliseconds(version, this.#parts.clock.now());
@@ -317,6 +340,9 @@
 /** Nobody will ever know the version. */
 const LOST: StreamOrigin = { kind: "lost" };
 
+/** Somebody may know the version later. */
+const UNKNOWN: StreamOrigin = { kind: "unknown" };
+
 /** What other hosts need to know of a stream. */
 function recordOf(
   { service, attempt, version, expiresAt }: BegunStream,
@@ -325,28 +351,3 @@
   const lifetimeMilliseconds = Math.max(0, expiresAt - now);
   return { service, attempt, version, lifetimeMilliseconds };
 }
-
-/**
- * Decides from this host's own reply and those of others. One version alone counts if
- * somebody knows the past and nobody has seen another version: what all of them miss
- * since they have just started is no evidence.
- */
-function originFrom(
-  own: StreamReply,
-  replies: readonly StreamReply[],
-): StreamOrigin {
-  const all = [own, ...replies];
-  const known = all.find(({ kind }) => kind === "known");
-  if (known?.kind === "known") {
-    return { kind: "known", version: known.version, source: "queried" };
-  }
-  const [version, ...others] = new Set(all.map(versionIn));
-  const isVouchedFor = all.some(({ kind }) => kind === "single");
-  return version === undefined || others.length > 0 || !isVouchedFor
-    ? { kind: "unknown" }
-    : { kind: "known", version, source: "single" };
-}
-
-function versionIn(reply: StreamReply): string | undefined {
-  return reply.kind === "unknown" ? undefined : reply.version;
-}
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -17,8 +17,11 @@
   const clock = new ManualClock(0);
   const told: StreamRecord[] = [];
   const state = {
-    isListCurrent: true,
+    list: { version: 1, newestChange: 1, newestHeard: 1 },
+    isListConfirmed: true,
+    isStoreAway: false,
     queries: 0,
+    confirmations: 0,
     isComplete: true,
     areHostsListed: true,
     hasRead: false,
@@ -26,8 +29,12 @@
   const streams = new StreamOrigins({
     clock,
     logger: SILENT_LOGGER,
-    isListCurrent: () => state.isListCurrent,
-    serverList: () => ({ version: 1, newestChange: 1, newestHeard: 1 }),
+    serverList: () => state.list,
+    confirmList: () => {
+      state.confirmations += 1;
+      return Promise.resolve(state.isListConfirmed);
+    },
+    isStoreAway: () => state.isStoreAway,
     areHostsListed: () => state.areHostsListed,
     tell: (record) => told.push(record),
     query: () => {
@@ -50,6 +57,7 @@
 const KNOWN: StreamReply = { kind: "known", version: "v2" };
 const UNKNOWN: StreamReply = { kind: "unknown" };
 const LOST = { kind: "lost" };
+const SINGLE_V1 = { kind: "known", version: "v1", source: "single" };
 const RECENT: StreamReply = { kind: "single_recently", version: "v1" };
 
 function single(version: string): StreamReply {
@@ -57,18 +65,60 @@
 }
 
 describe("the version that began a stream", () => {
-  test("costs nothing while a service has one version", async () => {
-    const { clock, told, state, streams, list, begin } = hostOf();
+  test("costs nothing while a service has one version and no stream breaks", () => {
+    const { clock, told, state, list, begin } = hostOf();
     list("s1", "v1");
     begin("v1");
+    clock.advance(RETENTION_MILLISECONDS);
     expect(told).toEqual([]);
+    expect([state.queries, state.confirmations]).toEqual([0, 0]);
+  });
+
+  test("is asked of peers alone while all of them reply", async () => {
+    const { clock, state, streams, list } = hostOf([single("v1")]);
+    list("s1", "v1");
     clock.advance(RETENTION_MILLISECONDS);
-    expect(await streams.find({ ...STREAM, attempt: "other" })).toEqual({
-      kind: "known",
-      version: "v1",
-      source: "single",
-    });
-    expect(state.queries).toBe(0);
+    expect(await streams.find(STREAM)).toEqual(SINGLE_V1);
+    expect([state.queries, state.confirmations]).toEqual([1, 0]);
+  });
+
+  test.each([
+    ["the store confirms the list", { isListConfirmed: true }, "v1"],
+    ["no host hears from the store", { isStoreAway: true }, "v1"],
+    ["the store answers others alone", {}, undefined],
+    [
+      "others have read a newer list",
+      {
+        isStoreAway: true,
+        list: { version: 1, newestChange: 1, newestHeard: 2 },
+      },
+      undefined,
+    ],
+  ] as const)(
+    "with one version and a silent host, is found only from a list that can't be old: %s",
+    async (_, changed, version) => {
+      const { clock, state, streams, list } = hostOf([single("v1")]);
+      list("s1", "v1");
+      clock.advance(RETENTION_MILLISECONDS);
+      Object.assign(
+        state,
+        { isComplete: false, isListConfirmed: false },
+        changed,
+      );
+      const origin = await streams.find(STREAM);
+      expect(origin.kind === "known" ? origin.version : undefined).toBe(
+        version,
+      );
+    },
+  );
+
+  test("is not vouched for by a host whose list is older than another's", () => {
+    const { clock, state, streams, list } = hostOf();
+    list("s1", "v1");
+    clock.advance(RETENTION_MILLISECONDS);
+    expect(streams.replyTo(STREAM)).toEqual(single("v1"));
+    state.list = { version: 1, newestChange: 1, newestHeard: 2 };
+    expect(streams.replyTo(STREAM)).toEqual(RECENT);
   });
 
   test("is told before the first event where there are several", () => {
@@ -190,10 +240,9 @@
   });
 
   test("is not taken from a list that may be old", async () => {
-    const { clock, state, streams, list } = hostOf([KNOWN]);
+    const { clock, streams, list } = hostOf([KNOWN]);
     list("s1", "v1");
     clock.advance(RETENTION_MILLISECONDS);
-    state.isListCurrent = false;
     expect(await streams.find(STREAM)).toEqual({ ...KNOWN, source: "queried" });
   });
 });
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -209,6 +209,23 @@
     return true;
   }
 
+  /**
+   * Reports all changes that the store has now, without waiting for the pending call;
+   * resolves to whether the store answered.
+   */
+  async confirm(): Promise<boolean> {
+    const after = this.#version;
+    if (after === undefined) return false;
+    const { signal } = this.#disposalAbort;
+    const batch = await this.#store.watch(this.#prefix, after, {
+      signal,
+      seconds: 0,
+    });
+    if (batch.isErr) return false;
+    this.#apply({ after, ...batch.value });
+    return true;
+  }
+
   /** Aborts a pending call and sends a new one, after its connection was lost. */
   interrupt(): void {
     this.#callAbort.abort();
@@ -310,7 +327,7 @@
     const origin = originOf(batch.after, batch.version);
     this.#version = Math.max(known, batch.version);
     this.#newestChange = newestVersion(events, this.#newestChange);
-    if (events.length > 0) {
+    if (events.length > 0 && batch.version > known) {
       this.#recentBatches = [
         ...this.#recentBatches,
         { ...batch, at: this.#clock.now() },
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -246,3 +246,21 @@
     );
   });
 });
+
+describe("a list that is confirmed", () => {
+  test("has the changes that a pending call has not returned", async () => {
+    const { store, watcher, objects } = await watch([A]);
+    const confirmed = watcher.confirm();
+    store.answer({ version: 13, events: [B] });
+    expect(await confirmed).toBe(true);
+    expect([...objects.keys()]).toEqual([A.key, B.key]);
+    expect(watcher.version).toBe(13);
+  });
+
+  test("is not confirmed by a store that lost its history", async () => {
+    const { store, watcher } = await watch([A]);
+    const confirmed = watcher.confirm();
+    store.loseHistory();
+    expect(await confirmed).toBe(false);
+  });
+});
