Tell members of lists that their relay read in place of a lost history

Cause: a relay passes on what a list changed as if it were history, so a member that was behind counts its past as known. Change: relayed changes name the newest list among them; a member that had not reached it notes that it missed changes. A relay of an older program names none, and its members err as before. Measured: watcher_test.ts (tell of a lost history) fails without the report: the member behind knew of no list; now it does, and a member that was level doesn't.

--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -69,6 +69,8 @@
   readonly w: EncodedWork;
   readonly l: readonly (readonly [number, number])[];
   readonly s?: EncodedChanges | undefined;
+  /** Version of the newest list among the changes of servers. */
+  readonly sl?: number | undefined;
   readonly y?: EncodedIncarnations | undefined;
   readonly o?: ReturnType<typeof encodedQuarantine>;
   readonly j?: number | undefined;
@@ -97,6 +99,7 @@
   w: isWork,
   l: listOf(isNumberPair),
   s: optional(isChanges),
+  sl: optional(isNumber),
   y: isIncarnations,
   o: isQuarantine,
   j: optional(isNonnegative),
@@ -143,6 +146,7 @@
         : Math.ceil(digest.configurationAge),
     s:
       digest.servers === undefined ? undefined : encodedChanges(digest.servers),
+    sl: digest.servers?.listedAt,
   };
 }
 
@@ -163,7 +167,7 @@
     silentShare: message.x,
     work: workOf(message.w, message.y),
     leases: message.l.map(([fence, version]) => ({ fence, version })),
-    servers: message.s === undefined ? undefined : changesOf(message.s),
+    servers: serversOf(message),
     quarantine: quarantineOf(message.o),
     rollouts: rolloutsOf(message.p),
     leaving: leavingOf(message.a),
@@ -172,3 +176,9 @@
     acknowledgedByHost: message.z,
   };
 }
+
+/** Decodes the newest changes of servers, and whether a list is among them. */
+function serversOf({ s, sl }: EncodedDigest): FleetDigest["servers"] {
+  if (s === undefined) return undefined;
+  return sl === undefined ? changesOf(s) : { ...changesOf(s), listedAt: sl };
+}
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -25,6 +25,11 @@
   /** Store version up to which the changes are complete. */
   readonly version: number;
   readonly events: readonly StoreEvent[];
+  /**
+   * Version of the newest list among the changes; what came and went before it is
+   * missing.
+   */
+  readonly listedAt?: number;
 }
 
 /** How long received changes are retained to be relayed, in milliseconds. */
@@ -194,6 +199,7 @@
       after: this.#recentBatches[0]?.after ?? this.#version,
       version: this.#version,
       events: this.#recentBatches.flatMap(({ events }) => events),
+      ...newestList(this.#recentBatches),
     };
   }
 
@@ -205,7 +211,9 @@
     // A host that is still in an earlier era does not know the changes of this one.
     if (eraOf(batch.version) < eraOf(this.#version)) return false;
     if (this.#version >= batch.version) return true;
+    const known = this.#version;
     this.#apply(batch);
+    if (known < (batch.listedAt ?? 0)) this.#reportRelayedList(known, batch);
     return true;
   }
 
@@ -297,7 +305,21 @@
       return;
     }
     const events = [...missing.map((key) => ({ key, version })), ...changed];
-    this.#recentBatches = [{ after, version, events, at: this.#clock.now() }];
+    const at = this.#clock.now();
+    const listedAt = version;
+    this.#recentBatches = [{ after, version, events, listedAt, at }];
+  }
+
+  /** Reports that changes are missing before a list that another host relayed. */
+  #reportRelayedList(after: number, { version, events }: ChangeBatch): void {
+    const removed = events.filter(({ value }) => value === undefined);
+    this.#listener.listedAnew?.({
+      after,
+      version,
+      origin: originOf(after, version),
+      changed: events.length - removed.length,
+      missing: removed.length,
+    });
   }
 
   async #watchOnce(after: number): Promise<boolean> {
@@ -382,6 +404,14 @@
   }
 }
 
+/** The version of the newest list among batches, if there is one. */
+function newestList(
+  batches: readonly ChangeBatch[],
+): Pick<ChangeBatch, "listedAt"> {
+  const listedAt = Math.max(...batches.map(({ listedAt = 0 }) => listedAt));
+  return listedAt > 0 ? { listedAt } : {};
+}
+
 function originOf(after: number | undefined, version: number): ObjectOrigin {
   return after !== undefined && eraOf(after) < eraOf(version)
     ? "copy"
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -65,6 +65,8 @@
   readonly store: ManualStore;
   readonly watcher: Watcher;
   readonly objects: Map<string, string>;
+  /** Versions of the lists that replaced a lost history. */
+  readonly listedAnew: readonly number[];
 }
 
 const clock = new ManualClock(1_000);
@@ -80,6 +82,7 @@
   const store = new ManualStore();
   store.objects = objects;
   const seen = new Map<string, string>();
+  const listedAnew: number[] = [];
   const watcher = new Watcher(store, "servers/", {
     clock,
     random: seededRandom(1),
@@ -92,11 +95,12 @@
       removed: (key) => seen.delete(key),
       confirmed: () => undefined,
       failed: () => undefined,
+      listedAnew: ({ version }) => listedAnew.push(version),
     },
   });
   watchers.push(watcher);
   await settle();
-  return { store, watcher, objects: seen };
+  return { store, watcher, objects: seen, listedAnew };
 }
 
 async function settle(milliseconds = 0): Promise<void> {
@@ -150,6 +154,25 @@
     expect(member.watcher.version).toBe(15);
   });
 
+  // Guards against a member that counts a past as known whose history its relay lost.
+  test("tell of a lost history to hosts that had not reached the list", async () => {
+    const relay = await watch([A]);
+    const behind = await watch([A]);
+    const level = await watch([A]);
+    relay.store.version = 20;
+    relay.store.loseHistory();
+    await settle();
+    const batch = relay.watcher.recentChanges()!;
+    level.store.answer({ version: 20, events: [] });
+    await settle();
+    [behind, level].forEach(({ watcher }) => watcher.applyRelayed(batch));
+    expect([relay, behind, level].map((host) => host.listedAnew)).toEqual([
+      [20],
+      [20],
+      [],
+    ]);
+  });
+
   test("are refused if earlier ones are missing", async () => {
     const member = await watch([A]);
     const batch: ChangeBatch = { after: 11, version: 12, events: [B] };
