Learn versions from streams that other hosts tell of

Callers would see: a stream joined at a host that was sent streams of another version and still counted its own as the only one; or a stream lost that a host with an old list began and told nobody, since it saw one version. Cause: the list of servers alone said which versions serve. Change: a stream told, or found at a peer, teaches its version. A host that heard of a newer list tells of each stream that it begins. Measured: three tests of stream_origins_test.ts (a host whose list is older) failed before; all pass.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -226,7 +226,9 @@
   /** Notes that the caller is about to get the first event of a stream. */
   began(record: StreamRecord, server: string): void {
     this.#add(record, { server, isServedHere: true });
-    if (this.isMixed(record.service)) this.#parts.tell(record);
+    // Hosts with a newer list may know of another version.
+    const isTold = this.isMixed(record.service) || this.#isListBehind;
+    if (isTold) this.#parts.tell(record);
   }
 
   /** Notes that a stream was given whole. */
@@ -237,6 +239,7 @@
   /** Keeps the version of a stream that another host serves. */
   receive(record: StreamRecord): void {
     this.#add(record, { server: undefined, isServedHere: false });
+    this.#learn(record);
   }
 
   /** Replies to another host's query. */
@@ -264,7 +267,10 @@
     const asked = await this.#parts.query(key);
     this.#logEvidence(key, own, asked.replies);
     const origin = await this.#originFrom(key, asked);
-    if (origin.kind === "known") return origin;
+    if (origin.kind === "known") {
+      this.#learn({ ...key, version: origin.version });
+      return origin;
+    }
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
     if (stored.kind === "known") return { ...stored, source: "stored" };
@@ -308,6 +314,17 @@
     return this.#history.goneMilliseconds(version, this.#parts.clock.now());
   }
 
+  /** Notes a version that serves at other hosts, also if it is not listed here yet. */
+  #learn({
+    service,
+    version,
+  }: Pick<StreamRecord, "service" | "version">): void {
+    if (version === undefined) return;
+    this.#tellOnceMixed(service, (now) =>
+      this.#history.served(service, [version], now),
+    );
+  }
+
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
     return this.#streams.get(key, now) ?? this.#restored.get(key, now);
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -294,6 +294,37 @@
   });
 });
 
+describe("a host whose list of servers is older than another's", () => {
+  const BEHIND = { version: 1, newestChange: 1, newestHeard: 2 };
+
+  test("counts a version as serving that another host began a stream at", () => {
+    const { streams, list } = hostOf();
+    list("s1", "v1");
+    streams.receive({
+      ...STREAM,
+      version: "v2",
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+    expect([...streams.mixedServices]).toEqual([SERVICE]);
+    expect(streams.replyTo({ ...STREAM, attempt: "other" })).toEqual(UNKNOWN);
+  });
+
+  test("learns a version from the reply to a query", async () => {
+    const { streams, list } = hostOf([KNOWN]);
+    list("s1", "v1");
+    await streams.find(STREAM);
+    expect([...streams.mixedServices]).toEqual([SERVICE]);
+  });
+
+  test("tells of the streams that it begins, though it sees one version", () => {
+    const { state, told, list, begin } = hostOf();
+    list("s1", "v1");
+    state.list = BEHIND;
+    begin("v1");
+    expect(told.map(({ version }) => version)).toEqual(["v1"]);
+  });
+});
+
 describe("the versions that served before a host started", () => {
   const restored = (versions: readonly string[], isComplete = true) => {
     const host = hostOf([RECENT]);
