Count no version as gone by an old list

Cause: a version that a host has never listed counts as gone for ever, also where others told of a newer list. Change: while another host has a newer list no version counts as gone; the caller is asked to come back soon. Measured: the test (doesn't count a version as gone that it hasn't listed) failed before.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -309,8 +309,12 @@
     return newestHeard > version;
   }
 
-  /** Time since the last server of a version was listed, in milliseconds. */
+  /**
+   * Time since the last server of a version was listed, in milliseconds; 0 while another
+   * host has a newer list, which may have one.
+   */
   goneMilliseconds(version: ServiceVersionName): number {
+    if (this.#isListBehind) return 0;
     return this.#history.goneMilliseconds(version, this.#parts.clock.now());
   }
 
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -323,6 +323,15 @@
     begin("v1");
     expect(told.map(({ version }) => version)).toEqual(["v1"]);
   });
+
+  test("doesn't count a version as gone that it hasn't listed", () => {
+    const { clock, state, streams, list } = hostOf();
+    list("s1", "v1");
+    state.list = BEHIND;
+    clock.advance(RETENTION_MILLISECONDS);
+    const version = { service: SERVICE, version: "v2" };
+    expect(streams.goneMilliseconds(version)).toBe(0);
+  });
 });
 
 describe("the versions that served before a host started", () => {
