Break the import circle of incarnation checks and the request context

Cause: the checks took their parts from the type of the context, which names the checks. Change: they name what they depend on. Measured: types and linter clean; no behaviour changes.

--- a/packages/rampswitch-serving/src/relay/incarnation_checks.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks.ts
@@ -7,16 +7,21 @@
  *
  * @module
  */
-import { readEngineReport } from "../advertisements/mod.ts";
+import type { Clock } from "rampswitch-utils";
+import {
+  type AdvertisementReader,
+  readEngineReport,
+} from "../advertisements/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { Service } from "../model/configuration.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { EngineControl } from "../model/engine_control.ts";
 
-/** The parts of the context that are used here. */
-export type IncarnationCheckParts = Pick<
-  RequestContext,
-  "advertisements" | "clock" | "engineControl"
->;
+/** What the checks depend on. */
+export interface IncarnationCheckParts {
+  readonly clock: Clock;
+  readonly engineControl: EngineControl;
+  readonly advertisements: AdvertisementReader;
+}
 
 /**
  * Time for which a confirmation counts, in milliseconds; shorter than a server takes to
