--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -14,12 +14,10 @@
   type Random,
 } from "rampswitch-utils";
 import {
-  type AnewList,
   type ChangeBatch,
   eraOf,
   type ObjectOrigin,
   type ObjectStore,
-  revisionOf,
   type StoredObject,
   storeBackoff,
   type StoreEvent,
@@ -27,9 +25,10 @@
   type WatchListener,
 } from "rampswitch-store";
 import { RouteIndex } from "../intake/route_index.ts";
+import { logAnewList } from "./anew_list_log.ts";
 import { LapsedServers } from "./lapsed_servers.ts";
-import { ListConfirmations } from "./list_confirmations.ts";
 import { RestoredServers } from "./restored_servers.ts";
+import { ServerListEvidence } from "./server_list_evidence.ts";
 import { UnreadableServers } from "./unreadable_servers.ts";
 import type { BackendServer } from "../model/backend_server.ts";
 import type { ServingConfiguration } from "../model/configuration.ts";
@@ -51,16 +50,6 @@
   readonly servers: number;
 }
 
-/** How new a host's list of servers is, in positions of the store's history. */
-export interface ServerListState {
-  /** Position up to which all changes of servers are known. */
-  readonly version: number;
-  /** Position of the newest change of a server that this host has received. */
-  readonly newestChange: number;
-  /** Position of the newest change that any host told of. */
-  readonly newestHeard: number;
-}
-
 /** Receives the changes that the follower observes. */
 export interface FollowerListener {
   /** Called with each newer configuration. */
@@ -223,6 +212,8 @@
 
 /** Follows the configuration and the backend servers in the store. */
 export class ConfigurationFollower implements AsyncDisposable {
+  /** How new this host's list of servers is. */
+  readonly serverList: ServerListEvidence;
   readonly #parts: FollowerParts;
   readonly #listener: FollowerListener;
   readonly #configuration: Watcher;
@@ -249,9 +240,6 @@
   /** When each watch that was behind was last restarted. */
   readonly #interruptedAt = new Map<Watcher, number>();
   #storeReachable = true;
-  /** Position of the newest change of a server that another host told of. */
-  #newestServersHeard = 0;
-  readonly #serverConfirmations: ListConfirmations;
   readonly #lapsedServers: LapsedServers;
   readonly #unreadableServers: UnreadableServers;
   readonly #restoredServers: RestoredServers;
@@ -275,7 +263,7 @@
         },
         failed: () => undefined,
         listedAnew: (list) => {
-          this.#logAnewList("servers", list);
+          logAnewList("servers", list, parts);
           listener.serversMissed();
         },
       },
@@ -284,10 +272,7 @@
         pause: () => this.#serversCoalesceMilliseconds(),
       },
     );
-    this.#serverConfirmations = new ListConfirmations({
-      clock: parts.clock,
-      confirm: () => this.#servers.confirm(),
-    });
+    this.serverList = new ServerListEvidence(this.#servers, parts.clock);
     this.#configuration = this.#watch(
       parts.formats.configurationPrefix,
       {
@@ -295,7 +280,7 @@
         removed: () => undefined,
         confirmed: (at) => this.#watchConfirmed(at),
         failed: () => this.#watchFailed(),
-        listedAnew: (list) => this.#logAnewList("configuration", list),
+        listedAnew: (list) => logAnewList("configuration", list, parts),
       },
       { seconds: () => this.#configurationWatchSeconds() },
     );
@@ -309,30 +294,12 @@
     };
   }
 
-  /**
-   * Asks the store whether the list of servers is current; resolves to whether it has
-   * all changes up to this call.
-   */
-  confirmServers(): Promise<boolean> {
-    return this.#serverConfirmations.confirm();
-  }
-
-  /** How new the list of servers is. */
-  get serverList(): ServerListState {
-    const { version, newestChange } = this.#servers;
-    const newestHeard = Math.max(newestChange, this.#newestServersHeard);
-    return { version, newestChange, newestHeard };
-  }
-
   /**
    * Compares with the versions that another host has received. A watch that is
    * behind has silently lost its connection, and is restarted.
    */
   receivePeerVersions(versions: FollowedVersions): void {
-    this.#newestServersHeard = Math.max(
-      this.#newestServersHeard,
-      versions.servers,
-    );
+    this.serverList.heard(versions.servers);
     this.#catchUp(this.#configuration, versions.configuration);
     this.#catchUp(this.#servers, versions.servers);
   }
@@ -391,30 +358,6 @@
     this.#servers.interrupt();
   }
 
-  /** Logs a list that was read in place of a lost history. */
-  #logAnewList(
-    list: string,
-    { after, version, origin, changed, missing }: AnewList,
-  ): void {
-    const { metrics, logger } = this.#parts;
-    const fields = {
-      list,
-      era: eraOf(version),
-      after: revisionOf(after),
-      revision: revisionOf(version),
-      changed,
-      missing,
-    };
-    if (origin === "copy") {
-      metrics.event(`store_era_${list}_listed`);
-      logger.warn("listed anew in an era of the store", fields);
-      return;
-    }
-    // Stores forget their history in normal operation.
-    metrics.event(`history_lost_${list}_listed`);
-    logger.info("listed anew after a lost history", fields);
-  }
-
   /**
    * Compares with the newest change of the configuration that a relay has
    * received; returns whether this host is behind and must request the newest
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -251,8 +251,8 @@
       {
         ...ports,
         host: settings.host,
-        serverList: () => this.#follower.serverList,
-        confirmList: () => this.#follower.confirmServers(),
+        serverList: () => this.#follower.serverList.state,
+        confirmList: () => this.#follower.serverList.confirm(),
         isStoreAway: () => this.#follower.isStoreAway,
         areHostsListed: () => this.#membership?.listedSize !== undefined,
         tell: (record) => this.#membership?.streams.tell(record),
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -12,7 +12,7 @@
  */
 import { revisionOf } from "rampswitch-store";
 import type { Clock, Logger } from "rampswitch-utils";
-import type { ServerListState } from "../configuration/configuration_follower.ts";
+import type { ServerListState } from "../configuration/server_list_evidence.ts";
 import {
   type BegunStream,
   BegunStreams,
