List anew where a confirmation finds the history lost, and relay each change once

Callers would see: streams of the only version refused for up to 25 s with the store alive, where a host is silent and the pending watch is not told of the lost history. Cause: confirm() took a lost history for no answer, and overlapping answers of the watch and of confirm() were both kept to be relayed.

--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -225,11 +225,17 @@
     const after = this.#version;
     if (after === undefined) return false;
     const { signal } = this.#disposalAbort;
+    const sentAt = this.#clock.now();
     const batch = await this.#store.watch(this.#prefix, after, {
       signal,
       seconds: 0,
     });
-    if (batch.isErr) return false;
+    if (batch.isErr) {
+      // A call that is still pending from before would be told only at its end.
+      const isPendingSince = this.#requestSentAt < sentAt;
+      if (batch.error.kind === "compacted" && isPendingSince) this.interrupt();
+      return false;
+    }
     this.#apply({ after, ...batch.value });
     return true;
   }
@@ -352,7 +358,7 @@
     if (events.length > 0 && batch.version > known) {
       this.#recentBatches = [
         ...this.#recentBatches,
-        { ...batch, at: this.#clock.now() },
+        { ...batchSince(known, batch), at: this.#clock.now() },
       ];
     }
     events.forEach((event) => {
@@ -404,6 +410,18 @@
   }
 }
 
+/** The part of a batch that an overlapping one up to a version did not have. */
+function batchSince(known: number, batch: ChangeBatch): ChangeBatch {
+  return {
+    ...batch,
+    after: Math.max(batch.after, known),
+    // A removal may have the position of the object's last change.
+    events: batch.events.filter(
+      ({ value, version }) => value === undefined || version > known,
+    ),
+  };
+}
+
 /** The version of the newest list among batches, if there is one. */
 function newestList(
   batches: readonly ChangeBatch[],
