Store streams as soon as they have begun, as the store's rate allows

Callers saw: streams younger than a second were refused to their deadlines after the end of all hosts, though their version served on.

Cause: a host wrote its object once a second at most, by a check each 250 ms, however few streams began and however few hosts there were.

A write that failed is followed by a second's pause as before, and what only ends is still written once a second.

--- a/packages/rampswitch-serving/src/host_streams.ts
+++ b/packages/rampswitch-serving/src/host_streams.ts
@@ -36,6 +36,11 @@
 ): HostStreams {
   const origins: StreamOrigins = new StreamOrigins({
     ...parts,
+    tell: (record) => {
+      parts.tell(record);
+      // What others are told of is what the store has to keep.
+      archive.storeSoon();
+    },
     readStored: () => archive.read(),
   });
   const archive: OriginArchive = ownership.own(
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -265,6 +265,8 @@
         query: async (key) =>
           this.#membership?.streams.query(key) ?? NO_STREAM_REPLIES,
         holdsDuties: () => this.#duties.isHolder,
+        hostCount: () => this.#membership?.listedSize,
+        storeWritesPerSecond: () => this.#settings.bounds.storeWritesPerSecond,
       },
       this.#ownership,
     );
--- a/packages/rampswitch-serving/src/serving_settings.ts
+++ b/packages/rampswitch-serving/src/serving_settings.ts
@@ -42,6 +42,8 @@
   readonly exposureShare: number;
   /** Requests that it may get in addition, over the whole fleet. */
   readonly exposureSlack: number;
+  /** Writes that the store takes from all hosts together, by second. */
+  readonly storeWritesPerSecond: number;
 }
 
 /** The tolerated excess over the limits of workspaces. */
--- a/packages/rampswitch-serving/src/streams/object_store_standin.ts
+++ b/packages/rampswitch-serving/src/streams/object_store_standin.ts
@@ -25,6 +25,8 @@
   isDown = false;
   /** Changes that took effect, as `put key` or `remove key`. */
   readonly changes: string[] = [];
+  /** Number of changes that were asked for. */
+  tries = 0;
   /** Number of lists that were read. */
   lists = 0;
   #objects = new Map<string, StoredObject>();
@@ -78,6 +80,7 @@
     value: string,
     { expected }: Parameters<ObjectStore["put"]>[2],
   ): ReturnType<ObjectStore["put"]> {
+    this.tries += 1;
     return this.#reply(() => {
       const current = this.#objects.get(key);
       if ((current?.version ?? "absent") !== expected) {
--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -46,6 +46,9 @@
  */
 const FLUSH_WAIT_MILLISECONDS = 250;
 
+/** Time for which streams that begin together are collected, in milliseconds. */
+const COLLECTING_MILLISECONDS = 10;
+
 /** Time between looks for objects that hosts left behind, in milliseconds. */
 const LEFTOVER_INTERVAL_MILLISECONDS = 60_000;
 
@@ -60,6 +63,8 @@
   #reading: Promise<boolean> = Promise.resolve(false);
   #isReading = false;
   #hasRead = false;
+  /** Cancels the write of new streams that is due; `undefined` if none is. */
+  #cancelStore: (() => void) | undefined;
 
   constructor(parts: OriginArchiveParts) {
     this.#parts = parts;
@@ -89,6 +94,12 @@
     return Promise.race([reading, timeout.then(() => false)]);
   }
 
+  /** Stores the streams that have begun as soon as the store's rate allows. */
+  storeSoon(): void {
+    this.#streams.noteNew();
+    this.#scheduleStore();
+  }
+
   /**
    * Stores what is not stored yet, before the process ends as planned; waits for a
    * short time.
@@ -102,9 +113,22 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#cancelStore?.();
     await this.#repetition[Symbol.asyncDispose]();
   }
 
+  #scheduleStore(): void {
+    const due = this.#streams.newDueMilliseconds;
+    if (due === undefined || this.#cancelStore !== undefined) return;
+    const delay = Math.max(COLLECTING_MILLISECONDS, due);
+    this.#cancelStore = this.#parts.clock.after(delay, () => {
+      this.#cancelStore = undefined;
+      // A timer may be early, and another write may have been made meanwhile.
+      if (this.#streams.newDueMilliseconds === 0) this.#repetition.runNow();
+      else this.#scheduleStore();
+    });
+  }
+
   async #synchronize(): Promise<void> {
     if (!this.#hasRead) await this.#readOnce();
     // A write before the first read would replace what a former process stored.
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -70,6 +70,8 @@
       tell: () => undefined,
       query: () => Promise.resolve({ replies: [], isComplete: true }),
       holdsDuties: () => holdsDuties,
+      hostCount: () => 3,
+      storeWritesPerSecond: () => 400,
     },
     ownership,
   );
@@ -210,6 +212,9 @@
 /** Time in which a host writes the streams that began, in milliseconds. */
 const STREAMS_WRITE_MILLISECONDS = 1_400;
 
+/** Time in which a host writes the first stream after a pause, in milliseconds. */
+const AT_ONCE_MILLISECONDS = 100;
+
 /** Starts a host that began some streams at v2 beside v1, and has stored them. */
 async function startServing(
   store: ObjectStoreStandin,
@@ -288,6 +293,43 @@
     expect(puts.length).toBe(1);
   });
 
+  test("is stored at once after a pause", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startServing(store);
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    streams.began({ ...STREAM, ...BEGUN, attempt: "a2" }, "s-v2/1");
+    await pass(clock, AT_ONCE_MILLISECONDS);
+    expect(store.value("streams/host.h1")).toContain("a2");
+  });
+
+  test("is stored ten times a second at most while streams begin", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startServing(store);
+    const before = store.changes.length;
+    for (let step = 0; step < 100; step += 1) {
+      streams.began({ ...STREAM, ...BEGUN, attempt: `b${step}` }, "s-v2/1");
+      await pass(clock, 10);
+    }
+    const writes = store.changes.length - before;
+    expect(writes).toBeGreaterThanOrEqual(8);
+    expect(writes).toBeLessThanOrEqual(11);
+  });
+
+  test("is tried once a second while the store is down", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startServing(store);
+    const before = store.tries;
+    store.isDown = true;
+    for (let step = 0; step < 100; step += 1) {
+      streams.began({ ...STREAM, ...BEGUN, attempt: `b${step}` }, "s-v2/1");
+      await pass(clock, 30);
+    }
+    expect(store.tries - before).toBeLessThanOrEqual(8);
+    store.isDown = false;
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    expect(store.value("streams/host.h1")).toContain("b99");
+  });
+
   test("is not stored while a service has one version", async () => {
     const store = new ObjectStoreStandin();
     const { clock, streams } = await startHost(store, { versions: ["v1"] });
--- a/packages/rampswitch-serving/src/streams/stream_archive.ts
+++ b/packages/rampswitch-serving/src/streams/stream_archive.ts
@@ -2,8 +2,8 @@
 
 /**
  * Objects in the platform's store that tell which versions began the streams of services
- * with several versions: one object for each host, written at most once a second while
- * its streams change, and removed with the last of them.
+ * with several versions: one object for each host, written soon after a stream began,
+ * as often as the store's rate allows, and removed with the last of them.
  *
  * @module
  */
@@ -17,12 +17,20 @@
 import { decodeStreams, encodeStreams } from "./stored_streams.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { StreamRecord } from "./stream_reply.ts";
+import {
+  MAXIMUM_INTERVAL_MILLISECONDS,
+  writeIntervalMilliseconds,
+} from "./write_interval.ts";
 
 /** What the archive of streams depends on. */
 export interface StreamArchiveParts extends ArchiveParts {
   readonly origins: Pick<StreamOrigins, "restoreStreams" | "storable">;
   /** Name of this host. */
   readonly host: string;
+  /** Number of hosts that may write to the store; `undefined` while it is unknown. */
+  hostCount(): number | undefined;
+  /** Writes that the store takes from all hosts together, by second. */
+  storeWritesPerSecond(): number;
 }
 
 /** Precedes the name of a host in the names of the objects. */
@@ -31,8 +39,8 @@
 /** Attempts of one write before the next one is due. */
 const WRITE_ATTEMPTS = 2;
 
-/** Time between two writes, in milliseconds. */
-const WRITE_INTERVAL_MILLISECONDS = 1_000;
+/** Time between two writes while no stream begins, in milliseconds. */
+const IDLE_INTERVAL_MILLISECONDS = 1_000;
 
 /**
  * Time without a change after which the object of another host is removed, in
@@ -56,6 +64,12 @@
   #stored = "";
   /** When this host last looked for changes, on the monotonic clock. */
   #checkedAt = -Infinity;
+  /** When the last write began, on the monotonic clock. */
+  #wroteAt = -Infinity;
+  /** Streams of the last write; `undefined` if it failed. */
+  #wroteStreams: number | undefined = 0;
+  /** Whether streams began, or became uncertain, since this host last looked. */
+  #hasNew = false;
   /** Objects of other hosts by key. */
   readonly #foreign = new Map<string, ForeignObject>();
 
@@ -88,22 +102,48 @@
     });
   }
 
-  /** Stores the streams of this host if they changed, at most once a second. */
+  /** Notes that there are new streams to store. */
+  noteNew(): void {
+    this.#hasNew = true;
+  }
+
+  /**
+   * Time until {@link store} stores new streams, in milliseconds: 0 if it does so now,
+   * `undefined` if there are none.
+   */
+  get newDueMilliseconds(): number | undefined {
+    if (!this.#hasNew) return undefined;
+    const sinceWrite = this.#parts.clock.now() - this.#wroteAt;
+    return Math.max(0, this.#intervalMilliseconds - sinceWrite);
+  }
+
+  /**
+   * Stores the streams of this host if they changed: new ones at the interval that the
+   * store's rate allows, and otherwise at most once a second.
+   */
   async store(): Promise<void> {
     const now = this.#parts.clock.now();
-    if (now - this.#checkedAt < WRITE_INTERVAL_MILLISECONDS) return;
+    const newDue = this.newDueMilliseconds;
+    const isDue =
+      newDue === undefined
+        ? now - this.#checkedAt >= IDLE_INTERVAL_MILLISECONDS
+        : newDue === 0;
+    if (!isDue) return;
     this.#checkedAt = now;
     await this.storeNow();
   }
 
   /** Stores the streams of this host if they changed. */
   async storeNow(): Promise<void> {
+    this.#hasNew = false;
     const records = this.#parts.origins.storable;
     const streams = records.map(nameOf).join("\n");
     if (streams === this.#stored) return;
+    this.#wroteAt = this.#parts.clock.now();
     const isStored =
       records.length > 0 ? await this.#write(records) : await this.#removeOwn();
     this.#stored = isStored ? streams : UNKNOWN_STREAMS;
+    this.#wroteStreams = isStored ? records.length : undefined;
     this.#parts.metrics.event(`streams_${isStored ? "stored" : "not_stored"}`);
   }
 
@@ -125,6 +165,17 @@
     }, Promise.resolve());
   }
 
+  /** Time from the last write to the next one that stores new streams. */
+  get #intervalMilliseconds(): number {
+    return this.#wroteStreams === undefined
+      ? MAXIMUM_INTERVAL_MILLISECONDS
+      : writeIntervalMilliseconds({
+          hosts: this.#parts.hostCount(),
+          storeWritesPerSecond: this.#parts.storeWritesPerSecond(),
+          streams: this.#wroteStreams,
+        });
+  }
+
   get #ownKey(): string {
     return `${this.#parts.prefix}${HOST_PREFIX}${this.#parts.host}`;
   }
