Encode stored streams in one pass

Each stream was named by JSON once for each group, and streams are now written up to ten times a second.

--- a/packages/rampswitch-serving/src/streams/stored_streams.ts
+++ b/packages/rampswitch-serving/src/streams/stored_streams.ts
@@ -11,6 +11,8 @@
 import * as z from "zod";
 import type { StreamRecord } from "./stream_reply.ts";
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 const STREAMS_SCHEMA = z.object({
   groups: listOf(
     z.object({
@@ -25,26 +27,44 @@
 
 /** Encodes streams, those of one version together. */
 export function encodeStreams(records: readonly StreamRecord[]): string {
-  const groups = [...new Set(records.map(groupOf))].map((group) =>
-    records.filter((record) => groupOf(record) === group),
-  );
-  return JSON.stringify({
-    groups: groups.map((streams) => ({
-      service: streams[0]?.service,
-      version: streams[0]?.version,
-      lifetimeSeconds: Object.fromEntries(
-        streams.map(({ attempt, lifetimeMilliseconds }) => [
-          attempt,
-          Math.ceil(lifetimeMilliseconds / 1_000),
-        ]),
+  const groups = [...groupsBy(records, ({ service }) => service)].flatMap(
+    ([service, streams]) =>
+      [...groupsBy(streams, ({ version }) => version)].map(
+        ([version, ofVersion]) => ({
+          service,
+          version,
+          lifetimeSeconds: lifetimesOf(ofVersion),
+        }),
       ),
-    })),
+  );
+  return JSON.stringify({ groups });
+}
+
+/** Groups streams by a property, in one pass. */
+function groupsBy<Property>(
+  records: readonly StreamRecord[],
+  propertyOf: (record: StreamRecord) => Property,
+): ReadonlyMap<Property, readonly StreamRecord[]> {
+  const groups = new Map<Property, StreamRecord[]>();
+  records.forEach((record) => {
+    const property = propertyOf(record);
+    const group = groups.get(property);
+    if (group === undefined) groups.set(property, [record]);
+    else group.push(record);
   });
+  return groups;
 }
 
-/** Names the streams that are encoded together. */
-function groupOf({ service, version }: StreamRecord): string {
-  return JSON.stringify([service, version]);
+/** Time in which each stream may be taken up, in whole seconds, by its attempt. */
+function lifetimesOf(
+  records: readonly StreamRecord[],
+): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    records.map(({ attempt, lifetimeMilliseconds }) => [
+      attempt,
+      Math.ceil(lifetimeMilliseconds / MILLISECONDS_PER_SECOND),
+    ]),
+  );
 }
 
 /** Decodes streams; an error states what can't be read. */
@@ -57,7 +77,7 @@
         service,
         attempt,
         version,
-        lifetimeMilliseconds: seconds * 1_000,
+        lifetimeMilliseconds: seconds * MILLISECONDS_PER_SECOND,
       })),
     ),
   );
