Write the object of a host's streams one after the other

A planned stop stores what is not stored yet beside a write that may be under way. Of the two, the older met the newer one's revision, was tried again, and replaced it: the newest streams were lost with the hosts. Writes are frequent since streams are stored as soon as they have begun.

The test fails without the change: the object holds a1 and a2, and not a3.

--- a/packages/rampswitch-serving/src/streams/object_store_standin.ts
+++ b/packages/rampswitch-serving/src/streams/object_store_standin.ts
@@ -25,6 +25,8 @@
   isDown = false;
   /** Changes that took effect, as `put key` or `remove key`. */
   readonly changes: string[] = [];
+  /** Writes take effect once it has resolved. */
+  beforePut: () => Promise<void> = () => Promise.resolve();
   /** Number of changes that were asked for. */
   tries = 0;
   /** Number of lists that were read. */
@@ -75,12 +77,13 @@
     );
   }
 
-  put(
+  async put(
     key: string,
     value: string,
     { expected }: Parameters<ObjectStore["put"]>[2],
   ): ReturnType<ObjectStore["put"]> {
     this.tries += 1;
+    await this.beforePut();
     return this.#reply(() => {
       const current = this.#objects.get(key);
       if ((current?.version ?? "absent") !== expected) {
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -250,6 +250,27 @@
     );
   });
 
+  test("is not replaced by a write that was under way", async () => {
+    const store = new ObjectStoreStandin();
+    const { streams, archive } = await startServing(store);
+    let proceed = (): void => undefined;
+    const slow = new Promise<void>((resolve) => {
+      proceed = resolve;
+    });
+    store.beforePut = () => {
+      store.beforePut = () => Promise.resolve();
+      return slow;
+    };
+    streams.began({ ...STREAM, ...BEGUN, attempt: "a2" }, "s-v2/1");
+    const first = archive.flush();
+    streams.began({ ...STREAM, ...BEGUN, attempt: "a3" }, "s-v2/1");
+    const second = archive.flush();
+    await new Promise((resolve) => setImmediate(resolve));
+    proceed();
+    await Promise.all([first, second]);
+    expect(store.value("streams/host.h1")).toContain("a3");
+  });
+
   test("is read anew from a host that has ended since", async () => {
     const store = new ObjectStoreStandin();
     const { streams, clock } = await startHost(store, {
--- a/packages/rampswitch-serving/src/streams/stream_archive.ts
+++ b/packages/rampswitch-serving/src/streams/stream_archive.ts
@@ -70,6 +70,8 @@
   #wroteStreams: number | undefined = 0;
   /** Whether streams began, or became uncertain, since this host last looked. */
   #hasNew = false;
+  /** Settles once no write is under way. */
+  #writing: Promise<void> = Promise.resolve();
   /** Objects of other hosts by key. */
   readonly #foreign = new Map<string, ForeignObject>();
 
@@ -133,18 +135,12 @@
     await this.storeNow();
   }
 
-  /** Stores the streams of this host if they changed. */
+  /** Stores the streams of this host if they changed, after a write under way. */
   async storeNow(): Promise<void> {
-    this.#hasNew = false;
-    const records = this.#parts.origins.storable;
-    const streams = records.map(nameOf).join("\n");
-    if (streams === this.#stored) return;
-    this.#wroteAt = this.#parts.clock.now();
-    const isStored =
-      records.length > 0 ? await this.#write(records) : await this.#removeOwn();
-    this.#stored = isStored ? streams : UNKNOWN_STREAMS;
-    this.#wroteStreams = isStored ? records.length : undefined;
-    this.#parts.metrics.event(`streams_${isStored ? "stored" : "not_stored"}`);
+    // Of two writes at once, the older could replace the newer.
+    const writing = this.#writing.then(() => this.#storeChanged());
+    this.#writing = writing.catch(() => undefined);
+    await writing;
   }
 
   /** Removes the objects that hosts have left behind. */
@@ -215,6 +211,19 @@
     }
   }
 
+  async #storeChanged(): Promise<void> {
+    this.#hasNew = false;
+    const records = this.#parts.origins.storable;
+    const streams = records.map(nameOf).join("\n");
+    if (streams === this.#stored) return;
+    this.#wroteAt = this.#parts.clock.now();
+    const isStored =
+      records.length > 0 ? await this.#write(records) : await this.#removeOwn();
+    this.#stored = isStored ? streams : UNKNOWN_STREAMS;
+    this.#wroteStreams = isStored ? records.length : undefined;
+    this.#parts.metrics.event(`streams_${isStored ? "stored" : "not_stored"}`);
+  }
+
   async #write(records: readonly StreamRecord[]): Promise<boolean> {
     const { store } = this.#parts;
     const value = encodeStreams(records);
