Name the server that began a stream in its record

Callers saw: one stream from two versions, where a server came back as another version under its id, began streams before its new entry was listed, and the hosts that served them ended.

Cause: only the host that serves a stream knew at which server it began, and so only that host marked it as one that can't be told once the entry was read. What keepers and the store held named the former version for good.

Change: records that are told and stored name the server. Where a host lists that server with another version, a record of less than two seconds before, or one read from the store, counts as one that can't be told.

Open: a host that has not read the new entry yet, or another that replies.

--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -25,6 +25,8 @@
   readonly r: string;
   /** Absent if it can't be told. */
   readonly v?: string | undefined;
+  /** Id of the server that began it; absent if it is not known. */
+  readonly w?: string | undefined;
   /** Time in which the stream may be taken up, in milliseconds. */
   readonly t: number;
 }
@@ -53,6 +55,7 @@
   s: isName,
   r: isName,
   v: optional(isShortText),
+  w: optional(isName),
   t: isNonnegative,
 };
 
@@ -75,19 +78,26 @@
 
 /** Encodes a stream's version. */
 export function encodedStream(record: StreamRecord): EncodedStream {
-  const { service, attempt, version, lifetimeMilliseconds } = record;
+  const { service, attempt, version, serverId, lifetimeMilliseconds } = record;
   return {
     k: "b",
     s: service,
     r: attempt,
     v: version,
+    w: serverId,
     t: Math.ceil(lifetimeMilliseconds),
   };
 }
 
 /** Decodes a stream's version. */
-export function streamOf({ s, r, v, t }: EncodedStream): StreamRecord {
-  return { service: s, attempt: r, version: v, lifetimeMilliseconds: t };
+export function streamOf({ s, r, v, w, t }: EncodedStream): StreamRecord {
+  return {
+    service: s,
+    attempt: r,
+    version: v,
+    serverId: w,
+    lifetimeMilliseconds: t,
+  };
 }
 
 /** Encodes a query for a stream's version. */
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -239,6 +239,14 @@
     },
   );
 
+  test("can't be told if its server is listed with another one after the start", async () => {
+    const store = new ObjectStoreStandin();
+    await startServing(store);
+    const { streams } = await startHost(store, { versions: ["v1"] });
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v1" });
+    expect(streams.isUncertain(STREAM)).toBe(true);
+  });
+
   test("is handed over by a host that stops as planned right after", async () => {
     const store = new ObjectStoreStandin();
     const { streams, archive } = await startServing(store);
--- a/packages/rampswitch-serving/src/streams/stored_streams.ts
+++ b/packages/rampswitch-serving/src/streams/stored_streams.ts
@@ -19,22 +19,28 @@
       service: z.string(),
       /** Absent if it can't be told which version began these streams. */
       version: z.string().optional(),
+      /** Id of the server that began them; absent if it is not known. */
+      server: z.string().optional(),
       /** Time in which each stream may be taken up, in seconds, by its attempt. */
       lifetimeSeconds: recordOf(z.number().nonnegative()),
     }),
   ),
 });
 
-/** Encodes streams, those of one version together. */
+/** Encodes streams, those of one version and server together. */
 export function encodeStreams(records: readonly StreamRecord[]): string {
   const groups = [...groupsBy(records, ({ service }) => service)].flatMap(
     ([service, streams]) =>
-      [...groupsBy(streams, ({ version }) => version)].map(
-        ([version, ofVersion]) => ({
-          service,
-          version,
-          lifetimeSeconds: lifetimesOf(ofVersion),
-        }),
+      [...groupsBy(streams, ({ version }) => version)].flatMap(
+        ([version, ofVersion]) =>
+          [...groupsBy(ofVersion, ({ serverId }) => serverId)].map(
+            ([server, begun]) => ({
+              service,
+              version,
+              server,
+              lifetimeSeconds: lifetimesOf(begun),
+            }),
+          ),
       ),
   );
   return JSON.stringify({ groups });
@@ -72,11 +78,12 @@
   value: string,
 ): Result<readonly StreamRecord[], string> {
   return decodeJson(STREAMS_SCHEMA, value, "streams").map(({ groups }) =>
-    groups.flatMap(({ service, version, lifetimeSeconds }) =>
+    groups.flatMap(({ service, version, server, lifetimeSeconds }) =>
       Object.entries(lifetimeSeconds).map(([attempt, seconds]) => ({
         service,
         attempt,
         version,
+        serverId: server,
         lifetimeMilliseconds: seconds * MILLISECONDS_PER_SECOND,
       })),
     ),
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { Clock, Logger } from "rampswitch-utils";
+import { serverOfIncarnation } from "../model/backend_server.ts";
 import {
   type BegunStream,
   BegunStreams,
@@ -204,8 +205,9 @@
 
   /** Notes that the caller is about to get the first event of a stream. */
   began(record: StreamRecord, server: string): void {
-    this.#add(record, { server, isServedHere: true });
-    if (this.isMixed(record.service)) this.#parts.tell(record);
+    const begun = { ...record, serverId: serverOfIncarnation(server) };
+    this.#add(begun, { server, isServedHere: true });
+    if (this.isMixed(record.service)) this.#parts.tell(begun);
   }
 
   /** Notes that a stream was given whole. */
@@ -261,7 +263,20 @@
 
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
-    return this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    const stream = this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    return stream !== undefined && this.#mayBeOfOtherVersion(stream)
+      ? { ...stream, version: undefined }
+      : stream;
+  }
+
+  /**
+   * Whether the server that began a stream is listed with another version, and may have
+   * had it before. The host that served the stream may have ended before the listing.
+   */
+  #mayBeOfOtherVersion({ serverId, version, addedAt }: BegunStream): boolean {
+    if (serverId === undefined || version === undefined) return false;
+    const since = this.#history.otherVersionSince(serverId, version);
+    return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
   }
 
   /** Applies a change of the versions; running streams are told if several result. */
@@ -295,13 +310,13 @@
   }
 
   #add(
-    { lifetimeMilliseconds, ...stream }: StreamRecord,
+    { lifetimeMilliseconds, serverId, ...stream }: StreamRecord,
     source: Pick<BegunStream, "server" | "isServedHere">,
     table = this.#streams,
   ): void {
     const now = this.#parts.clock.now();
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    table.add({ ...stream, ...source, addedAt: now, expiresAt }, now);
+    table.add({ ...stream, ...source, serverId, addedAt: now, expiresAt }, now);
   }
 }
 
@@ -310,11 +325,11 @@
 
 /** What other hosts need to know of a stream. */
 function recordOf(
-  { service, attempt, version, expiresAt }: BegunStream,
+  { service, attempt, version, serverId, expiresAt }: BegunStream,
   now: number,
 ): StreamRecord {
   const lifetimeMilliseconds = Math.max(0, expiresAt - now);
-  return { service, attempt, version, lifetimeMilliseconds };
+  return { service, attempt, version, serverId, lifetimeMilliseconds };
 }
 
 /**
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -170,6 +170,27 @@
     expect(streams.replyTo(STREAM)).toEqual({ ...KNOWN, version: "v1" });
   });
 
+  test.each([
+    [500, { kind: "unknown" }],
+    [3_000, { ...KNOWN, version: "v1" }],
+  ])(
+    "is what it was told of, unless its server is another one %i ms later",
+    (milliseconds, expected) => {
+      const { clock, streams, list } = hostOf();
+      list("s1", "v1");
+      list("s2", "v2");
+      streams.receive({
+        ...STREAM,
+        version: "v1",
+        serverId: "s1",
+        lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+      });
+      clock.advance(milliseconds);
+      list("s1", "v2");
+      expect(streams.replyTo(STREAM)).toEqual(expected);
+    },
+  );
+
   test.each([
     ["the store was not read", { hasRead: false }],
     ["a host did not reply", { isComplete: false }],
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -11,6 +11,8 @@
 export interface StreamRecord extends StreamKey {
   /** `undefined` if it can't be told which version the server had. */
   readonly version: string | undefined;
+  /** Id of the server that began it; absent if it is not known. */
+  readonly serverId?: string | undefined;
   /** Time in which its caller may take it up, in milliseconds. */
   readonly lifetimeMilliseconds: number;
 }
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -28,11 +28,17 @@
   goneAt: number;
 }
 
+/** A server that is listed. */
+interface ListedServer extends VersionedServer {
+  /** Since when it is listed with its version, on the monotonic clock. */
+  readonly since: number;
+}
+
 /** The versions of the servers of all services, as one host sees them. */
 export class VersionHistory {
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
-  readonly #listed = new Map<string, VersionedServer>();
+  readonly #listed = new Map<string, ListedServer>();
 
   /** Versions without a server are retained for the given time. */
   constructor(retentionMilliseconds: number) {
@@ -44,7 +50,7 @@
     const before = this.#listed.get(id);
     if (before?.service === service && before.version === version) return;
     this.removed(id, now);
-    this.#listed.set(id, { id, service, version });
+    this.#listed.set(id, { id, service, version, since: now });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, versions);
@@ -64,6 +70,17 @@
     known.goneAt = now;
   }
 
+  /**
+   * Returns since when a server is listed with another version than the given one;
+   * `undefined` if it is not.
+   */
+  otherVersionSince(id: string, version: string): number | undefined {
+    const server = this.#listed.get(id);
+    return server === undefined || server.version === version
+      ? undefined
+      : server.since;
+  }
+
   /**
    * Notes versions that served before this process started. Those that are not listed
    * may have ended a moment ago.
