--- a/packages/rampswitch-serving/src/streams/gap_cover_test.ts
+++ b/packages/rampswitch-serving/src/streams/gap_cover_test.ts
@@ -47,6 +47,8 @@
       tell: () => undefined,
       query: () => Promise.resolve({ replies: [], isComplete: false }),
       holdsDuties: () => holdsDuties,
+      hostCount: () => 2,
+      storeWritesPerSecond: () => 400,
     },
     ownership,
   );
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -13,6 +13,7 @@
 import { revisionOf } from "rampswitch-store";
 import type { Clock, Logger } from "rampswitch-utils";
 import type { ServerListState } from "../configuration/server_list_evidence.ts";
+import { serverOfIncarnation } from "../model/backend_server.ts";
 import {
   type BegunStream,
   BegunStreams,
@@ -225,10 +226,11 @@
 
   /** Notes that the caller is about to get the first event of a stream. */
   began(record: StreamRecord, server: string): void {
-    this.#add(record, { server, isServedHere: true });
+    const begun = { ...record, serverId: serverOfIncarnation(server) };
+    this.#add(begun, { server, isServedHere: true });
     // Hosts with a newer list may know of another version.
     const isTold = this.isMixed(record.service) || this.#isListBehind;
-    if (isTold) this.#parts.tell(record);
+    if (isTold) this.#parts.tell(begun);
   }
 
   /** Notes that a stream was given whole. */
@@ -331,7 +333,20 @@
 
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
-    return this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    const stream = this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    return stream !== undefined && this.#mayBeOfOtherVersion(stream)
+      ? { ...stream, version: undefined }
+      : stream;
+  }
+
+  /**
+   * Whether the server that began a stream is listed with another version, and may have
+   * had it before. The host that served the stream may have ended before the listing.
+   */
+  #mayBeOfOtherVersion({ serverId, version, addedAt }: BegunStream): boolean {
+    if (serverId === undefined || version === undefined) return false;
+    const since = this.#history.otherVersionSince(serverId, version);
+    return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
   }
 
   /** Applies a change of the versions; running streams are told if several result. */
@@ -369,13 +384,13 @@
   }
 
   #add(
-    { lifetimeMilliseconds, ...stream }: StreamRecord,
+    { lifetimeMilliseconds, serverId, ...stream }: StreamRecord,
     source: Pick<BegunStream, "server" | "isServedHere">,
     table = this.#streams,
   ): void {
     const now = this.#parts.clock.now();
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    table.add({ ...stream, ...source, addedAt: now, expiresAt }, now);
+    table.add({ ...stream, ...source, serverId, addedAt: now, expiresAt }, now);
   }
 }
 
@@ -387,9 +402,9 @@
 
 /** What other hosts need to know of a stream. */
 function recordOf(
-  { service, attempt, version, expiresAt }: BegunStream,
+  { service, attempt, version, serverId, expiresAt }: BegunStream,
   now: number,
 ): StreamRecord {
   const lifetimeMilliseconds = Math.max(0, expiresAt - now);
-  return { service, attempt, version, lifetimeMilliseconds };
+  return { service, attempt, version, serverId, lifetimeMilliseconds };
 }
