Count a lost history as a gap only where a call got no answer

Callers saw: with two hosts, streams of the only version that one of them took up were refused for a minute each time that the store forgot its history. Cause: every list read anew counted as a gap, and its only witness was the host itself. Class: a routine event taken for a loss. Change: a watch that waits is answered with each change until its history ends, so nothing was missed where the call before was answered; it may have been where one failed or was given up. Relays name lists of the second kind alone. The position among relayed changes is named listedVersion. Left: a process that is suspended while its call is told of the loss counts as having missed nothing.

--- a/packages/rampswitch-serving/src/configuration/anew_list_log.ts
+++ b/packages/rampswitch-serving/src/configuration/anew_list_log.ts
@@ -15,7 +15,7 @@
 /** Logs a list that was read in place of a lost history. */
 export function logAnewList(
   list: ListName,
-  { after, version, origin, changed, missing }: AnewList,
+  { after, version, origin, mayHaveMissed, changed, missing }: AnewList,
   parts: { readonly metrics: ServingMetrics; readonly logger: Logger },
 ): void {
   const { metrics, logger } = parts;
@@ -24,6 +24,7 @@
     era: eraOf(version),
     after: revisionOf(after),
     revision: revisionOf(version),
+    mayHaveMissed,
     changed,
     missing,
   };
--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -264,7 +264,7 @@
         failed: () => undefined,
         listedAnew: (list) => {
           logAnewList("servers", list, parts);
-          listener.serversMissed();
+          if (list.mayHaveMissed) listener.serversMissed();
         },
       },
       {
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -146,7 +146,7 @@
         : Math.ceil(digest.configurationAge),
     s:
       digest.servers === undefined ? undefined : encodedChanges(digest.servers),
-    sl: digest.servers?.listedAt,
+    sl: digest.servers?.listedVersion,
   };
 }
 
@@ -180,5 +180,7 @@
 /** Decodes the newest changes of servers, and whether a list is among them. */
 function serversOf({ s, sl }: EncodedDigest): FleetDigest["servers"] {
   if (s === undefined) return undefined;
-  return sl === undefined ? changesOf(s) : { ...changesOf(s), listedAt: sl };
+  return sl === undefined
+    ? changesOf(s)
+    : { ...changesOf(s), listedVersion: sl };
 }
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -136,7 +136,7 @@
   servers: {
     after: 4,
     version: 9,
-    listedAt: 8,
+    listedVersion: 8,
     events: [
       { key: "servers/s1", version: 8, value: "{}" },
       { key: "servers/s2", version: 9 },
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -26,10 +26,10 @@
   readonly version: number;
   readonly events: readonly StoreEvent[];
   /**
-   * Version of the newest list among the changes; what came and went before it is
-   * missing.
+   * Version of the newest list among the changes before which objects may have come and
+   * gone unseen; absent if there is none.
    */
-  readonly listedAt?: number;
+  readonly listedVersion?: number;
 }
 
 /** How long received changes are retained to be relayed, in milliseconds. */
@@ -64,6 +64,11 @@
   readonly version: number;
   /** `copy` in a new era of the store. */
   readonly origin: ObjectOrigin;
+  /**
+   * Whether objects may have come and gone unseen: a call got no answer since the last
+   * one that did. A call that waits is answered with each change until its history ends.
+   */
+  readonly mayHaveMissed: boolean;
   /** Number of objects that are new or differ from the known ones. */
   readonly changed: number;
   /** Number of known objects that no longer exist. */
@@ -80,10 +85,7 @@
   confirmed(at: number): void;
   /** A call to the store failed. */
   failed(): void;
-  /**
-   * All objects were listed after the history was lost. Objects that appeared and were
-   * removed meanwhile are not reported.
-   */
+  /** All objects were listed after the history was lost. */
   listedAnew?(list: AnewList): void;
 }
 
@@ -112,6 +114,8 @@
   #newestChange = 0;
   #requestSentAt = 0;
   #failures = 0;
+  /** Whether a call got no answer since the last one that did. */
+  #hasUnanswered = false;
   #suspended = false;
   #recentBatches: readonly (ChangeBatch & { readonly at: number })[] = [];
 
@@ -212,8 +216,10 @@
     if (eraOf(batch.version) < eraOf(this.#version)) return false;
     if (this.#version >= batch.version) return true;
     const known = this.#version;
+    this.#hasUnanswered = false;
     this.#apply(batch);
-    if (known < (batch.listedAt ?? 0)) this.#reportRelayedList(known, batch);
+    if (known < (batch.listedVersion ?? 0))
+      this.#reportRelayedList(known, batch);
     return true;
   }
 
@@ -236,6 +242,7 @@
       if (batch.error.kind === "compacted" && isPendingSince) this.interrupt();
       return false;
     }
+    this.#hasUnanswered = false;
     this.#apply({ after, ...batch.value });
     return true;
   }
@@ -258,6 +265,7 @@
         ? await this.#relist()
         : await this.#watchOnce(this.#version);
     if (this.#disposalAbort.signal.aborted) return;
+    this.#hasUnanswered = !succeeded;
     // A call that this watch aborted itself is neither a success nor a failure.
     if (!succeeded && this.#callAbort.signal.aborted) return;
     this.#failures = succeeded ? 0 : this.#failures + 1;
@@ -286,6 +294,7 @@
         after,
         version,
         origin,
+        mayHaveMissed: this.#hasUnanswered,
         changed: changed.length,
         missing: missing.length,
       });
@@ -312,8 +321,8 @@
     }
     const events = [...missing.map((key) => ({ key, version })), ...changed];
     const at = this.#clock.now();
-    const listedAt = version;
-    this.#recentBatches = [{ after, version, events, listedAt, at }];
+    const listed = this.#hasUnanswered ? { listedVersion: version } : {};
+    this.#recentBatches = [{ after, version, events, ...listed, at }];
   }
 
   /** Reports that changes are missing before a list that another host relayed. */
@@ -323,6 +332,7 @@
       after,
       version,
       origin: originOf(after, version),
+      mayHaveMissed: true,
       changed: events.length - removed.length,
       missing: removed.length,
     });
@@ -425,9 +435,11 @@
 /** The version of the newest list among batches, if there is one. */
 function newestList(
   batches: readonly ChangeBatch[],
-): Pick<ChangeBatch, "listedAt"> {
-  const listedAt = Math.max(...batches.map(({ listedAt = 0 }) => listedAt));
-  return listedAt > 0 ? { listedAt } : {};
+): Pick<ChangeBatch, "listedVersion"> {
+  const listedVersion = Math.max(
+    ...batches.map(({ listedVersion = 0 }) => listedVersion),
+  );
+  return listedVersion > 0 ? { listedVersion } : {};
 }
 
 function originOf(after: number | undefined, version: number): ObjectOrigin {
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -67,6 +67,8 @@
   readonly objects: Map<string, string>;
   /** Versions of the lists that replaced a lost history. */
   readonly listedAnew: readonly number[];
+  /** Whether objects may have come and gone unseen before each of them. */
+  readonly missed: readonly boolean[];
 }
 
 const clock = new ManualClock(1_000);
@@ -83,6 +85,7 @@
   store.objects = objects;
   const seen = new Map<string, string>();
   const listedAnew: number[] = [];
+  const missed: boolean[] = [];
   const watcher = new Watcher(store, "servers/", {
     clock,
     random: seededRandom(1),
@@ -95,12 +98,15 @@
       removed: (key) => seen.delete(key),
       confirmed: () => undefined,
       failed: () => undefined,
-      listedAnew: ({ version }) => listedAnew.push(version),
+      listedAnew: ({ version, mayHaveMissed }) => {
+        listedAnew.push(version);
+        missed.push(mayHaveMissed);
+      },
     },
   });
   watchers.push(watcher);
   await settle();
-  return { store, watcher, objects: seen, listedAnew };
+  return { store, watcher, objects: seen, listedAnew, missed };
 }
 
 async function settle(milliseconds = 0): Promise<void> {
@@ -159,6 +165,8 @@
     const relay = await watch([A]);
     const behind = await watch([A]);
     const level = await watch([A]);
+    relay.watcher.interrupt();
+    await settle(1_000);
     relay.store.version = 20;
     relay.store.loseHistory();
     await settle();
@@ -173,6 +181,19 @@
     ]);
   });
 
+  // Guards against hosts that vouch for nothing each time that a store forgets.
+  test("lack nothing where the call that waited is told of the loss", async () => {
+    const { store, watcher, missed } = await watch([A]);
+    store.loseHistory();
+    await settle();
+    expect(missed).toEqual([false]);
+    watcher.interrupt();
+    await settle(1_000);
+    store.loseHistory();
+    await settle();
+    expect(missed).toEqual([false, true]);
+  });
+
   test("are refused if earlier ones are missing", async () => {
     const member = await watch([A]);
     const batch: ChangeBatch = { after: 11, version: 12, events: [B] };
