Trust the only version no more where a host may be cut off, or two share a gap

Cause: a host's own silence was taken for a store that is away for all; replies of hosts that share a cut for those of all; an object of versions written before a gap for one that covers it. Ruled out: a list position in replies: a position moves with each change of any object, so that hosts with equal lists differ. Change: replies and a store that is away count only if this host hears most of the listed hosts (their updates within 1.5 s, or a relay's digest), and a store is away only if all of these tell no confirmation for 3 s. Two hosts with a gap vouch only once what is stored was read. No object covers a gap, and a host with one doesn't write its versions as complete. Two ways weighed for a gap: objects that name the position up to which their writer saw the list (a write for each gap and host), and none (kept; a gap needs a call without an answer and a lost history). Errs to: refusal where most hosts have ended and the store is away, or many listed hosts are gone for good and it is. One commit for three faults, since each test passes only by the same change of what counts as a complete reply.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -106,12 +106,6 @@
  */
 const OWN_CONNECTION_LOST_MILLISECONDS = 3_000;
 
-/**
- * Age of the newest confirmation that any host told of from which on the store counts as
- * away for all hosts, in milliseconds.
- */
-const STORE_AWAY_MILLISECONDS = 3_000;
-
 /**
  * Age below which a confirmation of a peer shows that the store is available,
  * in milliseconds.
@@ -477,11 +471,6 @@
     return this.#parts.clock.now() - this.#confirmedAt;
   }
 
-  /** Whether no host has heard from the store for a while, so that no list changes. */
-  get isStoreAway(): boolean {
-    return this.age >= STORE_AWAY_MILLISECONDS;
-  }
-
   /** Whether this host lost its connection to the store and its peers did not. */
   get cutOff(): boolean {
     const now = this.#parts.clock.now();
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import { splitAddress } from "rampswitch-utils";
+import type { FleetView } from "./fleet_majority.ts";
 import type { FleetDigest, PeerUpdate } from "./peer_messages.ts";
 import {
   DIRECT_GOSSIP_TIMING,
@@ -334,6 +335,17 @@
     return needed ? this.#listedCount : 1 + recent.length;
   }
 
+  /** What most hosts of the fleet tell is judged by this. */
+  view(now: number): FleetView {
+    return {
+      listed: this.#listedCount,
+      hosts: this.all(),
+      digest: this.#freshDigest(now),
+      isRelayed: this.role(now) !== "direct",
+      now,
+    };
+  }
+
   /** Number of data halls that have hosts. */
   get dataHalls(): number {
     const names = this.all().map(({ dataHall }) => dataHall);
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -196,6 +196,7 @@
       address: transport.address,
       hosts: () => this.#presentPeers(),
       mayAnswer: (host) => this.#hosts.mayAnswer(host, clock.now()),
+      fleet: () => this.#hosts.view(clock.now()),
       send: (addresses, message) => {
         const datagram = encodeMessage(message);
         addresses.forEach((address) => transport.send(address, datagram));
@@ -267,9 +268,8 @@
   }
 
   /**
-   * Whether this host receives enough updates from others to hold duties. The list of
-   * hosts must have been read: before that, each host of a large fleet acts as in a
-   * small one, and 42 of 77 that started together tried to take the lease.
+   * Whether this host receives enough updates from others to hold duties. Before the list
+   * of hosts was read, each host of a large fleet acts as in a small one.
    */
   get canHoldDuties(): boolean {
     return this.#registry.settled && this.#role !== "member";
--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -15,6 +15,7 @@
   type StreamReply,
 } from "../streams/mod.ts";
 import type { KnownHost } from "./fleet_hosts.ts";
+import { type FleetView, hearsMost, lackStore } from "./fleet_majority.ts";
 import type {
   PeerMessage,
   StreamAnswer,
@@ -40,6 +41,9 @@
 /** Time for which the order of the hosts is used before it is made anew, in milliseconds. */
 const RING_LIFETIME_MILLISECONDS = 250;
 
+/** Age of confirmations from which on the store counts as away, in milliseconds. */
+const STORE_AWAY_MILLISECONDS = 3_000;
+
 /** What the exchange works with. */
 export interface StreamExchangeParts {
   readonly clock: Clock;
@@ -49,6 +53,8 @@
   hosts(): readonly KnownHost[];
   /** Whether a host has not been silent for so long that it won't answer. */
   mayAnswer(host: KnownHost): boolean;
+  /** What this host knows of the fleet. */
+  fleet(): FleetView;
   send(addresses: readonly string[], message: PeerMessage): void;
   /** Handles the version of a stream that another host serves. */
   onStream(record: StreamRecord): void;
@@ -92,7 +98,19 @@
       return reply;
     });
     const replies = await untilKnown(queries);
-    return { replies, isComplete: missing.size === 0 };
+    const isComplete = missing.size === 0;
+    return { replies, isComplete, isMajority: hearsMost(this.#parts.fleet()) };
+  }
+
+  /**
+   * Whether the store answers neither this host nor most others for a while, by the age of
+   * this host's newest confirmation in milliseconds.
+   */
+  isStoreAway(ownAge: number): boolean {
+    return (
+      ownAge >= STORE_AWAY_MILLISECONDS &&
+      lackStore(this.#parts.fleet(), STORE_AWAY_MILLISECONDS)
+    );
   }
 
   /** Keeps the version of a stream that another host serves. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -253,7 +253,8 @@
         host: settings.host,
         serverList: () => this.#follower.serverList.state,
         confirmList: () => this.#follower.serverList.confirm(),
-        isStoreAway: () => this.#follower.isStoreAway,
+        isStoreAway: () =>
+          this.#membership?.streams.isStoreAway(this.#follower.age) === true,
         areHostsListed: () => this.#membership?.listedSize !== undefined,
         tell: (record) => this.#membership?.streams.tell(record),
         query: async (key) =>
--- a/packages/rampswitch-serving/src/streams/gap_cover_test.ts
+++ b/packages/rampswitch-serving/src/streams/gap_cover_test.ts
@@ -13,6 +13,7 @@
 import type { ObjectStore } from "rampswitch-store";
 import { ServingMetrics } from "../observation/mod.ts";
 import { createStreams } from "../host_streams.ts";
+import { NO_STREAM_REPLIES } from "./stream_reply.ts";
 import { ObjectStoreStandin } from "./object_store_standin.ts";
 
 const SERVICE = "models";
@@ -45,7 +46,7 @@
       serverList: () => ({ version: 21, newestChange: 4, newestHeard: 4 }),
       areHostsListed: () => true,
       tell: () => undefined,
-      query: () => Promise.resolve({ replies: [], isComplete: false }),
+      query: () => Promise.resolve(NO_STREAM_REPLIES),
       holdsDuties: () => holdsDuties,
       hostCount: () => 2,
       storeWritesPerSecond: () => 400,
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -70,7 +70,8 @@
       serverList: () => ({ version: 1, newestChange: 1, newestHeard: 1 }),
       areHostsListed: () => true,
       tell: () => undefined,
-      query: () => Promise.resolve({ replies: [], isComplete: true }),
+      query: () =>
+        Promise.resolve({ replies: [], isComplete: true, isMajority: true }),
       holdsDuties: () => holdsDuties,
       hostCount: () => 3,
       storeWritesPerSecond: () => 400,
--- a/packages/rampswitch-serving/src/streams/stream_evidence.ts
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -27,12 +27,14 @@
 /**
  * Judges the reply of this host and those of the others. One version alone counts if
  * somebody knows the past, nobody has seen another version, and no host is silent that
- * may have been sent the stream's version: what all of them miss since they have just
+ * may have been sent the stream's version. A host that hears few others may be cut off
+ * from those that know more. What all of them miss since they have just
  * started, or since their lists are old, is no evidence.
  */
 export function judgeReplies(
   own: StreamReply,
-  { replies, isComplete }: StreamReplies,
+  { replies, isComplete, isMajority }: StreamReplies,
+  { hasReadStored }: { readonly hasReadStored: boolean },
 ): StreamVerdict {
   const all = [own, ...replies];
   const known = all.find(({ kind }) => kind === "known");
@@ -41,8 +43,8 @@
   }
   const version = agreedVersion(all);
   if (version === undefined) return { kind: "unknown" };
-  const isEveryoneHeard = isComplete && replies.length > 0;
-  return isEveryoneHeard && isVouchedFor(all)
+  const isEveryoneHeard = isComplete && isMajority && replies.length > 0;
+  return isEveryoneHeard && isVouchedFor(all, hasReadStored)
     ? { kind: "known", version, source: "single" }
     : { kind: "unconfirmed" };
 }
@@ -57,12 +59,17 @@
 
 /**
  * Whether somebody knows the past. Of hosts that missed changes of their lists, two
- * have to agree: each of them would have been sent streams of another version.
+ * have to agree, and what is stored has to be read: others may have stored a version
+ * that these two missed.
  */
-function isVouchedFor(replies: readonly StreamReply[]): boolean {
+function isVouchedFor(
+  replies: readonly StreamReply[],
+  hasReadStored: boolean,
+): boolean {
   const countOf = (kind: StreamReply["kind"]) =>
     replies.filter((reply) => reply.kind === kind).length;
-  return countOf("single") > 0 || countOf("single_since_gap") >= GAP_VOUCHERS;
+  const haveGap = countOf("single_since_gap") >= GAP_VOUCHERS;
+  return countOf("single") > 0 || (hasReadStored && haveGap);
 }
 
 function versionIn(reply: StreamReply): string | undefined {
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -41,7 +41,7 @@
   serverList(): ServerListState;
   /** Asks the store; resolves to whether the list has all changes up to this call. */
   confirmList(): Promise<boolean>;
-  /** Whether no host has heard from the store for a while, so that no list changes. */
+  /** Whether most hosts tell that the store is away for a while: no list changes. */
   isStoreAway(): boolean;
   /** Whether this host knows all hosts that may keep a stream. */
   areHostsListed(): boolean;
@@ -127,8 +127,7 @@
 
   /** Whether this host knows all versions that served since the oldest stream began. */
   get isPastKnown(): boolean {
-    const age = this.#parts.clock.now() - this.#startedAt;
-    return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
+    return this.#wasThere && !this.#hasGap;
   }
 
   /** Notes that servers may have been listed and removed without this host's knowledge. */
@@ -136,16 +135,10 @@
     this.#missedAt = this.#parts.clock.now();
   }
 
-  /**
-   * Notes versions that the store tells of. `isComplete`: there were no others;
-   * `coversGap`: nor among those that were listed while this host missed changes.
-   */
+  /** Notes versions that the store tells of; `isComplete`: there were no others. */
   restoreVersions(
     versions: ServiceVersions,
-    {
-      isComplete,
-      coversGap,
-    }: { readonly isComplete: boolean; readonly coversGap: boolean },
+    { isComplete }: { readonly isComplete: boolean },
   ): void {
     versions.forEach((names, service) =>
       this.#tellOnceMixed(service, (now) =>
@@ -153,7 +146,6 @@
       ),
     );
     this.#hasReadPast ||= isComplete;
-    if (isComplete && coversGap) this.#missedAt = -Infinity;
   }
 
   /**
@@ -255,10 +247,10 @@
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined || others.length > 0) return { kind: "unknown" };
-    if (!this.isPastKnown || this.#isListBehind) {
+    if (!this.#wasThere || this.#isListBehind) {
       return { kind: "single_recently", version };
     }
-    return { kind: this.#hasGap(now) ? "single_since_gap" : "single", version };
+    return { kind: this.#hasGap ? "single_since_gap" : "single", version };
   }
 
   /** Finds the version that began a stream. */
@@ -268,7 +260,7 @@
     if (own.kind === "known") return { ...own, source: "table" };
     const asked = await this.#parts.query(key);
     this.#logEvidence(key, own, asked.replies);
-    const origin = await this.#originFrom(key, asked);
+    const origin = await this.#originFrom(key, asked, { hasReadStored: false });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
       return origin;
@@ -277,7 +269,9 @@
     const stored = this.replyTo(key);
     if (stored.kind === "known") return { ...stored, source: "stored" };
     if (this.isUncertain(key)) return LOST;
-    const later = await this.#originFrom(key, asked);
+    const later = await this.#originFrom(key, asked, {
+      hasReadStored: hasRead,
+    });
     const isEveryoneAsked = asked.isComplete && this.#parts.areHostsListed();
     const isLost = later.kind === "unknown" && hasRead && isEveryoneAsked;
     return isLost ? LOST : later;
@@ -287,8 +281,9 @@
   async #originFrom(
     key: StreamKey,
     asked: StreamReplies,
+    read: { readonly hasReadStored: boolean },
   ): Promise<StreamOrigin> {
-    const verdict = judgeReplies(this.replyTo(key), asked);
+    const verdict = judgeReplies(this.replyTo(key), asked, read);
     if (verdict.kind !== "unconfirmed") return verdict;
     if (!this.isPastKnown) return UNKNOWN;
     const isCurrent =
@@ -300,9 +295,16 @@
       : UNKNOWN;
   }
 
+  /** Whether this host read which versions served, or saw it for long enough. */
+  get #wasThere(): boolean {
+    const age = this.#parts.clock.now() - this.#startedAt;
+    return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
+  }
+
   /** Whether a version may have served unseen since the oldest stream began. */
-  #hasGap(now: number): boolean {
-    return now - this.#missedAt < VERSION_RETENTION_MILLISECONDS;
+  get #hasGap(): boolean {
+    const elapsed = this.#parts.clock.now() - this.#missedAt;
+    return elapsed < VERSION_RETENTION_MILLISECONDS;
   }
 
   /** Whether another host has received changes of servers that this one lacks. */
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -23,6 +23,7 @@
     queries: 0,
     confirmations: 0,
     isComplete: true,
+    isMajority: true,
     areHostsListed: true,
     hasRead: false,
   };
@@ -39,8 +40,8 @@
     tell: (record) => told.push(record),
     query: () => {
       state.queries += 1;
-      const { isComplete } = state;
-      return Promise.resolve({ replies, isComplete });
+      const { isComplete, isMajority } = state;
+      return Promise.resolve({ replies, isComplete, isMajority });
     },
     readStored: () => Promise.resolve(state.hasRead),
   });
@@ -88,6 +89,11 @@
     ["the store confirms the list", { isListConfirmed: true }, "v1"],
     ["no host hears from the store", { isStoreAway: true }, "v1"],
     ["the store answers others alone", {}, undefined],
+    [
+      "most other hosts aren't heard and the store doesn't answer",
+      { isComplete: true, isMajority: false },
+      undefined,
+    ],
     [
       "others have read a newer list",
       {
@@ -276,6 +282,8 @@
     host.list("s1", "v1");
     host.clock.advance(RETENTION_MILLISECONDS);
     host.streams.missedChanges();
+    host.state.hasRead = true;
+    host.state.areHostsListed = false;
     return host;
   };
 
@@ -297,15 +305,18 @@
   });
 
   test.each([
-    ["goes on if another host stored no other", true, SINGLE_V1],
-    ["isn't guessed from what it stored itself", false, UNKNOWN],
-  ] as const)("%s", async (_, coversGap, origin) => {
+    ["the store can't be read", { hasRead: false }],
+    ["this host hears few others", { isMajority: false }],
+  ])("isn't guessed by two such hosts if %s", async (_, changed) => {
+    const { state, streams } = missing([GAP]);
+    Object.assign(state, changed);
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
+  });
+
+  test("isn't guessed from stored versions, which may be older", async () => {
     const { streams } = missing([]);
-    streams.restoreVersions(new Map([[SERVICE, ["v1"]]]), {
-      isComplete: true,
-      coversGap,
-    });
-    expect(await streams.find(STREAM)).toEqual(origin);
+    streams.restoreVersions(new Map([[SERVICE, ["v1"]]]), { isComplete: true });
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
   });
 
   test("goes on once no stream is as old as the gap", async () => {
@@ -361,7 +372,6 @@
     host.list("s1", "v1");
     host.streams.restoreVersions(new Map([[SERVICE, versions]]), {
       isComplete,
-      coversGap: true,
     });
     return host;
   };
@@ -389,10 +399,7 @@
     list("s1", "v1");
     begin("v1");
     expect(told).toEqual([]);
-    streams.restoreVersions(new Map([[SERVICE, ["v2"]]]), {
-      isComplete: true,
-      coversGap: true,
-    });
+    streams.restoreVersions(new Map([[SERVICE, ["v2"]]]), { isComplete: true });
     expect(told.map(({ attempt }) => attempt)).toEqual(["a1"]);
   });
 });
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -20,14 +20,17 @@
 /** What the hosts that were asked know of a stream. */
 export interface StreamReplies {
   readonly replies: readonly StreamReply[];
-  /** Whether all of them replied. */
+  /** Whether all of them replied that may reply. */
   readonly isComplete: boolean;
+  /** Whether this host hears most hosts of the fleet. */
+  readonly isMajority: boolean;
 }
 
 /** What is known before this host may ask others. */
 export const NO_STREAM_REPLIES: StreamReplies = {
   replies: [],
   isComplete: false,
+  isMajority: false,
 };
 
 /** What a host knows of the version that began a stream. */
@@ -37,7 +40,10 @@
   | { readonly kind: "single"; readonly version: string }
   /** The same, but other versions may have been listed and removed unseen meanwhile. */
   | { readonly kind: "single_since_gap"; readonly version: string }
-  /** This version alone is listed, and the host doesn't know what served before. */
+  /**
+   * This version alone is listed, and the host doesn't know what served before, or its
+   * list is older than another's.
+   */
   | { readonly kind: "single_recently"; readonly version: string }
   /** The service has several versions, or none that is known. */
   | { readonly kind: "unknown" };
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -36,15 +36,11 @@
 /** Latest era of the store in which a missing object shows that no version has served. */
 const FIRST_ERA = 1;
 
-const NO_VERSIONS: ServiceVersions = new Map();
-
 /** Restores and stores the versions that served. */
 export class VersionArchive {
   readonly #parts: VersionArchiveParts;
   /** The object as it was last read or written. */
   #object: StoredObject | undefined;
-  /** Version of the object as this host last wrote it. */
-  #writtenVersion: number | undefined;
   /** The value that is certainly in the store. */
   #stored: string | undefined;
 
@@ -59,8 +55,7 @@
   /** Notes the versions in a list of all stored objects. */
   restore({ objects, version }: StoredList): void {
     const object = objects.find(({ key }) => key === this.#key);
-    const isOwn = object?.version === this.#writtenVersion;
-    this.#restoreObject(object, { era: eraOf(version), coversGap: !isOwn });
+    this.#restoreObject(object, eraOf(version));
   }
 
   /** Stores the versions that this host knows if they differ from those stored. */
@@ -75,8 +70,7 @@
         ...(this.#object === undefined ? {} : { known: this.#object }),
         attempts: WRITE_ATTEMPTS,
         decide: (current) => {
-          // The object may have been read before changes were missed.
-          this.#restoreObject(current, { era: store.era, coversGap: false });
+          this.#restoreObject(current, store.era);
           stored = this.#value();
           return stored === current?.value
             ? { kind: "keep", refusal: undefined }
@@ -85,10 +79,7 @@
       },
       this.#parts,
     );
-    if (change.kind === "written") {
-      this.#object = change.object;
-      this.#writtenVersion = change.object.version;
-    }
+    if (change.kind === "written") this.#object = change.object;
     const isStored = change.kind !== "unknown";
     if (isStored) this.#stored = stored;
     metrics.event(`stream_versions_${isStored ? "stored" : "not_stored"}`);
@@ -107,22 +98,16 @@
     return `${this.#parts.prefix}${OBJECT_NAME}`;
   }
 
-  /**
-   * Notes the versions in the object if this host has neither read nor written it.
-   * `coversGap`: another host wrote it, and it was read after changes were missed.
-   */
-  #restoreObject(
-    object: StoredObject | undefined,
-    { era, coversGap }: { readonly era: number; readonly coversGap: boolean },
-  ): void {
+  /** Notes the versions in an object that this host has neither read nor written. */
+  #restoreObject(object: StoredObject | undefined, era: number): void {
     const { origins, logger } = this.#parts;
     if (object === undefined) {
       // Whatever was there may be lost with a past era of the store.
       const isComplete = era <= FIRST_ERA;
-      origins.restoreVersions(NO_VERSIONS, { isComplete, coversGap: false });
+      origins.restoreVersions(new Map(), { isComplete });
       return;
     }
-    const isKnown = object.version === this.#object?.version;
+    if (object.version === this.#object?.version) return;
     this.#object = object;
     const decoded = decodeVersions(object.value);
     if (decoded.isErr) {
@@ -134,11 +119,7 @@
     }
     const { services, completeInEra } = decoded.value;
     const isComplete = completeInEra === era;
-    origins.restoreVersions(isKnown ? NO_VERSIONS : services, {
-      isComplete,
-      coversGap,
-    });
-    if (isKnown) return;
+    origins.restoreVersions(services, { isComplete });
     logger.info("versions read", { ...countsOf(services), isComplete });
   }
 
