Store the versions that a starting host sees, without waiting for the duties

Cause: only the holder of the duties stores which versions served, and hosts that are all killed every second or two hold them at most for moments; a missing object counts as 'none served' in the first era. All three hosts had listed v2 and v3 at 26.3 s, the duties were taken at 26.9 s, nothing was stored; after the kill they listed v3 alone and replied 'single'. Class: the absence of a memory is taken for the absence of what it would hold. Ruled out: a list that lags (none does in the lines). Change: for five seconds after its start a host stores versions that the object lacks; a later change is the holder's alone, as before. Left: a version that appears and goes within the first moments of hosts that then all end (the object is written within 0.3 s of a start).

--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -49,6 +49,12 @@
 /** Time for which streams that begin together are collected, in milliseconds. */
 const COLLECTING_MILLISECONDS = 10;
 
+/**
+ * Time from the start in which a host stores versions without the duties, in
+ * milliseconds; longer than a host that has ended holds them.
+ */
+const START_MILLISECONDS = 5_000;
+
 /** Time between looks for objects that hosts left behind, in milliseconds. */
 const LEFTOVER_INTERVAL_MILLISECONDS = 60_000;
 
@@ -58,6 +64,7 @@
   readonly #versions: VersionArchive;
   readonly #streams: StreamArchive;
   readonly #repetition: Repetition;
+  readonly #startedAt: number;
   /** When the last read was sent, on the monotonic clock. */
   #readAt = -Infinity;
   #reading: Promise<boolean> = Promise.resolve(false);
@@ -68,6 +75,7 @@
 
   constructor(parts: OriginArchiveParts) {
     this.#parts = parts;
+    this.#startedAt = parts.clock.now();
     this.#versions = new VersionArchive(parts);
     this.#streams = new StreamArchive(parts);
     this.#repetition = repeat(
@@ -134,9 +142,15 @@
     // A write before the first read would replace what a former process stored.
     if (!this.#hasRead) return;
     await this.#streams.store();
-    if (!this.#parts.holdsDuties()) return;
-    await this.#versions.store();
-    await this.#removeLeftovers();
+    const holdsDuties = this.#parts.holdsDuties();
+    if (holdsDuties || this.#hasToName) await this.#versions.store();
+    if (holdsDuties) await this.#removeLeftovers();
+  }
+
+  /** Whether a version may be named by nobody else: all may end before one holds duties. */
+  get #hasToName(): boolean {
+    const age = this.#parts.clock.now() - this.#startedAt;
+    return age < START_MILLISECONDS && this.#versions.lacksVersions;
   }
 
   #readOnce(): Promise<boolean> {
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -36,6 +36,8 @@
 /** Latest era of the store in which a missing object shows that no version has served. */
 const FIRST_ERA = 1;
 
+const NO_VERSIONS: ServiceVersions = new Map();
+
 /** Restores and stores the versions that served. */
 export class VersionArchive {
   readonly #parts: VersionArchiveParts;
@@ -94,6 +96,22 @@
     if (this.#value() !== this.#object?.value) await this.store();
   }
 
+  /** Whether the object as this host last read or wrote it lacks versions that it knows. */
+  get lacksVersions(): boolean {
+    const named = this.#namedServices;
+    return [...this.#parts.origins.versions].some(([service, versions]) =>
+      versions.some((version) => !named.get(service)?.includes(version)),
+    );
+  }
+
+  /** The versions in the object as this host last read or wrote it. */
+  get #namedServices(): ServiceVersions {
+    if (this.#object === undefined) return NO_VERSIONS;
+    return decodeVersions(this.#object.value)
+      .map(({ services }) => services)
+      .unwrapOr(NO_VERSIONS);
+  }
+
   get #key(): string {
     return `${this.#parts.prefix}${OBJECT_NAME}`;
   }
