Count hosts that are present, not every entry of the store, for roles

Cause: a host took the larger of the store's list and the hosts that it hears as the size of the fleet, and entries stay in the store. Five hosts that found 60 or 600 entries of gone hosts became relays and members for good, and their budget and fleet time waited for the gone.

Ruled out: counting the heard alone, as a member hears only its relays, and a host that is cut off or was suspended hears nobody. So silence is measured in time in which a host hears others itself (`HearingTime`), a listed host counts until a minute of it, and a member takes the largest number of its digests of the last minute. While hosts fall silent, the number errs to too many: relays stay on for a minute or two.

Change: `expectedCount` takes the place of `listedCount`. It sends to the hosts it expects, and to four of the absent ones in turn, in place of all known.

Conclusion: roles settle beside entries of gone hosts within 140 s.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -17,6 +17,8 @@
   relayOrder,
   relaysOf,
 } from "./relay_plan.ts";
+import { ReportedSize } from "./reported_size.ts";
+import { SilentHosts } from "./silent_hosts.ts";
 
 /** Silence after which a host is no longer counted, in milliseconds. */
 const HOST_SILENCE_MILLISECONDS = 10_000;
@@ -100,11 +102,17 @@
   readonly update: PeerUpdate | undefined;
 }
 
-/** A host in the store's list. */
-export interface ListedHost extends PlannedHost {
+/** A host as it registers in the store. */
+export interface RegisteredHost extends PlannedHost {
   readonly address: string;
 }
 
+/** A host in the store's list. */
+export interface ListedHost extends RegisteredHost {
+  /** Store version of its entry. */
+  readonly version: number;
+}
+
 interface ReceivedDigest {
   readonly digest: FleetDigest;
   readonly at: number;
@@ -116,7 +124,10 @@
   readonly #hosts = new Map<string, KnownHost>();
   /** Former incarnations of each host; their late updates are ignored. */
   readonly #formerIncarnations = new Map<string, ReadonlySet<string>>();
-  #listedCount = 0;
+  /** Names of the hosts in the newest list; includes this one once it is listed. */
+  #listed: readonly string[] = [];
+  readonly #silence = new SilentHosts();
+  readonly #reportedSize = new ReportedSize(this.#silence);
   #digest: ReceivedDigest | undefined;
 
   constructor(self: PlannedHost) {
@@ -135,13 +146,21 @@
 
   /** Adds the hosts of the store's list; returns the names of the new ones. */
   addListed(entries: readonly ListedHost[], now: number): readonly string[] {
-    this.#listedCount = entries.length;
+    this.#listed = entries.map(({ name }) => name);
+    entries
+      .filter(({ name }) => name !== this.#self.name)
+      .forEach(({ name, version }) =>
+        this.#silence.recordListed(name, version),
+      );
     const unknown = entries.filter(
       ({ name }) => name !== this.#self.name && !this.#hosts.has(name),
     );
-    unknown.forEach((entry) =>
-      this.#hosts.set(entry.name, {
-        ...entry,
+    unknown.forEach(({ name, dataHall, cores, address }) =>
+      this.#hosts.set(name, {
+        name,
+        dataHall,
+        cores,
+        address,
         incarnation: undefined,
         sequence: -1,
         receivedAt: -Infinity,
@@ -170,6 +189,9 @@
     if (isSameIncarnation && update.sequence <= known.sequence) return false;
     const former = this.#formerIncarnations.get(update.host) ?? new Set();
     if (former.has(update.incarnation)) return false;
+    this.#silence.recordUpdate(update.host, at, {
+      receivesDigests: this.#freshDigest(at) !== undefined,
+    });
     if (known?.incarnation !== undefined && !isSameIncarnation) {
       this.#formerIncarnations.set(
         update.host,
@@ -218,6 +240,8 @@
   /** Stores the digest of a relay. */
   applyDigest(digest: FleetDigest, now: number): void {
     this.#digest = { digest, at: now };
+    this.#silence.recordDigest(now);
+    this.#reportedSize.record(digest.hosts);
   }
 
   /**
@@ -281,9 +305,7 @@
 
   /** Current role of this host. */
   role(now: number): HostRole {
-    if (!needsRelays(Math.max(this.#listedCount, this.#activeCount(now) + 1))) {
-      return "direct";
-    }
+    if (!needsRelays(this.expectedCount(now))) return "direct";
     if (this.#isSeekingRelays(now)) return "member";
     return this.ownRelays(now).includes(this.#self.name) ? "relay" : "member";
   }
@@ -317,9 +339,35 @@
     );
   }
 
-  /** Number of hosts in the newest list; includes this one once it is listed. */
-  get listedCount(): number {
-    return this.#listedCount;
+  /**
+   * Number of hosts to expect, this one included: those that are not silent, and the
+   * listed ones until they were silent for longer than a moment. It may be too large
+   * while hosts are replaced, but not too small while hosts fall silent.
+   */
+  expectedCount(now: number): number {
+    const expected = this.#reportedSize.largest ?? this.#listedCount();
+    return Math.max(expected, this.#activeCount(now) + 1);
+  }
+
+  /** Number of listed hosts that are not absent. */
+  #listedCount(): number {
+    return this.#listed.filter((name) => !this.#silence.isAbsent(name)).length;
+  }
+
+  /**
+   * Hosts that a host of a small fleet sends updates to: those that may be present, or
+   * if these are many, those that are heard; and a few of the others in turn, which may
+   * have been cut off.
+   */
+  directRecipients(now: number, round: number): readonly KnownHost[] {
+    const isAbsent = ({ name }: KnownHost) => this.#silence.isAbsent(name);
+    const expected = this.all().filter((host) => !isAbsent(host));
+    const oldest = now - HOST_SILENCE_MILLISECONDS;
+    const isRecipient = needsRelays(expected.length + 1)
+      ? ({ receivedAt }: KnownHost) => receivedAt >= oldest
+      : (host: KnownHost) => !isAbsent(host);
+    const others = this.all().filter((host) => !isRecipient(host));
+    return [...this.all().filter(isRecipient), ...candidatesOf(others, round)];
   }
 
   /** Number of hosts that may be serving: not silent or just listed, and this one. */
@@ -330,8 +378,9 @@
     const recent = this.all().filter(
       (host) => Math.max(host.receivedAt, host.listedAt) >= oldest,
     );
-    const needed = needsRelays(this.#listedCount) && this.#digest !== undefined;
-    return needed ? this.#listedCount : 1 + recent.length;
+    const expected = this.expectedCount(now);
+    const needed = needsRelays(expected) && this.#digest !== undefined;
+    return needed ? expected : 1 + recent.length;
   }
 
   /** Number of data halls that have hosts. */
@@ -416,13 +465,7 @@
       this.all().filter((host) => !host.stopping),
       dataHall,
     );
-    const start = (round * CANDIDATES_EACH_ROUND) % Math.max(1, names.length);
-    return this.#hostsNamed(
-      [...names.slice(start), ...names.slice(0, start)].slice(
-        0,
-        CANDIDATES_EACH_ROUND,
-      ),
-    );
+    return this.#hostsNamed(candidatesOf(names, round));
   }
 
   #hostsNamed(names: readonly string[]): readonly KnownHost[] {
@@ -445,3 +488,15 @@
 
 /** Maximum number of former incarnations that are retained for each host. */
 const MAXIMUM_FORMER_INCARNATIONS = 4;
+
+/** The few of a list whose turn it is in a round. */
+function candidatesOf<Item>(
+  items: readonly Item[],
+  round: number,
+): readonly Item[] {
+  const start = (round * CANDIDATES_EACH_ROUND) % Math.max(1, items.length);
+  return [...items.slice(start), ...items.slice(0, start)].slice(
+    0,
+    CANDIDATES_EACH_ROUND,
+  );
+}
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -0,0 +1,131 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { FleetHosts } from "./fleet_hosts.ts";
+import { entriesOf, hear, hostNames } from "./fleet_hosts_standin.ts";
+
+const SELF = { name: "self", dataHall: "a", cores: 1 };
+const PRESENT = hostNames("present", 4);
+const GONE = hostNames("gone", 600);
+const START = 1_000;
+
+/** Time in which roles settle beside gone hosts, in milliseconds. */
+const SETTLING_MILLISECONDS = 70_000;
+
+const MINUTE_MILLISECONDS = 60_000;
+
+/**
+ * Guards against relays in a small fleet: each entry in the store counted as a host,
+ * whether or not its host had been there since this one started.
+ */
+describe("a host of five that finds 600 entries of gone hosts", () => {
+  const listed = entriesOf(["self", ...PRESENT, ...GONE]);
+
+  test("needs no relays for them while it hears the others itself", () => {
+    const hosts = new FleetHosts(SELF);
+    const until = START + SETTLING_MILLISECONDS;
+    hear({ hosts, from: START, until, listed, heard: PRESENT });
+    expect(hosts.role(until)).toBe("direct");
+    expect(hosts.expectedCount(until)).toBe(5);
+    expect(hosts.size(until)).toBe(5);
+  });
+
+  test("needs no relays for them while relays tell it of the others", () => {
+    const hosts = new FleetHosts(SELF);
+    const told = START + SETTLING_MILLISECONDS;
+    hear({ hosts, from: START, until: told, listed, digested: 5 });
+    expect(hosts.role(told)).toBe("direct");
+    // The relays stop their digests as well.
+    const later = told + 10 * MINUTE_MILLISECONDS;
+    const roles = new Set<string>();
+    for (let from = told; from < later; from += 1_000) {
+      const until = from + 1_000;
+      hear({ hosts, from, until, listed, heard: PRESENT });
+      roles.add(hosts.role(until));
+    }
+    expect([...roles]).toEqual(["direct"]);
+    expect(hosts.expectedCount(later)).toBe(5);
+  });
+
+  test("sends updates to present hosts and to a few of the gone in turn", () => {
+    const hosts = new FleetHosts(SELF);
+    const until = START + SETTLING_MILLISECONDS;
+    hear({ hosts, from: START, until, listed, heard: PRESENT });
+    const rounds = Array.from({ length: 150 }, (_, round) =>
+      hosts.directRecipients(until, round).map(({ name }) => name),
+    );
+    rounds.forEach((names) => {
+      expect(names).toEqual(expect.arrayContaining([...PRESENT]));
+      expect(names.length).toBeLessThanOrEqual(PRESENT.length + 4);
+    });
+    expect(new Set(rounds.flat()).size).toBe(PRESENT.length + GONE.length);
+  });
+});
+
+describe("a host of 40", () => {
+  const others = hostNames("other", 39);
+  const listed = entriesOf(["self", ...others]);
+
+  test("keeps relays while the others are silent for half a minute", () => {
+    const hosts = new FleetHosts(SELF);
+    const silent = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: silent, listed, heard: others });
+    const until = silent + MINUTE_MILLISECONDS / 2;
+    hear({ hosts, from: silent, until, listed, heard: others.slice(0, 5) });
+    expect(hosts.role(until)).not.toBe("direct");
+    expect(hosts.expectedCount(until)).toBe(40);
+  });
+
+  test("keeps relays while it hears nobody for an hour", () => {
+    const hosts = new FleetHosts(SELF);
+    const silent = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: silent, listed, heard: others });
+    const until = silent + 60 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: silent, until, listed });
+    expect(hosts.role(until)).not.toBe("direct");
+    expect(hosts.expectedCount(until)).toBe(40);
+  });
+
+  test("keeps relays after a suspension of an hour", () => {
+    const hosts = new FleetHosts(SELF);
+    const suspended = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: suspended, listed, heard: others });
+    const resumed = suspended + 60 * MINUTE_MILLISECONDS;
+    const until = resumed + 1_000;
+    hear({ hosts, from: resumed, until, listed, heard: others.slice(0, 1) });
+    expect(hosts.role(until)).not.toBe("direct");
+    expect(hosts.expectedCount(until)).toBe(40);
+  });
+
+  test("keeps relays as a member while a relay that just started knows three", () => {
+    const hosts = new FleetHosts(SELF);
+    const restart = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: restart, listed, digested: 40 });
+    const until = restart + MINUTE_MILLISECONDS / 2;
+    hear({ hosts, from: restart, until, listed, digested: 3 });
+    expect(hosts.role(until)).toBe("member");
+  });
+
+  test("keeps relays as a member whose relays fall silent", () => {
+    const hosts = new FleetHosts(SELF);
+    const silent = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: silent, listed, digested: 40 });
+    const until = silent + MINUTE_MILLISECONDS / 2;
+    hear({ hosts, from: silent, until, listed, heard: others.slice(0, 2) });
+    expect(hosts.role(until)).not.toBe("direct");
+  });
+
+  test("sends updates to few as a member that loses the others for minutes", () => {
+    const hosts = new FleetHosts(SELF);
+    const cut = START + 10 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: cut, listed, digested: 40 });
+    const until = cut + 2 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: cut, until, listed, digested: 6 });
+    expect(hosts.role(until)).toBe("direct");
+    const rounds = Array.from({ length: 10 }, (_, round) =>
+      hosts.directRecipients(until, round).map(({ name }) => name),
+    );
+    expect(rounds.map(({ length }) => length)).toEqual(rounds.map(() => 4));
+    expect(new Set(rounds.flat()).size).toBe(39);
+  });
+});
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -19,7 +19,7 @@
 import * as z from "zod";
 import { decodeJson } from "rampswitch-validation";
 import type { ServingMetrics } from "../observation/mod.ts";
-import type { ListedHost } from "./fleet_hosts.ts";
+import type { ListedHost, RegisteredHost } from "./fleet_hosts.ts";
 
 /** Time between reads of the list of hosts, in milliseconds. */
 const LIST_INTERVAL_MILLISECONDS = 15_000;
@@ -56,7 +56,7 @@
 /** Keeps this host's entry in the store and reads the entries of all hosts. */
 export class HostRegistry implements AsyncDisposable {
   readonly #parts: HostRegistryParts;
-  readonly #self: ListedHost;
+  readonly #self: RegisteredHost;
   readonly #onListed: (hosts: readonly ListedHost[]) => void;
   readonly #repetition: Repetition;
   #registered = false;
@@ -65,7 +65,7 @@
   #unreadable = 0;
 
   constructor(
-    self: ListedHost,
+    self: RegisteredHost,
     parts: HostRegistryParts,
     onListed: (hosts: readonly ListedHost[]) => void,
   ) {
@@ -126,8 +126,8 @@
       entries.filter(({ entry }) => entry === undefined).length,
     );
     this.#onListed(
-      entries.flatMap(({ name, entry }) =>
-        entry === undefined ? [] : [{ name, ...entry }],
+      entries.flatMap(({ name, version, entry }) =>
+        entry === undefined ? [] : [{ name, version, ...entry }],
       ),
     );
     const found = own?.entry?.address === this.#self.address;
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -542,6 +542,55 @@
   });
 });
 
+/**
+ * Guards against a small fleet with relays: each entry in the store counted as a host,
+ * whether or not its host had been there since these started.
+ */
+describe("five hosts that find 60 entries of gone hosts", () => {
+  async function openBesideGone() {
+    const clock = new ManualClock(1_000);
+    const store = sharedStore();
+    const entry = { address: "127.0.0.1:9", dataHall: "a", cores: 1 };
+    await Promise.all(
+      Array.from({ length: 60 }, (_, index) =>
+        store.put(`hosts/gone-${index}`, JSON.stringify(entry), {
+          expected: "absent",
+        }),
+      ),
+    );
+    const shared = { store, clock, received: [], wallTime: 1 };
+    const hosts = await Promise.all(
+      ["a", "b", "c", "d", "e"].map((name, index) =>
+        openHost(name, { ...shared, dataHall: index < 3 ? "a" : "b" }),
+      ),
+    );
+    return { clock, shared, hosts };
+  }
+
+  test("settle without relays, hear each other all the time, and one that joins", async () => {
+    const { clock, shared, hosts } = await openBesideGone();
+    for (let at = 0; at < 12_000; at += 200) await step(clock, 200);
+    const sizes = new Set<number>();
+    for (let at = 0; at < 128_000; at += 200) {
+      await step(clock, 200);
+      hosts.forEach(({ size }) => sizes.add(size));
+    }
+    expect(hosts.map(({ role }) => role)).toEqual(hosts.map(() => "direct"));
+    expect(hosts.map(({ listedSize }) => listedSize)).toEqual([5, 5, 5, 5, 5]);
+    expect(Math.min(...sizes)).toBe(5);
+    const late = await openHost("f", { ...shared, dataHall: "b" });
+    // Until the next read of the list.
+    for (let at = 0; at < 17_000; at += 200) await step(clock, 200);
+    for (let at = 0; at < 120_000; at += 200) {
+      await step(clock, 200);
+      expect(hosts.map(({ size }) => size)).toEqual([6, 6, 6, 6, 6]);
+      hosts.forEach(({ presentHosts }) => expect(presentHosts).toContain("f"));
+    }
+    expect(late.size).toBe(6);
+    expect(late.role).toBe("direct");
+  });
+});
+
 /**
  * Guards against hosts of an earlier version that get a shared digest during an
  * upgrade. They would count their own requests twice, and their limits would follow
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/silent_hosts.ts
@@ -0,0 +1,81 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Determines by their silence which hosts are absent.
+ *
+ * @module
+ */
+import { HearingTime } from "./hearing_time.ts";
+
+/** Silence after which a listed host no longer counts, in milliseconds. */
+export const ABSENT_MILLISECONDS = 60_000;
+
+interface Silence {
+  /** When the host was last heard or registered, in time in person. */
+  readonly since: number;
+  /** Store version of its entry; `undefined` if it was not listed. */
+  readonly version: number | undefined;
+}
+
+/** The silence of the other hosts. */
+export class SilentHosts {
+  /** Time in which this host receives the updates of all others. */
+  readonly #inPerson = new HearingTime();
+  /** Time in which this host receives updates or digests. */
+  readonly #connected = new HearingTime();
+  readonly #silences = new Map<string, Silence>();
+
+  /** Time in which this host received the updates of all others, in milliseconds. */
+  get timeInPerson(): number {
+    return this.#inPerson.total;
+  }
+
+  /** Time in which this host received updates or digests, in milliseconds. */
+  get timeConnected(): number {
+    return this.#connected.total;
+  }
+
+  /** Records a digest, which tells nothing of a single host. */
+  recordDigest(now: number): void {
+    this.#connected.record(now);
+  }
+
+  /**
+   * Records an update of a host. While digests arrive, other hosts send their updates
+   * to relays alone, so their silence is no evidence.
+   */
+  recordUpdate(
+    host: string,
+    now: number,
+    { receivesDigests }: { readonly receivesDigests: boolean },
+  ): void {
+    this.#connected.record(now);
+    if (!receivesDigests) this.#inPerson.record(now);
+    this.#set(host, this.#silences.get(host)?.version);
+  }
+
+  /** Records an entry in the store's list; a later version ends a silence. */
+  recordListed(host: string, version: number): void {
+    const known = this.#silences.get(host);
+    // A list may be older than the one before it.
+    if (known?.version !== undefined && version <= known.version) return;
+    this.#set(host, version);
+  }
+
+  /** Whether a host is silent for longer than a moment. */
+  isAbsent(host: string): boolean {
+    return this.#silenceOf(host) >= ABSENT_MILLISECONDS;
+  }
+
+  #set(host: string, version: number | undefined): void {
+    this.#silences.set(host, {
+      since: this.#inPerson.total,
+      version,
+    });
+  }
+
+  #silenceOf(host: string): number {
+    const silence = this.#silences.get(host);
+    return silence === undefined ? 0 : this.#inPerson.total - silence.since;
+  }
+}
