Forget hosts that are neither listed nor heard for five minutes

Cause: `FleetHosts` kept each host that it ever listed or heard, with its newest update and its former incarnations.

Ruled out: forgetting at once what a list lacks, as a list may be old, a host may have registered since, and a store may come back from a copy; and timing it by the clock alone, which runs on while this host is suspended or hears nobody.

Change: with each list, and with each host that is new by an update, a host forgets those that it neither listed nor heard for five minutes, in time in which it received updates or digests.

Before: 3 of 13 tests in fleet_hosts_test.ts fail: 600 of 600 hosts that left the list are known six minutes later, to a member as well, and 10,004 hosts are known after 10,000 replacements in an hour. After: all 13 pass; never 1,000 or more are known during these replacements.

Conclusion: memory of hosts is bounded by the store's list and the replacements of five minutes.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -144,7 +144,10 @@
     return [...this.#hosts.values()];
   }
 
-  /** Adds the hosts of the store's list; returns the names of the new ones. */
+  /**
+   * Adds the hosts of the store's list and forgets those that are long neither listed
+   * nor heard; returns the names of the new ones.
+   */
   addListed(entries: readonly ListedHost[], now: number): readonly string[] {
     this.#listed = entries.map(({ name }) => name);
     entries
@@ -152,6 +155,7 @@
       .forEach(({ name, version }) =>
         this.#silence.recordListed(name, version),
       );
+    this.#forgetUnlisted();
     const unknown = entries.filter(
       ({ name }) => name !== this.#self.name && !this.#hosts.has(name),
     );
@@ -192,6 +196,7 @@
     this.#silence.recordUpdate(update.host, at, {
       receivesDigests: this.#freshDigest(at) !== undefined,
     });
+    if (known === undefined) this.#forgetUnlisted();
     if (known?.incarnation !== undefined && !isSameIncarnation) {
       this.#formerIncarnations.set(
         update.host,
@@ -468,6 +473,14 @@
     return this.#hostsNamed(candidatesOf(names, round));
   }
 
+  #forgetUnlisted(): void {
+    this.#silence.unlisted.forEach((name) => {
+      this.#silence.forget(name);
+      this.#hosts.delete(name);
+      this.#formerIncarnations.delete(name);
+    });
+  }
+
   #hostsNamed(names: readonly string[]): readonly KnownHost[] {
     return names.flatMap((name) => this.#hosts.get(name) ?? []);
   }
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -129,3 +129,68 @@
     expect(new Set(rounds.flat()).size).toBe(39);
   });
 });
+
+/**
+ * Guards against memory that grows with each host that ever was: a known host was
+ * kept although neither the store nor a message named it again.
+ */
+describe("a host that is neither listed nor heard", () => {
+  const listed = entriesOf(["self", ...PRESENT]);
+  const start = entriesOf(["self", ...PRESENT, ...GONE]);
+
+  function namesOf(hosts: FleetHosts): readonly string[] {
+    return hosts.all().map(({ name }) => name);
+  }
+
+  test("is forgotten, and hosts that are heard or listed are kept", () => {
+    const hosts = new FleetHosts(SELF);
+    const removed = START + MINUTE_MILLISECONDS;
+    const heard = PRESENT.slice(0, 2);
+    hear({ hosts, from: START, until: removed, listed: start, heard });
+    const until = removed + 6 * MINUTE_MILLISECONDS;
+    hear({
+      hosts,
+      from: removed,
+      until,
+      listed,
+      heard: [...heard, "unlisted"],
+    });
+    expect(namesOf(hosts).toSorted()).toEqual([...PRESENT, "unlisted"]);
+  });
+
+  test("is forgotten by a member, which hears its relays alone", () => {
+    const hosts = new FleetHosts(SELF);
+    const removed = START + MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: removed, listed: start, digested: 5 });
+    const until = removed + 6 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: removed, until, listed, digested: 5 });
+    expect(namesOf(hosts).toSorted()).toEqual(PRESENT);
+  });
+
+  test("is kept by a host that hears nobody", () => {
+    const hosts = new FleetHosts(SELF);
+    hear({ hosts, from: START, until: 2_000, listed: start, heard: PRESENT });
+    hear({ hosts, from: 2_000, until: 60 * MINUTE_MILLISECONDS, listed });
+    expect(namesOf(hosts)).toHaveLength(PRESENT.length + GONE.length);
+  });
+
+  test("is forgotten after 10,000 replacements in an hour, so that memory is bounded", () => {
+    const hosts = new FleetHosts(SELF);
+    const hour = 60 * MINUTE_MILLISECONDS;
+    const replacements = 10_000;
+    const each = hour / replacements;
+    const sizes = hostNames("replaced", replacements).map((name, index) => {
+      const now = START + index * each;
+      hear({
+        hosts,
+        from: now,
+        until: now + 250,
+        listed: entriesOf(["self", ...PRESENT, name]),
+        heard: [...PRESENT, name],
+      });
+      return hosts.all().length;
+    });
+    // Those of five minutes, and a read of the list.
+    expect(Math.max(...sizes)).toBeLessThan((6 * replacements) / 60);
+  });
+});
--- a/packages/rampswitch-serving/src/membership/silent_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/silent_hosts.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Determines by their silence which hosts are absent.
+ * Determines by their silence which hosts are absent or may be forgotten.
  *
  * @module
  */
@@ -10,9 +10,17 @@
 /** Silence after which a listed host no longer counts, in milliseconds. */
 export const ABSENT_MILLISECONDS = 60_000;
 
+/**
+ * Time after which a host that is neither listed nor heard is forgotten, in
+ * milliseconds.
+ */
+const UNLISTED_MILLISECONDS = 300_000;
+
 interface Silence {
   /** When the host was last heard or registered, in time in person. */
   readonly since: number;
+  /** When it was last heard or listed, in time of any message. */
+  readonly knownAt: number;
   /** Store version of its entry; `undefined` if it was not listed. */
   readonly version: number | undefined;
 }
@@ -58,8 +66,9 @@
   recordListed(host: string, version: number): void {
     const known = this.#silences.get(host);
     // A list may be older than the one before it.
-    if (known?.version !== undefined && version <= known.version) return;
-    this.#set(host, version);
+    if (known?.version !== undefined && version <= known.version) {
+      this.#silences.set(host, { ...known, knownAt: this.#connected.total });
+    } else this.#set(host, version);
   }
 
   /** Whether a host is silent for longer than a moment. */
@@ -67,9 +76,23 @@
     return this.#silenceOf(host) >= ABSENT_MILLISECONDS;
   }
 
+  /** Names of the hosts that were neither listed nor heard for long. */
+  get unlisted(): readonly string[] {
+    const oldest = this.#connected.total - UNLISTED_MILLISECONDS;
+    return [...this.#silences]
+      .filter(([, { knownAt }]) => knownAt <= oldest)
+      .map(([host]) => host);
+  }
+
+  /** Forgets a host. */
+  forget(host: string): void {
+    this.#silences.delete(host);
+  }
+
   #set(host: string, version: number | undefined): void {
     this.#silences.set(host, {
       since: this.#inPerson.total,
+      knownAt: this.#connected.total,
       version,
     });
   }
