Remove the entries of hosts that are gone from the store

Cause: a host writes its entry when it starts, and nobody removes it.

A later version of an entry ends the silence.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -359,6 +359,11 @@
     return this.#listed.filter((name) => !this.#silence.isAbsent(name)).length;
   }
 
+  /** Whether a host has been silent for so long that its entry may be removed. */
+  isGone(name: string): boolean {
+    return this.#silence.isGone(name);
+  }
+
   /**
    * Hosts that a host of a small fleet sends updates to: those that may be present, or
    * if these are many, those that are heard; and a few of the others in turn, which may
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -193,4 +193,62 @@
     // Those of five minutes, and a read of the list.
     expect(Math.max(...sizes)).toBeLessThan((6 * replacements) / 60);
   });
+
+  test("counts as gone only after minutes in which others were heard in person", () => {
+    const hosts = new FleetHosts(SELF);
+    const [name = ""] = GONE;
+    const early = START + 4 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until: early, listed: start, heard: PRESENT });
+    expect(hosts.isGone(name)).toBe(false);
+    const late = early + 2 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: early, until: late, listed: start, heard: PRESENT });
+    expect(hosts.isGone(name)).toBe(true);
+    expect(PRESENT.filter((present) => hosts.isGone(present))).toEqual([]);
+  });
+
+  test("does not count as gone by digests, or by a host that heard nobody", () => {
+    const until = START + 60 * MINUTE_MILLISECONDS;
+    const member = new FleetHosts(SELF);
+    hear({ hosts: member, from: START, until, listed: start, digested: 5 });
+    // Candidates for relays send it updates beside the digests.
+    const candidate = new FleetHosts(SELF);
+    const heard = PRESENT.slice(0, 1);
+    hear({
+      hosts: candidate,
+      from: START,
+      until,
+      listed: start,
+      heard,
+      digested: 5,
+    });
+    const lonely = new FleetHosts(SELF);
+    hear({ hosts: lonely, from: START, until, listed: start });
+    [member, candidate, lonely].forEach((hosts) => {
+      expect(GONE.filter((name) => hosts.isGone(name))).toEqual([]);
+    });
+  });
+
+  test("counts as present again by an update or a new entry", () => {
+    const hosts = new FleetHosts(SELF);
+    const until = START + 6 * MINUTE_MILLISECONDS;
+    hear({ hosts, from: START, until, listed: start, heard: PRESENT });
+    const [heard = "", registered = ""] = GONE;
+    hear({
+      hosts,
+      from: until,
+      until: until + 250,
+      listed: start,
+      heard: [heard],
+    });
+    hosts.addListed(
+      start.map((entry) =>
+        entry.name === registered ? { ...entry, version: 2 } : entry,
+      ),
+      until,
+    );
+    expect([heard, registered].filter((name) => hosts.isGone(name))).toEqual(
+      [],
+    );
+    expect(GONE.filter((name) => hosts.isGone(name))).toHaveLength(598);
+  });
 });
--- a/packages/rampswitch-serving/src/membership/host_registry_test.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry_test.ts
@@ -91,8 +91,9 @@
     random: seededRandom(1),
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
+    holdsDuties: () => false,
   };
-  return new HostRegistry(SELF, parts, onListed);
+  return new HostRegistry(SELF, parts, { onListed, isGone: () => false });
 }
 
 describe("the list of hosts", () => {
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -190,6 +190,7 @@
         random: seededRandom(host.length),
         logger: SILENT_LOGGER,
         metrics: new ServingMetrics(),
+        holdsDuties: () => false,
       },
       {
         ownUpdate: () => OWN_UPDATE,
--- a/packages/rampswitch-serving/src/membership/silent_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/silent_hosts.ts
@@ -1,7 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Determines by their silence which hosts are absent or may be forgotten.
+ * Determines by their silence which hosts are absent, gone, or may be forgotten.
  *
  * @module
  */
@@ -10,6 +10,12 @@
 /** Silence after which a listed host no longer counts, in milliseconds. */
 export const ABSENT_MILLISECONDS = 60_000;
 
+/**
+ * Silence after which a host counts as gone, in milliseconds; longer than hosts are
+ * suspended or cut off.
+ */
+const GONE_MILLISECONDS = 300_000;
+
 /**
  * Time after which a host that is neither listed nor heard is forgotten, in
  * milliseconds.
@@ -76,6 +82,11 @@
     return this.#silenceOf(host) >= ABSENT_MILLISECONDS;
   }
 
+  /** Whether a host has been silent for so long that its entry may be removed. */
+  isGone(host: string): boolean {
+    return this.#silenceOf(host) >= GONE_MILLISECONDS;
+  }
+
   /** Names of the hosts that were neither listed nor heard for long. */
   get unlisted(): readonly string[] {
     const oldest = this.#connected.total - UNLISTED_MILLISECONDS;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -583,11 +583,10 @@
     return Membership.open(
       {
         ...this.#ports,
+        ...this.#settings,
         cautiousClock: this.#cautiousClock,
-        host: this.#settings.host,
-        dataHall: this.#settings.dataHall,
-        cores: this.#settings.cores,
         address,
+        holdsDuties: () => this.#duties.isHolder,
       },
       {
         ownUpdate: (message) => this.#gossip.ownUpdate(message),
