Let members whose relays became direct send to hosts that they hear

Cause: beside 600 entries of gone hosts, relays find out before members that no relays are needed. A member whose digests ended in that time sought relays among all entries of its data hall, four a round, while the former relays sent it their updates. Nobody heard it for 10 s.

Ruled out: the forwarding of members' updates, which works only while digests are requested and arrive; more candidates a round, which costs large fleets datagrams whenever relays are lost.

Change: without digests a member sends its updates to four hosts of its data hall at most that it hears, beside the candidates. The test with sockets has 600 entries in place of 60.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -435,12 +435,24 @@
     );
   }
 
-  /** Relays that a member sends its updates to. */
+  /**
+   * Relays that a member sends its updates to. Without digests these are hosts of its
+   * data hall that it hears, which may have no relays any more, and candidates.
+   */
   relaysToUpdate(now: number, round: number): readonly KnownHost[] {
     const relays = this.#freshDigest(now)?.relays;
-    return relays === undefined
-      ? this.#candidateRelays(this.#self.dataHall, round)
-      : this.#hostsNamed(relays);
+    if (relays !== undefined) return this.#hostsNamed(relays);
+    const { dataHall } = this.#self;
+    const heard = this.all().filter(
+      (host) =>
+        host.dataHall === dataHall &&
+        !host.stopping &&
+        now - host.receivedAt < RELAYED_GOSSIP_TIMING.silence,
+    );
+    const candidates = this.#candidateRelays(dataHall, round);
+    return [
+      ...new Set([...heard.slice(0, CANDIDATES_EACH_ROUND), ...candidates]),
+    ];
   }
 
   /** Other relays that a relay sends updates to, in all data halls. */
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -62,6 +62,24 @@
   });
 });
 
+/**
+ * Guards against a host that nobody hears: it sought its relays among all entries in
+ * turn, while hosts that had no relays any more sent it their updates.
+ */
+test("a member without digests sends its updates to hosts that it hears", () => {
+  const hosts = new FleetHosts(SELF);
+  const until = START + 30_000;
+  const listed = entriesOf(["self", ...PRESENT, ...GONE]);
+  hear({ hosts, from: START, until, listed, heard: PRESENT });
+  const rounds = Array.from({ length: 20 }, (_, round) =>
+    hosts.relaysToUpdate(until, round).map(({ name }) => name),
+  );
+  rounds.forEach((names) => {
+    expect(names).toEqual(expect.arrayContaining([...PRESENT]));
+    expect(names.length).toBeLessThanOrEqual(8);
+  });
+});
+
 describe("a host of 40", () => {
   const others = hostNames("other", 39);
   const listed = entriesOf(["self", ...others]);
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -547,13 +547,13 @@
  * Guards against a small fleet with relays: each entry in the store counted as a host,
  * whether or not its host had been there since these started.
  */
-describe("five hosts that find 60 entries of gone hosts", () => {
+describe("five hosts that find 600 entries of gone hosts", () => {
   async function openBesideGone() {
     const clock = new ManualClock(1_000);
     const store = sharedStore();
     const entry = { address: "127.0.0.1:9", dataHall: "a", cores: 1 };
     await Promise.all(
-      Array.from({ length: 60 }, (_, index) =>
+      Array.from({ length: 600 }, (_, index) =>
         store.put(`hosts/gone-${index}`, JSON.stringify(entry), {
           expected: "absent",
         }),
