Count a host that knows no version yet as a silent one, not as one that disagrees

Change: such a host replies 'none'; its peers then need the store's confirmation, as where a host is silent. Measured: two cases of stream_origins_test.ts; the one with a store that confirms failed before.

--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -5,7 +5,11 @@
  *
  * @module
  */
-import type { StreamRecord, StreamReply } from "../streams/mod.ts";
+import {
+  namesVersion,
+  type StreamRecord,
+  type StreamReply,
+} from "../streams/mod.ts";
 import {
   type FieldChecks,
   isName,
@@ -72,7 +76,14 @@
 export const STREAM_ANSWER_CHECKS: FieldChecks<EncodedStreamAnswer> = {
   k: oneOf("f"),
   i: isNumber,
-  o: oneOf("known", "single", "single_since_gap", "single_recently", "unknown"),
+  o: oneOf(
+    "known",
+    "single",
+    "single_since_gap",
+    "single_recently",
+    "none",
+    "unknown",
+  ),
   v: optional(isShortText),
 };
 
@@ -116,12 +127,13 @@
   id,
   reply,
 }: StreamAnswer): EncodedStreamAnswer {
-  const version = reply.kind === "unknown" ? {} : { v: reply.version };
+  const version = namesVersion(reply) ? { v: reply.version } : {};
   return { k: "f", i: id, o: reply.kind, ...version };
 }
 
 /** Decodes an answer to a query for a stream's version. */
 export function streamAnswerOf({ i, o, v }: EncodedStreamAnswer): StreamAnswer {
+  if (o === "none") return { id: i, reply: { kind: o } };
   const reply: StreamReply =
     o === "unknown" || v === undefined
       ? { kind: "unknown" }
--- a/packages/rampswitch-serving/src/membership/stream_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec_test.ts
@@ -20,7 +20,10 @@
       answer: { id: 7, reply: { kind, version: "v1" } },
     }),
   ),
-  { kind: "stream_answer", answer: { id: 7, reply: { kind: "unknown" } } },
+  ...(["none", "unknown"] as const).map((kind): PeerMessage => ({
+    kind: "stream_answer",
+    answer: { id: 7, reply: { kind } },
+  })),
 ];
 
 describe("messages about the versions of streams", () => {
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -13,7 +13,7 @@
   StreamOrigins,
   type StreamOriginsParts,
 } from "./stream_origins.ts";
-export { NO_STREAM_REPLIES } from "./stream_reply.ts";
+export { namesVersion, NO_STREAM_REPLIES } from "./stream_reply.ts";
 export type {
   StreamRecord,
   StreamReplies,
--- a/packages/rampswitch-serving/src/streams/stream_evidence.ts
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -5,7 +5,11 @@
  *
  * @module
  */
-import type { StreamReplies, StreamReply } from "./stream_reply.ts";
+import {
+  namesVersion,
+  type StreamReplies,
+  type StreamReply,
+} from "./stream_reply.ts";
 
 /** Hosts that missed changes of their lists and together vouch for the past. */
 const GAP_VOUCHERS = 2;
@@ -41,19 +45,27 @@
   if (known?.kind === "known") {
     return { kind: "known", version: known.version, source: "queried" };
   }
-  const version = agreedVersion(all);
+  const version = agreedVersion(own, replies);
   if (version === undefined) return { kind: "unknown" };
-  const isEveryoneHeard = isComplete && isMajority && replies.length > 0;
+  // A host that knows no version yet is no better than a silent one.
+  const isHeard = replies.every(({ kind }) => kind !== "none");
+  const isEveryoneHeard =
+    isComplete && isMajority && isHeard && replies.length > 0;
   return isEveryoneHeard && isVouchedFor(all, hasReadStored)
     ? { kind: "known", version, source: "single" }
     : { kind: "unconfirmed" };
 }
 
-/** The only version that all replies name; `undefined` if there is none. */
+/**
+ * The only version that this host and all others that know one name; `undefined` if there
+ * is none.
+ */
 export function agreedVersion(
+  own: StreamReply,
   replies: readonly StreamReply[],
 ): string | undefined {
-  const [version, ...others] = new Set(replies.map(versionIn));
+  const known = replies.filter(({ kind }) => kind !== "none");
+  const [version, ...others] = new Set([own, ...known].map(versionIn));
   return others.length > 0 ? undefined : version;
 }
 
@@ -73,5 +85,5 @@
 }
 
 function versionIn(reply: StreamReply): string | undefined {
-  return reply.kind === "unknown" ? undefined : reply.version;
+  return namesVersion(reply) ? reply.version : undefined;
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -246,7 +246,8 @@
         : { kind: "known", version: stream.version };
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
-    if (version === undefined || others.length > 0) return { kind: "unknown" };
+    if (version === undefined) return { kind: "none" };
+    if (others.length > 0) return { kind: "unknown" };
     if (!this.#wasThere || this.#isListBehind) {
       return { kind: "single_recently", version };
     }
@@ -289,7 +290,7 @@
     const isCurrent =
       (await this.#parts.confirmList()) || this.#parts.isStoreAway();
     const own = this.replyTo(key);
-    const version = agreedVersion([own, ...asked.replies]);
+    const version = agreedVersion(own, asked.replies);
     return isCurrent && own.kind === "single" && version !== undefined
       ? { kind: "known", version, source: "single" }
       : UNKNOWN;
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -13,11 +13,12 @@
 const RETENTION_MILLISECONDS = 60_000;
 
 /** One host, what it told others, and what these reply. */
-function hostOf(replies: readonly StreamReply[] = []) {
+function hostOf(initialReplies: readonly StreamReply[] = []) {
   const clock = new ManualClock(0);
   const told: StreamRecord[] = [];
   const state = {
     list: { version: 1, newestChange: 1, newestHeard: 1 },
+    replies: initialReplies,
     isListConfirmed: true,
     isStoreAway: false,
     queries: 0,
@@ -40,7 +41,7 @@
     tell: (record) => told.push(record),
     query: () => {
       state.queries += 1;
-      const { isComplete, isMajority } = state;
+      const { replies, isComplete, isMajority } = state;
       return Promise.resolve({ replies, isComplete, isMajority });
     },
     readStored: () => Promise.resolve(state.hasRead),
@@ -94,6 +95,20 @@
       { isComplete: true, isMajority: false },
       undefined,
     ],
+    [
+      "a host knows no version yet and the store doesn't answer",
+      { isComplete: true, replies: [{ kind: "none" }, single("v1")] },
+      undefined,
+    ],
+    [
+      "a host knows no version yet and the store confirms the list",
+      {
+        isComplete: true,
+        isListConfirmed: true,
+        replies: [{ kind: "none" }, single("v1")],
+      },
+      "v1",
+    ],
     [
       "others have read a newer list",
       {
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -45,5 +45,15 @@
    * list is older than another's.
    */
   | { readonly kind: "single_recently"; readonly version: string }
-  /** The service has several versions, or none that is known. */
+  /** The host knows no version of the service, as one that has just started. */
+  | { readonly kind: "none" }
+  /** The service has several versions, or the stream's can't be told. */
   | { readonly kind: "unknown" };
+
+/** A reply that names a version. */
+export type VersionReply = Extract<StreamReply, { readonly version: string }>;
+
+/** Whether a reply names a version. */
+export function namesVersion(reply: StreamReply): reply is VersionReply {
+  return reply.kind !== "none" && reply.kind !== "unknown";
+}
