Ask a store that can't be read for no second confirmation

Callers saw: a stream that is refused while the store is silent waited for two confirmations and a read, up to 0.76 s by calculation. Cause: the decision is made again after the stored streams were read, with a call of its own also where that read had failed. Change: no second call then; a refusal comes 0.25 s sooner. Measured: the test (is refused after one call to a store that does not answer) failed before; 89 tests of streams pass.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -261,7 +261,10 @@
     if (own.kind === "known") return { ...own, source: "table" };
     const asked = await this.#parts.query(key);
     this.#logEvidence(key, own, asked.replies);
-    const origin = await this.#originFrom(key, asked, { hasReadStored: false });
+    const origin = await this.#originFrom(key, asked, {
+      hasReadStored: false,
+      mayConfirm: true,
+    });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
       return origin;
@@ -272,6 +275,8 @@
     if (this.isUncertain(key)) return LOST;
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
+      // A store that can't be read confirms nothing either.
+      mayConfirm: hasRead,
     });
     const isEveryoneAsked = asked.isComplete && this.#parts.areHostsListed();
     const isLost = later.kind === "unknown" && hasRead && isEveryoneAsked;
@@ -282,13 +287,16 @@
   async #originFrom(
     key: StreamKey,
     asked: StreamReplies,
-    read: { readonly hasReadStored: boolean },
+    {
+      hasReadStored,
+      mayConfirm,
+    }: { readonly hasReadStored: boolean; readonly mayConfirm: boolean },
   ): Promise<StreamOrigin> {
-    const verdict = judgeReplies(this.replyTo(key), asked, read);
+    const verdict = judgeReplies(this.replyTo(key), asked, { hasReadStored });
     if (verdict.kind !== "unconfirmed") return verdict;
     if (!this.isPastKnown) return UNKNOWN;
-    const isCurrent =
-      (await this.#parts.confirmList()) || this.#parts.isStoreAway();
+    const isConfirmed = mayConfirm && (await this.#parts.confirmList());
+    const isCurrent = isConfirmed || this.#parts.isStoreAway();
     const own = this.replyTo(key);
     const version = agreedVersion(own, asked.replies);
     return isCurrent && own.kind === "single" && version !== undefined
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -135,6 +135,15 @@
     },
   );
 
+  test("is refused after one call to a store that does not answer", async () => {
+    const { clock, state, streams, list } = hostOf([single("v1")]);
+    list("s1", "v1");
+    clock.advance(RETENTION_MILLISECONDS);
+    Object.assign(state, { isComplete: false, isListConfirmed: false });
+    expect(await streams.find(STREAM)).toEqual(UNKNOWN);
+    expect(state.confirmations).toBe(1);
+  });
+
   test("is not vouched for by a host whose list is older than another's", () => {
     const { clock, state, streams, list } = hostOf();
     list("s1", "v1");
