--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -1,8 +1,7 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Tells how new a host's list of servers is, beside those of other hosts and beside the
- * store.
+ * Compares a host's list of servers with those of other hosts and with the store.
  *
  * @module
  */
@@ -16,7 +15,7 @@
   readonly version: number;
   /** Position of the newest change of a server that this host has received. */
   readonly newestChange: number;
-  /** Position of the newest change that any host told of. */
+  /** Position of the newest change that any host reported. */
   readonly newestHeard: number;
 }
 
@@ -41,7 +40,7 @@
     return { version, newestChange, newestHeard };
   }
 
-  /** Notes the newest change of a server that another host told of. */
+  /** Notes the newest change of a server that another host reported. */
   heard(newestChange: number): void {
     this.#newestHeard = Math.max(this.#newestHeard, newestChange);
   }
--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -335,7 +335,7 @@
     return needed ? this.#listedCount : 1 + recent.length;
   }
 
-  /** What most hosts of the fleet tell is judged by this. */
+  /** What this host knows of the fleet, to find the state of most hosts. */
   view(now: number): FleetView {
     return {
       listed: this.#listedCount,
--- a/packages/rampswitch-serving/src/membership/fleet_majority.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_majority.ts
@@ -1,8 +1,8 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * What most hosts of the fleet tell, as one of them hears it. A host that is cut off
- * from the others hears of no change and can't tell its own silence from theirs. Pure.
+ * State of most hosts of the fleet, as one host receives it. A host that is cut off from
+ * the others can't distinguish its own silence from theirs. Pure.
  *
  * @module
  */
