Refuse requests with a header whose name is no token

Cause: the HTTP parser of Node.js 20.19.0 on arm64 (llhttp 8.1.2) accepts a header with an empty name, or with spaces in it. Such a request was read, and its send failed in the client's own check of names: callers got 503 as if no server were there, and the request that followed within the body ran. Ruled out: load (it fails alone). Names with a space before the colon are refused by the parser; values with control characters too (16 kinds tried). Change: both interfaces check the names of a request's headers and answer 400; the serving host closes the connection as after bytes that can't be parsed.

--- a/packages/rampswitch-entry/src/intake/caller_request.ts
+++ b/packages/rampswitch-entry/src/intake/caller_request.ts
@@ -9,7 +9,7 @@
 import { Result } from "true-myth";
 import type { RoutingTable } from "rampswitch-policy";
 import { refused, type RefusedNotRun, type Workspace } from "rampswitch-types";
-import { sha256 } from "rampswitch-utils";
+import { invalidHeaderName, sha256 } from "rampswitch-utils";
 
 /** Header with the caller's idempotency key, which makes retries safe. */
 export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
@@ -81,6 +81,13 @@
       ),
     );
   }
+  const invalidName = invalidHeaderName(request.rawHeaders);
+  if (invalidName !== undefined) {
+    const name = JSON.stringify(invalidName);
+    return Result.err(
+      refused("bad_request", `header ${name}, expected a token as name`),
+    );
+  }
   const numbers = {
     lastEvent: headerNumber(request, "last-event-id"),
     deadlineMilliseconds: headerNumber(request, DEADLINE_HEADER),
--- a/packages/rampswitch-measure/src/bad_input_test.ts
+++ b/packages/rampswitch-measure/src/bad_input_test.ts
@@ -175,6 +175,8 @@
   });
 }
 
+const BODY = JSON.stringify({ model: SERVICES.model, messages: MESSAGES });
+
 const HEAD = `POST ${CHAT} HTTP/1.1\r\nhost: x\r\n`;
 
 describe("broken connections end and leave others alone:", () => {
@@ -192,6 +194,11 @@
       `${HEAD}content-length: many\r\n\r\n`,
       "400",
     ],
+    [
+      "a header without a name",
+      `${HEAD}authorization: ${AUTHORIZATION}\r\n: x\r\nconnection: close\r\ncontent-length: ${BODY.length}\r\n\r\n${BODY}`,
+      "400",
+    ],
   ])("%s", async (_name, bytes, status) => {
     expect(await exchangeBytes(bytes)).toContain(`HTTP/1.1 ${status}`);
     await expectServes();
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -17,6 +17,7 @@
 import {
   handleInBackground,
   listen,
+  invalidHeaderName,
   type Listening,
   type LogFields,
   readBody,
@@ -167,6 +168,10 @@
     this.#idle = false;
     const head = this.#headOf(incoming);
     this.#context.metrics.input("request", head.attemptId);
+    if (this.#rejectsHeaders(incoming)) {
+      this.#logUnread(head, incoming);
+      return;
+    }
     this.#reading += 1;
     const body = await readBody(incoming, this.#limits.bodyBytes);
     this.#reading -= 1;
@@ -412,6 +417,15 @@
     });
   }
 
+  /** Rejects a request that the parser accepts though a header's name is invalid. */
+  #rejectsHeaders({ rawHeaders, socket }: IncomingMessage): boolean {
+    const name = invalidHeaderName(rawHeaders);
+    if (name === undefined) return false;
+    const detail = `header ${JSON.stringify(name)}, expected a token as name`;
+    this.#rejectMalformed(new Error(detail), socket);
+    return true;
+  }
+
   #rejectMalformed(error: Error, socket: Socket): void {
     this.#context.metrics.event("malformed_request");
     // The caller would take this answer for that of an earlier, running request.
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./connection_ends.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
+export * from "./header_names.ts";
 export * from "./hop_headers.ts";
 export * from "./json.ts";
 export * from "./listen.ts";
