Name the evidence of a stream's version in its log line

The line 'stream taken up' says 'table' for three kinds of evidence: this host served the stream, another one told of it, or a host that may have ended had stored it. It now says table, told or stored, and names the server that the record names, so that it can be compared with the lines 'server listed' of that time. The expectation of origin_archive_test names the server too (stricter than before); four new cases of stream_origins_test failed before (table in place of told and stored, no server).

--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -72,6 +72,7 @@
       resumes: this.#key.attempt,
       version: known?.version,
       source: known?.source,
+      server: known?.serverId,
       sinceMilliseconds: Math.round(clock.now() - arrivedAt),
     });
     return REFUSAL_BY_ORIGIN[origin.kind];
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -326,6 +326,7 @@
       kind: "known",
       version: "v2",
       source: "stored",
+      serverId: "s-v2",
     });
   });
 
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -56,8 +56,13 @@
   readStored(): Promise<boolean>;
 }
 
-/** How the version of a stream was found. */
-export type StreamOriginSource = "table" | "queried" | "single" | "stored";
+/**
+ * How the version of a stream was found: this host served the stream, another one told
+ * of it, hosts replied to a query, the service has one version alone, or a host that may
+ * have ended had stored it.
+ */
+export type StreamOriginSource =
+  "table" | "told" | "queried" | "single" | "stored";
 
 /** The version that began a stream, if it is known. */
 export type StreamOrigin =
@@ -65,6 +70,8 @@
       readonly kind: "known";
       readonly version: string;
       readonly source: StreamOriginSource;
+      /** Id of the server that began it, if a record names one. */
+      readonly serverId?: string | undefined;
     }
   /** Somebody may know it later. */
   | { readonly kind: "unknown" }
@@ -258,7 +265,7 @@
   async find(key: StreamKey): Promise<StreamOrigin> {
     if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
-    if (own.kind === "known") return { ...own, source: "table" };
+    if (own.kind === "known") return { ...own, ...this.#recordSource(key) };
     const asked = await this.#parts.query(key);
     this.#logEvidence(key, own, asked.replies);
     const origin = await this.#originFrom(key, asked, {
@@ -271,7 +278,9 @@
     }
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
-    if (stored.kind === "known") return { ...stored, source: "stored" };
+    if (stored.kind === "known") {
+      return { ...stored, ...this.#recordSource(key) };
+    }
     if (this.isUncertain(key)) return LOST;
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
@@ -342,6 +351,19 @@
     );
   }
 
+  /** Where the record of a known stream comes from, and the server that it names. */
+  #recordSource(key: StreamKey): {
+    readonly source: StreamOriginSource;
+    readonly serverId: string | undefined;
+  } {
+    const stream = this.#streams.get(key, this.#parts.clock.now());
+    const serverId = this.#get(key)?.serverId;
+    if (stream?.server !== undefined) return { source: "table", serverId };
+    // A record that a former process of this host served was stored by that process.
+    const isStored = stream === undefined || stream.isServedHere;
+    return { source: isStored ? "stored" : "told", serverId };
+  }
+
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
     const stream = this.#streams.get(key, now) ?? this.#restored.get(key, now);
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -56,6 +56,15 @@
   return { clock, told, state, streams, list, begin };
 }
 
+type Host = ReturnType<typeof hostOf>;
+
+const RECORD: StreamRecord = {
+  ...STREAM,
+  version: "v1",
+  serverId: "s1",
+  lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+};
+
 const KNOWN: StreamReply = { kind: "known", version: "v2" };
 const UNKNOWN: StreamReply = { kind: "unknown" };
 const LOST = { kind: "lost" };
@@ -390,6 +399,28 @@
   });
 });
 
+test.each([
+  ["table", ({ begin }: Host) => begin("v1")],
+  ["told", ({ streams }: Host) => streams.receive(RECORD)],
+  [
+    "stored",
+    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: false }),
+  ],
+  [
+    "stored",
+    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: true }),
+  ],
+] as const)(
+  "a version that is found names its evidence: %s",
+  async (source, note) => {
+    const host = hostOf();
+    note(host);
+    const version = "v1";
+    const origin = { kind: "known", version, source, serverId: "s1" };
+    expect(await host.streams.find(STREAM)).toEqual(origin);
+  },
+);
+
 describe("the versions that served before a host started", () => {
   const restored = (versions: readonly string[], isComplete = true) => {
     const host = hostOf([RECENT]);
