--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -12,6 +12,7 @@
   SILENT_LOGGER,
 } from "rampswitch-utils";
 import type { ObjectStore } from "rampswitch-store";
+import type { ServerListState } from "../configuration/server_list_evidence.ts";
 import { ServingMetrics } from "../observation/mod.ts";
 import { createStreams } from "../host_streams.ts";
 import { ObjectStoreStandin } from "./object_store_standin.ts";
@@ -52,10 +53,12 @@
     versions,
     holdsDuties = true,
     host = "h1",
+    list = { version: 1, newestChange: 1, newestHeard: 1 },
   }: {
     readonly versions: readonly string[];
     readonly holdsDuties?: boolean;
     readonly host?: string;
+    readonly list?: ServerListState;
   },
 ): Promise<StartedHost> {
   const clock = new ManualClock(0);
@@ -70,7 +73,7 @@
       metrics: new ServingMetrics(),
       confirmList: () => Promise.resolve(true),
       isStoreAway: () => false,
-      serverList: () => ({ version: 1, newestChange: 1, newestHeard: 1 }),
+      serverList: () => list,
       areHostsListed: () => true,
       tell: () => undefined,
       query: () =>
@@ -199,6 +202,35 @@
     expect(next.versions.get(SERVICE)).toEqual(["v1", "v2", "v3"]);
   });
 
+  // Guards against hosts that all end before the holder of the duties has stored a
+  // version: the only one that is stored was taken for that of a stream.
+  test("include those that began the streams which a host stored", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1"] });
+    const { clock, streams } = await startHost(store, {
+      versions: ["v1"],
+      holdsDuties: false,
+      host: "h2",
+    });
+    await pass(clock, START_MILLISECONDS);
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    streams.began({ ...STREAM, ...BEGUN, attempt: "a2" }, "s-v2/1");
+    await pass(clock, AT_ONCE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v1"], host: "h3" });
+    expect(await versionOf(next.streams)).toBeUndefined();
+  });
+
+  test("are not stored as complete by a host whose list is older than another's", async () => {
+    const store = new ObjectStoreStandin();
+    const list = { version: 1, newestChange: 1, newestHeard: 2 };
+    await startHost(store, { versions: ["v1"], list });
+    const next = await startHost(store, {
+      versions: ["v1"],
+      holdsDuties: false,
+    });
+    expect(await versionOf(next.streams)).toBeUndefined();
+  });
+
   test("are not taken for complete after the store came back from a copy", async () => {
     const store = new ObjectStoreStandin();
     await startHost(store, { versions: ["v1"] });
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -274,6 +274,94 @@
     },
   );
 
+  const RECORD = {
+    ...STREAM,
+    version: "v1",
+    serverId: "s1",
+    lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+  };
+
+  /** A host that was told of a stream, and lists its server with some versions. */
+  const toldHost = (...versions: readonly string[]) => {
+    const host = hostOf();
+    host.list("s2", "v2");
+    versions.slice(0, 1).forEach((version) => host.list("s1", version));
+    host.streams.receive(RECORD);
+    versions.slice(1).forEach((version) => host.list("s1", version));
+    return host.streams;
+  };
+
+  // Guards against a take-up that joins two versions, since the first host that replies
+  // has an old list and another one knows better.
+  test.each([
+    ["another one names another version", () => KNOWN],
+    [
+      "another one lists its server as another one",
+      () => toldHost("v1", "v2").replyTo(STREAM),
+    ],
+  ])("is not taken from a host that knows it if %s", async (_, other) => {
+    const replies = [toldHost("v1").replyTo(STREAM), other()];
+    const found = [replies, replies.toReversed()].map((ordered) => {
+      const { state, streams, list } = hostOf(ordered);
+      list("s3", "v1");
+      state.hasRead = true;
+      return streams.find(STREAM);
+    });
+    expect(await Promise.all(found)).toEqual([LOST, LOST]);
+  });
+
+  test("is not taken from this host's old list if others know better", async () => {
+    const { state, streams, list, begin } = hostOf([
+      toldHost("v1", "v2").replyTo(STREAM),
+    ]);
+    list("s1", "v1");
+    begin("v1");
+    state.list = { version: 1, newestChange: 1, newestHeard: 2 };
+    expect(await streams.find(STREAM)).toEqual(LOST);
+  });
+
+  test.each([
+    [500, LOST],
+    [3_000, { ...KNOWN, version: "v1", source: "queried" }],
+  ])(
+    "is what others know, unless its server is listed here as another one %i ms later",
+    async (milliseconds, expected) => {
+      const other = hostOf();
+      other.list("s1", "v1");
+      other.streams.receive(RECORD);
+      const { clock, state, streams, list } = hostOf();
+      list("s1", "v1");
+      [clock, other.clock].forEach((each) => each.advance(milliseconds));
+      list("s1", "v2");
+      state.replies = [other.streams.replyTo(STREAM)];
+      state.hasRead = true;
+      expect(await streams.find(STREAM)).toEqual(expected);
+    },
+  );
+
+  test("can't be told where its server is first listed as another one", () => {
+    const { clock, streams, list } = hostOf();
+    list("s2", "v2");
+    streams.receive(RECORD);
+    clock.advance(3_000);
+    list("s1", "v2");
+    expect(streams.isUncertain(STREAM)).toBe(true);
+  });
+
+  test.each([
+    ["that it can't be told", undefined, "receive"],
+    ["of another version", "v2", "receive"],
+    ["of another version by what is stored", "v2", "restoreStreams"],
+  ] as const)("can't be told once this host was told %s", (_, version, way) => {
+    const { streams, list } = hostOf();
+    list("s2", "v2");
+    [{ ...RECORD, version }, RECORD].forEach((record) => {
+      if (way === "receive") streams.receive(record);
+      else streams.restoreStreams([record], { isOwn: false });
+    });
+    expect(streams.isUncertain(STREAM)).toBe(true);
+  });
+
   test.each([
     ["the store was not read", { hasRead: false }],
     ["a host did not reply", { isComplete: false }],
@@ -365,6 +453,21 @@
     expect(streams.replyTo({ ...STREAM, attempt: "other" })).toEqual(UNKNOWN);
   });
 
+  test("counts a version as serving for as long as streams begin at it", () => {
+    const { clock, streams, list } = hostOf();
+    list("s1", "v1");
+    list("s2", "v2");
+    streams.removed("s2");
+    clock.advance(RETENTION_MILLISECONDS - 1);
+    streams.receive({
+      ...STREAM,
+      version: "v2",
+      lifetimeMilliseconds: LIFETIME_MILLISECONDS,
+    });
+    clock.advance(LIFETIME_MILLISECONDS);
+    expect(streams.replyTo({ ...STREAM, attempt: "other" })).toEqual(UNKNOWN);
+  });
+
   test("learns a version from the reply to a query", async () => {
     const { streams, list } = hostOf([KNOWN]);
     list("s1", "v1");
