Count no entry of a former incarnation as a listed version

Cause: ServerListing told the history of versions of each entry, also of one that the directory leaves out: a former incarnation's, as a store gives it that came back from a copy, or one that is refused. The server then counted as being its former version again, so that records which named it became certain.

Ruled out: the directory itself, which keeps the later incarnation; the choice of a server, which reads the directory.

Change: the handlers of entries that are listed tell the history, no others.

Measured: server_listing_test.ts, 2 of 3 failed before (listed for `former_life` and `without_life`), 3 of 3 pass.

--- a/packages/rampswitch-serving/src/server_listing.ts
+++ b/packages/rampswitch-serving/src/server_listing.ts
@@ -63,8 +63,12 @@
 export class ServerListing {
   readonly #parts: ServerListingParts;
   readonly #handlers: Handlers = {
-    listed: (server) => this.#logListed(server),
+    listed: (server) => {
+      this.#parts.streams.listed(server);
+      return this.#logListed(server);
+    },
     started_again: (server, { former }) => {
+      this.#parts.streams.listed(server);
       this.#handleRestart(server, former);
       return this.#logListed(server);
     },
@@ -82,7 +86,6 @@
     const { directory, clock } = this.#parts;
     const outcome = directory.put(server, clock.now());
     this.#parts.rollouts.listed(server, clock.now());
-    this.#parts.streams.listed(server);
     const handle = this.#handlers[outcome.kind] as (
       server: BackendServer,
       outcome: EntryOutcome,
