Keep a stream uncertain once two records of it disagree

Cause: the table of streams took the record that came last. A record that a datagram brought late, or that was read from another host's object, made a stream's version certain again which was known to be untellable, and of two records with different versions the later one won. A stored record that differed from the host's own was left out.

Ruled out: a stream with two right versions; within one attempt the version is fixed with the first event, and a take-up begins at the version that was found.

Change: BegunStreams combines the versions of what it knows and what is added; the table of told streams and that of stored ones are combined the same way.

Conclusion: what can't be told stays so, in whatever order records come.

--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -48,12 +48,13 @@
     this.#maximumStreams = maximumStreams;
   }
 
-  /** Adds a stream, or replaces what is known of it. */
+  /** Adds a stream, or replaces what is known of it; the versions are combined. */
   add(stream: BegunStream, now: number): void {
     const name = streamName(stream);
+    const combined = combinedStream(this.get(stream, now), stream);
     // Deleted first, so that it moves to the end of the order.
     this.#streams.delete(name);
-    this.#streams.set(name, stream);
+    this.#streams.set(name, combined ?? stream);
     this.#dropOldest(now);
   }
 
@@ -93,3 +94,17 @@
     }
   }
 }
+
+/**
+ * What two sources together know of a stream: the later one, without a version if they
+ * differ in it. A stream has one version, so one of the two is wrong.
+ */
+export function combinedStream(
+  earlier: BegunStream | undefined,
+  later: BegunStream | undefined,
+): BegunStream | undefined {
+  if (earlier === undefined || later === undefined) return later ?? earlier;
+  const expiresAt = Math.max(earlier.expiresAt, later.expiresAt);
+  const version = earlier.version === later.version ? later.version : undefined;
+  return { ...later, version, expiresAt };
+}
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -17,6 +17,7 @@
 import {
   type BegunStream,
   BegunStreams,
+  combinedStream,
   type StreamKey,
 } from "./begun_streams.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
@@ -192,8 +193,11 @@
     const now = this.#parts.clock.now();
     const table = isOwn ? this.#streams : this.#restored;
     records
-      // What this host knows itself is newer.
-      .filter((record) => this.#streams.get(record, now) === undefined)
+      // What this host knows itself is newer, unless it is of another version.
+      .filter((record) => {
+        const known = this.#streams.get(record, now);
+        return known === undefined || known.version !== record.version;
+      })
       .forEach((record) =>
         this.#add(record, { server: undefined, isServedHere: isOwn }, table),
       );
@@ -344,7 +348,10 @@
 
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
-    const stream = this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    const stream = combinedStream(
+      this.#restored.get(key, now),
+      this.#streams.get(key, now),
+    );
     return stream !== undefined && this.#mayBeOfOtherVersion(stream)
       ? { ...stream, version: undefined }
       : stream;
