Count a version as serving while others tell of it

Cause: a version that a host knew without a server was forgotten a minute after its last listed server went, whoever told of it since: VersionHistory.served left the entry as it was. A host with an old list, told of a stream that v2 began 59 s after it saw v2 go, counted v1 as the only version 4 s later and vouched for it.

Ruled out: the write of the object itself (VersionArchive.store decides on the object that is in the store at the time of the write, and adds what it names); the removal by a holder that nobody tells anything (still after a minute).

Change: the history notes when a version was last told of, and forgets it a minute after that or after its last server. How long a version has had no server is told as before.

Conclusion: a holder no longer drops a version that another host has named since.

--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -26,6 +26,8 @@
   readonly servers: Set<string>;
   /** When its last server was removed, on the monotonic clock. */
   goneAt: number;
+  /** When it was last told of, on the monotonic clock. */
+  toldAt: number;
 }
 
 /** A server that is listed. */
@@ -54,7 +56,7 @@
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, versions);
-    const known = versions.get(version) ?? { servers: new Set(), goneAt: now };
+    const known = versions.get(version) ?? withoutServer(now);
     known.servers.add(id);
     versions.set(version, known);
   }
@@ -82,18 +84,18 @@
   }
 
   /**
-   * Notes versions that served before this process started. Those that are not listed
-   * may have ended a moment ago.
+   * Notes versions that others tell of: they served before this process started, or
+   * began a stream elsewhere. Those that are not listed may have ended a moment ago.
    */
   served(service: string, versions: readonly string[], now: number): void {
     const known =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, known);
-    versions
-      .filter((version) => !known.has(version))
-      .forEach((version) =>
-        known.set(version, { servers: new Set(), goneAt: now }),
-      );
+    versions.forEach((version) => {
+      const told = known.get(version) ?? withoutServer(now);
+      told.toldAt = now;
+      known.set(version, told);
+    });
   }
 
   /** Time since a version's last server was listed, in milliseconds. */
@@ -125,7 +127,15 @@
     return [...versions.keys()];
   }
 
-  #isForgotten({ servers, goneAt }: ServiceVersion, now: number): boolean {
-    return servers.size === 0 && now - goneAt > this.#retentionMilliseconds;
+  #isForgotten(
+    { servers, goneAt, toldAt }: ServiceVersion,
+    now: number,
+  ): boolean {
+    const elapsed = now - Math.max(goneAt, toldAt);
+    return servers.size === 0 && elapsed > this.#retentionMilliseconds;
   }
 }
+
+function withoutServer(now: number): ServiceVersion {
+  return { servers: new Set(), goneAt: now, toldAt: now };
+}
