Learn the versions of streams that hosts had stored

Cause: a host that starts read streams of v2 from another host's object, and still counted v1 as the service's only version if the object of versions named v1 alone, as it does until the holder of the duties has written v2 (0.3 s, 4 s without a holder). A stream of v2 that was not stored was then joined with v1.

Ruled out: an object that names v1 without being complete (vouches for nothing already); records of the same stream (found by their own key).

Change: streams that are read teach their versions, as those do that are told.

Measured: origin_archive_test.ts, `include those that began the streams which a host stored` failed before (v1 was taken), passes.

Conclusion: two hosts that read the same object in which v2 is missing no longer vouch for v1 where any host had stored a stream of v2. Where none had, the 0.3 s (4 s) stay. An object of a host that is gone teaches for as long as it lies there, 120 s at most.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -201,6 +201,10 @@
       .forEach((record) =>
         this.#add(record, { server: undefined, isServedHere: isOwn }, table),
       );
+    // Their versions may have been stored by nobody else.
+    versionsIn(records).forEach((names, service) => {
+      names.forEach((version) => this.#learn({ service, version }));
+    });
   }
 
   /** Whether it is known of a stream that it can't be told which version began it. */
@@ -418,6 +422,18 @@
 /** Somebody may know the version later. */
 const UNKNOWN: StreamOrigin = { kind: "unknown" };
 
+/** The versions that began streams, by service. */
+function versionsIn(
+  records: readonly StreamRecord[],
+): ReadonlyMap<string, ReadonlySet<string | undefined>> {
+  const services = new Map<string, Set<string | undefined>>();
+  records.forEach(({ service, version }) => {
+    const names = services.get(service) ?? new Set();
+    services.set(service, names.add(version));
+  });
+  return services;
+}
+
 /** What other hosts need to know of a stream. */
 function recordOf(
   { service, attempt, version, serverId, expiresAt }: BegunStream,
