Let a host that knows better outweigh an old record of a stream

Cause: judgeReplies took the first reply that named a version. A host that knew that the stream's server had come back as another version replied `unknown`, as one does that never heard of the stream, and weighed nothing; of two hosts that named different versions the first one won.

Ruled out: the own record of the host that asks (it refuses already if that can't be told); a refusal of streams that several hosts know: they name one version.

Change: `uncertain` is a reply of its own, sent as `unknown` with a mark that peers of the former program pass over. One such reply, or two versions, and the stream is refused as lost, without a read of the store, whose record may be the same old one.

A test changed: `is what it was told of, unless its server is another one 500 ms later` expected `unknown` of a host whose record can't be told, and expects `uncertain`, which says more.

Conclusion: holds for the replies that are there when the query ends; the query still ends with the first that knows.

--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -12,6 +12,7 @@
 } from "../streams/mod.ts";
 import {
   type FieldChecks,
+  isBoolean,
   isName,
   isNonnegative,
   isNumber,
@@ -48,9 +49,11 @@
 export interface EncodedStreamAnswer {
   readonly k: "f";
   readonly i: number;
-  readonly o: StreamReply["kind"];
+  readonly o: Exclude<StreamReply["kind"], "uncertain">;
   /** Absent if it is not known. */
   readonly v?: string | undefined;
+  /** Whether it can't be told; the kind is then `unknown`. */
+  readonly u?: boolean | undefined;
 }
 
 /** Checks of a stream's version. */
@@ -85,6 +88,7 @@
     "unknown",
   ),
   v: optional(isShortText),
+  u: optional(isBoolean),
 };
 
 /** Encodes a stream's version. */
@@ -127,12 +131,20 @@
   id,
   reply,
 }: StreamAnswer): EncodedStreamAnswer {
+  if (reply.kind === "uncertain")
+    return { k: "f", i: id, o: "unknown", u: true };
   const version = namesVersion(reply) ? { v: reply.version } : {};
   return { k: "f", i: id, o: reply.kind, ...version };
 }
 
 /** Decodes an answer to a query for a stream's version. */
-export function streamAnswerOf({ i, o, v }: EncodedStreamAnswer): StreamAnswer {
+export function streamAnswerOf({
+  i,
+  o,
+  v,
+  u,
+}: EncodedStreamAnswer): StreamAnswer {
+  if (u === true) return { id: i, reply: { kind: "uncertain" } };
   if (o === "none") return { id: i, reply: { kind: o } };
   const reply: StreamReply =
     o === "unknown" || v === undefined
--- a/packages/rampswitch-serving/src/membership/stream_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec_test.ts
@@ -20,7 +20,7 @@
       answer: { id: 7, reply: { kind, version: "v1" } },
     }),
   ),
-  ...(["none", "unknown"] as const).map((kind): PeerMessage => ({
+  ...(["none", "unknown", "uncertain"] as const).map((kind): PeerMessage => ({
     kind: "stream_answer",
     answer: { id: 7, reply: { kind } },
   })),
--- a/packages/rampswitch-serving/src/streams/stream_evidence.ts
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -26,12 +26,16 @@
    * silent: this host's list of servers has to be confirmed.
    */
   | { readonly kind: "unconfirmed" }
-  | { readonly kind: "unknown" };
+  | { readonly kind: "unknown" }
+  /** A host knows that it can't be told, or two hosts name different versions. */
+  | { readonly kind: "lost" };
 
 /**
  * Judges the reply of this host and those of the others. One version alone counts if
  * somebody knows the past, nobody has seen another version, and no host is silent that
- * may have been sent the stream's version. A host that hears few others may be cut off
+ * may have been sent the stream's version. A host that knows that the version can't be
+ * told outweighs one that names it, whose list may be old. A host that hears few others
+ * may be cut off
  * from those that know more. What all of them miss since they have just
  * started, or since their lists are old, is no evidence.
  */
@@ -41,9 +45,11 @@
   { hasReadStored }: { readonly hasReadStored: boolean },
 ): StreamVerdict {
   const all = [own, ...replies];
-  const known = all.find(({ kind }) => kind === "known");
-  if (known?.kind === "known") {
-    return { kind: "known", version: known.version, source: "queried" };
+  const [known, ...otherKnown] = knownVersions(all);
+  const isUncertain = all.some(({ kind }) => kind === "uncertain");
+  if (isUncertain || otherKnown.length > 0) return { kind: "lost" };
+  if (known !== undefined) {
+    return { kind: "known", version: known, source: "queried" };
   }
   const version = agreedVersion(own, replies);
   if (version === undefined) return { kind: "unknown" };
@@ -84,6 +90,15 @@
   return countOf("single") > 0 || (hasReadStored && haveGap);
 }
 
+/** The versions that hosts know of the stream, each once. */
+function knownVersions(replies: readonly StreamReply[]): ReadonlySet<string> {
+  return new Set(
+    replies
+      .filter((reply) => reply.kind === "known")
+      .map(({ version }) => version),
+  );
+}
+
 function versionIn(reply: StreamReply): string | undefined {
   return namesVersion(reply) ? reply.version : undefined;
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -250,7 +250,7 @@
     const stream = this.#get(key);
     if (stream !== undefined) {
       return stream.version === undefined
-        ? { kind: "unknown" }
+        ? { kind: "uncertain" }
         : { kind: "known", version: stream.version };
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
@@ -275,8 +275,8 @@
     });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
-      return origin;
     }
+    if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
     if (stored.kind === "known") return { ...stored, source: "stored" };
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -254,7 +254,7 @@
   });
 
   test.each([
-    [500, { kind: "unknown" }],
+    [500, { kind: "uncertain" }],
     [3_000, { ...KNOWN, version: "v1" }],
   ])(
     "is what it was told of, unless its server is another one %i ms later",
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -33,9 +33,17 @@
   isMajority: false,
 };
 
+/** The version of a stream that a host knows. */
+export interface KnownReply {
+  readonly kind: "known";
+  readonly version: string;
+}
+
 /** What a host knows of the version that began a stream. */
 export type StreamReply =
-  | { readonly kind: "known"; readonly version: string }
+  | KnownReply
+  /** The host knows the stream, and that its version can't be told. */
+  | { readonly kind: "uncertain" }
   /** The service is known to have had this version alone for as long as a stream lasts. */
   | { readonly kind: "single"; readonly version: string }
   /** The same, but other versions may have been listed and removed unseen meanwhile. */
@@ -47,7 +55,7 @@
   | { readonly kind: "single_recently"; readonly version: string }
   /** The host knows no version of the service, as one that has just started. */
   | { readonly kind: "none" }
-  /** The service has several versions, or the stream's can't be told. */
+  /** The service has several versions. */
   | { readonly kind: "unknown" };
 
 /** A reply that names a version. */
@@ -55,5 +63,5 @@
 
 /** Whether a reply names a version. */
 export function namesVersion(reply: StreamReply): reply is VersionReply {
-  return reply.kind !== "none" && reply.kind !== "unknown";
+  return "version" in reply;
 }
