Ask others of a stream that a host with an old list knows

Cause: a host took the version of a stream from its own table at once, also while it had heard of a newer list than its own, which may name the stream's server as another version. The hosts that had read it were not asked.

Ruled out: refusing such streams (they go on wherever nobody contradicts).

Change: such a host asks as if it didn't know the stream; its own reply counts with the others. With a current list nothing changes, and nothing is sent.

Measured: stream_origins_test.ts, `is not taken from this host's old list if others know better` failed before (known, `table`), passes.

Conclusion: costs a query only between another host's news and this host's list.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -266,7 +266,10 @@
   async find(key: StreamKey): Promise<StreamOrigin> {
     if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
-    if (own.kind === "known") return { ...own, source: "table" };
+    // A host with a newer list may know that the version can't be told.
+    if (own.kind === "known" && !this.#isListBehind) {
+      return { ...own, source: "table" };
+    }
     const asked = await this.#parts.query(key);
     this.#logEvidence(key, own, asked.replies);
     const origin = await this.#originFrom(key, asked, {
