Judge another host's record of a stream by the servers listed here

Cause: a host that is asked names the version that it noted, and if it has not read yet that the stream's server came back as another version, the host that asks went on at the former one, although it had read it itself.

Ruled out: refusing each record of a server that is listed with another version: what the server began more than two seconds before is certain, and the age of the record tells it (as before for records that a host was told of).

Change: a reply that names a version also names the server and the record's age, unless the host that replies has listed that server with another version and judged it. The host that asks judges such a reply as a record of its own. Two optional fields of the message; peers of the former program pass over them and send none.

Two tests changed: they compared whole replies, and now expect the two new fields in them too.

--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -54,6 +54,10 @@
   readonly v?: string | undefined;
   /** Whether it can't be told; the kind is then `unknown`. */
   readonly u?: boolean | undefined;
+  /** Id of the server that began it, if the host has not listed it otherwise. */
+  readonly w?: string | undefined;
+  /** Time since the host learned of it, in milliseconds. */
+  readonly t?: number | undefined;
 }
 
 /** Checks of a stream's version. */
@@ -89,6 +93,8 @@
   ),
   v: optional(isShortText),
   u: optional(isBoolean),
+  w: optional(isName),
+  t: optional(isNonnegative),
 };
 
 /** Encodes a stream's version. */
@@ -134,7 +140,11 @@
   if (reply.kind === "uncertain")
     return { k: "f", i: id, o: "unknown", u: true };
   const version = namesVersion(reply) ? { v: reply.version } : {};
-  return { k: "f", i: id, o: reply.kind, ...version };
+  const server =
+    reply.kind === "known"
+      ? { w: reply.serverId, t: reply.ageMilliseconds }
+      : {};
+  return { k: "f", i: id, o: reply.kind, ...version, ...server };
 }
 
 /** Decodes an answer to a query for a stream's version. */
@@ -143,12 +153,14 @@
   o,
   v,
   u,
+  w,
+  t,
 }: EncodedStreamAnswer): StreamAnswer {
   if (u === true) return { id: i, reply: { kind: "uncertain" } };
   if (o === "none") return { id: i, reply: { kind: o } };
-  const reply: StreamReply =
-    o === "unknown" || v === undefined
-      ? { kind: "unknown" }
-      : { kind: o, version: v };
-  return { id: i, reply };
+  if (o === "unknown" || v === undefined) {
+    return { id: i, reply: { kind: "unknown" } };
+  }
+  const server = o === "known" ? { serverId: w, ageMilliseconds: t } : {};
+  return { id: i, reply: { kind: o, version: v, ...server } };
 }
--- a/packages/rampswitch-serving/src/membership/stream_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec_test.ts
@@ -20,6 +20,18 @@
       answer: { id: 7, reply: { kind, version: "v1" } },
     }),
   ),
+  {
+    kind: "stream_answer",
+    answer: {
+      id: 7,
+      reply: {
+        kind: "known",
+        version: "v1",
+        serverId: "s1",
+        ageMilliseconds: 1.5,
+      },
+    },
+  },
   ...(["none", "unknown", "uncertain"] as const).map((kind): PeerMessage => ({
     kind: "stream_answer",
     answer: { id: 7, reply: { kind } },
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -22,6 +22,7 @@
 } from "./begun_streams.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
+  KnownReply,
   StreamRecord,
   StreamReplies,
   StreamReply,
@@ -251,7 +252,7 @@
     if (stream !== undefined) {
       return stream.version === undefined
         ? { kind: "uncertain" }
-        : { kind: "known", version: stream.version };
+        : this.#knownReply(stream, stream.version);
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined) return { kind: "none" };
@@ -268,9 +269,9 @@
     const own = this.replyTo(key);
     // A host with a newer list may know that the version can't be told.
     if (own.kind === "known" && !this.#isListBehind) {
-      return { ...own, source: "table" };
+      return { kind: "known", version: own.version, source: "table" };
     }
-    const asked = await this.#parts.query(key);
+    const asked = await this.#query(key);
     this.#logEvidence(key, own, asked.replies);
     const origin = await this.#originFrom(key, asked, {
       hasReadStored: false,
@@ -282,7 +283,9 @@
     if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
-    if (stored.kind === "known") return { ...stored, source: "stored" };
+    if (stored.kind === "known") {
+      return { kind: "known", version: stored.version, source: "stored" };
+    }
     if (this.isUncertain(key)) return LOST;
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
@@ -294,6 +297,34 @@
     return isLost ? LOST : later;
   }
 
+  /** Queries other hosts; their lists may be older than this host's. */
+  async #query(key: StreamKey): Promise<StreamReplies> {
+    const asked = await this.#parts.query(key);
+    const replies = asked.replies.map((reply) =>
+      reply.kind === "known" ? this.#judgedHere(reply) : reply,
+    );
+    return { ...asked, replies };
+  }
+
+  /** What another host's reply is worth, by the versions of servers that this host lists. */
+  #judgedHere(reply: KnownReply): StreamReply {
+    const { serverId, version, ageMilliseconds = 0 } = reply;
+    const addedAt = this.#parts.clock.now() - ageMilliseconds;
+    return this.#mayBeOfOtherVersion({ serverId, version, addedAt })
+      ? { kind: "uncertain" }
+      : reply;
+  }
+
+  /** A reply that names a version, and what hosts with newer lists need to judge it. */
+  #knownReply({ serverId, addedAt }: BegunStream, version: string): KnownReply {
+    const isJudged =
+      serverId === undefined ||
+      this.#history.otherVersionSince(serverId, version) !== undefined;
+    if (isJudged) return { kind: "known", version };
+    const ageMilliseconds = this.#parts.clock.now() - addedAt;
+    return { kind: "known", version, serverId, ageMilliseconds };
+  }
+
   /** Decides from what this host knows now and what others replied. */
   async #originFrom(
     key: StreamKey,
@@ -368,7 +399,11 @@
    * Whether the server that began a stream is listed with another version, and may have
    * had it before. The host that served the stream may have ended before the listing.
    */
-  #mayBeOfOtherVersion({ serverId, version, addedAt }: BegunStream): boolean {
+  #mayBeOfOtherVersion({
+    serverId,
+    version,
+    addedAt,
+  }: Pick<BegunStream, "serverId" | "version" | "addedAt">): boolean {
     if (serverId === undefined || version === undefined) return false;
     const since = this.#history.otherVersionSince(serverId, version);
     return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -195,7 +195,12 @@
     const versions = ["a1", "a2"].map((attempt) =>
       streams.replyTo({ ...STREAM, attempt }),
     );
-    expect(versions).toEqual([{ ...KNOWN, version: "v1" }, KNOWN]);
+    const begun = {
+      version: "v1",
+      serverId: "s1",
+      ageMilliseconds: LIFETIME_MILLISECONDS,
+    };
+    expect(versions).toEqual([{ ...KNOWN, ...begun }, KNOWN]);
     clock.advance(LIFETIME_MILLISECONDS);
     expect(await streams.find(STREAM)).toEqual(UNKNOWN);
   });
@@ -250,7 +255,8 @@
     begin("v1");
     clock.advance(3_000);
     streams.becameOtherVersion(SERVER);
-    expect(streams.replyTo(STREAM)).toEqual({ ...KNOWN, version: "v1" });
+    const begun = { version: "v1", serverId: "s1", ageMilliseconds: 3_000 };
+    expect(streams.replyTo(STREAM)).toEqual({ ...KNOWN, ...begun });
   });
 
   test.each([
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -37,6 +37,13 @@
 export interface KnownReply {
   readonly kind: "known";
   readonly version: string;
+  /**
+   * Id of the server that began it; absent if it is not known, or if the host has listed
+   * that server with another version and took that into account.
+   */
+  readonly serverId?: string | undefined;
+  /** Time since the host learned of it, in milliseconds. */
+  readonly ageMilliseconds?: number | undefined;
 }
 
 /** What a host knows of the version that began a stream. */
