Trust no record of a server that is first listed as another version

Cause: VersionHistory took the time of a server's first listing here for the time since when it has its version.

Records that are read from the store: they are read at about the time of the first list, and were trusted no more already.

Change: a first listing counts as being of any age.

Conclusion: concerns only records told before the first listing of a server that is another version by then. What a host's list missed while the store was silent is still dated by the listing.

--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -32,7 +32,10 @@
 
 /** A server that is listed. */
 interface ListedServer extends VersionedServer {
-  /** Since when it is listed with its version, on the monotonic clock. */
+  /**
+   * Since when it is listed with its version, on the monotonic clock; `-Infinity` if
+   * this host knows no former version: it may have had this one for any time.
+   */
   readonly since: number;
 }
 
@@ -41,6 +44,8 @@
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
   readonly #listed = new Map<string, ListedServer>();
+  /** When servers that are listed no more were removed, by id, the oldest first. */
+  readonly #removedAt = new Map<string, number>();
 
   /** Versions without a server are retained for the given time. */
   constructor(retentionMilliseconds: number) {
@@ -52,7 +57,8 @@
     const before = this.#listed.get(id);
     if (before?.service === service && before.version === version) return;
     this.removed(id, now);
-    this.#listed.set(id, { id, service, version, since: now });
+    const since = this.#removedAt.has(id) ? now : -Infinity;
+    this.#listed.set(id, { id, service, version, since });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, versions);
@@ -66,6 +72,7 @@
     const before = this.#listed.get(id);
     if (before === undefined) return;
     this.#listed.delete(id);
+    this.#noteRemoved(id, now);
     const known = this.#services.get(before.service)?.get(before.version);
     if (known === undefined) return;
     known.servers.delete(id);
@@ -127,6 +134,16 @@
     return [...versions.keys()];
   }
 
+  #noteRemoved(id: string, now: number): void {
+    // Deleted first, so that it moves to the end of the order.
+    this.#removedAt.delete(id);
+    this.#removedAt.set(id, now);
+    const oldest = now - this.#retentionMilliseconds;
+    [...this.#removedAt]
+      .filter(([, at]) => at < oldest)
+      .forEach(([former]) => this.#removedAt.delete(former));
+  }
+
   #isForgotten(
     { servers, goneAt, toldAt }: ServiceVersion,
     now: number,
