Leave the claim of completeness while the list of servers is old

Cause: a holder of the duties that knew the past stored its versions as complete, also while it had heard of a newer list than its own. A host that starts and reads it then vouches for the only version that is named.

Ruled out: the holder's own reply, which is no vouching one already (`single_recently`); a holder that has a gap, which claims nothing.

Change: such a host stores the versions that it knows, with the claim that the object has already. With an object that claims it nothing is written more or less often: while only the list is old the value is the same.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -230,7 +230,7 @@
     const begun = { ...record, serverId: serverOfIncarnation(server) };
     this.#add(begun, { server, isServedHere: true });
     // Hosts with a newer list may know of another version.
-    const isTold = this.isMixed(record.service) || this.#isListBehind;
+    const isTold = this.isMixed(record.service) || this.isListBehind;
     if (isTold) this.#parts.tell(begun);
   }
 
@@ -257,7 +257,7 @@
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined) return { kind: "none" };
     if (others.length > 0) return { kind: "unknown" };
-    if (!this.#wasThere || this.#isListBehind) {
+    if (!this.#wasThere || this.isListBehind) {
       return { kind: "single_recently", version };
     }
     return { kind: this.#hasGap ? "single_since_gap" : "single", version };
@@ -268,7 +268,7 @@
     if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
     // A host with a newer list may know that the version can't be told.
-    if (own.kind === "known" && !this.#isListBehind) {
+    if (own.kind === "known" && !this.isListBehind) {
       return { kind: "known", version: own.version, source: "table" };
     }
     const asked = await this.#query(key);
@@ -359,7 +359,7 @@
   }
 
   /** Whether another host has received changes of servers that this one lacks. */
-  get #isListBehind(): boolean {
+  get isListBehind(): boolean {
     const { version, newestHeard } = this.#parts.serverList();
     return newestHeard > version;
   }
@@ -369,7 +369,7 @@
    * host has a newer list, which may have one.
    */
   goneMilliseconds(version: ServiceVersionName): number {
-    if (this.#isListBehind) return 0;
+    if (this.isListBehind) return 0;
     return this.#history.goneMilliseconds(version, this.#parts.clock.now());
   }
 
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -15,7 +15,11 @@
 } from "rampswitch-store";
 import type { LogFields } from "rampswitch-utils";
 import type { ArchiveParts } from "./archive_parts.ts";
-import { decodeVersions, encodeVersions } from "./stored_versions.ts";
+import {
+  decodeVersions,
+  encodeVersions,
+  type StoredVersions,
+} from "./stored_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { ServiceVersions } from "./version_history.ts";
 
@@ -23,7 +27,7 @@
 export interface VersionArchiveParts extends ArchiveParts {
   readonly origins: Pick<
     StreamOrigins,
-    "isPastKnown" | "restoreVersions" | "versions"
+    "isListBehind" | "isPastKnown" | "restoreVersions" | "versions"
   >;
 }
 
@@ -36,7 +40,11 @@
 /** Latest era of the store in which a missing object shows that no version has served. */
 const FIRST_ERA = 1;
 
-const NO_VERSIONS: ServiceVersions = new Map();
+/** What an object tells that is missing or can't be read. */
+const NOTHING_STORED: StoredVersions = {
+  completeInEra: undefined,
+  services: new Map(),
+};
 
 /** Restores and stores the versions that served. */
 export class VersionArchive {
@@ -98,18 +106,27 @@
 
   /** Whether the object as this host last read or wrote it lacks versions that it knows. */
   get lacksVersions(): boolean {
-    const named = this.#namedServices;
+    const named = this.#known.services;
     return [...this.#parts.origins.versions].some(([service, versions]) =>
       versions.some((version) => !named.get(service)?.includes(version)),
     );
   }
 
-  /** The versions in the object as this host last read or wrote it. */
-  get #namedServices(): ServiceVersions {
-    if (this.#object === undefined) return NO_VERSIONS;
-    return decodeVersions(this.#object.value)
-      .map(({ services }) => services)
-      .unwrapOr(NO_VERSIONS);
+  /** What the object tells as this host last read or wrote it. */
+  get #known(): StoredVersions {
+    return this.#object === undefined
+      ? NOTHING_STORED
+      : decodeVersions(this.#object.value).unwrapOr(NOTHING_STORED);
+  }
+
+  /**
+   * Era in which there are no other versions, for all that is known. A host with an old
+   * list leaves what was claimed before.
+   */
+  get #completeInEra(): number | undefined {
+    const { origins, store } = this.#parts;
+    if (!origins.isPastKnown) return undefined;
+    return origins.isListBehind ? this.#known.completeInEra : store.era;
   }
 
   get #key(): string {
@@ -143,10 +160,9 @@
 
   /** The versions as this host would store them. */
   #value(): string {
-    const { origins, store } = this.#parts;
     return encodeVersions({
-      completeInEra: origins.isPastKnown ? store.era : undefined,
-      services: origins.versions,
+      completeInEra: this.#completeInEra,
+      services: this.#parts.origins.versions,
     });
   }
 }
