--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -12,6 +12,7 @@
 } from "../streams/mod.ts";
 import {
   type FieldChecks,
+  isBoolean,
   isName,
   isNonnegative,
   isNumber,
@@ -48,9 +49,15 @@
 export interface EncodedStreamAnswer {
   readonly k: "f";
   readonly i: number;
-  readonly o: StreamReply["kind"];
+  readonly o: Exclude<StreamReply["kind"], "uncertain">;
   /** Absent if it is not known. */
   readonly v?: string | undefined;
+  /** Whether it can't be told; the kind is then `unknown`. */
+  readonly u?: boolean | undefined;
+  /** Id of the server that began it, if the host has not listed it otherwise. */
+  readonly w?: string | undefined;
+  /** Time since the host learned of it, in milliseconds. */
+  readonly t?: number | undefined;
 }
 
 /** Checks of a stream's version. */
@@ -85,6 +92,9 @@
     "unknown",
   ),
   v: optional(isShortText),
+  u: optional(isBoolean),
+  w: optional(isName),
+  t: optional(isNonnegative),
 };
 
 /** Encodes a stream's version. */
@@ -127,16 +137,30 @@
   id,
   reply,
 }: StreamAnswer): EncodedStreamAnswer {
+  if (reply.kind === "uncertain")
+    return { k: "f", i: id, o: "unknown", u: true };
   const version = namesVersion(reply) ? { v: reply.version } : {};
-  return { k: "f", i: id, o: reply.kind, ...version };
+  const server =
+    reply.kind === "known"
+      ? { w: reply.serverId, t: reply.ageMilliseconds }
+      : {};
+  return { k: "f", i: id, o: reply.kind, ...version, ...server };
 }
 
 /** Decodes an answer to a query for a stream's version. */
-export function streamAnswerOf({ i, o, v }: EncodedStreamAnswer): StreamAnswer {
+export function streamAnswerOf({
+  i,
+  o,
+  v,
+  u,
+  w,
+  t,
+}: EncodedStreamAnswer): StreamAnswer {
+  if (u === true) return { id: i, reply: { kind: "uncertain" } };
   if (o === "none") return { id: i, reply: { kind: o } };
-  const reply: StreamReply =
-    o === "unknown" || v === undefined
-      ? { kind: "unknown" }
-      : { kind: o, version: v };
-  return { id: i, reply };
+  if (o === "unknown" || v === undefined) {
+    return { id: i, reply: { kind: "unknown" } };
+  }
+  const server = o === "known" ? { serverId: w, ageMilliseconds: t } : {};
+  return { id: i, reply: { kind: o, version: v, ...server } };
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -17,10 +17,12 @@
 import {
   type BegunStream,
   BegunStreams,
+  combinedStream,
   type StreamKey,
 } from "./begun_streams.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
+  KnownReply,
   StreamRecord,
   StreamReplies,
   StreamReply,
@@ -47,7 +49,7 @@
   areHostsListed(): boolean;
   /** Sends the version of a stream to the hosts that keep it. */
   tell(record: StreamRecord): void;
-  /** Queries the hosts that may keep it; ends early once one of them knows it. */
+  /** Queries the hosts that may keep it; ends early once one of them names it. */
   query(key: StreamKey): Promise<StreamReplies>;
   /**
    * Reads what hosts have stored, unless it was read a moment ago; resolves to whether
@@ -199,11 +201,18 @@
     const now = this.#parts.clock.now();
     const table = isOwn ? this.#streams : this.#restored;
     records
-      // What this host knows itself is newer.
-      .filter((record) => this.#streams.get(record, now) === undefined)
+      // What this host knows itself is newer, unless it is of another version.
+      .filter((record) => {
+        const known = this.#streams.get(record, now);
+        return known === undefined || known.version !== record.version;
+      })
       .forEach((record) =>
         this.#add(record, { server: undefined, isServedHere: isOwn }, table),
       );
+    // Their versions may have been stored by nobody else.
+    versionsIn(records).forEach((names, service) => {
+      names.forEach((version) => this.#learn({ service, version }));
+    });
   }
 
   /** Whether it is known of a stream that it can't be told which version began it. */
@@ -228,7 +237,7 @@
     const begun = { ...record, serverId: serverOfIncarnation(server) };
     this.#add(begun, { server, isServedHere: true });
     // Hosts with a newer list may know of another version.
-    const isTold = this.isMixed(record.service) || this.#isListBehind;
+    const isTold = this.isMixed(record.service) || this.isListBehind;
     if (isTold) this.#parts.tell(begun);
   }
 
@@ -249,13 +258,13 @@
     const stream = this.#get(key);
     if (stream !== undefined) {
       return stream.version === undefined
-        ? { kind: "unknown" }
-        : { kind: "known", version: stream.version };
+        ? { kind: "uncertain" }
+        : this.#knownReply(stream, stream.version);
     }
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined) return { kind: "none" };
     if (others.length > 0) return { kind: "unknown" };
-    if (!this.#wasThere || this.#isListBehind) {
+    if (!this.#wasThere || this.isListBehind) {
       return { kind: "single_recently", version };
     }
     return { kind: this.#hasGap ? "single_since_gap" : "single", version };
@@ -265,8 +274,11 @@
   async find(key: StreamKey): Promise<StreamOrigin> {
     if (this.isUncertain(key)) return LOST;
     const own = this.replyTo(key);
-    if (own.kind === "known") return { ...own, ...this.#recordSource(key) };
-    const asked = await this.#parts.query(key);
+    // A host with a newer list may know that the version can't be told.
+    if (own.kind === "known" && !this.isListBehind) {
+      return this.#originOf(key, own.version);
+    }
+    const asked = await this.#query(key);
     this.#logEvidence(key, own, asked.replies);
     const origin = await this.#originFrom(key, asked, {
       hasReadStored: false,
@@ -274,13 +286,11 @@
     });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
-      return origin;
     }
+    if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
     const stored = this.replyTo(key);
-    if (stored.kind === "known") {
-      return { ...stored, ...this.#recordSource(key) };
-    }
+    if (stored.kind === "known") return this.#originOf(key, stored.version);
     if (this.isUncertain(key)) return LOST;
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
@@ -292,6 +302,34 @@
     return isLost ? LOST : later;
   }
 
+  /** Queries other hosts; their lists may be older than this host's. */
+  async #query(key: StreamKey): Promise<StreamReplies> {
+    const asked = await this.#parts.query(key);
+    const replies = asked.replies.map((reply) =>
+      reply.kind === "known" ? this.#judgedHere(reply) : reply,
+    );
+    return { ...asked, replies };
+  }
+
+  /** What another host's reply is worth, by the versions of servers that this host lists. */
+  #judgedHere(reply: KnownReply): StreamReply {
+    const { serverId, version, ageMilliseconds = 0 } = reply;
+    const addedAt = this.#parts.clock.now() - ageMilliseconds;
+    return this.#mayBeOfOtherVersion({ serverId, version, addedAt })
+      ? { kind: "uncertain" }
+      : reply;
+  }
+
+  /** A reply that names a version, and what hosts with newer lists need to judge it. */
+  #knownReply({ serverId, addedAt }: BegunStream, version: string): KnownReply {
+    const isJudged =
+      serverId === undefined ||
+      this.#history.otherVersionSince(serverId, version) !== undefined;
+    if (isJudged) return { kind: "known", version };
+    const ageMilliseconds = this.#parts.clock.now() - addedAt;
+    return { kind: "known", version, serverId, ageMilliseconds };
+  }
+
   /** Decides from what this host knows now and what others replied. */
   async #originFrom(
     key: StreamKey,
@@ -326,7 +364,7 @@
   }
 
   /** Whether another host has received changes of servers that this one lacks. */
-  get #isListBehind(): boolean {
+  get isListBehind(): boolean {
     const { version, newestHeard } = this.#parts.serverList();
     return newestHeard > version;
   }
@@ -336,7 +374,7 @@
    * host has a newer list, which may have one.
    */
   goneMilliseconds(version: ServiceVersionName): number {
-    if (this.#isListBehind) return 0;
+    if (this.isListBehind) return 0;
     return this.#history.goneMilliseconds(version, this.#parts.clock.now());
   }
 
@@ -351,22 +389,20 @@
     );
   }
 
-  /** Where the record of a known stream comes from, and the server that it names. */
-  #recordSource(key: StreamKey): {
-    readonly source: StreamOriginSource;
-    readonly serverId: string | undefined;
-  } {
+  /** The version of a stream that this host knows, and where its record comes from. */
+  #originOf(key: StreamKey, version: string): StreamOrigin {
     const stream = this.#streams.get(key, this.#parts.clock.now());
     const serverId = this.#get(key)?.serverId;
-    if (stream?.server !== undefined) return { source: "table", serverId };
-    // A record that a former process of this host served was stored by that process.
-    const isStored = stream === undefined || stream.isServedHere;
-    return { source: isStored ? "stored" : "told", serverId };
+    const source = stream === undefined ? "stored" : sourceOf(stream);
+    return { kind: "known", version, source, serverId };
   }
 
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#parts.clock.now();
-    const stream = this.#streams.get(key, now) ?? this.#restored.get(key, now);
+    const stream = combinedStream(
+      this.#restored.get(key, now),
+      this.#streams.get(key, now),
+    );
     return stream !== undefined && this.#mayBeOfOtherVersion(stream)
       ? { ...stream, version: undefined }
       : stream;
@@ -376,7 +412,11 @@
    * Whether the server that began a stream is listed with another version, and may have
    * had it before. The host that served the stream may have ended before the listing.
    */
-  #mayBeOfOtherVersion({ serverId, version, addedAt }: BegunStream): boolean {
+  #mayBeOfOtherVersion({
+    serverId,
+    version,
+    addedAt,
+  }: Pick<BegunStream, "serverId" | "version" | "addedAt">): boolean {
     if (serverId === undefined || version === undefined) return false;
     const since = this.#history.otherVersionSince(serverId, version);
     return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
@@ -427,12 +467,31 @@
   }
 }
 
+/** Where a record in the table of this host's streams comes from. */
+function sourceOf({ server, isServedHere }: BegunStream): StreamOriginSource {
+  if (server !== undefined) return "table";
+  // One that a former process of this host served was stored by that process.
+  return isServedHere ? "stored" : "told";
+}
+
 /** Nobody will ever know the version. */
 const LOST: StreamOrigin = { kind: "lost" };
 
 /** Somebody may know the version later. */
 const UNKNOWN: StreamOrigin = { kind: "unknown" };
 
+/** The versions that began streams, by service. */
+function versionsIn(
+  records: readonly StreamRecord[],
+): ReadonlyMap<string, ReadonlySet<string | undefined>> {
+  const services = new Map<string, Set<string | undefined>>();
+  records.forEach(({ service, version }) => {
+    const names = services.get(service) ?? new Set();
+    services.set(service, names.add(version));
+  });
+  return services;
+}
+
 /** What other hosts need to know of a stream. */
 function recordOf(
   { service, attempt, version, serverId, expiresAt }: BegunStream,
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -26,11 +26,16 @@
   readonly servers: Set<string>;
   /** When its last server was removed, on the monotonic clock. */
   goneAt: number;
+  /** When it was last told of, on the monotonic clock. */
+  toldAt: number;
 }
 
 /** A server that is listed. */
 interface ListedServer extends VersionedServer {
-  /** Since when it is listed with its version, on the monotonic clock. */
+  /**
+   * Since when it is listed with its version, on the monotonic clock; `-Infinity` if
+   * this host knows no former version: it may have had this one for any time.
+   */
   readonly since: number;
 }
 
@@ -39,6 +44,8 @@
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
   readonly #listed = new Map<string, ListedServer>();
+  /** When servers that are listed no more were removed, by id, the oldest first. */
+  readonly #removedAt = new Map<string, number>();
 
   /** Versions without a server are retained for the given time. */
   constructor(retentionMilliseconds: number) {
@@ -50,11 +57,12 @@
     const before = this.#listed.get(id);
     if (before?.service === service && before.version === version) return;
     this.removed(id, now);
-    this.#listed.set(id, { id, service, version, since: now });
+    const since = this.#removedAt.has(id) ? now : -Infinity;
+    this.#listed.set(id, { id, service, version, since });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, versions);
-    const known = versions.get(version) ?? { servers: new Set(), goneAt: now };
+    const known = versions.get(version) ?? withoutServer(now);
     known.servers.add(id);
     versions.set(version, known);
   }
@@ -64,6 +72,7 @@
     const before = this.#listed.get(id);
     if (before === undefined) return;
     this.#listed.delete(id);
+    this.#noteRemoved(id, now);
     const known = this.#services.get(before.service)?.get(before.version);
     if (known === undefined) return;
     known.servers.delete(id);
@@ -82,18 +91,18 @@
   }
 
   /**
-   * Notes versions that served before this process started. Those that are not listed
-   * may have ended a moment ago.
+   * Notes versions that others tell of: they served before this process started, or
+   * began a stream elsewhere. Those that are not listed may have ended a moment ago.
    */
   served(service: string, versions: readonly string[], now: number): void {
     const known =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, known);
-    versions
-      .filter((version) => !known.has(version))
-      .forEach((version) =>
-        known.set(version, { servers: new Set(), goneAt: now }),
-      );
+    versions.forEach((version) => {
+      const told = known.get(version) ?? withoutServer(now);
+      told.toldAt = now;
+      known.set(version, told);
+    });
   }
 
   /** Time since a version's last server was listed, in milliseconds. */
@@ -125,7 +134,25 @@
     return [...versions.keys()];
   }
 
-  #isForgotten({ servers, goneAt }: ServiceVersion, now: number): boolean {
-    return servers.size === 0 && now - goneAt > this.#retentionMilliseconds;
+  #noteRemoved(id: string, now: number): void {
+    // Deleted first, so that it moves to the end of the order.
+    this.#removedAt.delete(id);
+    this.#removedAt.set(id, now);
+    const oldest = now - this.#retentionMilliseconds;
+    [...this.#removedAt]
+      .filter(([, at]) => at < oldest)
+      .forEach(([former]) => this.#removedAt.delete(former));
   }
+
+  #isForgotten(
+    { servers, goneAt, toldAt }: ServiceVersion,
+    now: number,
+  ): boolean {
+    const elapsed = now - Math.max(goneAt, toldAt);
+    return servers.size === 0 && elapsed > this.#retentionMilliseconds;
+  }
+}
+
+function withoutServer(now: number): ServiceVersion {
+  return { servers: new Set(), goneAt: now, toldAt: now };
 }
