Test heads that stop at the servers of a serving host

Change: a table of places where a head stops and of ways in which its connection ends, for the tests of all clients; a test of the serving host with it, directly, through another host, and after interim heads (103, 103 that closes, 100). What must not be repeated runs once and gets 502; what may be is served whole by the other server.

Ruled out: that requests after a 103 with "connection: close" are not repeated for a fault of the client.

--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -16,3 +16,4 @@
 export * from "./order_book.ts";
 export * from "./plain_service.ts";
 export * from "./platform_lists.ts";
+export * from "./stopped_heads.ts";
