--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -16,4 +16,5 @@
 export * from "./order_book.ts";
 export * from "./plain_service.ts";
 export * from "./platform_lists.ts";
+export * from "./raw_server.ts";
 export * from "./stopped_heads.ts";
