--- a/packages/rampswitch-serving/src/mod.ts
+++ b/packages/rampswitch-serving/src/mod.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export type { ServerConnector } from "./attempt/mod.ts";
+export { framingOf, type ServerConnector } from "./attempt/mod.ts";
 export * from "./choice/mod.ts";
 export * from "./configuration/configuration_follower.ts";
 export * from "./estimates/mod.ts";
