Check the form of the object API's answers

Cause: HttpObjectStore took any JSON with status 200 for what it had asked for: null, [] or an object without members counted as a list, whose users then fail on it. The body of a 409 was parsed without a guard, outside the call's try: one that is no JSON, null or cut off threw out of put, remove and list.

Change: answers are decoded by schemas, as CONTRIBUTING.md asks; another form is "unknown". A conflict whose object can't be read is a conflict without one: its status tells that nothing changed.

--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -8,6 +8,8 @@
 import { Result } from "true-myth";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { type Random, withCorrectEnds } from "rampswitch-utils";
+import { decodeJson, listOf } from "rampswitch-validation";
+import * as z from "zod";
 import {
   type Expectation,
   type ObjectStore,
@@ -25,6 +27,24 @@
 const WATCH_DEADLINE_MILLISECONDS = 40_000;
 const MAXIMUM_CONNECTIONS = 8;
 
+const OBJECT_SCHEMA = z.object({
+  key: z.string(),
+  version: z.int().nonnegative(),
+  value: z.string(),
+});
+
+const LIST_SCHEMA = z.object({
+  version: z.int().nonnegative(),
+  objects: listOf(OBJECT_SCHEMA),
+});
+
+const BATCH_SCHEMA = z.object({
+  version: z.int().nonnegative(),
+  events: listOf(OBJECT_SCHEMA.extend({ value: z.string().exactOptional() })),
+});
+
+const CONFLICT_SCHEMA = z.object({ current: OBJECT_SCHEMA });
+
 interface Call {
   readonly kind: CallKind;
   readonly method: Dispatcher.HttpMethod;
@@ -88,14 +108,14 @@
     return reply.andThen((answer) =>
       answer.status === 404
         ? Result.ok<StoredObject | undefined, StoreError>(undefined)
-        : parseReply<StoredObject | undefined>(answer),
+        : decodeReply(OBJECT_SCHEMA, answer),
     );
   }
 
   async list(prefix: string): Promise<Result<StoredList, StoreError>> {
     const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
     const reply = await this.#call({ kind: "list", method: "GET", path });
-    return reply.andThen((answer) => parseReply<StoredList>(answer));
+    return reply.andThen((answer) => decodeReply(LIST_SCHEMA, answer));
   }
 
   async put(
@@ -109,7 +129,7 @@
       path: `${objectPath(key)}?expected=${options.expected}`,
       body: JSON.stringify({ value }),
     });
-    return reply.andThen((answer) => parseReply<StoredObject>(answer));
+    return reply.andThen((answer) => decodeReply(OBJECT_SCHEMA, answer));
   }
 
   async remove(
@@ -142,7 +162,7 @@
       path: `/watch?${query}`,
       signal: options.signal,
     });
-    return reply.andThen((answer) => parseReply<WatchBatch>(answer));
+    return reply.andThen((answer) => decodeReply(BATCH_SCHEMA, answer));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -189,13 +209,15 @@
   return `/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
 }
 
-function parseReply<Value>(reply: Reply): Result<Value, StoreError> {
+function decodeReply<Schema extends z.ZodType>(
+  schema: Schema,
+  reply: Reply,
+): Result<z.output<Schema>, StoreError> {
   if (reply.status !== 200) return Result.err(errorFromReply(reply));
-  try {
-    return Result.ok(JSON.parse(reply.body) as Value);
-  } catch {
-    return Result.err({ kind: "unknown", detail: "answer is not JSON" });
-  }
+  return decodeJson(schema, reply.body, "answer").mapErr((detail) => ({
+    kind: "unknown",
+    detail,
+  }));
 }
 
 function errorFromReply(reply: Reply): StoreError {
@@ -206,10 +228,11 @@
 }
 
 function conflictError(reply: Reply): StoreError {
-  const body = JSON.parse(reply.body) as { readonly current?: StoredObject };
-  return body.current === undefined
-    ? { kind: "conflict" }
-    : { kind: "conflict", current: body.current };
+  // The status alone tells that nothing changed.
+  return decodeJson(CONFLICT_SCHEMA, reply.body, "conflict").match({
+    Ok: ({ current }): StoreError => ({ kind: "conflict", current }),
+    Err: (): StoreError => ({ kind: "conflict" }),
+  });
 }
 
 const FIRST_RETRY_MILLISECONDS = 100;
