Check the form of the host list's and the cloud's answers

Cause: the clients of the host list and of the cloud took any JSON: null or another form threw out of the call (the value was taken apart outside its try), and [] or {} gave undefined for a list, on which the round that awaits it fails. A start that was refused by a 409 whose body is no JSON counted as "unavailable".

Change: answers of at most 16 MiB are decoded by schemas; another form fails the call as a whole, since a host that is missing from the list counts as gone.

Not changed: CloudClient.end takes any status for success.

--- a/packages/rampswitch-entry/src/membership/platform_clients.ts
+++ b/packages/rampswitch-entry/src/membership/platform_clients.ts
@@ -8,6 +8,9 @@
 import { Result } from "true-myth";
 import { request } from "undici";
 import type { ListedHost } from "rampswitch-types";
+import { readText } from "rampswitch-utils";
+import { decodeJson, listOf } from "rampswitch-validation";
+import * as z from "zod";
 
 /** A notice from the cloud that a host will be reclaimed. */
 export interface ReclaimNotice {
@@ -57,14 +60,59 @@
 
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 
-async function getJson(url: string): Promise<Result<unknown, string>> {
+/** Maximum size of an answer, in bytes; a list has some hundred bytes for each host. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** A whole number of milliseconds or a sequence number. */
+const NUMBER_SCHEMA = z.int().nonnegative();
+
+const HOST_LIST_SCHEMA = z.object({
+  hosts: listOf(
+    z.object({
+      name: z.string(),
+      state: z.enum(["live", "leaving"]),
+      deadline: z.number().exactOptional(),
+    }),
+  ),
+});
+
+const NOTICES_SCHEMA = z.object({
+  notices: listOf(
+    z.object({
+      sequence: NUMBER_SCHEMA,
+      host: z.string(),
+      deadline: z.number(),
+    }),
+  ),
+});
+
+const CLOUD_HOSTS_SCHEMA = z.object({
+  hosts: listOf(
+    z.object({
+      host: z.string(),
+      hostClass: z.string(),
+      dataHall: z.string(),
+      token: z.string(),
+      address: z.string().exactOptional(),
+    }),
+  ),
+});
+
+const STARTED_HOST_SCHEMA = z.object({ host: z.string() });
+
+async function getDecoded<Schema extends z.ZodType>(
+  url: string,
+  schema: Schema,
+): Promise<Result<z.output<Schema>, string>> {
   try {
     const answer = await request(url, {
       signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
     });
-    const body = await answer.body.json();
+    const body = await readText(answer.body, MAXIMUM_ANSWER_BYTES);
     return answer.statusCode === 200
-      ? Result.ok(body)
+      ? body
+          .mapErr((error) => `body ${error}`)
+          .andThen((text) => decodeJson(schema, text, "answer"))
       : Result.err(`status ${answer.statusCode}`);
   } catch (error) {
     return Result.err(error instanceof Error ? error.message : String(error));
@@ -75,8 +123,8 @@
 export function httpHostList(address: string): HostListClient {
   return {
     hosts: async () =>
-      (await getJson(`http://${address}/hosts`)).map(
-        (body) => (body as { readonly hosts: readonly ListedHost[] }).hosts,
+      (await getDecoded(`http://${address}/hosts`, HOST_LIST_SCHEMA)).map(
+        ({ hosts }) => hosts,
       ),
   };
 }
@@ -86,13 +134,12 @@
   const base = `http://${address}`;
   return {
     notices: async (after) =>
-      (await getJson(`${base}/notices?after=${after}`)).map(
-        (body) =>
-          (body as { readonly notices: readonly ReclaimNotice[] }).notices,
+      (await getDecoded(`${base}/notices?after=${after}`, NOTICES_SCHEMA)).map(
+        ({ notices }) => notices,
       ),
     hosts: async () =>
-      (await getJson(`${base}/hosts`)).map(
-        (body) => (body as { readonly hosts: readonly CloudHost[] }).hosts,
+      (await getDecoded(`${base}/hosts`, CLOUD_HOSTS_SCHEMA)).map(
+        ({ hosts }) => hosts,
       ),
     start: async (hostClass, dataHall, { token }) => {
       try {
@@ -101,13 +148,14 @@
           body: JSON.stringify({ hostClass, dataHall, token }),
           signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
         });
-        const body = (await answer.body.json()) as { readonly host?: string };
-        if (answer.statusCode === 200 && body.host !== undefined) {
-          return Result.ok(body.host);
-        }
-        return Result.err(
-          answer.statusCode === 409 ? "refused" : "unavailable",
-        );
+        const body = await readText(answer.body, MAXIMUM_ANSWER_BYTES);
+        if (answer.statusCode === 409) return Result.err("refused");
+        if (answer.statusCode !== 200) return Result.err("unavailable");
+        return body
+          .mapErr(String)
+          .andThen((text) => decodeJson(STARTED_HOST_SCHEMA, text, "answer"))
+          .map(({ host }) => host)
+          .mapErr(() => "unavailable");
       } catch {
         return Result.err("unavailable");
       }
