Reset the connection of an answer that broke off while it was forwarded

Cause: the own interface streams the answers of plain services, and those of a slot's primary, through a pipeline. One that broke off destroyed the response, which ends the connection in the regular way.

Ruled out: callers of HTTP/1.1; they get chunks, or the length of the server.

Change: the pipeline leaves the response open; it is ended after a whole answer and aborted after a broken one, as elsewhere (abortResponse).

Measured: http_forward_test.ts, 3 of 5 failed before (an end, a reset and bytes that are no chunk all "ended"), 5 pass; that a caller who leaves ends the server's answer held before and holds. Other tests of the package pass, and so do bad_input_test.ts and kept_requests_test.ts.

--- a/packages/rampswitch-entry/src/attempt/http_forward.ts
+++ b/packages/rampswitch-entry/src/attempt/http_forward.ts
@@ -7,7 +7,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
-import { HOP_BY_HOP_HEADERS } from "rampswitch-utils";
+import { abortResponse, HOP_BY_HOP_HEADERS } from "rampswitch-utils";
 import type { BackendReply } from "./backend_client.ts";
 
 /** Headers of a forwarded request or answer, with some added. */
@@ -53,10 +53,13 @@
     >,
   );
   try {
-    await pipeline(reply.body, response);
+    // A pipeline that ends the response closes its connection in the regular way if the
+    // answer breaks off.
+    await pipeline(reply.body, response, { end: false });
+    response.end();
     return true;
   } catch {
-    response.destroy();
+    abortResponse(response);
     return false;
   }
 }
