Refuse a stream that becomes uncertain while its server is chosen

Cause: a stream that is taken up, or that goes on within its answer, waits up to 0.6 s for a server of its version, for a permit and for the server's report. What was learned of the stream meanwhile counted no more: the server that began it may be listed as another version in that time.

Ruled out: a server that ends during the wait (its record is not accepted then, and an engine's report names another incarnation); the memory of a run that is moved (only to servers of the version of its send, and the run is lost when its server is listed as another incarnation); requests that may go to any version.

Change: SendChooser looks again before it gives a server out, and refuses with `stream_origin_lost`. It reads the version and the doubt from StreamVersion.

Conclusion: nothing waits or is asked beside what was.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -132,7 +132,7 @@
       {
         request,
         tried: this.#tried,
-        version: () => this.#streamVersion.required,
+        stream: this.#streamVersion,
         finished: () => this.#answer.finished,
         shortOfRoom: (refusal) => this.#record.shortOfRoom(refusal),
       },
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -25,6 +25,7 @@
   type SendTerms,
   withPresentRanks,
 } from "./send_choice.ts";
+import type { StreamVersion } from "./stream_version.ts";
 
 /** Maximum number of waits for a permit for a run that is lost without one. */
 const MAXIMUM_PERMIT_WAITS = 3;
@@ -83,8 +84,8 @@
   readonly request: AdmittedRequest;
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
-  /** Version that the stream has to continue at; `undefined`: any. */
-  version(): string | undefined;
+  /** Version that the stream has to continue at, and whether it can't be told. */
+  readonly stream: Pick<StreamVersion, "required" | "isUncertain">;
   /** Whether its caller has a final answer. */
   finished(): boolean;
   /** Notes that capacity is short for the first send. */
@@ -110,7 +111,7 @@
 
   /** Whether another server takes the request now without a permit. */
   get hasAlternative(): boolean {
-    const version = this.#run.version();
+    const version = this.#run.stream.required;
     return this.#choose({ version }).outcome.kind === "chosen";
   }
 
@@ -128,7 +129,7 @@
 
   /** Chooses a server for the first send, which may wait at this host. */
   chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
-    const version = this.#run.version();
+    const version = this.#run.stream.required;
     if (version !== undefined) {
       this.#inBackground(() =>
         this.#chooseAtVersion(version, {
@@ -155,7 +156,7 @@
 
   /** Chooses a server for a further send. */
   chooseForResend(listener: ChoiceListener<NotRepeatedReason>): void {
-    const version = this.#run.version();
+    const version = this.#run.stream.required;
     if (version !== undefined) {
       this.#inBackground(() =>
         this.#chooseAtVersion(version, {
@@ -216,6 +217,11 @@
         : await this.#takePermit({ limited, continues: true });
     const choice = found && (await this.#confirmed(found));
     if (this.#run.finished()) return;
+    // The server that began the stream may have been listed as another version meanwhile.
+    if (this.#run.stream.isUncertain) {
+      listener.none("none");
+      return;
+    }
     if (choice !== undefined) {
       listener.chosen(choice);
       return;
@@ -264,6 +270,7 @@
 
   /** Reason to refuse a stream that can't continue at the version that began it. */
   #refusalOf(outcome: WithoutServer, version: string): RefusalReason {
+    if (this.#run.stream.isUncertain) return "stream_origin_lost";
     const { name: service } = this.#run.request.service;
     const isGone =
       this.#context.streams.goneMilliseconds({ service, version }) >=
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -2,6 +2,8 @@
 
 import { describe, expect, test } from "@jest/globals";
 import { ManualClock } from "rampswitch-utils";
+import { ServerRecord } from "../choice/mod.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
 import { Fingerprint } from "../quarantine/mod.ts";
 import { ReturnTimes, WaitingRequests } from "../room/mod.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -83,7 +85,11 @@
   return { clock, state, context, waiting, returns, waitedAt, configured };
 }
 
-function chooserOf(context: RequestContext, body = "a") {
+function chooserOf(
+  context: RequestContext,
+  body = "a",
+  stream: ChooserRun["stream"] = { required: undefined, isUncertain: false },
+) {
   const events: string[] = [];
   const request = {
     head: { promptParts: [], promptTokens: 10 },
@@ -102,7 +108,7 @@
       timeoutMilliseconds: 4_000,
       streaming: false,
     },
-    service: { name: "models" },
+    service: { name: "models", maximumConnections: 8 },
     workspace: { name: "burst", priority: 1 },
     arrivedAt: context.clock.now(),
   } as unknown as ChooserRun["request"];
@@ -110,7 +116,7 @@
     {
       request,
       tried: new Set(),
-      version: () => undefined,
+      stream,
       finished: () => false,
       shortOfRoom: ({ rank }) => events.push(`short ${rank}`),
     },
@@ -197,3 +203,34 @@
     expect(chooserOf(context).events).toContain("servers_full");
   });
 });
+
+// Guards against a stream that goes on at the version that was found, though it became
+// known during the choice of a server that the version can't be told.
+test.each([
+  [false, ["chosen"]],
+  [true, ["stream_origin_lost"]],
+])(
+  "a stream that becomes uncertain while its server is asked: %s",
+  async (isUncertain, expected) => {
+    const { context } = hostOf(30);
+    const record = new ServerRecord(backendServerStandin({ version: "v1" }));
+    const stream = { required: "v1", isUncertain: false };
+    Object.assign(context, {
+      rollouts: { choice: () => ({ first: [record] }) },
+      permits: { unlimited: () => [record], limited: () => [] },
+      prefixes: { cachedTokens: () => 0 },
+      directory: { allOf: () => [] },
+      streams: { goneMilliseconds: () => 0 },
+      incarnations: {
+        canAsk: () => true,
+        confirm: () => {
+          stream.isUncertain = isUncertain;
+          return Promise.resolve(true);
+        },
+      },
+    });
+    const { events } = chooserOf(context, "a", stream);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(events).toEqual(expected);
+  },
+);
