Read the stored versions again after a late list of servers

Cause: a host that starts knew the past from the moment in which it read a complete object of versions, however much later its first list of servers came, and even without one. What came and went in between, and was stored, it didn't see: it vouched for the only version that it listed then.

Ruled out: a list that comes first (the watch tells of each change since); an object that isn't complete (vouches for nothing already).

Change: what was read counts if the first server is listed within a second of it; else the object is read once more (an unchanged one counts as read anew), and until then the host's replies vouch for nothing.

Measured: origin_archive_test.ts, `are read again by a host that listed the servers much later` failed before (`single`, v1 was taken), passes. 102 of 102 tests of streams pass.

Conclusion: one more call of the store for a host whose first list of servers takes more than a second, none otherwise.

--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -23,7 +23,7 @@
   extends StreamArchiveParts, VersionArchiveParts {
   readonly origins: StreamArchiveParts["origins"] &
     VersionArchiveParts["origins"] &
-    Pick<StreamOrigins, "mixedServices">;
+    Pick<StreamOrigins, "hasListedLate" | "mixedServices">;
   /** Whether this host may act for the fleet now. */
   holdsDuties(): boolean;
 }
@@ -138,7 +138,8 @@
   }
 
   async #synchronize(): Promise<void> {
-    if (!this.#hasRead) await this.#readOnce();
+    const { origins } = this.#parts;
+    if (!this.#hasRead || origins.hasListedLate) await this.#readOnce();
     // A write before the first read would replace what a former process stored.
     if (!this.#hasRead) return;
     await this.#streams.store();
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -231,6 +231,21 @@
     expect(await versionOf(next.streams)).toBeUndefined();
   });
 
+  // Guards against a version that comes and goes after a host read the object, and before
+  // it lists the servers for the first time.
+  test("are read again by a host that listed the servers much later", async () => {
+    const store = new ObjectStoreStandin();
+    const holder = await startHost(store, { versions: ["v1"] });
+    const listed = { versions: [], holdsDuties: false, host: "h2" };
+    const { clock, streams } = await startHost(store, listed);
+    holder.streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(holder.clock, WRITE_MILLISECONDS);
+    await pass(clock, START_MILLISECONDS);
+    streams.listed({ id: "s-v1", service: SERVICE, version: "v1" });
+    expect(streams.replyTo(STREAM).kind).toBe("single_recently");
+    expect(await versionOf(streams)).toBeUndefined();
+  });
+
   test("are not taken for complete after the store came back from a copy", async () => {
     const store = new ObjectStoreStandin();
     await startHost(store, { versions: ["v1"] });
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -85,6 +85,12 @@
  */
 const LISTING_LAG_MILLISECONDS = 2_000;
 
+/**
+ * Longest time from the read of what is stored to the first list of servers for which
+ * the two tell of the same moment, in milliseconds.
+ */
+const LISTING_DELAY_MILLISECONDS = 1_000;
+
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
@@ -105,8 +111,13 @@
   readonly #restored = new BegunStreams(MAXIMUM_RESTORED_STREAMS);
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
   readonly #startedAt: number;
-  /** Whether the store told which versions served before this host started. */
-  #hasReadPast = false;
+  /**
+   * When the store last told which versions had served, on the monotonic clock;
+   * `undefined` if it has not.
+   */
+  #pastReadAt: number | undefined;
+  /** When a server was first listed, on the monotonic clock; `undefined` before that. */
+  #listedAt: number | undefined;
   /** When changes of the list were last missed, on the monotonic clock. */
   #missedAt = -Infinity;
 
@@ -117,6 +128,7 @@
 
   /** Notes a listed server. The streams that run when a second version appears are told. */
   listed(server: VersionedServer): void {
+    this.#listedAt ??= this.#parts.clock.now();
     this.#tellOnceMixed(server.service, (now) =>
       this.#history.listed(server, now),
     );
@@ -132,6 +144,12 @@
     return this.#wasThere && !this.#hasGap;
   }
 
+  /** Whether the servers were listed so long after the store was read that it is due again. */
+  get hasListedLate(): boolean {
+    const hasRead = this.#pastReadAt !== undefined;
+    return hasRead && this.#listedAt !== undefined && !this.#wasThere;
+  }
+
   /** Notes that servers may have been listed and removed without this host's knowledge. */
   missedChanges(): void {
     this.#missedAt = this.#parts.clock.now();
@@ -147,7 +165,7 @@
         this.#history.served(service, names, now),
       ),
     );
-    this.#hasReadPast ||= isComplete;
+    if (isComplete) this.#pastReadAt = this.#parts.clock.now();
   }
 
   /**
@@ -352,6 +370,17 @@
     return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
   }
 
+  /**
+   * Whether the store told which versions had served up to about the time of this host's
+   * first list: between the two, one may have come and gone.
+   */
+  get #hasReadPast(): boolean {
+    if (this.#pastReadAt === undefined || this.#listedAt === undefined) {
+      return false;
+    }
+    return this.#listedAt - this.#pastReadAt < LISTING_DELAY_MILLISECONDS;
+  }
+
   /** Whether a version may have served unseen since the oldest stream began. */
   get #hasGap(): boolean {
     const elapsed = this.#parts.clock.now() - this.#missedAt;
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -65,7 +65,11 @@
   /** Notes the versions in a list of all stored objects. */
   restore({ objects, version }: StoredList): void {
     const object = objects.find(({ key }) => key === this.#key);
-    this.#restoreObject(object, eraOf(version));
+    const era = eraOf(version);
+    if (object !== undefined && object.version === this.#object?.version) {
+      const isComplete = this.#known.completeInEra === era;
+      this.#parts.origins.restoreVersions(new Map(), { isComplete });
+    } else this.#restoreObject(object, era);
   }
 
   /** Stores the versions that this host knows if they differ from those stored. */
