Date a server's other version from when the list was last current

Cause: a server that comes back as another version under its id was taken to have done so two seconds before a host listed it. While the store is silent nobody lists it: it serves streams under its former version for as long, and those that were more than two seconds old when the store was back went on at the former version, at any host.

Ruled out: hosts that are told of a newer list (others have none either); the report of an engine (asked of the server at which a stream goes on, not of the one that began it); a list read anew (the watch goes on with each change).

Change: ServerListEvidence tells when the list was last current: before a silence of the store of 2.5 s or more until 3 s after it, and before another host was first heard to have a newer list. Streams of such a server that began since then, less two seconds, can't be told, here and in what is told, read or asked for.

Conclusion: a silence of 2 to 2.5 s still leaves up to half a second. A stream that is taken up while the store is silent is joined as before: nobody can know.

--- a/packages/rampswitch-serving/src/configuration/configuration_follower.ts
+++ b/packages/rampswitch-serving/src/configuration/configuration_follower.ts
@@ -493,6 +493,7 @@
       this.#confirmedAt,
       this.#parts.clock.now() - age,
     );
+    this.serverList.confirmed(this.#confirmedAt);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -597,6 +598,7 @@
     const inForce = this.#routes?.configuration.version ?? -1;
     if (this.#storedVersion >= inForce) {
       this.#confirmedAt = Math.max(this.#confirmedAt, at);
+      this.serverList.confirmed(this.#confirmedAt);
     }
     this.#ownConfirmedAt = Math.max(this.#ownConfirmedAt, at);
     this.#lapsedServers.storeAnswered();
--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -17,16 +17,46 @@
   readonly newestChange: number;
   /** Position of the newest change that any host reported. */
   readonly newestHeard: number;
+  /**
+   * When the list was last known to be current, on the monotonic clock. A change that is
+   * read now may have been made at any time since.
+   */
+  readonly currentAt: number;
+}
+
+/**
+ * Time without an answer of the store after which the list may lack changes, in
+ * milliseconds; longer than the time between two answers of a store that serves.
+ */
+const SILENCE_MILLISECONDS = 2_500;
+
+/**
+ * Time from the store's first answer in which changes are read that were made while it
+ * was silent, in milliseconds.
+ */
+const CATCH_UP_MILLISECONDS = 3_000;
+
+/** A time in which the store didn't answer, on the monotonic clock. */
+interface StoreSilence {
+  readonly from: number;
+  readonly until: number;
 }
 
 /** What shows how new a list of servers is. */
 export class ServerListEvidence {
   readonly #list: Watcher;
   readonly #confirmations: ListConfirmations;
+  readonly #clock: Clock;
   #newestHeard = 0;
+  /** Since when another host has a newer list, on the monotonic clock. */
+  #behindSince: number | undefined;
+  /** Time as of which the store last answered; `undefined` before the first answer. */
+  #confirmedAt: number | undefined;
+  #lastSilence: StoreSilence | undefined;
 
   constructor(list: Watcher, clock: Clock) {
     this.#list = list;
+    this.#clock = clock;
     this.#confirmations = new ListConfirmations({
       clock,
       confirm: () => list.confirm(),
@@ -37,12 +67,24 @@
   get state(): ServerListState {
     const { version, newestChange } = this.#list;
     const newestHeard = Math.max(newestChange, this.#newestHeard);
-    return { version, newestChange, newestHeard };
+    return { version, newestChange, newestHeard, currentAt: this.#currentAt };
   }
 
   /** Notes the newest change of a server that another host reported. */
   heard(newestChange: number): void {
     this.#newestHeard = Math.max(this.#newestHeard, newestChange);
+    if (newestChange > this.#list.version) {
+      this.#behindSince ??= this.#clock.now();
+    } else this.#behindSince = undefined;
+  }
+
+  /** Notes that the store answered this host, or hosts that it hears of, at a time. */
+  confirmed(at: number): void {
+    const from = this.#confirmedAt ?? at;
+    if (at - from >= SILENCE_MILLISECONDS) {
+      this.#lastSilence = { from, until: this.#clock.now() };
+    }
+    this.#confirmedAt = Math.max(from, at);
   }
 
   /**
@@ -52,4 +94,20 @@
   confirm(): Promise<boolean> {
     return this.#confirmations.confirm();
   }
+
+  get #currentAt(): number {
+    const now = this.#clock.now();
+    return Math.min(now, this.#behindSince ?? now, this.#silentSince ?? now);
+  }
+
+  /** Since when the store is silent, or was until a moment ago. */
+  get #silentSince(): number | undefined {
+    const now = this.#clock.now();
+    const isSilent = now - (this.#confirmedAt ?? now) >= SILENCE_MILLISECONDS;
+    if (isSilent) return this.#confirmedAt;
+    const silence = this.#lastSilence;
+    const isRecent =
+      silence !== undefined && now - silence.until < CATCH_UP_MILLISECONDS;
+    return isRecent ? silence.from : undefined;
+  }
 }
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -40,6 +40,13 @@
   ownership = new Ownership();
 });
 
+const CURRENT_LIST: ServerListState = {
+  version: 1,
+  newestChange: 1,
+  newestHeard: 1,
+  currentAt: Infinity,
+};
+
 interface StartedHost {
   readonly clock: ManualClock;
   readonly streams: StreamOrigins;
@@ -53,7 +60,7 @@
     versions,
     holdsDuties = true,
     host = "h1",
-    list = { version: 1, newestChange: 1, newestHeard: 1 },
+    list = CURRENT_LIST,
   }: {
     readonly versions: readonly string[];
     readonly holdsDuties?: boolean;
@@ -222,7 +229,7 @@
 
   test("are not stored as complete by a host whose list is older than another's", async () => {
     const store = new ObjectStoreStandin();
-    const list = { version: 1, newestChange: 1, newestHeard: 2 };
+    const list = { ...CURRENT_LIST, newestHeard: 2 };
     await startHost(store, { versions: ["v1"], list });
     const next = await startHost(store, {
       versions: ["v1"],
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -81,7 +81,7 @@
 
 /**
  * Time for which a server may run as another version before its new incarnation is
- * listed, in milliseconds.
+ * listed by hosts whose lists are current, in milliseconds.
  */
 const LISTING_LAG_MILLISECONDS = 2_000;
 
@@ -130,7 +130,7 @@
   listed(server: VersionedServer): void {
     this.#listedAt ??= this.#parts.clock.now();
     this.#tellOnceMixed(server.service, (now) =>
-      this.#history.listed(server, now),
+      this.#history.listed(server, { now, changedAfter: this.#listCurrentAt }),
     );
   }
 
@@ -175,7 +175,7 @@
   becameOtherVersion(server: string): void {
     const now = this.#parts.clock.now();
     this.#streams
-      .begunAt(server, now - LISTING_LAG_MILLISECONDS)
+      .begunAt(server, this.#listCurrentAt - LISTING_LAG_MILLISECONDS)
       .map((stream) => ({ ...stream, version: undefined }))
       .forEach((stream) => {
         this.#streams.add(stream, now);
@@ -387,6 +387,14 @@
     return elapsed < VERSION_RETENTION_MILLISECONDS;
   }
 
+  /** Since when a change that is listed now may have been made. */
+  get #listCurrentAt(): number {
+    return Math.min(
+      this.#parts.clock.now(),
+      this.#parts.serverList().currentAt,
+    );
+  }
+
   /** Whether another host has received changes of servers that this one lacks. */
   get isListBehind(): boolean {
     const { version, newestHeard } = this.#parts.serverList();
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -12,12 +12,14 @@
 const LIFETIME_MILLISECONDS = 4_000;
 const RETENTION_MILLISECONDS = 60_000;
 
+const CURRENT_LIST = { version: 1, newestChange: 1, currentAt: Infinity };
+
 /** One host, what it told others, and what these reply. */
 function hostOf(initialReplies: readonly StreamReply[] = []) {
   const clock = new ManualClock(0);
   const told: StreamRecord[] = [];
   const state = {
-    list: { version: 1, newestChange: 1, newestHeard: 1 },
+    list: { ...CURRENT_LIST, newestHeard: 1 },
     replies: initialReplies,
     isListConfirmed: true,
     isStoreAway: false,
@@ -113,7 +115,7 @@
       "others have read a newer list",
       {
         isStoreAway: true,
-        list: { version: 1, newestChange: 1, newestHeard: 2 },
+        list: { ...CURRENT_LIST, newestHeard: 2 },
       },
       undefined,
     ],
@@ -149,7 +151,7 @@
     list("s1", "v1");
     clock.advance(RETENTION_MILLISECONDS);
     expect(streams.replyTo(STREAM)).toEqual(single("v1"));
-    state.list = { version: 1, newestChange: 1, newestHeard: 2 };
+    state.list = { ...CURRENT_LIST, newestHeard: 2 };
     expect(streams.replyTo(STREAM)).toEqual(RECENT);
   });
 
@@ -297,6 +299,25 @@
     return host.streams;
   };
 
+  // Guards against streams that a server began as another version while the store was
+  // silent, so that no host could list it.
+  test("can't be told if its server changed while the list was old", () => {
+    const { clock, state, streams, list, begin } = hostOf();
+    list("s1", "v1");
+    streams.receive({ ...RECORD, attempt: "before" });
+    clock.advance(3_000);
+    begin("v1");
+    streams.receive({ ...RECORD, attempt: "told" });
+    clock.advance(2_500);
+    state.list = { ...state.list, currentAt: 4_000 };
+    list("s1", "v2");
+    streams.becameOtherVersion(SERVER);
+    const uncertain = ["before", STREAM.attempt, "told"].filter((attempt) =>
+      streams.isUncertain({ ...STREAM, attempt }),
+    );
+    expect(uncertain).toEqual([STREAM.attempt, "told"]);
+  });
+
   // Guards against a take-up that joins two versions, since the first host that replies
   // has an old list and another one knows better.
   test.each([
@@ -322,7 +343,7 @@
     ]);
     list("s1", "v1");
     begin("v1");
-    state.list = { version: 1, newestChange: 1, newestHeard: 2 };
+    state.list = { ...CURRENT_LIST, newestHeard: 2 };
     expect(await streams.find(STREAM)).toEqual(LOST);
   });
 
@@ -445,7 +466,7 @@
 });
 
 describe("a host whose list of servers is older than another's", () => {
-  const BEHIND = { version: 1, newestChange: 1, newestHeard: 2 };
+  const BEHIND = { ...CURRENT_LIST, newestHeard: 2 };
 
   test("counts a version as serving that another host began a stream at", () => {
     const { streams, list } = hostOf();
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -33,7 +33,7 @@
 /** A server that is listed. */
 interface ListedServer extends VersionedServer {
   /**
-   * Since when it is listed with its version, on the monotonic clock; `-Infinity` if
+   * Since when it may be listed with its version, on the monotonic clock; `-Infinity` if
    * this host knows no former version: it may have had this one for any time.
    */
   readonly since: number;
@@ -52,12 +52,18 @@
     this.#retentionMilliseconds = retentionMilliseconds;
   }
 
-  /** Notes a server that is listed, or listed with another version. */
-  listed({ id, service, version }: VersionedServer, now: number): void {
+  /** Notes a server that is listed, or listed with another version since some time. */
+  listed(
+    { id, service, version }: VersionedServer,
+    {
+      now,
+      changedAfter,
+    }: { readonly now: number; readonly changedAfter: number },
+  ): void {
     const before = this.#listed.get(id);
     if (before?.service === service && before.version === version) return;
     this.removed(id, now);
-    const since = this.#removedAt.has(id) ? now : -Infinity;
+    const since = this.#removedAt.has(id) ? changedAfter : -Infinity;
     this.#listed.set(id, { id, service, version, since });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
