--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -40,6 +40,13 @@
   ownership = new Ownership();
 });
 
+const CURRENT_LIST: ServerListState = {
+  version: 1,
+  newestChange: 1,
+  newestHeard: 1,
+  currentAt: Infinity,
+};
+
 interface StartedHost {
   readonly clock: ManualClock;
   readonly streams: StreamOrigins;
@@ -53,7 +60,7 @@
     versions,
     holdsDuties = true,
     host = "h1",
-    list = { version: 1, newestChange: 1, newestHeard: 1 },
+    list = CURRENT_LIST,
   }: {
     readonly versions: readonly string[];
     readonly holdsDuties?: boolean;
@@ -222,7 +229,7 @@
 
   test("are not stored as complete by a host whose list is older than another's", async () => {
     const store = new ObjectStoreStandin();
-    const list = { version: 1, newestChange: 1, newestHeard: 2 };
+    const list = { ...CURRENT_LIST, newestHeard: 2 };
     await startHost(store, { versions: ["v1"], list });
     const next = await startHost(store, {
       versions: ["v1"],
@@ -231,6 +238,21 @@
     expect(await versionOf(next.streams)).toBeUndefined();
   });
 
+  // Guards against a version that comes and goes after a host read the object, and before
+  // it lists the servers for the first time.
+  test("are read again by a host that listed the servers much later", async () => {
+    const store = new ObjectStoreStandin();
+    const holder = await startHost(store, { versions: ["v1"] });
+    const listed = { versions: [], holdsDuties: false, host: "h2" };
+    const { clock, streams } = await startHost(store, listed);
+    holder.streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(holder.clock, WRITE_MILLISECONDS);
+    await pass(clock, START_MILLISECONDS);
+    streams.listed({ id: "s-v1", service: SERVICE, version: "v1" });
+    expect(streams.replyTo(STREAM).kind).toBe("single_recently");
+    expect(await versionOf(streams)).toBeUndefined();
+  });
+
   test("are not taken for complete after the store came back from a copy", async () => {
     const store = new ObjectStoreStandin();
     await startHost(store, { versions: ["v1"] });
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -88,10 +88,16 @@
 
 /**
  * Time for which a server may run as another version before its new incarnation is
- * listed, in milliseconds.
+ * listed by hosts whose lists are current, in milliseconds.
  */
 const LISTING_LAG_MILLISECONDS = 2_000;
 
+/**
+ * Longest time from the read of what is stored to the first list of servers for which
+ * the two tell of the same moment, in milliseconds.
+ */
+const LISTING_DELAY_MILLISECONDS = 1_000;
+
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
@@ -112,8 +118,13 @@
   readonly #restored = new BegunStreams(MAXIMUM_RESTORED_STREAMS);
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
   readonly #startedAt: number;
-  /** Whether the store told which versions served before this host started. */
-  #hasReadPast = false;
+  /**
+   * When the store last told which versions had served, on the monotonic clock;
+   * `undefined` if it has not.
+   */
+  #pastReadAt: number | undefined;
+  /** When a server was first listed, on the monotonic clock; `undefined` before that. */
+  #listedAt: number | undefined;
   /** When changes of the list were last missed, on the monotonic clock. */
   #missedAt = -Infinity;
 
@@ -124,8 +135,9 @@
 
   /** Notes a listed server. The streams that run when a second version appears are told. */
   listed(server: VersionedServer): void {
+    this.#listedAt ??= this.#parts.clock.now();
     this.#tellOnceMixed(server.service, (now) =>
-      this.#history.listed(server, now),
+      this.#history.listed(server, { now, changedAfter: this.#listCurrentAt }),
     );
   }
 
@@ -139,6 +151,12 @@
     return this.#wasThere && !this.#hasGap;
   }
 
+  /** Whether the servers were listed so long after the store was read that it is due again. */
+  get hasListedLate(): boolean {
+    const hasRead = this.#pastReadAt !== undefined;
+    return hasRead && this.#listedAt !== undefined && !this.#wasThere;
+  }
+
   /** Notes that servers may have been listed and removed without this host's knowledge. */
   missedChanges(): void {
     this.#missedAt = this.#parts.clock.now();
@@ -154,7 +172,7 @@
         this.#history.served(service, names, now),
       ),
     );
-    this.#hasReadPast ||= isComplete;
+    if (isComplete) this.#pastReadAt = this.#parts.clock.now();
   }
 
   /**
@@ -164,7 +182,7 @@
   becameOtherVersion(server: string): void {
     const now = this.#parts.clock.now();
     this.#streams
-      .begunAt(server, now - LISTING_LAG_MILLISECONDS)
+      .begunAt(server, this.#listCurrentAt - LISTING_LAG_MILLISECONDS)
       .map((stream) => ({ ...stream, version: undefined }))
       .forEach((stream) => {
         this.#streams.add(stream, now);
@@ -357,12 +375,31 @@
     return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
   }
 
+  /**
+   * Whether the store told which versions had served up to about the time of this host's
+   * first list: between the two, one may have come and gone.
+   */
+  get #hasReadPast(): boolean {
+    if (this.#pastReadAt === undefined || this.#listedAt === undefined) {
+      return false;
+    }
+    return this.#listedAt - this.#pastReadAt < LISTING_DELAY_MILLISECONDS;
+  }
+
   /** Whether a version may have served unseen since the oldest stream began. */
   get #hasGap(): boolean {
     const elapsed = this.#parts.clock.now() - this.#missedAt;
     return elapsed < VERSION_RETENTION_MILLISECONDS;
   }
 
+  /** Since when a change that is listed now may have been made. */
+  get #listCurrentAt(): number {
+    return Math.min(
+      this.#parts.clock.now(),
+      this.#parts.serverList().currentAt,
+    );
+  }
+
   /** Whether another host has received changes of servers that this one lacks. */
   get isListBehind(): boolean {
     const { version, newestHeard } = this.#parts.serverList();
