--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -1,10 +1,12 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { createServer, request, type RequestListener } from "node:http";
+import { createServer as createRawServer, type Socket } from "node:net";
 import { setImmediate as immediate } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
 import {
   listen,
+  listenUntilDisposed,
   MONOTONIC_CLOCK,
   Ownership,
   SILENT_LOGGER,
@@ -24,6 +26,18 @@
 
 const SERVER_ID = "s1";
 
+/** Ways in which a host ends that is killed. */
+const CONNECTION_ENDS: Readonly<Record<string, (socket: Socket) => void>> = {
+  "by an end": (socket) => socket.end(),
+  "by a reset": (socket) => socket.resetAndDestroy(),
+  "by an end some time later": (socket) => {
+    setTimeout(() => socket.end(), END_MILLISECONDS);
+  },
+};
+
+/** Time between a part of a head and a later end, in milliseconds. */
+const END_MILLISECONDS = 5;
+
 /** What a listener was told, in one word each. */
 type Told = string;
 
@@ -93,6 +107,8 @@
       readonly server?: string;
       readonly headers?: readonly string[];
       readonly body?: string;
+      /** Address of the host that forwards; the one started by default. */
+      readonly door?: string;
     } = {},
   ): Promise<readonly Told[]> {
     const told: Told[] = [];
@@ -106,9 +122,10 @@
           resolve(void told.push(`${failure}: ${detail}`)),
       };
       const { server = SERVER_ID, headers = [], body } = options;
+      const { door = this.doorAddress } = options;
       this.forwarding.send(
         {
-          through: { name: "b", address: this.doorAddress, dataHall: "a" },
+          through: { name: "b", address: door, dataHall: "a" },
           server: { id: server, address: this.serverAddress },
           request: {
             method: body === undefined ? "GET" : "POST",
@@ -202,6 +219,40 @@
 
   // Guards against a run that goes on at a server after its answer was lost: the host
   // that forwards it may not reach that server to stop it.
+  // Guards against a request that counts as not run, or as answered, by a part of a head.
+  test.each(
+    ["answered", "not_sent"].flatMap((outcome) =>
+      Object.entries(CONNECTION_ENDS).map(
+        ([name, end]) => [outcome, name, end] as const,
+      ),
+    ),
+  )(
+    "is lost with the request if it stops within its head (%s, %s)",
+    async (outcome, _name, end) => {
+      await using parts = await Parts.start(() => undefined);
+      const head = `HTTP/1.1 200 X\r\nX-Forwarding-Outcome: ${outcome}\r\nContent-Length: 4\r\n\r\n`;
+      let length = 0;
+      const { address } = parts.ownership.own(
+        await listenUntilDisposed(
+          createRawServer((socket) => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+              socket.write(head.slice(0, length));
+              end(socket);
+            });
+          }),
+          "127.0.0.1:0",
+          () => undefined,
+        ),
+      );
+      for (; length < head.length; length += 1) {
+        const told = await parts.send({ door: address });
+        const lost = expect.stringMatching(/^lost: /) as unknown;
+        expect([length, ...told]).toEqual([length, "written", lost]);
+      }
+    },
+  );
+
   test("has the run stopped whose answer is lost or unwanted, and no other", async () => {
     const stopped: unknown[] = [];
     const stopRun = (run: ForwardedRun) =>
