--- a/packages/rampswitch-entry/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client_test.ts
@@ -3,15 +3,50 @@
 import { createServer, type Socket } from "node:net";
 import { expect, test } from "@jest/globals";
 import { listenUntilDisposed, Ownership, readText } from "rampswitch-utils";
-import { BackendClient } from "./backend_client.ts";
+import { type BackendCall, BackendClient } from "./backend_client.ts";
 
 const LIMIT_BYTES = 100;
 
+const CALL: BackendCall = {
+  method: "GET",
+  path: "/",
+  headers: {},
+  body: undefined,
+  timeoutMilliseconds: 1_000,
+};
+
 const ENDINGS: Readonly<Record<string, (socket: Socket) => void>> = {
   tail: (socket) => socket.end(),
   cut_off: (socket) => socket.resetAndDestroy(),
 };
 
+const HEAD = "HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 100\r\n\r\n";
+
+// Guards against a call that counts as answered, or as not run, by a part of a head.
+test.each(Object.entries(ENDINGS))(
+  "a head that stops leaves its call in doubt (%s)",
+  async (_name, end) => {
+    await using ownership = new Ownership();
+    let length = 0;
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", () => {
+        socket.write(HEAD.slice(0, length));
+        end(socket);
+      });
+    });
+    const { address } = ownership.own(
+      await listenUntilDisposed(server, "127.0.0.1:0", () => undefined),
+    );
+    const client = ownership.own(new BackendClient());
+    for (; length < HEAD.length; length += 1) {
+      const reply = await client.call(address, CALL);
+      const kind = reply.isErr ? reply.error.kind : "answered";
+      expect([length, kind]).toEqual([length, "in_doubt"]);
+    }
+  },
+);
+
 // Guards against a broken answer that ends as complete.
 test.each(Object.entries(ENDINGS))(
   "an answer without a length that ends with its last bytes is %s",
@@ -28,13 +63,7 @@
       await listenUntilDisposed(server, "127.0.0.1:0", () => undefined),
     );
     const client = ownership.own(new BackendClient());
-    const reply = await client.call(address, {
-      method: "GET",
-      path: "/",
-      headers: {},
-      body: undefined,
-      timeoutMilliseconds: 1_000,
-    });
+    const reply = await client.call(address, CALL);
     const body = await reply.match({
       Ok: (answer) => readText(answer.body, LIMIT_BYTES),
       Err: (failure) => Promise.reject(new Error(JSON.stringify(failure))),
