Forward updates of members whose relays became direct

Cause: a fleet that gives up its relays does so host by host, with each host's next read of the list (up to 15 s apart). A host that became direct forwarded nothing, while members that had read an older list still sent it their updates alone. After 10 s the others no longer counted them.

Ruled out: earlier reads of the list, which cost the store calls at all times; members that send to all hosts, which costs large fleets datagrams whenever relays change.

Change: a host without relays puts the new updates of hosts that still request digests from it into its own messages. Where nobody requests digests, what it sends is unchanged.

Before: the new test in membership_test.ts (sockets, simulated time) failed: five hosts beside 60 entries that are removed counted 4 at one host, 13.6 s after the removal. After: passes in 4 of 4 runs, all 32 tests of the file in one run (load of the machine 10 to 20).

Conclusion: no host of these five is uncounted while relays are given up.

--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -31,6 +31,7 @@
   GOSSIP_TIMING_BY_ROLE,
 } from "./fleet_hosts.ts";
 import { FleetTime } from "./fleet_time.ts";
+import { ForwardedUpdates, messagesOf } from "./forwarded_updates.ts";
 import { PendingQueries } from "./pending_queries.ts";
 import { HostRegistry } from "./host_registry.ts";
 import { LimitQueries } from "./limit_queries.ts";
@@ -57,9 +58,6 @@
  */
 const RESUMED_MILLISECONDS = 200;
 
-/** Maximum number of updates in one message; more are split into further messages. */
-const UPDATES_EACH_MESSAGE = 16;
-
 /**
  * Timeout of an answer to a permit query, in milliseconds: a round trip between two
  * regions and a few iterations of a busy event loop; below the shortest latency
@@ -145,6 +143,13 @@
   onUnusedAdmission(request: LimitRequest): void;
 }
 
+/** Hosts whose updates a host gathers, and those that it sends them to. */
+interface Gathering {
+  readonly senders: readonly KnownHost[];
+  readonly recipients: readonly KnownHost[];
+  readonly now: number;
+}
+
 /** This host as a member of the fleet. */
 export class Membership implements AsyncDisposable {
   readonly #parts: MembershipParts;
@@ -159,8 +164,7 @@
   readonly streams: StreamExchange;
   readonly #registry: HostRegistry;
   readonly #time: FleetTime;
-  /** Newest update of each host that was forwarded, as `incarnation/sequence`. */
-  readonly #forwarded = new Map<string, string>();
+  readonly #forwarded = new ForwardedUpdates();
   #round = 0;
   #role: HostRole = "direct";
   /** When this host last started a round of gossip, on the cautious clock. */
@@ -404,19 +408,20 @@
   readonly #sendByRole: Readonly<
     Record<HostRole, (own: AgedUpdate, now: number) => void>
   > = {
-    direct: (own) => this.#sendUpdates([own], this.#hosts.all()),
+    // Members that have read an older list than this host send it their updates alone.
+    direct: (own, now) => {
+      const senders = this.#hosts.digestRequesters(now);
+      const recipients = this.#hosts.all();
+      this.#sendGathered(own, { senders, recipients, now });
+    },
     member: (own, now) =>
       this.#sendUpdates([own], this.#hosts.relaysToUpdate(now, this.#round)),
     relay: (own, now) => {
-      const gathered = this.#updatesToForward(now);
-      const relays = this.#hosts.otherRelays(now, this.#round);
-      this.#sendUpdates(
-        [own, ...gathered.slice(0, UPDATES_EACH_MESSAGE - 1)],
-        relays,
-      );
-      chunks(gathered.slice(UPDATES_EACH_MESSAGE - 1)).forEach((chunk) =>
-        this.#sendUpdates(chunk, relays),
-      );
+      // They include updates of other relays, for relays that receive nothing from
+      // each other directly.
+      const senders = this.#hosts.directSenders(now);
+      const recipients = this.#hosts.otherRelays(now, this.#round);
+      this.#sendGathered(own, { senders, recipients, now });
     },
   };
 
@@ -516,20 +521,15 @@
     hosts.forEach(({ address }) => this.#transport.send(address, datagram));
   }
 
-  /**
-   * New updates of the hosts that send to this relay, each update once. They include
-   * those of other relays, for relays that receive nothing from each other directly.
-   */
-  #updatesToForward(now: number): readonly AgedUpdate[] {
-    return this.#hosts
-      .directSenders(now)
-      .flatMap(({ name, update, receivedAt }) => {
-        if (update === undefined) return [];
-        const mark = `${update.incarnation}/${update.sequence}`;
-        if (this.#forwarded.get(name) === mark) return [];
-        this.#forwarded.set(name, mark);
-        return [{ update: withoutLevels(update), age: now - receivedAt }];
-      });
+  /** Sends this host's update, and new ones of other senders. */
+  #sendGathered(
+    own: AgedUpdate,
+    { senders, recipients, now }: Gathering,
+  ): void {
+    const gathered = this.#forwarded.take(senders, now);
+    messagesOf(own, gathered).forEach((updates) =>
+      this.#sendUpdates(updates, recipients),
+    );
   }
 
   #sendDigests(now: number): void {
@@ -676,21 +676,3 @@
     now - host.receivedAt < PEER_WORK_LIFETIME_MILLISECONDS
   );
 }
-
-/** Removes the levels of limits; relays track these themselves. */
-function withoutLevels(update: PeerUpdate): PeerUpdate {
-  return { ...update, levels: {} };
-}
-
-function chunks(
-  updates: readonly AgedUpdate[],
-): readonly (readonly AgedUpdate[])[] {
-  return Array.from(
-    { length: Math.ceil(updates.length / UPDATES_EACH_MESSAGE) },
-    (_, index) =>
-      updates.slice(
-        index * UPDATES_EACH_MESSAGE,
-        (index + 1) * UPDATES_EACH_MESSAGE,
-      ),
-  );
-}
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -101,7 +101,7 @@
   const objects = new Map<string, StoredObject>();
   let version = 0;
   const unused = () =>
-    Promise.reject(new Error("membership calls only list and put"));
+    Promise.reject(new Error("membership calls only list, put and remove"));
   return {
     ...ONE_ERA,
     list: () =>
@@ -113,7 +113,11 @@
       return Promise.resolve(Result.ok(object));
     },
     get: unused,
-    remove: unused,
+    remove: (key) => {
+      version += 1;
+      objects.delete(key);
+      return Promise.resolve(Result.ok(undefined));
+    },
     watch: unused,
   };
 }
@@ -542,6 +546,41 @@
   });
 });
 
+/**
+ * Guards against hosts that are lost while a fleet gives up its relays: a member that
+ * read the shorter list last sent its update to former relays alone.
+ */
+describe("five hosts beside 60 entries that are removed", () => {
+  const entry = { address: "127.0.0.1:9", dataHall: "a", cores: 1 };
+  const gone = Array.from({ length: 60 }, (_, index) => `hosts/gone-${index}`);
+
+  test("hear each other while they become direct", async () => {
+    const clock = new ManualClock(1_000);
+    const store = sharedStore();
+    await Promise.all(
+      gone.map((key) =>
+        store.put(key, JSON.stringify(entry), { expected: "absent" }),
+      ),
+    );
+    // Names of several lengths: each host reads the list at its own times.
+    const hosts = await Promise.all(
+      ["a", "bb", "ccc", "dddd", "eeeee"].map((name) =>
+        openHost(name, { store, clock, received: [], wallTime: 1 }),
+      ),
+    );
+    for (let at = 0; at < 14_000; at += 200) await step(clock, 200);
+    expect(hosts.map(({ role }) => role)).toContain("member");
+    await Promise.all(gone.map((key) => store.remove(key, 1)));
+    const sizes = new Set<number>();
+    for (let at = 0; at < 40_000; at += 200) {
+      await step(clock, 200);
+      hosts.forEach(({ presentHosts }) => sizes.add(presentHosts.length));
+    }
+    expect(hosts.map(({ role }) => role)).toEqual(hosts.map(() => "direct"));
+    expect(Math.min(...sizes)).toBe(5);
+  });
+});
+
 /**
  * Guards against hosts of an earlier version that get a shared digest during an
  * upgrade. They would count their own requests twice, and their limits would follow
