Forget hosts that are neither listed nor heard for five minutes

Cause: `FleetHosts` kept each host that it ever listed or heard, with its newest update and its former incarnations.

Change: with each list, and with each host that is new by an update, a host forgets those that it neither listed nor heard for five minutes, in time in which it received updates or digests (`HearingTime`). Hosts of the newest list are never forgotten.

Conclusion: memory of `FleetHosts` is bounded by the store's list and the replacements of five minutes. A host that hears nobody forgets nobody.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -18,6 +18,7 @@
   relayOrder,
   relaysOf,
 } from "./relay_plan.ts";
+import { SilentHosts } from "./silent_hosts.ts";
 
 /** Silence after which a host is no longer counted, in milliseconds. */
 const HOST_SILENCE_MILLISECONDS = 10_000;
@@ -117,7 +118,9 @@
   readonly #hosts = new Map<string, KnownHost>();
   /** Former incarnations of each host; their late updates are ignored. */
   readonly #formerIncarnations = new Map<string, ReadonlySet<string>>();
-  #listedCount = 0;
+  /** Names of the hosts in the newest list; includes this one once it is listed. */
+  #listed: ReadonlySet<string> = new Set();
+  readonly #silence = new SilentHosts();
   #digest: ReceivedDigest | undefined;
 
   constructor(self: PlannedHost) {
@@ -134,9 +137,14 @@
     return [...this.#hosts.values()];
   }
 
-  /** Adds the hosts of the store's list; returns the names of the new ones. */
+  /**
+   * Adds the hosts of the store's list and forgets those that are long neither listed
+   * nor heard; returns the names of the new ones.
+   */
   addListed(entries: readonly ListedHost[], now: number): readonly string[] {
-    this.#listedCount = entries.length;
+    this.#listed = new Set(entries.map(({ name }) => name));
+    this.#listed.forEach((name) => this.#silence.recordListed(name));
+    this.#forgetUnlisted();
     const unknown = entries.filter(
       ({ name }) => name !== this.#self.name && !this.#hosts.has(name),
     );
@@ -171,6 +179,8 @@
     if (isSameIncarnation && update.sequence <= known.sequence) return false;
     const former = this.#formerIncarnations.get(update.host) ?? new Set();
     if (former.has(update.incarnation)) return false;
+    this.#silence.recordUpdate(update.host, at);
+    if (known === undefined) this.#forgetUnlisted();
     if (known?.incarnation !== undefined && !isSameIncarnation) {
       this.#formerIncarnations.set(
         update.host,
@@ -219,6 +229,7 @@
   /** Stores the digest of a relay. */
   applyDigest(digest: FleetDigest, now: number): void {
     this.#digest = { digest, at: now };
+    this.#silence.recordDigest(now);
   }
 
   /**
@@ -282,7 +293,7 @@
 
   /** Current role of this host. */
   role(now: number): HostRole {
-    if (!needsRelays(Math.max(this.#listedCount, this.#activeCount(now) + 1))) {
+    if (!needsRelays(Math.max(this.listedCount, this.#activeCount(now) + 1))) {
       return "direct";
     }
     if (this.#isSeekingRelays(now)) return "member";
@@ -320,7 +331,7 @@
 
   /** Number of hosts in the newest list; includes this one once it is listed. */
   get listedCount(): number {
-    return this.#listedCount;
+    return this.#listed.size;
   }
 
   /** Number of hosts that may be serving: not silent or just listed, and this one. */
@@ -331,14 +342,14 @@
     const recent = this.all().filter(
       (host) => Math.max(host.receivedAt, host.listedAt) >= oldest,
     );
-    const needed = needsRelays(this.#listedCount) && this.#digest !== undefined;
-    return needed ? this.#listedCount : 1 + recent.length;
+    const needed = needsRelays(this.listedCount) && this.#digest !== undefined;
+    return needed ? this.listedCount : 1 + recent.length;
   }
 
   /** What this host knows of the fleet, to find the state of most hosts. */
   view(now: number): FleetView {
     return {
-      listed: this.#listedCount,
+      listed: this.listedCount,
       hosts: this.all(),
       digest: this.#freshDigest(now),
       isRelayed: this.role(now) !== "direct",
@@ -437,6 +448,17 @@
     );
   }
 
+  /** Forgets hosts, but none of the newest list, as the store may be away. */
+  #forgetUnlisted(): void {
+    this.#silence.unlisted
+      .filter((name) => !this.#listed.has(name))
+      .forEach((name) => {
+        this.#silence.forget(name);
+        this.#hosts.delete(name);
+        this.#formerIncarnations.delete(name);
+      });
+  }
+
   #hostsNamed(names: readonly string[]): readonly KnownHost[] {
     return names.flatMap((name) => this.#hosts.get(name) ?? []);
   }
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -0,0 +1,75 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { describe, expect, test } from "@jest/globals";
+import { FleetHosts } from "./fleet_hosts.ts";
+import {
+  entriesOf,
+  hear,
+  type HeardFleet,
+  hostNames,
+} from "./fleet_hosts_standin.ts";
+
+const SELF = { name: "self", dataHall: "a", cores: 1 };
+const PRESENT = hostNames("present", 4);
+const GONE = hostNames("gone", 600);
+const START = 1_000;
+const MINUTE_MILLISECONDS = 60_000;
+
+/** How long some hosts are not listed, in milliseconds. */
+const UNLISTED_MILLISECONDS = 6 * MINUTE_MILLISECONDS;
+
+/**
+ * Guards against memory that grows with each host that ever was: a known host was
+ * kept although neither the store nor a message named it again.
+ */
+describe("a host that is neither listed nor heard", () => {
+  const listed = entriesOf(["self", ...PRESENT]);
+  const start = entriesOf(["self", ...PRESENT, ...GONE]);
+  const heard = PRESENT.slice(0, 2);
+
+  test.each<[string, Partial<HeardFleet>, readonly string[]]>([
+    ["forgotten", { listed, heard: [...heard, "new"] }, [...PRESENT, "new"]],
+    ["forgotten by a member", { listed, digested: 5 }, PRESENT],
+    ["kept by one that hears nobody", { listed }, [...GONE, ...PRESENT]],
+    [
+      "kept while the store is away",
+      { listed: undefined, heard: [...heard, "new"] },
+      [...GONE, "new", ...PRESENT],
+    ],
+  ])("is %s after six minutes", (_, change, expected) => {
+    const hosts = new FleetHosts(SELF);
+    const shared = { hosts, from: START, listed: start, heard };
+    const removed = START + MINUTE_MILLISECONDS;
+    hear({ ...shared, until: removed });
+    const until = removed + UNLISTED_MILLISECONDS;
+    const late = { hosts, from: removed, until, listed, ...change };
+    hear(late);
+    // A host that is new by an update.
+    const after = { from: until, until: until + 250, listed: undefined };
+    if (late.heard !== undefined) {
+      hear({ ...late, ...after, heard: [...late.heard, "newest"] });
+    }
+    const known = hosts.all().map(({ name }) => name);
+    const names = late.heard === undefined ? [] : ["newest"];
+    expect(known.toSorted()).toEqual([...expected, ...names].toSorted());
+  });
+
+  test("is forgotten, so that memory is bounded during 10,000 replacements in an hour", () => {
+    const hosts = new FleetHosts(SELF);
+    const replacements = 10_000;
+    const interval = (60 * MINUTE_MILLISECONDS) / replacements;
+    const sizes = hostNames("replaced", replacements).map((name, index) => {
+      const from = START + index * interval;
+      hear({
+        hosts,
+        from,
+        until: from + 250,
+        listed: entriesOf(["self", ...PRESENT, name]),
+        heard: [...PRESENT, name],
+      });
+      return hosts.all().length;
+    });
+    // Those of five minutes, and a read of the list.
+    expect(Math.max(...sizes)).toBeLessThan((6 * replacements) / 60);
+  });
+});
--- /dev/null
+++ b/packages/rampswitch-serving/src/membership/hearing_time.ts
@@ -0,0 +1,31 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+/**
+ * Measures the time in which a host hears others. The silence of a host is evidence
+ * only in such time: not while the listener is suspended, stopped or cut off.
+ *
+ * @module
+ */
+
+/** Longest time between two messages in which a host hears others, in milliseconds. */
+const MAXIMUM_GAP_MILLISECONDS = 2_000;
+
+/** The time in which one host has heard others. */
+export class HearingTime {
+  #total = 0;
+  /** On the monotonic clock. */
+  #lastAt = -Infinity;
+
+  /** The time so far, in milliseconds; it stands still while nothing is heard. */
+  get total(): number {
+    return this.#total;
+  }
+
+  /** Records a message of another host. */
+  record(now: number): void {
+    const elapsed = now - this.#lastAt;
+    if (elapsed <= 0) return;
+    if (elapsed <= MAXIMUM_GAP_MILLISECONDS) this.#total += elapsed;
+    this.#lastAt = now;
+  }
+}
