Remove the entries of hosts that are gone from the store

Cause: a host writes its entry when it starts, and nobody removes it.

Ruled out: removal by each host, which multiplies calls; removal by a host itself when it stops, as killed hosts don't; a lease of each entry, which costs a write for each host and period, and ends in an outage of the store.

Change: the holder of the duties removes entries of hosts that were silent for five minutes of the time in which it received the updates of others itself. After each read of the list it removes a tenth of the writes that the store takes in a second, at most, begins none after a second, and none after a failure; each only in the version that was listed. A later version of an entry ends the silence. A host that misses its own entry in a list at least as new as this entry registers again with this read (15 s at most); if the list was older after all, the conflict shows its entry and nothing is written.

Conclusion: entries are bounded by running hosts and the replacements of five minutes, as long as some host holds the duties for as long and hears another. Halves of a fleet that reach the store have their entries removed and written again every five minutes while they are cut off.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -102,11 +102,17 @@
   readonly update: PeerUpdate | undefined;
 }
 
-/** A host in the store's list. */
-export interface ListedHost extends PlannedHost {
+/** A host as it registers in the store. */
+export interface RegisteredHost extends PlannedHost {
   readonly address: string;
 }
 
+/** A host in the store's list. */
+export interface ListedHost extends RegisteredHost {
+  /** Store version of its entry. */
+  readonly version: number;
+}
+
 interface ReceivedDigest {
   readonly digest: FleetDigest;
   readonly at: number;
@@ -143,14 +149,17 @@
    */
   addListed(entries: readonly ListedHost[], now: number): readonly string[] {
     this.#listed = new Set(entries.map(({ name }) => name));
-    this.#listed.forEach((name) => this.#silence.recordListed(name));
+    entries.forEach((entry) => this.#silence.recordListed(entry));
     this.#forgetUnlisted();
     const unknown = entries.filter(
       ({ name }) => name !== this.#self.name && !this.#hosts.has(name),
     );
-    unknown.forEach((entry) =>
-      this.#hosts.set(entry.name, {
-        ...entry,
+    unknown.forEach(({ name, dataHall, cores, address }) =>
+      this.#hosts.set(name, {
+        name,
+        dataHall,
+        cores,
+        address,
         incarnation: undefined,
         sequence: -1,
         receivedAt: -Infinity,
@@ -179,7 +188,9 @@
     if (isSameIncarnation && update.sequence <= known.sequence) return false;
     const former = this.#formerIncarnations.get(update.host) ?? new Set();
     if (former.has(update.incarnation)) return false;
-    this.#silence.recordUpdate(update.host, at);
+    this.#silence.recordUpdate(update.host, at, {
+      receivesDigests: this.#freshDigest(at) !== undefined,
+    });
     if (known === undefined) this.#forgetUnlisted();
     if (known?.incarnation !== undefined && !isSameIncarnation) {
       this.#formerIncarnations.set(
@@ -329,6 +340,11 @@
     );
   }
 
+  /** Whether another host has been silent for so long that its entry may be removed. */
+  isGone(name: string): boolean {
+    return name !== this.#self.name && this.#silence.isGone(name);
+  }
+
   /** Number of hosts in the newest list; includes this one once it is listed. */
   get listedCount(): number {
     return this.#listed.size;
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_standin.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_standin.ts
@@ -24,7 +24,7 @@
 
 /** Entries of hosts in the store's list. */
 export function entriesOf(names: readonly string[]): readonly ListedHost[] {
-  return names.map((name) => ({ name, ...ATTRIBUTES }));
+  return names.map((name) => ({ name, ...ATTRIBUTES, version: 1 }));
 }
 
 /** The update of a host, as far as membership reads it. */
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -7,6 +7,7 @@
   hear,
   type HeardFleet,
   hostNames,
+  idleUpdate,
 } from "./fleet_hosts_standin.ts";
 
 const SELF = { name: "self", dataHall: "a", cores: 1 };
@@ -73,3 +74,36 @@
     expect(Math.max(...sizes)).toBeLessThan((6 * replacements) / 60);
   });
 });
+
+/** Guards against entries that are removed although their hosts run. */
+describe("a host that is silent", () => {
+  const listed = entriesOf(["self", ...PRESENT, "silent"]);
+  const until = START + UNLISTED_MILLISECONDS;
+
+  test.each<[string, Partial<HeardFleet>, readonly string[]]>([
+    ["to one that hears the others", { heard: PRESENT }, ["silent"]],
+    ["for four minutes", { heard: PRESENT, until: until - 120_000 }, []],
+    ["to a member", { digested: 5 }, []],
+    // Other hosts send their updates to relays alone.
+    ["to a candidate for a relay", { heard: PRESENT, digested: 5 }, []],
+    ["to one that hears nobody", {}, []],
+  ])("is gone or not: %s", (_, heard, expected) => {
+    const hosts = new FleetHosts(SELF);
+    hear({ hosts, from: START, until, listed, ...heard });
+    const names = hosts.all().map(({ name }) => name);
+    expect(names.filter((name) => hosts.isGone(name))).toEqual(expected);
+  });
+
+  test("is not gone once it has registered again, or is heard", () => {
+    const hosts = new FleetHosts(SELF);
+    hear({ hosts, from: START, until, listed, heard: PRESENT });
+    const entries = listed.map((entry) => ({ ...entry, version: 2 }));
+    hosts.addListed(entries, until);
+    expect(hosts.isGone("silent")).toBe(false);
+    const later = until + UNLISTED_MILLISECONDS;
+    hear({ hosts, from: until, until: later, listed, heard: PRESENT });
+    expect(hosts.isGone("silent")).toBe(true);
+    hosts.applyUpdate(idleUpdate("silent", 1), later);
+    expect(hosts.isGone("silent")).toBe(false);
+  });
+});
--- a/packages/rampswitch-serving/src/membership/host_registry.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry.ts
@@ -6,20 +6,18 @@
  * @module
  */
 import {
-  type Clock,
   failureReporter,
   isAddress,
   jitter,
-  type Logger,
   type Random,
   repeat,
   type Repetition,
 } from "rampswitch-utils";
-import type { ObjectStore } from "rampswitch-store";
+import type { ObjectStore, StoredObject } from "rampswitch-store";
 import * as z from "zod";
 import { decodeJson } from "rampswitch-validation";
-import type { ServingMetrics } from "../observation/mod.ts";
-import type { ListedHost } from "./fleet_hosts.ts";
+import type { ListedHost, RegisteredHost } from "./fleet_hosts.ts";
+import { GoneEntries, type GoneEntriesParts } from "./gone_entries.ts";
 
 /** Time between reads of the list of hosts, in milliseconds. */
 const LIST_INTERVAL_MILLISECONDS = 15_000;
@@ -43,35 +41,42 @@
 type HostEntry = z.output<typeof HOST_SCHEMA>;
 
 /** Dependencies of the registry. */
-export interface HostRegistryParts {
-  readonly store: ObjectStore;
-  /** Prefix of the store keys of hosts. */
-  readonly hostsPrefix: string;
-  readonly clock: Clock;
+export interface HostRegistryParts extends GoneEntriesParts {
+  readonly store: Pick<ObjectStore, "list" | "put" | "remove" | "onEra">;
   readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: ServingMetrics;
+}
+
+/** Callbacks of the registry to its owner. */
+export interface HostRegistryListener {
+  /** Handles a read of the list. */
+  onListed(hosts: readonly ListedHost[]): void;
+  /** Whether a host has been silent for so long that its entry may be removed. */
+  isGone(name: string): boolean;
 }
 
 /** Keeps this host's entry in the store and reads the entries of all hosts. */
 export class HostRegistry implements AsyncDisposable {
   readonly #parts: HostRegistryParts;
-  readonly #self: ListedHost;
-  readonly #onListed: (hosts: readonly ListedHost[]) => void;
+  readonly #self: RegisteredHost;
+  readonly #listener: HostRegistryListener;
+  readonly #goneEntries: GoneEntries;
   readonly #repetition: Repetition;
   #registered = false;
+  /** Store version of this host's entry as it was last read or written. */
+  #ownVersion = -Infinity;
   /** Reads of the list while this host was registered. */
   #registeredReads = 0;
   #unreadable = 0;
 
   constructor(
-    self: ListedHost,
+    self: RegisteredHost,
     parts: HostRegistryParts,
-    onListed: (hosts: readonly ListedHost[]) => void,
+    listener: HostRegistryListener,
   ) {
     this.#self = self;
     this.#parts = parts;
-    this.#onListed = onListed;
+    this.#listener = listener;
+    this.#goneEntries = new GoneEntries(parts, (name) => listener.isGone(name));
     this.#repetition = repeat(
       parts.clock,
       () => jitter(parts.random, this.#interval()),
@@ -125,21 +130,21 @@
     this.#reportUnreadable(
       entries.filter(({ entry }) => entry === undefined).length,
     );
-    this.#onListed(
-      entries.flatMap(({ name, entry }) =>
-        entry === undefined ? [] : [{ name, ...entry }],
-      ),
+    const hosts = entries.flatMap(({ name, version, entry }) =>
+      entry === undefined ? [] : [{ name, version, ...entry }],
     );
-    const found = own?.entry?.address === this.#self.address;
-    // A list may be older than this host's entry, so a missing entry is accepted once
-    // it was registered. A malformed one is always replaced.
+    this.#listener.onListed(hosts);
+    const found = own !== undefined && this.#isOwn(own.entry);
+    if (found) this.#setRegistered(own);
+    // A list may be older than this host's entry, so an entry that is missing in it is
+    // accepted once it was registered. A malformed one is always replaced.
     const malformed = own !== undefined && own.entry === undefined;
-    if (found || (this.#registered && !malformed)) {
-      this.#registered = true;
+    const removed =
+      own === undefined && listed.value.version >= this.#ownVersion;
+    if (found || (this.#registered && !malformed && !removed)) {
       this.#registeredReads += 1;
-      return;
-    }
-    await this.#register(own?.version);
+    } else await this.#register(own?.version);
+    await this.#goneEntries.remove(hosts);
   }
 
   /** Reports the number of ignored entries, and logs it when it changes. */
@@ -160,13 +165,27 @@
       first.isErr && first.error.kind === "conflict"
         ? first.error.current
         : undefined;
+    if (stale !== undefined && this.#isOwn(entryOf(stale.value))) {
+      this.#setRegistered(stale);
+      return;
+    }
     const put = stale === undefined ? first : await this.#put(stale.version);
-    this.#registered = put.isOk;
-    if (put.isErr) {
+    if (put.isOk) this.#setRegistered(put.value);
+    else {
+      this.#registered = false;
       logger.debug("host not registered", { detail: put.error.kind });
     }
   }
 
+  #isOwn(entry: HostEntry | undefined): boolean {
+    return entry?.address === this.#self.address;
+  }
+
+  #setRegistered({ version }: Pick<StoredObject, "version">): void {
+    this.#registered = true;
+    this.#ownVersion = version;
+  }
+
   #put(version: number | undefined): ReturnType<ObjectStore["put"]> {
     const { store, hostsPrefix } = this.#parts;
     const { name, address, dataHall, cores } = this.#self;
--- a/packages/rampswitch-serving/src/membership/host_registry_test.ts
+++ b/packages/rampswitch-serving/src/membership/host_registry_test.ts
@@ -91,8 +91,11 @@
     random: seededRandom(1),
     logger: SILENT_LOGGER,
     metrics: new ServingMetrics(),
+    holdsDuties: () => false,
+    storeWritesPerSecond: () => 400,
   };
-  return new HostRegistry(SELF, parts, onListed);
+  const isGone = () => false;
+  return new HostRegistry(SELF, parts, { onListed, isGone });
 }
 
 describe("the list of hosts", () => {
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -92,6 +92,10 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
+  /** Whether this host holds the duties, and so removes entries of gone hosts. */
+  holdsDuties(): boolean;
+  /** Writes that the store takes from all hosts together, by second. */
+  storeWritesPerSecond(): number;
 }
 
 /** The part of this host's update that its owner provides; membership adds the rest. */
@@ -214,10 +218,13 @@
       new HostRegistry(
         { name: host, dataHall, cores, address: transport.address },
         parts,
-        (listed) => {
-          const unknown = this.#hosts.addListed(listed, clock.now());
-          listener.onListed(unknown);
-          if (this.#round === 0 && unknown.length > 0) this.broadcast();
+        {
+          isGone: (name) => this.#hosts.isGone(name),
+          onListed: (listed) => {
+            const unknown = this.#hosts.addListed(listed, clock.now());
+            listener.onListed(unknown);
+            if (this.#round === 0 && unknown.length > 0) this.broadcast();
+          },
         },
       ),
     );
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -194,6 +194,8 @@
         random: seededRandom(host.length),
         logger: SILENT_LOGGER,
         metrics: new ServingMetrics(),
+        holdsDuties: () => false,
+        storeWritesPerSecond: () => 400,
       },
       {
         ownUpdate: () => OWN_UPDATE,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -586,11 +586,11 @@
     return Membership.open(
       {
         ...this.#ports,
+        ...this.#settings,
         cautiousClock: this.#cautiousClock,
-        host: this.#settings.host,
-        dataHall: this.#settings.dataHall,
-        cores: this.#settings.cores,
         address,
+        holdsDuties: () => this.#duties.isHolder,
+        storeWritesPerSecond: () => this.#settings.bounds.storeWritesPerSecond,
       },
       {
         ownUpdate: (message) => this.#gossip.ownUpdate(message),
