Forget the consumption of hosts that have been silent for five minutes

Cause: `PeerConsumptionTracker` kept each host that it ever heard or found listed, and counted all of them as hosts that it should hear. Beside many that had ended it took itself for cut off for good, and kept the share of each host that falls silent for 60 s in place of 30 s.

Ruled out: leaving hosts out as soon as their share is free (60 s), as in cuts that grow step by step the rest would count for 30 s alone.

Change: hosts silent for five minutes are forgotten, when hosts are counted and when a new one is listed (members count none themselves). If one comes back, its consumption before is part of the levels that others report, as at this host's start.

Before: 3 of 3 tests in peer_consumption_test.ts failed: beside 100 hosts that had ended, a silent host of five counted after 40 s (5 hosts for 4), 104 peers were retained, and 10,100 at a member after 10,000 replacements in an hour. After: they pass, 4 hosts and no silent share, 4 peers, and fewer than 1,000 at all times; the 67 tests of admission/ pass.

Conclusion: shares of limits and memory no longer depend on hosts that ended more than five minutes ago.

--- a/packages/rampswitch-serving/src/admission/peer_consumption.ts
+++ b/packages/rampswitch-serving/src/admission/peer_consumption.ts
@@ -29,6 +29,12 @@
  */
 const ISOLATED_PEER_TIMEOUT_MILLISECONDS = 60_000;
 
+/**
+ * Silence after which a peer is forgotten, in milliseconds. Until then it counts as
+ * one that this host should hear.
+ */
+const FORGOTTEN_PEER_MILLISECONDS = 300_000;
+
 /**
  * Silence after which a peer counts as gone, in milliseconds, given how many of
  * all peers are active (not silent).
@@ -95,6 +101,7 @@
   /** Adds a listed peer that may not have reported yet. */
   addExpectedPeer(peer: string, now: number): void {
     if (this.#peers.has(peer)) return;
+    this.#forgetSilent(now);
     this.#peers.set(peer, {
       incarnation: undefined,
       totals: new Map(),
@@ -159,6 +166,11 @@
     this.#relay = { hosts, silentShare, receivedAt: now };
   }
 
+  /** Number of peers that are retained. */
+  get knownPeers(): number {
+    return this.#peers.size;
+  }
+
   /** Number of hosts that may be admitting, including this one. */
   hosts(now: number): number {
     return this.#relay?.hosts ?? this.#possibleConsumers(now).length + 1;
@@ -179,12 +191,20 @@
 
   /** Peers that may be consuming: neither stopping nor gone. */
   #possibleConsumers(now: number): readonly PeerConsumption[] {
+    this.#forgetSilent(now);
     const peers = [...this.#peers.values()].filter((peer) => !peer.stopping);
     const active = peers.filter((peer) => !this.#isSilent(peer, now)).length;
     const timeout = peerTimeoutMilliseconds(active, peers.length);
     return peers.filter((peer) => now - peer.receivedAt < timeout);
   }
 
+  #forgetSilent(now: number): void {
+    this.#peers.forEach(({ receivedAt }, name) => {
+      const silence = now - receivedAt;
+      if (silence >= FORGOTTEN_PEER_MILLISECONDS) this.#peers.delete(name);
+    });
+  }
+
   #isSilent(peer: PeerConsumption, now: number): boolean {
     return now - peer.receivedAt >= this.#timing.silence;
   }
