Forget the prompt totals of incarnations that have been silent for five minutes

Cause: `LoadMeter` kept the first and last totals of each incarnation that it ever heard, and added them all up for each service in each round.

Ruled out: subtracting what a forgotten incarnation had read, which would make the load of a service negative at that moment.

Change: what peers read is added up as their totals arrive, and an incarnation silent for five minutes is forgotten when a new one arrives.

Before: the new test in load_meter_test.ts failed: 10,000 incarnations were retained after 10,000 replacements in an hour. After: all 5 tests pass; fewer than 1,000 are retained, and the load is 2,000 tokens a second as sent.

Conclusion: memory and work by round no longer grow with hosts that ended.

--- a/packages/rampswitch-serving/src/relay/load_meter.ts
+++ b/packages/rampswitch-serving/src/relay/load_meter.ts
@@ -10,6 +10,9 @@
 /** Span over which loads are averaged, in milliseconds. */
 const SPAN_MILLISECONDS = 6_000;
 
+/** Silence after which an incarnation of a peer is forgotten, in milliseconds. */
+const FORGOTTEN_PEER_MILLISECONDS = 300_000;
+
 interface Sample {
   readonly at: number;
   readonly value: number;
@@ -19,16 +22,19 @@
 export type ReadTokens = Readonly<Record<string, number>>;
 
 interface PeerTotals {
-  readonly first: ReadTokens;
-  readonly last: ReadTokens;
+  readonly totals: ReadTokens;
+  readonly receivedAt: number;
 }
 
 /** Load of all services as measured by this host and reported by its peers. */
 export class LoadMeter {
   readonly #clock: Clock;
   #own: Record<string, number> = {};
-  /** First and last totals that each incarnation of a peer reported. */
+  /** Newest totals that each incarnation of a peer reported. */
   readonly #peers = new Map<string, PeerTotals>();
+  /** Tokens that peers have read since their first reports, by service. */
+  readonly #readByPeers = new Map<string, number>();
+  #arePeersIdle = true;
   readonly #totals = new Map<string, readonly Sample[]>();
   readonly #running = new Map<string, readonly Sample[]>();
 
@@ -48,26 +54,44 @@
 
   /** Whether no prompt was sent by any host since this one started. */
   get idle(): boolean {
-    const peerTotals = [...this.#peers.values()].map(({ last }) => last);
-    return [this.#own, ...peerTotals].every((totals) =>
-      Object.values(totals).every((tokens) => tokens === 0),
-    );
+    return this.#arePeersIdle && areZero(this.#own);
+  }
+
+  /** Number of incarnations of peers that are retained. */
+  get knownIncarnations(): number {
+    return this.#peers.size;
   }
 
   /** Receives a peer's totals; `incarnation` differs for each of its processes. */
   receivePeerTotals(incarnation: string, totals: ReadTokens): void {
-    const first = this.#peers.get(incarnation)?.first ?? totals;
-    this.#peers.set(incarnation, { first, last: totals });
+    const before = this.#peers.get(incarnation)?.totals;
+    if (before === undefined) this.#forgetSilent();
+    // Tokens from before a peer's first report are not part of the current load.
+    else this.#addRead(before, totals);
+    this.#arePeersIdle &&= areZero(totals);
+    const receivedAt = this.#clock.now();
+    this.#peers.set(incarnation, { totals, receivedAt });
+  }
+
+  #addRead(before: ReadTokens, totals: ReadTokens): void {
+    Object.entries(totals).forEach(([service, tokens]) => {
+      const read = this.#readByPeers.get(service) ?? 0;
+      const added = tokens - (before[service] ?? 0);
+      this.#readByPeers.set(service, read + added);
+    });
+  }
+
+  #forgetSilent(): void {
+    const oldest = this.#clock.now() - FORGOTTEN_PEER_MILLISECONDS;
+    this.#peers.forEach(({ receivedAt }, incarnation) => {
+      if (receivedAt <= oldest) this.#peers.delete(incarnation);
+    });
   }
 
   /** Prompt tokens a second that all hosts send to a service. */
   readTokensPerSecond(service: string): number {
-    // Tokens from before a peer's first report are not part of the current load.
-    const total = [...this.#peers.values()].reduce(
-      (sum, { first, last }) =>
-        sum + (last[service] ?? 0) - (first[service] ?? 0),
-      this.#own[service] ?? 0,
-    );
+    const total =
+      (this.#own[service] ?? 0) + (this.#readByPeers.get(service) ?? 0);
     const samples = this.#sample(this.#totals, service, total);
     const [first] = samples;
     const last = samples.at(-1);
@@ -105,3 +129,7 @@
     return samples;
   }
 }
+
+function areZero(totals: ReadTokens): boolean {
+  return Object.values(totals).every((tokens) => tokens === 0);
+}
--- a/packages/rampswitch-serving/src/relay/load_meter_test.ts
+++ b/packages/rampswitch-serving/src/relay/load_meter_test.ts
@@ -35,6 +35,23 @@
     expect(meter.readTokensPerSecond("models")).toBe(4_000);
   });
 
+  // Guards against memory and work that grow with each host that ever was.
+  test("forgets incarnations that ended, and counts what they have read", () => {
+    const clock = new ManualClock();
+    const meter = new LoadMeter(clock);
+    const known = Array.from({ length: 10_000 }, (_, index) => {
+      meter.readTokensPerSecond("models");
+      meter.receivePeerTotals(`peer/${index}`, { models: 0 });
+      // Ten thousand in an hour.
+      clock.advance(360);
+      meter.receivePeerTotals(`peer/${index}`, { models: 720 });
+      return meter.knownIncarnations;
+    });
+    expect(Math.max(...known)).toBeLessThan(1_000);
+    expect(meter.readTokensPerSecond("models")).toBeCloseTo(2_000);
+    expect(meter.idle).toBe(false);
+  });
+
   test("requests that wait briefly hardly raise the load", () => {
     const clock = new ManualClock();
     const meter = new LoadMeter(clock);
