Forget the work of hosts that have been silent for five minutes

Cause: a host that ended with requests names its servers no longer, so `ServerDirectory` and each `ServerRecord` kept its last work for as long as the server was listed. It counted for its lifetime alone, but was looked at with each sum.

Ruled out: forgetting it as soon as it no longer counts, which would look at all peers each time a host becomes busy after a second without work.

Change: work of peers silent for five minutes is dropped when a peer without work reports some.

Before: the new test in server_directory_test.ts failed: 10,000 peers were retained after 10,000 replacements in an hour. After: it passes, fewer than 1,000 at all times; the 67 tests of choice/ pass. Simulated time.

Conclusion: memory and sums of work no longer grow with hosts that ended.

--- a/packages/rampswitch-serving/src/choice/server_directory.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory.ts
@@ -40,6 +40,16 @@
  */
 const GONE_SERVER_RETENTION_MILLISECONDS = 60_000;
 
+/** Silence after which the work of a peer is forgotten, in milliseconds. */
+const FORGOTTEN_PEER_MILLISECONDS = 300_000;
+
+/** Servers at which a peer has work, by its newest update. */
+interface ServersOfPeer {
+  readonly records: ReadonlySet<ServerRecord>;
+  /** In milliseconds on the monotonic clock. */
+  readonly receivedAt: number;
+}
+
 /** A server whose entry was removed. */
 interface GoneServer {
   readonly record: ServerRecord;
@@ -58,7 +68,7 @@
    * Servers with work of each peer, so that its updates, several per second, do not
    * look at all the others.
    */
-  readonly #withWorkOf = new Map<string, ReadonlySet<ServerRecord>>();
+  readonly #withWorkOf = new Map<string, ServersOfPeer>();
   readonly #leavingIncarnations = new LeavingIncarnations();
   readonly #listeners: ((record: ServerRecord) => void)[] = [];
 
@@ -67,6 +77,11 @@
     return this.#records.size;
   }
 
+  /** Number of peers whose work at servers is retained. */
+  get peersWithWork(): number {
+    return this.#withWorkOf.size;
+  }
+
   /** Registers a listener for servers whose end is announced or whose entry is removed. */
   onLeaving(listener: (record: ServerRecord) => void): void {
     this.#listeners.push(listener);
@@ -204,6 +219,7 @@
     work: Readonly<Record<string, ReportedWork>>,
     now: number,
   ): void {
+    const before = this.#withWorkOf.get(peer);
     const withWork = new Set<ServerRecord>();
     Object.entries(work).forEach(([id, reported]) => {
       const record = this.#records.get(id);
@@ -212,15 +228,27 @@
       record.receivePeerWork(peer, reported, now);
       withWork.add(record);
     });
-    this.#withWorkOf.get(peer)?.forEach((record) => {
+    before?.records.forEach((record) => {
       if (withWork.has(record)) return;
       const { id } = record.entry;
       if (this.#records.get(id) === record) {
         record.receivePeerWork(peer, undefined, now);
       } else if (this.#gone.get(id)?.record === record) withWork.add(record);
     });
-    if (withWork.size > 0) this.#withWorkOf.set(peer, withWork);
-    else this.#withWorkOf.delete(peer);
+    if (withWork.size === 0) {
+      this.#withWorkOf.delete(peer);
+      return;
+    }
+    if (before === undefined) this.#forgetSilentPeers(now);
+    this.#withWorkOf.set(peer, { records: withWork, receivedAt: now });
+  }
+
+  #forgetSilentPeers(now: number): void {
+    this.#withWorkOf.forEach(({ records, receivedAt }, peer) => {
+      if (now - receivedAt < FORGOTTEN_PEER_MILLISECONDS) return;
+      records.forEach((record) => record.receivePeerWork(peer, undefined, now));
+      this.#withWorkOf.delete(peer);
+    });
   }
 
   /**
--- a/packages/rampswitch-serving/src/choice/server_directory_test.ts
+++ b/packages/rampswitch-serving/src/choice/server_directory_test.ts
@@ -336,3 +336,15 @@
     expect(directory.of("others").length).toBe(1);
   });
 });
+
+// Guards against memory and work that grow with each host that ended with requests.
+test("work of hosts that ended is forgotten during 10,000 replacements in an hour", () => {
+  const directory = new ServerDirectory();
+  directory.put(ENTRY, 0);
+  const work = { running: 1, pendingPrefillTokens: 0, born: ENTRY.born };
+  const known = Array.from({ length: 10_000 }, (_, index) => {
+    directory.receivePeerWork(`replaced-${index}`, { s1: work }, index * 360);
+    return [directory.peersWithWork, directory.get("s1")?.peersWithWork ?? 0];
+  });
+  expect(Math.max(...known.flat())).toBeLessThan(1_000);
+});
--- a/packages/rampswitch-serving/src/choice/server_record.ts
+++ b/packages/rampswitch-serving/src/choice/server_record.ts
@@ -193,6 +193,11 @@
     this.#peerTotals = EXPIRED_WORK;
   }
 
+  /** Number of peers whose work here is retained. */
+  get peersWithWork(): number {
+    return this.#peers.size;
+  }
+
   /** Returns the work of all hosts but one; `undefined`: of all hosts. */
   workExcept(peer: string | undefined, now: number): WorkAtServer {
     const peerWork = peer === undefined ? undefined : this.#peers.get(peer);
