Let relays send their updates to silent hosts in turn, so that a cut fleet joins

Cause: while a fleet with relays is cut in two within its data halls, each part selects relays of its own. After the cut they sent updates to relays that they heard alone, so the parts never heard each other again. Each part counted itself, and the holder of the duties would remove the entries of the other part every five minutes.

Ruled out: members that send to other hosts too, and whole messages with all gathered updates to silent hosts: a relay's own update is enough, as a relay that gets it answers the sender as one.

Change: in each round a relay sends its own update to one of the known hosts that it neither heard nor found newly listed for 10 s, in turn. Where nobody is silent nothing is sent.

Before: the new test in split_fleet_test.ts (simulated time) failed: 24 hosts believed in 12, 20 s after a cut of 60 s. The 33 tests of both files pass.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -439,6 +439,19 @@
     });
   }
 
+  /**
+   * The silent host whose turn it is to get the update of a relay, if there is any: it
+   * may have been cut off, and have relays of its own since.
+   */
+  silentHostInTurn(now: number, round: number): readonly KnownHost[] {
+    const newest = now - HOST_SILENCE_MILLISECONDS;
+    const silent = this.all().filter(
+      (host) => Math.max(host.receivedAt, host.listedAt) <= newest,
+    );
+    const turn = round % Math.max(1, silent.length);
+    return silent.slice(turn, turn + 1);
+  }
+
   #plannedRelays(dataHall: string, now: number): readonly string[] {
     const present = this.all().filter(
       (host) =>
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -429,6 +429,7 @@
       const senders = this.#hosts.directSenders(now);
       const recipients = this.#hosts.otherRelays(now, this.#round);
       this.#sendGathered(own, { senders, recipients, now });
+      this.#sendUpdates([own], this.#hosts.silentHostInTurn(now, this.#round));
     },
   };
 
@@ -518,6 +519,7 @@
     updates: readonly AgedUpdate[],
     hosts: readonly KnownHost[],
   ): void {
+    if (hosts.length === 0) return;
     const datagram = encodeMessage({
       kind: "updates",
       from: this.#parts.host,
