Test the removal of entries through membership and its sockets

Cause: the way from membership to the removal was covered by types alone.

Change: the test of a fleet that gives up its relays is run twice: the 60 entries are removed by an operator, as before, or by the hosts themselves after five minutes of silence.

With `isGone` cut off in membership.ts the second fails (the entries stay); without the forwarding the first fails as before (4 hosts for 5).

--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -194,7 +194,7 @@
         random: seededRandom(host.length),
         logger: SILENT_LOGGER,
         metrics: new ServingMetrics(),
-        holdsDuties: () => false,
+        holdsDuties: () => true,
         storeWritesPerSecond: () => 400,
       },
       {
@@ -556,7 +556,11 @@
   const entry = { address: "127.0.0.1:9", dataHall: "a", cores: 1 };
   const gone = Array.from({ length: 60 }, (_, index) => `hosts/gone-${index}`);
 
-  test("hear each other while they become direct", async () => {
+  test.each([
+    { by: "an operator", quietMilliseconds: 0 },
+    // Nobody is gone before five minutes of silence.
+    { by: "the holder of the duties", quietMilliseconds: 280_000 },
+  ])("hear each other while they become direct: $by", async (removal) => {
     const clock = new ManualClock(1_000);
     const store = sharedStore();
     await Promise.all(
@@ -572,12 +576,20 @@
     );
     for (let at = 0; at < 14_000; at += 200) await step(clock, 200);
     expect(hosts.map(({ role }) => role)).toContain("member");
-    await Promise.all(gone.map((key) => store.remove(key, 1)));
     const sizes = new Set<number>();
-    for (let at = 0; at < 40_000; at += 200) {
-      await step(clock, 200);
-      hosts.forEach(({ presentHosts }) => sizes.add(presentHosts.length));
+    const pass = async (milliseconds: number, each: number) => {
+      for (let at = 0; at < milliseconds; at += each) {
+        await step(clock, each);
+        hosts.forEach(({ presentHosts }) => sizes.add(presentHosts.length));
+      }
+    };
+    await pass(removal.quietMilliseconds, 800);
+    expect(hosts.map(({ listedSize }) => listedSize)).toContain(65);
+    if (removal.by === "an operator") {
+      await Promise.all(gone.map((key) => store.remove(key, 1)));
     }
+    await pass(70_000, 200);
+    expect(hosts.map(({ listedSize }) => listedSize)).toEqual([5, 5, 5, 5, 5]);
     expect(hosts.map(({ role }) => role)).toEqual(hosts.map(() => "direct"));
     expect(Math.min(...sizes)).toBe(5);
   });
