Name the two times of silence by what is received

Cause: `inPerson` and `connected` in silent_hosts.ts are no terms of the field. The 25 tests of fleet_hosts_test.ts and gone_entries_test.ts pass.

--- a/packages/rampswitch-serving/src/membership/silent_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/silent_hosts.ts
@@ -19,10 +19,16 @@
  */
 const UNLISTED_MILLISECONDS = 300_000;
 
+/** An entry in the store's list. */
+interface ListedEntry {
+  readonly name: string;
+  readonly version: number;
+}
+
 interface Silence {
-  /** When the host was last heard or registered, in time in person. */
+  /** When the host was last heard or registered, in time with updates. */
   readonly since: number;
-  /** When it was last heard or listed, in time of any message. */
+  /** When it was last heard or listed, in time with updates or digests. */
   readonly knownAt: number;
   /** Store version of its entry; `undefined` if it was not listed. */
   readonly version: number | undefined;
@@ -30,15 +36,15 @@
 
 /** The silence of the other hosts. */
 export class SilentHosts {
-  /** Time in which this host receives the updates of all others. */
-  readonly #inPerson = new HearingTime();
-  /** Time in which this host receives updates or digests. */
-  readonly #connected = new HearingTime();
+  /** Time with updates: in which this host receives those of all others. */
+  readonly #updateTime = new HearingTime();
+  /** Time with updates or digests. */
+  readonly #messageTime = new HearingTime();
   readonly #silences = new Map<string, Silence>();
 
   /** Records a digest, which tells nothing of a single host. */
   recordDigest(now: number): void {
-    this.#connected.record(now);
+    this.#messageTime.record(now);
   }
 
   /**
@@ -50,8 +56,8 @@
     now: number,
     { receivesDigests }: { readonly receivesDigests: boolean },
   ): void {
-    this.#connected.record(now);
-    if (!receivesDigests) this.#inPerson.record(now);
+    this.#messageTime.record(now);
+    if (!receivesDigests) this.#updateTime.record(now);
     this.#set(host, this.#silences.get(host)?.version);
   }
 
@@ -60,7 +66,7 @@
     const known = this.#silences.get(name);
     // A list may be older than the one before it.
     if (known?.version !== undefined && version <= known.version) {
-      this.#silences.set(name, { ...known, knownAt: this.#connected.total });
+      this.#silences.set(name, { ...known, knownAt: this.#messageTime.total });
     } else this.#set(name, version);
   }
 
@@ -69,13 +75,13 @@
     const silence = this.#silences.get(host);
     return (
       silence !== undefined &&
-      this.#inPerson.total - silence.since >= GONE_MILLISECONDS
+      this.#updateTime.total - silence.since >= GONE_MILLISECONDS
     );
   }
 
   /** Names of the hosts that were neither listed nor heard for long. */
   get unlisted(): readonly string[] {
-    const oldest = this.#connected.total - UNLISTED_MILLISECONDS;
+    const oldest = this.#messageTime.total - UNLISTED_MILLISECONDS;
     return [...this.#silences]
       .filter(([, { knownAt }]) => knownAt <= oldest)
       .map(([host]) => host);
@@ -88,15 +94,9 @@
 
   #set(host: string, version: number | undefined): void {
     this.#silences.set(host, {
-      since: this.#inPerson.total,
-      knownAt: this.#connected.total,
+      since: this.#updateTime.total,
+      knownAt: this.#messageTime.total,
       version,
     });
   }
 }
-
-/** An entry in the store's list. */
-interface ListedEntry {
-  readonly name: string;
-  readonly version: number;
-}
