--- a/packages/rampswitch-serving/src/membership/fleet_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts.ts
@@ -18,6 +18,7 @@
   relayOrder,
   relaysOf,
 } from "./relay_plan.ts";
+import { SilentHosts } from "./silent_hosts.ts";
 
 /** Silence after which a host is no longer counted, in milliseconds. */
 const HOST_SILENCE_MILLISECONDS = 10_000;
@@ -101,11 +102,17 @@
   readonly update: PeerUpdate | undefined;
 }
 
-/** A host in the store's list. */
-export interface ListedHost extends PlannedHost {
+/** A host as it registers in the store. */
+export interface RegisteredHost extends PlannedHost {
   readonly address: string;
 }
 
+/** A host in the store's list. */
+export interface ListedHost extends RegisteredHost {
+  /** Store version of its entry. */
+  readonly version: number;
+}
+
 interface ReceivedDigest {
   readonly digest: FleetDigest;
   readonly at: number;
@@ -117,7 +124,9 @@
   readonly #hosts = new Map<string, KnownHost>();
   /** Former incarnations of each host; their late updates are ignored. */
   readonly #formerIncarnations = new Map<string, ReadonlySet<string>>();
-  #listedCount = 0;
+  /** Names of the hosts in the newest list; includes this one once it is listed. */
+  #listed: ReadonlySet<string> = new Set();
+  readonly #silence = new SilentHosts();
   #digest: ReceivedDigest | undefined;
 
   constructor(self: PlannedHost) {
@@ -134,15 +143,23 @@
     return [...this.#hosts.values()];
   }
 
-  /** Adds the hosts of the store's list; returns the names of the new ones. */
+  /**
+   * Adds the hosts of the store's list and forgets those that are long neither listed
+   * nor heard; returns the names of the new ones.
+   */
   addListed(entries: readonly ListedHost[], now: number): readonly string[] {
-    this.#listedCount = entries.length;
+    this.#listed = new Set(entries.map(({ name }) => name));
+    entries.forEach((entry) => this.#silence.recordListed(entry));
+    this.#forgetUnlisted();
     const unknown = entries.filter(
       ({ name }) => name !== this.#self.name && !this.#hosts.has(name),
     );
-    unknown.forEach((entry) =>
-      this.#hosts.set(entry.name, {
-        ...entry,
+    unknown.forEach(({ name, dataHall, cores, address }) =>
+      this.#hosts.set(name, {
+        name,
+        dataHall,
+        cores,
+        address,
         incarnation: undefined,
         sequence: -1,
         receivedAt: -Infinity,
@@ -171,6 +188,10 @@
     if (isSameIncarnation && update.sequence <= known.sequence) return false;
     const former = this.#formerIncarnations.get(update.host) ?? new Set();
     if (former.has(update.incarnation)) return false;
+    this.#silence.recordUpdate(update.host, at, {
+      receivesDigests: this.#freshDigest(at) !== undefined,
+    });
+    if (known === undefined) this.#forgetUnlisted();
     if (known?.incarnation !== undefined && !isSameIncarnation) {
       this.#formerIncarnations.set(
         update.host,
@@ -219,6 +240,7 @@
   /** Stores the digest of a relay. */
   applyDigest(digest: FleetDigest, now: number): void {
     this.#digest = { digest, at: now };
+    this.#silence.recordDigest(now);
   }
 
   /**
@@ -282,7 +304,7 @@
 
   /** Current role of this host. */
   role(now: number): HostRole {
-    if (!needsRelays(Math.max(this.#listedCount, this.#activeCount(now) + 1))) {
+    if (!needsRelays(Math.max(this.listedCount, this.#activeCount(now) + 1))) {
       return "direct";
     }
     if (this.#isSeekingRelays(now)) return "member";
@@ -318,9 +340,14 @@
     );
   }
 
+  /** Whether another host has been silent for so long that its entry may be removed. */
+  isGone(name: string): boolean {
+    return name !== this.#self.name && this.#silence.isGone(name);
+  }
+
   /** Number of hosts in the newest list; includes this one once it is listed. */
   get listedCount(): number {
-    return this.#listedCount;
+    return this.#listed.size;
   }
 
   /** Number of hosts that may be serving: not silent or just listed, and this one. */
@@ -331,14 +358,14 @@
     const recent = this.all().filter(
       (host) => Math.max(host.receivedAt, host.listedAt) >= oldest,
     );
-    const needed = needsRelays(this.#listedCount) && this.#digest !== undefined;
-    return needed ? this.#listedCount : 1 + recent.length;
+    const needed = needsRelays(this.listedCount) && this.#digest !== undefined;
+    return needed ? this.listedCount : 1 + recent.length;
   }
 
   /** What this host knows of the fleet, to find the state of most hosts. */
   view(now: number): FleetView {
     return {
-      listed: this.#listedCount,
+      listed: this.listedCount,
       hosts: this.all(),
       digest: this.#freshDigest(now),
       isRelayed: this.role(now) !== "direct",
@@ -412,6 +439,19 @@
     });
   }
 
+  /**
+   * The silent host whose turn it is to get the update of a relay, if there is any: it
+   * may have been cut off, and have relays of its own since.
+   */
+  silentHostInTurn(now: number, round: number): readonly KnownHost[] {
+    const newest = now - HOST_SILENCE_MILLISECONDS;
+    const silent = this.all().filter(
+      (host) => Math.max(host.receivedAt, host.listedAt) <= newest,
+    );
+    const turn = round % Math.max(1, silent.length);
+    return silent.slice(turn, turn + 1);
+  }
+
   #plannedRelays(dataHall: string, now: number): readonly string[] {
     const present = this.all().filter(
       (host) =>
@@ -437,6 +477,17 @@
     );
   }
 
+  /** Forgets hosts, but none of the newest list, as the store may be away. */
+  #forgetUnlisted(): void {
+    this.#silence.unlisted
+      .filter((name) => !this.#listed.has(name))
+      .forEach((name) => {
+        this.#silence.forget(name);
+        this.#hosts.delete(name);
+        this.#formerIncarnations.delete(name);
+      });
+  }
+
   #hostsNamed(names: readonly string[]): readonly KnownHost[] {
     return names.flatMap((name) => this.#hosts.get(name) ?? []);
   }
