Hold back no reserve of a limit from streams that are taken up

After the end of all hosts a limit starts at 0.3 of its bucket, and requests of routes of the second and third rank have to leave 0.15 and 0.3 of the burst for more urgent ones that may come. A stream that a caller already has events of was held to that as well.

Change: a stream that is taken up counts as of the first rank where its workspace's limit is checked: nothing is reserved before it. What all hosts admit together, and what is charged, stays. The line of a refused request names the stream that it takes up, without which the cause did not show.

Conclusion: what remains is refused because the limit is used up, or because hosts that can't hear each other's admissions in time go slowly.

--- a/packages/rampswitch-serving/src/admission/limit_request.ts
+++ b/packages/rampswitch-serving/src/admission/limit_request.ts
@@ -10,7 +10,7 @@
 export interface LimitRequest {
   readonly workspace: string;
   readonly tokens: number;
-  /** Rank of the request's route; 0 is the most urgent. */
+  /** Rank of the request's route, or of a stream that goes on; 0 is the most urgent. */
   readonly priority: number;
 }
 
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -36,9 +36,13 @@
 } from "../relay/request_context.ts";
 import type { AdmittedRequest } from "../relay/admitted_request.ts";
 import { RequestRun } from "../relay/request_run.ts";
+import { isTakeUp } from "../relay/stream_version.ts";
 import { LoopBacklog, pendingEventsHandled } from "./loop_backlog.ts";
 import { drawTarget, type RouteIndex } from "./route_index.ts";
 
+/** Rank of the requests that the limits of workspaces refuse last. */
+const MOST_URGENT = 0;
+
 /** Maximum header bytes of the parser; the configured limit is lower. */
 const MAXIMUM_HEADER_BYTES = 64 * 1024;
 
@@ -356,13 +360,14 @@
     head: RequestHead,
     destination: Destination,
   ): Promise<Result<number, Refusal>> {
-    const { workspace } = destination;
+    const { route, workspace } = destination;
     if (workspace === undefined) return Result.ok(0);
     const tokens = chargeOf(head, workspace);
     const decision = await this.#context.admission.admit({
       workspace: workspace.name,
       tokens,
-      priority: destination.route.priority,
+      // Nothing is reserved before the rest of a stream that its caller has begun to get.
+      priority: isTakeUp({ head, route }) ? MOST_URGENT : route.priority,
     });
     return decision.kind === "admitted"
       ? Result.ok(tokens)
@@ -400,6 +405,7 @@
       outcome: reason,
       status: REFUSALS[reason].status,
       path: head.target,
+      resumes: head.resumes,
       workspace: refused.workspace,
       tokens: refused.tokens,
       fingerprint: refused.fingerprint,
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -33,6 +33,15 @@
   lost: "stream_origin_lost",
 };
 
+/** Whether the caller of a request has events of its stream from a former try. */
+export function isTakeUp({
+  head,
+  route,
+}: Pick<AdmittedRequest, "head" | "route">): boolean {
+  const hasEvents = [head.resumes, head.lastEventId].some(isNamed);
+  return route.streaming && route.resumable && hasEvents;
+}
+
 /** The version that a request's stream has to continue at. */
 export class StreamVersion {
   readonly #request: AdmittedRequest;
@@ -51,9 +60,7 @@
 
   /** Whether the caller has events of the stream from a former try. */
   get isTakenUp(): boolean {
-    const { head, route } = this.#request;
-    const hasEvents = [head.resumes, head.lastEventId].some(isNamed);
-    return route.streaming && route.resumable && hasEvents;
+    return isTakeUp(this.#request);
   }
 
   /**
