Continue streams whose hosts weren't told of another version

Cause: where a host that is asked is silent or has just started, the store has to confirm the list of servers. For the first three seconds of its silence nobody knows that it is away, so the stream is refused, though it follows from what is known that no other version began it.

Ruled out: that the store answers nobody who is asked now proves nothing, since it may have answered the host that ended a moment before; nor does the newest list of those that reply, for the same reason, nor that all of them weren't told, since they may have started meanwhile.

Change: hosts that are asked tell how long they have run, and how long ago their list of servers certainly had all changes (two fields more in the answer; former programs leave them out and read past them). Let T be the latest such time of a host that knows the past and one version. What began before T began at that version. What began later at another one was told to its keepers before its first event; so two keepers that are there since T, a second for joining included, show that there was none.

So that it holds, a host tells of its streams also while it doesn't know the past: it would otherwise begin one unseen at the only version that it has read. This costs four datagrams a stream in the moments between its start and the read of what is stored, and for a minute after missed changes. An answer is some 20 bytes longer.

Conclusion: it helps where hosts have run for longer than their lists are old.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -17,6 +17,8 @@
   readonly newestChange: number;
   /** Position of the newest change that any host reported. */
   readonly newestHeard: number;
+  /** Latest time up to which the list certainly has all changes, on the monotonic clock. */
+  readonly confirmedAt: number;
 }
 
 /** What shows how new a list of servers is. */
@@ -35,9 +37,9 @@
 
   /** How new the list is. */
   get state(): ServerListState {
-    const { version, newestChange } = this.#list;
+    const { version, newestChange, confirmedAt } = this.#list;
     const newestHeard = Math.max(newestChange, this.#newestHeard);
-    return { version, newestChange, newestHeard };
+    return { version, newestChange, newestHeard, confirmedAt };
   }
 
   /** Notes the newest change of a server that another host reported. */
--- a/packages/rampswitch-serving/src/membership/fleet_majority.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_majority.ts
@@ -14,6 +14,12 @@
 /** The same for hosts that relays report. */
 const MAXIMUM_RELAYED_SILENCE_MILLISECONDS = 3_000;
 
+/**
+ * Silence below which others count a host as present that hear as little of it, in
+ * milliseconds; they drop it two seconds later.
+ */
+const MAXIMUM_PRESENT_SILENCE_MILLISECONDS = 8_000;
+
 /** What one host receives from another one. */
 export interface HeardHost {
   /** When its newest update was received, on the monotonic clock, in milliseconds. */
@@ -43,6 +49,18 @@
   return view.listed > 0 && 2 * heard > view.listed;
 }
 
+/** Whether this host has itself heard each other host lately enough to be present there. */
+export function hearsAll({
+  listed,
+  hosts,
+  isRelayed,
+  now,
+}: FleetView): boolean {
+  const silence = MAXIMUM_PRESENT_SILENCE_MILLISECONDS;
+  const isHeard = hosts.every(({ receivedAt }) => now - receivedAt < silence);
+  return listed > 0 && !isRelayed && isHeard;
+}
+
 /** Whether most of the listed hosts tell that the store doesn't answer them for a time. */
 export function lackStore(view: FleetView, milliseconds: number): boolean {
   const ages =
--- a/packages/rampswitch-serving/src/membership/fleet_majority_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_majority_test.ts
@@ -1,7 +1,12 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 import { describe, expect, test } from "@jest/globals";
-import { type FleetView, hearsMost, lackStore } from "./fleet_majority.ts";
+import {
+  type FleetView,
+  hearsAll,
+  hearsMost,
+  lackStore,
+} from "./fleet_majority.ts";
 
 const NOW = 10_000;
 
@@ -14,6 +19,10 @@
   return { listed, hosts, digest: undefined, isRelayed: false, now: NOW };
 }
 
+function relayed(direct: FleetView): FleetView {
+  return { ...direct, isRelayed: true };
+}
+
 describe("the majority of a fleet", () => {
   test.each([
     ["one host alone", view(1, []), true],
@@ -35,6 +44,19 @@
     expect(lackStore(seen, 3_000)).toBe(lacking);
   });
 
+  test.each([
+    ["all are heard", view(3, [host(100), host(7_900)]), true],
+    [
+      "one may have dropped this host",
+      view(3, [host(100), host(8_000)]),
+      false,
+    ],
+    ["the list of hosts was not read", view(0, []), false],
+    ["hosts are heard through relays", relayed(view(1, [])), false],
+  ])("leaves out nobody or not: %s", (_, seen, heard) => {
+    expect(hearsAll(seen)).toBe(heard);
+  });
+
   test("is told to a member by its relay", () => {
     const digest = { hosts: 50, configurationAge: 200 };
     const member = { ...view(78, []), digest, isRelayed: true };
--- a/packages/rampswitch-serving/src/membership/membership.ts
+++ b/packages/rampswitch-serving/src/membership/membership.ts
@@ -23,7 +23,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { TrialRank } from "../quarantine/mod.ts";
 import type { PermitReply, PermitRequest } from "../server_limits/mod.ts";
-import type { StreamKey, StreamRecord, StreamReply } from "../streams/mod.ts";
+import type { HostReply, StreamKey, StreamRecord } from "../streams/mod.ts";
 import {
   FleetHosts,
   type HostRole,
@@ -140,7 +140,7 @@
   /** Handles the version of a stream that another host serves. */
   onStream(record: StreamRecord): void;
   /** Replies to another host's query for the version of a stream. */
-  onStreamQuery(key: StreamKey): StreamReply;
+  onStreamQuery(key: StreamKey): HostReply;
   /** Handles an admission by a relay that arrived too late to be used. */
   onUnusedAdmission(request: LimitRequest): void;
 }
@@ -202,7 +202,7 @@
         addresses.forEach((address) => transport.send(address, datagram));
       },
       onStream: (record) => listener.onStream(record),
-      replyTo: (key) => listener.onStreamQuery(key),
+      answerTo: (key) => listener.onStreamQuery(key),
     });
     // A host that finds others in its first list sends them an update at once, so that
     // relays refuse no requests because members are silent after all hosts have ended.
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -29,7 +29,7 @@
   PermitReply,
   PermitRequest,
 } from "../server_limits/mod.ts";
-import type { StreamKey, StreamRecord, StreamReply } from "../streams/mod.ts";
+import type { HostReply, StreamKey, StreamRecord } from "../streams/mod.ts";
 import type { TimeEstimate } from "./fleet_time.ts";
 import type { FollowedVersions } from "../configuration/configuration_follower.ts";
 
@@ -210,9 +210,8 @@
 }
 
 /** Answer to a query for the version of a stream. */
-export interface StreamAnswer {
+export interface StreamAnswer extends HostReply {
   readonly id: number;
-  readonly reply: StreamReply;
 }
 
 /** Query of a host to a relay for the newest configuration. */
--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type KeeperState,
   namesVersion,
   type StreamRecord,
   type StreamReply,
@@ -51,6 +52,13 @@
   readonly o: StreamReply["kind"];
   /** Absent if it is not known. */
   readonly v?: string | undefined;
+  /** Time since the host started, in milliseconds. */
+  readonly u?: number | undefined;
+  /**
+   * Time since its list of servers certainly had all changes, in milliseconds; absent
+   * before the first list.
+   */
+  readonly l?: number | undefined;
 }
 
 /** Checks of a stream's version. */
@@ -85,6 +93,8 @@
     "unknown",
   ),
   v: optional(isShortText),
+  u: optional(isNonnegative),
+  l: optional(isNonnegative),
 };
 
 /** Encodes a stream's version. */
@@ -126,17 +136,49 @@
 export function encodedStreamAnswer({
   id,
   reply,
+  state,
 }: StreamAnswer): EncodedStreamAnswer {
   const version = namesVersion(reply) ? { v: reply.version } : {};
-  return { k: "f", i: id, o: reply.kind, ...version };
+  return { k: "f", i: id, o: reply.kind, ...version, ...encodedState(state) };
 }
 
 /** Decodes an answer to a query for a stream's version. */
-export function streamAnswerOf({ i, o, v }: EncodedStreamAnswer): StreamAnswer {
-  if (o === "none") return { id: i, reply: { kind: o } };
+export function streamAnswerOf({
+  i,
+  o,
+  v,
+  ...encoded
+}: EncodedStreamAnswer): StreamAnswer {
+  const state = stateOf(encoded);
+  const told = state === undefined ? {} : { state };
+  if (o === "none") return { id: i, reply: { kind: o }, ...told };
   const reply: StreamReply =
     o === "unknown" || v === undefined
       ? { kind: "unknown" }
       : { kind: o, version: v };
-  return { id: i, reply };
+  return { id: i, reply, ...told };
+}
+
+/** The state, as times that are no more favourable than the true ones. */
+function encodedState(
+  state: KeeperState | undefined,
+): Pick<EncodedStreamAnswer, "l" | "u"> {
+  if (state === undefined) return {};
+  const { runningMilliseconds, listAgeMilliseconds } = state;
+  const age = Math.ceil(listAgeMilliseconds);
+  return {
+    u: Math.floor(runningMilliseconds),
+    // JSON has no infinite number.
+    ...(Number.isFinite(age) ? { l: age } : {}),
+  };
+}
+
+/** The state that an answer tells; `undefined` from hosts that don't tell it. */
+function stateOf({
+  u,
+  l,
+}: Pick<EncodedStreamAnswer, "l" | "u">): KeeperState | undefined {
+  return u === undefined
+    ? undefined
+    : { runningMilliseconds: u, listAgeMilliseconds: l ?? Infinity };
 }
--- a/packages/rampswitch-serving/src/membership/stream_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec_test.ts
@@ -7,6 +7,10 @@
 const KEY = { service: "models", attempt: "9c41d07be2a35f68" };
 const QUERY = { ...KEY, id: 7, address: "10.0.0.1:7600" };
 
+const STATE = { runningMilliseconds: 60_000, listAgeMilliseconds: 250 };
+
+const UNLISTED_STATE = { ...STATE, listAgeMilliseconds: Infinity };
+
 const MESSAGES: readonly PeerMessage[] = [
   ...["v1.2", undefined].map((version): PeerMessage => ({
     kind: "stream_begun",
@@ -24,6 +28,10 @@
     kind: "stream_answer",
     answer: { id: 7, reply: { kind } },
   })),
+  ...[STATE, UNLISTED_STATE].map((state): PeerMessage => ({
+    kind: "stream_answer",
+    answer: { id: 7, reply: { kind: "none" }, state },
+  })),
 ];
 
 describe("messages about the versions of streams", () => {
@@ -41,6 +49,8 @@
     { k: "b", s: "models", r: "a".repeat(300), v: "v1", t: 1 },
     { k: "e", i: "7", a: "10.0.0.1:7600", s: "models", r: "a" },
     { k: "f", i: 7, o: "surely", v: "v1" },
+    { k: "f", i: 7, o: "single", v: "v1", u: -1, l: 1 },
+    { k: "f", i: 7, o: "single", v: "v1", u: 1, l: "1" },
   ])("are refused where they are malformed: %j", (message) => {
     expect(decodeMessage(Buffer.from(JSON.stringify(message))).isErr).toBe(
       true,
--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -7,15 +7,21 @@
  */
 import type { Clock } from "rampswitch-utils";
 import {
+  type HostReply,
   KeeperRings,
+  type KeeperStates,
   type StreamKey,
   streamName,
   type StreamRecord,
   type StreamReplies,
-  type StreamReply,
 } from "../streams/mod.ts";
 import type { KnownHost } from "./fleet_hosts.ts";
-import { type FleetView, hearsMost, lackStore } from "./fleet_majority.ts";
+import {
+  type FleetView,
+  hearsAll,
+  hearsMost,
+  lackStore,
+} from "./fleet_majority.ts";
 import type {
   PeerMessage,
   StreamAnswer,
@@ -58,8 +64,8 @@
   send(addresses: readonly string[], message: PeerMessage): void;
   /** Handles the version of a stream that another host serves. */
   onStream(record: StreamRecord): void;
-  /** Replies to another host's query. */
-  replyTo(key: StreamKey): StreamReply;
+  /** Answers another host's query. */
+  answerTo(key: StreamKey): HostReply;
 }
 
 /** Exchanges the versions of streams with other hosts. */
@@ -68,7 +74,7 @@
   #rings = new KeeperRings<KnownHost>([]);
   /** When the rings were made, on the monotonic clock. */
   #ringsAt = -Infinity;
-  readonly #queries: PendingQueries<StreamKey, StreamReply>;
+  readonly #queries: PendingQueries<StreamKey, HostReply>;
 
   constructor(parts: StreamExchangeParts) {
     this.#parts = parts;
@@ -93,13 +99,21 @@
       hosts.filter((host) => this.#parts.mayAnswer(host)),
     );
     const queries = hosts.map(async (host) => {
-      const reply = await this.#queryHost(host, key);
-      if (reply !== undefined) missing.delete(host);
-      return reply;
+      const answer = await this.#queryHost(host, key);
+      if (answer !== undefined) missing.delete(host);
+      return answer && { ...answer, host };
     });
-    const replies = await untilKnown(queries);
-    const isComplete = missing.size === 0;
-    return { replies, isComplete, isMajority: hearsMost(this.#parts.fleet()) };
+    const answers = await untilKnown(queries);
+    const fleet = this.#parts.fleet();
+    return {
+      replies: answers.map(({ reply }) => reply),
+      isComplete: missing.size === 0,
+      isMajority: hearsMost(fleet),
+      keepers: {
+        ...statesOf(answers, hosts),
+        isWholeFleetHeard: hearsAll(fleet),
+      },
+    };
   }
 
   /**
@@ -120,13 +134,13 @@
 
   /** Answers another host's query. */
   answer({ id, address, ...key }: StreamQuery): void {
-    const answer = { id, reply: this.#parts.replyTo(key) };
+    const answer = { id, ...this.#parts.answerTo(key) };
     this.#parts.send([address], { kind: "stream_answer", answer });
   }
 
   /** Resolves the query that an answer belongs to. */
-  receiveAnswer({ id, reply }: StreamAnswer): void {
-    this.#queries.receiveReply(id, reply);
+  receiveAnswer({ id, ...answer }: StreamAnswer): void {
+    this.#queries.receiveReply(id, answer);
   }
 
   #keepersOf(key: StreamKey, count: number): readonly KnownHost[] {
@@ -148,7 +162,7 @@
   #queryHost(
     { address: to }: KnownHost,
     key: StreamKey,
-  ): Promise<StreamReply | undefined> {
+  ): Promise<HostReply | undefined> {
     const { address } = this.#parts;
     return this.#queries.query(key, (id) => {
       const query = { ...key, id, address };
@@ -158,20 +172,39 @@
 }
 
 /** Collects replies until one knows the stream, or all have come or timed out. */
-async function untilKnown(
-  queries: readonly Promise<StreamReply | undefined>[],
-): Promise<readonly StreamReply[]> {
-  const replies: StreamReply[] = [];
+async function untilKnown<Answer extends HostReply>(
+  queries: readonly Promise<Answer | undefined>[],
+): Promise<readonly Answer[]> {
+  const answers: Answer[] = [];
   const collected = queries.map(async (query) => {
-    const reply = await query;
-    if (reply !== undefined) replies.push(reply);
-    return reply?.kind === "known";
+    const answer = await query;
+    if (answer !== undefined) answers.push(answer);
+    return answer?.reply.kind === "known";
   });
   const known = collected.map(async (isKnown) =>
     (await isKnown) ? undefined : NEVER,
   );
   await Promise.race([Promise.all(collected), ...known]);
-  return [...replies];
+  return [...answers];
+}
+
+/**
+ * The states of the hosts that answered: those that vouch, and those that are told of a stream whichever
+ * host began it: each host leaves itself out, so that the others move up by one place.
+ */
+function statesOf(
+  answers: readonly (HostReply & { readonly host: KnownHost })[],
+  hosts: readonly KnownHost[],
+): Pick<KeeperStates, "isOwnKeeper" | "keepers" | "vouchers"> {
+  const isOwnKeeper = hosts.length <= KEEPERS;
+  const certain = isOwnKeeper ? hosts : hosts.slice(0, KEEPERS - 1);
+  const kept = answers.filter(({ host }) => certain.includes(host));
+  const vouching = answers.filter(({ reply }) => reply.kind === "single");
+  return {
+    isOwnKeeper,
+    keepers: kept.flatMap(({ state }) => state ?? []),
+    vouchers: vouching.flatMap(({ state }) => state ?? []),
+  };
 }
 
 /** Never settles, so that it never wins a race. */
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -605,7 +605,7 @@
         onPermitQuery: (request) => this.#permits.grant(request),
         onUnusedAdmission: (request) => this.#admission.refund(request),
         onStream: (record) => this.#streams.origins.receive(record),
-        onStreamQuery: (key) => this.#streams.origins.replyTo(key),
+        onStreamQuery: (key) => this.#streams.origins.answerTo(key),
         onListed: (hosts) => {
           this.#limits.markHostsListed();
           hosts.forEach((host) => {
--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -15,8 +15,10 @@
 } from "./stream_origins.ts";
 export { namesVersion, NO_STREAM_REPLIES } from "./stream_reply.ts";
 export type {
+  HostReply,
   StreamRecord,
   StreamReplies,
   StreamReply,
 } from "./stream_reply.ts";
 export { KeeperRings } from "./stream_keepers.ts";
+export type { KeeperState, KeeperStates } from "./untold_streams.ts";
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -21,10 +21,12 @@
 } from "./begun_streams.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
+  HostReply,
   StreamRecord,
   StreamReplies,
   StreamReply,
 } from "./stream_reply.ts";
+import { isCertainlyUntold, type KeeperState } from "./untold_streams.ts";
 import {
   type ServiceVersionName,
   type ServiceVersions,
@@ -220,8 +222,9 @@
   began(record: StreamRecord, server: string): void {
     const begun = { ...record, serverId: serverOfIncarnation(server) };
     this.#add(begun, { server, isServedHere: true });
-    // Hosts with a newer list may know of another version.
-    const isTold = this.isMixed(record.service) || this.#isListBehind;
+    // Another version may be known to hosts with a newer list, or have gone unseen.
+    const isTold =
+      this.isMixed(record.service) || this.#isListBehind || !this.isPastKnown;
     if (isTold) this.#parts.tell(begun);
   }
 
@@ -236,7 +239,12 @@
     this.#learn(record);
   }
 
-  /** Replies to another host's query. */
+  /** Answers another host's query. */
+  answerTo(key: StreamKey): HostReply {
+    return { reply: this.replyTo(key), state: this.#state };
+  }
+
+  /** What this host knows of a stream. */
   replyTo(key: StreamKey): StreamReply {
     const now = this.#parts.clock.now();
     const stream = this.#get(key);
@@ -260,7 +268,7 @@
     const own = this.replyTo(key);
     if (own.kind === "known") return { ...own, source: "table" };
     const asked = await this.#parts.query(key);
-    this.#logEvidence(key, own, asked.replies);
+    this.#logEvidence(key, own, asked);
     const origin = await this.#originFrom(key, asked, {
       hasReadStored: false,
       mayConfirm: true,
@@ -296,7 +304,8 @@
     if (verdict.kind !== "unconfirmed") return verdict;
     if (!this.isPastKnown) return UNKNOWN;
     const isConfirmed = mayConfirm && (await this.#parts.confirmList());
-    const isCurrent = isConfirmed || this.#parts.isStoreAway();
+    const isCurrent =
+      isConfirmed || this.#isUntold(asked) || this.#parts.isStoreAway();
     const own = this.replyTo(key);
     const version = agreedVersion(own, asked.replies);
     return isCurrent && own.kind === "single" && version !== undefined
@@ -304,6 +313,20 @@
       : UNKNOWN;
   }
 
+  /** Whether hosts that replied would know a stream that began at an unlisted version. */
+  #isUntold({ keepers }: StreamReplies): boolean {
+    return isCertainlyUntold(this.#state, keepers);
+  }
+
+  /** What this host tells of itself. */
+  get #state(): KeeperState {
+    const now = this.#parts.clock.now();
+    return {
+      runningMilliseconds: now - this.#startedAt,
+      listAgeMilliseconds: now - this.#parts.serverList().confirmedAt,
+    };
+  }
+
   /** Whether this host read which versions served, or saw it for long enough. */
   get #wasThere(): boolean {
     const age = this.#parts.clock.now() - this.#startedAt;
@@ -377,7 +400,7 @@
   #logEvidence(
     { service, attempt }: StreamKey,
     own: StreamReply,
-    replies: readonly StreamReply[],
+    asked: StreamReplies,
   ): void {
     const now = this.#parts.clock.now();
     const list = this.#parts.serverList();
@@ -388,7 +411,10 @@
       listRevision: revisionOf(list.version),
       heardRevision: revisionOf(list.newestHeard),
       isPastKnown: this.isPastKnown,
-      replies: replies.map(({ kind }) => kind).join(","),
+      replies: asked.replies.map(({ kind }) => kind).join(","),
+      isComplete: asked.isComplete,
+      isMajority: asked.isMajority,
+      isUntold: this.#isUntold(asked),
       versions: this.#history.versionsOf(service, now).join(","),
       runningMilliseconds: Math.round(now - this.#startedAt),
     });
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { StreamKey } from "./begun_streams.ts";
+import type { KeeperState, KeeperStates } from "./untold_streams.ts";
 
 /** The version that began a stream, for hosts that keep it. */
 export interface StreamRecord extends StreamKey {
@@ -24,6 +25,15 @@
   readonly isComplete: boolean;
   /** Whether this host hears most hosts of the fleet. */
   readonly isMajority: boolean;
+  /** What those that replied tell of themselves. */
+  readonly keepers: KeeperStates;
+}
+
+/** The answer of one host to a query for a stream. */
+export interface HostReply {
+  readonly reply: StreamReply;
+  /** Absent if the host doesn't tell it. */
+  readonly state?: KeeperState | undefined;
 }
 
 /** What is known before this host may ask others. */
@@ -31,6 +41,12 @@
   replies: [],
   isComplete: false,
   isMajority: false,
+  keepers: {
+    vouchers: [],
+    keepers: [],
+    isOwnKeeper: false,
+    isWholeFleetHeard: false,
+  },
 };
 
 /** What a host knows of the version that began a stream. */
--- a/packages/rampswitch-store/src/watcher.ts
+++ b/packages/rampswitch-store/src/watcher.ts
@@ -113,6 +113,7 @@
   #versionBeforeRelist: number | undefined;
   #newestChange = 0;
   #requestSentAt = 0;
+  #confirmedAt = -Infinity;
   #failures = 0;
   /** Whether a call got no answer since the last one that did. */
   #hasUnanswered = false;
@@ -175,6 +176,11 @@
     return this.#requestSentAt;
   }
 
+  /** Latest time up to which all changes certainly were reported; by this host's calls. */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
   /** Whether the watch is suspended because another host relays the changes. */
   get suspended(): boolean {
     return this.#suspended;
@@ -244,6 +250,7 @@
     }
     this.#hasUnanswered = false;
     this.#apply({ after, ...batch.value });
+    this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
     return true;
   }
 
@@ -269,8 +276,12 @@
     // A call that this watch aborted itself is neither a success nor a failure.
     if (!succeeded && this.#callAbort.signal.aborted) return;
     this.#failures = succeeded ? 0 : this.#failures + 1;
-    if (succeeded) this.#listener.confirmed(sentAt);
-    else this.#listener.failed();
+    if (!succeeded) {
+      this.#listener.failed();
+      return;
+    }
+    this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+    this.#listener.confirmed(sentAt);
   }
 
   async #relist(): Promise<boolean> {
--- a/packages/rampswitch-store/src/watcher_test.ts
+++ b/packages/rampswitch-store/src/watcher_test.ts
@@ -301,6 +301,19 @@
     expect(watcher.version).toBe(13);
   });
 
+  test("has all changes up to the begin of the call, however late its answer is", async () => {
+    const { store, watcher } = await watch([A]);
+    const listedAt = clock.now();
+    expect(watcher.confirmedAt).toBe(listedAt);
+    await settle(200);
+    const confirmed = watcher.confirm();
+    await settle(300);
+    expect(watcher.confirmedAt).toBe(listedAt);
+    store.answer({ version: 13, events: [] });
+    await confirmed;
+    expect(watcher.confirmedAt).toBe(listedAt + 200);
+  });
+
   test("is not confirmed by a store that lost its history", async () => {
     const { store, watcher } = await watch([A]);
     const confirmed = watcher.confirm();
