--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -17,6 +17,8 @@
   readonly newestChange: number;
   /** Position of the newest change that any host reported. */
   readonly newestHeard: number;
+  /** Latest time up to which the list certainly has all changes, on the monotonic clock. */
+  readonly confirmedAt: number;
   /**
    * When the list was last known to be current, on the monotonic clock. A change that is
    * read now may have been made at any time since.
@@ -65,9 +67,10 @@
 
   /** How new the list is. */
   get state(): ServerListState {
-    const { version, newestChange } = this.#list;
+    const { version, newestChange, confirmedAt } = this.#list;
     const newestHeard = Math.max(newestChange, this.#newestHeard);
-    return { version, newestChange, newestHeard, currentAt: this.#currentAt };
+    const currentAt = this.#currentAt;
+    return { version, newestChange, newestHeard, confirmedAt, currentAt };
   }
 
   /** Notes the newest change of a server that another host reported. */
--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type KeeperState,
   namesVersion,
   type StreamRecord,
   type StreamReply,
@@ -58,6 +59,13 @@
   readonly w?: string | undefined;
   /** Time since the host learned of it, in milliseconds. */
   readonly t?: number | undefined;
+  /** Time since the host started, in milliseconds. */
+  readonly r?: number | undefined;
+  /**
+   * Time since its list of servers certainly had all changes, in milliseconds; absent
+   * before the first list.
+   */
+  readonly l?: number | undefined;
 }
 
 /** Checks of a stream's version. */
@@ -95,6 +103,8 @@
   u: optional(isBoolean),
   w: optional(isName),
   t: optional(isNonnegative),
+  r: optional(isNonnegative),
+  l: optional(isNonnegative),
 };
 
 /** Encodes a stream's version. */
@@ -136,15 +146,18 @@
 export function encodedStreamAnswer({
   id,
   reply,
+  state,
 }: StreamAnswer): EncodedStreamAnswer {
-  if (reply.kind === "uncertain")
-    return { k: "f", i: id, o: "unknown", u: true };
+  const told = encodedState(state);
+  if (reply.kind === "uncertain") {
+    return { k: "f", i: id, o: "unknown", u: true, ...told };
+  }
   const version = namesVersion(reply) ? { v: reply.version } : {};
   const server =
     reply.kind === "known"
       ? { w: reply.serverId, t: reply.ageMilliseconds }
       : {};
-  return { k: "f", i: id, o: reply.kind, ...version, ...server };
+  return { k: "f", i: id, o: reply.kind, ...version, ...server, ...told };
 }
 
 /** Decodes an answer to a query for a stream's version. */
@@ -155,12 +168,39 @@
   u,
   w,
   t,
+  ...encoded
 }: EncodedStreamAnswer): StreamAnswer {
-  if (u === true) return { id: i, reply: { kind: "uncertain" } };
-  if (o === "none") return { id: i, reply: { kind: o } };
+  const state = stateOf(encoded);
+  const told = state === undefined ? {} : { state };
+  if (u === true) return { id: i, reply: { kind: "uncertain" }, ...told };
+  if (o === "none") return { id: i, reply: { kind: o }, ...told };
   if (o === "unknown" || v === undefined) {
-    return { id: i, reply: { kind: "unknown" } };
+    return { id: i, reply: { kind: "unknown" }, ...told };
   }
   const server = o === "known" ? { serverId: w, ageMilliseconds: t } : {};
-  return { id: i, reply: { kind: o, version: v, ...server } };
+  return { id: i, reply: { kind: o, version: v, ...server }, ...told };
+}
+
+/** The state, as times that are no more favourable than the true ones. */
+function encodedState(
+  state: KeeperState | undefined,
+): Pick<EncodedStreamAnswer, "l" | "r"> {
+  if (state === undefined) return {};
+  const { runningMilliseconds, listAgeMilliseconds } = state;
+  const age = Math.ceil(listAgeMilliseconds);
+  return {
+    r: Math.floor(runningMilliseconds),
+    // JSON has no infinite number.
+    ...(Number.isFinite(age) ? { l: age } : {}),
+  };
+}
+
+/** The state that an answer tells; `undefined` from hosts that don't tell it. */
+function stateOf({
+  r,
+  l,
+}: Pick<EncodedStreamAnswer, "l" | "r">): KeeperState | undefined {
+  return r === undefined
+    ? undefined
+    : { runningMilliseconds: r, listAgeMilliseconds: l ?? Infinity };
 }
--- a/packages/rampswitch-serving/src/membership/stream_exchange_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange_test.ts
@@ -42,7 +42,7 @@
       if (message.kind === "stream_query") ids.set(address, message.query.id);
     },
     onStream: () => undefined,
-    replyTo: () => UNKNOWN,
+    answerTo: () => ({ reply: UNKNOWN }),
   });
   answersAt.forEach((at, index) => {
     if (at === undefined) return;
--- a/packages/rampswitch-serving/src/streams/gap_cover_test.ts
+++ b/packages/rampswitch-serving/src/streams/gap_cover_test.ts
@@ -48,6 +48,7 @@
         newestChange: 4,
         newestHeard: 4,
         currentAt: clock.now(),
+        confirmedAt: 0,
       }),
       areHostsListed: () => true,
       tell: () => undefined,
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -18,6 +18,7 @@
 import { ObjectStoreStandin } from "./object_store_standin.ts";
 import type { OriginArchive } from "./origin_archive.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
+import { NO_STREAM_REPLIES } from "./stream_reply.ts";
 
 const PREFIX = "streams/";
 const VERSIONS_KEY = `${PREFIX}versions`;
@@ -44,6 +45,7 @@
   version: 1,
   newestChange: 1,
   newestHeard: 1,
+  confirmedAt: 0,
   currentAt: Infinity,
 };
 
@@ -84,7 +86,11 @@
       areHostsListed: () => true,
       tell: () => undefined,
       query: () =>
-        Promise.resolve({ replies: [], isComplete: true, isMajority: true }),
+        Promise.resolve({
+          ...NO_STREAM_REPLIES,
+          isComplete: true,
+          isMajority: true,
+        }),
       holdsDuties: () => holdsDuties,
       hostCount: () => 3,
       storeWritesPerSecond: () => 400,
