Show that a doubt of a stream's version is forgotten

Cause: whether a server was another version is derived from its present listing (`VersionHistory.otherVersionSince`). Once the server leaves the list, is listed as the former version again, or as a third one, a stream that could not be told counts as of the recorded version again, in the tables and in the judgement of replies (`#judgedHere`).

Conclusion: not fixed. The history has to keep the versions that a server had for as long as a stream lasts; a mark on the records alone doesn't reach replies.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -623,3 +623,41 @@
     expect(keepers.length).toBe(few.length);
   });
 });
+
+// Guards against hosts that know of a stream that it can't be told, and forget it once
+// its server leaves the list, or is listed as another version again.
+test.each([
+  ["is removed", ({ streams }: Host) => streams.removed("s1")],
+  ["is back as the former version", ({ list }: Host) => list("s1", "v1")],
+  [
+    "is listed as a third version much later",
+    ({ clock, list }: Host) => {
+      clock.advance(3_000);
+      list("s1", "v3");
+    },
+  ],
+] as const)(
+  "a stream's version still can't be told when its server %s",
+  async (_, change) => {
+    const other = hostOf();
+    other.streams.receive(RECORD);
+    const keeper = hostOf();
+    keeper.streams.receive(RECORD);
+    const asking = hostOf([other.streams.replyTo(STREAM)]);
+    asking.state.hasRead = true;
+    [keeper, asking].forEach((host) => {
+      host.list("s1", "v1");
+      host.list("s2", "v1");
+      host.clock.advance(500);
+      host.list("s1", "v2");
+    });
+    const before = keeper.streams.isUncertain(STREAM);
+    [keeper, asking].forEach(change);
+    const found = await asking.streams.find(STREAM);
+    expect([before, keeper.streams.isUncertain(STREAM), found]).toEqual([
+      true,
+      true,
+      LOST,
+    ]);
+  },
+);
