Show that a version found by a query escapes a later listing

Cause: `find` keeps only the version of what another host named, not the stream. The check while a server is chosen (`StreamVersion.isUncertain`) looks into this host's tables alone, so a server that is listed as another version meanwhile (up to 0.6 s) goes unnoticed.

Ruled out: streams in this host's tables; these are judged anew at each look.

Conclusion: not fixed.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -661,3 +661,16 @@
     ]);
   },
 );
+
+// Guards against a stream that goes on though its server is listed as another version
+// while a server is chosen for it.
+test("a version that another host named can't be told once its server is listed here as another one", async () => {
+  const other = hostOf();
+  other.streams.receive(RECORD);
+  const { streams, list } = hostOf([other.streams.replyTo(STREAM)]);
+  list("s1", "v1");
+  list("s2", "v1");
+  expect(await streams.find(STREAM)).toMatchObject({ version: "v1" });
+  list("s1", "v2");
+  expect(streams.isUncertain(STREAM)).toBe(true);
+});
