Show that time before the first list counts as knowledge

Cause: `#wasThere` counts a minute from the start of the process, not from the first list of servers. A host that started while the store was away for a minute claims to know the past as soon as it has read its first list, and a holder of the duties stores that as complete.

Ruled out: `#hasReadPast`, which compares with the first list.

Conclusion: not fixed.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -674,3 +674,14 @@
   list("s1", "v2");
   expect(streams.isUncertain(STREAM)).toBe(true);
 });
+
+// Guards against hosts that count the time before their first list as knowledge.
+test("a host that has just listed its first server doesn't know what served before", () => {
+  const { clock, streams, list } = hostOf();
+  clock.advance(RETENTION_MILLISECONDS);
+  list("s1", "v1");
+  expect([streams.isPastKnown, streams.replyTo(STREAM)]).toEqual([
+    false,
+    RECENT,
+  ]);
+});
