Show that a host goes by a list that it knows to be old

Cause: a host whose list is behind asks others before it goes by its own record. A host with the newer list that doesn't keep the stream replies `unknown`, since the query doesn't name the server that began it; the record then stands unjudged.

Ruled out: replies of hosts that keep the stream, which are judged by both lists.

Measured: `known` in both, with a store that doesn't confirm the list.

Conclusion: not fixed. Either the query names the server, or the list is confirmed first.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -685,3 +685,23 @@
     RECENT,
   ]);
 });
+
+// Guards against a host that knows that its list is old, and goes by it, since no host
+// that replies keeps the stream.
+test.each([
+  ["told", ({ streams }: Host) => streams.receive(RECORD)],
+  [
+    "stored",
+    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: false }),
+  ],
+] as const)(
+  "a version is not taken from an old list where nobody else keeps the stream: %s",
+  async (_, note) => {
+    const host = hostOf([UNKNOWN, UNKNOWN]);
+    host.list("s1", "v1");
+    note(host);
+    host.state.list = { ...CURRENT_LIST, newestHeard: 2 };
+    host.state.isListConfirmed = false;
+    expect((await host.streams.find(STREAM)).kind).not.toBe("known");
+  },
+);
