Show that a stream is refused because its record was read again

Cause: a record that is read or told again is dated anew (`BegunStreams.add` keeps the later `addedAt`), so that it seems to have begun after its server became another version.

Ruled out: the first read; 2.5 s before the listing it is certain.

Conclusion: not fixed. The earlier date is the tighter bound where version and server are the same.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -705,3 +705,15 @@
     expect((await host.streams.find(STREAM)).kind).not.toBe("known");
   },
 );
+
+// Guards against streams that are refused since what is stored was read once more.
+test("a stream that is read again counts as no younger", () => {
+  const { clock, streams, list } = hostOf();
+  list("s1", "v1");
+  streams.restoreStreams([RECORD], { isOwn: false });
+  clock.advance(2_500);
+  list("s1", "v2");
+  const before = streams.isUncertain(STREAM);
+  streams.restoreStreams([RECORD], { isOwn: false });
+  expect([before, streams.isUncertain(STREAM)]).toEqual([false, false]);
+});
