Show that a host that lags hides how long another one's list is old

Cause: `ServerListEvidence.heard` ends the time in which this list is behind with each update of a host whose list is no newer, not once this list has caught up. Where two hosts or more lag, a change that is read late is dated by the last gossip round, and streams that the server began as the former version, seemingly, stay certain.

Ruled out: `newestHeard`, which keeps the maximum.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
@@ -73,6 +73,16 @@
     at: 4_500,
     currentAt: 4_500,
   },
+  {
+    name: "while another host has a newer list, and a third one doesn't",
+    steps: [
+      { at: 3_000, heard: 8 },
+      { at: 4_000, heard: 4 },
+      { at: 4_200, heard: 8 },
+    ],
+    at: 4_500,
+    currentAt: 3_000,
+  },
 ])("a list of servers is current $name", ({ steps, at, currentAt }) => {
   const clock = new ManualClock(0);
   const list = { version: 4, newestChange: 4 } as unknown as Watcher;
