Show that a second silence of the store hides the first

Cause: `ServerListEvidence` keeps the last silence alone. After a single answer between two silences, changes that were made in the first one and are read within the 3 s after that answer are dated from the second.

Ruled out: one silence, which the other cases have.

Conclusion: not fixed.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
@@ -83,6 +83,16 @@
     at: 4_500,
     currentAt: 3_000,
   },
+  {
+    name: "soon after the store was silent twice",
+    steps: [
+      { at: 1_000, confirmed: 900 },
+      { at: 9_000, confirmed: 8_900 },
+      { at: 11_600, confirmed: 11_500 },
+    ],
+    at: 11_700,
+    currentAt: 900,
+  },
 ])("a list of servers is current $name", ({ steps, at, currentAt }) => {
   const clock = new ManualClock(0);
   const list = { version: 4, newestChange: 4 } as unknown as Watcher;
