Show that a host with an old list removes a version that serves

Cause: a holder of the duties with a list that is behind keeps the former claim of completeness, and writes its own versions beside it. One that it only read of is forgotten a minute later, though it may serve on in the newer list.

Ruled out: an object that others wrote meanwhile, which is read before the write.

Conclusion: not fixed. While the list is behind nothing may be removed.

--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -238,6 +238,16 @@
     expect(await versionOf(next.streams)).toBeUndefined();
   });
 
+  test("are not removed by a host whose list is older than another's", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1", "v2"] });
+    const list = { ...CURRENT_LIST, newestHeard: 2 };
+    const { clock } = await startHost(store, { versions: ["v1"], list });
+    await pass(clock, RETENTION_MILLISECONDS + WRITE_MILLISECONDS);
+    const next = await startHost(store, { versions: ["v1"] });
+    expect(await versionOf(next.streams)).toBeUndefined();
+  });
+
   // Guards against a version that comes and goes after a host read the object, and before
   // it lists the servers for the first time.
   test("are read again by a host that listed the servers much later", async () => {
