Show that a run is moved from a server that is back as another version

Cause: a move takes the listed version of the source for the run's. A server that is back under its id, as another version that isn't listed yet, is asked to stop the run, and its memory goes to a server of the listed version. Sends after a loss ask the target which incarnation it is; a move asks neither.

Conclusion: not fixed.

--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -347,3 +347,48 @@
     expect(sentOn).toBeGreaterThan(SEEDS);
   });
 });
+
+// Guards against a run that is moved to a server of the version that the list gives its
+// server, which is back as another one.
+test("a run is not moved from a server that is another incarnation than the listed one", async () => {
+  const stops: boolean[] = [];
+  const clock = new ManualClock();
+  const directory = new ServerDirectory();
+  [1, 2].forEach((id) => directory.put(new SimulatedServer(id).entry, 0));
+  const [source, target] = directory.of("models").map((record) => ({ record }));
+  const context = {
+    clock,
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+    advertisements: ignoringAdvertisementReader(),
+    engineControl: {
+      report: () =>
+        Promise.resolve({ born: 2, advertised: NOTHING_ADVERTISED }),
+      copyMemory: ({ stopsRun }: MemoryCopy) => {
+        stops.push(stopsRun);
+        return Promise.resolve(Result.ok({ handle: "1", copied: true }));
+      },
+      dropCopy: () => Promise.resolve(true),
+    },
+    drainMilliseconds: () => DRAIN_MILLISECONDS,
+  } as unknown as RequestContext;
+  const request = { head: { attemptId: OWN }, service: { name: "models" } };
+  const continuations: Choice[] = [];
+  const run = {
+    attemptId: OWN,
+    record: new RunRecord(request as AdmittedRequest, context),
+    sentTo: () => source,
+    finished: () => false,
+    lastEventId: () => "1",
+    remaining: () => Infinity,
+    choose: () => target,
+    notRepeated: () => undefined,
+    stopped: () => undefined,
+    continueAt: (choice: Choice) => continuations.push(choice),
+    memoryLost: () => undefined,
+  } as unknown as MigratableRun;
+  const migrating = new RunMigration(run, context).migrate();
+  clock.advance(COPY_MILLISECONDS);
+  await migrating;
+  expect([stops.includes(true), continuations]).toEqual([false, []]);
+});
