--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -675,3 +675,97 @@
     expect(keepers.length).toBe(few.length);
   });
 });
+
+// Guards against hosts that know of a stream that it can't be told, and forget it once
+// its server leaves the list, or is listed as another version again.
+test.each([
+  ["is removed", ({ streams }: Host) => streams.removed("s1")],
+  ["is back as the former version", ({ list }: Host) => list("s1", "v1")],
+  [
+    "is listed as a third version much later",
+    ({ clock, list }: Host) => {
+      clock.advance(3_000);
+      list("s1", "v3");
+    },
+  ],
+] as const)(
+  "a stream's version still can't be told when its server %s",
+  async (_, change) => {
+    const other = hostOf();
+    other.streams.receive(RECORD);
+    const keeper = hostOf();
+    keeper.streams.receive(RECORD);
+    const asking = hostOf([other.streams.replyTo(STREAM)]);
+    asking.state.hasRead = true;
+    [keeper, asking].forEach((host) => {
+      host.list("s1", "v1");
+      host.list("s2", "v1");
+      host.clock.advance(500);
+      host.list("s1", "v2");
+    });
+    const before = keeper.streams.isUncertain(STREAM);
+    [keeper, asking].forEach(change);
+    const found = await asking.streams.find(STREAM);
+    expect([before, keeper.streams.isUncertain(STREAM), found]).toEqual([
+      true,
+      true,
+      LOST,
+    ]);
+  },
+);
+
+// Guards against a stream that goes on though its server is listed as another version
+// while a server is chosen for it.
+test("a version that another host named can't be told once its server is listed here as another one", async () => {
+  const other = hostOf();
+  other.streams.receive(RECORD);
+  const { streams, list } = hostOf([other.streams.replyTo(STREAM)]);
+  list("s1", "v1");
+  list("s2", "v1");
+  expect(await streams.find(STREAM)).toMatchObject({ version: "v1" });
+  list("s1", "v2");
+  expect(streams.isUncertain(STREAM)).toBe(true);
+});
+
+// Guards against hosts that count the time before their first list as knowledge.
+test("a host that has just listed its first server doesn't know what served before", () => {
+  const { clock, streams, list } = hostOf();
+  clock.advance(RETENTION_MILLISECONDS);
+  list("s1", "v1");
+  expect([streams.isPastKnown, streams.replyTo(STREAM)]).toEqual([
+    false,
+    RECENT,
+  ]);
+});
+
+// Guards against a host that knows that its list is old, and goes by it, since no host
+// that replies keeps the stream.
+test.each([
+  ["told", ({ streams }: Host) => streams.receive(RECORD)],
+  [
+    "stored",
+    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: false }),
+  ],
+] as const)(
+  "a version is not taken from an old list where nobody else keeps the stream: %s",
+  async (_, note) => {
+    const host = hostOf([UNKNOWN, UNKNOWN]);
+    host.list("s1", "v1");
+    note(host);
+    host.state.list = { ...CURRENT_LIST, newestHeard: 2 };
+    host.state.isListConfirmed = false;
+    expect((await host.streams.find(STREAM)).kind).not.toBe("known");
+  },
+);
+
+// Guards against streams that are refused since what is stored was read once more.
+test("a stream that is read again counts as no younger", () => {
+  const { clock, streams, list } = hostOf();
+  list("s1", "v1");
+  streams.restoreStreams([RECORD], { isOwn: false });
+  clock.advance(2_500);
+  list("s1", "v2");
+  const before = streams.isUncertain(STREAM);
+  streams.restoreStreams([RECORD], { isOwn: false });
+  expect([before, streams.isUncertain(STREAM)]).toEqual([false, false]);
+});
