Begin streams that may be taken up at versions that the store names

Cause: a version was listed and began streams before an object named it. Where its write didn't get through, all hosts ended and its servers were gone when others started, the stored versions vouched for the other one alone, and its streams went on there (source `single`).

Ruled out: a choice made from the list alone, since a host that starts can't know what others listed; refusing streams while no named version has a server, since a service whose servers were all replaced would refuse all of them while the store takes no writes; names from all that a host knows in place of what it lists, since hosts that forget a version one after the other would write it back in turns.

Change: rules 1 and 2 of docs/design/young_streams.md. `NamedVersions` keeps what the object names as this host last read or wrote it, and what is listed beyond it. `chooseForSend` leaves out the servers of unnamed versions for streams that may be taken up and have no event yet, beside what the roll-outs allow, while a named version has a usable server. A host that lists an unnamed version, or sees a new era of the store, reads the object in its next check and adds what it lacks; after a failure, once a second. Names of versions that ended a minute ago are forgotten. Versions are written before streams. A host that doesn't know the past leaves the claim of completeness standing, since such hosts add versions now.

"are written on change alone, by the holder of the duties" is now by one host for all: the number of writes and of reads is counted for each host and version.

The cost of the choice wasn't measured: one look into an empty table for streams that may be taken up.

Conclusion: streams of an unnamed version are not joined any more where a named one has a server. Where none has, they begin unnamed as before (open, in the design).

--- a/packages/rampswitch-serving/src/relay/send_choice.ts
+++ b/packages/rampswitch-serving/src/relay/send_choice.ts
@@ -18,7 +18,7 @@
   type RoomRequest,
   roomClassOf,
 } from "../room/mod.ts";
-import type { VersionChoice } from "../rollout/mod.ts";
+import { type VersionChoice, withoutVersions } from "../rollout/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import { ownConnections } from "./connection_share.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -75,14 +75,43 @@
   const { version } = terms;
   const isFirst = terms.tried.size === 0;
   const asked = { isFirst, version, now };
-  const all = context.rollouts.choice(request.service.name, asked);
   const send = { ...terms, request, now };
+  const all = atNamedVersions(
+    context.rollouts.choice(request.service.name, asked),
+    send,
+    context,
+  );
   return {
     ...chooseWithoutPermit(withoutLimited(all, context), send, context),
     limited: withPermits(all, send, context),
   };
 }
 
+/**
+ * Keeps a stream that may be taken up to the versions that the store names, as long as
+ * one of them has a server for it: hosts that start after the end of all others know no
+ * further ones.
+ */
+function atNamedVersions(
+  all: VersionChoice,
+  { request, version, tried, now }: SendQuery,
+  { streams }: RequestContext,
+): VersionChoice {
+  const { streaming, resumable } = request.route;
+  if (version !== undefined || !streaming || !resumable) return all;
+  const unnamed = streams.names.unnamedOf(request.service.name);
+  if (unnamed === undefined) return all;
+  return withoutVersions(
+    all,
+    unnamed,
+    (record) =>
+      record.isReady &&
+      !record.isEjected(now) &&
+      !record.backOff.isActive(now) &&
+      !tried.has(record.incarnation),
+  );
+}
+
 /** The choice of a limited server for which a permit was given. */
 export function choosePermitted(
   record: ServerRecord,
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -7,6 +7,7 @@
 import { Fingerprint } from "../quarantine/mod.ts";
 import { ReturnTimes, WaitingRequests } from "../room/mod.ts";
 import type { RequestContext } from "./request_context.ts";
+import { chooseForSend } from "./send_choice.ts";
 import { type ChooserRun, SendChooser } from "./send_chooser.ts";
 
 const WORK = 20;
@@ -234,3 +235,52 @@
     expect(events).toEqual(expected);
   },
 );
+
+const BACK_OFF = { now: 1_000, milliseconds: 9_000, returnDelay: 0 };
+
+interface Named {
+  readonly unnamed?: readonly string[];
+  readonly route?: object;
+  readonly tried?: readonly string[];
+  /** Changes the only server of v1. */
+  readonly change?: (server: ServerRecord | undefined) => void;
+}
+
+// Guards against streams that begin at a version that no stored object names: hosts that
+// started after the end of all others took the named one for the one that began them.
+test.each<[string, string, Named]>([
+  ["a stream", "v1", {}],
+  ["a stream where all are named", "v2", { unnamed: [] }],
+  ["a stream where none is named", "v2", { unnamed: ["v1", "v2"] }],
+  ["no stream", "v2", { route: { streaming: false } }],
+  ["a stream that isn't resumable", "v2", { route: { resumable: false } }],
+  ["a stream sent to v1 before", "v2", { tried: ["v1"] }],
+  ["a stream where v1 leaves", "v2", { change: (server) => server?.end() }],
+  [
+    "a stream where v1 backs off",
+    "v2",
+    { change: (server) => server?.backOff.requested(BACK_OFF) },
+  ],
+])(
+  "of two versions with equal servers, %s gets %s",
+  (_, expected, { unnamed = ["v2"], route, tried, change }) => {
+    const { context } = hostOf(30);
+    const first = ["v1", "v2"].map(
+      (version) =>
+        new ServerRecord(backendServerStandin({ id: version, version })),
+    );
+    change?.(first[0]);
+    Object.assign(context, {
+      rollouts: { choice: () => ({ first }) },
+      permits: { unlimited: (all: unknown) => all, limited: () => [] },
+      prefixes: { cachedTokens: () => 0 },
+      streams: { names: { unnamedOf: () => new Set(unnamed) } },
+    });
+    const { request } = chooserOf(context);
+    Object.assign(request.route, { streaming: true, resumable: true }, route);
+    const send = { tried: new Set(tried), hasRoom: true };
+    const { outcome } = chooseForSend(request, send, context);
+    const record = outcome.kind === "chosen" && outcome.choice.record;
+    expect(record && record.entry.version).toBe(expected);
+  },
+);
--- a/packages/rampswitch-serving/src/rollout/mod.ts
+++ b/packages/rampswitch-serving/src/rollout/mod.ts
@@ -33,3 +33,4 @@
   VersionEvaluator,
 } from "./version_evaluator.ts";
 export { RolloutStore } from "./rollout_store.ts";
+export { withoutVersions } from "./version_servers.ts";
--- a/packages/rampswitch-serving/src/rollout/version_servers.ts
+++ b/packages/rampswitch-serving/src/rollout/version_servers.ts
@@ -8,6 +8,7 @@
 import { rendezvousOrder } from "rampswitch-utils";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { Rollout } from "./rollout.ts";
+import type { VersionChoice } from "./rollouts.ts";
 
 /**
  * Minimum number of canary servers: a failure of one server alone is not a
@@ -30,6 +31,25 @@
   return most;
 }
 
+/**
+ * Leaves out the servers of some versions, unless no other one that may be chosen is
+ * usable.
+ */
+export function withoutVersions(
+  { first, fallback }: VersionChoice,
+  versions: ReadonlySet<string>,
+  isUsable: (record: ServerRecord) => boolean,
+): VersionChoice {
+  const isOther = ({ entry }: ServerRecord) => !versions.has(entry.version);
+  const others = {
+    first: first.filter(isOther),
+    fallback: fallback?.filter(isOther),
+  };
+  return [...others.first, ...(others.fallback ?? [])].some(isUsable)
+    ? others
+    : { first, fallback };
+}
+
 /**
  * The canary's servers, the same on all hosts. There are just enough of them
  * that each carries the load that it would carry after the promotion.
--- a/packages/rampswitch-serving/src/streams/object_store_standin.ts
+++ b/packages/rampswitch-serving/src/streams/object_store_standin.ts
@@ -31,6 +31,8 @@
   tries = 0;
   /** Number of lists that were read. */
   lists = 0;
+  /** Number of single objects that were read. */
+  gets = 0;
   #objects = new Map<string, StoredObject>();
   #revision = 0;
   readonly #listeners: Parameters<ObjectStore["onEra"]>[0][] = [];
@@ -62,6 +64,7 @@
   }
 
   get(key: string): ReturnType<ObjectStore["get"]> {
+    this.gets += 1;
     return this.#reply(() => Result.ok(this.#objects.get(key)));
   }
 
--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -142,9 +142,11 @@
     if (!this.#hasRead || origins.hasListedLate) await this.#readOnce();
     // A write before the first read would replace what a former process stored.
     if (!this.#hasRead) return;
-    await this.#streams.store();
+    // Streams begin at a version once it is named.
+    await this.#versions.nameListed();
     const holdsDuties = this.#parts.holdsDuties();
     if (holdsDuties || this.#hasToName) await this.#versions.store();
+    await this.#streams.store();
     if (holdsDuties) await this.#removeLeftovers();
   }
 
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -128,7 +128,7 @@
     expect(await versionOf(streams)).toBe("v1");
   });
 
-  test("are written on change alone, by the holder of the duties", async () => {
+  test("are read and written on change alone, by one host for all", async () => {
     const store = new ObjectStoreStandin();
     const { clock, streams } = await startHost(store, { versions: ["v1"] });
     const other = await startHost(store, {
@@ -136,17 +136,83 @@
       holdsDuties: false,
     });
     await pass(other.clock, START_MILLISECONDS);
+    const before = store.gets;
     other.streams.listed({ id: "s-v3", service: SERVICE, version: "v3" });
     await pass(other.clock, 10 * WRITE_MILLISECONDS);
+    expect(store.gets - before).toBe(1);
+    streams.listed({ id: "s-v3", service: SERVICE, version: "v3" });
     await pass(clock, 10 * WRITE_MILLISECONDS);
     streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
     await pass(clock, 10 * WRITE_MILLISECONDS);
-    expect(store.changes).toEqual([
-      `put ${VERSIONS_KEY}`,
+    other.streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(other.clock, 10 * WRITE_MILLISECONDS);
+    expect(store.gets - before).toBe(4);
+    expect(store.changes).toEqual(Array(3).fill(`put ${VERSIONS_KEY}`));
+    expect(other.streams.names.hasUnnamed).toBe(false);
+  });
+
+  test("are stored before the streams that began at them", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock, streams } = await startHost(store, { versions: ["v1"] });
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    streams.began({ ...STREAM, ...BEGUN }, "s-v2/1");
+    await pass(clock, STREAMS_WRITE_MILLISECONDS);
+    expect(store.changes.slice(1)).toEqual([
       `put ${VERSIONS_KEY}`,
+      "put streams/host.h1",
     ]);
   });
 
+  // Guards against a host that adds a version and takes back what others vouch for.
+  test("stay complete where a host that missed changes adds one", async () => {
+    const store = new ObjectStoreStandin();
+    await startHost(store, { versions: ["v1"] });
+    const listed = { versions: ["v1"], holdsDuties: false };
+    const { clock, streams } = await startHost(store, listed);
+    await pass(clock, START_MILLISECONDS);
+    streams.missedChanges();
+    streams.listed({ id: "s-v2", service: SERVICE, version: "v2" });
+    await pass(clock, WRITE_MILLISECONDS);
+    expect(store.value(VERSIONS_KEY)).toBe(
+      '{"completeInEra":1,"services":{"models":["v1","v2"]}}',
+    );
+  });
+
+  // Guards against versions that count as named though no object names them: streams that
+  // began at them were joined after the end of all hosts.
+  test.each([
+    ["a new one", "v2", { isCopy: false }],
+    ["one that a copy of the store lacks", "v1", { isCopy: true }],
+    ["one that came back after it was taken out", "v0", { isCopy: false }],
+  ])(
+    "are unnamed until the object names them: %s",
+    async (_, version, { isCopy }) => {
+      const store = new ObjectStoreStandin();
+      await startHost(store, { versions: ["v0", "v1"] });
+      const { clock, streams } = await startHost(store, {
+        versions: ["v0", "v1"],
+        holdsDuties: false,
+      });
+      streams.removed("s-v0");
+      await pass(clock, RETENTION_MILLISECONDS + WRITE_MILLISECONDS);
+      expect(streams.names.hasUnnamed).toBe(false);
+      store.write(
+        VERSIONS_KEY,
+        '{"completeInEra":1,"services":{"models":["v1"]}}',
+      );
+      let proceed = (): void => undefined;
+      store.beforePut = () => new Promise((resolve) => (proceed = resolve));
+      if (isCopy) store.comeBackEmpty();
+      streams.listed({ id: `s-${version}`, service: SERVICE, version });
+      await pass(clock, WRITE_MILLISECONDS);
+      expect([...(streams.names.unnamedOf(SERVICE) ?? [])]).toEqual([version]);
+      proceed();
+      await pass(clock, WRITE_MILLISECONDS);
+      expect(streams.names.unnamedOf(SERVICE)).toBeUndefined();
+      expect(store.value(VERSIONS_KEY)).toContain(version);
+    },
+  );
+
   // Guards against hosts that all end before one of them holds the duties: 2 of 57
   // streams taken up were joined, since no object told of the version that ended.
   test.each([
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -20,6 +20,7 @@
   combinedStream,
   type StreamKey,
 } from "./begun_streams.ts";
+import { NamedVersions } from "./named_versions.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
   KnownReply,
@@ -117,6 +118,8 @@
   /** Streams that other hosts had stored. */
   readonly #restored = new BegunStreams(MAXIMUM_RESTORED_STREAMS);
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
+  /** The versions that the stored object names. */
+  readonly names: NamedVersions;
   readonly #startedAt: number;
   /**
    * When the store last told which versions had served, on the monotonic clock;
@@ -130,6 +133,7 @@
 
   constructor(parts: StreamOriginsParts) {
     this.#parts = parts;
+    this.names = new NamedVersions(this.#history, parts.clock);
     this.#startedAt = parts.clock.now();
   }
 
@@ -139,6 +143,7 @@
     this.#tellOnceMixed(server.service, (now) =>
       this.#history.listed(server, { now, changedAfter: this.#listCurrentAt }),
     );
+    this.names.listed(server);
   }
 
   /** The versions of each service that a stream in progress may have begun at. */
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -27,7 +27,7 @@
 export interface VersionArchiveParts extends ArchiveParts {
   readonly origins: Pick<
     StreamOrigins,
-    "isListBehind" | "isPastKnown" | "restoreVersions" | "versions"
+    "isListBehind" | "isPastKnown" | "names" | "restoreVersions" | "versions"
   >;
 }
 
@@ -37,6 +37,9 @@
 /** Attempts of one write before the next check. */
 const WRITE_ATTEMPTS = 2;
 
+/** Time from a look at the object that failed to the next one, in milliseconds. */
+const RETRY_MILLISECONDS = 1_000;
+
 /** Latest era of the store in which a missing object shows that no version has served. */
 const FIRST_ERA = 1;
 
@@ -53,25 +56,53 @@
   #object: StoredObject | undefined;
   /** The value that is certainly in the store. */
   #stored: string | undefined;
+  /** Whether the object was last read before the store's present era. */
+  #isOfPastEra = false;
+  /** When the object may be looked at again, on the monotonic clock. */
+  #retryAt = -Infinity;
 
   constructor(parts: VersionArchiveParts) {
     this.#parts = parts;
     // A copy that the store was restored from may lack what was written before.
     parts.store.onEra(() => {
       this.#stored = undefined;
+      this.#isOfPastEra = true;
     });
   }
 
   /** Notes the versions in a list of all stored objects. */
   restore({ objects, version }: StoredList): void {
     const object = objects.find(({ key }) => key === this.#key);
+    const { origins, store } = this.#parts;
     const era = eraOf(version);
+    if (era === store.era) this.#isOfPastEra = false;
     if (object !== undefined && object.version === this.#object?.version) {
       const isComplete = this.#known.completeInEra === era;
-      this.#parts.origins.restoreVersions(new Map(), { isComplete });
+      origins.restoreVersions(new Map(), { isComplete });
+      this.#note(object);
     } else this.#restoreObject(object, era);
   }
 
+  /**
+   * Reads the object if it was last read in a past era of the store, or isn't known to
+   * name a version that this host lists, and adds the versions that it lacks.
+   */
+  async nameListed(): Promise<void> {
+    const { clock, origins } = this.#parts;
+    const { names } = origins;
+    names.forgetEnded();
+    const isDue = this.#isOfPastEra || names.hasUnnamed;
+    if (!isDue || clock.now() < this.#retryAt) return;
+    const isRead = await this.#read();
+    if (isRead && names.hasUnnamed) {
+      this.#stored = undefined;
+      await this.store();
+    }
+    if (!isRead || names.hasUnnamed) {
+      this.#retryAt = clock.now() + RETRY_MILLISECONDS;
+    }
+  }
+
   /** Stores the versions that this host knows if they differ from those stored. */
   async store(): Promise<void> {
     const { store, logger, metrics } = this.#parts;
@@ -93,7 +124,7 @@
       },
       this.#parts,
     );
-    if (change.kind === "written") this.#object = change.object;
+    if (change.kind === "written") this.#note(change.object);
     const isStored = change.kind !== "unknown";
     if (isStored) this.#stored = stored;
     metrics.event(`stream_versions_${isStored ? "stored" : "not_stored"}`);
@@ -125,29 +156,54 @@
 
   /**
    * Era in which there are no other versions, for all that is known. A host with an old
-   * list leaves what was claimed before.
+   * list, or that doesn't know the past, leaves what was claimed before: it adds versions.
    */
   get #completeInEra(): number | undefined {
     const { origins, store } = this.#parts;
-    if (!origins.isPastKnown) return undefined;
-    return origins.isListBehind ? this.#known.completeInEra : store.era;
+    return origins.isPastKnown && !origins.isListBehind
+      ? store.era
+      : this.#known.completeInEra;
   }
 
   get #key(): string {
     return `${this.#parts.prefix}${OBJECT_NAME}`;
   }
 
+  /** Reads the object; resolves to whether it was read. */
+  async #read(): Promise<boolean> {
+    const { store, metrics } = this.#parts;
+    const wasOfPastEra = this.#isOfPastEra;
+    // The answer may be the first that reports another era.
+    this.#isOfPastEra = false;
+    const read = await store.get(this.#key);
+    if (read.isOk) {
+      this.#restoreObject(read.value, store.era);
+      this.#note(read.value);
+    } else {
+      this.#isOfPastEra ||= wasOfPastEra;
+      metrics.event("stream_versions_unread");
+    }
+    return read.isOk;
+  }
+
+  /** Notes the object as the store holds it, and what it names. */
+  #note(object: StoredObject | undefined): void {
+    this.#object = object;
+    this.#parts.origins.names.read(this.#known.services);
+  }
+
   /** Notes the versions in an object that this host has neither read nor written. */
   #restoreObject(object: StoredObject | undefined, era: number): void {
     const { origins, logger } = this.#parts;
     if (object === undefined) {
+      this.#note(object);
       // Whatever was there may be lost with a past era of the store.
       const isComplete = era <= FIRST_ERA;
       origins.restoreVersions(new Map(), { isComplete });
       return;
     }
     if (object.version === this.#object?.version) return;
-    this.#object = object;
+    this.#note(object);
     const decoded = decodeVersions(object.value);
     if (decoded.isErr) {
       logger.warn("stored versions can't be read", {
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -111,6 +111,12 @@
     });
   }
 
+  /** Whether a version has a listed server. */
+  isListed({ service, version }: ServiceVersionName): boolean {
+    const servers = this.#services.get(service)?.get(version)?.servers;
+    return servers !== undefined && servers.size > 0;
+  }
+
   /** Time since a version's last server was listed, in milliseconds. */
   goneMilliseconds(
     { service, version }: ServiceVersionName,
