Ask a server which incarnation it is while it serves a stream

Cause: a server that crashed is back under its id as another version; until its new entry is read, what it begins counts as begun by the listed version. The check before a broken stream goes on asks the server where it goes on. Where the one that began it is lost before its listing, nobody can ask that one any more, and the stream goes on at the listed version, within one answer.

The answer: no header names the incarnation. Entries: only their `sequence` changes with a heartbeat, which raises no event.

Change: connections end with the process, so while one is open the server is the same incarnation. The first stream that may be taken up and begins after a time without any has the host ask the report once; the stream doesn't wait. If the report names another start, the streams of that contact can't be told once they break, unless that start is listed with the same version by then. Without a report the listed version counts, unless the server had ended the last connection or refused one before: then it is asked once more, and the stream is uncertain if nothing answers.

It costs a report for each time without a connection between a host and a server, also where nothing was lost: a loss that nobody saw looks the same.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,7 +6,6 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
 import {
   isOpen,
   RESET_CODE,
@@ -21,6 +20,7 @@
   type EndDoubt,
   framingOf,
 } from "./answer_end.ts";
+import { OpenConnections, type ServerContact } from "./open_connections.ts";
 
 /** Why a send ended without a complete answer. */
 export type SendFailure =
@@ -82,7 +82,7 @@
   readonly address: string;
   readonly pool: Pool;
   /** Connections of the pool that are not closed. */
-  readonly sockets: ReadonlySet<Socket>;
+  readonly connections: OpenConnections;
 }
 
 /**
@@ -149,13 +149,13 @@
     request: OutgoingRequest,
     listener: SendListener,
   ): Send {
-    const { pool, sockets } = this.#pool(server);
+    const { pool, connections } = this.#pool(server);
     const isSameIncarnation = this.#watchIncarnation(server);
     const handler = new SendHandler(listener, {
       method: request.method,
       contact: { server: server.id, contacts: this.#contacts },
       doubtAboutServer: () =>
-        this.#doubtAbout(server, { sockets, isSameIncarnation }),
+        this.#doubtAbout(server, { connections, isSameIncarnation }),
     });
     pool.dispatch(
       {
@@ -169,6 +169,11 @@
     return handler;
   }
 
+  /** The present contact with a server; `undefined` without an open connection. */
+  contact(serverId: string): ServerContact | undefined {
+    return this.#pools.get(serverId)?.connections.contact;
+  }
+
   /** Closes the idle connections of a server that has ended or changed its address. */
   forget(serverId: string): void {
     const known = this.#pools.get(serverId);
@@ -209,14 +214,14 @@
   async #doubtAbout(
     server: ServerAddress,
     {
-      sockets,
+      connections,
       isSameIncarnation,
     }: {
-      readonly sockets: ReadonlySet<Socket>;
+      readonly connections: OpenConnections;
       readonly isSameIncarnation: IncarnationCheck;
     },
   ): Promise<EndDoubt | undefined> {
-    const before = [...sockets].filter(isOpen);
+    const before = connections.open;
     if (!(await this.connects(server))) return "server_gone";
     if (before.some(isOpen)) return undefined;
     return (await isSameIncarnation()) ? undefined : "server_started_again";
@@ -232,37 +237,31 @@
     const known = this.#pools.get(id);
     if (known?.address === address) return known;
     this.forget(id);
-    const sockets = new Set<Socket>();
+    const connections = new OpenConnections();
     const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
-      connect: this.#connectTo(id, (socket) => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-      }),
+      connect: this.#connectTo(id, connections),
       ...(this.#localAddress && { localAddress: this.#localAddress }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
     });
-    const addressPool = { address, pool, sockets };
+    const addressPool = { address, pool, connections };
     this.#pools.set(id, addressPool);
     return addressPool;
   }
 
   /** Opens connections to a server, and reports that they came up. */
-  #connectTo(
-    server: string,
-    onConnected: (socket: Socket) => void = () => undefined,
-  ): ServerConnector {
+  #connectTo(server: string, connections?: OpenConnections): ServerConnector {
     return (options, callback) =>
       this.#connect(options, (...result) => {
         // undici calls back without a socket on an error, although its types say null.
         if (result[0] === null) {
           this.#contacts.heard(server);
-          onConnected(result[1]);
-        }
+          connections?.add(result[1]);
+        } else connections?.failed();
         callback(...result);
       });
   }
--- a/packages/rampswitch-serving/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client_test.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from "node:http";
 import { createServer as createRawServer, type Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
 import { listen, listenUntilDisposed, Ownership } from "rampswitch-utils";
 import { BackendClient, type Send } from "./backend_client.ts";
@@ -48,6 +49,26 @@
     }
     expect(answers).toEqual(["former", "present", "former"]);
   });
+
+  test("tells contacts that follow the end of a connection by the server", async () => {
+    await using ownership = new Ownership();
+    const server = createServer((_, response) => response.end());
+    const listening = ownership.own(await listen(server, "127.0.0.1:0"));
+    const client = ownership.own(new BackendClient());
+    const { address } = listening;
+    const contacts = [];
+    while (contacts.length < 2) {
+      await fetchAnswer(client, { id: "s1", address });
+      await fetchAnswer(client, { id: "s1", address });
+      contacts.push({ ...client.contact("s1") });
+      server.closeAllConnections();
+      while (client.contact("s1") !== undefined) await setImmediate();
+    }
+    expect(contacts).toEqual([
+      { isUnbroken: true, followsLoss: false },
+      { isUnbroken: true, followsLoss: true },
+    ]);
+  });
 });
 
 /** Time between a part of an answer and the end of its connection, in milliseconds. */
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -14,6 +14,7 @@
   Send,
   SendListener,
   ServerAddress,
+  ServerContact,
 } from "../attempt/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { ServerContacts } from "../reach/mod.ts";
@@ -139,6 +140,13 @@
     return this.#sendLimited(server, request, { ...options, mayFail });
   }
 
+  /** The present contact with a server that this host reaches itself. */
+  contact(server: string): ServerContact | undefined {
+    return this.#detours.has(server)
+      ? undefined
+      : this.#parts.client.contact(server);
+  }
+
   /** Closes the connections of a server that has ended. */
   forget(server: string): void {
     this.#detours.delete(server);
--- /dev/null
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
@@ -0,0 +1,99 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { expect, test } from "@jest/globals";
+import { ManualClock, SILENT_LOGGER } from "rampswitch-utils";
+import {
+  ignoringAdvertisementReader,
+  NOTHING_ADVERTISED,
+} from "../advertisements/advertisements_standin.ts";
+import { ServerRecord } from "../choice/mod.ts";
+import { backendServerStandin } from "../model/backend_server_standin.ts";
+import type { Service } from "../model/configuration.ts";
+import type { EngineControl } from "../model/engine_control.ts";
+import { IncarnationChecks } from "./incarnation_checks.ts";
+
+const SERVICE = { engine: {} } as Service;
+
+/** A listed incarnation, by its start and version. */
+const listed = (born: number, version = "v1") =>
+  new ServerRecord(backendServerStandin({ born, version }));
+
+// Guards against a lost server whose streams count as begun by the listed version, although
+// it was back as another one, and against refusals where nothing tells of another one.
+test.each([
+  { name: "the listed one answers", starts: [1], calls: 1, is: true },
+  { name: "another one answers", starts: [2], calls: 1, is: false },
+  {
+    name: "another one answers, listed later with the same version",
+    starts: [2],
+    now: listed(2),
+    calls: 1,
+    is: true,
+  },
+  {
+    name: "another one answers, listed later with another version",
+    starts: [2],
+    now: listed(2, "v2"),
+    calls: 1,
+    is: false,
+  },
+  { name: "nobody answers", starts: [], calls: 1, is: true },
+  {
+    name: "nobody answers after a loss",
+    followsLoss: true,
+    starts: [],
+    calls: 2,
+    is: false,
+  },
+  {
+    name: "the listed one answers late after a loss",
+    followsLoss: true,
+    starts: [undefined, 1],
+    calls: 2,
+    is: true,
+  },
+  {
+    name: "another one answers after the contact",
+    isUnbroken: false,
+    starts: [2],
+    calls: 1,
+    is: true,
+  },
+])(
+  "a stream that began at a server: $name",
+  async ({
+    starts,
+    now = listed(1),
+    calls,
+    is,
+    followsLoss = false,
+    isUnbroken = true,
+  }) => {
+    const answers: (number | undefined)[] = [...starts];
+    let asked = 0;
+    const report = () => {
+      asked += 1;
+      const born = answers.shift();
+      const advertised = NOTHING_ADVERTISED;
+      const told = { born, endsInMilliseconds: undefined, advertised };
+      return Promise.resolve(born === undefined ? undefined : told);
+    };
+    const clock = new ManualClock();
+    const checks = new IncarnationChecks({
+      clock,
+      logger: SILENT_LOGGER,
+      engineControl: { report } as unknown as EngineControl,
+      advertisements: ignoringAdvertisementReader(),
+    });
+    const stream = { service: SERVICE, contact: { isUnbroken, followsLoss } };
+    const record = listed(1);
+    const begins = [0, 1].map(() => checks.began(record, stream));
+    clock.advance(1);
+    const verdicts = begins.map(
+      async (begin) =>
+        begin && (await checks.isOfListedVersion(begin, () => now)),
+    );
+    expect(await Promise.all(verdicts)).toEqual([is, is]);
+    expect(asked).toBe(calls);
+  },
+);
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -611,7 +611,7 @@
   #resend(reason: ResendReason, fallback: RefusalReason): void {
     if (this.#answer.finished) return;
     const wanted = { reason, fallback };
-    const forbidden = this.#streamVersion.isUncertain
+    const forbidden = this.#streamVersion.broke()
       ? "version_unknown"
       : this.#rules.reasonAgainstResend(this.#remaining());
     if (forbidden !== undefined) {
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -85,7 +85,7 @@
   /** Server incarnations that the request was sent to. */
   readonly tried: ReadonlySet<string>;
   /** Version that the stream has to continue at, and whether it can't be told. */
-  readonly stream: Pick<StreamVersion, "required" | "isUncertain">;
+  readonly stream: Pick<StreamVersion, "required" | "isUncertain" | "settled">;
   /** Whether its caller has a final answer. */
   finished(): boolean;
   /** Notes that capacity is short for the first send. */
@@ -216,6 +216,7 @@
         ? outcome.choice
         : await this.#takePermit({ limited, continues: true });
     const choice = found && (await this.#confirmed(found));
+    await this.#run.stream.settled;
     if (this.#run.finished()) return;
     // The server that began the stream may have been listed as another version meanwhile.
     if (this.#run.stream.isUncertain) {
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -85,10 +85,16 @@
   return { clock, state, context, waiting, returns, waitedAt, configured };
 }
 
+const STREAM_OF_ANY = {
+  required: undefined,
+  isUncertain: false,
+  settled: Promise.resolve(),
+};
+
 function chooserOf(
   context: RequestContext,
   body = "a",
-  stream: ChooserRun["stream"] = { required: undefined, isUncertain: false },
+  stream: ChooserRun["stream"] = STREAM_OF_ANY,
 ) {
   const events: string[] = [];
   const request = {
@@ -214,7 +220,7 @@
   async (isUncertain, expected) => {
     const { context } = hostOf(30);
     const record = new ServerRecord(backendServerStandin({ version: "v1" }));
-    const stream = { required: "v1", isUncertain: false };
+    const stream = { ...STREAM_OF_ANY, required: "v1" };
     Object.assign(context, {
       rollouts: { choice: () => ({ first: [record] }) },
       permits: { unlimited: () => [record], limited: () => [] },
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { runInBackground } from "rampswitch-utils";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { RefusalReason } from "../model/outcome.ts";
 import type { StreamKey, StreamOrigin } from "../streams/mod.ts";
@@ -13,6 +14,7 @@
   type AdmittedRequest,
   timeLimitMilliseconds,
 } from "./admitted_request.ts";
+import type { StreamBegin } from "./incarnation_checks.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** Maximum number of characters of an attempt id that is kept or sent to other hosts. */
@@ -21,7 +23,13 @@
 /** The parts of the context that are used here. */
 export type StreamVersionParts = Pick<
   RequestContext,
-  "clock" | "logger" | "metrics" | "streams"
+  | "client"
+  | "clock"
+  | "directory"
+  | "incarnations"
+  | "logger"
+  | "metrics"
+  | "streams"
 >;
 
 /** Reason to refuse a stream, by what was found of the version that began it. */
@@ -38,6 +46,9 @@
   readonly #request: AdmittedRequest;
   readonly #parts: StreamVersionParts;
   #required: string | undefined;
+  /** Its begin at a server, if the server tells which incarnation it is. */
+  #begin: StreamBegin | undefined;
+  #settled: Promise<void> = Promise.resolve();
 
   constructor(request: AdmittedRequest, parts: StreamVersionParts) {
     this.#request = request;
@@ -83,16 +94,49 @@
     return this.#parts.streams.isUncertain(this.#key);
   }
 
+  /** Resolves once everything is known that can tell whether the version is certain. */
+  get settled(): Promise<void> {
+    return this.#settled;
+  }
+
   /** Notes that the caller is about to get the first event from a version. */
-  began(version: string, { incarnation }: ServerRecord): void {
+  began(version: string, record: ServerRecord): void {
+    const isFirst = this.#required === undefined;
     this.#required ??= version;
     // A caller that took events up without naming their attempt can't be told apart.
     if (!this.#request.route.resumable || this.#key.attempt === "") return;
+    const { client, incarnations, streams } = this.#parts;
+    const { service } = this.#request;
+    const contact = client.contact(record.entry.id);
+    if (isFirst) this.#begin = incarnations.began(record, { service, contact });
     const lifetimeMilliseconds = timeLimitMilliseconds(this.#request);
-    this.#parts.streams.began(
+    streams.began(
       { ...this.#key, version, lifetimeMilliseconds },
-      incarnation,
+      record.incarnation,
+    );
+  }
+
+  /**
+   * Notes that the answer broke; returns whether it is known already that it can't be
+   * told which version began the stream. The rest shows once it is {@link settled}.
+   */
+  broke(): boolean {
+    const { incarnations } = this.#parts;
+    const begin = this.#begin;
+    if (begin !== undefined && !incarnations.isConfirmed(begin)) {
+      const settled = this.#settle(begin);
+      this.#settled = settled;
+      runInBackground("version of a stream", this.#parts, () => settled);
+    }
+    return this.isUncertain;
+  }
+
+  async #settle(begin: StreamBegin): Promise<void> {
+    const { directory, incarnations, streams } = this.#parts;
+    const isCertain = await incarnations.isOfListedVersion(begin, () =>
+      directory.get(begin.record.entry.id),
     );
+    if (!isCertain) streams.becameUncertain(this.#key);
   }
 
   /** Notes that the stream was given whole. */
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -183,11 +183,14 @@
     const now = this.#parts.clock.now();
     this.#streams
       .begunAt(server, this.#listCurrentAt - LISTING_LAG_MILLISECONDS)
-      .map((stream) => ({ ...stream, version: undefined }))
-      .forEach((stream) => {
-        this.#streams.add(stream, now);
-        this.#parts.tell(recordOf(stream, now));
-      });
+      .forEach((stream) => this.#markUncertain(stream, now));
+  }
+
+  /** Notes that it can't be told which version began a stream that broke. */
+  becameUncertain(key: StreamKey): void {
+    const now = this.#parts.clock.now();
+    const stream = this.#streams.get(key, now);
+    if (stream !== undefined) this.#markUncertain(stream, now);
   }
 
   /** Services whose streams may have begun at one of several versions. */
@@ -459,6 +462,12 @@
     return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
   }
 
+  #markUncertain(begun: BegunStream, now: number): void {
+    const stream = { ...begun, version: undefined };
+    this.#streams.add(stream, now);
+    this.#parts.tell(recordOf(stream, now));
+  }
+
   /** Applies a change of the versions; running streams are told if several result. */
   #tellOnceMixed(service: string, change: (now: number) => void): void {
     const now = this.#parts.clock.now();
