Let streams that are taken up wait for a limit that allows them soon

Cause: by the hosts' lines, the first 13 take-ups after the last end of all hosts, within 0.2 s, were refused by the limits of their workspaces with a Retry-After of 0.35 s: hosts that have just started admit no more than a part of what is left before the others hear of it. The callers of that kind of request try only once more, so that each refusal ends a stream.

Ruled out: versions that nobody knows (0 of 70 streams were refused for their version), reserves for more urgent routes (mended before).

Change: where a limit allows a stream that is taken up within 1.1 s in all, it waits for that and is checked anew, by the same rule: no more is admitted than before. New requests are told at once when to come back, as before.

--- a/packages/rampswitch-serving/src/admission/fleet_admission.ts
+++ b/packages/rampswitch-serving/src/admission/fleet_admission.ts
@@ -13,11 +13,17 @@
  *
  * @module
  */
-import type { Clock } from "rampswitch-utils";
+import { type Clock, sleep } from "rampswitch-utils";
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { LimitDecision, LimitRequest } from "./limit_request.ts";
 import type { WorkspaceLimits } from "./workspace_limits.ts";
 
+/**
+ * Longest wait of a request for its limit, in milliseconds: three lags of the updates of
+ * other hosts, within which hosts that admit slowly may admit it.
+ */
+const MAXIMUM_WAIT_MILLISECONDS = 1_100;
+
 /** Dependencies of {@link FleetAdmission}. */
 export interface FleetAdmissionParts {
   /** A monotonic clock. */
@@ -55,6 +61,23 @@
     return relayDecision ?? ownDecision ?? this.decide(request);
   }
 
+  /**
+   * Admits a request, after a wait if the limit may allow it soon; for requests that have
+   * few tries left and are worth more than new ones.
+   */
+  async admitSoon(
+    request: LimitRequest,
+    waitMilliseconds = MAXIMUM_WAIT_MILLISECONDS,
+  ): Promise<LimitDecision> {
+    const decision = await this.admit(request);
+    if (decision.kind === "admitted") return decision;
+    const { retryAfterMilliseconds } = decision;
+    const left = waitMilliseconds - retryAfterMilliseconds;
+    if (left < 0) return decision;
+    await sleep(this.#parts.clock, retryAfterMilliseconds);
+    return this.admitSoon(request, left);
+  }
+
   /**
    * Decides from this host's own state, for itself or for a host that queries.
    */
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -363,12 +363,12 @@
     const { route, workspace } = destination;
     if (workspace === undefined) return Result.ok(0);
     const tokens = chargeOf(head, workspace);
-    const decision = await this.#context.admission.admit({
-      workspace: workspace.name,
-      tokens,
-      // Nothing is reserved before the rest of a stream that its caller has begun to get.
-      priority: isTakeUp({ head, route }) ? MOST_URGENT : route.priority,
-    });
+    const { admission } = this.#context;
+    const limited = { workspace: workspace.name, tokens };
+    // Nothing is reserved before the rest of a stream that its caller has begun to get.
+    const decision = isTakeUp({ head, route })
+      ? await admission.admitSoon({ ...limited, priority: MOST_URGENT })
+      : await admission.admit({ ...limited, priority: route.priority });
     return decision.kind === "admitted"
       ? Result.ok(tokens)
       : Result.err({
