Keep the time in which a list of servers is behind until it has caught up

Cause: an update of any host whose list is no newer than this one ended the time in which this list is behind, though a third host has a newer list. Changes read later were then dated too late. Ruled out: ending it when it is read. The watcher moves its position before it reports the changes of an answer, so the lacking changes themselves would be dated too late (test 'while the changes that it lacked are read'). Change: the newest change heard of decides; the time ends at the next update of a host or answer of the store after the list has caught up.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -75,14 +75,14 @@
 
   /** Notes the newest change of a server that another host reported. */
   heard(newestChange: number): void {
+    this.#endLag();
     this.#newestHeard = Math.max(this.#newestHeard, newestChange);
-    if (newestChange > this.#list.version) {
-      this.#behindSince ??= this.#clock.now();
-    } else this.#behindSince = undefined;
+    if (this.#isBehind) this.#behindSince ??= this.#clock.now();
   }
 
   /** Notes that the store answered this host, or hosts that it hears of, at a time. */
   confirmed(at: number): void {
+    this.#endLag();
     const from = this.#confirmedAt ?? at;
     if (at - from >= SILENCE_MILLISECONDS) {
       this.#lastSilence = { from, until: this.#clock.now() };
@@ -98,6 +98,18 @@
     return this.#confirmations.confirm();
   }
 
+  get #isBehind(): boolean {
+    return this.#newestHeard > this.#list.version;
+  }
+
+  /**
+   * Ends the time in which the list is behind once it has caught up. It is called later
+   * than the changes are read that were lacking, since these count from its start.
+   */
+  #endLag(): void {
+    if (!this.#isBehind) this.#behindSince = undefined;
+  }
+
   get #currentAt(): number {
     const now = this.#clock.now();
     return Math.min(now, this.#behindSince ?? now, this.#silentSince ?? now);
