Keep the start of a silence of the store through a second one

Cause: only the last silence was kept. Ruled out: one silence that begins with the first and ends with the last: a store that is silent again and again would date all changes ever further back (test 'soon after the second silence of the store, long after the first'). Change: each silence counts until its own time to catch up is over.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -54,7 +54,8 @@
   #behindSince: number | undefined;
   /** Time as of which the store last answered; `undefined` before the first answer. */
   #confirmedAt: number | undefined;
-  #lastSilence: StoreSilence | undefined;
+  /** Those whose changes may still be read. */
+  #silences: readonly StoreSilence[] = [];
 
   constructor(list: Watcher, clock: Clock) {
     this.#list = list;
@@ -85,7 +86,8 @@
     this.#endLag();
     const from = this.#confirmedAt ?? at;
     if (at - from >= SILENCE_MILLISECONDS) {
-      this.#lastSilence = { from, until: this.#clock.now() };
+      const silence = { from, until: this.#clock.now() };
+      this.#silences = [...this.#recentSilences, silence];
     }
     this.#confirmedAt = Math.max(from, at);
   }
@@ -118,11 +120,18 @@
   /** Since when the store is silent, or was until a moment ago. */
   get #silentSince(): number | undefined {
     const now = this.#clock.now();
-    const isSilent = now - (this.#confirmedAt ?? now) >= SILENCE_MILLISECONDS;
-    if (isSilent) return this.#confirmedAt;
-    const silence = this.#lastSilence;
-    const isRecent =
-      silence !== undefined && now - silence.until < CATCH_UP_MILLISECONDS;
-    return isRecent ? silence.from : undefined;
+    const confirmedAt = this.#confirmedAt ?? now;
+    const isSilent = now - confirmedAt >= SILENCE_MILLISECONDS;
+    // The earliest silence comes first.
+    return (
+      this.#recentSilences[0]?.from ?? (isSilent ? confirmedAt : undefined)
+    );
+  }
+
+  get #recentSilences(): readonly StoreSilence[] {
+    const now = this.#clock.now();
+    return this.#silences.filter(
+      ({ until }) => now - until < CATCH_UP_MILLISECONDS,
+    );
   }
 }
--- a/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence_test.ts
@@ -113,6 +113,25 @@
     at: 11_700,
     currentAt: 900,
   },
+  {
+    name: "while the store is silent again, soon after it was",
+    steps: [
+      { at: 1_000, confirmed: 900 },
+      { at: 9_000, confirmed: 8_900 },
+    ],
+    at: 11_600,
+    currentAt: 900,
+  },
+  {
+    name: "soon after the second silence of the store, long after the first",
+    steps: [
+      { at: 1_000, confirmed: 900 },
+      { at: 9_000, confirmed: 8_900 },
+      { at: 11_600, confirmed: 11_500 },
+    ],
+    at: 12_000,
+    currentAt: 8_900,
+  },
 ])("a list of servers is current $name", ({ steps, at, currentAt }) => {
   const clock = new ManualClock(0);
   const list = { version: 4, newestChange: 4 };
