Date a stream that is read or told again by the first time

Cause: each read of the same record dated the stream anew, so that a change of its server that was listed long after it began seemed to have come before it. Ruled out: the earlier date for any two records: those of another version or server are of something else, and keep the later one. Change: a record of the same stream, version and server keeps its earlier date. The record that the tests use is defined once.

--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -97,7 +97,8 @@
 
 /**
  * What two sources together know of a stream: the later one, without a version if they
- * differ in it. A stream has one version, so one of the two is wrong.
+ * differ in it. A stream has one version, so one of the two is wrong. The same record is
+ * dated by the first time that it was learned.
  */
 export function combinedStream(
   earlier: BegunStream | undefined,
@@ -105,6 +106,12 @@
 ): BegunStream | undefined {
   if (earlier === undefined || later === undefined) return later ?? earlier;
   const expiresAt = Math.max(earlier.expiresAt, later.expiresAt);
-  const version = earlier.version === later.version ? later.version : undefined;
-  return { ...later, version, expiresAt };
+  const isSameVersion = earlier.version === later.version;
+  const version = isSameVersion ? later.version : undefined;
+  // The same record is read or told again; the stream is as old as it was.
+  const isSame = isSameVersion && earlier.serverId === later.serverId;
+  const addedAt = isSame
+    ? Math.min(earlier.addedAt, later.addedAt)
+    : later.addedAt;
+  return { ...later, version, addedAt, expiresAt };
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -79,6 +79,9 @@
   lifetimeMilliseconds: LIFETIME_MILLISECONDS,
 };
 
+/** Stored by another host than the one that reads it. */
+const NOT_OWN = { isOwn: false };
+
 const KNOWN: StreamReply = { kind: "known", version: "v2" };
 const UNKNOWN: StreamReply = { kind: "unknown" };
 const LOST = { kind: "lost" };
@@ -331,13 +334,6 @@
     },
   );
 
-  const RECORD = {
-    ...STREAM,
-    version: "v1",
-    serverId: "s1",
-    lifetimeMilliseconds: LIFETIME_MILLISECONDS,
-  };
-
   /** A host that was told of a stream, and lists its server with some versions. */
   const toldHost = (...versions: readonly string[]) => {
     const host = hostOf();
@@ -758,14 +754,17 @@
   },
 );
 
-// Guards against streams that are refused since what is stored was read once more.
-test("a stream that is read again counts as no younger", () => {
-  const { clock, streams, list } = hostOf();
-  list("s1", "v1");
-  streams.restoreStreams([RECORD], { isOwn: false });
-  clock.advance(2_500);
-  list("s1", "v2");
-  const before = streams.isUncertain(STREAM);
-  streams.restoreStreams([RECORD], { isOwn: false });
-  expect([before, streams.isUncertain(STREAM)]).toEqual([false, false]);
+// Guards against streams that are refused since a record was read or told once more.
+test.each([
+  ["read", ({ streams }: Host) => streams.restoreStreams([RECORD], NOT_OWN)],
+  ["told", ({ streams }: Host) => streams.receive(RECORD)],
+] as const)("a stream that is %s again counts as no younger", (_, note) => {
+  const host = hostOf();
+  host.list("s1", "v1");
+  note(host);
+  host.clock.advance(2_500);
+  host.list("s1", "v2");
+  const before = host.streams.isUncertain(STREAM);
+  note(host);
+  expect([before, host.streams.isUncertain(STREAM)]).toEqual([false, false]);
 });
