Keep stored versions while another host has a newer list

Cause: a host whose list is behind stored the versions that it knows in place of all that were stored. One whose servers it hasn't listed was removed after a minute, and the claim that there are no others stayed. Ruled out: no write at all by such a host: a version that it alone knows would be named by nobody. Change: while its list is behind, it stores what was stored and what it knows together. Before: 'are not removed by a host whose list is older than another's' failed (the next host takes v1). After: origin_archive_test, 33 of 33 pass.

--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -166,9 +166,29 @@
   #value(): string {
     return encodeVersions({
       completeInEra: this.#completeInEra,
-      services: this.#parts.origins.versions,
+      services: this.#services,
     });
   }
+
+  /**
+   * The versions that this host knows. While another host has a newer list, those that
+   * were stored before stay: a server of theirs may be listed there.
+   */
+  get #services(): ServiceVersions {
+    const { origins } = this.#parts;
+    if (!origins.isListBehind) return origins.versions;
+    const { versions } = origins;
+    const stored = this.#known.services;
+    const services = new Set([...stored.keys(), ...versions.keys()]);
+    return new Map(
+      [...services].toSorted().map((service) => {
+        const names = [stored, versions].flatMap(
+          (each) => each.get(service) ?? [],
+        );
+        return [service, [...new Set(names)].toSorted()];
+      }),
+    );
+  }
 }
 
 /** What log lines tell of the versions of the services. */
