Count the time that a host was there from its first listed server

Cause: a host knew the past a minute after its start, also if it had received no list of servers in that minute: versions may have served and gone unseen. Ruled out: the position of the list as the start: the list is there before its servers were noted, as the failing test has it. Change: the minute begins with the first listed server. A host that read of the past at its first list knows it at once, as before. Before: 'a host that has just listed its first server' failed ('single', past known).

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -392,9 +392,13 @@
     };
   }
 
-  /** Whether this host read which versions served, or saw it for long enough. */
+  /**
+   * Whether this host read which versions served, or saw it for long enough. Before it
+   * first listed a server it may have received no list.
+   */
   get #wasThere(): boolean {
-    const age = this.#parts.clock.now() - this.#startedAt;
+    const listedAt = this.#listedAt ?? Infinity;
+    const age = this.#parts.clock.now() - listedAt;
     return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
   }
 
