Keep what a query found of a stream

Cause: the version that another host named was used and not kept. A listing of its server as another version, while a server was chosen for the stream, was compared with nothing. Ruled out: keeping it where this host has its own record: that is compared already, and would lose that the stream is served here. Change: a reply that names a server is kept like a record that was told, dated by the age that the reply tells.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -227,7 +227,11 @@
         return known === undefined || known.version !== record.version;
       })
       .forEach((record) =>
-        this.#add(record, { server: undefined, isServedHere: isOwn }, table),
+        this.#add(
+          record,
+          { server: undefined, isServedHere: isOwn },
+          { table },
+        ),
       );
     // Their versions may have been stored by nobody else.
     versionsIn(records).forEach((names, service) => {
@@ -312,6 +316,7 @@
     });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
+      this.#keepFound(key, asked);
     }
     if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
@@ -328,6 +333,27 @@
     return isLost ? LOST : later;
   }
 
+  /** Keeps what replies name: their server may be listed as another version yet. */
+  #keepFound(key: StreamKey, { replies }: StreamReplies): void {
+    if (this.#get(key) !== undefined) return;
+    replies
+      .filter((reply) => reply.kind === "known")
+      // Without a server no listing changes what is known.
+      .filter(({ serverId }) => serverId !== undefined)
+      .forEach(({ version, serverId, ageMilliseconds = 0 }) =>
+        this.#add(
+          {
+            ...key,
+            version,
+            serverId,
+            lifetimeMilliseconds: VERSION_RETENTION_MILLISECONDS,
+          },
+          { server: undefined, isServedHere: false },
+          { ageMilliseconds },
+        ),
+      );
+  }
+
   /** Queries other hosts; their lists may be older than this host's. */
   async #query(key: StreamKey): Promise<StreamReplies> {
     const asked = await this.#parts.query(key);
@@ -526,11 +552,18 @@
   #add(
     { lifetimeMilliseconds, serverId, ...stream }: StreamRecord,
     source: Pick<BegunStream, "server" | "isServedHere">,
-    table = this.#streams,
+    {
+      table = this.#streams,
+      ageMilliseconds = 0,
+    }: {
+      readonly table?: BegunStreams;
+      readonly ageMilliseconds?: number;
+    } = {},
   ): void {
     const now = this.#parts.clock.now();
+    const addedAt = now - ageMilliseconds;
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    table.add({ ...stream, ...source, serverId, addedAt: now, expiresAt }, now);
+    table.add({ ...stream, ...source, serverId, addedAt, expiresAt }, now);
   }
 }
 
