Date a stream anew that its server gives events of again here

Events given shortly before that server is listed as another version then seemed older than the change. Ruled out: the same for records that are told: a repetition can't be told from a new begin there. Change: a stream that this host begins counts from then. Before: 'a stream that is taken up at its server counts from then' failed (certain).

--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -108,8 +108,9 @@
   const expiresAt = Math.max(earlier.expiresAt, later.expiresAt);
   const isSameVersion = earlier.version === later.version;
   const version = isSameVersion ? later.version : undefined;
-  // The same record is read or told again; the stream is as old as it was.
-  const isSame = isSameVersion && earlier.serverId === later.serverId;
+  const isSameServer = earlier.serverId === later.serverId;
+  // Read or told again, it is as old as it was; this host's own server gave events now.
+  const isSame = isSameVersion && isSameServer && later.server === undefined;
   const addedAt = isSame
     ? Math.min(earlier.addedAt, later.addedAt)
     : later.addedAt;
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -768,3 +768,16 @@
   note(host);
   expect([before, host.streams.isUncertain(STREAM)]).toEqual([false, false]);
 });
+
+// Guards against a stream that is dated by its begin, though its server gave events of it
+// again when it may have been another version.
+test("a stream that is taken up at its server counts from then", () => {
+  const { clock, streams, list, begin } = hostOf();
+  list("s1", "v1");
+  streams.receive(RECORD);
+  clock.advance(2_500);
+  begin("v1");
+  list("s1", "v2");
+  streams.becameOtherVersion(SERVER);
+  expect(streams.isUncertain(STREAM)).toBe(true);
+});
