Confirm a list that is behind before a host's own record of a stream counts

Cause: where nobody who replied keeps the stream, a host whose list is behind went by its own record, though another host may list the stream's server as another version. Ruled out: refusing at once: the store's confirmation brings the list up to date, so a stream is refused only while the store doesn't answer; a store that is away, as in the case of one version alone: a change is known to be lacking here. Change: the list is confirmed first, for records that were told and for those that are read; if that fails, the version is unknown for now.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -310,6 +310,8 @@
     }
     const asked = await this.#query(key);
     this.#logEvidence(key, own, asked);
+    const isKept = asked.replies.some(({ kind }) => KEPT_KINDS.has(kind));
+    if (own.kind === "known" && !isKept) return this.#originHere(key);
     const origin = await this.#originFrom(key, asked, {
       hasReadStored: false,
       mayConfirm: true,
@@ -320,9 +322,7 @@
     }
     if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
-    const stored = this.replyTo(key);
-    if (stored.kind === "known") return this.#originOf(key, stored.version);
-    if (this.isUncertain(key)) return LOST;
+    if (this.#get(key) !== undefined) return this.#originHere(key);
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
       // A store that can't be read confirms nothing either.
@@ -333,6 +333,19 @@
     return isLost ? LOST : later;
   }
 
+  /**
+   * The version by this host's record of a stream that nobody who replied keeps. A list
+   * that is behind may lack that the stream's server has another version now.
+   */
+  async #originHere(key: StreamKey): Promise<StreamOrigin> {
+    const isCurrent = !this.isListBehind || (await this.#parts.confirmList());
+    if (this.isUncertain(key)) return LOST;
+    const own = this.replyTo(key);
+    return isCurrent && own.kind === "known"
+      ? this.#originOf(key, own.version)
+      : UNKNOWN;
+  }
+
   /** Keeps what replies name: their server may be listed as another version yet. */
   #keepFound(key: StreamKey, { replies }: StreamReplies): void {
     if (this.#get(key) !== undefined) return;
@@ -574,6 +587,12 @@
   return isServedHere ? "stored" : "told";
 }
 
+/** Replies of hosts that keep the stream. */
+const KEPT_KINDS: ReadonlySet<StreamReply["kind"]> = new Set([
+  "known",
+  "uncertain",
+]);
+
 /** Nobody will ever know the version. */
 const LOST: StreamOrigin = { kind: "lost" };
 
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -41,6 +41,9 @@
     keepers: NO_STREAM_REPLIES.keepers,
     areHostsListed: true,
     hasRead: false,
+    /** What the host learns from the store's answers. */
+    confirmed: () => undefined,
+    read: () => undefined,
   };
   const streams = new StreamOrigins({
     clock,
@@ -48,6 +51,7 @@
     serverList: () => state.list,
     confirmList: () => {
       state.confirmations += 1;
+      state.confirmed();
       return Promise.resolve(state.isListConfirmed);
     },
     isStoreAway: () => state.isStoreAway,
@@ -58,7 +62,10 @@
       const { replies, isComplete, isMajority, keepers } = state;
       return Promise.resolve({ replies, isComplete, isMajority, keepers });
     },
-    readStored: () => Promise.resolve(state.hasRead),
+    readStored: () => {
+      state.read();
+      return Promise.resolve(state.hasRead);
+    },
   });
   const list = (id: string, version: string) =>
     streams.listed({ id, service: SERVICE, version });
@@ -738,9 +745,14 @@
 // that replies keeps the stream.
 test.each([
   ["told", ({ streams }: Host) => streams.receive(RECORD)],
+  ["stored", ({ streams }: Host) => streams.restoreStreams([RECORD], NOT_OWN)],
   [
-    "stored",
-    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: false }),
+    "stored, and read only now",
+    ({ state, streams }: Host) =>
+      Object.assign(state, {
+        hasRead: true,
+        read: () => streams.restoreStreams([RECORD], NOT_OWN),
+      }),
   ],
 ] as const)(
   "a version is not taken from an old list where nobody else keeps the stream: %s",
@@ -754,6 +766,23 @@
   },
 );
 
+test.each([
+  ["is as before", "v1", { ...KNOWN, version: "v1", source: "told" }],
+  ["is another one", "v2", LOST],
+])(
+  "a version is taken from an old list as the store confirms it: its server %s",
+  async (_, version, expected) => {
+    const { state, streams, list } = hostOf([UNKNOWN]);
+    list("s1", "v1");
+    streams.receive(RECORD);
+    Object.assign(state, {
+      list: { ...CURRENT_LIST, newestHeard: 2 },
+      confirmed: () => list("s1", version),
+    });
+    expect(await streams.find(STREAM)).toMatchObject(expected);
+  },
+);
+
 // Guards against streams that are refused since a record was read or told once more.
 test.each([
   ["read", ({ streams }: Host) => streams.restoreStreams([RECORD], NOT_OWN)],
