--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -53,7 +53,10 @@
   readonly o: Exclude<StreamReply["kind"], "uncertain">;
   /** Absent if it is not known. */
   readonly v?: string | undefined;
-  /** Whether it can't be told; the kind is then `unknown`. */
+  /**
+   * Whether it can't be told. The kind is then `unknown`: hosts of earlier releases
+   * accept no other kind, and would drop the answer.
+   */
   readonly u?: boolean | undefined;
   /** Id of the server that began it, if the host has not listed it otherwise. */
   readonly w?: string | undefined;
--- a/packages/rampswitch-serving/src/streams/stream_evidence.ts
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -35,8 +35,7 @@
  * somebody knows the past, nobody has seen another version, and no host is silent that
  * may have been sent the stream's version. A host that knows that the version can't be
  * told outweighs one that names it, whose list may be old. A host that hears few others
- * may be cut off
- * from those that know more. What all of them miss since they have just
+ * may be cut off from those that know more. What all of them miss since they have just
  * started, or since their lists are old, is no evidence.
  */
 export function judgeReplies(
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -153,6 +153,12 @@
     return this.#wasThere && !this.#hasGap;
   }
 
+  /** Whether another host has received changes of servers that this one lacks. */
+  get isListBehind(): boolean {
+    const { version, newestHeard } = this.#parts.serverList();
+    return newestHeard > version;
+  }
+
   /** Whether the servers were listed so long after the store was read that it is due again. */
   get hasListedLate(): boolean {
     const hasRead = this.#pastReadAt !== undefined;
@@ -466,12 +472,6 @@
     );
   }
 
-  /** Whether another host has received changes of servers that this one lacks. */
-  get isListBehind(): boolean {
-    const { version, newestHeard } = this.#parts.serverList();
-    return newestHeard > version;
-  }
-
   /**
    * Time since the last server of a version was listed, in milliseconds; 0 while another
    * host has a newer list, which may have one.
