Shorten the stream's name in the line of a refused request

Cause: a caller may name a stream of any length, and the line of a refused request has the name whole.

--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -37,6 +37,7 @@
 } from "../relay/request_context.ts";
 import type { AdmittedRequest } from "../relay/admitted_request.ts";
 import { RequestRun } from "../relay/request_run.ts";
+import { shortened } from "../relay/run_record.ts";
 import { isTakeUp } from "../relay/stream_version.ts";
 import { LoopBacklog, pendingEventsHandled } from "./loop_backlog.ts";
 import { drawTarget, type RouteIndex } from "./route_index.ts";
@@ -410,7 +411,7 @@
       outcome: reason,
       status: REFUSALS[reason].status,
       path: head.target,
-      resumes: head.resumes,
+      resumes: shortened(head.resumes),
       workspace: refused.workspace,
       tokens: refused.tokens,
       fingerprint: refused.fingerprint,
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -399,7 +399,8 @@
   }
 }
 
-function shortened(id: string | undefined): string | undefined {
+/** An identifier from a caller or a server, as log lines show it. */
+export function shortened(id: string | undefined): string | undefined {
   return id?.slice(0, MAXIMUM_ID_LENGTH);
 }
 
