--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -54,7 +54,8 @@
   #behindSince: number | undefined;
   /** Time as of which the store last answered; `undefined` before the first answer. */
   #confirmedAt: number | undefined;
-  #lastSilence: StoreSilence | undefined;
+  /** Those whose changes may still be read. */
+  #silences: readonly StoreSilence[] = [];
 
   constructor(list: Watcher, clock: Clock) {
     this.#list = list;
@@ -75,17 +76,18 @@
 
   /** Notes the newest change of a server that another host reported. */
   heard(newestChange: number): void {
+    this.#endLag();
     this.#newestHeard = Math.max(this.#newestHeard, newestChange);
-    if (newestChange > this.#list.version) {
-      this.#behindSince ??= this.#clock.now();
-    } else this.#behindSince = undefined;
+    if (this.#isBehind) this.#behindSince ??= this.#clock.now();
   }
 
   /** Notes that the store answered this host, or hosts that it hears of, at a time. */
   confirmed(at: number): void {
+    this.#endLag();
     const from = this.#confirmedAt ?? at;
     if (at - from >= SILENCE_MILLISECONDS) {
-      this.#lastSilence = { from, until: this.#clock.now() };
+      const silence = { from, until: this.#clock.now() };
+      this.#silences = [...this.#recentSilences, silence];
     }
     this.#confirmedAt = Math.max(from, at);
   }
@@ -98,6 +100,18 @@
     return this.#confirmations.confirm();
   }
 
+  get #isBehind(): boolean {
+    return this.#newestHeard > this.#list.version;
+  }
+
+  /**
+   * Ends the time in which the list is behind once it has caught up. It is called later
+   * than the changes are read that were lacking, since these count from its start.
+   */
+  #endLag(): void {
+    if (!this.#isBehind) this.#behindSince = undefined;
+  }
+
   get #currentAt(): number {
     const now = this.#clock.now();
     return Math.min(now, this.#behindSince ?? now, this.#silentSince ?? now);
@@ -106,11 +120,18 @@
   /** Since when the store is silent, or was until a moment ago. */
   get #silentSince(): number | undefined {
     const now = this.#clock.now();
-    const isSilent = now - (this.#confirmedAt ?? now) >= SILENCE_MILLISECONDS;
-    if (isSilent) return this.#confirmedAt;
-    const silence = this.#lastSilence;
-    const isRecent =
-      silence !== undefined && now - silence.until < CATCH_UP_MILLISECONDS;
-    return isRecent ? silence.from : undefined;
+    const confirmedAt = this.#confirmedAt ?? now;
+    const isSilent = now - confirmedAt >= SILENCE_MILLISECONDS;
+    // The earliest silence comes first.
+    return (
+      this.#recentSilences[0]?.from ?? (isSilent ? confirmedAt : undefined)
+    );
+  }
+
+  get #recentSilences(): readonly StoreSilence[] {
+    const now = this.#clock.now();
+    return this.#silences.filter(
+      ({ until }) => now - until < CATCH_UP_MILLISECONDS,
+    );
   }
 }
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -97,7 +97,8 @@
 
 /**
  * What two sources together know of a stream: the later one, without a version if they
- * differ in it. A stream has one version, so one of the two is wrong.
+ * differ in it. A stream has one version, so one of the two is wrong. The same record is
+ * dated by the first time that it was learned.
  */
 export function combinedStream(
   earlier: BegunStream | undefined,
@@ -105,6 +106,13 @@
 ): BegunStream | undefined {
   if (earlier === undefined || later === undefined) return later ?? earlier;
   const expiresAt = Math.max(earlier.expiresAt, later.expiresAt);
-  const version = earlier.version === later.version ? later.version : undefined;
-  return { ...later, version, expiresAt };
+  const isSameVersion = earlier.version === later.version;
+  const version = isSameVersion ? later.version : undefined;
+  const isSameServer = earlier.serverId === later.serverId;
+  // Read or told again, it is as old as it was; this host's own server gave events now.
+  const isSame = isSameVersion && isSameServer && later.server === undefined;
+  const addedAt = isSame
+    ? Math.min(earlier.addedAt, later.addedAt)
+    : later.addedAt;
+  return { ...later, version, addedAt, expiresAt };
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -158,6 +158,12 @@
     return this.#wasThere && !this.#hasGap;
   }
 
+  /** Whether another host has received changes of servers that this one lacks. */
+  get isListBehind(): boolean {
+    const { version, newestHeard } = this.#parts.serverList();
+    return newestHeard > version;
+  }
+
   /** Whether the servers were listed so long after the store was read that it is due again. */
   get hasListedLate(): boolean {
     const hasRead = this.#pastReadAt !== undefined;
@@ -235,7 +241,11 @@
         return known === undefined || known.version !== record.version;
       })
       .forEach((record) =>
-        this.#add(record, { server: undefined, isServedHere: isOwn }, table),
+        this.#add(
+          record,
+          { server: undefined, isServedHere: isOwn },
+          { table },
+        ),
       );
     // Their versions may have been stored by nobody else.
     versionsIn(records).forEach((names, service) => {
@@ -314,18 +324,19 @@
     }
     const asked = await this.#query(key);
     this.#logEvidence(key, own, asked);
+    const isKept = asked.replies.some(({ kind }) => KEPT_KINDS.has(kind));
+    if (own.kind === "known" && !isKept) return this.#originHere(key);
     const origin = await this.#originFrom(key, asked, {
       hasReadStored: false,
       mayConfirm: true,
     });
     if (origin.kind === "known") {
       this.#learn({ ...key, version: origin.version });
+      this.#keepFound(key, asked);
     }
     if (origin.kind !== "unknown") return origin;
     const hasRead = await this.#parts.readStored();
-    const stored = this.replyTo(key);
-    if (stored.kind === "known") return this.#originOf(key, stored.version);
-    if (this.isUncertain(key)) return LOST;
+    if (this.#get(key) !== undefined) return this.#originHere(key);
     const later = await this.#originFrom(key, asked, {
       hasReadStored: hasRead,
       // A store that can't be read confirms nothing either.
@@ -336,6 +347,40 @@
     return isLost ? LOST : later;
   }
 
+  /**
+   * The version by this host's record of a stream that nobody who replied keeps. A list
+   * that is behind may lack that the stream's server has another version now.
+   */
+  async #originHere(key: StreamKey): Promise<StreamOrigin> {
+    const isCurrent = !this.isListBehind || (await this.#parts.confirmList());
+    if (this.isUncertain(key)) return LOST;
+    const own = this.replyTo(key);
+    return isCurrent && own.kind === "known"
+      ? this.#originOf(key, own.version)
+      : UNKNOWN;
+  }
+
+  /** Keeps what replies name: their server may be listed as another version yet. */
+  #keepFound(key: StreamKey, { replies }: StreamReplies): void {
+    if (this.#get(key) !== undefined) return;
+    replies
+      .filter((reply) => reply.kind === "known")
+      // Without a server no listing changes what is known.
+      .filter(({ serverId }) => serverId !== undefined)
+      .forEach(({ version, serverId, ageMilliseconds = 0 }) =>
+        this.#add(
+          {
+            ...key,
+            version,
+            serverId,
+            lifetimeMilliseconds: VERSION_RETENTION_MILLISECONDS,
+          },
+          { server: undefined, isServedHere: false },
+          { ageMilliseconds },
+        ),
+      );
+  }
+
   /** Queries other hosts; their lists may be older than this host's. */
   async #query(key: StreamKey): Promise<StreamReplies> {
     const asked = await this.#parts.query(key);
@@ -400,9 +445,13 @@
     };
   }
 
-  /** Whether this host read which versions served, or saw it for long enough. */
+  /**
+   * Whether this host read which versions served, or saw it for long enough. Before it
+   * first listed a server it may have received no list.
+   */
   get #wasThere(): boolean {
-    const age = this.#parts.clock.now() - this.#startedAt;
+    const listedAt = this.#listedAt ?? Infinity;
+    const age = this.#parts.clock.now() - listedAt;
     return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
   }
 
@@ -431,12 +480,6 @@
     );
   }
 
-  /** Whether another host has received changes of servers that this one lacks. */
-  get isListBehind(): boolean {
-    const { version, newestHeard } = this.#parts.serverList();
-    return newestHeard > version;
-  }
-
   /**
    * Time since the last server of a version was listed, in milliseconds; 0 while another
    * host has a newer list, which may have one.
@@ -536,11 +579,18 @@
   #add(
     { lifetimeMilliseconds, serverId, ...stream }: StreamRecord,
     source: Pick<BegunStream, "server" | "isServedHere">,
-    table = this.#streams,
+    {
+      table = this.#streams,
+      ageMilliseconds = 0,
+    }: {
+      readonly table?: BegunStreams;
+      readonly ageMilliseconds?: number;
+    } = {},
   ): void {
     const now = this.#parts.clock.now();
+    const addedAt = now - ageMilliseconds;
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    table.add({ ...stream, ...source, serverId, addedAt: now, expiresAt }, now);
+    table.add({ ...stream, ...source, serverId, addedAt, expiresAt }, now);
   }
 }
 
@@ -551,6 +601,12 @@
   return isServedHere ? "stored" : "told";
 }
 
+/** Replies of hosts that keep the stream. */
+const KEPT_KINDS: ReadonlySet<StreamReply["kind"]> = new Set([
+  "known",
+  "uncertain",
+]);
+
 /** Nobody will ever know the version. */
 const LOST: StreamOrigin = { kind: "lost" };
 
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -41,6 +41,9 @@
     keepers: NO_STREAM_REPLIES.keepers,
     areHostsListed: true,
     hasRead: false,
+    /** What the host learns from the store's answers. */
+    confirmed: () => undefined,
+    read: () => undefined,
   };
   const streams = new StreamOrigins({
     clock,
@@ -48,6 +51,7 @@
     serverList: () => state.list,
     confirmList: () => {
       state.confirmations += 1;
+      state.confirmed();
       return Promise.resolve(state.isListConfirmed);
     },
     isStoreAway: () => state.isStoreAway,
@@ -58,7 +62,10 @@
       const { replies, isComplete, isMajority, keepers } = state;
       return Promise.resolve({ replies, isComplete, isMajority, keepers });
     },
-    readStored: () => Promise.resolve(state.hasRead),
+    readStored: () => {
+      state.read();
+      return Promise.resolve(state.hasRead);
+    },
   });
   const list = (id: string, version: string) =>
     streams.listed({ id, service: SERVICE, version });
@@ -79,6 +86,9 @@
   lifetimeMilliseconds: LIFETIME_MILLISECONDS,
 };
 
+/** Stored by another host than the one that reads it. */
+const NOT_OWN = { isOwn: false };
+
 const KNOWN: StreamReply = { kind: "known", version: "v2" };
 const UNKNOWN: StreamReply = { kind: "unknown" };
 const LOST = { kind: "lost" };
@@ -331,13 +341,6 @@
     },
   );
 
-  const RECORD = {
-    ...STREAM,
-    version: "v1",
-    serverId: "s1",
-    lifetimeMilliseconds: LIFETIME_MILLISECONDS,
-  };
-
   /** A host that was told of a stream, and lists its server with some versions. */
   const toldHost = (...versions: readonly string[]) => {
     const host = hostOf();
@@ -742,9 +745,14 @@
 // that replies keeps the stream.
 test.each([
   ["told", ({ streams }: Host) => streams.receive(RECORD)],
+  ["stored", ({ streams }: Host) => streams.restoreStreams([RECORD], NOT_OWN)],
   [
-    "stored",
-    ({ streams }: Host) => streams.restoreStreams([RECORD], { isOwn: false }),
+    "stored, and read only now",
+    ({ state, streams }: Host) =>
+      Object.assign(state, {
+        hasRead: true,
+        read: () => streams.restoreStreams([RECORD], NOT_OWN),
+      }),
   ],
 ] as const)(
   "a version is not taken from an old list where nobody else keeps the stream: %s",
@@ -758,14 +766,47 @@
   },
 );
 
-// Guards against streams that are refused since what is stored was read once more.
-test("a stream that is read again counts as no younger", () => {
-  const { clock, streams, list } = hostOf();
+test.each([
+  ["is as before", "v1", { ...KNOWN, version: "v1", source: "told" }],
+  ["is another one", "v2", LOST],
+])(
+  "a version is taken from an old list as the store confirms it: its server %s",
+  async (_, version, expected) => {
+    const { state, streams, list } = hostOf([UNKNOWN]);
+    list("s1", "v1");
+    streams.receive(RECORD);
+    Object.assign(state, {
+      list: { ...CURRENT_LIST, newestHeard: 2 },
+      confirmed: () => list("s1", version),
+    });
+    expect(await streams.find(STREAM)).toMatchObject(expected);
+  },
+);
+
+// Guards against streams that are refused since a record was read or told once more.
+test.each([
+  ["read", ({ streams }: Host) => streams.restoreStreams([RECORD], NOT_OWN)],
+  ["told", ({ streams }: Host) => streams.receive(RECORD)],
+] as const)("a stream that is %s again counts as no younger", (_, note) => {
+  const host = hostOf();
+  host.list("s1", "v1");
+  note(host);
+  host.clock.advance(2_500);
+  host.list("s1", "v2");
+  const before = host.streams.isUncertain(STREAM);
+  note(host);
+  expect([before, host.streams.isUncertain(STREAM)]).toEqual([false, false]);
+});
+
+// Guards against a stream that is dated by its begin, though its server gave events of it
+// again when it may have been another version.
+test("a stream that is taken up at its server counts from then", () => {
+  const { clock, streams, list, begin } = hostOf();
   list("s1", "v1");
-  streams.restoreStreams([RECORD], { isOwn: false });
+  streams.receive(RECORD);
   clock.advance(2_500);
+  begin("v1");
   list("s1", "v2");
-  const before = streams.isUncertain(STREAM);
-  streams.restoreStreams([RECORD], { isOwn: false });
-  expect([before, streams.isUncertain(STREAM)]).toEqual([false, false]);
+  streams.becameOtherVersion(SERVER);
+  expect(streams.isUncertain(STREAM)).toBe(true);
 });
