Pass nothing on to a later incarnation than the one that is meant

Cause: a host that reaches no server finds the version of a stream and chooses its server by its own list, and has another host pass the request on. That one compared the server's address alone, although it may know by then that the server is a later incarnation, of another version.

Ruled out: the version itself (found at the host that the caller came to, as without forwarding); a server whose address another one has taken over (refused already).

Change: a forwarded request names the start of the incarnation that is meant, and a host that lists a later one answers that it didn't send it, which counts as not written. A host that lists an earlier one sends it as before. Hosts of the former program neither name nor drop the header: one of them that passes a request on hands it to the server.

Measured: forwarding_test.ts, `sends nothing for an incarnation, 1, before the one that it knows, 2` failed before (sent), passes; 31 of 31 tests of forwarding and attempts.

Servers that name no start are not told apart, as for sends without forwarding.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -45,6 +45,8 @@
   readonly id: string;
   /** IP address and port. */
   readonly address: string;
+  /** Start of its incarnation, in milliseconds since 1970, if it is known. */
+  readonly born?: number | undefined;
 }
 
 /** A request to send to a server. */
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -76,6 +76,9 @@
           server.id,
           FORWARDING_HEADERS.address,
           server.address,
+          ...(server.born === undefined
+            ? []
+            : [FORWARDING_HEADERS.born, String(server.born)]),
           FORWARDING_HEADERS.request,
           request.attemptId ?? "",
           FORWARDING_HEADERS.host,
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -15,6 +15,8 @@
   server: "x-forwarding-server",
   /** IP address and port of that server. */
   address: "x-forwarding-address",
+  /** Start of that server's incarnation as the host that forwards knows it, if it does. */
+  born: "x-forwarding-born",
   /** Id of the caller's attempt. */
   request: "x-forwarding-request",
   /** Name of the host that forwards its request. */
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -72,8 +72,8 @@
   readonly client: DirectClient;
   /** Whether an IP address belongs to a host of the fleet. */
   isHostAddress(ip: string): boolean;
-  /** Address of a listed backend server. */
-  addressOf(server: string): string | undefined;
+  /** A listed backend server. */
+  serverOf(id: string): ServerAddress | undefined;
   /** Has a run stopped that the host which forwarded it has given up. */
   stopRun(run: ForwardedRun): void;
   /** Whether this host starts no more requests. */
@@ -171,7 +171,10 @@
   ): NotSentReason | undefined {
     const parts = this.#parts;
     if (!parts.isHostAddress(socket.remoteAddress ?? "")) return "unknown_host";
-    if (parts.addressOf(server.id) !== server.address) return "unknown_server";
+    const listed = parts.serverOf(server.id);
+    if (listed?.address !== server.address) return "unknown_server";
+    // The later incarnation may be of another version.
+    if (isLater(listed, server)) return "unknown_server";
     if (parts.stopping()) return "stopping";
     if (parts.client.isOutOfReach(server.id)) return "out_of_reach";
     const isBusy =
@@ -322,12 +325,25 @@
   }
 }
 
+/** Whether a server is known to be a later incarnation than the one that is meant. */
+function isLater(listed: ServerAddress, meant: ServerAddress): boolean {
+  const { born = -Infinity } = listed;
+  return born > (meant.born ?? Infinity);
+}
+
+/** Start of an incarnation; `undefined` if the host that forwards names none. */
+function startOf(value: string): number | undefined {
+  const born = Number(value);
+  return value !== "" && Number.isFinite(born) ? born : undefined;
+}
+
 function forwardedOf({ rawHeaders }: IncomingMessage): Forwarded {
   const value = (name: string) => headerValue(rawHeaders, name) ?? "";
   return {
     server: {
       id: value(FORWARDING_HEADERS.server),
       address: value(FORWARDING_HEADERS.address),
+      born: startOf(value(FORWARDING_HEADERS.born)),
     },
     attemptId: value(FORWARDING_HEADERS.request),
     from: value(FORWARDING_HEADERS.host),
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -72,7 +72,8 @@
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
       isHostAddress: (ip) => ip === "127.0.0.1",
-      addressOf: (id) => (id === SERVER_ID ? server.address : undefined),
+      serverOf: (id) =>
+        id === SERVER_ID ? { id, ...server, born: 2 } : undefined,
       stopping: () => false,
       stopRun: () => undefined,
       client: {
@@ -105,6 +106,7 @@
   async send(
     options: {
       readonly server?: string;
+      readonly born?: number;
       readonly headers?: readonly string[];
       readonly body?: string;
       /** Address of the host that forwards; the one started by default. */
@@ -121,12 +123,12 @@
         failed: (failure, detail) =>
           resolve(void told.push(`${failure}: ${detail}`)),
       };
-      const { server = SERVER_ID, headers = [], body } = options;
+      const { server = SERVER_ID, born, headers = [], body } = options;
       const { door = this.doorAddress } = options;
       this.forwarding.send(
         {
           through: { name: "b", address: door, dataHall: "a" },
-          server: { id: server, address: this.serverAddress },
+          server: { id: server, address: this.serverAddress, born },
           request: {
             method: body === undefined ? "GET" : "POST",
             target: "/path?query",
@@ -171,7 +173,7 @@
 
   test("says so where the server takes no connection", async () => {
     await using parts = await Parts.start((_, response) => response.end(), {
-      addressOf: () => "127.0.0.1:1",
+      serverOf: (id) => ({ id, address: "127.0.0.1:1" }),
     });
     Object.assign(parts, { serverAddress: "127.0.0.1:1" });
     const told = await parts.send();
@@ -189,6 +191,22 @@
     expect((await parts.send()).at(-1)).toBe(`not_written: ${reason}`);
   });
 
+  // Guards against a stream that goes on at another version through a host which knows
+  // that the server is another one by now.
+  test.each([
+    [undefined, "ended"],
+    [1, "not_written: unknown_server"],
+    [2, "ended"],
+    [3, "ended"],
+  ])(
+    "sends nothing for an incarnation, %s, before the one that it knows, 2",
+    async (born, last) => {
+      await using parts = await Parts.start((_, response) => response.end());
+      const told = await parts.send(born === undefined ? {} : { born });
+      expect(told.at(-1)).toBe(last);
+    },
+  );
+
   test("is closed to addresses that belong to no host", async () => {
     await using parts = await Parts.start((_, response) =>
       response.end("reached"),
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -83,7 +83,7 @@
       ...parts,
       client: this.client,
       isHostAddress: (ip) => parts.isHostAddress(ip),
-      addressOf: (server) => this.#directory.get(server)?.entry.address,
+      serverOf: (id) => this.#directory.get(id)?.entry,
       stopRun: (run) => this.#stopRun(run, parts),
       stopping: () => parts.stopping(),
     });
