Allow for the age of a confirmation of a store that serves

Cause: a host's own confirmation is up to 2.4 s and an answer old while the store serves (two timeouts of its watch), and 2.5 s already counted as a silence of the store.

Ruled out: the time between two confirmations (1.2 s, not near the bound).

Change: 2.6 s, as for whether the host's own connection counts as working.

Conclusion: a silence of 2 to 2.6 s leaves up to 0.6 s of a server's unlisted streams.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -30,7 +30,7 @@
  * Time without an answer of the store after which the list may lack changes, in
  * milliseconds; longer than the time between two answers of a store that serves.
  */
-const SILENCE_MILLISECONDS = 2_500;
+const SILENCE_MILLISECONDS = 2_600;
 
 /**
  * Time from the store's first answer in which changes are read that were made while it
