Tell the age of a stream with its version

Cause: a host that is told of a stream took that moment for the stream's begin. When a server comes back as a second version, its host tells all running streams, also those that the server began long before; hosts that list the same change then hold them to be of a version that can't be told. Since one such host outweighs the one that served the stream, so that the streams that broke with that server were refused.

Ruled out: the host that served it (it has the time of the begin).

Change: a record that is told names its age, an optional field of the message; a record from a peer of the former program counts as begun now, as before. What is read from the store has no age, as before.

Conclusion: a stream that is told late is judged as one that is told at once.

--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -33,6 +33,8 @@
   readonly v?: string | undefined;
   /** Id of the server that began it; absent if it is not known. */
   readonly w?: string | undefined;
+  /** Time since it began, or was learned of, in milliseconds; absent if it began now. */
+  readonly g?: number | undefined;
   /** Time in which the stream may be taken up, in milliseconds. */
   readonly t: number;
 }
@@ -78,6 +80,7 @@
   r: isName,
   v: optional(isShortText),
   w: optional(isName),
+  g: optional(isNonnegative),
   t: isNonnegative,
 };
 
@@ -112,24 +115,27 @@
 
 /** Encodes a stream's version. */
 export function encodedStream(record: StreamRecord): EncodedStream {
-  const { service, attempt, version, serverId, lifetimeMilliseconds } = record;
+  const { service, attempt, version, serverId } = record;
+  const { ageMilliseconds, lifetimeMilliseconds } = record;
   return {
     k: "b",
     s: service,
     r: attempt,
     v: version,
     w: serverId,
+    g: ageMilliseconds,
     t: Math.ceil(lifetimeMilliseconds),
   };
 }
 
 /** Decodes a stream's version. */
-export function streamOf({ s, r, v, w, t }: EncodedStream): StreamRecord {
+export function streamOf({ s, r, v, w, g, t }: EncodedStream): StreamRecord {
   return {
     service: s,
     attempt: r,
     version: v,
     serverId: w,
+    ageMilliseconds: g,
     lifetimeMilliseconds: t,
   };
 }
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -26,7 +26,7 @@
   readonly server: string | undefined;
   /** Id of the server that began it, whichever host serves it, if it is known. */
   readonly serverId: string | undefined;
-  /** When this host learned of it, on the monotonic clock. */
+  /** When it began, or a host learned of it, on the monotonic clock. */
   readonly addedAt: number;
   /** When its caller can't take it up any more, on the monotonic clock. */
   readonly expiresAt: number;
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -241,11 +241,7 @@
         return known === undefined || known.version !== record.version;
       })
       .forEach((record) =>
-        this.#add(
-          record,
-          { server: undefined, isServedHere: isOwn },
-          { table },
-        ),
+        this.#add(record, { server: undefined, isServedHere: isOwn }, table),
       );
     // Their versions may have been stored by nobody else.
     versionsIn(records).forEach((names, service) => {
@@ -374,9 +370,9 @@
             version,
             serverId,
             lifetimeMilliseconds: VERSION_RETENTION_MILLISECONDS,
+            ageMilliseconds,
           },
           { server: undefined, isServedHere: false },
-          { ageMilliseconds },
         ),
       );
   }
@@ -577,15 +573,14 @@
   }
 
   #add(
-    { lifetimeMilliseconds, serverId, ...stream }: StreamRecord,
-    source: Pick<BegunStream, "server" | "isServedHere">,
     {
-      table = this.#streams,
+      lifetimeMilliseconds,
       ageMilliseconds = 0,
-    }: {
-      readonly table?: BegunStreams;
-      readonly ageMilliseconds?: number;
-    } = {},
+      serverId,
+      ...stream
+    }: StreamRecord,
+    source: Pick<BegunStream, "server" | "isServedHere">,
+    table = this.#streams,
   ): void {
     const now = this.#parts.clock.now();
     const addedAt = now - ageMilliseconds;
@@ -627,9 +622,11 @@
 
 /** What other hosts need to know of a stream. */
 function recordOf(
-  { service, attempt, version, serverId, expiresAt }: BegunStream,
+  { service, attempt, version, serverId, addedAt, expiresAt }: BegunStream,
   now: number,
 ): StreamRecord {
   const lifetimeMilliseconds = Math.max(0, expiresAt - now);
-  return { service, attempt, version, serverId, lifetimeMilliseconds };
+  const ageMilliseconds = now - addedAt;
+  const times = { ageMilliseconds, lifetimeMilliseconds };
+  return { service, attempt, version, serverId, ...times };
 }
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -351,6 +351,23 @@
     return host.streams;
   };
 
+  // Guards against streams that end although their version is certain: they are told once
+  // a server is back as a second version, and began long before that.
+  test("is still known to a host that was told of it when its server changed", () => {
+    const { clock, told, list, begin } = hostOf();
+    list("s1", "v1");
+    begin("v1");
+    clock.advance(3_000);
+    list("s1", "v2");
+    const other = hostOf();
+    other.clock.advance(7_000);
+    other.list("s1", "v1");
+    told.forEach((record) => other.streams.receive(record));
+    other.list("s1", "v2");
+    const reply = { ...KNOWN, version: "v1" };
+    expect(other.streams.replyTo(STREAM)).toEqual(reply);
+  });
+
   // Guards against streams that a server began as another version while the store was
   // silent, so that no host could list it.
   test("can't be told if its server changed while the list was old", () => {
