Read a whole answer of the store without a length though an object is spoilt

Cause: since an answer of the platform's store that the end of its connection alone ends had to be JSON as a whole. Where the store ends its answers by closing, one object that another program spoilt would stop each list and watch.

Ruled out: taking what was cut off. Another program's entry whose own brackets don't match still has such an answer refused, since it can't be told from a cut one.

Change: such an answer counts if it begins with a bracket and that one closes at its end, with brackets that match in kind outside strings (`isClosedAtEnd`). A text cut from a whole answer never does.

--- a/packages/rampswitch-utils/src/json.ts
+++ b/packages/rampswitch-utils/src/json.ts
@@ -53,6 +53,26 @@
   );
 }
 
+/**
+ * Whether a text begins with a list or an object whose end is that of the text. Values
+ * within it may be malformed if their brackets match.
+ */
+export function isClosedAtEnd(text: string): boolean {
+  if (!/^\s*[[{]/.test(text)) return false;
+  const scanner = new JsonScanner(text);
+  const closers: number[] = [];
+  for (let code = scanner.next(); code !== undefined; code = scanner.next()) {
+    if (code === COMMA) continue;
+    const closer = CLOSERS.get(code);
+    if (closer !== undefined) closers.push(closer);
+    else if (closers.pop() !== code) return false;
+    if (closers.length === 0) {
+      return text.slice(scanner.index + 1).trim() === "";
+    }
+  }
+  return false;
+}
+
 /** Texts of the members of an object, by their names; empty if it is no object. */
 export function memberTexts(text: string): ReadonlyMap<string, string> {
   const inner = /^\s*\{(.*)\}\s*$/s.exec(text)?.[1];
@@ -80,6 +100,12 @@
   ["}".charCodeAt(0), -1],
 ]);
 
+/** The closing bracket of each opening one, by their codes. */
+const CLOSERS: ReadonlyMap<number, number> = new Map([
+  ["[".charCodeAt(0), "]".charCodeAt(0)],
+  ["{".charCodeAt(0), "}".charCodeAt(0)],
+]);
+
 /** The code of the first bracket; few other characters have a higher one. */
 const FIRST_BRACKET = "[".charCodeAt(0);
 
