Keep the versions that a server was listed with, for streams that began then

Cause: whether a stream's server may have been another version was derived from the server's present entry. Once it was removed, listed again as its former version, or as a third one, its records counted as certain again.

Ruled out: marking each record when its server's entry changes; records of others come later than the change. Merging all versions of an id without order: a host that has a newer list tells of a version before this one lists it, and would be doubted for a minute.

Change: the versions that each id was listed with are kept, with their times, until a minute after the next one or the removal. A record is in doubt if a version that followed the one it names may have been the server's when the record came, 2 s of lag included. Without the named version among them all count, as before.

Measured: stream_origins_test.ts, "a stream's version still can't be told when its server" is removed, is back, is a third one: 3 of 3 failed before, pass now; their entries are gone. "can be told though its server had another one before" guards against more refusals; it passes with the former rule too. reborn_server_test and stream_versions_test pass. Hosts that start after the entry is gone or changed have no such history.

What new hosts need has to be stored or asked for. Not covered: a stored record that is read after its server is listed as its former version again counts as begun when it was read, so as certain.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -349,8 +349,7 @@
   /** A reply that names a version, and what hosts with newer lists need to judge it. */
   #knownReply({ serverId, addedAt }: BegunStream, version: string): KnownReply {
     const isJudged =
-      serverId === undefined ||
-      this.#history.otherVersionSince(serverId, version) !== undefined;
+      serverId === undefined || this.#history.isOtherVersion(serverId, version);
     if (isJudged) return { kind: "known", version };
     const ageMilliseconds = this.#parts.clock.now() - addedAt;
     return { kind: "known", version, serverId, ageMilliseconds };
@@ -469,8 +468,8 @@
   }
 
   /**
-   * Whether the server that began a stream is listed with another version, and may have
-   * had it before. The host that served the stream may have ended before the listing.
+   * Whether the server that began a stream is or was listed with another version, and may
+   * have had it then. The host that served the stream may have ended before the listing.
    */
   #mayBeOfOtherVersion({
     serverId,
@@ -478,8 +477,9 @@
     addedAt,
   }: Pick<BegunStream, "serverId" | "version" | "addedAt">): boolean {
     if (serverId === undefined || version === undefined) return false;
-    const since = this.#history.otherVersionSince(serverId, version);
-    return since !== undefined && addedAt >= since - LISTING_LAG_MILLISECONDS;
+    const named = { id: serverId, version };
+    const lag = LISTING_LAG_MILLISECONDS;
+    return this.#history.mayHaveHadOther(named, addedAt, lag);
   }
 
   /** Applies a change of the versions; running streams are told if several result. */
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -714,6 +714,24 @@
   },
 );
 
+// Guards against refusals of what a server began as the version that it has by now.
+test("a stream's version can be told though its server had another one before", () => {
+  const { clock, streams, list } = hostOf();
+  list("s1", "v1");
+  clock.advance(500);
+  // The host that told of it has a newer list.
+  streams.receive({ ...RECORD, version: "v2" });
+  clock.advance(1);
+  list("s1", "v2");
+  const isUncertain = [streams.isUncertain(STREAM)];
+  list("s1", "v1");
+  clock.advance(1);
+  const later = { ...RECORD, attempt: "a2" };
+  streams.receive(later);
+  isUncertain.push(streams.isUncertain(later));
+  expect(isUncertain).toEqual([false, false]);
+});
+
 // Guards against a stream that goes on though its server is listed as another version
 // while a server is chosen for it.
 test("a version that another host named can't be told once its server is listed here as another one", async () => {
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -30,20 +30,31 @@
   toldAt: number;
 }
 
-/** A server that is listed. */
-interface ListedServer extends VersionedServer {
+/** A version that a server is listed with, or was listed with last or before. */
+interface ListedVersion extends ServiceVersionName {
   /**
-   * Since when it may be listed with its version, on the monotonic clock; `-Infinity` if
-   * this host knows no former version: it may have had this one for any time.
+   * Since when it may be listed with it, on the monotonic clock; `-Infinity` if this host
+   * knows no former version: it may have had this one for any time.
    */
   readonly since: number;
+  /** When it was listed with another one, on the monotonic clock. */
+  readonly until: number;
+}
+
+/** Times of a listing, on the monotonic clock. */
+interface ListingTimes {
+  readonly now: number;
+  /** Since when the server may have changed. */
+  readonly changedAfter: number;
 }
 
 /** The versions of the servers of all services, as one host sees them. */
 export class VersionHistory {
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
-  readonly #listed = new Map<string, ListedServer>();
+  readonly #listed = new Map<string, VersionedServer>();
+  /** The versions of servers that are listed, or were, by id, the oldest first. */
+  readonly #listedVersions = new Map<string, readonly ListedVersion[]>();
   /** When servers that are listed no more were removed, by id, the oldest first. */
   readonly #removedAt = new Map<string, number>();
 
@@ -53,18 +64,14 @@
   }
 
   /** Notes a server that is listed, or listed with another version since some time. */
-  listed(
-    { id, service, version }: VersionedServer,
-    {
-      now,
-      changedAfter,
-    }: { readonly now: number; readonly changedAfter: number },
-  ): void {
+  listed(server: VersionedServer, { now, changedAfter }: ListingTimes): void {
+    const { id, service, version } = server;
     const before = this.#listed.get(id);
     if (before?.service === service && before.version === version) return;
     this.removed(id, now);
-    const since = this.#removedAt.has(id) ? changedAfter : -Infinity;
-    this.#listed.set(id, { id, service, version, since });
+    this.#removedAt.delete(id);
+    this.#listed.set(id, { id, service, version });
+    this.#noteVersion(server, { now, changedAfter });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
     this.#services.set(service, versions);
@@ -85,15 +92,32 @@
     known.goneAt = now;
   }
 
+  /** Whether a server is listed with another version, or was when it was removed. */
+  isOtherVersion(id: string, version: string): boolean {
+    const last = this.#listedVersions.get(id)?.at(-1);
+    return last !== undefined && last.version !== version;
+  }
+
   /**
-   * Returns since when a server is listed with another version than the given one;
-   * `undefined` if it is not.
+   * Whether a server that a host took for a version at a time may have had another one,
+   * which is listed up to the given time later. Only a version that followed the named
+   * one counts: a host's list may be newer than this one's, but it never names a version
+   * that a server has not had.
    */
-  otherVersionSince(id: string, version: string): number | undefined {
-    const server = this.#listed.get(id);
-    return server === undefined || server.version === version
-      ? undefined
-      : server.since;
+  mayHaveHadOther(
+    { id, version }: Pick<VersionedServer, "id" | "version">,
+    at: number,
+    lagMilliseconds: number,
+  ): boolean {
+    const listed = this.#listedVersions.get(id) ?? [];
+    // From the start if it is not known to have had the version.
+    const first = listed.findIndex((one) => one.version === version);
+    return listed
+      .slice(Math.max(0, first))
+      .some(
+        ({ version: other, since, until }) =>
+          other !== version && at >= since - lagMilliseconds && at <= until,
+      );
   }
 
   /**
@@ -140,6 +164,23 @@
     return [...versions.keys()];
   }
 
+  /** Notes the version of a server, and since when it has another one than before. */
+  #noteVersion(
+    { id, service, version }: VersionedServer,
+    { now, changedAfter }: ListingTimes,
+  ): void {
+    const oldest = now - this.#retentionMilliseconds;
+    const known = this.#listedVersions.get(id) ?? [];
+    const last = known.at(-1);
+    if (last?.service === service && last.version === version) return;
+    const former = known
+      .map((one) => (one === last ? { ...one, until: now } : one))
+      .filter(({ until }) => until >= oldest);
+    const since = last === undefined ? -Infinity : changedAfter;
+    const listed = { service, version, since, until: Infinity };
+    this.#listedVersions.set(id, [...former, listed]);
+  }
+
   #noteRemoved(id: string, now: number): void {
     // Deleted first, so that it moves to the end of the order.
     this.#removedAt.delete(id);
@@ -147,7 +188,10 @@
     const oldest = now - this.#retentionMilliseconds;
     [...this.#removedAt]
       .filter(([, at]) => at < oldest)
-      .forEach(([former]) => this.#removedAt.delete(former));
+      .forEach(([former]) => {
+        this.#removedAt.delete(former);
+        this.#listedVersions.delete(former);
+      });
   }
 
   #isForgotten(
