--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -20,6 +20,7 @@
   combinedStream,
   type StreamKey,
 } from "./begun_streams.ts";
+import { KnownPast } from "./known_past.ts";
 import { NamedVersions } from "./named_versions.ts";
 import { agreedVersion, judgeReplies } from "./stream_evidence.ts";
 import type {
@@ -95,12 +96,6 @@
  */
 const LISTING_LAG_MILLISECONDS = 2_000;
 
-/**
- * Longest time from the read of what is stored to the first list of servers for which
- * the two tell of the same moment, in milliseconds.
- */
-const LISTING_DELAY_MILLISECONDS = 1_000;
-
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
@@ -122,26 +117,19 @@
   readonly #history = new VersionHistory(VERSION_RETENTION_MILLISECONDS);
   /** The versions that the stored object names. */
   readonly names: NamedVersions;
+  readonly #past: KnownPast;
   readonly #startedAt: number;
-  /**
-   * When the store last told which versions had served, on the monotonic clock;
-   * `undefined` if it has not.
-   */
-  #pastReadAt: number | undefined;
-  /** When a server was first listed, on the monotonic clock; `undefined` before that. */
-  #listedAt: number | undefined;
-  /** When changes of the list were last missed, on the monotonic clock. */
-  #missedAt = -Infinity;
 
   constructor(parts: StreamOriginsParts) {
     this.#parts = parts;
     this.names = new NamedVersions(this.#history, parts.clock);
+    this.#past = new KnownPast(parts.clock, VERSION_RETENTION_MILLISECONDS);
     this.#startedAt = parts.clock.now();
   }
 
   /** Notes a listed server. The streams that run when a second version appears are told. */
   listed(server: VersionedServer): void {
-    this.#listedAt ??= this.#parts.clock.now();
+    this.#past.listed();
     this.#tellOnceMixed(server.service, (now) =>
       this.#history.listed(server, { now, changedAfter: this.#listCurrentAt }),
     );
@@ -155,7 +143,7 @@
 
   /** Whether this host knows all versions that served since the oldest stream began. */
   get isPastKnown(): boolean {
-    return this.#wasThere && !this.#hasGap;
+    return this.#past.isKnown;
   }
 
   /** Whether another host has received changes of servers that this one lacks. */
@@ -166,13 +154,12 @@
 
   /** Whether the servers were listed so long after the store was read that it is due again. */
   get hasListedLate(): boolean {
-    const hasRead = this.#pastReadAt !== undefined;
-    return hasRead && this.#listedAt !== undefined && !this.#wasThere;
+    return this.#past.hasListedLate;
   }
 
   /** Notes that servers may have been listed and removed without this host's knowledge. */
   missedChanges(): void {
-    this.#missedAt = this.#parts.clock.now();
+    this.#past.missedChanges();
   }
 
   /** Notes versions that the store tells of; `isComplete`: there were no others. */
@@ -185,7 +172,7 @@
         this.#history.served(service, names, now),
       ),
     );
-    if (isComplete) this.#pastReadAt = this.#parts.clock.now();
+    if (isComplete) this.#past.wasRead();
   }
 
   /**
@@ -304,10 +291,11 @@
     const [version, ...others] = this.#history.versionsOf(key.service, now);
     if (version === undefined) return { kind: "none" };
     if (others.length > 0) return { kind: "unknown" };
-    if (!this.#wasThere || this.isListBehind) {
+    if (!this.#past.wasThere || this.isListBehind) {
       return { kind: "single_recently", version };
     }
-    return { kind: this.#hasGap ? "single_since_gap" : "single", version };
+    const kind = this.#past.hasGap ? "single_since_gap" : "single";
+    return { kind, version };
   }
 
   /** Finds the version that began a stream. */
@@ -440,33 +428,6 @@
     };
   }
 
-  /**
-   * Whether this host read which versions served, or saw it for long enough. Before it
-   * first listed a server it may have received no list.
-   */
-  get #wasThere(): boolean {
-    const listedAt = this.#listedAt ?? Infinity;
-    const age = this.#parts.clock.now() - listedAt;
-    return this.#hasReadPast || age >= VERSION_RETENTION_MILLISECONDS;
-  }
-
-  /**
-   * Whether the store told which versions had served up to about the time of this host's
-   * first list: between the two, one may have come and gone.
-   */
-  get #hasReadPast(): boolean {
-    if (this.#pastReadAt === undefined || this.#listedAt === undefined) {
-      return false;
-    }
-    return this.#listedAt - this.#pastReadAt < LISTING_DELAY_MILLISECONDS;
-  }
-
-  /** Whether a version may have served unseen since the oldest stream began. */
-  get #hasGap(): boolean {
-    const elapsed = this.#parts.clock.now() - this.#missedAt;
-    return elapsed < VERSION_RETENTION_MILLISECONDS;
-  }
-
   /** Since when a change that is listed now may have been made. */
   get #listCurrentAt(): number {
     return Math.min(
