Read once more: one name for two functions, an unused look, two comments

versionsIn (streams by service) stood beside versionIn and another versionsIn of the tests; it is versionsByService. The contact with a server is looked up for a stream's first begin alone, which is the only one that uses it. Two comments say what time is noted; imports are in order.

--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -52,7 +52,7 @@
   #newestHeard = 0;
   /** Since when another host has a newer list, on the monotonic clock. */
   #behindSince: number | undefined;
-  /** Time as of which the store last answered; `undefined` before the first answer. */
+  /** Send time of the newest call that the store answered; `undefined` before the first. */
   #confirmedAt: number | undefined;
   /** Those whose changes may still be read. */
   #silences: readonly StoreSilence[] = [];
@@ -81,7 +81,7 @@
     if (this.#isBehind) this.#behindSince ??= this.#clock.now();
   }
 
-  /** Notes that the store answered this host, or hosts that it hears of, at a time. */
+  /** Notes that the store answered this host or a peer; `at`: when that call was sent. */
   confirmed(at: number): void {
     this.#endLag();
     const from = this.#confirmedAt ?? at;
--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -16,8 +16,8 @@
 import { Result } from "true-myth";
 import {
   handleInBackground,
-  listen,
   invalidHeaderName,
+  listen,
   type Listening,
   type LogFields,
   readBody,
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -113,9 +113,11 @@
     // A caller that took events up without naming their attempt can't be told apart.
     if (!this.#request.route.resumable || this.#key.attempt === "") return;
     const { client, incarnations, streams } = this.#parts;
-    const { service } = this.#request;
-    const contact = client.contact(record.entry.id);
-    if (isFirst) this.#begin = incarnations.began(record, { service, contact });
+    if (isFirst) {
+      const { service } = this.#request;
+      const contact = client.contact(record.entry.id);
+      this.#begin = incarnations.began(record, { service, contact });
+    }
     const lifetimeMilliseconds = timeLimitMilliseconds(this.#request);
     streams.began(
       { ...this.#key, version, lifetimeMilliseconds },
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -231,7 +231,7 @@
         this.#add(record, { server: undefined, isServedHere: isOwn }, table),
       );
     // Their versions may have been stored by nobody else.
-    versionsIn(records).forEach((names, service) => {
+    versionsByService(records).forEach((names, service) => {
       names.forEach((version) => this.#learn({ service, version }));
     });
   }
@@ -570,7 +570,7 @@
 const UNKNOWN: StreamOrigin = { kind: "unknown" };
 
 /** The versions that began streams, by service. */
-function versionsIn(
+function versionsByService(
   records: readonly StreamRecord[],
 ): ReadonlyMap<string, ReadonlySet<string | undefined>> {
   const services = new Map<string, Set<string | undefined>>();
