Split what a host knows of streams from how it finds their versions

Each has a module of its own now, and `StreamOrigins` joins them with the same interface:

- `stream_records.ts`: the two tables of records, and how the versions that a stream's server was listed with judge a record or another host's reply;
- `served_versions.ts`: the versions that served, whether all of them are known, and what they tell of a stream without a record;
- `stream_answers.ts`: what this host knows of a stream without asking;
- `stream_finder.ts`: the search by own record, replies and the store;
- `stream_origin.ts`: the outcome of the search;
- `stream_origins.ts`: listings, begins, told and stored streams, and what is told to other hosts.

Nothing changes in what a host does. The tests of `streams/`, of the exchange and of the listing pass unchanged.

--- a/packages/rampswitch-serving/src/streams/mod.ts
+++ b/packages/rampswitch-serving/src/streams/mod.ts
@@ -8,11 +8,8 @@
  */
 export { streamName, type StreamKey } from "./begun_streams.ts";
 export { OriginArchive, type OriginArchiveParts } from "./origin_archive.ts";
-export {
-  type StreamOrigin,
-  StreamOrigins,
-  type StreamOriginsParts,
-} from "./stream_origins.ts";
+export type { StreamOrigin } from "./stream_origin.ts";
+export { StreamOrigins, type StreamOriginsParts } from "./stream_origins.ts";
 export { namesVersion, NO_STREAM_REPLIES } from "./stream_reply.ts";
 export type {
   HostReply,
