Look through the named versions only once one has ended

Each host drops the names of ended versions four times a second, so that a version that comes back is named anew. It sorted and compared the versions of all services for that, although hardly ever one ends. The history now keeps the versions without a server, and counts those that it forgot; nothing is compared while that count stands.

What is named and unnamed stays as it was.

--- a/packages/rampswitch-serving/src/streams/named_versions.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions.ts
@@ -22,6 +22,8 @@
   readonly #clock: Clock;
   #named: VersionSets = new Map();
   #unnamed: VersionSets = new Map();
+  /** Versions that had been forgotten when the names of those were last dropped. */
+  #forgotten = 0;
 
   constructor(history: VersionHistory, clock: Clock) {
     this.#history = history;
@@ -57,6 +59,9 @@
    * object: such a version has to be named anew when it comes back.
    */
   forgetEnded(): void {
+    const forgotten = this.#history.forgottenVersions(this.#clock.now());
+    if (forgotten === this.#forgotten) return;
+    this.#forgotten = forgotten;
     const known = setsOf(this.#known, () => true);
     this.#named = setsOf(this.#named, (service, version) =>
       known.get(service)?.has(version),
--- /dev/null
+++ b/packages/rampswitch-serving/src/streams/named_versions_test.ts
@@ -0,0 +1,38 @@
+// Copyright 2026 the rampswitch authors. Apache-2.0 license.
+
+import { expect, jest, test } from "@jest/globals";
+import { ManualClock } from "rampswitch-utils";
+import { NamedVersions } from "./named_versions.ts";
+import { VersionHistory } from "./version_history.ts";
+
+const RETENTION_MILLISECONDS = 60_000;
+const SERVICES = 500;
+
+// Guards against a walk over all services in each check, several times a second.
+test("versions are looked through only once one ended", () => {
+  const clock = new ManualClock(0);
+  const history = new VersionHistory(RETENTION_MILLISECONDS);
+  const names = new NamedVersions(history, clock);
+  const services = Array.from({ length: SERVICES }, (_, index) => `s${index}`);
+  services.forEach((service) => {
+    const server = { id: service, service, version: "v1" };
+    history.listed(server, { now: 0, changedAfter: 0 });
+  });
+  names.read(history.all(0));
+  const walk = jest.spyOn(history, "all");
+  const check = (milliseconds: number) => {
+    clock.advance(milliseconds);
+    names.forgetEnded();
+    return [walk.mock.calls.length, names.hasUnnamed];
+  };
+  const walks = Array.from({ length: 100 }, () => check(250));
+  expect(walks).toEqual(walks.map(() => [0, false]));
+  history.removed("s0", clock.now());
+  expect(check(RETENTION_MILLISECONDS)).toEqual([0, false]);
+  expect(check(1)[0]).toBeGreaterThan(0);
+  // The version that ended has to be named anew.
+  const back = { id: "s0", service: "s0", version: "v1" };
+  history.listed(back, { now: clock.now(), changedAfter: clock.now() });
+  names.listed(back);
+  expect([...(names.unnamedOf("s0") ?? [])]).toEqual(["v1"]);
+});
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -52,6 +52,9 @@
 export class VersionHistory {
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
+  /** Services of the versions without a server, which are forgotten after a while. */
+  readonly #ending = new Map<ServiceVersion, string>();
+  #forgotten = 0;
   readonly #listed = new Map<string, VersionedServer>();
   /** The versions of servers that are listed, or were, by id, the oldest first. */
   readonly #listedVersions = new Map<string, readonly ListedVersion[]>();
@@ -78,6 +81,7 @@
     const known = versions.get(version) ?? withoutServer(now);
     known.servers.add(id);
     versions.set(version, known);
+    this.#ending.delete(known);
   }
 
   /** Notes that a server is listed no more. */
@@ -90,6 +94,7 @@
     if (known === undefined) return;
     known.servers.delete(id);
     known.goneAt = now;
+    if (known.servers.size === 0) this.#ending.set(known, before.service);
   }
 
   /** Whether a server is listed with another version, or was when it was removed. */
@@ -132,6 +137,7 @@
       const told = known.get(version) ?? withoutServer(now);
       told.toldAt = now;
       known.set(version, told);
+      if (told.servers.size === 0) this.#ending.set(told, service);
     });
   }
 
@@ -166,10 +172,22 @@
     if (versions === undefined) return [];
     [...versions]
       .filter(([, version]) => this.#isForgotten(version, now))
-      .forEach(([name]) => versions.delete(name));
+      .forEach(([name, version]) => {
+        versions.delete(name);
+        this.#ending.delete(version);
+        this.#forgotten += 1;
+      });
     return [...versions.keys()];
   }
 
+  /** Number of versions that no stream in progress can have begun at any more. */
+  forgottenVersions(now: number): number {
+    [...this.#ending]
+      .filter(([version]) => this.#isForgotten(version, now))
+      .forEach(([, service]) => this.versionsOf(service, now));
+    return this.#forgotten;
+  }
+
   /** Notes the version of a server, and since when it has another one than before. */
   #noteVersion(
     { id, service, version }: VersionedServer,
