Forget the leases of hosts that held the duties and ended

Each host kept the last reported lease of each host that held the duties, or gave them up, since it started; a relay left out old ones in its digests, but nothing removed them. Memory, and the search in each digest, grew with hosts that ever were. Callers saw nothing of it.

`PeerLeases` keeps them now, out of `host_gossip.ts`, and forgets those that are too old to be forwarded (3 s, as before) when another host reports a lease for the first time. What digests tell stays the same.

--- a/packages/rampswitch-serving/src/duties/mod.ts
+++ b/packages/rampswitch-serving/src/duties/mod.ts
@@ -11,5 +11,6 @@
 export * from "./duty_lease.ts";
 export * from "./final_usage.ts";
 export * from "./host_duties.ts";
+export { PeerLeases } from "./peer_leases.ts";
 export * from "./usage_duty.ts";
 export * from "./usage_counter.ts";
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -22,13 +22,12 @@
 } from "./choice/mod.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { ArrivalReport, FleetArrivals } from "./demand/mod.ts";
-import type { HostDuties, ServiceLoad } from "./duties/mod.ts";
+import { type HostDuties, PeerLeases, type ServiceLoad } from "./duties/mod.ts";
 import type { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
 import {
   type FleetDigest,
   type FleetView,
   type HostRole,
-  type LeaseUpdate,
   type OwnUpdate,
   GOSSIP_TIMING_BY_ROLE,
   type PeerUpdate,
@@ -94,7 +93,7 @@
   readonly #parts: HostGossipParts;
   /** What this host reported, by the sequence number of the message. */
   readonly #reported = new Map<number, ReportedState>();
-  readonly #leases = new Map<string, ReceivedLease>();
+  readonly #leases: PeerLeases;
   /** Updates of this round, which a relay sends to each of its members. */
   #quarantineUpdates: readonly QuarantineUpdate[] = [];
   #partUpdates: readonly QuarantineUpdate[] = [];
@@ -106,6 +105,7 @@
 
   constructor(parts: HostGossipParts) {
     this.#parts = parts;
+    this.#leases = new PeerLeases(parts.clock);
   }
 
   /** Load of a service over all hosts; each call adds to the load's history. */
@@ -220,12 +220,7 @@
     const { limits, directory, follower, clock } = this.#parts;
     const now = clock.now();
     const own = this.#parts.duties.lease;
-    const received = [...this.#leases.values()]
-      .filter(
-        ({ receivedAt }) =>
-          now - receivedAt < LEASE_UPDATE_LIFETIME_MILLISECONDS,
-      )
-      .map(({ lease }) => lease);
+    const received = this.#leases.recent;
     return {
       configurationVersion: follower.routes?.configuration.version ?? 0,
       configurationAge: this.#ownConfirmationAge(),
@@ -366,18 +361,12 @@
       this.#parts.prefixes.stored(server, parts, engine.memoryTokens);
     });
     if (update.lease !== undefined) {
-      this.#leases.set(update.host, { lease: update.lease, receivedAt: now });
+      this.#leases.receive(update.host, update.lease);
       this.#parts.duties.receiveLease(update.lease);
     }
   }
 }
 
-/** A peer's lease and when this host received it. */
-interface ReceivedLease {
-  readonly lease: LeaseUpdate;
-  readonly receivedAt: number;
-}
-
 /** What this host reported of itself in one message. */
 interface ReportedState {
   readonly admitted: AdmittedTotals;
@@ -391,8 +380,5 @@
  */
 const MAXIMUM_UNACKNOWLEDGED_MESSAGES = 32;
 
-/** Time for which a received lease is forwarded, in milliseconds. */
-const LEASE_UPDATE_LIFETIME_MILLISECONDS = 3_000;
-
 /** Sender's name under which the work of the whole fleet is stored. */
 const FLEET_SENDER = "(fleet)";
