Forget which servers a host that ended didn't reach

A host that reports servers out of reach, and ends, stayed in the reports of all others: they left it out once it was 3 s old, and kept it for good. Each question of how many hosts lack a server looked through all of them. Callers saw nothing of it.

Reports that no longer count are removed when another host reports for the first time. What counts stays the same. The test has 10,000 hosts lack a server one after the other, once in 0.4 s: 10,000 reports were kept before, fewer than 20 are now.

--- a/packages/rampswitch-serving/src/reach/peer_reach.ts
+++ b/packages/rampswitch-serving/src/reach/peer_reach.ts
@@ -35,6 +35,7 @@
       this.#reports.delete(host);
       return;
     }
+    if (!this.#reports.has(host)) this.#forgetOld();
     this.#reports.set(host, {
       servers: new Set(servers),
       at: this.#clock.now() - age,
@@ -52,6 +53,11 @@
     );
   }
 
+  /** Number of hosts whose reports are retained. */
+  get knownHosts(): number {
+    return this.#reports.size;
+  }
+
   /** Hosts that report servers out of reach. */
   hosts(): readonly string[] {
     return this.#fresh().map(([host]) => host);
@@ -69,6 +75,12 @@
       .length;
   }
 
+  #forgetOld(): void {
+    [...this.#reports]
+      .filter(([, { at }]) => !this.#isFresh(at))
+      .forEach(([host]) => this.#reports.delete(host));
+  }
+
   #isAbout({ servers, at }: Report, server: string): boolean {
     return this.#isFresh(at) && (servers?.has(server) ?? true);
   }
--- a/packages/rampswitch-serving/src/reach/server_contacts_test.ts
+++ b/packages/rampswitch-serving/src/reach/server_contacts_test.ts
@@ -92,3 +92,16 @@
     expect(peers.hosts()).toEqual(["c"]);
   });
 });
+
+// Guards against memory and work that grow with each host that lacked a server.
+test("reports of hosts that ended are forgotten during 10,000 replacements", () => {
+  const clock = new ManualClock();
+  const peers = new PeerReach(clock);
+  const known = Array.from({ length: 10_000 }, (_, index) => {
+    clock.advance(400);
+    peers.receive(`replaced-${index}`, ["s1"], 0);
+    return peers.knownHosts;
+  });
+  expect(Math.max(...known)).toBeLessThan(20);
+  expect(peers.countWithout("s1")).toBe(8);
+});
