--- a/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
+++ b/packages/rampswitch-serving/src/configuration/server_list_evidence.ts
@@ -13,8 +13,6 @@
 export interface ServerListState {
   /** Position up to which all changes of servers are known. */
   readonly version: number;
-  /** Position of the newest change of a server that this host has received. */
-  readonly newestChange: number;
   /** Position of the newest change that any host reported. */
   readonly newestHeard: number;
   /** Latest time up to which the list certainly has all changes, on the monotonic clock. */
@@ -71,7 +69,7 @@
     const { version, newestChange, confirmedAt } = this.#list;
     const newestHeard = Math.max(newestChange, this.#newestHeard);
     const currentAt = this.#currentAt;
-    return { version, newestChange, newestHeard, confirmedAt, currentAt };
+    return { version, newestHeard, confirmedAt, currentAt };
   }
 
   /** Notes the newest change of a server that another host reported. */
--- a/packages/rampswitch-serving/src/streams/gap_cover_test.ts
+++ b/packages/rampswitch-serving/src/streams/gap_cover_test.ts
@@ -45,7 +45,6 @@
       isStoreAway: () => false,
       serverList: () => ({
         version: 21,
-        newestChange: 4,
         newestHeard: 4,
         currentAt: clock.now(),
         confirmedAt: 0,
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -43,7 +43,6 @@
 
 const CURRENT_LIST: ServerListState = {
   version: 1,
-  newestChange: 1,
   newestHeard: 1,
   confirmedAt: 0,
   currentAt: Infinity,
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -20,7 +20,6 @@
 
 const CURRENT_LIST = {
   version: 1,
-  newestChange: 1,
   confirmedAt: 0,
   currentAt: Infinity,
 };
