Drop the names of ended versions that the object still names

Since ended versions are looked for only once one is forgotten, an object that is read again after that would bring back the name of a version that ended, until another one is forgotten: the holder takes it out of the object unnoticed, and when it comes back its streams begin at a version that the object doesn't name. Found by reading, before any release.

The names are looked through once after each read. The test failed before (the version that came back counted as named) and passes now; the looks in 100 checks stay 0.

--- a/packages/rampswitch-serving/src/streams/named_versions.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions.ts
@@ -22,8 +22,11 @@
   readonly #clock: Clock;
   #named: VersionSets = new Map();
   #unnamed: VersionSets = new Map();
-  /** Versions that had been forgotten when the names of those were last dropped. */
-  #forgotten = 0;
+  /**
+   * Versions that had been forgotten when the names of those were last dropped;
+   * `undefined` since the object was read: it may name some of them.
+   */
+  #forgotten: number | undefined;
 
   constructor(history: VersionHistory, clock: Clock) {
     this.#history = history;
@@ -50,6 +53,7 @@
 
   /** Notes which versions the object names. */
   read(services: ServiceVersions): void {
+    this.#forgotten = undefined;
     this.#named = setsOf(services, () => true);
     this.#findUnnamed();
   }
--- a/packages/rampswitch-serving/src/streams/named_versions_test.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions_test.ts
@@ -19,6 +19,7 @@
     history.listed(server, { now: 0, changedAfter: 0 });
   });
   names.read(history.all(0));
+  names.forgetEnded();
   const walk = jest.spyOn(history, "all");
   const check = (milliseconds: number) => {
     clock.advance(milliseconds);
@@ -36,3 +37,21 @@
   names.listed(back);
   expect([...(names.unnamedOf("s0") ?? [])]).toEqual(["v1"]);
 });
+
+// Guards against streams that begin at a version that is taken out of the object.
+test("a version that ended is named no more though the object still names it", () => {
+  const clock = new ManualClock(0);
+  const history = new VersionHistory(RETENTION_MILLISECONDS);
+  const names = new NamedVersions(history, clock);
+  const server = { id: "s1", service: "s", version: "v1" };
+  history.listed(server, { now: 0, changedAfter: 0 });
+  const object = history.all(0);
+  names.read(object);
+  history.removed("s1", 0);
+  clock.advance(RETENTION_MILLISECONDS + 1);
+  names.forgetEnded();
+  names.read(object);
+  names.forgetEnded();
+  names.listed(server);
+  expect(names.hasUnnamed).toBe(true);
+});
