Have the host that sends a stream for another one ask its server

Callers saw: at a host that is cut off from all servers, and that reaches them through other hosts, 0 of 12 streams that had broken elsewhere could be taken up (503 no_server, 8 tries each), while 12 of 12 new ones began there at once.

Cause: before a stream goes on, its server's report is asked which incarnation it is, on a link of this host's own whatever way the request takes; no answer counts as another incarnation. Streams that break within an answer had it too. Ruled out: the version (all servers had one), the room, the limit of connections; with whole links for reports alone, 12 of 12 went on.

Now a message that continues a stream says so on its way through another host, and that host asks the server before it sends it there, shares the answer for 100 ms as before, and says that the request was not sent if the server isn't confirmed. A host asks by itself where it reaches the server. A host of the former program that forwards asks nobody. Nothing is asked that wasn't before, and a request that continues no stream is sent as it was.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -57,6 +57,11 @@
   readonly target: string;
   readonly headers: RawHeaders;
   readonly body: Buffer | undefined;
+  /**
+   * Whether only the server's listed incarnation may get it. A host that sends it for
+   * another one asks the server first.
+   */
+  readonly needsConfirmation?: boolean;
 }
 
 /** A send in progress. */
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -15,6 +15,7 @@
 } from "../attempt/mod.ts";
 import { headerValue } from "../model/request.ts";
 import {
+  CONFIRMED_FIRST,
   FORWARDING_HEADERS,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
@@ -79,6 +80,9 @@
           ...(server.born === undefined
             ? []
             : [FORWARDING_HEADERS.born, String(server.born)]),
+          ...(request.needsConfirmation
+            ? [FORWARDING_HEADERS.confirm, CONFIRMED_FIRST]
+            : []),
           FORWARDING_HEADERS.request,
           request.attemptId ?? "",
           FORWARDING_HEADERS.host,
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -17,6 +17,8 @@
   address: "x-forwarding-address",
   /** Start of that server's incarnation as the host that forwards knows it, if it does. */
   born: "x-forwarding-born",
+  /** Whether the server is asked first which incarnation it is; {@link CONFIRMED_FIRST}. */
+  confirm: "x-forwarding-confirm",
   /** Id of the caller's attempt. */
   request: "x-forwarding-request",
   /** Name of the host that forwards its request. */
@@ -27,6 +29,9 @@
   framing: "x-forwarding-framing",
 } as const;
 
+/** Value of the header by which a server is asked for its incarnation first. */
+export const CONFIRMED_FIRST = "1";
+
 /** What became of a forwarded request. */
 export type ForwardingOutcome =
   /** The message is the server's answer. */
@@ -38,6 +43,7 @@
 export type NotSentReason =
   | "unknown_host"
   | "unknown_server"
+  | "unconfirmed_server"
   | "stopping"
   | "busy"
   | "body_too_large"
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -31,6 +31,7 @@
 import { headerValue } from "../model/request.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
+  CONFIRMED_FIRST,
   FORWARDING_HEADERS,
   type NotSentReason,
   withoutHopHeaders,
@@ -74,6 +75,8 @@
   isHostAddress(ip: string): boolean;
   /** A listed backend server. */
   serverOf(id: string): ServerAddress | undefined;
+  /** Whether a listed server may be taken for its listed incarnation. */
+  confirms(id: string): Promise<boolean>;
   /** Has a run stopped that the host which forwarded it has given up. */
   stopRun(run: ForwardedRun): void;
   /** Whether this host starts no more requests. */
@@ -95,6 +98,8 @@
   readonly server: ServerAddress;
   readonly attemptId: string;
   readonly from: string;
+  /** Whether only the listed incarnation of the server may get it. */
+  readonly needsConfirmation: boolean;
 }
 
 /** The listener for forwarded requests. */
@@ -156,6 +161,13 @@
         this.#refuse(response, forwarded, "body_too_large");
       return;
     }
+    const isConfirmed =
+      !forwarded.needsConfirmation ||
+      (await this.#parts.confirms(forwarded.server.id));
+    if (!isConfirmed) {
+      this.#refuse(response, forwarded, "unconfirmed_server");
+      return;
+    }
     if (response.destroyed) return;
     const { length } = body.value;
     this.#bodyBytes += length;
@@ -347,5 +359,6 @@
     },
     attemptId: value(FORWARDING_HEADERS.request),
     from: value(FORWARDING_HEADERS.host),
+    needsConfirmation: value(FORWARDING_HEADERS.confirm) === CONFIRMED_FIRST,
   };
 }
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -75,6 +75,7 @@
       serverOf: (id) =>
         id === SERVER_ID ? { id, ...server, born: 2 } : undefined,
       stopping: () => false,
+      confirms: () => Promise.resolve(true),
       stopRun: () => undefined,
       client: {
         isOutOfReach: () => false,
@@ -109,6 +110,7 @@
       readonly born?: number;
       readonly headers?: readonly string[];
       readonly body?: string;
+      readonly needsConfirmation?: boolean;
       /** Address of the host that forwards; the one started by default. */
       readonly door?: string;
     } = {},
@@ -124,7 +126,7 @@
           resolve(void told.push(`${failure}: ${detail}`)),
       };
       const { server = SERVER_ID, born, headers = [], body } = options;
-      const { door = this.doorAddress } = options;
+      const { door = this.doorAddress, needsConfirmation = false } = options;
       this.forwarding.send(
         {
           through: { name: "b", address: door, dataHall: "a" },
@@ -134,6 +136,7 @@
             target: "/path?query",
             headers: ["Host", "api.example", ...headers],
             body: body === undefined ? undefined : Buffer.from(body),
+            needsConfirmation,
           },
         },
         listener,
@@ -207,6 +210,23 @@
     },
   );
 
+  // Guards against a stream that goes on at a server which is back as another version, sent
+  // by a host that can't ask it.
+  test.each([
+    [true, true, "ended"],
+    [true, false, "not_written: unconfirmed_server"],
+    [false, false, "ended"],
+  ])(
+    "asks for a confirmation where it is needed: %s, confirmed: %s",
+    async (needsConfirmation, isConfirmed, last) => {
+      await using parts = await Parts.start((_, response) => response.end(), {
+        confirms: () => Promise.resolve(isConfirmed),
+      });
+      const told = await parts.send({ needsConfirmation });
+      expect(told.at(-1)).toBe(last);
+    },
+  );
+
   test("is closed to addresses that belong to no host", async () => {
     await using parts = await Parts.start((_, response) =>
       response.end("reached"),
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Clock, Listening, Logger, Random } from "rampswitch-utils";
+import type { Listening, Random } from "rampswitch-utils";
 import {
   BackendClient,
   type IncarnationCheck,
@@ -16,6 +16,10 @@
 import type { ServerDirectory } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { PeerReach, ServerContacts } from "../reach/mod.ts";
+import {
+  type IncarnationCheckParts,
+  IncarnationChecks,
+} from "../relay/incarnation_checks.ts";
 import type { ServerRuns } from "../relay/server_runs.ts";
 import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
 import { ForwardingHosts } from "./forwarding_hosts.ts";
@@ -23,11 +27,8 @@
 import { ServerClient } from "./server_client.ts";
 
 /** Dependencies of the access to servers. */
-export interface ServerAccessParts {
-  /** A monotonic clock. */
-  readonly clock: Clock;
+export interface ServerAccessParts extends IncarnationCheckParts {
   readonly random: Random;
-  readonly logger: Logger;
   readonly metrics: ServingMetrics;
   /** Name of this host, and the IP address by which the others know it. */
   readonly self: { readonly host: string; readonly ip: string };
@@ -51,11 +52,13 @@
   readonly contacts: ServerContacts;
   readonly peerReach: PeerReach;
   readonly client: ServerClient;
+  readonly incarnations: IncarnationChecks;
   readonly #directory: ServerDirectory;
   readonly #server: ForwardingServer;
 
   constructor(parts: ServerAccessParts) {
     this.#directory = parts.directory;
+    this.incarnations = new IncarnationChecks(parts);
     this.peerReach = new PeerReach(parts.clock);
     this.contacts = new ServerContacts({
       ...parts,
@@ -84,6 +87,7 @@
       client: this.client,
       isHostAddress: (ip) => parts.isHostAddress(ip),
       serverOf: (id) => this.#directory.get(id)?.entry,
+      confirms: (id) => this.#confirms(id, parts),
       stopRun: (run) => this.#stopRun(run, parts),
       stopping: () => parts.stopping(),
     });
@@ -126,6 +130,19 @@
       (await runs.incarnationStatus(record)) !== "later";
   }
 
+  /** Whether a listed server may be taken for its listed incarnation. */
+  async #confirms(
+    id: string,
+    { runs }: Pick<ServerAccessParts, "runs">,
+  ): Promise<boolean> {
+    const record = this.#directory.get(id);
+    if (record === undefined) return false;
+    const service = runs.serviceOf(record);
+    return (
+      service === undefined || this.incarnations.mayContinueAt(record, service)
+    );
+  }
+
   /** Has a run stopped that was sent for another host. */
   #stopRun(run: ForwardedRun, parts: ServerAccessParts): void {
     const server = this.#directory.get(run.server);
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -44,6 +44,7 @@
 const SERVER_REASONS: ReadonlySet<string> = new Set<NotSentReason>([
   "out_of_reach",
   "unknown_server",
+  "unconfirmed_server",
 ]);
 
 /** Maximum number of hosts that one send is tried through. */
@@ -131,6 +132,11 @@
     return this.#detours.has(server) || this.#parts.contacts.severalFailed;
   }
 
+  /** Whether requests for a server that need a confirmation go through other hosts. */
+  isConfirmedElsewhere(server: string): boolean {
+    return this.isOutOfReach(server) && this.#parts.hosts.hasAny(server);
+  }
+
   sendDirect(
     server: ServerAddress,
     request: OutgoingRequest,
@@ -169,6 +175,7 @@
     return {
       ...this.#parts,
       hasDetour: (server) => this.#detours.has(server),
+      isConfirmedElsewhere: (server) => this.isConfirmedElsewhere(server),
       mayForward: (server) =>
         hosts.hasAny(server) &&
         (contacts.severalFailed ||
@@ -238,6 +245,8 @@
 > {
   /** Whether only other hosts reach a server. */
   hasDetour(server: string): boolean;
+  /** Whether requests for a server that need a confirmation go through other hosts. */
+  isConfirmedElsewhere(server: string): boolean;
   /** Whether a failed connection to a server may be due to this host's links. */
   mayForward(server: string): boolean;
   /** Called when another host reached a server that this one did not. */
@@ -274,7 +283,10 @@
     this.#routes = routes;
     this.#startedAt = routes.clock.now();
     const { id } = routed.server;
-    if (routes.hasDetour(id) && routes.hosts.hasAny(id)) this.#forward("");
+    const isForwarded = routed.request.needsConfirmation
+      ? routes.isConfirmedElsewhere(id)
+      : routes.hasDetour(id) && routes.hosts.hasAny(id);
+    if (isForwarded) this.#forward("");
     else this.#sendDirect();
   }
 
--- a/packages/rampswitch-serving/src/relay/incarnation_checks.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks.ts
@@ -66,6 +66,17 @@
     return entry.born !== undefined && engine !== undefined;
   }
 
+  /**
+   * Whether a server may be taken for the incarnation that its record names: it says that
+   * it is, or can't be asked.
+   */
+  async mayContinueAt(
+    record: ServerRecord,
+    service: Service,
+  ): Promise<boolean> {
+    return !this.canAsk(record, service) || this.confirm(record);
+  }
+
   /** Whether a server is the incarnation that its record names. */
   async confirm(record: ServerRecord): Promise<boolean> {
     const now = this.#parts.clock.now();
--- a/packages/rampswitch-serving/src/relay/outgoing_request.ts
+++ b/packages/rampswitch-serving/src/relay/outgoing_request.ts
@@ -36,6 +36,7 @@
     method,
     target,
     body: request.body,
+    needsConfirmation: lastEventId !== undefined,
     headers: codec.encodeSend(request.head, {
       serverId: choice.record.entry.id,
       workspace: request.workspace?.name,
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -248,12 +248,18 @@
     runInBackground("choice of a server", this.#context, choose);
   }
 
-  /** The choice of a server, unless another incarnation answers in its place. */
+  /**
+   * The choice of a server, unless another incarnation answers in its place. Another host
+   * asks a server that this one doesn't reach.
+   */
   async #confirmed(choice: Choice): Promise<Choice | undefined> {
-    const { incarnations } = this.#context;
+    const { client, incarnations } = this.#context;
     const { record } = choice;
-    if (!incarnations.canAsk(record, this.#run.request.service)) return choice;
-    return (await incarnations.confirm(record)) ? choice : undefined;
+    const { service } = this.#run.request;
+    const isConfirmed =
+      client.isConfirmedElsewhere(record.entry.id) ||
+      (await incarnations.mayContinueAt(record, service));
+    return isConfirmed ? choice : undefined;
   }
 
   /** Whether a version has a server, or lost its last one so lately that it may return. */
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -228,9 +228,9 @@
       prefixes: { cachedTokens: () => 0 },
       directory: { allOf: () => [] },
       streams: { goneMilliseconds: () => 0 },
+      client: { isConfirmedElsewhere: () => false },
       incarnations: {
-        canAsk: () => true,
-        confirm: () => {
+        mayContinueAt: () => {
           stream.isUncertain = isUncertain;
           return Promise.resolve(true);
         },
--- a/packages/rampswitch-serving/src/relay/server_runs.ts
+++ b/packages/rampswitch-serving/src/relay/server_runs.ts
@@ -45,7 +45,12 @@
     return record.ended ? "later" : "not_told";
   }
 
-  #answersCalls({ entry }: ServerRecord): boolean {
-    return canStopRuns(this.#parts.serviceOf(entry.service));
+  /** The service of a server in the configuration in force. */
+  serviceOf({ entry }: ServerRecord): Service | undefined {
+    return this.#parts.serviceOf(entry.service);
+  }
+
+  #answersCalls(record: ServerRecord): boolean {
+    return canStopRuns(this.serviceOf(record));
   }
 }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -63,7 +63,6 @@
   RolloutStore,
   VersionEvaluator,
 } from "./rollout/mod.ts";
-import { IncarnationChecks } from "./relay/incarnation_checks.ts";
 import { RecentDispatches } from "./relay/recent_dispatches.ts";
 import { LeavingServers } from "./relay/leaving_servers.ts";
 import { LoadMeter } from "./relay/load_meter.ts";
@@ -357,6 +356,7 @@
           advertisements: this.#advertisements,
           serviceOf: (name) => this.#follower.routes?.service(name),
         }),
+        advertisements: this.#advertisements,
       }),
     );
     this.#callers = new CallerServer(this.#requestContext());
@@ -639,10 +639,7 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       streams: this.#streams.origins,
-      incarnations: new IncarnationChecks({
-        ...this.#ports,
-        advertisements: this.#advertisements,
-      }),
+      incarnations: this.#access.incarnations,
       permits: this.#permits,
       brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
