Release a canary's slack gradually at hosts that know of gone ones

A host releases half of its slack for a canary at first, and the rest over the time of the spec, later by its rank's part of the fleet. In a fleet with relays the rank of a member counts all known hosts, since it hears those of other relays through them, and the number of hosts comes from the digest. While entries of gone hosts stand, the rank can be many times that number, and its part is added to the slack as whole requests: the canary may get all slack at once. The bound of the exposure is held by another check, so that no promise broke; but a version that fails after a while has been sent all that it may get by then.

The part is less than 1 now, as it is without gone hosts. Members of 5 present and 60 gone hosts see up to rank 64 of 5 hosts. The test has a host after 60 gone ones, of five: 8 of 8 requests of slack at first before, 4 now, as at the other hosts.

--- a/packages/rampswitch-serving/src/rollout/exposure_budget.ts
+++ b/packages/rampswitch-serving/src/rollout/exposure_budget.ts
@@ -33,6 +33,15 @@
   return Math.floor(usable / hosts) + (position.rank < remainder ? 1 : 0);
 }
 
+/**
+ * Part of the fleet that releases its slack before this host, 0 to less than 1. A rank
+ * may count gone hosts that the number of hosts leaves out.
+ */
+export function staggerOfHost({ rank, hosts }: FleetPosition): number {
+  const counted = Math.max(1, hosts);
+  return Math.min(rank, counted - 1) / counted;
+}
+
 /** Share of its slack that a canary may use from the start. */
 const INITIAL_SLACK_SHARE = 0.5;
 
--- a/packages/rampswitch-serving/src/rollout/exposure_budget_test.ts
+++ b/packages/rampswitch-serving/src/rollout/exposure_budget_test.ts
@@ -2,7 +2,11 @@
 
 import { describe, expect, test } from "@jest/globals";
 import fc from "fast-check";
-import { ExposureBudget, slackOfHost } from "./exposure_budget.ts";
+import {
+  ExposureBudget,
+  slackOfHost,
+  staggerOfHost,
+} from "./exposure_budget.ts";
 
 const TERMS = { share: 0.1, slack: 50 };
 
@@ -52,8 +56,15 @@
     expect(Math.floor(budget.remainingTargetSends)).toBe(55);
   });
 
-  test("releases its slack gradually", () => {
-    const budget = new ExposureBudget(TERMS, { slack: 8, stagger: 0 });
+  // Guards against a version that gets all slack at once at hosts that know of gone ones:
+  // they count for the rank of a host, and not for the number of hosts.
+  test.each([
+    ["the first host", 0],
+    ["the last host", 4],
+    ["a host after 60 gone ones", 64],
+  ])("releases its slack gradually at %s", (_, rank) => {
+    const stagger = staggerOfHost({ rank, hosts: 5 });
+    const budget = new ExposureBudget(TERMS, { slack: 8, stagger });
     const first = { share: 0, elapsedShare: 0 };
     const sendAll = (canary: typeof first) => {
       const sent = budget.sentToTarget;
--- a/packages/rampswitch-serving/src/rollout/rollouts.ts
+++ b/packages/rampswitch-serving/src/rollout/rollouts.ts
@@ -8,7 +8,11 @@
  * @module
  */
 import type { ServerDirectory, ServerRecord } from "../choice/mod.ts";
-import { type FleetPosition, slackOfHost } from "./exposure_budget.ts";
+import {
+  type FleetPosition,
+  slackOfHost,
+  staggerOfHost,
+} from "./exposure_budget.ts";
 import {
   Rollout,
   type RolloutUpdate,
@@ -448,7 +452,7 @@
       remainingMilliseconds: origin.remainingMilliseconds,
       terms: this.#parts.terms(),
       slack: this.#slackFor(spec, { ...origin, position }),
-      stagger: position.rank / Math.max(1, position.hosts),
+      stagger: staggerOfHost(position),
       evaluator: this.#parts.createEvaluator(),
       now: origin.now,
     });
