Say in plain terms what hosts receive, report and keep

Comments that a newcomer would have to read twice: hosts that hear, tell, were told, nobody, anew. They say which message, record or list is meant, and `uncertain` for a version that can't be told, as the type does. `HearingTime` is `ReceptionTime`; `hearsMost` and `hearsAll` are `receivesFromMost` and `receivesFromAll`; the stand-in's `hear` is `receiveMessages`. Names and comments only.

--- a/packages/rampswitch-serving/src/membership/fleet_hosts_standin.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_standin.ts
@@ -38,8 +38,8 @@
   return { hosts, relays: ["relay"] } as unknown as FleetDigest;
 }
 
-/** What one host hears for a time. */
-export interface HeardFleet {
+/** The lists, updates and digests that one host receives for a time. */
+export interface ReceivedMessages {
   readonly hosts: FleetHosts;
   /** On the monotonic clock, in milliseconds. */
   readonly from: number;
@@ -52,8 +52,8 @@
   readonly digested?: number;
 }
 
-/** Lets a host read lists and hear others for a time. */
-export function hear(fleet: HeardFleet): void {
+/** Lets a host read lists, and receive updates and digests, for a time. */
+export function receiveMessages(fleet: ReceivedMessages): void {
   const { hosts, from, until, listed, heard = [], digested } = fleet;
   const rounds = Math.floor((until - from) / UPDATE_INTERVAL_MILLISECONDS);
   Array.from({ length: rounds }, (_, round) => round).forEach((round) => {
--- a/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_hosts_test.ts
@@ -4,8 +4,8 @@
 import { FleetHosts } from "./fleet_hosts.ts";
 import {
   entriesOf,
-  hear,
-  type HeardFleet,
+  receiveMessages,
+  type ReceivedMessages,
   hostNames,
   idleUpdate,
 } from "./fleet_hosts_standin.ts";
@@ -28,7 +28,7 @@
   const start = entriesOf(["self", ...PRESENT, ...GONE]);
   const heard = PRESENT.slice(0, 2);
 
-  test.each<[string, Partial<HeardFleet>, readonly string[]]>([
+  test.each<[string, Partial<ReceivedMessages>, readonly string[]]>([
     ["forgotten", { listed, heard: [...heard, "new"] }, [...PRESENT, "new"]],
     ["forgotten by a member", { listed, digested: 5 }, PRESENT],
     ["kept by one that hears nobody", { listed }, [...GONE, ...PRESENT]],
@@ -41,14 +41,14 @@
     const hosts = new FleetHosts(SELF);
     const shared = { hosts, from: START, listed: start, heard };
     const removed = START + MINUTE_MILLISECONDS;
-    hear({ ...shared, until: removed });
+    receiveMessages({ ...shared, until: removed });
     const until = removed + UNLISTED_MILLISECONDS;
     const late = { hosts, from: removed, until, listed, ...change };
-    hear(late);
+    receiveMessages(late);
     // A host that is new by an update.
     const after = { from: until, until: until + 250, listed: undefined };
     if (late.heard !== undefined) {
-      hear({ ...late, ...after, heard: [...late.heard, "newest"] });
+      receiveMessages({ ...late, ...after, heard: [...late.heard, "newest"] });
     }
     const known = hosts.all().map(({ name }) => name);
     const names = late.heard === undefined ? [] : ["newest"];
@@ -61,7 +61,7 @@
     const interval = (60 * MINUTE_MILLISECONDS) / replacements;
     const sizes = hostNames("replaced", replacements).map((name, index) => {
       const from = START + index * interval;
-      hear({
+      receiveMessages({
         hosts,
         from,
         until: from + 250,
@@ -80,7 +80,7 @@
   const listed = entriesOf(["self", ...PRESENT, "silent"]);
   const until = START + UNLISTED_MILLISECONDS;
 
-  test.each<[string, Partial<HeardFleet>, readonly string[]]>([
+  test.each<[string, Partial<ReceivedMessages>, readonly string[]]>([
     ["to one that hears the others", { heard: PRESENT }, ["silent"]],
     ["for four minutes", { heard: PRESENT, until: until - 120_000 }, []],
     ["to a member", { digested: 5 }, []],
@@ -89,19 +89,25 @@
     ["to one that hears nobody", {}, []],
   ])("is gone or not: %s", (_, heard, expected) => {
     const hosts = new FleetHosts(SELF);
-    hear({ hosts, from: START, until, listed, ...heard });
+    receiveMessages({ hosts, from: START, until, listed, ...heard });
     const names = hosts.all().map(({ name }) => name);
     expect(names.filter((name) => hosts.isGone(name))).toEqual(expected);
   });
 
   test("is not gone once it has registered again, or is heard", () => {
     const hosts = new FleetHosts(SELF);
-    hear({ hosts, from: START, until, listed, heard: PRESENT });
+    receiveMessages({ hosts, from: START, until, listed, heard: PRESENT });
     const entries = listed.map((entry) => ({ ...entry, version: 2 }));
     hosts.addListed(entries, until);
     expect(hosts.isGone("silent")).toBe(false);
     const later = until + UNLISTED_MILLISECONDS;
-    hear({ hosts, from: until, until: later, listed, heard: PRESENT });
+    receiveMessages({
+      hosts,
+      from: until,
+      until: later,
+      listed,
+      heard: PRESENT,
+    });
     expect(hosts.isGone("silent")).toBe(true);
     hosts.applyUpdate(idleUpdate("silent", 1), later);
     expect(hosts.isGone("silent")).toBe(false);
--- a/packages/rampswitch-serving/src/membership/fleet_majority.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_majority.ts
@@ -15,13 +15,13 @@
 const MAXIMUM_RELAYED_SILENCE_MILLISECONDS = 3_000;
 
 /**
- * Silence below which others count a host as present that hear as little of it, in
- * milliseconds; they drop it two seconds later.
+ * Silence of a host below which other hosts still count it as present if they receive as
+ * little from it, in milliseconds; they drop it two seconds later.
  */
 const MAXIMUM_PRESENT_SILENCE_MILLISECONDS = 8_000;
 
 /** What one host receives from another one. */
-export interface HeardHost {
+export interface ReportingHost {
   /** When its newest update was received, on the monotonic clock, in milliseconds. */
   readonly receivedAt: number;
   /** Its newest update: the age of the newest confirmation of the store, if any. */
@@ -34,7 +34,7 @@
   /** Number of hosts in the store's list; 0 before it was read. */
   readonly listed: number;
   /** The other hosts. */
-  readonly hosts: readonly HeardHost[];
+  readonly hosts: readonly ReportingHost[];
   /** The newest digest of a relay, if this host gets digests and it is recent. */
   readonly digest: Pick<FleetDigest, "hosts" | "configurationAge"> | undefined;
   /** Whether relays report hosts to this one. */
@@ -44,13 +44,16 @@
 }
 
 /** Whether this host hears from most of the listed hosts. */
-export function hearsMost(view: FleetView): boolean {
-  const heard = view.digest?.hosts ?? heardHosts(view).length + 1;
+export function receivesFromMost(view: FleetView): boolean {
+  const heard = view.digest?.hosts ?? reportingHosts(view).length + 1;
   return view.listed > 0 && 2 * heard > view.listed;
 }
 
-/** Whether this host has itself heard each other host lately enough to be present there. */
-export function hearsAll({
+/**
+ * Whether each other host has sent this one an update so recently that no host can have
+ * dropped it from those that are present.
+ */
+export function receivesFromAll({
   listed,
   hosts,
   isRelayed,
@@ -65,16 +68,16 @@
 export function lackStore(view: FleetView, milliseconds: number): boolean {
   const ages =
     view.digest === undefined
-      ? heardHosts(view).map((host) => confirmationAge(host, view.now))
+      ? reportingHosts(view).map((host) => confirmationAge(host, view.now))
       : [view.digest.configurationAge ?? Infinity];
-  return hearsMost(view) && ages.every((age) => age >= milliseconds);
+  return receivesFromMost(view) && ages.every((age) => age >= milliseconds);
 }
 
-function heardHosts({
+function reportingHosts({
   hosts,
   isRelayed,
   now,
-}: FleetView): readonly HeardHost[] {
+}: FleetView): readonly ReportingHost[] {
   const silence = isRelayed
     ? MAXIMUM_RELAYED_SILENCE_MILLISECONDS
     : MAXIMUM_SILENCE_MILLISECONDS;
@@ -82,7 +85,7 @@
 }
 
 function confirmationAge(
-  { receivedAt, update }: HeardHost,
+  { receivedAt, update }: ReportingHost,
   now: number,
 ): number {
   return (update?.configurationAge ?? Infinity) + now - receivedAt;
--- a/packages/rampswitch-serving/src/membership/fleet_majority_test.ts
+++ b/packages/rampswitch-serving/src/membership/fleet_majority_test.ts
@@ -3,8 +3,8 @@
 import { describe, expect, test } from "@jest/globals";
 import {
   type FleetView,
-  hearsAll,
-  hearsMost,
+  receivesFromAll,
+  receivesFromMost,
   lackStore,
 } from "./fleet_majority.ts";
 
@@ -31,7 +31,7 @@
     ["half of four", view(4, [host(100, 0)]), false],
     ["a list that was not read", view(0, []), false],
   ])("is heard or not: %s", (_, seen, heard) => {
-    expect(hearsMost(seen)).toBe(heard);
+    expect(receivesFromMost(seen)).toBe(heard);
   });
 
   test.each([
@@ -54,14 +54,14 @@
     ["the list of hosts was not read", view(0, []), false],
     ["hosts are heard through relays", relayed(view(1, [])), false],
   ])("leaves out nobody or not: %s", (_, seen, heard) => {
-    expect(hearsAll(seen)).toBe(heard);
+    expect(receivesFromAll(seen)).toBe(heard);
   });
 
   test("is told to a member by its relay", () => {
     const digest = { hosts: 50, configurationAge: 200 };
     const member = { ...view(78, []), digest, isRelayed: true };
-    expect(hearsMost(member)).toBe(true);
+    expect(receivesFromMost(member)).toBe(true);
     expect(lackStore(member, 3_000)).toBe(false);
-    expect(hearsMost({ ...member, listed: 100 })).toBe(false);
+    expect(receivesFromMost({ ...member, listed: 100 })).toBe(false);
   });
 });
--- a/packages/rampswitch-serving/src/membership/hearing_time.ts
+++ b/packages/rampswitch-serving/src/membership/reception_time.ts
@@ -1,22 +1,23 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Measures the time in which a host hears others. The silence of a host is evidence
- * only in such time: not while the listener is suspended, stopped or cut off.
+ * Measures the time in which a host receives messages of others. Only then does the
+ * silence of one of them show that it is gone: not while the receiver is suspended,
+ * stopped or cut off.
  *
  * @module
  */
 
-/** Longest time between two messages in which a host hears others, in milliseconds. */
+/** Longest time between two messages that counts as reception, in milliseconds. */
 const MAXIMUM_GAP_MILLISECONDS = 2_000;
 
-/** The time in which one host has heard others. */
-export class HearingTime {
+/** The time in which one host has received messages. */
+export class ReceptionTime {
   #total = 0;
   /** On the monotonic clock. */
   #lastAt = -Infinity;
 
-  /** The time so far, in milliseconds; it stands still while nothing is heard. */
+  /** The time so far, in milliseconds; it stands still while nothing is received. */
   get total(): number {
     return this.#total;
   }
--- a/packages/rampswitch-serving/src/membership/silent_hosts.ts
+++ b/packages/rampswitch-serving/src/membership/silent_hosts.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { HearingTime } from "./hearing_time.ts";
+import { ReceptionTime } from "./reception_time.ts";
 
 /**
  * Silence after which a host counts as gone, in milliseconds; longer than hosts are
@@ -14,7 +14,7 @@
 const GONE_MILLISECONDS = 300_000;
 
 /**
- * Time after which a host that is neither listed nor heard is forgotten, in
+ * Time after which a host that neither the list nor an update names is forgotten, in
  * milliseconds.
  */
 const UNLISTED_MILLISECONDS = 300_000;
@@ -26,9 +26,9 @@
 }
 
 interface Silence {
-  /** When the host was last heard or registered, in time with updates. */
+  /** When it last sent an update or registered, in time with updates. */
   readonly since: number;
-  /** When it was last heard or listed, in time with updates or digests. */
+  /** When it last sent an update or was listed, in time with any message. */
   readonly knownAt: number;
   /** Store version of its entry; `undefined` if it was not listed. */
   readonly version: number | undefined;
@@ -36,13 +36,13 @@
 
 /** The silence of the other hosts. */
 export class SilentHosts {
-  /** Time with updates: in which this host receives those of all others. */
-  readonly #updateTime = new HearingTime();
-  /** Time with updates or digests. */
-  readonly #messageTime = new HearingTime();
+  /** Time in which this host receives the updates of all others. */
+  readonly #updateTime = new ReceptionTime();
+  /** Time in which this host receives updates or digests. */
+  readonly #messageTime = new ReceptionTime();
   readonly #silences = new Map<string, Silence>();
 
-  /** Records a digest, which tells nothing of a single host. */
+  /** Records a digest, which names no single hosts. */
   recordDigest(now: number): void {
     this.#messageTime.record(now);
   }
@@ -79,7 +79,7 @@
     );
   }
 
-  /** Names of the hosts that were neither listed nor heard for long. */
+  /** Names of the hosts that were not listed and sent no update for long. */
   get unlisted(): readonly string[] {
     const oldest = this.#messageTime.total - UNLISTED_MILLISECONDS;
     return [...this.#silences]
--- a/packages/rampswitch-serving/src/membership/stream_exchange.ts
+++ b/packages/rampswitch-serving/src/membership/stream_exchange.ts
@@ -18,8 +18,8 @@
 import type { KnownHost } from "./fleet_hosts.ts";
 import {
   type FleetView,
-  hearsAll,
-  hearsMost,
+  receivesFromAll,
+  receivesFromMost,
   lackStore,
 } from "./fleet_majority.ts";
 import type {
@@ -114,10 +114,10 @@
     return {
       replies: answers.map(({ reply }) => reply),
       isComplete: missing.size === 0,
-      isMajority: hearsMost(fleet),
+      isMajority: receivesFromMost(fleet),
       keepers: {
         ...statesOf(answers, hosts),
-        isWholeFleetHeard: hearsAll(fleet),
+        isWholeFleetHeard: receivesFromAll(fleet),
       },
     };
   }
@@ -197,9 +197,9 @@
 }
 
 /**
- * The states of the hosts that answered: those that vouch, and those that are told of a
- * stream whichever host began it. Each host leaves itself out, so that the others move up
- * by one place.
+ * The states of the hosts that answered: those that vouch for the only version, and those
+ * that get the record of the stream whichever host began it. A host leaves itself out of
+ * the order, so that those behind it move up by one place.
  */
 function statesOf(
   answers: readonly (HostReply & { readonly host: KnownHost })[],
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -109,7 +109,7 @@
   const isSameVersion = earlier.version === later.version;
   const version = isSameVersion ? later.version : undefined;
   const isSameServer = earlier.serverId === later.serverId;
-  // Read or told again, it is as old as it was; this host's own server gave events now.
+  // A record that comes again is as old as it was, unless a server gave events here.
   const isSame = isSameVersion && isSameServer && later.server === undefined;
   const addedAt = isSame
     ? Math.min(earlier.addedAt, later.addedAt)
--- a/packages/rampswitch-serving/src/streams/known_past.ts
+++ b/packages/rampswitch-serving/src/streams/known_past.ts
@@ -9,8 +9,8 @@
 import type { Clock } from "rampswitch-utils";
 
 /**
- * Longest time from the read of what is stored to the first listed server for which the
- * two tell of the same moment, in milliseconds.
+ * Longest time from the read of the stored versions to the first listed server, in
+ * milliseconds: a version that came and went in between would be missed.
  */
 const LISTING_DELAY_MILLISECONDS = 1_000;
 
@@ -19,8 +19,8 @@
   readonly #clock: Clock;
   readonly #retentionMilliseconds: number;
   /**
-   * When the store last told which versions had served, on the monotonic clock;
-   * `undefined` if it has not.
+   * When the stored versions were last read and complete, on the monotonic clock;
+   * `undefined` before that.
    */
   #readAt: number | undefined;
   /** When a server was first listed, on the monotonic clock; `undefined` before that. */
@@ -39,7 +39,7 @@
     this.#listedAt ??= this.#clock.now();
   }
 
-  /** Notes that the store told which versions had served. */
+  /** Notes that the stored versions were read, and are complete. */
   wasRead(): void {
     this.#readAt = this.#clock.now();
   }
@@ -76,8 +76,8 @@
   }
 
   /**
-   * Whether the store told which versions had served up to about the time of this host's
-   * first listed server: between the two, one may have come and gone.
+   * Whether complete versions were read at about the time of this host's first listed
+   * server: a version may come and go unnoticed between the two.
    */
   get #hasRead(): boolean {
     if (this.#readAt === undefined || this.#listedAt === undefined) {
--- a/packages/rampswitch-serving/src/streams/named_versions.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions.ts
@@ -22,7 +22,7 @@
   readonly #clock: Clock;
   #named: VersionSets = new Map();
   #unnamed: VersionSets = new Map();
-  /** Versions that had been forgotten when the names of those were last dropped. */
+  /** Number of forgotten versions when names were last compared with the history. */
   #forgotten = 0;
 
   constructor(history: VersionHistory, clock: Clock) {
@@ -55,8 +55,8 @@
   }
 
   /**
-   * Forgets the names of versions that ended so long ago that they are taken out of the
-   * object: such a version has to be named anew when it comes back.
+   * Forgets the names of versions that ended so long ago that they are removed from the
+   * object: such a version has to be named again when it comes back.
    */
   forgetEnded(): void {
     const forgotten = this.#history.forgottenVersions(this.#clock.now());
--- a/packages/rampswitch-serving/src/streams/served_versions.ts
+++ b/packages/rampswitch-serving/src/streams/served_versions.ts
@@ -80,7 +80,10 @@
     );
   }
 
-  /** Whether the servers were listed so long after the store was read that it is due again. */
+  /**
+   * Whether the first server was listed so long after the stored versions were read that
+   * they have to be read again.
+   */
   get hasListedLate(): boolean {
     return this.#past.hasListedLate;
   }
@@ -101,12 +104,12 @@
     this.history.removed(id, this.#parts.clock.now());
   }
 
-  /** Notes versions that others tell of. */
+  /** Notes versions that other hosts or the store name. */
   served(service: string, versions: readonly string[]): void {
     this.history.served(service, versions, this.#parts.clock.now());
   }
 
-  /** Notes that the store told which versions had served, and that there were no others. */
+  /** Notes that the stored versions were read, and are complete. */
   wasRead(): void {
     this.#past.wasRead();
   }
@@ -126,7 +129,7 @@
     return this.of(service).length > 1;
   }
 
-  /** What the versions of a service tell of a stream that this host has no record of. */
+  /** What the versions of a service show of a stream without a record. */
   replyOf(service: string): StreamReply {
     const [version, ...others] = this.of(service);
     if (version === undefined) return { kind: "none" };
--- a/packages/rampswitch-serving/src/streams/stream_answers.ts
+++ b/packages/rampswitch-serving/src/streams/stream_answers.ts
@@ -45,7 +45,7 @@
     return records.replyTo(key) ?? versions.replyOf(key.service);
   }
 
-  /** What this host tells of itself. */
+  /** What this host reports of itself. */
   get state(): KeeperState {
     const now = this.#parts.clock.now();
     return {
--- a/packages/rampswitch-serving/src/streams/stream_evidence.ts
+++ b/packages/rampswitch-serving/src/streams/stream_evidence.ts
@@ -27,16 +27,16 @@
    */
   | { readonly kind: "unconfirmed" }
   | { readonly kind: "unknown" }
-  /** A host knows that it can't be told, or two hosts name different versions. */
+  /** A host knows that the version is uncertain, or two hosts name different ones. */
   | { readonly kind: "lost" };
 
 /**
  * Judges the reply of this host and those of the others. One version alone counts if
  * somebody knows the past, nobody has seen another version, and no host is silent that
- * may have been sent the stream's version. A host that knows that the version can't be
- * told outweighs one that names it, whose list may be old. A host that hears few others
- * may be cut off from those that know more. What all of them miss since they have just
- * started, or since their lists are old, is no evidence.
+ * may have been sent the stream's version. A host that knows that the version is
+ * uncertain outweighs one that names it, whose list may be old. A host that receives
+ * updates from few others may be cut off from those that know more. That all of them lack
+ * a record shows nothing if they have just started, or if their lists are old.
  */
 export function judgeReplies(
   own: StreamReply,
--- a/packages/rampswitch-serving/src/streams/stream_finder.ts
+++ b/packages/rampswitch-serving/src/streams/stream_finder.ts
@@ -3,7 +3,7 @@
 /**
  * Finds the version that began a stream: by this host's own record, by the replies of the
  * hosts that may keep the stream, and by what hosts that have ended had stored. A version
- * that nobody knows is never guessed: one version alone counts only for a host that knows
+ * that no host knows is never guessed: one version alone counts only for a host that knows
  * which versions served before, from the store or since it was there.
  *
  * @module
@@ -71,7 +71,7 @@
     const { records, versions, answers, sources } = this.#parts;
     if (records.isUncertain(key)) return LOST_ORIGIN;
     const own = answers.replyTo(key);
-    // A host with a newer list may know that the version can't be told.
+    // A host with a newer list may know that the version is uncertain.
     if (own.kind === "known" && !versions.isListBehind) {
       return records.originOf(key, own.version);
     }
@@ -101,8 +101,8 @@
   }
 
   /**
-   * The version by this host's record of a stream that nobody who replied keeps. A list
-   * that is behind may lack that the stream's server has another version now.
+   * The version by this host's record, where no host that replied has one. A list that is
+   * behind may lack that the stream's server has another version now.
    */
   async #originHere(key: StreamKey): Promise<StreamOrigin> {
     const { records, versions, answers, sources } = this.#parts;
@@ -114,7 +114,7 @@
       : UNKNOWN_ORIGIN;
   }
 
-  /** Keeps what replies name: their server may be listed as another version yet. */
+  /** Keeps the records in replies: a server may yet be listed as another version. */
   #keepFound(key: StreamKey, { replies }: StreamReplies): void {
     const { records } = this.#parts;
     if (records.has(key)) return;
--- a/packages/rampswitch-serving/src/streams/stream_origin.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origin.ts
@@ -7,9 +7,9 @@
  */
 
 /**
- * How the version of a stream was found: this host served the stream, another one told
- * of it, hosts replied to a query, the service has one version alone, or a host that may
- * have ended had stored it.
+ * How the version of a stream was found: this host served the stream (`table`), another
+ * host sent its record (`told`), hosts replied to a query, the service has one version
+ * alone (`single`), or a host that may have ended had stored it.
  */
 export type StreamOriginSource =
   "table" | "told" | "queried" | "single" | "stored";
@@ -23,13 +23,13 @@
       /** Id of the server that began it, if a record names one. */
       readonly serverId?: string | undefined;
     }
-  /** Somebody may know it later. */
+  /** Another host or the store may name it later. */
   | { readonly kind: "unknown" }
   /** Neither the store nor any host knows it. */
   | { readonly kind: "lost" };
 
-/** Nobody will ever know the version. */
+/** The version will not become known. */
 export const LOST_ORIGIN: StreamOrigin = { kind: "lost" };
 
-/** Somebody may know the version later. */
+/** The version may become known later. */
 export const UNKNOWN_ORIGIN: StreamOrigin = { kind: "unknown" };
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -84,7 +84,10 @@
     return this.#versions.isListBehind;
   }
 
-  /** Whether the servers were listed so long after the store was read that it is due again. */
+  /**
+   * Whether the first server was listed so long after the stored versions were read that
+   * they have to be read again.
+   */
   get hasListedLate(): boolean {
     return this.#versions.hasListedLate;
   }
@@ -94,7 +97,7 @@
     return this.#records.storable(this.mixedServices);
   }
 
-  /** Notes a listed server. The streams that run when a second version appears are told. */
+  /** Notes a listed server; running streams are told to others with a second version. */
   listed(server: VersionedServer): void {
     this.#versions.receivedList();
     this.#tellOnceMixed(server.service, () => this.#versions.listed(server));
@@ -111,7 +114,7 @@
     this.#versions.missedChanges();
   }
 
-  /** Notes versions that the store tells of; `isComplete`: there were no others. */
+  /** Notes the stored versions; `isComplete`: there were no others. */
   restoreVersions(
     versions: ServiceVersions,
     { isComplete }: { readonly isComplete: boolean },
@@ -128,15 +131,15 @@
     source: { readonly isOwn: boolean },
   ): void {
     this.#records.restore(records, source);
-    // Their versions may have been stored by nobody else.
+    // The stored versions may lack those that only these records name.
     versionsByService(records).forEach((names, service) => {
       names.forEach((version) => this.#learn(service, version));
     });
   }
 
   /**
-   * Notes that a server's later incarnation has another version. It can't be told which
-   * of the two gave the events that came shortly before it was listed.
+   * Notes that a server's later incarnation has another version. It is uncertain which of
+   * the two gave the events that came shortly before it was listed.
    */
   becameOtherVersion(server: string): void {
     this.#records
@@ -146,14 +149,14 @@
       );
   }
 
-  /** Notes that it can't be told which version began a stream that broke. */
+  /** Notes that the version of a stream that broke is uncertain. */
   becameUncertain(key: StreamKey): void {
     const stream = this.#records.unjudged(key);
     if (stream === undefined) return;
     this.#parts.tell(this.#records.markUncertain(stream));
   }
 
-  /** Whether it is known of a stream that it can't be told which version began it. */
+  /** Whether there is a record of a stream whose version is uncertain. */
   isUncertain(key: StreamKey): boolean {
     return this.#records.isUncertain(key);
   }
@@ -215,7 +218,7 @@
     );
   }
 
-  /** Applies a change of the versions; running streams are told if several result. */
+  /** Applies a change of the versions; tells others of running streams if several result. */
   #tellOnceMixed(service: string, change: () => void): void {
     const before = this.#versions.of(service).length;
     change();
--- a/packages/rampswitch-serving/src/streams/stream_records.ts
+++ b/packages/rampswitch-serving/src/streams/stream_records.ts
@@ -1,10 +1,10 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * The records of streams that one host has: of those that it serves, that other hosts
- * told it of, and that hosts had stored. Each names the version that began the stream,
- * and is judged by the versions that its server was listed with: a server that came back
- * as another version may have had that one when it began the stream.
+ * The records of streams that one host has: of its own streams, from other hosts and from
+ * the store. Each names the version that began the stream, and is judged by the versions
+ * that its server was listed with: a server that came back as another version may have had
+ * that one when it began the stream. The version is uncertain then.
  *
  * @module
  */
@@ -104,18 +104,18 @@
     return this.#get(key) !== undefined;
   }
 
-  /** Whether it is known of a stream that it can't be told which version began it. */
+  /** Whether there is a record of a stream whose version is uncertain. */
   isUncertain(key: StreamKey): boolean {
     const stream = this.#get(key);
     return stream !== undefined && stream.version === undefined;
   }
 
-  /** Returns the record of a stream that this host serves or was told of. */
+  /** Returns the record of a stream that is not from the store, as it was added. */
   unjudged(key: StreamKey): BegunStream | undefined {
     return this.#streams.get(key, this.#clock.now());
   }
 
-  /** Notes that it can't be told which version began a stream; returns its new record. */
+  /** Notes that the version of a stream is uncertain; returns its new record. */
   markUncertain(begun: BegunStream): StreamRecord {
     const now = this.#clock.now();
     const stream = { ...begun, version: undefined };
@@ -151,7 +151,7 @@
       .map((stream) => recordOf(stream, now));
   }
 
-  /** What the record of a stream tells; `undefined` if there is none. */
+  /** The reply by the record of a stream; `undefined` if there is none. */
   replyTo(key: StreamKey): StreamReply | undefined {
     const stream = this.#get(key);
     if (stream === undefined) return undefined;
@@ -186,7 +186,7 @@
     return { kind: "known", version, serverId, ageMilliseconds };
   }
 
-  /** What all records tell of a stream, without a version if that can't be told. */
+  /** All records of a stream combined, without a version if that is uncertain. */
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#clock.now();
     const stream = combinedStream(
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -27,14 +27,14 @@
   readonly isComplete: boolean;
   /** Whether this host hears most hosts of the fleet. */
   readonly isMajority: boolean;
-  /** What those that replied tell of themselves. */
+  /** What those that replied report of themselves. */
   readonly keepers: KeeperStates;
 }
 
 /** The answer of one host to a query for a stream. */
 export interface HostReply {
   readonly reply: StreamReply;
-  /** Absent if the host doesn't tell it. */
+  /** Absent from hosts of earlier releases. */
   readonly state?: KeeperState | undefined;
 }
 
@@ -67,7 +67,7 @@
 /** What a host knows of the version that began a stream. */
 export type StreamReply =
   | KnownReply
-  /** The host knows the stream, and that its version can't be told. */
+  /** The host has a record of the stream, and its version is uncertain. */
   | { readonly kind: "uncertain" }
   /** The service is known to have had this version alone for as long as a stream lasts. */
   | { readonly kind: "single"; readonly version: string }
--- a/packages/rampswitch-serving/src/streams/untold_streams.ts
+++ b/packages/rampswitch-serving/src/streams/untold_streams.ts
@@ -1,17 +1,17 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
 /**
- * Judges whether hosts would have been told of a stream, had it begun at another version
- * than the only one that they know. Pure.
+ * Concludes from the absence of records which version began a stream: hosts that know one
+ * version alone would have got the record, had the stream begun at another one. Pure.
  *
- * A host that may know of another version tells the hosts that keep a stream before its
- * first event. So a stream that began after a moment at which one version alone was
- * listed, and that nobody of those was told of, began at that version.
+ * A host that may know of another version sends the record of a stream to a few hosts, its
+ * keepers, before the first event. So a stream without a record at its keepers, which began
+ * after a moment at which one version alone was listed, began at that version.
  *
  * @module
  */
 
-/** What a host tells of itself when it is asked for a stream. */
+/** What a host reports of itself when it is queried for a stream. */
 export interface KeeperState {
   /** Time since it started, in milliseconds. */
   readonly runningMilliseconds: number;
@@ -26,15 +26,15 @@
 export interface KeeperStates {
   /** States of the hosts that know the past, and one version alone. */
   readonly vouchers: readonly KeeperState[];
-  /** States of the hosts that are told of the stream whichever host began it. */
+  /** States of the hosts that get its record whichever host began it. */
   readonly keepers: readonly KeeperState[];
-  /** Whether this host is one of those that are told. */
+  /** Whether this host is one of those keepers. */
   readonly isOwnKeeper: boolean;
   /** Whether no host has been silent for so long that others may have dropped it. */
   readonly isWholeFleetHeard: boolean;
 }
 
-/** Hosts that weren't told; the messages to one alone may have been lost. */
+/** Keepers that have to lack the record; the message to one alone may have been lost. */
 const WITNESSES = 2;
 
 /**
@@ -50,10 +50,10 @@
 const MAXIMUM_LIST_AGE_MILLISECONDS = 50_000;
 
 /**
- * Whether a stream of another version would have been told to enough hosts that replied
- * without knowing it. They have to be there since a time at which a list had all changes:
- * what began before that began at the version on the list. This host's own state is that
- * of a voucher.
+ * Whether enough keepers that replied without a record would have got it, had the stream
+ * begun at another version. They have to run since a time at which a list had all changes:
+ * what began before that began at the version on the list. This host's own state counts as
+ * that of a voucher.
  */
 export function isCertainlyUntold(
   own: KeeperState,
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -43,7 +43,7 @@
 /** Latest era of the store in which a missing object shows that no version has served. */
 const FIRST_ERA = 1;
 
-/** What an object tells that is missing or can't be read. */
+/** What is known of the versions if the object is missing or can't be read. */
 const NOTHING_STORED: StoredVersions = {
   completeInEra: undefined,
   services: new Map(),
@@ -147,7 +147,7 @@
     );
   }
 
-  /** What the object tells as this host last read or wrote it. */
+  /** The content of the object as this host last read or wrote it. */
   get #known(): StoredVersions {
     return this.#object === undefined
       ? NOTHING_STORED
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -26,7 +26,7 @@
   readonly servers: Set<string>;
   /** When its last server was removed, on the monotonic clock. */
   goneAt: number;
-  /** When it was last told of, on the monotonic clock. */
+  /** When another host or the store last named it, on the monotonic clock. */
   toldAt: number;
 }
 
@@ -52,7 +52,7 @@
 export class VersionHistory {
   readonly #retentionMilliseconds: number;
   readonly #services = new Map<string, Map<string, ServiceVersion>>();
-  /** Services of the versions without a server, which are forgotten after a while. */
+  /** Services of the versions without a listed server, which are forgotten in time. */
   readonly #ending = new Map<ServiceVersion, string>();
   #forgotten = 0;
   readonly #listed = new Map<string, VersionedServer>();
@@ -126,8 +126,9 @@
   }
 
   /**
-   * Notes versions that others tell of: they served before this process started, or
-   * began a stream elsewhere. Those that are not listed may have ended a moment ago.
+   * Notes versions that other hosts or the store name: they served before this process
+   * started, or began a stream at another host. Those that are not listed may have ended a
+   * moment ago.
    */
   served(service: string, versions: readonly string[], now: number): void {
     const known =
