--- a/packages/rampswitch-serving/src/streams/named_versions.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions.ts
@@ -23,7 +23,7 @@
   #named: VersionSets = new Map();
   #unnamed: VersionSets = new Map();
   /**
-   * Versions that had been forgotten when the names of those were last dropped;
+   * Number of forgotten versions when names were last compared with the history;
    * `undefined` since the object was read: it may name some of them.
    */
   #forgotten: number | undefined;
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Forgets the names of versions that ended so long ago that they are taken out of the
-   * object: such a version has to be named anew when it comes back.
+   * Forgets the names of versions that ended so long ago that they are removed from the
+   * object: such a version has to be named again when it comes back.
    */
   forgetEnded(): void {
     const forgotten = this.#history.forgottenVersions(this.#clock.now());
