Show that a version that ended is kept by changes of other services

A test that fails: two hosts, another service with a new version each 20 s, named first by the one and by the other in turn; 180 s after its last server went, v1 is still in the object and both hosts count the service as mixed. 60 s are wanted (young_streams.md, rule 2).

Cause: `VersionHistory.served` renews `toldAt` of all versions in an object that is read anew, and each write of one host is read anew by the others, with the ended versions in it.

Callers see more refusals (a mixed service decides nothing by its only version), and each stream costs four datagrams and its share of a write, for as long as versions change.

--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -270,6 +270,29 @@
     expect(await versionOf(next.streams)).toBe("v2");
   });
 
+  // Guards against services that count as mixed for ever, and send and store each of their
+  // streams, since other services get a new version some times a minute.
+  test("are removed though another service gets new versions all the time", async () => {
+    const store = new ObjectStoreStandin();
+    const versions = ["v1", "v2"];
+    const holder = await startHost(store, { versions });
+    const other = await startHost(store, { versions, holdsDuties: false });
+    const hosts = [other, holder];
+    hosts.forEach(({ streams }) => streams.removed("s-v1"));
+    for (const round of [1, 2, 3, 4, 5, 6, 7, 8, 9]) {
+      // Sometimes the one, sometimes the other host is the first to name the new one.
+      for (const { clock, streams } of hosts.reverse()) {
+        streams.removed(`o${round - 1}`);
+        const version = `w${round}`;
+        streams.listed({ id: `o${round}`, service: "other", version });
+        await pass(clock, RETENTION_MILLISECONDS / 3);
+      }
+    }
+    const mixed = hosts.map(({ streams }) => streams.isMixed(SERVICE));
+    expect(mixed).toEqual([false, false]);
+    expect(store.value(VERSIONS_KEY)).not.toContain("v1");
+  });
+
   test("include what another holder wrote meanwhile", async () => {
     const store = new ObjectStoreStandin();
     const { clock, streams } = await startHost(store, { versions: ["v1"] });
