Show that a host with an old list goes by the reply of another one

A test that fails: own list behind, one reply "known v1 at s1" from a host that lists s1 as v1 still; the store would say that s1 is v2. The stream is found as v1, without a confirmation.

Cause: \`find\` has the list confirmed only where nobody who replies keeps the stream (\`!isKept\`). A reply doesn't tell that its host's list is old, and is judged by the list of the one that asks, which knows that it is old too. Hosts with the newer list that weren't told (4 of the hosts are) reply without knowing the stream and change nothing.

A caller sees a stream that began at v2 (unlisted) go on at v1, where all keepers that reply within 10 ms and the host that is asked lag.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -844,3 +844,19 @@
   streams.becameOtherVersion(SERVER);
   expect(streams.isUncertain(STREAM)).toBe(true);
 });
+
+// Guards against a host that knows that its list is old, and goes by what another host with
+// an old list replies: the stream's server is another version by now.
+test("a version is not taken from another host's old list by a host with an old list", async () => {
+  const keeper = hostOf();
+  keeper.list("s1", "v1");
+  keeper.streams.receive(RECORD);
+  const { state, streams, list } = hostOf([keeper.streams.replyTo(STREAM)]);
+  list("s1", "v1");
+  list("s2", "v1");
+  Object.assign(state, {
+    list: { ...CURRENT_LIST, newestHeard: 2 },
+    confirmed: () => list("s1", "v2"),
+  });
+  expect((await streams.find(STREAM)).kind).not.toBe("known");
+});
