--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -860,3 +860,17 @@
   });
   expect((await streams.find(STREAM)).kind).not.toBe("known");
 });
+
+// Guards against a host that first listed a server as the version that came between, and
+// takes a record from that time for one of the version that the server has again.
+test("a version can't be told that a server had before and after the one that it was listed with then", () => {
+  const { clock, streams, list } = hostOf();
+  list("s1", "v2");
+  clock.advance(1_000);
+  // Told by a host that had not read yet that the server was another one.
+  streams.receive(RECORD);
+  const before = streams.isUncertain(STREAM);
+  clock.advance(4_000);
+  list("s1", "v1");
+  expect([before, streams.isUncertain(STREAM)]).toEqual([true, true]);
+});
