Show that a host stores a version that it knows can't be told

A test that fails: a former process's stream of v1 at s1, then s1 is listed as v2. The host counts it as one that can't be told, and stores it with v1 all the same.

Cause: \`storable\` writes the record of the table, \`isUncertain\` judges it by the listed versions; only \`becameOtherVersion\`, for streams of that very incarnation in this process, marks it.

--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -874,3 +874,14 @@
   list("s1", "v1");
   expect([before, streams.isUncertain(STREAM)]).toEqual([true, true]);
 });
+
+// Guards against a doubt that ends with all hosts: a host knows that it can't be told which
+// version began a stream of its former process, and stores the version nevertheless.
+test("a stream that can't be told is stored as such, though a former process served it", () => {
+  const { streams, list } = hostOf();
+  streams.restoreStreams([RECORD], { isOwn: true });
+  list("s2", "v1");
+  list("s1", "v2");
+  expect(streams.isUncertain(STREAM)).toBe(true);
+  expect(streams.storable.map(({ version }) => version)).toEqual([undefined]);
+});
