Count a former version of a server for older records

A server that was first listed as v2 and then as v1: a host that was told, 3 s before that listing, of a stream of v1 there counted it as certain from the listing on. The stream could have begun at v2, through a host with an old list, and its caller would get it joined.

Cause: \`mayHaveHadOther\` took the first listing with the named version as the begin, whenever that was, as if the record came from a newer list. A list is newer by the time that a listing lags (2 s, or more where this host's list was old) and not by more.

Ruled out: to count all versions before the named one. That refuses what a host with a newer list told just before the listing (a test for it stands and passes).

Change: the listing of the named version is the begin only where the record is at most that lag older.

--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -105,9 +105,10 @@
 
   /**
    * Whether a server that a host took for a version at a time may have had another one,
-   * which is listed up to the given time later. Only a version that followed the named
-   * one counts: a host's list may be newer than this one's, but it never names a version
-   * that a server has not had.
+   * which is listed up to the given time later. Versions that came before the named one
+   * don't count if that one was listed so soon after: the list of the host that took it
+   * for that may have been newer, and it never names a version that a server has not had.
+   * Otherwise its list may have been older.
    */
   mayHaveHadOther(
     { id, version }: Pick<VersionedServer, "id" | "version">,
@@ -115,8 +116,9 @@
     lagMilliseconds: number,
   ): boolean {
     const listed = this.#listedVersions.get(id) ?? [];
-    // From the start if it is not known to have had the version.
-    const first = listed.findIndex((one) => one.version === version);
+    const first = listed.findIndex(
+      (one) => one.version === version && at >= one.since - lagMilliseconds,
+    );
     return listed
       .slice(Math.max(0, first))
       .some(
