Store and tell of a stream what its host counts it as

A host counted a stream of v1 at s1, which its former process had served, as one that can't be told, since s1 was listed as v2 meanwhile, and stored it with v1. The doubt ended with the host: others that start when s1 is gone, or v1 again, give its caller the rest from v1, joined if it began at v2.

Cause: the records that are stored, and told once a service becomes mixed, were those of the table. What \`isUncertain\` and replies tell is judged by the versions that the server was listed with, and combined with what other hosts had stored.

Replies and records that are marked as uncertain were right. The record that is told as a stream begins stays judged by those that get it: it names its server. It lacks a version now where this host was told another one before.

--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -170,7 +170,10 @@
     // Another version may be known to hosts with a newer list, or have gone unseen.
     const isTold =
       this.isMixed(record.service) || this.isListBehind || !this.isPastKnown;
-    if (isTold) this.#parts.tell(begun);
+    if (!isTold) return;
+    // What this host was told of it before may differ. Those that are told judge the server.
+    const version = this.#records.unjudged(begun)?.version;
+    this.#parts.tell({ ...begun, version });
   }
 
   /** Notes that a stream was given whole. */
--- a/packages/rampswitch-serving/src/streams/stream_records.ts
+++ b/packages/rampswitch-serving/src/streams/stream_records.ts
@@ -133,22 +133,14 @@
 
   /** Returns the streams of a service that this host serves or that broke here. */
   servedHere(service: string): readonly StreamRecord[] {
-    const now = this.#clock.now();
-    return this.#streams
-      .servedHere(now)
-      .filter((stream) => stream.service === service)
-      .map((stream) => recordOf(stream, now));
+    return this.#recordsOf(this.#servedIn(new Set([service])));
   }
 
   /** Returns the streams of some services that have to outlive this host. */
   storable(services: ReadonlySet<string>): readonly StreamRecord[] {
-    if (services.size === 0) return [];
-    const now = this.#clock.now();
-    return this.#streams
-      .servedHere(now)
-      .filter(({ service }) => services.has(service))
-      .slice(-MAXIMUM_STORED_STREAMS)
-      .map((stream) => recordOf(stream, now));
+    return this.#recordsOf(
+      this.#servedIn(services).slice(-MAXIMUM_STORED_STREAMS),
+    );
   }
 
   /** What the record of a stream tells; `undefined` if there is none. */
@@ -186,6 +178,20 @@
     return { kind: "known", version, serverId, ageMilliseconds };
   }
 
+  /** The streams of some services that this host serves or that broke here. */
+  #servedIn(services: ReadonlySet<string>): readonly BegunStream[] {
+    if (services.size === 0) return [];
+    return this.#streams
+      .servedHere(this.#clock.now())
+      .filter(({ service }) => services.has(service));
+  }
+
+  /** What others are told of streams: as this host judges them. */
+  #recordsOf(streams: readonly BegunStream[]): readonly StreamRecord[] {
+    const now = this.#clock.now();
+    return streams.map((stream) => recordOf(this.#get(stream) ?? stream, now));
+  }
+
   /** What all records tell of a stream, without a version if that can't be told. */
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#clock.now();
