Confirm an old list before going by what another host names

A host that knew that its list of servers was old took the version of a stream from another host's reply, whose list may be as old: a stream that its server began as v2 went on at v1.

Cause: \`find\` had the list confirmed only where nobody who replied kept the stream. A reply doesn't tell how new its host's list is.

Ruled out: to confirm it for each such stream. A change that the list lacks matters only if it may have come before the other host learned of the stream: two seconds before the list was last current, or at any time if the server was never listed here. Ruled out too: to refuse while the store is away for all, where no list changes (a host may be behind for all of such a time). A change that one host read in the last moment before stays a risk there.

Change: where it matters and the store doesn't confirm, but has answered others, the version is unknown for now; it isn't said to be lost, so that the caller comes back soon.

--- a/packages/rampswitch-serving/src/streams/stream_finder.ts
+++ b/packages/rampswitch-serving/src/streams/stream_finder.ts
@@ -79,15 +79,13 @@
     this.#logEvidence(key, own, asked);
     const isKept = asked.replies.some(({ kind }) => KEPT_KINDS.has(kind));
     if (own.kind === "known" && !isKept) return this.#originHere(key);
-    const origin = await this.#originFrom(key, asked, {
-      hasReadStored: false,
-      mayConfirm: true,
-    });
+    const origin = isKept
+      ? await this.#originKept(key, asked)
+      : await this.#originFrom(key, asked, BEFORE_STORE);
     if (origin.kind === "known") {
       this.#parts.learn(key.service, origin.version);
-      this.#keepFound(key, asked);
     }
-    if (origin.kind !== "unknown") return origin;
+    if (isKept || origin.kind !== "unknown") return origin;
     const hasRead = await sources.readStored();
     if (records.has(key)) return this.#originHere(key);
     const later = await this.#originFrom(key, asked, {
@@ -114,6 +112,34 @@
       : UNKNOWN_ORIGIN;
   }
 
+  /** The version that hosts which replied name; their lists may be as old as this one's. */
+  async #originKept(
+    key: StreamKey,
+    asked: StreamReplies,
+  ): Promise<StreamOrigin> {
+    const named = await this.#originFrom(key, asked, BEFORE_STORE);
+    if (named.kind !== "known") return named;
+    // It serves elsewhere, whether this host can go by it or not.
+    this.#parts.learn(key.service, named.version);
+    this.#keepFound(key, asked);
+    const isCurrent = await this.#isListNewEnough(key);
+    const origin = await this.#originFrom(key, asked, BEFORE_STORE);
+    return isCurrent || origin.kind !== "known" ? origin : UNKNOWN_ORIGIN;
+  }
+
+  /**
+   * Whether this host's list shows all that may make a known stream's version uncertain.
+   * While the store answers nobody no list changes.
+   */
+  async #isListNewEnough(key: StreamKey): Promise<boolean> {
+    const { records, versions, sources } = this.#parts;
+    const mayBecomeUncertain =
+      versions.isListBehind &&
+      records.mayBecomeUncertain(key, versions.listCurrentAt);
+    if (!mayBecomeUncertain) return true;
+    return (await sources.confirmList()) || sources.isStoreAway();
+  }
+
   /** Keeps what replies name: their server may be listed as another version yet. */
   #keepFound(key: StreamKey, { replies }: StreamReplies): void {
     const { records } = this.#parts;
@@ -201,6 +227,9 @@
   }
 }
 
+/** How replies are judged before what is stored is read again. */
+const BEFORE_STORE = { hasReadStored: false, mayConfirm: true };
+
 /** Replies of hosts that keep the stream. */
 const KEPT_KINDS: ReadonlySet<StreamReply["kind"]> = new Set([
   "known",
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -861,6 +861,30 @@
   expect((await streams.find(STREAM)).kind).not.toBe("known");
 });
 
+// Guards against refusals of streams that a host with an old list can tell the version of,
+// and against callers that are told to give up.
+test.each([
+  ["known, as the store is away for all", { isStoreAway: true }, "known"],
+  [
+    "known, as the stream is older than what the list lacks",
+    { list: { ...CURRENT_LIST, newestHeard: 2, currentAt: 9_000 } },
+    "known",
+  ],
+  ["unknown for now, as the store answers others", {}, "unknown"],
+])(
+  "a version that another host names, where the store confirms nothing, is %s",
+  async (_, changed, expected) => {
+    const { clock, state, streams, list } = hostOf([
+      { ...KNOWN, serverId: "s2", ageMilliseconds: 5_000 },
+    ]);
+    list("s2", "v2");
+    clock.advance(10_000);
+    state.list = { ...CURRENT_LIST, newestHeard: 2, currentAt: 6_000 };
+    Object.assign(state, { isListConfirmed: false, hasRead: true }, changed);
+    expect((await streams.find(STREAM)).kind).toBe(expected);
+  },
+);
+
 // Guards against a host that first listed a server as the version that came between, and
 // takes a record from that time for one of the version that the server has again.
 test("a version can't be told that a server had before and after the one that it was listed with then", () => {
--- a/packages/rampswitch-serving/src/streams/stream_records.ts
+++ b/packages/rampswitch-serving/src/streams/stream_records.ts
@@ -161,6 +161,18 @@
       : reply;
   }
 
+  /**
+   * Whether it may show that the version of a known stream can't be told, by a change of
+   * its server that was made since a time and that this host has not listed yet.
+   */
+  mayBecomeUncertain(key: StreamKey, changedAfter: number): boolean {
+    const stream = this.#get(key);
+    if (stream?.serverId === undefined) return false;
+    const { serverId, addedAt } = stream;
+    const runningSince = changedAfter - LISTING_LAG_MILLISECONDS;
+    return this.#history.mayLackOther(serverId, addedAt, runningSince);
+  }
+
   /** The version of a stream that this host knows, and where its record comes from. */
   originOf(key: StreamKey, version: string): StreamOrigin {
     const stream = this.#streams.get(key, this.#clock.now());
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -127,6 +127,14 @@
       );
   }
 
+  /**
+   * Whether a host that took a server for a version at a time may have been wrong, by a
+   * change that was made since another time and is not listed yet.
+   */
+  mayLackOther(id: string, at: number, changedAfter: number): boolean {
+    return !this.#listedVersions.has(id) || at >= changedAfter;
+  }
+
   /**
    * Notes versions that others tell of: they served before this process started, or
    * began a stream elsewhere. Those that are not listed may have ended a moment ago.
