Count stored versions from when they were first read

A version that ended stayed in the stored object, and its service mixed, for as long as other services got new versions some times a minute: refusals, four datagrams a stream, and writes.

Cause: each write of one host was read anew by the others, and \`VersionHistory.served\` renewed \`toldAt\` of all versions in it. Two hosts renewed each other's.

Change: only what the object didn't name when this host last read or wrote it counts as just ended. All that it names does for a host that has just started, after changes of the list were missed (a version that is named all the time may have served unseen), and in another era. That alone would still let two hosts keep it in turn, one that takes it out and one that read of it later. So a host that doesn't hold the duties takes nothing out, and what was taken out is added again only by a host that lists it, or did within a minute, or was told of a stream of it: none of this is renewed by the object.

Ruled out: a time in the object (hosts' clocks differ), and to forget at once what was taken out: a host that has just read it may have streams of it still.

What stays: where a host without the duties writes in the moment between the holder's minute and its own, the version stays for one minute more.

--- a/packages/rampswitch-serving/src/streams/named_versions.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions.ts
@@ -27,6 +27,10 @@
    * `undefined` since the object was read: it may name some of them.
    */
   #forgotten: number | undefined;
+  /** The versions that the object named when it was last read or written. */
+  #object: VersionSets = new Map();
+  /** Versions that other hosts took out of it. */
+  #takenOut: VersionSets = new Map();
 
   constructor(history: VersionHistory, clock: Clock) {
     this.#history = history;
@@ -51,11 +55,55 @@
     this.#unnamed = new Map([...this.#unnamed, [service, versions]]);
   }
 
-  /** Notes which versions the object names. */
-  read(services: ServiceVersions): void {
+  /**
+   * The versions that the object has to name. One that another host took out of it, and
+   * that this host knows by it alone, isn't added again: hosts would keep it in turn.
+   */
+  get due(): ServiceVersions {
+    const now = this.#clock.now();
+    return new Map(
+      [...this.#known].map(([service, versions]) => [
+        service,
+        versions.filter(
+          (version) =>
+            !has(this.#takenOut, service, version) ||
+            this.#history.isSeen({ service, version }, now),
+        ),
+      ]),
+    );
+  }
+
+  /**
+   * Notes which versions the object names; returns those that it didn't name before.
+   * The others have not served anew since: they count from when they were first read.
+   */
+  read(services: ServiceVersions): ServiceVersions {
+    const former = this.#object;
+    const named = setsOf(services, () => true);
+    const known = setsOf(this.#known, () => true);
+    this.#takenOut = setsOf(
+      known,
+      (service, version) =>
+        services.has(service) &&
+        !has(named, service, version) &&
+        [former, this.#takenOut].some((each) => has(each, service, version)),
+    );
+    this.#object = named;
     this.#forgotten = undefined;
-    this.#named = setsOf(services, () => true);
+    this.#named = named;
     this.#findUnnamed();
+    return listsOf(
+      setsOf(named, (service, version) => !has(former, service, version)),
+    );
+  }
+
+  /**
+   * Forgets what the object named, so that all of it counts from the next read: versions
+   * may have served unseen, or the object may come from an old copy of the store.
+   */
+  forgetObject(): void {
+    this.#object = new Map();
+    this.#takenOut = new Map();
   }
 
   /**
@@ -68,7 +116,7 @@
     this.#forgotten = forgotten;
     const known = setsOf(this.#known, () => true);
     this.#named = setsOf(this.#named, (service, version) =>
-      known.get(service)?.has(version),
+      has(known, service, version),
     );
     this.#findUnnamed();
   }
@@ -79,7 +127,7 @@
   }
 
   #isNamed(service: string, version: string): boolean {
-    return this.#named.get(service)?.has(version) === true;
+    return has(this.#named, service, version);
   }
 
   /** A version whose servers went before it was named stays to be named. */
@@ -98,7 +146,7 @@
 /** The versions that are selected, without services that have none. */
 function setsOf(
   services: ReadonlyMap<string, Iterable<string>>,
-  isSelected: (service: string, version: string) => boolean | undefined,
+  isSelected: (service: string, version: string) => boolean,
 ): VersionSets {
   return new Map(
     [...services]
@@ -111,3 +159,13 @@
       .filter(([, versions]) => versions.size > 0),
   );
 }
+
+function has(sets: VersionSets, service: string, version: string): boolean {
+  return sets.get(service)?.has(version) === true;
+}
+
+function listsOf(sets: VersionSets): ServiceVersions {
+  return new Map(
+    [...sets].map(([service, versions]) => [service, [...versions]]),
+  );
+}
--- a/packages/rampswitch-serving/src/streams/named_versions_test.ts
+++ b/packages/rampswitch-serving/src/streams/named_versions_test.ts
@@ -55,3 +55,41 @@
   names.listed(server);
   expect(names.hasUnnamed).toBe(true);
 });
+
+// Guards against hosts that keep a version that ended in the object by turns.
+test.each([
+  ["that knows it by the object alone", [false, false], () => undefined],
+  [
+    "that listed it",
+    [true, false],
+    (history: VersionHistory) => {
+      const server = { id: "s1", service: "s", version: "v1" };
+      history.listed(server, { now: 0, changedAfter: 0 });
+      history.removed("s1", 0);
+    },
+  ],
+  [
+    "that is told of its streams",
+    [true, true],
+    (history: VersionHistory, now: number) => history.served("s", ["v1"], now),
+  ],
+])(
+  "a version is added again for no longer than a stream lasts by a host %s",
+  (_, expected, see) => {
+    const clock = new ManualClock(0);
+    const history = new VersionHistory(RETENTION_MILLISECONDS);
+    const names = new NamedVersions(history, clock);
+    const isAdded = [RETENTION_MILLISECONDS, 1].map((milliseconds) => {
+      names
+        .read(new Map([["s", ["v1"]]]))
+        .forEach((versions) => history.named("s", versions, clock.now()));
+      see(history, clock.now());
+      clock.advance(milliseconds);
+      names.read(new Map([["s", []]]));
+      return names.due.get("s")?.includes("v1");
+    });
+    expect(isAdded).toEqual(expected);
+    // It counts at this host nevertheless.
+    expect(history.versionsOf("s", clock.now())).toEqual(["v1"]);
+  },
+);
--- a/packages/rampswitch-serving/src/streams/origin_archive.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive.ts
@@ -24,8 +24,6 @@
   readonly origins: StreamArchiveParts["origins"] &
     VersionArchiveParts["origins"] &
     Pick<StreamOrigins, "hasListedLate" | "mixedServices">;
-  /** Whether this host may act for the fleet now. */
-  holdsDuties(): boolean;
 }
 
 /** Time between checks for changes to store, in milliseconds. */
--- a/packages/rampswitch-serving/src/streams/served_versions.ts
+++ b/packages/rampswitch-serving/src/streams/served_versions.ts
@@ -101,7 +101,12 @@
     this.history.removed(id, this.#parts.clock.now());
   }
 
-  /** Notes versions that others tell of. */
+  /** Notes versions that the stored object names. */
+  named(service: string, versions: readonly string[]): void {
+    this.history.named(service, versions, this.#parts.clock.now());
+  }
+
+  /** Notes versions that began streams at other hosts. */
   served(service: string, versions: readonly string[]): void {
     this.history.served(service, versions, this.#parts.clock.now());
   }
@@ -114,6 +119,8 @@
   /** Notes that servers may have been listed and removed without this host's knowledge. */
   missedChanges(): void {
     this.#past.missedChanges();
+    // One that is named all the time may have served meanwhile.
+    this.names.forgetObject();
   }
 
   /** The versions of a service. */
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -117,7 +117,7 @@
     { isComplete }: { readonly isComplete: boolean },
   ): void {
     versions.forEach((names, service) =>
-      this.#tellOnceMixed(service, () => this.#versions.served(service, names)),
+      this.#tellOnceMixed(service, () => this.#versions.named(service, names)),
     );
     if (isComplete) this.#versions.wasRead();
   }
--- a/packages/rampswitch-serving/src/streams/version_archive.ts
+++ b/packages/rampswitch-serving/src/streams/version_archive.ts
@@ -29,6 +29,8 @@
     StreamOrigins,
     "isListBehind" | "isPastKnown" | "names" | "restoreVersions" | "versions"
   >;
+  /** Whether this host may act for the fleet now. */
+  holdsDuties(): boolean;
 }
 
 /** Name of the object below the prefix. */
@@ -67,6 +69,7 @@
     parts.store.onEra(() => {
       this.#stored = undefined;
       this.#isOfPastEra = true;
+      parts.origins.names.forgetObject();
     });
   }
 
@@ -142,7 +145,7 @@
   /** Whether the object as this host last read or wrote it lacks versions that it knows. */
   get lacksVersions(): boolean {
     const named = this.#known.services;
-    return [...this.#parts.origins.versions].some(([service, versions]) =>
+    return [...this.#parts.origins.names.due].some(([service, versions]) =>
       versions.some((version) => !named.get(service)?.includes(version)),
     );
   }
@@ -186,10 +189,12 @@
     return read.isOk;
   }
 
-  /** Notes the object as the store holds it, and what it names. */
+  /** Notes the object as the store holds it, and the versions that it names by now. */
   #note(object: StoredObject | undefined): void {
+    const { origins } = this.#parts;
     this.#object = object;
-    this.#parts.origins.names.read(this.#known.services);
+    const added = origins.names.read(this.#known.services);
+    origins.restoreVersions(added, { isComplete: false });
   }
 
   /** Notes the versions in an object that this host has neither read nor written. */
@@ -214,7 +219,7 @@
     }
     const { services, completeInEra } = decoded.value;
     const isComplete = completeInEra === era;
-    origins.restoreVersions(services, { isComplete });
+    origins.restoreVersions(new Map(), { isComplete });
     logger.info("versions read", { ...countsOf(services), isComplete });
   }
 
@@ -227,13 +232,15 @@
   }
 
   /**
-   * The versions that this host knows. While another host has a newer list, those that
-   * were stored before stay: a server of theirs may be listed there.
+   * The versions that the object has to name. Those that were stored before stay where
+   * this host doesn't hold the duties, or while another one has a newer list: a server of
+   * theirs may be listed there.
    */
   get #services(): ServiceVersions {
     const { origins } = this.#parts;
-    if (!origins.isListBehind) return origins.versions;
-    const { versions } = origins;
+    const versions = origins.names.due;
+    const mayTakeOut = this.#parts.holdsDuties() && !origins.isListBehind;
+    if (mayTakeOut) return versions;
     const stored = this.#known.services;
     const services = new Set([...stored.keys(), ...versions.keys()]);
     return new Map(
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -28,6 +28,11 @@
   goneAt: number;
   /** When it was last told of, on the monotonic clock. */
   toldAt: number;
+  /**
+   * When its last server was removed, or a stream of it last told of, on the monotonic
+   * clock; `-Infinity` if the stored object alone tells of it.
+   */
+  seenAt: number;
 }
 
 /** A version that a server is listed with, or was listed with last or before. */
@@ -94,6 +99,7 @@
     if (known === undefined) return;
     known.servers.delete(id);
     known.goneAt = now;
+    known.seenAt = now;
     if (known.servers.size === 0) this.#ending.set(known, before.service);
   }
 
@@ -135,22 +141,32 @@
     return !this.#listedVersions.has(id) || at >= changedAfter;
   }
 
-  /**
-   * Notes versions that others tell of: they served before this process started, or
-   * began a stream elsewhere. Those that are not listed may have ended a moment ago.
-   */
+  /** Notes versions that began streams elsewhere. Their servers may have ended just now. */
   served(service: string, versions: readonly string[], now: number): void {
-    const known =
-      this.#services.get(service) ?? new Map<string, ServiceVersion>();
-    this.#services.set(service, known);
-    versions.forEach((version) => {
-      const told = known.get(version) ?? withoutServer(now);
-      told.toldAt = now;
-      known.set(version, told);
-      if (told.servers.size === 0) this.#ending.set(told, service);
+    this.#told(service, versions, now).forEach((told) => {
+      told.seenAt = now;
     });
   }
 
+  /**
+   * Notes versions that the stored object names: they served before this process started,
+   * or unseen by it. Those that are not listed may have ended a moment ago.
+   */
+  named(service: string, versions: readonly string[], now: number): void {
+    this.#told(service, versions, now);
+  }
+
+  /**
+   * Whether this host lists a version, or knows other than by the stored object that a
+   * stream in progress may have begun at it.
+   */
+  isSeen({ service, version }: ServiceVersionName, now: number): boolean {
+    const known = this.#services.get(service)?.get(version);
+    if (known === undefined) return false;
+    const elapsed = now - known.seenAt;
+    return known.servers.size > 0 || elapsed <= this.#retentionMilliseconds;
+  }
+
   /** Whether a version has a listed server. */
   isListed({ service, version }: ServiceVersionName): boolean {
     const servers = this.#services.get(service)?.get(version)?.servers;
@@ -198,6 +214,24 @@
     return this.#forgotten;
   }
 
+  /** Notes versions that others tell of; returns what is known of them. */
+  #told(
+    service: string,
+    versions: readonly string[],
+    now: number,
+  ): readonly ServiceVersion[] {
+    const known =
+      this.#services.get(service) ?? new Map<string, ServiceVersion>();
+    this.#services.set(service, known);
+    return versions.map((version) => {
+      const told = known.get(version) ?? withoutServer(now);
+      told.toldAt = now;
+      known.set(version, told);
+      if (told.servers.size === 0) this.#ending.set(told, service);
+      return told;
+    });
+  }
+
   /** Notes the version of a server, and since when it has another one than before. */
   #noteVersion(
     { id, service, version }: VersionedServer,
@@ -238,5 +272,5 @@
 }
 
 function withoutServer(now: number): ServiceVersion {
-  return { servers: new Set(), goneAt: now, toldAt: now };
+  return { servers: new Set(), goneAt: now, toldAt: now, seenAt: -Infinity };
 }
