--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -120,7 +120,7 @@
     { isComplete }: { readonly isComplete: boolean },
   ): void {
     versions.forEach((names, service) =>
-      this.#tellOnceMixed(service, () => this.#versions.served(service, names)),
+      this.#tellOnceMixed(service, () => this.#versions.named(service, names)),
     );
     if (isComplete) this.#versions.wasRead();
   }
@@ -173,7 +173,10 @@
     // Another version may be known to hosts with a newer list, or have gone unseen.
     const isTold =
       this.isMixed(record.service) || this.isListBehind || !this.isPastKnown;
-    if (isTold) this.#parts.tell(begun);
+    if (!isTold) return;
+    // What this host was told of it before may differ. Those that are told judge the server.
+    const version = this.#records.unjudged(begun)?.version;
+    this.#parts.tell({ ...begun, version });
   }
 
   /** Notes that a stream was given whole. */
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -844,3 +844,68 @@
   streams.becameOtherVersion(SERVER);
   expect(streams.isUncertain(STREAM)).toBe(true);
 });
+
+// Guards against a host that knows that its list is old, and goes by what another host with
+// an old list replies: the stream's server is another version by now.
+test("a version is not taken from another host's old list by a host with an old list", async () => {
+  const keeper = hostOf();
+  keeper.list("s1", "v1");
+  keeper.streams.receive(RECORD);
+  const { state, streams, list } = hostOf([keeper.streams.replyTo(STREAM)]);
+  list("s1", "v1");
+  list("s2", "v1");
+  Object.assign(state, {
+    list: { ...CURRENT_LIST, newestHeard: 2 },
+    confirmed: () => list("s1", "v2"),
+  });
+  expect((await streams.find(STREAM)).kind).not.toBe("known");
+});
+
+// Guards against refusals of streams that a host with an old list can tell the version of,
+// and against callers that are told to give up.
+test.each([
+  ["known, as the store is away for all", { isStoreAway: true }, "known"],
+  [
+    "known, as the stream is older than what the list lacks",
+    { list: { ...CURRENT_LIST, newestHeard: 2, currentAt: 9_000 } },
+    "known",
+  ],
+  ["unknown for now, as the store answers others", {}, "unknown"],
+])(
+  "a version that another host names, where the store confirms nothing, is %s",
+  async (_, changed, expected) => {
+    const { clock, state, streams, list } = hostOf([
+      { ...KNOWN, serverId: "s2", ageMilliseconds: 5_000 },
+    ]);
+    list("s2", "v2");
+    clock.advance(10_000);
+    state.list = { ...CURRENT_LIST, newestHeard: 2, currentAt: 6_000 };
+    Object.assign(state, { isListConfirmed: false, hasRead: true }, changed);
+    expect((await streams.find(STREAM)).kind).toBe(expected);
+  },
+);
+
+// Guards against a host that first listed a server as the version that came between, and
+// takes a record from that time for one of the version that the server has again.
+test("a version can't be told that a server had before and after the one that it was listed with then", () => {
+  const { clock, streams, list } = hostOf();
+  list("s1", "v2");
+  clock.advance(1_000);
+  // Told by a host that had not read yet that the server was another one.
+  streams.receive(RECORD);
+  const before = streams.isUncertain(STREAM);
+  clock.advance(4_000);
+  list("s1", "v1");
+  expect([before, streams.isUncertain(STREAM)]).toEqual([true, true]);
+});
+
+// Guards against a doubt that ends with all hosts: a host knows that it can't be told which
+// version began a stream of its former process, and stores the version nevertheless.
+test("a stream that can't be told is stored as such, though a former process served it", () => {
+  const { streams, list } = hostOf();
+  streams.restoreStreams([RECORD], { isOwn: true });
+  list("s2", "v1");
+  list("s1", "v2");
+  expect(streams.isUncertain(STREAM)).toBe(true);
+  expect(streams.storable.map(({ version }) => version)).toEqual([undefined]);
+});
--- a/packages/rampswitch-serving/src/streams/stream_records.ts
+++ b/packages/rampswitch-serving/src/streams/stream_records.ts
@@ -133,22 +133,14 @@
 
   /** Returns the streams of a service that this host serves or that broke here. */
   servedHere(service: string): readonly StreamRecord[] {
-    const now = this.#clock.now();
-    return this.#streams
-      .servedHere(now)
-      .filter((stream) => stream.service === service)
-      .map((stream) => recordOf(stream, now));
+    return this.#recordsOf(this.#servedIn(new Set([service])));
   }
 
   /** Returns the streams of some services that have to outlive this host. */
   storable(services: ReadonlySet<string>): readonly StreamRecord[] {
-    if (services.size === 0) return [];
-    const now = this.#clock.now();
-    return this.#streams
-      .servedHere(now)
-      .filter(({ service }) => services.has(service))
-      .slice(-MAXIMUM_STORED_STREAMS)
-      .map((stream) => recordOf(stream, now));
+    return this.#recordsOf(
+      this.#servedIn(services).slice(-MAXIMUM_STORED_STREAMS),
+    );
   }
 
   /** The reply by the record of a stream; `undefined` if there is none. */
@@ -169,6 +161,18 @@
       : reply;
   }
 
+  /**
+   * Whether it may show that the version of a known stream can't be told, by a change of
+   * its server that was made since a time and that this host has not listed yet.
+   */
+  mayBecomeUncertain(key: StreamKey, changedAfter: number): boolean {
+    const stream = this.#get(key);
+    if (stream?.serverId === undefined) return false;
+    const { serverId, addedAt } = stream;
+    const runningSince = changedAfter - LISTING_LAG_MILLISECONDS;
+    return this.#history.mayLackOther(serverId, addedAt, runningSince);
+  }
+
   /** The version of a stream that this host knows, and where its record comes from. */
   originOf(key: StreamKey, version: string): StreamOrigin {
     const stream = this.#streams.get(key, this.#clock.now());
@@ -186,6 +190,20 @@
     return { kind: "known", version, serverId, ageMilliseconds };
   }
 
+  /** The streams of some services that this host serves or that broke here. */
+  #servedIn(services: ReadonlySet<string>): readonly BegunStream[] {
+    if (services.size === 0) return [];
+    return this.#streams
+      .servedHere(this.#clock.now())
+      .filter(({ service }) => services.has(service));
+  }
+
+  /** Records of streams for other hosts, as this host judges them. */
+  #recordsOf(streams: readonly BegunStream[]): readonly StreamRecord[] {
+    const now = this.#clock.now();
+    return streams.map((stream) => recordOf(this.#get(stream) ?? stream, now));
+  }
+
   /** All records of a stream combined, without a version if that is uncertain. */
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#clock.now();
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -28,6 +28,11 @@
   goneAt: number;
   /** When another host or the store last named it, on the monotonic clock. */
   toldAt: number;
+  /**
+   * When its last server was removed, or a stream of it last told of, on the monotonic
+   * clock; `-Infinity` if the stored object alone tells of it.
+   */
+  seenAt: number;
 }
 
 /** A version that a server is listed with, or was listed with last or before. */
@@ -94,6 +99,7 @@
     if (known === undefined) return;
     known.servers.delete(id);
     known.goneAt = now;
+    known.seenAt = now;
     if (known.servers.size === 0) this.#ending.set(known, before.service);
   }
 
@@ -105,9 +111,10 @@
 
   /**
    * Whether a server that a host took for a version at a time may have had another one,
-   * which is listed up to the given time later. Only a version that followed the named
-   * one counts: a host's list may be newer than this one's, but it never names a version
-   * that a server has not had.
+   * which is listed up to the given time later. Versions that came before the named one
+   * don't count if that one was listed so soon after: the list of the host that took it
+   * for that may have been newer, and it never names a version that a server has not had.
+   * Otherwise its list may have been older.
    */
   mayHaveHadOther(
     { id, version }: Pick<VersionedServer, "id" | "version">,
@@ -115,8 +122,9 @@
     lagMilliseconds: number,
   ): boolean {
     const listed = this.#listedVersions.get(id) ?? [];
-    // From the start if it is not known to have had the version.
-    const first = listed.findIndex((one) => one.version === version);
+    const first = listed.findIndex(
+      (one) => one.version === version && at >= one.since - lagMilliseconds,
+    );
     return listed
       .slice(Math.max(0, first))
       .some(
@@ -126,22 +134,39 @@
   }
 
   /**
-   * Notes versions that other hosts or the store name: they served before this process
-   * started, or began a stream at another host. Those that are not listed may have ended a
-   * moment ago.
+   * Whether a host that took a server for a version at a time may have been wrong, by a
+   * change that was made since another time and is not listed yet.
    */
+  mayLackOther(id: string, at: number, changedAfter: number): boolean {
+    return !this.#listedVersions.has(id) || at >= changedAfter;
+  }
+
+  /** Notes versions that began streams elsewhere. Their servers may have ended just now. */
   served(service: string, versions: readonly string[], now: number): void {
-    const known =
-      this.#services.get(service) ?? new Map<string, ServiceVersion>();
-    this.#services.set(service, known);
-    versions.forEach((version) => {
-      const told = known.get(version) ?? withoutServer(now);
-      told.toldAt = now;
-      known.set(version, told);
-      if (told.servers.size === 0) this.#ending.set(told, service);
+    this.#told(service, versions, now).forEach((told) => {
+      told.seenAt = now;
     });
   }
 
+  /**
+   * Notes versions that the stored object names: they served before this process started,
+   * or unseen by it. Those that are not listed may have ended a moment ago.
+   */
+  named(service: string, versions: readonly string[], now: number): void {
+    this.#told(service, versions, now);
+  }
+
+  /**
+   * Whether this host lists a version, or knows other than by the stored object that a
+   * stream in progress may have begun at it.
+   */
+  isSeen({ service, version }: ServiceVersionName, now: number): boolean {
+    const known = this.#services.get(service)?.get(version);
+    if (known === undefined) return false;
+    const elapsed = now - known.seenAt;
+    return known.servers.size > 0 || elapsed <= this.#retentionMilliseconds;
+  }
+
   /** Whether a version has a listed server. */
   isListed({ service, version }: ServiceVersionName): boolean {
     const servers = this.#services.get(service)?.get(version)?.servers;
@@ -189,6 +214,24 @@
     return this.#forgotten;
   }
 
+  /** Notes versions that others tell of; returns what is known of them. */
+  #told(
+    service: string,
+    versions: readonly string[],
+    now: number,
+  ): readonly ServiceVersion[] {
+    const known =
+      this.#services.get(service) ?? new Map<string, ServiceVersion>();
+    this.#services.set(service, known);
+    return versions.map((version) => {
+      const told = known.get(version) ?? withoutServer(now);
+      told.toldAt = now;
+      known.set(version, told);
+      if (told.servers.size === 0) this.#ending.set(told, service);
+      return told;
+    });
+  }
+
   /** Notes the version of a server, and since when it has another one than before. */
   #noteVersion(
     { id, service, version }: VersionedServer,
@@ -229,5 +272,5 @@
 }
 
 function withoutServer(now: number): ServiceVersion {
-  return { servers: new Set(), goneAt: now, toldAt: now };
+  return { servers: new Set(), goneAt: now, toldAt: now, seenAt: -Infinity };
 }
