Let the stand-ins of a test process listen on a loopback address of its own

Cause: stand-ins of all test processes listened on 127.0.0.1, on ports that the system chooses. A test that ends a server's stand-in, or a killed host process, leaves clients that go on calling its address, and the system may give the port to another test meanwhile. The store's stand-in took any call that wasn't GET or DELETE for a change of an object. What two tests reported once each, beside others: `Cannot read properties of undefined (reading 'name')` for a body without `metadata`.

Shown: a call to move memory, a usage report and an order of servers that reach the store's stand-in each end with exactly this error and no answer (3 of 3 with the former stand-in, store_standin_test.ts). Not shown: which client met which port in the two runs, since their logs weren't kept. Ruled out by reading: a body that was cut off (400), and the store's client, whose bodies all have `metadata`.

--- a/packages/rampswitch-standins/src/fault_proxy.ts
+++ b/packages/rampswitch-standins/src/fault_proxy.ts
@@ -14,6 +14,7 @@
   type Socket,
 } from "node:net";
 import { splitAddress } from "rampswitch-utils";
+import { OWN_LOOPBACK } from "./own_loopback.ts";
 
 /** How the link behaves. */
 export type LinkMode =
@@ -48,14 +49,14 @@
   static async start(target = ""): Promise<FaultProxy> {
     const proxy = new FaultProxy(target);
     await new Promise<void>((resolve) =>
-      proxy.#server.listen(0, "127.0.0.1", resolve),
+      proxy.#server.listen(0, OWN_LOOPBACK, resolve),
     );
     return proxy;
   }
 
   /** Where the proxy listens. */
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `${OWN_LOOPBACK}:${(this.#server.address() as AddressInfo).port}`;
   }
 
   /** Changes how the link behaves, for open connections too. */
--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./named_limits.ts";
 export * from "./object_api.ts";
 export * from "./order_book.ts";
+export * from "./own_loopback.ts";
 export * from "./plain_service.ts";
 export * from "./platform_lists.ts";
 export * from "./raw_server.ts";
--- a/packages/rampswitch-standins/src/raw_server.ts
+++ b/packages/rampswitch-standins/src/raw_server.ts
@@ -7,6 +7,7 @@
  */
 import { createServer, type Socket } from "node:net";
 import { type Listening, listenUntilDisposed } from "rampswitch-utils";
+import { OWN_ADDRESS } from "./own_loopback.ts";
 
 /** Starts a server that answers the first bytes on each connection. */
 export function startRawServer(
@@ -19,7 +20,7 @@
     socket.once("close", () => sockets.delete(socket));
     socket.once("data", () => answer(socket));
   });
-  return listenUntilDisposed(server, "127.0.0.1:0", () =>
+  return listenUntilDisposed(server, OWN_ADDRESS, () =>
     sockets.forEach((socket) => socket.destroy()),
   );
 }
