--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -22,3 +22,4 @@
 export * from "./prompt_blocks.ts";
 export * from "./random.ts";
 export * from "./supervision.ts";
+export * from "./time_limit.ts";
