--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -20,7 +20,11 @@
   type EndDoubt,
   framingOf,
 } from "./answer_end.ts";
-import { OpenConnections, type ServerContact } from "./open_connections.ts";
+import {
+  type ContactLoss,
+  OpenConnections,
+  type ServerContact,
+} from "./open_connections.ts";
 
 /** Why a send ended without a complete answer. */
 export type SendFailure =
@@ -126,6 +130,7 @@
   readonly #contacts: ContactObserver;
   readonly #localAddress: string | undefined;
   readonly #watchIncarnation: (server: ServerAddress) => IncarnationCheck;
+  readonly #onLoss: (server: ServerAddress, loss: ContactLoss) => void;
 
   constructor(
     options: {
@@ -137,11 +142,14 @@
       readonly localAddress?: string;
       /** Called with each send; the check is made where the end of its answer is unsure. */
       readonly watchIncarnation?: (server: ServerAddress) => IncarnationCheck;
+      /** Called when the process of a server may have ended. */
+      readonly onLoss?: (server: ServerAddress, loss: ContactLoss) => void;
     } = {},
   ) {
     this.#contacts = options.contacts ?? NO_OBSERVER;
     this.#localAddress = options.localAddress;
     this.#watchIncarnation = options.watchIncarnation ?? (() => NO_CHECK);
+    this.#onLoss = options.onLoss ?? (() => undefined);
     this.#connect = withCorrectEnds(
       options.connector ??
         buildConnector({
@@ -160,7 +168,7 @@
     const isSameIncarnation = this.#watchIncarnation(server);
     const handler = new SendHandler(listener, {
       method: request.method,
-      contact: { server: server.id, contacts: this.#contacts },
+      contact: { server: server.id, contacts: this.#contacts, connections },
       doubtAboutServer: () =>
         this.#doubtAbout(server, { connections, isSameIncarnation }),
     });
@@ -240,11 +248,14 @@
     await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
-  #pool({ id, address }: ServerAddress): AddressPool {
+  #pool(server: ServerAddress): AddressPool {
+    const { id, address } = server;
     const known = this.#pools.get(id);
     if (known?.address === address) return known;
     this.forget(id);
-    const connections = new OpenConnections();
+    const connections = new OpenConnections((loss) =>
+      this.#onLoss(server, loss),
+    );
     const pool = new Pool(`http://${address}`, {
       connections: null,
       pipelining: 1,
@@ -268,7 +279,7 @@
         if (result[0] === null) {
           this.#contacts.heard(server);
           connections?.add(result[1]);
-        } else connections?.failed();
+        } else connections?.failed(result[0]);
         callback(...result);
       });
   }
@@ -352,6 +363,7 @@
     const rawHeaders = decodeHeaders(controller.rawHeaders);
     const head = { method: this.#method, status: statusCode, rawHeaders };
     this.#framing = framingOf(head);
+    this.#contact.connections.answered(rawHeaders, this.#framing);
     this.#listener.head(statusCode, rawHeaders);
   }
 
@@ -428,10 +440,11 @@
   }
 }
 
-/** A server, and the observer of its connections. */
+/** A server, its connections, and the observer of these. */
 interface Contact {
   readonly server: string;
   readonly contacts: ContactObserver;
+  readonly connections: OpenConnections;
 }
 
 /** Answers with a lower status are informational. */
--- a/packages/rampswitch-serving/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client_test.ts
@@ -5,12 +5,20 @@
 import { setImmediate } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
 import { listen, listenUntilDisposed, Ownership } from "rampswitch-utils";
-import { BackendClient, type Send } from "./backend_client.ts";
+import {
+  BackendClient,
+  type Send,
+  type ServerAddress,
+} from "./backend_client.ts";
+import type { ContactLoss } from "./open_connections.ts";
+
+/** Time for which a server keeps idle connections, in milliseconds. */
+const KEEP_ALIVE_MILLISECONDS = 5_000;
 
 /** Sends a request; resolves to the body of its answer, or to the failure. */
 function fetchAnswer(
   client: BackendClient,
-  server: { readonly id: string; readonly address: string },
+  server: ServerAddress,
 ): Promise<string> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -50,23 +58,35 @@
     expect(answers).toEqual(["former", "present", "former"]);
   });
 
-  test("tells contacts that follow the end of a connection by the server", async () => {
+  test("tells of the ends of contacts by the server", async () => {
     await using ownership = new Ownership();
     const server = createServer((_, response) => response.end());
     const listening = ownership.own(await listen(server, "127.0.0.1:0"));
-    const client = ownership.own(new BackendClient());
+    const losses: unknown[] = [];
+    const onLoss = ({ born }: ServerAddress, { isUnusual }: ContactLoss) =>
+      losses.push([born, isUnusual]);
+    const client = ownership.own(new BackendClient({ onLoss }));
     const { address } = listening;
-    const contacts = [];
-    while (contacts.length < 2) {
-      await fetchAnswer(client, { id: "s1", address });
-      await fetchAnswer(client, { id: "s1", address });
-      contacts.push({ ...client.contact("s1") });
+    // One that tells nothing may close idle connections as it likes.
+    for (const keepAliveTimeout of [KEEP_ALIVE_MILLISECONDS, 0]) {
+      server.keepAliveTimeout = keepAliveTimeout;
+      await fetchAnswer(client, { id: "s1", address, born: 7 });
+      await fetchAnswer(client, { id: "s1", address, born: 7 });
+      const contact = client.contact("s1");
+      expect([contact?.isUnbroken, losses.length % 2]).toEqual([
+        true,
+        keepAliveTimeout === 0 ? 1 : 0,
+      ]);
       server.closeAllConnections();
       while (client.contact("s1") !== undefined) await setImmediate();
+      expect(contact?.isUnbroken).toBe(false);
     }
-    expect(contacts).toEqual([
-      { isUnbroken: true, followsLoss: false },
-      { isUnbroken: true, followsLoss: true },
+    await listening[Symbol.asyncDispose]();
+    await fetchAnswer(client, { id: "s1", address, born: 7 });
+    expect(losses).toEqual([
+      [7, true],
+      [7, false],
+      [7, true],
     ]);
   });
 });
--- a/packages/rampswitch-serving/src/attempt/mod.ts
+++ b/packages/rampswitch-serving/src/attempt/mod.ts
@@ -8,4 +8,4 @@
 export * from "./answer_end.ts";
 export * from "./attempt_machine.ts";
 export * from "./backend_client.ts";
-export type { ServerContact } from "./open_connections.ts";
+export type { ContactLoss, ServerContact } from "./open_connections.ts";
--- a/packages/rampswitch-serving/src/attempt/open_connections.ts
+++ b/packages/rampswitch-serving/src/attempt/open_connections.ts
@@ -8,31 +8,43 @@
  */
 import type { Socket } from "node:net";
 import { isOpen, RESET_CODE } from "rampswitch-utils";
+import { headerValue, type RawHeaders } from "../model/request.ts";
+import type { AnswerFraming } from "./answer_end.ts";
 
 /** A time in which connections to a server were open without a gap. */
 export interface ServerContact {
   /** Whether one has been open up to now. */
   readonly isUnbroken: boolean;
+}
+
+/** The end of a contact by the server, or a connection that did not come up. */
+export interface ContactLoss {
   /**
-   * Whether the server had ended the last connection before, or had refused one: its
-   * process may have ended in between.
+   * Whether servers end no connections in this way while they run, so that the process
+   * has probably ended. If not, it may have closed one that was idle, or be overloaded.
    */
-  readonly followsLoss: boolean;
+  readonly isUnusual: boolean;
 }
 
 /** The open connections to one server. */
 export class OpenConnections {
   readonly #sockets = new Set<Socket>();
-  #contact = { isUnbroken: false, followsLoss: false };
-  /** Whether the next contact follows a loss. */
-  #isLost = false;
+  readonly #onLoss: (loss: ContactLoss) => void;
+  #contact = { isUnbroken: false };
+  /** Whether the server told in this contact that it keeps its connections open. */
+  #isKept = false;
+
+  /** `onLoss` is called when the process may have ended. */
+  constructor(onLoss: (loss: ContactLoss) => void) {
+    this.#onLoss = onLoss;
+  }
 
   /** Adds a connection that came up, until it closes. */
   add(socket: Socket): void {
     if (this.open.length === 0) {
       this.#contact.isUnbroken = false;
-      this.#contact = { isUnbroken: true, followsLoss: this.#isLost };
-      this.#isLost = false;
+      this.#contact = { isUnbroken: true };
+      this.#isKept = false;
     }
     const contact = this.#contact;
     this.#sockets.add(socket);
@@ -40,13 +52,18 @@
       this.#sockets.delete(socket);
       if (this.#sockets.size > 0) return;
       contact.isUnbroken = false;
-      this.#isLost ||= wasEndedByPeer(socket);
+      if (wasEndedByPeer(socket)) this.#onLoss({ isUnusual: this.#isKept });
     });
   }
 
+  /** Notes the head of an answer, which tells whether its connection stays open. */
+  answered(rawHeaders: RawHeaders, framing: AnswerFraming): void {
+    this.#isKept = framing === "framed" && keepsConnection(rawHeaders);
+  }
+
   /** Notes that no connection came up. */
-  failed(): void {
-    this.#isLost = true;
+  failed({ code }: NodeJS.ErrnoException): void {
+    this.#onLoss({ isUnusual: code === REFUSED_CODE });
   }
 
   /** Connections that are open at both ends, as far as their bytes are read. */
@@ -60,6 +77,20 @@
   }
 }
 
+/** Code of the error of a connection that nobody listens for. */
+const REFUSED_CODE = "ECONNREFUSED";
+
+/**
+ * Whether an answer tells for how long its connection stays open. This host closes an
+ * idle one before that time is over.
+ */
+function keepsConnection(rawHeaders: RawHeaders): boolean {
+  return (
+    headerValue(rawHeaders, "keep-alive") !== undefined &&
+    headerValue(rawHeaders, "connection")?.toLowerCase() !== "close"
+  );
+}
+
 /** Whether the peer ended a connection that has closed. */
 function wasEndedByPeer({ readableEnded, errored }: Socket): boolean {
   const { code }: NodeJS.ErrnoException = errored ?? new Error();
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -12,10 +12,10 @@
   type IncarnationCheck,
   type ServerConnector,
 } from "../attempt/mod.ts";
-import { serverOfIncarnation } from "../model/backend_server.ts";
+import { incarnationId, serverOfIncarnation } from "../model/backend_server.ts";
 import type { ServerDirectory } from "../choice/mod.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
-import { PeerReach, ServerContacts } from "../reach/mod.ts";
+import { LostServers, PeerReach, ServerContacts } from "../reach/mod.ts";
 import {
   type IncarnationCheckParts,
   IncarnationChecks,
@@ -27,7 +27,10 @@
 import { ServerClient } from "./server_client.ts";
 
 /** Dependencies of the access to servers. */
-export interface ServerAccessParts extends IncarnationCheckParts {
+export interface ServerAccessParts extends Omit<
+  IncarnationCheckParts,
+  "lostServers"
+> {
   readonly random: Random;
   readonly metrics: ServingMetrics;
   /** Name of this host, and the IP address by which the others know it. */
@@ -51,6 +54,7 @@
 export class ServerAccess implements AsyncDisposable {
   readonly contacts: ServerContacts;
   readonly peerReach: PeerReach;
+  readonly lostServers: LostServers;
   readonly client: ServerClient;
   readonly incarnations: IncarnationChecks;
   readonly #directory: ServerDirectory;
@@ -58,7 +62,6 @@
 
   constructor(parts: ServerAccessParts) {
     this.#directory = parts.directory;
-    this.incarnations = new IncarnationChecks(parts);
     this.peerReach = new PeerReach(parts.clock);
     this.contacts = new ServerContacts({
       ...parts,
@@ -66,6 +69,17 @@
       onChange: () => parts.broadcast(),
       onSeveralFailed: () => this.client.distrustSilentConnections(),
     });
+    this.lostServers = new LostServers({
+      ...parts,
+      isExpected: (incarnation) => {
+        const record = this.#directory.get(incarnation.id);
+        const isListed = record?.incarnation === incarnationId(incarnation);
+        return isListed && record.leavingSince === undefined;
+      },
+      onUpdate: () => parts.broadcast(),
+    });
+    const { lostServers } = this;
+    this.incarnations = new IncarnationChecks({ ...parts, lostServers });
     this.client = new ServerClient({
       ...parts,
       contacts: this.contacts,
@@ -73,6 +87,7 @@
         contacts: this.contacts,
         connector: parts.serverConnector,
         watchIncarnation: ({ id }) => this.#watchIncarnation(id, parts),
+        onLoss: (server, loss) => this.lostServers.lost(server, loss),
       }),
       forwarding: new ForwardingClient(parts.self),
       hosts: new ForwardingHosts({
--- a/packages/rampswitch-serving/src/host_gossip.ts
+++ b/packages/rampswitch-serving/src/host_gossip.ts
@@ -24,6 +24,7 @@
 import type { ArrivalReport, FleetArrivals } from "./demand/mod.ts";
 import { type HostDuties, PeerLeases, type ServiceLoad } from "./duties/mod.ts";
 import type { ReadingRates, WorkEstimates } from "./estimates/mod.ts";
+import type { ServerAccess } from "./forwarding/mod.ts";
 import {
   type FleetDigest,
   type FleetView,
@@ -42,7 +43,6 @@
   PermitUpdate,
 } from "./server_limits/mod.ts";
 import type { LeavingAdvertisements } from "./advertisements/mod.ts";
-import type { PeerReach, ServerContacts } from "./reach/mod.ts";
 import type { RecentDispatches } from "./relay/recent_dispatches.ts";
 import type {
   ReservationUpdate,
@@ -76,8 +76,7 @@
   readonly roomCounts: RoomCounts;
   readonly reservations: Reservations;
   readonly brittle: BrittleServers;
-  readonly contacts: ServerContacts;
-  readonly peerReach: PeerReach;
+  readonly access: Pick<ServerAccess, "contacts" | "lostServers" | "peerReach">;
   /** Hosts that may issue permits for limited servers. */
   permitHolders(): readonly string[];
   /** Fleet time, the time of day on which the hosts agree, in milliseconds. */
@@ -182,7 +181,8 @@
       room,
       returns: reservations.updates(this.#parts.clock.now()),
       brittle: this.#parts.brittle.updates(),
-      outOfReach: this.#parts.contacts.outOfReach(),
+      lostServers: this.#parts.access.lostServers.updates({ ownOnly: true }),
+      outOfReach: this.#parts.access.contacts.outOfReach(),
     };
   }
 
@@ -241,12 +241,14 @@
       room: this.#parts.roomCounts.reportExcept(host, now),
       returns: this.#returnUpdates,
       brittle: this.#parts.brittle.fleetUpdates(),
+      lostServers: this.#parts.access.lostServers.updates({ ownOnly: false }),
       hostsLackingReach: this.#hostsLackingReach(),
     };
   }
 
   #hostsLackingReach(): readonly string[] {
-    const { host, contacts, peerReach } = this.#parts;
+    const { host, access } = this.#parts;
+    const { contacts, peerReach } = access;
     const peers = peerReach.hosts();
     return contacts.outOfReach().length === 0 ? peers : [host, ...peers];
   }
@@ -295,7 +297,8 @@
     this.#parts.roomCounts.receiveFleet(digest.room, { own: ownRoom, now });
     this.#parts.reservations.receive(digest.returns, { age: 0, now });
     this.#parts.brittle.receive(digest.relay, digest.brittle, 0);
-    this.#parts.peerReach.receiveFleet(digest.hostsLackingReach);
+    this.#parts.access.lostServers.received(digest.lostServers, 0);
+    this.#parts.access.peerReach.receiveFleet(digest.hostsLackingReach);
     digest.leases.forEach((lease) => this.#parts.duties.receiveLease(lease));
   }
 
@@ -324,7 +327,8 @@
     this.#parts.roomCounts.receive(update.host, update.room, now - age);
     this.#parts.reservations.receive(update.returns, { age, now });
     this.#parts.brittle.receive(update.host, update.brittle, age);
-    this.#parts.peerReach.receive(update.host, update.outOfReach, age);
+    this.#parts.access.lostServers.received(update.lostServers, age);
+    this.#parts.access.peerReach.receive(update.host, update.outOfReach, age);
     this.#parts.permits.receive(update.host, update, age);
     this.#parts.limits.receiveUpdate(
       update.host,
--- a/packages/rampswitch-serving/src/membership/common_codec.ts
+++ b/packages/rampswitch-serving/src/membership/common_codec.ts
@@ -15,6 +15,11 @@
 } from "./checks.ts";
 import { demandOf, encodedDemand, isDemand } from "./demand_codec.ts";
 import type { ArrivalReport } from "../demand/mod.ts";
+import {
+  encodedIncarnationAges,
+  incarnationAgesOf,
+  isIncarnationAges,
+} from "./incarnation_ages_codec.ts";
 import type { FleetView, PeerUpdate } from "./peer_messages.ts";
 import { encodedLimits, isLimits, limitsOf } from "./permit_codec.ts";
 import {
@@ -33,6 +38,7 @@
   | "room"
   | "returns"
   | "brittle"
+  | "lostServers"
   | "promptParts"
   | "arrivals"
 >;
@@ -44,6 +50,7 @@
   readonly rm?: ReturnType<typeof encodedDemand>;
   readonly rt?: ReturnType<typeof encodedReturns>;
   readonly br?: ReturnType<typeof encodedBrittle>;
+  readonly ls?: ReturnType<typeof encodedIncarnationAges>;
   readonly pp?: ReturnType<typeof encodedQuarantine>;
   readonly ar?: ArrivalReport | undefined;
 }
@@ -55,6 +62,7 @@
   rm: isDemand,
   rt: isReturns,
   br: isBrittle,
+  ls: isIncarnationAges,
   pp: isQuarantine,
   ar: optional(recordOf(isNonnegative)),
 };
@@ -67,6 +75,7 @@
     rm: encodedDemand(fields.room),
     rt: encodedReturns(fields.returns),
     br: encodedBrittle(fields.brittle),
+    ls: encodedIncarnationAges(fields.lostServers),
     pp: encodedQuarantine(fields.promptParts),
     ar: fields.arrivals,
   };
@@ -80,6 +89,7 @@
     room: demandOf(encoded.rm),
     returns: returnsOf(encoded.rt),
     brittle: brittleOf(encoded.br),
+    lostServers: incarnationAgesOf(encoded.ls),
     promptParts: quarantineOf(encoded.pp),
     arrivals: encoded.ar,
   };
--- a/packages/rampswitch-serving/src/membership/digest_codec.ts
+++ b/packages/rampswitch-serving/src/membership/digest_codec.ts
@@ -32,7 +32,11 @@
   isVersions,
   versionsOf,
 } from "./configuration_codec.ts";
-import { encodedLeaving, isLeaving, leavingOf } from "./leaving_codec.ts";
+import {
+  encodedIncarnationAges,
+  isIncarnationAges,
+  incarnationAgesOf,
+} from "./incarnation_ages_codec.ts";
 import type { FleetDigest } from "./peer_messages.ts";
 import {
   encodedQuarantine,
@@ -75,7 +79,7 @@
   readonly o?: ReturnType<typeof encodedQuarantine>;
   readonly j?: number | undefined;
   readonly p?: ReturnType<typeof encodedRollouts> | undefined;
-  readonly a?: ReturnType<typeof encodedLeaving>;
+  readonly a?: ReturnType<typeof encodedIncarnationAges>;
   readonly ur?: readonly string[] | undefined;
   readonly h?: readonly string[] | undefined;
   /** Only sent to hosts that read shared digests. */
@@ -104,7 +108,7 @@
   o: isQuarantine,
   j: optional(isNonnegative),
   p: isRollouts,
-  a: isLeaving,
+  a: isIncarnationAges,
   ur: optional(listOf(isName)),
   h: optional(listOf(isString)),
   z: optional(isNumbers),
@@ -126,7 +130,7 @@
     b: digest.levels,
     x: digest.silentShare,
     w: encodedWork(digest.work),
-    a: encodedLeaving(digest.leaving),
+    a: encodedIncarnationAges(digest.leaving),
     ur:
       digest.hostsLackingReach.length === 0
         ? undefined
@@ -170,7 +174,7 @@
     servers: serversOf(message),
     quarantine: quarantineOf(message.o),
     rollouts: rolloutsOf(message.p),
-    leaving: leavingOf(message.a),
+    leaving: incarnationAgesOf(message.a),
     hostsLackingReach: message.ur ?? [],
     permitHolders: message.h ?? [],
     acknowledgedByHost: message.z,
--- a/packages/rampswitch-serving/src/membership/membership_test.ts
+++ b/packages/rampswitch-serving/src/membership/membership_test.ts
@@ -26,6 +26,7 @@
 const OWN_UPDATE: OwnUpdate = {
   slowdowns: [{ id: "s1", born: 1_796_169_600_123, slowdown: 2.5, hosts: 1 }],
   leaving: [{ id: "s9", born: 7, age: 20 }],
+  lostServers: [{ id: "s8", born: 6, age: 30 }],
   brittle: [{ id: "s1", born: undefined, bound: 5, age: 3, rejections: 1 }],
   outOfReach: ["s1"],
   returns: [
@@ -152,6 +153,7 @@
   rollouts: OWN_UPDATE.rollouts.map((one) => ({ ...one, own: undefined })),
   slowdowns: [{ id: "s9", born: 7, slowdown: 1.75, hosts: 4 }],
   leaving: OWN_UPDATE.leaving,
+  lostServers: OWN_UPDATE.lostServers,
   returns: OWN_UPDATE.returns,
   brittle: OWN_UPDATE.brittle,
   hostsLackingReach: ["c"],
--- a/packages/rampswitch-serving/src/membership/peer_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/peer_codec_test.ts
@@ -48,6 +48,7 @@
     { id: "s1", born: BORN, age: 40 },
     { id: "s2", born: undefined, age: 0 },
   ],
+  lostServers: [{ id: "s3", born: BORN, age: 12 }],
   brittle: [{ id: "s1", born: undefined, bound: 5, age: 3, rejections: 1 }],
   outOfReach: ["s1"],
   returns: [
--- a/packages/rampswitch-serving/src/membership/peer_messages.ts
+++ b/packages/rampswitch-serving/src/membership/peer_messages.ts
@@ -22,6 +22,7 @@
 import type { ArrivalReport } from "../demand/mod.ts";
 import type { QuarantineUpdate } from "../quarantine/mod.ts";
 import type { RolloutUpdate } from "../rollout/rollout.ts";
+import type { LostServerUpdate } from "../reach/mod.ts";
 import type { ReservationUpdate, RoomReport } from "../room/mod.ts";
 import type {
   LimitUpdate,
@@ -104,6 +105,8 @@
   readonly returns: readonly ReservationUpdate[];
   /** Backend servers that advertise that they are brittle. */
   readonly brittle: readonly BrittleUpdate[];
+  /** Backend servers whose process the host found to have ended. */
+  readonly lostServers: readonly LostServerUpdate[];
   /** Ids of the backend servers that the host does not reach. */
   readonly outOfReach: readonly string[];
 }
@@ -142,6 +145,8 @@
   readonly returns: readonly ReservationUpdate[];
   /** Backend servers that advertise that they are brittle. */
   readonly brittle: readonly BrittleUpdate[];
+  /** Backend servers whose process a host found to have ended. */
+  readonly lostServers: readonly LostServerUpdate[];
   /** Names of the hosts that do not reach some backend server. */
   readonly hostsLackingReach: readonly string[];
 }
--- a/packages/rampswitch-serving/src/membership/stream_codec.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec.ts
@@ -33,6 +33,8 @@
   readonly v?: string | undefined;
   /** Id of the server that began it; absent if it is not known. */
   readonly w?: string | undefined;
+  /** Start of that server, where its entry is to tell the version. */
+  readonly n?: number | undefined;
   /** Time since it began, or was learned of, in milliseconds; absent if it began now. */
   readonly g?: number | undefined;
   /** Time in which the stream may be taken up, in milliseconds. */
@@ -80,6 +82,7 @@
   r: isName,
   v: optional(isShortText),
   w: optional(isName),
+  n: optional(isNumber),
   g: optional(isNonnegative),
   t: isNonnegative,
 };
@@ -115,7 +118,7 @@
 
 /** Encodes a stream's version. */
 export function encodedStream(record: StreamRecord): EncodedStream {
-  const { service, attempt, version, serverId } = record;
+  const { service, attempt, version, serverId, start } = record;
   const { ageMilliseconds, lifetimeMilliseconds } = record;
   return {
     k: "b",
@@ -123,18 +126,20 @@
     r: attempt,
     v: version,
     w: serverId,
+    n: start,
     g: ageMilliseconds,
     t: Math.ceil(lifetimeMilliseconds),
   };
 }
 
 /** Decodes a stream's version. */
-export function streamOf({ s, r, v, w, g, t }: EncodedStream): StreamRecord {
+export function streamOf({ s, r, v, w, n, g, t }: EncodedStream): StreamRecord {
   return {
     service: s,
     attempt: r,
     version: v,
     serverId: w,
+    start: n,
     ageMilliseconds: g,
     lifetimeMilliseconds: t,
   };
--- a/packages/rampswitch-serving/src/membership/stream_codec_test.ts
+++ b/packages/rampswitch-serving/src/membership/stream_codec_test.ts
@@ -16,6 +16,16 @@
     kind: "stream_begun",
     record: { ...KEY, version, lifetimeMilliseconds: 8_000 },
   })),
+  {
+    kind: "stream_begun",
+    record: {
+      ...KEY,
+      version: undefined,
+      serverId: "s1",
+      start: 1_796_169_600_123,
+      lifetimeMilliseconds: 8_000,
+    },
+  },
   { kind: "stream_query", query: QUERY },
   { kind: "stream_query", query: { ...QUERY, attempt: "" } },
   ...(["known", "single", "single_since_gap", "single_recently"] as const).map(
@@ -59,6 +69,7 @@
     { k: "b", s: "", r: "a", v: "v1", t: 1 },
     { k: "b", s: "models", r: "a", v: "v1", t: -1 },
     { k: "b", s: "models", r: "a".repeat(300), v: "v1", t: 1 },
+    { k: "b", s: "models", r: "a", w: "s1", n: "1", t: 1 },
     { k: "e", i: "7", a: "10.0.0.1:7600", s: "models", r: "a" },
     { k: "f", i: 7, o: "surely", v: "v1" },
     { k: "f", i: 7, o: "single", v: "v1", u: -1, l: 1 },
--- a/packages/rampswitch-serving/src/membership/update_codec.ts
+++ b/packages/rampswitch-serving/src/membership/update_codec.ts
@@ -34,7 +34,11 @@
   isVersions,
   versionsOf,
 } from "./configuration_codec.ts";
-import { encodedLeaving, isLeaving, leavingOf } from "./leaving_codec.ts";
+import {
+  encodedIncarnationAges,
+  isIncarnationAges,
+  incarnationAgesOf,
+} from "./incarnation_ages_codec.ts";
 import type { AgedUpdate, PeerMessage, PeerUpdate } from "./peer_messages.ts";
 import { encodedLoans, isLoans } from "./permit_codec.ts";
 import {
@@ -86,7 +90,7 @@
   readonly j?: readonly [number, number] | undefined;
   readonly e?: ReturnType<typeof encodedRollouts> | undefined;
   readonly g?: ReturnType<typeof encodedLoans>;
-  readonly o?: ReturnType<typeof encodedLeaving>;
+  readonly o?: ReturnType<typeof encodedIncarnationAges>;
   readonly ur?: readonly string[] | undefined;
 }
 
@@ -133,7 +137,7 @@
   j: optional(tupleOf<[number, number]>(isNumber, isNonnegative)),
   e: isRollouts,
   g: isLoans,
-  o: isLeaving,
+  o: isIncarnationAges,
   ur: optional(listOf(isName)),
 };
 
@@ -237,7 +241,7 @@
     ]),
     r: update.readTokens,
     g: encodedLoans(update.lentTo),
-    o: encodedLeaving(update.leaving),
+    o: encodedIncarnationAges(update.leaving),
     ur: update.outOfReach.length === 0 ? undefined : update.outOfReach,
     y: encodedIncarnations(update.work, update.dispatches),
     x: encodedQuarantine(update.quarantine),
@@ -291,7 +295,7 @@
     quarantine: quarantineOf(update.x),
     rollouts: rolloutsOf(update.e),
     lentTo: update.g ?? {},
-    leaving: leavingOf(update.o),
+    leaving: incarnationAgesOf(update.o),
     outOfReach: update.ur ?? [],
   };
 }
--- a/packages/rampswitch-serving/src/relay/incarnation_checks.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks.ts
@@ -2,7 +2,7 @@
 
 /**
  * Asks servers which incarnation they are: before a stream that broke goes on there, and
- * once a stream began there after this host had lost the server. A server that crashed may
+ * once a stream began there after a host had lost the server. A server that crashed may
  * be back under its id as another version before its new entry is read.
  *
  * @module
@@ -15,7 +15,13 @@
 import type { ServerContact } from "../attempt/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
 import type { Service } from "../model/configuration.ts";
+import {
+  incarnationId,
+  type ServerIncarnation,
+} from "../model/backend_server.ts";
 import type { EngineControl } from "../model/engine_control.ts";
+import type { LostServers } from "../reach/mod.ts";
+import type { StreamOrigins } from "../streams/mod.ts";
 
 /** What the checks depend on. */
 export interface IncarnationCheckParts {
@@ -23,6 +29,8 @@
   readonly logger: Logger;
   readonly engineControl: EngineControl;
   readonly advertisements: AdvertisementReader;
+  readonly lostServers: Pick<LostServers, "lostAt" | "onTold">;
+  readonly streams: Pick<StreamOrigins, "begunByStart">;
 }
 
 /**
@@ -31,6 +39,15 @@
  */
 const CONFIRMATION_MILLISECONDS = 100;
 
+/**
+ * Time by which another host may notice a loss late, in milliseconds: some turns of a busy
+ * event loop. A contact that began within it before a loss may be with the next process.
+ */
+const NOTICE_MILLISECONDS = 2_000;
+
+/** Maximum number of servers whose latest stream is kept. */
+const MAXIMUM_SERVERS = 16_384;
+
 /** A confirmation that was asked for. */
 interface Confirmation {
   /** On the monotonic clock. */
@@ -56,9 +73,16 @@
   readonly #starts = new WeakMap<ServerContact, number>();
   /** Servers that are being asked during a contact. */
   readonly #asked = new WeakMap<ServerContact, Promise<void>>();
+  /** When the first stream of a contact began, on the monotonic clock. */
+  readonly #firstBeginAt = new WeakMap<ServerContact, number>();
+  /** Contacts that began after a loss, so that they may be with another process. */
+  readonly #doubted = new WeakSet<ServerContact>();
+  /** The latest stream of each incarnation. */
+  readonly #latest = new Map<string, StreamBegin>();
 
   constructor(parts: IncarnationCheckParts) {
     this.#parts = parts;
+    parts.lostServers.onTold((incarnation) => this.#lostElsewhere(incarnation));
   }
 
   /** Whether a server tells which incarnation it is. */
@@ -88,9 +112,9 @@
   }
 
   /**
-   * Notes that a stream began at a server that this host had lost before. The server is
-   * asked, unless it was confirmed during this contact; nothing waits for it. `undefined`
-   * without a loss, or if the server can't be asked.
+   * Notes that a stream began at a server. If a host lost the server before, it is asked,
+   * unless it was confirmed since; nothing waits for it. `undefined` if the server can't
+   * be asked.
    */
   began(
     record: ServerRecord,
@@ -102,22 +126,30 @@
       readonly contact: ServerContact | undefined;
     },
   ): StreamBegin | undefined {
-    const isAsked = contact?.followsLoss && this.canAsk(record, service);
-    if (!isAsked) return undefined;
-    const begin = { record, contact, begunAt: this.#parts.clock.now() };
-    if (!this.#isKnown(begin)) {
-      runInBackground("start of a server", this.#parts, () =>
-        this.#askDuring(begin),
-      );
+    if (contact === undefined || !this.canAsk(record, service)) {
+      return undefined;
     }
+    const begin = { record, contact, begunAt: this.#parts.clock.now() };
+    this.#note(begin);
+    if (this.#followsLoss(begin)) this.#doubt(begin);
     return begin;
   }
 
+  /**
+   * Start of the incarnation that began a stream, if it is known to be another one than
+   * its record names.
+   */
+  otherStart({ record, contact }: StreamBegin): number | undefined {
+    const start = this.#starts.get(contact);
+    return start === record.entry.born ? undefined : start;
+  }
+
   /** Whether a stream certainly began at the incarnation that was listed. */
   isConfirmed({ record, contact, begunAt }: StreamBegin): boolean {
-    const confirmedAt = this.#confirmedAt.get(record) ?? -Infinity;
     const start = this.#starts.get(contact);
-    return confirmedAt >= begunAt || start === record.entry.born;
+    if (start !== undefined) return start === record.entry.born;
+    const isDoubted = this.#doubted.has(contact);
+    return !isDoubted || this.#lastConfirmedAt(record) >= begunAt;
   }
 
   /**
@@ -142,9 +174,68 @@
     );
   }
 
+  #note(begin: StreamBegin): void {
+    const { record, contact, begunAt } = begin;
+    if (!this.#firstBeginAt.has(contact)) {
+      this.#firstBeginAt.set(contact, begunAt);
+    }
+    this.#latest.set(record.incarnation, begin);
+    const [oldest] = this.#latest.keys();
+    if (this.#latest.size <= MAXIMUM_SERVERS || oldest === undefined) return;
+    this.#latest.delete(oldest);
+  }
+
+  /** Whether a contact began after a loss, and its server was not confirmed since. */
+  #followsLoss({ record, contact }: StreamBegin): boolean {
+    const lostAt = this.#parts.lostServers.lostAt(record.entry);
+    return (
+      lostAt > this.#lastConfirmedAt(record) &&
+      lostAt <= this.#firstBegin(contact)
+    );
+  }
+
+  /** Asks the server of a contact that may be with another incarnation. */
+  #doubt(begin: StreamBegin): void {
+    this.#doubted.add(begin.contact);
+    this.#askInBackground(begin);
+  }
+
+  /** Handles a loss that another host told of, maybe later than streams began. */
+  #lostElsewhere(incarnation: ServerIncarnation): void {
+    const name = incarnationId(incarnation);
+    const begin = this.#latest.get(name);
+    if (begin === undefined) return;
+    if (!begin.contact.isUnbroken) {
+      this.#latest.delete(name);
+      return;
+    }
+    const lostAt = this.#parts.lostServers.lostAt(incarnation);
+    const mayFollow =
+      lostAt - this.#firstBegin(begin.contact) <= NOTICE_MILLISECONDS;
+    if (this.#followsLoss(begin)) this.#doubt(begin);
+    else if (mayFollow) this.#askInBackground(begin);
+  }
+
+  #firstBegin(contact: ServerContact): number {
+    return this.#firstBeginAt.get(contact) ?? -Infinity;
+  }
+
+  #lastConfirmedAt(record: ServerRecord): number {
+    return this.#confirmedAt.get(record) ?? -Infinity;
+  }
+
   /** Whether it is known which incarnation began a stream. */
-  #isKnown(begin: StreamBegin): boolean {
-    return this.#starts.has(begin.contact) || this.isConfirmed(begin);
+  #isKnown({ record, contact, begunAt }: StreamBegin): boolean {
+    return (
+      this.#starts.has(contact) || this.#lastConfirmedAt(record) >= begunAt
+    );
+  }
+
+  #askInBackground(begin: StreamBegin): void {
+    if (this.#isKnown(begin)) return;
+    runInBackground("start of a server", this.#parts, () =>
+      this.#askDuring(begin),
+    );
   }
 
   /** Asks a server once for all streams of a contact. */
@@ -164,9 +255,13 @@
   ): Promise<void> {
     const start = await this.#startOf(record);
     // Another process may answer once no connection is left.
-    if (start !== undefined && contact.isUnbroken) {
-      this.#starts.set(contact, start);
-    }
+    if (start === undefined || !contact.isUnbroken) return;
+    this.#starts.set(contact, start);
+    if (start === record.entry.born) return;
+    this.#parts.streams.begunByStart(record.incarnation, {
+      start,
+      since: this.#firstBegin(contact),
+    });
   }
 
   #ask(record: ServerRecord, now: number): Confirmation {
--- a/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
@@ -1,5 +1,6 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
+import { setImmediate } from "node:timers/promises";
 import { expect, test } from "@jest/globals";
 import { ManualClock, SILENT_LOGGER } from "rampswitch-utils";
 import {
@@ -7,6 +8,7 @@
   NOTHING_ADVERTISED,
 } from "../advertisements/advertisements_standin.ts";
 import { ServerRecord } from "../choice/mod.ts";
+import type { ServerIncarnation } from "../model/backend_server.ts";
 import { backendServerStandin } from "../model/backend_server_standin.ts";
 import type { Service } from "../model/configuration.ts";
 import type { EngineControl } from "../model/engine_control.ts";
@@ -53,10 +55,33 @@
   },
   {
     name: "it is not asked where it wasn't lost",
-    followsLoss: false,
+    lostAt: -Infinity,
     starts: [2],
     calls: 0,
-    is: undefined,
+    is: true,
+  },
+  {
+    name: "it is not asked where the loss ended the contact",
+    lostAt: 1,
+    starts: [2],
+    calls: 0,
+    is: true,
+  },
+  {
+    name: "another one answers after other hosts told of the loss late",
+    lostAt: -Infinity,
+    toldOf: 0,
+    starts: [2],
+    calls: 1,
+    is: false,
+  },
+  {
+    name: "another one answers, whose former end others noticed late",
+    lostAt: -Infinity,
+    toldOf: 1,
+    starts: [2],
+    calls: 1,
+    is: false,
   },
 ])(
   "a stream that began at a server that had been lost: $name",
@@ -65,7 +90,8 @@
     now = listed(1),
     calls,
     is,
-    followsLoss = true,
+    lostAt = 0,
+    toldOf,
     isUnbroken = true,
   }) => {
     const answers: (number | undefined)[] = [...starts];
@@ -78,21 +104,47 @@
       return Promise.resolve(born === undefined ? undefined : told);
     };
     const clock = new ManualClock();
+    const marked: unknown[] = [];
+    const lost = {
+      at: lostAt,
+      told: (_: ServerIncarnation) => undefined as void,
+    };
     const checks = new IncarnationChecks({
       clock,
       logger: SILENT_LOGGER,
       engineControl: { report } as unknown as EngineControl,
       advertisements: ignoringAdvertisementReader(),
+      lostServers: {
+        lostAt: () => lost.at,
+        onTold: (listener) => {
+          lost.told = listener;
+        },
+      },
+      streams: {
+        begunByStart: (server, begun) => marked.push({ server, ...begun }),
+      },
     });
-    const stream = { service: SERVICE, contact: { isUnbroken, followsLoss } };
+    const stream = { service: SERVICE, contact: { isUnbroken } };
     const record = listed(1);
     const begins = [0, 1].map(() => checks.began(record, stream));
     clock.advance(1);
+    if (toldOf !== undefined) {
+      lost.at = toldOf;
+      lost.told(record.entry);
+      await setImmediate();
+    }
     const verdicts = begins.map(
       async (begin) =>
-        begin && (await checks.isOfListedVersion(begin, () => now)),
+        begin &&
+        ((checks.isConfirmed(begin) &&
+          checks.otherStart(begin) === undefined) ||
+          (await checks.isOfListedVersion(begin, () => now))),
     );
     expect(await Promise.all(verdicts)).toEqual([is, is]);
     expect(asked).toBe(calls);
+    // Streams of another incarnation are told and stored so at once.
+    const isOther = isUnbroken && calls === 1 && starts[0] === 2;
+    const noted = [{ server: record.incarnation, start: 2, since: 0 }];
+    expect(marked).toEqual(isOther ? noted : []);
   },
 );
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -96,9 +96,9 @@
     return REFUSAL_BY_ORIGIN[origin.kind];
   }
 
-  /** Whether it can't be told which version began the stream. */
+  /** Whether it can't be told which version began the stream, or it was another one. */
   get isUncertain(): boolean {
-    return this.#parts.streams.isUncertain(this.#key);
+    return !this.#parts.streams.mayBeOf(this.#key, this.#required);
   }
 
   /** Resolves once everything is known that can tell whether the version is certain. */
@@ -119,8 +119,11 @@
       this.#begin = incarnations.began(record, { service, contact });
     }
     const lifetimeMilliseconds = timeLimitMilliseconds(this.#request);
+    const start = this.#begin && incarnations.otherStart(this.#begin);
+    const known =
+      start === undefined ? { version } : { version: undefined, start };
     streams.began(
-      { ...this.#key, version, lifetimeMilliseconds },
+      { ...this.#key, ...known, lifetimeMilliseconds },
       record.incarnation,
     );
   }
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -357,6 +357,7 @@
           serviceOf: (name) => this.#follower.routes?.service(name),
         }),
         advertisements: this.#advertisements,
+        streams: this.#streams.origins,
       }),
     );
     this.#callers = new CallerServer(this.#requestContext());
@@ -446,8 +447,7 @@
       roomCounts: this.#room.counts,
       reservations: this.#returns.reservations,
       brittle: this.#brittle,
-      contacts: this.#access.contacts,
-      peerReach: this.#access.peerReach,
+      access: this.#access,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
       stopping: () => this.#lifecycle.state === "stopping",
@@ -739,9 +739,8 @@
 
   /** Broadcasts when the last requests at versions that are left have ended. */
   #checkPromotions(): void {
-    const now = this.#ports.clock.now();
     const { isPromoting: goesOn, hasChanged: isNews } =
-      this.#rollouts.promotionProgress(now);
+      this.#rollouts.promotionProgress(this.#ports.clock.now());
     if (isNews) this.#membership?.broadcast();
     if (goesOn) this.#scheduleVersionCheck();
   }
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -5,6 +5,8 @@
  *
  * @module
  */
+import { incarnationId } from "../model/backend_server.ts";
+import type { VersionedServer } from "./version_history.ts";
 
 /** Identifies a stream on all hosts. */
 export interface StreamKey {
@@ -26,6 +28,11 @@
   readonly server: string | undefined;
   /** Id of the server that began it, whichever host serves it, if it is known. */
   readonly serverId: string | undefined;
+  /**
+   * Start of the incarnation that began it, while no entry has named that one: the entry
+   * will tell the version.
+   */
+  readonly start?: number | undefined;
   /** When it began, or a host learned of it, on the monotonic clock. */
   readonly addedAt: number;
   /** When its caller can't take it up any more, on the monotonic clock. */
@@ -42,6 +49,8 @@
   readonly #maximumStreams: number;
   /** By name, in the order in which they were added. */
   readonly #streams = new Map<string, BegunStream>();
+  /** Names of the streams whose versions are uncertain. */
+  readonly #uncertain = new Set<string>();
 
   /** The oldest streams give way to more than the given number. */
   constructor(maximumStreams: number) {
@@ -54,10 +63,36 @@
     const combined = combinedStream(this.get(stream, now), stream);
     // Deleted first, so that it moves to the end of the order.
     this.#streams.delete(name);
-    this.#streams.set(name, combined ?? stream);
+    this.#set(combined ?? stream);
     this.#dropOldest(now);
   }
 
+  /** Whether the version of any stream is uncertain. */
+  get hasUncertain(): boolean {
+    return this.#uncertain.size > 0;
+  }
+
+  /** Notes the version of an incarnation that is listed now. */
+  listed({ id, service, version, born }: VersionedServer): void {
+    if (born === undefined) return;
+    [...this.#uncertain]
+      .flatMap((name) => this.#streams.get(name) ?? [])
+      .filter(
+        (stream) =>
+          stream.serverId === id &&
+          stream.service === service &&
+          stream.start === born,
+      )
+      .forEach((stream) =>
+        this.#set({
+          ...stream,
+          version,
+          start: undefined,
+          server: stream.server && incarnationId({ id, born }),
+        }),
+      );
+  }
+
   /** Returns a stream, if it is known and its caller may take it up. */
   get(key: StreamKey, now: number): BegunStream | undefined {
     const stream = this.#streams.get(streamName(key));
@@ -86,19 +121,27 @@
     );
   }
 
+  #set(stream: BegunStream): void {
+    const name = streamName(stream);
+    this.#streams.set(name, stream);
+    if (stream.version === undefined) this.#uncertain.add(name);
+    else this.#uncertain.delete(name);
+  }
+
   #dropOldest(now: number): void {
     for (const [name, { expiresAt }] of this.#streams) {
       const isExpired = expiresAt <= now;
       if (!isExpired && this.#streams.size <= this.#maximumStreams) return;
       this.#streams.delete(name);
+      this.#uncertain.delete(name);
     }
   }
 }
 
 /**
  * What two sources together know of a stream: the later one, without a version if they
- * differ in it. A stream has one version, so one of the two is wrong. The same record is
- * dated by the first time that it was learned.
+ * differ in it. A stream has one version, so one of the two is wrong; a start that one of
+ * them names outranks it. The same record is dated by the first time that it was learned.
  */
 export function combinedStream(
   earlier: BegunStream | undefined,
@@ -114,5 +157,15 @@
   const addedAt = isSame
     ? Math.min(earlier.addedAt, later.addedAt)
     : later.addedAt;
-  return { ...later, version, addedAt, expiresAt };
+  const start = agreedStart(earlier.start, later.start);
+  return { ...later, version, start, addedAt, expiresAt };
+}
+
+/** The start that one of two sources names, or both; `undefined` if they differ in it. */
+function agreedStart(
+  earlier: number | undefined,
+  later: number | undefined,
+): number | undefined {
+  if (earlier === undefined || later === undefined) return later ?? earlier;
+  return earlier === later ? later : undefined;
 }
--- a/packages/rampswitch-serving/src/streams/stored_streams.ts
+++ b/packages/rampswitch-serving/src/streams/stored_streams.ts
@@ -21,44 +21,38 @@
       version: z.string().optional(),
       /** Id of the server that began them; absent if it is not known. */
       server: z.string().optional(),
+      /** Start of that server, where an entry is to tell the version. */
+      start: z.number().optional(),
       /** Time in which each stream may be taken up, in seconds, by its attempt. */
       lifetimeSeconds: recordOf(z.number().nonnegative()),
     }),
   ),
 });
 
-/** Encodes streams, those of one version and server together. */
+/** Encodes streams, those of one version, server and start together. */
 export function encodeStreams(records: readonly StreamRecord[]): string {
-  const groups = [...groupsBy(records, ({ service }) => service)].flatMap(
-    ([service, streams]) =>
-      [...groupsBy(streams, ({ version }) => version)].flatMap(
-        ([version, ofVersion]) =>
-          [...groupsBy(ofVersion, ({ serverId }) => serverId)].map(
-            ([server, begun]) => ({
-              service,
-              version,
-              server,
-              lifetimeSeconds: lifetimesOf(begun),
-            }),
-          ),
-      ),
-  );
+  const groups = groupsOf(records).map((group) => {
+    const [{ service, version, serverId, start }] = group;
+    const lifetimeSeconds = lifetimesOf(group);
+    return { service, version, server: serverId, start, lifetimeSeconds };
+  });
   return JSON.stringify({ groups });
 }
 
-/** Groups streams by a property, in one pass. */
-function groupsBy<Property>(
-  records: readonly StreamRecord[],
-  propertyOf: (record: StreamRecord) => Property,
-): ReadonlyMap<Property, readonly StreamRecord[]> {
-  const groups = new Map<Property, StreamRecord[]>();
+/** Streams of one version, server and start; at least one. */
+type StreamGroup = [StreamRecord, ...StreamRecord[]];
+
+/** Groups streams in one pass. */
+function groupsOf(records: readonly StreamRecord[]): readonly StreamGroup[] {
+  const groups = new Map<string, StreamGroup>();
   records.forEach((record) => {
-    const property = propertyOf(record);
-    const group = groups.get(property);
-    if (group === undefined) groups.set(property, [record]);
+    const { service, version, serverId, start } = record;
+    const name = JSON.stringify([service, version, serverId, start]);
+    const group = groups.get(name);
+    if (group === undefined) groups.set(name, [record]);
     else group.push(record);
   });
-  return groups;
+  return [...groups.values()];
 }
 
 /** Time in which each stream may be taken up, in whole seconds, by its attempt. */
@@ -78,12 +72,13 @@
   value: string,
 ): Result<readonly StreamRecord[], string> {
   return decodeJson(STREAMS_SCHEMA, value, "streams").map(({ groups }) =>
-    groups.flatMap(({ service, version, server, lifetimeSeconds }) =>
+    groups.flatMap(({ service, version, server, start, lifetimeSeconds }) =>
       Object.entries(lifetimeSeconds).map(([attempt, seconds]) => ({
         service,
         attempt,
         version,
         serverId: server,
+        start,
         lifetimeMilliseconds: seconds * MILLISECONDS_PER_SECOND,
       })),
     ),
--- a/packages/rampswitch-serving/src/streams/stream_finder.ts
+++ b/packages/rampswitch-serving/src/streams/stream_finder.ts
@@ -69,7 +69,9 @@
   /** Finds the version that began a stream. */
   async find(key: StreamKey): Promise<StreamOrigin> {
     const { records, versions, answers, sources } = this.#parts;
-    if (records.isUncertain(key)) return LOST_ORIGIN;
+    if (records.isUncertain(key)) {
+      return records.mayBeListed(key) ? UNKNOWN_ORIGIN : LOST_ORIGIN;
+    }
     const own = answers.replyTo(key);
     // A host with a newer list may know that the version is uncertain.
     if (own.kind === "known" && !versions.isListBehind) {
--- a/packages/rampswitch-serving/src/streams/stream_origins.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins.ts
@@ -102,6 +102,7 @@
     this.#versions.receivedList();
     this.#tellOnceMixed(server.service, () => this.#versions.listed(server));
     this.names.listed(server);
+    this.#records.listed(server);
   }
 
   /** Notes that a server is listed no more. */
@@ -149,6 +150,19 @@
       );
   }
 
+  /**
+   * Notes that streams of a server since a time began at an incarnation that no entry has
+   * named yet.
+   */
+  begunByStart(
+    server: string,
+    { start, since }: { readonly start: number; readonly since: number },
+  ): void {
+    this.#records
+      .markStarted(server, { start, since })
+      .forEach((record) => this.#parts.tell(record));
+  }
+
   /** Notes that the version of a stream that broke is uncertain. */
   becameUncertain(key: StreamKey): void {
     const stream = this.#records.unjudged(key);
@@ -161,6 +175,11 @@
     return this.#records.isUncertain(key);
   }
 
+  /** Whether a stream may have begun at a version, or at any, by what is known of it. */
+  mayBeOf(key: StreamKey, version: string | undefined): boolean {
+    return this.#records.mayBeOf(key, version);
+  }
+
   /** Whether a stream of a service may have begun at one of several versions. */
   isMixed(service: string): boolean {
     return this.#versions.isMixed(service);
@@ -172,11 +191,14 @@
     this.#records.add(begun, { server, isServedHere: true });
     // Another version may be known to hosts with a newer list, or have gone unseen.
     const isTold =
-      this.isMixed(record.service) || this.isListBehind || !this.isPastKnown;
+      record.version === undefined ||
+      this.isMixed(record.service) ||
+      this.isListBehind ||
+      !this.isPastKnown;
     if (!isTold) return;
     // What this host was told of it before may differ. Those that are told judge the server.
-    const version = this.#records.unjudged(begun)?.version;
-    this.#parts.tell({ ...begun, version });
+    const { version, start } = this.#records.unjudged(begun) ?? begun;
+    this.#parts.tell({ ...begun, version, start });
   }
 
   /** Notes that a stream was given whole. */
--- a/packages/rampswitch-serving/src/streams/stream_origins_test.ts
+++ b/packages/rampswitch-serving/src/streams/stream_origins_test.ts
@@ -113,6 +113,54 @@
   return { kind: "single", version };
 }
 
+// Guards against streams of an incarnation that no entry names yet: they count as begun
+// by the listed version, or are refused although the entry comes and tells it.
+describe("a stream of an incarnation that is not listed yet", () => {
+  const marked = () => {
+    const host = hostOf();
+    host.streams.restoreVersions(NO_VERSIONS, { isComplete: true });
+    host.streams.listed({ ...RECORD, id: "s1", version: "v1", born: 1 });
+    host.begin("v1");
+    host.streams.begunByStart(SERVER, { start: 2, since: 0 });
+    return host;
+  };
+
+  test("is told and stored without a version at once", async () => {
+    const { streams, told, clock } = marked();
+    const expected = {
+      ...STREAM,
+      version: undefined,
+      serverId: "s1",
+      start: 2,
+    };
+    expect(told).toMatchObject([expected]);
+    expect(streams.storable).toMatchObject([expected]);
+    expect(streams.mayBeOf(STREAM, "v1")).toBe(false);
+    expect(await streams.find(STREAM)).toEqual({ kind: "unknown" });
+    clock.advance(3_000);
+    expect(await streams.find(STREAM)).toEqual(LOST);
+  });
+
+  test.each(["v1", "v2"])(
+    "is of the version that the entry tells: %s",
+    (version) => {
+      const { streams, told } = marked();
+      const others = ["told", "stored"].map((how) => {
+        const other = hostOf();
+        if (how === "told") told.forEach((one) => other.streams.receive(one));
+        else other.streams.restoreStreams(streams.storable, NOT_OWN);
+        return other.streams;
+      });
+      [streams, ...others].forEach((one) => {
+        one.listed({ ...RECORD, id: "s1", version, born: 2 });
+        one.becameOtherVersion(SERVER);
+        expect(one.mayBeOf(STREAM, version)).toBe(true);
+        expect(one.mayBeOf(STREAM, "v3")).toBe(false);
+      });
+    },
+  );
+});
+
 describe("the version that began a stream", () => {
   test("costs nothing while a service has one version and no stream breaks", () => {
     const { clock, told, state, streams, list, begin } = hostOf();
--- a/packages/rampswitch-serving/src/streams/stream_records.ts
+++ b/packages/rampswitch-serving/src/streams/stream_records.ts
@@ -17,7 +17,7 @@
 } from "./begun_streams.ts";
 import type { StreamOrigin, StreamOriginSource } from "./stream_origin.ts";
 import type { KnownReply, StreamRecord, StreamReply } from "./stream_reply.ts";
-import type { VersionHistory } from "./version_history.ts";
+import type { VersionedServer, VersionHistory } from "./version_history.ts";
 
 /** Who serves a stream, as far as the host that has its record knows. */
 export type StreamServing = Pick<BegunStream, "server" | "isServedHere">;
@@ -34,6 +34,12 @@
  */
 const LISTING_LAG_MILLISECONDS = 2_000;
 
+/**
+ * Time for which a stream of an incarnation that isn't listed yet may still become one of
+ * a known version, in milliseconds.
+ */
+const UNLISTED_MILLISECONDS = 3_000;
+
 /** Time beyond its deadline for which a stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MILLISECONDS = 1_000;
 
@@ -73,7 +79,32 @@
     const now = this.#clock.now();
     const addedAt = now - ageMilliseconds;
     const expiresAt = now + lifetimeMilliseconds + LIFETIME_MARGIN_MILLISECONDS;
-    table.add({ ...stream, ...serving, serverId, addedAt, expiresAt }, now);
+    const known = this.#listedStart({ ...stream, serverId });
+    table.add({ ...known, ...serving, serverId, addedAt, expiresAt }, now);
+  }
+
+  /** Notes the version of an incarnation that is listed. */
+  listed(server: VersionedServer): void {
+    this.#streams.listed(server);
+    this.#restored.listed(server);
+  }
+
+  /**
+   * Notes that streams of a server since a time began at an incarnation other than the
+   * listed one; returns the records that changed.
+   */
+  markStarted(
+    server: string,
+    { start, since }: { readonly start: number; readonly since: number },
+  ): readonly StreamRecord[] {
+    return this.#streams.begunAt(server, since).flatMap((stream) => {
+      const id = stream.serverId ?? server;
+      const version = this.#history.versionOfStart(id, start);
+      if (version === stream.version && version !== undefined) return [];
+      return this.markUncertain(
+        version === undefined ? { ...stream, start } : stream,
+      );
+    });
   }
 
   /** Adds records that a host stored; `isOwn`: a former process of this host did. */
@@ -110,6 +141,21 @@
     return stream !== undefined && stream.version === undefined;
   }
 
+  /** Whether a stream may have begun at a version, or at any, by what is known of it. */
+  mayBeOf(key: StreamKey, version: string | undefined): boolean {
+    const stream = this.#get(key);
+    if (stream === undefined) return true;
+    const isOther = version !== undefined && stream.version !== version;
+    return stream.version !== undefined && !isOther;
+  }
+
+  /** Whether an entry may yet show the version of a stream. */
+  mayBeListed(key: StreamKey): boolean {
+    const { start, addedAt = -Infinity } = this.#get(key) ?? {};
+    const age = this.#clock.now() - addedAt;
+    return start !== undefined && age < UNLISTED_MILLISECONDS;
+  }
+
   /** Returns the record of a stream that is not from the store, as it was added. */
   unjudged(key: StreamKey): BegunStream | undefined {
     return this.#streams.get(key, this.#clock.now());
@@ -133,14 +179,26 @@
 
   /** Returns the streams of a service that this host serves or that broke here. */
   servedHere(service: string): readonly StreamRecord[] {
-    return this.#recordsOf(this.#servedIn(new Set([service])));
+    const streams = this.#streams
+      .servedHere(this.#clock.now())
+      .filter((stream) => stream.service === service);
+    return this.#recordsOf(streams);
   }
 
-  /** Returns the streams of some services that have to outlive this host. */
+  /**
+   * Returns the streams that have to outlive this host: those of some services, and those
+   * that are known to be of another version than the listed one of their server.
+   */
   storable(services: ReadonlySet<string>): readonly StreamRecord[] {
-    return this.#recordsOf(
-      this.#servedIn(services).slice(-MAXIMUM_STORED_STREAMS),
-    );
+    const hasAny = services.size > 0 || this.#streams.hasUncertain;
+    if (!hasAny) return [];
+    const streams = this.#streams
+      .servedHere(this.#clock.now())
+      .filter(
+        ({ service, version }) =>
+          services.has(service) || version === undefined,
+      );
+    return this.#recordsOf(streams.slice(-MAXIMUM_STORED_STREAMS));
   }
 
   /** The reply by the record of a stream; `undefined` if there is none. */
@@ -190,20 +248,24 @@
     return { kind: "known", version, serverId, ageMilliseconds };
   }
 
-  /** The streams of some services that this host serves or that broke here. */
-  #servedIn(services: ReadonlySet<string>): readonly BegunStream[] {
-    if (services.size === 0) return [];
-    return this.#streams
-      .servedHere(this.#clock.now())
-      .filter(({ service }) => services.has(service));
-  }
-
   /** Records of streams for other hosts, as this host judges them. */
   #recordsOf(streams: readonly BegunStream[]): readonly StreamRecord[] {
     const now = this.#clock.now();
     return streams.map((stream) => recordOf(this.#get(stream) ?? stream, now));
   }
 
+  /** A record with the version of the start that it names, if an entry names that too. */
+  #listedStart<
+    Named extends Pick<StreamRecord, "serverId" | "start" | "version">,
+  >(record: Named): Named {
+    const { serverId, start } = record;
+    if (serverId === undefined || start === undefined) return record;
+    const version = this.#history.versionOfStart(serverId, start);
+    return version === undefined
+      ? record
+      : { ...record, version, start: undefined };
+  }
+
   /** All records of a stream combined, without a version if that is uncertain. */
   #get(key: StreamKey): BegunStream | undefined {
     const now = this.#clock.now();
@@ -241,11 +303,19 @@
 
 /** What other hosts need to know of a stream. */
 function recordOf(
-  { service, attempt, version, serverId, addedAt, expiresAt }: BegunStream,
+  {
+    service,
+    attempt,
+    version,
+    serverId,
+    start,
+    addedAt,
+    expiresAt,
+  }: BegunStream,
   now: number,
 ): StreamRecord {
   const lifetimeMilliseconds = Math.max(0, expiresAt - now);
   const ageMilliseconds = now - addedAt;
   const times = { ageMilliseconds, lifetimeMilliseconds };
-  return { service, attempt, version, serverId, ...times };
+  return { service, attempt, version, serverId, start, ...times };
 }
--- a/packages/rampswitch-serving/src/streams/stream_reply.ts
+++ b/packages/rampswitch-serving/src/streams/stream_reply.ts
@@ -14,6 +14,11 @@
   readonly version: string | undefined;
   /** Id of the server that began it; absent if it is not known. */
   readonly serverId?: string | undefined;
+  /**
+   * Start of the incarnation that began it, where that is not the listed one: its version
+   * is known once an entry names it. Absent beside a version.
+   */
+  readonly start?: number | undefined;
   /** Time since it began, or was learned of, in milliseconds; absent if it began now. */
   readonly ageMilliseconds?: number | undefined;
   /** Time in which its caller may take it up, in milliseconds. */
--- a/packages/rampswitch-serving/src/streams/version_history.ts
+++ b/packages/rampswitch-serving/src/streams/version_history.ts
@@ -15,6 +15,8 @@
 /** The fields of a listed server that are used here. */
 export interface VersionedServer extends ServiceVersionName {
   readonly id: string;
+  /** Start of its incarnation, if it tells one. */
+  readonly born?: number | undefined;
 }
 
 /** Versions by service. */
@@ -73,12 +75,15 @@
 
   /** Notes a server that is listed, or listed with another version since some time. */
   listed(server: VersionedServer, { now, changedAfter }: ListingTimes): void {
-    const { id, service, version } = server;
+    const { id, service, version, born } = server;
     const before = this.#listed.get(id);
-    if (before?.service === service && before.version === version) return;
+    if (before?.service === service && before.version === version) {
+      this.#listed.set(id, { id, service, version, born });
+      return;
+    }
     this.removed(id, now);
     this.#removedAt.delete(id);
-    this.#listed.set(id, { id, service, version });
+    this.#listed.set(id, { id, service, version, born });
     this.#noteVersion(server, { now, changedAfter });
     const versions =
       this.#services.get(service) ?? new Map<string, ServiceVersion>();
@@ -103,6 +108,12 @@
     if (known.servers.size === 0) this.#ending.set(known, before.service);
   }
 
+  /** Version of an incarnation of a server, if it is the listed one. */
+  versionOfStart(id: string, start: number): string | undefined {
+    const listed = this.#listed.get(id);
+    return listed?.born === start ? listed.version : undefined;
+  }
+
   /** Whether a server is listed with another version, or was when it was removed. */
   isOtherVersion(id: string, version: string): boolean {
     const last = this.#listedVersions.get(id)?.at(-1);
