Judge the incarnation of a stream also where its caller leaves or its time passes

Cause: after a loss the server is asked which incarnation it is, and what it can't tell was judged only where a stream broke. A stream that ended otherwise kept the listed version in its host's table, and was taken up elsewhere by it.

Seen by callers: v2, then v1, over several tries.

Change: a request that doesn't complete has its stream judged like one that broke. It costs nothing where nothing was lost.

Conclusion: what remains is a host that ends before the server has answered.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -751,16 +751,15 @@
     this.#bufferedBody.clear();
   }
 
-  /**
-   * Ends the run. Its log line is written before the end of the answer, so that
-   * it exists even if the host is killed right after the answer.
-   */
+  /** Ends the run; it is logged before its answer ends, after which the host may. */
   #finish(
     outcome: string,
     status = this.#answer.status,
     refusal?: RefusalTerms,
   ): void {
     this.#cancelDeadline();
+    // A caller may leave, or its time pass, before the loss of a server shows.
+    if (outcome !== "completed") this.#streamVersion.broke();
     this.#sendChooser.stopWaiting();
     this.#startedMigration?.drop();
     this.#tracker.handle({ type: "ended" });
