Share what a server says of its incarnation among the runs that leave it

A review showed (both tests failed before): 128 runs that leave one server together asked for its report 128 times, each on a connection of its own, before any of them moved; and a server that answers no report was asked at each stream that began there after a loss, for as long as the contact lasts (20 calls for 20 streams).

Cause: a move asked by a function that shares nothing, while broken streams shared an answer for 100 ms; and only an answer that names a start ended the question.

Now a move uses the shared report, what it shows is judged in one place, and a server is asked at most once a second in a contact because streams begin there. What decides whether a handle still names the same memory is asked anew each time, as before: servers of that test restart within milliseconds. Ruled out: to use the report that planned the moves, which may be seconds old.

The contexts of run_migration_test.ts hold the real checks now.

--- a/packages/rampswitch-serving/src/relay/incarnation_checks.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks.ts
@@ -19,9 +19,10 @@
   incarnationId,
   type ServerIncarnation,
 } from "../model/backend_server.ts";
-import type { EngineControl } from "../model/engine_control.ts";
+import type { EngineControl, EngineReport } from "../model/engine_control.ts";
 import type { LostServers } from "../reach/mod.ts";
 import type { StreamOrigins } from "../streams/mod.ts";
+import { type IncarnationStatus, statusByReport } from "./retained_memory.ts";
 
 /** What the checks depend on. */
 export interface IncarnationCheckParts {
@@ -34,11 +35,17 @@
 }
 
 /**
- * Time for which a confirmation counts, in milliseconds; shorter than a server takes to
- * end and start again. Many streams that break together share one.
+ * Time for which a report counts, in milliseconds; shorter than a server takes to end and
+ * start again. Many streams that break or move together share one.
  */
 const CONFIRMATION_MILLISECONDS = 100;
 
+/**
+ * Minimum time between two questions to a server because streams begin there, in
+ * milliseconds: it may answer none for as long as a contact lasts.
+ */
+const ASK_INTERVAL_MILLISECONDS = 1_000;
+
 /**
  * Time by which another host may notice a loss late, in milliseconds: some turns of a busy
  * event loop. A contact that began within it before a loss may be with the next process.
@@ -48,11 +55,11 @@
 /** Maximum number of servers whose latest stream is kept. */
 const MAXIMUM_SERVERS = 16_384;
 
-/** A confirmation that was asked for. */
-interface Confirmation {
+/** A report that was asked for. */
+interface SharedReport {
   /** On the monotonic clock. */
   readonly askedAt: number;
-  readonly isConfirmed: Promise<boolean>;
+  readonly report: Promise<EngineReport | undefined>;
 }
 
 /** The begin of a stream at a server that tells which incarnation it is. */
@@ -66,13 +73,15 @@
 /** Which servers are the incarnations that are listed. */
 export class IncarnationChecks {
   readonly #parts: IncarnationCheckParts;
-  readonly #confirmations = new WeakMap<ServerRecord, Confirmation>();
+  readonly #reports = new WeakMap<ServerRecord, SharedReport>();
   /** When a server that was asked was last the listed incarnation, on the monotonic clock. */
   readonly #confirmedAt = new WeakMap<ServerRecord, number>();
   /** Starts of the incarnations that contacts are with. */
   readonly #starts = new WeakMap<ServerContact, number>();
   /** Servers that are being asked during a contact. */
   readonly #asked = new WeakMap<ServerContact, Promise<void>>();
+  /** When a server was last asked during a contact, on the monotonic clock. */
+  readonly #askedAt = new WeakMap<ServerContact, number>();
   /** When the first stream of a contact began, on the monotonic clock. */
   readonly #firstBeginAt = new WeakMap<ServerContact, number>();
   /** Contacts that began after a loss, so that they may be with another process. */
@@ -103,12 +112,15 @@
 
   /** Whether a server is the incarnation that its record names. */
   async confirm(record: ServerRecord): Promise<boolean> {
-    const now = this.#parts.clock.now();
-    const known = this.#confirmations.get(record);
-    const isUsable =
-      known !== undefined && now - known.askedAt < CONFIRMATION_MILLISECONDS;
-    const confirmation = isUsable ? known : this.#ask(record, now);
-    return (await confirmation.isConfirmed) && !record.ended;
+    const report = await this.#sharedReport(record);
+    return report?.born === record.entry.born && !record.ended;
+  }
+
+  /** What a server's report shows of the incarnation that its record names. */
+  async statusOf(record: ServerRecord): Promise<IncarnationStatus> {
+    const isAsked = !record.ended && record.entry.born !== undefined;
+    const report = isAsked ? await this.#sharedReport(record) : undefined;
+    return statusByReport(record, report);
   }
 
   /**
@@ -232,7 +244,11 @@
   }
 
   #askInBackground(begin: StreamBegin): void {
-    if (this.#isKnown(begin)) return;
+    const askedAt = this.#askedAt.get(begin.contact) ?? -Infinity;
+    const now = this.#parts.clock.now();
+    const isDue = now - askedAt >= ASK_INTERVAL_MILLISECONDS;
+    if (!isDue || this.#isKnown(begin)) return;
+    this.#askedAt.set(begin.contact, now);
     runInBackground("start of a server", this.#parts, () =>
       this.#askDuring(begin),
     );
@@ -253,7 +269,7 @@
     record: ServerRecord,
     contact: ServerContact,
   ): Promise<void> {
-    const start = await this.#startOf(record);
+    const start = (await this.#read(record))?.born;
     // Another process may answer once no connection is left.
     if (start === undefined || !contact.isUnbroken) return;
     this.#starts.set(contact, start);
@@ -264,22 +280,25 @@
     });
   }
 
-  #ask(record: ServerRecord, now: number): Confirmation {
-    const confirmation = { askedAt: now, isConfirmed: this.#isSame(record) };
-    this.#confirmations.set(record, confirmation);
-    return confirmation;
-  }
-
-  async #isSame(record: ServerRecord): Promise<boolean> {
-    return (await this.#startOf(record)) === record.entry.born;
+  /** The report of a server, shared by all that ask for it within a moment. */
+  #sharedReport(record: ServerRecord): Promise<EngineReport | undefined> {
+    const askedAt = this.#parts.clock.now();
+    const known = this.#reports.get(record);
+    const isUsable =
+      known !== undefined &&
+      askedAt - known.askedAt < CONFIRMATION_MILLISECONDS;
+    if (isUsable) return known.report;
+    const report = this.#read(record);
+    this.#reports.set(record, { askedAt, report });
+    return report;
   }
 
-  /** Start of the process at a server's address, if it answers and tells it. */
-  async #startOf(record: ServerRecord): Promise<number | undefined> {
+  /** Report of the process at a server's address, if it answers. */
+  async #read(record: ServerRecord): Promise<EngineReport | undefined> {
     const askedAt = this.#parts.clock.now();
     const report = await readEngineReport(record, this.#parts);
     const isSame = report?.born === record.entry.born;
     if (isSame) this.#confirmedAt.set(record, askedAt);
-    return report?.born;
+    return report;
   }
 }
--- a/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
@@ -148,3 +148,29 @@
     expect(marked).toEqual(isOther ? noted : []);
   },
 );
+
+// Guards against a call for each stream that begins at a server which serves, but whose
+// report isn't answered, for as long as the host has a connection to it.
+test("a server that doesn't tell its start is asked once in a contact, whatever begins there", async () => {
+  let asked = 0;
+  const checks = new IncarnationChecks({
+    clock: new ManualClock(),
+    logger: SILENT_LOGGER,
+    engineControl: {
+      report: () => {
+        asked += 1;
+        return Promise.resolve(undefined);
+      },
+    } as unknown as EngineControl,
+    advertisements: ignoringAdvertisementReader(),
+    lostServers: { lostAt: () => 0, onTold: () => undefined },
+    streams: { begunByStart: () => undefined },
+  });
+  const contact = { isUnbroken: true };
+  const record = listed(1);
+  for (let stream = 0; stream < 20; stream += 1) {
+    checks.began(record, { service: SERVICE, contact });
+    await setImmediate();
+  }
+  expect(asked).toBe(1);
+});
--- a/packages/rampswitch-serving/src/relay/retained_memory.ts
+++ b/packages/rampswitch-serving/src/relay/retained_memory.ts
@@ -12,7 +12,7 @@
   readEngineReport,
 } from "../advertisements/mod.ts";
 import type { ServerRecord } from "../choice/mod.ts";
-import type { EngineControl } from "../model/engine_control.ts";
+import type { EngineControl, EngineReport } from "../model/engine_control.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { dropMemory } from "./memory_migration.ts";
 import type { MemoryHolders } from "./suspended_run.ts";
@@ -47,10 +47,18 @@
   record: ServerRecord,
   parts: Pick<EngineCallParts, "engineControl" | "advertisements">,
 ): Promise<IncarnationStatus> {
-  const { born } = record.entry;
-  if (record.ended) return "later";
+  const isAsked = !record.ended && record.entry.born !== undefined;
+  const report = isAsked ? await readEngineReport(record, parts) : undefined;
+  return statusByReport(record, report);
+}
+
+/** What a server's report, or none, shows of the incarnation that its record names. */
+export function statusByReport(
+  { ended, entry: { born } }: ServerRecord,
+  report: EngineReport | undefined,
+): IncarnationStatus {
+  if (ended) return "later";
   if (born === undefined) return "same";
-  const report = await readEngineReport(record, parts);
   if (report === undefined) return "not_told";
   return (report.born ?? born) === born ? "same" : "later";
 }
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -166,7 +166,8 @@
   async #migrateFrom(source: Choice): Promise<string | undefined> {
     // What a later incarnation runs may be of another version than the listed one. One
     // that doesn't tell which it is has its run moved: nothing shows that it is another.
-    const status = await incarnationStatusOf(source.record, this.#context);
+    const { incarnations } = this.#context;
+    const status = await incarnations.statusOf(source.record);
     if (this.#hasLeft(source)) return undefined;
     if (status === "later") {
       this.#run.notRepeated("memory_moved", "version_unknown");
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -24,6 +24,7 @@
 import type { MemorySource } from "../model/request.ts";
 import { ServingMetrics } from "../observation/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
+import { IncarnationChecks } from "./incarnation_checks.ts";
 import type { RequestContext } from "./request_context.ts";
 import { type MigratableRun, RunMigration } from "./run_migration.ts";
 import { RunRecord } from "./run_record.ts";
@@ -68,6 +69,16 @@
   silent: 0.2,
 };
 
+/** A context with checks of incarnations; no server was lost. */
+function withChecks(context: RequestContext): RequestContext {
+  const incarnations = new IncarnationChecks({
+    ...context,
+    lostServers: { lostAt: () => -Infinity, onTold: () => undefined },
+    streams: { begunByStart: () => undefined },
+  });
+  return { ...context, incarnations };
+}
+
 /** The actual state of one server, which hosts may not have detected. */
 class SimulatedServer {
   readonly entry: BackendServer;
@@ -154,7 +165,8 @@
       drainMilliseconds: () => DRAIN_MILLISECONDS,
       began: () => undefined,
     } as unknown as RequestContext;
-    this.migration = new RunMigration(this.#run(parts), parts);
+    const context = withChecks(parts);
+    this.migration = new RunMigration(this.#run(context), context);
     this.#begin();
   }
 
@@ -389,8 +401,42 @@
     continueAt: (choice: Choice) => continuations.push(choice),
     memoryLost: () => undefined,
   } as unknown as MigratableRun;
-  const migrating = new RunMigration(run, context).migrate();
+  const migrating = new RunMigration(run, withChecks(context)).migrate();
   clock.advance(COPY_MILLISECONDS);
   await migrating;
   expect([stops.includes(true), continuations]).toEqual([false, []]);
 });
+
+// Guards against as many calls at once to a server that leaves as it has runs, each on a
+// connection of its own, before any of them is moved.
+test("runs that leave one server together share the question which incarnation it is", async () => {
+  let asked = 0;
+  const directory = new ServerDirectory();
+  [1, 2].forEach((id) => directory.put(new SimulatedServer(id).entry, 0));
+  const [source] = directory.of("models").map((record) => ({ record }));
+  const context = {
+    clock: new ManualClock(),
+    logger: SILENT_LOGGER,
+    metrics: new ServingMetrics(),
+    advertisements: ignoringAdvertisementReader(),
+    engineControl: {
+      report: () => {
+        asked += 1;
+        return Promise.resolve({ born: 1, advertised: NOTHING_ADVERTISED });
+      },
+    },
+    drainMilliseconds: () => DRAIN_MILLISECONDS,
+  } as unknown as RequestContext;
+  const run = {
+    sentTo: () => source,
+    finished: () => false,
+    choose: () => undefined,
+    notRepeated: () => undefined,
+  } as unknown as MigratableRun;
+  const shared = withChecks(context);
+  const moves = Array.from({ length: 128 }, () =>
+    new RunMigration(run, shared).migrate(),
+  );
+  await Promise.all(moves);
+  expect(asked).toBe(1);
+});
