Notice the end of a server though a slow caller has bytes of it unread

A review showed (test failed before: no loss, and a contact that counted as unbroken): a connection whose bytes a caller leaves unread doesn't show its end, and the loss of a server was noted only once the last of its connections had closed. So a server that ended counted as the same process until its slow caller read on; what its successor began, unlisted and as another version, went on at the listed version once that was lost too.

Now a connection with unread bytes is no evidence that the process lives, as it is none already where a contact begins, and each contact is lost once. A server that closes one connection while a slow caller has bytes of another costs one question at the most.

--- a/packages/rampswitch-serving/src/attempt/open_connections.ts
+++ b/packages/rampswitch-serving/src/attempt/open_connections.ts
@@ -30,7 +30,7 @@
 export class OpenConnections {
   readonly #sockets = new Set<Socket>();
   readonly #onLoss: (loss: ContactLoss) => void;
-  #contact = { isUnbroken: false };
+  #contact = { isUnbroken: false, isLost: false };
   /** Whether the server told in this contact that it keeps its connections open. */
   #isKept = false;
 
@@ -43,16 +43,19 @@
   add(socket: Socket): void {
     if (this.open.length === 0) {
       this.#contact.isUnbroken = false;
-      this.#contact = { isUnbroken: true };
+      this.#contact = { isUnbroken: true, isLost: false };
       this.#isKept = false;
     }
     const contact = this.#contact;
     this.#sockets.add(socket);
     socket.once("close", () => {
       this.#sockets.delete(socket);
-      if (this.#sockets.size > 0) return;
+      // What a caller leaves unread may have the end of the same process behind it.
+      if (this.open.length > 0) return;
       contact.isUnbroken = false;
-      if (wasEndedByPeer(socket)) this.#onLoss({ isUnusual: this.#isKept });
+      if (contact.isLost || !wasEndedByPeer(socket)) return;
+      contact.isLost = true;
+      this.#onLoss({ isUnusual: this.#isKept });
     });
   }
 
