Tell of a lost server once, and of none where this host's links are the likely cause

Cause: what is many was counted anew at each message; a loss that another host told of hid that this host had told of it; a contact that had ended began again only without an open connection.

--- a/packages/rampswitch-serving/src/attempt/open_connections.ts
+++ b/packages/rampswitch-serving/src/attempt/open_connections.ts
@@ -41,17 +41,17 @@
 
   /** Adds a connection that came up, until it closes. */
   add(socket: Socket): void {
-    if (this.open.length === 0) {
+    if (this.open.length === 0 || !this.#contact.isUnbroken) {
       this.#contact.isUnbroken = false;
       this.#contact = { isUnbroken: true, isLost: false };
       this.#isKept = false;
     }
-    const contact = this.#contact;
     this.#sockets.add(socket);
     socket.once("close", () => {
       this.#sockets.delete(socket);
       // What a caller leaves unread may have the end of the same process behind it.
       if (this.open.length > 0) return;
+      const contact = this.#contact;
       contact.isUnbroken = false;
       if (contact.isLost || !wasEndedByPeer(socket)) return;
       contact.isLost = true;
--- a/packages/rampswitch-serving/src/reach/lost_servers.ts
+++ b/packages/rampswitch-serving/src/reach/lost_servers.ts
@@ -72,6 +72,8 @@
   readonly #parts: LostServersParts;
   /** By incarnation, the latest loss last. */
   readonly #losses = new Map<string, Loss>();
+  /** The latest losses of this host that servers which run don't cause. */
+  #sure: readonly Loss[] = [];
   #onTold: (incarnation: ServerIncarnation) => void = () => undefined;
 
   constructor(parts: LostServersParts) {
@@ -94,9 +96,14 @@
     const isSure = isUnusual && this.#parts.isExpected({ id, born });
     const known = this.#losses.get(incarnationId({ id, born }));
     const origin = isSure ? "here" : "here_unsure";
-    this.#add({ id, born, at: now, origin });
-    const isReported = known?.origin === "here" && isRecent(known, now);
-    if (!isSure || isReported) return;
+    const loss = { id, born, at: now, origin } as const;
+    this.#add(loss);
+    if (!isSure || this.#areMany(loss)) return;
+    const isReported =
+      known !== undefined &&
+      known.origin !== "here_unsure" &&
+      isRecent(known, now);
+    if (isReported) return;
     this.#parts.logger.info("server lost", { server: id, born });
     this.#parts.onUpdate();
   }
@@ -128,7 +135,7 @@
     const recent = [...this.#losses.values()].filter((loss) =>
       isRecent(loss, now),
     );
-    const own = this.#ownReports(recent, now);
+    const own = recent.filter(({ origin }) => origin === "here");
     const told = ownOnly
       ? []
       : recent.filter(({ origin }) => origin === "told");
@@ -137,11 +144,20 @@
       .map(({ id, born, at }) => ({ id, born, age: now - at }));
   }
 
-  /** What this host lost itself, unless its own links are the likely cause. */
-  #ownReports(recent: readonly Loss[], now: number): readonly Loss[] {
-    const own = recent.filter(({ origin }) => origin === "here");
-    const counted = own.filter(({ at }) => now - at < COUNT_MILLISECONDS);
-    return counted.length > MAXIMUM_LOSSES ? [] : own;
+  /**
+   * Whether so many losses came in a short time that this host's links are the likely
+   * cause. They are not reported then, also not later.
+   */
+  #areMany(loss: Loss): boolean {
+    this.#sure = [
+      ...this.#sure.filter(({ at }) => loss.at - at < COUNT_MILLISECONDS),
+      loss,
+    ].slice(-MAXIMUM_LOSSES - 1);
+    if (this.#sure.length <= MAXIMUM_LOSSES) return false;
+    this.#sure.forEach((one) =>
+      this.#losses.set(incarnationId(one), { ...one, origin: "here_unsure" }),
+    );
+    return true;
   }
 
   #add(loss: Loss): void {
--- a/packages/rampswitch-serving/src/reach/lost_servers_test.ts
+++ b/packages/rampswitch-serving/src/reach/lost_servers_test.ts
@@ -58,6 +58,29 @@
     expect(lost.updates(OWN)).toEqual([]);
   });
 
+  // Guards against news of servers that run, one second after a host's links broke.
+  test("is not told later either where this host's links were the likely cause", () => {
+    const { clock, lost } = lostServers();
+    Array.from({ length: 33 }, (_, born) => ({ id: "s1", born })).forEach(
+      (server) => lost.lost(server, UNUSUAL),
+    );
+    clock.advance(1_000);
+    expect(lost.updates(OWN)).toEqual([]);
+  });
+
+  // Guards against hosts that have each other broadcast while a listed server refuses
+  // their connections.
+  test("is broadcast once, although other hosts notice it too", () => {
+    const { clock, heard, lost } = lostServers();
+    Array.from({ length: 10 }).forEach(() => {
+      lost.lost(SERVER, UNUSUAL);
+      clock.advance(300);
+      lost.received([{ ...SERVER, age: 0 }], 0);
+      clock.advance(300);
+    });
+    expect(heard).toEqual(["broadcast"]);
+  });
+
   test("counts where another host tells of it, once however often that is", () => {
     const { clock, told, lost } = lostServers();
     clock.advance(1_000);
