Confirm a server that another host sends to at the moment of the send, and where it is relisted

- whether this host reaches a server was judged before a wait for what is settled of the stream, and anew at the send, which could go there unasked: the judgement comes last now;
- hosts of a former program send such a request unasked: the server stands in a header of its own, so that they answer that they know none, and nothing was sent;
- a server that was relisted as a later incarnation while the body was read was confirmed as that one: it is compared once more;
- a stream whose version an entry had told meanwhile was marked as one that can't be told.

Each listed server had all uncertain streams looked through; now only those that wait for an entry.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -15,7 +15,6 @@
 } from "../attempt/mod.ts";
 import { headerValue } from "../model/request.ts";
 import {
-  CONFIRMED_FIRST,
   FORWARDING_HEADERS,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
@@ -73,16 +72,15 @@
         ...request,
         headers: [
           ...request.headers,
-          FORWARDING_HEADERS.server,
+          request.needsConfirmation
+            ? FORWARDING_HEADERS.confirmedServer
+            : FORWARDING_HEADERS.server,
           server.id,
           FORWARDING_HEADERS.address,
           server.address,
           ...(server.born === undefined
             ? []
             : [FORWARDING_HEADERS.born, String(server.born)]),
-          ...(request.needsConfirmation
-            ? [FORWARDING_HEADERS.confirm, CONFIRMED_FIRST]
-            : []),
           FORWARDING_HEADERS.request,
           request.attemptId ?? "",
           FORWARDING_HEADERS.host,
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -17,8 +17,11 @@
   address: "x-forwarding-address",
   /** Start of that server's incarnation as the host that forwards knows it, if it does. */
   born: "x-forwarding-born",
-  /** Whether the server is asked first which incarnation it is; {@link CONFIRMED_FIRST}. */
-  confirm: "x-forwarding-confirm",
+  /**
+   * Takes the place of `server` where that server is to be asked first which incarnation
+   * it is. A host of a program that doesn't ask knows no such server.
+   */
+  confirmedServer: "x-forwarding-confirmed-server",
   /** Id of the caller's attempt. */
   request: "x-forwarding-request",
   /** Name of the host that forwards its request. */
@@ -29,9 +32,6 @@
   framing: "x-forwarding-framing",
 } as const;
 
-/** Value of the header by which a server is asked for its incarnation first. */
-export const CONFIRMED_FIRST = "1";
-
 /** What became of a forwarded request. */
 export type ForwardingOutcome =
   /** The message is the server's answer. */
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -31,7 +31,6 @@
 import { headerValue } from "../model/request.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import {
-  CONFIRMED_FIRST,
   FORWARDING_HEADERS,
   type NotSentReason,
   withoutHopHeaders,
@@ -161,10 +160,7 @@
         this.#refuse(response, forwarded, "body_too_large");
       return;
     }
-    const isConfirmed =
-      !forwarded.needsConfirmation ||
-      (await this.#parts.confirms(forwarded.server.id));
-    if (!isConfirmed) {
+    if (!(await this.#isConfirmed(forwarded))) {
       this.#refuse(response, forwarded, "unconfirmed_server");
       return;
     }
@@ -197,6 +193,17 @@
     return isBusy ? "busy" : undefined;
   }
 
+  /** Whether a server is still the incarnation that is meant, if that matters. */
+  async #isConfirmed({
+    server,
+    needsConfirmation,
+  }: Forwarded): Promise<boolean> {
+    if (!needsConfirmation) return true;
+    const isSame = await this.#parts.confirms(server.id);
+    const listed = this.#parts.serverOf(server.id);
+    return isSame && listed !== undefined && !isLater(listed, server);
+  }
+
   #refuse(
     response: ServerResponse,
     { attemptId, from, server }: Forwarded,
@@ -351,14 +358,15 @@
 
 function forwardedOf({ rawHeaders }: IncomingMessage): Forwarded {
   const value = (name: string) => headerValue(rawHeaders, name) ?? "";
+  const confirmedServer = value(FORWARDING_HEADERS.confirmedServer);
   return {
     server: {
-      id: value(FORWARDING_HEADERS.server),
+      id: confirmedServer || value(FORWARDING_HEADERS.server),
       address: value(FORWARDING_HEADERS.address),
       born: startOf(value(FORWARDING_HEADERS.born)),
     },
     attemptId: value(FORWARDING_HEADERS.request),
     from: value(FORWARDING_HEADERS.host),
-    needsConfirmation: value(FORWARDING_HEADERS.confirm) === CONFIRMED_FIRST,
+    needsConfirmation: confirmedServer !== "",
   };
 }
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -215,8 +215,9 @@
       outcome.kind === "chosen"
         ? outcome.choice
         : await this.#takePermit({ limited, continues: true });
-    const choice = found && (await this.#confirmed(found));
     await this.#run.stream.settled;
+    // Last, since the way to the server may change meanwhile.
+    const choice = found && (await this.#confirmed(found));
     if (this.#run.finished()) return;
     // The server that began the stream may have been listed as another version meanwhile.
     if (this.#run.stream.isUncertain) {
--- a/packages/rampswitch-serving/src/relay/stream_version.ts
+++ b/packages/rampswitch-serving/src/relay/stream_version.ts
@@ -148,7 +148,10 @@
     const isCertain = await incarnations.isOfListedVersion(begin, () =>
       directory.get(begin.record.entry.id),
     );
-    if (!isCertain) streams.becameUncertain(this.#key);
+    // An entry may have told another version of it meanwhile.
+    if (!isCertain && streams.mayBeOf(this.#key, this.#required)) {
+      streams.becameUncertain(this.#key);
+    }
   }
 
   /** Notes that the stream was given whole. */
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -51,6 +51,8 @@
   readonly #streams = new Map<string, BegunStream>();
   /** Names of the streams whose versions are uncertain. */
   readonly #uncertain = new Set<string>();
+  /** Names of the streams whose versions an entry is to tell. */
+  readonly #unlisted = new Set<string>();
 
   /** The oldest streams give way to more than the given number. */
   constructor(maximumStreams: number) {
@@ -75,7 +77,7 @@
   /** Notes the version of an incarnation that is listed now. */
   listed({ id, service, version, born }: VersionedServer): void {
     if (born === undefined) return;
-    [...this.#uncertain]
+    [...this.#unlisted]
       .flatMap((name) => this.#streams.get(name) ?? [])
       .filter(
         (stream) =>
@@ -126,6 +128,8 @@
     this.#streams.set(name, stream);
     if (stream.version === undefined) this.#uncertain.add(name);
     else this.#uncertain.delete(name);
+    if (stream.start === undefined) this.#unlisted.delete(name);
+    else this.#unlisted.add(name);
   }
 
   #dropOldest(now: number): void {
@@ -134,6 +138,7 @@
       if (!isExpired && this.#streams.size <= this.#maximumStreams) return;
       this.#streams.delete(name);
       this.#uncertain.delete(name);
+      this.#unlisted.delete(name);
     }
   }
 }
