Share the connections of two tests of contacts

The same checks. Each fails without the mend that it guards: the first where a connection with unread bytes counts as evidence, the second where a contact begins only without an open connection.

--- a/packages/rampswitch-serving/src/attempt/open_connections_test.ts
+++ b/packages/rampswitch-serving/src/attempt/open_connections_test.ts
@@ -4,37 +4,67 @@
 import { connect, createServer, type Socket } from "node:net";
 import { setImmediate } from "node:timers/promises";
 import { expect, test } from "@jest/globals";
-import { listenUntilDisposed, splitAddress } from "rampswitch-utils";
+import { listenUntilDisposed, Ownership, splitAddress } from "rampswitch-utils";
 import { OpenConnections } from "./open_connections.ts";
 
-// Guards against a server's process that ended unnoticed: the streams that the next one
-// begins count as of the listed version, and go on at it once that one is lost too.
-test("a server is lost though a slow caller has not read the end of its connection", async () => {
-  const accepted: Socket[] = [];
-  const server = createServer((socket) => accepted.push(socket));
-  await using listening = await listenUntilDisposed(server, "127.0.0.1:0", () =>
-    accepted.forEach((socket) => socket.destroy()),
-  );
-  const { host, port } = splitAddress(listening.address);
-  const losses: unknown[] = [];
-  const connections = new OpenConnections((loss) => losses.push(loss));
-  const open = async (): Promise<Socket> => {
+/** A server, this host's connections to it, and the losses that these show. */
+class Contacts implements AsyncDisposable {
+  readonly accepted: Socket[] = [];
+  readonly losses: unknown[] = [];
+  readonly connections = new OpenConnections((loss) => this.losses.push(loss));
+  readonly #ownership = new Ownership();
+  #address = "";
+
+  async listen(): Promise<void> {
+    const server = createServer((socket) => this.accepted.push(socket));
+    const listening = await listenUntilDisposed(server, "127.0.0.1:0", () =>
+      this.accepted.forEach((socket) => socket.destroy()),
+    );
+    this.#address = this.#ownership.own(listening).address;
+  }
+
+  /** Opens a connection, and waits until the server has it too. */
+  async open(): Promise<Socket> {
+    const { host, port } = splitAddress(this.#address);
+    const count = this.accepted.length;
     const socket = connect(port, host);
     await once(socket, "connect");
-    connections.add(socket);
+    this.connections.add(socket);
+    while (this.accepted.length === count) await setImmediate();
     return socket;
-  };
-  const slow = await open();
-  while (accepted.length === 0) await setImmediate();
-  accepted[0]?.write("part of an answer");
-  slow.read(0);
-  while (slow.readableLength === 0) await setImmediate();
-  const other = await open();
+  }
+
+  /** Opens a first connection, with a part of an answer that its caller leaves unread. */
+  async openSlow(): Promise<Socket> {
+    const slow = await this.open();
+    this.accepted[0]?.write("part of an answer");
+    slow.read(0);
+    while (slow.readableLength === 0) await setImmediate();
+    return slow;
+  }
+
+  /** Has the process of the server end; resolves once some connections have closed. */
+  async end(...sockets: readonly Socket[]): Promise<void> {
+    const closed = sockets.map((socket) => once(socket, "close"));
+    this.accepted.forEach((socket) => socket.end());
+    await Promise.all(closed);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return this.#ownership[Symbol.asyncDispose]();
+  }
+}
+
+// Guards against a server's process that ended unnoticed: the streams that the next one
+// begins count as of the listed version, and go on at it once that one is lost too.
+test("a server is lost though a slow caller has not read the end of its connection", async () => {
+  await using contacts = new Contacts();
+  await contacts.listen();
+  const slow = await contacts.openSlow();
+  const other = await contacts.open();
   other.resume();
-  while (accepted.length < 2) await setImmediate();
-  const closed = once(other, "close");
-  accepted.forEach((socket) => socket.end());
-  await closed;
+  await contacts.end(other);
+  const { losses, connections } = contacts;
   expect([losses.length, connections.contact]).toEqual([1, undefined]);
   slow.destroy();
 });
@@ -43,39 +73,19 @@
 // doesn't notice its end: a connection closed while a slow caller had bytes of another one
 // unread, and further ones followed without a gap.
 test("a contact goes on, or follows, once a slow caller has read on", async () => {
-  const accepted: Socket[] = [];
-  const server = createServer((socket) => accepted.push(socket));
-  await using listening = await listenUntilDisposed(server, "127.0.0.1:0", () =>
-    accepted.forEach((socket) => socket.destroy()),
-  );
-  const { host, port } = splitAddress(listening.address);
-  const losses: unknown[] = [];
-  const connections = new OpenConnections((loss) => losses.push(loss));
-  const open = async (): Promise<Socket> => {
-    const socket = connect(port, host);
-    await once(socket, "connect");
-    connections.add(socket);
-    return socket;
-  };
-  const slow = await open();
-  while (accepted.length === 0) await setImmediate();
-  const idle = await open();
-  while (accepted.length < 2) await setImmediate();
-  accepted[0]?.write("part of an answer");
-  slow.read(0);
-  while (slow.readableLength === 0) await setImmediate();
+  await using contacts = new Contacts();
+  await contacts.listen();
+  const slow = await contacts.openSlow();
+  const idle = await contacts.open();
   // As a client closes a connection that is idle for long.
   const closed = once(idle, "close");
   idle.destroy();
   await closed;
   slow.resume();
   while (slow.readableLength > 0) await setImmediate();
-  const next = await open();
+  const next = await contacts.open();
   next.resume();
-  while (accepted.length < 3) await setImmediate();
-  const hasContact = connections.contact !== undefined;
-  const ended = [slow, next].map((socket) => once(socket, "close"));
-  accepted.forEach((socket) => socket.end());
-  await Promise.all(ended);
-  expect([hasContact, losses.length]).toEqual([true, 1]);
+  const hasContact = contacts.connections.contact !== undefined;
+  await contacts.end(slow, next);
+  expect([hasContact, contacts.losses.length]).toEqual([true, 1]);
 });
