--- a/packages/rampswitch-serving/src/attempt/open_connections.ts
+++ b/packages/rampswitch-serving/src/attempt/open_connections.ts
@@ -31,7 +31,7 @@
   readonly #sockets = new Set<Socket>();
   readonly #onLoss: (loss: ContactLoss) => void;
   #contact = { isUnbroken: false, isLost: false };
-  /** Whether the server told in this contact that it keeps its connections open. */
+  /** Whether the last answer in this contact leaves its connection open. */
   #isKept = false;
 
   /** `onLoss` is called when the process may have ended. */
@@ -59,7 +59,7 @@
     });
   }
 
-  /** Notes the head of an answer, which tells whether its connection stays open. */
+  /** Notes the head of an answer, which names how long its connection stays open. */
   answered(rawHeaders: RawHeaders, framing: AnswerFraming): void {
     this.#isKept = framing === "framed" && keepsConnection(rawHeaders);
   }
@@ -84,7 +84,7 @@
 const REFUSED_CODE = "ECONNREFUSED";
 
 /**
- * Whether an answer tells for how long its connection stays open. This host closes an
+ * Whether an answer names for how long its connection stays open. This host closes an
  * idle one before that time is over.
  */
 function keepsConnection(rawHeaders: RawHeaders): boolean {
--- a/packages/rampswitch-serving/src/reach/lost_servers.ts
+++ b/packages/rampswitch-serving/src/reach/lost_servers.ts
@@ -2,7 +2,7 @@
 
 /**
  * Incarnations of servers whose process may have ended since they were listed, as this
- * host noticed or another one told. A server may be back under its id as another version
+ * host noticed or another one reported. A server may be back under its id as another version
  * before its new entry is read, and a host without a connection to it notices nothing.
  *
  * @module
@@ -25,7 +25,7 @@
   /** A monotonic clock. */
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Whether an incarnation is listed and has not said that it leaves. */
+  /** Whether an incarnation is listed and has not announced that it leaves. */
   isExpected(incarnation: ServerIncarnation): boolean;
   /** Called when there is an update that other hosts should receive at once. */
   onUpdate(): void;
@@ -37,8 +37,8 @@
   | "here"
   /** This host, maybe at a server that runs on. */
   | "here_unsure"
-  /** Another host told of it. */
-  | "told";
+  /** Another host reported it. */
+  | "reported";
 
 interface Loss extends ServerIncarnation {
   /** On the monotonic clock. */
@@ -74,15 +74,15 @@
   readonly #losses = new Map<string, Loss>();
   /** The latest losses of this host that servers which run don't cause. */
   #sure: readonly Loss[] = [];
-  #onTold: (incarnation: ServerIncarnation) => void = () => undefined;
+  #onReported: (incarnation: ServerIncarnation) => void = () => undefined;
 
   constructor(parts: LostServersParts) {
     this.#parts = parts;
   }
 
-  /** Registers the listener to losses that other hosts told of. */
-  onTold(listener: (incarnation: ServerIncarnation) => void): void {
-    this.#onTold = listener;
+  /** Registers the listener to losses that other hosts report. */
+  onReported(listener: (incarnation: ServerIncarnation) => void): void {
+    this.#onReported = listener;
   }
 
   /** When an incarnation was last lost, on the monotonic clock. */
@@ -116,8 +116,8 @@
       .map(({ id, born, age: own }) => ({ id, born, at: now - age - own }))
       .filter((loss) => loss.at - this.lostAt(loss) > SAME_LOSS_MILLISECONDS)
       .forEach((loss) => {
-        this.#add({ ...loss, origin: "told" });
-        this.#onTold(loss);
+        this.#add({ ...loss, origin: "reported" });
+        this.#onReported(loss);
       });
   }
 
@@ -136,10 +136,10 @@
       isRecent(loss, now),
     );
     const own = recent.filter(({ origin }) => origin === "here");
-    const told = ownOnly
+    const reported = ownOnly
       ? []
-      : recent.filter(({ origin }) => origin === "told");
-    return [...told, ...own]
+      : recent.filter(({ origin }) => origin === "reported");
+    return [...reported, ...own]
       .slice(-MAXIMUM_UPDATES_PER_MESSAGE)
       .map(({ id, born, at }) => ({ id, born, age: now - at }));
   }
--- a/packages/rampswitch-serving/src/reach/lost_servers_test.ts
+++ b/packages/rampswitch-serving/src/reach/lost_servers_test.ts
@@ -20,12 +20,12 @@
     isExpected: ({ id }) => id !== "s0",
     onUpdate: () => heard.push("broadcast"),
   });
-  lost.onTold((incarnation) => told.push(incarnation));
+  lost.onReported((incarnation) => told.push(incarnation));
   return { clock, heard, told, lost };
 }
 
-// Guards against hosts without a connection to a server that do not hear of its end, and
-// against hosts that tell of ends that are none.
+// Guards against hosts without a connection to a server that do not learn of its end, and
+// against hosts that report ends that are none.
 describe("the loss of a server", () => {
   test("is told once by the host that noticed it, for some time", () => {
     const { clock, heard, lost } = lostServers();
--- a/packages/rampswitch-serving/src/relay/incarnation_checks.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks.ts
@@ -30,7 +30,7 @@
   readonly logger: Logger;
   readonly engineControl: EngineControl;
   readonly advertisements: AdvertisementReader;
-  readonly lostServers: Pick<LostServers, "lostAt" | "onTold">;
+  readonly lostServers: Pick<LostServers, "lostAt" | "onReported">;
   readonly streams: Pick<StreamOrigins, "begunByStart">;
 }
 
@@ -91,7 +91,9 @@
 
   constructor(parts: IncarnationCheckParts) {
     this.#parts = parts;
-    parts.lostServers.onTold((incarnation) => this.#lostElsewhere(incarnation));
+    parts.lostServers.onReported((incarnation) =>
+      this.#lostElsewhere(incarnation),
+    );
   }
 
   /** Whether a server tells which incarnation it is. */
@@ -212,7 +214,7 @@
     this.#askInBackground(begin);
   }
 
-  /** Handles a loss that another host told of, maybe later than streams began. */
+  /** Handles a loss that another host reports, maybe after streams began. */
   #lostElsewhere(incarnation: ServerIncarnation): void {
     const name = incarnationId(incarnation);
     const begin = this.#latest.get(name);
--- a/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
+++ b/packages/rampswitch-serving/src/relay/incarnation_checks_test.ts
@@ -116,7 +116,7 @@
       advertisements: ignoringAdvertisementReader(),
       lostServers: {
         lostAt: () => lost.at,
-        onTold: (listener) => {
+        onReported: (listener) => {
           lost.told = listener;
         },
       },
@@ -163,7 +163,7 @@
       },
     } as unknown as EngineControl,
     advertisements: ignoringAdvertisementReader(),
-    lostServers: { lostAt: () => 0, onTold: () => undefined },
+    lostServers: { lostAt: () => 0, onReported: () => undefined },
     streams: { begunByStart: () => undefined },
   });
   const contact = { isUnbroken: true };
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -73,7 +73,7 @@
 function withChecks(context: RequestContext): RequestContext {
   const incarnations = new IncarnationChecks({
     ...context,
-    lostServers: { lostAt: () => -Infinity, onTold: () => undefined },
+    lostServers: { lostAt: () => -Infinity, onReported: () => undefined },
     streams: { begunByStart: () => undefined },
   });
   return { ...context, incarnations };
--- a/packages/rampswitch-serving/src/streams/begun_streams.ts
+++ b/packages/rampswitch-serving/src/streams/begun_streams.ts
@@ -51,7 +51,7 @@
   readonly #streams = new Map<string, BegunStream>();
   /** Names of the streams whose versions are uncertain. */
   readonly #uncertain = new Set<string>();
-  /** Names of the streams whose versions an entry is to tell. */
+  /** Names of the streams whose versions are known once an entry names their start. */
   readonly #unlisted = new Set<string>();
 
   /** The oldest streams give way to more than the given number. */
