--- a/packages/rampswitch-utils/src/collected_bytes.ts
+++ b/packages/rampswitch-utils/src/collected_bytes.ts
@@ -18,6 +18,12 @@
   #length = 0;
   /** Whether the buffer is a copy, which has room behind its bytes. */
   #isCopy = false;
+  readonly #expectedLength: number;
+
+  /** Starts without bytes; as many as are expected are copied but once. */
+  constructor(expectedLength = 0) {
+    this.#expectedLength = expectedLength;
+  }
 
   /** Number of bytes. */
   get length(): number {
@@ -50,7 +56,10 @@
 
   #reserve(length: number): void {
     if (this.#isCopy && length <= this.#buffer.length) return;
-    const capacity = Math.max(MINIMUM_CAPACITY_BYTES, 2 * length);
+    const capacity =
+      length <= this.#expectedLength
+        ? this.#expectedLength
+        : Math.max(MINIMUM_CAPACITY_BYTES, 2 * length);
     const larger = Buffer.allocUnsafeSlow(capacity);
     this.#buffer.copy(larger, 0, 0, this.#length);
     this.#buffer = larger;
