Bound the readiness check, the figures and the listener of other hosts

They were plain HTTP servers without any bound. All three are bounded servers now. The listener of other hosts answers 'busy, not sent' where memory is short, and counts what is being read.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -7,20 +7,16 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   abortResponse,
+  BoundedServer,
   type Clock,
   handleInBackground,
+  type IntakeBudgets,
   listen,
   type Listening,
   type Logger,
-  readBody,
 } from "rampswitch-utils";
 import {
   framingOf,
@@ -41,6 +37,9 @@
 /** Maximum header bytes of the parser; callers' headers and those of the hop. */
 const MAXIMUM_HEADER_BYTES = 66 * 1024;
 
+/** The part of the process's descriptors that other hosts may take. */
+const DESCRIPTOR_SHARE = 1 / 8;
+
 /** Maximum number of forwarded requests in progress. */
 const MAXIMUM_REQUESTS = 256;
 
@@ -70,6 +69,7 @@
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
   readonly client: DirectClient;
+  readonly intake: IntakeBudgets;
   /** Whether an IP address belongs to a host of the fleet. */
   isHostAddress(ip: string): boolean;
   /** A listed backend server. */
@@ -104,7 +104,7 @@
 /** The listener for forwarded requests. */
 export class ForwardingServer {
   readonly #parts: ForwardingServerParts;
-  readonly #server: Server;
+  readonly #server: BoundedServer;
   readonly #load = new LoopLoad();
   /** Servers of the forwarded sends in progress, by attempt. */
   readonly #serversByAttempt = new Map<string, string>();
@@ -113,20 +113,31 @@
 
   constructor(parts: ForwardingServerParts) {
     this.#parts = parts;
-    this.#server = createServer(
-      { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
-      (incoming, response) =>
-        handleInBackground("forwarded request", parts, {
-          response,
-          handle: () => this.#receive(incoming, response),
-        }),
+    this.#server = new BoundedServer(
+      {
+        budgets: parts.intake,
+        connectionShare: DESCRIPTOR_SHARE,
+        headerBytes: () => MAXIMUM_HEADER_BYTES,
+        maxHeaderSize: MAXIMUM_HEADER_BYTES,
+        noDelay: true,
+      },
+      {
+        request: (incoming, response) =>
+          handleInBackground("forwarded request", parts, {
+            response,
+            handle: () => this.#receive(incoming, response),
+          }),
+        refused: (incoming, response) =>
+          this.#refuse(response, forwardedOf(incoming), "busy"),
+      },
     );
-    this.#server.on("connection", (socket) => {
+    const { http } = this.#server;
+    http.on("connection", (socket) => {
       // A host that was lost must not hold a run of its request for ever.
       socket.setKeepAlive(true, PROBE_MILLISECONDS);
       socket.setTimeout(IDLE_MILLISECONDS, () => socket.destroy());
     });
-    this.#server.on("clientError", (_error, socket) => socket.destroy());
+    http.on("clientError", (_error, socket) => socket.destroy());
   }
 
   /** Number of forwarded requests that are being read or served. */
@@ -136,7 +147,7 @@
 
   /** Starts to listen on an address. */
   listen(address: string): Promise<Listening> {
-    return listen(this.#server, address);
+    return listen(this.#server.http, address);
   }
 
   async #receive(
@@ -154,10 +165,12 @@
     response.once("close", () => {
       this.#inProgress -= 1;
     });
-    const body = await readBody(incoming, MAXIMUM_BODY_BYTES - this.#bodyBytes);
+    const bytesLeft = MAXIMUM_BODY_BYTES - this.#bodyBytes;
+    const body = await this.#server.readBody(incoming, bytesLeft);
     if (body.isErr) {
-      if (body.error === "too_large")
-        this.#refuse(response, forwarded, "body_too_large");
+      if (body.error === "cut_off") return;
+      this.#server.endAfterAnswer(incoming);
+      this.#refuse(response, forwarded, "body_too_large");
       return;
     }
     if (!(await this.#isConfirmed(forwarded))) {
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -7,6 +7,8 @@
 import {
   listen,
   listenUntilDisposed,
+  intakeBudgets,
+  machineLimits,
   MONOTONIC_CLOCK,
   Ownership,
   SILENT_LOGGER,
@@ -71,6 +73,7 @@
       clock: MONOTONIC_CLOCK,
       logger: SILENT_LOGGER,
       metrics: new ServingMetrics(),
+      intake: intakeBudgets(machineLimits()),
       isHostAddress: (ip) => ip === "127.0.0.1",
       serverOf: (id) =>
         id === SERVER_ID ? { id, ...server, born: 2 } : undefined,
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Listening, Random } from "rampswitch-utils";
+import type { IntakeBudgets, Listening, Random } from "rampswitch-utils";
 import {
   BackendClient,
   type IncarnationCheck,
@@ -33,6 +33,7 @@
 > {
   readonly random: Random;
   readonly metrics: ServingMetrics;
+  readonly intake: IntakeBudgets;
   /** Name of this host, and the IP address by which the others know it. */
   readonly self: { readonly host: string; readonly ip: string };
   readonly directory: ServerDirectory;
--- a/packages/rampswitch-serving/src/observation/metrics.ts
+++ b/packages/rampswitch-serving/src/observation/metrics.ts
@@ -5,9 +5,14 @@
  *
  * @module
  */
-import { createServer } from "node:http";
+import type { ServerResponse } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import { listen, type Listening } from "rampswitch-utils";
+import {
+  BoundedServer,
+  type IntakeBudgets,
+  listen,
+  type Listening,
+} from "rampswitch-utils";
 import type { AnswerFraming, EndDoubt } from "../attempt/answer_end.ts";
 
 /** Buckets of the latency histograms, around the usual targets. */
@@ -15,6 +20,12 @@
   0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 15,
 ];
 
+/** The part of the process's descriptors that scrapers may take. */
+const DESCRIPTOR_SHARE = 1 / 32;
+
+/** Maximum size of the head of a scraper's request, in bytes. */
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
+
 /** What a host handles of its neighbours. */
 export type InputKind =
   "start" | "request" | "answer" | "stored object" | "message of a peer";
@@ -241,19 +252,33 @@
   }
 
   /** Serves the text on an address and path. */
-  serve(address: string, path: string): Promise<Listening> {
-    const server = createServer((request, response) => {
-      if (request.url !== path) {
-        response.writeHead(404).end();
-        return;
-      }
-      this.text().then(
-        (text) =>
-          response.writeHead(200, { "content-type": "text/plain" }).end(text),
-        (error) => response.writeHead(500).end(String(error)),
-      );
-    });
-    return listen(server, address);
+  serve(
+    address: string,
+    options: { readonly metricsPath: string; readonly intake: IntakeBudgets },
+  ): Promise<Listening> {
+    const server = new BoundedServer(
+      {
+        budgets: options.intake,
+        connectionShare: DESCRIPTOR_SHARE,
+        headerBytes: () => MAXIMUM_HEADER_BYTES,
+      },
+      {
+        request: (request, response) => {
+          if (request.url === options.metricsPath)
+            this.#answerScraper(response);
+          else response.writeHead(404).end();
+        },
+      },
+    );
+    return listen(server.http, address);
+  }
+
+  #answerScraper(response: ServerResponse): void {
+    this.text().then(
+      (text) =>
+        response.writeHead(200, { "content-type": "text/plain" }).end(text),
+      (error) => response.writeHead(500).end(String(error)),
+    );
   }
 
   #counter<Label extends string>(
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -8,6 +8,7 @@
  */
 import {
   type Clock,
+  type IntakeBudgets,
   type Logger,
   Ownership,
   type Random,
@@ -116,6 +117,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
+  /** What the listeners may hold of what callers send. */
+  readonly intake: IntakeBudgets;
   /** Differs for each incarnation of the process. */
   readonly incarnation: string;
   /** Opens connections to backend servers; TCP by default. */
@@ -533,6 +536,7 @@
       await serveReadiness(addresses.readiness, {
         path: ports.readinessPath,
         ready: () => this.#ready(),
+        budgets: ports.intake,
       }),
     );
     const callers = this.#ownership.own(
@@ -543,9 +547,7 @@
       readiness: readiness.address,
     };
     if (addresses.metrics !== undefined) {
-      this.#ownership.own(
-        await ports.metrics.serve(addresses.metrics, ports.metricsPath),
-      );
+      this.#ownership.own(await ports.metrics.serve(addresses.metrics, ports));
     }
     await this.#openPeerPorts(MAXIMUM_PORT_TRIES);
     this.#duties.start();
@@ -619,17 +621,10 @@
   }
 
   #requestContext(): RequestContext {
-    const { clock, random, codec, engineControl, logger, metrics } =
-      this.#ports;
     return {
+      ...this.#ports,
       dataHall: this.#settings.dataHall,
-      clock,
       loopDelay: this.#loopDelay,
-      random,
-      codec,
-      engineControl,
-      logger,
-      metrics,
       client: this.#access.client,
       directory: this.#directory,
       prefixes: this.#prefixes,
