Bound what callers may send ahead, and accept each line of a legal head

Callers saw hosts that ended or answered nobody; single legal requests got 400. Causes: the front accepted all that a connection sent ahead, read 4 MB of what was announced as 1 GB, held bodies without a sum, took any number of connections, applied no limit to a head as a whole, and Node.js left out lines of a head beyond the first thousand or so, with the attempt's id.

The front is a bounded server now. Callers that send ahead are answered in their order, one at a time. A head over the limit gets 431 and a body announced over it 413 at once, both with the connection closed after the answer was read; a request for which no memory is left gets 503 with 0.5 s as its return time. All three say truly that nothing ran.

--- a/packages/rampswitch-serving/src/intake/caller_server.ts
+++ b/packages/rampswitch-serving/src/intake/caller_server.ts
@@ -6,21 +6,17 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "true-myth";
 import {
+  BoundedServer,
   handleInBackground,
+  type IntakeBudgets,
   invalidHeaderName,
   listen,
   type Listening,
   type LogFields,
-  readBody,
 } from "rampswitch-utils";
 import type {
   CallerLimits,
@@ -39,7 +35,15 @@
 import { RequestRun } from "../relay/request_run.ts";
 import { shortened } from "../relay/run_record.ts";
 import { isTakeUp } from "../relay/stream_version.ts";
+import { chargeOf } from "./request_charge.ts";
 import { LoopBacklog, pendingEventsHandled } from "./loop_backlog.ts";
+import {
+  REASON_BY_BODY_ERROR,
+  type Refusal,
+  refusal,
+  refusalOf,
+  UNREAD_REASONS,
+} from "./refusal.ts";
 import { drawTarget, type RouteIndex } from "./route_index.ts";
 
 /** Rank of the requests that the limits of workspaces refuse last. */
@@ -48,6 +52,15 @@
 /** Maximum header bytes of the parser; the configured limit is lower. */
 const MAXIMUM_HEADER_BYTES = 64 * 1024;
 
+/** The part of the process's descriptors that callers may take. */
+const DESCRIPTOR_SHARE = 1 / 2;
+
+/** Status lines of requests that can't be parsed, by the parser's code. */
+const STATUS_LINE_BY_CODE: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+const BAD_REQUEST_LINE = "400 Bad Request";
+
 /** Limits until a configuration is received. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: 16 * 1024,
@@ -59,14 +72,6 @@
 /** Maximum time to receive a whole request, in milliseconds. */
 const MAXIMUM_REQUEST_MILLISECONDS = 30_000;
 
-/** Value of the `Retry-After` header, in seconds, by reason. */
-const RETRY_AFTER_SECONDS: Readonly<Partial<Record<RefusalReason, number>>> = {
-  no_configuration: 0.5,
-  configuration_not_confirmed: 0.5,
-  stopping: 0.1,
-  no_server: 0.3,
-};
-
 /** Route and service of a request, and the workspace that is charged. */
 interface Destination {
   readonly route: Route;
@@ -74,21 +79,10 @@
   readonly workspace: Workspace | undefined;
 }
 
-/** Why a request is refused at intake, and when it may be retried. */
-interface Refusal {
-  readonly reason: RefusalReason;
-  readonly retryAfterSeconds: number | undefined;
-  readonly workspace?: string | undefined;
-  /** Tokens that the request would have been charged. */
-  readonly tokens?: number;
-  /** Fingerprint of a request that is refused because it is quarantined. */
-  readonly fingerprint?: string;
-}
-
 /** The listener for callers, and the runs of their requests. */
 export class CallerServer {
   readonly #context: RequestContext;
-  readonly #server: Server;
+  readonly #server: BoundedServer;
   readonly #runs = new Set<RequestRun>();
   readonly #backlog = new LoopBacklog();
   #limits = INITIAL_LIMITS;
@@ -98,10 +92,13 @@
   /** Connections that were answered with 400 because they could not be parsed. */
   readonly #malformedConnections = new WeakSet<Socket>();
 
-  constructor(context: RequestContext) {
+  constructor(context: RequestContext, budgets: IntakeBudgets) {
     this.#context = context;
-    this.#server = createServer(
+    this.#server = new BoundedServer(
       {
+        budgets,
+        connectionShare: DESCRIPTOR_SHARE,
+        headerBytes: () => this.#limits.headerBytes,
         maxHeaderSize: MAXIMUM_HEADER_BYTES,
         requestTimeout: MAXIMUM_REQUEST_MILLISECONDS,
         headersTimeout: INITIAL_LIMITS.headerMilliseconds,
@@ -110,17 +107,20 @@
         // Node.js would answer requests without a Host header itself and log nothing.
         requireHostHeader: false,
       },
-      (incoming, response) =>
-        this.#supervise(response, () => this.#receive(incoming, response)),
+      {
+        request: (incoming, response) =>
+          this.#supervise(response, () => this.#receive(incoming, response)),
+        refused: (incoming, response, reason) =>
+          this.#refuseUnread(incoming, response, reason),
+      },
     );
-    this.#server.on("checkExpectation", (incoming, response) =>
-      this.#supervise(response, () => {
-        const head = this.#headOf(incoming);
-        this.#refuse(response, head, refusalOf("expectation_unknown"));
-        return Promise.resolve();
-      }),
+    const { http } = this.#server;
+    http.on("checkExpectation", (incoming, response) =>
+      this.#server.begin(incoming, response, () =>
+        this.#refuseUnread(incoming, response, "expectation_unknown"),
+      ),
     );
-    this.#server.on("clientError", (error, socket) =>
+    http.on("clientError", (error, socket) =>
       this.#rejectMalformed(error, socket as Socket),
     );
   }
@@ -142,14 +142,15 @@
 
   /** Starts to listen on an address. */
   listen(address: string): Promise<Listening> {
-    return listen(this.#server, address);
+    return listen(this.#server.http, address);
   }
 
   /** Applies the limits of a configuration. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
-    this.#server.headersTimeout = limits.headerMilliseconds;
-    this.#server.keepAliveTimeout = limits.idleMilliseconds;
+    this.#server.limit(limits);
+    this.#server.http.headersTimeout = limits.headerMilliseconds;
+    this.#server.http.keepAliveTimeout = limits.idleMilliseconds;
   }
 
   /** Closes connections without a request in progress, unless answers are being sent. */
@@ -158,12 +159,12 @@
     const isSending = [...this.#open].some(
       ({ writableEnded }) => writableEnded,
     );
-    if (!isSending) this.#server.closeIdleConnections();
+    if (!isSending) this.#server.http.closeIdleConnections();
   }
 
   /** Stops accepting connections. */
   stopListening(): void {
-    this.#server.close();
+    this.#server.http.close();
   }
 
   #supervise(response: ServerResponse, handle: () => Promise<void>): void {
@@ -172,6 +173,17 @@
     handleInBackground("request", this.#context, { response, handle });
   }
 
+  #refuseUnread(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    reason: RefusalReason,
+  ): void {
+    this.#supervise(response, () => {
+      this.#refuse(response, this.#headOf(incoming), refusalOf(reason));
+      return Promise.resolve();
+    });
+  }
+
   async #receive(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -184,15 +196,16 @@
       this.#logUnread(head, incoming);
       return;
     }
-    const body = await readBody(incoming, this.#limits.bodyBytes);
-    const isCutOff = body.isErr && body.error === "cut_off";
-    if (isCutOff || this.#answeredMalformed(incoming)) {
-      this.#logUnread(head, incoming);
+    const { bodyBytes } = this.#limits;
+    const body = await this.#server.readBody(incoming, bodyBytes);
+    const isMalformed = this.#answeredMalformed(incoming);
+    if (body.isErr && body.error !== "cut_off" && !isMalformed) {
+      this.#server.endAfterAnswer(incoming);
+      this.#refuse(response, head, refusalOf(REASON_BY_BODY_ERROR[body.error]));
       return;
     }
-    if (body.isErr) {
-      this.#refuse(response, head, refusalOf("body_too_large"));
-      response.once("finish", () => incoming.destroy());
+    if (body.isErr || isMalformed) {
+      this.#logUnread(head, incoming);
       return;
     }
     const view = this.#context.configuration();
@@ -399,7 +412,7 @@
       }),
       "Content-Length",
       "0",
-      ...(this.#context.closesConnections() || reason === "body_too_large"
+      ...(this.#context.closesConnections() || UNREAD_REASONS.has(reason)
         ? ["Connection", "close"]
         : []),
     ]);
@@ -436,7 +449,7 @@
     return true;
   }
 
-  #rejectMalformed(error: Error, socket: Socket): void {
+  #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     this.#context.metrics.event("malformed_request");
     // The caller would take this answer for that of an earlier, running request.
     const carriesRun = this.runs.some((run) => run.isAnsweredOn(socket));
@@ -445,22 +458,15 @@
       return;
     }
     this.#malformedConnections.add(socket);
+    const line = STATUS_LINE_BY_CODE[error.code ?? ""] ?? BAD_REQUEST_LINE;
     this.#context.logger.info("malformed request", {
       detail: error.message,
-      status: REFUSALS.bad_request.status,
+      status: Number.parseInt(line, 10),
     });
-    socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    socket.end(`HTTP/1.1 ${line}\r\nConnection: close\r\n\r\n`);
   }
 }
 
-function refusal(reason: RefusalReason): Result<never, Refusal> {
-  return Result.err(refusalOf(reason));
-}
-
-function refusalOf(reason: RefusalReason): Refusal {
-  return { reason, retryAfterSeconds: RETRY_AFTER_SECONDS[reason] };
-}
-
 /** Whether the caller closed its connection. */
 function hasLeft({ destroyed, socket }: ServerResponse): boolean {
   return destroyed || socket === null || socket.readableEnded;
@@ -470,10 +476,3 @@
   const query = target.indexOf("?");
   return query < 0 ? target : target.slice(0, query);
 }
-
-function chargeOf(head: RequestHead, workspace: Workspace): number {
-  if (!workspace.countsTokens) return 1;
-  return head.promptTokens === undefined
-    ? workspace.tokensWithoutEstimate
-    : head.promptTokens + (head.maximumAnswerTokens ?? 0);
-}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -365,7 +365,7 @@
         streams: this.#streams.origins,
       }),
     );
-    this.#callers = new CallerServer(this.#requestContext());
+    this.#callers = new CallerServer(this.#requestContext(), ports.intake);
     this.#leavingServers = new LeavingServers(this.#callers, {
       ...ports,
       advertisements: this.#advertisements,
