--- a/packages/rampswitch-serving/src/relay/buffered_body.ts
+++ b/packages/rampswitch-serving/src/relay/buffered_body.ts
@@ -13,7 +13,13 @@
 
 /** The buffered body of one answer. */
 export class BufferedBody {
-  readonly #bytes = new CollectedBytes();
+  #bytes = new CollectedBytes();
+
+  /** Notes the length that the answer's head tells, before the first part. */
+  expect(length: number | undefined): void {
+    if (length !== undefined && length <= MAXIMUM_BUFFERED_BYTES)
+      this.#bytes = new CollectedBytes(length);
+  }
 
   /** Adds a part; `false` if the body exceeds the maximum size. */
   push(part: Buffer): boolean {
--- a/packages/rampswitch-serving/src/relay/sends.ts
+++ b/packages/rampswitch-serving/src/relay/sends.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { announcedLength } from "rampswitch-utils";
 import type { AnswerFraming, Send, SendListener } from "../attempt/mod.ts";
 import type { Choice, ServerRecord, StartedWork } from "../choice/mod.ts";
 import { promptTokensOf } from "../estimates/mod.ts";
@@ -128,8 +129,10 @@
       send.isWritten = true;
       handlers()?.written(send);
     },
-    head: (status, raw) =>
-      handlers()?.head(send, codec.decodeAnswer(status, raw)),
+    head: (status, raw) => {
+      send.body.expect(announcedLength({ rawHeaders: raw }));
+      handlers()?.head(send, codec.decodeAnswer(status, raw));
+    },
     data: (chunk) => handlers()?.data(send, chunk),
     ended: (framing) => handlers()?.ended(send, framing),
     failed: (failure, detail) => {
