--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -17,5 +17,7 @@
 export * from "./own_loopback.ts";
 export * from "./plain_service.ts";
 export * from "./platform_lists.ts";
+export * from "./process_use.ts";
 export * from "./raw_server.ts";
+export * from "./rude_callers.ts";
 export * from "./stopped_heads.ts";
--- a/platform/src/standins/rude_callers.ts
+++ b/packages/rampswitch-standins/src/rude_callers.ts
@@ -7,7 +7,6 @@
  * @module
  */
 import { connect, type Socket } from "node:net";
-import { callerHeaders } from "./test_deployment.ts";
 
 /** Time until a connection that was closed is opened again, in milliseconds. */
 const RETURN_MILLISECONDS = 50;
@@ -71,15 +70,3 @@
     if (socket.write(this.#again)) setImmediate(() => this.#write(socket));
   }
 }
-
-/** A head's lines behind some others; the caller is known and waits for long. */
-export function headOf(
-  line: string,
-  further: readonly string[] = [],
-  attempt = "rude",
-): string {
-  const usual = Object.entries(callerHeaders(attempt, 4_000)).map(
-    ([name, text]) => `${name}: ${text}`,
-  );
-  return [line, ...further, ...usual, "", ""].join("\r\n");
-}
