Bound the own interface's callers and its administration

An ordinary request beside chunks of one byte waited for some 15 s.

Both listeners are bounded servers; the settings have machine.memoryBytes and machine.descriptors, by default what the system tells. A body for which no memory is left gets 503 no_memory, not run.

--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -19,7 +19,10 @@
   type Clock,
   createMetrics,
   hash32,
+  type IntakeBudgets,
+  intakeBudgets,
   type Logger,
+  machineLimits,
   type Metrics,
   Ownership,
   type Random,
@@ -80,6 +83,8 @@
   readonly metrics: Metrics;
   readonly tokens: PeerTokens;
   readonly clients: PeerClients;
+  /** What the listeners may hold of what callers send. */
+  readonly intake: IntakeBudgets;
   readonly store: HttpObjectStore;
   readonly answerCache: AnswerCache;
   readonly links: ReplicaLinks;
@@ -113,6 +118,7 @@
     );
     this.tokens = new PeerTokens(settings.peerSecret, settings.host.name);
     this.clients = new PeerClients(this.tokens, this.clock);
+    this.intake = intakeBudgets(machineLimits(settings.machine));
     this.store = this.#owned.own(this.#makeStore());
     this.answerCache = this.#makeAnswerCache();
     this.links = this.#owned.own(this.#makeLinks());
--- a/packages/rampswitch-entry/src/intake/administration_server.ts
+++ b/packages/rampswitch-entry/src/intake/administration_server.ts
@@ -6,11 +6,7 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import {
   type ChangeOutcome,
@@ -29,7 +25,9 @@
 } from "rampswitch-types";
 import {
   blockHashes,
+  BoundedServer,
   type Clock,
+  type IntakeBudgets,
   listen,
   type Listening,
   type Metrics,
@@ -67,6 +65,7 @@
   readonly slots: SlotService;
   readonly directory: BackendDirectory;
   readonly answerCache: AnswerCache;
+  readonly intake: IntakeBudgets;
   readonly state: () => string;
   readonly freshness: () => Freshness;
 }
@@ -89,6 +88,10 @@
   readonly handle: (call: Call) => Promise<Result<Answer, RefusedNotRun>>;
 }
 
+/** The part of the process's descriptors that operators may take. */
+const DESCRIPTOR_SHARE = 1 / 32;
+
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const MAXIMUM_BODY_BYTES = 1024 * 1024;
 const DEFAULT_EXPECTED_TOKENS = 256;
 
@@ -142,15 +145,24 @@
 
   /** Starts to listen at an address. */
   listen(address: string): Promise<Listening> {
-    const server = createServer((request, response) => {
-      response.on("error", () => undefined);
-      // Without an answer the operator's command reports a closed connection.
-      this.#handle(request, response).catch(() => {
-        this.#options.metrics.count("administration_failed");
-        response.destroy();
-      });
-    });
-    return listen(server, address);
+    const server = new BoundedServer(
+      {
+        budgets: this.#options.intake,
+        connectionShare: DESCRIPTOR_SHARE,
+        headerBytes: () => MAXIMUM_HEADER_BYTES,
+      },
+      {
+        request: (request, response) => {
+          response.on("error", () => undefined);
+          // Without an answer the operator's command reports a closed connection.
+          this.#handle(request, response).catch(() => {
+            this.#options.metrics.count("administration_failed");
+            response.destroy();
+          });
+        },
+      },
+    );
+    return listen(server.http, address);
   }
 
   async #handle(
--- a/packages/rampswitch-entry/src/intake/caller_server.ts
+++ b/packages/rampswitch-entry/src/intake/caller_server.ts
@@ -6,14 +6,18 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { inDoubt, refused } from "rampswitch-types";
-import { listen, type Listening, type Logger } from "rampswitch-utils";
+import { inDoubt, refused, type RefusalReason } from "rampswitch-types";
+import {
+  answerIntakeRefusal,
+  BoundedServer,
+  type IntakeBudgets,
+  type IntakeRefusal,
+  listen,
+  type Listening,
+  type Logger,
+} from "rampswitch-utils";
 import type { Limits } from "rampswitch-validation";
 import { readCallerRequest } from "./caller_request.ts";
 import {
@@ -35,11 +39,15 @@
 export interface CallerServerOptions extends IntakeOptions {
   readonly limits: Limits;
   readonly logger: Logger;
+  readonly intake: IntakeBudgets;
   /** The refusal of new work; `undefined` while new work is accepted. */
   readonly refusal: () => ProblemOutcome | undefined;
   readonly ready: () => boolean;
 }
 
+/** A request of which nothing is known. */
+type IncomingExchange = Omit<Exchange, "caller" | "url">;
+
 interface Route {
   readonly method?: string;
   readonly path: RegExp;
@@ -50,6 +58,14 @@
 const MAXIMUM_CHECK_INTERVAL_MILLISECONDS = 5_000;
 const BASE_URL = "http://entry";
 
+/** The part of the process's descriptors that callers may take. */
+const DESCRIPTOR_SHARE = 1 / 2;
+
+const REASON_BY_REFUSAL: Readonly<Record<IntakeRefusal, RefusalReason>> = {
+  head_too_large: "bad_request",
+  no_memory: "no_memory",
+};
+
 const STATUS_BY_PARSER_ERROR: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
@@ -82,9 +98,12 @@
 
   /** Starts to listen at an address. */
   listen(address: string): Promise<Listening> {
-    const { limits, logger, metrics } = this.#options;
-    const server = createServer(
+    const { limits, intake, metrics } = this.#options;
+    const server: BoundedServer = new BoundedServer(
       {
+        budgets: intake,
+        connectionShare: DESCRIPTOR_SHARE,
+        headerBytes: () => limits.headerBytes,
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headerMilliseconds,
         requestTimeout: limits.bodyMilliseconds,
@@ -94,25 +113,42 @@
         ),
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       },
-      (request, response) => {
-        response.on("error", () => undefined);
-        this.#handle(request, response).catch((error: unknown) => {
-          logger.error("request failed", { error: String(error) });
-          const outcome = inDoubt("backend_lost", "internal error");
-          refuse(response, outcome, { metrics });
-        });
+      {
+        request: (request, response) =>
+          this.#supervise({
+            request,
+            response,
+            readBody: (limit) => server.readBody(request, limit),
+          }),
+        refused: (request, response, refusal) => {
+          metrics.count("refusal", REASON_BY_REFUSAL[refusal]);
+          answerIntakeRefusal(request, response, refusal);
+        },
       },
     );
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) =>
+    server.limit(limits);
+    server.http.on("clientError", (error: NodeJS.ErrnoException, socket) =>
       this.#clientError(error, socket as Socket),
     );
-    return listen(server, address);
+    return listen(server.http, address);
+  }
+
+  #supervise(incoming: IncomingExchange): void {
+    const { logger, metrics } = this.#options;
+    const { response } = incoming;
+    response.on("error", () => undefined);
+    this.#handle(incoming).catch((error: unknown) => {
+      logger.error("request failed", { error: String(error) });
+      const outcome = inDoubt("backend_lost", "internal error");
+      refuse(response, outcome, { metrics });
+    });
   }
 
-  async #handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #handle({
+    request,
+    response,
+    readBody,
+  }: IncomingExchange): Promise<void> {
     const { metrics, routing } = this.#options;
     const target = request.url ?? "/";
     if (!URL.canParse(target, BASE_URL)) {
@@ -131,7 +167,8 @@
     }
     const caller = readCallerRequest(request, routing());
     if (caller.isOk) {
-      await this.#route({ request, response, url, caller: caller.value });
+      const exchange = { request, response, readBody, url };
+      await this.#route({ ...exchange, caller: caller.value });
       return;
     }
     const refusal = this.#options.refusal() ?? caller.error;
--- a/packages/rampswitch-entry/src/intake/exchange.ts
+++ b/packages/rampswitch-entry/src/intake/exchange.ts
@@ -8,7 +8,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AdmissionRequest, RoutingTable } from "rampswitch-policy";
 import { refused, type Service } from "rampswitch-types";
-import { type Clock, type Metrics, readBody } from "rampswitch-utils";
+import type { Result } from "true-myth";
+import type { BodyError, Clock, Metrics } from "rampswitch-utils";
 import {
   type CallerRequest,
   IDEMPOTENCY_KEY_HEADER,
@@ -28,6 +29,8 @@
   readonly response: ServerResponse;
   readonly url: URL;
   readonly caller: CallerRequest;
+  /** Reads the body of the request within a limit, in bytes. */
+  readBody(limit: number): Promise<Result<Buffer, BodyError>>;
 }
 
 /** Services of the process that handling a request uses. */
@@ -60,7 +63,7 @@
  * was looked up. An earlier send with the same key or id may have run.
  */
 export function refuseWithEarlierUnknown(
-  exchange: Omit<Exchange, "caller">,
+  exchange: Omit<Exchange, "caller" | "readBody">,
   outcome: ProblemOutcome,
   metrics: Metrics,
 ): void {
@@ -72,24 +75,35 @@
   });
 }
 
+/** Time after which memory for a body may be free again, in milliseconds. */
+const MEMORY_RETRY_MILLISECONDS = 500;
+
+/** Refusals by what is wrong with a body; one that is cut off gets no answer. */
+const BODY_REFUSALS: Readonly<
+  Record<Exclude<BodyError, "cut_off">, (limit: number) => ProblemOutcome>
+> = {
+  too_large: (limit) =>
+    refused("body_too_large", `body, expected at most ${limit} bytes`),
+  no_memory: () =>
+    refused("no_memory", "no memory for the body", {
+      retryAfterMilliseconds: MEMORY_RETRY_MILLISECONDS,
+    }),
+};
+
 /**
- * Reads the body of a request. Returns `undefined` if the body is too large,
- * which is answered with a refusal, or if it can't be read.
+ * Reads the body of a request. Returns `undefined` if the body is too large or no
+ * memory is left for it, which is answered with a refusal, or if it can't be read.
  */
 export async function readExchangeBody(
   exchange: Exchange,
   options: ExchangeOptions,
 ): Promise<Buffer | undefined> {
-  const body = await readBody(exchange.request, options.bodyBytes);
+  const body = await exchange.readBody(options.bodyBytes);
   if (body.isOk) return body.value;
-  if (body.error === "too_large") {
+  if (body.error !== "cut_off") {
     exchange.response.setHeader("connection", "close");
-    const detail = `body, expected at most ${options.bodyBytes} bytes`;
-    refuseWithEarlierUnknown(
-      exchange,
-      refused("body_too_large", detail),
-      options.metrics,
-    );
+    const refusal = BODY_REFUSALS[body.error](options.bodyBytes);
+    refuseWithEarlierUnknown(exchange, refusal, options.metrics);
   }
   return undefined;
 }
--- a/packages/rampswitch-entry/src/intake/problem.ts
+++ b/packages/rampswitch-entry/src/intake/problem.ts
@@ -36,6 +36,7 @@
 const REFUSAL_STATUS: Readonly<Record<RefusalReason, number>> = {
   bad_request: 400,
   body_too_large: 413,
+  no_memory: 503,
   unauthorized: 401,
   forbidden: 403,
   unknown_service: 404,
--- a/packages/rampswitch-measure/src/child.ts
+++ b/packages/rampswitch-measure/src/child.ts
@@ -30,8 +30,14 @@
   readonly #ended: Promise<void>;
   #running = true;
 
-  constructor(script: string, args: readonly string[]) {
-    this.#process = spawn(process.execPath, [join(PACKAGES, script), ...args], {
+  /** Starts a script; `flags` are those of Node.js. */
+  constructor(
+    script: string,
+    args: readonly string[],
+    flags: readonly string[] = [],
+  ) {
+    const command = [...flags, join(PACKAGES, script), ...args];
+    this.#process = spawn(process.execPath, command, {
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#ended = new Promise((resolve) => {
@@ -49,6 +55,11 @@
     });
   }
 
+  /** Id of the process, if it runs. */
+  get processId(): number | undefined {
+    return this.#running ? this.#process.pid : undefined;
+  }
+
   /** Whether the process has not ended. */
   get running(): boolean {
     return this.#running;
@@ -101,18 +112,25 @@
   readonly #folder: string;
   #addresses: EntryAddresses | undefined;
 
-  private constructor(settings: Settings, folder: string, file: string) {
-    super("rampswitch-entry/bin/rampswitchd.mjs", ["--settings", file]);
+  private constructor(
+    settings: Settings,
+    folder: string,
+    flags: readonly string[],
+  ) {
+    const file = join(folder, "settings.yaml");
+    writeFileSync(file, stringify(settings));
+    super("rampswitch-entry/bin/rampswitchd.mjs", ["--settings", file], flags);
     this.settings = settings;
     this.#folder = folder;
   }
 
   /** Starts an entry host; resolves once it listens. */
-  static async start(settings: Settings): Promise<EntryChild> {
+  static async start(
+    settings: Settings,
+    flags: readonly string[] = [],
+  ): Promise<EntryChild> {
     const folder = mkdtempSync(join(tmpdir(), "rampswitch-"));
-    const file = join(folder, "settings.yaml");
-    writeFileSync(file, stringify(settings));
-    const child = new EntryChild(settings, folder, file);
+    const child = new EntryChild(settings, folder, flags);
     const line = JSON.parse(await child.line()) as {
       readonly listening: EntryAddresses;
     };
--- a/packages/rampswitch-measure/src/deployment_plan.ts
+++ b/packages/rampswitch-measure/src/deployment_plan.ts
@@ -38,6 +38,7 @@
     readonly listen?: Partial<Settings["listen"]>;
     readonly advertise?: Settings["advertise"];
     readonly capacity?: Settings["capacity"];
+    readonly machine?: Settings["machine"];
   },
 ): Settings {
   return SETTINGS_SCHEMA.parse({
@@ -64,6 +65,7 @@
       progress: options.progress ?? "batch",
     },
     limits: options.limits ?? {},
+    machine: options.machine ?? {},
     membership: options.membership ?? {},
     log: { level: options.log ?? "warn" },
   });
--- a/packages/rampswitch-measure/src/measured_deployment.ts
+++ b/packages/rampswitch-measure/src/measured_deployment.ts
@@ -19,6 +19,9 @@
   readonly progress?: Settings["slots"]["progress"];
   readonly membership?: Partial<Settings["membership"]>;
   readonly limits?: Partial<Settings["limits"]>;
+  readonly machine?: Settings["machine"];
+  /** Flags of Node.js for the entry processes. */
+  readonly flags?: readonly string[];
   /** Whether peers reach each other through relays that can be cut. */
   readonly relays?: boolean;
 }
@@ -87,6 +90,7 @@
           platform: this.standins.listening.platform,
           advertise: relay === undefined ? {} : { peers: relay.address },
         }),
+        this.#options.flags,
       ),
     );
     if (relay !== undefined) {
--- a/packages/rampswitch-types/src/outcome.ts
+++ b/packages/rampswitch-types/src/outcome.ts
@@ -14,6 +14,7 @@
 export const REFUSAL_REASONS = [
   "bad_request",
   "body_too_large",
+  "no_memory",
   "unauthorized",
   "forbidden",
   "unknown_service",
--- a/packages/rampswitch-validation/src/settings_schema.ts
+++ b/packages/rampswitch-validation/src/settings_schema.ts
@@ -33,6 +33,12 @@
   stopMilliseconds: milliseconds.default(120_000),
 });
 
+/** What the process may take; by default what the system tells of its machine. */
+const MACHINE_SCHEMA = z.strictObject({
+  memoryBytes: bytes.optional(),
+  descriptors: count.optional(),
+});
+
 const MEMBERSHIP_SCHEMA = z.strictObject({
   heartbeatMilliseconds: milliseconds.default(1_000),
   heartbeatPeers: count.default(3),
@@ -99,6 +105,7 @@
     })
     .optional(),
   limits: LIMITS_SCHEMA.prefault({}),
+  machine: MACHINE_SCHEMA.prefault({}),
   membership: MEMBERSHIP_SCHEMA.prefault({}),
   log: z
     .strictObject({ level: z.enum(LOG_LEVELS).default("info") })
