--- a/packages/rampswitch-entry/src/intake/entry_listeners.ts
+++ b/packages/rampswitch-entry/src/intake/entry_listeners.ts
@@ -18,6 +18,9 @@
 import type { ProblemOutcome } from "./problem.ts";
 import type { ProcessState } from "../process_machine.ts";
 
+/** The part of the process's descriptors that peers may take. */
+const PEER_DESCRIPTOR_SHARE = 1 / 8;
+
 /** Addresses at which an entry process listens. */
 export interface EntryAddresses {
   readonly callers: string;
@@ -52,7 +55,10 @@
     const peers = await listenForPeers(
       listen.peers,
       peerHandlers({ ...parts, self: parts.self.id }),
-      parts,
+      {
+        ...parts,
+        maximumConnections: parts.intake.descriptors * PEER_DESCRIPTOR_SHARE,
+      },
     );
     const forwarding = new BackendClient();
     const callers = await listenForCallers(parts, processStatus, forwarding);
