Charge an ended answer only for what its caller leaves unread

By reading: the answer was charged when it ended, before the system could take anything of it, so that also small answers were charged for a moment, and one could have cut off another that was just being sent. Only more than 16 KiB are charged now, a turn of the event loop later.

--- a/packages/rampswitch-utils/src/bounded_server.ts
+++ b/packages/rampswitch-utils/src/bounded_server.ts
@@ -30,6 +30,9 @@
 /** Shortest header line, in bytes: a name of one character and no value. */
 const SHORTEST_LINE_BYTES = 4;
 
+/** Bytes of an ended answer that may wait for its caller without a charge. */
+const UNREAD_BYTES = 16 * 1024;
+
 const STATUS_BY_REFUSAL: Readonly<Record<IntakeRefusal, number>> = {
   head_too_large: 431,
   no_memory: 503,
@@ -119,7 +122,11 @@
     handle: RequestListener = this.#handlers.request,
   ): void {
     const { socket } = incoming;
-    response.once("prefinish", () => this.#answerWritten(socket));
+    response.once("prefinish", () => {
+      // Until the next turn of the event loop the system has taken nothing of it.
+      if (socket.writableLength > UNREAD_BYTES)
+        setImmediate(() => this.#chargeUnread(socket));
+    });
     response.once("close", () => this.#answered(socket));
     this.#readings.get(socket)?.begin(incoming, response, (refusal) => {
       if (refusal === undefined) handle(incoming, response);
@@ -178,10 +185,10 @@
     if (!this.http.emit("clientError", error, socket)) socket.destroy();
   }
 
-  /** Charges what a caller hasn't read of its answer; those that read least go. */
-  #answerWritten(socket: Socket): void {
+  /** Charges what a caller hasn't read of its answer; the oldest such answers go. */
+  #chargeUnread(socket: Socket): void {
     const { writableLength } = socket;
-    if (writableLength === 0) return;
+    if (writableLength <= UNREAD_BYTES || !this.#readings.has(socket)) return;
     const memory = this.#options.budgets.bodies.open();
     while (!memory.take(writableLength)) {
       const [oldest] = this.#unread.keys();
--- a/packages/rampswitch-utils/src/bounded_server_test.ts
+++ b/packages/rampswitch-utils/src/bounded_server_test.ts
@@ -17,6 +17,9 @@
 /** A machine with much memory. */
 const LARGE_MACHINE = { memoryBytes: 2 ** 33, descriptors: 1_000 };
 
+/** More than the system takes for a caller that reads nothing, in bytes. */
+const LARGE_BYTES = 64_000_000;
+
 /** A server of a test, what it was asked and how it answers. */
 class TestServer implements AsyncDisposable {
   readonly #ownership = new Ownership();
@@ -198,6 +201,22 @@
   expect(server.bodies).toEqual(["too_large"]);
 });
 
+test("the oldest answer that isn't read makes room for another one", async () => {
+  const bodies = new MemoryBudget(3.2 * LARGE_BYTES);
+  await using server = await TestServer.start({ bodies });
+  const callers = [server.send(GET), server.send(GET)];
+  callers.forEach(({ socket }) => socket.pause());
+  await until(() => server.responses.length === 2);
+  for (const response of server.responses) {
+    response.end(Buffer.alloc(LARGE_BYTES));
+    await someTurns();
+  }
+  callers.forEach(({ socket }) => socket.resume());
+  const [first, second] = callers.map((caller) => () => caller.received.length);
+  await until(() => (second?.() ?? 0) > LARGE_BYTES);
+  expect(first?.()).toBeLessThan(LARGE_BYTES);
+});
+
 test("the connection that is idle the longest makes room for a new one", async () => {
   await using server = await TestServer.start({ descriptors: 3 });
   const busy = server.send(GET);
