--- a/packages/rampswitch-measure/src/rude_clients_test.ts
+++ b/packages/rampswitch-measure/src/misbehaving_callers_test.ts
@@ -10,8 +10,8 @@
 import {
   type ProcessUse,
   processUse,
-  RudeCallers,
-  type RudePlay,
+  MisbehavingCallers,
+  type Misbehaviour,
 } from "rampswitch-standins";
 import { sleep, SYSTEM_CLOCK } from "rampswitch-utils";
 import { Caller } from "./caller.ts";
@@ -55,7 +55,7 @@
 
 const CHUNKED = `${HEAD}\r\nTransfer-Encoding: chunked\r\n\r\n`;
 
-const PLAYS: Readonly<Record<string, RudePlay>> = {
+const PLAYS: Readonly<Record<string, Misbehaviour>> = {
   "short requests ahead, unread": { connections: 10, again: SHORT_REQUEST },
   "short requests ahead, read": {
     connections: 10,
@@ -136,7 +136,7 @@
 
 /** Has a crowd play at an address of a new host, and asks beside it and afterwards. */
 async function play(
-  rude: RudePlay,
+  misbehaviour: Misbehaviour,
   addressOf: (entry: EntryChild) => string,
 ): Promise<Seen> {
   await using deployment = await MeasuredDeployment.start({
@@ -152,7 +152,7 @@
     flags: [`--max-old-space-size=${HEAP_MEGABYTES}`],
   });
   const [entry] = deployment.entries as [EntryChild];
-  using crowd = new RudeCallers(addressOf(entry), rude);
+  using crowd = new MisbehavingCallers(addressOf(entry), misbehaviour);
   await sleep(SYSTEM_CLOCK, PLAY_MILLISECONDS);
   const used = [processUse(entry.processId)];
   const beside = await ordinaryAnswer(entry);
@@ -173,7 +173,7 @@
     "%s",
     async (name) => {
       const seen = await play(
-        PLAYS[name] as RudePlay,
+        PLAYS[name] as Misbehaviour,
         (entry) => entry.addresses.callers,
       );
       expect(seen).toEqual(BORNE);
@@ -190,7 +190,7 @@
     "%s, at the administration",
     async (name) => {
       const seen = await play(
-        PLAYS[name] as RudePlay,
+        PLAYS[name] as Misbehaviour,
         (entry) => entry.addresses.administration,
       );
       expect(seen).toEqual(BORNE);
@@ -206,7 +206,7 @@
     "%s, at the listener of peers",
     async (name) => {
       const seen = await play(
-        PLAYS[name] as RudePlay,
+        PLAYS[name] as Misbehaviour,
         (entry) => entry.addresses.peers,
       );
       expect(seen).toEqual(BORNE);
--- a/packages/rampswitch-standins/src/rude_callers.ts
+++ b/packages/rampswitch-standins/src/misbehaving_callers.ts
@@ -15,7 +15,7 @@
 const WRITE_BYTES = 64 * 1024;
 
 /** What each connection of a crowd does. */
-export interface RudePlay {
+export interface Misbehaviour {
   readonly connections: number;
   /** What it sends once; nothing by default. */
   readonly first?: string;
@@ -26,14 +26,14 @@
 }
 
 /** A crowd of connections; those that are closed come back until it is disposed of. */
-export class RudeCallers implements Disposable {
+export class MisbehavingCallers implements Disposable {
   readonly #address: string;
-  readonly #play: RudePlay;
+  readonly #play: Misbehaviour;
   readonly #again: Buffer;
   readonly #open = new Set<Socket>();
   #isOver = false;
 
-  constructor(address: string, play: RudePlay) {
+  constructor(address: string, play: Misbehaviour) {
     this.#address = address;
     this.#play = play;
     const again = Buffer.from(play.again ?? "", "latin1");
--- a/packages/rampswitch-standins/src/mod.ts
+++ b/packages/rampswitch-standins/src/mod.ts
@@ -19,5 +19,5 @@
 export * from "./platform_lists.ts";
 export * from "./process_use.ts";
 export * from "./raw_server.ts";
-export * from "./rude_callers.ts";
+export * from "./misbehaving_callers.ts";
 export * from "./stopped_heads.ts";
--- a/packages/rampswitch-utils/src/paced_reading.ts
+++ b/packages/rampswitch-utils/src/paced_reading.ts
@@ -232,7 +232,7 @@
           ? NO_BYTES
           : this.#waiting.subarray(length);
       work += lines + Math.ceil(length / BYTES_PER_WORK);
-      work += this.#give(piece, lines);
+      work += this.#handToParser(piece, lines);
     }
     return work;
   }
@@ -248,7 +248,7 @@
   }
 
   /** Gives the parser a piece; returns the work of a request that it ends. */
-  #give(piece: Buffer, lines: number): number {
+  #handToParser(piece: Buffer, lines: number): number {
     const before = this.#latest;
     if (this.#bodyBytesLeft > 0) {
       this.#bodyBytesLeft -= piece.length;
