Answer the request in front although no memory is left for the head behind it

Read again: where the memory for heads was spent, a caller that had sent the beginning of a long head behind a request lost that request's answer too, since the connection was destroyed. It is ended after the answer now, as where waiting bytes find no memory. The new test got no answer before (it hung until it was ended), and passes.

--- a/packages/rampswitch-utils/src/bounded_server_test.ts
+++ b/packages/rampswitch-utils/src/bounded_server_test.ts
@@ -185,6 +185,22 @@
   await until(() => server.responses.length === 2);
 });
 
+test("a request is answered though no memory is left for the head behind it", async () => {
+  const heads = new MemoryBudget(100_000);
+  await using server = await TestServer.start({ heads });
+  const lines = "a:\r\n".repeat(200);
+  const holders = [1, 2].map(() =>
+    server.send(`GET / HTTP/1.1\r\n${lines}\r\n`),
+  );
+  await until(() => server.responses.length > 0);
+  const caller = server.send(`${GET}GET / HTTP/1.1\r\n${lines}`);
+  await until(() => server.responses.length > 1);
+  await someTurns();
+  server.responses.at(-1)?.end("answered");
+  await until(() => caller.received.includes("answered"));
+  holders.forEach(({ socket }) => socket.destroy());
+});
+
 test("a body for which no memory is left is not read on", async () => {
   const bodies = new MemoryBudget(20_000);
   await using server = await TestServer.start({ bodies });
--- a/packages/rampswitch-utils/src/paced_reading.ts
+++ b/packages/rampswitch-utils/src/paced_reading.ts
@@ -274,7 +274,13 @@
       this.endAfterAnswer();
       this.#limits.onLongHead(this.#socket);
       this.#linger();
-    } else if (!fits) this.#socket.destroy();
+    } else if (!fits) this.#acceptNoMore();
+  }
+
+  /** Ends the connection, after the present answer if there is one. */
+  #acceptNoMore(): void {
+    if (this.#open.length === 0) this.#socket.destroy();
+    else this.endAfterAnswer();
   }
 
   #nextPiece(): Piece {
@@ -289,12 +295,10 @@
     if (this.#mayParse || this.#mayStart) this.#limits.turns.add(this);
   }
 
-  /** Charges what waits; a connection that has too much is ended after its answer. */
+  /** Charges what waits. */
   #accountWaiting(): void {
     const more = this.#waiting.length - this.#waitingMemory.held;
-    if (more <= 0 || this.#waitingMemory.take(more)) return;
-    if (this.#open.length === 0) this.#socket.destroy();
-    else this.endAfterAnswer();
+    if (more > 0 && !this.#waitingMemory.take(more)) this.#acceptNoMore();
   }
 
   /** Reads more unless enough waits. */
