Log what each call that stops a run was answered

A `memory move` line named the last outcome alone, and no counter had the calls, so that the three hypotheses of docs/incidents/stop_in_doubt.md looked the same in logs and figures.

`memory move` has `stopAnswers`, the answers in order, and `rampswitch_events_total` counts `stop_call_ANSWER`. No decision changes.

--- a/packages/rampswitch-serving/src/relay/memory_migration.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration.ts
@@ -30,10 +30,15 @@
   targetStillRuns(): boolean;
   /** Called when a stop is requested (`true`) and when it is answered (`false`). */
   onStopChange(stopping: boolean): void;
+  /** Called with the answer to each call that stops the run. */
+  onStopAnswer(answer: StopAnswer): void;
   /** Called with the handle of memory from which no run will resume. */
   onUnused(handle: string): void;
 }
 
+/** What a call that stops a run was answered. */
+export type StopAnswer = "stopped" | MemoryCopyError;
+
 /** Why a run was not stopped, or is not to be resumed elsewhere. */
 export type MemoryMigrationError =
   MemoryCopyError | "run_ended" | "target_ended";
@@ -75,14 +80,26 @@
  */
 async function stopRun(
   migration: MemoryMigration,
-  { control }: MemoryMigrationParts,
+  parts: MemoryMigrationParts,
 ): Promise<Result<RetainedMemory, MemoryCopyError>> {
-  const stopped = await control.copyMemory({ ...migration, stopsRun: true });
+  const stopped = await callStop(migration, parts);
   if (stopped.isOk || stopped.error !== "no_answer") return stopped;
-  const again = await control.copyMemory({ ...migration, stopsRun: true });
+  const again = await callStop(migration, parts);
   return again.isErr && again.error === "no_run" ? stopped : again;
 }
 
+async function callStop(
+  migration: MemoryMigration,
+  parts: MemoryMigrationParts,
+): Promise<Result<RetainedMemory, MemoryCopyError>> {
+  const answer = await parts.control.copyMemory({
+    ...migration,
+    stopsRun: true,
+  });
+  parts.onStopAnswer(answer.isOk ? "stopped" : answer.error);
+  return answer;
+}
+
 /**
  * Frees memory from which no run resumes; it would occupy memory and a slot at two
  * servers. The source frees both copies; if the source is gone, the target frees
--- a/packages/rampswitch-serving/src/relay/memory_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration_test.ts
@@ -42,6 +42,7 @@
   stillRuns: () => true,
   targetStillRuns: () => true,
   onStopChange: () => undefined,
+  onStopAnswer: () => undefined,
 };
 
 describe("a migration of memory", () => {
@@ -106,6 +107,7 @@
       stillRuns: () => true,
       targetStillRuns: () => true,
       onStopChange: () => undefined,
+      onStopAnswer: () => undefined,
       onUnused: () => undefined,
     });
     expect(outcome).toEqual(Result.err("no_answer"));
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -343,6 +343,7 @@
           this.#mayHaveStopped ||= stopping;
           record.stopChanged(stopping);
         },
+        onStopAnswer: (answer) => record.stopAnswered(answer),
         onUnused: (handle) => this.#free(holders, handle),
       },
     );
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -12,6 +12,7 @@
 import type { ResendReason } from "../model/outcome.ts";
 import type { SendObserver } from "../rollout/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
+import type { StopAnswer } from "./memory_migration.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ServerIncarnation } from "../model/backend_server.ts";
 import type { RoomRefusal } from "./send_choice.ts";
@@ -54,6 +55,8 @@
 export interface MigrationRecord {
   /** Notes that the run's stop was requested (`true`) or answered (`false`). */
   stopChanged(stopping: boolean): void;
+  /** Notes what a call that stops the run was answered. */
+  stopAnswered(answer: StopAnswer): void;
   /** Notes that the migration ended; the caller has events up to the given one. */
   ended(outcome: string, lastEventId: string | undefined): void;
 }
@@ -327,14 +330,20 @@
     };
     let stopRequestedAt: number | undefined;
     let stoppedAt: number | undefined;
+    const stopAnswers: StopAnswer[] = [];
     return {
       stopChanged: (stopping) => {
         if (stopping) stopRequestedAt = clock.now();
         else stoppedAt = clock.now();
       },
+      stopAnswered: (answer) => {
+        stopAnswers.push(answer);
+        this.#context.metrics.event(`stop_call_${answer}`);
+      },
       ended: (outcome, lastEventId) =>
         this.#migrationEnded(outcome, {
           ...servers,
+          stopAnswers: stopAnswers.join(",") || undefined,
           firstCopyMilliseconds: millisecondsBetween(
             beganAt,
             stopRequestedAt ?? clock.now(),
--- a/packages/rampswitch-serving/src/relay/run_record_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_record_test.ts
@@ -263,6 +263,8 @@
     clock.advance(140);
     migration.stopChanged(true);
     clock.advance(60);
+    migration.stopAnswered("no_answer");
+    migration.stopAnswered("stopped");
     migration.stopChanged(false);
     migration.ended("moved", "8");
     expect(lines).toEqual([
@@ -275,11 +277,14 @@
           target: "s2",
           firstCopyMilliseconds: 140,
           secondCopyMilliseconds: 60,
+          stopAnswers: "no_answer,stopped",
           lastEventId: "8",
         },
       },
     ]);
     expect(await counters("events_total")).toEqual([
+      'rampswitch_events_total{event="stop_call_no_answer"} 1',
+      'rampswitch_events_total{event="stop_call_stopped"} 1',
       'rampswitch_events_total{event="move_moved"} 1',
     ]);
   });
@@ -296,6 +301,7 @@
       target: "s2",
       firstCopyMilliseconds: 25,
       secondCopyMilliseconds: undefined,
+      stopAnswers: undefined,
       lastEventId: undefined,
     });
   });
