Ask until it is clear whether a call has stopped a run

Callers saw a regular end after a part of a stream without length or chunks (ORDER), a cut, or a second run of a resumable one, where the answer to the call that stops the run for a move was lost, refused or named no memory.

Cause: an answer tells the effect of its own call alone. A 409 or 404 to the repeated call was taken for the outcome of the earlier one whose answer was lost ("the run goes on"), and one flag stood for all calls, taken back by later moves that stopped nothing, by a replacement and by a drop of kept memory. Class: an in-doubt outcome of a non-idempotent call taken for a known one. A 404 or 409 whose body is cut off counted as whole.

Change: RunStops keeps, for each incarnation of a server, whether a call may have stopped what it runs; moves, abandoned runs and the end of an answer ask it. Only a handle, or two answers in a row that know no run with no other call in doubt, clear it. The stop is asked for again, at most 5 s, 1.5 s where a further run can give the rest, as long as the source and time are left; two calls in a row that were never sent end it (`not_connected` is told apart from `no_answer`). RUNS_ON and the flag are gone.

Failed try: 5 s for all requests broke 'never ends early as complete if no call to stop it is answered' in moved_run_test.ts: a resumable stream had no time left for its second run.

--- a/packages/rampswitch-serving/src/admission/resend_budget.ts
+++ b/packages/rampswitch-serving/src/admission/resend_budget.ts
@@ -140,13 +140,21 @@
   ): boolean {
     this.#startedAt ??= context.now;
     this.#recentFleetSize.recordSize(context.hosts, context.now);
+    if (!this.allows(service, context)) return false;
+    this.#newestBucket(service, context.now).repeats += 1;
+    return true;
+  }
+
+  /** Whether this host's part of the budget allows one resend; changes nothing. */
+  allows(
+    service: string,
+    context: ResendContext & { readonly kind?: ResendKind },
+  ): boolean {
     const { spent, allowed } = this.state(service, context);
     const kind = context.kind ?? "repeat";
     const usable = USABLE_SHARES[kind] * allowed;
     const minimum = Math.min(MINIMUM_SENDS[kind], this.#terms.allowance);
-    if (spent + 1 > Math.max(minimum, usable)) return false;
-    this.#newestBucket(service, context.now).repeats += 1;
-    return true;
+    return spent + 1 <= Math.max(minimum, usable);
   }
 
   /** The resends that are spent and allowed now; changes nothing. */
--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -25,7 +25,7 @@
   within_event: "ended within an event",
   empty: "ended without a length before any of its content",
   time_limit: "ended without a length at the time limit",
-  stopped: "ended without a length after a stop of an earlier run",
+  stopped: "ended without a length where a stop was requested",
 } as const;
 
 /** A reason of {@link END_DOUBTS}. */
--- a/packages/rampswitch-serving/src/model/engine_control.ts
+++ b/packages/rampswitch-serving/src/model/engine_control.ts
@@ -27,9 +27,22 @@
   readonly copied: boolean;
 }
 
-/** Why the memory was not copied and the run did not stop. */
+/**
+ * Why a call named no memory. After all but the first two, a run that was to stop may
+ * have stopped.
+ */
 export type MemoryCopyError =
-  "no_run" | "under_way" | "no_room" | "no_answer" | "refused";
+  /** The engine does not know the run. */
+  | "no_run"
+  /** The call was never sent. */
+  | "not_connected"
+  /** The engine is busy with an earlier call. */
+  | "under_way"
+  /** The receiving engine has no capacity. */
+  | "no_room"
+  /** The answer was lost, or a part of it. */
+  | "no_answer"
+  | "refused";
 
 /** State that an engine reports of itself. */
 export interface EngineReport {
--- a/packages/rampswitch-serving/src/relay/abandoned_runs.ts
+++ b/packages/rampswitch-serving/src/relay/abandoned_runs.ts
@@ -12,6 +12,7 @@
 import type { Service } from "../model/configuration.ts";
 import type { MemoryCopyError } from "../model/engine_control.ts";
 import { type EngineCallParts, freeMemory } from "./retained_memory.ts";
+import { RunStops } from "./run_stops.ts";
 
 /**
  * Pauses before the calls that stop a run, in milliseconds. In the first one most
@@ -38,6 +39,8 @@
   readonly server: ServerRecord;
   /** Whether the request may still wait at the server, since nothing of it was heard. */
   readonly mayWait: boolean;
+  /** The calls that stop runs of the request; none were made by default. */
+  readonly stops?: RunStops;
   /** The server at which this host has the request now, if any. */
   present(): ServerRecord | undefined;
 }
@@ -76,12 +79,12 @@
 class RunStop {
   readonly #run: AbandonedRun;
   readonly #parts: AbandonedRunParts;
-  /** Number of calls without an answer. */
-  #openCalls = 0;
+  readonly #stops: RunStops;
 
   constructor(run: AbandonedRun, parts: AbandonedRunParts) {
     this.#run = run;
     this.#parts = parts;
+    this.#stops = run.stops ?? new RunStops(parts);
   }
 
   async run(): Promise<void> {
@@ -124,7 +127,7 @@
     const isClear =
       CONCLUSIVE.has(outcome) ||
       // The server is busy with an earlier call, for which it stopped the run.
-      (outcome === "under_way" && this.#openCalls > 0);
+      (outcome === "under_way" && this.#stops.isUnderWay(this.#run.server));
     return isClear || later.length === 0
       ? outcome
       : this.#callUntilClear(later);
@@ -143,14 +146,8 @@
 
   async #callEngine(target: ServerRecord): Promise<StopOutcome> {
     const { attemptId, server } = this.#run;
-    this.#openCalls += 1;
-    const stopped = await this.#parts.engineControl.copyMemory({
-      from: server.entry.address,
-      to: target.entry.address,
-      attemptId,
-      stopsRun: true,
-    });
-    this.#openCalls -= 1;
+    const to = target.entry.address;
+    const stopped = await this.#stops.call({ attemptId, from: server, to });
     if (stopped.isErr) return stopped.error;
     const { handle } = stopped.value;
     const holders = { from: server, to: target };
--- a/packages/rampswitch-serving/src/relay/lost_sends.ts
+++ b/packages/rampswitch-serving/src/relay/lost_sends.ts
@@ -12,6 +12,7 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { ResendRules } from "./resend_rules.ts";
+import type { RunStops } from "./run_stops.ts";
 import type { RequestSend } from "./sends.ts";
 import { firstStallMilliseconds } from "./stall_watch.ts";
 
@@ -22,6 +23,7 @@
 export interface LosingRequest {
   readonly request: AdmittedRequest;
   readonly rules: ResendRules;
+  readonly stops: RunStops;
   /** The server that the request is at now. */
   present(): ServerRecord | undefined;
 }
@@ -30,8 +32,6 @@
 export class LostSends {
   readonly #run: LosingRequest;
   readonly #context: RequestContext;
-  /** Server incarnations that were asked to stop a run of the request. */
-  readonly #askedToStop = new Set<string>();
 
   constructor(run: LosingRequest, context: RequestContext) {
     this.#run = run;
@@ -76,11 +76,6 @@
     if (waited >= allowed) this.unresponsive(send);
   }
 
-  /** Whether a send's server was asked to stop a run of the request. */
-  wasAskedToStop({ choice }: RequestSend): boolean {
-    return this.#askedToStop.has(choice.record.incarnation);
-  }
-
   /**
    * Has the run of a send stopped that this host has given up. Only engines that can
    * move a run can stop one; others are left to notice the close of the connection.
@@ -89,10 +84,11 @@
     const { head, service } = this.#run.request;
     const { attemptId } = head;
     if (attemptId === undefined || !canStopRuns(service)) return;
-    this.#askedToStop.add(choice.record.incarnation);
+    const { stops } = this.#run;
+    stops.abandonedAt(choice.record);
     const present = () => this.#run.present();
     stopAbandonedRun(
-      { attemptId, server: choice.record, mayWait, present },
+      { attemptId, server: choice.record, mayWait, stops, present },
       this.#context,
     );
   }
--- a/packages/rampswitch-serving/src/relay/memory_migration.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration.ts
@@ -13,6 +13,7 @@
   RetainedMemory,
   MemoryCopyError,
 } from "../model/engine_control.ts";
+import { mayHaveStopped } from "./run_stops.ts";
 
 /** A run and the addresses of the two engines. */
 export interface MemoryMigration {
@@ -23,15 +24,20 @@
 
 /** What a migration works with. */
 export interface MemoryMigrationParts {
-  readonly control: EngineControl;
+  readonly control: Pick<EngineControl, "copyMemory">;
+  /** Makes one call that stops the run. */
+  callStop(): Promise<Result<RetainedMemory, MemoryCopyError>>;
+  /**
+   * Waits after as many calls without a handle; resolves to whether a further one is
+   * worthwhile.
+   */
+  waitForNextStop(calls: number): Promise<boolean>;
   /** Whether the run still continues at the source. */
   stillRuns(): boolean;
   /** Whether the target is still the incarnation that received the first copy. */
   targetStillRuns(): boolean;
   /** Called when a stop is requested (`true`) and when it is answered (`false`). */
   onStopChange(stopping: boolean): void;
-  /** Called with the answer to each call that stops the run. */
-  onStopAnswer(answer: StopAnswer): void;
   /** Called with the handle of memory from which no run will resume. */
   onUnused(handle: string): void;
 }
@@ -53,20 +59,19 @@
     stopsRun: false,
   });
   if (copied.isErr) return Result.err(copied.error);
-  const migrated = await stopAndMigrate(migration, parts);
+  const migrated = await stopAndMigrate(parts);
   if (migrated.isErr) parts.onUnused(copied.value.handle);
   return migrated;
 }
 
 async function stopAndMigrate(
-  migration: MemoryMigration,
   parts: MemoryMigrationParts,
 ): Promise<Result<RetainedMemory, MemoryMigrationError>> {
   if (!parts.stillRuns()) return Result.err("run_ended");
   // The second copy holds only what is new, and the target has lost the first one.
   if (!parts.targetStillRuns()) return Result.err("target_ended");
   parts.onStopChange(true);
-  const stopped = await stopRun(migration, parts);
+  const stopped = await stopRun(parts);
   parts.onStopChange(false);
   if (stopped.isErr) return Result.err(stopped.error);
   if (parts.stillRuns()) return Result.ok(stopped.value);
@@ -75,29 +80,26 @@
 }
 
 /**
- * Retries once without an answer: the run may have stopped and the answer been lost. A
- * server that then knows no run tells nothing of how that ended.
+ * Calls until a handle names the memory of the stopped run, or none is to be had. The
+ * outcome of the calls is that of the first one that may have stopped the run.
  */
 async function stopRun(
-  migration: MemoryMigration,
   parts: MemoryMigrationParts,
+  former: readonly MemoryCopyError[] = [],
 ): Promise<Result<RetainedMemory, MemoryCopyError>> {
-  const stopped = await callStop(migration, parts);
-  if (stopped.isOk || stopped.error !== "no_answer") return stopped;
-  const again = await callStop(migration, parts);
-  return again.isErr && again.error === "no_run" ? stopped : again;
+  const stopped = await parts.callStop();
+  if (stopped.isOk) return stopped;
+  const errors = [...former, stopped.error];
+  const isSettled = isRepeated(errors);
+  if (!isSettled && (await parts.waitForNextStop(errors.length)))
+    return stopRun(parts, errors);
+  return Result.err(errors.find(mayHaveStopped) ?? stopped.error);
 }
 
-async function callStop(
-  migration: MemoryMigration,
-  parts: MemoryMigrationParts,
-): Promise<Result<RetainedMemory, MemoryCopyError>> {
-  const answer = await parts.control.copyMemory({
-    ...migration,
-    stopsRun: true,
-  });
-  parts.onStopAnswer(answer.isOk ? "stopped" : answer.error);
-  return answer;
+/** Whether the last two calls agree that there is nothing to stop, or nobody to ask. */
+function isRepeated(errors: readonly MemoryCopyError[]): boolean {
+  const [last, previous] = errors.toReversed();
+  return last !== undefined && last === previous && !mayHaveStopped(last);
 }
 
 /**
--- a/packages/rampswitch-serving/src/relay/memory_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/memory_migration_test.ts
@@ -38,12 +38,19 @@
   return { control, stops, drops };
 }
 
-const PARTS = {
-  stillRuns: () => true,
-  targetStillRuns: () => true,
-  onStopChange: () => undefined,
-  onStopAnswer: () => undefined,
-};
+/** Calls that stop a run in these tests. */
+const MAXIMUM_STOPS = 2;
+
+function partsOf(control: EngineControl) {
+  return {
+    control,
+    callStop: () => control.copyMemory({ ...MIGRATION, stopsRun: true }),
+    waitForNextStop: (calls: number) => Promise.resolve(calls < MAXIMUM_STOPS),
+    stillRuns: () => true,
+    targetStillRuns: () => true,
+    onStopChange: () => undefined,
+  };
+}
 
 describe("a migration of memory", () => {
   test.each(["no_run", "under_way", "refused", "no_answer"] as const)(
@@ -55,8 +62,7 @@
       );
       const given: string[] = [];
       const outcome = await migrateMemory(MIGRATION, {
-        ...PARTS,
-        control,
+        ...partsOf(control),
         onUnused: (handle) => given.push(handle),
       });
       expect(outcome).toEqual(Result.err(error));
@@ -68,9 +74,8 @@
     const { control, stops } = scripted([COPIED, COPIED], []);
     const given: string[] = [];
     const outcome = await migrateMemory(MIGRATION, {
-      ...PARTS,
+      ...partsOf(control),
       targetStillRuns: () => false,
-      control,
       onUnused: (handle) => given.push(handle),
     });
     expect(outcome).toEqual(Result.err("target_ended"));
@@ -86,8 +91,7 @@
     const given: string[] = [];
     const unused = (handle: string) => given.push(handle);
     const outcome = await migrateMemory(MIGRATION, {
-      ...PARTS,
-      control,
+      ...partsOf(control),
       onUnused: unused,
     });
     expect(outcome).toEqual(COPIED);
@@ -103,11 +107,7 @@
       [],
     );
     const outcome = await migrateMemory(MIGRATION, {
-      control,
-      stillRuns: () => true,
-      targetStillRuns: () => true,
-      onStopChange: () => undefined,
-      onStopAnswer: () => undefined,
+      ...partsOf(control),
       onUnused: () => undefined,
     });
     expect(outcome).toEqual(Result.err("no_answer"));
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -53,6 +53,7 @@
   RunRecord,
 } from "./run_record.ts";
 import { RunBudget } from "./run_budget.ts";
+import { RunStops } from "./run_stops.ts";
 import { type MigratableRun, RunMigration } from "./run_migration.ts";
 import { SendChooser } from "./send_chooser.ts";
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
@@ -74,6 +75,7 @@
   readonly #rules: ResendRules;
   readonly #budget: RunBudget;
   readonly #lostSends: LostSends;
+  readonly #stops: RunStops;
   /** Server incarnations that the request was sent to. */
   readonly #tried = new Set<string>();
   readonly #deadlineAt: number;
@@ -124,8 +126,11 @@
     const rules = new ResendRules(request, this.#tracker, context);
     this.#rules = rules;
     this.#budget = new RunBudget(request, context);
+    const stops = new RunStops(context);
+    this.#stops = stops;
+    const present = () => this.server;
     this.#lostSends = new LostSends(
-      { request, rules, present: () => this.server },
+      { request, rules, stops, present },
       context,
     );
     this.#sendChooser = new SendChooser(
@@ -218,11 +223,13 @@
     return {
       attemptId: this.request.head.attemptId,
       record: this.#record,
+      stops: this.#stops,
       // A run whose replacement is under way doesn't move.
       sentTo: () => (this.#isReplaced ? undefined : this.#current?.choice),
       finished: () => this.#answer.finished,
       lastEventId: () => this.#lastEventId,
       remaining: () => this.#remaining(),
+      canRunAgain: () => this.#rules.canAbandonRun && this.#budget.allowsRepeat,
       choose: ({ version }) => this.#sendChooser.chooseForMigration(version),
       spend: (kind) => this.#budget.spend(kind),
       notRepeated: (...inputs) => this.#recordNotRepeated(...inputs),
@@ -490,7 +497,7 @@
     return doubtAbout({
       hasContent: this.#tracker.relayed || !this.request.route.streaming,
       remainingMilliseconds: this.#remaining(),
-      mayHaveBeenStopped: this.#lostSends.wasAskedToStop(current),
+      mayHaveBeenStopped: this.#stops.mayHaveStopped(current.choice.record),
     });
   }
 
--- a/packages/rampswitch-serving/src/relay/run_budget.ts
+++ b/packages/rampswitch-serving/src/relay/run_budget.ts
@@ -28,6 +28,11 @@
     this.#context.budget.recordRequest(this.#service, this.#query());
   }
 
+  /** Whether the budget has a further run left. */
+  get allowsRepeat(): boolean {
+    return this.#context.budget.allows(this.#service, this.#query());
+  }
+
   /** Takes one further send from the budget, if it has one left. */
   spend(kind: ResendKind): BudgetDecision {
     const { budget } = this.#context;
--- a/packages/rampswitch-serving/src/relay/run_migration.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { runInBackground } from "rampswitch-utils";
+import { runInBackground, sleep } from "rampswitch-utils";
 import type { Result } from "true-myth";
 import type { ResendKind } from "../admission/mod.ts";
 import type { AnswerFraming } from "../attempt/mod.ts";
@@ -31,6 +31,7 @@
 } from "./retained_memory.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { BudgetView, NotRepeatedReason, RunRecord } from "./run_record.ts";
+import { pauseBeforeStop, type RunStops, type StopDoubt } from "./run_stops.ts";
 
 /** Minimum time left for which a further send is worthwhile, in milliseconds. */
 export const MINIMUM_USEFUL_MILLISECONDS = 20;
@@ -61,6 +62,8 @@
 export interface MigratableRun {
   readonly attemptId: string | undefined;
   readonly record: RunRecord;
+  /** The calls that stop runs of the request. */
+  readonly stops: RunStops;
   /** Server of the current send. */
   sentTo(): Choice | undefined;
   /** Whether the caller has a final answer. */
@@ -69,6 +72,8 @@
   lastEventId(): string | undefined;
   /** Time left, in milliseconds. */
   remaining(): number;
+  /** Whether the present run may be given up for another one. */
+  canRunAgain(): boolean;
   /**
    * Chooses another server of a server's version; asynchronous where only limited
    * servers are left.
@@ -98,15 +103,6 @@
   ended(): void;
 }
 
-/** Failures of a stop after which the run goes on, or has ended by itself. */
-const RUNS_ON: ReadonlySet<MemoryMigrationError> =
-  new Set<MemoryMigrationError>([
-    "no_run",
-    "under_way",
-    "run_ended",
-    "target_ended",
-  ]);
-
 /** Migrates one run, one migration at a time. */
 export class RunMigration {
   readonly #run: MigratableRun;
@@ -118,8 +114,6 @@
   #lostWhileStopping = false;
   /** Whether an answer without a length ended while its stop was requested. */
   #endedWhileStopping = false;
-  /** Whether a stop was requested and its outcome is not known. */
-  #mayHaveStopped = false;
   #cancelPause: () => void = () => undefined;
 
   constructor(run: MigratableRun, context: RequestContext) {
@@ -139,17 +133,23 @@
 
   /**
    * Takes the end of an answer without a length, if it may be due to a stop that was
-   * requested; returns whether it did. The answer to the request for the stop then
-   * decides what the end means.
+   * requested; returns whether it did. The outcome of the stop decides what the end
+   * means, and one in doubt is a loss.
    */
   takesEnd(framing: AnswerFraming): boolean {
     if (framing === "framed") return false;
     if (this.#stopping) this.#endedWhileStopping = true;
-    else if (this.#mayHaveStopped) this.#run.lost();
+    else if (this.#isInDoubt) this.#run.lost();
     else return false;
     return true;
   }
 
+  /** Whether the server of the current send may have stopped the run as it was asked. */
+  get #isInDoubt(): boolean {
+    const record = this.#run.sentTo()?.record;
+    return record !== undefined && this.#run.stops.mayHaveStopped(record);
+  }
+
   /** Starts to migrate the run with its memory to another engine. */
   start(): void {
     this.#inBackground(() => this.migrate());
@@ -304,7 +304,6 @@
 
   /** Frees retained memory from which no server resumed the run. */
   drop(): void {
-    this.#mayHaveStopped = false;
     this.#cancelPause();
     const suspended = this.#suspended;
     this.#suspended = undefined;
@@ -326,6 +325,8 @@
     if (attemptId === undefined) return undefined;
     const holders = { from: source.record, to: target.record };
     const record = run.record.migrationBegan(source.record, target.record);
+    const now = () => this.#context.clock.now();
+    let askedAt = 0;
     this.#lostWhileStopping = false;
     this.#endedWhileStopping = false;
     const outcome = await migrateMemory(
@@ -338,18 +339,29 @@
         control: this.#context.engineControl,
         stillRuns: () => !this.#hasLeft(source),
         targetStillRuns: () => !target.record.ended,
+        callStop: async () => {
+          const stopped = await run.stops.call({
+            ...{ attemptId, from: source.record },
+            to: target.record.entry.address,
+          });
+          record.stopAnswered(stopped.isOk ? "stopped" : stopped.error);
+          return stopped;
+        },
+        waitForNextStop: (calls) =>
+          this.#waitForNextStop(source, {
+            calls,
+            milliseconds: now() - askedAt,
+            canRunAgain: run.canRunAgain(),
+          }),
         onStopChange: (stopping) => {
           this.#stopping = stopping;
-          this.#mayHaveStopped ||= stopping;
+          if (stopping) askedAt = now();
           record.stopChanged(stopping);
         },
-        onStopAnswer: (answer) => record.stopAnswered(answer),
         onUnused: (handle) => this.#free(holders, handle),
       },
     );
     record.ended(outcomeOf(outcome), run.lastEventId());
-    if (outcome.isOk || RUNS_ON.has(outcome.error))
-      this.#mayHaveStopped = false;
     if (run.finished()) return undefined;
     if (outcome.isOk) {
       run.stopped();
@@ -359,9 +371,22 @@
     return outcomeOf(outcome);
   }
 
+  /** Waits before a further call that stops the run, as long as one is worthwhile. */
+  async #waitForNextStop(source: Choice, doubt: StopDoubt): Promise<boolean> {
+    const pause = pauseBeforeStop(doubt);
+    if (pause === undefined) return false;
+    const isWorthwhile = () =>
+      !this.#hasLeft(source) &&
+      !source.record.ended &&
+      this.#run.remaining() > MINIMUM_USEFUL_MILLISECONDS;
+    if (!isWorthwhile()) return false;
+    await sleep(this.#context.clock, pause);
+    return isWorthwhile();
+  }
+
   /** Handles an end that came while a stop was requested which did not succeed. */
   #handleEndWhileStopping(): void {
-    const isRegular = this.#endedWhileStopping && !this.#mayHaveStopped;
+    const isRegular = this.#endedWhileStopping && !this.#isInDoubt;
     if (isRegular) this.#run.ended();
     else if (this.#endedWhileStopping || this.#lostWhileStopping)
       this.#run.lost();
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -28,6 +28,7 @@
 import type { RequestContext } from "./request_context.ts";
 import { type MigratableRun, RunMigration } from "./run_migration.ts";
 import { RunRecord } from "./run_record.ts";
+import { RunStops } from "./run_stops.ts";
 import {
   NOTHING_ADVERTISED,
   ignoringAdvertisementReader,
@@ -231,10 +232,12 @@
     return {
       attemptId: OWN,
       record: new RunRecord(request, parts),
+      stops: new RunStops(parts),
       sentTo: () => this.#current,
       finished: () => this.#ended,
       lastEventId: () => "1",
       remaining: () => Infinity,
+      canRunAgain: () => false,
       choose: () => this.#choose(),
       spend: () => ({ granted: true, view: undefined }),
       notRepeated: () => undefined,
@@ -392,6 +395,7 @@
   const run = {
     attemptId: OWN,
     record: new RunRecord(request as AdmittedRequest, context),
+    stops: new RunStops(context),
     sentTo: () => source,
     finished: () => false,
     lastEventId: () => "1",
--- a/packages/rampswitch-serving/src/relay/unframed_end.ts
+++ b/packages/rampswitch-serving/src/relay/unframed_end.ts
@@ -25,7 +25,7 @@
   readonly hasContent: boolean;
   /** Time until the request's time limit, at which servers stop work. */
   readonly remainingMilliseconds: number;
-  /** Whether the server was asked to stop an earlier run of the request. */
+  /** Whether the server may have stopped the run because this host asked it to. */
   readonly mayHaveBeenStopped: boolean;
 }
 
