--- a/packages/rampswitch-serving/src/relay/lost_sends.ts
+++ b/packages/rampswitch-serving/src/relay/lost_sends.ts
@@ -69,13 +69,20 @@
     );
   }
 
-  /** Records the same if the time for a first sign of the send's answer has passed. */
-  unresponsiveIfLate(send: RequestSend): void {
+  /** Records the same if a send has no head within the time for a first stall. */
+  unresponsiveIfLate(send: RequestSend | undefined): void {
+    if (send === undefined || send.head !== undefined) return;
     const waited = this.#context.clock.now() - send.sentAt;
     const allowed = firstStallMilliseconds(this.#run.request.route);
     if (waited >= allowed) this.unresponsive(send);
   }
 
+  /** Has the run of a send stopped, if the request was written to its server. */
+  abandon(send: RequestSend | undefined): void {
+    if (send?.isWritten !== true) return;
+    this.stopRun(send, { mayWait: send.head === undefined });
+  }
+
   /**
    * Has the run of a send stopped that this host has given up. Only engines that can
    * move a run can stop one; others are left to notice the close of the connection.
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -278,7 +278,7 @@
       readHead: (send, head) => readHead(send, head, this.#exchange),
       adopt: (send, head) => {
         this.#tracker.handle({ type: "lost" });
-        this.#startedMigration?.drop();
+        this.#startedMigration?.resumption.drop();
         this.#endLostSend("stalled", "silent", { abort: true });
         this.#goOnWith(send);
         this.#handleAccepted(send, head);
@@ -390,7 +390,7 @@
     current.head = head;
     const resumes = this.#tracker.state === "resuming";
     this.#tracker.handle({ type: "answered" });
-    this.#startedMigration?.resumed();
+    this.#startedMigration?.resumption.resumed();
     if (!isSuccess(head.status) && this.#answer.started)
       this.#handleFailedResume(head);
     // The server that stopped the run for a migration still ends soon, so a run
@@ -576,13 +576,13 @@
   #recordUnreachable(current: RequestSend | undefined): void {
     if (current === undefined) return;
     current.choice.record.failed(this.#now(), { surelyDown: true });
-    this.#migration.markUnreachable(current.choice);
+    this.#migration.resumption.markUnreachable(current.choice);
   }
 
   /** Sends the request again after a send that certainly ran nothing. */
   #resendOrResume(reason: ResendReason, fallback: RefusalReason): void {
     // A suspended run still exists, so the request must not start a second one.
-    if (this.#tracker.canResume) this.#migration.resumeAfter(reason);
+    if (this.#tracker.canResume) this.#migration.resumption.resumeAfter(reason);
     else this.#resend(reason, fallback);
   }
 
@@ -601,7 +601,7 @@
       return;
     }
     // A server may already have resumed from the memory, which works only once.
-    this.#startedMigration?.drop();
+    this.#startedMigration?.resumption.drop();
     this.#resend(reason, "unknown_outcome");
   }
 
@@ -660,7 +660,7 @@
   #handleTimeout(): void {
     if (this.#answer.finished) return;
     const hasNotRun = this.#tracker.certainlyNotRun;
-    this.#recordIfUnresponsive();
+    this.#lostSends.unresponsiveIfLate(this.#current);
     this.#endCurrentSend(true);
     this.#giveUp(hasNotRun ? "deadline_passed" : "timed_out");
   }
@@ -711,25 +711,12 @@
   #handleCallerDisconnect(): void {
     if (this.#answer.finished) return;
     this.#answer.markAbandoned();
-    this.#recordIfUnresponsive();
-    this.#abandonRun();
+    this.#lostSends.unresponsiveIfLate(this.#current);
+    this.#lostSends.abandon(this.#current);
     this.#endCurrentSend(true);
     this.#finish("caller_left");
   }
 
-  /** Counts a server as failing if it sent no head within the time for a first stall. */
-  #recordIfUnresponsive(): void {
-    if (this.#current !== undefined && this.#current.head === undefined)
-      this.#lostSends.unresponsiveIfLate(this.#current);
-  }
-
-  /** Has the current run stopped, if the request was written to its server. */
-  #abandonRun(): void {
-    const current = this.#current;
-    if (current?.isWritten !== true) return;
-    this.#lostSends.stopRun(current, { mayWait: current.head === undefined });
-  }
-
   /** Ends a send without a usable answer, and notes why. */
   #endLostSend(
     reason: ResendReason,
@@ -745,7 +732,7 @@
       answeringSince: current?.answeringSince,
       silence: this.#stallWatch.silence,
     });
-    this.#abandonRun();
+    this.#lostSends.abandon(this.#current);
     this.#endCurrentSend(abort);
   }
 
@@ -767,7 +754,7 @@
     // A caller may leave, or its time pass, before the loss of a server shows.
     if (outcome !== "completed") this.#streamVersion.broke();
     this.#sendChooser.stopWaiting();
-    this.#startedMigration?.drop();
+    this.#startedMigration?.resumption.drop();
     this.#startedReplacement?.drop();
     this.#tracker.handle({ type: "ended" });
     this.#endCurrentSend(false);
--- a/packages/rampswitch-serving/src/relay/resend_rules.ts
+++ b/packages/rampswitch-serving/src/relay/resend_rules.ts
@@ -11,7 +11,7 @@
 import type { CrashQuarantine } from "../quarantine/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
-import { MINIMUM_USEFUL_MILLISECONDS } from "./run_migration.ts";
+import { MINIMUM_USEFUL_MILLISECONDS } from "./run_resumption.ts";
 
 /** Maximum number of sends of one request that ask for a further run. */
 const MAXIMUM_REPEATS = 4;
--- a/packages/rampswitch-serving/src/relay/run_budget.ts
+++ b/packages/rampswitch-serving/src/relay/run_budget.ts
@@ -8,7 +8,7 @@
 import type { ResendContext, ResendKind } from "../admission/mod.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { RequestContext } from "./request_context.ts";
-import type { BudgetDecision } from "./run_migration.ts";
+import type { BudgetDecision } from "./run_resumption.ts";
 
 /** The budget that further sends of one request are taken from. */
 export class RunBudget {
--- a/packages/rampswitch-serving/src/relay/run_migration_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_migration_test.ts
@@ -275,12 +275,12 @@
     if (of === OTHER) this.wrong.push("resumed from another request's memory");
     this.clock.after(1, () => {
       if (of === OWN) {
-        this.migration.resumed();
+        this.migration.resumption.resumed();
         this.#startRun(choice);
         return;
       }
       this.#current = undefined;
-      this.migration.resumeAfter("rejected");
+      this.migration.resumption.resumeAfter("rejected");
     });
   }
 
@@ -304,7 +304,7 @@
     this.#ended = true;
     this.#current = undefined;
     this.#runsAt = undefined;
-    this.migration.drop();
+    this.migration.resumption.drop();
   }
 
   #choose(): Choice | undefined {
@@ -356,7 +356,7 @@
         simulation.step();
         await settled();
       }
-      simulation.migration.drop();
+      simulation.migration.resumption.drop();
       await settled();
       if (simulation.wrong.length > 0) wrong[seed] = simulation.wrong;
       sentOn += simulation.sentOn;
--- a/packages/rampswitch-serving/src/relay/run_stops_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_stops_test.ts
@@ -226,7 +226,7 @@
 
   test("stays in doubt where kept memory is dropped", async () => {
     const { state } = await play();
-    state.migration.drop();
+    state.migration.resumption.drop();
     expect(losesEnd(state)).toBe(true);
   });
 });
