Handle the error of a connection that a peer closes while it is idle

A process could end by `received GOAWAY without any open streams`, an error that nobody handles: a peer closed an idle connection while the next call to it began.

Cause: the HTTP/2 session manager of the library destroys such a session with an error and, if a call comes before the error is raised, turns to the next session and takes its listeners from the former one.

Ruled out: the time limits beside which it was first seen; an error of a call: all calls of the session are over.

Change: PeerClients gives the transport a manager that listens for errors of each session for good.

--- a/packages/rampswitch-peer/src/peer_client.ts
+++ b/packages/rampswitch-peer/src/peer_client.ts
@@ -10,7 +10,10 @@
   createClient,
   type Interceptor,
 } from "@connectrpc/connect";
-import { createConnectTransport } from "@connectrpc/connect-node";
+import {
+  createConnectTransport,
+  Http2SessionManager,
+} from "@connectrpc/connect-node";
 import { Result } from "true-myth";
 import type { Clock } from "rampswitch-utils";
 import { PeerService } from "./generated/rampswitch/peer/v1/peer_pb.ts";
@@ -56,17 +59,41 @@
   #client(address: string): PeerClient {
     const known = this.#clients.get(address);
     if (known !== undefined) return known;
+    const baseUrl = `http://${address}`;
     const client = createClient(
       PeerService,
       createConnectTransport({
         httpVersion: "2",
-        baseUrl: `http://${address}`,
+        baseUrl,
         interceptors: [this.#authenticate],
-        idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
-        pingIntervalMs: PING_MILLISECONDS,
+        sessionManager: new GuardedSessions(baseUrl, {
+          idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
+          pingIntervalMs: PING_MILLISECONDS,
+        }),
       }),
     );
     this.#clients.set(address, client);
     return client;
   }
 }
+
+/**
+ * The connections to one peer. A connection that its peer closes while it is idle is
+ * destroyed with an error, which comes after its manager has turned to the next one and
+ * would end the process; all calls of a connection are over by then.
+ */
+class GuardedSessions extends Http2SessionManager {
+  override async request(
+    ...call: Parameters<Http2SessionManager["request"]>
+  ): ReturnType<Http2SessionManager["request"]> {
+    const stream = await super.request(...call);
+    const { session } = stream;
+    if (session !== undefined && !session.listeners("error").includes(ignore))
+      session.on("error", ignore);
+    return stream;
+  }
+}
+
+function ignore(): void {
+  return;
+}
--- a/packages/rampswitch-peer/src/peer_client_test.ts
+++ b/packages/rampswitch-peer/src/peer_client_test.ts
@@ -4,7 +4,11 @@
 // which the last fields are missing can be decoded.
 
 import { create, toBinary } from "@bufbuild/protobuf";
-import { createServer, type ServerHttp2Stream } from "node:http2";
+import {
+  createServer,
+  type Http2Session,
+  type ServerHttp2Stream,
+} from "node:http2";
 import type { Socket } from "node:net";
 import { expect, test } from "@jest/globals";
 import { listenUntilDisposed, MONOTONIC_CLOCK } from "rampswitch-utils";
@@ -84,3 +88,50 @@
     expect(result.isErr).toBe(true);
   },
 );
+
+/** Calls of which several begin while their connection is being closed. */
+const CALLS = 600;
+
+/** Longest pause before a call, in turns of the event loop and in ticks. */
+const MAXIMUM_TURNS = 6;
+const MAXIMUM_TICKS = 5;
+
+async function pauseBefore(call: number): Promise<void> {
+  const turns = call % MAXIMUM_TURNS;
+  for (let turn = 0; turn < turns; turn += 1)
+    await new Promise((resolve) => setImmediate(resolve));
+  const ticks = Math.floor(call / MAXIMUM_TURNS) % MAXIMUM_TICKS;
+  for (let tick = 0; tick < ticks; tick += 1)
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+}
+
+// Guards against a process that ends by an error that nobody handles: a peer closed an
+// idle connection while the next call to it began. Jest fails a test with such an error.
+test("a peer that closes idle connections raises no error beside the next calls", async () => {
+  const server = createServer();
+  const sessions = new Set<Http2Session>();
+  server.on("session", (session) => sessions.add(session));
+  server.on("sessionError", () => undefined);
+  server.on("stream", (stream) => {
+    const { session } = stream;
+    stream.respond(HEAD);
+    stream.end(PART);
+    stream.on("close", () =>
+      setImmediate(() => setImmediate(() => session?.destroy())),
+    );
+  });
+  await using listening = await listenUntilDisposed(server, "127.0.0.1:0", () =>
+    sessions.forEach((session) => session.destroy()),
+  );
+  const tokens = new PeerTokens("secret", "a");
+  const clients = new PeerClients(tokens, MONOTONIC_CLOCK);
+  let answered = 0;
+  for (let call = 0; call < CALLS; call += 1) {
+    const result = await clients.call(listening.address, (client) =>
+      client.fetchConfiguration({}, { timeoutMs: CALL_MILLISECONDS }),
+    );
+    answered += result.isOk ? 1 : 0;
+    await pauseBefore(call);
+  }
+  expect(answered).toBeGreaterThan(0);
+});
