Pass on no answer whose status is none

Cause: the parser takes any three digits for a status, and the judgement of an answer's head asked for the attempt, the encoding and the signature alone. A status of 600 counted as a failure of the server's own, which is passed on. Below 100 the only guard was an assertion of the library: the answer counted as a lost connection, and as an end of the server under its request.

Ruled out: the framing (a length, chunks, none, no body) and the kind of route make no difference; unsigned answers were unusable before, since they name no attempt. A head that can't be written (000 between hosts) ended no process: undici catches what its handlers throw.

Change: `isFinalStatus` (200 to 599; RFC 9110, section 15, knows none beyond) is asked where heads are judged, before all else, so that such an answer is unusable also where it claims that the request was not run: it goes to another server where it may be repeated, else the caller gets 502. Only 100 to 199 count as informational; statuses below are judged too. A host that forwards passes such an answer on as a lost one.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {
+  isInformationalStatus,
   isOpen,
   RESET_CODE,
   splitAddress,
@@ -356,7 +357,7 @@
     this.#answered = true;
     this.#heard();
     if (this.#aborted) return;
-    if (statusCode < FIRST_FINAL_STATUS) {
+    if (isInformationalStatus(statusCode)) {
       this.#countInformationalHead(controller);
       return;
     }
@@ -447,9 +448,6 @@
   readonly connections: OpenConnections;
 }
 
-/** Answers with a lower status are informational. */
-const FIRST_FINAL_STATUS = 200;
-
 /**
  * Number of pieces of an answer that are handled before other events. A piece may have
  * a single byte, and a server may send them as fast as the link allows.
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -14,6 +14,7 @@
   type Clock,
   handleInBackground,
   type IntakeBudgets,
+  isFinalStatus,
   listen,
   type Listening,
   type Logger,
@@ -330,6 +331,11 @@
 
   head(status: number, rawHeaders: readonly string[]): void {
     this.status = status;
+    if (!isFinalStatus(status)) {
+      this.#send?.abort();
+      abortResponse(this.#response);
+      return;
+    }
     const { method = "" } = this.#response.req;
     const framing = framingOf({ method, status, rawHeaders });
     this.#response.writeHead(status, [
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -257,6 +257,26 @@
     expect(told.at(-1)).toMatch(/^lost/);
   });
 
+  // Guards against bytes that are no answer and go on to a caller as one, and against a
+  // host that throws since no head can hold their status.
+  test.each(["000", "099", "600", "999"])(
+    "passes an answer with the status %s on as a lost one",
+    async (status) => {
+      const stopped: string[] = [];
+      await using parts = await Parts.start(
+        (_, { socket }) =>
+          socket?.write(
+            `HTTP/1.1 ${status} X\r\nContent-Length: 4\r\n\r\ntext`,
+          ),
+        { stopRun: ({ server }) => stopped.push(server) },
+      );
+      const lost = expect.stringMatching(/^lost: /) as unknown;
+      expect(await parts.send()).toEqual(["written", lost]);
+      while (stopped.length === 0) await immediate();
+      expect(stopped).toEqual([SERVER_ID]);
+    },
+  );
+
   // Guards against a run that goes on at a server after its answer was lost: the host
   // that forwards it may not reach that server to stop it.
   // Guards against a request that counts as not run, or as answered, by a part of a head.
--- a/packages/rampswitch-serving/src/relay/unusable_answer.ts
+++ b/packages/rampswitch-serving/src/relay/unusable_answer.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { isFinalStatus } from "rampswitch-utils";
 import type { AnswerHead } from "../model/request.ts";
 import type { AdmittedRequest } from "./admitted_request.ts";
 import { type Frames, isAfter } from "./event_framer.ts";
@@ -16,9 +17,10 @@
  * runs it.
  */
 export function unusableReason(
-  { attemptId, encoded }: AnswerHead,
+  { status, attemptId, encoded }: AnswerHead,
   { head }: AdmittedRequest,
 ): string | undefined {
+  if (!isFinalStatus(status)) return `invalid status ${status}`;
   if (encoded) return "encoded";
   if (attemptId === head.attemptId) return undefined;
   return attemptId === undefined ? "no attempt id" : "crossed";
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./hash.ts";
 export * from "./header_names.ts";
 export * from "./hop_headers.ts";
+export * from "./http_status.ts";
 export * from "./json.ts";
 export * from "./listen.ts";
 export * from "./log.ts";
