Pass on no answer of the own interface's servers whose status is none

Callers saw: answers of plain services with a status from 600 to 999 as they came, also where they were kept for a key; of an engine with one, a failure that says that the work ran.

Cause: the own interface's client of backend servers judged no status; whatever the parser let pass was forwarded, or read as the server's word.

Change: the client asks the rule that the other interface asks. Such an answer is closed and leaves its call in doubt (`backend_nonsense`, 502), so that it goes to another server where it may run twice.

--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -15,7 +15,7 @@
   refused,
   type RefusedNotRun,
 } from "rampswitch-types";
-import { withCorrectEnds } from "rampswitch-utils";
+import { isFinalStatus, withCorrectEnds } from "rampswitch-utils";
 
 /** A call to a backend server. */
 export interface BackendCall {
@@ -61,17 +61,18 @@
     call: BackendCall,
   ): Promise<Result<BackendReply, CallFailure>> {
     try {
-      return Result.ok(
-        await this.#pool(address).request({
-          method: call.method,
-          path: call.path,
-          headers: call.headers as Record<string, string | string[]>,
-          body: call.body ?? null,
-          headersTimeout: call.timeoutMilliseconds,
-          bodyTimeout: call.timeoutMilliseconds,
-          ...(call.signal === undefined ? {} : { signal: call.signal }),
-        }),
-      );
+      const reply = await this.#pool(address).request({
+        method: call.method,
+        path: call.path,
+        headers: call.headers as Record<string, string | string[]>,
+        body: call.body ?? null,
+        headersTimeout: call.timeoutMilliseconds,
+        bodyTimeout: call.timeoutMilliseconds,
+        ...(call.signal === undefined ? {} : { signal: call.signal }),
+      });
+      return isFinalStatus(reply.statusCode)
+        ? Result.ok(reply)
+        : Result.err(invalidStatus(address, reply));
     } catch (error) {
       return Result.err(callFailure(address, error));
     }
@@ -108,6 +109,17 @@
   }
 }
 
+/** Closes the connection of an answer whose status is none; the call may have run. */
+function invalidStatus(
+  address: string,
+  { statusCode, body }: BackendReply,
+): InDoubt {
+  // Its destruction is an error to a stream that is not read to its end.
+  body.on("error", () => undefined).destroy();
+  const detail = `backend server at ${address}: invalid status ${statusCode}`;
+  return inDoubt("backend_nonsense", detail);
+}
+
 /** Maps an error of a call to its outcome: not run, or in doubt. */
 export function callFailure(address: string, error: unknown): CallFailure {
   const code = (error as { readonly code?: string }).code ?? "";
--- a/packages/rampswitch-entry/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client_test.ts
@@ -71,3 +71,27 @@
     expect(body.unwrapOrElse((error) => error)).toBe(outcome);
   },
 );
+
+// Guards against an answer with a status that is none, and against bytes of it that are
+// read for as long as they come.
+test("an answer whose status is none is closed and leaves its call in doubt", async () => {
+  await using ownership = new Ownership();
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => undefined);
+    socket.once("data", () => socket.write("HTTP/1.1 700 X\r\n\r\npart"));
+  });
+  const { address } = ownership.own(
+    await listenUntilDisposed(server, "127.0.0.1:0", () => undefined),
+  );
+  const client = ownership.own(new BackendClient());
+  const reply = await client.call(address, CALL);
+  expect(reply.isErr && reply.error).toMatchObject({
+    kind: "in_doubt",
+    reason: "backend_nonsense",
+  });
+  while (!sockets.every(({ closed }) => closed)) {
+    await new Promise(setImmediate);
+  }
+});
