Take a host for ended only where the cloud says so

The server's resource was deleted then, and nobody asked again for its host to be ended: it lives on and costs money.

Cause: the call looked at whether an answer came, not at what it said.

Ruled out: the other calls of the cloud and of the host list take 200 alone for done.

Change: 200, and 404 (none of this name), show the end; anything else is tried again with the next round.

No run of the whole capacity service against a cloud in trouble.

--- a/packages/rampswitch-entry/src/membership/platform_clients.ts
+++ b/packages/rampswitch-entry/src/membership/platform_clients.ts
@@ -129,6 +129,9 @@
   };
 }
 
+/** Statuses which tell that a host is gone: just ended, or not known any more. */
+const ENDED_STATUSES: ReadonlySet<number> = new Set([200, 404]);
+
 /** Creates a client that calls the cloud API over HTTP. */
 export function httpCloud(address: string): CloudClient {
   const base = `http://${address}`;
@@ -170,7 +173,9 @@
           },
         );
         await answer.body.dump();
-        return Result.ok(undefined);
+        return ENDED_STATUSES.has(answer.statusCode)
+          ? Result.ok(undefined)
+          : Result.err(`status ${answer.statusCode}`);
       } catch (error) {
         return Result.err(String(error));
       }
--- a/packages/rampswitch-entry/src/membership/platform_clients_test.ts
+++ b/packages/rampswitch-entry/src/membership/platform_clients_test.ts
@@ -54,6 +54,23 @@
   expect(started).toEqual({ error: "refused" });
 });
 
+// Guards against a host that is forgotten while it lives on and costs money.
+test.each([
+  [200, true],
+  [404, true],
+  [429, false],
+  [500, false],
+  [503, false],
+  [700, false],
+])("status %i shows that a host has ended: %s", async (status, hasEnded) => {
+  await using server = await listen(
+    createServer((_request, response) => response.writeHead(status).end()),
+    "127.0.0.1:0",
+  );
+  const ended = await httpCloud(server.address).end("a");
+  expect(ended.isOk).toBe(hasEnded);
+});
+
 test("lists that name all that they should are read", async () => {
   const found = [
     [{ name: "a", state: "leaving", deadline: 1 }],
