Count bytes that are no answer as no lost way to their server

Callers saw: after two servers in a row whose bytes can't be parsed, a host refused what other hosts sent through it (`out_of_reach`), so that their callers got 503 although both servers answered.

Cause: such bytes end a send before it has an answer, which counted as a connection that was lost; two of them make a host take its own links for lost.

Ruled out: statuses of three digits, which are parsed, count as heard.

Change: an error of the parser is neither a lost connection nor a sign of life. Bytes of a server that ends may come as late as its end, so that they don't show that it lives on.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -418,7 +418,7 @@
     error: Error,
   ): void {
     const written = this.#controller !== undefined;
-    this.#reportFailure(written, error.message);
+    this.#reportFailure(written, error);
     if (this.#aborted) return;
     this.#aborted = true;
     const wasReset = (error as NodeJS.ErrnoException).code === RESET_CODE;
@@ -434,13 +434,19 @@
     contacts.heard(server);
   }
 
-  #reportFailure(written: boolean, detail: string): void {
+  #reportFailure(written: boolean, error: Error): void {
     const { server, contacts } = this.#contact;
-    if (!written) contacts.connectionFailed(server, detail);
-    else if (!this.#answered && !this.#aborted) contacts.connectionLost(server);
+    if (!written) contacts.connectionFailed(server, error.message);
+    else if (!this.#answered && !this.#aborted && !isNoAnswer(error))
+      contacts.connectionLost(server);
   }
 }
 
+/** Whether bytes came that are no answer: the way to their server is not lost. */
+function isNoAnswer(error: Error): boolean {
+  return error instanceof errors.HTTPParserError;
+}
+
 /** A server, its connections, and the observer of these. */
 interface Contact {
   readonly server: string;
