Refuse at once what can't end before a planned stop does

What callers saw: in a planned stop of one host, requests were taken and passed on for 2.6 s after the signal whatever they take, and further sends were made at any time. Those that lasted beyond the end of the grace were cut off without an answer, also those that may run once only.

Cause: nothing compared what is left of the grace with what is known of a request's length. The time for which a stopping host takes requests was the same for a grace of 3 s, of which it left nothing.

Ruled out: the close of idle connections (none of those cut was idle); the wait for room (refused when the stop begins); permits of limited servers (held on the program before, the test stays).

What takes much longer than those like it is still cut at the end.

--- a/packages/rampswitch-cli/src/commands/trace.ts
+++ b/packages/rampswitch-cli/src/commands/trace.ts
@@ -25,6 +25,7 @@
 const NOT_REPEATED: Readonly<Record<string, string>> = {
   may_not_run_again: "it may have run and must not run again",
   too_late: "no time left",
+  stopping: "its host ends before it could",
   too_many_sends: "sent as often as a request may be",
   no_server: "no other server takes it",
   budget_spent: "the budget of repeats is spent",
--- a/packages/rampswitch-serving/src/planned_stop.ts
+++ b/packages/rampswitch-serving/src/planned_stop.ts
@@ -17,6 +17,9 @@
 /** Time that is left before the forced end of the process, in milliseconds. */
 const STOP_MARGIN_MILLISECONDS = 400;
 
+/** Time for which a stopping host still starts requests, in milliseconds. */
+const STOP_INTAKE_MILLISECONDS = 2_600;
+
 /** Time between checks whether a stopping host is idle, in milliseconds. */
 const STOP_POLL_INTERVAL_MILLISECONDS = 50;
 
@@ -28,14 +31,37 @@
   closeIdleConnections(): void;
 }
 
+/** A planned stop that has begun. */
+export interface PlannedStop {
+  /** On the monotonic clock. */
+  readonly startedAt: number;
+  readonly graceMilliseconds: number;
+}
+
+/** Whether a host starts requests; one that stops does so at first. */
+export function startsRequests(
+  stop: PlannedStop | undefined,
+  now: number,
+): boolean {
+  return stop === undefined || now - stop.startedAt < STOP_INTAKE_MILLISECONDS;
+}
+
+/**
+ * When a host ends what is in progress, on the monotonic clock; infinite for one that
+ * does not stop.
+ */
+export function latestEndOf(stop: PlannedStop | undefined): number {
+  if (stop === undefined) return Infinity;
+  return stop.startedAt + stop.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+}
+
 /** Waits until nothing is in progress, or until the grace period is nearly over. */
 export async function waitUntilIdle(
   work: HostWork,
   clock: Clock,
-  stop: { readonly startedAt: number; readonly graceMilliseconds: number },
+  stop: PlannedStop,
 ): Promise<void> {
-  const latestEnd =
-    stop.startedAt + stop.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+  const latestEnd = latestEndOf(stop);
   const now = clock.now();
   const isEarly = now - stop.startedAt < MINIMUM_STOP_MILLISECONDS;
   if (!isEarly) work.closeIdleConnections();
--- a/packages/rampswitch-serving/src/relay/request_context.ts
+++ b/packages/rampswitch-serving/src/relay/request_context.ts
@@ -98,6 +98,11 @@
   receivesDispatches(): boolean;
   /** Whether this host still accepts new requests. */
   acceptsRequests(): boolean;
+  /**
+   * When this host ends what is in progress, on the monotonic clock; infinite unless it
+   * stops.
+   */
+  endsAt(): number;
   /** Whether answers close the connection, so that callers go to another host. */
   closesConnections(): boolean;
   /** Called when a request of a workspace starts to run. */
--- a/packages/rampswitch-serving/src/relay/run_record.ts
+++ b/packages/rampswitch-serving/src/relay/run_record.ts
@@ -25,6 +25,7 @@
   "may_not_run_again",
   "quarantined",
   "too_late",
+  "stopping",
   "too_many_sends",
   "no_server",
   "no_turn",
--- a/packages/rampswitch-serving/src/relay/send_chooser.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser.ts
@@ -15,6 +15,7 @@
   type AdmittedRequest,
   timeLimitMilliseconds,
 } from "./admitted_request.ts";
+import { canEndBeforeStop } from "./end_before_stop.ts";
 import { chooseProbe, chooseWithPermit } from "./permit_choice.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { NotRepeatedReason } from "./run_record.ts";
@@ -122,7 +123,9 @@
   }
 
   /** Chooses a server for the first send, which may wait at this host. */
-  chooseForFirstSend(listener: ChoiceListener<RefusalReason>): void {
+  chooseForFirstSend(asked: ChoiceListener<RefusalReason>): void {
+    const listener = this.#beforeStop<RefusalReason>(asked);
+    if (listener === undefined) return;
     const version = this.#run.stream.required;
     if (version !== undefined) {
       this.#inBackground(() =>
@@ -149,7 +152,9 @@
   }
 
   /** Chooses a server for a further send. */
-  chooseForResend(listener: ChoiceListener<NotRepeatedReason>): void {
+  chooseForResend(asked: ChoiceListener<NotRepeatedReason>): void {
+    const listener = this.#beforeStop(asked);
+    if (listener === undefined) return;
     const version = this.#run.stream.required;
     if (version !== undefined) {
       this.#inBackground(() =>
@@ -171,7 +176,9 @@
   }
 
   /** Chooses another server for a run that is kept meanwhile; it waits for none. */
-  chooseForReplacement(listener: ChoiceListener<NotRepeatedReason>): void {
+  chooseForReplacement(asked: ChoiceListener<NotRepeatedReason>): void {
+    const listener = this.#beforeStop(asked);
+    if (listener === undefined) return;
     this.#inBackground(async () => {
       const { required: version, settled } = this.#run.stream;
       const { outcome } = this.#choose({ version });
@@ -185,6 +192,28 @@
     });
   }
 
+  /**
+   * Has a choice count only if the request can end before this host does, also after
+   * the waits of the choice; `undefined` if it can't any more.
+   */
+  #beforeStop<Reason>(
+    listener: ChoiceListener<Reason | "stopping">,
+  ): ChoiceListener<Reason> | undefined {
+    const { request, stream } = this.#run;
+    const isContinued = stream.required !== undefined;
+    const canEnd = () =>
+      canEndBeforeStop({ request, isContinued }, this.#context);
+    const refuse = () => listener.none("stopping");
+    if (!canEnd()) {
+      refuse();
+      return undefined;
+    }
+    return {
+      chosen: (choice) => (canEnd() ? listener.chosen(choice) : refuse()),
+      none: (reason) => listener.none(reason),
+    };
+  }
+
   /**
    * Chooses the target of a migration, and takes a permit if the target needs one. The
    * memory that one version writes is of no use to another one.
--- a/packages/rampswitch-serving/src/relay/send_chooser_test.ts
+++ b/packages/rampswitch-serving/src/relay/send_chooser_test.ts
@@ -69,6 +69,7 @@
       prefillRate: () => 1,
     },
     prefixes: {},
+    endsAt: () => Infinity,
     ownPart: () => 1,
     hosts: () => 1,
     drainMilliseconds: () => 0,
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -70,7 +70,12 @@
 import { addedLoadTokens } from "./relay/prompt_load.ts";
 import type { RequestContext } from "./relay/request_context.ts";
 import { ServerRuns } from "./relay/server_runs.ts";
-import { type HostWork, waitUntilIdle } from "./planned_stop.ts";
+import {
+  type HostWork,
+  latestEndOf,
+  startsRequests,
+  waitUntilIdle,
+} from "./planned_stop.ts";
 import { ReturnTimes, RoomAdmission, WaitingRequests } from "./room/mod.ts";
 import { ServerPermits, PermitWaits } from "./server_limits/mod.ts";
 import { NO_STREAM_REPLIES } from "./streams/mod.ts";
@@ -135,9 +140,6 @@
 /** Position of a host before it knows any other host. */
 const SINGLE_HOST_POSITION = { rank: 0, lagMilliseconds: 0 };
 
-/** Time for which a stopping host still starts requests, in milliseconds. */
-const STOP_INTAKE_MILLISECONDS = 2_600;
-
 /** Maximum number of ports that are tried for messages between hosts. */
 const MAXIMUM_PORT_TRIES = 5;
 
@@ -502,15 +504,14 @@
     if (!this.#lifecycle.handle({ type: "stop" })) return;
     const { clock, logger } = this.#ports;
     const startedAt = clock.now();
-    this.#lifecycle.stopStartedAt = startedAt;
+    const { graceMilliseconds } = this.#settings.bounds;
+    const stop = { startedAt, graceMilliseconds };
+    this.#lifecycle.plannedStop = stop;
     logger.info("stopping", { inProgress: this.#callers.inProgress });
     this.#waiting.stop();
     await this.#duties.release();
     this.#membership?.broadcast();
-    await waitUntilIdle(this.#workInProgress(), clock, {
-      startedAt,
-      graceMilliseconds: this.#settings.bounds.graceMilliseconds,
-    });
+    await waitUntilIdle(this.#workInProgress(), clock, stop);
     await this.#streams.archive.flush();
     this.#callers.stopListening();
     logger.info("stopped", {
@@ -655,7 +656,9 @@
       gossipLagMilliseconds: () => this.#gossipLagMilliseconds(),
       receivesDispatches: () =>
         (this.#membership?.role ?? "direct") === "direct",
-      acceptsRequests: () => this.#startsRequests(),
+      acceptsRequests: () =>
+        startsRequests(this.#lifecycle.plannedStop, this.#ports.clock.now()),
+      endsAt: () => latestEndOf(this.#lifecycle.plannedStop),
       closesConnections: () => this.#lifecycle.state === "stopping",
       began: (workspace) =>
         this.#duties.usage.countRequest(workspace, this.#fleetTime()),
@@ -681,14 +684,6 @@
     return gossipLagMilliseconds(this.#membership?.role ?? "direct");
   }
 
-  #startsRequests(): boolean {
-    const { stopStartedAt } = this.#lifecycle;
-    return (
-      stopStartedAt === undefined ||
-      this.#ports.clock.now() - stopStartedAt < STOP_INTAKE_MILLISECONDS
-    );
-  }
-
   #keysTrusted(): boolean {
     const { bounds } = this.#settings;
     if (this.#follower.routes === undefined) return false;
--- a/packages/rampswitch-serving/src/serving_lifecycle.ts
+++ b/packages/rampswitch-serving/src/serving_lifecycle.ts
@@ -11,6 +11,7 @@
   setup,
   transition,
 } from "xstate";
+import type { PlannedStop } from "./planned_stop.ts";
 
 /** Events in the lifecycle of a serving process. */
 export type ServingEvent =
@@ -40,8 +41,8 @@
 
 /** Tracks the lifecycle of this process. */
 export class ServingLifecycle {
-  /** When a planned stop began, on the monotonic clock. */
-  stopStartedAt: number | undefined;
+  /** The planned stop, once it has begun. */
+  plannedStop: PlannedStop | undefined;
   #snapshot: SnapshotFrom<typeof SERVING_MACHINE>;
 
   constructor() {
