Answer what has no answer at the end of a planned stop

What callers saw: a request that lasted beyond the grace, longer than any like it, lost its connection without an answer at the end of the stop.

Cause: the end of a planned stop aborted every request in progress, also those of whose answers nothing had been sent.

Change: when the grace is over, requests without a part of their answer get one: 502 where a server may have run them, so that nothing is promised, 503 where none has, or the failure that a server gave. Streams that have begun are cut off as before, since they can't end well. The test of a status for a server's failure stood twice and is one function now.

Conclusion: only answers that have begun are still cut at the end.

--- a/packages/rampswitch-serving/src/relay/replacement.ts
+++ b/packages/rampswitch-serving/src/relay/replacement.ts
@@ -19,9 +19,7 @@
 import type { SendChooser } from "./send_chooser.ts";
 import type { RequestSend, SendHandlers } from "./sends.ts";
 import type { StreamVersion } from "./stream_version.ts";
-import { isSuccess } from "./unusable_answer.ts";
-
-const FIRST_SERVER_ERROR_STATUS = 500;
+import { isServerError, isSuccess } from "./unusable_answer.ts";
 
 /** The run whose silent send is replaced. */
 export interface ReplaceableRun {
@@ -181,8 +179,7 @@
   /** Whether a server took the request: a part of an answer goes on with a success only. */
   #isAccepted({ status }: AnswerHead): boolean {
     return (
-      isSuccess(status) ||
-      (!this.#run.relayed() && status < FIRST_SERVER_ERROR_STATUS)
+      isSuccess(status) || (!this.#run.relayed() && !isServerError(status))
     );
   }
 
--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -59,9 +59,7 @@
 import { firstStallMilliseconds, StallWatch } from "./stall_watch.ts";
 import { StreamVersion } from "./stream_version.ts";
 import { doubtAbout } from "./unframed_end.ts";
-import { isSuccess, unusableFrames } from "./unusable_answer.ts";
-
-const FIRST_SERVER_ERROR_STATUS = 500;
+import { isServerError, isSuccess, unusableFrames } from "./unusable_answer.ts";
 
 const STARTED_AGAIN = "server started again";
 
@@ -186,7 +184,8 @@
     const { clock } = this.#context;
     this.#cancelDeadline = clock.after(wait, () => this.#handleTimeout());
     if (this.#streamVersion.isTakenUp) {
-      this.#inBackground("version of a stream", () => this.#findVersion());
+      const find = () => this.#findVersion();
+      runInBackground("version of a stream", this.#context, find);
     } else this.#chooseFirstSend();
   }
 
@@ -288,10 +287,6 @@
     };
   }
 
-  #inBackground(name: string, work: () => Promise<void>): void {
-    runInBackground(name, this.#context, work);
-  }
-
   get #exchange() {
     return { request: this.request, context: this.#context };
   }
@@ -533,7 +528,7 @@
     if (isSuccess(head.status)) this.#observeAnswer(current);
     this.#record.began();
     this.#recordCompletion(current, isSuccess(head.status));
-    const failed = head.status >= FIRST_SERVER_ERROR_STATUS;
+    const failed = isServerError(head.status);
     if (failed) this.#lostSends.failed(current);
     else current.choice.record.succeeded();
     if (failed && this.#rules.canAbandonRun) {
@@ -697,6 +692,11 @@
     }
   }
 
+  /** Answers a caller that has nothing of its answer yet, since the host ends. */
+  endUnanswered(): void {
+    if (!this.#answer.started) this.#giveUp("stopping");
+  }
+
   /** Cuts the answer off because the process ends. */
   cutOff(): void {
     if (!this.#answer.finished) this.#abort("cut_off");
--- a/packages/rampswitch-serving/src/relay/unusable_answer.ts
+++ b/packages/rampswitch-serving/src/relay/unusable_answer.ts
@@ -10,6 +10,8 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import { type Frames, isAfter } from "./event_framer.ts";
 
+const FIRST_SERVER_ERROR_STATUS = 500;
+
 /**
  * Why an answer is unusable; `undefined` if it is usable. An answer that does not name
  * the request's attempt may be a late answer to another one. If such an answer were a
@@ -39,6 +41,11 @@
   return isInOrder ? undefined : "event id out of order";
 }
 
+/** Whether a status tells that a server failed. */
+export function isServerError(status: number): boolean {
+  return status >= FIRST_SERVER_ERROR_STATUS;
+}
+
 /** Whether a status tells that a server did what it was asked. */
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -512,6 +512,7 @@
     await this.#duties.release();
     this.#membership?.broadcast();
     await waitUntilIdle(this.#workInProgress(), clock, stop);
+    this.#callers.runs.forEach((run) => run.endUnanswered());
     await this.#streams.archive.flush();
     this.#callers.stopListening();
     logger.info("stopped", {
