Send no forwarded request once the stop of its host has begun

What callers would see: a request that a host passes on through another one, whose planned stop begins while that one reads the request or asks whether its server is still the same, was sent to the server late in the grace; with the end of the other host its outcome is unknown, and what may run once only is answered with 502.

Cause: whether the host stops was asked once, before the body was read and the server confirmed.

Ruled out: the listener's check for new requests (it holds, with a test).

Change: it is asked again before the request is sent; "not sent" is true then, and the first host goes on through another one.

Conclusion: nothing of another host is sent after the stop began; what was sent before runs on to the end of the grace.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -179,6 +179,11 @@
       return;
     }
     if (response.destroyed) return;
+    // The stop may have begun while the request was read or its server was asked.
+    if (this.#parts.stopping()) {
+      this.#refuse(response, forwarded, "stopping");
+      return;
+    }
     const { length } = body.value;
     this.#bodyBytes += length;
     response.once("close", () => {
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -196,6 +196,29 @@
     expect((await parts.send()).at(-1)).toBe(`not_written: ${reason}`);
   });
 
+  // Guards against a request that is passed on by a host whose stop began while it read or
+  // confirmed the request, and that is cut off at the end of the stop.
+  test.each([
+    ["read", { body: "sent" }],
+    ["confirmed", { needsConfirmation: true }],
+  ])("refuses a request that is %s when it begins to stop", async (_, sent) => {
+    let checks = 0;
+    const stopping = () => {
+      checks += 1;
+      return checks > 1;
+    };
+    const reached: string[] = [];
+    await using parts = await Parts.start(
+      (incoming, response) => {
+        reached.push(incoming.url ?? "");
+        response.end();
+      },
+      { stopping },
+    );
+    expect((await parts.send(sent)).at(-1)).toBe("not_written: stopping");
+    expect(reached).toEqual([]);
+  });
+
   // Guards against a stream that goes on at another version through a host which knows
   // that the server is another one by now.
   test.each([
