Count a host as stopping up to the end of its process

What callers would see: a request that a host without links passes on through another one in the last 70 to 250 ms of that one's planned stop was taken, passed on to a server and cut off with the process; its callers get 502 for what may run once only. Peers were also told that the host doesn't stop, so that they chose it again, and its answers no longer closed their connections.

Cause: "stopping" was asked of the state of the lifecycle, which is "stopped" from the end of the wait on, while the process still sends the last bytes of answers and writes its log.

Ruled out: requests of own callers at that time; they are refused by the time since the stop began.

Change: the lifecycle tells whether a planned stop has begun, and this stays so up to the end. All four uses ask that.

Conclusion: a host that stops passes nothing on for others.

--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -355,7 +355,7 @@
         directory: this.#directory,
         forwardingHosts: () => this.#membership?.forwardingHosts ?? [],
         isHostAddress: (ip) => this.#membership?.isHostAddress(ip) === true,
-        stopping: () => this.#lifecycle.state === "stopping",
+        stopping: () => this.#lifecycle.isStopping,
         broadcast: () => promptUpdates.trigger(),
         runs: new ServerRuns({
           ...ports,
@@ -457,7 +457,7 @@
       access: this.#access,
       permitHolders: () => this.#membership?.permitHolders ?? [],
       fleetTime: () => this.#fleetTime(),
-      stopping: () => this.#lifecycle.state === "stopping",
+      stopping: () => this.#lifecycle.isStopping,
       requestConfiguration: (relay) =>
         this.#membership?.requestConfiguration(relay),
     });
@@ -599,7 +599,7 @@
       },
       {
         ownUpdate: (message) => this.#gossip.ownUpdate(message),
-        stopping: () => this.#lifecycle.state === "stopping",
+        stopping: () => this.#lifecycle.isStopping,
         viewFor: (host) => this.#gossip.viewFor(host),
         onUpdate: (update, age) => this.#gossip.receiveUpdate(update, age),
         onDigest: (digest) => this.#gossip.receiveDigest(digest),
@@ -660,7 +660,7 @@
       acceptsRequests: () =>
         startsRequests(this.#lifecycle.plannedStop, this.#ports.clock.now()),
       endsAt: () => latestEndOf(this.#lifecycle.plannedStop),
-      closesConnections: () => this.#lifecycle.state === "stopping",
+      closesConnections: () => this.#lifecycle.isStopping,
       began: (workspace) =>
         this.#duties.usage.countRequest(workspace, this.#fleetTime()),
       dispatched: ({ entry }, dispatch) => {
--- a/packages/rampswitch-serving/src/serving_lifecycle.ts
+++ b/packages/rampswitch-serving/src/serving_lifecycle.ts
@@ -54,6 +54,11 @@
     return this.#snapshot.value;
   }
 
+  /** Whether a planned stop has begun, up to the end of the process. */
+  get isStopping(): boolean {
+    return this.plannedStop !== undefined;
+  }
+
   /** Handles an event; returns whether the state changed. */
   handle(event: ServingEvent): boolean {
     const before = this.state;
