Wait for requests that other entry hosts run before a planned stop ends

What callers of the own interface would see: within a planned stop of an entry host, chats without a key were passed on to another host once the slots were handed over; the host that had taken them ended about a second after the signal and cut all of them off, seconds before its limit.

Cause: the stop waits for the runs of this host alone. A request that another host runs, or that is being read, is claimed or waits for admission, counted as nothing.

Ruled out: work of the host itself (checks without a key held before).

Change: the requests of callers that are being read or whose answers are being sent count too.

--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -53,6 +53,7 @@
   readonly #lifecycle = new ProcessLifecycle();
   readonly #parts: EntryParts;
   #addresses: EntryAddresses | undefined;
+  #listeners: EntryListeners | undefined;
 
   private constructor(settings: Settings, environment: EntryEnvironment) {
     this.#parts = this.#owned.own(
@@ -163,6 +164,7 @@
       }),
     );
     this.#addresses = listeners.addresses;
+    this.#listeners = listeners;
     const { advertise } = parts.settings;
     parts.self = {
       ...parts.self,
@@ -219,13 +221,18 @@
     logger.info("ready", { revision: configuration.state.revision });
   }
 
+  /** Work of this host, and requests of its callers that run on others. */
+  get #inProgress(): number {
+    return this.#parts.working + (this.#listeners?.requestsInProgress ?? 0);
+  }
+
   /** Hands over slots and waits for running work, at most until `deadline`. */
   async #drain(deadline: number): Promise<void> {
     const { clock, slots, membership } = this.#parts;
     const idleAfter = clock.now() + DRAIN_GRACE_MILLISECONDS;
     while (clock.now() < deadline) {
       slots.handOverAll();
-      const idle = this.#parts.working === 0 && clock.now() >= idleAfter;
+      const idle = this.#inProgress === 0 && clock.now() >= idleAfter;
       const hasNoPeers = membership.trusted.length === 0;
       if (idle && (hasNoPeers || slots.heldSlots === 0)) return;
       await sleep(clock, DRAIN_POLL_MILLISECONDS);
--- a/packages/rampswitch-entry/src/intake/caller_server.ts
+++ b/packages/rampswitch-entry/src/intake/caller_server.ts
@@ -75,6 +75,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #routes: readonly Route[];
+  #inProgress = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -96,6 +97,11 @@
     ];
   }
 
+  /** Number of requests that are being read or whose answers are being sent. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
   /** Starts to listen at an address. */
   listen(address: string): Promise<Listening> {
     const { limits, intake, metrics } = this.#options;
@@ -137,6 +143,10 @@
     const { logger, metrics } = this.#options;
     const { response } = incoming;
     response.on("error", () => undefined);
+    this.#inProgress += 1;
+    response.once("close", () => {
+      this.#inProgress -= 1;
+    });
     this.#handle(incoming).catch((error: unknown) => {
       logger.error("request failed", { error: String(error) });
       const outcome = inDoubt("backend_lost", "internal error");
--- a/packages/rampswitch-entry/src/intake/entry_listeners.ts
+++ b/packages/rampswitch-entry/src/intake/entry_listeners.ts
@@ -7,7 +7,7 @@
  */
 import type { Freshness } from "rampswitch-configuration";
 import { listenForPeers } from "rampswitch-peer";
-import { type Listening, Ownership } from "rampswitch-utils";
+import { Ownership } from "rampswitch-utils";
 import { AdministrationServer } from "./administration_server.ts";
 import { BackendClient } from "../attempt/backend_client.ts";
 import { CallerServer } from "./caller_server.ts";
@@ -41,9 +41,16 @@
 export class EntryListeners implements AsyncDisposable {
   readonly #owned = new Ownership();
   readonly addresses: EntryAddresses;
+  readonly #callers: CallerServer;
 
-  private constructor(addresses: EntryAddresses) {
+  private constructor(addresses: EntryAddresses, callers: CallerServer) {
     this.addresses = addresses;
+    this.#callers = callers;
+  }
+
+  /** Number of callers' requests in progress, wherever they run. */
+  get requestsInProgress(): number {
+    return this.#callers.inProgress;
   }
 
   /** Starts to listen; resolves once all three addresses are open. */
@@ -61,7 +68,8 @@
       },
     );
     const forwarding = new BackendClient();
-    const callers = await listenForCallers(parts, processStatus, forwarding);
+    const server = callerServer(parts, processStatus, forwarding);
+    const callers = await server.listen(parts.settings.listen.callers);
     const administration = await new AdministrationServer({
       ...parts,
       self: () => parts.self,
@@ -69,11 +77,12 @@
       state: () => processStatus.state(),
       freshness: () => processStatus.freshness(),
     }).listen(listen.administration);
-    const listeners = new EntryListeners({
+    const addresses = {
       callers: callers.address,
       peers: peers.address,
       administration: administration.address,
-    });
+    };
+    const listeners = new EntryListeners(addresses, server);
     [forwarding, peers, callers, administration].forEach((part) =>
       listeners.#owned.own(part),
     );
@@ -85,11 +94,11 @@
   }
 }
 
-function listenForCallers(
+function callerServer(
   parts: EntryParts,
   processStatus: ProcessStatus,
   forwarding: BackendClient,
-): Promise<Listening> {
+): CallerServer {
   const { settings, membership, self, configuration } = parts;
   const shared = {
     ...parts,
@@ -114,5 +123,5 @@
     limits: settings.limits,
     refusal: () => processStatus.refusal(),
     ready: () => processStatus.ready(),
-  }).listen(settings.listen.callers);
+  });
 }
