Refuse what can't end before the stop of an entry host does

What callers of the own interface would see: an entry host that stops took work up to its limit. Calls of plain services that lasted beyond it were cut off without an answer, also those that must run once.

Ruled out: requests with a key and streams, which their callers read on elsewhere; they are taken as before.

Change: work without a key whose answer comes whole is refused as `stopping`, not run, where one and a half times its expected time doesn't fit into what is left, before it is claimed or passed on and again after the waits for admission and for the body. The expected time is the predicted one times what earlier runs of the service took in relation to that: of plain services nothing else is known. A deadline before the end refuses nothing.

--- a/packages/rampswitch-entry/src/admission/admission_gate.ts
+++ b/packages/rampswitch-entry/src/admission/admission_gate.ts
@@ -21,6 +21,7 @@
   Ownership,
   repeat,
 } from "rampswitch-utils";
+import { RunTimes } from "./run_times.ts";
 
 /** Options of {@link AdmissionGate}. */
 export interface GateOptions {
@@ -32,10 +33,13 @@
   readonly hosts: () => number;
   /** Maximum number of waiting requests per service. */
   readonly queueRequests: number;
+  /** When this host ends what is in progress; infinite unless it stops. */
+  readonly endsAt: () => number;
 }
 
 interface ServiceQueue {
   readonly admission: Admission;
+  readonly times: RunTimes;
   /** Moving average of the predicted tokens of a request. */
   averageTokens: number;
 }
@@ -49,11 +53,16 @@
  * once, since a part of it is still on its way to them.
  */
 const OVERCOMMIT_FACTOR = 1.5;
+/** Time after which a caller may retry at another host, in milliseconds. */
+const STOP_RETRY_MILLISECONDS = 500;
 /** Weight of the former average in the moving average of a request's tokens. */
 const TOKEN_AVERAGE_RETENTION = 0.98;
 /** Average tokens of a request before the first request of a service. */
 const INITIAL_AVERAGE_TOKENS = 256;
 
+/** Time that a request may take, as a multiple of what is expected of it. */
+const EXPECTED_TIME_MULTIPLE = 1.5;
+
 /** Result of an admission: a refusal, or `undefined` if the request may run. */
 export type AdmissionResult = RefusedNotRun | undefined;
 
@@ -113,16 +122,39 @@
       (1 - TOKEN_AVERAGE_RETENTION) * request.tokens;
     const decision = queue.admission.submit(request, this.#options.clock.now());
     this.#options.metrics.count("admission", decision.kind);
-    if (decision.kind === "admitted") return Promise.resolve(undefined);
+    if (decision.kind === "admitted") {
+      queue.times.started(request, this.#options.clock.now());
+      return Promise.resolve(undefined);
+    }
     if (decision.kind === "refused") return Promise.resolve(decision.outcome);
     return new Promise((resolve) => this.#waiting.set(request.id, resolve));
   }
 
+  /**
+   * Refuses a request that can't end before this host does; `undefined` for one that
+   * can, as all can unless the host stops.
+   */
+  refusalBeforeStop(
+    service: string,
+    work: Pick<AdmissionRequest, "deadline" | "runMilliseconds">,
+  ): AdmissionResult {
+    const endsAt = this.#options.endsAt();
+    if (work.deadline <= endsAt) return undefined;
+    const expected = this.#queue(service).times.expected(work.runMilliseconds);
+    const needed = EXPECTED_TIME_MULTIPLE * expected;
+    return this.#options.clock.now() + needed <= endsAt
+      ? undefined
+      : refused("stopping", "the host ends before the request could", {
+          retryAfterMilliseconds: STOP_RETRY_MILLISECONDS,
+        });
+  }
+
   /** Ends a running or waiting request, and starts the next ones. */
   end(service: string, id: string): void {
     const queue = this.#queue(service);
     const now = this.#options.clock.now();
     queue.admission.end(id, now);
+    queue.times.ended(id, now);
     this.#settle(id, refused("deadline_passed", "the caller went away"));
     this.#startNext(queue, now);
   }
@@ -142,6 +174,7 @@
         tokens: Number.POSITIVE_INFINITY,
         queueRequests: this.#options.queueRequests,
       }),
+      times: new RunTimes(),
       averageTokens: INITIAL_AVERAGE_TOKENS,
     };
     this.#queues.set(service, queue);
@@ -181,7 +214,10 @@
   }
 
   #startNext(queue: ServiceQueue, now: number): void {
-    queue.admission.next(now).forEach(({ id }) => this.#settle(id, undefined));
+    queue.admission.next(now).forEach((request) => {
+      queue.times.started(request, now);
+      this.#settle(request.id, undefined);
+    });
   }
 
   #settle(id: string, admitted: AdmissionResult): void {
--- a/packages/rampswitch-entry/src/entry_parts.ts
+++ b/packages/rampswitch-entry/src/entry_parts.ts
@@ -101,6 +101,8 @@
   readonly gate: AdmissionGate;
   /** This host; its addresses are valid once the process listens. */
   self: Host;
+  /** When this host ends what is in progress; infinite unless it stops. */
+  endsAt = Number.POSITIVE_INFINITY;
 
   constructor(
     settings: Settings,
@@ -287,6 +289,7 @@
       ...this.#shared,
       hosts: () => this.membership.trusted.length + 1,
       queueRequests: this.settings.limits.queueRequests,
+      endsAt: () => this.endsAt,
     });
   }
 
--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -141,7 +141,9 @@
     logger.info("stopping");
     membership.leave();
     replication.flush();
-    await this.#drain(clock.now() + settings.limits.stopMilliseconds);
+    const endsAt = clock.now() + settings.limits.stopMilliseconds;
+    this.#parts.endsAt = endsAt;
+    await this.#drain(endsAt);
     replication.flush();
     await sleep(clock, FINAL_FLUSH_MILLISECONDS);
     this.#lifecycle.handle({ type: "finished" });
--- a/packages/rampswitch-entry/src/intake/work_intake.ts
+++ b/packages/rampswitch-entry/src/intake/work_intake.ts
@@ -148,19 +148,16 @@
   const { response } = exchange;
   const now = clock.now();
   const requestId = mintRequestId(0, now);
-  const refusal = await gate.admit(
-    call.service.name,
-    admissionRequest(
-      exchange,
-      {
-        id: requestId,
-        tokens: ASSUMED_PLAIN_TOKENS,
-        runMilliseconds: ASSUMED_PLAIN_RUN_MILLISECONDS,
-        deadline: call.deadline,
-      },
-      now,
-    ),
-  );
+  const work = {
+    id: requestId,
+    tokens: ASSUMED_PLAIN_TOKENS,
+    runMilliseconds: ASSUMED_PLAIN_RUN_MILLISECONDS,
+    deadline: call.deadline,
+  };
+  const { name } = call.service;
+  const refusal =
+    gate.refusalBeforeStop(name, work) ??
+    (await gate.admit(name, admissionRequest(exchange, work, now)));
   if (refusal !== undefined) {
     refuse(response, refusal, { metrics, requestId });
     return;
@@ -169,8 +166,10 @@
   const outcome =
     body === "refused"
       ? undefined
-      : await plain.runStreamed({ ...call, requestId, body }, response);
-  gate.end(call.service.name, requestId);
+      : // The host may have begun to stop while the call waited or was read.
+        (gate.refusalBeforeStop(name, work) ??
+        (await plain.runStreamed({ ...call, requestId, body }, response)));
+  gate.end(name, requestId);
   if (outcome !== undefined) refuse(response, outcome, { metrics, requestId });
 }
 
--- a/packages/rampswitch-entry/src/outcome/retained_requests.ts
+++ b/packages/rampswitch-entry/src/outcome/retained_requests.ts
@@ -19,6 +19,7 @@
   inDoubt,
   type Outcome,
   refused,
+  type RefusedNotRun,
   type Service,
 } from "rampswitch-types";
 import type { Random } from "rampswitch-utils";
@@ -115,6 +116,11 @@
       await hop.run(exchange, { slot, body, runHere: here });
       return;
     }
+    const refusal = this.#refusalBeforeStop(exchange, work);
+    if (refusal !== undefined) {
+      this.#refuse(exchange, refusal);
+      return;
+    }
     const ownSlots = slots.primarySlots;
     const ownSlot = ownSlots[random.below(Math.max(1, ownSlots.length))];
     const slot = ownSlot ?? random.below(slots.count);
@@ -253,7 +259,24 @@
       admissionRequest(exchange, { ...work, id, deadline }, clock.now()),
     );
     if (refusal !== undefined && keyed) slots.finish(slot, key, "withdrawn");
-    return refusal;
+    if (refusal !== undefined || keyed) return refusal;
+    const late = this.#refusalBeforeStop(exchange, work);
+    if (late !== undefined) gate.end(work.service.name, id);
+    return late;
+  }
+
+  /**
+   * Refuses work without a key that can't end before this host does, since its caller
+   * can't read the answer elsewhere; that of a stream can.
+   */
+  #refusalBeforeStop(
+    exchange: Exchange,
+    { service, form, runMilliseconds }: RetainedWork,
+  ): RefusedNotRun | undefined {
+    if (form === "stream") return undefined;
+    const { gate, clock } = this.#options;
+    const deadline = exchangeDeadline(exchange, service, clock.now());
+    return gate.refusalBeforeStop(service.name, { deadline, runMilliseconds });
   }
 
   async #claim(slot: number, request: KeyRequest): Promise<ClaimOutcome> {
