Answer what has no answer at the end of an entry host's stop

What callers of the own interface would see: chats that other hosts ran, or that took longer than those before, were cut off without an answer when the host that they had asked ended.

Cause: the end of the process closed every connection.

Change: before the process ends, callers without a part of their answer are told that the work may have run, as with any lost host; nothing is promised. An answer that comes after that is not written.

--- a/packages/rampswitch-entry/src/entry_process.ts
+++ b/packages/rampswitch-entry/src/entry_process.ts
@@ -148,6 +148,7 @@
     await sleep(clock, FINAL_FLUSH_MILLISECONDS);
     this.#lifecycle.handle({ type: "finished" });
     logger.info("stopped", { working: this.#parts.working });
+    this.#listeners?.endUnanswered();
     await this[Symbol.asyncDispose]();
   }
 
--- a/packages/rampswitch-entry/src/intake/caller_server.ts
+++ b/packages/rampswitch-entry/src/intake/caller_server.ts
@@ -71,11 +71,17 @@
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
+/** Answer to requests that the host could not end; nothing is promised. */
+const HOST_ENDED = inDoubt(
+  "backend_timeout",
+  "the host ended before its answer",
+);
+
 /** HTTP server for callers. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #routes: readonly Route[];
-  #inProgress = 0;
+  readonly #open = new Set<ServerResponse>();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -99,7 +105,15 @@
 
   /** Number of requests that are being read or whose answers are being sent. */
   get inProgress(): number {
-    return this.#inProgress;
+    return this.#open.size;
+  }
+
+  /** Answers callers that have nothing of their answers yet, since the host ends. */
+  endUnanswered(): void {
+    const { metrics } = this.#options;
+    [...this.#open]
+      .filter(({ headersSent }) => !headersSent)
+      .forEach((response) => refuse(response, HOST_ENDED, { metrics }));
   }
 
   /** Starts to listen at an address. */
@@ -143,10 +157,8 @@
     const { logger, metrics } = this.#options;
     const { response } = incoming;
     response.on("error", () => undefined);
-    this.#inProgress += 1;
-    response.once("close", () => {
-      this.#inProgress -= 1;
-    });
+    this.#open.add(response);
+    response.once("close", () => this.#open.delete(response));
     this.#handle(incoming).catch((error: unknown) => {
       logger.error("request failed", { error: String(error) });
       const outcome = inDoubt("backend_lost", "internal error");
--- a/packages/rampswitch-entry/src/intake/entry_listeners.ts
+++ b/packages/rampswitch-entry/src/intake/entry_listeners.ts
@@ -53,6 +53,11 @@
     return this.#callers.inProgress;
   }
 
+  /** Answers callers that have nothing of their answers yet. */
+  endUnanswered(): void {
+    this.#callers.endUnanswered();
+  }
+
   /** Starts to listen; resolves once all three addresses are open. */
   static async start(
     parts: EntryParts,
--- a/packages/rampswitch-entry/src/outcome/answer_writer.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_writer.ts
@@ -63,10 +63,13 @@
   answer.callers += 1;
   const writer = WRITERS[options.form](answer, response);
   const stop = answer.read(options.after, {
-    event: (index, text) => writer.event(index, text),
+    // Its caller was given another end if the host ends first.
+    event: (index, text) => {
+      if (!response.writableEnded) writer.event(index, text);
+    },
     ended: (outcome) => {
       ended = true;
-      writer.ended(outcome);
+      if (!response.writableEnded) writer.ended(outcome);
     },
     lost: () => {
       ended = true;
--- a/packages/rampswitch-measure/src/late_requests_test.ts
+++ b/packages/rampswitch-measure/src/late_requests_test.ts
@@ -86,7 +86,10 @@
 }
 
 describe("requests late in the stop of an entry host", () => {
-  test.each<[string, Ask]>([["checks of 1.2 s", check(1_200)]])(
+  test.each<[string, Ask]>([
+    ["checks of 1.2 s", check(1_200)],
+    ["chats", chat(300)],
+  ])(
     "%s get an answer or are refused before they run",
     async (_, ask) => {
       await using deployment = await TestDeployment.start({
