Believe that a server knows no run only once it said so twice

The second call was left to the loop of the move, which ends before it where the time for the doubt (1.5 s, shorter than the 2.5 s that an answer may take) is over, the source has ended, little time is left, or the next two calls were not sent.

Change: one answer that knows no run leaves the outcome in doubt until a second one or a handle.

Not measured: how many regular ends, met by one 404 with no time for a second, now are losses.

--- a/packages/rampswitch-serving/src/relay/run_stops.ts
+++ b/packages/rampswitch-serving/src/relay/run_stops.ts
@@ -24,7 +24,7 @@
   readonly to: string;
 }
 
-/** Answers of calls that surely stopped nothing by themselves. */
+/** Answers of calls that stopped nothing by themselves; an unknown run needs a second one. */
 const WITHOUT_EFFECT: ReadonlySet<MemoryCopyError> = new Set<MemoryCopyError>([
   "no_run",
   "not_connected",
@@ -79,9 +79,17 @@
   readonly open: number;
   /** Whether a call may have stopped the run, and no later one has made it clear. */
   readonly inDoubt: boolean;
+  /** Answers since the last handle which say that the server knows no run. */
+  readonly noRunAnswers: number;
 }
 
-const NO_CALLS: Calls = { open: 0, inDoubt: false };
+/**
+ * Answers that know no run from which on they are believed: a single one may belie a stop
+ * that took effect.
+ */
+const CONFIRMING_ANSWERS = 2;
+
+const NO_CALLS: Calls = { open: 0, inDoubt: false, noRunAnswers: 0 };
 
 /** The calls that stop runs of one request, by the incarnation of their server. */
 export class RunStops {
@@ -103,8 +111,13 @@
 
   /** Whether a server may have stopped the run that it has now because it was asked to. */
   mayHaveStopped(record: ServerRecord): boolean {
-    const { open, inDoubt } = this.#at(record);
-    return open > 0 || inDoubt || this.#abandonedAt.has(record.incarnation);
+    const calls = this.#at(record);
+    return (
+      calls.open > 0 ||
+      calls.inDoubt ||
+      isUnconfirmed(calls) ||
+      this.#abandonedAt.has(record.incarnation)
+    );
   }
 
   /** Whether a call waits for its answer. */
@@ -118,7 +131,7 @@
     to,
     attemptId,
   }: StopCall): Promise<Result<RetainedMemory, MemoryCopyError>> {
-    this.#update(from, ({ open, inDoubt }) => ({ open: open + 1, inDoubt }));
+    this.#update(from, (calls) => ({ ...calls, open: calls.open + 1 }));
     const address = from.entry.address;
     const answer = await this.#control.copyMemory({
       from: address,
@@ -126,10 +139,7 @@
       attemptId,
       stopsRun: true,
     });
-    this.#update(from, ({ open, inDoubt }) => ({
-      open: open - 1,
-      inDoubt: isInDoubtAfter(answer, inDoubt),
-    }));
+    this.#update(from, (calls) => answered(calls, answer));
     return answer;
   }
 
@@ -142,11 +152,21 @@
   }
 }
 
+/** Whether one answer alone says that there is no run. */
+function isUnconfirmed({ noRunAnswers }: Calls): boolean {
+  return noRunAnswers > 0 && noRunAnswers < CONFIRMING_ANSWERS;
+}
+
 /** A handle names the memory of the stopped run, whichever call has stopped it. */
-function isInDoubtAfter(
+function answered(
+  { open, inDoubt, noRunAnswers }: Calls,
   answer: Result<RetainedMemory, MemoryCopyError>,
-  wasInDoubt: boolean,
-): boolean {
-  if (answer.isOk) return false;
-  return wasInDoubt || mayHaveStopped(answer.error);
+): Calls {
+  if (answer.isOk) return { ...NO_CALLS, open: open - 1 };
+  const { error } = answer;
+  return {
+    open: open - 1,
+    inDoubt: inDoubt || mayHaveStopped(error),
+    noRunAnswers: noRunAnswers + (error === "no_run" ? 1 : 0),
+  };
 }
