Tell a stall again that came while the stop of its run was requested

Callers of a resumable stream got one event and then nothing until their deadline where the server fell silent, kept the connection and read no call that stops its run.

Cause: a stall is told once, until an event comes. One that came while a stop was requested was dropped; after a stop without an outcome nobody watched the send any more. Not new with the longer stops, but a stop that is asked for again covers more stalls. Class: a single signal dropped by a state that ends later.

Change: the watch looks again every 50 ms while the stop is requested; then the stall is handled.

--- a/packages/rampswitch-serving/src/relay/request_run.ts
+++ b/packages/rampswitch-serving/src/relay/request_run.ts
@@ -353,7 +353,12 @@
   /** Has another server take a silent send's request, if it may run a second time. */
   #handleStall(): void {
     const current = this.#current;
-    if (current === undefined || this.#stopping) return;
+    if (current === undefined) return;
+    // A stop that was requested may leave the run where it is.
+    if (this.#stopping) {
+      this.#stallWatch.lookAgain();
+      return;
+    }
     this.#lostSends.unresponsive(current);
     if (!this.#rules.canAbandonRun) return;
     this.#stallWatch.extend(firstStallMilliseconds(this.request.route));
--- a/packages/rampswitch-serving/src/relay/stall_watch.ts
+++ b/packages/rampswitch-serving/src/relay/stall_watch.ts
@@ -23,6 +23,9 @@
 /** The same multiple for the first event of a resumable stream. */
 const STREAM_STALL_TARGET_MULTIPLE = 2.5;
 
+/** Time after which a stall that could not be handled is told again, in milliseconds. */
+const LOOK_AGAIN_MILLISECONDS = 50;
+
 /** Time without a first event or an answer that counts as a stall, in milliseconds. */
 export function firstStallMilliseconds(
   route: Pick<Route, "streaming" | "targetMilliseconds">,
@@ -88,6 +91,11 @@
     this.#schedule(milliseconds);
   }
 
+  /** Tells the same stall again soon, unless an event comes. */
+  lookAgain(): void {
+    this.extend(LOOK_AGAIN_MILLISECONDS);
+  }
+
   /** Records an event. One timer covers all pauses of the stream. */
   eventReceived(): void {
     const wasFirst = this.#limit !== MAXIMUM_PAUSE_MILLISECONDS;
