Take only connections open since an answer began as a sign that its server lives

Callers saw a stream without a length end early as complete: its server had ended within it, and its next process took connections before the host read the end.

Cause: any connection that was open when the end was read counted as one to the process that gave the answer, although another request could have opened it to the next process (the end lies unread behind a slow caller, or in a busy host). The server, which would have told another start, was then not asked.

Now only connections that were open when the answer began count.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { Socket } from "node:net";
 import {
   isInformationalStatus,
   isOpen,
@@ -170,8 +171,8 @@
     const handler = new SendHandler(listener, {
       method: request.method,
       contact: { server: server.id, contacts: this.#contacts, connections },
-      doubtAboutServer: () =>
-        this.#doubtAbout(server, { connections, isSameIncarnation }),
+      doubtAboutServer: (openAtHead) =>
+        this.#doubtAbout(server, { openAtHead, isSameIncarnation }),
     });
     pool.dispatch(
       {
@@ -224,22 +225,22 @@
 
   /**
    * Whether the process has ended that gave an answer without a length. The end of a
-   * process ends its connections in the same way as the end of an answer. One that
-   * is open from before shows that the process lives on; without any, it is asked.
+   * process ends its connections in the same way as the end of an answer. One that is
+   * open since the answer began shows that the process lives on, while a later one may be
+   * with the next process; without any, it is asked.
    */
   async #doubtAbout(
     server: ServerAddress,
     {
-      connections,
+      openAtHead,
       isSameIncarnation,
     }: {
-      readonly connections: OpenConnections;
+      readonly openAtHead: readonly Socket[];
       readonly isSameIncarnation: IncarnationCheck;
     },
   ): Promise<EndDoubt | undefined> {
-    const before = connections.open;
     if (!(await this.connects(server))) return "server_gone";
-    if (before.some(isOpen)) return undefined;
+    if (openAtHead.some(isOpen)) return undefined;
     return (await isSameIncarnation()) ? undefined : "server_started_again";
   }
 
@@ -291,17 +292,27 @@
   pool.close().catch(() => undefined);
 }
 
+/**
+ * Why a server may have ended within an answer, judged by the connections that were open
+ * when the answer began.
+ */
+type DoubtCheck = (
+  openAtHead: readonly Socket[],
+) => Promise<EndDoubt | undefined>;
+
 /** Forwards undici's callbacks to a listener until the send is aborted. */
 class SendHandler implements Dispatcher.DispatchHandler, Send {
   readonly #listener: SendListener;
   readonly #method: string;
   readonly #contact: Contact;
-  readonly #doubtAboutServer: () => Promise<EndDoubt | undefined>;
+  readonly #doubtAboutServer: DoubtCheck;
   #controller: Dispatcher.DispatchController | undefined;
   #aborted = false;
   #answered = false;
   /** How the answer marks its end, by its head. */
   #framing: AnswerFraming = "framed";
+  /** Connections to the server that were open when the answer began. */
+  #openAtHead: readonly Socket[] = [];
   #informationalHeads = 0;
   #pieces = 0;
   /** Whether the listener takes no data for now. */
@@ -318,7 +329,7 @@
     }: {
       readonly method: string;
       readonly contact: Contact;
-      readonly doubtAboutServer: () => Promise<EndDoubt | undefined>;
+      readonly doubtAboutServer: DoubtCheck;
     },
   ) {
     this.#listener = listener;
@@ -364,7 +375,9 @@
     const rawHeaders = decodeHeaders(controller.rawHeaders);
     const head = { method: this.#method, status: statusCode, rawHeaders };
     this.#framing = framingOf(head);
-    this.#contact.connections.answered(rawHeaders, this.#framing);
+    const { connections } = this.#contact;
+    this.#openAtHead = connections.open;
+    connections.answered(rawHeaders, this.#framing);
     this.#listener.head(statusCode, rawHeaders);
   }
 
@@ -410,7 +423,9 @@
       if (doubt === undefined) this.#listener.ended("unframed");
       else this.#listener.failed("lost", END_DOUBTS[doubt]);
     };
-    this.#doubtAboutServer().then(ended, () => ended("server_gone"));
+    this.#doubtAboutServer(this.#openAtHead).then(ended, () =>
+      ended("server_gone"),
+    );
   }
 
   onResponseError(
