Free read buffers when they are collected, not when another thread gets a turn

Cause, in the host: each read takes a buffer of 64 KiB, and what a crowd sends is discarded as fast as it comes.

--- a/packages/rampswitch-entry/src/main.ts
+++ b/packages/rampswitch-entry/src/main.ts
@@ -10,6 +10,7 @@
 import { readFileSync } from "node:fs";
 import {
   createLogger,
+  freeBuffersWhenCollected,
   redirectConsoleErrors,
   runInBackground,
   SYSTEM_CLOCK,
@@ -42,6 +43,7 @@
 }
 
 async function run(settings: Settings): Promise<void> {
+  freeBuffersWhenCollected();
   const logger = createLogger(settings.log.level, {
     host: settings.host.name,
     dataHall: settings.host.dataHall,
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./abort_response.ts";
 export * from "./suspend_aware_clock.ts";
 export * from "./bounded_server.ts";
+export * from "./buffer_sweeping.ts";
 export * from "./clock.ts";
 export * from "./collected_bytes.ts";
 export * from "./connection_ends.ts";
