--- a/packages/rampswitch-utils/src/body.ts
+++ b/packages/rampswitch-utils/src/body.ts
@@ -8,7 +8,11 @@
 import { Result } from "true-myth";
 import type { Readable } from "node:stream";
 import { CollectedBytes } from "./collected_bytes.ts";
-import { type Allowance, UNLIMITED_ALLOWANCE } from "./memory_budget.ts";
+import {
+  type Allowance,
+  MemoryBudget,
+  UNLIMITED_ALLOWANCE,
+} from "./memory_budget.ts";
 
 /** Reason why a body could not be read: over a limit, or not complete. */
 export type BodyError = "too_large" | "no_memory" | "cut_off";
@@ -28,12 +32,24 @@
   return COPIES_WITHOUT_LENGTH * bytes;
 }
 
-/** Reads a complete text of at most `limit` bytes; a longer one is broken off. */
+/** Memory for the answers that a client reads at once; one of the largest size fits. */
+export function answerBudget(largestBytes: number): MemoryBudget {
+  const budget = new MemoryBudget(0);
+  budget.fit(memoryOfBody(largestBytes));
+  return budget;
+}
+
+/**
+ * Reads a complete text of at most `limit` bytes; one that is longer, or for which a
+ * budget has no memory, is broken off.
+ */
 export async function readText(
   stream: Readable,
   limit: number,
+  budget?: MemoryBudget,
 ): Promise<Result<string, BodyError>> {
-  const body = await readBody(stream, limit);
+  using memory = budget?.open() ?? UNLIMITED_ALLOWANCE;
+  const body = await readBody(stream, limit, { memory });
   if (body.isErr) stream.destroy();
   return body.map((bytes) => bytes.toString("utf8"));
 }
