Bound the memory of the answers of the own interface's store

Callers saw nothing; an entry host's memory was not bounded: each answer was read up to 64 MiB, in buffers of up to twice that, on up to eight connections at once. Change: an answer may have 16 MiB (a list of some 16,000 objects of 1 KB), and those that are read at once share a budget in which one of them fits. Not measured: the two parts of the mend one by one.

--- a/packages/rampswitch-measure/src/spoilt_store_answer_test.ts
+++ b/packages/rampswitch-measure/src/spoilt_store_answer_test.ts
@@ -12,6 +12,9 @@
 import {
   CONNECTION_END_NAMES,
   CONNECTION_ENDS,
+  ENDLESS_BESIDE_BODY,
+  ENDLESS_BODIES,
+  EndlessServer,
   HEAD_STOPS,
   startRawServer,
   stoppedHead,
@@ -48,6 +51,21 @@
   '{"current":[]}',
 ] as const;
 
+/** Bytes that wait in the system between two processes, at most. */
+const SYSTEM_BYTES = 12 * 1024 * 1024;
+
+/** The largest answer, in bytes. */
+const LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Memory of buffers that nobody uses any more, in bytes; it follows the heap's limit. */
+const COLLECTABLE_BYTES = 64 * 1024 * 1024;
+
+/** Calls at once while the memory is measured. */
+const CALLS_AT_ONCE = 24;
+
+const ENDLESS = { ...ENDLESS_BESIDE_BODY, ...ENDLESS_BODIES };
+const ENDLESS_NAMES = Object.keys(ENDLESS) as (keyof typeof ENDLESS)[];
+
 let ownership: Ownership;
 let store: HttpObjectStore;
 let answer: (socket: Socket) => void;
@@ -57,13 +75,17 @@
   const { address } = ownership.own(
     await startRawServer((socket) => answer(socket)),
   );
+  store = ownership.own(storeAt(address));
+});
+
+function storeAt(address: string): HttpObjectStore {
   const accounting = new CallAccounting(
     SYSTEM_CLOCK,
     createMetrics("test", undefined),
     { callsPerSecond: () => 1_000_000 },
   );
-  store = ownership.own(new HttpObjectStore(address, { accounting }));
-});
+  return new HttpObjectStore(address, { accounting });
+}
 
 afterEach(async () => {
   await ownership[Symbol.asyncDispose]();
@@ -148,4 +170,37 @@
     expect(watched.isErr && watched.error).toEqual(UNKNOWN);
     await until(() => closed);
   }, 10_000);
+
+  test.each(ENDLESS_NAMES)("is closed soon, as %s", async (name) => {
+    await using server = await EndlessServer.start(ENDLESS[name]);
+    await using endless = storeAt(server.address);
+    const results = await Promise.all([
+      endless.get("own/a"),
+      endless.list("own/"),
+      endless.watch("own/", 0, WATCH),
+    ]);
+    await until(() => server.open === 0);
+    const bodyBytes = name in ENDLESS_BODIES ? LARGEST_ANSWER_BYTES : 0;
+    expect(results.every(({ isErr }) => isErr)).toBe(true);
+    expect(server.answers).toBeGreaterThan(0);
+    expect(server.mostTaken).toBeLessThan(SYSTEM_BYTES + bodyBytes);
+  });
+
+  test("takes little memory without an end, many at once", async () => {
+    const bytes = ENDLESS_BODIES["a body in chunks"];
+    await using server = await EndlessServer.start(bytes);
+    await using endless = storeAt(server.address);
+    const used = () => process.memoryUsage().arrayBuffers;
+    const before = used();
+    const seen: number[] = [];
+    const timer = setInterval(() => seen.push(used() - before), 1);
+    await Promise.all(
+      Array.from({ length: CALLS_AT_ONCE }, () => endless.get("own/a")),
+    );
+    clearInterval(timer);
+    // Bytes move to larger buffers while more arrive.
+    expect(Math.max(0, ...seen)).toBeLessThan(
+      6 * LARGEST_ANSWER_BYTES + COLLECTABLE_BYTES,
+    );
+  });
 });
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -8,6 +8,7 @@
 import { Result } from "true-myth";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import {
+  answerBudget,
   type Clock,
   MONOTONIC_CLOCK,
   type Random,
@@ -36,7 +37,7 @@
 const MAXIMUM_CONNECTIONS = 8;
 
 /** Maximum size of an answer, in bytes; a list has all objects under its prefix. */
-const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
 const OBJECT_SCHEMA = z.object({
   key: z.string(),
@@ -94,6 +95,8 @@
   readonly accounting: CallAccounting;
   readonly #pool: Pool;
   readonly #clock: Clock;
+  /** Memory of the answers that are being read. */
+  readonly #answers = answerBudget(MAXIMUM_ANSWER_BYTES);
 
   constructor(
     address: string,
@@ -206,7 +209,11 @@
             ? deadline
             : AbortSignal.any([deadline, call.signal]),
       });
-      const body = await readText(response.body, MAXIMUM_ANSWER_BYTES);
+      const body = await readText(
+        response.body,
+        MAXIMUM_ANSWER_BYTES,
+        this.#answers,
+      );
       return body
         .map((text) => ({ status: response.statusCode, body: text }))
         .mapErr((error) => ({ kind: "unknown", detail: `body ${error}` }));
