Read an engine's reports within a limit at the own interface

Cause: reports of load and cache events were collected whole, and their size was looked at afterwards, so that a body without an end was kept for the 800 ms of the call. Ruled out: the answers to chats themselves, which end at 256 KiB of an event. Change: a report is read up to its limit (1 MiB) and within 16 MiB for all, and parsed like other neighbours' JSON. Conclusion: a body is bounded while it is read, not once it is whole.

--- a/packages/rampswitch-entry/src/choice/backend_directory.ts
+++ b/packages/rampswitch-entry/src/choice/backend_directory.ts
@@ -28,9 +28,12 @@
   failureReporter,
   jitter,
   type Logger,
+  MemoryBudget,
   type Metrics,
   Ownership,
+  parseJson,
   type Random,
+  readText,
   rendezvousOrder,
   repeat,
 } from "rampswitch-utils";
@@ -42,6 +45,8 @@
 const IDLE_POLL_INTERVAL_MILLISECONDS = 2_000;
 const POLL_TIMEOUT_MILLISECONDS = 800;
 const MAXIMUM_REPLY_BYTES = 1024 * 1024;
+/** Memory of all reports that are read at once, in bytes. */
+const REPLIES_BYTES = 16 * 1024 * 1024;
 /** Number of servers up to which a round polls all of them. */
 const MAXIMUM_POLLED_PER_ROUND = 64;
 /** Servers polled in a round if there are too many to poll all. */
@@ -95,6 +100,8 @@
   readonly #states = new Map<string, ServerState>();
   readonly #speeds = new Map<string, ServiceSpeeds>();
   readonly #prefixes = new PrefixIndex(MAXIMUM_PREFIX_BLOCKS);
+  /** Memory of the reports that are being read. */
+  readonly #replies = new MemoryBudget(REPLIES_BYTES);
   readonly #unhealthy = new Set<string>();
   #pollOffset = 0;
 
@@ -323,12 +330,9 @@
       signal: AbortSignal.timeout(POLL_TIMEOUT_MILLISECONDS),
     });
     if (reply.isErr) return undefined;
-    try {
-      const text = await reply.value.body.text();
-      return text.length > MAXIMUM_REPLY_BYTES ? undefined : JSON.parse(text);
-    } catch {
-      return undefined;
-    }
+    const { body } = reply.value;
+    const text = await readText(body, MAXIMUM_REPLY_BYTES, this.#replies);
+    return text.andThen((whole) => parseJson(whole)).unwrapOr(undefined);
   }
 }
 
--- a/packages/rampswitch-measure/src/measured_deployment.ts
+++ b/packages/rampswitch-measure/src/measured_deployment.ts
@@ -4,7 +4,11 @@
 import { Ownership, sleep, SYSTEM_CLOCK } from "rampswitch-utils";
 import type { Settings } from "rampswitch-validation";
 import { EntryChild, StandinsChild } from "./child.ts";
-import { entrySettings, exampleResources } from "./deployment_plan.ts";
+import {
+  entrySettings,
+  exampleResources,
+  type StartedServer,
+} from "./deployment_plan.ts";
 import type { LocalPlatformOptions } from "./local_platform.ts";
 import { countersOf } from "./summed_counters.ts";
 import { applyAll, untilInForce } from "./operator.ts";
@@ -14,6 +18,8 @@
   readonly entries: number;
   readonly dataHalls: readonly string[];
   readonly platform: Omit<LocalPlatformOptions, "dataHalls">;
+  /** Backend servers beside those of the platform. */
+  readonly furtherServers?: readonly StartedServer[];
   readonly workspaces?: readonly string[];
   readonly slots?: number;
   readonly progress?: Settings["slots"]["progress"];
@@ -63,7 +69,10 @@
     );
     const revision = await applyAll(
       addresses[0] ?? "",
-      exampleResources(standins.listening.servers, options.workspaces),
+      exampleResources(
+        [...standins.listening.servers, ...(options.furtherServers ?? [])],
+        options.workspaces,
+      ),
     );
     await untilInForce(addresses, revision, {
       milliseconds: IN_FORCE_MILLISECONDS,
