End a kept answer that takes the memory of all answers while it arrives

Cause: `limits.answerBytes` and `answersBytes` were applied to ended answers alone; one in progress grew for as long as its server sent. Change: an answer that is larger than one that is kept ends, as `answer_too_large`, once all answers together are over `answersBytes` even without those that can be evicted. Smaller ones go on, and large ones as long as there is memory. Open: tokens without an end from an engine that keeps to its protocol. With the default 48 MiB of answers the heap has to be larger than 64 MB.

--- a/packages/rampswitch-entry/src/attempt/plain_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/plain_runner.ts
@@ -167,6 +167,7 @@
       for await (const chunk of reply.body) {
         const parts = encodeParts(chunk as Buffer);
         await replication.progressed(answer, answer.events.length, parts);
+        if (answer.isOverfull) return this.#endOverfull(server);
       }
     } catch {
       this.#ended(server, true);
@@ -176,6 +177,13 @@
     return { kind: "completed" };
   }
 
+  /** Ends a call whose answer takes more memory than there is for answers. */
+  #endOverfull(server: BackendServer): Outcome {
+    this.#ended(server, true);
+    const detail = `backend server ${server.name}: no memory for its answer`;
+    return failed("answer_too_large", detail);
+  }
+
   async #runAttempts(call: PlainCall): Promise<Partial<AttemptResult>> {
     const { clock, retries } = this.#options;
     const avoid = new Set<string>();
--- a/packages/rampswitch-entry/src/outcome/answer_cache.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_cache.ts
@@ -102,6 +102,11 @@
     return this.#endedAt;
   }
 
+  /** Whether it may not grow further. */
+  get isOverfull(): boolean {
+    return this.#cache.isOverfull(this);
+  }
+
   /** Number of readers that receive new events. */
   get readers(): number {
     return this.#readers.length;
@@ -285,6 +290,16 @@
     }
   }
 
+  /**
+   * Whether an answer in progress may not grow further: it is too large to be kept, and
+   * all answers together are too large even without those that can be evicted.
+   */
+  isOverfull(answer: Answer): boolean {
+    if (answer.bytes <= this.limits.answerBytes) return false;
+    this.expire();
+    return this.#bytes > this.limits.answersBytes;
+  }
+
   /** Removes an answer without recording a reason. */
   discard(answer: Answer): void {
     this.#ended.delete(answer);
--- a/packages/rampswitch-measure/src/endless_answers_test.ts
+++ b/packages/rampswitch-measure/src/endless_answers_test.ts
@@ -27,6 +27,9 @@
 /** Bound of the host's heap, in MB. */
 const HEAP_MEGABYTES = 64;
 
+/** Memory for answers that are kept, in bytes. */
+const ANSWERS_BYTES = 16 * 1024 * 1024;
+
 /** Calls of each kind at once. */
 const CALLS = 8;
 
@@ -60,13 +63,25 @@
   }),
 };
 
-/** Requests of each kind. */
-const KINDS: Readonly<Record<string, () => Asked>> = {
+const PLAIN = { path: `/services/${SERVICES.plain}/x` };
+
+/** Requests of each kind; the answers to some are kept. */
+const KINDS: Readonly<Record<string, (call: number) => Asked>> = {
   chats: () => CHAT,
+  "plain calls": () => ({ ...PLAIN, method: "GET" }),
+  "kept plain calls": (call) => ({
+    ...PLAIN,
+    method: "POST",
+    headers: { "idempotency-key": `key-${call}` },
+    body: "x",
+  }),
 };
 
+/** Plain calls use the same connections as chats; what differs is their bodies. */
 const CASES = Object.keys(KINDS).flatMap((kind) =>
-  NAMES.map((name) => [kind, name] as const),
+  NAMES.filter((name) => kind === "chats" || name in ENDLESS_BODIES).map(
+    (name) => [kind, name] as const,
+  ),
 );
 
 /** Asks, and reads the answer without keeping it; resolves to its status. */
@@ -106,6 +121,7 @@
     async (kind, name) => {
       await using ownership = new Ownership();
       const endless = ownership.own(await EndlessServer.start(ENDLESS[name]));
+      const service = kind === "chats" ? SERVICES.model : SERVICES.plain;
       const deployment = ownership.own(
         await MeasuredDeployment.start({
           entries: 1,
@@ -115,9 +131,10 @@
             name: `endless-${number}`,
             address: endless.address,
             dataHall: "hall-a",
-            service: SERVICES.model,
+            service,
           })),
           workspaces: ["landlords"],
+          limits: { answersBytes: ANSWERS_BYTES },
           machine: { memoryBytes: MEMORY_MEGABYTES * 1_000_000 },
           flags: [`--max-old-space-size=${HEAP_MEGABYTES}`],
         }),
@@ -125,7 +142,7 @@
       const [entry] = deployment.entries as [EntryChild];
       const kindOf = KINDS[kind] as (typeof KINDS)[string];
       await Promise.all(
-        Array.from({ length: CALLS }, () => ask(entry, kindOf())),
+        Array.from({ length: CALLS }, (_, call) => ask(entry, kindOf(call))),
       );
       await until(() => endless.open === 0);
       await untilAnswered(entry);
