Read no more of another host's reason than a reason may have

Callers saw: nothing until their time limits, where a host that could not send a request on answered with a reason without an end. Cause: what came after the reason's 200 bytes was dropped, for as long as it came, and the way to the next host stayed untried. Change: the connection is closed there; the request counts as not written, as before.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -129,10 +129,16 @@
   }
 
   data(chunk: Buffer): void {
-    if (this.#reason === undefined) this.#listener.data(chunk);
-    else if (this.#reason.length < MAXIMUM_REASON_BYTES) {
-      this.#reason = Buffer.concat([this.#reason, chunk]);
+    if (this.#reason === undefined) {
+      this.#listener.data(chunk);
+      return;
     }
+    const reason = Buffer.concat([this.#reason, chunk]);
+    this.#reason = reason.subarray(0, MAXIMUM_REASON_BYTES);
+    if (reason.length <= MAXIMUM_REASON_BYTES) return;
+    // What follows is no reason, and may have no end.
+    this.#abort();
+    this.ended();
   }
 
   ended(): void {
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -176,6 +176,24 @@
     expect(told).toEqual(["written", "not_written: unknown_server"]);
   });
 
+  // Guards against a send that lasts as long as its host sends reasons.
+  test("is read no further than a reason may be long", async () => {
+    let isClosed = false;
+    const server = createServer((_, response) => {
+      response.once("close", () => (isClosed = true));
+      response.writeHead(503, { "X-Forwarding-Outcome": "not_sent" });
+      const more = () => {
+        if (!response.destroyed) response.write("x".repeat(1024), more);
+      };
+      more();
+    });
+    await using host = await listen(server, "127.0.0.1:0");
+    await using parts = await Parts.start((_, response) => response.end());
+    const told = await parts.send({ door: host.address });
+    expect(told.at(-1)).toMatch(/^not_written: x{200}$/);
+    while (!isClosed) await immediate();
+  }, 5_000);
+
   test("says so where the server takes no connection", async () => {
     await using parts = await Parts.start((_, response) => response.end(), {
       serverOf: (id) => ({ id, address: "127.0.0.1:1" }),
