Read no more of a peer's answer than a whole configuration takes

Callers saw nothing; an entry host collected what a peer sent for as long as the call lasted (the library's limit is 4 GB). Change: an answer of a peer may have 16 MiB.

--- a/packages/rampswitch-peer/src/peer_client.ts
+++ b/packages/rampswitch-peer/src/peer_client.ts
@@ -31,6 +31,9 @@
 const IDLE_CONNECTION_MILLISECONDS = 30_000;
 const PING_MILLISECONDS = 10_000;
 
+/** Maximum size of an answer, in bytes; a whole configuration is the largest. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
 /** Clients of all peers, made at their first use. */
 export class PeerClients {
   readonly #clients = new Map<string, PeerClient>();
@@ -66,6 +69,7 @@
         httpVersion: "2",
         baseUrl,
         interceptors: [this.#authenticate],
+        readMaxBytes: MAXIMUM_ANSWER_BYTES,
         sessionManager: new GuardedSessions(baseUrl, {
           idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
           pingIntervalMs: PING_MILLISECONDS,
--- a/packages/rampswitch-peer/src/peer_client_test.ts
+++ b/packages/rampswitch-peer/src/peer_client_test.ts
@@ -135,3 +135,37 @@
   }
   expect(answered).toBeGreaterThan(0);
 });
+
+/** The largest answer of a peer, and what waits in the system, in bytes. */
+const LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
+const SYSTEM_BYTES = 12 * 1024 * 1024;
+
+const PIECE = Buffer.alloc(64 * 1024, "x");
+
+// Guards against a host that collects what a peer sends until it has no memory left.
+test("an answer of a peer without an end is none, and is read no further than one may be long", async () => {
+  let taken = 0;
+  const sessions = new Set<Http2Session>();
+  const server = createServer();
+  server.on("session", (session) => sessions.add(session));
+  server.on("stream", (stream) => {
+    stream.on("error", () => undefined);
+    stream.respond(HEAD);
+    const more = () => {
+      if (stream.destroyed) return;
+      taken += PIECE.length;
+      stream.write(PIECE, () => setImmediate(more));
+    };
+    more();
+  });
+  await using listening = await listenUntilDisposed(server, "127.0.0.1:0", () =>
+    sessions.forEach((session) => session.destroy()),
+  );
+  const tokens = new PeerTokens("secret", "a");
+  const clients = new PeerClients(tokens, MONOTONIC_CLOCK);
+  const result = await clients.call(listening.address, (client) =>
+    client.fetchConfiguration({}, { timeoutMs: CALL_MILLISECONDS }),
+  );
+  expect(result.isErr).toBe(true);
+  expect(taken).toBeLessThan(LARGEST_ANSWER_BYTES + SYSTEM_BYTES);
+});
