Hold the end of an answer without a length until its server takes connections, in rampswitch-entry

Seen by callers: the part of a plain service's answer as a complete one, passed on in chunks or retained under its key, where the server's process ended within an answer that had neither a length nor chunks. Cause: the end of a process ends its connections as the end of an answer does, and the second interface took every regular end of an unframed answer for the answer's. Ruled out: resets, which the connections already report as errors. Change: a reply says whether its body's end is that of the answer (`isWhole`): framed ones always, others if the server still takes connections. Passed on answers are then aborted, retained ones end as lost. What marks an end stands once, in `answer_framing.ts`; both interfaces use it. Conclusion: as in the serving interface; a server that is started again at once at its address still passes for the one that answered, since nothing there tells its start.

--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -17,6 +17,8 @@
 } from "rampswitch-types";
 import {
   isFinalStatus,
+  isFramed,
+  splitAddress,
   withBoundedReading,
   withCorrectEnds,
 } from "rampswitch-utils";
@@ -32,7 +34,13 @@
 }
 
 /** Status and headers of an answer, and its body as a stream. */
-export type BackendReply = Dispatcher.ResponseData;
+export interface BackendReply extends Dispatcher.ResponseData {
+  /**
+   * Whether the end of the body is that of the answer. Without a length or chunks, the
+   * end of the server's process looks the same; it takes no connections afterwards.
+   */
+  isWhole(): Promise<boolean>;
+}
 
 /** The outcome of a call without an answer. */
 export type CallFailure = RefusedNotRun | InDoubt;
@@ -58,6 +66,9 @@
 /** HTTP client with a connection pool for each backend server. */
 export class BackendClient implements AsyncDisposable {
   readonly #pools = new Map<string, Pool>();
+  readonly #connect = withBoundedReading(
+    withCorrectEnds(buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })),
+  );
 
   /** Makes a call; the error states whether the request may have run. */
   async call(
@@ -74,9 +85,12 @@
         bodyTimeout: call.timeoutMilliseconds,
         ...(call.signal === undefined ? {} : { signal: call.signal }),
       });
-      return isFinalStatus(reply.statusCode)
-        ? Result.ok(reply)
-        : Result.err(invalidStatus(address, reply));
+      if (!isFinalStatus(reply.statusCode))
+        return Result.err(invalidStatus(address, reply));
+      const isSure = hasMarkedEnd(call, reply);
+      const isWhole = () =>
+        isSure ? Promise.resolve(true) : this.#connects(address);
+      return Result.ok({ ...reply, isWhole });
     } catch (error) {
       return Result.err(callFailure(address, error));
     }
@@ -97,17 +111,29 @@
     await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
   }
 
+  /** Whether a new connection to a server comes up; it is closed at once. */
+  #connects(address: string): Promise<boolean> {
+    const { host, port } = splitAddress(address);
+    // Version 6 of the protocol has brackets in addresses, and none in connections.
+    const hostname = host.replace(/^\[|\]$/g, "");
+    return new Promise((resolve) => {
+      this.#connect(
+        { hostname, host, port: String(port), protocol: "http:" },
+        (error, socket) => {
+          socket?.destroy();
+          resolve(error === null);
+        },
+      );
+    });
+  }
+
   #pool(address: string): Pool {
     const known = this.#pools.get(address);
     if (known !== undefined) return known;
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_SERVER,
       pipelining: 1,
-      connect: withBoundedReading(
-        withCorrectEnds(
-          buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS }),
-        ),
-      ),
+      connect: this.#connect,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
     });
     this.#pools.set(address, pool);
@@ -118,7 +144,7 @@
 /** Closes the connection of an answer whose status is none; the call may have run. */
 function invalidStatus(
   address: string,
-  { statusCode, body }: BackendReply,
+  { statusCode, body }: Dispatcher.ResponseData,
 ): InDoubt {
   // Its destruction is an error to a stream that is not read to its end.
   body.on("error", () => undefined).destroy();
@@ -126,6 +152,19 @@
   return inDoubt("backend_nonsense", detail);
 }
 
+/** Whether an answer marks its end by a length or by chunks. */
+function hasMarkedEnd(
+  { method }: BackendCall,
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  return isFramed({
+    method,
+    status: statusCode,
+    transferEncoding: headers["transfer-encoding"]?.toString(),
+    contentLength: headers["content-length"]?.toString(),
+  });
+}
+
 /** Maps an error of a call to its outcome: not run, or in doubt. */
 export function callFailure(address: string, error: unknown): CallFailure {
   const code = (error as { readonly code?: string }).code ?? "";
--- a/packages/rampswitch-entry/src/attempt/http_forward.ts
+++ b/packages/rampswitch-entry/src/attempt/http_forward.ts
@@ -56,10 +56,13 @@
     // A pipeline that ends the response closes its connection in the regular way if the
     // answer breaks off.
     await pipeline(reply.body, response, { end: false });
-    response.end();
-    return true;
+    if (await reply.isWhole()) {
+      response.end();
+      return true;
+    }
   } catch {
-    abortResponse(response);
-    return false;
+    // The answer or the caller's connection broke off.
   }
+  abortResponse(response);
+  return false;
 }
--- a/packages/rampswitch-entry/src/attempt/plain_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/plain_runner.ts
@@ -162,14 +162,10 @@
       status: reply.statusCode,
       headers: forwardedHeaders(reply.headers, { drop: ["content-length"] }),
     });
-    try {
-      await replication.progressed(answer, 0, [head]);
-      for await (const chunk of reply.body) {
-        const parts = encodeParts(chunk as Buffer);
-        await replication.progressed(answer, answer.events.length, parts);
-        if (answer.isOverfull) return this.#endOverfull(server);
-      }
-    } catch {
+    await replication.progressed(answer, 0, [head]);
+    const isWhole = await this.#retainBody(reply, answer);
+    if (answer.isOverfull) return this.#endOverfull(server);
+    if (!isWhole) {
       this.#ended(server, true);
       return failed("backend_lost", `backend server ${server.name}: cut off`);
     }
@@ -184,6 +180,21 @@
     return failed("answer_too_large", detail);
   }
 
+  /** Retains the body of an answer in parts; resolves to whether it is whole. */
+  async #retainBody(reply: BackendReply, answer: Answer): Promise<boolean> {
+    const { replication } = this.#options;
+    try {
+      for await (const chunk of reply.body) {
+        const parts = encodeParts(chunk as Buffer);
+        await replication.progressed(answer, answer.events.length, parts);
+        if (answer.isOverfull) return false;
+      }
+    } catch {
+      return false;
+    }
+    return reply.isWhole();
+  }
+
   async #runAttempts(call: PlainCall): Promise<Partial<AttemptResult>> {
     const { clock, retries } = this.#options;
     const avoid = new Set<string>();
--- a/packages/rampswitch-serving/src/attempt/answer_end.ts
+++ b/packages/rampswitch-serving/src/attempt/answer_end.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { isFramed } from "rampswitch-utils";
 import { headerValue, type RawHeaders } from "../model/request.ts";
 
 /** How an answer marks its end. */
@@ -40,23 +41,22 @@
   return DOUBTS_BY_TEXT.get(text);
 }
 
-/** Statuses of answers that have no body. */
-const BODILESS: ReadonlySet<number> = new Set([204, 304]);
-
 /** How an answer marks its end, by its head. */
-export function framingOf(head: {
+export function framingOf({
+  method,
+  status,
+  rawHeaders,
+}: {
   /** Method of the request that it answers. */
   readonly method: string;
   readonly status: number;
   readonly rawHeaders: RawHeaders;
 }): AnswerFraming {
-  const coding = headerValue(head.rawHeaders, "transfer-encoding");
-  const isFramed =
-    head.method === "HEAD" ||
-    BODILESS.has(head.status) ||
-    // A coding other than chunks marks no end, and overrides a length.
-    (coding === undefined
-      ? headerValue(head.rawHeaders, "content-length") !== undefined
-      : /(^|,)\s*chunked\s*$/i.test(coding));
-  return isFramed ? "framed" : "unframed";
+  const head = {
+    method,
+    status,
+    transferEncoding: headerValue(rawHeaders, "transfer-encoding"),
+    contentLength: headerValue(rawHeaders, "content-length"),
+  };
+  return isFramed(head) ? "framed" : "unframed";
 }
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -7,6 +7,7 @@
  */
 export * from "./body.ts";
 export * from "./abort_response.ts";
+export * from "./answer_framing.ts";
 export * from "./suspend_aware_clock.ts";
 export * from "./bounded_reading.ts";
 export * from "./bounded_server.ts";
