Reset the connections of answers that a host breaks off itself, where their end would be regular

Seen by callers of HTTP/1.0, and of answers without a length: a part of an answer and a regular end, where the host ended its listener, met a defect, made room for a newer unread answer, or gave a slow reader of a stream up. Cause: `abortResponse` resets such a connection, and four places destroyed the response or its socket instead, which ends the connection in the regular way. Ruled out: answers that a backend server breaks off; these are aborted already (http_forward_test.ts). Change: the four places abort the response or reset its socket. Answers that are sent are left alone when a listener ends. Remains: the end of a process by SIGKILL, where the system ends its connections.

--- a/packages/rampswitch-entry/src/outcome/answer_writer.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_writer.ts
@@ -9,6 +9,7 @@
 import type { ServerResponse } from "node:http";
 import type { Outcome } from "rampswitch-types";
 import { inDoubt, refused } from "rampswitch-types";
+import { abortResponse } from "rampswitch-utils";
 import type { Answer, AnswerReader } from "./answer_cache.ts";
 import {
   formatStreamEnd,
@@ -102,7 +103,8 @@
     event: (index, text) => {
       begin();
       response.write(formatTokenEvent(id, service, { index, text }));
-      if (response.writableLength > MAXIMUM_UNSENT_BYTES) response.destroy();
+      if (response.writableLength > MAXIMUM_UNSENT_BYTES)
+        abortResponse(response);
     },
     ended: (outcome) => {
       if (outcome.kind === "completed") {
--- a/packages/rampswitch-entry/src/outcome/answer_writer_test.ts
+++ b/packages/rampswitch-entry/src/outcome/answer_writer_test.ts
@@ -7,15 +7,22 @@
 // neither the events nor the outcome.
 
 import { createServer, get } from "node:http";
+import { connect } from "node:net";
 import { describe, expect, test } from "@jest/globals";
 import { inDoubt } from "rampswitch-types";
-import { createMetrics, listen, ManualClock } from "rampswitch-utils";
+import {
+  correctEnds,
+  createMetrics,
+  listen,
+  ManualClock,
+  splitAddress,
+} from "rampswitch-utils";
 import { type Answer, AnswerCache } from "./answer_cache.ts";
 import { writeAnswer } from "./answer_writer.ts";
 
 const MEBIBYTE = 1024 * 1024;
 
-function answerInDoubt(): Answer {
+function newAnswer(): Answer {
   const cache = new AnswerCache(
     new ManualClock(),
     createMetrics("test", undefined),
@@ -25,7 +32,7 @@
       retentionMilliseconds: 1_000,
     },
   );
-  const answer = cache.open(
+  return cache.open(
     {
       id: "r1.a",
       slot: 1,
@@ -39,6 +46,10 @@
     },
     "lost-host",
   );
+}
+
+function answerInDoubt(): Answer {
+  const answer = newAnswer();
   answer.append(0, ["x", "y", "z"]);
   answer.end(inDoubt("taken_over", "the host that ran the request was lost"));
   return answer;
@@ -73,6 +84,35 @@
   });
 }
 
+// Guards against a broken answer that ends as complete.
+test("a stream of HTTP/1.0 that its caller reads too slowly is reset", async () => {
+  const answer = newAnswer();
+  const server = createServer((_request, response) =>
+    writeAnswer(answer, response, {
+      form: "stream",
+      after: -1,
+      onCallerGone: () => undefined,
+    }),
+  );
+  await using listening = await listen(server, "127.0.0.1:0");
+  const socket = connect(splitAddress(listening.address));
+  correctEnds(socket);
+  socket.pause();
+  socket.write("GET / HTTP/1.0\r\n\r\n");
+  while (answer.readers === 0) await new Promise(setImmediate);
+  const event = "x".repeat(MEBIBYTE);
+  for (let index = 0; answer.readers > 0; index += 1) {
+    answer.append(index, [event]);
+    await new Promise(setImmediate);
+  }
+  const end = await new Promise((resolve) => {
+    socket.on("end", () => resolve("ended"));
+    socket.on("error", () => resolve("reset"));
+    socket.resume();
+  });
+  expect(end).toBe("reset");
+});
+
 describe("a stored answer whose outcome is in doubt", () => {
   test("sends its stored events before the connection breaks off", async () => {
     const got = await readAfter(answerInDoubt(), 0);
--- a/packages/rampswitch-utils/src/abort_response_test.ts
+++ b/packages/rampswitch-utils/src/abort_response_test.ts
@@ -5,11 +5,13 @@
 // read in one turn. Aborting then dropped the event, and, if it was the first one,
 // also the response headers. Data that is ready must be sent first.
 
-import { createServer, get } from "node:http";
+import { createServer, get, type ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { describe, expect, test } from "@jest/globals";
 import { abortResponse } from "./abort_response.ts";
-import { listen, splitAddress } from "./listen.ts";
+import { listen, type Listening, splitAddress } from "./listen.ts";
+import { SILENT_LOGGER } from "./log.ts";
+import { handleInBackground } from "./supervision.ts";
 
 /** Time after which a response is aborted, in milliseconds. */
 const ABORT_MILLISECONDS = 20;
@@ -44,12 +46,31 @@
   });
 }
 
+/** Breaks an answer off after a part of it. */
+type BreakOff = (
+  response: ServerResponse,
+  listening: Listening,
+) => void | PromiseLike<void>;
+
+/** Ways in which a host breaks an answer off. */
+const BREAKS: Readonly<Record<string, BreakOff>> = {
+  "an abort": (response) => abortResponse(response),
+  "the end of its listener": (_response, listening) =>
+    listening[Symbol.asyncDispose](),
+  "a defect": (response) =>
+    handleInBackground(
+      "a request",
+      { logger: SILENT_LOGGER },
+      { response, handle: () => Promise.reject(new Error("a defect")) },
+    ),
+};
+
 /** Sends a request of HTTP/1.0; resolves to the code of the error that ends its answer. */
-async function abortOldRequest(): Promise<string | undefined> {
+async function breakOldAnswer(breakOff: BreakOff): Promise<string | undefined> {
   const server = createServer((_request, response) => {
     response.writeHead(200, { "content-type": "text/event-stream" });
     response.write(EVENT);
-    setTimeout(() => abortResponse(response), ABORT_MILLISECONDS);
+    setTimeout(() => void breakOff(response, listening), ABORT_MILLISECONDS);
   });
   await using listening = await listen(server, "127.0.0.1:0");
   const { host, port } = splitAddress(listening.address);
@@ -62,12 +83,15 @@
   });
 }
 
-describe("an aborted response", () => {
-  // Guards against a broken answer that ends as complete.
-  test("resets the connection of a caller to whom its end would be a regular one", async () => {
-    expect(await abortOldRequest()).toBe("ECONNRESET");
-  });
+// Guards against a broken answer that ends as complete.
+test.each(Object.entries(BREAKS))(
+  "an answer broken off by %s resets the connection of a caller to whom its end would be a regular one",
+  async (_name, breakOff) => {
+    expect(await breakOldAnswer(breakOff)).toBe("ECONNRESET");
+  },
+);
 
+describe("an aborted response", () => {
   test("delivers what was written in the same turn and is not complete", async () => {
     expect(await readAbortedResponse()).toEqual({
       text: EVENT,
--- a/packages/rampswitch-utils/src/bounded_server.ts
+++ b/packages/rampswitch-utils/src/bounded_server.ts
@@ -193,7 +193,8 @@
     while (!memory.take(writableLength)) {
       const [oldest] = this.#unread.keys();
       if (oldest === undefined) break;
-      oldest.destroy();
+      // Without a length, its regular end would be that of the answer.
+      oldest.resetAndDestroy();
       this.#forgetUnread(oldest);
     }
     this.#unread.set(socket, memory);
--- a/packages/rampswitch-utils/src/bounded_server_test.ts
+++ b/packages/rampswitch-utils/src/bounded_server_test.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from "node:http";
 import { expect, test } from "@jest/globals";
 import { BoundedServer } from "./bounded_server.ts";
+import { correctEnds } from "./connection_ends.ts";
 import { Ownership } from "./disposal.ts";
 import { listen } from "./listen.ts";
 import { type IntakeBudgets, intakeBudgets } from "./machine_limits.ts";
@@ -78,12 +79,16 @@
   readonly socket: Socket;
   received = "";
   closed = false;
+  /** Whether the connection ended in the regular way. */
+  ended = false;
 
   constructor(socket: Socket) {
     this.socket = socket;
+    correctEnds(socket);
     socket.setEncoding("latin1");
     socket.on("data", (text: string) => (this.received += text));
     socket.on("error", () => undefined);
+    socket.on("end", () => (this.ended = true));
     socket.on("close", () => (this.closed = true));
   }
 }
@@ -233,6 +238,25 @@
   expect(first?.()).toBeLessThan(LARGE_BYTES);
 });
 
+// Guards against a broken answer that ends as complete.
+test("an unread answer without a length that makes room for another one is reset", async () => {
+  const bodies = new MemoryBudget(3.2 * LARGE_BYTES);
+  await using server = await TestServer.start({ bodies });
+  const caller = server.send("GET / HTTP/1.0\r\n\r\n");
+  const callers = [caller, server.send(GET)];
+  callers.forEach(({ socket }) => socket.pause());
+  await until(() => server.responses.length === 2);
+  for (const response of server.responses) {
+    response.write(Buffer.alloc(LARGE_BYTES));
+    response.end();
+    await someTurns();
+  }
+  callers.forEach(({ socket }) => socket.resume());
+  await until(() => caller.closed);
+  expect(caller.received.length).toBeLessThan(LARGE_BYTES);
+  expect(caller.ended).toBe(false);
+});
+
 test("the connection that is idle the longest makes room for a new one", async () => {
   await using server = await TestServer.start({ descriptors: 3 });
   const busy = server.send(GET);
--- a/packages/rampswitch-utils/src/listen.ts
+++ b/packages/rampswitch-utils/src/listen.ts
@@ -5,13 +5,14 @@
  *
  * @module
  */
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import {
   type AddressInfo,
   isIPv4,
   isIPv6,
   type Server as NetServer,
 } from "node:net";
+import { abortResponse } from "./abort_response.ts";
 
 /** A listening server; disposing of it closes the server and its connections. */
 export interface Listening extends AsyncDisposable {
@@ -41,11 +42,22 @@
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 }
 
-/** Starts an HTTP server on an address; port 0 lets the system choose a port. */
+/**
+ * Starts an HTTP server on an address; port 0 lets the system choose a port. Answers
+ * that have not been sent on disposal are aborted.
+ */
 export function listen(server: Server, address: string): Promise<Listening> {
-  return listenUntilDisposed(server, address, () =>
-    server.closeAllConnections(),
-  );
+  const open = new Set<ServerResponse>();
+  server.on("request", (_incoming, response) => {
+    open.add(response);
+    response.once("close", () => open.delete(response));
+  });
+  return listenUntilDisposed(server, address, () => {
+    [...open]
+      .filter(({ writableFinished }) => !writableFinished)
+      .forEach(abortResponse);
+    server.closeAllConnections();
+  });
 }
 
 /** Starts any server; `closeAll` closes the open connections on disposal. */
--- a/packages/rampswitch-utils/src/supervision.ts
+++ b/packages/rampswitch-utils/src/supervision.ts
@@ -8,6 +8,7 @@
  */
 import type { ServerResponse } from "node:http";
 import { Result } from "true-myth";
+import { abortResponse } from "./abort_response.ts";
 import type { Logger } from "./log.ts";
 
 /** Maximum length of a reported error, in characters. */
@@ -68,7 +69,7 @@
     try {
       await exchange.handle();
     } catch (error) {
-      exchange.response.destroy();
+      abortResponse(exchange.response);
       throw error;
     }
   });
