Send readers on from a holder that lacks events of a complete answer, in rampswitch-entry

Seen by callers: a stream taken up at another host of its slot ended as complete without some or all of its events, where these had not been replicated: mode `none` sends none, and a link that is full or closed drops them. Cause: the outcome `completed` was taken to say that this host has the whole answer; the absence of events passed for their not existing. Ruled out: gaps in order (`Answer.append` drops what follows one), and entries sent again. Change: the end names the number of events (`RequestEnded.events`). A holder that has fewer discards the answer and disconnects its readers; the next read goes to the host that has it. Entries of hosts that name no number mean what they did.

--- a/packages/rampswitch-entry/src/replication/request_replication.ts
+++ b/packages/rampswitch-entry/src/replication/request_replication.ts
@@ -102,7 +102,7 @@
     if (this.#options.mode !== "none") this.#sendUnsentEvents(answer);
     this.#answersWithUnsentEvents.delete(answer);
     this.#sentEvents.delete(answer.envelope.id);
-    this.#toHolders(answer, endedEntry(answer.envelope.id, outcome));
+    this.#toHolders(answer, endedEntry(answer, outcome));
   }
 
   /** Sends all events that wait for the next batch. */
@@ -160,15 +160,31 @@
           entry.value.events,
         );
         return;
-      case "ended":
-        this.#answerRunBy(from, entry.value.id)?.end(
-          outcomeFromWire(entry.value),
-        );
+      case "ended": {
+        const answer = this.#answerRunBy(from, entry.value.id);
+        if (answer !== undefined) this.#receiveEnd(answer, entry.value);
         return;
+      }
       default:
     }
   }
 
+  /**
+   * Ends an answer. One that is complete elsewhere and lacks events here is discarded,
+   * so that its readers are sent to the host that has it.
+   */
+  #receiveEnd(answer: Answer, ended: RequestEnded): void {
+    const outcome = outcomeFromWire(ended);
+    const isWhole = answer.events.length >= ended.events;
+    if (isWhole || outcome.kind !== "completed") {
+      answer.end(outcome);
+      return;
+    }
+    this.#options.metrics.count("drop", "incomplete_answer");
+    answer.disconnectReaders();
+    this.#options.answerCache.discard(answer);
+  }
+
   /**
    * The answer with this id if the peer runs it. Entries from a former runner
    * are counted and dropped.
@@ -269,7 +285,9 @@
   });
 }
 
-function endedEntry(id: string, outcome: Outcome): ReplicaEntry {
+function endedEntry(answer: Answer, outcome: Outcome): ReplicaEntry {
+  const { id } = answer.envelope;
+  const events = answer.events.length;
   const reasonAndDetail =
     outcome.kind === "completed"
       ? { reason: "", detail: "" }
@@ -277,7 +295,7 @@
   return create(ReplicaEntrySchema, {
     entry: {
       case: "ended",
-      value: { id, outcome: outcome.kind, ...reasonAndDetail },
+      value: { id, outcome: outcome.kind, ...reasonAndDetail, events },
     },
   });
 }
