Announce the stop of a moved run to the host that its answer comes through

Seen by callers: a stream that came through another host and was moved by its own one was cut off (routes that must run once) or run a second time (resumable ones), where no server had room for it at first, or where the answer to the stop was in doubt. Cause: to the host that passes the answer on, the stop looks like a lost answer, and the close after the move like a host that has left. It stopped the run too 100 ms later, got the handle of the memory that had been kept for the move, and freed it. Change: a host tells the passing host before each call that stops a run whose answer comes through it (`AnnouncedStops`, header `x-forwarding-own-stop`); that one then leaves the run alone. Without an answer in 150 ms the call is made all the same. A host of an older program refuses the message, and acts as before.

--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { Clock } from "rampswitch-utils";
 import {
   type AnswerFraming,
   BackendClient,
@@ -18,6 +19,7 @@
   FORWARDING_HEADERS,
   withoutHopHeaders,
 } from "./forwarding_protocol.ts";
+import { forwardedEvents } from "./forwarded_events.ts";
 
 /**
  * Connection timeout to another host, in milliseconds: some round trips within a
@@ -25,6 +27,9 @@
  */
 const CONNECT_MILLISECONDS = 150;
 
+/** Maximum time for the answer to an announced stop, in milliseconds. */
+const ANNOUNCEMENT_MILLISECONDS = 150;
+
 /** Maximum length of a reason that another host gives, in bytes. */
 const MAXIMUM_REASON_BYTES = 200;
 
@@ -43,14 +48,33 @@
   readonly request: OutgoingRequest;
 }
 
+/** A run that this host orders to stop. */
+export interface OwnStop {
+  readonly attemptId: string;
+  /** Address of the server that runs the request. */
+  readonly address: string;
+}
+
 /** Sends requests through other hosts. */
 export class ForwardingClient implements AsyncDisposable {
   readonly #host: string;
+  readonly #clock: Clock;
   readonly #client: BackendClient;
+  /** Sends in progress. */
+  readonly #open = new Set<ForwardedSend>();
 
   /** Takes the name of this host, and the IP address by which the others know it. */
-  constructor({ host, ip }: { readonly host: string; readonly ip: string }) {
+  constructor({
+    host,
+    ip,
+    clock,
+  }: {
+    readonly host: string;
+    readonly ip: string;
+    readonly clock: Clock;
+  }) {
     this.#host = host;
+    this.#clock = clock;
     this.#client = new BackendClient({
       connectMilliseconds: CONNECT_MILLISECONDS,
       localAddress: ip,
@@ -61,11 +85,24 @@
    * Sends a request through another host. It is `not_written` also if the other host
    * has it and did not send it to the server.
    */
-  send(
-    { through, server, request }: ForwardedSend,
-    listener: SendListener,
-  ): Send {
-    const answer = new ForwardedAnswer(listener, () => send.abort());
+  send(forwarded: ForwardedSend, listener: SendListener): Send {
+    const { through, server, request } = forwarded;
+    const close = () => this.#open.delete(forwarded);
+    const answer = new ForwardedAnswer(
+      {
+        ...forwardedEvents(listener),
+        ended: (framing) => {
+          close();
+          listener.ended(framing);
+        },
+        failed: (failure, detail) => {
+          close();
+          listener.failed(failure, detail);
+        },
+      },
+      () => send.abort(),
+    );
+    this.#open.add(forwarded);
     const send = this.#client.send(
       { id: through.name, address: through.address },
       {
@@ -89,7 +126,61 @@
       },
       answer,
     );
-    return send;
+    return {
+      abort: () => {
+        close();
+        send.abort();
+      },
+      pause: () => send.pause(),
+      resume: () => send.resume(),
+    };
+  }
+
+  /**
+   * Announces the stop of a run to the hosts that its answer comes through. Resolves
+   * when they know, or after a short time.
+   */
+  async announceStop({ attemptId, address }: OwnStop): Promise<void> {
+    const sends = [...this.#open].filter(
+      ({ server, request }) =>
+        server.address === address && request.attemptId === attemptId,
+    );
+    await Promise.all(sends.map((send) => this.#announce(send)));
+  }
+
+  #announce({ through, server, request }: ForwardedSend): Promise<void> {
+    return new Promise((resolve) => {
+      const end = () => {
+        cancelLimit();
+        resolve();
+      };
+      const announcement = this.#client.send(
+        { id: through.name, address: through.address },
+        {
+          method: "POST",
+          target: "/",
+          headers: [
+            FORWARDING_HEADERS.ownStop,
+            request.attemptId ?? "",
+            FORWARDING_HEADERS.server,
+            server.id,
+          ],
+          body: undefined,
+        },
+        {
+          written: () => undefined,
+          head: () => undefined,
+          data: () => undefined,
+          ended: end,
+          // A host that does not learn of it stops the run too, as after a loss.
+          failed: end,
+        },
+      );
+      const cancelLimit = this.#clock.after(ANNOUNCEMENT_MILLISECONDS, () => {
+        announcement.abort();
+        end();
+      });
+    });
   }
 
   [Symbol.asyncDispose](): Promise<void> {
--- a/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_protocol.ts
@@ -26,6 +26,11 @@
   request: "x-forwarding-request",
   /** Name of the host that forwards its request. */
   host: "x-forwarding-host",
+  /**
+   * Announces, in a message without a request, that the host orders the stop of the run
+   * of this attempt itself; `server` names where it runs.
+   */
+  ownStop: "x-forwarding-own-stop",
   /** What became of the request; one of {@link ForwardingOutcome}. */
   outcome: "x-forwarding-outcome",
   /** Whether the server's answer has neither a length nor chunks: `unframed`. */
--- a/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_server.ts
@@ -109,6 +109,8 @@
   readonly #load = new LoopLoad();
   /** Servers of the forwarded sends in progress, by attempt. */
   readonly #serversByAttempt = new Map<string, string>();
+  /** Forwarded runs that the hosts which forwarded them stop themselves. */
+  readonly #stoppedByHosts = new Set<string>();
   #inProgress = 0;
   #bodyBytes = 0;
 
@@ -157,6 +159,10 @@
   ): Promise<void> {
     response.sendDate = false;
     const forwarded = forwardedOf(incoming);
+    if (headerValue(incoming.rawHeaders, FORWARDING_HEADERS.ownStop)) {
+      this.#noteOwnStop(incoming, response);
+      return;
+    }
     const refusal = this.#refusal(incoming, forwarded);
     if (refusal !== undefined) {
       this.#refuse(response, forwarded, refusal);
@@ -192,6 +198,21 @@
     this.#send(incoming, { response, forwarded, body: body.value });
   }
 
+  /** Leaves the stop of a run that is in progress here to the host that forwarded it. */
+  #noteOwnStop(
+    { socket, rawHeaders }: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const value = (name: string) => headerValue(rawHeaders, name) ?? "";
+    const attemptId = value(FORWARDING_HEADERS.ownStop);
+    const server = value(FORWARDING_HEADERS.server);
+    const isKnown =
+      this.#parts.isHostAddress(socket.remoteAddress ?? "") &&
+      this.#serversByAttempt.get(attemptId) === server;
+    if (isKnown) this.#stoppedByHosts.add(runKey(attemptId, server));
+    response.writeHead(isKnown ? 204 : NOT_SENT_STATUS).end();
+  }
+
   #refusal(
     { socket }: IncomingMessage,
     { server }: Forwarded,
@@ -285,12 +306,16 @@
     });
   }
 
-  /** Has the run stopped if its answer was lost, or the other host has left. */
+  /**
+   * Has the run stopped if its answer was lost, or the other host has left, unless that
+   * host stops it itself.
+   */
   #ended({ attemptId, server }: Forwarded, relay: AnswerRelay): void {
     if (this.#serversByAttempt.get(attemptId) === server.id) {
       this.#serversByAttempt.delete(attemptId);
     }
-    if (!relay.isWritten || relay.isComplete) return;
+    const isOthers = this.#stoppedByHosts.delete(runKey(attemptId, server.id));
+    if (!relay.isWritten || relay.isComplete || isOthers) return;
     this.#parts.stopRun({
       attemptId,
       server: server.id,
@@ -368,6 +393,11 @@
   }
 }
 
+/** Key of an attempt's run at a server. */
+function runKey(attemptId: string, server: string): string {
+  return JSON.stringify([attemptId, server]);
+}
+
 /** Whether a server is known to be a later incarnation than the one that is meant. */
 function isLater(listed: ServerAddress, meant: ServerAddress): boolean {
   const { born = -Infinity } = listed;
--- a/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_test.ts
@@ -1,6 +1,11 @@
 // Copyright 2026 the rampswitch authors. Apache-2.0 license.
 
-import { createServer, request, type RequestListener } from "node:http";
+import {
+  createServer,
+  request,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import { createServer as createRawServer, type Socket } from "node:net";
 import { setImmediate as immediate } from "node:timers/promises";
 import { describe, expect, test } from "@jest/globals";
@@ -58,7 +63,11 @@
     this.serverAddress = addresses.server;
     this.doorAddress = addresses.door;
     this.forwarding = this.ownership.own(
-      new ForwardingClient({ host: "a", ip: "127.0.0.1" }),
+      new ForwardingClient({
+        host: "a",
+        ip: "127.0.0.1",
+        clock: MONOTONIC_CLOCK,
+      }),
     );
   }
 
@@ -113,6 +122,7 @@
       readonly headers?: readonly string[];
       readonly body?: string;
       readonly needsConfirmation?: boolean;
+      readonly attemptId?: string;
       /** Address of the host that forwards; the one started by default. */
       readonly door?: string;
     } = {},
@@ -129,11 +139,13 @@
       };
       const { server = SERVER_ID, born, headers = [], body } = options;
       const { door = this.doorAddress, needsConfirmation = false } = options;
+      const { attemptId } = options;
       this.forwarding.send(
         {
           through: { name: "b", address: door, dataHall: "a" },
           server: { id: server, address: this.serverAddress, born },
           request: {
+            attemptId,
             method: body === undefined ? "GET" : "POST",
             target: "/path?query",
             headers: ["Host", "api.example", ...headers],
@@ -385,6 +397,33 @@
     expect(stopped.length).toBe(2);
   });
 
+  // Guards against a moved stream whose memory is freed under it.
+  test.each([
+    ["its own", "moved", []],
+    ["of another run", "another", [SERVER_ID]],
+  ])(
+    "leaves a run to the host that announces a stop %s",
+    async (_whose, announced, expected) => {
+      const stopped: string[] = [];
+      const open: ServerResponse[] = [];
+      await using parts = await Parts.start(
+        (_, response) => {
+          open.push(response);
+          response.writeHead(200).write("part");
+        },
+        { stopRun: ({ server }) => stopped.push(server) },
+      );
+      const sent = parts.send({ attemptId: "moved" });
+      while (open.length === 0) await immediate();
+      const address = parts.serverAddress;
+      await parts.forwarding.announceStop({ attemptId: announced, address });
+      open[0]?.destroy();
+      await sent;
+      while (parts.door.inProgress > 0) await immediate();
+      expect(stopped).toEqual(expected);
+    },
+  );
+
   test("does not let a server's answer pass as its own", async () => {
     await using parts = await Parts.start((_, response) => {
       response.writeHead(503, { "X-Forwarding-Outcome": "not_sent" }).end();
--- a/packages/rampswitch-serving/src/forwarding/server_access.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_access.ts
@@ -14,6 +14,7 @@
 } from "../attempt/mod.ts";
 import { incarnationId, serverOfIncarnation } from "../model/backend_server.ts";
 import type { ServerDirectory } from "../choice/mod.ts";
+import type { EngineControl } from "../model/engine_control.ts";
 import type { ServingMetrics } from "../observation/mod.ts";
 import { LostServers, PeerReach, ServerContacts } from "../reach/mod.ts";
 import {
@@ -21,6 +22,7 @@
   IncarnationChecks,
 } from "../relay/incarnation_checks.ts";
 import type { ServerRuns } from "../relay/server_runs.ts";
+import { AnnouncedStops } from "./announced_stops.ts";
 import { ForwardingClient, type ForwardingHost } from "./forwarding_client.ts";
 import { ForwardingHosts } from "./forwarding_hosts.ts";
 import { type ForwardedRun, ForwardingServer } from "./forwarding_server.ts";
@@ -58,6 +60,8 @@
   readonly lostServers: LostServers;
   readonly client: ServerClient;
   readonly incarnations: IncarnationChecks;
+  /** Calls to engines about the runs of this host's requests. */
+  readonly engineControl: EngineControl;
   readonly #directory: ServerDirectory;
   readonly #server: ForwardingServer;
 
@@ -81,6 +85,11 @@
     });
     const { lostServers } = this;
     this.incarnations = new IncarnationChecks({ ...parts, lostServers });
+    const forwarding = new ForwardingClient({
+      ...parts.self,
+      clock: parts.clock,
+    });
+    this.engineControl = new AnnouncedStops(parts.engineControl, forwarding);
     this.client = new ServerClient({
       ...parts,
       contacts: this.contacts,
@@ -90,7 +99,7 @@
         watchIncarnation: ({ id }) => this.#watchIncarnation(id, parts),
         onLoss: (server, loss) => this.lostServers.lost(server, loss),
       }),
-      forwarding: new ForwardingClient(parts.self),
+      forwarding,
       hosts: new ForwardingHosts({
         ...parts,
         peerReach: this.peerReach,
@@ -109,6 +118,15 @@
     });
   }
 
+  /** What requests work with. */
+  get requestParts(): Pick<
+    ServerAccess,
+    "client" | "incarnations" | "engineControl"
+  > {
+    const { client, incarnations, engineControl } = this;
+    return { client, incarnations, engineControl };
+  }
+
   /** Number of requests of other hosts that are in progress here. */
   get forwardedInProgress(): number {
     return this.#server.inProgress;
--- a/packages/rampswitch-serving/src/forwarding/server_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/server_client.ts
@@ -19,6 +19,7 @@
 import type { ServingMetrics } from "../observation/mod.ts";
 import type { ServerContacts } from "../reach/mod.ts";
 import { Detours } from "./detours.ts";
+import { forwardedEvents } from "./forwarded_events.ts";
 import type { ForwardingClient, ForwardingHost } from "./forwarding_client.ts";
 import type { ForwardingHosts } from "./forwarding_hosts.ts";
 import type { NotSentReason } from "./forwarding_protocol.ts";
@@ -376,14 +377,3 @@
     });
   }
 }
-
-/** The events of a listener that are handed on as they are. */
-function forwardedEvents(listener: SendListener): SendListener {
-  return {
-    written: () => listener.written(),
-    head: (status, rawHeaders) => listener.head(status, rawHeaders),
-    data: (chunk) => listener.data(chunk),
-    ended: (framing) => listener.ended(framing),
-    failed: (failure, detail) => listener.failed(failure, detail),
-  };
-}
--- a/packages/rampswitch-serving/src/serving_host.ts
+++ b/packages/rampswitch-serving/src/serving_host.ts
@@ -625,9 +625,9 @@
   #requestContext(): RequestContext {
     return {
       ...this.#ports,
+      ...this.#access.requestParts,
       dataHall: this.#settings.dataHall,
       loopDelay: this.#loopDelay,
-      client: this.#access.client,
       directory: this.#directory,
       prefixes: this.#prefixes,
       workEstimates: this.#workEstimates,
@@ -638,7 +638,6 @@
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       streams: this.#streams.origins,
-      incarnations: this.#access.incarnations,
       permits: this.#permits,
       brittle: this.#brittle,
       backOffWaits: this.#backOffWaits,
