Tell an open connection that fails from one that never came up, also where the codes are the same

Would be seen by callers: a call of a route that may run once counted as not run, and could be sent again, where the link failed under it: the system ends an open connection with EHOSTUNREACH or ENETUNREACH too. A write to the store would count as surely not made, and, since, a call that stops a run as never sent. Change: `wasNeverConnected` also asks for the system call `connect`; it stands once.

--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -19,6 +19,7 @@
   isFinalStatus,
   isFramed,
   splitAddress,
+  wasNeverConnected,
   withBoundedReading,
   withCorrectEnds,
 } from "rampswitch-utils";
@@ -49,15 +50,6 @@
 const CONNECTIONS_PER_SERVER = 256;
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 4_000;
 
-/** Codes of errors that are raised before any byte of the request is sent. */
-const NOT_SENT_CODES: readonly string[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
-
 const TIMEOUT_CODES: readonly string[] = [
   "UND_ERR_HEADERS_TIMEOUT",
   "UND_ERR_BODY_TIMEOUT",
@@ -167,10 +159,10 @@
 
 /** Maps an error of a call to its outcome: not run, or in doubt. */
 export function callFailure(address: string, error: unknown): CallFailure {
-  const code = (error as { readonly code?: string }).code ?? "";
+  const { code = "" } = error as NodeJS.ErrnoException;
   const message = error instanceof Error ? error.message : String(error);
   const detail = `backend server at ${address}: ${message}`;
-  if (NOT_SENT_CODES.includes(code)) return refused("connect_failed", detail);
+  if (wasNeverConnected(error)) return refused("connect_failed", detail);
   if (TIMEOUT_CODES.includes(code)) return inDoubt("backend_timeout", detail);
   const unparsable = error instanceof Error && error.name === "HTTPParserError";
   return inDoubt(unparsable ? "backend_nonsense" : "backend_lost", detail);
--- a/packages/rampswitch-entry/src/attempt/backend_client_test.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client_test.ts
@@ -3,7 +3,11 @@
 import { createServer, type Socket } from "node:net";
 import { expect, test } from "@jest/globals";
 import { listenUntilDisposed, Ownership, readText } from "rampswitch-utils";
-import { type BackendCall, BackendClient } from "./backend_client.ts";
+import {
+  type BackendCall,
+  BackendClient,
+  callFailure,
+} from "./backend_client.ts";
 
 const LIMIT_BYTES = 100;
 
@@ -95,3 +99,21 @@
     await new Promise(setImmediate);
   }
 });
+
+/** An error of the system, as Node.js gives it. */
+function systemError(code: string, syscall: string): Error {
+  return Object.assign(new Error(`${syscall} ${code}`), { code, syscall });
+}
+
+// Guards against a call that counts as not run though it was sent: routes that fail also
+// end connections that are open, with the codes of those that never came up.
+test.each([
+  ["EHOSTUNREACH", "connect", "refused_not_run"],
+  ["EHOSTUNREACH", "read", "in_doubt"],
+  ["ENETUNREACH", "write", "in_doubt"],
+  ["ECONNREFUSED", "connect", "refused_not_run"],
+  ["ECONNREFUSED", "read", "in_doubt"],
+])("a call that fails by %s in %s is %s", (code, syscall, kind) => {
+  const failure = callFailure("127.0.0.1:1", systemError(code, syscall));
+  expect(failure.kind).toBe(kind);
+});
--- a/packages/rampswitch-store/src/http_object_store.ts
+++ b/packages/rampswitch-store/src/http_object_store.ts
@@ -14,6 +14,7 @@
   type Random,
   readText,
   TimeLimit,
+  wasNeverConnected,
   withBoundedReading,
   withCorrectEnds,
 } from "rampswitch-utils";
@@ -80,14 +81,6 @@
     503: () => ({ kind: "unavailable", detail: "store unavailable" }),
   };
 
-/** Codes of errors that occur before any byte of the request is sent. */
-const NOT_SENT_CODES: readonly string[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
-
 /** HTTP client of the object API; counts and limits its calls by `accounting`. */
 export class HttpObjectStore implements ObjectStore, AsyncDisposable {
   readonly era = ONE_ERA.era;
@@ -224,9 +217,8 @@
 }
 
 function transportError(error: unknown): StoreError {
-  const code = (error as { readonly code?: string }).code ?? "";
   const detail = error instanceof Error ? error.message : String(error);
-  return NOT_SENT_CODES.includes(code)
+  return wasNeverConnected(error)
     ? { kind: "unavailable", detail }
     : { kind: "unknown", detail };
 }
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./buffer_sweeping.ts";
 export * from "./clock.ts";
 export * from "./collected_bytes.ts";
+export * from "./connect_errors.ts";
 export * from "./connection_ends.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
