Free a run's memory by a call to its source alone, unless the source is gone

Would be seen by callers: a moved stream that goes on from its memory is cut off or run a second time, since that memory was freed under it. By reading; no run of ours showed it. Cause: a call to the source that was not answered with 200 (lost, or 404 for a handle that was used) was taken for the end of the source, and the server with the copy was asked to free the same handle. A handle is a number that each life of a server counts anew, so there it may name the memory of a run that this server has stopped itself. Ruled out: a second call to the same life of the source; it gives no handle twice. Change: a call without a clear answer goes to the source once more. The server with the copy is asked only where the source is known to be gone; the copy lapses by itself otherwise. Remains: with the source gone, the handle may still name another run at the server with the copy.

--- a/packages/rampswitch-serving/src/relay/retained_memory.ts
+++ b/packages/rampswitch-serving/src/relay/retained_memory.ts
@@ -63,13 +63,20 @@
   return (report.born ?? born) === born ? "same" : "later";
 }
 
-/** Frees the memory of a run at the servers that hold it. */
+/**
+ * Frees the memory of a run, by a call to its source, which frees both copies. A call
+ * without a clear answer is made once more: to other servers the handle may name the
+ * memory of a run of their own. The copy of a source that is gone is freed where it is.
+ */
 export async function freeMemory(
   { attemptId, holders, handle }: RetainedRun,
   parts: EngineCallParts,
 ): Promise<void> {
   const { logger, metrics, engineControl } = parts;
-  const freed = await dropMemory(holders, async (record) => {
+  const isSourceGone =
+    (await incarnationStatusOf(holders.from, parts)) === "later";
+  const holder = isSourceGone ? holders.to : holders.from;
+  const dropAt = async (record: ServerRecord) => {
     const { id, address, born } = record.entry;
     const status = await incarnationStatusOf(record, parts);
     if (status === "same" && !record.ended) {
@@ -81,7 +88,10 @@
       born,
     });
     return false;
-  });
+  };
+  const freed =
+    holder !== undefined &&
+    (await dropMemory({ from: holder, to: holder }, dropAt));
   const outcome = freed ? "freed" : "not_freed";
   metrics.event(`memory_${outcome}`);
   logger.info("memory dropped", { request: attemptId, outcome });
