Look whether a host's stored streams are gone after a removal without a clear answer

Seen by operators: after a lost answer to the removal of its own object of streams, a host asked for that removal again at each look, and met "not found" each time: calls of the store. Cause: the conflict that a repeated removal meets (404) was taken for "not removed", which it tells of its own call alone; the earlier one had taken effect. Change: the host reads the object after a removal without a clear answer, and takes what it finds.

--- a/packages/rampswitch-serving/src/streams/object_store_standin.ts
+++ b/packages/rampswitch-serving/src/streams/object_store_standin.ts
@@ -15,6 +15,8 @@
 
 const UNAVAILABLE: StoreError = { kind: "unavailable", detail: "down" };
 
+const LOST: StoreError = { kind: "unknown", detail: "lost" };
+
 /** The store. */
 export class ObjectStoreStandin implements Pick<
   ObjectStore,
@@ -29,6 +31,10 @@
   beforePut: () => Promise<void> = () => Promise.resolve();
   /** Number of changes that were asked for. */
   tries = 0;
+  /** Number of removals that were asked for. */
+  removals = 0;
+  /** Whether the answers to removals are lost, which take effect. */
+  losesRemovals = false;
   /** Number of lists that were read. */
   lists = 0;
   /** Number of single objects that were read. */
@@ -97,7 +103,16 @@
     });
   }
 
-  remove(key: string, version: number): ReturnType<ObjectStore["remove"]> {
+  async remove(
+    key: string,
+    version: number,
+  ): ReturnType<ObjectStore["remove"]> {
+    this.removals += 1;
+    const removed = await this.#remove(key, version);
+    return this.losesRemovals ? Result.err(LOST) : removed;
+  }
+
+  #remove(key: string, version: number): ReturnType<ObjectStore["remove"]> {
     return this.#reply<void>(() => {
       const current = this.#objects.get(key);
       if (current?.version !== version) {
--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -581,6 +581,18 @@
     expect(store.value("streams/host.h1")).toBeUndefined();
   });
 
+  // Guards against a host that removes for ever what an earlier call has removed.
+  test("is removed once though the answer to its removal is lost", async () => {
+    const store = new ObjectStoreStandin();
+    const { clock } = await startServing(store);
+    store.losesRemovals = true;
+    await pass(
+      clock,
+      BEGUN.lifetimeMilliseconds + 10 * STREAMS_WRITE_MILLISECONDS,
+    );
+    expect(store.removals).toBe(1);
+  });
+
   test("of a host that is gone for good is removed by another one", async () => {
     const store = new ObjectStoreStandin();
     await startServing(store);
--- a/packages/rampswitch-serving/src/streams/stream_archive.ts
+++ b/packages/rampswitch-serving/src/streams/stream_archive.ts
@@ -243,10 +243,14 @@
 
   async #removeOwn(): Promise<boolean> {
     if (this.#own === undefined) return true;
+    const { store } = this.#parts;
     const { key, version } = this.#own;
-    const removed = await this.#parts.store.remove(key, version);
-    if (removed.isOk) this.#own = undefined;
-    return removed.isOk;
+    const removed = await store.remove(key, version);
+    // A call without a clear answer, or an earlier one, may have removed the object.
+    const left = removed.isOk ? removed : await store.get(key);
+    if (left.isErr) return false;
+    this.#own = left.value ?? undefined;
+    return this.#own === undefined;
   }
 }
 
