Take no end from an engine that was told to stop, in rampswitch-entry

Would be seen by callers: a moved or cancelled stream that ends as complete without its last events, if what an engine sent was taken from its connection before the stop and read after it: the runner drops tokens of a stopped attempt, and the end beside them still counted. Change: what is read after the stop of an attempt is left alone, and the attempt counts as lost.

--- a/packages/rampswitch-entry/src/attempt/engine_attempt.ts
+++ b/packages/rampswitch-entry/src/attempt/engine_attempt.ts
@@ -102,6 +102,8 @@
   let next = attempt.firstToken;
   try {
     for await (const chunk of reply.body) {
+      // The engine may end the stream because it was told to stop.
+      if (attempt.signal.aborted) return lostOutcome(server);
       const events = parser.push(
         decoder.decode(chunk as Uint8Array, { stream: true }),
       );
