Ask an engine again to end an attempt that was left, in rampswitch-entry

Would be seen by operators: a moved or cancelled request runs on at the engine that it left, beside its next attempt, where the one call that ends it is lost. Cause: `abandonAttempt` made one call and took no answer for an end. Change: a call without a clear answer is made again, five in all within some 750 ms; 2xx and 404 are clear, the latter also after a lost call that took effect. Remains: a call that overtakes the request that it is to end.

--- a/packages/rampswitch-entry/src/attempt/chat_runner.ts
+++ b/packages/rampswitch-entry/src/attempt/chat_runner.ts
@@ -370,11 +370,11 @@
   }
 
   #abandon({ server, attempt }: Run): void {
-    if (server !== undefined) {
-      this.#inBackground("end of an abandoned run", () =>
-        abandonAttempt(this.#options.client, server, attempt),
-      );
-    }
+    if (server === undefined) return;
+    const { client, clock } = this.#options;
+    this.#inBackground("end of an abandoned run", () =>
+      abandonAttempt(client, { server, attempt, clock }),
+    );
   }
 
   #countRecomputed(run: Run): void {
--- a/packages/rampswitch-entry/src/attempt/engine_calls.ts
+++ b/packages/rampswitch-entry/src/attempt/engine_calls.ts
@@ -7,6 +7,7 @@
  */
 import { MAXIMUM_CACHE_MIGRATION_MILLISECONDS } from "rampswitch-policy";
 import type { BackendServer } from "rampswitch-types";
+import { type Clock, sleep } from "rampswitch-utils";
 import type { BackendClient } from "./backend_client.ts";
 
 /** A migration of KV cache between two engines. */
@@ -36,12 +37,38 @@
   return reply.value.statusCode === 200;
 }
 
-/** Notifies an engine that an attempt is abandoned; failures are ignored. */
+/** An attempt that this host has left. */
+export interface AbandonedAttempt {
+  readonly server: BackendServer;
+  readonly attempt: string;
+  readonly clock: Clock;
+}
+
+/** Pauses before further calls, in milliseconds. */
+const ABANDON_PAUSES_MILLISECONDS: readonly number[] = [50, 100, 200, 400];
+
+const UNKNOWN_ATTEMPT_STATUS = 404;
+
+/**
+ * Has an engine end an attempt. A call without a clear answer is made again: the engine
+ * may run on, since it need not notice that its stream was closed.
+ */
 export async function abandonAttempt(
   client: BackendClient,
-  server: BackendServer,
-  attempt: string,
+  abandoned: AbandonedAttempt,
+  [pause, ...later]: readonly number[] = ABANDON_PAUSES_MILLISECONDS,
 ): Promise<void> {
+  if (await endAttempt(client, abandoned)) return;
+  if (pause === undefined) return;
+  await sleep(abandoned.clock, pause);
+  await abandonAttempt(client, abandoned, later);
+}
+
+/** One call to end an attempt; returns whether the attempt surely doesn't run. */
+async function endAttempt(
+  client: BackendClient,
+  { server, attempt }: AbandonedAttempt,
+): Promise<boolean> {
   const reply = await client.call(server.address, {
     method: "DELETE",
     path: `/v1/attempts/${encodeURIComponent(attempt)}`,
@@ -49,5 +76,8 @@
     body: undefined,
     timeoutMilliseconds: MAXIMUM_CACHE_MIGRATION_MILLISECONDS,
   });
-  if (reply.isOk) await reply.value.body.dump().catch(() => undefined);
+  if (reply.isErr) return false;
+  await reply.value.body.dump().catch(() => undefined);
+  const { statusCode: status } = reply.value;
+  return (status >= 200 && status < 300) || status === UNKNOWN_ATTEMPT_STATUS;
 }
