--- a/packages/rampswitch-utils/src/connect_errors.ts
+++ b/packages/rampswitch-utils/src/connect_errors.ts
@@ -20,8 +20,9 @@
 
 /** Whether an error shows that no connection came up, so that nothing was sent. */
 export function wasNeverConnected(error: unknown): boolean {
-  if (!(error instanceof Error)) return false;
-  const { code, syscall }: NodeJS.ErrnoException = error;
+  if (typeof error !== "object" || error === null) return false;
+  // An error of the system need not be an `Error` of the realm that reads it.
+  const { code, syscall } = error as NodeJS.ErrnoException;
   return (
     code === CONNECT_TIMEOUT_CODE ||
     (syscall === "connect" && CONNECT_CODES.has(code))
--- a/packages/rampswitch-utils/src/connect_errors_test.ts
+++ b/packages/rampswitch-utils/src/connect_errors_test.ts
@@ -3,6 +3,7 @@
 // Guards against a call that counts as never sent though it was: a route that fails ends
 // open connections with the codes of those that never came up.
 
+import { connect } from "node:net";
 import { expect, test } from "@jest/globals";
 import { wasNeverConnected } from "./connect_errors.ts";
 
@@ -27,3 +28,9 @@
 test("a value that is no error tells nothing", () => {
   expect(wasNeverConnected("ECONNREFUSED")).toBe(false);
 });
+
+test("a refused connection means never sent", async () => {
+  const socket = connect(1, "127.0.0.1");
+  const error = await new Promise((resolve) => socket.on("error", resolve));
+  expect(wasNeverConnected(error)).toBe(true);
+});
