--- a/packages/rampswitch-serving/src/streams/origin_archive_test.ts
+++ b/packages/rampswitch-serving/src/streams/origin_archive_test.ts
@@ -603,6 +603,18 @@
     expect(store.value("streams/host.h1")).toBeUndefined();
   });
 
+  test("of a host that is gone is removed once though the answer is lost", async () => {
+    const store = new ObjectStoreStandin();
+    await startServing(store);
+    await ownership[Symbol.asyncDispose]();
+    ownership = new Ownership();
+    const { clock } = await startHost(store, { versions: ["v1"], host: "h2" });
+    store.losesRemovals = true;
+    await pass(clock, 4 * RETENTION_MILLISECONDS);
+    expect(store.value("streams/host.h1")).toBeUndefined();
+    expect(store.removals).toBe(1);
+  });
+
   test("is written again to a store that came back from a copy", async () => {
     const store = new ObjectStoreStandin();
     const { clock } = await startServing(store);
