Keep a lost call in mind for a run that the same server resumes

A stream without length or chunks that resumed at its source ended as complete after a part (ORDER) where a lost call to stop it took effect only after a later call had given the handle.

Cause: a handle cleared all doubt about its server, also that of a call without an answer, which may take effect at any later time: once more the answer to one call taken for the outcome of another. Only runs that resume at the source are concerned; targets are other incarnations.

Change: a call without an answer leaves the ends of later runs at that incarnation in doubt.

Replaced: the row 'a lost answer, then a handle' of run_stops_test.ts expected no doubt, which is the fault; it now expects doubt, and a new row shows that a handle after a 409 clears it.

The price, not measured: a run that resumes at its source after a lost call, and ends there by itself without a length, is a loss.

--- a/packages/rampswitch-serving/src/relay/run_stops.ts
+++ b/packages/rampswitch-serving/src/relay/run_stops.ts
@@ -81,6 +81,8 @@
   readonly inDoubt: boolean;
   /** Answers since the last handle which say that the server knows no run. */
   readonly noRunAnswers: number;
+  /** Whether a call has no answer, so that it may take effect at any later time. */
+  readonly isAnyLost: boolean;
 }
 
 /**
@@ -89,7 +91,12 @@
  */
 const CONFIRMING_ANSWERS = 2;
 
-const NO_CALLS: Calls = { open: 0, inDoubt: false, noRunAnswers: 0 };
+const NO_CALLS: Calls = {
+  open: 0,
+  inDoubt: false,
+  noRunAnswers: 0,
+  isAnyLost: false,
+};
 
 /** The calls that stop runs of one request, by the incarnation of their server. */
 export class RunStops {
@@ -115,6 +122,7 @@
     return (
       calls.open > 0 ||
       calls.inDoubt ||
+      calls.isAnyLost ||
       isUnconfirmed(calls) ||
       this.#abandonedAt.has(record.incarnation)
     );
@@ -157,16 +165,20 @@
   return noRunAnswers > 0 && noRunAnswers < CONFIRMING_ANSWERS;
 }
 
-/** A handle names the memory of the stopped run, whichever call has stopped it. */
+/**
+ * A handle names the memory of the stopped run, whichever call has stopped it. A call
+ * without an answer may still stop a run that the same server resumes.
+ */
 function answered(
-  { open, inDoubt, noRunAnswers }: Calls,
+  { open, inDoubt, noRunAnswers, isAnyLost }: Calls,
   answer: Result<RetainedMemory, MemoryCopyError>,
 ): Calls {
-  if (answer.isOk) return { ...NO_CALLS, open: open - 1 };
+  if (answer.isOk) return { ...NO_CALLS, open: open - 1, isAnyLost };
   const { error } = answer;
   return {
     open: open - 1,
     inDoubt: inDoubt || mayHaveStopped(error),
     noRunAnswers: noRunAnswers + (error === "no_run" ? 1 : 0),
+    isAnyLost: isAnyLost || error === "no_answer",
   };
 }
--- a/packages/rampswitch-serving/src/relay/run_stops_test.ts
+++ b/packages/rampswitch-serving/src/relay/run_stops_test.ts
@@ -100,7 +100,12 @@
       "a lost answer, then another call under way",
       [failed("no_answer"), failed("under_way")],
     ],
-    [false, "a lost answer, then a handle", [failed("no_answer"), COPIED]],
+    [true, "a lost answer, then a handle", [failed("no_answer"), COPIED]],
+    [
+      false,
+      "another call under way, then a handle",
+      [failed("under_way"), COPIED],
+    ],
   ])("may have stopped one (%s) after %s", async (expected, _name, answers) => {
     expect(await knownAfter(...answers)).toBe(expected);
   });
