Read the changes of moves and forwarding once more

A listener of a send may be called before the send returns; the announcement of a stop then read its time limit before it was set, which would have thrown. Open connections are noted for answers without a length alone, which ask for them. Two comments of RunStops are shorter.

Measured: 94 of 94 tests of attempt, run_stops, reborn_unframed and cut_answer; the tests of forwarding and forwarded_move pass.

--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -314,7 +314,7 @@
   #answered = false;
   /** How the answer marks its end, by its head. */
   #framing: AnswerFraming = "framed";
-  /** Connections to the server that were open when the answer began. */
+  /** Connections to the server that were open when an unframed answer began. */
   #openAtHead: readonly Socket[] = [];
   #informationalHeads = 0;
   #pieces = 0;
@@ -379,7 +379,7 @@
     const head = { method: this.#method, status: statusCode, rawHeaders };
     this.#framing = framingOf(head);
     const { connections } = this.#contact;
-    this.#openAtHead = connections.open;
+    if (this.#framing === "unframed") this.#openAtHead = connections.open;
     connections.answered(rawHeaders, this.#framing);
     this.#listener.head(statusCode, rawHeaders);
   }
--- a/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
+++ b/packages/rampswitch-serving/src/forwarding/forwarding_client.ts
@@ -150,11 +150,17 @@
 
   #announce({ through, server, request }: ForwardedSend): Promise<void> {
     return new Promise((resolve) => {
+      const announcement: { send?: Send } = {};
+      const cancelLimit = this.#clock.after(ANNOUNCEMENT_MILLISECONDS, () => {
+        announcement.send?.abort();
+        resolve();
+      });
       const end = () => {
         cancelLimit();
         resolve();
       };
-      const announcement = this.#client.send(
+      // The listener may be called before the send returns.
+      announcement.send = this.#client.send(
         { id: through.name, address: through.address },
         {
           method: "POST",
@@ -176,10 +182,6 @@
           failed: end,
         },
       );
-      const cancelLimit = this.#clock.after(ANNOUNCEMENT_MILLISECONDS, () => {
-        announcement.abort();
-        end();
-      });
     });
   }
 
--- a/packages/rampswitch-serving/src/relay/run_stops.ts
+++ b/packages/rampswitch-serving/src/relay/run_stops.ts
@@ -24,7 +24,7 @@
   readonly to: string;
 }
 
-/** Answers of calls that stopped nothing by themselves; an unknown run needs a second one. */
+/** Answers of calls that stopped nothing by themselves. */
 const WITHOUT_EFFECT: ReadonlySet<MemoryCopyError> = new Set<MemoryCopyError>([
   "no_run",
   "not_connected",
@@ -85,10 +85,7 @@
   readonly isAnyLost: boolean;
 }
 
-/**
- * Answers that know no run from which on they are believed: a single one may belie a stop
- * that took effect.
- */
+/** Answers that know no run before they are believed; one alone may be wrong. */
 const CONFIRMING_ANSWERS = 2;
 
 const NO_CALLS: Calls = {
