Check in one place whether a process takes connections; ask one rule which heads are final

The own interface's client had a copy of the serving client's check for answers without a length, with one variation: it takes the brackets off version 6 addresses. Both call takesConnections now. The bound on bytes beside bodies had a constant of its own for the first final status; it asks isFinalStatus.

No test is changed.

--- a/packages/rampswitch-entry/src/attempt/backend_client.ts
+++ b/packages/rampswitch-entry/src/attempt/backend_client.ts
@@ -18,7 +18,7 @@
 import {
   isFinalStatus,
   isFramed,
-  splitAddress,
+  takesConnections,
   wasNeverConnected,
   withBoundedReading,
   withCorrectEnds,
@@ -81,7 +81,9 @@
         return Result.err(invalidStatus(address, reply));
       const isSure = hasMarkedEnd(call, reply);
       const isWhole = () =>
-        isSure ? Promise.resolve(true) : this.#connects(address);
+        isSure
+          ? Promise.resolve(true)
+          : takesConnections(this.#connect, address);
       return Result.ok({ ...reply, isWhole });
     } catch (error) {
       return Result.err(callFailure(address, error));
@@ -103,22 +105,6 @@
     await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
   }
 
-  /** Whether a new connection to a server comes up; it is closed at once. */
-  #connects(address: string): Promise<boolean> {
-    const { host, port } = splitAddress(address);
-    // Version 6 of the protocol has brackets in addresses, and none in connections.
-    const hostname = host.replace(/^\[|\]$/g, "");
-    return new Promise((resolve) => {
-      this.#connect(
-        { hostname, host, port: String(port), protocol: "http:" },
-        (error, socket) => {
-          socket?.destroy();
-          resolve(error === null);
-        },
-      );
-    });
-  }
-
   #pool(address: string): Pool {
     const known = this.#pools.get(address);
     if (known !== undefined) return known;
--- a/packages/rampswitch-serving/src/attempt/backend_client.ts
+++ b/packages/rampswitch-serving/src/attempt/backend_client.ts
@@ -11,7 +11,7 @@
   isInformationalStatus,
   isOpen,
   RESET_CODE,
-  splitAddress,
+  takesConnections,
   withBoundedReading,
   withCorrectEnds,
 } from "rampswitch-utils";
@@ -214,16 +214,7 @@
 
   /** Whether a new connection to a server comes up; it is closed at once. */
   connects({ id, address }: ServerAddress): Promise<boolean> {
-    const { host, port } = splitAddress(address);
-    return new Promise((resolve) => {
-      this.#connectTo(id)(
-        { hostname: host, host, port: String(port), protocol: "http:" },
-        (error, socket) => {
-          socket?.destroy();
-          resolve(error === null);
-        },
-      );
-    });
+    return takesConnections(this.#connectTo(id), address);
   }
 
   /**
--- a/packages/rampswitch-utils/src/bounded_reading.ts
+++ b/packages/rampswitch-utils/src/bounded_reading.ts
@@ -15,6 +15,7 @@
 import { subscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
 import type { Connector } from "./connection_ends.ts";
+import { isFinalStatus } from "./http_status.ts";
 
 /**
  * Maximum number of bytes without a part of a body, in bytes. Bytes that wait for a
@@ -25,9 +26,6 @@
 /** Bytes that each byte of a body may have beside it; a chunk of one byte has six. */
 const BYTES_BESIDE_BODY_BYTE = 64;
 
-/** Answers with a lower status are informational. */
-const FIRST_FINAL_STATUS = 200;
-
 /** Error of a connection that brought too many bytes that are no part of a body. */
 export class EndlessAnswerError extends Error {
   override readonly name = "EndlessAnswerError";
@@ -109,7 +107,7 @@
   }: RequestMessage & {
     readonly response: { readonly statusCode: number };
   }) => {
-    if (response.statusCode >= FIRST_FINAL_STATUS)
+    if (isFinalStatus(response.statusCode))
       COUNTS_BY_REQUEST.get(request)?.restart();
   },
   "undici:request:bodyChunkReceived": ({
--- a/packages/rampswitch-utils/src/mod.ts
+++ b/packages/rampswitch-utils/src/mod.ts
@@ -15,6 +15,7 @@
 export * from "./clock.ts";
 export * from "./collected_bytes.ts";
 export * from "./connect_errors.ts";
+export * from "./connection_check.ts";
 export * from "./connection_ends.ts";
 export * from "./disposal.ts";
 export * from "./hash.ts";
